--- /dev/null
+++ b/runstate/runstate.go
@@ -0,0 +1,56 @@
+// Package runstate tracks whether a request can have had an effect on an
+// upstream. The state only rises, so a refusal derived from it never claims
+// less than what happened.
+package runstate
+
+import "sync/atomic"
+
+// State says how far a request can have come on any upstream.
+type State uint32
+
+const (
+	// NotRun means that no byte of the request was handed to a connection.
+	NotRun State = iota
+	// MayHaveRun means that at least one byte was written to a connection and
+	// no complete answer was read.
+	MayHaveRun
+	// Ran means that an upstream answered, in whole or in part.
+	Ran
+)
+
+// String returns the wire form of the state, as used in headers and logs.
+func (s State) String() string {
+	switch s {
+	case NotRun:
+		return "not-run"
+	case MayHaveRun:
+		return "may-have-run"
+	default:
+		return "ran"
+	}
+}
+
+// Tracker holds the state of one request across all its attempts. The zero
+// value is NotRun. It is safe for concurrent use.
+type Tracker struct {
+	state atomic.Uint32
+}
+
+// Raise moves the state up to s. A lower state is ignored: an attempt that
+// failed before its first byte doesn't undo an earlier attempt's write.
+func (t *Tracker) Raise(s State) {
+	for {
+		current := t.state.Load()
+		if uint32(s) <= current {
+			return
+		}
+		if t.state.CompareAndSwap(current, uint32(s)) {
+			return
+		}
+	}
+}
+
+// State returns the highest state reached.
+func (t *Tracker) State() State {
+	return State(t.state.Load())
+}
