upstream: engine and service clients over net/http

The rest of the system needs a client of engines and plain services to build on; this is its first working form, over HTTP/1.1 with pooled connections.

--- /dev/null
+++ b/upstream/chunk.go
@@ -0,0 +1,43 @@
+package upstream
+
+import (
+	"bytes"
+
+	"github.com/buger/jsonparser"
+)
+
+var usageKey = []byte(`"usage"`)
+
+// chunkText returns the content of the first choice's delta; empty if the
+// chunk has none.
+func chunkText(data []byte) string {
+	text, err := jsonparser.GetString(data, "choices", "[0]", "delta", "content")
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+// chunkUsage returns the usage in a chunk; ok is false if it has none.
+func chunkUsage(data []byte) (usage Usage, ok bool) {
+	if !bytes.Contains(data, usageKey) {
+		return Usage{}, false
+	}
+	object, kind, _, err := jsonparser.Get(data, "usage")
+	if err != nil || kind != jsonparser.Object {
+		return Usage{}, false
+	}
+	usage.PromptTokens = tokens(object, "prompt_tokens")
+	usage.CompletionTokens = tokens(object, "completion_tokens")
+	usage.CachedTokens = tokens(object, "prompt_tokens_details", "cached_tokens")
+	return usage, true
+}
+
+// tokens returns a count of tokens; zero if it is missing or negative.
+func tokens(object []byte, path ...string) int {
+	n, err := jsonparser.GetInt(object, path...)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return int(n)
+}
--- /dev/null
+++ b/upstream/header.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers of the protocol towards upstreams.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderPriority     = "X-Priority"
+	HeaderDeadline     = "X-Deadline-Ms"
+	HeaderModelVersion = "X-Model-Version"
+	HeaderLoad         = "X-Load"
+	HeaderLeaving      = "X-Leaving"
+	HeaderNotRun       = "X-Not-Run"
+	HeaderLastEventID  = "Last-Event-Id"
+
+	headerTrue = "1"
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110,
+// section 7.6.1), and Expect, which the client answers itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// parseLoad reads the load report on an answer's head.
+func parseLoad(h http.Header) (load Load, ok bool) {
+	load.Leaving = h.Get(HeaderLeaving) == headerTrue
+	parts := strings.Split(h.Get(HeaderLoad), "/")
+	if len(parts) != 3 {
+		return load, false
+	}
+	for i, field := range []*int{&load.Running, &load.Queued, &load.Capacity} {
+		n, err := strconv.Atoi(parts[i])
+		if err != nil || n < 0 {
+			return Load{Leaving: load.Leaving}, false
+		}
+		*field = n
+	}
+	return load, true
+}
+
+// parseRetryAfter reads Retry-After in its form of whole seconds; zero means
+// that there is none.
+func parseRetryAfter(h http.Header) time.Duration {
+	n, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,9 @@
 	ErrMismatch = errors.New("upstream: answer of another request")
 	// ErrTooLarge means that an answer or frame is over its size limit.
 	ErrTooLarge = errors.New("upstream: answer too large")
+	// ErrBody means that the request's body isn't a JSON object; nothing was
+	// sent.
+	ErrBody = errors.New("upstream: request body is not a JSON object")
 )
 
 // StatusError is an answer with an HTTP status other than success.
@@ -75,7 +78,8 @@
 type Frame struct {
 	// Seq starts at 1 and rises by 1.
 	Seq uint64
-	// Data is the event's JSON as the engine sent it.
+	// Data is the event's JSON as the engine sent it. It is valid until the
+	// next call of Next.
 	Data []byte
 	// Text is the delta's content.
 	Text string
@@ -135,6 +139,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Idempotent says that the call may reach the service more than once: a
+	// pooled connection that turns out to be closed is then replaced and the
+	// call sent again. Default: false, the call is sent at most once.
+	Idempotent bool
 }
 
 // ServiceAnswer is a whole answer of a plain service.
@@ -146,7 +154,9 @@
 
 // Service sends calls to plain services.
 type Service interface {
-	// Do sends the call once and reads the whole answer. It raises state as
-	// Engine.Open does. Statuses are returned as answers, not as errors.
+	// Do sends the call and reads the whole answer; only an idempotent call is
+	// ever sent again. It raises state as Engine.Open does, where each answer
+	// counts as a success unless it says that the call was not run. Statuses
+	// are returned as answers, not as errors.
 	Do(ctx context.Context, target Target, call ServiceCall, state *runstate.Tracker) (ServiceAnswer, error)
 }
