--- /dev/null
+++ b/manifest/policy.go
@@ -0,0 +1,239 @@
+package manifest
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Policy is a document prepared for the request path. It never changes; the
+// values and slices that it returns are shared and must not be changed.
+type Policy struct {
+	// Epoch is the number under which the document was accepted, from 1.
+	Epoch uint64
+	// Digest is the document's digest.
+	Digest string
+	// Document is what the policy was made from.
+	Document *Document
+
+	// keys finds candidates by the first bytes of a key's digest.
+	keys     map[uint64][]keyEntry
+	models   map[string]*Model
+	versions map[versionName]*Version
+	classes  map[string]int
+	services map[string]*Service
+	cascades map[string]*Cascade
+	accounts map[string]*permissions
+}
+
+type keyEntry struct {
+	digest  [sha256.Size]byte
+	account *Account
+}
+
+type versionName struct{ model, version string }
+
+// permissions are an account's permitted versions, sorted by model name.
+type permissions struct {
+	account *Account
+	models  []permittedModel
+}
+
+type permittedModel struct {
+	model string
+	// versions are shared between accounts that are permitted the same.
+	versions []Version
+}
+
+// Compile prepares a document that Parse accepted. The document must not be
+// changed afterwards.
+func Compile(doc *Document, epoch uint64, digest string) *Policy {
+	p := &Policy{
+		Epoch:    epoch,
+		Digest:   digest,
+		Document: doc,
+		keys:     make(map[uint64][]keyEntry, len(doc.Accounts)),
+		models:   make(map[string]*Model, len(doc.Models)),
+		versions: map[versionName]*Version{},
+		classes:  make(map[string]int, len(doc.Classes)),
+		services: make(map[string]*Service, len(doc.Services)),
+		cascades: make(map[string]*Cascade, len(doc.Cascades)),
+		accounts: make(map[string]*permissions, len(doc.Accounts)),
+	}
+	p.addNames()
+	p.addAccounts()
+	return p
+}
+
+func (p *Policy) addNames() {
+	for i := range p.Document.Models {
+		m := &p.Document.Models[i]
+		p.models[m.Name] = m
+		for j := range m.Versions {
+			p.versions[versionName{m.Name, m.Versions[j].Name}] = &m.Versions[j]
+		}
+	}
+	for i := range p.Document.Classes {
+		p.classes[p.Document.Classes[i].Name] = i
+	}
+	for i := range p.Document.Services {
+		p.services[p.Document.Services[i].Name] = &p.Document.Services[i]
+	}
+	for i := range p.Document.Cascades {
+		p.cascades[p.Document.Cascades[i].Name] = &p.Document.Cascades[i]
+	}
+}
+
+func (p *Policy) addAccounts() {
+	c := versionCache{}
+	for i := range p.Document.Accounts {
+		a := &p.Document.Accounts[i]
+		p.addKeys(a)
+		list := make([]permittedModel, 0, len(a.Models))
+		for _, permission := range a.Models {
+			versions := c.permitted(p.models[permission.Model], permission)
+			list = append(list, permittedModel{model: permission.Model, versions: versions})
+		}
+		slices.SortFunc(list, func(x, y permittedModel) int { return cmp.Compare(x.model, y.model) })
+		p.accounts[a.Name] = &permissions{account: a, models: list}
+	}
+}
+
+func (p *Policy) addKeys(a *Account) {
+	for _, text := range a.KeySHA256 {
+		entry := keyEntry{account: a}
+		if _, err := hex.Decode(entry.digest[:], []byte(text)); err != nil {
+			continue // Parse accepts no such text
+		}
+		bucket := keyBucket(entry.digest)
+		p.keys[bucket] = append(p.keys[bucket], entry)
+	}
+}
+
+func keyBucket(digest [sha256.Size]byte) uint64 {
+	return binary.BigEndian.Uint64(digest[:8])
+}
+
+// versionCache holds the lists of permitted versions by model and names, as
+// most accounts are permitted the same few sets.
+type versionCache map[string][]Version
+
+func (c versionCache) permitted(m *Model, permission Permission) []Version {
+	if m == nil {
+		return nil
+	}
+	key := m.Name + "\x00" + strings.Join(permission.Versions, "\x00")
+	if list, ok := c[key]; ok {
+		return list
+	}
+	var list []Version
+	for i := range m.Versions {
+		v := m.Versions[i]
+		named := len(permission.Versions) == 0 || slices.Contains(permission.Versions, v.Name)
+		if named && v.State != Withdrawn {
+			list = append(list, v)
+		}
+	}
+	c[key] = slices.Clip(list)
+	return c[key]
+}
+
+// AccountByKey returns the account that a key belongs to. The key is met only
+// through its SHA-256, and digests are compared in constant time, so the time
+// it takes tells nothing about the keys that exist.
+func (p *Policy) AccountByKey(key string) (*Account, bool) {
+	digest := sha256.Sum256([]byte(key))
+	for _, candidate := range p.keys[keyBucket(digest)] {
+		if subtle.ConstantTimeCompare(digest[:], candidate.digest[:]) == 1 {
+			return candidate.account, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account with a name.
+func (p *Policy) Account(name string) (*Account, bool) {
+	entry, ok := p.accounts[name]
+	if !ok {
+		return nil, false
+	}
+	return entry.account, true
+}
+
+// Model returns the model with a name.
+func (p *Policy) Model(name string) (*Model, bool) {
+	m, ok := p.models[name]
+	return m, ok
+}
+
+// Permitted returns the versions of a model that an account may use and that
+// aren't withdrawn, in document order; it is empty where there are none.
+func (p *Policy) Permitted(account, model string) []Version {
+	entry, ok := p.accounts[account]
+	if !ok {
+		return nil
+	}
+	i, found := slices.BinarySearchFunc(entry.models, model, func(m permittedModel, name string) int {
+		return cmp.Compare(m.model, name)
+	})
+	if !found {
+		return nil
+	}
+	return entry.models[i].versions
+}
+
+// Version returns a version of a model, withdrawn ones included.
+func (p *Policy) Version(model, version string) (Version, bool) {
+	v, ok := p.versions[versionName{model, version}]
+	if !ok {
+		return Version{}, false
+	}
+	return *v, true
+}
+
+// Class returns a class and its priority, 0 being the highest.
+func (p *Policy) Class(name string) (class Class, priority int, ok bool) {
+	i, ok := p.classes[name]
+	if !ok {
+		return Class{}, 0, false
+	}
+	return p.Document.Classes[i], i, true
+}
+
+// Service returns the plain service with a name.
+func (p *Policy) Service(name string) (*Service, bool) {
+	s, ok := p.services[name]
+	return s, ok
+}
+
+// Route returns the first route of a service that matches a call. A path with
+// empty or dot segments matches none: an upstream might read it as another
+// path than the one that was matched.
+func (p *Policy) Route(service, method, path string) (Route, bool) {
+	s, ok := p.services[service]
+	if !ok || !cleanPath(path) {
+		return Route{}, false
+	}
+	for _, r := range s.Routes {
+		if r.matches(method, path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Cascade returns the cascade with a name.
+func (p *Policy) Cascade(name string) (*Cascade, bool) {
+	c, ok := p.cascades[name]
+	return c, ok
+}
+
+// String returns the epoch and digest, for logs.
+func (p *Policy) String() string {
+	return strconv.FormatUint(p.Epoch, 10) + "/" + p.Digest
+}
