balance: select upstreams with filters, scorers and a sampled pick

Cause: entry hosts see each upstream through a lagging report and only their own requests, so a plain least-load choice herds, and an upstream that fails at once looks idle and attracts requests.

A selector runs filters, then scores two random candidates and the best of each affinity within a load bound.

Ruled out: scoring every candidate and taking the best, because hosts with the same stale view then all choose the same upstream.

--- /dev/null
+++ b/balance/chain.go
@@ -0,0 +1,35 @@
+package balance
+
+// Default weights of NewSelector's scorers.
+const (
+	loadWeight    = 1.0
+	errorWeight   = 1.0
+	latencyWeight = 0.5
+	zoneWeight    = 0.1
+	prefixWeight  = 1.0
+	sessionWeight = 0.5
+)
+
+// NewSelector returns the default chain over a prefix index.
+func NewSelector(matcher PrefixMatcher) *Selector {
+	return &Selector{
+		Filters: []Filter{
+			VersionFilter{},
+			LeavingFilter{},
+			ExcludedFilter{},
+			EjectedFilter{},
+			CapacityFilter{},
+		},
+		Affinity: []Weighted{
+			{Scorer: PrefixScorer{Matcher: matcher}, Weight: prefixWeight},
+			{Scorer: SessionScorer{}, Weight: sessionWeight},
+		},
+		Scorers: []Weighted{
+			{Scorer: LoadScorer{}, Weight: loadWeight},
+			{Scorer: ErrorScorer{}, Weight: errorWeight},
+			{Scorer: LatencyScorer{}, Weight: latencyWeight},
+			{Scorer: ZoneScorer{}, Weight: zoneWeight},
+		},
+		Picker: PowerOfTwo{},
+	}
+}
--- /dev/null
+++ b/balance/filter_capacity.go
@@ -0,0 +1,34 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// DefaultMaxLoad is the default of CapacityFilter.MaxLoad.
+const DefaultMaxLoad = 2.0
+
+// CapacityFilter drops upstreams whose queue is long already. When that would
+// drop all of them it drops none: choosing the least bad is the scorers' task
+// and refusing is the queue's.
+type CapacityFilter struct {
+	// MaxLoad is the load in multiples of the upstream's capacity from which
+	// on it is dropped; 0 means DefaultMaxLoad.
+	MaxLoad float64
+}
+
+// Name implements Filter.
+func (CapacityFilter) Name() string { return "capacity" }
+
+// Filter implements Filter.
+func (f CapacityFilter) Filter(_ *Request, list []*Upstream, _ time.Time) []*Upstream {
+	limit := f.MaxLoad
+	if limit == 0 {
+		limit = DefaultMaxLoad
+	}
+	full := func(u *Upstream) bool { return relativeLoad(u) >= limit }
+	if !slices.ContainsFunc(list, func(u *Upstream) bool { return !full(u) }) {
+		return list
+	}
+	return slices.DeleteFunc(list, full)
+}
--- /dev/null
+++ b/balance/filter_ejected.go
@@ -0,0 +1,61 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// DefaultMaxEjectedShare is the largest share of candidates that
+// EjectedFilter drops by default.
+const DefaultMaxEjectedShare = 0.34
+
+// EjectedFilter drops upstreams whose ejection isn't over. It drops at most a
+// share of the candidates, those ejected the longest first, so that a fault
+// common to all upstreams doesn't leave none.
+type EjectedFilter struct {
+	// MaxShare is from 0 to 1; 0 means DefaultMaxEjectedShare. Of two or more
+	// candidates, one may always be dropped.
+	MaxShare float64
+}
+
+// Name implements Filter.
+func (EjectedFilter) Name() string { return "ejected" }
+
+// Filter implements Filter.
+func (f EjectedFilter) Filter(_ *Request, list []*Upstream, now time.Time) []*Upstream {
+	var ejected []*Upstream
+	for _, u := range list {
+		if u.EjectedUntil.After(now) {
+			ejected = append(ejected, u)
+		}
+	}
+	if len(ejected) == 0 {
+		return list
+	}
+	ejected = longestEjected(ejected, f.most(len(list)))
+	return slices.DeleteFunc(list, func(u *Upstream) bool {
+		return slices.Contains(ejected, u)
+	})
+}
+
+// most returns how many of n candidates may be dropped.
+func (f EjectedFilter) most(n int) int {
+	if n < 2 {
+		return 0
+	}
+	share := f.MaxShare
+	if share == 0 {
+		share = DefaultMaxEjectedShare
+	}
+	return max(1, int(share*float64(n)))
+}
+
+func longestEjected(ejected []*Upstream, most int) []*Upstream {
+	if len(ejected) <= most {
+		return ejected
+	}
+	slices.SortStableFunc(ejected, func(a, b *Upstream) int {
+		return b.EjectedUntil.Compare(a.EjectedUntil)
+	})
+	return ejected[:most]
+}
--- /dev/null
+++ b/balance/filter_version.go
@@ -0,0 +1,29 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// VersionFilter keeps the engines that report the request's version as loaded
+// or, for a service request, the hosts of that service. An engine without a
+// report has no known version and is dropped.
+type VersionFilter struct{}
+
+// Name implements Filter.
+func (VersionFilter) Name() string { return "version" }
+
+// Filter implements Filter.
+func (VersionFilter) Filter(req *Request, list []*Upstream, _ time.Time) []*Upstream {
+	if req.Service != "" {
+		return slices.DeleteFunc(list, func(u *Upstream) bool {
+			return u.Kind != platform.KindService || u.Name != req.Service
+		})
+	}
+	loaded := req.loadedVersion()
+	return slices.DeleteFunc(list, func(u *Upstream) bool {
+		return u.Kind != platform.KindEngine || !slices.Contains(u.Versions, loaded)
+	})
+}
--- /dev/null
+++ b/balance/helpers_test.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fakeClock is moved by hand.
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time          { return c.now }
+func (c *fakeClock) Advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func engine(id string, running int) *Upstream {
+	return &Upstream{
+		ID:       id,
+		Kind:     platform.KindEngine,
+		Versions: []string{"m@1"},
+		Reported: upstream.Load{Running: running, Capacity: 10},
+	}
+}
+
+func host(id string) platform.Host {
+	return platform.Host{
+		ID:      id,
+		Kind:    platform.KindEngine,
+		Name:    "m",
+		Zone:    "a",
+		Address: "127.0.0.1:1",
+		State:   platform.HostLive,
+	}
+}
+
+func load(running int) upstream.Load {
+	return upstream.Load{Running: running, Capacity: 10, Versions: []string{"m@1"}}
+}
+
+// newTestPool returns a pool of engines that reported no load.
+func newTestPool(t *testing.T, ids ...string) (*Pool, *fakeClock, []platform.Host) {
+	t.Helper()
+	clock := &fakeClock{now: start}
+	pool := NewPool(Options{Host: "entry-1", Zone: "a", Clock: clock.Now, Seed: 1})
+	var list []platform.Host
+	for _, id := range ids {
+		list = append(list, host(id))
+	}
+	pool.Update(list)
+	for _, id := range ids {
+		pool.Report(id, load(0), clock.Now())
+	}
+	return pool, clock, list
+}
+
+func find(pool *Pool, id string) *Upstream {
+	for _, u := range pool.View() {
+		if u.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+var modelRequest = &Request{Model: "m", Version: "1", Zone: "a"}
--- /dev/null
+++ b/balance/pick.go
@@ -0,0 +1,20 @@
+package balance
+
+import "math/rand/v2"
+
+// PowerOfTwo samples two distinct candidates at random. Sampling keeps hosts
+// with the same stale view from all choosing the same upstream.
+type PowerOfTwo struct{}
+
+// Sample implements Picker.
+func (PowerOfTwo) Sample(n int, rnd *rand.Rand) []int {
+	first := rnd.IntN(n)
+	if n == 1 {
+		return []int{first}
+	}
+	second := rnd.IntN(n - 1)
+	if second >= first {
+		second++
+	}
+	return []int{first, second}
+}
--- /dev/null
+++ b/balance/pool_test.go
@@ -0,0 +1,186 @@
+package balance
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+func TestLeavingIsSticky(t *testing.T) {
+	is := is.New(t)
+	pool, clock, list := newTestPool(t, "a", "b")
+	is.True(pool.SetLeaving("a", 7))
+	is.True(!pool.SetLeaving("a", 7)) // no news
+	clock.Advance(time.Hour)
+	pool.Update(list) // the lagging list still says live
+	pool.Report("a", load(0), clock.Now())
+	is.True(find(pool, "a").Leaving)
+	is.True(!pool.Begin("a"))
+
+	pool.Update(list[1:])
+	clock.Advance(DefaultAbsentFor - 1)
+	pool.Update(list) // an outdated list after a short absence
+	is.True(find(pool, "a").Leaving)
+
+	pool.Update(list[1:])
+	clock.Advance(DefaultAbsentFor)
+	pool.Update(list) // a new incarnation
+	is.True(!find(pool, "a").Leaving)
+	is.True(!pool.SetLeaving("a", 7)) // the earlier incarnation's fact
+	is.True(!find(pool, "a").Leaving)
+	is.True(pool.SetLeaving("a", 8))
+	is.True(find(pool, "a").Leaving)
+}
+
+func TestLeavingSources(t *testing.T) {
+	tests := []struct {
+		desc  string
+		learn func(pool *Pool, list []platform.Host)
+	}{
+		{"host list", func(pool *Pool, list []platform.Host) {
+			list[0].State = platform.HostLeaving
+			pool.Update(list)
+		}},
+		{"load report", func(pool *Pool, _ []platform.Host) {
+			pool.Report("a", upstream.Load{Leaving: true}, start.Add(time.Second))
+		}},
+		{"answer", func(pool *Pool, _ []platform.Host) {
+			pool.Begin("a")
+			pool.End("a", Outcome{Refused: true, Leaving: true})
+		}},
+		{"peer", func(pool *Pool, _ []platform.Host) { pool.SetLeaving("a", 1) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			pool, _, list := newTestPool(t, "a")
+			tt.learn(pool, list)
+			_, ok := pool.Choose(modelRequest)
+			is.True(!ok)
+		})
+	}
+}
+
+func TestLeavingFactBeforeTheList(t *testing.T) {
+	is := is.New(t)
+	pool, _, list := newTestPool(t, "a")
+	pool.SetLeaving("new", 3)
+	pool.Update(append(list, host("new")))
+	is.True(find(pool, "new").Leaving)
+}
+
+func TestReportsCorrectTheLoad(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a")
+	clock.Advance(time.Second)
+	pool.Begin("a")
+	is.Equal(CorrectedLoad(find(pool, "a")), 1)
+	reported := load(5)
+	reported.AgeMs = 2000 // taken before the request began
+	pool.Report("a", reported, clock.Now().Add(1500*time.Millisecond))
+	is.Equal(CorrectedLoad(find(pool, "a")), 6)
+	pool.Report("a", load(0), start) // older than the latest
+	is.Equal(CorrectedLoad(find(pool, "a")), 6)
+	pool.Report("a", load(0), clock.Now().Add(2*time.Second))
+	is.Equal(CorrectedLoad(find(pool, "a")), 1) // can't be below the own ones
+	pool.End("a", Outcome{FirstToken: 80 * time.Millisecond})
+	is.Equal(CorrectedLoad(find(pool, "a")), 0)
+	is.Equal(find(pool, "a").LatencyMs, 80.0)
+}
+
+func TestFailingFastDoesNotAttract(t *testing.T) {
+	is := is.New(t)
+	pool, _, _ := newTestPool(t, "a", "b", "c")
+	counts := map[string]int{}
+	for range 300 {
+		choice, ok := pool.Choose(modelRequest)
+		is.True(ok)
+		id := choice.Upstream.ID
+		is.True(pool.Begin(id))
+		counts[id]++
+		if id == "a" { // fails at once; the others stay busy
+			pool.End(id, Outcome{Err: true})
+		}
+	}
+	is.True(counts["a"] <= DefaultConsecutiveErrors)
+}
+
+func TestEjectionBacksOffAndEnds(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a", "b")
+	fail := func() {
+		pool.Begin("a")
+		pool.End("a", Outcome{Err: true})
+	}
+	for range DefaultConsecutiveErrors {
+		fail()
+	}
+	first := find(pool, "a").EjectedUntil.Sub(clock.Now())
+	is.True(first >= DefaultEjectBase/2 && first <= DefaultEjectBase*3/2)
+	clock.Advance(first)
+	fail() // on trial, one error is enough
+	second := find(pool, "a").EjectedUntil.Sub(clock.Now())
+	is.True(second >= DefaultEjectBase && second <= DefaultEjectBase*3)
+	clock.Advance(second)
+	pool.Begin("a")
+	pool.End("a", Outcome{})
+	fail()
+	is.True(!find(pool, "a").EjectedUntil.After(clock.Now()))
+}
+
+func TestRefusalCountsAsFull(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a", "b")
+	pool.Begin("a")
+	pool.End("a", Outcome{Err: true, Refused: true})
+	for range 20 {
+		choice, _ := pool.Choose(modelRequest)
+		is.Equal(choice.Upstream.ID, "b")
+	}
+	clock.Advance(time.Second)
+	pool.Report("a", load(0), clock.Now())
+	is.Equal(CorrectedLoad(find(pool, "a")), 0)
+	is.Equal(find(pool, "a").ErrorRate, 0.0)
+}
+
+func TestPoolConcurrently(t *testing.T) {
+	is := is.New(t)
+	var list []platform.Host
+	for i := range 20 {
+		list = append(list, host(fmt.Sprint("h", i)))
+	}
+	pool := NewPool(Options{Host: "entry-1", Zone: "a", Seed: 1})
+	pool.Update(list)
+	for _, h := range list {
+		pool.Report(h.ID, load(0), time.Now())
+	}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				choice, ok := pool.Choose(modelRequest)
+				if !ok || !pool.Begin(choice.Upstream.ID) {
+					continue
+				}
+				pool.Index().Sent(choice.Upstream.ID, []uint64{uint64(i)})
+				pool.Report(choice.Upstream.ID, load(i%10), time.Now())
+				pool.End(choice.Upstream.ID, Outcome{FirstToken: time.Millisecond})
+			}
+		})
+	}
+	wg.Go(func() {
+		for i := range 50 {
+			pool.Update(list[i%5:])
+		}
+	})
+	wg.Wait()
+	for _, u := range pool.View() {
+		is.Equal(u.InFlight, 0)
+	}
+}
--- /dev/null
+++ b/balance/score_load.go
@@ -0,0 +1,64 @@
+package balance
+
+import "time"
+
+// LoadScorer prefers upstreams with a low corrected load relative to their
+// capacity.
+type LoadScorer struct{}
+
+// Name implements Scorer.
+func (LoadScorer) Name() string { return "load" }
+
+// Score implements Scorer.
+func (LoadScorer) Score(_ *Request, u *Upstream, _ time.Time) float64 {
+	return 1 / (1 + relativeLoad(u))
+}
+
+// ErrorScorer prefers upstreams with few errors: an upstream that fails fast
+// has a low load, which must not attract requests.
+type ErrorScorer struct{}
+
+// Name implements Scorer.
+func (ErrorScorer) Name() string { return "errors" }
+
+// Score implements Scorer.
+func (ErrorScorer) Score(_ *Request, u *Upstream, now time.Time) float64 {
+	return 1 - u.errorRateAt(now)
+}
+
+// DefaultLatencyScale is the default of LatencyScorer.ScaleMs.
+const DefaultLatencyScale = 500
+
+// LatencyScorer prefers upstreams whose first token came soon. It sees what a
+// false or missing load report hides.
+type LatencyScorer struct {
+	// ScaleMs is the latency in milliseconds that scores a half; 0 means
+	// DefaultLatencyScale.
+	ScaleMs float64
+}
+
+// Name implements Scorer.
+func (LatencyScorer) Name() string { return "latency" }
+
+// Score implements Scorer.
+func (s LatencyScorer) Score(_ *Request, u *Upstream, _ time.Time) float64 {
+	scale := s.ScaleMs
+	if scale == 0 {
+		scale = DefaultLatencyScale
+	}
+	return scale / (scale + u.LatencyMs)
+}
+
+// ZoneScorer prefers upstreams in the request's availability zone.
+type ZoneScorer struct{}
+
+// Name implements Scorer.
+func (ZoneScorer) Name() string { return "zone" }
+
+// Score implements Scorer.
+func (ZoneScorer) Score(req *Request, u *Upstream, _ time.Time) float64 {
+	if u.Zone == req.Zone {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/balance/score_prefix.go
@@ -0,0 +1,27 @@
+package balance
+
+import "time"
+
+// PrefixMatcher says how many leading blocks an upstream has in its cache.
+type PrefixMatcher interface {
+	// Match returns a number of blocks from 0 to len(hashes); it may be a
+	// fraction where the knowledge is doubtful.
+	Match(upstreamID string, hashes []uint64) float64
+}
+
+// PrefixScorer prefers upstreams that hold the longest part of the prompt in
+// their prefix cache.
+type PrefixScorer struct {
+	Matcher PrefixMatcher
+}
+
+// Name implements Scorer.
+func (PrefixScorer) Name() string { return "prefix" }
+
+// Score implements Scorer.
+func (s PrefixScorer) Score(req *Request, u *Upstream, _ time.Time) float64 {
+	if len(req.PrefixHashes) == 0 {
+		return 0
+	}
+	return s.Matcher.Match(u.ID, req.PrefixHashes) / float64(len(req.PrefixHashes))
+}
