--- /dev/null
+++ b/resultcode/resultcode_test.go
@@ -0,0 +1,65 @@
+package resultcode
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/runstate"
+)
+
+func TestDocumentationIsCurrent(t *testing.T) {
+	is := is.New(t)
+	committed, err := os.ReadFile("../docs/RESULT-CODES.md")
+	is.NoErr(err)
+	is.Equal(string(committed), Markdown()) // run: quetzalweir codes --markdown > docs/RESULT-CODES.md
+}
+
+func TestCodesAreUniqueAndComplete(t *testing.T) {
+	is := is.New(t)
+	names := map[string]bool{}
+	last := Code(-1)
+	for _, s := range All() {
+		is.True(s.Code > last)      // ascending, so unique
+		is.True(!names[s.Name])     // a name stands once
+		is.True(s.Status >= 200)    // an HTTP status
+		is.True(len(s.States) > 0)  // some state is possible
+		is.True(len(s.Meaning) > 0) // documented
+		names[s.Name] = true
+		last = s.Code
+	}
+}
+
+// No code may claim "not run" for a request that was sent, whatever the layer
+// that made the error believed.
+func TestForStateNeverUnderstates(t *testing.T) {
+	states := []runstate.State{runstate.NotRun, runstate.MayHaveRun, runstate.Ran}
+	for _, s := range All() {
+		for _, state := range states {
+			got := ForState(New(s.Code, "x"), state)
+			if !allows(Lookup(got.Code), state) {
+				t.Errorf("%s in state %s became %s, which can't be true", s.Name, state, got.Code)
+			}
+		}
+	}
+}
+
+func allows(s Spec, state runstate.State) bool {
+	for _, allowed := range s.States {
+		if allowed == state {
+			return true
+		}
+	}
+	return false
+}
+
+func TestFromKeepsTheCode(t *testing.T) {
+	is := is.New(t)
+	cause := errors.New("cause")
+	wrapped := Wrap(QueueFull, cause, "full")
+	is.Equal(From(wrapped).Code, QueueFull)
+	is.Equal(From(cause).Code, Internal)
+	is.True(errors.Is(wrapped, cause))
+}
