ledger: bills held by peers, flushed as segments, read as a set

Cause: each dispatched request must be billed once although its host can be lost between the last frame and the write, and the table can be down. A bill is copied to a peer in another zone before Record returns, then written by its owner; a peer writes it if the owner is down. Two writers of one bill are harmless, since readers take bills as a set by ID. Ruled out: a commit for each bill (14,000 a second against a few hundred), and a lease on the owner's bills (a paused owner would still hold it).

--- /dev/null
+++ b/ledger/failure_test.go
@@ -0,0 +1,152 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// record records n bills on a host and returns those that were said to be
+// safe.
+func record(t *testing.T, h *testHost, first, n int) map[string]Bill {
+	t.Helper()
+	safe := make(map[string]Bill)
+	for i := range n {
+		b := testBill(fmt.Sprintf("%s-%d", h.name, first+i))
+		err := h.ledger.Record(t.Context(), b)
+		if err != nil && !errors.Is(err, ErrAtRisk) {
+			t.Fatal(err)
+		}
+		if err == nil {
+			safe[b.ID] = b
+		}
+	}
+	return safe
+}
+
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		desc string
+		// run records bills and returns those that must be in the ledger.
+		run func(t *testing.T, c *testCluster) map[string]Bill
+	}{
+		{"no fault", func(t *testing.T, c *testCluster) map[string]Bill {
+			return record(t, c.hosts[0], 0, 20)
+		}},
+		{"host killed before its flush", func(t *testing.T, c *testCluster) map[string]Bill {
+			want := record(t, c.hosts[0], 0, 20)
+			c.killHost(0)
+			c.hostDown(0)
+			return want
+		}},
+		{"host and table lost together, table back after five minutes", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.table.SetDown(true)
+			want := record(t, c.hosts[0], 0, 20)
+			c.killHost(0)
+			c.hostDown(0)
+			time.Sleep(5 * time.Minute)
+			c.table.Heal()
+			time.Sleep(time.Minute)
+			return want
+		}},
+		{"holder killed, then the owner, in an outage of the table", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.table.SetDown(true)
+			want := record(t, c.hosts[0], 0, 20)
+			c.killHost(1)
+			c.hostDown(1)
+			time.Sleep(time.Second)
+			c.killHost(0)
+			c.hostDown(0)
+			time.Sleep(time.Minute)
+			c.table.Heal()
+			time.Sleep(time.Minute)
+			return want
+		}},
+		{"table down for minutes", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.table.SetDown(true)
+			want := record(t, c.hosts[0], 0, 20)
+			time.Sleep(5 * time.Minute)
+			c.table.Heal()
+			time.Sleep(time.Minute)
+			return want
+		}},
+		{"answers lost, writes dropped, writes late", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.table.LoseNext(2)
+			c.table.DropNext(2)
+			c.table.DelayNext(2, 3*time.Second)
+			want := record(t, c.hosts[0], 0, 20)
+			time.Sleep(time.Minute)
+			return want
+		}},
+		{"owner paused, settled, then woken", func(t *testing.T, c *testCluster) map[string]Bill {
+			want := record(t, c.hosts[0], 0, 20)
+			c.hosts[0].freeze()
+			time.Sleep(10 * time.Second)
+			c.hostDown(0)
+			c.hosts[0].thaw()
+			time.Sleep(10 * time.Second)
+			return want
+		}},
+		{"holder frozen", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.hosts[1].freeze()
+			want := record(t, c.hosts[0], 0, 20)
+			c.killHost(0)
+			c.hosts[1].thaw()
+			c.hostDown(0)
+			return want
+		}},
+		{"owner restarted without a word, copies swept", func(t *testing.T, c *testCluster) map[string]Bill {
+			want := record(t, c.hosts[0], 0, 20)
+			c.killHost(0)
+			time.Sleep(2 * DefaultMaxAge)
+			if err := c.hosts[1].custody.Sweep(t.Context()); err != nil {
+				t.Error(err)
+			}
+			return want
+		}},
+		{"planned stop", func(t *testing.T, c *testCluster) map[string]Bill {
+			want := record(t, c.hosts[0], 0, 20)
+			if err := c.hosts[0].ledger.Drain(t.Context()); err != nil {
+				t.Error(err)
+			}
+			c.killHost(0)
+			return want
+		}},
+		{"planned stop while the table is down", func(t *testing.T, c *testCluster) map[string]Bill {
+			c.table.SetDown(true)
+			want := record(t, c.hosts[0], 0, 20)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if err := c.hosts[0].ledger.Drain(ctx); !errors.Is(err, ErrUnwritten) {
+				t.Errorf("Drain: %v", err)
+			}
+			c.killHost(0)
+			c.table.Heal()
+			c.hostDown(0)
+			return want
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(3, Options{FlushEvery: 2 * time.Second})
+				defer c.stopAll()
+				want := tc.run(t, c)
+				is.Equal(len(want), 20) // every Record found the bill safe
+				time.Sleep(5 * time.Second)
+				is.True(maps.EqualFunc(c.all(t), want, equalBills)) // ledger equals what was recorded
+			})
+		})
+	}
+}
+
+func equalBills(a, b Bill) bool {
+	return compare(a, b) == 0
+}
--- /dev/null
+++ b/ledger/segment.go
@@ -0,0 +1,174 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"iter"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+const (
+	// prefix starts the keys of all rows and objects of the ledger.
+	prefix = "ledger/"
+	// bucketLayout is the minute, in UTC, that a segment's bills ended in.
+	bucketLayout = "20060102T1504"
+	// maxInline is the size, in bytes, up to which a segment stands in its row.
+	maxInline = 16 << 10
+)
+
+// row is the value of a table row: a segment's data, or where it is kept.
+type row struct {
+	// Data is the encoded batch; empty where another field is set.
+	Data []byte `json:"data,omitempty"`
+	// Object is the name of the object with the encoded batch.
+	Object string `json:"object,omitempty"`
+	// Index is the name of an object with a list of such names.
+	Index string `json:"index,omitempty"`
+	// Bills is the number of bills.
+	Bills int `json:"bills"`
+}
+
+// segment is a part of the ledger on its way into the table. Its key and its
+// value never change, so writing it again is harmless.
+type segment struct {
+	key   string
+	batch batch
+	// value is the row's value; made at the first write.
+	value []byte
+	// data is the encoded batch where it is too large for the row.
+	data []byte
+}
+
+// bucket returns the key part for bills that ended at t.
+func bucket(t time.Time) string {
+	return t.UTC().Format(bucketLayout)
+}
+
+// segmentKey names a segment: bucket, host, incarnation of the host's process,
+// number within it.
+func segmentKey(bucket, host, incarnation string, seq uint64) string {
+	return fmt.Sprintf("%s%s/%s/%s/%012d", prefix, bucket, host, incarnation, seq)
+}
+
+// prepare encodes the segment once.
+func (s *segment) prepare() error {
+	if s.value != nil {
+		return nil
+	}
+	data, err := encode(s.batch)
+	if err != nil {
+		return err
+	}
+	r := row{Bills: len(s.batch.Bills)}
+	if len(data) <= maxInline {
+		r.Data = data
+	} else {
+		r.Object = s.key
+		s.data = data
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("ledger: encode row: %w", err)
+	}
+	s.value = value
+	return nil
+}
+
+// write stores the segment. After a nil error it is in the table. A lost
+// answer is settled by reading the row back; a write that takes effect later
+// finds the row there and changes nothing.
+func (s *segment) write(ctx context.Context, table platform.Table, objects platform.Objects) error {
+	if err := s.prepare(); err != nil {
+		return err
+	}
+	if s.data != nil {
+		if err := objects.Write(ctx, s.key, s.data); err != nil {
+			return fmt.Errorf("ledger: write object: %w", err)
+		}
+	}
+	_, err := table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: s.key}},
+		Puts:       []platform.Put{{Key: s.key, Value: s.value}},
+	})
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		return fmt.Errorf("ledger: commit: %w", err)
+	}
+	return s.settle(ctx, table, err)
+}
+
+// settle reads the segment back after a commit whose outcome isn't known.
+func (s *segment) settle(ctx context.Context, table platform.Table, cause error) error {
+	stored, err := table.Get(ctx, s.key)
+	if err != nil {
+		return fmt.Errorf("ledger: commit: %w", errors.Join(cause, err))
+	}
+	if !bytes.Equal(stored.Value, s.value) {
+		return fmt.Errorf("%w: %s holds another segment", ErrCorrupt, s.key)
+	}
+	return nil
+}
+
+// parseRow decodes the value of a table row.
+func parseRow(stored platform.Row) (row, error) {
+	var r row
+	if err := json.Unmarshal(stored.Value, &r); err != nil {
+		return row{}, fmt.Errorf("%w: row %s: %w", ErrCorrupt, stored.Key, err)
+	}
+	return r, nil
+}
+
+// load yields the batches that a row stands for.
+func load(ctx context.Context, objects platform.Objects, r row) iter.Seq2[batch, error] {
+	return func(yield func(batch, error) bool) {
+		if len(r.Data) > 0 {
+			yield(decode(r.Data))
+			return
+		}
+		names, err := objectNames(ctx, objects, r)
+		if err != nil {
+			yield(batch{}, err)
+			return
+		}
+		for _, name := range names {
+			if !yield(loadObject(ctx, objects, name)) {
+				return
+			}
+		}
+	}
+}
+
+// objectNames returns the names of a row's objects.
+func objectNames(ctx context.Context, objects platform.Objects, r row) ([]string, error) {
+	if r.Object != "" {
+		return []string{r.Object}, nil
+	}
+	data, err := objects.Read(ctx, r.Index)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: read index %s: %w", r.Index, err)
+	}
+	var names []string
+	if err := json.Unmarshal(data, &names); err != nil {
+		return nil, fmt.Errorf("%w: index %s: %w", ErrCorrupt, r.Index, err)
+	}
+	return names, nil
+}
+
+func loadObject(ctx context.Context, objects platform.Objects, name string) (batch, error) {
+	data, err := objects.Read(ctx, name)
+	if err != nil {
+		return batch{}, fmt.Errorf("ledger: read object %s: %w", name, err)
+	}
+	b, err := decode(data)
+	if err != nil {
+		return batch{}, fmt.Errorf("object %s: %w", name, err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/ledger/trace.go
@@ -0,0 +1,75 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// Total sums bills.
+type Total struct {
+	// Bills is the number of bills; Charged is how many have a charge.
+	Bills, Charged                 int
+	PromptTokens, CompletionTokens int
+	// CostMicro is in micro units of currency.
+	CostMicro int64
+}
+
+// Totals sums the bills that match q.
+func Totals(ctx context.Context, table platform.Table, objects platform.Objects, q Query) (Total, error) {
+	var t Total
+	for b, err := range Read(ctx, table, objects, q) {
+		if err != nil {
+			return Total{}, err
+		}
+		t.add(b)
+	}
+	return t, nil
+}
+
+func (t *Total) add(b Bill) {
+	t.Bills++
+	if b.CostMicro != 0 {
+		t.Charged++
+	}
+	t.PromptTokens += b.PromptTokens
+	t.CompletionTokens += b.CompletionTokens
+	t.CostMicro += b.CostMicro
+}
+
+// EpochTrace is what the requests under one manifest came to.
+type EpochTrace struct {
+	Bills []Bill
+	// Refusals are the counts of refusals by the number of the result code.
+	Refusals map[int]int
+}
+
+// ByEpoch traces a manifest to the outcomes that it produced.
+func ByEpoch(ctx context.Context, table platform.Table, objects platform.Objects, epoch uint64) (EpochTrace, error) {
+	s, err := collectSet(ctx, table, objects, Query{})
+	if err != nil {
+		return EpochTrace{}, err
+	}
+	trace := EpochTrace{Refusals: make(map[int]int)}
+	for _, b := range s.sorted() {
+		if b.Epoch == epoch {
+			trace.Bills = append(trace.Bills, b)
+		}
+	}
+	for _, r := range s.refusals {
+		if r.Epoch == epoch {
+			trace.Refusals[r.Code] += r.Count
+		}
+	}
+	return trace, nil
+}
+
+// ByRequest returns the bill of a request; none gives platform.ErrNotFound. A
+// request whose bill gave way to that of a repeat with the same request key
+// has none of its own.
+func ByRequest(ctx context.Context, table platform.Table, objects platform.Objects, requestID string) (Bill, error) {
+	for b, err := range Read(ctx, table, objects, Query{RequestID: requestID}) {
+		return b, err
+	}
+	return Bill{}, platform.ErrNotFound
+}
