peer: authenticated JSON-RPC between entry hosts

Cause: entry hosts need calls among themselves that can't be forged, replayed or answered by a stranger, and whose errors say whether the call was sent. jsonrpc2's own codecs bound neither the message size nor the write.

Ruled out: a proof at connect alone, because anyone on the path could then inject frames. Each frame carries a truncated HMAC-SHA256 over an implicit sequence number.

--- /dev/null
+++ b/internal/peer/frame_test.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// byteConn is a connection that reads from and writes to memory.
+type byteConn struct {
+	net.Conn
+	in  io.Reader
+	out bytes.Buffer
+}
+
+func (c *byteConn) Read(p []byte) (int, error)       { return c.in.Read(p) }
+func (c *byteConn) Write(p []byte) (int, error)      { return c.out.Write(p) }
+func (c *byteConn) Close() error                     { return nil }
+func (c *byteConn) SetDeadline(time.Time) error      { return nil }
+func (c *byteConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *byteConn) SetWriteDeadline(time.Time) error { return nil }
+
+var testSession = session{peer: "p", sendKey: []byte("frame key"), receiveKey: []byte("frame key")}
+
+func testLimits() Limits { return Limits{MaxMessageBytes: 4096}.withDefaults() }
+
+// frames returns the wire form of messages, each as one frame.
+func frames(messages ...string) [][]byte {
+	var all [][]byte
+	conn := &byteConn{}
+	s := newStream(conn, testSession, testLimits())
+	for _, m := range messages {
+		conn.out.Reset()
+		s.WriteObject(json.RawMessage(m))
+		all = append(all, bytes.Clone(conn.out.Bytes()))
+	}
+	return all
+}
+
+// readAll reads messages until the stream's end.
+func readAll(data []byte) (messages []string, err error) {
+	s := newStream(&byteConn{in: bytes.NewReader(data)}, testSession, testLimits())
+	for {
+		var m json.RawMessage
+		if err := s.ReadObject(&m); err != nil {
+			return messages, err
+		}
+		messages = append(messages, string(m))
+	}
+}
+
+func TestAlteredFramesAreRefused(t *testing.T) {
+	f := frames(`{"a":1}`, `{"b":2}`, `{"c":3}`)
+	altered := bytes.Clone(f[1])
+	altered[len(altered)-2] = '9'
+	tests := []struct {
+		desc  string
+		data  []byte
+		count int
+		want  error
+	}{
+		{"whole", bytes.Join(f, nil), 3, io.EOF},
+		{"repeated", bytes.Join([][]byte{f[0], f[0]}, nil), 1, ErrAuthentication},
+		{"left out", bytes.Join([][]byte{f[0], f[2]}, nil), 1, ErrAuthentication},
+		{"swapped", bytes.Join([][]byte{f[1], f[0]}, nil), 0, ErrAuthentication},
+		{"altered", bytes.Join([][]byte{f[0], altered}, nil), 1, ErrAuthentication},
+		{"cut short", bytes.Join([][]byte{f[0], f[1][:25]}, nil), 1, ErrMalformed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			messages, err := readAll(tt.data)
+			if len(messages) != tt.count || !errors.Is(err, tt.want) {
+				t.Fatalf("got %d messages, %v; want %d, %v", len(messages), err, tt.count, tt.want)
+			}
+		})
+	}
+}
+
+// FuzzFrames checks that arbitrary bytes never give a message that wasn't
+// sent, never lose one that came before them, and end in a typed error.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{}, false)
+	f.Add([]byte{0, 0, 0, 1, 2, 3}, true)
+	f.Add(bytes.Join(frames(`{"a":1}`), nil), true)
+	f.Fuzz(func(t *testing.T, data []byte, signed bool) {
+		sent := frames(`{"a":1}`)
+		input := append(bytes.Clone(sent[0]), data...)
+		want := 1
+		if signed && len(data) > 0 && len(data) <= 4096 {
+			// The peer holds the key and sends the bytes as a message.
+			s := newStream(&byteConn{}, testSession, testLimits())
+			s.send.next([]byte(`{"a":1}`))
+			input = bytes.Join([][]byte{sent[0], header(len(data)), s.send.next(data), data}, nil)
+			if json.Valid(data) {
+				want = 2
+			}
+		}
+		messages, err := readAll(input)
+		if len(messages) != want || messages[0] != `{"a":1}` {
+			t.Fatalf("got %q, want %d messages", messages, want)
+		}
+		typed := errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrAuthentication)
+		if !typed && err != io.EOF {
+			t.Fatalf("untyped error %v", err)
+		}
+	})
+}
+
+// FuzzHandshake checks that a client's bytes never pass without a proof.
+func FuzzHandshake(f *testing.F) {
+	offer, _ := json.Marshal(hello{Protocol: protocol, Self: "x", KeyIDs: []string{"k1"}, Nonce: make([]byte, nonceBytes)})
+	f.Add(append(header(len(offer)), offer...))
+	f.Add([]byte{0, 0, 0, 2, '{', '}'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn := &byteConn{in: bytes.NewReader(data)}
+		_, err := serverHandshake(conn, "server", []Key{testKey("k1")}, time.Second)
+		typed := errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrAuthentication)
+		if !typed {
+			t.Fatalf("handshake ended with %v", err)
+		}
+	})
+}
