config: head store, submissions, confirmations and watcher

The accepted manifest has to be one history that survives racing operators and lost answers, and each host has to know whether its copy may still be used. A head row, an epoch row and a digest row are written in one transaction at the head's old version; the digest row settles a lost answer and makes a repeated submission a success.

Ruled out: reading back the head alone, which can't tell "never accepted" from "accepted and already replaced".

The watcher dates all evidence from the start of the read or question, so a process that was stopped in between doesn't count old news as fresh.

--- /dev/null
+++ b/config/confirm.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// confirmation is the row in which a host states what it has in force.
+type confirmation struct {
+	Epoch  uint64    `json:"epoch"`
+	Digest string    `json:"digest"`
+	At     time.Time `json:"at"`
+}
+
+// InForce says which hosts confirmed a head.
+type InForce struct {
+	// Confirmed hosts had the head or a later one in force when they wrote
+	// their row, and never go back.
+	Confirmed []string
+	// Unconfirmed hosts have not said so; they may have it in force already.
+	Unconfirmed []string
+}
+
+const (
+	confirmAttempts = 3
+	reportPage      = 500
+)
+
+// Confirm records that host has put head in force. The row only rises: a late
+// write of an older head is void.
+func (s *Store) Confirm(ctx context.Context, host string, head Head) error {
+	var err error
+	for attempt := range confirmAttempts {
+		var done bool
+		if done, err = s.confirm(ctx, host, head); done {
+			return nil
+		}
+		if pause(ctx, attempt) != nil {
+			break
+		}
+	}
+	return fmt.Errorf("config: confirm epoch %d: %w", head.Epoch, err)
+}
+
+func (s *Store) confirm(ctx context.Context, host string, head Head) (bool, error) {
+	key := confirmPrefix + host
+	old, version, err := s.readConfirmation(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	if old.Epoch > head.Epoch {
+		return true, nil
+	}
+	row := encodeRow(confirmation{Epoch: head.Epoch, Digest: head.Digest, At: now()})
+	_, err = s.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: version}},
+		Puts:       []platform.Put{{Key: key, Value: row}},
+	})
+	return err == nil, err
+}
+
+func (s *Store) readConfirmation(ctx context.Context, key string) (confirmation, uint64, error) {
+	row, err := s.table.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return confirmation{}, 0, nil
+	}
+	if err != nil {
+		return confirmation{}, 0, err
+	}
+	c, err := decodeConfirmation(row)
+	return c, row.Version, err
+}
+
+func decodeConfirmation(row platform.Row) (confirmation, error) {
+	var c confirmation
+	if err := json.Unmarshal(row.Value, &c); err != nil {
+		return confirmation{}, fmt.Errorf("%w: row %s: %w", ErrDamaged, row.Key, err)
+	}
+	return c, nil
+}
+
+// Report says which of the hosts confirmed head or a later one, in the order
+// of their names.
+func (s *Store) Report(ctx context.Context, head Head, hosts []string) (InForce, error) {
+	epochs := map[string]uint64{}
+	err := s.eachConfirmation(ctx, func(row platform.Row, c confirmation) error {
+		epochs[strings.TrimPrefix(row.Key, confirmPrefix)] = c.Epoch
+		return nil
+	})
+	if err != nil {
+		return InForce{}, err
+	}
+	var report InForce
+	for _, host := range slices.Sorted(slices.Values(hosts)) {
+		if epochs[host] >= head.Epoch {
+			report.Confirmed = append(report.Confirmed, host)
+		} else {
+			report.Unconfirmed = append(report.Unconfirmed, host)
+		}
+	}
+	return report, nil
+}
+
+func (s *Store) eachConfirmation(ctx context.Context, visit func(platform.Row, confirmation) error) error {
+	after := ""
+	for {
+		rows, err := s.table.List(ctx, confirmPrefix, after, reportPage)
+		if err != nil {
+			return fmt.Errorf("config: list confirmations: %w", err)
+		}
+		for _, row := range rows {
+			c, err := decodeConfirmation(row)
+			if err != nil {
+				return err
+			}
+			if err := visit(row, c); err != nil {
+				return err
+			}
+		}
+		if len(rows) < reportPage {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// PruneConfirmations removes the rows of hosts that wrote none since before.
+// Live hosts write theirs anew each hour, so a day is a safe age.
+func (s *Store) PruneConfirmations(ctx context.Context, before time.Time) error {
+	return s.eachConfirmation(ctx, func(row platform.Row, c confirmation) error {
+		if !c.At.Before(before) {
+			return nil
+		}
+		_, err := s.table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+			Deletes:    []string{row.Key},
+		})
+		if errors.Is(err, platform.ErrConflict) {
+			return nil // it was written anew
+		}
+		return err
+	})
+}
--- /dev/null
+++ b/config/helpers_test.go
@@ -0,0 +1,59 @@
+package config_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+// document returns a small valid manifest.
+func document(parent, build string) []byte {
+	return manifest.Encode(&manifest.Document{
+		Format: manifest.Format,
+		Parent: parent,
+		Build:  build,
+		Models: []manifest.Model{{
+			Name:     "chat",
+			Versions: []manifest.Version{{Name: "v1", State: manifest.Serving, Share: 100}},
+		}},
+		Classes:  []manifest.Class{{Name: "normal", DeadlineMs: 1000}},
+		Sessions: manifest.Sessions{TTLSeconds: 60, OnWithdrawn: manifest.Refuse},
+	})
+}
+
+// bench is a table with faults, its objects, and a store over both.
+type bench struct {
+	// inner is the table without its faults.
+	inner   platform.Table
+	table   *faulty.Table
+	objects *faulty.Objects
+	store   *config.Store
+}
+
+func newBench() *bench {
+	inner := memory.New()
+	b := &bench{inner: inner, table: faulty.New(inner), objects: faulty.NewObjects(memory.NewObjects())}
+	b.store = b.newStore()
+	return b
+}
+
+func (b *bench) newStore() *config.Store { return config.NewStore(b.table, b.objects) }
+
+// submit accepts one more manifest and returns its head.
+func (b *bench) submit(t testing.TB, parent config.Head, build string) config.Head {
+	t.Helper()
+	result, err := b.store.Submit(context.Background(), document(parent.Digest, build), "token-"+build)
+	is.New(t).NoErr(err)
+	return result.Head
+}
+
+// settle lets timers and goroutines of a test's bubble run for a while.
+func settle() { time.Sleep(3 * time.Second) }
--- /dev/null
+++ b/config/store.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// Store is the list of accepted manifests in the platform's table, with the
+// bodies in its object store. It keeps nothing itself and is safe for
+// concurrent use; any number of them may work on one table.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// NewStore returns a Store over a table and an object store.
+func NewStore(table platform.Table, objects platform.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Head returns the head, with epoch zero if nothing was accepted yet.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	head, _, err := s.readHead(ctx)
+	return head, err
+}
+
+// readHead returns the head and the version of its row, zero without one.
+func (s *Store) readHead(ctx context.Context) (Head, uint64, error) {
+	row, err := s.table.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, fmt.Errorf("config: read head: %w", err)
+	}
+	head, err := decodeHead(row)
+	return head, row.Version, err
+}
+
+// Load reads, verifies and compiles the manifest that head names.
+func (s *Store) Load(ctx context.Context, head Head) (*manifest.Policy, error) {
+	body, err := s.objects.Read(ctx, bodyName(head.Digest))
+	if err != nil {
+		return nil, fmt.Errorf("config: read body of epoch %d: %w", head.Epoch, err)
+	}
+	return compile(body, head)
+}
+
+// LoadEpoch is Load for the manifest that was accepted under epoch.
+func (s *Store) LoadEpoch(ctx context.Context, epoch uint64) (*manifest.Policy, error) {
+	head, err := s.acceptedAt(ctx, epoch)
+	if err != nil {
+		return nil, err
+	}
+	return s.Load(ctx, head)
+}
+
+func (s *Store) acceptedAt(ctx context.Context, epoch uint64) (Head, error) {
+	row, err := s.table.Get(ctx, epochKey(epoch))
+	if err != nil {
+		return Head{}, fmt.Errorf("config: read epoch %d: %w", epoch, err)
+	}
+	return decodeHead(row)
+}
+
+// compile verifies a body against its digest, so that it doesn't matter from
+// where it came, and compiles it.
+func compile(body []byte, head Head) (*manifest.Policy, error) {
+	if digest := manifest.DigestCanonical(body); digest != head.Digest {
+		return nil, fmt.Errorf("%w: body of epoch %d has digest %s, not %s", ErrDamaged, head.Epoch, digest, head.Digest)
+	}
+	doc, err := manifest.Parse(body)
+	if err != nil {
+		return nil, fmt.Errorf("config: body of epoch %d: %w", head.Epoch, err)
+	}
+	return manifest.Compile(doc, head.Epoch, head.Digest), nil
+}
+
+// History returns up to limit accepted heads with epochs above after, in
+// ascending order.
+func (s *Store) History(ctx context.Context, after uint64, limit int) ([]Head, error) {
+	rows, err := s.table.List(ctx, epochPrefix, epochKey(after), limit)
+	if err != nil {
+		return nil, fmt.Errorf("config: list epochs: %w", err)
+	}
+	heads := make([]Head, len(rows))
+	for i, row := range rows {
+		if heads[i], err = decodeHead(row); err != nil {
+			return nil, err
+		}
+	}
+	return heads, nil
+}
+
+// now is the time of acceptance, without its monotonic part.
+func now() time.Time { return time.Now().UTC().Round(0) }
--- /dev/null
+++ b/config/submit_test.go
@@ -0,0 +1,170 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+func TestSubmitMakesAChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		ctx := t.Context()
+		empty, err := b.store.Head(ctx)
+		is.NoErr(err)
+		is.Equal(empty, config.Head{})
+
+		first := b.submit(t, config.Head{}, "1")
+		second := b.submit(t, first, "2")
+		back := b.submit(t, second, "1") // the first content again, as a new epoch
+		is.Equal(back.Epoch, uint64(3))
+		is.True(back.Digest != first.Digest)
+
+		head, err := b.store.Head(ctx)
+		is.NoErr(err)
+		is.Equal(head, back)
+		history, err := b.store.History(ctx, 1, 10)
+		is.NoErr(err)
+		is.Equal(history, []config.Head{second, back})
+		policy, err := b.store.LoadEpoch(ctx, 2)
+		is.NoErr(err)
+		is.Equal(policy.Document.Build, "2")
+		is.Equal(policy.Digest, second.Digest)
+	})
+}
+
+func TestSubmitOutcomes(t *testing.T) {
+	const late = 90 * time.Millisecond // arrives between two attempts
+	for _, tc := range []struct {
+		desc    string
+		prepare func(t *testing.T, b *bench)
+		// body and token are of the submission; the head is then "1".
+		body, token string
+		want        error
+		already     bool
+		// epoch is the head's afterwards.
+		epoch uint64
+	}{
+		{desc: "accepted", body: "2", epoch: 2},
+		{desc: "answer lost", prepare: func(_ *testing.T, b *bench) { b.table.LoseNext(1) }, body: "2", epoch: 2},
+		{desc: "transaction lost", prepare: func(_ *testing.T, b *bench) { b.table.DropNext(1) }, body: "2", epoch: 2},
+		{desc: "effect late", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(1, late) }, body: "2", epoch: 2},
+		{desc: "effect much later", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(1, time.Minute) }, body: "2", epoch: 2},
+		{desc: "all effects late", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(100, time.Minute) }, body: "2", want: platform.ErrUnknown, epoch: 2},
+		{desc: "all transactions lost", prepare: func(_ *testing.T, b *bench) { b.table.DropNext(100) }, body: "2", want: platform.ErrUnknown, epoch: 1},
+		{desc: "table down", prepare: func(_ *testing.T, b *bench) { b.table.SetDown(true) }, body: "2", want: platform.ErrUnavailable, epoch: 1},
+		{desc: "object store down", prepare: func(_ *testing.T, b *bench) { b.objects.SetDown(true) }, body: "2", want: platform.ErrUnavailable, epoch: 1},
+		{desc: "accepted by another caller", prepare: accept("2", "other"), body: "2", already: true, epoch: 2},
+		{desc: "accepted with the same token before", prepare: accept("2", "mine"), body: "2", already: true, epoch: 2},
+		{desc: "another manifest won", prepare: accept("3", "other"), body: "2", want: platform.ErrConflict, epoch: 2},
+		{desc: "another won and the answer was lost", prepare: func(t *testing.T, b *bench) {
+			accept("3", "other")(t, b)
+			b.table.LoseNext(1)
+		}, body: "2", want: platform.ErrConflict, epoch: 2},
+		{desc: "no token", body: "2", token: "-", want: config.ErrToken, epoch: 1},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench()
+				first := b.submit(t, config.Head{}, "1")
+				if tc.prepare != nil {
+					tc.prepare(t, b)
+				}
+				token := "mine"
+				if tc.token == "-" {
+					token = ""
+				}
+				result, err := b.store.Submit(t.Context(), document(first.Digest, tc.body), token)
+				is.True(errors.Is(err, tc.want)) // class of the outcome
+				is.Equal(result.Already, tc.already)
+				time.Sleep(2 * time.Minute) // late effects arrive
+				b.table.Heal()
+				head, headErr := b.store.Head(t.Context())
+				is.NoErr(headErr)
+				is.Equal(head.Epoch, tc.epoch)
+				if err == nil {
+					is.Equal(result.Head, head)
+				}
+			})
+		})
+	}
+}
+
+// accept has a manifest accepted after "1" by another call.
+func accept(build, token string) func(*testing.T, *bench) {
+	return func(t *testing.T, b *bench) {
+		head, err := b.store.Head(t.Context())
+		is.New(t).NoErr(err)
+		_, err = b.store.Submit(t.Context(), document(head.Digest, build), token)
+		is.New(t).NoErr(err)
+	}
+}
+
+func TestSubmitAgainAfterItWasReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		first := b.submit(t, config.Head{}, "1")
+		b.submit(t, first, "2")
+		result, err := b.store.Submit(t.Context(), document("", "1"), "another")
+		is.NoErr(err)
+		is.Equal(result, config.Submission{Head: first, Already: true})
+	})
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		first := b.submit(t, config.Head{}, "1")
+		winner := b.submit(t, first, "2")
+		_, err := b.store.Submit(t.Context(), document(first.Digest, "3"), "loser")
+		var conflict *config.ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Head, winner)
+	})
+}
+
+func TestSubmitRefusesABadDocument(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	_, err := b.store.Submit(context.Background(), []byte(`{"format":1}`), "token")
+	var problems manifest.Errors
+	is.True(errors.As(err, &problems))
+	is.Equal(b.table.Counts().Commits, 0)
+}
+
+func TestReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		ctx := t.Context()
+		first := b.submit(t, config.Head{}, "1")
+		second := b.submit(t, first, "2")
+		is.NoErr(b.store.Confirm(ctx, "a", second))
+		is.NoErr(b.store.Confirm(ctx, "a", first)) // late news changes nothing
+		is.NoErr(b.store.Confirm(ctx, "b", first))
+		b.table.LoseNext(1)
+		is.NoErr(b.store.Confirm(ctx, "d", second))
+		report, err := b.store.Report(ctx, second, []string{"d", "c", "b", "a"})
+		is.NoErr(err)
+		is.Equal(report, config.InForce{Confirmed: []string{"a", "d"}, Unconfirmed: []string{"b", "c"}})
+
+		time.Sleep(time.Hour)
+		is.NoErr(b.store.Confirm(ctx, "b", second))
+		is.NoErr(b.store.PruneConfirmations(ctx, time.Now().Add(-time.Minute)))
+		report, err = b.store.Report(ctx, second, []string{"a", "b", "c", "d"})
+		is.NoErr(err)
+		is.Equal(report.Confirmed, []string{"b"})
+	})
+}
--- /dev/null
+++ b/config/watcher_loops.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/manifest"
+)
+
+// pollTable starts reads of the head at intervals. Reads overlap where the
+// table is slow: an answer that takes most of the bound is still of use, and
+// the next should not start only after it.
+func (w *Watcher) pollTable(ctx context.Context) {
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	for {
+		select {
+		case w.reads <- struct{}{}:
+			reads.Go(func() {
+				defer func() { <-w.reads }()
+				w.readHead(ctx)
+			})
+		default: // all reads under way are slow
+		}
+		o := w.options
+		if !sleep(ctx, interval(w.known(), o.ReadsPerSecond, o.Poll, o.Bound/pollsPerBound)) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) readHead(ctx context.Context) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, w.options.Bound)
+	defer cancel()
+	head, err := w.options.Store.Head(ctx)
+	if err != nil {
+		w.options.OnError(err)
+		return
+	}
+	w.change(func(v view) (view, error) { return v.withWord(head, start) })
+}
+
+// pollPeers asks the other hosts while the word from the table runs out or a
+// newer manifest is missing.
+func (w *Watcher) pollPeers(ctx context.Context) {
+	if w.options.Peers == nil {
+		return
+	}
+	for {
+		if w.needsPeers() {
+			w.askPeers(ctx)
+		}
+		if !sleep(ctx, w.options.Poll) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) needsPeers() bool {
+	v := w.view.Load()
+	return v.policy == nil || time.Since(v.word) > w.options.Bound/2
+}
+
+func (w *Watcher) askPeers(ctx context.Context) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, w.options.Poll)
+	defer cancel()
+	peers := w.options.Peers.Ask(ctx)
+	for _, p := range peers {
+		w.hearPeer(p, start)
+	}
+	known := w.options.Peers.Known()
+	w.change(func(v view) (view, error) { return v.withQuorum(known, peers, start), nil })
+}
+
+// hearPeer takes a peer's word with its age: it was given after the start of
+// the question, less the age of the view.
+func (w *Watcher) hearPeer(p PeerView, start time.Time) {
+	if !p.HasWord {
+		w.Offer(p.head())
+		return
+	}
+	at := start.Add(-p.Age).Add(-p.WordAge)
+	w.change(func(v view) (view, error) { return v.withWord(p.head(), at) })
+}
+
+// withQuorum returns the view after the answers to a question.
+func (v view) withQuorum(known int, peers []PeerView, start time.Time) view {
+	if v.policy == nil || v.newest.Epoch > v.policy.Epoch {
+		return v
+	}
+	age, ok := quorumAge(v.policy.Epoch, v.policy.Digest, known, peers)
+	if ok {
+		v.quorum = later(v.quorum, start.Add(-age))
+	}
+	return v
+}
+
+// loadNewest puts newer manifests in force as they are heard of.
+func (w *Watcher) loadNewest(ctx context.Context) {
+	retry := time.NewTimer(w.options.Poll)
+	defer retry.Stop()
+	for {
+		v := w.view.Load()
+		if v.newest.Epoch > v.epoch() {
+			w.load(ctx, v.newest)
+		}
+		retry.Reset(w.options.Poll)
+		select {
+		case <-w.wake:
+		case <-retry.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Watcher) load(ctx context.Context, head Head) {
+	policy, err := w.fetch(ctx, head)
+	if err != nil {
+		w.options.OnError(err)
+		return
+	}
+	before := w.Current()
+	w.change(func(v view) (view, error) { return v.withPolicy(policy, time.Now()), nil })
+	if w.Current() != before {
+		w.options.OnChange(policy)
+	}
+}
+
+// fetch takes the body from the object store, or else from a peer.
+func (w *Watcher) fetch(ctx context.Context, head Head) (*manifest.Policy, error) {
+	policy, err := w.fetchStored(ctx, head)
+	if err == nil || w.options.Bodies == nil {
+		return policy, err
+	}
+	policy, peerErr := w.fetchFromPeer(ctx, head)
+	if peerErr != nil {
+		return nil, errors.Join(err, peerErr)
+	}
+	return policy, nil
+}
+
+func (w *Watcher) fetchStored(ctx context.Context, head Head) (*manifest.Policy, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.Bound/loadsPerBound)
+	defer cancel()
+	return w.options.Store.Load(ctx, head)
+}
+
+func (w *Watcher) fetchFromPeer(ctx context.Context, head Head) (*manifest.Policy, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.Bound/loadsPerBound)
+	defer cancel()
+	body, err := w.options.Bodies.FetchBody(ctx, head.Digest)
+	if err != nil {
+		return nil, fmt.Errorf("config: fetch body of epoch %d from a peer: %w", head.Epoch, err)
+	}
+	return compile(body, head)
+}
+
+// confirm writes what is in force, at most as often as the budget allows. An
+// epoch that was replaced meanwhile is skipped: the later one confirms it too.
+func (w *Watcher) confirm(ctx context.Context) {
+	if w.options.Host == "" {
+		return
+	}
+	var written uint64
+	var writtenAt time.Time
+	for {
+		p := w.Current()
+		if p != nil && (p.Epoch > written || time.Since(writtenAt) > confirmRefresh) {
+			err := w.options.Store.Confirm(ctx, w.options.Host, Head{Epoch: p.Epoch, Digest: p.Digest})
+			if err == nil {
+				written, writtenAt = p.Epoch, time.Now()
+			} else {
+				w.options.OnError(err)
+			}
+		}
+		o := w.options
+		if !sleep(ctx, interval(w.known(), o.ConfirmsPerSecond, o.Poll/pollsPerBound, confirmRefresh)) {
+			return
+		}
+	}
+}
