standin: model engine and plain service with faults on demand

Tests of routing need upstreams whose truth can be read back: what arrived, what began, what finished. Both cut connections at five boundaries.

httptest.Server alone was ruled out: it can't cut a connection before the head of a request, so both listen through a listener that can.

--- /dev/null
+++ b/internal/standin/engine/completions.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	requestID := r.Header.Get(upstream.HeaderRequestID)
+	priority := r.Header.Get(upstream.HeaderPriority)
+	e.arrivals.note(requestID, func(a *Arrival) {
+		a.Heads++
+		a.Priority = priority
+	})
+	body, err := e.cutter.ReadBody(r)
+	if err != nil {
+		return
+	}
+	req, err := parseRequest(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.arrivals.note(requestID, func(a *Arrival) {
+		a.Bodies++
+		a.Model = req.Model
+	})
+	e.faults.waitStall()
+	level, _ := strconv.Atoi(priority)
+	if err := e.admit(r.Context(), req.Model, level); err != nil {
+		e.refuse(w, requestID, err)
+		return
+	}
+	e.arrivals.note(requestID, func(a *Arrival) { a.Began++ })
+	if e.faults.fails(req.Model) {
+		e.slots.release()
+		http.Error(w, "injected error", http.StatusInternalServerError)
+		return
+	}
+	e.begin(w, r, requestID, req)
+}
+
+// admit waits for a slot. After an error the request has not begun.
+func (e *Engine) admit(ctx context.Context, versioned string, priority int) error {
+	if e.faults.get().Leaving {
+		return errLeaving
+	}
+	if !e.versions.has(versioned) {
+		return errUnloaded
+	}
+	if err := e.slots.acquire(ctx, versioned, priority); err != nil {
+		return err
+	}
+	if !e.versions.has(versioned) {
+		e.slots.release()
+		return errUnloaded
+	}
+	return nil
+}
+
+// refuse answers a request that has not begun.
+func (e *Engine) refuse(w http.ResponseWriter, requestID string, cause error) {
+	e.arrivals.note(requestID, func(a *Arrival) { a.Refused++ })
+	h := w.Header()
+	h.Set(upstream.HeaderNotRun, "1")
+	e.setLoad(h)
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(cause, errUnloaded):
+		status = http.StatusConflict
+	case errors.Is(cause, errQueueFull):
+		status = http.StatusTooManyRequests
+		h.Set("Retry-After", "1")
+	default:
+		h.Set("Retry-After", "1")
+	}
+	http.Error(w, cause.Error(), status)
+}
+
+// begin starts the run, which goes on without the connection, and delivers
+// its answer.
+func (e *Engine) begin(w http.ResponseWriter, r *http.Request, requestID string, req chatRequest) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	j := newJob(requestID, req.Model, cancel)
+	e.jobs.put(j)
+	e.runs.Add(1)
+	go func() {
+		defer e.runs.Done()
+		defer cancel()
+		e.run(ctx, j, req.prompt())
+	}()
+	if e.cutter.Take(cut.BeforeAnswer) {
+		cut.Now()
+	}
+	e.writeHead(w, j)
+	e.deliver(w, r, j, 0, false)
+}
+
+func (e *Engine) writeHead(w http.ResponseWriter, j *job) {
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(upstream.HeaderRequestID, j.requestID)
+	h.Set(upstream.HeaderModelVersion, j.versioned)
+	e.setLoad(h)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	requestID := r.PathValue("id")
+	j := e.jobs.get(requestID)
+	if j == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	after, ok := lastNumber(r.Header.Get(upstream.HeaderLastEventID), requestID)
+	if !ok {
+		http.Error(w, "unreadable Last-Event-ID", http.StatusBadRequest)
+		return
+	}
+	e.arrivals.note(requestID, func(a *Arrival) { a.Resumed++ })
+	e.faults.waitStall()
+	e.writeHead(w, j)
+	e.deliver(w, r, j, after, true)
+}
+
+// lastNumber reads the number in "<request id>:<number>".
+func lastNumber(eventID, requestID string) (n int, ok bool) {
+	digits, ok := strings.CutPrefix(eventID, requestID+":")
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(digits)
+	return n, err == nil && n >= 0
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	requestID := r.PathValue("id")
+	j := e.jobs.get(requestID)
+	if j == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	e.arrivals.note(requestID, func(a *Arrival) { a.Cancelled++ })
+	j.cancel()
+	e.jobs.remove(j)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,147 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// Engine is the stand-in.
+type Engine struct {
+	opts   Options
+	server *cut.Server
+	// ctx ends the runs when the engine is closed.
+	ctx   context.Context
+	stop  context.CancelFunc
+	runs  sync.WaitGroup
+	slots slots
+
+	cache    *prefixCache
+	jobs     jobTable
+	versions versionSet
+	history  loadHistory
+	arrivals arrivalLog
+	faults   faultState
+	cutter   cut.Cutter
+}
+
+// New returns an engine that is not yet served.
+func New(opts Options) *Engine {
+	opts = opts.withDefaults()
+	e := &Engine{opts: opts, cache: newPrefixCache(opts)}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.slots.capacity = opts.Capacity
+	e.slots.maxQueue = opts.MaxQueue
+	e.slots.changed = e.recordLoad
+	e.versions.loaded = slices.Clone(opts.Versions)
+	e.faults.random = rand.New(rand.NewPCG(opts.Seed, opts.Seed))
+	e.server = &cut.Server{
+		Listen:  opts.Listen,
+		Handler: e.Handler(),
+		Cutter:  &e.cutter,
+		Spared:  spared(),
+	}
+	e.recordLoad()
+	return e
+}
+
+// spared are the requests that a cut before the head leaves alone.
+func spared() [][]byte {
+	return [][]byte{
+		[]byte("GET /load"), []byte("GET /arrivals"), []byte("GET /cache-events"),
+		[]byte("POST /orders"), []byte("POST /faults"), []byte("DELETE /v1/streams"),
+	}
+}
+
+// Handler returns the engine's HTTP API. A cut before the head of a request
+// works only under Run.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("POST /faults", e.serveFaults)
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		e.faults.waitStall()
+		writeJSON(w, e.report())
+	})
+	mux.HandleFunc("GET /arrivals", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, e.arrivals.list())
+	})
+	mux.HandleFunc("GET /cache-events", func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+		writeJSON(w, e.cache.after(after))
+	})
+	return mux
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	e.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Bind takes the address, so that Address is known before Run.
+func (e *Engine) Bind() error { return e.server.Bind() }
+
+// Address returns the bound address; empty before Bind.
+func (e *Engine) Address() string { return e.server.Address() }
+
+// Run serves until ctx ends and then closes the engine.
+func (e *Engine) Run(ctx context.Context) error {
+	defer e.Close()
+	return e.server.Run(ctx)
+}
+
+// Close ends all runs and waits for them.
+func (e *Engine) Close() {
+	e.stop()
+	e.runs.Wait()
+}
+
+// Host returns the engine's entry in a host list.
+func (e *Engine) Host() platform.Host {
+	state := platform.HostLive
+	if e.faults.get().Leaving {
+		state = platform.HostLeaving
+	}
+	return platform.Host{
+		ID:      e.opts.ID,
+		Kind:    platform.KindEngine,
+		Name:    e.opts.Name,
+		Zone:    e.opts.Zone,
+		Address: e.Address(),
+		State:   state,
+		Fenced:  e.opts.Fenced,
+	}
+}
+
+// bodyLimit bounds the bodies of orders and faults, in bytes.
+const bodyLimit = 64 << 10
+
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, bodyLimit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
