--- /dev/null
+++ b/admission/heap.go
@@ -0,0 +1,86 @@
+package admission
+
+// noIndex marks an item that isn't in a heap.
+const noIndex = -1
+
+// indexedHeap is a binary heap whose items know their places, so that any
+// item can be moved or removed in O(log n).
+type indexedHeap[T any] struct {
+	items []T
+	less  func(a, b T) bool
+	// index gives access to where an item keeps its place.
+	index func(T) *int
+}
+
+func (h *indexedHeap[T]) len() int { return len(h.items) }
+
+// min returns the first item of a heap that isn't empty.
+func (h *indexedHeap[T]) min() T { return h.items[0] }
+
+func (h *indexedHeap[T]) push(item T) {
+	*h.index(item) = len(h.items)
+	h.items = append(h.items, item)
+	h.up(len(h.items) - 1)
+}
+
+// remove takes an item out; one that isn't in the heap is left alone.
+func (h *indexedHeap[T]) remove(item T) {
+	i := *h.index(item)
+	if i == noIndex {
+		return
+	}
+	last := len(h.items) - 1
+	h.swap(i, last)
+	var zero T
+	h.items[last] = zero
+	h.items = h.items[:last]
+	*h.index(item) = noIndex
+	if i < last {
+		h.fixAt(i)
+	}
+}
+
+// fix restores the order after an item's key changed.
+func (h *indexedHeap[T]) fix(item T) {
+	if i := *h.index(item); i != noIndex {
+		h.fixAt(i)
+	}
+}
+
+func (h *indexedHeap[T]) fixAt(i int) {
+	h.up(i)
+	h.down(i)
+}
+
+func (h *indexedHeap[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(h.items[i], h.items[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *indexedHeap[T]) down(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(h.items); child++ {
+			if h.less(h.items[child], h.items[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		h.swap(i, least)
+		i = least
+	}
+}
+
+func (h *indexedHeap[T]) swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	*h.index(h.items[i]) = i
+	*h.index(h.items[j]) = j
+}
