manifest: a round counts the roll-outs of a version

Cause: evidence, budget and stop of a rolling-in version have to outlive manifests that only change something else, and to start anew when operators resume. Ruled out: the manifest epoch, since a change of any account would renew the budget; hosts remembering the epoch that changed the rule, since a host that skips epochs would remember another one. The round is in the document, so all hosts agree.

--- a/manifest/check_models.go
+++ b/manifest/check_models.go
@@ -57,6 +57,7 @@
 		c.report.add(at, "", "", "only a version that is %s has an exposure budget", RollingIn)
 	}
 	e := v.Exposure
+	c.whole(at.child("round"), int64(e.Round), 1, maxRound)
 	c.whole(at.child("answers"), int64(e.Answers), 1, maxAnswers)
 	c.number(at.child("max_error_rate"), e.MaxErrorRate, 0, 1)
 	c.number(at.child("min_rating"), e.MinRating, 0, 1)
--- a/manifest/limits.go
+++ b/manifest/limits.go
@@ -38,6 +38,7 @@
 
 	maxPrice          = 1_000_000_000_000
 	maxAnswers        = 1_000_000_000
+	maxRound          = 1_000_000
 	maxLatencyMs      = 3_600_000
 	maxRaterTimeoutMs = 600_000
 	maxDeadlineMs     = 86_400_000
--- a/manifest/types.go
+++ b/manifest/types.go
@@ -77,6 +77,10 @@
 // Exposure bounds how many answers a rolling-in version gives before the
 // evidence clears it.
 type Exposure struct {
+	// Round counts the version's roll-outs from 1. Raising it starts anew,
+	// with a full budget, no evidence and no stop; otherwise all three outlive
+	// a new manifest.
+	Round int `json:"round"`
 	// Answers is the budget over all hosts until the version is cleared.
 	Answers int `json:"answers"`
 	// MaxErrorRate and MinRating are the limits that the evidence is tested
