upstream: prove run states at each boundary where a connection can be cut

Cause: net/http sends a request again by itself when a pooled connection breaks and the method is idempotent, or an Idempotency-Key and GetBody are there. For a bid that is a second run.

Ruled out: leaving GetBody unset alone. Calls without a body need none to be repeated, so the refusal of a second connection is what counts.

--- /dev/null
+++ b/upstream/attempt_test.go
@@ -0,0 +1,121 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/runstate"
+)
+
+// countingConn counts the bytes written.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func TestSealForbidsWrites(t *testing.T) {
+	is := is.New(t)
+	inner := new(countingConn)
+	conn := &trackedConn{Conn: inner}
+	try := &attempt{state: new(runstate.Tracker)}
+	conn.attach(try)
+	is.True(!try.seal())
+	_, err := conn.Write([]byte("POST"))
+	is.True(errors.Is(err, errSealed))
+	is.Equal(inner.written.Load(), int64(0))
+	is.Equal(try.state.State(), runstate.NotRun)
+}
+
+func TestSecondConnectionIsRefused(t *testing.T) {
+	tests := []struct {
+		desc       string
+		repeatable bool
+		want       error
+	}{
+		{"not repeatable", false, errRepeated},
+		{"repeatable", true, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			try := &attempt{state: new(runstate.Tracker), repeatable: test.repeatable}
+			first := &trackedConn{Conn: new(countingConn)}
+			second := &trackedConn{Conn: new(countingConn)}
+			first.attach(try)
+			second.attach(try)
+			_, err := first.Write([]byte("POST"))
+			is.NoErr(err)
+			is.Equal(try.state.State(), runstate.MayHaveRun)
+			_, err = second.Write([]byte("POST"))
+			is.True(errors.Is(err, test.want))
+		})
+	}
+}
+
+// seenIDs collects the request ids that reached a server, read from the raw
+// bytes, so that a request cut within its head counts too.
+type seenIDs struct {
+	mu  sync.Mutex
+	raw strings.Builder
+}
+
+func (s *seenIDs) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.raw.Write(p)
+}
+
+func (s *seenIDs) has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Contains(s.raw.String(), id+"\r\n")
+}
+
+// TestCancelledCallsAreTruthful cancels calls around the moment of their
+// first write and compares what they say with what arrived.
+func TestCancelledCallsAreTruthful(t *testing.T) {
+	is := is.New(t)
+	const calls = 1000
+	seen := new(seenIDs)
+	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = seen.Write([]byte(r.Header.Get(HeaderRequestID) + "\r\n"))
+	})
+	c := NewService(ServiceOptions{})
+	defer c.Close()
+	random := rand.New(rand.NewPCG(1, 1))
+	var denied []string
+	for i := range calls {
+		ctx, cancel := context.WithCancel(t.Context())
+		wait := time.Duration(random.IntN(150)) * time.Microsecond
+		timer := time.AfterFunc(wait, cancel)
+		id := fmt.Sprintf("r%d", i)
+		var state runstate.Tracker
+		_, err := c.Do(ctx, target, ServiceCall{RequestID: id, Method: http.MethodPost, Path: "/", Body: []byte("bid")}, &state)
+		if err != nil && state.State() == runstate.NotRun {
+			is.True(errors.Is(err, ErrConnect))
+			denied = append(denied, id)
+		}
+		timer.Stop()
+		cancel()
+	}
+	t.Logf("%d of %d calls said that they were not run", len(denied), calls)
+	for _, id := range denied {
+		is.True(!seen.has(id)) // said "not run", but it arrived
+	}
+}
--- /dev/null
+++ b/upstream/main_test.go
@@ -0,0 +1,104 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
+	"github.com/quetzalweir/quetzalweir/internal/standin/service"
+	"github.com/quetzalweir/quetzalweir/runstate"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// runner is what both stand-ins have in common.
+type runner interface {
+	Bind() error
+	Run(ctx context.Context) error
+	Address() string
+}
+
+// run serves a stand-in until the test ends.
+func run(t testing.TB, standin runner) upstream.Target {
+	t.Helper()
+	if err := standin.Bind(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- standin.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return upstream.Target{ID: "u1", Address: standin.Address()}
+}
+
+func startEngine(t testing.TB, opts engine.Options) (*engine.Engine, upstream.Target) {
+	t.Helper()
+	opts.Versions = []string{"m@1"}
+	e := engine.New(opts)
+	return e, run(t, e)
+}
+
+func startService(t testing.TB) (*service.Service, upstream.Target) {
+	t.Helper()
+	s := service.New(service.Options{})
+	return s, run(t, s)
+}
+
+func newEngineClient(t testing.TB, opts upstream.EngineOptions) *upstream.EngineClient {
+	t.Helper()
+	c := upstream.NewEngine(opts)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func newServiceClient(t testing.TB) *upstream.ServiceClient {
+	t.Helper()
+	c := upstream.NewService(upstream.ServiceOptions{MaxAnswer: 1 << 10})
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// prompt gives an answer of 50 frames.
+const prompt = "read lot 17 tokens=50"
+
+func engineCall(id string) upstream.Call {
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}]}`, prompt)
+	return upstream.Call{RequestID: id, Model: "m", Version: "1", Body: []byte(body)}
+}
+
+// ask sends a call and reads its answer to the end.
+func ask(ctx context.Context, c upstream.Engine, target upstream.Target, call upstream.Call, state *runstate.Tracker) (string, error) {
+	stream, err := c.Open(ctx, target, call, state)
+	if err != nil {
+		return "", err
+	}
+	defer stream.Close()
+	return readText(stream)
+}
+
+// readText reads a stream to its end and checks the numbers of its frames.
+func readText(stream upstream.Stream) (text string, err error) {
+	for seq := uint64(1); ; seq++ {
+		frame, err := stream.Next()
+		if err == io.EOF {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		if frame.Seq != seq {
+			return text, fmt.Errorf("frame %d in place of %d", frame.Seq, seq)
+		}
+		text += frame.Text
+	}
+}
