--- /dev/null
+++ b/session/registry_test.go
@@ -0,0 +1,256 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+const testTTL = time.Hour
+
+func testRegistry(table platform.Table) *Registry {
+	return NewRegistry(Options{Table: table, TTL: testTTL})
+}
+
+func proposal(version string) Binding {
+	b := bound
+	b.Version = version
+	b.IssuedAt = time.Time{}
+	return b
+}
+
+func mustBind(t *testing.T, r *Registry, version string) (string, bool) {
+	t.Helper()
+	b, durable, err := r.Bind(t.Context(), proposal(version))
+	is.New(t).NoErr(err)
+	return b.Version, durable
+}
+
+func TestBindAgrees(t *testing.T) {
+	cases := []struct {
+		desc  string
+		fault func(*faulty.Table)
+	}{
+		{desc: "no fault", fault: func(*faulty.Table) {}},
+		{desc: "answers lost after their effect", fault: func(f *faulty.Table) { f.LoseNext(4) }},
+		{desc: "a commit that comes late", fault: func(f *faulty.Table) { f.DelayNext(1, time.Second) }},
+		{desc: "commits dropped without an answer", fault: func(f *faulty.Table) { f.DropNext(2) }},
+		{desc: "slow calls", fault: func(f *faulty.Table) { f.SetDelay(100 * time.Millisecond) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const hosts = 8
+				table := faulty.New(memory.New())
+				tc.fault(table)
+				var got [hosts]Binding
+				var durable [hosts]bool
+				var wg sync.WaitGroup
+				for i := range hosts {
+					wg.Go(func() {
+						got[i], durable[i], _ = testRegistry(table).Bind(t.Context(), proposal(fmt.Sprint("v", i)))
+					})
+				}
+				wg.Wait()
+				for i := range hosts {
+					is.True(durable[i])
+					is.Equal(got[i], got[0]) // one version for all concurrent first requests
+				}
+				time.Sleep(2 * time.Second) // a late commit has come
+				later, _ := mustBind(t, testRegistry(table), "later")
+				is.Equal(later, got[0].Version) // changed shares don't move the session
+			})
+		})
+	}
+}
+
+func TestBindWithoutTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := faulty.New(memory.New())
+		here, there := testRegistry(table), testRegistry(table)
+		table.SetDown(true)
+		v, durable := mustBind(t, here, "v1")
+		is.Equal(v, "v1")
+		is.True(!durable) // told truthfully
+		v, durable = mustBind(t, here, "v2")
+		is.Equal(v, "v1") // this host keeps its choice
+		is.True(!durable)
+		is.Equal(table.Counts().Gets, 1) // an outage isn't paid for by each request
+		table.Heal()
+		time.Sleep(2 * defaultBackoff)
+		v, durable = mustBind(t, here, "v2")
+		is.Equal(v, "v1")
+		is.True(durable) // written down after the outage
+		v, _ = mustBind(t, there, "v2")
+		is.Equal(v, "v1")
+		table.SetDown(true)
+		v, durable = mustBind(t, there, "v2")
+		is.Equal(v, "v1")
+		is.True(durable) // seen in the table before
+	})
+}
+
+func TestBindEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err := testRegistry(memory.New()).Bind(ctx, proposal("v1"))
+	is.True(errors.Is(err, context.Canceled))
+	_, _, err = testRegistry(memory.New()).Bind(t.Context(), Binding{})
+	is.True(errors.Is(err, ErrInvalidBinding))
+}
+
+func TestRowLastsTTLAfterUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := faulty.New(memory.New())
+		mustBind(t, testRegistry(table), "v1")
+		for range 50 {
+			time.Sleep(testTTL / 5)
+			v, _ := mustBind(t, testRegistry(table), "v2")
+			is.Equal(v, "v1") // used often enough
+		}
+		is.True(table.Counts().Commits <= 12) // but not written at each use
+		_, deleted, err := testRegistry(table).Sweep(t.Context(), "")
+		is.NoErr(err)
+		is.Equal(deleted, 0)
+		time.Sleep(testTTL)
+		v, _ := mustBind(t, testRegistry(table), "v2")
+		is.Equal(v, "v1") // one time to live after the last use
+		time.Sleep(rowLives * testTTL)
+		_, deleted, err = testRegistry(table).Sweep(t.Context(), "")
+		is.NoErr(err)
+		is.Equal(deleted, 1)
+		v, _ = mustBind(t, testRegistry(table), "v2")
+		is.Equal(v, "v2") // a new session
+	})
+}
+
+func TestSweepPassesOverPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := memory.New()
+		r := testRegistry(table)
+		const sessions = 2*sweepPage + 10
+		for i := range sessions {
+			b := proposal("v1")
+			b.SessionID = fmt.Sprint(i, "/%2F")
+			_, _, err := r.Bind(t.Context(), b)
+			is.NoErr(err)
+		}
+		time.Sleep(rowLives * testTTL)
+		mustBind(t, r, "v1")
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		r.Run(ctx, time.Second)
+		rows, err := table.List(t.Context(), rowPrefix, "", sessions)
+		is.NoErr(err)
+		is.Equal(len(rows), 1) // only the one in use
+	})
+}
+
+func TestRebind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := faulty.New(memory.New())
+		here, there := testRegistry(table), testRegistry(table)
+		mustBind(t, here, "v1")
+		mustBind(t, there, "v1")
+		b, durable, err := here.Rebind(t.Context(), proposal("v1"), proposal("v2"))
+		is.NoErr(err)
+		is.True(durable)
+		is.Equal(b.Version, "v2")
+		b, _, err = there.Rebind(t.Context(), proposal("v1"), proposal("v3"))
+		is.NoErr(err)
+		is.Equal(b.Version, "v2") // the first to move it decides
+		third := testRegistry(table)
+		mustBind(t, third, "v1")
+		table.LoseNext(1)
+		b, durable, err = third.Rebind(t.Context(), proposal("v2"), proposal("v4"))
+		is.NoErr(err)
+		is.True(durable)
+		is.Equal(b.Version, "v4")
+		v, _ := mustBind(t, here, "v1")
+		is.Equal(v, "v2") // still cached
+		here.Evict(bound.Model, "v2")
+		v, _ = mustBind(t, here, "v1")
+		is.Equal(v, "v4")
+		table.SetDown(true)
+		b, durable, err = here.Rebind(t.Context(), proposal("v4"), proposal("v5"))
+		is.NoErr(err)
+		is.True(!durable)
+		is.Equal(b.Version, "v5") // a withdrawn version gets no work, table or not
+		other := proposal("v1")
+		other.SessionID = "another"
+		_, _, err = here.Rebind(t.Context(), proposal("v1"), other)
+		is.True(errors.Is(err, ErrInvalidBinding))
+	})
+}
+
+// TestDurableBindingsNeverDiffer runs hosts against faults in random order: as
+// long as the session is in use and isn't moved, all durable answers agree.
+func TestDurableBindingsNeverDiffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		clock := func() time.Time { return now }
+		table := faulty.New(memory.New())
+		var hosts []*Registry
+		for range 3 {
+			hosts = append(hosts, NewRegistry(Options{Table: table, TTL: testTTL, Clock: clock, CacheSize: cacheShards}))
+		}
+		decided := ""
+		t.Repeat(map[string]func(*rapid.T){
+			"bind": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+				version := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
+				b, durable, err := hosts[i].Bind(context.Background(), proposal(version))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !durable {
+					return
+				}
+				if decided != "" && b.Version != decided {
+					t.Fatalf("bound to %s, before to %s", b.Version, decided)
+				}
+				decided = b.Version
+			},
+			"replace host": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+				hosts[i] = NewRegistry(Options{Table: table, TTL: testTTL, Clock: clock})
+			},
+			"lose": func(t *rapid.T) { table.LoseNext(rapid.IntRange(1, 2).Draw(t, "n")) },
+			"drop": func(t *rapid.T) { table.DropNext(rapid.IntRange(1, 2).Draw(t, "n")) },
+			"down": func(t *rapid.T) { table.SetDown(rapid.Bool().Draw(t, "down")) },
+			"sweep": func(t *rapid.T) {
+				_, _, _ = hosts[0].Sweep(context.Background(), "")
+			},
+			"time": func(t *rapid.T) {
+				// Each step is followed by a use, so that the session lives on.
+				now = now.Add(time.Duration(rapid.IntRange(1, 59).Draw(t, "minutes")) * time.Minute)
+				table.Heal()
+				b, durable, err := hosts[0].Bind(context.Background(), proposal("v9"))
+				if err != nil || !durable {
+					t.Skip("the table was just called in vain")
+				}
+				if decided != "" && b.Version != decided {
+					t.Fatalf("moved to %s from %s", b.Version, decided)
+				}
+				decided = b.Version
+			},
+		})
+	})
+}
