--- a/manifest/check.go
+++ b/manifest/check.go
@@ -38,7 +38,9 @@
 func (c *checker) index() {
 	c.models = make(map[string]*Model, len(c.doc.Models))
 	for i := range c.doc.Models {
-		c.models[c.doc.Models[i].Name] = &c.doc.Models[i]
+		if m := &c.doc.Models[i]; c.models[m.Name] == nil {
+			c.models[m.Name] = m
+		}
 	}
 	c.cascades = make(map[string]*Cascade, len(c.doc.Cascades))
 	for i := range c.doc.Cascades {
--- a/manifest/decode.go
+++ b/manifest/decode.go
@@ -35,6 +35,10 @@
 		r.add(root, "", "", "not readable as JSON near byte %d: %v", d.json.InputOffset(), err)
 		return nil, r.err()
 	}
+	return checked(doc, r)
+}
+
+func checked(doc *Document, r *report) (*Document, error) {
 	check(doc, r)
 	if err := r.err(); err != nil {
 		return nil, err
