rollout: exposure budgets, shared evidence and stops without a coordinator

Cause: a version that turns out bad has already answered requests on every entry host, and hosts that count alone each need the whole evidence.

Each host takes answers from its own part of a budget, a bounded counter whose parts move by transfers that only the giver writes; or the parts are granted by conditional writes to the table. Evidence is counters merged by maximum. Errors, slow first tokens and ratings are tested with mixtures of betting martingales, which may be looked at after each answer.

Ruled out: dividing a budget by the live hosts seen, since two sides of a partition then both take the whole.

Without the test of recent periods, TestClearedVersionCanTurnBad fails. All pass as committed, -race.

--- /dev/null
+++ b/rollout/budget_test.go
@@ -0,0 +1,196 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// smallRule has a budget that random actions can reach.
+var smallRule = VersionRule{
+	Model:        "m",
+	Version:      "2",
+	Epoch:        5,
+	Budget:       40,
+	MaxErrorRate: 0.05,
+	MinRating:    0.6,
+}
+
+// flakyTable holds one kind of row; calls fail as the test orders.
+type flakyTable struct {
+	platform.Table
+	rows map[string]platform.Row
+	// fail is returned by the next Commit; with ErrUnknown it has its effect.
+	fail error
+}
+
+func (f *flakyTable) Get(_ context.Context, key string) (platform.Row, error) {
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *flakyTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	fail := f.fail
+	f.fail = nil
+	if fail == platform.ErrUnavailable {
+		return 0, fail
+	}
+	for _, c := range txn.Conditions {
+		if f.rows[c.Key].Version != c.Version {
+			return 0, platform.ErrConflict
+		}
+	}
+	for _, p := range txn.Puts {
+		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.rows[p.Key].Version + 1}
+	}
+	return 1, fail
+}
+
+// cluster is a model of hosts that exchange evidence in any order, with loss
+// and repetition, and that are replaced.
+type cluster struct {
+	clock    *fakeClock
+	granted  bool
+	size     int
+	hosts    []*Tracker
+	granters []*Granter
+	table    *flakyTable
+	// sent are exports that may be delivered at any time, repeatedly.
+	sent  [][]Evidence
+	taken int
+	next  int
+}
+
+func newCluster(n int, granted bool) *cluster {
+	c := &cluster{clock: newClock(), granted: granted, size: n, table: &flakyTable{rows: map[string]platform.Row{}}}
+	for range n {
+		c.hosts = append(c.hosts, nil)
+		c.granters = append(c.granters, nil)
+		c.replace(len(c.hosts) - 1)
+	}
+	return c
+}
+
+// replace starts a new incarnation that knows nothing.
+func (c *cluster) replace(i int) {
+	name := fmt.Sprint("host-", c.next)
+	c.next++
+	c.hosts[i] = New(Options{Host: name, Clock: c.clock.Now, Granted: c.granted, Pacing: Pacing{Off: true}})
+	c.hosts[i].SetHosts(c.size)
+	c.hosts[i].SetVersions([]VersionRule{smallRule})
+	c.granters[i] = NewGranter(c.table, name)
+}
+
+func (c *cluster) actions(n int) map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) int { return rapid.IntRange(0, n-1).Draw(t, "host") }
+	actions := map[string]func(*rapid.T){
+		"take": func(t *rapid.T) {
+			host := c.hosts[pick(t)]
+			for range rapid.IntRange(1, 50).Draw(t, "answers") {
+				if host.Take("m", "2") {
+					c.taken++
+					host.Observe("m", "2", Outcome{}) // unrated, so never cleared
+				}
+			}
+		},
+		"return": func(t *rapid.T) {
+			host := c.hosts[pick(t)]
+			if host.Take("m", "2") {
+				host.Return("m", "2")
+			}
+		},
+		"send":    func(t *rapid.T) { c.sent = append(c.sent, c.hosts[pick(t)].Export()) },
+		"deliver": func(t *rapid.T) { c.deliver(t, pick(t)) },
+		"leave and come back": func(t *rapid.T) {
+			host := c.hosts[pick(t)]
+			host.SetVersions(nil)
+			host.SetVersions([]VersionRule{smallRule})
+		},
+	}
+	if c.granted {
+		actions["replace"] = func(t *rapid.T) { c.replace(pick(t)) }
+		actions["refill"] = func(t *rapid.T) { c.refill(t, pick(t)) }
+	}
+	return actions
+}
+
+func (c *cluster) deliver(t *rapid.T, to int) {
+	if len(c.sent) > 0 {
+		c.hosts[to].Merge(c.sent[rapid.IntRange(0, len(c.sent)-1).Draw(t, "message")])
+	}
+}
+
+func (c *cluster) refill(t *rapid.T, i int) {
+	c.table.fail = rapid.SampledFrom([]error{nil, nil, platform.ErrUnavailable, platform.ErrUnknown}).Draw(t, "fault")
+	_ = c.hosts[i].Refill(context.Background(), c.granters[i])
+}
+
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	for _, granted := range []bool{false, true} {
+		t.Run(fmt.Sprint("granted=", granted), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				n := rapid.IntRange(1, 7).Draw(t, "hosts")
+				c := newCluster(n, granted)
+				actions := c.actions(n)
+				actions[""] = func(t *rapid.T) {
+					if c.taken > smallRule.Budget {
+						t.Fatalf("%d answers of a budget of %d", c.taken, smallRule.Budget)
+					}
+				}
+				t.Repeat(actions)
+			})
+		})
+	}
+}
+
+func TestTransferReachesThePeerThatNeedsIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2, false)
+	busy, idle := c.hosts[0], c.hosts[1]
+	is.Equal(c.drain(busy), 20)
+	idle.Take("m", "2") // takes its part
+	idle.Merge(busy.Export())
+	busy.Merge(idle.Export())
+	is.Equal(c.drain(busy), 19/transferShare)
+	idle.Merge(busy.Export())
+	busy.Merge(idle.Export())
+	is.True(c.drain(busy) > 0) // another denial, another part
+}
+
+func (c *cluster) drain(t *Tracker) (n int) {
+	for t.Take("m", "2") {
+		n++
+	}
+	return n
+}
+
+func TestGrantSurvivesALostAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1, true)
+	is.True(!c.hosts[0].Take("m", "2")) // nothing granted yet
+	c.table.fail = platform.ErrUnknown
+	is.True(c.hosts[0].Refill(t.Context(), c.granters[0]) != nil)
+	is.NoErr(c.hosts[0].Refill(t.Context(), c.granters[0]))
+	row, _, err := c.granters[0].read(t.Context(), grantName(Claim{Key: smallRule.Key(), Epoch: smallRule.Epoch}))
+	is.NoErr(err)
+	is.Equal(uint64(c.drain(c.hosts[0])), row.sum()) // both claims are there
+}
+
+func TestGrantsStayNearTheEvidence(t *testing.T) {
+	is := is.New(t)
+	claim := Claim{Budget: 1000, Hosts: 4}
+	is.Equal(claim.part(0), uint64(4))
+	is.Equal(claim.part(GrantInitial-1), uint64(1))
+	is.Equal(claim.part(GrantInitial), uint64(0))
+	claim.Good = 1000
+	is.Equal(claim.part(999), uint64(1))
+	is.Equal(claim.part(1000), uint64(0))
+}
--- /dev/null
+++ b/rollout/doc.go
@@ -0,0 +1,9 @@
+// Package rollout bounds the exposure to a version that is rolling in.
+//
+// Each entry host has a Tracker. It takes every answer from a budget that all
+// hosts share, gathers what the answers show (errors, time to first token,
+// ratings), and stops the version when the evidence against it is strong, or
+// clears it when the evidence for it is. Hosts exchange evidence and stops
+// with whatever transport they have; nothing in the package does I/O but
+// Granter, which claims parts of the budget from the platform's table.
+package rollout
--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,217 @@
+package rollout
+
+// RatingBuckets is the number of equal buckets that ratings are counted in.
+const RatingBuckets = 50
+
+// Counters count what answers showed. They only rise.
+type Counters struct {
+	Answers uint64 `json:"answers"`
+	Errors  uint64 `json:"errors,omitempty"`
+	// Timed counts the first tokens that were measured, Slow those above the
+	// limit.
+	Timed uint64 `json:"timed,omitempty"`
+	Slow  uint64 `json:"slow,omitempty"`
+	// Ratings counts ratings by bucket; it is nil or RatingBuckets long.
+	Ratings []uint64 `json:"ratings,omitempty"`
+}
+
+// Segment holds the counters of one period of SegmentLength.
+type Segment struct {
+	// Number is the period's start in units of SegmentLength since 1970.
+	Number   int64    `json:"number"`
+	Counters Counters `json:"counters"`
+}
+
+// Transfer is how much of its budget a host gave to another in total.
+type Transfer struct {
+	To      string `json:"to"`
+	Answers uint64 `json:"answers"`
+}
+
+// Evidence is what one host counted for one version in one epoch. Only that
+// host raises it; two copies are merged by taking the maximum of each field.
+type Evidence struct {
+	Host    string `json:"host"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Epoch   uint64 `json:"epoch"`
+	// Granted is the host's part of the budget, Given what it passed on.
+	Granted uint64     `json:"granted"`
+	Given   []Transfer `json:"given,omitempty"`
+	// Taken counts answers taken from the budget, Returned those given back
+	// because they were never sent.
+	Taken    uint64 `json:"taken"`
+	Returned uint64 `json:"returned,omitempty"`
+	// Denied counts answers refused because the host's part was spent.
+	Denied uint64 `json:"denied,omitempty"`
+	// Total covers the epoch, Segments its last two periods.
+	Total    Counters  `json:"total"`
+	Segments []Segment `json:"segments,omitempty"`
+}
+
+// Key returns the version that the evidence is about.
+func (e *Evidence) Key() Key { return Key{Model: e.Model, Version: e.Version} }
+
+// Rated returns the number of ratings.
+func (c *Counters) Rated() uint64 {
+	sum := uint64(0)
+	for _, n := range c.Ratings {
+		sum += n
+	}
+	return sum
+}
+
+// MeanRating returns the mean of the buckets' middles; 0 without ratings.
+func (c *Counters) MeanRating() float64 {
+	sum, n := 0.0, uint64(0)
+	for b, count := range c.Ratings {
+		sum += float64(count) * (float64(b) + 0.5) / RatingBuckets
+		n += count
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// good returns the number of answers that were neither failed nor slow.
+func (c *Counters) good() uint64 {
+	return c.Answers - min(c.Answers, c.Errors+c.Slow)
+}
+
+// add adds d to c.
+func (c *Counters) add(d *Counters) {
+	c.Answers += d.Answers
+	c.Errors += d.Errors
+	c.Timed += d.Timed
+	c.Slow += d.Slow
+	for b, n := range d.Ratings {
+		c.rate(b, n)
+	}
+}
+
+// rate adds n ratings to a bucket; buckets out of range are ignored.
+func (c *Counters) rate(bucket int, n uint64) {
+	if bucket < 0 || bucket >= RatingBuckets {
+		return
+	}
+	if c.Ratings == nil {
+		c.Ratings = make([]uint64, RatingBuckets)
+	}
+	c.Ratings[bucket] += n
+}
+
+// raise raises each counter of c to that of d.
+func (c *Counters) raise(d *Counters) {
+	c.Answers = max(c.Answers, d.Answers)
+	c.Errors = max(c.Errors, d.Errors)
+	c.Timed = max(c.Timed, d.Timed)
+	c.Slow = max(c.Slow, d.Slow)
+	if len(d.Ratings) != RatingBuckets {
+		return
+	}
+	if len(c.Ratings) != RatingBuckets {
+		c.Ratings = make([]uint64, RatingBuckets)
+	}
+	for b, n := range d.Ratings {
+		c.Ratings[b] = max(c.Ratings[b], n)
+	}
+}
+
+func (c *Counters) clone() Counters {
+	d := *c
+	d.Ratings = append([]uint64(nil), c.Ratings...)
+	return d
+}
+
+// merge raises e to other, which has the same host, version and epoch.
+func (e *Evidence) merge(other *Evidence) {
+	e.Granted = max(e.Granted, other.Granted)
+	e.Taken = max(e.Taken, other.Taken)
+	e.Returned = max(e.Returned, other.Returned)
+	e.Denied = max(e.Denied, other.Denied)
+	e.Total.raise(&other.Total)
+	for _, t := range other.Given {
+		e.raiseGiven(t)
+	}
+	for i := range other.Segments {
+		s := &other.Segments[i]
+		if c := e.segment(s.Number); c != nil {
+			c.raise(&s.Counters)
+		}
+	}
+}
+
+func (e *Evidence) raiseGiven(t Transfer) {
+	for i := range e.Given {
+		if e.Given[i].To == t.To {
+			e.Given[i].Answers = max(e.Given[i].Answers, t.Answers)
+			return
+		}
+	}
+	e.Given = append(e.Given, t)
+}
+
+// weight rises with every change of the evidence.
+func (e *Evidence) weight() uint64 {
+	c := &e.Total
+	total := c.Answers + c.Errors + c.Timed + c.Slow + c.Rated()
+	return e.Granted + e.given() + e.Taken + e.Returned + e.Denied + total
+}
+
+// givenTo returns how much the host gave to another.
+func (e *Evidence) givenTo(host string) uint64 {
+	for _, t := range e.Given {
+		if t.To == host {
+			return t.Answers
+		}
+	}
+	return 0
+}
+
+func (e *Evidence) given() uint64 {
+	sum := uint64(0)
+	for _, t := range e.Given {
+		sum += t.Answers
+	}
+	return sum
+}
+
+// segment returns the counters of a period, made if needed, or nil if the
+// period is older than the two that are kept.
+func (e *Evidence) segment(number int64) *Counters {
+	for i := range e.Segments {
+		if e.Segments[i].Number == number {
+			return &e.Segments[i].Counters
+		}
+	}
+	if len(e.Segments) < segmentsKept {
+		e.Segments = append(e.Segments, Segment{Number: number})
+		return &e.Segments[len(e.Segments)-1].Counters
+	}
+	oldest := 0
+	for i := range e.Segments {
+		if e.Segments[i].Number < e.Segments[oldest].Number {
+			oldest = i
+		}
+	}
+	if number < e.Segments[oldest].Number {
+		return nil
+	}
+	e.Segments[oldest] = Segment{Number: number}
+	return &e.Segments[oldest].Counters
+}
+
+func (e *Evidence) clone() Evidence {
+	c := *e
+	c.Given = append([]Transfer(nil), e.Given...)
+	c.Total = e.Total.clone()
+	c.Segments = make([]Segment, len(e.Segments))
+	for i := range e.Segments {
+		c.Segments[i] = Segment{
+			Number:   e.Segments[i].Number,
+			Counters: e.Segments[i].Counters.clone(),
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/rollout/helpers_test.go
@@ -0,0 +1,58 @@
+package rollout
+
+import (
+	"sync"
+	"time"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fakeClock is moved by hand.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newClock() *fakeClock { return &fakeClock{now: start} }
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+var rule = VersionRule{
+	Model:        "m",
+	Version:      "2",
+	Epoch:        5,
+	Budget:       700,
+	MaxErrorRate: 0.05,
+	MinRating:    0.6,
+	MaxLatencyMs: 1000,
+}
+
+var good = Outcome{Rated: true, Rating: 0.9, FirstToken: 100 * time.Millisecond}
+
+func newTracker(host string, clock *fakeClock, rules ...VersionRule) *Tracker {
+	t := New(Options{Host: host, Clock: clock.Now})
+	t.SetVersions(rules)
+	return t
+}
+
+// takeAll takes answers until it is refused, observing each, and returns how
+// many it got, at most limit.
+func takeAll(t *Tracker, limit int, outcome Outcome) int {
+	for n := range limit {
+		if !t.Take("m", "2") {
+			return n
+		}
+		t.Observe("m", "2", outcome)
+	}
+	return limit
+}
--- /dev/null
+++ b/rollout/sequential_test.go
@@ -0,0 +1,95 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMeanTestIsAMartingale(t *testing.T) {
+	tests := []struct {
+		desc  string
+		side  side
+		limit float64
+	}{
+		{"above a low limit", above, 0.02},
+		{"below a low limit", below, 0.02},
+		{"above a middle limit", above, 0.6},
+		{"below a middle limit", below, 0.6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			test := newMeanTest(tt.side, tt.limit, binary)
+			for _, row := range test.logs { // the expected factor at the limit is 1
+				mean := (1-tt.limit)*math.Exp(row[0]) + tt.limit*math.Exp(row[1])
+				is.True(math.Abs(mean-1) < 1e-9)
+			}
+			is.Equal(test.logStrength([]uint64{0, 0}), 0.0)
+		})
+	}
+}
+
+// TestFalseVerdictsAreRare looks after every answer, as trackers do, at
+// versions exactly on a limit, the hardest case.
+func TestFalseVerdictsAreRare(t *testing.T) {
+	const runs, answers, limit = 1000, 600, 0.05
+	is := is.New(t)
+	c := newCriteria(VersionRule{MaxErrorRate: limit}, Confidence{})
+	rnd := rand.New(rand.NewPCG(1, 1))
+	stopped, cleared := 0, 0
+	for range runs {
+		s, k := verdictOf(&c, rnd, answers, limit)
+		stopped += s
+		cleared += k
+	}
+	t.Logf("of %d runs on the limit: %d stopped, %d cleared", runs, stopped, cleared)
+	is.True(stopped <= runs*2*DefaultFalseStop)
+	is.True(cleared <= runs*2*DefaultFalseClear)
+}
+
+func verdictOf(c *criteria, rnd *rand.Rand, answers int, errorRate float64) (stopped, cleared int) {
+	counters := &Counters{}
+	for range answers {
+		counters.Answers++
+		if rnd.Float64() < errorRate {
+			counters.Errors++
+		}
+		if _, _, bad := c.violated(counters, DefaultFalseStop); bad {
+			stopped = 1
+		}
+		if c.satisfied(counters) {
+			cleared = 1
+		}
+	}
+	return stopped, cleared
+}
+
+func drawEvidence(t *rapid.T, host string) Evidence {
+	number := func(name string) uint64 { return rapid.Uint64Range(0, 9).Draw(t, name) }
+	e := Evidence{Host: host, Model: "m", Version: "2", Epoch: 5, Granted: number("granted")}
+	e.Taken = number("taken")
+	e.Total = Counters{Answers: number("answers"), Errors: number("errors")}
+	e.Total.rate(rapid.IntRange(0, RatingBuckets-1).Draw(t, "bucket"), number("ratings"))
+	e.raiseGiven(Transfer{To: "x", Answers: number("given")})
+	return e
+}
+
+func TestMergeIsIdempotentAndOrderless(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawEvidence(t, "h"), drawEvidence(t, "h"), drawEvidence(t, "h")
+		left, right := a.clone(), c.clone()
+		for _, other := range []*Evidence{&b, &c, &b} {
+			left.merge(other)
+		}
+		for _, other := range []*Evidence{&a, &b} {
+			right.merge(other)
+		}
+		if left.weight() != right.weight() || left.Total.MeanRating() != right.Total.MeanRating() {
+			t.Fatalf("%+v and %+v differ", left, right)
+		}
+	})
+}
--- /dev/null
+++ b/rollout/tracker_test.go
@@ -0,0 +1,181 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestVersionsWithoutARuleAreFree(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), rule)
+	is.True(tracker.Take("m", "1"))
+	is.True(tracker.Cleared("m", "1"))
+	is.True(!tracker.Cleared("m", "2"))
+}
+
+func TestStopsByReason(t *testing.T) {
+	tests := []struct {
+		desc    string
+		outcome Outcome
+		want    Reason
+	}{
+		{"errors", Outcome{Err: true}, ReasonErrors},
+		{"slow first tokens", Outcome{FirstToken: 2 * time.Second, Rated: true, Rating: 0.9}, ReasonLatency},
+		{"poor ratings", Outcome{FirstToken: time.Millisecond, Rated: true, Rating: 0.3}, ReasonRating},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			tracker := newTracker("a", newClock(), rule)
+			n := takeAll(tracker, 700, tt.outcome)
+			t.Logf("stopped after %d answers", n)
+			is.True(n < 40)
+			stop, ok := tracker.Stopped("m", "2")
+			is.True(ok)
+			is.Equal(stop.Reason, tt.want)
+			is.Equal(stop.Summary.Answers, uint64(n))
+			is.True(stop.Summary.Strength >= 1/DefaultFalseStop)
+			is.True(!tracker.Take("m", "2"))
+		})
+	}
+}
+
+func TestClearing(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), rule)
+	n := takeAll(tracker, 5000, good)
+	is.Equal(n, 5000) // no budget after clearing
+	is.True(tracker.Cleared("m", "2"))
+	is.True(tracker.Export()[0].Taken < uint64(rule.Budget))
+}
+
+func TestClearedVersionCanTurnBad(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	tracker := newTracker("a", clock, rule)
+	takeAll(tracker, 20000, good)
+	clock.Advance(segmentsKept * SegmentLength)
+	n := takeAll(tracker, 500, Outcome{Err: true})
+	is.True(n < 10) // the long good record doesn't hide it
+	stop, _ := tracker.Stopped("m", "2")
+	is.Equal(stop.Reason, ReasonErrors)
+}
+
+func TestPacingWaitsForEvidence(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	tracker := newTracker("a", clock, rule)
+	takeOnly := func() (n int) {
+		for tracker.Take("m", "2") {
+			n++
+		}
+		return n
+	}
+	is.Equal(takeOnly(), DefaultInitial)
+	tracker.Observe("m", "2", good)
+	is.Equal(takeOnly(), 2) // one ended, and one more by its evidence
+	tracker.Return("m", "2")
+	is.Equal(takeOnly(), 1)
+	clock.Advance(DefaultObserveTimeout)
+	is.Equal(takeOnly(), DefaultInitial+1)
+}
+
+func TestPacingWaitsForRatings(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), rule)
+	unrated := Outcome{FirstToken: time.Millisecond}
+	is.Equal(takeAll(tracker, 700, unrated), DefaultInitialUnrated)
+	tracker.Rate("m", "2", 0.9)
+	is.Equal(takeAll(tracker, 700, unrated), DefaultUnratedGrowth+1)
+}
+
+func TestStopHoldsUntilANewEpoch(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), rule)
+	stop := Stop{Model: "m", Version: "2", Epoch: rule.Epoch, Reason: ReasonErrors, Host: "b", At: start}
+	is.True(tracker.AdoptStop(stop))
+	is.True(!tracker.AdoptStop(stop)) // no news
+	is.True(!tracker.Take("m", "2"))
+	tracker.SetVersions([]VersionRule{rule}) // the same epoch
+	is.True(!tracker.Take("m", "2"))
+	tracker.SetVersions(nil)
+	tracker.SetVersions([]VersionRule{rule}) // left and came back
+	is.True(!tracker.Take("m", "2"))
+
+	renewed := rule
+	renewed.Epoch++
+	tracker.SetVersions([]VersionRule{renewed})
+	is.True(tracker.Take("m", "2"))
+	is.True(!tracker.AdoptStop(stop)) // outdated
+	tracker.SetVersions([]VersionRule{rule})
+	is.True(tracker.Take("m", "2")) // a lower epoch is ignored
+}
+
+func TestStopOfAFutureEpochWaitsForItsRule(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock())
+	tracker.AdoptStop(Stop{Model: "m", Version: "2", Epoch: rule.Epoch, At: start})
+	is.Equal(len(tracker.Stops()), 1) // passed on meanwhile
+	tracker.SetVersions([]VersionRule{rule})
+	is.True(!tracker.Take("m", "2"))
+}
+
+func TestStopsConverge(t *testing.T) {
+	is := is.New(t)
+	first := Stop{Model: "m", Version: "2", Epoch: 5, Reason: ReasonErrors, Host: "b", At: start}
+	second := Stop{Model: "m", Version: "2", Epoch: 5, Reason: ReasonRating, Host: "a", At: start.Add(1)}
+	a, b := newTracker("a", newClock(), rule), newTracker("b", newClock(), rule)
+	a.AdoptStop(first)
+	a.AdoptStop(second)
+	b.AdoptStop(second)
+	b.AdoptStop(first)
+	is.Equal(a.Stops(), b.Stops())
+}
+
+func TestSharedEvidenceStopsSooner(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	a, b := newTracker("a", clock, rule), newTracker("b", clock, rule)
+	for range 2 { // too few on either host alone
+		a.Observe("m", "2", Outcome{Err: true})
+		b.Observe("m", "2", Outcome{Err: true})
+	}
+	_, stopped := a.Stopped("m", "2")
+	is.True(!stopped)
+	a.Merge(b.Export())
+	_, stopped = a.Stopped("m", "2")
+	is.True(stopped)
+}
+
+func TestEvidenceBeforeTheRuleIsKept(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	a, b := newTracker("a", clock, rule), newTracker("b", clock)
+	for range 4 {
+		a.Observe("m", "2", Outcome{Err: true})
+	}
+	b.Merge(a.Export())
+	b.SetVersions([]VersionRule{rule})
+	is.True(!b.Take("m", "2"))
+}
+
+func TestExportSinceSendsChangesOnly(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	a, b := newTracker("a", clock, rule), newTracker("b", clock, rule)
+	a.Observe("m", "2", good)
+	evidence, mark := a.ExportSince(0)
+	is.Equal(len(evidence), 1)
+	b.Merge(evidence)
+	echoed, _ := b.ExportSince(0)
+	a.Merge(echoed) // its own evidence comes back
+	evidence, _ = a.ExportSince(mark)
+	is.Equal(len(evidence), 0)
+	b.Merge(echoed)
+	_, mark = b.ExportSince(0)
+	b.Merge(a.Export()) // nothing new
+	evidence, _ = b.ExportSince(mark)
+	is.Equal(len(evidence), 0)
+}
