--- a/upstream/main_test.go
+++ b/upstream/main_test.go
@@ -71,7 +71,9 @@
 // prompt gives an answer of 50 frames.
 const prompt = "read lot 17 tokens=50"
 
-func engineCall(id string) upstream.Call {
+func engineCall(id string) upstream.Call { return engineCallWith(id, prompt) }
+
+func engineCallWith(id, prompt string) upstream.Call {
 	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}]}`, prompt)
 	return upstream.Call{RequestID: id, Model: "m", Version: "1", Body: []byte(body)}
 }
