session: the life of tokens follows the manifest

Cause: the manifest sets ttl_seconds and a codec had one life for good. Weighed: a new codec a manifest, ruled out because a rotation of keys would have to be handed over too. The life is read when a token is opened, so a shorter one ends older tokens. No measurement; an atomic load a call.

--- a/session/codec.go
+++ b/session/codec.go
@@ -26,7 +26,7 @@
 
 // Codec mints and opens tokens. It is safe for concurrent use.
 type Codec struct {
-	ttl   time.Duration
+	ttl   atomic.Int64 // nanoseconds
 	clock platform.Clock
 	keys  atomic.Pointer[keyring]
 }
@@ -44,13 +44,17 @@
 	if clock == nil {
 		clock = time.Now
 	}
-	c := &Codec{ttl: ttl, clock: clock}
+	c := &Codec{clock: clock}
+	c.SetTTL(ttl)
 	if err := c.Rotate(keys); err != nil {
 		panic(err)
 	}
 	return c
 }
 
+// SetTTL changes how long tokens are valid, for those minted before as well.
+func (c *Codec) SetTTL(ttl time.Duration) { c.ttl.Store(int64(ttl)) }
+
 // Rotate replaces the keys at once for all later calls. To rotate without a
 // cut, hand all hosts the new key in second place, then in first, and drop
 // the old one a time to live later. Refused keys leave the old ones in force.
@@ -128,7 +132,7 @@
 // expired tolerates issuers whose clock is ahead, up to the time to live, so
 // that clock skew between hosts doesn't end sessions.
 func (c *Codec) expired(issued time.Time) bool {
-	return c.clock().Sub(issued).Abs() > c.ttl
+	return c.clock().Sub(issued).Abs() > time.Duration(c.ttl.Load())
 }
 
 func mac(secret, data []byte) []byte {
