balance: a report without versions keeps the known ones

Cause: with three hosts and 60 requests at once most were refused 3004: the load on the head of an answer names no versions, and taking it in emptied the list, so the version filter dropped every engine (dropped_version=4 in the placement lines). Ruled out: a host list that came late, since some requests had been placed before. Nil now says nothing of versions, an empty list that none is loaded. Before: TestReportWithoutVersionsKeepsThem fails on the old line; after: it passes.

--- a/balance/entry.go
+++ b/balance/entry.go
@@ -79,7 +79,10 @@
 	}
 	e.state.Reported = load
 	e.state.ReportedAt = takenAt
-	e.state.Versions = load.Versions
+	// A report on an answer's head doesn't name the versions.
+	if load.Versions != nil {
+		e.state.Versions = load.Versions
+	}
 	if load.Leaving {
 		e.state.Leaving = true
 	}
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -184,3 +184,14 @@
 		is.Equal(u.InFlight, 0)
 	}
 }
+
+func TestReportWithoutVersionsKeepsThem(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a")
+	clock.Advance(time.Second)
+	pool.Report("a", upstream.Load{Running: 3, Capacity: 10}, clock.Now()) // from an answer's head
+	is.Equal(find(pool, "a").Versions, []string{"m@1"})
+	clock.Advance(time.Second)
+	pool.Report("a", upstream.Load{Versions: []string{}}, clock.Now()) // unloaded
+	is.Equal(len(find(pool, "a").Versions), 0)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -98,7 +98,8 @@
 	Running  int `json:"running"`
 	Queued   int `json:"queued"`
 	Capacity int `json:"capacity"`
-	// Versions lists the loaded versions as "model@version".
+	// Versions lists the loaded versions as "model@version"; nil says nothing
+	// of them.
 	Versions []string `json:"versions"`
 	Leaving  bool     `json:"leaving"`
 	// AgeMs is how old the report was when it was sent, in milliseconds.
