cascade: start where the expected cost and delay are lowest

Cause: a cascade that always begins with the cheap model pays twice and waits twice for the requests whose cheap answer is refused, and a rater that is slow or down makes every request wait for nothing.

A pure policy weighs saving against delay and the chance of escalation, with the deadline as a hard limit and bounded exploration. The learner keeps decayed rating histograms for each account, class and prompt length, each drawn to the wider group while it has few ratings.

Ruled out: keeping the share of accepted answers instead of histograms, since a manifest that moves the target would leave it meaningless.

--- /dev/null
+++ b/cascade/learner.go
@@ -0,0 +1,203 @@
+package cascade
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+const (
+	learnerShards = 16
+	// DefaultGroups is the default of Options.Groups.
+	DefaultGroups = 4096
+)
+
+// Options are the settings of a Learner.
+type Options struct {
+	// Clock is the source of time; nil means time.Now.
+	Clock platform.Clock
+	// Seed makes the exploration repeatable.
+	Seed uint64
+	// Policy decides.
+	Policy Policy
+	// Groups bounds the groups of requests whose statistics are kept; 0 means
+	// DefaultGroups. A group takes about 400 bytes a step.
+	Groups int
+}
+
+// Sample is what one answer of a step showed.
+type Sample struct {
+	Cascade string
+	Account string
+	Class   string
+	// PromptTokens is the length of the prompt; 0 if unknown.
+	PromptTokens int
+	// Step is the index of the step among all of the cascade.
+	Step int
+	// Escalated says that the step before was tried first.
+	Escalated bool
+	// Rating is from 0 to 1, or Unrated.
+	Rating float64
+	// Latency is the time to the whole answer; 0 if not measured.
+	Latency time.Duration
+}
+
+// Learner keeps statistics and decides by them. It is safe for concurrent use
+// and holds nothing that must last.
+type Learner struct {
+	policy Policy
+	clock  platform.Clock
+	shards [learnerShards]shard
+	rater  raterState
+	random randomSource
+}
+
+type shard struct {
+	mu     sync.Mutex
+	groups *simplelru.LRU[group, *groupStats]
+}
+
+// randomSource is a seeded source under a lock.
+type randomSource struct {
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+// group names a group of requests. Empty account and class stand for all, as
+// does size 0.
+type group struct {
+	cascade string
+	account string
+	class   string
+	size    int
+}
+
+// groupsOf returns the groups that a request belongs to, the widest first.
+// Each is the prior of the next.
+func groupsOf(cascade, account, class string, promptTokens int) []group {
+	groups := []group{
+		{cascade: cascade},
+		{cascade: cascade, account: account, class: class},
+	}
+	if promptTokens > 0 {
+		groups = append(groups, group{cascade, account, class, sizeClass(promptTokens)})
+	}
+	return groups
+}
+
+// sizeClass groups prompt lengths by powers of four, from 1 up.
+func sizeClass(tokens int) int { return (bits.Len(uint(tokens)) + 1) / 2 }
+
+// NewLearner returns a Learner without statistics.
+func NewLearner(options Options) *Learner {
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
+	if options.Groups <= 0 {
+		options.Groups = DefaultGroups
+	}
+	l := &Learner{policy: options.Policy, clock: options.Clock}
+	l.random.rnd = rand.New(rand.NewPCG(options.Seed, 0))
+	for i := range l.shards {
+		size := max(1, options.Groups/learnerShards)
+		groups, err := simplelru.NewLRU[group, *groupStats](size, nil)
+		if err != nil {
+			panic(err) // the size is positive
+		}
+		l.shards[i].groups = groups
+	}
+	return l
+}
+
+// Learn takes in an answer of a step. It is Observe for callers that don't
+// tell cascades and prompt lengths apart; a step above 0 counts as escalated.
+func (l *Learner) Learn(account, class string, step int, rating float64, latency time.Duration) {
+	l.Observe(Sample{
+		Account:   account,
+		Class:     class,
+		Step:      step,
+		Escalated: step > 0,
+		Rating:    rating,
+		Latency:   latency,
+	})
+}
+
+// Observe takes in an answer of a step.
+func (l *Learner) Observe(s Sample) {
+	now := l.clock()
+	for _, g := range groupsOf(s.Cascade, s.Account, s.Class, s.PromptTokens) {
+		l.change(g, now, func(stats *groupStats) { stats.learn(s) })
+	}
+}
+
+// change runs f on the statistics of a group, made if needed.
+func (l *Learner) change(g group, now time.Time, f func(*groupStats)) {
+	shard := l.shard(g)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	stats, ok := shard.groups.Get(g)
+	if !ok {
+		stats = &groupStats{decayedAt: now}
+		shard.groups.Add(g, stats)
+	}
+	stats.decay(now)
+	f(stats)
+}
+
+func (l *Learner) shard(g group) *shard {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(g.cascade)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(g.account)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(g.class)
+	return &l.shards[d.Sum64()%learnerShards]
+}
+
+// ObserveRater takes in how long a rating took, and whether it came in time.
+func (l *Learner) ObserveRater(took time.Duration, ok bool) {
+	l.rater.observe(took, ok, l.clock())
+}
+
+// Decide fills in the view's statistics and decides.
+func (l *Learner) Decide(v View) Plan {
+	v.Stats = l.stats(&v)
+	v.Rater = l.rater.stats(l.clock())
+	l.random.mu.Lock()
+	defer l.random.mu.Unlock()
+	return l.policy.Decide(v, l.random.rnd)
+}
+
+// stats estimates each step from the narrowest group, drawn to the wider
+// ones.
+func (l *Learner) stats(v *View) []StepStats {
+	estimates := make([]StepStats, len(v.Steps))
+	for i := range estimates {
+		estimates[i] = StepStats{Accept: defaultAccept, Escalated: defaultAccept}
+	}
+	now := l.clock()
+	for _, g := range groupsOf(v.Cascade, v.Account, v.Class, v.PromptTokens) {
+		l.change(g, now, func(stats *groupStats) { stats.refine(estimates, v.Target) })
+	}
+	return estimates
+}
+
+// refine replaces the estimates by those of a narrower group.
+func (g *groupStats) refine(estimates []StepStats, target float64) {
+	for i := range min(len(estimates), len(g.steps)) {
+		step, estimate := &g.steps[i], &estimates[i]
+		estimate.Accept = step.first.probability(target, estimate.Accept)
+		estimate.Escalated = step.escalated.probability(target, estimate.Escalated)
+		estimate.Samples = step.first.total
+		if step.latency > 0 {
+			estimate.Latency = time.Duration(step.latency * float64(time.Second))
+		}
+	}
+}
