--- /dev/null
+++ b/upstream/body_test.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRequestBody(t *testing.T) {
+	const head = `{"model":"m@1","stream":true,"stream_options":{"include_usage":true}`
+	tests := []struct {
+		desc string
+		body string
+		want string
+		err  error
+	}{
+		{"model replaced", `{"model":"x","n":1}`, head + `,"n":1}`, nil},
+		{"no model", `{}`, head + `}`, nil},
+		{"model given twice", `{"model":"x","a":1,"model":"y"}`, head + `,"a":1}`, nil},
+		{"model in another case", `{"MODEL":"x","Stream":false,"sTream_options":{}}`, head + `}`, nil},
+		{"model in escapes", `{"\u006dodel":"x"}`, head + `}`, nil},
+		{"nested names stay", `{"messages":[{"model":"x","stream":false}]}`, head + `,"messages":[{"model":"x","stream":false}]}`, nil},
+		{"values stay as they are", `{"a": 1.50 ,"b":"\u00e9"}`, head + `,"a":1.50,"b":"\u00e9"}`, nil},
+		{"array", `[]`, "", ErrBody},
+		{"null", `null`, "", ErrBody},
+		{"cut", `{"model":"x"`, "", ErrBody},
+		{"two values", `{} {}`, "", ErrBody},
+		{"empty", ``, "", ErrBody},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			got, err := requestBody([]byte(test.body), "m", "1")
+			is.Equal(string(got), test.want)
+			is.True(errors.Is(err, test.err))
+		})
+	}
+}
--- a/upstream/sequence.go
+++ b/upstream/sequence.go
@@ -10,7 +10,7 @@
 	arrivedInOrder arrival = iota
 	// arrivedEarly is kept until the frames before it are there.
 	arrivedEarly
-	// arrivedAgain was delivered or kept before.
+	// arrivedAgain was delivered or kept before, or lies behind the end mark.
 	arrivedAgain
 	// arrivedBeyond is too far ahead to be kept.
 	arrivedBeyond
@@ -36,13 +36,13 @@
 
 // place judges the frame with number n and keeps a copy of an early one.
 func (s *sequence) place(n uint64, data []byte) arrival {
+	if n < s.next || s.early[n] != nil || s.pastEnd(n) {
+		return arrivedAgain
+	}
 	if n == s.next {
 		s.next++
 		return arrivedInOrder
 	}
-	if n < s.next || s.early[n] != nil || s.pastEnd(n) {
-		return arrivedAgain
-	}
 	if n-s.next > s.window || s.held+len(data) > s.budget {
 		return arrivedBeyond
 	}
@@ -62,7 +62,7 @@
 // pop returns the next frame if it arrived early.
 func (s *sequence) pop() (n uint64, data []byte, ok bool) {
 	data, ok = s.early[s.next]
-	if !ok {
+	if !ok || s.pastEnd(s.next) {
 		return 0, nil, false
 	}
 	n = s.next
