--- a/config/helpers_test.go
+++ b/config/helpers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -29,6 +28,8 @@
 	})
 }
 
+func digestOf(data []byte) string { return manifest.DigestCanonical(data) }
+
 // bench is a table with faults, its objects, and a store over both.
 type bench struct {
 	// inner is the table without its faults.
@@ -54,6 +55,3 @@
 	is.New(t).NoErr(err)
 	return result.Head
 }
-
-// settle lets timers and goroutines of a test's bubble run for a while.
-func settle() { time.Sleep(3 * time.Second) }
