balance: count a refusal that the load report doesn't explain as an error

Cause: callers report every HTTP status of an upstream as a refusal, and a refusal only marked the upstream as full until its next report. An upstream that refuses everything at once would be tried again after each report.

Ruled out: counting every refusal as an error, which would eject upstreams that are merely full at a peak.

Before: TestRefusalCountsAsFull had an error rate of 0 after a refusal by an upstream that reports no load. After: it is above 0, and a refusal by an upstream that reports being full leaves it at 0 (package tests, -race).

--- a/balance/entry.go
+++ b/balance/entry.go
@@ -115,16 +115,24 @@
 	if outcome.Leaving {
 		e.state.Leaving = true
 	}
+	failed := outcome.Err && !outcome.Leaving
 	if outcome.Refused {
+		failed = failed && !e.busy()
 		e.refused()
 	}
-	failed := outcome.Err && !outcome.Refused && !outcome.Leaving
 	e.observeLatency(outcome.FirstToken)
 	e.observeError(failed, now)
 	e.state.EjectedUntil = e.ejection.observe(failed, e.state.ErrorRate, now, ejection, jitter)
 	e.count()
 }
 
+// busy says whether the last report explains a refusal. A refusal that it
+// doesn't explain is an error: an upstream that refuses all it gets looks
+// idle.
+func (e *entry) busy() bool {
+	return float64(CorrectedLoad(&e.state)) >= capacity(&e.state)
+}
+
 // refused treats a refusal as a report of a full upstream: until the next
 // report, further requests go elsewhere.
 func (e *entry) refused() {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -146,6 +146,16 @@
 	clock.Advance(time.Second)
 	pool.Report("a", load(0), clock.Now())
 	is.Equal(CorrectedLoad(find(pool, "a")), 0)
+	is.True(find(pool, "a").ErrorRate > 0) // the report didn't explain it
+}
+
+func TestRefusalOfABusyUpstreamIsNoError(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a", "b")
+	clock.Advance(time.Second)
+	pool.Report("a", load(10), clock.Now())
+	pool.Begin("a")
+	pool.End("a", Outcome{Err: true, Refused: true})
 	is.Equal(find(pool, "a").ErrorRate, 0.0)
 }
 
