--- /dev/null
+++ b/internal/experiment/admission/report.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+)
+
+// figures are the results of one run.
+type figures struct {
+	// good, late and lost are parts of the class's requests.
+	good, late, lost [3]float64
+	// goodput is the work answered in time over the work of the capacity.
+	goodput float64
+	// goodLarge and goodSmall are parts of the accounts' requests.
+	goodLarge, goodSmall float64
+	// freeRefusals counts refusals while a place was free.
+	freeRefusals float64
+	// refusalWait is the mean time until a refusal, in milliseconds.
+	refusalWait float64
+}
+
+func measure(s scenario, requests []*request) figures {
+	var f figures
+	var count [3]float64
+	var large, small, goodLarge, goodSmall, refused float64
+	work := 0.0
+	for _, r := range requests {
+		if r.arrival < warmUp {
+			continue
+		}
+		good := r.finished > 0 && r.finished <= r.deadline
+		count[r.class]++
+		switch {
+		case good:
+			f.good[r.class]++
+			work += r.service.Seconds()
+		case r.finished > 0:
+			f.late[r.class]++
+		default:
+			f.lost[r.class]++
+		}
+		if strings.HasPrefix(r.account, "large") {
+			large++
+			goodLarge += asNumber(good)
+		} else {
+			small++
+			goodSmall += asNumber(good)
+		}
+		if r.refused {
+			refused++
+			f.refusalWait += (r.refusedAt - r.arrival).Seconds() * 1000
+		}
+		f.freeRefusals += asNumber(r.freeAtRefusal)
+	}
+	for i := range count {
+		f.good[i] /= count[i]
+		f.late[i] /= count[i]
+		f.lost[i] /= count[i]
+	}
+	f.goodLarge = goodLarge / large
+	f.goodSmall = goodSmall / small
+	if refused > 0 {
+		f.refusalWait /= refused
+	}
+	f.goodput = work / capacityWork(s)
+	return f
+}
+
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func capacityWork(s scenario) float64 {
+	lost := (s.lossUntil - s.lossFrom).Seconds() / 3
+	return places * ((runTime - warmUp).Seconds() - lost)
+}
+
+func printScenario(w io.Writer, s scenario, seeds int) {
+	fmt.Fprintf(w, "\n%s\n\n", s.name)
+	fmt.Fprintln(w, "| policy | class | in time % | late % | lost % | goodput % of capacity | in time %, large / small accounts | refused with a place free | mean ms to a refusal |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	for _, p := range candidates() {
+		var all []figures
+		for seed := range seeds {
+			all = append(all, measure(s, run(s, p.make(), uint64(seed+1))))
+		}
+		for class, l := range loads {
+			fmt.Fprintf(w, "| %s | %s | %s | %s | %s |", p.name, l.name,
+				spread(all, 100, func(f figures) float64 { return f.good[class] }),
+				spread(all, 100, func(f figures) float64 { return f.late[class] }),
+				spread(all, 100, func(f figures) float64 { return f.lost[class] }))
+			if class > 0 {
+				fmt.Fprintln(w, " | | | |")
+				continue
+			}
+			fmt.Fprintf(w, " %s | %s / %s | %s | %s |\n",
+				spread(all, 100, func(f figures) float64 { return f.goodput }),
+				spread(all, 100, func(f figures) float64 { return f.goodLarge }),
+				spread(all, 100, func(f figures) float64 { return f.goodSmall }),
+				spread(all, 1, func(f figures) float64 { return f.freeRefusals }),
+				spread(all, 1, func(f figures) float64 { return f.refusalWait }))
+		}
+	}
+}
+
+// spread writes the mean and the standard deviation over the seeds.
+func spread(all []figures, scale float64, value func(figures) float64) string {
+	n := float64(len(all))
+	sum, squares := 0.0, 0.0
+	for _, f := range all {
+		sum += value(f)
+	}
+	mean := sum / n
+	for _, f := range all {
+		squares += (value(f) - mean) * (value(f) - mean)
+	}
+	return fmt.Sprintf("%.1f ± %.1f", mean*scale, math.Sqrt(squares/n)*scale)
+}
