--- /dev/null
+++ b/config/example_test.go
@@ -0,0 +1,32 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+// A manifest is accepted once; the loser of a race learns who won.
+func Example() {
+	ctx := context.Background()
+	store := config.NewStore(memory.New(), memory.NewObjects())
+
+	first, err := store.Submit(ctx, document("", "build-1"), "job-1")
+	fmt.Println(first.Head.Epoch, first.Already, err)
+
+	again, err := store.Submit(ctx, document("", "build-1"), "job-2")
+	fmt.Println(again.Head.Epoch, again.Already, err)
+
+	var conflict *config.ConflictError
+	_, err = store.Submit(ctx, document("", "build-2"), "job-3")
+	if errors.As(err, &conflict) {
+		fmt.Println("lost to", conflict.Head.Build)
+	}
+	// Output:
+	// 1 false <nil>
+	// 1 true <nil>
+	// lost to build-1
+}
