platform protocol, its stand-in, and clients that never call an effect none

Cause: the system meets its platform over HTTP, where a failed commit has to say truly whether it can have had an effect.

--- /dev/null
+++ b/internal/standin/platformd/platformd_test.go
@@ -0,0 +1,172 @@
+package platformd_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/client"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+// Timeouts of calls: impatient ends before any injected delay, patient never.
+const (
+	impatient = 100 * time.Millisecond
+	patient   = time.Minute
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// run starts a stand-in and returns its URL. It is stopped with the test.
+func run(t *testing.T, options platformd.Options) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ready := make(chan string, 1)
+	stopped := make(chan error, 1)
+	options.Ready = func(address string) { ready <- address }
+	go func() { stopped <- platformd.Run(ctx, options) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+	select {
+	case address := <-ready:
+		return "http://" + address
+	case err := <-stopped:
+		t.Fatal(err)
+		return ""
+	}
+}
+
+// send makes one call and returns its status.
+func send(t *testing.T, method, url, body string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func TestFaults(t *testing.T) {
+	commit := func(ctx context.Context, p *client.Platform) error {
+		_, err := p.Table().Commit(ctx, platform.Txn{})
+		return err
+	}
+	read := func(ctx context.Context, p *client.Platform) error {
+		_, err := p.Table().List(ctx, "", "", 1)
+		return err
+	}
+	rate := func(ctx context.Context, p *client.Platform) error {
+		_, err := p.Rater().Rate(ctx, "m", "1", "prompt", "answer")
+		return err
+	}
+	write := func(ctx context.Context, p *client.Platform) error {
+		return p.Objects().Write(ctx, "name", nil)
+	}
+	tests := []struct {
+		faults string
+		call   func(context.Context, *client.Platform) error
+		want   error
+		// timeout is that of the call under the fault.
+		timeout time.Duration
+	}{
+		{`{"down": true}`, commit, platform.ErrUnavailable, patient},
+		{`{"delay_ms": 60000}`, read, platform.ErrUnavailable, impatient},
+		{`{"lose_next": 1}`, commit, platform.ErrUnknown, patient},
+		{`{"drop_next": 1}`, commit, platform.ErrUnknown, patient},
+		{`{"delay_next": 1, "delay_next_ms": 1}`, commit, platform.ErrUnknown, patient},
+		{`{"objects_down": true}`, write, platform.ErrUnavailable, patient},
+		{`{"rater_down": true}`, rate, platform.ErrUnavailable, patient},
+		{`{"rater_delay_ms": 60000}`, rate, platform.ErrUnavailable, impatient},
+	}
+	for _, test := range tests {
+		t.Run(test.faults, func(t *testing.T) {
+			is := is.New(t)
+			url := run(t, platformd.Options{})
+			p := client.New(url, client.Options{Timeout: patient})
+			t.Cleanup(p.Close)
+			is.Equal(send(t, http.MethodPost, url+"/faults", test.faults), http.StatusNoContent)
+			ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+			defer cancel()
+			is.True(errors.Is(test.call(ctx, p), test.want))
+			is.Equal(send(t, http.MethodDelete, url+"/faults", ""), http.StatusNoContent)
+			is.NoErr(test.call(t.Context(), p))
+		})
+	}
+}
+
+func TestHosts(t *testing.T) {
+	is := is.New(t)
+	url := run(t, platformd.Options{})
+	p := client.New(url, client.Options{})
+	t.Cleanup(p.Close)
+	count := func() int {
+		hosts, err := p.Hosts().Hosts(t.Context())
+		is.NoErr(err)
+		return len(hosts)
+	}
+	is.Equal(send(t, http.MethodPost, url+"/hosts", `{"id": "a", "kind": "engine", "state": "live"}`), http.StatusNoContent)
+	is.Equal(send(t, http.MethodPost, url+"/hosts", `{"id": ""}`), http.StatusBadRequest)
+	is.Equal(count(), 1)
+	is.Equal(send(t, http.MethodPost, url+"/faults", `{"lag_ms": 3600000}`), http.StatusNoContent)
+	is.Equal(send(t, http.MethodDelete, url+"/hosts/a", ""), http.StatusNoContent)
+	is.Equal(count(), 1)
+	is.Equal(send(t, http.MethodDelete, url+"/faults", ""), http.StatusNoContent)
+	is.Equal(count(), 0)
+}
+
+func TestBadRequests(t *testing.T) {
+	url := run(t, platformd.Options{MaxBody: 100})
+	tests := []struct {
+		desc, path, body string
+	}{
+		{"no JSON", "/v1/table/commit", "x"},
+		{"two messages", "/v1/table/commit", "{} {}"},
+		{"unknown field", "/faults", `{"dwon": true}`},
+		{"too large", "/v1/table/commit", `{"deletes": ["` + strings.Repeat("a", 200) + `"]}`},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			if got := send(t, http.MethodPost, url+test.path, test.body); got != http.StatusBadRequest {
+				t.Errorf("status %d", got)
+			}
+		})
+	}
+}
+
+// The stand-in serves on an address that it chose, until its context ends.
+func ExampleRun() {
+	ctx, cancel := context.WithCancel(context.Background())
+	err := platformd.Run(ctx, platformd.Options{
+		Rater: memory.RaterOptions{Quality: map[string]float64{"m@2": 0.9}},
+		Ready: func(address string) {
+			p := client.New("http://"+address, client.Options{})
+			fmt.Println(p.Rater() != nil)
+			cancel()
+		},
+	})
+	fmt.Println(err)
+	// Output:
+	// true
+	// <nil>
+}
