membership: members, failure detection and facts by direct exchange

Cause: hosts must know within seconds which others have failed and what was decided elsewhere, also while the table is down and while hosts are frozen, cut from each other or lose messages.

Ruled out: presence leases as the detector (they need the table, and 30 s); exchanges with the whole zone (cost grows with the zone). A host talks to four others a second at any size: two successors in its zone's ring, one in the global ring, one delegate by rendezvous hashing.

--- /dev/null
+++ b/internal/peer/serverconn.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// serverConn is the jsonrpc2.Handler of one connection.
+type serverConn struct {
+	server *Server
+	from   string
+	slots  chan struct{}
+}
+
+// Handle implements jsonrpc2.Handler. While all slots are taken it blocks the
+// connection's reading, so that the caller feels it by TCP's flow control.
+func (c *serverConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	if !c.server.begin() {
+		<-c.slots
+		conn.ReplyWithError(ctx, request.ID, wireError(&CallError{Code: CodeStopping, Message: "host is stopping"}))
+		return
+	}
+	go func() {
+		defer c.server.handling.Done()
+		defer func() { <-c.slots }()
+		c.answer(ctx, conn, request)
+	}()
+}
+
+func (c *serverConn) answer(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	result, err := c.call(ctx, request)
+	if request.Notif {
+		return
+	}
+	response := &jsonrpc2.Response{ID: request.ID}
+	if err == nil {
+		err = response.SetResult(result)
+	}
+	if err != nil {
+		response.Result = nil
+		response.Error = wireError(err)
+	}
+	err = conn.SendResponse(ctx, response)
+	if errors.Is(err, ErrTooLarge) {
+		conn.ReplyWithError(ctx, request.ID, wireError(err))
+	}
+}
+
+func (c *serverConn) call(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+	handler, ok := c.server.handler(request.Method)
+	if !ok {
+		return nil, &CallError{Code: CodeMethodNotFound, Message: "method not found"}
+	}
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	return handler.Handle(ctx, c.from, params)
+}
+
+func wireError(err error) *jsonrpc2.Error {
+	var e *CallError
+	if errors.As(err, &e) {
+		return &jsonrpc2.Error{Code: e.Code, Message: e.Message}
+	}
+	return &jsonrpc2.Error{Code: CodeHandler, Message: err.Error()}
+}
--- /dev/null
+++ b/membership/fact_test.go
@@ -0,0 +1,158 @@
+package membership
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLeavingFactSpreadsThoughTwoHostsAreCut(t *testing.T) {
+	inBubble(t, hostCount, zoneCount, func(t *testing.T, n *network, hosts []*host) {
+		told, cut := hostID(0), hostID(6)
+		n.setCut(func(a, b string) bool { return a == told && b == cut || a == cut && b == told })
+		if err := hosts[0].Put(Fact{Key: "leaving/engine-3", Version: 1}); err != nil {
+			t.Fatal(err)
+		}
+		took := waitFor(t, time.Second, "known to all", func() bool { return allHave(hosts, "leaving/engine-3", 1) })
+		t.Logf("known to all after %v", took)
+		time.Sleep(time.Minute)
+		if !whole(hosts) { // each is reached through others
+			t.Fatal("the cut pair lost each other")
+		}
+	})
+}
+
+func TestPutRefuses(t *testing.T) {
+	m := lone(t)
+	if err := m.Put(Fact{Key: "k", Version: 5}); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		desc string
+		fact Fact
+		want error
+	}{
+		{"no key", Fact{Version: 1}, ErrInvalidFact},
+		{"no version", Fact{Key: "a"}, ErrInvalidFact},
+		{"large value", Fact{Key: "a", Version: 1, Value: make([]byte, MaxFactValue+1)}, ErrInvalidFact},
+		{"negative lifetime", Fact{Key: "a", Version: 1, TTL: -1}, ErrInvalidFact},
+		{"lower version", Fact{Key: "k", Version: 4}, ErrStale},
+		{"same version", Fact{Key: "k", Version: 5, Value: []byte("x")}, ErrStale},
+		{"higher version", Fact{Key: "k", Version: 6}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			if err := m.Put(tt.fact); !errors.Is(err, tt.want) {
+				t.Fatalf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestFactsExpireAndOldOnesStayAway(t *testing.T) {
+	inBubble(t, hostCount, zoneCount, func(t *testing.T, n *network, hosts []*host) {
+		is := is.New(t)
+		is.NoErr(hosts[0].Put(Fact{Key: "k", Version: 5, Value: []byte("new"), TTL: 10 * time.Second}))
+		waitFor(t, time.Second, "known to all", func() bool { return allHave(hosts, "k", 5) })
+		time.Sleep(11 * time.Second)
+		for _, h := range hosts {
+			_, ok := h.Get("k")
+			is.True(!ok)
+		}
+		_, err := hosts[3].HandleExchange(t.Context(), Message{From: hostID(1), Kind: KindPush, Facts: []Fact{{Key: "k", Version: 4}}})
+		is.NoErr(err)
+		_, ok := hosts[3].Get("k")
+		is.True(!ok)
+	})
+}
+
+func TestWatchersSeeVersionsRise(t *testing.T) {
+	is := is.New(t)
+	m := lone(t)
+	is.NoErr(m.Put(Fact{Key: "head", Version: 1}))
+	is.NoErr(m.Put(Fact{Key: "other", Version: 1}))
+	var seen []uint64
+	cancel := m.Watch("he", func(f Fact) {
+		seen = append(seen, f.Version)
+		if f.Version < 3 {
+			is.NoErr(m.Put(Fact{Key: "head", Version: f.Version + 1})) // a call back
+		}
+	})
+	is.Equal(seen, []uint64{1, 2, 3})
+	cancel()
+	is.NoErr(m.Put(Fact{Key: "head", Version: 9}))
+	is.Equal(len(seen), 3)
+}
+
+func TestFactsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m, err := New(Options{Self: Member{ID: "self"}, Transport: &host{}, MaxFacts: 1})
+	is.NoErr(err)
+	is.NoErr(m.Put(Fact{Key: "a", Version: 1}))
+	is.True(errors.Is(m.Put(Fact{Key: "b", Version: 1}), ErrFull))
+	is.NoErr(m.Put(Fact{Key: "a", Version: 2}))
+}
+
+// TestOrderOfNewsDoesNotMatter delivers the same news in any order, with
+// repeats, to two hosts: both end with the highest versions, and equal digests.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		member := rapid.Custom(func(rt *rapid.T) Member {
+			return Member{
+				ID:          rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "id"),
+				State:       rapid.SampledFrom([]State{Up, Leaving, Suspect}).Draw(rt, "state"),
+				Incarnation: rapid.Uint64Range(1, 4).Draw(rt, "incarnation"),
+			}
+		})
+		fact := rapid.Custom(func(rt *rapid.T) Fact {
+			return Fact{
+				Key:     rapid.SampledFrom([]string{"x", "y"}).Draw(rt, "key"),
+				Version: rapid.Uint64Range(1, 4).Draw(rt, "version"),
+				Value:   []byte(rapid.SampledFrom([]string{"", "p", "q"}).Draw(rt, "value")),
+			}
+		})
+		members := rapid.SliceOfN(member, 1, 20).Draw(rt, "members")
+		facts := rapid.SliceOfN(fact, 1, 20).Draw(rt, "facts")
+		one, two := lone(t), lone(t)
+		two.announce(one.Self().Incarnation, time.Now())
+		deliver := func(m *Membership, members []Member, facts []Fact) {
+			for _, member := range members {
+				m.HandleExchange(t.Context(), Message{From: "z", Kind: KindPush, Members: []Member{member}})
+			}
+			for _, fact := range facts {
+				m.HandleExchange(t.Context(), Message{From: "z", Kind: KindPush, Facts: []Fact{fact}})
+			}
+		}
+		deliver(one, members, facts)
+		deliver(two, rapid.Permutation(members).Draw(rt, "order"), rapid.Permutation(facts).Draw(rt, "fact order"))
+		deliver(two, members[:1], facts[:1])
+		if !slices.Equal(one.Members(), two.Members()) || one.store.sum() != two.store.sum() {
+			rt.Fatalf("differ: %v %v; %v %v", one.Members(), one.Facts(""), two.Members(), two.Facts(""))
+		}
+	})
+}
+
+func TestComparisonFindsEachDifference(t *testing.T) {
+	inBubble(t, 2, 1, func(t *testing.T, n *network, hosts []*host) {
+		is := is.New(t)
+		n.setCut(func(a, b string) bool { return true })
+		value := []byte(strings.Repeat("v", 200))
+		for i := range 300 {
+			is.NoErr(hosts[i%2].Put(Fact{Key: hostID(i), Version: 1, Value: value, Lazy: true}))
+		}
+		is.NoErr(hosts[0].Put(Fact{Key: "both", Version: 1, Value: []byte("p")}))
+		is.NoErr(hosts[1].Put(Fact{Key: "both", Version: 1, Value: []byte("q")}))
+		n.setCut(nil)
+		waitFor(t, time.Minute, "equal", func() bool {
+			return slices.EqualFunc(hosts[0].Facts(""), hosts[1].Facts(""), func(a, b Fact) bool {
+				return a.Key == b.Key && string(a.Value) == string(b.Value)
+			})
+		})
+		is.Equal(len(hosts[0].Facts("")), 301)
+	})
+}
--- /dev/null
+++ b/membership/presence_test.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+func readPresence(t *testing.T, table platform.Table, id string) (presenceRow, uint64) {
+	t.Helper()
+	stored, err := table.Get(t.Context(), PresencePrefix+id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var row presenceRow
+	if err := json.Unmarshal(stored.Value, &row); err != nil {
+		t.Fatal(err)
+	}
+	return row, stored.Version
+}
+
+func TestPresenceIsRenewedThroughLostAnswersAndOutages(t *testing.T) {
+	inBubble(t, 2, 1, func(t *testing.T, n *network, hosts []*host) {
+		is := is.New(t)
+		first, _ := readPresence(t, n.table, hostID(0))
+		n.table.setLoseAnswers(true)
+		time.Sleep(time.Minute)
+		second, _ := readPresence(t, n.table, hostID(0))
+		is.True(second.RenewedAt > first.RenewedAt)
+		n.table.setLoseAnswers(false)
+		n.table.setFail(platform.ErrUnavailable)
+		time.Sleep(time.Minute)
+		n.table.setFail(nil)
+		time.Sleep(2 * DefaultRenewInterval)
+		third, _ := readPresence(t, n.table, hostID(0))
+		is.True(third.RenewedAt > second.RenewedAt)
+		is.True(whole(hosts)) // the table's troubles are nobody's failure
+	})
+}
+
+func TestAbandonedRowsAreRemoved(t *testing.T) {
+	inBubble(t, 3, 1, func(t *testing.T, n *network, hosts []*host) {
+		hosts[2].kill()
+		waitFor(t, 15*time.Minute, "row removed", func() bool {
+			_, err := n.table.Get(t.Context(), PresencePrefix+hostID(2))
+			return errors.Is(err, platform.ErrNotFound)
+		})
+		readPresence(t, n.table, hostID(0))
+	})
+}
+
+func TestIncarnationRisesAboveAnEarlierRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		defer n.stop(t)
+		const later = uint64(1) << 50 // of a clock that was ahead
+		value, err := json.Marshal(presenceRow{Member: Member{ID: hostID(0), State: Up, Incarnation: later}, Instance: "earlier"})
+		is.NoErr(err)
+		_, err = n.table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: PresencePrefix + hostID(0), Value: value}}})
+		is.NoErr(err)
+		h := n.startHost(t, 0, 1, func(*Options) {})
+		time.Sleep(time.Second)
+		is.Equal(h.Self().Incarnation, later+1)
+		row, _ := readPresence(t, n.table, hostID(0))
+		is.Equal(row.Member.Incarnation, later+1)
+	})
+}
+
+func TestLaterProcessWithTheSameIDSupersedes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		defer n.stop(t)
+		first := n.startHost(t, 0, 1, func(*Options) {})
+		time.Sleep(time.Second)
+		second := n.startHost(t, 0, 1, func(*Options) {})
+		is.True(errors.Is(<-first.done, ErrSuperseded))
+		row, _ := readPresence(t, n.table, hostID(0))
+		is.Equal(row.Instance, second.presence.instance)
+	})
+}
+
+// slowTable never answers within its caller's time.
+type slowTable struct{ *memoryTable }
+
+func (slowTable) List(ctx context.Context, _, _ string, _ int) ([]platform.Row, error) {
+	<-ctx.Done()
+	return nil, platform.ErrUnavailable
+}
+
+func TestSlowTableDelaysNoDetection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop(t)
+		var hosts []*host
+		for i := range hostCount {
+			hosts = append(hosts, n.startHost(t, i, zoneCount, func(o *Options) {
+				o.Table = slowTable{n.table}
+				o.Seeds = []string{"127.1.0.0:7946"}
+			}))
+		}
+		waitFor(t, 15*time.Second, "all up", func() bool { return whole(hosts) })
+		hosts[1].kill()
+		waitFor(t, downWithin, "down", func() bool { return allSee(hosts, hostID(1), Down) })
+	})
+}
--- /dev/null
+++ b/membership/targets.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rings are the orders in which members watch over each other. All hosts
+// compute the same order, so each member is watched by as many as it watches.
+type rings struct {
+	// zone and all hold the other live members, the successor of this host
+	// first; others is the part of all outside the zone.
+	zone, all, others []Member
+	down              []Member
+}
+
+// ringSalt separates the order of a ring from other uses of the hash.
+type ringSalt string
+
+const (
+	zoneRing   ringSalt = "zone ring "
+	globalRing ringSalt = "global ring "
+)
+
+func newRings(self Member, members []Member) rings {
+	var r rings
+	for _, member := range members {
+		switch {
+		case member.ID == self.ID:
+		case !member.alive():
+			r.down = append(r.down, member)
+		default:
+			r.all = append(r.all, member)
+			if member.Zone == self.Zone {
+				r.zone = append(r.zone, member)
+			} else {
+				r.others = append(r.others, member)
+			}
+		}
+	}
+	r.zone = fromSuccessor(self, r.zone, zoneRing)
+	r.all = fromSuccessor(self, r.all, globalRing)
+	return r
+}
+
+// fromSuccessor orders members by a hash of their ids, beginning after self.
+func fromSuccessor(self Member, members []Member, salt ringSalt) []Member {
+	position := func(m Member) uint64 { return xxhash.Sum64String(string(salt) + m.ID) }
+	start := position(self)
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		// Subtraction wraps round, which is what a ring asks for.
+		return cmp.Compare(position(a)-start, position(b)-start)
+	})
+	return sorted
+}
+
+// targets returns the members to exchange with in a round: successors on both
+// rings, and delegates outside the zone that change from round to round.
+func (r rings) targets(self Member, round uint64, o Options) []Member {
+	var chosen []Member
+	chosen = appendNew(chosen, successors(r.zone, o.ZoneTargets), len(r.zone))
+	chosen = appendNew(chosen, successors(r.all, o.GlobalTargets), len(r.all))
+	pool := r.others
+	if len(pool) == 0 {
+		pool = r.all
+	}
+	chosen = appendNew(chosen, delegates(self.ID, round, pool, o.Delegates), o.Delegates)
+	return chosen
+}
+
+// successors returns the first n members of a ring that aren't Suspect, and
+// up to n Suspect ones before them: where neighbours failed together, those
+// behind them mustn't wait until the first are Down.
+func successors(ring []Member, n int) []Member {
+	var chosen []Member
+	suspects := 0
+	for _, member := range ring {
+		if n == 0 {
+			break
+		}
+		if member.State != Suspect {
+			chosen = append(chosen, member)
+			n--
+			continue
+		}
+		if suspects < n {
+			chosen = append(chosen, member)
+			suspects++
+		}
+	}
+	return chosen
+}
+
+// appendNew appends up to n members of list that aren't in chosen.
+func appendNew(chosen, list []Member, n int) []Member {
+	for _, member := range list {
+		if n == 0 {
+			break
+		}
+		if slices.ContainsFunc(chosen, func(c Member) bool { return c.ID == member.ID }) {
+			continue
+		}
+		chosen = append(chosen, member)
+		n--
+	}
+	return chosen
+}
+
+// delegates returns the n members of the pool with the highest rendezvous
+// hash for this host and round.
+func delegates(self string, round uint64, pool []Member, n int) []Member {
+	if n >= len(pool) {
+		return pool
+	}
+	prefix := binary.BigEndian.AppendUint64([]byte(self+" "), round)
+	best := make([]Member, 0, n+1)
+	weights := make([]uint64, 0, n+1)
+	for _, member := range pool {
+		weight := xxhash.Sum64(append(prefix, member.ID...))
+		at, _ := slices.BinarySearchFunc(weights, weight, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if at >= n {
+			continue
+		}
+		best = slices.Insert(best, at, member)
+		weights = slices.Insert(weights, at, weight)
+		best, weights = best[:min(len(best), n)], weights[:min(len(weights), n)]
+	}
+	return best
+}
+
+// sendLimit is how often a host sends a record on: a little more than the
+// number of doublings that it takes to reach all.
+func sendLimit(members int) int {
+	const spare = 2
+	return bits.Len(uint(members)) + spare
+}
