--- a/internal/standin/platformd/calls.go
+++ b/internal/standin/platformd/calls.go
@@ -6,11 +6,15 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/protocol"
 )
 
+// cursorSeparator stands between the parts of a cursor of the host list.
+const cursorSeparator = "/"
+
 func (s *Server) getRow(r *http.Request) (reply, error) {
 	row, err := s.table.Get(r.Context(), r.URL.Query().Get(protocol.QueryKey))
 	if err != nil {
@@ -67,11 +71,34 @@
 }
 
 func (s *Server) listHosts(r *http.Request) (reply, error) {
-	hosts, err := s.hosts.Hosts(r.Context())
+	since := s.revisionOf(r.URL.Query().Get(protocol.QuerySince))
+	changes, err := s.hosts.Changes(r.Context(), since)
 	if err != nil {
 		return reply{}, err
 	}
-	return reply{json: protocol.Hosts{Hosts: hosts}}, nil
+	return reply{json: protocol.Hosts{
+		Cursor:  s.cursorOf(changes.Revision),
+		Full:    changes.Full,
+		Hosts:   changes.Hosts,
+		Removed: changes.Removed,
+	}}, nil
+}
+
+// cursorOf returns the cursor of a revision. It names this server too: after a
+// restart, revisions begin anew.
+func (s *Server) cursorOf(revision uint64) string {
+	return s.instance + cursorSeparator + strconv.FormatUint(revision, 10)
+}
+
+// revisionOf returns the revision of a cursor, or zero, for the whole list, if
+// the cursor isn't this server's.
+func (s *Server) revisionOf(cursor string) uint64 {
+	instance, number, _ := strings.Cut(cursor, cursorSeparator)
+	revision, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || instance != s.instance {
+		return 0
+	}
+	return revision
 }
 
 func (s *Server) rate(r *http.Request) (reply, error) {
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
@@ -34,6 +35,8 @@
 	commits *rate.Limiter
 	reads   *rate.Limiter
 	mux     *http.ServeMux
+	// instance tells this server's cursors from those of another.
+	instance string
 }
 
 // New returns a server with an empty table, no objects and no hosts.
@@ -48,6 +51,8 @@
 		commits: newLimiter(options.CommitsPerSecond),
 		reads:   newLimiter(options.ReadsPerSecond),
 		mux:     http.NewServeMux(),
+
+		instance: uuid.NewString(),
 	}
 	s.route()
 	return s
