--- /dev/null
+++ b/upstream/bench_test.go
@@ -0,0 +1,102 @@
+package upstream
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/runstate"
+)
+
+// benchFrames is the number of frames of each benchmarked answer.
+const benchFrames = 10_000
+
+// recordedAnswer is an answer of benchFrames frames, ready to be sent.
+func recordedAnswer() []byte {
+	var b bytes.Buffer
+	for n := 1; n <= benchFrames; n++ {
+		fmt.Fprintf(&b, "id: r1:%d\ndata: {\"id\":\"r1\",\"object\":\"chat.completion.chunk\",\"model\":\"m@v\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token \"}}]}\n\n", n)
+	}
+	fmt.Fprintf(&b, "id: r1:%d\ndata: [DONE]\n\n", benchFrames+1)
+	return b.Bytes()
+}
+
+// BenchmarkStreamDecode reads an answer from memory: the cost of the client's
+// own work for each frame.
+func BenchmarkStreamDecode(b *testing.B) {
+	answer := recordedAnswer()
+	e := NewEngine(EngineOptions{})
+	defer e.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		resp := &http.Response{Body: io.NopCloser(bytes.NewReader(answer))}
+		readFrames(b, newStream(b.Context(), func(error) {}, e, Target{}, testCall(), resp))
+	}
+	reportFrames(b)
+}
+
+// BenchmarkStreamLoopback reads an answer over TCP. The CPU time is that of
+// the whole process; the server only copies recorded bytes.
+func BenchmarkStreamLoopback(b *testing.B) {
+	answer := recordedAnswer()
+	target := serve(b, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderModelVersion, "m@v")
+		_, _ = w.Write(answer)
+	})
+	e := NewEngine(EngineOptions{})
+	defer e.Close()
+	b.ReportAllocs()
+	before := cpuTime(b)
+	for b.Loop() {
+		s, err := e.Open(b.Context(), target, testCall(), new(runstate.Tracker))
+		if err != nil {
+			b.Fatal(err)
+		}
+		readFrames(b, s)
+	}
+	used := cpuTime(b) - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N)/1000, "cpu-ms/10k-frames")
+	reportFrames(b)
+}
+
+// BenchmarkRequestBody sets the model in a request with a prompt of 64 KiB.
+func BenchmarkRequestBody(b *testing.B) {
+	prompt := strings.Repeat("stock sheet ", 64<<10/12)
+	body := fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":%q}]}`, prompt)
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := requestBody(body, "m", "v"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func readFrames(b *testing.B, s Stream) {
+	for n := 0; ; n++ {
+		_, err := s.Next()
+		if err == io.EOF && n == benchFrames {
+			return
+		}
+		if err != nil {
+			b.Fatalf("after %d frames: %v", n, err)
+		}
+	}
+}
+
+func reportFrames(b *testing.B) {
+	b.ReportMetric(float64(b.N)*benchFrames/b.Elapsed().Seconds(), "frames/s")
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -4,8 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
+
+	"github.com/buger/jsonparser"
 )
 
 // Fields of a chat-completions request that the client sets itself.
@@ -18,16 +19,16 @@
 // streamFields switches streaming on, with the usage in the last chunk.
 const streamFields = `,"stream":true,"stream_options":{"include_usage":true}`
 
+// jsonSpace is the white space of JSON (RFC 8259, section 2).
+const jsonSpace = " \t\r\n"
+
 // requestBody returns body with the model "model@version" and streaming on.
-// All other fields are copied as raw bytes. Names are compared without case
-// and a field given twice counts once, so that an engine with a lenient
-// decoder can't be led to another model than the one that was decided on.
+// All other fields are copied as raw bytes, in their order. Names are compared
+// without case and in each place where they stand, so that an engine with a
+// lenient decoder can't be led to another model than the one decided on.
 func requestBody(body []byte, model, version string) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBody, err)
-	}
-	if fields == nil {
+	body = bytes.Trim(body, jsonSpace)
+	if len(body) == 0 || body[0] != '{' || !json.Valid(body) {
 		return nil, ErrBody
 	}
 	name, err := json.Marshal(VersionedModel(model, version))
@@ -39,23 +40,39 @@
 	out.WriteString(`{"model":`)
 	out.Write(name)
 	out.WriteString(streamFields)
-	for _, key := range sortedKeys(fields) {
-		if overridden(key) {
-			continue
-		}
-		quoted, err := json.Marshal(key)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBody, err)
-		}
-		out.WriteByte(',')
-		out.Write(quoted)
-		out.WriteByte(':')
-		out.Write(fields[key])
+	err = jsonparser.ObjectEach(body, func(key, value []byte, kind jsonparser.ValueType, _ int) error {
+		return copyField(&out, key, value, kind)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBody, err)
 	}
 	out.WriteByte('}')
 	return out.Bytes(), nil
 }
 
+// copyField writes a field unless the client sets it itself. The key comes
+// decoded, the value as it stood, but a string without its quotes.
+func copyField(out *bytes.Buffer, key, value []byte, kind jsonparser.ValueType) error {
+	if overridden(string(key)) {
+		return nil
+	}
+	quoted, err := json.Marshal(string(key))
+	if err != nil {
+		return err
+	}
+	out.WriteByte(',')
+	out.Write(quoted)
+	out.WriteByte(':')
+	if kind != jsonparser.String {
+		out.Write(value)
+		return nil
+	}
+	out.WriteByte('"')
+	out.Write(value)
+	out.WriteByte('"')
+	return nil
+}
+
 // VersionedModel returns the name "model@version" that engines use.
 func VersionedModel(model, version string) string {
 	return model + "@" + version
@@ -69,12 +86,3 @@
 	}
 	return false
 }
-
-func sortedKeys(fields map[string]json.RawMessage) []string {
-	keys := make([]string, 0, len(fields))
-	for key := range fields {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/upstream/body_test.go
+++ b/upstream/body_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -37,3 +38,32 @@
 		})
 	}
 }
+
+// FuzzRequestBody compares the copy with what encoding/json reads.
+func FuzzRequestBody(f *testing.F) {
+	f.Add([]byte(`{"model":"x","messages":[{"content":"a\"}\\"}],"n":1e3,"s":"\\"}`))
+	f.Add([]byte(` {"\ud800":1, "a" : {"b":[{},null,true]} , "":""} `))
+	f.Add([]byte(`{"a":"}","a":"{","mOdel":{}}`))
+	f.Add([]byte("{}\f"))
+	f.Add([]byte(`{"a":1e999}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		is := is.New(t)
+		got, err := requestBody(body, "m", "1")
+		if err != nil {
+			is.True(errors.Is(err, ErrBody))
+			return
+		}
+		var want, have map[string]json.RawMessage
+		is.NoErr(json.Unmarshal(body, &want))
+		is.NoErr(json.Unmarshal(got, &have))
+		for key := range want {
+			if overridden(key) {
+				delete(want, key)
+			}
+		}
+		want[fieldModel] = json.RawMessage(`"m@1"`)
+		want[fieldStream] = json.RawMessage(`true`)
+		want[fieldStreamOptions] = json.RawMessage(`{"include_usage":true}`)
+		is.Equal(have, want)
+	})
+}
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -18,7 +18,7 @@
 }
 
 // serve starts a server for the test and returns its target.
-func serve(t *testing.T, handler http.HandlerFunc) Target {
+func serve(t testing.TB, handler http.HandlerFunc) Target {
 	t.Helper()
 	srv := httptest.NewServer(handler)
 	t.Cleanup(srv.Close)
