--- a/config/watcher.go
+++ b/config/watcher.go
@@ -20,6 +20,11 @@
 	// pollsPerBound is how many reads start within the bound at least, so
 	// that one lost answer doesn't stop the host.
 	pollsPerBound = 2
+	// asksPerBound is how many questions to the peers fit within the bound at
+	// least.
+	asksPerBound = 3
+	// viewsPerSecond is the budget of answers of peers that one host asks for.
+	viewsPerSecond = 20
 	// loadsPerBound is how many sources of a body are tried within the bound.
 	loadsPerBound = 4
 	// confirmRefresh is when a host writes its confirmation again though
--- a/config/watcher_loops.go
+++ b/config/watcher_loops.go
@@ -54,7 +54,8 @@
 		if w.needsPeers() {
 			w.askPeers(ctx)
 		}
-		if !sleep(ctx, w.options.Poll) {
+		o := w.options
+		if !sleep(ctx, interval(w.known(), viewsPerSecond, o.Poll, o.Bound/asksPerBound)) {
 			return
 		}
 	}
