entry: limits of accounts over all hosts, in the pipeline

Cause: the manifest declares limits and nothing spent them. The filter takes from slots that the host holds; hosts lend each other slots over the peers connection. A planned stop ends the part before the others and gives the slots back.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,6 +24,7 @@
 	"github.com/quetzalweir/quetzalweir/membership"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
+	"github.com/quetzalweir/quetzalweir/quota"
 	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/session"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -57,6 +58,7 @@
 	claims    *claim.Store
 	ledger    *ledger.Ledger
 	custody   *ledger.Custody
+	quota     *quota.Limiter
 	codec     *session.Codec
 	registry  *session.Registry
 	queue     *admission.Queue
@@ -68,6 +70,10 @@
 	sampler   *sampler
 	evidence  *evidenceExchange
 	departed  departures
+	// quotaCtx ends the limits' part before the others, at a planned stop.
+	quotaCtx  context.Context
+	endQuota  context.CancelFunc
+	quotaDone chan struct{}
 	// down are hosts that went down and wait to be settled.
 	down    chan string
 	engine  *upstream.EngineClient
@@ -110,6 +116,8 @@
 	if err := h.provision(); err != nil {
 		return nil, errors.Join(err, h.closeListeners())
 	}
+	h.quotaCtx, h.endQuota = context.WithCancel(context.Background())
+	h.quotaDone = make(chan struct{})
 	h.run = chain(h.filters())
 	return h, nil
 }
@@ -163,6 +171,7 @@
 		Holders: &peerHolders{host: h},
 	})
 	h.custody = ledger.NewCustody(h.ledger, ledger.CustodyOptions{})
+	h.quota = quota.New(quota.Options{Table: h.platform.Table, Host: s.ID, Peers: &quotaPeers{host: h}})
 	h.codec = session.NewCodec(s.SessionKeys, defaultSessionTTL, nil)
 	h.registry = session.NewRegistry(session.Options{Table: h.committer})
 	h.queue = admission.New(admission.Options{Capacity: s.Capacity, MaxQueue: s.MaxQueue})
@@ -174,6 +183,7 @@
 	h.engine = upstream.NewEngine(upstream.EngineOptions{})
 	h.service = upstream.NewService(upstream.ServiceOptions{})
 	h.handlePeers()
+	h.handleLoans()
 	h.evidence = newEvidenceExchange(h)
 	h.watchMembers()
 	h.registerGauges()
@@ -232,6 +242,7 @@
 	run("manifest", h.watcher.Run)
 	run("claims", h.claims.Run)
 	run("ledger", h.ledger.Run)
+	run("limits", h.runQuota)
 	run("host list", h.pollHosts)
 	run("load", h.pollLoad)
 	run("evidence", h.evidence.run)
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/quota"
+)
+
+// methodBorrow asks a host to lend slots of an account's limit.
+const methodBorrow = "quota.borrow"
+
+// holderSeparator stands between a host's id and the random suffix in the name
+// under which package quota holds slots.
+const holderSeparator = '.'
+
+// runQuota keeps this host's slots of the accounts' limits until a planned
+// stop, or until ctx ends.
+func (h *Host) runQuota(ctx context.Context) error {
+	defer close(h.quotaDone)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.quotaCtx, cancel)()
+	h.quota.Run(ctx)
+	return nil
+}
+
+// leaveQuota gives the slots back.
+func (h *Host) leaveQuota(ctx context.Context) error {
+	h.endQuota()
+	<-h.quotaDone
+	return h.quota.Leave(ctx)
+}
+
+// handleLoans lends slots to other hosts.
+func (h *Host) handleLoans() {
+	peer.Handle(h.peerSrv, methodBorrow, func(_ context.Context, _ string, r quota.LoanRequest) (quota.Loan, error) {
+		return h.quota.Lend(r)
+	})
+}
+
+// quotaPeers borrows slots from other hosts.
+type quotaPeers struct {
+	host *Host
+}
+
+// Borrow implements quota.Peers.
+func (p *quotaPeers) Borrow(ctx context.Context, holder string, request quota.LoanRequest) (quota.Loan, error) {
+	var loan quota.Loan
+	id := holder[:max(0, strings.LastIndexByte(holder, holderSeparator))]
+	m, ok := p.host.members.Lookup(id)
+	if !ok {
+		return loan, fmt.Errorf("borrow from %s: %w", id, errNoHolder)
+	}
+	err := p.host.peers.Call(ctx, m.PeerAddr, methodBorrow, request, &loan)
+	return loan, err
+}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -47,6 +47,7 @@
 		&classify{},
 		&permitRoute{},
 		&claimOnce{claims: h.claims, log: h.log},
+		&limitAccount{quota: h.quota},
 		&bindSession{codec: h.codec},
 		&admit{queue: h.queue},
 		&bill{ledger: h.ledger, log: h.log},
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/quota"
 	"github.com/quetzalweir/quetzalweir/rollout"
 )
 
@@ -19,6 +20,7 @@
 func (h *Host) applyPolicy(policy *manifest.Policy) {
 	doc := policy.Document
 	h.queue.SetClasses(classOptions(doc.Classes))
+	h.quota.SetLimits(policy.Epoch, accountLimits(doc.Accounts))
 	h.rollout.SetVersions(versionRules(policy))
 	h.codec.SetTTL(time.Duration(doc.Sessions.TTLSeconds) * time.Second)
 	for _, m := range doc.Models {
@@ -40,6 +42,16 @@
 	return list
 }
 
+func accountLimits(accounts []manifest.Account) []quota.Limit {
+	var list []quota.Limit
+	for _, a := range accounts {
+		if a.RequestsPerSecond > 0 {
+			list = append(list, quota.Limit{Account: a.Name, Rate: a.RequestsPerSecond, Burst: float64(a.Burst)})
+		}
+	}
+	return list
+}
+
 // versionRules are the exposure rules of the versions that roll in.
 func versionRules(policy *manifest.Policy) []rollout.VersionRule {
 	var list []rollout.VersionRule
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -35,6 +35,7 @@
 	return errors.Join(
 		h.ledger.Drain(ctx),
 		h.drainClaims(ctx),
+		h.leaveQuota(ctx),
 	)
 }
 
