config: a host's own view is no evidence, and ages are never negative

Cause: Ask may hand back the asking host among the others, which would count it twice towards the majority, and a clock fault at a peer could date word into the future, which would count as fresh for as long. Both are filtered where answers come in. Wire names of the view are fixed by tags.

With the filter off in a scratch copy: --- FAIL: TestOldNewsNeverReverts/the_host_itself --- FAIL: TestOldNewsNeverReverts/peer_that_agreed_long_ago,_with_word_of_the_future Also new: TestConfirmationsAreMerged; 100 epochs in 10 s are confirmed in at most 17 commits at a budget of one a second; it fails without the budget. Ruled out: trusting implementers of Peers with both. All pass with -race.

--- a/config/freshness.go
+++ b/config/freshness.go
@@ -176,20 +176,20 @@
 
 // PeerView is what another host answered about its manifest.
 type PeerView struct {
-	Host string
+	Host string `json:"host"`
 	// Epoch and Digest are what the host has in force; zero if nothing is.
-	Epoch  uint64
-	Digest string
+	Epoch  uint64 `json:"epoch"`
+	Digest string `json:"digest"`
 	// Newest is the newest epoch that the host has heard of, if that is above
 	// Epoch; else it may be zero.
-	Newest uint64
+	Newest uint64 `json:"newest"`
 	// HasWord says that the host has word from the table, and WordAge how old
 	// that was when it gave this view, counted from the start of the read.
-	HasWord bool
-	WordAge time.Duration
+	HasWord bool          `json:"has_word"`
+	WordAge time.Duration `json:"word_age_ns"`
 	// Age is how long before Ask was called the host gave this view; zero if
 	// it was asked by this call.
-	Age time.Duration
+	Age time.Duration `json:"age_ns"`
 }
 
 func (p PeerView) head() Head { return Head{Epoch: p.Epoch, Digest: p.Digest} }
--- a/config/watcher_loops.go
+++ b/config/watcher_loops.go
@@ -70,7 +70,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, w.options.Poll)
 	defer cancel()
-	peers := w.options.Peers.Ask(ctx)
+	peers := w.others(w.options.Peers.Ask(ctx))
 	for _, p := range peers {
 		w.hearPeer(p, start)
 	}
@@ -78,6 +78,21 @@
 	w.change(func(v view) (view, error) { return v.withQuorum(known, peers, start), nil })
 }
 
+// others leaves out this host's own view, which is no evidence, and takes
+// negative ages as zero, so that no evidence is younger than the question.
+func (w *Watcher) others(views []PeerView) []PeerView {
+	var others []PeerView
+	for _, p := range views {
+		if p.Host == "" || p.Host == w.options.Host {
+			continue
+		}
+		p.Age = max(0, p.Age)
+		p.WordAge = max(0, p.WordAge)
+		others = append(others, p)
+	}
+	return others
+}
+
 // hearPeer takes a peer's word with its age: it was given after the start of
 // the question, less the age of the view.
 func (w *Watcher) hearPeer(p PeerView, start time.Time) {
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
 )
 
 // run starts a watcher that ends with the test's bubble.
@@ -277,6 +279,8 @@
 		{"peer that knows of a newer head", config.PeerView{Epoch: 2, Newest: 3}, nil, true},
 		{"peer that agrees", config.PeerView{Epoch: 2}, nil, false},
 		{"peer that agreed long ago", config.PeerView{Epoch: 2, Age: time.Hour}, nil, true},
+		{"the host itself", config.PeerView{Host: "self", Epoch: 2}, nil, true},
+		{"peer that agreed long ago, with word of the future", config.PeerView{Epoch: 2, Age: time.Hour, HasWord: true, WordAge: -2 * time.Hour}, nil, true},
 		{"peer with word", config.PeerView{Epoch: 2, HasWord: true, WordAge: time.Second}, nil, false},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
@@ -286,13 +290,15 @@
 				first := b.submit(t, config.Head{}, "1")
 				second := b.submit(t, first, "2")
 				peer := tc.peer
-				peer.Host = "p"
+				if peer.Host == "" {
+					peer.Host = "p"
+				}
 				if peer.Digest == "" {
 					peer.Digest = map[uint64]string{1: first.Digest, 2: second.Digest}[peer.Epoch]
 				}
 				peers := &scriptedPeers{known: 2}
 				var log errorLog
-				w := run(t, config.WatcherOptions{Store: b.store, Peers: peers, OnError: log.add})
+				w := run(t, config.WatcherOptions{Store: b.store, Host: "self", Peers: peers, OnError: log.add})
 				settle()
 				peers.answer(peer)
 				b.table.SetDown(true)
@@ -306,6 +312,33 @@
 	}
 }
 
+// Confirmations are merged under the budget and written anew now and then.
+func TestConfirmationsAreMerged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		head := b.submit(t, config.Head{}, "0")
+		table := faulty.New(b.inner)
+		run(t, config.WatcherOptions{
+			Store: config.NewStore(table, b.objects), Host: "a",
+			Poll: 100 * time.Millisecond, ConfirmsPerSecond: 1,
+		})
+		for i := range 100 {
+			head = b.submit(t, head, fmt.Sprint(i+1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		settle()
+		report, err := b.store.Report(t.Context(), head, []string{"a"})
+		is.NoErr(err)
+		is.Equal(report.Confirmed, []string{"a"})
+		commits := table.Counts().Commits
+		is.True(commits <= 17) // 13 s at one a second, less jitter
+		time.Sleep(2 * time.Hour)
+		is.True(table.Counts().Commits > commits)
+		is.True(table.Counts().Commits <= commits+2)
+	})
+}
+
 // What a peer says of an epoch gives way to what the table says.
 func TestTableOverrulesAPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
