peer: connections come from the listening address; e2e: relays that cut pairs

Cause: to prove what holds while two hosts are cut from each other, a test has to tell on each link who is calling. Peer connections now come from the IP that the host listens on (also what a firewall between hosts wants to see), and a host can advertise another address than it listens on. Ruled out: a fault switch in the product. Each host of the end-to-end tests has an IP of its own and relays before its platform and peer links.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -24,6 +24,7 @@
 	Callers        string        `help:"IP and port for callers." default:"127.0.0.1:8080"`
 	Operators      string        `help:"IP and port for operators, readiness and metrics." default:"127.0.0.1:8081"`
 	Peers          string        `help:"IP and port for other entry hosts." default:"127.0.0.1:8082"`
+	AdvertisePeers string        `help:"Address under which other entry hosts reach this one; default: --peers."`
 	Seeds          []string      `help:"Peer addresses of other hosts, to start by while the table is down."`
 	Platform       string        `help:"URL of the platform's service." default:"http://127.0.0.1:7000"`
 	SessionKeys    string        `help:"Keys of session tokens, id:hex,id:hex; the first signs, all verify."`
@@ -81,6 +82,7 @@
 		Callers:        c.Callers,
 		Operators:      c.Operators,
 		Peers:          c.Peers,
+		AdvertisePeers: c.AdvertisePeers,
 		Seeds:          c.Seeds,
 		MaxBody:        c.MaxBody,
 		Capacity:       c.Capacity,
@@ -146,6 +148,7 @@
 		{"callers", s.Callers},
 		{"operators", s.Operators},
 		{"peers", s.Peers},
+		{"advertise-peers", s.AdvertisePeers},
 		{"seeds", strings.Join(s.Seeds, ",")},
 		{"platform", c.Platform},
 		{"session-keys", maskedKeys(s.SessionKeys)},
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -182,8 +183,13 @@
 type entryHost struct {
 	*process
 	id        string
+	ip        string
 	callers   string
 	operators string
+	// toPlatform carries its traffic to the platform, fromPeers that of other
+	// entry hosts to it.
+	toPlatform *relay
+	fromPeers  *relay
 }
 
 // system is a whole system of separate processes.
@@ -229,24 +235,55 @@
 	return "zone-" + string(rune('a'+i%3))
 }
 
-// addHost starts an entry host that talks to the platform directly.
+// addHost starts an entry host. Its links to the platform and from other hosts
+// go through relays, and its peer connections come from an IP of its own, so
+// that each pair of parties can be cut.
 func (s *system) addHost(id, zone string, flags ...string) *entryHost {
-	return s.addHostVia(s.platform, id, zone, flags...)
-}
-
-// addHostVia starts an entry host that reaches the platform at an address.
-func (s *system) addHostVia(platform, id, zone string, flags ...string) *entryHost {
 	s.t.Helper()
-	args := []string{"serve", "--id=" + id, "--zone=" + zone, "--platform=http://" + platform,
-		"--callers=127.0.0.1:0", "--operators=127.0.0.1:0", "--peers=127.0.0.1:0"}
-	p := start(s.t, id, entryEnv, append(args, flags...)...)
-	h := &entryHost{process: p, id: id}
-	h.callers = p.field("event=start", "callers=")
-	h.operators = p.field("event=start", "operators=")
+	h := &entryHost{id: id, ip: fmt.Sprintf("127.0.1.%d", len(s.hosts)+1)}
+	h.toPlatform = newRelay(s.t, loopback, s.platform)
+	h.fromPeers = newRelay(s.t, h.ip, "")
+	peers := freeAddress(s.t, h.ip)
+	h.fromPeers.target = peers
+	args := []string{"serve", "--id=" + id, "--zone=" + zone, "--platform=http://" + h.toPlatform.address(),
+		"--callers=127.0.0.1:0", "--operators=127.0.0.1:0", "--peers=" + peers, "--advertise-peers=" + h.fromPeers.address()}
+	h.process = start(s.t, id, entryEnv, append(args, flags...)...)
+	h.callers = h.field("event=start", "callers=")
+	h.operators = h.field("event=start", "operators=")
 	s.hosts = append(s.hosts, h)
 	return h
 }
 
+const loopback = "127.0.0.1"
+
+// freeAddress returns an address on the IP that nothing listens on now.
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// cutPeers cuts a host from all other entry hosts, both ways.
+func (s *system) cutPeers(h *entryHost) {
+	h.fromPeers.cutAll()
+	for _, other := range s.hosts {
+		if other != h {
+			other.fromPeers.cutFrom(func(ip string) bool { return ip == h.ip })
+		}
+	}
+}
+
+// healPeers ends all cuts between entry hosts.
+func (s *system) healPeers() {
+	for _, h := range s.hosts {
+		h.fromPeers.heal()
+	}
+}
+
 // submit submits a manifest through a host and waits until all hosts are ready.
 func (s *system) submit(data []byte) config.Head {
 	s.t.Helper()
--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -13,7 +13,7 @@
 	target   string
 	mu       sync.Mutex
 	cut      func(from string) bool
-	conns    map[net.Conn]string
+	conns    map[net.Conn]string // to the source IP
 }
 
 // newRelay starts a relay on the IP; it ends with the test.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -29,7 +30,7 @@
 		Self: membership.Member{
 			ID:           h.settings.ID,
 			Zone:         h.settings.Zone,
-			PeerAddr:     h.PeerAddr(),
+			PeerAddr:     cmp.Or(h.settings.AdvertisePeers, h.PeerAddr()),
 			CallerAddr:   h.CallerAddr(),
 			OperatorAddr: h.OperatorAddr(),
 		},
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -54,10 +55,25 @@
 	if err != nil {
 		return SettingError("peers", "%v", err)
 	}
-	h.peers, err = peer.NewClient(peer.ClientOptions{Self: h.settings.ID, Keys: h.settings.PeerKeys})
+	h.peers, err = peer.NewClient(peer.ClientOptions{
+		Self:    h.settings.ID,
+		Keys:    h.settings.PeerKeys,
+		LocalIP: peerIP(h.settings.Peers),
+	})
 	return err
 }
 
+// peerIP is the address that peers are called from: the one listened on, if it
+// is a single one.
+func peerIP(listen string) net.IP {
+	host, _, _ := net.SplitHostPort(listen)
+	ip := net.ParseIP(host)
+	if ip.IsUnspecified() {
+		return nil
+	}
+	return ip
+}
+
 // handlePeers answers the other hosts.
 func (h *Host) handlePeers() {
 	peer.Handle(h.peerSrv, methodView, func(context.Context, string, none) (config.PeerView, error) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -23,6 +23,9 @@
 	Callers   string
 	Operators string
 	Peers     string
+	// AdvertisePeers is the address under which other hosts reach Peers; empty
+	// means Peers itself.
+	AdvertisePeers string
 	// Seeds are peer addresses of other hosts, to start by while the table is
 	// down. They may be empty.
 	Seeds []string
@@ -96,6 +99,7 @@
 		address("callers", s.Callers),
 		address("operators", s.Operators),
 		address("peers", s.Peers),
+		s.validateAdvertised(),
 		positive("max-body", s.MaxBody),
 		positive("capacity", int64(s.Capacity)),
 		positive("max-queue", int64(s.MaxQueue)),
@@ -110,6 +114,13 @@
 	)
 }
 
+func (s *Settings) validateAdvertised() error {
+	if s.AdvertisePeers == "" {
+		return nil
+	}
+	return address("advertise-peers", s.AdvertisePeers)
+}
+
 // SettingError names the flag and the environment variable of a fault.
 func SettingError(flag, format string, args ...any) error {
 	variable := "QUETZALWEIR_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 	Keys []Key
 	// Limits bounds each connection.
 	Limits Limits
+	// LocalIP is the address that connections are made from; nil lets the
+	// system choose. On a host with several addresses it lets others, and what
+	// stands between, see one address a host.
+	LocalIP net.IP
 	// DialTimeout bounds the TCP connect; default 1 s.
 	DialTimeout time.Duration
 	// StallTimeout is how long a connection may leave calls unanswered
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -132,6 +132,9 @@
 	ctx, cancel := context.WithTimeout(l.client.closing, o.DialTimeout)
 	defer cancel()
 	var dialer net.Dialer
+	if o.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
 		return nil, err
