upstream: resume a stream whose connection stalls or misses a frame

Cause: a cut path or a lost frame was noticed only after FrameTimeout, 30 s, or when 64 later frames had come; narration that is held back so long is of no use. A connection now has its own limits: 10 s without a frame, 250 ms while later frames or the end mark are there. Past them the stream goes on over another connection, within FrameTimeout as a whole.

Ruled out: a smaller reorder window, which takes mere disorder for loss, and read deadlines on the connection, which also hit it when idle in the pool.

Before, with both limits off and FrameTimeout 2 s (scratch copy): 3 new cases of TestResume fail (silent connection, silent behind a gap, silent behind the end mark and a gap). After: all pass, 5 runs with -race.

--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -35,7 +35,9 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		resp := &http.Response{Body: io.NopCloser(bytes.NewReader(answer))}
-		readFrames(b, newStream(b.Context(), func(error) {}, e, Target{}, testCall(), resp))
+		s := newStream(b.Context(), func(error) {}, e, Target{}, testCall())
+		s.attach(newAnswerConn(b.Context(), s.patience), resp)
+		readFrames(b, s)
 	}
 	reportFrames(b)
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -26,6 +26,8 @@
 // Defaults of EngineOptions.
 const (
 	DefaultFrameTimeout  = 30 * time.Second
+	DefaultStallTimeout  = 10 * time.Second
+	DefaultGapTimeout    = 250 * time.Millisecond
 	DefaultMaxFrame      = 1 << 20
 	DefaultReorderWindow = 64
 	DefaultResumeTries   = 5
@@ -47,6 +49,12 @@
 	// resume in it. The head of an answer is bounded by the context alone,
 	// because a request may queue. Default: 30 s.
 	FrameTimeout time.Duration
+	// StallTimeout bounds the wait for the next frame on one connection; then
+	// the stream is resumed on another. Default: 10 s.
+	StallTimeout time.Duration
+	// GapTimeout takes its place when later frames are there already, so that
+	// a lost frame doesn't hold them back for long. Default: 250 ms.
+	GapTimeout time.Duration
 	// MaxFrame bounds one frame, in bytes. Default: 1 MiB.
 	MaxFrame int
 	// ReorderWindow is how many frames ahead an early frame is kept; together
@@ -70,6 +78,8 @@
 	o.IdleConnTimeout = orDefault(o.IdleConnTimeout, DefaultIdleConnTimeout)
 	o.MaxIdleConnsPerHost = orDefault(o.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
 	o.FrameTimeout = orDefault(o.FrameTimeout, DefaultFrameTimeout)
+	o.StallTimeout = orDefault(o.StallTimeout, DefaultStallTimeout)
+	o.GapTimeout = orDefault(o.GapTimeout, DefaultGapTimeout)
 	o.MaxFrame = orDefault(o.MaxFrame, DefaultMaxFrame)
 	o.ReorderWindow = orDefault(o.ReorderWindow, DefaultReorderWindow)
 	o.ResumeTries = orDefault(o.ResumeTries, DefaultResumeTries)
@@ -119,7 +129,9 @@
 		return nil, err
 	}
 	streamCtx, cancel := context.WithCancelCause(ctx)
-	resp, err := e.send(streamCtx, target, call, body, state)
+	s := newStream(streamCtx, cancel, e, target, call)
+	conn := newAnswerConn(streamCtx, s.patience)
+	resp, err := e.send(conn.ctx, target, call, body, state)
 	if err != nil {
 		cancel(err)
 		return nil, err
@@ -131,7 +143,9 @@
 		return nil, err
 	}
 	state.Raise(runstate.Ran)
-	return newStream(streamCtx, cancel, e, target, call, resp), nil
+	s.load, s.hasLoad = parseLoad(resp.Header)
+	s.attach(conn, resp)
+	return s, nil
 }
 
 // send posts the call and returns a successful answer.
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -24,15 +24,14 @@
 	if cause == io.EOF {
 		cause = errNoEndMark
 	}
-	s.body.Close()
+	s.conn.close(cause)
 	for s.tries < s.client.opts.ResumeTries {
 		s.tries++
 		if err := s.backoff(); err != nil {
 			return incomplete(err, cause)
 		}
-		resp, err := s.reopen()
+		err := s.reopen()
 		if err == nil {
-			s.attach(resp)
 			return nil
 		}
 		cause = err
@@ -43,11 +42,22 @@
 	return incomplete(context.Cause(s.ctx), cause)
 }
 
-// reopen asks for the rest of the answer.
-func (s *engineStream) reopen() (*http.Response, error) {
+// reopen asks for the rest of the answer and attaches it.
+func (s *engineStream) reopen() error {
 	s.client.counters.resumes.Add(1)
+	conn := newAnswerConn(s.ctx, s.patience)
+	resp, err := s.requestRest(conn)
+	if err != nil {
+		conn.close(err)
+		return err
+	}
+	s.attach(conn, resp)
+	return nil
+}
+
+func (s *engineStream) requestRest(conn *answerConn) (*http.Response, error) {
 	try := &attempt{state: new(runstate.Tracker), repeatable: true}
-	req, err := newRequest(try.trace(s.ctx), http.MethodGet, s.target, streamPath(s.call.RequestID), nil)
+	req, err := newRequest(try.trace(conn.ctx), http.MethodGet, s.target, streamPath(s.call.RequestID), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -55,9 +65,9 @@
 	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set(HeaderRequestID, s.call.RequestID)
 	req.Header.Set(HeaderLastEventID, last)
-	s.clock.timer.Reset(s.clock.remaining())
+	conn.timer.Reset(s.clock.patience(false))
 	resp, err := s.client.transport.RoundTrip(req)
-	s.clock.timer.Stop()
+	conn.timer.Stop()
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +84,9 @@
 // backoff waits before an attempt: not at all before the first, since most
 // cuts are over at once, then for a random time around a doubling mean.
 func (s *engineStream) backoff() error {
+	if s.clock.remaining() <= 0 {
+		return errFrameTimeout
+	}
 	if s.tries <= 1 {
 		return context.Cause(s.ctx)
 	}
--- a/upstream/sequence.go
+++ b/upstream/sequence.go
@@ -72,6 +72,11 @@
 	return n, data, true
 }
 
+// waiting says that later frames are kept while the next one is missing.
+func (s *sequence) waiting() bool {
+	return len(s.early) > 0 || s.end > s.next
+}
+
 // complete says whether every frame before the end mark was delivered.
 func (s *sequence) complete() bool {
 	return s.end != 0 && s.next == s.end
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -13,8 +13,9 @@
 const endMark = "[DONE]"
 
 var (
-	errFrameTimeout = errors.New("upstream: no frame within the time limit")
-	errClosed       = errors.New("upstream: stream closed")
+	errFrameTimeout = errors.New("no frame within the time limit")
+	errStalled      = errors.New("connection stalled")
+	errClosed       = errors.New("stream closed")
 	errGap          = errors.New("frames are missing")
 	errNoEndMark    = errors.New("no end mark")
 )
@@ -27,9 +28,9 @@
 	target Target
 	call   Call
 
-	body   io.ReadCloser
+	conn   *answerConn
 	events *eventReader
-	clock  *frameClock
+	clock  frameClock
 	order  *sequence
 	// tries counts the attempts to resume since the last new frame.
 	tries int
@@ -41,26 +42,30 @@
 	err error
 }
 
-func newStream(ctx context.Context, cancel context.CancelCauseFunc, e *EngineClient, target Target, call Call, resp *http.Response) *engineStream {
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, e *EngineClient, target Target, call Call) *engineStream {
 	s := &engineStream{
 		client: e,
 		ctx:    ctx,
 		cancel: cancel,
 		target: target,
 		call:   call,
-		clock:  newFrameClock(e.opts.FrameTimeout, func() { cancel(errFrameTimeout) }),
+		clock:  frameClock{frame: e.opts.FrameTimeout, stall: e.opts.StallTimeout, gap: e.opts.GapTimeout},
 		order:  newSequence(e.opts.ReorderWindow, e.opts.MaxFrame),
 	}
 	s.call.Body = nil
-	s.load, s.hasLoad = parseLoad(resp.Header)
-	s.attach(resp)
 	return s
 }
 
-// attach reads on from another answer.
-func (s *engineStream) attach(resp *http.Response) {
-	s.body = resp.Body
-	s.events = newEventReader(s.clock.reader(resp.Body), s.client.opts.MaxFrame)
+// attach reads on from the answer on conn.
+func (s *engineStream) attach(conn *answerConn, resp *http.Response) {
+	conn.body = resp.Body
+	s.conn = conn
+	s.events = newEventReader(conn, s.client.opts.MaxFrame)
+}
+
+// patience is how long the stream still waits on a connection.
+func (s *engineStream) patience() time.Duration {
+	return s.clock.patience(s.order.waiting())
 }
 
 // Next implements Stream.
@@ -163,8 +168,7 @@
 }
 
 func (s *engineStream) release() {
-	s.clock.stop()
-	s.body.Close()
+	s.conn.close(errClosed)
 	s.cancel(errClosed)
 }
 
@@ -184,51 +188,3 @@
 	s.client.cancelStream(s.target, s.call.RequestID)
 	return nil
 }
-
-// frameClock cancels a stream when its next frame takes too long. Its timer
-// runs only while a read waits for the network, so a slow caller isn't taken
-// for a slow engine.
-type frameClock struct {
-	timeout time.Duration
-	timer   *time.Timer
-	// deadline is when the frame that is being read must be there; zero until
-	// the first read for it.
-	deadline time.Time
-}
-
-func newFrameClock(timeout time.Duration, expire func()) *frameClock {
-	timer := time.AfterFunc(timeout, expire)
-	timer.Stop()
-	return &frameClock{timeout: timeout, timer: timer}
-}
-
-// start begins the wait for the next frame.
-func (c *frameClock) start() { c.deadline = time.Time{} }
-
-func (c *frameClock) stop() { c.timer.Stop() }
-
-// remaining is the time left for the frame.
-func (c *frameClock) remaining() time.Duration {
-	if c.deadline.IsZero() {
-		c.deadline = time.Now().Add(c.timeout)
-		return c.timeout
-	}
-	return time.Until(c.deadline)
-}
-
-// reader returns r under the clock.
-func (c *frameClock) reader(r io.Reader) io.Reader {
-	return &clockedReader{clock: c, reader: r}
-}
-
-type clockedReader struct {
-	clock  *frameClock
-	reader io.Reader
-}
-
-// Read implements io.Reader.
-func (r *clockedReader) Read(p []byte) (int, error) {
-	r.clock.timer.Reset(r.clock.remaining())
-	defer r.clock.timer.Stop()
-	return r.reader.Read(p)
-}
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -47,7 +47,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
 			standin, target := startEngine(t, engine.Options{})
-			c := newEngineClient(t, upstream.EngineOptions{ReorderWindow: 8})
+			c := newEngineClient(t, upstream.EngineOptions{ReorderWindow: 8, GapTimeout: time.Minute})
 			_, err := ask(t.Context(), c, target, engineCallWith("another", "bid on lot 18 tokens=50"), new(runstate.Tracker))
 			is.NoErr(err)
 			standin.SetFaults(test.faults)
@@ -95,9 +95,15 @@
 	w.Header().Set(upstream.HeaderModelVersion, version)
 	fmt.Fprint(w, part)
 	_ = http.NewResponseController(w).Flush()
+	if strings.HasSuffix(part, hang) {
+		<-r.Context().Done()
+	}
 	cut.Now()
 }
 
+// hang ends a part after which the connection stays open and silent.
+const hang = ": hang\n"
+
 func frames(from, to int) string {
 	var b strings.Builder
 	for n := from; n <= to; n++ {
@@ -122,6 +128,10 @@
 		{"end mark behind a gap", []string{frames(1, 1) + end(4), frames(2, 3) + end(4)}, "1 2 3 ", nil, []string{"r1:1"}},
 		{"end mark without a number", []string{frames(1, 1) + "data: [DONE]\n\n", end(2)}, "1 ", nil, []string{"r1:1"}},
 		{"end mark of another request", []string{frames(1, 1) + "id: r2:2\ndata: [DONE]\n\n", frames(2, 2) + end(3)}, "1 2 ", nil, []string{"r1:1"}},
+		{"silent connection", []string{frames(1, 2) + hang, frames(3, 3) + end(4)}, "1 2 3 ", nil, []string{"r1:2"}},
+		{"silent behind a gap", []string{frames(1, 1) + frames(3, 4) + hang, frames(2, 4) + end(5)}, "1 2 3 4 ", nil, []string{"r1:1"}},
+		{"silent behind the end mark and a gap", []string{frames(1, 1) + end(3) + hang, frames(2, 2) + end(3)}, "1 2 ", nil, []string{"r1:1"}},
+		{"silent behind the end mark", []string{frames(1, 1) + end(2) + hang}, "1 ", nil, nil},
 		{"stream forgotten", []string{frames(1, 2)}, "1 2 ", upstream.ErrIncomplete, []string{"r1:2"}},
 		{"another version", []string{frames(1, 2), "m@2|" + frames(3, 3) + end(4)}, "1 2 ", upstream.ErrIncomplete, []string{"r1:2"}},
 		{"tries spent", []string{frames(1, 1), "", "", ""}, "1 ", upstream.ErrIncomplete, []string{"r1:1", "r1:1", "r1:1"}},
@@ -134,7 +144,13 @@
 			s := &script{version: "m@1", parts: test.parts}
 			srv := httptest.NewServer(s)
 			defer srv.Close()
-			c := upstream.NewEngine(upstream.EngineOptions{MaxFrame: 1000, ResumeTries: 3, ResumeDelay: time.Millisecond})
+			c := upstream.NewEngine(upstream.EngineOptions{
+				MaxFrame:     1000,
+				ResumeTries:  3,
+				ResumeDelay:  time.Millisecond,
+				StallTimeout: time.Second,
+				GapTimeout:   500 * time.Millisecond,
+			})
 			target := upstream.Target{Address: srv.Listener.Addr().String()}
 			var state runstate.Tracker
 			text, err := ask(t.Context(), c, target, engineCall("r1"), &state)
