standin: share the JSON bodies, test the cut before a request's head

Cause: both stand-ins had their own reading and writing of JSON; and a server's lone read of a request's first byte must not hide the request from a cut, which only showed as a rare miss.

Ruled out: matching single letters as requests, which would cut bodies too.

--- /dev/null
+++ b/internal/standin/cut/cut_test.go
@@ -0,0 +1,48 @@
+package cut
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCutBeforeHead(t *testing.T) {
+	tests := []struct {
+		desc  string
+		parts []string
+		want  string
+	}{
+		{"cut", []string{"POST /bids HTTP/1.1\r\n"}, ""},
+		{"first byte alone", []string{"P", "OST /bids HTTP/1.1\r\n"}, "P"},
+		{"spared", []string{"POST /faults HTTP/1.1\r\n"}, "POST /faults HTTP/1.1\r\n"},
+		{"within a body", []string{"lot 17"}, "lot 17"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			cutter := new(Cutter)
+			cutter.Set(Plan{At: BeforeHead, Times: 1})
+			ours, theirs := net.Pipe()
+			conn := &cutConn{Conn: theirs, listener: &Listener{Cutter: cutter, Spared: [][]byte{[]byte("POST /faults")}}}
+			go func() {
+				defer ours.Close()
+				for _, part := range test.parts {
+					_, _ = io.WriteString(ours, part)
+				}
+			}()
+			got, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.Equal(string(got), test.want)
+		})
+	}
+}
+
+func ExampleCutter() {
+	var c Cutter
+	c.Set(Plan{At: MidBody, Times: 1})
+	fmt.Println(c.Take(AfterHead), c.Take(MidBody), c.Take(MidBody))
+	// Output: false true false
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -11,6 +9,7 @@
 	"sync"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
+	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -72,21 +71,21 @@
 	mux.HandleFunc("POST /faults", e.serveFaults)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
 		e.faults.waitStall()
-		writeJSON(w, e.report())
+		httpjson.Write(w, e.report())
 	})
 	mux.HandleFunc("GET /arrivals", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, e.arrivals.list())
+		httpjson.Write(w, e.arrivals.list())
 	})
 	mux.HandleFunc("GET /cache-events", func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
-		writeJSON(w, e.cache.after(after))
+		httpjson.Write(w, e.cache.after(after))
 	})
 	return mux
 }
 
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if !readJSON(w, r, &faults) {
+	if !httpjson.Read(w, r, &faults) {
 		return
 	}
 	e.SetFaults(faults)
@@ -127,21 +126,3 @@
 		Fenced:  e.opts.Fenced,
 	}
 }
-
-// bodyLimit bounds the bodies of orders and faults, in bytes.
-const bodyLimit = 64 << 10
-
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, bodyLimit))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(out); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
 )
 
 // Actions of an order.
@@ -76,7 +78,7 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order Order
-	if !readJSON(w, r, &order) {
+	if !httpjson.Read(w, r, &order) {
 		return
 	}
 	if order.Action != ActionLoad && order.Action != ActionUnload {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
+	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -99,8 +99,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serveCall)
 	mux.HandleFunc("POST /faults", s.serveFaults)
-	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.load()) })
-	mux.HandleFunc("GET /arrivals", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.arrivals.list()) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, s.load()) })
+	mux.HandleFunc("GET /arrivals", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, s.arrivals.list()) })
 	return mux
 }
 
@@ -197,22 +197,11 @@
 	}
 }
 
-// bodyLimit bounds the body of POST /faults, in bytes.
-const bodyLimit = 64 << 10
-
 func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	decoder := json.NewDecoder(io.LimitReader(r.Body, bodyLimit))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &faults) {
 		return
 	}
 	s.SetFaults(faults)
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
