--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -42,13 +42,28 @@
 	reportFrames(b)
 }
 
-// BenchmarkStreamLoopback reads an answer over TCP. The CPU time is that of
-// the whole process; the server only copies recorded bytes.
+// BenchmarkStreamLoopback reads an answer over TCP, sent at once or frame by
+// frame. The CPU time is that of the whole process, server included; the
+// server only copies recorded bytes.
 func BenchmarkStreamLoopback(b *testing.B) {
-	answer := recordedAnswer()
+	whole := [][]byte{recordedAnswer()}
+	single := bytes.SplitAfter(whole[0], []byte("\n\n"))
+	for _, bench := range []struct {
+		desc   string
+		pieces [][]byte
+	}{{"at once", whole}, {"frame by frame", single}} {
+		b.Run(bench.desc, func(b *testing.B) { benchLoopback(b, bench.pieces) })
+	}
+}
+
+func benchLoopback(b *testing.B, pieces [][]byte) {
 	target := serve(b, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(HeaderModelVersion, "m@v")
-		_, _ = w.Write(answer)
+		control := http.NewResponseController(w)
+		for _, piece := range pieces {
+			_, _ = w.Write(piece)
+			_ = control.Flush()
+		}
 	})
 	e := NewEngine(EngineOptions{})
 	defer e.Close()
