config: a damaged row doesn't turn an unknown outcome into a denial

Cause: Submit promises that any error but an unknown outcome means that nothing was accepted. Reading a damaged row after a transaction without an answer gave ErrDamaged, which broke that promise. Attempts still end there, as waiting mends nothing, but the error is the unknown outcome.

Before: TestSubmitOverADamagedHead/after_a_transaction_without_answer fails (class of the outcome). After: passes, with -race. Ruled out: retrying through damage.

--- a/config/submit.go
+++ b/config/submit.go
@@ -113,10 +113,13 @@
 			return result, nil
 		}
 		var conflict *ConflictError
-		if errors.As(err, &conflict) || errors.Is(err, ErrDamaged) {
+		if errors.As(err, &conflict) {
 			return Submission{}, err
 		}
 		last = err
+		if errors.Is(err, ErrDamaged) {
+			break // waiting doesn't mend it
+		}
 		if pause(ctx, attempt) != nil {
 			break
 		}
@@ -124,6 +127,9 @@
 	if p.open {
 		return Submission{}, fmt.Errorf("config: submit the document again to learn its outcome: %w: %v", platform.ErrUnknown, last)
 	}
+	if errors.Is(last, ErrDamaged) {
+		return Submission{}, last
+	}
 	return Submission{}, fmt.Errorf("config: nothing was submitted: %w: %v", platform.ErrUnavailable, last)
 }
 
--- a/config/submit_test.go
+++ b/config/submit_test.go
@@ -144,6 +144,34 @@
 	is.Equal(b.table.Counts().Commits, 0)
 }
 
+// A row that can't be read doesn't turn an unknown outcome into a denial.
+func TestSubmitOverADamagedHead(t *testing.T) {
+	for _, tc := range []struct {
+		desc string
+		// after is when the head's row is damaged.
+		after time.Duration
+		want  error
+	}{
+		{"before the transaction", 0, config.ErrDamaged},
+		{"after a transaction without answer", 5 * time.Millisecond, platform.ErrUnknown},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				first := b.submit(t, config.Head{}, "1")
+				b.table.DropNext(1)
+				time.AfterFunc(tc.after, func() {
+					txn := platform.Txn{Puts: []platform.Put{{Key: "config/head", Value: []byte("{")}}}
+					_, _ = b.inner.Commit(context.Background(), txn)
+				})
+				synctest.Wait()
+				_, err := b.store.Submit(t.Context(), document(first.Digest, "2"), "token")
+				is.New(t).True(errors.Is(err, tc.want)) // class of the outcome
+			})
+		})
+	}
+}
+
 func TestReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
