--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -131,10 +131,10 @@
 		err = f.runModel(ctx, r)
 	}
 	outcome := f.outcome(ctx, r, started, err)
-	f.pool.End(id, outcome)
 	if outcome.Leaving {
 		f.leaving(id)
 	}
+	f.pool.End(id, outcome)
 	return err
 }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -109,10 +109,12 @@
 		h.log.Debug().Str("event", "load").Str("upstream", host.ID).Err(err).Msg("")
 		return
 	}
-	h.pool.Report(host.ID, load, asked)
+	// Before the report, which takes the upstream out of service as well: only
+	// what is news here is passed on.
 	if load.Leaving {
 		h.upstreamLeaving(host.ID)
 	}
+	h.pool.Report(host.ID, load, asked)
 }
 
 // upstreamLeaving takes an upstream out of service here and tells the other
