e2e: the session test waits until the shift is in force

Cause: with the registry switched off in a scratch copy the test still passed: it sent its second requests before the new shares were in force, so nothing had moved. Now it waits for the epoch on all hosts.

--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -137,6 +137,7 @@
 
 	second := edit(t, first, shift)
 	s.submit(second)
+	eventually(t, "the shift is in force", func() bool { return s.epochs(2) })
 	s.hosts[0].kill()
 	rest := s.hosts[1:]
 	for i := range sessions {
