upstream: let an engine client be closed twice

Cause: Close took all tokens of the cancellations to wait for them and kept them, so that a second Close waited for ever. It waits on a WaitGroup now.

Ruled out: giving the tokens back, with which two callers of Close at the same time could still wait for each other.

Before: TestCloseCancelsUpstream with a second Close panics after its limit of 5 s, "test timed out". After: the package passes with -race.

--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -95,7 +96,8 @@
 	transport *http.Transport
 	counters  engineCounters
 	// cancels holds a token for each cancellation in flight.
-	cancels chan struct{}
+	cancels    chan struct{}
+	cancelling sync.WaitGroup
 }
 
 var _ Engine = (*EngineClient)(nil)
@@ -111,11 +113,10 @@
 }
 
 // Close waits for the cancellations in flight, each of which is bounded by
-// CancelTimeout, and closes the unused connections.
+// CancelTimeout, and closes the unused connections. It is called after the
+// last stream was closed.
 func (e *EngineClient) Close() error {
-	for range cap(e.cancels) {
-		e.cancels <- struct{}{}
-	}
+	e.cancelling.Wait()
 	e.transport.CloseIdleConnections()
 	return nil
 }
@@ -232,13 +233,13 @@
 		e.counters.cancelsSkipped.Add(1)
 		return
 	}
-	go func() {
+	e.cancelling.Go(func() {
 		defer func() { <-e.cancels }()
 		ctx, stop := context.WithTimeout(context.Background(), e.opts.CancelTimeout)
 		defer stop()
 		e.counters.cancels.Add(1)
 		_, _ = e.exchange(ctx, http.MethodDelete, target, streamPath(requestID), nil)
-	}()
+	})
 }
 
 func streamPath(requestID string) string {
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -287,6 +287,7 @@
 	_, err = stream.Next()
 	is.True(err != nil && err != io.EOF)
 	is.NoErr(c.Close())
+	is.NoErr(c.Close()) // closing again does no harm
 	a := standin.Arrival("r1")
 	is.Equal(a.Cancelled, 1)
 	is.Equal(a.Finished, 0)
