quota: limits over all hosts by leased slots of a limit, with loans

Cause: a limit over all hosts must hold without a coordinator on the request path and through outages of the table. Hosts spend from slots that they hold by the account's row, under one lease for each host. Load on the table and refusals while slots are free are measured next.

--- /dev/null
+++ b/quota/doc.go
@@ -0,0 +1,13 @@
+// Package quota limits each client account's requests over all hosts, without
+// a coordinator on the request path.
+//
+// An account's limit is cut into Slots equal slots. The row "quota/<account>"
+// of the platform's table says how many slots each host holds. A host spends
+// only what its slots give, from memory, and changes its holding in the
+// background as demand moves. Its holdings count while its own row,
+// "quotahost/<id>", is leased: the host counts its lease from before it began
+// to renew it, and others delete the row only after they saw it unchanged for
+// longer than the lease. Slots of a host without a row are free.
+//
+// Between table writes, hosts lend each other slots for seconds (Peers).
+package quota
--- /dev/null
+++ b/quota/table.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"context"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+func (l *Limiter) get(ctx context.Context, key string) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
+	defer cancel()
+	return l.opts.Table.Get(ctx, key)
+}
+
+func (l *Limiter) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var all []platform.Row
+	after := ""
+	for {
+		page, err := l.listPage(ctx, prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < listPage {
+			return all, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+func (l *Limiter) listPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
+	defer cancel()
+	return l.opts.Table.List(ctx, prefix, after, listPage)
+}
+
+func (l *Limiter) commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
+	defer cancel()
+	return l.opts.Table.Commit(ctx, txn)
+}
