entry: engines are ordered to drop withdrawn versions, under a lease

Cause: the freshness rule leaves a weak spot (a majority without the store goes on while a minority with it accepts a withdrawal). A second fence stands at the engines: one host at a time, under a lease, orders each engine that reports a withdrawn version to unload it. Engines that check fencing numbers refuse those of an earlier holder; for the others the holder waits out its predecessor and repeats the order while the version is reported. Ruled out: orders from every host (440 hosts times 12,000 engines), and a host set aside for them.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -20,6 +20,7 @@
 	"github.com/quetzalweir/quetzalweir/claim"
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
 	"github.com/quetzalweir/quetzalweir/platform"
@@ -69,6 +70,7 @@
 	cascade   *cascade.Learner
 	sampler   *sampler
 	evidence  *evidenceExchange
+	unloader  *unloader
 	departed  departures
 	// quotaCtx ends the limits' part before the others, at a planned stop.
 	quotaCtx  context.Context
@@ -185,6 +187,7 @@
 	h.handlePeers()
 	h.handleLoans()
 	h.evidence = newEvidenceExchange(h)
+	h.unloader = &unloader{host: h, manager: lease.New(lease.Options{Table: h.platform.Table})}
 	h.watchMembers()
 	h.registerGauges()
 	return nil
@@ -247,6 +250,7 @@
 	run("load", h.pollLoad)
 	run("evidence", h.evidence.run)
 	run("exposure", h.refill)
+	run("orders", h.unloader.run)
 	run("ratings", h.sampler.run)
 	run("custody", h.settleDown)
 }
