--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -346,6 +346,10 @@
 	return json.Unmarshal(body, into)
 }
 
+func decode(r io.Reader, into any) error {
+	return json.NewDecoder(r).Decode(into)
+}
+
 // fault sets the faults of a stand-in.
 func (s *system) fault(address string, faults any) {
 	s.t.Helper()
