rollout: test spans of 15 seconds to two minutes, and send ratings sparsely

Periods are 15 seconds long and the last 1, 2, 4 and 8 of them are tested, at an error probability of 1e-6 for each span, so a change shows in a short span and a small one in a long span.

Ruled out: a change detector on each host, since its state depends on the order of answers and can't be merged.

--- /dev/null
+++ b/rollout/bench_test.go
@@ -0,0 +1,52 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+)
+
+// peersEvidence is what the given number of hosts export of one version.
+func peersEvidence(n int) []Evidence {
+	var list []Evidence
+	clock := newClock()
+	for i := range n {
+		host := New(Options{Host: fmt.Sprint("host-", i), Clock: clock.Now, Granted: true})
+		host.SetVersions([]VersionRule{rule})
+		for range 20 {
+			host.Observe("m", "2", good)
+		}
+		list = append(list, host.Export()...)
+	}
+	return list
+}
+
+func BenchmarkTakeAndObserve(b *testing.B) {
+	tracker := newTracker("a", newClock(), rule)
+	for b.Loop() {
+		tracker.Take("m", "2")
+		tracker.Observe("m", "2", good)
+	}
+}
+
+func BenchmarkMerge(b *testing.B) {
+	for _, hosts := range []int{7, 440} {
+		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
+			tracker := newTracker("a", newClock(), rule)
+			tracker.Merge(peersEvidence(hosts))
+			news := peersEvidence(1)
+			for b.Loop() { // one peer has news
+				news[0].Total.Answers++
+				news[0].Segments[0].Counters.Answers++
+				tracker.Merge(news)
+			}
+		})
+	}
+}
+
+func BenchmarkExport440Hosts(b *testing.B) {
+	tracker := newTracker("a", newClock(), rule)
+	tracker.Merge(peersEvidence(440))
+	for b.Loop() {
+		tracker.Export()
+	}
+}
--- a/rollout/entry.go
+++ b/rollout/entry.go
@@ -6,10 +6,14 @@
 	// SegmentLength is the length of the periods that evidence is also
 	// counted by. Without them, a long good record would hide that a version
 	// turned bad.
-	SegmentLength = time.Minute
-	segmentsKept  = 2
+	SegmentLength = 15 * time.Second
+	segmentsKept  = 8
 )
 
+// spans are the numbers of periods, up to the present one, that are tested
+// together: short ones find a sudden change, long ones a small one.
+var spans = [...]int64{1, 2, 4, segmentsKept}
+
 // entry is the state of one version in one epoch. It is guarded by the lock
 // of its shard.
 type entry struct {
@@ -18,10 +22,10 @@
 	pacing   Pacing
 	own      Evidence
 	peers    map[string]*Evidence
-	// sum is the total of all hosts, recent that of the periods kept up to
-	// recentNumber.
+	// sum is the total of all hosts, recent that of each of the spans up to
+	// the period recentNumber.
 	sum          Counters
-	recent       Counters
+	recent       [len(spans)]Counters
 	recentNumber int64
 	// pending holds when the answers under way were taken, oldest first.
 	pending []time.Time
@@ -120,7 +124,9 @@
 		segment.add(delta)
 	}
 	if segmentNumber(now) == e.recentNumber {
-		e.recent.add(delta)
+		for i := range e.recent {
+			e.recent[i].add(delta)
+		}
 		return
 	}
 	e.sumRecent(now)
@@ -152,14 +158,16 @@
 	e.sumRecent(now)
 }
 
-// sumRecent adds up the present and the previous period of all hosts.
+// sumRecent adds up the spans over all hosts.
 func (e *entry) sumRecent(now time.Time) {
-	e.recent = Counters{}
 	e.recentNumber = segmentNumber(now)
-	oldest := e.recentNumber - segmentsKept + 1
-	addRecent(&e.recent, &e.own, oldest)
-	for _, p := range e.peers {
-		addRecent(&e.recent, p, oldest)
+	for i, span := range spans {
+		e.recent[i] = Counters{}
+		oldest := e.recentNumber - span + 1
+		addRecent(&e.recent[i], &e.own, oldest)
+		for _, p := range e.peers {
+			addRecent(&e.recent[i], p, oldest)
+		}
 	}
 }
 
@@ -175,9 +183,9 @@
 func (e *entry) verdict(now time.Time) (Stop, bool) {
 	counters := &e.sum
 	reason, strength, bad := e.criteria.violated(counters, e.criteria.confidence.FalseStop)
-	if !bad {
-		counters = &e.recent
-		reason, strength, bad = e.criteria.violated(counters, e.criteria.confidence.FalseStopSegment)
+	for i := 0; i < len(e.recent) && !bad; i++ {
+		counters = &e.recent[i]
+		reason, strength, bad = e.criteria.violated(counters, e.criteria.confidence.FalseStopSpan)
 	}
 	if !bad {
 		e.cleared = e.cleared || e.criteria.satisfied(&e.sum)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -9,10 +9,9 @@
 	Errors  uint64 `json:"errors,omitempty"`
 	// Timed counts the first tokens that were measured, Slow those above the
 	// limit.
-	Timed uint64 `json:"timed,omitempty"`
-	Slow  uint64 `json:"slow,omitempty"`
-	// Ratings counts ratings by bucket; it is nil or RatingBuckets long.
-	Ratings []uint64 `json:"ratings,omitempty"`
+	Timed   uint64  `json:"timed,omitempty"`
+	Slow    uint64  `json:"slow,omitempty"`
+	Ratings Ratings `json:"ratings,omitempty"`
 }
 
 // Segment holds the counters of one period of SegmentLength.
@@ -44,7 +43,7 @@
 	Returned uint64 `json:"returned,omitempty"`
 	// Denied counts answers refused because the host's part was spent.
 	Denied uint64 `json:"denied,omitempty"`
-	// Total covers the epoch, Segments its last two periods.
+	// Total covers the epoch, Segments its last periods.
 	Total    Counters  `json:"total"`
 	Segments []Segment `json:"segments,omitempty"`
 }
@@ -96,7 +95,7 @@
 		return
 	}
 	if c.Ratings == nil {
-		c.Ratings = make([]uint64, RatingBuckets)
+		c.Ratings = make(Ratings, RatingBuckets)
 	}
 	c.Ratings[bucket] += n
 }
@@ -111,7 +110,7 @@
 		return
 	}
 	if len(c.Ratings) != RatingBuckets {
-		c.Ratings = make([]uint64, RatingBuckets)
+		c.Ratings = make(Ratings, RatingBuckets)
 	}
 	for b, n := range d.Ratings {
 		c.Ratings[b] = max(c.Ratings[b], n)
@@ -120,7 +119,7 @@
 
 func (c *Counters) clone() Counters {
 	d := *c
-	d.Ratings = append([]uint64(nil), c.Ratings...)
+	d.Ratings = append(Ratings(nil), c.Ratings...)
 	return d
 }
 
@@ -178,7 +177,7 @@
 }
 
 // segment returns the counters of a period, made if needed, or nil if the
-// period is older than the two that are kept.
+// period is older than those that are kept.
 func (e *Evidence) segment(number int64) *Counters {
 	for i := range e.Segments {
 		if e.Segments[i].Number == number {
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -11,16 +11,16 @@
 	// FalseClear bounds the probability that a version outside a limit is
 	// cleared.
 	FalseClear float64
-	// FalseStopSegment bounds the probability that a version within its
-	// limits is stopped by the evidence of two adjoining periods.
-	FalseStopSegment float64
+	// FalseStopSpan bounds the probability that a version within its limits
+	// is stopped by the evidence of one span of adjoining periods.
+	FalseStopSpan float64
 }
 
 // Defaults of Confidence.
 const (
-	DefaultFalseStop        = 0.01
-	DefaultFalseClear       = 0.05
-	DefaultFalseStopSegment = 1e-5
+	DefaultFalseStop     = 0.01
+	DefaultFalseClear    = 0.05
+	DefaultFalseStopSpan = 1e-6
 )
 
 // MinErrorRate is the lowest limit of an error rate that is tested: below it
@@ -38,8 +38,8 @@
 	if c.FalseClear == 0 {
 		c.FalseClear = DefaultFalseClear
 	}
-	if c.FalseStopSegment == 0 {
-		c.FalseStopSegment = DefaultFalseStopSegment
+	if c.FalseStopSpan == 0 {
+		c.FalseStopSpan = DefaultFalseStopSpan
 	}
 	return c
 }
--- a/rollout/sequential_test.go
+++ b/rollout/sequential_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"encoding/json"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -93,3 +94,17 @@
 		}
 	})
 }
+
+func TestEvidenceTravelsAsJSON(t *testing.T) {
+	is := is.New(t)
+	evidence := peersEvidence(1)
+	data, err := json.Marshal(evidence)
+	is.NoErr(err)
+	t.Logf("%d bytes a record with one period", len(data))
+	var decoded []Evidence
+	is.NoErr(json.Unmarshal(data, &decoded))
+	is.Equal(decoded, evidence)
+	var ratings Ratings
+	is.True(ratings.UnmarshalJSON([]byte("[1]")) != nil)
+	is.NoErr(ratings.UnmarshalJSON([]byte("[999,1]"))) // out of range is dropped
+}
