--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,211 @@
+package lease_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/lease"
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+const (
+	ttl    = 10 * time.Second
+	usable = 9 * time.Second
+	name   = "pool/report"
+)
+
+// pair is two managers on one table.
+type pair struct {
+	table *faulty.Table
+	a, b  *lease.Manager
+}
+
+func newPair() pair {
+	table := faulty.New(memory.New())
+	return pair{
+		table: table,
+		a:     lease.New(lease.Options{Table: table}),
+		b:     lease.New(lease.Options{Table: table}),
+	}
+}
+
+func (p pair) acquireA(t *testing.T) *lease.Lease {
+	l, err := p.a.Acquire(t.Context(), name, "host-a", ttl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// heldFor returns how long b has to wait; zero if it got the lease.
+func (p pair) heldFor(t *testing.T) time.Duration {
+	_, err := p.b.Acquire(t.Context(), name, "host-b", ttl)
+	var held *lease.HeldError
+	if errors.As(err, &held) {
+		return held.Wait
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return 0
+}
+
+// TestValidity checks how long a lease is valid and when another may have it.
+func TestValidity(t *testing.T) {
+	tests := []struct {
+		desc string
+		// act runs after a acquired the lease and b saw it held.
+		act   func(t *testing.T, p pair, l *lease.Lease)
+		valid bool
+		wait  time.Duration
+	}{
+		{"at once", func(*testing.T, pair, *lease.Lease) {}, true, ttl},
+		{"just before the margin", func(*testing.T, pair, *lease.Lease) {
+			time.Sleep(usable - 1)
+		}, true, time.Second + 1},
+		{"within the margin", func(*testing.T, pair, *lease.Lease) {
+			time.Sleep(usable)
+		}, false, time.Second},
+		{"after the TTL", func(*testing.T, pair, *lease.Lease) {
+			time.Sleep(ttl)
+		}, false, 0},
+		{"renewed", func(t *testing.T, _ pair, l *lease.Lease) {
+			time.Sleep(5 * time.Second)
+			is.New(t).NoErr(l.Renew(t.Context()))
+			time.Sleep(5 * time.Second)
+		}, true, ttl},
+		{"renewed too late", func(t *testing.T, _ pair, l *lease.Lease) {
+			time.Sleep(usable)
+			is.New(t).True(errors.Is(l.Renew(t.Context()), lease.ErrLapsed))
+		}, false, time.Second},
+		{"released", func(t *testing.T, _ pair, l *lease.Lease) {
+			is.New(t).NoErr(l.Release(t.Context()))
+		}, false, 0},
+		{"renewal's answer lost", func(t *testing.T, p pair, l *lease.Lease) {
+			time.Sleep(8 * time.Second)
+			p.table.LoseNext(1)
+			is.New(t).NoErr(l.Renew(t.Context()))
+			time.Sleep(8 * time.Second)
+		}, true, ttl},
+		{"renewal lost", func(t *testing.T, p pair, l *lease.Lease) {
+			time.Sleep(8 * time.Second)
+			p.table.DropNext(1)
+			is.New(t).True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown))
+			time.Sleep(time.Second)
+		}, false, time.Second},
+		{"renewal's answer comes after the lapse", func(t *testing.T, p pair, l *lease.Lease) {
+			time.Sleep(8 * time.Second)
+			p.table.SetDelay(2 * time.Second)
+			is.New(t).True(errors.Is(l.Renew(t.Context()), lease.ErrLapsed))
+			p.table.Heal()
+		}, false, ttl},
+		{"time counts from the renewal's start", func(t *testing.T, p pair, l *lease.Lease) {
+			p.table.SetDelay(4 * time.Second)
+			is.New(t).NoErr(l.Renew(t.Context()))
+			p.table.Heal()
+			time.Sleep(5 * time.Second)
+		}, false, ttl},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPair()
+				l := p.acquireA(t)
+				is.Equal(p.heldFor(t), ttl)
+				tt.act(t, p, l)
+				is.Equal(l.Valid(), tt.valid)
+				is.Equal(p.heldFor(t), tt.wait)
+			})
+		})
+	}
+}
+
+// TestLateRenewalIsNotCreditedAsANewerOne has renewal 1 arrive while renewal 2,
+// which is lost, is being settled. Contenders count from the arrival of
+// renewal 1, so the holder must not count from the start of renewal 2.
+func TestLateRenewalIsNotCreditedAsANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair()
+		l := p.acquireA(t)
+		p.table.DelayNext(1, time.Second)
+		is.True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown)) // renewal 1
+		time.Sleep(6 * time.Second)
+		p.table.DropNext(1)
+		is.True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown)) // renewal 2
+		is.Equal(l.Remaining(), usable-6*time.Second)
+		is.NoErr(l.Renew(t.Context())) // renewal 3 passes over the late one
+		is.Equal(l.Remaining(), usable)
+	})
+}
+
+func TestLateAcquisitionBlocksForOneTTLOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair()
+		p.table.DelayNext(1, time.Second)
+		_, err := p.a.Acquire(t.Context(), name, "host-a", ttl)
+		is.True(errors.Is(err, platform.ErrUnknown))
+		time.Sleep(2 * time.Second)
+		is.Equal(p.heldFor(t), ttl)
+		time.Sleep(ttl)
+		l, err := p.b.Acquire(t.Context(), name, "host-b", ttl)
+		is.NoErr(err)
+		is.Equal(l.Fencing(), uint64(2))
+	})
+}
+
+func TestKeep(t *testing.T) {
+	tests := []struct {
+		desc string
+		// outage is how long the table is down, from 10 s after the start.
+		outage time.Duration
+		want   error
+	}{
+		{"no outage", 0, nil},
+		{"outage shorter than the lease", 5 * time.Second, nil},
+		{"outage longer than the lease", 20 * time.Second, lease.ErrLapsed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPair()
+				l := p.acquireA(t)
+				ended := make(chan error, 1)
+				go func() { ended <- l.Keep(t.Context()) }()
+				time.Sleep(10 * time.Second)
+				p.table.SetDown(true)
+				time.Sleep(tt.outage)
+				p.table.Heal()
+				time.Sleep(time.Minute)
+				is.Equal(l.Valid(), tt.want == nil)
+				if tt.want != nil {
+					is.Equal(<-ended, tt.want)
+				}
+			})
+		})
+	}
+}
+
+func TestSuspendedMonotonicClock(t *testing.T) {
+	is := is.New(t)
+	// The wall clock goes on by an hour while the monotonic one stands still.
+	start := time.Now()
+	now := start
+	m := lease.New(lease.Options{Table: memory.New(), Clock: func() time.Time { return now }})
+	l, err := m.Acquire(t.Context(), name, "host-a", ttl)
+	is.NoErr(err)
+	is.True(l.Valid())
+	now = start.Round(0).Add(time.Hour)
+	is.True(!l.Valid())
+	now = start
+	is.True(!l.Valid()) // it stays lapsed
+}
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,45 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// rowPrefix is the prefix of all lease rows.
+const rowPrefix = "lease/"
+
+// record is the value of a lease's row. Rows are never deleted, since the next
+// fencing number is derived from the last one.
+type record struct {
+	Holder string `json:"holder"`
+	// Token identifies the acquisition.
+	Token string `json:"token"`
+	// Renewal numbers the writes of one acquisition, from 0. It tells a late
+	// renewal from the one that is being settled.
+	Renewal uint64 `json:"renewal"`
+	Fencing uint64 `json:"fencing"`
+	// TTL is how long contenders wait after they saw the row, in nanoseconds.
+	TTL      time.Duration `json:"ttl_ns"`
+	Released bool          `json:"released,omitempty"`
+}
+
+func (r record) isSameWrite(other record) bool {
+	return r.Token == other.Token && r.Renewal == other.Renewal && r.Released == other.Released
+}
+
+func (r record) encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("lease: encode row: %w", err)
+	}
+	return data, nil
+}
+
+func decodeRecord(data []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return record{}, fmt.Errorf("lease: decode row: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/lease/rows.go
@@ -0,0 +1,56 @@
+package lease
+
+import (
+	"context"
+	"errors"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// row is a lease's row as read; version zero means that it's absent.
+type row struct {
+	record
+	version uint64
+}
+
+// rows reads and writes lease rows.
+type rows struct {
+	table platform.Table
+}
+
+func (r rows) read(ctx context.Context, name string) (row, error) {
+	found, err := r.table.Get(ctx, rowPrefix+name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return row{}, nil
+	}
+	if err != nil {
+		return row{}, err
+	}
+	rec, err := decodeRecord(found.Value)
+	return row{record: rec, version: found.Version}, err
+}
+
+// write puts rec if the row has the version. A commit whose outcome is unknown
+// is settled by reading the row back.
+func (r rows) write(ctx context.Context, name string, rec record, version uint64) (uint64, error) {
+	value, err := rec.encode()
+	if err != nil {
+		return 0, err
+	}
+	key := rowPrefix + name
+	revision, err := r.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: version}},
+		Puts:       []platform.Put{{Key: key, Value: value}},
+	})
+	if err == nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) {
+		return revision, err
+	}
+	found, readErr := r.read(ctx, name)
+	if readErr != nil {
+		return 0, err
+	}
+	if found.isSameWrite(rec) {
+		return found.version, nil
+	}
+	return 0, err
+}
