--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,6 +30,7 @@
 	Trace    traceCmd    `cmd:"" help:"Follow a manifest to its outcomes, or a request to its manifest."`
 	Hosts    hostsCmd    `cmd:"" help:"List entry hosts and upstreams as one host sees them."`
 	Leaving  leavingCmd  `cmd:"" help:"Take an upstream out of service on all hosts."`
+	Stops    stopsCmd    `cmd:"" help:"List the versions that the hosts stopped by their own evidence."`
 	Codes    codesCmd    `cmd:"" help:"List the result codes."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 	Dev      devCmd      `cmd:"" help:"Run everything in one process, with stand-ins and a sample manifest."`
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -68,7 +68,12 @@
 
 // run exchanges evidence until ctx ends.
 func (e *evidenceExchange) run(ctx context.Context) error {
+	loaded := false
 	return every(ctx, exchangeInterval, func() {
+		if !loaded {
+			loaded = e.load(ctx) == nil
+			e.host.sawStops.Store(true)
+		}
 		e.tell(ctx)
 		e.store(ctx)
 	})
@@ -138,8 +143,11 @@
 	return err
 }
 
-// load adopts the stops that are in the table.
+// load adopts the stops that are in the table. The host isn't ready before the
+// first attempt, which may fail: then its peers tell it.
 func (e *evidenceExchange) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
 	rows, err := e.host.platform.Table.List(ctx, stopPrefix, "", maxStops)
 	if err != nil {
 		return err
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -86,9 +86,11 @@
 	unready atomic.Bool
 	// sawUpstreams is set after the first host list and its load reports.
 	sawUpstreams atomic.Bool
-	stopping     atomic.Bool
-	callers      net.Listener
-	operators    net.Listener
+	// sawStops is set after the first look for stopped versions.
+	sawStops  atomic.Bool
+	stopping  atomic.Bool
+	callers   net.Listener
+	operators net.Listener
 }
 
 const (
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -151,8 +151,8 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
 	}
-	if !h.sawUpstreams.Load() {
-		http.Error(w, "no host list yet", http.StatusServiceUnavailable)
+	if !h.sawUpstreams.Load() || !h.sawStops.Load() {
+		http.Error(w, "starting", http.StatusServiceUnavailable)
 		return
 	}
 	if _, err := currentPolicy(h.watcher); err != nil {
