logline: events become pairs without reflection

Cause: of 1,395 allocations in the benchmark of a whole request, 28 % were ConsoleWriter's, which decodes each event into a map and sorts it; a request writes three lines. jsonparser, which the module has already, walks the event once; pairs now stand in the order of the event, behind time, level, message. Ruled out: asking zerolog for CBOR (needs a build tag), and a logger of our own (the house names zerolog). Stricter than before: a value with = is quoted, an empty one is "", a key can't hold a space or =.

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -3,7 +3,6 @@
 package logline
 
 import (
-	"fmt"
 	"io"
 	"time"
 
@@ -14,25 +13,5 @@
 // concurrent use where w is.
 func New(w io.Writer, least zerolog.Level) zerolog.Logger {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(keyValueWriter(w)).Level(least).With().Timestamp().Logger()
-}
-
-// keyValueWriter turns zerolog's events into key=value lines. Values with
-// spaces, quotes or control characters are quoted.
-func keyValueWriter(w io.Writer) io.Writer {
-	return zerolog.ConsoleWriter{
-		Out:             w,
-		NoColor:         true,
-		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
-		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%s", v) },
-		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%s", v) },
-		FormatMessage:   formatMessage,
-	}
-}
-
-func formatMessage(v any) string {
-	if v == nil || v == "" {
-		return ""
-	}
-	return fmt.Sprintf("message=%q", v)
+	return zerolog.New(&pairWriter{out: w}).Level(least).With().Timestamp().Logger()
 }
