--- /dev/null
+++ b/claim/model_test.go
@@ -0,0 +1,244 @@
+package claim_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+)
+
+// action is what an operation of a history does.
+type action int
+
+const (
+	// actAcquire is a call of Acquire.
+	actAcquire action = iota
+	// actRun is the fake upstream carrying the request out.
+	actRun
+	// actFinish, actMayHaveRun and actRelease are calls of the Claim's methods.
+	actFinish
+	actMayHaveRun
+	actRelease
+	// actFlush is a successful Flush of the owner's host.
+	actFlush
+)
+
+// operation is one operation of a history on one key.
+type operation struct {
+	action action
+	// request is the request that acts.
+	request string
+	// told is what Acquire said: see describe.
+	told string
+	// about is the request that the answer is about.
+	about string
+	// body is the answer given to Finish or got from Acquire.
+	body []byte
+	// pending says that a method of Claim returned ErrPending.
+	pending bool
+	// ghost says that about never ran and its row may linger: its Acquire
+	// gave no claim, or its Release is pending.
+	ghost bool
+	// fromOwner says that Acquire was asked on the host of about.
+	fromOwner bool
+}
+
+// phase is where the model's key stands.
+type phase int
+
+const (
+	free phase = iota
+	claimed
+	ran
+	done
+	mayHave
+)
+
+// keyState is the model's state of one key.
+type keyState struct {
+	phase phase
+	owner string
+	body  string
+	// durable says that the outcome is known to be in the table, so that no
+	// host may answer less.
+	durable bool
+}
+
+// model is the specification of a key: one owner at a time, one run, the whole
+// answer of that run, and no answer that claims less than what is recorded.
+var model = porcupine.Model{
+	Init:  func() any { return keyState{} },
+	Equal: func(a, b any) bool { return a == b },
+	Step: func(state, input, _ any) (bool, any) {
+		return step(state.(keyState), input.(operation))
+	},
+	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
+}
+
+func step(s keyState, op operation) (bool, keyState) {
+	mine := s.owner == op.request
+	switch op.action {
+	case actAcquire:
+		return stepAcquire(s, op)
+	case actRun:
+		s, was := s, s.phase
+		s.phase = ran
+		return mine && was == claimed, s
+	case actFinish:
+		next := keyState{phase: done, owner: op.request, body: string(op.body), durable: !op.pending}
+		return mine && s.phase == ran, next
+	case actMayHaveRun:
+		next := keyState{phase: mayHave, owner: op.request, durable: !op.pending}
+		return mine && (s.phase == ran || s.phase == claimed), next
+	case actRelease:
+		return mine && s.phase == claimed, keyState{}
+	default:
+		s.durable = s.durable || mine
+		return true, s
+	}
+}
+
+func stepAcquire(s keyState, op operation) (bool, keyState) {
+	about := s.owner == op.about
+	switch op.told {
+	case "claimed":
+		return s.phase == free, keyState{phase: claimed, owner: op.request}
+	case "done":
+		// The owner's host answers from memory; from elsewhere the answer
+		// shows that the table has it.
+		same := s.phase == done && about && s.body == string(op.body)
+		s.durable = s.durable || !op.fromOwner
+		return same, s
+	case "in flight":
+		// The owner's host may say so of a request that is still asking for its
+		// claim, or whose release it hasn't recorded.
+		if op.about == "" || op.ghost && op.fromOwner {
+			return true, s
+		}
+		return stepOpen(s, op, about), s
+	case "may have run":
+		return s.phase == mayHave && about || stepOpen(s, op, about), s
+	default:
+		return op.told == "unavailable", s
+	}
+}
+
+// stepOpen reports whether the outcome of the request that op is about may be
+// unknown to the host that answers.
+func stepOpen(s keyState, op operation, about bool) bool {
+	if s.phase == free {
+		return op.ghost
+	}
+	return about && !s.durable
+}
+
+// recorder collects the history of one key and counts its runs. Its clock is
+// a counter, as times in a synctest bubble are often equal.
+type recorder struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+	runs  int
+	// hosts are the hosts that the requests arrived at.
+	hosts map[string]int
+	// ghosts are the requests that never ran and whose rows may linger.
+	ghosts map[string]bool
+}
+
+func newRecorder() *recorder {
+	return &recorder{hosts: make(map[string]int), ghosts: make(map[string]bool)}
+}
+
+// call notes the start of an operation. An operation that never returns stays
+// out of the history unless it is finished by end.
+func (r *recorder) call() int64 { return r.clock.Add(1) }
+
+func (r *recorder) end(client int, call int64, op operation) {
+	back := r.clock.Add(1)
+	r.add(client, call, back, op)
+}
+
+func (r *recorder) add(client int, call, back int64, op operation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Return: back})
+	if op.action == actRun {
+		r.runs++
+	}
+}
+
+func (r *recorder) arrive(request string, host int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts[request] = host
+	r.ghosts[request] = true // until it gets a claim
+}
+
+func (r *recorder) setGhost(request string, ghost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ghosts[request] = ghost
+}
+
+// history returns the operations with what is only known at the end.
+func (r *recorder) history() []porcupine.Operation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.ops {
+		op := r.ops[i].Input.(operation)
+		op.ghost = r.ghosts[op.about]
+		op.fromOwner = r.hosts[op.about] == r.hosts[op.request]
+		r.ops[i].Input = op
+	}
+	return r.ops
+}
+
+func TestModelRejectsBadHistories(t *testing.T) {
+	acquire := func(request, told, about string) operation {
+		return operation{action: actAcquire, request: request, told: told, about: about}
+	}
+	run := func(request string) operation { return operation{action: actRun, request: request} }
+	finish := func(request, body string) operation {
+		return operation{action: actFinish, request: request, body: []byte(body)}
+	}
+	repeat := func(request, about, body string) operation {
+		op := acquire(request, "done", about)
+		op.body = bytes.Clone([]byte(body))
+		return op
+	}
+	lost := operation{action: actMayHaveRun, request: "1"}
+	release := operation{action: actRelease, request: "1"}
+	pending := operation{action: actFinish, request: "1", body: []byte("a"), pending: true}
+	tests := []struct {
+		desc string
+		ops  []operation
+		want bool
+	}{
+		{"run, finish, repeat", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), repeat("2", "1", "a")}, true},
+		{"released and claimed again", []operation{acquire("1", "claimed", ""), release, acquire("2", "claimed", ""), run("2")}, true},
+		{"in flight while the outcome is pending", []operation{acquire("1", "claimed", ""), run("1"), pending, acquire("2", "in flight", "1")}, true},
+		{"claimed twice", []operation{acquire("1", "claimed", ""), acquire("2", "claimed", "")}, false},
+		{"run twice by one", []operation{acquire("1", "claimed", ""), run("1"), run("1")}, false},
+		{"run without a claim", []operation{acquire("1", "unavailable", ""), run("1")}, false},
+		{"claimed again after a run", []operation{acquire("1", "claimed", ""), run("1"), lost, acquire("2", "claimed", "")}, false},
+		{"part of the answer", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "ab"), repeat("2", "1", "a")}, false},
+		{"another's answer", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), repeat("2", "3", "a")}, false},
+		{"in flight after it was finished", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), acquire("2", "in flight", "1")}, false},
+		{"done after its outcome was given up", []operation{acquire("1", "claimed", ""), run("1"), lost, repeat("2", "1", "a")}, false},
+		{"in flight though nobody has it", []operation{acquire("2", "in flight", "1")}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			rec := newRecorder()
+			for client, op := range tt.ops {
+				rec.end(client, rec.call(), op)
+			}
+			rec.hosts = map[string]int{"1": 1, "2": 2, "3": 3}
+			is.New(t).Equal(porcupine.CheckOperations(model, rec.history()), tt.want)
+		})
+	}
+}
