entry: the bound on a write starts anew with each write

Cause: reading net/http for what a keep-alive connection keeps: the write deadline of a streamed answer stayed on the connection, so an answer more than 30 s after it would have been cut. Whole answers and refusals had no bound at all. Every write to a caller now goes through one writer that moves the deadline; the bound is a setting. Ruled out: the server WriteTimeout, which bounds a whole answer and so would cut long streams.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -19,28 +19,29 @@
 )
 
 type serveCmd struct {
-	ID             string        `help:"This host's id, different from all others."`
-	Zone           string        `help:"This host's availability zone."`
-	Callers        string        `help:"IP and port for callers." default:"127.0.0.1:8080"`
-	Operators      string        `help:"IP and port for operators, readiness and metrics." default:"127.0.0.1:8081"`
-	Peers          string        `help:"IP and port for other entry hosts." default:"127.0.0.1:8082"`
-	AdvertisePeers string        `help:"Address under which other entry hosts reach this one; default: --peers."`
-	Seeds          []string      `help:"Peer addresses of other hosts, to start by while the table is down."`
-	Platform       string        `help:"URL of the platform's service." default:"http://127.0.0.1:7000"`
-	SessionKeys    string        `help:"Keys of session tokens, id:hex,id:hex; the first signs, all verify."`
-	PeerKeys       string        `help:"Keys between entry hosts, id:hex,id:hex; the first is offered, all are accepted."`
-	OperatorKeys   string        `help:"Keys of the operators' address, comma separated."`
-	MaxBody        int64         `help:"Largest body of a request, in bytes." default:"8388608"`
-	Capacity       int           `help:"Requests run at once." default:"1024"`
-	MaxQueue       int           `help:"Requests that wait at most." default:"4096"`
-	FreshnessBound time.Duration `help:"How old the word of the manifest in force may be." default:"5s"`
-	PollHead       time.Duration `help:"How often the manifest's head is read." default:"1s"`
-	PollHosts      time.Duration `help:"How often the platform's host list is read." default:"1s"`
-	PollLoad       time.Duration `help:"How often an upstream is asked for its load." default:"500ms"`
-	BalancerLag    time.Duration `help:"How long the balancer may go on sending after readiness is off." default:"3s"`
-	StopTimeout    time.Duration `help:"Longest planned stop." default:"10m"`
-	LogLevel       string        `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
-	PrintSettings  bool          `help:"Print the settings in effect, keys masked, and exit." env:"-"`
+	ID                 string        `help:"This host's id, different from all others."`
+	Zone               string        `help:"This host's availability zone."`
+	Callers            string        `help:"IP and port for callers." default:"127.0.0.1:8080"`
+	Operators          string        `help:"IP and port for operators, readiness and metrics." default:"127.0.0.1:8081"`
+	Peers              string        `help:"IP and port for other entry hosts." default:"127.0.0.1:8082"`
+	AdvertisePeers     string        `help:"Address under which other entry hosts reach this one; default: --peers."`
+	Seeds              []string      `help:"Peer addresses of other hosts, to start by while the table is down."`
+	Platform           string        `help:"URL of the platform's service." default:"http://127.0.0.1:7000"`
+	SessionKeys        string        `help:"Keys of session tokens, id:hex,id:hex; the first signs, all verify."`
+	PeerKeys           string        `help:"Keys between entry hosts, id:hex,id:hex; the first is offered, all are accepted."`
+	OperatorKeys       string        `help:"Keys of the operators' address, comma separated."`
+	MaxBody            int64         `help:"Largest body of a request, in bytes." default:"8388608"`
+	Capacity           int           `help:"Requests run at once." default:"1024"`
+	MaxQueue           int           `help:"Requests that wait at most." default:"4096"`
+	FreshnessBound     time.Duration `help:"How old the word of the manifest in force may be." default:"5s"`
+	PollHead           time.Duration `help:"How often the manifest's head is read." default:"1s"`
+	PollHosts          time.Duration `help:"How often the platform's host list is read." default:"1s"`
+	PollLoad           time.Duration `help:"How often an upstream is asked for its load." default:"500ms"`
+	CallerWriteTimeout time.Duration `help:"Longest write to a caller that reads slowly." default:"30s"`
+	BalancerLag        time.Duration `help:"How long the balancer may go on sending after readiness is off." default:"3s"`
+	StopTimeout        time.Duration `help:"Longest planned stop." default:"10m"`
+	LogLevel           string        `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
+	PrintSettings      bool          `help:"Print the settings in effect, keys masked, and exit." env:"-"`
 }
 
 // Run implements the command.
@@ -77,25 +78,26 @@
 	sessionKeys, sessionErr := parseKeys("session-keys", c.SessionKeys)
 	peerKeys, peerErr := parseKeys("peer-keys", c.PeerKeys)
 	settings := entry.Settings{
-		ID:             c.ID,
-		Zone:           c.Zone,
-		Callers:        c.Callers,
-		Operators:      c.Operators,
-		Peers:          c.Peers,
-		AdvertisePeers: c.AdvertisePeers,
-		Seeds:          c.Seeds,
-		MaxBody:        c.MaxBody,
-		Capacity:       c.Capacity,
-		MaxQueue:       c.MaxQueue,
-		SessionKeys:    sessionKeys,
-		PeerKeys:       toPeerKeys(peerKeys),
-		OperatorKeys:   splitKeys(c.OperatorKeys),
-		FreshnessBound: c.FreshnessBound,
-		PollHead:       c.PollHead,
-		PollHosts:      c.PollHosts,
-		PollLoad:       c.PollLoad,
-		BalancerLag:    c.BalancerLag,
-		StopTimeout:    c.StopTimeout,
+		ID:                 c.ID,
+		Zone:               c.Zone,
+		Callers:            c.Callers,
+		Operators:          c.Operators,
+		Peers:              c.Peers,
+		AdvertisePeers:     c.AdvertisePeers,
+		Seeds:              c.Seeds,
+		MaxBody:            c.MaxBody,
+		Capacity:           c.Capacity,
+		MaxQueue:           c.MaxQueue,
+		SessionKeys:        sessionKeys,
+		PeerKeys:           toPeerKeys(peerKeys),
+		OperatorKeys:       splitKeys(c.OperatorKeys),
+		FreshnessBound:     c.FreshnessBound,
+		PollHead:           c.PollHead,
+		PollHosts:          c.PollHosts,
+		PollLoad:           c.PollLoad,
+		BalancerLag:        c.BalancerLag,
+		CallerWriteTimeout: c.CallerWriteTimeout,
+		StopTimeout:        c.StopTimeout,
 	}
 	err := errors.Join(sessionErr, peerErr, checkURL("platform", c.Platform), settings.Validate())
 	if err != nil {
@@ -161,6 +163,7 @@
 		{"poll-head", s.PollHead},
 		{"poll-hosts", s.PollHosts},
 		{"poll-load", s.PollLoad},
+		{"caller-write-timeout", s.CallerWriteTimeout},
 		{"balancer-lag", s.BalancerLag},
 		{"stop-timeout", s.StopTimeout},
 		{"log-level", c.LogLevel},
--- a/internal/entry/chatsink.go
+++ b/internal/entry/chatsink.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -20,9 +19,6 @@
 // outcomeTrailers announces the trailers of a streamed answer.
 const outcomeTrailers = headerRunState + ", " + headerResultCode
 
-// callerWriteTimeout bounds one write to a caller that reads slowly.
-const callerWriteTimeout = 30 * time.Second
-
 // chatSink writes a chat answer: frame by frame when the caller asked for a
 // stream, else whole at the end.
 type chatSink struct {
@@ -70,9 +66,6 @@
 }
 
 func (s *chatSink) write(p []byte) error {
-	if err := s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-		return err
-	}
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
@@ -20,21 +21,56 @@
 // serve takes one request through the pipeline.
 func (h *Host) serve(front Frontend) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r, err := front.Decode(w, req)
+		caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
+		r, err := front.Decode(caller, req)
 		if err == nil {
 			err = h.run(req.Context(), r)
 		} else {
 			h.countUndecoded(r, err)
 		}
-		front.Finish(w, r, err)
+		front.Finish(caller, r, err)
 	})
 }
 
 func (h *Host) unknownRoute(w http.ResponseWriter, req *http.Request) {
+	caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
 	r, _ := newRequest(req, KindModel)
 	err := resultcode.New(resultcode.UnknownRoute, "no such path: %s", req.URL.Path)
 	h.countUndecoded(r, err)
-	writeRefusal(w, r, err)
+	writeRefusal(caller, r, err)
+}
+
+// callerWriter bounds each write to the caller. The bound starts anew with each
+// write: without that, the one of an earlier answer on the same connection would
+// end a later one.
+type callerWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+func newCallerWriter(w http.ResponseWriter, timeout time.Duration) *callerWriter {
+	return &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: timeout}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callerWriter) WriteHeader(status int) {
+	w.extend()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *callerWriter) Write(p []byte) (int, error) {
+	w.extend()
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError implements the interface that http.ResponseController looks for.
+func (w *callerWriter) FlushError() error { return w.control.Flush() }
+
+// extend moves the deadline. A connection that has none is written to without.
+func (w *callerWriter) extend() {
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
 }
 
 // countUndecoded counts a refusal that didn't reach the pipeline.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -51,6 +51,9 @@
 	// PollLoad is how often each upstream in reach is asked for its load.
 	// Default 500 ms.
 	PollLoad time.Duration
+	// CallerWriteTimeout bounds one write to a caller that reads slowly.
+	// Default 30 s.
+	CallerWriteTimeout time.Duration
 	// BalancerLag is how long the balancer may go on sending after the host
 	// said that it isn't ready. Default 3 s.
 	BalancerLag time.Duration
@@ -70,6 +73,8 @@
 	DefaultPollLoad       = 500 * time.Millisecond
 	DefaultBalancerLag    = 3 * time.Second
 	DefaultStopTimeout    = 10 * time.Minute
+
+	DefaultCallerWriteTimeout = 30 * time.Second
 )
 
 // Provision fills in the defaults of fields that are zero.
@@ -82,6 +87,7 @@
 	setDefault(&s.PollHosts, DefaultPollHosts)
 	setDefault(&s.PollLoad, DefaultPollLoad)
 	setDefault(&s.StopTimeout, DefaultStopTimeout)
+	setDefault(&s.CallerWriteTimeout, DefaultCallerWriteTimeout)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -107,6 +113,7 @@
 		positive("poll-head", int64(s.PollHead)),
 		positive("poll-hosts", int64(s.PollHosts)),
 		positive("poll-load", int64(s.PollLoad)),
+		positive("caller-write-timeout", int64(s.CallerWriteTimeout)),
 		positive("stop-timeout", int64(s.StopTimeout)),
 		present("session-keys", len(s.SessionKeys)),
 		present("peer-keys", len(s.PeerKeys)),
