--- /dev/null
+++ b/history/atmostonce.go
@@ -0,0 +1,23 @@
+package history
+
+import "fmt"
+
+// AtMostOnce checks that upstreams ran each request that isn't idempotent at
+// most once, counting all requests with one account and key as one.
+func AtMostOnce(events []Event) []Violation {
+	byID, _ := requests(events)
+	runs := make(map[string]int)
+	var found []Violation
+	for _, e := range events {
+		r := byID[e.RequestID]
+		if e.Kind != UpstreamRan || r == nil || r.sent.Idempotent {
+			continue
+		}
+		id := r.billID()
+		runs[id]++
+		if runs[id] > 1 {
+			found = append(found, Violation{RuleAtMostOnce, e, fmt.Sprintf("%q: run %d", id, runs[id])})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/history/recorder.go
@@ -0,0 +1,37 @@
+package history
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Recorder collects the events of a run. It is safe for concurrent use.
+type Recorder struct {
+	start time.Time
+
+	mu     sync.Mutex
+	events []Event
+}
+
+// NewRecorder returns a Recorder whose time starts now.
+func NewRecorder() *Recorder {
+	return &Recorder{start: time.Now()}
+}
+
+// Add records an event with its place and time. The time is read under the
+// lock, from the monotonic clock, so it rises with the place.
+func (r *Recorder) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Seq = uint64(len(r.events)) + 1
+	e.At = time.Since(r.start)
+	r.events = append(r.events, e)
+}
+
+// Events returns the events so far.
+func (r *Recorder) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.events)
+}
