entry: what a replaced host had in flight is settled for repeats

Cause: claims named their owner by the host's id, and a host that is killed and replaced keeps its id. The other hosts saw the owner alive, so a repeat of a bid that the killed process had in flight was told 5002 "is being run, come back in 1 s" without end; only the fresh host itself gave the definite 5003. Nothing ran twice.

A claim in flight whose owner's id belongs to another process now is not running. Ruled out: the member's incarnation number, which also rises after a freeze, so it doesn't name a process; asking the owner on each repeat, which costs a call on the request path. A wrong word changes what a repeat is told, never what is run.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -72,6 +72,7 @@
 	evidence  *evidenceExchange
 	unloader  *unloader
 	departed  departures
+	processes processes
 	// quotaCtx ends the limits' part before the others, at a planned stop.
 	quotaCtx  context.Context
 	endQuota  context.CancelFunc
@@ -165,8 +166,8 @@
 	h.claims = claim.New(claim.Options{
 		Table:   h.committer,
 		Objects: h.platform.Objects,
-		Host:    s.ID,
-		Alive:   &liveness{members: h.members},
+		Host:    h.incarnation,
+		Alive:   &liveness{members: h.members, processes: &h.processes},
 	})
 	h.ledger = ledger.New(ledger.Options{
 		Table:   h.platform.Table,
@@ -244,6 +245,7 @@
 	}
 	run("peers", h.peerSrv.Serve)
 	run("membership", h.members.Run)
+	run("process", h.announceProcess)
 	run("manifest", h.watcher.Run)
 	run("claims", h.claims.Run)
 	run("ledger", h.ledger.Run)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -74,6 +74,7 @@
 		}
 	})
 	h.members.Watch(factLeaving, h.adoptLeaving)
+	h.members.Watch(factProcess, h.processes.adopt)
 }
 
 // announce tells the other hosts of an accepted manifest.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -224,14 +224,3 @@
 	}
 	return p.host.peers.Call(ctx, m.PeerAddr, methodDrop, dropParams{Owner: owner, UpTo: upTo}, nil)
 }
-
-// liveness tells claims whether the host that owns one may still be running.
-type liveness struct {
-	members *membership.Membership
-}
-
-// Alive implements claim.Liveness.
-func (l *liveness) Alive(host string) bool {
-	m, ok := l.members.Lookup(host)
-	return ok && m.State != membership.Down
-}
