--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -417,7 +417,12 @@
 
 // send sends a call to a host. An error means that no whole answer came.
 func (c call) send(h *entryHost) (answer, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+c.path, strings.NewReader(c.body))
+	return c.sendContext(context.Background(), h)
+}
+
+// sendContext is send for a caller that leaves when ctx ends.
+func (c call) sendContext(ctx context.Context, h *entryHost) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callers+c.path, strings.NewReader(c.body))
 	if err != nil {
 		return answer{}, err
 	}
