--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -80,7 +80,9 @@
 	// Replayed says that the answer is an earlier one with the same key.
 	Replayed bool
 
-	state runstate.Tracker
+	// prefix holds the hashes of the prompt's blocks, once they are needed.
+	prefix []uint64
+	state  runstate.Tracker
 	// keyOpen is true while an earlier request with the same key may have run
 	// and the claim has not told yet.
 	keyOpen bool
