balance: prefer by affinity once, believe plausible reports, bound loosely

An affinity scorer now counts for its preferred candidate only; matches of upstreams without cache events weigh 0.35; the bound is 1.5 times the mean load plus a quarter of the capacity; a load below half of the own requests times the number of hosts isn't believed.

Proof: without ejection and the error score, TestFailingFastDoesNotAttract fails; where a list that says live ends leaving and Begin doesn't check it, TestLeavingIsSticky fails. All pass as committed, -race.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,8 @@
 	// first one both are zero.
 	Reported   upstream.Load
 	ReportedAt time.Time
+	// Hosts is the number of entry hosts that send to the upstream; 0 means 1.
+	Hosts int
 	// InFlight is the number of this host's requests that are not yet ended.
 	InFlight int
 	// SentSinceReport is the part of InFlight begun after ReportedAt, which
@@ -150,27 +152,34 @@
 	}
 	sample := s.Picker.Sample(len(candidates), rnd)
 	preferred := s.preferred(req, candidates, now)
-	choice.Upstream, choice.Score = s.best(req, candidates, append(sample, preferred...), preferred, now)
+	choice.Upstream, choice.Score = s.best(req, candidates, sample, preferred, now)
 	return choice, true
 }
 
+// preference is a candidate that affinity adds to the sample.
+type preference struct {
+	index int
+	bonus float64
+}
+
 // preferred returns the best candidate of each affinity scorer among those
 // whose load is within the bound.
-func (s *Selector) preferred(req *Request, candidates []*Upstream, now time.Time) []int {
-	var preferred []int
+func (s *Selector) preferred(req *Request, candidates []*Upstream, now time.Time) []preference {
+	var preferred []preference
 	limit := s.Bound.limit(candidates)
 	for _, w := range s.Affinity {
-		if i := bestAffinity(w.Scorer, req, candidates, limit, now); i >= 0 {
-			preferred = append(preferred, i)
+		i, score := bestAffinity(w.Scorer, req, candidates, limit, now)
+		if i >= 0 {
+			preferred = append(preferred, preference{index: i, bonus: w.Weight * score})
 		}
 	}
 	return preferred
 }
 
-// bestAffinity returns the index of the least loaded candidate with the
+// bestAffinity returns the index and score of the least loaded candidate with the
 // highest positive score and a load of at most limit, or -1.
-func bestAffinity(scorer Scorer, req *Request, candidates []*Upstream, limit float64, now time.Time) int {
-	best, bestScore := -1, 0.0
+func bestAffinity(scorer Scorer, req *Request, candidates []*Upstream, limit float64, now time.Time) (best int, bestScore float64) {
+	best = -1
 	for i, u := range candidates {
 		score := scorer.Score(req, u, now)
 		if score <= 0 || score < bestScore || relativeLoad(u) > limit {
@@ -181,27 +190,40 @@
 		}
 		best, bestScore = i, score
 	}
-	return best
+	return best, bestScore
 }
 
-// best returns the sampled candidate with the highest weighted score. The
-// affinity weights count only for candidates that passed the bound.
-func (s *Selector) best(req *Request, candidates []*Upstream, sample, preferred []int, now time.Time) (*Upstream, float64) {
+// best returns the candidate with the highest weighted score among the sample
+// and the preferred ones. An affinity scorer counts for its preferred
+// candidate only.
+func (s *Selector) best(req *Request, candidates []*Upstream, sample []int, preferred []preference, now time.Time) (*Upstream, float64) {
 	var best *Upstream
 	var bestScore float64
-	for _, i := range sample {
-		u := candidates[i]
-		score := weightedSum(s.Scorers, req, u, now)
-		if slices.Contains(preferred, i) {
-			score += weightedSum(s.Affinity, req, u, now)
-		}
+	consider := func(i int) {
+		score := weightedSum(s.Scorers, req, candidates[i], now) + bonus(preferred, i)
 		if best == nil || score > bestScore {
-			best, bestScore = u, score
+			best, bestScore = candidates[i], score
 		}
 	}
+	for _, i := range sample {
+		consider(i)
+	}
+	for _, p := range preferred {
+		consider(p.index)
+	}
 	return best, bestScore
 }
 
+func bonus(preferred []preference, index int) float64 {
+	sum := 0.0
+	for _, p := range preferred {
+		if p.index == index {
+			sum += p.bonus
+		}
+	}
+	return sum
+}
+
 func weightedSum(scorers []Weighted, req *Request, u *Upstream, now time.Time) float64 {
 	sum := 0.0
 	for _, w := range scorers {
--- a/balance/chain.go
+++ b/balance/chain.go
@@ -6,8 +6,8 @@
 	errorWeight   = 1.0
 	latencyWeight = 0.5
 	zoneWeight    = 0.1
-	prefixWeight  = 1.0
-	sessionWeight = 0.5
+	prefixWeight  = 1.6
+	sessionWeight = 0.8
 )
 
 // NewSelector returns the default chain over a prefix index.
--- /dev/null
+++ b/balance/example_test.go
@@ -0,0 +1,28 @@
+package balance_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+func Example() {
+	pool := balance.NewPool(balance.Options{Host: "entry-1", Zone: "a"})
+	pool.Update([]platform.Host{
+		{ID: "e1", Kind: platform.KindEngine, Zone: "a", State: platform.HostLive},
+		{ID: "e2", Kind: platform.KindEngine, Zone: "a", State: platform.HostLeaving},
+	})
+	for _, id := range []string{"e1", "e2"} {
+		report := upstream.Load{Capacity: 8, Versions: []string{"quotes@2"}}
+		pool.Report(id, report, time.Now())
+	}
+	choice, ok := pool.Choose(&balance.Request{Model: "quotes", Version: "2", Zone: "a"})
+	fmt.Println(choice.Upstream.ID, choice.Dropped, ok)
+	if pool.Begin(choice.Upstream.ID) {
+		pool.End(choice.Upstream.ID, balance.Outcome{FirstToken: 80 * time.Millisecond})
+	}
+	// Output: e1 [{leaving 1}] true
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -4,12 +4,18 @@
 // such as a plain service before its first report.
 const unreportedCapacity = 16
 
+// plausibleShare is the part of the load expected from the own requests in
+// flight below which a report isn't believed.
+const plausibleShare = 0.5
+
 // CorrectedLoad estimates how many requests an upstream holds now: its last
-// report plus what this host sent since, and never less than what this host
-// has in flight there. The lower bound limits how far a false report leads.
+// report plus what this host sent since. As hosts share the traffic evenly,
+// the own requests in flight times the number of hosts are an estimate too;
+// half of that is the lower bound, which limits how far a false report leads.
 func CorrectedLoad(u *Upstream) int {
 	reported := u.Reported.Running + u.Reported.Queued + u.SentSinceReport
-	return max(reported, u.InFlight)
+	expected := float64(u.InFlight*max(1, u.Hosts)) * plausibleShare
+	return max(reported, u.InFlight, int(expected))
 }
 
 // capacity returns the reported capacity or an assumed one.
@@ -27,8 +33,8 @@
 
 // Defaults of LoadBound.
 const (
-	DefaultBoundFactor = 1.25
-	DefaultBoundSlack  = 0.1
+	DefaultBoundFactor = 1.5
+	DefaultBoundSlack  = 0.25
 )
 
 // LoadBound is the limit up to which affinity may load an upstream, relative
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -64,8 +64,8 @@
 	members atomic.Pointer[[]*entry]
 	// updating serialises Update.
 	updating sync.Mutex
-	random   sync.Pool
-	streams  atomic.Uint64
+	hosts    atomic.Int64
+	random   randomSources
 }
 
 type poolShard struct {
@@ -91,18 +91,20 @@
 		p.shards[i].entries = make(map[string]*entry)
 	}
 	p.members.Store(new([]*entry))
-	p.random.New = p.newRandom
+	p.random.seed(options.Seed)
 	return p
 }
 
-// newRandom returns a source of its own for each concurrent caller.
-func (p *Pool) newRandom() any {
-	return rand.New(rand.NewPCG(p.options.Seed, p.streams.Add(1)))
-}
-
 // Index returns the pool's prefix index, for cache events and prompts sent.
 func (p *Pool) Index() *PrefixIndex { return p.index }
 
+// SetHosts sets the number of entry hosts that share the traffic; 1 before the
+// first call.
+func (p *Pool) SetHosts(n int) { p.hosts.Store(int64(max(1, n))) }
+
+// SetSelector replaces the chain. It is called before the pool is used.
+func (p *Pool) SetSelector(s *Selector) { p.selector = s }
+
 // View returns the current snapshots of all members in the order of the host
 // list. The slice is the caller's; the snapshots are shared.
 func (p *Pool) View() []*Upstream {
@@ -116,10 +118,11 @@
 
 // Choose selects an upstream for the request. It doesn't reserve anything;
 // the caller follows with Begin.
-func (p *Pool) Choose(req *Request) (Choice, bool) {
-	rnd := p.random.Get().(*rand.Rand)
-	defer p.random.Put(rnd)
-	return p.selector.Select(req, p.View(), p.options.Clock(), rnd)
+func (p *Pool) Choose(req *Request) (choice Choice, ok bool) {
+	p.random.use(func(rnd *rand.Rand) {
+		choice, ok = p.selector.Select(req, p.View(), p.options.Clock(), rnd)
+	})
+	return choice, ok
 }
 
 // Report takes in an upstream's load report, taken at the time now. Reports
@@ -169,10 +172,9 @@
 }
 
 // jitter returns a random number from 0 to 1.
-func (p *Pool) jitter() float64 {
-	rnd := p.random.Get().(*rand.Rand)
-	defer p.random.Put(rnd)
-	return rnd.Float64()
+func (p *Pool) jitter() (jitter float64) {
+	p.random.use(func(rnd *rand.Rand) { jitter = rnd.Float64() })
+	return jitter
 }
 
 // change runs f on the entry under its shard's lock and publishes the result.
@@ -184,6 +186,7 @@
 	if e == nil {
 		return
 	}
+	e.state.Hosts = int(p.hosts.Load())
 	f(e)
 	e.publish()
 }
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -94,6 +94,18 @@
 	is.Equal(find(pool, "a").LatencyMs, 80.0)
 }
 
+func TestAnImplausibleReportIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	pool, clock, _ := newTestPool(t, "a")
+	pool.SetHosts(7)
+	for range 4 {
+		pool.Begin("a")
+	}
+	clock.Advance(time.Second)
+	pool.Report("a", load(0), clock.Now())
+	is.Equal(CorrectedLoad(find(pool, "a")), 14) // half of what 7 hosts send
+}
+
 func TestFailingFastDoesNotAttract(t *testing.T) {
 	is := is.New(t)
 	pool, _, _ := newTestPool(t, "a", "b", "c")
--- a/balance/prefix_index.go
+++ b/balance/prefix_index.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -17,8 +16,11 @@
 	DefaultIndexBlocks = 4096
 	// doubtfulWeight is the weight of blocks last confirmed before a gap in
 	// the upstream's events: an eviction may have been missed.
-	doubtfulWeight = 0.5
-	indexShards    = 32
+	doubtfulWeight = 0.8
+	// partialWeight is the weight of blocks of an upstream without events:
+	// what other hosts sent there isn't known.
+	partialWeight = 0.35
+	indexShards   = 32
 )
 
 // CacheEvent is a change of an upstream's prefix cache. Events come late and
@@ -191,8 +193,12 @@
 		return 0
 	}
 	entry, _ := c.blocks.Peek(hashes[known-1])
-	if entry.gaps != c.gaps {
-		return math.Ceil(float64(known) * doubtfulWeight)
+	switch {
+	case c.nextSeq == 0:
+		return partialWeight * float64(known)
+	case entry.gaps != c.gaps:
+		return doubtfulWeight * float64(known)
+	default:
+		return float64(known)
 	}
-	return float64(known)
 }
--- /dev/null
+++ b/balance/prefix_test.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestPrefixHashes(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("a", 3*BlockBytes)
+	hashes := PrefixHashes(text)
+	is.Equal(len(hashes), 3)
+	is.True(hashes[0] != hashes[1]) // the same block after another prefix
+	is.Equal(PrefixHashes(text[:BlockBytes] + "b")[0], hashes[0])
+	other := PrefixHashes("b" + text[1:])
+	is.True(other[2] != hashes[2]) // a difference at the start changes all
+	is.Equal(len(PrefixHashes(text[1:BlockBytes])), 0)
+	is.Equal(len(PrefixHashes(strings.Repeat("a", (MaxBlocks+9)*BlockBytes))), MaxBlocks)
+}
+
+func event(seq uint64, at time.Duration, stored, removed []uint64) CacheEvent {
+	return CacheEvent{Upstream: "u", Seq: seq, At: start.Add(at), Stored: stored, Removed: removed}
+}
+
+func TestPrefixIndexEvents(t *testing.T) {
+	hashes := []uint64{1, 2, 3, 4}
+	first := event(1, 0, nil, nil)
+	tests := []struct {
+		desc   string
+		events []CacheEvent
+		want   float64
+	}{
+		{"own requests alone are partial knowledge", nil, 4 * partialWeight},
+		{"with events they count in full", []CacheEvent{first}, 4},
+		{"a removal shortens the match", []CacheEvent{event(1, time.Second, nil, []uint64{3})}, 2},
+		{"a removal before the own request is outdated", []CacheEvent{event(1, -time.Second, nil, []uint64{3})}, 4},
+		{"a repeated event changes nothing", []CacheEvent{event(1, time.Second, nil, nil), event(1, time.Second, nil, hashes)}, 4},
+		{"a gap makes what was known doubtful", []CacheEvent{first, event(3, 0, nil, nil)}, 4 * doubtfulWeight},
+		{"what is confirmed after a gap isn't doubtful", []CacheEvent{first, event(3, time.Second, hashes, nil)}, 4},
+		{"a cleared cache is empty", []CacheEvent{{Upstream: "u", Seq: 1, At: start.Add(time.Second), Cleared: true}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			index := NewPrefixIndex(0, func() time.Time { return start })
+			index.Sent("u", hashes)
+			for _, e := range tt.events {
+				index.Apply(e)
+			}
+			is.Equal(index.Match("u", hashes), tt.want)
+			is.Equal(index.Match("other", hashes), 0.0)
+			index.Forget("u")
+			is.Equal(index.Match("u", hashes), 0.0)
+		})
+	}
+}
+
+func TestPrefixIndexIsBounded(t *testing.T) {
+	is := is.New(t)
+	index := NewPrefixIndex(4, func() time.Time { return start })
+	index.Apply(event(1, 0, nil, nil))
+	index.Sent("u", []uint64{1, 2, 3, 4})
+	index.Sent("u", []uint64{1, 9})
+	is.Equal(index.Match("u", []uint64{1, 2, 3, 4}), 3.0) // the end went first
+}
--- /dev/null
+++ b/balance/subset_test.go
@@ -0,0 +1,104 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// largeList is the size to design for: upstreams spread over zones, in pools.
+func largeList(upstreams, zones, pools int) []platform.Host {
+	list := make([]platform.Host, upstreams)
+	for i := range list {
+		list[i] = platform.Host{
+			ID:   fmt.Sprintf("upstream-%05d", i),
+			Kind: platform.KindEngine,
+			Name: fmt.Sprint("pool-", i%pools),
+			Zone: fmt.Sprint("zone-", (i/pools)%zones),
+		}
+	}
+	return list
+}
+
+func TestSubset(t *testing.T) {
+	list := largeList(12_000, 32, 20) // 18 or 19 of each pool in each zone
+	tests := []struct {
+		desc   string
+		subset Subset
+		zone   string
+		least  int
+		most   int
+	}{
+		{"own zone, filled up from others", Subset{}, "zone-1", 20 * DefaultSubsetMin, 20 * DefaultSubsetMin},
+		{"own zone is enough", Subset{Min: 10}, "zone-1", 20 * 18, 20 * 19},
+		{"bounded", Subset{Min: 5, Max: 7}, "zone-1", 20 * 7, 20 * 7},
+		{"no upstream in the zone", Subset{}, "elsewhere", 20 * DefaultSubsetMin, 20 * DefaultSubsetMin},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			chosen := tt.subset.Select("entry-1", tt.zone, list)
+			is.True(len(chosen) >= tt.least && len(chosen) <= tt.most)
+			is.Equal(chosen, tt.subset.Select("entry-1", tt.zone, list)) // deterministic
+		})
+	}
+}
+
+func TestSubsetMovesLittle(t *testing.T) {
+	is := is.New(t)
+	list := largeList(1000, 1, 1)
+	subset := Subset{Min: 100, Max: 100}
+	before := subset.Select("entry-1", "zone-0", list)
+	after := subset.Select("entry-1", "zone-0", list[10:])
+	kept := map[string]bool{}
+	for _, h := range before {
+		kept[h.ID] = true
+	}
+	moved := 0
+	for _, h := range after {
+		if !kept[h.ID] {
+			moved++
+		}
+	}
+	is.True(moved <= 10)
+}
+
+// TestEveryUpstreamIsInASubset has all entry hosts of the size to design for,
+// and one pool of twenty.
+func TestEveryUpstreamIsInASubset(t *testing.T) {
+	is := is.New(t)
+	list := largeList(600, 32, 1)
+	senders := make(map[string]int)
+	for i := range 440 {
+		for _, h := range (Subset{}).Select(fmt.Sprint("entry-", i), fmt.Sprint("zone-", i%32), list) {
+			senders[h.ID]++
+		}
+	}
+	least := 440
+	for _, h := range list {
+		least = min(least, senders[h.ID])
+	}
+	t.Logf("an upstream has at least %d entry hosts", least)
+	is.True(least >= 440/32)
+}
+
+func TestHomesAreSpreadAndStable(t *testing.T) {
+	is := is.New(t)
+	hosts := []string{"a", "b", "c", "d"}
+	counts := map[string]int{}
+	for i := range 1000 {
+		id := fmt.Sprint("upstream-", i)
+		home := Home(id, hosts)
+		counts[home]++
+		if home != "d" {
+			is.Equal(Home(id, hosts[:3]), home) // only d's upstreams move
+		}
+	}
+	for _, h := range hosts {
+		is.True(counts[h] > 200 && counts[h] < 300)
+	}
+	is.Equal(Home("u", nil), "")
+}
