--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -90,6 +90,16 @@
 	is.Equal(out, "")
 }
 
+func TestStandinFaultsAreStrict(t *testing.T) {
+	is := is.New(t)
+	for _, kind := range [][]string{{"platform"}, {"engine", "--id=e", "--zone=z", "--versions=m@1"}, {"service", "--id=s", "--zone=z", "--name=s"}} {
+		args := append([]string{"standin"}, kind...)
+		code, _, errOut := run1(append(args, `--faults={"unheard_of":1}`)...)
+		is.Equal(code, exitUsage)
+		is.True(strings.Contains(errOut, "unheard_of"))
+	}
+}
+
 func TestCodesAreListed(t *testing.T) {
 	is := is.New(t)
 	code, out, _ := run1("codes")
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
@@ -27,17 +29,37 @@
 	CommitsPerSecond float64       `help:"Limit of commits." default:"500" env:"-"`
 	ReadsPerSecond   float64       `help:"Limit of reads." default:"2000" env:"-"`
 	HostLag          time.Duration `help:"Lag of the host list." env:"-"`
+	Faults           string        `help:"Faults from the start, as JSON." default:"{}" env:"-"`
 }
 
 // Run implements the command.
 func (c *standinPlatformCmd) Run(ctx context.Context, s *streams) error {
-	return platformd.Run(ctx, platformd.Options{
-		Listen:           c.Listen,
+	var faults platformd.Faults
+	if err := parseFaults(c.Faults, &faults); err != nil {
+		return err
+	}
+	server := platformd.New(platformd.Options{
 		CommitsPerSecond: c.CommitsPerSecond,
 		ReadsPerSecond:   c.ReadsPerSecond,
 		HostLag:          c.HostLag,
-		Ready:            func(address string) { fmt.Fprintln(s.out, "listening", address) },
 	})
+	server.SetFaults(faults)
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out, "listening", listener.Addr())
+	return server.Serve(ctx, listener)
+}
+
+// parseFaults reads a flag with faults, strictly.
+func parseFaults(text string, into any) error {
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%w: --faults: %w", errUsage, err)
+	}
+	return nil
 }
 
 // registerFlags say where a stand-in enters itself into the host list.
@@ -104,10 +126,15 @@
 	TimePerToken    time.Duration `help:"Time for an output token." env:"-"`
 	LoadLag         time.Duration `help:"How old the load report is." env:"-"`
 	Fenced          bool          `help:"Refuse orders with old fencing numbers." env:"-"`
+	Faults          string        `help:"Faults from the start, as JSON." default:"{}" env:"-"`
 }
 
 // Run implements the command.
 func (c *standinEngineCmd) Run(ctx context.Context, s *streams) error {
+	var faults engine.Faults
+	if err := parseFaults(c.Faults, &faults); err != nil {
+		return err
+	}
 	e := engine.New(engine.Options{
 		Listen:          c.Listen,
 		ID:              c.ID,
@@ -120,6 +147,7 @@
 		LoadLag:         c.LoadLag,
 		Fenced:          c.Fenced,
 	})
+	e.SetFaults(faults)
 	if err := e.Bind(); err != nil {
 		return err
 	}
@@ -137,11 +165,17 @@
 	Name   string        `help:"The service's name." required:"" env:"-"`
 	Zone   string        `help:"The availability zone." required:"" env:"-"`
 	Time   time.Duration `help:"How long each call takes." env:"-"`
+	Faults string        `help:"Faults from the start, as JSON." default:"{}" env:"-"`
 }
 
 // Run implements the command.
 func (c *standinServiceCmd) Run(ctx context.Context, s *streams) error {
+	var faults service.Faults
+	if err := parseFaults(c.Faults, &faults); err != nil {
+		return err
+	}
 	svc := service.New(service.Options{Listen: c.Listen, ID: c.ID, Name: c.Name, Zone: c.Zone, Time: c.Time})
+	svc.SetFaults(faults)
 	if err := svc.Bind(); err != nil {
 		return err
 	}
