--- /dev/null
+++ b/internal/experiment/path/client.go
@@ -0,0 +1,119 @@
+package path
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+// endMark is the end of a whole stream.
+var endMark = []byte("data: [DONE]")
+
+// send sends one streamed request and reads it to its end mark.
+func (r *run) send(ctx context.Context, kind int, prompt string) error {
+	address, model := r.Entry.Callers, r.Model
+	if kind == direct {
+		address, model = r.Engine, r.Version
+	}
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, model, prompt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	req.Header.Set(upstream.HeaderRequestID, prompt)
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return readToEnd(resp)
+}
+
+func readToEnd(resp *http.Response) error {
+	lines := bufio.NewScanner(resp.Body)
+	ended := false
+	for lines.Scan() {
+		if bytes.Equal(lines.Bytes(), endMark) {
+			ended = true
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	if !ended {
+		return fmt.Errorf("%s: the answer has no end mark", resp.Status)
+	}
+	return nil
+}
+
+// Usage is what a process has taken since its start, and what it holds now.
+type Usage struct {
+	// CPU is in seconds, Resident in bytes.
+	CPU      float64
+	Mallocs  float64
+	Resident float64
+}
+
+// usage is what the measured host has taken, and the other hosts together.
+type usage struct {
+	entry, others taken
+}
+
+type taken struct {
+	cpu, mallocs float64
+}
+
+func (r *run) usage(ctx context.Context) (usage, error) {
+	var u usage
+	if err := r.addUsage(ctx, r.Entry, &u.entry); err != nil {
+		return u, err
+	}
+	for _, h := range r.Others {
+		if err := r.addUsage(ctx, h, &u.others); err != nil {
+			return u, err
+		}
+	}
+	return u, nil
+}
+
+func (r *run) addUsage(ctx context.Context, h Host, sum *taken) error {
+	u, err := ReadUsage(ctx, r.client, h)
+	sum.cpu += u.CPU
+	sum.mallocs += u.Mallocs
+	return err
+}
+
+// ReadUsage reads a host's usage from its metrics.
+func ReadUsage(ctx context.Context, client *http.Client, h Host) (Usage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Operators+"/metrics", nil)
+	if err != nil {
+		return Usage{}, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Usage{}, err
+	}
+	defer resp.Body.Close()
+	var u Usage
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		n, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "process_cpu_seconds_total":
+			u.CPU = n
+		case "go_memstats_mallocs_total":
+			u.Mallocs = n
+		case "process_resident_memory_bytes":
+			u.Resident = n
+		}
+	}
+	return u, lines.Err()
+}
--- a/internal/experiment/path/path.go
+++ b/internal/experiment/path/path.go
@@ -1,46 +1,58 @@
 // Package path measures what an entry host adds to a request: latency against
 // the same request sent straight to the engine, in one run with mixed arrivals,
-// and the host's processor time and allocations.
+// and the processor time and allocations of the hosts.
 package path
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/loadgen"
-	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
+// Host is an entry host that is measured, or one that works for it.
+type Host struct {
+	// Callers and Operators are IP and port of its addresses.
+	Callers   string
+	Operators string
+}
+
 // Options say what is measured.
 type Options struct {
-	// Entry, Operators and Engine are IP and port of the entry host's callers'
-	// and operators' addresses, and of one engine.
-	Entry     string
-	Operators string
-	Engine    string
+	// Entry is the measured host. Others are the other entry hosts, one of
+	// which holds its bills.
+	Entry  Host
+	Others []Host
+	// Engine is IP and port of the one engine.
+	Engine string
 	// Key is the account key.
 	Key string
 	// Model is the route at the entry host, Version the "model@version" that
 	// the engine is asked for.
 	Model   string
 	Version string
-	// Rate is the arrivals a second, Requests their number, Seed their seed.
-	Rate     float64
-	Requests int
-	Seed     uint64
-	// Streams is the number of concurrent streams, Tokens the length of each.
+	// Shares are the loads of the measured host, as parts of the requests a
+	// second that one core carries.
+	Shares []float64
+	// Period is how long each load lasts. Default: 4 s.
+	Period time.Duration
+	// Seed fixes the arrivals.
+	Seed uint64
+	// Streams is the number of concurrent streams, Tokens the length of each;
+	// with zero streams none are measured.
 	Streams int
 	Tokens  int
 }
 
+// Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value float64
+}
+
 // The kinds of requests that are mixed.
 const (
 	direct = iota
@@ -48,86 +60,129 @@
 	kinds
 )
 
-// endMark is the end of a whole stream.
-var endMark = []byte("data: [DONE]")
+const (
+	defaultPeriod = 4 * time.Second
+	// probeRate is the load, in requests a second, under which the cost of a
+	// request is found that the shares are parts of.
+	probeRate = 300
+	// tokensUnit is the number of tokens whose cost is told.
+	tokensUnit = 10_000
+	// maxIdleConns keeps the connections of all streams for the next ones.
+	maxIdleConns = 2048
+)
 
 type run struct {
 	Options
-	client *http.Client
-	out    io.Writer
+	client  *http.Client
+	figures []Figure
 }
 
-// Run measures and prints to w.
-func Run(ctx context.Context, w io.Writer, options Options) error {
+// Run measures once.
+func Run(ctx context.Context, options Options) ([]Figure, error) {
+	if options.Period == 0 {
+		options.Period = defaultPeriod
+	}
 	r := &run{
 		Options: options,
-		out:     w,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048}},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
 	}
-	if err := r.latency(ctx); err != nil {
-		return err
+	defer r.client.CloseIdleConnections()
+	carries, err := r.cost(ctx)
+	if err != nil {
+		return nil, err
 	}
-	if err := r.cost(ctx); err != nil {
-		return err
+	for _, share := range r.Shares {
+		if err := r.latency(ctx, share, carries); err != nil {
+			return nil, err
+		}
 	}
-	if err := r.streams(ctx, 1); err != nil {
-		return err
+	for _, n := range []int{1, r.Streams} {
+		if r.Streams == 0 {
+			break
+		}
+		if err := r.streams(ctx, n); err != nil {
+			return nil, err
+		}
 	}
-	return r.streams(ctx, options.Streams)
+	return r.figures, nil
 }
 
-// latency mixes routed and direct requests.
-func (r *run) latency(ctx context.Context) error {
-	results := loadgen.Run(ctx, loadgen.Options{
-		Rate:     r.Rate,
-		Requests: r.Requests,
-		Seed:     r.Seed,
-		Kinds:    kinds,
-		Send: func(ctx context.Context, i, kind int) error {
-			return r.send(ctx, kind, fmt.Sprintf("latency %d tokens=1", i))
-		},
-	})
-	for kind, res := range results {
-		if res.Errors > 0 {
-			return fmt.Errorf("kind %d: %d errors, first: %w", kind, res.Errors, res.FirstError)
-		}
+func (r *run) add(value float64, format string, args ...any) {
+	r.figures = append(r.figures, Figure{Name: fmt.Sprintf(format, args...), Value: value})
+}
+
+// cost counts what routed requests alone take of the hosts, and returns how
+// many a second one core carries.
+func (r *run) cost(ctx context.Context) (carries float64, err error) {
+	before, err := r.usage(ctx)
+	if err != nil {
+		return 0, err
 	}
-	fmt.Fprintf(r.out, "%d requests, %.0f a second, half of them routed\n", r.Requests, r.Rate)
-	for _, q := range []float64{50, 95, 99} {
-		straight, via := results[direct].Quantile(q), results[routed].Quantile(q)
-		fmt.Fprintf(r.out, "p%.0f: direct %v, routed %v, added %v\n", q, straight, via, via-straight)
+	n := int(probeRate * r.Period.Seconds())
+	results, err := r.load(ctx, probeRate, n, 1, func(int) int { return routed })
+	if err != nil {
+		return 0, err
 	}
-	return nil
+	after, err := r.usage(ctx)
+	if err != nil {
+		return 0, err
+	}
+	cpu := (after.entry.cpu - before.entry.cpu) / float64(n)
+	r.add(cpu*1e6, "a request at %d/s: processor time, us", probeRate)
+	r.add((after.others.cpu-before.others.cpu)/float64(n)*1e6, "a request at %d/s: processor time of the other hosts, us", probeRate)
+	r.add((after.entry.mallocs-before.entry.mallocs)/float64(n), "a request: allocations")
+	r.add(1/cpu, "requests a second on a core")
+	r.add(milliseconds(results[0].Quantile(50)), "alone at %d/s: whole request p50, ms", probeRate)
+	return 1 / cpu, nil
 }
 
-// cost counts what routed requests alone take of the host.
-func (r *run) cost(ctx context.Context) error {
+// latency mixes routed and direct requests, as many of each.
+func (r *run) latency(ctx context.Context, share, carries float64) error {
+	rate := share * carries
 	before, err := r.usage(ctx)
 	if err != nil {
 		return err
 	}
-	results := loadgen.Run(ctx, loadgen.Options{
-		Rate:     r.Rate,
-		Requests: r.Requests,
-		Seed:     r.Seed + 1,
-		Send: func(ctx context.Context, i, _ int) error {
-			return r.send(ctx, routed, fmt.Sprintf("cost %d tokens=1", i))
-		},
-	})
+	n := int(kinds * rate * r.Period.Seconds())
+	results, err := r.load(ctx, kinds*rate, n, kinds, func(kind int) int { return kind })
+	if err != nil {
+		return err
+	}
 	after, err := r.usage(ctx)
 	if err != nil {
 		return err
 	}
-	if results[0].Errors > 0 {
-		return results[0].FirstError
+	name := fmt.Sprintf("%.0f%% of a core", 100*share)
+	r.add(rate, "%s: routed requests a second", name)
+	for _, q := range []float64{50, 95, 99} {
+		straight, via := results[direct].Quantile(q), results[routed].Quantile(q)
+		r.add(milliseconds(straight), "%s: direct p%.0f, ms", name, q)
+		r.add(milliseconds(via-straight), "%s: added p%.0f, ms", name, q)
 	}
-	n := float64(r.Requests)
-	cpu := (after.cpu - before.cpu) / n
-	fmt.Fprintf(r.out, "a routed request: %.0f us of processor time (%.0f a second on a core), %.0f allocations\n",
-		cpu*1e6, 1/cpu, (after.mallocs-before.mallocs)/n)
+	sent := float64(results[routed].Latency.TotalCount())
+	r.add((after.entry.cpu-before.entry.cpu)/sent*1e6, "%s: processor time a request, us", name)
 	return nil
 }
 
+// load sends n requests and fails on the first error in any answer.
+func (r *run) load(ctx context.Context, rate float64, n, kinds int, kindOf func(int) int) ([]loadgen.Result, error) {
+	results := loadgen.Run(ctx, loadgen.Options{
+		Rate:     rate,
+		Requests: n,
+		Seed:     r.Seed,
+		Kinds:    kinds,
+		Send: func(ctx context.Context, i, kind int) error {
+			return r.send(ctx, kindOf(kind), fmt.Sprintf("request %d at %.0f tokens=1", i, rate))
+		},
+	})
+	for kind, res := range results {
+		if res.Errors > 0 {
+			return nil, fmt.Errorf("kind %d: %d errors, first: %w", kind, res.Errors, res.FirstError)
+		}
+	}
+	return results, nil
+}
+
 // streams reads n streams at once.
 func (r *run) streams(ctx context.Context, n int) error {
 	before, err := r.usage(ctx)
@@ -154,77 +209,11 @@
 		return err
 	}
 	tokens := float64(n * r.Tokens)
-	const unit = 10_000
-	fmt.Fprintf(r.out, "%d streams: %.0f tokens a second; %d tokens cost %.2f s of processor time\n",
-		n, tokens/took, unit, (after.cpu-before.cpu)/tokens*unit)
+	r.add(tokens/took, "%d streams: tokens a second", n)
+	r.add((after.entry.cpu-before.entry.cpu)/tokens*tokensUnit, "%d streams: processor time of %d tokens, s", n, tokensUnit)
 	return nil
 }
 
-// send sends one streamed request and reads it to its end mark.
-func (r *run) send(ctx context.Context, kind int, prompt string) error {
-	address, model := r.Entry, r.Model
-	if kind == direct {
-		address, model = r.Engine, r.Version
-	}
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, model, prompt)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+r.Key)
-	req.Header.Set(upstream.HeaderRequestID, prompt)
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return readToEnd(resp)
-}
-
-func readToEnd(resp *http.Response) error {
-	lines := bufio.NewScanner(resp.Body)
-	ended := false
-	for lines.Scan() {
-		if bytes.Equal(lines.Bytes(), endMark) {
-			ended = true
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	if !ended {
-		return fmt.Errorf("%s: the answer has no end mark", resp.Status)
-	}
-	return nil
-}
-
-// usage is what the entry host has taken since its start.
-type usage struct {
-	cpu     float64 // seconds
-	mallocs float64
-}
-
-func (r *run) usage(ctx context.Context) (usage, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Operators+"/metrics", nil)
-	if err != nil {
-		return usage{}, err
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return usage{}, err
-	}
-	defer resp.Body.Close()
-	var u usage
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), " ")
-		n, _ := strconv.ParseFloat(value, 64)
-		switch name {
-		case "process_cpu_seconds_total":
-			u.cpu = n
-		case "go_memstats_mallocs_total":
-			u.mallocs = n
-		}
-	}
-	return u, lines.Err()
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
 }
