ledger: an outage makes few segments and no copies of copies

Cause: each failed flush froze what had come since the last, so ten minutes of outage left about 60 segments a host, a herd of commits at its end. And with FlushEvery 10 s the pause between failed flushes grew to 80 s, longer than the minute after which a peer takes the owner for gone: peers adopted the copies, held them with a third host, and so on. Now loose bills stay loose until frozen segments are written, and the pause is capped at 15 s.

--- a/ledger/failure_test.go
+++ b/ledger/failure_test.go
@@ -105,9 +105,6 @@
 			want := record(t, c.hosts[0], 0, 20)
 			c.killHost(0)
 			time.Sleep(2 * DefaultMaxAge)
-			if err := c.hosts[1].custody.Sweep(t.Context()); err != nil {
-				t.Error(err)
-			}
 			return want
 		}},
 		{"planned stop", func(t *testing.T, c *testCluster) map[string]Bill {
@@ -147,6 +144,31 @@
 	}
 }
 
+// TestOutageOfMinutes checks that an outage makes neither many segments nor
+// copies of copies.
+func TestOutageOfMinutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const minutes = 10
+		c := newCluster(3, Options{FlushEvery: 10 * time.Second})
+		defer c.stopAll()
+		c.table.SetDown(true)
+		for i := range minutes * 6 {
+			is.Equal(len(record(t, c.hosts[0], i, 1)), 1)
+			time.Sleep(10 * time.Second)
+		}
+		time.Sleep(5 * time.Minute) // without new bills
+		is.Equal(c.hosts[1].ledger.Pending(), 0) // the owner lives, so its copies aren't adopted
+		is.Equal(c.hosts[1].custody.Held(), minutes*6)
+		before := c.table.Counts().Commits
+		c.table.Heal()
+		time.Sleep(time.Minute)
+		is.Equal(len(c.all(t)), minutes*6)
+		is.Equal(c.hosts[1].custody.Held(), 0)
+		is.True(c.table.Counts().Commits-before <= minutes+2) // about one for each minute
+	})
+}
+
 func equalBills(a, b Bill) bool {
 	return compare(a, b) == 0
 }
--- a/ledger/flush.go
+++ b/ledger/flush.go
@@ -14,6 +14,9 @@
 	// maxFlushBackoff bounds the time between flushes in an outage, in
 	// multiples of FlushEvery.
 	maxFlushBackoff = 8
+	// maxFlushWait bounds it too, unless FlushEvery is longer. It is well below
+	// DefaultMaxAge, since a failed flush shows peers that the owner lives.
+	maxFlushWait = 15 * time.Second
 	// drainRetry is the pause between the flushes of a drain.
 	drainRetry = 50 * time.Millisecond
 )
@@ -52,7 +55,8 @@
 			failures = 0
 		}
 		periods := max(failures, 1)
-		l.waitForFlush(ctx, periods*l.opts.FlushEvery, periods*l.opts.MinFlushGap)
+		wait := min(periods*l.opts.FlushEvery, max(l.opts.FlushEvery, maxFlushWait))
+		l.waitForFlush(ctx, wait, periods*l.opts.MinFlushGap)
 	}
 }
 
@@ -91,20 +95,37 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	upTo, segments := l.freeze()
+	// Loose bills are left loose until the frozen segments are written, so that
+	// an outage ends with few large segments.
+	if err := l.writeFrozen(ctx); err != nil {
+		l.drop(ctx, l.lastDropped())
+		return err
+	}
+	upTo := l.freeze()
+	if err := l.writeFrozen(ctx); err != nil {
+		l.drop(ctx, l.lastDropped())
+		return err
+	}
+	l.drop(ctx, upTo)
+	return nil
+}
+
+// writeFrozen writes the frozen segments up to the first error.
+func (l *Ledger) writeFrozen(ctx context.Context) error {
+	l.mu.Lock()
+	segments := slices.Clone(l.frozen)
+	l.mu.Unlock()
 	for _, s := range segments {
 		if err := l.writeSegment(ctx, s); err != nil {
-			l.drop(ctx, l.lastDropped())
 			return err
 		}
 	}
-	l.drop(ctx, upTo)
 	return nil
 }
 
-// freeze makes segments of all loose bills and returns all that are to be
-// written. Every message to a peer up to upTo holds only bills in them.
-func (l *Ledger) freeze() (upTo uint64, segments []*frozenSegment) {
+// freeze makes segments of all loose bills. Every message to a peer up to upTo
+// holds only bills that are in segments now.
+func (l *Ledger) freeze() (upTo uint64) {
 	refusals := l.refusals.take()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,7 +138,7 @@
 	if len(refusals) > 0 {
 		l.frozen = append(l.frozen, l.newSegment(bucket(l.opts.Clock()), nil, refusals))
 	}
-	return l.holdSeq, append([]*frozenSegment(nil), l.frozen...)
+	return l.holdSeq
 }
 
 // split groups entries by bucket, at most MaxSegment in a group.
--- a/ledger/helper_test.go
+++ b/ledger/helper_test.go
@@ -154,12 +154,24 @@
 func (h *testHost) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
+	go h.sweep(ctx)
 	go func() {
 		defer close(h.done)
 		_ = h.ledger.Run(ctx)
 	}()
 }
 
+// sweep looks for copies whose owner is gone, as a host does.
+func (h *testHost) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, 10*time.Second)
+		if frozen, dead := h.state(); !frozen && !dead {
+			// An error says only that the table isn't there yet.
+			_ = h.custody.Sweep(ctx)
+		}
+	}
+}
+
 // killHost ends a host at once; nothing in its memory is seen again.
 func (c *testCluster) killHost(i int) {
 	c.hosts[i].kill()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -93,7 +93,8 @@
 		}
 		l.Refuse("valley-auction", 41, 3001)
 		l.Refuse("valley-auction", 41, 3001)
-		_, segments := l.freeze()
+		l.freeze()
+		segments := l.frozen
 		is.NoErr(l.Flush(t.Context()))
 		time.Sleep(48 * time.Hour)
 		for range 3 {
