cascade: a rater that is down doesn't make a cheap model look better

Cause: where a failed rating accepts, the policy counted failures as accepted answers, so it started nearly everything at the cheap model while the rater was slow or down.

The acceptance is now estimated as if answers had been rated, and a step is no start when the probability of taking an unrated answer that misses the target is above MaxMiss, 0.1 by default.

Ruled out: escalating against the manifest's order; it is followed, but for the choice of where to begin.

--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -100,6 +100,7 @@
 	DefaultExploreMin    = 0.01
 	DefaultExploreMax    = 0.05
 	DefaultExploreUntil  = 40
+	DefaultMaxMiss       = 0.1
 )
 
 // Policy decides. Zero fields mean the defaults.
@@ -116,6 +117,10 @@
 	ExploreMin   float64
 	ExploreMax   float64
 	ExploreUntil float64
+	// MaxMiss bounds the probability that an answer is taken without a rating
+	// and misses the target, where a failed rating accepts. Above it the next
+	// step is the start.
+	MaxMiss float64
 }
 
 func (p Policy) withDefaults() Policy {
@@ -134,6 +139,9 @@
 	if p.ExploreUntil == 0 {
 		p.ExploreUntil = DefaultExploreUntil
 	}
+	if p.MaxMiss == 0 {
+		p.MaxMiss = DefaultMaxMiss
+	}
 	return p
 }
 
@@ -148,6 +156,9 @@
 	earliest := p.earliest(&v)
 	best := v.expect(last)
 	for start := last - 1; start >= earliest; start-- {
+		if v.miss(start) > p.MaxMiss {
+			continue
+		}
 		if plan := v.expect(start); p.price(&v, plan) < p.price(&v, best) {
 			best = plan
 		}
@@ -156,7 +167,7 @@
 	if best.Start > 0 && best.Start == earliest {
 		best.Reason = ReasonDeadline
 	}
-	if best.Start > earliest && p.explores(v.stats(best.Start-1), rnd) {
+	if best.Start > earliest && v.miss(best.Start-1) <= p.MaxMiss && p.explores(v.stats(best.Start-1), rnd) {
 		best = v.expect(best.Start - 1)
 		best.Reason = ReasonExplore
 	}
@@ -212,19 +223,28 @@
 	return plan
 }
 
-// taken is the probability that a step's answer is taken, given what is done
-// when the rater fails.
+// taken is the probability that a step's answer is taken. Where a failed
+// rating accepts, an answer without a rating counts as if it had been rated:
+// that the rater is down makes no cheap model better.
 func (v *View) taken(step int, escalated bool) float64 {
 	stats := v.stats(step)
 	accept := stats.Accept
 	if escalated {
 		accept = stats.Escalated
 	}
-	taken := (1 - v.Rater.Failure) * accept
 	if v.OnRaterFailure == manifest.Accept {
-		taken += v.Rater.Failure
+		return accept
+	}
+	return (1 - v.Rater.Failure) * accept
+}
+
+// miss is the probability that a start's answer is taken without a rating and
+// misses the target.
+func (v *View) miss(start int) float64 {
+	if v.OnRaterFailure != manifest.Accept {
+		return 0
 	}
-	return taken
+	return v.Rater.Failure * (1 - v.stats(start).Accept)
 }
 
 // defaultAccept is assumed of a step without statistics.
--- a/cascade/policy_test.go
+++ b/cascade/policy_test.go
@@ -44,7 +44,12 @@
 		{"the rater is down and answers are taken", func(v *View) {
 			v.Rater.Failure = 1
 			v.OnRaterFailure = manifest.Accept
+			v.Stats[0].Accept = 0.95
 		}, 0, ReasonCheapest},
+		{"the rater is down and too many would miss", func(v *View) {
+			v.Rater.Failure = 1
+			v.OnRaterFailure = manifest.Accept
+		}, 1, ReasonCheapest},
 		{"a learnt latency counts", func(v *View) {
 			v.Remaining = 6 * time.Second
 			v.Stats[0].Latency = 5 * time.Second
