entry: a service's "not begun" is no answer, and who can come back is told so

Cause, found by comparing refusals with what arrived at the services: - A service that leaves answers a bid with 503 and X-Not-Run. Now it is an upstream's refusal: 4004, charge 0, and calls that may be repeated go to another instance. - Retry-After stood on refusals of claimed requests that may have run; these are never run again, so coming back can't help. It is gone there. - Retry-After was missing where an answer of a repeatable request broke off (4002, 4003, 4006), and coming back does help. It is 1 s there.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -111,10 +111,7 @@
 	}
 	req.Model = r.Model
 	req.Version = r.Version.Name
-	if r.prefix == nil {
-		r.prefix = balance.PrefixHashes(r.Prompt)
-	}
-	req.PrefixHashes = r.prefix
+	req.PrefixHashes = balance.PrefixHashes(r.Prompt)
 	return req
 }
 
@@ -124,7 +121,6 @@
 	if !f.pool.Begin(id) {
 		return errNotPlaced
 	}
-	f.pool.Index().Sent(id, r.prefix)
 	r.Target = upstream.Target{ID: id, Address: choice.Upstream.Address}
 	r.Attempts++
 	started := time.Now()
@@ -153,10 +149,27 @@
 	if err != nil {
 		return err
 	}
+	if answer.Header.Get(upstream.HeaderNotRun) == headerTrue {
+		return notBegun(answer)
+	}
 	r.Sink.Service(r, answer)
 	return nil
 }
 
+// headerTrue is the value of a header that states something.
+const headerTrue = "1"
+
+// notBegun is the error for an answer in which a service states that it didn't
+// begin the call. It is no answer to the caller's request, so neither a bill
+// nor a claim may take it for one.
+func notBegun(answer upstream.ServiceAnswer) error {
+	return &upstream.StatusError{
+		Status:  answer.Status,
+		Leaving: answer.Header.Get(upstream.HeaderLeaving) == headerTrue,
+		NotRun:  true,
+	}
+}
+
 func (f *dispatch) runModel(ctx context.Context, r *Request) error {
 	r.FirstFrame = time.Time{}
 	started := time.Now()
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -140,7 +140,7 @@
 		Code:       int(e.Code),
 		RunState:   r.RunState().String(),
 		RequestID:  r.ID,
-		RetryAfter: int(e.Retry().Milliseconds()),
+		RetryAfter: int(retryAfter(r, e).Milliseconds()),
 	}}
 }
 
@@ -150,7 +150,7 @@
 	h := w.Header()
 	setDecided(h, r)
 	setOutcome(h, r, e.Code)
-	if retry := e.Retry(); retry > 0 && r.RunState() != runstate.Ran {
+	if retry := retryAfter(r, e); retry > 0 {
 		h.Set("Retry-After", strconv.Itoa(seconds(retry)))
 	}
 	h.Set("Content-Type", "application/json")
@@ -158,6 +158,37 @@
 	writeJSON(w, newRefusal(r, e))
 }
 
+// repeatPause is when to come back with a request that may be repeated and
+// that was sent without a whole answer.
+const repeatPause = time.Second
+
+// retryAfter is when the caller should come back; zero where that can't help.
+// A request that was claimed and may have run is never run again. One that may
+// be repeated can come back, though its code alone says no.
+func retryAfter(r *Request, e *resultcode.Error) time.Duration {
+	sent := r.state.State() != runstate.NotRun
+	switch {
+	case r.Claim != nil && sent:
+		return 0
+	case r.Repeatable && sent && brokeOff(e.Code):
+		return repeatPause
+	case r.RunState() == runstate.Ran:
+		return 0
+	default:
+		return e.Retry()
+	}
+}
+
+// brokeOff says that a code stands for an answer that didn't come whole.
+func brokeOff(c resultcode.Code) bool {
+	switch c {
+	case resultcode.OutcomeUnknown, resultcode.AnswerIncomplete, resultcode.AnswerMismatch:
+		return true
+	default:
+		return false
+	}
+}
+
 // seconds rounds up to whole seconds, as Retry-After needs.
 func seconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
--- a/resultcode/markdown.go
+++ b/resultcode/markdown.go
@@ -23,6 +23,11 @@
 hand. A code whose listed states don't include the actual one is replaced by
 4002 or 4003.
 
+The column Retry-After holds for requests that weren't sent. A call that may run
+only once and that may have run is never told to come back: it isn't run again.
+A request that may be repeated is told to come back after 1 s with 4002, 4003
+and 4006 too.
+
 | code | name | status | run states | Retry-After | meaning |
 |---|---|---|---|---|---|
 `
