--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 
+	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
 	"github.com/quetzalweir/quetzalweir/internal/standin/service"
 )
@@ -34,6 +35,14 @@
 	s.services = append(s.services, svc)
 }
 
+// addEngine starts another engine with the sample's versions.
+func (s *system) addEngine(id, zone string) {
+	s.t.Helper()
+	e := startStandin(s.t, id, "engine", "--platform=http://"+s.platform, "--id="+id, "--zone="+zone,
+		"--versions=small@v1,small@v2,large@v1", "--time-per-token=1ms")
+	s.engines = append(s.engines, e)
+}
+
 // serviceFaults sets the faults of all services.
 func (s *system) serviceFaults(f service.Faults) {
 	s.t.Helper()
@@ -42,6 +51,13 @@
 	}
 }
 
+// engineFaults sets the faults of all engines.
+func (s *system) engineFaults(f engine.Faults) {
+	s.t.Helper()
+	for _, e := range s.engines {
+		s.fault(e.address, f)
+	}
+}
 
 // tableFaults adds faults of the platform to those in force.
 func (s *system) tableFaults(f platformd.Faults) {
@@ -100,6 +116,28 @@
 	return sums
 }
 
+// engineArrivals is serviceArrivals for engines.
+func (s *system) engineArrivals() map[string]engine.Arrival {
+	s.t.Helper()
+	sums := map[string]engine.Arrival{}
+	for _, e := range s.engines {
+		var list engine.Arrivals
+		s.standinGet(e.address, "/arrivals", &list)
+		for _, a := range list.Arrivals {
+			id := requestOf(a.RequestID)
+			sum := sums[id]
+			sum.RequestID, sum.Model = id, a.Model
+			sum.Heads += a.Heads
+			sum.Bodies += a.Bodies
+			sum.Began += a.Began
+			sum.Finished += a.Finished
+			sum.Refused += a.Refused
+			sums[id] = sum
+		}
+	}
+	return sums
+}
+
 // requestOf drops the number of the attempt from an id towards upstreams.
 func requestOf(attemptID string) string {
 	id, _, _ := strings.Cut(attemptID, ".")
