--- /dev/null
+++ b/internal/e2e/keys_test.go
@@ -0,0 +1,56 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/internal/devenv"
+)
+
+const secondKey = "k2:7765697277656972776569727765697277656972776569727765697277656972"
+
+// TestKeysRotateWithoutACut replaces the keys between hosts and of session
+// tokens in three rolls through all hosts, under load: no request fails, and a
+// session keeps its version though its tokens change keys.
+func TestKeysRotateWithoutACut(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 2)
+	head := s.submit(devenv.Manifest())
+	fleet := &fleet{hosts: append([]*entryHost(nil), s.hosts...)}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b := &balancer{s: s}
+	go b.run(ctx, fleet.list)
+	eventually(t, "the balancer sees a host", func() bool { return b.pick() != nil })
+	first, err := chat("small", "hello tokens=1", false).with("Quetzalweir-Session", "new").send(b.pick())
+	is.NoErr(err)
+	version, token := first.get("Quetzalweir-Version"), first.get("Quetzalweir-Session")
+
+	load := startLoad(t, b)
+	load.add(first)
+	for step, keys := range []string{secret + "," + secondKey, secondKey + "," + secret, secondKey} {
+		for _, old := range fleet.list() {
+			id := fmt.Sprintf("%s-%d", old.id[:len("entry-1")], step)
+			fleet.add(s.addHost(id, zone(step), "--peer-keys="+keys, "--session-keys="+keys))
+			eventually(t, "the new host is ready", func() bool { return ready(fleet.last()) })
+			is.NoErr(old.terminate())
+			fleet.remove(old)
+		}
+		load.more(5)
+		a, err := chat("small", "again tokens=1", false).with("Quetzalweir-Session", token).send(fleet.last())
+		is.NoErr(err)
+		is.Equal(a.get("Quetzalweir-Version"), version)
+		token = a.get("Quetzalweir-Session")
+		load.add(a)
+	}
+	s.checkBills(fleet.last(), head.Epoch, load.stop())
+	for _, h := range s.hosts {
+		for _, key := range []string{secret, secondKey} {
+			is.True(!strings.Contains(h.output(), strings.SplitN(key, ":", 2)[1])) // no key in any log
+		}
+	}
+}
--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -3,46 +3,202 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/devenv"
 	"github.com/quetzalweir/quetzalweir/internal/experiment/path"
 )
 
-// measure runs the measurements, which print figures and assert only that all
-// answers were whole: go test ./internal/e2e -run TestMeasurePath -measure -v
-var measure = flag.Bool("measure", false, "run the measurements")
+// The flags of the measurements, which print figures and assert only that all
+// answers were whole: go test ./internal/e2e -run TestMeasure -measure -v
+var (
+	measure     = flag.Bool("measure", false, "run the measurements")
+	measureRuns = flag.Int("measure-runs", 5, "runs of each measurement")
+	measureLog  = flag.String("measure-log", "info", "log level of the measured entry host")
+	// measureAgainst is another build of the binary, whose runs alternate with
+	// those of this one, so that both meet the same state of the machine.
+	measureAgainst = flag.String("measure-against", "", "another binary to measure beside")
+	// measureProcs is GOMAXPROCS of the entry hosts; empty leaves it alone.
+	measureProcs = flag.String("measure-procs", "", "GOMAXPROCS of the entry hosts")
+)
 
-func TestMeasurePath(t *testing.T) {
+func needMeasure(t *testing.T) {
+	t.Helper()
 	if !*measure {
 		t.Skip("needs -measure")
 	}
-	s := &system{t: t}
+}
+
+// startMeasured starts a platform, one engine and entry hosts that are joined
+// without the relays of the other tests, which would be measured too.
+func startMeasured(t *testing.T, hosts int) (s *system, measured []path.Host) {
+	t.Helper()
+	s = &system{t: t}
 	s.platform = startStandin(t, "platform", "platform", "--listen=127.0.0.1:0").address
-	e := startStandin(t, "engine-1", "engine", "--platform=http://"+s.platform, "--id=engine-1", "--zone=zone-a",
-		"--versions=large@v1,small@v1", "--capacity=4096")
-	s.addHost("entry-1", "zone-a", "--capacity=4096")
-	s.addHost("entry-2", "zone-b")
+	s.engines = append(s.engines, startStandin(t, "engine-1", "engine", "--platform=http://"+s.platform, "--id=engine-1",
+		"--zone=zone-a", "--versions=large@v1,small@v1", "--capacity=4096"))
+	for i := range hosts {
+		h := s.addMeasured(i)
+		measured = append(measured, path.Host{Callers: h.callers, Operators: h.operators})
+	}
 	s.submit(devenv.Manifest())
-	for range 3 {
-		var out strings.Builder
-		err := path.Run(context.Background(), &out, path.Options{
-			Entry:     s.hosts[0].callers,
-			Operators: s.hosts[0].operators,
-			Engine:    e.address,
-			Key:       devenv.AccountKey,
-			Model:     "large",
-			Version:   "large@v1",
-			Rate:      500,
-			Requests:  3000,
-			Seed:      1,
-			Streams:   1000,
-			Tokens:    1000,
-		})
-		t.Logf("\n%s", out.String())
+	return s, measured
+}
+
+func (s *system) addMeasured(i int) *entryHost {
+	s.t.Helper()
+	id := fmt.Sprintf("entry-%d", i+1)
+	h := &entryHost{id: id, callers: freeAddress(s.t, loopback), operators: freeAddress(s.t, loopback)}
+	env := entryEnv
+	if *measureProcs != "" {
+		env = append([]string{"GOMAXPROCS=" + *measureProcs}, entryEnv...)
+	}
+	h.process = start(s.t, id, env, "serve", "--id="+id, "--zone="+zone(i), "--platform=http://"+s.platform,
+		"--callers="+h.callers, "--operators="+h.operators, "--peers="+freeAddress(s.t, loopback),
+		"--capacity=4096", "--log-level="+*measureLog)
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// loadAverage is the machine's, as the kernel tells it.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(data))[:3], " ")
+}
+
+// build is a measured build of the binary.
+type build struct {
+	binary  string
+	engine  string
+	hosts   []path.Host
+	summary path.Summary
+}
+
+// startBuilds starts a system for this build, and for the other one if there
+// is one.
+func startBuilds(t *testing.T) []*build {
+	t.Helper()
+	binaries := []string{binary}
+	if *measureAgainst != "" {
+		binaries = append(binaries, *measureAgainst)
+	}
+	t.Cleanup(func() { binary = binaries[0] })
+	var builds []*build
+	for _, b := range binaries {
+		binary = b
+		s, hosts := startMeasured(t, 3)
+		builds = append(builds, &build{binary: b, engine: s.engines[0].address, hosts: hosts})
+	}
+	return builds
+}
+
+func TestMeasurePath(t *testing.T) {
+	needMeasure(t)
+	builds := startBuilds(t)
+	for i := range *measureRuns {
+		for _, b := range builds {
+			t.Logf("run %d, load average %s", i+1, loadAverage())
+			figures, err := path.Run(context.Background(), b.options(uint64(i+1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.summary.Add(figures)
+		}
+	}
+	for _, b := range builds {
+		t.Log(b.binary)
+		logSummary(t, &b.summary)
+	}
+}
+
+func (b *build) options(seed uint64) path.Options {
+	return path.Options{
+		Entry:   b.hosts[0],
+		Others:  b.hosts[1:],
+		Engine:  b.engine,
+		Key:     devenv.AccountKey,
+		Model:   "large",
+		Version: "large@v1",
+		Shares:  []float64{0.1, 0.5, 0.9},
+		Seed:    seed,
+		Streams: 1000,
+		Tokens:  1000,
+	}
+}
+
+func logSummary(t *testing.T, summary *path.Summary) {
+	t.Helper()
+	var out strings.Builder
+	summary.Print(&out)
+	t.Logf("load average at the end %s\n%s", loadAverage(), out.String())
+}
+
+// idlePeriod is how long idle hosts are watched.
+const idlePeriod = 10 * time.Second
+
+func TestMeasureIdle(t *testing.T) {
+	needMeasure(t)
+	_, hosts := startMeasured(t, 7)
+	var summary path.Summary
+	t.Logf("load average %s", loadAverage())
+	for range *measureRuns {
+		before := usages(t, hosts)
+		time.Sleep(idlePeriod)
+		for i, after := range usages(t, hosts) {
+			summary.Add([]path.Figure{
+				{Name: "an idle host: processor, % of a core", Value: 100 * (after.CPU - before[i].CPU) / idlePeriod.Seconds()},
+				{Name: "an idle host: resident memory, MB", Value: after.Resident / 1e6},
+			})
+		}
+	}
+	logSummary(t, &summary)
+}
+
+func usages(t *testing.T, hosts []path.Host) []path.Usage {
+	t.Helper()
+	list := make([]path.Usage, len(hosts))
+	for i, h := range hosts {
+		u, err := path.ReadUsage(context.Background(), http.DefaultClient, h)
 		if err != nil {
 			t.Fatal(err)
 		}
+		list[i] = u
+	}
+	return list
+}
+
+func TestMeasureStart(t *testing.T) {
+	needMeasure(t)
+	s, _ := startMeasured(t, 2)
+	var summary path.Summary
+	for i := range *measureRuns {
+		began := time.Now()
+		if out, err := exec.Command(binary, "version").CombinedOutput(); err != nil {
+			t.Fatalf("version: %v\n%s", err, out)
+		}
+		command := time.Since(began)
+		began = time.Now()
+		h := s.addMeasured(2 + i)
+		ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+		err := devenv.WaitReady(ctx, h.operators)
+		cancel()
+		if err != nil {
+			t.Fatal(err)
+		}
+		summary.Add([]path.Figure{
+			{Name: "the command version, from start to end, ms", Value: float64(command.Microseconds()) / 1e3},
+			{Name: "an entry host, from start to ready (asked every 50 ms), ms", Value: float64(time.Since(began).Microseconds()) / 1e3},
+		})
+		h.kill()
 	}
+	logSummary(t, &summary)
 }
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -160,6 +160,10 @@
 		return
 	}
 	checkChat(l.t, a, "large", prompt)
+	l.add(a)
+}
+
+func (l *load) add(a answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers[a.get("Quetzalweir-Request-Id")] = a
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -3,23 +3,20 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
-// admit waits for a place among the requests being run, or refuses at once
-// what can't be answered in time.
+// admit waits for a place among the requests being run in the pool, or refuses
+// at once what can't be answered in time.
 type admit struct {
-	queue *admission.Queue
-	// estimate is how long a request of the kind takes once it runs.
-	estimate func(Kind) time.Duration
+	queues *queues
 }
 
 // Serve implements Filter.
 func (f *admit) Serve(ctx context.Context, r *Request, next Next) error {
-	grant, err := f.queue.Admit(ctx, f.ticket(r))
+	grant, err := f.queues.of(r.pool()).Admit(ctx, ticket(r))
 	if err != nil {
 		return admissionError(ctx, err)
 	}
@@ -27,18 +24,14 @@
 	return next(ctx, r)
 }
 
-func (f *admit) ticket(r *Request) admission.Ticket {
-	t := admission.Ticket{
+func ticket(r *Request) admission.Ticket {
+	return admission.Ticket{
 		Account:  r.Account.Name,
 		Weight:   r.Account.Weight,
 		Class:    r.Class.Name,
 		Priority: r.Priority,
 		Deadline: r.Deadline,
 	}
-	if f.estimate != nil {
-		t.Estimate = f.estimate(r.Kind)
-	}
-	return t
 }
 
 func admissionError(ctx context.Context, err error) error {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -111,7 +111,10 @@
 	}
 	req.Model = r.Model
 	req.Version = r.Version.Name
-	req.PrefixHashes = balance.PrefixHashes(r.Prompt)
+	if r.prefix == nil {
+		r.prefix = balance.PrefixHashes(r.Prompt)
+	}
+	req.PrefixHashes = r.prefix
 	return req
 }
 
@@ -121,6 +124,7 @@
 	if !f.pool.Begin(id) {
 		return errNotPlaced
 	}
+	f.pool.Index().Sent(id, r.prefix)
 	r.Target = upstream.Target{ID: id, Address: choice.Upstream.Address}
 	r.Attempts++
 	started := time.Now()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -62,7 +62,7 @@
 	quota     *quota.Limiter
 	codec     *session.Codec
 	registry  *session.Registry
-	queue     *admission.Queue
+	queues    *queues
 	retries   *admission.RetryBudget
 	pool      *balance.Pool
 	upstreams *upstreamDirectory
@@ -179,7 +179,7 @@
 	h.quota = quota.New(quota.Options{Table: h.platform.Table, Host: s.ID, Peers: &quotaPeers{host: h}})
 	h.codec = session.NewCodec(s.SessionKeys, defaultSessionTTL, nil)
 	h.registry = session.NewRegistry(session.Options{Table: h.committer})
-	h.queue = admission.New(admission.Options{Capacity: s.Capacity, MaxQueue: s.MaxQueue})
+	h.queues = newQueues(s.Capacity, s.MaxQueue)
 	h.retries = admission.NewRetryBudget(retryRatio, retriesPerSecond, nil)
 	h.pool = balance.NewPool(balance.Options{})
 	h.rollout = rollout.New(rollout.Options{Host: h.incarnation, Granted: true})
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -49,9 +49,9 @@
 		&claimOnce{claims: h.claims, log: h.log},
 		&limitAccount{quota: h.quota},
 		&bindSession{codec: h.codec},
-		&admit{queue: h.queue},
 		&bill{ledger: h.ledger, log: h.log},
 		&cascadeSteps{learner: h.cascade, rater: h.platform.Rater, log: h.log},
+		&admit{queues: h.queues},
 		&chooseVersion{watcher: h.watcher, rollout: h.rollout, registry: h.registry, codec: h.codec, log: h.log},
 		&dispatch{
 			watcher: h.watcher,
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -19,7 +19,7 @@
 // state for it. The filters read the manifest themselves.
 func (h *Host) applyPolicy(policy *manifest.Policy) {
 	doc := policy.Document
-	h.queue.SetClasses(classOptions(doc.Classes))
+	h.queues.setClasses(classOptions(doc.Classes))
 	h.quota.SetLimits(policy.Epoch, accountLimits(doc.Accounts))
 	h.rollout.SetVersions(versionRules(policy))
 	h.codec.SetTTL(time.Duration(doc.Sessions.TTLSeconds) * time.Second)
--- /dev/null
+++ b/internal/entry/queues.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// queueFactor is how many requests all hosts together let into a pool for each
+// one that it runs at once. Above 1, since hosts don't get equal parts of the
+// traffic and engines have queues of their own; bounded, since what waits at an
+// engine can't be refused or overtaken any more.
+const queueFactor = 2
+
+// queues holds an admission queue for each pool: the engines of a model, or the
+// hosts of a service. Requests for a full pool don't hold up those for another.
+type queues struct {
+	max      int
+	maxQueue int
+	mu       sync.RWMutex
+	classes  []admission.ClassOptions
+	byPool   map[string]*admission.Queue
+	// upstreams and hosts are what capacities follow from.
+	upstreams []*balance.Upstream
+	hosts     int
+}
+
+func newQueues(maxRunning, maxQueue int) *queues {
+	return &queues{max: maxRunning, maxQueue: maxQueue, byPool: make(map[string]*admission.Queue)}
+}
+
+// of returns the queue of a pool, which the manifest names.
+func (q *queues) of(pool string) *admission.Queue {
+	q.mu.RLock()
+	queue := q.byPool[pool]
+	q.mu.RUnlock()
+	if queue != nil {
+		return queue
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if queue = q.byPool[pool]; queue == nil {
+		capacity := q.part(poolCapacity(pool, q.upstreams), q.hosts)
+		queue = admission.New(admission.Options{Capacity: capacity, MaxQueue: q.maxQueue, Classes: q.classes})
+		q.byPool[pool] = queue
+	}
+	return queue
+}
+
+// setClasses takes over the classes of a manifest.
+func (q *queues) setClasses(classes []admission.ClassOptions) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.classes = classes
+	for _, queue := range q.byPool {
+		queue.SetClasses(classes)
+	}
+}
+
+// adapt sets each pool's capacity to this host's part of what the pool runs.
+func (q *queues) adapt(upstreams []*balance.Upstream, hosts int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.upstreams = upstreams
+	q.hosts = hosts
+	for pool, queue := range q.byPool {
+		queue.SetCapacity(q.part(poolCapacity(pool, upstreams), hosts))
+	}
+}
+
+// part is a host's part of a pool's capacity. A pool without any stays open:
+// its requests are refused at once for want of an upstream.
+func (q *queues) part(capacity, hosts int) int {
+	if capacity == 0 {
+		return q.max
+	}
+	hosts = max(1, hosts)
+	return min(q.max, (capacity*queueFactor+hosts-1)/hosts)
+}
+
+// poolCapacity sums what the upstreams of a pool run at once.
+func poolCapacity(pool string, upstreams []*balance.Upstream) int {
+	capacity := 0
+	for _, u := range upstreams {
+		if !u.Leaving && serves(u, pool) {
+			capacity += u.Reported.Capacity
+		}
+	}
+	return capacity
+}
+
+func serves(u *balance.Upstream, pool string) bool {
+	if u.Kind == platform.KindService {
+		return poolOfService(u.Name) == pool
+	}
+	return slices.ContainsFunc(u.Versions, func(v string) bool {
+		model, _, _ := strings.Cut(v, "@")
+		return poolOfModel(model) == pool
+	})
+}
+
+func poolOfModel(model string) string     { return "model/" + model }
+func poolOfService(service string) string { return "service/" + service }
+
+// pool is the pool that the request needs a place in.
+func (r *Request) pool() string {
+	if r.Kind == KindService {
+		return poolOfService(r.Route)
+	}
+	return poolOfModel(r.Model)
+}
+
+// stats sums the numbers of all pools.
+func (q *queues) stats() admission.Stats {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	var sum admission.Stats
+	for _, queue := range q.byPool {
+		s := queue.Stats()
+		sum.Capacity += s.Capacity
+		sum.Running += s.Running
+		sum.Queued += s.Queued
+	}
+	return sum
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -80,7 +81,9 @@
 	// Replayed says that the answer is an earlier one with the same key.
 	Replayed bool
 
-	state runstate.Tracker
+	// prefix holds the hashes of the prompt's blocks, once they are needed.
+	prefix []uint64
+	state  runstate.Tracker
 	// keyOpen is true while an earlier request with the same key may have run
 	// and the claim has not told yet.
 	keyOpen bool
@@ -97,14 +100,24 @@
 	return s
 }
 
-// BillID is the bill's identity: the same for all retries under one key.
+// BillID is the bill's identity: the same for all retries under one key. A
+// claimed key stands for one request only; where there is no claim, the digest
+// keeps different requests under one key apart, so that each is billed.
 func (r *Request) BillID() string {
-	if r.RequestKey == "" {
+	switch {
+	case r.RequestKey == "":
 		return r.ID
+	case r.Claim != nil:
+		return r.Account.Name + "/" + r.RequestKey
+	default:
+		digest := requestDigest(r)
+		return r.Account.Name + "/" + r.RequestKey + "/" + hex.EncodeToString(digest[:billDigestBytes])
 	}
-	return r.Account.Name + "/" + r.RequestKey
 }
 
+// billDigestBytes is how much of a request's digest goes into its bill's id.
+const billDigestBytes = 8
+
 // AccountName is the account's name, or empty before it is known.
 func (r *Request) AccountName() string {
 	if r.Account == nil {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -76,6 +76,7 @@
 		}
 		h.pool.Update(hosts)
 		h.askLoads(ctx, h.upstreams.set(hosts))
+		h.queues.adapt(h.pool.View(), h.hostsUp())
 		h.sawUpstreams.Store(true)
 	})
 }
@@ -84,9 +85,21 @@
 func (h *Host) pollLoad(ctx context.Context) error {
 	return every(ctx, h.settings.PollLoad, func() {
 		h.askLoads(ctx, h.upstreams.list())
+		h.queues.adapt(h.pool.View(), h.hostsUp())
 	})
 }
 
+// hostsUp counts the entry hosts that share the upstreams.
+func (h *Host) hostsUp() int {
+	n := 0
+	for _, m := range h.members.Members() {
+		if m.State == membership.Up {
+			n++
+		}
+	}
+	return n
+}
+
 // askLoads asks several upstreams and waits for their answers.
 func (h *Host) askLoads(ctx context.Context, hosts []platform.Host) {
 	var group errgroup.Group
