ledger: copies held for peers are packed

Cause: 20,000 unwritten bills and as many copies for peers took 25 MB of the 32 MB that a host has for control; copies are read only when an owner is lost, so they needn't stand unpacked. Every 64 messages of an owner become one block, released with its highest number.

Also gofmt of a test.

--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// BenchmarkHeldMemory gives the memory of a copy held for a peer, in bytes.
+func BenchmarkHeldMemory(b *testing.B) {
+	const n = 20_000
+	for b.Loop() {
+		c := NewCustody(New(Options{Host: "h1"}), CustodyOptions{})
+		before := heap()
+		for i := range n {
+			if err := c.Hold("h0/x", uint64(i+1), []Bill{distinctBill(i)}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/bill")
+		runtime.KeepAlive(c)
+	}
+}
+
 func heap() int64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/ledger/custody.go
+++ b/ledger/custody.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -46,16 +45,14 @@
 	// dropped is the highest number that the owner has released. A message
 	// that comes after its own release is ignored.
 	dropped uint64
+	// batches are in the order of their arrival; the last loose of them aren't
+	// packed yet.
 	batches []heldBatch
+	loose   int
 	// touched is when the owner was last heard of.
 	touched time.Time
 }
 
-type heldBatch struct {
-	seq   uint64
-	bills []Bill
-}
-
 // NewCustody returns a Custody that writes through l.
 func NewCustody(l *Ledger, opts CustodyOptions) *Custody {
 	if opts.MaxBills <= 0 {
@@ -76,7 +73,7 @@
 	if seq <= o.dropped {
 		return nil
 	}
-	o.batches = append(o.batches, heldBatch{seq: seq, bills: bills})
+	o.hold(seq, bills)
 	c.held += len(bills)
 	return nil
 }
@@ -137,7 +134,7 @@
 		}
 		for _, b := range c.release(o, math.MaxUint64) {
 			moved = true
-			c.ledger.addAll(b.bills)
+			c.ledger.addAll(b.unpack())
 		}
 		delete(c.owners, name)
 	}
@@ -146,15 +143,10 @@
 
 // release removes the batches up to upTo and returns them. Custody.mu is held.
 func (c *Custody) release(o *owned, upTo uint64) []heldBatch {
-	var released []heldBatch
-	o.batches = slices.DeleteFunc(o.batches, func(b heldBatch) bool {
-		if b.seq > upTo {
-			return false
-		}
-		c.held -= len(b.bills)
-		released = append(released, b)
-		return true
-	})
+	released := o.release(upTo)
+	for _, b := range released {
+		c.held -= b.count
+	}
 	return released
 }
 
--- a/ledger/failure_test.go
+++ b/ledger/failure_test.go
@@ -157,7 +157,7 @@
 			is.Equal(len(record(t, c.hosts[0], i, 1)), 1)
 			time.Sleep(10 * time.Second)
 		}
-		time.Sleep(5 * time.Minute) // without new bills
+		time.Sleep(5 * time.Minute)              // without new bills
 		is.Equal(c.hosts[1].ledger.Pending(), 0) // the owner lives, so its copies aren't adopted
 		is.Equal(c.hosts[1].custody.Held(), minutes*6)
 		before := c.table.Counts().Commits
