rollout: bound requests aren't paced, answers can end without evidence

Cause: pacing refuses while answers are under way without evidence. A session that is bound to the version has nowhere else to go and would be refused. And an answer whose caller left was never observed, so that it held its place under way for two minutes; with eight such callers the roll-out stood still.

TakeBound checks the budget only. Abandon ends an answer that shows nothing; it stays counted against the budget, and expired answers end the same way, so that peers no longer see them as under way.

Ruled out: treating a caller's leaving as a return, since the answer may have run. Also, answers under way now count as good in the tests against a version: failures come sooner than good answers, and without this three failures in 60 answers, 5% of 5% permitted, stopped it before the other 57 came in (TestEarlyFailuresAreNotComparedWithTooFewAnswers, which fails without it).

--- a/rollout/entry.go
+++ b/rollout/entry.go
@@ -27,6 +27,8 @@
 	sum          Counters
 	recent       [len(spans)]Counters
 	recentNumber int64
+	// peersUnderWay is how many answers of the peers weren't observed yet.
+	peersUnderWay uint64
 	// pending holds when the answers under way were taken, oldest first.
 	pending []time.Time
 	cleared bool
@@ -66,8 +68,8 @@
 }
 
 // take takes one answer if the version is cleared or the budget and the pace
-// allow it.
-func (e *entry) take(now time.Time, hosts int) bool {
+// allow it. Without paced only the budget counts.
+func (e *entry) take(now time.Time, hosts int, paced bool) bool {
 	if e.cleared || e.rule.Budget <= 0 {
 		return true
 	}
@@ -75,7 +77,7 @@
 		e.own.Denied++
 		return false
 	}
-	if !e.pacing.Off && !e.paced(now, hosts) {
+	if paced && !e.pacing.Off && !e.paced(now, hosts) {
 		return false
 	}
 	e.own.Taken++
@@ -86,7 +88,7 @@
 // paced says whether one more answer may be under way.
 func (e *entry) paced(now time.Time, hosts int) bool {
 	for len(e.pending) > 0 && now.Sub(e.pending[0]) >= e.pacing.ObserveTimeout {
-		e.pending = e.pending[1:]
+		e.abandon()
 	}
 	if len(e.pending) >= window(e.pacing.Initial, e.pacing.Growth, e.sum.good(), hosts) {
 		return false
@@ -109,6 +111,15 @@
 	e.settle()
 }
 
+// abandon ends an answer without an observation.
+func (e *entry) abandon() {
+	if len(e.pending) == 0 {
+		return
+	}
+	e.own.Abandoned++
+	e.settle()
+}
+
 // settle ends one answer under way.
 func (e *entry) settle() {
 	if len(e.pending) > 0 {
@@ -152,8 +163,10 @@
 // total recomputes the sums over all hosts.
 func (e *entry) total(now time.Time) {
 	e.sum = e.own.Total.clone()
+	e.peersUnderWay = 0
 	for _, p := range e.peers {
 		e.sum.add(&p.Total)
+		e.peersUnderWay += p.underWay()
 	}
 	e.sumRecent(now)
 }
@@ -179,13 +192,30 @@
 	}
 }
 
+// underWay returns how many answers of all hosts weren't observed yet.
+func (e *entry) underWay() uint64 {
+	if e.cleared {
+		return 0 // no longer counted
+	}
+	return e.own.underWay() + e.peersUnderWay
+}
+
+// violated runs the tests against the version. Answers under way count as
+// good: failures often come sooner than good answers, and would otherwise be
+// compared with too few of them.
+func (e *entry) violated(counters *Counters, alpha float64) (Reason, float64, bool) {
+	cautious := *counters
+	cautious.Answers += e.underWay()
+	return e.criteria.violated(&cautious, alpha)
+}
+
 // verdict tests the evidence. It clears the entry, or returns a stop.
 func (e *entry) verdict(now time.Time) (Stop, bool) {
 	counters := &e.sum
-	reason, strength, bad := e.criteria.violated(counters, e.criteria.confidence.FalseStop)
+	reason, strength, bad := e.violated(counters, e.criteria.confidence.FalseStop)
 	for i := 0; i < len(e.recent) && !bad; i++ {
 		counters = &e.recent[i]
-		reason, strength, bad = e.criteria.violated(counters, e.criteria.confidence.FalseStopSpan)
+		reason, strength, bad = e.violated(counters, e.criteria.confidence.FalseStopSpan)
 	}
 	if !bad {
 		e.cleared = e.cleared || e.criteria.satisfied(&e.sum)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -41,6 +41,8 @@
 	// because they were never sent.
 	Taken    uint64 `json:"taken"`
 	Returned uint64 `json:"returned,omitempty"`
+	// Abandoned counts answers that ended without an observation.
+	Abandoned uint64 `json:"abandoned,omitempty"`
 	// Denied counts answers refused because the host's part was spent.
 	Denied uint64 `json:"denied,omitempty"`
 	// Total covers the epoch, Segments its last periods.
@@ -128,6 +130,7 @@
 	e.Granted = max(e.Granted, other.Granted)
 	e.Taken = max(e.Taken, other.Taken)
 	e.Returned = max(e.Returned, other.Returned)
+	e.Abandoned = max(e.Abandoned, other.Abandoned)
 	e.Denied = max(e.Denied, other.Denied)
 	e.Total.raise(&other.Total)
 	for _, t := range other.Given {
@@ -151,11 +154,17 @@
 	e.Given = append(e.Given, t)
 }
 
+// underWay returns how many answers were taken and not yet observed.
+func (e *Evidence) underWay() uint64 {
+	ended := e.Returned + e.Abandoned + e.Total.Answers
+	return e.Taken - min(e.Taken, ended)
+}
+
 // weight rises with every change of the evidence.
 func (e *Evidence) weight() uint64 {
 	c := &e.Total
 	total := c.Answers + c.Errors + c.Timed + c.Slow + c.Rated()
-	return e.Granted + e.given() + e.Taken + e.Returned + e.Denied + total
+	return e.Granted + e.given() + e.Taken + e.Returned + e.Abandoned + e.Denied + total
 }
 
 // givenTo returns how much the host gave to another.
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -78,14 +78,25 @@
 // to another version. It always returns true for a version without a rule, and
 // for one that is cleared and not stopped.
 func (t *Tracker) Take(model, version string) bool {
+	return t.take(Key{model, version}, true)
+}
+
+// TakeBound is Take for a request that can't go to another version, such as
+// one of a session that is bound to this one: too many answers under way are
+// no reason to refuse it.
+func (t *Tracker) TakeBound(model, version string) bool {
+	return t.take(Key{model, version}, false)
+}
+
+func (t *Tracker) take(key Key, paced bool) bool {
 	taken := false
-	t.with(Key{model, version}, func(s *shard, e *entry, now time.Time) {
+	t.with(key, func(s *shard, e *entry, now time.Time) {
 		if _, stopped := s.stopped(e.rule.Key()); stopped {
 			return
 		}
 		t.claimShare(e)
 		before := e.own.weight()
-		taken = e.take(now, t.hostCount())
+		taken = e.take(now, t.hostCount(), paced)
 		if e.own.weight() != before {
 			t.mark(e, e.own.Host)
 		}
@@ -103,7 +114,18 @@
 	}, nil)
 }
 
-// Observe takes in what an answer showed, once for each answer taken.
+// Abandon ends an answer that was taken, may have run, and shows nothing of the
+// version, for example because the caller left. It stays counted against the
+// budget.
+func (t *Tracker) Abandon(model, version string) {
+	t.with(Key{model, version}, func(_ *shard, e *entry, _ time.Time) {
+		e.abandon()
+		t.mark(e, e.own.Host)
+	}, nil)
+}
+
+// Observe takes in what an answer showed. Each answer taken ends with one call
+// of Observe, Abandon or Return.
 func (t *Tracker) Observe(model, version string, outcome Outcome) {
 	t.with(Key{model, version}, func(s *shard, e *entry, now time.Time) {
 		e.settle()
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -179,3 +179,45 @@
 	evidence, _ = b.ExportSince(mark)
 	is.Equal(len(evidence), 0)
 }
+
+func TestEarlyFailuresAreNotComparedWithTooFewAnswers(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	tracker := New(Options{Host: "a", Clock: clock.Now, Pacing: Pacing{Off: true}})
+	tracker.SetVersions([]VersionRule{rule})
+	for range 60 {
+		tracker.Take("m", "2")
+	}
+	for range 3 { // 5% of those under way, as is permitted
+		tracker.Observe("m", "2", Outcome{Err: true})
+	}
+	_, stopped := tracker.Stopped("m", "2")
+	is.True(!stopped)
+	for range 57 {
+		tracker.Observe("m", "2", good)
+	}
+	_, stopped = tracker.Stopped("m", "2")
+	is.True(!stopped)
+}
+
+func TestBoundRequestsAreNotPaced(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), smallRule)
+	for range smallRule.Budget {
+		is.True(tracker.TakeBound("m", "2"))
+	}
+	is.True(!tracker.TakeBound("m", "2")) // the budget holds
+}
+
+func TestAbandonedAnswersEnd(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", newClock(), rule)
+	for tracker.Take("m", "2") {
+	}
+	tracker.Abandon("m", "2")
+	is.True(tracker.Take("m", "2"))
+	is.True(!tracker.Take("m", "2"))
+	evidence := tracker.Export()[0]
+	is.Equal(evidence.underWay(), uint64(DefaultInitial))
+	is.Equal(evidence.Taken, uint64(DefaultInitial+1)) // still counted
+}
