--- a/balance/prefix_index.go
+++ b/balance/prefix_index.go
@@ -12,7 +12,7 @@
 
 const (
 	// DefaultIndexBlocks is how many blocks the index keeps an upstream by
-	// default; an entry takes about 100 bytes.
+	// default; an entry takes about 130 bytes.
 	DefaultIndexBlocks = 4096
 	// doubtfulWeight is the weight of blocks last confirmed before a gap in
 	// the upstream's events: an eviction may have been missed.
