history: bills and manifests into records; ledger checked against answers

Cause: a record needs the ledger's bills and what a manifest permits; written by each user, the two conversions would differ. Bills were matched by an ID of one format, while a bill's ID is the pipeline's own matter: a bill now belongs to the group of its request. Ruled out: teaching the checker the pipeline's IDs, which would tie the judge to the judged.

--- a/history/answer.go
+++ b/history/answer.go
@@ -21,7 +21,7 @@
 			found = append(found, Violation{RuleAnswer, e, "answer to a request that nobody sent"})
 		case answered[e.RequestID]:
 			found = append(found, Violation{RuleAnswer, e, "second answer"})
-		case e.whole() && !own(r, e, made[r.billID()]):
+		case e.whole() && !own(r, e, made[r.keyID()]):
 			found = append(found, Violation{RuleAnswer, e, "answer of another request, or not whole"})
 		}
 		answered[e.RequestID] = true
@@ -35,7 +35,7 @@
 	made := make(map[string][]string)
 	for _, e := range events {
 		if r := byID[e.RequestID]; e.Kind == UpstreamRan && r != nil {
-			made[r.billID()] = append(made[r.billID()], e.Digest)
+			made[r.keyID()] = append(made[r.keyID()], e.Digest)
 		}
 	}
 	return made
--- a/history/atmostonce.go
+++ b/history/atmostonce.go
@@ -13,7 +13,7 @@
 		if e.Kind != UpstreamRan || r == nil || r.sent.Idempotent {
 			continue
 		}
-		id := r.billID()
+		id := r.keyID()
 		runs[id]++
 		if runs[id] > 1 {
 			found = append(found, Violation{RuleAtMostOnce, e, fmt.Sprintf("%q: run %d", id, runs[id])})
--- a/history/billing.go
+++ b/history/billing.go
@@ -3,18 +3,23 @@
 import "fmt"
 
 // BilledOnce compares the ledger with what callers got. Requests with one key
-// share a bill. For each bill's requests: a whole answer has one bill with its
+// share a bill, unless their senders expected other bill IDs; a bill belongs to
+// its request's group, whatever its own ID. For each bill's requests: a whole answer has one bill with its
 // code; a request that was dispatched and failed has one bill without a charge;
 // one that wasn't dispatched has none; and where a caller's connection was lost
 // or the run ended first, there is at most one.
 func BilledOnce(events []Event) []Violation {
-	groups, order := billGroups(events)
+	byID, sent := requests(events)
+	groups, order := billGroups(byID, sent)
 	var found []Violation
 	for _, e := range events {
 		if e.Kind != Billed {
 			continue
 		}
 		g := groups[e.BillID]
+		if r := byID[e.RequestID]; r != nil {
+			g = groups[r.billID()]
+		}
 		if g == nil {
 			found = append(found, Violation{RuleBilledOnce, e, "bill of a request that nobody sent"})
 			continue
@@ -35,8 +40,7 @@
 	bills    []Event
 }
 
-func billGroups(events []Event) (map[string]*billGroup, []string) {
-	byID, sent := requests(events)
+func billGroups(byID map[string]*request, sent []string) (map[string]*billGroup, []string) {
 	groups := make(map[string]*billGroup)
 	var order []string
 	for _, requestID := range sent {
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -10,41 +10,41 @@
 func TestPermitted(t *testing.T) {
 	check := func(events []Event) []Violation { return Permitted(events, bound) }
 	runCases(t, check, []checkCase{
-		{"permitted", []Event{manifest(1, "a", v1), sent("r1"), arrived("r1", v1)}, ""},
-		{"not permitted", []Event{manifest(1, "a", v1), sent("r1"), arrived("r1", v2)}, `account "clydegate" isn't permitted quote@v2`},
-		{"no manifest yet", []Event{sent("r1"), arrived("r1", v1), manifest(1, "a", v1)}, `account "clydegate" isn't permitted quote@v1`},
-		{"the old manifest within the bound", []Event{manifest(1, "a", v1), manifest(2, "b", v2), sent("r1"), arrived("r1", v1)}, ""},
-		{"the old manifest after the bound", []Event{manifest(1, "a", v1), manifest(2, "b", v2), at(9*time.Second, sent("r1")), arrived("r1", v1)}, `account "clydegate" isn't permitted quote@v1`},
-		{"sent in time, arrived long after", []Event{manifest(1, "a", v1), manifest(2, "b", v2), sent("r1"), at(time.Minute, arrived("r1", v1))}, ""},
-		{"in force before its acceptance was seen", []Event{submitted("a"), sent("r1"), arrived("r1", v1), manifest(1, "a", v1)}, ""},
-		{"permitted but withdrawn", []Event{withdrawing(manifest(1, "a", v1), v1), sent("r1"), arrived("r1", v1)}, `account "clydegate" isn't permitted quote@v1`},
-		{"another account's permission", []Event{manifest(1, "a", v1), {Kind: RequestSent, RequestID: "r1", Account: "valley"}, arrived("r1", v1)}, `account "valley" isn't permitted quote@v1`},
-		{"nobody's request", []Event{manifest(1, "a", v1), arrived("r1", v1)}, "arrival of a request that nobody sent"},
+		{"permitted", []Event{accept(1, "a", v1), sent("r1"), arrived("r1", v1)}, ""},
+		{"not permitted", []Event{accept(1, "a", v1), sent("r1"), arrived("r1", v2)}, `account "clydegate" isn't permitted quote@v2`},
+		{"no manifest yet", []Event{sent("r1"), arrived("r1", v1), accept(1, "a", v1)}, `account "clydegate" isn't permitted quote@v1`},
+		{"the old manifest within the bound", []Event{accept(1, "a", v1), accept(2, "b", v2), sent("r1"), arrived("r1", v1)}, ""},
+		{"the old manifest after the bound", []Event{accept(1, "a", v1), accept(2, "b", v2), at(9*time.Second, sent("r1")), arrived("r1", v1)}, `account "clydegate" isn't permitted quote@v1`},
+		{"sent in time, arrived long after", []Event{accept(1, "a", v1), accept(2, "b", v2), sent("r1"), at(time.Minute, arrived("r1", v1))}, ""},
+		{"in force before its acceptance was seen", []Event{submitted("a"), sent("r1"), arrived("r1", v1), accept(1, "a", v1)}, ""},
+		{"permitted but withdrawn", []Event{withdrawing(accept(1, "a", v1), v1), sent("r1"), arrived("r1", v1)}, `account "clydegate" isn't permitted quote@v1`},
+		{"another account's permission", []Event{accept(1, "a", v1), {Kind: RequestSent, RequestID: "r1", Account: "valley"}, arrived("r1", v1)}, `account "valley" isn't permitted quote@v1`},
+		{"nobody's request", []Event{accept(1, "a", v1), arrived("r1", v1)}, "arrival of a request that nobody sent"},
 		{"plain service", []Event{sent("r1"), arrived("r1", Version{})}, ""},
 	})
 }
 
 func TestWithdrawnWork(t *testing.T) {
 	check := func(events []Event) []Violation { return WithdrawnWork(events, bound) }
-	first, second := manifest(1, "a", v1, v2), withdrawing(manifest(2, "b", v2), v1)
+	first, second := accept(1, "a", v1, v2), withdrawing(accept(2, "b", v2), v1)
 	runCases(t, check, []checkCase{
 		{"other version", []Event{first, second, at(time.Minute, arrived("r1", v2))}, ""},
 		{"within the bound", []Event{first, second, arrived("r1", v1)}, ""},
 		{"after the bound, sent before", []Event{first, sent("r1"), second, at(6*time.Second, arrived("r1", v1))}, "quote@v1 is withdrawn"},
-		{"withdrawn from the start", []Event{withdrawing(manifest(1, "a"), v1), arrived("r1", v1)}, "quote@v1 is withdrawn"},
-		{"brought back by a third manifest", []Event{first, second, submitted("c"), at(6*time.Second, arrived("r1", v1)), manifest(3, "c", v1)}, ""},
+		{"withdrawn from the start", []Event{withdrawing(accept(1, "a"), v1), arrived("r1", v1)}, "quote@v1 is withdrawn"},
+		{"brought back by a third manifest", []Event{first, second, submitted("c"), at(6*time.Second, arrived("r1", v1)), accept(3, "c", v1)}, ""},
 	})
 }
 
 func TestSessions(t *testing.T) {
-	both := manifest(1, "a", v1, v2)
+	both := accept(1, "a", v1, v2)
 	runCases(t, Sessions, []checkCase{
 		{"kept", []Event{both, inSession("r1"), answeredBy("r1", v1), inSession("r2"), answeredBy("r2", v1)}, ""},
 		{"left", []Event{both, inSession("r1"), answeredBy("r1", v1), inSession("r2"), answeredBy("r2", v2)}, `session "s1" went from version v1 to v2`},
 		{"left and back", []Event{both, inSession("r1"), answeredBy("r1", v1), inSession("r2"), inSession("r3"), answeredBy("r2", v1), answeredBy("r3", v2)}, `session "s1" went from version v1 to v2`},
 		{"requests at once", []Event{both, inSession("r1"), inSession("r2"), answeredBy("r1", v1), answeredBy("r2", v2)}, ""},
-		{"version withdrawn", []Event{both, inSession("r1"), answeredBy("r1", v1), withdrawing(manifest(2, "b", v2), v1), inSession("r2"), answeredBy("r2", v2)}, ""},
-		{"withdrawn before the first answer already", []Event{withdrawing(manifest(1, "a", v2), v1), inSession("r1"), answeredBy("r1", v1), inSession("r2"), answeredBy("r2", v2)}, `session "s1" went from version v1 to v2`},
+		{"version withdrawn", []Event{both, inSession("r1"), answeredBy("r1", v1), withdrawing(accept(2, "b", v2), v1), inSession("r2"), answeredBy("r2", v2)}, ""},
+		{"withdrawn before the first answer already", []Event{withdrawing(accept(1, "a", v2), v1), inSession("r1"), answeredBy("r1", v1), inSession("r2"), answeredBy("r2", v2)}, `session "s1" went from version v1 to v2`},
 		{"no session", []Event{both, sent("r1"), answeredBy("r1", v1), sent("r2"), answeredBy("r2", v2)}, ""},
 		{"refusal without a version", []Event{both, inSession("r1"), answeredBy("r1", v1), inSession("r2"), refused("r2", 3001, "not-run")}, ""},
 	})
@@ -62,6 +62,8 @@
 		{"other account", []Event{sent("r1"), answered("r1"), other}, "billed to another account"},
 		{"repeat with a key, one bill", []Event{keyed("r1", "k"), lost("r1"), keyed("r2", "k"), answered("r2"), billed("clydegate/k", "r2")}, ""},
 		{"repeat with a key, a bill each", []Event{keyed("r1", "k"), answered("r1"), keyed("r2", "k"), answered("r2"), billed("clydegate/k", "r1"), billed("clydegate/k", "r2")}, "billed 2 times"},
+		{"one key, a bill ID each", []Event{withBill("r1", "a"), answered("r1"), withBill("r2", "b"), answered("r2"), billed("a", "r1"), billed("b", "r2")}, ""},
+		{"two bill IDs for one request", []Event{keyed("r1", "k"), answered("r1"), billed("clydegate/k", "r1"), billed("r1", "r1")}, "billed 2 times"},
 		{"failure without a charge", []Event{sent("r1"), arrived("r1", v1), refused("r1", 4002, "may-have-run"), failed}, ""},
 		{"failure without a bill", []Event{sent("r1"), arrived("r1", v1), refused("r1", 4002, "may-have-run")}, "a dispatched request has no bill"},
 		{"failure with a charge", []Event{sent("r1"), arrived("r1", v1), refused("r1", 4002, "may-have-run"), billed("r1", "r1")}, "a failed request has a charge"},
@@ -159,23 +161,23 @@
 	old.Epoch = 1
 	missed := "epoch 1 isn't in force on h0 after 3s"
 	runCases(t, check, []checkCase{
-		{"in force in time", []Event{start, manifest(1, "a"), inForce("h0", 1), end}, ""},
-		{"never in force", []Event{start, manifest(1, "a"), end}, missed},
-		{"in force too late", []Event{start, manifest(1, "a"), at(5*time.Second, inForce("h0", 1)), end}, missed},
-		{"its successor in force", []Event{start, manifest(1, "a"), manifest(2, "b"), inForce("h0", 2), end}, ""},
-		{"host gone", []Event{start, manifest(1, "a"), host(HostGone, "h0"), host(HostGone, "h0"), end}, ""},
-		{"host impaired", []Event{start, manifest(1, "a"), host(HostImpaired, "h0"), end}, ""},
-		{"host healed before", []Event{start, host(HostImpaired, "h0"), host(HostHealed, "h0"), manifest(1, "a"), end}, missed},
-		{"record too short to tell", []Event{start, manifest(1, "a")}, ""},
+		{"in force in time", []Event{start, accept(1, "a"), inForce("h0", 1), end}, ""},
+		{"never in force", []Event{start, accept(1, "a"), end}, missed},
+		{"in force too late", []Event{start, accept(1, "a"), at(5*time.Second, inForce("h0", 1)), end}, missed},
+		{"its successor in force", []Event{start, accept(1, "a"), accept(2, "b"), inForce("h0", 2), end}, ""},
+		{"host gone", []Event{start, accept(1, "a"), host(HostGone, "h0"), host(HostGone, "h0"), end}, ""},
+		{"host impaired", []Event{start, accept(1, "a"), host(HostImpaired, "h0"), end}, ""},
+		{"host healed before", []Event{start, host(HostImpaired, "h0"), host(HostHealed, "h0"), accept(1, "a"), end}, missed},
+		{"record too short to tell", []Event{start, accept(1, "a")}, ""},
 		{"reverts", []Event{inForce("h0", 2), inForce("h0", 1)}, "h0 went back from epoch 2 to 1"},
 		{"reverts over a restart", []Event{inForce("h0", 2), host(HostGone, "h0"), start, inForce("h0", 1)}, "h0 went back from epoch 2 to 1"},
 		{"hosts differ", []Event{inForce("h0", 2), inForce("h1", 1)}, ""},
 		{"answers under an old epoch", []Event{inForce("h0", 2), sent("r1"), old}, "answered under epoch 1 after epoch 2 was in force"},
 		{"sent before the new epoch", []Event{sent("r1"), inForce("h0", 2), old}, ""},
-		{"two manifests, one epoch", []Event{manifest(1, "a"), manifest(1, "b")}, "two manifests with one epoch"},
-		{"later manifest, lower epoch", []Event{submitted("a"), manifest(2, "a"), submitted("b"), manifest(1, "b")}, "epoch isn't above that of an earlier acceptance"},
-		{"manifests at once", []Event{submitted("a"), submitted("b"), manifest(2, "a"), manifest(1, "b")}, ""},
-		{"acceptance seen twice", []Event{submitted("a"), manifest(1, "a"), manifest(1, "a")}, ""},
+		{"two manifests, one epoch", []Event{accept(1, "a"), accept(1, "b")}, "two manifests with one epoch"},
+		{"later manifest, lower epoch", []Event{submitted("a"), accept(2, "a"), submitted("b"), accept(1, "b")}, "epoch isn't above that of an earlier acceptance"},
+		{"manifests at once", []Event{submitted("a"), submitted("b"), accept(2, "a"), accept(1, "b")}, ""},
+		{"acceptance seen twice", []Event{submitted("a"), accept(1, "a"), accept(1, "a")}, ""},
 	})
 }
 
@@ -183,7 +185,7 @@
 func TestCheck(t *testing.T) {
 	events := record(
 		inForce("h0", 2), inForce("h0", 1),
-		manifest(1, "a", v1), withdrawing(manifest(2, "b"), v2),
+		accept(1, "a", v1), withdrawing(accept(2, "b"), v2),
 		Event{Kind: UpstreamLeaving, Upstream: "u1"},
 		inSession("r1"), answeredBy("r1", v1), inSession("r2"), answeredBy("r2", v2),
 		keyed("r3", "k"), ran("r3"), ran("r3"), refused("r3", 3001, "not-run"),
--- a/history/event.go
+++ b/history/event.go
@@ -20,8 +20,9 @@
 	ManifestAccepted Kind = "manifest-accepted"
 	// InForce says that a host works by a manifest: Host, Epoch.
 	InForce Kind = "in-force"
-	// RequestSent: RequestID, Account, Key, Session, Host, Idempotent, and
-	// Digest where the right answer is known beforehand.
+	// RequestSent: RequestID, Account, Key, Session, Host, Idempotent, Digest
+	// where the right answer is known beforehand, and BillID where requests
+	// with one key don't share a bill.
 	RequestSent Kind = "request-sent"
 	// CallerAnswered ends a request: RequestID, Code, RunState, Digest, Model,
 	// Version, Epoch, Host, Lost.
--- a/history/helper_test.go
+++ b/history/helper_test.go
@@ -34,6 +34,12 @@
 	return e
 }
 
+func withBill(id, bill string) Event {
+	e := keyed(id, "k")
+	e.BillID = bill
+	return e
+}
+
 func inSession(id string) Event {
 	e := sent(id)
 	e.Session = "s1"
@@ -78,7 +84,7 @@
 	return Event{Kind: ManifestSubmitted, Digest: digest}
 }
 
-func manifest(epoch uint64, digest string, permitted ...Version) Event {
+func accept(epoch uint64, digest string, permitted ...Version) Event {
 	e := Event{Kind: ManifestAccepted, Epoch: epoch, Digest: digest}
 	for _, v := range permitted {
 		e.Permits = append(e.Permits, Permit{Account: "clydegate", Version: v})
--- /dev/null
+++ b/history/manifest.go
@@ -0,0 +1,52 @@
+package history
+
+import "github.com/quetzalweir/quetzalweir/manifest"
+
+// Accepted returns the event for the acceptance of a document, with what it
+// permits and withdraws written out.
+func Accepted(epoch uint64, digest string, document manifest.Document) Event {
+	return Event{
+		Kind:      ManifestAccepted,
+		Epoch:     epoch,
+		Digest:    digest,
+		Permits:   permits(document),
+		Withdrawn: withdrawn(document),
+	}
+}
+
+// permits lists the versions that each account may use. A permission without
+// versions is for all of the model's.
+func permits(document manifest.Document) []Permit {
+	versions := make(map[string][]string)
+	for _, m := range document.Models {
+		for _, v := range m.Versions {
+			versions[m.Name] = append(versions[m.Name], v.Name)
+		}
+	}
+	var list []Permit
+	for _, a := range document.Accounts {
+		for _, p := range a.Models {
+			names := p.Versions
+			if len(names) == 0 {
+				names = versions[p.Model]
+			}
+			for _, name := range names {
+				list = append(list, Permit{Account: a.Name, Version: Version{Model: p.Model, Version: name}})
+			}
+		}
+	}
+	return list
+}
+
+// withdrawn lists the withdrawn versions.
+func withdrawn(document manifest.Document) []Version {
+	var list []Version
+	for _, m := range document.Models {
+		for _, v := range m.Versions {
+			if v.State == manifest.Withdrawn {
+				list = append(list, Version{Model: m.Name, Version: v.Name})
+			}
+		}
+	}
+	return list
+}
--- a/history/requests.go
+++ b/history/requests.go
@@ -44,10 +44,18 @@
 	return len(r.arrivals) > 0 || len(r.runs) > 0 || r.answered && r.answer.RunState != notRun
 }
 
-// billID is the ID of the bill that the request has: its repeats share it.
-func (r *request) billID() string {
+// keyID identifies what the repeats of a request share.
+func (r *request) keyID() string {
 	if r.sent.Key == "" {
 		return r.sent.RequestID
 	}
 	return r.sent.Account + "/" + r.sent.Key
 }
+
+// billID identifies the bill that the request shares with its repeats.
+func (r *request) billID() string {
+	if r.sent.BillID != "" {
+		return r.sent.BillID
+	}
+	return r.keyID()
+}
--- a/history/truthful.go
+++ b/history/truthful.go
@@ -32,9 +32,9 @@
 		}
 		switch e.Kind {
 		case UpstreamArrived, UpstreamRan:
-			arrived[r.billID()] = true
+			arrived[r.keyID()] = true
 		case CallerAnswered:
-			if e.RunState == notRun && arrived[r.billID()] {
+			if e.RunState == notRun && arrived[r.keyID()] {
 				found = append(found, Violation{RuleTruthful, e, "told not run, but an earlier request with the key arrived"})
 			}
 		}
