--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -52,6 +52,23 @@
 	return claim.New(options)
 }
 
+// inWorld runs a test in a synctest bubble of its own.
+func inWorld(t *testing.T, test func(t *testing.T, is *is.I, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		test(t, is.New(t), newWorld(claim.Options{}))
+	})
+}
+
+// mustAcquire claims the test's key.
+func mustAcquire(t *testing.T, s *claim.Store) *claim.Claim {
+	t.Helper()
+	c, err := acquire(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // describe turns an outcome of Acquire into a word for the tables.
 func describe(err error) string {
 	var done *claim.DoneError
@@ -137,13 +154,12 @@
 		t.Run(tt.desc, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(claim.Options{})
-			c, err := acquire(w.a)
-			is.NoErr(err)
+			c := mustAcquire(t, w.a)
 			is.NoErr(tt.settle(w, c))
 			is.Equal(outcomeOf(w.a), tt.onOwner)
 			is.Equal(outcomeOf(w.b), tt.onOther)
 			if tt.onOther != "in flight" {
-				_, err = w.b.Acquire(t.Context(), testKey, sha256.Sum256([]byte("other")), "req-2")
+				_, err := w.b.Acquire(t.Context(), testKey, sha256.Sum256([]byte("other")), "req-2")
 				is.True(errors.Is(err, claim.ErrReused))
 			}
 		})
@@ -154,11 +170,10 @@
 	for _, size := range []int{0, 1, 8 << 10, 8<<10 + 1, 1 << 20} {
 		is := is.New(t)
 		w := newWorld(claim.Options{})
-		c, err := acquire(w.a)
-		is.NoErr(err)
+		c := mustAcquire(t, w.a)
 		want := answerOf(size)
 		is.NoErr(c.Finish(t.Context(), want))
-		_, err = acquire(w.b)
+		_, err := acquire(w.b)
 		var done *claim.DoneError
 		is.True(errors.As(err, &done))
 		is.True(bytes.Equal(done.Result.Body, want.Body))
@@ -185,9 +200,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(claim.Options{})
+			inWorld(t, func(t *testing.T, is *is.I, w *world) {
 				tt.fault(w.table)
 				is.Equal(outcomeOf(w.a), tt.first)
 				w.table.Heal()
@@ -217,13 +230,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(claim.Options{})
-				c, err := acquire(w.a)
-				is.NoErr(err)
+			inWorld(t, func(t *testing.T, is *is.I, w *world) {
+				c := mustAcquire(t, w.a)
 				tt.fault(w.table)
-				err = c.Finish(t.Context(), answerOf(10))
+				err := c.Finish(t.Context(), answerOf(10))
 				is.Equal(errors.Is(err, claim.ErrPending), tt.pending == 1)
 				is.Equal(w.a.Pending(), tt.pending)
 				is.Equal(outcomeOf(w.a), "done")
@@ -241,8 +251,7 @@
 func TestConflictWithoutReadIsNotCalledNotRun(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(claim.Options{})
-	_, err := acquire(w.a)
-	is.NoErr(err)
+	mustAcquire(t, w.a)
 	blind := claim.New(claim.Options{Table: noReads{w.table}, Host: "host-b"})
 	is.Equal(outcomeOf(blind), "in flight")
 }
