--- a/membership/scale_test.go
+++ b/membership/scale_test.go
@@ -41,12 +41,12 @@
 	if *measure {
 		chosen = sizes
 	}
-	fmt.Printf("%6s %6s %8s %10s %8s %8s %10s %10s %9s %8s %9s\n", "hosts", "zones", "joined",
+	t.Logf("%6s %6s %8s %10s %8s %8s %10s %10s %9s %8s %9s", "hosts", "zones", "joined",
 		"bytes/s", "msgs/s", "cpu/rnd", "fact all", "fact bytes", "suspect", "down", "B/member")
 	for _, size := range chosen {
 		synctest.Test(t, func(t *testing.T) {
 			f := measureSize(t, size[0], size[1])
-			fmt.Printf("%6d %6d %8v %10.0f %8.1f %8v %10v %10.0f %9v %8v %9.0f\n", f.hosts, f.zones,
+			t.Logf("%6d %6d %8v %10.0f %8.1f %8v %10v %10.0f %9v %8v %9.0f", f.hosts, f.zones,
 				f.joined, f.bytes, f.messages, f.cpu, f.spread, f.factBytes, f.suspect, f.down, f.memory)
 			const maxBytes = 7000
 			if f.bytes > maxBytes || f.suspect > suspectWithin || f.down > downWithin || f.spread > time.Second {
