--- a/internal/peer/membership_transport.go
+++ b/internal/peer/membership_transport.go
@@ -29,6 +29,10 @@
 func (t *MembershipTransport) Exchange(ctx context.Context, to membership.Member, message membership.Message) (membership.Message, error) {
 	var answer membership.Message
 	err := t.client.Call(ctx, to.PeerAddr, MethodMembershipExchange, message, &answer)
+	if err != nil && to.State == membership.Down {
+		// It may never come back at this address.
+		t.client.Forget(to.PeerAddr)
+	}
 	return answer, err
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -52,6 +52,27 @@
 	Incarnation uint64 `json:"n"`
 }
 
+const (
+	// maxField is the longest id, zone or address in bytes.
+	maxField = 64
+	// maxIncarnation keeps versions within what JSON numbers hold exactly in
+	// any language; the clock reaches it in 2 million years.
+	maxIncarnation = 1 << 50
+	// maxMembers bounds the members that a host knows, those that are Down
+	// included: many times the size that the system is made for.
+	maxMembers = 8192
+)
+
+// valid says that the fields are within their bounds.
+func (m Member) valid() bool {
+	for _, field := range []string{m.ID, m.Zone, m.PeerAddr, m.CallerAddr, m.OperatorAddr} {
+		if len(field) > maxField {
+			return false
+		}
+	}
+	return m.ID != "" && m.State >= Up && m.State <= Down && m.Incarnation < maxIncarnation
+}
+
 // stateBits is the room for the state in a member's version.
 const stateBits = 3
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -78,8 +78,13 @@
 
 // New returns a Membership that knows only its own host.
 func New(options Options) (*Membership, error) {
-	if options.Self.ID == "" || options.Transport == nil {
-		return nil, fmt.Errorf("%w: Self.ID and Transport are needed", ErrOptions)
+	if options.Transport == nil {
+		return nil, fmt.Errorf("%w: Transport is needed", ErrOptions)
+	}
+	options.Self.State = Up
+	options.Self.Incarnation = 0
+	if !options.Self.valid() {
+		return nil, fmt.Errorf("%w: Self needs an ID, and fields of at most %d bytes", ErrOptions, maxField)
 	}
 	options = options.withDefaults()
 	now := time.Now()
@@ -95,7 +100,6 @@
 		probing:   make(map[string]bool),
 		lastHeard: now,
 	}
-	m.self.State = Up
 	// A host without disks doesn't know its earlier incarnations. The time
 	// is above them unless the clock stepped back; then it refutes.
 	m.announce(uint64(max(now.UnixMilli(), 1)), now)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -220,10 +221,17 @@
 	}
 }
 
+// silent is a transport to nobody.
+type silent struct{}
+
+func (silent) Exchange(context.Context, Member, Message) (Message, error) {
+	return Message{}, errCut
+}
+
 // lone returns a membership that isn't run.
 func lone(t testing.TB) *Membership {
 	t.Helper()
-	m, err := New(Options{Self: Member{ID: "self", Zone: "z"}, Transport: &host{}, Seed: 1})
+	m, err := New(Options{Self: Member{ID: "self", Zone: "z"}, Transport: silent{}, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -32,7 +32,7 @@
 
 // mergeMember takes in what is said of a member, if it is news.
 func (m *Membership) mergeMember(member Member, from origin, now time.Time) {
-	if member.ID == "" || member.State < Up || member.State > Down {
+	if !member.valid() {
 		return
 	}
 	if member.ID == m.self.ID {
@@ -41,7 +41,7 @@
 	}
 	r := m.store.member(member.ID)
 	if r == nil {
-		if !member.alive() {
+		if !member.alive() || m.store.members >= maxMembers {
 			return
 		}
 		r = m.store.ensure(memberPrefix+member.ID, true)
--- a/membership/store.go
+++ b/membership/store.go
@@ -73,7 +73,8 @@
 	sums    [bucketCount]uint64
 	buckets [bucketCount]map[string]*record
 	hot     []*record
-	facts   int
+	// members and facts count the records of each kind.
+	members, facts int
 }
 
 func newStore() *store {
@@ -99,9 +100,7 @@
 	r := &record{key: key, isMember: isMember, bucket: uint8(xxhash.Sum64String(key) % bucketCount)}
 	s.records[key] = r
 	s.buckets[r.bucket][key] = r
-	if !isMember {
-		s.facts++
-	}
+	s.count(isMember, 1)
 	return r
 }
 
@@ -156,9 +155,15 @@
 	s.sums[r.bucket] ^= r.sum
 	delete(s.records, r.key)
 	delete(s.buckets[r.bucket], r.key)
-	if !r.isMember {
-		s.facts--
+	s.count(r.isMember, -1)
+}
+
+func (s *store) count(isMember bool, change int) {
+	if isMember {
+		s.members += change
+		return
 	}
+	s.facts += change
 }
 
 // sum returns the digest of all records.
