balance, cascade, rollout: defaults through cmp.Or

No behaviour changes: the zero value still means the default.

The tests of the three packages pass unchanged.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Ejection.
 const (
@@ -26,18 +29,10 @@
 }
 
 func (c Ejection) withDefaults() Ejection {
-	if c.ConsecutiveErrors == 0 {
-		c.ConsecutiveErrors = DefaultConsecutiveErrors
-	}
-	if c.ErrorRate == 0 {
-		c.ErrorRate = DefaultEjectErrorRate
-	}
-	if c.Base == 0 {
-		c.Base = DefaultEjectBase
-	}
-	if c.Max == 0 {
-		c.Max = DefaultEjectMax
-	}
+	c.ConsecutiveErrors = cmp.Or(c.ConsecutiveErrors, DefaultConsecutiveErrors)
+	c.ErrorRate = cmp.Or(c.ErrorRate, DefaultEjectErrorRate)
+	c.Base = cmp.Or(c.Base, DefaultEjectBase)
+	c.Max = cmp.Or(c.Max, DefaultEjectMax)
 	return c
 }
 
--- a/balance/filter_capacity.go
+++ b/balance/filter_capacity.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,10 +23,7 @@
 
 // Filter implements Filter.
 func (f CapacityFilter) Filter(_ *Request, list []*Upstream, _ time.Time) []*Upstream {
-	limit := f.MaxLoad
-	if limit == 0 {
-		limit = DefaultMaxLoad
-	}
+	limit := cmp.Or(f.MaxLoad, DefaultMaxLoad)
 	full := func(u *Upstream) bool { return relativeLoad(u) >= limit }
 	if !slices.ContainsFunc(list, func(u *Upstream) bool { return !full(u) }) {
 		return list
--- a/balance/filter_ejected.go
+++ b/balance/filter_ejected.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -43,10 +44,7 @@
 	if n < 2 {
 		return 0
 	}
-	share := f.MaxShare
-	if share == 0 {
-		share = DefaultMaxEjectedShare
-	}
+	share := cmp.Or(f.MaxShare, DefaultMaxEjectedShare)
 	return max(1, int(share*float64(n)))
 }
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -1,5 +1,7 @@
 package balance
 
+import "cmp"
+
 // unreportedCapacity is assumed for an upstream that reports no capacity,
 // such as a plain service before its first report.
 const unreportedCapacity = 16
@@ -49,13 +51,8 @@
 
 // limit returns the highest relative load that affinity may choose.
 func (b LoadBound) limit(candidates []*Upstream) float64 {
-	factor, slack := b.Factor, b.Slack
-	if factor == 0 {
-		factor = DefaultBoundFactor
-	}
-	if slack == 0 {
-		slack = DefaultBoundSlack
-	}
+	factor := cmp.Or(b.Factor, DefaultBoundFactor)
+	slack := cmp.Or(b.Slack, DefaultBoundSlack)
 	sum := 0.0
 	for _, u := range candidates {
 		sum += relativeLoad(u)
--- a/balance/score_load.go
+++ b/balance/score_load.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // LoadScorer prefers upstreams with a low corrected load relative to their
 // capacity.
@@ -42,10 +45,7 @@
 
 // Score implements Scorer.
 func (s LatencyScorer) Score(_ *Request, u *Upstream, _ time.Time) float64 {
-	scale := s.ScaleMs
-	if scale == 0 {
-		scale = DefaultLatencyScale
-	}
+	scale := cmp.Or(s.ScaleMs, DefaultLatencyScale)
 	return scale / (scale + u.LatencyMs)
 }
 
--- a/balance/subset.go
+++ b/balance/subset.go
@@ -56,12 +56,8 @@
 }
 
 func (s Subset) withDefaults() Subset {
-	if s.Min == 0 {
-		s.Min = DefaultSubsetMin
-	}
-	if s.Max == 0 {
-		s.Max = DefaultSubsetMax
-	}
+	s.Min = cmp.Or(s.Min, DefaultSubsetMin)
+	s.Max = cmp.Or(s.Max, DefaultSubsetMax)
 	return s
 }
 
--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -1,6 +1,7 @@
 package cascade
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -124,24 +125,12 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	if p.DelayWeight == 0 {
-		p.DelayWeight = DefaultDelayWeight
-	}
-	if p.DeadlineShare == 0 {
-		p.DeadlineShare = DefaultDeadlineShare
-	}
-	if p.ExploreMin == 0 {
-		p.ExploreMin = DefaultExploreMin
-	}
-	if p.ExploreMax == 0 {
-		p.ExploreMax = DefaultExploreMax
-	}
-	if p.ExploreUntil == 0 {
-		p.ExploreUntil = DefaultExploreUntil
-	}
-	if p.MaxMiss == 0 {
-		p.MaxMiss = DefaultMaxMiss
-	}
+	p.DelayWeight = cmp.Or(p.DelayWeight, DefaultDelayWeight)
+	p.DeadlineShare = cmp.Or(p.DeadlineShare, DefaultDeadlineShare)
+	p.ExploreMin = cmp.Or(p.ExploreMin, DefaultExploreMin)
+	p.ExploreMax = cmp.Or(p.ExploreMax, DefaultExploreMax)
+	p.ExploreUntil = cmp.Or(p.ExploreUntil, DefaultExploreUntil)
+	p.MaxMiss = cmp.Or(p.MaxMiss, DefaultMaxMiss)
 	return p
 }
 
--- a/rollout/pacing.go
+++ b/rollout/pacing.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Pacing.
 const (
@@ -33,21 +36,11 @@
 }
 
 func (p Pacing) withDefaults() Pacing {
-	if p.Initial == 0 {
-		p.Initial = DefaultInitial
-	}
-	if p.Growth == 0 {
-		p.Growth = DefaultGrowth
-	}
-	if p.InitialUnrated == 0 {
-		p.InitialUnrated = DefaultInitialUnrated
-	}
-	if p.UnratedGrowth == 0 {
-		p.UnratedGrowth = DefaultUnratedGrowth
-	}
-	if p.ObserveTimeout == 0 {
-		p.ObserveTimeout = DefaultObserveTimeout
-	}
+	p.Initial = cmp.Or(p.Initial, DefaultInitial)
+	p.Growth = cmp.Or(p.Growth, DefaultGrowth)
+	p.InitialUnrated = cmp.Or(p.InitialUnrated, DefaultInitialUnrated)
+	p.UnratedGrowth = cmp.Or(p.UnratedGrowth, DefaultUnratedGrowth)
+	p.ObserveTimeout = cmp.Or(p.ObserveTimeout, DefaultObserveTimeout)
 	return p
 }
 
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // Confidence sets the error probabilities of the tests. Zero fields mean the
 // defaults.
@@ -32,15 +35,9 @@
 const slowShare = 0.05
 
 func (c Confidence) withDefaults() Confidence {
-	if c.FalseStop == 0 {
-		c.FalseStop = DefaultFalseStop
-	}
-	if c.FalseClear == 0 {
-		c.FalseClear = DefaultFalseClear
-	}
-	if c.FalseStopSpan == 0 {
-		c.FalseStopSpan = DefaultFalseStopSpan
-	}
+	c.FalseStop = cmp.Or(c.FalseStop, DefaultFalseStop)
+	c.FalseClear = cmp.Or(c.FalseClear, DefaultFalseClear)
+	c.FalseStopSpan = cmp.Or(c.FalseStopSpan, DefaultFalseStopSpan)
 	return c
 }
 
