balance: check leaving and counts against a model under lagging lists

Cause: the rule when leaving ends had examples only.

A state machine draws lists that omit and bring back upstreams, time, leaving facts, and requests that begin and end. It compares leaving and requests in flight with a model, and no choice may be leaving or absent.

Proof: where a list that says live ends leaving, it fails with "leaving is false"; where any return after an absence counts as a new incarnation, it fails the same way. Ruled out: mocking the list's lag in time, since the drawn lists contain every order that lag gives.

--- /dev/null
+++ b/balance/pool_property_test.go
@@ -0,0 +1,117 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+// poolModel says what must hold of a pool whose host list lags and flaps.
+type poolModel struct {
+	pool     *Pool
+	clock    *fakeClock
+	ids      []string
+	leaving  map[string]bool
+	absentAt map[string]time.Time // zero while listed
+	inFlight map[string]int
+	version  uint64
+}
+
+func newPoolModel() *poolModel {
+	m := &poolModel{
+		clock:    &fakeClock{now: start},
+		ids:      []string{"a", "b", "c"},
+		leaving:  map[string]bool{},
+		absentAt: map[string]time.Time{},
+		inFlight: map[string]int{},
+	}
+	m.pool = NewPool(Options{Host: "entry-1", Zone: "a", Clock: m.clock.Now, Seed: 1})
+	m.update(m.ids)
+	return m
+}
+
+// update gives the pool a list in which everything is live.
+func (m *poolModel) update(listed []string) {
+	var list []platform.Host
+	for _, id := range m.ids {
+		absentAt := m.absentAt[id]
+		if !slices.Contains(listed, id) {
+			m.absent(id, absentAt)
+			continue
+		}
+		list = append(list, host(id))
+		if !absentAt.IsZero() && m.clock.now.Sub(absentAt) >= DefaultAbsentFor {
+			m.leaving[id] = false
+			m.inFlight[id] = 0
+		}
+		delete(m.absentAt, id)
+	}
+	m.pool.Update(list)
+	for _, id := range listed {
+		m.pool.Report(id, load(0), m.clock.now)
+	}
+}
+
+func (m *poolModel) absent(id string, since time.Time) {
+	if since.IsZero() {
+		m.absentAt[id] = m.clock.now
+	}
+}
+
+func (m *poolModel) check(t *rapid.T) {
+	for _, u := range m.pool.View() {
+		if u.Leaving != m.leaving[u.ID] {
+			t.Fatalf("%s: leaving is %v", u.ID, u.Leaving)
+		}
+		if u.InFlight != m.inFlight[u.ID] {
+			t.Fatalf("%s: %d in flight, want %d", u.ID, u.InFlight, m.inFlight[u.ID])
+		}
+	}
+	choice, ok := m.pool.Choose(modelRequest)
+	if ok && (m.leaving[choice.Upstream.ID] || !m.absentAt[choice.Upstream.ID].IsZero()) {
+		t.Fatalf("chose %s, which leaves or is absent", choice.Upstream.ID)
+	}
+}
+
+func (m *poolModel) begin(t *rapid.T, id string) {
+	want := !m.leaving[id] && m.absentAt[id].IsZero()
+	if begun := m.pool.Begin(id); begun != want {
+		t.Fatalf("begin at %s is %v", id, begun)
+	}
+	if want {
+		m.inFlight[id]++
+	}
+}
+
+func TestLeavingHoldsUnderLaggingLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPoolModel()
+		pick := func(t *rapid.T) string { return rapid.SampledFrom(m.ids).Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"update": func(t *rapid.T) {
+				m.update(rapid.SliceOfDistinct(rapid.SampledFrom(m.ids), rapid.ID[string]).Draw(t, "listed"))
+			},
+			"advance": func(t *rapid.T) {
+				m.clock.Advance(time.Duration(rapid.IntRange(0, 50).Draw(t, "seconds")) * time.Second)
+			},
+			"leave": func(t *rapid.T) {
+				id := pick(t)
+				m.version++
+				m.pool.SetLeaving(id, m.version)
+				m.leaving[id] = true
+			},
+			"begin": func(t *rapid.T) { m.begin(t, pick(t)) },
+			"end": func(t *rapid.T) {
+				if id := pick(t); m.inFlight[id] > 0 {
+					m.pool.End(id, Outcome{})
+					m.inFlight[id]--
+				}
+			},
+			"": m.check,
+		})
+	})
+}
