claim: let the model tell a known outcome from a recorded one

The owner's host tells repeats the answer before the table has it; and it calls a request in flight while that is still asking for its claim, or releasing it.

The model now has the recording as an operation of its own, and allows "in flight" from the owner's host only while Acquire or Release overlap. It is as strict elsewhere: the bad histories are now 11, with two new ones.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -342,6 +342,9 @@
 			w.rec.setGhost(w.request, true)
 		}
 		w.rec.add(w.client, call, back, op)
+		if !op.pending && op.action != actRelease {
+			w.rec.add(w.client, call, back, operation{action: actRecord, request: w.request})
+		}
 	}()
 	err := do(ctx)
 	w.process.Step()
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -25,6 +25,10 @@
 	actRelease
 	// actFlush is a successful Flush of the owner's host.
 	actFlush
+	// actRecord is the outcome's arrival in the table, within a call of Finish
+	// or MayHaveRun that returned no error. It comes apart from the outcome
+	// itself, which the owner's host tells repeats as soon as it has it.
+	actRecord
 )
 
 // operation is one operation of a history on one key.
@@ -45,6 +49,9 @@
 	ghost bool
 	// fromOwner says that Acquire was asked on the host of about.
 	fromOwner bool
+	// lagging says that the host of about may call it in flight although it
+	// isn't: it is asking for its claim, or its release isn't recorded yet.
+	lagging bool
 }
 
 // phase is where the model's key stands.
@@ -89,13 +96,16 @@
 		s.phase = ran
 		return mine && was == claimed, s
 	case actFinish:
-		next := keyState{phase: done, owner: op.request, body: string(op.body), durable: !op.pending}
+		next := keyState{phase: done, owner: op.request, body: string(op.body)}
 		return mine && s.phase == ran, next
 	case actMayHaveRun:
-		next := keyState{phase: mayHave, owner: op.request, durable: !op.pending}
+		next := keyState{phase: mayHave, owner: op.request}
 		return mine && (s.phase == ran || s.phase == claimed), next
 	case actRelease:
 		return mine && s.phase == claimed, keyState{}
+	case actRecord:
+		s.durable = true
+		return mine && (s.phase == done || s.phase == mayHave), s
 	default:
 		s.durable = s.durable || mine
 		return true, s
@@ -114,9 +124,7 @@
 		s.durable = s.durable || !op.fromOwner
 		return same, s
 	case "in flight":
-		// The owner's host may say so of a request that is still asking for its
-		// claim, or whose release it hasn't recorded.
-		if op.about == "" || op.ghost && op.fromOwner {
+		if op.about == "" || op.lagging {
 			return true, s
 		}
 		return stepOpen(s, op, about), s
@@ -147,10 +155,12 @@
 	hosts map[string]int
 	// ghosts are the requests that never ran and whose rows may linger.
 	ghosts map[string]bool
+	// changes are each request's calls of Acquire and Release.
+	changes map[string][]porcupine.Operation
 }
 
 func newRecorder() *recorder {
-	return &recorder{hosts: make(map[string]int), ghosts: make(map[string]bool)}
+	return &recorder{hosts: make(map[string]int), ghosts: make(map[string]bool), changes: make(map[string][]porcupine.Operation)}
 }
 
 // call notes the start of an operation. An operation that never returns stays
@@ -165,9 +175,13 @@
 func (r *recorder) add(client int, call, back int64, op operation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Return: back})
-	if op.action == actRun {
+	added := porcupine.Operation{ClientId: client, Input: op, Call: call, Return: back}
+	r.ops = append(r.ops, added)
+	switch op.action {
+	case actRun:
 		r.runs++
+	case actAcquire, actRelease:
+		r.changes[op.request] = append(r.changes[op.request], added)
 	}
 }
 
@@ -192,11 +206,23 @@
 		op := r.ops[i].Input.(operation)
 		op.ghost = r.ghosts[op.about]
 		op.fromOwner = r.hosts[op.about] == r.hosts[op.request]
+		op.lagging = op.fromOwner && (op.ghost || r.isChanging(op.about, r.ops[i]))
 		r.ops[i].Input = op
 	}
 	return r.ops
 }
 
+// isChanging reports whether during's time overlaps the request's Acquire or
+// Release.
+func (r *recorder) isChanging(request string, during porcupine.Operation) bool {
+	for _, change := range r.changes[request] {
+		if change.Call <= during.Return && during.Call <= change.Return {
+			return true
+		}
+	}
+	return false
+}
+
 func TestModelRejectsBadHistories(t *testing.T) {
 	acquire := func(request, told, about string) operation {
 		return operation{action: actAcquire, request: request, told: told, about: about}
@@ -210,9 +236,9 @@
 		op.body = bytes.Clone([]byte(body))
 		return op
 	}
+	record := operation{action: actRecord, request: "1"}
 	lost := operation{action: actMayHaveRun, request: "1"}
 	release := operation{action: actRelease, request: "1"}
-	pending := operation{action: actFinish, request: "1", body: []byte("a"), pending: true}
 	tests := []struct {
 		desc string
 		ops  []operation
@@ -220,14 +246,16 @@
 	}{
 		{"run, finish, repeat", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), repeat("2", "1", "a")}, true},
 		{"released and claimed again", []operation{acquire("1", "claimed", ""), release, acquire("2", "claimed", ""), run("2")}, true},
-		{"in flight while the outcome is pending", []operation{acquire("1", "claimed", ""), run("1"), pending, acquire("2", "in flight", "1")}, true},
+		{"in flight while the outcome is pending", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), acquire("2", "in flight", "1")}, true},
 		{"claimed twice", []operation{acquire("1", "claimed", ""), acquire("2", "claimed", "")}, false},
 		{"run twice by one", []operation{acquire("1", "claimed", ""), run("1"), run("1")}, false},
 		{"run without a claim", []operation{acquire("1", "unavailable", ""), run("1")}, false},
 		{"claimed again after a run", []operation{acquire("1", "claimed", ""), run("1"), lost, acquire("2", "claimed", "")}, false},
 		{"part of the answer", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "ab"), repeat("2", "1", "a")}, false},
 		{"another's answer", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), repeat("2", "3", "a")}, false},
-		{"in flight after it was finished", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), acquire("2", "in flight", "1")}, false},
+		{"in flight after the answer was recorded", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), record, acquire("2", "in flight", "1")}, false},
+		{"in flight after another host had the answer", []operation{acquire("1", "claimed", ""), run("1"), finish("1", "a"), repeat("2", "1", "a"), acquire("3", "in flight", "1")}, false},
+		{"in flight after its release", []operation{acquire("1", "claimed", ""), release, acquire("2", "in flight", "1")}, false},
 		{"done after its outcome was given up", []operation{acquire("1", "claimed", ""), run("1"), lost, repeat("2", "1", "a")}, false},
 		{"in flight though nobody has it", []operation{acquire("2", "in flight", "1")}, false},
 	}
