--- a/internal/experiment/balance/report.go
+++ b/internal/experiment/balance/report.go
@@ -29,7 +29,7 @@
 	if options.Seeds <= 0 {
 		options.Seeds = DefaultSeeds
 	}
-	r := &report{w: w, seeds: options.Seeds}
+	r := &report{Printer: simulate.Printer{W: w}, seeds: options.Seeds}
 	r.head("18 engines, a third of the load")
 	light := settingOf(18)
 	light.rate /= 3
@@ -48,26 +48,19 @@
 	}
 	r.faults()
 	r.cacheEvents()
-	return r.err
+	return r.Err
 }
 
 type report struct {
-	w     io.Writer
+	simulate.Printer
 	seeds int
-	err   error
-}
-
-func (r *report) printf(format string, args ...any) {
-	if r.err == nil {
-		_, r.err = fmt.Fprintf(r.w, format, args...)
-	}
 }
 
 func (r *report) head(title string) {
-	r.printf("\n### %s\n\n", title)
-	r.printf("First token in milliseconds, mean over seeds (least to most).\n\n")
-	r.printf("| policy | p50 | p95 | p99 | prefix blocks from cache | failed |\n")
-	r.printf("|---|---:|---:|---:|---:|---:|\n")
+	r.Printf("\n### %s\n\n", title)
+	r.Printf("First token in milliseconds, mean over seeds (least to most).\n\n")
+	r.Printf("| policy | p50 | p95 | p99 | prefix blocks from cache | failed |\n")
+	r.Printf("|---|---:|---:|---:|---:|---:|\n")
 }
 
 func (r *report) faults() {
@@ -117,7 +110,7 @@
 		hits = append(hits, 100*float64(result.cached)/float64(result.blocks))
 		failed = append(failed, 100*float64(result.failed)/float64(result.requests))
 	}
-	r.printf("| %s | %s | %s | %s | %.0f%% | %.2f%% |\n", c.name, spread(p50), spread(p95), spread(p99),
+	r.Printf("| %s | %s | %s | %s | %.0f%% | %.2f%% |\n", c.name, spread(p50), spread(p95), spread(p99),
 		simulate.Summarize(hits).Mean, simulate.Summarize(failed).Mean)
 }
 
--- /dev/null
+++ b/internal/experiment/rollout/run_test.go
@@ -0,0 +1,36 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRunsAreRepeatable(t *testing.T) {
+	is := is.New(t)
+	s := usualSetting(badVersions[0])
+	is.Equal(run(s, full.build, 3), run(s, full.build, 3))
+}
+
+func TestExposureStaysWithinTheBudget(t *testing.T) {
+	tests := []struct {
+		desc string
+		cut  int
+		c    contender
+	}{
+		{"connected", 0, full},
+		{"all cut", 7, full},
+		{"nothing shared", 0, bare},
+		{"granted", 0, grants},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			s := usualSetting(badVersions[3])
+			s.cut = tt.cut
+			s.ratedShare = 0 // nothing stops or clears it
+			s.exchange = 5 * time.Second
+			is.New(t).True(run(s, tt.c.build, 1).exposed <= budget)
+		})
+	}
+}
