--- a/quota/adjust.go
+++ b/quota/adjust.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"sort"
 	"time"
 
@@ -22,22 +21,30 @@
 	own := l.lease.Load()
 	current, dead := full.without(l.isDead)
 	l.observe(b, current, own.id)
-	n := b.measure(l.opts.Clock(), period)
-	d := decide(view{
-		needs:      n,
-		held:       b.control.held,
-		free:       current.free(),
-		hosts:      len(l.hosts),
-		othersWant: current.othersWant(own.id),
-	})
-	b.control.short = n.refused && d.slots <= b.control.held
-	wanted := slices.Contains(full.Wanting, own.id)
-	if d.slots == b.control.held && d.wants == wanted && b.control.open == nil {
+	v := view{
+		needs: b.measure(l.opts.Clock(), period),
+		held:  b.control.held,
+		free:  current.free(),
+		hosts: len(l.hosts),
+	}
+	v.wanted, v.entitled, v.excess = current.scarcity(own.id, v.fair())
+	d := decide(v)
+	b.control.short = v.refused && d.slots <= b.control.held
+	if d.slots == b.control.held && !wishChanged(current.wish(own.id), d.wants) && b.control.open == nil {
 		return nil
 	}
 	return l.change(ctx, b, current, dead, d)
 }
 
+// wishChanged reports whether a wish differs enough to be written.
+func wishChanged(old, wish int) bool {
+	if (old == 0) != (wish == 0) {
+		return true
+	}
+	difference := wish - old
+	return max(difference, -difference) > old/hysteresis
+}
+
 // isDead reports whether a holder has no host row. The list of hosts may be
 // older than the account's row, so a commit that relies on it has the row's
 // absence among its conditions.
@@ -82,7 +89,7 @@
 		d.slots = max(d.slots, b.hold(now, l.leaseEnd(now), certain, 0))
 	}
 	id := l.lease.Load().id
-	next, fresh := row.with(id, d.slots, d.wants)
+	next, fresh := row.with(id, d)
 	_, err := l.commitRow(ctx, b.account, next, dead)
 	now = l.opts.Clock()
 	switch {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -9,6 +9,20 @@
 // defaultRetryAfter is the advice when the present slots can never do.
 const defaultRetryAfter = time.Second
 
+// Refusals up to a part of the requests and a number besides are put down to
+// chance, not to a lack of slots.
+const (
+	toleratedRefusals = 0.02
+	toleratedCount    = 2
+)
+
+// demandWeight is the weight of the last period in the decayed demand.
+const demandWeight = 0.25
+
+// jump is the factor between recent and decayed demand from which on the
+// recent one counts.
+const jump = 2
+
 // term is a number of slots up to a time.
 type term struct {
 	slots int
@@ -32,8 +46,12 @@
 	last        time.Time
 	// asked sums what was asked since the last pass, refused what was refused.
 	asked, refused float64
-	// demand is the decayed rate of what is asked, in requests per second.
+	// pressing says that something was refused since Run last looked.
+	pressing bool
+	// demand is the decayed rate of what is asked, in requests per second, and
+	// recent its rate of the last second.
 	demand float64
+	recent recentRate
 
 	// control is used by the background pass alone.
 	control control
@@ -69,11 +87,13 @@
 	defer b.mu.Unlock()
 	b.advance(now, leaseEnd)
 	b.asked += n
+	b.recent.add(now, n)
 	if b.tokens >= n {
 		b.tokens -= n
 		return true, 0
 	}
 	b.refused += n
+	b.pressing = true
 	return false, b.retryAfter(now, leaseEnd, n)
 }
 
@@ -172,30 +192,57 @@
 // needs is what a pass over the rows knows of an account's demand.
 type needs struct {
 	// slots is the demand in slots of the limit.
-	slots   float64
+	slots float64
+	// refused says that more than a few requests were refused.
 	refused bool
-	least   int
-	lent    int
-	own     int
-	loans   int
+	// least is the smallest number of slots that lets one request through.
+	least int
+	// own, lent and loans are the slots held, lent out and borrowed.
+	own, lent, loans int
 }
 
-// measure ends a period of demand of the given length.
+// measure tells the demand. A positive period ends a period of that length.
 func (b *bucket) measure(now time.Time, period time.Duration) needs {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if period > 0 {
-		b.demand += (b.asked/period.Seconds() - b.demand) / 2
-		b.asked = 0
+		b.demand += (b.asked/period.Seconds() - b.demand) * demandWeight
 	}
 	n := needs{
-		slots:   b.demand / b.limit.Rate * Slots,
-		refused: b.refused > 0,
+		slots:   b.inSlots(b.expected(now)),
+		refused: b.isRefusing(),
 		least:   b.least(),
 		lent:    sum(b.lent, now),
 		own:     b.own,
 		loans:   sum(b.loans, now),
 	}
-	b.refused = 0
+	b.pressing = false
+	if period > 0 {
+		b.asked = 0
+		b.refused = 0
+	}
 	return n
 }
+
+// expected is the demand to reckon with: the decayed rate, unless that of the
+// last moments is so far off that chance doesn't explain it.
+func (b *bucket) expected(now time.Time) float64 {
+	recent := b.recent.rate(now)
+	if recent > jump*b.demand || recent < b.demand/jump {
+		return recent
+	}
+	return b.demand
+}
+
+// isRefusing reports whether more is refused than by chance.
+func (b *bucket) isRefusing() bool {
+	if b.own < b.least() {
+		return b.refused > 0
+	}
+	return b.refused > toleratedRefusals*b.asked+toleratedCount
+}
+
+// inSlots converts requests per second.
+func (b *bucket) inSlots(rate float64) float64 {
+	return rate / b.limit.Rate * Slots
+}
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -9,5 +9,6 @@
 // to renew it, and others delete the row only after they saw it unchanged for
 // longer than the lease. Slots of a host without a row are free.
 //
-// Between table writes, hosts lend each other slots for seconds (Peers).
+// While the table doesn't answer, hosts lend each other slots for seconds
+// (Peers).
 package quota
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -53,7 +53,7 @@
 	}
 	b.advance(now, leaseEnd)
 	mine := b.own - sum(b.lent, now)
-	keep := int(headroom * b.demand / b.limit.Rate * Slots)
+	keep := int(headroom * b.inSlots(b.expected(now)))
 	slots := min(want, mine-max(keep, b.least()))
 	if slots <= 0 {
 		return Loan{}, ErrNoLoan
@@ -78,34 +78,37 @@
 	b.tokens = min(b.tokens, b.depth(b.spendable(now, leaseEnd)))
 }
 
-// borrowAll asks for loans for the accounts that are short of slots.
+// borrowAll asks for loans for the accounts that refuse.
 func (l *Limiter) borrowAll(ctx context.Context) {
+	if l.opts.Peers == nil || l.leaving.Load() {
+		return
+	}
 	for _, b := range l.sorted() {
-		if b.control.short || b.isRefusing() {
+		if b.control.short || b.isShort() {
 			l.borrow(ctx, b)
 		}
 	}
 }
 
-// borrow asks one other holder, the next in turn, for as much as the host
-// holds itself, at least what lets a request through.
+// borrow asks one other holder for what the host is short of. It stays with a
+// holder that lends, and goes on to the next largest after one that doesn't.
 func (l *Limiter) borrow(ctx context.Context, b *bucket) {
 	c := &b.control
-	if l.opts.Peers == nil || len(c.holders) == 0 || l.leaving.Load() {
+	asked := l.opts.Clock()
+	n := b.measure(asked, 0)
+	missing := int(tightHeadroom*n.slots) - (n.own - n.lent + n.loans)
+	if len(c.holders) == 0 || missing <= 0 {
 		return
 	}
 	holder := c.holders[c.lender%len(c.holders)].Holder
-	c.lender++
-	asked := l.opts.Clock()
-	n := b.measure(asked, 0)
-	request := LoanRequest{Account: b.account, Slots: max(n.own, n.least, int(headroom*n.slots)-n.own)}
+	request := LoanRequest{Account: b.account, Slots: max(n.least, missing)}
 	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
 	defer cancel()
 	loan, err := l.opts.Peers.Borrow(ctx, holder, request)
 	if err != nil {
+		c.lender++
 		return
 	}
 	now := l.opts.Clock()
 	b.borrow(asked, now, l.leaseEnd(now), loan)
-	c.short = false
 }
--- a/quota/pass.go
+++ b/quota/pass.go
@@ -19,9 +19,6 @@
 	holders []holding
 	// lender is the place in holders of the one asked next.
 	lender int
-	// calm is until when refusals call for no further pass, since the last
-	// one gained nothing.
-	calm time.Time
 	// short says that the last pass left the account short of slots.
 	short bool
 }
@@ -33,10 +30,13 @@
 	held int
 }
 
-// pass renews the lease and goes over all accounts.
+// pass renews the lease and goes over all accounts. Loans are for when the
+// table doesn't answer: with it, lent slots would only be slower to move.
 func (l *Limiter) pass(ctx context.Context) error {
 	err := l.readAndAdjust(ctx)
-	l.borrowAll(ctx)
+	if err != nil {
+		l.borrowAll(ctx)
+	}
 	return err
 }
 
@@ -72,13 +72,20 @@
 	return nil
 }
 
-// urgentPass goes over the accounts that refused since the last pass.
+// urgentPass goes over the accounts that began to refuse since the last pass.
 func (l *Limiter) urgentPass(ctx context.Context) error {
 	if l.lease.Load() == nil {
 		return l.pass(ctx)
 	}
-	now := l.opts.Clock()
-	urgent := l.urgent(now)
+	err := l.adjustUrgent(ctx)
+	if err != nil {
+		l.borrowAll(ctx)
+	}
+	return err
+}
+
+func (l *Limiter) adjustUrgent(ctx context.Context) error {
+	urgent := l.urgent()
 	if len(urgent) == 0 {
 		return nil
 	}
@@ -90,36 +97,30 @@
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		before := b.control.held
 		if err := l.adjust(ctx, b, row, 0); err != nil {
 			return err
 		}
-		if b.control.short {
-			l.borrow(ctx, b)
-		}
-		if b.control.held <= before {
-			b.control.calm = now.Add(l.opts.Interval)
-		}
 	}
 	return nil
 }
 
-// urgent lists the accounts that refused, but for those that just gained
-// nothing by a pass.
-func (l *Limiter) urgent(now time.Time) []*bucket {
+// urgent lists the accounts that refuse, but for those that were found short
+// already: the next regular pass is soon enough for them.
+func (l *Limiter) urgent() []*bucket {
 	var list []*bucket
 	for _, b := range l.sorted() {
-		if b.isRefusing() && !now.Before(b.control.calm) {
+		if !b.control.short && b.isShort() {
 			list = append(list, b)
 		}
 	}
 	return list
 }
 
-func (b *bucket) isRefusing() bool {
+// isShort reports whether more is refused than by chance.
+func (b *bucket) isShort() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.refused > 0
+	return b.pressing && b.isRefusing()
 }
 
 // period is the time since demand was last measured.
--- a/quota/row.go
+++ b/quota/row.go
@@ -30,8 +30,8 @@
 	// Fresh is the number of slots that were never held.
 	Fresh    int       `json:"fresh,omitempty"`
 	Holdings []holding `json:"holdings,omitempty"`
-	// Wanting are holders that hold less than their fair part and want more.
-	Wanting []string `json:"wanting,omitempty"`
+	// Wanting are hosts that are short of slots, with how many.
+	Wanting []holding `json:"wanting,omitempty"`
 
 	version uint64
 }
@@ -67,9 +67,32 @@
 	return n
 }
 
-// othersWant reports whether a holder other than id wants more.
-func (r accountRow) othersWant(id string) bool {
-	return slices.ContainsFunc(r.Wanting, func(w string) bool { return w != id })
+// wish returns what a host is short of.
+func (r accountRow) wish(id string) int {
+	for _, w := range r.Wanting {
+		if w.Holder == id {
+			return w.Slots
+		}
+	}
+	return 0
+}
+
+// scarcity sums the state of all hosts but one against a fair part: what they
+// are short of, how much of that brings them up to the fair part, and what
+// they hold over it.
+func (r accountRow) scarcity(id string, fair int) (wanted, entitled, excess int) {
+	for _, w := range r.Wanting {
+		if w.Holder != id {
+			wanted += w.Slots
+			entitled += min(w.Slots, max(0, fair-r.heldBy(w.Holder)))
+		}
+	}
+	for _, h := range r.Holdings {
+		if h.Holder != id {
+			excess += max(0, h.Slots-fair)
+		}
+	}
+	return wanted, entitled, excess
 }
 
 // without returns the row without dead holders, and which of them held slots.
@@ -84,7 +107,7 @@
 		kept.Holdings = append(kept.Holdings, h)
 	}
 	for _, w := range r.Wanting {
-		if !dead(w) {
+		if !dead(w.Holder) {
 			kept.Wanting = append(kept.Wanting, w)
 		}
 	}
@@ -93,26 +116,24 @@
 
 // with returns the row with a holder's slots and wish set. Slots that were
 // never held go first; their number is returned.
-func (r accountRow) with(id string, slots int, wants bool) (accountRow, int) {
-	fresh := min(r.Fresh, max(0, slots-r.heldBy(id)))
-	next := accountRow{Fresh: r.Fresh - fresh, version: r.version}
-	for _, h := range r.Holdings {
-		if h.Holder != id {
-			next.Holdings = append(next.Holdings, h)
-		}
+func (r accountRow) with(id string, d decision) (accountRow, int) {
+	fresh := min(r.Fresh, max(0, d.slots-r.heldBy(id)))
+	next := accountRow{
+		Fresh:    r.Fresh - fresh,
+		Holdings: replace(r.Holdings, id, d.slots),
+		Wanting:  replace(r.Wanting, id, d.wants),
+		version:  r.version,
 	}
+	return next, fresh
+}
+
+// replace returns the list with a holder's number set; 0 leaves it out.
+func replace(list []holding, id string, slots int) []holding {
+	next := slices.DeleteFunc(slices.Clone(list), func(h holding) bool { return h.Holder == id })
 	if slots > 0 {
-		next.Holdings = append(next.Holdings, holding{Holder: id, Slots: slots})
-	}
-	for _, w := range r.Wanting {
-		if w != id {
-			next.Wanting = append(next.Wanting, w)
-		}
-	}
-	if wants {
-		next.Wanting = append(next.Wanting, id)
+		next = append(next, holding{Holder: id, Slots: slots})
 	}
-	return next, fresh
+	return next
 }
 
 // hostRow is the value of a host's row.
