entry: evidence once an answer, table upkeep under a lease, holders in turn

Cause, from reading the parts against the host that uses them: - an answer that was taken from an exposure budget was observed once an attempt, and never when its caller left, so it stayed under way for two minutes; now it ends once, and a fault that a retry hid still counts; - bound sessions were paced like new ones and could be refused for it; - a holder that was frozen used up the time of every hold; calls that fail now move on, and one that may have the bills is named to the ledger; - nothing swept claims and sessions or compacted the ledger: one host at a time does, under a lease; the flush period follows the number of hosts; - a filter that panicked would have left its claim in flight.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -117,15 +117,17 @@
 	}
 }
 
-var inForce = regexp.MustCompile(`epoch=(\d+) event=manifest-in-force`)
-
 // checkNeverBack checks each host's log: what came into force only rose.
 func (s *system) checkNeverBack() {
 	s.t.Helper()
 	for _, h := range s.hosts {
 		last := 0
-		for _, match := range inForce.FindAllStringSubmatch(h.output(), -1) {
-			epoch, _ := strconv.Atoi(match[1])
+		for line := range strings.Lines(h.output()) {
+			value := findField(line, "event=manifest-in-force", " epoch=")
+			if value == "" {
+				continue
+			}
+			epoch, _ := strconv.Atoi(value)
 			if epoch <= last {
 				s.t.Errorf("%s put epoch %d in force after %d", h.id, epoch, last)
 			}
--- a/internal/entry/chatsink.go
+++ b/internal/entry/chatsink.go
@@ -105,11 +105,11 @@
 
 // finish writes the end of a whole answer.
 func (s *chatSink) finish(r *Request) {
-	s.seal(r)
 	if s.stream {
 		s.finishStream(r)
 		return
 	}
+	s.seal(r)
 	h := s.w.Header()
 	setDecided(h, r)
 	setOutcome(h, r, resultcode.OK)
@@ -120,6 +120,7 @@
 
 func (s *chatSink) finishStream(r *Request) {
 	if !s.started {
+		s.seal(r)
 		s.begin(r)
 		_ = s.event(replayChunk(s.whole))
 	}
--- a/internal/entry/chooseversion.go
+++ b/internal/entry/chooseversion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -19,6 +20,7 @@
 type chooseVersion struct {
 	watcher  *config.Watcher
 	rollout  *rollout.Tracker
+	sampler  *sampler
 	registry *session.Registry
 	codec    *session.Codec
 	log      zerolog.Logger
@@ -37,14 +39,43 @@
 	if err := f.choose(ctx, r); err != nil {
 		return err
 	}
+	started := time.Now()
+	attempts := r.Attempts
+	r.Faulted = false
 	err = next(ctx, r)
-	if r.state.State() == runstate.NotRun {
-		// Nothing was sent, so the answer that was taken can be taken again.
-		f.rollout.Return(r.Model, r.Version.Name)
+	if exposed(r.Version) {
+		f.conclude(ctx, r, started, r.Attempts > attempts, err)
 	}
 	return err
 }
 
+// exposed says whether answers of the version are taken from a budget.
+func exposed(v manifest.Version) bool {
+	return v.State == manifest.RollingIn && v.Exposure != nil
+}
+
+// conclude ends the answer that was taken from the exposure budget, once,
+// however many attempts it took. What the caller or the deadline ended isn't
+// held against the version, and what was never sent can be taken again.
+func (f *chooseVersion) conclude(ctx context.Context, r *Request, started time.Time, sent bool, err error) {
+	model, version := r.Model, r.Version.Name
+	switch {
+	case !sent || r.state.State() == runstate.NotRun:
+		f.rollout.Return(model, version)
+	case err != nil && ctx.Err() != nil:
+		f.rollout.Abandon(model, version)
+	default:
+		outcome := rollout.Outcome{Err: r.Faulted}
+		if !r.FirstFrame.IsZero() {
+			outcome.FirstToken = r.FirstFrame.Sub(started)
+		}
+		f.rollout.Observe(model, version, outcome)
+	}
+	if err == nil {
+		f.sampler.offer(model, version, r.Prompt, r.Sink.Text())
+	}
+}
+
 // versionReason says in the decision log why a version was taken.
 type versionReason string
 
@@ -95,20 +126,13 @@
 		if !ok {
 			return manifest.Version{}, resultcode.New(resultcode.ExposureSpent, "no version of %q takes new work now", r.Model)
 		}
-		if f.withinExposure(r, v) {
+		if !exposed(v) || f.rollout.Take(r.Model, v.Name) {
 			return v, nil
 		}
 		left = without(left, v.Name)
 	}
 }
 
-func (f *chooseVersion) withinExposure(r *Request, v manifest.Version) bool {
-	if v.State != manifest.RollingIn || v.Exposure == nil {
-		return true
-	}
-	return f.rollout.Take(r.Model, v.Name)
-}
-
 // bySession keeps the session's version, or binds the session to one.
 func (f *chooseVersion) bySession(ctx context.Context, r *Request, open []manifest.Version) (manifest.Version, versionReason, error) {
 	bound, ok := r.Session.Binding(r.Model)
@@ -148,7 +172,7 @@
 	if i < 0 {
 		return f.move(ctx, r, open, bound)
 	}
-	if !f.withinExposure(r, open[i]) {
+	if exposed(open[i]) && !f.rollout.TakeBound(r.Model, bound.Version) {
 		return open[i], "", resultcode.New(resultcode.ExposureSpent, "the session's version has spent its exposure budget")
 	}
 	f.setBinding(r, bound)
--- a/internal/entry/claimonce.go
+++ b/internal/entry/claimonce.go
@@ -42,11 +42,16 @@
 	}
 	r.keyOpen = false
 	r.Claim = held
+	// A filter that panics leaves the outcome open, not the claim.
+	err = errPanicked
+	defer func() { f.settle(r, held, err) }()
 	err = next(ctx, r)
-	f.settle(r, held, err)
 	return err
 }
 
+// errPanicked stands for the outcome of a request whose filters panicked.
+var errPanicked = errors.New("entry: a filter panicked")
+
 // refuse answers a request whose key could not be claimed.
 func (f *claimOnce) refuse(r *Request, err error) error {
 	var done *claim.DoneError
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -16,7 +16,6 @@
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
-	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -36,9 +35,7 @@
 	pool    *balance.Pool
 	engine  upstream.Engine
 	service upstream.Service
-	rollout *rollout.Tracker
 	retries *admission.RetryBudget
-	sampler *sampler
 	// leaving tells the other hosts of an upstream that said it is leaving.
 	leaving func(upstreamID string)
 	log     zerolog.Logger
@@ -134,6 +131,7 @@
 	} else {
 		err = f.runModel(ctx, r)
 	}
+	r.Faulted = r.Faulted || faults(ctx, err)
 	outcome := f.outcome(ctx, r, started, err)
 	if outcome.Leaving {
 		f.leaving(id)
@@ -176,12 +174,10 @@
 
 func (f *dispatch) runModel(ctx context.Context, r *Request) error {
 	r.FirstFrame = time.Time{}
-	started := time.Now()
 	err := f.stream(ctx, r)
 	if err == nil {
 		r.Steps = append(r.Steps, step(r))
 	}
-	f.observe(ctx, r, started, err)
 	return err
 }
 
@@ -230,25 +226,26 @@
 	return r.ID + "." + strconv.Itoa(r.Attempts)
 }
 
-// observe hands the outcome to the evidence on a version that rolls in. What
-// the caller or the deadline ended isn't held against the version.
-func (f *dispatch) observe(ctx context.Context, r *Request, started time.Time, err error) {
-	if r.Version.State != manifest.RollingIn || (err != nil && ctx.Err() != nil) {
-		return
-	}
-	if errors.Is(err, upstream.ErrConnect) {
-		return
-	}
-	outcome := rollout.Outcome{Err: err != nil}
-	if !r.FirstFrame.IsZero() {
-		outcome.FirstToken = r.FirstFrame.Sub(started)
-	}
-	f.rollout.Observe(r.Model, r.Version.Name, outcome)
-	if err == nil {
-		f.sampler.offer(r.Model, r.Version.Name, r.Prompt, r.Sink.Text())
+// faults says whether an error speaks against the version that ran: not one of
+// a connection that was never made, nor an upstream's refusal to begin, nor what
+// the caller or the deadline ended.
+func faults(ctx context.Context, err error) bool {
+	var status *upstream.StatusError
+	switch {
+	case err == nil, ctx.Err() != nil, errors.Is(err, upstream.ErrConnect):
+		return false
+	case errors.As(err, &status):
+		return !refuses(status)
+	default:
+		return true
 	}
 }
 
+// refuses says whether an upstream's status means that it took no work.
+func refuses(status *upstream.StatusError) bool {
+	return status.Leaving || status.NotRun || status.RetryAfter > 0
+}
+
 func (f *dispatch) outcome(ctx context.Context, r *Request, started time.Time, err error) balance.Outcome {
 	var status *upstream.StatusError
 	o := balance.Outcome{Err: err != nil && ctx.Err() == nil}
@@ -326,7 +323,7 @@
 }
 
 func statusError(status *upstream.StatusError) error {
-	if status.Leaving || status.NotRun || status.RetryAfter > 0 {
+	if refuses(status) {
 		e := resultcode.Wrap(resultcode.UpstreamRefused, status, "the upstream doesn't take the request now")
 		e.RetryAfter = status.RetryAfter
 		return e
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -71,8 +71,10 @@
 	sampler   *sampler
 	evidence  *evidenceExchange
 	unloader  *unloader
-	departed  departures
-	processes processes
+	// maintenance tidies the table.
+	maintenance *maintenance
+	departed    departures
+	processes   processes
 	// quotaCtx ends the limits' part before the others, at a planned stop.
 	quotaCtx  context.Context
 	endQuota  context.CancelFunc
@@ -190,7 +192,9 @@
 	h.handlePeers()
 	h.handleLoans()
 	h.evidence = newEvidenceExchange(h)
-	h.unloader = &unloader{host: h, manager: lease.New(lease.Options{Table: h.platform.Table})}
+	leases := lease.New(lease.Options{Table: h.platform.Table})
+	h.unloader = &unloader{host: h, manager: leases}
+	h.maintenance = &maintenance{host: h, manager: leases}
 	h.watchMembers()
 	h.registerGauges()
 	return nil
@@ -255,6 +259,7 @@
 	run("evidence", h.evidence.run)
 	run("exposure", h.refill)
 	run("orders", h.unloader.run)
+	run("maintenance", h.maintenance.run)
 	run("ratings", h.sampler.run)
 	run("custody", h.settleDown)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/config"
@@ -170,6 +171,8 @@
 // peerHolders keeps copies of bills on hosts in other availability zones.
 type peerHolders struct {
 	host *Host
+	// failed counts the calls that failed: each one moves on to another host.
+	failed atomic.Uint64
 }
 
 // errNoHolder means that no host can hold bills.
@@ -183,15 +186,21 @@
 	}
 	params := holdParams{Owner: owner, Seq: seq, Bills: data}
 	for _, m := range p.candidates() {
-		if err = p.host.peers.Call(ctx, m.PeerAddr, methodHold, params, nil); err == nil {
+		err = p.host.peers.Call(ctx, m.PeerAddr, methodHold, params, nil)
+		if err == nil {
 			return m.ID, nil
 		}
+		p.failed.Add(1)
+		if !errors.Is(err, peer.ErrUnreachable) {
+			return m.ID, err // It may have the bills.
+		}
 	}
 	return "", errors.Join(errNoHolder, err)
 }
 
-// candidates are the hosts that are up, those in other zones first. The order
-// is this host's own, so that hosts spread their bills over each other.
+// candidates are the hosts to ask in turn: those that are up in other zones,
+// and only without any of these those of the same zone. The order is this
+// host's own, so that hosts spread their bills over each other.
 func (p *peerHolders) candidates() []membership.Member {
 	var far, near []membership.Member
 	for _, m := range rotate(p.host.others(), p.host.settings.ID) {
@@ -203,7 +212,14 @@
 			near = append(near, m)
 		}
 	}
-	return append(far, near...)
+	if len(far) == 0 {
+		far = near
+	}
+	if len(far) == 0 {
+		return nil
+	}
+	first := int(p.failed.Load() % uint64(len(far)))
+	return append(far[first:len(far):len(far)], far[:first]...)
 }
 
 // rotate starts the list behind the place that self would have in it.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -76,6 +76,9 @@
 	Attempts int
 	// FirstFrame is when the first frame arrived; zero before.
 	FirstFrame time.Time
+	// Faulted says that an attempt failed in a way that speaks against the
+	// version, though another may have succeeded.
+	Faulted bool
 	// Billed says that the request's bill was recorded.
 	Billed bool
 	// Replayed says that the answer is an earlier one with the same key.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -34,26 +34,7 @@
 	defer cancel()
 	return errors.Join(
 		h.ledger.Drain(ctx),
-		h.drainClaims(ctx),
+		h.claims.Flush(ctx),
 		h.leaveQuota(ctx),
 	)
 }
-
-// drainPoll is the time between looks whether the claims are settled.
-const drainPoll = 20 * time.Millisecond
-
-// errClaimsOpen means that outcomes of claims couldn't be recorded. Repeats of
-// those requests are told that they may have run.
-var errClaimsOpen = errors.New("outcomes of claims are left unrecorded")
-
-// drainClaims waits until the outcomes of all claims are in the table.
-func (h *Host) drainClaims(ctx context.Context) error {
-	for h.claims.Pending() > 0 {
-		select {
-		case <-ctx.Done():
-			return errClaimsOpen
-		case <-time.After(drainPoll):
-		}
-	}
-	return nil
-}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -86,6 +87,7 @@
 	return every(ctx, h.settings.PollLoad, func() {
 		h.askLoads(ctx, h.upstreams.list())
 		h.queues.adapt(h.pool.View(), h.hostsUp())
+		h.ledger.SetFlushEvery(ledger.FlushPeriod(h.hostsUp()))
 	})
 }
 
