session: rows state their time to live, which can follow the manifest

Cause: rows expired by each host's own setting, 30 minutes by default, while tokens follow the manifest. Rows now hold the time to live of their writer, and Registry.SetTTL changes it for rows written from then on. Hosts have to call SetTTL beside Codec.SetTTL.

--- a/session/cache.go
+++ b/session/cache.go
@@ -12,7 +12,7 @@
 
 // entry is a binding as this host last saw it.
 type entry struct {
-	binding Binding
+	record record
 	// durable says that the binding was read from or written to its row.
 	durable bool
 	readAt  time.Time
@@ -49,7 +49,7 @@
 	for _, s := range c.shards {
 		for _, key := range s.Keys() {
 			e, ok := s.Peek(key)
-			if ok && e.binding.Model == model && e.binding.Version == version {
+			if ok && e.record.Model == model && e.record.Version == version {
 				s.Remove(key)
 			}
 		}
--- a/session/registry.go
+++ b/session/registry.go
@@ -40,7 +40,8 @@
 	Table platform.Table
 	// Clock gives the time; nil means time.Now.
 	Clock platform.Clock
-	// TTL is how long a binding lasts after its last use; default 30 min.
+	// TTL is how long a binding lasts after its last use; default 30 min. It
+	// can be changed by SetTTL.
 	TTL time.Duration
 	// Timeout bounds each table call on the request path; default 250 ms.
 	Timeout time.Duration
@@ -82,6 +83,8 @@
 type Registry struct {
 	opts  Options
 	cache *cache
+	// ttl is the time to live of rows written from now on, in nanoseconds.
+	ttl atomic.Int64
 	// retryAt is when the table may be called again, in Unix nanoseconds.
 	retryAt atomic.Int64
 }
@@ -89,9 +92,16 @@
 // NewRegistry returns a registry over a table.
 func NewRegistry(opts Options) *Registry {
 	opts = opts.withDefaults()
-	return &Registry{opts: opts, cache: newCache(opts.CacheSize)}
+	r := &Registry{opts: opts, cache: newCache(opts.CacheSize)}
+	r.SetTTL(opts.TTL)
+	return r
 }
 
+// SetTTL changes how long bindings last after their last use. Each row keeps
+// the time that it was written with until it is written again, so that a host
+// that doesn't know of a longer time can't sweep it early.
+func (r *Registry) SetTTL(ttl time.Duration) { r.ttl.Store(int64(ttl)) }
+
 // Bind returns the session's binding: the one that the row holds, or else the
 // proposal, which is then written down. durable reports whether the binding
 // was seen in the table; without it, the binding is only this host's own, and
@@ -104,27 +114,27 @@
 	key := rowKey(proposal)
 	now := r.now()
 	cached, hit := r.cache.get(key)
-	hit = hit && !r.expired(cached.binding, now)
-	if hit && cached.durable && now.Sub(cached.readAt) < r.opts.Recheck && !r.stale(cached.binding, now) {
-		return cached.binding, true, nil
+	hit = hit && !cached.record.expired(now)
+	if hit && cached.durable && now.Sub(cached.readAt) < r.opts.Recheck && !cached.record.stale(now) {
+		return cached.record.Binding, true, nil
 	}
 	if hit {
-		proposal = cached.binding
+		proposal = cached.record.Binding
 	}
-	proposal.IssuedAt = now
+	fresh := r.record(proposal, now)
 	if !r.tableUsable(now) {
-		return r.bindLocally(key, proposal, hit && cached.durable, now)
+		return r.bindLocally(key, fresh, hit && cached.durable, now)
 	}
-	b, err = r.settle(ctx, key, proposal, now)
+	held, err := r.settle(ctx, key, fresh, now)
 	if ctxErr := ctx.Err(); ctxErr != nil {
 		return Binding{}, false, fmt.Errorf("session: bind: %w", ctxErr)
 	}
 	if err != nil {
 		r.tableFailed(now)
-		return r.bindLocally(key, proposal, hit && cached.durable, now)
+		return r.bindLocally(key, fresh, hit && cached.durable, now)
 	}
-	r.cache.put(key, entry{binding: b, durable: true, readAt: now})
-	return b, true, nil
+	r.cache.put(key, entry{record: held, durable: true, readAt: now})
+	return held.Binding, true, nil
 }
 
 // Rebind moves a session off a version that was withdrawn. If another host
@@ -139,20 +149,20 @@
 	}
 	key := rowKey(replacement)
 	now := r.now()
-	replacement.IssuedAt = now
+	fresh := r.record(replacement, now)
 	if !r.tableUsable(now) {
-		return r.bindLocally(key, replacement, false, now)
+		return r.bindLocally(key, fresh, false, now)
 	}
-	b, err = r.replace(ctx, key, old.Version, replacement, now)
+	held, err := r.replace(ctx, key, old.Version, fresh, now)
 	if ctxErr := ctx.Err(); ctxErr != nil {
 		return Binding{}, false, fmt.Errorf("session: rebind: %w", ctxErr)
 	}
 	if err != nil {
 		r.tableFailed(now)
-		return r.bindLocally(key, replacement, false, now)
+		return r.bindLocally(key, fresh, false, now)
 	}
-	r.cache.put(key, entry{binding: b, durable: true, readAt: now})
-	return b, true, nil
+	r.cache.put(key, entry{record: held, durable: true, readAt: now})
+	return held.Binding, true, nil
 }
 
 // Evict forgets cached bindings to a version, so that each is read from its
@@ -163,12 +173,12 @@
 
 // bindLocally answers without the table. A binding once read from its row
 // keeps the claim while the row can't have expired.
-func (r *Registry) bindLocally(key string, b Binding, wasDurable bool, now time.Time) (Binding, bool, error) {
+func (r *Registry) bindLocally(key string, fresh record, wasDurable bool, now time.Time) (Binding, bool, error) {
 	if old, ok := r.cache.get(key); ok && wasDurable {
-		return old.binding, true, nil
+		return old.record.Binding, true, nil
 	}
-	r.cache.put(key, entry{binding: b, readAt: now})
-	return b, false, nil
+	r.cache.put(key, entry{record: fresh, readAt: now})
+	return fresh.Binding, false, nil
 }
 
 // settle returns what the row holds, after it inserted the row if it was
@@ -176,39 +186,38 @@
 // new to a host have a row and commits are scarcer than reads. A lost answer
 // needs no attempt token: whatever the row holds after it is the decision,
 // whoever wrote it.
-func (r *Registry) settle(ctx context.Context, key string, proposal Binding, now time.Time) (Binding, error) {
+func (r *Registry) settle(ctx context.Context, key string, proposal record, now time.Time) (record, error) {
 	for range maxAttempts {
 		held, version, err := r.read(ctx, key)
 		if err != nil {
-			return Binding{}, err
+			return record{}, err
 		}
-		if version > 0 && !r.expired(held, now) {
-			if !r.stale(held, now) {
+		if version > 0 && !held.expired(now) {
+			if !held.stale(now) {
 				return held, nil
 			}
-			proposal = held
-			proposal.IssuedAt = now
+			proposal = r.record(held.Binding, now)
 		}
 		err = r.write(ctx, key, version, proposal)
 		if err == nil {
 			return proposal, nil
 		}
 		if !follow(err) {
-			return Binding{}, err
+			return record{}, err
 		}
 	}
-	return Binding{}, errContended
+	return record{}, errContended
 }
 
 // replace writes the replacement over a row that still holds the withdrawn
 // version, or over none.
-func (r *Registry) replace(ctx context.Context, key, withdrawn string, replacement Binding, now time.Time) (Binding, error) {
+func (r *Registry) replace(ctx context.Context, key, withdrawn string, replacement record, now time.Time) (record, error) {
 	for range maxAttempts {
 		held, version, err := r.read(ctx, key)
 		if err != nil {
-			return Binding{}, err
+			return record{}, err
 		}
-		if version > 0 && held.Version != withdrawn && !r.expired(held, now) {
+		if version > 0 && held.Version != withdrawn && !held.expired(now) {
 			return held, nil
 		}
 		err = r.write(ctx, key, version, replacement)
@@ -216,10 +225,10 @@
 			return replacement, nil
 		}
 		if !follow(err) {
-			return Binding{}, err
+			return record{}, err
 		}
 	}
-	return Binding{}, errContended
+	return record{}, errContended
 }
 
 // follow reports whether the row is to be read after a failed write.
@@ -227,8 +236,8 @@
 	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown)
 }
 
-func (r *Registry) write(ctx context.Context, key string, version uint64, b Binding) error {
-	value, err := json.Marshal(b)
+func (r *Registry) write(ctx context.Context, key string, version uint64, value record) error {
+	text, err := json.Marshal(value)
 	if err != nil {
 		return fmt.Errorf("session: encode row: %w", err)
 	}
@@ -236,27 +245,27 @@
 	defer cancel()
 	_, err = r.opts.Table.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Puts:       []platform.Put{{Key: key, Value: text}},
 	})
 	return err
 }
 
-// read returns the row's binding and version; version 0 means no row.
-func (r *Registry) read(ctx context.Context, key string) (Binding, uint64, error) {
+// read returns the row's value and version; version 0 means no row.
+func (r *Registry) read(ctx context.Context, key string) (record, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
 	row, err := r.opts.Table.Get(ctx, key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return Binding{}, 0, nil
+		return record{}, 0, nil
 	}
 	if err != nil {
-		return Binding{}, 0, err
+		return record{}, 0, err
 	}
-	var b Binding
-	if err := json.Unmarshal(row.Value, &b); err != nil {
-		return Binding{}, 0, fmt.Errorf("session: decode row %s: %w", key, err)
+	var value record
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return record{}, 0, fmt.Errorf("session: decode row %s: %w", key, err)
 	}
-	return b, row.Version, nil
+	return value, row.Version, nil
 }
 
 // now is in the form that rows and tokens give back.
@@ -264,16 +273,6 @@
 	return r.opts.Clock().UTC().Truncate(time.Millisecond)
 }
 
-// stale reports whether a use must write the row again to prolong it.
-func (r *Registry) stale(b Binding, now time.Time) bool {
-	return now.Sub(b.IssuedAt) >= r.opts.TTL
-}
-
-// expired reports whether the row has outlived its last use.
-func (r *Registry) expired(b Binding, now time.Time) bool {
-	return now.Sub(b.IssuedAt) >= rowLives*r.opts.TTL
-}
-
 func (r *Registry) tableUsable(now time.Time) bool {
 	return now.UnixNano() >= r.retryAt.Load()
 }
--- a/session/registry_test.go
+++ b/session/registry_test.go
@@ -139,6 +139,23 @@
 	})
 }
 
+func TestRowsKeepTheirTTL(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := memory.New()
+		long, short := testRegistry(table), testRegistry(table)
+		long.SetTTL(24 * time.Hour)
+		mustBind(t, long, "v1")
+		time.Sleep(5 * testTTL)
+		_, deleted, err := short.Sweep(t.Context(), "")
+		is.NoErr(err)
+		is.Equal(deleted, 0) // a host that knows only a shorter time spares it
+		v, durable := mustBind(t, short, "v2")
+		is.Equal(v, "v1")
+		is.True(durable)
+	})
+}
+
 func TestSweepPassesOverPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/session/sweep.go
+++ b/session/sweep.go
@@ -53,8 +53,8 @@
 	var txn platform.Txn
 	now := r.opts.Clock()
 	for _, row := range rows {
-		var b Binding
-		if json.Unmarshal(row.Value, &b) != nil || !r.expired(b, now) {
+		var value record
+		if json.Unmarshal(row.Value, &value) != nil || !value.expired(now) {
 			continue
 		}
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
