quota: state the form of holders' names

Cause: callers of Peers split the holder's name at its last dot to find the host, which held only by the default of NewID. Ruled out: a function for it, which each caller would need for one line. Conclusion: the form is part of the interface now; no change in behaviour.

--- a/quota/loan.go
+++ b/quota/loan.go
@@ -29,7 +29,8 @@
 // Peers reaches other hosts.
 type Peers interface {
 	// Borrow hands the request to the Lend method of the host that holds
-	// slots under the name of holder.
+	// slots under the name of holder: Options.Host, a dot, and a suffix
+	// without dots.
 	Borrow(ctx context.Context, holder string, request LoanRequest) (Loan, error)
 }
 
--- a/quota/options.go
+++ b/quota/options.go
@@ -53,7 +53,8 @@
 	// while it holds no lease; default 0. Each host without a lease can add
 	// this much to the limit.
 	Floor float64
-	// NewID makes the random suffix of the holder's name; default a UUID.
+	// NewID makes the random suffix of the holder's name, without dots;
+	// default a UUID.
 	NewID func() string
 }
 
