--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -22,7 +22,9 @@
 	h.queues.setClasses(classOptions(doc.Classes))
 	h.quota.SetLimits(policy.Epoch, accountLimits(doc.Accounts))
 	h.rollout.SetVersions(versionRules(policy))
-	h.codec.SetTTL(time.Duration(doc.Sessions.TTLSeconds) * time.Second)
+	sessionTTL := time.Duration(doc.Sessions.TTLSeconds) * time.Second
+	h.codec.SetTTL(sessionTTL)
+	h.registry.SetTTL(sessionTTL)
 	for _, m := range doc.Models {
 		for _, v := range m.Versions {
 			if v.State == manifest.Withdrawn {
