--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -24,6 +24,8 @@
 	// measureAgainst is another build of the binary, whose runs alternate with
 	// those of this one, so that both meet the same state of the machine.
 	measureAgainst = flag.String("measure-against", "", "another binary to measure beside")
+	measurePeriod  = flag.Duration("measure-period", 0, "duration of each load; 0 means the default")
+	measureStreams = flag.Int("measure-streams", 1000, "streams read at once; 0 measures none")
 	// measureProcs is GOMAXPROCS of the entry hosts; empty leaves it alone.
 	measureProcs = flag.String("measure-procs", "", "GOMAXPROCS of the entry hosts")
 )
@@ -129,8 +131,9 @@
 		Model:   "large",
 		Version: "large@v1",
 		Shares:  []float64{0.1, 0.5, 0.9},
+		Period:  *measurePeriod,
 		Seed:    seed,
-		Streams: 1000,
+		Streams: *measureStreams,
 		Tokens:  1000,
 	}
 }
