--- /dev/null
+++ b/internal/entry/attempterror.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/runstate"
+	"github.com/quetzalweir/quetzalweir/upstream"
+)
+
+// attemptError gives the last attempt's error its result code.
+func attemptError(ctx context.Context, r *Request, err error) error {
+	if ctx.Err() != nil {
+		return contextError(ctx, err)
+	}
+	var coded *resultcode.Error
+	var status *upstream.StatusError
+	switch {
+	case errors.As(err, &coded):
+		return err
+	case errors.As(err, &status):
+		return statusError(status)
+	case errors.Is(err, upstream.ErrMismatch):
+		return resultcode.Wrap(resultcode.AnswerMismatch, err, "the upstream's answer was of another request")
+	default:
+		return brokenError(r, err)
+	}
+}
+
+func statusError(status *upstream.StatusError) error {
+	if refuses(status) {
+		e := resultcode.Wrap(resultcode.UpstreamRefused, status, "the upstream doesn't take the request now")
+		e.RetryAfter = status.RetryAfter
+		return e
+	}
+	return resultcode.Wrap(resultcode.UpstreamError, status, "the upstream answered with an error")
+}
+
+func brokenError(r *Request, err error) error {
+	switch r.state.State() {
+	case runstate.NotRun:
+		return resultcode.Wrap(resultcode.UpstreamUnreachable, err, "no upstream could be reached")
+	case runstate.MayHaveRun:
+		return resultcode.Wrap(resultcode.OutcomeUnknown, err, "the request was sent and no answer came back")
+	default:
+		return resultcode.Wrap(resultcode.AnswerIncomplete, err, "the answer broke off")
+	}
+}
+
+// faults says whether an error speaks against the version that ran: not one of
+// a connection that was never made, nor an upstream's refusal to begin, nor what
+// the caller or the deadline ended.
+func faults(ctx context.Context, err error) bool {
+	var status *upstream.StatusError
+	switch {
+	case err == nil, ctx.Err() != nil, errors.Is(err, upstream.ErrConnect):
+		return false
+	case errors.As(err, &status):
+		return !refuses(status)
+	default:
+		return true
+	}
+}
+
+// refuses says whether an upstream's status means that it took no work.
+func refuses(status *upstream.StatusError) bool {
+	return status.Leaving || status.NotRun || status.RetryAfter > 0
+}
--- a/internal/entry/bill.go
+++ b/internal/entry/bill.go
@@ -8,8 +8,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/ledger"
+	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
+	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
 // bill records one bill for each request that was sent, before the end of the
@@ -69,3 +71,24 @@
 	}
 	return b
 }
+
+// step is the billed part of the run that just ended.
+func step(r *Request) ledger.Step {
+	return ledger.Step{
+		Model:            r.Model,
+		Version:          r.Version.Name,
+		Upstream:         r.Target.ID,
+		PromptTokens:     r.Usage.PromptTokens,
+		CompletionTokens: r.Usage.CompletionTokens,
+		CostMicro:        cost(r.Version, r.Usage),
+	}
+}
+
+// tokensPerPrice is the number of tokens that a manifest price is for.
+const tokensPerPrice = 1000
+
+func cost(v manifest.Version, u upstream.Usage) int64 {
+	prompt := v.PromptPrice * int64(u.PromptTokens)
+	completion := v.CompletionPrice * int64(u.CompletionTokens)
+	return (prompt + completion) / tokensPerPrice
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,8 +13,6 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/config"
-	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -226,26 +224,6 @@
 	return r.ID + "." + strconv.Itoa(r.Attempts)
 }
 
-// faults says whether an error speaks against the version that ran: not one of
-// a connection that was never made, nor an upstream's refusal to begin, nor what
-// the caller or the deadline ended.
-func faults(ctx context.Context, err error) bool {
-	var status *upstream.StatusError
-	switch {
-	case err == nil, ctx.Err() != nil, errors.Is(err, upstream.ErrConnect):
-		return false
-	case errors.As(err, &status):
-		return !refuses(status)
-	default:
-		return true
-	}
-}
-
-// refuses says whether an upstream's status means that it took no work.
-func refuses(status *upstream.StatusError) bool {
-	return status.Leaving || status.NotRun || status.RetryAfter > 0
-}
-
 func (f *dispatch) outcome(ctx context.Context, r *Request, started time.Time, err error) balance.Outcome {
 	var status *upstream.StatusError
 	o := balance.Outcome{Err: err != nil && ctx.Err() == nil}
@@ -282,66 +260,6 @@
 	}
 }
 
-// step is the billed part of the run that just ended.
-func step(r *Request) ledger.Step {
-	return ledger.Step{
-		Model:            r.Model,
-		Version:          r.Version.Name,
-		Upstream:         r.Target.ID,
-		PromptTokens:     r.Usage.PromptTokens,
-		CompletionTokens: r.Usage.CompletionTokens,
-		CostMicro:        cost(r.Version, r.Usage),
-	}
-}
-
-// tokensPerPrice is the number of tokens that a manifest price is for.
-const tokensPerPrice = 1000
-
-func cost(v manifest.Version, u upstream.Usage) int64 {
-	prompt := v.PromptPrice * int64(u.PromptTokens)
-	completion := v.CompletionPrice * int64(u.CompletionTokens)
-	return (prompt + completion) / tokensPerPrice
-}
-
-// attemptError gives the last attempt's error its result code.
-func attemptError(ctx context.Context, r *Request, err error) error {
-	if ctx.Err() != nil {
-		return contextError(ctx, err)
-	}
-	var coded *resultcode.Error
-	var status *upstream.StatusError
-	switch {
-	case errors.As(err, &coded):
-		return err
-	case errors.As(err, &status):
-		return statusError(status)
-	case errors.Is(err, upstream.ErrMismatch):
-		return resultcode.Wrap(resultcode.AnswerMismatch, err, "the upstream's answer was of another request")
-	default:
-		return brokenError(r, err)
-	}
-}
-
-func statusError(status *upstream.StatusError) error {
-	if refuses(status) {
-		e := resultcode.Wrap(resultcode.UpstreamRefused, status, "the upstream doesn't take the request now")
-		e.RetryAfter = status.RetryAfter
-		return e
-	}
-	return resultcode.Wrap(resultcode.UpstreamError, status, "the upstream answered with an error")
-}
-
-func brokenError(r *Request, err error) error {
-	switch r.state.State() {
-	case runstate.NotRun:
-		return resultcode.Wrap(resultcode.UpstreamUnreachable, err, "no upstream could be reached")
-	case runstate.MayHaveRun:
-		return resultcode.Wrap(resultcode.OutcomeUnknown, err, "the request was sent and no answer came back")
-	default:
-		return resultcode.Wrap(resultcode.AnswerIncomplete, err, "the answer broke off")
-	}
-}
-
 func (f *dispatch) logPlacement(r *Request, c balance.Choice, ok bool) {
 	event := f.log.Info().
 		Str("event", "place").
