e2e: a relay's target is set under its lock

Cause: a host's peers may dial its relay before the relay knows the host's address, so the race detector found the write of the target beside its read (TestOneBillForEachAnswer under -race). Ruled out: choosing the address before the relay listens, since both could then get the same port.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -244,7 +244,7 @@
 	h.toPlatform = newRelay(s.t, loopback, s.platform)
 	h.fromPeers = newRelay(s.t, h.ip, "")
 	peers := freeAddress(s.t, h.ip)
-	h.fromPeers.target = peers
+	h.fromPeers.setTarget(peers)
 	args := []string{"serve", "--id=" + id, "--zone=" + zone, "--platform=http://" + h.toPlatform.address(),
 		"--callers=127.0.0.1:0", "--operators=127.0.0.1:0", "--peers=" + peers, "--advertise-peers=" + h.fromPeers.address()}
 	h.process = start(s.t, id, entryEnv, append(args, flags...)...)
--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -10,8 +10,8 @@
 // relay passes TCP connections on to a target, and cuts them on demand.
 type relay struct {
 	listener net.Listener
-	target   string
 	mu       sync.Mutex
+	target   string
 	cut      func(from string) bool
 	conns    map[net.Conn]string // to the source IP
 }
@@ -54,6 +54,13 @@
 
 func (r *relay) cutAll() { r.cutFrom(func(string) bool { return true }) }
 
+// setTarget names the target, for a relay that began without one.
+func (r *relay) setTarget(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = address
+}
+
 func (r *relay) heal() { r.cutFrom(nil) }
 
 func (r *relay) accept(wait *sync.WaitGroup) {
@@ -69,11 +76,12 @@
 func (r *relay) serve(conn net.Conn) {
 	defer conn.Close()
 	from, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	if !r.add(conn, from) {
+	address, ok := r.add(conn, from)
+	if !ok {
 		return
 	}
 	defer r.remove(conn)
-	target, err := net.Dial("tcp", r.target)
+	target, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
@@ -88,14 +96,15 @@
 	wait.Wait()
 }
 
-func (r *relay) add(conn net.Conn, from string) bool {
+// add registers a connection and returns the target, unless it is cut.
+func (r *relay) add(conn net.Conn, from string) (target string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cut != nil && r.cut(from) {
-		return false
+		return "", false
 	}
 	r.conns[conn] = from
-	return true
+	return r.target, true
 }
 
 func (r *relay) remove(conn net.Conn) {
