entry: a host replaced before it was seen down has its bills settled

Cause: the bills that a killed host had delivered and not flushed are written by the peers with copies, once the host is seen down.

The word of which process runs under an id, which claims use since, now settles what the earlier process owed and held. Ruled out: acting only when another process had been heard of under the id, tried first: a process that lived 0.2 s was known to nobody. A needless settling writes bills that stand in the ledger once anyway.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -74,7 +74,7 @@
 		}
 	})
 	h.members.Watch(factLeaving, h.adoptLeaving)
-	h.members.Watch(factProcess, h.processes.adopt)
+	h.members.Watch(factProcess, h.adoptProcess)
 }
 
 // announce tells the other hosts of an accepted manifest.
@@ -97,8 +97,13 @@
 	if e.Previous == membership.Leaving {
 		h.departed.add(e.Member.ID)
 	}
+	h.settleLater(e.Member.ID)
+}
+
+// settleLater has the bills of a process that is gone settled.
+func (h *Host) settleLater(id string) {
 	select {
-	case h.down <- e.Member.ID:
+	case h.down <- id:
 	default: // The sweep finds its bills later.
 	}
 }
--- a/internal/entry/processes.go
+++ b/internal/entry/processes.go
@@ -25,19 +25,21 @@
 	current map[string]string // host id to incarnation
 }
 
-// adopt takes in what a host says of itself.
-func (p *processes) adopt(f membership.Fact) {
+// adopt takes in what a host says of itself. It reports whether that is news:
+// an earlier process, also one not heard of, is then gone.
+func (p *processes) adopt(id string, f membership.Fact) (news bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current == nil {
 		p.current = make(map[string]string)
 	}
-	id := strings.TrimPrefix(f.Key, factProcess)
 	if f.Expired() {
 		delete(p.current, id)
-		return
+		return false
 	}
+	before := p.current[id]
 	p.current[id] = string(f.Value)
+	return before != string(f.Value)
 }
 
 // replaced says that another process is known to run under the host's id.
@@ -64,6 +66,18 @@
 	})
 }
 
+// adoptProcess takes in which process a host runs. It may have replaced one so
+// soon that the host was never seen down; what that one held and owed is
+// settled all the same.
+func (h *Host) adoptProcess(f membership.Fact) {
+	id := strings.TrimPrefix(f.Key, factProcess)
+	if !h.processes.adopt(id, f) || id == h.settings.ID {
+		return
+	}
+	h.log.Info().Str("event", "process").Str("member", id).Str("incarnation", string(f.Value)).Msg("")
+	h.settleLater(id)
+}
+
 // liveness tells claims whether the process that owns one may still be running.
 type liveness struct {
 	members   *membership.Membership
--- a/internal/entry/processes_test.go
+++ b/internal/entry/processes_test.go
@@ -24,7 +24,7 @@
 		t.Run(test.desc, func(t *testing.T) {
 			var p processes
 			for _, f := range test.facts {
-				p.adopt(f)
+				p.adopt("entry-1", f)
 			}
 			if got := p.replaced("entry-1", test.incarnation); got != test.want {
 				t.Errorf("replaced: %t", got)
