--- a/internal/e2e/atmostonce_test.go
+++ b/internal/e2e/atmostonce_test.go
@@ -74,6 +74,7 @@
 // replaced, with a table that is down, slow and loses answers, to services
 // that cut connections.
 func TestBidsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 4)
 	s.addService("lanes-2", "zone-b")
 	s.submit(devenv.Manifest())
