rollout: six unrated answers for each rated one, not twenty

Cause: with a slow rater the pace hardly held a plausible, poorly rated version back.

Conclusion: at least about one answer in seven must be rated, or the version is held back.

--- a/rollout/pacing.go
+++ b/rollout/pacing.go
@@ -10,7 +10,7 @@
 	DefaultInitial        = 8
 	DefaultGrowth         = 1
 	DefaultInitialUnrated = 32
-	DefaultUnratedGrowth  = 20
+	DefaultUnratedGrowth  = 6
 	DefaultObserveTimeout = 2 * time.Minute
 )
 
