experiment: one command for the measurements of the policies

Cause: the project ships as one binary, and two more main packages had grown for the experiments. Ruled out: keeping them as go run targets, which embedders of the binary do not have.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,16 +25,17 @@
 
 // commands is the tree of commands.
 type commands struct {
-	Serve    serveCmd    `cmd:"" help:"Run an entry host."`
-	Manifest manifestCmd `cmd:"" help:"Check, submit and read manifests."`
-	Trace    traceCmd    `cmd:"" help:"Follow a manifest to its outcomes, or a request to its manifest."`
-	Hosts    hostsCmd    `cmd:"" help:"List entry hosts and upstreams as one host sees them."`
-	Leaving  leavingCmd  `cmd:"" help:"Take an upstream out of service on all hosts."`
-	Stops    stopsCmd    `cmd:"" help:"List the versions that the hosts stopped by their own evidence."`
-	Codes    codesCmd    `cmd:"" help:"List the result codes."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
-	Dev      devCmd      `cmd:"" help:"Run everything in one process, with stand-ins and a sample manifest."`
-	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system."`
+	Serve      serveCmd      `cmd:"" help:"Run an entry host."`
+	Manifest   manifestCmd   `cmd:"" help:"Check, submit and read manifests."`
+	Trace      traceCmd      `cmd:"" help:"Follow a manifest to its outcomes, or a request to its manifest."`
+	Hosts      hostsCmd      `cmd:"" help:"List entry hosts and upstreams as one host sees them."`
+	Leaving    leavingCmd    `cmd:"" help:"Take an upstream out of service on all hosts."`
+	Stops      stopsCmd      `cmd:"" help:"List the versions that the hosts stopped by their own evidence."`
+	Codes      codesCmd      `cmd:"" help:"List the result codes."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
+	Experiment experimentCmd `cmd:"" help:"Measure the policies against baselines, in seeded models."`
+	Dev        devCmd        `cmd:"" help:"Run everything in one process, with stand-ins and a sample manifest."`
+	Standin    standinCmd    `cmd:"" help:"Run a stand-in of an outside system."`
 }
 
 // streams are where commands write.
--- /dev/null
+++ b/internal/experiment/admission/admission.go
@@ -0,0 +1,27 @@
+// Package admission measures the admission scheduler against queues without
+// admission, in virtual time with seeded workloads, and prints tables in
+// Markdown.
+package admission
+
+import "io"
+
+// DefaultSeeds is the default of Options.Seeds.
+const DefaultSeeds = 10
+
+// Options are the settings of Run.
+type Options struct {
+	// Seeds is the number of runs for each cell; 0 means DefaultSeeds.
+	Seeds int
+}
+
+// Run measures all scenarios and prints their tables to w.
+func Run(w io.Writer, options Options) error {
+	seeds := options.Seeds
+	if seeds <= 0 {
+		seeds = DefaultSeeds
+	}
+	for _, s := range scenarios() {
+		printScenario(w, s, seeds)
+	}
+	return nil
+}
--- a/internal/experiment/admission/experiment_test.go
+++ b/internal/experiment/admission/experiment_test.go
@@ -1,4 +1,4 @@
-package main
+package admission
 
 import (
 	"testing"
