--- /dev/null
+++ b/internal/capacity/rows.go
@@ -0,0 +1,34 @@
+package capacity
+
+import (
+	"strings"
+
+	"github.com/quetzalweir/quetzalweir/ledger"
+)
+
+// rowsOf is the rows of the table that one purpose adds in a day.
+type rowsOf struct {
+	name   string
+	perDay func(Size) float64
+	// removed says what removes them.
+	removed string
+}
+
+var dailyRows = []rowsOf{
+	{"manifests, epoch and digest", func(s Size) float64 { return 2 * s.Changes }, "nothing"},
+	{"ledger segments, one a host and second", func(s Size) float64 { return s.Hosts * secondsPerDay / ledger.DefaultFlushEvery.Seconds() },
+		"`ledger.Compact`, which no host runs"},
+	{"ledger segments, one a host each 10 s", func(s Size) float64 { return s.Hosts * secondsPerDay / flushSeconds },
+		"`ledger.Compact`, which no host runs"},
+	{"claims", func(s Size) float64 { return keyedShare * s.Requests * secondsPerDay }, "`claim.Sweep`, which no host runs; tombstones after 30 days"},
+	{"sessions without a token", func(s Size) float64 { return newSessions * rowSessions * s.Requests * secondsPerDay }, "the sweep of package session, which no host runs"},
+}
+
+func writeRows(b *strings.Builder) {
+	table(b, "Rows that the table gets", "In a day; the upper bound of a day at the peak for what follows the requests.",
+		"", "today", "full", "removed by")
+	for _, r := range dailyRows {
+		row(b, r.name, number(r.perDay(Today())), number(r.perDay(Full())), r.removed)
+	}
+	b.WriteString("\n")
+}
