devenv: a topology of its own, engines that can be killed

Cause: the entry hosts can only be run with the sample's four engines and one service, and with the default chain and queue factor, so their policies can't be measured against others in a deployment's shape. What changes: devenv.Options.Topology (engines, services, manifest) and Rater; entry.Settings.Selector and QueueFactor (default 2 as before; serve has no flag for either); Kill and Load of the stand-in engine; loadgen.IntendedStart. Ruled out: a kill by the end of the engine's context, which is a graceful shutdown of up to 5 s and breaks nothing; a second harness beside devenv.

--- a/internal/devenv/devenv.go
+++ b/internal/devenv/devenv.go
@@ -22,6 +22,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
 	"github.com/quetzalweir/quetzalweir/internal/standin/service"
+	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/session"
 )
 
@@ -58,6 +59,11 @@
 	Engine engine.Options
 	// Log is the hosts' logger.
 	Log zerolog.Logger
+	// Topology is what the upstreams are and what is declared of them; nil is
+	// the sample.
+	Topology *Topology
+	// Rater may put itself before the platform's rater; nil doesn't.
+	Rater func(platform.Rater) platform.Rater
 	// Settings may change the settings of each entry host; nil changes none.
 	Settings func(*entry.Settings)
 }
@@ -66,8 +72,13 @@
 type Env struct {
 	Platform *platformd.Server
 	Engines  []*engine.Engine
+	// Service is the first of Services.
 	Service  *service.Service
+	Services []*service.Service
 	Hosts    []*entry.Host
+
+	manifest []byte
+	rater    platform.Rater
 }
 
 // freePort takes any port on loopback.
@@ -76,18 +87,18 @@
 // zones are the availability zones of the sample.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// loaded are the versions of each engine of the sample.
-var loaded = [][]string{
-	{"small@v1", "small@v2"},
-	{"small@v1", "small@v2"},
-	{"large@v1"},
-	{"large@v1"},
-}
-
 // New makes the parts; Run starts them.
 func New(options Options) (*Env, error) {
-	env := &Env{Platform: platformd.New(platformd.Options{})}
-	if err := env.addUpstreams(options); err != nil {
+	topology := options.Topology
+	if topology == nil {
+		topology = sampleTopology()
+	}
+	env := &Env{Platform: platformd.New(topology.Platform), manifest: topology.Manifest}
+	env.rater = env.Platform.Rater()
+	if options.Rater != nil {
+		env.rater = options.Rater(env.rater)
+	}
+	if err := env.addUpstreams(options.Engine, topology); err != nil {
 		return nil, err
 	}
 	for i := range max(1, options.Hosts) {
@@ -98,28 +109,6 @@
 	return env, nil
 }
 
-func (e *Env) addUpstreams(options Options) error {
-	for i, versions := range loaded {
-		opts := options.Engine
-		opts.ID = fmt.Sprintf("engine-%d", i+1)
-		opts.Name = "engines"
-		opts.Zone = zones[i%len(zones)]
-		opts.Versions = versions
-		eng := engine.New(opts)
-		if err := eng.Bind(); err != nil {
-			return err
-		}
-		e.Engines = append(e.Engines, eng)
-		e.Platform.Hosts().Set(eng.Host())
-	}
-	e.Service = service.New(service.Options{ID: "lanes-1", Name: "lanes", Zone: zones[0]})
-	if err := e.Service.Bind(); err != nil {
-		return err
-	}
-	e.Platform.Hosts().Set(e.Service.Host())
-	return nil
-}
-
 func (e *Env) addHost(options Options, i int) error {
 	secret := sha256.Sum256([]byte(sampleKeyID))
 	settings := entry.Settings{
@@ -143,7 +132,7 @@
 		Table:   e.Platform.Table(),
 		Objects: e.Platform.Objects(),
 		Hosts:   e.Platform.Hosts(),
-		Rater:   e.Platform.Rater(),
+		Rater:   e.rater,
 	}, options.Log.With().Str("host", settings.ID).Logger())
 	if err != nil {
 		return err
@@ -155,11 +144,11 @@
 // sampleToken marks the sample's submission.
 const sampleToken = "sample"
 
-// Run submits the sample manifest and serves until ctx ends.
+// Run submits the manifest and serves until ctx ends.
 func (e *Env) Run(ctx context.Context) error {
 	store := config.NewStore(e.Platform.Table(), e.Platform.Objects())
-	if _, err := store.Submit(ctx, Manifest(), sampleToken); err != nil {
-		return fmt.Errorf("submit the sample manifest: %w", err)
+	if _, err := store.Submit(ctx, e.manifest, sampleToken); err != nil {
+		return fmt.Errorf("submit the manifest: %w", err)
 	}
 	// The upstreams outlive the hosts, whose planned stop needs them.
 	upstreams, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -168,7 +157,9 @@
 	for _, eng := range e.Engines {
 		parts.Go(func() error { return eng.Run(upstreams) })
 	}
-	parts.Go(func() error { return e.Service.Run(upstreams) })
+	for _, s := range e.Services {
+		parts.Go(func() error { return s.Run(upstreams) })
+	}
 	hosts, ctx := errgroup.WithContext(ctx)
 	for _, h := range e.Hosts {
 		hosts.Go(func() error { return h.Run(ctx) })
--- a/internal/entry/queues.go
+++ b/internal/entry/queues.go
@@ -10,20 +10,19 @@
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
-// queueFactor is how many requests all hosts together let into a pool for each
-// one that it runs at once. Above 1, since hosts don't get equal parts of the
-// traffic and engines have queues of their own; bounded, since what waits at an
-// engine can't be refused or overtaken any more.
-const queueFactor = 2
-
 // queues holds an admission queue for each pool: the engines of a model, or the
 // hosts of a service. Requests for a full pool don't hold up those for another.
 type queues struct {
 	max      int
 	maxQueue int
-	mu       sync.RWMutex
-	classes  []admission.ClassOptions
-	byPool   map[string]*admission.Queue
+	// factor is Settings.QueueFactor. Its default is above 1, since hosts don't
+	// get equal parts of the traffic and engines have queues of their own; and
+	// bounded, since what waits at an engine can't be refused or overtaken any
+	// more.
+	factor  int
+	mu      sync.RWMutex
+	classes []admission.ClassOptions
+	byPool  map[string]*admission.Queue
 	// size is what capacities follow from.
 	size size
 }
@@ -38,8 +37,8 @@
 	hosts int
 }
 
-func newQueues(maxRunning, maxQueue int) *queues {
-	return &queues{max: maxRunning, maxQueue: maxQueue, byPool: make(map[string]*admission.Queue)}
+func newQueues(s Settings) *queues {
+	return &queues{max: s.Capacity, maxQueue: s.MaxQueue, factor: s.QueueFactor, byPool: make(map[string]*admission.Queue)}
 }
 
 // of returns the queue of a pool, which the manifest names.
@@ -88,7 +87,7 @@
 	}
 	// Those that aren't reached are taken to be like those that are.
 	scaled := capacity * max(1, q.size.total) / len(q.size.reached)
-	return max(1, min(q.max, (scaled*queueFactor+q.size.hosts-1)/q.size.hosts))
+	return max(1, min(q.max, (scaled*q.factor+q.size.hosts-1)/q.size.hosts))
 }
 
 // poolCapacity sums what the upstreams of a pool run at once.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/session"
 )
@@ -35,6 +36,12 @@
 	Capacity int
 	// MaxQueue is how many requests wait at most. Default 4096.
 	MaxQueue int
+	// QueueFactor is how many requests all hosts together let into a pool for
+	// each one that it runs at once. Default 2.
+	QueueFactor int
+	// Selector chooses upstreams. Default nil: the chain of
+	// balance.NewSelector. Measurements set others to compare with.
+	Selector *balance.Selector
 	// SessionKeys sign the session tokens; the first signs, all verify.
 	SessionKeys []session.Key
 	// PeerKeys authenticate the hosts to each other; the first is offered.
@@ -67,6 +74,7 @@
 	DefaultMaxBody        = 8 << 20
 	DefaultCapacity       = 1024
 	DefaultMaxQueue       = 4096
+	DefaultQueueFactor    = 2
 	DefaultFreshnessBound = 5 * time.Second
 	DefaultPollHead       = time.Second
 	DefaultPollHosts      = time.Second
@@ -82,6 +90,7 @@
 	setDefault(&s.MaxBody, DefaultMaxBody)
 	setDefault(&s.Capacity, DefaultCapacity)
 	setDefault(&s.MaxQueue, DefaultMaxQueue)
+	setDefault(&s.QueueFactor, DefaultQueueFactor)
 	setDefault(&s.FreshnessBound, DefaultFreshnessBound)
 	setDefault(&s.PollHead, DefaultPollHead)
 	setDefault(&s.PollHosts, DefaultPollHosts)
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -68,7 +68,7 @@
 			break
 		}
 		wait.Go(func() {
-			err := options.Send(ctx, i, kind)
+			err := options.Send(context.WithValue(ctx, intendedStart{}, due), i, kind)
 			took := time.Since(due)
 			mu.Lock()
 			defer mu.Unlock()
@@ -79,6 +79,16 @@
 	return results
 }
 
+// intendedStart is the key of a request's intended start in its context.
+type intendedStart struct{}
+
+// IntendedStart returns when the request that was given ctx was to start.
+// Without one it returns the zero time.
+func IntendedStart(ctx context.Context) time.Time {
+	due, _ := ctx.Value(intendedStart{}).(time.Time)
+	return due
+}
+
 func (r *Result) record(took time.Duration, err error) {
 	if err != nil {
 		r.Errors++
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -21,7 +21,8 @@
 			Rate:     100,
 			Requests: 500,
 			Kinds:    len(took),
-			Send: func(_ context.Context, _, kind int) error {
+			Send: func(ctx context.Context, _, kind int) error {
+				is.Equal(IntendedStart(ctx), time.Now()) // nothing delays it here
 				time.Sleep(took[kind])
 				return nil
 			},
--- a/internal/standin/cut/server.go
+++ b/internal/standin/cut/server.go
@@ -21,6 +21,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	serving  *http.Server
 }
 
 const (
@@ -64,6 +65,9 @@
 		return err
 	}
 	srv := &http.Server{Handler: s.Handler, ReadHeaderTimeout: stopTimeout}
+	s.mu.Lock()
+	s.serving = srv
+	s.mu.Unlock()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -81,3 +85,15 @@
 	<-stopped
 	return nil
 }
+
+// Kill closes the listener and all connections at once, as the end of the
+// process would. Run still returns only when its context ends. Before Run it
+// does nothing.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	srv := s.serving
+	s.mu.Unlock()
+	if srv != nil {
+		srv.Close()
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
 	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
 // Engine is the stand-in.
@@ -110,6 +111,16 @@
 	e.runs.Wait()
 }
 
+// Kill ends all runs and connections at once, as the end of the process would.
+// Run still returns only when its context ends.
+func (e *Engine) Kill() {
+	e.stop()
+	e.server.Kill()
+}
+
+// Load returns the load of this moment, which the load report tells later.
+func (e *Engine) Load() upstream.Load { return e.currentLoad() }
+
 // Host returns the engine's entry in a host list.
 func (e *Engine) Host() platform.Host {
 	state := platform.HostLive
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -83,3 +85,20 @@
 	is.Equal(usage.CachedTokens, BlockTokens)
 	is.Equal(e.Arrival("r1"), Arrival{RequestID: "r1", Model: "m@1", Priority: "0", Heads: 1, Bodies: 1, Began: 1, Finished: 1})
 }
+
+// A killed engine breaks the answer in progress and takes no connection.
+func TestKill(t *testing.T) {
+	is := is.New(t)
+	e, target := start(t, Options{ID: "e1", Versions: []string{"m@1"}, TimePerToken: time.Minute})
+	c := newClient(t)
+	var state runstate.Tracker
+	s, err := c.Open(t.Context(), target, callFor("r1", "1", "a"), &state)
+	is.NoErr(err)
+	defer s.Close()
+	is.Equal(e.Load().Running, 1)
+	e.Kill()
+	_, err = s.Next()
+	is.True(err != nil && err != io.EOF)
+	_, err = net.Dial("tcp", target.Address)
+	is.True(err != nil)
+}
