sealedconn: one connection that seals failed calls, for both clients

upstream and platform/client each had a net.Conn that notes a call's write before it begins and refuses writes after the call was sealed, with its own transport around it. They differed in small ways: one refused a second connection, the other forgave writes that handed over no byte, knew TLS and closed the connection of an abandoned call.

internal/sealedconn has all of these. Its Progress keeps the two readings apart (Begun: a write failed without a byte), so that neither client answers otherwise than before: an upstream's call counts from Begun, the platform's from Written. Ruled out: one bool for both, which would turn some of the platform's "unavailable" into "unknown", or the reverse at upstreams.

--- /dev/null
+++ b/internal/sealedconn/transport.go
@@ -0,0 +1,28 @@
+package sealedconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// NewTransport returns an HTTP/1.1 transport whose connections are Conns. It
+// uses no proxy from the environment and no compression of its own; pool and
+// header limits are the caller's to set.
+func NewTransport(dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &Conn{Conn: conn}, nil
+		},
+		Protocols:          protocols,
+		DisableCompression: true,
+	}
+}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
@@ -151,8 +152,8 @@
 
 // send posts the call and returns a successful answer.
 func (e *EngineClient) send(ctx context.Context, target Target, call Call, body []byte, state *runstate.Tracker) (*http.Response, error) {
-	try := &attempt{state: state}
-	req, err := newRequest(try.trace(ctx), http.MethodPost, target, pathCompletions, body)
+	try := newAttempt(state)
+	req, err := newRequest(try.Trace(ctx), http.MethodPost, target, pathCompletions, body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
@@ -208,8 +209,8 @@
 
 // exchange sends a small request of the client's own and reads the answer.
 func (e *EngineClient) exchange(ctx context.Context, method string, target Target, path string, body []byte) ([]byte, error) {
-	try := &attempt{state: new(runstate.Tracker)}
-	req, err := newRequest(try.trace(ctx), method, target, path, body)
+	try := new(sealedconn.Call)
+	req, err := newRequest(try.Trace(ctx), method, target, path, body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
@@ -307,9 +308,9 @@
 // classify turns a failure before the head of an answer into ErrConnect, when
 // nothing was sent and nothing will be, or ErrBroken. The cause of a
 // cancelled context is kept in the chain.
-func classify(ctx context.Context, try *attempt, err error) error {
+func classify(ctx context.Context, try *sealedconn.Call, err error) error {
 	kind := ErrConnect
-	if try.seal() {
+	if try.Seal() != sealedconn.Untouched {
 		kind = ErrBroken
 	}
 	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/runstate"
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 )
 
 // resume takes the stream up again after cause. It returns nil when a new
@@ -56,8 +56,8 @@
 }
 
 func (s *engineStream) requestRest(conn *answerConn) (*http.Response, error) {
-	try := &attempt{state: new(runstate.Tracker), repeatable: true}
-	req, err := newRequest(try.trace(conn.ctx), http.MethodGet, s.target, streamPath(s.call.RequestID), nil)
+	try := &sealedconn.Call{Repeatable: true}
+	req, err := newRequest(try.Trace(conn.ctx), http.MethodGet, s.target, streamPath(s.call.RequestID), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -70,8 +70,9 @@
 func (s *ServiceClient) Do(ctx context.Context, target Target, call ServiceCall, state *runstate.Tracker) (ServiceAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
 	defer cancel()
-	try := &attempt{state: state, repeatable: call.Idempotent}
-	req, err := newRequest(try.trace(ctx), call.Method, target, call.Path, call.Body)
+	try := newAttempt(state)
+	try.Repeatable = call.Idempotent
+	req, err := newRequest(try.Trace(ctx), call.Method, target, call.Path, call.Body)
 	if err != nil {
 		return ServiceAnswer{}, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -1,10 +1,11 @@
 package upstream
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
+	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // Defaults of the options of both clients.
@@ -18,27 +19,20 @@
 	maxHeaderBytes             = 64 << 10
 )
 
-// newTransport returns an HTTP/1.1 transport whose connections are tracked.
-// It uses no proxy from the environment and no compression of its own.
+// newTransport returns an HTTP/1.1 transport that tells sealedconn's calls
+// what it writes.
 func newTransport(dialTimeout, idleConnTimeout time.Duration, idlePerHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &trackedConn{Conn: conn}, nil
-		},
-		Protocols:              protocols,
-		DisableCompression:     true,
-		MaxIdleConns:           maxIdleConns,
-		MaxIdleConnsPerHost:    idlePerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	transport := sealedconn.NewTransport(dialTimeout)
+	transport.MaxIdleConns = maxIdleConns
+	transport.MaxIdleConnsPerHost = idlePerHost
+	transport.IdleConnTimeout = idleConnTimeout
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return transport
+}
+
+// newAttempt returns a call that raises the run state before its bytes go out.
+func newAttempt(state *runstate.Tracker) *sealedconn.Call {
+	return &sealedconn.Call{OnWrite: func() { state.Raise(runstate.MayHaveRun) }}
 }
 
 func orDefault[T comparable](value, fallback T) T {
