e2e: the tests of rolls share the start of their balancer

The roll under load and the rotation of keys built the same fleet and balancer line by line. startBalancer does it once and ends with the test's context, so that neither test has a cancel of its own; the balancer's unused field of the system is gone.

Both tests pass with -race (13.9 s together).

--- a/internal/e2e/keys_test.go
+++ b/internal/e2e/keys_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -20,12 +19,7 @@
 	is := is.New(t)
 	s := startSystem(t, 2)
 	head := s.submit(devenv.Manifest())
-	fleet := &fleet{hosts: append([]*entryHost(nil), s.hosts...)}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	b := &balancer{s: s}
-	go b.run(ctx, fleet.list)
-	eventually(t, "the balancer sees a host", func() bool { return b.pick() != nil })
+	fleet, b := s.startBalancer()
 	first, err := chat("small", "hello tokens=1", false).with("Quetzalweir-Session", "new").send(b.pick())
 	is.NoErr(err)
 	version, token := first.get("Quetzalweir-Version"), first.get("Quetzalweir-Session")
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -18,7 +18,6 @@
 // balancer sends to hosts that were ready when it last looked, so for a while
 // also to hosts that have turned it away, as the platform's balancer does.
 type balancer struct {
-	s    *system
 	mu   sync.Mutex
 	open []*entryHost
 	next int
@@ -43,6 +42,17 @@
 	}
 }
 
+// startBalancer puts all hosts of the system in service behind a balancer,
+// until the test ends.
+func (s *system) startBalancer() (*fleet, *balancer) {
+	s.t.Helper()
+	f := &fleet{hosts: append([]*entryHost(nil), s.hosts...)}
+	b := new(balancer)
+	go b.run(s.t.Context(), f.list)
+	eventually(s.t, "the balancer sees a host", func() bool { return b.pick() != nil })
+	return f, b
+}
+
 func ready(h *entryHost) bool {
 	resp, err := client.Get("http://" + h.operators + entry.PathReady)
 	if err != nil {
@@ -68,13 +78,7 @@
 	is := is.New(t)
 	s := startSystem(t, 3)
 	head := s.submit(devenv.Manifest())
-	fleet := &fleet{hosts: append([]*entryHost(nil), s.hosts...)}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	b := &balancer{s: s}
-	go b.run(ctx, fleet.list)
-	eventually(t, "the balancer sees a host", func() bool { return b.pick() != nil })
-
+	fleet, b := s.startBalancer()
 	load := startLoad(t, b)
 	for i := range 3 {
 		old := fleet.list()[0]
