platformtest: one recorder of histories, one alphabet of faults

claim, config, lease and platformtest each had a recorder of porcupine operations with a clock of its own, a check of it, and a draw of the table's faults; session, quota and claim drew the same faults for rapid. They use now - platformtest.History, IsLinearizable and CheckModel, which bound the search to a minute and log the history that fails; - faulty.Table.SetRandom, which draws one of six faults; - platformtest.FaultActions for rapid's state machines, with up to six commits at a time instead of two or three, so that no fault case is lost.

Ruled out: one model for all, as each specifies something else, and a shared draw of pauses and kills, whose weights belong to each test. Weights of claim's faults shift slightly (an end of faults is one in nine, was one in six); each answer is still met, which its test asserts.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/claim"
@@ -19,6 +18,7 @@
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 const (
@@ -158,32 +158,22 @@
 }
 
 func (b *bench) injectFault(i int, random *rand.Rand, total *tally) {
-	few := 1 + random.IntN(4)
+	process := b.hosts[i].process
 	switch random.IntN(12) {
 	case 0:
-		b.table.SetDown(true)
-	case 1:
-		b.table.SetDelay(time.Duration(random.IntN(1500)) * time.Millisecond)
-	case 2:
-		b.table.LoseNext(few)
-	case 3:
-		b.table.DropNext(few)
-	case 4, 5:
-		b.table.DelayNext(few, time.Duration(random.IntN(3000))*time.Millisecond)
-	case 6:
-		b.hosts[i].process.Pause()
+		process.Pause()
 		b.gone.set(hostName(i), random.IntN(2) == 0) // taken for dead, perhaps
-	case 7, 8:
-		b.hosts[i].process.Resume()
-		b.gone.set(hostName(i), b.hosts[i].process.Killed())
-	case 9:
-		if i == 0 && !b.hosts[i].process.Killed() { // host 0 only, so that most survive
-			b.hosts[i].process.Kill()
+	case 1, 2:
+		process.Resume()
+		b.gone.set(hostName(i), process.Killed())
+	case 3:
+		if i == 0 && !process.Killed() { // host 0 only, so that most survive
+			process.Kill()
 			b.gone.set(hostName(i), true)
 			total.killed++
 		}
 	default:
-		b.table.Heal()
+		b.table.SetRandom(random, faulty.Bounds{Commits: 5, Delay: 1500 * time.Millisecond, Late: 3 * time.Second})
 	}
 }
 
@@ -218,7 +208,7 @@
 	for _, rec := range b.keys {
 		for request, at := range rec.hosts {
 			if at == i {
-				rec.end(historyClients, rec.call(), operation{action: actFlush, request: request})
+				rec.end(historyClients, rec.Tick(), operation{action: actFlush, request: request})
 			}
 		}
 	}
@@ -228,10 +218,7 @@
 	total.histories += len(b.keys)
 	for key, rec := range b.keys {
 		history := rec.history()
-		if !porcupine.CheckOperations(model, history) {
-			t.Errorf("seed %d, key %d: history isn't linearizable", b.seed, key)
-			logHistory(t, history)
-		}
+		platformtest.CheckModel(t, fmt.Sprintf("seed %d, key %d", b.seed, key), model, history)
 		if rec.runs > 1 {
 			t.Errorf("seed %d, key %d: ran %d times", b.seed, key, rec.runs)
 		}
@@ -244,12 +231,6 @@
 	}
 }
 
-func logHistory(t *testing.T, history []porcupine.Operation) {
-	for _, op := range history {
-		t.Logf("%4d to %4d: %+v", op.Call, op.Return, op.Input)
-	}
-}
-
 // client sends keyed requests to random hosts. A request that dies with its
 // host takes only its own goroutine along.
 func (b *bench) client(id int) {
@@ -274,7 +255,7 @@
 	h.process.Step()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	call := rec.call()
+	call := rec.Tick()
 	c, err := h.store.Acquire(ctx, claim.Key{Account: "a", RequestKey: fmt.Sprint(key)}, testDigest, request)
 	h.process.Step()
 	if err == nil {
@@ -318,7 +299,7 @@
 	}
 	time.Sleep(time.Duration(w.random.IntN(500)) * time.Millisecond)
 	w.process.Step()
-	w.rec.end(w.client, w.rec.call(), operation{action: actRun, request: w.request})
+	w.rec.end(w.client, w.rec.Tick(), operation{action: actRun, request: w.request})
 	time.Sleep(time.Duration(w.random.IntN(500)) * time.Millisecond)
 	w.process.Step()
 	if w.random.IntN(3) == 0 {
@@ -336,7 +317,7 @@
 func (w work) end(ctx context.Context, op operation, do func(context.Context) error) {
 	op.request = w.request
 	op.pending = true
-	call, back := w.rec.call(), int64(math.MaxInt64)
+	call, back := w.rec.Tick(), int64(math.MaxInt64)
 	defer func() {
 		if op.pending && op.action == actRelease {
 			w.rec.setGhost(w.request, true)
@@ -349,5 +330,5 @@
 	err := do(ctx)
 	w.process.Step()
 	op.pending = err != nil
-	back = w.rec.call()
+	back = w.rec.Tick()
 }
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/claim"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 // expectation is what the state machine knows of a key.
@@ -111,17 +112,16 @@
 	}
 }
 
-func (m *machine) fault(t *rapid.T) {
-	m.broken = true
-	few := rapid.IntRange(1, 6).Draw(t, "commits")
-	switch rapid.SampledFrom([]string{"down", "lose", "drop"}).Draw(t, "fault") {
-	case "down":
-		m.world.table.SetDown(true)
-	case "lose":
-		m.world.table.LoseNext(few)
-	default:
-		m.world.table.DropNext(few)
+// faults are the table's, after which an answer may be less than the best.
+func (m *machine) faults() map[string]func(*rapid.T) {
+	actions := platformtest.FaultActions(m.world.table)
+	for name, set := range actions {
+		actions[name] = func(t *rapid.T) {
+			m.broken = true
+			set(t)
+		}
 	}
+	return actions
 }
 
 // heal ends the faults and lets both hosts record their outcomes.
@@ -138,11 +138,10 @@
 func TestStateMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
-		t.Repeat(map[string]func(*rapid.T){
-			"acquire": m.acquire,
-			"settle":  m.settle,
-			"fault":   m.fault,
-			"heal":    m.heal,
-		})
+		actions := m.faults()
+		actions["acquire"] = m.acquire
+		actions["settle"] = m.settle
+		actions["heal"] = m.heal
+		t.Repeat(actions)
 	})
 }
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 // action is what an operation of a history does.
@@ -144,13 +145,11 @@
 	return about && !s.durable
 }
 
-// recorder collects the history of one key and counts its runs. Its clock is
-// a counter, as times in a synctest bubble are often equal.
+// recorder collects the history of one key and counts its runs.
 type recorder struct {
-	clock atomic.Int64
-	mu    sync.Mutex
-	ops   []porcupine.Operation
-	runs  int
+	platformtest.History
+	mu   sync.Mutex
+	runs int
 	// hosts are the hosts that the requests arrived at.
 	hosts map[string]int
 	// ghosts are the requests that never ran and whose rows may linger.
@@ -163,20 +162,15 @@
 	return &recorder{hosts: make(map[string]int), ghosts: make(map[string]bool), changes: make(map[string][]porcupine.Operation)}
 }
 
-// call notes the start of an operation. An operation that never returns stays
-// out of the history unless it is finished by end.
-func (r *recorder) call() int64 { return r.clock.Add(1) }
-
-func (r *recorder) end(client int, call int64, op operation) {
-	back := r.clock.Add(1)
-	r.add(client, call, back, op)
+// end records an operation that has returned.
+func (r *recorder) end(client int, start int64, op operation) {
+	r.add(client, start, r.Tick(), op)
 }
 
-func (r *recorder) add(client int, call, back int64, op operation) {
+func (r *recorder) add(client int, start, end int64, op operation) {
+	added := r.Add(client, start, end, op, nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	added := porcupine.Operation{ClientId: client, Input: op, Call: call, Return: back}
-	r.ops = append(r.ops, added)
 	switch op.action {
 	case actRun:
 		r.runs++
@@ -202,14 +196,15 @@
 func (r *recorder) history() []porcupine.Operation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i := range r.ops {
-		op := r.ops[i].Input.(operation)
+	ops := r.Operations()
+	for i := range ops {
+		op := ops[i].Input.(operation)
 		op.ghost = r.ghosts[op.about]
 		op.fromOwner = r.hosts[op.about] == r.hosts[op.request]
-		op.lagging = op.fromOwner && (op.ghost || r.isChanging(op.about, r.ops[i]))
-		r.ops[i].Input = op
+		op.lagging = op.fromOwner && (op.ghost || r.isChanging(op.about, ops[i]))
+		ops[i].Input = op
 	}
-	return r.ops
+	return ops
 }
 
 // isChanging reports whether during's time overlaps the request's Acquire or
@@ -263,10 +258,10 @@
 		t.Run(tt.desc, func(t *testing.T) {
 			rec := newRecorder()
 			for client, op := range tt.ops {
-				rec.end(client, rec.call(), op)
+				rec.end(client, rec.Tick(), op)
 			}
 			rec.hosts = map[string]int{"1": 1, "2": 2, "3": 3}
-			is.New(t).Equal(porcupine.CheckOperations(model, rec.history()), tt.want)
+			is.New(t).Equal(platformtest.IsLinearizable(model, rec.history()), tt.want)
 		})
 	}
 }
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 // call is a submission, or a read of the head if digest is empty.
@@ -103,39 +102,25 @@
 	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
 }
 
-// linearizable says whether the history has an order that the model allows.
-func linearizable(history []porcupine.Operation) bool {
-	return porcupine.CheckOperationsTimeout(headModel.ToModel(), history, time.Minute) == porcupine.Ok
-}
-
-// recorder collects a history. Its clock gives each event a time of its own.
-type recorder struct {
-	clock atomic.Int64
-	mu    sync.Mutex
-	ops   []porcupine.Operation
-}
-
-func (r *recorder) record(client int, in call, run func() answer) answer {
-	op := porcupine.Operation{ClientId: client, Input: in, Call: r.clock.Add(1)}
+// record runs a call as an operation of the history.
+func record(h *platformtest.History, client int, in call, run func() answer) answer {
+	start := h.Tick()
 	out := run()
-	op.Output = out
-	op.Return = r.clock.Add(1)
 	if out.outcome == unknown {
-		op.Return = math.MaxInt64 // its effect may still come
+		h.Open(client, start, in, out) // its effect may still come
+	} else {
+		h.End(client, start, in, out)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ops = append(r.ops, op)
 	return out
 }
 
 // submitter is one operator's tool with a connection of its own to the table.
 type submitter struct {
-	client   int
-	store    *config.Store
-	table    *faulty.Table
-	random   *rand.Rand
-	recorder *recorder
+	client  int
+	store   *config.Store
+	table   *faulty.Table
+	random  *rand.Rand
+	history *platformtest.History
 }
 
 // disturb sets a fault for the coming calls.
@@ -161,14 +146,14 @@
 func (s *submitter) race(ctx context.Context, rounds int) {
 	for round := range rounds {
 		s.disturb()
-		head := s.recorder.record(s.client, call{}, func() answer { return s.read(ctx) })
+		head := record(s.history, s.client, call{}, func() answer { return s.read(ctx) })
 		if head.outcome == noEffect {
 			continue
 		}
 		data := document(head.digest, fmt.Sprintf("build-%d", s.random.IntN(2)))
 		in := call{parent: head.digest, digest: digestOf(data)}
 		token := fmt.Sprintf("%d/%d", s.client, round)
-		s.recorder.record(s.client, in, func() answer { return s.submit(ctx, data, token) })
+		record(s.history, s.client, in, func() answer { return s.submit(ctx, data, token) })
 	}
 }
 
@@ -209,12 +194,12 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBench()
-			r := &recorder{}
+			h := new(platformtest.History)
 			var group sync.WaitGroup
 			for client := range submitters {
 				table := faulty.New(b.inner)
 				s := &submitter{
-					client: client, table: table, recorder: r,
+					client: client, table: table, history: h,
 					store:  config.NewStore(table, b.objects),
 					random: rand.New(rand.NewPCG(seed, uint64(client))),
 				}
@@ -223,11 +208,9 @@
 			group.Wait()
 			time.Sleep(time.Minute) // late effects arrive
 			last := &submitter{client: submitters, store: b.store}
-			r.record(submitters, call{}, func() answer { return last.read(t.Context()) })
-			if !linearizable(r.ops) {
-				t.Fatalf("seed %d: no order explains the history", seed)
-			}
-			for _, op := range r.ops {
+			record(h, submitters, call{}, func() answer { return last.read(t.Context()) })
+			platformtest.CheckModel(t, fmt.Sprint("seed ", seed), headModel.ToModel(), h.Operations())
+			for _, op := range h.Operations() {
 				if op.Input.(call).digest != "" {
 					counts[op.Output.(answer).outcome]++
 				}
@@ -259,11 +242,11 @@
 		{"already, of a document that never was", []call{one, two}, []answer{{accepted, 1, "one"}, {already, 1, "two"}}, false},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			r := &recorder{}
+			h := new(platformtest.History)
 			for i, in := range tc.calls {
-				r.record(0, in, func() answer { return tc.outs[i] })
+				record(h, 0, in, func() answer { return tc.outs[i] })
 			}
-			is.New(t).Equal(linearizable(r.ops), tc.want)
+			is.New(t).Equal(platformtest.IsLinearizable(headModel.ToModel(), h.Operations()), tc.want)
 		})
 	}
 }
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 // kind is what an operation of a history does.
@@ -64,26 +65,13 @@
 	},
 }
 
-// recorder collects a history. Its clock is a counter, as times in a synctest
-// bubble are often equal.
-type recorder struct {
-	clock atomic.Int64
-	mu    sync.Mutex
-	ops   []porcupine.Operation
-}
-
-// record calls do between the operation's call and return. The operation is
-// kept if do reports true.
-func (r *recorder) record(client int, do func() (operation, bool)) {
-	call := r.clock.Add(1)
-	op, ok := do()
-	back := r.clock.Add(1)
-	if !ok {
-		return
+// record calls do as an operation of the history. It is kept if do reports
+// true.
+func record(h *platformtest.History, client int, do func() (operation, bool)) {
+	start := h.Tick()
+	if op, ok := do(); ok {
+		h.End(client, start, op, nil)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Return: back})
 }
 
 func TestModelRejectsBadHistories(t *testing.T) {
@@ -113,7 +101,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			is.New(t).Equal(porcupine.CheckOperations(model, tt.history), tt.want)
+			is.New(t).Equal(platformtest.IsLinearizable(model, tt.history), tt.want)
 		})
 	}
 }
@@ -126,9 +114,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			ops := runHistory(t, seed)
-			if !porcupine.CheckOperations(model, ops) {
-				t.Errorf("seed %d: two holders at a time", seed)
-			}
+			platformtest.CheckModel(t, fmt.Sprint("seed ", seed), model, ops) // never two holders at a time
 			for _, op := range ops {
 				switch op.Input.(operation).kind {
 				case acquired:
@@ -146,7 +132,7 @@
 func runHistory(t *testing.T, seed uint64) []porcupine.Operation {
 	const hosts, length = 4, 2 * time.Minute
 	table := faulty.New(memory.New())
-	rec := &recorder{}
+	history := new(platformtest.History)
 	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
 	processes := make([]*pause.Process, hosts)
@@ -154,7 +140,7 @@
 	for i := range processes {
 		processes[i] = pause.New()
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		c := &contender{rec: rec, id: i, process: processes[i], random: random}
+		c := &contender{history: history, id: i, process: processes[i], random: random}
 		c.manager = lease.New(lease.Options{Table: processes[i].Table(table)})
 		wg.Go(func() { c.run(ctx) })
 	}
@@ -167,34 +153,23 @@
 		p.Resume()
 	}
 	wg.Wait()
-	return rec.ops
+	return history.Operations()
 }
 
 func injectFault(table *faulty.Table, process *pause.Process, random *rand.Rand) {
-	few := 1 + random.IntN(4)
 	switch random.IntN(8) {
 	case 0:
-		table.SetDown(true)
-	case 1:
-		table.SetDelay(time.Duration(random.IntN(8000)) * time.Millisecond)
-	case 2:
-		table.LoseNext(few)
-	case 3:
-		table.DropNext(few)
-	case 4:
-		table.DelayNext(few, time.Duration(random.IntN(15000))*time.Millisecond)
-	case 5:
 		process.Pause()
-	case 6:
+	case 1:
 		process.Resume()
 	default:
-		table.Heal()
+		table.SetRandom(random, faulty.Bounds{Commits: 5, Delay: 8 * time.Second, Late: 15 * time.Second})
 	}
 }
 
 // contender is a host that wants the lease again and again.
 type contender struct {
-	rec     *recorder
+	history *platformtest.History
 	id      int
 	process *pause.Process
 	random  *rand.Rand
@@ -215,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	var l *lease.Lease
-	c.rec.record(c.id, func() (operation, bool) {
+	record(c.history, c.id, func() (operation, bool) {
 		got, err := c.manager.Acquire(ctx, name, "host", ttl)
 		if err != nil {
 			return operation{}, false
@@ -246,7 +221,7 @@
 func (c *contender) check(l *lease.Lease) bool {
 	c.process.Step()
 	ok := false
-	c.rec.record(c.id, func() (operation, bool) {
+	record(c.history, c.id, func() (operation, bool) {
 		ok = l.Valid()
 		return operation{valid, l.Fencing()}, ok
 	})
@@ -254,7 +229,7 @@
 }
 
 func (c *contender) release(ctx context.Context, l *lease.Lease) {
-	c.rec.record(c.id, func() (operation, bool) {
+	record(c.history, c.id, func() (operation, bool) {
 		err := l.Release(ctx)
 		return operation{released, l.Fencing()}, !errors.Is(err, lease.ErrLost)
 	})
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -58,7 +60,7 @@
 				}
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"spend": func(t *rapid.T) { spend(s.hosts[host(t)], rapid.SampledFrom([]int{1, 10, 300}).Draw(t, "tries")) },
 			"spend on all": func(t *rapid.T) {
 				for _, l := range s.hosts {
@@ -123,11 +125,8 @@
 				spend(stopped, 100)
 				s.hosts[i] = stopped
 			},
-			"lose answers": func(t *rapid.T) { s.faults.LoseNext(rapid.IntRange(1, 3).Draw(t, "n")) },
-			"drop commits": func(t *rapid.T) { s.faults.DropNext(rapid.IntRange(1, 3).Draw(t, "n")) },
 			"late commits": func(t *rapid.T) { s.table.lateNext = rapid.IntRange(1, 3).Draw(t, "n") },
 			"deliver":      func(t *rapid.T) { s.table.deliver() },
-			"outage":       func(t *rapid.T) { s.faults.SetDown(rapid.Bool().Draw(t, "down")) },
 			"cut":          func(t *rapid.T) { s.cut = rapid.Bool().Draw(t, "cut") },
 			"slow loans": func(t *rapid.T) {
 				s.loanDelay = time.Duration(rapid.IntRange(0, 6).Draw(t, "s")) * time.Second
@@ -138,7 +137,9 @@
 					t.Fatalf("%.3f over the limit %+v", m.overshoot, limit)
 				}
 			},
-		})
+		}
+		maps.Copy(actions, platformtest.FaultActions(s.faults))
+		t.Repeat(actions)
 		if err := s.checkRows(); err != nil {
 			t.Fatal(err)
 		}
--- a/session/registry_test.go
+++ b/session/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 const testTTL = time.Hour
@@ -229,7 +231,7 @@
 			hosts = append(hosts, NewRegistry(Options{Table: table, TTL: testTTL, Clock: clock, CacheSize: cacheShards}))
 		}
 		decided := ""
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"bind": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
 				version := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
@@ -249,9 +251,6 @@
 				i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
 				hosts[i] = NewRegistry(Options{Table: table, TTL: testTTL, Clock: clock})
 			},
-			"lose": func(t *rapid.T) { table.LoseNext(rapid.IntRange(1, 2).Draw(t, "n")) },
-			"drop": func(t *rapid.T) { table.DropNext(rapid.IntRange(1, 2).Draw(t, "n")) },
-			"down": func(t *rapid.T) { table.SetDown(rapid.Bool().Draw(t, "down")) },
 			"sweep": func(t *rapid.T) {
 				_, _, _ = hosts[0].Sweep(context.Background(), "")
 			},
@@ -268,6 +267,8 @@
 				}
 				decided = b.Version
 			},
-		})
+		}
+		maps.Copy(actions, platformtest.FaultActions(table))
+		t.Repeat(actions)
 	})
 }
