pause: a gate for processes whose goroutines live on after a kill

The ledger's tests had a gate of their own that freezes and kills a host. It is internal/pause's Process with another end: calls of a killed host fail instead of ending the goroutine, which the tests wait for. pause.Pass and GatedTable say so once. The gate now holds reads of the table too, as a paused process would; before, only commits. Ruled out: Process.Table for the ledger, whose Goexit would end Ledger.Run before it closes what the tests wait for.

--- /dev/null
+++ b/internal/pause/gate.go
@@ -0,0 +1,57 @@
+package pause
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/quetzalweir/quetzalweir/platform"
+)
+
+var errKilled = errors.New("the process was killed")
+
+// Pass waits while the process is paused, whatever the context of its caller
+// says, and fails with platform.ErrUnavailable in a killed one. It is Step for
+// goroutines that the test has to wait for.
+func (p *Process) Pass() error {
+	p.mu.Lock()
+	running := p.running
+	p.mu.Unlock()
+	<-running
+	if p.Killed() {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, errKilled)
+	}
+	return nil
+}
+
+// GatedTable returns the table as the process sees it if its goroutines live
+// on after Kill: their calls fail then, without effect.
+func (p *Process) GatedTable(inner platform.Table) platform.Table {
+	return gatedTable{inner: inner, process: p}
+}
+
+type gatedTable struct {
+	inner   platform.Table
+	process *Process
+}
+
+func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.process.Pass(); err != nil {
+		return platform.Row{}, err
+	}
+	return t.inner.Get(ctx, key)
+}
+
+func (t gatedTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.process.Pass(); err != nil {
+		return nil, err
+	}
+	return t.inner.List(ctx, prefix, after, limit)
+}
+
+func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if err := t.process.Pass(); err != nil {
+		return 0, err
+	}
+	return t.inner.Commit(ctx, txn)
+}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -69,6 +69,13 @@
 	return p.killed
 }
 
+// Paused reports whether the process is paused.
+func (p *Process) Paused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused
+}
+
 // Step waits while the process is paused and doesn't return in a killed one.
 func (p *Process) Step() {
 	p.mu.Lock()
--- a/ledger/failure_test.go
+++ b/ledger/failure_test.go
@@ -86,18 +86,18 @@
 		}},
 		{"owner paused, settled, then woken", func(t *testing.T, c *testCluster) map[string]Bill {
 			want := record(t, c.hosts[0], 0, 20)
-			c.hosts[0].freeze()
+			c.hosts[0].Pause()
 			time.Sleep(10 * time.Second)
 			c.hostDown(0)
-			c.hosts[0].thaw()
+			c.hosts[0].Resume()
 			time.Sleep(10 * time.Second)
 			return want
 		}},
 		{"holder frozen", func(t *testing.T, c *testCluster) map[string]Bill {
-			c.hosts[1].freeze()
+			c.hosts[1].Pause()
 			want := record(t, c.hosts[0], 0, 20)
 			c.killHost(0)
-			c.hosts[1].thaw()
+			c.hosts[1].Resume()
 			c.hostDown(0)
 			return want
 		}},
--- a/ledger/helper_test.go
+++ b/ledger/helper_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/quetzalweir/quetzalweir/internal/pause"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
@@ -16,67 +16,9 @@
 
 var errDead = errors.New("no route to host")
 
-// gate stands between a host and all else. A closed gate holds up every call
-// until it opens, whatever its context says, as a paused process would.
-type gate struct {
-	platform.Table
-	mu     sync.Mutex
-	frozen chan struct{}
-	dead   bool
-}
-
-func (g *gate) pass() error {
-	g.mu.Lock()
-	frozen := g.frozen
-	g.mu.Unlock()
-	if frozen != nil {
-		<-frozen
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.dead {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, errDead)
-	}
-	return nil
-}
-
-func (g *gate) freeze() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.frozen = make(chan struct{})
-}
-
-func (g *gate) thaw() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.frozen != nil {
-		close(g.frozen)
-		g.frozen = nil
-	}
-}
-
-func (g *gate) kill() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.dead = true
-}
-
-func (g *gate) state() (frozen, dead bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.frozen != nil, g.dead
-}
-
-func (g *gate) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
-	if err := g.pass(); err != nil {
-		return 0, err
-	}
-	return g.Table.Commit(ctx, txn)
-}
-
 // testHost is one host of a testCluster.
 type testHost struct {
-	*gate
+	*pause.Process
 	name    string
 	ledger  *Ledger
 	custody *Custody
@@ -99,7 +41,7 @@
 }
 
 func (p *peers) Hold(ctx context.Context, owner string, seq uint64, bills []Bill) (string, error) {
-	if err := p.cluster.hosts[p.self].pass(); err != nil {
+	if err := p.cluster.hosts[p.self].Pass(); err != nil {
 		return "", err
 	}
 	for i := range len(p.cluster.hosts) - 1 {
@@ -108,11 +50,10 @@
 		if n == p.self {
 			continue
 		}
-		frozen, dead := peer.state()
-		if dead {
+		if peer.Killed() {
 			continue
 		}
-		if frozen {
+		if peer.Paused() {
 			<-ctx.Done()
 			p.first++
 			return peer.name, ctx.Err()
@@ -124,7 +65,7 @@
 
 func (p *peers) Drop(_ context.Context, holder, owner string, upTo uint64) error {
 	for _, peer := range p.cluster.hosts {
-		if frozen, dead := peer.state(); peer.name == holder && !frozen && !dead {
+		if peer.name == holder && peer.up() {
 			peer.custody.Drop(owner, upTo)
 		}
 	}
@@ -135,9 +76,9 @@
 func newCluster(n int, opts Options) *testCluster {
 	c := &testCluster{table: faulty.New(memory.New()), objects: memory.NewObjects()}
 	for i := range n {
-		h := &testHost{gate: &gate{Table: c.table}, name: fmt.Sprintf("h%d", i), done: make(chan struct{})}
+		h := &testHost{Process: pause.New(), name: fmt.Sprintf("h%d", i), done: make(chan struct{})}
 		o := opts
-		o.Table, o.Objects, o.Host = h.gate, c.objects, h.name
+		o.Table, o.Objects, o.Host = h.GatedTable(c.table), c.objects, h.name
 		if n > 1 {
 			o.Holders = &peers{cluster: c, self: i}
 		}
@@ -151,6 +92,8 @@
 	return c
 }
 
+func (h *testHost) up() bool { return !h.Paused() && !h.Killed() }
+
 func (h *testHost) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
@@ -165,7 +108,7 @@
 func (h *testHost) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, 10*time.Second)
-		if frozen, dead := h.state(); !frozen && !dead {
+		if h.up() {
 			// An error says only that the table isn't there yet.
 			_ = h.custody.Sweep(ctx)
 		}
@@ -174,15 +117,14 @@
 
 // killHost ends a host at once; nothing in its memory is seen again.
 func (c *testCluster) killHost(i int) {
-	c.hosts[i].kill()
+	c.hosts[i].Kill()
 	c.hosts[i].stop()
-	c.hosts[i].thaw()
 }
 
 // hostDown tells the live hosts that another is down.
 func (c *testCluster) hostDown(i int) {
 	for _, h := range c.hosts {
-		if _, dead := h.state(); !dead {
+		if !h.Killed() {
 			h.ledger.HolderDown(c.hosts[i].name)
 			// An error says only that the table isn't there yet.
 			_ = h.custody.Settle(context.Background(), c.hosts[i].name)
@@ -193,7 +135,7 @@
 func (c *testCluster) stopAll() {
 	for _, h := range c.hosts {
 		h.stop()
-		h.thaw()
+		h.Resume()
 		<-h.done
 	}
 }
--- a/ledger/sequence_test.go
+++ b/ledger/sequence_test.go
@@ -63,7 +63,7 @@
 func (s *sequence) liveHost(rt *rapid.T) *testHost {
 	var live []*testHost
 	for _, h := range s.cluster.hosts {
-		if _, dead := h.state(); !dead {
+		if !h.Killed() {
 			live = append(live, h)
 		}
 	}
@@ -73,7 +73,7 @@
 // record records some bills at once; one of them may be a repeat elsewhere.
 func (s *sequence) record(rt *rapid.T) {
 	h := s.liveHost(rt)
-	if frozen, _ := h.state(); frozen {
+	if h.Paused() {
 		return
 	}
 	var group sync.WaitGroup
@@ -107,11 +107,11 @@
 // pause stops a host for a while; its peers think it down.
 func (s *sequence) pause(rt *rapid.T) {
 	h := s.liveHost(rt)
-	h.freeze()
+	h.Pause()
 	time.Sleep(duration(rt))
 	s.cluster.hostDown(s.index(h))
 	time.Sleep(duration(rt))
-	h.thaw()
+	h.Resume()
 }
 
 // kill ends a host. The next is killed only when the copies are made again.
@@ -168,9 +168,8 @@
 		rt.Fatal(err)
 	}
 	for _, h := range s.cluster.hosts {
-		_, dead := h.state()
 		for key, b := range s.may {
-			if !dead && key == h.name+b.ID {
+			if !h.Killed() && key == h.name+b.ID {
 				s.must[b.ID] = b
 			}
 		}
