--- a/admission/doc.go
+++ b/admission/doc.go
@@ -10,4 +10,8 @@
 // Scheduler is the decision itself: a state machine without goroutines, locks
 // or timers, driven by explicit time. Queue adds the waiting. RetryBudget
 // bounds retries to a part of first attempts.
+//
+// The entry host has a Queue before its upstreams. A Queue knows only what it
+// admitted itself: it promises nothing about other hosts' load, and it doesn't
+// stop work that has begun.
 package admission
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -6,4 +6,8 @@
 // list, the upstreams' load reports, the requests that this host has in
 // flight, error rates, ejections and the prefix index. Nothing in the package
 // does I/O.
+//
+// The entry host keeps one Pool for its upstreams. Choices of different hosts
+// aren't coordinated, and a choice reserves nothing: the upstream may still
+// refuse.
 package balance
--- a/cascade/doc.go
+++ b/cascade/doc.go
@@ -5,4 +5,8 @@
 // answers are accepted often enough, and it always delays the requests that
 // escalate. Policy is a pure function of a View; Learner keeps the statistics
 // that the view needs, for each client account and class.
+//
+// The entry host embeds it. What is learnt stays on one host and is lost with
+// it. Which answers are accepted is the manifest's matter, so the package
+// promises nothing about quality.
 package cascade
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -7,4 +7,8 @@
 // died, since an owner that is only paused may still send. A repeat is told
 // what is known instead: the answer, that the request is in flight, or that it
 // may have run. docs/design/0008-claims.md gives the reasons and the costs.
+//
+// The entry host embeds it. It doesn't promise that a request ran: after a
+// failure a repeat may be told only that it may have run. Once a key's rows
+// have expired and been swept, the key is new.
 package claim
--- a/history/event.go
+++ b/history/event.go
@@ -6,6 +6,9 @@
 // hosts, operators. To keep the checks sound, what starts something is recorded
 // before it (RequestSent, ManifestSubmitted, UpstreamLeaving, HostStopping) and
 // what ends something after it (CallerAnswered, ManifestAccepted, InForce).
+//
+// Tests that run the system use it. What nobody recorded isn't checked, and a
+// record that passes is no proof for other runs.
 package history
 
 import "time"
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -1,5 +1,8 @@
 // Package logline makes the loggers of the processes: one line of key=value
 // pairs for each event.
+//
+// The command line makes the loggers of hosts with it; library packages don't
+// log. Pairs are for reading and searching: their names promise no stability.
 package logline
 
 import (
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,5 +1,8 @@
 // Package pause lets a test pause, resume and kill one of several processes
 // that it runs as goroutines.
+//
+// Tests of leases, claims and the ledger use it. A pause takes hold at the next
+// step only, so code without steps goes on.
 package pause
 
 import (
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,10 @@
 // A connection is used in one direction: the host that dialled it calls, the
 // host that accepted it answers. A call is sent at most once; the error says
 // whether it can have reached the other host.
+//
+// The entry hosts' membership, evidence, bills and loans of quota go over it. Frames are
+// authenticated and not encrypted, and calls of different connections have no
+// order.
 package peer
 
 import (
--- a/internal/standin/cut/cut.go
+++ b/internal/standin/cut/cut.go
@@ -1,5 +1,8 @@
 // Package cut breaks connections at chosen points of an exchange. The
 // stand-ins of engines and services share it.
+//
+// A cut loses no byte that was passed on before it; whether the other side read
+// it is open.
 package cut
 
 import (
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -1,5 +1,7 @@
 // Package service is a small stand-in for a plain service: it counts what
 // really ran and gives deterministic answers, with faults on demand.
+//
+// It is for tests and development, and keeps everything that arrived in memory.
 package service
 
 import (
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -7,4 +7,8 @@
 // a fencing number lower than that of every later holder. Type Orders says how
 // receivers that don't check fencing numbers are treated.
 // docs/design/0009-leases-and-fencing.md gives the reasons and the limits.
+//
+// The entry host takes leases for orders to engines and for maintenance.
+// Receivers that ignore fencing numbers can still carry out a late order; the
+// lease only lets the next holder override it.
 package lease
--- a/ledger/bill.go
+++ b/ledger/bill.go
@@ -4,6 +4,10 @@
 // of a peer in another availability zone, and, after the next flush, in the
 // platform's table. Bills form a set keyed by ID: writing one twice, by its
 // owner and by a peer that thought the owner dead, changes nothing.
+//
+// The entry host embeds it and serves its traces to operators. A bill that
+// Record called at risk (ErrAtRisk) is lost if its host is lost before the
+// table or a peer is reached.
 package ledger
 
 import (
--- a/manifest/types.go
+++ b/manifest/types.go
@@ -1,6 +1,10 @@
 // Package manifest defines the operators' document: the models and versions,
 // what each client account may use, the classes, and how sessions go. It is
 // made by a build pipeline, parsed strictly, and never edited in place.
+//
+// Package config stores and loads documents with it, the entry host routes by
+// the compiled Policy. Which manifest is in force, and whether the upstreams
+// that it names exist, isn't decided here.
 package manifest
 
 // Format is the version of the document's format that this package reads.
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -11,4 +11,8 @@
 //
 // While the table doesn't answer, hosts lend each other slots for seconds
 // (Peers).
+//
+// The entry host asks a Limiter before it sends a request. Using the whole
+// limit at every moment isn't promised: slots follow demand within seconds, and
+// an account's last requests can be refused while another host has room.
 package quota
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -3,6 +3,9 @@
 //
 // A code never carries a run state of its own: the run state of an answer is
 // read from the request's runstate.Tracker when the answer is written.
+//
+// The entry host and the command line use it. An answer's text is for people
+// and can change with any release; programs go by the number.
 package resultcode
 
 import (
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -6,4 +6,8 @@
 // clears it when the evidence for it is. Hosts exchange evidence and stops
 // with whatever transport they have; nothing in the package does I/O but
 // Granter, which claims parts of the budget from the platform's table.
+//
+// The entry host embeds both. Parts that aren't granted by the table keep
+// within the budget only as long as no more hosts take part than SetHosts said,
+// and a version that is worse than its limits by little can use up its budget.
 package rollout
--- a/runstate/runstate.go
+++ b/runstate/runstate.go
@@ -1,6 +1,9 @@
 // Package runstate tracks whether a request can have had an effect on an
 // upstream. The state only rises, so a refusal derived from it never claims
 // less than what happened.
+//
+// Package upstream raises the state, the entry host reads it for refusals and
+// bills. MayHaveRun says nothing on whether the request ran.
 package runstate
 
 import "sync/atomic"
--- a/session/session.go
+++ b/session/session.go
@@ -5,6 +5,10 @@
 // sends a bare session id instead is bound by a row of the platform's table
 // (Registry). The version of a new session is chosen by Choose, a pure
 // function of the session's identity and the versions' shares.
+//
+// The entry host embeds all three. A session without a token that begins on two
+// hosts while the table is out of reach can get two versions; Bind says then
+// that the binding isn't durable.
 package session
 
 import (
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,6 +5,10 @@
 // numbers start at 1, and the data "[DONE]" is the end mark. A broken stream
 // is taken up again with GET /v1/streams/<request id> and Last-Event-ID, and
 // cancelled with DELETE on the same path.
+//
+// The entry host sends with it. The package chooses no upstream and repeats no
+// call, but for resuming a stream and for service calls that are marked
+// idempotent. ErrBroken says nothing on whether a call ran.
 package upstream
 
 import (
