Races are looked for in the processes too; goroutines return to their start

Cause: the end-to-end tests ran under the race detector with a binary built without it, and nothing checked that a stopped system leaves no goroutine.

--- a/internal/devenv/devenv_test.go
+++ b/internal/devenv/devenv_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"github.com/quetzalweir/quetzalweir/internal/logline"
 	"github.com/quetzalweir/quetzalweir/manifest"
@@ -67,3 +70,11 @@
 		}
 	}
 }
+
+// TestMain checks that a stopped system leaves no goroutine behind.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		http.DefaultClient.CloseIdleConnections()
+		os.Exit(code)
+	}))
+}
--- /dev/null
+++ b/internal/e2e/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+var buildFlags []string
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -36,32 +36,15 @@
 		},
 		Table:     h.platform.Table,
 		Seeds:     h.settings.Seeds,
-		Transport: &membershipTransport{peers: h.peers},
+		Transport: peer.NewMembershipTransport(h.peers),
 	})
 	if err != nil {
 		return err
 	}
-	peer.Handle(h.peerSrv, methodExchange, func(ctx context.Context, _ string, m membership.Message) (membership.Message, error) {
-		return h.members.HandleExchange(ctx, m)
-	})
+	peer.HandleMembership(h.peerSrv, h.members)
 	return nil
 }
 
-// methodExchange carries the messages of package membership.
-const methodExchange = "membership.exchange"
-
-// membershipTransport carries membership's messages between entry hosts.
-type membershipTransport struct {
-	peers *peer.Client
-}
-
-// Exchange implements membership.Transport.
-func (t *membershipTransport) Exchange(ctx context.Context, to membership.Member, m membership.Message) (membership.Message, error) {
-	var answer membership.Message
-	err := t.peers.Call(ctx, to.PeerAddr, methodExchange, m, &answer)
-	return answer, err
-}
-
 // watchMembers connects the parts that act on what other hosts say. It is
 // called once all parts are there.
 func (h *Host) watchMembers() {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -150,6 +150,9 @@
 
 // adoptLeaving takes in what another host found out.
 func (h *Host) adoptLeaving(f membership.Fact) {
+	if f.Expired() {
+		return
+	}
 	id := strings.TrimPrefix(f.Key, factLeaving)
 	if h.pool.SetLeaving(id, f.Version) {
 		h.log.Info().Str("event", "upstream-leaving").Str("upstream", id).Bool("told", true).Msg("")
