experiment: one writer of tables for the four experiments

balance, rollout, cascade and admission each formatted their Markdown rows and heads, their errors, and their means and spreads. simulate.Tables writes titles, heads and rows and keeps the first error; Values, Spread and Deviation are the figures in them. admission's seeds now run side by side like those of the others (simulate.Seeds), its write errors are no longer dropped, its figures' columns stand to the right and its scenarios have headings. Ruled out: a package of its own beside simulate, which would be imported together with it each time; and rows of numbers with formats, since the formats differ by column.

The five packages pass with -race (1.0 to 3.9 s each).

--- a/internal/experiment/admission/admission.go
+++ b/internal/experiment/admission/admission.go
@@ -3,7 +3,11 @@
 // Markdown.
 package admission
 
-import "io"
+import (
+	"io"
+
+	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
+)
 
 // DefaultSeeds is the default of Options.Seeds.
 const DefaultSeeds = 10
@@ -20,8 +24,9 @@
 	if seeds <= 0 {
 		seeds = DefaultSeeds
 	}
+	tables := simulate.NewTables(w)
 	for _, s := range scenarios() {
-		printScenario(w, s, seeds)
+		printScenario(tables, s, seeds)
 	}
-	return nil
+	return tables.Err()
 }
--- a/internal/experiment/admission/report.go
+++ b/internal/experiment/admission/report.go
@@ -1,10 +1,9 @@
 package admission
 
 import (
-	"fmt"
-	"io"
-	"math"
 	"strings"
+
+	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
 )
 
 // figures are the results of one run.
@@ -80,44 +79,39 @@
 	return places * ((runTime - warmUp).Seconds() - lost)
 }
 
-func printScenario(w io.Writer, s scenario, seeds int) {
-	fmt.Fprintf(w, "\n%s\n\n", s.name)
-	fmt.Fprintln(w, "| policy | class | in time % | late % | lost % | goodput % of capacity | in time %, large / small accounts | refused with a place free | mean ms to a refusal |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+func printScenario(t *simulate.Tables, s scenario, seeds int) {
+	t.Title(s.name)
+	t.Head(2, "policy", "class", "in time %", "late %", "lost %", "goodput % of capacity",
+		"in time %, large / small accounts", "refused with a place free", "mean ms to a refusal")
 	for _, p := range candidates() {
-		var all []figures
-		for seed := range seeds {
-			all = append(all, measure(s, run(s, p.make(), uint64(seed+1))))
-		}
+		runs := simulate.Seeds(seeds, func(seed int) figures {
+			return measure(s, run(s, p.make(), uint64(seed+1)))
+		})
 		for class, l := range loads {
-			fmt.Fprintf(w, "| %s | %s | %s | %s | %s |", p.name, l.name,
-				spread(all, 100, func(f figures) float64 { return f.good[class] }),
-				spread(all, 100, func(f figures) float64 { return f.late[class] }),
-				spread(all, 100, func(f figures) float64 { return f.lost[class] }))
-			if class > 0 {
-				fmt.Fprintln(w, " | | | |")
-				continue
-			}
-			fmt.Fprintf(w, " %s | %s / %s | %s | %s |\n",
-				spread(all, 100, func(f figures) float64 { return f.goodput }),
-				spread(all, 100, func(f figures) float64 { return f.goodLarge }),
-				spread(all, 100, func(f figures) float64 { return f.goodSmall }),
-				spread(all, 1, func(f figures) float64 { return f.freeRefusals }),
-				spread(all, 1, func(f figures) float64 { return f.refusalWait }))
+			t.Row(append([]string{p.name, l.name}, classCells(runs, class)...)...)
 		}
 	}
 }
 
-// spread writes the mean and the standard deviation over the seeds.
-func spread(all []figures, scale float64, value func(figures) float64) string {
-	n := float64(len(all))
-	sum, squares := 0.0, 0.0
-	for _, f := range all {
-		sum += value(f)
+// classCells returns the figures of a class; the first class's row has those
+// of the whole run too.
+func classCells(runs []figures, class int) []string {
+	percent := func(value func(figures) float64) string {
+		return simulate.Deviation(simulate.Values(runs, func(f figures) float64 { return 100 * value(f) }))
+	}
+	cells := []string{
+		percent(func(f figures) float64 { return f.good[class] }),
+		percent(func(f figures) float64 { return f.late[class] }),
+		percent(func(f figures) float64 { return f.lost[class] }),
 	}
-	mean := sum / n
-	for _, f := range all {
-		squares += (value(f) - mean) * (value(f) - mean)
+	if class > 0 {
+		return append(cells, "", "", "", "")
 	}
-	return fmt.Sprintf("%.1f ± %.1f", mean*scale, math.Sqrt(squares/n)*scale)
+	large := percent(func(f figures) float64 { return f.goodLarge })
+	small := percent(func(f figures) float64 { return f.goodSmall })
+	return append(cells,
+		percent(func(f figures) float64 { return f.goodput }),
+		large+" / "+small,
+		simulate.Deviation(simulate.Values(runs, func(f figures) float64 { return f.freeRefusals })),
+		simulate.Deviation(simulate.Values(runs, func(f figures) float64 { return f.refusalWait })))
 }
--- a/internal/experiment/balance/report.go
+++ b/internal/experiment/balance/report.go
@@ -29,7 +29,7 @@
 	if options.Seeds <= 0 {
 		options.Seeds = DefaultSeeds
 	}
-	r := &report{Printer: simulate.Printer{W: w}, seeds: options.Seeds}
+	r := &report{Tables: simulate.NewTables(w), seeds: options.Seeds}
 	r.head("18 engines, a third of the load")
 	light := settingOf(18)
 	light.rate /= 3
@@ -48,19 +48,17 @@
 	}
 	r.faults()
 	r.cacheEvents()
-	return r.Err
+	return r.Err()
 }
 
 type report struct {
-	simulate.Printer
+	*simulate.Tables
 	seeds int
 }
 
 func (r *report) head(title string) {
-	r.Printf("\n### %s\n\n", title)
-	r.Printf("First token in milliseconds, mean over seeds (least to most).\n\n")
-	r.Printf("| policy | p50 | p95 | p99 | prefix blocks from cache | failed |\n")
-	r.Printf("|---|---:|---:|---:|---:|---:|\n")
+	r.Title(title, "First token in milliseconds, mean over seeds (least to most).")
+	r.Head(1, "policy", "p50", "p95", "p99", "prefix blocks from cache", "failed")
 }
 
 func (r *report) faults() {
@@ -102,23 +100,17 @@
 
 // cell runs one cell and prints its row.
 func (r *report) cell(s setting, c contender) {
-	var p50, p95, p99, hits, failed []float64
-	for _, result := range simulate.Seeds(r.seeds, func(seed int) result { return run(s, c, seed) }) {
-		p50 = append(p50, millis(result, 50))
-		p95 = append(p95, millis(result, 95))
-		p99 = append(p99, millis(result, 99))
-		hits = append(hits, 100*float64(result.cached)/float64(result.blocks))
-		failed = append(failed, 100*float64(result.failed)/float64(result.requests))
+	results := simulate.Seeds(r.seeds, func(seed int) result { return run(s, c, seed) })
+	row := []string{c.name}
+	for _, quantile := range []float64{50, 95, 99} {
+		row = append(row, simulate.Spread(simulate.Values(results, func(r result) float64 {
+			return float64(r.firstToken.ValueAtQuantile(quantile)) / 1000
+		})))
 	}
-	r.Printf("| %s | %s | %s | %s | %.0f%% | %.2f%% |\n", c.name, spread(p50), spread(p95), spread(p99),
-		simulate.Summarize(hits).Mean, simulate.Summarize(failed).Mean)
-}
-
-func millis(r result, quantile float64) float64 {
-	return float64(r.firstToken.ValueAtQuantile(quantile)) / 1000
-}
-
-func spread(values []float64) string {
-	s := simulate.Summarize(values)
-	return fmt.Sprintf("%.0f (%.0f to %.0f)", s.Mean, s.Least, s.Worst)
+	hits := simulate.Values(results, func(r result) float64 { return float64(r.cached) / float64(r.blocks) })
+	failed := simulate.Values(results, func(r result) float64 { return float64(r.failed) / float64(r.requests) })
+	row = append(row,
+		fmt.Sprintf("%.0f%%", 100*simulate.Summarize(hits).Mean),
+		fmt.Sprintf("%.2f%%", 100*simulate.Summarize(failed).Mean))
+	r.Row(row...)
 }
--- a/internal/experiment/cascade/report.go
+++ b/internal/experiment/cascade/report.go
@@ -41,47 +41,43 @@
 	if options.Seeds <= 0 {
 		options.Seeds = DefaultSeeds
 	}
+	tables := simulate.NewTables(w)
 	for _, s := range settings {
-		if err := table(w, s.name, s.setting, options.Seeds); err != nil {
-			return err
-		}
+		table(tables, s.name, s.setting, options.Seeds)
 	}
-	return nil
+	return tables.Err()
 }
 
-func table(w io.Writer, name string, s setting, seeds int) error {
-	_, err := fmt.Fprintf(w, "\n### %s\n\n"+
-		"| way | cost of always best | least to most | reach the target | mean quality | seconds, mean | late | ratings a request |\n"+
-		"|---|---:|---:|---:|---:|---:|---:|---:|\n", name)
-	if err != nil {
-		return err
-	}
+func table(t *simulate.Tables, name string, s setting, seeds int) {
+	t.Title(name)
+	t.Head(1, "way", "cost of always best", "least to most", "reach the target", "mean quality",
+		"seconds, mean", "late", "ratings a request")
 	best := simulate.Seeds(seeds, func(seed int) result { return run(s, fixedAt(len(prices)-1, false), seed) })
 	for _, c := range contenders {
 		results := simulate.Seeds(seeds, func(seed int) result { return run(s, c.build, seed) })
-		if err := row(w, c.name, results, best); err != nil {
-			return err
-		}
+		t.Row(row(c.name, results, best)...)
 	}
-	return nil
 }
 
-// row prints the means of a way; costs are relative to always the best model
+// row returns the means of a way; costs are relative to always the best model
 // on the same requests.
-func row(w io.Writer, name string, results, best []result) error {
+func row(name string, results, best []result) []string {
 	var costs []float64
-	var sum result
 	for i, r := range results {
 		costs = append(costs, 100*r.cost/best[i].cost)
-		sum.target += r.target
-		sum.quality += r.quality
-		sum.seconds += r.seconds
-		sum.late += r.late
-		sum.ratings += r.ratings
 	}
-	mean := sum.mean(float64(len(results)))
+	mean := func(value func(result) float64) float64 {
+		return simulate.Summarize(simulate.Values(results, value)).Mean
+	}
 	cost := simulate.Summarize(costs)
-	_, err := fmt.Fprintf(w, "| %s | %.1f%% | %.1f to %.1f | %.1f%% | %.3f | %.2f | %.2f%% | %.2f |\n", name,
-		cost.Mean, cost.Least, cost.Worst, 100*mean.target, mean.quality, mean.seconds, 100*mean.late, mean.ratings)
-	return err
+	return []string{
+		name,
+		fmt.Sprintf("%.1f%%", cost.Mean),
+		fmt.Sprintf("%.1f to %.1f", cost.Least, cost.Worst),
+		fmt.Sprintf("%.1f%%", 100*mean(func(r result) float64 { return r.target })),
+		fmt.Sprintf("%.3f", mean(func(r result) float64 { return r.quality })),
+		fmt.Sprintf("%.2f", mean(func(r result) float64 { return r.seconds })),
+		fmt.Sprintf("%.2f%%", 100*mean(func(r result) float64 { return r.late })),
+		fmt.Sprintf("%.2f", mean(func(r result) float64 { return r.ratings })),
+	}
 }
--- a/internal/experiment/rollout/report.go
+++ b/internal/experiment/rollout/report.go
@@ -50,7 +50,7 @@
 	if options.Seeds <= 0 {
 		options.Seeds = DefaultSeeds
 	}
-	r := &report{Printer: simulate.Printer{W: w}, seeds: options.Seeds}
+	r := &report{Tables: simulate.NewTables(w), seeds: options.Seeds}
 	r.mechanisms()
 	r.hosts()
 	r.exchange()
@@ -58,34 +58,41 @@
 	r.turnsBad()
 	r.good()
 	r.large()
-	return r.Err
+	return r.Err()
 }
 
 type report struct {
-	simulate.Printer
+	*simulate.Tables
 	seeds int
 }
 
 func (r *report) head(title string) {
-	r.Printf("\n### %s\n\n", title)
-	r.Printf("| version | setting | policy | answers, mean | median | worst | bad ones, mean | stopped |\n")
-	r.Printf("|---|---|---|---:|---:|---:|---:|---:|\n")
+	r.Title(title)
+	r.Head(3, "version", "setting", "policy", "answers, mean", "median", "worst", "bad ones, mean", "stopped")
 }
 
 // cell runs one cell and prints its row.
 func (r *report) cell(label string, s setting, c contender) {
-	var exposed, bad []float64
-	stopped := 0
-	for _, result := range r.results(s, c) {
-		exposed = append(exposed, result.exposed)
-		bad = append(bad, result.bad)
-		if result.stopped {
-			stopped++
+	results := r.results(s, c)
+	exposed := simulate.Summarize(simulate.Values(results, answersOf))
+	bad := simulate.Summarize(simulate.Values(results, func(r result) float64 { return r.bad }))
+	r.Row(s.version.name, label, c.name, fmt.Sprintf("%.1f", exposed.Mean), fmt.Sprintf("%.0f", exposed.Median),
+		fmt.Sprintf("%.0f", exposed.Worst), fmt.Sprintf("%.1f", bad.Mean), r.share(results, isStopped))
+}
+
+func answersOf(r result) float64 { return r.exposed }
+
+func isStopped(r result) bool { return r.stopped }
+
+// share writes how many of the runs fulfil the condition.
+func (r *report) share(results []result, condition func(result) bool) string {
+	n := 0
+	for _, result := range results {
+		if condition(result) {
+			n++
 		}
 	}
-	e := simulate.Summarize(exposed)
-	r.Printf("| %s | %s | %s | %.1f | %.0f | %.0f | %.1f | %d/%d |\n", s.version.name, label, c.name,
-		e.Mean, e.Median, e.Worst, simulate.Summarize(bad).Mean, stopped, r.seeds)
+	return fmt.Sprintf("%d/%d", n, r.seeds)
 }
 
 func (r *report) results(s setting, c contender) []result {
@@ -164,9 +171,8 @@
 
 // good prints how often a good version is stopped, and what clearing costs.
 func (r *report) good() {
-	r.Printf("\n### A good version, 10 minutes\n\n")
-	r.Printf("| setting | policy | falsely stopped | cleared | answers until cleared, median | worst | answers in all, mean |\n")
-	r.Printf("|---|---|---:|---:|---:|---:|---:|\n")
+	r.Title("A good version, 10 minutes")
+	r.Head(2, "setting", "policy", "falsely stopped", "cleared", "answers until cleared, median", "worst", "answers in all, mean")
 	near := goodVersion
 	near.errorRate = 0.015
 	for _, v := range []behaviour{goodVersion, near} {
@@ -180,25 +186,24 @@
 }
 
 func (r *report) goodCell(label string, s setting, c contender) {
-	var until, exposed []float64
-	stopped := 0
-	for _, result := range r.results(s, c) {
-		if result.stopped {
-			stopped++
-		}
-		if result.cleared > 0 {
+	results := r.results(s, c)
+	var until []float64
+	for _, result := range results {
+		if isCleared(result) {
 			until = append(until, result.cleared)
 		}
-		exposed = append(exposed, result.exposed)
 	}
 	cleared := simulate.Summary{}
 	if len(until) > 0 {
 		cleared = simulate.Summarize(until)
 	}
-	r.Printf("| %s | %s | %d/%d | %d/%d | %.0f | %.0f | %.0f |\n", label, c.name, stopped, r.seeds,
-		len(until), r.seeds, cleared.Median, cleared.Worst, simulate.Summarize(exposed).Mean)
+	exposed := simulate.Summarize(simulate.Values(results, answersOf))
+	r.Row(label, c.name, r.share(results, isStopped), r.share(results, isCleared),
+		fmt.Sprintf("%.0f", cleared.Median), fmt.Sprintf("%.0f", cleared.Worst), fmt.Sprintf("%.0f", exposed.Mean))
 }
 
+func isCleared(r result) bool { return r.cleared > 0 }
+
 // largeHosts and largeRate are the size to design for. Few seeds do: a run
 // has many hosts.
 const (
--- a/internal/experiment/simulate/simulate.go
+++ b/internal/experiment/simulate/simulate.go
@@ -1,5 +1,8 @@
 // Package simulate is a queue of events in virtual time, for experiments that
 // run policies in one goroutine with seeded randomness.
+//
+// Tables prints what the runs come to. Nothing here models the network; each
+// experiment does that for itself.
 package simulate
 
 import (
