e2e: the path is measured with and without log lines side by side

Cause: what the log lines of a request cost couldn't be told from two runs at different minutes of a busy machine. A second system at another log level now alternates with the first.

--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -20,10 +21,12 @@
 var (
 	measure     = flag.Bool("measure", false, "run the measurements")
 	measureRuns = flag.Int("measure-runs", 5, "runs of each measurement")
-	measureLog  = flag.String("measure-log", "info", "log level of the measured entry host")
+	measureLog  = flag.String("measure-log", "info", "log level of the entry hosts")
 	// measureAgainst is another build of the binary, whose runs alternate with
 	// those of this one, so that both meet the same state of the machine.
 	measureAgainst = flag.String("measure-against", "", "another binary to measure beside")
+	// measureAgainstLog measures beside hosts that log from another level.
+	measureAgainstLog = flag.String("measure-against-log", "", "log level of the entry hosts to measure beside")
 	measurePeriod  = flag.Duration("measure-period", 0, "duration of each load; 0 means the default")
 	measureStreams = flag.Int("measure-streams", 1000, "streams read at once; 0 measures none")
 	// measureProcs is GOMAXPROCS of the entry hosts; empty leaves it alone.
@@ -79,30 +82,31 @@
 
 // build is a measured build of the binary.
 type build struct {
-	binary  string
+	name    string
 	engine  string
 	hosts   []path.Host
 	summary path.Summary
 }
 
-// startBuilds starts a system for this build, and for the other one if there
-// is one.
+// startBuilds starts a system for this build, and one for the other build or
+// log level if there is one.
 func startBuilds(t *testing.T) []*build {
 	t.Helper()
-	binaries := []string{binary}
-	if *measureAgainst != "" {
-		binaries = append(binaries, *measureAgainst)
-	}
-	t.Cleanup(func() { binary = binaries[0] })
-	var builds []*build
-	for _, b := range binaries {
-		binary = b
-		s, hosts := startMeasured(t, 3)
-		builds = append(builds, &build{binary: b, engine: s.engines[0].address, hosts: hosts})
+	builds := []*build{startBuild(t, binary, *measureLog)}
+	if *measureAgainst != "" || *measureAgainstLog != "" {
+		builds = append(builds, startBuild(t, cmp.Or(*measureAgainst, binary), cmp.Or(*measureAgainstLog, *measureLog)))
 	}
 	return builds
 }
 
+func startBuild(t *testing.T, file, logLevel string) *build {
+	t.Helper()
+	defer func(b, l string) { binary, *measureLog = b, l }(binary, *measureLog)
+	binary, *measureLog = file, logLevel
+	s, hosts := startMeasured(t, 3)
+	return &build{name: file + " at " + logLevel, engine: s.engines[0].address, hosts: hosts}
+}
+
 func TestMeasurePath(t *testing.T) {
 	needMeasure(t)
 	builds := startBuilds(t)
@@ -117,7 +121,7 @@
 		}
 	}
 	for _, b := range builds {
-		t.Log(b.binary)
+		t.Log(b.name)
 		logSummary(t, &b.summary)
 	}
 }
