defaults: one way to fill in options

Fields that replace whatever isn't positive use now defaults.Positive, those that replace only zero use cmp.Or of the standard library. Each field keeps the rule that it had.

--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -30,9 +31,7 @@
 const defaultMaxQueue = 1024
 
 func (o Options) withDefaults() Options {
-	if o.MaxQueue <= 0 {
-		o.MaxQueue = defaultMaxQueue
-	}
+	defaults.Positive(&o.MaxQueue, defaultMaxQueue)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/claim/options.go
+++ b/claim/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -63,24 +64,17 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	o.Retention = orDefault(o.Retention, DefaultRetention)
-	o.TombstoneRetention = orDefault(o.TombstoneRetention, DefaultTombstoneRetention)
-	o.InlineBytes = orDefault(o.InlineBytes, DefaultInlineBytes)
-	o.MaxResultBytes = orDefault(o.MaxResultBytes, DefaultMaxResultBytes)
-	o.MaxPending = orDefault(o.MaxPending, DefaultMaxPending)
-	o.MaxPendingBytes = orDefault(o.MaxPendingBytes, DefaultMaxPendingBytes)
-	o.ReadTimeout = orDefault(o.ReadTimeout, DefaultReadTimeout)
-	o.RetryInterval = orDefault(o.RetryInterval, DefaultRetryInterval)
+	defaults.Positive(&o.Retention, DefaultRetention)
+	defaults.Positive(&o.TombstoneRetention, DefaultTombstoneRetention)
+	defaults.Positive(&o.InlineBytes, DefaultInlineBytes)
+	defaults.Positive(&o.MaxResultBytes, DefaultMaxResultBytes)
+	defaults.Positive(&o.MaxPending, DefaultMaxPending)
+	defaults.Positive(&o.MaxPendingBytes, DefaultMaxPendingBytes)
+	defaults.Positive(&o.ReadTimeout, DefaultReadTimeout)
+	defaults.Positive(&o.RetryInterval, DefaultRetryInterval)
 	return o
 }
 
-func orDefault[T int | time.Duration](value, fallback T) T {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 // alive reports whether the process behind owner may still be running.
 func (o Options) alive(host string) bool {
 	return o.Alive == nil || o.Alive.Alive(host)
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
@@ -80,18 +81,10 @@
 }
 
 func (o WatcherOptions) withDefaults() WatcherOptions {
-	if o.Poll <= 0 {
-		o.Poll = DefaultPoll
-	}
-	if o.Bound <= 0 {
-		o.Bound = DefaultBound
-	}
-	if o.ReadsPerSecond <= 0 {
-		o.ReadsPerSecond = DefaultReadsPerSecond
-	}
-	if o.ConfirmsPerSecond <= 0 {
-		o.ConfirmsPerSecond = DefaultConfirmsPerSecond
-	}
+	defaults.Positive(&o.Poll, DefaultPoll)
+	defaults.Positive(&o.Bound, DefaultBound)
+	defaults.Positive(&o.ReadsPerSecond, DefaultReadsPerSecond)
+	defaults.Positive(&o.ConfirmsPerSecond, DefaultConfirmsPerSecond)
 	if o.OnChange == nil {
 		o.OnChange = func(*manifest.Policy) {}
 	}
--- a/history/check.go
+++ b/history/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
 // Rule names what a violation is of.
@@ -55,12 +57,8 @@
 }
 
 func (b Bounds) withDefaults() Bounds {
-	if b.InForce <= 0 {
-		b.InForce = DefaultInForce
-	}
-	if b.Leaving <= 0 {
-		b.Leaving = DefaultLeaving
-	}
+	defaults.Positive(&b.InForce, DefaultInForce)
+	defaults.Positive(&b.Leaving, DefaultLeaving)
 	return b
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
 // ClientOptions configures a Client.
@@ -57,10 +59,10 @@
 		return nil, err
 	}
 	options.Limits = options.Limits.withDefaults()
-	setDefault(&options.DialTimeout, DefaultDialTimeout)
-	setDefault(&options.StallTimeout, DefaultStallTimeout)
-	setDefault(&options.MinBackoff, DefaultMinBackoff)
-	setDefault(&options.MaxBackoff, DefaultMaxBackoff)
+	defaults.Positive(&options.DialTimeout, DefaultDialTimeout)
+	defaults.Positive(&options.StallTimeout, DefaultStallTimeout)
+	defaults.Positive(&options.MinBackoff, DefaultMinBackoff)
+	defaults.Positive(&options.MaxBackoff, DefaultMaxBackoff)
 	closing, cancel := context.WithCancel(context.Background())
 	return &Client{
 		options: options,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,15 +6,17 @@
 // host that accepted it answers. A call is sent at most once; the error says
 // whether it can have reached the other host.
 //
-// The entry hosts' membership, evidence, bills and loans of quota go over it. Frames are
-// authenticated and not encrypted, and calls of different connections have no
-// order.
+// The entry hosts' membership, evidence, bills and loans of quota go over it.
+// Frames are authenticated and not encrypted, and calls of different
+// connections have no order.
 package peer
 
 import (
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
 // Errors of calls and connections; each is wrapped with its cause.
@@ -100,18 +102,11 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&l.MaxConcurrent, DefaultMaxConcurrent)
-	setDefault(&l.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&l.FrameTimeout, DefaultFrameTimeout)
-	setDefault(&l.IdleTimeout, DefaultIdleTimeout)
+	defaults.Positive(&l.MaxMessageBytes, DefaultMaxMessageBytes)
+	defaults.Positive(&l.MaxConcurrent, DefaultMaxConcurrent)
+	defaults.Positive(&l.HandshakeTimeout, DefaultHandshakeTimeout)
+	defaults.Positive(&l.WriteTimeout, DefaultWriteTimeout)
+	defaults.Positive(&l.FrameTimeout, DefaultFrameTimeout)
+	defaults.Positive(&l.IdleTimeout, DefaultIdleTimeout)
 	return l
 }
-
-// setDefault replaces a value that isn't positive.
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
 // Handler answers the calls of one method. It runs concurrently with others.
@@ -84,8 +86,8 @@
 		return nil, err
 	}
 	options.Limits = options.Limits.withDefaults()
-	setDefault(&options.MaxConns, DefaultMaxConns)
-	setDefault(&options.DrainTimeout, DefaultDrainTimeout)
+	defaults.Positive(&options.MaxConns, DefaultMaxConns)
+	defaults.Positive(&options.DrainTimeout, DefaultDrainTimeout)
 	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer: listen: %w", err)
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -3,7 +3,10 @@
 // demand. It is scaffolding for tests, not a model server.
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -58,17 +61,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Capacity == 0 {
-		o.Capacity = DefaultCapacity
-	}
-	if o.MaxQueue == 0 {
-		o.MaxQueue = DefaultMaxQueue
-	}
-	if o.CacheBlocks == 0 {
-		o.CacheBlocks = DefaultCacheBlocks
-	}
-	if o.KeepAnswers == 0 {
-		o.KeepAnswers = DefaultKeepAnswers
-	}
+	o.Capacity = cmp.Or(o.Capacity, DefaultCapacity)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, DefaultCacheBlocks)
+	o.KeepAnswers = cmp.Or(o.KeepAnswers, DefaultKeepAnswers)
 	return o
 }
--- a/internal/standin/platformd/options.go
+++ b/internal/standin/platformd/options.go
@@ -5,6 +5,7 @@
 package platformd
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/platform/memory"
@@ -39,17 +40,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Listen == "" {
-		o.Listen = DefaultListen
-	}
-	if o.CommitsPerSecond == 0 {
-		o.CommitsPerSecond = DefaultCommitsPerSecond
-	}
-	if o.ReadsPerSecond == 0 {
-		o.ReadsPerSecond = DefaultReadsPerSecond
-	}
-	if o.MaxBody == 0 {
-		o.MaxBody = DefaultMaxBody
-	}
+	o.Listen = cmp.Or(o.Listen, DefaultListen)
+	o.CommitsPerSecond = cmp.Or(o.CommitsPerSecond, DefaultCommitsPerSecond)
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, DefaultReadsPerSecond)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
 	return o
 }
--- a/ledger/compaction.go
+++ b/ledger/compaction.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -35,8 +36,8 @@
 }
 
 func (o CompactionOptions) withDefaults() CompactionOptions {
-	setDuration(&o.Every, DefaultCompactEvery)
-	setDuration(&o.Age, DefaultCompactAge)
+	defaults.Positive(&o.Every, DefaultCompactEvery)
+	defaults.Positive(&o.Age, DefaultCompactAge)
 	if o.Hosts == nil {
 		o.Hosts = func() int { return 1 }
 	}
--- a/ledger/custody.go
+++ b/ledger/custody.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
 const (
@@ -55,10 +57,8 @@
 
 // NewCustody returns a Custody that writes through l.
 func NewCustody(l *Ledger, opts CustodyOptions) *Custody {
-	if opts.MaxBills <= 0 {
-		opts.MaxBills = DefaultMaxHeld
-	}
-	setDuration(&opts.MaxAge, DefaultMaxAge)
+	defaults.Positive(&opts.MaxBills, DefaultMaxHeld)
+	defaults.Positive(&opts.MaxAge, DefaultMaxAge)
 	return &Custody{ledger: l, opts: opts, owners: make(map[string]*owned)}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -77,29 +78,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.FlushEvery, DefaultFlushEvery)
-	setDuration(&o.MinFlushGap, DefaultMinFlushGap)
-	setDuration(&o.RecordTimeout, DefaultRecordTimeout)
-	setDuration(&o.HoldTimeout, DefaultHoldTimeout)
-	setDuration(&o.WriteTimeout, DefaultWriteTimeout)
-	if o.MaxSegment <= 0 {
-		o.MaxSegment = DefaultMaxSegment
-	}
-	if o.MaxPending <= 0 {
-		o.MaxPending = DefaultMaxPending
-	}
+	defaults.Positive(&o.FlushEvery, DefaultFlushEvery)
+	defaults.Positive(&o.MinFlushGap, DefaultMinFlushGap)
+	defaults.Positive(&o.RecordTimeout, DefaultRecordTimeout)
+	defaults.Positive(&o.HoldTimeout, DefaultHoldTimeout)
+	defaults.Positive(&o.WriteTimeout, DefaultWriteTimeout)
+	defaults.Positive(&o.MaxSegment, DefaultMaxSegment)
+	defaults.Positive(&o.MaxPending, DefaultMaxPending)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
 	return o
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Ledger records the bills of one host. It is safe for concurrent use.
 type Ledger struct {
 	opts        Options
--- a/quota/options.go
+++ b/quota/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -62,18 +63,10 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.TTL <= 0 {
-		o.TTL = DefaultTTL
-	}
-	if o.Interval <= 0 {
-		o.Interval = DefaultInterval
-	}
-	if o.Timeout <= 0 {
-		o.Timeout = DefaultTimeout
-	}
-	if o.LoanTerm <= 0 {
-		o.LoanTerm = DefaultLoanTerm
-	}
+	defaults.Positive(&o.TTL, DefaultTTL)
+	defaults.Positive(&o.Interval, DefaultInterval)
+	defaults.Positive(&o.Timeout, DefaultTimeout)
+	defaults.Positive(&o.LoanTerm, DefaultLoanTerm)
 	if o.NewID == nil {
 		o.NewID = uuid.NewString
 	}
--- a/session/registry.go
+++ b/session/registry.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -59,21 +60,11 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.TTL <= 0 {
-		o.TTL = defaultTTL
-	}
-	if o.Timeout <= 0 {
-		o.Timeout = defaultTimeout
-	}
-	if o.Recheck <= 0 {
-		o.Recheck = defaultRecheck
-	}
-	if o.Backoff <= 0 {
-		o.Backoff = defaultBackoff
-	}
-	if o.CacheSize <= 0 {
-		o.CacheSize = defaultCacheSize
-	}
+	defaults.Positive(&o.TTL, defaultTTL)
+	defaults.Positive(&o.Timeout, defaultTimeout)
+	defaults.Positive(&o.Recheck, defaultRecheck)
+	defaults.Positive(&o.Backoff, defaultBackoff)
+	defaults.Positive(&o.CacheSize, defaultCacheSize)
 	return o
 }
 
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -76,18 +77,18 @@
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
-	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
-	o.IdleConnTimeout = orDefault(o.IdleConnTimeout, DefaultIdleConnTimeout)
-	o.MaxIdleConnsPerHost = orDefault(o.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
-	o.FrameTimeout = orDefault(o.FrameTimeout, DefaultFrameTimeout)
-	o.StallTimeout = orDefault(o.StallTimeout, DefaultStallTimeout)
-	o.GapTimeout = orDefault(o.GapTimeout, DefaultGapTimeout)
-	o.MaxFrame = orDefault(o.MaxFrame, DefaultMaxFrame)
-	o.ReorderWindow = orDefault(o.ReorderWindow, DefaultReorderWindow)
-	o.ResumeTries = orDefault(o.ResumeTries, DefaultResumeTries)
-	o.ResumeDelay = orDefault(o.ResumeDelay, DefaultResumeDelay)
-	o.CancelTimeout = orDefault(o.CancelTimeout, DefaultCancelTimeout)
-	o.MaxCancels = orDefault(o.MaxCancels, DefaultMaxCancels)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.IdleConnTimeout = cmp.Or(o.IdleConnTimeout, DefaultIdleConnTimeout)
+	o.MaxIdleConnsPerHost = cmp.Or(o.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
+	o.FrameTimeout = cmp.Or(o.FrameTimeout, DefaultFrameTimeout)
+	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
+	o.GapTimeout = cmp.Or(o.GapTimeout, DefaultGapTimeout)
+	o.MaxFrame = cmp.Or(o.MaxFrame, DefaultMaxFrame)
+	o.ReorderWindow = cmp.Or(o.ReorderWindow, DefaultReorderWindow)
+	o.ResumeTries = cmp.Or(o.ResumeTries, DefaultResumeTries)
+	o.ResumeDelay = cmp.Or(o.ResumeDelay, DefaultResumeDelay)
+	o.CancelTimeout = cmp.Or(o.CancelTimeout, DefaultCancelTimeout)
+	o.MaxCancels = cmp.Or(o.MaxCancels, DefaultMaxCancels)
 	return o
 }
 
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,11 +36,11 @@
 }
 
 func (o ServiceOptions) withDefaults() ServiceOptions {
-	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
-	o.IdleConnTimeout = orDefault(o.IdleConnTimeout, DefaultIdleConnTimeout)
-	o.MaxIdleConnsPerHost = orDefault(o.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
-	o.Timeout = orDefault(o.Timeout, DefaultServiceTimeout)
-	o.MaxAnswer = orDefault(o.MaxAnswer, DefaultMaxAnswer)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.IdleConnTimeout = cmp.Or(o.IdleConnTimeout, DefaultIdleConnTimeout)
+	o.MaxIdleConnsPerHost = cmp.Or(o.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
+	o.Timeout = cmp.Or(o.Timeout, DefaultServiceTimeout)
+	o.MaxAnswer = cmp.Or(o.MaxAnswer, DefaultMaxAnswer)
 	return o
 }
 
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -34,11 +34,3 @@
 func newAttempt(state *runstate.Tracker) *sealedconn.Call {
 	return &sealedconn.Call{OnWrite: func() { state.Raise(runstate.MayHaveRun) }}
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
