manifest: lists of named entries are checked for repeats in one line each

Seven lists were checked with the same two closures, for the place and the name of an entry. uniqueNames has them once. Ruled out: an interface with a Name method on each type, which would add methods to the public types for the checker alone. Keys keep unique itself, as their places are pairs.

Messages and their order are unchanged: the refusal table and the rest of the package's tests pass with -race.

--- a/manifest/check.go
+++ b/manifest/check.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// uniqueNames reports names that stand more than once among the entries of a
+// list, where each has its name in the given field.
+func uniqueNames[T any](c *checker, list *location, field, what string, entries []T, name func(*T) string) {
+	c.unique(len(entries), what,
+		func(i int) *location { return list.at(i).child(field) },
+		func(i int) string { return name(&entries[i]) })
+}
+
 // references checks that each entry of a list is known and stands there once.
 func (c *checker) references(list *location, names []string, what string, known func(string) bool) {
 	for i, name := range names {
--- a/manifest/check_accounts.go
+++ b/manifest/check_accounts.go
@@ -13,9 +13,7 @@
 		c.whole(at.child("min_share"), int64(class.MinShare), 0, percent)
 		sum += class.MinShare
 	}
-	c.unique(len(c.doc.Classes), "class",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return c.doc.Classes[i].Name })
+	uniqueNames(c, list, "name", "class", c.doc.Classes, func(x *Class) string { return x.Name })
 	if sum > percent && !c.report.broken(list) {
 		c.report.add(list, strconv.Itoa(sum), "at most 100", "the minimum shares have a wrong sum")
 	}
@@ -27,9 +25,7 @@
 	for i := range c.doc.Accounts {
 		c.checkAccount(list.at(i), &c.doc.Accounts[i])
 	}
-	c.unique(len(c.doc.Accounts), "account",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return c.doc.Accounts[i].Name })
+	uniqueNames(c, list, "name", "account", c.doc.Accounts, func(x *Account) string { return x.Name })
 	c.checkKeys(list)
 }
 
@@ -69,9 +65,7 @@
 			return findVersion(model, name) >= 0
 		})
 	}
-	c.unique(len(permissions), "permission",
-		func(i int) *location { return list.at(i).child("model") },
-		func(i int) string { return permissions[i].Model })
+	uniqueNames(c, list, "model", "permission", permissions, func(x *Permission) string { return x.Model })
 }
 
 func findVersion(m *Model, name string) int {
--- a/manifest/check_models.go
+++ b/manifest/check_models.go
@@ -15,9 +15,7 @@
 	for i := range c.doc.Models {
 		c.checkModel(list.at(i), &c.doc.Models[i])
 	}
-	c.unique(len(c.doc.Models), "model",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return c.doc.Models[i].Name })
+	uniqueNames(c, list, "name", "model", c.doc.Models, func(x *Model) string { return x.Name })
 }
 
 func (c *checker) checkModel(at *location, m *Model) {
@@ -28,9 +26,7 @@
 		c.checkVersion(list.at(i), &m.Versions[i])
 	}
 	c.checkShares(list, m.Versions)
-	c.unique(len(m.Versions), "version",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return m.Versions[i].Name })
+	uniqueNames(c, list, "name", "version", m.Versions, func(x *Version) string { return x.Name })
 }
 
 func (c *checker) checkVersion(at *location, v *Version) {
@@ -88,9 +84,7 @@
 	for i := range c.doc.Cascades {
 		c.checkCascade(list.at(i), &c.doc.Cascades[i])
 	}
-	c.unique(len(c.doc.Cascades), "cascade",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return c.doc.Cascades[i].Name })
+	uniqueNames(c, list, "name", "cascade", c.doc.Cascades, func(x *Cascade) string { return x.Name })
 }
 
 func (c *checker) checkCascade(at *location, cascade *Cascade) {
@@ -114,9 +108,7 @@
 	for i := range c.doc.Services {
 		c.checkService(list.at(i), &c.doc.Services[i])
 	}
-	c.unique(len(c.doc.Services), "service",
-		func(i int) *location { return list.at(i).child("name") },
-		func(i int) string { return c.doc.Services[i].Name })
+	uniqueNames(c, list, "name", "service", c.doc.Services, func(x *Service) string { return x.Name })
 }
 
 func (c *checker) checkService(at *location, s *Service) {
