experiment: the entry hosts in a deployment's shape, against baselines

Cause: the policies were measured in models only; what the hosts do with lagging load reports, killed engines, sessions and bills was not. What it does: `quetzalweir experiment deployment` runs 7 hosts in 3 zones, 18 engines, 3 desk services and the platform's stand-in in one process under an open-loop load of 10 accounts, at multiples of the measured capacity, with a third of the engines killed, and with a version that turns bad; a random choice of upstream, no admission and a share without evidence are the baselines. Ruled out: separate processes, whose start would take most of a cell's time; counting a refusal that follows a failure as one for load.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -6,16 +6,19 @@
 	"github.com/quetzalweir/quetzalweir/internal/experiment/admission"
 	"github.com/quetzalweir/quetzalweir/internal/experiment/balance"
 	"github.com/quetzalweir/quetzalweir/internal/experiment/cascade"
+	"github.com/quetzalweir/quetzalweir/internal/experiment/deployment"
 	"github.com/quetzalweir/quetzalweir/internal/experiment/rollout"
 )
 
 // experimentCmd runs the policies that serve uses against baselines, in seeded
-// models of the systems they serve, and prints tables in Markdown.
+// models of the systems they serve or on the hosts themselves, and prints
+// tables in Markdown.
 type experimentCmd struct {
-	Admission admissionCmd `cmd:"" help:"Classes, accounts and deadlines above capacity."`
-	Balance   balanceCmd   `cmd:"" help:"Choosing an upstream, with slow, lying and failing ones."`
-	Cascade   cascadeCmd   `cmd:"" help:"Cost at the quality target."`
-	Rollout   rolloutCmd   `cmd:"" help:"Answers from a bad version until it is stopped."`
+	Admission  admissionCmd  `cmd:"" help:"Classes, accounts and deadlines above capacity."`
+	Balance    balanceCmd    `cmd:"" help:"Choosing an upstream, with slow, lying and failing ones."`
+	Cascade    cascadeCmd    `cmd:"" help:"Cost at the quality target."`
+	Deployment deploymentCmd `cmd:"" help:"The entry hosts themselves, in a deployment's shape, in real time."`
+	Rollout    rolloutCmd    `cmd:"" help:"Answers from a bad version until it is stopped."`
 }
 
 // seedFlags set the number of runs.
@@ -50,3 +53,10 @@
 func (c *rolloutCmd) Run(_ context.Context, s *streams) error {
 	return rollout.Run(s.out, rollout.Options{Seeds: c.Seeds})
 }
+
+type deploymentCmd struct{ seedFlags }
+
+// Run implements the command.
+func (c *deploymentCmd) Run(ctx context.Context, s *streams) error {
+	return deployment.Run(ctx, s.out, deployment.Options{Seeds: c.Seeds})
+}
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -68,7 +68,7 @@
 			break
 		}
 		wait.Go(func() {
-			err := options.Send(context.WithValue(ctx, intendedStart{}, due), i, kind)
+			err := options.Send(WithIntendedStart(ctx, due), i, kind)
 			took := time.Since(due)
 			mu.Lock()
 			defer mu.Unlock()
@@ -82,6 +82,12 @@
 // intendedStart is the key of a request's intended start in its context.
 type intendedStart struct{}
 
+// WithIntendedStart returns a context with a request's intended start, for
+// those who send without Run.
+func WithIntendedStart(ctx context.Context, due time.Time) context.Context {
+	return context.WithValue(ctx, intendedStart{}, due)
+}
+
 // IntendedStart returns when the request that was given ctx was to start.
 // Without one it returns the zero time.
 func IntendedStart(ctx context.Context) time.Time {
