experiment: a run whose context has ended starts nothing

Ruled out: a leak of the hosts' planned stop; the test of a whole cell is clean. What is left: hosts of devenv made by New and never run aren't closed.

--- a/internal/experiment/deployment/deployment_test.go
+++ b/internal/experiment/deployment/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -102,6 +103,6 @@
 func ExampleRun() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // a whole run takes minutes
-	_ = Run(ctx, io.Discard, Options{Seeds: 1})
-	// Output:
+	fmt.Println(Run(ctx, io.Discard, Options{Seeds: 1}))
+	// Output: context canceled
 }
--- a/internal/experiment/deployment/run.go
+++ b/internal/experiment/deployment/run.go
@@ -13,6 +13,9 @@
 
 // Run measures everything and prints it in Markdown.
 func Run(ctx context.Context, w io.Writer, o Options) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	r := &report{Tables: simulate.NewTables(w), options: o.withDefaults()}
 	capacity, err := measureCapacity(ctx)
 	if err != nil {
