quota: the property test's actions are functions of their own

TestNeverOverTheLimit was one function of 103 lines in a file of 373. Its actions stand now as short methods in property_test.go, beside the meter's own test with overspending that it rejects; the actions and their ranges are the same.

--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -2,150 +2,18 @@
 
 import (
 	"context"
-	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
-	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func TestMeterRejectsOverspending(t *testing.T) {
-	cases := []struct {
-		desc string
-		// spends are numbers of requests, a second apart.
-		spends []float64
-		want   float64
-	}{
-		{desc: "within", spends: []float64{5, 2, 2, 0, 0, 5}, want: 0},
-		{desc: "over the burst", spends: []float64{6}, want: 1},
-		{desc: "over the rate after the burst", spends: []float64{5, 2, 3}, want: 1},
-		{desc: "a pause saves up no more than the burst", spends: []float64{0, 0, 0, 0, 0, 0, 7}, want: 2},
-	}
-	for _, tc := range cases {
-		t.Run(tc.desc, func(t *testing.T) {
-			m := newMeter(2, 5)
-			for i, n := range tc.spends {
-				m.spend(simStart.Add(time.Duration(i)*time.Second), n)
-			}
-			is.New(t).Equal(m.overshoot, tc.want)
-		})
-	}
-}
-
-// TestNeverOverTheLimit drives hosts through random faults. At each moment,
-// all that was spent keeps within rate times time plus burst, over any window.
-func TestNeverOverTheLimit(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		limit := Limit{
-			Account: "acme",
-			Rate:    rapid.SampledFrom([]float64{5, 200}).Draw(t, "rate"),
-			Burst:   rapid.SampledFrom([]float64{1, 8, 100}).Draw(t, "burst"),
-		}
-		s := newSim(rapid.IntRange(1, 4).Draw(t, "hosts"), []Limit{limit})
-		m := newMeter(limit.Rate*(1+clockError), limit.Burst)
-		ctx := context.Background()
-		host := func(t *rapid.T) int { return rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host") }
-		spend := func(l *Limiter, tries int) {
-			for range tries {
-				if ok, _ := l.Take(limit.Account, 1); ok {
-					m.spend(s.now, 1)
-				}
-			}
-		}
-		actions := map[string]func(*rapid.T){
-			"spend": func(t *rapid.T) { spend(s.hosts[host(t)], rapid.SampledFrom([]int{1, 10, 300}).Draw(t, "tries")) },
-			"spend on all": func(t *rapid.T) {
-				for _, l := range s.hosts {
-					spend(l, 100)
-				}
-			},
-			"pass":   func(t *rapid.T) { _ = s.hosts[host(t)].pass(ctx) },
-			"urgent": func(t *rapid.T) { _ = s.hosts[host(t)].urgentPass(ctx) },
-			"passes": func(t *rapid.T) {
-				for _, l := range s.hosts {
-					s.now = s.now.Add(time.Second)
-					_ = l.pass(ctx)
-				}
-			},
-			"short time": func(t *rapid.T) {
-				s.now = s.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"long time": func(t *rapid.T) {
-				s.now = s.now.Add(time.Duration(rapid.IntRange(5, 75).Draw(t, "s")) * time.Second)
-			},
-			"replace": func(t *rapid.T) { i := host(t); s.hosts[i] = s.newHost(i) },
-			"leave": func(t *rapid.T) {
-				i := host(t)
-				l := s.hosts[i]
-				l.leaving.Store(true)
-				for l.lastLoan(l.opts.Clock()).After(l.opts.Clock()) {
-					s.now = s.now.Add(time.Second)
-				}
-				_ = l.endLease(ctx)
-				spend(l, 10)
-				s.hosts[i] = s.newHost(i)
-			},
-			"freeze in a pass": func(t *rapid.T) {
-				d := time.Duration(rapid.IntRange(1, 80).Draw(t, "s")) * time.Second
-				left := rapid.IntRange(0, 3).Draw(t, "calls before")
-				i := host(t)
-				stopped := s.hosts[i]
-				others := func() {
-					if left--; left != -1 {
-						return
-					}
-					s.table.before, s.table.after = nil, nil
-					spend(stopped, 100)
-					for range 2 {
-						s.now = s.now.Add(d)
-						spend(stopped, 100)
-						for _, l := range s.hosts {
-							_ = l.pass(ctx)
-							spend(l, 100)
-						}
-					}
-				}
-				if rapid.Bool().Draw(t, "before the effect") {
-					s.table.before = others
-				} else {
-					s.table.after = others
-				}
-				// Another stands in, so that no pass of a host is inside another.
-				s.hosts[i] = s.newHost(i)
-				_ = stopped.pass(ctx)
-				s.table.before, s.table.after = nil, nil
-				spend(stopped, 100)
-				s.hosts[i] = stopped
-			},
-			"late commits": func(t *rapid.T) { s.table.lateNext = rapid.IntRange(1, 3).Draw(t, "n") },
-			"deliver":      func(t *rapid.T) { s.table.deliver() },
-			"cut":          func(t *rapid.T) { s.cut = rapid.Bool().Draw(t, "cut") },
-			"slow loans": func(t *rapid.T) {
-				s.loanDelay = time.Duration(rapid.IntRange(0, 6).Draw(t, "s")) * time.Second
-			},
-			"lose loans": func(t *rapid.T) { s.loseLoans = rapid.Bool().Draw(t, "lose") },
-			"": func(t *rapid.T) {
-				if m.overshoot > 1e-6 {
-					t.Fatalf("%.3f over the limit %+v", m.overshoot, limit)
-				}
-			},
-		}
-		maps.Copy(actions, platformtest.FaultActions(s.faults))
-		t.Repeat(actions)
-		if err := s.checkRows(); err != nil {
-			t.Fatal(err)
-		}
-	})
-}
-
 // twoHosts has one account; the first host holds all of it and spends what it
 // has saved up on each call of drain.
 func twoHosts(t *testing.T) (s *sim, m *meter, drain func(l *Limiter)) {
