--- a/config/body_test.go
+++ b/config/body_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -46,9 +45,7 @@
 		{"delta of something else", func([]byte) ([]byte, error) { return []byte(`{"steps":[{"to":1}]}`), nil }, true},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				b := newBench()
+			inBench(t, func(t *testing.T, is *is.I, b *bench) {
 				doc, err := manifest.Parse(document("", "1"))
 				is.NoErr(err)
 				for i := range accounts {
--- a/config/helpers_test.go
+++ b/config/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -46,6 +47,12 @@
 	return b
 }
 
+// inBench runs a test over a bench in a synctest bubble of its own.
+func inBench(t *testing.T, test func(t *testing.T, is *is.I, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), newBench()) })
+}
+
 func (b *bench) newStore() *config.Store { return config.NewStore(b.table, b.objects) }
 
 // submit accepts one more manifest and returns its head.
--- a/config/submit_test.go
+++ b/config/submit_test.go
@@ -15,9 +15,7 @@
 )
 
 func TestSubmitMakesAChain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		ctx := t.Context()
 		empty, err := b.store.Head(ctx)
 		is.NoErr(err)
@@ -73,9 +71,7 @@
 		{desc: "no token", body: "2", token: "-", want: config.ErrToken, epoch: 1},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				b := newBench()
+			inBench(t, func(t *testing.T, is *is.I, b *bench) {
 				first := b.submit(t, config.Head{}, "1")
 				if tc.prepare != nil {
 					tc.prepare(t, b)
@@ -111,9 +107,7 @@
 }
 
 func TestSubmitAgainAfterItWasReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		b.submit(t, first, "2")
 		result, err := b.store.Submit(t.Context(), document("", "1"), "another")
@@ -123,9 +117,7 @@
 }
 
 func TestConflictNamesTheWinner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		winner := b.submit(t, first, "2")
 		_, err := b.store.Submit(t.Context(), document(first.Digest, "3"), "loser")
@@ -173,9 +165,7 @@
 }
 
 func TestReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		ctx := t.Context()
 		first := b.submit(t, config.Head{}, "1")
 		second := b.submit(t, first, "2")
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -42,9 +42,7 @@
 }
 
 func TestWatcherFollowsTheHead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		var epochs []uint64
 		w := run(t, config.WatcherOptions{
 			Store:    b.store,
@@ -82,9 +80,7 @@
 		{"object store down", func(b *bench) { b.objects.SetDown(true) }, false},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				b := newBench()
+			inBench(t, func(t *testing.T, is *is.I, b *bench) {
 				b.submit(t, config.Head{}, "1")
 				w := run(t, config.WatcherOptions{Store: b.store})
 				settle()
@@ -107,9 +103,7 @@
 
 // A head that is known and can't be loaded stops the host after the bound.
 func TestWatcherStopsOnAHeadThatItCannotLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		w := run(t, config.WatcherOptions{Store: b.store})
 		settle()
@@ -162,9 +156,7 @@
 // A host that was frozen with an answer on its way takes no work after it
 // thaws, until it has new word: the answer is as old as its question.
 func TestFrozenHostDoesNotServeOldConfiguration(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		table := &heldTable{Table: b.table}
 		w := run(t, config.WatcherOptions{Store: config.NewStore(table, b.objects)})
@@ -188,9 +180,7 @@
 }
 
 func TestMajorityGoesOnWithoutTheTable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		b.submit(t, config.Head{}, "1")
 		n := newNetwork()
 		n.add(t, config.WatcherOptions{Store: b.store}, "a", "b", "c", "d", "e")
@@ -216,9 +206,7 @@
 // table, the majority doesn't hear of a new manifest. The report says so, and
 // one answer of the minority puts the new one in force.
 func TestMinorityWithTheTable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		withTable := config.WatcherOptions{Store: b.newStore()}
 		without := newBench()
@@ -244,9 +232,7 @@
 }
 
 func TestFreshHostDuringAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		b.submit(t, config.Head{}, "1")
 		n := newNetwork()
 		n.add(t, config.WatcherOptions{Store: b.store}, "a", "b", "c")
@@ -284,9 +270,7 @@
 		{"peer with word", config.PeerView{Epoch: 2, HasWord: true, WordAge: time.Second}, nil, false},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				b := newBench()
+			inBench(t, func(t *testing.T, is *is.I, b *bench) {
 				first := b.submit(t, config.Head{}, "1")
 				second := b.submit(t, first, "2")
 				peer := tc.peer
@@ -314,9 +298,7 @@
 
 // Confirmations are merged under the budget and written anew now and then.
 func TestConfirmationsAreMerged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		head := b.submit(t, config.Head{}, "0")
 		table := faulty.New(b.inner)
 		run(t, config.WatcherOptions{
@@ -341,9 +323,7 @@
 
 // What a peer says of an epoch gives way to what the table says.
 func TestTableOverrulesAPeer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		b.submit(t, config.Head{}, "1")
 		b.table.SetDown(true)
 		var log errorLog
@@ -360,9 +340,7 @@
 
 // A table that was set back to an older state doesn't set the hosts back.
 func TestTableThatWentBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench()
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
 		old, err := b.inner.Get(t.Context(), "config/head")
 		is.NoErr(err)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// inPair runs a test over a pair in a synctest bubble of its own.
+func inPair(t *testing.T, test func(t *testing.T, is *is.I, p pair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), newPair()) })
+}
+
 func (p pair) acquireA(t *testing.T) *lease.Lease {
 	l, err := p.a.Acquire(t.Context(), name, "host-a", ttl)
 	if err != nil {
@@ -114,9 +120,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				p := newPair()
+			inPair(t, func(t *testing.T, is *is.I, p pair) {
 				l := p.acquireA(t)
 				is.Equal(p.heldFor(t), ttl)
 				tt.act(t, p, l)
@@ -131,9 +135,7 @@
 // which is lost, is being settled. Contenders count from the arrival of
 // renewal 1, so the holder must not count from the start of renewal 2.
 func TestLateRenewalIsNotCreditedAsANewerOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPair()
+	inPair(t, func(t *testing.T, is *is.I, p pair) {
 		l := p.acquireA(t)
 		p.table.DelayNext(1, time.Second)
 		is.True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown)) // renewal 1
@@ -147,9 +149,7 @@
 }
 
 func TestLateAcquisitionBlocksForOneTTLOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := newPair()
+	inPair(t, func(t *testing.T, is *is.I, p pair) {
 		p.table.DelayNext(1, time.Second)
 		_, err := p.a.Acquire(t.Context(), name, "host-a", ttl)
 		is.True(errors.Is(err, platform.ErrUnknown))
@@ -175,9 +175,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				p := newPair()
+			inPair(t, func(t *testing.T, is *is.I, p pair) {
 				l := p.acquireA(t)
 				ended := make(chan error, 1)
 				go func() { ended <- l.Keep(t.Context()) }()
--- a/lease/orders_test.go
+++ b/lease/orders_test.go
@@ -79,9 +79,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				p := newPair()
+			inPair(t, func(t *testing.T, is *is.I, p pair) {
 				engine := &fakeEngine{fenced: tt.fenced}
 				receiver := lease.Receiver{ID: "engine-1", Fenced: tt.fenced}
 				a := lease.NewOrders(p.acquireA(t), engine.pausedSend(tt.afterCheck))
--- a/session/registry_test.go
+++ b/session/registry_test.go
@@ -25,6 +25,12 @@
 	return NewRegistry(Options{Table: table, TTL: testTTL})
 }
 
+// overTable runs a test over an empty table in a synctest bubble of its own.
+func overTable(t *testing.T, test func(t *testing.T, is *is.I, table *faulty.Table)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, is.New(t), faulty.New(memory.New())) })
+}
+
 func proposal(version string) Binding {
 	b := bound
 	b.Version = version
@@ -79,9 +85,7 @@
 }
 
 func TestBindWithoutTable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := faulty.New(memory.New())
+	overTable(t, func(t *testing.T, is *is.I, table *faulty.Table) {
 		here, there := testRegistry(table), testRegistry(table)
 		table.SetDown(true)
 		v, durable := mustBind(t, here, "v1")
@@ -116,9 +120,7 @@
 }
 
 func TestRowLastsTTLAfterUse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := faulty.New(memory.New())
+	overTable(t, func(t *testing.T, is *is.I, table *faulty.Table) {
 		mustBind(t, testRegistry(table), "v1")
 		for range 50 {
 			time.Sleep(testTTL / 5)
@@ -142,9 +144,7 @@
 }
 
 func TestRowsKeepTheirTTL(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := memory.New()
+	overTable(t, func(t *testing.T, is *is.I, table *faulty.Table) {
 		long, short := testRegistry(table), testRegistry(table)
 		long.SetTTL(24 * time.Hour)
 		mustBind(t, long, "v1")
@@ -159,9 +159,7 @@
 }
 
 func TestSweepPassesOverPages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := memory.New()
+	overTable(t, func(t *testing.T, is *is.I, table *faulty.Table) {
 		r := testRegistry(table)
 		const sessions = 2*sweepPage + 10
 		for i := range sessions {
@@ -182,9 +180,7 @@
 }
 
 func TestRebind(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		table := faulty.New(memory.New())
+	overTable(t, func(t *testing.T, is *is.I, table *faulty.Table) {
 		here, there := testRegistry(table), testRegistry(table)
 		mustBind(t, here, "v1")
 		mustBind(t, there, "v1")
