--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,49 +120,28 @@
 	})
 }
 
-// heldTable can keep the answers of reads that were served already, as if the
+// holdAnswers keeps the answers of reads that were served already, as if the
 // reading process had been stopped in between.
-type heldTable struct {
-	platform.Table
-	mu   sync.Mutex
-	held chan struct{}
-}
-
-func (h *heldTable) hold() (release func()) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func holdAnswers(table *faulty.Table) (release func()) {
 	held := make(chan struct{})
-	h.held = held
+	table.SetHooks(nil, func() { <-held })
 	return func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.held = nil
+		table.SetHooks(nil, nil)
 		close(held)
 	}
 }
 
-func (h *heldTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	row, err := h.Table.Get(context.WithoutCancel(ctx), key)
-	h.mu.Lock()
-	held := h.held
-	h.mu.Unlock()
-	if held != nil {
-		<-held
-	}
-	return row, err
-}
-
 // A host that was frozen with an answer on its way takes no work after it
 // thaws, until it has new word: the answer is as old as its question.
 func TestFrozenHostDoesNotServeOldConfiguration(t *testing.T) {
 	inBench(t, func(t *testing.T, is *is.I, b *bench) {
 		first := b.submit(t, config.Head{}, "1")
-		table := &heldTable{Table: b.table}
+		table := faulty.New(b.table)
 		w := run(t, config.WatcherOptions{Store: config.NewStore(table, b.objects)})
 		settle()
 		is.NoErr(w.Check())
 
-		thaw := table.hold()
+		thaw := holdAnswers(table)
 		settle() // reads are under way and served
 		b.submit(t, first, "2")
 		time.Sleep(time.Minute)
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -38,11 +38,11 @@
 	s, m, drain := twoHosts(t)
 	first, second := s.hosts[0], s.hosts[1]
 	s.now = s.now.Add(simTTL / 2)
-	s.table.after = func() {
-		s.table.after = nil
+	s.table.SetHooks(nil, func() {
+		s.table.SetHooks(nil, nil)
 		is.NoErr(second.pass(t.Context()))
 		s.now = s.now.Add(simTTL - simInterval)
-	}
+	})
 	// The first host is stopped between the renewal's effect and its answer.
 	is.NoErr(first.renew(t.Context()))
 	for range 40 {
@@ -66,18 +66,18 @@
 			break
 		}
 		s.now = s.now.Add(simInterval)
-		s.table.lateNext = 1
+		s.table.HoldNext(1)
 		_ = first.pass(t.Context())
 	}
 	is.True(bucket.control.open != nil) // gives back half, or not yet
-	s.table.lateNext = 0
+	s.table.HoldNext(0)
 	s.now = s.now.Add(time.Second)
 	drain(first)
-	s.faults.DropNext(1)
+	s.table.DropNext(1)
 	_ = first.pass(t.Context()) // would now rather keep all
 	is.Equal(bucket.control.held, Slots)
-	s.faults.Heal()
-	s.table.deliver()
+	s.table.Heal()
+	s.table.Deliver()
 	for range 10 {
 		s.now = s.now.Add(time.Second)
 		drain(second)
@@ -131,7 +131,7 @@
 	limit := Limit{Account: "acme", Rate: 100, Burst: 40}
 	s := newSim(0, []Limit{limit})
 	s.floor = floor
-	s.faults.SetDown(true)
+	s.table.SetDown(true)
 	for i := range hosts {
 		s.hosts = append(s.hosts, s.newHost(i))
 	}
--- a/quota/measure_test.go
+++ b/quota/measure_test.go
@@ -100,16 +100,16 @@
 }
 
 func (m *measured) run() {
-	counts := m.faults.Counts()
+	counts := m.table.Counts()
 	for at := time.Duration(0); at < measureWarmUp+*measureTime; at += measureStep {
 		m.now = simStart.Add(at)
 		since := at - measureWarmUp
 		if since == 0 {
-			counts = m.faults.Counts()
+			counts = m.table.Counts()
 			m.loans = 0
 			m.result = result{}
 		}
-		m.faults.SetDown(since >= m.load.downFrom && since < m.load.downUntil)
+		m.table.SetDown(since >= m.load.downFrom && since < m.load.downUntil)
 		if m.load.replaceEvery > 0 && since > 0 && since%m.load.replaceEvery == 0 {
 			i := int(since/m.load.replaceEvery) % len(m.hosts)
 			m.hosts[i] = m.newHost(i)
@@ -119,7 +119,7 @@
 			m.step(host, at)
 		}
 	}
-	after := m.faults.Counts()
+	after := m.table.Counts()
 	seconds := measureTime.Seconds()
 	m.result.commits = float64(after.Commits-counts.Commits) / seconds
 	m.result.reads = float64(after.Gets+after.Lists-counts.Gets-counts.Lists) / seconds
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -51,7 +51,7 @@
 		}
 		actions := s.actions()
 		maps.Copy(actions, s.networkFaults())
-		maps.Copy(actions, platformtest.FaultActions(s.faults))
+		maps.Copy(actions, platformtest.FaultActions(s.table))
 		t.Repeat(actions)
 		if err := s.checkRows(); err != nil {
 			t.Fatal(err)
@@ -92,8 +92,8 @@
 
 func (s *spending) networkFaults() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"late commits": func(t *rapid.T) { s.table.lateNext = rapid.IntRange(1, 3).Draw(t, "n") },
-		"deliver":      func(*rapid.T) { s.table.deliver() },
+		"late commits": func(t *rapid.T) { s.table.HoldNext(rapid.IntRange(1, 3).Draw(t, "n")) },
+		"deliver":      func(*rapid.T) { s.table.Deliver() },
 		"cut":          func(t *rapid.T) { s.cut = rapid.Bool().Draw(t, "cut") },
 		"slow loans":   func(t *rapid.T) { s.loanDelay = drawTime(t, time.Second, 0, 6) },
 		"lose loans":   func(t *rapid.T) { s.loseLoans = rapid.Bool().Draw(t, "lose") },
@@ -152,18 +152,18 @@
 		if left--; left != -1 {
 			return
 		}
-		s.table.before, s.table.after = nil, nil
+		s.table.SetHooks(nil, nil)
 		s.goOnWithout(stopped, d)
 	}
 	if rapid.Bool().Draw(t, "before the effect") {
-		s.table.before = others
+		s.table.SetHooks(others, nil)
 	} else {
-		s.table.after = others
+		s.table.SetHooks(nil, others)
 	}
 	// Another stands in, so that no pass of a host is inside another.
 	s.hosts[i] = s.newHost(i)
 	_ = stopped.pass(context.Background())
-	s.table.before, s.table.after = nil, nil
+	s.table.SetHooks(nil, nil)
 	s.spend(stopped, 100)
 	s.hosts[i] = stopped
 }
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -54,59 +54,10 @@
 	return m.level >= n
 }
 
-// lateTable holds back commits, whose answers are lost, until deliver; and it
-// lets time pass inside calls, as if the caller was stopped there.
-type lateTable struct {
-	platform.Table
-	lateNext int
-	late     []platform.Txn
-	// before and after are run around each call if set.
-	before, after func()
-}
-
-func (t *lateTable) around() func() {
-	if t.before != nil {
-		t.before()
-	}
-	return func() {
-		if t.after != nil {
-			t.after()
-		}
-	}
-}
-
-func (t *lateTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	defer t.around()()
-	return t.Table.Get(ctx, key)
-}
-
-func (t *lateTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	defer t.around()()
-	return t.Table.List(ctx, prefix, after, limit)
-}
-
-func (t *lateTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
-	defer t.around()()
-	if t.lateNext > 0 {
-		t.lateNext--
-		t.late = append(t.late, txn)
-		return 0, platform.ErrUnknown
-	}
-	return t.Table.Commit(ctx, txn)
-}
-
-func (t *lateTable) deliver() {
-	for _, txn := range t.late {
-		_, _ = t.Table.Commit(context.Background(), txn)
-	}
-	t.late = nil
-}
-
 // sim runs limiters of several hosts in one goroutine and virtual time.
 type sim struct {
 	now    time.Time
-	faults *faulty.Table
-	table  *lateTable
+	table  *faulty.Table
 	hosts  []*Limiter
 	limits []Limit
 	floor  float64
@@ -120,9 +71,7 @@
 }
 
 func newSim(hosts int, limits []Limit) *sim {
-	s := &sim{now: simStart, limits: limits, ttl: simTTL}
-	s.faults = faulty.New(memory.New())
-	s.table = &lateTable{Table: s.faults}
+	s := &sim{now: simStart, limits: limits, ttl: simTTL, table: faulty.New(memory.New())}
 	for i := range hosts {
 		s.hosts = append(s.hosts, s.newHost(i))
 	}
@@ -196,6 +145,6 @@
 }
 
 func memoryRows(s *sim) ([]platform.Row, error) {
-	s.faults.SetDown(false)
-	return s.faults.List(context.Background(), accountPrefix, "", listPage)
+	s.table.SetDown(false)
+	return s.table.List(context.Background(), accountPrefix, "", listPage)
 }
--- a/rollout/budget_test.go
+++ b/rollout/budget_test.go
@@ -8,7 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
 )
 
 // smallRule has a budget that random actions can reach.
@@ -21,41 +22,6 @@
 	MinRating:    0.6,
 }
 
-// flakyTable holds one kind of row; calls fail as the test orders.
-type flakyTable struct {
-	platform.Table
-	rows map[string]platform.Row
-	// fail is returned by the next Commit; with ErrUnknown it has its effect.
-	fail error
-	gets int
-}
-
-func (f *flakyTable) Get(_ context.Context, key string) (platform.Row, error) {
-	f.gets++
-	row, ok := f.rows[key]
-	if !ok {
-		return platform.Row{}, platform.ErrNotFound
-	}
-	return row, nil
-}
-
-func (f *flakyTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
-	fail := f.fail
-	f.fail = nil
-	if fail == platform.ErrUnavailable {
-		return 0, fail
-	}
-	for _, c := range txn.Conditions {
-		if f.rows[c.Key].Version != c.Version {
-			return 0, platform.ErrConflict
-		}
-	}
-	for _, p := range txn.Puts {
-		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.rows[p.Key].Version + 1}
-	}
-	return 1, fail
-}
-
 // cluster is a model of hosts that exchange evidence in any order, with loss
 // and repetition, and that are replaced.
 type cluster struct {
@@ -64,7 +30,7 @@
 	size     int
 	hosts    []*Tracker
 	granters []*Granter
-	table    *flakyTable
+	table    *faulty.Table
 	// sent are exports that may be delivered at any time, repeatedly.
 	sent  [][]Evidence
 	taken int
@@ -72,7 +38,7 @@
 }
 
 func newCluster(n int, granted bool) *cluster {
-	c := &cluster{clock: newClock(), granted: granted, size: n, table: &flakyTable{rows: map[string]platform.Row{}}}
+	c := &cluster{clock: newClock(), granted: granted, size: n, table: faulty.New(memory.New())}
 	for range n {
 		c.hosts = append(c.hosts, nil)
 		c.granters = append(c.granters, nil)
@@ -131,7 +97,15 @@
 }
 
 func (c *cluster) refill(t *rapid.T, i int) {
-	c.table.fail = rapid.SampledFrom([]error{nil, nil, platform.ErrUnavailable, platform.ErrUnknown}).Draw(t, "fault")
+	c.table.Heal()
+	switch rapid.SampledFrom([]string{"", "", "down", "lost", "dropped"}).Draw(t, "fault") {
+	case "down":
+		c.table.SetDown(true)
+	case "lost":
+		c.table.LoseNext(1)
+	case "dropped":
+		c.table.DropNext(1)
+	}
 	_ = c.hosts[i].Refill(context.Background(), c.granters[i])
 }
 
@@ -178,7 +152,7 @@
 	is := is.New(t)
 	c := newCluster(1, true)
 	is.True(!c.hosts[0].Take("m", "2")) // nothing granted yet
-	c.table.fail = platform.ErrUnknown
+	c.table.LoseNext(1)
 	is.True(c.hosts[0].Refill(t.Context(), c.granters[0]) != nil)
 	is.NoErr(c.hosts[0].Refill(t.Context(), c.granters[0]))
 	row, _, err := c.granters[0].read(t.Context(), grantName(Claim{Key: smallRule.Key(), Epoch: smallRule.Epoch}))
@@ -208,11 +182,11 @@
 	for range 3 * GrantInitial { // all that is granted without evidence
 		refill()
 	}
-	before := c.table.gets
+	before := c.table.Counts().Gets
 	for range 10 {
 		refill()
 	}
-	is.Equal(c.table.gets, before)
+	is.Equal(c.table.Counts().Gets, before)
 	host.Observe("m", "2", Outcome{})
 	refill()
 	is.True(host.TakeBound("m", "2"))
