cut: connections that are cut at a byte

platform/client's tests had a listener that cuts a connection after a number of bytes in each direction, beside internal/standin/cut, which cuts at points of an exchange. It is cut.LimitListener now, with a test of its own; the stand-ins' other tests can use it. Ruled out: one listener for both, as the one reads what passes and the other only counts it.

--- a/internal/standin/cut/cut_test.go
+++ b/internal/standin/cut/cut_test.go
@@ -46,3 +46,30 @@
 	fmt.Println(c.Take(AfterHead), c.Take(MidBody), c.Take(MidBody))
 	// Output: false true false
 }
+
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	listener := new(LimitListener)
+	conn := &limitConn{Conn: theirs, listener: listener, left: Limits{Request: 3, Answer: 2}}
+	go func() {
+		_, _ = io.WriteString(ours, "abcd")
+	}()
+	got, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.Equal(string(got), "abc")
+
+	ours, theirs = net.Pipe()
+	conn = &limitConn{Conn: theirs, listener: listener, left: Limits{Request: Unlimited, Answer: 2}}
+	go func() {
+		n, err := conn.Write([]byte("xyz"))
+		is.Equal(n, 2)
+		is.Equal(err, net.ErrClosed)
+	}()
+	got, err = io.ReadAll(ours)
+	is.NoErr(err)
+	is.Equal(string(got), "xy")
+	requests, answers := listener.Passed()
+	is.Equal(requests, int64(3))
+	is.Equal(answers, int64(2))
+}
