--- a/internal/experiment/admission/report.go
+++ b/internal/experiment/admission/report.go
@@ -20,50 +20,68 @@
 	refusalWait float64
 }
 
+// sums are what the requests of one run add up to.
+type sums struct {
+	figures
+	// count is the number of each class's requests, large and small that of the
+	// accounts' requests.
+	count        [3]float64
+	large, small float64
+	refused      float64
+	// work is the service time of answers in time, in seconds.
+	work float64
+}
+
 func measure(s scenario, requests []*request) figures {
-	var f figures
-	var count [3]float64
-	var large, small, goodLarge, goodSmall, refused float64
-	work := 0.0
+	var sum sums
 	for _, r := range requests {
-		if r.arrival < warmUp {
-			continue
-		}
-		good := r.finished > 0 && r.finished <= r.deadline
-		count[r.class]++
-		switch {
-		case good:
-			f.good[r.class]++
-			work += r.service.Seconds()
-		case r.finished > 0:
-			f.late[r.class]++
-		default:
-			f.lost[r.class]++
+		if r.arrival >= warmUp {
+			sum.add(r)
 		}
-		if strings.HasPrefix(r.account, "large") {
-			large++
-			goodLarge += asNumber(good)
-		} else {
-			small++
-			goodSmall += asNumber(good)
-		}
-		if r.refused {
-			refused++
-			f.refusalWait += (r.refusedAt - r.arrival).Seconds() * 1000
-		}
-		f.freeRefusals += asNumber(r.freeAtRefusal)
 	}
-	for i := range count {
-		f.good[i] /= count[i]
-		f.late[i] /= count[i]
-		f.lost[i] /= count[i]
+	return sum.parts(capacityWork(s))
+}
+
+func (s *sums) add(r *request) {
+	good := r.finished > 0 && r.finished <= r.deadline
+	s.count[r.class]++
+	switch {
+	case good:
+		s.good[r.class]++
+		s.work += r.service.Seconds()
+	case r.finished > 0:
+		s.late[r.class]++
+	default:
+		s.lost[r.class]++
+	}
+	if strings.HasPrefix(r.account, "large") {
+		s.large++
+		s.goodLarge += asNumber(good)
+	} else {
+		s.small++
+		s.goodSmall += asNumber(good)
+	}
+	if r.refused {
+		s.refused++
+		s.refusalWait += (r.refusedAt - r.arrival).Seconds() * 1000
+	}
+	s.freeRefusals += asNumber(r.freeAtRefusal)
+}
+
+// parts turns the sums into parts of what was asked for.
+func (s *sums) parts(capacity float64) figures {
+	f := s.figures
+	for i, n := range s.count {
+		f.good[i] /= n
+		f.late[i] /= n
+		f.lost[i] /= n
 	}
-	f.goodLarge = goodLarge / large
-	f.goodSmall = goodSmall / small
-	if refused > 0 {
-		f.refusalWait /= refused
+	f.goodLarge /= s.large
+	f.goodSmall /= s.small
+	if s.refused > 0 {
+		f.refusalWait /= s.refused
 	}
-	f.goodput = work / capacityWork(s)
+	f.goodput = s.work / capacity
 	return f
 }
 
--- /dev/null
+++ b/ledger/codec_test.go
@@ -0,0 +1,49 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestSplitJoined(t *testing.T) {
+	is := is.New(t)
+	joined := join([][]byte{{1, 2}, {}, {3}})
+	var got [][]byte
+	for part, err := range split(joined) {
+		is.NoErr(err)
+		got = append(got, part)
+	}
+	is.Equal(got, [][]byte{{1, 2}, {}, {3}})
+	for _, err := range split(joined[:len(joined)-1]) {
+		if err != nil {
+			is.True(errors.Is(err, ErrCorrupt))
+			return
+		}
+	}
+	t.Error("a cut object splits without an error")
+}
+
+func TestCorruptSegments(t *testing.T) {
+	good, err := EncodeBills([]Bill{testBill("1")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		desc string
+		data []byte
+	}{
+		{"empty", nil},
+		{"other version", append([]byte{9}, good[1:]...)},
+		{"cut short", good[:len(good)-4]},
+		{"not compressed", []byte{codecVersion, 0xff, 0xff, 0xff}},
+		{"joined", join([][]byte{good})},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			_, err := DecodeBills(tc.data)
+			is.New(t).True(errors.Is(err, ErrCorrupt))
+		})
+	}
+}
--- /dev/null
+++ b/ledger/custody_test.go
@@ -0,0 +1,59 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+func TestCustody(t *testing.T) {
+	is := is.New(t)
+	c := NewCustody(New(Options{Table: memory.New(), Objects: memory.NewObjects(), Host: "h1"}), CustodyOptions{MaxBills: 2})
+	one := []Bill{testBill("1")}
+	is.NoErr(c.Hold("h0/x", 1, one))
+	is.NoErr(c.Hold("h0/x", 2, one))
+	is.True(errors.Is(c.Hold("h0/x", 3, one), ErrCustodyFull))
+	c.Drop("h0/x", 4)
+	is.Equal(c.Held(), 0)
+	is.NoErr(c.Hold("h0/x", 4, one)) // comes after its own release
+	is.Equal(c.Held(), 0)
+	is.NoErr(c.Hold("h0/y", 1, one))
+	is.NoErr(c.Hold("h00/x", 1, one))
+	is.NoErr(c.Settle(t.Context(), "h0"))
+	is.Equal(c.Held(), 1) // that of the other host
+}
+
+// TestCustodyPacks checks that packed and loose copies are released and settled
+// alike.
+func TestCustodyPacks(t *testing.T) {
+	const bills = 3*packAfter + 10
+	for _, dropped := range []int{0, 1, packAfter, packAfter + 1, bills - 1, bills} {
+		t.Run(fmt.Sprint(dropped), func(t *testing.T) {
+			is := is.New(t)
+			table, objects := memory.New(), memory.NewObjects()
+			c := NewCustody(New(Options{Table: table, Objects: objects, Host: "h1"}), CustodyOptions{})
+			for i := range bills {
+				is.NoErr(c.Hold("h0/x", uint64(i+1), []Bill{testBill(fmt.Sprint(i))}))
+			}
+			c.Drop("h0/x", uint64(dropped))
+			is.NoErr(c.Hold("h0/x", bills+1, []Bill{testBill("last")}))
+			kept := c.Held()
+			is.True(kept > bills-dropped && kept <= bills-dropped+packAfter)
+			is.NoErr(c.Settle(t.Context(), "h0"))
+			is.Equal(c.Held(), 0)
+			written := make(map[string]bool)
+			for b, err := range Read(t.Context(), table, objects, Query{}) {
+				is.NoErr(err)
+				written[b.RequestID] = true
+			}
+			is.Equal(len(written), kept)
+			for i := dropped; i < bills; i++ {
+				is.True(written[fmt.Sprint(i)])
+			}
+		})
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -254,54 +254,6 @@
 	})
 }
 
-func TestCustody(t *testing.T) {
-	is := is.New(t)
-	c := NewCustody(New(Options{Table: memory.New(), Objects: memory.NewObjects(), Host: "h1"}), CustodyOptions{MaxBills: 2})
-	one := []Bill{testBill("1")}
-	is.NoErr(c.Hold("h0/x", 1, one))
-	is.NoErr(c.Hold("h0/x", 2, one))
-	is.True(errors.Is(c.Hold("h0/x", 3, one), ErrCustodyFull))
-	c.Drop("h0/x", 4)
-	is.Equal(c.Held(), 0)
-	is.NoErr(c.Hold("h0/x", 4, one)) // comes after its own release
-	is.Equal(c.Held(), 0)
-	is.NoErr(c.Hold("h0/y", 1, one))
-	is.NoErr(c.Hold("h00/x", 1, one))
-	is.NoErr(c.Settle(t.Context(), "h0"))
-	is.Equal(c.Held(), 1) // that of the other host
-}
-
-// TestCustodyPacks checks that packed and loose copies are released and settled
-// alike.
-func TestCustodyPacks(t *testing.T) {
-	const bills = 3*packAfter + 10
-	for _, dropped := range []int{0, 1, packAfter, packAfter + 1, bills - 1, bills} {
-		t.Run(fmt.Sprint(dropped), func(t *testing.T) {
-			is := is.New(t)
-			table, objects := memory.New(), memory.NewObjects()
-			c := NewCustody(New(Options{Table: table, Objects: objects, Host: "h1"}), CustodyOptions{})
-			for i := range bills {
-				is.NoErr(c.Hold("h0/x", uint64(i+1), []Bill{testBill(fmt.Sprint(i))}))
-			}
-			c.Drop("h0/x", uint64(dropped))
-			is.NoErr(c.Hold("h0/x", bills+1, []Bill{testBill("last")}))
-			kept := c.Held()
-			is.True(kept > bills-dropped && kept <= bills-dropped+packAfter)
-			is.NoErr(c.Settle(t.Context(), "h0"))
-			is.Equal(c.Held(), 0)
-			written := make(map[string]bool)
-			for b, err := range Read(t.Context(), table, objects, Query{}) {
-				is.NoErr(err)
-				written[b.RequestID] = true
-			}
-			is.Equal(len(written), kept)
-			for i := dropped; i < bills; i++ {
-				is.True(written[fmt.Sprint(i)])
-			}
-		})
-	}
-}
-
 func TestRefusalKeysAreBounded(t *testing.T) {
 	l := New(Options{Table: memory.New(), Objects: memory.NewObjects(), Host: "h0"})
 	for i := range maxRefusalKeys + 10 {
@@ -312,44 +264,3 @@
 	is.Equal(len(list), maxRefusalKeys+1)
 	is.Equal(list[0], RefusalCount{Account: OtherAccounts, Epoch: 1, Code: 1001, Count: 10})
 }
-
-func TestSplitJoined(t *testing.T) {
-	is := is.New(t)
-	joined := join([][]byte{{1, 2}, {}, {3}})
-	var got [][]byte
-	for part, err := range split(joined) {
-		is.NoErr(err)
-		got = append(got, part)
-	}
-	is.Equal(got, [][]byte{{1, 2}, {}, {3}})
-	for _, err := range split(joined[:len(joined)-1]) {
-		if err != nil {
-			is.True(errors.Is(err, ErrCorrupt))
-			return
-		}
-	}
-	t.Error("a cut object splits without an error")
-}
-
-func TestCorruptSegments(t *testing.T) {
-	good, err := EncodeBills([]Bill{testBill("1")})
-	if err != nil {
-		t.Fatal(err)
-	}
-	tests := []struct {
-		desc string
-		data []byte
-	}{
-		{"empty", nil},
-		{"other version", append([]byte{9}, good[1:]...)},
-		{"cut short", good[:len(good)-4]},
-		{"not compressed", []byte{codecVersion, 0xff, 0xff, 0xff}},
-		{"joined", join([][]byte{good})},
-	}
-	for _, tc := range tests {
-		t.Run(tc.desc, func(t *testing.T) {
-			_, err := DecodeBills(tc.data)
-			is.New(t).True(errors.Is(err, ErrCorrupt))
-		})
-	}
-}
