standin, sealedconn: what no other package uses isn't exported

The engine's stand-in exported its cache's blocks and events and its orders' actions, the service's a header, cut a listener, sealedconn its connection and two errors; their packages alone use them. They are unexported. engine.PromptOf had no user at all and is gone. Left exported: types that exported signatures show, defaults that options' comments name, and peer's codes and errors, which its callers are to compare with.

Found by a search of each exported name in all other packages and external tests. The touched packages, devenv and upstream pass with -race (devenv 10.3 s, upstream 6.1 s).

--- a/internal/sealedconn/call.go
+++ b/internal/sealedconn/call.go
@@ -9,11 +9,11 @@
 )
 
 var (
-	// ErrSealed is the error of a write for a call that has ended.
-	ErrSealed = errors.New("sealedconn: the call has ended")
-	// ErrRepeated is the error of a write for a call that another connection
+	// errSealed is the error of a write for a call that has ended.
+	errSealed = errors.New("sealedconn: the call has ended")
+	// errRepeated is the error of a write for a call that another connection
 	// was already written to for.
-	ErrRepeated = errors.New("sealedconn: the call was already sent on another connection")
+	errRepeated = errors.New("sealedconn: the call was already sent on another connection")
 )
 
 // Progress says how far the sending of a call came.
@@ -42,9 +42,9 @@
 	mu     sync.Mutex
 	sealed bool
 	// conn is the connection that the call got last; nil before the first.
-	conn *Conn
+	conn *followedConn
 	// writer is the connection that got the first write; nil before that.
-	writer *Conn
+	writer *followedConn
 	// pending counts the writes that have not returned yet.
 	pending int
 	// written says that a write handed over a byte, or that the call got a
@@ -65,7 +65,7 @@
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
 	}
-	if followed, ok := conn.(*Conn); ok {
+	if followed, ok := conn.(*followedConn); ok {
 		c.attach(followed)
 		return
 	}
@@ -76,7 +76,7 @@
 
 // attach gives the connection to the call. The transport does so only when the
 // call before has been answered, though that call may not have noticed yet.
-func (c *Call) attach(conn *Conn) {
+func (c *Call) attach(conn *followedConn) {
 	c.mu.Lock()
 	c.conn = conn
 	c.mu.Unlock()
@@ -113,14 +113,14 @@
 
 // startWrite notes a write before its first byte, because the receiver can act
 // on the bytes before Write returns.
-func (c *Call) startWrite(conn *Conn) error {
+func (c *Call) startWrite(conn *followedConn) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		return ErrSealed
+		return errSealed
 	}
 	if c.writer != nil && c.writer != conn && !c.Repeatable {
-		return ErrRepeated
+		return errRepeated
 	}
 	c.writer = conn
 	c.pending++
--- a/internal/sealedconn/call_test.go
+++ b/internal/sealedconn/call_test.go
@@ -33,13 +33,13 @@
 	return nil
 }
 
-func newGatedConn() (*Conn, gatedConn) {
+func newGatedConn() (*followedConn, gatedConn) {
 	inner := gatedConn{started: make(chan struct{}, 1), finish: make(chan writeResult), closed: new(bool)}
-	return &Conn{Conn: inner}, inner
+	return &followedConn{Conn: inner}, inner
 }
 
 // refuse has the connection refuse a write; the inner connection would take it.
-func refuse(t *testing.T, conn *Conn, inner gatedConn, want error) {
+func refuse(t *testing.T, conn *followedConn, inner gatedConn, want error) {
 	t.Helper()
 	close(inner.finish)
 	_, err := conn.Write([]byte("request"))
@@ -48,7 +48,7 @@
 }
 
 // write has a write of the connection end with the result.
-func write(conn *Conn, inner gatedConn, result writeResult) error {
+func write(conn *followedConn, inner gatedConn, result writeResult) error {
 	go func() {
 		<-inner.started
 		inner.finish <- result
@@ -65,7 +65,7 @@
 	call.attach(conn)
 	is.Equal(call.Abandon(), Untouched)
 	is.True(*inner.closed)
-	refuse(t, conn, inner, ErrSealed)
+	refuse(t, conn, inner, errSealed)
 	is.Equal(noted, 0)
 }
 
@@ -135,7 +135,7 @@
 		repeatable bool
 		want       error
 	}{
-		{"not repeatable", false, ErrRepeated},
+		{"not repeatable", false, errRepeated},
 		{"repeatable", true, nil},
 	}
 	for _, test := range tests {
--- a/internal/sealedconn/conn.go
+++ b/internal/sealedconn/conn.go
@@ -5,10 +5,10 @@
 	"sync"
 )
 
-// Conn reports its writes to the call that has it. httptrace.WroteHeaders is
-// no substitute: it fires after a write into a buffer, which can be long
-// before or after the bytes are sent.
-type Conn struct {
+// followedConn reports its writes to the call that has it.
+// httptrace.WroteHeaders is no substitute: it fires after a write into a
+// buffer, which can be long before or after the bytes are sent.
+type followedConn struct {
 	net.Conn
 
 	mu sync.Mutex
@@ -17,14 +17,14 @@
 	call *Call
 }
 
-func (c *Conn) setCall(call *Call) {
+func (c *followedConn) setCall(call *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.call = call
 }
 
 // Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
+func (c *followedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	call := c.call
 	c.mu.Unlock()
@@ -40,7 +40,7 @@
 }
 
 // closeFor closes the connection if the call still has it.
-func (c *Conn) closeFor(call *Call) {
+func (c *followedConn) closeFor(call *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.call == call {
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// NewTransport returns an HTTP/1.1 transport whose connections are Conns. It
+// NewTransport returns an HTTP/1.1 transport whose writes a Call can follow. It
 // uses no proxy from the environment and no compression of its own; pool and
 // header limits are the caller's to set.
 func NewTransport(dialTimeout time.Duration) *http.Transport {
@@ -20,7 +20,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &Conn{Conn: conn}, nil
+			return &followedConn{Conn: conn}, nil
 		},
 		Protocols:          protocols,
 		DisableCompression: true,
--- a/internal/standin/cut/cut_test.go
+++ b/internal/standin/cut/cut_test.go
@@ -26,7 +26,7 @@
 			cutter := new(Cutter)
 			cutter.Set(Plan{At: BeforeHead, Times: 1})
 			ours, theirs := net.Pipe()
-			conn := &cutConn{Conn: theirs, listener: &Listener{Cutter: cutter, Spared: [][]byte{[]byte("POST /faults")}}}
+			conn := &cutConn{Conn: theirs, listener: &headListener{Cutter: cutter, Spared: [][]byte{[]byte("POST /faults")}}}
 			go func() {
 				defer ours.Close()
 				for _, part := range test.parts {
--- a/internal/standin/cut/listener.go
+++ b/internal/standin/cut/listener.go
@@ -6,8 +6,8 @@
 	"net"
 )
 
-// Listener cuts connections of an inner listener at BeforeHead.
-type Listener struct {
+// headListener cuts connections of an inner listener at BeforeHead.
+type headListener struct {
 	net.Listener
 	Cutter *Cutter
 	// Spared are the starts of requests that are never cut, for example
@@ -16,7 +16,7 @@
 }
 
 // Accept implements net.Listener.
-func (l *Listener) Accept() (net.Conn, error) {
+func (l *headListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -26,7 +26,7 @@
 
 type cutConn struct {
 	net.Conn
-	listener *Listener
+	listener *headListener
 	// first is a lone first byte of a request: the server reads it apart when
 	// it watches a connection for its end.
 	first []byte
@@ -53,7 +53,7 @@
 }
 
 // affects says whether data is the start of a request that may be cut.
-func (l *Listener) affects(data []byte) bool {
+func (l *headListener) affects(data []byte) bool {
 	for _, start := range l.Spared {
 		if bytes.HasPrefix(data, start) {
 			return false
--- a/internal/standin/cut/server.go
+++ b/internal/standin/cut/server.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("cut: listen: %w", err)
 	}
-	s.listener = &Listener{Listener: inner, Cutter: s.Cutter, Spared: s.Spared}
+	s.listener = &headListener{Listener: inner, Cutter: s.Cutter, Spared: s.Spared}
 	return nil
 }
 
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -54,13 +54,6 @@
 	return strings.Join(parts, "\n")
 }
 
-// PromptOf returns the prompt of a chat-completions request as ExpectedAnswer
-// takes it: the contents of the messages, joined by line ends.
-func PromptOf(body []byte) (string, error) {
-	req, err := parseRequest(body)
-	return req.prompt(), err
-}
-
 // ExpectedAnswer returns the text that every engine gives for the prompt. It
 // has 8 to 40 tokens, or N if the prompt has the word "tokens=N".
 func ExpectedAnswer(model, version, prompt string) string {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -82,7 +82,7 @@
 	is.Equal(usage.CachedTokens, 0)
 	_, usage, err = ask(t, c, target, callFor("r2", "1", prompt+" s"))
 	is.NoErr(err)
-	is.Equal(usage.CachedTokens, BlockTokens)
+	is.Equal(usage.CachedTokens, blockTokens)
 	is.Equal(e.Arrival("r1"), Arrival{RequestID: "r1", Model: "m@1", Priority: "0", Heads: 1, Bodies: 1, Began: 1, Finished: 1})
 }
 
--- a/internal/standin/engine/model_test.go
+++ b/internal/standin/engine/model_test.go
@@ -174,19 +174,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newPrefixCache(Options{CacheBlocks: 2, CacheEventLag: time.Second, CacheEventLoss: 3})
-		prompt := strings.Repeat("w ", 3*BlockTokens)
+		prompt := strings.Repeat("w ", 3*blockTokens)
 		is.Equal(c.use("m@1", prompt), 0)
 		is.Equal(len(c.after(0).Events), 0)
 		time.Sleep(time.Second)
-		blocks := PrefixBlocks("m@1", prompt)
+		blocks := prefixBlocks("m@1", prompt)
 		got := c.after(1)
 		for i := range got.Events {
 			got.Events[i].at = time.Time{}
 		}
 		// Stored 1, stored 2, evicted 1 (lost), stored 3.
-		is.Equal(got, CacheEvents{Last: 4, Events: []CacheEvent{
-			{Number: 2, Change: Stored, Block: blocks[1]},
-			{Number: 4, Change: Stored, Block: blocks[2]},
+		is.Equal(got, cacheEvents{Last: 4, Events: []cacheEvent{
+			{Number: 2, Change: blockStored, Block: blocks[1]},
+			{Number: 4, Change: blockStored, Block: blocks[2]},
 		}})
 		is.Equal(c.use("m@1", prompt), 0) // its first block was evicted
 	})
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -39,7 +39,7 @@
 	// BatchSlowdown is the part of TimePerToken that each further request in
 	// the batch adds. Default: 0.
 	BatchSlowdown float64
-	// CacheBlocks is the size of the prefix cache, in blocks of BlockTokens.
+	// CacheBlocks is the size of the prefix cache, in blocks of blockTokens.
 	// Default: 1,024.
 	CacheBlocks int
 	// CacheEventLag is how late cache events are published. Default: none.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -11,8 +11,8 @@
 
 // Actions of an order.
 const (
-	ActionLoad   = "load"
-	ActionUnload = "unload"
+	actionLoad   = "load"
+	actionUnload = "unload"
 )
 
 // Order is the body of POST /orders.
@@ -81,7 +81,7 @@
 	if !httpjson.Read(w, r, &order) {
 		return
 	}
-	if order.Action != ActionLoad && order.Action != ActionUnload {
+	if order.Action != actionLoad && order.Action != actionUnload {
 		http.Error(w, "unknown action", http.StatusBadRequest)
 		return
 	}
@@ -95,7 +95,7 @@
 
 func (e *Engine) carryOut(order Order) {
 	versioned := order.Model + "@" + order.Version
-	if order.Action == ActionUnload {
+	if order.Action == actionUnload {
 		e.versions.remove(versioned)
 		e.slots.drop(versioned)
 		return
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -25,7 +25,7 @@
 // Headers that can hold the caller's request key; the first that is set
 // counts.
 const (
-	HeaderRequestKey     = "Quetzalweir-Request-Key"
+	headerRequestKey     = "Quetzalweir-Request-Key"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -108,7 +108,7 @@
 
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(upstream.HeaderRequestID)
-	key := cmp.Or(r.Header.Get(HeaderRequestKey), r.Header.Get(HeaderIdempotencyKey))
+	key := cmp.Or(r.Header.Get(headerRequestKey), r.Header.Get(HeaderIdempotencyKey))
 	s.arrivals.note(id, key, func(a *Arrival) { a.Heads++ })
 	body, err := s.cutter.ReadBody(r)
 	if err != nil {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -16,7 +16,7 @@
 	send := func(id string) *httptest.ResponseRecorder {
 		r := httptest.NewRequest("POST", "/bids?lot=1", strings.NewReader("5"))
 		r.Header.Set("X-Request-Id", id)
-		r.Header.Set(HeaderRequestKey, "k")
+		r.Header.Set(headerRequestKey, "k")
 		w := httptest.NewRecorder()
 		s.Handler().ServeHTTP(w, r)
 		return w
