--- /dev/null
+++ b/internal/pause/example_test.go
@@ -0,0 +1,35 @@
+package pause_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/quetzalweir/quetzalweir/internal/pause"
+	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+func Example() {
+	ctx := context.Background()
+	process := pause.New()
+	table := process.GatedTable(memory.New())
+
+	process.Pause()
+	done := make(chan error)
+	go func() {
+		_, err := table.Get(ctx, "key")
+		done <- err
+	}()
+	fmt.Println("paused:", process.Paused())
+	process.Resume()
+	fmt.Println("resumed:", errors.Is(<-done, platform.ErrNotFound))
+
+	process.Kill()
+	_, err := table.Get(ctx, "key")
+	fmt.Println("killed:", errors.Is(err, platform.ErrUnavailable))
+	// Output:
+	// paused: true
+	// resumed: true
+	// killed: true
+}
