config: a test reads what the watcher wrote only once it has stopped running

TestWatcherFollowsTheHead failed once under -race: OnChange appends to a slice in the watcher's goroutine, and the test read it after a sleep. In a synctest bubble a sleep orders nothing; only synctest.Wait does. settle waits for it now. No assertion changed.

--- a/config/network_test.go
+++ b/config/network_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/config"
@@ -145,8 +146,12 @@
 	return errors.Is(l.err, want)
 }
 
-// settle lets the watchers of a test's bubble run for a while.
-func settle() { time.Sleep(3 * time.Second) }
+// settle lets the watchers of a test's bubble run for a while. The test may then
+// read what their goroutines wrote.
+func settle() {
+	time.Sleep(3 * time.Second)
+	synctest.Wait()
+}
 
 // pastBound is a while after which evidence is too old.
 const pastBound = config.DefaultBound + 2*time.Second
