wait: one wait for a time or the end of a context

Loops that reset one timer (lease, groupcommit, flushes) keep it, since they wait for more than these two.

--- a/config/submit.go
+++ b/config/submit.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
@@ -203,14 +204,6 @@
 // pause waits between two attempts, longer each time, with jitter so that
 // racing submitters part.
 func pause(ctx context.Context, attempt int) error {
-	wait := min(firstBackoff<<attempt, lastBackoff)
-	wait = wait/2 + rand.N(wait/2+1)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	half := min(firstBackoff<<attempt, lastBackoff) / 2
+	return wait.For(ctx, half+rand.N(half+1))
 }
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
@@ -216,12 +217,5 @@
 // sleep waits for about d; it returns false at the context's end.
 func sleep(ctx context.Context, d time.Duration) bool {
 	spread := 1 - jitter + 2*jitter*rand.Float64()
-	timer := time.NewTimer(time.Duration(float64(d) * spread))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Duration(float64(d)*spread)) == nil
 }
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 // run makes the job's answer. The caller holds a slot for it.
@@ -12,7 +14,7 @@
 	cached := e.cache.use(j.versioned, prompt)
 	promptTokens := len(strings.Fields(prompt))
 	slow := e.faults.slow(j.versioned)
-	if !pause(ctx, scale(e.opts.PrefillPerToken, float64(promptTokens-cached)*slow)) {
+	if wait.For(ctx, scale(e.opts.PrefillPerToken, float64(promptTokens-cached)*slow)) != nil {
 		return
 	}
 	tokens := answerTokens(j.versioned, prompt)
@@ -21,7 +23,7 @@
 	}
 	for _, token := range tokens {
 		e.faults.waitStall()
-		if !pause(ctx, e.tokenTime(slow)) {
+		if wait.For(ctx, e.tokenTime(slow)) != nil {
 			return
 		}
 		j.appendToken(token)
@@ -45,18 +47,3 @@
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
-
-// pause waits for d; it is false once ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,26 @@
+// Package wait waits for a time or the end of a context, whichever is first.
+//
+// Loops and retries of most packages use it. It keeps no exact time: a wait ends
+// at its duration or somewhat later.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d. It returns nil then, or the context's error once ctx has
+// ended; a d that isn't positive doesn't wait.
+func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/ledger/compaction.go
+++ b/ledger/compaction.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -54,7 +55,7 @@
 func RunCompaction(ctx context.Context, opts CompactionOptions) error {
 	opts = opts.withDefaults()
 	for {
-		sleep(ctx, opts.wait())
+		_ = wait.For(ctx, opts.wait())
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/ledger/flush.go
+++ b/ledger/flush.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 const (
@@ -248,7 +250,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: %d, of these %d in memory only: %w", ErrUnwritten, l.Pending(), l.unprotected(), ctx.Err())
 		}
-		sleep(ctx, drainRetry)
+		_ = wait.For(ctx, drainRetry)
 	}
 }
 
--- a/ledger/helper_test.go
+++ b/ledger/helper_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/internal/pause"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
@@ -107,7 +108,7 @@
 // sweep looks for copies whose owner is gone, as a host does.
 func (h *testHost) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, 10*time.Second)
+		_ = wait.For(ctx, 10*time.Second)
 		if h.up() {
 			// An error says only that the table isn't there yet.
 			_ = h.custody.Sweep(ctx)
--- a/ledger/hold.go
+++ b/ledger/hold.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 const (
@@ -21,7 +23,7 @@
 		switch {
 		case err != nil:
 			signal(l.urgent)
-			sleep(ctx, backoff)
+			_ = wait.For(ctx, backoff)
 			backoff = min(2*backoff, maxHoldBackoff)
 			continue
 		case more:
@@ -130,13 +132,3 @@
 	}
 	return list
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/platform"
 )
 
@@ -135,31 +136,24 @@
 			} else {
 				failed = l.urgentPass(ctx) != nil
 			}
-			pause(ctx, urgentGap)
+			_ = wait.For(ctx, urgentGap)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Leave ends all spending and gives the slots back at once, for a planned
 // stop. Run must have returned. It waits for loans to end first, and tries
 // until it succeeds or ctx ends; in that case the lease lapses in its time.
 func (l *Limiter) Leave(ctx context.Context) error {
 	l.leaving.Store(true)
 	now := l.opts.Clock()
-	pause(ctx, l.lastLoan(now).Sub(now))
+	_ = wait.For(ctx, l.lastLoan(now).Sub(now))
 	for {
 		err := l.endLease(ctx)
 		if err == nil {
 			return nil
 		}
-		pause(ctx, leaveRetry)
+		_ = wait.For(ctx, leaveRetry)
 		if ctx.Err() != nil {
 			return fmt.Errorf("quota: leave: %w", errors.Join(ctx.Err(), err))
 		}
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -4,13 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
-
-	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 )
 
 // resume takes the stream up again after cause. It returns nil when a new
@@ -91,18 +90,14 @@
 		return context.Cause(s.ctx)
 	}
 	mean := s.client.opts.ResumeDelay << min(s.tries-2, maxBackoffShift)
-	wait := mean/2 + rand.N(mean)
-	if wait >= s.clock.remaining() {
+	delay := mean/2 + rand.N(mean)
+	if delay >= s.clock.remaining() {
 		return errFrameTimeout
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-s.ctx.Done():
+	if wait.For(s.ctx, delay) != nil {
 		return context.Cause(s.ctx)
 	}
+	return nil
 }
 
 // maxBackoffShift keeps the doubling within a duration.
