configtest: the network of watchers is a package for tests

The tests of config joined watchers in memory with a network that can be cut. Whoever embeds a Watcher needs the same to test what its hosts do in a partition. Ruled out: exporting the peers with scripted answers as well, since they forge what no real peer says.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/config/configtest"
 )
 
 // BenchmarkCheck is what each request pays for the freshness rule.
@@ -15,9 +16,7 @@
 	bench := newBench()
 	bench.submit(b, config.Head{}, "1")
 	w := config.NewWatcher(config.WatcherOptions{Store: bench.store, Bound: time.Hour})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
-	go func() { done <- w.Run(ctx) }()
+	configtest.Run(b, w)
 	for errors.Is(w.Check(), config.ErrNoManifest) {
 		time.Sleep(time.Millisecond)
 	}
@@ -29,9 +28,6 @@
 			}
 		}
 	})
-	b.StopTimer()
-	cancel()
-	<-done
 }
 
 // BenchmarkSubmit reports the table calls of one accepted manifest.
--- /dev/null
+++ b/config/configtest/example_test.go
@@ -0,0 +1,59 @@
+package configtest_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/config/configtest"
+	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+)
+
+func document() []byte {
+	return manifest.Encode(&manifest.Document{
+		Format:   manifest.Format,
+		Build:    "build-1",
+		Models:   []manifest.Model{{Name: "chat", Versions: []manifest.Version{{Name: "v1", State: manifest.Serving, Share: 100}}}},
+		Classes:  []manifest.Class{{Name: "normal", DeadlineMs: 1000}},
+		Sessions: manifest.Sessions{TTLSeconds: 60, OnWithdrawn: manifest.Refuse},
+	})
+}
+
+// Hosts that have begun to watch and learnt of nothing take no work.
+func Example() {
+	network := configtest.NewNetwork()
+	store := config.NewStore(memory.New(), memory.NewObjects())
+	for _, host := range []string{"a", "b"} {
+		network.NewWatcher(config.WatcherOptions{Store: store}, host)
+	}
+	fmt.Println(network.States())
+	// Output: map[a:none stopped b:none stopped]
+}
+
+// A host that is cut off asks no other.
+func TestIsolate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := faulty.New(memory.New())
+		store := config.NewStore(table, memory.NewObjects())
+		_, err := store.Submit(context.Background(), document(), "job-1")
+		is.NoErr(err)
+		network := configtest.NewNetwork()
+		network.Start(t, config.WatcherOptions{Store: store}, "a", "b", "c")
+		time.Sleep(config.DefaultBound)
+		table.SetDown(true)
+		network.Isolate("c")
+		time.Sleep(2 * config.DefaultBound)
+		is.Equal(network.States(), map[string]string{"a": "1", "b": "1", "c": "1 stopped"})
+		network.Isolate()
+		time.Sleep(config.DefaultBound)
+		is.Equal(network.States(), map[string]string{"a": "1", "b": "1", "c": "1"})
+	})
+}
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -1,7 +1,6 @@
 package config_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -11,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/config/configtest"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
@@ -20,16 +20,7 @@
 func run(t *testing.T, options config.WatcherOptions) *config.Watcher {
 	t.Helper()
 	w := config.NewWatcher(options)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = w.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	configtest.Run(t, w)
 	return w
 }
 
