session, claim: two repeats are one

session's codec read signed and unsigned numbers with the same lines (number does), and claim's tests had two Liveness fakes, of which the one with a lock serves both.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -22,16 +22,11 @@
 	testDigest = sha256.Sum256([]byte("bid 1200"))
 )
 
-// gone is a Liveness that knows the hosts that are gone.
-type gone map[string]bool
-
-func (g gone) Alive(host string) bool { return !g[host] }
-
 // world is a platform with two hosts' stores on it.
 type world struct {
 	table   *faulty.Table
 	objects *faulty.Objects
-	gone    gone
+	gone    *goneHosts
 	a, b    *claim.Store
 }
 
@@ -39,7 +34,7 @@
 	w := &world{
 		table:   faulty.New(memory.New()),
 		objects: faulty.NewObjects(memory.NewObjects()),
-		gone:    gone{},
+		gone:    newGoneHosts(),
 	}
 	w.a = w.store(options, "host-a")
 	w.b = w.store(options, "host-b")
@@ -126,7 +121,7 @@
 	}{
 		{"in flight", func(*world, *claim.Claim) error { return nil }, "in flight", "in flight"},
 		{"owner gone", func(w *world, _ *claim.Claim) error {
-			w.gone["host-a"] = true
+			w.gone.set("host-a", true)
 			return nil
 		}, "in flight", "may have run"},
 		{"finished", func(_ *world, c *claim.Claim) error {
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -78,6 +78,8 @@
 	hosts map[string]bool
 }
 
+func newGoneHosts() *goneHosts { return &goneHosts{hosts: make(map[string]bool)} }
+
 func (g *goneHosts) Alive(host string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -95,7 +97,7 @@
 	b := &bench{
 		seed:  seed,
 		table: faulty.New(memory.New()),
-		gone:  &goneHosts{hosts: make(map[string]bool)},
+		gone:  newGoneHosts(),
 	}
 	for i := range historyHosts {
 		b.hosts = append(b.hosts, b.newHost(i, grouped))
--- a/claim/sweep_test.go
+++ b/claim/sweep_test.go
@@ -42,7 +42,7 @@
 			inWorld(t, func(t *testing.T, is *is.I, w *world) {
 				c := mustAcquire(t, w.a)
 				is.NoErr(tt.settle(t, c))
-				w.gone["host-a"] = tt.gone
+				w.gone.set("host-a", tt.gone)
 				time.Sleep(tt.age)
 				swept, err := sweepAll(t, w.b)
 				is.NoErr(err)
@@ -125,7 +125,7 @@
 func TestOwnerPausedUntilItsClaimExpired(t *testing.T) {
 	inWorld(t, func(t *testing.T, is *is.I, w *world) {
 		c := mustAcquire(t, w.a)
-		w.gone["host-a"] = true
+		w.gone.set("host-a", true)
 		time.Sleep(2 * day)
 		_, err := sweepAll(t, w.b)
 		is.NoErr(err)
--- a/session/codec.go
+++ b/session/codec.go
@@ -165,18 +165,14 @@
 	return s
 }
 
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.rest)
-	if n <= 0 {
-		r.failed = true
-		return 0
-	}
-	r.rest = r.rest[n:]
-	return v
-}
+func (r *reader) uvarint() uint64 { return number(r, binary.Uvarint) }
+
+func (r *reader) varint() int64 { return number(r, binary.Varint) }
 
-func (r *reader) varint() int64 {
-	v, n := binary.Varint(r.rest)
+// number reads a number whose decoder returns its value and its length; no
+// length above zero means that it is cut or too long.
+func number[T uint64 | int64](r *reader, decode func([]byte) (T, int)) T {
+	v, n := decode(r.rest)
 	if n <= 0 {
 		r.failed = true
 		return 0
