--- a/session/cost_test.go
+++ b/session/cost_test.go
@@ -37,42 +37,51 @@
 			synctest.Test(t, func(t *testing.T) {
 				table := faulty.New(memory.New())
 				table.SetDelay(tableDelay)
-				var registries [hosts]*Registry
-				for i := range registries {
-					registries[i] = testRegistry(grouped(t, table, tc.grouped))
+				var registries []*Registry
+				for range hosts {
+					registries = append(registries, testRegistry(grouped(t, table, tc.grouped)))
 				}
+				cost := new(bindCost)
 				var wg sync.WaitGroup
-				var mu sync.Mutex
-				notDurable := 0
-				var longest time.Duration
 				for i := range perSecond * seconds {
 					wg.Go(func() {
 						time.Sleep(time.Duration(i) * time.Second / perSecond)
 						for visit := range 2 {
-							begin := time.Now()
-							b := proposal("v1")
-							b.SessionID = fmt.Sprint(i)
-							_, durable, _ := registries[(i+visit)%hosts].Bind(t.Context(), b)
-							mu.Lock()
-							longest = max(longest, time.Since(begin))
-							if !durable {
-								notDurable++
-							}
-							mu.Unlock()
+							cost.bind(t, registries[(i+visit)%hosts], fmt.Sprint(i))
 						}
 					})
 				}
 				wg.Wait()
 				counts := table.Counts()
 				commits := float64(counts.Commits) / seconds
-				t.Logf("commits/s %.0f reads/s %.0f longest bind %v not durable %d", commits, float64(counts.Gets)/seconds, longest, notDurable)
-				is.New(t).Equal(notDurable, 0)
+				t.Logf("commits/s %.0f reads/s %.0f longest bind %v not durable %d", commits, float64(counts.Gets)/seconds, cost.longest, cost.notDurable)
+				is.New(t).Equal(cost.notDurable, 0)
 				is.New(t).True(commits <= tc.mostCommit)
 			})
 		})
 	}
 }
 
+// bindCost sums up concurrent calls of Bind.
+type bindCost struct {
+	mu         sync.Mutex
+	longest    time.Duration
+	notDurable int
+}
+
+func (c *bindCost) bind(t *testing.T, r *Registry, session string) {
+	begin := time.Now()
+	b := proposal("v1")
+	b.SessionID = session
+	_, durable, _ := r.Bind(t.Context(), b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.longest = max(c.longest, time.Since(begin))
+	if !durable {
+		c.notDurable++
+	}
+}
+
 func grouped(t *testing.T, table platform.Table, on bool) platform.Table {
 	if !on {
 		return table
