relay: the end-to-end tests' TCP relay is a stand-in with tests of its own

The relay that cuts an entry host from the platform or from single hosts is what the partition tests rest on, and nothing tested it. Ruled out: doing it with internal/standin/cut, whose listeners belong to one server and know no source hosts.

--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,102 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/quetzalweir/quetzalweir/internal/standin/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A cut ends the connections that are open, refuses others, and ends with Heal.
+func TestCut(t *testing.T) {
+	const other = "127.0.0.9"
+	tests := []struct {
+		desc string
+		cut  func(*relay.Relay)
+		// open says that new connections pass, broken that the one from before
+		// the cut doesn't.
+		open, broken bool
+	}{
+		{"none", func(*relay.Relay) {}, true, false},
+		{"all", (*relay.Relay).CutAll, false, true},
+		{"from another host", func(r *relay.Relay) { r.CutFrom(func(ip string) bool { return ip == other }) }, true, false},
+		{"from this host", func(r *relay.Relay) { r.CutFrom(func(ip string) bool { return ip != other }) }, false, true},
+		{"healed", func(r *relay.Relay) { r.CutAll(); r.Heal() }, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			echo, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			go serveEcho(echo)
+			defer echo.Close()
+			r, err := relay.Listen("127.0.0.1", "")
+			is.NoErr(err)
+			defer r.Close()
+			r.SetTarget(echo.Addr().String())
+			is.True(echoes(r.Address()))
+			open, err := net.Dial("tcp", r.Address())
+			is.NoErr(err)
+			defer open.Close()
+			is.True(echoesOn(open))
+			tt.cut(r)
+			is.Equal(echoes(r.Address()), tt.open)
+			is.Equal(echoesOn(open), !tt.broken)
+		})
+	}
+}
+
+func serveEcho(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			_, _ = io.Copy(conn, conn)
+		}()
+	}
+}
+
+func echoes(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	return echoesOn(conn)
+}
+
+func echoesOn(conn net.Conn) bool {
+	got := make([]byte, 1)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(conn, got)
+	return err == nil
+}
+
+func Example() {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	r, err := relay.Listen("127.0.0.1", server.Listener.Addr().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer r.Close()
+	r.CutAll()
+	_, err = http.Get("http://" + r.Address())
+	fmt.Println(err != nil)
+	// Output: true
+}
