balance: a leaving fact during a long absence is of the incarnation to come

A fact that came when the upstream had been absent for AbsentFor was kept or dropped depending on whether a list update had removed the old entry in between: the pool did not agree with itself, and the model took one side. Weighed: dropping such facts (an upstream that leaves soon after its return could get work while the list lags) and keeping them; kept, as the safe side, in both cases. The model says the same and checks as much as before.

--- a/balance/entry.go
+++ b/balance/entry.go
@@ -48,6 +48,12 @@
 	e.ejection = ejectionState{}
 }
 
+// isOver says that the incarnation has been absent for so long that the upstream
+// would return as another one.
+func (e *entry) isOver(now time.Time, absentFor time.Duration) bool {
+	return !e.absentSince.IsZero() && now.Sub(e.absentSince) >= absentFor
+}
+
 // list takes over what the platform's list says.
 func (e *entry) list(h platform.Host) {
 	e.absentSince = time.Time{}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -141,7 +141,9 @@
 // upstream was absent from the host list for AbsentFor and then returns, which
 // is a new incarnation. A fact with a version that the earlier incarnation
 // already had doesn't apply to the new one; facts older than AbsentFor must
-// not be passed on. A fact may come before the list that names the upstream.
+// not be passed on. A fact may come before the list that names the upstream;
+// one that comes when the upstream was absent for AbsentFor is taken to be of
+// the incarnation to come, whether the entry of the last one still stands or not.
 func (p *Pool) SetLeaving(id string, version uint64) bool {
 	shard := p.shard(id)
 	shard.mu.Lock()
@@ -151,6 +153,11 @@
 		e = &entry{absentSince: p.options.Clock()}
 		shard.entries[id] = e
 	}
+	if now := p.options.Clock(); e.isOver(now, p.options.AbsentFor) {
+		e.renew()
+		e.absentSince = now
+		p.index.Forget(id)
+	}
 	changed := e.leave(version)
 	e.publish()
 	return changed
--- a/balance/pool_update.go
+++ b/balance/pool_update.go
@@ -39,7 +39,7 @@
 		e = &entry{}
 		shard.entries[h.ID] = e
 	}
-	if !e.absentSince.IsZero() && now.Sub(e.absentSince) >= p.options.AbsentFor {
+	if e.isOver(now, p.options.AbsentFor) {
 		e.renew()
 		p.index.Forget(h.ID)
 	}
