entry: hosts that go down together are settled together

The loop that takes over a lost host bills waited for their flush, so a host that went down next kept its bills with one holder until the table answered, and lost them with that holder. Each host is now settled by itself, and bills that were taken over get a new holder meanwhile. Ruled out: more copies of each bill, since one suffices where a lost copy is replaced at once.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -91,28 +91,32 @@
 	}
 }
 
-// settleDown writes the bills held for hosts that went down, and finds new
+// settleDown takes over the bills held for hosts that went down, and finds new
 // holders for those that they held.
 func (h *Host) settleDown(ctx context.Context) error {
 	sweep := time.NewTicker(custodySweep)
 	defer sweep.Stop()
+	var settling sync.WaitGroup
+	defer settling.Wait()
 	for {
-		var err error
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case id := <-h.down:
 			h.ledger.HolderDown(id)
-			err = h.custody.Settle(ctx, id)
+			settling.Go(func() { h.custodyStep(h.custody.Settle(ctx, id)) })
 		case <-sweep.C:
-			err = h.custody.Sweep(ctx)
-		}
-		if err != nil {
-			h.log.Warn().Str("event", "custody").Err(err).Msg("")
+			settling.Go(func() { h.custodyStep(h.custody.Sweep(ctx)) })
 		}
 	}
 }
 
+func (h *Host) custodyStep(err error) {
+	if err != nil {
+		h.log.Warn().Str("event", "custody").Err(err).Msg("")
+	}
+}
+
 // announceLeaving tells the other hosts of a planned stop.
 func (h *Host) announceLeaving() error {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
