--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 )
 
 var (
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/claim"
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
--- a/config/freshness_test.go
+++ b/config/freshness_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -27,8 +27,8 @@
 	measureAgainst = flag.String("measure-against", "", "another binary to measure beside")
 	// measureAgainstLog measures beside hosts that log from another level.
 	measureAgainstLog = flag.String("measure-against-log", "", "log level of the entry hosts to measure beside")
-	measurePeriod  = flag.Duration("measure-period", 0, "duration of each load; 0 means the default")
-	measureStreams = flag.Int("measure-streams", 1000, "streams read at once; 0 measures none")
+	measurePeriod     = flag.Duration("measure-period", 0, "duration of each load; 0 means the default")
+	measureStreams    = flag.Int("measure-streams", 1000, "streams read at once; 0 measures none")
 	// measureProcs is GOMAXPROCS of the entry hosts; empty leaves it alone.
 	measureProcs = flag.String("measure-procs", "", "GOMAXPROCS of the entry hosts")
 )
--- a/internal/logline/pairs_test.go
+++ b/internal/logline/pairs_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 )
 
 // parseLine is a strict reader of lines: it returns the keys and values in
--- a/ledger/helper_test.go
+++ b/ledger/helper_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalweir/quetzalweir/internal/pause"
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
--- a/membership/fact_test.go
+++ b/membership/fact_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 )
 
 func TestLeavingFactSpreadsThoughTwoHostsAreCut(t *testing.T) {
--- a/quota/plan_test.go
+++ b/quota/plan_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 )
 
 func TestDecide(t *testing.T) {
--- a/rollout/budget_test.go
+++ b/rollout/budget_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/platform/faulty"
 	"github.com/quetzalweir/quetzalweir/platform/memory"
 )
--- a/upstream/events_test.go
+++ b/upstream/events_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 )
 
 // readEvents returns all events as text and the error that ended them.
