entry: a session bound elsewhere gives back the exposure it took

Cause: a bare session id is bound anew on each request: byShare takes an answer of the version that rolls in, then the table says that the session is bound to another version. The answer taken was neither returned nor observed, so it counted as under way for 2 minutes and held the version back: at the start a host may have one under way. The same on a failed bind or rebind; a session that another host had moved to an exposed version ran without taking one. Test, with the mend switched off: "chooseversion_test.go:47: err: 3005 exposure-spent: no version of "small" takes new work now"; with it: ok, -race. Ruled out: the grants (no failed claim was logged) and the pacing alone.

--- a/internal/entry/chooseversion.go
+++ b/internal/entry/chooseversion.go
@@ -156,6 +156,7 @@
 	}
 	bound, durable, err := f.registry.Bind(ctx, proposal)
 	if err != nil {
+		f.giveBack(r.Model, v)
 		return v, "", contextError(ctx, err)
 	}
 	r.Session.Transient = !durable
@@ -163,9 +164,18 @@
 		f.setBinding(r, bound)
 		return v, reasonShare, nil
 	}
+	f.giveBack(r.Model, v)
 	return f.keep(ctx, r, open, bound)
 }
 
+// giveBack returns the answer that byShare took of a version which the session
+// doesn't go to: nothing would ever be observed of it.
+func (f *chooseVersion) giveBack(model string, v manifest.Version) {
+	if exposed(v) {
+		f.rollout.Return(model, v.Name)
+	}
+}
+
 // keep stays on the bound version while the manifest allows it.
 func (f *chooseVersion) keep(ctx context.Context, r *Request, open []manifest.Version, bound session.Binding) (manifest.Version, versionReason, error) {
 	i := slices.IndexFunc(open, func(v manifest.Version) bool { return v.Name == bound.Version })
@@ -194,13 +204,22 @@
 	if !r.Session.Fresh {
 		moved, err = f.rebind(ctx, r, bound, moved)
 		if err != nil {
+			f.giveBack(r.Model, v)
 			return v, "", err
 		}
 	}
+	if moved.Version == v.Name {
+		f.setBinding(r, moved)
+		return v, reasonMoved, nil
+	}
+	f.giveBack(r.Model, v)
 	i := slices.IndexFunc(open, func(v manifest.Version) bool { return v.Name == moved.Version })
 	if i < 0 {
 		return v, "", resultcode.New(resultcode.NoPermittedVersion, "the session was moved to %s, which isn't open here", moved.Version)
 	}
+	if exposed(open[i]) && !f.rollout.TakeBound(r.Model, moved.Version) {
+		return open[i], "", resultcode.New(resultcode.ExposureSpent, "the session's version has spent its exposure budget")
+	}
 	f.setBinding(r, moved)
 	return open[i], reasonMoved, nil
 }
--- /dev/null
+++ b/internal/entry/chooseversion_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/rollout"
+	"github.com/quetzalweir/quetzalweir/session"
+)
+
+// rollingPolicy puts all new sessions on v2, which rolls in; v1 keeps its own.
+func rollingPolicy() *manifest.Policy {
+	doc := &manifest.Document{
+		Models: []manifest.Model{{Name: "small", Versions: []manifest.Version{
+			{Name: "v1", State: manifest.Serving},
+			{Name: "v2", State: manifest.RollingIn, Share: 100, Exposure: &manifest.Exposure{Round: 1, Answers: 100, MaxErrorRate: 0.05}},
+		}}},
+		Accounts: []manifest.Account{{Name: "a", Models: []manifest.Permission{{Model: "small"}}}},
+	}
+	return manifest.Compile(doc, 1, "")
+}
+
+// A session that is bound elsewhere takes nothing from the budget of the
+// version that its share would have put it on. Else a few requests of such
+// sessions would hold the version back for good.
+func TestBoundSessionGivesBackTheAnswerTaken(t *testing.T) {
+	is := is.New(t)
+	policy := rollingPolicy()
+	tracker := rollout.New(rollout.Options{Host: "h"})
+	tracker.SetVersions(versionRules(policy))
+	f := &chooseVersion{
+		rollout:  tracker,
+		registry: session.NewRegistry(session.Options{Table: memory.New()}),
+		codec:    session.NewCodec([]session.Key{{ID: "k", Secret: make([]byte, 32)}}, time.Hour, nil),
+		log:      zerolog.Nop(),
+	}
+	_, _, err := f.registry.Bind(t.Context(), session.Binding{Account: "a", SessionID: "s", Model: "small", Version: "v1", Epoch: 1, IssuedAt: time.Now()})
+	is.NoErr(err)
+	account, _ := policy.Account("a")
+	for range 50 {
+		r := &Request{Model: "small", Account: account, Policy: policy, Arrived: time.Now(), Session: SessionState{ID: "s"}}
+		is.NoErr(f.choose(t.Context(), r))
+		is.Equal(r.Version.Name, "v1")
+	}
+	e := tracker.Export()[0]
+	is.Equal(e.Taken, e.Returned) // nothing stays under way
+	is.True(tracker.Take("small", "v2"))
+}
