--- a/internal/experiment/deployment/cost.go
+++ b/internal/experiment/deployment/cost.go
@@ -24,7 +24,7 @@
 	for _, b := range bills {
 		byRequest[b.RequestID] = b.CostMicro
 	}
-	rater := memory.NewRater(raterOptions())
+	rater := markedRater{memory.NewRater(raterOptions())}
 	var r costResult
 	for _, k := range t.replies {
 		rating, err := rater.Rate(ctx, k.reply.model, k.reply.version, k.request.prompt, k.reply.text)
--- a/internal/experiment/deployment/system.go
+++ b/internal/experiment/deployment/system.go
@@ -125,7 +125,8 @@
 	return n
 }
 
-// markedRater gives answers that bear the mark of a bad version a low rating.
+// markedRater rates by the answer alone, whose noise a caller can then compute
+// too: the hosts' form of a prompt isn't the caller's. It gives answers that bear the mark of a bad version a low rating.
 type markedRater struct {
 	inner platform.Rater
 }
@@ -134,8 +135,8 @@
 const badRating = 0.35
 
 // Rate implements platform.Rater.
-func (r markedRater) Rate(ctx context.Context, model, version, prompt, answer string) (platform.Rating, error) {
-	rating, err := r.inner.Rate(ctx, model, version, prompt, answer)
+func (r markedRater) Rate(ctx context.Context, model, version, _, answer string) (platform.Rating, error) {
+	rating, err := r.inner.Rate(ctx, model, version, "", answer)
 	if strings.HasPrefix(answer, engine.BadMark) {
 		rating.Score = max(0, rating.Score-badRating)
 	}
