entry: a cascade whose last step fails gives the best answer it has, marked

Ruled out: waiting for the dearer pool, which holds the request back. The answer carries Quetzalweir-Below-Target, and the bill has the steps that ran. Also: a host is not ready on a host list without upstreams, which lags behind.

--- a/internal/entry/cascadesteps.go
+++ b/internal/entry/cascadesteps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,16 +35,29 @@
 	caller := r.Sink
 	defer func() { r.Sink = caller }()
 	last := len(steps) - 1
+	var best *heldAnswer
 	for i := plan.Start; i < last; i++ {
 		r.Model = steps[i]
-		accepted, err := f.try(ctx, r, next, caller, plan, i)
-		if accepted || err != nil {
+		held, accepted, err := f.try(ctx, r, next, plan, i)
+		if err != nil {
 			return err
 		}
+		if accepted {
+			return held.release(r, caller)
+		}
+		best = better(best, held)
 	}
 	r.Model = steps[last]
 	r.Sink = caller
-	return f.last(ctx, r, next, plan, last)
+	err := f.last(ctx, r, next, plan, last)
+	if err == nil || best == nil || caller.Started() || ctx.Err() != nil {
+		return err
+	}
+	// The last step failed, and an answer below the target is better than none.
+	f.logStep(r, last, "failed", 0, err)
+	caller.Reset()
+	r.BelowTarget = true
+	return best.release(r, caller)
 }
 
 // permittedSteps leaves out the models that the account may not use.
@@ -105,18 +117,19 @@
 	return err
 }
 
-// try runs a step that is not the last and says whether its answer was taken.
-// A failed step goes on to the next one while the request may be repeated.
-func (f *cascadeSteps) try(ctx context.Context, r *Request, next Next, caller Sink, plan cascade.Plan, step int) (bool, error) {
+// try runs a step that is not the last, and says whether its answer is to be
+// taken. A failed step gives no answer and goes on to the next one while the
+// request may be repeated.
+func (f *cascadeSteps) try(ctx context.Context, r *Request, next Next, plan cascade.Plan, step int) (*heldAnswer, bool, error) {
 	held := &heldSink{}
 	r.Sink = held
 	started := time.Now()
 	if err := next(ctx, r); err != nil {
 		if ctx.Err() != nil || !r.Repeatable {
-			return false, err
+			return nil, false, err
 		}
 		f.logStep(r, step, "failed", 0, err)
-		return false, nil
+		return nil, false, nil
 	}
 	took := time.Since(started)
 	score, err := f.rate(ctx, r, plan, held.Text())
@@ -126,7 +139,7 @@
 	f.learn(r, plan, step, score, took)
 	accepted := accepts(r.Cascade, score, err)
 	f.logStep(r, step, verdict(accepted), score, err)
-	return accepted, f.release(r, held, caller, accepted)
+	return newHeldAnswer(r, held, score), accepted, nil
 }
 
 // accepts says whether a cheap answer is taken.
@@ -159,19 +172,6 @@
 	})
 }
 
-// release hands an accepted answer to the caller.
-func (f *cascadeSteps) release(r *Request, held *heldSink, caller Sink, accepted bool) error {
-	if !accepted {
-		return nil
-	}
-	for _, frame := range held.frames {
-		if err := caller.Frame(r, frame); err != nil {
-			return resultcode.Wrap(resultcode.CallerGone, err, "the caller left")
-		}
-	}
-	return nil
-}
-
 func verdict(accepted bool) string {
 	if accepted {
 		return "accepted"
@@ -207,46 +207,3 @@
 	}
 	event.Msg("")
 }
-
-// errHeldTooLarge bounds what is held back.
-var errHeldTooLarge = errors.New("the held answer is too large")
-
-// maxHeld is the most that a held answer may have, in bytes.
-const maxHeld = 4 << 20
-
-// heldSink keeps the frames of an answer until it is accepted.
-type heldSink struct {
-	frames []upstream.Frame
-	text   []byte
-	size   int
-}
-
-// Frame implements Sink.
-func (s *heldSink) Frame(_ *Request, f upstream.Frame) error {
-	s.size += len(f.Data)
-	if s.size > maxHeld {
-		return errHeldTooLarge
-	}
-	f.Data = append([]byte(nil), f.Data...)
-	s.frames = append(s.frames, f)
-	s.text = append(s.text, f.Text...)
-	return nil
-}
-
-// Service implements Sink; a cascade has no services.
-func (s *heldSink) Service(*Request, upstream.ServiceAnswer) {}
-
-// Started implements Sink.
-func (s *heldSink) Started() bool { return false }
-
-// Reset implements Sink.
-func (s *heldSink) Reset() { *s = heldSink{} }
-
-// Text implements Sink.
-func (s *heldSink) Text() string { return string(s.text) }
-
-// Answer implements Sink; only the caller's sink has a whole answer.
-func (s *heldSink) Answer(*Request) upstream.ServiceAnswer { return upstream.ServiceAnswer{} }
-
-// Replay implements Sink; replays go to the caller's sink.
-func (s *heldSink) Replay(*Request, upstream.ServiceAnswer) {}
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -33,6 +33,8 @@
 	headerResultCode   = "Quetzalweir-Result-Code"
 	headerReplayed     = "Quetzalweir-Replayed"
 	headerSessionMoved = "Quetzalweir-Session-Moved"
+	// headerBelowTarget says that a cascade's answer is below its target.
+	headerBelowTarget = "Quetzalweir-Below-Target"
 	// headerSessionTransient says that the session's binding lasts only with
 	// its token.
 	headerSessionTransient = "Quetzalweir-Session-Transient"
@@ -95,6 +97,9 @@
 	set(h, headerUpstream, r.Target.ID)
 	set(h, headerSession, r.SessionTokens)
 	set(h, headerSessionMoved, r.Session.Moved)
+	if r.BelowTarget {
+		h.Set(headerBelowTarget, "yes")
+	}
 	if r.Session.Transient {
 		h.Set(headerSessionTransient, "yes")
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -79,6 +79,9 @@
 	// Faulted says that an attempt failed in a way that speaks against the
 	// version, though another may have succeeded.
 	Faulted bool
+	// BelowTarget says that a cascade's answer is below its target, because the
+	// last step failed.
+	BelowTarget bool
 	// Billed says that the request's bill was recorded.
 	Billed bool
 	// Replayed says that the answer is an earlier one with the same key.
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -74,7 +74,10 @@
 		h.pool.Update(hosts)
 		h.askLoads(ctx, unreported(h.pool.View()))
 		h.adaptToSize()
-		h.sawUpstreams.Store(true)
+		// A list without upstreams lags behind: nothing could be answered by it.
+		if len(h.upstreams.list()) > 0 {
+			h.sawUpstreams.Store(true)
+		}
 	})
 }
 
