serve: a second signal cuts a planned stop short and says what it cut

Cause: a second SIGTERM was swallowed, and a host with a long stream could only be killed, which leaves its bills to its peers. Ruled out: the default action of the signal (settles nothing). The long function that made the parts is four.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -65,9 +68,24 @@
 	if err != nil {
 		return err
 	}
+	ran, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go cutOnSecondSignal(ctx, ran, host)
 	return host.Run(ctx)
 }
 
+// cutOnSecondSignal cuts the planned stop short when a second signal comes
+// before it is done.
+func cutOnSecondSignal(ctx, ran context.Context, host *entry.Host) {
+	<-ctx.Done()
+	second, stop := signal.NotifyContext(ran, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-second.Done()
+	if ran.Err() == nil {
+		host.Cut()
+	}
+}
+
 func (c *serveCmd) logger(s *streams) zerolog.Logger {
 	level, _ := zerolog.ParseLevel(c.LogLevel)
 	return logline.New(s.err, level).With().Str("host", c.ID).Logger()
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,3 +222,27 @@
 		}
 	}
 }
+
+// TestSecondSignalCutsShort asks a host twice to stop while a stream runs that
+// would take minutes. It says how many requests it cut and exits with an error;
+// the caller sees a broken answer, not a whole one, and isn't charged.
+func TestSecondSignalCutsShort(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 2)
+	head := s.submit(devenv.Manifest())
+	h := s.hosts[0]
+	ended := make(chan error, 1)
+	go func() {
+		_, err := chat("large", "long tokens=200000", true).with("Quetzalweir-Deadline-Ms", "600000").send(h)
+		ended <- err
+	}()
+	eventually(t, "the stream runs", func() bool { return s.runsOf("large@v1") == 1 })
+	h.signal(syscall.SIGTERM)
+	is.Equal(h.field("event=stopping", "event="), "stopping")
+	h.signal(syscall.SIGTERM)
+	<-h.done
+	is.True(h.err != nil)                            // not a clean stop
+	is.Equal(h.field("event=cut", "requests="), "1") // and it says so
+	is.True(<-ended != nil)                          // no cut answer looks whole
+	s.checkBills(s.hosts[1], head.Epoch, nil)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -76,6 +76,9 @@
 	maintenance *maintenance
 	departed    departures
 	processes   processes
+	// cutting ends when a planned stop is to cut short.
+	cutting context.Context
+	cut     context.CancelFunc
 	// quotaCtx ends the limits' part before the others, at a planned stop.
 	quotaCtx  context.Context
 	endQuota  context.CancelFunc
@@ -125,6 +128,7 @@
 		return nil, errors.Join(err, h.closeListeners())
 	}
 	h.quotaCtx, h.endQuota = context.WithCancel(context.Background())
+	h.cutting, h.cut = context.WithCancel(context.Background())
 	h.quotaDone = make(chan struct{})
 	h.run = chain(h.filters())
 	return h, nil
@@ -150,22 +154,43 @@
 	if err := h.provisionPeers(); err != nil {
 		return err
 	}
-	s := h.settings
-	h.committer = groupcommit.New(h.platform.Table, groupcommit.Options{})
-	h.store = config.NewStore(h.platform.Table, h.platform.Objects)
 	if err := h.provisionMembers(); err != nil {
 		return err
 	}
+	h.committer = groupcommit.New(h.platform.Table, groupcommit.Options{})
+	h.provisionManifest()
+	h.provisionRecords()
+	h.provisionDecisions()
+	h.engine = upstream.NewEngine(upstream.EngineOptions{})
+	h.service = upstream.NewService(upstream.ServiceOptions{})
+	h.evidence = newEvidenceExchange(h)
+	leases := lease.New(lease.Options{Table: h.platform.Table})
+	h.unloader = &unloader{host: h, manager: leases}
+	h.maintenance = &maintenance{host: h, manager: leases}
+	h.handlePeers()
+	h.handleLoans()
+	h.watchMembers()
+	h.registerGauges()
+	return nil
+}
+
+// provisionManifest makes what says which manifest is in force.
+func (h *Host) provisionManifest() {
+	h.store = config.NewStore(h.platform.Table, h.platform.Objects)
 	h.watcher = config.NewWatcher(config.WatcherOptions{
 		Store:    h.store,
-		Host:     s.ID,
+		Host:     h.settings.ID,
 		Peers:    &peerViews{host: h},
 		Bodies:   &peerBodies{host: h},
-		Poll:     s.PollHead,
-		Bound:    s.FreshnessBound,
+		Poll:     h.settings.PollHead,
+		Bound:    h.settings.FreshnessBound,
 		OnChange: h.applyPolicy,
 		OnError:  func(err error) { h.log.Warn().Str("event", "manifest-watch").Err(err).Msg("") },
 	})
+}
+
+// provisionRecords makes what outlives the host: claims, bills and sessions.
+func (h *Host) provisionRecords() {
 	h.claims = claim.New(claim.Options{
 		Table:   h.committer,
 		Objects: h.platform.Objects,
@@ -175,30 +200,24 @@
 	h.ledger = ledger.New(ledger.Options{
 		Table:   h.platform.Table,
 		Objects: h.platform.Objects,
-		Host:    s.ID,
+		Host:    h.settings.ID,
 		Holders: &peerHolders{host: h},
 	})
 	h.custody = ledger.NewCustody(h.ledger, ledger.CustodyOptions{})
-	h.quota = quota.New(quota.Options{Table: h.platform.Table, Host: s.ID, Peers: &quotaPeers{host: h}})
-	h.codec = session.NewCodec(s.SessionKeys, defaultSessionTTL, nil)
+	h.codec = session.NewCodec(h.settings.SessionKeys, defaultSessionTTL, nil)
 	h.registry = session.NewRegistry(session.Options{Table: h.committer})
+}
+
+// provisionDecisions makes what decides on a request's way.
+func (h *Host) provisionDecisions() {
+	s := h.settings
+	h.quota = quota.New(quota.Options{Table: h.platform.Table, Host: s.ID, Peers: &quotaPeers{host: h}})
 	h.queues = newQueues(s)
 	h.retries = admission.NewRetryBudget(retryRatio, retriesPerSecond, nil)
 	h.pool = balance.NewPool(balance.Options{Host: s.ID, Zone: s.Zone, Seed: rand.Uint64(), Selector: s.Selector})
 	h.rollout = rollout.New(rollout.Options{Host: h.incarnation, Granted: true})
 	h.cascade = cascade.NewLearner(cascade.Options{})
 	h.sampler = newSampler(h.platform.Rater, h.rollout)
-	h.engine = upstream.NewEngine(upstream.EngineOptions{})
-	h.service = upstream.NewService(upstream.ServiceOptions{})
-	h.handlePeers()
-	h.handleLoans()
-	h.evidence = newEvidenceExchange(h)
-	leases := lease.New(lease.Options{Table: h.platform.Table})
-	h.unloader = &unloader{host: h, manager: leases}
-	h.maintenance = &maintenance{host: h, manager: leases}
-	h.watchMembers()
-	h.registerGauges()
-	return nil
 }
 
 // CallerAddr, OperatorAddr and PeerAddr are the addresses listened on.
@@ -214,8 +233,8 @@
 // it has, settles what it holds, and leaves.
 func (h *Host) Run(ctx context.Context) error {
 	// The parts outlive ctx until the planned stop is done.
-	background, cut := context.WithCancel(context.WithoutCancel(ctx))
-	defer cut()
+	background, endParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer endParts()
 	parts, background := errgroup.WithContext(background)
 	h.start(parts, background)
 	callers := h.newServer(h.callerHandler())
@@ -230,7 +249,7 @@
 	case <-background.Done():
 	}
 	stopErr := h.stop(callers, operators)
-	cut()
+	endParts()
 	err := parts.Wait()
 	if errors.Is(err, context.Canceled) {
 		err = nil
