entry, cli, loadgen: one wait for a time or the end of a context

Cause: internal/wait came after these packages, which had four timers with the same select of their own. They call it now; behaviour is the same. Ruled out for now: one holder of a lease for the orders and the upkeep of the table, since one keeps a valid lease after a failed renewal and the other does not.

--- a/internal/cli/manifest.go
+++ b/internal/cli/manifest.go
@@ -18,6 +18,7 @@
 
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/internal/entry"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
@@ -166,14 +167,7 @@
 
 // sleep waits for d; false means that ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, d) == nil
 }
 
 type manifestShowCmd struct {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -254,14 +255,7 @@
 }
 
 func pause(ctx context.Context) bool {
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(2 * retryPause))))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, rand.N(2*retryPause)) == nil
 }
 
 func (f *dispatch) logPlacement(r *Request, c balance.Choice, ok bool) {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
 	"github.com/quetzalweir/quetzalweir/platform"
@@ -172,12 +173,8 @@
 	for {
 		f()
 		pause := interval - interval/(2*jitter) + rand.N(interval/jitter+1)
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := wait.For(ctx, pause); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 const (
@@ -108,16 +110,5 @@
 }
 
 func sleepUntil(ctx context.Context, due time.Time) bool {
-	pause := time.Until(due)
-	if pause <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, time.Until(due)) == nil
 }
