--- a/admission/retry.go
+++ b/admission/retry.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // budgetWindow is the time constant with which unused retries are forgotten,
@@ -17,7 +17,7 @@
 type RetryBudget struct {
 	ratio     float64
 	perSecond float64
-	clock     platform.Clock
+	clock     storage.Clock
 
 	mu      sync.Mutex
 	balance float64
@@ -26,7 +26,7 @@
 
 // NewRetryBudget returns a budget of ratio retries for each first attempt, and
 // of perSecond retries a second besides. A nil clock means time.Now.
-func NewRetryBudget(ratio, perSecond float64, clock platform.Clock) *RetryBudget {
+func NewRetryBudget(ratio, perSecond float64, clock storage.Clock) *RetryBudget {
 	if clock == nil {
 		clock = time.Now
 	}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // ClassOptions configures a priority class.
@@ -25,7 +25,7 @@
 	// MaxQueue bounds the waiting requests of all classes; default 1,024.
 	MaxQueue int
 	// Clock gives a Queue its time; nil means time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 }
 
 const defaultMaxQueue = 1024
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -16,7 +16,7 @@
 	ID      string
 	Address string
 	Zone    string
-	Kind    platform.HostKind
+	Kind    storage.HostKind
 	// Name is the model pool's or service's name.
 	Name string
 	// Leaving says that the upstream takes no new work.
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // benchPool has n engines of one pool with known prefixes.
 func benchPool(n int) (*Pool, *Request) {
 	pool := NewPool(Options{Host: "entry-1", Zone: "a", Subset: Subset{Min: n, Max: n}})
-	var list []platform.Host
+	var list []storage.Host
 	for i := range n {
 		list = append(list, host(fmt.Sprintf("h%05d", i)))
 	}
--- a/balance/entry.go
+++ b/balance/entry.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -55,14 +55,14 @@
 }
 
 // list takes over what the platform's list says.
-func (e *entry) list(h platform.Host) {
+func (e *entry) list(h storage.Host) {
 	e.absentSince = time.Time{}
 	e.state.ID = h.ID
 	e.state.Address = h.Address
 	e.state.Zone = h.Zone
 	e.state.Kind = h.Kind
 	e.state.Name = h.Name
-	if h.State == platform.HostLeaving {
+	if h.State == storage.HostLeaving {
 		e.state.Leaving = true
 	}
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/balance"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
 func Example() {
 	pool := balance.NewPool(balance.Options{Host: "entry-1", Zone: "a"})
-	pool.Update([]platform.Host{
-		{ID: "e1", Kind: platform.KindEngine, Zone: "a", State: platform.HostLive},
-		{ID: "e2", Kind: platform.KindEngine, Zone: "a", State: platform.HostLeaving},
+	pool.Update([]storage.Host{
+		{ID: "e1", Kind: storage.KindEngine, Zone: "a", State: storage.HostLive},
+		{ID: "e2", Kind: storage.KindEngine, Zone: "a", State: storage.HostLeaving},
 	})
 	for _, id := range []string{"e1", "e2"} {
 		report := upstream.Load{Capacity: 8, Versions: []string{"quotes@2"}}
--- a/balance/filter_version.go
+++ b/balance/filter_version.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // VersionFilter keeps the engines that report the request's version as loaded
@@ -19,11 +19,11 @@
 func (VersionFilter) Filter(req *Request, list []*Upstream, _ time.Time) []*Upstream {
 	if req.Service != "" {
 		return slices.DeleteFunc(list, func(u *Upstream) bool {
-			return u.Kind != platform.KindService || u.Name != req.Service
+			return u.Kind != storage.KindService || u.Name != req.Service
 		})
 	}
 	loaded := req.loadedVersion()
 	return slices.DeleteFunc(list, func(u *Upstream) bool {
-		return u.Kind != platform.KindEngine || !slices.Contains(u.Versions, loaded)
+		return u.Kind != storage.KindEngine || !slices.Contains(u.Versions, loaded)
 	})
 }
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -20,20 +20,20 @@
 func engine(id string, running int) *Upstream {
 	return &Upstream{
 		ID:       id,
-		Kind:     platform.KindEngine,
+		Kind:     storage.KindEngine,
 		Versions: []string{"m@1"},
 		Reported: upstream.Load{Running: running, Capacity: 10},
 	}
 }
 
-func host(id string) platform.Host {
-	return platform.Host{
+func host(id string) storage.Host {
+	return storage.Host{
 		ID:      id,
-		Kind:    platform.KindEngine,
+		Kind:    storage.KindEngine,
 		Name:    "m",
 		Zone:    "a",
 		Address: "127.0.0.1:1",
-		State:   platform.HostLive,
+		State:   storage.HostLive,
 	}
 }
 
@@ -42,11 +42,11 @@
 }
 
 // newTestPool returns a pool of engines that reported no load.
-func newTestPool(t *testing.T, ids ...string) (*Pool, *fakeClock, []platform.Host) {
+func newTestPool(t *testing.T, ids ...string) (*Pool, *fakeClock, []storage.Host) {
 	t.Helper()
 	clock := &fakeClock{now: start}
 	pool := NewPool(Options{Host: "entry-1", Zone: "a", Clock: clock.Now, Seed: 1})
-	var list []platform.Host
+	var list []storage.Host
 	for _, id := range ids {
 		list = append(list, host(id))
 	}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -18,7 +18,7 @@
 	Host string
 	Zone string
 	// Clock is the source of time; nil means time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// Seed makes the random choices repeatable.
 	Seed uint64
 	// Selector is the chain; nil means NewSelector with the pool's index.
--- a/balance/pool_property_test.go
+++ b/balance/pool_property_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // poolModel says what must hold of a pool whose host list lags and flaps.
@@ -37,7 +37,7 @@
 
 // update gives the pool a list in which everything is live.
 func (m *poolModel) update(listed []string) {
-	var list []platform.Host
+	var list []storage.Host
 	for _, id := range m.ids {
 		absentAt := m.absentAt[id]
 		if !slices.Contains(listed, id) {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -41,20 +41,20 @@
 func TestLeavingSources(t *testing.T) {
 	tests := []struct {
 		desc  string
-		learn func(pool *Pool, list []platform.Host)
+		learn func(pool *Pool, list []storage.Host)
 	}{
-		{"host list", func(pool *Pool, list []platform.Host) {
-			list[0].State = platform.HostLeaving
+		{"host list", func(pool *Pool, list []storage.Host) {
+			list[0].State = storage.HostLeaving
 			pool.Update(list)
 		}},
-		{"load report", func(pool *Pool, _ []platform.Host) {
+		{"load report", func(pool *Pool, _ []storage.Host) {
 			pool.Report("a", upstream.Load{Leaving: true}, start.Add(time.Second))
 		}},
-		{"answer", func(pool *Pool, _ []platform.Host) {
+		{"answer", func(pool *Pool, _ []storage.Host) {
 			pool.Begin("a")
 			pool.End("a", Outcome{Refused: true, Leaving: true})
 		}},
-		{"peer", func(pool *Pool, _ []platform.Host) { pool.SetLeaving("a", 1) }},
+		{"peer", func(pool *Pool, _ []storage.Host) { pool.SetLeaving("a", 1) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -173,7 +173,7 @@
 
 func TestPoolConcurrently(t *testing.T) {
 	is := is.New(t)
-	var list []platform.Host
+	var list []storage.Host
 	for i := range 20 {
 		list = append(list, host(fmt.Sprint("h", i)))
 	}
--- a/balance/pool_update.go
+++ b/balance/pool_update.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // factsKept is how many times longer than AbsentFor leaving facts are kept.
@@ -12,7 +12,7 @@
 // Update takes in the platform's host list. Entry hosts in it are skipped.
 // State of upstreams that stay is kept. One that vanishes takes no new work;
 // it is forgotten when it was absent for AbsentFor and has nothing in flight.
-func (p *Pool) Update(list []platform.Host) {
+func (p *Pool) Update(list []storage.Host) {
 	p.updating.Lock()
 	defer p.updating.Unlock()
 	now := p.options.Clock()
@@ -30,7 +30,7 @@
 }
 
 // upsert brings an entry in line with the list.
-func (p *Pool) upsert(h platform.Host, now time.Time) *entry {
+func (p *Pool) upsert(h storage.Host, now time.Time) *entry {
 	shard := p.shard(h.ID)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
--- a/balance/prefix_index.go
+++ b/balance/prefix_index.go
@@ -7,7 +7,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -43,7 +43,7 @@
 // bounded for each upstream and safe for concurrent use.
 type PrefixIndex struct {
 	blocks int
-	clock  platform.Clock
+	clock  storage.Clock
 	shards [indexShards]indexShard
 }
 
@@ -70,7 +70,7 @@
 
 // NewPrefixIndex returns an index of at most blocks entries an upstream; 0
 // means DefaultIndexBlocks.
-func NewPrefixIndex(blocks int, clock platform.Clock) *PrefixIndex {
+func NewPrefixIndex(blocks int, clock storage.Clock) *PrefixIndex {
 	if blocks <= 0 {
 		blocks = DefaultIndexBlocks
 	}
--- a/balance/selector_test.go
+++ b/balance/selector_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 func ids(list []*Upstream) []string {
@@ -26,7 +26,7 @@
 	ejectedFor := func(id string, d time.Duration) *Upstream {
 		return changed(engine(id, 0), func(u *Upstream) { u.EjectedUntil = start.Add(d) })
 	}
-	service := &Upstream{ID: "s", Kind: platform.KindService, Name: "desk"}
+	service := &Upstream{ID: "s", Kind: storage.KindService, Name: "desk"}
 	unreported := changed(engine("a", 0), func(u *Upstream) { u.Versions = nil })
 	leaving := changed(engine("a", 0), func(u *Upstream) { u.Leaving = true })
 	tests := []struct {
--- a/balance/subset.go
+++ b/balance/subset.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Defaults of Subset.
@@ -26,31 +26,31 @@
 
 // Select returns the upstreams of list that the host sends to, in the order of
 // their IDs.
-func (s Subset) Select(host, zone string, list []platform.Host) []platform.Host {
+func (s Subset) Select(host, zone string, list []storage.Host) []storage.Host {
 	s = s.withDefaults()
 	pools := make(map[poolKey][]ranked)
 	for _, h := range list {
-		if h.Kind == platform.KindEntry {
+		if h.Kind == storage.KindEntry {
 			continue
 		}
 		key := poolKey{kind: h.Kind, name: h.Name}
 		pools[key] = append(pools[key], ranked{host: h, near: h.Zone == zone, rank: rendezvous(host, h.ID)})
 	}
-	var chosen []platform.Host
+	var chosen []storage.Host
 	for _, pool := range pools {
 		chosen = s.take(chosen, pool)
 	}
-	slices.SortFunc(chosen, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(chosen, func(a, b storage.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return chosen
 }
 
 type poolKey struct {
-	kind platform.HostKind
+	kind storage.HostKind
 	name string
 }
 
 type ranked struct {
-	host platform.Host
+	host storage.Host
 	near bool
 	rank uint64
 }
@@ -62,7 +62,7 @@
 }
 
 // take appends the members of one pool that belong to the subset.
-func (s Subset) take(chosen []platform.Host, pool []ranked) []platform.Host {
+func (s Subset) take(chosen []storage.Host, pool []ranked) []storage.Host {
 	slices.SortFunc(pool, compareRanked)
 	for i, r := range pool {
 		if i >= s.Max || !r.near && i >= s.Min {
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -6,16 +6,16 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // largeList is the size to design for: upstreams spread over zones, in pools.
-func largeList(upstreams, zones, pools int) []platform.Host {
-	list := make([]platform.Host, upstreams)
+func largeList(upstreams, zones, pools int) []storage.Host {
+	list := make([]storage.Host, upstreams)
 	for i := range list {
-		list[i] = platform.Host{
+		list[i] = storage.Host{
 			ID:   fmt.Sprintf("upstream-%05d", i),
-			Kind: platform.KindEngine,
+			Kind: storage.KindEngine,
 			Name: fmt.Sprint("pool-", i%pools),
 			Zone: fmt.Sprint("zone-", (i/pools)%zones),
 		}
--- a/cascade/learner.go
+++ b/cascade/learner.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 // Options are the settings of a Learner.
 type Options struct {
 	// Clock is the source of time; nil means time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// Seed makes the exploration repeatable.
 	Seed uint64
 	// Policy decides.
@@ -52,7 +52,7 @@
 // and holds nothing that must last.
 type Learner struct {
 	policy Policy
-	clock  platform.Clock
+	clock  storage.Clock
 	shards [learnerShards]shard
 	rater  raterState
 	random randomSource
--- a/claim/abandon.go
+++ b/claim/abandon.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // abandon makes sure that a claim which was given up can't take effect later.
@@ -29,7 +29,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.ReadTimeout)
 	defer cancel()
 	found, err := s.rows.read(ctx, j.record.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return new(uint64), nil
 	}
 	if err != nil {
--- a/claim/answers.go
+++ b/claim/answers.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // objectPrefix is the prefix of the objects that hold answers. The day in the
@@ -14,7 +14,7 @@
 
 // answers keeps large answers in the object store.
 type answers struct {
-	objects platform.Objects
+	objects storage.Objects
 	// inlineBytes is the largest answer kept in the row.
 	inlineBytes int
 }
--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // maxClaimWrites bounds the writes of one Acquire. A second one is needed when
@@ -50,11 +50,11 @@
 // note records what a failed write means and reports whether reading the row
 // can help.
 func (a *attempt) note(err error) bool {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		a.contended = true
 		return true
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return false
 	}
 	a.open = true
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.store.options.ReadTimeout)
 	defer cancel()
 	found, err := a.store.rows.read(ctx, a.entry.record.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		// A write on its way may yet arrive. Writing again is safe: only one
 		// of the two can find the row absent.
 		a.retryOn(0)
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/claim"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // BenchmarkClaims measures claims, each acquired and finished with an answer
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"sync/atomic"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Claim is the right to send one request once. Exactly one of its methods is
@@ -73,7 +73,7 @@
 		return err
 	}
 	_, err = s.rows.write(ctx, rec, j.version)
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, storage.ErrUnavailable) {
 		return err
 	}
 	return j.readBack(ctx, s, err)
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.ReadTimeout)
 	defer cancel()
 	found, err := s.rows.read(ctx, j.outcome.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return ErrLost
 	}
 	if err != nil {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -12,9 +12,9 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/claim"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 var (
@@ -252,8 +252,8 @@
 }
 
 // noReads is a table whose reads fail.
-type noReads struct{ platform.Table }
+type noReads struct{ storage.Table }
 
-func (noReads) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnavailable
+func (noReads) Get(context.Context, string) (storage.Row, error) {
+	return storage.Row{}, storage.ErrUnavailable
 }
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"github.com/quetzalweir/quetzalweir/claim"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/quetzalweir/quetzalweir/claim"
 	"github.com/quetzalweir/quetzalweir/internal/pause"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 const (
@@ -220,7 +220,7 @@
 	total.histories += len(b.keys)
 	for key, rec := range b.keys {
 		history := rec.history()
-		platformtest.CheckModel(t, fmt.Sprintf("seed %d, key %d", b.seed, key), model, history)
+		storagetest.CheckModel(t, fmt.Sprintf("seed %d, key %d", b.seed, key), model, history)
 		if rec.runs > 1 {
 			t.Errorf("seed %d, key %d: ran %d times", b.seed, key, rec.runs)
 		}
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzalweir/quetzalweir/claim"
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // expectation is what the state machine knows of a key.
@@ -115,7 +115,7 @@
 
 // faults are the table's, after which an answer may be less than the best.
 func (m *machine) faults() map[string]func(*rapid.T) {
-	actions := platformtest.FaultActions(m.world.table)
+	actions := storagetest.FaultActions(m.world.table)
 	for name, set := range actions {
 		actions[name] = func(t *rapid.T) {
 			m.broken = true
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -9,7 +9,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // action is what an operation of a history does.
@@ -147,7 +147,7 @@
 
 // recorder collects the history of one key and counts its runs.
 type recorder struct {
-	platformtest.History
+	storagetest.History
 	mu   sync.Mutex
 	runs int
 	// hosts are the hosts that the requests arrived at.
@@ -261,7 +261,7 @@
 				rec.end(client, rec.Tick(), op)
 			}
 			rec.hosts = map[string]int{"1": 1, "2": 2, "3": 3}
-			is.New(t).Equal(platformtest.IsLinearizable(model, rec.history()), tt.want)
+			is.New(t).Equal(storagetest.IsLinearizable(model, rec.history()), tt.want)
 		})
 	}
 }
--- a/claim/options.go
+++ b/claim/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Defaults of Options.
@@ -29,15 +29,15 @@
 // Options sets up a Store. Zero values of the numbers take the defaults.
 type Options struct {
 	// Table holds the claims; a groupcommit.Committer keeps its commits few.
-	Table platform.Table
+	Table storage.Table
 	// Objects holds answers over InlineBytes.
-	Objects platform.Objects
+	Objects storage.Objects
 	// Host names this host in the rows and to Liveness.
 	Host string
 	// Alive tells which owners are gone; nil takes every host for alive.
 	Alive Liveness
 	// Clock gives the wall time of expiries; default time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// Retention is how long answers are kept; default 24 h.
 	Retention time.Duration
 	// TombstoneRetention is how long after the claim a repeat is still
--- a/claim/rows.go
+++ b/claim/rows.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // row is a claim's row as read from the table.
@@ -15,10 +15,10 @@
 
 // rows reads and writes claim rows.
 type rows struct {
-	table platform.Table
+	table storage.Table
 }
 
-// read returns the row of key; an absent one gives platform.ErrNotFound.
+// read returns the row of key; an absent one gives storage.ErrNotFound.
 func (r rows) read(ctx context.Context, key Key) (row, error) {
 	found, err := r.table.Get(ctx, key.row())
 	if err != nil {
@@ -35,8 +35,8 @@
 		return 0, err
 	}
 	key := rec.row()
-	return r.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	return r.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 }
--- a/claim/store.go
+++ b/claim/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Store claims keys in the table on behalf of one process. It is safe for
@@ -113,7 +113,7 @@
 	if err == nil {
 		return &DoneError{Result: result}
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return mayHaveRunError(rec.with(answerGone))
 	}
 	return &InFlightError{Host: rec.Host, RequestID: rec.RequestID}
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Swept counts what one Sweep did.
@@ -47,7 +47,7 @@
 	return s.sweepRows(ctx, found)
 }
 
-func (s *Store) sweepRows(ctx context.Context, found []platform.Row) (Swept, error) {
+func (s *Store) sweepRows(ctx context.Context, found []storage.Row) (Swept, error) {
 	var expired, deleted atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(retryConcurrency)
@@ -73,19 +73,19 @@
 }
 
 // sweepRow returns what is to be done with a row; nil is nothing.
-func (s *Store) sweepRow(r platform.Row) (txn *platform.Txn, isDelete bool, err error) {
+func (s *Store) sweepRow(r storage.Row) (txn *storage.Txn, isDelete bool, err error) {
 	rec, err := decodeRecord(r.Value)
 	if err != nil {
 		return nil, false, err
 	}
-	onVersion := []platform.Condition{{Key: r.Key, Version: r.Version}}
+	onVersion := []storage.Condition{{Key: r.Key, Version: r.Version}}
 	switch s.fate(rec, s.options.Clock().Sub(rec.ClaimedAt)) {
 	case fateDelete:
-		return &platform.Txn{Conditions: onVersion, Deletes: []string{r.Key}}, true, nil
+		return &storage.Txn{Conditions: onVersion, Deletes: []string{r.Key}}, true, nil
 	case fateTombstone:
 		value, err := rec.with(answerGone).encode()
-		puts := []platform.Put{{Key: r.Key, Value: value}}
-		return &platform.Txn{Conditions: onVersion, Puts: puts}, false, err
+		puts := []storage.Put{{Key: r.Key, Value: value}}
+		return &storage.Txn{Conditions: onVersion, Puts: puts}, false, err
 	default:
 		return nil, false, nil
 	}
@@ -124,7 +124,7 @@
 }
 
 func ignoreConflict(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	return err
--- a/config/body_test.go
+++ b/config/body_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // countedObjects counts the bytes read, and can damage or hide deltas.
 type countedObjects struct {
-	platform.Objects
+	storage.Objects
 	read   atomic.Int64
 	damage func(data []byte) ([]byte, error)
 }
@@ -40,7 +40,7 @@
 		whole  bool
 	}{
 		{"delta", nil, false},
-		{"no delta", func([]byte) ([]byte, error) { return nil, platform.ErrNotFound }, true},
+		{"no delta", func([]byte) ([]byte, error) { return nil, storage.ErrNotFound }, true},
 		{"damaged delta", func(data []byte) ([]byte, error) { return data[:len(data)-2], nil }, true},
 		{"delta of something else", func([]byte) ([]byte, error) { return []byte(`{"steps":[{"to":1}]}`), nil }, true},
 	} {
--- a/config/configtest/doc.go
+++ b/config/configtest/doc.go
@@ -3,5 +3,5 @@
 //
 // Tests of package config use it, and tests of what embeds a config.Watcher can.
 // Answers of peers take no time and aren't lost on the way; for a slow or failing
-// table see package platform/faulty.
+// table see package storage/faulty.
 package configtest
--- a/config/configtest/example_test.go
+++ b/config/configtest/example_test.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/config/configtest"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func document() []byte {
--- a/config/confirm.go
+++ b/config/confirm.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // confirmation is the row in which a host states what it has in force.
@@ -59,16 +59,16 @@
 		return true, nil
 	}
 	row := encodeRow(confirmation{Epoch: head.Epoch, Digest: head.Digest, At: now()})
-	_, err = s.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: row}},
+	_, err = s.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: row}},
 	})
 	return err == nil, err
 }
 
 func (s *Store) readConfirmation(ctx context.Context, key string) (confirmation, uint64, error) {
 	row, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return confirmation{}, 0, nil
 	}
 	if err != nil {
@@ -78,7 +78,7 @@
 	return c, row.Version, err
 }
 
-func decodeConfirmation(row platform.Row) (confirmation, error) {
+func decodeConfirmation(row storage.Row) (confirmation, error) {
 	var c confirmation
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return confirmation{}, fmt.Errorf("%w: row %s: %w", ErrDamaged, row.Key, err)
@@ -90,7 +90,7 @@
 // of their names.
 func (s *Store) Report(ctx context.Context, head Head, hosts []string) (InForce, error) {
 	epochs := map[string]uint64{}
-	err := s.eachConfirmation(ctx, func(row platform.Row, c confirmation) error {
+	err := s.eachConfirmation(ctx, func(row storage.Row, c confirmation) error {
 		epochs[strings.TrimPrefix(row.Key, confirmPrefix)] = c.Epoch
 		return nil
 	})
@@ -108,7 +108,7 @@
 	return report, nil
 }
 
-func (s *Store) eachConfirmation(ctx context.Context, visit func(platform.Row, confirmation) error) error {
+func (s *Store) eachConfirmation(ctx context.Context, visit func(storage.Row, confirmation) error) error {
 	after := ""
 	for {
 		rows, err := s.table.List(ctx, confirmPrefix, after, reportPage)
@@ -134,15 +134,15 @@
 // PruneConfirmations removes the rows of hosts that wrote none since before.
 // Live hosts write theirs anew each hour, so a day is a safe age.
 func (s *Store) PruneConfirmations(ctx context.Context, before time.Time) error {
-	return s.eachConfirmation(ctx, func(row platform.Row, c confirmation) error {
+	return s.eachConfirmation(ctx, func(row storage.Row, c confirmation) error {
 		if !c.At.Before(before) {
 			return nil
 		}
-		_, err := s.table.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		_, err := s.table.Commit(ctx, storage.Txn{
+			Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}},
 			Deletes:    []string{row.Key},
 		})
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, storage.ErrConflict) {
 			return nil // it was written anew
 		}
 		return err
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/quetzalweir/quetzalweir/config"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // A manifest is accepted once; the loser of a race learns who won.
--- a/config/head.go
+++ b/config/head.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Head names an accepted manifest.
@@ -79,8 +79,8 @@
 		e.Head.Epoch, e.Head.Digest, e.Head.Build)
 }
 
-// Is makes a ConflictError a platform.ErrConflict.
-func (e *ConflictError) Is(target error) bool { return target == platform.ErrConflict }
+// Is makes a ConflictError a storage.ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == storage.ErrConflict }
 
 func encodeRow(value any) []byte {
 	data, err := json.Marshal(value)
@@ -90,7 +90,7 @@
 	return data
 }
 
-func decodeHead(row platform.Row) (Head, error) {
+func decodeHead(row storage.Row) (Head, error) {
 	var head Head
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		return Head{}, fmt.Errorf("%w: row %s: %w", ErrDamaged, row.Key, err)
--- a/config/helpers_test.go
+++ b/config/helpers_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // document returns a small valid manifest.
@@ -34,7 +34,7 @@
 // bench is a table with faults, its objects, and a store over both.
 type bench struct {
 	// inner is the table without its faults.
-	inner   platform.Table
+	inner   storage.Table
 	table   *faulty.Table
 	objects *faulty.Objects
 	store   *config.Store
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -15,9 +15,9 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/config"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // call is a submission, or a read of the head if digest is empty.
@@ -103,7 +103,7 @@
 }
 
 // record runs a call as an operation of the history.
-func record(h *platformtest.History, client int, in call, run func() answer) answer {
+func record(h *storagetest.History, client int, in call, run func() answer) answer {
 	start := h.Tick()
 	out := run()
 	if out.outcome == unknown {
@@ -120,7 +120,7 @@
 	store   *config.Store
 	table   *faulty.Table
 	random  *rand.Rand
-	history *platformtest.History
+	history *storagetest.History
 }
 
 // disturb sets a fault for the coming calls.
@@ -177,7 +177,7 @@
 		return answer{accepted, result.Head.Epoch, result.Head.Digest}
 	case errors.As(err, &lost):
 		return answer{conflict, lost.Head.Epoch, lost.Head.Digest}
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, storage.ErrUnknown):
 		return answer{outcome: unknown}
 	default:
 		return answer{outcome: noEffect}
@@ -194,7 +194,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBench()
-			h := new(platformtest.History)
+			h := new(storagetest.History)
 			var group sync.WaitGroup
 			for client := range submitters {
 				table := faulty.New(b.inner)
@@ -209,7 +209,7 @@
 			time.Sleep(time.Minute) // late effects arrive
 			last := &submitter{client: submitters, store: b.store}
 			record(h, submitters, call{}, func() answer { return last.read(t.Context()) })
-			platformtest.CheckModel(t, fmt.Sprint("seed ", seed), headModel.ToModel(), h.Operations())
+			storagetest.CheckModel(t, fmt.Sprint("seed ", seed), headModel.ToModel(), h.Operations())
 			for _, op := range h.Operations() {
 				if op.Input.(call).digest != "" {
 					counts[op.Output.(answer).outcome]++
@@ -242,11 +242,11 @@
 		{"already, of a document that never was", []call{one, two}, []answer{{accepted, 1, "one"}, {already, 1, "two"}}, false},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			h := new(platformtest.History)
+			h := new(storagetest.History)
 			for i, in := range tc.calls {
 				record(h, 0, in, func() answer { return tc.outs[i] })
 			}
-			is.New(t).Equal(platformtest.IsLinearizable(headModel.ToModel(), h.Operations()), tc.want)
+			is.New(t).Equal(storagetest.IsLinearizable(headModel.ToModel(), h.Operations()), tc.want)
 		})
 	}
 }
--- a/config/store.go
+++ b/config/store.go
@@ -6,19 +6,19 @@
 	"fmt"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Store is the list of accepted manifests in the platform's table, with the
 // bodies in its object store. It keeps nothing itself and is safe for
 // concurrent use; any number of them may work on one table.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   storage.Table
+	objects storage.Objects
 }
 
 // NewStore returns a Store over a table and an object store.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table storage.Table, objects storage.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
@@ -31,7 +31,7 @@
 // readHead returns the head and the version of its row, zero without one.
 func (s *Store) readHead(ctx context.Context) (Head, uint64, error) {
 	row, err := s.table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
--- a/config/submit.go
+++ b/config/submit.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -55,7 +55,7 @@
 // is a new epoch.
 //
 // token marks the submission, at most 128 bytes and of the caller's making.
-// An error that is platform.ErrUnknown leaves open whether the document was
+// An error that is storage.ErrUnknown leaves open whether the document was
 // or will be accepted; submitting it again settles it. Any other error means
 // that nothing was accepted.
 func (s *Store) Submit(ctx context.Context, data []byte, token string) (Submission, error) {
@@ -95,14 +95,14 @@
 		if err = s.objects.Write(ctx, bodyName(p.head.Digest), p.body); err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, storage.ErrConflict) {
 			return fmt.Errorf("%w: another body is stored under %s", ErrDamaged, p.head.Digest)
 		}
 		if pause(ctx, attempt) != nil {
 			break
 		}
 	}
-	return fmt.Errorf("config: nothing was submitted, the body could not be written: %w: %v", platform.ErrUnavailable, err)
+	return fmt.Errorf("config: nothing was submitted, the body could not be written: %w: %v", storage.ErrUnavailable, err)
 }
 
 // propose repeats attempts until one settles the outcome.
@@ -126,12 +126,12 @@
 		}
 	}
 	if p.open {
-		return Submission{}, fmt.Errorf("config: submit the document again to learn its outcome: %w: %v", platform.ErrUnknown, last)
+		return Submission{}, fmt.Errorf("config: submit the document again to learn its outcome: %w: %v", storage.ErrUnknown, last)
 	}
 	if errors.Is(last, ErrDamaged) {
 		return Submission{}, last
 	}
-	return Submission{}, fmt.Errorf("config: nothing was submitted: %w: %v", platform.ErrUnavailable, last)
+	return Submission{}, fmt.Errorf("config: nothing was submitted: %w: %v", storage.ErrUnavailable, last)
 }
 
 // attempt looks where the history stands and sends one transaction if the
@@ -159,7 +159,7 @@
 
 func (s *Store) findDigest(ctx context.Context, digest string) (Head, bool, error) {
 	row, err := s.table.Get(ctx, digestKey(digest))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return Head{}, false, nil
 	}
 	if err != nil {
@@ -179,13 +179,13 @@
 	next.AcceptedAt = now()
 	row := encodeRow(next)
 	p.sent = true
-	_, err := s.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	_, err := s.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{
 			{Key: headKey, Version: version},
 			{Key: epochKey(epoch)},
 			{Key: digestKey(next.Digest)},
 		},
-		Puts: []platform.Put{
+		Puts: []storage.Put{
 			{Key: headKey, Value: row},
 			{Key: epochKey(epoch), Value: row},
 			{Key: digestKey(next.Digest), Value: strconv.AppendUint(nil, epoch, 10)},
@@ -195,7 +195,7 @@
 		return Submission{Head: next}, nil
 	}
 	// Only a conflict and an outage are certain to have had no effect.
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, storage.ErrConflict) && !errors.Is(err, storage.ErrUnavailable) {
 		p.open = true
 	}
 	return Submission{}, fmt.Errorf("config: commit epoch %d: %w", epoch, err)
--- a/config/submit_test.go
+++ b/config/submit_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 func TestSubmitMakesAChain(t *testing.T) {
@@ -57,17 +57,17 @@
 		{desc: "transaction lost", prepare: func(_ *testing.T, b *bench) { b.table.DropNext(1) }, body: "2", epoch: 2},
 		{desc: "effect late", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(1, late) }, body: "2", epoch: 2},
 		{desc: "effect much later", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(1, time.Minute) }, body: "2", epoch: 2},
-		{desc: "all effects late", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(100, time.Minute) }, body: "2", want: platform.ErrUnknown, epoch: 2},
-		{desc: "all transactions lost", prepare: func(_ *testing.T, b *bench) { b.table.DropNext(100) }, body: "2", want: platform.ErrUnknown, epoch: 1},
-		{desc: "table down", prepare: func(_ *testing.T, b *bench) { b.table.SetDown(true) }, body: "2", want: platform.ErrUnavailable, epoch: 1},
-		{desc: "object store down", prepare: func(_ *testing.T, b *bench) { b.objects.SetDown(true) }, body: "2", want: platform.ErrUnavailable, epoch: 1},
+		{desc: "all effects late", prepare: func(_ *testing.T, b *bench) { b.table.DelayNext(100, time.Minute) }, body: "2", want: storage.ErrUnknown, epoch: 2},
+		{desc: "all transactions lost", prepare: func(_ *testing.T, b *bench) { b.table.DropNext(100) }, body: "2", want: storage.ErrUnknown, epoch: 1},
+		{desc: "table down", prepare: func(_ *testing.T, b *bench) { b.table.SetDown(true) }, body: "2", want: storage.ErrUnavailable, epoch: 1},
+		{desc: "object store down", prepare: func(_ *testing.T, b *bench) { b.objects.SetDown(true) }, body: "2", want: storage.ErrUnavailable, epoch: 1},
 		{desc: "accepted by another caller", prepare: accept("2", "other"), body: "2", already: true, epoch: 2},
 		{desc: "accepted with the same token before", prepare: accept("2", "mine"), body: "2", already: true, epoch: 2},
-		{desc: "another manifest won", prepare: accept("3", "other"), body: "2", want: platform.ErrConflict, epoch: 2},
+		{desc: "another manifest won", prepare: accept("3", "other"), body: "2", want: storage.ErrConflict, epoch: 2},
 		{desc: "another won and the answer was lost", prepare: func(t *testing.T, b *bench) {
 			accept("3", "other")(t, b)
 			b.table.LoseNext(1)
-		}, body: "2", want: platform.ErrConflict, epoch: 2},
+		}, body: "2", want: storage.ErrConflict, epoch: 2},
 		{desc: "no token", body: "2", token: "-", want: config.ErrToken, epoch: 1},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
@@ -145,7 +145,7 @@
 		want  error
 	}{
 		{"before the transaction", 0, config.ErrDamaged},
-		{"after a transaction without answer", 5 * time.Millisecond, platform.ErrUnknown},
+		{"after a transaction without answer", 5 * time.Millisecond, storage.ErrUnknown},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -153,7 +153,7 @@
 				first := b.submit(t, config.Head{}, "1")
 				b.table.DropNext(1)
 				time.AfterFunc(tc.after, func() {
-					txn := platform.Txn{Puts: []platform.Put{{Key: "config/head", Value: []byte("{")}}}
+					txn := storage.Txn{Puts: []storage.Put{{Key: "config/head", Value: []byte("{")}}}
 					_, _ = b.inner.Commit(context.Background(), txn)
 				})
 				synctest.Wait()
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/config/configtest"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
 )
 
 // run starts a watcher that ends with the test's bubble.
@@ -180,7 +180,7 @@
 		b.submit(t, first, "2")
 		w := run(t, config.WatcherOptions{Store: b.store})
 		settle()
-		_, err = b.inner.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: old.Key, Value: old.Value}}})
+		_, err = b.inner.Commit(t.Context(), storage.Txn{Puts: []storage.Put{{Key: old.Key, Value: old.Value}}})
 		is.NoErr(err)
 		time.Sleep(pastBound)
 		is.Equal(w.Current().Epoch, uint64(2))
--- a/config/watching_test.go
+++ b/config/watching_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/config"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // scriptedPeers answer what the test sets.
@@ -38,7 +38,7 @@
 func (l *errorLog) add(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, storage.ErrUnavailable) {
 		l.err = errors.Join(l.err, err)
 	}
 }
--- a/history/run_test.go
+++ b/history/run_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // TestLedgerEqualsAnswers records a seeded run of callers over two ledgers and
--- a/internal/capacity/measure/bills.go
+++ b/internal/capacity/measure/bills.go
@@ -9,7 +9,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/capacity"
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // bill is one of a model request.
--- a/internal/capacity/measure/claims.go
+++ b/internal/capacity/measure/claims.go
@@ -6,7 +6,7 @@
 
 	"github.com/quetzalweir/quetzalweir/claim"
 	"github.com/quetzalweir/quetzalweir/internal/capacity"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
 )
 
 // answerBytes is the size of the answers that claims keep.
--- a/internal/capacity/measure/manifest.go
+++ b/internal/capacity/measure/manifest.go
@@ -10,7 +10,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/internal/capacity"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // objects counts the bytes read from an object store in memory.
@@ -21,7 +21,7 @@
 
 func newObjects() *objects { return &objects{Objects: memory.NewObjects()} }
 
-// Read implements platform.Objects.
+// Read implements storage.Objects.
 func (o *objects) Read(ctx context.Context, name string) ([]byte, error) {
 	data, err := o.Objects.Read(ctx, name)
 	o.read.Add(int64(len(data)))
--- a/internal/capacity/measure/platform.go
+++ b/internal/capacity/measure/platform.go
@@ -6,8 +6,8 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/capacity"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
 )
 
 // unlimited is above any rate that is measured.
@@ -99,7 +99,7 @@
 func (r *run) rows(s *service) error {
 	table := s.client.Table()
 	put := func(size int) error {
-		_, err := table.Commit(r.ctx, platform.Txn{Puts: []platform.Put{{Key: "row", Value: make([]byte, size)}}})
+		_, err := table.Commit(r.ctx, storage.Txn{Puts: []storage.Put{{Key: "row", Value: make([]byte, size)}}})
 		return err
 	}
 	sizes := []int{64, 256, 1024, 4096}
@@ -132,8 +132,8 @@
 	bytes, cpu, err := r.cost(s, []int{1, 16, 64, 256}, 200, func(size int) (func() error, error) {
 		prefix := fmt.Sprintf("list-%d/", size)
 		for i := range size {
-			put := platform.Put{Key: fmt.Sprintf("%s%04d", prefix, i), Value: make([]byte, valueBytes)}
-			if _, err := table.Commit(r.ctx, platform.Txn{Puts: []platform.Put{put}}); err != nil {
+			put := storage.Put{Key: fmt.Sprintf("%s%04d", prefix, i), Value: make([]byte, valueBytes)}
+			if _, err := table.Commit(r.ctx, storage.Txn{Puts: []storage.Put{put}}); err != nil {
 				return nil, err
 			}
 		}
@@ -168,14 +168,14 @@
 }
 
 // listed is a host of the list.
-func listed(i, pools, zones int) platform.Host {
-	return platform.Host{
+func listed(i, pools, zones int) storage.Host {
+	return storage.Host{
 		ID:      fmt.Sprintf("engine-%05d", i),
-		Kind:    platform.KindEngine,
+		Kind:    storage.KindEngine,
 		Name:    fmt.Sprintf("pool-%02d", i%pools),
 		Zone:    fmt.Sprintf("zone-%02d", i/pools%zones),
 		Address: fmt.Sprintf("127.0.0.1:%d", 10_000+i),
-		State:   platform.HostLive,
+		State:   storage.HostLive,
 	}
 }
 
--- a/internal/capacity/measure/requests.go
+++ b/internal/capacity/measure/requests.go
@@ -20,8 +20,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/entry"
 	"github.com/quetzalweir/quetzalweir/internal/logline"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // logCount counts what a host logs.
@@ -125,9 +125,9 @@
 
 var errNoRater = errors.New("no rater")
 
-// Rate implements platform.Rater.
-func (noRater) Rate(context.Context, string, string, string, string) (platform.Rating, error) {
-	return platform.Rating{}, errNoRater
+// Rate implements storage.Rater.
+func (noRater) Rate(context.Context, string, string, string, string) (storage.Rating, error) {
+	return storage.Rating{}, errNoRater
 }
 
 func (h *hostOf) close() error {
--- a/internal/capacity/measure/table.go
+++ b/internal/capacity/measure/table.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // table counts the calls of a table in memory, and the bytes of the keys and
@@ -17,16 +17,16 @@
 
 func newTable() *table { return &table{memory: memory.New()} }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (t *table) Get(ctx context.Context, key string) (storage.Row, error) {
 	t.gets.Add(1)
 	row, err := t.memory.Get(ctx, key)
 	t.touched.Add(int64(len(row.Key) + len(row.Value)))
 	return row, err
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.lists.Add(1)
 	rows, err := t.memory.List(ctx, prefix, after, limit)
 	for _, row := range rows {
@@ -35,8 +35,8 @@
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (t *table) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	t.commits.Add(1)
 	for _, put := range txn.Puts {
 		t.touched.Add(int64(len(put.Key) + len(put.Value)))
--- a/internal/capacity/measure/upstreams.go
+++ b/internal/capacity/measure/upstreams.go
@@ -8,7 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/internal/capacity"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -125,8 +125,8 @@
 	return nil
 }
 
-func hostsOf(n int) []platform.Host {
-	list := make([]platform.Host, n)
+func hostsOf(n int) []storage.Host {
+	list := make([]storage.Host, n)
 	for i := range list {
 		list[i] = listed(i, pools, zones)
 	}
@@ -181,7 +181,7 @@
 	return nil
 }
 
-func report(pool *balance.Pool, list []platform.Host) {
+func report(pool *balance.Pool, list []storage.Host) {
 	for _, h := range list {
 		pool.Report(h.ID, upstream.Load{Running: 7, Capacity: 16, Versions: []string{"small@v1"}}, time.Now())
 	}
--- a/internal/capacity/roles_config.go
+++ b/internal/capacity/roles_config.go
@@ -4,8 +4,8 @@
 	"math"
 
 	"github.com/quetzalweir/quetzalweir/config"
-	"github.com/quetzalweir/quetzalweir/platform/client"
 	"github.com/quetzalweir/quetzalweir/quota"
+	"github.com/quetzalweir/quetzalweir/storage/client"
 )
 
 const (
--- a/internal/capacity/roles_request.go
+++ b/internal/capacity/roles_request.go
@@ -4,7 +4,7 @@
 	"math"
 
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
 )
 
 const (
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -17,8 +17,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/entry"
 	"github.com/quetzalweir/quetzalweir/internal/logline"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
-	"github.com/quetzalweir/quetzalweir/platform/client"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage/client"
 )
 
 type serveCmd struct {
@@ -57,13 +57,13 @@
 		c.print(s.out, settings)
 		return nil
 	}
-	platform := client.New(c.Platform, client.Options{})
-	defer platform.Close()
+	service := client.New(c.Platform, client.Options{})
+	defer service.Close()
 	host, err := entry.New(settings, entry.Platform{
-		Table:   platform.Table(),
-		Objects: platform.Objects(),
-		Hosts:   platform.Hosts(),
-		Rater:   platform.Rater(),
+		Table:   service.Table(),
+		Objects: service.Objects(),
+		Hosts:   service.Hosts(),
+		Rater:   service.Rater(),
 	}, c.logger(s))
 	if err != nil {
 		return err
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -14,7 +14,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
 	"github.com/quetzalweir/quetzalweir/internal/standin/service"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 type standinCmd struct {
@@ -71,7 +71,7 @@
 const registerTries = 50
 
 // register enters the host list; the platform may start after the stand-in.
-func (f registerFlags) register(ctx context.Context, host platform.Host) error {
+func (f registerFlags) register(ctx context.Context, host storage.Host) error {
 	if f.Platform == "" {
 		return nil
 	}
--- a/internal/devenv/cascade_test.go
+++ b/internal/devenv/cascade_test.go
@@ -13,14 +13,14 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // strictRater finds no answer good enough.
 type strictRater struct{}
 
-func (strictRater) Rate(context.Context, string, string, string, string) (platform.Rating, error) {
-	return platform.Rating{Score: 0.1}, nil
+func (strictRater) Rate(context.Context, string, string, string, string) (storage.Rating, error) {
+	return storage.Rating{Score: 0.1}, nil
 }
 
 // bill waits until the request's bill is in the ledger.
@@ -42,7 +42,7 @@
 // A cascade whose dearer model has no upstream gives the cheap answer, says so,
 // and bills it.
 func TestCascadeGivesWhatItHas(t *testing.T) {
-	env := run(t, Options{Rater: func(platform.Rater) platform.Rater { return strictRater{} }})
+	env := run(t, Options{Rater: func(storage.Rater) storage.Rater { return strictRater{} }})
 	for _, e := range env.Engines {
 		if strings.HasPrefix(e.Load().Versions[0], "large") {
 			e.SetFaults(engine.Faults{Leaving: true})
--- a/internal/devenv/devenv.go
+++ b/internal/devenv/devenv.go
@@ -22,8 +22,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
 	"github.com/quetzalweir/quetzalweir/internal/standin/service"
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // The keys of the sample. They are no secrets: every checkout has them.
@@ -63,7 +63,7 @@
 	// the sample.
 	Topology *Topology
 	// Rater may put itself before the platform's rater; nil doesn't.
-	Rater func(platform.Rater) platform.Rater
+	Rater func(storage.Rater) storage.Rater
 	// Settings may change the settings of each entry host; nil changes none.
 	Settings func(*entry.Settings)
 }
@@ -78,7 +78,7 @@
 	Hosts    []*entry.Host
 
 	manifest []byte
-	rater    platform.Rater
+	rater    storage.Rater
 }
 
 // freePort takes any port on loopback.
--- a/internal/entry/cascadesteps.go
+++ b/internal/entry/cascadesteps.go
@@ -8,8 +8,8 @@
 
 	"github.com/quetzalweir/quetzalweir/cascade"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -17,7 +17,7 @@
 // and goes to the caller only when it is accepted.
 type cascadeSteps struct {
 	learner *cascade.Learner
-	rater   platform.Rater
+	rater   storage.Rater
 	log     zerolog.Logger
 }
 
--- a/internal/entry/chooseversion_test.go
+++ b/internal/entry/chooseversion_test.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
 	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // rollingPolicy puts all new sessions on v2, which rolls in; v1 keeps its own.
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -12,8 +12,8 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/membership"
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/rollout"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -157,11 +157,11 @@
 		return err
 	}
 	key := fmt.Sprintf("%s%s/%s/%d", stopPrefix, s.Model, s.Version, s.Epoch)
-	_, err = e.host.committer.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	_, err = e.host.committer.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	return err
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,20 +24,20 @@
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
 	"github.com/quetzalweir/quetzalweir/quota"
 	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
 // Platform is what the host needs of the platform.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Hosts   platform.HostList
-	Rater   platform.Rater
+	Table   storage.Table
+	Objects storage.Objects
+	Hosts   storage.HostList
+	Rater   storage.Rater
 }
 
 // Host is one entry host. All hosts are alike.
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // Hosts that go down one after the other while the table hangs: the bills held
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -13,7 +13,7 @@
 
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // historyPage bounds one page of the history.
@@ -109,7 +109,7 @@
 	case errors.As(err, &conflict):
 		status = http.StatusConflict
 		answer.Head = &conflict.Head
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, storage.ErrUnknown):
 		status = http.StatusGatewayTimeout
 		answer.Outcome = OutcomeUnknown
 	}
@@ -191,7 +191,7 @@
 }
 
 func statusOf(err error) int {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return http.StatusNotFound
 	}
 	return http.StatusServiceUnavailable
@@ -242,7 +242,7 @@
 		return config.Head{}, err
 	}
 	if len(heads) == 0 || heads[0].Epoch != epoch {
-		return config.Head{}, fmt.Errorf("epoch %d: %w", epoch, platform.ErrNotFound)
+		return config.Head{}, fmt.Errorf("epoch %d: %w", epoch, storage.ErrNotFound)
 	}
 	return heads[0], nil
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -9,7 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -82,7 +82,7 @@
 func (u *unloader) loaded(model, version string) []withdrawal {
 	var list []withdrawal
 	for _, e := range u.host.pool.View() {
-		if e.Kind == platform.KindEngine && slices.Contains(e.Versions, model+"@"+version) {
+		if e.Kind == storage.KindEngine && slices.Contains(e.Versions, model+"@"+version) {
 			list = append(list, withdrawal{engine: e, model: model, version: version})
 		}
 	}
--- a/internal/entry/queues.go
+++ b/internal/entry/queues.go
@@ -7,7 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // queues holds an admission queue for each pool: the engines of a model, or the
@@ -102,7 +102,7 @@
 }
 
 func serves(u *balance.Upstream, pool string) bool {
-	if u.Kind == platform.KindService {
+	if u.Kind == storage.KindService {
 		return poolOfService(u.Name) == pool
 	}
 	return slices.ContainsFunc(u.Versions, func(v string) bool {
--- a/internal/entry/sampler.go
+++ b/internal/entry/sampler.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/rollout"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -22,7 +22,7 @@
 // sampler rates answers of versions that roll in, beside the request path. A
 // slow rater loses samples and never delays an answer.
 type sampler struct {
-	rater   platform.Rater
+	rater   storage.Rater
 	rollout *rollout.Tracker
 	queue   chan sample
 }
@@ -31,7 +31,7 @@
 	model, version, prompt, answer string
 }
 
-func newSampler(rater platform.Rater, tracker *rollout.Tracker) *sampler {
+func newSampler(rater storage.Rater, tracker *rollout.Tracker) *sampler {
 	return &sampler{rater: rater, rollout: tracker, queue: make(chan sample, samplerQueue)}
 }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -14,7 +14,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -29,14 +29,14 @@
 
 // upstreamDirectory is what the last host list says of the upstreams.
 type upstreamDirectory struct {
-	upstreams atomic.Pointer[[]platform.Host]
+	upstreams atomic.Pointer[[]storage.Host]
 }
 
 // set keeps the engines and services of a list.
-func (d *upstreamDirectory) set(hosts []platform.Host) {
-	list := make([]platform.Host, 0, len(hosts))
+func (d *upstreamDirectory) set(hosts []storage.Host) {
+	list := make([]storage.Host, 0, len(hosts))
 	for _, host := range hosts {
-		if host.Kind != platform.KindEntry {
+		if host.Kind != storage.KindEntry {
 			list = append(list, host)
 		}
 	}
@@ -44,7 +44,7 @@
 }
 
 // list returns the engines and services. It is shared and must not be changed.
-func (d *upstreamDirectory) list() []platform.Host {
+func (d *upstreamDirectory) list() []storage.Host {
 	list := d.upstreams.Load()
 	if list == nil {
 		return nil
--- a/internal/experiment/balance/world.go
+++ b/internal/experiment/balance/world.go
@@ -8,7 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	choose "github.com/quetzalweir/quetzalweir/balance"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 
 	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
 )
@@ -86,8 +86,8 @@
 	return w.result
 }
 
-func (w *world) addEngines() []platform.Host {
-	var list []platform.Host
+func (w *world) addEngines() []storage.Host {
+	var list []storage.Host
 	for i := range w.setting.engines {
 		e := newEngine(fmt.Sprintf("engine-%02d", i), w.queue)
 		if i == 0 {
@@ -98,14 +98,14 @@
 		}
 		w.engines[e.id] = e
 		w.order = append(w.order, e)
-		list = append(list, platform.Host{ID: e.id, Kind: platform.KindEngine, Name: model, Zone: zone(i), State: platform.HostLive})
+		list = append(list, storage.Host{ID: e.id, Kind: storage.KindEngine, Name: model, Zone: zone(i), State: storage.HostLive})
 	}
 	return list
 }
 
 func zone(i int) string { return string(rune('a' + i%3)) }
 
-func (w *world) addHost(i int, c contender, list []platform.Host, seed int) {
+func (w *world) addHost(i int, c contender, list []storage.Host, seed int) {
 	name := fmt.Sprint("entry-", i)
 	options := choose.Options{Host: name, Zone: zone(i), Clock: w.queue.Now, Seed: uint64(seed)}
 	pool := choose.NewPool(options)
--- a/internal/experiment/deployment/cost.go
+++ b/internal/experiment/deployment/cost.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // costResult is what answers of a route cost and how good they are.
--- a/internal/experiment/deployment/system.go
+++ b/internal/experiment/deployment/system.go
@@ -15,8 +15,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/devenv"
 	"github.com/quetzalweir/quetzalweir/internal/entry"
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
-	"github.com/quetzalweir/quetzalweir/platform"
 	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -48,7 +48,7 @@
 		Hosts:    entryHosts,
 		Engine:   engineOptions(seed),
 		Topology: top,
-		Rater:    func(r platform.Rater) platform.Rater { return markedRater{r} },
+		Rater:    func(r storage.Rater) storage.Rater { return markedRater{r} },
 		Log:      zerolog.Nop(),
 		Settings: p.settings,
 	})
@@ -128,14 +128,14 @@
 // markedRater rates by the answer alone, whose noise a caller can then compute
 // too: the hosts' form of a prompt isn't the caller's. It gives answers that bear the mark of a bad version a low rating.
 type markedRater struct {
-	inner platform.Rater
+	inner storage.Rater
 }
 
 // badRating is what such an answer loses.
 const badRating = 0.35
 
-// Rate implements platform.Rater.
-func (r markedRater) Rate(ctx context.Context, model, version, _, answer string) (platform.Rating, error) {
+// Rate implements storage.Rater.
+func (r markedRater) Rate(ctx context.Context, model, version, _, answer string) (storage.Rating, error) {
 	rating, err := r.inner.Rate(ctx, model, version, "", answer)
 	if strings.HasPrefix(answer, engine.BadMark) {
 		rating.Score = max(0, rating.Score-badRating)
--- a/internal/experiment/deployment/topology.go
+++ b/internal/experiment/deployment/topology.go
@@ -12,7 +12,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
 	"github.com/quetzalweir/quetzalweir/internal/standin/service"
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // The deployment's size.
--- a/internal/experiment/rollout/tracked.go
+++ b/internal/experiment/rollout/tracked.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
 	exposure "github.com/quetzalweir/quetzalweir/rollout"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 var rule = exposure.VersionRule{
--- a/internal/pause/example_test.go
+++ b/internal/pause/example_test.go
@@ -6,8 +6,8 @@
 	"fmt"
 
 	"github.com/quetzalweir/quetzalweir/internal/pause"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
@@ -23,11 +23,11 @@
 	}()
 	fmt.Println("paused:", process.Paused())
 	process.Resume()
-	fmt.Println("resumed:", errors.Is(<-done, platform.ErrNotFound))
+	fmt.Println("resumed:", errors.Is(<-done, storage.ErrNotFound))
 
 	process.Kill()
 	_, err := table.Get(ctx, "key")
-	fmt.Println("killed:", errors.Is(err, platform.ErrUnavailable))
+	fmt.Println("killed:", errors.Is(err, storage.ErrUnavailable))
 	// Output:
 	// paused: true
 	// resumed: true
--- a/internal/pause/gate.go
+++ b/internal/pause/gate.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 var errKilled = errors.New("the process was killed")
 
 // Pass waits while the process is paused, whatever the context of its caller
-// says, and fails with platform.ErrUnavailable in a killed one. It is Step for
+// says, and fails with storage.ErrUnavailable in a killed one. It is Step for
 // goroutines that the test has to wait for.
 func (p *Process) Pass() error {
 	p.mu.Lock()
@@ -19,37 +19,37 @@
 	p.mu.Unlock()
 	<-running
 	if p.Killed() {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, errKilled)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, errKilled)
 	}
 	return nil
 }
 
 // GatedTable returns the table as the process sees it if its goroutines live
 // on after Kill: their calls fail then, without effect.
-func (p *Process) GatedTable(inner platform.Table) platform.Table {
+func (p *Process) GatedTable(inner storage.Table) storage.Table {
 	return gatedTable{inner: inner, process: p}
 }
 
 type gatedTable struct {
-	inner   platform.Table
+	inner   storage.Table
 	process *Process
 }
 
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := t.process.Pass(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return t.inner.Get(ctx, key)
 }
 
-func (t gatedTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t gatedTable) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if err := t.process.Pass(); err != nil {
 		return nil, err
 	}
 	return t.inner.List(ctx, prefix, after, limit)
 }
 
-func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t gatedTable) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	if err := t.process.Pass(); err != nil {
 		return 0, err
 	}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -10,7 +10,7 @@
 	"runtime"
 	"sync"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Process stands for one process. Its goroutines call Step wherever a pause
@@ -92,28 +92,28 @@
 
 // Table returns the table as the process sees it: a pause or death can fall
 // before each call, and between its effect and its answer.
-func (p *Process) Table(inner platform.Table) platform.Table {
+func (p *Process) Table(inner storage.Table) storage.Table {
 	return table{inner: inner, process: p}
 }
 
 type table struct {
-	inner   platform.Table
+	inner   storage.Table
 	process *Process
 }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t table) Get(ctx context.Context, key string) (storage.Row, error) {
 	t.process.Step()
 	defer t.process.Step()
 	return t.inner.Get(ctx, key)
 }
 
-func (t table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.process.Step()
 	defer t.process.Step()
 	return t.inner.List(ctx, prefix, after, limit)
 }
 
-func (t table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t table) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	t.process.Step()
 	defer t.process.Step()
 	return t.inner.Commit(ctx, txn)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -122,14 +122,14 @@
 func (e *Engine) Load() upstream.Load { return e.currentLoad() }
 
 // Host returns the engine's entry in a host list.
-func (e *Engine) Host() platform.Host {
-	state := platform.HostLive
+func (e *Engine) Host() storage.Host {
+	state := storage.HostLive
 	if e.faults.get().Leaving {
-		state = platform.HostLeaving
+		state = storage.HostLeaving
 	}
-	return platform.Host{
+	return storage.Host{
 		ID:      e.opts.ID,
-		Kind:    platform.KindEngine,
+		Kind:    storage.KindEngine,
 		Name:    e.opts.Name,
 		Zone:    e.opts.Zone,
 		Address: e.Address(),
--- a/internal/standin/platformd/calls.go
+++ b/internal/standin/platformd/calls.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
 // cursorSeparator stands between the parts of a cursor of the host list.
@@ -41,7 +41,7 @@
 // commit takes effect even if its caller has gone: a real table doesn't undo
 // what it received.
 func (s *Server) commit(r *http.Request) (reply, error) {
-	var txn platform.Txn
+	var txn storage.Txn
 	if err := readJSON(r, &txn); err != nil {
 		return reply{}, err
 	}
@@ -114,7 +114,7 @@
 }
 
 func (s *Server) setHost(r *http.Request) (reply, error) {
-	var host platform.Host
+	var host storage.Host
 	if err := readJSON(r, &host); err != nil {
 		return reply{}, err
 	}
--- a/internal/standin/platformd/options.go
+++ b/internal/standin/platformd/options.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // Defaults of Options.
--- a/internal/standin/platformd/platformd_test.go
+++ b/internal/standin/platformd/platformd_test.go
@@ -13,9 +13,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // Timeouts of calls: impatient ends before any injected delay, patient never.
@@ -69,7 +69,7 @@
 
 func TestFaults(t *testing.T) {
 	commit := func(ctx context.Context, p *client.Platform) error {
-		_, err := p.Table().Commit(ctx, platform.Txn{})
+		_, err := p.Table().Commit(ctx, storage.Txn{})
 		return err
 	}
 	read := func(ctx context.Context, p *client.Platform) error {
@@ -90,14 +90,14 @@
 		// timeout is that of the call under the fault.
 		timeout time.Duration
 	}{
-		{`{"down": true}`, commit, platform.ErrUnavailable, patient},
-		{`{"delay_ms": 60000}`, read, platform.ErrUnavailable, impatient},
-		{`{"lose_next": 1}`, commit, platform.ErrUnknown, patient},
-		{`{"drop_next": 1}`, commit, platform.ErrUnknown, patient},
-		{`{"delay_next": 1, "delay_next_ms": 1}`, commit, platform.ErrUnknown, patient},
-		{`{"objects_down": true}`, write, platform.ErrUnavailable, patient},
-		{`{"rater_down": true}`, rate, platform.ErrUnavailable, patient},
-		{`{"rater_delay_ms": 60000}`, rate, platform.ErrUnavailable, impatient},
+		{`{"down": true}`, commit, storage.ErrUnavailable, patient},
+		{`{"delay_ms": 60000}`, read, storage.ErrUnavailable, impatient},
+		{`{"lose_next": 1}`, commit, storage.ErrUnknown, patient},
+		{`{"drop_next": 1}`, commit, storage.ErrUnknown, patient},
+		{`{"delay_next": 1, "delay_next_ms": 1}`, commit, storage.ErrUnknown, patient},
+		{`{"objects_down": true}`, write, storage.ErrUnavailable, patient},
+		{`{"rater_down": true}`, rate, storage.ErrUnavailable, patient},
+		{`{"rater_delay_ms": 60000}`, rate, storage.ErrUnavailable, impatient},
 	}
 	for _, test := range tests {
 		t.Run(test.faults, func(t *testing.T) {
--- a/internal/standin/platformd/reply.go
+++ b/internal/standin/platformd/reply.go
@@ -11,8 +11,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
 // retryAfterSeconds is the advice to a caller over the rate limit.
@@ -68,11 +68,11 @@
 // statusOf returns the status of an error that says that there was no effect.
 func statusOf(err error) (status int, known bool) {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return http.StatusConflict, true
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return http.StatusNotFound, true
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return http.StatusServiceUnavailable, true
 	case errors.Is(err, errBadRequest):
 		return http.StatusBadRequest, true
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -11,9 +11,9 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
 const (
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -18,7 +18,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/internal/standin/httpjson"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -184,14 +184,14 @@
 func (s *Service) Run(ctx context.Context) error { return s.server.Run(ctx) }
 
 // Host returns the service's entry in a host list.
-func (s *Service) Host() platform.Host {
-	state := platform.HostLive
+func (s *Service) Host() storage.Host {
+	state := storage.HostLive
 	if s.faults.get().Leaving {
-		state = platform.HostLeaving
+		state = storage.HostLeaving
 	}
-	return platform.Host{
+	return storage.Host{
 		ID:      s.opts.ID,
-		Kind:    platform.KindService,
+		Kind:    storage.KindService,
 		Name:    s.opts.Name,
 		Zone:    s.opts.Zone,
 		Address: s.Address(),
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/lease"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/pause"
 	"github.com/quetzalweir/quetzalweir/lease"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // kind is what an operation of a history does.
@@ -67,7 +67,7 @@
 
 // record calls do as an operation of the history. It is kept if do reports
 // true.
-func record(h *platformtest.History, client int, do func() (operation, bool)) {
+func record(h *storagetest.History, client int, do func() (operation, bool)) {
 	start := h.Tick()
 	if op, ok := do(); ok {
 		h.End(client, start, op, nil)
@@ -101,7 +101,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			is.New(t).Equal(platformtest.IsLinearizable(model, tt.history), tt.want)
+			is.New(t).Equal(storagetest.IsLinearizable(model, tt.history), tt.want)
 		})
 	}
 }
@@ -114,7 +114,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			ops := runHistory(t, seed)
-			platformtest.CheckModel(t, fmt.Sprint("seed ", seed), model, ops) // never two holders at a time
+			storagetest.CheckModel(t, fmt.Sprint("seed ", seed), model, ops) // never two holders at a time
 			for _, op := range ops {
 				switch op.Input.(operation).kind {
 				case acquired:
@@ -132,7 +132,7 @@
 func runHistory(t *testing.T, seed uint64) []porcupine.Operation {
 	const hosts, length = 4, 2 * time.Minute
 	table := faulty.New(memory.New())
-	history := new(platformtest.History)
+	history := new(storagetest.History)
 	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
 	processes := make([]*pause.Process, hosts)
@@ -169,7 +169,7 @@
 
 // contender is a host that wants the lease again and again.
 type contender struct {
-	history *platformtest.History
+	history *storagetest.History
 	id      int
 	process *pause.Process
 	random  *rand.Rand
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // renewalsPerTTL is how often Keep renews within the usable part of a TTL.
@@ -96,7 +96,7 @@
 // way.
 func (l *Lease) retryConflict(ctx context.Context, write func(context.Context) error) error {
 	err := write(ctx)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, storage.ErrConflict) {
 		return err
 	}
 	if err := l.resync(ctx); err != nil {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,9 +9,9 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/lease"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 const (
@@ -102,7 +102,7 @@
 		{"renewal lost", func(t *testing.T, p pair, l *lease.Lease) {
 			time.Sleep(8 * time.Second)
 			p.table.DropNext(1)
-			is.New(t).True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown))
+			is.New(t).True(errors.Is(l.Renew(t.Context()), storage.ErrUnknown))
 			time.Sleep(time.Second)
 		}, false, time.Second},
 		{"renewal's answer comes after the lapse", func(t *testing.T, p pair, l *lease.Lease) {
@@ -138,10 +138,10 @@
 	inPair(t, func(t *testing.T, is *is.I, p pair) {
 		l := p.acquireA(t)
 		p.table.DelayNext(1, time.Second)
-		is.True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown)) // renewal 1
+		is.True(errors.Is(l.Renew(t.Context()), storage.ErrUnknown)) // renewal 1
 		time.Sleep(6 * time.Second)
 		p.table.DropNext(1)
-		is.True(errors.Is(l.Renew(t.Context()), platform.ErrUnknown)) // renewal 2
+		is.True(errors.Is(l.Renew(t.Context()), storage.ErrUnknown)) // renewal 2
 		is.Equal(l.Remaining(), usable-6*time.Second)
 		is.NoErr(l.Renew(t.Context())) // renewal 3 passes over the late one
 		is.Equal(l.Remaining(), usable)
@@ -152,7 +152,7 @@
 	inPair(t, func(t *testing.T, is *is.I, p pair) {
 		p.table.DelayNext(1, time.Second)
 		_, err := p.a.Acquire(t.Context(), name, "host-a", ttl)
-		is.True(errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, storage.ErrUnknown))
 		time.Sleep(2 * time.Second)
 		is.Equal(p.heldFor(t), ttl)
 		time.Sleep(ttl)
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // DefaultMarginPart is the part of a lease's TTL that its holder doesn't use.
@@ -16,9 +16,9 @@
 
 // Options sets up a Manager.
 type Options struct {
-	Table platform.Table
+	Table storage.Table
 	// Clock must give monotonic times, as time.Now does; default time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// MarginPart divides the TTL to give the safety margin; default 10, which
 	// makes a TTL of 10 s usable for 9 s.
 	MarginPart int
@@ -28,7 +28,7 @@
 // as its process contends, since it remembers when it first saw each row.
 type Manager struct {
 	rows       rows
-	clock      platform.Clock
+	clock      storage.Clock
 	marginPart int
 
 	mu   sync.Mutex
--- a/lease/rows.go
+++ b/lease/rows.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // row is a lease's row as read; version zero means that it's absent.
@@ -15,12 +15,12 @@
 
 // rows reads and writes lease rows.
 type rows struct {
-	table platform.Table
+	table storage.Table
 }
 
 func (r rows) read(ctx context.Context, name string) (row, error) {
 	found, err := r.table.Get(ctx, rowPrefix+name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return row{}, nil
 	}
 	if err != nil {
@@ -38,11 +38,11 @@
 		return 0, err
 	}
 	key := rowPrefix + name
-	revision, err := r.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	revision, err := r.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
-	if err == nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrConflict) {
 		return revision, err
 	}
 	found, readErr := r.read(ctx, name)
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // localPeer is a Holder in the same process, without a network.
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -44,7 +44,7 @@
 // to objects, and the rows of each day that ended before it by one row for the
 // whole day; a day of more than maxCompactRows rows needs two runs. It may run on any host at any time, on several at once, and be
 // broken off anywhere; a row that comes late is taken in by the next run.
-func Compact(ctx context.Context, table platform.Table, objects platform.Objects, before time.Time) error {
+func Compact(ctx context.Context, table storage.Table, objects storage.Objects, before time.Time) error {
 	c := compactor{table: table, objects: objects}
 	if err := c.minutes(ctx, bucket(before)); err != nil {
 		return err
@@ -53,19 +53,19 @@
 }
 
 type compactor struct {
-	table   platform.Table
-	objects platform.Objects
+	table   storage.Table
+	objects storage.Objects
 }
 
 // group is rows that are to become one.
 type group struct {
 	bucket string
-	rows   []platform.Row
+	rows   []storage.Row
 	// bills is their number, bytes their encoded size.
 	bills, bytes int
 }
 
-func (g *group) add(stored platform.Row, r row) {
+func (g *group) add(stored storage.Row, r row) {
 	g.rows = append(g.rows, stored)
 	g.bills += r.Bills
 	g.bytes += r.Bytes
@@ -183,7 +183,7 @@
 
 // names returns the objects of a row; one that holds its data itself gets an
 // object.
-func (c compactor) names(ctx context.Context, bucket string, stored platform.Row) ([]string, error) {
+func (c compactor) names(ctx context.Context, bucket string, stored storage.Row) ([]string, error) {
 	r, err := parseRow(stored)
 	if err != nil {
 		return nil, err
@@ -213,16 +213,16 @@
 		return fmt.Errorf("ledger: encode row: %w", err)
 	}
 	key := g.key(r)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	txn := storage.Txn{
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	}
 	for _, stored := range g.rows {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: stored.Key, Version: stored.Version})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: stored.Key, Version: stored.Version})
 		txn.Deletes = append(txn.Deletes, stored.Key)
 	}
 	_, err = c.table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrUnknown) {
 		// Either way the rows or their replacement are there, and the next run
 		// starts from what it finds.
 		return nil
--- a/ledger/compaction.go
+++ b/ledger/compaction.go
@@ -7,7 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Defaults of CompactionOptions.
@@ -21,8 +21,8 @@
 // CompactionOptions configure RunCompaction. Table, Objects and Random are
 // needed.
 type CompactionOptions struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	// Hosts gives the number of hosts that run compactions; nil is one.
 	Hosts func() int
 	// Every is the mean time between the compactions of all hosts together;
--- a/ledger/custody_test.go
+++ b/ledger/custody_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func TestCustody(t *testing.T) {
--- a/ledger/example_test.go
+++ b/ledger/example_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/ledger"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
--- a/ledger/helper_test.go
+++ b/ledger/helper_test.go
@@ -11,9 +11,9 @@
 	"github.com/quetzalweir/quetzalweir/internal/pause"
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 var errDead = errors.New("no route to host")
@@ -31,7 +31,7 @@
 // testCluster is a set of hosts over one table with faults.
 type testCluster struct {
 	table   *faulty.Table
-	objects platform.Objects
+	objects storage.Objects
 	hosts   []*testHost
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Defaults of Options.
@@ -50,8 +50,8 @@
 
 // Options configure a Ledger. Table, Objects and Host are needed.
 type Options struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	// Host is this host's name.
 	Host string
 	// Holders is nil where there are no peers; then Record waits for a flush.
@@ -74,7 +74,7 @@
 	// DefaultWriteTimeout.
 	WriteTimeout time.Duration
 	// Clock is the source of the time of refusals; default time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 }
 
 func (o Options) withDefaults() Options {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -26,7 +26,7 @@
 	between func()
 }
 
-func (h *hookTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (h *hookTable) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if after != "" {
 		h.between()
 	}
@@ -227,7 +227,7 @@
 	}
 	t.Run("both days folded", check)
 	_, err := ByRequest(t.Context(), table, objects, "r1")
-	is.New(t).True(errors.Is(err, platform.ErrNotFound))
+	is.New(t).True(errors.Is(err, storage.ErrNotFound))
 }
 
 func TestBounds(t *testing.T) {
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Read yields the bills that match q, each ID once, in the order of their
 // time and ID. An error is yielded last, with a zero bill; bills before an
 // error aren't yielded, since none is known to stand.
-func Read(ctx context.Context, table platform.Table, objects platform.Objects, q Query) iter.Seq2[Bill, error] {
+func Read(ctx context.Context, table storage.Table, objects storage.Objects, q Query) iter.Seq2[Bill, error] {
 	return func(yield func(Bill, error) bool) {
 		set, err := collectSet(ctx, table, objects, q)
 		if err != nil {
@@ -112,7 +112,7 @@
 
 // collectSet reads all that bears on q. Only the account is filtered here: the
 // other fields may differ between two bills with one ID.
-func collectSet(ctx context.Context, table platform.Table, objects platform.Objects, q Query) (*set, error) {
+func collectSet(ctx context.Context, table storage.Table, objects storage.Objects, q Query) (*set, error) {
 	s := newSet()
 	keep := func(b Bill) bool { return q.Account == "" || q.Account == b.Account }
 	for stored, err := range q.rows(ctx, table) {
@@ -126,7 +126,7 @@
 	return s, nil
 }
 
-func (s *set) addRow(ctx context.Context, objects platform.Objects, stored platform.Row, keep func(Bill) bool) error {
+func (s *set) addRow(ctx context.Context, objects storage.Objects, stored storage.Row, keep func(Bill) bool) error {
 	r, err := parseRow(stored)
 	if err != nil {
 		return err
@@ -142,8 +142,8 @@
 
 // rows yields the rows of the buckets that bear on q, and the folded rows of
 // their days. Those of the last day sort above its buckets and are read last.
-func (q Query) rows(ctx context.Context, table platform.Table) iter.Seq2[platform.Row, error] {
-	return func(yield func(platform.Row, error) bool) {
+func (q Query) rows(ctx context.Context, table storage.Table) iter.Seq2[storage.Row, error] {
+	return func(yield func(storage.Row, error) bool) {
 		after, last := "", "~"
 		if !q.From.IsZero() {
 			after = prefix + bucket(q.From.Add(-q.margin()))
@@ -178,12 +178,12 @@
 
 // rows yields all rows with a prefix whose keys are above after. A row moved by
 // a compaction meanwhile is met again: its new key is above the old one.
-func rows(ctx context.Context, table platform.Table, prefix, after string) iter.Seq2[platform.Row, error] {
-	return func(yield func(platform.Row, error) bool) {
+func rows(ctx context.Context, table storage.Table, prefix, after string) iter.Seq2[storage.Row, error] {
+	return func(yield func(storage.Row, error) bool) {
 		for {
 			page, err := table.List(ctx, prefix, after, pageSize)
 			if err != nil {
-				yield(platform.Row{}, fmt.Errorf("ledger: list: %w", err))
+				yield(storage.Row{}, fmt.Errorf("ledger: list: %w", err))
 				return
 			}
 			for _, r := range page {
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -91,7 +91,7 @@
 // write stores the segment. After a nil error it is in the table. A lost
 // answer is settled by reading the row back; a write that takes effect later
 // finds the row there and changes nothing.
-func (s *segment) write(ctx context.Context, table platform.Table, objects platform.Objects) error {
+func (s *segment) write(ctx context.Context, table storage.Table, objects storage.Objects) error {
 	if err := s.prepare(); err != nil {
 		return err
 	}
@@ -100,21 +100,21 @@
 			return fmt.Errorf("ledger: write object: %w", err)
 		}
 	}
-	_, err := table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: s.key}},
-		Puts:       []platform.Put{{Key: s.key, Value: s.value}},
+	_, err := table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: s.key}},
+		Puts:       []storage.Put{{Key: s.key, Value: s.value}},
 	})
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return fmt.Errorf("ledger: commit: %w", err)
 	}
 	return s.settle(ctx, table, err)
 }
 
 // settle reads the segment back after a commit whose outcome isn't known.
-func (s *segment) settle(ctx context.Context, table platform.Table, cause error) error {
+func (s *segment) settle(ctx context.Context, table storage.Table, cause error) error {
 	stored, err := table.Get(ctx, s.key)
 	if err != nil {
 		return fmt.Errorf("ledger: commit: %w", errors.Join(cause, err))
@@ -126,7 +126,7 @@
 }
 
 // parseRow decodes the value of a table row.
-func parseRow(stored platform.Row) (row, error) {
+func parseRow(stored storage.Row) (row, error) {
 	var r row
 	if err := json.Unmarshal(stored.Value, &r); err != nil {
 		return row{}, fmt.Errorf("%w: row %s: %w", ErrCorrupt, stored.Key, err)
@@ -135,7 +135,7 @@
 }
 
 // load yields the batches that a row stands for.
-func load(ctx context.Context, objects platform.Objects, r row) iter.Seq2[batch, error] {
+func load(ctx context.Context, objects storage.Objects, r row) iter.Seq2[batch, error] {
 	return func(yield func(batch, error) bool) {
 		for data, err := range encodedBatches(ctx, objects, r) {
 			if err != nil {
@@ -151,7 +151,7 @@
 
 // encodedBatches yields the encoded batches that a row stands for. It keeps
 // one object in memory at a time.
-func encodedBatches(ctx context.Context, objects platform.Objects, r row) iter.Seq2[[]byte, error] {
+func encodedBatches(ctx context.Context, objects storage.Objects, r row) iter.Seq2[[]byte, error] {
 	return func(yield func([]byte, error) bool) {
 		if len(r.Data) > 0 {
 			yield(r.Data, nil)
@@ -178,7 +178,7 @@
 }
 
 // objectNames returns the names of a row's objects.
-func objectNames(ctx context.Context, objects platform.Objects, r row) ([]string, error) {
+func objectNames(ctx context.Context, objects storage.Objects, r row) ([]string, error) {
 	if r.Object != "" {
 		return []string{r.Object}, nil
 	}
--- a/ledger/sequence_test.go
+++ b/ledger/sequence_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // TestFaultSequences runs random sequences of work and faults, and compares
@@ -146,7 +146,7 @@
 func (s *sequence) compact(rt *rapid.T) {
 	before := time.Now().Add(-duration(rt))
 	err := Compact(context.Background(), s.cluster.table, s.cluster.objects, before)
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && !errors.Is(err, storage.ErrUnavailable) {
 		rt.Fatal(err)
 	}
 }
--- a/ledger/trace.go
+++ b/ledger/trace.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Total sums bills.
@@ -16,7 +16,7 @@
 }
 
 // Totals sums the bills that match q.
-func Totals(ctx context.Context, table platform.Table, objects platform.Objects, q Query) (Total, error) {
+func Totals(ctx context.Context, table storage.Table, objects storage.Objects, q Query) (Total, error) {
 	var t Total
 	for b, err := range Read(ctx, table, objects, q) {
 		if err != nil {
@@ -45,7 +45,7 @@
 }
 
 // ByEpoch traces a manifest to the outcomes that it produced.
-func ByEpoch(ctx context.Context, table platform.Table, objects platform.Objects, epoch uint64) (EpochTrace, error) {
+func ByEpoch(ctx context.Context, table storage.Table, objects storage.Objects, epoch uint64) (EpochTrace, error) {
 	s, err := collectSet(ctx, table, objects, Query{})
 	if err != nil {
 		return EpochTrace{}, err
@@ -64,12 +64,12 @@
 	return trace, nil
 }
 
-// ByRequest returns the bill of a request; none gives platform.ErrNotFound. A
+// ByRequest returns the bill of a request; none gives storage.ErrNotFound. A
 // request whose bill gave way to that of a repeat with the same request key
 // has none of its own.
-func ByRequest(ctx context.Context, table platform.Table, objects platform.Objects, requestID string) (Bill, error) {
+func ByRequest(ctx context.Context, table storage.Table, objects storage.Objects, requestID string) (Bill, error) {
 	for b, err := range Read(ctx, table, objects, Query{RequestID: requestID}) {
 		return b, err
 	}
-	return Bill{}, platform.ErrNotFound
+	return Bill{}, storage.ErrNotFound
 }
--- a/membership/discover.go
+++ b/membership/discover.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -80,7 +80,7 @@
 	}
 }
 
-func (m *Membership) listPage(ctx context.Context, after string) ([]platform.Row, error) {
+func (m *Membership) listPage(ctx context.Context, after string) ([]storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.options.TableTimeout)
 	defer cancel()
 	return m.options.Table.List(ctx, PresencePrefix, after, presencePage)
@@ -88,7 +88,7 @@
 
 // sight takes in a row: a renewed one names a live host, one that isn't
 // renewed for long is removed.
-func (m *Membership) sight(ctx context.Context, stored platform.Row, now time.Time) {
+func (m *Membership) sight(ctx context.Context, stored storage.Row, now time.Time) {
 	p := m.presence
 	before, known := p.seen[stored.Key]
 	if known && before.version == stored.Version {
@@ -126,7 +126,7 @@
 // sightUnchanged handles a row that wasn't renewed for a time, by this host's
 // own clock. While nobody is heard, a lapsed lease is the only sign that the
 // others have failed rather than this host.
-func (m *Membership) sightUnchanged(ctx context.Context, stored platform.Row, unchanged time.Duration) {
+func (m *Membership) sightUnchanged(ctx context.Context, stored storage.Row, unchanged time.Duration) {
 	if unchanged < staleTTLs*m.options.PresenceTTL || !m.holdsLease(time.Now()) {
 		return
 	}
--- a/membership/faults_test.go
+++ b/membership/faults_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // history records the versions that each host saw of each key or member.
@@ -106,7 +106,7 @@
 			h.thaw()
 		}
 	case 5:
-		n.table.setFail([]error{nil, platform.ErrUnavailable, platform.ErrUnknown}[rng.IntN(3)])
+		n.table.setFail([]error{nil, storage.ErrUnavailable, storage.ErrUnknown}[rng.IntN(3)])
 	case 6:
 		n.table.setLoseAnswers(rng.IntN(2) == 0)
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -40,7 +40,7 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			inBubble(t, tt.count, zoneCount, func(t *testing.T, n *network, hosts []*host) {
-				n.table.setFail(platform.ErrUnavailable)
+				n.table.setFail(storage.ErrUnavailable)
 				for _, i := range tt.kill {
 					hosts[i].kill()
 				}
@@ -99,7 +99,7 @@
 		desc  string
 		table func(*memoryTable)
 	}{
-		{"table down", func(m *memoryTable) { m.setFail(platform.ErrUnavailable) }},
+		{"table down", func(m *memoryTable) { m.setFail(storage.ErrUnavailable) }},
 		{"table read-only, so that all leases lapse", func(m *memoryTable) { m.setReadOnly(true) }},
 	}
 	for _, tt := range tests {
@@ -273,7 +273,7 @@
 		synctest.Wait()
 		is.Equal(events, []State{Leaving, Down}) // never Suspect
 		_, err := n.table.Get(t.Context(), PresencePrefix+hostID(5))
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, storage.ErrNotFound))
 	})
 }
 
@@ -293,7 +293,7 @@
 func TestSeedsServeWhileTheTableIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		n.table.setFail(platform.ErrUnavailable)
+		n.table.setFail(storage.ErrUnavailable)
 		defer n.stop(t)
 		var hosts []*host
 		for i := range hostCount {
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -14,7 +14,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"go.uber.org/goleak"
 )
 
@@ -63,7 +63,7 @@
 	return &network{
 		rng:   rand.New(rand.NewPCG(1, 2)),
 		hosts: make(map[string]*host),
-		table: &memoryTable{rows: make(map[string]platform.Row)},
+		table: &memoryTable{rows: make(map[string]storage.Row)},
 	}
 }
 
@@ -326,11 +326,11 @@
 	})
 }
 
-// memoryTable is a platform.Table in memory, which can fail.
+// memoryTable is a storage.Table in memory, which can fail.
 type memoryTable struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	// fail is what all calls return; nil means none.
 	fail error
 	// readOnly makes all commits fail.
@@ -357,52 +357,52 @@
 	t.loseAnswers = lose
 }
 
-func (t *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *memoryTable) Get(_ context.Context, key string) (storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if t.fail == nil && !ok {
-		return row, platform.ErrNotFound
+		return row, storage.ErrNotFound
 	}
 	return row, t.fail
 }
 
-func (t *memoryTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *memoryTable) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], t.fail
 }
 
-func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+func (t *memoryTable) Commit(_ context.Context, txn storage.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fail != nil {
 		return 0, t.fail
 	}
 	if t.readOnly {
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	}
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
-			return 0, platform.ErrConflict
+			return 0, storage.ErrConflict
 		}
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.revision}
+		t.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: t.revision}
 	}
 	for _, key := range txn.Deletes {
 		delete(t.rows, key)
 	}
 	if t.loseAnswers {
-		return 0, platform.ErrUnknown
+		return 0, storage.ErrUnknown
 	}
 	return t.revision, nil
 }
--- a/membership/options.go
+++ b/membership/options.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Default intervals and bounds.
@@ -36,7 +36,7 @@
 	// Self is this host; State and Incarnation are set by New.
 	Self Member
 	// Table holds the presence rows; nil does without.
-	Table platform.Table
+	Table storage.Table
 	// Seeds are peer addresses to talk to while no other member is known.
 	Seeds []string
 	// Transport carries the exchanges.
--- a/membership/presence.go
+++ b/membership/presence.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // PresencePrefix starts the keys of the presence rows.
@@ -78,7 +78,7 @@
 		}
 	}
 	version, err := m.writeOwn(ctx)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrUnknown) {
 		if err := m.readOwn(ctx); err != nil {
 			return err
 		}
@@ -101,9 +101,9 @@
 		return 0, fmt.Errorf("membership: encode presence: %w", err)
 	}
 	key := m.ownKey()
-	version, err := m.options.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: m.presence.version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	version, err := m.options.Table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: m.presence.version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return 0, fmt.Errorf("membership: write presence: %w", err)
@@ -117,7 +117,7 @@
 func (m *Membership) readOwn(ctx context.Context) error {
 	p := m.presence
 	stored, err := m.options.Table.Get(ctx, m.ownKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		p.version, p.known = 0, true
 		return nil
 	}
@@ -157,8 +157,8 @@
 }
 
 func (m *Membership) deleteRow(ctx context.Context, key string, version uint64) {
-	m.options.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
+	m.options.Table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
 		Deletes:    []string{key},
 	})
 }
--- a/membership/presence_test.go
+++ b/membership/presence_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-func readPresence(t *testing.T, table platform.Table, id string) (presenceRow, uint64) {
+func readPresence(t *testing.T, table storage.Table, id string) (presenceRow, uint64) {
 	t.Helper()
 	stored, err := table.Get(t.Context(), PresencePrefix+id)
 	if err != nil {
@@ -34,7 +34,7 @@
 		second, _ := readPresence(t, n.table, hostID(0))
 		is.True(second.RenewedAt > first.RenewedAt)
 		n.table.setLoseAnswers(false)
-		n.table.setFail(platform.ErrUnavailable)
+		n.table.setFail(storage.ErrUnavailable)
 		time.Sleep(time.Minute)
 		n.table.setFail(nil)
 		time.Sleep(2 * DefaultRenewInterval)
@@ -49,7 +49,7 @@
 		hosts[2].kill()
 		waitFor(t, 15*time.Minute, "row removed", func() bool {
 			_, err := n.table.Get(t.Context(), PresencePrefix+hostID(2))
-			return errors.Is(err, platform.ErrNotFound)
+			return errors.Is(err, storage.ErrNotFound)
 		})
 		readPresence(t, n.table, hostID(0))
 	})
@@ -63,7 +63,7 @@
 		const later = uint64(1) << 50 // of a clock that was ahead
 		value, err := json.Marshal(presenceRow{Member: Member{ID: hostID(0), State: Up, Incarnation: later}, Instance: "earlier"})
 		is.NoErr(err)
-		_, err = n.table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: PresencePrefix + hostID(0), Value: value}}})
+		_, err = n.table.Commit(t.Context(), storage.Txn{Puts: []storage.Put{{Key: PresencePrefix + hostID(0), Value: value}}})
 		is.NoErr(err)
 		h := n.startHost(t, 0, 1, func(*Options) {})
 		time.Sleep(time.Second)
@@ -90,9 +90,9 @@
 // slowTable never answers within its caller's time.
 type slowTable struct{ *memoryTable }
 
-func (slowTable) List(ctx context.Context, _, _ string, _ int) ([]platform.Row, error) {
+func (slowTable) List(ctx context.Context, _, _ string, _ int) ([]storage.Row, error) {
 	<-ctx.Done()
-	return nil, platform.ErrUnavailable
+	return nil, storage.ErrUnavailable
 }
 
 func TestSlowTableDelaysNoDetection(t *testing.T) {
--- a/quota/adjust.go
+++ b/quota/adjust.go
@@ -8,12 +8,12 @@
 	"sort"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // adjust takes over what a row states and commits the holding that the policy
 // goes for. A commit that failed without effect is left to the next pass.
-func (l *Limiter) adjust(ctx context.Context, b *bucket, row platform.Row, period time.Duration) error {
+func (l *Limiter) adjust(ctx context.Context, b *bucket, row storage.Row, period time.Duration) error {
 	full, err := parseAccountRow(row)
 	if err != nil {
 		return err
@@ -98,9 +98,9 @@
 		c.held = d.slots
 		b.hold(now, l.leaseEnd(now), d.slots, fresh)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return err
 	}
 	l.markOpen(b, row.version, d.slots)
@@ -125,12 +125,12 @@
 		return 0, fmt.Errorf("quota: encode row: %w", err)
 	}
 	key := accountKey(account)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: row.version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	txn := storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: row.version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	}
 	for _, id := range dead {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: hostKey(id)})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: hostKey(id)})
 	}
 	return l.commit(ctx, txn)
 }
--- a/quota/example_test.go
+++ b/quota/example_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform/memory"
 	"github.com/quetzalweir/quetzalweir/quota"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // lease is the host's lease on its holdings. It is immutable.
@@ -65,7 +65,7 @@
 		l.candidate = ""
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return err
 	}
 	return l.settleRenewal(ctx, next, held)
@@ -86,16 +86,16 @@
 		return 0, fmt.Errorf("quota: encode host row: %w", err)
 	}
 	key := hostKey(id)
-	return l.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+	return l.commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 }
 
 // settleRenewal finds out what became of a renewal without a clear answer.
 func (l *Limiter) settleRenewal(ctx context.Context, next lease, held *lease) error {
 	row, err := l.get(ctx, hostKey(next.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		if held != nil {
 			l.forfeit()
 		}
@@ -167,7 +167,7 @@
 }
 
 // lapsed reports whether the holder of a row counts its lease as over.
-func (l *Limiter) lapsed(row platform.Row, s sighting, now time.Time) bool {
+func (l *Limiter) lapsed(row storage.Row, s sighting, now time.Time) bool {
 	var value hostRow
 	if json.Unmarshal(row.Value, &value) != nil {
 		return false
@@ -177,9 +177,9 @@
 }
 
 // remove deletes a host's row unless it was renewed meanwhile.
-func (l *Limiter) remove(ctx context.Context, row platform.Row) error {
-	_, err := l.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+func (l *Limiter) remove(ctx context.Context, row storage.Row) error {
+	_, err := l.commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}},
 		Deletes:    []string{row.Key},
 	})
 	return err
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/wait"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -167,7 +167,7 @@
 		return nil
 	}
 	row, err := l.get(ctx, hostKey(held.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/quota/options.go
+++ b/quota/options.go
@@ -6,7 +6,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Slots is the number of equal slots of each account's limit. It is part of
@@ -32,14 +32,14 @@
 
 // Options sets up a Limiter. Zero values take the defaults.
 type Options struct {
-	Table platform.Table
+	Table storage.Table
 	// Host names this host; holdings are under this name and a random suffix.
 	Host string
 	// Peers reaches other hosts for loans; nil means that there are none.
 	Peers Peers
 	// Clock gives the time; default time.Now. It must not stand still while
 	// the process is stopped.
-	Clock platform.Clock
+	Clock storage.Clock
 	// TTL is the lease on all holdings of the host; default 10 min. A host
 	// can spend for up to TTL without the table, and the slots of a host that
 	// died stay unused for a little more than TTL.
--- a/quota/pass.go
+++ b/quota/pass.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // control is what the background pass knows of an account.
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	rows := make(map[string]platform.Row, len(listed))
+	rows := make(map[string]storage.Row, len(listed))
 	for _, row := range listed {
 		rows[row.Key] = row
 	}
@@ -94,7 +94,7 @@
 	}
 	for _, b := range urgent {
 		row, err := l.get(ctx, accountKey(b.account))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, storage.ErrNotFound) {
 			return err
 		}
 		if err := l.adjust(ctx, b, row, 0); err != nil {
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 func TestMeterRejectsOverspending(t *testing.T) {
@@ -51,7 +51,7 @@
 		}
 		actions := s.actions()
 		maps.Copy(actions, s.networkFaults())
-		maps.Copy(actions, platformtest.FaultActions(s.table))
+		maps.Copy(actions, storagetest.FaultActions(s.table))
 		t.Repeat(actions)
 		if err := s.checkRows(); err != nil {
 			t.Fatal(err)
--- a/quota/row.go
+++ b/quota/row.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -37,7 +37,7 @@
 }
 
 // parseAccountRow reads a row; the zero Row is one that doesn't exist.
-func parseAccountRow(row platform.Row) (accountRow, error) {
+func parseAccountRow(row storage.Row) (accountRow, error) {
 	if row.Version == 0 {
 		return accountRow{Fresh: Slots}, nil
 	}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 const (
@@ -144,7 +144,7 @@
 	return nil
 }
 
-func memoryRows(s *sim) ([]platform.Row, error) {
+func memoryRows(s *sim) ([]storage.Row, error) {
 	s.table.SetDown(false)
 	return s.table.List(context.Background(), accountPrefix, "", listPage)
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-func (l *Limiter) get(ctx context.Context, key string) (platform.Row, error) {
+func (l *Limiter) get(ctx context.Context, key string) (storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
 	defer cancel()
 	return l.opts.Table.Get(ctx, key)
 }
 
-func (l *Limiter) list(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var all []platform.Row
+func (l *Limiter) list(ctx context.Context, prefix string) ([]storage.Row, error) {
+	var all []storage.Row
 	after := ""
 	for {
 		page, err := l.listPage(ctx, prefix, after)
@@ -28,13 +28,13 @@
 	}
 }
 
-func (l *Limiter) listPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (l *Limiter) listPage(ctx context.Context, prefix, after string) ([]storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
 	defer cancel()
 	return l.opts.Table.List(ctx, prefix, after, listPage)
 }
 
-func (l *Limiter) commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (l *Limiter) commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opts.Timeout)
 	defer cancel()
 	return l.opts.Table.Commit(ctx, txn)
--- a/rollout/budget_test.go
+++ b/rollout/budget_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // smallRule has a budget that random actions can reach.
--- a/rollout/grant.go
+++ b/rollout/grant.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // GrantPrefix is the start of the keys of the table's rows about budgets.
@@ -45,12 +45,12 @@
 // host was granted and didn't use before it ended is lost to the others: the
 // sum of all answers stays within the budget.
 type Granter struct {
-	table platform.Table
+	table storage.Table
 	host  string
 }
 
 // NewGranter returns a Granter for the host with this ID.
-func NewGranter(table platform.Table, host string) *Granter {
+func NewGranter(table storage.Table, host string) *Granter {
 	return &Granter{table: table, host: host}
 }
 
@@ -60,7 +60,7 @@
 func (g *Granter) Claim(ctx context.Context, claim Claim) (total uint64, err error) {
 	for range grantAttempts {
 		total, err = g.try(ctx, claim)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, storage.ErrConflict) {
 			break
 		}
 	}
@@ -85,9 +85,9 @@
 	if err != nil {
 		return 0, fmt.Errorf("encode grants: %w", err)
 	}
-	_, err = g.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: name, Version: version}},
-		Puts:       []platform.Put{{Key: name, Value: value}},
+	_, err = g.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: name, Version: version}},
+		Puts:       []storage.Put{{Key: name, Value: value}},
 	})
 	if err != nil {
 		return 0, err
@@ -98,7 +98,7 @@
 func (g *Granter) read(ctx context.Context, name string) (grantRow, uint64, error) {
 	row := grantRow{Granted: make(map[string]uint64)}
 	stored, err := g.table.Get(ctx, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return row, 0, nil
 	}
 	if err != nil {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Key names a version of a model.
@@ -103,7 +103,7 @@
 	// Host is this host's ID; an ID is never used by two incarnations.
 	Host string
 	// Clock is the source of time; nil means time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// Granted says that the host's part of each budget comes from Grant only.
 	// Otherwise it is the budget divided by the number of hosts.
 	Granted bool
--- a/session/codec.go
+++ b/session/codec.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -27,7 +27,7 @@
 // Codec mints and opens tokens. It is safe for concurrent use.
 type Codec struct {
 	ttl   atomic.Int64 // nanoseconds
-	clock platform.Clock
+	clock storage.Clock
 	keys  atomic.Pointer[keyring]
 }
 
@@ -40,7 +40,7 @@
 // NewCodec returns a codec whose tokens are valid for ttl after they were
 // minted. The first key signs and all verify; a nil clock means time.Now. It
 // panics on keys that ParseKeys would refuse.
-func NewCodec(keys []Key, ttl time.Duration, clock platform.Clock) *Codec {
+func NewCodec(keys []Key, ttl time.Duration, clock storage.Clock) *Codec {
 	if clock == nil {
 		clock = time.Now
 	}
--- a/session/cost_test.go
+++ b/session/cost_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // TestTableCost prints what new sessions without a token cost the table, with
@@ -82,7 +82,7 @@
 	}
 }
 
-func grouped(t *testing.T, table platform.Table, on bool) platform.Table {
+func grouped(t *testing.T, table storage.Table, on bool) storage.Table {
 	if !on {
 		return table
 	}
--- a/session/example_test.go
+++ b/session/example_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/manifest"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
 	"github.com/quetzalweir/quetzalweir/session"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func Example() {
--- a/session/registry.go
+++ b/session/registry.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -38,9 +38,9 @@
 
 // Options configures a Registry.
 type Options struct {
-	Table platform.Table
+	Table storage.Table
 	// Clock gives the time; nil means time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 	// TTL is how long a binding lasts after its last use; default 30 min. It
 	// can be changed by SetTTL.
 	TTL time.Duration
@@ -224,7 +224,7 @@
 
 // follow reports whether the row is to be read after a failed write.
 func follow(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown)
+	return errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrUnknown)
 }
 
 func (r *Registry) write(ctx context.Context, key string, version uint64, value record) error {
@@ -234,9 +234,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
-	_, err = r.opts.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: text}},
+	_, err = r.opts.Table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: text}},
 	})
 	return err
 }
@@ -246,7 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
 	row, err := r.opts.Table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return record{}, 0, nil
 	}
 	if err != nil {
--- a/session/registry_test.go
+++ b/session/registry_test.go
@@ -14,15 +14,15 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 const testTTL = time.Hour
 
-func testRegistry(table platform.Table) *Registry {
+func testRegistry(table storage.Table) *Registry {
 	return NewRegistry(Options{Table: table, TTL: testTTL})
 }
 
@@ -265,7 +265,7 @@
 				decided = b.Version
 			},
 		}
-		maps.Copy(actions, platformtest.FaultActions(table))
+		maps.Copy(actions, storagetest.FaultActions(table))
 		t.Repeat(actions)
 	})
 }
--- a/session/sweep.go
+++ b/session/sweep.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // sweepPage is the number of rows that one sweep step reads.
@@ -49,15 +49,15 @@
 	}
 }
 
-func (r *Registry) expiredRows(rows []platform.Row) platform.Txn {
-	var txn platform.Txn
+func (r *Registry) expiredRows(rows []storage.Row) storage.Txn {
+	var txn storage.Txn
 	now := r.opts.Clock()
 	for _, row := range rows {
 		var value record
 		if json.Unmarshal(row.Value, &value) != nil || !value.expired(now) {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: row.Key, Version: row.Version})
 		txn.Deletes = append(txn.Deletes, row.Key)
 	}
 	return txn
--- a/platform/client/benchmark_test.go
+++ b/storage/client/benchmark_test.go
@@ -4,8 +4,8 @@
 	"strings"
 	"testing"
 
-	"github.com/quetzalweir/quetzalweir/platform/client"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage/client"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // rowBytes is the size of the rows of the benchmarks.
@@ -14,7 +14,7 @@
 func BenchmarkTable(b *testing.B) {
 	_, url := startStandin(b, unlimitedOptions())
 	table := newClient(b, url, client.Options{MaxIdle: client.DefaultMaxConnections}).Table()
-	row := platformtest.Put(key, strings.Repeat("a", rowBytes))
+	row := storagetest.Put(key, strings.Repeat("a", rowBytes))
 	b.Run("commit", func(b *testing.B) {
 		benchmarkCall(b, func() error {
 			_, err := table.Commit(b.Context(), row)
--- a/platform/client/call.go
+++ b/storage/client/call.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
 // maxDetail bounds the part of a server's text that goes into an error.
@@ -46,7 +46,7 @@
 
 // failUnsent returns the error of a call that had no effect.
 func (c call) failUnsent(cause error) error {
-	return &Error{Op: c.op, Class: platform.ErrUnavailable, Cause: cause}
+	return &Error{Op: c.op, Class: storage.ErrUnavailable, Cause: cause}
 }
 
 // failEnded returns the error of a call whose connection failed, by how far
@@ -64,7 +64,7 @@
 	if !c.writes {
 		return c.failUnsent(cause)
 	}
-	return &Error{Op: c.op, Class: platform.ErrUnknown, Cause: cause}
+	return &Error{Op: c.op, Class: storage.ErrUnknown, Cause: cause}
 }
 
 // do makes the call once and returns its answer whatever the status. Every
@@ -169,9 +169,9 @@
 	}
 	switch {
 	case a.status == http.StatusConflict && c.writes:
-		return &Error{Op: c.op, Class: platform.ErrConflict, Cause: refusal(a)}
+		return &Error{Op: c.op, Class: storage.ErrConflict, Cause: refusal(a)}
 	case a.status == http.StatusNotFound && !c.writes:
-		return &Error{Op: c.op, Class: platform.ErrNotFound, Cause: refusal(a)}
+		return &Error{Op: c.op, Class: storage.ErrNotFound, Cause: refusal(a)}
 	default:
 		return c.failUnsent(refusal(a))
 	}
--- a/platform/client/cut_test.go
+++ b/storage/client/cut_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // A connection is cut before each byte of the request and of the answer. A
@@ -23,7 +23,7 @@
 	server := platformd.New(unlimitedOptions())
 	// Revisions have four digits throughout, so that all answers are as long.
 	for range 1000 {
-		if _, err := server.Table().Commit(t.Context(), platform.Txn{}); err != nil {
+		if _, err := server.Table().Commit(t.Context(), storage.Txn{}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -70,7 +70,7 @@
 func commitOnce(t *testing.T, server *platformd.Server, limits cut.Limits, row string) outcome {
 	web, listener := serveCut(t, server.Handler(), func() cut.Limits { return limits })
 	p := client.New(web.URL, client.Options{})
-	_, err := p.Table().Commit(t.Context(), platformtest.Put(row, "value"))
+	_, err := p.Table().Commit(t.Context(), storagetest.Put(row, "value"))
 	p.Close()
 	web.Close()
 	requests, answers := listener.Passed()
@@ -85,10 +85,10 @@
 	if (o.err == nil) != succeeded {
 		t.Errorf("%v: succeeded: %v, want %v", o.cut, o.err, succeeded)
 	}
-	if o.held && errors.Is(o.err, platform.ErrUnavailable) {
+	if o.held && errors.Is(o.err, storage.ErrUnavailable) {
 		t.Errorf("%v: took effect and gave %v", o.cut, o.err)
 	}
-	if o.err != nil && !platformtest.IsClass(o.err, platform.ErrUnavailable) && !platformtest.IsClass(o.err, platform.ErrUnknown) {
+	if o.err != nil && !storagetest.IsClass(o.err, storage.ErrUnavailable) && !storagetest.IsClass(o.err, storage.ErrUnknown) {
 		t.Errorf("%v: unexpected class: %v", o.cut, o.err)
 	}
 }
@@ -103,14 +103,14 @@
 		injectFaults(server.Table())
 		web, _ := serveCut(t, server.Handler(), randomCuts(seed))
 		p := client.New(web.URL, client.Options{})
-		recorder := platformtest.NewRecorder(p.Table())
-		workload := platformtest.Workload{Clients: 4, Calls: 30, Keys: 2, Seed: seed}
+		recorder := storagetest.NewRecorder(p.Table())
+		workload := storagetest.Workload{Clients: 4, Calls: 30, Keys: 2, Seed: seed}
 		workload.Run(t.Context(), recorder)
 		p.Close()
 		web.Close()
 		history := recorder.History()
-		platformtest.Check(t, history)
-		unknown += platformtest.CountUnknown(history)
+		storagetest.Check(t, history)
+		unknown += storagetest.CountUnknown(history)
 	}
 	t.Logf("%d commits of unknown outcome", unknown)
 }
--- a/platform/client/doc.go
+++ b/storage/client/doc.go
@@ -1,4 +1,4 @@
-// Package client implements the interfaces of package platform over the JSON
+// Package client implements the interfaces of package storage over the JSON
 // protocol of package protocol.
 //
 // Its heart is what a failed commit may claim. A commit gives
--- a/platform/client/errors.go
+++ b/storage/client/errors.go
@@ -26,7 +26,7 @@
 type Error struct {
 	// Op is the call, such as "commit".
 	Op string
-	// Class is one of the errors of package platform.
+	// Class is one of the errors of package storage.
 	Class error
 	// Cause says what went wrong; it may wrap the context's error, an error of
 	// the network, or a *RateLimitedError.
--- a/platform/client/example_test.go
+++ b/storage/client/example_test.go
@@ -7,8 +7,8 @@
 	"net/http/httptest"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
 )
 
 // A commit whose answer is lost is settled by reading the row back.
@@ -21,11 +21,11 @@
 
 	ctx := context.Background()
 	server.Table().LoseNext(1)
-	_, err := p.Table().Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: "claim"}},
-		Puts:       []platform.Put{{Key: "claim", Value: []byte("attempt-1")}},
+	_, err := p.Table().Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: "claim"}},
+		Puts:       []storage.Put{{Key: "claim", Value: []byte("attempt-1")}},
 	})
-	fmt.Println(errors.Is(err, platform.ErrUnknown))
+	fmt.Println(errors.Is(err, storage.ErrUnknown))
 	row, err := p.Table().Get(ctx, "claim")
 	fmt.Println(string(row.Value), err)
 	// Output:
--- a/platform/client/helpers_test.go
+++ b/storage/client/helpers_test.go
@@ -9,8 +9,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
 )
 
 const (
@@ -44,17 +44,17 @@
 }
 
 // holds reads the table in this process, past the connections.
-func holds(t testing.TB, table platform.Table, key string) bool {
+func holds(t testing.TB, table storage.Table, key string) bool {
 	t.Helper()
 	_, err := table.Get(t.Context(), key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		t.Fatal(err)
 	}
 	return err == nil
 }
 
 // waitHeld waits for a late commit; the test's own timeout bounds the wait.
-func waitHeld(t testing.TB, table platform.Table, key string) {
+func waitHeld(t testing.TB, table storage.Table, key string) {
 	t.Helper()
 	for !holds(t, table, key) {
 		time.Sleep(time.Millisecond)
--- a/platform/client/hosts.go
+++ b/storage/client/hosts.go
@@ -7,11 +7,11 @@
 	"net/url"
 	"slices"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
-// hostList implements platform.HostList. It keeps the list of the last call
+// hostList implements storage.HostList. It keeps the list of the last call
 // and fetches what has changed since, for the whole list of a large platform
 // takes megabytes.
 type hostList struct {
@@ -22,7 +22,7 @@
 	// cursor names the state that hosts shows; empty for none.
 	cursor string
 	// hosts is in ascending order of the IDs.
-	hosts []platform.Host
+	hosts []storage.Host
 }
 
 func newHostList(p *Platform) *hostList {
@@ -31,9 +31,9 @@
 	return l
 }
 
-// Hosts implements platform.HostList. A failed call gives no list, not even an
+// Hosts implements storage.HostList. A failed call gives no list, not even an
 // old one. The caller owns the result.
-func (l *hostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (l *hostList) Hosts(ctx context.Context) ([]storage.Host, error) {
 	c := call{op: "list hosts", method: http.MethodGet, path: protocol.PathHosts}
 	select {
 	case <-l.turn:
@@ -84,12 +84,12 @@
 		return false
 	}
 	l.hosts = changes.Hosts
-	slices.SortFunc(l.hosts, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(l.hosts, func(a, b storage.Host) int { return cmp.Compare(a.ID, b.ID) })
 	l.cursor = changes.Cursor
 	return true
 }
 
-func (l *hostList) set(host platform.Host) {
+func (l *hostList) set(host storage.Host) {
 	i, found := l.find(host.ID)
 	if found {
 		l.hosts[i] = host
@@ -107,7 +107,7 @@
 }
 
 func (l *hostList) find(id string) (int, bool) {
-	return slices.BinarySearchFunc(l.hosts, id, func(host platform.Host, id string) int {
+	return slices.BinarySearchFunc(l.hosts, id, func(host storage.Host, id string) int {
 		return cmp.Compare(host.ID, id)
 	})
 }
--- a/platform/client/hosts_test.go
+++ b/storage/client/hosts_test.go
@@ -13,10 +13,10 @@
 
 	_ "github.com/quetzalweir/quetzalweir/internal/rapidseed"
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // Whatever happens between two calls, a call gives the list that the server
@@ -28,14 +28,14 @@
 	}))
 	defer web.Close()
 	ids := rapid.SampledFrom([]string{"a", "b", "c", "d"})
-	states := rapid.SampledFrom([]platform.HostState{platform.HostLive, platform.HostLeaving})
+	states := rapid.SampledFrom([]storage.HostState{storage.HostLive, storage.HostLeaving})
 	rapid.Check(t, func(t *rapid.T) {
 		server = platformd.New(platformd.Options{})
 		p := client.New(web.URL, client.Options{})
 		defer p.Close()
 		t.Repeat(map[string]func(*rapid.T){
 			"set": func(t *rapid.T) {
-				server.Hosts().Set(platform.Host{ID: ids.Draw(t, "id"), State: states.Draw(t, "state")})
+				server.Hosts().Set(storage.Host{ID: ids.Draw(t, "id"), State: states.Draw(t, "state")})
 			},
 			"remove": func(t *rapid.T) { server.Hosts().Remove(ids.Draw(t, "id")) },
 			"replace server": func(t *rapid.T) {
@@ -80,10 +80,10 @@
 				_, err := p.Hosts().Hosts(t.Context())
 				return err
 			}
-			is.True(platformtest.IsClass(list(test.body), platform.ErrUnavailable))
-			is.True(platformtest.IsClass(list(`{"cursor": "1"}`), platform.ErrUnavailable)) // changes to nothing
+			is.True(storagetest.IsClass(list(test.body), storage.ErrUnavailable))
+			is.True(storagetest.IsClass(list(`{"cursor": "1"}`), storage.ErrUnavailable)) // changes to nothing
 			is.NoErr(list(full))
-			is.True(platformtest.IsClass(list(test.body), platform.ErrUnavailable))
+			is.True(storagetest.IsClass(list(test.body), storage.ErrUnavailable))
 			is.NoErr(list(full))
 			is.NoErr(list(`{"cursor": "2", "removed": ["a", "x"]}`))
 			is.Equal(since, []string{"", "", "", "1", "", "1"})
@@ -122,13 +122,13 @@
 	}
 }
 
-func benchmarkHost(i int) platform.Host {
-	return platform.Host{
+func benchmarkHost(i int) storage.Host {
+	return storage.Host{
 		ID:      fmt.Sprintf("engine-%05d", i),
-		Kind:    platform.KindEngine,
+		Kind:    storage.KindEngine,
 		Name:    "pool-" + strconv.Itoa(i%40),
 		Zone:    "zone-" + strconv.Itoa(i%32),
 		Address: fmt.Sprintf("10.%d.%d.%d:8000", i>>16, i>>8&0xff, i&0xff),
-		State:   platform.HostLive,
+		State:   storage.HostLive,
 	}
 }
--- a/platform/client/outcome_test.go
+++ b/storage/client/outcome_test.go
@@ -16,10 +16,10 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/client"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/client"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 func TestCommitUnderFaults(t *testing.T) {
@@ -34,12 +34,12 @@
 		held bool
 	}{
 		{desc: "no fault", fault: func(*platformd.Server) {}, held: true},
-		{desc: "down", fault: func(s *platformd.Server) { s.Table().SetDown(true) }, want: platform.ErrUnavailable},
-		{desc: "answer lost", fault: func(s *platformd.Server) { s.Table().LoseNext(1) }, want: platform.ErrUnknown, held: true},
-		{desc: "dropped", fault: func(s *platformd.Server) { s.Table().DropNext(1) }, want: platform.ErrUnknown},
-		{desc: "late", fault: func(s *platformd.Server) { s.Table().DelayNext(1, late) }, want: platform.ErrUnknown, held: true},
+		{desc: "down", fault: func(s *platformd.Server) { s.Table().SetDown(true) }, want: storage.ErrUnavailable},
+		{desc: "answer lost", fault: func(s *platformd.Server) { s.Table().LoseNext(1) }, want: storage.ErrUnknown, held: true},
+		{desc: "dropped", fault: func(s *platformd.Server) { s.Table().DropNext(1) }, want: storage.ErrUnknown},
+		{desc: "late", fault: func(s *platformd.Server) { s.Table().DelayNext(1, late) }, want: storage.ErrUnknown, held: true},
 		{desc: "slow", fault: func(s *platformd.Server) { s.Table().SetDelay(late) }, held: true},
-		{desc: "slow and abandoned", fault: func(s *platformd.Server) { s.Table().SetDelay(20 * late) }, abandoned: true, want: platform.ErrUnknown, held: true},
+		{desc: "slow and abandoned", fault: func(s *platformd.Server) { s.Table().SetDelay(20 * late) }, abandoned: true, want: storage.ErrUnknown, held: true},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -52,13 +52,13 @@
 			if test.abandoned {
 				go cancelAfterCommit(server, cancel)
 			}
-			_, err := p.Table().Commit(ctx, platformtest.Put(key, "value"))
+			_, err := p.Table().Commit(ctx, storagetest.Put(key, "value"))
 			server.Heal()
 			if test.held {
 				waitHeld(t, server.Table(), key)
 			}
 			is.Equal(holds(t, server.Table(), key), test.held)
-			is.True(platformtest.IsClass(err, test.want)) // class of the outcome
+			is.True(storagetest.IsClass(err, test.want)) // class of the outcome
 		})
 	}
 }
@@ -77,7 +77,7 @@
 	server.Table().SetDelay(time.Hour)
 	p := newClient(t, url, client.Options{Timeout: 50 * time.Millisecond})
 	_, err := p.Table().Get(t.Context(), key)
-	if !platformtest.IsClass(err, platform.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+	if !storagetest.IsClass(err, storage.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -96,19 +96,19 @@
 		desc string
 		url  string
 		ctx  context.Context
-		txn  platform.Txn
+		txn  storage.Txn
 	}{
-		{"connection refused", refusing, t.Context(), platformtest.Put(key, "value")},
-		{"bad URL", "http://127.0.0.1:bad", t.Context(), platformtest.Put(key, "value")},
-		{"context ended", url, ended, platformtest.Put(key, "value")},
-		{"key isn't UTF-8", url, t.Context(), platformtest.Put("\xff", "value")},
-		{"too large", url, t.Context(), platformtest.Put(strings.Repeat("a", 2000), "value")},
+		{"connection refused", refusing, t.Context(), storagetest.Put(key, "value")},
+		{"bad URL", "http://127.0.0.1:bad", t.Context(), storagetest.Put(key, "value")},
+		{"context ended", url, ended, storagetest.Put(key, "value")},
+		{"key isn't UTF-8", url, t.Context(), storagetest.Put("\xff", "value")},
+		{"too large", url, t.Context(), storagetest.Put(strings.Repeat("a", 2000), "value")},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			p := newClient(t, test.url, client.Options{MaxBody: 1000})
 			_, err := p.Table().Commit(test.ctx, test.txn)
-			if !platformtest.IsClass(err, platform.ErrUnavailable) {
+			if !storagetest.IsClass(err, storage.ErrUnavailable) {
 				t.Errorf("got %v", err)
 			}
 		})
@@ -119,10 +119,10 @@
 	is := is.New(t)
 	server, url := startStandin(t, platformd.Options{CommitsPerSecond: 1e-9, ReadsPerSecond: 1e-9})
 	p := newClient(t, url, client.Options{})
-	_, err := p.Table().Commit(t.Context(), platformtest.Put("first", "value"))
+	_, err := p.Table().Commit(t.Context(), storagetest.Put("first", "value"))
 	is.NoErr(err)
-	_, err = p.Table().Commit(t.Context(), platformtest.Put(key, "value"))
-	is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+	_, err = p.Table().Commit(t.Context(), storagetest.Put(key, "value"))
+	is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 	var limited *client.RateLimitedError
 	is.True(errors.As(err, &limited))
 	is.Equal(limited.RetryAfter, time.Second)
@@ -146,22 +146,22 @@
 		want    error
 	}{
 		{"committed", 200, nil, committed, nil},
-		{"revision missing", 200, nil, `{}`, platform.ErrUnknown},
-		{"no JSON", 200, nil, `<html>`, platform.ErrUnknown},
-		{"cut JSON", 200, nil, committed[:8], platform.ErrUnknown},
-		{"too large", 200, nil, committed + strings.Repeat(" ", 2000), platform.ErrUnknown},
-		{"success without effect", 200, none, `{}`, platform.ErrUnknown},
-		{"conflict", 409, none, `{}`, platform.ErrConflict},
-		{"conflict, effect not stated", 409, nil, `{}`, platform.ErrUnknown},
-		{"refused", 503, none, `{}`, platform.ErrUnavailable},
-		{"refused, body too large", 503, none, strings.Repeat(" ", 2000), platform.ErrUnavailable},
-		{"refused, effect not stated", 503, nil, `{}`, platform.ErrUnknown},
-		{"not found", 404, none, `{}`, platform.ErrUnavailable},
-		{"gateway timeout", 504, nil, ``, platform.ErrUnknown},
-		{"rate limited, effect not stated", 429, map[string]string{"Retry-After": "1"}, ``, platform.ErrUnknown},
-		{"redirect", 307, map[string]string{"Location": "/"}, ``, platform.ErrUnknown},
-		{"other call", 200, map[string]string{protocol.HeaderCall: "other"}, committed, platform.ErrUnknown},
-		{"refusal of another call", 503, map[string]string{protocol.HeaderCall: "other", protocol.HeaderEffect: protocol.EffectNone}, `{}`, platform.ErrUnknown},
+		{"revision missing", 200, nil, `{}`, storage.ErrUnknown},
+		{"no JSON", 200, nil, `<html>`, storage.ErrUnknown},
+		{"cut JSON", 200, nil, committed[:8], storage.ErrUnknown},
+		{"too large", 200, nil, committed + strings.Repeat(" ", 2000), storage.ErrUnknown},
+		{"success without effect", 200, none, `{}`, storage.ErrUnknown},
+		{"conflict", 409, none, `{}`, storage.ErrConflict},
+		{"conflict, effect not stated", 409, nil, `{}`, storage.ErrUnknown},
+		{"refused", 503, none, `{}`, storage.ErrUnavailable},
+		{"refused, body too large", 503, none, strings.Repeat(" ", 2000), storage.ErrUnavailable},
+		{"refused, effect not stated", 503, nil, `{}`, storage.ErrUnknown},
+		{"not found", 404, none, `{}`, storage.ErrUnavailable},
+		{"gateway timeout", 504, nil, ``, storage.ErrUnknown},
+		{"rate limited, effect not stated", 429, map[string]string{"Retry-After": "1"}, ``, storage.ErrUnknown},
+		{"redirect", 307, map[string]string{"Location": "/"}, ``, storage.ErrUnknown},
+		{"other call", 200, map[string]string{protocol.HeaderCall: "other"}, committed, storage.ErrUnknown},
+		{"refusal of another call", 503, map[string]string{protocol.HeaderCall: "other", protocol.HeaderEffect: protocol.EffectNone}, `{}`, storage.ErrUnknown},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -177,8 +177,8 @@
 			}))
 			defer web.Close()
 			p := newClient(t, web.URL, client.Options{MaxBody: 1000})
-			_, err := p.Table().Commit(t.Context(), platformtest.Put(key, "value"))
-			if !platformtest.IsClass(err, test.want) {
+			_, err := p.Table().Commit(t.Context(), storagetest.Put(key, "value"))
+			if !storagetest.IsClass(err, test.want) {
 				t.Errorf("got %v, want %v", err, test.want)
 			}
 			if requests.Load() != 1 {
@@ -202,18 +202,18 @@
 	defer web.Close()
 	p := newClient(t, web.URL, client.Options{})
 	data, err := p.Objects().Read(t.Context(), "name")
-	if !platformtest.IsClass(err, platform.ErrUnavailable) {
+	if !storagetest.IsClass(err, storage.ErrUnavailable) {
 		t.Errorf("got %q, %v", data, err)
 	}
 }
 
 func TestConformance(t *testing.T) {
-	platformtest.TestTable(t, func(t *testing.T) platform.Table {
+	storagetest.TestTable(t, func(t *testing.T) storage.Table {
 		_, url := startStandin(t, unlimitedOptions())
 		return newClient(t, url, client.Options{}).Table()
 	})
 	_, url := startStandin(t, unlimitedOptions())
-	platformtest.TestObjects(t, newClient(t, url, client.Options{}).Objects())
+	storagetest.TestObjects(t, newClient(t, url, client.Options{}).Objects())
 }
 
 func TestServices(t *testing.T) {
@@ -223,21 +223,21 @@
 	hosts, err := p.Hosts().Hosts(t.Context())
 	is.NoErr(err)
 	is.Equal(len(hosts), 0)
-	host := platform.Host{ID: "h", Kind: platform.KindEngine, Name: "m", Zone: "z", Address: "127.0.0.1:1", State: platform.HostLive, Fenced: true}
+	host := storage.Host{ID: "h", Kind: storage.KindEngine, Name: "m", Zone: "z", Address: "127.0.0.1:1", State: storage.HostLive, Fenced: true}
 	server.Hosts().Set(host)
 	hosts, err = p.Hosts().Hosts(t.Context())
 	is.NoErr(err)
-	is.Equal(hosts, []platform.Host{host})
+	is.Equal(hosts, []storage.Host{host})
 
 	server.Objects().SetDown(true)
-	is.True(platformtest.IsClass(p.Objects().Write(t.Context(), "b", nil), platform.ErrUnavailable))
+	is.True(storagetest.IsClass(p.Objects().Write(t.Context(), "b", nil), storage.ErrUnavailable))
 
 	rating, err := p.Rater().Rate(t.Context(), "m", "1", "prompt", "answer")
 	is.NoErr(err)
 	is.Equal(rating.Score, 0.5)
 	server.Rater().SetDown(true)
 	_, err = p.Rater().Rate(t.Context(), "m", "1", "prompt", "answer")
-	is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+	is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 }
 
 func TestObserve(t *testing.T) {
@@ -245,10 +245,10 @@
 	server, url := startStandin(t, unlimitedOptions())
 	var seen []client.Observation
 	p := newClient(t, url, client.Options{Observe: func(o client.Observation) { seen = append(seen, o) }})
-	_, err := p.Table().Commit(t.Context(), platformtest.Put(key, "value"))
+	_, err := p.Table().Commit(t.Context(), storagetest.Put(key, "value"))
 	is.NoErr(err)
 	server.Table().LoseNext(1)
-	_, err = p.Table().Commit(t.Context(), platformtest.Put(key, "value"))
+	_, err = p.Table().Commit(t.Context(), storagetest.Put(key, "value"))
 	is.Equal(len(seen), 2)
 	is.Equal(seen[0].Op, "commit")
 	is.True(seen[0].Sent > 0 && seen[0].Received > 0)
@@ -262,9 +262,9 @@
 	server.Table().SetDown(true)
 	table := newClient(t, url, client.Options{}).Table()
 	_, err := table.List(t.Context(), "", "", 5)
-	is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+	is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 	_, err = table.Get(t.Context(), "absent")
-	is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+	is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 }
 
 // A server that reads a commit on a connection that was idle, and cuts it. The
@@ -281,9 +281,9 @@
 	}))
 	defer web.Close()
 	p := newClient(t, web.URL, client.Options{})
-	for i, want := range []error{nil, platform.ErrUnknown} {
-		_, err := p.Table().Commit(t.Context(), platformtest.Put(key, "value"))
-		if !platformtest.IsClass(err, want) {
+	for i, want := range []error{nil, storage.ErrUnknown} {
+		_, err := p.Table().Commit(t.Context(), storagetest.Put(key, "value"))
+		if !storagetest.IsClass(err, want) {
 			t.Errorf("commit %d: got %v, want %v", i, err, want)
 		}
 	}
--- a/platform/client/platform.go
+++ b/storage/client/platform.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // maxHeaderBytes bounds the headers of an answer.
@@ -41,17 +41,17 @@
 }
 
 // Table returns the table.
-func (p *Platform) Table() platform.Table { return table{p} }
+func (p *Platform) Table() storage.Table { return table{p} }
 
 // Objects returns the object store.
-func (p *Platform) Objects() platform.Objects { return objects{p} }
+func (p *Platform) Objects() storage.Objects { return objects{p} }
 
 // Hosts returns the host list. Its calls wait for one another, as each fetches
 // only what has changed since the one before.
-func (p *Platform) Hosts() platform.HostList { return p.hosts }
+func (p *Platform) Hosts() storage.HostList { return p.hosts }
 
 // Rater returns the rater.
-func (p *Platform) Rater() platform.Rater { return rater{p} }
+func (p *Platform) Rater() storage.Rater { return rater{p} }
 
 // Close closes the idle connections. Calls under way aren't cut.
 func (p *Platform) Close() {
--- a/platform/client/services.go
+++ b/storage/client/services.go
@@ -8,14 +8,14 @@
 	"net/url"
 	"unicode/utf8"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
-// objects implements platform.Objects.
+// objects implements storage.Objects.
 type objects struct{ platform *Platform }
 
-// Write implements platform.Objects. After platform.ErrUnknown the same write
+// Write implements storage.Objects. After storage.ErrUnknown the same write
 // may be tried again: objects are written once.
 func (o objects) Write(ctx context.Context, name string, data []byte) error {
 	c := call{
@@ -40,7 +40,7 @@
 	return nil
 }
 
-// Read implements platform.Objects.
+// Read implements storage.Objects.
 func (o objects) Read(ctx context.Context, name string) ([]byte, error) {
 	c := call{
 		op:     "read object",
@@ -61,7 +61,7 @@
 	return a.body, nil
 }
 
-// rater implements platform.Rater.
+// rater implements storage.Rater.
 type rater struct{ platform *Platform }
 
 // ratingAnswer tells a missing score from one of zero.
@@ -69,8 +69,8 @@
 	Score *float64 `json:"score"`
 }
 
-// Rate implements platform.Rater.
-func (r rater) Rate(ctx context.Context, model, version, prompt, answer string) (platform.Rating, error) {
+// Rate implements storage.Rater.
+func (r rater) Rate(ctx context.Context, model, version, prompt, answer string) (storage.Rating, error) {
 	c := call{op: "rate", method: http.MethodPost, path: protocol.PathRating}
 	body, err := json.Marshal(protocol.RatingRequest{
 		Model:   model,
@@ -79,17 +79,17 @@
 		Answer:  answer,
 	})
 	if err != nil {
-		return platform.Rating{}, c.failUnsent(err)
+		return storage.Rating{}, c.failUnsent(err)
 	}
 	c.body = body
 	var result ratingAnswer
 	if err := r.platform.decode(ctx, c, &result); err != nil {
-		return platform.Rating{}, err
+		return storage.Rating{}, err
 	}
 	if result.Score == nil || !validScore(*result.Score) {
-		return platform.Rating{}, c.failSent(errBadAnswer)
+		return storage.Rating{}, c.failSent(errBadAnswer)
 	}
-	return platform.Rating{Score: *result.Score}, nil
+	return storage.Rating{Score: *result.Score}, nil
 }
 
 func validScore(score float64) bool {
--- a/platform/client/table.go
+++ b/storage/client/table.go
@@ -9,15 +9,15 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/protocol"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
 
-// table implements platform.Table.
+// table implements storage.Table.
 type table struct{ platform *Platform }
 
-// Get implements platform.Table.
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (t table) Get(ctx context.Context, key string) (storage.Row, error) {
 	c := call{
 		op:     "get",
 		method: http.MethodGet,
@@ -25,20 +25,20 @@
 		query:  url.Values{protocol.QueryKey: {key}},
 	}
 	if !utf8.ValidString(key) {
-		return platform.Row{}, c.failUnsent(errInvalidText)
+		return storage.Row{}, c.failUnsent(errInvalidText)
 	}
-	var row platform.Row
+	var row storage.Row
 	if err := t.platform.decode(ctx, c, &row); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	if row.Key != key || row.Version == 0 {
-		return platform.Row{}, c.failSent(errBadAnswer)
+		return storage.Row{}, c.failSent(errBadAnswer)
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	c := call{
 		op:     "list",
 		method: http.MethodGet,
@@ -63,7 +63,7 @@
 }
 
 // isPage says whether rows can be the page that List asked for.
-func isPage(rows []platform.Row, prefix, after string, limit int) bool {
+func isPage(rows []storage.Row, prefix, after string, limit int) bool {
 	if len(rows) > max(limit, 0) {
 		return false
 	}
@@ -76,8 +76,8 @@
 	return true
 }
 
-// Commit implements platform.Table.
-func (t table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (t table) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	c := call{
 		op:     "commit",
 		method: http.MethodPost,
@@ -104,7 +104,7 @@
 
 // validKeys says whether JSON can carry all keys. It would replace bytes that
 // aren't UTF-8, and so name other rows.
-func validKeys(txn platform.Txn) bool {
+func validKeys(txn storage.Txn) bool {
 	for _, condition := range txn.Conditions {
 		if !utf8.ValidString(condition.Key) {
 			return false
--- a/platform/faulty/example_test.go
+++ b/storage/faulty/example_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 // The answer of a commit is lost after the write took effect.
@@ -15,8 +15,8 @@
 	ctx := context.Background()
 	table := faulty.New(memory.New())
 	table.LoseNext(1)
-	_, err := table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "a", Value: []byte("1")}}})
-	fmt.Println(errors.Is(err, platform.ErrUnknown))
+	_, err := table.Commit(ctx, storage.Txn{Puts: []storage.Put{{Key: "a", Value: []byte("1")}}})
+	fmt.Println(errors.Is(err, storage.ErrUnknown))
 	row, err := table.Get(ctx, "a")
 	fmt.Println(string(row.Value), err)
 	// Output:
--- a/platform/faulty/objects.go
+++ b/storage/faulty/objects.go
@@ -4,30 +4,30 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Objects = (*Objects)(nil)
+var _ storage.Objects = (*Objects)(nil)
 
 // Objects passes calls to an inner object store, unless it is down. It is safe
 // for concurrent use.
 type Objects struct {
-	inner platform.Objects
+	inner storage.Objects
 	down  atomic.Bool
 }
 
 // NewObjects returns an object store without faults over inner.
-func NewObjects(inner platform.Objects) *Objects {
+func NewObjects(inner storage.Objects) *Objects {
 	return &Objects{inner: inner}
 }
 
 // SetDown starts or ends an outage: every call has no effect and gives
-// platform.ErrUnavailable.
+// storage.ErrUnavailable.
 func (o *Objects) SetDown(down bool) {
 	o.down.Store(down)
 }
 
-// Write implements platform.Objects.
+// Write implements storage.Objects.
 func (o *Objects) Write(ctx context.Context, name string, data []byte) error {
 	if o.down.Load() {
 		return errDown()
@@ -35,7 +35,7 @@
 	return o.inner.Write(ctx, name, data)
 }
 
-// Read implements platform.Objects.
+// Read implements storage.Objects.
 func (o *Objects) Read(ctx context.Context, name string) ([]byte, error) {
 	if o.down.Load() {
 		return nil, errDown()
--- a/platform/faulty/random_test.go
+++ b/storage/faulty/random_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 // Each outcome of a commit comes from some of the drawn faults.
@@ -25,8 +25,8 @@
 			table := faulty.New(inner)
 			table.SetRandom(rand.New(rand.NewPCG(seed, 0)), faulty.Bounds{Commits: 3, Delay: delay, Late: delay})
 			start := time.Now()
-			_, err := table.Commit(t.Context(), platformtest.Put(key, "value"))
-			o := outcome{unavailable: errors.Is(err, platform.ErrUnavailable), unknown: errors.Is(err, platform.ErrUnknown), slow: time.Since(start) > 0}
+			_, err := table.Commit(t.Context(), storagetest.Put(key, "value"))
+			o := outcome{unavailable: errors.Is(err, storage.ErrUnavailable), unknown: errors.Is(err, storage.ErrUnknown), slow: time.Since(start) > 0}
 			_, err = inner.Get(t.Context(), key)
 			o.held = err == nil
 			time.Sleep(delay)
--- a/platform/faulty/rater.go
+++ b/storage/faulty/rater.go
@@ -6,15 +6,15 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Rater = (*Rater)(nil)
+var _ storage.Rater = (*Rater)(nil)
 
 // Rater passes calls to an inner rater, subject to faults. It is safe for
 // concurrent use.
 type Rater struct {
-	inner platform.Rater
+	inner storage.Rater
 
 	mu    sync.Mutex
 	down  bool
@@ -22,11 +22,11 @@
 }
 
 // NewRater returns a rater without faults over inner.
-func NewRater(inner platform.Rater) *Rater {
+func NewRater(inner storage.Rater) *Rater {
 	return &Rater{inner: inner}
 }
 
-// SetDown starts or ends an outage: every call gives platform.ErrUnavailable.
+// SetDown starts or ends an outage: every call gives storage.ErrUnavailable.
 func (r *Rater) SetDown(down bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,14 +40,14 @@
 	r.delay = d
 }
 
-// Rate implements platform.Rater.
-func (r *Rater) Rate(ctx context.Context, model, version, prompt, answer string) (platform.Rating, error) {
+// Rate implements storage.Rater.
+func (r *Rater) Rate(ctx context.Context, model, version, prompt, answer string) (storage.Rating, error) {
 	down, delay := r.faults()
 	if down {
-		return platform.Rating{}, errDown()
+		return storage.Rating{}, errDown()
 	}
 	if err := sleep(ctx, delay); err != nil {
-		return platform.Rating{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return storage.Rating{}, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	return r.inner.Rate(ctx, model, version, prompt, answer)
 }
--- a/platform/faulty/support.go
+++ b/storage/faulty/support.go
@@ -8,15 +8,15 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/wait"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 func errDown() error {
-	return fmt.Errorf("injected outage: %w", platform.ErrUnavailable)
+	return fmt.Errorf("injected outage: %w", storage.ErrUnavailable)
 }
 
 func errLost() error {
-	return fmt.Errorf("injected loss of the answer: %w", platform.ErrUnknown)
+	return fmt.Errorf("injected loss of the answer: %w", storage.ErrUnknown)
 }
 
 // sleep waits for d or the context's end. It returns at once for d of zero.
@@ -28,8 +28,8 @@
 }
 
 // copyTxn copies all that the caller may change after its call returned.
-func copyTxn(txn platform.Txn) platform.Txn {
-	copied := platform.Txn{
+func copyTxn(txn storage.Txn) storage.Txn {
+	copied := storage.Txn{
 		Conditions: slices.Clone(txn.Conditions),
 		Puts:       slices.Clone(txn.Puts),
 		Deletes:    slices.Clone(txn.Deletes),
--- a/platform/faulty/table.go
+++ b/storage/faulty/table.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Table = (*Table)(nil)
+var _ storage.Table = (*Table)(nil)
 
 // Counts are the numbers of calls that a Table received, failed ones included.
 type Counts struct {
@@ -28,17 +28,17 @@
 // changes nothing. It is safe for concurrent use.
 //
 // A slow call spends half of its delay before its effect and half after. A
-// commit whose context ends in either half gives platform.ErrUnknown, so that
-// a caller can't learn which half it was; a read gives platform.ErrUnavailable.
+// commit whose context ends in either half gives storage.ErrUnknown, so that
+// a caller can't learn which half it was; a read gives storage.ErrUnavailable.
 type Table struct {
-	inner platform.Table
+	inner storage.Table
 
 	mu     sync.Mutex
 	faults faults
 	counts Counts
 	hooks  hooks
 	// held are the commits on their way until Deliver.
-	held []platform.Txn
+	held []storage.Txn
 }
 
 // hooks are called around each call; nil for none.
@@ -75,12 +75,12 @@
 )
 
 // New returns a table without faults over inner.
-func New(inner platform.Table) *Table {
+func New(inner storage.Table) *Table {
 	return &Table{inner: inner}
 }
 
 // SetDown starts or ends an outage: every call has no effect and gives
-// platform.ErrUnavailable.
+// storage.ErrUnavailable.
 func (t *Table) SetDown(down bool) {
 	t.change(func(f *faults) { f.down = down })
 }
@@ -91,24 +91,24 @@
 }
 
 // LoseNext makes the next n commits take effect, if their conditions hold, and
-// give platform.ErrUnknown.
+// give storage.ErrUnknown.
 func (t *Table) LoseNext(n int) {
 	t.change(func(f *faults) { f.lose = n })
 }
 
 // DropNext makes the next n commits have no effect and give
-// platform.ErrUnknown.
+// storage.ErrUnknown.
 func (t *Table) DropNext(n int) {
 	t.change(func(f *faults) { f.drop = n })
 }
 
-// DelayNext makes the next n commits give platform.ErrUnknown at once and take
+// DelayNext makes the next n commits give storage.ErrUnknown at once and take
 // effect after d, if their conditions hold then.
 func (t *Table) DelayNext(n int, d time.Duration) {
 	t.change(func(f *faults) { f.late, f.lateBy = n, d })
 }
 
-// HoldNext makes the next n commits give platform.ErrUnknown at once and take
+// HoldNext makes the next n commits give storage.ErrUnknown at once and take
 // effect at the next Deliver, if their conditions hold then. It is DelayNext for
 // tests whose time is their own.
 func (t *Table) HoldNext(n int) {
@@ -165,26 +165,26 @@
 	return t.counts
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, key string) (storage.Row, error) {
 	t.count(func(c *Counts) { c.Gets++ })
 	defer t.around()()
-	return read(ctx, t, func() (platform.Row, error) {
+	return read(ctx, t, func() (storage.Row, error) {
 		return t.inner.Get(ctx, key)
 	})
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	t.count(func(c *Counts) { c.Lists++ })
 	defer t.around()()
-	return read(ctx, t, func() ([]platform.Row, error) {
+	return read(ctx, t, func() ([]storage.Row, error) {
 		return t.inner.List(ctx, prefix, after, limit)
 	})
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (t *Table) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	t.count(func(c *Counts) { c.Commits++ })
 	defer t.around()()
 	current := t.current()
@@ -192,20 +192,20 @@
 		return 0, errDown()
 	}
 	if err := sleep(ctx, current.delay/2); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return 0, fmt.Errorf("%w: %w", storage.ErrUnknown, err)
 	}
 	if t.current().down {
 		return 0, errDown()
 	}
 	revision, err := t.commit(ctx, txn)
 	if sleepErr := sleep(ctx, current.delay/2); sleepErr != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknown, sleepErr)
+		return 0, fmt.Errorf("%w: %w", storage.ErrUnknown, sleepErr)
 	}
 	return revision, err
 }
 
 // commit passes the transaction on with the fault that is due.
-func (t *Table) commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *Table) commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	fault, lateBy := t.takeCommitFault()
 	switch fault {
 	case faultDrop:
@@ -240,14 +240,14 @@
 		return none, errDown()
 	}
 	if err := sleep(ctx, current.delay/2); err != nil {
-		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return none, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	if t.current().down {
 		return none, errDown()
 	}
 	result, callErr := call()
 	if err := sleep(ctx, current.delay/2); err != nil {
-		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return none, fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	return result, callErr
 }
--- a/platform/faulty/table_test.go
+++ b/storage/faulty/table_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 const (
@@ -21,8 +21,8 @@
 )
 
 func TestConformance(t *testing.T) {
-	platformtest.TestTable(t, func(*testing.T) platform.Table { return faulty.New(memory.New()) })
-	platformtest.TestObjects(t, faulty.NewObjects(memory.NewObjects()))
+	storagetest.TestTable(t, func(*testing.T) storage.Table { return faulty.New(memory.New()) })
+	storagetest.TestObjects(t, faulty.NewObjects(memory.NewObjects()))
 }
 
 func TestCommitFaults(t *testing.T) {
@@ -37,14 +37,14 @@
 		held, heldLater bool
 	}{
 		{desc: "no fault", fault: func(*faulty.Table) {}, held: true, heldLater: true},
-		{desc: "down", fault: func(f *faulty.Table) { f.SetDown(true) }, want: platform.ErrUnavailable},
-		{desc: "lost answer", fault: func(f *faulty.Table) { f.LoseNext(1) }, want: platform.ErrUnknown, held: true, heldLater: true},
-		{desc: "dropped", fault: func(f *faulty.Table) { f.DropNext(1) }, want: platform.ErrUnknown},
-		{desc: "late", fault: func(f *faulty.Table) { f.DelayNext(1, delay) }, want: platform.ErrUnknown, heldLater: true},
-		{desc: "held", fault: func(f *faulty.Table) { f.HoldNext(1) }, want: platform.ErrUnknown, heldLater: true},
+		{desc: "down", fault: func(f *faulty.Table) { f.SetDown(true) }, want: storage.ErrUnavailable},
+		{desc: "lost answer", fault: func(f *faulty.Table) { f.LoseNext(1) }, want: storage.ErrUnknown, held: true, heldLater: true},
+		{desc: "dropped", fault: func(f *faulty.Table) { f.DropNext(1) }, want: storage.ErrUnknown},
+		{desc: "late", fault: func(f *faulty.Table) { f.DelayNext(1, delay) }, want: storage.ErrUnknown, heldLater: true},
+		{desc: "held", fault: func(f *faulty.Table) { f.HoldNext(1) }, want: storage.ErrUnknown, heldLater: true},
 		{desc: "slow", fault: func(f *faulty.Table) { f.SetDelay(delay) }, held: true, heldLater: true},
-		{desc: "slow, timeout before the effect", fault: func(f *faulty.Table) { f.SetDelay(delay) }, timeout: delay / 4, want: platform.ErrUnknown},
-		{desc: "slow, timeout after the effect", fault: func(f *faulty.Table) { f.SetDelay(delay) }, timeout: 3 * delay / 4, want: platform.ErrUnknown, held: true, heldLater: true},
+		{desc: "slow, timeout before the effect", fault: func(f *faulty.Table) { f.SetDelay(delay) }, timeout: delay / 4, want: storage.ErrUnknown},
+		{desc: "slow, timeout after the effect", fault: func(f *faulty.Table) { f.SetDelay(delay) }, timeout: 3 * delay / 4, want: storage.ErrUnknown, held: true, heldLater: true},
 		{desc: "healed", fault: func(f *faulty.Table) {
 			f.SetDown(true)
 			f.SetDelay(delay)
@@ -68,8 +68,8 @@
 					ctx, cancel = context.WithTimeout(ctx, test.timeout)
 					defer cancel()
 				}
-				_, err := table.Commit(ctx, platformtest.Put(key, "value"))
-				is.True(platformtest.IsClass(err, test.want)) // class of the outcome
+				_, err := table.Commit(ctx, storagetest.Put(key, "value"))
+				is.True(storagetest.IsClass(err, test.want)) // class of the outcome
 				is.Equal(holds(t, inner), test.held)
 				time.Sleep(2 * delay)
 				table.Deliver()
@@ -88,7 +88,7 @@
 	var seen []bool
 	look := func() { seen = append(seen, holds(t, inner)) }
 	table.SetHooks(look, look)
-	_, err := table.Commit(t.Context(), platformtest.Put(key, "value"))
+	_, err := table.Commit(t.Context(), storagetest.Put(key, "value"))
 	is.NoErr(err)
 	_, err = table.Get(t.Context(), key)
 	is.NoErr(err)
@@ -106,12 +106,12 @@
 		inner := memory.New()
 		table := faulty.New(inner)
 		table.DelayNext(1, delay)
-		late := platformtest.Put(key, "value")
-		late.Conditions = []platform.Condition{{Key: key}}
+		late := storagetest.Put(key, "value")
+		late.Conditions = []storage.Condition{{Key: key}}
 		_, err := table.Commit(t.Context(), late)
-		is.True(platformtest.IsClass(err, platform.ErrUnknown))
+		is.True(storagetest.IsClass(err, storage.ErrUnknown))
 		late.Puts[0].Value[0] = 'x' // the caller may reuse its buffers
-		revision, err := table.Commit(t.Context(), platformtest.Put(key, "value"))
+		revision, err := table.Commit(t.Context(), storagetest.Put(key, "value"))
 		is.NoErr(err)
 		time.Sleep(2 * delay)
 		row, err := table.Get(t.Context(), key)
@@ -126,16 +126,16 @@
 		table := faulty.New(memory.New())
 		table.LoseNext(1) // concerns commits only
 		_, err := table.Get(t.Context(), key)
-		is.True(platformtest.IsClass(err, platform.ErrNotFound))
+		is.True(storagetest.IsClass(err, storage.ErrNotFound))
 		table.SetDown(true)
 		_, err = table.Get(t.Context(), key)
-		is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+		is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 		table.SetDown(false)
 		table.SetDelay(delay)
 		ctx, cancel := context.WithTimeout(t.Context(), delay/2+1)
 		defer cancel()
 		_, err = table.List(ctx, "", "", 1)
-		is.True(platformtest.IsClass(err, platform.ErrUnavailable))
+		is.True(storagetest.IsClass(err, storage.ErrUnavailable))
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.Equal(table.Counts(), faulty.Counts{Gets: 2, Lists: 1})
 	})
@@ -145,17 +145,17 @@
 	is := is.New(t)
 	objects := faulty.NewObjects(memory.NewObjects())
 	objects.SetDown(true)
-	is.True(platformtest.IsClass(objects.Write(t.Context(), key, nil), platform.ErrUnavailable))
+	is.True(storagetest.IsClass(objects.Write(t.Context(), key, nil), storage.ErrUnavailable))
 	objects.SetDown(false)
 	_, err := objects.Read(t.Context(), key)
-	is.True(platformtest.IsClass(err, platform.ErrNotFound)) // the write had no effect
+	is.True(storagetest.IsClass(err, storage.ErrNotFound)) // the write had no effect
 	is.NoErr(objects.Write(t.Context(), key, nil))
 }
 
-func holds(t *testing.T, table platform.Table) bool {
+func holds(t *testing.T, table storage.Table) bool {
 	t.Helper()
 	_, err := table.Get(t.Context(), key)
-	if err != nil && !platformtest.IsClass(err, platform.ErrNotFound) {
+	if err != nil && !storagetest.IsClass(err, storage.ErrNotFound) {
 		t.Fatal(err)
 	}
 	return err == nil
--- a/platform/groupcommit/batch.go
+++ b/storage/groupcommit/batch.go
@@ -1,6 +1,6 @@
 package groupcommit
 
-import "github.com/quetzalweir/quetzalweir/platform"
+import "github.com/quetzalweir/quetzalweir/storage"
 
 // batch collects transactions that may be committed as one.
 type batch struct {
@@ -44,11 +44,11 @@
 }
 
 // merge joins transactions that touch different rows.
-func merge(items []*pending) platform.Txn {
+func merge(items []*pending) storage.Txn {
 	if len(items) == 1 {
 		return items[0].txn
 	}
-	var merged platform.Txn
+	var merged storage.Txn
 	for _, p := range items {
 		merged.Conditions = append(merged.Conditions, p.txn.Conditions...)
 		merged.Puts = append(merged.Puts, p.txn.Puts...)
--- a/platform/groupcommit/committer.go
+++ b/storage/groupcommit/committer.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Stats counts what a Committer did since it was made.
@@ -26,10 +26,10 @@
 	Reads uint64
 }
 
-// Committer is a platform.Table that merges commits. Reads pass through. It
+// Committer is a storage.Table that merges commits. Reads pass through. It
 // is safe for concurrent use.
 type Committer struct {
-	table   platform.Table
+	table   storage.Table
 	options Options
 	limiter *rate.Limiter
 	probes  *rate.Limiter
@@ -43,10 +43,10 @@
 	reads        atomic.Uint64
 }
 
-var _ platform.Table = (*Committer)(nil)
+var _ storage.Table = (*Committer)(nil)
 
 // New returns a Committer on table. Close stops its goroutine.
-func New(table platform.Table, options Options) *Committer {
+func New(table storage.Table, options Options) *Committer {
 	options = options.withDefaults()
 	c := &Committer{
 		table:   table,
@@ -62,26 +62,26 @@
 }
 
 // Get reads a row from the table.
-func (c *Committer) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *Committer) Get(ctx context.Context, key string) (storage.Row, error) {
 	return c.table.Get(ctx, key)
 }
 
 // List reads rows from the table.
-func (c *Committer) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *Committer) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	return c.table.List(ctx, prefix, after, limit)
 }
 
 // Commit queues txn and returns its outcome. If ctx ends while txn is queued,
-// txn is withdrawn and the error wraps platform.ErrUnavailable: it had no
+// txn is withdrawn and the error wraps storage.ErrUnavailable: it had no
 // effect. If ctx ends after txn was sent, the error wraps
-// platform.ErrUnknown.
-func (c *Committer) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// storage.ErrUnknown.
+func (c *Committer) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, fmt.Errorf("%w: not queued: %v", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: not queued: %v", storage.ErrUnavailable, err)
 	}
 	p := newPending(txn)
 	if !c.queue.push(p) {
-		return 0, fmt.Errorf("%w: committer is closed", platform.ErrUnavailable)
+		return 0, fmt.Errorf("%w: committer is closed", storage.ErrUnavailable)
 	}
 	select {
 	case out := <-p.done:
@@ -94,13 +94,13 @@
 // abandon ends the wait for p, whose caller's context has ended.
 func (c *Committer) abandon(ctx context.Context, p *pending) (uint64, error) {
 	if c.queue.remove(p) {
-		return 0, fmt.Errorf("%w: withdrawn from the queue: %v", platform.ErrUnavailable, ctx.Err())
+		return 0, fmt.Errorf("%w: withdrawn from the queue: %v", storage.ErrUnavailable, ctx.Err())
 	}
 	select {
 	case out := <-p.done:
 		return out.revision, out.err
 	default:
-		return 0, fmt.Errorf("%w: sent without an answer: %v", platform.ErrUnknown, ctx.Err())
+		return 0, fmt.Errorf("%w: sent without an answer: %v", storage.ErrUnknown, ctx.Err())
 	}
 }
 
@@ -115,7 +115,7 @@
 }
 
 // Close commits what is queued, waits for the answers and stops. Transactions
-// that come after it fail with platform.ErrUnavailable. It may be called
+// that come after it fail with storage.ErrUnavailable. It may be called
 // several times; the error is always nil.
 func (c *Committer) Close() error {
 	c.queue.close()
@@ -173,7 +173,7 @@
 // whether any transaction conflicted.
 func (c *Committer) settle(items []*pending) bool {
 	revision, err := c.send(items)
-	isConflict := errors.Is(err, platform.ErrConflict)
+	isConflict := errors.Is(err, storage.ErrConflict)
 	if isConflict && len(items) > 1 {
 		c.resolve(items)
 		return true
@@ -212,11 +212,11 @@
 	if err == nil || isDefinite(err) {
 		return revision, err
 	}
-	return 0, fmt.Errorf("%w: %v", platform.ErrUnknown, err)
+	return 0, fmt.Errorf("%w: %v", storage.ErrUnknown, err)
 }
 
 func isDefinite(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrUnavailable)
 }
 
 func deliver(items []*pending, revision uint64, err error) {
--- a/platform/groupcommit/committer_test.go
+++ b/storage/groupcommit/committer_test.go
@@ -11,21 +11,21 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
-func create(key string) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(key)}},
+func create(key string) storage.Txn {
+	return storage.Txn{
+		Conditions: []storage.Condition{{Key: key}},
+		Puts:       []storage.Put{{Key: key, Value: []byte(key)}},
 	}
 }
 
 // commitAll commits the transactions at the same time.
-func commitAll(ctx context.Context, table platform.Table, txns []platform.Txn) ([]uint64, []error) {
+func commitAll(ctx context.Context, table storage.Table, txns []storage.Txn) ([]uint64, []error) {
 	revisions := make([]uint64, len(txns))
 	errs := make([]error, len(txns))
 	var wg sync.WaitGroup
@@ -92,13 +92,13 @@
 		_, err := table.Commit(t.Context(), create(fmt.Sprint("row/", i)))
 		is.NoErr(err)
 	}
-	txns := make([]platform.Txn, size)
+	txns := make([]storage.Txn, size)
 	for i := range txns {
 		txns[i] = create(fmt.Sprint("row/", i))
 	}
 	revisions, errs := commitAll(t.Context(), c, txns)
 	for i := range txns {
-		is.Equal(errors.Is(errs[i], platform.ErrConflict), bad[i])
+		is.Equal(errors.Is(errs[i], storage.ErrConflict), bad[i])
 		row, err := table.Get(t.Context(), fmt.Sprint("row/", i))
 		is.NoErr(err)
 		is.True(bad[i] || row.Version == revisions[i]) // the row is at its own revision
@@ -117,10 +117,10 @@
 		want    error
 		written bool
 	}{
-		{"down", func(f *faulty.Table) { f.SetDown(true) }, platform.ErrUnavailable, false},
-		{"answer lost after the effect", func(f *faulty.Table) { f.LoseNext(1) }, platform.ErrUnknown, true},
-		{"lost before the effect", func(f *faulty.Table) { f.DropNext(1) }, platform.ErrUnknown, false},
-		{"slower than the timeout", func(f *faulty.Table) { f.SetDelay(time.Minute) }, platform.ErrUnknown, false},
+		{"down", func(f *faulty.Table) { f.SetDown(true) }, storage.ErrUnavailable, false},
+		{"answer lost after the effect", func(f *faulty.Table) { f.LoseNext(1) }, storage.ErrUnknown, true},
+		{"lost before the effect", func(f *faulty.Table) { f.DropNext(1) }, storage.ErrUnknown, false},
+		{"slower than the timeout", func(f *faulty.Table) { f.SetDelay(time.Minute) }, storage.ErrUnknown, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -128,7 +128,7 @@
 				is := is.New(t)
 				c, table := setup(t, groupcommit.Options{})
 				tt.arrange(table)
-				txns := make([]platform.Txn, size)
+				txns := make([]storage.Txn, size)
 				for i := range txns {
 					txns[i] = create(fmt.Sprint("row/", i))
 				}
@@ -149,14 +149,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c, _ := setup(t, groupcommit.Options{})
-		_, errs := commitAll(t.Context(), c, []platform.Txn{create("a"), create("a"), create("a"), create("b")})
+		_, errs := commitAll(t.Context(), c, []storage.Txn{create("a"), create("a"), create("a"), create("b")})
 		created := 0
 		for _, err := range errs[:3] {
 			if err == nil {
 				created++
 				continue
 			}
-			is.True(errors.Is(err, platform.ErrConflict))
+			is.True(errors.Is(err, storage.ErrConflict))
 		}
 		is.Equal(created, 1)
 		is.NoErr(errs[3])
@@ -174,9 +174,9 @@
 		want     error
 		written  bool
 	}{
-		{"while queued", 2 * time.Millisecond, platform.ErrUnavailable, false},
-		{"after it was sent", 20 * time.Millisecond, platform.ErrUnknown, true},
-		{"before it came", 0, platform.ErrUnavailable, false},
+		{"while queued", 2 * time.Millisecond, storage.ErrUnavailable, false},
+		{"after it was sent", 20 * time.Millisecond, storage.ErrUnknown, true},
+		{"before it came", 0, storage.ErrUnavailable, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -215,7 +215,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c, _ := setup(t, tt.options)
-				txns := make([]platform.Txn, 60)
+				txns := make([]storage.Txn, 60)
 				for i := range txns {
 					txns[i] = create(fmt.Sprint("row/", i))
 				}
@@ -247,6 +247,6 @@
 			is.NoErr(<-errs)
 		}
 		_, err := c.Commit(t.Context(), create("late"))
-		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(errors.Is(err, storage.ErrUnavailable))
 	})
 }
--- a/platform/groupcommit/main_test.go
+++ b/storage/groupcommit/main_test.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/groupcommit"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/groupcommit"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -17,9 +17,9 @@
 func Example() {
 	committer := groupcommit.New(memory.New(), groupcommit.Options{})
 	defer func() { _ = committer.Close() }()
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: "greeting"}},
-		Puts:       []platform.Put{{Key: "greeting", Value: []byte("hello")}},
+	txn := storage.Txn{
+		Conditions: []storage.Condition{{Key: "greeting"}},
+		Puts:       []storage.Put{{Key: "greeting", Value: []byte("hello")}},
 	}
 	revision, err := committer.Commit(context.Background(), txn)
 	fmt.Println(revision, err)
--- a/platform/groupcommit/options.go
+++ b/storage/groupcommit/options.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Defaults of Options.
@@ -46,7 +46,7 @@
 	// caller's context, since a commit serves several callers.
 	Timeout time.Duration
 	// Clock is the time that the rate is measured by; default time.Now.
-	Clock platform.Clock
+	Clock storage.Clock
 }
 
 func (o Options) withDefaults() Options {
--- a/platform/groupcommit/probe.go
+++ b/storage/groupcommit/probe.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // probeConcurrency bounds the reads that one probe has at a time.
@@ -29,7 +29,7 @@
 	}
 }
 
-// probe gives platform.ErrConflict to each transaction of which a condition
+// probe gives storage.ErrConflict to each transaction of which a condition
 // doesn't hold, and returns the others. The merged commit wrote nothing, and
 // what is refused here isn't sent again, so nothing was or will be written.
 func (c *Committer) probe(items []*pending) []*pending {
@@ -56,16 +56,16 @@
 	return rest
 }
 
-// check returns platform.ErrConflict if a condition is known not to hold.
-func (c *Committer) check(ctx context.Context, conditions []platform.Condition) error {
+// check returns storage.ErrConflict if a condition is known not to hold.
+func (c *Committer) check(ctx context.Context, conditions []storage.Condition) error {
 	for _, condition := range conditions {
 		c.reads.Add(1)
 		row, err := c.table.Get(ctx, condition.Key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, storage.ErrNotFound) {
 			continue
 		}
 		if row.Version != condition.Version {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	return nil
--- a/platform/groupcommit/queue.go
+++ b/storage/groupcommit/queue.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // outcome is what one transaction came to.
@@ -15,13 +15,13 @@
 // pending is one caller's transaction. Its done channel has room for the one
 // outcome, so that nobody waits for a caller that has gone.
 type pending struct {
-	txn   platform.Txn
+	txn   storage.Txn
 	keys  map[string]struct{}
 	bytes int
 	done  chan outcome
 }
 
-func newPending(txn platform.Txn) *pending {
+func newPending(txn storage.Txn) *pending {
 	p := &pending{
 		txn:  txn,
 		keys: make(map[string]struct{}, len(txn.Conditions)+len(txn.Puts)+len(txn.Deletes)),
--- a/platform/memory/hosts.go
+++ b/storage/memory/hosts.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.HostList = (*Hosts)(nil)
+var _ storage.HostList = (*Hosts)(nil)
 
 // MaxHostChanges is how many of the latest changes Changes can tell apart.
 const MaxHostChanges = 4096
@@ -22,7 +22,7 @@
 	// lag is the age of what Hosts shows; zero shows every change at once.
 	lag time.Duration
 	// shown holds the hosts as of the newest change that is older than lag.
-	shown map[string]platform.Host
+	shown map[string]storage.Host
 	// revision counts the changes that made up shown.
 	revision uint64
 	// recent holds the IDs that the latest changes concern, oldest first; at
@@ -35,7 +35,7 @@
 // hostChange is one change of the list.
 type hostChange struct {
 	at      time.Time
-	host    platform.Host
+	host    storage.Host
 	removed bool
 }
 
@@ -46,24 +46,24 @@
 	Full bool
 	// Hosts holds the hosts that were added or changed, in ascending order of
 	// their IDs.
-	Hosts []platform.Host
+	Hosts []storage.Host
 	// Removed holds the IDs of hosts that are no longer in the list.
 	Removed []string
 }
 
 // NewHosts returns an empty list that lags by lag.
 func NewHosts(lag time.Duration) *Hosts {
-	return &Hosts{lag: lag, shown: make(map[string]platform.Host)}
+	return &Hosts{lag: lag, shown: make(map[string]storage.Host)}
 }
 
 // Set adds the host or replaces the entry with its ID.
-func (h *Hosts) Set(host platform.Host) {
+func (h *Hosts) Set(host storage.Host) {
 	h.change(hostChange{host: host})
 }
 
 // Remove removes the host with the ID, if it is there.
 func (h *Hosts) Remove(id string) {
-	h.change(hostChange{host: platform.Host{ID: id}, removed: true})
+	h.change(hostChange{host: storage.Host{ID: id}, removed: true})
 }
 
 // SetLag changes the lag. A longer one holds the list still until it is due.
@@ -74,8 +74,8 @@
 	h.lag = lag
 }
 
-// Hosts implements platform.HostList, in ascending order of the IDs.
-func (h *Hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements storage.HostList, in ascending order of the IDs.
+func (h *Hosts) Hosts(ctx context.Context) ([]storage.Host, error) {
 	if err := checkContext(ctx); err != nil {
 		return nil, err
 	}
@@ -119,8 +119,8 @@
 	}
 }
 
-func (h *Hosts) list() []platform.Host {
-	hosts := make([]platform.Host, 0, len(h.shown))
+func (h *Hosts) list() []storage.Host {
+	hosts := make([]storage.Host, 0, len(h.shown))
 	for _, id := range slices.Sorted(maps.Keys(h.shown)) {
 		hosts = append(hosts, h.shown[id])
 	}
