--- a/platform/memory/memory_test.go
+++ b/storage/memory/memory_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
-	"github.com/quetzalweir/quetzalweir/platform/memory"
-	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
 )
 
 func TestConformance(t *testing.T) {
-	platformtest.TestTable(t, func(*testing.T) platform.Table { return memory.New() })
-	platformtest.TestObjects(t, memory.NewObjects())
+	storagetest.TestTable(t, func(*testing.T) storage.Table { return memory.New() })
+	storagetest.TestObjects(t, memory.NewObjects())
 }
 
 func TestHostsLag(t *testing.T) {
@@ -22,7 +22,7 @@
 		is := is.New(t)
 		const lag = 10 * time.Second
 		hosts := memory.NewHosts(lag)
-		states := func() (states []platform.HostState) {
+		states := func() (states []storage.HostState) {
 			list, err := hosts.Hosts(t.Context())
 			is.NoErr(err)
 			for _, host := range list {
@@ -30,15 +30,15 @@
 			}
 			return states
 		}
-		hosts.Set(platform.Host{ID: "b", State: platform.HostLive})
+		hosts.Set(storage.Host{ID: "b", State: storage.HostLive})
 		time.Sleep(lag / 2)
-		hosts.Set(platform.Host{ID: "a", State: platform.HostLive})
-		hosts.Set(platform.Host{ID: "b", State: platform.HostLeaving})
+		hosts.Set(storage.Host{ID: "a", State: storage.HostLive})
+		hosts.Set(storage.Host{ID: "b", State: storage.HostLeaving})
 		is.Equal(states(), nil)
 		time.Sleep(lag / 2)
-		is.Equal(states(), []platform.HostState{platform.HostLive})
+		is.Equal(states(), []storage.HostState{storage.HostLive})
 		time.Sleep(lag / 2)
-		is.Equal(states(), []platform.HostState{platform.HostLive, platform.HostLeaving})
+		is.Equal(states(), []storage.HostState{storage.HostLive, storage.HostLeaving})
 		hosts.Remove("b")
 		hosts.SetLag(2 * lag)
 		time.Sleep(lag)
@@ -74,21 +74,21 @@
 
 func TestHostChanges(t *testing.T) {
 	hosts := memory.NewHosts(0)
-	hosts.Set(platform.Host{ID: "a", State: platform.HostLive})
-	hosts.Set(platform.Host{ID: "b", State: platform.HostLive})
-	hosts.Set(platform.Host{ID: "b", State: platform.HostLeaving})
+	hosts.Set(storage.Host{ID: "a", State: storage.HostLive})
+	hosts.Set(storage.Host{ID: "b", State: storage.HostLive})
+	hosts.Set(storage.Host{ID: "b", State: storage.HostLeaving})
 	hosts.Remove("a")
-	hosts.Set(platform.Host{ID: "c", State: platform.HostLive})
+	hosts.Set(storage.Host{ID: "c", State: storage.HostLive})
 	hosts.Remove("c")
-	b := platform.Host{ID: "b", State: platform.HostLeaving}
+	b := storage.Host{ID: "b", State: storage.HostLeaving}
 	tests := []struct {
 		desc  string
 		since uint64
 		want  memory.HostChanges
 	}{
-		{"from nothing", 0, memory.HostChanges{Full: true, Hosts: []platform.Host{b}}},
-		{"unknown revision", 7, memory.HostChanges{Full: true, Hosts: []platform.Host{b}}},
-		{"from the first", 1, memory.HostChanges{Hosts: []platform.Host{b}, Removed: []string{"a", "c"}}},
+		{"from nothing", 0, memory.HostChanges{Full: true, Hosts: []storage.Host{b}}},
+		{"unknown revision", 7, memory.HostChanges{Full: true, Hosts: []storage.Host{b}}},
+		{"from the first", 1, memory.HostChanges{Hosts: []storage.Host{b}, Removed: []string{"a", "c"}}},
 		{"came and went", 4, memory.HostChanges{Removed: []string{"c"}}},
 		{"up to date", 6, memory.HostChanges{}},
 	}
--- a/platform/memory/objects.go
+++ b/storage/memory/objects.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"sync"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Objects = (*Objects)(nil)
+var _ storage.Objects = (*Objects)(nil)
 
 // Objects is an object store whose objects are written once.
 type Objects struct {
@@ -22,8 +22,8 @@
 	return &Objects{objects: make(map[string][]byte)}
 }
 
-// Write implements platform.Objects. Other data under a name that is taken
-// gives platform.ErrConflict.
+// Write implements storage.Objects. Other data under a name that is taken
+// gives storage.ErrConflict.
 func (o *Objects) Write(ctx context.Context, name string, data []byte) error {
 	if err := checkContext(ctx); err != nil {
 		return err
@@ -36,12 +36,12 @@
 		return nil
 	}
 	if !bytes.Equal(old, data) {
-		return fmt.Errorf("write object %q: other data is stored: %w", name, platform.ErrConflict)
+		return fmt.Errorf("write object %q: other data is stored: %w", name, storage.ErrConflict)
 	}
 	return nil
 }
 
-// Read implements platform.Objects. The caller owns the returned data.
+// Read implements storage.Objects. The caller owns the returned data.
 func (o *Objects) Read(ctx context.Context, name string) ([]byte, error) {
 	if err := checkContext(ctx); err != nil {
 		return nil, err
@@ -50,7 +50,7 @@
 	defer o.mu.RUnlock()
 	data, ok := o.objects[name]
 	if !ok {
-		return nil, fmt.Errorf("read object %q: %w", name, platform.ErrNotFound)
+		return nil, fmt.Errorf("read object %q: %w", name, storage.ErrNotFound)
 	}
 	return bytes.Clone(data), nil
 }
--- a/platform/memory/rater.go
+++ b/storage/memory/rater.go
@@ -6,10 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Rater = (*Rater)(nil)
+var _ storage.Rater = (*Rater)(nil)
 
 // DefaultQuality is the mean score of a model version that has none of its own.
 const DefaultQuality = 0.5
@@ -37,10 +37,10 @@
 	return &Rater{options: options}
 }
 
-// Rate implements platform.Rater.
-func (r *Rater) Rate(ctx context.Context, model, version, prompt, answer string) (platform.Rating, error) {
+// Rate implements storage.Rater.
+func (r *Rater) Rate(ctx context.Context, model, version, prompt, answer string) (storage.Rating, error) {
 	if err := checkContext(ctx); err != nil {
-		return platform.Rating{}, err
+		return storage.Rating{}, err
 	}
 	quality, ok := r.options.Quality[model+"@"+version]
 	if !ok {
@@ -48,7 +48,7 @@
 	}
 	source := rand.New(rand.NewPCG(r.options.Seed, hashCall(prompt, answer)))
 	score := quality + r.options.Noise*source.NormFloat64()
-	return platform.Rating{Score: min(max(score, 0), 1)}, nil
+	return storage.Rating{Score: min(max(score, 0), 1)}, nil
 }
 
 // hashCall hashes prompt and answer so that moving the border between them
--- a/platform/memory/table.go
+++ b/storage/memory/table.go
@@ -8,48 +8,48 @@
 	"strings"
 	"sync"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Table = (*Table)(nil)
+var _ storage.Table = (*Table)(nil)
 
 // Table is a linearizable transactional table. One lock orders all calls: each
 // takes effect at one moment between its start and its return.
 type Table struct {
 	mu       sync.RWMutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	// keys holds the keys of rows in ascending order.
 	keys []string
 }
 
 // New returns an empty table at revision zero.
 func New() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]storage.Row)}
 }
 
-// Get implements platform.Table. The caller owns the returned value.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table. The caller owns the returned value.
+func (t *Table) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := checkContext(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+		return storage.Row{}, fmt.Errorf("get %q: %w", key, storage.ErrNotFound)
 	}
 	return copyRow(row), nil
 }
 
-// List implements platform.Table. A limit of zero or less gives no rows.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table. A limit of zero or less gives no rows.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if err := checkContext(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range t.keys[t.firstIndex(prefix, after):] {
 		if len(rows) >= limit || !strings.HasPrefix(key, prefix) {
 			break
@@ -73,9 +73,9 @@
 	return i
 }
 
-// Commit implements platform.Table. Puts are applied in their order, then
+// Commit implements storage.Table. Puts are applied in their order, then
 // deletes. Each successful commit takes a revision of its own.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *Table) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	if err := checkContext(ctx); err != nil {
 		return 0, err
 	}
@@ -94,23 +94,23 @@
 	return t.revision, nil
 }
 
-func (t *Table) check(conditions []platform.Condition) error {
+func (t *Table) check(conditions []storage.Condition) error {
 	for _, c := range conditions {
 		// An absent row's version is zero, as conditions express absence.
 		version := t.rows[c.Key].Version
 		if version != c.Version {
-			return fmt.Errorf("commit: %q has version %d, want %d: %w", c.Key, version, c.Version, platform.ErrConflict)
+			return fmt.Errorf("commit: %q has version %d, want %d: %w", c.Key, version, c.Version, storage.ErrConflict)
 		}
 	}
 	return nil
 }
 
-func (t *Table) put(put platform.Put) {
+func (t *Table) put(put storage.Put) {
 	i, found := slices.BinarySearch(t.keys, put.Key)
 	if !found {
 		t.keys = slices.Insert(t.keys, i, put.Key)
 	}
-	t.rows[put.Key] = platform.Row{
+	t.rows[put.Key] = storage.Row{
 		Key:     put.Key,
 		Value:   bytes.Clone(put.Value),
 		Version: t.revision,
@@ -126,7 +126,7 @@
 	delete(t.rows, key)
 }
 
-func copyRow(row platform.Row) platform.Row {
+func copyRow(row storage.Row) storage.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
--- a/platform/protocol/protocol.go
+++ b/storage/protocol/protocol.go
@@ -1,11 +1,11 @@
 // Package protocol holds the messages, paths and headers of the JSON protocol
 // between the system and its platform. docs/PLATFORM-PROTOCOL.md describes it.
 //
-// Package platform/client and the platform's stand-in share it. It has no
+// Package storage/client and the platform's stand-in share it. It has no
 // behaviour of its own and checks nothing.
 package protocol
 
-import "github.com/quetzalweir/quetzalweir/platform"
+import "github.com/quetzalweir/quetzalweir/storage"
 
 // Paths of the calls.
 const (
@@ -13,7 +13,7 @@
 	PathRow = "/v1/table/row"
 	// PathRows lists rows: GET with QueryPrefix, QueryAfter and QueryLimit.
 	PathRows = "/v1/table/rows"
-	// PathCommit commits a transaction: POST of a platform.Txn.
+	// PathCommit commits a transaction: POST of a storage.Txn.
 	PathCommit = "/v1/table/commit"
 	// PathObject writes or reads an object: PUT or GET with QueryName.
 	PathObject = "/v1/object"
@@ -47,7 +47,7 @@
 
 // Rows is the answer to PathRows.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []storage.Row `json:"rows"`
 }
 
 // Committed is the answer to PathCommit.
@@ -64,7 +64,7 @@
 	// changes since the cursor of the call.
 	Full bool `json:"full"`
 	// Hosts holds the hosts added or changed.
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []storage.Host `json:"hosts"`
 	// Removed holds the IDs of the hosts that are gone; empty if Full.
 	Removed []string `json:"removed,omitempty"`
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,9 +1,9 @@
-// Package platform states what the system needs from the platform that it
+// Package storage states what the system needs from the platform that it
 // runs on: a transactional table, an object store, a host list, a rater of
-// answers. Package platform/client implements it over HTTP, platform/memory in one
+// answers. Package storage/client implements it over HTTP, storage/memory in one
 // process. docs/PLATFORM-PROTOCOL.md says what a platform has to keep; nothing
 // else about it is assumed, least of all that it answers.
-package platform
+package storage
 
 import (
 	"context"
@@ -15,14 +15,14 @@
 // one of these, or ErrNotFound, or the context's error.
 var (
 	// ErrConflict means that a condition didn't hold; nothing was written.
-	ErrConflict = errors.New("platform: conflict")
+	ErrConflict = errors.New("storage: conflict")
 	// ErrUnavailable means that the call had no effect.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("storage: unavailable")
 	// ErrUnknown means that the call may have had its effect, now or later:
 	// its answer was lost. Settle it by reading back the attempt token.
-	ErrUnknown = errors.New("platform: outcome unknown")
+	ErrUnknown = errors.New("storage: outcome unknown")
 	// ErrNotFound means that the row or object doesn't exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("storage: not found")
 )
 
 // Row is one row of the table.
--- a/platform/platformtest/conformance.go
+++ b/storage/storagetest/conformance.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
@@ -9,13 +9,13 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-// IsClass says whether err wraps the class want, an error of package platform,
+// IsClass says whether err wraps the class want, an error of package storage,
 // and no other one. A want of nil asks for no error.
 func IsClass(err, want error) bool {
-	classes := []error{platform.ErrConflict, platform.ErrUnavailable, platform.ErrUnknown, platform.ErrNotFound}
+	classes := []error{storage.ErrConflict, storage.ErrUnavailable, storage.ErrUnknown, storage.ErrNotFound}
 	for _, class := range classes {
 		if errors.Is(err, class) != (class == want) {
 			return false
@@ -25,20 +25,20 @@
 }
 
 // Put returns a transaction that writes a row without condition.
-func Put(key, value string) platform.Txn {
-	return platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+func Put(key, value string) storage.Txn {
+	return storage.Txn{Puts: []storage.Put{{Key: key, Value: []byte(value)}}}
 }
 
 // TestTable checks what every table without faults has to do. Each call of
 // empty gives a table without rows.
-func TestTable(t *testing.T, empty func(t *testing.T) platform.Table) {
+func TestTable(t *testing.T, empty func(t *testing.T) storage.Table) {
 	t.Run("list", func(t *testing.T) { testList(t, empty(t)) })
 	t.Run("conditions", func(t *testing.T) { testConditions(t, empty(t)) })
 	t.Run("values", func(t *testing.T) { testValues(t, empty(t)) })
 	t.Run("ended context", func(t *testing.T) { testEndedContext(t, empty(t)) })
 }
 
-func testList(t *testing.T, table platform.Table) {
+func testList(t *testing.T, table storage.Table) {
 	is := is.New(t)
 	for _, key := range []string{"b/2", "a/ä&=", "b/1", "c", "b", "b/3"} {
 		_, err := table.Commit(t.Context(), Put(key, key))
@@ -70,26 +70,26 @@
 	}
 }
 
-func testConditions(t *testing.T, table platform.Table) {
+func testConditions(t *testing.T, table storage.Table) {
 	is := is.New(t)
 	write := func(version uint64) (uint64, error) {
 		txn := Put("a", "1")
-		txn.Puts = append(txn.Puts, platform.Put{Key: "b"})
-		txn.Conditions = []platform.Condition{{Key: "a", Version: version}}
+		txn.Puts = append(txn.Puts, storage.Put{Key: "b"})
+		txn.Conditions = []storage.Condition{{Key: "a", Version: version}}
 		return table.Commit(t.Context(), txn)
 	}
 	_, err := write(7)
-	is.True(IsClass(err, platform.ErrConflict)) // the row is absent
+	is.True(IsClass(err, storage.ErrConflict)) // the row is absent
 	_, err = table.Get(t.Context(), "b")
-	is.True(IsClass(err, platform.ErrNotFound)) // nothing was written
+	is.True(IsClass(err, storage.ErrNotFound)) // nothing was written
 	first, err := write(0)
 	is.NoErr(err)
 	_, err = write(0)
-	is.True(IsClass(err, platform.ErrConflict)) // the row is there
+	is.True(IsClass(err, storage.ErrConflict)) // the row is there
 	second, err := write(first)
 	is.NoErr(err)
 	is.True(second > first)
-	_, err = table.Commit(t.Context(), platform.Txn{Deletes: []string{"a", "absent"}})
+	_, err = table.Commit(t.Context(), storage.Txn{Deletes: []string{"a", "absent"}})
 	is.NoErr(err)
 	third, err := write(0)
 	is.NoErr(err)
@@ -97,7 +97,7 @@
 }
 
 // testValues checks that values are bytes of any kind, and copied.
-func testValues(t *testing.T, table platform.Table) {
+func testValues(t *testing.T, table storage.Table) {
 	is := is.New(t)
 	const want = "\x00\xff one"
 	txn := Put("ä&=", want)
@@ -106,35 +106,35 @@
 	txn.Puts[0].Value[0] = 'x'
 	row, err := table.Get(t.Context(), "ä&=")
 	is.NoErr(err)
-	is.Equal(row, platform.Row{Key: "ä&=", Value: []byte(want), Version: revision})
+	is.Equal(row, storage.Row{Key: "ä&=", Value: []byte(want), Version: revision})
 	row.Value[0] = 'y'
 	rows, err := table.List(t.Context(), "", "", 1)
 	is.NoErr(err)
 	is.Equal(string(rows[0].Value), want)
 }
 
-func testEndedContext(t *testing.T, table platform.Table) {
+func testEndedContext(t *testing.T, table storage.Table) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := table.Commit(ctx, Put("a", ""))
-	is.True(IsClass(err, platform.ErrUnavailable))
+	is.True(IsClass(err, storage.ErrUnavailable))
 	is.True(errors.Is(err, context.Canceled))
 	_, err = table.Get(t.Context(), "a")
-	is.True(IsClass(err, platform.ErrNotFound))
+	is.True(IsClass(err, storage.ErrNotFound))
 }
 
 // TestObjects checks what every object store without faults has to do. The
 // store must be empty.
-func TestObjects(t *testing.T, objects platform.Objects) {
+func TestObjects(t *testing.T, objects storage.Objects) {
 	is := is.New(t)
 	for _, data := range [][]byte{{}, []byte("\x00\xff data")} {
 		name := fmt.Sprintf("a/%d?&", len(data))
 		_, err := objects.Read(t.Context(), name)
-		is.True(IsClass(err, platform.ErrNotFound))
+		is.True(IsClass(err, storage.ErrNotFound))
 		is.NoErr(objects.Write(t.Context(), name, data))
 		is.NoErr(objects.Write(t.Context(), name, data))
-		is.True(IsClass(objects.Write(t.Context(), name, []byte("x")), platform.ErrConflict))
+		is.True(IsClass(objects.Write(t.Context(), name, []byte("x")), storage.ErrConflict))
 		read, err := objects.Read(t.Context(), name)
 		is.NoErr(err)
 		is.Equal(string(read), string(data))
--- a/platform/platformtest/doc.go
+++ b/storage/storagetest/doc.go
@@ -1,4 +1,4 @@
-// Package platformtest tests implementations of package platform and what is
+// Package storagetest tests implementations of package storage and what is
 // built on them: conformance tests, and a check of histories of concurrent
 // calls to a platform.Table against a model of a transactional key-value store.
 //
@@ -8,4 +8,4 @@
 //
 // A check speaks of the histories that it saw. It proves nothing about others,
 // nor about the time that calls take.
-package platformtest
+package storagetest
--- /dev/null
+++ b/storage/storagetest/example_test.go
@@ -0,0 +1,19 @@
+package storagetest_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+	"github.com/quetzalweir/quetzalweir/storage/storagetest"
+)
+
+// Concurrent clients of a table are recorded, and their history is checked.
+func ExampleRecorder() {
+	recorder := storagetest.NewRecorder(memory.New())
+	storagetest.Workload{Clients: 3, Calls: 10, Keys: 2}.Run(context.Background(), recorder)
+	fmt.Println(porcupine.CheckOperations(storagetest.Model(), recorder.History()))
+	// Output: true
+}
--- a/platform/platformtest/faults.go
+++ b/storage/storagetest/faults.go
@@ -1,9 +1,9 @@
-package platformtest
+package storagetest
 
 import (
 	"pgregory.net/rapid"
 
-	"github.com/quetzalweir/quetzalweir/platform/faulty"
+	"github.com/quetzalweir/quetzalweir/storage/faulty"
 )
 
 // mostFaultyCommits is how many commits one drawn fault is for at most.
--- a/platform/platformtest/history.go
+++ b/storage/storagetest/history.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"math"
--- a/platform/platformtest/model.go
+++ b/storage/storagetest/model.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // getInput, listInput and commitInput are the inputs of the model's operations.
@@ -18,13 +18,13 @@
 		prefix, after string
 		limit         int
 	}
-	commitInput struct{ txn platform.Txn }
+	commitInput struct{ txn storage.Txn }
 )
 
 // output is what a call gave.
 type output struct {
 	// rows are those read; empty for a row that is absent.
-	rows []platform.Row
+	rows []storage.Row
 	// revision is that of a commit which took effect.
 	revision uint64
 	conflict bool
@@ -38,7 +38,7 @@
 	rows     map[string]row
 }
 
-// row is a platform.Row in a form that compares with ==.
+// row is a storage.Row in a form that compares with ==.
 type row struct {
 	value   string
 	version uint64
@@ -77,7 +77,7 @@
 	}
 }
 
-func stepCommit(s state, txn platform.Txn, out output) (bool, state) {
+func stepCommit(s state, txn storage.Txn, out output) (bool, state) {
 	if !s.permits(txn.Conditions) {
 		return out.conflict || out.unknown, s
 	}
@@ -88,16 +88,16 @@
 	return !out.conflict && out.revision == next.revision, next
 }
 
-func (s state) get(key string) []platform.Row {
+func (s state) get(key string) []storage.Row {
 	held, ok := s.rows[key]
 	if !ok {
 		return nil
 	}
-	return []platform.Row{{Key: key, Value: []byte(held.value), Version: held.version}}
+	return []storage.Row{{Key: key, Value: []byte(held.value), Version: held.version}}
 }
 
-func (s state) list(in listInput) []platform.Row {
-	var rows []platform.Row
+func (s state) list(in listInput) []storage.Row {
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
 		if strings.HasPrefix(key, in.prefix) && key > in.after && len(rows) < in.limit {
 			rows = append(rows, s.get(key)...)
@@ -106,7 +106,7 @@
 	return rows
 }
 
-func (s state) permits(conditions []platform.Condition) bool {
+func (s state) permits(conditions []storage.Condition) bool {
 	for _, c := range conditions {
 		if s.rows[c.Key].version != c.Version {
 			return false
@@ -115,7 +115,7 @@
 	return true
 }
 
-func (s state) apply(txn platform.Txn) state {
+func (s state) apply(txn storage.Txn) state {
 	next := state{revision: s.revision + 1, rows: maps.Clone(s.rows)}
 	for _, put := range txn.Puts {
 		next.rows[put.Key] = row{value: string(put.Value), version: next.revision}
@@ -126,8 +126,8 @@
 	return next
 }
 
-func equalRows(a, b []platform.Row) bool {
-	return slices.EqualFunc(a, b, func(x, y platform.Row) bool {
+func equalRows(a, b []storage.Row) bool {
+	return slices.EqualFunc(a, b, func(x, y storage.Row) bool {
 		return x.Key == y.Key && x.Version == y.Version && string(x.Value) == string(y.Value)
 	})
 }
--- a/platform/platformtest/model_test.go
+++ b/storage/storagetest/model_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"math"
@@ -6,19 +6,19 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // The model must reject histories that no linearizable table gives.
 func TestModel(t *testing.T) {
-	create := platform.Txn{
-		Conditions: []platform.Condition{{Key: "a"}},
-		Puts:       []platform.Put{{Key: "a", Value: []byte("1")}},
+	create := storage.Txn{
+		Conditions: []storage.Condition{{Key: "a"}},
+		Puts:       []storage.Put{{Key: "a", Value: []byte("1")}},
 	}
-	row := platform.Row{Key: "a", Value: []byte("1"), Version: 1}
+	row := storage.Row{Key: "a", Value: []byte("1"), Version: 1}
 	created := output{revision: 1}
 	unknown := output{unknown: true}
-	found := output{rows: []platform.Row{row}}
+	found := output{rows: []storage.Row{row}}
 	tests := []struct {
 		desc    string
 		history []porcupine.Operation
@@ -36,7 +36,7 @@
 		{"unknown, no effect", history(commitInput{create}, unknown, getInput{"a"}, output{}), true},
 		{"unknown, late effect", history(commitInput{create}, unknown, getInput{"a"}, output{}, getInput{"a"}, found), true},
 		{"unknown, undone", history(commitInput{create}, unknown, getInput{"a"}, found, getInput{"a"}, output{}), false},
-		{"unknown, applied twice", history(commitInput{create}, unknown, commitInput{platform.Txn{Deletes: []string{"a"}}}, output{revision: 2}, getInput{"a"}, found), false},
+		{"unknown, applied twice", history(commitInput{create}, unknown, commitInput{storage.Txn{Deletes: []string{"a"}}}, output{revision: 2}, getInput{"a"}, found), false},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
--- a/platform/platformtest/recorder.go
+++ b/storage/storagetest/recorder.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
@@ -6,43 +6,43 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-var _ platform.Table = (*Recorder)(nil)
+var _ storage.Table = (*Recorder)(nil)
 
 // Recorder passes calls to an inner table and records their history. It is
 // safe for concurrent use.
 //
-// A call that gave platform.ErrUnavailable isn't recorded: it claims that it
+// A call that gave storage.ErrUnavailable isn't recorded: it claims that it
 // had no effect, so that the history must be explained without it. A commit
-// that gave platform.ErrUnknown, or the context's error, is recorded as one
+// that gave storage.ErrUnknown, or the context's error, is recorded as one
 // that may take effect at any time after its start.
 type Recorder struct {
-	inner   platform.Table
+	inner   storage.Table
 	history History
 }
 
 // NewRecorder returns a recorder with an empty history over inner.
-func NewRecorder(inner platform.Table) *Recorder {
+func NewRecorder(inner storage.Table) *Recorder {
 	return &Recorder{inner: inner}
 }
 
-// Get implements platform.Table.
-func (r *Recorder) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (r *Recorder) Get(ctx context.Context, key string) (storage.Row, error) {
 	call := r.history.Tick()
 	row, err := r.inner.Get(ctx, key)
 	switch {
 	case err == nil:
-		r.record(call, getInput{key}, output{rows: []platform.Row{row}})
-	case errors.Is(err, platform.ErrNotFound):
+		r.record(call, getInput{key}, output{rows: []storage.Row{row}})
+	case errors.Is(err, storage.ErrNotFound):
 		r.record(call, getInput{key}, output{})
 	}
 	return row, err
 }
 
-// List implements platform.Table.
-func (r *Recorder) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (r *Recorder) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	call := r.history.Tick()
 	rows, err := r.inner.List(ctx, prefix, after, limit)
 	if err == nil {
@@ -51,16 +51,16 @@
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (r *Recorder) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (r *Recorder) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	call := r.history.Tick()
 	revision, err := r.inner.Commit(ctx, txn)
 	switch {
 	case err == nil:
 		r.record(call, commitInput{txn}, output{revision: revision})
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		r.record(call, commitInput{txn}, output{conflict: true})
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 	default:
 		r.record(call, commitInput{txn}, output{unknown: true})
 	}
--- a/platform/platformtest/workload.go
+++ b/storage/storagetest/workload.go
@@ -1,4 +1,4 @@
-package platformtest
+package storagetest
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/quetzalweir/quetzalweir/platform"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // checkTimeout bounds the search for an explanation of a history.
@@ -30,7 +30,7 @@
 }
 
 // Run runs the workload to its end. Failed calls are part of it.
-func (w Workload) Run(ctx context.Context, table platform.Table) {
+func (w Workload) Run(ctx context.Context, table storage.Table) {
 	var group sync.WaitGroup
 	for client := range w.Clients {
 		group.Go(func() { w.runClient(ctx, table, client) })
@@ -38,7 +38,7 @@
 	group.Wait()
 }
 
-func (w Workload) runClient(ctx context.Context, table platform.Table, client int) {
+func (w Workload) runClient(ctx context.Context, table storage.Table, client int) {
 	random := rand.New(rand.NewPCG(w.Seed, uint64(client)))
 	for call := range w.Calls {
 		key := w.key(random)
@@ -54,14 +54,14 @@
 
 // transaction swaps the row of key on condition of its version, and now and
 // then puts or deletes another row without condition.
-func (w Workload) transaction(random *rand.Rand, key string, version uint64, value []byte) platform.Txn {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+func (w Workload) transaction(random *rand.Rand, key string, version uint64, value []byte) storage.Txn {
+	txn := storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	}
 	switch random.IntN(4) {
 	case 0:
-		txn.Puts = append(txn.Puts, platform.Put{Key: w.key(random), Value: value})
+		txn.Puts = append(txn.Puts, storage.Put{Key: w.key(random), Value: value})
 	case 1:
 		txn.Deletes = append(txn.Deletes, w.key(random))
 	}
