gateway, feed: fewer calls of the store; sessions keep their version on any host; a broken stream stays broken

The started answer is now looked at first. - Sessions that moved between hosts met a new version in the first half of a roll-out, since each host remembered only its own. Changes are gathered for 0.3 and 0.6 s, the status table is followed during roll-outs only, and hosts take turns to write a status.

--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	// DefaultWait is how long the store holds a call without changes. A
-	// connection on which the store lost an answer stays silent, so the wait
+	// holdTime is how long the store holds a call without changes. A
+	// connection on which the store lost an answer stays silent, so the time
 	// bounds how old a belief can become before that is noticed; each call
 	// costs one read.
-	DefaultWait = 2 * time.Second
+	holdTime = 4 * time.Second
+	// idleCheck is how often a watcher that isn't needed looks whether it is.
+	idleCheck = 100 * time.Millisecond
 	// answerMargin is allowed beyond the wait for a slow store's answer.
 	answerMargin = 800 * time.Millisecond
 	// listTimeout bounds one call for a table's rows.
@@ -29,8 +31,19 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
+// Options are the settings of a Watcher.
+type Options struct {
+	// Gather is the pause after a change before the next call, so that changes
+	// in quick succession cost one call. It adds to the age of what is believed.
+	Gather time.Duration
+	// Needed says whether the table has to be followed now; nil means always.
+	// While it isn't, the watcher makes no calls.
+	Needed func() bool
+}
+
 // Watcher follows one table.
 type Watcher struct {
+	options Options
 	table   string
 	source  Source
 	handler Handler
@@ -53,8 +66,9 @@
 
 // NewWatcher returns a watcher of the table that hands what it learns to the
 // handler while Run runs.
-func NewWatcher(table string, source Source, handler Handler, log zerolog.Logger) *Watcher {
+func NewWatcher(table string, source Source, handler Handler, options Options, log zerolog.Logger) *Watcher {
 	return &Watcher{
+		options: options,
 		table:   table,
 		source:  source,
 		handler: handler,
@@ -98,7 +112,6 @@
 		switch {
 		case err == nil:
 			backoff = minBackoff
-			w.succeeded()
 			continue
 		case ctx.Err() != nil:
 			return
@@ -120,9 +133,12 @@
 	if !w.listed {
 		return w.list(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, DefaultWait+answerMargin)
+	if w.options.Needed != nil && !w.options.Needed() {
+		return wait.For(ctx, idleCheck)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, holdTime+answerMargin)
 	defer cancel()
-	page, err := w.source.Changes(callCtx, w.table, w.revision, DefaultWait)
+	page, err := w.source.Changes(callCtx, w.table, w.revision, holdTime)
 	if err != nil {
 		return err
 	}
@@ -131,6 +147,10 @@
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, page.Revision)
+	w.succeeded()
+	if len(page.Rows) > 0 {
+		return wait.For(ctx, w.options.Gather)
+	}
 	return nil
 }
 
@@ -162,7 +182,8 @@
 	w.handler.Replace(rows)
 	w.revision = revision
 	w.listed = true
-	return nil
+	w.succeeded()
+	return wait.For(ctx, w.options.Gather)
 }
 
 // errOldListing means that a listing was older than what is known.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -65,7 +65,6 @@
 	a := &attempt{gateway: g, request: r, choice: picked, began: time.Now()}
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
-	g.rollouts.sent(r, picked.upstream.Version)
 	var result attemptResult
 	if r.Route.Kind == routeStream {
 		result = a.stream(ctx, func(head attemptResult) bool { return d.accept(r, models, head) })
@@ -133,12 +132,12 @@
 
 // final is the answer when no further attempt is made.
 func (d *dispatch) final(ctx context.Context, r *Request, result attemptResult) error {
-	if result.whole != nil {
-		return r.answer.whole(result.whole)
-	}
 	if r.answer.started {
 		return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the stream broke off")
 	}
+	if result.whole != nil {
+		return r.answer.whole(result.whole)
+	}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,15 +102,26 @@
 	return nil
 }
 
+const (
+	// gatherOperator and gatherUpstreams are how long changes of the operators'
+	// documents and of the upstreams' entries are gathered before the next call
+	// of the store. When a service is replaced, dozens of entries change within
+	// seconds; without the pause each change costs one call of each host. Both
+	// are a small part of the two seconds in which documents and leaving
+	// upstreams have to be heeded.
+	gatherOperator  = 300 * time.Millisecond
+	gatherUpstreams = 600 * time.Millisecond
+)
+
 // follow starts what keeps the host's beliefs up to date.
 func (g *Gateway) follow(ctx context.Context) *sync.WaitGroup {
 	tables, store := g.settings.Tables, g.settings.Store
-	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, g.log)
+	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Needed: g.rollouts.underWay}, g.log)
 	g.rollouts.statuses = status
 	watchers := []*feed.Watcher{
 		status,
-		feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, g.log),
-		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, g.log),
+		feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, feed.Options{Gather: gatherOperator}, g.log),
+		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Gather: gatherUpstreams}, g.log),
 	}
 	group := new(sync.WaitGroup)
 	for _, w := range watchers {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -56,12 +57,18 @@
 	canaryPart = 0.5
 	// rampFrom and rampTo are when, as parts of the roll-out's duration, the
 	// share starts to rise and reaches all requests. A session may change its
-	// version in the second half only.
-	rampFrom = 0.52
-	rampTo   = 0.7
+	// version in the second half only. The share rises with the square of the
+	// time, so that a version which turns bad under load has had few requests by
+	// the time it shows.
+	rampFrom = 0.5
+	rampTo   = 0.78
 	// completeAt is when the roll-out is reported as completed: after
 	// the answers that began on the old version before the ramp's end are over.
-	completeAt = 0.86
+	completeAt = 0.88
+	// writeSpread is the span over which hosts deal out a status that any of
+	// them may write: the first one's comes back to the others before most of
+	// them have tried.
+	writeSpread = 1200 * time.Millisecond
 	// trustAge is the greatest age of the store's word at which the share is
 	// raised: a host that can't hear that others stopped a version holds it.
 	trustAge = 3 * time.Second
@@ -80,7 +87,6 @@
 	store    Store
 	statuses *feed.Watcher
 	log      zerolog.Logger
-	sessions *sessions
 
 	mu     sync.Mutex
 	active map[string]*activeRollout
@@ -95,12 +101,17 @@
 	// stopped says that this host's evidence speaks against the version.
 	stopped bool
 	reason  string
-	share   float64
+	// share is the new version's part of requests without a session,
+	// sessionShare that of sessions.
+	share        float64
+	sessionShare float64
 	// seenAt is when this host learnt of the order.
 	seenAt   time.Time
 	evidence evidence
-	// writing says that a status is on its way to the store.
+	// writing says that a status is on its way to the store, writeAt when this
+	// host's turn to write one comes; zero before one is due.
 	writing bool
+	writeAt time.Time
 }
 
 func newRollouts(settings *Settings, fleet *Fleet, log zerolog.Logger) *rollouts {
@@ -109,7 +120,6 @@
 		fleet:    fleet,
 		store:    settings.Store,
 		log:      log,
-		sessions: newSessions(settings.SessionTTL),
 		active:   make(map[string]*activeRollout),
 		stored:   make(map[string]RolloutStatus),
 	}
@@ -153,6 +163,7 @@
 		return
 	}
 	a.status = s
+	a.writeAt = time.Time{}
 	m.log.Info().Str("event", "rollout-status").Str("service", s.Service).Str("version", s.Version).
 		Str("state", s.State.String()).Uint64("revision", s.Revision).Msg("")
 }
@@ -176,8 +187,10 @@
 	return func(version string) bool { return (version == to) == canary }
 }
 
-// canary decides whether the request runs on the new version. A session stays
-// where it was; others are dealt by a hash that all hosts share.
+// canary decides whether the request runs on the new version, by a hash that all
+// hosts share. A session's requests may reach several hosts, so in the first
+// half, in which no session may change its version, requests of sessions stay on
+// the old one. Later the share only rises, so no session ever goes back.
 func (m *rollouts) canary(a *activeRollout, r *Request) bool {
 	switch {
 	case a.known() && a.status.State == RolloutReverted:
@@ -186,32 +199,10 @@
 		return true
 	case a.stopped:
 		return false
-	}
-	drawn := point("canary", a.order.Version, r.sessionKey()) < a.share
-	if a.share >= 1 || r.Session == "" {
-		return drawn
-	}
-	version, bound := m.sessions.version(r.Service, r.Session)
-	if !bound {
-		return drawn
-	}
-	if m.progress(a) < rampFrom || version == a.order.Version {
-		return version == a.order.Version
-	}
-	return drawn
-}
-
-func (r *Request) sessionKey() string {
-	if r.Session != "" {
-		return r.Session
-	}
-	return r.ID
-}
-
-// sent binds the request's session to the version that it is sent to.
-func (m *rollouts) sent(r *Request, version string) {
-	if r.Session != "" {
-		m.sessions.bind(r.Service, r.Session, version)
+	case r.Session != "":
+		return point("canary", a.order.Version, r.Session) < a.sessionShare
+	default:
+		return point("canary", a.order.Version, r.ID) < a.share
 	}
 }
 
@@ -264,13 +255,27 @@
 			continue
 		}
 		m.raise(a)
-		if next, due := m.due(a); due && !a.writing {
-			a.writing = true
-			go m.write(ctx, a, next)
+		next, due := m.due(a)
+		if !due || a.writing || !m.turn(a, next) {
+			continue
 		}
+		a.writing = true
+		go m.write(ctx, a, next)
 	}
 }
 
+// turn says whether this host writes the status that is due. A stop is written
+// at once; what every host finds due at the same time waits for a random moment.
+func (m *rollouts) turn(a *activeRollout, next RolloutState) bool {
+	if next == RolloutReverted {
+		return true
+	}
+	if a.writeAt.IsZero() {
+		a.writeAt = time.Now().Add(rand.N(writeSpread))
+	}
+	return time.Now().After(a.writeAt)
+}
+
 // raise sets the share for this moment. It only rises, and only while the
 // store's word is fresh.
 func (m *rollouts) raise(a *activeRollout) {
@@ -283,9 +288,22 @@
 	}
 	share := canaryPart * m.settings.CanaryShare
 	if at := m.progress(a); at > rampFrom {
-		share += (1 - share) * min(1, (at-rampFrom)/(rampTo-rampFrom))
+		ramp := min(1, (at-rampFrom)/(rampTo-rampFrom))
+		a.sessionShare = max(a.sessionShare, ramp*ramp)
+	}
+	a.share = max(a.share, share, a.sessionShare)
+}
+
+// underWay says whether a roll-out isn't finished.
+func (m *rollouts) underWay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.active {
+		if !a.known() || a.status.State == RolloutRunning {
+			return true
+		}
 	}
-	a.share = max(a.share, share)
+	return false
 }
 
 // due is the status that should be written now.
@@ -295,7 +313,7 @@
 		return RolloutReverted, true
 	case !a.known():
 		return RolloutRunning, true
-	case a.share >= 1 && m.progress(a) >= completeAt:
+	case a.sessionShare >= 1 && m.progress(a) >= completeAt:
 		return RolloutCompleted, true
 	default:
 		return RolloutRunning, false
