gateway, feed, platform: tests without a deployment; a version that nobody ordered isn't used; the store's tables implement storage.Table

Found by the tests: a host that heard of a new version's upstreams before the order used them without bound. Without an order only the version in service is used now.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -50,14 +50,17 @@
 }
 
 func (c *gatewayCmd) settings(site platform.Settings) gateway.Settings {
+	store := platform.NewStore(site.Store)
+	tables := platform.Tables()
 	s := gateway.Settings{
 		Host:             site.Host,
 		Zone:             site.Zone,
 		Callers:          site.Callers,
 		Ready:            site.Ready,
 		ReadyPath:        platform.PathReady,
-		Store:            platform.NewStore(site.Store),
-		Tables:           platform.Tables(),
+		Source:           store,
+		Statuses:         store.Table(tables.Status),
+		Tables:           tables,
 		Codec:            platform.Codec(),
 		Headers:          platform.Headers(),
 		AnyModel:         platform.AnyModel,
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -52,12 +52,3 @@
 	// Change takes one changed or removed row.
 	Change(row Row)
 }
-
-// Write is one row to be written under the condition that it has the revision
-// Expected, 0 for a row that doesn't exist.
-type Write struct {
-	Table    string
-	Key      string
-	Data     []byte
-	Expected uint64
-}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,239 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// scriptedSource answers calls by functions of the test.
+type scriptedSource struct {
+	list    func(call int) (Page, error)
+	changes func(ctx context.Context, call int, since uint64) (Page, error)
+	lists   int
+	polls   int
+}
+
+func (s *scriptedSource) List(context.Context, string, string) (Page, error) {
+	s.lists++
+	return s.list(s.lists)
+}
+
+func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, _ time.Duration) (Page, error) {
+	s.polls++
+	return s.changes(ctx, s.polls, since)
+}
+
+// recorder keeps what a watcher handed on.
+type recorder struct {
+	tables  [][]Row
+	changes []Row
+}
+
+func (r *recorder) Replace(rows []Row) { r.tables = append(r.tables, rows) }
+func (r *recorder) Change(row Row)     { r.changes = append(r.changes, row) }
+
+// hang answers nothing until the context ends.
+func hang(ctx context.Context) (Page, error) {
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+// watch runs a watcher in a bubble of virtual time for the span.
+func watch(source *scriptedSource, options Options, span time.Duration) (*Watcher, *recorder) {
+	seen := &recorder{}
+	w := NewWatcher("t", source, seen, options, zerolog.Nop())
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	w.Run(ctx)
+	return w, seen
+}
+
+func rows(revisions ...uint64) []Row {
+	var list []Row
+	for _, r := range revisions {
+		list = append(list, Row{Key: "k", Revision: r})
+	}
+	return list
+}
+
+func TestChangesFollowTheListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(int) (Page, error) { return Page{Rows: rows(3), Revision: 5}, nil },
+			changes: func(ctx context.Context, call int, since uint64) (Page, error) {
+				switch call {
+				case 1:
+					is.Equal(since, uint64(5))
+					return Page{Rows: rows(6), Revision: 7}, nil
+				case 2:
+					is.Equal(since, uint64(7))
+				}
+				return hang(ctx)
+			},
+		}
+		_, seen := watch(source, Options{}, time.Second)
+		is.Equal(seen.tables, [][]Row{rows(3)})
+		is.Equal(seen.changes, rows(6))
+	})
+}
+
+func TestPagesOfAListingAreOneTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(call int) (Page, error) {
+				if call == 1 {
+					return Page{Rows: rows(1), Revision: 5, Truncated: true}, nil
+				}
+				return Page{Rows: rows(2), Revision: 9}, nil
+			},
+			changes: func(ctx context.Context, _ int, since uint64) (Page, error) {
+				is.Equal(since, uint64(5)) // what changed between the pages comes again
+				return hang(ctx)
+			},
+		}
+		_, seen := watch(source, Options{}, time.Second)
+		is.Equal(seen.tables, [][]Row{rows(1, 2)})
+	})
+}
+
+func TestLostHistoryIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(call int) (Page, error) { return Page{Rows: rows(uint64(call)), Revision: uint64(10 * call)}, nil },
+			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+				if call == 1 {
+					return Page{}, ErrHistoryLost
+				}
+				return hang(ctx)
+			},
+		}
+		_, seen := watch(source, Options{}, time.Second)
+		is.Equal(len(seen.tables), 2)
+	})
+}
+
+// A listing older than what is known must not bring back what was replaced.
+func TestOldListingIsNotHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(call int) (Page, error) {
+				revision := []uint64{10, 4, 12}[min(call, 3)-1]
+				return Page{Rows: rows(revision), Revision: revision}, nil
+			},
+			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+				if call == 1 {
+					return Page{}, ErrHistoryLost
+				}
+				return hang(ctx)
+			},
+		}
+		_, seen := watch(source, Options{}, time.Second)
+		is.Equal(seen.tables, [][]Row{rows(10), rows(12)})
+	})
+}
+
+func TestOutageIsNoticedAndSurvived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		const down = 3 * time.Second
+		var duringOutage, back bool
+		var w *Watcher
+		source := &scriptedSource{
+			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
+			changes: func(ctx context.Context, _ int, since uint64) (Page, error) {
+				is.Equal(since, uint64(1)) // it goes on where it was
+				if time.Since(began) < down {
+					duringOutage = duringOutage || w.Interrupted(0)
+					return Page{}, errors.New("refused")
+				}
+				back = true
+				return hang(ctx)
+			},
+		}
+		seen := &recorder{}
+		w = NewWatcher("t", source, seen, Options{}, zerolog.Nop())
+		ctx, cancel := context.WithTimeout(context.Background(), down+2*maxBackoff)
+		defer cancel()
+		w.Run(ctx)
+		is.True(duringOutage)
+		is.True(back)
+		is.True(source.polls < 20) // calls are paced
+		is.Equal(len(seen.tables), 1)
+	})
+}
+
+// A connection on which an answer was lost stays silent; the watcher gives it up
+// soon after the longest time that the store holds a call.
+func TestSilentCallIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var second time.Duration
+		began := time.Now()
+		source := &scriptedSource{
+			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
+			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+				if call == 2 {
+					second = time.Since(began)
+				}
+				return hang(ctx)
+			},
+		}
+		watch(source, Options{}, 2*holdTime+2*answerMargin)
+		is.True(second >= holdTime && second <= holdTime+answerMargin+maxBackoff)
+	})
+}
+
+func TestChangesInQuickSuccessionCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list:    func(int) (Page, error) { return Page{Revision: 1}, nil },
+			changes: func(context.Context, int, uint64) (Page, error) { return Page{Rows: rows(2), Revision: 2}, nil },
+		}
+		watch(source, Options{Gather: 500 * time.Millisecond}, 5*time.Second)
+		is.True(source.polls <= 11)
+	})
+}
+
+func TestTableThatIsNotNeededCostsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		needed := false
+		source := &scriptedSource{
+			list:    func(int) (Page, error) { return Page{Revision: 1}, nil },
+			changes: func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) },
+		}
+		watch(source, Options{Needed: func() bool { return needed }}, 10*time.Second)
+		is.Equal(source.lists, 1)
+		is.Equal(source.polls, 0)
+		needed = true
+		watch(source, Options{Needed: func() bool { return needed }}, time.Second)
+		is.Equal(source.polls, 1)
+	})
+}
+
+func TestAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list:    func(int) (Page, error) { return Page{Revision: 1, Clock: time.Hour}, nil },
+			changes: func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) },
+		}
+		w, _ := watch(source, Options{}, time.Second)
+		age, ok := w.Age()
+		is.True(ok)
+		is.True(age > time.Second-time.Millisecond && age <= time.Second)
+		is.True(w.StoreClock() > time.Hour+time.Second-time.Millisecond)
+	})
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -102,7 +102,8 @@
 	return w.sinceStart() + time.Duration(w.clockOffset.Load())
 }
 
-func (w *Watcher) sinceStart() time.Duration { return time.Since(w.start) }
+// sinceStart is the time since the watcher was made, above 0.
+func (w *Watcher) sinceStart() time.Duration { return max(1, time.Since(w.start)) }
 
 // Run follows the table until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 type shard struct {
 	mu      sync.Mutex
 	members map[string]*member
+	// base is the version in service without a roll-out; empty before the first
+	// upstream is listed.
+	base string
 }
 
 // NewFleet returns an empty fleet. An upstream whose entry was removed is used
@@ -70,6 +74,7 @@
 	if m == nil {
 		m = &member{}
 		s.members[u.ID] = m
+		s.base = cmp.Or(s.base, u.Version)
 		f.log.Info().Str("event", "upstream-listed").Str("upstream", u.ID).Str("service", u.Service).
 			Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Bool("leaving", u.Leaving).Uint64("revision", revision).Msg("")
 	}
@@ -141,16 +146,48 @@
 	return known
 }
 
-// HasVersion says whether the service has an upstream of the version that takes
-// work.
-func (f *Fleet) HasVersion(service, version string) bool {
+// serves says whether the service has an upstream that takes work and whose
+// version fits.
+func (f *Fleet) serves(service string, fits func(version string) bool) bool {
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.serves(fits, f.removalGrace)
+}
+
+func (s *shard) serves(fits func(version string) bool, grace time.Duration) bool {
+	now := time.Now()
 	for _, m := range s.members {
-		if m.Version == version && m.takesWork(time.Now(), f.removalGrace) {
+		if fits(m.Version) && m.takesWork(now, grace) {
 			return true
 		}
 	}
 	return false
 }
+
+// Base is the version in service: the one listed first, until no upstream of it
+// takes work; then the most frequent of the others. It is empty if none is left.
+func (f *Fleet) Base(service string) string {
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.base != "" && s.serves(func(version string) bool { return version == s.base }, f.removalGrace) {
+		return s.base
+	}
+	now := time.Now()
+	counts := make(map[string]int)
+	best := ""
+	for _, m := range s.members {
+		if !m.takesWork(now, f.removalGrace) {
+			continue
+		}
+		counts[m.Version]++
+		if counts[m.Version] > counts[best] || counts[m.Version] == counts[best] && m.Version < best {
+			best = m.Version
+		}
+	}
+	if best != "" {
+		s.base = best
+	}
+	return best
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,7 @@
 
 // follow starts what keeps the host's beliefs up to date.
 func (g *Gateway) follow(ctx context.Context) *sync.WaitGroup {
-	tables, store := g.settings.Tables, g.settings.Store
+	tables, store := g.settings.Tables, g.settings.Source
 	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Needed: g.rollouts.underWay}, g.log)
 	g.rollouts.statuses = status
 	watchers := []*feed.Watcher{
@@ -187,7 +187,9 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.table.Load() == nil || !g.fleet.Known() {
+	// Without the states of roll-outs the host can't tell a withdrawn version.
+	_, statuses := g.rollouts.statuses.Age()
+	if g.stopping.Load() || g.table.Load() == nil || !g.fleet.Known() || !statuses {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/internal/gateway/helpers_test.go
@@ -0,0 +1,433 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// testHeaders are names of the tests' own: nothing in the package may depend on
+// a deployment's.
+func testHeaders() Headers {
+	return Headers{
+		RequestID: "T-Id", Deadline: "T-Deadline", AccountKey: "T-Key", Account: "T-Account",
+		Instance: "T-Instance", ExpectInstance: "T-Expect", Stamp: "T-Stamp", NotRun: "T-Not-Run",
+		Load: "T-Load", Model: "T-Model", TokenCount: "T-Tokens", PromptParts: "T-Parts",
+		LengthHint: "T-Hint", Priority: "T-Priority", Confidence: "T-Confidence",
+		LastEventID: "T-Last-Event", Session: "T-Session", SystemOnly: []string{"T-Pin"},
+	}
+}
+
+const testHost = "api.example"
+
+// world is a gateway between a caller and upstreams of the test.
+type world struct {
+	t       *testing.T
+	gateway *Gateway
+	store   *fakeStore
+	front   *httptest.Server
+	client  *http.Client
+	next    int
+}
+
+// newWorld returns a gateway that isn't following its store: tests put beliefs
+// in directly.
+func newWorld(t *testing.T, doc routing.Document) *world {
+	t.Helper()
+	store := newFakeStore()
+	g := New(Settings{
+		Host: "h1", Zone: "z1", ReadyPath: "/ready", Source: store, Statuses: statusTable{store}, Tables: testTables(), Codec: testCodec(),
+		Headers: testHeaders(), AnyModel: "*", RetryRatio: 0.5, RetryWindow: 10 * time.Second,
+		CanaryShare: 0.2, AcceptConfidence: 50, StopTimeout: 2 * time.Second,
+	}, zerolog.Nop())
+	table, err := routing.New(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.table.Store(table)
+	g.rollouts.statuses = feed.NewWatcher("status", store, &statusRows{gateway: g}, feed.Options{}, zerolog.Nop())
+	w := &world{t: t, gateway: g, store: store, client: &http.Client{Transport: &http.Transport{}}}
+	w.front = httptest.NewServer(g)
+	t.Cleanup(func() {
+		w.client.CloseIdleConnections()
+		w.front.Close()
+		g.transport.CloseIdleConnections()
+	})
+	// Retries need requests to draw on.
+	for range 20 {
+		g.budgets.of("svc").request()
+	}
+	return w
+}
+
+func testTables() Tables {
+	return Tables{Operator: "operator", DocumentKey: "document", OrdersPrefix: "order/", Upstreams: "upstreams", Status: "status"}
+}
+
+func testCodec() Codec {
+	return Codec{
+		Document: func(data []byte) (doc routing.Document, err error) { return doc, json.Unmarshal(data, &doc) },
+		Upstream: func(id string, data []byte) (u Upstream, err error) {
+			err = json.Unmarshal(data, &u)
+			u.ID = id
+			return u, err
+		},
+		Order: func(data []byte, revision uint64) (o Order, err error) {
+			err = json.Unmarshal(data, &o)
+			o.Revision = revision
+			return o, err
+		},
+		Status: func(data []byte, revision uint64) (s RolloutStatus, err error) {
+			err = json.Unmarshal(data, &s)
+			s.Revision = revision
+			return s, err
+		},
+		EncodeStatus: func(s RolloutStatus) ([]byte, error) { return json.Marshal(s) },
+	}
+}
+
+// testDocument has a route of each kind and one account.
+func testDocument() routing.Document {
+	split := []routing.Share{{Service: "svc", Weight: 1}}
+	route := func(name string, kind routing.Kind) routing.Route {
+		return routing.Route{
+			Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: kind, Split: split,
+			Timeout: 2 * time.Second, Target: time.Second, MaxAttempts: 3, Priority: 4,
+		}
+	}
+	stream := route("stream", routing.Stream)
+	stream.Resumable = true
+	models := route("models", routing.Stream)
+	models.Resumable = true
+	models.Models = []string{"small", "middle", "large"}
+	fixed := route("fixed", routing.Stream)
+	public := route("public", routing.Idempotent)
+	public.Public = true
+	return routing.Document{
+		Version:  7,
+		Routes:   []routing.Route{route("once", routing.NonIdempotent), route("many", routing.Idempotent), stream, models, fixed, public},
+		Services: []routing.Service{{Name: "svc"}},
+		Accounts: []routing.Account{{Name: "acme", Keys: []string{"key-1"}}},
+		Limits:   routing.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4000},
+	}
+}
+
+// upstreamLog is what an upstream saw.
+type upstreamLog struct {
+	mu   sync.Mutex
+	seen []*http.Request
+	body [][]byte
+}
+
+func (l *upstreamLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.seen)
+}
+
+func (l *upstreamLog) last() (*http.Request, []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[len(l.seen)-1], l.body[len(l.body)-1]
+}
+
+// upstream starts an upstream of service svc that answers by the handler; the
+// handler finds the request's id echoed already.
+func (w *world) upstream(id string, handler http.HandlerFunc) *upstreamLog {
+	return w.upstreamOf(Upstream{ID: id, Zone: "z1", Version: "v1"}, handler)
+}
+
+func (w *world) upstreamOf(u Upstream, handler http.HandlerFunc) *upstreamLog {
+	log := &upstreamLog{}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		log.mu.Lock()
+		log.seen = append(log.seen, req)
+		log.body = append(log.body, body)
+		log.mu.Unlock()
+		rw.Header().Set("T-Id", req.Header.Get("T-Id"))
+		handler(rw, req)
+	}))
+	w.t.Cleanup(server.Close)
+	u.Service = "svc"
+	u.Address = server.Listener.Addr().String()
+	u.Slots = 8
+	w.gateway.fleet.Set(u, 1)
+	return log
+}
+
+// unreachable lists an upstream at an address where nothing listens.
+func (w *world) unreachable(id string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	w.gateway.fleet.Set(Upstream{ID: id, Service: "svc", Address: address, Zone: "z1", Version: "v1", Slots: 8}, 1)
+}
+
+// request makes a caller's request with a key and an id of its own.
+func (w *world) request(method, path, body string, header ...string) *http.Request {
+	w.next++
+	req, err := http.NewRequest(method, w.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("T-Id", "r"+strconv.Itoa(w.next))
+	req.Header.Set("T-Key", "key-1")
+	req.Header.Set("T-Deadline", "1500")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set if the answer ended early.
+	err error
+}
+
+func (w *world) do(req *http.Request) answer {
+	w.t.Helper()
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// Handlers of upstreams.
+
+func succeed(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Stamp", "stamp")
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func fail(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Stamp", "stamp")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "failed")
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("T-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reset cuts the connection without an answer.
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// events streams the events from..to; if cut is set, the connection then breaks.
+func events(from, to int, cut bool, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("T-Stamp", "stamp")
+		for i := 0; i < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		for i := from; i <= to; i++ {
+			_, _ = io.WriteString(w, eventText(i))
+			_ = http.NewResponseController(w).Flush()
+		}
+		if cut {
+			_, _ = io.WriteString(w, "id: 99\ndata: ha")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func eventText(i int) string {
+	return "id: " + strconv.Itoa(i) + "\ndata: e" + strconv.Itoa(i) + "\n\n"
+}
+
+func eventTexts(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString(eventText(i))
+	}
+	return b.String()
+}
+
+// fakeStore is a store in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]map[string]feed.Row
+	changes  []fakeChange
+	changed  chan struct{}
+	down     bool
+	// calls counts the calls of each kind.
+	calls map[string]int
+	start time.Time
+	// kept is the oldest revision whose changes are known.
+	kept uint64
+}
+
+type fakeChange struct {
+	table string
+	row   feed.Row
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		rows: make(map[string]map[string]feed.Row), changed: make(chan struct{}),
+		calls: make(map[string]int), start: time.Now(),
+	}
+}
+
+var errDown = errors.New("store down")
+
+func (s *fakeStore) put(table, key string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.write(table, feed.Row{Key: key, Data: data})
+}
+
+func (s *fakeStore) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(table, feed.Row{Key: key, Deleted: true})
+}
+
+func (s *fakeStore) write(table string, row feed.Row) {
+	s.revision++
+	row.Revision = s.revision
+	if s.rows[table] == nil {
+		s.rows[table] = make(map[string]feed.Row)
+	}
+	if row.Deleted {
+		delete(s.rows[table], row.Key)
+	} else {
+		s.rows[table][row.Key] = row
+	}
+	s.changes = append(s.changes, fakeChange{table, row})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// statusTable is the store as the table of statuses.
+type statusTable struct{ *fakeStore }
+
+func (statusTable) List(context.Context, string, string, int) ([]storage.Row, error) {
+	return nil, nil
+}
+
+func (s *fakeStore) List(_ context.Context, table, _ string) (feed.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["list "+table]++
+	if s.down {
+		return feed.Page{}, errDown
+	}
+	page := feed.Page{Revision: s.revision, Clock: time.Since(s.start)}
+	for _, row := range s.rows[table] {
+		page.Rows = append(page.Rows, row)
+	}
+	return page, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (feed.Page, error) {
+	deadline := time.After(wait)
+	s.mu.Lock()
+	s.calls["changes "+table]++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			return feed.Page{}, errDown
+		}
+		page := feed.Page{Revision: s.revision, Clock: time.Since(s.start)}
+		for _, c := range s.changes {
+			if c.table == table && c.row.Revision > since {
+				page.Rows = append(page.Rows, c.row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return page, nil
+		case <-ctx.Done():
+			return feed.Page{}, ctx.Err()
+		}
+	}
+}
+
+// Get and the other calls below are the status table's.
+func (s *fakeStore) Get(context.Context, string) (storage.Row, error) {
+	return storage.Row{}, storage.ErrNotFound
+}
+
+func (s *fakeStore) Commit(_ context.Context, txn storage.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["commit"]++
+	if s.down {
+		return 0, errDown
+	}
+	for _, c := range txn.Conditions {
+		if s.rows["status"][c.Key].Revision != c.Version {
+			return 0, storage.ErrConflict
+		}
+	}
+	for _, p := range txn.Puts {
+		s.write("status", feed.Row{Key: p.Key, Data: bytes.Clone(p.Value)})
+	}
+	return s.revision, nil
+}
+
+// eventually waits for the condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never came true: %s", what)
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Order is an operators' request to move a service's requests to a version.
@@ -84,7 +85,6 @@
 type rollouts struct {
 	settings *Settings
 	fleet    *Fleet
-	store    Store
 	statuses *feed.Watcher
 	log      zerolog.Logger
 
@@ -118,7 +118,6 @@
 	return &rollouts{
 		settings: settings,
 		fleet:    fleet,
-		store:    settings.Store,
 		log:      log,
 		active:   make(map[string]*activeRollout),
 		stored:   make(map[string]RolloutStatus),
@@ -171,34 +170,42 @@
 // known says whether the store has a status for the order.
 func (a *activeRollout) known() bool { return a.status.OrderRevision == a.order.Revision }
 
-// admits returns the test of versions for the request.
+// admits returns the test of versions for the request. A version that nobody
+// ordered isn't used beside the one in service: its entries can reach a host
+// before the order does.
 func (m *rollouts) admits(r *Request) func(version string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a := m.active[r.Service]
 	if a == nil {
-		return func(string) bool { return true }
+		base := m.fleet.Base(r.Service)
+		return func(version string) bool { return base == "" || version == base }
 	}
+	to := a.order.Version
 	canary := m.canary(a, r)
-	if canary && !m.fleet.HasVersion(r.Service, a.order.Version) {
+	if canary && !m.fleet.serves(r.Service, func(version string) bool { return version == to }) {
 		canary = false
+	} else if !canary && !m.withdrawn(a) && !m.fleet.serves(r.Service, func(version string) bool { return version != to }) {
+		canary = true
 	}
-	to := a.order.Version
 	return func(version string) bool { return (version == to) == canary }
 }
 
+// withdrawn says that the version must get no requests.
+func (m *rollouts) withdrawn(a *activeRollout) bool {
+	return a.stopped || a.known() && a.status.State == RolloutReverted
+}
+
 // canary decides whether the request runs on the new version, by a hash that all
 // hosts share. A session's requests may reach several hosts, so in the first
 // half, in which no session may change its version, requests of sessions stay on
 // the old one. Later the share only rises, so no session ever goes back.
 func (m *rollouts) canary(a *activeRollout, r *Request) bool {
 	switch {
-	case a.known() && a.status.State == RolloutReverted:
+	case m.withdrawn(a):
 		return false
 	case a.known() && a.status.State == RolloutCompleted:
 		return true
-	case a.stopped:
-		return false
 	case r.Session != "":
 		return point("canary", a.order.Version, r.Session) < a.sessionShare
 	default:
@@ -358,11 +365,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = m.store.Commit(ctx, []feed.Write{{
-		Table:    m.settings.Tables.Status,
-		Key:      m.settings.Tables.OrdersPrefix + next.Service,
-		Data:     data,
-		Expected: expected,
-	}})
+	key := m.settings.Tables.OrdersPrefix + next.Service
+	_, err = m.settings.Statuses.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: expected}},
+		Puts:       []storage.Put{{Key: key, Value: data}},
+	})
 	return err
 }
--- /dev/null
+++ b/internal/gateway/rollouts_test.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/routing"
+)
+
+// rolloutHosts are hosts that follow one store.
+type rolloutHosts struct {
+	store *fakeStore
+	hosts []*Gateway
+}
+
+func newRolloutHosts(t *testing.T, n int) *rolloutHosts {
+	t.Helper()
+	h := &rolloutHosts{store: newFakeStore()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	h.store.put("upstreams", "old", Upstream{Service: "svc", Version: "v1", Address: "127.0.0.1:1", Slots: 4})
+	h.store.put("upstreams", "new", Upstream{Service: "svc", Version: "v2", Address: "127.0.0.1:2", Slots: 4})
+	for i := range n {
+		g := New(Settings{
+			Host: fmt.Sprint("h", i), Source: h.store, Statuses: statusTable{h.store}, Tables: testTables(), Codec: testCodec(),
+			Headers: testHeaders(), CanaryShare: 0.2, DrainTime: 2 * time.Second,
+		}, zerolog.Nop())
+		group := g.follow(ctx)
+		t.Cleanup(func() { cancel(); group.Wait() })
+		h.hosts = append(h.hosts, g)
+	}
+	for _, g := range h.hosts {
+		eventually(t, "upstreams known", g.fleet.Known)
+	}
+	return h
+}
+
+func (h *rolloutHosts) order(version string, duration time.Duration) {
+	h.store.put("operator", "order/svc", Order{Service: "svc", Version: version, Duration: duration})
+}
+
+func (h *rolloutHosts) state() (RolloutState, bool) {
+	h.store.mu.Lock()
+	defer h.store.mu.Unlock()
+	row, ok := h.store.rows["status"]["order/svc"]
+	if !ok {
+		return 0, false
+	}
+	status, err := testCodec().Status(row.Data, row.Revision)
+	return status.State, err == nil
+}
+
+func (h *rolloutHosts) stateIs(state RolloutState) func() bool {
+	return func() bool {
+		got, ok := h.state()
+		return ok && got == state
+	}
+}
+
+// runsNew says whether the host would run a request on the new version.
+func runsNew(g *Gateway, id, session string) bool {
+	r := &Request{ID: id, Session: session, Service: "svc"}
+	return g.rollouts.admits(r)("v2")
+}
+
+func (h *rolloutHosts) share(sessions bool) float64 {
+	const draws = 2000
+	n := 0
+	for i := range draws {
+		id, session := fmt.Sprint("r", i), ""
+		if sessions {
+			session = fmt.Sprint("s", i)
+		}
+		if runsNew(h.hosts[i%len(h.hosts)], id, session) {
+			n++
+		}
+	}
+	return float64(n) / draws
+}
+
+func badAttempt(g *Gateway, version string) {
+	r := &Request{ID: "x", Service: "svc", Route: &routing.Route{Name: "r"}}
+	g.rollouts.observe(r, version, attemptResult{outcome: outcomeFailed})
+}
+
+func TestGoodVersionIsCompleted(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHosts(t, 3)
+	is.Equal(h.share(false), 0.0) // nobody ordered the version
+	h.order("v2", 3*time.Second)
+	eventually(t, "reported as running", h.stateIs(RolloutRunning))
+	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
+	is.True(h.share(false) < 0.2) // below the permitted share
+	is.Equal(h.share(true), 0.0)  // sessions stay in the first half
+	eventually(t, "reported as completed", h.stateIs(RolloutCompleted))
+	eventually(t, "all requests", func() bool { return h.share(true) == 1 && h.share(false) == 1 })
+}
+
+func TestSessionsNeverGoBack(t *testing.T) {
+	h := newRolloutHosts(t, 3)
+	h.order("v2", 3*time.Second)
+	on := make(map[string]bool)
+	for done := h.stateIs(RolloutCompleted); !done(); time.Sleep(5 * time.Millisecond) {
+		for i := range 200 {
+			session := fmt.Sprint("s", i)
+			// One host sees the session at one time, another at the next.
+			isNew := runsNew(h.hosts[i%3], "r", session)
+			if on[session] && !isNew {
+				t.Fatal("a session went back to the old version")
+			}
+			on[session] = isNew
+		}
+	}
+}
+
+func TestBadVersionIsStoppedOnAllHosts(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHosts(t, 3)
+	h.order("v2", 20*time.Second)
+	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
+	for range minBad {
+		badAttempt(h.hosts[1], "v2")
+	}
+	is.True(!runsNew(h.hosts[1], "any", "")) // at once on the host that saw it
+	eventually(t, "reported as reverted", h.stateIs(RolloutReverted))
+	eventually(t, "stopped everywhere", func() bool { return h.share(false) == 0 })
+}
+
+func TestBadVersionIsStoppedWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHosts(t, 2)
+	h.order("v2", 20*time.Second)
+	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
+	h.store.setDown(true)
+	for range minBad {
+		badAttempt(h.hosts[0], "v2")
+	}
+	is.True(!runsNew(h.hosts[0], "any", ""))
+	h.store.setDown(false)
+	eventually(t, "reported when the store is back", h.stateIs(RolloutReverted))
+	eventually(t, "stopped everywhere", func() bool { return h.share(false) == 0 })
+}
+
+// A host that can't hear whether others stopped the version doesn't raise its
+// share.
+func TestShareIsHeldWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHosts(t, 1)
+	h.order("v2", 2*time.Second)
+	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
+	h.store.setDown(true)
+	h.store.put("other", "wakes", 1) // ends the calls that wait
+	time.Sleep(2500 * time.Millisecond)
+	is.True(h.share(false) < 0.2)
+	is.Equal(h.share(true), 0.0)
+}
+
+func TestRolloutGoesOnAfterARestart(t *testing.T) {
+	is := is.New(t)
+	for _, state := range []RolloutState{RolloutReverted, RolloutCompleted} {
+		h := newRolloutHosts(t, 0)
+		h.order("v2", time.Minute)
+		h.store.put("status", "order/svc", RolloutStatus{Service: "svc", Version: "v2", State: state, OrderRevision: h.store.revision})
+		again := &rolloutHosts{store: h.store}
+		g := New(Settings{Source: h.store, Statuses: statusTable{h.store}, Tables: testTables(), Codec: testCodec(), Headers: testHeaders()}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		group := g.follow(ctx)
+		again.hosts = []*Gateway{g}
+		want := 0.0
+		if state == RolloutCompleted {
+			want = 1
+		}
+		eventually(t, "state taken up", func() bool { return g.fleet.Known() && !g.rollouts.underWay() && again.share(true) == want })
+		cancel()
+		group.Wait()
+		is.Equal(again.share(false), want)
+	}
+}
+
+// A version that nobody rolls out is an ordinary one.
+func TestNoOrderAdmitsAllVersions(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	w.upstreamOf(Upstream{ID: "a", Zone: "z1", Version: "v3"}, succeed("ok"))
+	is.Equal(w.do(w.request("GET", "/many/x", "")).status, 200)
+}
+
+func TestEvidence(t *testing.T) {
+	tests := []struct {
+		desc                            string
+		oldBad, old, newBad, newAnswers int
+		want                            bool
+	}{
+		{"nothing yet", 0, 0, 0, 0, false},
+		{"two failures can be chance", 0, 100, 2, 2, false},
+		{"three failures of ten", 0, 100, 3, 10, true},
+		{"as bad as the old version", 20, 100, 4, 20, false},
+		{"far worse than a poor old version", 14, 100, 8, 16, true},
+		{"rare failures", 0, 100, 3, 100, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			e := newEvidence()
+			r := &Request{Route: &routing.Route{Name: "r"}}
+			add := func(isNew bool, bad, all int) {
+				for i := range all {
+					result := attemptResult{outcome: outcomeDone}
+					if i < bad {
+						result.outcome = outcomeFailed
+					}
+					e.add(r, isNew, result)
+				}
+			}
+			add(false, test.oldBad, test.old)
+			// Good answers first: the order must not matter for the verdict.
+			for range test.newAnswers - test.newBad {
+				e.add(r, true, attemptResult{outcome: outcomeDone})
+			}
+			add(true, test.newBad, test.newBad)
+			is.New(t).Equal(e.verdict() != "", test.want)
+		})
+	}
+}
+
+func TestEvidenceOfOneRoute(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	good := &Request{Route: &routing.Route{Name: "good"}}
+	poor := &Request{Route: &routing.Route{Name: "poor"}}
+	for range 200 {
+		e.add(good, false, attemptResult{outcome: outcomeDone})
+		e.add(good, true, attemptResult{outcome: outcomeDone})
+	}
+	for range minBad {
+		e.add(poor, true, attemptResult{outcome: outcomeBroken, err: errors.New("reset")})
+	}
+	is.Equal(e.verdict(), "route poor")
+}
+
+func TestSlowAnswersAreEvidence(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	r := &Request{Route: &routing.Route{Name: "r"}}
+	for range 50 {
+		e.add(r, false, attemptResult{outcome: outcomeDone, firstByte: 80 * time.Millisecond})
+	}
+	for range minBad {
+		is.Equal(e.verdict(), "")
+		e.add(r, true, attemptResult{outcome: outcomeDone, firstByte: 600 * time.Millisecond})
+	}
+	is.True(e.verdict() != "")
+}
+
+func TestOlderDocumentIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	rows := &operatorRows{gateway: w.gateway}
+	store := newFakeStore()
+	doc := testDocument()
+	doc.Version = 6
+	store.put("operator", "document", doc)
+	rows.Change(store.rows["operator"]["document"])
+	is.Equal(w.gateway.table.Load().Version, uint64(7))
+	doc.Version = 9
+	store.put("operator", "document", doc)
+	rows.Replace([]feed.Row{store.rows["operator"]["document"]})
+	is.Equal(w.gateway.table.Load().Version, uint64(9))
+	rows.Change(feed.Row{Key: "document", Data: []byte("{"), Revision: 10})
+	rows.Change(feed.Row{Key: "document", Deleted: true, Revision: 11})
+	is.Equal(w.gateway.table.Load().Version, uint64(9)) // neither garbage nor a removal ends it
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,20 +2,12 @@
 
 import (
 	"cmp"
-	"context"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-// Store is what the gateway needs of the platform's store.
-type Store interface {
-	feed.Source
-	// Commit writes all rows or, if a row has another revision than expected,
-	// none.
-	Commit(ctx context.Context, writes []feed.Write) (revision uint64, err error)
-}
-
 // Settings are a gateway's settings.
 type Settings struct {
 	// Host and Zone are this host's name and availability zone.
@@ -29,10 +21,13 @@
 	// ReadyPath answers 200 while the host takes new connections.
 	ReadyPath string
 
-	Store   Store
-	Tables  Tables
-	Codec   Codec
-	Headers Headers
+	// Source reads the tables that the gateway follows; Statuses is the table
+	// that it writes the states of roll-outs to.
+	Source   feed.Source
+	Statuses storage.Table
+	Tables   Tables
+	Codec    Codec
+	Headers  Headers
 	// AnyModel is the model name by which callers leave the choice open.
 	AnyModel string
 
