gateway: an old load report counts less and less against the service's mean

Cause: of 73 hosts each hears of an engine every two seconds, and after 1.5 s took its own count of requests (0 or 1) for the load, so that 24 busy engines looked idle and each prompt's favourite was always taken. Ruled out: slots (a third in use). Also: the version in service is the most frequent one, not the first listed, which a test showed to depend on the order of the rows.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,7 +24,7 @@
 	among int
 	// load is the chosen upstream's believed load, rank its place in the order
 	// of the prompt's affinity, 0 without one.
-	load int
+	load float64
 	rank int
 }
 
@@ -146,13 +146,13 @@
 	slices.SortFunc(order, func(a, b *member) int {
 		return cmp.Compare(hash(subject, b.ID), hash(subject, a.ID))
 	})
-	total := 0
+	total := 0.0
 	for _, m := range order {
 		total += m.load(now)
 	}
-	bound := boundFactor*float64(total)/float64(len(order)) + boundSlack
+	bound := boundFactor*total/float64(len(order)) + boundSlack
 	for i, m := range order {
-		if float64(m.load(now)) <= bound {
+		if m.load(now) <= bound {
 			return m, i
 		}
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/resultcode"
@@ -180,7 +181,7 @@
 	line.Str("event", "attempt").Str("request", r.ID).Int("attempt", r.attempts).
 		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Str("zone", a.choice.upstream.Zone).
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
-		Int("among", a.choice.among).Int("load", a.choice.load).Int("rank", a.choice.rank).
+		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).Int("rank", a.choice.rank).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"sync"
 	"time"
 
@@ -41,6 +40,9 @@
 	// base is the version in service without a roll-out; empty before the first
 	// upstream is listed.
 	base string
+	// typicalLoad is the decayed mean of the loads per slot that the upstreams
+	// reported.
+	typicalLoad float64
 }
 
 // NewFleet returns an empty fleet. An upstream whose entry was removed is used
@@ -72,9 +74,8 @@
 	defer s.mu.Unlock()
 	m := s.members[u.ID]
 	if m == nil {
-		m = &member{}
+		m = &member{shard: s}
 		s.members[u.ID] = m
-		s.base = cmp.Or(s.base, u.Version)
 		f.log.Info().Str("event", "upstream-listed").Str("upstream", u.ID).Str("service", u.Service).
 			Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Bool("leaving", u.Leaving).Uint64("revision", revision).Msg("")
 	}
@@ -165,8 +166,9 @@
 	return false
 }
 
-// Base is the version in service: the one listed first, until no upstream of it
-// takes work; then the most frequent of the others. It is empty if none is left.
+// Base is the version in service: the most frequent one when it is first asked
+// for, until no upstream of it takes work; then the most frequent of the others.
+// It is empty if none is left.
 func (f *Fleet) Base(service string) string {
 	s := f.shard(service)
 	s.mu.Lock()
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// loadFresh is how long a load that an upstream reported says more than
-	// this host's own count.
-	loadFresh = 1500 * time.Millisecond
+	// loadHalfLife halves the weight of a load that an upstream reported,
+	// against the mean of its service. A host among dozens hears of an upstream
+	// every other second only; taking an old report, or the host's own few
+	// requests, for the load makes busy upstreams look idle.
+	loadHalfLife = time.Second
+	// typicalGain is the weight of a new report in the service's mean load.
+	typicalGain = 0.03
 	// failureGain is the weight of a new outcome in the failure rate.
 	failureGain = 0.15
 	// failureHalfLife halves a failure rate without new outcomes, so that an
@@ -27,6 +31,7 @@
 // member is what is known of one upstream. The shard's lock guards it.
 type member struct {
 	Upstream
+	shard     *shard
 	removedAt time.Time
 	inFlight  int
 
@@ -51,16 +56,20 @@
 }
 
 // load is the number of requests believed to be at the upstream.
-func (m *member) load(now time.Time) int {
-	if now.Sub(m.reportedAt) > loadFresh {
-		return m.inFlight
+func (m *member) load(now time.Time) float64 {
+	own := float64(m.inFlight)
+	typical := max(own, m.shard.typicalLoad*float64(max(1, m.Slots)))
+	if m.reportedAt.IsZero() {
+		return typical
 	}
-	return max(m.inFlight, m.reported+m.inFlight-m.reportedOwn)
+	told := max(own, float64(m.reported+m.inFlight-m.reportedOwn))
+	weight := math.Exp2(-float64(now.Sub(m.reportedAt)) / float64(loadHalfLife))
+	return weight*told + (1-weight)*typical
 }
 
 // relativeLoad is the load per slot.
 func (m *member) relativeLoad(now time.Time) float64 {
-	return float64(m.load(now)) / float64(max(1, m.Slots))
+	return m.load(now) / float64(max(1, m.Slots))
 }
 
 // failures is the failure rate decayed to now.
@@ -112,4 +121,6 @@
 	m.reported = running + waiting
 	m.reportedOwn = m.inFlight
 	m.reportedAt = now
+	relative := float64(m.reported) / float64(max(1, m.Slots))
+	m.shard.typicalLoad += typicalGain * (relative - m.shard.typicalLoad)
 }
