--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,8 +45,6 @@
 	tried []string
 	// model is the model that runs the request; empty for plain services.
 	model string
-	// delayed is how long attempts were kept waiting for a better model.
-	lastUpstream string
 }
 
 // Prompt describes a model request's sizes.
