--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 
-	"github.com/rs/zerolog"
-
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
@@ -124,7 +122,6 @@
 // statusRows takes the states of roll-outs.
 type statusRows struct {
 	gateway *Gateway
-	log     zerolog.Logger
 }
 
 // Replace implements feed.Handler.
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -288,8 +288,6 @@
 	// calls counts the calls of each kind.
 	calls map[string]int
 	start time.Time
-	// kept is the oldest revision whose changes are known.
-	kept uint64
 }
 
 type fakeChange struct {
@@ -316,12 +314,6 @@
 	s.write(table, feed.Row{Key: key, Data: data})
 }
 
-func (s *fakeStore) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.write(table, feed.Row{Key: key, Deleted: true})
-}
-
 func (s *fakeStore) write(table string, row feed.Row) {
 	s.revision++
 	row.Revision = s.revision
