--- /dev/null
+++ b/internal/e2e/gateway_test.go
@@ -0,0 +1,335 @@
+package e2e
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+)
+
+// The gateways' bounds, as their settings files state them.
+const (
+	gatewayDrain = 2 * time.Second
+	gatewayGrace = 4 * time.Second
+	streamEvents = 6
+)
+
+// fleetSystem is gateways as processes, before upstreams and a store of the
+// test's own process.
+type fleetSystem struct {
+	t         *testing.T
+	store     *platformtest.Store
+	storeAt   string
+	upstreams []*platformtest.Upstream
+	gateways  []*gatewayHost
+	client    *http.Client
+	made      int
+	requests  atomic.Int64
+	document  map[string]any
+}
+
+// gatewayHost is one host's gateway, which may be started again.
+type gatewayHost struct {
+	*process
+	name     string
+	zone     string
+	callers  string
+	ready    string
+	settings string
+	toStore  *relay
+}
+
+func newFleetSystem(t *testing.T, hosts int) *fleetSystem {
+	t.Helper()
+	s := &fleetSystem{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.storeAt = server.Listener.Addr().String()
+	s.document = routingDocument()
+	s.publish(1)
+	for i := range 4 {
+		s.addUpstream("app", "v1", zone(i))
+		s.addUpstream("pool", "v1", zone(i))
+	}
+	for i := range hosts {
+		h := &gatewayHost{name: fmt.Sprintf("gateway-%d", i+1), zone: zone(i), toStore: newRelay(t, loopback, s.storeAt)}
+		h.callers, h.ready = freeAddress(t, loopback), freeAddress(t, loopback)
+		h.writeSettings(t)
+		s.gateways = append(s.gateways, h)
+		s.startGateway(h)
+	}
+	for _, h := range s.gateways {
+		eventually(t, h.name+" is ready", func() bool { return s.isReady(h) })
+	}
+	return s
+}
+
+// routingDocument has a route of each kind, and one with a choice of models.
+func routingDocument() map[string]any {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "hostname": "fleet.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
+			"timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3, "priority": 1,
+		}
+	}
+	stream := route("stream", "streaming", "pool")
+	stream["stream_resume"] = true
+	stream["session_affinity"] = true
+	stream["size_list"] = []string{"weak", "strong"}
+	return map[string]any{
+		"routes":   []any{route("once", "non_idempotent", "app"), route("many", "idempotent", "app"), stream},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "pool"}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"tenants":  []any{map[string]any{"name": "acme", "api_keys": []string{"key-a", "key-b"}}},
+	}
+}
+
+// publish writes the document under a version.
+func (s *fleetSystem) publish(version int) {
+	s.document["version"] = version
+	data, err := json.Marshal(s.document)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("op", "config", data)
+}
+
+func (s *fleetSystem) addUpstream(service, version, zone string) *platformtest.Upstream {
+	s.t.Helper()
+	s.made++
+	u := &platformtest.Upstream{
+		ID: fmt.Sprintf("u-%d", s.made), Service: service, Version: version, Zone: zone,
+		Events: streamEvents, Pause: 10 * time.Millisecond, Weak: "weak", Confidence: 80,
+	}
+	if err := u.Start(loopback); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(u.Kill)
+	s.store.Put("servers", u.ID, u.Entry("available"))
+	s.upstreams = append(s.upstreams, u)
+	return u
+}
+
+func (h *gatewayHost) writeSettings(t *testing.T) {
+	t.Helper()
+	h.settings = filepath.Join(t.TempDir(), "settings.yaml")
+	text := fmt.Sprintf(`node_name: %q
+ip: "127.0.0.1"
+zone: %q
+listen: {frontend: %q, ready: %q}
+limits: {memory_mb: 256}
+bounds: {drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, session_s: 5}
+platform: {address: %q}
+`, h.name, h.zone, h.callers, h.ready, gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.toStore.address())
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s *fleetSystem) startGateway(h *gatewayHost) {
+	h.process = start(s.t, h.name, nil, "gateway", "--settings="+h.settings, "--metrics-port=0")
+}
+
+func (s *fleetSystem) isReady(h *gatewayHost) bool {
+	resp, err := s.client.Get("http://" + h.ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// fleetAnswer is what a caller got for a request.
+type fleetAnswer struct {
+	id     string
+	kind   string
+	status int
+	body   string
+	retry  string
+	err    error
+	began  time.Time
+	ended  time.Time
+}
+
+// send sends a request of the kind, which is the route's name too.
+func (s *fleetSystem) send(h *gatewayHost, kind, key string) fleetAnswer {
+	a := fleetAnswer{id: fmt.Sprintf("r-%d", s.requests.Add(1)), kind: kind, began: time.Now()}
+	req, err := http.NewRequest("POST", "http://"+h.callers+"/"+kind+"/x", strings.NewReader("body of "+a.id))
+	if err != nil {
+		panic(err) // the parts are constants
+	}
+	req.GetBody = nil // the client library must not repeat it by itself
+	req.Host = "fleet.example"
+	req.Header.Set("X-Attempt-Id", a.id)
+	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	if kind == "stream" {
+		req.Header.Set("X-Model", "*")
+		req.Header.Set("X-Prefix-Hash", "aa:100,"+a.id+":10")
+		req.Header.Set("Session", "s-"+a.id)
+	}
+	resp, err := s.client.Do(req)
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		a.status, a.body, a.retry = resp.StatusCode, string(body), resp.Header.Get("Retry-After")
+	}
+	a.err = err
+	a.ended = time.Now()
+	return a
+}
+
+// whole is the complete answer of a request.
+func (a *fleetAnswer) whole() string {
+	if a.kind != "stream" {
+		return platformtest.TextOf(a.id)
+	}
+	var b strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		b.WriteString(platformtest.EventOf(a.id, i))
+	}
+	return b.String()
+}
+
+func (s *fleetSystem) mustServe(h *gatewayHost) {
+	s.t.Helper()
+	for _, kind := range []string{"once", "many", "stream"} {
+		a := s.send(h, kind, "key-a")
+		if a.err != nil || a.status != http.StatusOK || a.body != a.whole() {
+			s.t.Fatalf("%s: %s: status %d, %v, body %q", h.name, kind, a.status, a.err, a.body)
+		}
+	}
+}
+
+func (s *fleetSystem) problems() []string {
+	var found []string
+	for _, u := range s.upstreams {
+		if p := u.Problem(); p != "" {
+			found = append(found, u.ID+": "+p)
+		}
+	}
+	return found
+}
+
+// TestGatewayCalmPath plays a calm path: every kind of request on every host, a
+// new routing document, keys taken away, an upstream that leaves, a roll-out, and
+// a planned stop during a stream.
+func TestGatewayCalmPath(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 3)
+	for _, h := range s.gateways {
+		s.mustServe(h)
+		is.Equal(s.send(h, "none", "key-a").status, http.StatusNotFound)
+		is.Equal(s.send(h, "once", "key-x").status, http.StatusUnauthorized)
+	}
+
+	s.document["tenants"] = []any{map[string]any{"name": "acme", "api_keys": []string{"key-a"}}}
+	s.publish(5)
+	for _, h := range s.gateways {
+		eventually(t, h.name+" refuses the key", func() bool { return s.send(h, "once", "key-b").status == http.StatusUnauthorized })
+		s.mustServe(h)
+	}
+
+	leaving := s.upstreams[0]
+	s.store.Put("servers", leaving.ID, leaving.Entry("draining"))
+	time.Sleep(time.Second)
+	before := len(leaving.Began())
+	for _, h := range s.gateways {
+		s.mustServe(h)
+	}
+	is.Equal(len(leaving.Began()), before)
+
+	s.rollOut(t)
+
+	h := s.gateways[0]
+	ended := make(chan fleetAnswer)
+	for _, u := range s.upstreams {
+		u.Pause = 100 * time.Millisecond
+	}
+	go func() { ended <- s.send(h, "stream", "key-a") }()
+	time.Sleep(150 * time.Millisecond)
+	h.signal(syscall.SIGTERM)
+	eventually(t, "not ready", func() bool { return !s.isReady(h) })
+	a := <-ended
+	is.NoErr(a.err)
+	is.Equal(a.body, a.whole()) // the stop cut nothing
+	<-h.done
+	is.NoErr(h.err)
+	is.Equal(s.problems(), nil)
+}
+
+// rollOut moves the pool to a new version.
+func (s *fleetSystem) rollOut(t *testing.T) {
+	t.Helper()
+	var moved []*platformtest.Upstream
+	for i := range 3 {
+		moved = append(moved, s.addUpstream("pool", "v2", zone(i)))
+	}
+	s.store.Put("op", "rollout/pool", []byte(`{"service":"pool","to":"v2","duration_s":4}`))
+	eventually(t, "completed", func() bool {
+		for _, h := range s.gateways {
+			s.mustServe(h)
+		}
+		return strings.Contains(string(s.store.Get("status", "rollout/pool")), `"completed"`)
+	})
+	runs := 0
+	for _, u := range moved {
+		runs += len(u.Began())
+	}
+	is.New(t).True(runs > 0)
+}
+
+// A gateway serves on while the store is away, and takes up what it missed.
+func TestGatewayOutlivesTheStore(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 1)
+	h := s.gateways[0]
+	for _, fault := range []platformtest.Fault{platformtest.Busy, platformtest.Silent, platformtest.Lost} {
+		s.store.SetFault(fault)
+		s.mustServe(h)
+		s.document["tenants"] = []any{map[string]any{"name": "acme", "api_keys": []string{"key-a", fmt.Sprint("key-", fault)}}}
+		s.publish(10 + int(fault))
+		time.Sleep(200 * time.Millisecond)
+		s.store.Forget()
+		is.True(s.isReady(h))
+		s.store.SetFault(platformtest.Healthy)
+		eventually(t, "the new key is known", func() bool { return s.send(h, "once", fmt.Sprint("key-", fault)).status == http.StatusOK })
+	}
+}
+
+func TestGatewayWithoutItsStoreIsNotReady(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 1)
+	h := s.gateways[0]
+	h.kill()
+	h.toStore.cutAll()
+	s.startGateway(h)
+	var a fleetAnswer
+	eventually(t, "the gateway listens", func() bool {
+		a = s.send(h, "once", "key-a")
+		return !errors.Is(a.err, syscall.ECONNREFUSED)
+	})
+	is.Equal(a.status, http.StatusServiceUnavailable) // it knows no route: a 404 would be a guess
+	is.True(a.retry != "")
+	is.True(!s.isReady(h))
+	h.toStore.heal()
+	eventually(t, "ready", func() bool { return s.isReady(h) })
+	s.mustServe(h)
+}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -2,15 +2,15 @@
 // stands in for the network between two processes.
 //
 // The end-to-end tests put one before each link of an entry host. A cut looks to
-// both ends like a closed connection; packets that are lost without a word, and
-// slow links, aren't part of it.
+// both ends like a closed connection; a silenced direction holds its bytes back
+// until it is healed, as a partition does.
 package relay
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Relay listens on one address. It is safe for concurrent use.
@@ -24,6 +24,25 @@
 	cut    func(from string) bool
 	// conns are the accepted connections with their source IPs.
 	conns map[net.Conn]string
+	// flow holds back and delays bytes, for each direction.
+	flow [2]flow
+}
+
+// Direction is one of the two ways through a relay.
+type Direction int
+
+const (
+	// ToTarget is from the side that dialled.
+	ToTarget Direction = iota
+	// FromTarget is back to it.
+	FromTarget
+)
+
+// flow is the state of one direction.
+type flow struct {
+	// open is closed while bytes pass.
+	open  chan struct{}
+	delay time.Duration
 }
 
 // Listen starts a relay on a free port of the IP. The target may be set later.
@@ -33,6 +52,10 @@
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]string)}
+	for i := range r.flow {
+		r.flow[i].open = make(chan struct{})
+		close(r.flow[i].open)
+	}
 	r.serving.Go(r.accept)
 	return r, nil
 }
@@ -63,15 +86,67 @@
 	}
 }
 
+// Silence holds the bytes of one direction back until Heal.
+func (r *Relay) Silence(d Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.flow[d].open:
+		r.flow[d].open = make(chan struct{})
+	default:
+	}
+}
+
+// Delay makes the bytes of one direction late until Heal.
+func (r *Relay) Delay(d Direction, by time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flow[d].delay = by
+}
+
+// pass copies one direction, chunk by chunk.
+func (r *Relay) pass(to, from net.Conn, d Direction) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			r.mu.Lock()
+			f := r.flow[d]
+			r.mu.Unlock()
+			time.Sleep(f.delay)
+			<-f.open
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // CutAll breaks all connections and refuses new ones until Heal.
 func (r *Relay) CutAll() { r.CutFrom(func(string) bool { return true }) }
 
-// Heal ends a cut.
-func (r *Relay) Heal() { r.CutFrom(nil) }
+// Heal ends cuts, silence and delays.
+func (r *Relay) Heal() {
+	r.CutFrom(nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.flow {
+		r.flow[i].delay = 0
+		select {
+		case <-r.flow[i].open:
+		default:
+			close(r.flow[i].open)
+		}
+	}
+}
 
 // Close cuts all connections and waits for their end.
 func (r *Relay) Close() error {
 	err := r.listener.Close()
+	r.Heal()
 	r.CutAll()
 	r.serving.Wait()
 	return err
@@ -102,10 +177,10 @@
 	defer target.Close()
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		_, _ = io.Copy(target, conn)
+		r.pass(target, conn, ToTarget)
 		target.Close()
 	})
-	_, _ = io.Copy(conn, target)
+	r.pass(conn, target, FromTarget)
 	conn.Close()
 	wait.Wait()
 }
