--- /dev/null
+++ b/internal/e2e/gatewaysoak_test.go
@@ -0,0 +1,315 @@
+package e2e
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	tcprelay "github.com/quetzalweir/quetzalweir/internal/standin/relay"
+	"github.com/quetzalweir/quetzalweir/platform/platformtest"
+)
+
+var (
+	soakSeed  = flag.Uint64("soak.seed", 0, "first seed of the gateways' soak; 0 takes the regression seeds")
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds from the first one on")
+	soakTime  = flag.Duration("soak.time", 6*time.Second, "time of faults of each seed")
+)
+
+// regressionSeeds are the seeds that CI plays: one of no special kind, and each
+// that ever failed, with its cause.
+var regressionSeeds = []uint64{1}
+
+// soak is one run of random faults. What it checks, callers and upstreams see.
+type soak struct {
+	*fleetSystem
+	rnd *rand.Rand
+	// disturbed is when a fault last was in force that may delay what hosts
+	// believe, in nanoseconds since 1970.
+	disturbed atomic.Int64
+
+	mu      sync.Mutex
+	answers []fleetAnswer
+	// left holds when upstreams said that they leave.
+	left  map[string]time.Time
+	trail []string
+	// stops and harms are spans of planned stops, and of faults that excuse
+	// answers that were cut.
+	stops []span
+	harms []span
+}
+
+type span struct{ from, to time.Time }
+
+func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && from.Before(s.to) }
+
+// TestGatewaySoak plays random faults against gateways as processes: kills,
+// pauses, planned stops, cut, silenced and slow links to the store, failing and
+// forgetful stores, upstreams that crash, leave and misbehave, new documents.
+func TestGatewaySoak(t *testing.T) {
+	seeds := regressionSeeds
+	if *soakSeed != 0 {
+		seeds = nil
+		for i := range uint64(*soakSeeds) {
+			seeds = append(seeds, *soakSeed+i)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := &soak{
+				fleetSystem: newFleetSystem(t, 3),
+				rnd:         rand.New(rand.NewPCG(seed, 1)),
+				left:        make(map[string]time.Time),
+			}
+			s.run()
+			s.check()
+			if t.Failed() {
+				t.Logf("faults:\n%s", strings.Join(s.trail, "\n"))
+			}
+		})
+	}
+}
+
+func (s *soak) run() {
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 9 {
+		callers.Go(func() { s.call(s.gateways[i%3], []string{"once", "many", "stream"}[i/3], stop) })
+	}
+	version := 10
+	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
+		s.strike(&version)
+		time.Sleep(time.Duration(50+s.rnd.IntN(250)) * time.Millisecond)
+	}
+	s.heal()
+	close(stop)
+	callers.Wait()
+	for _, h := range s.gateways {
+		eventually(s.t, h.name+" is ready again", func() bool { return s.isReady(h) })
+		eventually(s.t, h.name+" serves again", func() bool {
+			return s.send(h, "stream", "key-a").status == http.StatusOK && s.send(h, "once", "key-a").status == http.StatusOK
+		})
+	}
+}
+
+// call sends requests one after the other and keeps their answers.
+func (s *soak) call(h *gatewayHost, kind string, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		a := s.send(h, kind, "key-a")
+		s.mu.Lock()
+		s.answers = append(s.answers, a)
+		s.mu.Unlock()
+	}
+}
+
+func (s *soak) note(format string, args ...any) {
+	s.trail = append(s.trail, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// strike does one fault. Those that last are ended by a goroutine of their own,
+// so they overlap.
+func (s *soak) strike(version *int) {
+	h := s.gateways[s.rnd.IntN(len(s.gateways))]
+	lasts := time.Duration(200+s.rnd.IntN(1800)) * time.Millisecond
+	switch s.rnd.IntN(12) {
+	case 0:
+		s.note("kill %s", h.name)
+		s.harm(lasts)
+		h.kill()
+		s.startGateway(h)
+	case 1:
+		s.note("pause %s for %v", h.name, lasts)
+		s.harm(lasts)
+		h.signal(syscall.SIGSTOP)
+		time.Sleep(lasts)
+		h.signal(syscall.SIGCONT)
+	case 2:
+		s.note("stop %s", h.name)
+		s.stopGateway(h)
+	case 3:
+		s.note("link of %s to the store fails for %v", h.name, lasts)
+		s.faultyLink(h, lasts)
+	case 4:
+		fault := platformtest.Fault(1 + s.rnd.IntN(3))
+		s.note("store fault %d for %v", fault, lasts)
+		s.disturb(lasts)
+		s.store.SetFault(fault)
+		time.AfterFunc(lasts, func() { s.store.SetFault(platformtest.Healthy) })
+	case 5:
+		s.note("the store forgets its history")
+		s.store.Forget()
+	case 6:
+		s.replaceUpstream(s.rnd.IntN(2) == 0)
+	case 7, 8, 9, 10:
+		u := s.upstreams[s.rnd.IntN(len(s.upstreams))]
+		fault := platformtest.UpstreamFault(1 + s.rnd.IntN(platformtest.Faults-1))
+		s.note("upstream %s fault %d for %v", u.ID, fault, lasts)
+		s.harm(lasts)
+		u.SetFault(fault, 2)
+		time.AfterFunc(lasts, func() { u.SetFault(platformtest.None, 1) })
+	case 11:
+		*version += 1 + s.rnd.IntN(3)
+		s.note("document %d", *version)
+		s.publish(*version)
+	}
+}
+
+// disturb notes that beliefs may be late until the span is over.
+func (s *soak) disturb(lasts time.Duration) {
+	s.disturbed.Store(max(s.disturbed.Load(), time.Now().Add(lasts).UnixNano()))
+}
+
+// harm notes a fault that may cut answers.
+func (s *soak) harm(lasts time.Duration) {
+	s.disturb(lasts)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Answers under way at its end may suffer for their whole time.
+	s.harms = append(s.harms, span{now, now.Add(lasts + 4*time.Second)})
+}
+
+// stopGateway asks for a planned stop and starts the gateway again.
+func (s *soak) stopGateway(h *gatewayHost) {
+	began := time.Now()
+	s.disturb(gatewayGrace)
+	_ = h.terminate()
+	s.mu.Lock()
+	s.stops = append(s.stops, span{began, time.Now()})
+	s.mu.Unlock()
+	s.startGateway(h)
+}
+
+func (s *soak) faultyLink(h *gatewayHost, lasts time.Duration) {
+	s.disturb(lasts)
+	switch s.rnd.IntN(4) {
+	case 0:
+		h.toStore.cutAll()
+	case 1:
+		h.toStore.inner.Silence(tcprelay.ToTarget)
+	case 2:
+		h.toStore.inner.Silence(tcprelay.FromTarget)
+	case 3:
+		h.toStore.inner.Delay(tcprelay.FromTarget, 300*time.Millisecond)
+	}
+	time.AfterFunc(lasts, h.toStore.heal)
+}
+
+// replaceUpstream takes an upstream away, with or without notice, and adds one of
+// the same service.
+func (s *soak) replaceUpstream(notice bool) {
+	i := s.rnd.IntN(len(s.upstreams))
+	old := s.upstreams[i]
+	if _, gone := s.left[old.ID]; gone {
+		return
+	}
+	s.addUpstream(old.Service, old.Version, old.Zone)
+	s.left[old.ID] = time.Now()
+	if !notice {
+		s.note("upstream %s crashes", old.ID)
+		s.harm(time.Second)
+		old.Kill()
+		time.AfterFunc(time.Second, func() { s.store.Remove("servers", old.ID) })
+		return
+	}
+	s.note("upstream %s leaves", old.ID)
+	s.store.Put("servers", old.ID, old.Entry("draining"))
+	time.AfterFunc(gatewayDrain+3*time.Second, old.Kill)
+}
+
+func (s *soak) heal() {
+	s.store.SetFault(platformtest.Healthy)
+	for _, h := range s.gateways {
+		h.signal(syscall.SIGCONT)
+		h.toStore.heal()
+	}
+	for _, u := range s.upstreams {
+		u.SetFault(platformtest.None, 1)
+	}
+}
+
+// check compares what callers got with what upstreams did.
+func (s *soak) check() {
+	s.t.Helper()
+	runs := make(map[string]int)
+	for _, u := range s.upstreams {
+		for id, n := range u.Runs() {
+			runs[id] += n
+		}
+	}
+	served := 0
+	for i := range s.answers {
+		a := &s.answers[i]
+		s.checkAnswer(a, runs[a.id])
+		if a.status == http.StatusOK && a.err == nil {
+			served++
+		}
+	}
+	if served < len(s.answers)/4 || served == 0 {
+		s.t.Errorf("only %d of %d requests were served", served, len(s.answers))
+	}
+	for _, p := range s.problems() {
+		s.t.Error(p)
+	}
+	s.checkLeft()
+	s.t.Logf("%d requests, %d served, %d faults", len(s.answers), served, len(s.trail))
+}
+
+func (s *soak) checkAnswer(a *fleetAnswer, runs int) {
+	refused := a.status == 408 || a.status == 421 || a.status == 429 || a.status == 503
+	switch {
+	case a.kind == "once" && runs > 1:
+		s.t.Errorf("%s ran %d times", a.id, runs)
+	case a.kind == "once" && refused && a.err == nil && runs > 0:
+		s.t.Errorf("%s was refused with %d and ran", a.id, a.status)
+	case a.status == http.StatusOK && a.err == nil && a.body != a.whole():
+		s.t.Errorf("%s: wrong or incomplete answer that looks complete: %q", a.id, a.body)
+	case a.err == nil && (a.status == 401 || a.status == 404):
+		s.t.Errorf("%s: %d for what every document allows", a.id, a.status)
+	case a.err == nil && a.ended.Sub(a.began) > 4*time.Second && !s.harmed(a):
+		s.t.Errorf("%s was answered after %v", a.id, a.ended.Sub(a.began))
+	case a.err != nil && runs > 0 && s.stopping(a) && !s.harmed(a):
+		s.t.Errorf("%s was cut by a planned stop: %v", a.id, a.err)
+	}
+}
+
+func (s *soak) harmed(a *fleetAnswer) bool { return within(s.harms, a) }
+
+func (s *soak) stopping(a *fleetAnswer) bool { return within(s.stops, a) }
+
+func within(spans []span, a *fleetAnswer) bool {
+	for _, sp := range spans {
+		if sp.overlaps(a.began, a.ended) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLeft: an upstream that leaves gets nothing new after its drain time, unless
+// a fault kept hosts from hearing of it.
+func (s *soak) checkLeft() {
+	disturbed := time.Unix(0, s.disturbed.Load())
+	for _, u := range s.upstreams {
+		left, ok := s.left[u.ID]
+		if !ok || left.Before(disturbed.Add(time.Second)) {
+			continue
+		}
+		for _, run := range u.Began() {
+			if run.At.After(left.Add(gatewayDrain)) {
+				s.t.Errorf("%s ran at %s, %v after it said that it leaves", run.ID, u.ID, run.At.Sub(left))
+			}
+		}
+	}
+}
