gateway: work on smaller models goes before work on the largest at the engines; roll-outs judged by chance; the threshold falls under pressure

Each rank is split in two, smaller models first. A good version was stopped for slow answers that came with load (4 of 31 against 30 of 155); failures and slow answers are now judged apart, by how likely their number is at the old version's rate.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,8 @@
 	request *Request
 	choice  choice
 	began   time.Time
-	// settled says that the upstream answered that it didn't run the request.
+	// largest says that the request runs on the largest of several models.
+	largest bool
 	call  *sealedconn.Call
 	state runstate.Tracker
 }
@@ -143,7 +144,7 @@
 	if r.Route.Kind != routeStream {
 		return
 	}
-	header.Set(names.Priority, strconv.Itoa(r.priority()))
+	header.Set(names.Priority, strconv.Itoa(r.priority(a.largest)))
 	if r.model != "" {
 		header.Set(names.Model, r.model)
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -20,13 +20,20 @@
 	gateway *Gateway
 }
 
-// priority is the urgency that upstreams are told.
-func (r *Request) priority() int {
+// priority is the urgency that upstreams are told, 0 to 9. Each of the operators'
+// ranks is split in two: short work on the smaller models goes before long work on
+// the largest.
+func (r *Request) priority(largest bool) int {
 	const lowest = 9
+	rank := r.Route.Priority
 	if r.Account != nil && r.Account.Priority != nil {
-		return min(lowest, *r.Account.Priority)
+		rank = *r.Account.Priority
 	}
-	return min(lowest, r.Route.Priority)
+	rank *= 2
+	if largest {
+		rank++
+	}
+	return min(lowest, rank)
 }
 
 func (d *dispatch) serve(ctx context.Context, r *Request, _ next) error {
@@ -63,7 +70,7 @@
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).Msg("")
 		return attemptResult{}, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
 	}
-	a := &attempt{gateway: g, request: r, choice: picked, began: time.Now()}
+	a := &attempt{gateway: g, request: r, choice: picked, began: time.Now(), largest: models.best()}
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
 	var result attemptResult
@@ -76,6 +83,9 @@
 		r.state.Raise(a.state.State())
 	}
 	g.fleet.release(picked.upstream, result)
+	if models.best() && result.outcome == outcomeDone {
+		g.pressure.of(r.Service).observe(result.firstByte, r.Route.Target)
+	}
 	g.rollouts.observe(r, picked.upstream.Version, result)
 	d.record(r, a, result)
 	return result, nil
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -9,10 +10,12 @@
 	// minBad is the least number of bad answers that stop a version. Two can
 	// come together by chance when an upstream dies.
 	minBad = 3
-	// badFactor and badFloor say how much more often than the old version's the
-	// new one's answers must be bad: badFactor times the old rate and the floor.
-	badFactor = 2.5
-	badFloor  = 0.06
+	// failedChance and slowChance are how probable a new version's count of
+	// failed or slow answers may be, at the old version's rate, for the version
+	// to be stopped. Failures are rare and independent; slow answers come in
+	// bursts with load, and dozens of hosts look at each route after each answer.
+	failedChance = 5e-4
+	slowChance   = 1e-5
 	// slowFactor is how many times as long as the old version's mean an answer
 	// takes that counts as slow.
 	slowFactor = 4
@@ -38,7 +41,8 @@
 
 type tally struct {
 	answers int
-	bad     int
+	failed  int
+	slow    int
 }
 
 func newEvidence() evidence { return evidence{routes: make(map[string]*tallies)} }
@@ -54,12 +58,10 @@
 		t = &tallies{}
 		e.routes[r.Route.Name] = t
 	}
-	bad := result.outcome != outcomeDone
-	if !bad {
-		bad = t.slow(isNew, result.firstByte)
-	}
-	t.count(isNew, bad)
-	e.total.count(isNew, bad)
+	failed := result.outcome != outcomeDone
+	slow := !failed && t.slow(isNew, result.firstByte)
+	t.count(isNew, failed, slow)
+	e.total.count(isNew, failed, slow)
 }
 
 // slow says whether a time is far above the old version's mean.
@@ -74,14 +76,17 @@
 	return slow
 }
 
-func (t *tallies) count(isNew, bad bool) {
+func (t *tallies) count(isNew, failed, slow bool) {
 	side := &t.old
 	if isNew {
 		side = &t.new
 	}
 	side.answers++
-	if bad {
-		side.bad++
+	if failed {
+		side.failed++
+	}
+	if slow {
+		side.slow++
 	}
 }
 
@@ -98,17 +103,37 @@
 	return ""
 }
 
-// worse says that the new version's answers are bad far more often.
+// worse says that the new version's answers fail or are slow far more often than
+// chance explains.
 func (t *tallies) worse() bool {
-	if t.new.bad < minBad {
+	return unlikely(t.new.failed, t.new.answers, t.old.failed, t.old.answers, failedChance) ||
+		unlikely(t.new.slow, t.new.answers, t.old.slow, t.old.answers, slowChance)
+}
+
+// unlikely says whether as many bad answers as the new version's have at most the
+// chance at the old version's rate. The rate is taken with one bad answer and four
+// answers more, so that a short good record doesn't make every failure telling.
+func unlikely(newBad, newAnswers, oldBad, oldAnswers int, chance float64) bool {
+	if newBad < minBad {
 		return false
 	}
-	return t.new.rate() > badFactor*t.old.rate()+badFloor
+	rate := float64(oldBad+1) / float64(oldAnswers+4)
+	return poissonTail(newBad, rate*float64(newAnswers)) <= chance
 }
 
-func (t *tally) rate() float64 { return float64(t.bad) / float64(max(1, t.answers)) }
+// poissonTail is the probability of at least n events where mean are expected.
+func poissonTail(n int, mean float64) float64 {
+	term := math.Exp(-mean)
+	below := 0.0
+	for i := range n {
+		below += term
+		term *= mean / float64(i+1)
+	}
+	return max(0, 1-below)
+}
 
-// String shows the counts, bad of all, old and new.
+// String shows the counts, failed and slow of all, old and new.
 func (e *evidence) String() string {
-	return fmt.Sprintf("old %d/%d new %d/%d", e.total.old.bad, e.total.old.answers, e.total.new.bad, e.total.new.answers)
+	old, fresh := e.total.old, e.total.new
+	return fmt.Sprintf("old %d+%d/%d new %d+%d/%d", old.failed, old.slow, old.answers, fresh.failed, fresh.slow, fresh.answers)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	fleet    *Fleet
 	rollouts *rollouts
 	budgets  *retryBudgets
+	pressure pressures
 	pipeline next
 
 	transport *http.Transport
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -18,6 +18,7 @@
 // startModels plans the models of a request.
 func (g *Gateway) startModels(r *Request) *modelSteps {
 	s := &modelSteps{threshold: g.settings.AcceptConfidence}
+	s.threshold = g.pressure.of(r.Service).lower(s.threshold)
 	models := r.Route.Models
 	if len(models) == 0 || r.Prompt.Model != g.settings.AnyModel {
 		return s
@@ -45,6 +46,9 @@
 	return s.models[s.at]
 }
 
+// best says whether the current model is the best of several.
+func (s *modelSteps) best() bool { return len(s.models) > 1 && s.at == len(s.models)-1 }
+
 // accepts says whether an answer with the confidence is good enough.
 func (s *modelSteps) accepts(confidence int) bool {
 	last := s.at >= len(s.models)-1
