gateway: routes of long prompts come last at the largest model

Cause: at the engines an average report of 9,000 tokens keeps questions of 2,400 waiting. Where operators use more ranks than there is room for levels, their order stands alone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,8 +84,8 @@
 	began   time.Time
 	// largest says that the request runs on the largest of several models.
 	largest bool
-	call  *sealedconn.Call
-	state runstate.Tracker
+	call    *sealedconn.Call
+	state   runstate.Tracker
 }
 
 // send sends the request and returns the answer's head, once it is known to
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -76,17 +76,16 @@
 	return s
 }
 
-// retryBudgets holds a budget for each service.
-type retryBudgets struct {
-	ratio    float64
-	window   time.Duration
-	services sync.Map
+// perService holds a value for each service, made when it is first asked for.
+type perService[T any] struct {
+	make   func() *T
+	values sync.Map
 }
 
-func (b *retryBudgets) of(service string) *retryBudget {
-	if found, ok := b.services.Load(service); ok {
-		return found.(*retryBudget)
+func (p *perService[T]) of(service string) *T {
+	if found, ok := p.values.Load(service); ok {
+		return found.(*T)
 	}
-	made, _ := b.services.LoadOrStore(service, newRetryBudget(b.ratio, b.window))
-	return made.(*retryBudget)
+	made, _ := p.values.LoadOrStore(service, p.make())
+	return made.(*T)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -20,25 +20,42 @@
 	gateway *Gateway
 }
 
-// priority is the urgency that upstreams are told, 0 to 9. Each of the operators'
-// ranks is split in two: short work on the smaller models goes before long work on
-// the largest.
+const (
+	// leastUrgent is the last urgency that upstreams know.
+	leastUrgent = 9
+	// urgencyLevels is how many levels each of the operators' ranks is split in.
+	urgencyLevels = 3
+)
+
+// priority is the urgency that upstreams are told, 0 to 9. Within each of the
+// operators' ranks, work on the smaller models goes first and long prompts on the
+// largest one last: an engine reads a prompt of thousands of tokens for hundreds
+// of milliseconds, in which nothing behind it begins. Whole routes are put last,
+// not single requests, so that a route's largest requests aren't the ones that
+// are always late.
 func (r *Request) priority(largest bool) int {
-	const lowest = 9
 	rank := r.Route.Priority
 	if r.Account != nil && r.Account.Priority != nil {
 		rank = *r.Account.Priority
 	}
-	rank *= 2
-	if largest {
-		rank++
+	if (r.Table.LowestRank()+1)*urgencyLevels > leastUrgent+1 {
+		// There is no room for levels: the operators' order goes first.
+		return min(leastUrgent, rank)
+	}
+	urgency := urgencyLevels * rank
+	switch {
+	case largest && r.longPrompts:
+		urgency += 2
+	case largest:
+		urgency++
 	}
-	return min(lowest, rank)
+	return urgency
 }
 
 func (d *dispatch) serve(ctx context.Context, r *Request, _ next) error {
 	g := d.gateway
 	g.budgets.of(r.Service).request()
+	r.longPrompts = g.sizes.of(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.startModels(r)
 	for {
 		result, err := d.try(ctx, r, models)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,8 +26,9 @@
 	table    atomic.Pointer[routing.Table]
 	fleet    *Fleet
 	rollouts *rollouts
-	budgets  *retryBudgets
-	pressure pressures
+	budgets  perService[retryBudget]
+	pressure perService[pressure]
+	sizes    perService[promptSizes]
 	pipeline next
 
 	transport *http.Transport
@@ -67,7 +68,9 @@
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.rollouts = newRollouts(s, g.fleet, log)
-	g.budgets = &retryBudgets{ratio: retryMargin * s.RetryRatio, window: s.RetryWindow}
+	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow) }
+	g.pressure.make = func() *pressure { return new(pressure) }
+	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.transport = sealedconn.NewTransport(dialTimeout)
 	g.transport.IdleConnTimeout = idleConnTimeout
 	g.transport.MaxIdleConnsPerHost = idlePerUpstream
--- /dev/null
+++ b/internal/gateway/models_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/routing"
+)
+
+func TestPriority(t *testing.T) {
+	first, third := 0, 2
+	tests := []struct {
+		desc    string
+		rank    int
+		account *int
+		lowest  int
+		largest bool
+		long    bool
+		want    int
+	}{
+		{"small model of the first rank", 0, nil, 2, false, false, 0},
+		{"largest model", 0, nil, 2, true, false, 1},
+		{"long prompts on the largest model", 0, nil, 2, true, true, 2},
+		{"long prompts on a small model", 0, nil, 2, false, true, 0},
+		{"ranks don't mix", 1, nil, 2, false, false, 3},
+		{"the account's goes first", 1, &third, 2, false, false, 6},
+		{"the account's first rank", 1, &first, 2, false, false, 0},
+		{"least urgent of all", 2, nil, 2, true, true, 8},
+		{"no room for levels", 4, nil, 4, true, true, 4},
+		{"more ranks than upstreams know", 12, nil, 12, false, false, 9},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			table, err := routing.New(routing.Document{
+				Services: []routing.Service{{Name: "s"}},
+				Routes:   []routing.Route{{Name: "lowest", Priority: test.lowest, Split: []routing.Share{{Service: "s", Weight: 1}}}},
+			})
+			is.NoErr(err)
+			r := &Request{Table: table, Route: &routing.Route{Priority: test.rank}, longPrompts: test.long}
+			if test.account != nil {
+				r.Account = &routing.Account{Priority: test.account}
+			}
+			is.Equal(r.priority(test.largest), test.want)
+		})
+	}
+}
+
+func TestPromptSizes(t *testing.T) {
+	is := is.New(t)
+	var p promptSizes
+	long, short := false, true
+	for range 100 {
+		long = p.observe("long", 9000)
+		short = p.observe("short", 700)
+	}
+	is.True(long)
+	is.True(!short)
+}
+
+func TestThresholdFallsUnderPressure(t *testing.T) {
+	is := is.New(t)
+	var p pressure
+	is.Equal(p.lower(50), 50)
+	for range 200 {
+		p.observe(300*time.Millisecond, time.Second)
+	}
+	is.Equal(p.lower(50), 50)
+	for range 200 {
+		p.observe(500*time.Millisecond, time.Second)
+	}
+	is.True(p.lower(50) < 50 && p.lower(50) > 20)
+	for range 200 {
+		p.observe(3*time.Second, time.Second)
+	}
+	is.Equal(p.lower(50), 15)
+}
+
+func TestLoadOfAnOldReport(t *testing.T) {
+	is := is.New(t)
+	s := &shard{typicalLoad: 0.5}
+	now := time.Now()
+	m := &member{Upstream: Upstream{Slots: 20}, shard: s}
+	is.Equal(m.load(now), 10.0) // nothing known: like the others
+	m.reported, m.reportedAt = 2, now
+	is.Equal(m.load(now), 2.0)
+	is.Equal(m.load(now.Add(loadHalfLife)), 6.0)
+	m.inFlight = 15
+	is.Equal(m.load(now), 17.0) // own requests since the report come on top
+	is.True(m.load(now.Add(time.Minute)) >= 15)
+}
+
+func TestEjectedUpstreamIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	m := &member{shard: &shard{}}
+	now := time.Now()
+	m.observe(attemptResult{outcome: outcomeUnsent}, now)
+	is.True(m.ejectedUntil.After(now))
+	first := m.ejectedUntil.Sub(now)
+	m.observe(attemptResult{outcome: outcomeUnsent}, now)
+	is.Equal(m.ejectedUntil.Sub(now), 2*first)
+	m.observe(attemptResult{outcome: outcomeDone}, now)
+	m.observe(attemptResult{outcome: outcomeUnsent}, now)
+	is.Equal(m.ejectedUntil.Sub(now), first)
+}
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -42,16 +42,3 @@
 	part := min(1, max(lowestThreshold, 1-pressureSlope*(p.mean-pressureFrom)))
 	return int(part * float64(threshold))
 }
-
-// pressures holds a pressure for each service.
-type pressures struct {
-	services sync.Map
-}
-
-func (p *pressures) of(service string) *pressure {
-	if found, ok := p.services.Load(service); ok {
-		return found.(*pressure)
-	}
-	made, _ := p.services.LoadOrStore(service, new(pressure))
-	return made.(*pressure)
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,10 @@
 	Body     []byte
 	Service  string
 
+	// longPrompts says that the route's prompts are longer than the service's on
+	// the whole.
+	longPrompts bool
+
 	answer *answerWriter
 	// state is the highest run state of all attempts.
 	state runstate.Tracker
--- a/routing/table.go
+++ b/routing/table.go
@@ -20,6 +20,8 @@
 	routes   map[string][]*Route
 	services map[string]*Service
 	accounts map[string]*Account
+	// lowestRank is the highest number of all priorities.
+	lowestRank int
 	// keyed says that the document declares accounts at all.
 	keyed bool
 }
@@ -42,7 +44,13 @@
 			return nil, err
 		}
 	}
+	for i := range doc.Routes {
+		t.lowestRank = max(t.lowestRank, doc.Routes[i].Priority)
+	}
 	for i := range doc.Accounts {
+		if p := doc.Accounts[i].Priority; p != nil {
+			t.lowestRank = max(t.lowestRank, *p)
+		}
 		for _, key := range doc.Accounts[i].Keys {
 			t.accounts[key] = &doc.Accounts[i]
 		}
@@ -96,6 +104,9 @@
 // Keyed says whether routes that aren't public need a key.
 func (t *Table) Keyed() bool { return t.keyed }
 
+// LowestRank is the highest number among the priorities of routes and accounts.
+func (t *Table) LowestRank() int { return t.lowestRank }
+
 // Routes counts the routes.
 func (t *Table) Routes() int {
 	n := 0
