feed: watchers of one store share what they know of it

Cause: in an outage each host tried the store with three watchers every 0.4 s, and each call, refused ones too, is paid; a call held for 4 s on a dead connection was also noticed by its own time-out only. Now the first failed call ends the others', and one watcher tries until the store answers; calls are held 4.5 and 6 s. Found by tests while building it: the one that tries must not ask for a held call, and must hand over when its table isn't needed any more; a watcher that another one told of the outage counts as interrupted too.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,7 +17,9 @@
 	list    func(call int) (Page, error)
 	changes func(ctx context.Context, call int, since uint64) (Page, error)
 	lists   int
-	polls   int
+	// hold is that of the last call.
+	hold  time.Duration
+	polls int
 }
 
 func (s *scriptedSource) List(context.Context, string, string) (Page, error) {
@@ -24,8 +27,9 @@
 	return s.list(s.lists)
 }
 
-func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, _ time.Duration) (Page, error) {
+func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, hold time.Duration) (Page, error) {
 	s.polls++
+	s.hold = hold
 	return s.changes(ctx, s.polls, since)
 }
 
@@ -189,8 +193,8 @@
 				return hang(ctx)
 			},
 		}
-		watch(source, Options{}, 2*holdTime+2*answerMargin)
-		is.True(second >= holdTime && second <= holdTime+answerMargin+maxBackoff)
+		watch(source, Options{}, 2*DefaultHold+2*answerMargin)
+		is.True(second >= DefaultHold && second <= DefaultHold+answerMargin+maxBackoff)
 	})
 }
 
@@ -237,3 +241,54 @@
 		is.True(w.StoreClock() > time.Hour+time.Second-time.Millisecond)
 	})
 }
+
+// One watcher's failure ends the other's call, which may hang on a dead
+// connection, and only one of them tries the store until it is back.
+func TestWatchersShareWhatTheyKnowOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		const downFrom, downTo = time.Second, 6 * time.Second
+		down := func() bool { at := time.Since(began); return at >= downFrom && at < downTo }
+		var back [2]time.Duration
+		var tries [2]int
+		var sources [2]*scriptedSource
+		for i := range 2 {
+			sources[i] = &scriptedSource{
+				list: func(int) (Page, error) { return Page{Revision: 1}, nil },
+				changes: func(ctx context.Context, _ int, _ uint64) (Page, error) {
+					if down() {
+						tries[i]++
+						return Page{}, errors.New("refused")
+					}
+					if time.Since(began) >= downTo && back[i] == 0 {
+						back[i] = time.Since(began)
+					}
+					if i == 0 && time.Since(began) < downFrom {
+						time.Sleep(downFrom)
+						tries[i]++
+						return Page{}, errors.New("reset")
+					}
+					if sources[i].hold == 0 {
+						return Page{Revision: 1}, nil
+					}
+					return hang(ctx) // the second one's connection is dead
+				},
+			}
+		}
+		link := NewLink()
+		ctx, cancel := context.WithTimeout(context.Background(), downTo+2*time.Second)
+		defer cancel()
+		var group sync.WaitGroup
+		for i := range 2 {
+			w := NewWatcher("t", sources[i], &recorder{}, Options{Link: link, Hold: time.Hour}, zerolog.Nop())
+			group.Go(func() { w.Run(ctx) })
+		}
+		group.Wait()
+		is.Equal(tries[1], 0)     // the other one tries
+		is.True(tries[0] < 14)    // at its own pace
+		for _, at := range back { // and both know when it is back
+			is.True(at >= downTo && at <= downTo+maxBackoff)
+		}
+	})
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -13,11 +14,11 @@
 )
 
 const (
-	// holdTime is how long the store holds a call without changes. A
+	// DefaultHold is how long the store holds a call without changes. A
 	// connection on which the store lost an answer stays silent, so the time
 	// bounds how old a belief can become before that is noticed; each call
 	// costs one read.
-	holdTime = 4 * time.Second
+	DefaultHold = 4500 * time.Millisecond
 	// idleCheck is how often a watcher that isn't needed looks whether it is.
 	idleCheck = 100 * time.Millisecond
 	// answerMargin is allowed beyond the wait for a slow store's answer.
@@ -25,14 +26,21 @@
 	// listTimeout bounds one call for a table's rows.
 	listTimeout = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call. The
-	// highest keeps a fleet's calls during an outage below its normal rate of
-	// reads and still notices the end of an outage within half a second.
+	// highest keeps a fleet's calls during an outage near its normal rate of
+	// reads and still notices the end of an outage within a second.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
 )
 
 // Options are the settings of a Watcher.
 type Options struct {
+	// Link is shared with the other watchers of the store; nil means that there
+	// are none.
+	Link *Link
+	// Hold is how long the store holds a call without changes; 0 means
+	// DefaultHold. Watchers with a common link do best with different times:
+	// then their calls end at different moments.
+	Hold time.Duration
 	// Gather is the pause after a change before the next call, so that changes
 	// in quick succession cost one call. It adds to the age of what is believed.
 	Gather time.Duration
@@ -67,6 +75,10 @@
 // NewWatcher returns a watcher of the table that hands what it learns to the
 // handler while Run runs.
 func NewWatcher(table string, source Source, handler Handler, options Options, log zerolog.Logger) *Watcher {
+	options.Hold = cmp.Or(options.Hold, DefaultHold)
+	if options.Link == nil {
+		options.Link = NewLink()
+	}
 	return &Watcher{
 		options: options,
 		table:   table,
@@ -90,7 +102,7 @@
 // Interrupted says whether the store was out of reach at some moment within
 // the last span.
 func (w *Watcher) Interrupted(span time.Duration) bool {
-	if w.lostAt.Load() != 0 {
+	if w.lostAt.Load() != 0 || w.options.Link.lost() {
 		return true
 	}
 	at := w.returnedAt.Load()
@@ -107,15 +119,18 @@
 
 // Run follows the table until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	defer w.options.Link.leave(w)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		switch {
+		case ctx.Err() != nil:
+			return
 		case err == nil:
 			backoff = minBackoff
 			continue
-		case ctx.Err() != nil:
-			return
+		case errors.Is(err, context.Canceled):
+			continue // another watcher found the store out of reach
 		case errors.Is(err, ErrHistoryLost):
 			w.log.Warn().Str("event", "history-lost").Uint64("revision", w.revision).Msg("")
 			w.listed = false
@@ -135,20 +150,23 @@
 		return w.list(ctx)
 	}
 	if w.options.Needed != nil && !w.options.Needed() {
+		w.options.Link.leave(w)
 		return wait.For(ctx, idleCheck)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, holdTime+answerMargin)
-	defer cancel()
-	page, err := w.source.Changes(callCtx, w.table, w.revision, holdTime)
+	hold := w.options.Hold
+	if w.options.Link.lost() {
+		hold = 0 // the answer is wanted at once: it tells that the store is back
+	}
+	page, err := w.call(ctx, hold+answerMargin, func(ctx context.Context) (Page, error) {
+		return w.source.Changes(ctx, w.table, w.revision, hold)
+	})
 	if err != nil {
 		return err
 	}
-	w.noteClock(page.Clock)
 	for _, row := range page.Rows {
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, page.Revision)
-	w.succeeded()
 	if len(page.Rows) > 0 {
 		return wait.For(ctx, w.options.Gather)
 	}
@@ -183,7 +201,6 @@
 	w.handler.Replace(rows)
 	w.revision = revision
 	w.listed = true
-	w.succeeded()
 	return wait.For(ctx, w.options.Gather)
 }
 
@@ -191,11 +208,31 @@
 var errOldListing = errors.New("feed: listing older than known changes")
 
 func (w *Watcher) listPage(ctx context.Context, from string) (Page, error) {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	return w.call(ctx, listTimeout, func(ctx context.Context) (Page, error) {
+		return w.source.List(ctx, w.table, from)
+	})
+}
+
+// call makes one call of the store within the time and tells the link what came
+// of it.
+func (w *Watcher) call(ctx context.Context, within time.Duration, do func(context.Context) (Page, error)) (Page, error) {
+	linkCtx, err := w.options.Link.begin(ctx, w)
+	if err != nil {
+		return Page{}, err
+	}
+	callCtx, cancel := context.WithTimeout(linkCtx, within)
 	defer cancel()
-	page, err := w.source.List(callCtx, w.table, from)
+	page, err := do(callCtx)
+	abandoned := linkCtx.Err() != nil
+	reached := err == nil || errors.Is(err, ErrHistoryLost)
+	if abandoned && !reached {
+		w.options.Link.end(w, true)
+		return Page{}, context.Canceled
+	}
+	w.options.Link.end(w, reached)
 	if err == nil {
 		w.noteClock(page.Clock)
+		w.succeeded()
 	}
 	return page, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,17 +115,21 @@
 	// upstreams have to be heeded.
 	gatherOperator  = 300 * time.Millisecond
 	gatherUpstreams = 600 * time.Millisecond
+	// holdOperator differs from the other watchers' time, so that a dead link to
+	// the store shows by the earlier of two calls.
+	holdOperator = 6 * time.Second
 )
 
 // follow starts what keeps the host's beliefs up to date.
 func (g *Gateway) follow(ctx context.Context) *sync.WaitGroup {
 	tables, store := g.settings.Tables, g.settings.Source
-	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Needed: g.rollouts.underWay}, g.log)
+	link := feed.NewLink()
+	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Link: link, Needed: g.rollouts.underWay}, g.log)
 	g.rollouts.statuses = status
 	watchers := []*feed.Watcher{
 		status,
-		feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, feed.Options{Gather: gatherOperator}, g.log),
-		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Gather: gatherUpstreams}, g.log),
+		feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, feed.Options{Link: link, Gather: gatherOperator, Hold: holdOperator}, g.log),
+		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Link: link, Gather: gatherUpstreams}, g.log),
 	}
 	group := new(sync.WaitGroup)
 	for _, w := range watchers {
