entry: callers are identified before a body is read; a key that comes twice is refused

A body that named its model twice was decided by the last one, while a parser down the line may take the first: a permission could be talked round. An unknown account key with a poor body got 400 where 401 says no more than it should.

--- a/internal/e2e/keys_test.go
+++ b/internal/e2e/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -48,3 +49,25 @@
 		}
 	}
 }
+
+// TestUnknownCallerIsToldSo: who has no account learns nothing of what a body
+// should be.
+func TestUnknownCallerIsToldSo(t *testing.T) {
+	s := startSystem(t, 1)
+	s.submit(devenv.Manifest())
+	for key, want := range map[string]int{"nobody": http.StatusUnauthorized, devenv.AccountKey: http.StatusBadRequest} {
+		req, err := http.NewRequest("POST", "http://"+s.hosts[0].callers+"/v1/chat/completions", strings.NewReader("not JSON"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("key %s: status %d, want %d", key, resp.StatusCode, want)
+		}
+	}
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -46,6 +46,9 @@
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return r, resultcode.Wrap(resultcode.MalformedBody, err, "the body isn't a chat-completions request: %v", err)
 	}
+	if err := checkChatKeys(r.Body); err != nil {
+		return r, err
+	}
 	if body.Model == "" || len(body.Messages) == 0 {
 		return r, resultcode.New(resultcode.MalformedBody, "the body needs model and messages")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,7 +22,7 @@
 func (h *Host) serve(front Frontend) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
-		r, err := front.Decode(caller, req)
+		r, err := h.decode(front, caller, req)
 		if err == nil {
 			err = h.run(req.Context(), r)
 		} else {
@@ -32,6 +32,25 @@
 	})
 }
 
+// decode reads a request after its caller is known: a body is neither read nor
+// judged for callers without an account.
+func (h *Host) decode(front Frontend, w http.ResponseWriter, req *http.Request) (*Request, error) {
+	policy, err := currentPolicy(h.watcher)
+	if err == nil {
+		if _, known := policy.AccountByKey(accountKey(req)); !known {
+			err = resultcode.New(resultcode.UnknownKey, "the account key is missing or unknown")
+		}
+	}
+	if err != nil {
+		r, headerErr := newRequest(req, KindModel)
+		if headerErr != nil {
+			h.log.Debug().Str("event", "header-unreadable").Str("request", r.ID).Err(headerErr).Msg("")
+		}
+		return r, err
+	}
+	return front.Decode(w, req)
+}
+
 func (h *Host) unknownRoute(w http.ResponseWriter, req *http.Request) {
 	caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
 	r, _ := newRequest(req, KindModel)
