--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -160,15 +160,15 @@
 
 // final is the answer when no further attempt is made.
 func (d *dispatch) final(ctx context.Context, r *Request, result attemptResult) error {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
+	}
 	if r.answer.started {
 		return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the stream broke off")
 	}
 	if result.whole != nil {
 		return r.answer.whole(result.whole)
 	}
-	if errors.Is(context.Cause(ctx), context.Canceled) {
-		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
-	}
 	if ctx.Err() != nil {
 		return d.refusal(r, resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
 	}
