gateway: an upstream that stays silent is given up in its usual time

Cause: an upstream that went dark or took requests and answered nothing held them until the caller's time was up (6 s of 8), since only the deadline ended an attempt. A route that permits repeats now waits four times the usual time to a head, between 0.4 and 1.5 of the target, and two silences in a row take the upstream out. Also: entries of upstreams are gathered for 0.4 of the drain time, a dial takes 0.25 s at most.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,9 +35,12 @@
 	// outcomeAbandoned: this side ended the attempt: the caller left, the time
 	// was up, or another model was wanted.
 	outcomeAbandoned
+	// outcomeSilent: the request went out and nothing came back for longer than
+	// upstreams of its kind take.
+	outcomeSilent
 )
 
-var outcomeNames = [...]string{"done", "unsent", "refused", "unknown", "failed", "broken", "abandoned"}
+var outcomeNames = [...]string{"done", "unsent", "refused", "unknown", "failed", "broken", "abandoned", "silent"}
 
 // String is the outcome's name in logs and metrics.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -76,6 +79,9 @@
 	errTooLong       = errors.New("gateway: the answer is too long")
 )
 
+// errSilent ends an attempt whose upstream doesn't answer.
+var errSilent = errors.New("gateway: no answer within the upstream's usual time")
+
 // attempt sends the request to one upstream.
 type attempt struct {
 	gateway *Gateway
@@ -84,22 +90,41 @@
 	began   time.Time
 	// largest says that the request runs on the largest of several models.
 	largest bool
-	call    *sealedconn.Call
-	state   runstate.Tracker
+	// patience is how long the upstream's head is waited for, if giveUp then
+	// agrees; whether or not it does, a longer silence speaks against the upstream.
+	patience time.Duration
+	giveUp   func() bool
+	call     *sealedconn.Call
+	state    runstate.Tracker
 }
 
 // send sends the request and returns the answer's head, once it is known to
 // belong to the request.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	a.call = &sealedconn.Call{OnWrite: func() { a.state.Raise(runstate.MayHaveRun) }}
-	req, err := a.build(a.call.Trace(ctx))
+	headCtx, cancel := context.WithCancelCause(ctx)
+	req, err := a.build(a.call.Trace(headCtx))
 	if err != nil {
+		cancel(err)
 		return nil, err
 	}
+	timer := time.AfterFunc(a.patience, func() {
+		if a.giveUp() {
+			cancel(errSilent)
+		}
+	})
 	resp, err := a.gateway.transport.RoundTrip(req)
+	timer.Stop()
 	if err != nil {
+		cause := context.Cause(headCtx)
+		cancel(err)
+		if errors.Is(cause, errSilent) {
+			return nil, errSilent
+		}
 		return nil, err
 	}
+	// The context ends with the answer's body, which every reader closes.
+	resp.Body = &bodyWithEnd{ReadCloser: resp.Body, end: func() { cancel(nil) }}
 	if err := a.check(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
@@ -202,12 +227,29 @@
 	if a.call == nil || a.call.Abandon() != sealedconn.Written {
 		result.outcome = outcomeUnsent
 	}
-	if ctx.Err() != nil && result.outcome != outcomeUnsent {
+	switch {
+	case result.outcome == outcomeUnsent:
+	case errors.Is(err, errSilent), ctx.Err() != nil && time.Since(a.began) > a.patience:
+		result.outcome = outcomeSilent
+	case ctx.Err() != nil:
 		result.outcome = outcomeAbandoned
 	}
 	return result
 }
 
+// bodyWithEnd calls end when the body is closed.
+type bodyWithEnd struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (b *bodyWithEnd) Close() error {
+	err := b.ReadCloser.Close()
+	b.end()
+	return err
+}
+
 // whole runs an attempt whose answer is held until it is complete.
 func (a *attempt) whole(ctx context.Context) attemptResult {
 	resp, err := a.send(ctx)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -88,6 +88,10 @@
 		return attemptResult{}, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
 	}
 	a := &attempt{gateway: g, request: r, choice: picked, began: time.Now(), largest: models.best()}
+	usual := g.usual.of(r.Service + "/" + r.model)
+	a.patience = usual.patience(r.Route.Target)
+	another := r.Route.Repeatable() && r.attempts+1 < r.Route.MaxAttempts && picked.among > 1
+	a.giveUp = func() bool { return another && g.budgets.of(r.Service).take() }
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
 	var result attemptResult
@@ -100,6 +104,9 @@
 		r.state.Raise(a.state.State())
 	}
 	g.fleet.release(picked.upstream, result)
+	if result.outcome == outcomeDone {
+		usual.observe(result.firstByte)
+	}
 	if models.best() && result.outcome == outcomeDone {
 		g.pressure.of(r.Service).observe(result.firstByte, r.Route.Target)
 	}
@@ -125,8 +132,8 @@
 	if ctx.Err() != nil || r.attempts >= r.Route.MaxAttempts {
 		return false
 	}
-	if errors.Is(result.err, errLowConfidence) {
-		return true // the budget was taken when the answer was dropped
+	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errSilent) {
+		return true // the budget was taken when the attempt was given up
 	}
 	if result.outcome == outcomeAbandoned {
 		return false
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -216,3 +216,67 @@
 	_, body := log.last()
 	is.Equal(string(body), "in chunks")
 }
+
+// hang answers nothing until the test ends or the caller gives up.
+func hangUntil(release chan struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, req *http.Request) {
+		select {
+		case <-release:
+		case <-req.Context().Done():
+		}
+	}
+}
+
+func TestSilentUpstreamIsGivenUpInTime(t *testing.T) {
+	tests := []struct {
+		desc, route string
+		want        int
+		arrivals    int
+	}{
+		{"may be repeated", "many", 200, 1},
+		{"stream that may be resumed", "stream", 200, 1},
+		{"runs once", "once", 504, 0},
+		{"stream that may not be resumed", "fixed", 504, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, testDocument())
+			release := make(chan struct{})
+			defer close(release)
+			w.upstream("a", hangUntil(release))
+			good := w.upstreamOf(Upstream{ID: "b", Zone: "z2", Version: "v1"}, events(1, 2, false))
+			began := time.Now()
+			got := w.do(w.request("POST", "/"+test.route+"/x", "body"))
+			is.Equal(got.status, test.want)
+			is.Equal(good.count(), test.arrivals)
+			if test.want == 200 {
+				is.True(time.Since(began) < time.Second) // within the route's target
+			}
+		})
+	}
+}
+
+func TestSilentUpstreamIsAvoided(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	release := make(chan struct{})
+	defer close(release)
+	silent := w.upstream("a", hangUntil(release))
+	w.upstreamOf(Upstream{ID: "b", Zone: "z2", Version: "v1"}, succeed("ok"))
+	for range 5 {
+		is.Equal(w.do(w.request("GET", "/many/x", "")).body, "ok")
+	}
+	is.Equal(silent.count(), silencesToEject)
+}
+
+func TestPatience(t *testing.T) {
+	is := is.New(t)
+	var u usualTime
+	is.Equal(u.patience(time.Second), 400*time.Millisecond) // nothing known
+	u.observe(200 * time.Millisecond)
+	is.Equal(u.patience(time.Second), 800*time.Millisecond)
+	u.observe(time.Minute)
+	is.Equal(u.patience(time.Second), 1500*time.Millisecond)
+	is.True(u.patience(0) > 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,8 @@
 	budgets  perService[retryBudget]
 	pressure perService[pressure]
 	sizes    perService[promptSizes]
+	// usual is by service and model.
+	usual    perService[usualTime]
 	pipeline next
 
 	transport *http.Transport
@@ -44,7 +46,7 @@
 	// dialTimeout bounds the making of a connection to an upstream. Upstreams
 	// are some milliseconds away; a dial that takes longer meets one that is cut
 	// off or has more callers than it accepts.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// idleConnTimeout is how long an unused connection to an upstream is kept.
 	idleConnTimeout = 8 * time.Second
 	// idlePerUpstream bounds the unused connections to one upstream.
@@ -70,6 +72,7 @@
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow) }
 	g.pressure.make = func() *pressure { return new(pressure) }
+	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.transport = sealedconn.NewTransport(dialTimeout)
 	g.transport.IdleConnTimeout = idleConnTimeout
@@ -107,14 +110,15 @@
 }
 
 const (
-	// gatherOperator and gatherUpstreams are how long changes of the operators'
-	// documents and of the upstreams' entries are gathered before the next call
-	// of the store. When a service is replaced, dozens of entries change within
-	// seconds; without the pause each change costs one call of each host. Both
-	// are a small part of the two seconds in which documents and leaving
-	// upstreams have to be heeded.
-	gatherOperator  = 300 * time.Millisecond
-	gatherUpstreams = 600 * time.Millisecond
+	// gatherOperator is how long changes of the operators' documents are gathered
+	// before the next call of the store, a small part of the two seconds in which
+	// they have to be heeded.
+	gatherOperator = 300 * time.Millisecond
+	// gatherPart is the same for the upstreams' entries, as a part of the time for
+	// which a leaving upstream still serves. When a service is replaced, dozens of
+	// entries change within seconds; without the pause each change costs one call of
+	// each host.
+	gatherPart = 0.4
 	// holdOperator differs from the other watchers' time, so that a dead link to
 	// the store shows by the earlier of two calls.
 	holdOperator = 6 * time.Second
@@ -124,12 +128,13 @@
 func (g *Gateway) follow(ctx context.Context) *sync.WaitGroup {
 	tables, store := g.settings.Tables, g.settings.Source
 	link := feed.NewLink()
+	gather := time.Duration(gatherPart * float64(g.settings.DrainTime))
 	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Link: link, Needed: g.rollouts.underWay}, g.log)
 	g.rollouts.statuses = status
 	watchers := []*feed.Watcher{
 		status,
 		feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, feed.Options{Link: link, Gather: gatherOperator, Hold: holdOperator}, g.log),
-		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Link: link, Gather: gatherUpstreams}, g.log),
+		feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Link: link, Gather: gather}, g.log),
 	}
 	group := new(sync.WaitGroup)
 	for _, w := range watchers {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -23,6 +23,9 @@
 	// ejectUnreachable is how long an upstream that can't be reached gets no
 	// request.
 	ejectUnreachable = time.Second
+	// silencesToEject is how many attempts in a row stay without an answer before
+	// the upstream counts as unreachable. One can be a request of unusual length.
+	silencesToEject = 2
 	// ejectRate is the failure rate above which an upstream is passed over
 	// while others of its service do better.
 	ejectRate = 0.45
@@ -45,6 +48,8 @@
 	failureAt    time.Time
 	ejectedUntil time.Time
 	ejections    int
+	// silences counts the attempts without an answer since the last good one.
+	silences int
 }
 
 // takesWork says whether new requests may be sent.
@@ -87,6 +92,12 @@
 	case outcomeUnsent:
 		m.eject(now)
 		bad = 1
+	case outcomeSilent:
+		m.silences++
+		if m.silences >= silencesToEject {
+			m.eject(now)
+		}
+		bad = 1
 	case outcomeUnknown, outcomeFailed, outcomeBroken:
 		bad = 1
 	case outcomeAbandoned, outcomeRefused:
@@ -94,6 +105,7 @@
 	}
 	if bad == 0 {
 		m.ejections = 0
+		m.silences = 0
 	}
 	rate := m.failures(now)
 	m.failureRate = rate + failureGain*(bad-rate)
