--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -66,7 +66,6 @@
 		AnyModel:         platform.AnyModel,
 		StopTimeout:      site.StopTimeout,
 		DrainTime:        site.DrainTime,
-		SessionTTL:       site.SessionTTL,
 		RetryRatio:       site.RetryRatio,
 		RetryWindow:      site.RetryWindow,
 		CanaryShare:      site.CanaryShare,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
+	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
@@ -166,7 +167,7 @@
 	if r.Account != nil {
 		header.Set(names.Account, r.Account.Name)
 	}
-	if r.Route.Kind != routeStream {
+	if r.Route.Kind != routing.Stream {
 		return
 	}
 	header.Set(names.Priority, strconv.Itoa(r.priority(a.largest)))
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,9 +11,6 @@
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
-// routeStream is short for the kind of routes that stream.
-const routeStream = routing.Stream
-
 // dispatch sends the request to upstreams until one answered or no further try
 // is permitted.
 type dispatch struct {
@@ -76,6 +73,26 @@
 
 // try makes one attempt at the upstream that suits best.
 func (d *dispatch) try(ctx context.Context, r *Request, models *modelSteps) (attemptResult, error) {
+	a, err := d.begin(r, models)
+	if err != nil {
+		return attemptResult{}, err
+	}
+	var result attemptResult
+	if r.Route.Kind == routing.Stream {
+		result = a.stream(ctx, func(head attemptResult) bool { return d.accept(r, models, head) })
+	} else {
+		result = a.whole(ctx)
+	}
+	if result.outcome != outcomeRefused {
+		r.state.Raise(a.state.State())
+	}
+	d.learn(r, a, result)
+	d.record(r, a, result)
+	return result, nil
+}
+
+// begin chooses the upstream of the next attempt and how long it may stay silent.
+func (d *dispatch) begin(r *Request, models *modelSteps) (*attempt, error) {
 	g := d.gateway
 	r.model = models.current()
 	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, admits: g.rollouts.admits(r)}
@@ -85,34 +102,38 @@
 	picked, ok := g.fleet.choose(w)
 	if !ok {
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).Msg("")
-		return attemptResult{}, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
+		return nil, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
 	}
-	a := &attempt{gateway: g, request: r, choice: picked, began: time.Now(), largest: models.best()}
-	usual := g.usual.of(r.Service + "/" + r.model)
-	a.patience = usual.patience(r.Route.Target)
-	another := r.Route.Repeatable() && r.attempts+1 < r.Route.MaxAttempts && picked.among > 1
-	a.giveUp = func() bool { return another && g.budgets.of(r.Service).take() }
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
-	var result attemptResult
-	if r.Route.Kind == routeStream {
-		result = a.stream(ctx, func(head attemptResult) bool { return d.accept(r, models, head) })
-	} else {
-		result = a.whole(ctx)
-	}
-	if result.outcome != outcomeRefused {
-		r.state.Raise(a.state.State())
-	}
-	g.fleet.release(picked.upstream, result)
-	if result.outcome == outcomeDone {
-		usual.observe(result.firstByte)
+	another := r.Route.Repeatable() && r.attempts < r.Route.MaxAttempts && picked.among > 1
+	return &attempt{
+		gateway:  g,
+		request:  r,
+		choice:   picked,
+		began:    time.Now(),
+		largest:  models.best(),
+		patience: g.usual.of(r.usualKey()).patience(r.Route.Target),
+		giveUp:   func() bool { return another && g.budgets.of(r.Service).take() },
+	}, nil
+}
+
+// usualKey names the answers whose usual time the request's is compared with.
+func (r *Request) usualKey() string { return r.Service + "/" + r.model }
+
+// learn takes in what the attempt tells of its upstream, its model and its
+// version.
+func (d *dispatch) learn(r *Request, a *attempt, result attemptResult) {
+	g := d.gateway
+	g.fleet.release(a.choice.upstream, result)
+	g.rollouts.observe(r, a.choice.upstream.Version, result)
+	if result.outcome != outcomeDone {
+		return
 	}
-	if models.best() && result.outcome == outcomeDone {
+	g.usual.of(r.usualKey()).observe(result.firstByte)
+	if a.largest {
 		g.pressure.of(r.Service).observe(result.firstByte, r.Route.Target)
 	}
-	g.rollouts.observe(r, picked.upstream.Version, result)
-	d.record(r, a, result)
-	return result, nil
 }
 
 // accept decides by an answer's head whether the caller gets it.
@@ -120,7 +141,7 @@
 	if r.answer.started || models.accepts(head.confidence) {
 		return true
 	}
-	if r.attempts >= r.Route.MaxAttempts || !models.worthwhile(r) {
+	if r.attempts >= r.Route.MaxAttempts || !models.inTime() {
 		return true
 	}
 	return !d.gateway.budgets.of(r.Service).take()
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -24,11 +24,10 @@
 	NotRun string
 	// Load is an upstream's load: running, waiting, slots.
 	Load string
-	// Model, TokenCount, PromptParts and LengthHint describe a model request.
+	// Model, TokenCount and PromptParts describe a model request.
 	Model       string
 	TokenCount  string
 	PromptParts string
-	LengthHint  string
 	// Priority is the urgency that an upstream is told, 0 to 9, 0 first.
 	Priority string
 	// Confidence is a model's opinion of its answer, 0 to 100.
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -55,8 +55,8 @@
 	return last || confidence < 0 || confidence >= s.threshold
 }
 
-// worthwhile says whether there is time for a better model.
-func (s *modelSteps) worthwhile(*Request) bool { return time.Now().Before(s.latest) }
+// inTime says whether a better model's first event can still be in time.
+func (s *modelSteps) inTime() bool { return time.Now().Before(s.latest) }
 
 // step goes on to the next model.
 func (s *modelSteps) step() { s.at = min(s.at+1, len(s.models)-1) }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,8 +35,6 @@
 	StopTimeout time.Duration
 	// DrainTime is how long an upstream that leaves still serves.
 	DrainTime time.Duration
-	// SessionTTL is the pause after which a session ends.
-	SessionTTL time.Duration
 	// RetryRatio bounds a service's repeats against its requests, in each span
 	// of RetryWindow.
 	RetryRatio  float64
@@ -62,7 +60,6 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultStopTimeout = 10 * time.Second
 	defaultDrainTime   = 2 * time.Second
-	defaultSessionTTL  = 5 * time.Second
 	defaultCanaryShare = 0.1
 )
 
@@ -71,7 +68,6 @@
 	s.RetryWindow = cmp.Or(s.RetryWindow, defaultRetryWindow)
 	s.StopTimeout = cmp.Or(s.StopTimeout, defaultStopTimeout)
 	s.DrainTime = cmp.Or(s.DrainTime, defaultDrainTime)
-	s.SessionTTL = cmp.Or(s.SessionTTL, defaultSessionTTL)
 	s.CanaryShare = cmp.Or(s.CanaryShare, defaultCanaryShare)
 	return s
 }
