--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -160,81 +158,3 @@
 		}
 	}
 }
-
-// endpoint is a server and its listener.
-type endpoint struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-// listen opens all listeners; the callers' one is first.
-func (g *Gateway) listen() ([]endpoint, error) {
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
-	ready.HandleFunc("GET /metrics", g.serveMetrics)
-	plans := []struct {
-		address string
-		handler http.Handler
-	}{
-		{g.settings.Callers, g},
-		{g.settings.Ready, ready},
-		{g.settings.Metrics, ready},
-	}
-	var endpoints []endpoint
-	for _, p := range plans {
-		if p.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", p.address)
-		if err != nil {
-			return nil, fmt.Errorf("gateway: %w", err)
-		}
-		endpoints = append(endpoints, endpoint{listener: listener, server: &http.Server{
-			Handler:           p.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		}})
-	}
-	return endpoints, nil
-}
-
-func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	// Without the states of roll-outs the host can't tell a withdrawn version.
-	_, statuses := g.rollouts.statuses.Age()
-	if g.stopping.Load() || g.table.Load() == nil || !g.fleet.Known() || !statuses {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w) }
-
-const (
-	// balancerLag is how long the balancer still sends new connections after
-	// the host said that it isn't ready: two checks a second apart, and one on
-	// its way.
-	balancerLag = 2500 * time.Millisecond
-	// killMargin is left of the stop's time for the process to end.
-	killMargin = 400 * time.Millisecond
-)
-
-// stop ends the service: first no new connections, then no new requests, then
-// the answers under way.
-func (g *Gateway) stop(callers *http.Server) {
-	deadline := time.Now().Add(g.settings.StopTimeout - killMargin)
-	g.stopping.Store(true)
-	g.log.Info().Str("event", "stopping").Int64("in_flight", g.inFlight.Load()).Msg("")
-	time.Sleep(min(balancerLag, g.settings.StopTimeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
-		err = callers.Close()
-	}
-	if err != nil {
-		g.log.Warn().Str("event", "stop-error").Err(err).Msg("")
-	}
-}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+)
+
+// endpoint is a server and its listener.
+type endpoint struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// listen opens all listeners; the callers' one is first.
+func (g *Gateway) listen() ([]endpoint, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+g.settings.ReadyPath, g.serveReady)
+	ready.HandleFunc("GET /metrics", g.serveMetrics)
+	plans := []struct {
+		address string
+		handler http.Handler
+	}{
+		{g.settings.Callers, g},
+		{g.settings.Ready, ready},
+		{g.settings.Metrics, ready},
+	}
+	var endpoints []endpoint
+	for _, p := range plans {
+		if p.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return nil, fmt.Errorf("gateway: %w", err)
+		}
+		endpoints = append(endpoints, endpoint{listener: listener, server: &http.Server{
+			Handler:           p.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		}})
+	}
+	return endpoints, nil
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	// Without the states of roll-outs the host can't tell a withdrawn version.
+	_, statuses := g.rollouts.statuses.Age()
+	if g.stopping.Load() || g.table.Load() == nil || !g.fleet.Known() || !statuses {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w) }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,55 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
-	"github.com/quetzalweir/quetzalweir/storage"
 )
 
-// Order is an operators' request to move a service's requests to a version.
-type Order struct {
-	Service  string
-	Version  string
-	Duration time.Duration
-	// Revision is the store's at the order; a later order has a higher one.
-	Revision uint64
-}
-
-// RolloutState is how far a roll-out is.
-type RolloutState int
-
-const (
-	// RolloutRunning moves requests to the new version.
-	RolloutRunning RolloutState = iota
-	// RolloutCompleted runs all requests on the new version.
-	RolloutCompleted
-	// RolloutReverted runs none on it.
-	RolloutReverted
-)
-
-// String is the state's name in logs.
-func (s RolloutState) String() string {
-	return [...]string{"running", "completed", "reverted"}[s]
-}
-
-// RolloutStatus is what the store keeps of a roll-out.
-type RolloutStatus struct {
-	Service string
-	Version string
-	State   RolloutState
-	// OrderRevision is the revision of the order that this is about.
-	OrderRevision uint64
-	// Started is the store's clock when the first host saw the order.
-	Started time.Duration
-	// Revision is the store's at this status; 0 before it is written.
-	Revision uint64
-}
-
 const (
 	// canaryPart is the part of the permitted share that a new version gets
 	// until it is trusted. The rest pays for the answers that it gives between
@@ -271,18 +230,6 @@
 	}
 }
 
-// turn says whether this host writes the status that is due. A stop is written
-// at once; what every host finds due at the same time waits for a random moment.
-func (m *rollouts) turn(a *activeRollout, next RolloutState) bool {
-	if next == RolloutReverted {
-		return true
-	}
-	if a.writeAt.IsZero() {
-		a.writeAt = time.Now().Add(rand.N(writeSpread))
-	}
-	return time.Now().After(a.writeAt)
-}
-
 // raise sets the share for this moment. It only rises, and only while the
 // store's word is fresh.
 func (m *rollouts) raise(a *activeRollout) {
@@ -312,63 +259,3 @@
 	}
 	return false
 }
-
-// due is the status that should be written now.
-func (m *rollouts) due(a *activeRollout) (RolloutState, bool) {
-	switch {
-	case a.stopped:
-		return RolloutReverted, true
-	case !a.known():
-		return RolloutRunning, true
-	case a.sessionShare >= 1 && m.progress(a) >= completeAt:
-		return RolloutCompleted, true
-	default:
-		return RolloutRunning, false
-	}
-}
-
-// write writes a status under the condition that nobody else did. Whatever
-// comes of it, the watcher of the statuses tells.
-func (m *rollouts) write(ctx context.Context, a *activeRollout, state RolloutState) {
-	m.mu.Lock()
-	next := RolloutStatus{
-		Service:       a.order.Service,
-		Version:       a.order.Version,
-		State:         state,
-		OrderRevision: a.order.Revision,
-		Started:       m.statuses.StoreClock(),
-	}
-	if a.known() {
-		next.Started = a.status.Started
-	}
-	expected := a.status.Revision
-	m.mu.Unlock()
-
-	err := m.commit(ctx, next, expected)
-	m.log.Info().Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
-	// A conflict means that another host was first; the watcher brings its
-	// status within moments, so a short pause spares calls.
-	time.Sleep(writePause)
-	m.mu.Lock()
-	a.writing = false
-	m.mu.Unlock()
-}
-
-// writePause is the time between two tries to write a status: longer than the
-// store's change needs to come back through the watcher.
-const writePause = 300 * time.Millisecond
-
-func (m *rollouts) commit(ctx context.Context, next RolloutStatus, expected uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	data, err := m.settings.Codec.EncodeStatus(next)
-	if err != nil {
-		return err
-	}
-	key := m.settings.Tables.OrdersPrefix + next.Service
-	_, err = m.settings.Statuses.Commit(ctx, storage.Txn{
-		Conditions: []storage.Condition{{Key: key, Version: expected}},
-		Puts:       []storage.Put{{Key: key, Value: data}},
-	})
-	return err
-}
--- /dev/null
+++ b/internal/gateway/rolloutstatus.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// due is the status that should be written now.
+func (m *rollouts) due(a *activeRollout) (RolloutState, bool) {
+	switch {
+	case a.stopped:
+		return RolloutReverted, true
+	case !a.known():
+		return RolloutRunning, true
+	case a.sessionShare >= 1 && m.progress(a) >= completeAt:
+		return RolloutCompleted, true
+	default:
+		return RolloutRunning, false
+	}
+}
+
+// turn says whether this host writes the status that is due. A stop is written
+// at once; what every host finds due at the same time waits for a random moment.
+func (m *rollouts) turn(a *activeRollout, next RolloutState) bool {
+	if next == RolloutReverted {
+		return true
+	}
+	if a.writeAt.IsZero() {
+		a.writeAt = time.Now().Add(rand.N(writeSpread))
+	}
+	return time.Now().After(a.writeAt)
+}
+
+// write writes a status under the condition that nobody else did. Whatever
+// comes of it, the watcher of the statuses tells.
+func (m *rollouts) write(ctx context.Context, a *activeRollout, state RolloutState) {
+	m.mu.Lock()
+	next := RolloutStatus{
+		Service:       a.order.Service,
+		Version:       a.order.Version,
+		State:         state,
+		OrderRevision: a.order.Revision,
+		Started:       m.statuses.StoreClock(),
+	}
+	if a.known() {
+		next.Started = a.status.Started
+	}
+	expected := a.status.Revision
+	m.mu.Unlock()
+
+	err := m.commit(ctx, next, expected)
+	m.log.Info().Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
+	// A conflict means that another host was first; the watcher brings its
+	// status within moments, so a short pause spares calls.
+	time.Sleep(writePause)
+	m.mu.Lock()
+	a.writing = false
+	m.mu.Unlock()
+}
+
+// writePause is the time between two tries to write a status: longer than the
+// store's change needs to come back through the watcher.
+const writePause = 300 * time.Millisecond
+
+func (m *rollouts) commit(ctx context.Context, next RolloutStatus, expected uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	data, err := m.settings.Codec.EncodeStatus(next)
+	if err != nil {
+		return err
+	}
+	key := m.settings.Tables.OrdersPrefix + next.Service
+	_, err = m.settings.Statuses.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key, Version: expected}},
+		Puts:       []storage.Put{{Key: key, Value: data}},
+	})
+	return err
+}
