--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,8 +98,8 @@
 		Header:        names.forUpstream(r.Header),
 		ContentLength: int64(len(r.Body)),
 	}).WithContext(ctx)
-	// A body of a type that the transport doesn't know keeps it from sending
-	// the request twice on its own.
+	// Without GetBody the transport can't send a body a second time on its own; for
+	// requests without one the sealed call refuses the second write.
 	req.Body = io.NopCloser(bytes.NewReader(r.Body))
 	if len(r.Body) == 0 {
 		req.Body = http.NoBody
