gateway: where every upstream is slow, none is given up

The bound is gone, and an attempt that was given up counts as slow, so that patience grows with a general slowness.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -127,6 +127,9 @@
 	g := d.gateway
 	g.fleet.release(a.choice.upstream, result)
 	g.rollouts.observe(r, a.choice.upstream.Version, result)
+	if result.outcome == outcomeSilent {
+		g.usual.of(r.usualKey()).observeSilence(time.Since(a.began))
+	}
 	if result.outcome != outcomeDone {
 		return
 	}
--- a/internal/gateway/usual.go
+++ b/internal/gateway/usual.go
@@ -12,16 +12,18 @@
 	// the request is sent elsewhere. Of a service that queues, one answer in a
 	// hundred takes that long.
 	patienceFactor = 4
-	// leastPatience and mostPatience bound it as parts of the route's target.
-	// Below the least, ordinary answers would be given up; above the most, an
-	// answer by another upstream would be of little use.
+	// leastPatience bounds it from below, as a part of the route's target: ordinary
+	// answers vary by that much. There is no bound from above. Where all upstreams
+	// are slow because of load, giving up adds to the load: with a bound of 1.5
+	// targets an overloaded service lost half of the answers that it had nearly made.
 	leastPatience = 0.4
-	mostPatience  = 1.5
 	// targetless is the target of routes that declare none.
 	targetless = time.Second
 )
 
-// usualTime is the decayed mean time to the heads of a kind of answers.
+// usualTime is the decayed mean time to the heads of a kind of answers. An attempt
+// that was given up counts with the time that it was given, so that a general
+// slowness shows.
 type usualTime struct {
 	mu   sync.Mutex
 	mean time.Duration
@@ -37,6 +39,16 @@
 	u.mean += time.Duration(usualGain * float64(took-u.mean))
 }
 
+// observeSilence takes in an attempt that was given up. Before the first answer it
+// says nothing of what is usual.
+func (u *usualTime) observeSilence(waited time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.mean > 0 {
+		u.mean += time.Duration(usualGain * float64(waited-u.mean))
+	}
+}
+
 // patience is how long an upstream may stay silent.
 func (u *usualTime) patience(target time.Duration) time.Duration {
 	u.mu.Lock()
@@ -44,7 +56,5 @@
 	if target <= 0 {
 		target = targetless
 	}
-	least := time.Duration(leastPatience * float64(target))
-	most := time.Duration(mostPatience * float64(target))
-	return min(most, max(least, patienceFactor*u.mean))
+	return max(time.Duration(leastPatience*float64(target)), patienceFactor*u.mean)
 }
