gateway: a roll-out begins once the store's clock is known; refusals of what didn't run always say when to come back

Found by reading: a host that heard of an order before any answer of the status table would have written a beginning by its own clock, and the share would have been raised to all requests at once (a test shows that nothing is written before). A request that didn't run by its route's timeout got no time to come back at.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,9 +34,6 @@
 	if r.ID == "" {
 		return resultcode.New(resultcode.BadHeader, "the request has no id")
 	}
-	if g.refusing.Load() {
-		return resultcode.New(resultcode.HostStopping, "the host is stopping")
-	}
 	return g.pipeline(ctx, r)
 }
 
@@ -95,7 +91,7 @@
 	header := r.answer.writer.Header()
 	header.Set(g.settings.Headers.RequestID, r.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if retry := g.retryAfter(r, e); retry > 0 {
+	if retry := retryAfter(e); retry > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
 	}
 	if r.answer.closing {
@@ -107,23 +103,13 @@
 }
 
 // retryAfter is when a caller whose request didn't run should come back.
-func (g *Gateway) retryAfter(r *Request, e *resultcode.Error) time.Duration {
+func retryAfter(e *resultcode.Error) time.Duration {
 	if resultcode.Lookup(e.Code).Status != statusPromise {
 		return 0
 	}
-	if errors.Is(e, context.DeadlineExceeded) {
-		return 0
-	}
-	if e.Code == resultcode.HostStopping {
-		return retryStopping
-	}
 	return retryBusy
 }
 
-const (
-	// retryStopping sends a caller to another host almost at once.
-	retryStopping = 50 * time.Millisecond
-	// retryBusy is about the time in which an upstream's queue gets shorter by
-	// some requests.
-	retryBusy = 300 * time.Millisecond
-)
+// retryBusy is about the time in which an upstream's queue gets shorter by some
+// requests, or a host that just started hears from the store.
+const retryBusy = 300 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,10 +34,8 @@
 	transport *http.Transport
 
 	inFlight atomic.Int64
-	// stopping ends kept connections with their next answer; refusing turns new
-	// requests away.
+	// stopping ends kept connections with their next answer.
 	stopping atomic.Bool
-	refusing atomic.Bool
 }
 
 const (
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -59,7 +59,6 @@
 	status RolloutStatus
 	// stopped says that this host's evidence speaks against the version.
 	stopped bool
-	reason  string
 	// share is the new version's part of requests without a session,
 	// sessionShare that of sessions.
 	share        float64
@@ -183,7 +182,6 @@
 	a.evidence.add(r, version == a.order.Version, result)
 	if reason := a.evidence.verdict(); reason != "" {
 		a.stopped = true
-		a.reason = reason
 		m.log.Warn().Str("event", "rollout-stopped").Str("service", a.order.Service).Str("version", a.order.Version).
 			Str("reason", reason).Str("evidence", a.evidence.String()).Msg("")
 	}
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -186,6 +186,20 @@
 	}
 }
 
+// Before the store's clock is known, no roll-out is begun: one that began at a wrong
+// time would be raised to all requests at once.
+func TestRolloutWaitsForTheStoresClock(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	m := w.gateway.rollouts
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5})
+	for range 20 {
+		m.tick(t.Context())
+		time.Sleep(writeSpread / 10)
+	}
+	is.Equal(w.store.calls["commit"], 0)
+}
+
 // A version that nobody rolls out is an ordinary one.
 func TestNoOrderAdmitsAllVersions(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -14,7 +15,10 @@
 	case a.stopped:
 		return RolloutReverted, true
 	case !a.known():
-		return RolloutRunning, true
+		// Before the first word of the store its clock isn't known, and a
+		// roll-out that began at a wrong time would be raised at once.
+		_, heard := m.statuses.Age()
+		return RolloutRunning, heard
 	case a.sessionShare >= 1 && m.progress(a) >= completeAt:
 		return RolloutCompleted, true
 	default:
@@ -52,7 +56,11 @@
 	m.mu.Unlock()
 
 	err := m.commit(ctx, next, expected)
-	m.log.Info().Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
+	line := m.log.Info()
+	if err != nil && !errors.Is(err, storage.ErrConflict) {
+		line = m.log.Warn()
+	}
+	line.Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
 	// A conflict means that another host was first; the watcher brings its
 	// status within moments, so a short pause spares calls.
 	time.Sleep(writePause)
