gateway: an answer that a planned stop cut is logged as that, not as a caller that left

Cause: the stop closes the connections, which ends the requests' contexts as a caller's leaving does.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -192,6 +192,9 @@
 // final is the answer when no further attempt is made.
 func (d *dispatch) final(ctx context.Context, r *Request, result attemptResult) error {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
+		if d.gateway.cutting.Load() {
+			return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the planned stop's time was over")
+		}
 		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
 	}
 	if r.answer.started {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	inFlight atomic.Int64
 	// stopping ends kept connections with their next answer.
 	stopping atomic.Bool
+	// cutting says that the stop's time is over and its answers are cut.
+	cutting atomic.Bool
 }
 
 const (
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -28,6 +28,7 @@
 	err := callers.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
+		g.cutting.Store(true)
 		err = callers.Close()
 	}
 	if err != nil {
