gateway: a signal that the settings changed ends nothing

Cause: SIGHUP ends a Go process that doesn't take it. The file is read again, an unreadable or changed one is logged.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -46,9 +48,33 @@
 	out := logline.NewBounded(os.Stdout)
 	defer out.Close()
 	log := logline.New(out, level).With().Str("host", site.Host).Logger()
+	stopReloads := c.noteReloads(site, log)
+	defer stopReloads()
 	return gateway.New(c.settings(site), log).Run(ctx)
 }
 
+// noteReloads takes SIGHUP, which says that the settings file changed and would end
+// the process otherwise. What a process listens on and how it counts can't change
+// under its connections: a change is logged and in force from the next start.
+func (c *gatewayCmd) noteReloads(inForce platform.Settings, log zerolog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			site, err := platform.LoadSettings(c.Settings)
+			if err != nil {
+				log.Error().Str("event", "reload").Err(err).Msg("")
+				continue
+			}
+			log.Info().Str("event", "reload").Bool("changed", site != inForce).Msg("")
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
+
 func (c *gatewayCmd) settings(site platform.Settings) gateway.Settings {
 	store := platform.NewStore(site.Store)
 	tables := platform.Tables()
--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+// A signal that the settings changed ends nothing.
+func TestGatewayOutlivesAReload(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 1)
+	h := s.gateways[0]
+	ended := make(chan fleetAnswer)
+	go func() { ended <- s.send(h, "stream", "key-a") }()
+	h.signal(syscall.SIGHUP)
+	is.Equal(h.field("event=reload", "changed="), "false")
+	a := <-ended
+	is.NoErr(a.err)
+	is.Equal(a.body, a.whole())
+	s.mustServe(h)
+	is.NoErr(os.WriteFile(h.settings, []byte("{"), 0o600))
+	h.signal(syscall.SIGHUP)
+	h.field("event=reload", "error=")
+	s.mustServe(h)
+}
+
 func TestGatewayWithoutItsStoreIsNotReady(t *testing.T) {
 	is := is.New(t)
 	s := newFleetSystem(t, 1)
