--- a/internal/entry/identify.go
+++ b/internal/entry/identify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -11,10 +12,19 @@
 
 // Serve implements Filter.
 func (identify) Serve(ctx context.Context, r *Request, next Next) error {
-	account, ok := r.Policy.AccountByKey(r.Key)
-	if !ok {
-		return resultcode.New(resultcode.UnknownKey, "the account key is missing or unknown")
+	account, err := accountOf(r.Policy, r.Key)
+	if err != nil {
+		return err
 	}
 	r.Account = account
 	return next(ctx, r)
 }
+
+// accountOf returns the account that holds the key.
+func accountOf(policy *manifest.Policy, key string) (*manifest.Account, error) {
+	account, ok := policy.AccountByKey(key)
+	if !ok {
+		return nil, resultcode.New(resultcode.UnknownKey, "the account key is missing or unknown")
+	}
+	return account, nil
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -37,9 +37,7 @@
 func (h *Host) decode(front Frontend, w http.ResponseWriter, req *http.Request) (*Request, error) {
 	policy, err := currentPolicy(h.watcher)
 	if err == nil {
-		if _, known := policy.AccountByKey(accountKey(req)); !known {
-			err = resultcode.New(resultcode.UnknownKey, "the account key is missing or unknown")
-		}
+		_, err = accountOf(policy, accountKey(req))
 	}
 	if err != nil {
 		r, headerErr := newRequest(req, KindModel)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -158,7 +158,7 @@
 			changes: func(ctx context.Context, _ int, since uint64) (Page, error) {
 				is.Equal(since, uint64(1)) // it goes on where it was
 				if time.Since(began) < down {
-					duringOutage = duringOutage || w.Interrupted(0)
+					duringOutage = duringOutage || w.Interrupted()
 					return Page{}, errors.New("refused")
 				}
 				back = true
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -61,8 +61,6 @@
 	// 0 before that. lostAt is when calls began to fail, 0 while they succeed.
 	contactAt atomic.Int64
 	lostAt    atomic.Int64
-	// returnedAt is when calls succeeded again after a loss.
-	returnedAt atomic.Int64
 	// clockOffset is the store's clock minus the time since start.
 	clockOffset atomic.Int64
 	start       time.Time
@@ -99,14 +97,10 @@
 	return w.sinceStart() - time.Duration(at), true
 }
 
-// Interrupted says whether the store was out of reach at some moment within
-// the last span.
-func (w *Watcher) Interrupted(span time.Duration) bool {
-	if w.lostAt.Load() != 0 || w.options.Link.lost() {
-		return true
-	}
-	at := w.returnedAt.Load()
-	return at != 0 && w.sinceStart()-time.Duration(at) < span
+// Interrupted says whether the store is out of reach, by this watcher's calls or by
+// those of another one on the link.
+func (w *Watcher) Interrupted() bool {
+	return w.lostAt.Load() != 0 || w.options.Link.lost()
 }
 
 // StoreClock is the store's steady clock now, as far as the last answer tells.
@@ -245,7 +239,6 @@
 	now := int64(w.sinceStart())
 	w.contactAt.Store(now)
 	if lost := w.lostAt.Swap(0); lost != 0 {
-		w.returnedAt.Store(now)
 		w.log.Info().Str("event", "store-regained").Int64("out_ms", (now-lost)/int64(time.Millisecond)).Uint64("revision", w.revision).Msg("")
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/resultcode"
@@ -229,7 +230,7 @@
 }
 
 // statusPromise is the status that promises that a request didn't run.
-const statusPromise = 503
+const statusPromise = http.StatusServiceUnavailable
 
 // record writes the attempt's log line and counts it.
 func (d *dispatch) record(r *Request, a *attempt, result attemptResult) {
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -217,7 +217,7 @@
 	is.Equal(string(body), "in chunks")
 }
 
-// hang answers nothing until the test ends or the caller gives up.
+// hangUntil answers nothing until the test ends or the caller gives up.
 func hangUntil(release chan struct{}) http.HandlerFunc {
 	return func(_ http.ResponseWriter, req *http.Request) {
 		select {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -235,7 +235,7 @@
 		return
 	}
 	age, ok := m.statuses.Age()
-	if !ok || age > trustAge || m.statuses.Interrupted(0) {
+	if !ok || age > trustAge || m.statuses.Interrupted() {
 		return
 	}
 	share := canaryPart * m.settings.CanaryShare
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -63,7 +64,7 @@
 	line.Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
 	// A conflict means that another host was first; the watcher brings its
 	// status within moments, so a short pause spares calls.
-	time.Sleep(writePause)
+	_ = wait.For(ctx, writePause) // a host that stops needn't pause
 	m.mu.Lock()
 	a.writing = false
 	m.mu.Unlock()
