gateway: a new version's exposure is bounded by the shape of its ramp

Cause: a version that is bad only under a load that doesn't come shows nothing, so it was rolled out like a good one: the share began to rise at half of the time and reached all requests at 0.78 of it, a third of all requests of the roll-out. Ruled out: a late stop (no answer of the version failed) and the loss of all hosts after it.

Change: the share rises late and as steeply as the permitted share needs, by a formula of the setting; the last status is written within 0.2 s in place of 1.2 s; a roll-out's start is when the order was seen, not when the first status was written. The share was held for up to 1.5 s between two words of the store, since the status' calls are held for 4.5 s and a word counts for 3 s: 2 s now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,10 @@
 	// holdOperator differs from the other watchers' time, so that a dead link to
 	// the store shows by the earlier of two calls.
 	holdOperator = 6 * time.Second
+	// holdStatus is below trustAge with time for an answer: a roll-out's share is
+	// raised only while the store's word is fresh, and its last part takes half a
+	// second.
+	holdStatus = 2 * time.Second
 )
 
 // follow starts what keeps the host's beliefs up to date.
@@ -130,7 +134,7 @@
 	link := feed.NewLink()
 	gather := time.Duration(gatherPart * float64(g.settings.DrainTime))
 	relays := func() bool { return g.peers != nil && g.peers.Relays() }
-	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Link: link, Relays: relays, Needed: g.rollouts.underWay}, g.log)
+	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Link: link, Relays: relays, Hold: holdStatus, Needed: g.rollouts.underWay}, g.log)
 	g.rollouts.statuses = status
 	watchers := map[string]*feed.Watcher{
 		tables.Status:    status,
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -11,24 +11,12 @@
 )
 
 const (
-	// canaryPart is the part of the permitted share that a new version gets
-	// until it is trusted. The rest pays for the answers that it gives between
-	// turning bad and being stopped.
-	canaryPart = 0.5
-	// rampFrom and rampTo are when, as parts of the roll-out's duration, the
-	// share starts to rise and reaches all requests. A session may change its
-	// version in the second half only. The share rises with the square of the
-	// time, so that a version which turns bad under load has had few requests by
-	// the time it shows.
-	rampFrom = 0.5
-	rampTo   = 0.78
-	// completeAt is when the roll-out is reported as completed: after
-	// the answers that began on the old version before the ramp's end are over.
-	completeAt = 0.88
-	// writeSpread is the span over which hosts deal out a status that any of
-	// them may write: the first one's comes back to the others before most of
-	// them have tried.
-	writeSpread = 1200 * time.Millisecond
+	// writeSpread is the span over which hosts deal out the first status, which any
+	// of them may write: the first one's comes back to the others before most of
+	// them have tried. completeSpread is the same for the last status, which has to
+	// be there before the roll-out's time is up.
+	writeSpread    = 1200 * time.Millisecond
+	completeSpread = 200 * time.Millisecond
 	// trustAge is the greatest age of the store's word at which the share is
 	// raised: a host that can't hear that others stopped a version holds it.
 	trustAge = 3 * time.Second
@@ -46,6 +34,7 @@
 	fleet    *Fleet
 	statuses *feed.Watcher
 	log      zerolog.Logger
+	ramp     ramp
 
 	mu     sync.Mutex
 	active map[string]*activeRollout
@@ -77,6 +66,7 @@
 		settings: settings,
 		fleet:    fleet,
 		log:      log,
+		ramp:     newRamp(settings.CanaryShare),
 		active:   make(map[string]*activeRollout),
 		stored:   make(map[string]RolloutStatus),
 	}
@@ -238,12 +228,9 @@
 	if !ok || age > trustAge || m.statuses.Interrupted() {
 		return
 	}
-	share := canaryPart * m.settings.CanaryShare
-	if at := m.progress(a); at > rampFrom {
-		ramp := min(1, (at-rampFrom)/(rampTo-rampFrom))
-		a.sessionShare = max(a.sessionShare, ramp*ramp)
-	}
-	a.share = max(a.share, share, a.sessionShare)
+	at := m.progress(a)
+	a.sessionShare = max(a.sessionShare, m.ramp.sessions(at))
+	a.share = max(a.share, m.ramp.all(at))
 }
 
 // underWay says whether a roll-out isn't finished.
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -20,7 +20,7 @@
 		// roll-out that began at a wrong time would be raised at once.
 		_, heard := m.statuses.Age()
 		return RolloutRunning, heard
-	case a.sessionShare >= 1 && m.progress(a) >= completeAt:
+	case a.sessionShare >= 1 && m.ramp.done(m.progress(a)):
 		return RolloutCompleted, true
 	default:
 		return RolloutRunning, false
@@ -34,7 +34,11 @@
 		return true
 	}
 	if a.writeAt.IsZero() {
-		a.writeAt = time.Now().Add(rand.N(writeSpread))
+		spread := writeSpread
+		if next == RolloutCompleted {
+			spread = completeSpread
+		}
+		a.writeAt = time.Now().Add(rand.N(spread))
 	}
 	return time.Now().After(a.writeAt)
 }
@@ -48,7 +52,7 @@
 		Version:       a.order.Version,
 		State:         state,
 		OrderRevision: a.order.Revision,
-		Started:       m.statuses.StoreClock(),
+		Started:       m.statuses.StoreClock() - time.Since(a.seenAt),
 	}
 	if a.known() {
 		next.Started = a.status.Started
