--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	tcprelay "github.com/quetzalweir/quetzalweir/internal/standin/relay"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
@@ -35,10 +36,12 @@
 	storeAt   string
 	upstreams []*platformtest.Upstream
 	gateways  []*gatewayHost
-	client    *http.Client
-	made      int
-	requests  atomic.Int64
-	document  map[string]any
+	// toHubs are the ways of the other hosts to the first gateways.
+	toHubs   []*relay
+	client   *http.Client
+	made     int
+	requests atomic.Int64
+	document map[string]any
 }
 
 // gatewayHost is one host's gateway, which may be started again.
@@ -48,11 +51,13 @@
 	zone     string
 	callers  string
 	ready    string
+	peers    string
 	settings string
 	toStore  *relay
 }
 
-func newFleetSystem(t *testing.T, hosts int) *fleetSystem {
+// newFleetSystem starts hosts, dealt over so many availability zones.
+func newFleetSystem(t *testing.T, hosts, zones int) *fleetSystem {
 	t.Helper()
 	s := &fleetSystem{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	server := httptest.NewServer(s.store)
@@ -68,10 +73,15 @@
 		s.addUpstream("pool", "v1", zone(i))
 	}
 	for i := range hosts {
-		h := &gatewayHost{name: fmt.Sprintf("gateway-%d", i+1), zone: zone(i), toStore: newRelay(t, loopback, s.storeAt)}
-		h.callers, h.ready = freeAddress(t, loopback), freeAddress(t, loopback)
-		h.writeSettings(t)
+		h := &gatewayHost{name: fmt.Sprintf("gateway-%d", i+1), zone: zone(i % zones), toStore: newRelay(t, loopback, s.storeAt)}
+		h.callers, h.ready, h.peers = freeAddress(t, loopback), freeAddress(t, loopback), freeAddress(t, loopback)
 		s.gateways = append(s.gateways, h)
+		if i < maxHubs {
+			s.toHubs = append(s.toHubs, newRelay(t, loopback, h.peers))
+		}
+	}
+	for _, h := range s.gateways {
+		h.writeSettings(t, s.seeds(h))
 		s.startGateway(h)
 	}
 	for _, h := range s.gateways {
@@ -80,6 +90,23 @@
 	return s
 }
 
+// maxHubs is how many hosts the settings name to the others.
+const maxHubs = 3
+
+// seeds are the addresses of the hubs as the host knows them: its own one directly,
+// the others by ways that tests can harm.
+func (s *fleetSystem) seeds(h *gatewayHost) []string {
+	var seeds []string
+	for i, way := range s.toHubs {
+		if s.gateways[i] == h {
+			seeds = append(seeds, h.peers)
+		} else {
+			seeds = append(seeds, way.address())
+		}
+	}
+	return seeds
+}
+
 // routingDocument has a route of each kind, and one with a choice of models.
 func routingDocument() map[string]any {
 	route := func(name, kind, service string) map[string]any {
@@ -126,17 +153,18 @@
 	return u
 }
 
-func (h *gatewayHost) writeSettings(t *testing.T) {
+func (h *gatewayHost) writeSettings(t *testing.T, seeds []string) {
 	t.Helper()
 	h.settings = filepath.Join(t.TempDir(), "settings.yaml")
 	text := fmt.Sprintf(`node_name: %q
 ip: "127.0.0.1"
 zone: %q
-listen: {frontend: %q, ready: %q}
+listen: {frontend: %q, ready: %q, control_plane: %q}
+seeds: [%s]
 limits: {memory_mb: 256}
 bounds: {drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, session_s: 5}
 platform: {address: %q}
-`, h.name, h.zone, h.callers, h.ready, gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.toStore.address())
+`, h.name, h.zone, h.callers, h.ready, h.peers, strings.Join(seeds, ", "), gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.toStore.address())
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -233,7 +261,7 @@
 // a planned stop during a stream.
 func TestGatewayCalmPath(t *testing.T) {
 	is := is.New(t)
-	s := newFleetSystem(t, 3)
+	s := newFleetSystem(t, 3, 3)
 	for _, h := range s.gateways {
 		s.mustServe(h)
 		is.Equal(s.send(h, "none", "key-a").status, http.StatusNotFound)
@@ -299,7 +327,7 @@
 // A gateway serves on while the store is away, and takes up what it missed.
 func TestGatewayOutlivesTheStore(t *testing.T) {
 	is := is.New(t)
-	s := newFleetSystem(t, 1)
+	s := newFleetSystem(t, 1, 3)
 	h := s.gateways[0]
 	for _, fault := range []platformtest.Fault{platformtest.Busy, platformtest.Silent, platformtest.Lost} {
 		s.store.SetFault(fault)
@@ -317,7 +345,7 @@
 // A signal that the settings changed ends nothing.
 func TestGatewayOutlivesAReload(t *testing.T) {
 	is := is.New(t)
-	s := newFleetSystem(t, 1)
+	s := newFleetSystem(t, 1, 3)
 	h := s.gateways[0]
 	ended := make(chan fleetAnswer)
 	go func() { ended <- s.send(h, "stream", "key-a") }()
@@ -335,7 +363,7 @@
 
 func TestGatewayWithoutItsStoreIsNotReady(t *testing.T) {
 	is := is.New(t)
-	s := newFleetSystem(t, 1)
+	s := newFleetSystem(t, 1, 3)
 	h := s.gateways[0]
 	h.kill()
 	h.toStore.cutAll()
@@ -352,3 +380,35 @@
 	eventually(t, "ready", func() bool { return s.isReady(h) })
 	s.mustServe(h)
 }
+
+// A document reaches a host whose way to the store is cut through the hub of its
+// zone, and the hosts that hear from the hub don't ask the store.
+func TestGatewaysRelayTheStoresWord(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 9, 1)
+	cut := s.gateways[8]
+	s.waitForRelay(cut)
+	cut.toStore.inner.Silence(tcprelay.ToTarget)
+	s.document["tenants"] = []any{map[string]any{"name": "acme", "api_keys": []string{"key-new"}}}
+	s.publish(9)
+	for _, h := range s.gateways {
+		eventually(t, h.name+" knows the new key", func() bool { return s.send(h, "once", "key-new").status == http.StatusOK })
+	}
+
+	// Without the hub the others go on by themselves, but for the one that is cut.
+	s.gateways[0].kill()
+	s.document["tenants"] = []any{map[string]any{"name": "acme", "api_keys": []string{"key-newer"}}}
+	s.publish(10)
+	for _, h := range s.gateways[1:8] {
+		eventually(t, h.name+" knows the newer key", func() bool { return s.send(h, "once", "key-newer").status == http.StatusOK })
+	}
+	cut.toStore.heal()
+	eventually(t, "the one that was cut knows it, too", func() bool { return s.send(cut, "once", "key-newer").status == http.StatusOK })
+	is.Equal(s.problems(), nil)
+}
+
+// waitForRelay waits until the host relies on its hub for the operators' table.
+func (s *fleetSystem) waitForRelay(h *gatewayHost) {
+	s.t.Helper()
+	h.field("table=op event=relay-used", "revision=")
+}
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -22,9 +22,9 @@
 	soakTime  = flag.Duration("soak.time", 6*time.Second, "time of faults of each seed")
 )
 
-// regressionSeeds are the seeds that CI plays: one of no special kind, and each
+// regressionSeeds are the seeds that CI plays: one of each size, and each
 // that ever failed, with its cause.
-var regressionSeeds = []uint64{1}
+var regressionSeeds = []uint64{1, 2}
 
 // soak is one run of random faults. What it checks, callers and upstreams see.
 type soak struct {
@@ -63,7 +63,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := &soak{
-				fleetSystem: newFleetSystem(t, 3),
+				fleetSystem: soakSystem(t, seed),
 				rnd:         rand.New(rand.NewPCG(seed, 1)),
 				left:        make(map[string]time.Time),
 			}
@@ -76,11 +76,22 @@
 	}
 }
 
+// soakSystem is a host in each of three availability zones for odd seeds, and for
+// even ones as many in one zone as a hub needs to relay the store's word.
+func soakSystem(t *testing.T, seed uint64) *fleetSystem {
+	if seed%2 == 0 {
+		return newFleetSystem(t, 9, 1)
+	}
+	return newFleetSystem(t, 3, 3)
+}
+
 func (s *soak) run() {
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range 9 {
-		callers.Go(func() { s.call(s.gateways[i%3], []string{"once", "many", "stream"}[i/3], stop) })
+	for i := range 3 * len(s.gateways) {
+		callers.Go(func() {
+			s.call(s.gateways[i%len(s.gateways)], []string{"once", "many", "stream"}[i/len(s.gateways)], stop)
+		})
 	}
 	version := 10
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
@@ -122,7 +133,7 @@
 func (s *soak) strike(version *int) {
 	h := s.gateways[s.rnd.IntN(len(s.gateways))]
 	lasts := time.Duration(200+s.rnd.IntN(1800)) * time.Millisecond
-	switch s.rnd.IntN(12) {
+	switch s.rnd.IntN(13) {
 	case 0:
 		s.note("kill %s", h.name)
 		s.harm(lasts)
@@ -159,6 +170,10 @@
 		u.SetFault(fault, 2)
 		time.AfterFunc(lasts, func() { u.SetFault(platformtest.None, 1) })
 	case 11:
+		i := s.rnd.IntN(len(s.toHubs))
+		s.note("way to hub %d fails for %v", i+1, lasts)
+		s.faultyWay(s.toHubs[i], lasts)
+	case 12:
 		*version += 1 + s.rnd.IntN(3)
 		s.note("document %d", *version)
 		s.publish(*version)
@@ -193,17 +208,23 @@
 
 func (s *soak) faultyLink(h *gatewayHost, lasts time.Duration) {
 	s.disturb(lasts)
+	s.faultyWay(h.toStore, lasts)
+}
+
+// faultyWay cuts, silences in one direction or delays what a relay carries. A
+// fault between hosts excuses nothing: each can do without the others.
+func (s *soak) faultyWay(way *relay, lasts time.Duration) {
 	switch s.rnd.IntN(4) {
 	case 0:
-		h.toStore.cutAll()
+		way.cutAll()
 	case 1:
-		h.toStore.inner.Silence(tcprelay.ToTarget)
+		way.inner.Silence(tcprelay.ToTarget)
 	case 2:
-		h.toStore.inner.Silence(tcprelay.FromTarget)
+		way.inner.Silence(tcprelay.FromTarget)
 	case 3:
-		h.toStore.inner.Delay(tcprelay.FromTarget, 300*time.Millisecond)
+		way.inner.Delay(tcprelay.FromTarget, 300*time.Millisecond)
 	}
-	time.AfterFunc(lasts, h.toStore.heal)
+	time.AfterFunc(lasts, way.heal)
 }
 
 // replaceUpstream takes an upstream away, with or without notice, and adds one of
@@ -234,6 +255,9 @@
 		h.signal(syscall.SIGCONT)
 		h.toStore.heal()
 	}
+	for _, way := range s.toHubs {
+		way.heal()
+	}
 	for _, u := range s.upstreams {
 		u.SetFault(platformtest.None, 1)
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/internal/devenv"
 	"github.com/quetzalweir/quetzalweir/internal/entry"
+	"github.com/quetzalweir/quetzalweir/internal/standin/freeport"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
@@ -263,12 +263,11 @@
 // freeAddress returns an address on the IP that nothing listens on now.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	address, err := freeport.Address(ip)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // cutPeers cuts a host from all other entry hosts, both ways.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +14,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/standin/freeport"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
@@ -139,12 +139,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // start runs a host with the work in flight until the test or the host's stop.
