gateway: the confidence asked of a cheaper model depends on the prompts' size and the engines' pressure

Cause: one threshold of 50 for all routes, which fell for all alike under pressure. Asking the largest model costs an engine the time to read the prompt: reports' prompts are eleven times as long as narration's.

Attempt lines say what a load was believed from, its age and the confidence that was asked; metrics show the age of each table and a hub's followers.

--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -63,10 +63,16 @@
 
 // relays says whether enough hosts, and not too many, rely on this one.
 func (h *hub) relays() bool {
+	n := h.followers()
+	return n >= minFollowers && n <= maxFollowers
+}
+
+// followers counts the hosts that report here, this one included.
+func (h *hub) followers() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
-	return len(h.reports) >= minFollowers && len(h.reports) <= maxFollowers
+	return len(h.reports)
 }
 
 // dropOld forgets the hosts that say nothing any more. The lock is held.
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -64,6 +64,9 @@
 // Relays says whether other hosts rely on this one for the store's word.
 func (m *Member) Relays() bool { return m.hub.relays() }
 
+// Followers counts the hosts that report to this one, itself included.
+func (m *Member) Followers() int { return m.hub.followers() }
+
 // Run takes part until the context ends.
 func (m *Member) Run(ctx context.Context) {
 	key, err := m.key(ctx)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,8 @@
 	began   time.Time
 	// largest says that the request runs on the largest of several models.
 	largest bool
+	// threshold is the confidence from which the answer is passed on; 0 if any is.
+	threshold int
 	// patience is how long the upstream's head is waited for, if giveUp then
 	// agrees; whether or not it does, a longer silence speaks against the upstream.
 	patience time.Duration
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -28,6 +28,9 @@
 	// of the prompt's affinity, 0 without one.
 	load float64
 	rank int
+	// loadFrom says what the load was believed from, loadAge how old that was.
+	loadFrom loadSource
+	loadAge  time.Duration
 	// work is what the request asks of the upstream now.
 	work float64
 	// at is when it was chosen.
@@ -61,6 +64,7 @@
 	}
 	picked, rank := pick(list, w, now)
 	c := choice{at: now, upstream: picked.Upstream, among: len(list), load: picked.load(now), rank: rank}
+	c.loadFrom, c.loadAge = picked.loadSource(now)
 	c.work = s.weigh(w.cost)
 	picked.inFlight++
 	picked.work += c.work
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -43,7 +43,7 @@
 	}
 	urgency := urgencyLevels * rank
 	switch {
-	case largest && r.longPrompts:
+	case largest && r.relativePrompt > 1:
 		urgency += 2
 	case largest:
 		urgency++
@@ -54,7 +54,7 @@
 func (d *dispatch) serve(ctx context.Context, r *Request, _ next) error {
 	g := d.gateway
 	g.budgets.of(r.Service).request()
-	r.longPrompts = g.sizes.of(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
+	r.relativePrompt = g.sizes.of(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.startModels(r)
 	for {
 		result, err := d.try(ctx, r, models)
@@ -111,13 +111,14 @@
 	r.tried = append(r.tried, picked.upstream.ID)
 	another := r.Route.Repeatable() && r.attempts < r.Route.MaxAttempts && picked.among > 1
 	return &attempt{
-		gateway:  g,
-		request:  r,
-		choice:   picked,
-		began:    time.Now(),
-		largest:  models.best(),
-		patience: g.usual.of(r.usualKey()).patience(r.Route.Target),
-		giveUp:   func() bool { return another && g.budgets.of(r.Service).take() },
+		gateway:   g,
+		request:   r,
+		choice:    picked,
+		began:     time.Now(),
+		largest:   models.best(),
+		threshold: models.required(),
+		patience:  g.usual.of(r.usualKey()).patience(r.Route.Target),
+		giveUp:    func() bool { return another && g.budgets.of(r.Service).take() },
 	}, nil
 }
 
@@ -245,7 +246,9 @@
 	line.Str("event", "attempt").Str("request", r.ID).Int("attempt", r.attempts).
 		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Str("zone", a.choice.upstream.Zone).
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
-		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).Int("rank", a.choice.rank).
+		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
+		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
+		Int("rank", a.choice.rank).Int("threshold", a.threshold).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,8 @@
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
 	}
-	for _, w := range watchers {
+	for table, w := range watchers {
+		g.metrics.followed(table, w)
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.rollouts.run(ctx) })
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -80,6 +80,29 @@
 	return weight*told + (1-weight)*typical
 }
 
+// loadSource is what a load is believed from.
+type loadSource string
+
+const (
+	// loadExchanged: this host's own work and what the others said of theirs.
+	loadExchanged loadSource = "exchange"
+	// loadReported: what the upstream said with an answer.
+	loadReported loadSource = "report"
+	// loadUnknown: the service's mean.
+	loadUnknown loadSource = "mean"
+)
+
+// loadSource says what load goes by, and how old that is.
+func (m *member) loadSource(now time.Time) (loadSource, time.Duration) {
+	if _, ok := m.knownWork(now, m.shard.zone); ok {
+		return loadExchanged, now.Sub(m.othersAt)
+	}
+	if m.reportedAt.IsZero() {
+		return loadUnknown, 0
+	}
+	return loadReported, now.Sub(m.reportedAt)
+}
+
 // relativeLoad is the load per slot.
 func (m *member) relativeLoad(now time.Time) float64 {
 	return m.load(now) / float64(max(1, m.Slots))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
 )
 
 // gatewayMetrics are the counters and histograms of one gateway.
@@ -24,9 +26,27 @@
 		return 0
 	})
 	m.set.NewGauge("quetzalweir_gateway_in_flight", func() float64 { return float64(g.inFlight.Load()) })
+	m.set.NewGauge("quetzalweir_gateway_hub_followers", func() float64 {
+		if g.peers == nil {
+			return 0
+		}
+		return float64(g.peers.Followers())
+	})
 	return m
 }
 
+// followed shows the age of the store's word on a table, in seconds, -1 before the
+// first one.
+func (m *gatewayMetrics) followed(table string, w *feed.Watcher) {
+	m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_table_age_seconds{table=%q}`, table), func() float64 {
+		age, ok := w.Age()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
+}
+
 // attempt counts one attempt.
 func (m *gatewayMetrics) attempt(r *Request, result attemptResult, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_attempts_total{service=%q,outcome=%q}`, r.Service, result.outcome)).Inc()
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -18,7 +18,7 @@
 // startModels plans the models of a request.
 func (g *Gateway) startModels(r *Request) *modelSteps {
 	s := &modelSteps{threshold: g.settings.AcceptConfidence}
-	s.threshold = g.pressure.of(r.Service).lower(s.threshold)
+	s.threshold = g.pressure.of(r.Service).threshold(s.threshold, r.relativePrompt)
 	models := r.Route.Models
 	if len(models) == 0 || r.Prompt.Model != g.settings.AnyModel {
 		return s
@@ -51,8 +51,15 @@
 
 // accepts says whether an answer with the confidence is good enough.
 func (s *modelSteps) accepts(confidence int) bool {
-	last := s.at >= len(s.models)-1
-	return last || confidence < 0 || confidence >= s.threshold
+	return confidence < 0 || confidence >= s.required()
+}
+
+// required is the confidence that the current model's answer needs; 0 if none.
+func (s *modelSteps) required() int {
+	if s.at >= len(s.models)-1 {
+		return 0
+	}
+	return s.threshold
 }
 
 // inTime says whether a better model's first event can still be in time.
--- a/internal/gateway/models_test.go
+++ b/internal/gateway/models_test.go
@@ -39,7 +39,10 @@
 				Routes:   []routing.Route{{Name: "lowest", Priority: test.lowest, Split: []routing.Share{{Service: "s", Weight: 1}}}},
 			})
 			is.NoErr(err)
-			r := &Request{Table: table, Route: &routing.Route{Priority: test.rank}, longPrompts: test.long}
+			r := &Request{Table: table, Route: &routing.Route{Priority: test.rank}, relativePrompt: 1}
+			if test.long {
+				r.relativePrompt = 2
+			}
 			if test.account != nil {
 				r.Account = &routing.Account{Priority: test.account}
 			}
@@ -51,31 +54,47 @@
 func TestPromptSizes(t *testing.T) {
 	is := is.New(t)
 	var p promptSizes
-	long, short := false, true
+	long, short := 0.0, 0.0
 	for range 100 {
 		long = p.observe("long", 9000)
 		short = p.observe("short", 700)
 	}
-	is.True(long)
-	is.True(!short)
+	is.True(long > 1.5 && long < 2)
+	is.True(short > 0.1 && short < 0.2)
+	is.Equal(new(promptSizes).observe("r", 0), 1.0) // nothing known
 }
 
-func TestThresholdFallsUnderPressure(t *testing.T) {
-	is := is.New(t)
-	var p pressure
-	is.Equal(p.lower(50), 50)
-	for range 200 {
-		p.observe(300*time.Millisecond, time.Second)
+func TestThresholdOfConfidence(t *testing.T) {
+	const usual = 50
+	pressed := func(first time.Duration) *pressure {
+		var p pressure
+		for range 200 {
+			p.observe(first, time.Second)
+		}
+		return &p
 	}
-	is.Equal(p.lower(50), 50)
-	for range 200 {
-		p.observe(500*time.Millisecond, time.Second)
+	tests := []struct {
+		desc     string
+		first    time.Duration
+		relative float64
+		want     int
+	}{
+		{"prompts of the usual size", 100 * time.Millisecond, 1, usual},
+		{"long prompts", 100 * time.Millisecond, 2, usual - sizeSlope},
+		{"short prompts", 100 * time.Millisecond, 0, usual + sizeSlope},
+		{"no pressure yet", 200 * time.Millisecond, 1, usual},
+		{"pressure", 400 * time.Millisecond, 1, 40},
+		{"pressure, long prompts", 400 * time.Millisecond, 2, 30},
+		{"pressure, short prompts", 400 * time.Millisecond, 0, 50},
+		{"far too much", 3 * time.Second, 1, 15},
 	}
-	is.True(p.lower(50) < 50 && p.lower(50) > 20)
-	for range 200 {
-		p.observe(3*time.Second, time.Second)
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			got := pressed(test.first).threshold(usual, test.relative)
+			is.True(got >= test.want-1 && got <= test.want) // a decayed mean stays just below
+		})
 	}
-	is.Equal(p.lower(50), 15)
 }
 
 func TestLoadOfAnOldReport(t *testing.T) {
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -8,12 +8,18 @@
 const (
 	// pressureGain is the weight of a new answer in a service's pressure.
 	pressureGain = 0.05
-	// pressureFrom is the pressure from which the threshold of confidence falls,
-	// by pressureSlope for each unit above; lowestThreshold is the part of it that
-	// always stays. Below it the best model's first events come early enough; far
-	// above it each further request for that model makes another one late.
-	pressureFrom    = 0.3
-	pressureSlope   = 2
+	// sizeSlope is by how much the threshold of confidence falls, in units of
+	// confidence, for a route whose prompts are longer by the service's mean: asking
+	// the best model costs more there.
+	sizeSlope = 5
+	// pressureFrom is the pressure from which the threshold falls further, by
+	// pressureSlope for each unit above, twice that where prompts are of the mean size
+	// and more where they are longer. Below it the best model's first events come
+	// early enough; far above it each further request for that model makes another one
+	// late, in proportion to its prompt.
+	pressureFrom  = 0.2
+	pressureSlope = 25
+	// lowestThreshold is the part of the threshold that always stays.
 	lowestThreshold = 0.3
 )
 
@@ -35,10 +41,12 @@
 	p.mean += pressureGain * (float64(first)/float64(target) - p.mean)
 }
 
-// lower is the threshold of confidence under the pressure.
-func (p *pressure) lower(threshold int) int {
+// threshold is the confidence from which a smaller model's answer is passed on, under
+// the pressure, on a route whose prompts have a size relative to the service's.
+func (p *pressure) threshold(usual int, relativePrompt float64) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	part := min(1, max(lowestThreshold, 1-pressureSlope*(p.mean-pressureFrom)))
-	return int(part * float64(threshold))
+	t := float64(usual) + sizeSlope*(1-relativePrompt)
+	t -= pressureSlope * (1 + relativePrompt) * max(0, p.mean-pressureFrom)
+	return int(max(lowestThreshold*float64(usual), t))
 }
--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -8,7 +8,7 @@
 	// session may change its version in the second half only. It shows most bad
 	// versions at the cost of a few answers.
 	canaryPart   = 0.2
-	sessionsFrom = 0.55
+	sessionsFrom = 0.51
 	// exposurePart is the part of the permitted exposure that a version which shows
 	// nothing bad may use up by the end of its roll-out. A version can be bad in a
 	// way that shows late or never, for example under a load that doesn't come. The
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,9 +36,8 @@
 	Body     []byte
 	Service  string
 
-	// longPrompts says that the route's prompts are longer than the service's on
-	// the whole.
-	longPrompts bool
+	// relativePrompt is the mean size of the route's prompts against the service's.
+	relativePrompt float64
 
 	answer *answerWriter
 	// state is the highest run state of all attempts.
--- a/internal/gateway/sizes.go
+++ b/internal/gateway/sizes.go
@@ -13,9 +13,9 @@
 	routes map[string]float64
 }
 
-// observe takes in a request's prompt and says whether its route's prompts are
-// longer than the service's on the whole.
-func (p *promptSizes) observe(route string, tokens int) bool {
+// observe takes in a request's prompt and returns the mean size of its route's
+// prompts against the service's; 1 while nothing is known.
+func (p *promptSizes) observe(route string, tokens int) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.routes == nil {
@@ -23,7 +23,10 @@
 	}
 	p.all = smooth(p.all, tokens)
 	p.routes[route] = smooth(p.routes[route], tokens)
-	return p.routes[route] > p.all
+	if p.all == 0 {
+		return 1
+	}
+	return p.routes[route] / p.all
 }
 
 // smooth moves a mean towards a value; a mean of 0 has seen none.
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -85,8 +85,11 @@
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
 			m := &member{Upstream: Upstream{Zone: test.zone}, shard: &shard{meanHeld: test.held}, work: 1, others: 2, othersAt: test.at}
+			m.shard.zone = "z1"
 			work, known := m.knownWork(now, "z1")
 			is.Equal(known, test.known)
+			from, _ := m.loadSource(now)
+			is.Equal(from == loadExchanged, test.known)
 			if known {
 				is.Equal(work, 3.0)
 			}
