sealedconn: connections that go silent are noticed by the kernel

Cause: connections to upstreams and the store had the library's keep-alive of 15 s and no limit on unacknowledged data, so a request on a connection that was cut without a reset waited for its own patience or deadline. Ruled out: dials, which are bounded by 250 ms.

Change: probes after 1 s, two of them a second apart; unacknowledged data ends a connection after 2 s.

--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -11,7 +11,7 @@
 // uses no proxy from the environment and no compression of its own; pool and
 // header limits are the caller's to set.
 func NewTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := newDialer(dialTimeout)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
