--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -31,7 +31,7 @@
 func (h *hub) exchange(_ context.Context, from string, r Report) (Reply, error) {
 	h.take(from, r)
 	reply := Reply{Zone: h.zone, Work: h.others(from, r.Zone), Evidence: h.evidence(from)}
-	if h.relays() {
+	if h.relaysTo(from) {
 		reply.Tables = h.news(r.Revisions)
 	}
 	return reply, nil
@@ -61,10 +61,14 @@
 	return sum
 }
 
-// relays says whether enough hosts, and not too many, rely on this one.
-func (h *hub) relays() bool {
+// relays says whether enough hosts rely on this one.
+func (h *hub) relays() bool { return h.followers() >= minFollowers }
+
+// relaysTo says whether the host is told what the store said: all are, up to
+// maxFollowers, and beyond that a part of them that stays about the same.
+func (h *hub) relaysTo(host string) bool {
 	n := h.followers()
-	return n >= minFollowers && n <= maxFollowers
+	return n >= minFollowers && (n <= maxFollowers || hash(host)%uint64(n) < maxFollowers)
 }
 
 // followers counts the hosts that report here, this one included.
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"hash/fnv"
+	"io"
 	"slices"
 	"time"
 
@@ -221,9 +221,15 @@
 }
 
 // weight orders the seeds of other zones, the same on all hosts of this one.
-func (m *Member) weight(seed string) uint64 {
+func (m *Member) weight(seed string) uint64 { return hash(m.options.Zone, seed) }
+
+// hash spreads texts evenly, the same on all hosts.
+func hash(parts ...string) uint64 {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%s|%s", m.options.Zone, seed)
+	for _, p := range parts {
+		io.WriteString(h, p)
+		h.Write([]byte{0})
+	}
 	return h.Sum64()
 }
 
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -77,6 +77,41 @@
 	})
 }
 
+// A host that begins to follow a table waits a moment for another host's word.
+func TestFirstWordSparesTheFirstCall(t *testing.T) {
+	const first = time.Second
+	tests := []struct {
+		desc   string
+		wordAt time.Duration
+		relays bool
+		polls  int // by first plus a moment
+	}{
+		{"the word comes in time", first / 2, false, 0},
+		{"no word", time.Hour, false, 1},
+		{"others rely on this host", time.Hour, true, 2}, // held for RelayHold each
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w, source, _, store := relayedWatcher(t, Options{FirstWord: first, Relays: func() bool { return test.relays }})
+				store.set(func(ctx context.Context, _ uint64) (Page, error) {
+					select {
+					case <-ctx.Done():
+						return Page{}, ctx.Err()
+					case <-time.After(RelayHold):
+						return Page{Revision: 5}, nil
+					}
+				})
+				time.AfterFunc(test.wordAt, func() { w.Offer(News{Since: 5, Revision: 5, Complete: true}, time.Now()) })
+				time.Sleep(first + 10*time.Millisecond)
+				synctest.Wait()
+				is.Equal(source.polls, test.polls)
+			})
+		})
+	}
+}
+
 // A host that is itself cut off from the store must not keep others from asking.
 func TestOldWordIsNotReliedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -50,6 +50,9 @@
 	// Relays says whether other hosts rely on this watcher now: then it hears
 	// from the store more often. Nil means that none does.
 	Relays func() bool
+	// FirstWord is how long the watcher waits for another host's word before it
+	// begins to follow the table by calls of its own; 0 where no host tells any.
+	FirstWord time.Duration
 }
 
 // Watcher follows one table.
@@ -78,6 +81,8 @@
 	// relying says that the last step made no call, because another host told
 	// what is new; used by Run alone.
 	relying bool
+	// waited says that FirstWord is over; used by Run alone.
+	waited bool
 }
 
 // NewWatcher returns a watcher of the table that hands what it learns to the
@@ -159,8 +164,12 @@
 	}
 	if w.options.Needed != nil && !w.options.Needed() {
 		w.options.Link.leave(w)
+		w.waited = false
 		return wait.For(ctx, idleCheck)
 	}
+	if err := w.awaitFirstWord(ctx); err != nil {
+		return err
+	}
 	news, at, rely := w.relayed.fresh()
 	w.noteRelying(rely)
 	if rely && w.takeNews(news, at) {
@@ -246,6 +255,29 @@
 	}
 }
 
+// awaitFirstWord waits once for another host's word: a call of the watcher's own
+// would wait for the next change, although the hub's answer spares it.
+func (w *Watcher) awaitFirstWord(ctx context.Context) error {
+	if w.waited || w.options.FirstWord <= 0 || w.relays() {
+		return nil
+	}
+	w.waited = true
+	timer := time.NewTimer(w.options.FirstWord)
+	defer timer.Stop()
+	for {
+		if _, _, ok := w.relayed.fresh(); ok {
+			return nil
+		}
+		select {
+		case <-w.relayed.wake:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // noteRelying logs when the watcher begins and ceases to rely on another host.
 func (w *Watcher) noteRelying(rely bool) {
 	if rely == w.relying {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,9 @@
 	// holdOperator differs from the other watchers' time, so that a dead link to
 	// the store shows by the earlier of two calls.
 	holdOperator = 6 * time.Second
+	// firstWord is how long a host that begins to follow a table waits for its hub's
+	// word on it: a host finds its hub within half a second of its start.
+	firstWord = 900 * time.Millisecond
 	// holdStatus is below trustAge with time for an answer: a roll-out's share is
 	// raised only while the store's word is fresh, and its last part takes half a
 	// second.
@@ -133,13 +136,21 @@
 	tables, store := g.settings.Tables, g.settings.Source
 	link := feed.NewLink()
 	gather := time.Duration(gatherPart * float64(g.settings.DrainTime))
-	relays := func() bool { return g.peers != nil && g.peers.Relays() }
-	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, feed.Options{Link: link, Relays: relays, Hold: holdStatus, Needed: g.rollouts.underWay}, g.log)
+	common := feed.Options{Link: link}
+	if g.settings.Peers.Listen != "" {
+		common.Relays = func() bool { return g.peers.Relays() }
+		common.FirstWord = firstWord
+	}
+	statusOptions, operatorOptions, upstreamOptions := common, common, common
+	statusOptions.Hold, statusOptions.Needed = holdStatus, g.rollouts.underWay
+	operatorOptions.Hold, operatorOptions.Gather = holdOperator, gatherOperator
+	upstreamOptions.Gather = gather
+	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, statusOptions, g.log)
 	g.rollouts.statuses = status
 	watchers := map[string]*feed.Watcher{
 		tables.Status:    status,
-		tables.Operator:  feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, feed.Options{Link: link, Relays: relays, Gather: gatherOperator, Hold: holdOperator}, g.log),
-		tables.Upstreams: feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, feed.Options{Link: link, Relays: relays, Gather: gather}, g.log),
+		tables.Operator:  feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, operatorOptions, g.log),
+		tables.Upstreams: feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, upstreamOptions, g.log),
 	}
 	group := new(sync.WaitGroup)
 	if peers := &g.settings.Peers; peers.Listen != "" {
