exchange: seeds are asked at once

Cause: a host without a hub of its own zone asked the seeds one after the other; two that are gone for good kept it from its hub for 1.2 s every 5 s, longer than the hub's word and work count. Found by reading; the new test has four seeds that say nothing. Ruled out: fewer looks, which would find a better hub late.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -225,6 +226,36 @@
 	eventually(t, "the other seed is the hub now", hears(second, 4))
 }
 
+// Seeds that are gone for good don't keep a host from the one that is left for
+// longer than one of them would.
+func TestDeadSeedsAreAskedAtOnce(t *testing.T) {
+	is := is.New(t)
+	in := newInstallation(t, 1)
+	in.start("hub", in.seeds[0], nil, nil)
+	living := in.seeds[0]
+	for range 4 {
+		silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and says nothing
+		is.NoErr(err)
+		t.Cleanup(func() { silent.Close() })
+		in.seeds = append([]string{silent.Addr().String()}, in.seeds...)
+	}
+	m := New(Options{Host: "host", Zone: "z1", Listen: freeAddress(t), Seeds: in.seeds, Keys: in.keys, Work: func() map[string]float64 { return nil }}, zerolog.Nop())
+	var key peer.Key
+	eventually(t, "the key is there", func() bool {
+		var err error
+		key, err = sharedKey(t.Context(), in.keys, false)
+		return err == nil
+	})
+	client, err := peer.NewClient(peer.ClientOptions{Self: "host", Keys: []peer.Key{key}})
+	is.NoErr(err)
+	defer client.Close()
+	eventually(t, "the living seed answers", func() bool {
+		began := time.Now()
+		reached := m.reach(t.Context(), client)
+		return len(reached) == 1 && reached[0] == living && time.Since(began) < 3*callTimeout
+	})
+}
+
 // Without a hub, what was heard grows old and isn't replaced.
 func TestNoHub(t *testing.T) {
 	is := is.New(t)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,8 +34,8 @@
 	Tables map[string]*feed.Watcher
 	// Work returns the host's own work in flight by upstream.
 	Work func() map[string]float64
-	// Others takes the other hosts' work by upstream, as of a time; nil if it isn't
-	// known any more.
+	// Others takes the other hosts' work by upstream, as of a time. It isn't called
+	// while no hub answers.
 	Others func(work map[string]float64, at time.Time)
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
 	// takes what the others saw. Both may be nil.
@@ -168,21 +169,7 @@
 // alike. A zone isn't known before the seed answered.
 func (m *Member) look(ctx context.Context, client *peer.Client) {
 	m.lookAt = time.Now().Add(retryHub)
-	var reached []string
-	for _, seed := range m.options.Seeds {
-		if seed == m.options.Listen {
-			m.zones[seed] = m.options.Zone
-			reached = append(reached, seed)
-			continue
-		}
-		reply, err := m.call(ctx, client, seed)
-		if err != nil {
-			client.Forget(seed)
-			continue
-		}
-		m.zones[seed] = reply.Zone
-		reached = append(reached, seed)
-	}
+	reached := m.reach(ctx, client)
 	found := m.best(reached)
 	if found == m.current {
 		return
@@ -194,6 +181,36 @@
 	m.log.Info().Str("event", "hub-found").Str("hub", m.current).Str("zone", m.zones[m.current]).Int("reached", len(reached)).Msg("")
 }
 
+// reach asks all seeds at once, so that several dead ones cost no more time than
+// one, and returns those that answered in the seeds' order.
+func (m *Member) reach(ctx context.Context, client *peer.Client) []string {
+	zones := make([]string, len(m.options.Seeds))
+	var calls sync.WaitGroup
+	for i, seed := range m.options.Seeds {
+		if seed == m.options.Listen {
+			zones[i] = m.options.Zone
+			continue
+		}
+		calls.Go(func() {
+			reply, err := m.call(ctx, client, seed)
+			if err != nil {
+				client.Forget(seed) // a seed may be gone for good; the next look dials anew
+				return
+			}
+			zones[i] = reply.Zone
+		})
+	}
+	calls.Wait()
+	var reached []string
+	for i, seed := range m.options.Seeds {
+		if zones[i] != "" {
+			m.zones[seed] = zones[i]
+			reached = append(reached, seed)
+		}
+	}
+	return reached
+}
+
 // best is the hub among the seeds that answered; empty if there is none.
 func (m *Member) best(reached []string) string {
 	if i := slices.IndexFunc(reached, func(seed string) bool { return m.zones[seed] == m.options.Zone }); i >= 0 {
