gateway: tests of roll-outs don't depend on how long they take

Ruled out: a raise during the outage (the new test would show it).

Change: the roll-out takes a minute, and is shortened once the outage is noticed; the test also checks that the share rises when the store is back. It fails if the freshness isn't looked at. The same for the test of a good version.

--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -46,6 +46,16 @@
 	h.store.put("operator", "order/svc", Order{Service: "svc", Version: version, Duration: duration})
 }
 
+// shorten gives the roll-out less time. What a test checks before doesn't depend on
+// how long it takes then.
+func (h *rolloutHosts) shorten(duration time.Duration) {
+	for _, g := range h.hosts {
+		g.rollouts.mu.Lock()
+		g.rollouts.active["svc"].order.Duration = duration
+		g.rollouts.mu.Unlock()
+	}
+}
+
 func (h *rolloutHosts) state() (RolloutState, bool) {
 	h.store.mu.Lock()
 	defer h.store.mu.Unlock()
@@ -100,11 +110,12 @@
 	is := is.New(t)
 	h := newRolloutHosts(t, 3)
 	is.Equal(h.share(false), 0.0) // nobody ordered the version
-	h.order("v2", 3*time.Second)
+	h.order("v2", time.Minute)
 	eventually(t, "reported as running", h.stateIs(RolloutRunning))
 	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
 	is.True(h.share(false) < 0.2) // below the permitted share
 	is.Equal(h.share(true), 0.0)  // sessions stay in the first half
+	h.shorten(time.Second)
 	eventually(t, "reported as completed", h.stateIs(RolloutCompleted))
 	eventually(t, "all requests", func() bool { return h.share(true) == 1 && h.share(false) == 1 })
 }
@@ -165,17 +176,23 @@
 }
 
 // A host that can't hear whether others stopped the version doesn't raise its
-// share.
+// share, and does when it hears again.
 func TestShareIsHeldWhileTheStoreIsAway(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHosts(t, 1)
-	h.order("v2", 2*time.Second)
+	m := h.hosts[0].rollouts
+	h.order("v2", time.Minute)
 	eventually(t, "canaries", func() bool { return h.share(false) > 0.05 })
 	h.store.setDown(true)
 	h.store.put("other", "wakes", 1) // ends the calls that wait
-	time.Sleep(2500 * time.Millisecond)
+	eventually(t, "the outage is noticed", m.statuses.Interrupted)
+	// The roll-out's time is over at once: how long the test takes doesn't matter.
+	h.shorten(time.Millisecond)
+	time.Sleep(10 * rolloutTick)
 	is.True(h.share(false) < 0.2)
 	is.Equal(h.share(true), 0.0)
+	h.store.setDown(false)
+	eventually(t, "raised when the store is back", func() bool { return h.share(true) == 1 })
 }
 
 func TestRolloutGoesOnAfterARestart(t *testing.T) {
