--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -22,7 +22,7 @@
 	Settings         string `help:"The platform's settings file (YAML)."`
 	MetricsPort      int    `help:"Port of the metrics, on the host's own address; 0 for none." default:"9464"`
 	FirstModel       int    `help:"Step at which a request with a choice of models starts, 0 for the cheapest." default:"0"`
-	AcceptConfidence int    `help:"Confidence, 0 to 100, from which a cheaper model's answer is passed on." default:"48"`
+	AcceptConfidence int    `help:"Confidence, 0 to 100, from which a cheaper model's answer is passed on." default:"50"`
 	LogLevel         string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
 }
 
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -8,12 +8,8 @@
 const (
 	// pressureGain is the weight of a new answer in a service's pressure.
 	pressureGain = 0.05
-	// sizeSlope is by how much the threshold of confidence falls, in units of
-	// confidence, for a route whose prompts are longer by the service's mean: asking
-	// the best model costs more there.
-	sizeSlope = 5
-	// pressureFrom is the pressure from which the threshold falls further, by
-	// pressureSlope for each unit above, twice that where prompts are of the mean size
+	// pressureFrom is the pressure from which the threshold falls, in units of
+	// confidence by pressureSlope for each unit above, twice that where prompts are of the mean size
 	// and more where they are longer. Below it the best model's first events come
 	// early enough; far above it each further request for that model makes another one
 	// late, in proportion to its prompt.
@@ -46,7 +42,6 @@
 func (p *pressure) threshold(usual int, relativePrompt float64) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := float64(usual) + sizeSlope*(1-relativePrompt)
-	t -= pressureSlope * (1 + relativePrompt) * max(0, p.mean-pressureFrom)
+	t := float64(usual) - pressureSlope*(1+relativePrompt)*max(0, p.mean-pressureFrom)
 	return int(max(lowestThreshold*float64(usual), t))
 }
