--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,7 +19,7 @@
 
 const (
 	// Interval is the time between two reports of a host. An engine reads a long
-	// prompt in 300 ms; with 250 ms in place of 150 ms a third more reports were
+	// prompt in 300 ms; with 250 ms in place of 150 ms half more reports were
 	// late on a calm day of 73 hosts (386 and 259 of 7,171).
 	Interval = 150 * time.Millisecond
 	// callTimeout bounds one exchange. Hosts are some milliseconds apart.
@@ -27,9 +27,9 @@
 	// WorkAge is the greatest age of a report, and of a hub's sum, that counts: an
 	// exchange that lapsed, and one more.
 	WorkAge = 900 * time.Millisecond
-	// minFollowers is the number of hosts, the hub among them, from which it relays the store's
-	// word. The hub then asks the store six times as often as a host does for
-	// itself, so with fewer followers there would be more calls in all.
+	// minFollowers is the number of hosts, the hub among them, from which it relays
+	// the store's word. The hub then asks the store six times as often as a host
+	// does for itself, so with fewer followers there would be more calls in all.
 	minFollowers = 8
 	// maxFollowers bounds the hosts that a hub relays to, and with that its
 	// network traffic; further hosts ask the store themselves.
