gateway, placement, exchange: prompts are placed by the time to their first event; versions are completed on evidence

Cause of the late reports: each availability zone read each shared part for itself, a prompt left its engine for a load above the mean, and attempts were given up after 0.4 of the target or four times the usual time, whatever their prompt: reading 30,000 tokens on the largest model takes 2.7 s, the second engine began anew.

Package placement chooses by that: work ahead, missing tokens at a learnt rate, the way to another zone, and a second reading's price away from the parts' owner. Hosts tell each other work in engine time, of all zones (hubs ask each other), and which shared parts they sent where for the first time. Patience follows the expected time.

Cause of the broken exposure: attempts that this side gave up counted as failures of the old version (115 of 700), so a version that failed half of its requests wasn't worse enough; hosts judged by a third of the evidence; and the clock completed what nobody had judged. Silence is slowness now, heads count when they come, a crash counts once, one bad upstream stops no version, and a version is completed when some thirty answers clear it.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -1,10 +1,15 @@
 package exchange
 
+import "math/bits"
+
 // Tally counts answers of one version.
 type Tally struct {
 	Answers int `json:"answers"`
-	Failed  int `json:"failed"`
-	Slow    int `json:"slow"`
+	Failed  int `json:"failed,omitempty"`
+	Slow    int `json:"slow,omitempty"`
+	// From names the upstreams that gave bad answers: bit hash(upstream) modulo 64
+	// of each.
+	From uint64 `json:"from,omitempty"`
 }
 
 // Add adds another host's counts.
@@ -12,8 +17,17 @@
 	t.Answers += o.Answers
 	t.Failed += o.Failed
 	t.Slow += o.Slow
+	t.From |= o.From
+}
+
+// Blame notes the upstream of a bad answer.
+func (t *Tally) Blame(upstream string) {
+	t.From |= 1 << (hash(upstream) % 64)
 }
 
+// Sources is the number of upstreams that gave bad answers, at least: two may share a bit.
+func (t *Tally) Sources() int { return bits.OnesCount64(t.From) }
+
 // Versions are the answers of the version that is rolled out and of the one before.
 type Versions struct {
 	Old Tally `json:"old"`
@@ -58,12 +72,12 @@
 }
 
 // evidence is what all hosts but one, of any zone, saw of the roll-outs under way.
-func (h *hub) evidence(self string) []Evidence {
+func (h *hub) evidence(self string, who audience) []Evidence {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	sums := make(map[evidenceOf]map[string]Versions)
 	for host, got := range h.reports {
-		if host != self {
+		if host != self && who.hears(got) {
 			addEvidence(sums, got.report.Evidence)
 		}
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,8 @@
 // Each host talks to one hub: a host of its own availability zone, if the
 // settings name one there. A hub is a host like any other; nothing is decided or
 // kept there, and a host without one goes on by what it knows itself. So the
-// messages of an installation grow with its hosts, not with their pairs.
+// messages of an installation grow with its hosts, not with their pairs. The hubs, three
+// at most, ask each other for the sums of their followers.
 //
 // What is told is a hint with an age. A host that doesn't hear from its hub for
 // about a second asks the store itself and counts its own requests only.
@@ -43,10 +44,16 @@
 // Report is what a host tells a hub.
 type Report struct {
 	Zone string `json:"zone"`
+	// Hub says that another hub asks for the sums of this one's followers.
+	Hub bool `json:"hub,omitempty"`
 	// Work is the host's work in flight by upstream; none is left out.
 	Work map[string]float64 `json:"work,omitempty"`
 	// Evidence is what the host saw of the roll-outs under way.
 	Evidence []Evidence `json:"evidence,omitempty"`
+	// Reads are what the host's upstreams were sent for the first time since the last
+	// report, ReadsSince the number up to which the host knows the hub's.
+	Reads      Reads  `json:"reads,omitempty"`
+	ReadsSince uint64 `json:"reads_since,omitempty"`
 	// Revisions are the newest that the host knows of the store's tables.
 	Revisions map[string]uint64 `json:"revisions,omitempty"`
 }
@@ -55,11 +62,13 @@
 type Reply struct {
 	// Zone is the hub's availability zone.
 	Zone string `json:"zone"`
-	// Work is the sum of what the other hosts of the reporter's zone have in
-	// flight, by upstream.
+	// Work is the sum of what the other hosts have in flight, by upstream.
 	Work map[string]float64 `json:"work,omitempty"`
 	// Evidence is what the other hosts saw of the roll-outs under way.
 	Evidence []Evidence `json:"evidence,omitempty"`
+	// Reads are the others' reads up to the number ReadsLast.
+	Reads     Reads  `json:"reads,omitempty"`
+	ReadsLast uint64 `json:"reads_last,omitempty"`
 	// Tables is what the store told the hub, if it relays that.
 	Tables map[string]TableNews `json:"tables,omitempty"`
 }
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,22 +17,53 @@
 
 	mu      sync.Mutex
 	reports map[string]received
+	reads   readLog
 }
 
-// received is a host's latest report.
+// received is a host's latest report, or what another hub told of its followers.
 type received struct {
 	report Report
 	at     time.Time
+	// fromHub says that another hub told it.
+	fromHub bool
 }
 
+// audience is whom a hub tells something.
+type audience int
+
+const (
+	// toHost: a host hears what all others told.
+	toHost audience = iota
+	// toHub: another hub hears what this one's own followers told; it adds up the
+	// hubs itself, so that nothing goes round.
+	toHub
+)
+
+// hears says whether the audience is told the report.
+func (a audience) hears(r received) bool { return a == toHost || !r.fromHub }
+
+// maxTold bounds the upstreams whose work a host is told, the busiest first, and with
+// that an answer to about 5 KB and a host's part of the exchange to the 7 KB a second
+// that control may take: most of the time a few upstreams of a service are busy.
+const maxTold = 200
+
 func newHub(zone string, tables map[string]*feed.Watcher) *hub {
 	return &hub{zone: zone, tables: tables, reports: make(map[string]received)}
 }
 
 // exchange takes a host's report and answers it.
 func (h *hub) exchange(_ context.Context, from string, r Report) (Reply, error) {
-	h.take(from, r)
-	reply := Reply{Zone: h.zone, Work: h.others(from, r.Zone), Evidence: h.evidence(from)}
+	who := toHost
+	if r.Hub {
+		who = toHub
+	} else {
+		h.take(from, r)
+	}
+	reply := Reply{Zone: h.zone, Work: h.others(from, who), Evidence: h.evidence(from, who)}
+	reply.Reads, reply.ReadsLast = h.readsSince(r.ReadsSince, from, who)
+	if r.Hub {
+		return reply, nil
+	}
 	if h.relaysTo(from) {
 		reply.Tables = h.news(r.Revisions)
 	}
@@ -42,23 +75,56 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports[from] = received{report: r, at: time.Now()}
+	h.reads.add(from, false, r.Reads)
+}
+
+// readsSince is what others than the host read after a number, and the number of the last.
+func (h *hub) readsSince(number uint64, self string, who audience) (Reads, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reads.since(number, self, who), h.reads.last
 }
 
-// others sums the work of the zone's hosts but one.
-func (h *hub) others(self, zone string) map[string]float64 {
+// takeHub keeps what another hub told of its followers.
+func (h *hub) takeHub(address string, r Reply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reports["hub "+address] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true}
+	h.reads.add(address, true, r.Reads)
+}
+
+// others sums the work of all hosts but one, of any zone: a host may choose any zone's
+// upstreams.
+func (h *hub) others(self string, who audience) map[string]float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
 	sum := make(map[string]float64)
 	for host, got := range h.reports {
-		if host == self || got.report.Zone != zone {
+		if host == self || !who.hears(got) {
 			continue
 		}
 		for upstream, work := range got.report.Work {
 			sum[upstream] += work
 		}
 	}
-	return sum
+	return busiest(sum, maxTold)
+}
+
+// busiest keeps the upstreams with the most work.
+func busiest(work map[string]float64, most int) map[string]float64 {
+	if len(work) <= most {
+		return work
+	}
+	amounts := slices.Sorted(maps.Values(work))
+	least := amounts[len(amounts)-most]
+	kept := make(map[string]float64, most)
+	for id, w := range work {
+		if w >= least {
+			kept[id] = w
+		}
+	}
+	return kept
 }
 
 // relays says whether enough hosts rely on this one.
@@ -76,7 +142,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
-	return len(h.reports)
+	n := 0
+	for _, got := range h.reports {
+		if !got.fromHub {
+			n++
+		}
+	}
+	return n
 }
 
 // dropOld forgets the hosts that say nothing any more. The lock is held.
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -37,6 +38,10 @@
 	// Others takes the other hosts' work by upstream, as of a time. It isn't called
 	// while no hub answers.
 	Others func(work map[string]float64, at time.Time)
+	// Reads returns what upstreams were sent for the first time since the last call;
+	// TakeReads takes what the others sent. Both may be nil.
+	Reads     func() map[string][]placement.Key
+	TakeReads func(map[string][]placement.Key)
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
 	// takes what the others saw. Both may be nil.
 	Evidence     func() []Evidence
@@ -53,11 +58,27 @@
 	// current is the seed that is this host's hub; empty without one.
 	current string
 	lookAt  time.Time
+	// hubSince is when the hub was chosen. Until the hub before has forgotten this
+	// host's evidence it tells the new one none: counted twice, a few bad answers could
+	// stop a sound version.
+	hubSince time.Time
+
+	// untold are the reads that the hub wasn't told yet, readsSince is the number up to
+	// which the hub's are known.
+	untold     Reads
+	readsSince uint64
+
+	mu sync.Mutex
+	// asking are the hubs that are being asked, askAt when the next question may go out.
+	asking map[string]bool
+	askAt  map[string]time.Time
+	// hubReads are the numbers up to which the other hubs' reads are known.
+	hubReads map[string]uint64
 }
 
 // New returns a member; Run runs it.
 func New(options Options, log zerolog.Logger) *Member {
-	m := &Member{options: options, log: log, zones: make(map[string]string)}
+	m := &Member{options: options, log: log, zones: make(map[string]string), asking: make(map[string]bool), askAt: make(map[string]time.Time), untold: make(Reads), hubReads: make(map[string]uint64)}
 	m.hub = newHub(options.Zone, options.Tables)
 	return m
 }
@@ -87,14 +108,14 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx) }()
-	m.report(ctx, client)
+	m.follow(ctx, client)
 	if err := errors.Join(client.Close(), <-served); err != nil {
 		m.log.Warn().Str("event", "exchange-end").Err(err).Msg("")
 	}
 }
 
-// report exchanges with the hub until the context ends.
-func (m *Member) report(ctx context.Context, client *peer.Client) {
+// follow exchanges with the hub until the context ends.
+func (m *Member) follow(ctx context.Context, client *peer.Client) {
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
 	for {
@@ -109,19 +130,76 @@
 		switch m.current {
 		case "":
 		case m.options.Listen:
-			m.hub.take(m.options.Host, m.own())
-			m.options.Others(m.hub.others(m.options.Host, m.options.Zone), time.Now())
-			m.takeEvidence(m.hub.evidence(m.options.Host))
+			m.hub.take(m.options.Host, m.report())
+			m.options.Others(m.hub.others(m.options.Host, toHost), time.Now())
+			m.takeEvidence(m.hub.evidence(m.options.Host, toHost))
+			m.takeReads(m.hub.readsSince(m.readsSince, m.options.Host, toHost))
+			m.askHubs(ctx, client)
 		default:
 			m.exchange(ctx, client)
 		}
 	}
 }
 
+// askHubs asks the other hubs for the sums of their followers, each by itself, so that a
+// dead one delays nothing.
+func (m *Member) askHubs(ctx context.Context, client *peer.Client) {
+	for _, seed := range m.options.Seeds {
+		if seed == m.options.Listen || !m.begin(seed) {
+			continue
+		}
+		since := m.knownReads(seed)
+		go func() {
+			reply, err := m.ask(ctx, client, seed, Report{Zone: m.options.Zone, Hub: true, ReadsSince: since})
+			if err != nil {
+				client.Forget(seed)
+				m.end(seed, retryHub)
+				return
+			}
+			m.hub.takeHub(seed, reply)
+			m.known(seed, reply.ReadsLast)
+			m.end(seed, 0)
+		}()
+	}
+}
+
+// begin says whether the hub may be asked: no question is under way, and the last one
+// didn't fail just now.
+func (m *Member) begin(hub string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.asking[hub] || time.Now().Before(m.askAt[hub]) {
+		return false
+	}
+	m.asking[hub] = true
+	return true
+}
+
+// knownReads is the number up to which a hub's reads are known, known sets it.
+func (m *Member) knownReads(hub string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hubReads[hub]
+}
+
+func (m *Member) known(hub string, number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hubReads[hub] = number
+}
+
+// end notes that a question to a hub is over and how long the next one waits.
+func (m *Member) end(hub string, pause time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asking, hub)
+	m.askAt[hub] = time.Now().Add(pause)
+}
+
 // exchange makes one exchange with the hub.
 func (m *Member) exchange(ctx context.Context, client *peer.Client) {
 	asked := time.Now()
-	reply, err := m.call(ctx, client, m.current)
+	reply, err := m.ask(ctx, client, m.current, m.report())
 	if err != nil {
 		m.log.Warn().Str("event", "hub-lost").Str("hub", m.current).Err(err).Msg("")
 		client.Forget(m.current)
@@ -131,6 +209,7 @@
 	}
 	m.options.Others(reply.Work, asked)
 	m.takeEvidence(reply.Evidence)
+	m.takeReads(reply.Reads, reply.ReadsLast)
 	for name, news := range reply.Tables {
 		if w := m.options.Tables[name]; w != nil {
 			w.Offer(news.news(), asked)
@@ -139,13 +218,36 @@
 }
 
 func (m *Member) call(ctx context.Context, client *peer.Client, address string) (Reply, error) {
+	return m.ask(ctx, client, address, m.own())
+}
+
+func (m *Member) ask(ctx context.Context, client *peer.Client, address string, report Report) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply Reply
-	err := client.Call(ctx, address, method, m.own(), &reply)
+	err := client.Call(ctx, address, method, report, &reply)
 	return reply, err
 }
 
+// takeReads takes the others' reads, up to a number.
+func (m *Member) takeReads(reads Reads, last uint64) {
+	m.untold = make(Reads) // the hub has them
+	m.readsSince = last
+	if m.options.TakeReads != nil && len(reads) > 0 {
+		m.options.TakeReads(reads)
+	}
+}
+
+// report is what the hub is told: the host's own state and its new reads.
+func (m *Member) report() Report {
+	if m.options.Reads != nil {
+		m.untold.add(m.options.Reads())
+	}
+	report := m.own()
+	report.Reads, report.ReadsSince = m.untold, m.readsSince
+	return report
+}
+
 func (m *Member) takeEvidence(list []Evidence) {
 	if m.options.TakeEvidence != nil && len(list) > 0 {
 		m.options.TakeEvidence(list)
@@ -158,7 +260,7 @@
 	for name, w := range m.options.Tables {
 		report.Revisions[name] = w.Revision()
 	}
-	if m.options.Evidence != nil {
+	if m.options.Evidence != nil && time.Since(m.hubSince) > WorkAge {
 		report.Evidence = m.options.Evidence()
 	}
 	return report
@@ -175,6 +277,8 @@
 		return
 	}
 	m.current = found
+	m.hubSince = time.Now()
+	m.readsSince = 0
 	if found == "" {
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,6 +48,8 @@
 	giveUp   func() bool
 	call     *sealedconn.Call
 	state    runstate.Tracker
+	// headSeen says that an acceptable head came.
+	headSeen bool
 }
 
 // send sends the request and returns the answer's head, once it is known to
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,38 +1,37 @@
 package gateway
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-const (
-	// boundFactor and boundSlack limit how far an upstream's load may be above
-	// the mean of its zone for a request that follows its prompt's cache there.
-	// Waiting behind one long prompt costs more than reading a short one again: a
-	// slack of 4 made 5% more reports late than 0 to 1 on loaded days.
-	boundFactor = 1.25
-	boundSlack  = 0.5
-	// saturated is the load per slot above which another availability zone is
-	// tried: before that the way there costs more than it gains.
-	saturated = 1.0
+	"github.com/quetzalweir/quetzalweir/placement"
 )
 
+// saturated is the load per slot above which another availability zone is tried:
+// before that the way there costs more than it gains.
+const saturated = 1.0
+
 // choice is the upstream that was chosen, and why.
 type choice struct {
 	upstream Upstream
 	// among is the number of upstreams that could have been chosen.
 	among int
-	// load is the chosen upstream's believed load, rank its place in the order
-	// of the prompt's affinity, 0 without one.
+	// load is the chosen upstream's believed load.
 	load float64
-	rank int
 	// loadFrom says what the load was believed from, loadAge how old that was.
 	loadFrom loadSource
 	loadAge  time.Duration
 	// work is what the request asks of the upstream now.
 	work float64
+	// placed is why an engine was chosen for a prompt, ahead the work that was
+	// believed to be before it there; kept is how many of the prompt's parts the
+	// engine kept.
+	placed placement.Choice
+	ahead  time.Duration
+	kept   int
+	// wants is what the choice was made for.
+	wants wants
 	// at is when it was chosen.
 	at time.Time
 }
@@ -41,10 +40,17 @@
 type wants struct {
 	service string
 	zone    string
-	// subject is what the prompt shares with others; empty without affinity.
-	subject string
-	// cost is what the request's prompt costs; 0 if unknown.
-	cost float64
+	// prompt is what an engine reads for the model; nil for plain services.
+	prompt *placement.Prompt
+	model  string
+	// keys name the prompt's leading parts.
+	keys []placement.Key
+	// priority is the urgency that the upstream is told.
+	priority int
+	// target is the time within which the first event is to come, bytes the size of
+	// the body.
+	target time.Duration
+	bytes  int
 	// exclude are upstreams that were tried.
 	exclude []string
 	// admits says whether a version may run the request.
@@ -62,15 +68,23 @@
 	if len(list) == 0 {
 		return choice{}, false
 	}
-	picked, rank := pick(list, w, now)
-	c := choice{at: now, upstream: picked.Upstream, among: len(list), load: picked.load(now), rank: rank}
+	c := choice{at: now, among: len(list), wants: w}
+	picked := s.pick(list, &c, now)
+	c.upstream = picked.Upstream
+	c.load = picked.load(now)
 	c.loadFrom, c.loadAge = picked.loadSource(now)
-	c.work = s.weigh(w.cost)
-	picked.inFlight++
-	picked.work += c.work
+	picked.begin(&c)
 	return c, true
 }
 
+// pick takes the upstream that suits the request best.
+func (s *shard) pick(list []*member, c *choice, now time.Time) *member {
+	if c.wants.prompt == nil {
+		return pickNear(list, c.wants.zone, now)
+	}
+	return s.place(list, c, now)
+}
+
 // release ends a request that choose counted.
 func (f *Fleet) release(c choice, result attemptResult) {
 	s := f.shard(c.upstream.Service)
@@ -80,13 +94,9 @@
 	if m == nil {
 		return
 	}
-	m.inFlight--
 	now := time.Now()
 	s.noteHeld(now.Sub(c.at))
-	m.work -= c.work
-	if m.inFlight == 0 {
-		m.work = 0 // no rest of rounding
-	}
+	m.end(&c)
 	m.observe(result, now)
 }
 
@@ -128,21 +138,15 @@
 	return kept
 }
 
-// pick prefers this host's availability zone while it has room there.
-func pick(list []*member, w wants, now time.Time) (*member, int) {
-	local := keepUnlessNone(list, func(m *member) bool { return m.Zone == w.zone })
-	best, rank := pickWithin(local, w, now)
+// pickNear takes the least loaded upstream of the host's availability zone while there is
+// room.
+func pickNear(list []*member, zone string, now time.Time) *member {
+	local := keepUnlessNone(list, func(m *member) bool { return m.Zone == zone })
+	best := leastLoaded(local, now)
 	if best.relativeLoad(now) < saturated || len(local) == len(list) {
-		return best, rank
-	}
-	return pickWithin(list, w, now)
-}
-
-func pickWithin(list []*member, w wants, now time.Time) (*member, int) {
-	if w.subject == "" {
-		return leastLoaded(list, now), 0
+		return best
 	}
-	return byAffinity(list, w.subject, now)
+	return leastLoaded(list, now)
 }
 
 func leastLoaded(list []*member, now time.Time) *member {
@@ -157,24 +161,3 @@
 	}
 	return best
 }
-
-// byAffinity takes the first upstream in the subject's rendezvous order whose
-// load is within the bound. All hosts of a zone come to the same order without
-// talking to each other.
-func byAffinity(list []*member, subject string, now time.Time) (*member, int) {
-	order := slices.Clone(list)
-	slices.SortFunc(order, func(a, b *member) int {
-		return cmp.Compare(hash(subject, b.ID), hash(subject, a.ID))
-	})
-	total := 0.0
-	for _, m := range order {
-		total += m.load(now)
-	}
-	bound := boundFactor*total/float64(len(order)) + boundSlack
-	for i, m := range order {
-		if m.load(now) <= bound {
-			return m, i
-		}
-	}
-	return leastLoaded(list, now), len(order)
-}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -81,7 +82,11 @@
 	}
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
-		result = a.stream(ctx, func(head attemptResult) bool { return d.accept(r, models, head) })
+		result = a.stream(ctx, func(head attemptResult) bool {
+			d.gateway.rollouts.head(r, &a.choice, head.firstByte)
+			a.headSeen = true
+			return d.accept(r, models, head)
+		})
 	} else {
 		result = a.whole(ctx)
 	}
@@ -97,11 +102,7 @@
 func (d *dispatch) begin(r *Request, models *modelSteps) (*attempt, error) {
 	g := d.gateway
 	r.model = models.current()
-	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, admits: g.rollouts.admits(r)}
-	w.cost = cost(r.Table, r.Service, cmp.Or(r.model, r.Prompt.Model), r.Prompt.TokensIn)
-	if r.Route.PrefixAffinity {
-		w.subject = r.Prompt.Subject()
-	}
+	w := d.wants(r, r.model, models.best())
 	picked, ok := g.fleet.choose(w)
 	if !ok {
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).Msg("")
@@ -117,11 +118,26 @@
 		began:     time.Now(),
 		largest:   models.best(),
 		threshold: models.required(),
-		patience:  g.usual.of(r.usualKey()).patience(r.Route.Target),
+		patience:  max(g.usual.of(r.usualKey()).patience(r.Route.Target), patienceExpected*picked.placed.Expected),
 		giveUp:    func() bool { return another && g.budgets.of(r.Service).take() },
 	}, nil
 }
 
+// wants is what the choice of an upstream for the request depends on.
+func (d *dispatch) wants(r *Request, model string, largest bool) wants {
+	g := d.gateway
+	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, admits: g.rollouts.admits(r)}
+	if r.Prompt.TokensIn > 0 {
+		w.prompt = r.Prompt.reading(r.Route.PrefixAffinity)
+		w.model = cmp.Or(model, r.Prompt.Model)
+		w.keys = placement.Keys(w.model, w.prompt)
+		w.priority = r.priority(largest)
+		w.target = r.Route.Target
+		w.bytes = len(r.Body)
+	}
+	return w
+}
+
 // usualKey names the answers whose usual time the request's is compared with.
 func (r *Request) usualKey() string { return r.Service + "/" + r.model + "/" + r.Route.Name }
 
@@ -130,7 +146,7 @@
 func (d *dispatch) learn(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
 	g.fleet.release(a.choice, result)
-	g.rollouts.observe(r, a.choice.upstream.Version, result)
+	g.rollouts.observe(r, &a.choice, result, a.headSeen)
 	if result.outcome == outcomeSilent {
 		g.usual.of(r.usualKey()).observeSilence(time.Since(a.began))
 	}
@@ -148,12 +164,18 @@
 	if r.answer.started || models.accepts(head.confidence) {
 		return true
 	}
-	if r.attempts >= r.Route.MaxAttempts || !models.inTime() {
+	if r.attempts >= r.Route.MaxAttempts || !d.inTime(r, models) {
 		return true
 	}
 	return !d.gateway.budgets.of(r.Service).take()
 }
 
+// inTime says whether a better model's first event can still be in time.
+func (d *dispatch) inTime(r *Request, models *modelSteps) bool {
+	expected := d.gateway.fleet.expected(d.wants(r, models.next(), true))
+	return time.Now().Add(expected).Before(models.latest)
+}
+
 // again says whether another attempt is permitted: nothing ran or the request
 // may be repeated, and neither the attempts, the time nor the budget are spent.
 func (d *dispatch) again(ctx context.Context, r *Request, result attemptResult) bool {
@@ -248,7 +270,8 @@
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
 		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
 		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
-		Int("rank", a.choice.rank).Int("threshold", a.threshold).
+		Int64("ahead_ms", a.choice.ahead.Milliseconds()).Int64("expected_ms", a.choice.placed.Expected.Milliseconds()).
+		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).Int("threshold", a.threshold).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -2,30 +2,44 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/rollout"
 )
 
 const (
+	// failedAlpha and slowAlpha are the probabilities with which a version that is like
+	// the old one is stopped by one of the tests, of all answers or of one route's.
+	// Failures are independent; slow answers come in bursts with load.
+	failedAlpha = 2e-3
+	slowAlpha   = 1e-5
+	// failedTolerance and slowTolerance are the parts of all answers by which a new
+	// version may be worse and be completed. The smaller they are, the more answers a
+	// sound version needs: 31 for 0.15 where the old version is sound.
+	failedTolerance = 0.15
+	slowTolerance   = 0.3
+	// clearAlpha is the probability with which a version that is worse by more than the
+	// tolerance is completed by the test.
+	clearAlpha = 0.05
 	// minBad is the least number of bad answers that stop a version. Two can
 	// come together by chance when an upstream dies.
 	minBad = 3
-	// failedChance and slowChance are how probable a new version's count of
-	// failed or slow answers may be, at the old version's rate, for the version
-	// to be stopped. Failures are rare and independent; slow answers come in
-	// bursts with load, and dozens of hosts look at each route after each answer.
-	failedChance = 5e-4
-	slowChance   = 1e-5
-	// slowFactor is how many times as long as the old version's mean an answer
-	// takes that counts as slow.
+	// minSources is the number of upstreams that must have given bad answers for a
+	// version to be stopped, if it has as many: a version is bad wherever it runs, a
+	// single upstream can be bad with any version.
+	minSources = 2
+	// slowFactor is how many times as long as expected an answer takes that counts as
+	// slow.
 	slowFactor = 4
 	// slowLeast is the least time of a slow answer: shorter ones vary for other
 	// reasons, such as an upstream's queue.
 	slowLeast = 250 * time.Millisecond
 	// meanGain is the weight of a new time in a mean.
 	meanGain = 0.1
+	// crashSpan is the time within which answers that one upstream broke off count as
+	// one: a crash breaks off all that it runs.
+	crashSpan = time.Second
 )
 
 // evidence compares two versions of a service by their answers, for each route and
@@ -35,6 +49,8 @@
 	// hears of.
 	routes map[string]*tallies
 	others map[string]exchange.Versions
+	// brokenAt is when an upstream last broke answers off.
+	brokenAt map[string]time.Time
 }
 
 type tallies struct {
@@ -43,28 +59,67 @@
 	meanOld time.Duration
 }
 
-func newEvidence() evidence { return evidence{routes: make(map[string]*tallies)} }
+func newEvidence() evidence {
+	return evidence{routes: make(map[string]*tallies), brokenAt: make(map[string]time.Time)}
+}
+
+// observation is what one attempt is about.
+type observation struct {
+	route    string
+	upstream string
+	isNew    bool
+	// expected is the time in which an engine was expected to answer; 0 for plain
+	// services, whose old version's mean time stands for it.
+	expected time.Duration
+	// counted says that the answer's head was counted as an answer.
+	counted bool
+}
+
+// head takes in the head of a stream. It counts as soon as it comes: failures come at
+// once, and good answers that are counted at their end make a version look worse than it
+// is.
+func (e *evidence) head(o observation, took time.Duration) {
+	t := e.of(o.route)
+	t.count(o, false, t.slow(o, took))
+}
 
-// add takes in how an attempt on the new or the old version ended.
-func (e *evidence) add(r *Request, isNew bool, result attemptResult) {
+// end takes in how an attempt ended.
+func (e *evidence) end(o observation, result attemptResult, now time.Time) {
+	t := e.of(o.route)
 	switch result.outcome {
-	case outcomeUnsent, outcomeRefused, outcomeAbandoned:
-		return
+	case outcomeDone:
+		if !o.counted {
+			t.count(o, false, t.slow(o, result.firstByte))
+		}
+	case outcomeFailed:
+		t.count(o, true, false)
+	case outcomeUnknown, outcomeBroken:
+		if now.Sub(e.brokenAt[o.upstream]) > crashSpan {
+			e.brokenAt[o.upstream] = now
+			t.count(o, true, false)
+		}
+	case outcomeSilent:
+		// It was waited for several times as long as expected.
+		t.count(o, false, true)
 	}
-	t := e.routes[r.Route.Name]
+}
+
+func (e *evidence) of(route string) *tallies {
+	t := e.routes[route]
 	if t == nil {
 		t = &tallies{}
-		e.routes[r.Route.Name] = t
+		e.routes[route] = t
 	}
-	failed := result.outcome != outcomeDone
-	slow := !failed && t.slow(isNew, result.firstByte)
-	t.count(isNew, failed, slow)
+	return t
 }
 
-// slow says whether a time is far above the old version's mean.
-func (t *tallies) slow(isNew bool, took time.Duration) bool {
+// slow says whether a time is far above what was expected.
+func (t *tallies) slow(o observation, took time.Duration) bool {
+	if o.expected > 0 {
+		return took > slowLeast && took > slowFactor*o.expected
+	}
 	slow := t.meanOld > 0 && took > slowLeast && took > slowFactor*t.meanOld
-	if !isNew && !slow {
+	if !o.isNew && !slow {
 		if t.meanOld == 0 {
 			t.meanOld = took
 		}
@@ -73,18 +128,23 @@
 	return slow
 }
 
-func (t *tallies) count(isNew, failed, slow bool) {
+func (t *tallies) count(o observation, failed, slow bool) {
 	side := &t.Old
-	if isNew {
+	if o.isNew {
 		side = &t.New
 	}
-	side.Answers++
+	if !o.counted {
+		side.Answers++
+	}
 	if failed {
 		side.Failed++
 	}
 	if slow {
 		side.Slow++
 	}
+	if failed || slow {
+		side.Blame(o.upstream)
+	}
 }
 
 // own are this host's counts by route.
@@ -107,14 +167,15 @@
 	return routes
 }
 
-// verdict is the reason to stop the new version, or empty.
-func (e *evidence) verdict() string {
+// verdict is the reason to stop the new version, which has a number of upstreams; empty
+// if there is none.
+func (e *evidence) verdict(upstreams int) string {
 	routes := e.all()
-	if worse(total(routes)) {
+	if worse(total(routes), upstreams) {
 		return "all-routes"
 	}
 	for name, counts := range routes {
-		if worse(counts) {
+		if worse(counts, upstreams) {
 			return "route " + name
 		}
 	}
@@ -129,33 +190,29 @@
 	return sum
 }
 
-// worse says that the new version's answers fail or are slow far more often than
-// chance explains.
-func worse(v exchange.Versions) bool {
-	return unlikely(v.New.Failed, v.New.Answers, v.Old.Failed, v.Old.Answers, failedChance) ||
-		unlikely(v.New.Slow, v.New.Answers, v.Old.Slow, v.Old.Answers, slowChance)
-}
-
-// unlikely says whether as many bad answers as the new version's have at most the
-// chance at the old version's rate. The rate is taken with one bad answer and four
-// answers more, so that a short good record doesn't make every failure telling.
-func unlikely(newBad, newAnswers, oldBad, oldAnswers int, chance float64) bool {
-	if newBad < minBad {
+// worse says that the new version's answers fail or are slow more often than chance and
+// a single bad upstream explain.
+func worse(v exchange.Versions, upstreams int) bool {
+	if v.New.Sources() < min(minSources, upstreams) {
 		return false
 	}
-	rate := float64(oldBad+1) / float64(oldAnswers+4)
-	return poissonTail(newBad, rate*float64(newAnswers)) <= chance
+	return v.New.Failed >= minBad && rollout.Worse(failures(v.Old), failures(v.New), failedAlpha) ||
+		v.New.Slow >= minBad && rollout.Worse(slowness(v.Old), slowness(v.New), slowAlpha)
 }
 
-// poissonTail is the probability of at least n events where mean are expected.
-func poissonTail(n int, mean float64) float64 {
-	term := math.Exp(-mean)
-	below := 0.0
-	for i := range n {
-		below += term
-		term *= mean / float64(i+1)
-	}
-	return max(0, 1-below)
+// cleared says that enough answers speak for the new version.
+func (e *evidence) cleared() bool {
+	v := total(e.all())
+	return rollout.Cleared(failures(v.Old), failures(v.New), failedTolerance, clearAlpha) &&
+		rollout.Cleared(slowness(v.Old), slowness(v.New), slowTolerance, clearAlpha)
+}
+
+func failures(t exchange.Tally) rollout.Sample {
+	return rollout.Sample{Bad: min(t.Failed, t.Answers), Total: t.Answers}
+}
+
+func slowness(t exchange.Tally) rollout.Sample {
+	return rollout.Sample{Bad: min(t.Slow, t.Answers), Total: t.Answers}
 }
 
 // String shows the counts, failed and slow of all, old and new: the host's own and
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/placement"
 )
 
 // Upstream is one incarnation of an upstream as the store lists it.
@@ -27,9 +29,7 @@
 	// removalGrace is how long an upstream whose entry vanished is still used.
 	// Entries can lapse while the store is out of reach and come back.
 	removalGrace time.Duration
-	// zone is this host's availability zone.
-	zone string
-	log  zerolog.Logger
+	log          zerolog.Logger
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -45,18 +45,22 @@
 	// typicalLoad is the decayed mean of the loads per slot that the upstreams
 	// reported.
 	typicalLoad float64
-	// meanCost is the decayed mean of the costs of requests.
-	meanCost float64
+	// rates are how fast the models read, urgency is the decayed work of new prompts by
+	// priority, meanReading the decayed mean of the longer ones' in milliseconds.
+	rates       *placement.Rates
+	urgency     [leastUrgent + 1]float64
+	meanReading float64
+	// reads are the shared parts that upstreams were sent for the first time, as far as
+	// this host knows, since the other hosts were told.
+	reads map[string][]placement.Key
 	// meanHeld is the decayed mean of the times for which upstreams have requests.
 	meanHeld time.Duration
-	// zone is this host's availability zone.
-	zone string
 }
 
-// NewFleet returns an empty fleet of a host in the availability zone. An upstream whose entry was removed is used
-// for removalGrace longer; one that said that it leaves is not.
-func NewFleet(zone string, removalGrace time.Duration, log zerolog.Logger) *Fleet {
-	return &Fleet{zone: zone, removalGrace: removalGrace, log: log, shards: make(map[string]*shard)}
+// NewFleet returns an empty fleet. An upstream whose entry was removed is used for
+// removalGrace longer; one that said that it leaves is not.
+func NewFleet(removalGrace time.Duration, log zerolog.Logger) *Fleet {
+	return &Fleet{removalGrace: removalGrace, log: log, shards: make(map[string]*shard)}
 }
 
 func (f *Fleet) shard(service string) *shard {
@@ -69,11 +73,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.shards[service] == nil {
-		f.shards[service] = &shard{members: make(map[string]*member), zone: f.zone}
+		f.shards[service] = newShard()
 	}
 	return f.shards[service]
 }
 
+func newShard() *shard {
+	return &shard{members: make(map[string]*member), reads: make(map[string][]placement.Key), rates: placement.NewRates()}
+}
+
 // Set takes an upstream's entry at a revision of the store. Leaving is sticky:
 // an incarnation that leaves never comes back.
 func (f *Fleet) Set(u Upstream, revision uint64) {
@@ -82,7 +90,7 @@
 	defer s.mu.Unlock()
 	m := s.members[u.ID]
 	if m == nil {
-		m = &member{shard: s}
+		m = &member{shard: s, kept: placement.NewKept()}
 		s.members[u.ID] = m
 		f.log.Info().Str("event", "upstream-listed").Str("upstream", u.ID).Str("service", u.Service).
 			Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Bool("leaving", u.Leaving).Uint64("revision", revision).Msg("")
@@ -174,6 +182,21 @@
 	return false
 }
 
+// count is the number of upstreams of a version that take work.
+func (f *Fleet) count(service, version string) int {
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	n := 0
+	for _, m := range s.members {
+		if m.Version == version && m.takesWork(now, f.removalGrace) {
+			n++
+		}
+	}
+	return n
+}
+
 // Base is the version in service: the most frequent one when it is first asked
 // for, until no upstream of it takes work; then the most frequent of the others.
 // It is empty if none is left.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	g := &Gateway{settings: settings.withDefaults(), log: log}
 	s := &g.settings
 	g.metrics = newMetrics(g)
-	g.fleet = NewFleet(s.Zone, s.DrainTime-removalMargin, log)
+	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow) }
 	g.pressure.make = func() *pressure { return new(pressure) }
@@ -157,6 +157,7 @@
 		g.peers = exchange.New(exchange.Options{
 			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, Keys: peers.Keys,
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
+			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/placement"
 )
 
 const (
@@ -38,10 +40,13 @@
 	removedAt time.Time
 	inFlight  int
 	// work is what this host's requests in flight ask of the upstream, others
-	// what those of the other hosts of its availability zone do, as of othersAt.
+	// what those of the other hosts do, as of othersAt.
 	work     float64
 	others   float64
 	othersAt time.Time
+	// reading is this host's work by priority, kept what the upstream was sent.
+	reading [leastUrgent + 1]float64
+	kept    *placement.Kept
 
 	// reported is the load that the upstream told at reportedAt, when this host
 	// had reportedOwn requests there.
@@ -67,7 +72,7 @@
 
 // load is the number of requests believed to be at the upstream.
 func (m *member) load(now time.Time) float64 {
-	if work, ok := m.knownWork(now, m.shard.zone); ok {
+	if work, ok := m.knownWork(now); ok {
 		return work
 	}
 	own := float64(m.inFlight)
@@ -94,7 +99,7 @@
 
 // loadSource says what load goes by, and how old that is.
 func (m *member) loadSource(now time.Time) (loadSource, time.Duration) {
-	if _, ok := m.knownWork(now, m.shard.zone); ok {
+	if _, ok := m.knownWork(now); ok {
 		return loadExchanged, now.Sub(m.othersAt)
 	}
 	if m.reportedAt.IsZero() {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
@@ -68,14 +69,19 @@
 	Tokens int
 }
 
-// Subject is the longest run of parts that other requests are likely to share:
-// all but the last one, which belongs to the request or its session. It is
-// empty where nothing is shared.
-func (p *Prompt) Subject() string {
-	if len(p.Parts) == 0 {
-		return ""
+// reading is the prompt as an engine reads it. All parts but the last one are likely to
+// be shared with other requests, if the route says so at all; the last one belongs to the
+// request or its session.
+func (p *Prompt) reading(shared bool) *placement.Prompt {
+	prompt := &placement.Prompt{Tokens: p.TokensIn}
+	if !shared {
+		return prompt
 	}
-	return p.Parts[max(0, len(p.Parts)-2)].ID
+	for _, part := range p.Parts {
+		prompt.Parts = append(prompt.Parts, placement.Part(part))
+	}
+	prompt.Shared = max(0, len(p.Parts)-1)
+	return prompt
 }
 
 func parsePrompt(header http.Header, names *Headers) Prompt {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -35,7 +35,9 @@
 	fleet    *Fleet
 	statuses *feed.Watcher
 	log      zerolog.Logger
-	ramp     ramp
+	// single is the ramp of requests without a session, sessions that of the others.
+	single   ramp
+	sessions ramp
 
 	mu     sync.Mutex
 	active map[string]*activeRollout
@@ -56,6 +58,8 @@
 	// seenAt is when this host learnt of the order.
 	seenAt   time.Time
 	evidence evidence
+	// doubted says that the time is up and too little speaks for the version.
+	doubted bool
 	// writing says that a status is on its way to the store, writeAt when this
 	// host's turn to write one comes; zero before one is due.
 	writing bool
@@ -67,7 +71,8 @@
 		settings: settings,
 		fleet:    fleet,
 		log:      log,
-		ramp:     newRamp(settings.CanaryShare),
+		single:   newRamp(settings.CanaryShare, 0),
+		sessions: newRamp(settings.CanaryShare, sessionsFrom),
 		active:   make(map[string]*activeRollout),
 		stored:   make(map[string]RolloutStatus),
 	}
@@ -165,15 +170,33 @@
 	}
 }
 
-// observe takes in how an attempt ended.
-func (m *rollouts) observe(r *Request, version string, result attemptResult) {
+// head takes in the head of a stream.
+func (m *rollouts) head(r *Request, c *choice, took time.Duration) {
+	m.learn(r, c, func(e *evidence, o observation) { e.head(o, took) })
+}
+
+// observe takes in how an attempt ended; counted says that its head was taken in.
+func (m *rollouts) observe(r *Request, c *choice, result attemptResult, counted bool) {
+	m.learn(r, c, func(e *evidence, o observation) {
+		o.counted = counted
+		e.end(o, result, time.Now())
+	})
+}
+
+// learn adds to the evidence on the roll-out under way, if any, and judges it.
+func (m *rollouts) learn(r *Request, c *choice, add func(e *evidence, o observation)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a := m.active[r.Service]
 	if a == nil || !a.running() || a.stopped {
 		return
 	}
-	a.evidence.add(r, version == a.order.Version, result)
+	add(&a.evidence, observation{
+		route:    r.Route.Name,
+		upstream: c.upstream.ID,
+		isNew:    c.upstream.Version == a.order.Version,
+		expected: c.placed.Expected,
+	})
 	m.judge(a)
 }
 
@@ -206,7 +229,8 @@
 
 // judge stops a version that the evidence speaks against.
 func (m *rollouts) judge(a *activeRollout) {
-	if reason := a.evidence.verdict(); reason != "" {
+	upstreams := m.fleet.count(a.order.Service, a.order.Version)
+	if reason := a.evidence.verdict(upstreams); reason != "" {
 		a.stopped = true
 		m.log.Warn().Str("event", "rollout-stopped").Str("service", a.order.Service).Str("version", a.order.Version).
 			Str("reason", reason).Str("evidence", a.evidence.String()).Msg("")
@@ -265,8 +289,8 @@
 		return
 	}
 	at := m.progress(a)
-	a.sessionShare = max(a.sessionShare, m.ramp.sessions(at))
-	a.share = max(a.share, m.ramp.all(at))
+	a.sessionShare = max(a.sessionShare, m.sessions.share(at))
+	a.share = max(a.share, m.single.share(at))
 }
 
 // underWay says whether a roll-out isn't finished.
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -20,13 +20,43 @@
 		// roll-out that began at a wrong time would be raised at once.
 		_, heard := m.statuses.Age()
 		return RolloutRunning, heard
-	case a.sessionShare >= 1 && m.ramp.done(m.progress(a)):
-		return RolloutCompleted, true
+	case a.sessionShare >= 1 && a.share >= 1 && m.sessions.done(m.progress(a)):
+		return RolloutCompleted, m.proven(a)
 	default:
 		return RolloutRunning, false
 	}
 }
 
+// proven says whether enough speaks for the version to complete it. With completion the
+// old version's upstreams stop for good, so a bad version would fail its part of all
+// requests from then on, while a sound one that is completed late costs an overdue
+// roll-out: in doubt the roll-out goes on, with all requests on the new version and the
+// old one ready, until its answers decide. Where answers are so few that they can't, none
+// may be bad.
+func (m *rollouts) proven(a *activeRollout) bool {
+	if a.evidence.cleared() || m.idle(a) {
+		return true
+	}
+	if !a.doubted {
+		a.doubted = true
+		m.log.Warn().Str("event", "rollout-doubted").Str("service", a.order.Service).Str("version", a.order.Version).
+			Str("evidence", a.evidence.String()).Msg("")
+	}
+	return false
+}
+
+// fewAnswers is the number of answers below which a service gives too few in a roll-out
+// for a verdict, all versions together.
+const fewAnswers = 60
+
+// idle says that the service had few answers though this host followed half of the
+// roll-out, and no bad one of the new version.
+func (m *rollouts) idle(a *activeRollout) bool {
+	v := total(a.evidence.all())
+	return time.Since(a.seenAt) >= a.order.Duration/2 &&
+		v.Old.Answers+v.New.Answers < fewAnswers && v.New.Failed == 0 && v.New.Slow == 0
+}
+
 // turn says whether this host writes the status that is due. A stop is written
 // at once; what every host finds due at the same time waits for a random moment.
 func (m *rollouts) turn(a *activeRollout, next RolloutState) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,8 +75,8 @@
 		return a.readWhole(ctx, resp)
 	}
 	a.state.Raise(runstate.Ran)
-	a.gateway.fleet.began(&a.choice)
 	result := a.head(resp)
+	a.gateway.fleet.began(&a.choice, result.firstByte)
 	if !accept(result) {
 		result.outcome = outcomeAbandoned
 		result.err = errLowConfidence
--- a/internal/gateway/usual.go
+++ b/internal/gateway/usual.go
@@ -17,6 +17,9 @@
 	// are slow because of load, giving up adds to the load: with a bound of 1.5
 	// targets an overloaded service lost half of the answers that it had nearly made.
 	leastPatience = 0.4
+	// patienceExpected times the expected time is waited at least: a long prompt is read
+	// for longer than usual, and giving it up begins the reading anew elsewhere.
+	patienceExpected = 3
 	// targetless is the target of routes that declare none.
 	targetless = time.Second
 )
--- /dev/null
+++ b/placement/place.go
@@ -0,0 +1,124 @@
+package placement
+
+import "time"
+
+// Request is what is to be placed.
+type Request struct {
+	Model  string
+	Prompt *Prompt
+	// Target is the time within which the first event is to come; 0 if there is none.
+	Target time.Duration
+	// Way is the price of sending the request to another availability zone.
+	Way time.Duration
+	// Draw is a random number from 0 up to 1.
+	Draw float64
+}
+
+// Candidate is an engine that may take the request.
+type Candidate struct {
+	// Ahead is the work that the engine does before it reads this prompt.
+	Ahead time.Duration
+	// Far says that the engine is in another availability zone.
+	Far bool
+	// Kept is the number of leading parts that the engine keeps.
+	Kept int
+	// Order is the engine's place for this prompt's shared parts, the same on all hosts.
+	Order uint64
+}
+
+// Choice is the engine that was chosen.
+type Choice struct {
+	// Index is its place in the list.
+	Index int
+	// Expected is the time to the first event.
+	Expected time.Duration
+	// Reading is the engine's own work for the request.
+	Reading time.Duration
+	// Missing is the number of tokens to be read.
+	Missing int
+	// Owner says that the prompt's shared parts belong to the engine.
+	Owner bool
+}
+
+const (
+	// secondReading is the price of reading shared parts on another engine than their
+	// owner, in parts of the time that it takes. The engine's time is lost for other
+	// requests, and the next request for the parts finds two engines that half keep them.
+	secondReading = 1.0
+	// targetless is the target of requests that have none.
+	targetless = 2 * time.Second
+)
+
+// Place chooses an engine. The list isn't empty.
+//
+// Each engine has a price in time: its work for the request; the waiting, which weighs
+// little far below the target and fully at it; the way to another zone; and the second
+// reading of shared parts, unless the engine is their owner. All hosts agree on the
+// owner without talking.
+func Place(rates *Rates, r *Request, list []Candidate) Choice {
+	owner := r.owner(rates, list)
+	best := Choice{Index: -1}
+	least := time.Duration(0)
+	for i := range list {
+		c := r.choice(rates, &list[i])
+		c.Index, c.Owner = i, i == owner
+		price := r.price(rates, &c, &list[i])
+		if best.Index < 0 || price < least || price == least && list[i].Order > list[best.Index].Order {
+			best, least = c, price
+		}
+	}
+	return best
+}
+
+func (r *Request) choice(rates *Rates, c *Candidate) Choice {
+	missing := r.Prompt.missing(c.Kept)
+	reading := rates.Reading(r.Model, missing)
+	return Choice{Expected: c.Ahead + reading, Reading: reading, Missing: missing}
+}
+
+func (r *Request) price(rates *Rates, choice *Choice, c *Candidate) time.Duration {
+	price := choice.Reading + r.waiting(choice.Expected)
+	if c.Far {
+		price += r.Way
+	}
+	if !choice.Owner {
+		again := rates.Reading(r.Model, r.Prompt.missingShared(c.Kept)) - overhead
+		price += time.Duration(secondReading * float64(again))
+	}
+	return price
+}
+
+// waiting is the price of a time to the first event. Callers lose by it as it comes near
+// the target: a tenth of the target costs a hundredth of it.
+func (r *Request) waiting(expected time.Duration) time.Duration {
+	target := r.Target
+	if target <= 0 {
+		target = targetless
+	}
+	return time.Duration(float64(expected) * float64(expected) / float64(target))
+}
+
+// owner is the engine that the prompt's shared parts belong to: one of all zones, or one
+// of this zone. Sending every request far costs its way each time, reading the parts
+// once more in this zone costs that once, after which they are kept. So it is read here
+// with the probability of one way's price against one reading's, which spends on ways
+// about what one reading costs: little for parts that are asked for often or read fast,
+// never for long ones that are asked for now and then.
+func (r *Request) owner(rates *Rates, list []Candidate) int {
+	reading := rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead
+	here := r.Draw*float64(reading) < float64(r.Way)
+	best := -1
+	for i := range list {
+		if here && list[i].Far {
+			continue
+		}
+		if best < 0 || list[i].Order > list[best].Order {
+			best = i
+		}
+	}
+	if best < 0 { // no engine in this zone
+		r := Request{Prompt: r.Prompt, Model: r.Model}
+		return r.owner(rates, list)
+	}
+	return best
+}
