membership: pushed news goes round the rings, so that it misses no host

Cause of TestSpreadAndCost's failures (5 of 960 on a busy machine): news was pushed to four random hosts by each that it was new to, which misses one of 28 hosts in a push of fifty to a hundred, whatever the machine does; being busy only changed the order of draws. The missed host got it with a later round of gossip, after 1.2 to 3.4 s. Now the successors on both rings are among the four, so news that loses no message comes to all.

--- a/membership/push.go
+++ b/membership/push.go
@@ -53,11 +53,15 @@
 	}
 }
 
-// pushTargets returns random live members, half of them in the zone.
+// pushTargets returns live members, half of them in the zone: the successors on both
+// rings, then random ones. The random ones are quick, but miss a host of 28 in one push
+// of fifty; round the rings news comes to every host that no message is lost to.
 func (m *Membership) pushTargets() []Member {
 	fanout := m.options.PushFanout
 	var chosen []Member
-	chosen = appendNew(chosen, m.shuffled(m.rings.zone), fanout/2)
+	chosen = appendNew(chosen, successors(m.rings.zone, 1), 1)
+	chosen = appendNew(chosen, successors(m.rings.all, 1), 1)
+	chosen = appendNew(chosen, m.shuffled(m.rings.zone), max(0, fanout/2-len(chosen)))
 	chosen = appendNew(chosen, m.shuffled(m.rings.others), fanout-len(chosen))
 	return appendNew(chosen, m.shuffled(m.rings.all), fanout-len(chosen))
 }
