placement: engine time is priced by how long prompts wait; one rule for asking the better model

Work is aged: what was told of an engine 200 ms ago is partly done. The price of a second reading and of the way to another zone follows the time that prompts wait. Idle engines may read a part in each zone, loaded ones read it once.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -22,14 +22,16 @@
 	// loadFrom says what the load was believed from, loadAge how old that was.
 	loadFrom loadSource
 	loadAge  time.Duration
-	// work is what the request asks of the upstream now.
-	work float64
+	// reading is what the request asks of the engine; nil once its answer began.
+	reading *reading
 	// placed is why an engine was chosen for a prompt, ahead the work that was
 	// believed to be before it there; kept is how many of the prompt's parts the
 	// engine kept.
 	placed placement.Choice
 	ahead  time.Duration
 	kept   int
+	// pressure is the time that prompts waited then, as a part of what reading takes.
+	pressure float64
 	// wants is what the choice was made for.
 	wants wants
 	// at is when it was chosen.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -85,7 +85,7 @@
 		result = a.stream(ctx, func(head attemptResult) bool {
 			d.gateway.rollouts.head(r, &a.choice, head.firstByte)
 			a.headSeen = true
-			return d.accept(r, models, head)
+			return d.accept(r, a, models, head)
 		})
 	} else {
 		result = a.whole(ctx)
@@ -112,14 +112,13 @@
 	r.tried = append(r.tried, picked.upstream.ID)
 	another := r.Route.Repeatable() && r.attempts < r.Route.MaxAttempts && picked.among > 1
 	return &attempt{
-		gateway:   g,
-		request:   r,
-		choice:    picked,
-		began:     time.Now(),
-		largest:   models.best(),
-		threshold: models.required(),
-		patience:  max(g.usual.of(r.usualKey()).patience(r.Route.Target), patienceExpected*picked.placed.Expected),
-		giveUp:    func() bool { return another && g.budgets.of(r.Service).take() },
+		gateway:  g,
+		request:  r,
+		choice:   picked,
+		began:    time.Now(),
+		largest:  models.best(),
+		patience: max(g.usual.of(r.usualKey()).patience(r.Route.Target), patienceExpected*picked.placed.Expected),
+		giveUp:   func() bool { return another && g.budgets.of(r.Service).take() },
 	}, nil
 }
 
@@ -154,28 +153,24 @@
 		return
 	}
 	g.usual.of(r.usualKey()).observe(result.firstByte)
-	if a.largest {
-		g.pressure.of(r.Service).observe(result.firstByte, r.Route.Target)
-	}
 }
 
 // accept decides by an answer's head whether the caller gets it.
-func (d *dispatch) accept(r *Request, models *modelSteps, head attemptResult) bool {
-	if r.answer.started || models.accepts(head.confidence) {
+func (d *dispatch) accept(r *Request, a *attempt, models *modelSteps, head attemptResult) bool {
+	if r.answer.started || head.confidence < 0 || models.last() || r.attempts >= r.Route.MaxAttempts {
 		return true
 	}
-	if r.attempts >= r.Route.MaxAttempts || !d.inTime(r, models) {
+	upgrade := d.gateway.fleet.upgrade(d.wants(r, models.next(), true))
+	upgrade.Usual = float64(d.gateway.settings.AcceptConfidence)
+	upgrade.Expected += time.Since(r.Arrived)
+	upgrade.Target = r.Route.Target
+	a.threshold = int(upgrade.Required())
+	if head.confidence >= a.threshold {
 		return true
 	}
 	return !d.gateway.budgets.of(r.Service).take()
 }
 
-// inTime says whether a better model's first event can still be in time.
-func (d *dispatch) inTime(r *Request, models *modelSteps) bool {
-	expected := d.gateway.fleet.expected(d.wants(r, models.next(), true))
-	return time.Now().Add(expected).Before(models.latest)
-}
-
 // again says whether another attempt is permitted: nothing ran or the request
 // may be repeated, and neither the attempts, the time nor the budget are spent.
 func (d *dispatch) again(ctx context.Context, r *Request, result attemptResult) bool {
@@ -271,7 +266,8 @@
 		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
 		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
 		Int64("ahead_ms", a.choice.ahead.Milliseconds()).Int64("expected_ms", a.choice.placed.Expected.Milliseconds()).
-		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).Int("threshold", a.threshold).
+		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).
+		Float64("pressure", math.Round(100*a.choice.pressure)/100).Int("threshold", a.threshold).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,11 +45,14 @@
 	// typicalLoad is the decayed mean of the loads per slot that the upstreams
 	// reported.
 	typicalLoad float64
-	// rates are how fast the models read, urgency is the decayed work of new prompts by
-	// priority, meanReading the decayed mean of the longer ones' in milliseconds.
+	// prompts says that the upstreams are engines. rates are how fast their models read,
+	// urgency is the decayed work of new prompts by priority, meanReading the decayed mean
+	// of the longer ones.
+	prompts     bool
 	rates       *placement.Rates
 	urgency     [leastUrgent + 1]float64
-	meanReading float64
+	meanReading time.Duration
+	waits       waits
 	// reads are the shared parts that upstreams were sent for the first time, as far as
 	// this host knows, since the other hosts were told.
 	reads map[string][]placement.Key
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,6 @@
 	rollouts *rollouts
 	peers    *exchange.Member
 	budgets  perService[retryBudget]
-	pressure perService[pressure]
 	sizes    perService[promptSizes]
 	// usual is by service and model.
 	usual    perService[usualTime]
@@ -71,7 +70,6 @@
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow) }
-	g.pressure.make = func() *pressure { return new(pressure) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.transport = sealedconn.NewTransport(dialTimeout)
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -39,14 +39,15 @@
 	shard     *shard
 	removedAt time.Time
 	inFlight  int
-	// work is what this host's requests in flight ask of the upstream, others
-	// what those of the other hosts do, as of othersAt.
-	work     float64
+	// others is what the other hosts' requests in flight ask of the upstream, as of
+	// othersAt.
 	others   float64
 	othersAt time.Time
-	// reading is this host's work by priority, kept what the upstream was sent.
-	reading [leastUrgent + 1]float64
-	kept    *placement.Kept
+	// readings are this host's prompts that the engine has to read, the oldest first;
+	// beganAt is when it last ended one, kept what it was sent.
+	readings []*reading
+	beganAt  time.Time
+	kept     *placement.Kept
 
 	// reported is the load that the upstream told at reportedAt, when this host
 	// had reportedOwn requests there.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -13,7 +13,7 @@
 	crossZoneWay = 2 * time.Millisecond
 	// crossZoneKB is the price of a KB that is sent to another availability zone, as
 	// engine time: operators pay for both.
-	crossZoneKB = 2 * time.Millisecond
+	crossZoneKB = 5 * time.Millisecond
 )
 
 // place chooses an engine for a prompt, in any availability zone: the way to another
@@ -21,18 +21,43 @@
 func (s *shard) place(list []*member, c *choice, now time.Time) *member {
 	w := &c.wants
 	candidates := s.engines(list, w, now)
+	c.pressure = s.waits.pressure()
 	c.placed = placement.Place(s.rates, &placement.Request{
-		Model:  w.model,
-		Prompt: w.prompt,
-		Target: w.target,
-		Way:    crossZoneWay + time.Duration(w.bytes)*crossZoneKB/1024,
-		Draw:   rand.Float64(),
+		Model:    w.model,
+		Prompt:   w.prompt,
+		Target:   w.target,
+		Way:      crossZoneWay + time.Duration(w.bytes)*crossZoneKB/1024,
+		Pressure: c.pressure,
+		Draw:     rand.Float64(),
 	}, candidates)
 	picked := &candidates[c.placed.Index]
 	c.ahead, c.kept = picked.Ahead, picked.Kept
 	return list[c.placed.Index]
 }
 
+// waits are the decayed times that prompts waited for engines and took to be read.
+type waits struct {
+	waited float64
+	read   float64
+}
+
+// waitGain is the weight of a new answer in the waits.
+const waitGain = 0.03
+
+// observe takes in the time to an answer's head of which reading the prompt took a part.
+func (w *waits) observe(took, reading time.Duration) {
+	w.waited += waitGain * (float64(max(0, took-reading)) - w.waited)
+	w.read += waitGain * (float64(reading) - w.read)
+}
+
+// pressure is the time waited as a part of the time read.
+func (w *waits) pressure() float64 {
+	if w.read == 0 {
+		return 0
+	}
+	return w.waited / w.read
+}
+
 // engines describes the upstreams as the decision needs them.
 func (s *shard) engines(list []*member, w *wants, now time.Time) []placement.Candidate {
 	subject := sharedPart(w.prompt)
@@ -55,18 +80,20 @@
 	return p.Parts[p.Shared-1].ID
 }
 
-// expected is the time to the first event on the engine that would be chosen now; 0 where
-// nothing is known of the prompt.
-func (f *Fleet) expected(w wants) time.Duration {
+// upgrade is what the model would do for the request on the engine that would be chosen
+// now.
+func (f *Fleet) upgrade(w wants) placement.Upgrade {
 	now := time.Now()
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	u := placement.Upgrade{Pressure: s.waits.pressure()}
 	list := s.candidates(w, now, f.removalGrace)
 	if len(list) == 0 || w.prompt == nil {
-		return 0
+		return u
 	}
 	c := choice{wants: w}
 	s.place(list, &c, now)
-	return c.placed.Expected
+	u.Expected = c.placed.Expected
+	return u
 }
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
@@ -21,80 +22,57 @@
 	urgencyGain = 0.02
 )
 
+// reading is a prompt that an engine was sent and hasn't answered yet.
+type reading struct {
+	work     time.Duration
+	priority int
+	sentAt   time.Time
+}
+
 // begin counts a request as in flight at the upstream.
 func (m *member) begin(c *choice) {
 	m.inFlight++
-	c.work = 1
-	if c.wants.prompt != nil {
-		c.work = milliseconds(c.placed.Reading)
-		m.keep(c)
-		m.shard.noteUrgency(c.wants.priority, c.work)
-		m.reading[c.wants.priority] += c.work
-	}
-	m.work += c.work
-}
-
-// keep notes that the upstream reads the prompt. Other hosts are told of the shared parts
-// that it reads for the first time.
-func (m *member) keep(c *choice) {
-	w := &c.wants
-	m.kept.Add(w.keys...)
-	if shared := w.prompt.Shared; c.kept < shared {
-		m.shard.reads[m.ID] = append(m.shard.reads[m.ID], w.keys[shared-1])
+	if c.wants.prompt == nil {
+		return
 	}
-}
-
-// takeReads returns what the upstreams were sent for the first time since the last call.
-func (f *Fleet) takeReads() map[string][]placement.Key {
-	reads := make(map[string][]placement.Key)
-	f.each(func(s *shard) {
-		maps.Copy(reads, s.reads)
-		clear(s.reads)
-	})
-	return reads
-}
-
-// noteReads takes what other hosts sent to the upstreams.
-func (f *Fleet) noteReads(reads map[string][]placement.Key) {
-	f.each(func(s *shard) {
-		for id, keys := range reads {
-			if m := s.members[id]; m != nil {
-				m.kept.Add(keys...)
-			}
-		}
-	})
+	c.reading = &reading{work: c.placed.Reading, priority: c.wants.priority, sentAt: c.at}
+	m.readings = append(m.readings, c.reading)
+	m.shard.prompts = true
+	m.shard.noteUrgency(c.reading)
+	m.keep(c)
 }
 
 // end ends what begin counted.
 func (m *member) end(c *choice) {
 	m.inFlight--
-	if c.wants.prompt != nil && c.work > 0 {
+	if c.reading != nil {
 		// The answer never began.
-		m.reading[c.wants.priority] -= c.work
+		m.read(c)
 		m.kept.Remove(c.wants.keys[c.kept:]...)
 	}
-	m.work -= c.work
-	if m.inFlight == 0 {
-		// No rest of rounding.
-		m.work = 0
-		clear(m.reading[:])
-	}
+}
+
+// read notes that the engine no longer has the choice's prompt to read.
+func (m *member) read(c *choice) {
+	m.readings = slices.DeleteFunc(m.readings, func(r *reading) bool { return r == c.reading })
+	c.reading = nil
 }
 
 // began notes that the upstream has read the request's prompt, which took a time. What
 // is left, a step of the batch for each token, delays no other prompt that counts.
 func (f *Fleet) began(c *choice, took time.Duration) {
-	if c.wants.prompt == nil || c.work == 0 {
+	if c.reading == nil {
 		return
 	}
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m := s.members[c.upstream.ID]; m != nil {
-		m.work -= c.work
-		m.reading[c.wants.priority] -= c.work
+		m.read(c)
+		m.beganAt = time.Now()
 	}
-	c.work = 0
+	c.reading = nil
+	s.waits.observe(took, c.placed.Reading)
 	if c.ahead < c.placed.Reading/littleAhead {
 		s.rates.Observe(c.wants.model, c.placed.Missing, took)
 	}
@@ -104,34 +82,56 @@
 // of it was less than a fourth of its own.
 const littleAhead = 4
 
+// left is what the engine still has to do for a reading of this host. The first of them
+// is taken to be under way since the last one ended; the others wait.
+func (m *member) left(i int, now time.Time) time.Duration {
+	r := m.readings[i]
+	if i > 0 {
+		return r.work
+	}
+	since := r.sentAt
+	if m.beganAt.After(since) {
+		since = m.beganAt
+	}
+	return max(0, r.work-now.Sub(since))
+}
+
+// othersLeft is what the engine still has to do for the other hosts, which told of it a
+// while ago: it went on since.
+func (m *member) othersLeft(now time.Time) time.Duration {
+	age := now.Sub(m.othersAt)
+	if age > exchange.WorkAge {
+		return 0
+	}
+	return max(0, time.Duration(m.others*float64(time.Millisecond))-age)
+}
+
 // ahead is the time for which an engine reads other prompts before one of the priority:
 // those that are as urgent, and the rest of the one that it is reading. Of other hosts'
 // work only the sum is known; it is taken to be as urgent as this host's own.
 func (m *member) ahead(priority int, now time.Time) time.Duration {
-	own, urgent := 0.0, 0.0
-	for p, work := range m.reading {
-		own += work
-		if p <= priority {
-			urgent += work
+	urgent, rest := time.Duration(0), time.Duration(0)
+	for i, r := range m.readings {
+		if r.priority <= priority {
+			urgent += m.left(i, now)
+		} else {
+			rest += m.left(i, now)
 		}
 	}
-	others := 0.0
-	if now.Sub(m.othersAt) <= exchange.WorkAge {
-		others = m.others
-	}
-	urgent += others * m.shard.urgentPart(priority)
-	rest := min(own+others-urgent, m.shard.meanReading)
-	return time.Duration((urgent + max(0, rest)) * float64(time.Millisecond))
+	others := m.othersLeft(now)
+	urgentOthers := time.Duration(m.shard.urgentPart(priority) * float64(others))
+	rest += others - urgentOthers
+	return urgent + urgentOthers + min(rest, m.shard.meanReading/2)
 }
 
 // noteUrgency takes in a new prompt's work.
-func (s *shard) noteUrgency(priority int, work float64) {
+func (s *shard) noteUrgency(r *reading) {
 	for p := range s.urgency {
 		s.urgency[p] *= 1 - urgencyGain
 	}
-	s.urgency[priority] += urgencyGain * work
-	if work > s.meanReading/2 {
-		s.meanReading += urgencyGain * (work - s.meanReading)
+	s.urgency[r.priority] += urgencyGain * float64(r.work)
+	if r.work > s.meanReading/2 {
+		s.meanReading += time.Duration(urgencyGain * float64(r.work-s.meanReading))
 	}
 }
 
@@ -150,21 +150,63 @@
 	return urgent / sum
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // work is what this host has in flight, by upstream.
 func (f *Fleet) work() map[string]float64 {
+	now := time.Now()
 	work := make(map[string]float64)
 	f.each(func(s *shard) {
 		for id, m := range s.members {
-			if m.work >= leastTold {
-				work[id] = math.Round(m.work)
+			if w := math.Round(m.work(now)); w >= leastTold {
+				work[id] = w
 			}
 		}
 	})
 	return work
 }
 
+// work is what this host's requests in flight ask of the upstream.
+func (m *member) work(now time.Time) float64 {
+	if !m.shard.prompts {
+		return float64(m.inFlight)
+	}
+	left := time.Duration(0)
+	for i := range m.readings {
+		left += m.left(i, now)
+	}
+	return float64(left) / float64(time.Millisecond)
+}
+
+// keep notes that the upstream reads the prompt. Other hosts are told of the shared parts
+// that it reads for the first time.
+func (m *member) keep(c *choice) {
+	w := &c.wants
+	m.kept.Add(w.keys...)
+	if shared := w.prompt.Shared; c.kept < shared {
+		m.shard.reads[m.ID] = append(m.shard.reads[m.ID], w.keys[shared-1])
+	}
+}
+
+// takeReads returns what the upstreams were sent for the first time since the last call.
+func (f *Fleet) takeReads() map[string][]placement.Key {
+	reads := make(map[string][]placement.Key)
+	f.each(func(s *shard) {
+		maps.Copy(reads, s.reads)
+		clear(s.reads)
+	})
+	return reads
+}
+
+// noteReads takes what other hosts sent to the upstreams.
+func (f *Fleet) noteReads(reads map[string][]placement.Key) {
+	f.each(func(s *shard) {
+		for id, keys := range reads {
+			if m := s.members[id]; m != nil {
+				m.kept.Add(keys...)
+			}
+		}
+	})
+}
+
 // leastTold is the least work that other hosts are told.
 const leastTold = 1
 
@@ -193,5 +235,5 @@
 	if m.shard.meanHeld < exchange.Interval || now.Sub(m.othersAt) > exchange.WorkAge {
 		return 0, false
 	}
-	return m.work + m.others, true
+	return m.work(now) + m.others, true
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -10,6 +10,9 @@
 	Target time.Duration
 	// Way is the price of sending the request to another availability zone.
 	Way time.Duration
+	// Pressure is the time that prompts wait for engines, as a part of what reading them
+	// takes.
+	Pressure float64
 	// Draw is a random number from 0 up to 1.
 	Draw float64
 }
@@ -42,13 +45,26 @@
 
 const (
 	// secondReading is the price of reading shared parts on another engine than their
-	// owner, in parts of the time that it takes. The engine's time is lost for other
-	// requests, and the next request for the parts finds two engines that half keep them.
-	secondReading = 1.0
+	// owner, in parts of the engine time that it takes. The next request for the parts
+	// finds two engines that half keep them.
+	secondReading = 0.5
+	// usualPressure is the pressure at which engine time costs what it takes: half of
+	// that where a prompt waits half as long. Idle engines read parts twice for nothing;
+	// where prompts wait, each reading makes others late.
+	usualPressure = 0.3
+	// leastEngineTime and mostEngineTime bound the price of engine time.
+	leastEngineTime = 0.25
+	mostEngineTime  = 2.0
 	// targetless is the target of requests that have none.
 	targetless = 2 * time.Second
 )
 
+// engineTime is the price of a time of an engine.
+func (r *Request) engineTime(d time.Duration) time.Duration {
+	factor := max(leastEngineTime, min(mostEngineTime, r.Pressure/usualPressure))
+	return time.Duration(factor * float64(d))
+}
+
 // Place chooses an engine. The list isn't empty.
 //
 // Each engine has a price in time: its work for the request; the waiting, which weighs
@@ -83,7 +99,7 @@
 	}
 	if !choice.Owner {
 		again := rates.Reading(r.Model, r.Prompt.missingShared(c.Kept)) - overhead
-		price += time.Duration(secondReading * float64(again))
+		price += r.engineTime(time.Duration(secondReading * float64(again)))
 	}
 	return price
 }
@@ -105,7 +121,7 @@
 // about what one reading costs: little for parts that are asked for often or read fast,
 // never for long ones that are asked for now and then.
 func (r *Request) owner(rates *Rates, list []Candidate) int {
-	reading := rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead
+	reading := r.engineTime(rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead)
 	here := r.Draw*float64(reading) < float64(r.Way)
 	best := -1
 	for i := range list {
--- /dev/null
+++ b/placement/upgrade_test.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRequiredConfidence(t *testing.T) {
+	tests := []struct {
+		desc     string
+		expected time.Duration
+		target   time.Duration
+		pressure float64
+		want     float64
+	}{
+		{"in time", 500 * time.Millisecond, time.Second, 0, 50},
+		{"in time, under pressure", 500 * time.Millisecond, time.Second, 5, 50},
+		{"in time, just", 900 * time.Millisecond, time.Second, 0.3, 50},
+		{"late, engines idle", 1200 * time.Millisecond, time.Second, 0, 15},
+		{"late, some wait", 1200 * time.Millisecond, time.Second, 0.3, 7.5},
+		{"late, all wait", 1200 * time.Millisecond, time.Second, 2, 0},
+		{"no target", time.Minute, 0, 2, 50},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			u := Upgrade{Usual: 50, Expected: test.expected, Target: test.target, Pressure: test.pressure}
+			got := u.Required()
+			is.New(t).True(got > test.want-1e-9 && got < test.want+1e-9)
+		})
+	}
+}
