placement, gateway: rates of models that never answered, spare repeats, load patterns as tests

- A host that starts expected the largest model to read as fast as the smallest, gave its answers up and began them anew.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -96,6 +96,7 @@
 		DrainTime:        site.DrainTime,
 		RetryRatio:       site.RetryRatio,
 		RetryWindow:      site.RetryWindow,
+		RetrySpare:       site.RetrySpare,
 		CanaryShare:      site.CanaryShare,
 		FirstModel:       c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,6 +62,9 @@
 type Reply struct {
 	// Zone is the hub's availability zone.
 	Zone string `json:"zone"`
+	// Hosts is the number of hosts that the hub knows of, to another hub that of its
+	// own followers.
+	Hosts int `json:"hosts,omitempty"`
 	// Work is the sum of what the other hosts have in flight, by upstream.
 	Work map[string]float64 `json:"work,omitempty"`
 	// Evidence is what the other hosts saw of the roll-outs under way.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -65,6 +65,7 @@
 	}
 	for _, h := range hubs {
 		is.Equal(h.followers(), 1) // a hub that asks isn't a follower
+		is.Equal(h.hosts(toHost), 3)
 		reply, err := h.exchange(t.Context(), "me", Report{})
 		is.NoErr(err)
 		is.Equal(reply.Work, map[string]float64{"u": 30})
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -24,8 +24,9 @@
 type received struct {
 	report Report
 	at     time.Time
-	// fromHub says that another hub told it.
+	// fromHub says that another hub told it, hosts for how many it speaks.
 	fromHub bool
+	hosts   int
 }
 
 // audience is whom a hub tells something.
@@ -59,7 +60,7 @@
 	} else {
 		h.take(from, r)
 	}
-	reply := Reply{Zone: h.zone, Work: h.others(from, who), Evidence: h.evidence(from, who)}
+	reply := Reply{Zone: h.zone, Hosts: h.hosts(who), Work: h.others(from, who), Evidence: h.evidence(from, who)}
 	reply.Reads, reply.ReadsLast = h.readsSince(r.ReadsSince, from, who)
 	if r.Hub {
 		return reply, nil
@@ -74,7 +75,7 @@
 func (h *hub) take(from string, r Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[from] = received{report: r, at: time.Now()}
+	h.reports[from] = received{report: r, at: time.Now(), hosts: 1}
 	h.reads.add(from, false, r.Reads)
 }
 
@@ -89,7 +90,7 @@
 func (h *hub) takeHub(address string, r Reply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports["hub "+address] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true}
+	h.reports["hub "+address] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: r.Hosts}
 	h.reads.add(address, true, r.Reads)
 }
 
@@ -139,13 +140,18 @@
 
 // followers counts the hosts that report here, this one included.
 func (h *hub) followers() int {
+	return h.hosts(toHub)
+}
+
+// hosts counts the hosts that the audience hears of.
+func (h *hub) hosts(who audience) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
 	n := 0
 	for _, got := range h.reports {
-		if !got.fromHub {
-			n++
+		if who.hears(got) {
+			n += got.hosts
 		}
 	}
 	return n
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -38,6 +38,8 @@
 	// Others takes the other hosts' work by upstream, as of a time. It isn't called
 	// while no hub answers.
 	Others func(work map[string]float64, at time.Time)
+	// Hosts takes the number of hosts, this one included. It may be nil.
+	Hosts func(n int)
 	// Reads returns what upstreams were sent for the first time since the last call;
 	// TakeReads takes what the others sent. Both may be nil.
 	Reads     func() map[string][]placement.Key
@@ -132,6 +134,7 @@
 		case m.options.Listen:
 			m.hub.take(m.options.Host, m.report())
 			m.options.Others(m.hub.others(m.options.Host, toHost), time.Now())
+			m.takeHosts(m.hub.hosts(toHost))
 			m.takeEvidence(m.hub.evidence(m.options.Host, toHost))
 			m.takeReads(m.hub.readsSince(m.readsSince, m.options.Host, toHost))
 			m.askHubs(ctx, client)
@@ -208,6 +211,7 @@
 		return
 	}
 	m.options.Others(reply.Work, asked)
+	m.takeHosts(reply.Hosts)
 	m.takeEvidence(reply.Evidence)
 	m.takeReads(reply.Reads, reply.ReadsLast)
 	for name, news := range reply.Tables {
@@ -248,6 +252,12 @@
 	return report
 }
 
+func (m *Member) takeHosts(n int) {
+	if m.options.Hosts != nil && n > 0 {
+		m.options.Hosts(n)
+	}
+}
+
 func (m *Member) takeEvidence(list []Evidence) {
 	if m.options.TakeEvidence != nil && len(list) > 0 {
 		m.options.TakeEvidence(list)
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -10,6 +10,8 @@
 // bound for its own traffic, so that the sum over all hosts keeps it too.
 type retryBudget struct {
 	ratio float64
+	// spare returns the repeats of a window that are permitted whatever the requests.
+	spare func() float64
 	mu    sync.Mutex
 	// slots hold the counts of equal parts of the window; slot i%n is of the
 	// i-th part since start.
@@ -24,12 +26,26 @@
 	repeats  int
 }
 
+// spareRepeats is this host's part of the repeats that all hosts may make whatever the
+// requests. A host that just started has few requests to count on, at a time when many of
+// them break off. It has none before it has heard how many hosts there are; half of all
+// stay unused, for hosts that aren't heard of yet.
+func (g *Gateway) spareRepeats() float64 {
+	hosts := g.hosts.Load()
+	if hosts == 0 {
+		return 0
+	}
+	const used = 0.5
+	return used * g.settings.RetrySpare / float64(hosts)
+}
+
 // budgetSlots is how many parts a window is counted in.
 const budgetSlots = 20
 
-func newRetryBudget(ratio float64, window time.Duration) *retryBudget {
+func newRetryBudget(ratio float64, window time.Duration, spare func() float64) *retryBudget {
 	return &retryBudget{
 		ratio: ratio,
+		spare: spare,
 		slots: make([]budgetSlot, budgetSlots+1),
 		span:  window / budgetSlots,
 		start: time.Now(),
@@ -59,7 +75,7 @@
 		repeats += s.repeats
 		requests += s.requests
 	}
-	if float64(repeats+1) > b.ratio*float64(requests) {
+	if float64(repeats+1) > b.ratio*float64(requests)+b.spare() {
 		return false
 	}
 	now.repeats++
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -45,6 +45,8 @@
 	// prompt is what an engine reads for the model; nil for plain services.
 	prompt *placement.Prompt
 	model  string
+	// price is what operators pay for the model; 0 if they don't say.
+	price float64
 	// keys name the prompt's leading parts.
 	keys []placement.Key
 	// priority is the urgency that the upstream is told.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -130,6 +130,7 @@
 		w.prompt = r.Prompt.reading(r.Route.PrefixAffinity)
 		w.model = cmp.Or(model, r.Prompt.Model)
 		w.keys = placement.Keys(w.model, w.prompt)
+		w.price = r.Table.Price(r.Service, w.model)
 		w.priority = r.priority(largest)
 		w.target = r.Route.Target
 		w.bytes = len(r.Body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	transport *http.Transport
 
 	inFlight atomic.Int64
+	// hosts is the number of hosts of the installation; 0 while it isn't known.
+	hosts atomic.Int64
 	// stopping ends kept connections with their next answer.
 	stopping atomic.Bool
 	// cutting says that the stop's time is over and its answers are cut.
@@ -69,7 +71,7 @@
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.rollouts = newRollouts(s, g.fleet, log)
-	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow) }
+	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.transport = sealedconn.NewTransport(dialTimeout)
@@ -155,6 +157,7 @@
 		g.peers = exchange.New(exchange.Options{
 			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, Keys: peers.Keys,
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
+			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers,
 		}, g.log)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,6 +20,7 @@
 // one takes a millisecond, reading a part again hundreds.
 func (s *shard) place(list []*member, c *choice, now time.Time) *member {
 	w := &c.wants
+	s.rates.Price(w.model, w.price)
 	candidates := s.engines(list, w, now)
 	c.pressure = s.waits.pressure()
 	c.placed = placement.Place(s.rates, &placement.Request{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -43,6 +43,9 @@
 	// of RetryWindow.
 	RetryRatio  float64
 	RetryWindow time.Duration
+	// RetrySpare is the number of repeats that all hosts together may make in each
+	// window besides.
+	RetrySpare float64
 	// CanaryShare bounds a new version's part of a roll-out's requests.
 	CanaryShare float64
 
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -133,3 +133,18 @@
 		})
 	}
 }
+
+// A host that just started has few requests to count repeats on; its part of the spare
+// ones is known once it has heard of the other hosts.
+func TestSpareRepeats(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySpare: 40}, zerolog.Nop())
+	is.True(!g.budgets.of("svc").take()) // how many hosts share them isn't known
+	g.hosts.Store(4)
+	for range 5 {
+		is.True(g.budgets.of("svc").take()) // half of 40 over four hosts
+	}
+	is.True(!g.budgets.of("svc").take())
+	g.budgets.of("svc").request()
+	is.True(!g.budgets.of("svc").take()) // one request permits less than one repeat
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -72,13 +72,17 @@
 // reading of shared parts, unless the engine is their owner. All hosts agree on the
 // owner without talking.
 func Place(rates *Rates, r *Request, list []Candidate) Choice {
-	owner := r.owner(rates, list)
+	here := r.here(rates)
+	owner := owner(list, here)
 	best := Choice{Index: -1}
 	least := time.Duration(0)
 	for i := range list {
 		c := r.choice(rates, &list[i])
 		c.Index, c.Owner = i, i == owner
 		price := r.price(rates, &c, &list[i])
+		if here && c.Owner {
+			price -= r.again(rates, &list[i]) // an outlay for the requests to come
+		}
 		if best.Index < 0 || price < least || price == least && list[i].Order > list[best.Index].Order {
 			best, least = c, price
 		}
@@ -98,12 +102,16 @@
 		price += r.Way
 	}
 	if !choice.Owner {
-		again := rates.Reading(r.Model, r.Prompt.missingShared(c.Kept)) - overhead
-		price += r.engineTime(time.Duration(secondReading * float64(again)))
+		price += r.engineTime(time.Duration(secondReading * float64(r.again(rates, c))))
 	}
 	return price
 }
 
+// again is the time that the engine takes to read the shared parts which it doesn't keep.
+func (r *Request) again(rates *Rates, c *Candidate) time.Duration {
+	return rates.Reading(r.Model, r.Prompt.missingShared(c.Kept)) - overhead
+}
+
 // waiting is the price of a time to the first event. Callers lose by it as it comes near
 // the target: a tenth of the target costs a hundredth of it.
 func (r *Request) waiting(expected time.Duration) time.Duration {
@@ -114,15 +122,20 @@
 	return time.Duration(float64(expected) * float64(expected) / float64(target))
 }
 
-// owner is the engine that the prompt's shared parts belong to: one of all zones, or one
-// of this zone. Sending every request far costs its way each time, reading the parts
-// once more in this zone costs that once, after which they are kept. So it is read here
-// with the probability of one way's price against one reading's, which spends on ways
-// about what one reading costs: little for parts that are asked for often or read fast,
-// never for long ones that are asked for now and then.
-func (r *Request) owner(rates *Rates, list []Candidate) int {
+// here says whether the prompt's shared parts are to be read in this zone, where they
+// belong to an engine of another one. Sending every request there costs its way each time,
+// reading the parts once more in this zone costs that once, after which they are kept. So
+// they are read here with the probability of one way's price against one reading's, which
+// spends on ways about what one reading costs: little for parts that are asked for often
+// or read fast, much only for long ones that are asked for now and then.
+func (r *Request) here(rates *Rates) bool {
 	reading := r.engineTime(rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead)
-	here := r.Draw*float64(reading) < float64(r.Way)
+	return r.Draw*float64(reading) < float64(r.Way)
+}
+
+// owner is the engine that the prompt's shared parts belong to: one of all zones, or one
+// of this zone if there is any.
+func owner(list []Candidate, here bool) int {
 	best := -1
 	for i := range list {
 		if here && list[i].Far {
@@ -132,9 +145,8 @@
 			best = i
 		}
 	}
-	if best < 0 { // no engine in this zone
-		r := Request{Prompt: r.Prompt, Model: r.Model}
-		return r.owner(rates, list)
+	if best < 0 {
+		return owner(list, false)
 	}
 	return best
 }
--- /dev/null
+++ b/placement/place_test.go
@@ -0,0 +1,264 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// engine is an engine of the load patterns below: it reads one prompt after the other and
+// keeps all that it read.
+type engine struct {
+	free time.Duration
+	kept *Kept
+	far  bool
+}
+
+// fleet replays a load pattern in virtual time.
+type fleet struct {
+	engines []*engine
+	rates   *Rates
+	rng     *rand.Rand
+	now     time.Duration
+	target  time.Duration
+	way     time.Duration
+	// read is the number of tokens read, waited and count are of the first events.
+	read  int
+	count int
+	late  int
+	times []time.Duration
+	// pick chooses an engine; Place if it is nil.
+	pick func(f *fleet, r *Request, list []Candidate) int
+}
+
+const tokenTime = 100 * time.Microsecond
+
+func newFleet(engines int) *fleet {
+	f := &fleet{rates: NewRates(), rng: rand.New(rand.NewPCG(3, 5)), target: 2 * time.Second, way: 20 * time.Millisecond}
+	for range engines {
+		f.engines = append(f.engines, &engine{kept: NewKept()})
+	}
+	f.rates.Observe("m", 10_000, overhead+10_000*tokenTime)
+	return f
+}
+
+// send places a request now and returns the engine.
+func (f *fleet) send(p *Prompt) int {
+	keys := Keys("m", p)
+	list := make([]Candidate, len(f.engines))
+	for i, e := range f.engines {
+		list[i] = Candidate{Ahead: max(0, e.free-f.now), Far: e.far, Kept: e.kept.Count(keys), Order: order(p, i)}
+	}
+	r := &Request{Model: "m", Prompt: p, Target: f.target, Way: f.way, Pressure: usualPressure, Draw: f.rng.Float64()}
+	index := 0
+	if f.pick != nil {
+		index = f.pick(f, r, list)
+	} else {
+		index = Place(f.rates, r, list).Index
+	}
+	e := f.engines[index]
+	missing := p.missing(list[index].Kept)
+	e.free = max(e.free, f.now) + overhead + time.Duration(missing)*tokenTime
+	e.kept.Add(keys...)
+	f.read += missing
+	f.count++
+	f.times = append(f.times, e.free-f.now)
+	if e.free-f.now > f.target {
+		f.late++
+	}
+	return index
+}
+
+// order ranks an engine for a prompt's shared part, the same on all hosts.
+func order(p *Prompt, engine int) uint64 {
+	subject := ""
+	if p.Shared > 0 {
+		subject = p.Parts[p.Shared-1].ID
+	}
+	return uint64(Keys(subject, &Prompt{Parts: []Part{{ID: fmt.Sprint("engine ", engine)}}})[0])
+}
+
+// report is a prompt with a shared part of 10,000 tokens and 1,000 of its own.
+func report(subject, own int) *Prompt {
+	return &Prompt{
+		Parts:  []Part{{ID: fmt.Sprint("subject ", subject), Tokens: 10_000}, {ID: fmt.Sprint("own ", own), Tokens: 1_000}},
+		Tokens: 11_000, Shared: 1,
+	}
+}
+
+// play sends reports on subjects at a mean interval.
+func (f *fleet) play(n, subjects int, interval time.Duration) {
+	for i := range n {
+		f.now += time.Duration(f.rng.ExpFloat64() * float64(interval))
+		f.send(report(f.rng.IntN(subjects), i))
+	}
+}
+
+func leastAhead(_ *fleet, _ *Request, list []Candidate) int {
+	best := 0
+	for i := range list {
+		if list[i].Ahead < list[best].Ahead {
+			best = i
+		}
+	}
+	return best
+}
+
+// Shared parts are read about once each, not once an engine: with the least loaded engine
+// the same load needs more engine time than there is.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	is := is.New(t)
+	f, base := newFleet(8), newFleet(8)
+	base.pick = leastAhead
+	for _, fleet := range []*fleet{f, base} {
+		fleet.play(400, 60, 60*time.Millisecond) // engines that keep nothing yet
+		fleet.late = 0
+		fleet.play(1200, 60, 60*time.Millisecond)
+	}
+	own := 1600 * 1_000
+	t.Log("tokens read", f.read, base.read, "late", f.late, base.late)
+	is.True(f.read-own < 2*60*10_000) // each of 60 parts less than twice
+	is.True(base.read > 2*f.read)
+	is.True(f.late < 1200/100)
+	is.True(base.late > 10*max(1, f.late))
+}
+
+// A part that half of all requests ask for is read by more engines, once waiting for the
+// one costs more than reading it again.
+func TestPopularPartSpreads(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8)
+	used := make(map[int]bool)
+	for i := range 2000 {
+		f.now += 30 * time.Millisecond // one engine alone would need 120 ms for each
+		used[f.send(report(0, i))] = true
+	}
+	is.True(len(used) >= 4)
+	is.True(f.late < 2000/20)
+}
+
+// Half of the engines vanish and come back empty: their parts move, and nobody waits for
+// long.
+func TestCrashOfHalfTheEngines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8)
+	f.play(600, 40, 80*time.Millisecond)
+	before := f.late
+	for _, e := range f.engines[:4] {
+		e.kept, e.free = NewKept(), f.now
+	}
+	f.play(600, 40, 80*time.Millisecond)
+	is.True(f.late-before < 600/20)
+}
+
+// Long prompts among short ones: work counts by time, so short ones aren't put behind
+// long ones while an engine is free.
+func TestShortPromptsAvoidLongOnes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for range 200 {
+		f.now += 800 * time.Millisecond
+		f.send(&Prompt{Tokens: 20_000}) // two seconds of one engine
+		for range 2 {
+			f.send(&Prompt{Tokens: 500})
+		}
+	}
+	slow := 0
+	for i, took := range f.times {
+		if i%3 != 0 && took > 500*time.Millisecond {
+			slow++
+		}
+	}
+	is.Equal(slow, 0)
+}
+
+// What is asked for often, or read fast, is read in each zone; what is long and rare is
+// sent to the one engine that keeps it.
+func TestZones(t *testing.T) {
+	tests := []struct {
+		desc string
+		way  time.Duration
+		most float64
+	}{
+		{"the way costs little against reading", 5 * time.Millisecond, 0.8},
+		{"the way costs a tenth", 100 * time.Millisecond, 0.65},
+		{"the way costs as much", time.Second, 0.1},
+	}
+	last := 1.0
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(9)
+			f.way = test.way
+			for _, e := range f.engines[3:] {
+				e.far = true
+			}
+			far := 0
+			for i := range 600 {
+				f.now += 100 * time.Millisecond
+				if f.engines[f.send(report(f.rng.IntN(30), i))].far && i >= 300 {
+					far++
+				}
+			}
+			part := float64(far) / 300 // once most parts are kept somewhere
+			t.Log(part)
+			is.True(part <= test.most)
+			is.True(part < last)
+			last = part
+		})
+	}
+}
+
+// Requests without anything shared, and a list of one engine, are placed as well.
+func TestPlaceWithoutParts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.engines[0].far = true
+	is.Equal(f.send(&Prompt{Tokens: 100}), 0)
+	is.Equal(f.send(&Prompt{}), 0)
+}
+
+func TestRatesFollowTheMiddle(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	for i := range 400 {
+		took := overhead + 10_000*tokenTime
+		if i%10 == 0 {
+			took *= 20 // a wait that nobody knew of
+		}
+		r.Observe("m", 10_000, took)
+	}
+	got := r.Reading("m", 10_000)
+	is.True(got > 900*time.Millisecond && got < 1300*time.Millisecond)
+}
+
+// A model that never answered is expected to be as slow as its price makes likely.
+func TestRateOfAnUnknownModel(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	r.Observe("small", 10_000, overhead+100*time.Millisecond)
+	is.Equal(r.Reading("large", 10_000), overhead+100*time.Millisecond)
+	r.Price("small", 1)
+	r.Price("large", 12)
+	is.Equal(r.Reading("large", 10_000), overhead+1200*time.Millisecond)
+}
+
+func TestKeptParts(t *testing.T) {
+	is := is.New(t)
+	k := NewKept()
+	p := &Prompt{Parts: []Part{{"a", 1}, {"b", 2}, {"c", 3}}, Tokens: 6, Shared: 2}
+	keys := Keys("m", p)
+	is.Equal(k.Count(keys), 0)
+	k.Add(keys[1]) // told of a run: what is before it is kept, too
+	is.Equal(k.Count(keys), 2)
+	is.Equal(p.missing(2), 3)
+	is.Equal(p.missingShared(1), 2)
+	is.Equal(k.Count(Keys("other model", p)), 0)
+	other := &Prompt{Parts: []Part{{"b", 2}}}
+	is.Equal(k.Count(Keys("m", other)), 0) // the same part after another one
+	k.Remove(keys[1:]...)
+	is.Equal(k.Count(keys), 0)
+}
--- a/placement/rates.go
+++ b/placement/rates.go
@@ -25,10 +25,25 @@
 type Rates struct {
 	mu     sync.Mutex
 	models map[string]float64 // nanoseconds a token
+	prices map[string]float64
 }
 
 // NewRates returns rates that know nothing.
-func NewRates() *Rates { return &Rates{models: make(map[string]float64)} }
+func NewRates() *Rates {
+	return &Rates{models: make(map[string]float64), prices: make(map[string]float64)}
+}
+
+// Price notes what operators pay for a model. Until the model has answered, prices stand
+// for rates: without them a host that starts expects the largest model to read as fast as
+// the smallest, which is ten times as fast, and gives its answers up.
+func (r *Rates) Price(model string, price float64) {
+	if price <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prices[model] = price
+}
 
 // Reading is the expected time to read tokens and begin the answer.
 func (r *Rates) Reading(model string, tokens int) time.Duration {
@@ -37,7 +52,8 @@
 	return overhead + time.Duration(r.rate(model)*float64(tokens))
 }
 
-// rate is the model's, or the mean of the known ones for a model that never answered.
+// rate is the model's, or for a model that never answered what the others' rates and
+// prices make likely.
 func (r *Rates) rate(model string) float64 {
 	if rate, ok := r.models[model]; ok {
 		return rate
@@ -46,8 +62,12 @@
 		return float64(firstRate)
 	}
 	sum := 0.0
-	for _, rate := range r.models {
-		sum += rate
+	for known, rate := range r.models {
+		ratio := 1.0
+		if r.prices[model] > 0 && r.prices[known] > 0 {
+			ratio = r.prices[model] / r.prices[known]
+		}
+		sum += rate * ratio
 	}
 	return sum / float64(len(r.models))
 }
