--- a/internal/experiment/rollout/report.go
+++ b/internal/experiment/rollout/report.go
@@ -58,6 +58,7 @@
 	r.turnsBad()
 	r.good()
 	r.large()
+	r.comparisons()
 	return r.Err()
 }
 
--- a/internal/experiment/rollout/run_test.go
+++ b/internal/experiment/rollout/run_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -34,3 +35,21 @@
 		})
 	}
 }
+
+// A version like the old one is hardly ever stopped, one that fails half of its requests
+// soon and always.
+func TestComparisonDecides(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 17))
+	alike, worse := 0, 0
+	for range 200 {
+		if (versions{0.02, 0.02, 0.18}).compare(rng).stopped > 0 {
+			alike++
+		}
+		if c := (versions{0.02, 0.5, 0.18}).compare(rng); c.stopped > 0 && c.stopped <= 60 && c.cleared == 0 {
+			worse++
+		}
+	}
+	is.True(alike <= 2)
+	is.Equal(worse, 200)
+}
