--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -47,7 +47,7 @@
 	// Hub says that another hub asks for the sums of this one's followers.
 	Hub bool `json:"hub,omitempty"`
 	// Work is the host's work in flight by upstream; none is left out.
-	Work map[string]float64 `json:"work,omitempty"`
+	Work Work `json:"work,omitempty"`
 	// Evidence is what the host saw of the roll-outs under way.
 	Evidence []Evidence `json:"evidence,omitempty"`
 	// Reads are what the host's upstreams were sent for the first time since the last
@@ -66,7 +66,7 @@
 	// own followers.
 	Hosts int `json:"hosts,omitempty"`
 	// Work is the sum of what the other hosts have in flight, by upstream.
-	Work map[string]float64 `json:"work,omitempty"`
+	Work Work `json:"work,omitempty"`
 	// Evidence is what the other hosts saw of the roll-outs under way.
 	Evidence []Evidence `json:"evidence,omitempty"`
 	// Reads are the others' reads up to the number ReadsLast.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/standin/freeport"
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/storage/memory"
 )
@@ -24,18 +26,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h := newHub("z1", nil)
-		report := func(host, zone string, work map[string]float64) Reply {
+		report := func(host, zone string, work Work) Reply {
 			reply, err := h.exchange(t.Context(), host, Report{Zone: zone, Work: work})
 			is.NoErr(err)
 			return reply
 		}
-		report("a", "z1", map[string]float64{"u1": 2, "u2": 1})
-		report("far", "z2", map[string]float64{"u1": 50})
-		report("b", "z1", map[string]float64{"u1": 3})
-		reply := report("b", "z1", map[string]float64{"u1": 4}) // its own isn't counted
+		report("a", "z1", Work{NameOf("u1"): 2, NameOf("u2"): 1})
+		report("far", "z2", Work{NameOf("u1"): 50})
+		report("b", "z1", Work{NameOf("u1"): 3})
+		reply := report("b", "z1", Work{NameOf("u1"): 4}) // its own isn't counted
 		is.Equal(reply.Zone, "z1")
-		is.Equal(reply.Work, map[string]float64{"u1": 52, "u2": 1})
-		is.Equal(report("a", "z1", nil).Work, map[string]float64{"u1": 54}) // the newest report
+		is.Equal(reply.Work, Work{NameOf("u1"): 52, NameOf("u2"): 1})
+		is.Equal(report("a", "z1", nil).Work, Work{NameOf("u1"): 54}) // the newest report
 
 		time.Sleep(WorkAge + time.Millisecond) // the others say nothing more
 		is.Equal(len(report("a", "z1", nil).Work), 0)
@@ -49,7 +51,7 @@
 	hubs := map[string]*hub{"one": one, "two": two, "three": three}
 	bad := Evidence{Service: "s", Order: 7, Routes: map[string]Versions{"r": {New: Tally{Answers: 2, Failed: 1}}}}
 	for name, h := range hubs {
-		h.take("host of "+name, Report{Work: map[string]float64{"u": 10}, Evidence: []Evidence{bad}})
+		h.take("host of "+name, Report{Work: Work{NameOf("u"): 10}, Evidence: []Evidence{bad}})
 	}
 	for range 5 {
 		for _, asker := range hubs {
@@ -68,7 +70,7 @@
 		is.Equal(h.hosts(toHost), 3)
 		reply, err := h.exchange(t.Context(), "me", Report{})
 		is.NoErr(err)
-		is.Equal(reply.Work, map[string]float64{"u": 30})
+		is.Equal(reply.Work, Work{NameOf("u"): 30})
 		is.Equal(reply.Evidence[0].Routes["r"].New, Tally{Answers: 6, Failed: 3})
 	}
 }
@@ -77,14 +79,14 @@
 func TestBusiestUpstreamsAreTold(t *testing.T) {
 	is := is.New(t)
 	h := newHub("z1", nil)
-	work := make(map[string]float64)
+	work := make(Work)
 	for i := range 10 * maxTold {
-		work[fmt.Sprint("u", i)] = float64(i)
+		work[NameOf(fmt.Sprint("u", i))] = float64(i)
 	}
 	h.take("a", Report{Work: work})
 	told := h.others("b", toHost)
 	is.Equal(len(told), maxTold)
-	is.Equal(told[fmt.Sprint("u", 10*maxTold-1)], float64(10*maxTold-1))
+	is.Equal(told[NameOf(fmt.Sprint("u", 10*maxTold-1))], float64(10*maxTold-1))
 }
 
 // A host that changes its hub tells the new one nothing of roll-outs until the old one
@@ -93,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		seen := []Evidence{{Service: "s", Order: 7}}
-		m := New(Options{Zone: "z1", Work: func() map[string]float64 { return nil }, Evidence: func() []Evidence { return seen }}, zerolog.Nop())
+		m := New(Options{Zone: "z1", Work: func() Work { return nil }, Evidence: func() []Evidence { return seen }}, zerolog.Nop())
 		m.hubSince = time.Now()
 		is.Equal(len(m.own().Evidence), 0)
 		time.Sleep(WorkAge + time.Millisecond)
@@ -215,11 +217,11 @@
 	stop   func()
 
 	mu   sync.Mutex
-	work map[string]float64
+	work Work
 	at   time.Time
 }
 
-func (h *host) others() (map[string]float64, time.Time) {
+func (h *host) others() (Work, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.work, h.at
@@ -243,12 +245,12 @@
 }
 
 // start runs a host with the work in flight until the test or the host's stop.
-func (in *installation) start(name, listen string, work map[string]float64, tables map[string]*feed.Watcher) *host {
+func (in *installation) start(name, listen string, work Work, tables map[string]*feed.Watcher) *host {
 	h := &host{}
 	h.member = New(Options{
 		Host: name, Zone: "z1", Listen: listen, Seeds: in.seeds, Keys: in.keys, Tables: tables,
-		Work: func() map[string]float64 { return work },
-		Others: func(others map[string]float64, at time.Time) {
+		Work: func() Work { return work },
+		Others: func(others Work, at time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.work, h.at = others, at
@@ -281,11 +283,11 @@
 
 func TestHostsHearOfEachOther(t *testing.T) {
 	in := newInstallation(t, 2)
-	first := in.start("hub-1", in.seeds[0], map[string]float64{"u": 1}, nil)
-	second := in.start("hub-2", in.seeds[1], map[string]float64{"u": 2}, nil)
-	third := in.start("host", freeAddress(t), map[string]float64{"u": 4}, nil)
+	first := in.start("hub-1", in.seeds[0], Work{NameOf("u"): 1}, nil)
+	second := in.start("hub-2", in.seeds[1], Work{NameOf("u"): 2}, nil)
+	third := in.start("host", freeAddress(t), Work{NameOf("u"): 4}, nil)
 	hears := func(h *host, want float64) func() bool {
-		return func() bool { work, _ := h.others(); return work["u"] == want }
+		return func() bool { work, _ := h.others(); return work[NameOf("u")] == want }
 	}
 	eventually(t, "the hub knows both others", hears(first, 6))
 	eventually(t, "the other seed knows both others", hears(second, 5))
@@ -309,7 +311,7 @@
 		t.Cleanup(func() { silent.Close() })
 		in.seeds = append([]string{silent.Addr().String()}, in.seeds...)
 	}
-	m := New(Options{Host: "host", Zone: "z1", Listen: freeAddress(t), Seeds: in.seeds, Keys: in.keys, Work: func() map[string]float64 { return nil }}, zerolog.Nop())
+	m := New(Options{Host: "host", Zone: "z1", Listen: freeAddress(t), Seeds: in.seeds, Keys: in.keys, Work: func() Work { return nil }}, zerolog.Nop())
 	var key peer.Key
 	eventually(t, "the key is there", func() bool {
 		var err error
@@ -443,3 +445,67 @@
 	is.NoErr(err)
 	is.Equal(later.Secret, keys[0].Secret)
 }
+
+// What a host of a large installation sends and is told stays within its part of the
+// traffic for control, 7 KB a second, also while all engines have work.
+func TestExchangeStaysWithinItsBytes(t *testing.T) {
+	tests := []struct {
+		hosts, engines int
+		// reads are the shared parts that engines read for the first time in a second.
+		reads int
+	}{
+		{9, 9, 10},
+		{86, 90, 60},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.hosts), func(t *testing.T) {
+			is := is.New(t)
+			const exchanges = float64(time.Second) / float64(Interval)
+			h := newHub("z1", nil)
+			total, since := 0, uint64(0)
+			for range 7 { // a second
+				for i := range test.hosts {
+					r := Report{Zone: "z1", Work: make(Work), Reads: make(Reads)}
+					for j := range max(1, test.engines/test.hosts*2) {
+						r.Work[NameOf(fmt.Sprintf("i-%010d", (i+j*7)%test.engines))] = 1234
+					}
+					if i < test.reads/7 {
+						r.Reads[NameOf(fmt.Sprintf("i-%010d", i))] = []placement.Key{4123456789}
+					}
+					h.take(fmt.Sprint("host-", i), r)
+					if i == 0 {
+						sent, err := json.Marshal(r)
+						is.NoErr(err)
+						total += len(sent)
+					}
+				}
+				reply := Reply{Zone: "z1", Hosts: test.hosts, Work: h.others("host-0", toHost)}
+				reply.Reads, reply.ReadsLast = h.readsSince(since, "host-0", toHost)
+				since = reply.ReadsLast
+				told, err := json.Marshal(reply)
+				is.NoErr(err)
+				total += len(told)
+			}
+			perSecond := float64(total) / 7 * exchanges
+			t.Logf("%d hosts, %d engines: %.0f bytes a second", test.hosts, test.engines, perSecond)
+			is.True(perSecond < 7_000)
+		})
+	}
+}
+
+func TestWorkAndReadsOnTheWire(t *testing.T) {
+	is := is.New(t)
+	report := Report{
+		Work:  Work{NameOf("a"): 12.4, NameOf("b"): 1e9},
+		Reads: Reads{NameOf("a"): {1, 4123456789}, NameOf("b"): {7}},
+	}
+	data, err := json.Marshal(report)
+	is.NoErr(err)
+	var got Report
+	is.NoErr(json.Unmarshal(data, &got))
+	is.Equal(got.Work, Work{NameOf("a"): 12, NameOf("b"): maxWork}) // whole milliseconds, up to a minute
+	is.Equal(got.Reads, report.Reads)
+	for _, bad := range []string{`{"work":"AAA"}`, `{"work":"!"}`, `{"work":7}`, `{"reads":"AAAAAAA"}`} {
+		is.True(json.Unmarshal([]byte(bad), &got) != nil)
+	}
+}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -44,9 +44,9 @@
 func (a audience) hears(r received) bool { return a == toHost || !r.fromHub }
 
 // maxTold bounds the upstreams whose work a host is told, the busiest first, and with
-// that an answer to about 5 KB and a host's part of the exchange to the 7 KB a second
-// that control may take: most of the time a few upstreams of a service are busy.
-const maxTold = 200
+// that a host's part of the exchange to the 7 KB a second that control may take: an
+// upstream takes 8 bytes of each answer.
+const maxTold = 100
 
 func newHub(zone string, tables map[string]*feed.Watcher) *hub {
 	return &hub{zone: zone, tables: tables, reports: make(map[string]received)}
@@ -96,11 +96,11 @@
 
 // others sums the work of all hosts but one, of any zone: a host may choose any zone's
 // upstreams.
-func (h *hub) others(self string, who audience) map[string]float64 {
+func (h *hub) others(self string, who audience) Work {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
-	sum := make(map[string]float64)
+	sum := make(Work)
 	for host, got := range h.reports {
 		if host == self || !who.hears(got) {
 			continue
@@ -113,13 +113,13 @@
 }
 
 // busiest keeps the upstreams with the most work.
-func busiest(work map[string]float64, most int) map[string]float64 {
+func busiest(work Work, most int) Work {
 	if len(work) <= most {
 		return work
 	}
 	amounts := slices.Sorted(maps.Values(work))
 	least := amounts[len(amounts)-most]
-	kept := make(map[string]float64, most)
+	kept := make(Work, most)
 	for id, w := range work {
 		if w >= least {
 			kept[id] = w
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -15,7 +15,6 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
-	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -34,16 +33,16 @@
 	// Tables are the watchers of the store's tables by name.
 	Tables map[string]*feed.Watcher
 	// Work returns the host's own work in flight by upstream.
-	Work func() map[string]float64
+	Work func() Work
 	// Others takes the other hosts' work by upstream, as of a time. It isn't called
 	// while no hub answers.
-	Others func(work map[string]float64, at time.Time)
+	Others func(work Work, at time.Time)
 	// Hosts takes the number of hosts, this one included. It may be nil.
 	Hosts func(n int)
 	// Reads returns what upstreams were sent for the first time since the last call;
 	// TakeReads takes what the others sent. Both may be nil.
-	Reads     func() map[string][]placement.Key
-	TakeReads func(map[string][]placement.Key)
+	Reads     func() Reads
+	TakeReads func(Reads)
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
 	// takes what the others saw. Both may be nil.
 	Evidence     func() []Evidence
--- a/internal/exchange/reads.go
+++ b/internal/exchange/reads.go
@@ -2,18 +2,8 @@
 
 import "github.com/quetzalweir/quetzalweir/placement"
 
-// Reads are the shared parts of prompts that upstreams were sent for the first time.
-type Reads map[string][]placement.Key
-
-// add adds other reads.
-func (r Reads) add(o Reads) {
-	for upstream, keys := range o {
-		r[upstream] = append(r[upstream], keys...)
-	}
-}
-
 // maxReads bounds the reads that a hub keeps for hosts that ask late, and what it tells
-// at once: some seconds of a large installation's, of about 25 bytes each.
+// at once: some seconds of a large installation's, of 11 bytes each.
 const maxReads = 512
 
 // readLog numbers the reads that a hub was told. A host names the last number that it
@@ -24,7 +14,7 @@
 }
 
 type readEntry struct {
-	upstream string
+	upstream Name
 	key      placement.Key
 	from     string
 	fromHub  bool
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
@@ -55,7 +56,7 @@
 	waits       waits
 	// reads are the shared parts that upstreams were sent for the first time, as far as
 	// this host knows, since the other hosts were told.
-	reads map[string][]placement.Key
+	reads exchange.Reads
 	// meanHeld is the decayed mean of the times for which upstreams have requests.
 	meanHeld time.Duration
 }
@@ -82,7 +83,7 @@
 }
 
 func newShard() *shard {
-	return &shard{members: make(map[string]*member), reads: make(map[string][]placement.Key), rates: placement.NewRates()}
+	return &shard{members: make(map[string]*member), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
 // Set takes an upstream's entry at a revision of the store. Leaving is sticky:
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
-	"github.com/quetzalweir/quetzalweir/placement"
 )
 
 // Work is what requests in flight ask of an upstream: for an engine the milliseconds that
@@ -151,13 +150,13 @@
 }
 
 // work is what this host has in flight, by upstream.
-func (f *Fleet) work() map[string]float64 {
+func (f *Fleet) work() exchange.Work {
 	now := time.Now()
-	work := make(map[string]float64)
+	work := make(exchange.Work)
 	f.each(func(s *shard) {
 		for id, m := range s.members {
 			if w := math.Round(m.work(now)); w >= leastTold {
-				work[id] = w
+				work[exchange.NameOf(id)] = w
 			}
 		}
 	})
@@ -182,13 +181,14 @@
 	w := &c.wants
 	m.kept.Add(w.keys...)
 	if shared := w.prompt.Shared; c.kept < shared {
-		m.shard.reads[m.ID] = append(m.shard.reads[m.ID], w.keys[shared-1])
+		name := exchange.NameOf(m.ID)
+		m.shard.reads[name] = append(m.shard.reads[name], w.keys[shared-1])
 	}
 }
 
 // takeReads returns what the upstreams were sent for the first time since the last call.
-func (f *Fleet) takeReads() map[string][]placement.Key {
-	reads := make(map[string][]placement.Key)
+func (f *Fleet) takeReads() exchange.Reads {
+	reads := make(exchange.Reads)
 	f.each(func(s *shard) {
 		maps.Copy(reads, s.reads)
 		clear(s.reads)
@@ -197,12 +197,10 @@
 }
 
 // noteReads takes what other hosts sent to the upstreams.
-func (f *Fleet) noteReads(reads map[string][]placement.Key) {
+func (f *Fleet) noteReads(reads exchange.Reads) {
 	f.each(func(s *shard) {
-		for id, keys := range reads {
-			if m := s.members[id]; m != nil {
-				m.kept.Add(keys...)
-			}
+		for id, m := range s.members {
+			m.kept.Add(reads[exchange.NameOf(id)]...)
 		}
 	})
 }
@@ -211,10 +209,10 @@
 const leastTold = 1
 
 // setOthers takes what the other hosts have in flight, as of a time.
-func (f *Fleet) setOthers(work map[string]float64, at time.Time) {
+func (f *Fleet) setOthers(work exchange.Work, at time.Time) {
 	f.each(func(s *shard) {
 		for id, m := range s.members {
-			m.others = work[id]
+			m.others = work[exchange.NameOf(id)]
 			m.othersAt = at
 		}
 	})
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -38,7 +38,7 @@
 	is.True(ok)
 	is.Equal(c.upstream.ID, "b")
 	is.Equal(len(f.work()), 1)
-	is.True(math.Abs(f.work()["b"]-float64(c.placed.Reading.Milliseconds())) < 100) // it goes on
+	is.True(math.Abs(f.work()[exchange.NameOf("b")]-float64(c.placed.Reading.Milliseconds())) < 100) // it goes on
 	f.began(&c, time.Second)
 	is.Equal(len(f.work()), 0) // the prompt is read
 	f.began(&c, time.Second)
@@ -66,7 +66,7 @@
 func TestOthersWorkIsAvoided(t *testing.T) {
 	is := is.New(t)
 	f := engineFleet()
-	f.setOthers(map[string]float64{"a": 3000, "c": 3000}, time.Now())
+	f.setOthers(exchange.Work{exchange.NameOf("a"): 3000, exchange.NameOf("c"): 3000}, time.Now())
 	for range 4 {
 		c, _ := f.choose(reads(1000))
 		is.Equal(c.upstream.ID, "b")
