placement: the prices of a second reading and of engine time by pressure are removed

An engine that keeps the parts is nearer in time as it is. A rank below 0 in a document ends no request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,9 @@
 	largest bool
 	// threshold is the confidence from which the answer is passed on; 0 if any is.
 	threshold int
+	// pressure is the time that prompts waited when that was decided, as a part of what
+	// reading them takes.
+	pressure float64
 	// patience is how long the upstream's head is waited for, if giveUp then
 	// agrees; whether or not it does, a longer silence speaks against the upstream.
 	patience time.Duration
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,8 +30,6 @@
 	placed placement.Choice
 	ahead  time.Duration
 	kept   int
-	// pressure is the time that prompts waited then, as a part of what reading takes.
-	pressure float64
 	// wants is what the choice was made for.
 	wants wants
 	// at is when it was chosen.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -38,6 +38,7 @@
 	if r.Account != nil && r.Account.Priority != nil {
 		rank = *r.Account.Priority
 	}
+	rank = max(0, rank) // a document may count from below 0; work is kept by priority
 	if (r.Table.LowestRank()+1)*urgencyLevels > leastUrgent+1 {
 		// There is no room for levels: the operators' order goes first.
 		return min(leastUrgent, rank)
@@ -165,7 +166,7 @@
 	upgrade.Usual = float64(d.gateway.settings.AcceptConfidence)
 	upgrade.Expected += time.Since(r.Arrived)
 	upgrade.Target = r.Route.Target
-	a.threshold = int(upgrade.Required())
+	a.threshold, a.pressure = int(upgrade.Required()), upgrade.Pressure
 	if head.confidence >= a.threshold {
 		return true
 	}
@@ -267,8 +268,7 @@
 		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
 		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
 		Int64("ahead_ms", a.choice.ahead.Milliseconds()).Int64("expected_ms", a.choice.placed.Expected.Milliseconds()).
-		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).
-		Float64("pressure", math.Round(100*a.choice.pressure)/100).Int("threshold", a.threshold).
+		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).Int("threshold", a.threshold).Float64("pressure", math.Round(100*a.pressure)/100).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
--- a/internal/gateway/models_test.go
+++ b/internal/gateway/models_test.go
@@ -28,6 +28,7 @@
 		{"the account's goes first", 1, &third, 2, false, false, 6},
 		{"the account's first rank", 1, &first, 2, false, false, 0},
 		{"least urgent of all", 2, nil, 2, true, true, 8},
+		{"a rank below the first", -2, nil, 2, false, false, 0},
 		{"no room for levels", 4, nil, 4, true, true, 4},
 		{"more ranks than upstreams know", 12, nil, 12, false, false, 9},
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,14 +22,12 @@
 	w := &c.wants
 	s.rates.Price(w.model, w.price)
 	candidates := s.engines(list, w, now)
-	c.pressure = s.waits.pressure()
 	c.placed = placement.Place(s.rates, &placement.Request{
-		Model:    w.model,
-		Prompt:   w.prompt,
-		Target:   w.target,
-		Way:      crossZoneWay + time.Duration(w.bytes)*crossZoneKB/1024,
-		Pressure: c.pressure,
-		Draw:     rand.Float64(),
+		Model:  w.model,
+		Prompt: w.prompt,
+		Target: w.target,
+		Way:    crossZoneWay + time.Duration(w.bytes)*crossZoneKB/1024,
+		Draw:   rand.Float64(),
 	}, candidates)
 	picked := &candidates[c.placed.Index]
 	c.ahead, c.kept = picked.Ahead, picked.Kept
--- a/placement/place.go
+++ b/placement/place.go
@@ -10,9 +10,6 @@
 	Target time.Duration
 	// Way is the price of sending the request to another availability zone.
 	Way time.Duration
-	// Pressure is the time that prompts wait for engines, as a part of what reading them
-	// takes.
-	Pressure float64
 	// Draw is a random number from 0 up to 1.
 	Draw float64
 }
@@ -43,34 +40,15 @@
 	Owner bool
 }
 
-const (
-	// secondReading is the price of reading shared parts on another engine than their
-	// owner, in parts of the engine time that it takes. The next request for the parts
-	// finds two engines that half keep them.
-	secondReading = 0.5
-	// usualPressure is the pressure at which engine time costs what it takes: half of
-	// that where a prompt waits half as long. Idle engines read parts twice for nothing;
-	// where prompts wait, each reading makes others late.
-	usualPressure = 0.3
-	// leastEngineTime and mostEngineTime bound the price of engine time.
-	leastEngineTime = 0.25
-	mostEngineTime  = 2.0
-	// targetless is the target of requests that have none.
-	targetless = 2 * time.Second
-)
-
-// engineTime is the price of a time of an engine.
-func (r *Request) engineTime(d time.Duration) time.Duration {
-	factor := max(leastEngineTime, min(mostEngineTime, r.Pressure/usualPressure))
-	return time.Duration(factor * float64(d))
-}
+// targetless is the target of requests that have none.
+const targetless = 2 * time.Second
 
 // Place chooses an engine. The list isn't empty.
 //
 // Each engine has a price in time: its work for the request; the waiting, which weighs
-// little far below the target and fully at it; the way to another zone; and the second
-// reading of shared parts, unless the engine is their owner. All hosts agree on the
-// owner without talking.
+// little far below the target and fully at it; and the way to another zone. Where prices
+// are alike the owner of the shared parts is taken, on which all hosts agree without
+// talking.
 func Place(rates *Rates, r *Request, list []Candidate) Choice {
 	here := r.here(rates)
 	owner := owner(list, here)
@@ -79,7 +57,7 @@
 	for i := range list {
 		c := r.choice(rates, &list[i])
 		c.Index, c.Owner = i, i == owner
-		price := r.price(rates, &c, &list[i])
+		price := r.price(&c, &list[i])
 		if here && c.Owner {
 			price -= r.again(rates, &list[i]) // an outlay for the requests to come
 		}
@@ -96,14 +74,11 @@
 	return Choice{Expected: c.Ahead + reading, Reading: reading, Missing: missing}
 }
 
-func (r *Request) price(rates *Rates, choice *Choice, c *Candidate) time.Duration {
+func (r *Request) price(choice *Choice, c *Candidate) time.Duration {
 	price := choice.Reading + r.waiting(choice.Expected)
 	if c.Far {
 		price += r.Way
 	}
-	if !choice.Owner {
-		price += r.engineTime(time.Duration(secondReading * float64(r.again(rates, c))))
-	}
 	return price
 }
 
@@ -129,8 +104,8 @@
 // spends on ways about what one reading costs: little for parts that are asked for often
 // or read fast, much only for long ones that are asked for now and then.
 func (r *Request) here(rates *Rates) bool {
-	reading := r.engineTime(rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead)
-	return r.Draw*float64(reading) < float64(r.Way)
+	reading := float64(rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead)
+	return r.Draw*reading < float64(r.Way)
 }
 
 // owner is the engine that the prompt's shared parts belong to: one of all zones, or one
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -52,7 +52,7 @@
 	for i, e := range f.engines {
 		list[i] = Candidate{Ahead: max(0, e.free-f.now), Far: e.far, Kept: e.kept.Count(keys), Order: order(p, i)}
 	}
-	r := &Request{Model: "m", Prompt: p, Target: f.target, Way: f.way, Pressure: usualPressure, Draw: f.rng.Float64()}
+	r := &Request{Model: "m", Prompt: p, Target: f.target, Way: f.way, Draw: f.rng.Float64()}
 	index := 0
 	if f.pick != nil {
 		index = f.pick(f, r, list)
