gateway: an upstream whose entry vanished is used only where no listed one is left

The upstream's entry was removed at 23.71 s without a word of leaving; the host heard at 24.43 s, and its grace of 1.5 s began then. The request's first try failed at 25.83 s, and of the plain service's upstreams all listed ones had been tried or failed too often, so the removed one was left. The filter of removed ones comes first now; it came last. The test failed before. Ruled out: a word of the store that came late (0.72 s, the usual gathering).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,12 +111,14 @@
 			list = append(list, m)
 		}
 	}
+	// An upstream whose entry vanished is used only where no listed one is left, as when
+	// all entries lapsed with the store. It may be leaving, and it does so earlier than its
+	// grace ends here: a host hears of the entry's end up to a second late.
+	list = keepUnlessNone(list, func(m *member) bool { return m.removedAt.IsZero() })
 	list = keepUnlessNone(list, func(m *member) bool { return !slices.Contains(w.exclude, m.ID) })
 	list = keepUnlessNone(list, func(m *member) bool { return now.After(m.ejectedUntil) })
 	mean := meanFailures(list, now)
-	list = keepUnlessNone(list, func(m *member) bool { return m.failures(now) < ejectRate+mean })
-	// Those that the store still lists go before those whose entry lapsed.
-	return keepUnlessNone(list, func(m *member) bool { return m.removedAt.IsZero() })
+	return keepUnlessNone(list, func(m *member) bool { return m.failures(now) < ejectRate+mean })
 }
 
 func meanFailures(list []*member, now time.Time) float64 {
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -194,6 +194,23 @@
 	is.Equal(leaving.count(), 1)
 }
 
+// An upstream whose entry vanished gets no second try of a request while a listed one is
+// there, though that failed: it may be leaving.
+func TestRemovedUpstreamGetsNoSecondTry(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	failing := w.upstream("a", fail(500))
+	removed := w.upstream("b", succeed("b"))
+	w.gateway.fleet.Remove("b", 2)
+	for range 5 {
+		w.do(w.request("GET", "/many/x", ""))
+	}
+	is.True(failing.count() >= 5)
+	is.Equal(removed.count(), 0)
+	w.gateway.fleet.Remove("a", 3) // no listed one is left
+	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "b")
+}
+
 func TestRemovedUpstreamServesForTheGraceOnly(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, testDocument())
