feed, gateway: a call of the store that fails says how far its answer came

The incident's hypotheses (an answer cut by the call's own limit, a host that believes its hub's old word, a document slow to decode) looked alike: one store-lost line for a whole outage, no bytes, no word on being behind.

Now: store-call-failed, store-call-abandoned and large-answer with bytes, times and limits, told revision and time behind; document-in-force with its bytes and the time of decoding; metrics of the time behind, calls and bytes a table. No decision changes.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -347,11 +347,11 @@
 	calls int
 }
 
-func (f *fixedTable) List(context.Context, string, string) (feed.Page, error) {
+func (f *fixedTable) List(context.Context, string, string, feed.Received) (feed.Page, error) {
 	return feed.Page{Revision: 3, Rows: []feed.Row{{Key: "k", Revision: 3}}}, nil
 }
 
-func (f *fixedTable) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) (feed.Page, error) {
+func (f *fixedTable) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration, _ feed.Received) (feed.Page, error) {
 	f.mu.Lock()
 	f.calls++
 	f.mu.Unlock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,13 +36,16 @@
 	Clock time.Duration
 }
 
+// Received is told of each part of an answer as it arrives, in bytes.
+type Received func(bytes int)
+
 // Source reads tables. Its calls end with the context.
 type Source interface {
 	// List returns the rows whose keys are not below from.
-	List(ctx context.Context, table, from string) (Page, error)
+	List(ctx context.Context, table, from string, received Received) (Page, error)
 	// Changes returns the changes after the revision, as soon as there are any
 	// or the wait is over; ErrHistoryLost if they are no longer kept.
-	Changes(ctx context.Context, table string, since uint64, wait time.Duration) (Page, error)
+	Changes(ctx context.Context, table string, since uint64, wait time.Duration, received Received) (Page, error)
 }
 
 // Handler takes what a watcher learns. Its calls don't overlap.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,19 +17,21 @@
 	list    func(call int) (Page, error)
 	changes func(ctx context.Context, call int, since uint64) (Page, error)
 	lists   int
-	// hold is that of the last call.
-	hold  time.Duration
-	polls int
+	// hold and received are those of the last call.
+	hold     time.Duration
+	received Received
+	polls    int
 }
 
-func (s *scriptedSource) List(context.Context, string, string) (Page, error) {
+func (s *scriptedSource) List(context.Context, string, string, Received) (Page, error) {
 	s.lists++
 	return s.list(s.lists)
 }
 
-func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, hold time.Duration) (Page, error) {
+func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, hold time.Duration, received Received) (Page, error) {
 	s.polls++
 	s.hold = hold
+	s.received = received
 	return s.changes(ctx, s.polls, since)
 }
 
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -75,9 +75,12 @@
 	revision uint64
 	listed   bool
 
-	// recent is what other hosts are told, relayed what they tell.
+	// recent is what other hosts are told, relayed what they tell, and lag how far
+	// the watcher is behind that.
 	recent  recent
 	relayed relayed
+	lag     lag
+	calls   callCounts
 	// relying says that the last step made no call, because another host told
 	// what is new; used by Run alone.
 	relying bool
@@ -181,9 +184,10 @@
 		// the store is back.
 		hold = 0
 	}
-	page, err := w.call(ctx, hold+answerMargin, func(ctx context.Context) (Page, error) {
-		return w.source.Changes(ctx, w.table, w.revision, hold)
-	})
+	page, err := w.call(ctx, &storeCall{kind: "changes", hold: hold, within: hold + answerMargin,
+		do: func(ctx context.Context, received Received) (Page, error) {
+			return w.source.Changes(ctx, w.table, w.revision, hold, received)
+		}})
 	if err != nil {
 		return err
 	}
@@ -200,6 +204,7 @@
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, revision)
+	w.lag.reached(w.revision)
 	w.recent.add(rows, w.revision)
 }
 
@@ -233,6 +238,7 @@
 		}
 		w.take(rows, news.Revision)
 	default:
+		w.lag.note(news.Revision, w.sinceStart())
 		return false
 	}
 	w.succeeded(max(1, w.sinceStart()-time.Since(at)))
@@ -318,6 +324,7 @@
 	}
 	w.handler.Replace(rows)
 	w.revision = revision
+	w.lag.reached(revision)
 	w.listed = true
 	w.recent.reset(revision)
 	return wait.For(ctx, w.gather())
@@ -327,33 +334,10 @@
 var errOldListing = errors.New("feed: listing older than known changes")
 
 func (w *Watcher) listPage(ctx context.Context, from string) (Page, error) {
-	return w.call(ctx, listTimeout, func(ctx context.Context) (Page, error) {
-		return w.source.List(ctx, w.table, from)
-	})
-}
-
-// call makes one call of the store within the time and tells the link what came
-// of it.
-func (w *Watcher) call(ctx context.Context, within time.Duration, do func(context.Context) (Page, error)) (Page, error) {
-	linkCtx, err := w.options.Link.begin(ctx, w)
-	if err != nil {
-		return Page{}, err
-	}
-	callCtx, cancel := context.WithTimeout(linkCtx, within)
-	defer cancel()
-	page, err := do(callCtx)
-	abandoned := linkCtx.Err() != nil
-	reached := err == nil || errors.Is(err, ErrHistoryLost)
-	if abandoned && !reached {
-		w.options.Link.end(w, true)
-		return Page{}, context.Canceled
-	}
-	w.options.Link.end(w, reached)
-	if err == nil {
-		w.noteClock(page.Clock)
-		w.succeeded(w.sinceStart())
-	}
-	return page, err
+	return w.call(ctx, &storeCall{kind: "list", within: listTimeout,
+		do: func(ctx context.Context, received Received) (Page, error) {
+			return w.source.List(ctx, w.table, from, received)
+		}})
 }
 
 func (w *Watcher) noteClock(clock time.Duration) {
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -62,6 +63,7 @@
 
 // takeDocument puts a document in force unless a newer one is.
 func (g *Gateway) takeDocument(row feed.Row) {
+	start := time.Now()
 	doc, err := g.settings.Codec.Document(row.Data)
 	if err != nil {
 		g.unreadable(row, err)
@@ -79,7 +81,8 @@
 	}
 	g.table.Store(table)
 	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Uint64("revision", row.Revision).
-		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).Msg("")
+		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).
+		Int("bytes", len(row.Data)).Int64("decode_ms", time.Since(start).Milliseconds()).Msg("")
 }
 
 func (g *Gateway) unreadable(row feed.Row, err error) {
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -343,7 +343,7 @@
 	return nil, nil
 }
 
-func (s *fakeStore) List(_ context.Context, table, _ string) (feed.Page, error) {
+func (s *fakeStore) List(_ context.Context, table, _ string, _ feed.Received) (feed.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["list "+table]++
@@ -357,7 +357,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (feed.Page, error) {
+func (s *fakeStore) Changes(ctx context.Context, table string, since uint64, wait time.Duration, _ feed.Received) (feed.Page, error) {
 	deadline := time.After(wait)
 	s.mu.Lock()
 	s.calls["changes "+table]++
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,16 +35,29 @@
 	return m
 }
 
-// followed shows the age of the store's word on a table, in seconds, -1 before the
-// first one.
+// followed shows how a table is followed: the age of the store's word on it, in
+// seconds, -1 before the first one; how long the host has been behind what its hub
+// told it of; and the calls of the store with the bytes that came of them.
 func (m *gatewayMetrics) followed(table string, w *feed.Watcher) {
-	m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_table_age_seconds{table=%q}`, table), func() float64 {
+	gauge := func(name string, value func() float64) {
+		m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_%s{table=%q}`, name, table), value)
+	}
+	gauge("table_age_seconds", func() float64 {
 		age, ok := w.Age()
 		if !ok {
 			return -1
 		}
 		return age.Seconds()
 	})
+	gauge("table_behind_seconds", func() float64 { return w.Behind().Seconds() })
+	gauge("store_received_bytes_total", func() float64 { return float64(w.Calls().ReceivedBytes) })
+	calls := func(outcome string, count func(feed.Calls) uint64) {
+		m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_store_calls_total{table=%q,outcome=%q}`, table, outcome), func() float64 {
+			return float64(count(w.Calls()))
+		})
+	}
+	calls("answered", func(c feed.Calls) uint64 { return c.Answered })
+	calls("failed", func(c feed.Calls) uint64 { return c.Failed })
 }
 
 // attempt counts one attempt.
