--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -59,7 +59,9 @@
 	w.countCall(reached)
 	if abandoned && !reached {
 		w.options.Link.end(w, true)
-		w.logAbandoned(c)
+		if ctx.Err() == nil {
+			w.logAbandoned(c)
+		}
 		return Page{}, context.Canceled
 	}
 	w.options.Link.end(w, reached)
