feed: a call of the store is bounded by silence, not by its length

Cause: each call of a watcher was bounded in all (0.8 s beyond the hold, 1.5 s for a listing). The answer with a large document takes longer on a small link; it was cut, begun anew and cut at the same byte. Class: a limit on the whole time of work whose size has no limit, retried from the start.

Ruled out by the test's own lines (store-call-failed): a hub's old word (told above revision), slow decoding (never reached). The limit is now on the silence before an answer and between its parts (internal/stall). The same cause beside it: one table's failure ended another's answer that was arriving, and the first failure kept the other tables waiting until a whole answer had come. An arriving answer now shows that the store is there.

Two new tests of the link fail with the link as it was.

--- /dev/null
+++ b/internal/feed/arriving_test.go
@@ -0,0 +1,127 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// arrive tells of a part of an answer at each interval until the time is over.
+func arrive(ctx context.Context, received Received, span time.Duration) error {
+	const interval = answerTimeout / 2
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		select {
+		case <-time.After(interval):
+			received(1000)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// The limit is on silence, also within an answer.
+func TestAnswerThatStopsMidwayIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const arriving = 4 * time.Second
+		began := time.Now()
+		var second time.Duration
+		source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		source.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+			if call == 2 {
+				second = time.Since(began)
+				return hang(ctx)
+			}
+			if err := arrive(ctx, source.received, arriving); err != nil {
+				return Page{}, err
+			}
+			return hang(ctx)
+		}
+		watch(source, Options{}, arriving+answerTimeout+maxBackoff)
+		is.True(second >= arriving+answerTimeout) // not while it arrived
+		is.True(second <= arriving+answerTimeout+maxBackoff)
+	})
+}
+
+// Another watcher's dead connection doesn't end an answer that is arriving: it would
+// be read from its beginning again, for as long as the other's calls fail.
+func TestArrivingAnswerOutlivesAnothersFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const arriving = 5 * time.Second
+		long := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		long.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+			if call > 1 {
+				return hang(ctx)
+			}
+			if err := arrive(ctx, long.received, arriving); err != nil {
+				return Page{}, err
+			}
+			return Page{Rows: rows(2), Revision: 2}, nil
+		}
+		failing := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		failing.changes = func(context.Context, int, uint64) (Page, error) {
+			time.Sleep(answerTimeout) // the long answer has begun
+			return Page{}, errors.New("reset")
+		}
+		link := NewLink()
+		seen := &recorder{}
+		w := NewWatcher("long", long, seen, Options{Link: link}, zerolog.Nop())
+		other := NewWatcher("other", failing, &recorder{}, Options{Link: link}, zerolog.Nop())
+		runBoth(t, w, other, arriving+time.Second)
+		is.Equal(seen.changes, rows(2))
+		is.True(failing.polls > 2)
+	})
+}
+
+// The first part of an answer tells the watchers that wait for the store's return.
+func TestOthersGoOnWhenAnAnswerBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const down, arriving = time.Second, 4 * time.Second
+		began := time.Now()
+		long := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		long.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) {
+			if time.Since(began) < down {
+				return Page{}, errors.New("refused")
+			}
+			return Page{}, arrive(ctx, long.received, arriving)
+		}
+		waiting := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		var back time.Duration
+		waiting.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) {
+			if time.Since(began) > down && back == 0 {
+				back = time.Since(began)
+			}
+			if waiting.hold == 0 {
+				return Page{Revision: 1}, nil
+			}
+			return hang(ctx)
+		}
+		link := NewLink()
+		w := NewWatcher("long", long, &recorder{}, Options{Link: link}, zerolog.Nop())
+		other := NewWatcher("other", waiting, &recorder{}, Options{Link: link}, zerolog.Nop())
+		runBoth(t, w, other, down+arriving)
+		is.True(back > down)
+		is.True(back <= down+maxBackoff+answerTimeout)
+		is.True(!other.Interrupted())
+	})
+}
+
+// runBoth runs two watchers for the span.
+func runBoth(t *testing.T, a, b *Watcher, span time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { a.Run(ctx) })
+	group.Go(func() { b.Run(ctx) })
+	group.Wait()
+}
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/stall"
 )
 
 // Calls counts a watcher's calls of the store since its start.
@@ -33,7 +35,8 @@
 	// kind is "list" or "changes"; hold is how long the store may hold the call.
 	kind string
 	hold time.Duration
-	// within bounds the whole call.
+	// within bounds the time to the answer's first part. Each further one has
+	// answerTimeout: the whole answer takes as long as the link needs for its size.
 	within time.Duration
 	do     func(ctx context.Context, received Received) (Page, error)
 
@@ -41,19 +44,24 @@
 	receivedBytes atomic.Uint64
 }
 
+// errAbandoned means that a call was given up because another watcher found the
+// store out of reach.
+var errAbandoned = errors.New("feed: call abandoned")
+
 // call makes one call of the store and tells the link what came of it.
 func (w *Watcher) call(ctx context.Context, c *storeCall) (Page, error) {
 	linkCtx, err := w.options.Link.begin(ctx, w)
 	if err != nil {
 		return Page{}, err
 	}
-	callCtx, cancel := context.WithTimeout(linkCtx, c.within)
-	defer cancel()
+	callCtx, guard := stall.WithTimeout(linkCtx, c.within)
+	defer guard.Stop()
 	c.started = time.Now()
 	page, err := c.do(callCtx, func(bytes int) {
-		c.receivedBytes.Add(uint64(bytes))
-		w.calls.receivedBytes.Add(uint64(bytes))
+		guard.Progress(answerTimeout)
+		w.noteReceived(c, bytes)
 	})
+	err = guard.Explain(err)
 	abandoned := linkCtx.Err() != nil
 	reached := err == nil || errors.Is(err, ErrHistoryLost)
 	w.countCall(reached)
@@ -62,7 +70,7 @@
 		if ctx.Err() == nil {
 			w.logAbandoned(c)
 		}
-		return Page{}, context.Canceled
+		return Page{}, errAbandoned
 	}
 	w.options.Link.end(w, reached)
 	if !reached {
@@ -76,6 +84,15 @@
 	return page, err
 }
 
+// noteReceived takes in a part of a call's answer. The first one tells the link
+// that the store answers.
+func (w *Watcher) noteReceived(c *storeCall, bytes int) {
+	w.calls.receivedBytes.Add(uint64(bytes))
+	if c.receivedBytes.Add(uint64(bytes)) == uint64(bytes) {
+		w.options.Link.receiving(w)
+	}
+}
+
 func (w *Watcher) countCall(reached bool) {
 	if reached {
 		w.calls.answered.Add(1)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -195,8 +195,8 @@
 				return hang(ctx)
 			},
 		}
-		watch(source, Options{}, 2*DefaultHold+2*answerMargin)
-		is.True(second >= DefaultHold && second <= DefaultHold+answerMargin+maxBackoff)
+		watch(source, Options{}, 2*DefaultHold+2*answerTimeout)
+		is.True(second >= DefaultHold && second <= DefaultHold+answerTimeout+maxBackoff)
 	})
 }
 
--- a/internal/feed/link.go
+++ b/internal/feed/link.go
@@ -10,6 +10,10 @@
 // may hang on connections that are dead, and leave it to that one to try the store
 // until it answers. So an outage costs the calls of one watcher, and is noticed
 // when the first of several calls shows it.
+//
+// A call whose answer is arriving shows that the store answers. It isn't given up for
+// another's failure, which is then one of a connection: a long answer would have to be
+// read from its beginning again.
 type Link struct {
 	mu sync.Mutex
 	// trying is the watcher that tries the store while it is out of reach; nil
@@ -17,13 +21,20 @@
 	trying *Watcher
 	// returned is closed when the store answers again.
 	returned chan struct{}
-	// calls are the ends of the calls that wait now.
-	calls map[*Watcher]context.CancelFunc
+	// calls are those under way.
+	calls map[*Watcher]*linkCall
+}
+
+// linkCall is a watcher's call.
+type linkCall struct {
+	cancel context.CancelFunc
+	// receiving says that its answer is arriving.
+	receiving bool
 }
 
 // NewLink returns the link of a store.
 func NewLink() *Link {
-	return &Link{calls: make(map[*Watcher]context.CancelFunc)}
+	return &Link{calls: make(map[*Watcher]*linkCall)}
 }
 
 // begin waits until the store is believed to answer, or it is the watcher's own
@@ -42,29 +53,58 @@
 	}
 	defer l.mu.Unlock()
 	callCtx, cancel := context.WithCancel(ctx)
-	l.calls[w] = cancel
+	l.calls[w] = &linkCall{cancel: cancel}
 	return callCtx, nil
 }
 
-// end ends the watcher's call. Without a result the store is out of reach.
+// receiving notes that the answer to the watcher's call is arriving.
+func (l *Link) receiving(w *Watcher) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if call, ok := l.calls[w]; ok {
+		call.receiving = true
+	}
+	l.answered(w)
+}
+
+// end ends the watcher's call. Without a result the store is out of reach, unless it
+// is answering another one.
 func (l *Link) end(w *Watcher, reached bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.calls[w]()
+	l.calls[w].cancel()
 	delete(l.calls, w)
 	switch {
-	case reached && l.trying == w:
-		l.trying = nil
-		close(l.returned)
-	case !reached && l.trying == nil:
+	case reached:
+		l.answered(w)
+	case l.trying == nil && !l.anyReceiving():
 		l.trying = w
 		l.returned = make(chan struct{})
-		for _, cancel := range l.calls {
-			cancel()
+		for _, call := range l.calls {
+			call.cancel()
 		}
 	}
 }
 
+// answered lets the other watchers go on if the watcher was the one to try the store.
+// l.mu is held.
+func (l *Link) answered(w *Watcher) {
+	if l.trying == w {
+		l.trying = nil
+		close(l.returned)
+	}
+}
+
+// anyReceiving says whether an answer is arriving. l.mu is held.
+func (l *Link) anyReceiving() bool {
+	for _, call := range l.calls {
+		if call.receiving {
+			return true
+		}
+	}
+	return false
+}
+
 // lost says whether the store is out of reach.
 func (l *Link) lost() bool {
 	l.mu.Lock()
@@ -76,8 +116,5 @@
 func (l *Link) leave(w *Watcher) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.trying == w {
-		l.trying = nil
-		close(l.returned)
-	}
+	l.answered(w)
 }
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -21,9 +21,12 @@
 	DefaultHold = 4500 * time.Millisecond
 	// idleCheck is how often a watcher that isn't needed looks whether it is.
 	idleCheck = 100 * time.Millisecond
-	// answerMargin is allowed beyond the wait for a slow store's answer.
-	answerMargin = 800 * time.Millisecond
-	// listTimeout bounds one call for a table's rows.
+	// answerTimeout bounds the store's silence, beyond its hold before an answer, and
+	// between the parts of one. It must stay a bound on silence: as one on the whole
+	// call, hosts whose link needs longer for a document never have it.
+	answerTimeout = 800 * time.Millisecond
+	// listTimeout bounds the silence before a table's rows. It is longer, since a
+	// host that starts has nothing else to serve by.
 	listTimeout = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call. The
 	// highest keeps a fleet's calls during an outage near its normal rate of
@@ -145,8 +148,8 @@
 		case err == nil:
 			backoff = minBackoff
 			continue
-		case errors.Is(err, context.Canceled):
-			continue // another watcher found the store out of reach
+		case errors.Is(err, errAbandoned):
+			continue
 		case errors.Is(err, ErrHistoryLost):
 			w.log.Warn().Str("event", "history-lost").Uint64("revision", w.revision).Msg("")
 			w.listed = false
@@ -179,12 +182,12 @@
 		return w.awaitNews(ctx, at)
 	}
 	hold := w.hold()
-	if rely || w.options.Link.lost() {
+	if rely || w.lostAt.Load() != 0 || w.options.Link.lost() {
 		// The answer is wanted at once: there is something new, or it tells that
 		// the store is back.
 		hold = 0
 	}
-	page, err := w.call(ctx, &storeCall{kind: "changes", hold: hold, within: hold + answerMargin,
+	page, err := w.call(ctx, &storeCall{kind: "changes", hold: hold, within: hold + answerTimeout,
 		do: func(ctx context.Context, received Received) (Page, error) {
 			return w.source.Changes(ctx, w.table, w.revision, hold, received)
 		}})
