storage/client, config: the same limit on the whole of a reading, two tests which fail

The client of the own interface gives a call 2 s in all, the manifests' watcher a source 1.25 s in all, the same at each try: an object that arrives more slowly is cut at the same byte each time.

--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+// A manifest that takes longer to arrive than one source is given at first must come
+// into force all the same. With one limit for every try the host cut each reading at the
+// same byte and took no work for good: StaleError with Newest 2, Current 1.
+func TestManifestThatArrivesSlowlyComesIntoForce(t *testing.T) {
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
+		const arriving = 2 * config.DefaultBound
+		first := b.submit(t, config.Head{}, "1")
+		w := run(t, config.WatcherOptions{Store: b.store})
+		settle()
+		b.objects.SetReadDelay(arriving)
+		b.submit(t, first, "2")
+		time.Sleep(4 * arriving)
+		synctest.Wait()
+		is.Equal(w.Current().Epoch, uint64(2))
+		is.NoErr(w.Check())
+	})
+}
+
 // holdAnswers keeps the answers of reads that were served already, as if the
 // reading process had been stopped in between.
 func holdAnswers(table *faulty.Table) (release func()) {
--- a/storage/client/outcome_test.go
+++ b/storage/client/outcome_test.go
@@ -1,6 +1,7 @@
 package client_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
+	"github.com/quetzalweir/quetzalweir/internal/standin/slowlink"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/storage/client"
 	"github.com/quetzalweir/quetzalweir/storage/protocol"
@@ -82,6 +84,25 @@
 	}
 }
 
+// An answer that keeps coming is read to its end, however long that takes; one that
+// stops is given up. As a limit on the whole call the timeout cut each reading of a
+// large object at the same byte: "context deadline exceeded", for good.
+func TestLargeObjectOverASlowLink(t *testing.T) {
+	is := is.New(t)
+	const timeout = 500 * time.Millisecond
+	server := platformd.New(unlimitedOptions())
+	object := bytes.Repeat([]byte("o"), 60<<10)
+	is.NoErr(server.Objects().Write(t.Context(), "large", object))
+	web := httptest.NewUnstartedServer(server.Handler())
+	web.Listener = slowlink.Listener{Listener: web.Listener, Rate: 40 << 10} // 1.5 s
+	web.Start()
+	t.Cleanup(web.Close)
+	p := newClient(t, web.URL, client.Options{Timeout: timeout})
+	got, err := p.Objects().Read(t.Context(), "large")
+	is.NoErr(err)
+	is.Equal(len(got), len(object))
+}
+
 func TestUnsentCommitIsUnavailable(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/storage/faulty/objects.go
+++ b/storage/faulty/objects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -14,6 +15,8 @@
 type Objects struct {
 	inner storage.Objects
 	down  atomic.Bool
+	// readDelay is in nanoseconds.
+	readDelay atomic.Int64
 }
 
 // NewObjects returns an object store without faults over inner.
@@ -27,6 +30,11 @@
 	o.down.Store(down)
 }
 
+// SetReadDelay sets how long each object takes to arrive, as over a small link.
+func (o *Objects) SetReadDelay(d time.Duration) {
+	o.readDelay.Store(int64(d))
+}
+
 // Write implements storage.Objects.
 func (o *Objects) Write(ctx context.Context, name string, data []byte) error {
 	if o.down.Load() {
@@ -40,5 +48,8 @@
 	if o.down.Load() {
 		return nil, errDown()
 	}
+	if err := sleep(ctx, time.Duration(o.readDelay.Load())); err != nil {
+		return nil, err
+	}
 	return o.inner.Read(ctx, name)
 }
