storage/client, config: readings are bounded by silence, or by a limit that grows

The client's timeout bounds silence now (before the answer, between its parts, while a body is sent). The watcher of manifests, whose sources tell no progress, doubles the limit of a source when a try runs out of it, up to ten bounds, and keeps to twice the time of the last body that came; it goes by time, not by digest, since manifests may change faster than one of them arrives.

Looked at and left, as their size is bounded: frames between hosts (1 MiB in 5 s), the key's row, states of roll-outs.

--- a/config/watcher.go
+++ b/config/watcher.go
@@ -27,8 +27,12 @@
 	asksPerBound = 3
 	// viewsPerSecond is the budget of answers of peers that one host asks for.
 	viewsPerSecond = 20
-	// loadsPerBound is how many sources of a body are tried within the bound.
+	// loadsPerBound is how many sources of a body are tried within the bound, while
+	// its size is unknown.
 	loadsPerBound = 4
+	// maxLoadBounds is the most that a source is given, in bounds: 50 s with the
+	// default, in which a link of 2 Mbit/s carries 12 MB.
+	maxLoadBounds = 10
 	// confirmRefresh is when a host writes its confirmation again though
 	// nothing changed.
 	confirmRefresh = time.Hour
--- a/config/watcher_loops.go
+++ b/config/watcher_loops.go
@@ -120,10 +120,11 @@
 func (w *Watcher) loadNewest(ctx context.Context) {
 	retry := time.NewTimer(w.options.Poll)
 	defer retry.Stop()
+	limit := loadLimit{bound: w.options.Bound}
 	for {
 		v := w.view.Load()
 		if v.newest.Epoch > v.epoch() {
-			w.load(ctx, v.newest)
+			w.load(ctx, v.newest, &limit)
 		}
 		retry.Reset(w.options.Poll)
 		select {
@@ -135,8 +136,33 @@
 	}
 }
 
-func (w *Watcher) load(ctx context.Context, head Head) {
-	policy, err := w.fetch(ctx, head)
+// loadLimit is how long each source of a body is given. A body that needs longer than
+// that to arrive would be cut at the same byte at each try, and the host would take no
+// work for good; so a try that runs out of time doubles it. It goes by the last body's
+// time, not by its digest: manifests may change faster than one of them arrives.
+type loadLimit struct {
+	bound time.Duration
+	// current is 0 before the first try.
+	current time.Duration
+}
+
+// next is the limit of the next try.
+func (l *loadLimit) next() time.Duration { return max(l.current, l.bound/loadsPerBound) }
+
+// ended takes in a try's time and what came of it.
+func (l *loadLimit) ended(took time.Duration, err error) {
+	switch {
+	case err == nil:
+		l.current = 2 * took
+	case errors.Is(err, context.DeadlineExceeded):
+		l.current = min(2*l.next(), maxLoadBounds*l.bound)
+	}
+}
+
+func (w *Watcher) load(ctx context.Context, head Head, limit *loadLimit) {
+	start := time.Now()
+	policy, err := w.fetch(ctx, head, limit.next())
+	limit.ended(time.Since(start), err)
 	if err != nil {
 		w.options.OnError(err)
 		return
@@ -148,27 +174,28 @@
 	}
 }
 
-// fetch takes the body from the object store, or else from a peer.
-func (w *Watcher) fetch(ctx context.Context, head Head) (*manifest.Policy, error) {
-	policy, err := w.fetchStored(ctx, head)
+// fetch takes the body from the object store, or else from a peer, each within the
+// limit.
+func (w *Watcher) fetch(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
+	policy, err := w.fetchStored(ctx, head, limit)
 	if err == nil || w.options.Bodies == nil {
 		return policy, err
 	}
-	policy, peerErr := w.fetchFromPeer(ctx, head)
+	policy, peerErr := w.fetchFromPeer(ctx, head, limit)
 	if peerErr != nil {
 		return nil, errors.Join(err, peerErr)
 	}
 	return policy, nil
 }
 
-func (w *Watcher) fetchStored(ctx context.Context, head Head) (*manifest.Policy, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.options.Bound/loadsPerBound)
+func (w *Watcher) fetchStored(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return w.options.Store.LoadFrom(ctx, head, w.Current())
 }
 
-func (w *Watcher) fetchFromPeer(ctx context.Context, head Head) (*manifest.Policy, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.options.Bound/loadsPerBound)
+func (w *Watcher) fetchFromPeer(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	body, err := w.options.Bodies.FetchBody(ctx, head.Digest)
 	if err != nil {
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -119,11 +119,38 @@
 		w := run(t, config.WatcherOptions{Store: b.store})
 		settle()
 		b.objects.SetReadDelay(arriving)
-		b.submit(t, first, "2")
+		second := b.submit(t, first, "2")
 		time.Sleep(4 * arriving)
 		synctest.Wait()
 		is.Equal(w.Current().Epoch, uint64(2))
 		is.NoErr(w.Check())
+
+		// The next one has the time from its first try on.
+		b.submit(t, second, "3")
+		time.Sleep(arriving + pastBound)
+		synctest.Wait()
+		is.Equal(w.Current().Epoch, uint64(3))
+		is.NoErr(w.Check())
+	})
+}
+
+// Manifests that replace each other before one of them has arrived don't keep the
+// host from any: the time that it gives one is what the one before lacked.
+func TestManifestsThatChangeFasterThanTheyArrive(t *testing.T) {
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
+		const arriving = config.DefaultBound
+		head := b.submit(t, config.Head{}, "1")
+		w := run(t, config.WatcherOptions{Store: b.store})
+		settle()
+		b.objects.SetReadDelay(arriving)
+		for i := range 12 {
+			b.objects.SetReadDelay(0) // the submitter's own link is large
+			head = b.submit(t, head, fmt.Sprint(i+2))
+			b.objects.SetReadDelay(arriving)
+			time.Sleep(arriving * 3 / 4)
+		}
+		synctest.Wait()
+		is.True(w.Current().Epoch > 1)
 	})
 }
 
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -14,8 +14,8 @@
 )
 
 // ErrStalled means that a call was ended because nothing of its answer came for
-// too long.
-var ErrStalled = errors.New("stall: nothing received in time")
+// too long. It is a context.DeadlineExceeded.
+var ErrStalled = fmt.Errorf("stall: nothing received in time: %w", context.DeadlineExceeded)
 
 // Guard ends a context unless it is told of progress in time. It is safe for
 // concurrent use.
--- a/storage/client/call.go
+++ b/storage/client/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
+	"github.com/quetzalweir/quetzalweir/internal/stall"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/storage/protocol"
 )
@@ -89,22 +90,23 @@
 	if int64(len(c.body)) > p.options.MaxBody {
 		return answer{}, c.failUnsent(errTooLarge)
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
-	defer cancel()
-	try := sealedconn.Call{Repeatable: !c.writes}
+	ctx, guard := stall.WithTimeout(ctx, p.options.Timeout)
+	defer guard.Stop()
+	progress := func() { guard.Progress(p.options.Timeout) }
+	try := sealedconn.Call{Repeatable: !c.writes, OnWrite: progress}
 	request, err := p.newRequest(try.Trace(ctx), c)
 	if err != nil {
 		return answer{}, c.failUnsent(err)
 	}
 	response, err := p.transport.RoundTrip(request)
 	if err != nil {
-		return answer{}, c.failEnded(try.Abandon(), err)
+		return answer{}, c.failEnded(try.Abandon(), guard.Explain(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	result, err := p.readAnswer(request, response)
+	result, err := p.readAnswer(request, response, progress)
 	if err != nil {
 		try.Abandon()
-		return answer{}, c.failSent(err)
+		return answer{}, c.failSent(guard.Explain(err))
 	}
 	return result, nil
 }
@@ -131,13 +133,13 @@
 }
 
 // readAnswer reads the whole answer, and makes sure that it is whole and an
-// answer to the request.
-func (p *Platform) readAnswer(request *http.Request, response *http.Response) (answer, error) {
+// answer to the request. It calls progress with each part of the body.
+func (p *Platform) readAnswer(request *http.Request, response *http.Response, progress func()) (answer, error) {
 	if response.Header.Get(protocol.HeaderCall) != request.Header.Get(protocol.HeaderCall) {
 		return answer{}, fmt.Errorf("%w: status %d", errOtherCall, response.StatusCode)
 	}
 	result := answer{status: response.StatusCode, header: response.Header}
-	body, err := p.readBody(response)
+	body, err := p.readBody(response, progress)
 	// A refusal stands in the headers; losing its text changes nothing.
 	if err != nil && !result.noEffect() {
 		return answer{}, err
@@ -146,12 +148,13 @@
 	return result, nil
 }
 
-func (p *Platform) readBody(response *http.Response) ([]byte, error) {
+func (p *Platform) readBody(response *http.Response, progress func()) ([]byte, error) {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		// The body ends with the connection, so that a cut looks like its end.
 		return nil, errUnframed
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, p.options.MaxBody+1))
+	parts := stall.Reader{Reader: response.Body, Received: func(int) { progress() }}
+	body, err := io.ReadAll(io.LimitReader(parts, p.options.MaxBody+1))
 	if err != nil {
 		return nil, err
 	}
--- a/storage/client/options.go
+++ b/storage/client/options.go
@@ -17,8 +17,10 @@
 
 // Options set up a Platform. Zero fields take their defaults.
 type Options struct {
-	// Timeout bounds each call, from its start to the last byte of its answer;
-	// default DefaultTimeout. An earlier deadline of the context prevails.
+	// Timeout bounds the service's silence: from the last byte sent to the first of
+	// the answer, and between the answer's parts; default DefaultTimeout. The whole
+	// call takes as long as its bodies need on the link. An earlier deadline of the
+	// context prevails.
 	Timeout time.Duration
 	// DialTimeout bounds the making of a connection; default
 	// DefaultDialTimeout.
