feed: what an answer tells is as old as its first part

The time of the first part counts now, of the first page for a listing, and it is noted after the answer was handed on.

--- a/internal/feed/arriving_test.go
+++ b/internal/feed/arriving_test.go
@@ -115,6 +115,53 @@
 	})
 }
 
+// What an answer tells is as old as its first part: while the rest arrived the store
+// may have changed, and other hosts go by the age that this one tells them.
+func TestAgeOfALongAnswer(t *testing.T) {
+	const arriving, clock = 4 * time.Second, time.Hour
+	tests := []struct {
+		desc   string
+		source func(s *scriptedSource)
+	}{
+		{"changes", func(s *scriptedSource) {
+			s.list = func(int) (Page, error) { return Page{Revision: 1}, nil }
+			s.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+				if call > 1 {
+					return hang(ctx)
+				}
+				return Page{Rows: rows(2), Revision: 2, Clock: clock}, arrive(ctx, s.received, arriving)
+			}
+		}},
+		{"a listing of two pages", func(s *scriptedSource) {
+			s.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) }
+			s.list = func(call int) (Page, error) {
+				page := Page{Rows: rows(uint64(call)), Revision: 2, Clock: clock, Truncated: call == 1}
+				if call == 2 {
+					page.Clock += arriving
+					return page, nil
+				}
+				return page, arrive(context.Background(), s.received, arriving)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := &scriptedSource{}
+				test.source(source)
+				w, _ := watch(source, Options{}, arriving+time.Second)
+				n, ok := w.News(0)
+				is.True(ok)
+				is.Equal(n.Revision, uint64(2))
+				first := arriving + time.Second - answerTimeout/2 // since the first part
+				is.True(n.Age >= first)
+				is.True(n.Clock >= clock+first-time.Second && n.Clock <= clock+first+time.Second)
+			})
+		})
+	}
+}
+
 // runBoth runs two watchers for the span.
 func runBoth(t *testing.T, a, b *Watcher, span time.Duration) {
 	t.Helper()
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -40,24 +40,36 @@
 	within time.Duration
 	do     func(ctx context.Context, received Received) (Page, error)
 
-	started       time.Time
+	started time.Time
+	// answeredAt is when the answer's first part came, in time since the watcher's
+	// start: what the answer tells is as old as that. 0 before it.
+	answeredAt    atomic.Int64
 	receivedBytes atomic.Uint64
 }
 
+// answered is when the store answered; for an answer without parts, now.
+func (c *storeCall) answered(now time.Duration) time.Duration {
+	if at := c.answeredAt.Load(); at != 0 {
+		return time.Duration(at)
+	}
+	return now
+}
+
 // errAbandoned means that a call was given up because another watcher found the
 // store out of reach.
 var errAbandoned = errors.New("feed: call abandoned")
 
-// call makes one call of the store and tells the link what came of it.
-func (w *Watcher) call(ctx context.Context, c *storeCall) (Page, error) {
+// call makes one call of the store and tells the link what came of it. It returns
+// the answer and when the store gave it, in time since the watcher's start.
+func (w *Watcher) call(ctx context.Context, c *storeCall) (page Page, at time.Duration, err error) {
 	linkCtx, err := w.options.Link.begin(ctx, w)
 	if err != nil {
-		return Page{}, err
+		return Page{}, 0, err
 	}
 	callCtx, guard := stall.WithTimeout(linkCtx, c.within)
 	defer guard.Stop()
 	c.started = time.Now()
-	page, err := c.do(callCtx, func(bytes int) {
+	page, err = c.do(callCtx, func(bytes int) {
 		guard.Progress(answerTimeout)
 		w.noteReceived(c, bytes)
 	})
@@ -70,25 +82,27 @@
 		if ctx.Err() == nil {
 			w.logAbandoned(c)
 		}
-		return Page{}, errAbandoned
+		return Page{}, 0, errAbandoned
 	}
 	w.options.Link.end(w, reached)
 	if !reached {
 		w.logFailed(c, err)
 	}
-	if err == nil {
-		w.noteClock(page.Clock)
-		w.succeeded(w.sinceStart())
-		w.logLarge(c, page)
+	if err != nil {
+		return page, 0, err
 	}
-	return page, err
+	at = c.answered(w.sinceStart())
+	w.noteClock(page.Clock, at)
+	w.logLarge(c, page)
+	return page, at, nil
 }
 
 // noteReceived takes in a part of a call's answer. The first one tells the link
 // that the store answers.
 func (w *Watcher) noteReceived(c *storeCall, bytes int) {
 	w.calls.receivedBytes.Add(uint64(bytes))
-	if c.receivedBytes.Add(uint64(bytes)) == uint64(bytes) {
+	c.receivedBytes.Add(uint64(bytes))
+	if c.answeredAt.CompareAndSwap(0, int64(w.sinceStart())) {
 		w.options.Link.receiving(w)
 	}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -23,8 +23,9 @@
 	polls    int
 }
 
-func (s *scriptedSource) List(context.Context, string, string, Received) (Page, error) {
+func (s *scriptedSource) List(_ context.Context, _, _ string, received Received) (Page, error) {
 	s.lists++
+	s.received = received
 	return s.list(s.lists)
 }
 
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -117,7 +117,7 @@
 	r.news = n
 	r.at = asked.Add(-n.Age)
 	r.mu.Unlock()
-	w.noteClock(n.Clock)
+	w.noteClock(n.Clock, w.sinceStart())
 	select {
 	case r.wake <- struct{}{}:
 	default: // a signal is waiting already
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -187,20 +187,26 @@
 		// the store is back.
 		hold = 0
 	}
-	page, err := w.call(ctx, &storeCall{kind: "changes", hold: hold, within: hold + answerTimeout,
-		do: func(ctx context.Context, received Received) (Page, error) {
-			return w.source.Changes(ctx, w.table, w.revision, hold, received)
-		}})
+	page, answered, err := w.changes(ctx, hold)
 	if err != nil {
 		return err
 	}
 	w.take(page.Rows, page.Revision)
+	w.succeeded(answered)
 	if len(page.Rows) > 0 {
 		return wait.For(ctx, w.gather())
 	}
 	return nil
 }
 
+// changes asks for what is new; the store may hold the call.
+func (w *Watcher) changes(ctx context.Context, hold time.Duration) (Page, time.Duration, error) {
+	return w.call(ctx, &storeCall{kind: "changes", hold: hold, within: hold + answerTimeout,
+		do: func(ctx context.Context, received Received) (Page, error) {
+			return w.source.Changes(ctx, w.table, w.revision, hold, received)
+		}})
+}
+
 // take hands changes on.
 func (w *Watcher) take(rows []Row, revision uint64) {
 	for _, row := range rows {
@@ -305,15 +311,15 @@
 // first page is where the watcher goes on.
 func (w *Watcher) list(ctx context.Context) error {
 	var rows []Row
-	revision := uint64(0)
+	revision, answered := uint64(0), time.Duration(0)
 	from := ""
 	for {
-		page, err := w.listPage(ctx, from)
+		page, at, err := w.listPage(ctx, from)
 		if err != nil {
 			return err
 		}
-		if revision == 0 {
-			revision = page.Revision
+		if answered == 0 {
+			revision, answered = page.Revision, at
 		}
 		rows = append(rows, page.Rows...)
 		if !page.Truncated || len(page.Rows) == 0 {
@@ -330,24 +336,27 @@
 	w.lag.reached(revision)
 	w.listed = true
 	w.recent.reset(revision)
+	w.succeeded(answered)
 	return wait.For(ctx, w.gather())
 }
 
 // errOldListing means that a listing was older than what is known.
 var errOldListing = errors.New("feed: listing older than known changes")
 
-func (w *Watcher) listPage(ctx context.Context, from string) (Page, error) {
+func (w *Watcher) listPage(ctx context.Context, from string) (Page, time.Duration, error) {
 	return w.call(ctx, &storeCall{kind: "list", within: listTimeout,
 		do: func(ctx context.Context, received Received) (Page, error) {
 			return w.source.List(ctx, w.table, from, received)
 		}})
 }
 
-func (w *Watcher) noteClock(clock time.Duration) {
-	w.clockOffset.Store(int64(clock - w.sinceStart()))
+// noteClock notes the store's clock at the time since start.
+func (w *Watcher) noteClock(clock, at time.Duration) {
+	w.clockOffset.Store(int64(clock - at))
 }
 
-// succeeded notes that the store answered at the time since start.
+// succeeded notes that the store answered at the time since start. It comes after the
+// answer was handed on: what other hosts are told is never older than it says.
 func (w *Watcher) succeeded(at time.Duration) {
 	now := int64(at)
 	w.contactAt.Store(max(now, w.contactAt.Load()))
