platform, stall, e2e: larger answers on a slow link, three tests which fail

The end-to-end test of hosts with small links failed at its third document: store-call-failed received_bytes=492097 took_ms=3117, the same at each try. The reader of a chunked body fills the buffer that it is given, io.ReadAll's buffers grow, and a read of one takes longer than the silence allowed.

The soak has small links and growing documents now, drawn apart from a seed's other faults, and ends with the newest document on each host.

--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -26,6 +26,9 @@
 	gatewayDrain = 2 * time.Second
 	gatewayGrace = 4 * time.Second
 	streamEvents = 6
+	// smallLink is the rate of a host's link to the store, in bytes a second: a
+	// document of 1,000 routes takes 1.5 s on it.
+	smallLink = 160 << 10
 )
 
 // fleetSystem is gateways as processes, before upstreams and a store of the
@@ -107,20 +110,22 @@
 	return seeds
 }
 
+// testRoute is a route of the name, which is its path too.
+func testRoute(name, kind, service string) map[string]any {
+	return map[string]any{
+		"name": name, "hostname": "fleet.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
+		"timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3, "priority": 1,
+	}
+}
+
 // routingDocument has a route of each kind, and one with a choice of models.
 func routingDocument() map[string]any {
-	route := func(name, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": "fleet.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
-			"timeout_ms": 3000, "target_latency_ms": 1000, "max_attempts": 3, "priority": 1,
-		}
-	}
-	stream := route("stream", "streaming", "pool")
+	stream := testRoute("stream", "streaming", "pool")
 	stream["stream_resume"] = true
 	stream["session_affinity"] = true
 	stream["size_list"] = []string{"weak", "strong"}
 	return map[string]any{
-		"routes":   []any{route("once", "non_idempotent", "app"), route("many", "idempotent", "app"), stream},
+		"routes":   []any{testRoute("once", "non_idempotent", "app"), testRoute("many", "idempotent", "app"), stream},
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "pool"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
 		"tenants":  []any{map[string]any{"name": "acme", "api_keys": []string{"key-a", "key-b"}}},
@@ -137,6 +142,20 @@
 	s.store.Put("op", "config", data)
 }
 
+// grow adds routes to the document, which aren't asked for.
+func (s *fleetSystem) grow(routes int) {
+	known := s.document["routes"].([]any)
+	for range routes {
+		known = append(known, testRoute(fmt.Sprintf("spare-%d", len(known)), "idempotent", "app"))
+	}
+	s.document["routes"] = known
+}
+
+// addRoute adds one route to the document, for requests of its name as the kind.
+func (s *fleetSystem) addRoute(name string) {
+	s.document["routes"] = append(s.document["routes"].([]any), testRoute(name, "idempotent", "app"))
+}
+
 func (s *fleetSystem) addUpstream(service, version, zone string) *platformtest.Upstream {
 	s.t.Helper()
 	s.made++
@@ -407,6 +426,32 @@
 	is.Equal(s.problems(), nil)
 }
 
+// A document that grows is in force on hosts with small links as on others, also when
+// each reading takes longer than any one silence of the store that hosts put up with,
+// and on a host that starts with the large one.
+func TestGatewaysWithSmallLinksHaveALargeDocument(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 9, 1)
+	small := s.gateways[7:]
+	for _, h := range small {
+		h.toStore.setRate(smallLink)
+	}
+	s.waitForRelay(small[0])
+	for version := 2; version <= 4; version++ {
+		s.grow(1000)
+		name := fmt.Sprint("version-", version)
+		s.addRoute(name)
+		s.publish(version)
+		for _, h := range s.gateways {
+			eventually(t, h.name+" serves "+name, func() bool { return s.send(h, name, "key-a").status == http.StatusOK })
+		}
+	}
+	small[1].kill()
+	s.startGateway(small[1])
+	eventually(t, "the host that started serves", func() bool { return s.send(small[1], "version-4", "key-a").status == http.StatusOK })
+	is.Equal(s.problems(), nil)
+}
+
 // waitForRelay waits until the host relies on its hub for the operators' table.
 func (s *fleetSystem) waitForRelay(h *gatewayHost) {
 	s.t.Helper()
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -30,6 +30,9 @@
 type soak struct {
 	*fleetSystem
 	rnd *rand.Rand
+	// growth draws which links are small and when the document grows, apart from
+	// rnd: a seed's other faults don't depend on it.
+	growth *rand.Rand
 	// disturbed is when a fault last was in force that may delay what hosts
 	// believe, in nanoseconds since 1970.
 	disturbed atomic.Int64
@@ -39,6 +42,8 @@
 	// left holds when upstreams said that they leave.
 	left  map[string]time.Time
 	trail []string
+	// newest is the route that only the newest document has.
+	newest string
 	// stops and harms are spans of planned stops, and of faults that excuse
 	// answers that were cut.
 	stops []span
@@ -51,7 +56,8 @@
 
 // TestGatewaySoak plays random faults against gateways as processes: kills,
 // pauses, planned stops, cut, silenced and slow links to the store, failing and
-// forgetful stores, upstreams that crash, leave and misbehave, new documents.
+// forgetful stores, upstreams that crash, leave and misbehave, new documents, some of
+// them large. A third of the hosts have small links to the store.
 func TestGatewaySoak(t *testing.T) {
 	seeds := regressionSeeds
 	if *soakSeed != 0 {
@@ -65,7 +71,9 @@
 			s := &soak{
 				fleetSystem: soakSystem(t, seed),
 				rnd:         rand.New(rand.NewPCG(seed, 1)),
+				growth:      rand.New(rand.NewPCG(seed, 2)),
 				left:        make(map[string]time.Time),
+				newest:      "many",
 			}
 			s.run()
 			s.check()
@@ -86,6 +94,12 @@
 }
 
 func (s *soak) run() {
+	for _, h := range s.gateways {
+		if s.growth.IntN(3) == 0 {
+			s.note("link of %s to the store is small", h.name)
+			h.toStore.setRate(smallLink)
+		}
+	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range 3 * len(s.gateways) {
@@ -106,6 +120,9 @@
 		eventually(s.t, h.name+" serves again", func() bool {
 			return s.send(h, "stream", "key-a").status == http.StatusOK && s.send(h, "once", "key-a").status == http.StatusOK
 		})
+		eventually(s.t, h.name+" has the newest document", func() bool {
+			return s.send(h, s.newest, "key-a").status == http.StatusOK
+		})
 	}
 }
 
@@ -175,11 +192,26 @@
 		s.faultyWay(s.toHubs[i], lasts)
 	case 12:
 		*version += 1 + s.rnd.IntN(3)
-		s.note("document %d", *version)
-		s.publish(*version)
+		s.newDocument(*version)
 	}
 }
 
+// newDocument publishes a document with a route of its own, at times a larger one. Hosts
+// hear of what comes after it on the same link as late as they need to read it.
+func (s *soak) newDocument(version int) {
+	if s.growth.IntN(2) == 0 {
+		s.grow(1000)
+		s.disturb(documentTime)
+	}
+	s.newest = fmt.Sprint("version-", version)
+	s.addRoute(s.newest)
+	s.note("document %d with %d routes", version, len(s.document["routes"].([]any)))
+	s.publish(version)
+}
+
+// documentTime is how long a small link may carry documents.
+const documentTime = 6 * time.Second
+
 // disturb notes that beliefs may be late until the span is over.
 func (s *soak) disturb(lasts time.Duration) {
 	s.disturbed.Store(max(s.disturbed.Load(), time.Now().Add(lasts).UnixNano()))
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -60,3 +60,36 @@
 	is.Equal(string(data), "answer")
 	is.Equal(total, len(data))
 }
+
+// fillingReader fills what it is given before it returns, as the reader of a chunked
+// HTTP body does, at rate bytes a second.
+type fillingReader struct{ left, rate int }
+
+func (r *fillingReader) Read(p []byte) (int, error) {
+	n := min(len(p), r.left)
+	if n == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(r.rate))
+	r.left -= n
+	return n, nil
+}
+
+// io.ReadAll reads into buffers that grow with what came. A reader that fills them was
+// silent for seconds while bytes came all the time, and an answer of 750 kB at 160 kB a
+// second was given up after 490 kB at each try: received_bytes=492097 took_ms=3117.
+func TestProgressIsToldWhileALargeBufferFills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const silence, size, rate = 800 * time.Millisecond, 4 << 20, 40 << 10
+		ctx, guard := stall.WithTimeout(t.Context(), silence)
+		defer guard.Stop()
+		data, err := io.ReadAll(stall.Reader{
+			Reader:   &fillingReader{left: size, rate: rate},
+			Received: func(int) { guard.Progress(silence) },
+		})
+		is.NoErr(err)
+		is.NoErr(ctx.Err())
+		is.Equal(len(data), size)
+	})
+}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -26,6 +26,8 @@
 	conns map[net.Conn]string
 	// flow holds back and delays bytes, for each direction.
 	flow [2]flow
+	// rate is in bytes a second of each connection and direction; 0 without a limit.
+	rate int
 }
 
 // Direction is one of the two ways through a relay.
@@ -70,6 +72,14 @@
 	r.target = address
 }
 
+// SetRate makes the relay a small link, of so many bytes a second for each connection
+// and direction; 0 sets no limit. It is no fault that Heal ends.
+func (r *Relay) SetRate(bytesPerSecond int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate = bytesPerSecond
+}
+
 // CutFrom breaks the connections from source IPs that match, and refuses new
 // ones, until it is called again. Nil heals.
 func (r *Relay) CutFrom(match func(ip string) bool) {
@@ -111,9 +121,9 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			r.mu.Lock()
-			f := r.flow[d]
+			f, rate := r.flow[d], r.rate
 			r.mu.Unlock()
-			time.Sleep(f.delay)
+			time.Sleep(f.delay + transferTime(n, rate))
 			<-f.open
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -125,6 +135,14 @@
 	}
 }
 
+// transferTime is how long so many bytes take at a rate in bytes a second.
+func transferTime(bytes, rate int) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(bytes) * time.Second / time.Duration(rate)
+}
+
 // CutAll breaks all connections and refuses new ones until Heal.
 func (r *Relay) CutAll() { r.CutFrom(func(string) bool { return true }) }
 
