--- a/internal/exchange/key.go
+++ b/internal/exchange/key.go
@@ -5,9 +5,11 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -51,3 +53,26 @@
 	}
 	return peer.Key{ID: keyID, Secret: row.Value}, nil
 }
+
+// key reads the hosts' common key until it is there; a host that may be a hub
+// makes it.
+func (m *Member) key(ctx context.Context) (peer.Key, error) {
+	mayMake := slices.Contains(m.options.Seeds, m.options.Listen)
+	if !mayMake {
+		if err := wait.For(ctx, keyDelay); err != nil {
+			return peer.Key{}, err
+		}
+	}
+	for {
+		key, err := sharedKey(ctx, m.options.Keys, mayMake)
+		if err == nil {
+			return key, nil
+		}
+		if !errors.Is(err, storage.ErrNotFound) {
+			m.log.Warn().Str("event", "key-unknown").Err(err).Msg("")
+		}
+		if err := wait.For(ctx, keyRetry); err != nil {
+			return peer.Key{}, err
+		}
+	}
+}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -1,12 +1,8 @@
 package exchange
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
-	"io"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +10,6 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
-	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -74,15 +69,6 @@
 	others map[string]*question
 }
 
-// question is what a hub knows of asking another one.
-type question struct {
-	// underWay says that an answer is waited for, next is when the next question may go
-	// out, readsSince the number up to which the other hub's reads are known.
-	underWay   bool
-	next       time.Time
-	readsSince uint64
-}
-
 // New returns a member; Run runs it.
 func New(options Options, log zerolog.Logger) *Member {
 	m := &Member{options: options, log: log, zones: make(map[string]string), untold: make(Reads), others: make(map[string]*question)}
@@ -146,55 +132,6 @@
 	}
 }
 
-// askHubs asks the other hubs for the sums of their followers, each by itself, so that a
-// dead one delays nothing.
-func (m *Member) askHubs(ctx context.Context, client *peer.Client) {
-	for _, seed := range m.options.Seeds {
-		if seed == m.options.Listen {
-			continue
-		}
-		since, ok := m.begin(seed)
-		if !ok {
-			continue
-		}
-		go func() {
-			reply, err := m.ask(ctx, client, seed, Report{Zone: m.options.Zone, Hub: true, ReadsSince: since})
-			if err != nil {
-				client.Forget(seed)
-				m.end(seed, since, retryHub)
-				return
-			}
-			m.hub.takeHub(seed, reply)
-			m.end(seed, reply.ReadsLast, 0)
-		}()
-	}
-}
-
-// begin says whether a hub may be asked, and since which number for its reads: no question
-// is under way, and the last one didn't fail just now.
-func (m *Member) begin(hub string) (since uint64, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	q := m.others[hub]
-	if q == nil {
-		q = &question{}
-		m.others[hub] = q
-	}
-	if q.underWay || time.Now().Before(q.next) {
-		return 0, false
-	}
-	q.underWay = true
-	return q.readsSince, true
-}
-
-// end notes that a question to a hub is over, up to which number its reads are known and
-// how long the next question waits.
-func (m *Member) end(hub string, readsSince uint64, pause time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	*m.others[hub] = question{next: time.Now().Add(pause), readsSince: readsSince}
-}
-
 // exchange makes one exchange with the hub.
 func (m *Member) exchange(ctx context.Context, client *peer.Client) {
 	asked := time.Now()
@@ -272,114 +209,3 @@
 	}
 	return report
 }
-
-// look chooses the hub: the first seed of this host's zone in the seeds' order,
-// this host itself if it is that; otherwise one that all hosts of the zone choose
-// alike. A zone isn't known before the seed answered.
-func (m *Member) look(ctx context.Context, client *peer.Client) {
-	m.lookAt = time.Now().Add(retryHub)
-	reached := m.reach(ctx, client)
-	found := m.best(reached)
-	if found == m.current {
-		return
-	}
-	m.current = found
-	m.hubSince = time.Now()
-	m.readsSince = 0
-	if found == "" {
-		return
-	}
-	m.log.Info().Str("event", "hub-found").Str("hub", m.current).Str("zone", m.zones[m.current]).Int("reached", len(reached)).Msg("")
-}
-
-// reach asks all seeds at once, so that several dead ones cost no more time than
-// one, and returns those that answered in the seeds' order.
-func (m *Member) reach(ctx context.Context, client *peer.Client) []string {
-	zones := make([]string, len(m.options.Seeds))
-	var calls sync.WaitGroup
-	for i, seed := range m.options.Seeds {
-		if seed == m.options.Listen {
-			zones[i] = m.options.Zone
-			continue
-		}
-		calls.Go(func() {
-			reply, err := m.ask(ctx, client, seed, m.own())
-			if err != nil {
-				client.Forget(seed) // a seed may be gone for good; the next look dials anew
-				return
-			}
-			zones[i] = reply.Zone
-		})
-	}
-	calls.Wait()
-	var reached []string
-	for i, seed := range m.options.Seeds {
-		if zones[i] != "" {
-			m.zones[seed] = zones[i]
-			reached = append(reached, seed)
-		}
-	}
-	return reached
-}
-
-// best is the hub among the seeds that answered; empty if there is none.
-func (m *Member) best(reached []string) string {
-	if i := slices.IndexFunc(reached, func(seed string) bool { return m.zones[seed] == m.options.Zone }); i >= 0 {
-		return reached[i]
-	}
-	if len(reached) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(reached, func(a, b string) int { return cmp.Compare(m.weight(a), m.weight(b)) })
-}
-
-// settled says that no better hub can be found: the seeds before this one are
-// known to be of other zones.
-func (m *Member) settled() bool {
-	for _, seed := range m.options.Seeds {
-		zone, known := m.zones[seed]
-		switch {
-		case !known:
-			return false
-		case zone == m.options.Zone:
-			return seed == m.current
-		}
-	}
-	return m.current != ""
-}
-
-// weight orders the seeds of other zones, the same on all hosts of this one.
-func (m *Member) weight(seed string) uint64 { return hash(m.options.Zone, seed) }
-
-// hash spreads texts evenly, the same on all hosts.
-func hash(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		io.WriteString(h, p)
-		h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
-// key reads the hosts' common key until it is there; a host that may be a hub
-// makes it.
-func (m *Member) key(ctx context.Context) (peer.Key, error) {
-	mayMake := slices.Contains(m.options.Seeds, m.options.Listen)
-	if !mayMake {
-		if err := wait.For(ctx, keyDelay); err != nil {
-			return peer.Key{}, err
-		}
-	}
-	for {
-		key, err := sharedKey(ctx, m.options.Keys, mayMake)
-		if err == nil {
-			return key, nil
-		}
-		if !errors.Is(err, storage.ErrNotFound) {
-			m.log.Warn().Str("event", "key-unknown").Err(err).Msg("")
-		}
-		if err := wait.For(ctx, keyRetry); err != nil {
-			return peer.Key{}, err
-		}
-	}
-}
