--- a/internal/feed/arriving_test.go
+++ b/internal/feed/arriving_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// A store that doesn't know yet what another host told of isn't asked without a pause:
+// all hosts of an installation would do so at the same moment.
+func TestUnheldCallsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const behind = 3 * time.Second
+		w, source, seen, store := relayedWatcher(t, Options{})
+		began := time.Now()
+		store.set(func(context.Context, uint64) (Page, error) {
+			time.Sleep(time.Millisecond) // a round trip
+			if time.Since(began) < behind {
+				return Page{Revision: 5}, nil
+			}
+			return Page{Rows: rows(8), Revision: 8}, nil
+		})
+		tell(w, News{Since: 5, Revision: 8}, behind+time.Second)
+		is.Equal(seen.changes, rows(8))
+		is.True(source.polls <= int(behind/minBackoff)+5)
+	})
+}
+
 // runBoth runs two watchers for the span.
 func runBoth(t *testing.T, a, b *Watcher, span time.Duration) {
 	t.Helper()
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -61,40 +61,44 @@
 
 // call makes one call of the store and tells the link what came of it. It returns
 // the answer and when the store gave it, in time since the watcher's start.
-func (w *Watcher) call(ctx context.Context, c *storeCall) (page Page, at time.Duration, err error) {
+func (w *Watcher) call(ctx context.Context, c *storeCall) (Page, time.Duration, error) {
 	linkCtx, err := w.options.Link.begin(ctx, w)
 	if err != nil {
 		return Page{}, 0, err
 	}
-	callCtx, guard := stall.WithTimeout(linkCtx, c.within)
-	defer guard.Stop()
-	c.started = time.Now()
-	page, err = c.do(callCtx, func(bytes int) {
-		guard.Progress(answerTimeout)
-		w.noteReceived(c, bytes)
-	})
-	err = guard.Explain(err)
-	abandoned := linkCtx.Err() != nil
+	page, err := w.exchange(linkCtx, c)
 	reached := err == nil || errors.Is(err, ErrHistoryLost)
+	abandoned := !reached && linkCtx.Err() != nil
+	w.options.Link.end(w, reached || abandoned)
 	w.countCall(reached)
-	if abandoned && !reached {
-		w.options.Link.end(w, true)
-		if ctx.Err() == nil {
-			w.logAbandoned(c)
-		}
+	switch {
+	case err == nil:
+		at := c.answered(w.sinceStart())
+		w.noteClock(page.Clock, at)
+		w.logLarge(c, page)
+		return page, at, nil
+	case ctx.Err() != nil:
+		return Page{}, 0, ctx.Err()
+	case abandoned:
+		w.logAbandoned(c)
 		return Page{}, 0, errAbandoned
-	}
-	w.options.Link.end(w, reached)
-	if !reached {
+	case !reached:
 		w.logFailed(c, err)
 	}
-	if err != nil {
-		return page, 0, err
-	}
-	at = c.answered(w.sinceStart())
-	w.noteClock(page.Clock, at)
-	w.logLarge(c, page)
-	return page, at, nil
+	return Page{}, 0, err
+}
+
+// exchange sends the call and reads its answer, until the store is silent for too
+// long.
+func (w *Watcher) exchange(ctx context.Context, c *storeCall) (Page, error) {
+	ctx, guard := stall.WithTimeout(ctx, c.within)
+	defer guard.Stop()
+	c.started = time.Now()
+	page, err := c.do(ctx, func(bytes int) {
+		guard.Progress(answerTimeout)
+		w.noteReceived(c, bytes)
+	})
+	return page, guard.Explain(err)
 }
 
 // noteReceived takes in a part of a call's answer. The first one tells the link
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -193,8 +193,13 @@
 	}
 	w.take(page.Rows, page.Revision)
 	w.succeeded(answered)
-	if len(page.Rows) > 0 {
+	switch {
+	case len(page.Rows) > 0:
 		return wait.For(ctx, w.gather())
+	case hold == 0:
+		// Nothing new, though another host told of it or the store was away: without
+		// the pause each host would make hundreds of calls a second until there is.
+		return wait.For(ctx, minBackoff)
 	}
 	return nil
 }
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -45,7 +45,7 @@
 // Explain returns the error of a call under the context, as ErrStalled if it was
 // the guard that ended it.
 func (g *Guard) Explain(err error) error {
-	if err == nil || !errors.Is(context.Cause(g.ctx), ErrStalled) {
+	if err == nil || errors.Is(err, ErrStalled) || !errors.Is(context.Cause(g.ctx), ErrStalled) {
 		return err
 	}
 	return fmt.Errorf("%w: %w", ErrStalled, err)
