config: a peer's quick body leaves no longer limit to a store that hangs

Found in reading the change: a body that came from a peer after the object store ran out of its limit counted both times as its own, without the cap, so that each change would have taken longer while the store hung. Each source's own time counts now, capped.

--- a/config/watcher_loops.go
+++ b/config/watcher_loops.go
@@ -138,31 +138,38 @@
 
 // loadLimit is how long each source of a body is given. A body that needs longer than
 // that to arrive would be cut at the same byte at each try, and the host would take no
-// work for good; so a try that runs out of time doubles it. It goes by the last body's
+// work for good; so a load that runs out of time doubles it. It goes by the last body's
 // time, not by its digest: manifests may change faster than one of them arrives.
 type loadLimit struct {
 	bound time.Duration
-	// current is 0 before the first try.
+	// current is 0 before the first load.
 	current time.Duration
 }
 
 // next is the limit of the next try.
 func (l *loadLimit) next() time.Duration { return max(l.current, l.bound/loadsPerBound) }
 
-// ended takes in a try's time and what came of it.
-func (l *loadLimit) ended(took time.Duration, err error) {
-	switch {
-	case err == nil:
-		l.current = 2 * took
-	case errors.Is(err, context.DeadlineExceeded):
-		l.current = min(2*l.next(), maxLoadBounds*l.bound)
+// set sets the limit, up to maxLoadBounds.
+func (l *loadLimit) set(limit time.Duration) { l.current = min(limit, maxLoadBounds*l.bound) }
+
+// try loads from one source within the limit. A body that came leaves twice its own
+// time to the next, whatever another source took before.
+func (l *loadLimit) try(ctx context.Context, load func(context.Context) (*manifest.Policy, error)) (*manifest.Policy, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.next())
+	defer cancel()
+	start := time.Now()
+	policy, err := load(ctx)
+	if err == nil {
+		l.set(2 * time.Since(start))
 	}
+	return policy, err
 }
 
 func (w *Watcher) load(ctx context.Context, head Head, limit *loadLimit) {
-	start := time.Now()
-	policy, err := w.fetch(ctx, head, limit.next())
-	limit.ended(time.Since(start), err)
+	policy, err := w.fetch(ctx, head, limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		limit.set(2 * limit.next())
+	}
 	if err != nil {
 		w.options.OnError(err)
 		return
@@ -176,27 +183,23 @@
 
 // fetch takes the body from the object store, or else from a peer, each within the
 // limit.
-func (w *Watcher) fetch(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
-	policy, err := w.fetchStored(ctx, head, limit)
+func (w *Watcher) fetch(ctx context.Context, head Head, limit *loadLimit) (*manifest.Policy, error) {
+	policy, err := limit.try(ctx, func(ctx context.Context) (*manifest.Policy, error) {
+		return w.options.Store.LoadFrom(ctx, head, w.Current())
+	})
 	if err == nil || w.options.Bodies == nil {
 		return policy, err
 	}
-	policy, peerErr := w.fetchFromPeer(ctx, head, limit)
+	policy, peerErr := limit.try(ctx, func(ctx context.Context) (*manifest.Policy, error) {
+		return w.fetchFromPeer(ctx, head)
+	})
 	if peerErr != nil {
 		return nil, errors.Join(err, peerErr)
 	}
 	return policy, nil
 }
 
-func (w *Watcher) fetchStored(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return w.options.Store.LoadFrom(ctx, head, w.Current())
-}
-
-func (w *Watcher) fetchFromPeer(ctx context.Context, head Head, limit time.Duration) (*manifest.Policy, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+func (w *Watcher) fetchFromPeer(ctx context.Context, head Head) (*manifest.Policy, error) {
 	body, err := w.options.Bodies.FetchBody(ctx, head.Digest)
 	if err != nil {
 		return nil, fmt.Errorf("config: fetch body of epoch %d from a peer: %w", head.Epoch, err)
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -154,6 +155,38 @@
 	})
 }
 
+// peerBodies answers at once with the bodies that it has.
+type peerBodies map[string][]byte
+
+func (p peerBodies) FetchBody(_ context.Context, digest string) ([]byte, error) {
+	body, ok := p[digest]
+	if !ok {
+		return nil, storage.ErrNotFound
+	}
+	return body, nil
+}
+
+// While the object store hangs, a manifest comes from a peer within the first limit,
+// the eighth as the first: a peer's quick answer leaves no longer limit to the store.
+func TestHangingObjectsDelayNoManifestMore(t *testing.T) {
+	inBench(t, func(t *testing.T, is *is.I, b *bench) {
+		bodies := peerBodies{}
+		head := b.submit(t, config.Head{}, "1")
+		w := run(t, config.WatcherOptions{Store: b.store, Bodies: bodies})
+		settle()
+		for i := range 8 {
+			build := fmt.Sprint(i + 2)
+			body := document(head.Digest, build)
+			bodies[digestOf(body)] = body
+			b.objects.SetReadDelay(0) // the submitter's way is sound
+			head = b.submit(t, head, build)
+			b.objects.SetReadDelay(time.Hour)
+			time.Sleep(config.DefaultBound)
+			is.Equal(w.Current().Epoch, head.Epoch)
+		}
+	})
+}
+
 // holdAnswers keeps the answers of reads that were served already, as if the
 // reading process had been stopped in between.
 func holdAnswers(table *faulty.Table) (release func()) {
