--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -151,7 +151,7 @@
 	s.document["routes"] = known
 }
 
-// addRoute adds one route to the document, for requests of its name as the kind.
+// addRoute adds one route to the document, which requests of its name as their kind use.
 func (s *fleetSystem) addRoute(name string) {
 	s.document["routes"] = append(s.document["routes"].([]any), testRoute(name, "idempotent", "app"))
 }
