gateway, platform: an upstream that starts again, and entries of other writers

Cause: an upstream was known by its id alone. One that started again under its id stayed leaving for good, kept the rates, failures, kept parts and work of its former life, and its pooled connections, dead or silent, were used for it. An entry of another writer (fields missing, another type, an unknown state, bytes) was taken half or left the upstream that its key named in use, and a status that couldn't be read kept every host from writing one again, since the row's revision was never learnt.

Change: the start (born) is part of what names an upstream, in what hosts tell each other, too, and in the pool's keys. Rows are logged once a change and counted by table. An entry that tells no start is taken where most tell none, as on the platforms seen so far.

--- a/internal/exchange/key.go
+++ b/internal/exchange/key.go
@@ -28,19 +28,23 @@
 	keyRetry = time.Second
 )
 
-// sharedKey reads the hosts' common key, and makes it if it isn't there and the
-// host may. Whoever may read the store belongs to the installation, so hosts need
+// errShortKey means that the row of the key holds something else.
+var errShortKey = errors.New("exchange: the key is too short")
+
+// sharedKey reads the hosts' common key, and makes it if it isn't there, or is none, and
+// the host may. Whoever may read the store belongs to the installation, so hosts need
 // no other secret. Of two hosts that make one at the same time, the second finds
 // the first one's.
 func sharedKey(ctx context.Context, table storage.Table, mayMake bool) (peer.Key, error) {
 	ctx, cancel := context.WithTimeout(ctx, keyTimeout)
 	defer cancel()
 	row, err := table.Get(ctx, keyRow)
-	if errors.Is(err, storage.ErrNotFound) && mayMake {
+	unusable := err == nil && len(row.Value) < peer.MinSecretBytes
+	if mayMake && (unusable || errors.Is(err, storage.ErrNotFound)) {
 		secret := make([]byte, peer.MinSecretBytes)
 		rand.Read(secret) // never fails: crypto/rand ends the process if there is no randomness
 		_, err = table.Commit(ctx, storage.Txn{
-			Conditions: []storage.Condition{{Key: keyRow, Version: 0}},
+			Conditions: []storage.Condition{{Key: keyRow, Version: row.Version}},
 			Puts:       []storage.Put{{Key: keyRow, Value: secret}},
 		})
 		if err != nil && !errors.Is(err, storage.ErrConflict) {
@@ -51,6 +55,9 @@
 	if err != nil {
 		return peer.Key{}, fmt.Errorf("exchange: read key: %w", err)
 	}
+	if len(row.Value) < peer.MinSecretBytes {
+		return peer.Key{}, fmt.Errorf("exchange: read key: %w: %d bytes", errShortKey, len(row.Value))
+	}
 	return peer.Key{ID: keyID, Secret: row.Value}, nil
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,7 +97,7 @@
 		return nil, fmt.Errorf("gateway: request target: %w", err)
 	}
 	target.Scheme = "http"
-	target.Host = a.choice.upstream.Address
+	target.Host = a.choice.upstream.connHost()
 	req := (&http.Request{
 		Method:        r.Method,
 		URL:           target,
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -32,7 +34,12 @@
 
 // operatorRows takes the operators' table.
 type operatorRows struct {
-	gateway *Gateway
+	gateway    *Gateway
+	unreadable unreadableRows
+}
+
+func newOperatorRows(g *Gateway) *operatorRows {
+	return &operatorRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator)}
 }
 
 // Replace implements feed.Handler. A document that vanished stays in force:
@@ -50,81 +57,173 @@
 	switch {
 	case row.Deleted:
 	case row.Key == tables.DocumentKey:
-		g.takeDocument(row)
+		h.note(row, g.takeDocument(row))
 	case strings.HasPrefix(row.Key, tables.OrdersPrefix):
-		order, err := g.settings.Codec.Order(row.Data, row.Revision)
-		if err != nil {
-			g.unreadable(row, err)
-			return
-		}
-		g.rollouts.order(order)
+		h.note(row, g.takeOrder(row))
 	}
 }
 
+// note takes in whether a row could be read. What was in force before stays.
+func (h *operatorRows) note(row feed.Row, err error) {
+	if err != nil {
+		h.unreadable.note(row, err)
+		return
+	}
+	h.unreadable.clear(row.Key)
+}
+
+// takeOrder takes the order of a roll-out.
+func (g *Gateway) takeOrder(row feed.Row) error {
+	order, err := g.settings.Codec.Order(row.Data, row.Revision)
+	if err != nil {
+		return err
+	}
+	if g.settings.Tables.OrdersPrefix+order.Service != row.Key {
+		return fmt.Errorf("%w: %q", errOtherKey, order.Service)
+	}
+	g.rollouts.order(order)
+	return nil
+}
+
 // takeDocument puts a document in force unless a newer one is.
-func (g *Gateway) takeDocument(row feed.Row) {
+func (g *Gateway) takeDocument(row feed.Row) error {
 	start := time.Now()
 	doc, err := g.settings.Codec.Document(row.Data)
 	if err != nil {
-		g.unreadable(row, err)
-		return
+		return err
 	}
 	known := g.table.Load()
 	if known != nil && doc.Version <= known.Version {
 		g.log.Debug().Str("event", "document-known").Uint64("version", doc.Version).Msg("")
-		return
+		return nil
 	}
 	table, err := routing.New(doc)
 	if err != nil {
-		g.unreadable(row, err)
-		return
+		return err
 	}
 	g.table.Store(table)
 	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Uint64("revision", row.Revision).
 		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).
 		Int("bytes", len(row.Data)).Int64("decode_ms", time.Since(start).Milliseconds()).Msg("")
+	return nil
+}
+
+// unreadableRows are the rows of one table that can't be read, with the revisions at
+// which that was told: a listing brings them again, and each is logged once a change.
+type unreadableRows struct {
+	gateway *Gateway
+	table   string
+	told    map[string]uint64
+}
+
+func newUnreadableRows(g *Gateway, table string) unreadableRows {
+	return unreadableRows{gateway: g, table: table, told: make(map[string]uint64)}
 }
 
-func (g *Gateway) unreadable(row feed.Row, err error) {
-	g.metrics.unreadable.Inc()
-	g.log.Error().Str("event", "row-unreadable").Str("key", row.Key).Uint64("revision", row.Revision).Err(err).Msg("")
+// note takes in a row that can't be read.
+func (u *unreadableRows) note(row feed.Row, err error) {
+	if u.told[row.Key] == row.Revision {
+		return
+	}
+	u.told[row.Key] = row.Revision
+	u.gateway.metrics.unreadable(u.table).Inc()
+	u.gateway.log.Error().Str("event", "row-unreadable").Str("table", u.table).Str("key", row.Key).
+		Uint64("revision", row.Revision).Int("bytes", len(row.Data)).Err(err).Msg("")
 }
 
+// clear takes in that the key has a row that can be read, or none.
+func (u *unreadableRows) clear(key string) { delete(u.told, key) }
+
+// errOtherKey means that a row says that it is about something else than its key.
+var errOtherKey = errors.New("gateway: the row's key is another one's")
+
 // upstreamRows takes the upstreams' table.
 type upstreamRows struct {
-	gateway *Gateway
+	gateway    *Gateway
+	unreadable unreadableRows
+}
+
+func newUpstreamRows(g *Gateway) *upstreamRows {
+	return &upstreamRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Upstreams)}
 }
 
 // Replace implements feed.Handler.
 func (h *upstreamRows) Replace(rows []feed.Row) {
-	listed := make(map[string]bool, len(rows))
+	keys := make(map[string]bool, len(rows))
 	revision := uint64(0)
+	entries := make([]entry, 0, len(rows))
+	var starts starts
 	for _, row := range rows {
-		listed[row.Key] = true
+		keys[row.Key] = true
 		revision = max(revision, row.Revision)
-		h.Change(row)
+		if u, ok := h.read(row); ok {
+			entries = append(entries, entry{upstream: u, row: row})
+			starts.count(&u)
+		}
 	}
-	h.gateway.fleet.Keep(listed, revision)
+	for _, e := range entries {
+		h.set(e, starts.usual())
+	}
+	h.gateway.fleet.Keep(keys, revision)
+}
+
+// entry is an upstream's row and what it says.
+type entry struct {
+	upstream Upstream
+	row      feed.Row
 }
 
 // Change implements feed.Handler.
 func (h *upstreamRows) Change(row feed.Row) {
-	g := h.gateway
 	if row.Deleted {
-		g.fleet.Remove(row.Key, row.Revision)
+		h.unreadable.clear(row.Key)
+		h.gateway.fleet.Remove(row.Key, row.Revision)
 		return
 	}
-	u, err := g.settings.Codec.Upstream(row.Key, row.Data)
+	if u, ok := h.read(row); ok {
+		h.set(entry{upstream: u, row: row}, u.Incarnation == 0 && h.gateway.fleet.starts().usual())
+	}
+}
+
+// read decodes an entry. One that can't be read names no upstream to use, whatever its
+// key named before.
+func (h *upstreamRows) read(row feed.Row) (Upstream, bool) {
+	u, err := h.gateway.settings.Codec.Upstream(row.Key, row.Data)
 	if err != nil {
-		g.unreadable(row, err)
+		h.refuse(row, err)
+		return Upstream{}, false
+	}
+	return u, true
+}
+
+// errNoStart means that an entry doesn't tell the upstream's start, where the other
+// upstreams' do.
+var errNoStart = errors.New("gateway: the entry doesn't tell the upstream's start")
+
+// set puts an entry into use. Where upstreams usually tell their start, an entry without
+// one is another writer's.
+func (h *upstreamRows) set(e entry, startUsual bool) {
+	if startUsual && e.upstream.Incarnation == 0 {
+		h.refuse(e.row, errNoStart)
 		return
 	}
-	g.fleet.Set(u, row.Revision)
+	h.unreadable.clear(e.row.Key)
+	h.gateway.fleet.Set(e.upstream, e.row.Revision)
+}
+
+func (h *upstreamRows) refuse(row feed.Row, err error) {
+	h.unreadable.note(row, err)
+	h.gateway.fleet.Withdraw(row.Key, row.Revision)
 }
 
 // statusRows takes the states of roll-outs.
 type statusRows struct {
-	gateway *Gateway
+	gateway    *Gateway
+	unreadable unreadableRows
+}
+
+func newStatusRows(g *Gateway) *statusRows {
+	return &statusRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Status)}
 }
 
 // Replace implements feed.Handler.
@@ -134,16 +233,24 @@
 	}
 }
 
-// Change implements feed.Handler.
+// Change implements feed.Handler. A status that can't be read tells nothing but its
+// revision, at which the next one replaces it: without that no host could ever write
+// one again.
 func (h *statusRows) Change(row feed.Row) {
 	g := h.gateway
-	if row.Deleted || !strings.HasPrefix(row.Key, g.settings.Tables.OrdersPrefix) {
+	service, ok := strings.CutPrefix(row.Key, g.settings.Tables.OrdersPrefix)
+	if row.Deleted || !ok {
 		return
 	}
 	status, err := g.settings.Codec.Status(row.Data, row.Revision)
+	if err == nil && status.Service != service {
+		err = fmt.Errorf("%w: %q", errOtherKey, status.Service)
+	}
 	if err != nil {
-		g.unreadable(row, err)
+		h.unreadable.note(row, err)
+		g.rollouts.status(RolloutStatus{Service: service, Revision: row.Revision})
 		return
 	}
+	h.unreadable.clear(row.Key)
 	g.rollouts.status(status)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -92,7 +92,7 @@
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.members[c.upstream.ID]
+	m := s.chosen(&c)
 	if m == nil {
 		return
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -10,14 +10,19 @@
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
+// Incarnation is the start of an upstream, in Unix milliseconds; 0 where the platform
+// gives each start an id of its own and tells no time.
+type Incarnation int64
+
 // Upstream is one incarnation of an upstream as the store lists it.
 type Upstream struct {
-	// ID is different for each start of the upstream.
-	ID      string
-	Service string
-	Address string
-	Zone    string
-	Version string
+	// ID and Incarnation together are different for each start of the upstream.
+	ID          string
+	Incarnation Incarnation
+	Service     string
+	Address     string
+	Zone        string
+	Version     string
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Leaving says that it takes no new work.
@@ -86,28 +91,6 @@
 	return &shard{members: make(map[string]*member), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
-// Set takes an upstream's entry at a revision of the store. Leaving is sticky:
-// an incarnation that leaves never comes back.
-func (f *Fleet) Set(u Upstream, revision uint64) {
-	s := f.shard(u.Service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := s.members[u.ID]
-	if m == nil {
-		m = &member{shard: s, name: exchange.NameOf(u.ID), kept: placement.NewKept()}
-		s.members[u.ID] = m
-		f.log.Info().Str("event", "upstream-listed").Str("upstream", u.ID).Str("service", u.Service).
-			Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Bool("leaving", u.Leaving).Uint64("revision", revision).Msg("")
-	}
-	if u.Leaving && !m.Leaving {
-		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Uint64("revision", revision).Msg("")
-	}
-	leaving := m.Leaving || u.Leaving
-	m.Upstream = u
-	m.Leaving = leaving
-	m.removedAt = time.Time{}
-}
-
 // Remove notes that an upstream's entry vanished.
 func (f *Fleet) Remove(id string, revision uint64) {
 	f.each(func(s *shard) {
@@ -135,6 +118,16 @@
 	}
 }
 
+// Withdraw notes that an upstream's entry no longer names one to use. It gets no new
+// request until its entry does again.
+func (f *Fleet) Withdraw(id string, revision uint64) {
+	f.each(func(s *shard) {
+		if m := s.members[id]; m != nil {
+			m.withdraw(f.log, revision)
+		}
+	})
+}
+
 func (f *Fleet) each(do func(s *shard)) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,13 +75,23 @@
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
-	g.transport = sealedconn.NewTransport(dialTimeout)
-	g.transport.IdleConnTimeout = idleConnTimeout
-	g.transport.MaxIdleConnsPerHost = idlePerUpstream
+	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
 	return g
 }
 
+// newTransport returns the transport to upstreams.
+func newTransport() *http.Transport {
+	t := sealedconn.NewTransport(dialTimeout)
+	t.IdleConnTimeout = idleConnTimeout
+	t.MaxIdleConnsPerHost = idlePerUpstream
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
+		return dial(ctx, network, dialAddress(host))
+	}
+	return t
+}
+
 // Run serves until the context ends and then stops within StopTimeout.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info().Str("event", "start").Str("callers", g.settings.Callers).Str("ready", g.settings.Ready).Msg("")
@@ -145,12 +156,12 @@
 	statusOptions.Hold, statusOptions.Needed = holdStatus, g.rollouts.underWay
 	operatorOptions.Hold, operatorOptions.Gather = holdOperator, gatherOperator
 	upstreamOptions.Gather = gather
-	status := feed.NewWatcher(tables.Status, store, &statusRows{gateway: g}, statusOptions, g.log)
+	status := feed.NewWatcher(tables.Status, store, newStatusRows(g), statusOptions, g.log)
 	g.rollouts.statuses = status
 	watchers := map[string]*feed.Watcher{
 		tables.Status:    status,
-		tables.Operator:  feed.NewWatcher(tables.Operator, store, &operatorRows{gateway: g}, operatorOptions, g.log),
-		tables.Upstreams: feed.NewWatcher(tables.Upstreams, store, &upstreamRows{gateway: g}, upstreamOptions, g.log),
+		tables.Operator:  feed.NewWatcher(tables.Operator, store, newOperatorRows(g), operatorOptions, g.log),
+		tables.Upstreams: feed.NewWatcher(tables.Upstreams, store, newUpstreamRows(g), upstreamOptions, g.log),
 	}
 	group := new(sync.WaitGroup)
 	if peers := &g.settings.Peers; peers.Listen != "" {
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	g.table.Store(table)
-	g.rollouts.statuses = feed.NewWatcher("status", store, &statusRows{gateway: g}, feed.Options{}, zerolog.Nop())
+	g.rollouts.statuses = feed.NewWatcher("status", store, newStatusRows(g), feed.Options{}, zerolog.Nop())
 	w := &world{t: t, gateway: g, store: store, client: &http.Client{Transport: &http.Transport{}}}
 	w.front = httptest.NewServer(g)
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/gateway/incarnation.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/placement"
+)
+
+// Set takes an upstream's entry at a revision of the store. An upstream that started
+// again begins with nothing of its former incarnation, neither what it kept nor how it
+// failed nor that it was leaving; an entry of a former one that arrives late changes
+// nothing. Within an incarnation leaving is sticky: one that leaves never comes back.
+func (f *Fleet) Set(u Upstream, revision uint64) {
+	f.withdrawElsewhere(u, revision)
+	s := f.shard(u.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.members[u.ID]
+	switch {
+	case m == nil:
+		m = s.add(&u)
+		f.logEntry("upstream-listed", &u, revision).Msg("")
+	case u.Incarnation < m.Incarnation:
+		f.logEntry("upstream-entry-late", &u, revision).Int64("known", int64(m.Incarnation)).Msg("")
+		return
+	case u.Incarnation > m.Incarnation:
+		f.logEntry("upstream-restarted", &u, revision).Int64("former", int64(m.Incarnation)).Int("in_flight", m.inFlight).Msg("")
+		m = s.add(&u)
+	}
+	if u.Leaving && !m.Leaving {
+		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Uint64("revision", revision).Msg("")
+	}
+	leaving := m.Leaving || u.Leaving
+	m.Upstream = u
+	m.Leaving = leaving
+	m.removedAt = time.Time{}
+	m.withdrawn = false
+}
+
+func (f *Fleet) logEntry(event string, u *Upstream, revision uint64) *zerolog.Event {
+	return f.log.Info().Str("event", event).Str("upstream", u.ID).Str("service", u.Service).
+		Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Int64("incarnation", int64(u.Incarnation)).
+		Bool("leaving", u.Leaving).Uint64("revision", revision)
+}
+
+// add puts a member of which nothing is known in place of any other of its id. The
+// shard's lock is held.
+func (s *shard) add(u *Upstream) *member {
+	m := &member{Upstream: *u, shard: s, name: exchange.NameOf(u.name()), kept: placement.NewKept()}
+	m.Leaving = false
+	s.members[u.ID] = m
+	return m
+}
+
+// name stands for the incarnation in what hosts tell each other: the work and the kept
+// parts of a former one aren't this one's.
+func (u *Upstream) name() string {
+	if u.Incarnation == 0 {
+		return u.ID
+	}
+	return u.ID + "/" + strconv.FormatInt(int64(u.Incarnation), 10)
+}
+
+// withdrawElsewhere withdraws what other services know under the upstream's id: an
+// upstream serves one service, the one that its newest entry names.
+func (f *Fleet) withdrawElsewhere(u Upstream, revision uint64) {
+	own := f.shard(u.Service)
+	f.each(func(s *shard) {
+		if m := s.members[u.ID]; s != own && m != nil && m.Incarnation <= u.Incarnation {
+			m.withdraw(f.log, revision)
+		}
+	})
+}
+
+// withdraw keeps new requests away until the upstream's entry names it again. The
+// shard's lock is held.
+func (m *member) withdraw(log zerolog.Logger, revision uint64) {
+	if m.withdrawn {
+		return
+	}
+	m.withdrawn = true
+	log.Warn().Str("event", "upstream-withdrawn").Str("upstream", m.ID).Str("service", m.Service).Uint64("revision", revision).Msg("")
+}
+
+// chosen is the member that the choice was made of; nil if it was forgotten, or if the
+// upstream started again since: how the request ends says nothing of the new incarnation.
+// The shard's lock is held.
+func (s *shard) chosen(c *choice) *member {
+	m := s.members[c.upstream.ID]
+	if m == nil || m.Incarnation != c.upstream.Incarnation {
+		return nil
+	}
+	return m
+}
+
+// starts counts the upstreams that told their start, among others.
+type starts struct{ told, all int }
+
+func (c *starts) count(u *Upstream) {
+	c.all++
+	if u.Incarnation != 0 {
+		c.told++
+	}
+}
+
+// usual says that most upstreams tell their start.
+func (c starts) usual() bool { return 2*c.told > c.all }
+
+// starts counts the entries that are in use.
+func (f *Fleet) starts() starts {
+	var c starts
+	f.each(func(s *shard) {
+		for _, m := range s.members {
+			if m.removedAt.IsZero() && !m.withdrawn {
+				c.count(&m.Upstream)
+			}
+		}
+	})
+	return c
+}
+
+// incarnationMark begins the label that connHost puts before an address.
+const incarnationMark = "start-"
+
+// connHost names the upstream's connections in the pool: the address, after a label of
+// the incarnation. A connection to a former incarnation may be silent for good, and the
+// pool knows connections by this name alone.
+func (u *Upstream) connHost() string {
+	if u.Incarnation == 0 {
+		return u.Address
+	}
+	return incarnationMark + strconv.FormatInt(int64(u.Incarnation), 10) + "." + u.Address
+}
+
+// dialAddress is the address in a name that connHost made.
+func dialAddress(host string) string {
+	if !strings.HasPrefix(host, incarnationMark) {
+		return host
+	}
+	_, address, _ := strings.Cut(host, ".")
+	return address
+}
--- /dev/null
+++ b/internal/gateway/incarnation_test.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/placement"
+)
+
+const (
+	firstStart  Incarnation = 1_700_000_000_000
+	secondStart Incarnation = firstStart + 5_000
+)
+
+func engineAt(start Incarnation) Upstream {
+	return Upstream{ID: "e", Incarnation: start, Service: "svc", Address: "127.0.0.1:9", Zone: "z1", Version: "v1", Slots: 8}
+}
+
+func (f *Fleet) memberOf(service, id string) *member { return f.shard(service).members[id] }
+
+// promptWants is a choice of an engine for a prompt of one shared part.
+func promptWants() wants {
+	prompt := &placement.Prompt{Parts: []placement.Part{{ID: "p", Tokens: 1000}}, Tokens: 1200, Shared: 1}
+	return wants{
+		service: "svc", zone: "z1", prompt: prompt, model: "m", keys: placement.Keys("m", prompt),
+		target: time.Second, admits: func(string) bool { return true },
+	}
+}
+
+func TestRestartedUpstreamBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(time.Second, zerolog.Nop())
+	f.Set(engineAt(firstStart), 1)
+	former, ok := f.choose(promptWants())
+	is.True(ok)
+	m := f.memberOf("svc", "e")
+	m.eject(time.Now())
+	m.failureRate, m.failureAt = 1, time.Now()
+	former2 := former
+	leaving := engineAt(firstStart)
+	leaving.Leaving = true
+	f.Set(leaving, 2)
+	is.True(!f.serves("svc", func(string) bool { return true }))
+
+	f.Set(engineAt(secondStart), 3)
+	now := time.Now()
+	m = f.memberOf("svc", "e")
+	is.True(m.takesWork(now, 0))                               // leaving ended with the former incarnation
+	is.Equal(m.inFlight, 0)                                    // so did its work
+	is.Equal(m.kept.Count(former.wants.keys), 0)               // and what it kept
+	is.Equal(m.failures(now), 0.0)                             // and its failures
+	is.True(now.After(m.ejectedUntil))                         // and its ejection
+	is.True(m.name != exchange.NameOf(former.upstream.name())) // and what hosts tell of it
+
+	// A request to the former incarnation ends as that one's.
+	f.began(&former2, 100*time.Millisecond)
+	f.release(former, attemptResult{outcome: outcomeUnsent})
+	is.Equal(m.inFlight, 0)
+	is.Equal(m.failures(now), 0.0)
+	is.True(now.After(m.ejectedUntil))
+	is.Equal(m.kept.Count(former.wants.keys), 0)
+}
+
+// What other hosts tell of the former incarnation isn't taken for the new one's.
+func TestOthersWordOfAFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(time.Second, zerolog.Nop())
+	f.Set(engineAt(firstStart), 1)
+	formerName := f.memberOf("svc", "e").name
+	f.Set(engineAt(secondStart), 2)
+	keys := promptWants().keys
+	f.setOthers(exchange.Work{formerName: 900}, time.Now())
+	f.noteReads(exchange.Reads{formerName: keys})
+	m := f.memberOf("svc", "e")
+	is.Equal(m.others, 0.0)
+	is.Equal(m.kept.Count(keys), 0)
+}
+
+func TestLateEntryOfAFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(time.Second, zerolog.Nop())
+	f.Set(engineAt(secondStart), 1)
+	late := engineAt(firstStart)
+	late.Leaving = true
+	late.Address = "127.0.0.1:10"
+	f.Set(late, 2)
+	m := f.memberOf("svc", "e")
+	is.True(m.takesWork(time.Now(), 0))
+	is.Equal(m.Upstream, engineAt(secondStart))
+}
+
+func TestUpstreamThatChangedItsService(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(time.Second, zerolog.Nop())
+	f.Set(engineAt(firstStart), 1)
+	moved := engineAt(firstStart)
+	moved.Service = "other"
+	f.Set(moved, 2)
+	any := func(string) bool { return true }
+	is.True(!f.serves("svc", any))
+	is.True(f.serves("other", any))
+}
+
+// A connection to a former incarnation isn't used for the new one, though both have one
+// address.
+func TestConnectionsOfAFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	var dialled []string
+	dial := w.gateway.transport.DialContext
+	w.gateway.transport.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
+		dialled = append(dialled, host)
+		return dial(ctx, network, host)
+	}
+	u := Upstream{ID: "a", Incarnation: firstStart, Zone: "z1", Version: "v1"}
+	w.upstreamOf(u, succeed("hello"))
+	for range 2 {
+		is.Equal(w.do(w.request("GET", "/many/x", "")).body, "hello")
+	}
+	is.Equal(len(dialled), 1)
+	again := w.gateway.fleet.memberOf("svc", "a").Upstream
+	again.Incarnation = secondStart
+	w.gateway.fleet.Set(again, 2)
+	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "hello")
+	is.Equal(len(dialled), 2)
+}
+
+// Rows of another writer name no upstream to use, also where their key did; they are
+// logged once a change, and the other rows hold.
+func TestEntriesOfAnotherWriter(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	w := newWorld(t, testDocument())
+	w.gateway.log = zerolog.New(&log)
+	rows := newUpstreamRows(w.gateway)
+	any := func(string) bool { return true }
+	good := func(key string, revision uint64) feed.Row {
+		return feed.Row{Key: key, Revision: revision, Data: []byte(`{"Service":"svc","Incarnation":5,"Address":"127.0.0.1:9","Zone":"z1","Version":"v1"}`)}
+	}
+	bad := feed.Row{Key: "a", Revision: 3, Data: []byte("\x00\xff")}
+	rows.Replace([]feed.Row{good("a", 1), good("b", 2)})
+	rows.Change(bad)
+	f := w.gateway.fleet
+	is.True(!f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
+	is.True(f.memberOf("svc", "b").takesWork(time.Now(), time.Minute))
+	rows.Replace([]feed.Row{bad, good("b", 2)})
+	is.True(!f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
+	is.Equal(bytes.Count(log.Bytes(), []byte("row-unreadable")), 1)
+	is.Equal(w.gateway.metrics.unreadable("upstreams").Get(), uint64(1))
+
+	rows.Change(feed.Row{Key: "c", Revision: 4, Data: []byte(`{"Service":"svc","Address":"127.0.0.1:9"}`)})
+	is.True(f.memberOf("svc", "c") == nil) // all others tell their start
+
+	rows.Change(good("a", 5))
+	is.True(f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
+	is.True(f.serves("svc", any))
+}
+
+// A platform that gives each start an id of its own tells no start.
+func TestEntriesWithoutAStart(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	rows := newUpstreamRows(w.gateway)
+	for i, key := range []string{"a", "b", "c"} {
+		rows.Change(feed.Row{Key: key, Revision: uint64(i + 1), Data: []byte(`{"Service":"svc","Address":"127.0.0.1:9"}`)})
+	}
+	is.Equal(w.gateway.fleet.starts(), starts{told: 0, all: 3})
+}
+
+// A status that can't be read is replaced by the next one: the write's condition is the
+// revision of the row as it is.
+func TestUnreadableStatusIsReplaced(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	m := w.gateway.rollouts
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 1})
+	rows := newStatusRows(w.gateway)
+	for _, data := range []string{"{", `{"Service":"other","Version":"v2"}`} {
+		revision := m.active["svc"].status.Revision + 3
+		rows.Change(feed.Row{Key: "order/svc", Revision: revision, Data: []byte(data)})
+		is.Equal(m.active["svc"].status.Revision, revision)
+		is.True(!m.active["svc"].known())
+	}
+}
+
+func TestOrderUnderAnotherKey(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	rows := newOperatorRows(w.gateway)
+	rows.Change(feed.Row{Key: "order/other", Revision: 3, Data: []byte(`{"Service":"svc","Version":"v2"}`)})
+	is.Equal(len(w.gateway.rollouts.active), 0)
+	is.Equal(w.gateway.metrics.unreadable("operator").Get(), uint64(1))
+}
+
+func TestDialAddress(t *testing.T) {
+	is := is.New(t)
+	u := Upstream{Address: "10.0.0.1:80"}
+	is.Equal(dialAddress(u.connHost()), "10.0.0.1:80")
+	u.Incarnation = firstStart
+	is.Equal(dialAddress(u.connHost()), "10.0.0.1:80")
+	is.True(u.connHost() != u.Address)
+	_, err := http.NewRequest(http.MethodGet, "http://"+u.connHost()+"/", io.Reader(nil))
+	is.NoErr(err)
+}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -41,6 +41,8 @@
 	// name stands for the upstream in what hosts tell each other.
 	name      exchange.Name
 	removedAt time.Time
+	// withdrawn says that the entry names no upstream to use any more.
+	withdrawn bool
 	inFlight  int
 	// others is what the other hosts' requests in flight ask of the upstream, as of
 	// othersAt.
@@ -68,7 +70,7 @@
 
 // takesWork says whether new requests may be sent.
 func (m *member) takesWork(now time.Time, grace time.Duration) bool {
-	if m.Leaving {
+	if m.Leaving || m.withdrawn {
 		return false
 	}
 	return m.removedAt.IsZero() || now.Sub(m.removedAt) < grace
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,13 +12,11 @@
 
 // gatewayMetrics are the counters and histograms of one gateway.
 type gatewayMetrics struct {
-	set        *metrics.Set
-	unreadable *metrics.Counter
+	set *metrics.Set
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
 	m := &gatewayMetrics{set: metrics.NewSet()}
-	m.unreadable = m.set.NewCounter("quetzalweir_gateway_rows_unreadable_total")
 	m.set.NewGauge("quetzalweir_gateway_document_version", func() float64 {
 		if table := g.table.Load(); table != nil {
 			return float64(table.Version)
@@ -35,6 +33,11 @@
 	return m
 }
 
+// unreadable counts the changes of a table's rows that couldn't be read.
+func (m *gatewayMetrics) unreadable(table string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_rows_unreadable_total{table=%q}`, table))
+}
+
 // followed shows how a table is followed: the age of the store's word on it, in
 // seconds, -1 before the first one; how long the host has been behind what its hub
 // told it of; and the calls of the store with the bytes that came of them.
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -352,7 +352,7 @@
 func TestOlderDocumentIsNotTaken(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, testDocument())
-	rows := &operatorRows{gateway: w.gateway}
+	rows := newOperatorRows(w.gateway)
 	store := newFakeStore()
 	doc := testDocument()
 	doc.Version = 6
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -66,7 +66,7 @@
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m := s.members[c.upstream.ID]; m != nil {
+	if m := s.chosen(c); m != nil {
 		m.read(c)
 		m.beganAt = time.Now()
 	}
