--- /dev/null
+++ b/internal/exchange/assign.go
@@ -0,0 +1,125 @@
+package exchange
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A hub of one zone serves the hosts of another badly: each message crosses zones, for
+// which operators pay, and one hub has the hosts of several zones. So where a zone has
+// hosts enough, the seed that they report to names one of them as their hub, the strongest.
+// That host goes on reporting to the seed, for all of its followers at once. Hosts beyond
+// what one hub serves get another one of their zone in the same way.
+
+const (
+	// electAfter is the time from a zone's first report to the naming of its hub, in
+	// which the zone's stronger hosts report, too: when all hosts start at once they do
+	// so within 300 ms.
+	electAfter = 500 * time.Millisecond
+	// avoidHub is how long a host isn't sent back to a hub that didn't answer it: the
+	// hub's last report may be as old as WorkAge.
+	avoidHub = 2 * time.Second
+)
+
+// zoneHubs are the hubs of one zone that a hub named.
+type zoneHubs struct {
+	// since is when the zone's first host reported here.
+	since time.Time
+	// named are the hubs' names, in the order in which they were named.
+	named []string
+	// assigned counts the hosts that were sent to each since the time of count: they
+	// show in its reports a moment later.
+	assigned map[string]int
+	count    time.Time
+}
+
+// assign names the address of the hub that a host is to report to in place of this one;
+// empty if it is to stay.
+func (h *hub) assign(from string, r Report) string {
+	if r.Address == "" || r.Hosts > 1 {
+		return "" // a hub itself, or a host that can't be one
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dropOld()
+	z := h.zoneHubs(r.Zone)
+	if slices.Contains(z.named, from) {
+		return ""
+	}
+	direct := h.direct(r.Zone)
+	if r.Zone == h.zone && len(direct) <= maxFollowers {
+		return ""
+	}
+	if r.Zone != h.zone && len(z.named) == 0 && len(direct) < minFollowers {
+		return ""
+	}
+	hub := h.withRoom(z)
+	if hub == "" && time.Since(z.since) >= electAfter {
+		hub = h.elect(z, direct)
+	}
+	if hub == "" || hub == from {
+		return ""
+	}
+	z.assigned[hub]++
+	return h.reports[hub].report.Address
+}
+
+// zoneHubs are the zone's hubs that still report. The lock is held.
+func (h *hub) zoneHubs(zone string) *zoneHubs {
+	z := h.zones[zone]
+	now := time.Now()
+	if z == nil {
+		z = &zoneHubs{since: now}
+		h.zones[zone] = z
+	}
+	z.named = slices.DeleteFunc(z.named, func(name string) bool { _, reports := h.reports[name]; return !reports })
+	if z.assigned == nil || now.Sub(z.count) > WorkAge {
+		z.assigned, z.count = make(map[string]int), now
+	}
+	return z
+}
+
+// direct are the names of the zone's hosts that report here for themselves alone. The
+// lock is held.
+func (h *hub) direct(zone string) []string {
+	var names []string
+	for name, got := range h.reports {
+		if got.report.Zone == zone && got.hosts == 1 && !got.fromHub && got.report.Address != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// withRoom is the first of the zone's hubs that can serve more hosts; empty if there is
+// none. The lock is held.
+func (h *hub) withRoom(z *zoneHubs) string {
+	for _, name := range z.named {
+		if h.reports[name].hosts+z.assigned[name] < maxFollowers {
+			return name
+		}
+	}
+	return ""
+}
+
+// elect names the strongest host that isn't a hub. The lock is held.
+func (h *hub) elect(z *zoneHubs, direct []string) string {
+	direct = slices.DeleteFunc(direct, func(name string) bool { return name == h.self || slices.Contains(z.named, name) })
+	if len(direct) == 0 {
+		return ""
+	}
+	name := slices.MaxFunc(direct, func(a, b string) int {
+		return cmp.Or(cmp.Compare(h.reports[a].report.Strength, h.reports[b].report.Strength), cmp.Compare(a, b))
+	})
+	z.named = append(z.named, name)
+	h.log.Info().Str("event", "hub-named").Str("hub", name).Str("zone", h.reports[name].report.Zone).
+		Float64("strength", h.reports[name].report.Strength).Int("among", len(direct)).Msg("")
+	return name
+}
+
+// pending says that the host will be sent to a hub of its zone soon. The lock is held.
+func (h *hub) pending(r Report) bool {
+	z := h.zones[r.Zone]
+	return r.Zone != h.zone && z != nil && len(z.named) == 0 && len(h.direct(r.Zone)) >= minFollowers
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -2,21 +2,18 @@
 // times a second, what each has in flight at the upstreams and what the store told
 // of its tables.
 //
-// Each host talks to one hub: a host of its own availability zone, if the
-// settings name one there. A hub is a host like any other; nothing is decided or
-// kept there, and a host without one goes on by what it knows itself. So the
-// messages of an installation grow with its hosts, not with their pairs. The hubs, three
-// at most, ask each other for the sums of their followers.
+// Each host talks to one hub of its own availability zone: a host that the settings
+// name (a seed), or one that a seed names, which reports to the seed for all of its
+// followers. A hub is a host like any other; nothing is decided or kept there, and a
+// host without one goes on by what it knows itself. So the messages of an installation
+// grow with its hosts, not with their pairs. The seeds, three at most, ask each other for
+// the sums of their followers.
 //
 // What is told is a hint with an age. A host that doesn't hear from its hub for
 // about a second asks the store itself and counts its own requests only.
 package exchange
 
-import (
-	"time"
-
-	"github.com/quetzalweir/quetzalweir/internal/feed"
-)
+import "time"
 
 const (
 	// Interval is the time between two reports of a host. An engine reads a long
@@ -33,10 +30,15 @@
 	// does for itself, so with fewer followers there would be more calls in all.
 	minFollowers = 8
 	// maxFollowers bounds the hosts that a hub relays to, and with that its
-	// network traffic; further hosts ask the store themselves.
+	// network traffic; further hosts get another hub, and ask the store until then.
 	maxFollowers = 64
 	// retryHub is the time between two looks for a better hub.
 	retryHub = 5 * time.Second
+	// retryNoHub is the same for a host without one, doubled with each look, up to
+	// retryHub: when a whole installation starts, the seeds answer some 100 ms after the
+	// other hosts look for them.
+	retryNoHub       = 100 * time.Millisecond
+	maxLookDoublings = 6
 
 	method = "host.exchange"
 )
@@ -44,8 +46,17 @@
 // Report is what a host tells a hub.
 type Report struct {
 	Zone string `json:"zone"`
-	// Hub says that another hub asks for the sums of this one's followers.
-	Hub bool `json:"hub,omitempty"`
+	// Hub says that another seed asks for the sums of this one's followers, Look that a
+	// host only wants to know whether this one answers, and of what zone it is.
+	Hub  bool `json:"hub,omitempty"`
+	Look bool `json:"look,omitempty"`
+	// Address is where other hosts reach this one, Strength its network link in Mbit/s
+	// times its cores: who is a hub needs both.
+	Address  string  `json:"address,omitempty"`
+	Strength float64 `json:"strength,omitempty"`
+	// Hosts is for how many hosts a hub speaks, itself included; 0 for a host that
+	// speaks for itself.
+	Hosts int `json:"hosts,omitempty"`
 	// Work is the host's work in flight by upstream; none is left out.
 	Work Work `json:"work,omitempty"`
 	// Evidence is what the host saw of the roll-outs under way.
@@ -72,7 +83,13 @@
 	// Reads are the others' reads up to the number ReadsLast.
 	Reads     Reads  `json:"reads,omitempty"`
 	ReadsLast uint64 `json:"reads_last,omitempty"`
-	// Tables is what the store told the hub, if it relays that.
+	// Assigned is the address of the hub to report to from now on; empty for this one.
+	Assigned string `json:"assigned,omitempty"`
+	// Relays says that the hub relays the store's word, Tables is that. Later says that
+	// a table that the host doesn't know is likely to come: the hub reads it itself, or
+	// will send the host to another one.
+	Relays bool                 `json:"relays,omitempty"`
+	Later  bool                 `json:"later,omitempty"`
 	Tables map[string]TableNews `json:"tables,omitempty"`
 }
 
@@ -81,6 +98,8 @@
 	Since    uint64    `json:"since"`
 	Revision uint64    `json:"revision"`
 	Complete bool      `json:"complete"`
+	Whole    bool      `json:"whole,omitempty"`
+	Packed   []byte    `json:"packed,omitempty"`
 	AgeMs    int64     `json:"age_ms"`
 	ClockMs  int64     `json:"clock_ms"`
 	Rows     []NewsRow `json:"rows,omitempty"`
@@ -93,25 +112,3 @@
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
 }
-
-func encodeNews(n feed.News) TableNews {
-	t := TableNews{Since: n.Since, Revision: n.Revision, Complete: n.Complete, AgeMs: n.Age.Milliseconds(), ClockMs: n.Clock.Milliseconds()}
-	for _, r := range n.Rows {
-		t.Rows = append(t.Rows, NewsRow(r))
-	}
-	return t
-}
-
-func (t *TableNews) news() feed.News {
-	n := feed.News{
-		Since:    t.Since,
-		Revision: t.Revision,
-		Complete: t.Complete,
-		Age:      time.Duration(t.AgeMs) * time.Millisecond,
-		Clock:    time.Duration(t.ClockMs) * time.Millisecond,
-	}
-	for _, r := range t.Rows {
-		n.Rows = append(n.Rows, feed.Row(r))
-	}
-	return n
-}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -25,7 +25,7 @@
 func TestHubSumsTheOtherHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := newHub("z1", nil)
+		h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 		report := func(host, zone string, work Work) Reply {
 			reply, err := h.exchange(t.Context(), host, Report{Zone: zone, Work: work})
 			is.NoErr(err)
@@ -47,7 +47,7 @@
 // Each hub's followers are counted once, however many hubs ask each other.
 func TestHubsAddEachOthersFollowers(t *testing.T) {
 	is := is.New(t)
-	one, two, three := newHub("z1", nil), newHub("z2", nil), newHub("z3", nil)
+	one, two, three := newHub(Options{Zone: "z1"}, zerolog.Nop()), newHub(Options{Zone: "z2"}, zerolog.Nop()), newHub(Options{Zone: "z3"}, zerolog.Nop())
 	hubs := map[string]*hub{"one": one, "two": two, "three": three}
 	bad := Evidence{Service: "s", Order: 7, Routes: map[string]Versions{"r": {New: Tally{Answers: 2, Failed: 1}}}}
 	for name, h := range hubs {
@@ -61,7 +61,7 @@
 				}
 				reply, err := asked.exchange(t.Context(), "another hub", Report{Hub: true})
 				is.NoErr(err)
-				asker.takeHub(name, reply)
+				asker.takeHub(name, reply, reply.Hosts)
 			}
 		}
 	}
@@ -78,7 +78,7 @@
 // A host is told the busiest upstreams where there are too many for a short message.
 func TestBusiestUpstreamsAreTold(t *testing.T) {
 	is := is.New(t)
-	h := newHub("z1", nil)
+	h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 	work := make(Work)
 	for i := range 10 * maxTold {
 		work[NameOf(fmt.Sprint("u", i))] = float64(i)
@@ -116,7 +116,7 @@
 
 func TestHubAddsEvidence(t *testing.T) {
 	is := is.New(t)
-	h := newHub("z1", nil)
+	h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 	of := func(service string, order uint64, failed int) Evidence {
 		return Evidence{Service: service, Order: order, Routes: map[string]Versions{"r": {New: Tally{Answers: 2 * failed, Failed: failed}}}}
 	}
@@ -147,7 +147,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
-			h := newHub("z1", nil)
+			h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 			for i := range test.followers {
 				h.take(fmt.Sprint("host-", i), Report{Zone: "z1"})
 			}
@@ -166,7 +166,7 @@
 func TestRelayEndsWithItsFollowers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		h := newHub("z1", nil)
+		h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 		for i := range minFollowers {
 			h.take(fmt.Sprint(i), Report{Zone: "z1"})
 		}
@@ -323,7 +323,7 @@
 	defer client.Close()
 	eventually(t, "the living seed answers", func() bool {
 		began := time.Now()
-		reached := m.reach(t.Context(), client)
+		reached := m.reach(t.Context(), peerNetwork{client})
 		return len(reached) == 1 && reached[0] == living && time.Since(began) < 3*callTimeout
 	})
 }
@@ -461,7 +461,7 @@
 		t.Run(fmt.Sprint(test.hosts), func(t *testing.T) {
 			is := is.New(t)
 			const exchanges = float64(time.Second) / float64(Interval)
-			h := newHub("z1", nil)
+			h := newHub(Options{Zone: "z1"}, zerolog.Nop())
 			total, since := 0, uint64(0)
 			for range 7 { // a second
 				for i := range test.hosts {
--- /dev/null
+++ b/internal/exchange/fleet_test.go
@@ -0,0 +1,431 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+)
+
+// These tests run the exchange of whole installations in virtual time: the members and
+// the watchers of the store's tables are the real ones, the network and the store are of
+// the test.
+
+// fleetStore is a store with one table of many rows.
+type fleetStore struct {
+	mu       sync.Mutex
+	rows     map[string]feed.Row
+	log      []feed.Row
+	revision uint64
+	changed  chan struct{}
+	calls    int
+	lists    int
+	start    time.Time
+}
+
+func newFleetStore(rows int) *fleetStore {
+	s := &fleetStore{rows: make(map[string]feed.Row), changed: make(chan struct{}), start: time.Now()}
+	for i := range rows {
+		s.put(fmt.Sprintf("i-%06d", i))
+	}
+	return s
+}
+
+// put writes a row of about the size of an upstream's entry.
+func (s *fleetStore) put(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	data := fmt.Sprintf(`{"service":"svc","address":"10.1.2.%d:8080","zone":"zone-%d","version":"v1","slots":32,"state":"available","sequence":%d}`, s.revision%256, s.revision%5, s.revision)
+	row := feed.Row{Key: key, Revision: s.revision, Data: []byte(data)}
+	s.rows[key] = row
+	s.log = append(s.log, row)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// storePage is the most rows of one answer, storeDelay the time for it.
+const (
+	storePage  = 500
+	storeDelay = 5 * time.Millisecond
+)
+
+func (s *fleetStore) List(_ context.Context, _, from string, received feed.Received) (feed.Page, error) {
+	time.Sleep(storeDelay)
+	received(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.lists++
+	page := feed.Page{Revision: s.revision, Clock: time.Since(s.start)}
+	for _, row := range s.rows {
+		if row.Key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b feed.Row) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Rows) > storePage {
+		page.Rows, page.Truncated = page.Rows[:storePage], true
+	}
+	return page, nil
+}
+
+func (s *fleetStore) Changes(ctx context.Context, _ string, since uint64, wait time.Duration, received feed.Received) (feed.Page, error) {
+	time.Sleep(storeDelay)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	over := time.After(wait)
+	for {
+		s.mu.Lock()
+		page := feed.Page{Revision: s.revision, Clock: time.Since(s.start)}
+		for _, row := range s.log {
+			if row.Revision > since {
+				page.Rows = append(page.Rows, row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(page.Rows) > 0 {
+			received(1)
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			received(1)
+			return page, nil
+		case <-ctx.Done():
+			return feed.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (s *fleetStore) count() (calls, lists int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.lists
+}
+
+// fleetHost is a host of the installation: what it knows of the table, and its traffic.
+type fleetHost struct {
+	name, zone, address string
+	member              *Member
+	watcher             *feed.Watcher
+	stop                context.CancelFunc
+
+	mu    sync.Mutex
+	known map[string]uint64
+	// heard is when the row of a revision came.
+	heard map[uint64]time.Time
+	work  Work
+	bytes int
+}
+
+func (h *fleetHost) Replace(rows []feed.Row) {
+	for _, row := range rows {
+		h.Change(row)
+	}
+}
+
+func (h *fleetHost) Change(row feed.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known[row.Key] = row.Revision
+	if _, ok := h.heard[row.Revision]; !ok {
+		h.heard[row.Revision] = time.Now()
+	}
+}
+
+func (h *fleetHost) rows() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.known)
+}
+
+func (h *fleetHost) others() Work {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.work
+}
+
+func (h *fleetHost) count(bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bytes += bytes
+}
+
+func (h *fleetHost) traffic() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bytes
+}
+
+// fleet is the installation.
+type fleet struct {
+	t     *testing.T
+	store *fleetStore
+	hosts []*fleetHost
+	seeds []string
+
+	mu sync.Mutex
+	at map[string]*fleetHost
+}
+
+// newFleet starts hosts in zones; the first hosts of the first three zones are seeds, and
+// one host in ten has a strong link.
+func newFleet(t *testing.T, hosts, zones, rows int) *fleet {
+	f := &fleet{t: t, store: newFleetStore(rows), at: make(map[string]*fleetHost)}
+	for i := range hosts {
+		h := &fleetHost{name: fmt.Sprint("host-", i), zone: fmt.Sprint("zone-", i%zones), address: fmt.Sprint("10.0.0.", i)}
+		f.hosts = append(f.hosts, h)
+		if i < min(3, zones) {
+			f.seeds = append(f.seeds, h.address)
+		}
+	}
+	for i, h := range f.hosts {
+		f.start(h, i < 3*zones)
+	}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.stop()
+		}
+		synctest.Wait()
+	})
+	return f
+}
+
+// start starts a host that knows nothing.
+func (f *fleet) start(h *fleetHost, strong bool) {
+	h.known, h.heard = make(map[string]uint64), make(map[uint64]time.Time)
+	options := feed.Options{
+		Relays:     func() bool { return h.member.Relays() },
+		HubAnswers: func() bool { return h.member.Heard() },
+		FirstTable: 150 * time.Millisecond, FirstWord: 900 * time.Millisecond,
+	}
+	link := 20.0
+	if strong {
+		link = 200
+	}
+	if slices.Contains(f.seeds, h.address) {
+		options.FirstTable = 0
+	}
+	h.watcher = feed.NewWatcher("t", f.store, h, options, zerolog.Nop())
+	h.member = New(Options{
+		Host: h.name, Zone: h.zone, Listen: h.address, Seeds: f.seeds, LinkMbps: link, Cores: 1,
+		Tables: map[string]*feed.Watcher{"t": h.watcher},
+		Work:   func() Work { return Work{NameOf("u"): 1} },
+		Others: func(w Work, _ time.Time) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.work = w
+		},
+	}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = func() {
+		cancel()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.at, h.address)
+	}
+	f.mu.Lock()
+	f.at[h.address] = h
+	f.mu.Unlock()
+	go h.watcher.Run(ctx)
+	go h.member.follow(ctx, &fleetNetwork{fleet: f, from: h})
+}
+
+// fleetNetwork carries one host's reports. A host that is gone answers nothing.
+type fleetNetwork struct {
+	fleet *fleet
+	from  *fleetHost
+}
+
+var errNoHost = errors.New("no host at the address")
+
+func (n *fleetNetwork) forget(string) {}
+
+func (n *fleetNetwork) call(ctx context.Context, address string, report Report) (Reply, error) {
+	n.fleet.mu.Lock()
+	to := n.fleet.at[address]
+	n.fleet.mu.Unlock()
+	if to == nil {
+		<-ctx.Done()
+		return Reply{}, errNoHost
+	}
+	delay := 200 * time.Microsecond
+	if to.zone != n.from.zone {
+		delay = 1400 * time.Microsecond
+	}
+	sent, err := json.Marshal(report)
+	if err != nil {
+		return Reply{}, err
+	}
+	time.Sleep(delay)
+	reply, err := to.member.hub.exchange(ctx, n.from.name, report)
+	if err != nil {
+		return Reply{}, err
+	}
+	told, err := json.Marshal(reply)
+	if err != nil {
+		return Reply{}, err
+	}
+	time.Sleep(delay)
+	for _, h := range []*fleetHost{n.from, to} {
+		h.count(len(sent) + len(told))
+	}
+	return reply, nil
+}
+
+// all says whether every host fulfils the condition.
+func (f *fleet) all(holds func(h *fleetHost) bool) bool {
+	return !slices.ContainsFunc(f.hosts, func(h *fleetHost) bool { return !holds(h) })
+}
+
+// within waits until every host fulfils the condition, for the span at most.
+func (f *fleet) within(span time.Duration, holds func(h *fleetHost) bool) (took time.Duration, ok bool) {
+	start := time.Now()
+	for time.Since(start) < span {
+		if f.all(holds) {
+			return time.Since(start), true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return span, false
+}
+
+// fleetSizes are the installations that the budgets hold for.
+var fleetSizes = []struct{ hosts, zones int }{{30, 3}, {195, 5}, {440, 32}}
+
+// In steady state a handful of hosts follow the store, whatever the installation's size;
+// each host's part of the traffic and the busiest one's stay within bounds, and a change
+// is known everywhere soon.
+func TestFleetInSteadyState(t *testing.T) {
+	const (
+		span = 10 * time.Second
+		// callsPerSecond: three seeds ask every 0.7 s.
+		callsPerSecond = 6
+		// bytesPerSecond is a host's part for control; what a hub sends for its
+		// followers counts for the hub, too.
+		bytesPerSecond = 7_000
+		changeWithin   = time.Second
+	)
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, size.hosts, size.zones, 500)
+				time.Sleep(10 * time.Second)
+				calls, _ := f.store.count()
+				traffic := make([]int, len(f.hosts))
+				for i, h := range f.hosts {
+					traffic[i] = h.traffic()
+				}
+				time.Sleep(span)
+				callsAfter, _ := f.store.count()
+				rate := float64(callsAfter-calls) / span.Seconds()
+				for i, h := range f.hosts {
+					traffic[i] = h.traffic() - traffic[i]
+				}
+				slices.Sort(traffic)
+				sum := 0
+				for _, bytes := range traffic {
+					sum += bytes
+				}
+				mean := float64(sum) / 2 / float64(len(traffic)) / span.Seconds() // each byte was counted at both ends
+				revision := f.store.put("i-000007")
+				took, ok := f.within(5*time.Second, func(h *fleetHost) bool { return h.watcher.Revision() >= revision })
+				t.Logf("%d hosts: %.1f calls of the store a second, bytes a second: mean %.0f, busiest %d; a change is everywhere after %v",
+					size.hosts, rate, mean, traffic[len(traffic)-1]/int(span.Seconds()), took)
+				is.True(rate <= callsPerSecond)
+				is.True(mean <= bytesPerSecond)
+				is.True(ok && took <= changeWithin)
+				// Each host is counted once.
+				is.True(f.all(func(h *fleetHost) bool { return h.others()[NameOf("u")] == float64(size.hosts-1) }))
+			})
+		})
+	}
+}
+
+// All hosts start at once. Most get the table from a hub, not from the store.
+func TestFleetStarts(t *testing.T) {
+	const rows = 3000
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, size.hosts, size.zones, rows)
+				took, ok := f.within(10*time.Second, func(h *fleetHost) bool { return h.rows() == rows })
+				_, lists := f.store.count()
+				t.Logf("%d hosts have the table after %v; %d pages were read from the store", size.hosts, took, lists)
+				is.True(ok && took < 2*time.Second)
+				is.True(lists < 2*size.hosts) // six pages each without hubs
+			})
+		})
+	}
+}
+
+// The hub of a zone is lost: its hosts find another within two seconds and hear the
+// store's word there; no herd meets the store.
+func TestFleetLosesAHub(t *testing.T) {
+	for _, size := range fleetSizes[1:] {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, size.hosts, size.zones, 100)
+				time.Sleep(10 * time.Second)
+				last := f.hosts[size.hosts-1] // of a zone without a seed
+				var lost *fleetHost
+				for _, h := range f.hosts {
+					if h.address == last.member.current {
+						lost = h
+					}
+				}
+				is.Equal(lost.zone, last.zone)
+				calls, _ := f.store.count()
+				lost.stop()
+				f.hosts = slices.DeleteFunc(f.hosts, func(h *fleetHost) bool { return h == lost })
+				time.Sleep(2 * time.Second)
+				is.True(f.all(func(h *fleetHost) bool { return h.member.current != "" && h.member.current != lost.address }))
+				revision := f.store.put("i-000007")
+				took, ok := f.within(5*time.Second, func(h *fleetHost) bool { return h.watcher.Revision() >= revision })
+				time.Sleep(time.Second)
+				after, _ := f.store.count()
+				t.Logf("%d calls in the three seconds after the loss; a change is everywhere after %v", after-calls, took)
+				is.True(ok && took < time.Second)
+				is.True(after-calls < 100)
+			})
+		})
+	}
+}
+
+// All seeds are lost for good: the zones' hubs go on for their hosts, and changes are
+// heard everywhere.
+func TestFleetLosesItsSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 195, 5, 100)
+		time.Sleep(10 * time.Second)
+		for _, h := range f.hosts[:3] {
+			h.stop()
+		}
+		f.hosts = f.hosts[3:]
+		time.Sleep(3 * time.Second)
+		revision := f.store.put("i-000007")
+		took, ok := f.within(10*time.Second, func(h *fleetHost) bool { return h.watcher.Revision() >= revision })
+		t.Logf("a change is everywhere after %v", took)
+		is.True(ok && took < 2*time.Second)
+	})
+}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -5,19 +5,33 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 )
 
 // hub answers the reports of other hosts.
 type hub struct {
-	zone   string
-	tables map[string]*feed.Watcher
+	// self is this host's name, linkMbps the rate of its network link.
+	self     string
+	zone     string
+	linkMbps float64
+	tables   map[string]*feed.Watcher
+	log      zerolog.Logger
+
+	// relaying is what relays said last.
+	relaying atomic.Bool
+	// told says that another hub tells this one the store's word.
+	told atomic.Bool
 
 	mu      sync.Mutex
 	reports map[string]received
 	reads   readLog
+	// zones are the hubs that this one named, by zone.
+	zones map[string]*zoneHubs
 }
 
 // received is a host's latest report, or what another hub told of its followers.
@@ -48,20 +62,31 @@
 // upstream takes 8 bytes of each answer.
 const maxTold = 100
 
-func newHub(zone string, tables map[string]*feed.Watcher) *hub {
-	return &hub{zone: zone, tables: tables, reports: make(map[string]received)}
+func newHub(options Options, log zerolog.Logger) *hub {
+	return &hub{
+		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, log: log,
+		reports: make(map[string]received), zones: make(map[string]*zoneHubs),
+	}
 }
 
 // exchange takes a host's report, or another hub's question, and answers it.
 func (h *hub) exchange(_ context.Context, from string, r Report) (Reply, error) {
-	if r.Hub {
-		return h.sums(from, r.ReadsSince, toHub), nil
+	switch {
+	case r.Look:
+		return Reply{Zone: h.zone}, nil
+	case r.Hub:
+		reply := h.sums(from, r.ReadsSince, toHub)
+		if h.relays() {
+			reply.Tables, _ = h.news(from, r, true)
+		}
+		return reply, nil
 	}
 	h.take(from, r)
+	h.noteRelaying()
 	reply := h.sums(from, r.ReadsSince, toHost)
-	if h.relaysTo(from) {
-		reply.Tables = h.news(r.Revisions)
-	}
+	reply.Assigned = h.assign(from, r)
+	reply.Relays = h.relaysTo(from)
+	reply.Tables, reply.Later = h.news(from, r, reply.Relays)
 	return reply, nil
 }
 
@@ -76,7 +101,7 @@
 func (h *hub) take(from string, r Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[from] = received{report: r, at: time.Now(), hosts: 1}
+	h.reports[from] = received{report: r, at: time.Now(), hosts: max(1, r.Hosts)}
 	h.reads.add(from, false, r.Reads)
 }
 
@@ -87,14 +112,54 @@
 	return h.reads.since(number, self, who), h.reads.last
 }
 
-// takeHub keeps what another hub told of its followers.
-func (h *hub) takeHub(address string, r Reply) {
+// takeHub keeps what another hub told of hosts that don't report here.
+func (h *hub) takeHub(address string, r Reply, hosts int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports["hub "+address] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: r.Hosts}
+	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: hosts}
 	h.reads.add(address, true, r.Reads)
 }
 
+// forgetHub forgets what a hub told that this host no longer reports to: the next one
+// tells of the same hosts.
+func (h *hub) forgetHub(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.reports, hubKey(address))
+}
+
+// hubKey is where a hub's word is kept among the reports; no host has such a name.
+func hubKey(address string) string { return "hub " + address }
+
+// leads says whether other hosts report here.
+func (h *hub) leads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dropOld()
+	for name, got := range h.reports {
+		if name != h.self && !got.fromHub {
+			return true
+		}
+	}
+	return false
+}
+
+// subtree is the report of this host and its followers together. What the hub at the
+// address reports here, if two hosts are each other's, is left out: it would grow with
+// each round.
+func (h *hub) subtree(own Report, readsSince uint64, address string) (Report, uint64) {
+	h.mu.Lock()
+	for name, got := range h.reports {
+		if got.report.Address == address {
+			delete(h.reports, name)
+		}
+	}
+	h.mu.Unlock()
+	sums := h.sums("", readsSince, toHub)
+	own.Hosts, own.Work, own.Evidence, own.Reads = sums.Hosts, sums.Work, sums.Evidence, sums.Reads
+	return own, sums.ReadsLast
+}
+
 // others sums the work of all hosts but one, of any zone: a host may choose any zone's
 // upstreams.
 func (h *hub) others(self string, who audience) Work {
@@ -132,16 +197,36 @@
 // relays says whether enough hosts rely on this one.
 func (h *hub) relays() bool { return h.followers() >= minFollowers }
 
-// relaysTo says whether the host is told what the store said: all are, up to
-// maxFollowers, and beyond that a part of them that stays about the same.
-func (h *hub) relaysTo(host string) bool {
-	n := h.followers()
-	return n >= minFollowers && (n <= maxFollowers || hash(host)%uint64(n) < maxFollowers)
+// noteRelaying has the tables' watchers ask the store more often at once when hosts begin
+// to rely on this one: a call that the store holds for long tells them nothing meanwhile.
+func (h *hub) noteRelaying() {
+	relays := h.relays()
+	if relays == h.relaying.Swap(relays) || !relays {
+		return
+	}
+	for _, w := range h.tables {
+		w.Hurry()
+	}
 }
 
-// followers counts the hosts that report here, this one included.
+// followers counts the hosts that report here, this one included. A hub that reports
+// for others is one.
 func (h *hub) followers() int {
-	return h.hosts(toHub)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reporting()
+}
+
+// reporting is followers with the lock held.
+func (h *hub) reporting() int {
+	h.dropOld()
+	n := 0
+	for _, got := range h.reports {
+		if !got.fromHub {
+			n++
+		}
+	}
+	return n
 }
 
 // hosts counts the hosts that the audience hears of.
@@ -166,15 +251,3 @@
 		}
 	}
 }
-
-// news is what the store told of the tables after the revisions that the host
-// knows.
-func (h *hub) news(known map[string]uint64) map[string]TableNews {
-	tables := make(map[string]TableNews)
-	for name, watcher := range h.tables {
-		if n, ok := watcher.News(known[name]); ok {
-			tables[name] = encodeNews(n)
-		}
-	}
-	return tables
-}
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/quetzalweir/quetzalweir/internal/peer"
 )
 
 // question is what a hub knows of asking another one.
@@ -18,7 +16,7 @@
 
 // askHubs asks the other hubs for the sums of their followers, each by itself, so that a
 // dead one delays nothing.
-func (m *Member) askHubs(ctx context.Context, client *peer.Client) {
+func (m *Member) askHubs(ctx context.Context, net network) {
 	for _, seed := range m.options.Seeds {
 		if seed == m.options.Listen {
 			continue
@@ -27,19 +25,31 @@
 		if !ok {
 			continue
 		}
+		asked := time.Now()
 		go func() {
-			reply, err := m.ask(ctx, client, seed, Report{Zone: m.options.Zone, Hub: true, ReadsSince: since})
+			reply, err := ask(ctx, net, seed, Report{Zone: m.options.Zone, Hub: true, ReadsSince: since, Revisions: m.revisions()})
 			if err != nil {
-				client.Forget(seed)
+				net.forget(seed)
 				m.end(seed, since, retryHub)
 				return
 			}
-			m.hub.takeHub(seed, reply)
+			m.hub.takeHub(seed, reply, reply.Hosts)
+			m.offerIfLost(reply, asked)
 			m.end(seed, reply.ReadsLast, 0)
 		}()
 	}
 }
 
+// offerIfLost passes another hub's word of the store on to the watchers that can't hear
+// the store themselves: the store may turn single hosts away.
+func (m *Member) offerIfLost(reply Reply, asked time.Time) {
+	for name, w := range m.options.Tables {
+		if news, ok := reply.Tables[name]; ok {
+			w.OfferIfLost(news.news(), asked)
+		}
+	}
+}
+
 // begin says whether a hub may be asked, and since which number for its reads: no question
 // is under way, and the last one didn't fail just now.
 func (m *Member) begin(hub string) (since uint64, ok bool) {
--- a/internal/exchange/key.go
+++ b/internal/exchange/key.go
@@ -65,7 +65,7 @@
 // makes it.
 func (m *Member) key(ctx context.Context) (peer.Key, error) {
 	mayMake := slices.Contains(m.options.Seeds, m.options.Listen)
-	if !mayMake {
+	if m.options.FirstStart && !mayMake {
 		if err := wait.For(ctx, keyDelay); err != nil {
 			return peer.Key{}, err
 		}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,10 @@
 	// may be hubs; they may be stale.
 	Listen string
 	Seeds  []string
+	// LinkMbps is the rate of this host's network link in Mbit/s, Cores its part of a
+	// processor; 0 where they aren't known.
+	LinkMbps float64
+	Cores    float64
 	// Keys is the table of the store that holds the key which hosts prove to each
 	// other to have.
 	Keys storage.Table
@@ -38,6 +43,9 @@
 	// TakeReads takes what the others sent. Both may be nil.
 	Reads     func() Reads
 	TakeReads func(Reads)
+	// FirstStart says that the whole installation starts for the first time: the key
+	// is made then.
+	FirstStart bool
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
 	// takes what the others saw. Both may be nil.
 	Evidence     func() []Evidence
@@ -51,18 +59,31 @@
 	log     zerolog.Logger
 	// zones are the zones of the seeds that answered.
 	zones map[string]string
-	// current is the seed that is this host's hub; empty without one.
+	// current is the address of this host's hub, empty without one; home is the seed
+	// that was found, which may have named another hub. avoid are hubs that didn't
+	// answer, and until when this host isn't sent back to them.
 	current string
-	lookAt  time.Time
+	home    string
+	avoid   map[string]time.Time
+	// lookAt is when the next look for a hub is due, noHub how many looks in a row
+	// found none.
+	lookAt time.Time
+	noHub  int
 	// hubSince is when the hub was chosen. Until the hub before has forgotten this
 	// host's evidence it tells the new one none: counted twice, a few bad answers could
 	// stop a sound version.
 	hubSince time.Time
 
 	// untold are the reads that the hub wasn't told yet, readsSince is the number up to
-	// which the hub's are known.
+	// which the hub's are known. Of a host that leads others, ownSince is the same for
+	// its own hub, toldReads the number of the own hub up to which the other was told.
 	untold     Reads
 	readsSince uint64
+	ownSince   uint64
+	toldReads  uint64
+
+	// heard says that the hub answered the last exchange.
+	heard atomic.Bool
 
 	mu sync.Mutex
 	// others are the questions to the other hubs, by their address.
@@ -71,14 +92,18 @@
 
 // New returns a member; Run runs it.
 func New(options Options, log zerolog.Logger) *Member {
-	m := &Member{options: options, log: log, zones: make(map[string]string), untold: make(Reads), others: make(map[string]*question)}
-	m.hub = newHub(options.Zone, options.Tables)
-	return m
+	return &Member{
+		options: options, log: log, hub: newHub(options, log), zones: make(map[string]string),
+		avoid: make(map[string]time.Time), untold: make(Reads), others: make(map[string]*question),
+	}
 }
 
 // Relays says whether other hosts rely on this one for the store's word.
 func (m *Member) Relays() bool { return m.hub.relays() }
 
+// Heard says whether a hub has answered.
+func (m *Member) Heard() bool { return m.heard.Load() }
+
 // Followers counts the hosts that report to this one, itself included.
 func (m *Member) Followers() int { return m.hub.followers() }
 
@@ -101,76 +126,106 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx) }()
-	m.follow(ctx, client)
+	m.follow(ctx, peerNetwork{client})
 	if err := errors.Join(client.Close(), <-served); err != nil {
 		m.log.Warn().Str("event", "exchange-end").Err(err).Msg("")
 	}
 }
 
 // follow exchanges with the hub until the context ends.
-func (m *Member) follow(ctx context.Context, client *peer.Client) {
+func (m *Member) follow(ctx context.Context, net network) {
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		m.step(ctx, net)
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
 		}
-		if !m.settled() && time.Now().After(m.lookAt) {
-			m.look(ctx, client)
-		}
-		switch m.current {
-		case "":
-		case m.options.Listen:
-			m.hub.take(m.options.Host, m.report())
-			m.take(m.hub.sums(m.options.Host, m.readsSince, toHost), time.Now())
-			m.askHubs(ctx, client)
-		default:
-			m.exchange(ctx, client)
-		}
 	}
 }
 
-// exchange makes one exchange with the hub.
-func (m *Member) exchange(ctx context.Context, client *peer.Client) {
+// step makes one exchange, after a look for a better hub if it is time for that.
+func (m *Member) step(ctx context.Context, net network) {
+	if !m.settled() && time.Now().After(m.lookAt) {
+		m.look(ctx, net)
+	}
+	switch m.current {
+	case "":
+		m.heard.Store(false)
+	case m.options.Listen:
+		m.hub.take(m.options.Host, m.report())
+		m.takeOwn()
+		m.askHubs(ctx, net)
+	default:
+		m.exchange(ctx, net)
+	}
+}
+
+// exchange makes one exchange with the hub, for this host and those that it leads.
+func (m *Member) exchange(ctx context.Context, net network) {
+	leads := m.hub.leads()
+	report, told := m.report(), uint64(0)
+	report.ReadsSince = m.readsSince
+	if leads {
+		m.hub.take(m.options.Host, report)
+		m.untold = make(Reads) // the own hub has them
+		report, told = m.hub.subtree(report, m.toldReads, m.current)
+		if !m.alone() {
+			report.Evidence = nil
+		}
+	}
 	asked := time.Now()
-	reply, err := m.ask(ctx, client, m.current, m.report())
+	reply, err := ask(ctx, net, m.current, report)
+	m.heard.Store(err == nil)
+	m.hub.told.Store(err == nil && reply.Relays)
 	if err != nil {
-		m.log.Warn().Str("event", "hub-lost").Str("hub", m.current).Err(err).Msg("")
-		client.Forget(m.current)
-		m.current = ""
-		m.lookAt = time.Time{}
+		m.lose(net, err)
 		return
 	}
-	m.take(reply, asked)
-	for name, news := range reply.Tables {
-		if w := m.options.Tables[name]; w != nil {
+	if leads {
+		m.toldReads, m.readsSince = told, reply.ReadsLast
+		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
+		m.takeOwn()
+	} else {
+		m.readsSince, m.ownSince = reply.ReadsLast, 0
+		m.take(reply, asked)
+	}
+	m.offer(reply, asked)
+	m.goOver(reply.Assigned)
+}
+
+// offer passes the store's word on to the tables' watchers.
+func (m *Member) offer(reply Reply, asked time.Time) {
+	for name, w := range m.options.Tables {
+		news, ok := reply.Tables[name]
+		switch {
+		case ok:
 			w.Offer(news.news(), asked)
+		case !reply.Relays && !reply.Later && reply.Assigned == "":
+			w.NoOffer()
 		}
 	}
 }
 
+// takeOwn takes what the own hub knows of the other hosts.
+func (m *Member) takeOwn() {
+	sums := m.hub.sums(m.options.Host, m.ownSince, toHost)
+	m.ownSince = sums.ReadsLast
+	m.take(sums, time.Now())
+}
+
 // take takes what a hub told of the other hosts, as of a time.
 func (m *Member) take(reply Reply, at time.Time) {
 	m.options.Others(reply.Work, at)
 	m.takeHosts(reply.Hosts)
 	m.takeEvidence(reply.Evidence)
-	m.takeReads(reply.Reads, reply.ReadsLast)
-}
-
-func (m *Member) ask(ctx context.Context, client *peer.Client, address string, report Report) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply Reply
-	err := client.Call(ctx, address, method, report, &reply)
-	return reply, err
+	m.takeReads(reply.Reads)
 }
 
-// takeReads takes the others' reads, up to a number.
-func (m *Member) takeReads(reads Reads, last uint64) {
-	m.untold = make(Reads) // the hub has them
-	m.readsSince = last
+// takeReads takes the others' reads. The hub has this host's.
+func (m *Member) takeReads(reads Reads) {
+	m.untold = make(Reads)
 	if m.options.TakeReads != nil && len(reads) > 0 {
 		m.options.TakeReads(reads)
 	}
@@ -182,7 +237,7 @@
 		m.untold.add(m.options.Reads())
 	}
 	report := m.own()
-	report.Reads, report.ReadsSince = m.untold, m.readsSince
+	report.Reads = m.untold
 	return report
 }
 
@@ -200,12 +255,25 @@
 
 // own is this host's report.
 func (m *Member) own() Report {
-	report := Report{Zone: m.options.Zone, Work: m.options.Work(), Revisions: make(map[string]uint64)}
-	for name, w := range m.options.Tables {
-		report.Revisions[name] = w.Revision()
+	report := Report{
+		Zone: m.options.Zone, Address: m.options.Listen, Strength: m.options.LinkMbps * m.options.Cores,
+		Work: m.options.Work(), Revisions: m.revisions(),
 	}
-	if m.options.Evidence != nil && time.Since(m.hubSince) > WorkAge {
+	if m.options.Evidence != nil && m.alone() {
 		report.Evidence = m.options.Evidence()
 	}
 	return report
 }
+
+// alone says that the present hub is the only one that has this host's report: the one
+// before has forgotten it.
+func (m *Member) alone() bool { return time.Since(m.hubSince) > WorkAge }
+
+// revisions are the newest that this host knows of the store's tables.
+func (m *Member) revisions() map[string]uint64 {
+	revisions := make(map[string]uint64, len(m.options.Tables))
+	for name, w := range m.options.Tables {
+		revisions[name] = w.Revision()
+	}
+	return revisions
+}
--- /dev/null
+++ b/internal/exchange/network.go
@@ -0,0 +1,35 @@
+package exchange
+
+import (
+	"context"
+
+	"github.com/quetzalweir/quetzalweir/internal/peer"
+)
+
+// network carries reports to other hosts.
+type network interface {
+	// call tells the host at the address the report and returns its reply.
+	call(ctx context.Context, address string, report Report) (Reply, error)
+	// forget drops the connection to the address: the next call dials anew.
+	forget(address string)
+}
+
+// peerNetwork carries reports over package peer.
+type peerNetwork struct {
+	client *peer.Client
+}
+
+func (n peerNetwork) call(ctx context.Context, address string, report Report) (Reply, error) {
+	var reply Reply
+	err := n.client.Call(ctx, address, method, report, &reply)
+	return reply, err
+}
+
+func (n peerNetwork) forget(address string) { n.client.Forget(address) }
+
+// ask makes one call, which ends after callTimeout.
+func ask(ctx context.Context, net network, address string, report Report) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return net.call(ctx, address, report)
+}
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -66,7 +66,13 @@
 	if err != nil {
 		return Page{}, 0, err
 	}
-	page, err := w.exchange(linkCtx, c)
+	callCtx, endHeld := w.held.begin(linkCtx, c)
+	page, err := w.exchange(callCtx, c)
+	endHeld()
+	if err != nil && errors.Is(context.Cause(callCtx), errHurried) {
+		w.options.Link.end(w, true)
+		return Page{}, 0, errHurried
+	}
 	reached := err == nil || errors.Is(err, ErrHistoryLost)
 	abandoned := !reached && linkCtx.Err() != nil
 	w.options.Link.end(w, reached || abandoned)
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 // listing is a reading of the whole table, page by page.
@@ -47,6 +45,9 @@
 		if w.reading.add(page, at) {
 			break
 		}
+		if handed, err := w.handedOn(ctx); handed || err != nil {
+			return err
+		}
 	}
 	read := w.reading
 	w.reading = listing{}
@@ -56,7 +57,7 @@
 	}
 	w.replace(read.rows, read.revision)
 	w.succeeded(read.answered)
-	return wait.For(ctx, w.gather())
+	return w.pauseAfterChange(ctx)
 }
 
 // replace hands the whole table on.
@@ -65,7 +66,7 @@
 	w.revision = revision
 	w.lag.reached(revision)
 	w.listed = true
-	w.recent.reset(revision)
+	w.recent.reset(rows, revision)
 }
 
 // errOldListing means that a listing was older than what is known.
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -36,6 +36,10 @@
 	Rows     []Row
 	// Complete says that Rows are all changes; without it they are left out.
 	Complete bool
+	// Whole says that Packed is the whole table as of Revision; Rows and Since don't
+	// count then.
+	Whole  bool
+	Packed []byte
 	// Age is the time since the store answered, at the time of the call.
 	Age time.Duration
 	// Clock is the store's steady clock now.
@@ -51,22 +55,29 @@
 	floor    uint64
 	revision uint64
 	listed   bool
+	// table is the whole table, packed the same for other hosts; nil until one asks.
+	table  map[string]Row
+	packed []byte
 }
 
-// reset begins anew after a listing.
-func (r *recent) reset(revision uint64) {
+// reset begins anew with a whole table.
+func (r *recent) reset(rows []Row, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rows = nil
 	r.floor = revision
 	r.revision = revision
 	r.listed = true
+	r.table = make(map[string]Row, len(rows))
+	r.packed = nil
+	r.apply(rows)
 }
 
 // add takes in changes up to the revision.
 func (r *recent) add(rows []Row, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.apply(rows)
 	r.rows = append(r.rows, rows...)
 	r.revision = max(r.revision, revision)
 	if over := len(r.rows) - recentRows; over > 0 {
@@ -105,6 +116,8 @@
 	news News
 	// at is when the store had answered that host.
 	at time.Time
+	// none says that the other host relays nothing.
+	none bool
 	// wake is signalled with each word.
 	wake chan struct{}
 }
@@ -116,14 +129,43 @@
 	r.mu.Lock()
 	r.news = n
 	r.at = asked.Add(-n.Age)
+	r.none = false
 	r.mu.Unlock()
 	w.noteClock(n.Clock, w.sinceStart())
+	r.signal()
+}
+
+// OfferIfLost is Offer for a host whose own word others rely on: it takes another host's
+// only while its own calls fail. Two that relied on each other would both grow old.
+func (w *Watcher) OfferIfLost(n News, asked time.Time) {
+	if w.lostAt.Load() != 0 || w.options.Link.lost() {
+		w.Offer(n, asked)
+	}
+}
+
+// NoOffer notes that the other host relays nothing, so that waiting for it is in vain.
+func (w *Watcher) NoOffer() {
+	r := &w.relayed
+	r.mu.Lock()
+	r.none = true
+	r.mu.Unlock()
+	r.signal()
+}
+
+func (r *relayed) signal() {
 	select {
 	case r.wake <- struct{}{}:
 	default: // a signal is waiting already
 	}
 }
 
+// vain says that the other host relays nothing.
+func (r *relayed) vain() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.none
+}
+
 // fresh returns the word, while it is young enough to rely on.
 func (r *relayed) fresh() (n News, at time.Time, ok bool) {
 	r.mu.Lock()
@@ -131,6 +173,12 @@
 	return r.news, r.at, !r.at.IsZero() && time.Since(r.at) < relayedAge
 }
 
+// Relying says whether another host's word is young enough to rely on.
+func (w *Watcher) Relying() bool {
+	_, _, ok := w.relayed.fresh()
+	return ok
+}
+
 // News is what this watcher knows of the table, for a host that knows it up to
 // the revision. ok is false if it has nothing to tell.
 func (w *Watcher) News(since uint64) (n News, ok bool) {
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -218,7 +218,7 @@
 			var r recent
 			_, ok := r.since(0)
 			is.True(!ok) // not listed
-			r.reset(10)
+			r.reset(nil, 10)
 			newest := uint64(10)
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
@@ -248,3 +248,34 @@
 		is.True(w.Interrupted())
 	})
 }
+
+// Hosts that begin to rely on this one hear from it soon, also if the store holds a call
+// for long.
+func TestHeldCallIsGivenUpForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var relays atomic.Bool
+		w, source, _, store := relayedWatcher(t, Options{Relays: relays.Load})
+		synctest.Wait()
+		is.Equal(source.polls, 1)
+		is.Equal(source.hold, DefaultHold)
+		store.set(func(ctx context.Context, _ uint64) (Page, error) {
+			select {
+			case <-ctx.Done():
+				return Page{}, ctx.Err()
+			case <-time.After(RelayHold):
+				return Page{Revision: 5}, nil
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+		relays.Store(true)
+		w.Hurry()
+		time.Sleep(RelayHold)
+		synctest.Wait()
+		is.True(source.polls >= 2)
+		is.Equal(source.hold, RelayHold)
+		age, _ := w.Age()
+		is.True(age < relayedAge)
+		is.True(!w.Interrupted()) // the store answers
+	})
+}
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -9,7 +9,13 @@
 // It reports false if the store has to be asked for what is new.
 func (w *Watcher) takeNews(news News, at time.Time) bool {
 	switch {
-	case news.Revision <= w.revision:
+	case !w.listed && !news.Whole:
+		return false
+	case w.listed && news.Revision <= w.revision:
+	case news.Whole:
+		if !w.takeWhole(news) {
+			return false
+		}
 	case news.Complete && news.Since <= w.revision:
 		var rows []Row
 		for _, row := range news.Rows {
@@ -26,6 +32,79 @@
 	return true
 }
 
+// takeWhole takes the whole table from another host.
+func (w *Watcher) takeWhole(news News) bool {
+	rows, err := unpack(news.Packed)
+	if err != nil {
+		w.log.Error().Str("event", "table-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
+		return false
+	}
+	w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
+	w.reading = listing{}
+	w.replace(rows, news.Revision)
+	return true
+}
+
+// begin gets the whole table: from another host if one hands it on soon, or from the
+// store. A fleet that starts at once would read the store's tables as often as it has
+// hosts otherwise.
+func (w *Watcher) begin(ctx context.Context) error {
+	if !w.began && w.options.FirstTable > 0 {
+		w.began = true
+		if err := w.awaitWord(ctx, w.options.FirstTable); err != nil {
+			return err
+		}
+	}
+	if w.takeFresh() {
+		return nil
+	}
+	return w.list(ctx)
+}
+
+// takeFresh takes another host's word, if there is one that is fresh and will do.
+func (w *Watcher) takeFresh() bool {
+	news, at, ok := w.relayed.fresh()
+	return ok && w.takeNews(news, at)
+}
+
+// largeTableWait is how long a host whose table has many pages waits for another one to
+// hand it on, if that one answers: a fleet of 300 hosts that starts at once has its hubs
+// named, and a table of 3,000 rows on all of them, within a second. Reading such a table
+// takes half a second on a link of 20 Mbit/s, and all hosts' bytes from the store.
+const largeTableWait = time.Second
+
+// handedOn waits once, after the first of a table's pages, for another host to hand the
+// whole table on.
+func (w *Watcher) handedOn(ctx context.Context) (bool, error) {
+	if w.waitedLarge || w.options.HubAnswers == nil || !w.options.HubAnswers() {
+		return false, nil
+	}
+	w.waitedLarge = true
+	if err := w.awaitWord(ctx, largeTableWait); err != nil {
+		return false, err
+	}
+	return w.takeFresh(), nil
+}
+
+// awaitWord waits for a fresh word, or until it is known that none will come, for the
+// span at most.
+func (w *Watcher) awaitWord(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	for {
+		if _, _, ok := w.relayed.fresh(); ok || w.relayed.vain() {
+			return nil
+		}
+		select {
+		case <-w.relayed.wake:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // awaitNews waits for another host's next word, or until the last one is too old
 // to rely on.
 func (w *Watcher) awaitNews(ctx context.Context, at time.Time) error {
@@ -49,20 +128,7 @@
 		return nil
 	}
 	w.waited = true
-	timer := time.NewTimer(w.options.FirstWord)
-	defer timer.Stop()
-	for {
-		if _, _, ok := w.relayed.fresh(); ok {
-			return nil
-		}
-		select {
-		case <-w.relayed.wake:
-		case <-timer.C:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return w.awaitWord(ctx, w.options.FirstWord)
 }
 
 // noteRelying logs when the watcher begins and ceases to rely on another host.
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -29,10 +29,10 @@
 	// host that starts has nothing else to serve by.
 	listTimeout = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call. The
-	// highest keeps a fleet's calls during an outage near its normal rate of
-	// reads and still notices the end of an outage within a second.
+	// highest keeps a fleet's calls during an outage below its normal rate of
+	// reads and still notices the end of an outage within two seconds.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	maxBackoff = 1600 * time.Millisecond
 )
 
 // Options are the settings of a Watcher.
@@ -56,6 +56,11 @@
 	// FirstWord is how long the watcher waits for another host's word before it
 	// begins to follow the table by calls of its own; 0 where no host tells any.
 	FirstWord time.Duration
+	// FirstTable is how long the watcher waits at its start for another host to hand
+	// the whole table on, before it reads the store's; 0 where no host does.
+	FirstTable time.Duration
+	// HubAnswers says whether such a host answers; nil means that none does.
+	HubAnswers func() bool
 }
 
 // Watcher follows one table.
@@ -86,11 +91,17 @@
 	relayed relayed
 	lag     lag
 	calls   callCounts
+	held    heldCall
+	// hurried is signalled by Hurry.
+	hurried chan struct{}
 	// relying says that the last step made no call, because another host told
 	// what is new; used by Run alone.
 	relying bool
-	// waited says that FirstWord is over; used by Run alone.
-	waited bool
+	// waited says that FirstWord is over, began that FirstTable is, waitedLarge that a
+	// large table was waited for; used by Run alone.
+	waited      bool
+	began       bool
+	waitedLarge bool
 }
 
 // NewWatcher returns a watcher of the table that hands what it learns to the
@@ -108,6 +119,7 @@
 		log:     log.With().Str("table", table).Logger(),
 		start:   time.Now(),
 		relayed: relayed{wake: make(chan struct{}, 1)},
+		hurried: make(chan struct{}, 1),
 	}
 }
 
@@ -150,7 +162,7 @@
 		case err == nil:
 			backoff = minBackoff
 			continue
-		case errors.Is(err, errAbandoned):
+		case errors.Is(err, errAbandoned), errors.Is(err, errHurried):
 			continue
 		case errors.Is(err, ErrHistoryLost):
 			w.log.Warn().Str("event", "history-lost").Uint64("revision", w.revision).Msg("")
@@ -168,7 +180,7 @@
 
 func (w *Watcher) step(ctx context.Context) error {
 	if !w.listed {
-		return w.list(ctx)
+		return w.begin(ctx)
 	}
 	if w.options.Needed != nil && !w.options.Needed() {
 		w.options.Link.leave(w)
@@ -184,9 +196,9 @@
 		return w.awaitNews(ctx, at)
 	}
 	hold := w.hold()
-	if rely || w.lostAt.Load() != 0 || w.options.Link.lost() {
+	if rely || w.lostAt.Load() != 0 || w.options.Link.lost() || w.relays() && w.Old() {
 		// The answer is wanted at once: there is something new, or it tells that
-		// the store is back.
+		// the store is back, or others wait for it.
 		hold = 0
 	}
 	page, answered, err := w.changes(ctx, hold)
@@ -197,7 +209,7 @@
 	w.succeeded(answered)
 	switch {
 	case len(page.Rows) > 0:
-		return wait.For(ctx, w.gather())
+		return w.pauseAfterChange(ctx)
 	case hold == 0:
 		// Nothing new, though another host told of it or the store was away: without
 		// the pause each host would make hundreds of calls a second until there is.
@@ -224,6 +236,12 @@
 	w.recent.add(rows, w.revision)
 }
 
+// Old says that the store's last word is too old for other hosts to rely on.
+func (w *Watcher) Old() bool {
+	age, ok := w.Age()
+	return !ok || age > relayedAge
+}
+
 func (w *Watcher) relays() bool { return w.options.Relays != nil && w.options.Relays() }
 
 func (w *Watcher) hold() time.Duration {
--- /dev/null
+++ b/internal/feed/whole.go
@@ -0,0 +1,114 @@
+package feed
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// maxWholeBytes bounds a table that another host hands on, unpacked: the store's own
+// answers are bounded alike.
+const maxWholeBytes = 16 << 20
+
+// errPacked means that a packed table is damaged.
+var errPacked = errors.New("feed: packed table")
+
+// pack encodes a table's rows for another host, compressed: entries of one table are
+// much alike, and 3,000 of them take 90 KB in place of 1.4 MB in the store's answers.
+// Each row is its revision and the lengths of key and data as varints, then both.
+func pack(rows []Row) []byte {
+	var packed bytes.Buffer
+	// The level is valid and the buffer takes all writes, so neither call fails.
+	w, _ := flate.NewWriter(&packed, flate.BestSpeed)
+	var head []byte
+	for _, row := range rows {
+		head = binary.AppendUvarint(head[:0], row.Revision)
+		head = binary.AppendUvarint(head, uint64(len(row.Key)))
+		head = binary.AppendUvarint(head, uint64(len(row.Data)))
+		for _, part := range [][]byte{head, []byte(row.Key), row.Data} {
+			_, _ = w.Write(part)
+		}
+	}
+	_ = w.Close()
+	return packed.Bytes()
+}
+
+// unpack decodes what pack encoded.
+func unpack(packed []byte) ([]Row, error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	data, err := io.ReadAll(io.LimitReader(reader, maxWholeBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errPacked, err)
+	}
+	if len(data) > maxWholeBytes {
+		return nil, fmt.Errorf("%w: more than %d bytes", errPacked, maxWholeBytes)
+	}
+	var rows []Row
+	for len(data) > 0 {
+		var head [3]uint64
+		for i := range head {
+			value, n := binary.Uvarint(data)
+			if n <= 0 {
+				return nil, errPacked
+			}
+			head[i], data = value, data[n:]
+		}
+		keyBytes, dataBytes := head[1], head[2]
+		if keyBytes > uint64(len(data)) || dataBytes > uint64(len(data))-keyBytes {
+			return nil, errPacked
+		}
+		row := Row{Revision: head[0], Key: string(data[:keyBytes])}
+		row.Data = data[keyBytes : keyBytes+dataBytes : keyBytes+dataBytes]
+		data = data[keyBytes+dataBytes:]
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Whole is the whole table, for a host that doesn't know it or is far behind. ok is
+// false if the watcher has nothing to tell, or nothing of at most the given bytes.
+func (w *Watcher) Whole(most int) (n News, ok bool) {
+	age, heard := w.Age()
+	if !heard {
+		return News{}, false
+	}
+	packed, revision, ok := w.recent.whole()
+	if !ok || len(packed) > most {
+		return News{}, false
+	}
+	return News{Revision: revision, Whole: true, Packed: packed, Age: age, Clock: w.StoreClock()}, true
+}
+
+// whole returns the table, packed once for each change of it.
+func (r *recent) whole() (packed []byte, revision uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.listed {
+		return nil, 0, false
+	}
+	if r.packed == nil {
+		rows := slices.SortedFunc(maps.Values(r.table), func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+		r.packed = pack(rows)
+	}
+	return r.packed, r.revision, true
+}
+
+// apply keeps the table as of the changes. r.mu is held.
+func (r *recent) apply(rows []Row) {
+	for _, row := range rows {
+		if row.Deleted {
+			delete(r.table, row.Key)
+		} else {
+			r.table[row.Key] = row
+		}
+	}
+	if len(rows) > 0 {
+		r.packed = nil
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,6 +137,13 @@
 	// firstWord is how long a host that begins to follow a table waits for its hub's
 	// word on it: a host finds its hub within half a second of its start.
 	firstWord = 900 * time.Millisecond
+	// firstTable is how long a host that starts waits for its hub to hand the tables on
+	// before it reads the store's. A hub that is up does so within 100 ms; while all
+	// hosts return at once the wait delays service, so it is short.
+	firstTable = 150 * time.Millisecond
+	// firstTableOfAll is the same where the whole installation starts for the first
+	// time: it has no callers yet, and its hubs are found within a second.
+	firstTableOfAll = 2 * time.Second
 	// holdStatus is below trustAge with time for an answer: a roll-out's share is
 	// raised only while the store's word is fresh, and its last part takes half a
 	// second.
@@ -150,7 +158,15 @@
 	common := feed.Options{Link: link}
 	if g.settings.Peers.Listen != "" {
 		common.Relays = func() bool { return g.peers.Relays() }
+		g.rollouts.relied = common.Relays
 		common.FirstWord = firstWord
+		if !slices.Contains(g.settings.Peers.Seeds, g.settings.Peers.Listen) {
+			common.FirstTable = firstTable
+			if g.settings.Peers.FirstStart {
+				common.FirstTable = firstTableOfAll
+			}
+			common.HubAnswers = func() bool { return g.peers.Heard() }
+		}
 	}
 	statusOptions, operatorOptions, upstreamOptions := common, common, common
 	statusOptions.Hold, statusOptions.Needed = holdStatus, g.rollouts.underWay
@@ -167,6 +183,7 @@
 	if peers := &g.settings.Peers; peers.Listen != "" {
 		g.peers = exchange.New(exchange.Options{
 			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, Keys: peers.Keys,
+			FirstStart: peers.FirstStart, LinkMbps: peers.LinkMbps, Cores: peers.Cores,
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -18,6 +18,13 @@
 	// be there before the roll-out's time is up.
 	writeSpread    = 1200 * time.Millisecond
 	completeSpread = 200 * time.Millisecond
+	// hubSpread is the span over which the hosts on which others rely deal out a
+	// status: a few write at most before they hear of the first one. A host that relies
+	// on another follows after followerDelay, after followerUrgent if the status ends
+	// the roll-out: a write comes back to it within half a second.
+	hubSpread      = 200 * time.Millisecond
+	followerDelay  = 1500 * time.Millisecond
+	followerUrgent = 700 * time.Millisecond
 	// trustAge is the greatest age of the store's word at which the share is
 	// raised: a host that can't hear that others stopped a version holds it.
 	trustAge = 3 * time.Second
@@ -34,7 +41,9 @@
 	settings *Settings
 	fleet    *Fleet
 	statuses *feed.Watcher
-	log      zerolog.Logger
+	// relied says whether other hosts rely on this one for the store's word.
+	relied func() bool
+	log    zerolog.Logger
 	// single is the ramp of requests without a session, sessions that of the others.
 	single   ramp
 	sessions ramp
@@ -64,12 +73,15 @@
 	// host's turn to write one comes; zero before one is due.
 	writing bool
 	writeAt time.Time
+	// failures counts the writes in a row that the store turned away or didn't answer.
+	failures int
 }
 
 func newRollouts(settings *Settings, fleet *Fleet, log zerolog.Logger) *rollouts {
 	return &rollouts{
 		settings: settings,
 		fleet:    fleet,
+		relied:   func() bool { return false },
 		log:      log,
 		single:   newRamp(settings.CanaryShare, 0),
 		sessions: newRamp(settings.CanaryShare, sessionsFrom),
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -57,20 +57,38 @@
 		v.Old.Answers+v.New.Answers < fewAnswers && v.New.Failed == 0 && v.New.Slow == 0
 }
 
-// turn says whether this host writes the status that is due. A stop is written
-// at once; what every host finds due at the same time waits for a random moment.
+// turn says whether it is this host's turn to write the status that is due. Every host
+// finds it due at about the same time. While the store is away there is none.
 func (m *rollouts) turn(a *activeRollout, next RolloutState) bool {
-	if next == RolloutReverted {
-		return true
+	if m.statuses.Interrupted() {
+		return false
 	}
 	if a.writeAt.IsZero() {
-		spread := writeSpread
-		if next == RolloutCompleted {
-			spread = completeSpread
-		}
-		a.writeAt = time.Now().Add(rand.N(spread))
+		a.writeAt = time.Now().Add(m.delay(next))
+	}
+	return !time.Now().Before(a.writeAt)
+}
+
+// delay is the time until this host's turn. Hosts on which others rely for the store's
+// word are few and hear of each other's writes first, so they go first; those that rely
+// on one have their turn when its write should have come back. Without that, 195 hosts
+// wrote the first status of a roll-out 92 times within a second.
+func (m *rollouts) delay(next RolloutState) time.Duration {
+	urgent := next != RolloutRunning
+	switch {
+	case m.relied():
+		return rand.N(hubSpread)
+	case m.statuses.Relying() && urgent:
+		return followerUrgent + rand.N(followerUrgent)
+	case m.statuses.Relying():
+		return followerDelay + rand.N(writeSpread)
+	case next == RolloutReverted:
+		return 0 // without a hub nobody else may know
+	case next == RolloutCompleted:
+		return rand.N(completeSpread)
+	default:
+		return rand.N(writeSpread)
 	}
-	return time.Now().After(a.writeAt)
 }
 
 // write writes a status under the condition that nobody else did. Whatever
@@ -98,15 +116,35 @@
 	line.Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
 	// A conflict means that another host was first; the watcher brings its
 	// status within moments, so a short pause spares calls.
-	_ = wait.For(ctx, writePause) // a host that stops needn't pause
+	_ = wait.For(ctx, m.pause(a, err)) // a host that stops needn't pause
 	m.mu.Lock()
 	a.writing = false
+	a.writeAt = time.Time{}
 	m.mu.Unlock()
 }
 
-// writePause is the time between two tries to write a status: longer than the
-// store's change needs to come back through the watcher.
-const writePause = 300 * time.Millisecond
+const (
+	// writePause is the time between two tries to write a status: longer than the
+	// store's change needs to come back through the watcher.
+	writePause = 300 * time.Millisecond
+	// writeDoublings bounds the pause after writes that the store turns away or doesn't
+	// answer, which doubles with each: 4.8 s at most. Hosts that are cut off from the
+	// store tried 300 times in 12 s without.
+	writeDoublings = 4
+)
+
+// pause is the time until the next try after a write that ended with the error.
+func (m *rollouts) pause(a *activeRollout, err error) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil || errors.Is(err, storage.ErrConflict) {
+		a.failures = 0
+		return writePause
+	}
+	pause := writePause << a.failures
+	a.failures = min(a.failures+1, writeDoublings)
+	return pause/2 + rand.N(pause)
+}
 
 func (m *rollouts) commit(ctx context.Context, next RolloutStatus, expected uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -63,6 +63,12 @@
 	Listen string
 	// Seeds are the addresses of hosts that gather what the others tell.
 	Seeds []string
+	// FirstStart says that the whole installation starts for the first time.
+	FirstStart bool
+	// Cores is this host's part of a processor, LinkMbps the rate of its network link in
+	// Mbit/s; 0 where they aren't known.
+	Cores    float64
+	LinkMbps float64
 	// Keys is the table with the key that the hosts share.
 	Keys storage.Table
 }
