--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -65,6 +65,10 @@
 	// report, ReadsSince the number up to which the host knows the hub's.
 	Reads      Reads  `json:"reads,omitempty"`
 	ReadsSince uint64 `json:"reads_since,omitempty"`
+	// WantTimings asks for what the others' answers told of models' paces; a host then
+	// tells what its own did.
+	WantTimings bool    `json:"want_timings,omitempty"`
+	Timings     Timings `json:"timings,omitempty"`
 	// Revisions are the newest that the host knows of the store's tables.
 	Revisions map[string]uint64 `json:"revisions,omitempty"`
 }
@@ -83,6 +87,8 @@
 	// Reads are the others' reads up to the number ReadsLast.
 	Reads     Reads  `json:"reads,omitempty"`
 	ReadsLast uint64 `json:"reads_last,omitempty"`
+	// Timings are the sums of the other hosts'.
+	Timings Timings `json:"timings,omitempty"`
 	// Assigned is the address of the hub to report to from now on; empty for this one.
 	Assigned string `json:"assigned,omitempty"`
 	// Relays says that the hub relays the store's word, Tables is that. Later says that
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	reports map[string]received
 	reads   readLog
+	timings map[string]Timings
 	// zones are the hubs that this one named, by zone.
 	zones map[string]*zoneHubs
 }
@@ -65,7 +66,7 @@
 func newHub(options Options, log zerolog.Logger) *hub {
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, log: log,
-		reports: make(map[string]received), zones: make(map[string]*zoneHubs),
+		reports: make(map[string]received), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
 	}
 }
 
@@ -76,6 +77,9 @@
 		return Reply{Zone: h.zone}, nil
 	case r.Hub:
 		reply := h.sums(from, r.ReadsSince, toHub)
+		if r.WantTimings {
+			reply.Timings = h.toldTimings(from, toHub)
+		}
 		if h.relays() {
 			reply.Tables, _ = h.news(from, r, true)
 		}
@@ -84,6 +88,9 @@
 	h.take(from, r)
 	h.noteRelaying()
 	reply := h.sums(from, r.ReadsSince, toHost)
+	if r.WantTimings {
+		reply.Timings = h.toldTimings(from, toHost)
+	}
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.Later = h.news(from, r, reply.Relays)
@@ -103,6 +110,7 @@
 	defer h.mu.Unlock()
 	h.reports[from] = received{report: r, at: time.Now(), hosts: max(1, r.Hosts)}
 	h.reads.add(from, false, r.Reads)
+	h.takeTimings(from, r.Timings)
 }
 
 // readsSince is what others than the host read after a number, and the number of the last.
@@ -118,6 +126,7 @@
 	defer h.mu.Unlock()
 	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: hosts}
 	h.reads.add(address, true, r.Reads)
+	h.takeTimings(hubKey(address), r.Timings)
 }
 
 // forgetHub forgets what a hub told that this host no longer reports to: the next one
@@ -157,6 +166,9 @@
 	h.mu.Unlock()
 	sums := h.sums("", readsSince, toHub)
 	own.Hosts, own.Work, own.Evidence, own.Reads = sums.Hosts, sums.Work, sums.Evidence, sums.Reads
+	if own.WantTimings {
+		own.Timings = h.toldTimings("", toHub)
+	}
 	return own, sums.ReadsLast
 }
 
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -25,9 +25,13 @@
 		if !ok {
 			continue
 		}
+		question := Report{
+			Zone: m.options.Zone, Hub: true, ReadsSince: since, Revisions: m.revisions(),
+			WantTimings: m.exchanges%timingsEvery == 1,
+		}
 		asked := time.Now()
 		go func() {
-			reply, err := ask(ctx, net, seed, Report{Zone: m.options.Zone, Hub: true, ReadsSince: since, Revisions: m.revisions()})
+			reply, err := ask(ctx, net, seed, question)
 			if err != nil {
 				net.forget(seed)
 				m.end(seed, since, retryHub)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -43,6 +43,10 @@
 	// TakeReads takes what the others sent. Both may be nil.
 	Reads     func() Reads
 	TakeReads func(Reads)
+	// Timings returns what this host's answers told of models' paces; TakeTimings takes
+	// what the others' told. Both may be nil.
+	Timings     func() Timings
+	TakeTimings func(Timings)
 	// FirstStart says that the whole installation starts for the first time: the key
 	// is made then.
 	FirstStart bool
@@ -81,6 +85,8 @@
 	readsSince uint64
 	ownSince   uint64
 	toldReads  uint64
+	// exchanges counts the reports.
+	exchanges int
 
 	// heard says that the hub answered the last exchange.
 	heard atomic.Bool
@@ -154,8 +160,9 @@
 	case "":
 		m.heard.Store(false)
 	case m.options.Listen:
-		m.hub.take(m.options.Host, m.report())
-		m.takeOwn()
+		report := m.report()
+		m.hub.take(m.options.Host, report)
+		m.takeOwn(report.WantTimings)
 		m.askHubs(ctx, net)
 	default:
 		m.exchange(ctx, net)
@@ -186,7 +193,7 @@
 	if leads {
 		m.toldReads, m.readsSince = told, reply.ReadsLast
 		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
-		m.takeOwn()
+		m.takeOwn(report.WantTimings)
 	} else {
 		m.readsSince, m.ownSince = reply.ReadsLast, 0
 		m.take(reply, asked)
@@ -208,9 +215,12 @@
 	}
 }
 
-// takeOwn takes what the own hub knows of the other hosts.
-func (m *Member) takeOwn() {
+// takeOwn takes what the own hub knows of the other hosts, with their timings or without.
+func (m *Member) takeOwn(timings bool) {
 	sums := m.hub.sums(m.options.Host, m.ownSince, toHost)
+	if timings {
+		sums.Timings = m.hub.toldTimings(m.options.Host, toHost)
+	}
 	m.ownSince = sums.ReadsLast
 	m.take(sums, time.Now())
 }
@@ -221,6 +231,9 @@
 	m.takeHosts(reply.Hosts)
 	m.takeEvidence(reply.Evidence)
 	m.takeReads(reply.Reads)
+	if m.options.TakeTimings != nil && len(reply.Timings) > 0 {
+		m.options.TakeTimings(reply.Timings)
+	}
 }
 
 // takeReads takes the others' reads. The hub has this host's.
@@ -238,6 +251,9 @@
 	}
 	report := m.own()
 	report.Reads = m.untold
+	if m.exchanges++; m.options.Timings != nil && m.exchanges%timingsEvery == 1 {
+		report.WantTimings, report.Timings = true, m.options.Timings()
+	}
 	return report
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,8 +54,10 @@
 	// prompts says that the upstreams are engines. rates are how fast their models read,
 	// urgency is the decayed work of new prompts by priority, meanReading the decayed mean
 	// of the longer ones.
-	prompts     bool
-	rates       *placement.Rates
+	prompts bool
+	rates   *placement.Rates
+	// heard is what other hosts told of models' paces and wasn't asked for yet.
+	heard       exchange.Timings
 	urgency     [leastUrgent + 1]float64
 	meanReading time.Duration
 	waits       waits
@@ -129,11 +131,15 @@
 }
 
 func (f *Fleet) each(do func(s *shard)) {
+	f.eachService(func(_ string, s *shard) { do(s) })
+}
+
+func (f *Fleet) eachService(do func(service string, s *shard)) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	for _, s := range f.shards {
+	for service, s := range f.shards {
 		s.mu.Lock()
-		do(s)
+		do(service, s)
 		s.mu.Unlock()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,7 @@
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
+			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
@@ -21,6 +23,7 @@
 func (s *shard) place(list []*member, c *choice, now time.Time) *member {
 	w := &c.wants
 	s.rates.Price(w.model, w.price)
+	s.hear(w.service, w.model)
 	candidates := s.engines(list, w, now)
 	c.placed = placement.Place(s.rates, &placement.Request{
 		Model:  w.model,
@@ -34,6 +37,36 @@
 	return list[c.placed.Index]
 }
 
+// timings are what this host's answers told of the paces of models.
+func (f *Fleet) timings() exchange.Timings {
+	now := time.Now()
+	timings := make(exchange.Timings)
+	f.eachService(func(service string, s *shard) {
+		for model, t := range s.rates.Timings(now) {
+			timings[timingsName(service, model)] = t
+		}
+	})
+	return timings
+}
+
+// takeTimings takes what the other hosts' answers told.
+func (f *Fleet) takeTimings(timings exchange.Timings) {
+	f.each(func(s *shard) { s.heard = maps.Clone(timings) })
+}
+
+// hear takes what the other hosts told of a model when it is asked for. A host that just
+// started knows its models by their prices alone.
+func (s *shard) hear(service, model string) {
+	name := timingsName(service, model)
+	if t, ok := s.heard[name]; ok {
+		s.rates.TakeTimings(model, t)
+		delete(s.heard, name)
+	}
+}
+
+// timingsName stands for a service's model in what hosts tell each other.
+func timingsName(service, model string) exchange.Name { return exchange.NameOf(service + "/" + model) }
+
 // waits are the decayed times that prompts waited for engines and took to be read.
 type waits struct {
 	waited float64
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -71,9 +71,9 @@
 		m.beganAt = time.Now()
 	}
 	c.reading = nil
-	s.waits.observe(took, c.placed.Reading)
+	s.waits.observe(took, c.placed.Alone)
 	if c.ahead < c.placed.Reading/littleAhead {
-		s.rates.Observe(c.wants.model, c.placed.Missing, took)
+		s.rates.Observe(c.wants.model, c.placed.Missing, took, time.Now())
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -32,7 +32,9 @@
 	Index int
 	// Expected is the time to the first event.
 	Expected time.Duration
-	// Reading is the engine's own work for the request.
+	// Alone is the same on an engine that has nothing else to read, Reading the part of
+	// it in which the engine reads for this prompt alone, and others wait.
+	Alone   time.Duration
 	Reading time.Duration
 	// Missing is the number of tokens to be read.
 	Missing int
@@ -70,8 +72,8 @@
 
 func (r *Request) choice(rates *Rates, c *Candidate) Choice {
 	missing := r.Prompt.missing(c.Kept)
-	reading := rates.Reading(r.Model, missing)
-	return Choice{Expected: c.Ahead + reading, Reading: reading, Missing: missing}
+	alone := rates.Reading(r.Model, missing)
+	return Choice{Expected: c.Ahead + alone, Alone: alone, Reading: overhead + rates.Work(r.Model, missing), Missing: missing}
 }
 
 func (r *Request) price(choice *Choice, c *Candidate) time.Duration {
@@ -84,7 +86,7 @@
 
 // again is the time that the engine takes to read the shared parts which it doesn't keep.
 func (r *Request) again(rates *Rates, c *Candidate) time.Duration {
-	return rates.Reading(r.Model, r.Prompt.missingShared(c.Kept)) - overhead
+	return rates.Work(r.Model, r.Prompt.missingShared(c.Kept))
 }
 
 // waiting is the price of a time to the first event. Callers lose by it as it comes near
@@ -104,7 +106,7 @@
 // spends on ways about what one reading costs: little for parts that are asked for often
 // or read fast, much only for long ones that are asked for now and then.
 func (r *Request) here(rates *Rates) bool {
-	reading := float64(rates.Reading(r.Model, r.Prompt.missingShared(0)) - overhead)
+	reading := float64(rates.Work(r.Model, r.Prompt.missingShared(0)))
 	return r.Draw*reading < float64(r.Way)
 }
 
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -41,7 +41,7 @@
 	for range engines {
 		f.engines = append(f.engines, &engine{kept: NewKept()})
 	}
-	f.rates.Observe("m", 10_000, overhead+10_000*tokenTime)
+	observe(f.rates, "m", 10_000, overhead+10_000*tokenTime)
 	return f
 }
 
@@ -221,6 +221,13 @@
 	is.Equal(f.send(&Prompt{}), 0)
 }
 
+// observe has the rates see the same answer often enough to tell a pace.
+func observe(r *Rates, model string, tokens int, took time.Duration) {
+	for range 3 {
+		r.Observe(model, tokens, took, time.Time{})
+	}
+}
+
 func TestRatesFollowTheMiddle(t *testing.T) {
 	is := is.New(t)
 	r := NewRates()
@@ -229,21 +236,99 @@
 		if i%10 == 0 {
 			took *= 20 // a wait that nobody knew of
 		}
-		r.Observe("m", 10_000, took)
+		r.Observe("m", 10_000, took, time.Time{})
 	}
 	got := r.Reading("m", 10_000)
 	is.True(got > 900*time.Millisecond && got < 1300*time.Millisecond)
 }
 
+// answerTimes draws answers of prompts of all sizes, most of them short: a time for the
+// batch and one for the tokens, and now and then a wait that nobody knew of.
+func answerTimes(rng *rand.Rand) (tokens int, took time.Duration) {
+	tokens = 300 + rng.IntN(1500)
+	if rng.IntN(5) == 0 {
+		tokens = 4000 + rng.IntN(14_000)
+	}
+	took = time.Duration((0.9 + 0.2*rng.Float64()) * float64(answerTime(tokens)))
+	if rng.IntN(4) == 0 {
+		took += time.Duration(rng.IntN(300)) * time.Millisecond
+	}
+	return tokens, took
+}
+
+func answerTime(tokens int) time.Duration {
+	return 80*time.Millisecond + time.Duration(tokens)*40*time.Microsecond
+}
+
+// fits says whether the rates expect about what prompts of any size take.
+func fits(t *testing.T, r *Rates) bool {
+	t.Helper()
+	ok := true
+	for _, tokens := range []int{500, 2000, 8000, 16_000, 40_000} {
+		part := float64(r.Reading("m", tokens)) / float64(answerTime(tokens))
+		t.Logf("%d tokens: %.2f of what they take", tokens, part)
+		ok = ok && part > 0.8 && part < 1.35
+	}
+	return ok
+}
+
+// A host that saw some dozen answers expects the right time for prompts of any size.
+func TestRatesOfShortAndLongPrompts(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := NewRates()
+	for range 60 {
+		tokens, took := answerTimes(rng)
+		r.Observe("m", tokens, took, time.Time{})
+	}
+	is.New(t).True(fits(t, r))
+}
+
+// A host that saw one answer expects the right time by what the others saw.
+func TestRatesOfOtherHosts(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sum Timings
+	for range 50 { // hosts with six answers each
+		other := NewRates()
+		for range 6 {
+			tokens, took := answerTimes(rng)
+			other.Observe("m", tokens, took, time.Time{})
+		}
+		sum.Add(other.Timings(time.Time{})["m"])
+	}
+	r := NewRates()
+	r.Observe("m", 500, time.Second, time.Time{}) // a long wait
+	r.TakeTimings("m", sum)
+	is.True(fits(t, r))
+	r.TakeTimings("m", Timings{Answers: 100, Weight: -1})
+	is.True(fits(t, r)) // damaged sums change nothing
+}
+
+// Engines that became four times slower are expected to be so within half a minute.
+func TestRatesForget(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	now := time.Unix(0, 0)
+	for range 60 {
+		now = now.Add(time.Second)
+		r.Observe("m", 10_000, 200*time.Millisecond, now)
+	}
+	for range 30 {
+		now = now.Add(time.Second)
+		r.Observe("m", 10_000, 800*time.Millisecond, now)
+	}
+	is.True(r.Reading("m", 10_000) > 500*time.Millisecond)
+}
+
 // A model that never answered is expected to be as slow as its price makes likely.
 func TestRateOfAnUnknownModel(t *testing.T) {
 	is := is.New(t)
 	r := NewRates()
-	r.Observe("small", 10_000, overhead+100*time.Millisecond)
-	is.Equal(r.Reading("large", 10_000), overhead+100*time.Millisecond)
+	observe(r, "small", 10_000, overhead+100*time.Millisecond)
+	is.Equal(r.Reading("large", 10_000).Round(time.Millisecond), overhead+100*time.Millisecond)
 	r.Price("small", 1)
 	r.Price("large", 12)
-	is.Equal(r.Reading("large", 10_000), overhead+1200*time.Millisecond)
+	is.Equal(r.Reading("large", 10_000).Round(time.Millisecond), overhead+1200*time.Millisecond)
 }
 
 func TestKeptParts(t *testing.T) {
