feed: many changes are passed on packed

Changes above 16 kB were answered with the whole table, 90 kB packed, to each of 60 followers, at each exchange while entries went on changing.

Change: changes of 1 kB and more are packed, once for all hosts that know the same revision; the whole table is for those that know none or are too far behind.

--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -42,7 +42,7 @@
 		if !relays && known > 0 {
 			continue
 		}
-		n, ok := watcher.News(known)
+		n, ok := watcher.News(known, room)
 		switch {
 		case !ok:
 			later = true // this host is reading it itself
--- a/internal/feed/calllog.go
+++ b/internal/feed/calllog.go
@@ -19,10 +19,12 @@
 	w.logCall(w.log.Info(), "store-call-abandoned", c).Msg("")
 }
 
-// logLarge tells of an answer that is too large for a relay, as it takes a part of
-// the host's link.
+// largeAnswer is the size of an answer, in bytes, from which it is logged.
+const largeAnswer = 16 << 10
+
+// logLarge tells of a large answer, as it takes a part of the host's link.
 func (w *Watcher) logLarge(c *storeCall, page Page) {
-	if c.receivedBytes.Load() <= maxNewsBytes {
+	if c.receivedBytes.Load() <= largeAnswer {
 		return
 	}
 	w.logCall(w.log.Info(), "large-answer", c).Int("rows", len(page.Rows)).Uint64("newest", page.Revision).Msg("")
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -21,10 +21,8 @@
 	RelayGather = 200 * time.Millisecond
 	// recentRows is how many changed rows are kept for others.
 	recentRows = 512
-	// maxNewsBytes is the most data of rows that is passed on at once. Whoever
-	// needs more asks the store: a relay's network link may be a hundredth of
-	// the store's.
-	maxNewsBytes = 16 << 10
+	// packFrom is the data of rows, in bytes, from which they are passed on packed.
+	packFrom = 1 << 10
 )
 
 // News is what one host knows of a table, for another one.
@@ -34,12 +32,12 @@
 	Since    uint64
 	Revision uint64
 	Rows     []Row
-	// Complete says that Rows are all changes; without it they are left out.
+	// Complete says that all changes are told; without it none is.
 	Complete bool
-	// Whole says that Packed is the whole table as of Revision; Rows and Since don't
-	// count then.
-	Whole  bool
+	// Packed are the rows where they are many; Rows is empty then.
 	Packed []byte
+	// Whole says that Packed is the whole table as of Revision; Since doesn't count then.
+	Whole bool
 	// Age is the time since the store answered, at the time of the call.
 	Age time.Duration
 	// Clock is the store's steady clock now.
@@ -58,6 +56,14 @@
 	// table is the whole table, packed the same for other hosts; nil until one asks.
 	table  map[string]Row
 	packed []byte
+	// changes are the rows after a revision, packed the same.
+	changes packedChanges
+}
+
+// packedChanges are the changes after one revision up to another.
+type packedChanges struct {
+	since, revision uint64
+	packed          []byte
 }
 
 // reset begins anew with a whole table.
@@ -103,13 +109,23 @@
 		size += len(row.Key) + len(row.Data)
 		n.Rows = append(n.Rows, row)
 	}
-	n.Complete = size <= maxNewsBytes
-	if !n.Complete {
-		n.Rows = nil
+	n.Complete = true
+	if size >= packFrom {
+		n.Packed, n.Rows = r.packChanges(revision, n.Rows), nil
 	}
 	return n, true
 }
 
+// packChanges packs the changes after a revision. Most hosts know the same one, so the last
+// packing does for many. r.mu is held.
+func (r *recent) packChanges(since uint64, rows []Row) []byte {
+	c := &r.changes
+	if c.packed == nil || c.since != since || c.revision != r.revision {
+		*c = packedChanges{since: since, revision: r.revision, packed: pack(rows)}
+	}
+	return c.packed
+}
+
 // relayed is the newest word that another host passed on.
 type relayed struct {
 	mu   sync.Mutex
@@ -180,8 +196,9 @@
 }
 
 // News is what this watcher knows of the table, for a host that knows it up to
-// the revision. ok is false if it has nothing to tell.
-func (w *Watcher) News(since uint64) (n News, ok bool) {
+// the revision; changes are told if they take at most the given bytes packed. ok is
+// false if it has nothing to tell.
+func (w *Watcher) News(since uint64, most int) (n News, ok bool) {
 	age, heard := w.Age()
 	if !heard {
 		return News{}, false
@@ -189,6 +206,9 @@
 	if n, ok = w.recent.since(since); !ok {
 		return News{}, false
 	}
+	if len(n.Packed) > most {
+		n.Packed, n.Complete = nil, false
+	}
 	n.Age = age
 	n.Clock = w.StoreClock()
 	return n, true
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -12,18 +13,10 @@
 	case !w.listed && !news.Whole:
 		return false
 	case w.listed && news.Revision <= w.revision:
-	case news.Whole:
-		if !w.takeWhole(news) {
+	case news.Whole, news.Complete && news.Since <= w.revision:
+		if !w.takeRows(news) {
 			return false
 		}
-	case news.Complete && news.Since <= w.revision:
-		var rows []Row
-		for _, row := range news.Rows {
-			if row.Revision > w.revision {
-				rows = append(rows, row)
-			}
-		}
-		w.take(rows, news.Revision)
 	default:
 		w.lag.note(news.Revision, w.sinceStart())
 		return false
@@ -32,16 +25,24 @@
 	return true
 }
 
-// takeWhole takes the whole table from another host.
-func (w *Watcher) takeWhole(news News) bool {
-	rows, err := unpack(news.Packed)
-	if err != nil {
-		w.log.Error().Str("event", "table-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
-		return false
+// takeRows takes the whole table, or its changes, from another host.
+func (w *Watcher) takeRows(news News) bool {
+	rows := news.Rows
+	if news.Packed != nil {
+		var err error
+		if rows, err = unpack(news.Packed); err != nil {
+			w.log.Error().Str("event", "news-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
+			return false
+		}
+	}
+	if news.Whole {
+		w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
+		w.reading = listing{}
+		w.replace(rows, news.Revision)
+		return true
 	}
-	w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
-	w.reading = listing{}
-	w.replace(rows, news.Revision)
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
+	w.take(rows, news.Revision)
 	return true
 }
 
--- a/internal/feed/whole.go
+++ b/internal/feed/whole.go
@@ -19,9 +19,10 @@
 // errPacked means that a packed table is damaged.
 var errPacked = errors.New("feed: packed table")
 
-// pack encodes a table's rows for another host, compressed: entries of one table are
-// much alike, and 3,000 of them take 90 KB in place of 1.4 MB in the store's answers.
-// Each row is its revision and the lengths of key and data as varints, then both.
+// pack encodes rows for another host, compressed: entries of one table are much alike,
+// and 3,000 of them take 90 KB in place of 1.4 MB in the store's answers. Each row is its
+// revision, the length of its key, and that of its data and 1 or 0 for a row that was
+// removed, as varints, then key and data.
 func pack(rows []Row) []byte {
 	var packed bytes.Buffer
 	// The level is valid and the buffer takes all writes, so neither call fails.
@@ -30,7 +31,11 @@
 	for _, row := range rows {
 		head = binary.AppendUvarint(head[:0], row.Revision)
 		head = binary.AppendUvarint(head, uint64(len(row.Key)))
-		head = binary.AppendUvarint(head, uint64(len(row.Data)))
+		data := uint64(0)
+		if !row.Deleted {
+			data = uint64(len(row.Data)) + 1
+		}
+		head = binary.AppendUvarint(head, data)
 		for _, part := range [][]byte{head, []byte(row.Key), row.Data} {
 			_, _ = w.Write(part)
 		}
@@ -59,11 +64,12 @@
 			}
 			head[i], data = value, data[n:]
 		}
-		keyBytes, dataBytes := head[1], head[2]
+		row := Row{Revision: head[0], Deleted: head[2] == 0}
+		keyBytes, dataBytes := head[1], max(head[2], 1)-1
 		if keyBytes > uint64(len(data)) || dataBytes > uint64(len(data))-keyBytes {
 			return nil, errPacked
 		}
-		row := Row{Revision: head[0], Key: string(data[:keyBytes])}
+		row.Key = string(data[:keyBytes])
 		row.Data = data[keyBytes : keyBytes+dataBytes : keyBytes+dataBytes]
 		data = data[keyBytes+dataBytes:]
 		rows = append(rows, row)
