gateway: what several hosts sent one engine takes the sum of their times

Cause: a host took its own prompt to be under way from the moment it was sent, and told the others so. Of ten hosts with one prompt each at an engine, all took theirs to be read at once; what they told of the engine went ten times too fast, and it looked idle.

Change: a reading begins when what was believed ahead of it is read. While its answer hasn't begun, a quarter of it counts as left: the engine is slower, or has more to do, than is known.

--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -25,7 +25,9 @@
 type reading struct {
 	work     time.Duration
 	priority int
-	sentAt   time.Time
+	// beginsAt is when the engine is expected to begin with it: when it was sent, and
+	// what was ahead of it is read.
+	beginsAt time.Time
 }
 
 // begin counts a request as in flight at the upstream.
@@ -34,7 +36,7 @@
 	if c.wants.prompt == nil {
 		return
 	}
-	c.reading = &reading{work: c.placed.Reading, priority: c.wants.priority, sentAt: c.at}
+	c.reading = &reading{work: c.placed.Reading, priority: c.wants.priority, beginsAt: c.at.Add(c.ahead)}
 	m.readings = append(m.readings, c.reading)
 	m.shard.prompts = true
 	m.shard.noteUrgency(c.reading)
@@ -81,18 +83,25 @@
 // of it was less than a fourth of its own.
 const littleAhead = 4
 
-// left is what the engine still has to do for a reading of this host. The first of them
-// is taken to be under way since the last one ended; the others wait.
+// unansweredPart is the part of a reading that is left at least while its answer hasn't
+// begun: an engine that is late with it is slower, or has more to do, than is known.
+const unansweredPart = 0.25
+
+// left is what the engine still has to do for a reading of this host. It is under way
+// from the time at which the engine was expected to begin with it, or from the end of the
+// one before. Hosts that each took theirs to be under way at once, when the engine reads
+// one after the other, told each other a third of what it had to do.
 func (m *member) left(i int, now time.Time) time.Duration {
 	r := m.readings[i]
 	if i > 0 {
 		return r.work
 	}
-	since := r.sentAt
+	since := r.beginsAt
 	if m.beganAt.After(since) {
 		since = m.beganAt
 	}
-	return max(0, r.work-now.Sub(since))
+	least := time.Duration(unansweredPart * float64(r.work))
+	return min(r.work, max(least, r.work-now.Sub(since)))
 }
 
 // othersLeft is what the engine still has to do for the other hosts, which told of it a
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -47,6 +47,29 @@
 	is.Equal(len(f.work()), 0)
 }
 
+// An engine reads one prompt after the other, so what several hosts sent it takes the sum
+// of their works, however long ago each sent its own.
+func TestWorkOfSeveralHosts(t *testing.T) {
+	is := is.New(t)
+	const hosts = 5
+	now := time.Now()
+	told, work := 0.0, time.Duration(0)
+	for i := range hosts {
+		f := engineFleet()
+		f.setOthers(exchange.Work{exchange.NameOf("b"): float64(work.Milliseconds())}, now)
+		c, ok := f.choose(reads(10_000, "a", "c"))
+		is.True(ok)
+		work += c.placed.Reading
+		m := f.memberOf("svc", "b")
+		later := now.Add(c.placed.Reading) // the first one's is read
+		told += m.work(later)
+		if i == 0 {
+			is.True(m.work(later) >= unansweredPart*float64(c.placed.Reading.Milliseconds())-1) // its answer is late
+		}
+	}
+	is.True(told >= 0.75*float64(work.Milliseconds()))
+}
+
 // Of an answer that never begins, nothing stays: neither the work nor the belief that the
 // engine keeps the prompt.
 func TestFailedReadingLeavesNothing(t *testing.T) {
