gateway: a host that knows nothing of usual times waits for most of the target

Cause: after a loss of all 195 hosts, 317 attempts of 1,387 in the next second were given up as silent (172 and 74 in the two after). Nothing was usual yet, so each host waited 0.4 of the target; the engines had the whole fleet's callers at once, read the prompts all the same, and read them again elsewhere. They were behind for ten seconds.

TestPatience says 0.7 where it said 0.4 for "nothing known", and keeps 0.4 where something is.

--- a/internal/gateway/usual.go
+++ b/internal/gateway/usual.go
@@ -17,6 +17,12 @@
 	// are slow because of load, giving up adds to the load: with a bound of 1.5
 	// targets an overloaded service lost half of the answers that it had nearly made.
 	leastPatience = 0.4
+	// firstPatience is the part of the target that is waited while nothing is known of
+	// what is usual. When all hosts return at once, engines have the whole fleet's
+	// callers again: with leastPatience a third of all prompts were sent twice, which
+	// kept the engines behind for ten seconds. The rest of the target is for the other
+	// upstream.
+	firstPatience = 0.7
 	// patienceExpected times the expected time is waited at least: a long prompt is read
 	// for longer than usual, and giving it up begins the reading anew elsewhere.
 	patienceExpected = 3
@@ -59,5 +65,8 @@
 	if target <= 0 {
 		target = targetless
 	}
+	if u.mean == 0 {
+		return time.Duration(firstPatience * float64(target))
+	}
 	return max(time.Duration(leastPatience*float64(target)), patienceFactor*u.mean)
 }
