feed, gateway: a relay's word is relied on by the time that operators give

Cause: a word older than 1.3 s sent each follower to the store, whatever the deployment. The 1.3 s come from deployments that give changes two seconds; this one gives four.

Change: both the age and the hub's hold are parts of that time (0.65, 0.35), the smaller of the documents' and the leaving upstreams'. Deployments with two seconds are as before.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -97,6 +97,7 @@
 		},
 		StopTimeout:      site.StopTimeout,
 		DrainTime:        site.DrainTime,
+		HeedTime:         site.HeedTime,
 		RetryRatio:       site.RetryRatio,
 		RetryWindow:      site.RetryWindow,
 		RetrySpare:       site.RetrySpare,
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return Page{}, 0, err
 	}
-	callCtx, endHeld := w.held.begin(linkCtx, c)
+	callCtx, endHeld := w.held.begin(linkCtx, c, w.relayHold())
 	page, err := w.exchange(callCtx, c)
 	endHeld()
 	if err != nil && errors.Is(context.Cause(callCtx), errHurried) {
--- a/internal/feed/hurry.go
+++ b/internal/feed/hurry.go
@@ -10,16 +10,17 @@
 // errHurried means that a held call was given up for one with a shorter hold.
 var errHurried = errors.New("feed: others rely on this host now")
 
-// heldCall is the call under way that the store may hold for longer than RelayHold.
+// heldCall is the call under way that the store may hold for long.
 type heldCall struct {
 	mu     sync.Mutex
 	call   *storeCall
 	cancel context.CancelCauseFunc
 }
 
-// begin notes a call. It returns the call's context and what ends it.
-func (h *heldCall) begin(ctx context.Context, c *storeCall) (context.Context, func()) {
-	if c.hold <= RelayHold {
+// begin notes a call that the store may hold for longer than the limit. It returns the
+// call's context and what ends it.
+func (h *heldCall) begin(ctx context.Context, c *storeCall, limit time.Duration) (context.Context, func()) {
+	if c.hold <= limit {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -54,9 +55,9 @@
 	}
 }
 
-// Hurry gives up the call that the store holds, if it may hold it for longer than
-// RelayHold and hasn't begun to answer: other hosts begin to rely on this one, and would
-// hear nothing until the call is over.
+// Hurry gives up the call that the store holds, if it may hold it for longer than one
+// that others rely on and hasn't begun to answer: other hosts begin to rely on this one,
+// and would hear nothing until the call is over.
 func (w *Watcher) Hurry() {
 	select {
 	case w.hurried <- struct{}{}:
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -6,16 +6,17 @@
 )
 
 const (
-	// relayedAge is the greatest age of the store's word, as another host passed
-	// it on, at which a watcher makes no calls of its own. A host that relays
-	// hears from the store every RelayHold, and passes that on a few times a
-	// second; a watcher whose relay is cut off, frozen or gone asks the store
-	// itself after this time, well within the two seconds in which operators
-	// expect a change to be heeded.
-	relayedAge = 1300 * time.Millisecond
-	// RelayHold is how long the store holds a call of a watcher that others rely
-	// on.
-	RelayHold = 700 * time.Millisecond
+	// defaultHeed is taken for Options.Heed where a deployment tells none.
+	defaultHeed = 2 * time.Second
+	// relayedPart of Heed is the greatest age of the store's word, as another host passed
+	// it on, at which a watcher makes no calls of its own. A watcher whose relay is cut
+	// off, frozen or gone asks the store itself after this time, and has the answer well
+	// within the rest.
+	relayedPart = 0.65
+	// relayHoldPart of Heed is how long the store holds a call of a watcher that others
+	// rely on: it passes on what it hears a few times a second, over two hosts at most,
+	// and a lost exchange must not make the word too old.
+	relayHoldPart = 0.35
 	// RelayGather bounds Options.Gather while others rely on the watcher: its
 	// calls serve many hosts, so the age of what they believe counts for more.
 	RelayGather = 200 * time.Millisecond
@@ -182,16 +183,26 @@
 	return r.none
 }
 
-// fresh returns the word, while it is young enough to rely on.
-func (r *relayed) fresh() (n News, at time.Time, ok bool) {
+// freshNews returns the other host's word, while it is young enough to rely on.
+func (w *Watcher) freshNews() (n News, at time.Time, ok bool) {
+	r := &w.relayed
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.news, r.at, !r.at.IsZero() && time.Since(r.at) < relayedAge
+	return r.news, r.at, !r.at.IsZero() && time.Since(r.at) < w.relayedAge()
+}
+
+func (w *Watcher) relayedAge() time.Duration {
+	return time.Duration(relayedPart * float64(w.options.Heed))
+}
+
+// relayHold is how long the store holds a call while others rely on the watcher.
+func (w *Watcher) relayHold() time.Duration {
+	return time.Duration(relayHoldPart * float64(w.options.Heed))
 }
 
 // Relying says whether another host's word is young enough to rely on.
 func (w *Watcher) Relying() bool {
-	_, _, ok := w.relayed.fresh()
+	_, _, ok := w.freshNews()
 	return ok
 }
 
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -13,6 +13,12 @@
 	"github.com/rs/zerolog"
 )
 
+// The times of a watcher without Options.Heed, in floating point as the watcher has them.
+const (
+	testRelayedAge = time.Duration(relayedPart * float64(defaultHeed))
+	testRelayHold  = time.Duration(relayHoldPart * float64(defaultHeed))
+)
+
 // answers is how a store answers calls for changes; the test changes it while a
 // watcher runs.
 type answers struct {
@@ -70,7 +76,7 @@
 		is.True(ok && age < time.Second)
 
 		// The store is asked soon after the last word.
-		time.Sleep(relayedAge + 10*time.Millisecond)
+		time.Sleep(testRelayedAge + 10*time.Millisecond)
 		synctest.Wait()
 		is.Equal(source.polls, first+1)
 		is.Equal(source.hold, DefaultHold)
@@ -88,7 +94,7 @@
 	}{
 		{"the word comes in time", first / 2, false, 0},
 		{"no word", time.Hour, false, 1},
-		{"others rely on this host", time.Hour, true, 2}, // held for RelayHold each
+		{"others rely on this host", time.Hour, true, 2}, // held for a short time each
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -99,7 +105,7 @@
 					select {
 					case <-ctx.Done():
 						return Page{}, ctx.Err()
-					case <-time.After(RelayHold):
+					case <-time.After(testRelayHold):
 						return Page{Revision: 5}, nil
 					}
 				})
@@ -182,7 +188,7 @@
 			},
 		}
 		w, _ := watch(source, Options{Gather: time.Minute, Relays: func() bool { return true }}, time.Second)
-		is.Equal(source.hold, RelayHold)
+		is.Equal(source.hold, testRelayHold)
 		is.Equal(source.polls, 2) // the pause after a change is short, too
 		n, ok := w.News(1, 1<<20)
 		is.True(ok)
@@ -270,19 +276,19 @@
 			select {
 			case <-ctx.Done():
 				return Page{}, ctx.Err()
-			case <-time.After(RelayHold):
+			case <-time.After(testRelayHold):
 				return Page{Revision: 5}, nil
 			}
 		})
 		time.Sleep(500 * time.Millisecond)
 		relays.Store(true)
 		w.Hurry()
-		time.Sleep(RelayHold)
+		time.Sleep(testRelayHold)
 		synctest.Wait()
 		is.True(source.polls >= 2)
-		is.Equal(source.hold, RelayHold)
+		is.Equal(source.hold, testRelayHold)
 		age, _ := w.Age()
-		is.True(age < relayedAge)
+		is.True(age < testRelayedAge)
 		is.True(!w.Interrupted()) // the store answers
 	})
 }
@@ -327,3 +333,19 @@
 	_, err = unpack([]byte("no table"))
 	is.True(errors.Is(err, errPacked))
 }
+
+// Where changes may be heeded later, a relay's word is relied on for longer.
+func TestLongerHeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, source, _, _ := relayedWatcher(t, Options{Heed: 2 * defaultHeed})
+		tell(w, News{Since: 5, Revision: 5, Complete: true}, 10*time.Second)
+		before := source.polls
+		time.Sleep(testRelayedAge + 100*time.Millisecond)
+		synctest.Wait()
+		is.Equal(source.polls, before)
+		time.Sleep(testRelayedAge)
+		synctest.Wait()
+		is.Equal(source.polls, before+1)
+	})
+}
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -64,7 +64,7 @@
 
 // takeFresh takes another host's word, if there is one that is fresh and will do.
 func (w *Watcher) takeFresh() bool {
-	news, at, ok := w.relayed.fresh()
+	news, at, ok := w.freshNews()
 	return ok && w.takeNews(news, at)
 }
 
@@ -93,7 +93,7 @@
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	for {
-		if _, _, ok := w.relayed.fresh(); ok || w.relayed.vain() {
+		if _, _, ok := w.freshNews(); ok || w.relayed.vain() {
 			return nil
 		}
 		select {
@@ -110,7 +110,7 @@
 // to rely on.
 func (w *Watcher) awaitNews(ctx context.Context, at time.Time) error {
 	w.options.Link.leave(w)
-	timer := time.NewTimer(relayedAge - time.Since(at))
+	timer := time.NewTimer(w.relayedAge() - time.Since(at))
 	defer timer.Stop()
 	select {
 	case <-w.relayed.wake:
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -53,6 +53,9 @@
 	// Relays says whether other hosts rely on this watcher now: then it hears
 	// from the store more often. Nil means that none does.
 	Relays func() bool
+	// Heed is the time within which changes of the table have to be heeded; 0 means
+	// two seconds. It bounds how old another host's word may be that is relied on.
+	Heed time.Duration
 	// FirstWord is how long the watcher waits for another host's word before it
 	// begins to follow the table by calls of its own; 0 where no host tells any.
 	FirstWord time.Duration
@@ -108,6 +111,7 @@
 // handler while Run runs.
 func NewWatcher(table string, source Source, handler Handler, options Options, log zerolog.Logger) *Watcher {
 	options.Hold = cmp.Or(options.Hold, DefaultHold)
+	options.Heed = cmp.Or(options.Heed, defaultHeed)
 	if options.Link == nil {
 		options.Link = NewLink()
 	}
@@ -136,7 +140,7 @@
 // Interrupted says whether the store is out of reach, by this watcher's calls or by
 // those of another one on the link.
 func (w *Watcher) Interrupted() bool {
-	if _, _, ok := w.relayed.fresh(); ok {
+	if _, _, ok := w.freshNews(); ok {
 		return false
 	}
 	return w.lostAt.Load() != 0 || w.options.Link.lost()
@@ -190,7 +194,7 @@
 	if err := w.awaitFirstWord(ctx); err != nil {
 		return err
 	}
-	news, at, rely := w.relayed.fresh()
+	news, at, rely := w.freshNews()
 	w.noteRelying(rely)
 	if rely && w.takeNews(news, at) {
 		return w.awaitNews(ctx, at)
@@ -239,14 +243,14 @@
 // Old says that the store's last word is too old for other hosts to rely on.
 func (w *Watcher) Old() bool {
 	age, ok := w.Age()
-	return !ok || age > relayedAge
+	return !ok || age > w.relayedAge()
 }
 
 func (w *Watcher) relays() bool { return w.options.Relays != nil && w.options.Relays() }
 
 func (w *Watcher) hold() time.Duration {
 	if w.relays() {
-		return RelayHold
+		return w.relayHold()
 	}
 	return w.options.Hold
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,8 @@
 	tables, store := g.settings.Tables, g.settings.Source
 	link := feed.NewLink()
 	gather := time.Duration(gatherPart * float64(g.settings.DrainTime))
-	common := feed.Options{Link: link}
+	// An upstream that leaves has to be heeded as soon as a document has.
+	common := feed.Options{Link: link, Heed: min(g.settings.HeedTime, g.settings.DrainTime)}
 	if g.settings.Peers.Listen != "" {
 		common.Relays = func() bool { return g.peers.Relays() }
 		g.rollouts.relied = common.Relays
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -39,6 +39,8 @@
 	StopTimeout time.Duration
 	// DrainTime is how long an upstream that leaves still serves.
 	DrainTime time.Duration
+	// HeedTime is the time within which the operators expect their documents to be heeded.
+	HeedTime time.Duration
 	// RetryRatio bounds a service's repeats against its requests, in each span
 	// of RetryWindow.
 	RetryRatio  float64
@@ -83,6 +85,7 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultStopTimeout = 10 * time.Second
 	defaultDrainTime   = 2 * time.Second
+	defaultHeedTime    = 2 * time.Second
 	defaultCanaryShare = 0.1
 )
 
@@ -91,6 +94,7 @@
 	s.RetryWindow = cmp.Or(s.RetryWindow, defaultRetryWindow)
 	s.StopTimeout = cmp.Or(s.StopTimeout, defaultStopTimeout)
 	s.DrainTime = cmp.Or(s.DrainTime, defaultDrainTime)
+	s.HeedTime = cmp.Or(s.HeedTime, defaultHeedTime)
 	s.CanaryShare = cmp.Or(s.CanaryShare, defaultCanaryShare)
 	return s
 }
