--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -12,18 +13,10 @@
 	case !w.listed && !news.Whole:
 		return false
 	case w.listed && news.Revision <= w.revision:
-	case news.Whole:
-		if !w.takeWhole(news) {
+	case news.Whole, news.Complete && news.Since <= w.revision:
+		if !w.takeRows(news) {
 			return false
 		}
-	case news.Complete && news.Since <= w.revision:
-		var rows []Row
-		for _, row := range news.Rows {
-			if row.Revision > w.revision {
-				rows = append(rows, row)
-			}
-		}
-		w.take(rows, news.Revision)
 	default:
 		w.lag.note(news.Revision, w.sinceStart())
 		return false
@@ -32,16 +25,24 @@
 	return true
 }
 
-// takeWhole takes the whole table from another host.
-func (w *Watcher) takeWhole(news News) bool {
-	rows, err := unpack(news.Packed)
-	if err != nil {
-		w.log.Error().Str("event", "table-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
-		return false
+// takeRows takes the whole table, or its changes, from another host.
+func (w *Watcher) takeRows(news News) bool {
+	rows := news.Rows
+	if news.Packed != nil {
+		var err error
+		if rows, err = unpack(news.Packed); err != nil {
+			w.log.Error().Str("event", "news-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
+			return false
+		}
+	}
+	if news.Whole {
+		w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
+		w.reading = listing{}
+		w.replace(rows, news.Revision)
+		return true
 	}
-	w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
-	w.reading = listing{}
-	w.replace(rows, news.Revision)
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
+	w.take(rows, news.Revision)
 	return true
 }
 
@@ -63,7 +64,7 @@
 
 // takeFresh takes another host's word, if there is one that is fresh and will do.
 func (w *Watcher) takeFresh() bool {
-	news, at, ok := w.relayed.fresh()
+	news, at, ok := w.freshNews()
 	return ok && w.takeNews(news, at)
 }
 
@@ -92,7 +93,7 @@
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	for {
-		if _, _, ok := w.relayed.fresh(); ok || w.relayed.vain() {
+		if _, _, ok := w.freshNews(); ok || w.relayed.vain() {
 			return nil
 		}
 		select {
@@ -109,7 +110,7 @@
 // to rely on.
 func (w *Watcher) awaitNews(ctx context.Context, at time.Time) error {
 	w.options.Link.leave(w)
-	timer := time.NewTimer(relayedAge - time.Since(at))
+	timer := time.NewTimer(w.relayedAge() - time.Since(at))
 	defer timer.Stop()
 	select {
 	case <-w.relayed.wake:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,8 @@
 	tables, store := g.settings.Tables, g.settings.Source
 	link := feed.NewLink()
 	gather := time.Duration(gatherPart * float64(g.settings.DrainTime))
-	common := feed.Options{Link: link}
+	// An upstream that leaves has to be heeded as soon as a document has.
+	common := feed.Options{Link: link, Heed: min(g.settings.HeedTime, g.settings.DrainTime)}
 	if g.settings.Peers.Listen != "" {
 		common.Relays = func() bool { return g.peers.Relays() }
 		g.rollouts.relied = common.Relays
@@ -187,6 +188,7 @@
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
+			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
