gateway: an engine is chosen among those that keep parts, owners and a few by chance

Cause: each request looked at all upstreams of its service: 44 us at 62 engines (on a busy machine), 12,000 would take more than a host has. And all hosts hear the same, 150 to 450 ms late, and sent what they got in that moment to the same idle engines.

Change: a service's members are indexed by zone, by the parts that engines are believed to keep, and in rings by which shared parts belong to engines. A request looks at eight keepers at most, two owners and seven by chance; at all where the service is small or none of these takes it.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -66,11 +66,11 @@
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.candidates(w, now, f.removalGrace)
-	if len(list) == 0 {
+	list := s.candidates(&w, now, f.removalGrace)
+	if len(list.members) == 0 {
 		return choice{}, false
 	}
-	c := choice{at: now, among: len(list), wants: w}
+	c := choice{at: now, among: len(list.members), wants: w}
 	picked := s.pick(list, &c, now)
 	c.upstream = picked.Upstream
 	c.load = picked.load(now)
@@ -80,9 +80,9 @@
 }
 
 // pick takes the upstream that suits the request best.
-func (s *shard) pick(list []*member, c *choice, now time.Time) *member {
+func (s *shard) pick(list candidateList, c *choice, now time.Time) *member {
 	if c.wants.prompt == nil {
-		return pickNear(list, c.wants.zone, now)
+		return pickNear(list.members, c.wants.zone, now)
 	}
 	return s.place(list, c, now)
 }
@@ -102,9 +102,21 @@
 	m.observe(result, now)
 }
 
-// candidates are the upstreams that may take the request: those in service,
-// without the ones that were tried or do badly, unless none is left then.
-func (s *shard) candidates(w wants, now time.Time, grace time.Duration) []*member {
+// candidates are upstreams that may take the request: some of those in service, without
+// the ones that were tried or do badly. Where the service is small, or none of the few
+// looked at takes it, they are all, and the ones that were tried or do badly if no other is
+// left.
+func (s *shard) candidates(w *wants, now time.Time, grace time.Duration) candidateList {
+	if len(s.members) > lookAtAll {
+		if list := s.some(w, now, grace); len(list.members) > 0 {
+			list.members = keepSound(list.members, now)
+			return list
+		}
+	}
+	return candidateList{members: s.allCandidates(w, now, grace)}
+}
+
+func (s *shard) allCandidates(w *wants, now time.Time, grace time.Duration) []*member {
 	var list []*member
 	for _, m := range s.members {
 		if m.takesWork(now, grace) && w.admits(m.Version) {
@@ -117,6 +129,11 @@
 	list = keepUnlessNone(list, func(m *member) bool { return m.removedAt.IsZero() })
 	list = keepUnlessNone(list, func(m *member) bool { return !slices.Contains(w.exclude, m.ID) })
 	list = keepUnlessNone(list, func(m *member) bool { return now.After(m.ejectedUntil) })
+	return keepSound(list, now)
+}
+
+// keepSound leaves out the upstreams that fail much more than the others.
+func keepSound(list []*member, now time.Time) []*member {
 	mean := meanFailures(list, now)
 	return keepUnlessNone(list, func(m *member) bool { return m.failures(now) < ejectRate+mean })
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,6 +45,9 @@
 type shard struct {
 	mu      sync.Mutex
 	members map[string]*member
+	// roster and keepers find members without a look at all of them.
+	roster  roster
+	keepers keepers
 	// base is the version in service without a roll-out; empty before the first
 	// upstream is listed.
 	base string
@@ -90,7 +93,7 @@
 }
 
 func newShard() *shard {
-	return &shard{members: make(map[string]*member), reads: make(exchange.Reads), rates: placement.NewRates()}
+	return &shard{members: make(map[string]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
 // Remove notes that an upstream's entry vanished.
@@ -153,6 +156,7 @@
 	f.each(func(s *shard) {
 		for id, m := range s.members {
 			if !m.removedAt.IsZero() && now.Sub(m.removedAt) > forgetAfter && m.inFlight == 0 {
+				s.forget(m)
 				delete(s.members, id)
 			}
 		}
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -36,6 +36,9 @@
 		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Uint64("revision", revision).Msg("")
 	}
 	leaving := m.Leaving || u.Leaving
+	if m.Zone != u.Zone {
+		s.roster.outdated = true
+	}
 	m.Upstream = u
 	m.Leaving = leaving
 	m.removedAt = time.Time{}
@@ -51,9 +54,14 @@
 // add puts a member of which nothing is known in place of any other of its id. The
 // shard's lock is held.
 func (s *shard) add(u *Upstream) *member {
-	m := &member{Upstream: *u, shard: s, name: exchange.NameOf(u.name()), kept: placement.NewKept()}
+	if former := s.members[u.ID]; former != nil {
+		s.forget(former)
+	}
+	m := &member{Upstream: *u, shard: s, name: exchange.NameOf(u.name())}
+	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
+	s.roster.outdated = true
 	return m
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,7 +20,7 @@
 
 // place chooses an engine for a prompt, in any availability zone: the way to another
 // one takes a millisecond, reading a part again hundreds.
-func (s *shard) place(list []*member, c *choice, now time.Time) *member {
+func (s *shard) place(list candidateList, c *choice, now time.Time) *member {
 	w := &c.wants
 	s.rates.Price(w.model, w.price)
 	s.hear(w.service, w.model)
@@ -34,7 +34,7 @@
 	}, candidates)
 	picked := &candidates[c.placed.Index]
 	c.ahead, c.kept = picked.Ahead, picked.Kept
-	return list[c.placed.Index]
+	return list.members[c.placed.Index]
 }
 
 // timings are what this host's answers told of the paces of models.
@@ -91,14 +91,14 @@
 }
 
 // engines describes the upstreams as the decision needs them.
-func (s *shard) engines(list []*member, w *wants, now time.Time) []placement.Candidate {
+func (s *shard) engines(list candidateList, w *wants, now time.Time) []placement.Candidate {
 	subject := sharedPart(w.prompt)
-	candidates := make([]placement.Candidate, len(list))
-	for i, m := range list {
+	candidates := make([]placement.Candidate, len(list.members))
+	for i, m := range list.members {
 		c := &candidates[i]
 		c.Ahead = m.ahead(w.priority, now)
 		c.Kept = m.kept.Count(w.keys)
-		c.Order = hash(subject, m.ID)
+		c.Order = list.order(m, subject)
 		c.Far = m.Zone != w.zone
 	}
 	return candidates
@@ -120,8 +120,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := placement.Upgrade{Pressure: s.waits.pressure()}
-	list := s.candidates(w, now, f.removalGrace)
-	if len(list) == 0 || w.prompt == nil {
+	list := s.candidates(&w, now, f.removalGrace)
+	if len(list.members) == 0 || w.prompt == nil {
 		return u
 	}
 	c := choice{wants: w}
--- /dev/null
+++ b/internal/gateway/roster_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/placement"
+)
+
+// largeFleet has engines in zones z0, z1 and so on.
+func largeFleet(engines, zones int) *Fleet {
+	f := NewFleet(time.Second, zerolog.Nop())
+	for i := range engines {
+		f.Set(Upstream{ID: fmt.Sprintf("i-%05d", i), Service: "svc", Zone: fmt.Sprint("z", i%zones), Version: "v1", Slots: 32}, 1)
+	}
+	return f
+}
+
+// sharedWants is a request of zone z1 whose prompt begins with a shared part.
+func sharedWants(part string) wants {
+	w := promptWants()
+	w.prompt = &placement.Prompt{Parts: []placement.Part{{ID: part, Tokens: 6000}, {ID: part + "-own", Tokens: 900}}, Tokens: 7000, Shared: 1}
+	w.keys = placement.Keys(w.model, w.prompt)
+	return w
+}
+
+func TestFewUpstreamsAreLookedAt(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(12_000, 32)
+	w := sharedWants("p")
+	c, ok := f.choose(w)
+	is.True(ok)
+	is.True(c.among <= maxKeepers+nearChoices+farChoices+2)
+	again, _ := f.choose(w)
+	is.Equal(again.upstream.ID, c.upstream.ID) // it keeps the part
+	is.Equal(again.kept, 2)
+}
+
+// Hosts that know the same upstreams agree on the owners of a shared part, and send it
+// there first. Parts fall to upstreams about evenly.
+func TestHostsAgreeOnOwners(t *testing.T) {
+	is := is.New(t)
+	const engines, parts = 1000, 4000
+	one, other := largeFleet(engines, 5), largeFleet(engines, 5)
+	now := time.Now()
+	counts := make(map[*member]int)
+	for i := range parts {
+		w := sharedWants(fmt.Sprint("part ", i))
+		a, b := one.shard("svc").some(&w, now, 0), other.shard("svc").some(&w, now, 0)
+		is.Equal(a.owner.ID, b.owner.ID)
+		is.Equal(a.nearOwner.ID, b.nearOwner.ID)
+		is.Equal(a.nearOwner.Zone, "z1")
+		counts[a.owner]++
+		if i < 50 {
+			c, _ := one.choose(w)
+			is.True(c.upstream.ID == a.owner.ID || c.upstream.ID == a.nearOwner.ID)
+			one.began(&c, 50*time.Millisecond)
+			one.release(c, attemptResult{outcome: outcomeDone})
+		}
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	is.True(len(counts) > engines*8/10)
+	is.True(most < 6*parts/engines)
+}
+
+// However few upstreams take a request, one that does is found.
+func TestTheOnlyUpstreamIsFound(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(500, 5)
+	f.Set(Upstream{ID: "only", Service: "svc", Zone: "z3", Version: "v2", Slots: 8}, 2)
+	for _, w := range []wants{sharedWants("p"), {service: "svc", zone: "z1"}} {
+		w.admits = func(version string) bool { return version == "v2" }
+		c, ok := f.choose(w)
+		is.True(ok)
+		is.Equal(c.upstream.ID, "only")
+	}
+}
+
+// What is known of an engine that started again, or that is gone, brings it no request.
+func TestFormerKeepers(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(500, 5)
+	w := sharedWants("p")
+	c, _ := f.choose(w)
+	restarted := c.upstream
+	restarted.Incarnation = firstStart
+	f.Set(restarted, 2)
+	is.Equal(len(f.shard("svc").keepers), 0)
+	again, _ := f.choose(w)
+	f.release(again, attemptResult{outcome: outcomeDone})
+	f.Remove(again.upstream.ID, 3)
+	f.Sweep(time.Now().Add(2 * forgetAfter))
+	is.Equal(f.memberOf("svc", again.upstream.ID) == nil, true)
+	is.Equal(len(f.shard("svc").keepers), 0)
+}
+
+// All hosts hear the same, a moment late: of a hundred busy engines three look idle. In
+// the moment until they hear of each other's requests, most must not go to these three.
+func TestHostsSpreadOnStaleNews(t *testing.T) {
+	is := is.New(t)
+	const hosts, engines, idle = 60, 100, 3
+	counts := make(map[string]int)
+	for i := range hosts {
+		f := largeFleet(engines, 5)
+		work := make(exchange.Work)
+		for j := idle; j < engines; j++ {
+			work[exchange.NameOf(fmt.Sprintf("i-%05d", j))] = 300
+		}
+		f.setOthers(work, time.Now())
+		c, ok := f.choose(sharedWants(fmt.Sprint("part ", i)))
+		is.True(ok)
+		counts[c.upstream.ID]++
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	is.True(most <= hosts/4) // twenty each without the choice among some
+}
+
+// BenchmarkChoose is the choice of an engine for a prompt, and its end.
+func BenchmarkChoose(b *testing.B) {
+	for _, engines := range []int{62, 1000, 12_000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			f := largeFleet(engines, 5)
+			requests := make([]wants, 256)
+			for i := range requests {
+				requests[i] = sharedWants(fmt.Sprint("part ", i))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				c, ok := f.choose(requests[i%len(requests)])
+				if !ok {
+					b.Fatal("no engine")
+				}
+				f.began(&c, 50*time.Millisecond)
+				f.release(c, attemptResult{outcome: outcomeDone})
+			}
+		})
+	}
+}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -188,7 +188,7 @@
 // that it reads for the first time.
 func (m *member) keep(c *choice) {
 	w := &c.wants
-	m.kept.Add(w.keys...)
+	m.keeps(w.keys...)
 	if shared := w.prompt.Shared; c.kept < shared {
 		m.shard.reads[m.name] = append(m.shard.reads[m.name], w.keys[shared-1])
 	}
@@ -208,7 +208,7 @@
 func (f *Fleet) noteReads(reads exchange.Reads) {
 	f.each(func(s *shard) {
 		for _, m := range s.members {
-			m.kept.Add(reads[m.name]...)
+			m.keeps(reads[m.name]...)
 		}
 	})
 }
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -14,9 +14,14 @@
 	parts *simplelru.LRU[Key, struct{}]
 }
 
-// NewKept returns the memory of an engine that keeps nothing.
-func NewKept() *Kept {
-	parts, err := simplelru.NewLRU[Key, struct{}](keptParts, nil)
+// NewKept returns the memory of an engine that keeps nothing. It tells dropped, unless that
+// is nil, of each run that is forgotten.
+func NewKept(dropped func(Key)) *Kept {
+	var evicted simplelru.EvictCallback[Key, struct{}]
+	if dropped != nil {
+		evicted = func(key Key, _ struct{}) { dropped(key) }
+	}
+	parts, err := simplelru.NewLRU(keptParts, evicted)
 	if err != nil {
 		panic(err) // the size is positive
 	}
@@ -37,6 +42,9 @@
 	}
 }
 
+// Clear forgets all.
+func (k *Kept) Clear() { k.parts.Purge() }
+
 // Count is the number of leading parts that the engine keeps: those of the longest run
 // that it was sent.
 func (k *Kept) Count(keys []Key) int {
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -39,7 +39,7 @@
 func newFleet(engines int) *fleet {
 	f := &fleet{rates: NewRates(), rng: rand.New(rand.NewPCG(3, 5)), target: 2 * time.Second, way: 20 * time.Millisecond}
 	for range engines {
-		f.engines = append(f.engines, &engine{kept: NewKept()})
+		f.engines = append(f.engines, &engine{kept: NewKept(nil)})
 	}
 	observe(f.rates, "m", 10_000, overhead+10_000*tokenTime)
 	return f
@@ -148,7 +148,7 @@
 	f.play(600, 40, 80*time.Millisecond)
 	before := f.late
 	for _, e := range f.engines[:4] {
-		e.kept, e.free = NewKept(), f.now
+		e.kept, e.free = NewKept(nil), f.now
 	}
 	f.play(600, 40, 80*time.Millisecond)
 	is.True(f.late-before < 600/20)
@@ -333,7 +333,7 @@
 
 func TestKeptParts(t *testing.T) {
 	is := is.New(t)
-	k := NewKept()
+	k := NewKept(nil)
 	p := &Prompt{Parts: []Part{{"a", 1}, {"b", 2}, {"c", 3}}, Tokens: 6, Shared: 2}
 	keys := Keys("m", p)
 	is.Equal(k.Count(keys), 0)
