--- /dev/null
+++ b/internal/exchange/assign_test.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// reporting has hosts of a zone report to the hub, and returns where each is sent.
+func reporting(t *testing.T, h *hub, zone string, names ...string) map[string]string {
+	t.Helper()
+	sent := make(map[string]string)
+	for _, name := range names {
+		strength := 4.0
+		if name == "strong" {
+			strength = 160
+		}
+		reply, err := h.exchange(t.Context(), name, Report{Zone: zone, Address: "to " + name, Strength: strength})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent[name] = reply.Assigned
+	}
+	return sent
+}
+
+func hostNames(n int, more ...string) []string {
+	for i := range n {
+		more = append(more, fmt.Sprint("host-", i))
+	}
+	return more
+}
+
+func TestZoneGetsItsStrongestHostAsHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		names := hostNames(minFollowers, "strong")
+		for _, to := range reporting(t, h, "z2", names...) {
+			is.Equal(to, "") // stronger hosts may come yet
+		}
+		time.Sleep(electAfter)
+		for name, to := range reporting(t, h, "z2", names...) {
+			if name == "strong" {
+				is.Equal(to, "") // it goes on reporting here
+			} else {
+				is.Equal(to, "to strong")
+			}
+		}
+		is.Equal(reporting(t, h, "z1", "host of this zone")["host of this zone"], "")
+
+		// The hub reports for all; the seed counts them and sends newcomers there.
+		time.Sleep(WorkAge + time.Millisecond)
+		_, err := h.exchange(t.Context(), "strong", Report{Zone: "z2", Address: "to strong", Hosts: 9})
+		is.NoErr(err)
+		is.Equal(reporting(t, h, "z2", "newcomer")["newcomer"], "to strong")
+		is.Equal(h.hosts(toHost), 10)
+		is.Equal(h.followers(), 2)
+	})
+}
+
+func TestSmallZoneGetsNoHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		names := hostNames(minFollowers - 1)
+		reporting(t, h, "z2", names...)
+		time.Sleep(electAfter)
+		for _, to := range reporting(t, h, "z2", names...) {
+			is.Equal(to, "")
+		}
+	})
+}
+
+func TestLostHubIsReplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		names := hostNames(minFollowers)
+		reporting(t, h, "z2", append(names, "strong")...)
+		time.Sleep(electAfter)
+		is.Equal(reporting(t, h, "z2", append(names, "strong")...)["host-0"], "to strong")
+		time.Sleep(WorkAge + time.Millisecond) // the hub reports no more, its hosts come back
+		reporting(t, h, "z2", names...)
+		to := reporting(t, h, "z2", names...)["host-0"]
+		is.True(to != "" && to != "to strong")
+	})
+}
+
+// Hosts beyond what one hub serves get another one, also in the hub's own zone.
+func TestMoreHostsThanOneHubServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		names := hostNames(3*maxFollowers, "strong")
+		reporting(t, h, "z1", names...)
+		time.Sleep(electAfter)
+		counts := make(map[string]int)
+		for _, to := range reporting(t, h, "z1", names...) {
+			counts[to]++
+		}
+		is.True(len(counts) >= 3)
+		for to, n := range counts {
+			is.True(to == "" || n <= maxFollowers)
+		}
+	})
+}
+
+// Two hosts that report to each other don't count each other's sums again and again.
+func TestHostsThatReportToEachOther(t *testing.T) {
+	is := is.New(t)
+	h := newHub(Options{Host: "one", Zone: "z1"}, zerolog.Nop())
+	h.take("one", Report{Zone: "z1", Address: "to one", Work: Work{1: 10}})
+	h.take("other", Report{Zone: "z1", Address: "to other", Hosts: 7, Work: Work{1: 70}})
+	report, _ := h.subtree(Report{}, 0, "to other")
+	is.Equal(report.Hosts, 1)
+	is.Equal(report.Work, Work{1: 10})
+}
