--- /dev/null
+++ b/internal/exchange/follow.go
@@ -0,0 +1,131 @@
+package exchange
+
+import (
+	"context"
+	"time"
+)
+
+// follow exchanges with the hub until the context ends.
+func (m *Member) follow(ctx context.Context, net network) {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.step(ctx, net)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// step makes one exchange, after a look for a better hub if it is time for that.
+func (m *Member) step(ctx context.Context, net network) {
+	if !m.settled() && time.Now().After(m.lookAt) {
+		m.look(ctx, net)
+	}
+	switch m.current {
+	case "":
+		m.heard.Store(false)
+	case m.options.Listen:
+		report := m.report()
+		m.hub.take(m.options.Host, report)
+		m.takeOwn(report.WantTimings)
+		m.askHubs(ctx, net)
+	default:
+		m.exchange(ctx, net)
+	}
+}
+
+// exchange makes one exchange with the hub, for this host and those that it leads.
+func (m *Member) exchange(ctx context.Context, net network) {
+	leads := m.hub.leads()
+	report, told := m.report(), uint64(0)
+	report.ReadsSince = m.readsSince
+	if leads {
+		report, told = m.leadersReport(report)
+	}
+	asked := time.Now()
+	reply, err := ask(ctx, net, m.current, report)
+	m.heard.Store(err == nil)
+	m.hub.told.Store(err == nil && reply.Relays)
+	if err != nil {
+		m.lose(net, err)
+		return
+	}
+	if leads {
+		m.toldReads, m.readsSince = told, reply.ReadsLast
+		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
+		m.takeOwn(report.WantTimings)
+	} else {
+		m.readsSince, m.ownSince = reply.ReadsLast, 0
+		m.take(reply, asked)
+	}
+	m.offer(reply, asked)
+	m.goOver(reply.Assigned)
+}
+
+// leadersReport is the report for this host and its followers, and the number of the own
+// hub's reads that it tells up to. Evidence waits until the hub before has forgotten it.
+func (m *Member) leadersReport(own Report) (report Report, toldReads uint64) {
+	m.hub.take(m.options.Host, own)
+	m.untold = make(Reads) // the own hub has them
+	report, toldReads = m.hub.subtree(own, m.toldReads, m.current)
+	if !m.alone() {
+		report.Evidence = nil
+	}
+	return report, toldReads
+}
+
+// offer passes the store's word on to the tables' watchers.
+func (m *Member) offer(reply Reply, asked time.Time) {
+	for name, w := range m.options.Tables {
+		news, ok := reply.Tables[name]
+		switch {
+		case ok:
+			w.Offer(news.news(), asked)
+		case !reply.Relays && !reply.Later && reply.Assigned == "":
+			w.NoOffer()
+		}
+	}
+}
+
+// takeOwn takes what the own hub knows of the other hosts, with their timings or without.
+func (m *Member) takeOwn(timings bool) {
+	sums := m.hub.sums(m.options.Host, m.ownSince, toHost)
+	if timings {
+		sums.Timings = m.hub.toldTimings(m.options.Host, toHost)
+	}
+	m.ownSince = sums.ReadsLast
+	m.take(sums, time.Now())
+}
+
+// take takes what a hub told of the other hosts, as of a time.
+func (m *Member) take(reply Reply, at time.Time) {
+	m.options.Others(reply.Work, at)
+	m.takeHosts(reply.Hosts)
+	m.takeEvidence(reply.Evidence)
+	m.takeReads(reply.Reads)
+	if m.options.TakeTimings != nil && len(reply.Timings) > 0 {
+		m.options.TakeTimings(reply.Timings)
+	}
+}
+
+// takeReads takes the others' reads. The hub has this host's.
+func (m *Member) takeReads(reads Reads) {
+	m.untold = make(Reads)
+	if m.options.TakeReads != nil && len(reads) > 0 {
+		m.options.TakeReads(reads)
+	}
+}
+
+func (m *Member) takeHosts(n int) {
+	if m.options.Hosts != nil && n > 0 {
+		m.options.Hosts(n)
+	}
+}
+
+func (m *Member) takeEvidence(list []Evidence) {
+	if m.options.TakeEvidence != nil && len(list) > 0 {
+		m.options.TakeEvidence(list)
+	}
+}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -120,58 +120,6 @@
 	return h.reads.since(number, self, who), h.reads.last
 }
 
-// takeHub keeps what another hub told of hosts that don't report here.
-func (h *hub) takeHub(address string, r Reply, hosts int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: hosts}
-	h.reads.add(address, true, r.Reads)
-	h.takeTimings(hubKey(address), r.Timings)
-}
-
-// forgetHub forgets what a hub told that this host no longer reports to: the next one
-// tells of the same hosts.
-func (h *hub) forgetHub(address string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.reports, hubKey(address))
-}
-
-// hubKey is where a hub's word is kept among the reports; no host has such a name.
-func hubKey(address string) string { return "hub " + address }
-
-// leads says whether other hosts report here.
-func (h *hub) leads() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.dropOld()
-	for name, got := range h.reports {
-		if name != h.self && !got.fromHub {
-			return true
-		}
-	}
-	return false
-}
-
-// subtree is the report of this host and its followers together. What the hub at the
-// address reports here, if two hosts are each other's, is left out: it would grow with
-// each round.
-func (h *hub) subtree(own Report, readsSince uint64, address string) (Report, uint64) {
-	h.mu.Lock()
-	for name, got := range h.reports {
-		if got.report.Address == address {
-			delete(h.reports, name)
-		}
-	}
-	h.mu.Unlock()
-	sums := h.sums("", readsSince, toHub)
-	own.Hosts, own.Work, own.Evidence, own.Reads = sums.Hosts, sums.Work, sums.Evidence, sums.Reads
-	if own.WantTimings {
-		own.Timings = h.toldTimings("", toHub)
-	}
-	return own, sums.ReadsLast
-}
-
 // others sums the work of all hosts but one, of any zone: a host may choose any zone's
 // upstreams.
 func (h *hub) others(self string, who audience) Work {
