--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -44,6 +44,7 @@
 func (m *Member) goTo(address string) {
 	m.hub.forgetHub(m.current)
 	m.current = address
+	m.told.Store(&address)
 	m.hubSince = time.Now()
 	m.readsSince, m.toldReads = 0, 0
 }
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -88,8 +88,10 @@
 	// exchanges counts the reports.
 	exchanges int
 
-	// heard says that the hub answered the last exchange.
+	// heard says that the hub answered the last exchange, told is current for others
+	// than Run.
 	heard atomic.Bool
+	told  atomic.Pointer[string]
 
 	mu sync.Mutex
 	// others are the questions to the other hubs, by their address.
@@ -107,9 +109,17 @@
 // Relays says whether other hosts rely on this one for the store's word.
 func (m *Member) Relays() bool { return m.hub.relays() }
 
-// Heard says whether a hub has answered.
+// Heard says whether the hub answered the last exchange.
 func (m *Member) Heard() bool { return m.heard.Load() }
 
+// Hub is the address of this host's hub; empty without one.
+func (m *Member) Hub() string {
+	if hub := m.told.Load(); hub != nil {
+		return *hub
+	}
+	return ""
+}
+
 // Followers counts the hosts that report to this one, itself included.
 func (m *Member) Followers() int { return m.hub.followers() }
 
