feed, gateway: no older table from another host, no former incarnation from a roster

Found by reading the change: after lost history a host took a whole table that was older than what it had handed on, and for 200 ms after an upstream started again, or was forgotten, a roster could still choose the member of before. Both have a test that fails without the mend. Keys that vanished from a table are forgotten by what is logged once a change.

--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -293,6 +293,21 @@
 	})
 }
 
+// After lost history the table is read again, from another host, too, but never an older
+// one than was handed on.
+func TestOlderTableIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	seen := &recorder{}
+	w := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
+	w.replace(rows(8), 8)
+	w.listed = false
+	is.True(!w.takeNews(News{Revision: 7, Whole: true, Packed: pack(rows(7))}, time.Now()))
+	is.Equal(w.Revision(), uint64(8))
+	is.True(w.takeNews(News{Revision: 9, Whole: true, Packed: pack(rows(9))}, time.Now()))
+	is.Equal(w.Revision(), uint64(9))
+	is.Equal(len(seen.tables), 2)
+}
+
 // Changes that take more than the bytes that a host may be told aren't told at all.
 func TestChangesOfTooManyBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -10,8 +10,8 @@
 // It reports false if the store has to be asked for what is new.
 func (w *Watcher) takeNews(news News, at time.Time) bool {
 	switch {
-	case !w.listed && !news.Whole:
-		return false
+	case !w.listed && (!news.Whole || news.Revision < w.revision):
+		return false // after lost history the table is wanted, and never an older one
 	case w.listed && news.Revision <= w.revision:
 	case news.Whole, news.Complete && news.Since <= w.revision:
 		if !w.takeRows(news) {
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -131,6 +132,11 @@
 		Uint64("revision", row.Revision).Int("bytes", len(row.Data)).Err(err).Msg("")
 }
 
+// keep forgets the keys that have no row any more.
+func (u *unreadableRows) keep(keys map[string]bool) {
+	maps.DeleteFunc(u.told, func(key string, _ uint64) bool { return !keys[key] })
+}
+
 // clear takes in that the key has a row that can be read, or none.
 func (u *unreadableRows) clear(key string) { delete(u.told, key) }
 
@@ -164,6 +170,7 @@
 	for _, e := range entries {
 		h.set(e, starts.usual())
 	}
+	h.unreadable.keep(keys)
 	h.gateway.fleet.Keep(keys, revision)
 }
 
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -221,6 +221,7 @@
 
 // forget takes the member out of what the shard finds members by. The shard's lock is held.
 func (s *shard) forget(m *member) {
+	m.withdrawn = true // the roster may have it for a moment yet
 	m.kept.Clear()
 	s.roster.outdated = true
 }
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -90,10 +90,17 @@
 	f := largeFleet(500, 5)
 	w := sharedWants("p")
 	c, _ := f.choose(w)
+	f.began(&c, 50*time.Millisecond)
+	f.release(c, attemptResult{outcome: outcomeDone})
 	restarted := c.upstream
 	restarted.Incarnation = firstStart
 	f.Set(restarted, 2)
 	is.Equal(len(f.shard("svc").keepers), 0)
+	for range 2000 {
+		c, _ := f.choose(wants{service: "svc", zone: restarted.Zone, admits: anyVersion})
+		is.True(c.upstream.ID != restarted.ID || c.upstream.Incarnation == firstStart)
+		f.release(c, attemptResult{outcome: outcomeDone})
+	}
 	again, _ := f.choose(w)
 	f.release(again, attemptResult{outcome: outcomeDone})
 	f.Remove(again.upstream.ID, 3)
