--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// handOnTime is the part of a second of its network link that a hub may spend on
-	// handing whole tables to its followers when all start at once. It is below
-	// callTimeout: an answer that takes longer is lost, and asked for again.
+	// handOnTime is the time for which a hub's network link may be full when all of its
+	// followers start at once and are handed whole tables. It is below callTimeout: an
+	// answer that takes longer is lost, and asked for again.
 	handOnTime = 350 * time.Millisecond
 	// maxHandedBytes bounds a packed table in a message, which takes a third more as
 	// text and may have a MB.
@@ -19,8 +19,8 @@
 )
 
 // relaysTo says whether the host is told what the store said: all are, up to
-// maxFollowers, and beyond that a part of them that stays about the same.
-// A hub that is told the store's word by another one makes no calls for it.
+// maxFollowers, and beyond that a part of them that stays about the same. A hub that
+// another one tells the store's word makes no calls for it, and tells all.
 func (h *hub) relaysTo(host string) bool {
 	if h.told.Load() {
 		return true
