gateway: digests of requests in logs, and what ran at an upstream that ended

Lines of attempts and answers have a digest of route, account and body now; an upstream that breaks answers off is looked at (a connection, unless others of the host's requests go on there) and its line names all digests that ran there, also those that this host had given up less than a second before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
+	d.gateway.exposures.begin(&a.choice.upstream, r.Digest)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.stream(ctx, func(head attemptResult) bool {
@@ -94,6 +95,7 @@
 	if result.outcome != outcomeRefused {
 		r.state.Raise(a.state.State())
 	}
+	d.gateway.exposures.end(&a.choice.upstream, r.Digest, result)
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
@@ -262,7 +264,7 @@
 	if result.outcome != outcomeDone {
 		line = g.log.Warn()
 	}
-	line.Str("event", "attempt").Str("request", r.ID).Int("attempt", r.attempts).
+	line.Str("event", "attempt").Str("request", r.ID).Stringer("digest", r.Digest).Int("attempt", r.attempts).
 		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Str("zone", a.choice.upstream.Zone).
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
 		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
--- /dev/null
+++ b/internal/gateway/exposures.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/quarantine"
+)
+
+const (
+	// lingering is how long a run that this host gave up may go on at its upstream: the
+	// upstream notices the closed connection late, and an engine that was given a prompt
+	// can end by it up to 0.1 s after its answer was dropped.
+	lingering = time.Second
+	// breakGather is the time in which the answers that one upstream breaks off are
+	// gathered before it is looked at: the end of a process breaks all within 2 ms.
+	breakGather = 5 * time.Millisecond
+	// checkTimeout bounds the look at an upstream that broke answers off. A process
+	// that ended refuses connections at once; where nothing comes back, the upstream may
+	// live behind a cut.
+	checkTimeout = dialTimeout
+	// endedKept is how long the end of an upstream is remembered for answers whose end
+	// is noticed late.
+	endedKept = 5 * time.Second
+)
+
+// exposures keep which requests run at each upstream, and notice when an upstream ends.
+type exposures struct {
+	// ended is told of an upstream that ended, with the digests of what this host
+	// had running there.
+	ended func(u Upstream, digests []quarantine.Digest)
+	log   zerolog.Logger
+
+	mu    sync.Mutex
+	lives map[exchange.Name]*life
+}
+
+// life is what this host sent to one incarnation of an upstream.
+type life struct {
+	upstream Upstream
+	running  map[quarantine.Digest]int
+	// givenUp are runs that this host ended and that may go on.
+	givenUp []givenUpRun
+	// checking says that a look at the upstream is under way.
+	checking bool
+	// endedAt is when the upstream was found to have ended; zero before.
+	endedAt boottime.Instant
+}
+
+// givenUpRun is a run that was given up, and when.
+type givenUpRun struct {
+	digest quarantine.Digest
+	at     boottime.Instant
+}
+
+func newExposures(log zerolog.Logger) *exposures {
+	return &exposures{
+		ended: func(Upstream, []quarantine.Digest) {}, log: log, lives: make(map[exchange.Name]*life),
+	}
+}
+
+// begin notes that a request is sent to an upstream.
+func (e *exposures) begin(u *Upstream, d quarantine.Digest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	name := exchange.NameOf(u.name())
+	l := e.lives[name]
+	if l == nil {
+		l = &life{upstream: *u, running: make(map[quarantine.Digest]int)}
+		e.lives[name] = l
+	}
+	l.running[d]++
+}
+
+// end notes how the request's attempt there ended.
+func (e *exposures) end(u *Upstream, d quarantine.Digest, result attemptResult) {
+	e.mu.Lock()
+	l := e.lives[exchange.NameOf(u.name())]
+	if l == nil {
+		e.mu.Unlock()
+		return
+	}
+	if l.running[d]--; l.running[d] <= 0 {
+		delete(l.running, d)
+	}
+	switch result.outcome {
+	case outcomeUnknown, outcomeBroken:
+		l.giveUp(d)
+		e.look(l)
+	case outcomeAbandoned, outcomeSilent:
+		l.giveUp(d)
+	case outcomeUnsent:
+		if errors.Is(result.err, syscall.ECONNREFUSED) && l.exposed() {
+			e.look(l)
+		}
+	}
+	late := l.takeLate()
+	e.mu.Unlock()
+	if len(late) > 0 {
+		e.ended(*u, late)
+	}
+}
+
+// giveUp notes a run that may go on. The lock is held.
+func (l *life) giveUp(d quarantine.Digest) {
+	l.givenUp = append(l.givenUp, givenUpRun{digest: d, at: boottime.Now()})
+}
+
+// exposed says whether anything of this host's may run there. The lock is held.
+func (l *life) exposed() bool {
+	l.dropOld()
+	return len(l.running)+len(l.givenUp) > 0
+}
+
+// dropOld forgets runs that were given up long ago. The lock is held.
+func (l *life) dropOld() {
+	now := boottime.Now()
+	if !l.endedAt.IsZero() {
+		now = l.endedAt
+	}
+	kept := l.givenUp[:0]
+	for _, run := range l.givenUp {
+		if now.Sub(run.at) <= lingering {
+			kept = append(kept, run)
+		}
+	}
+	l.givenUp = kept
+}
+
+// take returns the digests of all that may run there, and forgets them. The lock is held.
+func (l *life) take() []quarantine.Digest {
+	l.dropOld()
+	seen := make(map[quarantine.Digest]bool, len(l.running)+len(l.givenUp))
+	for d := range l.running {
+		seen[d] = true
+	}
+	for _, run := range l.givenUp {
+		seen[run.digest] = true
+	}
+	l.givenUp = nil
+	digests := make([]quarantine.Digest, 0, len(seen))
+	for d := range seen {
+		digests = append(digests, d)
+	}
+	return digests
+}
+
+// takeLate returns what is found to have broken off after the upstream's end was noticed.
+// The lock is held.
+func (l *life) takeLate() []quarantine.Digest {
+	if l.endedAt.IsZero() || len(l.givenUp) == 0 {
+		return nil
+	}
+	return l.take()
+}
+
+// look finds out whether the upstream ended, unless that is under way or known. The lock is
+// held.
+func (e *exposures) look(l *life) {
+	if l.checking || !l.endedAt.IsZero() {
+		return
+	}
+	l.checking = true
+	time.AfterFunc(breakGather, func() { e.check(l) })
+}
+
+// check asks the upstream for a connection. Other requests that go on there show that it
+// lives, and spare the connection.
+func (e *exposures) check(l *life) {
+	e.mu.Lock()
+	others := len(l.running)
+	e.mu.Unlock()
+	gone := others == 0 && refuses(l.upstream.Address)
+	e.mu.Lock()
+	l.checking = false
+	var digests []quarantine.Digest
+	if gone {
+		l.endedAt = boottime.Now()
+		digests = l.take()
+	}
+	e.mu.Unlock()
+	e.log.Warn().Str("event", "upstream-checked").Str("upstream", l.upstream.ID).Bool("ended", gone).
+		Int("exposed", len(digests)).Int("running", others).Strs("digests", texts(digests)).Msg("")
+	if gone {
+		e.ended(l.upstream, digests)
+	}
+}
+
+// refuses says whether nothing listens at the address.
+func refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		// It was only to see whether there is somebody.
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// maxLoggedDigests bounds the digests in one log line.
+const maxLoggedDigests = 16
+
+func texts(digests []quarantine.Digest) []string {
+	list := make([]string, 0, min(len(digests), maxLoggedDigests))
+	for _, d := range digests[:min(len(digests), maxLoggedDigests)] {
+		list = append(list, d.String())
+	}
+	return list
+}
+
+// sweep forgets upstreams at which nothing of this host's runs.
+func (e *exposures) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, l := range e.lives {
+		old := l.endedAt.IsZero() || boottime.Since(l.endedAt) > endedKept
+		if old && !l.checking && !l.exposed() {
+			delete(e.lives, name)
+		}
+	}
+}
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -82,6 +82,7 @@
 		return resultcode.Wrap(resultcode.MalformedBody, err, "the body ended early or can't be read")
 	}
 	r.Body = data
+	r.Digest = r.content().Digest()
 	return next(ctx, r)
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		line = g.log.Warn().AnErr("error", err)
 	}
-	line.Str("event", "answer").Str("request", r.ID).Str("route", route).Str("service", service).
+	line.Str("event", "answer").Str("request", r.ID).Stringer("digest", r.Digest).Str("route", route).Str("service", service).
 		Int("code", int(code)).Str("result", code.String()).Str("run_state", r.state.State().String()).
 		Int("attempts", r.attempts).Str("model", r.model).Str("account", r.accountName()).Str("session", r.Session).
 		Uint64("document", version).Int("events", r.answer.events).Int64("pause_ms", r.answer.pause.Milliseconds()).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,8 @@
 	// usual is by service and model.
 	usual    perService[usualTime]
 	pipeline next
+	// exposures keep what runs at each upstream.
+	exposures *exposures
 
 	transport *http.Transport
 
@@ -76,6 +78,7 @@
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
+	g.exposures = newExposures(log)
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
 	return g
@@ -214,6 +217,7 @@
 			return
 		case now := <-ticker.C:
 			g.fleet.Sweep(now)
+			g.exposures.sweep()
 		}
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
@@ -36,6 +37,8 @@
 	Deadline time.Time
 	Body     []byte
 	Service  string
+	// Digest names the request by its content, the same for each repeat by its caller.
+	Digest quarantine.Digest
 
 	// relativePrompt is the mean size of the route's prompts against the service's.
 	relativePrompt float64
@@ -69,6 +72,11 @@
 	Tokens int
 }
 
+// content is what makes two requests the same one.
+func (r *Request) content() *quarantine.Content {
+	return &quarantine.Content{Host: r.Host, Method: r.Method, Target: r.Target, Account: r.accountName(), Body: r.Body}
+}
+
 // reading is the prompt as an engine reads it. All parts but the last one are likely to
 // be shared with other requests, if the route says so at all; the last one belongs to the
 // request or its session.
