--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -216,8 +216,16 @@
 
 // send sends a request of the kind, which is the route's name too.
 func (s *fleetSystem) send(h *gatewayHost, kind, key string) fleetAnswer {
+	return s.sendBody(h, kind, key, "")
+}
+
+// sendBody sends a request with a body, one of its own if that is empty.
+func (s *fleetSystem) sendBody(h *gatewayHost, kind, key, body string) fleetAnswer {
 	a := fleetAnswer{id: fmt.Sprintf("r-%d", s.requests.Add(1)), kind: kind, began: time.Now()}
-	req, err := http.NewRequest("POST", "http://"+h.callers+"/"+kind+"/x", strings.NewReader("body of "+a.id))
+	if body == "" {
+		body = "body of " + a.id
+	}
+	req, err := http.NewRequest("POST", "http://"+h.callers+"/"+kind+"/x", strings.NewReader(body))
 	if err != nil {
 		panic(err) // the parts are constants
 	}
