e2e: in the test of the request that ends upstreams, it ends all of them

The upstreams that stood before the fragile ones were taken off the store's list, but used for some hundred milliseconds more: they answered the request, so it did not end each upstream that ran it. They are killed now. Without the mend the test fails as before.

--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -110,6 +110,7 @@
 	for _, u := range s.upstreams {
 		if u.Service == "pool" {
 			s.store.Remove("servers", u.ID)
+			u.Kill() // it would go on for a moment, and answer the request that ends the others
 		}
 	}
 	p := newFragilePool(s, 12, 1500*time.Millisecond)
