quarantine: requests that end each upstream that runs them are kept away from upstreams

Cause: nothing knew a request by its content. A repeat by its caller is a new request to each host, and the host itself sends it on to up to max_attempts upstreams; so one caller's request ended upstreams as long as it came. Class: the fault of one input was taken for the fault of what ran it, again and again (poison message without quarantine).

Design: hosts note which digests ran at an upstream that ended (also those that they gave up less than a second before), tell their hub, hubs tell each other. Of the requests at an end only the one with the most ends counts as its cause; what was answered is cleared; upstreams lost at one moment are one event. After three events the judging hubs keep the request away everywhere, by the exchange and by a row in the store, for 10 min at first; then one host tries it once. Refusal 4007, 500: no promise, no time to come back. An end that a judged request explains isn't held against a version that rolls in.

Ruled out: conviction by the host alone (sound requests are broken off three times, too); an answer of 503 (promises); following the store's table always (calls).

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -92,3 +92,6 @@
 
 // Simulate moves the clock on as a suspension of the host would, for tests.
 func Simulate(d time.Duration) { simulated.Add(int64(d)) }
+
+// Elapsed is the present moment as the time since some moment of this process's own.
+func Elapsed() time.Duration { return Now().Sub(Instant{start}) }
--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -47,6 +47,7 @@
 	m.told.Store(&address)
 	m.hubSince = time.Now()
 	m.readsSince, m.toldReads = 0, 0
+	m.tellAnew()
 }
 
 // goOver goes over to the hub that the present one named.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -69,6 +69,11 @@
 	// tells what its own did.
 	WantTimings bool    `json:"want_timings,omitempty"`
 	Timings     Timings `json:"timings,omitempty"`
+	// Sightings are what the host and its followers saw of upstreams that ended, since
+	// the last report; SightingsSince is the number up to which another hub knows the
+	// hub's.
+	Sightings      Sightings `json:"sightings,omitzero"`
+	SightingsSince uint64    `json:"sightings_since,omitempty"`
 	// Revisions are the newest that the host knows of the store's tables.
 	Revisions map[string]uint64 `json:"revisions,omitempty"`
 }
@@ -89,6 +94,11 @@
 	ReadsLast uint64 `json:"reads_last,omitempty"`
 	// Timings are the sums of the other hosts'.
 	Timings Timings `json:"timings,omitempty"`
+	// Sightings are what the hub was told, up to the number SightingsLast: to another hub.
+	Sightings     Sightings `json:"sightings,omitzero"`
+	SightingsLast uint64    `json:"sightings_last,omitempty"`
+	// Standing is what is known of upstreams that ended and of the requests to blame.
+	Standing Standing `json:"standing,omitzero"`
 	// Assigned is the address of the hub to report to from now on; empty for this one.
 	Assigned string `json:"assigned,omitempty"`
 	// Relays says that the hub relays the store's word, Tables is that. Later says that
--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -23,12 +23,14 @@
 	if !m.settled() && time.Now().After(m.lookAt) {
 		m.look(ctx, net)
 	}
+	m.noteRole()
 	switch m.current {
 	case "":
 		m.heard.Store(false)
 	case m.options.Listen:
 		report := m.report()
 		m.hub.take(m.options.Host, report)
+		m.takeOwnSightings(report.Sightings)
 		m.takeOwn(report.WantTimings)
 		m.askHubs(ctx, net)
 	default:
@@ -39,7 +41,7 @@
 // exchange makes one exchange with the hub, for this host and those that it leads.
 func (m *Member) exchange(ctx context.Context, net network) {
 	leads := m.hub.leads()
-	report, told := m.report(), uint64(0)
+	report, told := m.report(), told{}
 	report.ReadsSince = m.readsSince
 	if leads {
 		report, told = m.leadersReport(report)
@@ -52,11 +54,13 @@
 		m.lose(net, err)
 		return
 	}
+	m.takeStanding(reply.Standing)
 	if leads {
-		m.toldReads, m.readsSince = told, reply.ReadsLast
+		m.toldReads, m.toldSightings, m.readsSince = told.reads, told.sightings, reply.ReadsLast
 		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
 		m.takeOwn(report.WantTimings)
 	} else {
+		m.unseen = Sightings{} // the hub has them
 		m.readsSince, m.ownSince = reply.ReadsLast, 0
 		m.take(reply, asked)
 	}
@@ -64,16 +68,27 @@
 	m.goOver(reply.Assigned)
 }
 
-// leadersReport is the report for this host and its followers, and the number of the own
-// hub's reads that it tells up to. Evidence waits until the hub before has forgotten it.
-func (m *Member) leadersReport(own Report) (report Report, toldReads uint64) {
+// told is up to which numbers of the own hub a report tells what that was told.
+type told struct{ reads, sightings uint64 }
+
+// leadersReport is the report for this host and its followers, and what it tells up to.
+// Evidence waits until the hub before has forgotten it.
+func (m *Member) leadersReport(own Report) (report Report, upTo told) {
 	m.hub.take(m.options.Host, own)
+	m.takeOwnSightings(own.Sightings)
 	m.untold = make(Reads) // the own hub has them
-	report, toldReads = m.hub.subtree(own, m.toldReads, m.current)
+	report, upTo.reads = m.hub.subtree(own, m.toldReads, m.current)
+	report.Sightings, upTo.sightings = m.hub.sightingsSince(m.toldSightings)
 	if !m.alone() {
 		report.Evidence = nil
 	}
-	return report, toldReads
+	return report, upTo
+}
+
+// takeOwnSightings tells the own hub what this host saw.
+func (m *Member) takeOwnSightings(s Sightings) {
+	m.hub.takeSightings(m.options.Host, s)
+	m.unseen = Sightings{}
 }
 
 // offer passes the store's word on to the tables' watchers.
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -20,7 +20,9 @@
 	zone     string
 	linkMbps float64
 	tables   map[string]*feed.Watcher
-	log      zerolog.Logger
+	// quarantine is told what followers saw; nil without one.
+	quarantine Quarantine
+	log        zerolog.Logger
 
 	// relaying is what relays said last.
 	relaying atomic.Bool
@@ -31,6 +33,8 @@
 	reports map[string]received
 	reads   readLog
 	timings map[string]Timings
+	// sightings are what this hub was told of upstreams that ended.
+	sightings sightingLog
 	// zones are the hubs that this one named, by zone.
 	zones map[string]*zoneHubs
 }
@@ -65,7 +69,7 @@
 
 func newHub(options Options, log zerolog.Logger) *hub {
 	return &hub{
-		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, log: log,
+		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]received), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
 	}
 }
@@ -80,17 +84,21 @@
 		if r.WantTimings {
 			reply.Timings = h.toldTimings(from, toHub)
 		}
+		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince)
+		reply.Standing = h.standing(toHub)
 		if h.relays() {
 			reply.Tables, _ = h.news(from, r, true)
 		}
 		return reply, nil
 	}
 	h.take(from, r)
+	h.takeSightings(from, r.Sightings)
 	h.noteRelaying()
 	reply := h.sums(from, r.ReadsSince, toHost)
 	if r.WantTimings {
 		reply.Timings = h.toldTimings(from, toHost)
 	}
+	reply.Standing = h.standing(toHost)
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.Later = h.news(from, r, reply.Relays)
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -12,6 +12,10 @@
 	underWay   bool
 	next       time.Time
 	readsSince uint64
+	// sightingsSince is the same for its sightings, answered says that the last question
+	// was answered.
+	sightingsSince uint64
+	answered       bool
 }
 
 // askHubs asks the other hubs for the sums of their followers, each by itself, so that a
@@ -21,25 +25,26 @@
 		if seed == m.options.Listen {
 			continue
 		}
-		since, ok := m.begin(seed)
+		known, ok := m.begin(seed)
 		if !ok {
 			continue
 		}
-		question := Report{
-			Zone: m.options.Zone, Hub: true, ReadsSince: since, Revisions: m.revisions(),
+		report := Report{
+			Zone: m.options.Zone, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, Revisions: m.revisions(),
 			WantTimings: m.exchanges%timingsEvery == 1,
 		}
 		asked := time.Now()
 		go func() {
-			reply, err := ask(ctx, net, seed, question)
+			reply, err := ask(ctx, net, seed, report)
 			if err != nil {
 				net.forget(seed)
-				m.end(seed, since, retryHub)
+				m.end(seed, question{next: time.Now().Add(retryHub), readsSince: known.readsSince, sightingsSince: known.sightingsSince})
 				return
 			}
 			m.hub.takeHub(seed, reply, reply.Hosts)
+			m.takeStanding(reply.Standing)
 			m.offerIfLost(reply, asked)
-			m.end(seed, reply.ReadsLast, 0)
+			m.end(seed, question{readsSince: reply.ReadsLast, sightingsSince: reply.SightingsLast, answered: true})
 		}()
 	}
 }
@@ -54,9 +59,9 @@
 	}
 }
 
-// begin says whether a hub may be asked, and since which number for its reads: no question
-// is under way, and the last one didn't fail just now.
-func (m *Member) begin(hub string) (since uint64, ok bool) {
+// begin says whether a hub may be asked, and what is known of it: no question is under way,
+// and the last one didn't fail just now.
+func (m *Member) begin(hub string) (known question, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	q := m.others[hub]
@@ -65,16 +70,16 @@
 		m.others[hub] = q
 	}
 	if q.underWay || time.Now().Before(q.next) {
-		return 0, false
+		return question{}, false
 	}
 	q.underWay = true
-	return q.readsSince, true
+	return *q, true
 }
 
-// end notes that a question to a hub is over, up to which number its reads are known and
-// how long the next question waits.
-func (m *Member) end(hub string, readsSince uint64, pause time.Duration) {
+// end notes that a question to a hub is over, and what is known of it then.
+func (m *Member) end(hub string, known question) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	*m.others[hub] = question{next: time.Now().Add(pause), readsSince: readsSince}
+	*m.others[hub] = known
+	m.noteSeeds()
 }
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -50,6 +50,8 @@
 	// FirstStart says that the whole installation starts for the first time: the key
 	// is made then.
 	FirstStart bool
+	// Quarantine keeps what hosts see of requests that end upstreams. It may be nil.
+	Quarantine Quarantine
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
 	// takes what the others saw. Both may be nil.
 	Evidence     func() []Evidence
@@ -87,11 +89,17 @@
 	toldReads  uint64
 	// exchanges counts the reports.
 	exchanges int
+	// unseen are the sightings that the hub wasn't told yet. Of a host that leads others,
+	// toldSightings is the number of the own hub up to which the other was told.
+	unseen        Sightings
+	toldSightings uint64
 
 	// heard says that the hub answered the last exchange, told is current for others
 	// than Run.
 	heard atomic.Bool
 	told  atomic.Pointer[string]
+	// seedsAnswer says that all other seeds answered this one's last questions.
+	seedsAnswer atomic.Bool
 
 	mu sync.Mutex
 	// others are the questions to the other hubs, by their address.
@@ -153,8 +161,9 @@
 	if m.options.Reads != nil {
 		m.untold.add(m.options.Reads())
 	}
+	m.noteSightings()
 	report := m.own()
-	report.Reads = m.untold
+	report.Reads, report.Sightings = m.untold, m.unseen
 	if m.exchanges++; m.options.Timings != nil && m.exchanges%timingsEvery == 1 {
 		report.WantTimings, report.Timings = true, m.options.Timings()
 	}
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -4,6 +4,7 @@
 
 // takeHub keeps what another hub told of hosts that don't report here.
 func (h *hub) takeHub(address string, r Reply, hosts int) {
+	h.takeSightings(hubKey(address), r.Sightings)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: hosts}
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -20,8 +20,10 @@
 	OrdersPrefix string
 	// Upstreams holds the upstreams' entries under their ids.
 	Upstreams string
-	// Status holds the states of roll-outs, under the keys of their orders.
-	Status string
+	// Status holds the states of roll-outs, under the keys of their orders, and under
+	// VerdictsPrefix and their digests the requests that are kept away from upstreams.
+	Status         string
+	VerdictsPrefix string
 }
 
 // Codec decodes and encodes the rows of the tables.
@@ -235,9 +237,21 @@
 
 // Replace implements feed.Handler.
 func (h *statusRows) Replace(rows []feed.Row) {
+	keys := make(map[string]bool, len(rows))
 	for _, row := range rows {
+		keys[row.Key] = true
 		h.Change(row)
 	}
+	h.gateway.keeper.rows.keep(keys)
+}
+
+// changeVerdict takes the row of a verdict. One that can't be read keeps nothing away.
+func (h *statusRows) changeVerdict(row feed.Row) {
+	if err := h.gateway.keeper.rows.change(row); err != nil {
+		h.unreadable.note(row, err)
+		return
+	}
+	h.unreadable.clear(row.Key)
 }
 
 // Change implements feed.Handler. A status that can't be read tells nothing but its
@@ -245,6 +259,10 @@
 // one again.
 func (h *statusRows) Change(row feed.Row) {
 	g := h.gateway
+	if strings.HasPrefix(row.Key, g.settings.Tables.VerdictsPrefix) {
+		h.changeVerdict(row)
+		return
+	}
 	service, ok := strings.CutPrefix(row.Key, g.settings.Tables.OrdersPrefix)
 	if row.Deleted || !ok {
 		return
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,11 +77,15 @@
 
 // try makes one attempt at the upstream that suits best.
 func (d *dispatch) try(ctx context.Context, r *Request, models *modelSteps) (attemptResult, error) {
+	if err := d.gateway.keeper.admit(ctx, r); err != nil {
+		return attemptResult{}, d.refusal(r, resultcode.From(err))
+	}
+	defer d.gateway.keeper.leave(r.Digest)
 	a, err := d.begin(r, models)
 	if err != nil {
 		return attemptResult{}, err
 	}
-	d.gateway.exposures.begin(&a.choice.upstream, r.Digest)
+	d.gateway.keeper.exposures.begin(&a.choice.upstream, r.Digest)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.stream(ctx, func(head attemptResult) bool {
@@ -95,7 +99,7 @@
 	if result.outcome != outcomeRefused {
 		r.state.Raise(a.state.State())
 	}
-	d.gateway.exposures.end(&a.choice.upstream, r.Digest, result)
+	d.gateway.keeper.exposures.end(&a.choice.upstream, r.Digest, result)
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
@@ -149,7 +153,7 @@
 func (d *dispatch) learn(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
 	g.fleet.release(a.choice, result)
-	g.rollouts.observe(r, &a.choice, result, a.headSeen)
+	d.hold(r, a, result)
 	if result.outcome == outcomeSilent {
 		g.usual.of(r.usualKey()).observeSilence(time.Since(a.began))
 	}
@@ -159,6 +163,24 @@
 	g.usual.of(r.usualKey()).observe(result.firstByte)
 }
 
+// hold holds the attempt's end against the upstream's version, or for it. An end of the
+// upstream by a request that is to blame says nothing of the version: sound roll-outs
+// were stopped by three of them.
+func (d *dispatch) hold(r *Request, a *attempt, result attemptResult) {
+	g := d.gateway
+	switch result.outcome {
+	case outcomeDone, outcomeFailed:
+		g.keeper.survive(r.Digest)
+	case outcomeBroken, outcomeUnknown:
+		if !g.rollouts.judged(r.Service) {
+			return
+		}
+		g.keeper.unexplained(a.choice.upstream, func() { g.rollouts.observe(r, &a.choice, result, a.headSeen) })
+		return
+	}
+	g.rollouts.observe(r, &a.choice, result, a.headSeen)
+}
+
 // accept decides by an answer's head whether the caller gets it.
 func (d *dispatch) accept(r *Request, a *attempt, models *modelSteps, head attemptResult) bool {
 	if r.answer.started || head.confidence < 0 || models.last() || r.attempts >= r.Route.MaxAttempts {
@@ -184,7 +206,7 @@
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errSilent) {
 		return true // the budget was taken when the attempt was given up
 	}
-	if result.outcome == outcomeAbandoned {
+	if result.outcome == outcomeAbandoned || d.gateway.keeper.nearlyJudged(r.Digest) {
 		return false
 	}
 	if r.state.State() != runstate.NotRun && !r.Route.Repeatable() {
--- a/internal/gateway/exposures.go
+++ b/internal/gateway/exposures.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +18,9 @@
 )
 
 const (
+	// givenUpKept is how long a run is remembered that this host gave up: another host's
+	// word that the upstream ended comes over two hubs.
+	givenUpKept = 3 * time.Second
 	// lingering is how long a run that this host gave up may go on at its upstream: the
 	// upstream notices the closed connection late, and an engine that was given a prompt
 	// can end by it up to 0.1 s after its answer was dropped.
@@ -34,9 +39,9 @@
 
 // exposures keep which requests run at each upstream, and notice when an upstream ends.
 type exposures struct {
-	// ended is told of an upstream that ended, with the digests of what this host
-	// had running there.
-	ended func(u Upstream, digests []quarantine.Digest)
+	// ended is told of an upstream that ended so long ago, with the digests of what this
+	// host had running there.
+	ended func(u Upstream, ago time.Duration, digests []quarantine.Digest)
 	log   zerolog.Logger
 
 	mu    sync.Mutex
@@ -63,7 +68,7 @@
 
 func newExposures(log zerolog.Logger) *exposures {
 	return &exposures{
-		ended: func(Upstream, []quarantine.Digest) {}, log: log, lives: make(map[exchange.Name]*life),
+		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, log: log, lives: make(map[exchange.Name]*life),
 	}
 }
 
@@ -71,7 +76,7 @@
 func (e *exposures) begin(u *Upstream, d quarantine.Digest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	name := exchange.NameOf(u.name())
+	name := u.life()
 	l := e.lives[name]
 	if l == nil {
 		l = &life{upstream: *u, running: make(map[quarantine.Digest]int)}
@@ -83,7 +88,7 @@
 // end notes how the request's attempt there ended.
 func (e *exposures) end(u *Upstream, d quarantine.Digest, result attemptResult) {
 	e.mu.Lock()
-	l := e.lives[exchange.NameOf(u.name())]
+	l := e.lives[u.life()]
 	if l == nil {
 		e.mu.Unlock()
 		return
@@ -102,10 +107,13 @@
 			e.look(l)
 		}
 	}
-	late := l.takeLate()
+	if result.outcome == outcomeDone || result.outcome == outcomeFailed {
+		l.endedAt = boottime.Instant{} // it answers, so it lives
+	}
+	late, ago := l.takeLate()
 	e.mu.Unlock()
 	if len(late) > 0 {
-		e.ended(*u, late)
+		e.ended(*u, ago, late)
 	}
 }
 
@@ -122,44 +130,29 @@
 
 // dropOld forgets runs that were given up long ago. The lock is held.
 func (l *life) dropOld() {
-	now := boottime.Now()
-	if !l.endedAt.IsZero() {
-		now = l.endedAt
-	}
-	kept := l.givenUp[:0]
-	for _, run := range l.givenUp {
-		if now.Sub(run.at) <= lingering {
-			kept = append(kept, run)
-		}
-	}
-	l.givenUp = kept
+	l.givenUp = slices.DeleteFunc(l.givenUp, func(run givenUpRun) bool { return boottime.Since(run.at) > givenUpKept })
 }
 
-// take returns the digests of all that may run there, and forgets them. The lock is held.
+// take returns the digests of all that may have run there at its end, and forgets those that
+// were given up. The lock is held.
 func (l *life) take() []quarantine.Digest {
-	l.dropOld()
-	seen := make(map[quarantine.Digest]bool, len(l.running)+len(l.givenUp))
-	for d := range l.running {
-		seen[d] = true
-	}
+	digests := slices.Collect(maps.Keys(l.running))
 	for _, run := range l.givenUp {
-		seen[run.digest] = true
+		if l.endedAt.Sub(run.at) <= lingering && !slices.Contains(digests, run.digest) {
+			digests = append(digests, run.digest)
+		}
 	}
 	l.givenUp = nil
-	digests := make([]quarantine.Digest, 0, len(seen))
-	for d := range seen {
-		digests = append(digests, d)
-	}
 	return digests
 }
 
-// takeLate returns what is found to have broken off after the upstream's end was noticed.
-// The lock is held.
-func (l *life) takeLate() []quarantine.Digest {
+// takeLate returns what is found to have broken off after the upstream's end was noticed,
+// and how long ago that end was. The lock is held.
+func (l *life) takeLate() ([]quarantine.Digest, time.Duration) {
 	if l.endedAt.IsZero() || len(l.givenUp) == 0 {
-		return nil
+		return nil, 0
 	}
-	return l.take()
+	return l.take(), boottime.Since(l.endedAt)
 }
 
 // look finds out whether the upstream ended, unless that is under way or known. The lock is
@@ -178,19 +171,20 @@
 	e.mu.Lock()
 	others := len(l.running)
 	e.mu.Unlock()
+	broke := boottime.Now()
 	gone := others == 0 && refuses(l.upstream.Address)
 	e.mu.Lock()
 	l.checking = false
 	var digests []quarantine.Digest
 	if gone {
-		l.endedAt = boottime.Now()
+		l.endedAt = broke
 		digests = l.take()
 	}
 	e.mu.Unlock()
 	e.log.Warn().Str("event", "upstream-checked").Str("upstream", l.upstream.ID).Bool("ended", gone).
 		Int("exposed", len(digests)).Int("running", others).Strs("digests", texts(digests)).Msg("")
 	if gone {
-		e.ended(l.upstream, digests)
+		e.ended(l.upstream, boottime.Since(broke), digests)
 	}
 }
 
@@ -219,6 +213,36 @@
 	return list
 }
 
+// endedElsewhere takes in another host's word that an upstream ended: what this host gave
+// up there shortly before may be to blame, and nobody else knows of it.
+func (e *exposures) endedElsewhere(name exchange.Name, ago time.Duration) {
+	e.mu.Lock()
+	l := e.lives[name]
+	if l == nil || !l.endedAt.IsZero() || l.checking {
+		e.mu.Unlock()
+		return
+	}
+	if len(l.running) > 0 {
+		e.look(l)
+		e.mu.Unlock()
+		return
+	}
+	l.endedAt = boottime.Now().Add(-ago)
+	digests := l.take()
+	e.mu.Unlock()
+	if len(digests) > 0 {
+		e.ended(l.upstream, ago, digests)
+	}
+}
+
+// hasEnded says whether the upstream is known to have ended.
+func (e *exposures) hasEnded(u *Upstream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.lives[u.life()]
+	return l != nil && !l.endedAt.IsZero()
+}
+
 // sweep forgets upstreams at which nothing of this host's runs.
 func (e *exposures) sweep() {
 	e.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,8 @@
 	// usual is by service and model.
 	usual    perService[usualTime]
 	pipeline next
-	// exposures keep what runs at each upstream.
-	exposures *exposures
+	// keeper keeps requests that end upstreams away from them.
+	keeper *keeper
 
 	transport *http.Transport
 
@@ -78,7 +78,7 @@
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
-	g.exposures = newExposures(log)
+	g.keeper = newKeeper(s.Host, newVerdictRows(s, g.storeClock, log), g.metrics, log)
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
 	return g
@@ -173,7 +173,7 @@
 		}
 	}
 	statusOptions, operatorOptions, upstreamOptions := common, common, common
-	statusOptions.Hold, statusOptions.Needed = holdStatus, g.rollouts.underWay
+	statusOptions.Hold, statusOptions.Needed = holdStatus, g.needsStatus
 	operatorOptions.Hold, operatorOptions.Gather = holdOperator, gatherOperator
 	upstreamOptions.Gather = gather
 	status := feed.NewWatcher(tables.Status, store, newStatusRows(g), statusOptions, g.log)
@@ -192,7 +192,7 @@
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
 			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
-			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers,
+			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers, Quarantine: g.keeper,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
 	}
@@ -201,10 +201,29 @@
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.rollouts.run(ctx) })
+	group.Go(func() { g.keeper.run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	return group
 }
 
+// needsStatus says whether the table of statuses has to be followed: while a roll-out is
+// under way or a verdict is known, which operators may lift, and while other hosts can't
+// tell this one of verdicts. At its start a host reads it once.
+func (g *Gateway) needsStatus() bool {
+	if _, heard := g.rollouts.statuses.Age(); !heard {
+		return true
+	}
+	return g.rollouts.underWay() || g.keeper.register.Len() > 0 || g.peers == nil || !g.peers.Told()
+}
+
+// storeClock is the store's steady clock, as far as it is known.
+func (g *Gateway) storeClock() time.Duration {
+	if g.rollouts.statuses == nil {
+		return 0
+	}
+	return g.rollouts.statuses.StoreClock()
+}
+
 // sweepInterval is how often records of gone upstreams are looked for.
 const sweepInterval = 10 * time.Second
 
@@ -217,7 +236,7 @@
 			return
 		case now := <-ticker.C:
 			g.fleet.Sweep(now)
-			g.exposures.sweep()
+			g.keeper.exposures.sweep()
 		}
 	}
 }
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -77,7 +77,7 @@
 }
 
 func testTables() Tables {
-	return Tables{Operator: "operator", DocumentKey: "document", OrdersPrefix: "order/", Upstreams: "upstreams", Status: "status"}
+	return Tables{Operator: "operator", DocumentKey: "document", OrdersPrefix: "order/", Upstreams: "upstreams", Status: "status", VerdictsPrefix: "verdict/"}
 }
 
 func testCodec() Codec {
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -57,7 +57,7 @@
 	if former := s.members[u.ID]; former != nil {
 		s.forget(former)
 	}
-	m := &member{Upstream: *u, shard: s, name: exchange.NameOf(u.name())}
+	m := &member{Upstream: *u, shard: s, name: u.life()}
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
@@ -74,6 +74,9 @@
 	return u.ID + "/" + strconv.FormatInt(int64(u.Incarnation), 10)
 }
 
+// life stands for the incarnation in what is told of upstreams that ended.
+func (u *Upstream) life() exchange.Name { return exchange.NameOf(u.name()) }
+
 // withdrawElsewhere withdraws what other services know under the upstream's id: an
 // upstream serves one service, the one that its newest entry names.
 func (f *Fleet) withdrawElsewhere(u Upstream, revision uint64) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,10 +13,14 @@
 // gatewayMetrics are the counters and histograms of one gateway.
 type gatewayMetrics struct {
 	set *metrics.Set
+	// verdicts counts the verdicts that this host made.
+	verdicts *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
 	m := &gatewayMetrics{set: metrics.NewSet()}
+	m.verdicts = m.set.NewCounter("quetzalweir_gateway_verdicts_total")
+	m.set.NewGauge("quetzalweir_gateway_requests_quarantined", func() float64 { return float64(g.keeper.register.Len()) })
 	m.set.NewGauge("quetzalweir_gateway_document_version", func() float64 {
 		if table := g.table.Load(); table != nil {
 			return float64(table.Version)
@@ -33,6 +37,16 @@
 	return m
 }
 
+// upstreamsEnded counts the upstreams of a service that ended with this host's requests.
+func (m *gatewayMetrics) upstreamsEnded(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstreams_ended_total{service=%q}`, service))
+}
+
+// quarantined counts the requests that were refused because of a verdict.
+func (m *gatewayMetrics) quarantined(service string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_quarantine_refusals_total{service=%q}`, service))
+}
+
 // unreadable counts the changes of a table's rows that couldn't be read.
 func (m *gatewayMetrics) unreadable(table string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_rows_unreadable_total{table=%q}`, table))
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -195,6 +195,14 @@
 	})
 }
 
+// judged says whether a roll-out of the service is judged by answers.
+func (m *rollouts) judged(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.active[service]
+	return a != nil && a.running() && !a.stopped
+}
+
 // learn adds to the evidence on the roll-out under way, if any, and judges it.
 func (m *rollouts) learn(r *Request, c *choice, add func(e *evidence, o observation)) {
 	m.mu.Lock()
--- /dev/null
+++ b/quarantine/judge.go
@@ -0,0 +1,140 @@
+package quarantine
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+// Suspicion is a request that upstreams ended with more than once.
+type Suspicion struct {
+	Digest Digest
+	// Events is at how many moments they did, First when the first one was.
+	Events int
+	First  time.Duration
+}
+
+// Judged says whether a suspect has as many events as a judgement needs.
+func (s Suspicion) Judged() bool { return s.Events >= judgedEvents }
+
+// Suspects lists the suspects whose last loss is within the span, those with the most events
+// first, at most so many.
+func (t *Tracker) Suspects(now, within time.Duration, most int) []Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Suspicion
+	for d, h := range t.suspects {
+		if now-h.last() > within {
+			continue
+		}
+		if events := moments(t.counted(h, now)); len(events) >= suspectEvents {
+			list = append(list, Suspicion{Digest: d, Events: len(events), First: events[0]})
+		}
+	}
+	slices.SortFunc(list, func(a, b Suspicion) int {
+		if a.Events != b.Events {
+			return b.Events - a.Events
+		}
+		return bytes.Compare(a.Digest[:], b.Digest[:])
+	})
+	return list[:min(len(list), most)]
+}
+
+// Finding is the reason of a judgement.
+type Finding struct {
+	Digest Digest
+	// Events is at how many moments upstreams ended with the request alone to blame, Lives
+	// how many ended with it, and Lost how many did from the first to the last of them.
+	Events, Lives, Lost int
+}
+
+// Judge returns the requests that are found to end upstreams, and blames them.
+//
+// Of the requests that an upstream ended with, only the one with the most events
+// counts as its cause: a request to blame was at each end, the sound ones beside it at some.
+// Where two have as many, neither counts until another end tells them apart.
+func (t *Tracker) Judge(now time.Duration) []Finding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropStale(now)
+	var findings []Finding
+	for d, h := range t.suspects {
+		f, ok := t.find(d, h, now)
+		if ok {
+			findings = append(findings, f)
+		}
+	}
+	for _, f := range findings {
+		t.blame(f.Digest)
+	}
+	return findings
+}
+
+// find says whether the request is to blame. The lock is held.
+func (t *Tracker) find(d Digest, h *history, now time.Duration) (Finding, bool) {
+	own := t.counted(h, now)
+	if len(moments(own)) < judgedEvents {
+		return Finding{}, false
+	}
+	led := moments(t.led(d, h, now))
+	f := Finding{Digest: d, Events: len(led), Lives: len(own), Lost: t.lostWithin(own[0], own[len(own)-1])}
+	needed := f.needed()
+	if at, ok := t.survived.Peek(d); ok && now-at < survivalMemory {
+		needed = sureEvents
+	}
+	return f, len(led) >= needed && now-led[needed-1] >= Settle
+}
+
+// needed is the number of events from which the request is judged.
+func (f *Finding) needed() int {
+	switch share := float64(f.Lives) / float64(max(1, f.Lost)); {
+	case share >= mostShare:
+		return judgedEvents
+	case share >= likelyShare:
+		return likelyEvents
+	default:
+		return sureEvents
+	}
+}
+
+// led are the times, in order, of the ends that the request is the likeliest cause of. The
+// lock is held.
+func (t *Tracker) led(d Digest, h *history, now time.Duration) []time.Duration {
+	events := len(moments(t.counted(h, now)))
+	var times []time.Duration
+	for _, l := range h.losses {
+		life, ok := t.lives.Peek(l.Life)
+		if !ok || life.explained || now-life.at > lossMemory {
+			continue
+		}
+		if !slices.ContainsFunc(life.digests, func(other Digest) bool {
+			rival := t.suspects[other]
+			return other != d && rival != nil && len(moments(t.counted(rival, now))) >= events
+		}) {
+			times = append(times, life.at)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// lostWithin counts the upstreams lost within the span that nothing explains yet. The lock
+// is held.
+func (t *Tracker) lostWithin(first, last time.Duration) int {
+	n := 0
+	for _, life := range t.lives.Values() {
+		if !life.explained && life.at >= first-SameMoment && life.at <= last+SameMoment {
+			n++
+		}
+	}
+	return n
+}
+
+// dropStale forgets suspects whose last loss is too long ago. The lock is held.
+func (t *Tracker) dropStale(now time.Duration) {
+	for d, h := range t.suspects {
+		if now-h.last() > lossMemory {
+			delete(t.suspects, d)
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,281 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// SameMoment is the time within which upstreams that end count as one event: a rack
+	// or a third of a service that is lost at once ends many copies of a popular
+	// request at the same moment, and says of them no more than the end of one. Hosts
+	// notice the end of a process within some milliseconds, and the earliest word counts;
+	// a request that is sent on ends the next upstream 80 ms later at the soonest.
+	SameMoment = 50 * time.Millisecond
+	// Settle is the time between the event that makes a request suspect enough and the
+	// judgement. In it hosts tell what else ran at the upstreams that ended, over two
+	// hubs, and which suspects they saw answered; the operators give 3 s in all.
+	Settle = 750 * time.Millisecond
+
+	// suspectEvents is the number of events from which a request is suspect. One is
+	// what each request sees that ran at an upstream that ended.
+	suspectEvents = 2
+	// judgedEvents is the number of events after which a request is judged, if none of
+	// the others that were there has as many: the operators give three. It has to have
+	// run at mostShare of the upstreams lost between its first and last loss.
+	judgedEvents = 3
+	mostShare    = 0.75
+	// likelyEvents and likelyShare are the same for a request beside which upstreams end
+	// for other reasons, too: of those a sound request runs at few. Two requests that end
+	// upstreams at the same time have a half each.
+	likelyEvents = 4
+	likelyShare  = 0.5
+	// sureEvents is the number whatever the share. A sound request is sent six times at
+	// most, its caller's repeat included, and is rarely broken off at five moments.
+	sureEvents = 5
+
+	// lossMemory is how long losses count. It bounds how rarely a request may come that
+	// is found.
+	lossMemory = 10 * time.Minute
+	// survivalMemory is how long a request that was answered is judged after sureEvents
+	// only: popular ones run at many upstreams at any time, of which some end. One that
+	// a version answered may end the upstreams of the next.
+	survivalMemory = time.Minute
+
+	// Bounds of memory: some MB at the very most, however many bodies callers make up.
+	maxSingles   = 4096 // requests with one loss
+	maxSuspects  = 512  // requests with more
+	maxLosses    = 8    // losses of one request
+	maxLives     = 512  // upstreams that ended
+	maxPerLife   = 256  // requests at one of them that were at no other one
+	maxSurvivals = 4096 // requests that were answered
+)
+
+// Life names one incarnation of an upstream.
+type Life uint32
+
+// Loss says that a request may have run at an upstream when that ended.
+type Loss struct {
+	Digest Digest
+	Life   Life
+	// At is when the upstream ended, on a steady clock of the caller's that counts
+	// suspensions.
+	At time.Duration
+}
+
+// Tracker judges by losses and survivals which requests end upstreams. It is safe for
+// concurrent use. All times are readings of one steady clock.
+type Tracker struct {
+	mu sync.Mutex
+	// singles are requests with one loss, suspects those with more.
+	singles  *simplelru.LRU[Digest, *history]
+	suspects map[Digest]*history
+	lives    *simplelru.LRU[Life, *ended]
+	survived *simplelru.LRU[Digest, time.Duration]
+	// blamed are the requests that are judged.
+	blamed map[Digest]bool
+}
+
+// history is what is held against one request.
+type history struct {
+	losses []Loss
+}
+
+// ended is an upstream that ended.
+type ended struct {
+	at      time.Duration
+	digests []Digest
+	// explained says that a request that is judged ran there: the others are cleared.
+	explained bool
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker {
+	return &Tracker{
+		singles:  newLRU[Digest, *history](maxSingles),
+		suspects: make(map[Digest]*history),
+		lives:    newLRU[Life, *ended](maxLives),
+		survived: newLRU[Digest, time.Duration](maxSurvivals),
+		blamed:   make(map[Digest]bool),
+	}
+}
+
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	lru, err := simplelru.NewLRU[K, V](size, nil)
+	if err != nil {
+		panic(err) // the sizes are constants above 0
+	}
+	return lru
+}
+
+// Lose takes in a loss. It reports whether it was new.
+func (t *Tracker) Lose(l Loss) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	life := t.life(l)
+	if slices.Contains(life.digests, l.Digest) || len(life.digests) >= maxPerLife && !t.known(l.Digest) {
+		return false
+	}
+	life.digests = append(life.digests, l.Digest)
+	if t.blamed[l.Digest] {
+		life.explained = true
+		return true
+	}
+	t.add(l)
+	return true
+}
+
+// known says whether anything is held against the request. The lock is held.
+func (t *Tracker) known(d Digest) bool {
+	return t.blamed[d] || t.suspects[d] != nil || t.singles.Contains(d)
+}
+
+// life is the upstream of the loss. The lock is held.
+func (t *Tracker) life(l Loss) *ended {
+	life, ok := t.lives.Get(l.Life)
+	if !ok {
+		life = &ended{at: l.At}
+		t.lives.Add(l.Life, life)
+	}
+	life.at = min(life.at, l.At)
+	return life
+}
+
+// add adds to what is held against a request. The lock is held.
+func (t *Tracker) add(l Loss) {
+	if h := t.suspects[l.Digest]; h != nil {
+		if len(h.losses) < maxLosses {
+			h.losses = append(h.losses, l)
+		}
+		return
+	}
+	h, ok := t.singles.Get(l.Digest)
+	if !ok {
+		t.singles.Add(l.Digest, &history{losses: []Loss{l}})
+		return
+	}
+	t.singles.Remove(l.Digest)
+	h.losses = append(h.losses, l)
+	t.suspects[l.Digest] = h
+	if len(t.suspects) > maxSuspects {
+		t.dropOldest()
+	}
+}
+
+// dropOldest forgets the suspect whose last loss is the oldest. The lock is held.
+func (t *Tracker) dropOldest() {
+	var oldest Digest
+	first := true
+	for d, h := range t.suspects {
+		if first || h.last() < t.suspects[oldest].last() {
+			oldest, first = d, false
+		}
+	}
+	delete(t.suspects, oldest)
+}
+
+func (h *history) last() time.Duration { return h.losses[len(h.losses)-1].At }
+
+// Survive takes in that a request was answered: an upstream ran it to its end and lived. It
+// reports whether that is news: something was held against the request.
+func (t *Tracker) Survive(d Digest, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.survived.Add(d, now)
+	held := t.singles.Remove(d) || t.suspects[d] != nil
+	delete(t.suspects, d)
+	return held
+}
+
+// SurvivedSince says whether the request was answered after a time.
+func (t *Tracker) SurvivedSince(d Digest, since time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.survived.Peek(d)
+	return ok && at >= since
+}
+
+// Blame takes in that a request is judged: it explains the ends of the upstreams that it
+// ran at, and clears the others that were there.
+func (t *Tracker) Blame(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.blame(d)
+}
+
+func (t *Tracker) blame(d Digest) {
+	t.blamed[d] = true
+	t.singles.Remove(d)
+	delete(t.suspects, d)
+	for _, life := range t.lives.Values() {
+		if slices.Contains(life.digests, d) {
+			life.explained = true
+		}
+	}
+}
+
+// Clear takes in that a request is no longer judged. What was held against it is
+// forgotten.
+func (t *Tracker) Clear(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.blamed, d)
+	t.singles.Remove(d)
+	delete(t.suspects, d)
+}
+
+// Explained says whether a request that is judged ran at the upstream when that ended.
+func (t *Tracker) Explained(life Life) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.lives.Peek(life)
+	return ok && e.explained
+}
+
+// Explain takes in that a request that is judged ran at the upstream when that ended.
+func (t *Tracker) Explain(life Life, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.life(Loss{Life: life, At: at}).explained = true
+}
+
+// Events is the number of moments at which upstreams ended with the request, as far as
+// nothing else explains them.
+func (t *Tracker) Events(d Digest, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.suspects[d]
+	if h == nil {
+		return 0
+	}
+	return len(moments(t.counted(h, now)))
+}
+
+// counted are the times of a request's losses that count against it, in order. The lock
+// is held.
+func (t *Tracker) counted(h *history, now time.Duration) []time.Duration {
+	var times []time.Duration
+	for _, l := range h.losses {
+		life, ok := t.lives.Peek(l.Life)
+		if !ok || life.explained || now-life.at > lossMemory {
+			continue
+		}
+		times = append(times, life.at) // by the earliest word of it
+	}
+	slices.Sort(times)
+	return times
+}
+
+// moments are the first times of events, of times in order.
+func moments(times []time.Duration) []time.Duration {
+	var firsts []time.Duration
+	for _, at := range times {
+		if len(firsts) == 0 || at-firsts[len(firsts)-1] > SameMoment {
+			firsts = append(firsts, at)
+		}
+	}
+	return firsts
+}
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -58,6 +58,7 @@
 	UpstreamRefused     Code = 4004
 	UpstreamError       Code = 4005
 	AnswerMismatch      Code = 4006
+	RequestQuarantined  Code = 4007
 
 	// 5xxx: the platform's store and this host.
 	StoreUnavailable   Code = 5001
@@ -123,6 +124,7 @@
 	{UpstreamRefused, "upstream-refused", 503, started, time.Second, "The upstream answered that it does not take the request now."},
 	{UpstreamError, "upstream-error", 502, started, 0, "The upstream answered with an error."},
 	{AnswerMismatch, "answer-mismatch", 502, started, 0, "The upstream sent frames that belong to another request."},
+	{RequestQuarantined, "request-quarantined", 500, anyState, 0, "Upstreams ended each time that they ran a request with this route, account and body; it is sent to none. Earlier requests with it did run, and coming back doesn't help before the upstreams are mended."},
 	{StoreUnavailable, "store-unavailable", 503, notRun, 2 * time.Second, "The platform's table couldn't record the claim, so nothing was sent."},
 	{DuplicateInFlight, "duplicate-in-flight", 409, mayHaveRun, time.Second, "A request with this key is being run; the repeat was not sent."},
 	{EarlierOutcomeOpen, "earlier-outcome-unknown", 409, mayHaveRun, 0, "An earlier request with this key may have run; it is never run again."},
