--- a/admission/retry.go
+++ b/admission/retry.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -25,10 +26,10 @@
 }
 
 // NewRetryBudget returns a budget of ratio retries for each first attempt, and
-// of perSecond retries a second besides. A nil clock means time.Now.
+// of perSecond retries a second besides. A nil clock means boottime.Now.
 func NewRetryBudget(ratio, perSecond float64, clock storage.Clock) *RetryBudget {
 	if clock == nil {
-		clock = time.Now
+		clock = boottime.Now
 	}
 	return &RetryBudget{
 		ratio:     ratio,
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/manifest"
@@ -145,7 +146,7 @@
 // ErrNoManifest or a *StaleError. It is meant to be called for each request,
 // as late as can be before the request is sent.
 func (w *Watcher) Check() error {
-	return w.view.Load().check(time.Now(), w.options.Bound)
+	return w.view.Load().check(boottime.Now(), w.options.Bound)
 }
 
 // Offer tells of an accepted head that was heard of from another host. Old
@@ -164,7 +165,7 @@
 	}
 	if !v.word.IsZero() {
 		answer.HasWord = true
-		answer.WordAge = time.Since(v.word)
+		answer.WordAge = boottime.Since(v.word)
 	}
 	return answer
 }
--- a/config/watcher_loops.go
+++ b/config/watcher_loops.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/manifest"
 )
 
@@ -33,7 +34,7 @@
 }
 
 func (w *Watcher) readHead(ctx context.Context) {
-	start := time.Now()
+	start := boottime.Now()
 	ctx, cancel := context.WithTimeout(ctx, w.options.Bound)
 	defer cancel()
 	head, err := w.options.Store.Head(ctx)
@@ -63,11 +64,11 @@
 
 func (w *Watcher) needsPeers() bool {
 	v := w.view.Load()
-	return v.policy == nil || time.Since(v.word) > w.options.Bound/2
+	return v.policy == nil || boottime.Since(v.word) > w.options.Bound/2
 }
 
 func (w *Watcher) askPeers(ctx context.Context) {
-	start := time.Now()
+	start := boottime.Now()
 	ctx, cancel := context.WithTimeout(ctx, w.options.Poll)
 	defer cancel()
 	peers := w.others(w.options.Peers.Ask(ctx))
@@ -157,10 +158,10 @@
 func (l *loadLimit) try(ctx context.Context, load func(context.Context) (*manifest.Policy, error)) (*manifest.Policy, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.next())
 	defer cancel()
-	start := time.Now()
+	start := boottime.Now()
 	policy, err := load(ctx)
 	if err == nil {
-		l.set(2 * time.Since(start))
+		l.set(2 * boottime.Since(start))
 	}
 	return policy, err
 }
@@ -175,7 +176,7 @@
 		return
 	}
 	before := w.Current()
-	w.change(func(v view) (view, error) { return v.withPolicy(policy, time.Now()), nil })
+	w.change(func(v view) (view, error) { return v.withPolicy(policy, boottime.Now()), nil })
 	if w.Current() != before {
 		w.options.OnChange(policy)
 	}
@@ -217,10 +218,10 @@
 	var writtenAt time.Time
 	for {
 		p := w.Current()
-		if p != nil && (p.Epoch > written || time.Since(writtenAt) > confirmRefresh) {
+		if p != nil && (p.Epoch > written || boottime.Since(writtenAt) > confirmRefresh) {
 			err := w.options.Store.Confirm(ctx, w.options.Host, Head{Epoch: p.Epoch, Digest: p.Digest})
 			if err == nil {
-				written, writtenAt = p.Epoch, time.Now()
+				written, writtenAt = p.Epoch, boottime.Now()
 			} else {
 				w.options.OnError(err)
 			}
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -1,9 +1,9 @@
 // Package boottime is the clock for ages that go on while a host is suspended: of
-// leases, documents, budgets and beliefs about other hosts.
+// leases, documents, budgets, silences and beliefs about other hosts.
 //
 // Go's own monotonic clock stands still during a suspension. A host that judges by it
-// believes on waking that what it knew is as young as before. Timers and deadlines of
-// single requests stay on package time.
+// believes on waking that what it knew is as young as before. Timers, and the time that a
+// single call takes, stay on package time.
 package boottime
 
 import (
@@ -13,9 +13,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Instant is a moment on the clock. The zero value is before all others.
-type Instant struct{ at time.Time }
-
 const (
 	// refresh is the time for which a reading of the suspensions holds: they take
 	// seconds, and a reading is two system calls.
@@ -25,50 +22,41 @@
 )
 
 var (
-	// suspended is the time that the host has been suspended for, in nanoseconds, and
-	// readAt when it was read, in nanoseconds since start.
+	// start and before are when the process started, and the time that the host had been
+	// suspended for by then.
+	start  = time.Now()
+	before = read(0)
+	// suspended is the time that the host has been suspended for since, in nanoseconds,
+	// and readAt when it was read, in nanoseconds since start.
 	suspended atomic.Int64
 	readAt    atomic.Int64
 	// simulated is added to it by Simulate.
 	simulated atomic.Int64
-
-	start = time.Now()
 )
 
-// Now returns the present moment.
-func Now() Instant {
+// Now returns the present moment. Moments of this clock are compared with each other only:
+// after a suspension they are ahead of those of package time.
+func Now() time.Time {
 	now := time.Now()
-	return Instant{now.Add(suspension(now))}
+	return now.Add(suspension(now))
 }
 
-// Since is the time since the moment.
-func Since(i Instant) time.Duration { return Now().Sub(i) }
-
-// Until is the time until the moment.
-func Until(i Instant) time.Duration { return i.Sub(Now()) }
-
-// Sub is the time from another moment to this one.
-func (i Instant) Sub(other Instant) time.Duration { return i.at.Sub(other.at) }
-
-// Add is the moment so much later.
-func (i Instant) Add(d time.Duration) Instant { return Instant{i.at.Add(d)} }
+// Since is the time since a moment of this clock.
+func Since(t time.Time) time.Duration { return Now().Sub(t) }
 
-// Before says whether the moment is before another one.
-func (i Instant) Before(other Instant) bool { return i.at.Before(other.at) }
+// Until is the time until a moment of this clock.
+func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
-// After says whether the moment is after another one.
-func (i Instant) After(other Instant) bool { return i.at.After(other.at) }
-
-// IsZero says whether the moment was never set.
-func (i Instant) IsZero() bool { return i.at.IsZero() }
+// Elapsed is the present moment as the time since some moment of this process's own.
+func Elapsed() time.Duration { return Now().Sub(start) }
 
-// suspension is the time that the host has been suspended for.
+// suspension is the time that the host has been suspended for since the start.
 func suspension(now time.Time) time.Duration {
-	// Another process clock, such as a test's, may be before start.
+	// A test's clock may be before start.
 	since := max(1, now.Sub(start).Abs().Nanoseconds())
 	if last := readAt.Load(); last == 0 || since-last > int64(refresh) || since < last {
 		readAt.Store(since)
-		note(read())
+		note(read(before) - before)
 	}
 	return time.Duration(suspended.Load() + simulated.Load())
 }
@@ -81,17 +69,18 @@
 }
 
 // read returns how far the clock that counts suspensions is ahead of the one that
-// doesn't; what was known if the system has no such clocks.
-func read() int64 {
+// doesn't; the given value if the system has no such clocks.
+func read(otherwise int64) int64 {
 	var steady, boot unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		return suspended.Load()
+		return otherwise
 	}
 	return boot.Nano() - steady.Nano()
 }
 
-// Simulate moves the clock on as a suspension of the host would, for tests.
-func Simulate(d time.Duration) { simulated.Add(int64(d)) }
-
-// Elapsed is the present moment as the time since some moment of this process's own.
-func Elapsed() time.Duration { return Now().Sub(Instant{start}) }
+// Simulate moves the clock on as a suspension of the host would, for tests; undo takes
+// that back.
+func Simulate(d time.Duration) (undo func()) {
+	simulated.Add(int64(d))
+	return func() { simulated.Add(-int64(d)) }
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -97,13 +98,13 @@
 		}
 		u.held = nil
 	}
-	if time.Now().Before(u.blockedUntil) {
+	if boottime.Now().Before(u.blockedUntil) {
 		return false
 	}
 	held, err := u.manager.Acquire(ctx, ordersLease, u.host.incarnation, ordersTTL)
 	var other *lease.HeldError
 	if errors.As(err, &other) {
-		u.blockedUntil = time.Now().Add(other.Wait)
+		u.blockedUntil = boottime.Now().Add(other.Wait)
 	}
 	if err != nil {
 		return false
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,11 +8,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
@@ -136,13 +136,13 @@
 	for _, m := range p.host.others() {
 		wait.Go(func() {
 			var view config.PeerView
-			asked := time.Now()
+			asked := boottime.Now()
 			if p.host.peers.Call(ctx, m.PeerAddr, methodView, none{}, &view) != nil {
 				return
 			}
 			// The view can have been taken at any time since it was asked for.
 			if view.HasWord {
-				view.WordAge += time.Since(asked)
+				view.WordAge += boottime.Since(asked)
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // A hub of one zone serves the hosts of another badly: each message crosses zones, for
@@ -55,7 +57,7 @@
 		return ""
 	}
 	hub := h.withRoom(z)
-	if hub == "" && time.Since(z.since) >= electAfter {
+	if hub == "" && boottime.Since(z.since) >= electAfter {
 		hub = h.elect(z, direct)
 	}
 	if hub == "" || hub == from {
@@ -68,7 +70,7 @@
 // zoneHubs are the zone's hubs that still report. The lock is held.
 func (h *hub) zoneHubs(zone string) *zoneHubs {
 	z := h.zones[zone]
-	now := time.Now()
+	now := boottime.Now()
 	if z == nil {
 		z = &zoneHubs{since: now}
 		h.zones[zone] = z
--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // look chooses the hub: the first seed of this host's zone in the seeds' order,
@@ -15,7 +17,7 @@
 // alike. A zone isn't known before the seed answered.
 func (m *Member) look(ctx context.Context, net network) {
 	reached := m.reach(ctx, net)
-	m.lookAt = time.Now().Add(m.lookPause(len(reached) > 0))
+	m.lookAt = boottime.Now().Add(m.lookPause(len(reached) > 0))
 	found := m.best(reached)
 	if found == m.current {
 		return
@@ -45,14 +47,14 @@
 	m.hub.forgetHub(m.current)
 	m.current = address
 	m.told.Store(&address)
-	m.hubSince = time.Now()
+	m.hubSince = boottime.Now()
 	m.readsSince, m.toldReads = 0, 0
 	m.tellAnew()
 }
 
 // goOver goes over to the hub that the present one named.
 func (m *Member) goOver(assigned string) {
-	if assigned == "" || assigned == m.options.Listen || assigned == m.current || time.Now().Before(m.avoid[assigned]) {
+	if assigned == "" || assigned == m.options.Listen || assigned == m.current || boottime.Now().Before(m.avoid[assigned]) {
 		return
 	}
 	m.log.Info().Str("event", "hub-assigned").Str("hub", assigned).Str("by", m.current).Msg("")
@@ -66,7 +68,7 @@
 	m.log.Warn().Str("event", "hub-lost").Str("hub", lost).Err(err).Msg("")
 	net.forget(lost)
 	if lost != m.home {
-		m.avoid[lost] = time.Now().Add(avoidHub)
+		m.avoid[lost] = boottime.Now().Add(avoidHub)
 		m.goTo(m.home)
 		return
 	}
--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // follow exchanges with the hub until the context ends.
@@ -20,7 +22,7 @@
 
 // step makes one exchange, after a look for a better hub if it is time for that.
 func (m *Member) step(ctx context.Context, net network) {
-	if !m.settled() && time.Now().After(m.lookAt) {
+	if !m.settled() && boottime.Now().After(m.lookAt) {
 		m.look(ctx, net)
 	}
 	m.noteRole()
@@ -46,7 +48,7 @@
 	if leads {
 		report, told = m.leadersReport(report)
 	}
-	asked := time.Now()
+	asked := boottime.Now()
 	reply, err := ask(ctx, net, m.current, report)
 	m.heard.Store(err == nil)
 	m.hub.told.Store(err == nil && reply.Relays)
@@ -111,7 +113,7 @@
 		sums.Timings = m.hub.toldTimings(m.options.Host, toHost)
 	}
 	m.ownSince = sums.ReadsLast
-	m.take(sums, time.Now())
+	m.take(sums, boottime.Now())
 }
 
 // take takes what a hub told of the other hosts, as of a time.
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 )
 
@@ -116,7 +117,7 @@
 func (h *hub) take(from string, r Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[from] = received{report: r, at: time.Now(), hosts: max(1, r.Hosts)}
+	h.reports[from] = received{report: r, at: boottime.Now(), hosts: max(1, r.Hosts)}
 	h.reads.add(from, false, r.Reads)
 	h.takeTimings(from, r.Timings)
 }
@@ -214,7 +215,7 @@
 // dropOld forgets the hosts that say nothing any more. The lock is held.
 func (h *hub) dropOld() {
 	for host, got := range h.reports {
-		if time.Since(got.at) > WorkAge {
+		if boottime.Since(got.at) > WorkAge {
 			delete(h.reports, host)
 		}
 	}
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // question is what a hub knows of asking another one.
@@ -33,12 +35,12 @@
 			Zone: m.options.Zone, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, Revisions: m.revisions(),
 			WantTimings: m.exchanges%timingsEvery == 1,
 		}
-		asked := time.Now()
+		asked := boottime.Now()
 		go func() {
 			reply, err := ask(ctx, net, seed, report)
 			if err != nil {
 				net.forget(seed)
-				m.end(seed, question{next: time.Now().Add(retryHub), readsSince: known.readsSince, sightingsSince: known.sightingsSince})
+				m.end(seed, question{next: boottime.Now().Add(retryHub), readsSince: known.readsSince, sightingsSince: known.sightingsSince})
 				return
 			}
 			m.hub.takeHub(seed, reply, reply.Hosts)
@@ -69,7 +71,7 @@
 		q = &question{}
 		m.others[hub] = q
 	}
-	if q.underWay || time.Now().Before(q.next) {
+	if q.underWay || boottime.Now().Before(q.next) {
 		return question{}, false
 	}
 	q.underWay = true
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -184,7 +185,7 @@
 
 // alone says that the present hub is the only one that has this host's report: the one
 // before has forgotten it.
-func (m *Member) alone() bool { return time.Since(m.hubSince) > WorkAge }
+func (m *Member) alone() bool { return boottime.Since(m.hubSince) > WorkAge }
 
 // revisions are the newest that this host knows of the store's tables.
 func (m *Member) revisions() map[string]uint64 {
--- a/internal/exchange/quarantine.go
+++ b/internal/exchange/quarantine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
@@ -285,14 +286,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.sightings.add(s, time.Now())
+	h.sightings.add(s, boottime.Now())
 }
 
 // sightingsSince is what this hub was told after a number.
 func (h *hub) sightingsSince(number uint64) (Sightings, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.sightings.since(number, time.Now())
+	return h.sightings.since(number, boottime.Now())
 }
 
 // standing is what a follower is told, or another hub, which knows all but the verdicts
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -1,13 +1,13 @@
 package exchange
 
-import "time"
+import "github.com/quetzalweir/quetzalweir/internal/boottime"
 
 // takeHub keeps what another hub told of hosts that don't report here.
 func (h *hub) takeHub(address string, r Reply, hosts int) {
 	h.takeSightings(hubKey(address), r.Sightings)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: time.Now(), fromHub: true, hosts: hosts}
+	h.reports[hubKey(address)] = received{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: boottime.Now(), fromHub: true, hosts: hosts}
 	h.reads.add(address, true, r.Reads)
 	h.takeTimings(hubKey(address), r.Timings)
 }
--- a/internal/feed/link.go
+++ b/internal/feed/link.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // Link is what the watchers of one store share: whether the store answers. When
@@ -21,6 +24,8 @@
 	trying *Watcher
 	// returned is closed when the store answers again.
 	returned chan struct{}
+	// returnedAt is when it last did; zero before that.
+	returnedAt time.Time
 	// calls are those under way.
 	calls map[*Watcher]*linkCall
 }
@@ -91,6 +96,7 @@
 func (l *Link) answered(w *Watcher) {
 	if l.trying == w {
 		l.trying = nil
+		l.returnedAt = boottime.Now()
 		close(l.returned)
 	}
 }
@@ -112,6 +118,13 @@
 	return l.trying != nil
 }
 
+// returnedWithin says whether the store is out of reach, or was within the span.
+func (l *Link) returnedWithin(span time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trying != nil || !l.returnedAt.IsZero() && boottime.Since(l.returnedAt) < span
+}
+
 // leave lets another watcher try the store when this one stops.
 func (l *Link) leave(w *Watcher) {
 	l.mu.Lock()
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 const (
@@ -188,7 +190,7 @@
 	r := &w.relayed
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.news, r.at, !r.at.IsZero() && time.Since(r.at) < w.relayedAge()
+	return r.news, r.at, !r.at.IsZero() && boottime.Since(r.at) < w.relayedAge()
 }
 
 func (w *Watcher) relayedAge() time.Duration {
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // takeNews takes what another host told, as the store's word of the given time.
@@ -21,7 +23,7 @@
 		w.lag.note(news.Revision, w.sinceStart())
 		return false
 	}
-	w.succeeded(max(1, w.sinceStart()-time.Since(at)))
+	w.succeeded(max(1, w.sinceStart()-boottime.Since(at)))
 	return true
 }
 
@@ -110,7 +112,7 @@
 // to rely on.
 func (w *Watcher) awaitNews(ctx context.Context, at time.Time) error {
 	w.options.Link.leave(w)
-	timer := time.NewTimer(w.relayedAge() - time.Since(at))
+	timer := time.NewTimer(w.relayedAge() - boottime.Since(at))
 	defer timer.Stop()
 	select {
 	case <-w.relayed.wake:
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
@@ -121,7 +122,7 @@
 		source:  source,
 		handler: handler,
 		log:     log.With().Str("table", table).Logger(),
-		start:   time.Now(),
+		start:   boottime.Now(),
 		relayed: relayed{wake: make(chan struct{}, 1)},
 		hurried: make(chan struct{}, 1),
 	}
@@ -146,13 +147,19 @@
 	return w.lostAt.Load() != 0 || w.options.Link.lost()
 }
 
+// Returned says whether the store's word ends an outage, or one ended within the span, by
+// this watcher's calls or by those of another one on the link.
+func (w *Watcher) Returned(within time.Duration) bool {
+	return w.lostAt.Load() != 0 || w.options.Link.returnedWithin(within)
+}
+
 // StoreClock is the store's steady clock now, as far as the last answer tells.
 func (w *Watcher) StoreClock() time.Duration {
 	return w.sinceStart() + time.Duration(w.clockOffset.Load())
 }
 
 // sinceStart is the time since the watcher was made, above 0.
-func (w *Watcher) sinceStart() time.Duration { return max(1, time.Since(w.start)) }
+func (w *Watcher) sinceStart() time.Duration { return max(1, boottime.Since(w.start)) }
 
 // Run follows the table until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -117,7 +118,7 @@
 
 func (a *attempt) setHeaders(header http.Header) {
 	r, names := a.request, &a.gateway.settings.Headers
-	left := max(1, time.Until(r.Deadline).Milliseconds())
+	left := max(1, boottime.Until(r.Deadline).Milliseconds())
 	header.Set(names.Deadline, strconv.FormatInt(left, 10))
 	header.Set(names.ExpectInstance, a.choice.upstream.ID)
 	if r.Account != nil {
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -173,7 +173,7 @@
 		h.set(e, starts.usual())
 	}
 	h.unreadable.keep(keys)
-	h.gateway.fleet.Keep(keys, revision)
+	h.gateway.fleet.Keep(keys, revision, h.gateway.storeReturned())
 }
 
 // entry is an upstream's row and what it says.
@@ -186,7 +186,7 @@
 func (h *upstreamRows) Change(row feed.Row) {
 	if row.Deleted {
 		h.unreadable.clear(row.Key)
-		h.gateway.fleet.Remove(row.Key, row.Revision)
+		h.gateway.fleet.Remove(row.Key, row.Revision, h.gateway.storeReturned())
 		return
 	}
 	if u, ok := h.read(row); ok {
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // retryBudget bounds the requests that one service is sent again, against those
@@ -48,7 +50,7 @@
 		spare: spare,
 		slots: make([]budgetSlot, budgetSlots+1),
 		span:  window / budgetSlots,
-		start: time.Now(),
+		start: boottime.Now(),
 	}
 }
 
@@ -84,7 +86,7 @@
 
 // current is the slot of this moment, cleared if it was of an earlier one.
 func (b *retryBudget) current() *budgetSlot {
-	number := int64(time.Since(b.start) / b.span)
+	number := int64(boottime.Since(b.start) / b.span)
 	s := &b.slots[number%int64(len(b.slots))]
 	if s.number != number {
 		*s = budgetSlot{number: number}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
@@ -62,7 +63,7 @@
 // choose picks an upstream and counts the request as in flight there; the
 // caller ends it with release.
 func (f *Fleet) choose(w wants) (choice, bool) {
-	now := time.Now()
+	now := boottime.Now()
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,7 +97,7 @@
 	if m == nil {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	s.noteHeld(now.Sub(c.at))
 	m.end(&c)
 	m.observe(result, now)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -77,6 +78,10 @@
 
 // try makes one attempt at the upstream that suits best.
 func (d *dispatch) try(ctx context.Context, r *Request, models *modelSteps) (attemptResult, error) {
+	if boottime.Until(r.Deadline) <= 0 {
+		// The host was suspended since the request came: its timers don't know yet.
+		return attemptResult{}, d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no answer in time"))
+	}
 	if err := d.gateway.keeper.admit(ctx, r); err != nil {
 		return attemptResult{}, d.refusal(r, resultcode.From(err))
 	}
@@ -188,7 +193,7 @@
 	}
 	upgrade := d.gateway.fleet.upgrade(d.wants(r, models.next(), true))
 	upgrade.Usual = float64(d.gateway.settings.AcceptConfidence)
-	upgrade.Expected += time.Since(r.Arrived)
+	upgrade.Expected += boottime.Since(r.Arrived)
 	upgrade.Target = r.Route.Target
 	a.threshold, a.pressure = int(upgrade.Required()), upgrade.Pressure
 	if head.confidence >= a.threshold {
@@ -215,7 +220,7 @@
 	if r.answer.started && !r.Route.Resumable {
 		return false
 	}
-	if time.Until(r.Deadline) < minAttemptTime {
+	if boottime.Until(r.Deadline) < minAttemptTime {
 		return false
 	}
 	if result.outcome == outcomeUnsent {
--- a/internal/gateway/exposures.go
+++ b/internal/gateway/exposures.go
@@ -57,13 +57,13 @@
 	// checking says that a look at the upstream is under way.
 	checking bool
 	// endedAt is when the upstream was found to have ended; zero before.
-	endedAt boottime.Instant
+	endedAt time.Time
 }
 
 // givenUpRun is a run that was given up, and when.
 type givenUpRun struct {
 	digest quarantine.Digest
-	at     boottime.Instant
+	at     time.Time
 }
 
 func newExposures(log zerolog.Logger) *exposures {
@@ -108,7 +108,7 @@
 		}
 	}
 	if result.outcome == outcomeDone || result.outcome == outcomeFailed {
-		l.endedAt = boottime.Instant{} // it answers, so it lives
+		l.endedAt = time.Time{} // it answers, so it lives
 	}
 	late, ago := l.takeLate()
 	e.mu.Unlock()
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -104,7 +105,7 @@
 		allowed = defaultTimeout
 	}
 	r.Deadline = r.Arrived.Add(allowed)
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, boottime.Until(r.Deadline))
 	defer cancel()
 	return next(ctx, r)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
@@ -96,20 +97,27 @@
 	return &shard{members: make(map[string]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
-// Remove notes that an upstream's entry vanished.
-func (f *Fleet) Remove(id string, revision uint64) {
+// lapseGrace is how long an upstream is used whose entry vanished in an outage of the store:
+// entries lapse then though their upstreams live, and are back about two seconds after
+// the store. Without it a service had no upstream for the last half second of these.
+const lapseGrace = 2200 * time.Millisecond
+
+// Remove notes that an upstream's entry vanished; lapsed says that it may have done so
+// because of an outage of the store.
+func (f *Fleet) Remove(id string, revision uint64, lapsed bool) {
 	f.each(func(s *shard) {
 		m := s.members[id]
 		if m == nil || !m.removedAt.IsZero() {
 			return
 		}
-		m.removedAt = time.Now()
-		f.log.Info().Str("event", "upstream-removed").Str("upstream", id).Uint64("revision", revision).Msg("")
+		m.removedAt = boottime.Now()
+		m.lapsed = lapsed
+		f.log.Info().Str("event", "upstream-removed").Str("upstream", id).Uint64("revision", revision).Bool("lapsed", lapsed).Msg("")
 	})
 }
 
 // Keep removes all upstreams that aren't in the list.
-func (f *Fleet) Keep(listed map[string]bool, revision uint64) {
+func (f *Fleet) Keep(listed map[string]bool, revision uint64, lapsed bool) {
 	var gone []string
 	f.each(func(s *shard) {
 		for id := range s.members {
@@ -119,7 +127,7 @@
 		}
 	})
 	for _, id := range gone {
-		f.Remove(id, revision)
+		f.Remove(id, revision, lapsed)
 	}
 }
 
@@ -180,7 +188,7 @@
 }
 
 func (s *shard) serves(fits func(version string) bool, grace time.Duration) bool {
-	now := time.Now()
+	now := boottime.Now()
 	for _, m := range s.members {
 		if fits(m.Version) && m.takesWork(now, grace) {
 			return true
@@ -194,7 +202,7 @@
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	n := 0
 	for _, m := range s.members {
 		if m.Version == version && m.takesWork(now, f.removalGrace) {
@@ -214,7 +222,7 @@
 	if s.base != "" && s.serves(func(version string) bool { return version == s.base }, f.removalGrace) {
 		return s.base
 	}
-	now := time.Now()
+	now := boottime.Now()
 	counts := make(map[string]int)
 	best := ""
 	for _, m := range s.members {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -16,7 +17,7 @@
 	names := &g.settings.Headers
 	r := &Request{
 		ID:      req.Header.Get(names.RequestID),
-		Arrived: time.Now(),
+		Arrived: boottime.Now(),
 		Method:  req.Method,
 		Target:  requestTarget(req),
 		Host:    req.Host,
@@ -59,7 +60,7 @@
 	if r.Table != nil {
 		version = r.Table.Version
 	}
-	took := time.Since(r.Arrived)
+	took := boottime.Since(r.Arrived)
 	g.metrics.request(route, code.String(), took)
 	line := g.log.Info()
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
@@ -27,9 +28,11 @@
 	table    atomic.Pointer[routing.Table]
 	fleet    *Fleet
 	rollouts *rollouts
-	peers    *exchange.Member
-	budgets  perService[retryBudget]
-	sizes    perService[promptSizes]
+	// entries follows the upstreams' entries; nil before that.
+	entries *feed.Watcher
+	peers   *exchange.Member
+	budgets perService[retryBudget]
+	sizes   perService[promptSizes]
 	// usual is by service and model.
 	usual    perService[usualTime]
 	pipeline next
@@ -178,10 +181,11 @@
 	upstreamOptions.Gather = gather
 	status := feed.NewWatcher(tables.Status, store, newStatusRows(g), statusOptions, g.log)
 	g.rollouts.statuses = status
+	g.entries = feed.NewWatcher(tables.Upstreams, store, newUpstreamRows(g), upstreamOptions, g.log)
 	watchers := map[string]*feed.Watcher{
 		tables.Status:    status,
 		tables.Operator:  feed.NewWatcher(tables.Operator, store, newOperatorRows(g), operatorOptions, g.log),
-		tables.Upstreams: feed.NewWatcher(tables.Upstreams, store, newUpstreamRows(g), upstreamOptions, g.log),
+		tables.Upstreams: g.entries,
 	}
 	group := new(sync.WaitGroup)
 	if peers := &g.settings.Peers; peers.Listen != "" {
@@ -216,6 +220,14 @@
 	return g.rollouts.underWay() || g.keeper.register.Len() > 0 || g.peers == nil || !g.peers.Told()
 }
 
+// lapsedWithin is the time after an outage of the store in which an entry that vanishes may
+// have lapsed in it: the next word on the entries comes after the pause in which their
+// changes are gathered.
+const lapsedWithin = 2 * time.Second
+
+// storeReturned says that the store was away until just now.
+func (g *Gateway) storeReturned() bool { return g.entries != nil && g.entries.Returned(lapsedWithin) }
+
 // storeClock is the store's steady clock, as far as it is known.
 func (g *Gateway) storeClock() time.Duration {
 	if g.rollouts.statuses == nil {
@@ -234,8 +246,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			g.fleet.Sweep(now)
+		case <-ticker.C:
+			g.fleet.Sweep(boottime.Now())
 			g.keeper.exposures.sweep()
 		}
 	}
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -41,7 +41,7 @@
 	}
 	m.Upstream = u
 	m.Leaving = leaving
-	m.removedAt = time.Time{}
+	m.removedAt, m.lapsed = time.Time{}, false
 	m.withdrawn = false
 }
 
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -41,6 +41,8 @@
 	// name stands for the upstream in what hosts tell each other.
 	name      exchange.Name
 	removedAt time.Time
+	// lapsed says that the entry may have vanished because the store was away.
+	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
 	withdrawn bool
 	inFlight  int
@@ -73,6 +75,9 @@
 	if m.Leaving || m.withdrawn {
 		return false
 	}
+	if m.lapsed {
+		grace = max(grace, lapseGrace)
+	}
 	return m.removedAt.IsZero() || now.Sub(m.removedAt) < grace
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
@@ -39,7 +40,7 @@
 
 // timings are what this host's answers told of the paces of models.
 func (f *Fleet) timings() exchange.Timings {
-	now := time.Now()
+	now := boottime.Now()
 	timings := make(exchange.Timings)
 	f.eachService(func(service string, s *shard) {
 		for model, t := range s.rates.Timings(now) {
@@ -115,7 +116,7 @@
 // upgrade is what the model would do for the request on the engine that would be chosen
 // now.
 func (f *Fleet) upgrade(w wants) placement.Upgrade {
-	now := time.Now()
+	now := boottime.Now()
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,7 +17,9 @@
 type Request struct {
 	// Set when it arrives.
 
-	ID      string
+	ID string
+	// Arrived and Deadline are moments of boottime: a caller's patience ends while the
+	// host is suspended, too.
 	Arrived time.Time
 	Method  string
 	// Target is the request target as the caller sent it: path and query.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 )
@@ -97,7 +98,7 @@
 	if known := m.active[o.Service]; known != nil && o.Revision <= known.order.Revision {
 		return
 	}
-	a := &activeRollout{order: o, seenAt: time.Now(), evidence: newEvidence()}
+	a := &activeRollout{order: o, seenAt: boottime.Now(), evidence: newEvidence()}
 	m.active[o.Service] = a
 	m.log.Info().Str("event", "rollout-ordered").Str("service", o.Service).Str("version", o.Version).
 		Dur("duration", o.Duration).Uint64("revision", o.Revision).Msg("")
@@ -191,7 +192,7 @@
 func (m *rollouts) observe(r *Request, c *choice, result attemptResult, counted bool) {
 	m.learn(r, c, func(e *evidence, o observation) {
 		o.counted = counted
-		e.end(o, result, time.Now())
+		e.end(o, result, boottime.Now())
 	})
 }
 
@@ -260,7 +261,7 @@
 // progress is the part of the roll-out's duration that is over, by the store's
 // clock if a status tells when it began.
 func (m *rollouts) progress(a *activeRollout) float64 {
-	elapsed := time.Since(a.seenAt)
+	elapsed := boottime.Since(a.seenAt)
 	if a.known() && m.statuses != nil {
 		elapsed = m.statuses.StoreClock() - a.status.Started
 	}
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -53,7 +54,7 @@
 // roll-out, and no bad one of the new version.
 func (m *rollouts) idle(a *activeRollout) bool {
 	v := total(a.evidence.all())
-	return time.Since(a.seenAt) >= a.order.Duration/2 &&
+	return boottime.Since(a.seenAt) >= a.order.Duration/2 &&
 		v.Old.Answers+v.New.Answers < fewAnswers && v.New.Failed == 0 && v.New.Slow == 0
 }
 
@@ -64,9 +65,9 @@
 		return false
 	}
 	if a.writeAt.IsZero() {
-		a.writeAt = time.Now().Add(m.delay(next))
+		a.writeAt = boottime.Now().Add(m.delay(next))
 	}
-	return !time.Now().Before(a.writeAt)
+	return !boottime.Now().Before(a.writeAt)
 }
 
 // delay is the time until this host's turn. Hosts on which others rely for the store's
@@ -100,7 +101,7 @@
 		Version:       a.order.Version,
 		State:         state,
 		OrderRevision: a.order.Revision,
-		Started:       m.statuses.StoreClock() - time.Since(a.seenAt),
+		Started:       m.statuses.StoreClock() - boottime.Since(a.seenAt),
 	}
 	if a.known() {
 		next.Started = a.status.Started
--- a/internal/gateway/verdictrows.go
+++ b/internal/gateway/verdictrows.go
@@ -48,8 +48,8 @@
 	mu sync.Mutex
 	// trials are requests that this host may try, or has sent.
 	trials map[quarantine.Digest]*trial
-	nextAt boottime.Instant
-	tidyAt boottime.Instant
+	nextAt time.Time
+	tidyAt time.Time
 }
 
 // trial is one send of a request whose judgement has ended.
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 )
 
@@ -70,12 +71,12 @@
 	defer s.mu.Unlock()
 	if m := s.chosen(c); m != nil {
 		m.read(c)
-		m.beganAt = time.Now()
+		m.beganAt = boottime.Now()
 	}
 	c.reading = nil
 	s.waits.observe(took, c.placed.Alone)
 	if c.ahead < c.placed.Reading/littleAhead {
-		s.rates.Observe(c.wants.model, c.placed.Missing, took, time.Now())
+		s.rates.Observe(c.wants.model, c.placed.Missing, took, boottime.Now())
 	}
 }
 
@@ -160,7 +161,7 @@
 
 // work is what this host has in flight, by upstream.
 func (f *Fleet) work() exchange.Work {
-	now := time.Now()
+	now := boottime.Now()
 	work := make(exchange.Work)
 	f.each(func(s *shard) {
 		for _, m := range s.members {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
 )
 
@@ -212,8 +213,8 @@
 // cutIfStalled closes a connection on which nothing was read for too long
 // while calls were open, for example because the other host is frozen.
 func (c *clientConn) cutIfStalled() {
-	last := time.Unix(0, c.stream.lastRead.Load())
-	if time.Since(last) >= c.stall {
+	last := time.Duration(c.stream.lastRead.Load())
+	if boottime.Elapsed()-last >= c.stall {
 		c.rpc.Close()
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 const (
@@ -40,7 +42,8 @@
 	receive frameMAC
 	// received is the size of the last frame read, of the reading goroutine.
 	received int
-	// lastRead is when the last frame was complete, in Unix nanoseconds.
+	// lastRead is when the last frame was complete, as boottime.Elapsed in nanoseconds: a
+	// jump of the time of day is no silence, and the time of a suspension is one.
 	lastRead atomic.Int64
 
 	failure atomic.Pointer[error]
@@ -54,7 +57,7 @@
 		send:    newFrameMAC(s.sendKey),
 		receive: newFrameMAC(s.receiveKey),
 	}
-	st.lastRead.Store(time.Now().UnixNano())
+	st.lastRead.Store(int64(boottime.Elapsed()))
 	return st
 }
 
@@ -164,7 +167,7 @@
 		return nil, fmt.Errorf("%w: wrong frame tag", ErrAuthentication)
 	}
 	s.received = len(head) + size
-	s.lastRead.Store(time.Now().UnixNano())
+	s.lastRead.Store(int64(boottime.Elapsed()))
 	return payload, nil
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // link keeps the one connection to an address.
@@ -55,7 +57,7 @@
 	if l.closed {
 		return fmt.Errorf("%w: %w", ErrUnreachable, ErrClosed)
 	}
-	if time.Now().Before(l.retry) {
+	if boottime.Now().Before(l.retry) {
 		return l.unreachable()
 	}
 	return nil
@@ -105,7 +107,7 @@
 	l.lastErr = err
 	if err != nil {
 		l.failures++
-		l.retry = time.Now().Add(l.client.options.backoff(l.failures))
+		l.retry = boottime.Now().Add(l.client.options.backoff(l.failures))
 		return
 	}
 	l.failures = 0
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -17,7 +18,7 @@
 // Options sets up a Manager.
 type Options struct {
 	Table storage.Table
-	// Clock must give monotonic times, as time.Now does; default time.Now.
+	// Clock must give monotonic times that count suspensions; default boottime.Now.
 	Clock storage.Clock
 	// MarginPart divides the TTL to give the safety margin; default 10, which
 	// makes a TTL of 10 s usable for 9 s.
@@ -44,7 +45,7 @@
 // New returns a Manager.
 func New(options Options) *Manager {
 	if options.Clock == nil {
-		options.Clock = time.Now
+		options.Clock = boottime.Now
 	}
 	if options.MarginPart <= 0 {
 		options.MarginPart = DefaultMarginPart
@@ -118,11 +119,6 @@
 	return ttl / time.Duration(m.marginPart)
 }
 
-// elapsed is the time since start by the monotonic clock or by the wall clock,
-// whichever says more: the monotonic one stands still while a virtual machine
-// is suspended. A wall clock set forward ends a lease early, which is safe.
-func elapsed(now, start time.Time) time.Duration {
-	monotonic := now.Sub(start)
-	wall := now.Round(0).Sub(start.Round(0))
-	return max(monotonic, wall)
-}
+// elapsed is the time since start. It counts the time for which the host was suspended,
+// whatever the time of day says meanwhile: that may be set back.
+func elapsed(now, start time.Time) time.Duration { return now.Sub(start) }
--- a/membership/discover.go
+++ b/membership/discover.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -53,7 +54,7 @@
 	switch {
 	case len(m.rings.all) == 0:
 		return min(o.DiscoverInterval, o.Interval)
-	case m.isolated(time.Now()):
+	case m.isolated(boottime.Now()):
 		return o.DiscoverInterval
 	default:
 		return max(o.DiscoverInterval, time.Duration(len(m.rings.all))*discoverPerRow)
@@ -65,7 +66,7 @@
 	after := ""
 	for {
 		// The time before the call: an answer may have waited in a freeze.
-		asked := time.Now()
+		asked := boottime.Now()
 		page, err := m.listPage(ctx, after)
 		if err != nil {
 			return
@@ -100,7 +101,7 @@
 	if json.Unmarshal(stored.Value, &row) != nil || PresencePrefix+row.Member.ID != stored.Key {
 		return
 	}
-	age := now.Sub(time.UnixMilli(row.RenewedAt))
+	age := time.Since(time.UnixMilli(row.RenewedAt)) // by the time of day, as it was written
 	if !known && age > staleTTLs*m.options.PresenceTTL {
 		return
 	}
@@ -127,7 +128,7 @@
 // own clock. While nobody is heard, a lapsed lease is the only sign that the
 // others have failed rather than this host.
 func (m *Membership) sightUnchanged(ctx context.Context, stored storage.Row, unchanged time.Duration) {
-	if unchanged < staleTTLs*m.options.PresenceTTL || !m.holdsLease(time.Now()) {
+	if unchanged < staleTTLs*m.options.PresenceTTL || !m.holdsLease(boottime.Now()) {
 		return
 	}
 	if unchanged >= abandonedTTLs*m.options.PresenceTTL {
@@ -137,7 +138,7 @@
 		delete(m.presence.seen, stored.Key)
 	}
 	m.mu.Lock()
-	now := time.Now()
+	now := boottime.Now()
 	r := m.store.member(strings.TrimPrefix(stored.Key, PresencePrefix))
 	if r != nil && r.member.ID != m.self.ID && m.isolated(now) {
 		member := r.member
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 const (
@@ -36,7 +38,7 @@
 	defer sweep.Stop()
 	round := time.NewTimer(m.jitter(m.options.Interval) / 4)
 	defer round.Stop()
-	last := time.Now()
+	last := boottime.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -45,7 +47,7 @@
 			work.Go(func() { m.push(ctx) })
 		case <-sweep.C:
 			m.pause()
-			now := time.Now()
+			now := boottime.Now()
 			if now.Sub(last) > thawAfter {
 				m.thaw(now)
 			}
@@ -109,7 +111,7 @@
 
 // gossip holds one regular exchange, and a comparison if it shows a need.
 func (m *Membership) gossip(ctx context.Context, to Member) error {
-	now := time.Now()
+	now := boottime.Now()
 	m.mu.Lock()
 	message, sent := m.compose(KindGossip, to.ID, now)
 	message.Ask = !now.Before(m.nextSync)
@@ -145,7 +147,7 @@
 	defer cancel()
 	message.To = to.ID
 	answer, err := m.options.Transport.Exchange(ctx, to, message)
-	now := time.Now()
+	now := boottime.Now()
 	m.mu.Lock()
 	m.stats.Exchanges++
 	if err != nil {
@@ -162,7 +164,7 @@
 
 // HandleExchange answers a message of another host.
 func (m *Membership) HandleExchange(ctx context.Context, message Message) (Message, error) {
-	now := time.Now()
+	now := boottime.Now()
 	m.mu.Lock()
 	if message.To != "" && message.To != m.self.ID {
 		m.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // Errors of New, Run and HandleExchange.
@@ -87,7 +89,7 @@
 		return nil, fmt.Errorf("%w: Self needs an ID, and fields of at most %d bytes", ErrOptions, maxField)
 	}
 	options = options.withDefaults()
-	now := time.Now()
+	now := boottime.Now()
 	m := &Membership{
 		options:   options,
 		presence:  newPresence(),
@@ -102,7 +104,7 @@
 	}
 	// A host without disks doesn't know its earlier incarnations. The time
 	// is above them unless the clock stepped back; then it refutes.
-	m.announce(uint64(max(now.UnixMilli(), 1)), now)
+	m.announce(uint64(max(time.Now().UnixMilli(), 1)), now)
 	return m, nil
 }
 
@@ -154,7 +156,7 @@
 func (m *Membership) Isolated() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.isolated(time.Now())
+	return m.isolated(boottime.Now())
 }
 
 // Put makes a fact known. It returns ErrStale if an equal or higher version
@@ -172,7 +174,7 @@
 	switch {
 	case r != nil && r.fact.Version >= fact.Version:
 		err = fmt.Errorf("%w: %s: have version %d, got %d", ErrStale, fact.Key, r.fact.Version, fact.Version)
-	case !m.mergeFact(fact, own, time.Now()):
+	case !m.mergeFact(fact, own, boottime.Now()):
 		err = fmt.Errorf("%w: %d", ErrFull, m.options.MaxFacts)
 	}
 	m.mu.Unlock()
@@ -185,7 +187,7 @@
 func (m *Membership) Get(key string) (Fact, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	r := m.store.fact(key)
 	if r == nil || r.fact.Expired() {
 		return Fact{}, false
@@ -201,7 +203,7 @@
 func (m *Membership) Facts(prefix string) []Fact {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.factsWith(prefix, time.Now())
+	return m.factsWith(prefix, boottime.Now())
 }
 
 func (m *Membership) factsWith(prefix string, now time.Time) []Fact {
--- a/membership/notify.go
+++ b/membership/notify.go
@@ -3,7 +3,8 @@
 import (
 	"strings"
 	"sync"
-	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // notifier calls subscribers in the order of the changes, outside the lock of
@@ -63,7 +64,7 @@
 	n.next++
 	id := n.next
 	n.watchers[id] = watcher{prefix: prefix, f: f}
-	for _, fact := range m.factsWith(prefix, time.Now()) {
+	for _, fact := range m.factsWith(prefix, boottime.Now()) {
 		n.queue = append(n.queue, notice{fact: fact, isFact: true, only: id})
 	}
 	n.mu.Unlock()
--- a/membership/presence.go
+++ b/membership/presence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -88,7 +89,7 @@
 		p.known = false
 		return err
 	}
-	p.version, p.known, p.written = version, true, time.Now()
+	p.version, p.known, p.written = version, true, boottime.Now()
 	return nil
 }
 
@@ -134,7 +135,7 @@
 	}
 	m.mu.Lock()
 	if row.Member.Incarnation >= m.self.Incarnation {
-		m.announce(row.Member.Incarnation+1, time.Now())
+		m.announce(row.Member.Incarnation+1, boottime.Now())
 	}
 	m.mu.Unlock()
 	m.notifier.flush()
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // probe exchanges with a target. If that fails, others are asked to reach it;
@@ -13,7 +15,7 @@
 		defer m.mu.Unlock()
 		delete(m.probing, target.ID)
 	}()
-	start := time.Now()
+	start := boottime.Now()
 	if m.gossip(ctx, target) == nil || ctx.Err() != nil {
 		return
 	}
@@ -21,7 +23,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.suspect(target, epoch, start, time.Now())
+	m.suspect(target, epoch, start, boottime.Now())
 	m.mu.Unlock()
 	m.notifier.flush()
 }
--- a/membership/push.go
+++ b/membership/push.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // push sends new records at once to a few hosts, which do the same with what
@@ -94,7 +96,7 @@
 }
 
 func (m *Membership) pushOne(ctx context.Context, target Member, records []*record) bool {
-	now := time.Now()
+	now := boottime.Now()
 	m.mu.Lock()
 	message := m.envelope(KindPush, target.ID)
 	added := m.add(&message, records, target.ID, m.options.MaxNewsBytes, now)
@@ -131,7 +133,7 @@
 func (m *Membership) Leave(ctx context.Context) error {
 	m.mu.Lock()
 	m.self.State = Leaving
-	m.announce(m.self.Incarnation+1, time.Now())
+	m.announce(m.self.Incarnation+1, boottime.Now())
 	records := []*record{m.store.member(m.self.ID)}
 	targets := m.pushTargets()
 	m.mu.Unlock()
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // maxListing is the number of entries of a listing after which no further
@@ -43,7 +45,7 @@
 func (m *Membership) syncSoon() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nextSync = time.Now()
+	m.nextSync = boottime.Now()
 }
 
 // list lists whole buckets, from a random one on, and reports whether it
@@ -126,7 +128,7 @@
 
 // sendWanted sends the records that another host asked for.
 func (m *Membership) sendWanted(ctx context.Context, to Member, keys []string) {
-	now := time.Now()
+	now := boottime.Now()
 	m.mu.Lock()
 	var wanted []*record
 	for _, key := range keys {
--- a/quota/adjust.go
+++ b/quota/adjust.go
@@ -66,7 +66,7 @@
 		certain = min(certain, c.open.held)
 	}
 	now := l.opts.Clock()
-	b.hold(now, l.leaseEnd(now), certain, 0)
+	b.hold(now, l.leaseEnd(), certain, 0)
 	c.holders = c.holders[:0]
 	for _, h := range row.Holdings {
 		if h.Holder != id {
@@ -86,7 +86,7 @@
 		if c.open != nil {
 			certain = min(certain, c.open.held)
 		}
-		d.slots = max(d.slots, b.hold(now, l.leaseEnd(now), certain, 0))
+		d.slots = max(d.slots, b.hold(now, l.leaseEnd(), certain, 0))
 	}
 	id := l.lease.Load().id
 	next, fresh := row.with(id, d)
@@ -96,7 +96,7 @@
 	case err == nil:
 		c.open = nil
 		c.held = d.slots
-		b.hold(now, l.leaseEnd(now), d.slots, fresh)
+		b.hold(now, l.leaseEnd(), d.slots, fresh)
 		return nil
 	case errors.Is(err, storage.ErrConflict):
 		return nil
@@ -116,7 +116,7 @@
 	}
 	c.open = &openCommit{base: base, held: held}
 	now := l.opts.Clock()
-	b.hold(now, l.leaseEnd(now), min(c.held, held), 0)
+	b.hold(now, l.leaseEnd(), min(c.held, held), 0)
 }
 
 func (l *Limiter) commitRow(ctx context.Context, account string, row accountRow, dead []string) (uint64, error) {
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -20,26 +20,20 @@
 	ttl   time.Duration
 }
 
-// end is when the lease lapses. Besides the monotonic clock it heeds the wall
-// clock, since the former stands still while a machine is suspended: a wall
-// clock past the end ends the lease at once.
-func (l *lease) end(now time.Time) time.Time {
+// end is when the lease lapses, by a clock that counts suspensions.
+func (l *lease) end() time.Time {
 	if l == nil {
 		return time.Time{}
 	}
-	end := l.start.Add(l.ttl)
-	if now.Round(0).After(end.Round(0)) {
-		return time.Time{}
-	}
-	return end
+	return l.start.Add(l.ttl)
 }
 
 // leaseEnd is when the host's holdings stop counting.
-func (l *Limiter) leaseEnd(now time.Time) time.Time {
+func (l *Limiter) leaseEnd() time.Time {
 	if l.leaving.Load() {
 		return time.Time{}
 	}
-	return l.lease.Load().end(now)
+	return l.lease.Load().end()
 }
 
 // renew registers the host or renews its lease when that is due.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -74,7 +74,7 @@
 		}
 		b, ok := old[limit.Account]
 		if ok {
-			b.setLimit(now, l.leaseEnd(now), limit, l.opts.Floor)
+			b.setLimit(now, l.leaseEnd(), limit, l.opts.Floor)
 		} else {
 			b = newBucket(limit, l.opts.Floor, now)
 			defer wake(l.changes)
@@ -93,7 +93,7 @@
 		return true, 0
 	}
 	now := l.opts.Clock()
-	ok, retryAfter = b.take(now, l.leaseEnd(now), n)
+	ok, retryAfter = b.take(now, l.leaseEnd(), n)
 	if !ok {
 		wake(l.refusals)
 	}
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -42,7 +42,7 @@
 		return Loan{}, ErrNoLoan
 	}
 	now := l.opts.Clock()
-	return b.lend(now, l.leaseEnd(now), request.Slots, l.opts.LoanTerm)
+	return b.lend(now, l.leaseEnd(), request.Slots, l.opts.LoanTerm)
 }
 
 func (b *bucket) lend(now, leaseEnd time.Time, want int, length time.Duration) (Loan, error) {
@@ -111,5 +111,5 @@
 		return
 	}
 	now := l.opts.Clock()
-	b.borrow(asked, now, l.leaseEnd(now), loan)
+	b.borrow(asked, now, l.leaseEnd(), loan)
 }
--- a/quota/options.go
+++ b/quota/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/defaults"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -37,7 +38,7 @@
 	Host string
 	// Peers reaches other hosts for loans; nil means that there are none.
 	Peers Peers
-	// Clock gives the time; default time.Now. It must not stand still while
+	// Clock gives the time; default boottime.Now. It must not stand still while
 	// the process is stopped.
 	Clock storage.Clock
 	// TTL is the lease on all holdings of the host; default 10 min. A host
@@ -61,7 +62,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Clock == nil {
-		o.Clock = time.Now
+		o.Clock = boottime.Now
 	}
 	defaults.Positive(&o.TTL, DefaultTTL)
 	defaults.Positive(&o.Interval, DefaultInterval)
