--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 )
 
 // outcome is how one attempt ended.
@@ -49,6 +53,22 @@
 	whole *wholeAnswer
 }
 
+// ending is what the result says of the upstream's run.
+func (r *attemptResult) ending() guard.Ending {
+	switch r.outcome {
+	case outcomeDone, outcomeFailed:
+		return guard.Answered
+	case outcomeUnknown, outcomeBroken:
+		return guard.Broken
+	case outcomeAbandoned, outcomeSilent:
+		return guard.GivenUp
+	}
+	if errors.Is(r.err, syscall.ECONNREFUSED) {
+		return guard.Unreachable
+	}
+	return guard.NotRun
+}
+
 // wholeAnswer is an answer with its body.
 type wholeAnswer struct {
 	status int
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -242,12 +242,18 @@
 		keys[row.Key] = true
 		h.Change(row)
 	}
-	h.gateway.keeper.rows.keep(keys)
+	h.gateway.guard.KeepRows(keys)
 }
 
 // changeVerdict takes the row of a verdict. One that can't be read keeps nothing away.
 func (h *statusRows) changeVerdict(row feed.Row) {
-	if err := h.gateway.keeper.rows.change(row); err != nil {
+	var err error
+	if row.Deleted {
+		err = h.gateway.guard.RowRemoved(row.Key)
+	} else {
+		err = h.gateway.guard.TakeRow(row.Key, row.Data, row.Revision)
+	}
+	if err != nil {
 		h.unreadable.note(row, err)
 		return
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -78,19 +79,15 @@
 
 // try makes one attempt at the upstream that suits best.
 func (d *dispatch) try(ctx context.Context, r *Request, models *modelSteps) (attemptResult, error) {
-	if boottime.Until(r.Deadline) <= 0 {
-		// The host was suspended since the request came: its timers don't know yet.
-		return attemptResult{}, d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no answer in time"))
-	}
-	if err := d.gateway.keeper.admit(ctx, r); err != nil {
-		return attemptResult{}, d.refusal(r, resultcode.From(err))
+	if err := d.admit(ctx, r); err != nil {
+		return attemptResult{}, err
 	}
-	defer d.gateway.keeper.leave(r.Digest)
+	defer d.gateway.guard.Leave(r.Digest)
 	a, err := d.begin(r, models)
 	if err != nil {
 		return attemptResult{}, err
 	}
-	d.gateway.keeper.exposures.begin(&a.choice.upstream, r.Digest)
+	d.gateway.guard.Begin(a.choice.upstream.guarded(), r.Digest)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.stream(ctx, func(head attemptResult) bool {
@@ -104,12 +101,28 @@
 	if result.outcome != outcomeRefused {
 		r.state.Raise(a.state.State())
 	}
-	d.gateway.keeper.exposures.end(&a.choice.upstream, r.Digest, result)
+	d.gateway.guard.End(a.choice.upstream.guarded(), r.Digest, result.ending())
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
 }
 
+// admit lets the request be sent, unless it is kept away from upstreams or its time is up.
+func (d *dispatch) admit(ctx context.Context, r *Request) error {
+	if boottime.Until(r.Deadline) <= 0 {
+		// The host was suspended since the request came: its timers don't know yet.
+		return d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no answer in time"))
+	}
+	switch err := d.gateway.guard.Admit(ctx, r.Digest, r.Service); {
+	case err == nil:
+		return nil
+	case errors.Is(err, guard.ErrQuarantined):
+		return resultcode.Wrap(resultcode.RequestQuarantined, err, "upstreams ended that ran this request")
+	default:
+		return d.final(ctx, r, attemptResult{outcome: outcomeAbandoned, err: err})
+	}
+}
+
 // begin chooses the upstream of the next attempt and how long it may stay silent.
 func (d *dispatch) begin(r *Request, models *modelSteps) (*attempt, error) {
 	g := d.gateway
@@ -173,17 +186,13 @@
 // were stopped by three of them.
 func (d *dispatch) hold(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
-	switch result.outcome {
-	case outcomeDone, outcomeFailed:
-		g.keeper.survive(r.Digest)
-	case outcomeBroken, outcomeUnknown:
-		if !g.rollouts.judged(r.Service) {
-			return
-		}
-		g.keeper.unexplained(a.choice.upstream, func() { g.rollouts.observe(r, &a.choice, result, a.headSeen) })
+	if result.outcome != outcomeBroken && result.outcome != outcomeUnknown {
+		g.rollouts.observe(r, &a.choice, result, a.headSeen)
 		return
 	}
-	g.rollouts.observe(r, &a.choice, result, a.headSeen)
+	if g.rollouts.judged(r.Service) {
+		g.guard.Unexplained(a.choice.upstream.guarded(), func() { g.rollouts.observe(r, &a.choice, result, a.headSeen) })
+	}
 }
 
 // accept decides by an answer's head whether the caller gets it.
@@ -211,7 +220,7 @@
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errSilent) {
 		return true // the budget was taken when the attempt was given up
 	}
-	if result.outcome == outcomeAbandoned || d.gateway.keeper.nearlyJudged(r.Digest) {
+	if result.outcome == outcomeAbandoned || d.gateway.guard.NearlyJudged(r.Digest) {
 		return false
 	}
 	if r.state.State() != runstate.NotRun && !r.Route.Repeatable() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
@@ -36,8 +37,8 @@
 	// usual is by service and model.
 	usual    perService[usualTime]
 	pipeline next
-	// keeper keeps requests that end upstreams away from them.
-	keeper *keeper
+	// guard keeps requests that end upstreams away from them.
+	guard *guard.Guard
 
 	transport *http.Transport
 
@@ -81,7 +82,9 @@
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
-	g.keeper = newKeeper(s.Host, newVerdictRows(s, g.storeClock, log), g.metrics, log)
+	g.guard = guard.New(guard.Options{
+		Host: s.Host, Table: s.Statuses, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, Count: g.metrics.guarded, Log: log,
+	})
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
 	return g
@@ -196,7 +199,7 @@
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
 			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
-			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers, Quarantine: g.keeper,
+			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers, Quarantine: g.guard,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
 	}
@@ -205,7 +208,7 @@
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.rollouts.run(ctx) })
-	group.Go(func() { g.keeper.run(ctx) })
+	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	return group
 }
@@ -217,7 +220,7 @@
 	if _, heard := g.rollouts.statuses.Age(); !heard {
 		return true
 	}
-	return g.rollouts.underWay() || g.keeper.register.Len() > 0 || g.peers == nil || !g.peers.Told()
+	return g.rollouts.underWay() || g.guard.Len() > 0 || g.peers == nil || !g.peers.Told()
 }
 
 // lapsedWithin is the time after an outage of the store in which an entry that vanishes may
@@ -248,7 +251,6 @@
 			return
 		case <-ticker.C:
 			g.fleet.Sweep(boottime.Now())
-			g.keeper.exposures.sweep()
 		}
 	}
 }
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -8,7 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
 // Set takes an upstream's entry at a revision of the store. An upstream that started
@@ -77,6 +79,11 @@
 // life stands for the incarnation in what is told of upstreams that ended.
 func (u *Upstream) life() exchange.Name { return exchange.NameOf(u.name()) }
 
+// guarded is the incarnation as the guard knows it.
+func (u *Upstream) guarded() guard.Upstream {
+	return guard.Upstream{ID: u.ID, Service: u.Service, Address: u.Address, Life: quarantine.Life(u.life())}
+}
+
 // withdrawElsewhere withdraws what other services know under the upstream's id: an
 // upstream serves one service, the one that its newest entry names.
 func (f *Fleet) withdrawElsewhere(u Upstream, revision uint64) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 )
 
 // gatewayMetrics are the counters and histograms of one gateway.
@@ -20,7 +21,7 @@
 func newMetrics(g *Gateway) *gatewayMetrics {
 	m := &gatewayMetrics{set: metrics.NewSet()}
 	m.verdicts = m.set.NewCounter("quetzalweir_gateway_verdicts_total")
-	m.set.NewGauge("quetzalweir_gateway_requests_quarantined", func() float64 { return float64(g.keeper.register.Len()) })
+	m.set.NewGauge("quetzalweir_gateway_requests_quarantined", func() float64 { return float64(g.guard.Len()) })
 	m.set.NewGauge("quetzalweir_gateway_document_version", func() float64 {
 		if table := g.table.Load(); table != nil {
 			return float64(table.Version)
@@ -37,14 +38,16 @@
 	return m
 }
 
-// upstreamsEnded counts the upstreams of a service that ended with this host's requests.
-func (m *gatewayMetrics) upstreamsEnded(service string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstreams_ended_total{service=%q}`, service))
-}
-
-// quarantined counts the requests that were refused because of a verdict.
-func (m *gatewayMetrics) quarantined(service string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_quarantine_refusals_total{service=%q}`, service))
+// guarded counts what the guard tells.
+func (m *gatewayMetrics) guarded(what guard.Counted, service string) {
+	switch what {
+	case guard.CountVerdict:
+		m.verdicts.Inc()
+	case guard.CountEnded:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstreams_ended_total{service=%q}`, service)).Inc()
+	case guard.CountRefused:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_quarantine_refusals_total{service=%q}`, service)).Inc()
+	}
 }
 
 // unreadable counts the changes of a table's rows that couldn't be read.
--- a/internal/gateway/exposures.go
+++ b/internal/guard/exposures.go
@@ -1,4 +1,4 @@
-package gateway
+package guard
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
@@ -31,12 +30,37 @@
 	// checkTimeout bounds the look at an upstream that broke answers off. A process
 	// that ended refuses connections at once; where nothing comes back, the upstream may
 	// live behind a cut.
-	checkTimeout = dialTimeout
+	checkTimeout = 250 * time.Millisecond
 	// endedKept is how long the end of an upstream is remembered for answers whose end
 	// is noticed late.
 	endedKept = 5 * time.Second
 )
 
+// Upstream is one incarnation of an upstream.
+type Upstream struct {
+	ID      string
+	Service string
+	Address string
+	// Life names the incarnation, the same on all hosts.
+	Life quarantine.Life
+}
+
+// Ending is how a request's attempt at an upstream ended.
+type Ending int
+
+const (
+	// Answered: the upstream ran the request to a complete answer, a failure included.
+	Answered Ending = iota
+	// NotRun: the upstream didn't run it.
+	NotRun
+	// Unreachable: nothing listened at the upstream's address.
+	Unreachable
+	// Broken: it was sent and the connection ended without a complete answer.
+	Broken
+	// GivenUp: this host ended the attempt, or waited no longer; the run may go on.
+	GivenUp
+)
+
 // exposures keep which requests run at each upstream, and notice when an upstream ends.
 type exposures struct {
 	// ended is told of an upstream that ended so long ago, with the digests of what this
@@ -45,7 +69,7 @@
 	log   zerolog.Logger
 
 	mu    sync.Mutex
-	lives map[exchange.Name]*life
+	lives map[quarantine.Life]*life
 }
 
 // life is what this host sent to one incarnation of an upstream.
@@ -68,27 +92,26 @@
 
 func newExposures(log zerolog.Logger) *exposures {
 	return &exposures{
-		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, log: log, lives: make(map[exchange.Name]*life),
+		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, log: log, lives: make(map[quarantine.Life]*life),
 	}
 }
 
 // begin notes that a request is sent to an upstream.
-func (e *exposures) begin(u *Upstream, d quarantine.Digest) {
+func (e *exposures) begin(u Upstream, d quarantine.Digest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	name := u.life()
-	l := e.lives[name]
+	l := e.lives[u.Life]
 	if l == nil {
-		l = &life{upstream: *u, running: make(map[quarantine.Digest]int)}
-		e.lives[name] = l
+		l = &life{upstream: u, running: make(map[quarantine.Digest]int)}
+		e.lives[u.Life] = l
 	}
 	l.running[d]++
 }
 
 // end notes how the request's attempt there ended.
-func (e *exposures) end(u *Upstream, d quarantine.Digest, result attemptResult) {
+func (e *exposures) end(u Upstream, d quarantine.Digest, how Ending) {
 	e.mu.Lock()
-	l := e.lives[u.life()]
+	l := e.lives[u.Life]
 	if l == nil {
 		e.mu.Unlock()
 		return
@@ -96,24 +119,23 @@
 	if l.running[d]--; l.running[d] <= 0 {
 		delete(l.running, d)
 	}
-	switch result.outcome {
-	case outcomeUnknown, outcomeBroken:
+	switch how {
+	case Broken:
 		l.giveUp(d)
 		e.look(l)
-	case outcomeAbandoned, outcomeSilent:
+	case GivenUp:
 		l.giveUp(d)
-	case outcomeUnsent:
-		if errors.Is(result.err, syscall.ECONNREFUSED) && l.exposed() {
+	case Unreachable:
+		if l.exposed() {
 			e.look(l)
 		}
-	}
-	if result.outcome == outcomeDone || result.outcome == outcomeFailed {
-		l.endedAt = time.Time{} // it answers, so it lives
+	case Answered:
+		l.endedAt = time.Time{} // it lives
 	}
 	late, ago := l.takeLate()
 	e.mu.Unlock()
 	if len(late) > 0 {
-		e.ended(*u, ago, late)
+		e.ended(u, ago, late)
 	}
 }
 
@@ -215,7 +237,7 @@
 
 // endedElsewhere takes in another host's word that an upstream ended: what this host gave
 // up there shortly before may be to blame, and nobody else knows of it.
-func (e *exposures) endedElsewhere(name exchange.Name, ago time.Duration) {
+func (e *exposures) endedElsewhere(name quarantine.Life, ago time.Duration) {
 	e.mu.Lock()
 	l := e.lives[name]
 	if l == nil || !l.endedAt.IsZero() || l.checking {
@@ -236,10 +258,10 @@
 }
 
 // hasEnded says whether the upstream is known to have ended.
-func (e *exposures) hasEnded(u *Upstream) bool {
+func (e *exposures) hasEnded(u Upstream) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.lives[u.life()]
+	l := e.lives[u.Life]
 	return l != nil && !l.endedAt.IsZero()
 }
 
--- a/internal/gateway/verdictrows.go
+++ b/internal/guard/rows.go
@@ -1,4 +1,4 @@
-package gateway
+package guard
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -31,15 +30,15 @@
 	tidyGap = time.Minute
 )
 
-// verdictRows keep the verdicts in the store, so that they outlive the hosts, and let one
+// rows keep the verdicts in the store, so that they outlive the hosts, and let one
 // host at a time try a request again whose judgement has ended.
-type verdictRows struct {
+type rows struct {
 	host     string
 	prefix   string
 	table    storage.Table
 	register *quarantine.Register
 	log      zerolog.Logger
-	// clock is the store's steady clock.
+	// clock is the clock that all hosts share.
 	clock func() time.Duration
 	// known is told of a verdict that came from the store, lifted of one whose row is gone.
 	known  func(v quarantine.Verdict, from string)
@@ -58,59 +57,78 @@
 	granted, sent bool
 }
 
-func newVerdictRows(s *Settings, clock func() time.Duration, log zerolog.Logger) *verdictRows {
-	return &verdictRows{
-		host: s.Host, prefix: s.Tables.VerdictsPrefix, table: s.Statuses, register: quarantine.NewRegister(),
-		log: log, clock: clock, trials: make(map[quarantine.Digest]*trial),
-		known: func(quarantine.Verdict, string) {}, lifted: func(quarantine.Digest) {},
+func newRows(o *Options, register *quarantine.Register) *rows {
+	return &rows{
+		host: o.Host, prefix: o.Prefix, table: o.Table, register: register, log: o.Log, clock: o.Clock,
+		trials: make(map[quarantine.Digest]*trial),
+		known:  func(quarantine.Verdict, string) {}, lifted: func(quarantine.Digest) {},
 	}
 }
 
 // errVerdictKey means that a verdict's row has another request's key.
-var errVerdictKey = errors.New("gateway: the verdict is on another request")
+var errVerdictKey = errors.New("guard: the verdict is on another request")
 
-// change takes a row. It reports an error if it can't be read.
-func (v *verdictRows) change(row feed.Row) error {
-	now := boottime.Elapsed()
-	name := strings.TrimPrefix(row.Key, v.prefix)
-	d, err := quarantine.ParseDigest(name)
+// TakeRow takes a verdict's row of the store.
+func (g *Guard) TakeRow(key string, data []byte, revision uint64) error {
+	v := g.rows
+	d, err := v.digest(key)
 	if err != nil {
 		return err
 	}
-	if row.Deleted {
-		if v.register.Lift(d, now) {
-			v.lifted(d)
-		}
-		return nil
-	}
 	var verdict quarantine.Verdict
-	if err := json.Unmarshal(row.Data, &verdict); err != nil {
+	if err := json.Unmarshal(data, &verdict); err != nil {
 		return err
 	}
 	if verdict.Digest != d {
 		return fmt.Errorf("%w: %v", errVerdictKey, verdict.Digest)
 	}
-	if v.register.Store(verdict, row.Revision, now) {
+	if v.register.Store(verdict, revision, boottime.Elapsed()) {
 		v.known(verdict, "store")
 	}
 	return nil
 }
 
+// RowRemoved takes in that a verdict's row was removed from the store.
+func (g *Guard) RowRemoved(key string) error {
+	d, err := g.rows.digest(key)
+	if err != nil {
+		return err
+	}
+	g.rows.lift(d)
+	return nil
+}
+
+// KeepRows lifts the verdicts that the store had and that aren't among the keys of all its
+// rows.
+func (g *Guard) KeepRows(keys map[string]bool) { g.rows.keep(keys) }
+
+// digest is the one in a row's key.
+func (v *rows) digest(key string) (quarantine.Digest, error) {
+	return quarantine.ParseDigest(strings.TrimPrefix(key, v.prefix))
+}
+
+// lift forgets a verdict.
+func (v *rows) lift(d quarantine.Digest) {
+	if v.register.Lift(d, boottime.Elapsed()) {
+		v.lifted(d)
+	}
+}
+
 // keep lifts the verdicts that the store had and that aren't among the keys.
-func (v *verdictRows) keep(keys map[string]bool) {
+func (v *rows) keep(keys map[string]bool) {
 	for _, e := range v.register.All() {
-		if e.Revision > 0 && !keys[v.key(e.Digest)] && v.register.Lift(e.Digest, boottime.Elapsed()) {
-			v.lifted(e.Digest)
+		if e.Revision > 0 && !keys[v.key(e.Digest)] {
+			v.lift(e.Digest)
 		}
 	}
 }
 
-func (v *verdictRows) key(d quarantine.Digest) string { return v.prefix + d.String() }
+func (v *rows) key(d quarantine.Digest) string { return v.prefix + d.String() }
 
 // permits says whether a request with a verdict may be sent now: the judgement has ended
 // and this host is the one that tries. The first request after the end only has the host
 // claim the trial, which takes a write of the store.
-func (v *verdictRows) permits(e quarantine.Entry) bool {
+func (v *rows) permits(e quarantine.Entry) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t := v.trials[e.Digest]; t != nil {
@@ -131,7 +149,7 @@
 }
 
 // claim claims the trial in the store.
-func (v *verdictRows) claim(t *trial, e quarantine.Entry) {
+func (v *rows) claim(t *trial, e quarantine.Entry) {
 	err := v.put(context.Background(), e.Trial(v.clock()), e.Revision)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -145,7 +163,7 @@
 
 // trialLost takes in that an upstream ended with the request: if this host tried it, it is
 // kept away again, for longer.
-func (v *verdictRows) trialLost(d quarantine.Digest) {
+func (v *rows) trialLost(d quarantine.Digest) {
 	e, ok := v.endTrial(d)
 	if !ok {
 		return
@@ -155,7 +173,7 @@
 
 // trialSurvived takes in that the request was answered: if this host tried it, the verdict
 // is withdrawn.
-func (v *verdictRows) trialSurvived(d quarantine.Digest) {
+func (v *rows) trialSurvived(d quarantine.Digest) {
 	e, ok := v.endTrial(d)
 	if !ok {
 		return
@@ -164,7 +182,7 @@
 }
 
 // endTrial ends this host's trial of the request, if it was sent.
-func (v *verdictRows) endTrial(d quarantine.Digest) (quarantine.Entry, bool) {
+func (v *rows) endTrial(d quarantine.Digest) (quarantine.Entry, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if t := v.trials[d]; t == nil || !t.sent {
@@ -176,7 +194,7 @@
 
 // write writes the rows of verdicts that the store doesn't have, those of other hosts if
 // this host judges, too; and removes rows that nobody asks for any more.
-func (v *verdictRows) write(ctx context.Context, judges bool) {
+func (v *rows) write(ctx context.Context, judges bool) {
 	now := boottime.Now()
 	if now.Before(v.nextAt) {
 		return
@@ -200,7 +218,7 @@
 }
 
 // tidy removes the rows of verdicts that ended long ago.
-func (v *verdictRows) tidy(ctx context.Context) {
+func (v *rows) tidy(ctx context.Context) {
 	for _, e := range v.register.All() {
 		if e.Revision > 0 && e.Unused(v.clock()) {
 			_ = v.remove(ctx, e) // logged there; the next look tries again
@@ -209,7 +227,7 @@
 }
 
 // put writes a verdict's row in place of the revision.
-func (v *verdictRows) put(ctx context.Context, verdict quarantine.Verdict, expected uint64) error {
+func (v *rows) put(ctx context.Context, verdict quarantine.Verdict, expected uint64) error {
 	data, err := json.Marshal(verdict)
 	if err != nil {
 		return err
@@ -226,19 +244,19 @@
 }
 
 // remove removes a verdict's row.
-func (v *verdictRows) remove(ctx context.Context, e quarantine.Entry) error {
+func (v *rows) remove(ctx context.Context, e quarantine.Entry) error {
 	key := v.key(e.Digest)
 	_, err := v.commit(ctx, "remove", storage.Txn{
 		Conditions: []storage.Condition{{Key: key, Version: e.Revision}},
 		Deletes:    []string{key},
 	})
-	if err == nil && v.register.Lift(e.Digest, boottime.Elapsed()) {
-		v.lifted(e.Digest)
+	if err == nil {
+		v.lift(e.Digest)
 	}
 	return err
 }
 
-func (v *verdictRows) commit(ctx context.Context, kind string, txn storage.Txn) (uint64, error) {
+func (v *rows) commit(ctx context.Context, kind string, txn storage.Txn) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictWriteTimeout)
 	defer cancel()
 	revision, err := v.table.Commit(ctx, txn)
--- a/internal/gateway/sightings.go
+++ b/internal/guard/sightings.go
@@ -1,4 +1,4 @@
-package gateway
+package guard
 
 import (
 	"time"
@@ -33,7 +33,6 @@
 // sightingBook is what this host saw: what its hub wasn't told yet, and all of late.
 type sightingBook struct {
 	untold, recent []seenLoss
-	answered       []quarantine.Digest
 }
 
 // seenLoss is a loss, or a suspect that was answered, and when it was seen.
@@ -55,33 +54,33 @@
 	return append([]T(nil), list[len(list)-most:]...)
 }
 
-func (k *keeper) see(l quarantine.Loss) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.seen.add(seenLoss{loss: l})
+func (g *Guard) see(l quarantine.Loss) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen.add(seenLoss{loss: l})
 }
 
-func (k *keeper) seeAnswered(d quarantine.Digest) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.seen.add(seenLoss{loss: quarantine.Loss{Digest: d, At: boottime.Elapsed()}, answered: true})
+func (g *Guard) seeAnswered(d quarantine.Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen.add(seenLoss{loss: quarantine.Loss{Digest: d, At: boottime.Elapsed()}, answered: true})
 }
 
 // Sightings implements exchange.Quarantine.
-func (k *keeper) Sightings() exchange.Sightings {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	untold := k.seen.untold
-	k.seen.untold = nil
+func (g *Guard) Sightings() exchange.Sightings {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	untold := g.seen.untold
+	g.seen.untold = nil
 	return sightings(untold, recentFor)
 }
 
 // Recent implements exchange.Quarantine.
-func (k *keeper) Recent() exchange.Sightings {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.seen.untold = nil
-	return sightings(k.seen.recent, recentFor)
+func (g *Guard) Recent() exchange.Sightings {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen.untold = nil
+	return sightings(g.seen.recent, recentFor)
 }
 
 func sightings(list []seenLoss, within time.Duration) exchange.Sightings {
@@ -100,17 +99,17 @@
 }
 
 // Take implements exchange.Quarantine.
-func (k *keeper) Take(s exchange.Sightings) exchange.Sightings {
+func (g *Guard) Take(s exchange.Sightings) exchange.Sightings {
 	now := boottime.Elapsed()
 	var fresh exchange.Sightings
 	for _, l := range s.Losses {
-		if k.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: now - l.Age}) {
+		if g.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: now - l.Age}) {
 			fresh.Losses = append(fresh.Losses, l)
-			k.noteEnded(l.Life, now-l.Age)
+			g.noteEnded(l.Life, now-l.Age)
 		}
 	}
 	for _, d := range s.Answered {
-		if k.tracker.Survive(d, now) {
+		if g.tracker.Survive(d, now) {
 			fresh.Answered = append(fresh.Answered, d)
 		}
 	}
@@ -124,92 +123,85 @@
 }
 
 // noteEnded keeps that an upstream ended, and looks for what this host gave up there.
-func (k *keeper) noteEnded(life quarantine.Life, at time.Duration) {
-	k.mu.Lock()
-	for _, e := range k.ended {
+func (g *Guard) noteEnded(life quarantine.Life, at time.Duration) {
+	g.mu.Lock()
+	for _, e := range g.ended {
 		if e.life == life {
-			k.mu.Unlock()
+			g.mu.Unlock()
 			return
 		}
 	}
-	k.ended = lastOf(append(k.ended, endedLife{life: life, at: at}), maxEnded)
-	k.mu.Unlock()
-	k.exposures.endedElsewhere(exchange.Name(life), boottime.Elapsed()-at)
+	g.ended = lastOf(append(g.ended, endedLife{life: life, at: at}), maxEnded)
+	g.mu.Unlock()
+	g.exposures.endedElsewhere(life, boottime.Elapsed()-at)
 }
 
 // Standing implements exchange.Quarantine.
-func (k *keeper) Standing() exchange.Standing {
+func (g *Guard) Standing() exchange.Standing {
 	now := boottime.Elapsed()
 	var s exchange.Standing
-	for _, suspect := range k.tracker.Suspects(now, suspectFor, maxToldSuspects) {
+	for _, suspect := range g.tracker.Suspects(now, suspectFor, maxToldSuspects) {
 		s.Suspects = append(s.Suspects, exchange.AgedSuspicion{Digest: suspect.Digest, Events: suspect.Events, FirstAge: now - suspect.First})
 	}
-	for _, e := range k.register.All() {
+	for _, e := range g.register.All() {
 		if e.Revision == 0 || now-e.Heard < verdictFor {
 			s.Verdicts = append(s.Verdicts, e.Verdict)
 		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for d, t := range k.told {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for d, t := range g.told {
 		if now-t.at >= toldFor {
-			delete(k.told, d)
+			delete(g.told, d)
 			continue
 		}
 		s.Suspects = append(s.Suspects, exchange.AgedSuspicion{
 			Digest: d, Events: t.events, Age: now - t.at, FirstAge: now - t.first,
 		})
 	}
-	kept := k.ended[:0]
-	for _, e := range k.ended {
+	kept := g.ended[:0]
+	for _, e := range g.ended {
 		if now-e.at > endedFor {
 			continue
 		}
 		kept = append(kept, e)
-		s.Ended = append(s.Ended, exchange.Ending{Life: e.life, Age: now - e.at, Explained: k.tracker.Explained(e.life)})
+		s.Ended = append(s.Ended, exchange.Ending{Life: e.life, Age: now - e.at, Explained: g.tracker.Explained(e.life)})
 	}
-	k.ended = kept
+	g.ended = kept
 	return s
 }
 
 // TakeStanding implements exchange.Quarantine.
-func (k *keeper) TakeStanding(s exchange.Standing) {
+func (g *Guard) TakeStanding(s exchange.Standing) {
 	now := boottime.Elapsed()
 	for _, e := range s.Ended {
 		if e.Explained {
-			k.tracker.Explain(e.Life, now-e.Age)
+			g.tracker.Explain(e.Life, now-e.Age)
 		}
-		k.noteEnded(e.Life, now-e.Age)
+		g.noteEnded(e.Life, now-e.Age)
 	}
 	for _, v := range s.Verdicts {
-		if k.register.Hear(v, now) {
-			k.know(v, "exchange")
+		if g.register.Hear(v, now) {
+			g.know(v, "exchange")
 		}
 	}
 	for _, suspect := range s.Suspects {
-		k.takeSuspect(suspect, now)
+		g.takeSuspect(suspect, now)
 	}
 }
 
 // takeSuspect takes a suspect that the hub told. One that was answered here is no suspect,
 // and the hub hears that.
-func (k *keeper) takeSuspect(s exchange.AgedSuspicion, now time.Duration) {
-	if k.tracker.SurvivedSince(s.Digest, now-s.FirstAge) {
-		k.seeAnswered(s.Digest)
+func (g *Guard) takeSuspect(s exchange.AgedSuspicion, now time.Duration) {
+	if g.tracker.SurvivedSince(s.Digest, now-s.FirstAge) {
+		g.seeAnswered(s.Digest)
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	at := now - s.Age
-	if known, ok := k.told[s.Digest]; ok && at < known.at || len(k.told) >= 2*maxToldSuspects {
+	if known, ok := g.told[s.Digest]; ok && at < known.at || len(g.told) >= 2*maxToldSuspects {
 		return
 	}
-	k.told[s.Digest] = toldSuspect{events: s.Events, first: now - s.FirstAge, at: at}
-}
-
-// Judges implements exchange.Quarantine.
-func (k *keeper) Judges(judges bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.judges = judges
+	g.told[s.Digest] = toldSuspect{events: s.Events, first: now - s.FirstAge, at: at}
 }
--- a/quarantine/odds_test.go
+++ b/quarantine/odds_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -288,8 +287,8 @@
 				}
 				is.True(p.foundAt >= 0 || len(p.ends) < sureEvents+1) // it is found if it goes on
 			}
-			t.Log(fmt.Sprintf("%d sound requests, %d of them judged; at most %d ends, found %v after the third, %d sends later than permitted",
-				sound, judged, ends, worst, late))
+			t.Logf("%d sound requests, %d of them judged; at most %d ends, found %v after the third, %d sends later than permitted",
+				sound, judged, ends, worst, late)
 			is.True(late <= 3)
 			is.True(judged*100_000 <= sound)
 		})
