--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -124,6 +124,7 @@
 	name, zone, address string
 	member              *Member
 	watcher             *feed.Watcher
+	quarantine          *fleetQuarantine
 	stop                context.CancelFunc
 
 	mu    sync.Mutex
@@ -232,8 +233,10 @@
 		options.FirstTable = 0
 	}
 	h.watcher = feed.NewWatcher("t", f.store, h, options, zerolog.Nop())
+	h.quarantine = newFleetQuarantine()
 	h.member = New(Options{
-		Host: h.name, Zone: h.zone, Listen: h.address, Seeds: f.seeds, LinkMbps: link, Cores: 1,
+		Quarantine: h.quarantine,
+		Host:       h.name, Zone: h.zone, Listen: h.address, Seeds: f.seeds, LinkMbps: link, Cores: 1,
 		Tables: map[string]*feed.Watcher{"t": h.watcher},
 		Work:   func() Work { return Work{NameOf("u"): 1} },
 		Others: func(w Work, _ time.Time) {
--- /dev/null
+++ b/internal/exchange/quarantine_test.go
@@ -0,0 +1,279 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/quarantine"
+)
+
+func testDigest(n uint64) quarantine.Digest {
+	var d quarantine.Digest
+	binary.BigEndian.PutUint64(d[:], n)
+	return d
+}
+
+// Messages say what they were made of, and what can't be read is refused.
+func TestQuarantineMessages(t *testing.T) {
+	is := is.New(t)
+	report := Report{Sightings: Sightings{
+		Losses:   Losses{{Digest: testDigest(1), Life: 7, Age: 1500 * time.Millisecond}, {Digest: testDigest(2), Life: 9}},
+		Answered: Digests{testDigest(3)},
+	}}
+	data, err := json.Marshal(report)
+	is.NoErr(err)
+	var read Report
+	is.NoErr(json.Unmarshal(data, &read))
+	is.Equal(read.Sightings, report.Sightings)
+
+	reply := Reply{Standing: Standing{
+		Ended:    Endings{{Life: 7, Age: 20 * time.Millisecond, Explained: true}, {Life: 8, Age: time.Hour}},
+		Suspects: Suspects{{Digest: testDigest(1), Events: 3, Age: 40 * time.Millisecond, FirstAge: 2 * time.Second}, {Digest: testDigest(2), Events: 1000}},
+		Verdicts: []quarantine.Verdict{{Digest: testDigest(1), By: "h", Events: 3, Lives: 3, Judged: time.Second, Until: time.Hour}},
+	}}
+	data, err = json.Marshal(reply)
+	is.NoErr(err)
+	var back Reply
+	is.NoErr(json.Unmarshal(data, &back))
+	want := reply.Standing
+	want.Ended[1].Age = 65535 * time.Millisecond // the longest that is told
+	want.Suspects[1].Events = 255
+	is.Equal(back.Standing, want)
+
+	quiet, err := json.Marshal(Report{Zone: "z"})
+	is.NoErr(err)
+	is.Equal(string(quiet), `{"zone":"z"}`) // nothing is said where there is nothing
+	for _, text := range []string{`{"sightings":{"losses":"AAAA"}}`, `{"sightings":{"losses":5}}`, `{"sightings":{"answered":"?"}}`} {
+		is.True(json.Unmarshal([]byte(text), &read) != nil)
+	}
+	for _, text := range []string{`{"standing":{"ended":"AA"}}`, `{"standing":{"suspects":"AAAA"}}`, `{"standing":{"verdicts":[{}]}}`} {
+		is.True(json.Unmarshal([]byte(text), &back) != nil)
+	}
+}
+
+func FuzzReportAndReply(f *testing.F) {
+	f.Add([]byte(`{"sightings":{"losses":"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAA","answered":""},"standing":{"ended":"AAAAAAAAAA"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var report Report
+		var reply Reply
+		_ = json.Unmarshal(data, &report)
+		_ = json.Unmarshal(data, &reply)
+	})
+}
+
+// A hub's log is bounded, and who asks gets the oldest that it doesn't know first.
+func TestSightingLog(t *testing.T) {
+	is := is.New(t)
+	var l sightingLog
+	now := time.Now()
+	for i := range uint64(maxSightingLog + 100) {
+		l.add(Sightings{Losses: Losses{{Digest: testDigest(i), Age: time.Second}}}, now)
+	}
+	is.Equal(len(l.entries), maxSightingLog)
+	var got int
+	number := uint64(0)
+	for {
+		s, last := l.since(number, now.Add(time.Second))
+		if s.IsZero() {
+			break
+		}
+		is.True(len(s.Losses) <= maxSightings)
+		is.Equal(s.Losses[0].Age, 2*time.Second)
+		got, number = got+len(s.Losses), last
+	}
+	is.Equal(got, maxSightingLog)
+	is.Equal(number, l.last)
+	s, _ := l.since(l.last+50, now) // a number of a former hub
+	is.Equal(len(s.Losses), maxSightings)
+}
+
+// fleetQuarantine is one host's part in the tests: its judgements are the real ones.
+type fleetQuarantine struct {
+	mu       sync.Mutex
+	tracker  *quarantine.Tracker
+	judges   bool
+	untold   Sightings
+	recent   Sightings
+	verdicts map[quarantine.Digest]quarantine.Verdict
+}
+
+func newFleetQuarantine() *fleetQuarantine {
+	return &fleetQuarantine{tracker: quarantine.NewTracker(), judges: true, verdicts: make(map[quarantine.Digest]quarantine.Verdict)}
+}
+
+func (q *fleetQuarantine) lose(d quarantine.Digest, life quarantine.Life) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.Lose(quarantine.Loss{Digest: d, Life: life, At: boottime.Elapsed()})
+	q.untold.Losses = append(q.untold.Losses, AgedLoss{Digest: d, Life: life})
+	q.recent.Losses = append(q.recent.Losses, AgedLoss{Digest: d, Life: life})
+}
+
+func (q *fleetQuarantine) knows(d quarantine.Digest) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, ok := q.verdicts[d]
+	return ok
+}
+
+func (q *fleetQuarantine) Sightings() Sightings {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	untold := q.untold
+	q.untold = Sightings{}
+	return untold
+}
+
+func (q *fleetQuarantine) Recent() Sightings {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return Sightings{Losses: slices.Clone(q.recent.Losses)}
+}
+
+func (q *fleetQuarantine) Take(s Sightings) Sightings {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var fresh Sightings
+	for _, l := range s.Losses {
+		if q.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: boottime.Elapsed() - l.Age}) {
+			fresh.Losses = append(fresh.Losses, l)
+		}
+	}
+	return fresh
+}
+
+func (q *fleetQuarantine) Standing() Standing {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.judges {
+		for _, f := range q.tracker.Judge(boottime.Elapsed()) {
+			q.verdicts[f.Digest] = quarantine.NewVerdict(f, "h", time.Hour)
+		}
+	}
+	var s Standing
+	for _, v := range q.verdicts {
+		s.Verdicts = append(s.Verdicts, v)
+	}
+	return s
+}
+
+func (q *fleetQuarantine) TakeStanding(s Standing) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, v := range s.Verdicts {
+		q.verdicts[v.Digest] = v
+		q.tracker.Blame(v.Digest)
+	}
+}
+
+func (q *fleetQuarantine) Judges(judges bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.judges = judges
+}
+
+// toldWithin is the time after the third end within which every host has to know a request
+// that ends upstreams.
+const toldWithin = 3 * time.Second
+
+// spoil has upstreams end with the request at hosts of three zones, and other requests
+// beside it.
+func (f *fleet) spoil(d quarantine.Digest, lives quarantine.Life, hosts ...*fleetHost) {
+	for i, h := range hosts {
+		life := lives + quarantine.Life(i)
+		h.quarantine.lose(d, life)
+		for j, beside := range f.hosts[:min(10, len(f.hosts))] {
+			beside.quarantine.lose(testDigest(1000*uint64(life)+uint64(j)), life)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// A request that ends upstreams at three hosts of different zones is known everywhere in
+// time, also when the hub of a zone is lost meanwhile, and nothing else is judged.
+func TestFleetHearsOfARequestThatEndsUpstreams(t *testing.T) {
+	for _, size := range append(fleetSizes(), fleetSize{7, 3}) {
+		for _, loseHub := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, hub lost %v", size.hosts, loseHub), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t, size.hosts, size.zones, 50)
+					time.Sleep(10 * time.Second)
+					d, n := testDigest(1), len(f.hosts)
+					f.spoil(d, 1, f.hosts[n-1], f.hosts[n-2], f.hosts[n-3])
+					if loseHub {
+						for _, h := range f.hosts {
+							if h.address == f.hosts[n-1].member.Hub() {
+								h.stop()
+								f.hosts = slices.DeleteFunc(f.hosts, func(o *fleetHost) bool { return o == h })
+								break
+							}
+						}
+					}
+					took, ok := f.within(toldWithin, func(h *fleetHost) bool { return h.quarantine.knows(d) })
+					t.Logf("%d hosts know it after %v", size.hosts, took)
+					is.True(ok)
+					is.True(f.all(func(h *fleetHost) bool {
+						h.quarantine.mu.Lock()
+						defer h.quarantine.mu.Unlock()
+						return len(h.quarantine.verdicts) == 1
+					}))
+				})
+			})
+		}
+	}
+}
+
+// A host that starts later hears of a verdict from its hub.
+func TestAHostThatStartsHearsOfVerdicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 30, 3, 50)
+		time.Sleep(5 * time.Second)
+		d, last := testDigest(1), f.hosts[29]
+		f.spoil(d, 1, f.hosts[5], f.hosts[10], f.hosts[15])
+		last.stop()
+		time.Sleep(2 * time.Second)
+		f.start(last, false)
+		took, ok := f.within(2*time.Second, func(h *fleetHost) bool { return h.quarantine.knows(d) })
+		t.Logf("the host that started knows it after %v", took)
+		is.True(ok)
+	})
+}
+
+// A third of all upstreams is lost at once, with ten requests at each: what hosts tell of it
+// is bounded, and nothing is judged.
+func TestMassLossIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 30, 3, 50)
+		time.Sleep(5 * time.Second)
+		before := 0
+		for _, h := range f.hosts {
+			before += h.traffic()
+		}
+		for life := range quarantine.Life(270) { // nine upstreams a host
+			for i := range uint64(10) {
+				f.hosts[(uint64(life)+i)%30].quarantine.lose(testDigest(uint64(life)*10+i), 100+life)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		after := 0
+		for _, h := range f.hosts {
+			after += h.traffic()
+			is.Equal(len(h.quarantine.verdicts), 0)
+		}
+		perHost := (after - before) / 2 / 30 / 10
+		t.Logf("%d bytes a second and host over 10 s", perHost)
+		is.True(perHost < 7_000)
+	})
+}
