--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -80,7 +80,7 @@
 	m.takeOwnSightings(own.Sightings)
 	m.untold = make(Reads) // the own hub has them
 	report, upTo.reads = m.hub.subtree(own, m.toldReads, m.current)
-	report.Sightings, upTo.sightings = m.hub.sightingsSince(m.toldSightings)
+	report.Sightings, upTo.sightings = m.hub.sightingsSince(m.toldSightings, m.current)
 	if !m.alone() {
 		report.Evidence = nil
 	}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -85,7 +85,7 @@
 		if r.WantTimings {
 			reply.Timings = h.toldTimings(from, toHub)
 		}
-		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince)
+		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
 		reply.Standing = h.standing(toHub)
 		if h.relays() {
 			reply.Tables, _ = h.news(from, r, true)
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		report := Report{
-			Zone: m.options.Zone, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, Revisions: m.revisions(),
+			Zone: m.options.Zone, Address: m.options.Listen, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, Revisions: m.revisions(),
 			WantTimings: m.exchanges%timingsEvery == 1,
 		}
 		asked := boottime.Now()
--- a/internal/exchange/quarantine.go
+++ b/internal/exchange/quarantine.go
@@ -233,17 +233,19 @@
 	life     quarantine.Life
 	at       time.Time
 	answered bool
+	// from is who told it.
+	from string
 }
 
 // maxSightingLog bounds what a hub keeps for other hubs, in entries of some 60 bytes.
 const maxSightingLog = 4096
 
-func (l *sightingLog) add(s Sightings, now time.Time) {
+func (l *sightingLog) add(from string, s Sightings, now time.Time) {
 	for _, loss := range s.Losses {
-		l.entries = append(l.entries, sighting{digest: loss.Digest, life: loss.Life, at: now.Add(-loss.Age)})
+		l.entries = append(l.entries, sighting{digest: loss.Digest, life: loss.Life, at: now.Add(-loss.Age), from: from})
 	}
 	for _, d := range s.Answered {
-		l.entries = append(l.entries, sighting{digest: d, answered: true})
+		l.entries = append(l.entries, sighting{digest: d, answered: true, from: from})
 	}
 	l.last += uint64(len(s.Losses) + len(s.Answered))
 	if surplus := len(l.entries) - maxSightingLog; surplus > 0 {
@@ -251,10 +253,10 @@
 	}
 }
 
-// since is what was told after a number, the oldest first and at most maxSightings, and the
-// number of the last that is told. A number of another hub, or of this one before it
+// since is what others than the asker told after a number, the oldest first and of
+// maxSightings at most, and the number of the last of these. A number of another hub, or of this one before it
 // started anew, names nothing: all that is known is told.
-func (l *sightingLog) since(number uint64, now time.Time) (Sightings, uint64) {
+func (l *sightingLog) since(number uint64, asker string, now time.Time) (Sightings, uint64) {
 	n := len(l.entries)
 	if number <= l.last {
 		n = int(min(uint64(n), l.last-number))
@@ -267,9 +269,11 @@
 	}
 	var s Sightings
 	for _, e := range told {
-		if e.answered {
+		switch {
+		case e.from == asker:
+		case e.answered:
 			s.Answered = append(s.Answered, e.digest)
-		} else {
+		default:
 			s.Losses = append(s.Losses, AgedLoss{Digest: e.digest, Life: e.life, Age: now.Sub(e.at)})
 		}
 	}
@@ -286,14 +290,15 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.sightings.add(s, boottime.Now())
+	h.sightings.add(from, s, boottime.Now())
 }
 
-// sightingsSince is what this hub was told after a number.
-func (h *hub) sightingsSince(number uint64) (Sightings, uint64) {
+// sightingsSince is what this hub was told after a number by others than the hub at the
+// address.
+func (h *hub) sightingsSince(number uint64, address string) (Sightings, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.sightings.since(number, boottime.Now())
+	return h.sightings.since(number, hubKey(address), boottime.Now())
 }
 
 // standing is what a follower is told, or another hub, which knows all but the verdicts
--- a/internal/exchange/quarantine_test.go
+++ b/internal/exchange/quarantine_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/quarantine"
@@ -76,13 +77,13 @@
 	var l sightingLog
 	now := time.Now()
 	for i := range uint64(maxSightingLog + 100) {
-		l.add(Sightings{Losses: Losses{{Digest: testDigest(i), Age: time.Second}}}, now)
+		l.add("host", Sightings{Losses: Losses{{Digest: testDigest(i), Age: time.Second}}}, now)
 	}
 	is.Equal(len(l.entries), maxSightingLog)
 	var got int
 	number := uint64(0)
 	for {
-		s, last := l.since(number, now.Add(time.Second))
+		s, last := l.since(number, "other", now.Add(time.Second))
 		if s.IsZero() {
 			break
 		}
@@ -92,8 +93,11 @@
 	}
 	is.Equal(got, maxSightingLog)
 	is.Equal(number, l.last)
-	s, _ := l.since(l.last+50, now) // a number of a former hub
+	s, _ := l.since(l.last+50, "other", now) // a number of a former hub
 	is.Equal(len(s.Losses), maxSightings)
+	s, last := l.since(l.last-10, "host", now) // it told them itself
+	is.True(s.IsZero())
+	is.Equal(last, l.last)
 }
 
 // fleetQuarantine is one host's part in the tests: its judgements are the real ones.
@@ -147,6 +151,7 @@
 		if q.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: boottime.Elapsed() - l.Age}) {
 			fresh.Losses = append(fresh.Losses, l)
 		}
+
 	}
 	return fresh
 }
@@ -255,15 +260,16 @@
 func TestMassLossIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(t, 30, 3, 50)
+		const hosts = 60
+		f := newFleet(t, hosts, 5, 50) // two zones have named hubs
 		time.Sleep(5 * time.Second)
 		before := 0
 		for _, h := range f.hosts {
 			before += h.traffic()
 		}
-		for life := range quarantine.Life(270) { // nine upstreams a host
+		for life := range quarantine.Life(8 * hosts) {
 			for i := range uint64(10) {
-				f.hosts[(uint64(life)+i)%30].quarantine.lose(testDigest(uint64(life)*10+i), 100+life)
+				f.hosts[(uint64(life)+i)%hosts].quarantine.lose(testDigest(uint64(life)*10+i), 100+life)
 			}
 		}
 		time.Sleep(10 * time.Second)
@@ -272,8 +278,28 @@
 			after += h.traffic()
 			is.Equal(len(h.quarantine.verdicts), 0)
 		}
-		perHost := (after - before) / 2 / 30 / 10
+		for life := range quarantine.Life(8 * hosts) { // the seeds know of all
+			for i := range uint64(10) {
+				is.True(!f.hosts[0].quarantine.tracker.Lose(quarantine.Loss{Digest: testDigest(uint64(life)*10 + i), Life: 100 + life}))
+			}
+		}
+		perHost := (after - before) / 2 / hosts / 10
 		t.Logf("%d bytes a second and host over 10 s", perHost)
 		is.True(perHost < 7_000)
 	})
 }
+
+// A new hub is told what the host saw lately: the one before may not have passed it on.
+func TestANewHubIsToldAnew(t *testing.T) {
+	is := is.New(t)
+	q := newFleetQuarantine()
+	m := New(Options{Quarantine: q, Work: func() Work { return nil }}, zerolog.Nop())
+	q.lose(testDigest(1), 1)
+	is.Equal(len(m.report().Sightings.Losses), 1)
+	m.unseen = Sightings{} // the hub answered
+	m.toldSightings = 5
+	is.Equal(len(m.report().Sightings.Losses), 0)
+	m.goTo("another")
+	is.Equal(len(m.report().Sightings.Losses), 1)
+	is.Equal(m.toldSightings, uint64(0))
+}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -426,9 +426,8 @@
 		b.TakeStanding(a.Standing())
 		a.TakeStanding(b.Standing())
 	}
-	a.survive(d)
-	t.Cleanup(boottime.Simulate(toldFor + time.Millisecond))
-	for range 10 {
+	for range 2 + (suspectFor+2*toldFor)/(toldFor/5) {
+		t.Cleanup(boottime.Simulate(toldFor / 5))
 		b.TakeStanding(a.Standing())
 		a.TakeStanding(b.Standing())
 	}
--- a/internal/guard/rows.go
+++ b/internal/guard/rows.go
@@ -139,7 +139,7 @@
 		v.log.Info().Str("event", "quarantine-trial").Stringer("digest", e.Digest).Int("trial", e.Trials).Msg("")
 		return true
 	}
-	if e.Holds(v.clock()) || e.Revision == 0 {
+	if e.Holds(v.clock()) {
 		return false
 	}
 	t := &trial{}
--- a/internal/guard/sightings.go
+++ b/internal/guard/sightings.go
@@ -14,10 +14,12 @@
 	toldFor = time.Second
 	// recentFor is how long a new hub is told what this host saw.
 	recentFor = 30 * time.Second
-	// endedFor is how long followers are told of an upstream that ended, maxEnded bounds
-	// how many, the newest first.
-	endedFor = 5 * time.Second
-	maxEnded = 128
+	// endedFor is how long followers are told of an upstream that ended: some rounds of the
+	// exchange. explainedFor is the same where a judged request explains it, which is
+	// known later. maxEnded bounds how many are kept, the newest.
+	endedFor     = 800 * time.Millisecond
+	explainedFor = 5 * time.Second
+	maxEnded     = 128
 	// maxToldSuspects bounds the suspects that followers are told.
 	maxToldSuspects = 64
 	// verdictFor is how long a verdict is told that the store has: followers hear of it
@@ -116,10 +118,10 @@
 	return fresh
 }
 
-// endedLife is an upstream that ended, and when.
+// endedLife is an upstream that ended, when, and when this host heard of it.
 type endedLife struct {
-	life quarantine.Life
-	at   time.Duration
+	life      quarantine.Life
+	at, heard time.Duration
 }
 
 // noteEnded keeps that an upstream ended, and looks for what this host gave up there.
@@ -131,7 +133,7 @@
 			return
 		}
 	}
-	g.ended = lastOf(append(g.ended, endedLife{life: life, at: at}), maxEnded)
+	g.ended = lastOf(append(g.ended, endedLife{life: life, at: at, heard: boottime.Elapsed()}), maxEnded)
 	g.mu.Unlock()
 	g.exposures.endedElsewhere(life, boottime.Elapsed()-at)
 }
@@ -161,11 +163,13 @@
 	}
 	kept := g.ended[:0]
 	for _, e := range g.ended {
-		if now-e.at > endedFor {
+		if now-e.at > explainedFor {
 			continue
 		}
 		kept = append(kept, e)
-		s.Ended = append(s.Ended, exchange.Ending{Life: e.life, Age: now - e.at, Explained: g.tracker.Explained(e.life)})
+		if explained := g.tracker.Explained(e.life); explained || now-e.heard < endedFor {
+			s.Ended = append(s.Ended, exchange.Ending{Life: e.life, Age: now - e.at, Explained: explained})
+		}
 	}
 	g.ended = kept
 	return s
