--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	tcprelay "github.com/quetzalweir/quetzalweir/internal/standin/relay"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
@@ -93,6 +94,50 @@
 	return sends, slices.Clone(p.ends)
 }
 
+// replacePool puts a fragile pool in the place of the usual one.
+func (s *fleetSystem) replacePool() *fragilePool {
+	s.t.Helper()
+	for _, u := range s.upstreams {
+		if u.Service == "pool" {
+			s.store.Remove("servers", u.ID)
+			u.Kill() // it would go on for a moment, and answer the request that ends the others
+		}
+	}
+	p := newFragilePool(s, 12, 1500*time.Millisecond)
+	s.t.Cleanup(p.stop)
+	for _, h := range s.gateways {
+		eventually(s.t, h.name+" serves", func() bool { return s.send(h, "stream", "key-a").status == 200 })
+	}
+	return p
+}
+
+// late is how often the request that ends upstreams was sent later than permitted, and how
+// many upstreams ended.
+func (p *fragilePool) late() (late, ended int) {
+	sends, ends := p.sends()
+	if len(ends) < 3 {
+		return 0, len(ends)
+	}
+	for _, at := range sends {
+		if at.After(ends[2].Add(toldWithin)) {
+			late++
+		}
+	}
+	return late, len(ends)
+}
+
+// spoil sends the request that ends upstreams to one host after the other.
+func (p *fragilePool) spoil(times int, gap time.Duration) (refused int) {
+	for i := range times {
+		a := p.sendBody(p.gateways[i%len(p.gateways)], "stream", "key-a", fatalBody)
+		if strings.Contains(a.body, quarantined) {
+			refused++
+		}
+		time.Sleep(gap)
+	}
+	return refused
+}
+
 // One caller's request ended every engine that began to run it, and came again under
 // other ids at all hosts; each host took it for a new request and sent it on to up to three
 // engines. Of 25 engines that ended 24 had been sent one with the same account, route and
@@ -107,17 +152,7 @@
 func TestRequestThatEndsUpstreamsIsKeptAway(t *testing.T) {
 	is := is.New(t)
 	s := newFleetSystem(t, 7, 3)
-	for _, u := range s.upstreams {
-		if u.Service == "pool" {
-			s.store.Remove("servers", u.ID)
-			u.Kill() // it would go on for a moment, and answer the request that ends the others
-		}
-	}
-	p := newFragilePool(s, 12, 1500*time.Millisecond)
-	t.Cleanup(p.stop)
-	for _, h := range s.gateways {
-		eventually(t, h.name+" serves", func() bool { return s.send(h, "stream", "key-a").status == 200 })
-	}
+	p := s.replacePool()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	var mu sync.Mutex
@@ -144,14 +179,8 @@
 	close(stop)
 	callers.Wait()
 
-	sends, ends := p.sends()
-	is.True(len(ends) >= 3)
-	late := 0
-	for _, at := range sends {
-		if at.After(ends[2].Add(toldWithin)) {
-			late++
-		}
-	}
+	late, ended := p.late()
+	is.True(ended >= 3)
 	refused, served := 0, 0
 	for _, a := range sound {
 		if strings.Contains(a.body, quarantined) {
@@ -161,8 +190,60 @@
 			served++
 		}
 	}
+	sends, _ := p.sends()
 	t.Logf("%d upstreams ended, the request was sent %d times, %d of them late; %d of %d sound requests were served",
-		len(ends), len(sends), late, served, len(sound))
+		ended, len(sends), late, served, len(sound))
 	is.True(late <= permittedLater)
 	is.Equal(refused, 0)
 }
+
+// Hosts that can't reach each other, but the store, keep the request away as well: a verdict
+// of one reaches the others through the store.
+func TestVerdictReachesHostsThatAreCutFromEachOther(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 3, 3)
+	p := s.replacePool()
+	for _, way := range s.toHubs {
+		way.inner.Silence(tcprelay.ToTarget)
+		way.inner.Silence(tcprelay.FromTarget)
+	}
+	time.Sleep(2 * time.Second)
+	p.spoil(40, 150*time.Millisecond)
+	late, ended := p.late()
+	t.Logf("%d upstreams ended, %d sends were late", ended, late)
+	is.True(ended >= 3)
+	is.True(late <= permittedLater)
+	for _, h := range s.gateways {
+		is.True(strings.Contains(s.sendBody(h, "stream", "key-a", fatalBody).body, quarantined))
+	}
+}
+
+// A verdict outlives all hosts: they read it from the store when they start.
+func TestVerdictOutlivesAllHosts(t *testing.T) {
+	is := is.New(t)
+	s := newFleetSystem(t, 3, 3)
+	p := s.replacePool()
+	p.spoil(20, 100*time.Millisecond)
+	eventually(t, "the request is kept away", func() bool { return p.spoil(3, 0) == 3 })
+	eventually(t, "the store has the verdict", func() bool { return len(s.store.Keys("status", "quarantine/")) == 1 })
+	sends, _ := p.sends()
+	for _, h := range s.gateways {
+		h.kill()
+	}
+	for _, h := range s.gateways {
+		s.startGateway(h)
+	}
+	for _, h := range s.gateways {
+		eventually(t, h.name+" keeps it away", func() bool {
+			return strings.Contains(s.sendBody(h, "stream", "key-a", fatalBody).body, quarantined)
+		})
+	}
+	after, _ := p.sends()
+	is.Equal(len(after), len(sends))
+
+	// Operators lift it by the removal of its row.
+	for _, key := range s.store.Keys("status", "quarantine/") {
+		s.store.Remove("status", key)
+	}
+	eventually(t, "it is lifted", func() bool { return p.spoil(3, 0) == 0 })
+}
