entry: the own front door keeps requests that end engines away, too

It sent such a request on to three engines and took each repeat for a new one; three answers broken off by it stopped a sound version that rolled in. It uses the same guard: hosts tell each other directly, verdicts are in the table, operators list and lift them (quarantine). Upstreams keep their names here when they start again: an end a second later under the same name is another incarnation's.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,6 +32,7 @@
 	Hosts      hostsCmd      `cmd:"" help:"List entry hosts and upstreams as one host sees them."`
 	Leaving    leavingCmd    `cmd:"" help:"Take an upstream out of service on all hosts."`
 	Stops      stopsCmd      `cmd:"" help:"List the versions that the hosts stopped by their own evidence."`
+	Quarantine quarantineCmd `cmd:"" help:"List the requests that are kept away from upstreams, or lift one."`
 	Codes      codesCmd      `cmd:"" help:"List the result codes."`
 	Capacity   capacityCmd   `cmd:"" help:"Print the tables of docs/CAPACITY.md, or measure their slopes."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"io"
 	"net"
 	"net/http"
@@ -114,6 +115,10 @@
 	return nil
 }
 
+// fatalAfter is the time from the beginning of a fatal run to the engine's end: some of its
+// first frames are out by then.
+const fatalAfter = 40 * time.Millisecond
+
 type standinEngineCmd struct {
 	registerFlags
 	Listen          string        `help:"IP and port; port 0 takes a free one." default:"127.0.0.1:0" env:"-"`
@@ -125,6 +130,7 @@
 	PrefillPerToken time.Duration `help:"Time for each prompt token that isn't cached." env:"-"`
 	TimePerToken    time.Duration `help:"Time for an output token." env:"-"`
 	LoadLag         time.Duration `help:"How old the load report is." env:"-"`
+	Fatal           string        `help:"A text in prompts that ends the process 40 ms after it began to run them." env:"-"`
 	Fenced          bool          `help:"Refuse orders with old fencing numbers." env:"-"`
 	Faults          string        `help:"Faults from the start, as JSON." default:"{}" env:"-"`
 }
@@ -145,6 +151,9 @@
 		PrefillPerToken: c.PrefillPerToken,
 		TimePerToken:    c.TimePerToken,
 		LoadLag:         c.LoadLag,
+		Fatal:           c.Fatal,
+		FatalAfter:      fatalAfter,
+		End:             func() { os.Exit(1) },
 		Fenced:          c.Fenced,
 	})
 	e.SetFaults(faults)
--- a/internal/entry/chooseversion.go
+++ b/internal/entry/chooseversion.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/rollout"
@@ -20,6 +21,7 @@
 type chooseVersion struct {
 	watcher  *config.Watcher
 	rollout  *rollout.Tracker
+	guard    *guard.Guard
 	sampler  *sampler
 	registry *session.Registry
 	codec    *session.Codec
@@ -41,7 +43,7 @@
 	}
 	started := time.Now()
 	attempts := r.Attempts
-	r.Faulted = false
+	r.Faulted, r.brokeAt = false, nil
 	err = next(ctx, r)
 	if exposed(r.Version) {
 		f.conclude(ctx, r, started, r.Attempts > attempts, err)
@@ -69,13 +71,27 @@
 		if !r.FirstFrame.IsZero() {
 			outcome.FirstToken = r.FirstFrame.Sub(started)
 		}
-		f.rollout.Observe(model, version, outcome)
+		f.observe(r, outcome)
 	}
 	if err == nil {
 		f.sampler.offer(model, version, r.Prompt, r.Sink.Text())
 	}
 }
 
+// observe holds the answer against its version, or for it. The end of an upstream by a
+// request that is to blame says nothing of the version.
+func (f *chooseVersion) observe(r *Request, outcome rollout.Outcome) {
+	model, version := r.Model, r.Version.Name
+	if !outcome.Err || r.brokeAt == nil {
+		f.rollout.Observe(model, version, outcome)
+		return
+	}
+	f.guard.Unexplained(*r.brokeAt, guard.Blame{
+		Version: func() { f.rollout.Observe(model, version, outcome) },
+		Request: func() { f.rollout.Abandon(model, version) },
+	})
+}
+
 // versionReason says in the decision log why a version was taken.
 type versionReason string
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -35,6 +36,8 @@
 	engine  upstream.Engine
 	service upstream.Service
 	retries *admission.RetryBudget
+	// guard keeps requests that end upstreams away from them.
+	guard *guard.Guard
 	// leaving tells the other hosts of an upstream that said it is leaving.
 	leaving func(upstreamID string)
 	log     zerolog.Logger
@@ -44,15 +47,16 @@
 // Serve implements Filter.
 func (f *dispatch) Serve(ctx context.Context, r *Request, _ Next) error {
 	f.retries.Deposit()
+	r.digest = r.content().Digest()
 	var exclude []string
 	for attempt := 1; ; attempt++ {
-		choice, err := f.place(r, exclude)
-		if err != nil {
-			return err
-		}
-		err = f.attempt(ctx, r, choice)
-		if err == nil {
+		choice, err := f.tryOnce(ctx, r, exclude)
+		var refused errNotTried
+		switch {
+		case err == nil:
 			return nil
+		case errors.As(err, &refused):
+			return refused.error
 		}
 		if !f.mayRetry(ctx, r, attempt, err) {
 			return attemptError(ctx, r, err)
@@ -67,6 +71,25 @@
 	}
 }
 
+// errNotTried is the error of an attempt that wasn't made: the request is refused.
+type errNotTried struct{ error }
+
+// Unwrap returns the refusal.
+func (e errNotTried) Unwrap() error { return e.error }
+
+// tryOnce makes one attempt, if the request may be sent at all.
+func (f *dispatch) tryOnce(ctx context.Context, r *Request, exclude []string) (balance.Choice, error) {
+	if err := f.admitted(ctx, r); err != nil {
+		return balance.Choice{}, errNotTried{err}
+	}
+	defer f.guard.Leave(r.digest)
+	choice, err := f.place(r, exclude)
+	if err != nil {
+		return choice, errNotTried{err}
+	}
+	return choice, f.attempt(ctx, r, choice)
+}
+
 // place chooses the upstream of one attempt, under the manifest in force now.
 func (f *dispatch) place(r *Request, exclude []string) (balance.Choice, error) {
 	if err := f.stillPermitted(r); err != nil {
@@ -124,12 +147,19 @@
 	r.Target = upstream.Target{ID: id, Address: choice.Upstream.Address}
 	r.Attempts++
 	started := time.Now()
+	upstreamLife := guarded(choice.Upstream)
+	f.guard.Begin(upstreamLife, r.digest)
 	var err error
 	if r.Kind == KindService {
 		err = f.runService(ctx, r)
 	} else {
 		err = f.runModel(ctx, r)
 	}
+	how := ending(ctx, err)
+	f.guard.End(upstreamLife, r.digest, how)
+	if how == guard.Broken {
+		r.brokeAt = &upstreamLife
+	}
 	r.Faulted = r.Faulted || faults(ctx, err)
 	outcome := f.outcome(ctx, r, started, err)
 	if outcome.Leaving {
@@ -243,7 +273,7 @@
 // budget: it would be spent just when many upstreams died at once.
 func (f *dispatch) mayRetry(ctx context.Context, r *Request, attempt int, err error) bool {
 	switch {
-	case ctx.Err() != nil, attempt >= maxAttempts, r.Sink.Started():
+	case ctx.Err() != nil, attempt >= maxAttempts, r.Sink.Started(), f.guard.NearlyJudged(r.digest):
 		return false
 	case r.state.State() != runstate.NotRun && !r.Repeatable:
 		return false
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -7,8 +7,10 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -34,7 +36,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			f := &dispatch{retries: admission.NewRetryBudget(0, 0, nil)}
+			f := &dispatch{retries: admission.NewRetryBudget(0, 0, nil), guard: guard.New(guard.Options{Log: zerolog.Nop()})}
 			r := &Request{Repeatable: true, Sink: &heldSink{}}
 			is.New(t).Equal(f.mayRetry(tt.ctx, r, tt.attempt, tt.err), tt.want)
 		})
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -71,7 +71,9 @@
 	cascade   *cascade.Learner
 	sampler   *sampler
 	evidence  *evidenceExchange
-	unloader  *unloader
+	// quarantine keeps requests that end upstreams away from them.
+	quarantine *quarantineExchange
+	unloader   *unloader
 	// maintenance tidies the table.
 	maintenance *maintenance
 	departed    departures
@@ -164,6 +166,7 @@
 	h.engine = upstream.NewEngine(upstream.EngineOptions{})
 	h.service = upstream.NewService(upstream.ServiceOptions{})
 	h.evidence = newEvidenceExchange(h)
+	h.quarantine = newQuarantineExchange(h)
 	leases := lease.New(lease.Options{Table: h.platform.Table})
 	h.unloader = &unloader{host: h, manager: leases}
 	h.maintenance = &maintenance{host: h, manager: leases}
@@ -277,6 +280,7 @@
 	run("host list", h.pollHosts)
 	run("load", h.pollLoad)
 	run("evidence", h.evidence.run)
+	run("quarantine", h.quarantine.run)
 	run("exposure", h.refill)
 	run("orders", h.unloader.run)
 	run("maintenance", h.maintenance.run)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -38,6 +38,8 @@
 	keyed("GET "+PathHosts, h.showHosts)
 	keyed("GET "+PathStops, h.showStops)
 	keyed("POST "+PathLeaving, h.setLeaving)
+	keyed("GET "+PathQuarantine, h.showQuarantine)
+	keyed("DELETE "+PathQuarantine+"/{digest}", h.liftQuarantine)
 	return mux
 }
 
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -55,6 +55,7 @@
 		&chooseVersion{
 			watcher:  h.watcher,
 			rollout:  h.rollout,
+			guard:    h.quarantine.guard,
 			sampler:  h.sampler,
 			registry: h.registry,
 			codec:    h.codec,
@@ -66,6 +67,7 @@
 			engine:  h.engine,
 			service: h.service,
 			retries: h.retries,
+			guard:   h.quarantine.guard,
 			leaving: h.upstreamLeaving,
 			log:     h.log,
 			zone:    h.settings.Zone,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/claim"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -87,6 +89,10 @@
 	// Replayed says that the answer is an earlier one with the same key.
 	Replayed bool
 
+	// digest names the request by its content.
+	digest quarantine.Digest
+	// brokeAt is the upstream whose answer broke off last, if any did.
+	brokeAt *guard.Upstream
 	// prefix holds the hashes of the prompt's blocks, once they are needed.
 	prefix []uint64
 	state  runstate.Tracker
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -39,6 +39,7 @@
 	event := f.log.Info().
 		Str("event", "request").
 		Str("request", r.ID).
+		Stringer("digest", r.digest).
 		Str("account", r.AccountName()).
 		Str("class", r.Class.Name).
 		Uint64("epoch", r.Epoch()).
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -191,7 +191,9 @@
 		return
 	}
 	if g.rollouts.judged(r.Service) {
-		g.guard.Unexplained(a.choice.upstream.guarded(), func() { g.rollouts.observe(r, &a.choice, result, a.headSeen) })
+		g.guard.Unexplained(a.choice.upstream.guarded(), guard.Blame{
+			Version: func() { g.rollouts.observe(r, &a.choice, result, a.headSeen) },
+		})
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -217,17 +217,28 @@
 	return n
 }
 
-// Unexplained calls do, unless a request is to blame that the upstream ended. It does so
-// soon if the upstream lives, and after a judgement is due otherwise.
-func (g *Guard) Unexplained(u Upstream, do func()) {
+// Blame is what to do with an answer that broke off.
+type Blame struct {
+	// Version is called if nothing else explains it than the upstream's version, Request if
+	// a request that is judged ended the upstream. Request may be nil.
+	Version func()
+	Request func()
+}
+
+// Unexplained finds out who is to blame that an upstream broke an answer off: soon if the
+// upstream lives, and after a judgement is due otherwise.
+func (g *Guard) Unexplained(u Upstream, blame Blame) {
 	time.AfterFunc(breakGather+checkTimeout, func() {
 		if !g.exposures.hasEnded(u) {
-			do()
+			blame.Version()
 			return
 		}
 		time.AfterFunc(blameWait, func() {
-			if !g.tracker.Explained(u.Life) {
-				do()
+			switch {
+			case !g.tracker.Explained(u.Life):
+				blame.Version()
+			case blame.Request != nil:
+				blame.Request()
 			}
 		})
 	})
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -455,7 +455,7 @@
 		b := newBench("h", memory.New())
 		held := make(chan string, 10)
 		lives := Upstream{ID: "lives", Life: 100}
-		b.Unexplained(lives, func() { held <- "lives" })
+		b.Unexplained(lives, Blame{Version: func() { held <- "lives" }})
 		time.Sleep(breakGather + checkTimeout + time.Millisecond)
 		is.Equal(<-held, "lives") // its answer broke off, and it answers still
 
@@ -465,14 +465,14 @@
 			b.Begin(u, d)
 			b.exposures.lives[life].endedAt = boottime.Now()
 			b.lose(u, 0, []quarantine.Digest{d})
-			b.Unexplained(u, func() { held <- "ended" })
+			b.Unexplained(u, Blame{Version: func() { held <- "ended" }})
 			time.Sleep(100 * time.Millisecond)
 		}
 		other := Upstream{ID: "other", Service: "svc", Life: 200}
 		b.Begin(other, digest(2))
 		b.exposures.lives[200].endedAt = boottime.Now()
 		b.lose(other, 0, []quarantine.Digest{digest(2)})
-		b.Unexplained(other, func() { held <- "other" })
+		b.Unexplained(other, Blame{Version: func() { held <- "other" }})
 		time.Sleep(quarantine.Settle + time.Millisecond)
 		b.judge()
 		time.Sleep(2 * blameWait)
--- a/internal/guard/rows.go
+++ b/internal/guard/rows.go
@@ -264,3 +264,12 @@
 		Uint64("revision", revision).AnErr("error", err).Msg("")
 	return revision, err
 }
+
+// Withdraw removes a verdict's row and forgets the verdict. A request without one is none.
+func (g *Guard) Withdraw(ctx context.Context, d quarantine.Digest) error {
+	e, ok := g.register.Get(d)
+	if !ok {
+		return nil
+	}
+	return g.rows.remove(ctx, e)
+}
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -89,6 +90,9 @@
 	ctx, cancel := context.WithCancel(e.ctx)
 	j := newJob(requestID, req.Model, cancel)
 	e.jobs.put(j)
+	if e.opts.Fatal != "" && strings.Contains(req.prompt(), e.opts.Fatal) {
+		time.AfterFunc(e.opts.FatalAfter, e.opts.End)
+	}
 	e.runs.Add(1)
 	go func() {
 		defer e.runs.Done()
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -54,6 +54,11 @@
 	Fenced bool
 	// LoadTime is how long the loading of a version takes. Default: none.
 	LoadTime time.Duration
+	// Fatal is a text in a prompt that ends the engine FatalAfter it began to run it, by
+	// End. Default: none.
+	Fatal      string
+	FatalAfter time.Duration
+	End        func()
 	// KeepAnswers is how long a finished answer can be resumed. Default: 30 s.
 	KeepAnswers time.Duration
 	// Seed seeds the random faults. Default: 0.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -115,6 +115,7 @@
 func (t *Tracker) Lose(l Loss) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	l.Life = t.incarnation(l)
 	life := t.life(l)
 	if slices.Contains(life.digests, l.Digest) || len(life.digests) >= maxPerLife && !t.known(l.Digest) {
 		return false
@@ -133,6 +134,28 @@
 	return t.blamed[d] || t.suspects[d] != nil || t.singles.Contains(d)
 }
 
+// sameEnd is the time within which two ends under one name are the same one. Where upstreams
+// keep their names when they start again, nothing else tells these apart.
+const sameEnd = time.Second
+
+// incarnation is the name of the loss's incarnation: the upstream's own, or one made of that
+// for each time that it ended before. The lock is held.
+func (t *Tracker) incarnation(l Loss) Life {
+	const mostTold = 64 // of one name, in the time that losses count
+	name := l.Life
+	for range mostTold {
+		known, ok := t.lives.Peek(name)
+		if !ok || l.At-known.at < sameEnd {
+			break
+		}
+		name = name.next()
+	}
+	return name
+}
+
+// next is the name of the incarnation after this one; FNV's prime spreads the names.
+func (l Life) next() Life { return l*16777619 + 1 }
+
 // life is the upstream of the loss. The lock is held.
 func (t *Tracker) life(l Loss) *ended {
 	life, ok := t.lives.Get(l.Life)
@@ -227,19 +250,22 @@
 	delete(t.suspects, d)
 }
 
-// Explained says whether a request that is judged ran at the upstream when that ended.
+// Explained says whether a request that is judged ran at the upstream when that ended last.
 func (t *Tracker) Explained(life Life) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.lives.Peek(life)
-	return ok && e.explained
+	explained := false
+	for e, ok := t.lives.Peek(life); ok; e, ok = t.lives.Peek(life) {
+		explained, life = e.explained, life.next()
+	}
+	return explained
 }
 
 // Explain takes in that a request that is judged ran at the upstream when that ended.
 func (t *Tracker) Explain(life Life, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.life(Loss{Life: life, At: at}).explained = true
+	t.life(Loss{Life: t.incarnation(Loss{Life: life, At: at}), At: at}).explained = true
 }
 
 // Events is the number of moments at which upstreams ended with the request, as far as
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -153,6 +153,21 @@
 	is.Equal(len(tr.Judge(2*time.Minute)), 1)
 }
 
+// An upstream that starts again under its name is another one when it ends again.
+func TestUpstreamsThatKeepTheirNames(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	for i := range 3 {
+		at := time.Duration(i) * 4 * time.Second
+		tr.Lose(Loss{Digest: digest(1), Life: 5, At: at})
+		is.True(!tr.Lose(Loss{Digest: digest(1), Life: 5, At: at + 300*ms})) // the same end, told late
+		tr.Lose(Loss{Digest: digest(uint64(100 + i)), Life: 5, At: at + 20*ms})
+	}
+	is.Equal(tr.Events(digest(1), 9*time.Second), 3)
+	is.Equal(len(tr.Judge(10*time.Second)), 1)
+	is.True(tr.Explained(5))
+}
+
 // A verdict that is lifted is forgotten, with what was held against the request.
 func TestClear(t *testing.T) {
 	is := is.New(t)
