--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -5,10 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -33,6 +33,12 @@
 	// growth draws which links are small and when the document grows, apart from
 	// rnd: a seed's other faults don't depend on it.
 	growth *rand.Rand
+	// fatal draws whether a request comes that ends upstreams, and when, apart from both.
+	fatal *rand.Rand
+	// ended are upstreams that it ended and that weren't replaced yet.
+	ended chan *platformtest.Upstream
+	// ends counts them.
+	ends atomic.Int64
 	// disturbed is when a fault last was in force that may delay what hosts
 	// believe, in nanoseconds since 1970.
 	disturbed atomic.Int64
@@ -72,6 +78,8 @@
 				fleetSystem: soakSystem(t, seed),
 				rnd:         rand.New(rand.NewPCG(seed, 1)),
 				growth:      rand.New(rand.NewPCG(seed, 2)),
+				fatal:       rand.New(rand.NewPCG(seed, 3)),
+				ended:       make(chan *platformtest.Upstream, 1000),
 				left:        make(map[string]time.Time),
 				newest:      "many",
 			}
@@ -107,14 +115,24 @@
 			s.call(s.gateways[i%len(s.gateways)], []string{"once", "many", "stream"}[i/len(s.gateways)], stop)
 		})
 	}
+	fatal := s.fatal.IntN(2) == 0
+	if fatal {
+		s.note("a request comes that ends upstreams")
+		for _, u := range s.upstreams {
+			s.makeFragile(u)
+		}
+		callers.Go(func() { s.callFatal(stop) })
+	}
 	version := 10
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.strike(&version)
+		s.replaceEnded()
 		time.Sleep(time.Duration(50+s.rnd.IntN(250)) * time.Millisecond)
 	}
 	s.heal()
 	close(stop)
 	callers.Wait()
+	s.replaceEnded()
 	for _, h := range s.gateways {
 		eventually(s.t, h.name+" is ready again", func() bool { return s.isReady(h) })
 		eventually(s.t, h.name+" serves again", func() bool {
@@ -124,6 +142,73 @@
 			return s.send(h, s.newest, "key-a").status == http.StatusOK
 		})
 	}
+	if fatal {
+		s.checkFatal()
+	}
+}
+
+// makeFragile has the request that ends upstreams end this one.
+func (s *soak) makeFragile(u *platformtest.Upstream) {
+	u.SetFatal(fatalBody, 30*time.Millisecond, func() {
+		s.ends.Add(1)
+		s.harm(time.Second)
+		s.ended <- u
+	})
+}
+
+// replaceEnded starts upstreams in place of those that ended.
+func (s *soak) replaceEnded() {
+	for {
+		select {
+		case u := <-s.ended:
+			if _, gone := s.left[u.ID]; !gone {
+				s.left[u.ID] = time.Now()
+				s.store.Remove("servers", u.ID)
+				s.makeFragile(s.addUpstream(u.Service, u.Version, u.Zone))
+			}
+		default:
+			return
+		}
+	}
+}
+
+// callFatal sends the request that ends upstreams to random hosts.
+func (s *soak) callFatal(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(100+s.fatal.IntN(500)) * time.Millisecond):
+		}
+		h := s.gateways[s.fatal.IntN(len(s.gateways))]
+		a := s.sendBody(h, "stream", "key-a", fatalBody)
+		s.note("the request that ends upstreams at %s: %d %q %v", h.name, a.status, a.body, a.err)
+	}
+}
+
+// checkFatal: with all faults over every host knows the request, or learns it from three
+// ends more; and no other request is taken for it.
+func (s *soak) checkFatal() {
+	time.Sleep(toldWithin)
+	before := s.ends.Load()
+	for i := range 4 * len(s.gateways) {
+		s.sendBody(s.gateways[i%len(s.gateways)], "stream", "key-a", fatalBody)
+		s.replaceEnded()
+		time.Sleep(100 * time.Millisecond)
+	}
+	permitted := int64(permittedLater)
+	if before < 3 {
+		permitted += 3 - before
+	}
+	if after := s.ends.Load(); after-before > permitted {
+		s.t.Errorf("a request that had ended %d upstreams ended %d more", before, after-before)
+	}
+	for i := range s.answers {
+		if strings.Contains(s.answers[i].body, quarantined) {
+			s.t.Errorf("%s was refused for another's fault", s.answers[i].id)
+		}
+	}
+	s.t.Logf("a request ended %d upstreams, %d of them after all faults", s.ends.Load(), s.ends.Load()-before)
 }
 
 // call sends requests one after the other and keeps their answers.
@@ -142,6 +227,8 @@
 }
 
 func (s *soak) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.trail = append(s.trail, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
@@ -263,7 +350,9 @@
 	if _, gone := s.left[old.ID]; gone {
 		return
 	}
-	s.addUpstream(old.Service, old.Version, old.Zone)
+	if added := s.addUpstream(old.Service, old.Version, old.Zone); old.IsFragile() {
+		s.makeFragile(added)
+	}
 	s.left[old.ID] = time.Now()
 	if !notice {
 		s.note("upstream %s crashes", old.ID)
--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -51,9 +51,8 @@
 	u := &platformtest.Upstream{
 		ID: fmt.Sprintf("u-%d", p.made), Service: "pool", Version: "v1", Zone: zone,
 		Events: streamEvents, Pause: 30 * time.Millisecond, Weak: "weak", Confidence: 20,
-		Fatal: fatalBody, FatalAfter: 40 * time.Millisecond,
 	}
-	u.Ended = func() {
+	u.SetFatal(fatalBody, 40*time.Millisecond, func() {
 		p.mu.Lock()
 		p.ends = append(p.ends, time.Now())
 		p.mu.Unlock()
@@ -65,7 +64,7 @@
 				p.add(zone, back)
 			}
 		})
-	}
+	})
 	if err := u.Start(loopback); err != nil {
 		panic(err) // not in the test's goroutine
 	}
--- a/internal/exchange/quarantine_test.go
+++ b/internal/exchange/quarantine_test.go
@@ -255,6 +255,19 @@
 	})
 }
 
+// A host that was suspended doesn't go by what others said before that.
+func TestReportsAgeDuringASuspension(t *testing.T) {
+	is := is.New(t)
+	for _, d := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+		h := newHub(Options{Host: "self"}, zerolog.Nop())
+		h.take("other", Report{Work: Work{NameOf("u"): 5}})
+		is.Equal(h.others("self", toHost)[NameOf("u")], 5.0)
+		undo := boottime.Simulate(d)
+		is.Equal(len(h.others("self", toHost)), 0)
+		undo()
+	}
+}
+
 // A third of all upstreams is lost at once, with ten requests at each: what hosts tell of it
 // is bounded, and nothing is judged.
 func TestMassLossIsBounded(t *testing.T) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/storage/faulty"
@@ -193,6 +194,19 @@
 	}
 }
 
+// A host that was suspended for longer than its lease doesn't hold it on waking, whatever
+// the time of day says.
+func TestLeaseLapsesDuringASuspension(t *testing.T) {
+	is := is.New(t)
+	for _, d := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+		l, err := lease.New(lease.Options{Table: memory.New()}).Acquire(t.Context(), name, "host-a", 4*time.Second)
+		is.NoErr(err)
+		undo := boottime.Simulate(d)
+		is.Equal(l.Valid(), d < 4*time.Second*9/10)
+		undo()
+	}
+}
+
 func TestSuspendedMonotonicClock(t *testing.T) {
 	is := is.New(t)
 	// The wall clock goes on by an hour while the monotonic one stands still.
