guard: an answer speaks for a request only if its upstream outlives it

A run that was answered counts among what an upstream ended with for 0.3 s; 0.6 s after it the request is cleared, of suspects only if the upstream still listens. Also: a request that an upstream ended with once isn't sent to two at a time by one host, unless it was answered just before.

--- a/internal/guard/admit.go
+++ b/internal/guard/admit.go
@@ -18,9 +18,9 @@
 var ErrQuarantined = errors.New("guard: upstreams ended that ran this request")
 
 // Admit says whether the request may be sent to an upstream of the service now; Leave ends
-// that. A suspect waits while another one with its content is at an upstream of this
-// host's, or until it is judged, for longestHold at most: it isn't sent to several upstreams
-// at once. The error is ErrQuarantined or the context's.
+// that. A request that an upstream ended with waits while another one with its content is at
+// an upstream of this host's, or until it is judged, for longestHold at most: it isn't sent
+// to several upstreams at once. The error is ErrQuarantined or the context's.
 func (g *Guard) Admit(ctx context.Context, d quarantine.Digest, service string) error {
 	var over <-chan time.Time
 	for {
@@ -60,7 +60,7 @@
 		delete(g.running, d)
 	}
 	g.mu.Unlock()
-	if g.events(d, boottime.Elapsed()) > 1 {
+	if g.events(d, boottime.Elapsed()) > 0 {
 		g.wake()
 	}
 }
@@ -73,10 +73,12 @@
 
 // enter counts the request as running if nothing speaks against that.
 func (g *Guard) enter(d quarantine.Digest) bool {
-	s := quarantine.Suspicion{Digest: d, Events: g.events(d, boottime.Elapsed())}
+	now := boottime.Elapsed()
+	s := quarantine.Suspicion{Digest: d, Events: g.events(d, now)}
+	oneByOne := s.Events > 1 || s.Events == 1 && !g.tracker.Survived(d, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s.Events > 1 && (s.Judged() || g.running[d] > 0) {
+	if s.Judged() || oneByOne && g.running[d] > 0 {
 		return false
 	}
 	g.running[d]++
@@ -93,9 +95,4 @@
 func (g *Guard) Begin(u Upstream, d quarantine.Digest) { g.exposures.begin(u, d) }
 
 // End notes how that ended.
-func (g *Guard) End(u Upstream, d quarantine.Digest, how Ending) {
-	g.exposures.end(u, d, how)
-	if how == Answered {
-		g.survive(d)
-	}
-}
+func (g *Guard) End(u Upstream, d quarantine.Digest, how Ending) { g.exposures.end(u, d, how) }
--- a/internal/guard/exposures.go
+++ b/internal/guard/exposures.go
@@ -17,13 +17,19 @@
 )
 
 const (
-	// givenUpKept is how long a run is remembered that this host gave up: another host's
-	// word that the upstream ended comes over two hubs.
-	givenUpKept = 3 * time.Second
+	// recentKept is how long a run is remembered that is over: another host's word that the
+	// upstream ended comes over two hubs.
+	recentKept = 3 * time.Second
 	// lingering is how long a run that this host gave up may go on at its upstream: the
 	// upstream notices the closed connection late, and an engine that was given a prompt
 	// can end by it up to 0.1 s after its answer was dropped.
 	lingering = time.Second
+	// aftermath is the same for a run that the upstream finished: short ones are over before
+	// what they brought about ends it.
+	aftermath = 300 * time.Millisecond
+	// survivalWait is the time after an answer from which its upstream counts as having
+	// survived the run: another host's word that it ended has come by then.
+	survivalWait = 600 * time.Millisecond
 	// breakGather is the time in which the answers that one upstream breaks off are
 	// gathered before it is looked at: the end of a process breaks all within 2 ms.
 	breakGather = 5 * time.Millisecond
@@ -31,6 +37,9 @@
 	// that ended refuses connections at once; where nothing comes back, the upstream may
 	// live behind a cut.
 	checkTimeout = 250 * time.Millisecond
+	// sameEnd is the time after an upstream's end in which answers still arrive that it made
+	// before.
+	sameEnd = time.Second
 	// endedKept is how long the end of an upstream is remembered for answers whose end
 	// is noticed late.
 	endedKept = 5 * time.Second
@@ -66,33 +75,49 @@
 	// ended is told of an upstream that ended so long ago, with the digests of what this
 	// host had running there.
 	ended func(u Upstream, ago time.Duration, digests []quarantine.Digest)
-	log   zerolog.Logger
+	// survived is told of a request whose run an upstream outlived.
+	survived func(d quarantine.Digest)
+	// suspected says whether an upstream ended with the request before.
+	suspected func(d quarantine.Digest) bool
+	log       zerolog.Logger
 
 	mu    sync.Mutex
 	lives map[quarantine.Life]*life
+	// answered are the runs of which it isn't known yet whether their upstreams outlive
+	// them, the oldest first.
+	answered []answeredRun
+}
+
+// answeredRun is a run that was answered, and its upstream.
+type answeredRun struct {
+	life *life
+	recentRun
 }
 
 // life is what this host sent to one incarnation of an upstream.
 type life struct {
 	upstream Upstream
 	running  map[quarantine.Digest]int
-	// givenUp are runs that this host ended and that may go on.
-	givenUp []givenUpRun
+	// recent are runs that are over for this host: given up, broken off or answered.
+	recent []recentRun
 	// checking says that a look at the upstream is under way.
 	checking bool
 	// endedAt is when the upstream was found to have ended; zero before.
 	endedAt time.Time
 }
 
-// givenUpRun is a run that was given up, and when.
-type givenUpRun struct {
+// recentRun is a run that is over, since when, and how long after that it may end its
+// upstream.
+type recentRun struct {
 	digest quarantine.Digest
 	at     time.Time
+	after  time.Duration
 }
 
 func newExposures(log zerolog.Logger) *exposures {
 	return &exposures{
-		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, log: log, lives: make(map[quarantine.Life]*life),
+		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, survived: func(quarantine.Digest) {},
+		suspected: func(quarantine.Digest) bool { return false }, log: log, lives: make(map[quarantine.Life]*life),
 	}
 }
 
@@ -121,16 +146,19 @@
 	}
 	switch how {
 	case Broken:
-		l.giveUp(d)
+		l.over(d, lingering)
 		e.look(l)
 	case GivenUp:
-		l.giveUp(d)
+		l.over(d, lingering)
 	case Unreachable:
 		if l.exposed() {
 			e.look(l)
 		}
 	case Answered:
-		l.endedAt = time.Time{} // it lives
+		if boottime.Since(l.endedAt) > sameEnd {
+			l.endedAt = time.Time{} // it lives
+		}
+		e.answered = append(e.answered, answeredRun{life: l, recentRun: l.over(d, aftermath)})
 	}
 	late, ago := l.takeLate()
 	e.mu.Unlock()
@@ -139,39 +167,74 @@
 	}
 }
 
-// giveUp notes a run that may go on. The lock is held.
-func (l *life) giveUp(d quarantine.Digest) {
-	l.givenUp = append(l.givenUp, givenUpRun{digest: d, at: boottime.Now()})
+// over notes a run that is over for this host. The lock is held.
+func (l *life) over(d quarantine.Digest, after time.Duration) recentRun {
+	run := recentRun{digest: d, at: boottime.Now(), after: after}
+	l.recent = append(l.recent, run)
+	return run
+}
+
+// settle tells of the requests whose upstreams outlived them. Where an upstream ended with
+// the request before, it is asked.
+func (e *exposures) settle() {
+	for _, run := range e.due() {
+		if e.hasEnded(run.life.upstream) {
+			continue // by what another of them showed
+		}
+		if e.suspected(run.digest) && refuses(run.life.upstream.Address) {
+			e.mu.Lock()
+			run.life.endedAt = run.at
+			digests := run.life.take()
+			e.mu.Unlock()
+			e.ended(run.life.upstream, boottime.Since(run.at), digests)
+			continue
+		}
+		e.survived(run.digest)
+	}
+}
+
+// due takes the runs that were answered long enough ago and whose upstreams aren't known to
+// have ended.
+func (e *exposures) due() []answeredRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for n < len(e.answered) && boottime.Since(e.answered[n].at) >= survivalWait {
+		n++
+	}
+	due := slices.Clone(e.answered[:n])
+	e.answered = slices.Delete(e.answered, 0, n)
+	return slices.DeleteFunc(due, func(run answeredRun) bool { return !run.life.endedAt.IsZero() })
 }
 
 // exposed says whether anything of this host's may run there. The lock is held.
 func (l *life) exposed() bool {
 	l.dropOld()
-	return len(l.running)+len(l.givenUp) > 0
+	return len(l.running)+len(l.recent) > 0
 }
 
-// dropOld forgets runs that were given up long ago. The lock is held.
+// dropOld forgets runs that were over long ago. The lock is held.
 func (l *life) dropOld() {
-	l.givenUp = slices.DeleteFunc(l.givenUp, func(run givenUpRun) bool { return boottime.Since(run.at) > givenUpKept })
+	l.recent = slices.DeleteFunc(l.recent, func(run recentRun) bool { return boottime.Since(run.at) > recentKept })
 }
 
-// take returns the digests of all that may have run there at its end, and forgets those that
-// were given up. The lock is held.
+// take returns the digests of all that may have ended it, and forgets those that are over.
+// The lock is held.
 func (l *life) take() []quarantine.Digest {
 	digests := slices.Collect(maps.Keys(l.running))
-	for _, run := range l.givenUp {
-		if l.endedAt.Sub(run.at) <= lingering && !slices.Contains(digests, run.digest) {
+	for _, run := range l.recent {
+		if l.endedAt.Sub(run.at) <= run.after && !slices.Contains(digests, run.digest) {
 			digests = append(digests, run.digest)
 		}
 	}
-	l.givenUp = nil
+	l.recent = nil
 	return digests
 }
 
 // takeLate returns what is found to have broken off after the upstream's end was noticed,
 // and how long ago that end was. The lock is held.
 func (l *life) takeLate() ([]quarantine.Digest, time.Duration) {
-	if l.endedAt.IsZero() || len(l.givenUp) == 0 {
+	if l.endedAt.IsZero() || len(l.recent) == 0 {
 		return nil, 0
 	}
 	return l.take(), boottime.Since(l.endedAt)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -92,7 +92,8 @@
 		judges: true, told: make(map[quarantine.Digest]toldSuspect), running: make(map[quarantine.Digest]int),
 		changed: make(chan struct{}),
 	}
-	g.exposures.ended = g.lose
+	g.exposures.ended, g.exposures.survived = g.lose, g.survive
+	g.exposures.suspected = func(d quarantine.Digest) bool { return g.events(d, boottime.Elapsed()) > 0 }
 	g.rows.known, g.rows.lifted = g.know, g.lift
 	return g
 }
@@ -102,6 +103,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { every(ctx, judgeInterval, g.judge) })
 	loops.Go(func() { every(ctx, judgeInterval, func() { g.rows.write(ctx, g.judging()) }) })
+	loops.Go(func() { every(ctx, judgeInterval, g.exposures.settle) })
 	loops.Go(func() { every(ctx, sweepInterval, g.exposures.sweep) })
 	loops.Wait()
 }
@@ -192,16 +194,18 @@
 	g.noteEnded(u.Life, at)
 }
 
-// survive takes in that a request was answered.
+// survive takes in that a request was answered, and that its upstream outlived it.
 func (g *Guard) survive(d quarantine.Digest) {
 	now := boottime.Elapsed()
-	suspect := g.events(d, now) > 1
+	events := g.events(d, now)
 	g.tracker.Survive(d, now)
 	g.rows.trialSurvived(d)
-	if suspect {
+	if events > 0 {
+		g.wake()
+	}
+	if events > 1 {
 		g.log.Info().Str("event", "suspicion-ended").Stringer("digest", d).Msg("")
 		g.seeAnswered(d)
-		g.wake()
 	}
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -213,6 +213,11 @@
 	return held
 }
 
+// Survived says whether the request was answered lately.
+func (t *Tracker) Survived(d Digest, now time.Duration) bool {
+	return t.SurvivedSince(d, now-survivalMemory)
+}
+
 // SurvivedSince says whether the request was answered after a time.
 func (t *Tracker) SurvivedSince(d Digest, since time.Duration) bool {
 	t.mu.Lock()
@@ -274,6 +279,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.suspects[d]
+	if h == nil {
+		h, _ = t.singles.Peek(d)
+	}
 	if h == nil {
 		return 0
 	}
