--- a/internal/exchange/quarantine_test.go
+++ b/internal/exchange/quarantine_test.go
@@ -293,7 +293,9 @@
 		}
 		for life := range quarantine.Life(8 * hosts) { // the seeds know of all
 			for i := range uint64(10) {
-				is.True(!f.hosts[0].quarantine.tracker.Lose(quarantine.Loss{Digest: testDigest(uint64(life)*10 + i), Life: 100 + life}))
+				is.True(!f.hosts[0].quarantine.tracker.Lose(quarantine.Loss{
+					Digest: testDigest(uint64(life)*10 + i), Life: 100 + life, At: boottime.Elapsed() - 10*time.Second,
+				}))
 			}
 		}
 		perHost := (after - before) / 2 / hosts / 10
