guard: only runs that are over count at an end; what followers are told is made once for all

Requests on their way to an upstream that had ended counted among what it ended with, if another break was noticed late. A hub made what its followers are told 430 times a second.

--- /dev/null
+++ b/internal/guard/endings.go
@@ -0,0 +1,139 @@
+package guard
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/quarantine"
+)
+
+const (
+	// survivalWait is the time after an answer from which its upstream counts as having
+	// survived the run: another host's word that it ended has come by then.
+	survivalWait = 600 * time.Millisecond
+	// breakGather is the time in which the answers that one upstream breaks off are
+	// gathered before it is looked at: the end of a process breaks all within 2 ms.
+	breakGather = 5 * time.Millisecond
+	// checkTimeout bounds the look at an upstream that broke answers off. A process
+	// that ended refuses connections at once; where nothing comes back, the upstream may
+	// live behind a cut.
+	checkTimeout = 250 * time.Millisecond
+)
+
+// settle tells of the requests whose upstreams outlived them. Where an upstream ended with
+// the request before, it is asked.
+func (e *exposures) settle() {
+	for _, run := range e.due() {
+		if e.hasEnded(run.life.upstream) {
+			continue // by what another of them showed
+		}
+		if e.suspected(run.digest) && refuses(run.life.upstream.Address) {
+			e.mu.Lock()
+			run.life.endedAt = run.at
+			digests := run.life.take()
+			e.mu.Unlock()
+			e.ended(run.life.upstream, boottime.Since(run.at), digests)
+			continue
+		}
+		e.survived(run.digest)
+	}
+}
+
+// due takes the runs that were answered long enough ago and whose upstreams aren't known to
+// have ended.
+func (e *exposures) due() []answeredRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for n < len(e.answered) && boottime.Since(e.answered[n].at) >= survivalWait {
+		n++
+	}
+	due := slices.Clone(e.answered[:n])
+	e.answered = slices.Delete(e.answered, 0, n)
+	return slices.DeleteFunc(due, func(run answeredRun) bool { return !run.life.endedAt.IsZero() })
+}
+
+// look finds out whether the upstream ended, unless that is under way or known. The lock is
+// held.
+func (e *exposures) look(l *life) {
+	if l.checking || !l.endedAt.IsZero() {
+		return
+	}
+	l.checking = true
+	time.AfterFunc(breakGather, func() { e.check(l) })
+}
+
+// check asks the upstream for a connection. Other requests that go on there show that it
+// lives, and spare the connection.
+func (e *exposures) check(l *life) {
+	e.mu.Lock()
+	others := len(l.running)
+	e.mu.Unlock()
+	broke := boottime.Now()
+	gone := others == 0 && refuses(l.upstream.Address)
+	e.mu.Lock()
+	l.checking = false
+	var digests []quarantine.Digest
+	if gone {
+		l.endedAt = broke
+		digests = l.take()
+	}
+	e.mu.Unlock()
+	e.log.Warn().Str("event", "upstream-checked").Str("upstream", l.upstream.ID).Bool("ended", gone).
+		Int("exposed", len(digests)).Int("running", others).Strs("digests", texts(digests)).Msg("")
+	if gone {
+		e.ended(l.upstream, boottime.Since(broke), digests)
+	}
+}
+
+// refuses says whether nothing listens at the address.
+func refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		// It was only to see whether there is somebody.
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// maxLoggedDigests bounds the digests in one log line.
+const maxLoggedDigests = 16
+
+func texts(digests []quarantine.Digest) []string {
+	list := make([]string, 0, min(len(digests), maxLoggedDigests))
+	for _, d := range digests[:min(len(digests), maxLoggedDigests)] {
+		list = append(list, d.String())
+	}
+	return list
+}
+
+// endedElsewhere takes in another host's word that an upstream ended: what this host gave
+// up there shortly before may be to blame, and nobody else knows of it.
+func (e *exposures) endedElsewhere(name quarantine.Life, ago time.Duration) {
+	e.mu.Lock()
+	l := e.lives[name]
+	if l == nil || !l.endedAt.IsZero() || l.checking {
+		e.mu.Unlock()
+		return
+	}
+	if len(l.running) > 0 {
+		e.look(l)
+		e.mu.Unlock()
+		return
+	}
+	l.endedAt = boottime.Now().Add(-ago)
+	digests := l.take()
+	e.mu.Unlock()
+	if len(digests) > 0 {
+		e.ended(l.upstream, ago, digests)
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -26,6 +27,9 @@
 	// request that is to blame for it is found in that time. Operators give 5 s to stop a
 	// bad version.
 	blameWait = 2500 * time.Millisecond
+	// checkedWithin is the time within which it is known whether an upstream that broke an
+	// answer off ended.
+	checkedWithin = breakGather + checkTimeout + 50*time.Millisecond
 )
 
 // Counted is what a guard counts.
@@ -70,6 +74,9 @@
 	told   map[quarantine.Digest]toldSuspect
 	// ended are the upstreams that ended lately.
 	ended []endedLife
+	// standing is what followers were told last, as of standingAt.
+	standing   exchange.Standing
+	standingAt time.Duration
 	// running counts the requests that this host has at upstreams, by digest.
 	running map[quarantine.Digest]int
 	// changed is closed when something changed for requests that wait.
@@ -93,7 +100,7 @@
 		changed: make(chan struct{}),
 	}
 	g.exposures.ended, g.exposures.survived = g.lose, g.survive
-	g.exposures.suspected = func(d quarantine.Digest) bool { return g.events(d, boottime.Elapsed()) > 0 }
+	g.exposures.suspected = func(d quarantine.Digest) bool { return g.events(d, boottime.Elapsed()) > 1 }
 	g.rows.known, g.rows.lifted = g.know, g.lift
 	return g
 }
@@ -232,7 +239,7 @@
 // Unexplained finds out who is to blame that an upstream broke an answer off: soon if the
 // upstream lives, and after a judgement is due otherwise.
 func (g *Guard) Unexplained(u Upstream, blame Blame) {
-	time.AfterFunc(breakGather+checkTimeout, func() {
+	time.AfterFunc(checkedWithin, func() {
 		if !g.exposures.hasEnded(u) {
 			blame.Version()
 			return
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -55,6 +55,9 @@
 	b.now += d
 }
 
+// fresh is what followers are told, not what they were told just before.
+func (b *bench) fresh() exchange.Standing { return b.standingNow(boottime.Elapsed()) }
+
 // follow takes the table's rows, as a watcher would hand them on.
 func (b *bench) follow(t *testing.T) {
 	t.Helper()
@@ -343,7 +346,7 @@
 	later.follow(t)
 	is.NoErr(later.Admit(t.Context(), d, "svc"))
 	// Another host that hasn't heard yet doesn't bring it back.
-	later.TakeStanding(b.Standing())
+	later.TakeStanding(b.fresh())
 	is.NoErr(later.Admit(t.Context(), d, "svc"))
 }
 
@@ -355,7 +358,7 @@
 	b := judged(t, "h1", table, d)
 	undo := boottime.Simulate(time.Minute)
 	t.Cleanup(undo)
-	standing := b.Standing()
+	standing := b.fresh()
 	is.Equal(len(standing.Verdicts), 1) // not stored, so told on
 	other := newBench("h2", table)
 	other.TakeStanding(standing)
@@ -369,7 +372,7 @@
 	_, err = table.Get(t.Context(), "quarantine/"+d.String())
 	is.NoErr(err)
 	t.Cleanup(boottime.Simulate(verdictFor + time.Second))
-	is.Equal(len(other.Standing().Verdicts), 0) // the store tells it now
+	is.Equal(len(other.fresh().Verdicts), 0) // the store tells it now
 }
 
 // After a verdict's end one host tries the request once. If an upstream ends with it, it is
@@ -460,18 +463,18 @@
 	d := digest(1)
 	hub.spoil(d, 1, 2)
 	host.survive(d)
-	host.TakeStanding(hub.Standing())
+	host.TakeStanding(hub.fresh())
 	is.Equal(host.events(d, boottime.Elapsed()), 0)
 	hub.Take(host.Sightings())
 	is.Equal(hub.events(d, boottime.Elapsed()), 0)
-	is.Equal(len(hub.Standing().Suspects), 0)
+	is.Equal(len(hub.fresh().Suspects), 0)
 
 	// One that it didn't see answered since is a suspect here, too, for as long as it is told.
 	d = digest(2)
 	host.survive(d)
 	t.Cleanup(boottime.Simulate(10 * time.Second))
 	hub.spoil(d, 10, 2)
-	host.TakeStanding(hub.Standing())
+	host.TakeStanding(hub.fresh())
 	is.Equal(host.events(d, boottime.Elapsed()), 2)
 	t.Cleanup(boottime.Simulate(toldFor + time.Second))
 	is.Equal(host.events(d, boottime.Elapsed()), 0)
@@ -484,15 +487,47 @@
 	d := digest(1)
 	a.spoil(d, 1, 2)
 	for range 10 {
-		b.TakeStanding(a.Standing())
-		a.TakeStanding(b.Standing())
+		b.TakeStanding(a.fresh())
+		a.TakeStanding(b.fresh())
 	}
 	for range 2 + (suspectFor+2*toldFor)/(toldFor/5) {
 		t.Cleanup(boottime.Simulate(toldFor / 5))
-		b.TakeStanding(a.Standing())
-		a.TakeStanding(b.Standing())
+		b.TakeStanding(a.fresh())
+		a.TakeStanding(b.fresh())
 	}
-	is.Equal(len(a.Standing().Suspects)+len(b.Standing().Suspects), 0)
+	is.Equal(len(a.fresh().Suspects)+len(b.fresh().Suspects), 0)
+}
+
+// What followers are told is made for all of them at once, and is young.
+func TestStandingIsShared(t *testing.T) {
+	is := is.New(t)
+	b := newBench("h", memory.New())
+	is.True(b.Standing().IsZero())
+	b.spoil(digest(1), 1, 2)
+	is.True(b.Standing().IsZero())
+	t.Cleanup(boottime.Simulate(standingEvery))
+	is.Equal(len(b.Standing().Suspects), 1)
+}
+
+// A request on its way to an upstream that ended isn't held against: it never ran there.
+func TestRequestsOnTheirWayArentExposed(t *testing.T) {
+	is := is.New(t)
+	e := newEndings()
+	u, l := listener(t)
+	e.begin(u, digest(1))
+	l.Close()
+	e.end(u, digest(1), Broken)
+	is.Equal(e.next(t), []quarantine.Digest{digest(1)})
+	e.begin(u, digest(2)) // it meets nobody there
+	e.begin(u, digest(3))
+	e.end(u, digest(3), Broken) // this one was noticed late
+	is.Equal(e.next(t), []quarantine.Digest{digest(3)})
+	e.end(u, digest(2), Unreachable)
+	is.Equal(len(e.told), 0)
+	// Started again under its name, it begins anew.
+	t.Cleanup(boottime.Simulate(sameEnd + time.Millisecond))
+	e.begin(u, digest(4))
+	is.True(!e.hasEnded(u))
 }
 
 // A new hub is told what the host saw lately, another time.
--- a/internal/guard/sightings.go
+++ b/internal/guard/sightings.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -32,7 +33,7 @@
 	maxSeen = 256
 )
 
-// sightingBook is what this host saw: what its hub wasn't told yet, and all of late.
+// sightingBook is what this host saw: what its hub wasn't told yet, and all losses of late.
 type sightingBook struct {
 	untold, recent []seenLoss
 }
@@ -45,7 +46,9 @@
 
 func (b *sightingBook) add(s seenLoss) {
 	b.untold = lastOf(append(b.untold, s), maxSeen)
-	b.recent = lastOf(append(b.recent, s), maxSeen)
+	if !s.answered {
+		b.recent = lastOf(append(b.recent, s), maxSeen)
+	}
 }
 
 // lastOf keeps the last of a list, at most so many.
@@ -65,6 +68,9 @@
 func (g *Guard) seeAnswered(d quarantine.Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if slices.ContainsFunc(g.seen.untold, func(s seenLoss) bool { return s.answered && s.loss.Digest == d }) {
+		return
+	}
 	g.seen.add(seenLoss{loss: quarantine.Loss{Digest: d, At: boottime.Elapsed()}, answered: true})
 }
 
@@ -138,9 +144,28 @@
 	g.exposures.endedElsewhere(life, boottime.Elapsed()-at)
 }
 
+// standingEvery is how long what followers are told is kept: a hub has up to 64 of them,
+// each of which asks seven times a second.
+const standingEvery = 50 * time.Millisecond
+
 // Standing implements exchange.Quarantine.
 func (g *Guard) Standing() exchange.Standing {
 	now := boottime.Elapsed()
+	g.mu.Lock()
+	standing, fresh := g.standing, now-g.standingAt < standingEvery && g.standingAt != 0
+	g.mu.Unlock()
+	if fresh {
+		return standing
+	}
+	standing = g.standingNow(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.standing, g.standingAt = standing, now
+	return standing
+}
+
+// standingNow is what followers are told now.
+func (g *Guard) standingNow(now time.Duration) exchange.Standing {
 	var s exchange.Standing
 	for _, suspect := range g.tracker.Suspects(now, suspectFor, maxToldSuspects) {
 		s.Suspects = append(s.Suspects, exchange.AgedSuspicion{Digest: suspect.Digest, Events: suspect.Events, FirstAge: now - suspect.First})
