--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
 
@@ -157,6 +158,8 @@
 	// raised only while the store's word is fresh, and its last part takes half a
 	// second.
 	holdStatus = 2 * time.Second
+	// sweepInterval is how often records of gone upstreams are looked for.
+	sweepInterval = 10 * time.Second
 )
 
 // follow starts what keeps the host's beliefs up to date.
@@ -209,7 +212,7 @@
 	}
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
-	group.Go(func() { g.sweep(ctx) })
+	group.Go(func() { wait.Every(ctx, sweepInterval, func() { g.fleet.Sweep(boottime.Now()) }) })
 	return group
 }
 
@@ -238,19 +241,3 @@
 	}
 	return g.rollouts.statuses.StoreClock()
 }
-
-// sweepInterval is how often records of gone upstreams are looked for.
-const sweepInterval = 10 * time.Second
-
-func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.fleet.Sweep(boottime.Now())
-		}
-	}
-}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 const (
@@ -269,18 +270,7 @@
 }
 
 // run carries the roll-outs on until the context ends.
-func (m *rollouts) run(ctx context.Context) {
-	ticker := time.NewTicker(rolloutTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.tick(ctx)
-		}
-	}
-}
+func (m *rollouts) run(ctx context.Context) { wait.Every(ctx, rolloutTick, func() { m.tick(ctx) }) }
 
 func (m *rollouts) tick(ctx context.Context) {
 	m.mu.Lock()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -13,6 +13,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -108,27 +109,13 @@
 // Run judges and keeps the verdicts' rows until the context ends.
 func (g *Guard) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { every(ctx, judgeInterval, g.judge) })
-	loops.Go(func() { every(ctx, judgeInterval, func() { g.rows.write(ctx, g.judging()) }) })
-	loops.Go(func() { every(ctx, judgeInterval, g.exposures.settle) })
-	loops.Go(func() { every(ctx, sweepInterval, g.exposures.sweep) })
+	loops.Go(func() { wait.Every(ctx, judgeInterval, g.judge) })
+	loops.Go(func() { wait.Every(ctx, judgeInterval, func() { g.rows.write(ctx, g.judging()) }) })
+	loops.Go(func() { wait.Every(ctx, judgeInterval, g.exposures.settle) })
+	loops.Go(func() { wait.Every(ctx, sweepInterval, g.exposures.sweep) })
 	loops.Wait()
 }
 
-// every calls do at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, do func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
-}
-
 // Judges says whether this host judges by what it knows: it hears from all others, or from
 // none.
 func (g *Guard) Judges(judges bool) {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -24,3 +24,18 @@
 		return ctx.Err()
 	}
 }
+
+// Every calls do at an interval, the first time after one, until ctx ends. A call that
+// takes longer than the interval delays the next one.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -48,3 +48,14 @@
 	// <nil>
 	// context canceled
 }
+
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		start, calls := time.Now(), []time.Duration(nil)
+		wait.Every(ctx, time.Second, func() { calls = append(calls, time.Since(start)) })
+		is.Equal(calls, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second})
+	})
+}
