--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -163,7 +163,7 @@
 
 // guarded is the upstream as the guard knows it.
 func guarded(u *balance.Upstream) guard.Upstream {
-	return guard.Upstream{ID: u.ID, Service: u.Name, Address: u.Address, Life: quarantine.Life(exchange.NameOf(u.ID))}
+	return guard.Upstream{ID: u.ID, Service: u.Name, Address: u.Address, Incarnation: quarantine.Incarnation(exchange.NameOf(u.ID))}
 }
 
 // ending is what an attempt's error says of the upstream's run.
--- a/internal/exchange/quarantine_test.go
+++ b/internal/exchange/quarantine_test.go
@@ -27,7 +27,7 @@
 func TestQuarantineMessages(t *testing.T) {
 	is := is.New(t)
 	report := Report{Sightings: Sightings{
-		Losses:   Losses{{Digest: testDigest(1), Life: 7, Age: 1500 * time.Millisecond}, {Digest: testDigest(2), Life: 9}},
+		Losses:   Losses{{Digest: testDigest(1), Incarnation: 7, Age: 1500 * time.Millisecond}, {Digest: testDigest(2), Incarnation: 9}},
 		Answered: Digests{testDigest(3)},
 	}}
 	data, err := json.Marshal(report)
@@ -37,9 +37,9 @@
 	is.Equal(read.Sightings, report.Sightings)
 
 	reply := Reply{Standing: Standing{
-		Ended:    Endings{{Life: 7, Age: 20 * time.Millisecond, Explained: true}, {Life: 8, Age: time.Hour}},
+		Ended:    Endings{{Incarnation: 7, Age: 20 * time.Millisecond, Explained: true}, {Incarnation: 8, Age: time.Hour}},
 		Suspects: Suspects{{Digest: testDigest(1), Events: 3, Age: 40 * time.Millisecond, FirstAge: 2 * time.Second}, {Digest: testDigest(2), Events: 1000}},
-		Verdicts: []quarantine.Verdict{{Digest: testDigest(1), By: "h", Events: 3, Lives: 3, Judged: time.Second, Until: time.Hour}},
+		Verdicts: []quarantine.Verdict{{Digest: testDigest(1), By: "h", Events: 3, Upstreams: 3, Judged: time.Second, Until: time.Hour}},
 	}}
 	data, err = json.Marshal(reply)
 	is.NoErr(err)
@@ -114,12 +114,12 @@
 	return &fleetQuarantine{tracker: quarantine.NewTracker(), judges: true, verdicts: make(map[quarantine.Digest]quarantine.Verdict)}
 }
 
-func (q *fleetQuarantine) lose(d quarantine.Digest, life quarantine.Life) {
+func (q *fleetQuarantine) lose(d quarantine.Digest, incarnation quarantine.Incarnation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tracker.Lose(quarantine.Loss{Digest: d, Life: life, At: boottime.Elapsed()})
-	q.untold.Losses = append(q.untold.Losses, AgedLoss{Digest: d, Life: life})
-	q.recent.Losses = append(q.recent.Losses, AgedLoss{Digest: d, Life: life})
+	q.tracker.Lose(quarantine.Loss{Digest: d, Incarnation: incarnation, At: boottime.Elapsed()})
+	q.untold.Losses = append(q.untold.Losses, AgedLoss{Digest: d, Incarnation: incarnation})
+	q.recent.Losses = append(q.recent.Losses, AgedLoss{Digest: d, Incarnation: incarnation})
 }
 
 func (q *fleetQuarantine) knows(d quarantine.Digest) bool {
@@ -148,7 +148,7 @@
 	defer q.mu.Unlock()
 	var fresh Sightings
 	for _, l := range s.Losses {
-		if q.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: boottime.Elapsed() - l.Age}) {
+		if q.tracker.Lose(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: boottime.Elapsed() - l.Age}) {
 			fresh.Losses = append(fresh.Losses, l)
 		}
 
@@ -192,12 +192,12 @@
 
 // spoil has upstreams end with the request at hosts of three zones, and other requests
 // beside it.
-func (f *fleet) spoil(d quarantine.Digest, lives quarantine.Life, hosts ...*fleetHost) {
+func (f *fleet) spoil(d quarantine.Digest, first quarantine.Incarnation, hosts ...*fleetHost) {
 	for i, h := range hosts {
-		life := lives + quarantine.Life(i)
-		h.quarantine.lose(d, life)
+		incarnation := first + quarantine.Incarnation(i)
+		h.quarantine.lose(d, incarnation)
 		for j, beside := range f.hosts[:min(10, len(f.hosts))] {
-			beside.quarantine.lose(testDigest(1000*uint64(life)+uint64(j)), life)
+			beside.quarantine.lose(testDigest(1000*uint64(incarnation)+uint64(j)), incarnation)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -280,9 +280,9 @@
 		for _, h := range f.hosts {
 			before += h.traffic()
 		}
-		for life := range quarantine.Life(8 * hosts) {
+		for incarnation := range quarantine.Incarnation(8 * hosts) {
 			for i := range uint64(10) {
-				f.hosts[(uint64(life)+i)%hosts].quarantine.lose(testDigest(uint64(life)*10+i), 100+life)
+				f.hosts[(uint64(incarnation)+i)%hosts].quarantine.lose(testDigest(uint64(incarnation)*10+i), 100+incarnation)
 			}
 		}
 		time.Sleep(10 * time.Second)
@@ -291,10 +291,10 @@
 			after += h.traffic()
 			is.Equal(len(h.quarantine.verdicts), 0)
 		}
-		for life := range quarantine.Life(8 * hosts) { // the seeds know of all
+		for incarnation := range quarantine.Incarnation(8 * hosts) { // the seeds know of all
 			for i := range uint64(10) {
 				is.True(!f.hosts[0].quarantine.tracker.Lose(quarantine.Loss{
-					Digest: testDigest(uint64(life)*10 + i), Life: 100 + life, At: boottime.Elapsed() - 10*time.Second,
+					Digest: testDigest(uint64(incarnation)*10 + i), Incarnation: 100 + incarnation, At: boottime.Elapsed() - 10*time.Second,
 				}))
 			}
 		}
--- a/internal/exchange/quarantinewire.go
+++ b/internal/exchange/quarantinewire.go
@@ -14,9 +14,9 @@
 
 // AgedLoss is a loss and how long ago it was.
 type AgedLoss struct {
-	Digest quarantine.Digest
-	Life   quarantine.Life
-	Age    time.Duration
+	Digest      quarantine.Digest
+	Incarnation quarantine.Incarnation
+	Age         time.Duration
 }
 
 const lossSize = 16 + 4 + 2
@@ -26,7 +26,7 @@
 	packed := make([]byte, 0, lossSize*len(l))
 	for _, loss := range l {
 		packed = append(packed, loss.Digest[:]...)
-		packed = binary.BigEndian.AppendUint32(packed, uint32(loss.Life))
+		packed = binary.BigEndian.AppendUint32(packed, uint32(loss.Incarnation))
 		packed = appendAge(packed, loss.Age)
 	}
 	return marshalPacked(packed)
@@ -41,7 +41,7 @@
 	*l = make(Losses, 0, len(packed)/lossSize)
 	for entry := range slices.Chunk(packed, lossSize) {
 		*l = append(*l, AgedLoss{
-			Digest: quarantine.Digest(entry[:16]), Life: quarantine.Life(binary.BigEndian.Uint32(entry[16:])), Age: age(entry[20:]),
+			Digest: quarantine.Digest(entry[:16]), Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry[16:])), Age: age(entry[20:]),
 		})
 	}
 	return nil
@@ -79,9 +79,9 @@
 
 // Ending is an upstream that ended, how long ago, and whether a judged request explains it.
 type Ending struct {
-	Life      quarantine.Life
-	Age       time.Duration
-	Explained bool
+	Incarnation quarantine.Incarnation
+	Age         time.Duration
+	Explained   bool
 }
 
 const endingSize = 4 + 2 + 1
@@ -90,7 +90,7 @@
 func (e Endings) MarshalJSON() ([]byte, error) {
 	packed := make([]byte, 0, endingSize*len(e))
 	for _, ending := range e {
-		packed = binary.BigEndian.AppendUint32(packed, uint32(ending.Life))
+		packed = binary.BigEndian.AppendUint32(packed, uint32(ending.Incarnation))
 		packed = appendAge(packed, ending.Age)
 		explained := byte(0)
 		if ending.Explained {
@@ -109,7 +109,7 @@
 	}
 	*e = make(Endings, 0, len(packed)/endingSize)
 	for entry := range slices.Chunk(packed, endingSize) {
-		*e = append(*e, Ending{Life: quarantine.Life(binary.BigEndian.Uint32(entry)), Age: age(entry[4:]), Explained: entry[6] != 0})
+		*e = append(*e, Ending{Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry)), Age: age(entry[4:]), Explained: entry[6] != 0})
 	}
 	return nil
 }
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -59,7 +59,7 @@
 	if former := s.members[u.ID]; former != nil {
 		s.forget(former)
 	}
-	m := &member{Upstream: *u, shard: s, name: u.life()}
+	m := &member{Upstream: *u, shard: s, name: u.exchangeName()}
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
@@ -76,12 +76,12 @@
 	return u.ID + "/" + strconv.FormatInt(int64(u.Incarnation), 10)
 }
 
-// life stands for the incarnation in what is told of upstreams that ended.
-func (u *Upstream) life() exchange.Name { return exchange.NameOf(u.name()) }
+// exchangeName stands for the incarnation in messages between hosts.
+func (u *Upstream) exchangeName() exchange.Name { return exchange.NameOf(u.name()) }
 
 // guarded is the incarnation as the guard knows it.
 func (u *Upstream) guarded() guard.Upstream {
-	return guard.Upstream{ID: u.ID, Service: u.Service, Address: u.Address, Life: quarantine.Life(u.life())}
+	return guard.Upstream{ID: u.ID, Service: u.Service, Address: u.Address, Incarnation: quarantine.Incarnation(u.exchangeName())}
 }
 
 // withdrawElsewhere withdraws what other services know under the upstream's id: an
--- a/internal/guard/endings.go
+++ b/internal/guard/endings.go
@@ -29,15 +29,15 @@
 // the request before, it is asked.
 func (e *exposures) settle() {
 	for _, run := range e.due() {
-		if e.hasEnded(run.life.upstream) {
+		if e.hasEnded(run.exposure.upstream) {
 			continue // by what another of them showed
 		}
-		if e.suspected(run.digest) && refuses(run.life.upstream.Address) {
+		if e.suspected(run.digest) && refuses(run.exposure.upstream.Address) {
 			e.mu.Lock()
-			run.life.endedAt = run.at
-			digests := run.life.take()
+			run.exposure.endedAt = run.at
+			digests := run.exposure.take()
 			e.mu.Unlock()
-			e.ended(run.life.upstream, boottime.Since(run.at), digests)
+			e.ended(run.exposure.upstream, boottime.Since(run.at), digests)
 			continue
 		}
 		e.survived(run.digest)
@@ -55,39 +55,39 @@
 	}
 	due := slices.Clone(e.answered[:n])
 	e.answered = slices.Delete(e.answered, 0, n)
-	return slices.DeleteFunc(due, func(run answeredRun) bool { return !run.life.endedAt.IsZero() })
+	return slices.DeleteFunc(due, func(run answeredRun) bool { return !run.exposure.endedAt.IsZero() })
 }
 
 // look finds out whether the upstream ended, unless that is under way or known. The lock is
 // held.
-func (e *exposures) look(l *life) {
-	if l.checking || !l.endedAt.IsZero() {
+func (e *exposures) look(x *exposure) {
+	if x.checking || !x.endedAt.IsZero() {
 		return
 	}
-	l.checking = true
-	time.AfterFunc(breakGather, func() { e.check(l) })
+	x.checking = true
+	time.AfterFunc(breakGather, func() { e.check(x) })
 }
 
 // check asks the upstream for a connection. Other requests that go on there show that it
 // lives, and spare the connection.
-func (e *exposures) check(l *life) {
+func (e *exposures) check(x *exposure) {
 	e.mu.Lock()
-	others := len(l.running)
+	others := len(x.running)
 	e.mu.Unlock()
 	broke := boottime.Now()
-	gone := others == 0 && refuses(l.upstream.Address)
+	gone := others == 0 && refuses(x.upstream.Address)
 	e.mu.Lock()
-	l.checking = false
+	x.checking = false
 	var digests []quarantine.Digest
 	if gone {
-		l.endedAt = broke
-		digests = l.take()
+		x.endedAt = broke
+		digests = x.take()
 	}
 	e.mu.Unlock()
-	e.log.Warn().Str("event", "upstream-checked").Str("upstream", l.upstream.ID).Bool("ended", gone).
+	e.log.Warn().Str("event", "upstream-checked").Str("upstream", x.upstream.ID).Bool("ended", gone).
 		Int("exposed", len(digests)).Int("running", others).Strs("digests", texts(digests)).Msg("")
 	if gone {
-		e.ended(l.upstream, boottime.Since(broke), digests)
+		e.ended(x.upstream, boottime.Since(broke), digests)
 	}
 }
 
@@ -118,22 +118,22 @@
 
 // endedElsewhere takes in another host's word that an upstream ended: what this host gave
 // up there shortly before may be to blame, and nobody else knows of it.
-func (e *exposures) endedElsewhere(name quarantine.Life, ago time.Duration) {
+func (e *exposures) endedElsewhere(name quarantine.Incarnation, ago time.Duration) {
 	e.mu.Lock()
-	l := e.lives[name]
-	if l == nil || !l.endedAt.IsZero() || l.checking {
+	x := e.upstreams[name]
+	if x == nil || !x.endedAt.IsZero() || x.checking {
 		e.mu.Unlock()
 		return
 	}
-	if len(l.running) > 0 {
-		e.look(l)
+	if len(x.running) > 0 {
+		e.look(x)
 		e.mu.Unlock()
 		return
 	}
-	l.endedAt = boottime.Now().Add(-ago)
-	digests := l.take()
+	x.endedAt = boottime.Now().Add(-ago)
+	digests := x.take()
 	e.mu.Unlock()
 	if len(digests) > 0 {
-		e.ended(l.upstream, ago, digests)
+		e.ended(x.upstream, ago, digests)
 	}
 }
--- a/internal/guard/exposures.go
+++ b/internal/guard/exposures.go
@@ -36,8 +36,8 @@
 	ID      string
 	Service string
 	Address string
-	// Life names the incarnation, the same on all hosts.
-	Life quarantine.Life
+	// Incarnation names the incarnation, the same on all hosts.
+	Incarnation quarantine.Incarnation
 }
 
 // Ending is how a request's attempt at an upstream ended.
@@ -67,8 +67,8 @@
 	suspected func(d quarantine.Digest) bool
 	log       zerolog.Logger
 
-	mu    sync.Mutex
-	lives map[quarantine.Life]*life
+	mu        sync.Mutex
+	upstreams map[quarantine.Incarnation]*exposure
 	// answered are the runs of which it isn't known yet whether their upstreams outlive
 	// them, the oldest first.
 	answered []answeredRun
@@ -76,12 +76,12 @@
 
 // answeredRun is a run that was answered, and its upstream.
 type answeredRun struct {
-	life *life
+	exposure *exposure
 	recentRun
 }
 
-// life is what this host sent to one incarnation of an upstream.
-type life struct {
+// exposure is what this host sent to one incarnation of an upstream.
+type exposure struct {
 	upstream Upstream
 	running  map[quarantine.Digest]int
 	// recent are runs that are over for this host: given up, broken off or answered.
@@ -103,7 +103,7 @@
 func newExposures(log zerolog.Logger) *exposures {
 	return &exposures{
 		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, survived: func(quarantine.Digest) {},
-		suspected: func(quarantine.Digest) bool { return false }, log: log, lives: make(map[quarantine.Life]*life),
+		suspected: func(quarantine.Digest) bool { return false }, log: log, upstreams: make(map[quarantine.Incarnation]*exposure),
 	}
 }
 
@@ -111,42 +111,42 @@
 func (e *exposures) begin(u Upstream, d quarantine.Digest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.lives[u.Life]
-	if l == nil {
-		l = &life{upstream: u, running: make(map[quarantine.Digest]int)}
-		e.lives[u.Life] = l
+	x := e.upstreams[u.Incarnation]
+	if x == nil {
+		x = &exposure{upstream: u, running: make(map[quarantine.Digest]int)}
+		e.upstreams[u.Incarnation] = x
 	}
-	if !l.endedAt.IsZero() && boottime.Since(l.endedAt) > sameEnd {
-		l.endedAt, l.recent = time.Time{}, nil // it may have started again under its name
+	if !x.endedAt.IsZero() && boottime.Since(x.endedAt) > sameEnd {
+		x.endedAt, x.recent = time.Time{}, nil // it may have started again under its name
 	}
-	l.running[d]++
+	x.running[d]++
 }
 
 // end notes how the request's attempt there ended.
 func (e *exposures) end(u Upstream, d quarantine.Digest, how Ending) {
 	e.mu.Lock()
-	l := e.lives[u.Life]
-	if l == nil {
+	x := e.upstreams[u.Incarnation]
+	if x == nil {
 		e.mu.Unlock()
 		return
 	}
-	if l.running[d]--; l.running[d] <= 0 {
-		delete(l.running, d)
+	if x.running[d]--; x.running[d] <= 0 {
+		delete(x.running, d)
 	}
 	switch how {
 	case Broken:
-		l.over(d, lingering)
-		e.look(l)
+		x.over(d, lingering)
+		e.look(x)
 	case GivenUp:
-		l.over(d, lingering)
+		x.over(d, lingering)
 	case Unreachable:
-		if l.exposed() {
-			e.look(l)
+		if x.exposed() {
+			e.look(x)
 		}
 	case Answered:
-		e.answered = append(e.answered, answeredRun{life: l, recentRun: l.over(d, aftermath)})
+		e.answered = append(e.answered, answeredRun{exposure: x, recentRun: x.over(d, aftermath)})
 	}
-	late, ago := l.takeLate()
+	late, ago := x.takeLate()
 	e.mu.Unlock()
 	if len(late) > 0 {
 		e.ended(u, ago, late)
@@ -154,62 +154,62 @@
 }
 
 // over notes a run that is over for this host. The lock is held.
-func (l *life) over(d quarantine.Digest, after time.Duration) recentRun {
+func (x *exposure) over(d quarantine.Digest, after time.Duration) recentRun {
 	run := recentRun{digest: d, at: boottime.Now(), after: after}
-	l.recent = append(l.recent, run)
+	x.recent = append(x.recent, run)
 	return run
 }
 
 // exposed says whether anything of this host's may run there. The lock is held.
-func (l *life) exposed() bool {
-	l.dropOld()
-	return len(l.running)+len(l.recent) > 0
+func (x *exposure) exposed() bool {
+	x.dropOld()
+	return len(x.running)+len(x.recent) > 0
 }
 
 // dropOld forgets runs that were over long ago. The lock is held.
-func (l *life) dropOld() {
-	l.recent = slices.DeleteFunc(l.recent, func(run recentRun) bool { return boottime.Since(run.at) > recentKept })
+func (x *exposure) dropOld() {
+	x.recent = slices.DeleteFunc(x.recent, func(run recentRun) bool { return boottime.Since(run.at) > recentKept })
 }
 
 // take returns the digests of the runs that are over and may have ended it, and forgets
 // these. What still runs there will break off and is taken then, unless it is on its way
 // only. The lock is held.
-func (l *life) take() []quarantine.Digest {
+func (x *exposure) take() []quarantine.Digest {
 	digests := make(map[quarantine.Digest]struct{})
-	for _, run := range l.recent {
-		if l.endedAt.Sub(run.at) <= run.after {
+	for _, run := range x.recent {
+		if x.endedAt.Sub(run.at) <= run.after {
 			digests[run.digest] = struct{}{}
 		}
 	}
-	l.recent = nil
+	x.recent = nil
 	return slices.Collect(maps.Keys(digests))
 }
 
 // takeLate returns what is found to have broken off after the upstream's end was noticed,
 // and how long ago that end was. The lock is held.
-func (l *life) takeLate() ([]quarantine.Digest, time.Duration) {
-	if l.endedAt.IsZero() || len(l.recent) == 0 {
+func (x *exposure) takeLate() ([]quarantine.Digest, time.Duration) {
+	if x.endedAt.IsZero() || len(x.recent) == 0 {
 		return nil, 0
 	}
-	return l.take(), boottime.Since(l.endedAt)
+	return x.take(), boottime.Since(x.endedAt)
 }
 
 // hasEnded says whether the upstream is known to have ended.
 func (e *exposures) hasEnded(u Upstream) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.lives[u.Life]
-	return l != nil && !l.endedAt.IsZero()
+	x := e.upstreams[u.Incarnation]
+	return x != nil && !x.endedAt.IsZero()
 }
 
 // sweep forgets upstreams at which nothing of this host's runs.
 func (e *exposures) sweep() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for name, l := range e.lives {
-		old := l.endedAt.IsZero() || boottime.Since(l.endedAt) > endedKept
-		if old && !l.checking && !l.exposed() {
-			delete(e.lives, name)
+	for name, x := range e.upstreams {
+		old := x.endedAt.IsZero() || boottime.Since(x.endedAt) > endedKept
+		if old && !x.checking && !x.exposed() {
+			delete(e.upstreams, name)
 		}
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -74,7 +74,7 @@
 	seen   sightingBook
 	told   map[quarantine.Digest]toldSuspect
 	// ended are the upstreams that ended lately.
-	ended []endedLife
+	ended []endedUpstream
 	// standing is what followers were told last, as of standingAt.
 	standing   exchange.Standing
 	standingAt time.Duration
@@ -141,7 +141,7 @@
 		g.register.Hear(v, now)
 		g.options.Count(CountVerdict, "")
 		g.log.Warn().Str("event", "request-judged").Stringer("digest", f.Digest).Int("events", f.Events).
-			Int("upstreams", f.Lives).Int("lost", f.Lost).Int64("until_ms", v.Until.Milliseconds()).Msg("")
+			Int("upstreams", f.Upstreams).Int("lost", f.Lost).Int64("until_ms", v.Until.Milliseconds()).Msg("")
 		g.wake()
 	}
 }
@@ -150,7 +150,7 @@
 func (g *Guard) know(v quarantine.Verdict, from string) {
 	g.tracker.Blame(v.Digest)
 	g.log.Warn().Str("event", "request-judged-elsewhere").Stringer("digest", v.Digest).Str("by", v.By).Str("from", from).
-		Int("events", v.Events).Int("upstreams", v.Lives).Int64("until_ms", v.Until.Milliseconds()).Msg("")
+		Int("events", v.Events).Int("upstreams", v.Upstreams).Int64("until_ms", v.Until.Milliseconds()).Msg("")
 	g.wake()
 }
 
@@ -175,7 +175,7 @@
 	at := now - ago
 	g.options.Count(CountEnded, u.Service)
 	for _, d := range digests {
-		loss := quarantine.Loss{Digest: d, Life: u.Life, At: at}
+		loss := quarantine.Loss{Digest: d, Incarnation: u.Incarnation, At: at}
 		if !g.tracker.Lose(loss) {
 			continue
 		}
@@ -185,7 +185,7 @@
 			g.log.Warn().Str("event", "request-suspected").Stringer("digest", d).Int("events", n).Str("upstream", u.ID).Msg("")
 		}
 	}
-	g.noteEnded(u.Life, at)
+	g.noteEnded(u.Incarnation, at)
 }
 
 // survive takes in that a request was answered, and that its upstream outlived it.
@@ -233,7 +233,7 @@
 		}
 		time.AfterFunc(blameWait, func() {
 			switch {
-			case !g.tracker.Explained(u.Life):
+			case !g.tracker.Explained(u.Incarnation):
 				blame.Version()
 			case blame.Request != nil:
 				blame.Request()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -78,7 +78,7 @@
 // spoil has upstreams end with the request, some time apart.
 func (b *bench) spoil(d quarantine.Digest, from, ends int) {
 	for i := range ends {
-		b.lose(Upstream{ID: "u", Service: "svc", Life: quarantine.Life(from + i)}, time.Duration(ends-i)*200*time.Millisecond+quarantine.Settle, []quarantine.Digest{d})
+		b.lose(Upstream{ID: "u", Service: "svc", Incarnation: quarantine.Incarnation(from + i)}, time.Duration(ends-i)*200*time.Millisecond+quarantine.Settle, []quarantine.Digest{d})
 	}
 }
 
@@ -102,7 +102,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return Upstream{ID: "u", Service: "svc", Address: l.Addr().String(), Life: 1}, l
+	return Upstream{ID: "u", Service: "svc", Address: l.Addr().String(), Incarnation: 1}, l
 }
 
 // endings gathers what exposures tell.
@@ -177,7 +177,7 @@
 
 	// One that an upstream ended with before has to be outlived for sure.
 	e.suspected = func(d quarantine.Digest) bool { return d == digest(2) }
-	u.Life = 3
+	u.Incarnation = 3
 	for n := range uint64(2) {
 		e.begin(u, digest(2+n))
 		e.end(u, digest(2+n), Answered)
@@ -190,7 +190,7 @@
 
 	// What broke off tells as well.
 	v, m := listener(t)
-	v.Life = 2
+	v.Incarnation = 2
 	e.begin(v, digest(4))
 	e.begin(v, digest(5))
 	e.end(v, digest(4), Answered)
@@ -208,7 +208,7 @@
 	e.end(u, digest(1), Broken)
 	time.Sleep(20 * breakGather)
 	l.Close()
-	other := Upstream{ID: "o", Service: "svc", Address: u.Address, Life: 2}
+	other := Upstream{ID: "o", Service: "svc", Address: u.Address, Incarnation: 2}
 	e.begin(other, digest(2))
 	e.begin(other, digest(3))
 	e.end(other, digest(2), Broken)
@@ -232,7 +232,7 @@
 	t.Cleanup(boottime.Simulate(lingering + 200*time.Millisecond))
 	e.begin(u, digest(2))
 	e.end(u, digest(2), GivenUp)
-	e.endedElsewhere(u.Life, 100*time.Millisecond)
+	e.endedElsewhere(u.Incarnation, 100*time.Millisecond)
 	is.Equal(e.next(t), []quarantine.Digest{digest(2)})
 	e.endedElsewhere(99, 0) // nothing of this host's ran there
 	is.Equal(len(e.told), 0)
@@ -246,10 +246,10 @@
 	e.begin(u, digest(1))
 	e.end(u, digest(1), GivenUp)
 	e.sweep()
-	is.Equal(len(e.lives), 1)
+	is.Equal(len(e.upstreams), 1)
 	t.Cleanup(boottime.Simulate(recentKept + time.Second))
 	e.sweep()
-	is.Equal(len(e.lives), 0)
+	is.Equal(len(e.upstreams), 0)
 }
 
 // A request that nothing is held against never waits; a suspect is at one upstream at a
@@ -384,7 +384,7 @@
 	a.rows.write(t.Context(), true)
 	b := newBench("h2", table)
 	b.follow(t)
-	u := Upstream{ID: "u", Service: "svc", Life: 77}
+	u := Upstream{ID: "u", Service: "svc", Incarnation: 77}
 	pass := func(by time.Duration) {
 		a.pass(by)
 		b.pass(by)
@@ -538,7 +538,7 @@
 	is.Equal(len(b.Sightings().Losses), 2)
 	is.Equal(len(b.Sightings().Losses), 0)
 	is.Equal(len(b.Recent().Losses), 2)
-	fresh := b.Take(exchange.Sightings{Losses: exchange.Losses{{Digest: digest(1), Life: 1, Age: 2*200*time.Millisecond + quarantine.Settle}, {Digest: digest(1), Life: 50}}})
+	fresh := b.Take(exchange.Sightings{Losses: exchange.Losses{{Digest: digest(1), Incarnation: 1, Age: 2*200*time.Millisecond + quarantine.Settle}, {Digest: digest(1), Incarnation: 50}}})
 	is.Equal(len(fresh.Losses), 1)
 	t.Cleanup(boottime.Simulate(recentFor + time.Second))
 	is.Equal(len(b.Recent().Losses), 0)
@@ -550,23 +550,23 @@
 		is := is.New(t)
 		b := newBench("h", memory.New())
 		held := make(chan string, 10)
-		lives := Upstream{ID: "lives", Life: 100}
+		lives := Upstream{ID: "lives", Incarnation: 100}
 		b.Unexplained(lives, Blame{Version: func() { held <- "lives" }})
 		time.Sleep(breakGather + checkTimeout + time.Millisecond)
 		is.Equal(<-held, "lives") // its answer broke off, and it answers still
 
 		d := digest(1)
-		for life := range quarantine.Life(4) {
-			u := Upstream{ID: "ended", Service: "svc", Address: "", Life: life}
+		for incarnation := range quarantine.Incarnation(4) {
+			u := Upstream{ID: "ended", Service: "svc", Address: "", Incarnation: incarnation}
 			b.Begin(u, d)
-			b.exposures.lives[life].endedAt = boottime.Now()
+			b.exposures.upstreams[incarnation].endedAt = boottime.Now()
 			b.lose(u, 0, []quarantine.Digest{d})
 			b.Unexplained(u, Blame{Version: func() { held <- "ended" }})
 			time.Sleep(100 * time.Millisecond)
 		}
-		other := Upstream{ID: "other", Service: "svc", Life: 200}
+		other := Upstream{ID: "other", Service: "svc", Incarnation: 200}
 		b.Begin(other, digest(2))
-		b.exposures.lives[200].endedAt = boottime.Now()
+		b.exposures.upstreams[200].endedAt = boottime.Now()
 		b.lose(other, 0, []quarantine.Digest{digest(2)})
 		b.Unexplained(other, Blame{Version: func() { held <- "other" }})
 		time.Sleep(quarantine.Settle + time.Millisecond)
--- a/internal/guard/sightings.go
+++ b/internal/guard/sightings.go
@@ -100,7 +100,7 @@
 		case seen.answered:
 			s.Answered = append(s.Answered, seen.loss.Digest)
 		default:
-			s.Losses = append(s.Losses, exchange.AgedLoss{Digest: seen.loss.Digest, Life: seen.loss.Life, Age: age})
+			s.Losses = append(s.Losses, exchange.AgedLoss{Digest: seen.loss.Digest, Incarnation: seen.loss.Incarnation, Age: age})
 		}
 	}
 	return s
@@ -111,9 +111,9 @@
 	now := boottime.Elapsed()
 	var fresh exchange.Sightings
 	for _, l := range s.Losses {
-		if g.tracker.Lose(quarantine.Loss{Digest: l.Digest, Life: l.Life, At: now - l.Age}) {
+		if g.tracker.Lose(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: now - l.Age}) {
 			fresh.Losses = append(fresh.Losses, l)
-			g.noteEnded(l.Life, now-l.Age)
+			g.noteEnded(l.Incarnation, now-l.Age)
 		}
 	}
 	for _, d := range s.Answered {
@@ -124,24 +124,24 @@
 	return fresh
 }
 
-// endedLife is an upstream that ended, when, and when this host heard of it.
-type endedLife struct {
-	life      quarantine.Life
-	at, heard time.Duration
+// endedUpstream is an upstream that ended, when, and when this host heard of it.
+type endedUpstream struct {
+	incarnation quarantine.Incarnation
+	at, heard   time.Duration
 }
 
 // noteEnded keeps that an upstream ended, and looks for what this host gave up there.
-func (g *Guard) noteEnded(life quarantine.Life, at time.Duration) {
+func (g *Guard) noteEnded(i quarantine.Incarnation, at time.Duration) {
 	g.mu.Lock()
 	for _, e := range g.ended {
-		if e.life == life {
+		if e.incarnation == i {
 			g.mu.Unlock()
 			return
 		}
 	}
-	g.ended = lastOf(append(g.ended, endedLife{life: life, at: at, heard: boottime.Elapsed()}), maxEnded)
+	g.ended = lastOf(append(g.ended, endedUpstream{incarnation: i, at: at, heard: boottime.Elapsed()}), maxEnded)
 	g.mu.Unlock()
-	g.exposures.endedElsewhere(life, boottime.Elapsed()-at)
+	g.exposures.endedElsewhere(i, boottime.Elapsed()-at)
 }
 
 // standingEvery is how long what followers are told is kept: a hub has up to 64 of them,
@@ -192,8 +192,8 @@
 			continue
 		}
 		kept = append(kept, e)
-		if explained := g.tracker.Explained(e.life); explained || now-e.heard < endedFor {
-			s.Ended = append(s.Ended, exchange.Ending{Life: e.life, Age: now - e.at, Explained: explained})
+		if explained := g.tracker.Explained(e.incarnation); explained || now-e.heard < endedFor {
+			s.Ended = append(s.Ended, exchange.Ending{Incarnation: e.incarnation, Age: now - e.at, Explained: explained})
 		}
 	}
 	g.ended = kept
@@ -205,9 +205,9 @@
 	now := boottime.Elapsed()
 	for _, e := range s.Ended {
 		if e.Explained {
-			g.tracker.Explain(e.Life, now-e.Age)
+			g.tracker.Explain(e.Incarnation, now-e.Age)
 		}
-		g.noteEnded(e.Life, now-e.Age)
+		g.noteEnded(e.Incarnation, now-e.Age)
 	}
 	for _, v := range s.Verdicts {
 		if g.register.Hear(v, now) {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -43,9 +43,9 @@
 // Finding is the reason of a judgement.
 type Finding struct {
 	Digest Digest
-	// Events is at how many moments upstreams ended with the request alone to blame, Lives
+	// Events is at how many moments upstreams ended with the request alone to blame, Upstreams
 	// how many ended with it, and Lost how many did from the first to the last of them.
-	Events, Lives, Lost int
+	Events, Upstreams, Lost int
 }
 
 // Judge returns the requests that are found to end upstreams, and blames them.
@@ -77,7 +77,7 @@
 		return Finding{}, false
 	}
 	led := moments(t.led(d, h, now))
-	f := Finding{Digest: d, Events: len(led), Lives: len(own), Lost: t.lostWithin(own[0], own[len(own)-1])}
+	f := Finding{Digest: d, Events: len(led), Upstreams: len(own), Lost: t.lostWithin(own[0], own[len(own)-1])}
 	needed := f.needed()
 	if at, ok := t.survived.Peek(d); ok && now-at < survivalMemory {
 		needed = sureEvents
@@ -87,7 +87,7 @@
 
 // needed is the number of events from which the request is judged.
 func (f *Finding) needed() int {
-	switch share := float64(f.Lives) / float64(max(1, f.Lost)); {
+	switch share := float64(f.Upstreams) / float64(max(1, f.Lost)); {
 	case share >= mostShare:
 		return judgedEvents
 	case share >= likelyShare:
@@ -103,15 +103,15 @@
 	events := len(moments(t.counted(h, now)))
 	var times []time.Duration
 	for _, l := range h.losses {
-		life, ok := t.lives.Peek(l.Life)
-		if !ok || life.explained || now-life.at > lossMemory {
+		upstream, ok := t.ended.Peek(l.Incarnation)
+		if !ok || upstream.explained || now-upstream.at > lossMemory {
 			continue
 		}
-		if !slices.ContainsFunc(life.digests, func(other Digest) bool {
+		if !slices.ContainsFunc(upstream.digests, func(other Digest) bool {
 			rival := t.suspects[other]
 			return other != d && rival != nil && len(moments(t.counted(rival, now))) >= events
 		}) {
-			times = append(times, life.at)
+			times = append(times, upstream.at)
 		}
 	}
 	slices.Sort(times)
@@ -122,8 +122,8 @@
 // is held.
 func (t *Tracker) lostWithin(first, last time.Duration) int {
 	n := 0
-	for _, life := range t.lives.Values() {
-		if !life.explained && life.at >= first-SameMoment && life.at <= last+SameMoment {
+	for _, upstream := range t.ended.Values() {
+		if !upstream.explained && upstream.at >= first-SameMoment && upstream.at <= last+SameMoment {
 			n++
 		}
 	}
--- a/quarantine/odds_test.go
+++ b/quarantine/odds_test.go
@@ -23,9 +23,9 @@
 	queue   eventQueue
 	scene   scene
 
-	lives    []*playLife // by place
-	nextLife Life
-	next     uint64
+	upstreams       []*playUpstream // by place
+	nextIncarnation Incarnation
+	next            uint64
 
 	// sound is how many sound requests came, judged how many of them were found to
 	// blame, wrongly.
@@ -49,10 +49,10 @@
 	popular float64
 }
 
-type playLife struct {
-	life    Life
-	running map[uint64]*playRun
-	up      bool
+type playUpstream struct {
+	incarnation Incarnation
+	running     map[uint64]*playRun
+	up          bool
 }
 
 type playRun struct {
@@ -98,9 +98,9 @@
 func newPlay(seed uint64, s scene) *play {
 	p := &play{rnd: rand.New(rand.NewPCG(seed, 7)), tracker: NewTracker(), scene: s, next: 100, fatal: digest(fatalID), foundAt: -1}
 	for range places {
-		p.lives = append(p.lives, &playLife{})
+		p.upstreams = append(p.upstreams, &playUpstream{})
 	}
-	for i := range p.lives {
+	for i := range p.upstreams {
 		p.start(i)
 	}
 	p.after(0, p.arrive)
@@ -132,8 +132,8 @@
 }
 
 func (p *play) start(place int) {
-	p.nextLife++
-	p.lives[place] = &playLife{life: p.nextLife, running: make(map[uint64]*playRun), up: true}
+	p.nextIncarnation++
+	p.upstreams[place] = &playUpstream{incarnation: p.nextIncarnation, running: make(map[uint64]*playRun), up: true}
 }
 
 func (p *play) arrive() {
@@ -150,7 +150,7 @@
 // send sends a sound request to an upstream that is up.
 func (p *play) send(r *playRun) {
 	r.sends++
-	l := p.lives[p.rnd.IntN(places)]
+	l := p.upstreams[p.rnd.IntN(places)]
 	if !l.up || r.sends > mostSends {
 		return
 	}
@@ -180,7 +180,7 @@
 		return
 	}
 	place := p.rnd.IntN(places)
-	l := p.lives[place]
+	l := p.upstreams[place]
 	if !l.up {
 		return
 	}
@@ -201,7 +201,7 @@
 
 // end ends an upstream with all that it runs.
 func (p *play) end(place int, back time.Duration) {
-	l := p.lives[place]
+	l := p.upstreams[place]
 	if !l.up {
 		return
 	}
@@ -213,7 +213,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(l.running)) { // in an order that the seed decides
 		r := l.running[key]
-		loss := Loss{Digest: digest(r.id), Life: l.life, At: at}
+		loss := Loss{Digest: digest(r.id), Incarnation: l.incarnation, At: at}
 		p.after(late[key%hostsInPlay], func() { p.tracker.Lose(loss) })
 		if r.id != fatalID {
 			p.after(5*time.Millisecond, func() { p.send(r) })
@@ -225,7 +225,7 @@
 
 func (p *play) kill() {
 	p.after(p.scene.killEvery, p.kill)
-	for i := range p.lives {
+	for i := range p.upstreams {
 		if p.rnd.Float64() < p.scene.killedPart {
 			p.end(i, p.scene.killedFor)
 		}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -30,10 +30,10 @@
 // Verdict keeps a request away from upstreams for a time.
 type Verdict struct {
 	Digest Digest
-	// By is the host that judged, Events and Lives what it went by.
-	By     string
-	Events int
-	Lives  int
+	// By is the host that judged, Events and Upstreams what it went by.
+	By        string
+	Events    int
+	Upstreams int
 	// Judged and Until are when the judgement was made and when it ends, on the store's
 	// steady clock.
 	Judged time.Duration
@@ -45,7 +45,7 @@
 // NewVerdict is the first judgement of a request.
 func NewVerdict(f Finding, by string, now time.Duration) Verdict {
 	return Verdict{
-		Digest: f.Digest, By: by, Events: f.Events, Lives: f.Lives,
+		Digest: f.Digest, By: by, Events: f.Events, Upstreams: f.Upstreams,
 		Judged: now, Until: now + firstTerm,
 	}
 }
@@ -84,19 +84,19 @@
 
 // row is a verdict in the store, as operators read it.
 type row struct {
-	Digest   string `json:"digest"`
-	By       string `json:"by"`
-	Events   int    `json:"events"`
-	Lives    int    `json:"upstreams"`
-	JudgedMs int64  `json:"judged_ms"`
-	UntilMs  int64  `json:"until_ms"`
-	Trials   int    `json:"trials"`
+	Digest    string `json:"digest"`
+	By        string `json:"by"`
+	Events    int    `json:"events"`
+	Upstreams int    `json:"upstreams"`
+	JudgedMs  int64  `json:"judged_ms"`
+	UntilMs   int64  `json:"until_ms"`
+	Trials    int    `json:"trials"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (v Verdict) MarshalJSON() ([]byte, error) {
 	return json.Marshal(row{
-		Digest: v.Digest.String(), By: v.By, Events: v.Events, Lives: v.Lives,
+		Digest: v.Digest.String(), By: v.By, Events: v.Events, Upstreams: v.Upstreams,
 		JudgedMs: v.Judged.Milliseconds(), UntilMs: v.Until.Milliseconds(), Trials: v.Trials,
 	})
 }
@@ -118,7 +118,7 @@
 		return fmt.Errorf("%w: until %d, %d trials", errVerdict, r.UntilMs, r.Trials)
 	}
 	*v = Verdict{
-		Digest: d, By: r.By, Events: r.Events, Lives: r.Lives,
+		Digest: d, By: r.By, Events: r.Events, Upstreams: r.Upstreams,
 		Judged: time.Duration(r.JudgedMs) * time.Millisecond, Until: time.Duration(r.UntilMs) * time.Millisecond,
 		Trials: r.Trials,
 	}
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -9,7 +9,7 @@
 )
 
 func verdict(n uint64, until time.Duration) Verdict {
-	return Verdict{Digest: digest(n), By: "host", Events: 3, Lives: 4, Judged: time.Second, Until: until}
+	return Verdict{Digest: digest(n), By: "host", Events: 3, Upstreams: 4, Judged: time.Second, Until: until}
 }
 
 // A judgement ends, is tried once and holds longer after each trial that ended an upstream.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -46,21 +46,21 @@
 	survivalMemory = time.Minute
 
 	// Bounds of memory: some MB at the very most, however many bodies callers make up.
-	maxSingles   = 4096 // requests with one loss
-	maxSuspects  = 512  // requests with more
-	maxLosses    = 8    // losses of one request
-	maxLives     = 512  // upstreams that ended
-	maxPerLife   = 256  // requests at one of them that were at no other one
-	maxSurvivals = 4096 // requests that were answered
+	maxSingles     = 4096 // requests with one loss
+	maxSuspects    = 512  // requests with more
+	maxLosses      = 8    // losses of one request
+	maxEnded       = 512  // upstreams that ended
+	maxPerUpstream = 256  // requests at one of them that were at no other one
+	maxSurvivals   = 4096 // requests that were answered
 )
 
-// Life names one incarnation of an upstream.
-type Life uint32
+// Incarnation names one incarnation of an upstream.
+type Incarnation uint32
 
 // Loss says that a request may have run at an upstream when that ended.
 type Loss struct {
-	Digest Digest
-	Life   Life
+	Digest      Digest
+	Incarnation Incarnation
 	// At is when the upstream ended, on a steady clock of the caller's that counts
 	// suspensions.
 	At time.Duration
@@ -73,7 +73,7 @@
 	// singles are requests with one loss, suspects those with more.
 	singles  *simplelru.LRU[Digest, *history]
 	suspects map[Digest]*history
-	lives    *simplelru.LRU[Life, *ended]
+	ended    *simplelru.LRU[Incarnation, *endedUpstream]
 	survived *simplelru.LRU[Digest, time.Duration]
 	// blamed are the requests that are judged.
 	blamed map[Digest]bool
@@ -84,8 +84,8 @@
 	losses []Loss
 }
 
-// ended is an upstream that ended.
-type ended struct {
+// endedUpstream is an upstream that ended.
+type endedUpstream struct {
 	at      time.Duration
 	digests []Digest
 	// explained says that a request that is judged ran there: the others are cleared.
@@ -97,7 +97,7 @@
 	return &Tracker{
 		singles:  newLRU[Digest, *history](maxSingles),
 		suspects: make(map[Digest]*history),
-		lives:    newLRU[Life, *ended](maxLives),
+		ended:    newLRU[Incarnation, *endedUpstream](maxEnded),
 		survived: newLRU[Digest, time.Duration](maxSurvivals),
 		blamed:   make(map[Digest]bool),
 	}
@@ -115,14 +115,14 @@
 func (t *Tracker) Lose(l Loss) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l.Life = t.incarnation(l)
-	life := t.life(l)
-	if slices.Contains(life.digests, l.Digest) || len(life.digests) >= maxPerLife && !t.known(l.Digest) {
+	l.Incarnation = t.resolve(l)
+	upstream := t.endedUpstream(l)
+	if slices.Contains(upstream.digests, l.Digest) || len(upstream.digests) >= maxPerUpstream && !t.known(l.Digest) {
 		return false
 	}
-	life.digests = append(life.digests, l.Digest)
+	upstream.digests = append(upstream.digests, l.Digest)
 	if t.blamed[l.Digest] {
-		life.explained = true
+		upstream.explained = true
 		return true
 	}
 	t.add(l)
@@ -138,13 +138,13 @@
 // keep their names when they start again, nothing else tells these apart.
 const sameEnd = time.Second
 
-// incarnation is the name of the loss's incarnation: the upstream's own, or one made of that
-// for each time that it ended before. The lock is held.
-func (t *Tracker) incarnation(l Loss) Life {
+// resolve names the incarnation that the loss is about: as the loss does, or by a name made of
+// that for each time that it ended before. The lock is held.
+func (t *Tracker) resolve(l Loss) Incarnation {
 	const mostTold = 64 // of one name, in the time that losses count
-	name := l.Life
+	name := l.Incarnation
 	for range mostTold {
-		known, ok := t.lives.Peek(name)
+		known, ok := t.ended.Peek(name)
 		if !ok || l.At-known.at < sameEnd {
 			break
 		}
@@ -154,17 +154,17 @@
 }
 
 // next is the name of the incarnation after this one; FNV's prime spreads the names.
-func (l Life) next() Life { return l*16777619 + 1 }
+func (l Incarnation) next() Incarnation { return l*16777619 + 1 }
 
-// life is the upstream of the loss. The lock is held.
-func (t *Tracker) life(l Loss) *ended {
-	life, ok := t.lives.Get(l.Life)
+// endedUpstream is the upstream of the loss. The lock is held.
+func (t *Tracker) endedUpstream(l Loss) *endedUpstream {
+	upstream, ok := t.ended.Get(l.Incarnation)
 	if !ok {
-		life = &ended{at: l.At}
-		t.lives.Add(l.Life, life)
+		upstream = &endedUpstream{at: l.At}
+		t.ended.Add(l.Incarnation, upstream)
 	}
-	life.at = min(life.at, l.At)
-	return life
+	upstream.at = min(upstream.at, l.At)
+	return upstream
 }
 
 // add adds to what is held against a request. The lock is held.
@@ -238,9 +238,9 @@
 	t.blamed[d] = true
 	t.singles.Remove(d)
 	delete(t.suspects, d)
-	for _, life := range t.lives.Values() {
-		if slices.Contains(life.digests, d) {
-			life.explained = true
+	for _, upstream := range t.ended.Values() {
+		if slices.Contains(upstream.digests, d) {
+			upstream.explained = true
 		}
 	}
 }
@@ -256,21 +256,21 @@
 }
 
 // Explained says whether a request that is judged ran at the upstream when that ended last.
-func (t *Tracker) Explained(life Life) bool {
+func (t *Tracker) Explained(i Incarnation) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	explained := false
-	for e, ok := t.lives.Peek(life); ok; e, ok = t.lives.Peek(life) {
-		explained, life = e.explained, life.next()
+	for e, ok := t.ended.Peek(i); ok; e, ok = t.ended.Peek(i) {
+		explained, i = e.explained, i.next()
 	}
 	return explained
 }
 
 // Explain takes in that a request that is judged ran at the upstream when that ended.
-func (t *Tracker) Explain(life Life, at time.Duration) {
+func (t *Tracker) Explain(i Incarnation, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.life(Loss{Life: t.incarnation(Loss{Life: life, At: at}), At: at}).explained = true
+	t.endedUpstream(Loss{Incarnation: t.resolve(Loss{Incarnation: i, At: at}), At: at}).explained = true
 }
 
 // Events is the number of moments at which upstreams ended with the request, as far as
@@ -293,11 +293,11 @@
 func (t *Tracker) counted(h *history, now time.Duration) []time.Duration {
 	var times []time.Duration
 	for _, l := range h.losses {
-		life, ok := t.lives.Peek(l.Life)
-		if !ok || life.explained || now-life.at > lossMemory {
+		upstream, ok := t.ended.Peek(l.Incarnation)
+		if !ok || upstream.explained || now-upstream.at > lossMemory {
 			continue
 		}
-		times = append(times, life.at) // by the earliest word of it
+		times = append(times, upstream.at) // by the earliest word of it
 	}
 	slices.Sort(times)
 	return times
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -17,9 +17,9 @@
 const ms = time.Millisecond
 
 // lose takes in that an upstream ended with the requests.
-func lose(t *Tracker, life Life, at time.Duration, requests ...uint64) {
+func lose(t *Tracker, upstream Incarnation, at time.Duration, requests ...uint64) {
 	for _, r := range requests {
-		t.Lose(Loss{Digest: digest(r), Life: life, At: at})
+		t.Lose(Loss{Digest: digest(r), Incarnation: upstream, At: at})
 	}
 }
 
@@ -34,9 +34,9 @@
 	is.Equal(tr.Judge(800*ms), nil) // other hosts may still tell more
 	f := tr.Judge(800*ms + Settle)
 	is.Equal(len(f), 1)
-	is.Equal(f[0], Finding{Digest: digest(1), Events: 3, Lives: 3, Lost: 3})
-	for life := Life(1); life <= 3; life++ {
-		is.True(tr.Explained(life))
+	is.Equal(f[0], Finding{Digest: digest(1), Events: 3, Upstreams: 3, Lost: 3})
+	for upstream := Incarnation(1); upstream <= 3; upstream++ {
+		is.True(tr.Explained(upstream))
 	}
 	// What ran beside it is cleared, also of ends that come later.
 	lose(tr, 4, time.Second, 1, 11)
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	tr := NewTracker()
 	for i := range 3 {
-		lose(tr, Life(i), time.Duration(i)*400*ms, 1, 2)
+		lose(tr, Incarnation(i), time.Duration(i)*400*ms, 1, 2)
 	}
 	is.Equal(tr.Judge(10*time.Second), nil)
 	lose(tr, 9, 11*time.Second, 1)
@@ -63,8 +63,8 @@
 	is := is.New(t)
 	tr := NewTracker()
 	for i := range 4 {
-		lose(tr, Life(2*i), time.Duration(i)*500*ms, 1, uint64(100+i))
-		lose(tr, Life(2*i+1), time.Duration(i)*500*ms+250*ms, 2, uint64(200+i))
+		lose(tr, Incarnation(2*i), time.Duration(i)*500*ms, 1, uint64(100+i))
+		lose(tr, Incarnation(2*i+1), time.Duration(i)*500*ms+250*ms, 2, uint64(200+i))
 	}
 	is.Equal(len(tr.Judge(1750*ms+Settle)), 2)
 }
@@ -74,8 +74,8 @@
 func TestUpstreamsKilledAtOnceAreOneEvent(t *testing.T) {
 	is := is.New(t)
 	tr := NewTracker()
-	for life := range Life(20) {
-		lose(tr, life, time.Duration(life)*ms, 1)
+	for upstream := range Incarnation(20) {
+		lose(tr, upstream, time.Duration(upstream)*ms, 1)
 	}
 	is.Equal(tr.Events(digest(1), 0), 1)
 	is.Equal(tr.Judge(time.Minute), nil)
@@ -94,7 +94,7 @@
 	is.True(!tr.SurvivedSince(digest(1), 601*ms))
 	is.Equal(tr.Suspects(600*ms, time.Second, 10), nil)
 	for i := range 4 {
-		lose(tr, Life(10+i), time.Duration(i+1)*time.Second, 1)
+		lose(tr, Incarnation(10+i), time.Duration(i+1)*time.Second, 1)
 	}
 	is.Equal(tr.Judge(20*time.Second), nil)
 	// The next version's upstreams may end by it all the same.
@@ -104,7 +104,7 @@
 	// Long after an answer it takes no more than for others.
 	tr.Survive(digest(2), 30*time.Second)
 	for i := range 3 {
-		lose(tr, Life(20+i), 2*time.Minute+time.Duration(i)*time.Second, 2)
+		lose(tr, Incarnation(20+i), 2*time.Minute+time.Duration(i)*time.Second, 2)
 	}
 	is.Equal(len(tr.Judge(3*time.Minute)), 1)
 }
@@ -113,15 +113,15 @@
 func TestOtherEndsAskForMore(t *testing.T) {
 	is := is.New(t)
 	tr := NewTracker()
-	life := Life(0)
+	upstream := Incarnation(0)
 	for i := range 4 {
 		at := time.Duration(i) * time.Second
 		for range 4 {
-			life++
-			lose(tr, life, at, uint64(1000+life))
+			upstream++
+			lose(tr, upstream, at, uint64(1000+upstream))
 		}
-		life++
-		lose(tr, life, at+300*ms, 1)
+		upstream++
+		lose(tr, upstream, at+300*ms, 1)
 	}
 	is.Equal(tr.Judge(10*time.Second), nil)
 	lose(tr, 99, 11*time.Second, 1)
@@ -136,19 +136,19 @@
 	next := uint64(10)
 	for i := range 60 {
 		at := time.Duration(i) * time.Second
-		lose(tr, Life(i), at, 1)
+		lose(tr, Incarnation(i), at, 1)
 		for range 1000 {
 			next++
-			lose(tr, Life(i), at, next)
+			lose(tr, Incarnation(i), at, next)
 		}
 		tr.Survive(digest(next+1_000_000), at)
 	}
 	is.True(tr.singles.Len() <= maxSingles)
 	is.True(len(tr.suspects) <= maxSuspects)
-	is.True(tr.lives.Len() <= maxLives)
+	is.True(tr.ended.Len() <= maxEnded)
 	is.True(tr.survived.Len() <= maxSurvivals)
-	for _, life := range tr.lives.Values() {
-		is.True(len(life.digests) <= maxPerLife+maxSuspects)
+	for _, upstream := range tr.ended.Values() {
+		is.True(len(upstream.digests) <= maxPerUpstream+maxSuspects)
 	}
 	is.Equal(len(tr.Judge(2*time.Minute)), 1)
 }
@@ -159,9 +159,9 @@
 	tr := NewTracker()
 	for i := range 3 {
 		at := time.Duration(i) * 4 * time.Second
-		tr.Lose(Loss{Digest: digest(1), Life: 5, At: at})
-		is.True(!tr.Lose(Loss{Digest: digest(1), Life: 5, At: at + 300*ms})) // the same end, told late
-		tr.Lose(Loss{Digest: digest(uint64(100 + i)), Life: 5, At: at + 20*ms})
+		tr.Lose(Loss{Digest: digest(1), Incarnation: 5, At: at})
+		is.True(!tr.Lose(Loss{Digest: digest(1), Incarnation: 5, At: at + 300*ms})) // the same end, told late
+		tr.Lose(Loss{Digest: digest(uint64(100 + i)), Incarnation: 5, At: at + 20*ms})
 	}
 	is.Equal(tr.Events(digest(1), 9*time.Second), 3)
 	is.Equal(len(tr.Judge(10*time.Second)), 1)
