--- /dev/null
+++ b/quarantine/example_test.go
@@ -0,0 +1,31 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/quarantine"
+)
+
+// A request is at the end of three upstreams, each time beside others: one of these ran at two
+// of them, and isn't to blame.
+func Example() {
+	name := func(body string) quarantine.Digest {
+		content := quarantine.Content{Method: "POST", Target: "/reports", Account: "acme", Body: []byte(body)}
+		return content.Digest()
+	}
+	tracker := quarantine.NewTracker()
+	for upstream, bodies := range [][]string{{"fatal", "a", "b"}, {"fatal", "b"}, {"fatal", "c"}} {
+		at := time.Duration(upstream) * time.Second
+		for _, body := range bodies {
+			tracker.Lose(quarantine.Loss{Digest: name(body), Incarnation: quarantine.Incarnation(upstream), At: at})
+		}
+	}
+	for _, finding := range tracker.Judge(2*time.Second + quarantine.Settle) {
+		fmt.Println(finding.Digest == name("fatal"), finding.Events, "events")
+	}
+	fmt.Println("b at", tracker.Events(name("b"), 3*time.Second))
+	// Output:
+	// true 3 events
+	// b at 0
+}
