--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -155,7 +155,7 @@
 	} else {
 		err = f.runModel(ctx, r)
 	}
-	how := ending(ctx, err)
+	how := guardOutcome(ctx, err)
 	f.guard.End(upstreamLife, r.digest, how)
 	if how == guard.Broken {
 		r.brokeAt = &upstreamLife
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -166,8 +166,8 @@
 	return guard.Upstream{ID: u.ID, Service: u.Name, Address: u.Address, Incarnation: quarantine.Incarnation(exchange.NameOf(u.ID))}
 }
 
-// ending is what an attempt's error says of the upstream's run.
-func ending(ctx context.Context, err error) guard.Ending {
+// guardOutcome is what an attempt's error says of the upstream's run.
+func guardOutcome(ctx context.Context, err error) guard.Outcome {
 	var status *upstream.StatusError
 	switch {
 	case err == nil:
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -53,8 +53,8 @@
 	whole *wholeAnswer
 }
 
-// ending is what the result says of the upstream's run.
-func (r *attemptResult) ending() guard.Ending {
+// guardOutcome is what the result says of the upstream's run.
+func (r *attemptResult) guardOutcome() guard.Outcome {
 	switch r.outcome {
 	case outcomeDone, outcomeFailed:
 		return guard.Answered
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -101,7 +101,7 @@
 	if result.outcome != outcomeRefused {
 		r.state.Raise(a.state.State())
 	}
-	d.gateway.guard.End(a.choice.upstream.guarded(), r.Digest, result.ending())
+	d.gateway.guard.End(a.choice.upstream.guarded(), r.Digest, result.guardOutcome())
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
--- a/internal/guard/admit.go
+++ b/internal/guard/admit.go
@@ -95,4 +95,4 @@
 func (g *Guard) Begin(u Upstream, d quarantine.Digest) { g.exposures.begin(u, d) }
 
 // End notes how that ended.
-func (g *Guard) End(u Upstream, d quarantine.Digest, how Ending) { g.exposures.end(u, d, how) }
+func (g *Guard) End(u Upstream, d quarantine.Digest, how Outcome) { g.exposures.end(u, d, how) }
--- a/internal/guard/endings.go
+++ b/internal/guard/endings.go
@@ -25,25 +25,36 @@
 	checkTimeout = 250 * time.Millisecond
 )
 
-// settle tells of the requests whose upstreams outlived them. Where an upstream ended with
-// the request before, it is asked.
+// settle tells of the requests whose upstreams outlived them. Where upstreams ended with the
+// request before, this one is asked, beside the others' turns.
 func (e *exposures) settle() {
 	for _, run := range e.due() {
-		if e.hasEnded(run.exposure.upstream) {
-			continue // by what another of them showed
-		}
-		if e.suspected(run.digest) && refuses(run.exposure.upstream.Address) {
-			e.mu.Lock()
-			run.exposure.endedAt = run.at
-			digests := run.exposure.take()
-			e.mu.Unlock()
-			e.ended(run.exposure.upstream, boottime.Since(run.at), digests)
+		if e.suspected(run.digest) {
+			go e.confirm(run)
 			continue
 		}
 		e.survived(run.digest)
 	}
 }
 
+// confirm finds out whether the upstream outlived a run that was answered.
+func (e *exposures) confirm(run answeredRun) {
+	if !refuses(run.exposure.upstream.Address) {
+		e.survived(run.digest)
+		return
+	}
+	e.mu.Lock()
+	known := !run.exposure.endedAt.IsZero()
+	if !known {
+		run.exposure.endedAt = run.at
+	}
+	digests := run.exposure.take()
+	e.mu.Unlock()
+	if !known || len(digests) > 0 {
+		e.ended(run.exposure.upstream, boottime.Since(run.at), digests)
+	}
+}
+
 // due takes the runs that were answered long enough ago and whose upstreams aren't known to
 // have ended.
 func (e *exposures) due() []answeredRun {
@@ -85,7 +96,7 @@
 	}
 	e.mu.Unlock()
 	e.log.Warn().Str("event", "upstream-checked").Str("upstream", x.upstream.ID).Bool("ended", gone).
-		Int("exposed", len(digests)).Int("running", others).Strs("digests", texts(digests)).Msg("")
+		Int("exposed", len(digests)).Int("running", others).Strs("digests", digestTexts(digests)).Msg("")
 	if gone {
 		e.ended(x.upstream, boottime.Since(broke), digests)
 	}
@@ -108,7 +119,7 @@
 // maxLoggedDigests bounds the digests in one log line.
 const maxLoggedDigests = 16
 
-func texts(digests []quarantine.Digest) []string {
+func digestTexts(digests []quarantine.Digest) []string {
 	list := make([]string, 0, min(len(digests), maxLoggedDigests))
 	for _, d := range digests[:min(len(digests), maxLoggedDigests)] {
 		list = append(list, d.String())
--- a/internal/guard/exposures.go
+++ b/internal/guard/exposures.go
@@ -40,12 +40,12 @@
 	Incarnation quarantine.Incarnation
 }
 
-// Ending is how a request's attempt at an upstream ended.
-type Ending int
+// Outcome is how a request's attempt at an upstream ended.
+type Outcome int
 
 const (
 	// Answered: the upstream ran the request to a complete answer, a failure included.
-	Answered Ending = iota
+	Answered Outcome = iota
 	// NotRun: the upstream didn't run it.
 	NotRun
 	// Unreachable: nothing listened at the upstream's address.
@@ -123,7 +123,7 @@
 }
 
 // end notes how the request's attempt there ended.
-func (e *exposures) end(u Upstream, d quarantine.Digest, how Ending) {
+func (e *exposures) end(u Upstream, d quarantine.Digest, how Outcome) {
 	e.mu.Lock()
 	x := e.upstreams[u.Incarnation]
 	if x == nil {
