--- /dev/null
+++ b/internal/gateway/instant_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A request that ends upstreams at once, and is sent on to three by one host, ended nine before it
+// was kept away: three ends within milliseconds counted as one event. Each run began after the
+// end before, so each end counts.
+func TestARequestThatEndsUpstreamsAtOnceIsKeptAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.gateway.guard.Run(ctx)
+	ended := make(chan struct{}, 30)
+	for i := range 12 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		server := &http.Server{}
+		server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+			_, _ = io.ReadAll(req.Body)
+			server.Close()
+			ended <- struct{}{}
+			panic(http.ErrAbortHandler)
+		})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { server.Close() })
+		w.gateway.fleet.Set(Upstream{ID: fmt.Sprint("u-", i), Service: "svc", Address: listener.Addr().String(), Zone: "z1", Version: "v1", Slots: 8}, 1)
+	}
+	for range 6 {
+		w.do(w.request("POST", "/many/x", "fatal"))
+		time.Sleep(1500 * time.Millisecond)
+	}
+	is.True(len(ended) <= 4)
+}
