quarantine: a run that began after the end before is an event of its own

Cause: ends within 50 ms count as one event, which tells a killed rack from a request that comes again. A request that ends upstreams at once and is sent on ends three within milliseconds, so nine ended before it was kept away. Each of its runs began after the end before; of upstreams that are killed at once each had been running for longer. Losses tell for how long now (two bytes more), and an upstream's end counts from the first answer that broke off.

--- a/internal/exchange/quarantine_test.go
+++ b/internal/exchange/quarantine_test.go
@@ -27,7 +27,7 @@
 func TestQuarantineMessages(t *testing.T) {
 	is := is.New(t)
 	report := Report{Sightings: Sightings{
-		Losses:   Losses{{Digest: testDigest(1), Incarnation: 7, Age: 1500 * time.Millisecond}, {Digest: testDigest(2), Incarnation: 9}},
+		Losses:   Losses{{Digest: testDigest(1), Incarnation: 7, Age: 1500 * time.Millisecond, Ran: 30 * time.Millisecond}, {Digest: testDigest(2), Incarnation: 9}},
 		Answered: Digests{testDigest(3)},
 	}}
 	data, err := json.Marshal(report)
--- a/internal/exchange/quarantinewire.go
+++ b/internal/exchange/quarantinewire.go
@@ -9,7 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
-// Losses are losses in messages: a digest, an upstream and the age, in 22 bytes each.
+// Losses are losses in messages: a digest, an upstream and the age, how long the request had been there, in 24 bytes each.
 type Losses []AgedLoss
 
 // AgedLoss is a loss and how long ago it was.
@@ -17,9 +17,11 @@
 	Digest      quarantine.Digest
 	Incarnation quarantine.Incarnation
 	Age         time.Duration
+	// Ran is for how long the request had been there at the end.
+	Ran time.Duration
 }
 
-const lossSize = 16 + 4 + 2
+const lossSize = 16 + 4 + 2 + 2
 
 // MarshalJSON implements json.Marshaler.
 func (l Losses) MarshalJSON() ([]byte, error) {
@@ -28,6 +30,7 @@
 		packed = append(packed, loss.Digest[:]...)
 		packed = binary.BigEndian.AppendUint32(packed, uint32(loss.Incarnation))
 		packed = appendAge(packed, loss.Age)
+		packed = appendAge(packed, loss.Ran)
 	}
 	return marshalPacked(packed)
 }
@@ -41,7 +44,7 @@
 	*l = make(Losses, 0, len(packed)/lossSize)
 	for entry := range slices.Chunk(packed, lossSize) {
 		*l = append(*l, AgedLoss{
-			Digest: quarantine.Digest(entry[:16]), Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry[16:])), Age: age(entry[20:]),
+			Digest: quarantine.Digest(entry[:16]), Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry[16:])), Age: age(entry[20:]), Ran: age(entry[22:]),
 		})
 	}
 	return nil
--- a/internal/exchange/sightinglog.go
+++ b/internal/exchange/sightinglog.go
@@ -19,6 +19,7 @@
 	digest      quarantine.Digest
 	incarnation quarantine.Incarnation
 	at          time.Time
+	ran         time.Duration
 	answered    bool
 	// from is who told it.
 	from string
@@ -29,7 +30,7 @@
 
 func (l *sightingLog) add(from string, s Sightings, now time.Time) {
 	for _, loss := range s.Losses {
-		l.entries = append(l.entries, sighting{digest: loss.Digest, incarnation: loss.Incarnation, at: now.Add(-loss.Age), from: from})
+		l.entries = append(l.entries, sighting{digest: loss.Digest, incarnation: loss.Incarnation, at: now.Add(-loss.Age), ran: loss.Ran, from: from})
 	}
 	for _, d := range s.Answered {
 		l.entries = append(l.entries, sighting{digest: d, answered: true, from: from})
@@ -61,7 +62,7 @@
 		case e.answered:
 			s.Answered = append(s.Answered, e.digest)
 		default:
-			s.Losses = append(s.Losses, AgedLoss{Digest: e.digest, Incarnation: e.incarnation, Age: now.Sub(e.at)})
+			s.Losses = append(s.Losses, AgedLoss{Digest: e.digest, Incarnation: e.incarnation, Age: now.Sub(e.at), Ran: e.ran})
 		}
 	}
 	return s, last
--- a/internal/guard/endings.go
+++ b/internal/guard/endings.go
@@ -48,10 +48,10 @@
 	if !known {
 		run.exposure.endedAt = run.at
 	}
-	digests := run.exposure.take()
+	runs := run.exposure.take()
 	e.mu.Unlock()
-	if !known || len(digests) > 0 {
-		e.ended(run.exposure.upstream, boottime.Since(run.at), digests)
+	if !known || len(runs) > 0 {
+		e.ended(run.exposure.upstream, boottime.Since(run.at), runs)
 	}
 }
 
@@ -75,7 +75,7 @@
 	if x.checking || !x.endedAt.IsZero() {
 		return
 	}
-	x.checking = true
+	x.checking, x.lookedAt = true, boottime.Now()
 	time.AfterFunc(breakGather, func() { e.check(x) })
 }
 
@@ -83,22 +83,21 @@
 // lives, and spare the connection.
 func (e *exposures) check(x *exposure) {
 	e.mu.Lock()
-	others := len(x.running)
+	others, broke := len(x.running), x.lookedAt
 	e.mu.Unlock()
-	broke := boottime.Now()
 	gone := others == 0 && refuses(x.upstream.Address)
 	e.mu.Lock()
 	x.checking = false
-	var digests []quarantine.Digest
+	var runs []endedRun
 	if gone {
 		x.endedAt = broke
-		digests = x.take()
+		runs = x.take()
 	}
 	e.mu.Unlock()
 	e.log.Warn().Str("event", "upstream-checked").Str("upstream", x.upstream.ID).Bool("ended", gone).
-		Int("exposed", len(digests)).Int("running", others).Strs("digests", digestTexts(digests)).Msg("")
+		Int("exposed", len(runs)).Int("running", others).Strs("digests", digestTexts(runs)).Msg("")
 	if gone {
-		e.ended(x.upstream, boottime.Since(broke), digests)
+		e.ended(x.upstream, boottime.Since(broke), runs)
 	}
 }
 
@@ -119,10 +118,10 @@
 // maxLoggedDigests bounds the digests in one log line.
 const maxLoggedDigests = 16
 
-func digestTexts(digests []quarantine.Digest) []string {
-	list := make([]string, 0, min(len(digests), maxLoggedDigests))
-	for _, d := range digests[:min(len(digests), maxLoggedDigests)] {
-		list = append(list, d.String())
+func digestTexts(runs []endedRun) []string {
+	list := make([]string, 0, min(len(runs), maxLoggedDigests))
+	for _, run := range runs[:min(len(runs), maxLoggedDigests)] {
+		list = append(list, run.digest.String())
 	}
 	return list
 }
@@ -142,9 +141,9 @@
 		return
 	}
 	x.endedAt = boottime.Now().Add(-ago)
-	digests := x.take()
+	runs := x.take()
 	e.mu.Unlock()
-	if len(digests) > 0 {
-		e.ended(x.upstream, ago, digests)
+	if len(runs) > 0 {
+		e.ended(x.upstream, ago, runs)
 	}
 }
--- a/internal/guard/exposures.go
+++ b/internal/guard/exposures.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -58,9 +57,8 @@
 
 // exposures keep which requests run at each upstream, and notice when an upstream ends.
 type exposures struct {
-	// ended is told of an upstream that ended so long ago, with the digests of what this
-	// host had running there.
-	ended func(u Upstream, ago time.Duration, digests []quarantine.Digest)
+	// ended is told of an upstream that ended so long ago, with what this host had there.
+	ended func(u Upstream, ago time.Duration, runs []endedRun)
 	// survived is told of a request whose run an upstream outlived.
 	survived func(d quarantine.Digest)
 	// suspected says whether an upstream ended with the request before.
@@ -83,26 +81,40 @@
 // exposure is what this host sent to one incarnation of an upstream.
 type exposure struct {
 	upstream Upstream
-	running  map[quarantine.Digest]int
+	running  map[quarantine.Digest]runs
 	// recent are runs that are over for this host: given up, broken off or answered.
 	recent []recentRun
-	// checking says that a look at the upstream is under way.
+	// checking says that a look at the upstream is under way, since when.
 	checking bool
+	lookedAt time.Time
 	// endedAt is when the upstream was found to have ended; zero before.
 	endedAt time.Time
 }
 
+// runs are those of one request at an upstream: how many, and when the first began.
+type runs struct {
+	count int
+	began time.Time
+}
+
 // recentRun is a run that is over, since when, and how long after that it may end its
 // upstream.
 type recentRun struct {
 	digest quarantine.Digest
+	began  time.Time
 	at     time.Time
 	after  time.Duration
 }
 
+// endedRun is a run that an upstream may have ended by, and for how long it had been there.
+type endedRun struct {
+	digest quarantine.Digest
+	ran    time.Duration
+}
+
 func newExposures(log zerolog.Logger) *exposures {
 	return &exposures{
-		ended: func(Upstream, time.Duration, []quarantine.Digest) {}, survived: func(quarantine.Digest) {},
+		ended: func(Upstream, time.Duration, []endedRun) {}, survived: func(quarantine.Digest) {},
 		suspected: func(quarantine.Digest) bool { return false }, log: log, upstreams: make(map[quarantine.Incarnation]*exposure),
 	}
 }
@@ -113,13 +125,17 @@
 	defer e.mu.Unlock()
 	x := e.upstreams[u.Incarnation]
 	if x == nil {
-		x = &exposure{upstream: u, running: make(map[quarantine.Digest]int)}
+		x = &exposure{upstream: u, running: make(map[quarantine.Digest]runs)}
 		e.upstreams[u.Incarnation] = x
 	}
 	if !x.endedAt.IsZero() && boottime.Since(x.endedAt) > sameEnd {
 		x.endedAt, x.recent = time.Time{}, nil // it may have started again under its name
 	}
-	x.running[d]++
+	r := x.running[d]
+	if r.count++; r.count == 1 {
+		r.began = boottime.Now()
+	}
+	x.running[d] = r
 }
 
 // end notes how the request's attempt there ended.
@@ -130,21 +146,24 @@
 		e.mu.Unlock()
 		return
 	}
-	if x.running[d]--; x.running[d] <= 0 {
+	r := x.running[d]
+	if r.count--; r.count <= 0 {
 		delete(x.running, d)
+	} else {
+		x.running[d] = r
 	}
 	switch how {
 	case Broken:
-		x.over(d, lingering)
+		x.over(d, r.began, lingering)
 		e.look(x)
 	case GivenUp:
-		x.over(d, lingering)
+		x.over(d, r.began, lingering)
 	case Unreachable:
 		if x.exposed() {
 			e.look(x)
 		}
 	case Answered:
-		e.answered = append(e.answered, answeredRun{exposure: x, recentRun: x.over(d, aftermath)})
+		e.answered = append(e.answered, answeredRun{exposure: x, recentRun: x.over(d, r.began, aftermath)})
 	}
 	late, ago := x.takeLate()
 	e.mu.Unlock()
@@ -154,8 +173,8 @@
 }
 
 // over notes a run that is over for this host. The lock is held.
-func (x *exposure) over(d quarantine.Digest, after time.Duration) recentRun {
-	run := recentRun{digest: d, at: boottime.Now(), after: after}
+func (x *exposure) over(d quarantine.Digest, began time.Time, after time.Duration) recentRun {
+	run := recentRun{digest: d, began: began, at: boottime.Now(), after: after}
 	x.recent = append(x.recent, run)
 	return run
 }
@@ -171,23 +190,27 @@
 	x.recent = slices.DeleteFunc(x.recent, func(run recentRun) bool { return boottime.Since(run.at) > recentKept })
 }
 
-// take returns the digests of the runs that are over and may have ended it, and forgets
+// take returns the runs that are over and may have ended it, one a request, and forgets
 // these. What still runs there will break off and is taken then, unless it is on its way
 // only. The lock is held.
-func (x *exposure) take() []quarantine.Digest {
-	digests := make(map[quarantine.Digest]struct{})
+func (x *exposure) take() []endedRun {
+	longest := make(map[quarantine.Digest]time.Duration)
 	for _, run := range x.recent {
 		if x.endedAt.Sub(run.at) <= run.after {
-			digests[run.digest] = struct{}{}
+			longest[run.digest] = max(longest[run.digest], x.endedAt.Sub(run.began))
 		}
 	}
 	x.recent = nil
-	return slices.Collect(maps.Keys(digests))
+	list := make([]endedRun, 0, len(longest))
+	for d, ran := range longest {
+		list = append(list, endedRun{digest: d, ran: ran})
+	}
+	return list
 }
 
 // takeLate returns what is found to have broken off after the upstream's end was noticed,
 // and how long ago that end was. The lock is held.
-func (x *exposure) takeLate() ([]quarantine.Digest, time.Duration) {
+func (x *exposure) takeLate() ([]endedRun, time.Duration) {
 	if x.endedAt.IsZero() || len(x.recent) == 0 {
 		return nil, 0
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -170,12 +170,13 @@
 }
 
 // lose takes in that an upstream ended so long ago with the requests.
-func (g *Guard) lose(u Upstream, ago time.Duration, digests []quarantine.Digest) {
+func (g *Guard) lose(u Upstream, ago time.Duration, runs []endedRun) {
 	now := boottime.Elapsed()
 	at := now - ago
 	g.options.Count(CountEnded, u.Service)
-	for _, d := range digests {
-		loss := quarantine.Loss{Digest: d, Incarnation: u.Incarnation, At: at}
+	for _, run := range runs {
+		d := run.digest
+		loss := quarantine.Loss{Digest: d, Incarnation: u.Incarnation, At: at, Ran: run.ran}
 		if !g.tracker.Lose(loss) {
 			continue
 		}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -78,7 +78,7 @@
 // spoil has upstreams end with the request, some time apart.
 func (b *bench) spoil(d quarantine.Digest, from, ends int) {
 	for i := range ends {
-		b.lose(Upstream{ID: "u", Service: "svc", Incarnation: quarantine.Incarnation(from + i)}, time.Duration(ends-i)*200*time.Millisecond+quarantine.Settle, []quarantine.Digest{d})
+		b.lose(Upstream{ID: "u", Service: "svc", Incarnation: quarantine.Incarnation(from + i)}, time.Duration(ends-i)*200*time.Millisecond+quarantine.Settle, []endedRun{{digest: d, ran: 40 * time.Millisecond}})
 	}
 }
 
@@ -115,7 +115,13 @@
 func newEndings() *endings {
 	e := &endings{exposures: newExposures(zerolog.Nop()), told: make(chan []quarantine.Digest, 10)}
 	e.survived = func(d quarantine.Digest) { e.outlived = append(e.outlived, d) }
-	e.ended = func(_ Upstream, _ time.Duration, digests []quarantine.Digest) { e.told <- digests }
+	e.ended = func(_ Upstream, _ time.Duration, runs []endedRun) {
+		var digests []quarantine.Digest
+		for _, run := range runs {
+			digests = append(digests, run.digest)
+		}
+		e.told <- digests
+	}
 	return e
 }
 
@@ -410,7 +416,7 @@
 	is.True(!admitted(b)) // nobody else may
 	is.True(!admitted(a)) // and a only once
 	term := until()
-	a.lose(u, 0, []quarantine.Digest{d})
+	a.lose(u, 0, []endedRun{{digest: d, ran: time.Second}})
 	eventually("the verdict holds again", func() bool { return until() > term })
 	is.Equal(until()-a.options.Clock(), time.Hour)
 	is.True(!admitted(a))
@@ -558,14 +564,14 @@
 			u := Upstream{ID: "ended", Service: "svc", Address: "", Incarnation: incarnation}
 			b.Begin(u, d)
 			b.exposures.upstreams[incarnation].endedAt = boottime.Now()
-			b.lose(u, 0, []quarantine.Digest{d})
+			b.lose(u, 0, []endedRun{{digest: d, ran: time.Second}})
 			b.Unexplained(u, Blame{Version: func() { held <- "ended" }})
 			time.Sleep(100 * time.Millisecond)
 		}
 		other := Upstream{ID: "other", Service: "svc", Incarnation: 200}
 		b.Begin(other, digest(2))
 		b.exposures.upstreams[200].endedAt = boottime.Now()
-		b.lose(other, 0, []quarantine.Digest{digest(2)})
+		b.lose(other, 0, []endedRun{{digest: digest(2), ran: time.Second}})
 		b.Unexplained(other, Blame{Version: func() { held <- "other" }})
 		time.Sleep(quarantine.Settle + time.Millisecond)
 		b.judge()
--- a/internal/guard/sightings.go
+++ b/internal/guard/sightings.go
@@ -100,7 +100,7 @@
 		case seen.answered:
 			s.Answered = append(s.Answered, seen.loss.Digest)
 		default:
-			s.Losses = append(s.Losses, exchange.AgedLoss{Digest: seen.loss.Digest, Incarnation: seen.loss.Incarnation, Age: age})
+			s.Losses = append(s.Losses, exchange.AgedLoss{Digest: seen.loss.Digest, Incarnation: seen.loss.Incarnation, Age: age, Ran: seen.loss.Ran})
 		}
 	}
 	return s
@@ -111,7 +111,7 @@
 	now := boottime.Elapsed()
 	var fresh exchange.Sightings
 	for _, l := range s.Losses {
-		if g.tracker.Lose(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: now - l.Age}) {
+		if g.tracker.Lose(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: now - l.Age, Ran: l.Ran}) {
 			fresh.Losses = append(fresh.Losses, l)
 			g.noteEnded(l.Incarnation, now-l.Age)
 		}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -77,7 +77,7 @@
 		return Finding{}, false
 	}
 	led := moments(t.led(d, h, now))
-	f := Finding{Digest: d, Events: len(led), Upstreams: len(own), Lost: t.lostWithin(own[0], own[len(own)-1])}
+	f := Finding{Digest: d, Events: len(led), Upstreams: len(own), Lost: t.lostWithin(own[0].at, own[len(own)-1].at)}
 	needed := f.needed()
 	if at, ok := t.survived.Peek(d); ok && now-at < survivalMemory {
 		needed = sureEvents
@@ -97,11 +97,10 @@
 	}
 }
 
-// led are the times, in order, of the ends that the request is the likeliest cause of. The
-// lock is held.
-func (t *Tracker) led(d Digest, h *history, now time.Duration) []time.Duration {
+// led are, in order, the ends that the request is the likeliest cause of. The lock is held.
+func (t *Tracker) led(d Digest, h *history, now time.Duration) []loss {
 	events := len(moments(t.counted(h, now)))
-	var times []time.Duration
+	var list []loss
 	for _, l := range h.losses {
 		upstream, ok := t.ended.Peek(l.Incarnation)
 		if !ok || upstream.explained || now-upstream.at > lossMemory {
@@ -111,11 +110,11 @@
 			rival := t.suspects[other]
 			return other != d && rival != nil && len(moments(t.counted(rival, now))) >= events
 		}) {
-			times = append(times, upstream.at)
+			list = append(list, loss{at: upstream.at, ran: l.Ran})
 		}
 	}
-	slices.Sort(times)
-	return times
+	sortLosses(list)
+	return list
 }
 
 // lostWithin counts the upstreams lost within the span that nothing explains yet. The lock
--- a/quarantine/odds_test.go
+++ b/quarantine/odds_test.go
@@ -186,7 +186,7 @@
 	}
 	p.sends = append(p.sends, p.now)
 	p.next++
-	l.running[p.next] = &playRun{id: fatalID}
+	l.running[p.next] = &playRun{id: fatalID, started: p.now}
 	p.after(fatalAfter, func() {
 		if !l.up {
 			return
@@ -213,7 +213,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(l.running)) { // in an order that the seed decides
 		r := l.running[key]
-		loss := Loss{Digest: digest(r.id), Incarnation: l.incarnation, At: at}
+		loss := Loss{Digest: digest(r.id), Incarnation: l.incarnation, At: at, Ran: at - r.started}
 		p.after(late[key%hostsInPlay], func() { p.tracker.Lose(loss) })
 		if r.id != fatalID {
 			p.after(5*time.Millisecond, func() { p.send(r) })
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -12,9 +13,13 @@
 	// SameMoment is the time within which upstreams that end count as one event: a rack
 	// or a third of a service that is lost at once ends many copies of a popular
 	// request at the same moment, and says of them no more than the end of one. Hosts
-	// notice the end of a process within some milliseconds, and the earliest word counts;
-	// a request that is sent on ends the next upstream 80 ms later at the soonest.
+	// notice the end of a process within some milliseconds, and the earliest word counts.
+	// A run that began after the end before is another event all the same: a request that
+	// ends upstreams at once, and is sent on, ends three within milliseconds.
 	SameMoment = 50 * time.Millisecond
+	// clockError is by how much hosts' words on times differ: they are told in
+	// milliseconds and as ages, which the way of a message adds to.
+	clockError = 5 * time.Millisecond
 	// Settle is the time between the event that makes a request suspect enough and the
 	// judgement. In it hosts tell what else ran at the upstreams that ended, over two
 	// hubs, and which suspects they saw answered; the operators give 3 s in all.
@@ -64,6 +69,8 @@
 	// At is when the upstream ended, on a steady clock of the caller's that counts
 	// suspensions.
 	At time.Duration
+	// Ran is for how long the request had been there then.
+	Ran time.Duration
 }
 
 // Tracker judges by losses and survivals which requests end upstreams. It is safe for
@@ -288,27 +295,34 @@
 	return len(moments(t.counted(h, now)))
 }
 
-// counted are the times of a request's losses that count against it, in order. The lock
+// counted are a request's losses that count against it, in order. The lock
 // is held.
-func (t *Tracker) counted(h *history, now time.Duration) []time.Duration {
-	var times []time.Duration
+func (t *Tracker) counted(h *history, now time.Duration) []loss {
+	var list []loss
 	for _, l := range h.losses {
 		upstream, ok := t.ended.Peek(l.Incarnation)
 		if !ok || upstream.explained || now-upstream.at > lossMemory {
 			continue
 		}
-		times = append(times, upstream.at) // by the earliest word of it
+		list = append(list, loss{at: upstream.at, ran: l.Ran}) // by the earliest word of it
 	}
-	slices.Sort(times)
-	return times
+	sortLosses(list)
+	return list
 }
 
-// moments are the first times of events, of times in order.
-func moments(times []time.Duration) []time.Duration {
+// loss is when an upstream ended with a request, and for how long that had been there.
+type loss struct{ at, ran time.Duration }
+
+func sortLosses(list []loss) {
+	slices.SortFunc(list, func(a, b loss) int { return cmp.Compare(a.at, b.at) })
+}
+
+// moments are the first times of events, of losses in order.
+func moments(list []loss) []time.Duration {
 	var firsts []time.Duration
-	for _, at := range times {
-		if len(firsts) == 0 || at-firsts[len(firsts)-1] > SameMoment {
-			firsts = append(firsts, at)
+	for i, l := range list {
+		if i == 0 || l.at-firsts[len(firsts)-1] > SameMoment || l.at-l.ran > list[i-1].at-clockError {
+			firsts = append(firsts, l.at)
 		}
 	}
 	return firsts
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -19,7 +19,7 @@
 // lose takes in that an upstream ended with the requests.
 func lose(t *Tracker, upstream Incarnation, at time.Duration, requests ...uint64) {
 	for _, r := range requests {
-		t.Lose(Loss{Digest: digest(r), Incarnation: upstream, At: at})
+		t.Lose(Loss{Digest: digest(r), Incarnation: upstream, At: at, Ran: time.Second})
 	}
 }
 
@@ -81,6 +81,24 @@
 	is.Equal(tr.Judge(time.Minute), nil)
 }
 
+// A request that ends upstreams at once and is sent on ends three within milliseconds: each of
+// its runs began after the end before. Of upstreams that are killed at once each had run it
+// before that.
+func TestRunsThatBeganAfterTheEndBeforeAreEvents(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	for i := range 3 {
+		at := time.Second + time.Duration(i)*3*ms
+		tr.Lose(Loss{Digest: digest(1), Incarnation: Incarnation(i), At: at, Ran: 2 * ms})
+		tr.Lose(Loss{Digest: digest(2), Incarnation: Incarnation(i), At: at, Ran: 500 * ms})
+	}
+	is.Equal(tr.Events(digest(1), time.Second), 3)
+	is.Equal(tr.Events(digest(2), time.Second), 1)
+	f := tr.Judge(2 * time.Second)
+	is.Equal(len(f), 1)
+	is.Equal(f[0].Digest, digest(1))
+}
+
 // What was answered is no longer suspected, and for some time it takes more to judge it.
 func TestAnsweredRequestsAreSound(t *testing.T) {
 	is := is.New(t)
