e2e: hosts that start are asked once they are ready

Traced: the test sent to a host that wasn't ready, which had not read the statuses yet; a host is ready once it has (listen.go), and the balancer sends callers to hosts that are. The check itself is unchanged.

--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -233,6 +233,8 @@
 		s.startGateway(h)
 	}
 	for _, h := range s.gateways {
+		// The balancer sends callers to hosts that are ready, which know the store's verdicts.
+		eventually(t, h.name+" is ready", func() bool { return s.isReady(h) })
 		eventually(t, h.name+" keeps it away", func() bool {
 			return strings.Contains(s.sendBody(h, "stream", "key-a", fatalBody).body, quarantined)
 		})
