--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -147,8 +147,8 @@
 	r.Target = upstream.Target{ID: id, Address: choice.Upstream.Address}
 	r.Attempts++
 	started := time.Now()
-	upstreamLife := guarded(choice.Upstream)
-	f.guard.Begin(upstreamLife, r.digest)
+	target := guarded(choice.Upstream)
+	f.guard.Begin(target, r.digest)
 	var err error
 	if r.Kind == KindService {
 		err = f.runService(ctx, r)
@@ -156,9 +156,9 @@
 		err = f.runModel(ctx, r)
 	}
 	how := guardOutcome(ctx, err)
-	f.guard.End(upstreamLife, r.digest, how)
+	f.guard.End(target, r.digest, how)
 	if how == guard.Broken {
-		r.brokeAt = &upstreamLife
+		r.brokeAt = &target
 	}
 	r.Faulted = r.Faulted || faults(ctx, err)
 	outcome := f.outcome(ctx, r, started, err)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -61,7 +61,7 @@
 		Host: h.incarnation, Table: h.platform.Table, Prefix: verdictsPrefix, Log: h.log,
 		// Hosts have no other clock in common.
 		Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
-		Count: func(what guard.Counted, service string) { h.metrics.guarded(what, service) },
+		Count: h.metrics.guarded,
 	})
 	peer.Handle(h.peerSrv, methodSightings, func(_ context.Context, _ string, p sightingsParams) (none, error) {
 		e.guard.Take(p.Sightings)
@@ -229,13 +229,8 @@
 	case guard.CountVerdict:
 		m.set.GetOrCreateCounter("quetzalweir_verdicts_total").Inc()
 	case guard.CountEnded:
-		m.set.GetOrCreateCounter(labelled("quetzalweir_upstreams_ended_total", "service", service)).Inc()
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_upstreams_ended_total{service=%q}`, service)).Inc()
 	case guard.CountRefused:
-		m.set.GetOrCreateCounter(labelled("quetzalweir_quarantine_refusals_total", "service", service)).Inc()
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_quarantine_refusals_total{service=%q}`, service)).Inc()
 	}
 }
-
-// labelled is a metric's name with one label.
-func labelled(name, label, value string) string {
-	return name + "{" + label + "=" + strconv.Quote(value) + "}"
-}
--- a/internal/exchange/quarantinewire.go
+++ b/internal/exchange/quarantinewire.go
@@ -9,7 +9,8 @@
 	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
-// Losses are losses in messages: a digest, an upstream and the age, how long the request had been there, in 24 bytes each.
+// Losses are losses in messages, in 24 bytes each: a digest, an upstream, the age, and how long
+// the request had been there.
 type Losses []AgedLoss
 
 // AgedLoss is a loss and how long ago it was.
@@ -25,29 +26,23 @@
 
 // MarshalJSON implements json.Marshaler.
 func (l Losses) MarshalJSON() ([]byte, error) {
-	packed := make([]byte, 0, lossSize*len(l))
-	for _, loss := range l {
+	return marshalList(l, lossSize, func(packed []byte, loss AgedLoss) []byte {
 		packed = append(packed, loss.Digest[:]...)
 		packed = binary.BigEndian.AppendUint32(packed, uint32(loss.Incarnation))
 		packed = appendAge(packed, loss.Age)
 		packed = appendAge(packed, loss.Ran)
-	}
-	return marshalPacked(packed)
+		return packed
+	})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (l *Losses) UnmarshalJSON(data []byte) error {
-	packed, err := unmarshalPacked(data, lossSize)
-	if err != nil {
-		return err
-	}
-	*l = make(Losses, 0, len(packed)/lossSize)
-	for entry := range slices.Chunk(packed, lossSize) {
-		*l = append(*l, AgedLoss{
+func (l *Losses) UnmarshalJSON(data []byte) (err error) {
+	*l, err = unmarshalList(data, lossSize, func(entry []byte) AgedLoss {
+		return AgedLoss{
 			Digest: quarantine.Digest(entry[:16]), Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry[16:])), Age: age(entry[20:]), Ran: age(entry[22:]),
-		})
-	}
-	return nil
+		}
+	})
+	return err
 }
 
 // Digests are digests in messages.
@@ -57,24 +52,18 @@
 
 // MarshalJSON implements json.Marshaler.
 func (d Digests) MarshalJSON() ([]byte, error) {
-	packed := make([]byte, 0, digestSize*len(d))
-	for _, digest := range d {
+	return marshalList(d, digestSize, func(packed []byte, digest quarantine.Digest) []byte {
 		packed = append(packed, digest[:]...)
-	}
-	return marshalPacked(packed)
+		return packed
+	})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (d *Digests) UnmarshalJSON(data []byte) error {
-	packed, err := unmarshalPacked(data, digestSize)
-	if err != nil {
-		return err
-	}
-	*d = make(Digests, 0, len(packed)/digestSize)
-	for entry := range slices.Chunk(packed, digestSize) {
-		*d = append(*d, quarantine.Digest(entry))
-	}
-	return nil
+func (d *Digests) UnmarshalJSON(data []byte) (err error) {
+	*d, err = unmarshalList(data, digestSize, func(entry []byte) quarantine.Digest {
+		return quarantine.Digest(entry)
+	})
+	return err
 }
 
 // Endings are upstreams that ended.
@@ -91,8 +80,7 @@
 
 // MarshalJSON implements json.Marshaler.
 func (e Endings) MarshalJSON() ([]byte, error) {
-	packed := make([]byte, 0, endingSize*len(e))
-	for _, ending := range e {
+	return marshalList(e, endingSize, func(packed []byte, ending Ending) []byte {
 		packed = binary.BigEndian.AppendUint32(packed, uint32(ending.Incarnation))
 		packed = appendAge(packed, ending.Age)
 		explained := byte(0)
@@ -100,21 +88,16 @@
 			explained = 1
 		}
 		packed = append(packed, explained)
-	}
-	return marshalPacked(packed)
+		return packed
+	})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (e *Endings) UnmarshalJSON(data []byte) error {
-	packed, err := unmarshalPacked(data, endingSize)
-	if err != nil {
-		return err
-	}
-	*e = make(Endings, 0, len(packed)/endingSize)
-	for entry := range slices.Chunk(packed, endingSize) {
-		*e = append(*e, Ending{Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry)), Age: age(entry[4:]), Explained: entry[6] != 0})
-	}
-	return nil
+func (e *Endings) UnmarshalJSON(data []byte) (err error) {
+	*e, err = unmarshalList(data, endingSize, func(entry []byte) Ending {
+		return Ending{Incarnation: quarantine.Incarnation(binary.BigEndian.Uint32(entry)), Age: age(entry[4:]), Explained: entry[6] != 0}
+	})
+	return err
 }
 
 // Suspects are suspicions in messages.
@@ -133,30 +116,24 @@
 
 // MarshalJSON implements json.Marshaler.
 func (s Suspects) MarshalJSON() ([]byte, error) {
-	packed := make([]byte, 0, suspectSize*len(s))
-	for _, suspect := range s {
+	return marshalList(s, suspectSize, func(packed []byte, suspect AgedSuspicion) []byte {
 		packed = append(packed, suspect.Digest[:]...)
 		packed = append(packed, byte(min(math.MaxUint8, suspect.Events)))
 		packed = appendAge(packed, suspect.Age)
 		packed = appendAge(packed, suspect.FirstAge)
-	}
-	return marshalPacked(packed)
+		return packed
+	})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (s *Suspects) UnmarshalJSON(data []byte) error {
-	packed, err := unmarshalPacked(data, suspectSize)
-	if err != nil {
-		return err
-	}
-	*s = make(Suspects, 0, len(packed)/suspectSize)
-	for entry := range slices.Chunk(packed, suspectSize) {
-		*s = append(*s, AgedSuspicion{
+func (s *Suspects) UnmarshalJSON(data []byte) (err error) {
+	*s, err = unmarshalList(data, suspectSize, func(entry []byte) AgedSuspicion {
+		return AgedSuspicion{
 			Digest: quarantine.Digest(entry[:digestSize]), Events: int(entry[digestSize]),
 			Age: age(entry[digestSize+1:]), FirstAge: age(entry[digestSize+3:]),
-		})
-	}
-	return nil
+		}
+	})
+	return err
 }
 
 // appendAge appends an age in milliseconds, up to a minute.
@@ -167,3 +144,25 @@
 func age(entry []byte) time.Duration {
 	return time.Duration(binary.BigEndian.Uint16(entry)) * time.Millisecond
 }
+
+// marshalList writes a list as one text of entries of a size.
+func marshalList[T any](list []T, size int, appendEntry func(packed []byte, entry T) []byte) ([]byte, error) {
+	packed := make([]byte, 0, size*len(list))
+	for _, entry := range list {
+		packed = appendEntry(packed, entry)
+	}
+	return marshalPacked(packed)
+}
+
+// unmarshalList reads what marshalList wrote.
+func unmarshalList[T any](data []byte, size int, read func(entry []byte) T) ([]T, error) {
+	packed, err := unmarshalPacked(data, size)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]T, 0, len(packed)/size)
+	for entry := range slices.Chunk(packed, size) {
+		list = append(list, read(entry))
+	}
+	return list, nil
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -87,7 +87,8 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
-	d.gateway.guard.Begin(a.choice.upstream.guarded(), r.Digest)
+	target := a.choice.upstream.guarded()
+	d.gateway.guard.Begin(target, r.Digest)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.stream(ctx, func(head attemptResult) bool {
@@ -101,7 +102,7 @@
 	if result.outcome != outcomeRefused {
 		r.state.Raise(a.state.State())
 	}
-	d.gateway.guard.End(a.choice.upstream.guarded(), r.Digest, result.guardOutcome())
+	d.gateway.guard.End(target, r.Digest, result.guardOutcome())
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
