--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -181,7 +181,7 @@
 listen: {frontend: %q, ready: %q, control_plane: %q}
 seeds: [%s]
 limits: {memory_mb: 256}
-bounds: {drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, session_s: 5}
+bounds: {drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, session_s: 5, cold_overrun: 1.5, cold_headroom: 5, evacuate_ms: 5000}
 platform: {address: %q}
 `, h.name, h.zone, h.callers, h.ready, h.peers, strings.Join(seeds, ", "), gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.toStore.address())
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
