warmup, exchange, gateway: cold upstreams get what they tolerate; zones are evacuated

Now the permitted number is split between the seeds; each hands each cold upstream on, as a lease, to one of those that report to it, down to one host. Virtual time, 7, 77 and 440 hosts, 20 to 100 cold upstreams, hosts and hubs restarting, zones and hosts cut off, all restarted: 24 in a second at most, 32 permitted; 15 to 25 in the mean. One host that ignores its lease breaks the bound in the test.

Evacuated zones get nothing; their upstreams count as cold when they are taken back. A roll-out's requests without a session go on on the old version while the new one's upstreams are out of reach; those of sessions wait.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -102,6 +102,8 @@
 		RetryWindow:      site.RetryWindow,
 		RetrySpare:       site.RetrySpare,
 		CanaryShare:      site.CanaryShare,
+		ColdOverrun:      site.ColdOverrun,
+		ColdSpare:        site.ColdSpare,
 		FirstModel:       c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -99,6 +99,8 @@
 	SightingsLast uint64    `json:"sightings_last,omitempty"`
 	// Standing is what is known of upstreams that ended and of the requests to blame.
 	Standing Standing `json:"standing,omitzero"`
+	// Lease is the right to send cold upstreams their part.
+	Lease Lease `json:"lease,omitzero"`
 	// Assigned is the address of the hub to report to from now on; empty for this one.
 	Assigned string `json:"assigned,omitempty"`
 	// Relays says that the hub relays the store's word, Tables is that. Later says that
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // These tests run the exchange of whole installations in virtual time: the members and
@@ -133,6 +134,8 @@
 	heard map[uint64]time.Time
 	work  Work
 	bytes int
+	// holding is what the host may send cold upstreams.
+	holding warmup.Holding
 }
 
 func (h *fleetHost) Replace(rows []feed.Row) {
@@ -186,6 +189,10 @@
 
 	mu sync.Mutex
 	at map[string]*fleetHost
+	// cold are the upstreams that all hosts believe cold, cut says whether two hosts
+	// can't reach each other; nil if all can.
+	cold []Name
+	cut  func(from, to *fleetHost) bool
 }
 
 // newFleet starts hosts in zones; the first hosts of the first three zones are seeds, and
@@ -208,6 +215,7 @@
 			h.stop()
 		}
 		f.running.Wait()
+		time.Sleep(callTimeout) // questions to other hubs that are on their way
 	})
 	return f
 }
@@ -239,6 +247,16 @@
 		Host:       h.name, Zone: h.zone, Listen: h.address, Seeds: f.seeds, LinkMbps: link, Cores: 1,
 		Tables: map[string]*feed.Watcher{"t": h.watcher},
 		Work:   func() Work { return Work{NameOf("u"): 1} },
+		Cold: func() []Name {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.cold
+		},
+		TakeHolding: func(holding warmup.Holding) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.holding = holding
+		},
 		Others: func(w Work, _ time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -272,6 +290,9 @@
 func (n *fleetNetwork) call(ctx context.Context, address string, report Report) (Reply, error) {
 	n.fleet.mu.Lock()
 	to := n.fleet.at[address]
+	if to != nil && n.fleet.cut != nil && n.fleet.cut(n.from, to) {
+		to = nil
+	}
 	n.fleet.mu.Unlock()
 	if to == nil {
 		<-ctx.Done()
--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -34,6 +34,8 @@
 		m.hub.take(m.options.Host, report)
 		m.takeOwnSightings(report.Sightings)
 		m.takeOwn(report.WantTimings)
+		m.holdAsRoot()
+		m.holdOwn()
 		m.askHubs(ctx, net)
 	default:
 		m.exchange(ctx, net)
@@ -57,6 +59,8 @@
 		return
 	}
 	m.takeStanding(reply.Standing)
+	m.hub.hold(reply.Lease.lease(), asked)
+	m.holdOwn()
 	if leads {
 		m.toldReads, m.toldSightings, m.readsSince = told.reads, told.sightings, reply.ReadsLast
 		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // hub answers the reports of other hosts.
@@ -38,6 +39,10 @@
 	sightings sightingLog
 	// zones are the hubs that this one named, by zone.
 	zones map[string]*zoneHubs
+	// holding is what this host may hand on of the right to send cold upstreams, lessor
+	// to whom it did.
+	holding warmup.Holding
+	lessor  *warmup.Lessor
 }
 
 // received is a host's latest report, or what another hub told of its followers.
@@ -72,6 +77,7 @@
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]received), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
+		lessor: warmup.NewLessor(boottime.Now()),
 	}
 }
 
@@ -100,6 +106,7 @@
 		reply.Timings = h.toldTimings(from, toHost)
 	}
 	reply.Standing = h.standing(toHost)
+	reply.Lease = newLease(h.lease(from))
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.Later = h.news(from, r, reply.Relays)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // Options are what a member needs.
@@ -51,6 +52,10 @@
 	// FirstStart says that the whole installation starts for the first time: the key
 	// is made then.
 	FirstStart bool
+	// Cold returns the upstreams that this host believes cold; TakeHolding takes which of
+	// them it may send their part. Both may be nil.
+	Cold        func() []Name
+	TakeHolding func(warmup.Holding)
 	// Quarantine keeps what hosts see of requests that end upstreams. It may be nil.
 	Quarantine Quarantine
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -18,6 +18,9 @@
 	Operator     string
 	DocumentKey  string
 	OrdersPrefix string
+	// EvacuationsPrefix is before the name of an availability zone in the operator's
+	// table: while the row is there, the zone's upstreams get nothing.
+	EvacuationsPrefix string
 	// Upstreams holds the upstreams' entries under their ids.
 	Upstreams string
 	// Status holds the states of roll-outs, under the keys of their orders, and under
@@ -39,24 +42,56 @@
 type operatorRows struct {
 	gateway    *Gateway
 	unreadable unreadableRows
+	// evacuated are the zones that are to get nothing.
+	evacuated map[string]bool
 }
 
 func newOperatorRows(g *Gateway) *operatorRows {
-	return &operatorRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator)}
+	return &operatorRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator), evacuated: make(map[string]bool)}
 }
 
 // Replace implements feed.Handler. A document that vanished stays in force:
-// operators replace documents, they don't withdraw them.
+// operators replace documents, they don't withdraw them. An evacuation that vanished is
+// over.
 func (h *operatorRows) Replace(rows []feed.Row) {
+	h.evacuated = make(map[string]bool)
+	revision := uint64(0)
 	for _, row := range rows {
+		if zone, ok := h.zone(row); ok {
+			h.evacuated[zone] = true
+			revision = max(revision, row.Revision)
+			continue
+		}
 		h.Change(row)
 	}
+	h.gateway.fleet.SetEvacuated(maps.Clone(h.evacuated), revision)
+}
+
+// zone is the availability zone that the row evacuates. What else the row says is of no
+// matter: operators may rely on its being there.
+func (h *operatorRows) zone(row feed.Row) (zone string, ok bool) {
+	zone, ok = strings.CutPrefix(row.Key, h.gateway.settings.Tables.EvacuationsPrefix)
+	return zone, ok && zone != ""
+}
+
+// changeEvacuation takes the beginning or the end of a zone's evacuation.
+func (h *operatorRows) changeEvacuation(zone string, row feed.Row) {
+	if row.Deleted {
+		delete(h.evacuated, zone)
+	} else {
+		h.evacuated[zone] = true
+	}
+	h.gateway.fleet.SetEvacuated(maps.Clone(h.evacuated), row.Revision)
 }
 
 // Change implements feed.Handler.
 func (h *operatorRows) Change(row feed.Row) {
 	g := h.gateway
 	tables := &g.settings.Tables
+	if zone, ok := h.zone(row); ok {
+		h.changeEvacuation(zone, row)
+		return
+	}
 	switch {
 	case row.Deleted:
 	case row.Key == tables.DocumentKey:
@@ -105,6 +140,7 @@
 		return err
 	}
 	g.table.Store(table)
+	g.fleet.SetServices(doc.Services)
 	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Uint64("revision", row.Revision).
 		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).
 		Int("bytes", len(row.Data)).Int64("decode_ms", time.Since(start).Milliseconds()).Msg("")
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -77,6 +77,7 @@
 	c.load = picked.load(now)
 	c.loadFrom, c.loadAge = picked.loadSource(now)
 	picked.begin(&c)
+	picked.noteSent(now)
 	return c, true
 }
 
@@ -120,7 +121,7 @@
 func (s *shard) allCandidates(w *wants, now time.Time, grace time.Duration) []*member {
 	var list []*member
 	for _, m := range s.members {
-		if m.takesWork(now, grace) && w.admits(m.Version) {
+		if w.admits(m.Version) && m.open(now, grace) {
 			list = append(list, m)
 		}
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // Incarnation is the start of an upstream, in Unix milliseconds; 0 where the platform
@@ -28,6 +29,10 @@
 	Slots int
 	// Leaving says that it takes no new work.
 	Leaving bool
+	// ColdFor is how much longer the upstream said that it is cold.
+	ColdFor time.Duration
+	// Sequence numbers its entries; 0 where they aren't numbered.
+	Sequence uint64
 }
 
 // Fleet keeps what this host knows of the upstreams: the store's list and what
@@ -37,6 +42,7 @@
 	// Entries can lapse while the store is out of reach and come back.
 	removalGrace time.Duration
 	log          zerolog.Logger
+	access       *access
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -49,6 +55,11 @@
 	// roster and keepers find members without a look at all of them.
 	roster  roster
 	keepers keepers
+	// access is the fleet's; bound and coldStart are what the operators declared of the
+	// service's cold upstreams.
+	access    *access
+	bound     warmup.Bound
+	coldStart time.Duration
 	// base is the version in service without a roll-out; empty before the first
 	// upstream is listed.
 	base string
@@ -75,7 +86,7 @@
 // NewFleet returns an empty fleet. An upstream whose entry was removed is used for
 // removalGrace longer; one that said that it leaves is not.
 func NewFleet(removalGrace time.Duration, log zerolog.Logger) *Fleet {
-	return &Fleet{removalGrace: removalGrace, log: log, shards: make(map[string]*shard)}
+	return &Fleet{removalGrace: removalGrace, log: log, access: &access{alone: true}, shards: make(map[string]*shard)}
 }
 
 func (f *Fleet) shard(service string) *shard {
@@ -88,13 +99,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.shards[service] == nil {
-		f.shards[service] = newShard()
+		f.shards[service] = newShard(f.access)
 	}
 	return f.shards[service]
 }
 
-func newShard() *shard {
-	return &shard{members: make(map[string]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
+func newShard(a *access) *shard {
+	return &shard{access: a, members: make(map[string]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
 // lapseGrace is how long an upstream is used whose entry vanished in an outage of the store:
@@ -178,6 +189,20 @@
 	return known
 }
 
+// opens says whether this host may send a request to an upstream whose version fits now.
+func (f *Fleet) opens(service string, fits func(version string) bool) bool {
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	for _, m := range s.members {
+		if fits(m.Version) && m.open(now, f.removalGrace) {
+			return true
+		}
+	}
+	return false
+}
+
 // serves says whether the service has an upstream that takes work and whose
 // version fits.
 func (f *Fleet) serves(service string, fits func(version string) bool) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	s := &g.settings
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
+	g.fleet.access.alone = s.Peers.Listen == ""
+	g.fleet.access.overrun, g.fleet.access.spare = s.ColdOverrun, s.ColdSpare
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
@@ -160,6 +162,9 @@
 	holdStatus = 2 * time.Second
 	// sweepInterval is how often records of gone upstreams are looked for.
 	sweepInterval = 10 * time.Second
+	// warmInterval is how often upstreams are looked for that aren't cold any more, to
+	// tell of them; requests go by the time itself.
+	warmInterval = 250 * time.Millisecond
 )
 
 // follow starts what keeps the host's beliefs up to date.
@@ -201,6 +206,7 @@
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
+			Cold: g.fleet.Cold, TakeHolding: g.fleet.TakeHolding,
 			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers, Quarantine: g.guard,
 		}, g.log)
@@ -210,6 +216,7 @@
 		g.metrics.followed(table, w)
 		group.Go(func() { w.Run(ctx) })
 	}
+	group.Go(func() { wait.Every(ctx, warmInterval, g.fleet.noteWarm) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { wait.Every(ctx, sweepInterval, func() { g.fleet.Sweep(boottime.Now()) }) })
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -77,7 +77,7 @@
 }
 
 func testTables() Tables {
-	return Tables{Operator: "operator", DocumentKey: "document", OrdersPrefix: "order/", Upstreams: "upstreams", Status: "status", VerdictsPrefix: "verdict/"}
+	return Tables{Operator: "operator", DocumentKey: "document", OrdersPrefix: "order/", EvacuationsPrefix: "evacuation/", Upstreams: "upstreams", Status: "status", VerdictsPrefix: "verdict/"}
 }
 
 func testCodec() Codec {
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
@@ -34,6 +35,11 @@
 		f.logEntry("upstream-restarted", &u, revision).Int64("former", int64(m.Incarnation)).Int("in_flight", m.inFlight).Msg("")
 		m = s.add(&u)
 	}
+	if !m.removedAt.IsZero() && !m.lapsed && u.Sequence > 0 && u.Sequence <= m.Sequence {
+		// A store that came back from a copy lists upstreams that are gone.
+		f.logEntry("upstream-entry-old", &u, revision).Uint64("sequence", u.Sequence).Uint64("known_sequence", m.Sequence).Msg("")
+		return
+	}
 	if u.Leaving && !m.Leaving {
 		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Uint64("revision", revision).Msg("")
 	}
@@ -45,6 +51,8 @@
 	m.Leaving = leaving
 	m.removedAt, m.lapsed = time.Time{}, false
 	m.withdrawn = false
+	m.heardAt = boottime.Now()
+	m.noteCold(u.ColdFor, coldEntry, f.log)
 }
 
 func (f *Fleet) logEntry(event string, u *Upstream, revision uint64) *zerolog.Event {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 const (
@@ -41,6 +42,13 @@
 	// name stands for the upstream in what hosts tell each other.
 	name      exchange.Name
 	removedAt time.Time
+	// heardAt is when the newest entry came.
+	heardAt time.Time
+	// coldUntil is until when the upstream counts as cold, coldTold that this was logged;
+	// sent are this host's requests of the last moment.
+	coldUntil time.Time
+	coldTold  bool
+	sent      warmup.Window
 	// lapsed says that the entry may have vanished because the store was away.
 	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -154,7 +154,7 @@
 	}
 	to := a.order.Version
 	canary := m.canary(a, r)
-	if canary && !m.fleet.serves(r.Service, func(version string) bool { return version == to }) {
+	if canary && !m.reaches(r, func(version string) bool { return version == to }) {
 		canary = false
 	} else if !canary && !m.withdrawn(a) && !m.fleet.serves(r.Service, func(version string) bool { return version != to }) {
 		canary = true
@@ -162,6 +162,16 @@
 	return func(version string) bool { return (version == to) == canary }
 }
 
+// reaches says whether the request can go on on a version that fits. One of a session waits
+// for its version where its upstreams are cold or in an evacuated zone; another runs on the
+// version before meanwhile.
+func (m *rollouts) reaches(r *Request, fits func(version string) bool) bool {
+	if r.Session != "" {
+		return m.fleet.serves(r.Service, fits)
+	}
+	return m.fleet.opens(r.Service, fits)
+}
+
 // withdrawn says that the version must get no requests.
 func (m *rollouts) withdrawn(a *activeRollout) bool {
 	return a.stopped || a.known() && a.status.State == RolloutReverted
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -134,8 +134,8 @@
 	r := s.rosterOf(now)
 	near := r.zones[w.zone]
 	willDo := func(m *member) bool {
-		return m.removedAt.IsZero() && m.takesWork(now, grace) && w.admits(m.Version) &&
-			!slices.Contains(w.exclude, m.ID) && now.After(m.ejectedUntil)
+		return m.removedAt.IsZero() && w.admits(m.Version) && !slices.Contains(w.exclude, m.ID) &&
+			now.After(m.ejectedUntil) && m.open(now, grace)
 	}
 	list := candidateList{members: make([]*member, 0, maxKeepers+nearChoices+farChoices+2)}
 	if w.prompt != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -50,6 +50,10 @@
 	RetrySpare float64
 	// CanaryShare bounds a new version's part of a roll-out's requests.
 	CanaryShare float64
+	// ColdOverrun times what a cold upstream tolerates a second, and ColdSpare requests
+	// more, may reach it in one, of all hosts together.
+	ColdOverrun float64
+	ColdSpare   float64
 
 	// FirstModel is the step at which a request with a choice of models starts,
 	// 0 for the cheapest.
--- a/routing/document.go
+++ b/routing/document.go
@@ -77,6 +77,10 @@
 	MaxConnections int
 	// Models are set for services that run language models.
 	Models []Model
+	// ColdStart is how long an upstream is cold after its start, ColdRate how many
+	// requests a second it tolerates meanwhile; 0 where it tolerates any.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Model is one model of a service.
