--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -40,6 +40,8 @@
 	growth *rand.Rand
 	// fatal draws whether a request comes that ends upstreams, and when, apart from both.
 	fatal *rand.Rand
+	// drills draws when the store comes back from a copy, apart from the others.
+	drills *rand.Rand
 	// ended are upstreams that it ended and that weren't replaced yet.
 	ended chan *platformtest.Upstream
 	// ends counts them.
@@ -84,6 +86,7 @@
 				rnd:         rand.New(rand.NewPCG(seed, 1)),
 				growth:      rand.New(rand.NewPCG(seed, 2)),
 				fatal:       rand.New(rand.NewPCG(seed, 3)),
+				drills:      rand.New(rand.NewPCG(seed, 4)),
 				ended:       make(chan *platformtest.Upstream, 1000),
 				left:        make(map[string]time.Time),
 				newest:      "many",
@@ -133,6 +136,9 @@
 		callers.Go(func() { s.callFatal(stop) })
 	}
 	version := 10
+	if s.drills.IntN(2) == 0 {
+		callers.Go(func() { s.drill(stop) })
+	}
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.strike(&version)
 		s.replaceEnded()
@@ -156,6 +162,30 @@
 	}
 }
 
+// drill has the store go away for a moment and come back from a copy of some seconds ago,
+// once or twice. Operators and upstreams then write again what they had written, within
+// a second.
+func (s *soak) drill(stop chan struct{}) {
+	for range 1 + s.drills.IntN(2) {
+		copied := s.store.Copy()
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(500+s.drills.IntN(2500)) * time.Millisecond):
+		}
+		s.note("the store comes back from a copy")
+		// Hosts that start or are cut off meanwhile may go by the older rows for a while.
+		s.disturb(4 * time.Second)
+		s.store.SetFault(platformtest.Busy)
+		time.Sleep(time.Duration(100+s.drills.IntN(700)) * time.Millisecond)
+		before := s.store.Copy()
+		s.store.Restore(copied)
+		s.store.SetFault(platformtest.Healthy)
+		time.Sleep(time.Duration(s.drills.IntN(1000)) * time.Millisecond)
+		s.store.WriteAgain(before, "op", "servers")
+	}
+}
+
 // makeFragile has the request that ends upstreams end this one.
 func (s *soak) makeFragile(u *platformtest.Upstream) {
 	u.SetFatal(fatalBody, 30*time.Millisecond, func() {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -147,7 +148,7 @@
 	keys := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		keys[row.Key] = true
-		if err := e.guard.TakeRow(row.Key, row.Value, row.Version); err != nil {
+		if err := e.guard.TakeRow(row.Key, row.Value, storage.Revision(row.Version)); err != nil {
 			e.host.log.Error().Str("event", "verdict-unreadable").Str("key", row.Key).Err(err).Msg("")
 		}
 	}
--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -1,6 +1,10 @@
 package exchange
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
 
 // Tally counts answers of one version.
 type Tally struct {
@@ -45,7 +49,7 @@
 	Service string `json:"service"`
 	// Order is the store's revision of the operators' order; evidence of
 	// different orders isn't added.
-	Order uint64 `json:"order"`
+	Order storage.Revision `json:"order"`
 	// Routes are the counts by route.
 	Routes map[string]Versions `json:"routes"`
 }
@@ -53,7 +57,7 @@
 // evidenceOf names what evidence is about.
 type evidenceOf struct {
 	service string
-	order   uint64
+	order   storage.Revision
 }
 
 // addEvidence adds evidence to the sums.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,7 +13,11 @@
 // about a second asks the store itself and counts its own requests only.
 package exchange
 
-import "time"
+import (
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
 
 const (
 	// Interval is the time between two reports of a host. An engine reads a long
@@ -75,7 +79,7 @@
 	Sightings      Sightings `json:"sightings,omitzero"`
 	SightingsSince uint64    `json:"sightings_since,omitempty"`
 	// Revisions are the newest that the host knows of the store's tables.
-	Revisions map[string]uint64 `json:"revisions,omitempty"`
+	Revisions map[string]storage.Revision `json:"revisions,omitempty"`
 }
 
 // Reply is a hub's answer.
@@ -113,20 +117,20 @@
 
 // TableNews is feed.News on the wire.
 type TableNews struct {
-	Since    uint64    `json:"since"`
-	Revision uint64    `json:"revision"`
-	Complete bool      `json:"complete"`
-	Whole    bool      `json:"whole,omitempty"`
-	Packed   []byte    `json:"packed,omitempty"`
-	AgeMs    int64     `json:"age_ms"`
-	ClockMs  int64     `json:"clock_ms"`
-	Rows     []NewsRow `json:"rows,omitempty"`
+	Since    storage.Revision `json:"since"`
+	Revision storage.Revision `json:"revision"`
+	Complete bool             `json:"complete"`
+	Whole    bool             `json:"whole,omitempty"`
+	Packed   []byte           `json:"packed,omitempty"`
+	AgeMs    int64            `json:"age_ms"`
+	ClockMs  int64            `json:"clock_ms"`
+	Rows     []NewsRow        `json:"rows,omitempty"`
 }
 
 // NewsRow is feed.Row on the wire.
 type NewsRow struct {
-	Key      string `json:"key"`
-	Data     []byte `json:"data,omitempty"`
-	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
+	Key      string           `json:"key"`
+	Data     []byte           `json:"data,omitempty"`
+	Revision storage.Revision `json:"revision"`
+	Deleted  bool             `json:"deleted,omitempty"`
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -117,7 +117,7 @@
 func TestHubAddsEvidence(t *testing.T) {
 	is := is.New(t)
 	h := newHub(Options{Zone: "z1"}, zerolog.Nop())
-	of := func(service string, order uint64, failed int) Evidence {
+	of := func(service string, order storage.Revision, failed int) Evidence {
 		return Evidence{Service: service, Order: order, Routes: map[string]Versions{"r": {New: Tally{Answers: 2 * failed, Failed: failed}}}}
 	}
 	h.take("a", Report{Zone: "z1", Evidence: []Evidence{of("s", 7, 1)}})
@@ -125,12 +125,12 @@
 	h.take("c", Report{Zone: "z1", Evidence: []Evidence{of("s", 8, 4)}}) // another order
 	reply, err := h.exchange(t.Context(), "me", Report{Zone: "z1", Evidence: []Evidence{of("s", 7, 100)}})
 	is.NoErr(err)
-	sums := make(map[uint64]Tally)
+	sums := make(map[storage.Revision]Tally)
 	for _, e := range reply.Evidence {
 		is.Equal(e.Service, "s")
 		sums[e.Order] = e.Routes["r"].New
 	}
-	is.Equal(sums, map[uint64]Tally{7: {Answers: 6, Failed: 3}, 8: {Answers: 8, Failed: 4}})
+	is.Equal(sums, map[storage.Revision]Tally{7: {Answers: 6, Failed: 3}, 8: {Answers: 8, Failed: 4}})
 }
 
 func TestHubRelaysToSome(t *testing.T) {
@@ -351,7 +351,7 @@
 	return feed.Page{Revision: 3, Rows: []feed.Row{{Key: "k", Revision: 3}}}, nil
 }
 
-func (f *fixedTable) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration, _ feed.Received) (feed.Page, error) {
+func (f *fixedTable) Changes(ctx context.Context, _ string, _ storage.Revision, wait time.Duration, _ feed.Received) (feed.Page, error) {
 	f.mu.Lock()
 	f.calls++
 	f.mu.Unlock()
@@ -371,8 +371,8 @@
 
 type ignore struct{}
 
-func (ignore) Replace([]feed.Row) {}
-func (ignore) Change(feed.Row)    {}
+func (ignore) Replace([]feed.Row, storage.Revision) {}
+func (ignore) Change(feed.Row)                      {}
 
 // With enough followers the hub's word replaces their own calls.
 func TestHubRelaysTheStoresWord(t *testing.T) {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
@@ -28,7 +29,7 @@
 	mu       sync.Mutex
 	rows     map[string]feed.Row
 	log      []feed.Row
-	revision uint64
+	revision storage.Revision
 	changed  chan struct{}
 	calls    int
 	lists    int
@@ -44,7 +45,7 @@
 }
 
 // put writes a row of about the size of an upstream's entry.
-func (s *fleetStore) put(key string) uint64 {
+func (s *fleetStore) put(key string) storage.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -83,7 +84,7 @@
 	return page, nil
 }
 
-func (s *fleetStore) Changes(ctx context.Context, _ string, since uint64, wait time.Duration, received feed.Received) (feed.Page, error) {
+func (s *fleetStore) Changes(ctx context.Context, _ string, since storage.Revision, wait time.Duration, received feed.Received) (feed.Page, error) {
 	time.Sleep(storeDelay)
 	s.mu.Lock()
 	s.calls++
@@ -129,16 +130,16 @@
 	stop                context.CancelFunc
 
 	mu    sync.Mutex
-	known map[string]uint64
+	known map[string]storage.Revision
 	// heard is when the row of a revision came.
-	heard map[uint64]time.Time
+	heard map[storage.Revision]time.Time
 	work  Work
 	bytes int
 	// holding is what the host may send cold upstreams.
 	holding warmup.Holding
 }
 
-func (h *fleetHost) Replace(rows []feed.Row) {
+func (h *fleetHost) Replace(rows []feed.Row, _ storage.Revision) {
 	for _, row := range rows {
 		h.Change(row)
 	}
@@ -227,7 +228,7 @@
 
 // start starts a host that knows nothing.
 func (f *fleet) start(h *fleetHost, strong bool) {
-	h.known, h.heard = make(map[string]uint64), make(map[uint64]time.Time)
+	h.known, h.heard = make(map[string]storage.Revision), make(map[storage.Revision]time.Time)
 	options := feed.Options{
 		Relays:     func() bool { return h.member.Relays() },
 		HubAnswers: func() bool { return h.member.Heard() },
--- a/internal/exchange/key.go
+++ b/internal/exchange/key.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -61,6 +62,57 @@
 	return peer.Key{ID: keyID, Secret: row.Value}, nil
 }
 
+// keepKey writes the key again where the store came back from a copy that lacks it: a host
+// that starts would make another one. The hosts that may make it do so.
+func (m *Member) keepKey(ctx context.Context, key peer.Key) {
+	if !slices.Contains(m.options.Seeds, m.options.Listen) {
+		return
+	}
+	kept := m.era()
+	wait.Every(ctx, keyRetry, func() {
+		era := m.era()
+		if era == kept {
+			return
+		}
+		if err := m.writeKey(ctx, key); err != nil {
+			m.log.Warn().Str("event", "key-unsaved").Uint64("era", era).Err(err).Msg("")
+			return
+		}
+		kept = era
+	})
+}
+
+// writeKey writes the key if no host has.
+func (m *Member) writeKey(ctx context.Context, key peer.Key) error {
+	ctx, cancel := context.WithTimeout(ctx, keyTimeout)
+	defer cancel()
+	row, err := m.options.Keys.Get(ctx, keyRow)
+	switch {
+	case err == nil && !bytes.Equal(row.Value, key.Secret):
+		m.log.Error().Str("event", "key-differs").Uint64("revision", row.Version).Msg("")
+		return nil
+	case !errors.Is(err, storage.ErrNotFound):
+		return err
+	}
+	_, err = m.options.Keys.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: keyRow}},
+		Puts:       []storage.Put{{Key: keyRow, Value: key.Secret}},
+	})
+	if errors.Is(err, storage.ErrConflict) {
+		return nil // another host was first
+	}
+	return err
+}
+
+// era is the store's, as far as its tables tell.
+func (m *Member) era() uint64 {
+	newest := uint64(0)
+	for _, w := range m.options.Tables {
+		newest = max(newest, w.Revision().Era())
+	}
+	return newest
+}
+
 // key reads the hosts' common key until it is there; a host that may be a hub
 // makes it.
 func (m *Member) key(ctx context.Context) (peer.Key, error) {
--- /dev/null
+++ b/internal/exchange/key_test.go
@@ -0,0 +1,68 @@
+package exchange
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
+	"github.com/quetzalweir/quetzalweir/storage/memory"
+)
+
+// returningTable is a table of a store that comes back from a copy.
+type returningTable struct{ era atomic.Uint64 }
+
+func (r *returningTable) page() feed.Page {
+	return feed.Page{Revision: storage.NewRevision(r.era.Load(), 5)}
+}
+
+func (r *returningTable) List(context.Context, string, string, feed.Received) (feed.Page, error) {
+	return r.page(), nil
+}
+
+func (r *returningTable) Changes(ctx context.Context, _ string, since storage.Revision, _ time.Duration, _ feed.Received) (feed.Page, error) {
+	time.Sleep(100 * time.Millisecond)
+	if since.Era() < r.era.Load() {
+		return feed.Page{}, feed.ErrHistoryLost
+	}
+	return r.page(), ctx.Err()
+}
+
+// A copy without the hosts' key gets it back, from the seeds alone and once.
+func TestKeyIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source, keys := &returningTable{}, memory.New()
+		key, err := sharedKey(t.Context(), keys, true)
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, seed := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.9"} {
+			w := feed.NewWatcher("t", source, ignore{}, feed.Options{}, zerolog.Nop())
+			m := New(Options{
+				Host: seed, Listen: seed, Seeds: []string{"10.0.0.1", "10.0.0.2"}, Keys: keys, Tables: map[string]*feed.Watcher{"t": w},
+			}, zerolog.Nop())
+			go w.Run(ctx)
+			go m.keepKey(ctx, key)
+		}
+		time.Sleep(2 * keyRetry)
+		_, err = keys.Commit(ctx, storage.Txn{Deletes: []string{keyRow}})
+		is.NoErr(err)
+		time.Sleep(2 * keyRetry)
+		_, err = keys.Get(ctx, keyRow)
+		is.True(err != nil) // within an era nobody looks
+		source.era.Store(1)
+		time.Sleep(3 * keyRetry)
+		row, err := keys.Get(ctx, keyRow)
+		is.NoErr(err)
+		is.Equal(row.Value, key.Secret)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -156,7 +156,13 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx) }()
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		m.keepKey(ctx, key)
+	}()
 	m.follow(ctx, peerNetwork{client})
+	<-kept
 	if err := errors.Join(client.Close(), <-served); err != nil {
 		m.log.Warn().Str("event", "exchange-end").Err(err).Msg("")
 	}
@@ -193,8 +199,8 @@
 func (m *Member) alone() bool { return boottime.Since(m.hubSince) > WorkAge }
 
 // revisions are the newest that this host knows of the store's tables.
-func (m *Member) revisions() map[string]uint64 {
-	revisions := make(map[string]uint64, len(m.options.Tables))
+func (m *Member) revisions() map[string]storage.Revision {
+	revisions := make(map[string]storage.Revision, len(m.options.Tables))
 	for name, w := range m.options.Tables {
 		revisions[name] = w.Revision()
 	}
--- a/internal/feed/arriving_test.go
+++ b/internal/feed/arriving_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // arrive tells of a part of an answer at each interval until the time is over.
@@ -34,7 +36,7 @@
 		began := time.Now()
 		var second time.Duration
 		source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
-		source.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+		source.changes = func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 			if call == 2 {
 				second = time.Since(began)
 				return hang(ctx)
@@ -57,7 +59,7 @@
 		is := is.New(t)
 		const arriving = 5 * time.Second
 		long := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
-		long.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+		long.changes = func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 			if call > 1 {
 				return hang(ctx)
 			}
@@ -67,7 +69,7 @@
 			return Page{Rows: rows(2), Revision: 2}, nil
 		}
 		failing := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
-		failing.changes = func(context.Context, int, uint64) (Page, error) {
+		failing.changes = func(context.Context, int, storage.Revision) (Page, error) {
 			time.Sleep(answerTimeout) // the long answer has begun
 			return Page{}, errors.New("reset")
 		}
@@ -88,7 +90,7 @@
 		const down, arriving = time.Second, 4 * time.Second
 		began := time.Now()
 		long := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
-		long.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) {
+		long.changes = func(ctx context.Context, _ int, _ storage.Revision) (Page, error) {
 			if time.Since(began) < down {
 				return Page{}, errors.New("refused")
 			}
@@ -96,7 +98,7 @@
 		}
 		waiting := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
 		var back time.Duration
-		waiting.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) {
+		waiting.changes = func(ctx context.Context, _ int, _ storage.Revision) (Page, error) {
 			if time.Since(began) > down && back == 0 {
 				back = time.Since(began)
 			}
@@ -125,7 +127,7 @@
 	}{
 		{"changes", func(s *scriptedSource) {
 			s.list = func(int) (Page, error) { return Page{Revision: 1}, nil }
-			s.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+			s.changes = func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 				if call > 1 {
 					return hang(ctx)
 				}
@@ -133,9 +135,9 @@
 			}
 		}},
 		{"a listing of two pages", func(s *scriptedSource) {
-			s.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) }
+			s.changes = func(ctx context.Context, _ int, _ storage.Revision) (Page, error) { return hang(ctx) }
 			s.list = func(call int) (Page, error) {
-				page := Page{Rows: rows(uint64(call)), Revision: 2, Clock: clock, Truncated: call == 1}
+				page := Page{Rows: rows(storage.Revision(call)), Revision: 2, Clock: clock, Truncated: call == 1}
 				if call == 2 {
 					page.Clock += arriving
 					return page, nil
@@ -153,7 +155,7 @@
 				w, _ := watch(source, Options{}, arriving+time.Second)
 				n, ok := w.News(0, 1<<20)
 				is.True(ok)
-				is.Equal(n.Revision, uint64(2))
+				is.Equal(n.Revision, storage.Revision(2))
 				first := arriving + time.Second - answerTimeout/2 // since the first part
 				is.True(n.Age >= first)
 				is.True(n.Clock >= clock+first-time.Second && n.Clock <= clock+first+time.Second)
@@ -170,7 +172,7 @@
 		const behind = 3 * time.Second
 		w, source, seen, store := relayedWatcher(t, Options{})
 		began := time.Now()
-		store.set(func(context.Context, uint64) (Page, error) {
+		store.set(func(context.Context, storage.Revision) (Page, error) {
 			time.Sleep(time.Millisecond) // a round trip
 			if time.Since(began) < behind {
 				return Page{Revision: 5}, nil
--- a/internal/feed/calllog.go
+++ b/internal/feed/calllog.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // logFailed tells what a failed call was for and how far its answer came. An
@@ -27,12 +29,12 @@
 	if c.receivedBytes.Load() <= largeAnswer {
 		return
 	}
-	w.logCall(w.log.Info(), "large-answer", c).Int("rows", len(page.Rows)).Uint64("newest", page.Revision).Msg("")
+	w.logCall(w.log.Info(), "large-answer", c).Int("rows", len(page.Rows)).Stringer("newest", page.Revision).Msg("")
 }
 
 func (w *Watcher) logCall(e *zerolog.Event, event string, c *storeCall) *zerolog.Event {
 	return e.Str("event", event).Str("call", c.kind).
 		Int64("hold_ms", c.hold.Milliseconds()).Int64("limit_ms", c.within.Milliseconds()).
 		Int64("took_ms", time.Since(c.started).Milliseconds()).Uint64("received_bytes", c.receivedBytes.Load()).
-		Uint64("revision", w.revision).Uint64("told", w.lag.told.Load()).Int64("behind_ms", w.Behind().Milliseconds())
+		Stringer("revision", w.revision).Stringer("told", storage.Revision(w.lag.told.Load())).Int64("behind_ms", w.Behind().Milliseconds())
 }
--- a/internal/feed/calllog_test.go
+++ b/internal/feed/calllog_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // events returns the log lines of the event.
@@ -51,7 +53,9 @@
 				is := is.New(t)
 				var log bytes.Buffer
 				source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 5}, nil }}
-				source.changes = func(ctx context.Context, _ int, _ uint64) (Page, error) { return test.changes(ctx, source.received) }
+				source.changes = func(ctx context.Context, _ int, _ storage.Revision) (Page, error) {
+					return test.changes(ctx, source.received)
+				}
 				w := NewWatcher("t", source, &recorder{}, Options{}, zerolog.New(&log))
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
@@ -62,8 +66,8 @@
 				is.True(len(failed) > 0)
 				is.Equal(failed[0]["call"], "changes")
 				is.Equal(failed[0]["received_bytes"], test.received)
-				is.Equal(failed[0]["revision"], 5.0)
-				is.Equal(failed[0]["told"], 8.0)
+				is.Equal(failed[0]["revision"], "5")
+				is.Equal(failed[0]["told"], "8")
 				is.True(w.Behind() > 2*time.Second)
 				is.True(w.Calls().Failed >= uint64(len(failed)))
 				is.Equal(w.Calls().Answered, uint64(1)) // the listing
@@ -80,7 +84,7 @@
 		is := is.New(t)
 		var log bytes.Buffer
 		source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 5}, nil }}
-		source.changes = func(ctx context.Context, call int, _ uint64) (Page, error) {
+		source.changes = func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 			if call > 1 {
 				return hang(ctx)
 			}
@@ -96,7 +100,7 @@
 		large := events(t, &log, "large-answer")
 		is.Equal(len(large), 1)
 		is.Equal(large[0]["received_bytes"], float64(1<<20))
-		is.Equal(large[0]["newest"], 8.0)
+		is.Equal(large[0]["newest"], "8")
 		is.Equal(w.Behind(), time.Duration(0))
 	})
 }
--- /dev/null
+++ b/internal/feed/era_test.go
@@ -0,0 +1,95 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// at is a revision of an era.
+func at(era, version uint64) storage.Revision { return storage.NewRevision(era, version) }
+
+// Once, and twice in a row, the store comes back from an older copy: each table is handed on,
+// though its versions are lower, and changes go on from there.
+func TestTablesOfLaterEras(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(call int) (Page, error) {
+				revision := []storage.Revision{at(0, 30), at(1, 20), at(2, 10)}[min(call, 3)-1]
+				return Page{Rows: rows(revision), Revision: revision}, nil
+			},
+			changes: func(ctx context.Context, call int, since storage.Revision) (Page, error) {
+				switch call {
+				case 1, 2:
+					return Page{}, ErrHistoryLost
+				case 3:
+					is.Equal(since, at(2, 10))
+					return Page{Rows: rows(at(2, 11)), Revision: at(2, 11)}, nil
+				}
+				return hang(ctx)
+			},
+		}
+		w, seen := watch(source, Options{}, time.Second)
+		is.Equal(seen.tables, [][]Row{rows(at(0, 30)), rows(at(1, 20)), rows(at(2, 10))})
+		is.Equal(seen.changes, rows(at(2, 11)))
+		is.Equal(w.Revision(), at(2, 11))
+	})
+}
+
+// Pages of two eras are no table.
+func TestListingAcrossAReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &scriptedSource{
+			list: func(call int) (Page, error) {
+				switch call {
+				case 1:
+					return Page{Rows: rows(at(0, 30)), Revision: at(0, 30), Truncated: true}, nil
+				case 2:
+					return Page{Rows: rows(at(1, 9)), Revision: at(1, 10)}, nil
+				case 3:
+					return Page{Rows: rows(at(1, 8)), Revision: at(1, 10), Truncated: true}, nil
+				}
+				return Page{Rows: rows(at(1, 9)), Revision: at(1, 10)}, nil
+			},
+			changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) { return hang(ctx) },
+		}
+		_, seen := watch(source, Options{}, time.Second)
+		is.Equal(seen.tables, [][]Row{rows(at(1, 8), at(1, 9))})
+	})
+}
+
+// A host that still holds the old era's word feeds it to none that has the new one; one that
+// has the old is told the whole table of the new.
+func TestWordOfAFormerEra(t *testing.T) {
+	is := is.New(t)
+	seen := &recorder{}
+	w := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
+	w.replace(rows(at(1, 20)), at(1, 20))
+	for _, n := range []News{
+		{Since: at(0, 10), Revision: at(0, 90), Complete: true, Rows: rows(at(0, 90))},
+		{Revision: at(0, 90), Whole: true, Packed: pack(rows(at(0, 90)))},
+	} {
+		w.takeNews(n, time.Now())
+		is.Equal(w.Revision(), at(1, 20))
+	}
+	is.Equal(len(seen.changes), 0)
+	is.Equal(len(seen.tables), 1)
+
+	n, ok := w.recent.since(at(0, 90)) // what a host that knows the old era is told
+	is.True(ok && !n.Complete && len(n.Rows) == 0)
+	behind := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
+	behind.replace(rows(at(0, 90)), at(0, 90))
+	is.True(!behind.takeNews(n, time.Now())) // it has to read the table
+	w.contactAt.Store(1)
+	whole, ok := w.Whole(1 << 20)
+	is.True(ok && behind.takeNews(whole, time.Now()))
+	is.Equal(behind.Revision(), at(1, 20))
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,10 +9,12 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // ErrHistoryLost means that the changes since the asked revision are no longer
-// kept; the table has to be read again.
+// kept, or that the store came back from a copy since; the table has to be read again.
 var ErrHistoryLost = errors.New("feed: history lost")
 
 // Row is one row of a table, or its removal.
@@ -20,7 +22,7 @@
 	Key  string
 	Data []byte
 	// Revision is the store's counter at the row's last change.
-	Revision uint64
+	Revision storage.Revision
 	// Deleted says that the row was removed; Data is then empty.
 	Deleted bool
 }
@@ -29,7 +31,7 @@
 type Page struct {
 	Rows []Row
 	// Revision is the newest that the answer takes in.
-	Revision uint64
+	Revision storage.Revision
 	// Truncated says that there are more rows above the last one.
 	Truncated bool
 	// Clock is the store's steady clock.
@@ -45,13 +47,15 @@
 	List(ctx context.Context, table, from string, received Received) (Page, error)
 	// Changes returns the changes after the revision, as soon as there are any
 	// or the wait is over; ErrHistoryLost if they are no longer kept.
-	Changes(ctx context.Context, table string, since uint64, wait time.Duration, received Received) (Page, error)
+	Changes(ctx context.Context, table string, since storage.Revision, wait time.Duration, received Received) (Page, error)
 }
 
 // Handler takes what a watcher learns. Its calls don't overlap.
 type Handler interface {
-	// Replace takes the whole table.
-	Replace(rows []Row)
+	// Replace takes the whole table as of the revision. In a later era than the last one
+	// rows may be older than those before, or missing: they were written after the copy
+	// that the store came back from.
+	Replace(rows []Row, revision storage.Revision)
 	// Change takes one changed or removed row.
 	Change(row Row)
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,12 +10,14 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // scriptedSource answers calls by functions of the test.
 type scriptedSource struct {
 	list    func(call int) (Page, error)
-	changes func(ctx context.Context, call int, since uint64) (Page, error)
+	changes func(ctx context.Context, call int, since storage.Revision) (Page, error)
 	lists   int
 	// hold and received are those of the last call.
 	hold     time.Duration
@@ -29,7 +31,7 @@
 	return s.list(s.lists)
 }
 
-func (s *scriptedSource) Changes(ctx context.Context, _ string, since uint64, hold time.Duration, received Received) (Page, error) {
+func (s *scriptedSource) Changes(ctx context.Context, _ string, since storage.Revision, hold time.Duration, received Received) (Page, error) {
 	s.polls++
 	s.hold = hold
 	s.received = received
@@ -42,8 +44,8 @@
 	changes []Row
 }
 
-func (r *recorder) Replace(rows []Row) { r.tables = append(r.tables, rows) }
-func (r *recorder) Change(row Row)     { r.changes = append(r.changes, row) }
+func (r *recorder) Replace(rows []Row, _ storage.Revision) { r.tables = append(r.tables, rows) }
+func (r *recorder) Change(row Row)                         { r.changes = append(r.changes, row) }
 
 // hang answers nothing until the context ends.
 func hang(ctx context.Context) (Page, error) {
@@ -61,7 +63,7 @@
 	return w, seen
 }
 
-func rows(revisions ...uint64) []Row {
+func rows(revisions ...storage.Revision) []Row {
 	var list []Row
 	for _, r := range revisions {
 		list = append(list, Row{Key: "k", Revision: r})
@@ -74,13 +76,13 @@
 		is := is.New(t)
 		source := &scriptedSource{
 			list: func(int) (Page, error) { return Page{Rows: rows(3), Revision: 5}, nil },
-			changes: func(ctx context.Context, call int, since uint64) (Page, error) {
+			changes: func(ctx context.Context, call int, since storage.Revision) (Page, error) {
 				switch call {
 				case 1:
-					is.Equal(since, uint64(5))
+					is.Equal(since, storage.Revision(5))
 					return Page{Rows: rows(6), Revision: 7}, nil
 				case 2:
-					is.Equal(since, uint64(7))
+					is.Equal(since, storage.Revision(7))
 				}
 				return hang(ctx)
 			},
@@ -101,8 +103,8 @@
 				}
 				return Page{Rows: rows(2), Revision: 9}, nil
 			},
-			changes: func(ctx context.Context, _ int, since uint64) (Page, error) {
-				is.Equal(since, uint64(5)) // what changed between the pages comes again
+			changes: func(ctx context.Context, _ int, since storage.Revision) (Page, error) {
+				is.Equal(since, storage.Revision(5)) // what changed between the pages comes again
 				return hang(ctx)
 			},
 		}
@@ -115,8 +117,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		source := &scriptedSource{
-			list: func(call int) (Page, error) { return Page{Rows: rows(uint64(call)), Revision: uint64(10 * call)}, nil },
-			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+			list: func(call int) (Page, error) {
+				return Page{Rows: rows(storage.Revision(call)), Revision: storage.Revision(10 * call)}, nil
+			},
+			changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 				if call == 1 {
 					return Page{}, ErrHistoryLost
 				}
@@ -134,10 +138,10 @@
 		is := is.New(t)
 		source := &scriptedSource{
 			list: func(call int) (Page, error) {
-				revision := []uint64{10, 4, 12}[min(call, 3)-1]
+				revision := []storage.Revision{10, 4, 12}[min(call, 3)-1]
 				return Page{Rows: rows(revision), Revision: revision}, nil
 			},
-			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+			changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 				if call == 1 {
 					return Page{}, ErrHistoryLost
 				}
@@ -158,8 +162,8 @@
 		var w *Watcher
 		source := &scriptedSource{
 			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
-			changes: func(ctx context.Context, _ int, since uint64) (Page, error) {
-				is.Equal(since, uint64(1)) // it goes on where it was
+			changes: func(ctx context.Context, _ int, since storage.Revision) (Page, error) {
+				is.Equal(since, storage.Revision(1)) // it goes on where it was
 				if time.Since(began) < down {
 					duringOutage = duringOutage || w.Interrupted()
 					return Page{}, errors.New("refused")
@@ -189,7 +193,7 @@
 		began := time.Now()
 		source := &scriptedSource{
 			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
-			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+			changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 				if call == 2 {
 					second = time.Since(began)
 				}
@@ -205,8 +209,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		source := &scriptedSource{
-			list:    func(int) (Page, error) { return Page{Revision: 1}, nil },
-			changes: func(context.Context, int, uint64) (Page, error) { return Page{Rows: rows(2), Revision: 2}, nil },
+			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
+			changes: func(context.Context, int, storage.Revision) (Page, error) {
+				return Page{Rows: rows(2), Revision: 2}, nil
+			},
 		}
 		watch(source, Options{Gather: 500 * time.Millisecond}, 5*time.Second)
 		is.True(source.polls <= 11)
@@ -219,7 +225,7 @@
 		needed := false
 		source := &scriptedSource{
 			list:    func(int) (Page, error) { return Page{Revision: 1}, nil },
-			changes: func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) },
+			changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) { return hang(ctx) },
 		}
 		watch(source, Options{Needed: func() bool { return needed }}, 10*time.Second)
 		is.Equal(source.lists, 1)
@@ -235,7 +241,7 @@
 		is := is.New(t)
 		source := &scriptedSource{
 			list:    func(int) (Page, error) { return Page{Revision: 1, Clock: time.Hour}, nil },
-			changes: func(ctx context.Context, _ int, _ uint64) (Page, error) { return hang(ctx) },
+			changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) { return hang(ctx) },
 		}
 		w, _ := watch(source, Options{}, time.Second)
 		age, ok := w.Age()
@@ -259,7 +265,7 @@
 		for i := range 2 {
 			sources[i] = &scriptedSource{
 				list: func(int) (Page, error) { return Page{Revision: 1}, nil },
-				changes: func(ctx context.Context, _ int, _ uint64) (Page, error) {
+				changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) {
 					if down() {
 						tries[i]++
 						return Page{}, errors.New("refused")
--- a/internal/feed/lag.go
+++ b/internal/feed/lag.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // lag is how far a watcher is behind what another host told it of.
@@ -15,14 +17,14 @@
 }
 
 // note takes in that the table's changes up to the revision have to be read.
-func (l *lag) note(revision uint64, now time.Duration) {
-	l.told.Store(max(l.told.Load(), revision))
+func (l *lag) note(revision storage.Revision, now time.Duration) {
+	l.told.Store(max(l.told.Load(), uint64(revision)))
 	l.since.CompareAndSwap(0, int64(now))
 }
 
 // reached ends the lag if the revision takes in what was told.
-func (l *lag) reached(revision uint64) {
-	if revision >= l.told.Load() {
+func (l *lag) reached(revision storage.Revision) {
+	if uint64(revision) >= l.told.Load() {
 		l.since.Store(0)
 	}
 }
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // listing is a reading of the whole table, page by page.
@@ -11,7 +13,7 @@
 	rows []Row
 	// revision is that of the first page, where the watcher goes on: changes made
 	// between two pages come again with Changes.
-	revision uint64
+	revision storage.Revision
 	// answered is when the store gave the first page, in time since the watcher's
 	// start; 0 before that.
 	answered time.Duration
@@ -19,8 +21,13 @@
 	from string
 }
 
-// add takes the next page.
+// add takes the next page. One of another era than those before begins the listing anew: its
+// rows don't belong together with theirs.
 func (l *listing) add(page Page, at time.Duration) (last bool) {
+	if l.answered != 0 && page.Revision.Era() != l.revision.Era() {
+		*l = listing{}
+		return false
+	}
 	if l.answered == 0 {
 		l.revision, l.answered = page.Revision, at
 	}
@@ -52,7 +59,7 @@
 	read := w.reading
 	w.reading = listing{}
 	if read.revision < w.revision {
-		w.log.Warn().Str("event", "old-listing").Uint64("revision", read.revision).Uint64("known", w.revision).Msg("")
+		w.log.Warn().Str("event", "old-listing").Stringer("revision", read.revision).Stringer("known", w.revision).Msg("")
 		return errOldListing
 	}
 	w.replace(read.rows, read.revision)
@@ -61,8 +68,11 @@
 }
 
 // replace hands the whole table on.
-func (w *Watcher) replace(rows []Row, revision uint64) {
-	w.handler.Replace(rows)
+func (w *Watcher) replace(rows []Row, revision storage.Revision) {
+	if w.revision != 0 && revision.Era() > w.revision.Era() {
+		w.log.Warn().Str("event", "store-era").Uint64("era", revision.Era()).Stringer("revision", revision).Stringer("known", w.revision).Msg("")
+	}
+	w.handler.Replace(rows, revision)
 	w.revision = revision
 	w.lag.reached(revision)
 	w.listed = true
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -32,8 +33,8 @@
 type News struct {
 	// Since is the revision after which Rows are the table's changes, up to
 	// Revision.
-	Since    uint64
-	Revision uint64
+	Since    storage.Revision
+	Revision storage.Revision
 	Rows     []Row
 	// Complete says that all changes are told; without it none is.
 	Complete bool
@@ -53,8 +54,8 @@
 	rows []Row
 	// floor is the revision after which the rows are complete, revision the
 	// newest that they take in.
-	floor    uint64
-	revision uint64
+	floor    storage.Revision
+	revision storage.Revision
 	listed   bool
 	// table is the whole table, packed the same for other hosts; nil until one asks.
 	table  map[string]Row
@@ -65,12 +66,12 @@
 
 // packedChanges are the changes after one revision up to another.
 type packedChanges struct {
-	since, revision uint64
+	since, revision storage.Revision
 	packed          []byte
 }
 
 // reset begins anew with a whole table.
-func (r *recent) reset(rows []Row, revision uint64) {
+func (r *recent) reset(rows []Row, revision storage.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rows = nil
@@ -83,7 +84,7 @@
 }
 
 // add takes in changes up to the revision.
-func (r *recent) add(rows []Row, revision uint64) {
+func (r *recent) add(rows []Row, revision storage.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.apply(rows)
@@ -97,7 +98,7 @@
 
 // since returns the changes after the revision; ok is false before the first
 // listing.
-func (r *recent) since(revision uint64) (n News, ok bool) {
+func (r *recent) since(revision storage.Revision) (n News, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n = News{Since: revision, Revision: r.revision}
@@ -121,7 +122,7 @@
 
 // packChanges packs the changes after a revision. Most hosts know the same one, so the last
 // packing does for many. r.mu is held.
-func (r *recent) packChanges(since uint64, rows []Row) []byte {
+func (r *recent) packChanges(since storage.Revision, rows []Row) []byte {
 	c := &r.changes
 	if c.packed == nil || c.since != since || c.revision != r.revision {
 		*c = packedChanges{since: since, revision: r.revision, packed: pack(rows)}
@@ -211,7 +212,7 @@
 // News is what this watcher knows of the table, for a host that knows it up to
 // the revision; changes are told if they take at most the given bytes packed. ok is
 // false if it has nothing to tell.
-func (w *Watcher) News(since uint64, most int) (n News, ok bool) {
+func (w *Watcher) News(since storage.Revision, most int) (n News, ok bool) {
 	age, heard := w.Age()
 	if !heard {
 		return News{}, false
@@ -228,7 +229,7 @@
 }
 
 // Revision is the newest revision that was handed on.
-func (w *Watcher) Revision() uint64 {
+func (w *Watcher) Revision() storage.Revision {
 	w.recent.mu.Lock()
 	defer w.recent.mu.Unlock()
 	return w.recent.revision
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // The times of a watcher without Options.Heed, in floating point as the watcher has them.
@@ -22,20 +24,20 @@
 // answers is how a store answers calls for changes; the test changes it while a
 // watcher runs.
 type answers struct {
-	atomic.Pointer[func(ctx context.Context, since uint64) (Page, error)]
+	atomic.Pointer[func(ctx context.Context, since storage.Revision) (Page, error)]
 }
 
-func (a *answers) set(f func(ctx context.Context, since uint64) (Page, error)) { a.Store(&f) }
+func (a *answers) set(f func(ctx context.Context, since storage.Revision) (Page, error)) { a.Store(&f) }
 
 // relayedWatcher runs a watcher of a listed table whose store holds every call at
 // first; the test offers news meanwhile.
 func relayedWatcher(t *testing.T, options Options) (*Watcher, *scriptedSource, *recorder, *answers) {
 	t.Helper()
 	var a answers
-	a.set(func(ctx context.Context, _ uint64) (Page, error) { return hang(ctx) })
+	a.set(func(ctx context.Context, _ storage.Revision) (Page, error) { return hang(ctx) })
 	source := &scriptedSource{
 		list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
-		changes: func(ctx context.Context, _ int, since uint64) (Page, error) { return (*a.Load())(ctx, since) },
+		changes: func(ctx context.Context, _ int, since storage.Revision) (Page, error) { return (*a.Load())(ctx, since) },
 	}
 	seen := &recorder{}
 	w := NewWatcher("t", source, seen, options, zerolog.Nop())
@@ -101,7 +103,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w, source, _, store := relayedWatcher(t, Options{FirstWord: first, Relays: func() bool { return test.relays }})
-				store.set(func(ctx context.Context, _ uint64) (Page, error) {
+				store.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
 					select {
 					case <-ctx.Done():
 						return Page{}, ctx.Err()
@@ -139,8 +141,8 @@
 		w, source, seen, store := relayedWatcher(t, Options{})
 		tell(w, News{Since: 5, Revision: 5, Complete: true}, 8*time.Second)
 		polls := source.polls
-		store.set(func(_ context.Context, since uint64) (Page, error) {
-			is.Equal(since, uint64(5))
+		store.set(func(_ context.Context, since storage.Revision) (Page, error) {
+			is.Equal(since, storage.Revision(5))
 			return Page{Rows: rows(9), Revision: 9}, nil
 		})
 		tell(w, News{Since: 5, Revision: 9}, 2*time.Second)
@@ -158,7 +160,7 @@
 		tell(w, News{Since: 3, Revision: 8, Complete: true, Rows: rows(4, 8)}, time.Second)   // a host that is behind
 		tell(w, News{Since: 7, Revision: 10, Complete: true, Rows: rows(9, 10)}, time.Second) // asked before 9 was known
 		is.Equal(seen.changes, rows(7, 9, 10))
-		is.Equal(w.Revision(), uint64(10))
+		is.Equal(w.Revision(), storage.Revision(10))
 	})
 }
 
@@ -180,7 +182,7 @@
 		is := is.New(t)
 		source := &scriptedSource{
 			list: func(int) (Page, error) { return Page{Revision: 1}, nil },
-			changes: func(ctx context.Context, call int, _ uint64) (Page, error) {
+			changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
 				if call > 1 {
 					return hang(ctx)
 				}
@@ -199,14 +201,14 @@
 
 func TestRecentChanges(t *testing.T) {
 	large := strings.Repeat("x", packFrom)
-	many := make([]uint64, recentRows+10)
+	many := make([]storage.Revision, recentRows+10)
 	for i := range many {
-		many[i] = uint64(11 + i)
+		many[i] = storage.Revision(11 + i)
 	}
 	tests := []struct {
 		desc     string
 		rows     []Row
-		since    uint64
+		since    storage.Revision
 		want     []Row
 		complete bool
 	}{
@@ -217,7 +219,7 @@
 		{"packed", []Row{{Key: "k", Revision: 11, Data: []byte(large)}, {Key: "gone", Revision: 12, Deleted: true}}, 10,
 			[]Row{{Key: "k", Revision: 11, Data: []byte(large)}, {Key: "gone", Revision: 12, Deleted: true, Data: []byte{}}}, true},
 		{"the oldest aren't kept", rows(many...), 15, nil, false},
-		{"what is kept", rows(many...), uint64(10 + len(many) - 1), rows(uint64(10 + len(many))), true},
+		{"what is kept", rows(many...), storage.Revision(10 + len(many) - 1), rows(storage.Revision(10 + len(many))), true},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -226,7 +228,7 @@
 			_, ok := r.since(0)
 			is.True(!ok) // not listed
 			r.reset(nil, 10)
-			newest := uint64(10)
+			newest := storage.Revision(10)
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
 			}
@@ -251,7 +253,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w, _, seen, store := relayedWatcher(t, Options{})
-		store.set(func(context.Context, uint64) (Page, error) { return Page{}, errors.New("refused") })
+		store.set(func(context.Context, storage.Revision) (Page, error) { return Page{}, errors.New("refused") })
 		time.Sleep(10 * time.Second)
 		is.True(w.Interrupted())
 		tell(w, News{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, 3*time.Second)
@@ -272,7 +274,7 @@
 		synctest.Wait()
 		is.Equal(source.polls, 1)
 		is.Equal(source.hold, DefaultHold)
-		store.set(func(ctx context.Context, _ uint64) (Page, error) {
+		store.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
 			select {
 			case <-ctx.Done():
 				return Page{}, ctx.Err()
@@ -302,9 +304,9 @@
 	w.replace(rows(8), 8)
 	w.listed = false
 	is.True(!w.takeNews(News{Revision: 7, Whole: true, Packed: pack(rows(7))}, time.Now()))
-	is.Equal(w.Revision(), uint64(8))
+	is.Equal(w.Revision(), storage.Revision(8))
 	is.True(w.takeNews(News{Revision: 9, Whole: true, Packed: pack(rows(9))}, time.Now()))
-	is.Equal(w.Revision(), uint64(9))
+	is.Equal(w.Revision(), storage.Revision(9))
 	is.Equal(len(seen.tables), 2)
 }
 
@@ -317,7 +319,7 @@
 			data[i] = byte(i * i * 31 >> 3)
 		}
 		w, _, _, store := relayedWatcher(t, Options{})
-		store.set(func(ctx context.Context, since uint64) (Page, error) {
+		store.set(func(ctx context.Context, since storage.Revision) (Page, error) {
 			if since < 6 {
 				return Page{Rows: []Row{{Key: "k", Revision: 6, Data: data}}, Revision: 6}, nil
 			}
--- a/internal/feed/rely.go
+++ b/internal/feed/rely.go
@@ -33,12 +33,12 @@
 	if news.Packed != nil {
 		var err error
 		if rows, err = unpack(news.Packed); err != nil {
-			w.log.Error().Str("event", "news-unreadable").Uint64("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
+			w.log.Error().Str("event", "news-unreadable").Stringer("revision", news.Revision).Int("bytes", len(news.Packed)).Err(err).Msg("")
 			return false
 		}
 	}
 	if news.Whole {
-		w.log.Info().Str("event", "table-handed-on").Uint64("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
+		w.log.Info().Str("event", "table-handed-on").Stringer("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
 		w.reading = listing{}
 		w.replace(rows, news.Revision)
 		return true
@@ -144,5 +144,5 @@
 	if rely {
 		event = "relay-used"
 	}
-	w.log.Info().Str("event", event).Uint64("revision", w.revision).Msg("")
+	w.log.Info().Str("event", event).Stringer("revision", w.revision).Msg("")
 }
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // These tests start a whole fleet at once, in virtual time, against a store that answers
@@ -44,7 +46,7 @@
 func newBusyStore(rows, pageRows int, perSecond float64) *busyStore {
 	s := &busyStore{pageRows: pageRows, perSecond: perSecond, rowBytes: 320, tokens: perSecond / 10, at: time.Now()}
 	for i := range rows {
-		s.table = append(s.table, Row{Key: fmt.Sprintf("u%06d", i), Revision: uint64(i + 1)})
+		s.table = append(s.table, Row{Key: fmt.Sprintf("u%06d", i), Revision: storage.Revision(i + 1)})
 	}
 	return s
 }
@@ -77,7 +79,7 @@
 	if !l.store.take() {
 		return Page{}, errTurnedAway
 	}
-	page := Page{Revision: uint64(len(l.store.table))}
+	page := Page{Revision: storage.Revision(len(l.store.table))}
 	for _, row := range l.store.table {
 		if row.Key < from {
 			continue
@@ -109,7 +111,7 @@
 	return nil
 }
 
-func (l *hostLink) Changes(ctx context.Context, _ string, since uint64, wait time.Duration, received Received) (Page, error) {
+func (l *hostLink) Changes(ctx context.Context, _ string, since storage.Revision, wait time.Duration, received Received) (Page, error) {
 	time.Sleep(storeAnswer)
 	if !l.store.take() {
 		return Page{}, errTurnedAway
@@ -135,7 +137,7 @@
 
 func (ignoreChanges) Change(Row) {}
 
-func (f *fullTable) Replace(rows []Row) {
+func (f *fullTable) Replace(rows []Row, _ storage.Revision) {
 	if len(rows) == f.rows && f.took == 0 {
 		f.took = time.Since(f.started)
 	}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -84,7 +85,7 @@
 	start       time.Time
 
 	// revision is the newest that was handed on; used by Run alone.
-	revision uint64
+	revision storage.Revision
 	listed   bool
 	// reading is the listing under way; used by Run alone.
 	reading listing
@@ -176,7 +177,7 @@
 		case errors.Is(err, errAbandoned), errors.Is(err, errHurried):
 			continue
 		case errors.Is(err, ErrHistoryLost):
-			w.log.Warn().Str("event", "history-lost").Uint64("revision", w.revision).Msg("")
+			w.log.Warn().Str("event", "history-lost").Stringer("revision", w.revision).Msg("")
 			w.listed = false
 			continue
 		}
@@ -238,7 +239,7 @@
 }
 
 // take hands changes on.
-func (w *Watcher) take(rows []Row, revision uint64) {
+func (w *Watcher) take(rows []Row, revision storage.Revision) {
 	for _, row := range rows {
 		w.handler.Change(row)
 	}
@@ -281,12 +282,12 @@
 	w.contactAt.Store(max(now, w.contactAt.Load()))
 	if lost := w.lostAt.Load(); lost != 0 && now > lost {
 		w.lostAt.Store(0)
-		w.log.Info().Str("event", "store-regained").Int64("out_ms", (now-lost)/int64(time.Millisecond)).Uint64("revision", w.revision).Msg("")
+		w.log.Info().Str("event", "store-regained").Int64("out_ms", (now-lost)/int64(time.Millisecond)).Stringer("revision", w.revision).Msg("")
 	}
 }
 
 func (w *Watcher) failed(err error) {
 	if w.lostAt.CompareAndSwap(0, int64(w.sinceStart())) {
-		w.log.Warn().Str("event", "store-lost").Err(err).Uint64("revision", w.revision).Msg("")
+		w.log.Warn().Str("event", "store-lost").Err(err).Stringer("revision", w.revision).Msg("")
 	}
 }
--- a/internal/feed/whole.go
+++ b/internal/feed/whole.go
@@ -10,6 +10,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // maxWholeBytes bounds a table that another host hands on, unpacked: the store's own
@@ -29,7 +31,7 @@
 	w, _ := flate.NewWriter(&packed, flate.BestSpeed)
 	var head []byte
 	for _, row := range rows {
-		head = binary.AppendUvarint(head[:0], row.Revision)
+		head = binary.AppendUvarint(head[:0], uint64(row.Revision))
 		head = binary.AppendUvarint(head, uint64(len(row.Key)))
 		data := uint64(0)
 		if !row.Deleted {
@@ -64,7 +66,7 @@
 			}
 			head[i], data = value, data[n:]
 		}
-		row := Row{Revision: head[0], Deleted: head[2] == 0}
+		row := Row{Revision: storage.Revision(head[0]), Deleted: head[2] == 0}
 		keyBytes, dataBytes := head[1], max(head[2], 1)-1
 		if keyBytes > uint64(len(data)) || dataBytes > uint64(len(data))-keyBytes {
 			return nil, errPacked
@@ -92,7 +94,7 @@
 }
 
 // whole returns the table, packed once for each change of it.
-func (r *recent) whole() (packed []byte, revision uint64, ok bool) {
+func (r *recent) whole() (packed []byte, revision storage.Revision, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.listed {
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Tables names the places in the store that the gateway follows.
@@ -33,8 +34,8 @@
 type Codec struct {
 	Document     func(data []byte) (routing.Document, error)
 	Upstream     func(id string, data []byte) (Upstream, error)
-	Order        func(data []byte, revision uint64) (Order, error)
-	Status       func(data []byte, revision uint64) (RolloutStatus, error)
+	Order        func(data []byte, revision storage.Revision) (Order, error)
+	Status       func(data []byte, revision storage.Revision) (RolloutStatus, error)
 	EncodeStatus func(status RolloutStatus) ([]byte, error)
 }
 
@@ -42,62 +43,48 @@
 type operatorRows struct {
 	gateway    *Gateway
 	unreadable unreadableRows
-	// evacuated are the zones that are to get nothing.
-	evacuated map[string]bool
+	evacuated  *evacuations
 }
 
 func newOperatorRows(g *Gateway) *operatorRows {
-	return &operatorRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator), evacuated: make(map[string]bool)}
+	return &operatorRows{
+		gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator),
+		evacuated: newEvacuations(g.settings.Tables.EvacuationsPrefix, g.fleet),
+	}
 }
 
 // Replace implements feed.Handler. A document that vanished stays in force:
 // operators replace documents, they don't withdraw them. An evacuation that vanished is
-// over.
-func (h *operatorRows) Replace(rows []feed.Row) {
-	h.evacuated = make(map[string]bool)
-	revision := uint64(0)
+// over, unless the store came back from a copy that lacks it.
+func (h *operatorRows) Replace(rows []feed.Row, revision storage.Revision) {
+	h.evacuated.replace(rows, revision)
 	for _, row := range rows {
-		if zone, ok := h.zone(row); ok {
-			h.evacuated[zone] = true
-			revision = max(revision, row.Revision)
-			continue
+		switch {
+		case strings.HasPrefix(row.Key, h.gateway.settings.Tables.OrdersPrefix):
+			h.note(row, h.gateway.takeOrder(row, true))
+		default:
+			h.change(row)
 		}
-		h.Change(row)
 	}
-	h.gateway.fleet.SetEvacuated(maps.Clone(h.evacuated), revision)
-}
-
-// zone is the availability zone that the row evacuates. What else the row says is of no
-// matter: operators may rely on its being there.
-func (h *operatorRows) zone(row feed.Row) (zone string, ok bool) {
-	zone, ok = strings.CutPrefix(row.Key, h.gateway.settings.Tables.EvacuationsPrefix)
-	return zone, ok && zone != ""
 }
 
-// changeEvacuation takes the beginning or the end of a zone's evacuation.
-func (h *operatorRows) changeEvacuation(zone string, row feed.Row) {
-	if row.Deleted {
-		delete(h.evacuated, zone)
-	} else {
-		h.evacuated[zone] = true
+// Change implements feed.Handler.
+func (h *operatorRows) Change(row feed.Row) {
+	if !h.evacuated.change(row) {
+		h.change(row)
 	}
-	h.gateway.fleet.SetEvacuated(maps.Clone(h.evacuated), row.Revision)
 }
 
-// Change implements feed.Handler.
-func (h *operatorRows) Change(row feed.Row) {
+// change takes the row of a document or an order.
+func (h *operatorRows) change(row feed.Row) {
 	g := h.gateway
 	tables := &g.settings.Tables
-	if zone, ok := h.zone(row); ok {
-		h.changeEvacuation(zone, row)
-		return
-	}
 	switch {
 	case row.Deleted:
 	case row.Key == tables.DocumentKey:
 		h.note(row, g.takeDocument(row))
 	case strings.HasPrefix(row.Key, tables.OrdersPrefix):
-		h.note(row, g.takeOrder(row))
+		h.note(row, g.takeOrder(row, false))
 	}
 }
 
@@ -110,8 +97,8 @@
 	h.unreadable.clear(row.Key)
 }
 
-// takeOrder takes the order of a roll-out.
-func (g *Gateway) takeOrder(row feed.Row) error {
+// takeOrder takes the order of a roll-out; listed says that it came with the whole table.
+func (g *Gateway) takeOrder(row feed.Row, listed bool) error {
 	order, err := g.settings.Codec.Order(row.Data, row.Revision)
 	if err != nil {
 		return err
@@ -119,7 +106,7 @@
 	if g.settings.Tables.OrdersPrefix+order.Service != row.Key {
 		return fmt.Errorf("%w: %q", errOtherKey, order.Service)
 	}
-	g.rollouts.order(order)
+	g.rollouts.order(order, listed)
 	return nil
 }
 
@@ -141,7 +128,7 @@
 	}
 	g.table.Store(table)
 	g.fleet.SetServices(doc.Services)
-	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Uint64("revision", row.Revision).
+	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Stringer("revision", row.Revision).
 		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).
 		Int("bytes", len(row.Data)).Int64("decode_ms", time.Since(start).Milliseconds()).Msg("")
 	return nil
@@ -152,11 +139,11 @@
 type unreadableRows struct {
 	gateway *Gateway
 	table   string
-	told    map[string]uint64
+	told    map[string]storage.Revision
 }
 
 func newUnreadableRows(g *Gateway, table string) unreadableRows {
-	return unreadableRows{gateway: g, table: table, told: make(map[string]uint64)}
+	return unreadableRows{gateway: g, table: table, told: make(map[string]storage.Revision)}
 }
 
 // note takes in a row that can't be read.
@@ -167,12 +154,12 @@
 	u.told[row.Key] = row.Revision
 	u.gateway.metrics.unreadable(u.table).Inc()
 	u.gateway.log.Error().Str("event", "row-unreadable").Str("table", u.table).Str("key", row.Key).
-		Uint64("revision", row.Revision).Int("bytes", len(row.Data)).Err(err).Msg("")
+		Stringer("revision", row.Revision).Int("bytes", len(row.Data)).Err(err).Msg("")
 }
 
 // keep forgets the keys that have no row any more.
 func (u *unreadableRows) keep(keys map[string]bool) {
-	maps.DeleteFunc(u.told, func(key string, _ uint64) bool { return !keys[key] })
+	maps.DeleteFunc(u.told, func(key string, _ storage.Revision) bool { return !keys[key] })
 }
 
 // clear takes in that the key has a row that can be read, or none.
@@ -185,21 +172,22 @@
 type upstreamRows struct {
 	gateway    *Gateway
 	unreadable unreadableRows
+	era        eraWatch
 }
 
 func newUpstreamRows(g *Gateway) *upstreamRows {
 	return &upstreamRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Upstreams)}
 }
 
-// Replace implements feed.Handler.
-func (h *upstreamRows) Replace(rows []feed.Row) {
+// Replace implements feed.Handler. Upstreams that the copy lacks from which the store came
+// back write their entries again.
+func (h *upstreamRows) Replace(rows []feed.Row, revision storage.Revision) {
+	lapsed := h.era.note(revision) || h.era.rewriting() || h.gateway.storeReturned()
 	keys := make(map[string]bool, len(rows))
-	revision := uint64(0)
 	entries := make([]entry, 0, len(rows))
 	var starts starts
 	for _, row := range rows {
 		keys[row.Key] = true
-		revision = max(revision, row.Revision)
 		if u, ok := h.read(row); ok {
 			entries = append(entries, entry{upstream: u, row: row})
 			starts.count(&u)
@@ -209,7 +197,7 @@
 		h.set(e, starts.usual())
 	}
 	h.unreadable.keep(keys)
-	h.gateway.fleet.Keep(keys, revision, h.gateway.storeReturned())
+	h.gateway.fleet.Keep(keys, revision, lapsed)
 }
 
 // entry is an upstream's row and what it says.
@@ -265,14 +253,20 @@
 type statusRows struct {
 	gateway    *Gateway
 	unreadable unreadableRows
+	era        eraWatch
 }
 
 func newStatusRows(g *Gateway) *statusRows {
 	return &statusRows{gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Status)}
 }
 
-// Replace implements feed.Handler.
-func (h *statusRows) Replace(rows []feed.Row) {
+// Replace implements feed.Handler. What hosts wrote after the copy from which the store came
+// back they write again.
+func (h *statusRows) Replace(rows []feed.Row, revision storage.Revision) {
+	if h.era.note(revision) {
+		h.gateway.rollouts.forgetRows()
+		h.gateway.guard.ForgetRows()
+	}
 	keys := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		keys[row.Key] = true
--- a/internal/gateway/blame_test.go
+++ b/internal/gateway/blame_test.go
@@ -52,7 +52,7 @@
 	}
 	w.fragile("old", "v1")
 	m := w.gateway.rollouts
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5}, false)
 	m.mu.Lock()
 	m.active["svc"].share = 1
 	m.mu.Unlock()
@@ -83,7 +83,7 @@
 	w := newWorld(t, testDocument())
 	w.upstreamOf(Upstream{ID: "new", Zone: "z1", Version: "v2"}, reset)
 	m := w.gateway.rollouts
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5}, false)
 	m.mu.Lock()
 	m.active["svc"].share = 1
 	m.mu.Unlock()
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -10,12 +10,13 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // evidentRollouts is a host with a roll-out under way.
 func evidentRollouts() *rollouts {
 	m := newRollouts(&Settings{CanaryShare: 0.2}, twoUpstreams(), zerolog.Nop())
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5}, false)
 	return m
 }
 
@@ -211,7 +212,7 @@
 func TestOthersEvidence(t *testing.T) {
 	tests := []struct {
 		desc  string
-		order uint64
+		order storage.Revision
 		seen  exchange.Versions
 		want  bool
 	}{
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
@@ -115,7 +116,7 @@
 
 // Remove notes that an upstream's entry vanished; lapsed says that it may have done so
 // because of an outage of the store.
-func (f *Fleet) Remove(id string, revision uint64, lapsed bool) {
+func (f *Fleet) Remove(id string, revision storage.Revision, lapsed bool) {
 	f.each(func(s *shard) {
 		m := s.members[id]
 		if m == nil || !m.removedAt.IsZero() {
@@ -123,12 +124,12 @@
 		}
 		m.removedAt = boottime.Now()
 		m.lapsed = lapsed
-		f.log.Info().Str("event", "upstream-removed").Str("upstream", id).Uint64("revision", revision).Bool("lapsed", lapsed).Msg("")
+		f.log.Info().Str("event", "upstream-removed").Str("upstream", id).Stringer("revision", revision).Bool("lapsed", lapsed).Msg("")
 	})
 }
 
 // Keep removes all upstreams that aren't in the list.
-func (f *Fleet) Keep(listed map[string]bool, revision uint64, lapsed bool) {
+func (f *Fleet) Keep(listed map[string]bool, revision storage.Revision, lapsed bool) {
 	var gone []string
 	f.each(func(s *shard) {
 		for id := range s.members {
@@ -144,7 +145,7 @@
 
 // Withdraw notes that an upstream's entry no longer names one to use. It gets no new
 // request until its entry does again.
-func (f *Fleet) Withdraw(id string, revision uint64) {
+func (f *Fleet) Withdraw(id string, revision storage.Revision) {
 	f.each(func(s *shard) {
 		if m := s.members[id]; m != nil {
 			m.withdraw(f.log, revision)
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -88,12 +88,12 @@
 			u.ID = id
 			return u, err
 		},
-		Order: func(data []byte, revision uint64) (o Order, err error) {
+		Order: func(data []byte, revision storage.Revision) (o Order, err error) {
 			err = json.Unmarshal(data, &o)
 			o.Revision = revision
 			return o, err
 		},
-		Status: func(data []byte, revision uint64) (s RolloutStatus, err error) {
+		Status: func(data []byte, revision storage.Revision) (s RolloutStatus, err error) {
 			err = json.Unmarshal(data, &s)
 			s.Revision = revision
 			return s, err
@@ -280,7 +280,7 @@
 // fakeStore is a store in memory.
 type fakeStore struct {
 	mu       sync.Mutex
-	revision uint64
+	revision storage.Revision
 	rows     map[string]map[string]feed.Row
 	changes  []fakeChange
 	changed  chan struct{}
@@ -357,7 +357,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, table string, since uint64, wait time.Duration, _ feed.Received) (feed.Page, error) {
+func (s *fakeStore) Changes(ctx context.Context, table string, since storage.Revision, wait time.Duration, _ feed.Received) (feed.Page, error) {
 	deadline := time.After(wait)
 	s.mu.Lock()
 	s.calls["changes "+table]++
@@ -402,14 +402,14 @@
 		return 0, errDown
 	}
 	for _, c := range txn.Conditions {
-		if s.rows["status"][c.Key].Revision != c.Version {
+		if s.rows["status"][c.Key].Revision != storage.Revision(c.Version) {
 			return 0, storage.ErrConflict
 		}
 	}
 	for _, p := range txn.Puts {
 		s.write("status", feed.Row{Key: p.Key, Data: bytes.Clone(p.Value)})
 	}
-	return s.revision, nil
+	return uint64(s.revision), nil
 }
 
 // eventually waits for the condition.
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -12,13 +12,14 @@
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // Set takes an upstream's entry at a revision of the store. An upstream that started
 // again begins with nothing of its former incarnation, neither what it kept nor how it
 // failed nor that it was leaving; an entry of a former one that arrives late changes
 // nothing. Within an incarnation leaving is sticky: one that leaves never comes back.
-func (f *Fleet) Set(u Upstream, revision uint64) {
+func (f *Fleet) Set(u Upstream, revision storage.Revision) {
 	f.withdrawElsewhere(u, revision)
 	s := f.shard(u.Service)
 	s.mu.Lock()
@@ -41,7 +42,7 @@
 		return
 	}
 	if u.Leaving && !m.Leaving {
-		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Uint64("revision", revision).Msg("")
+		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Stringer("revision", revision).Msg("")
 	}
 	leaving := m.Leaving || u.Leaving
 	if m.Zone != u.Zone {
@@ -55,10 +56,10 @@
 	m.noteCold(u.ColdFor, coldEntry, f.log)
 }
 
-func (f *Fleet) logEntry(event string, u *Upstream, revision uint64) *zerolog.Event {
+func (f *Fleet) logEntry(event string, u *Upstream, revision storage.Revision) *zerolog.Event {
 	return f.log.Info().Str("event", event).Str("upstream", u.ID).Str("service", u.Service).
 		Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Int64("incarnation", int64(u.Incarnation)).
-		Bool("leaving", u.Leaving).Uint64("revision", revision)
+		Bool("leaving", u.Leaving).Stringer("revision", revision)
 }
 
 // add puts a member of which nothing is known in place of any other of its id. The
@@ -94,7 +95,7 @@
 
 // withdrawElsewhere withdraws what other services know under the upstream's id: an
 // upstream serves one service, the one that its newest entry names.
-func (f *Fleet) withdrawElsewhere(u Upstream, revision uint64) {
+func (f *Fleet) withdrawElsewhere(u Upstream, revision storage.Revision) {
 	own := f.shard(u.Service)
 	f.each(func(s *shard) {
 		if m := s.members[u.ID]; s != own && m != nil && m.Incarnation <= u.Incarnation {
@@ -105,12 +106,12 @@
 
 // withdraw keeps new requests away until the upstream's entry names it again. The
 // shard's lock is held.
-func (m *member) withdraw(log zerolog.Logger, revision uint64) {
+func (m *member) withdraw(log zerolog.Logger, revision storage.Revision) {
 	if m.withdrawn {
 		return
 	}
 	m.withdrawn = true
-	log.Warn().Str("event", "upstream-withdrawn").Str("upstream", m.ID).Str("service", m.Service).Uint64("revision", revision).Msg("")
+	log.Warn().Str("event", "upstream-withdrawn").Str("upstream", m.ID).Str("service", m.Service).Stringer("revision", revision).Msg("")
 }
 
 // chosen is the member that the choice was made of; nil if it was forgotten, or if the
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -144,16 +145,16 @@
 	w.gateway.log = zerolog.New(&log)
 	rows := newUpstreamRows(w.gateway)
 	any := func(string) bool { return true }
-	good := func(key string, revision uint64) feed.Row {
+	good := func(key string, revision storage.Revision) feed.Row {
 		return feed.Row{Key: key, Revision: revision, Data: []byte(`{"Service":"svc","Incarnation":5,"Address":"127.0.0.1:9","Zone":"z1","Version":"v1"}`)}
 	}
 	bad := feed.Row{Key: "a", Revision: 3, Data: []byte("\x00\xff")}
-	rows.Replace([]feed.Row{good("a", 1), good("b", 2)})
+	rows.Replace([]feed.Row{good("a", 1), good("b", 2)}, 2)
 	rows.Change(bad)
 	f := w.gateway.fleet
 	is.True(!f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
 	is.True(f.memberOf("svc", "b").takesWork(time.Now(), time.Minute))
-	rows.Replace([]feed.Row{bad, good("b", 2)})
+	rows.Replace([]feed.Row{bad, good("b", 2)}, 2)
 	is.True(!f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
 	is.Equal(bytes.Count(log.Bytes(), []byte("row-unreadable")), 1)
 	is.Equal(w.gateway.metrics.unreadable("upstreams").Get(), uint64(1))
@@ -172,7 +173,7 @@
 	w := newWorld(t, testDocument())
 	rows := newUpstreamRows(w.gateway)
 	for i, key := range []string{"a", "b", "c"} {
-		rows.Change(feed.Row{Key: key, Revision: uint64(i + 1), Data: []byte(`{"Service":"svc","Address":"127.0.0.1:9"}`)})
+		rows.Change(feed.Row{Key: key, Revision: storage.Revision(i + 1), Data: []byte(`{"Service":"svc","Address":"127.0.0.1:9"}`)})
 	}
 	is.Equal(w.gateway.fleet.starts(), starts{told: 0, all: 3})
 }
@@ -183,7 +184,7 @@
 	is := is.New(t)
 	w := newWorld(t, testDocument())
 	m := w.gateway.rollouts
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 1})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 1}, false)
 	rows := newStatusRows(w.gateway)
 	for _, data := range []string{"{", `{"Service":"other","Version":"v2"}`} {
 		revision := m.active["svc"].status.Revision + 3
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
 
 // Order is an operators' request to move a service's requests to a version.
 type Order struct {
@@ -8,7 +12,7 @@
 	Version  string
 	Duration time.Duration
 	// Revision is the store's at the order; a later order has a higher one.
-	Revision uint64
+	Revision storage.Revision
 }
 
 // RolloutState is how far a roll-out is.
@@ -34,9 +38,9 @@
 	Version string
 	State   RolloutState
 	// OrderRevision is the revision of the order that this is about.
-	OrderRevision uint64
+	OrderRevision storage.Revision
 	// Started is the store's clock when the first host saw the order.
 	Started time.Duration
 	// Revision is the store's at this status; 0 before it is written.
-	Revision uint64
+	Revision storage.Revision
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -75,6 +76,12 @@
 	// host's turn to write one comes; zero before one is due.
 	writing bool
 	writeAt time.Time
+	// unsaved says that the store came back from a copy and has not the state, or not
+	// under the order's present revision.
+	unsaved bool
+	// formerly are revisions of the order's row in former eras of the store.
+	formerly []storage.Revision
+	era      eraWatch
 	// failures counts the writes in a row that the store turned away or didn't answer.
 	failures int
 }
@@ -92,17 +99,20 @@
 	}
 }
 
-// order takes an operators' order.
-func (m *rollouts) order(o Order) {
+// order takes an operators' order; listed says that it came with the whole table.
+func (m *rollouts) order(o Order, listed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known := m.active[o.Service]; known != nil && o.Revision <= known.order.Revision {
-		return
+	if known := m.active[o.Service]; known != nil {
+		if o.Revision <= known.order.Revision || m.rewritten(known, o, listed) {
+			return
+		}
 	}
 	a := &activeRollout{order: o, seenAt: boottime.Now(), evidence: newEvidence()}
+	a.era.note(o.Revision)
 	m.active[o.Service] = a
 	m.log.Info().Str("event", "rollout-ordered").Str("service", o.Service).Str("version", o.Version).
-		Dur("duration", o.Duration).Uint64("revision", o.Revision).Msg("")
+		Dur("duration", o.Duration).Stringer("revision", o.Revision).Msg("")
 	if stored, ok := m.stored[o.Service]; ok {
 		m.apply(a, stored)
 	}
@@ -124,15 +134,23 @@
 	if s.Revision <= a.status.Revision {
 		return
 	}
-	if s.OrderRevision != a.order.Revision {
+	if !a.isOrder(s.OrderRevision) {
 		// An earlier order's: the row's revision is needed to replace it.
 		a.status.Revision = s.Revision
 		return
 	}
+	if a.known() && s.State < a.status.State {
+		// An earlier state, of a store that came back from a copy.
+		a.status.Revision = s.Revision
+		a.unsaved = true
+		return
+	}
+	a.unsaved = s.OrderRevision != a.order.Revision
+	s.OrderRevision = a.order.Revision
 	a.status = s
 	a.writeAt = time.Time{}
 	m.log.Info().Str("event", "rollout-status").Str("service", s.Service).Str("version", s.Version).
-		Str("state", s.State.String()).Uint64("revision", s.Revision).Msg("")
+		Str("state", s.State.String()).Stringer("revision", s.Revision).Msg("")
 }
 
 // known says whether the store has a status for the order.
@@ -286,7 +304,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, a := range m.active {
-		if !a.running() {
+		if !a.running() && !a.unsaved {
 			continue
 		}
 		m.raise(a)
@@ -314,12 +332,12 @@
 	a.share = max(a.share, m.single.share(at))
 }
 
-// underWay says whether a roll-out isn't finished.
+// underWay says whether a roll-out isn't finished, or its end isn't in the store.
 func (m *rollouts) underWay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, a := range m.active {
-		if a.running() {
+		if a.running() || a.unsaved {
 			return true
 		}
 	}
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -267,7 +267,7 @@
 	is := is.New(t)
 	w := newWorld(t, testDocument())
 	m := w.gateway.rollouts
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 5}, false)
 	for range 20 {
 		m.tick(t.Context())
 		time.Sleep(writeSpread / 10)
@@ -361,7 +361,7 @@
 	is.Equal(w.gateway.table.Load().Version, uint64(7))
 	doc.Version = 9
 	store.put("operator", "document", doc)
-	rows.Replace([]feed.Row{store.rows["operator"]["document"]})
+	rows.Replace([]feed.Row{store.rows["operator"]["document"]}, 1)
 	is.Equal(w.gateway.table.Load().Version, uint64(9))
 	rows.Change(feed.Row{Key: "document", Data: []byte("{"), Revision: 10})
 	rows.Change(feed.Row{Key: "document", Deleted: true, Revision: 11})
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -14,6 +14,8 @@
 // due is the status that should be written now.
 func (m *rollouts) due(a *activeRollout) (RolloutState, bool) {
 	switch {
+	case a.unsaved && a.known():
+		return a.status.State, true
 	case a.stopped:
 		return RolloutReverted, true
 	case !a.known():
@@ -147,7 +149,7 @@
 	return pause/2 + rand.N(pause)
 }
 
-func (m *rollouts) commit(ctx context.Context, next RolloutStatus, expected uint64) error {
+func (m *rollouts) commit(ctx context.Context, next RolloutStatus, expected storage.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	data, err := m.settings.Codec.EncodeStatus(next)
@@ -156,7 +158,7 @@
 	}
 	key := m.settings.Tables.OrdersPrefix + next.Service
 	_, err = m.settings.Statuses.Commit(ctx, storage.Txn{
-		Conditions: []storage.Condition{{Key: key, Version: expected}},
+		Conditions: []storage.Condition{{Key: key, Version: uint64(expected)}},
 		Puts:       []storage.Put{{Key: key, Value: data}},
 	})
 	return err
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
@@ -136,11 +137,11 @@
 // SetEvacuated takes the zones that get nothing from now on. The upstreams of one that is
 // taken back may have become cold meanwhile, and their entries tell so only with their
 // next heartbeats.
-func (f *Fleet) SetEvacuated(zones map[string]bool, revision uint64) {
+func (f *Fleet) SetEvacuated(zones map[string]bool, revision storage.Revision) {
 	known := f.access.evacuated.Swap(&zones)
 	for zone := range zones {
 		if known == nil || !(*known)[zone] {
-			f.log.Warn().Str("event", "zone-evacuated").Str("zone", zone).Int("upstreams", f.inZone(zone)).Uint64("revision", revision).Msg("")
+			f.log.Warn().Str("event", "zone-evacuated").Str("zone", zone).Int("upstreams", f.inZone(zone)).Stringer("revision", revision).Msg("")
 		}
 	}
 	if known == nil {
@@ -153,8 +154,8 @@
 	}
 }
 
-func (f *Fleet) takeBack(zone string, revision uint64) {
-	f.log.Warn().Str("event", "zone-taken-back").Str("zone", zone).Int("upstreams", f.inZone(zone)).Uint64("revision", revision).Msg("")
+func (f *Fleet) takeBack(zone string, revision storage.Revision) {
+	f.log.Warn().Str("event", "zone-taken-back").Str("zone", zone).Int("upstreams", f.inZone(zone)).Stringer("revision", revision).Msg("")
 	f.each(func(s *shard) {
 		for _, m := range s.members {
 			if m.Zone == zone {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
@@ -93,7 +94,7 @@
 	is.Equal(w.do(w.request("GET", "/many/x", "")).status, http.StatusServiceUnavailable)
 }
 
-func evacuation(zone string, revision uint64, deleted bool) feed.Row {
+func evacuation(zone string, revision storage.Revision, deleted bool) feed.Row {
 	return feed.Row{Key: "evacuation/" + zone, Revision: revision, Deleted: deleted}
 }
 
@@ -118,7 +119,7 @@
 	is.Equal(near.count(), 1)
 
 	// One that is taken back is cold; another host may have the lease.
-	rows.Replace([]feed.Row{evacuation("z2", 7, false)})
+	rows.Replace([]feed.Row{evacuation("z2", 7, false)}, 7)
 	is.Equal(w.do(w.request("GET", "/many/x", "")).status, http.StatusServiceUnavailable)
 	w.hold(1, "near")
 	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "near")
@@ -146,7 +147,7 @@
 	w.upstreamOf(Upstream{ID: "old", Zone: "z2", Version: "v1"}, succeed("old"))
 	w.upstreamOf(Upstream{ID: "new", Zone: "z1", Version: "v2"}, succeed("new"))
 	m := w.gateway.rollouts
-	m.order(Order{Service: "svc", Version: "v2", Duration: time.Hour, Revision: 2})
+	m.order(Order{Service: "svc", Version: "v2", Duration: time.Hour, Revision: 2}, false)
 	m.status(RolloutStatus{Service: "svc", Version: "v2", State: RolloutCompleted, OrderRevision: 2, Revision: 3})
 	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "new")
 	newOperatorRows(w.gateway).Change(evacuation("z1", 5, false))
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -68,7 +68,7 @@
 	keys := make(map[string]bool)
 	for _, row := range rows {
 		keys[row.Key] = true
-		if err := b.TakeRow(row.Key, row.Value, row.Version); err != nil {
+		if err := b.TakeRow(row.Key, row.Value, storage.Revision(row.Version)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/guard/rows.go
+++ b/internal/guard/rows.go
@@ -69,7 +69,7 @@
 var errVerdictKey = errors.New("guard: the verdict is on another request")
 
 // TakeRow takes a verdict's row of the store.
-func (g *Guard) TakeRow(key string, data []byte, revision uint64) error {
+func (g *Guard) TakeRow(key string, data []byte, revision storage.Revision) error {
 	v := g.rows
 	d, err := v.digest(key)
 	if err != nil {
@@ -98,6 +98,10 @@
 	return nil
 }
 
+// ForgetRows takes in that the store came back from a copy, which may lack rows of verdicts:
+// those that aren't taken again are written again.
+func (g *Guard) ForgetRows() { g.rows.register.Unsave() }
+
 // KeepRows lifts the verdicts that the store had and that aren't among the keys of all its
 // rows.
 func (g *Guard) KeepRows(keys map[string]bool) { g.rows.keep(keys) }
@@ -203,9 +207,9 @@
 	for _, e := range v.register.All() {
 		own := e.By == v.host
 		late := judges && boottime.Elapsed()-e.Heard > writeForOthers
-		if e.Revision == 0 && (own || late) {
+		if e.Unsaved && (own || late) {
 			wrote = true
-			_ = v.put(ctx, e.Verdict, 0) // logged there; tried again after the pause
+			_ = v.put(ctx, e.Verdict, e.Revision) // logged there; tried again after the pause
 		}
 	}
 	if wrote {
@@ -227,14 +231,14 @@
 }
 
 // put writes a verdict's row in place of the revision.
-func (v *rows) put(ctx context.Context, verdict quarantine.Verdict, expected uint64) error {
+func (v *rows) put(ctx context.Context, verdict quarantine.Verdict, expected storage.Revision) error {
 	data, err := json.Marshal(verdict)
 	if err != nil {
 		return err
 	}
 	key := v.key(verdict.Digest)
 	revision, err := v.commit(ctx, "put", storage.Txn{
-		Conditions: []storage.Condition{{Key: key, Version: expected}},
+		Conditions: []storage.Condition{{Key: key, Version: uint64(expected)}},
 		Puts:       []storage.Put{{Key: key, Value: data}},
 	})
 	if err == nil {
@@ -247,7 +251,7 @@
 func (v *rows) remove(ctx context.Context, e quarantine.Entry) error {
 	key := v.key(e.Digest)
 	_, err := v.commit(ctx, "remove", storage.Txn{
-		Conditions: []storage.Condition{{Key: key, Version: e.Revision}},
+		Conditions: []storage.Condition{{Key: key, Version: uint64(e.Revision)}},
 		Deletes:    []string{key},
 	})
 	if err == nil {
@@ -256,12 +260,13 @@
 	return err
 }
 
-func (v *rows) commit(ctx context.Context, kind string, txn storage.Txn) (uint64, error) {
+func (v *rows) commit(ctx context.Context, kind string, txn storage.Txn) (storage.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictWriteTimeout)
 	defer cancel()
-	revision, err := v.table.Commit(ctx, txn)
+	number, err := v.table.Commit(ctx, txn)
+	revision := storage.Revision(number)
 	v.log.Info().Str("event", "verdict-write").Str("kind", kind).Str("key", txn.Conditions[0].Key).
-		Uint64("revision", revision).AnErr("error", err).Msg("")
+		Stringer("revision", revision).AnErr("error", err).Msg("")
 	return revision, err
 }
 
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -129,7 +131,9 @@
 type Entry struct {
 	Verdict
 	// Revision is the verdict's row's in the store; 0 while it isn't known to be there.
-	Revision uint64
+	Revision storage.Revision
+	// Unsaved says that the store has no row of the verdict, or that of an earlier one.
+	Unsaved bool
 	// Heard is when the host heard of it first, on the host's own clock.
 	Heard time.Duration
 }
@@ -172,12 +176,23 @@
 	if ok && !v.after(known.Verdict) {
 		return false
 	}
-	r.set(Entry{Verdict: v, Revision: known.Revision, Heard: now})
+	r.set(Entry{Verdict: v, Revision: known.Revision, Unsaved: known.Revision == 0, Heard: now})
 	return true
 }
 
-// Store takes the verdict's row. It reports whether the request wasn't known.
-func (r *Register) Store(v Verdict, revision uint64, now time.Duration) bool {
+// Unsave takes in that the store may have lost all rows.
+func (r *Register) Unsave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d, e := range r.entries {
+		e.Revision, e.Unsaved = 0, true
+		r.entries[d] = e
+	}
+}
+
+// Store takes the verdict's row. It reports whether the request wasn't known. A store that
+// came back from a copy may have the row of an earlier verdict, which replaces no later one.
+func (r *Register) Store(v Verdict, revision storage.Revision, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, ok := r.entries[v.Digest]
@@ -188,6 +203,11 @@
 	if ok {
 		heard = known.Heard
 	}
+	if ok && known.Unsaved && known.after(v) {
+		known.Revision = revision
+		r.set(known)
+		return false
+	}
 	delete(r.lifted, v.Digest)
 	r.set(Entry{Verdict: v, Revision: revision, Heard: heard})
 	return !ok
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 func verdict(n uint64, until time.Duration) Verdict {
@@ -57,7 +59,7 @@
 	is.True(!r.Store(first, 5, 2*time.Second)) // known already
 	e, ok := r.Get(digest(1))
 	is.True(ok)
-	is.Equal(e.Revision, uint64(5))
+	is.Equal(e.Revision, storage.Revision(5))
 	is.Equal(e.Heard, time.Duration(0))
 	is.True(r.Hear(first.Trial(2*time.Hour), 3*time.Second))
 	is.True(!r.Hear(first, 3*time.Second))
@@ -82,3 +84,25 @@
 	is.True(ok)
 	is.Equal(len(r.All()), MaxVerdicts)
 }
+
+// A store that came back from a copy may lack a verdict's row, or have that of an earlier
+// one: what is known is unsaved, and stays.
+func TestRowsOfACopy(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister()
+	earlier, later := verdict(1, 10*time.Minute), verdict(1, time.Hour)
+	later.Trials = 1
+	r.Store(later, 80, 0)
+	r.Store(verdict(2, time.Hour), 81, 0)
+	r.Unsave()
+	is.True(!r.Store(earlier, storage.NewRevision(1, 60), time.Second))
+	e, ok := r.Get(later.Digest)
+	is.True(ok && e.Unsaved)
+	is.Equal(e.Verdict, later)
+	is.Equal(e.Revision, storage.NewRevision(1, 60)) // in whose place it is written
+	is.True(!r.Store(later, storage.NewRevision(1, 61), time.Second))
+	e, _ = r.Get(later.Digest)
+	is.True(!e.Unsaved)
+	e, _ = r.Get(verdict(2, 0).Digest)
+	is.True(e.Unsaved && e.Revision == 0) // the copy has no row of it
+}
