gateway: upstreams that aren't there any more spend no try

Three tries were spent within milliseconds, and requests ended with "the upstreams took no more work" though others had room. Operators bound the upstreams that may run a request, and none of these did.

Now up to four such tries don't count; one that answers 421 is passed over like an unreachable one (models that callers name aside); an upstream whose address a new one took is withdrawn.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,6 +159,13 @@
 		resp.Header.Get(a.gateway.settings.Headers.NotRun) != ""
 }
 
+// misdirected says that another upstream answers at the address. An upstream turns a model
+// that the caller named away with the same status.
+func (a *attempt) misdirected(resp *http.Response) bool {
+	own := a.request.Prompt.Model == "" || a.request.model != ""
+	return resp.StatusCode == http.StatusMisdirectedRequest && own
+}
+
 // head fills in what the answer's head says.
 func (a *attempt) head(resp *http.Response) attemptResult {
 	names := &a.gateway.settings.Headers
@@ -227,6 +234,7 @@
 	}
 	if a.notRun(resp) {
 		result.outcome = outcomeRefused
+		result.misdirected = a.misdirected(resp)
 		return result
 	}
 	a.state.Raise(runstate.Ran)
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -49,10 +49,15 @@
 	// firstByte is the time to the answer's head or a stream's first event.
 	firstByte time.Duration
 	err       error
+	// misdirected says that another upstream answered at the address.
+	misdirected bool
 	// whole is a complete answer that wasn't passed on yet.
 	whole *wholeAnswer
 }
 
+// missed says that the upstream wasn't there: nothing listens at its address, or another one.
+func (r *attemptResult) missed() bool { return r.outcome == outcomeUnsent || r.misdirected }
+
 // guardOutcome is what the result says of the upstream's run.
 func (r *attemptResult) guardOutcome() guard.Outcome {
 	switch r.outcome {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -103,6 +103,9 @@
 		r.state.Raise(a.state.State())
 	}
 	d.gateway.guard.End(target, r.Digest, result.guardOutcome())
+	if result.missed() {
+		r.missed++
+	}
 	d.learn(r, a, result)
 	d.record(r, a, result)
 	return result, nil
@@ -136,7 +139,7 @@
 	}
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
-	another := r.Route.Repeatable() && r.attempts < r.Route.MaxAttempts && picked.among > 1
+	another := r.Route.Repeatable() && r.triesLeft() && picked.among > 1
 	return &attempt{
 		gateway:  g,
 		request:  r,
@@ -200,7 +203,7 @@
 
 // accept decides by an answer's head whether the caller gets it.
 func (d *dispatch) accept(r *Request, a *attempt, models *modelSteps, head attemptResult) bool {
-	if r.answer.started || head.confidence < 0 || models.last() || r.attempts >= r.Route.MaxAttempts {
+	if r.answer.started || head.confidence < 0 || models.last() || !r.triesLeft() {
 		return true
 	}
 	upgrade := d.gateway.fleet.upgrade(d.wants(r, models.next(), true))
@@ -217,7 +220,7 @@
 // again says whether another attempt is permitted: nothing ran or the request
 // may be repeated, and neither the attempts, the time nor the budget are spent.
 func (d *dispatch) again(ctx context.Context, r *Request, result attemptResult) bool {
-	if ctx.Err() != nil || r.attempts >= r.Route.MaxAttempts {
+	if ctx.Err() != nil || !r.triesLeft() {
 		return false
 	}
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errSilent) {
@@ -241,6 +244,17 @@
 	return d.gateway.budgets.of(r.Service).take()
 }
 
+// maxMissed bounds the attempts that count for nothing because their upstreams weren't
+// there any more. When a quarter of all end at once, a third try finds one in 64 requests
+// without an upstream though the others have room.
+const maxMissed = 4
+
+// triesLeft says whether the request may be sent to another upstream. Operators bound the
+// upstreams that may run it.
+func (r *Request) triesLeft() bool {
+	return r.attempts-min(r.missed, maxMissed) < r.Route.MaxAttempts
+}
+
 // minAttemptTime is the least time that is worth another attempt: a round trip
 // and an upstream's shortest work.
 const minAttemptTime = 30 * time.Millisecond
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -28,6 +28,7 @@
 	switch {
 	case m == nil:
 		m = s.add(&u)
+		s.replaceAt(&u, f.log)
 		f.logEntry("upstream-listed", &u, revision).Msg("")
 	case u.Incarnation < m.Incarnation:
 		f.logEntry("upstream-entry-late", &u, revision).Int64("known", int64(m.Incarnation)).Msg("")
@@ -68,7 +69,7 @@
 	if former := s.members[u.ID]; former != nil {
 		s.forget(former)
 	}
-	m := &member{Upstream: *u, shard: s, name: u.exchangeName()}
+	m := &member{Upstream: *u, shard: s, name: u.exchangeName(), listedAt: boottime.Now()}
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
@@ -114,6 +115,23 @@
 	log.Warn().Str("event", "upstream-withdrawn").Str("upstream", m.ID).Str("service", m.Service).Stringer("revision", revision).Msg("")
 }
 
+// sameTable is the time in which the entries of one table are taken in. Of two upstreams at
+// one address in it, it isn't known which one is there.
+const sameTable = 500 * time.Millisecond
+
+// replaceAt withdraws the upstreams that were at the address of a new one: each address is
+// one upstream's, and the entry of one that ended stays for seconds. The shard's lock is
+// held.
+func (s *shard) replaceAt(u *Upstream, log zerolog.Logger) {
+	for _, m := range s.members {
+		known := m.ID != u.ID && boottime.Since(m.listedAt) > sameTable
+		if known && m.Address == u.Address && !m.replaced {
+			m.replaced = true
+			log.Info().Str("event", "upstream-replaced").Str("upstream", m.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
+		}
+	}
+}
+
 // chosen is the member that the choice was made of; nil if it was forgotten, or if the
 // upstream started again since: how the request ends says nothing of the new incarnation.
 // The shard's lock is held.
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -42,8 +42,9 @@
 	// name stands for the upstream in what hosts tell each other.
 	name      exchange.Name
 	removedAt time.Time
-	// heardAt is when the newest entry came.
-	heardAt time.Time
+	// listedAt is when the first entry came, heardAt when the newest did.
+	listedAt time.Time
+	heardAt  time.Time
 	// coldUntil is until when the upstream counts as cold, coldTold that this was logged;
 	// sent are this host's requests of the last moment.
 	coldUntil time.Time
@@ -53,7 +54,9 @@
 	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
 	withdrawn bool
-	inFlight  int
+	// replaced says that another upstream took its address.
+	replaced bool
+	inFlight int
 	// others is what the other hosts' requests in flight ask of the upstream, as of
 	// othersAt.
 	others   float64
@@ -80,7 +83,7 @@
 
 // takesWork says whether new requests may be sent.
 func (m *member) takesWork(now time.Time, grace time.Duration) bool {
-	if m.Leaving || m.withdrawn {
+	if m.Leaving || m.withdrawn || m.replaced {
 		return false
 	}
 	if m.lapsed {
@@ -155,7 +158,12 @@
 		bad = 1
 	case outcomeUnknown, outcomeFailed, outcomeBroken:
 		bad = 1
-	case outcomeAbandoned, outcomeRefused:
+	case outcomeRefused:
+		if result.misdirected {
+			m.eject(now)
+		}
+		return
+	case outcomeAbandoned:
 		return
 	}
 	if bad == 0 {
--- /dev/null
+++ b/internal/gateway/missed_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// The load: a quarter of the upstreams ends at once, and some start again at their addresses
+// under new ids. Entries tell of it seconds later; until then each request meets several that
+// aren't there.
+
+// Upstreams that aren't there spend none of the tries that operators permit.
+func TestMissedUpstreamsSpendNoTry(t *testing.T) {
+	for _, route := range []string{"once", "many"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, testDocument()) // three tries
+			for i := range maxMissed {
+				w.unreachable("gone-" + strconv.Itoa(i))
+			}
+			w.upstreamOf(Upstream{ID: "there", Zone: "z2", Version: "v1"}, succeed("ok"))
+			got := w.do(w.request("POST", "/"+route+"/x", "body"))
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, "ok")
+		})
+	}
+}
+
+// However many aren't there, the refusal comes soon.
+func TestMissedUpstreamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	for i := range 40 {
+		w.unreachable("gone-" + strconv.Itoa(i))
+	}
+	got := w.do(w.request("POST", "/once/x", "body"))
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	s := w.gateway.fleet.shard("svc")
+	ejected := 0
+	for _, m := range s.members {
+		if m.ejections > 0 {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 3+maxMissed)
+}
+
+// An upstream at whose address another one answers is asked once, not by each request.
+func TestMisdirectedRequestsAreFew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	former := w.upstream("former", fail(http.StatusMisdirectedRequest))
+	w.upstreamOf(Upstream{ID: "there", Zone: "z2", Version: "v1"}, succeed("ok"))
+	for range 10 {
+		is.Equal(w.do(w.request("GET", "/many/x", "")).body, "ok")
+	}
+	is.Equal(former.count(), 1)
+}
+
+// The entry of an upstream that started again at the address of one that ended takes that
+// one's place at once.
+func TestNewUpstreamAtTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := NewFleet(time.Second, zerolog.Nop())
+		u := func(id, address string) Upstream {
+			return Upstream{ID: id, Service: "svc", Address: address, Zone: "z1", Version: "v1", Slots: 8}
+		}
+		fleet.Set(u("former", "10.0.0.1:80"), 1)
+		fleet.Set(u("other", "10.0.0.2:80"), 2)
+		fleet.Set(u("same-table", "10.0.0.2:80"), 2)
+		takesWork := func(id string) bool { return fleet.shard("svc").members[id].takesWork(time.Now(), time.Second) }
+		time.Sleep(2 * sameTable)
+		fleet.Set(u("started", "10.0.0.1:80"), 3)
+		is.True(!takesWork("former"))
+		is.True(takesWork("started"))
+		is.True(takesWork("other") && takesWork("same-table")) // it isn't known which one is there
+		fleet.Set(u("former", "10.0.0.1:80"), 4)               // its last heartbeat, late
+		is.True(!takesWork("former") && takesWork("started"))
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,8 +48,10 @@
 	answer *answerWriter
 	// state is the highest run state of all attempts.
 	state runstate.Tracker
-	// attempts counts the upstreams that the request was sent to.
+	// attempts counts the upstreams that were tried, missed those of them where the
+	// request's upstream wasn't there any more.
 	attempts int
+	missed   int
 	// tried are the ids of the upstreams that were tried.
 	tried []string
 	// model is the model that runs the request; empty for plain services.
