guard, gateway: an upstream's end is told to the choice of all hosts

An upstream that a host found gone (a refused connection after broken answers, which a cut path doesn't give) is passed over by all hosts for 4 s, until its entry lapses.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
 
@@ -87,6 +88,7 @@
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.Statuses, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, Count: g.metrics.guarded, Log: log,
+		Ended: func(i quarantine.Incarnation) { g.fleet.noteEnded(exchange.Name(i)) },
 	})
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// endedTime is how long an upstream that ended is passed over: its entry lapses by then.
+const endedTime = 4 * time.Second
+
+// noteEnded takes in that a host found an upstream's process gone. Without that each host
+// would meet it by its own requests, some tries for each of them.
+func (f *Fleet) noteEnded(name exchange.Name) {
+	f.each(func(s *shard) {
+		for _, m := range s.members {
+			if m.name == name {
+				m.ejectedUntil = boottime.Now().Add(endedTime)
+			}
+		}
+	})
+}
+
 // chosen is the member that the choice was made of; nil if it was forgotten, or if the
 // upstream started again since: how the request ends says nothing of the new incarnation.
 // The shard's lock is held.
--- a/internal/gateway/missed_test.go
+++ b/internal/gateway/missed_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 )
 
 // The load: a quarter of the upstreams ends at once, and some start again at their addresses
@@ -85,3 +88,17 @@
 		is.True(!takesWork("former") && takesWork("started"))
 	})
 }
+
+// What one host saw of an upstream's end, the others needn't find out by requests.
+func TestUpstreamThatEndedElsewhereIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	near := w.upstream("near", succeed("near"))
+	w.upstreamOf(Upstream{ID: "far", Zone: "z2", Version: "v1"}, succeed("far"))
+	u := Upstream{ID: "near"}
+	w.gateway.guard.TakeStanding(exchange.Standing{Ended: []exchange.Ending{{Incarnation: quarantine.Incarnation(u.exchangeName()), Age: 100 * time.Millisecond}}})
+	for range 5 {
+		is.Equal(w.do(w.request("GET", "/many/x", "")).body, "far")
+	}
+	is.Equal(near.count(), 0)
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -54,6 +54,8 @@
 	Prefix string
 	// Clock is a clock that all hosts share, by which verdicts end.
 	Clock func() time.Duration
+	// Ended is told once of each upstream that ended, wherever that was seen. It may be nil.
+	Ended func(quarantine.Incarnation)
 	// Count is told what happens at a service; the service is empty for verdicts.
 	Count func(what Counted, service string)
 	Log   zerolog.Logger
@@ -93,6 +95,9 @@
 
 // New returns a guard; Run runs it. A host judges until another one does that for it.
 func New(options Options) *Guard {
+	if options.Ended == nil {
+		options.Ended = func(quarantine.Incarnation) {}
+	}
 	register := quarantine.NewRegister()
 	g := &Guard{
 		options: options, tracker: quarantine.NewTracker(), register: register,
--- a/internal/guard/sightings.go
+++ b/internal/guard/sightings.go
@@ -141,6 +141,7 @@
 	}
 	g.ended = lastOf(append(g.ended, endedUpstream{incarnation: i, at: at, heard: boottime.Elapsed()}), maxEnded)
 	g.mu.Unlock()
+	g.options.Ended(i)
 	g.exposures.endedElsewhere(i, boottime.Elapsed()-at)
 }
 
