gateway: a stream that falls silent midway goes on at another upstream

Cause: patience watched the time to an answer's head only. A stream whose upstream fell silent after it (a narration from 10.6 s to 27.4 s) ended with its caller's time; and where the budget refused to give an attempt up at the moment of its patience, nobody asked again.

One watch for both: each wait for the upstream's next word has a limit; while giving up isn't permitted it is asked again after as long.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,8 +50,10 @@
 	// agrees; whether or not it does, a longer silence speaks against the upstream.
 	patience time.Duration
 	giveUp   func() bool
-	call     *sealedconn.Call
-	state    runstate.Tracker
+	// silence watches that.
+	silence *silence
+	call    *sealedconn.Call
+	state   runstate.Tracker
 	// headSeen says that an acceptable head came.
 	headSeen bool
 }
@@ -66,13 +68,10 @@
 		cancel(err)
 		return nil, err
 	}
-	timer := time.AfterFunc(a.patience, func() {
-		if a.giveUp() {
-			cancel(errSilent)
-		}
-	})
+	a.silence = newSilence(a.giveUp, cancel)
+	a.silence.wait(a.patience)
 	resp, err := a.gateway.transport.RoundTrip(req)
-	timer.Stop()
+	a.silence.heard()
 	if err != nil {
 		cause := context.Cause(headCtx)
 		cancel(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,7 +37,9 @@
 	budgets perService[retryBudget]
 	sizes   perService[promptSizes]
 	// usual is by service and model.
-	usual    perService[usualTime]
+	usual perService[usualTime]
+	// pauses are the longest ones of streams, by the same.
+	pauses   perService[usualTime]
 	pipeline next
 	// guard keeps requests that end upstreams away from them.
 	guard *guard.Guard
@@ -85,6 +87,7 @@
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
 	g.usual.make = func() *usualTime { return new(usualTime) }
+	g.pauses.make = func() *usualTime { return new(usualTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.Statuses, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, Count: g.metrics.guarded, Log: log,
--- a/internal/gateway/usual.go
+++ b/internal/gateway/usual.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// times is a multiple of the usual time.
+func (u *usualTime) times(factor int) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Duration(factor) * u.mean
+}
+
 // patience is how long an upstream may stay silent.
 func (u *usualTime) patience(target time.Duration) time.Duration {
 	u.mu.Lock()
