--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,7 +34,6 @@
 	Stops      stopsCmd      `cmd:"" help:"List the versions that the hosts stopped by their own evidence."`
 	Quarantine quarantineCmd `cmd:"" help:"List the requests that are kept away from upstreams, or lift one."`
 	Codes      codesCmd      `cmd:"" help:"List the result codes."`
-	Capacity   capacityCmd   `cmd:"" help:"Print the tables of docs/CAPACITY.md, or measure their slopes."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Experiment experimentCmd `cmd:"" help:"Measure the policies against baselines, in seeded models."`
 	Dev        devCmd        `cmd:"" help:"Run everything in one process, with stand-ins and a sample manifest."`
