warmup: what a seed hands out for a cold upstream goes to four holders

A seed's requests for one upstream are split in up to four parts of two or more. The bound stays: 24 in any second at most, 32 permitted, in all scenes of the virtual-time test.

--- a/internal/exchange/lease.go
+++ b/internal/exchange/lease.go
@@ -94,9 +94,11 @@
 
 // holdAsRoot has a root of the tree hold its part for all cold upstreams.
 func (m *Member) holdAsRoot() {
-	if m.options.Cold != nil {
-		m.hub.hold(warmup.Root(upstreams(m.options.Cold()), len(m.options.Seeds)), boottime.Now())
+	if m.options.Cold == nil {
+		return
 	}
+	roots := len(m.options.Seeds)
+	m.hub.hold(warmup.Root(upstreams(m.options.Cold(roots)), roots), boottime.Now())
 }
 
 // holdOwn takes what this host gets of its own holding.
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -52,9 +52,10 @@
 	// FirstStart says that the whole installation starts for the first time: the key
 	// is made then.
 	FirstStart bool
-	// Cold returns the upstreams that this host believes cold; TakeHolding takes which of
-	// them it may send their part. Both may be nil.
-	Cold        func() []Name
+	// Cold returns the upstreams that this host believes cold, each as often as one of so
+	// many roots has parts of it; TakeHolding takes the parts that this host has. Both may be
+	// nil.
+	Cold        func(roots int) []Name
 	TakeHolding func(warmup.Holding)
 	// Quarantine keeps what hosts see of requests that end upstreams. It may be nil.
 	Quarantine Quarantine
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -196,12 +196,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
-	for _, m := range s.members {
-		if fits(m.Version) && m.open(now, f.removalGrace) {
-			return true
-		}
-	}
-	return false
+	return s.has(func(m *member) bool { return fits(m.Version) && m.open(now, f.removalGrace) })
 }
 
 // serves says whether the service has an upstream that takes work and whose
@@ -215,8 +210,13 @@
 
 func (s *shard) serves(fits func(version string) bool, grace time.Duration) bool {
 	now := boottime.Now()
+	return s.has(func(m *member) bool { return fits(m.Version) && m.takesWork(now, grace) })
+}
+
+// has says whether any member is as asked. The shard's lock is held.
+func (s *shard) has(as func(*member) bool) bool {
 	for _, m := range s.members {
-		if fits(m.Version) && m.takesWork(now, grace) {
+		if as(m) {
 			return true
 		}
 	}
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -38,13 +38,14 @@
 // the window counts.
 func (a *access) mayWarm(name exchange.Name, bound warmup.Bound, window *warmup.Window, now time.Time) bool {
 	if a.alone {
-		return window.Room(now, bound.Each(1))
+		return window.Room(now, bound.Each(1, bound.Parts(1)))
 	}
 	holding := a.holding.Load()
-	if holding == nil || !holding.Holds(warmup.Upstream(name), now) {
+	if holding == nil {
 		return false
 	}
-	return window.Room(now, bound.Each(holding.Roots()))
+	parts := holding.Parts(warmup.Upstream(name), now)
+	return parts > 0 && window.Room(now, bound.Each(holding.Roots(), parts))
 }
 
 // open says whether this host may send the upstream new requests now.
@@ -103,14 +104,16 @@
 	}
 }
 
-// Cold are the upstreams in service that are believed cold, in order.
-func (f *Fleet) Cold() []exchange.Name {
+// Cold are the upstreams in service that are believed cold, in order, each as often as one of
+// so many roots has parts of it.
+func (f *Fleet) Cold(roots int) []exchange.Name {
 	var names []exchange.Name
 	now := boottime.Now()
 	f.each(func(s *shard) {
+		parts := s.bound.Parts(roots)
 		for _, m := range s.members {
 			if m.cold(now) && m.takesWork(now, f.removalGrace) && !f.access.isEvacuated(m.Zone) {
-				names = append(names, m.name)
+				names = append(names, slices.Repeat([]exchange.Name{m.name}, parts)...)
 			}
 		}
 	})
@@ -118,6 +121,43 @@
 	return names
 }
 
+// reach counts upstreams that are in service, and those of them that are cold, and that are
+// in evacuated zones.
+type reach struct{ inService, cold, evacuated int }
+
+// reachOf counts a service's upstreams.
+func (f *Fleet) reachOf(service string) reach {
+	var n reach
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n.add(s, f.removalGrace)
+	return n
+}
+
+// reach counts the upstreams of all services.
+func (f *Fleet) reach() reach {
+	var n reach
+	f.each(func(s *shard) { n.add(s, f.removalGrace) })
+	return n
+}
+
+// add counts a shard's upstreams. Its lock is held.
+func (n *reach) add(s *shard, grace time.Duration) {
+	now := boottime.Now()
+	for _, m := range s.members {
+		switch {
+		case !m.takesWork(now, grace):
+			continue
+		case s.access.isEvacuated(m.Zone):
+			n.evacuated++
+		case m.cold(now):
+			n.cold++
+		}
+		n.inService++
+	}
+}
+
 // TakeHolding takes which cold upstreams this host may send their part.
 func (f *Fleet) TakeHolding(h warmup.Holding) { f.access.holding.Store(&h) }
 
--- a/warmup/bound.go
+++ b/warmup/bound.go
@@ -18,7 +18,26 @@
 // Permitted is how many requests may reach a cold upstream in any second.
 func (b Bound) Permitted() float64 { return max(1, b.Overrun)*b.Rate + b.Spare }
 
-// Each is how many requests the holder of one root's lease may send in any Span.
-func (b Bound) Each(roots int) int {
+const (
+	// maxParts bounds the parts that a root's requests for one upstream are split in. A
+	// host among dozens has a few requests a second, of which an upstream suits some:
+	// with one holder a root, cold upstreams got a third of what they tolerate.
+	maxParts = 4
+	// leastPart is the least number of requests that is worth a part.
+	leastPart = 2
+)
+
+// root is how many requests one root hands out for an upstream.
+func (b Bound) root(roots int) int {
 	return int(usedPart * b.Permitted() / float64(max(1, roots)))
 }
+
+// Parts is how many holders share what one root hands out.
+func (b Bound) Parts(roots int) int {
+	return min(maxParts, max(1, b.root(roots)/leastPart))
+}
+
+// Each is how many requests the holder of so many parts may send in any Span.
+func (b Bound) Each(roots, parts int) int {
+	return parts * (b.root(roots) / b.Parts(roots))
+}
--- a/warmup/lease.go
+++ b/warmup/lease.go
@@ -24,6 +24,7 @@
 
 // Lease is the right to send cold upstreams their part, or to hand it on.
 type Lease struct {
+	// Upstreams has each as often as the lease has parts of it.
 	Upstreams []Upstream
 	// For is how long it lasts from when it was asked for.
 	For time.Duration
@@ -31,31 +32,35 @@
 	Roots int
 }
 
-// Root is the lease that a root of the tree holds by itself.
+// Root is the lease that a root of the tree holds by itself, for cold upstreams as often as
+// there are parts of each.
 func Root(cold []Upstream, roots int) Lease {
 	return Lease{Upstreams: cold, For: LeaseTime, Roots: max(1, roots)}
 }
 
 // Holding is a lease that a host was given, by its own clock.
 type Holding struct {
-	upstreams map[Upstream]struct{}
-	until     time.Time
-	roots     int
+	// parts are how many of each the host has.
+	parts map[Upstream]int
+	until time.Time
+	roots int
 }
 
 // Hold begins a lease that was asked for at the time.
 func Hold(l Lease, asked time.Time) Holding {
-	h := Holding{upstreams: make(map[Upstream]struct{}, len(l.Upstreams)), until: asked.Add(min(l.For, LeaseTime)), roots: max(1, l.Roots)}
+	h := Holding{parts: make(map[Upstream]int, len(l.Upstreams)), until: asked.Add(min(l.For, LeaseTime)), roots: max(1, l.Roots)}
 	for _, u := range l.Upstreams {
-		h.upstreams[u] = struct{}{}
+		h.parts[u]++
 	}
 	return h
 }
 
-// Holds says whether the upstream may be sent its part now.
-func (h *Holding) Holds(u Upstream, now time.Time) bool {
-	_, holds := h.upstreams[u]
-	return holds && now.Before(h.until)
+// Parts is how many parts of an upstream the host has now.
+func (h *Holding) Parts(u Upstream, now time.Time) int {
+	if !now.Before(h.until) {
+		return 0
+	}
+	return h.parts[u]
 }
 
 // Roots is into how many parts the permitted requests are split.
@@ -67,17 +72,27 @@
 	if left <= 0 {
 		return Lease{Roots: h.roots}
 	}
-	return Lease{Upstreams: slices.Sorted(maps.Keys(h.upstreams)), For: left, Roots: h.roots}
+	l := Lease{For: left, Roots: h.roots}
+	for _, u := range slices.Sorted(maps.Keys(h.parts)) {
+		l.Upstreams = append(l.Upstreams, slices.Repeat([]Upstream{u}, h.parts[u])...)
+	}
+	return l
 }
 
 // Lessor hands a host's holding on to those that report to it, the host itself among
-// them: each upstream to one of them at a time. It isn't safe for concurrent use.
+// them: each part to one of them at a time. It isn't safe for concurrent use.
 type Lessor struct {
 	startedAt time.Time
-	lessees   map[Upstream]lessee
+	lessees   map[part]lessee
+}
+
+// part is one of the parts of an upstream that a lessor has.
+type part struct {
+	upstream Upstream
+	number   int
 }
 
-// lessee has an upstream.
+// lessee has a part.
 type lessee struct {
 	name string
 	// until is the end of the lease by the last word to it.
@@ -86,33 +101,36 @@
 
 // NewLessor returns the lessor of a host that started at the time.
 func NewLessor(startedAt time.Time) *Lessor {
-	return &Lessor{startedAt: startedAt, lessees: make(map[Upstream]lessee)}
+	return &Lessor{startedAt: startedAt, lessees: make(map[part]lessee)}
 }
 
-// maxTold bounds the upstreams that one reporter is told of, and with that the message.
-const maxTold = 256
+// maxTold bounds the parts that one reporter is told of, and with that the message.
+const maxTold = 512
 
 // Lease is what the reporter gets of the holding. Reporters are those that report now, and
 // for how many hosts each speaks.
 func (l *Lessor) Lease(holding Lease, reporters map[string]int, reporter string, now time.Time) Lease {
 	given := Lease{For: min(holding.For, LeaseTime), Roots: holding.Roots}
+	numbers := make(map[Upstream]int)
 	for _, u := range holding.Upstreams {
 		if len(given.Upstreams) == maxTold {
 			break
 		}
-		if l.give(u, reporters, now) != reporter {
+		p := part{u, numbers[u]}
+		numbers[u]++
+		if l.give(p, reporters, now) != reporter {
 			continue
 		}
-		l.lessees[u] = lessee{name: reporter, until: now.Add(given.For)}
+		l.lessees[p] = lessee{name: reporter, until: now.Add(given.For)}
 		given.Upstreams = append(given.Upstreams, u)
 	}
 	l.drop(now)
 	return given
 }
 
-// give is who has the upstream, or is to have it from now on; empty while nobody may.
-func (l *Lessor) give(u Upstream, reporters map[string]int, now time.Time) string {
-	if has, ok := l.lessees[u]; ok {
+// give is who has the part, or is to have it from now on; empty while nobody may.
+func (l *Lessor) give(p part, reporters map[string]int, now time.Time) string {
+	if has, ok := l.lessees[p]; ok {
 		if _, reports := reporters[has.name]; reports {
 			return has.name
 		}
@@ -123,31 +141,32 @@
 	if now.Sub(l.startedAt) < Handover {
 		return ""
 	}
-	return draw(u, reporters)
+	return draw(p, reporters)
 }
 
-// drop forgets leases that are over for so long that the upstream is anybody's.
+// drop forgets leases that are over for so long that the part is anybody's.
 func (l *Lessor) drop(now time.Time) {
-	maps.DeleteFunc(l.lessees, func(_ Upstream, has lessee) bool { return now.After(has.until.Add(Handover)) })
+	maps.DeleteFunc(l.lessees, func(_ part, has lessee) bool { return now.After(has.until.Add(Handover)) })
 }
 
-// draw chooses a reporter for the upstream, each as often as it has hosts.
-func draw(u Upstream, reporters map[string]int) string {
+// draw chooses a reporter for the part, each as often as it has hosts.
+func draw(p part, reporters map[string]int) string {
 	best, least := "", math.Inf(1)
 	for name, hosts := range reporters {
 		// The least of exponential draws falls to each in proportion to its weight.
-		if at := -math.Log(uniform(u, name)) / float64(max(1, hosts)); at < least || at == least && name < best {
+		if at := -math.Log(uniform(p, name)) / float64(max(1, hosts)); at < least || at == least && name < best {
 			best, least = name, at
 		}
 	}
 	return best
 }
 
-// uniform is a number above 0 and below 1, the same for the same upstream and name.
-func uniform(u Upstream, name string) float64 {
+// uniform is a number above 0 and below 1, the same for the same part and name.
+func uniform(p part, name string) float64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte{byte(u), byte(u >> 8), byte(u >> 16), byte(u >> 24)}) // never fails
-	_, _ = io.WriteString(h, name)                                              // never fails
+	u := p.upstream
+	_, _ = h.Write([]byte{byte(u), byte(u >> 8), byte(u >> 16), byte(u >> 24), byte(p.number)}) // never fails
+	_, _ = io.WriteString(h, name)                                                              // never fails
 	mixed := h.Sum64()
 	mixed ^= mixed >> 33
 	mixed *= 0xff51afd7ed558ccd
