gateway: requests wait for the first tables of a host that is starting

Cause: when all hosts lost power, callers reached them as soon as they listened again; in the 130 to 200 ms before the first document 325 requests were refused (5005), each with its caller's only repeat spent.

A request that comes in a host's first second waits for its first document and upstreams, 400 ms at most; later, when they are missing because the store is away, it is refused at once as before. Refusals name what is out of reach (cold, evacuated); metrics for both and the era.

Ruled out: listening later, which only moves the refusals to connections.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -134,7 +134,9 @@
 	w := d.wants(r, r.model, models.best())
 	picked, ok := g.fleet.choose(w)
 	if !ok {
-		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).Msg("")
+		reach := g.fleet.reachOf(r.Service)
+		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
+			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Msg("")
 		return nil, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
 	}
 	r.attempts++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,10 @@
 
 	transport *http.Transport
 
+	// startedAt is when the host started, known is closed once it can serve.
+	startedAt time.Time
+	known     chan struct{}
+
 	inFlight atomic.Int64
 	// hosts is the number of hosts of the installation; 0 while it isn't known.
 	hosts atomic.Int64
@@ -78,7 +82,7 @@
 
 // New returns a gateway; Run runs it.
 func New(settings Settings, log zerolog.Logger) *Gateway {
-	g := &Gateway{settings: settings.withDefaults(), log: log}
+	g := &Gateway{settings: settings.withDefaults(), log: log, startedAt: boottime.Now(), known: make(chan struct{})}
 	s := &g.settings
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
@@ -221,6 +225,7 @@
 		g.metrics.followed(table, w)
 		group.Go(func() { w.Run(ctx) })
 	}
+	group.Go(func() { g.tellBegun(ctx) })
 	group.Go(func() { wait.Every(ctx, warmInterval, g.fleet.noteWarm) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,11 +16,14 @@
 	set *metrics.Set
 	// verdicts counts the verdicts that this host made.
 	verdicts *metrics.Counter
+	// startWaits counts the requests that waited for the host's first tables.
+	startWaits *metrics.Counter
 }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
 	m := &gatewayMetrics{set: metrics.NewSet()}
 	m.verdicts = m.set.NewCounter("quetzalweir_gateway_verdicts_total")
+	m.startWaits = m.set.NewCounter("quetzalweir_gateway_start_waits_total")
 	m.set.NewGauge("quetzalweir_gateway_requests_quarantined", func() float64 { return float64(g.guard.Len()) })
 	m.set.NewGauge("quetzalweir_gateway_document_version", func() float64 {
 		if table := g.table.Load(); table != nil {
@@ -29,6 +32,14 @@
 		return 0
 	})
 	m.set.NewGauge("quetzalweir_gateway_in_flight", func() float64 { return float64(g.inFlight.Load()) })
+	m.set.NewGauge("quetzalweir_gateway_upstreams_cold", func() float64 { return float64(g.fleet.reach().cold) })
+	m.set.NewGauge("quetzalweir_gateway_upstreams_evacuated", func() float64 { return float64(g.fleet.reach().evacuated) })
+	m.set.NewGauge("quetzalweir_gateway_store_era", func() float64 {
+		if g.entries == nil {
+			return 0
+		}
+		return float64(g.entries.Revision().Era())
+	})
 	m.set.NewGauge("quetzalweir_gateway_hub_followers", func() float64 {
 		if g.peers == nil {
 			return 0
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -24,6 +24,7 @@
 // body is read, so that an unknown caller can't make the host hold bodies.
 func (g *Gateway) filters() []filter {
 	return []filter{
+		&awaitStart{gateway: g},
 		&matchRoute{gateway: g},
 		&identify{headers: &g.settings.Headers},
 		&readBody{},
--- /dev/null
+++ b/internal/gateway/startwait.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
+)
+
+const (
+	// startSpan is the time from a host's start in which its first tables are on their
+	// way. Later they are missing because the store is away.
+	startSpan = time.Second
+	// startWait is how long a request waits for them at most: reading both takes 100 to
+	// 200 ms on the smallest hosts.
+	startWait = 400 * time.Millisecond
+	// startLook is the time between two looks whether they are there.
+	startLook = 5 * time.Millisecond
+)
+
+// awaitStart lets requests that come to a host that is just starting wait for its first
+// document and upstreams. When all hosts return at once, callers reach them as soon as they
+// listen: some hundred requests were refused in the fifth of a second before the document,
+// and had spent their callers' repeats for it.
+type awaitStart struct {
+	gateway *Gateway
+}
+
+func (f *awaitStart) serve(ctx context.Context, r *Request, next next) error {
+	g := f.gateway
+	if !g.begun() && boottime.Since(g.startedAt) < startSpan {
+		g.metrics.startWaits.Inc()
+		timer := time.NewTimer(startWait)
+		defer timer.Stop()
+		select {
+		case <-g.known:
+		case <-timer.C: // refused by the next filter, with the reason
+		case <-ctx.Done():
+		}
+	}
+	return next(ctx, r)
+}
+
+// begun says whether the host knows what it needs to serve.
+func (g *Gateway) begun() bool { return g.table.Load() != nil && g.fleet.Known() }
+
+// tellBegun closes known once the host can serve.
+func (g *Gateway) tellBegun(ctx context.Context) {
+	for !g.begun() {
+		if wait.For(ctx, startLook) != nil {
+			return
+		}
+	}
+	close(g.known)
+	g.log.Info().Str("event", "begun").Int64("took_ms", boottime.Since(g.startedAt).Milliseconds()).Msg("")
+}
