--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -116,7 +116,7 @@
 	{AccountLimit, "account-limit", 429, notRun, time.Second, "The account's rate limit is spent on this host."},
 	{QueueFull, "queue-full", 503, notRun, time.Second, "The queue of the request's class is full."},
 	{DeadlineUnmeetable, "deadline-unmeetable", 503, notRun, time.Second, "The request can't be answered within its deadline at the present load."},
-	{NoUpstream, "no-upstream", 503, anyState, 2 * time.Second, "No upstream in service has the version."},
+	{NoUpstream, "no-upstream", 503, anyState, 2 * time.Second, "No upstream that may be sent requests now has the version: none is in service, or all are cold or in evacuated zones."},
 	{ExposureSpent, "exposure-spent", 503, notRun, 2 * time.Second, "The only permitted version has spent its exposure budget or was stopped."},
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
