--- a/internal/gateway/startwait.go
+++ b/internal/gateway/startwait.go
@@ -29,7 +29,7 @@
 
 func (f *awaitStart) serve(ctx context.Context, r *Request, next next) error {
 	g := f.gateway
-	if !g.begun() && boottime.Since(g.startedAt) < startSpan {
+	if !g.hasBegun() && boottime.Since(g.startedAt) < startSpan {
 		g.metrics.startWaits.Inc()
 		timer := time.NewTimer(startWait)
 		defer timer.Stop()
@@ -42,6 +42,16 @@
 	return next(ctx, r)
 }
 
+// hasBegun is begun without its locks, once that was true.
+func (g *Gateway) hasBegun() bool {
+	select {
+	case <-g.known:
+		return true
+	default:
+		return g.begun()
+	}
+}
+
 // begun says whether the host knows what it needs to serve.
 func (g *Gateway) begun() bool { return g.table.Load() != nil && g.fleet.Known() }
 
