--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,11 +71,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
-		may := false
-		s := newSilence(func() bool { return may }, cancel)
+		var may atomic.Bool
+		s := newSilence(may.Load, cancel)
 		began := time.Now()
 		s.wait(time.Second)
-		time.AfterFunc(2500*time.Millisecond, func() { may = true })
+		time.AfterFunc(2500*time.Millisecond, func() { may.Store(true) })
 		<-ctx.Done()
 		is.True(errors.Is(context.Cause(ctx), errSilent))
 		is.True(s.lasted())
