gateway, warmup: listing thousands of upstreams and leasing many cold ones cost less

Each new upstream looked at all others for one at its address, with the clock read for each: 422 ms for 3,000, on each host at each start. A lease was worked out anew for each follower's report, for all parts.

Now upstreams are found by address and by name; who gets which part is decided once a round, for 512 parts at most; an open version is looked for among 256. TestHostsAgreeOnOwners failed once beside load 30 for the same cause: its upstreams have no address, and the listing took longer than half a second.

--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -39,10 +39,8 @@
 	sightings sightingLog
 	// zones are the hubs that this one named, by zone.
 	zones map[string]*zoneHubs
-	// holding is what this host may hand on of the right to send cold upstreams, lessor
-	// to whom it did.
-	holding warmup.Holding
-	lessor  *warmup.Lessor
+	// lessor hands this host's right to send cold upstreams on.
+	lessor *warmup.Lessor
 }
 
 // received is a host's latest report, or what another hub told of its followers.
--- a/internal/exchange/lease.go
+++ b/internal/exchange/lease.go
@@ -69,16 +69,10 @@
 	return list
 }
 
-// hold begins a lease that this host was given when it asked.
+// hold begins a lease that this host was given when it asked, and decides who gets it. This
+// host itself is one of those that report here, also where nobody else does: those that did
+// may hold a lease for a moment.
 func (h *hub) hold(l warmup.Lease, asked time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.holding = warmup.Hold(l, asked)
-}
-
-// lease is what the host gets of this one's holding. This host itself is one of those that
-// report here, also where nobody else does: those that did may hold a lease for a moment.
-func (h *hub) lease(host string) warmup.Lease {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropOld()
@@ -89,7 +83,15 @@
 			reporters[name] = got.hosts
 		}
 	}
-	return h.lessor.Lease(h.holding.Lease(now), reporters, host, now)
+	holding := warmup.Hold(l, asked)
+	h.lessor.Assign(holding.Lease(now), reporters, now)
+}
+
+// lease is what the host gets of this one's holding.
+func (h *hub) lease(host string) warmup.Lease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lessor.Lease(host, boottime.Now())
 }
 
 // holdAsRoot has a root of the tree hold its part for all cold upstreams.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,6 +53,10 @@
 type shard struct {
 	mu      sync.Mutex
 	members map[string]*member
+	// addresses are the members that were listed last at each address.
+	addresses map[string]*member
+	// names are the members by what hosts call them to each other.
+	names map[exchange.Name]*member
 	// roster and keepers find members without a look at all of them.
 	roster  roster
 	keepers keepers
@@ -106,7 +110,7 @@
 }
 
 func newShard(a *access) *shard {
-	return &shard{access: a, members: make(map[string]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
+	return &shard{access: a, members: make(map[string]*member), addresses: make(map[string]*member), names: make(map[exchange.Name]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
 // lapseGrace is how long an upstream is used whose entry vanished in an outage of the store:
@@ -195,10 +199,20 @@
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := boottime.Now()
-	return s.has(func(m *member) bool { return fits(m.Version) && m.open(now, f.removalGrace) })
+	now, looked := boottime.Now(), 0
+	open := false
+	s.has(func(m *member) bool {
+		looked++
+		open = fits(m.Version) && m.open(now, f.removalGrace)
+		return open || looked == opensProbes
+	})
+	return open
 }
 
+// opensProbes bounds the upstreams that are looked at for an open one, in no order: of
+// thousands that start at once, looking at all takes longer than a request has.
+const opensProbes = 256
+
 // serves says whether the service has an upstream that takes work and whose
 // version fits.
 func (f *Fleet) serves(service string, fits func(version string) bool) bool {
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -73,6 +73,7 @@
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
+	s.names[m.name] = m
 	s.roster.outdated = true
 	return m
 }
@@ -123,13 +124,16 @@
 // one upstream's, and the entry of one that ended stays for seconds. The shard's lock is
 // held.
 func (s *shard) replaceAt(u *Upstream, log zerolog.Logger) {
-	for _, m := range s.members {
-		known := m.ID != u.ID && boottime.Since(m.listedAt) > sameTable
-		if known && m.Address == u.Address && !m.replaced {
-			m.replaced = true
-			log.Info().Str("event", "upstream-replaced").Str("upstream", m.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
-		}
+	if u.Address == "" {
+		return // it is nowhere
+	}
+	former := s.addresses[u.Address]
+	s.addresses[u.Address] = s.members[u.ID]
+	if former == nil || former.ID == u.ID || former.replaced || boottime.Since(former.listedAt) <= sameTable {
+		return
 	}
+	former.replaced = true
+	log.Info().Str("event", "upstream-replaced").Str("upstream", former.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
 }
 
 // endedTime is how long an upstream that ended is passed over: its entry lapses by then.
@@ -139,10 +143,8 @@
 // would meet it by its own requests, some tries for each of them.
 func (f *Fleet) noteEnded(name exchange.Name) {
 	f.each(func(s *shard) {
-		for _, m := range s.members {
-			if m.name == name {
-				m.ejectedUntil = boottime.Now().Add(endedTime)
-			}
+		if m := s.names[name]; m != nil {
+			m.ejectedUntil = boottime.Now().Add(endedTime)
 		}
 	})
 }
--- a/internal/gateway/missed_test.go
+++ b/internal/gateway/missed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/quarantine"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // The load: a quarter of the upstreams ends at once, and some start again at their addresses
@@ -102,3 +103,20 @@
 	}
 	is.Equal(near.count(), 0)
 }
+
+// BenchmarkList is what a host takes to learn 3,000 upstreams: 301 hosts that all start again
+// do it at once, on a fifth of a core each.
+func BenchmarkList(b *testing.B) {
+	const upstreams = 3000
+	entries := make([]Upstream, upstreams)
+	for i := range entries {
+		id := strconv.Itoa(i)
+		entries[i] = Upstream{ID: id, Service: "svc", Address: "10.0.0." + id + ":80", Zone: "z1", Version: "v1", Slots: 8}
+	}
+	for b.Loop() {
+		fleet := NewFleet(time.Second, zerolog.Nop())
+		for i, u := range entries {
+			fleet.Set(u, storage.Revision(i+1))
+		}
+	}
+}
--- a/warmup/lease.go
+++ b/warmup/lease.go
@@ -84,6 +84,10 @@
 type Lessor struct {
 	startedAt time.Time
 	lessees   map[part]lessee
+	// given are the parts that each reporter gets, of a holding that lasts until then.
+	given map[string][]part
+	until time.Time
+	roots int
 }
 
 // part is one of the parts of an upstream that a lessor has.
@@ -104,27 +108,40 @@
 	return &Lessor{startedAt: startedAt, lessees: make(map[part]lessee)}
 }
 
-// maxTold bounds the parts that one reporter is told of, and with that the message.
-const maxTold = 512
+// maxAssigned bounds the parts that are handed on, and with that messages and the time that
+// they take. Of more upstreams that are cold at once the rest gets nothing until it is warm.
+const maxAssigned = 512
 
-// Lease is what the reporter gets of the holding. Reporters are those that report now, and
-// for how many hosts each speaks.
-func (l *Lessor) Lease(holding Lease, reporters map[string]int, reporter string, now time.Time) Lease {
-	given := Lease{For: min(holding.For, LeaseTime), Roots: holding.Roots}
+// Assign decides who gets which parts of the holding from now on. Reporters are those that
+// report now, and for how many hosts each speaks.
+func (l *Lessor) Assign(holding Lease, reporters map[string]int, now time.Time) {
+	l.given, l.until, l.roots = make(map[string][]part), now.Add(min(holding.For, LeaseTime)), holding.Roots
 	numbers := make(map[Upstream]int)
-	for _, u := range holding.Upstreams {
-		if len(given.Upstreams) == maxTold {
-			break
-		}
+	for _, u := range holding.Upstreams[:min(len(holding.Upstreams), maxAssigned)] {
 		p := part{u, numbers[u]}
 		numbers[u]++
-		if l.give(p, reporters, now) != reporter {
+		name := l.give(p, reporters, now)
+		if name == "" {
 			continue
 		}
-		l.lessees[p] = lessee{name: reporter, until: now.Add(given.For)}
-		given.Upstreams = append(given.Upstreams, u)
+		if l.lessees[p].name != name {
+			l.lessees[p] = lessee{name: name} // it wasn't told yet
+		}
+		l.given[name] = append(l.given[name], p)
 	}
 	l.drop(now)
+}
+
+// Lease is what the reporter is told, for as long as the holding lasts.
+func (l *Lessor) Lease(reporter string, now time.Time) Lease {
+	given := Lease{For: l.until.Sub(now), Roots: l.roots}
+	if given.For <= 0 {
+		return Lease{Roots: l.roots}
+	}
+	for _, p := range l.given[reporter] {
+		l.lessees[p] = lessee{name: reporter, until: l.until}
+		given.Upstreams = append(given.Upstreams, p.upstream)
+	}
 	return given
 }
 
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -68,8 +68,9 @@
 // lessees asks for all reporters and returns who has the upstream.
 func lessees(l *warmup.Lessor, reporters map[string]int, u warmup.Upstream, now time.Time) []string {
 	var has []string
+	l.Assign(warmup.Root([]warmup.Upstream{u}, 1), reporters, now)
 	for name := range reporters {
-		if given := l.Lease(warmup.Root([]warmup.Upstream{u}, 1), reporters, name, now); len(given.Upstreams) == 1 {
+		if given := l.Lease(name, now); len(given.Upstreams) == 1 {
 			has = append(has, name)
 		}
 	}
@@ -126,7 +127,8 @@
 		cold = append(cold, u)
 	}
 	l := warmup.NewLessor(start)
-	given := l.Lease(warmup.Root(cold, 3), map[string]int{"a": 1, "b": 1}, "a", start.Add(warmup.Handover))
+	l.Assign(warmup.Root(cold, 3), map[string]int{"a": 1, "b": 1}, start.Add(warmup.Handover))
+	given := l.Lease("a", start.Add(warmup.Handover))
 	is.True(len(given.Upstreams) > 100 && len(given.Upstreams) <= 512)
 }
 
@@ -138,22 +140,24 @@
 	root, hub := warmup.NewLessor(start), warmup.NewLessor(start)
 	own := warmup.Root([]warmup.Upstream{7, 7, 7, 7}, 3)
 	reporters := map[string]int{"hub": 3, "host": 1}
-	toHub := root.Lease(own, reporters, "hub", now)
-	toHost := root.Lease(own, reporters, "host", now)
+	root.Assign(own, reporters, now)
+	toHub, toHost := root.Lease("hub", now), root.Lease("host", now)
 	is.Equal(len(toHub.Upstreams)+len(toHost.Upstreams), 4)
 	held := warmup.Hold(toHub, now)
 	is.Equal(held.Parts(7, now), len(toHub.Upstreams))
 	sum := 0
 	followers := map[string]int{"hub": 1, "a": 1, "b": 1}
+	hub.Assign(held.Lease(now), followers, now)
 	for name := range followers {
-		sum += len(hub.Lease(held.Lease(now), followers, name, now).Upstreams)
+		sum += len(hub.Lease(name, now).Upstreams)
 	}
 	is.Equal(sum, len(toHub.Upstreams))
 	// A part that the hub hasn't any more is renewed for nobody.
 	fewer := warmup.Lease{Upstreams: toHub.Upstreams[:1], For: warmup.LeaseTime, Roots: 3}
 	sum = 0
+	hub.Assign(fewer, followers, now)
 	for name := range followers {
-		sum += len(hub.Lease(fewer, followers, name, now).Upstreams)
+		sum += len(hub.Lease(name, now).Upstreams)
 	}
 	is.Equal(sum, 1)
 }
@@ -162,7 +166,8 @@
 	l := warmup.NewLessor(start)
 	now := start.Add(warmup.Handover)
 	reporters := map[string]int{"host-1": 1}
-	given := l.Lease(warmup.Root([]warmup.Upstream{7}, 3), reporters, "host-1", now)
+	l.Assign(warmup.Root([]warmup.Upstream{7}, 3), reporters, now)
+	given := l.Lease("host-1", now)
 	holding := warmup.Hold(given, now)
 	bound := warmup.Bound{Rate: 18, Overrun: 1.5, Spare: 5}
 	fmt.Println(bound.Each(holding.Roots(), holding.Parts(7, now)))
