quarantine: a later verdict replaces the store's row only after a return from a copy

Cause of the test's two failures (a lift met version 27 where 15 was known): a host that had judged a request later than the row's writer took its verdict for one that the store had lost, and wrote it over the row; hosts of serve, which judge each for itself, did so in turn. Only verdicts whose rows a return may have taken are written over now.

--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -134,6 +134,8 @@
 	Revision storage.Revision
 	// Unsaved says that the store has no row of the verdict, or that of an earlier one.
 	Unsaved bool
+	// Lost says that the store had a row and may have lost it.
+	Lost bool
 	// Heard is when the host heard of it first, on the host's own clock.
 	Heard time.Duration
 }
@@ -185,7 +187,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for d, e := range r.entries {
-		e.Revision, e.Unsaved = 0, true
+		e.Revision, e.Unsaved, e.Lost = 0, true, true
 		r.entries[d] = e
 	}
 }
@@ -203,7 +205,7 @@
 	if ok {
 		heard = known.Heard
 	}
-	if ok && known.Unsaved && known.after(v) {
+	if ok && known.Lost && known.after(v) {
 		known.Revision = revision
 		r.set(known)
 		return false
