gateway, quarantine, exchange: what the last reading found written twice

Tests of quarantine, guard, the key and the gateway's rows, orders, eras and start pass with their assertions as they were.

--- a/internal/exchange/key.go
+++ b/internal/exchange/key.go
@@ -44,11 +44,7 @@
 	if mayMake && (unusable || errors.Is(err, storage.ErrNotFound)) {
 		secret := make([]byte, peer.MinSecretBytes)
 		rand.Read(secret) // never fails: crypto/rand ends the process if there is no randomness
-		_, err = table.Commit(ctx, storage.Txn{
-			Conditions: []storage.Condition{{Key: keyRow, Version: row.Version}},
-			Puts:       []storage.Put{{Key: keyRow, Value: secret}},
-		})
-		if err != nil && !errors.Is(err, storage.ErrConflict) {
+		if err := putKey(ctx, table, secret, row.Version); err != nil {
 			return peer.Key{}, fmt.Errorf("exchange: make key: %w", err)
 		}
 		row, err = table.Get(ctx, keyRow)
@@ -62,6 +58,18 @@
 	return peer.Key{ID: keyID, Secret: row.Value}, nil
 }
 
+// putKey writes the key in place of the row's version, unless another host was first.
+func putKey(ctx context.Context, table storage.Table, secret []byte, version uint64) error {
+	_, err := table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: keyRow, Version: version}},
+		Puts:       []storage.Put{{Key: keyRow, Value: secret}},
+	})
+	if errors.Is(err, storage.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 // keepKey writes the key again where the store came back from a copy that lacks it: a host
 // that starts would make another one. The hosts that may make it do so.
 func (m *Member) keepKey(ctx context.Context, key peer.Key) {
@@ -94,14 +102,7 @@
 	case !errors.Is(err, storage.ErrNotFound):
 		return err
 	}
-	_, err = m.options.Keys.Commit(ctx, storage.Txn{
-		Conditions: []storage.Condition{{Key: keyRow}},
-		Puts:       []storage.Put{{Key: keyRow, Value: key.Secret}},
-	})
-	if errors.Is(err, storage.ErrConflict) {
-		return nil // another host was first
-	}
-	return err
+	return putKey(ctx, m.options.Keys, key.Secret, 0)
 }
 
 // era is the store's, as far as its tables tell.
--- a/internal/gateway/believe.go
+++ b/internal/gateway/believe.go
@@ -59,24 +59,20 @@
 func (h *operatorRows) Replace(rows []feed.Row, revision storage.Revision) {
 	h.evacuated.replace(rows, revision)
 	for _, row := range rows {
-		switch {
-		case strings.HasPrefix(row.Key, h.gateway.settings.Tables.OrdersPrefix):
-			h.note(row, h.gateway.takeOrder(row, true))
-		default:
-			h.change(row)
-		}
+		h.change(row, true)
 	}
 }
 
 // Change implements feed.Handler.
 func (h *operatorRows) Change(row feed.Row) {
 	if !h.evacuated.change(row) {
-		h.change(row)
+		h.change(row, false)
 	}
 }
 
-// change takes the row of a document or an order.
-func (h *operatorRows) change(row feed.Row) {
+// change takes the row of a document or an order; listed says that it came with the whole
+// table.
+func (h *operatorRows) change(row feed.Row, listed bool) {
 	g := h.gateway
 	tables := &g.settings.Tables
 	switch {
@@ -84,7 +80,7 @@
 	case row.Key == tables.DocumentKey:
 		h.note(row, g.takeDocument(row))
 	case strings.HasPrefix(row.Key, tables.OrdersPrefix):
-		h.note(row, g.takeOrder(row, false))
+		h.note(row, g.takeOrder(row, listed))
 	}
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -200,13 +200,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, looked := boottime.Now(), 0
-	open := false
-	s.has(func(m *member) bool {
-		looked++
-		open = fits(m.Version) && m.open(now, f.removalGrace)
-		return open || looked == opensProbes
-	})
-	return open
+	for _, m := range s.members {
+		if fits(m.Version) && m.open(now, f.removalGrace) {
+			return true
+		}
+		if looked++; looked == opensProbes {
+			break
+		}
+	}
+	return false
 }
 
 // opensProbes bounds the upstreams that are looked at for an open one, in no order: of
@@ -224,13 +226,8 @@
 
 func (s *shard) serves(fits func(version string) bool, grace time.Duration) bool {
 	now := boottime.Now()
-	return s.has(func(m *member) bool { return fits(m.Version) && m.takesWork(now, grace) })
-}
-
-// has says whether any member is as asked. The shard's lock is held.
-func (s *shard) has(as func(*member) bool) bool {
 	for _, m := range s.members {
-		if as(m) {
+		if fits(m.Version) && m.takesWork(now, grace) {
 			return true
 		}
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -47,7 +47,7 @@
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	// Without the states of roll-outs the host can't tell a withdrawn version.
 	_, statuses := g.rollouts.statuses.Age()
-	if g.stopping.Load() || g.table.Load() == nil || !g.fleet.Known() || !statuses {
+	if g.stopping.Load() || !g.begun() || !statuses {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/guard/rows.go
+++ b/internal/guard/rows.go
@@ -207,7 +207,7 @@
 	for _, e := range v.register.All() {
 		own := e.By == v.host
 		late := judges && boottime.Elapsed()-e.Heard > writeForOthers
-		if e.Unsaved && (own || late) {
+		if e.Unsaved() && (own || late) {
 			wrote = true
 			_ = v.put(ctx, e.Verdict, e.Revision) // logged there; tried again after the pause
 		}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -132,14 +132,16 @@
 	Verdict
 	// Revision is the verdict's row's in the store; 0 while it isn't known to be there.
 	Revision storage.Revision
-	// Unsaved says that the store has no row of the verdict, or that of an earlier one.
-	Unsaved bool
-	// Lost says that the store had a row and may have lost it.
+	// Lost says that the store had a row and may have lost it: it has none, or that of an
+	// earlier verdict.
 	Lost bool
 	// Heard is when the host heard of it first, on the host's own clock.
 	Heard time.Duration
 }
 
+// Unsaved says that the store has no row of the verdict, or that of an earlier one.
+func (e *Entry) Unsaved() bool { return e.Revision == 0 || e.Lost }
+
 // Register holds the verdicts that a host knows. It is safe for concurrent use.
 type Register struct {
 	mu      sync.RWMutex
@@ -178,7 +180,7 @@
 	if ok && !v.after(known.Verdict) {
 		return false
 	}
-	r.set(Entry{Verdict: v, Revision: known.Revision, Unsaved: known.Revision == 0, Heard: now})
+	r.set(Entry{Verdict: v, Revision: known.Revision, Heard: now})
 	return true
 }
 
@@ -187,7 +189,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for d, e := range r.entries {
-		e.Revision, e.Unsaved, e.Lost = 0, true, true
+		e.Revision, e.Lost = 0, true
 		r.entries[d] = e
 	}
 }
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -97,12 +97,12 @@
 	r.Unsave()
 	is.True(!r.Store(earlier, storage.NewRevision(1, 60), time.Second))
 	e, ok := r.Get(later.Digest)
-	is.True(ok && e.Unsaved)
+	is.True(ok && e.Unsaved())
 	is.Equal(e.Verdict, later)
 	is.Equal(e.Revision, storage.NewRevision(1, 60)) // in whose place it is written
 	is.True(!r.Store(later, storage.NewRevision(1, 61), time.Second))
 	e, _ = r.Get(later.Digest)
-	is.True(!e.Unsaved)
+	is.True(!e.Unsaved())
 	e, _ = r.Get(verdict(2, 0).Digest)
-	is.True(e.Unsaved && e.Revision == 0) // the copy has no row of it
+	is.True(e.Unsaved() && e.Revision == 0) // the copy has no row of it
 }
