gateway: a host that starts without its store looks for its tables less often

A host whose store is away at its start looked 200 times a second for its first document for as long as that lasted, and each request then took the fleet's locks. After the 1.4 s in which requests may wait for it, it looks four times a second; requests ask the clock first. The line begun, and only that, may come 250 ms later.

--- a/internal/gateway/startwait.go
+++ b/internal/gateway/startwait.go
@@ -15,8 +15,10 @@
 	// startWait is how long a request waits for them at most: reading both takes 100 to
 	// 200 ms on the smallest hosts.
 	startWait = 400 * time.Millisecond
-	// startLook is the time between two looks whether they are there.
+	// startLook is the time between two looks whether they are there while requests may
+	// wait for them, lateLook the same later.
 	startLook = 5 * time.Millisecond
+	lateLook  = 250 * time.Millisecond
 )
 
 // awaitStart lets requests that come to a host that is just starting wait for its first
@@ -29,7 +31,7 @@
 
 func (f *awaitStart) serve(ctx context.Context, r *Request, next next) error {
 	g := f.gateway
-	if !g.hasBegun() && boottime.Since(g.startedAt) < startSpan {
+	if boottime.Since(g.startedAt) < startSpan && !g.hasBegun() {
 		g.metrics.startWaits.Inc()
 		timer := time.NewTimer(startWait)
 		defer timer.Stop()
@@ -58,7 +60,11 @@
 // tellBegun closes known once the host can serve.
 func (g *Gateway) tellBegun(ctx context.Context) {
 	for !g.begun() {
-		if wait.For(ctx, startLook) != nil {
+		pause := startLook
+		if boottime.Since(g.startedAt) > startSpan+startWait {
+			pause = lateLook // a store that is away may stay so for long
+		}
+		if wait.For(ctx, pause) != nil {
 			return
 		}
 	}
