evenhash: one even hash in place of the gateway's and the leases' own

warmup had written the gateway's hash and its mixing a second time, with half of the mixing. Both call internal/evenhash now; its numbers are the gateway's, and a test pins them, since hosts of different releases decide roll-out shares and owners alike by them.

exchange.hash stays: it names upstreams in messages.

--- /dev/null
+++ b/internal/evenhash/evenhash_test.go
@@ -0,0 +1,35 @@
+package evenhash_test
+
+import (
+	"math"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/internal/evenhash"
+)
+
+// Hosts of different releases decide alike only while the numbers stay as they are.
+func TestNumbersStay(t *testing.T) {
+	is := is.New(t)
+	is.Equal(evenhash.Sum("canary", "v2", "r-1"), uint64(11701761124922990364))
+	is.Equal(evenhash.Sum("aa"), uint64(11969697449738629932))
+	is.Equal(evenhash.Sum(), uint64(17280346270528514342))
+	is.True(evenhash.Sum("ab", "c") != evenhash.Sum("a", "bc"))
+	is.Equal(evenhash.Point("canary", "v2", "r-1"), float64(evenhash.Sum("canary", "v2", "r-1")>>11)/(1<<53))
+}
+
+// Texts that differ in their last character alone are spread as well.
+func TestPointsAreEven(t *testing.T) {
+	const texts, parts = 100_000, 20
+	counts := make([]int, parts)
+	for i := range texts {
+		counts[int(parts*evenhash.Point("part", strconv.Itoa(i)))]++
+	}
+	const mean = float64(texts) / parts
+	for _, n := range counts {
+		// Six standard deviations.
+		is.New(t).True(math.Abs(float64(n)-mean) < 6*math.Sqrt(mean))
+	}
+}
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -37,7 +38,7 @@
 	if key == "" {
 		key = r.ID
 	}
-	r.Service = route.Pick(point("split", key))
+	r.Service = route.Pick(evenhash.Point("split", key))
 	return next(ctx, r)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"net/http"
 	"strconv"
 	"strings"
@@ -119,23 +118,3 @@
 	}
 	return n
 }
-
-// point maps a text to a number from 0 up to 1, the same on all hosts.
-func point(parts ...string) float64 {
-	return float64(hash(parts...)>>11) / (1 << 53)
-}
-
-func hash(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
-	}
-	// FNV's high bits depend little on the last bytes.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
@@ -206,9 +207,9 @@
 	case a.known() && a.status.State == RolloutCompleted:
 		return true
 	case r.Session != "":
-		return point("canary", a.order.Version, r.Session) < a.sessionShare
+		return evenhash.Point("canary", a.order.Version, r.Session) < a.sessionShare
 	default:
-		return point("canary", a.order.Version, r.ID) < a.share
+		return evenhash.Point("canary", a.order.Version, r.ID) < a.share
 	}
 }
 
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
@@ -90,7 +91,7 @@
 func (z *zoneRoster) add(m *member) {
 	z.members = append(z.members, m)
 	for i := range ringPoints {
-		z.ring = append(z.ring, ringPoint{at: hash(m.ID, string(rune('a'+i))), member: m})
+		z.ring = append(z.ring, ringPoint{at: evenhash.Sum(m.ID, string(rune('a'+i))), member: m})
 	}
 }
 
@@ -140,7 +141,7 @@
 	list := candidateList{members: make([]*member, 0, maxKeepers+nearChoices+farChoices+2)}
 	if w.prompt != nil {
 		s.addKeepers(&list, w, willDo)
-		subject := hash(sharedPart(w.prompt))
+		subject := evenhash.Sum(sharedPart(w.prompt))
 		list.owner, list.nearOwner = r.all.owner(subject, willDo), near.owner(subject, willDo)
 		list.add(list.owner)
 		list.add(list.nearOwner)
@@ -190,7 +191,7 @@
 	case l.owner != nil || l.nearOwner != nil:
 		return 0
 	default:
-		return hash(subject, m.ID)
+		return evenhash.Sum(subject, m.ID)
 	}
 }
 
--- a/warmup/lease.go
+++ b/warmup/lease.go
@@ -1,12 +1,13 @@
 package warmup
 
 import (
-	"hash/fnv"
-	"io"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 )
 
 // Upstream stands for an upstream in what hosts tell each other.
@@ -169,24 +170,12 @@
 // draw chooses a reporter for the part, each as often as it has hosts.
 func draw(p part, reporters map[string]int) string {
 	best, least := "", math.Inf(1)
+	text := fmt.Sprint(p.upstream, "/", p.number)
 	for name, hosts := range reporters {
 		// The least of exponential draws falls to each in proportion to its weight.
-		if at := -math.Log(uniform(p, name)) / float64(max(1, hosts)); at < least || at == least && name < best {
+		if at := -math.Log(evenhash.Point(text, name)) / float64(max(1, hosts)); at < least || at == least && name < best {
 			best, least = name, at
 		}
 	}
 	return best
 }
-
-// uniform is a number above 0 and below 1, the same for the same part and name.
-func uniform(p part, name string) float64 {
-	h := fnv.New64a()
-	u := p.upstream
-	_, _ = h.Write([]byte{byte(u), byte(u >> 8), byte(u >> 16), byte(u >> 24), byte(p.number)}) // never fails
-	_, _ = io.WriteString(h, name)                                                              // never fails
-	mixed := h.Sum64()
-	mixed ^= mixed >> 33
-	mixed *= 0xff51afd7ed558ccd
-	mixed ^= mixed >> 33
-	return (float64(mixed>>11) + 0.5) / (1 << 53)
-}
