--- a/internal/e2e/coldzone_test.go
+++ b/internal/e2e/coldzone_test.go
@@ -92,15 +92,7 @@
 	time.Sleep(coldStart) // hubs answer, and what they granted before is known
 	stop := s.callers(27)
 	time.Sleep(time.Second)
-	s.made++
-	cold := &platformtest.Upstream{
-		ID: "u-cold", Service: "pool", Version: "v1", Zone: zone(0), Events: streamEvents, Pause: 10 * time.Millisecond,
-		Weak: "weak", Confidence: 80, ColdFor: coldStart,
-	}
-	is.NoErr(cold.Start(loopback))
-	t.Cleanup(cold.Kill)
-	s.store.Put("servers", cold.ID, cold.Entry("available"))
-	s.upstreams = append(s.upstreams, cold)
+	cold := s.addColdUpstream("pool", "v1", zone(0), coldStart)
 	began := time.Now()
 	time.Sleep(coldStart)
 	whileCold := slices.DeleteFunc(cold.Began(), func(r platformtest.Run) bool { return r.At.Sub(began) >= coldStart })
--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -157,11 +157,17 @@
 }
 
 func (s *fleetSystem) addUpstream(service, version, zone string) *platformtest.Upstream {
+	s.t.Helper()
+	return s.addColdUpstream(service, version, zone, 0)
+}
+
+// addColdUpstream adds an upstream that says that it is cold for a time.
+func (s *fleetSystem) addColdUpstream(service, version, zone string, coldFor time.Duration) *platformtest.Upstream {
 	s.t.Helper()
 	s.made++
 	u := &platformtest.Upstream{
 		ID: fmt.Sprintf("u-%d", s.made), Service: service, Version: version, Zone: zone,
-		Events: streamEvents, Pause: 10 * time.Millisecond, Weak: "weak", Confidence: 80,
+		Events: streamEvents, Pause: 10 * time.Millisecond, Weak: "weak", Confidence: 80, ColdFor: coldFor,
 	}
 	if err := u.Start(loopback); err != nil {
 		s.t.Fatal(err)
