gateway: the index of addresses follows upstreams that restart or move

Cause: the index that made the look for an upstream at an address cheap was filled for new ids only. One that started again under its id was in it no more, so the next upstream at its address didn't take its place; one whose entry moved stayed under its former address and was withdrawn for whoever came there. The look through all upstreams before it had done neither.

The index is filled where members are added and moved, beside the one by name. An order's era is noted without asking first whether it rose: note asks.

--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -27,8 +27,8 @@
 	m := s.members[u.ID]
 	switch {
 	case m == nil:
-		m = s.add(&u)
 		s.replaceAt(&u, f.log)
+		m = s.add(&u)
 		f.logEntry("upstream-listed", &u, revision).Msg("")
 	case u.Incarnation < m.Incarnation:
 		f.logEntry("upstream-entry-late", &u, revision).Int64("known", int64(m.Incarnation)).Msg("")
@@ -49,6 +49,9 @@
 	if m.Zone != u.Zone {
 		s.roster.outdated = true
 	}
+	if m.Address != u.Address {
+		s.setAddress(m, u.Address)
+	}
 	m.Upstream = u
 	m.Leaving = leaving
 	m.removedAt, m.lapsed = time.Time{}, false
@@ -74,6 +77,7 @@
 	m.Leaving = false
 	s.members[u.ID] = m
 	s.names[m.name] = m
+	s.setAddress(m, m.Address)
 	s.roster.outdated = true
 	return m
 }
@@ -124,18 +128,25 @@
 // one upstream's, and the entry of one that ended stays for seconds. The shard's lock is
 // held.
 func (s *shard) replaceAt(u *Upstream, log zerolog.Logger) {
-	if u.Address == "" {
-		return // it is nowhere
-	}
 	former := s.addresses[u.Address]
-	s.addresses[u.Address] = s.members[u.ID]
-	if former == nil || former.ID == u.ID || former.replaced || boottime.Since(former.listedAt) <= sameTable {
+	if former == nil || former.replaced || boottime.Since(former.listedAt) <= sameTable {
 		return
 	}
 	former.replaced = true
 	log.Info().Str("event", "upstream-replaced").Str("upstream", former.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
 }
 
+// setAddress notes that the member is the last one that was listed at the address, and at no
+// other; one without an address is nowhere. The shard's lock is held.
+func (s *shard) setAddress(m *member, address string) {
+	if s.addresses[m.Address] == m {
+		delete(s.addresses, m.Address)
+	}
+	if address != "" {
+		s.addresses[address] = m
+	}
+}
+
 // endedTime is how long an upstream that ended is passed over: its entry lapses by then.
 const endedTime = 4 * time.Second
 
--- a/internal/gateway/missed_test.go
+++ b/internal/gateway/missed_test.go
@@ -104,6 +104,30 @@
 	is.Equal(near.count(), 0)
 }
 
+// An upstream that started again under its id, or that moved, is at its address as any other:
+// the next one there takes its place, and one at its former address doesn't.
+func TestUpstreamThatMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := NewFleet(time.Second, zerolog.Nop())
+		u := func(id, address string, incarnation Incarnation) Upstream {
+			return Upstream{ID: id, Incarnation: incarnation, Service: "svc", Address: address, Zone: "z1", Version: "v1", Slots: 8}
+		}
+		takesWork := func(id string) bool { return fleet.shard("svc").members[id].takesWork(time.Now(), time.Second) }
+		fleet.Set(u("restarted", "10.0.0.1:80", 1), 1)
+		fleet.Set(u("moved", "10.0.0.2:80", 1), 2)
+		fleet.Set(u("restarted", "10.0.0.1:80", 2), 3)
+		fleet.Set(u("moved", "10.0.0.3:80", 1), 4)
+		time.Sleep(2 * sameTable)
+		fleet.Set(u("at-the-former", "10.0.0.2:80", 1), 5)
+		is.True(takesWork("moved") && takesWork("restarted"))
+		fleet.Set(u("next", "10.0.0.1:80", 1), 6)
+		fleet.Set(u("next-to-move", "10.0.0.3:80", 1), 7)
+		is.True(!takesWork("restarted") && !takesWork("moved"))
+		is.True(takesWork("at-the-former") && takesWork("next") && takesWork("next-to-move"))
+	})
+}
+
 // BenchmarkList is what a host takes to learn 3,000 upstreams: 301 hosts that all start again
 // do it at once, on a fifth of a core each.
 func BenchmarkList(b *testing.B) {
--- a/internal/gateway/rewrite.go
+++ b/internal/gateway/rewrite.go
@@ -40,9 +40,7 @@
 // operators wrote again: the same roll-out goes on under its new revision. It also reports
 // true for the order before that one, which the copy has.
 func (m *rollouts) rewritten(known *activeRollout, o Order, listed bool) bool {
-	if o.Revision.Era() > known.era.newest.Era() {
-		known.era.note(o.Revision)
-	}
+	known.era.note(o.Revision)
 	if !known.era.rewriting() {
 		return false
 	}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -224,9 +224,7 @@
 func (s *shard) forget(m *member) {
 	m.withdrawn = true // the roster may have it for a moment yet
 	m.kept.Clear()
-	if s.addresses[m.Address] == m {
-		delete(s.addresses, m.Address)
-	}
+	s.setAddress(m, "")
 	if s.names[m.name] == m {
 		delete(s.names, m.name)
 	}
