gateway: logs and metrics tell which upstream names which limit

An upstream in need names in its answers the requests a second that it takes from all hosts together. Nothing decides by it yet.

--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -215,9 +215,13 @@
 	status int
 	body   string
 	retry  string
-	err    error
-	began  time.Time
-	ended  time.Time
+	// host took the request, head is when its answer began, limit what that names.
+	host  string
+	head  time.Time
+	limit string
+	err   error
+	began time.Time
+	ended time.Time
 }
 
 // send sends a request of the kind, which is the route's name too.
@@ -227,7 +231,7 @@
 
 // sendBody sends a request with a body, one of its own if that is empty.
 func (s *fleetSystem) sendBody(h *gatewayHost, kind, key, body string) fleetAnswer {
-	a := fleetAnswer{id: fmt.Sprintf("r-%d", s.requests.Add(1)), kind: kind, began: time.Now()}
+	a := fleetAnswer{id: fmt.Sprintf("r-%d", s.requests.Add(1)), kind: kind, host: h.name, began: time.Now()}
 	if body == "" {
 		body = "body of " + a.id
 	}
@@ -247,6 +251,7 @@
 	}
 	resp, err := s.client.Do(req)
 	if err == nil {
+		a.head, a.limit = time.Now(), resp.Header.Get("Server-Limit")
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,6 +86,9 @@
 		resp.Body.Close()
 		return nil, err
 	}
+	if !a.misdirected(resp) {
+		a.gateway.fleet.observeLimit(&a.choice, resp.Header.Values(a.gateway.settings.Headers.Limit))
+	}
 	return resp, nil
 }
 
@@ -171,6 +174,7 @@
 	result := attemptResult{
 		status:     resp.StatusCode,
 		load:       resp.Header.Get(names.Load),
+		limit:      resp.Header.Values(names.Limit),
 		confidence: -1,
 		firstByte:  time.Since(a.began),
 	}
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -46,6 +46,9 @@
 	status     int
 	confidence int
 	load       string
+	// limit is what the head says of the rate that the upstream takes; an upstream without
+	// a limit says nothing.
+	limit []string
 	// firstByte is the time to the answer's head or a stream's first event.
 	firstByte time.Duration
 	err       error
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -136,7 +137,7 @@
 	if !ok {
 		reach := g.fleet.reachOf(r.Service)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
-			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Msg("")
+			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Int("limited", reach.limited).Msg("")
 		return nil, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
 	}
 	r.attempts++
@@ -326,7 +327,7 @@
 		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
 		Int("tokens", r.Prompt.TokensIn).Int64("ahead_ms", a.choice.ahead.Milliseconds()).Int64("expected_ms", a.choice.placed.Expected.Milliseconds()).
 		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).Int("threshold", a.threshold).Float64("pressure", math.Round(100*a.pressure)/100).
-		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).
+		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", strings.Join(result.limit, ",")).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
 	if result.err != nil {
 		line.Err(result.err)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -24,6 +24,9 @@
 	NotRun string
 	// Load is an upstream's load: running, waiting, slots.
 	Load string
+	// Limit is the rate that an upstream in need takes from all hosts together, a
+	// decimal number of requests a second.
+	Limit string
 	// Model, TokenCount and PromptParts describe a model request.
 	Model       string
 	TokenCount  string
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -50,6 +50,8 @@
 	coldUntil time.Time
 	coldTold  bool
 	sent      warmup.Window
+	// limit is what its answers name.
+	limit namedLimit
 	// lapsed says that the entry may have vanished because the store was away.
 	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 	})
 	m.set.NewGauge("quetzalweir_gateway_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_cold", func() float64 { return float64(g.fleet.reach().cold) })
+	m.set.NewGauge("quetzalweir_gateway_upstreams_limited", func() float64 { return float64(g.fleet.reach().limited) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_evacuated", func() float64 { return float64(g.fleet.reach().evacuated) })
 	m.set.NewGauge("quetzalweir_gateway_store_era", func() float64 {
 		if g.entries == nil {
@@ -94,6 +95,9 @@
 // attempt counts one attempt.
 func (m *gatewayMetrics) attempt(r *Request, result attemptResult, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_attempts_total{service=%q,outcome=%q}`, r.Service, result.outcome)).Inc()
+	if len(result.limit) > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_limits_named_total{service=%q}`, r.Service)).Inc()
+	}
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -121,9 +121,9 @@
 	return names
 }
 
-// reach counts upstreams that are in service, and those of them that are cold, and that are
-// in evacuated zones.
-type reach struct{ inService, cold, evacuated int }
+// reach counts upstreams that are in service, and those of them that are cold, that are in
+// evacuated zones, and that name a limit.
+type reach struct{ inService, cold, evacuated, limited int }
 
 // reachOf counts a service's upstreams.
 func (f *Fleet) reachOf(service string) reach {
@@ -154,6 +154,9 @@
 		case m.cold(now):
 			n.cold++
 		}
+		if m.limit.named() {
+			n.limited++
+		}
 		n.inService++
 	}
 }
