--- a/internal/evenhash/evenhash_test.go
+++ b/evenhash/evenhash_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/internal/evenhash"
+	"github.com/quetzalweir/quetzalweir/evenhash"
 )
 
 // Hosts of different releases decide alike only while the numbers stay as they are.
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/evenhash"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/evenhash"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/evenhash"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/internal/evenhash"
+	"github.com/quetzalweir/quetzalweir/evenhash"
 	"github.com/quetzalweir/quetzalweir/placement"
 )
 
