rollout, entry: a host claims a further part of an exposure budget as soon as one runs low

Cause: a host claims its part once a second, after the first request that asked for it. Another host that claimed earlier binds a session to the version; this one refuses it until its next round. Now the request that meets a part which runs low has it claimed at once, with a pause of 50 ms between claims and of a second after a failure. Ruled out: giving parts ahead of any request (440 hosts would hold what few use), and waiting for the store within the request. What is left: a session that another host binds in the milliseconds before this host's first part comes is refused still. TestPartThatRunsLowIsWantedAtOnce asks for the new signal; nothing gave one before.

--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/membership"
 	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -26,6 +27,8 @@
 	exchangeTimeout = time.Second
 	// refillInterval is the time between claims on exposure budgets.
 	refillInterval = time.Second
+	// refillPause is the least time between two, which bounds calls of the store.
+	refillPause = 50 * time.Millisecond
 	// stopPrefix starts the keys of the rows about stopped versions.
 	stopPrefix = "stop/"
 	// maxStops bounds the rows read at once.
@@ -185,15 +188,27 @@
 	return nil
 }
 
-// refill claims parts of the exposure budgets.
+// refill claims parts of the exposure budgets, at once when one runs low: another host may
+// have bound a session to the version, which this host must serve then.
 func (h *Host) refill(ctx context.Context) error {
 	granter := rollout.NewGranter(h.platform.Table, h.incarnation)
-	return every(ctx, refillInterval, func() {
+	for {
+		pause := refillPause
 		h.rollout.SetHosts(len(h.members.Members()))
 		if err := h.rollout.Refill(ctx, granter); err != nil {
 			h.log.Warn().Str("event", "exposure-refill").Err(err).Msg("")
+			pause = refillInterval
 		}
-	})
+		if err := wait.For(ctx, pause); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.rollout.Wanted():
+		case <-time.After(refillInterval):
+		}
+	}
 }
 
 func (h *Host) logStop(s rollout.Stop, told bool) {
--- a/rollout/answers.go
+++ b/rollout/answers.go
@@ -30,6 +30,9 @@
 		if e.own.weight() != before {
 			t.mark(e, e.own.Host)
 		}
+		if t.options.Granted && e.wantsGrant() {
+			t.want()
+		}
 	}, func(s *shard) {
 		taken = true
 	})
--- a/rollout/budget_test.go
+++ b/rollout/budget_test.go
@@ -192,3 +192,30 @@
 	refill()
 	is.True(host.TakeBound("m", "2"))
 }
+
+// A host whose part of a budget is used up or not there yet asks for one with the very request
+// that meets this. One that waited for its next round refused sessions that another host had
+// bound to the version, though the budget was unspent.
+func TestPartThatRunsLowIsWantedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2, true)
+	host, ctx := c.hosts[0], context.Background()
+	wanted := func() bool {
+		select {
+		case <-host.Wanted():
+			return true
+		default:
+			return false
+		}
+	}
+	is.True(!host.TakeBound("m", "2"))
+	is.True(wanted())
+	is.NoErr(host.Refill(ctx, c.granters[0]))
+	taken := 0
+	for !wanted() {
+		is.True(host.TakeBound("m", "2")) // half of the part is left when the next one is wanted
+		taken++
+	}
+	is.True(taken > 1)
+	is.True(host.TakeBound("m", "2"))
+}
--- a/rollout/grant.go
+++ b/rollout/grant.go
@@ -133,6 +133,17 @@
 	return max(1, rest/uint64(2*max(1, c.Hosts)))
 }
 
+// Wanted is readable when answers that were taken or denied call for a further part of a
+// budget.
+func (t *Tracker) Wanted() <-chan struct{} { return t.wanted }
+
+func (t *Tracker) want() {
+	select {
+	case t.wanted <- struct{}{}:
+	default: // it is known
+	}
+}
+
 // Claims returns what this host should claim: the parts of the versions that
 // are neither stopped nor cleared, whose use was asked for and whose rest is
 // at most half of what was last granted.
@@ -173,7 +184,7 @@
 }
 
 // Refill claims what is wanted and grants it. It is called every second or so
-// on hosts with Options.Granted, and goes on with the other versions when one
+// on hosts with Options.Granted, and when Wanted says so, and goes on with the other versions when one
 // claim fails.
 func (t *Tracker) Refill(ctx context.Context, granter *Granter) error {
 	var failed error
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -19,6 +19,8 @@
 	// changes numbers the changes of evidence, for ExportSince.
 	changes atomic.Uint64
 	shards  [trackerShards]shard
+	// wanted has an entry while a part of a budget is to be claimed.
+	wanted chan struct{}
 }
 
 // shard holds the versions whose keys hash to it.
@@ -35,7 +37,7 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
-	t := &Tracker{options: options}
+	t := &Tracker{options: options, wanted: make(chan struct{}, 1)}
 	t.hosts.Store(1)
 	for i := range t.shards {
 		t.shards[i] = shard{
