--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -49,6 +49,7 @@
 	m.told.Store(&address)
 	m.hubSince = boottime.Now()
 	m.readsSince, m.toldReads = 0, 0
+	m.limits, m.granted = limitSync{}, nil
 	m.tellAnew()
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -69,6 +69,11 @@
 	// report, ReadsSince the number up to which the host knows the hub's.
 	Reads      Reads  `json:"reads,omitempty"`
 	ReadsSince uint64 `json:"reads_since,omitempty"`
+	// Limits are what the host's upstreams told of their limits, LimitsKnown is how far it
+	// knows the hub's words. Holds is the digest of the grants that it has of the hub.
+	Limits      LimitWords  `json:"limits,omitempty"`
+	LimitsKnown LimitsKnown `json:"limits_known,omitzero"`
+	Holds       uint64      `json:"holds,omitempty"`
 	// WantTimings asks for what the others' answers told of models' paces; a host then
 	// tells what its own did.
 	WantTimings bool    `json:"want_timings,omitempty"`
@@ -103,8 +108,12 @@
 	SightingsLast uint64    `json:"sightings_last,omitempty"`
 	// Standing is what is known of upstreams that ended and of the requests to blame.
 	Standing Standing `json:"standing,omitzero"`
-	// Lease is the right to send cold upstreams their part.
-	Lease Lease `json:"lease,omitzero"`
+	// Limits are what the hub knows of upstreams' limits and the host doesn't.
+	Limits LimitNews `json:"limits"`
+	// Lease is the right to send upstreams parts of their requests. Rooted says that a
+	// root of the tree stands behind it.
+	Lease  Lease `json:"lease,omitzero"`
+	Rooted bool  `json:"rooted,omitempty"`
 	// Assigned is the address of the hub to report to from now on; empty for this one.
 	Assigned string `json:"assigned,omitempty"`
 	// Relays says that the hub relays the store's word, Tables is that. Later says that
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -16,8 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
-	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // These tests run the exchange of whole installations in virtual time: the members and
@@ -135,8 +135,11 @@
 	heard map[storage.Revision]time.Time
 	work  Work
 	bytes int
-	// holding is what the host may send cold upstreams.
-	holding warmup.Holding
+	// holding is what the host may send of leased requests, contact what it knows of its
+	// hub, limits what it knows of upstreams' limits.
+	holding ratelease.Holding
+	contact ratelease.Contact
+	limits  map[ratelease.Upstream]*hostLimit
 }
 
 func (h *fleetHost) Replace(rows []feed.Row, _ storage.Revision) {
@@ -192,7 +195,7 @@
 	at map[string]*fleetHost
 	// cold are the upstreams that all hosts believe cold, cut says whether two hosts
 	// can't reach each other; nil if all can.
-	cold []Name
+	cold []ratelease.Upstream
 	cut  func(from, to *fleetHost) bool
 }
 
@@ -229,6 +232,9 @@
 // start starts a host that knows nothing.
 func (f *fleet) start(h *fleetHost, strong bool) {
 	h.known, h.heard = make(map[string]storage.Revision), make(map[storage.Revision]time.Time)
+	h.mu.Lock()
+	h.contact, h.limits = ratelease.NewContact(time.Now()), make(map[ratelease.Upstream]*hostLimit)
+	h.mu.Unlock()
 	options := feed.Options{
 		Relays:     func() bool { return h.member.Relays() },
 		HubAnswers: func() bool { return h.member.Heard() },
@@ -248,19 +254,13 @@
 		Host:       h.name, Zone: h.zone, Listen: h.address, Seeds: f.seeds, LinkMbps: link, Cores: 1,
 		Tables: map[string]*feed.Watcher{"t": h.watcher},
 		Work:   func() Work { return Work{NameOf("u"): 1} },
-		Cold: func(roots int) []Name {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			var names []Name
-			for _, name := range f.cold {
-				names = append(names, slices.Repeat([]Name{name}, coldBound.Parts(roots))...)
-			}
-			return names
-		},
-		TakeHolding: func(holding warmup.Holding) {
+		Leased: func(roots int) []ratelease.Grant { return append(f.coldGrants(roots), h.limitGrants(roots)...) },
+		Limits: h.limitWords, KnownLimits: h.knownLimits, TakeLimits: h.takeLimits,
+		TakeHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.holding = holding
+			h.contact = h.contact.Heard(time.Now(), rooted)
 		},
 		Others: func(w Work, _ time.Time) {
 			h.mu.Lock()
@@ -282,6 +282,18 @@
 	f.running.Go(func() { h.member.follow(ctx, &fleetNetwork{fleet: f, from: h}) })
 }
 
+// coldGrants are a root's parts of the cold upstreams.
+func (f *fleet) coldGrants(roots int) []ratelease.Grant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	parts := coldBound.Parts(roots)
+	var grants []ratelease.Grant
+	for _, u := range f.cold {
+		grants = append(grants, ratelease.Grant{Upstream: u, Parts: parts, Of: parts})
+	}
+	return grants
+}
+
 // fleetNetwork carries one host's reports. A host that is gone answers nothing.
 type fleetNetwork struct {
 	fleet *fleet
--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // follow exchanges with the hub until the context ends.
@@ -31,8 +32,10 @@
 		m.heard.Store(false)
 	case m.options.Listen:
 		report := m.report()
-		m.hub.take(m.options.Host, report)
-		m.takeOwnSightings(report.Sightings)
+		m.noteLeads(true)
+		m.hub.noteKnowsLimits(true)
+		m.takeOwnReport(report)
+		m.untoldLimits = m.untoldLimits[len(report.Limits):]
 		m.takeOwn(report.WantTimings)
 		m.holdAsRoot()
 		m.holdOwn()
@@ -45,8 +48,10 @@
 // exchange makes one exchange with the hub, for this host and those that it leads.
 func (m *Member) exchange(ctx context.Context, net network) {
 	leads := m.hub.leads()
+	m.noteLeads(leads)
 	report, told := m.report(), told{}
-	report.ReadsSince = m.readsSince
+	toldLimits := len(report.Limits)
+	report.ReadsSince, report.LimitsKnown, report.Holds = m.readsSince, m.limits.known, ratelease.Digest(m.granted)
 	if leads {
 		report, told = m.leadersReport(report)
 	}
@@ -59,10 +64,11 @@
 		return
 	}
 	m.takeStanding(reply.Standing)
-	m.hub.hold(reply.Lease.lease(), asked)
-	m.holdOwn()
+	m.takeLease(reply, asked)
+	m.untoldLimits = m.untoldLimits[toldLimits:]
+	m.takeHubLimits(reply.Limits, leads)
 	if leads {
-		m.toldReads, m.toldSightings, m.readsSince = told.reads, told.sightings, reply.ReadsLast
+		m.toldReads, m.toldSightings, m.readsSince, m.toldLimits = told.reads, told.sightings, reply.ReadsLast, told.limits
 		m.hub.takeHub(m.current, reply, max(0, reply.Hosts-report.Hosts))
 		m.takeOwn(report.WantTimings)
 	} else {
@@ -75,22 +81,33 @@
 }
 
 // told is up to which numbers of the own hub a report tells what that was told.
-type told struct{ reads, sightings uint64 }
+type told struct {
+	reads, sightings uint64
+	limits           LimitsKnown
+}
 
 // leadersReport is the report for this host and its followers, and what it tells up to.
 // Evidence waits until the hub before has forgotten it.
 func (m *Member) leadersReport(own Report) (report Report, upTo told) {
-	m.hub.take(m.options.Host, own)
-	m.takeOwnSightings(own.Sightings)
+	m.takeOwnReport(own)
 	m.untold = make(Reads) // the own hub has them
 	report, upTo.reads = m.hub.subtree(own, m.toldReads, m.current)
 	report.Sightings, upTo.sightings = m.hub.sightingsSince(m.toldSightings, m.current)
+	limits := m.hub.limitsSince(m.toldLimits, toHub)
+	report.Limits, upTo.limits = limits.Words, LimitsKnown{Epoch: limits.Epoch, Last: limits.Last}
 	if !m.alone() {
 		report.Evidence = nil
 	}
 	return report, upTo
 }
 
+// takeOwnReport tells the own hub what this host reports.
+func (m *Member) takeOwnReport(own Report) {
+	m.hub.take(m.options.Host, own)
+	m.hub.takeLimits(false, own.Limits, false)
+	m.takeOwnSightings(own.Sightings)
+}
+
 // takeOwnSightings tells the own hub what this host saw.
 func (m *Member) takeOwnSightings(s Sightings) {
 	m.hub.takeSightings(m.options.Host, s)
@@ -117,6 +134,7 @@
 		sums.Timings = m.hub.toldTimings(m.options.Host, toHost)
 	}
 	m.ownSince = sums.ReadsLast
+	m.takeOwnLimits()
 	m.take(sums, boottime.Now())
 }
 
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -12,7 +12,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
-	"github.com/quetzalweir/quetzalweir/warmup"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // hub answers the reports of other hosts.
@@ -39,8 +39,16 @@
 	sightings sightingLog
 	// zones are the hubs that this one named, by zone.
 	zones map[string]*zoneHubs
-	// lessor hands this host's right to send cold upstreams on.
-	lessor *warmup.Lessor
+	// lessor hands on the parts of upstreams' requests that this host holds.
+	lessor *ratelease.Lessor
+	// limits are what this hub was told of upstreams' limits.
+	limits *limitLog
+	// knowsLimits says that the hub that this one reports to has told all that it knows, or
+	// this one is a root.
+	knowsLimits bool
+	startedAt   time.Time
+	// rootedAt is when a root of the tree stood behind what this host holds.
+	rootedAt time.Time
 }
 
 // received is a host's latest report, or what another hub told of its followers.
@@ -75,7 +83,7 @@
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]received), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
-		lessor: warmup.NewLessor(boottime.Now()),
+		lessor: ratelease.NewLessor(boottime.Now()), limits: newLimitLog(), startedAt: boottime.Now(),
 	}
 }
 
@@ -90,6 +98,7 @@
 			reply.Timings = h.toldTimings(from, toHub)
 		}
 		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
+		reply.Limits = h.limitsSince(r.LimitsKnown, toHub)
 		reply.Standing = h.standing(toHub)
 		if h.relays() {
 			reply.Tables, _ = h.news(from, r, true)
@@ -98,13 +107,15 @@
 	}
 	h.take(from, r)
 	h.takeSightings(from, r.Sightings)
+	h.takeLimits(false, r.Limits, false)
 	h.noteRelaying()
 	reply := h.sums(from, r.ReadsSince, toHost)
 	if r.WantTimings {
 		reply.Timings = h.toldTimings(from, toHost)
 	}
 	reply.Standing = h.standing(toHost)
-	reply.Lease = newLease(h.lease(from))
+	reply.Lease, reply.Rooted = h.lease(from, r.Holds), h.rooted()
+	reply.Limits = h.limitsSince(r.LimitsKnown, toHost)
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.Later = h.news(from, r, reply.Relays)
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -18,6 +18,8 @@
 	// was answered.
 	sightingsSince uint64
 	answered       bool
+	// limits is the same for its words of limits.
+	limits LimitsKnown
 }
 
 // askHubs asks the other hubs for the sums of their followers, each by itself, so that a
@@ -32,7 +34,7 @@
 			continue
 		}
 		report := Report{
-			Zone: m.options.Zone, Address: m.options.Listen, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, Revisions: m.revisions(),
+			Zone: m.options.Zone, Address: m.options.Listen, Hub: true, ReadsSince: known.readsSince, SightingsSince: known.sightingsSince, LimitsKnown: known.limits, Revisions: m.revisions(),
 			WantTimings: m.exchanges%timingsEvery == 1,
 		}
 		asked := boottime.Now()
@@ -40,13 +42,14 @@
 			reply, err := ask(ctx, net, seed, report)
 			if err != nil {
 				net.forget(seed)
-				m.end(seed, question{next: boottime.Now().Add(retryHub), readsSince: known.readsSince, sightingsSince: known.sightingsSince})
+				m.end(seed, question{next: boottime.Now().Add(retryHub), readsSince: known.readsSince, sightingsSince: known.sightingsSince, limits: known.limits})
 				return
 			}
 			m.hub.takeHub(seed, reply, reply.Hosts)
+			m.hub.takeLimits(true, reply.Limits.Words, false)
 			m.takeStanding(reply.Standing)
 			m.offerIfLost(reply, asked)
-			m.end(seed, question{readsSince: reply.ReadsLast, sightingsSince: reply.SightingsLast, answered: true})
+			m.end(seed, question{readsSince: reply.ReadsLast, sightingsSince: reply.SightingsLast, limits: LimitsKnown{Epoch: reply.Limits.Epoch, Last: reply.Limits.Last}, answered: true})
 		}()
 	}
 }
--- a/internal/exchange/lease_test.go
+++ b/internal/exchange/lease_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
-	"github.com/quetzalweir/quetzalweir/warmup"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // The load of these tests: a zone's upstreams return at once, idle, and each host would
@@ -19,19 +21,19 @@
 // so the greatest number that reaches an upstream in a second is what the leases permit.
 
 // coldBound permits 32 requests in a second.
-var coldBound = warmup.Bound{Rate: 18, Overrun: 1.5, Spare: 5}
+var coldBound = ratelease.Bound{Rate: 18, Overrun: 1.5, Spare: 5}
 
 // coldSends are the sends to cold upstreams.
 type coldSends struct {
-	at map[Name][]time.Time
+	at map[ratelease.Upstream][]time.Time
 	// windows are the hosts' own counts; a host that starts again has none.
-	windows map[string]map[Name]*warmup.Window
+	windows map[string]map[ratelease.Upstream]*ratelease.Window
 	// careless is a host that sends what it likes; none if it is empty.
 	careless string
 }
 
 func newColdSends() *coldSends {
-	return &coldSends{at: make(map[Name][]time.Time), windows: make(map[string]map[Name]*warmup.Window)}
+	return &coldSends{at: make(map[ratelease.Upstream][]time.Time), windows: make(map[string]map[ratelease.Upstream]*ratelease.Window)}
 }
 
 // send has each host send what it may.
@@ -43,7 +45,7 @@
 		h.mu.Unlock()
 		windows := s.windows[h.name]
 		if windows == nil {
-			windows = make(map[Name]*warmup.Window)
+			windows = make(map[ratelease.Upstream]*ratelease.Window)
 			s.windows[h.name] = windows
 		}
 		if h.name == s.careless {
@@ -52,14 +54,15 @@
 			}
 			continue
 		}
-		for _, u := range slices.Compact(holding.Lease(now).Upstreams) {
-			name := Name(u)
-			if windows[name] == nil {
-				windows[name] = &warmup.Window{}
+		for _, g := range holding.Lease(now).Grants {
+			u := g.Upstream
+			if windows[u] == nil {
+				windows[u] = &ratelease.Window{}
 			}
-			for windows[name].Room(now, coldBound.Each(holding.Roots(), holding.Parts(u, now))) {
-				windows[name].Note(now)
-				s.at[name] = append(s.at[name], now)
+			share, _ := holding.Share(u, now)
+			for windows[u].Room(now, coldBound.Each(share)) {
+				windows[u].Note(now)
+				s.at[u] = append(s.at[u], now)
 			}
 		}
 	}
@@ -93,7 +96,7 @@
 func coldFleet(t *testing.T, size fleetSize, cold int) *fleet {
 	f := newFleet(t, size.hosts, size.zones, 10)
 	for i := range cold {
-		f.cold = append(f.cold, NameOf(fmt.Sprint("cold-", i)))
+		f.cold = append(f.cold, ratelease.UpstreamOf(fmt.Sprint("cold-", i)))
 	}
 	return f
 }
@@ -103,7 +106,7 @@
 	for _, h := range hosts {
 		h.stop()
 		h.mu.Lock()
-		h.holding = warmup.Holding{}
+		h.holding = ratelease.Holding{}
 		h.mu.Unlock()
 		delete(s.windows, h.name)
 	}
@@ -224,14 +227,31 @@
 
 func TestLeaseInMessages(t *testing.T) {
 	is := is.New(t)
-	for _, lease := range []warmup.Lease{
-		{Upstreams: []warmup.Upstream{1, 1 << 31}, For: 900 * time.Millisecond, Roots: 3},
-		{Upstreams: []warmup.Upstream{}},
+	for _, lease := range []Lease{
+		{Grants: Grants{{Upstream: 1, Parts: 1, Of: 4}, {Upstream: 1 << 63, Parts: 16, Of: 16}}, ForMs: 900, Roots: 3},
+		{Same: true, ForMs: 1200, Roots: 3},
 	} {
-		data, err := json.Marshal(Reply{Lease: newLease(lease)})
+		data, err := json.Marshal(Reply{Lease: lease})
 		is.NoErr(err)
 		var reply Reply
 		is.NoErr(json.Unmarshal(data, &reply))
-		is.Equal(reply.Lease.lease(), lease)
+		is.Equal(reply.Lease, lease)
 	}
 }
+
+// A host that has what it is granted isn't sent it again.
+func TestLeaseThatIsTheSame(t *testing.T) {
+	is := is.New(t)
+	h := newHub(Options{Host: "hub"}, zerolog.Nop())
+	h.lessor = ratelease.NewLessor(boottime.Now().Add(-time.Minute))
+	h.reports["host"] = received{at: boottime.Now(), hosts: 1}
+	grants := []ratelease.Grant{{Upstream: 1, Parts: 4, Of: 4}, {Upstream: 2, Parts: 4, Of: 4}, {Upstream: 3, Parts: 4, Of: 4}}
+	h.hold(ratelease.Root(grants, 3), boottime.Now())
+	first := h.lease("host", 0)
+	is.True(len(first.Grants) > 0 && !first.Same)
+	again := h.lease("host", ratelease.Digest(first.Grants))
+	is.Equal(again, Lease{Same: true, ForMs: again.ForMs, Roots: 3})
+	is.Equal(again.lease(first.Grants).Grants, []ratelease.Grant(first.Grants))
+	h.hold(ratelease.Root(grants[:1], 3), boottime.Now())
+	is.True(!h.lease("host", ratelease.Digest(first.Grants)).Same)
+}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
-	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // Options are what a member needs.
@@ -52,11 +52,17 @@
 	// FirstStart says that the whole installation starts for the first time: the key
 	// is made then.
 	FirstStart bool
-	// Cold returns the upstreams that this host believes cold, each as often as one of so
-	// many roots has parts of it; TakeHolding takes the parts that this host has. Both may be
-	// nil.
-	Cold        func(roots int) []Name
-	TakeHolding func(warmup.Holding)
+	// Leased returns the upstreams whose requests are leased, with all parts that one of so
+	// many roots has; TakeHolding takes the parts that this host has, and when a root of the tree stood
+	// behind them last. Both may be nil.
+	Leased      func(roots int) []ratelease.Grant
+	TakeHolding func(holding ratelease.Holding, rootedAt time.Time)
+	// Limits returns what this host's upstreams told of their limits that its hub hasn't
+	// repeated yet, KnownLimits all that it knows; TakeLimits takes what the hub repeats, of all hosts.
+	// All may be nil.
+	Limits      func() []ratelease.Word
+	KnownLimits func() []ratelease.Word
+	TakeLimits  func(words []ratelease.Word, whole bool)
 	// Quarantine keeps what hosts see of requests that end upstreams. It may be nil.
 	Quarantine Quarantine
 	// Evidence returns what this host saw of the roll-outs under way; TakeEvidence
@@ -94,6 +100,17 @@
 	readsSince uint64
 	ownSince   uint64
 	toldReads  uint64
+	// granted are the grants that the hub gave last, holding is what this host has of them.
+	granted Grants
+	holding ratelease.Holding
+	// limits follows what the hub knows of upstreams' limits, ownLimits what this host's own
+	// hub does. toldLimits is the number of the own hub up to which the other was told.
+	limits, ownLimits limitSync
+	toldLimits        LimitsKnown
+	// untoldLimits are words that the hub wasn't told yet.
+	untoldLimits []ratelease.Word
+	// leading says that other hosts report to this one.
+	leading bool
 	// exchanges counts the reports.
 	exchanges int
 	// unseen are the sightings that the hub wasn't told yet. Of a host that leads others,
@@ -177,6 +194,7 @@
 	m.noteSightings()
 	report := m.own()
 	report.Reads, report.Sightings = m.untold, m.unseen
+	report.Limits = m.limitWords()
 	if m.exchanges++; m.options.Timings != nil && m.exchanges%timingsEvery == 1 {
 		report.WantTimings, report.Timings = true, m.options.Timings()
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,8 @@
 		return nil, err
 	}
 	if !a.misdirected(resp) {
-		a.gateway.fleet.observeLimit(&a.choice, resp.Header.Values(a.gateway.settings.Headers.Limit))
+		names := &a.gateway.settings.Headers
+		a.gateway.fleet.observeLimit(&a.choice, limitHeader{values: resp.Header.Values(names.Limit), proven: resp.Header.Get(names.Stamp) != ""})
 	}
 	return resp, nil
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,8 +48,9 @@
 	price float64
 	// keys name the prompt's leading parts.
 	keys []placement.Key
-	// priority is the urgency that the upstream is told.
+	// priority is the urgency that the upstream is told, rank the operators' one.
 	priority int
+	rank     int
 	// target is the time within which the first event is to come, bytes the size of
 	// the body.
 	target time.Duration
@@ -67,8 +68,9 @@
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ration.Note(w.rank, now)
 	list := s.candidates(&w, now, f.removalGrace)
-	if len(list.members) == 0 {
+	if len(list.members) == 0 || s.rationed(list, w.rank, now) {
 		return choice{}, false
 	}
 	c := choice{at: now, among: len(list.members), wants: w}
--- /dev/null
+++ b/internal/gateway/cold.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
+	"github.com/quetzalweir/quetzalweir/routing"
+)
+
+// mayWarm says whether this host may send the upstream a request as far as it is cold.
+func (m *member) mayWarm(now time.Time) bool {
+	if !m.cold(now) {
+		return true
+	}
+	share, ok := m.shard.access.share(m.lease, now)
+	return ok && m.sent.Room(now, m.shard.bound.Each(share))
+}
+
+// cold says whether the upstream is believed cold.
+func (m *member) cold(now time.Time) bool {
+	return m.shard.bound.Rate > 0 && now.Before(m.coldUntil)
+}
+
+// noteCold has the upstream count as cold for a time at least.
+func (m *member) noteCold(lasts time.Duration, reason string, log zerolog.Logger) {
+	until := boottime.Now().Add(lasts)
+	if m.shard.bound.Rate == 0 || lasts <= 0 || !until.After(m.coldUntil) {
+		return
+	}
+	m.coldUntil = until
+	if m.coldTold {
+		return
+	}
+	m.coldTold = true
+	log.Info().Str("event", "upstream-cold").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).
+		Str("reason", reason).Int64("for_ms", lasts.Milliseconds()).Msg("")
+}
+
+// Reasons for which an upstream counts as cold.
+const (
+	coldEntry      = "entry"
+	coldEvacuation = "evacuation-ended"
+)
+
+// SetServices takes what the operators declare of the services' cold upstreams.
+func (f *Fleet) SetServices(services []routing.Service) {
+	for i := range services {
+		d := &services[i]
+		s := f.shard(d.Name)
+		s.mu.Lock()
+		s.bound = ratelease.Bound{Rate: d.ColdRate, Overrun: f.access.overrun, Spare: f.access.spare}
+		s.coldStart = d.ColdStart
+		for _, m := range s.members {
+			m.noteCold(m.ColdFor-boottime.Since(m.heardAt), coldEntry, f.log)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// noteOpen tells of the upstreams that aren't cold any more, and of limits that ended without
+// an answer.
+func (f *Fleet) noteOpen() {
+	now := boottime.Now()
+	f.each(func(s *shard) {
+		for _, m := range s.members {
+			m.logLimit(now, f.log)
+			if m.coldTold && !m.cold(now) {
+				m.coldTold = false
+				f.log.Info().Str("event", "upstream-warm").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Msg("")
+			}
+		}
+	})
+}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/cold_test.go
@@ -9,11 +9,10 @@
 	"github.com/matryer/is"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/storage"
-	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // coldWorld is a gateway among others, whose service has cold upstreams that tolerate ten
@@ -28,12 +27,23 @@
 
 // hold gives the gateway the upstream.
 func (w *world) hold(roots int, ids ...string) {
-	var upstreams []warmup.Upstream
 	parts := w.gateway.fleet.shard("svc").bound.Parts(roots)
+	var grants []ratelease.Grant
 	for _, id := range ids {
-		upstreams = append(upstreams, slices.Repeat([]warmup.Upstream{warmup.Upstream(exchange.NameOf(id))}, parts)...)
+		grants = append(grants, ratelease.Grant{Upstream: ratelease.UpstreamOf(id), Parts: parts, Of: parts})
 	}
-	w.gateway.fleet.TakeHolding(warmup.Hold(warmup.Root(upstreams, roots), boottime.Now()))
+	now := boottime.Now()
+	w.gateway.fleet.TakeHolding(ratelease.Hold(ratelease.Root(grants, roots), now, nil), now)
+}
+
+// leased are the upstreams whose requests are leased.
+func (w *world) leased() []ratelease.Upstream {
+	var upstreams []ratelease.Upstream
+	for _, g := range w.gateway.fleet.Leased(3) {
+		upstreams = append(upstreams, g.Upstream)
+	}
+	slices.Sort(upstreams)
+	return upstreams
 }
 
 func TestColdUpstreamWithoutALeaseGetsNothing(t *testing.T) {
@@ -50,7 +60,7 @@
 		is.Equal(w.do(w.request("GET", "/many/x", "")).body, "warm")
 	}
 	is.Equal(cold.count(), 0)
-	is.Equal(slices.Compact(w.gateway.fleet.Cold(3)), []exchange.Name{exchange.NameOf("cold")})
+	is.Equal(w.leased(), []ratelease.Upstream{ratelease.UpstreamOf("cold")})
 }
 
 func TestColdUpstreamGetsTheLeasesPart(t *testing.T) {
@@ -73,7 +83,7 @@
 	is.Equal(w.do(w.request("GET", "/many/x", "")).status, http.StatusServiceUnavailable)
 	time.Sleep(120 * time.Millisecond)
 	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "cold")
-	is.Equal(len(w.gateway.fleet.Cold(3)), 0)
+	is.Equal(len(w.leased()), 0)
 }
 
 // A service that declares no rate has no cold upstreams.
@@ -125,7 +135,7 @@
 	w.hold(1, "near")
 	is.Equal(w.do(w.request("GET", "/many/x", "")).body, "near")
 	rows.Change(evacuation("z2", 8, true))
-	is.Equal(slices.Compact(w.gateway.fleet.Cold(3)), slices.Sorted(slices.Values([]exchange.Name{exchange.NameOf("far"), exchange.NameOf("near")})))
+	is.Equal(w.leased(), slices.Sorted(slices.Values([]ratelease.Upstream{ratelease.UpstreamOf("far"), ratelease.UpstreamOf("near")})))
 }
 
 // An evacuation doesn't make another version the one in service: nobody ordered it.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -37,11 +37,7 @@
 // not single requests, so that a route's largest requests aren't the ones that
 // are always late.
 func (r *Request) priority(largest bool) int {
-	rank := r.Route.Priority
-	if r.Account != nil && r.Account.Priority != nil {
-		rank = *r.Account.Priority
-	}
-	rank = max(0, rank) // a document may count from below 0; work is kept by priority
+	rank := r.rank()
 	if (r.Table.LowestRank()+1)*urgencyLevels > leastUrgent+1 {
 		// There is no room for levels: the operators' order goes first.
 		return min(leastUrgent, rank)
@@ -56,14 +52,29 @@
 	return urgency
 }
 
+// rank is the operators' urgency of the request, 0 first.
+func (r *Request) rank() int {
+	rank := r.Route.Priority
+	if r.Account != nil && r.Account.Priority != nil {
+		rank = *r.Account.Priority
+	}
+	return max(0, rank) // a document may count from below 0; work is kept by priority
+}
+
 func (d *dispatch) serve(ctx context.Context, r *Request, _ next) error {
 	g := d.gateway
 	g.budgets.of(r.Service).request()
 	r.relativePrompt = g.sizes.of(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.startModels(r)
+	var result attemptResult
 	for {
-		result, err := d.try(ctx, r, models)
-		if err != nil {
+		before := result
+		var err error
+		result, err = d.try(ctx, r, models)
+		switch {
+		case err != nil && r.attempts > 0 && errors.Is(err, errNoneOpen):
+			return d.final(ctx, r, before) // its answer, if there is one
+		case err != nil:
 			return err
 		}
 		switch {
@@ -138,7 +149,7 @@
 		reach := g.fleet.reachOf(r.Service)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
 			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Int("limited", reach.limited).Msg("")
-		return nil, d.refusal(r, resultcode.New(resultcode.NoUpstream, "no upstream is in service"))
+		return nil, d.refusal(r, d.noUpstream(r, reach))
 	}
 	r.attempts++
 	r.tried = append(r.tried, picked.upstream.ID)
@@ -154,10 +165,23 @@
 	}, nil
 }
 
+// errNoneOpen means that no upstream may be sent the request now.
+var errNoneOpen = errors.New("gateway: no upstream is open")
+
+// noUpstream tells why no upstream was chosen.
+func (d *dispatch) noUpstream(r *Request, reach reach) *resultcode.Error {
+	if reach.limited == 0 || reach.limited < reach.inService-reach.cold-reach.evacuated {
+		return resultcode.Wrap(resultcode.NoUpstream, errNoneOpen, "no upstream is in service")
+	}
+	e := resultcode.Wrap(resultcode.UpstreamsLimited, errNoneOpen, "nothing is left of the upstreams' limits")
+	e.RetryAfter = d.gateway.fleet.limitWait(r.Service)
+	return e
+}
+
 // wants is what the choice of an upstream for the request depends on.
 func (d *dispatch) wants(r *Request, model string, largest bool) wants {
 	g := d.gateway
-	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, admits: g.rollouts.admits(r)}
+	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, rank: r.rank(), admits: g.rollouts.admits(r)}
 	if r.Prompt.TokensIn > 0 {
 		w.prompt = r.Prompt.reading(r.Route.PrefixAffinity)
 		w.model = cmp.Or(model, r.Prompt.Model)
@@ -209,7 +233,10 @@
 	if r.answer.started || head.confidence < 0 || models.last() || !r.triesLeft() {
 		return true
 	}
-	upgrade := d.gateway.fleet.upgrade(d.wants(r, models.next(), true))
+	upgrade, ok := d.gateway.fleet.upgrade(d.wants(r, models.next(), true))
+	if !ok {
+		return true // no upstream could do better now
+	}
 	upgrade.Usual = float64(d.gateway.settings.AcceptConfidence)
 	upgrade.Expected += boottime.Since(r.Arrived)
 	upgrade.Target = r.Route.Target
--- a/internal/gateway/evacuate.go
+++ b/internal/gateway/evacuate.go
@@ -91,3 +91,47 @@
 	}
 	e.fleet.SetEvacuated(zones, revision)
 }
+
+// SetEvacuated takes the zones that get nothing from now on. The upstreams of one that is
+// taken back may have become cold meanwhile, and their entries tell so only with their
+// next heartbeats.
+func (f *Fleet) SetEvacuated(zones map[string]bool, revision storage.Revision) {
+	known := f.access.evacuated.Swap(&zones)
+	for zone := range zones {
+		if known == nil || !(*known)[zone] {
+			f.log.Warn().Str("event", "zone-evacuated").Str("zone", zone).Int("upstreams", f.inZone(zone)).Stringer("revision", revision).Msg("")
+		}
+	}
+	if known == nil {
+		return
+	}
+	for zone := range *known {
+		if !zones[zone] {
+			f.takeBack(zone, revision)
+		}
+	}
+}
+
+func (f *Fleet) takeBack(zone string, revision storage.Revision) {
+	f.log.Warn().Str("event", "zone-taken-back").Str("zone", zone).Int("upstreams", f.inZone(zone)).Stringer("revision", revision).Msg("")
+	f.each(func(s *shard) {
+		for _, m := range s.members {
+			if m.Zone == zone {
+				m.noteCold(s.coldStart, coldEvacuation, f.log)
+			}
+		}
+	})
+}
+
+// inZone counts the zone's upstreams.
+func (f *Fleet) inZone(zone string) int {
+	n := 0
+	f.each(func(s *shard) {
+		for _, m := range s.members {
+			if m.Zone == zone {
+				n++
+			}
+		}
+	})
+	return n
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,8 +9,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
-	"github.com/quetzalweir/quetzalweir/warmup"
 )
 
 // Incarnation is the start of an upstream, in Unix milliseconds; 0 where the platform
@@ -57,13 +57,17 @@
 	addresses map[string]*member
 	// names are the members by what hosts call them to each other.
 	names map[exchange.Name]*member
+	// leases are the members by what stands for them in leases, limitNews those of whose
+	// limits the hub is to be told.
+	leases    map[ratelease.Upstream]*member
+	limitNews map[*member]struct{}
 	// roster and keepers find members without a look at all of them.
 	roster  roster
 	keepers keepers
 	// access is the fleet's; bound and coldStart are what the operators declared of the
 	// service's cold upstreams.
 	access    *access
-	bound     warmup.Bound
+	bound     ratelease.Bound
 	coldStart time.Duration
 	// base is the version in service without a roll-out; empty before the first
 	// upstream is listed.
@@ -84,6 +88,11 @@
 	// reads are the shared parts that upstreams were sent for the first time, as far as
 	// this host knows, since the other hosts were told.
 	reads exchange.Reads
+	// ration shares limits that don't suffice; supply is what this host may send of them, in
+	// requests a second, as of suppliedAt.
+	ration     placement.Ration
+	supply     float64
+	suppliedAt time.Time
 	// meanHeld is the decayed mean of the times for which upstreams have requests.
 	meanHeld time.Duration
 }
@@ -91,7 +100,7 @@
 // NewFleet returns an empty fleet. An upstream whose entry was removed is used for
 // removalGrace longer; one that said that it leaves is not.
 func NewFleet(removalGrace time.Duration, log zerolog.Logger) *Fleet {
-	return &Fleet{removalGrace: removalGrace, log: log, access: &access{alone: true}, shards: make(map[string]*shard)}
+	return &Fleet{removalGrace: removalGrace, log: log, access: newAccess(""), shards: make(map[string]*shard)}
 }
 
 func (f *Fleet) shard(service string) *shard {
@@ -110,7 +119,7 @@
 }
 
 func newShard(a *access) *shard {
-	return &shard{access: a, members: make(map[string]*member), addresses: make(map[string]*member), names: make(map[exchange.Name]*member), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
+	return &shard{access: a, members: make(map[string]*member), addresses: make(map[string]*member), names: make(map[exchange.Name]*member), leases: make(map[ratelease.Upstream]*member), limitNews: make(map[*member]struct{}), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
 }
 
 // lapseGrace is how long an upstream is used whose entry vanished in an outage of the store:
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -108,6 +108,9 @@
 	if resultcode.Lookup(e.Code).Status != statusPromise {
 		return 0
 	}
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
 	return retryBusy
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.fleet.access.alone = s.Peers.Listen == ""
+	g.fleet.access.seed, g.fleet.access.hosts = s.Host, func() int { return int(g.hosts.Load()) }
 	g.fleet.access.overrun, g.fleet.access.spare = s.ColdOverrun, s.ColdSpare
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
@@ -171,9 +172,9 @@
 	holdStatus = 2 * time.Second
 	// sweepInterval is how often records of gone upstreams are looked for.
 	sweepInterval = 10 * time.Second
-	// warmInterval is how often upstreams are looked for that aren't cold any more, to
-	// tell of them; requests go by the time itself.
-	warmInterval = 250 * time.Millisecond
+	// openInterval is how often upstreams are looked for that aren't cold or limited any
+	// more, to tell of them; requests go by the time itself.
+	openInterval = 250 * time.Millisecond
 )
 
 // follow starts what keeps the host's beliefs up to date.
@@ -215,7 +216,8 @@
 			Tables: watchers, Work: g.fleet.work, Others: g.fleet.setOthers,
 			Hosts: func(n int) { g.hosts.Store(int64(n)) },
 			Reads: g.fleet.takeReads, TakeReads: g.fleet.noteReads,
-			Cold: g.fleet.Cold, TakeHolding: g.fleet.TakeHolding,
+			Leased: g.fleet.Leased, TakeHolding: g.fleet.TakeHolding,
+			Limits: g.fleet.limitWords, KnownLimits: g.fleet.knownLimits, TakeLimits: g.fleet.takeLimits,
 			Timings: g.fleet.timings, TakeTimings: g.fleet.takeTimings,
 			Evidence: g.rollouts.seen, TakeEvidence: g.rollouts.takeOthers, Quarantine: g.guard,
 		}, g.log)
@@ -226,7 +228,7 @@
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.tellBegun(ctx) })
-	group.Go(func() { wait.Every(ctx, warmInterval, g.fleet.noteWarm) })
+	group.Go(func() { wait.Every(ctx, openInterval, g.fleet.noteOpen) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { wait.Every(ctx, sweepInterval, func() { g.fleet.Sweep(boottime.Now()) }) })
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -72,11 +73,12 @@
 	if former := s.members[u.ID]; former != nil {
 		s.forget(former)
 	}
-	m := &member{Upstream: *u, shard: s, name: u.exchangeName(), listedAt: boottime.Now()}
+	m := &member{Upstream: *u, shard: s, name: u.exchangeName(), lease: ratelease.UpstreamOf(u.name()), listedAt: boottime.Now()}
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
 	s.names[m.name] = m
+	s.leases[m.lease] = m
 	s.setAddress(m, m.Address)
 	s.roster.outdated = true
 	return m
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -8,7 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
-	"github.com/quetzalweir/quetzalweir/warmup"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 const (
@@ -49,9 +49,13 @@
 	// sent are this host's requests of the last moment.
 	coldUntil time.Time
 	coldTold  bool
-	sent      warmup.Window
-	// limit is what its answers name.
-	limit namedLimit
+	sent      ratelease.Window
+	// lease stands for the upstream in leases. limit is the one that its answers name,
+	// bucket what this host may send it of that.
+	lease       ratelease.Upstream
+	limit       ratelease.Named
+	limitLogged limitLogged
+	bucket      ratelease.Bucket
 	// lapsed says that the entry may have vanished because the store was away.
 	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -114,19 +114,19 @@
 }
 
 // upgrade is what the model would do for the request on the engine that would be chosen
-// now.
-func (f *Fleet) upgrade(w wants) placement.Upgrade {
+// now; ok is false if none is open.
+func (f *Fleet) upgrade(w wants) (u placement.Upgrade, ok bool) {
 	now := boottime.Now()
 	s := f.shard(w.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := placement.Upgrade{Pressure: s.waits.pressure()}
+	u.Pressure = s.waits.pressure()
 	list := s.candidates(&w, now, f.removalGrace)
 	if len(list.members) == 0 || w.prompt == nil {
-		return u
+		return u, len(list.members) > 0
 	}
 	c := choice{wants: w}
 	s.place(list, &c, now)
 	u.Expected = c.placed.Expected
-	return u
+	return u, true
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -228,5 +228,9 @@
 	if s.names[m.name] == m {
 		delete(s.names, m.name)
 	}
+	if s.leases[m.lease] == m {
+		delete(s.leases, m.lease)
+	}
+	delete(s.limitNews, m)
 	s.roster.outdated = true
 }
--- a/ratelease/bound.go
+++ b/ratelease/bound.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelease
 
 // Bound is what operators permit a cold upstream to be sent.
 type Bound struct {
@@ -11,18 +11,16 @@
 }
 
 // usedPart is the part of the permitted requests that is handed out. The rest is for a
-// seed that not all hosts name, and for requests sent before it was known that the
-// upstream is cold.
+// root that not all hosts name, and for requests sent before hosts knew of the bound.
 const usedPart = 0.75
 
 // Permitted is how many requests may reach a cold upstream in any second.
 func (b Bound) Permitted() float64 { return max(1, b.Overrun)*b.Rate + b.Spare }
 
 const (
-	// maxParts bounds the parts that a root's requests for one upstream are split in. A
-	// host among dozens has a few requests a second, of which an upstream suits some:
-	// with one holder a root, cold upstreams got a third of what they tolerate.
-	maxParts = 4
+	// maxColdParts bounds the parts that a root's requests for a cold upstream are split in:
+	// a host among dozens has a few requests a second, of which an upstream suits some.
+	maxColdParts = 4
 	// leastPart is the least number of requests that is worth a part.
 	leastPart = 2
 )
@@ -32,12 +30,15 @@
 	return int(usedPart * b.Permitted() / float64(max(1, roots)))
 }
 
-// Parts is how many holders share what one root hands out.
+// Parts is in how many parts a root splits what it hands out.
 func (b Bound) Parts(roots int) int {
-	return min(maxParts, max(1, b.root(roots)/leastPart))
+	return min(maxColdParts, max(1, b.root(roots)/leastPart))
 }
 
-// Each is how many requests the holder of so many parts may send in any Span.
-func (b Bound) Each(roots, parts int) int {
-	return parts * (b.root(roots) / b.Parts(roots))
+// Each is how many requests the holder of a share may send in any Span.
+func (b Bound) Each(s Share) int {
+	if s.Of == 0 {
+		return 0
+	}
+	return s.Parts * (b.root(s.Roots) / s.Of)
 }
--- a/ratelease/lease.go
+++ b/ratelease/lease.go
@@ -1,17 +1,23 @@
-package warmup
+package ratelease
 
 import (
-	"fmt"
-	"maps"
-	"math"
-	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/evenhash"
 )
 
-// Upstream stands for an upstream in what hosts tell each other.
-type Upstream uint32
+// Upstream stands for one incarnation of an upstream in what hosts tell each other, by 64
+// bits of its name: among 12,000 two agree in one installation of a hundred billion, and would
+// then share their parts.
+type Upstream uint64
+
+// UpstreamOf is what stands for the name.
+func UpstreamOf(name string) Upstream { return Upstream(evenhash.Sum(name)) }
+
+// Draw is a number of [0, 1) for a host and the upstream, evenly spread.
+func (u Upstream) Draw(host string) float64 {
+	return float64(mix(uint64(u)^evenhash.Sum(host))>>11) / (1 << 53)
+}
 
 const (
 	// LeaseTime is how long a lease lasts that isn't renewed: some exchanges between
@@ -23,159 +29,106 @@
 	Handover = LeaseTime + Span + 200*time.Millisecond
 )
 
-// Lease is the right to send cold upstreams their part, or to hand it on.
+// Grant is the right to send an upstream some parts of what each root hands out.
+type Grant struct {
+	Upstream Upstream
+	// Parts are how many of the Of parts in which a root splits it.
+	Parts int
+	Of    int
+}
+
+// digest is a number of the grant, evenly spread.
+func (g Grant) digest() uint64 { return mix(uint64(g.Upstream) ^ uint64(g.Parts)<<32 ^ uint64(g.Of)) }
+
+// Digest tells lists of grants apart, in whatever order they are; 0 is that of none.
+func Digest(grants []Grant) uint64 {
+	sum := uint64(0)
+	for _, g := range grants {
+		sum += g.digest()
+	}
+	return sum
+}
+
+// Lease is the right to use some grants, or to hand them on.
 type Lease struct {
-	// Upstreams has each as often as the lease has parts of it.
-	Upstreams []Upstream
+	Grants []Grant
 	// For is how long it lasts from when it was asked for.
 	For time.Duration
-	// Roots is into how many parts the permitted requests are split.
+	// Roots is the number of roots that hand out requests.
 	Roots int
 }
 
-// Root is the lease that a root of the tree holds by itself, for cold upstreams as often as
-// there are parts of each.
-func Root(cold []Upstream, roots int) Lease {
-	return Lease{Upstreams: cold, For: LeaseTime, Roots: max(1, roots)}
+// Root is the lease that a root of the tree holds by itself, of all parts of its own.
+func Root(grants []Grant, roots int) Lease {
+	return Lease{Grants: grants, For: LeaseTime, Roots: max(1, roots)}
+}
+
+// Share is the part of the requests for an upstream that a host may send.
+type Share struct {
+	// Parts are how many of the Of parts of each of the Roots roots.
+	Parts, Of, Roots int
+	// Since is when the host got it.
+	Since time.Time
+}
+
+// Part is the share of all requests for the upstream.
+func (s Share) Part() float64 {
+	if s.Of == 0 || s.Roots == 0 {
+		return 0
+	}
+	return float64(s.Parts) / float64(s.Of) / float64(s.Roots)
 }
 
+// Whole is the share of a host that is the only one.
+func Whole(of int, since time.Time) Share { return Share{Parts: of, Of: of, Roots: 1, Since: since} }
+
 // Holding is a lease that a host was given, by its own clock.
 type Holding struct {
-	// parts are how many of each the host has.
-	parts map[Upstream]int
-	until time.Time
-	roots int
+	shares map[Upstream]Share
+	grants []Grant
+	until  time.Time
+	roots  int
 }
 
-// Hold begins a lease that was asked for at the time.
-func Hold(l Lease, asked time.Time) Holding {
-	h := Holding{parts: make(map[Upstream]int, len(l.Upstreams)), until: asked.Add(min(l.For, LeaseTime)), roots: max(1, l.Roots)}
-	for _, u := range l.Upstreams {
-		h.parts[u]++
+// Hold begins a lease that was asked for at the time. What the holding before had without
+// a break is held since then.
+func Hold(l Lease, asked time.Time, before *Holding) Holding {
+	h := Holding{shares: make(map[Upstream]Share, len(l.Grants)), grants: l.Grants, until: asked.Add(min(l.For, LeaseTime)), roots: max(1, l.Roots)}
+	for _, g := range l.Grants {
+		share := Share{Parts: g.Parts, Of: g.Of, Roots: h.roots, Since: asked}
+		if before != nil {
+			if held, ok := before.Share(g.Upstream, asked); ok {
+				share.Since = held.Since
+			}
+		}
+		h.shares[g.Upstream] = share
 	}
 	return h
 }
 
-// Parts is how many parts of an upstream the host has now.
-func (h *Holding) Parts(u Upstream, now time.Time) int {
+// Share is what the host may send of an upstream's requests now.
+func (h *Holding) Share(u Upstream, now time.Time) (share Share, ok bool) {
 	if !now.Before(h.until) {
-		return 0
+		return Share{}, false
 	}
-	return h.parts[u]
+	share, ok = h.shares[u]
+	return share, ok
 }
 
-// Roots is into how many parts the permitted requests are split.
-func (h *Holding) Roots() int { return h.roots }
-
 // Lease is what is left of the holding.
 func (h *Holding) Lease(now time.Time) Lease {
 	left := h.until.Sub(now)
 	if left <= 0 {
 		return Lease{Roots: h.roots}
 	}
-	l := Lease{For: left, Roots: h.roots}
-	for _, u := range slices.Sorted(maps.Keys(h.parts)) {
-		l.Upstreams = append(l.Upstreams, slices.Repeat([]Upstream{u}, h.parts[u])...)
-	}
-	return l
-}
-
-// Lessor hands a host's holding on to those that report to it, the host itself among
-// them: each part to one of them at a time. It isn't safe for concurrent use.
-type Lessor struct {
-	startedAt time.Time
-	lessees   map[part]lessee
-	// given are the parts that each reporter gets, of a holding that lasts until then.
-	given map[string][]part
-	until time.Time
-	roots int
-}
-
-// part is one of the parts of an upstream that a lessor has.
-type part struct {
-	upstream Upstream
-	number   int
+	return Lease{For: left, Roots: h.roots, Grants: h.grants}
 }
 
-// lessee has a part.
-type lessee struct {
-	name string
-	// until is the end of the lease by the last word to it.
-	until time.Time
-}
-
-// NewLessor returns the lessor of a host that started at the time.
-func NewLessor(startedAt time.Time) *Lessor {
-	return &Lessor{startedAt: startedAt, lessees: make(map[part]lessee)}
-}
-
-// maxAssigned bounds the parts that are handed on, and with that messages and the time that
-// they take. Of more upstreams that are cold at once the rest gets nothing until it is warm.
-const maxAssigned = 512
-
-// Assign decides who gets which parts of the holding from now on. Reporters are those that
-// report now, and for how many hosts each speaks.
-func (l *Lessor) Assign(holding Lease, reporters map[string]int, now time.Time) {
-	l.given, l.until, l.roots = make(map[string][]part), now.Add(min(holding.For, LeaseTime)), holding.Roots
-	numbers := make(map[Upstream]int)
-	for _, u := range holding.Upstreams[:min(len(holding.Upstreams), maxAssigned)] {
-		p := part{u, numbers[u]}
-		numbers[u]++
-		name := l.give(p, reporters, now)
-		if name == "" {
-			continue
-		}
-		if l.lessees[p].name != name {
-			l.lessees[p] = lessee{name: name} // it wasn't told yet
-		}
-		l.given[name] = append(l.given[name], p)
-	}
-	l.drop(now)
-}
-
-// Lease is what the reporter is told, for as long as the holding lasts.
-func (l *Lessor) Lease(reporter string, now time.Time) Lease {
-	given := Lease{For: l.until.Sub(now), Roots: l.roots}
-	if given.For <= 0 {
-		return Lease{Roots: l.roots}
-	}
-	for _, p := range l.given[reporter] {
-		l.lessees[p] = lessee{name: reporter, until: l.until}
-		given.Upstreams = append(given.Upstreams, p.upstream)
-	}
-	return given
-}
-
-// give is who has the part, or is to have it from now on; empty while nobody may.
-func (l *Lessor) give(p part, reporters map[string]int, now time.Time) string {
-	if has, ok := l.lessees[p]; ok {
-		if _, reports := reporters[has.name]; reports {
-			return has.name
-		}
-		if now.Before(has.until.Add(Handover - LeaseTime)) {
-			return ""
-		}
-	}
-	if now.Sub(l.startedAt) < Handover {
-		return ""
-	}
-	return draw(p, reporters)
-}
-
-// drop forgets leases that are over for so long that the part is anybody's.
-func (l *Lessor) drop(now time.Time) {
-	maps.DeleteFunc(l.lessees, func(_ part, has lessee) bool { return now.After(has.until.Add(Handover)) })
-}
-
-// draw chooses a reporter for the part, each as often as it has hosts.
-func draw(p part, reporters map[string]int) string {
-	best, least := "", math.Inf(1)
-	text := fmt.Sprint(p.upstream, "/", p.number)
-	for name, hosts := range reporters {
-		// The least of exponential draws falls to each in proportion to its weight.
-		if at := -math.Log(evenhash.Point(text, name)) / float64(max(1, hosts)); at < least || at == least && name < best {
-			best, least = name, at
-		}
-	}
-	return best
+// mix spreads the bits of a number evenly.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
--- a/ratelease/window.go
+++ b/ratelease/window.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelease
 
 import "time"
 
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -50,6 +50,7 @@
 	DeadlineUnmeetable Code = 3003
 	NoUpstream         Code = 3004
 	ExposureSpent      Code = 3005
+	UpstreamsLimited   Code = 3006
 
 	// 4xxx: upstreams.
 	UpstreamUnreachable Code = 4001
@@ -118,6 +119,7 @@
 	{DeadlineUnmeetable, "deadline-unmeetable", 503, notRun, time.Second, "The request can't be answered within its deadline at the present load."},
 	{NoUpstream, "no-upstream", 503, anyState, 2 * time.Second, "No upstream that may be sent requests now has the version: none is in service, or all are cold or in evacuated zones."},
 	{ExposureSpent, "exposure-spent", 503, notRun, 2 * time.Second, "The only permitted version has spent its exposure budget or was stopped."},
+	{UpstreamsLimited, "upstreams-limited", 503, notRun, time.Second, "The upstreams that may run the request name limits, of which nothing is left now."},
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
 	{AnswerIncomplete, "answer-incomplete", 502, ran, 0, "The answer began and could not be completed on the same version."},
