--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,14 +46,14 @@
 	// pressure is the time that prompts waited when that was decided, as a part of what
 	// reading them takes.
 	pressure float64
-	// patience is how long the upstream's head is waited for, if giveUp then
+	// headTimeout is how long the upstream's head is waited for, if giveUp then
 	// agrees; whether or not it does, a longer silence speaks against the upstream.
-	patience time.Duration
-	giveUp   func() bool
-	// silence watches that.
-	silence *silence
-	call    *sealedconn.Call
-	state   runstate.Tracker
+	headTimeout time.Duration
+	giveUp      func() bool
+	// idle watches that.
+	idle  *idleTimer
+	call  *sealedconn.Call
+	state runstate.Tracker
 	// headSeen says that an acceptable head came.
 	headSeen bool
 }
@@ -68,10 +68,10 @@
 		cancel(err)
 		return nil, err
 	}
-	a.silence = newSilence(a.giveUp, cancel)
-	a.silence.wait(a.patience)
+	a.idle = newIdleTimer(a.giveUp, cancel)
+	a.idle.start(a.headTimeout)
 	resp, err := a.gateway.transport.RoundTrip(req)
-	a.silence.heard()
+	a.idle.stop()
 	if err != nil {
 		cause := context.Cause(headCtx)
 		cancel(err)
@@ -198,7 +198,7 @@
 	}
 	switch {
 	case result.outcome == outcomeUnsent:
-	case errors.Is(err, errSilent), ctx.Err() != nil && time.Since(a.began) > a.patience:
+	case errors.Is(err, errSilent), ctx.Err() != nil && time.Since(a.began) > a.headTimeout:
 		result.outcome = outcomeSilent
 	case ctx.Err() != nil:
 		result.outcome = outcomeAbandoned
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -155,13 +155,13 @@
 	r.tried = append(r.tried, picked.upstream.ID)
 	another := r.Route.Repeatable() && r.triesLeft() && picked.among > 1
 	return &attempt{
-		gateway:  g,
-		request:  r,
-		choice:   picked,
-		began:    time.Now(),
-		largest:  models.best(),
-		patience: max(g.usual.of(r.usualKey()).patience(r.Route.Target), patienceExpected*picked.placed.Expected),
-		giveUp:   func() bool { return another && g.budgets.of(r.Service).take() },
+		gateway:     g,
+		request:     r,
+		choice:      picked,
+		began:       time.Now(),
+		largest:     models.best(),
+		headTimeout: max(g.responseTimes.of(r.timesKey()).headTimeout(r.Route.Target), expectedFactor*picked.placed.Expected),
+		giveUp:      func() bool { return another && g.budgets.of(r.Service).take() },
 	}, nil
 }
 
@@ -194,8 +194,8 @@
 	return w
 }
 
-// usualKey names the answers whose usual time the request's is compared with.
-func (r *Request) usualKey() string { return r.Service + "/" + r.model + "/" + r.Route.Name }
+// timesKey names the answers whose usual time the request's is compared with.
+func (r *Request) timesKey() string { return r.Service + "/" + r.model + "/" + r.Route.Name }
 
 // learn takes in what the attempt tells of its upstream, its model and its
 // version.
@@ -204,12 +204,12 @@
 	g.fleet.release(a.choice, result)
 	d.hold(r, a, result)
 	if result.outcome == outcomeSilent {
-		g.usual.of(r.usualKey()).observeSilence(time.Since(a.began))
+		g.responseTimes.of(r.timesKey()).observeSilence(time.Since(a.began))
 	}
 	if result.outcome != outcomeDone {
 		return
 	}
-	g.usual.of(r.usualKey()).observe(result.firstByte)
+	g.responseTimes.of(r.timesKey()).observe(result.firstByte)
 }
 
 // hold holds the attempt's end against the upstream's version, or for it. An end of the
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -298,7 +298,7 @@
 		succeed("ok")(rw, req)
 	}
 	logs := []*upstreamLog{w.upstream("a", slow), w.upstream("b", slow)}
-	w.gateway.usual.of((&Request{Service: "svc", Route: &doc.Routes[1]}).usualKey()).observe(100 * time.Millisecond)
+	w.gateway.responseTimes.of((&Request{Service: "svc", Route: &doc.Routes[1]}).timesKey()).observe(100 * time.Millisecond)
 	for range 5 {
 		is.Equal(w.do(w.request("GET", "/many/x", "")).status, 200)
 	}
@@ -307,14 +307,14 @@
 
 func TestPatience(t *testing.T) {
 	is := is.New(t)
-	var u usualTime
-	is.Equal(u.patience(time.Second), 700*time.Millisecond) // nothing known
+	var u responseTime
+	is.Equal(u.headTimeout(time.Second), 700*time.Millisecond) // nothing known
 	u.observe(50 * time.Millisecond)
-	is.Equal(u.patience(time.Second), 400*time.Millisecond)
-	u = usualTime{}
+	is.Equal(u.headTimeout(time.Second), 400*time.Millisecond)
+	u = responseTime{}
 	u.observe(200 * time.Millisecond)
-	is.Equal(u.patience(time.Second), 800*time.Millisecond)
+	is.Equal(u.headTimeout(time.Second), 800*time.Millisecond)
 	u.observe(time.Minute)
-	is.True(u.patience(time.Second) > 10*time.Second) // general slowness is no silence
-	is.True(u.patience(0) > 0)
+	is.True(u.headTimeout(time.Second) > 10*time.Second) // general slowness is no silence
+	is.True(u.headTimeout(0) > 0)
 }
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -97,9 +97,9 @@
 func (f *setDeadline) serve(ctx context.Context, r *Request, next next) error {
 	allowed := r.Route.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(f.headers.Deadline), 64); err == nil && ms > 0 {
-		patience := time.Duration(ms * float64(time.Millisecond))
-		if allowed <= 0 || patience < allowed {
-			allowed = patience
+		callerWait := time.Duration(ms * float64(time.Millisecond))
+		if allowed <= 0 || callerWait < allowed {
+			allowed = callerWait
 		}
 	}
 	if allowed <= 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,10 +36,10 @@
 	peers   *exchange.Member
 	budgets perService[retryBudget]
 	sizes   perService[promptSizes]
-	// usual is by service and model.
-	usual perService[usualTime]
+	// responseTimes are by service and model.
+	responseTimes perService[responseTime]
 	// pauses are the longest ones of streams, by the same.
-	pauses   perService[usualTime]
+	pauses   perService[responseTime]
 	pipeline next
 	// guard keeps requests that end upstreams away from them.
 	guard *guard.Guard
@@ -91,8 +91,8 @@
 	g.fleet.access.overrun, g.fleet.access.spare = s.ColdOverrun, s.ColdSpare
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.budgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRepeats) }
-	g.usual.make = func() *usualTime { return new(usualTime) }
-	g.pauses.make = func() *usualTime { return new(usualTime) }
+	g.responseTimes.make = func() *responseTime { return new(responseTime) }
+	g.pauses.make = func() *responseTime { return new(responseTime) }
 	g.sizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.Statuses, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, Count: g.metrics.guarded, Log: log,
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/idletimer_test.go
@@ -72,13 +72,13 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
 		var may atomic.Bool
-		s := newSilence(may.Load, cancel)
+		s := newIdleTimer(may.Load, cancel)
 		began := time.Now()
-		s.wait(time.Second)
+		s.start(time.Second)
 		time.AfterFunc(2500*time.Millisecond, func() { may.Store(true) })
 		<-ctx.Done()
 		is.True(errors.Is(context.Cause(ctx), errSilent))
-		is.True(s.lasted())
+		is.True(s.expired())
 		is.Equal(time.Since(began), 3*time.Second)
 	})
 }
@@ -88,14 +88,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
-		s := newSilence(func() bool { return true }, cancel)
+		s := newIdleTimer(func() bool { return true }, cancel)
 		for range 5 {
-			s.wait(time.Second)
+			s.start(time.Second)
 			time.Sleep(900 * time.Millisecond)
-			s.heard()
+			s.stop()
 			time.Sleep(2 * time.Second) // the caller takes its time
 		}
 		is.NoErr(ctx.Err())
-		is.True(!s.lasted())
+		is.True(!s.expired())
 	})
 }
--- a/internal/gateway/startwait.go
+++ b/internal/gateway/startwait.go
@@ -12,8 +12,7 @@
 	// startSpan is the time from a host's start in which its first tables are on their
 	// way. Later they are missing because the store is away.
 	startSpan = time.Second
-	// startWait is how long a request waits for them at most: reading both takes 100 to
-	// 200 ms on the smallest hosts.
+	// startWait is how long a request waits for them at most.
 	startWait = 400 * time.Millisecond
 	// startLook is the time between two looks whether they are there while requests may
 	// wait for them, lateLook the same later.
@@ -23,8 +22,7 @@
 
 // awaitStart lets requests that come to a host that is just starting wait for its first
 // document and upstreams. When all hosts return at once, callers reach them as soon as they
-// listen: some hundred requests were refused in the fifth of a second before the document,
-// and had spent their callers' repeats for it.
+// listen, and a refusal would spend their repeats.
 type awaitStart struct {
 	gateway *Gateway
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,7 +86,7 @@
 	switch {
 	case result.err == nil:
 		result.outcome = outcomeDone
-	case a.silence.lasted():
+	case a.idle.expired():
 		result.outcome, result.err = outcomeSilent, errSilent
 	case ctx.Err() != nil || errors.Is(result.err, errCallerWrite):
 		result.outcome = outcomeAbandoned
@@ -105,12 +105,12 @@
 	events := eventReader{reader: bufio.NewReader(resp.Body)}
 	out := a.request.answer
 	limit, longest := a.pauseLimit(), time.Duration(0)
-	defer func() { a.gateway.pauses.of(a.request.usualKey()).observe(longest) }()
+	defer func() { a.gateway.pauses.of(a.request.timesKey()).observe(longest) }()
 	for {
 		asked := time.Now()
-		a.silence.wait(limit)
+		a.idle.start(limit)
 		ev, err := events.next()
-		a.silence.heard() // a caller that takes its time is no silence of the upstream
+		a.idle.stop() // a caller that takes its time is no silence of the upstream
 		longest = max(longest, time.Since(asked))
 		if errors.Is(err, io.EOF) {
 			// A stream without events is an answer all the same.
