--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -42,6 +42,8 @@
 	fatal *rand.Rand
 	// drills draws when the store comes back from a copy, apart from the others.
 	drills *rand.Rand
+	// limits draws which upstreams name limits, and when, apart from the others.
+	limits *rand.Rand
 	// ended are upstreams that it ended and that weren't replaced yet.
 	ended chan *platformtest.Upstream
 	// ends counts them.
@@ -87,6 +89,7 @@
 				growth:      rand.New(rand.NewPCG(seed, 2)),
 				fatal:       rand.New(rand.NewPCG(seed, 3)),
 				drills:      rand.New(rand.NewPCG(seed, 4)),
+				limits:      rand.New(rand.NewPCG(seed, 5)),
 				ended:       make(chan *platformtest.Upstream, 1000),
 				left:        make(map[string]time.Time),
 				newest:      "many",
@@ -135,6 +138,7 @@
 		}
 		callers.Go(func() { s.callFatal(stop) })
 	}
+	limited := s.nameLimits()
 	version := 10
 	if s.drills.IntN(2) == 0 {
 		callers.Go(func() { s.drill(stop) })
@@ -145,6 +149,9 @@
 		time.Sleep(time.Duration(50+s.rnd.IntN(250)) * time.Millisecond)
 	}
 	s.heal()
+	if limited != nil {
+		s.checkLimit(limited)
+	}
 	close(stop)
 	callers.Wait()
 	s.replaceEnded()
@@ -162,6 +169,54 @@
 	}
 }
 
+// soakLimit is the limit that an upstream names in a soak, in requests a second.
+const soakLimit = 1.5
+
+// nameLimits has one upstream name a limit from some time on, and others for a moment. It
+// returns the first one; nil if none does.
+func (s *soak) nameLimits() *platformtest.Upstream {
+	if s.limits.IntN(2) == 0 {
+		return nil
+	}
+	after := func(most int, do func()) time.Duration {
+		wait := time.Duration(s.limits.IntN(most)) * time.Millisecond
+		time.AfterFunc(wait, do)
+		return wait
+	}
+	for range 2 {
+		u, limit := s.upstreams[s.limits.IntN(len(s.upstreams))], fmt.Sprint(s.limits.IntN(5))
+		from := after(3000, func() { u.SetLimit(limit) })
+		until := after(3000, func() { u.SetLimit("") })
+		s.note("upstream %s names the limit %s from %v to %v", u.ID, limit, from, until)
+	}
+	u := s.addUpstream("pool", "v1", zone(0))
+	from := after(3000, func() { u.SetLimit(fmt.Sprint(soakLimit)) })
+	s.note("upstream %s names a limit from %v on", u.ID, from)
+	return u
+}
+
+// limitSettles is the time after the last fault from which a limit is kept: hosts that
+// started last find their hubs, and hubs hear of it.
+const limitSettles = 5 * time.Second
+
+// checkLimit has the hosts keep the limit together once no fault is in force.
+func (s *soak) checkLimit(u *platformtest.Upstream) {
+	s.t.Helper()
+	time.Sleep(limitSettles)
+	from := time.Now()
+	time.Sleep(limitWindow)
+	n := 0
+	for _, r := range u.Began() {
+		if r.At.After(from) {
+			n++
+		}
+	}
+	s.note("%d runs in %v at the limited upstream", n, limitWindow)
+	if n > limitPermits(soakLimit) {
+		s.t.Errorf("%s got %d requests in %v, %d are permitted", u.ID, n, limitWindow, limitPermits(soakLimit))
+	}
+}
+
 // drill has the store go away for a moment and come back from a copy of some seconds ago,
 // once or twice. Operators and upstreams then write again what they had written, within
 // a second.
