ratelease: the log of limits and the reading of the header stand apart from messages

What a hub knows of limits (Log), how a host follows it (Follower) and the values of the header decide without input or output, so they stand beside the rest of the decision; internal/exchange keeps the wire. Moved, with their tests; the epoch of a hub's run is shorter in messages.

--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // look chooses the hub: the first seed of this host's zone in the seeds' order,
@@ -49,7 +50,7 @@
 	m.told.Store(&address)
 	m.hubSince = boottime.Now()
 	m.readsSince, m.toldReads = 0, 0
-	m.limits, m.granted = limitSync{}, nil
+	m.limits, m.granted = ratelease.Follower{}, nil
 	m.tellAnew()
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -71,9 +72,9 @@
 	ReadsSince uint64 `json:"reads_since,omitempty"`
 	// Limits are what the host's upstreams told of their limits, LimitsKnown is how far it
 	// knows the hub's words. Holds is the digest of the grants that it has of the hub.
-	Limits      LimitWords  `json:"limits,omitempty"`
-	LimitsKnown LimitsKnown `json:"limits_known,omitzero"`
-	Holds       uint64      `json:"holds,omitempty"`
+	Limits      LimitWords     `json:"limits,omitempty"`
+	LimitsKnown ratelease.Mark `json:"limits_known,omitzero"`
+	Holds       uint64         `json:"holds,omitempty"`
 	// WantTimings asks for what the others' answers told of models' paces; a host then
 	// tells what its own did.
 	WantTimings bool    `json:"want_timings,omitempty"`
--- a/internal/exchange/follow.go
+++ b/internal/exchange/follow.go
@@ -51,7 +51,7 @@
 	m.noteLeads(leads)
 	report, told := m.report(), told{}
 	toldLimits := len(report.Limits)
-	report.ReadsSince, report.LimitsKnown, report.Holds = m.readsSince, m.limits.known, ratelease.Digest(m.granted)
+	report.ReadsSince, report.LimitsKnown, report.Holds = m.readsSince, m.limits.Mark(), ratelease.Digest(m.granted)
 	if leads {
 		report, told = m.leadersReport(report)
 	}
@@ -83,7 +83,7 @@
 // told is up to which numbers of the own hub a report tells what that was told.
 type told struct {
 	reads, sightings uint64
-	limits           LimitsKnown
+	limits           ratelease.Mark
 }
 
 // leadersReport is the report for this host and its followers, and what it tells up to.
@@ -94,7 +94,7 @@
 	report, upTo.reads = m.hub.subtree(own, m.toldReads, m.current)
 	report.Sightings, upTo.sightings = m.hub.sightingsSince(m.toldSightings, m.current)
 	limits := m.hub.limitsSince(m.toldLimits, toHub)
-	report.Limits, upTo.limits = limits.Words, LimitsKnown{Epoch: limits.Epoch, Last: limits.Last}
+	report.Limits, upTo.limits = limits.Words, limits.Mark
 	if !m.alone() {
 		report.Evidence = nil
 	}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,7 +43,7 @@
 	// lessor hands on the parts of upstreams' requests that this host holds.
 	lessor *ratelease.Lessor
 	// limits are what this hub was told of upstreams' limits.
-	limits *limitLog
+	limits *ratelease.Log
 	// knowsLimits says that the hub that this one reports to has told all that it knows, or
 	// this one is a root.
 	knowsLimits bool
@@ -83,7 +84,7 @@
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]received), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
-		lessor: ratelease.NewLessor(boottime.Now()), limits: newLimitLog(), startedAt: boottime.Now(),
+		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
 
--- a/internal/exchange/hubs.go
+++ b/internal/exchange/hubs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // question is what a hub knows of asking another one.
@@ -19,7 +20,7 @@
 	sightingsSince uint64
 	answered       bool
 	// limits is the same for its words of limits.
-	limits LimitsKnown
+	limits ratelease.Mark
 }
 
 // askHubs asks the other hubs for the sums of their followers, each by itself, so that a
@@ -49,7 +50,7 @@
 			m.hub.takeLimits(true, reply.Limits.Words, false)
 			m.takeStanding(reply.Standing)
 			m.offerIfLost(reply, asked)
-			m.end(seed, question{readsSince: reply.ReadsLast, sightingsSince: reply.SightingsLast, limits: LimitsKnown{Epoch: reply.Limits.Epoch, Last: reply.Limits.Last}, answered: true})
+			m.end(seed, question{readsSince: reply.ReadsLast, sightingsSince: reply.SightingsLast, limits: reply.Limits.Mark, answered: true})
 		}()
 	}
 }
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -105,8 +105,8 @@
 	holding ratelease.Holding
 	// limits follows what the hub knows of upstreams' limits, ownLimits what this host's own
 	// hub does. toldLimits is the number of the own hub up to which the other was told.
-	limits, ownLimits limitSync
-	toldLimits        LimitsKnown
+	limits, ownLimits ratelease.Follower
+	toldLimits        ratelease.Mark
 	// untoldLimits are words that the hub wasn't told yet.
 	untoldLimits []ratelease.Word
 	// leading says that other hosts report to this one.
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,23 +11,6 @@
 	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
-// parseLimit reads the limits that an answer names, in requests a second. Of several the
-// lowest holds. ok is false if none is a decimal number.
-func parseLimit(values []string) (rate float64, ok bool) {
-	for _, value := range values {
-		value = strings.TrimSpace(value)
-		if strings.Trim(value, "0123456789.") != "" {
-			continue // a sign, an exponent or a unit
-		}
-		// A number out of range is read as infinite.
-		named, _ := strconv.ParseFloat(value, 64)
-		if strings.ContainsAny(value, "0123456789") && strings.Count(value, ".") <= 1 && (!ok || named < rate) {
-			rate, ok = named, true
-		}
-	}
-	return rate, ok
-}
-
 // limitLogged is the limit of an upstream that the log knows of.
 type limitLogged struct {
 	limit ratelease.Limit
@@ -125,17 +106,17 @@
 
 // observeLimit takes in an answer to a request that was sent at a time.
 func (m *member) observeLimit(header limitHeader, sentAt, now time.Time, log zerolog.Logger) {
-	rate, ok := parseLimit(header.values)
+	limit, ok := ratelease.ParseLimit(header.values)
 	limited := m.limited(now)
 	if len(header.values) > 0 && !ok {
 		log.Warn().Str("event", "limit-unreadable").Str("upstream", m.ID).Str("service", m.Service).Strs("values", header.values).Msg("")
 		if !limited {
 			return
 		}
-		rate, ok = float64(m.limit.Limit()), true // it still says that it has one
+		limit, ok = m.limit.Limit(), true // it still says that it has one
 	}
 	say := false
-	switch limit := ratelease.Limit(rate); {
+	switch {
 	case ok && limit.Binds():
 		say = m.limit.Observe(limit, now)
 	case limited && header.proven:
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,43 +15,6 @@
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
-func TestParseLimit(t *testing.T) {
-	tests := []struct {
-		values []string
-		rate   float64
-		ok     bool
-	}{
-		{nil, 0, false},
-		{[]string{"1.9"}, 1.9, true},
-		{[]string{" 2 "}, 2, true},
-		{[]string{"0"}, 0, true},
-		{[]string{"0.0"}, 0, true},
-		{[]string{".5"}, 0.5, true},
-		{[]string{""}, 0, false},
-		{[]string{"."}, 0, false},
-		{[]string{"1.2.3"}, 0, false},
-		{[]string{"-1"}, 0, false},
-		{[]string{"+1"}, 0, false},
-		{[]string{"NaN"}, 0, false},
-		{[]string{"Inf"}, 0, false},
-		{[]string{"1e3"}, 0, false},
-		{[]string{"0x10"}, 0, false},
-		{[]string{"3/s"}, 0, false},
-		{[]string{"3, 2"}, 0, false},
-		{[]string{strings.Repeat("9", 400)}, math.Inf(1), true},
-		{[]string{"3", "2"}, 2, true},
-		{[]string{"none", "4"}, 4, true},
-	}
-	for _, test := range tests {
-		is := is.New(t)
-		rate, ok := parseLimit(test.values)
-		is.Equal(ok, test.ok)
-		if ok {
-			is.Equal(rate, test.rate)
-		}
-	}
-}
-
 // limitedBy has an upstream name the limits that the pointer holds at the time.
 func limitedBy(limits *atomic.Pointer[[]string], handler http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
