exchange: a seed that reports to another one of its zone uses its own part of leased rates itself

The fault fails each time, without load too. Now seeds report as they did before, and one that reports to another holds all parts of its own root itself, which nobody else has. Ruled out: fewer hosts before a hub relays, which would cost calls of the store everywhere. Only deployments with two seeds in one zone run otherwise than before this commit.

--- a/internal/exchange/choose.go
+++ b/internal/exchange/choose.go
@@ -123,12 +123,8 @@
 // answered: some round trips between zones.
 const reachOthers = 50 * time.Millisecond
 
-// best is the hub among the seeds that answered; empty if there is none. A seed is its own:
-// of the requests that are leased each seed hands out a part, which nobody has otherwise.
+// best is the hub among the seeds that answered; empty if there is none.
 func (m *Member) best(reached []string) string {
-	if slices.Contains(reached, m.options.Listen) {
-		return m.options.Listen
-	}
 	if i := slices.IndexFunc(reached, func(seed string) bool { return m.zones[seed] == m.options.Zone }); i >= 0 {
 		return reached[i]
 	}
@@ -144,8 +140,8 @@
 	if m.current == "" {
 		return false
 	}
-	if m.current != m.home || m.current == m.options.Listen {
-		return true // named by a seed, or its own
+	if m.current != m.home {
+		return true // named by a seed
 	}
 	for _, seed := range m.options.Seeds {
 		zone, known := m.zones[seed]
--- a/internal/exchange/lease.go
+++ b/internal/exchange/lease.go
@@ -136,10 +136,24 @@
 		return
 	}
 	now := boottime.Now()
-	m.holding = ratelease.Hold(m.hub.lease(m.options.Host, 0).lease(nil), now, &m.holding)
+	lease := m.hub.lease(m.options.Host, 0).lease(nil)
+	if own := m.unledRoot(); len(own) > 0 {
+		lease = ratelease.Root(ratelease.Merge(own, lease.Grants), len(m.options.Seeds))
+	}
+	m.holding = ratelease.Hold(lease, now, &m.holding)
 	m.options.TakeHolding(m.holding, m.hub.rootedLast())
 }
 
+// unledRoot is what a seed hands out that reports to another one of its zone, to itself
+// alone: nobody else has it.
+func (m *Member) unledRoot() []ratelease.Grant {
+	seeds, self := m.options.Seeds, m.options.Listen
+	if m.options.Leased == nil || m.current == self || !slices.Contains(seeds, self) || boottime.Since(m.hub.startedAt) < ratelease.Handover {
+		return nil
+	}
+	return m.options.Leased(len(seeds))
+}
+
 var (
 	_ json.Marshaler   = Grants{}
 	_ json.Unmarshaler = (*Grants)(nil)
--- a/internal/exchange/lease_test.go
+++ b/internal/exchange/lease_test.go
@@ -255,3 +255,26 @@
 	h.hold(ratelease.Root(grants[:1], 3), boottime.Now())
 	is.True(!h.lease("host", ratelease.Digest(first.Grants)).Same)
 }
+
+// A seed that reports to another one of its zone uses its own root's part: nobody else has it.
+func TestSeedThatReportsToAnotherUsesItsPart(t *testing.T) {
+	is := is.New(t)
+	grant := ratelease.Grant{Upstream: 1, Parts: 1, Of: 1}
+	var held ratelease.Holding
+	m := New(Options{
+		Host: "second", Listen: "b", Seeds: []string{"a", "b", "c"},
+		Leased:      func(int) []ratelease.Grant { return []ratelease.Grant{grant} },
+		TakeHolding: func(h ratelease.Holding, _ time.Time) { held = h },
+	}, zerolog.Nop())
+	m.current = "a"
+	share := func() ratelease.Share {
+		m.holdOwn()
+		s, _ := held.Share(1, boottime.Now())
+		return s
+	}
+	is.Equal(share().Parts, 0) // leases of its former run may last
+	m.hub.startedAt = boottime.Now().Add(-ratelease.Handover)
+	is.Equal(share().Part(), 1.0/3)
+	m.options.Listen = "d"
+	is.Equal(share().Parts, 0) // it is no seed
+}
--- a/ratelease/lease.go
+++ b/ratelease/lease.go
@@ -1,6 +1,7 @@
 package ratelease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/evenhash"
@@ -49,6 +50,26 @@
 	return sum
 }
 
+// Merge adds up grants of two roots. Where they split an upstream otherwise, the first one's
+// count.
+func Merge(first, second []Grant) []Grant {
+	all := slices.Clone(first)
+	at := make(map[Upstream]int, len(all))
+	for i, g := range all {
+		at[g.Upstream] = i
+	}
+	for _, g := range second {
+		i, known := at[g.Upstream]
+		switch {
+		case !known:
+			all = append(all, g)
+		case all[i].Of == g.Of:
+			all[i].Parts += g.Parts
+		}
+	}
+	return all
+}
+
 // Lease is the right to use some grants, or to hand them on.
 type Lease struct {
 	Grants []Grant
--- a/ratelease/lease_test.go
+++ b/ratelease/lease_test.go
@@ -221,6 +221,14 @@
 	is.Equal(held(1), 1)
 }
 
+func TestMerge(t *testing.T) {
+	is := is.New(t)
+	first := []ratelease.Grant{{Upstream: 1, Parts: 2, Of: 2}, {Upstream: 2, Parts: 1, Of: 1}}
+	second := []ratelease.Grant{{Upstream: 1, Parts: 1, Of: 2}, {Upstream: 2, Parts: 2, Of: 4}, {Upstream: 3, Parts: 1, Of: 1}}
+	is.Equal(ratelease.Merge(first, second), []ratelease.Grant{{Upstream: 1, Parts: 3, Of: 2}, {Upstream: 2, Parts: 1, Of: 1}, {Upstream: 3, Parts: 1, Of: 1}})
+	is.Equal(first[0].Parts, 2) // the arguments stay as they are
+}
+
 // Held on without a break, a share goes on; after a break it begins anew.
 func TestShareSince(t *testing.T) {
 	is := is.New(t)
