evenhash, exchange: the mixing of bits and the sizes of scenes stand once

Read again before the landing: ratelease had a copy of evenhash's mixing, now evenhash.Mix; two tests of scenes chose their installations and seeds by the same lines, now sceneSizes and sceneSeeds. No number changes: the tests of ratelease, evenhash, the gateway's limits, nine hosts as processes and the scenes of 7 hosts pass.

--- a/evenhash/evenhash.go
+++ b/evenhash/evenhash.go
@@ -12,7 +12,11 @@
 		_, _ = h.Write([]byte{0})
 	}
 	// FNV's high bits depend little on the last bytes.
-	x := h.Sum64()
+	return Mix(h.Sum64())
+}
+
+// Mix spreads the bits of a number evenly; different numbers stay different.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/internal/exchange/lease_test.go
+++ b/internal/exchange/lease_test.go
@@ -177,18 +177,27 @@
 	}},
 }
 
+// sceneSizes are the installations that scenes are played on, sceneSeeds is with how many
+// seeds each.
+func sceneSizes() []fleetSize {
+	if underRace {
+		return []fleetSize{{7, 3}, {30, 3}}
+	}
+	return []fleetSize{{7, 3}, {77, 3}, {440, 32}}
+}
+
+func sceneSeeds(size fleetSize) uint64 {
+	if size.hosts < 100 && !underRace {
+		return 4
+	}
+	return 1
+}
+
 // Whatever hosts believe of each other, no cold upstream gets more than is permitted in
 // any second.
 func TestColdUpstreamsOfAFleet(t *testing.T) {
-	sizes := []fleetSize{{7, 3}, {77, 3}, {440, 32}}
-	if underRace {
-		sizes = []fleetSize{{7, 3}, {30, 3}}
-	}
-	for _, size := range sizes {
-		seeds := uint64(1)
-		if size.hosts < 100 && !underRace {
-			seeds = 4
-		}
+	for _, size := range sceneSizes() {
+		seeds := sceneSeeds(size)
 		for _, scene := range coldScenes {
 			t.Run(fmt.Sprint(size.hosts, " hosts, ", scene.name), func(t *testing.T) {
 				greatest, mean := 0, 0.0
--- a/internal/exchange/limits_test.go
+++ b/internal/exchange/limits_test.go
@@ -301,15 +301,8 @@
 // Whatever hosts believe of each other, those that were told of a limit keep it together;
 // the limit is used, and its end is noticed.
 func TestLimitsOfAFleet(t *testing.T) {
-	sizes := []fleetSize{{7, 3}, {77, 3}, {440, 32}}
-	if underRace {
-		sizes = []fleetSize{{7, 3}, {30, 3}}
-	}
-	for _, size := range sizes {
-		seeds := uint64(1)
-		if size.hosts < 100 && !underRace {
-			seeds = 4
-		}
+	for _, size := range sceneSizes() {
+		seeds := sceneSeeds(size)
 		for _, scene := range limitScenes {
 			t.Run(fmt.Sprint(size.hosts, " hosts, ", scene.name), func(t *testing.T) {
 				for seed := range seeds {
--- a/ratelease/lease.go
+++ b/ratelease/lease.go
@@ -17,7 +17,7 @@
 
 // Draw is a number of [0, 1) for a host and the upstream, evenly spread.
 func (u Upstream) Draw(host string) float64 {
-	return float64(mix(uint64(u)^evenhash.Sum(host))>>11) / (1 << 53)
+	return float64(evenhash.Mix(uint64(u)^evenhash.Sum(host))>>11) / (1 << 53)
 }
 
 const (
@@ -39,7 +39,9 @@
 }
 
 // digest is a number of the grant, evenly spread.
-func (g Grant) digest() uint64 { return mix(uint64(g.Upstream) ^ uint64(g.Parts)<<32 ^ uint64(g.Of)) }
+func (g Grant) digest() uint64 {
+	return evenhash.Mix(uint64(g.Upstream) ^ uint64(g.Parts)<<32 ^ uint64(g.Of))
+}
 
 // Digest tells lists of grants apart, in whatever order they are; 0 is that of none.
 func Digest(grants []Grant) uint64 {
@@ -144,12 +146,3 @@
 	}
 	return Lease{For: left, Roots: h.roots, Grants: h.grants}
 }
-
-// mix spreads the bits of a number evenly.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/ratelease/lessor.go
+++ b/ratelease/lessor.go
@@ -165,7 +165,7 @@
 func (d draws) draw(u Upstream, number int) string {
 	best, least := "", math.Inf(1)
 	for name, seed := range d.seeds {
-		point := float64(mix(uint64(u)^seed^uint64(number)*0x9e3779b97f4a7c15)>>11+1) / (1 << 53)
+		point := float64(evenhash.Mix(uint64(u)^seed^uint64(number)*0x9e3779b97f4a7c15)>>11+1) / (1 << 53)
 		// The least of exponential draws falls to each in proportion to its weight.
 		if at := -math.Log(point) / float64(max(1, d.hosts[name])); at < least || at == least && name < best {
 			best, least = name, at
