gateway: what is done a few times a second looks at the upstreams in use, not at all

Cause: each report of the exchange (6.7 a second) went through all upstreams for the work in flight, the others' work and the parts read, the look for warm ones (4 a second) and the leases did, and an entry without a start made the host count all entries again. A host before 10,000 engines has requests at one or two of them. Before: 12,000 upstreams a look; after: those with requests, or cold or limited.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -104,7 +104,7 @@
 	var grants []ratelease.Grant
 	now := boottime.Now()
 	f.each(func(s *shard) {
-		for _, m := range s.members {
+		for m := range s.leased {
 			parts := m.parts(roots, now)
 			if parts > 0 && m.takesWork(now, f.removalGrace) && !f.access.isEvacuated(m.Zone) {
 				grants = append(grants, ratelease.Grant{Upstream: m.lease, Parts: parts, Of: parts})
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -31,6 +31,7 @@
 		return
 	}
 	m.coldUntil = until
+	m.shard.leased[m] = struct{}{}
 	if m.coldTold {
 		return
 	}
@@ -65,12 +66,15 @@
 func (f *Fleet) noteOpen() {
 	now := boottime.Now()
 	f.each(func(s *shard) {
-		for _, m := range s.members {
+		for m := range s.leased {
 			m.logLimit(now, f.log)
 			if m.coldTold && !m.cold(now) {
 				m.coldTold = false
 				f.log.Info().Str("event", "upstream-warm").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Msg("")
 			}
+			if !now.Before(m.coldUntil) && m.limit.None() {
+				delete(s.leased, m)
+			}
 		}
 	})
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -61,6 +61,16 @@
 	// limits the hub is to be told.
 	leases    map[ratelease.Upstream]*member
 	limitNews map[*member]struct{}
+	// active are the members that have requests of this host, leased those that may be cold
+	// or limited: what is done a few times a second looks at these alone.
+	active map[*member]struct{}
+	leased map[*member]struct{}
+	// starts counts the members that told their start.
+	starts starts
+	// others is what the other hosts' requests in flight ask of the upstreams, as of
+	// othersAt.
+	others   exchange.Work
+	othersAt time.Time
 	// roster and keepers find members without a look at all of them.
 	roster  roster
 	keepers keepers
@@ -119,7 +129,12 @@
 }
 
 func newShard(a *access) *shard {
-	return &shard{access: a, members: make(map[string]*member), addresses: make(map[string]*member), names: make(map[exchange.Name]*member), leases: make(map[ratelease.Upstream]*member), limitNews: make(map[*member]struct{}), keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates()}
+	return &shard{
+		access: a, members: make(map[string]*member), addresses: make(map[string]*member),
+		names: make(map[exchange.Name]*member), leases: make(map[ratelease.Upstream]*member),
+		active: make(map[*member]struct{}), leased: make(map[*member]struct{}), limitNews: make(map[*member]struct{}),
+		keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates(),
+	}
 }
 
 // lapseGrace is how long an upstream is used whose entry vanished in an outage of the store:
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -77,6 +77,7 @@
 	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
+	s.starts.count(u, 1)
 	s.names[m.name] = m
 	s.leases[m.lease] = m
 	s.setAddress(m, m.Address)
@@ -176,25 +177,23 @@
 // starts counts the upstreams that told their start, among others.
 type starts struct{ told, all int }
 
-func (c *starts) count(u *Upstream) {
-	c.all++
+// count adds the upstream n times.
+func (c *starts) count(u *Upstream, n int) {
+	c.all += n
 	if u.Incarnation != 0 {
-		c.told++
+		c.told += n
 	}
 }
 
 // usual says that most upstreams tell their start.
 func (c starts) usual() bool { return 2*c.told > c.all }
 
-// starts counts the entries that are in use.
+// starts counts the upstreams that are remembered.
 func (f *Fleet) starts() starts {
 	var c starts
 	f.each(func(s *shard) {
-		for _, m := range s.members {
-			if m.removedAt.IsZero() && !m.withdrawn {
-				c.count(&m.Upstream)
-			}
-		}
+		c.told += s.starts.told
+		c.all += s.starts.all
 	})
 	return c
 }
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -83,7 +83,7 @@
 	f.setOthers(exchange.Work{formerName: 900}, time.Now())
 	f.noteReads(exchange.Reads{formerName: keys})
 	m := f.memberOf("svc", "e")
-	is.Equal(m.others, 0.0)
+	is.Equal(m.othersLeft(time.Now()), time.Duration(0))
 	is.Equal(m.kept.Count(keys), 0)
 }
 
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -49,7 +49,7 @@
 	}
 	if now.Sub(s.suppliedAt) >= supplyAge {
 		s.suppliedAt, s.supply = now, 0
-		for _, m := range s.members {
+		for m := range s.leased {
 			if m.limited(now) {
 				s.supply += m.allowance(now).Rate
 			}
@@ -68,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, wait := boottime.Now(), longLimitWait
-	for _, m := range s.members {
+	for m := range s.leased {
 		if !m.limited(now) {
 			continue
 		}
@@ -146,7 +146,7 @@
 	var words []ratelease.Word
 	now := boottime.Now()
 	f.each(func(s *shard) {
-		for _, m := range s.members {
+		for m := range s.leased {
 			if m.limited(now) {
 				words = append(words, m.limit.Say(m.lease, now))
 			}
@@ -182,6 +182,9 @@
 // logLimit tells of a limit that began, changed or ended.
 func (m *member) logLimit(now time.Time, log zerolog.Logger) {
 	known, limited, limit := &m.limitLogged, m.limited(now), m.limit.Limit()
+	if limited {
+		m.shard.leased[m] = struct{}{}
+	}
 	event := func(name string) *zerolog.Event {
 		return log.Warn().Str("event", name).Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Bool("told", m.limit.Told())
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -63,10 +63,6 @@
 	// replaced says that another upstream took its address.
 	replaced bool
 	inFlight int
-	// others is what the other hosts' requests in flight ask of the upstream, as of
-	// othersAt.
-	others   float64
-	othersAt time.Time
 	// readings are this host's prompts that the engine has to read, the oldest first;
 	// beganAt is when it last ended one, kept what it was sent.
 	readings []*reading
@@ -128,7 +124,7 @@
 // loadSource says what load goes by, and how old that is.
 func (m *member) loadSource(now time.Time) (loadSource, time.Duration) {
 	if _, ok := m.knownWork(now); ok {
-		return loadExchanged, now.Sub(m.othersAt)
+		return loadExchanged, now.Sub(m.shard.othersAt)
 	}
 	if m.reportedAt.IsZero() {
 		return loadUnknown, 0
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -223,6 +223,9 @@
 // forget takes the member out of what the shard finds members by. The shard's lock is held.
 func (s *shard) forget(m *member) {
 	m.withdrawn = true // the roster may have it for a moment yet
+	s.starts.count(&m.Upstream, -1)
+	delete(s.active, m)
+	delete(s.leased, m)
 	m.kept.Clear()
 	s.setAddress(m, "")
 	if s.names[m.name] == m {
--- a/internal/gateway/tablerows.go
+++ b/internal/gateway/tablerows.go
@@ -186,7 +186,7 @@
 		keys[row.Key] = true
 		if u, ok := h.read(row); ok {
 			entries = append(entries, entry{upstream: u, row: row})
-			starts.count(&u)
+			starts.count(&u, 1)
 		}
 	}
 	for _, e := range entries {
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -34,6 +34,7 @@
 // begin counts a request as in flight at the upstream.
 func (m *member) begin(c *choice) {
 	m.inFlight++
+	m.shard.active[m] = struct{}{}
 	if c.wants.prompt == nil {
 		return
 	}
@@ -46,7 +47,9 @@
 
 // end ends what begin counted.
 func (m *member) end(c *choice) {
-	m.inFlight--
+	if m.inFlight--; m.inFlight == 0 {
+		delete(m.shard.active, m)
+	}
 	if c.reading != nil {
 		// The answer never began.
 		m.read(c)
@@ -108,11 +111,12 @@
 // othersLeft is what the engine still has to do for the other hosts, which told of it a
 // while ago: it went on since.
 func (m *member) othersLeft(now time.Time) time.Duration {
-	age := now.Sub(m.othersAt)
+	s := m.shard
+	age := now.Sub(s.othersAt)
 	if age > exchange.WorkAge {
 		return 0
 	}
-	return max(0, time.Duration(m.others*float64(time.Millisecond))-age)
+	return max(0, time.Duration(s.others[m.name]*float64(time.Millisecond))-age)
 }
 
 // ahead is the time for which an engine reads other prompts before one of the priority:
@@ -164,7 +168,7 @@
 	now := boottime.Now()
 	work := make(exchange.Work)
 	f.each(func(s *shard) {
-		for _, m := range s.members {
+		for m := range s.active {
 			if w := math.Round(m.work(now)); w >= leastTold {
 				work[m.name] = w
 			}
@@ -208,8 +212,10 @@
 // noteReads takes what other hosts sent to the upstreams.
 func (f *Fleet) noteReads(reads exchange.Reads) {
 	f.each(func(s *shard) {
-		for _, m := range s.members {
-			m.keeps(reads[m.name]...)
+		for name, keys := range reads {
+			if m := s.names[name]; m != nil {
+				m.keeps(keys...)
+			}
 		}
 	})
 }
@@ -217,14 +223,10 @@
 // leastTold is the least work that other hosts are told.
 const leastTold = 1
 
-// setOthers takes what the other hosts have in flight, as of a time.
+// setOthers takes what the other hosts have in flight, as of a time. The work isn't changed
+// any more.
 func (f *Fleet) setOthers(work exchange.Work, at time.Time) {
-	f.each(func(s *shard) {
-		for _, m := range s.members {
-			m.others = work[m.name]
-			m.othersAt = at
-		}
-	})
+	f.each(func(s *shard) { s.others, s.othersAt = work, at })
 }
 
 // noteHeld takes in how long a request was at its upstream.
@@ -239,8 +241,9 @@
 // known. Where requests are over sooner than hosts hear of them, the load that upstreams
 // report with their answers tells more.
 func (m *member) knownWork(now time.Time) (float64, bool) {
-	if m.shard.meanHeld < exchange.Interval || now.Sub(m.othersAt) > exchange.WorkAge {
+	s := m.shard
+	if s.meanHeld < exchange.Interval || now.Sub(s.othersAt) > exchange.WorkAge {
 		return 0, false
 	}
-	return m.work(now) + m.others, true
+	return m.work(now) + s.others[m.name], true
 }
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -145,7 +145,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
-			m := &member{Upstream: Upstream{Zone: test.zone}, shard: &shard{meanHeld: test.held}, inFlight: 1, others: 2, othersAt: test.at}
+			m := &member{Upstream: Upstream{Zone: test.zone}, shard: &shard{meanHeld: test.held, others: exchange.Work{0: 2}, othersAt: test.at}, inFlight: 1}
 			work, known := m.knownWork(now)
 			is.Equal(known, test.known)
 			from, _ := m.loadSource(now)
--- a/ratelease/named.go
+++ b/ratelease/named.go
@@ -171,6 +171,9 @@
 	}
 }
 
+// None says that neither an answer nor the hub names a limit.
+func (n *Named) None() bool { return !n.isTold && n.ownAt.IsZero() }
+
 // Told says whether the hub's word is that the upstream has a limit.
 func (n *Named) Told() bool { return n.isTold }
 
