gateway: what a host's own requests tell of an upstream is kept of those that it uses

Cause: each of 10,000 upstreams had the whole record of one in use (readings, an LRU of kept parts, failures, coldness, a limit), and texts that all entries share. Ruled out: knowing a part of the upstreams only, which changes the owners of shared parts; a lower GC percentage, which costs processor time for the same contents.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -91,10 +91,10 @@
 // noteSent counts a request for the upstream.
 func (m *member) noteSent(now time.Time) {
 	if m.shard.bound.Rate > 0 {
-		m.sent.Note(now)
+		m.used().sent.Note(now)
 	}
 	if m.limited(now) {
-		m.bucket.Take()
+		m.limit.bucket.Take()
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -132,7 +132,7 @@
 	// grace ends here: a host hears of the entry's end up to a second late.
 	list = keepUnlessNone(list, func(m *member) bool { return m.removedAt.IsZero() })
 	list = keepUnlessNone(list, func(m *member) bool { return !slices.Contains(w.exclude, m.ID) })
-	list = keepUnlessNone(list, func(m *member) bool { return now.After(m.ejectedUntil) })
+	list = keepUnlessNone(list, func(m *member) bool { return !m.ejected(now) })
 	return keepSound(list, now)
 }
 
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -4,13 +4,13 @@
 	"strconv"
 	"strings"
 	"time"
+	"unique"
 
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
-	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -21,6 +21,7 @@
 // failed nor that it was leaving; an entry of a former one that arrives late changes
 // nothing. Within an incarnation leaving is sticky: one that leaves never comes back.
 func (f *Fleet) Set(u Upstream, revision storage.Revision) {
+	u.shareTexts()
 	f.withdrawElsewhere(u, revision)
 	s := f.shard(u.Service)
 	s.mu.Lock()
@@ -61,6 +62,13 @@
 	m.noteCold(u.ColdFor, coldEntry, f.log)
 }
 
+// shareTexts has the texts that thousands of upstreams have alike stand in memory once.
+func (u *Upstream) shareTexts() {
+	for _, text := range []*string{&u.Service, &u.Zone, &u.Version} {
+		*text = unique.Make(*text).Value()
+	}
+}
+
 func (f *Fleet) logEntry(event string, u *Upstream, revision storage.Revision) *zerolog.Event {
 	return f.log.Info().Str("event", event).Str("upstream", u.ID).Str("service", u.Service).
 		Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Int64("incarnation", int64(u.Incarnation)).
@@ -74,7 +82,6 @@
 		s.forget(former)
 	}
 	m := &member{Upstream: *u, shard: s, name: u.exchangeName(), lease: ratelease.UpstreamOf(u.name()), listedAt: boottime.Now()}
-	m.kept = placement.NewKept(func(key placement.Key) { s.keepers.remove(key, m) })
 	m.Leaving = false
 	s.members[u.ID] = m
 	s.starts.count(u, 1)
@@ -158,7 +165,7 @@
 func (f *Fleet) noteEnded(name exchange.Name) {
 	f.each(func(s *shard) {
 		if m := s.names[name]; m != nil {
-			m.ejectedUntil = boottime.Now().Add(endedTime)
+			m.used().ejectedUntil = boottime.Now().Add(endedTime)
 		}
 	})
 }
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -46,7 +46,7 @@
 	is.True(ok)
 	m := f.memberOf("svc", "e")
 	m.eject(time.Now())
-	m.failureRate, m.failureAt = 1, time.Now()
+	m.used().failureRate, m.used().failureAt = 1, time.Now()
 	former2 := former
 	leaving := engineAt(firstStart)
 	leaving.Leaving = true
@@ -58,9 +58,9 @@
 	m = f.memberOf("svc", "e")
 	is.True(m.takesWork(now, 0))                               // leaving ended with the former incarnation
 	is.Equal(m.inFlight, 0)                                    // so did its work
-	is.Equal(m.kept.Count(former.wants.keys), 0)               // and what it kept
+	is.Equal(m.kept(former.wants.keys), 0)               // and what it kept
 	is.Equal(m.failures(now), 0.0)                             // and its failures
-	is.True(now.After(m.ejectedUntil))                         // and its ejection
+	is.True(!m.ejected(now))                         // and its ejection
 	is.True(m.name != exchange.NameOf(former.upstream.name())) // and what hosts tell of it
 
 	// A request to the former incarnation ends as that one's.
@@ -68,8 +68,8 @@
 	f.release(former, attemptResult{outcome: outcomeUnsent})
 	is.Equal(m.inFlight, 0)
 	is.Equal(m.failures(now), 0.0)
-	is.True(now.After(m.ejectedUntil))
-	is.Equal(m.kept.Count(former.wants.keys), 0)
+	is.True(!m.ejected(now))
+	is.Equal(m.kept(former.wants.keys), 0)
 }
 
 // What other hosts tell of the former incarnation isn't taken for the new one's.
@@ -84,7 +84,7 @@
 	f.noteReads(exchange.Reads{formerName: keys})
 	m := f.memberOf("svc", "e")
 	is.Equal(m.othersLeft(time.Now()), time.Duration(0))
-	is.Equal(m.kept.Count(keys), 0)
+	is.Equal(m.kept(keys), 0)
 }
 
 func TestLateEntryOfAFormerIncarnation(t *testing.T) {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -18,17 +18,34 @@
 	since time.Time
 }
 
+// namedLimit is what is known of the limit that an upstream's answers name.
+type namedLimit struct {
+	ratelease.Named
+	logged limitLogged
+	// bucket is what this host may send of it.
+	bucket ratelease.Bucket
+}
+
+// named returns what is known of the member's limit, to note something.
+func (m *member) named() *namedLimit {
+	if m.limit == nil {
+		m.limit = &namedLimit{}
+		m.shard.leased[m] = struct{}{}
+	}
+	return m.limit
+}
+
 // noChange is the part by which a limit changes that isn't logged.
 const noChange = 0.1
 
 // limited says whether the upstream has a limit.
 func (m *member) limited(now time.Time) bool {
-	return m.limit.Limited(m.shard.access.contactNow(), now)
+	return m.limit != nil && m.limit.Limited(m.shard.access.contactNow(), now)
 }
 
 // mayAdd says whether this host may send the upstream a request as far as it names a limit.
 func (m *member) mayAdd(now time.Time) bool {
-	return !m.limited(now) || m.bucket.Room(m.allowance(now), now)
+	return !m.limited(now) || m.limit.bucket.Room(m.allowance(now), now)
 }
 
 // allowance is what this host may send of the upstream's limit.
@@ -72,7 +89,7 @@
 		if !m.limited(now) {
 			continue
 		}
-		if until, ok := m.bucket.Wait(m.allowance(now), now); ok {
+		if until, ok := m.limit.bucket.Wait(m.allowance(now), now); ok {
 			wait = min(wait, until)
 		}
 	}
@@ -118,7 +135,7 @@
 	say := false
 	switch {
 	case ok && limit.Binds():
-		say = m.limit.Observe(limit, now)
+		say = m.named().Observe(limit, now)
 	case limited && header.proven:
 		say = m.limit.ObserveNone(sentAt, now)
 	}
@@ -134,7 +151,7 @@
 	now := boottime.Now()
 	f.each(func(s *shard) {
 		for m := range s.limitNews {
-			words = append(words, m.limit.Say(m.lease, now))
+			words = append(words, m.named().Say(m.lease, now))
 		}
 		clear(s.limitNews)
 	})
@@ -163,7 +180,7 @@
 		for _, word := range words {
 			told[word.Upstream] = true
 			if m := s.leases[word.Upstream]; m != nil {
-				m.limit.Take(word, now)
+				m.named().Take(word, now)
 				m.logLimit(now, f.log)
 			}
 		}
@@ -171,7 +188,7 @@
 			return
 		}
 		for u, m := range s.leases {
-			if m.limit.Told() && !told[u] {
+			if m.limit != nil && m.limit.Told() && !told[u] {
 				m.limit.Take(ratelease.Word{Upstream: u, Ended: true}, now)
 				m.logLimit(now, f.log)
 			}
@@ -181,10 +198,10 @@
 
 // logLimit tells of a limit that began, changed or ended.
 func (m *member) logLimit(now time.Time, log zerolog.Logger) {
-	known, limited, limit := &m.limitLogged, m.limited(now), m.limit.Limit()
-	if limited {
-		m.shard.leased[m] = struct{}{}
+	if m.limit == nil {
+		return
 	}
+	known, limited, limit := &m.limit.logged, m.limited(now), m.limit.Limit()
 	event := func(name string) *zerolog.Event {
 		return log.Warn().Str("event", name).Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Bool("told", m.limit.Told())
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -45,17 +45,8 @@
 	// listedAt is when the first entry came, heardAt when the newest did.
 	listedAt time.Time
 	heardAt  time.Time
-	// coldUntil is until when the upstream counts as cold, coldTold that this was logged;
-	// sent are this host's requests of the last moment.
-	coldUntil time.Time
-	coldTold  bool
-	sent      ratelease.Window
-	// lease stands for the upstream in leases. limit is the one that its answers name,
-	// bucket what this host may send it of that.
-	lease       ratelease.Upstream
-	limit       ratelease.Named
-	limitLogged limitLogged
-	bucket      ratelease.Bucket
+	// lease stands for the upstream in leases.
+	lease ratelease.Upstream
 	// lapsed says that the entry may have vanished because the store was away.
 	lapsed bool
 	// withdrawn says that the entry names no upstream to use any more.
@@ -63,11 +54,23 @@
 	// replaced says that another upstream took its address.
 	replaced bool
 	inFlight int
+	// Most of thousands of upstreams get no request of this host, were never cold and name
+	// no limit: these are nil until there is something to note.
+	usage  *usage
+	warmth *warmth
+	limit  *namedLimit
+}
+
+// usage is what a host's own requests, and others' sends of the same prompts, tell of an
+// upstream.
+type usage struct {
 	// readings are this host's prompts that the engine has to read, the oldest first;
 	// beganAt is when it last ended one, kept what it was sent.
 	readings []*reading
 	beganAt  time.Time
 	kept     *placement.Kept
+	// sent are the requests of the last moment, where cold upstreams are bounded.
+	sent ratelease.Window
 
 	// reported is the load that the upstream told at reportedAt, when this host
 	// had reportedOwn requests there.
@@ -83,6 +86,22 @@
 	silences int
 }
 
+// used returns the member's usage, to note something.
+func (m *member) used() *usage {
+	if m.usage == nil {
+		m.usage = &usage{kept: placement.NewKept(func(key placement.Key) { m.shard.keepers.remove(key, m) })}
+	}
+	return m.usage
+}
+
+// known returns the member's usage, to read it; nothing if there is none.
+func (m *member) known() usage {
+	if m.usage == nil {
+		return usage{}
+	}
+	return *m.usage
+}
+
 // takesWork says whether new requests may be sent.
 func (m *member) takesWork(now time.Time, grace time.Duration) bool {
 	if m.Leaving || m.withdrawn || m.replaced {
@@ -101,11 +120,12 @@
 	}
 	own := float64(m.inFlight)
 	typical := max(own, m.shard.typicalLoad*float64(max(1, m.Slots)))
-	if m.reportedAt.IsZero() {
+	u := m.known()
+	if u.reportedAt.IsZero() {
 		return typical
 	}
-	told := max(own, float64(m.reported+m.inFlight-m.reportedOwn))
-	weight := math.Exp2(-float64(now.Sub(m.reportedAt)) / float64(loadHalfLife))
+	told := max(own, float64(u.reported+m.inFlight-u.reportedOwn))
+	weight := math.Exp2(-float64(now.Sub(u.reportedAt)) / float64(loadHalfLife))
 	return weight*told + (1-weight)*typical
 }
 
@@ -126,10 +146,11 @@
 	if _, ok := m.knownWork(now); ok {
 		return loadExchanged, now.Sub(m.shard.othersAt)
 	}
-	if m.reportedAt.IsZero() {
+	reportedAt := m.known().reportedAt
+	if reportedAt.IsZero() {
 		return loadUnknown, 0
 	}
-	return loadReported, now.Sub(m.reportedAt)
+	return loadReported, now.Sub(reportedAt)
 }
 
 // relativeLoad is the load per slot.
@@ -139,7 +160,15 @@
 
 // failures is the failure rate decayed to now.
 func (m *member) failures(now time.Time) float64 {
-	return m.failureRate * math.Exp2(-float64(now.Sub(m.failureAt))/float64(failureHalfLife))
+	if m.usage == nil {
+		return 0
+	}
+	return m.usage.failureRate * math.Exp2(-float64(now.Sub(m.usage.failureAt))/float64(failureHalfLife))
+}
+
+// ejected says whether the upstream gets no request for now.
+func (m *member) ejected(now time.Time) bool {
+	return m.usage != nil && !now.After(m.usage.ejectedUntil)
 }
 
 // observe takes in how an attempt ended.
@@ -147,14 +176,14 @@
 	if result.load != "" {
 		m.report(result.load, now)
 	}
-	bad := 0.0
+	u, bad := m.used(), 0.0
 	switch result.outcome {
 	case outcomeUnsent:
 		m.eject(now)
 		bad = 1
 	case outcomeSilent:
-		m.silences++
-		if m.silences >= silencesToEject {
+		u.silences++
+		if u.silences >= silencesToEject {
 			m.eject(now)
 		}
 		bad = 1
@@ -169,19 +198,20 @@
 		return
 	}
 	if bad == 0 {
-		m.ejections = 0
-		m.silences = 0
+		u.ejections = 0
+		u.silences = 0
 	}
 	rate := m.failures(now)
-	m.failureRate = rate + failureGain*(bad-rate)
-	m.failureAt = now
+	u.failureRate = rate + failureGain*(bad-rate)
+	u.failureAt = now
 }
 
 // eject keeps the upstream out for a time that doubles with each repetition.
 func (m *member) eject(now time.Time) {
 	const maxDoublings = 3
-	m.ejectedUntil = now.Add(ejectUnreachable << min(m.ejections, maxDoublings))
-	m.ejections++
+	u := m.used()
+	u.ejectedUntil = now.Add(ejectUnreachable << min(u.ejections, maxDoublings))
+	u.ejections++
 }
 
 // report takes in a load header: running, waiting, slots.
@@ -195,9 +225,10 @@
 	if errRunning != nil || errWaiting != nil {
 		return
 	}
-	m.reported = running + waiting
-	m.reportedOwn = m.inFlight
-	m.reportedAt = now
-	relative := float64(m.reported) / float64(max(1, m.Slots))
+	u := m.used()
+	u.reported = running + waiting
+	u.reportedOwn = m.inFlight
+	u.reportedAt = now
+	relative := float64(u.reported) / float64(max(1, m.Slots))
 	m.shard.typicalLoad += typicalGain * (relative - m.shard.typicalLoad)
 }
--- a/internal/gateway/missed_test.go
+++ b/internal/gateway/missed_test.go
@@ -48,7 +48,7 @@
 	s := w.gateway.fleet.shard("svc")
 	ejected := 0
 	for _, m := range s.members {
-		if m.ejections > 0 {
+		if m.used().ejections > 0 {
 			ejected++
 		}
 	}
--- a/internal/gateway/models_test.go
+++ b/internal/gateway/models_test.go
@@ -71,7 +71,7 @@
 	now := time.Now()
 	m := &member{Upstream: Upstream{Slots: 20}, shard: s}
 	is.Equal(m.load(now), 10.0) // nothing known: like the others
-	m.reported, m.reportedAt = 2, now
+	m.used().reported, m.used().reportedAt = 2, now
 	is.Equal(m.load(now), 2.0)
 	is.Equal(m.load(now.Add(loadHalfLife)), 6.0)
 	m.inFlight = 15
@@ -84,11 +84,11 @@
 	m := &member{shard: &shard{}}
 	now := time.Now()
 	m.observe(attemptResult{outcome: outcomeUnsent}, now)
-	is.True(m.ejectedUntil.After(now))
-	first := m.ejectedUntil.Sub(now)
+	is.True(m.used().ejectedUntil.After(now))
+	first := m.used().ejectedUntil.Sub(now)
 	m.observe(attemptResult{outcome: outcomeUnsent}, now)
-	is.Equal(m.ejectedUntil.Sub(now), 2*first)
+	is.Equal(m.used().ejectedUntil.Sub(now), 2*first)
 	m.observe(attemptResult{outcome: outcomeDone}, now)
 	m.observe(attemptResult{outcome: outcomeUnsent}, now)
-	is.Equal(m.ejectedUntil.Sub(now), first)
+	is.Equal(m.used().ejectedUntil.Sub(now), first)
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -98,7 +98,7 @@
 	for i, m := range list.members {
 		c := &candidates[i]
 		c.Ahead = m.ahead(w.priority, now)
-		c.Kept = m.kept.Count(w.keys)
+		c.Kept = m.kept(w.keys)
 		c.Order = list.order(m, subject)
 		c.Far = m.Zone != w.zone
 	}
--- /dev/null
+++ b/internal/gateway/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package gateway
+
+// underRace says that the race detector watches.
+const underRace = false
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -227,7 +227,7 @@
 	near := r.near(w.zone)
 	willDo := func(m *member) bool {
 		return m.removedAt.IsZero() && w.admits(m.Version) && !slices.Contains(w.exclude, m.ID) &&
-			now.After(m.ejectedUntil) && m.open(now, grace)
+			!m.ejected(now) && m.open(now, grace)
 	}
 	list := candidateList{members: make([]*member, 0, maxKeepers+nearChoices+farChoices+2)}
 	if w.prompt != nil {
@@ -325,7 +325,7 @@
 
 // keeps notes that the engine is believed to keep the runs. The shard's lock is held.
 func (m *member) keeps(keys ...placement.Key) {
-	m.kept.Add(keys...)
+	m.used().kept.Add(keys...)
 	for _, key := range keys {
 		m.shard.keepers.add(key, m)
 	}
@@ -337,7 +337,9 @@
 	s.starts.count(&m.Upstream, -1)
 	delete(s.active, m)
 	delete(s.leased, m)
-	m.kept.Clear()
+	if m.usage != nil {
+		m.usage.kept.Clear()
+	}
 	s.setAddress(m, "")
 	if s.names[m.name] == m {
 		delete(s.names, m.name)
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/placement"
 )
 
 // Work is what requests in flight ask of an upstream: for an engine the milliseconds that
@@ -39,7 +40,7 @@
 		return
 	}
 	c.reading = &reading{work: c.placed.Reading, priority: c.wants.priority, beginsAt: c.at.Add(c.ahead)}
-	m.readings = append(m.readings, c.reading)
+	m.used().readings = append(m.used().readings, c.reading)
 	m.shard.prompts = true
 	m.shard.noteUrgency(c.reading)
 	m.keep(c)
@@ -53,13 +54,14 @@
 	if c.reading != nil {
 		// The answer never began.
 		m.read(c)
-		m.kept.Remove(c.wants.keys[c.kept:]...)
+		m.used().kept.Remove(c.wants.keys[c.kept:]...)
 	}
 }
 
 // read notes that the engine no longer has the choice's prompt to read.
 func (m *member) read(c *choice) {
-	m.readings = slices.DeleteFunc(m.readings, func(r *reading) bool { return r == c.reading })
+	u := m.used()
+	u.readings = slices.DeleteFunc(u.readings, func(r *reading) bool { return r == c.reading })
 	c.reading = nil
 }
 
@@ -74,7 +76,7 @@
 	defer s.mu.Unlock()
 	if m := s.chosen(c); m != nil {
 		m.read(c)
-		m.beganAt = boottime.Now()
+		m.used().beganAt = boottime.Now()
 	}
 	c.reading = nil
 	s.waits.observe(took, c.placed.Alone)
@@ -96,13 +98,14 @@
 // one before. Hosts that each took theirs to be under way at once, when the engine reads
 // one after the other, told each other a third of what it had to do.
 func (m *member) left(i int, now time.Time) time.Duration {
-	r := m.readings[i]
+	u := m.known()
+	r := u.readings[i]
 	if i > 0 {
 		return r.work
 	}
 	since := r.beginsAt
-	if m.beganAt.After(since) {
-		since = m.beganAt
+	if u.beganAt.After(since) {
+		since = u.beganAt
 	}
 	least := time.Duration(unansweredPart * float64(r.work))
 	return min(r.work, max(least, r.work-now.Sub(since)))
@@ -124,7 +127,7 @@
 // work only the sum is known; it is taken to be as urgent as this host's own.
 func (m *member) ahead(priority int, now time.Time) time.Duration {
 	urgent, rest := time.Duration(0), time.Duration(0)
-	for i, r := range m.readings {
+	for i, r := range m.known().readings {
 		if r.priority <= priority {
 			urgent += m.left(i, now)
 		} else {
@@ -183,7 +186,7 @@
 		return float64(m.inFlight)
 	}
 	left := time.Duration(0)
-	for i := range m.readings {
+	for i := range m.known().readings {
 		left += m.left(i, now)
 	}
 	return float64(left) / float64(time.Millisecond)
@@ -199,6 +202,14 @@
 	}
 }
 
+// kept is the number of a prompt's leading parts that the engine keeps.
+func (m *member) kept(keys []placement.Key) int {
+	if m.usage == nil {
+		return 0
+	}
+	return m.usage.kept.Count(keys)
+}
+
 // takeReads returns what the upstreams were sent for the first time since the last call.
 func (f *Fleet) takeReads() exchange.Reads {
 	reads := make(exchange.Reads)
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -79,9 +79,9 @@
 	w.prompt = &placement.Prompt{Tokens: 10_000, Shared: 1, Parts: []placement.Part{{ID: "p", Tokens: 9_000}, {ID: "q", Tokens: 1_000}}}
 	w.keys = placement.Keys(w.model, w.prompt)
 	c, _ := f.choose(w)
-	is.Equal(f.shard("svc").members["b"].kept.Count(w.keys), 2)
+	is.Equal(f.shard("svc").members["b"].kept(w.keys), 2)
 	f.release(c, attemptResult{outcome: outcomeUnknown})
-	is.Equal(f.shard("svc").members["b"].kept.Count(w.keys), 0)
+	is.Equal(f.shard("svc").members["b"].kept(w.keys), 0)
 	is.Equal(f.shard("svc").members["b"].ahead(9, time.Now()), time.Duration(0))
 }
 
@@ -106,7 +106,7 @@
 	c, _ := one.choose(w)
 	other.noteReads(one.takeReads())
 	is.Equal(len(one.takeReads()), 0) // told once
-	is.Equal(other.shard("svc").members[c.upstream.ID].kept.Count(w.keys), 1)
+	is.Equal(other.shard("svc").members[c.upstream.ID].kept(w.keys), 1)
 	again, _ := other.choose(w)
 	is.Equal(again.upstream.ID, c.upstream.ID)
 	is.Equal(again.placed.Missing, 1_000)
