feed: a host holds the table for others packed, and the changes of a mass start as long as they are told

Cause: each host kept every row of a table as it came (a map of 10,000 rows of 200 B and more), for the few hosts that hand tables on; and only 512 changes, so that when more changed at once every follower was handed whole tables, packed anew each time, or read the store. TestTableCopyTakesChanges, TestTableCopyIsSmall, TestChangesOfAllUpstreamsAtOnce. TestRecentChanges: its case of dropped changes now says that the table is small; a large one keeps them. Ruled out: 5,000 in place of 512, which 20,000 upstreams exceed.

--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -72,7 +72,7 @@
 	is := is.New(t)
 	seen := &recorder{}
 	w := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
-	w.replace(rows(at(1, 20)), at(1, 20))
+	w.replace(rows(at(1, 20)), at(1, 20), nil)
 	for _, n := range []News{
 		{Since: at(0, 10), Revision: at(0, 90), Complete: true, Rows: rows(at(0, 90))},
 		{Revision: at(0, 90), Whole: true, Packed: pack(rows(at(0, 90)))},
@@ -86,7 +86,7 @@
 	n, ok := w.recent.since(at(0, 90)) // what a host that knows the old era is told
 	is.True(ok && !n.Complete && len(n.Rows) == 0)
 	behind := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
-	behind.replace(rows(at(0, 90)), at(0, 90))
+	behind.replace(rows(at(0, 90)), at(0, 90), nil)
 	is.True(!behind.takeNews(n, time.Now())) // it has to read the table
 	w.contactAt.Store(1)
 	whole, ok := w.Whole(1 << 20)
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -62,13 +62,14 @@
 		w.log.Warn().Str("event", "old-listing").Stringer("revision", read.revision).Stringer("known", w.revision).Msg("")
 		return errOldListing
 	}
-	w.replace(read.rows, read.revision)
+	w.replace(read.rows, read.revision, nil)
 	w.succeeded(read.answered)
 	return w.pauseAfterChange(ctx)
 }
 
-// replace hands the whole table on.
-func (w *Watcher) replace(rows []Row, revision storage.Revision) {
+// replace hands the whole table on; packed are the rows as another host packed them, nil if
+// they come from the store.
+func (w *Watcher) replace(rows []Row, revision storage.Revision, packed []byte) {
 	if w.revision != 0 && revision.Era() > w.revision.Era() {
 		w.log.Warn().Str("event", "store-era").Uint64("era", revision.Era()).Stringer("revision", revision).Stringer("known", w.revision).Msg("")
 	}
@@ -76,7 +77,7 @@
 	w.revision = revision
 	w.lag.reached(revision)
 	w.listed = true
-	w.recent.reset(rows, revision)
+	w.recent.reset(rows, revision, packed)
 }
 
 // errOldListing means that a listing was older than what is known.
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -7,9 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
-	"strings"
+	"sync"
 
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -27,8 +25,9 @@
 // removed, as varints, then key and data.
 func pack(rows []Row) []byte {
 	var packed bytes.Buffer
-	// The level is valid and the buffer takes all writes, so neither call fails.
-	w, _ := flate.NewWriter(&packed, flate.BestSpeed)
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&packed)
 	var head []byte
 	for _, row := range rows {
 		head = binary.AppendUvarint(head[:0], uint64(row.Revision))
@@ -39,13 +38,22 @@
 		}
 		head = binary.AppendUvarint(head, data)
 		for _, part := range [][]byte{head, []byte(row.Key), row.Data} {
-			_, _ = w.Write(part)
+			_, _ = w.Write(part) // the buffer takes all writes
 		}
 	}
 	_ = w.Close()
 	return packed.Bytes()
 }
 
+// compressors are kept for the next packing: each has half a MB.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return w
+}}
+
 // unpack decodes what pack encoded.
 func unpack(packed []byte) ([]Row, error) {
 	reader := flate.NewReader(bytes.NewReader(packed))
@@ -92,31 +100,3 @@
 	}
 	return News{Revision: revision, Whole: true, Packed: packed, Age: age, Clock: w.StoreClock()}, true
 }
-
-// whole returns the table, packed once for each change of it.
-func (r *recent) whole() (packed []byte, revision storage.Revision, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.listed {
-		return nil, 0, false
-	}
-	if r.packed == nil {
-		rows := slices.SortedFunc(maps.Values(r.table), func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
-		r.packed = pack(rows)
-	}
-	return r.packed, r.revision, true
-}
-
-// apply keeps the table as of the changes. r.mu is held.
-func (r *recent) apply(rows []Row) {
-	for _, row := range rows {
-		if row.Deleted {
-			delete(r.table, row.Key)
-		} else {
-			r.table[row.Key] = row
-		}
-	}
-	if len(rows) > 0 {
-		r.packed = nil
-	}
-}
--- /dev/null
+++ b/internal/feed/recent_test.go
@@ -0,0 +1,97 @@
+package feed
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// entryTable is a table of upstreams' entries.
+func entryTable(n int) []Row {
+	table := make([]Row, n)
+	for i := range table {
+		table[i] = entryRow(i, i+1)
+	}
+	return table
+}
+
+func entryRow(i, revision int) Row {
+	data := fmt.Sprintf(`{"service":"svc","address":"10.1.%d.%d:8000","zone":"zone-%d","version":"v1","slots":16,"state":"available","cold_remaining_ms":0,"sequence":%d}`, i>>8, i&255, i%5, revision)
+	return Row{Key: fmt.Sprintf("i-%08x", i), Revision: storage.Revision(revision), Data: []byte(data)}
+}
+
+// When all of 10,000 upstreams start within two seconds a host a moment behind is told the
+// changes, not the whole table, and of what is over nothing is kept but the latest.
+func TestChangesOfAllUpstreamsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const upstreams, batch = 10_000, 500
+		var r recent
+		r.reset(nil, 0, nil)
+		table := entryTable(upstreams)
+		behind := storage.Revision(0)
+		for i := 0; i < upstreams; i += batch {
+			r.add(table[i:i+batch], storage.Revision(i+batch))
+			if i%(5*batch) == 4*batch { // told each fifth time
+				n, _ := r.since(behind)
+				is.True(n.Complete)
+				behind = n.Revision
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(r.kept, upstreams)
+		time.Sleep(2 * recentTime)
+		r.add([]Row{entryRow(3, upstreams+1)}, upstreams+1)
+		is.Equal(r.kept, recentRows)
+	})
+}
+
+// A copy that took changes is the table.
+func TestTableCopyTakesChanges(t *testing.T) {
+	is := is.New(t)
+	want := make(map[string]Row)
+	table := entryTable(6000)
+	c := newTableCopy(table, nil)
+	for _, row := range table {
+		want[row.Key] = row
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for revision := 6001; revision < 9000; revision++ {
+		row := entryRow(random.IntN(7000), revision)
+		if random.IntN(4) == 0 {
+			row.Deleted, row.Data = true, nil
+			delete(want, row.Key)
+		} else {
+			want[row.Key] = row
+		}
+		c.apply([]Row{row})
+		is.True(len(c.changed) <= c.rows/foldPart+1)
+	}
+	got, err := unpack(c.whole())
+	is.NoErr(err)
+	is.Equal(got, slices.SortedFunc(maps.Values(want), func(a, b Row) int { return strings.Compare(a.Key, b.Key) }))
+	is.Equal(len(c.changed), 0)
+}
+
+// A host that hands no table on holds it in a fifth of its size, also one that was handed it.
+func TestTableCopyIsSmall(t *testing.T) {
+	is := is.New(t)
+	table := entryTable(12_000)
+	size := 0
+	for _, row := range table {
+		size += len(row.Key) + len(row.Data)
+	}
+	c := newTableCopy(table, nil)
+	t.Logf("%d B of %d", len(c.packed), size)
+	is.True(len(c.packed) < size/5)
+	is.Equal(newTableCopy(table, c.packed).packed, c.packed)
+}
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -23,8 +23,6 @@
 	// RelayGather bounds Options.Gather while others rely on the watcher: its
 	// calls serve many hosts, so the age of what they believe counts for more.
 	RelayGather = 200 * time.Millisecond
-	// recentRows is how many changed rows are kept for others.
-	recentRows = 512
 	// packFrom is the data of rows, in bytes, from which they are passed on packed.
 	packFrom = 1 << 10
 )
@@ -48,88 +46,6 @@
 	Clock time.Duration
 }
 
-// recent keeps a table's latest changes in the order of their revisions.
-type recent struct {
-	mu   sync.Mutex
-	rows []Row
-	// floor is the revision after which the rows are complete, revision the
-	// newest that they take in.
-	floor    storage.Revision
-	revision storage.Revision
-	listed   bool
-	// table is the whole table, packed the same for other hosts; nil until one asks.
-	table  map[string]Row
-	packed []byte
-	// changes are the rows after a revision, packed the same.
-	changes packedChanges
-}
-
-// packedChanges are the changes after one revision up to another.
-type packedChanges struct {
-	since, revision storage.Revision
-	packed          []byte
-}
-
-// reset begins anew with a whole table.
-func (r *recent) reset(rows []Row, revision storage.Revision) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rows = nil
-	r.floor = revision
-	r.revision = revision
-	r.listed = true
-	r.table = make(map[string]Row, len(rows))
-	r.packed = nil
-	r.apply(rows)
-}
-
-// add takes in changes up to the revision.
-func (r *recent) add(rows []Row, revision storage.Revision) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.apply(rows)
-	r.rows = append(r.rows, rows...)
-	r.revision = max(r.revision, revision)
-	if over := len(r.rows) - recentRows; over > 0 {
-		r.floor = r.rows[over-1].Revision
-		r.rows = append([]Row(nil), r.rows[over:]...)
-	}
-}
-
-// since returns the changes after the revision; ok is false before the first
-// listing.
-func (r *recent) since(revision storage.Revision) (n News, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n = News{Since: revision, Revision: r.revision}
-	if !r.listed || revision < r.floor {
-		return n, r.listed
-	}
-	size := 0
-	for _, row := range r.rows {
-		if row.Revision <= revision {
-			continue
-		}
-		size += len(row.Key) + len(row.Data)
-		n.Rows = append(n.Rows, row)
-	}
-	n.Complete = true
-	if size >= packFrom {
-		n.Packed, n.Rows = r.packChanges(revision, n.Rows), nil
-	}
-	return n, true
-}
-
-// packChanges packs the changes after a revision. Most hosts know the same one, so the last
-// packing does for many. r.mu is held.
-func (r *recent) packChanges(since storage.Revision, rows []Row) []byte {
-	c := &r.changes
-	if c.packed == nil || c.since != since || c.revision != r.revision {
-		*c = packedChanges{since: since, revision: r.revision, packed: pack(rows)}
-	}
-	return c.packed
-}
-
 // relayed is the newest word that another host passed on.
 type relayed struct {
 	mu   sync.Mutex
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -200,11 +200,15 @@
 }
 
 func TestRecentChanges(t *testing.T) {
-	large := strings.Repeat("x", packFrom)
+	long := strings.Repeat("x", packFrom)
 	many := make([]storage.Revision, recentRows+10)
 	for i := range many {
 		many[i] = storage.Revision(11 + i)
 	}
+	large := make([]Row, len(many))
+	for i := range large {
+		large[i] = entryRow(i, 11+i)
+	}
 	tests := []struct {
 		desc     string
 		rows     []Row
@@ -216,9 +220,10 @@
 		{"all", rows(11, 12), 10, rows(11, 12), true},
 		{"the later ones", rows(11, 12), 11, rows(12), true},
 		{"before the listing", rows(11), 9, nil, false},
-		{"packed", []Row{{Key: "k", Revision: 11, Data: []byte(large)}, {Key: "gone", Revision: 12, Deleted: true}}, 10,
-			[]Row{{Key: "k", Revision: 11, Data: []byte(large)}, {Key: "gone", Revision: 12, Deleted: true, Data: []byte{}}}, true},
-		{"the oldest aren't kept", rows(many...), 15, nil, false},
+		{"packed", []Row{{Key: "k", Revision: 11, Data: []byte(long)}, {Key: "gone", Revision: 12, Deleted: true}}, 10,
+			[]Row{{Key: "k", Revision: 11, Data: []byte(long)}, {Key: "gone", Revision: 12, Deleted: true, Data: []byte{}}}, true},
+		{"the oldest of a small table aren't kept", rows(many...), 15, nil, false},
+		{"as many as a large table has", large, 15, large[5:], true},
 		{"what is kept", rows(many...), storage.Revision(10 + len(many) - 1), rows(storage.Revision(10 + len(many))), true},
 	}
 	for _, test := range tests {
@@ -227,7 +232,7 @@
 			var r recent
 			_, ok := r.since(0)
 			is.True(!ok) // not listed
-			r.reset(nil, 10)
+			r.reset(nil, 10, nil)
 			newest := storage.Revision(10)
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
@@ -301,7 +306,7 @@
 	is := is.New(t)
 	seen := &recorder{}
 	w := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
-	w.replace(rows(8), 8)
+	w.replace(rows(8), 8, nil)
 	w.listed = false
 	is.True(!w.takeNews(News{Revision: 7, Whole: true, Packed: pack(rows(7))}, time.Now()))
 	is.Equal(w.Revision(), storage.Revision(8))
--- a/internal/feed/takenews.go
+++ b/internal/feed/takenews.go
@@ -40,7 +40,7 @@
 	if news.Whole {
 		w.log.Info().Str("event", "table-handed-on").Stringer("revision", news.Revision).Int("rows", len(rows)).Int("bytes", len(news.Packed)).Msg("")
 		w.reading = listing{}
-		w.replace(rows, news.Revision)
+		w.replace(rows, news.Revision, news.Packed)
 		return true
 	}
 	rows = slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
