--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -32,7 +32,7 @@
 	Rows []Row
 	// Revision is the newest that the answer takes in.
 	Revision storage.Revision
-	// Truncated says that there are more rows above the last one.
+	// Truncated says that there are more rows above the last one, or more changes.
 	Truncated bool
 	// Clock is the store's steady clock.
 	Clock time.Duration
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -218,6 +218,9 @@
 		return err
 	}
 	w.take(page.Rows, page.Revision)
+	if page.Truncated {
+		return nil // the rest is older than the answer: it is neither heard nor waited for
+	}
 	w.succeeded(answered)
 	switch {
 	case len(page.Rows) > 0:
