exchange, feed: hubs of a large zone go on hearing the store's word from their seed

Cause, three parts: a seed counted a hub that speaks for 64 hosts as one follower, and relayed nothing with fewer than eight; a zone of more than 64 hosts sent nearly all of its hosts to other hubs, since those just sent still counted for a second; and a hub whose seed fell silent waited as long for its word as its own followers did for the hub's, so that all of them asked the store at once. Ruled out: recent rows (enough of them now), room in messages, lost exchanges (none).

--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,9 @@
 	// show in its reports a moment later.
 	assigned map[string]int
 	count    time.Time
+	// sent are the hosts that were sent to hubs, and when: their last reports here count
+	// for a while yet.
+	sent map[string]time.Time
 }
 
 // assign names the address of the hub that a host is to report to in place of this one;
@@ -49,6 +53,7 @@
 	if slices.Contains(z.named, from) {
 		return ""
 	}
+	delete(z.sent, from) // it didn't go
 	direct := h.direct(r.Zone)
 	if r.Zone == h.zone && len(direct) <= maxFollowers {
 		return ""
@@ -64,6 +69,7 @@
 		return ""
 	}
 	z.assigned[hub]++
+	z.sent[from] = boottime.Now()
 	return h.reports[hub].report.Address
 }
 
@@ -72,21 +78,28 @@
 	z := h.zones[zone]
 	now := boottime.Now()
 	if z == nil {
-		z = &zoneHubs{since: now}
+		z = &zoneHubs{since: now, sent: make(map[string]time.Time)}
 		h.zones[zone] = z
 	}
 	z.named = slices.DeleteFunc(z.named, func(name string) bool { _, reports := h.reports[name]; return !reports })
+	maps.DeleteFunc(z.sent, func(_ string, at time.Time) bool { return now.Sub(at) > WorkAge })
 	if z.assigned == nil || now.Sub(z.count) > WorkAge {
 		z.assigned, z.count = make(map[string]int), now
 	}
 	return z
 }
 
-// direct are the names of the zone's hosts that report here for themselves alone. The
-// lock is held.
+// direct are the names of the zone's hosts that report here for themselves alone, without
+// those that were just sent to hubs. The lock is held.
 func (h *hub) direct(zone string) []string {
 	var names []string
+	z := h.zones[zone]
 	for name, got := range h.reports {
+		if z != nil {
+			if _, sent := z.sent[name]; sent {
+				continue
+			}
+		}
 		if got.report.Zone == zone && got.hosts == 1 && !got.fromHub && got.report.Address != "" {
 			names = append(names, name)
 		}
--- a/internal/exchange/assign_test.go
+++ b/internal/exchange/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +121,40 @@
 	is.Equal(report.Hosts, 1)
 	is.Equal(report.Work, Work{1: 10})
 }
+
+// Of a zone with more hosts than one hub serves, the seed's own hub goes on with as many as
+// it can serve, and passes the store's word on to the hubs of the others: without followers
+// of its own it told them nothing, and each of theirs read the store.
+func TestSeedOfALargeZoneRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 100, 1, 10)
+		time.Sleep(10 * time.Second)
+		seeds, hubs := 0, 0
+		for _, h := range f.hosts {
+			n := h.member.Followers()
+			switch {
+			case slices.Contains(f.seeds, h.address):
+				seeds++
+				is.True(n > maxFollowers/2)
+				is.True(h.member.Relays())
+			case n > 1:
+				hubs++
+				is.True(h.member.hub.told.Load())
+			}
+		}
+		is.True(seeds > 0 && hubs > 0)
+	})
+}
+
+// A seed that has hubs as followers alone relays to them: they speak for many hosts.
+func TestSeedOfHubsRelays(t *testing.T) {
+	is := is.New(t)
+	h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+	h.take("seed", Report{Zone: "z1"})
+	h.take("hub", Report{Zone: "z2", Hosts: minFollowers - 2})
+	is.True(!h.relays())
+	h.take("hub", Report{Zone: "z2", Hosts: minFollowers - 1})
+	is.True(h.relays())
+	is.True(h.relaysTo("hub"))
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -98,6 +98,10 @@
 				page.Rows = append(page.Rows, row)
 			}
 		}
+		if len(page.Rows) > storePage {
+			page.Rows, page.Truncated = page.Rows[:storePage], true
+			page.Revision = page.Rows[storePage-1].Revision
+		}
 		changed := s.changed
 		s.mu.Unlock()
 		if len(page.Rows) > 0 {
@@ -238,7 +242,7 @@
 	options := feed.Options{
 		Relays:     func() bool { return h.member.Relays() },
 		HubAnswers: func() bool { return h.member.Heard() },
-		FirstTable: 150 * time.Millisecond, FirstWord: 900 * time.Millisecond,
+		FirstTable: 150 * time.Millisecond, FirstWord: 900 * time.Millisecond, Gather: 2 * time.Second,
 	}
 	link := 20.0
 	if strong {
@@ -437,6 +441,36 @@
 	}
 }
 
+// All upstreams start within two seconds, after the hosts. The word of hubs ended meanwhile,
+// and each of their followers read the store's changes page by page.
+func TestFleetWhoseUpstreamsAllStart(t *testing.T) {
+	const upstreamsPerHost, span = 10, 2 * time.Second
+	sizes := []fleetSize{{195, 5}, {440, 5}}
+	if underRace {
+		sizes = []fleetSize{{30, 3}}
+	}
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, size.hosts, size.zones, 0)
+				time.Sleep(2 * time.Second)
+				calls, _ := f.store.count()
+				upstreams := upstreamsPerHost * size.hosts
+				for i := range upstreams {
+					f.store.put(fmt.Sprintf("i-%06d", i))
+					time.Sleep(span / time.Duration(upstreams))
+				}
+				took, ok := f.within(10*time.Second, func(h *fleetHost) bool { return h.rows() == upstreams })
+				after, _ := f.store.count()
+				t.Logf("%d hosts know %d upstreams %v after the last one started; %d calls of the store", size.hosts, upstreams, took, after-calls)
+				is.True(ok && took < 2*time.Second) // feed.Options.Heed
+				is.True(after-calls < size.hosts)
+			})
+		})
+	}
+}
+
 // The hub of a zone is lost: its hosts find another within two seconds and hear the
 // store's word there; no herd meets the store.
 func TestFleetLosesAHub(t *testing.T) {
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -180,8 +180,9 @@
 	return kept
 }
 
-// relays says whether enough hosts rely on this one.
-func (h *hub) relays() bool { return h.followers() >= minFollowers }
+// relays says whether enough hosts rely on this one, by their own reports or over hubs that
+// report here for them.
+func (h *hub) relays() bool { return h.hosts(toHub) >= minFollowers }
 
 // noteRelaying has the tables' watchers ask the store more often at once when hosts begin
 // to rely on this one: a call that the store holds for long tells them nothing meanwhile.
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -26,7 +26,14 @@
 		return true
 	}
 	n := h.followers()
-	return n >= minFollowers && (n <= maxFollowers || hash(host)%uint64(n) < maxFollowers)
+	return h.relays() && (n <= maxFollowers || h.speaksForOthers(host) || hash(host)%uint64(n) < maxFollowers)
+}
+
+// speaksForOthers says whether the host is a hub that reports here.
+func (h *hub) speaksForOthers(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reports[host].hosts > 1
 }
 
 // news is what the store told of the tables after the revisions that the host knows.
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -16,6 +16,10 @@
 	// off, frozen or gone asks the store itself after this time, and has the answer well
 	// within the rest.
 	relayedPart = 0.65
+	// hubRelayedPart is the same for a watcher that others rely on in turn. It is lower, so that
+	// this one has asked the store and told them before their own words are too old: all of
+	// a hub's followers asked the store at once otherwise.
+	hubRelayedPart = 0.5
 	// relayHoldPart of Heed is how long the store holds a call of a watcher that others
 	// rely on: it passes on what it hears a few times a second, over two hosts at most,
 	// and a lost exchange must not make the word too old.
@@ -107,9 +111,18 @@
 	r := &w.relayed
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.news, r.at, !r.at.IsZero() && boottime.Since(r.at) < w.relayedAge()
+	return r.news, r.at, !r.at.IsZero() && boottime.Since(r.at) < w.reliedAge()
 }
 
+// reliedAge is the age up to which this watcher relies on another host's word.
+func (w *Watcher) reliedAge() time.Duration {
+	if w.relays() {
+		return time.Duration(hubRelayedPart * float64(w.options.Heed))
+	}
+	return w.relayedAge()
+}
+
+// relayedAge is the age up to which those that no other host relies on do.
 func (w *Watcher) relayedAge() time.Duration {
 	return time.Duration(relayedPart * float64(w.options.Heed))
 }
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -373,3 +373,29 @@
 		is.Equal(source.polls, before+1)
 	})
 }
+
+// A page that isn't the last tells nothing of the time of its answer, and the next is asked
+// for at once: with a pause between pages 10,000 changes took four seconds.
+func TestChangesOfManyPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pages, answer, gather = 20, 5 * time.Millisecond, time.Second
+		var w *Watcher
+		source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 1}, nil }}
+		source.changes = func(ctx context.Context, call int, since storage.Revision) (Page, error) {
+			if call > pages {
+				return hang(ctx)
+			}
+			age, _ := w.Age()
+			is.True(age >= gather+time.Duration(call-1)*answer-time.Millisecond) // as of the listing until the last page
+			time.Sleep(answer)
+			return Page{Rows: rows(since + 1), Revision: since + 1, Truncated: call < pages}, nil
+		}
+		seen := &recorder{}
+		w = NewWatcher("t", source, seen, Options{Gather: gather}, zerolog.Nop())
+		ctx, cancel := context.WithTimeout(t.Context(), gather+2*pages*answer)
+		defer cancel()
+		w.Run(ctx)
+		is.Equal(len(seen.changes), pages)
+	})
+}
--- a/internal/feed/takenews.go
+++ b/internal/feed/takenews.go
@@ -112,7 +112,7 @@
 // to rely on.
 func (w *Watcher) awaitNews(ctx context.Context, at time.Time) error {
 	w.options.Link.leave(w)
-	timer := time.NewTimer(w.relayedAge() - boottime.Since(at))
+	timer := time.NewTimer(w.reliedAge() - boottime.Since(at))
 	defer timer.Stop()
 	select {
 	case <-w.relayed.wake:
