--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // saturated is the load per slot above which another availability zone is tried:
@@ -16,6 +17,8 @@
 // choice is the upstream that was chosen, and why.
 type choice struct {
 	upstream Upstream
+	// entry is the store's revision of the upstream's entry.
+	entry storage.Revision
 	// among is the number of upstreams that could have been chosen.
 	among int
 	// load is the chosen upstream's believed load.
@@ -75,7 +78,7 @@
 	}
 	c := choice{at: now, among: len(list.members), wants: w}
 	picked := s.pick(list, &c, now)
-	c.upstream = picked.Upstream
+	c.upstream, c.entry = picked.Upstream, picked.revision
 	c.load = picked.load(now)
 	c.loadFrom, c.loadAge = picked.loadSource(now)
 	picked.begin(&c)
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -59,7 +59,7 @@
 		return
 	}
 	m.warmth.told = true
-	log.Info().Str("event", "upstream-cold").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).
+	log.WithLevel(m.level()).Str("event", "upstream-cold").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).
 		Str("reason", reason).Int64("for_ms", lasts.Milliseconds()).Msg("")
 }
 
@@ -93,7 +93,7 @@
 			m.logLimit(now, f.log)
 			if m.warmth != nil && m.warmth.told && !m.cold(now) {
 				m.warmth.told = false
-				f.log.Info().Str("event", "upstream-warm").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Msg("")
+				f.log.WithLevel(m.level()).Str("event", "upstream-warm").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Msg("")
 			}
 			m.dropIdle(now)
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -348,7 +348,7 @@
 		line = g.log.Warn()
 	}
 	line.Str("event", "attempt").Str("request", r.ID).Stringer("digest", r.Digest).Int("attempt", r.attempts).
-		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Str("zone", a.choice.upstream.Zone).
+		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Stringer("entry", a.choice.entry).Str("zone", a.choice.upstream.Zone).
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
 		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
 		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,6 +44,8 @@
 	removalGrace time.Duration
 	log          zerolog.Logger
 	access       *access
+	// tally counts the changes that the log wasn't told of yet.
+	tally tally
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -152,10 +154,21 @@
 		}
 		m.removedAt = boottime.Now()
 		m.lapsed = lapsed
-		f.log.Info().Str("event", "upstream-removed").Str("upstream", id).Stringer("revision", revision).Bool("lapsed", lapsed).Msg("")
+		f.tally.removed.Add(1)
+		f.log.WithLevel(m.level()).Str("event", "upstream-removed").Str("upstream", id).Stringer("revision", revision).Bool("lapsed", lapsed).Int("in_flight", m.inFlight).Msg("")
 	})
 }
 
+// entry returns what the upstream's entry of the revision says, if that is in use.
+func (f *Fleet) entry(id string, revision storage.Revision) (u Upstream, ok bool) {
+	f.each(func(s *shard) {
+		if m := s.members[id]; m != nil && m.revision == revision && m.removedAt.IsZero() && !m.withdrawn {
+			u, ok = m.Upstream, true
+		}
+	})
+	return u, ok
+}
+
 // Keep removes all upstreams that aren't in the list.
 func (f *Fleet) Keep(listed map[string]bool, revision storage.Revision, lapsed bool) {
 	var gone []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,7 @@
 	}
 	group.Go(func() { g.tellBegun(ctx) })
 	group.Go(func() { wait.Every(ctx, openInterval, g.fleet.noteOpen) })
+	group.Go(func() { wait.Every(ctx, tallyInterval, g.fleet.logTally) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { wait.Every(ctx, sweepInterval, func() { g.fleet.Sweep(boottime.Now()) }) })
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -31,21 +31,24 @@
 	case m == nil:
 		s.replaceAt(&u, f.log)
 		m = s.add(&u)
-		f.logEntry("upstream-listed", &u, revision).Msg("")
+		f.tally.listed.Add(1)
+		f.logEntry(zerolog.DebugLevel, "upstream-listed", &u, revision).Msg("")
 	case u.Incarnation < m.Incarnation:
-		f.logEntry("upstream-entry-late", &u, revision).Int64("known", int64(m.Incarnation)).Msg("")
+		f.logEntry(zerolog.InfoLevel, "upstream-entry-late", &u, revision).Int64("known", int64(m.Incarnation)).Msg("")
 		return
 	case u.Incarnation > m.Incarnation:
-		f.logEntry("upstream-restarted", &u, revision).Int64("former", int64(m.Incarnation)).Int("in_flight", m.inFlight).Msg("")
+		f.tally.restarted.Add(1)
+		f.logEntry(m.level(), "upstream-restarted", &u, revision).Int64("former", int64(m.Incarnation)).Int("in_flight", m.inFlight).Msg("")
 		m = s.add(&u)
 	}
 	if !m.removedAt.IsZero() && !m.lapsed && u.Sequence > 0 && u.Sequence <= m.Sequence {
 		// A store that came back from a copy lists upstreams that are gone.
-		f.logEntry("upstream-entry-old", &u, revision).Uint64("sequence", u.Sequence).Uint64("known_sequence", m.Sequence).Msg("")
+		f.logEntry(zerolog.InfoLevel, "upstream-entry-old", &u, revision).Uint64("sequence", u.Sequence).Uint64("known_sequence", m.Sequence).Msg("")
 		return
 	}
 	if u.Leaving && !m.Leaving {
-		f.log.Info().Str("event", "upstream-leaving").Str("upstream", u.ID).Stringer("revision", revision).Msg("")
+		f.tally.leaving.Add(1)
+		f.log.WithLevel(m.level()).Str("event", "upstream-leaving").Str("upstream", u.ID).Stringer("revision", revision).Int("in_flight", m.inFlight).Msg("")
 	}
 	leaving := m.Leaving || u.Leaving
 	if m.Zone != u.Zone {
@@ -54,7 +57,7 @@
 	if m.Address != u.Address {
 		s.setAddress(m, u.Address)
 	}
-	m.Upstream = u
+	m.Upstream, m.revision = u, revision
 	m.Leaving = leaving
 	m.removedAt, m.lapsed = time.Time{}, false
 	m.withdrawn = false
@@ -69,8 +72,8 @@
 	}
 }
 
-func (f *Fleet) logEntry(event string, u *Upstream, revision storage.Revision) *zerolog.Event {
-	return f.log.Info().Str("event", event).Str("upstream", u.ID).Str("service", u.Service).
+func (f *Fleet) logEntry(level zerolog.Level, event string, u *Upstream, revision storage.Revision) *zerolog.Event {
+	return f.log.WithLevel(level).Str("event", event).Str("upstream", u.ID).Str("service", u.Service).
 		Str("address", u.Address).Str("zone", u.Zone).Str("version", u.Version).Int64("incarnation", int64(u.Incarnation)).
 		Bool("leaving", u.Leaving).Stringer("revision", revision)
 }
@@ -143,7 +146,7 @@
 		return
 	}
 	former.replaced = true
-	log.Info().Str("event", "upstream-replaced").Str("upstream", former.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
+	log.WithLevel(former.level()).Str("event", "upstream-replaced").Str("upstream", former.ID).Str("by", u.ID).Str("address", u.Address).Msg("")
 }
 
 // setAddress notes that the member is the last one that was listed at the address, and at no
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -58,9 +58,9 @@
 	m = f.memberOf("svc", "e")
 	is.True(m.takesWork(now, 0))                               // leaving ended with the former incarnation
 	is.Equal(m.inFlight, 0)                                    // so did its work
-	is.Equal(m.kept(former.wants.keys), 0)               // and what it kept
+	is.Equal(m.kept(former.wants.keys), 0)                     // and what it kept
 	is.Equal(m.failures(now), 0.0)                             // and its failures
-	is.True(!m.ejected(now))                         // and its ejection
+	is.True(!m.ejected(now))                                   // and its ejection
 	is.True(m.name != exchange.NameOf(former.upstream.name())) // and what hosts tell of it
 
 	// A request to the former incarnation ends as that one's.
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/ratelease"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -40,7 +41,9 @@
 	Upstream
 	shard *shard
 	// name stands for the upstream in what hosts tell each other.
-	name      exchange.Name
+	name exchange.Name
+	// revision is the store's, of the newest entry.
+	revision  storage.Revision
 	removedAt time.Time
 	// listedAt is when the first entry came, heardAt when the newest did.
 	listedAt time.Time
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -105,3 +106,67 @@
 	u.ID = strings.Clone(row.Key)
 	return u
 }
+
+// A host wrote a line for each of 10,000 upstreams at its start, and again for each change of
+// one: ten million lines of 985 hosts in a second.
+func TestLogLinesDontGrowWithUpstreams(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	w := newWorld(t, testDocument())
+	w.gateway.fleet.log = zerolog.New(&log).Level(zerolog.InfoLevel)
+	f := w.gateway.fleet
+	const upstreams = 1000
+	change := func(do func(i int, id string)) {
+		for i := range upstreams {
+			do(i, fmt.Sprintf("i-%05d", i))
+		}
+		f.logTally()
+	}
+	entry := func(id string, start Incarnation, leaving bool) Upstream {
+		return Upstream{ID: id, Service: "svc", Incarnation: start, Address: "127.0.0.1:9", Version: "v1", Leaving: leaving}
+	}
+	change(func(_ int, id string) { f.Set(entry(id, firstStart, false), 1) })
+	change(func(_ int, id string) { f.Set(entry(id, secondStart, false), 2) })
+	used, ok := f.choose(wants{service: "svc", admits: anyVersion})
+	is.True(ok)
+	change(func(_ int, id string) { f.Set(entry(id, secondStart, true), 3) })
+	change(func(_ int, id string) { f.Remove(id, 4, false) })
+	f.logTally() // nothing changed
+
+	lines := bytes.Split(bytes.TrimSpace(log.Bytes()), []byte("\n"))
+	tallies := 0
+	for _, line := range lines {
+		if bytes.Contains(line, []byte("upstreams-changed")) {
+			tallies++
+		} else {
+			is.True(bytes.Contains(line, []byte(used.upstream.ID))) // the one that has a request
+		}
+	}
+	is.Equal(tallies, 4)
+	is.Equal(len(lines), tallies+2)
+}
+
+// A whole table that a host knows already, but for some rows, isn't decoded again.
+func TestKnownEntriesAreNotReadAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	read := 0
+	decode := w.gateway.settings.Codec.Upstream
+	w.gateway.settings.Codec.Upstream = func(id string, data []byte) (Upstream, error) {
+		read++
+		return decode(id, data)
+	}
+	rows := newUpstreamRows(w.gateway)
+	table := make([]feed.Row, 100)
+	for i := range table {
+		table[i] = feed.Row{Key: fmt.Sprint("i-", i), Revision: storage.Revision(i + 1), Data: []byte(`{"Service":"svc","Incarnation":5,"Address":"127.0.0.1:9"}`)}
+	}
+	rows.Replace(table, 100)
+	is.Equal(read, 100)
+	table[3].Revision, table[3].Data = 101, []byte(`{"Service":"svc","Incarnation":5,"Address":"127.0.0.1:9","Leaving":true}`)
+	rows.Change(feed.Row{Key: table[4].Key, Revision: 102, Deleted: true})
+	rows.Replace(table, 102)
+	is.Equal(read, 102) // the changed one, and the one that was removed meanwhile
+	is.True(w.gateway.fleet.memberOf("svc", "i-3").Leaving)
+	is.True(w.gateway.fleet.memberOf("svc", "i-4").removedAt.IsZero())
+}
--- a/internal/gateway/tablerows.go
+++ b/internal/gateway/tablerows.go
@@ -184,9 +184,16 @@
 	var starts starts
 	for _, row := range rows {
 		keys[row.Key] = true
-		if u, ok := h.read(row); ok {
+		u, known := h.gateway.fleet.entry(row.Key, row.Revision)
+		if !known {
+			var ok bool
+			if u, ok = h.read(row); !ok {
+				continue
+			}
+		}
+		starts.count(&u, 1)
+		if !known || u.Incarnation == 0 { // the others may refuse one without a start
 			entries = append(entries, entry{upstream: u, row: row})
-			starts.count(&u, 1)
 		}
 	}
 	for _, e := range entries {
