exchange: a large zone's hubs are its strongest hosts, all named at once

Cause: a seed named one hub at a time, and sent the zone's first 64 hosts to it, the other strong ones among them; the second and third hub were hosts with links of 20 Mbit/s, which can hand 13.6 kB to a follower. Now as many as the zone needs are named together, the strongest first, and hosts are spread over them evenly. TestHubsAreTheStrongestHosts. Open: a seed serves up to 64 hosts of its own zone whatever its link.

--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -63,7 +63,7 @@
 	}
 	hub := h.withRoom(z)
 	if hub == "" && boottime.Since(z.since) >= electAfter {
-		hub = h.elect(z, direct)
+		hub = h.elect(z, r.Zone, direct)
 	}
 	if hub == "" || hub == from {
 		return ""
@@ -107,30 +107,44 @@
 	return names
 }
 
-// withRoom is the first of the zone's hubs that can serve more hosts; empty if there is
-// none. The lock is held.
+// withRoom is the zone's hub that serves fewest hosts; empty if none can serve more. The lock
+// is held.
 func (h *hub) withRoom(z *zoneHubs) string {
+	hub, fewest := "", maxFollowers
 	for _, name := range z.named {
-		if h.reports[name].hosts+z.assigned[name] < maxFollowers {
-			return name
+		if n := h.reports[name].hosts + z.assigned[name]; n < fewest {
+			hub, fewest = name, n
 		}
 	}
-	return ""
+	return hub
 }
 
-// elect names the strongest host that isn't a hub. The lock is held.
-func (h *hub) elect(z *zoneHubs, direct []string) string {
-	direct = slices.DeleteFunc(direct, func(name string) bool { return name == h.self || slices.Contains(z.named, name) })
-	if len(direct) == 0 {
-		return ""
+// elect names as many hubs as the zone needs, one at least, the strongest of the hosts that
+// aren't hubs, and returns one of them; empty if there is no host. All are named at once: a
+// host that was sent to the first one as its follower can't be named any more, and of 197
+// hosts the ten with the strongest links were. The lock is held.
+func (h *hub) elect(z *zoneHubs, zone string, direct []string) string {
+	hosts := len(direct)
+	for _, name := range z.named {
+		hosts += h.reports[name].hosts
+	}
+	need := (hosts + maxFollowers - 1) / maxFollowers
+	if zone == h.zone {
+		need-- // this host serves some itself
 	}
-	name := slices.MaxFunc(direct, func(a, b string) int {
-		return cmp.Or(cmp.Compare(h.reports[a].report.Strength, h.reports[b].report.Strength), cmp.Compare(a, b))
+	direct = slices.DeleteFunc(direct, func(name string) bool { return name == h.self || slices.Contains(z.named, name) })
+	slices.SortFunc(direct, func(a, b string) int {
+		return -cmp.Or(cmp.Compare(h.reports[a].report.Strength, h.reports[b].report.Strength), cmp.Compare(a, b))
 	})
-	z.named = append(z.named, name)
-	h.log.Info().Str("event", "hub-named").Str("hub", name).Str("zone", h.reports[name].report.Zone).
-		Float64("strength", h.reports[name].report.Strength).Int("among", len(direct)).Msg("")
-	return name
+	for i, name := range direct {
+		if i > 0 && len(z.named) >= need {
+			break
+		}
+		z.named = append(z.named, name)
+		h.log.Info().Str("event", "hub-named").Str("hub", name).Str("zone", zone).
+			Float64("strength", h.reports[name].report.Strength).Int("among", len(direct)).Int("need", need).Msg("")
+	}
+	return h.withRoom(z)
 }
 
 // pending says that the host will be sent to a hub of its zone soon. The lock is held.
--- a/internal/exchange/assign_test.go
+++ b/internal/exchange/assign_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +159,37 @@
 	is.True(h.relays())
 	is.True(h.relaysTo("hub"))
 }
+
+// The hubs of a zone are its strongest hosts, also the second and third one.
+func TestHubsAreTheStrongestHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		const hosts, strong = 197, 10
+		names := hostNames(hosts)
+		report := func(i int) string {
+			strength := 4.0
+			if i < strong {
+				strength = 1600
+			}
+			reply, err := h.exchange(t.Context(), names[i], Report{Zone: "z2", Address: "to " + names[i], Strength: strength})
+			is.NoErr(err)
+			return reply.Assigned
+		}
+		for i := range names {
+			report(i)
+		}
+		time.Sleep(electAfter)
+		followers := make(map[string]int)
+		for i := range names {
+			if to := report(len(names) - 1 - i); to != "" {
+				followers[to]++
+			}
+		}
+		is.Equal(len(followers), 4)
+		for to, n := range followers {
+			is.True(n < maxFollowers)
+			is.True(slices.Contains(names[:strong], strings.TrimPrefix(to, "to ")))
+		}
+	})
+}
