gateway, routing, platform: requests stay in the regions of their route and account

Cause: the regions to which operators bind routes and accounts were read nowhere; any upstream took any request. Requests that are bound to nothing prefer their own region. TestRequestsStayInTheirHomes and others in homes_test.go.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -82,6 +82,7 @@
 	s := gateway.Settings{
 		Host:      site.Host,
 		Zone:      site.Zone,
+		Regions:   site.Regions,
 		Callers:   site.Callers,
 		Ready:     site.Ready,
 		ReadyPath: platform.PathReady,
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -132,28 +132,28 @@
 // evacuated zones, and that name a limit.
 type reach struct{ inService, cold, evacuated, limited int }
 
-// reachOf counts a service's upstreams.
-func (f *Fleet) reachOf(service string) reach {
+// reachOf counts a service's upstreams in the homes.
+func (f *Fleet) reachOf(service string, at homes) reach {
 	var n reach
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n.add(s, f.removalGrace)
+	n.add(s, at, f.removalGrace)
 	return n
 }
 
 // reach counts the upstreams of all services.
 func (f *Fleet) reach() reach {
 	var n reach
-	f.each(func(s *shard) { n.add(s, f.removalGrace) })
+	f.each(func(s *shard) { n.add(s, homes{}, f.removalGrace) })
 	return n
 }
 
-// add counts a shard's upstreams. Its lock is held.
-func (n *reach) add(s *shard, grace time.Duration) {
+// add counts a shard's upstreams in the homes. Its lock is held.
+func (n *reach) add(s *shard, at homes, grace time.Duration) {
 	now := boottime.Now()
 	for _, m := range s.members {
-		if !m.takesWork(now, grace) {
+		if !at.allow(m.Zone) || !m.takesWork(now, grace) {
 			continue
 		}
 		n.inService++
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -60,6 +60,8 @@
 	bytes  int
 	// exclude are upstreams that were tried.
 	exclude []string
+	// homes are the regions in which the request may run.
+	homes homes
 	// admits says whether a version may run the request.
 	admits func(version string) bool
 }
@@ -89,7 +91,7 @@
 // pick takes the upstream that suits the request best.
 func (s *shard) pick(list candidateList, c *choice, now time.Time) *member {
 	if c.wants.prompt == nil {
-		return pickNear(list.members, c.wants.zone, now)
+		return s.pickNear(list.members, c.wants.zone, now)
 	}
 	return s.place(list, c, now)
 }
@@ -126,7 +128,7 @@
 func (s *shard) allCandidates(w *wants, now time.Time, grace time.Duration) []*member {
 	var list []*member
 	for _, m := range s.members {
-		if w.admits(m.Version) && m.open(now, grace) {
+		if w.homes.allow(m.Zone) && w.admits(m.Version) && m.open(now, grace) {
 			list = append(list, m)
 		}
 	}
@@ -167,12 +169,13 @@
 }
 
 // pickNear takes the least loaded upstream of the host's availability zone while there is
-// room.
-func pickNear(list []*member, zone string, now time.Time) *member {
-	local := keepUnlessNone(list, func(m *member) bool { return m.Zone == zone })
-	best := leastLoaded(local, now)
-	if best.relativeLoad(now) < saturated || len(local) == len(list) {
-		return best
+// room, then of its region.
+func (s *shard) pickNear(list []*member, zone string, now time.Time) *member {
+	region := keepUnlessNone(list, func(m *member) bool { return s.geography.near(m.Zone) })
+	for _, near := range [][]*member{keepUnlessNone(region, func(m *member) bool { return m.Zone == zone }), region} {
+		if best := leastLoaded(near, now); best.relativeLoad(now) < saturated {
+			return best
+		}
 	}
 	return leastLoaded(list, now)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -143,12 +143,13 @@
 func (d *dispatch) begin(r *Request, models *modelSteps) (*attempt, error) {
 	g := d.gateway
 	r.model = models.current()
+	r.homes = g.homes(r)
 	w := d.wants(r, r.model, models.best())
 	picked, ok := g.fleet.choose(w)
 	if !ok {
-		reach := g.fleet.reachOf(r.Service)
+		reach := g.fleet.reachOf(r.Service, r.homes)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
-			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Int("limited", reach.limited).Msg("")
+			Int("in_service", reach.inService).Int("cold", reach.cold).Int("evacuated", reach.evacuated).Int("limited", reach.limited).Bool("bound", r.homes.bound()).Msg("")
 		return nil, d.refusal(r, d.noUpstream(r, reach))
 	}
 	r.attempts++
@@ -170,6 +171,9 @@
 
 // noUpstream tells why no upstream was chosen.
 func (d *dispatch) noUpstream(r *Request, reach reach) *resultcode.Error {
+	if reach.inService == 0 && r.homes.bound() {
+		return resultcode.Wrap(resultcode.NoUpstream, errNoneOpen, "no upstream is in service in the regions that the route and the account allow")
+	}
 	if reach.limited == 0 || reach.limited < reach.inService-reach.cold-reach.evacuated {
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneOpen, "no upstream is in service")
 	}
@@ -181,7 +185,7 @@
 // wants is what the choice of an upstream for the request depends on.
 func (d *dispatch) wants(r *Request, model string, largest bool) wants {
 	g := d.gateway
-	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, rank: r.rank(), admits: g.rollouts.admits(r)}
+	w := wants{service: r.Service, zone: g.settings.Zone, exclude: r.tried, rank: r.rank(), homes: r.homes, admits: g.rollouts.admits(r)}
 	if r.Prompt.TokensIn > 0 {
 		w.prompt = r.Prompt.reading(r.Route.PrefixAffinity)
 		w.model = cmp.Or(model, r.Prompt.Model)
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/evenhash"
@@ -28,8 +27,7 @@
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r.Header) > limit {
 		return resultcode.New(resultcode.HeaderTooLarge, "header over %d bytes", limit)
 	}
-	path, _, _ := strings.Cut(r.Target, "?")
-	route, ok := table.Match(r.Host, path)
+	route, ok := table.Match(r.Host, r.path())
 	if !ok {
 		return resultcode.New(resultcode.UnknownRoute, "no route of this host begins the path")
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,6 +44,7 @@
 	removalGrace time.Duration
 	log          zerolog.Logger
 	access       *access
+	geography    geography
 	// tally counts the changes that the log wasn't told of yet.
 	tally tally
 
@@ -79,6 +80,7 @@
 	// access is the fleet's; bound and coldStart are what the operators declared of the
 	// service's cold upstreams.
 	access    *access
+	geography *geography
 	bound     ratelease.Bound
 	coldStart time.Duration
 	// base is the version in service without a roll-out; empty before the first
@@ -125,14 +127,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.shards[service] == nil {
-		f.shards[service] = newShard(f.access)
+		f.shards[service] = newShard(f.access, &f.geography)
 	}
 	return f.shards[service]
 }
 
-func newShard(a *access) *shard {
+func newShard(a *access, g *geography) *shard {
 	return &shard{
-		access: a, members: make(map[string]*member), addresses: make(map[string]*member),
+		access: a, geography: g, members: make(map[string]*member), addresses: make(map[string]*member),
 		names: make(map[exchange.Name]*member), leases: make(map[ratelease.Upstream]*member),
 		active: make(map[*member]struct{}), leased: make(map[*member]struct{}), limitNews: make(map[*member]struct{}),
 		keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates(),
@@ -231,13 +233,17 @@
 	return known
 }
 
-// opens says whether this host may send a request to an upstream whose version fits now.
-func (f *Fleet) opens(service string, fits func(version string) bool) bool {
+// opens says whether this host may send a request to an upstream of its homes whose version
+// fits now.
+func (f *Fleet) opens(service string, at homes, fits func(version string) bool) bool {
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, looked := boottime.Now(), 0
 	for _, m := range s.members {
+		if !at.allow(m.Zone) {
+			continue
+		}
 		if fits(m.Version) && m.open(now, f.removalGrace) {
 			return true
 		}
@@ -252,19 +258,19 @@
 // thousands that start at once, looking at all takes longer than a request has.
 const opensProbes = 256
 
-// serves says whether the service has an upstream that takes work and whose
+// serves says whether the service has an upstream in the homes that takes work and whose
 // version fits.
-func (f *Fleet) serves(service string, fits func(version string) bool) bool {
+func (f *Fleet) serves(service string, at homes, fits func(version string) bool) bool {
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.serves(fits, f.removalGrace)
+	return s.serves(at, fits, f.removalGrace)
 }
 
-func (s *shard) serves(fits func(version string) bool, grace time.Duration) bool {
+func (s *shard) serves(at homes, fits func(version string) bool, grace time.Duration) bool {
 	now := boottime.Now()
 	for _, m := range s.members {
-		if fits(m.Version) && m.takesWork(now, grace) {
+		if at.allow(m.Zone) && fits(m.Version) && m.takesWork(now, grace) {
 			return true
 		}
 	}
@@ -293,7 +299,7 @@
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.base != "" && s.serves(func(version string) bool { return version == s.base }, f.removalGrace) {
+	if s.base != "" && s.serves(homes{}, func(version string) bool { return version == s.base }, f.removalGrace) {
 		return s.base
 	}
 	now := boottime.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	s := &g.settings
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
+	g.fleet.geography = geography{zone: s.Zone, regions: s.Regions}
 	g.fleet.access.alone = s.Peers.Listen == ""
 	g.fleet.access.seed, g.fleet.access.hosts = s.Host, func() int { return int(g.hosts.Load()) }
 	g.fleet.access.overrun, g.fleet.access.spare = s.ColdOverrun, s.ColdSpare
--- a/internal/gateway/homes_test.go
+++ b/internal/gateway/homes_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -201,19 +200,3 @@
 	}
 	is.Equal(abroad, 0)
 }
-
-// A document's entry keeps the regions through the platform's bytes and the routing table.
-func TestRegionsOfADocument(t *testing.T) {
-	is := is.New(t)
-	w := homesWorld(t, []string{"north"}, []string{"south"})
-	w.gateway.settings.Codec.Document = func([]byte) (routing.Document, error) {
-		doc := testDocument()
-		doc.Version = 9
-		doc.Routes[0].Regions = []string{"south"}
-		return doc, nil
-	}
-	is.NoErr(w.gateway.takeDocument(feed.Row{Revision: 3}))
-	route, ok := w.gateway.table.Load().Match(testHost, "/once/x")
-	is.True(ok)
-	is.Equal(route.Regions, []string{"south"})
-}
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -51,7 +51,7 @@
 	leaving := engineAt(firstStart)
 	leaving.Leaving = true
 	f.Set(leaving, 2)
-	is.True(!f.serves("svc", func(string) bool { return true }))
+	is.True(!f.serves("svc", homes{}, func(string) bool { return true }))
 
 	f.Set(engineAt(secondStart), 3)
 	now := time.Now()
@@ -108,8 +108,8 @@
 	moved.Service = "other"
 	f.Set(moved, 2)
 	any := func(string) bool { return true }
-	is.True(!f.serves("svc", any))
-	is.True(f.serves("other", any))
+	is.True(!f.serves("svc", homes{}, any))
+	is.True(f.serves("other", homes{}, any))
 }
 
 // A connection to a former incarnation isn't used for the new one, though both have one
@@ -164,7 +164,7 @@
 
 	rows.Change(good("a", 5))
 	is.True(f.memberOf("svc", "a").takesWork(time.Now(), time.Minute))
-	is.True(f.serves("svc", any))
+	is.True(f.serves("svc", homes{}, any))
 }
 
 // A platform that gives each start an id of its own tells no start.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -14,6 +14,9 @@
 	// crossZoneWay is the extra time of an upstream in another availability zone, a
 	// round trip or two of a millisecond each.
 	crossZoneWay = 2 * time.Millisecond
+	// crossRegionWay is the extra time of an upstream in another region, a round trip or two of
+	// some tens of milliseconds each.
+	crossRegionWay = 100 * time.Millisecond
 	// crossZoneKB is the price of a KB that is sent to another availability zone, as
 	// engine time: operators pay for both.
 	crossZoneKB = 5 * time.Millisecond
@@ -31,7 +34,9 @@
 		Prompt: w.prompt,
 		Target: w.target,
 		Way:    crossZoneWay + time.Duration(w.bytes)*crossZoneKB/1024,
-		Draw:   rand.Float64(),
+
+		RegionWay: crossRegionWay,
+		Draw:      rand.Float64(),
 	}, candidates)
 	picked := &candidates[c.placed.Index]
 	c.ahead, c.kept = picked.Ahead, picked.Kept
@@ -101,6 +106,7 @@
 		c.Kept = m.kept(w.keys)
 		c.Order = list.order(m, subject)
 		c.Far = m.Zone != w.zone
+		c.Abroad = !s.geography.near(m.Zone)
 	}
 	return candidates
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,6 +41,8 @@
 	// Digest names the request by its content, the same for each repeat by its caller.
 	Digest quarantine.Digest
 
+	// homes are the regions in which the next attempt may be made.
+	homes homes
 	// relativePrompt is the mean size of the route's prompts against the service's.
 	relativePrompt float64
 
@@ -75,6 +77,12 @@
 	Tokens int
 }
 
+// path is the target without its query.
+func (r *Request) path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
+}
+
 // content is what makes two requests the same one.
 func (r *Request) content() *quarantine.Content {
 	return &quarantine.Content{Host: r.Host, Method: r.Method, Target: r.Target, Account: r.accountName(), Body: r.Body}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -175,7 +175,7 @@
 	canary := m.canary(a, r)
 	if canary && !m.reaches(r, func(version string) bool { return version == to }) {
 		canary = false
-	} else if !canary && !m.withdrawn(a) && !m.fleet.serves(r.Service, func(version string) bool { return version != to }) {
+	} else if !canary && !m.withdrawn(a) && !m.fleet.serves(r.Service, r.homes, func(version string) bool { return version != to }) {
 		canary = true
 	}
 	return func(version string) bool { return (version == to) == canary }
@@ -186,9 +186,9 @@
 // version before meanwhile.
 func (m *rollouts) reaches(r *Request, fits func(version string) bool) bool {
 	if r.Session != "" {
-		return m.fleet.serves(r.Service, fits)
+		return m.fleet.serves(r.Service, r.homes, fits)
 	}
-	return m.fleet.opens(r.Service, fits)
+	return m.fleet.opens(r.Service, r.homes, fits)
 }
 
 // withdrawn says that the version must get no requests.
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -26,6 +26,8 @@
 	// engine reads one prompt, a few choices balance best.
 	nearChoices = 4
 	farChoices  = 3
+	// abroadChoices of these may be of another region.
+	abroadChoices = 1
 	// maxKeepers bounds the engines that are looked at because they keep parts: the
 	// parts that everybody asks for are kept by many.
 	maxKeepers = 8
@@ -47,11 +49,14 @@
 	builtAt time.Time
 	// zones are the availability zones with members, by name; added are the members that
 	// aren't in them yet, stale says that some that are left the service or their zone.
-	zones []*zoneRoster
+	zones zoneRosters
 	added []*member
 	stale bool
 }
 
+// zoneRosters are those of several availability zones, by name.
+type zoneRosters []*zoneRoster
+
 // zoneRoster are the members of an availability zone.
 type zoneRoster struct {
 	name    string
@@ -122,15 +127,6 @@
 	return r.zones[i]
 }
 
-// near is the zone's roster; nil if it has no members.
-func (r *roster) near(name string) *zoneRoster {
-	i, found := slices.BinarySearchFunc(r.zones, name, func(z *zoneRoster, name string) int { return cmp.Compare(z.name, name) })
-	if !found {
-		return nil
-	}
-	return r.zones[i]
-}
-
 // add merges the members' points into the ring.
 func (z *zoneRoster) add(members []*member) {
 	points := make([]ringPoint, 0, ringPoints*len(members))
@@ -175,16 +171,16 @@
 	return nil
 }
 
-// owner is the same over the rings of all zones, as if they were one.
-func (r *roster) owner(subject uint64, willDo func(*member) bool) *member {
-	starts, passed := make([]int, len(r.zones)), make([]int, len(r.zones))
-	for i, z := range r.zones {
+// owner is the same over the rings of the zones, as if they were one.
+func (l zoneRosters) owner(subject uint64, willDo func(*member) bool) *member {
+	starts, passed := make([]int, len(l)), make([]int, len(l))
+	for i, z := range l {
 		starts[i] = z.from(subject)
 	}
 	for range ringProbes {
 		var nearest *member
 		zone, least := -1, uint64(0)
-		for i, z := range r.zones {
+		for i, z := range l {
 			if passed[i] == len(z.ring) {
 				continue
 			}
@@ -224,7 +220,7 @@
 // at don't take the request.
 func (s *shard) some(w *wants, now time.Time, grace time.Duration) candidateList {
 	r := s.rosterOf(now)
-	near := r.near(w.zone)
+	near, region, all := r.within(w, s.geography)
 	willDo := func(m *member) bool {
 		return m.removedAt.IsZero() && w.admits(m.Version) && !slices.Contains(w.exclude, m.ID) &&
 			!m.ejected(now) && m.open(now, grace)
@@ -233,30 +229,51 @@
 	if w.prompt != nil {
 		s.addKeepers(&list, w, willDo)
 		subject := evenhash.Sum(sharedPart(w.prompt))
-		list.owner, list.nearOwner = r.owner(subject, willDo), near.owner(subject, willDo)
+		list.owner, list.nearOwner = region.owner(subject, willDo), near.owner(subject, willDo)
 		list.add(list.owner)
 		list.add(list.nearOwner)
 	}
 	if near != nil {
 		list.draw(nearChoices, near.any, willDo)
 	}
-	if len(r.zones) > 0 {
-		list.draw(farChoices, r.any, willDo)
+	if len(region) > 0 {
+		list.draw(farChoices-abroadChoices, region.any, willDo)
+		list.draw(abroadChoices, all.any, willDo)
 	}
 	return list
 }
 
+// within are the zones in which the request may run: the host's own, nil if it isn't one of
+// them, those of its region, or all of them if none is, and all.
+func (r *roster) within(w *wants, g *geography) (near *zoneRoster, region, all zoneRosters) {
+	all = r.zones
+	if w.homes.bound() {
+		all = slices.DeleteFunc(slices.Clone(all), func(z *zoneRoster) bool { return !w.homes.allow(z.name) })
+	}
+	region = all
+	if slices.ContainsFunc(all, func(z *zoneRoster) bool { return !g.near(z.name) }) {
+		region = slices.DeleteFunc(slices.Clone(all), func(z *zoneRoster) bool { return !g.near(z.name) })
+	}
+	if len(region) == 0 {
+		region = all
+	}
+	if i := slices.IndexFunc(all, func(z *zoneRoster) bool { return z.name == w.zone }); i >= 0 {
+		near = all[i]
+	}
+	return near, region, all
+}
+
 // any is one of the zone's members by chance.
 func (z *zoneRoster) any() *member { return z.members[rand.IntN(len(z.members))] }
 
 // any is one of all members by chance. There is one at least.
-func (r *roster) any() *member {
+func (l zoneRosters) any() *member {
 	n := 0
-	for _, z := range r.zones {
+	for _, z := range l {
 		n += len(z.members)
 	}
 	n = rand.IntN(n)
-	for _, z := range r.zones {
+	for _, z := range l {
 		if n < len(z.members) {
 			return z.members[n]
 		}
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -229,7 +229,7 @@
 				break
 			}
 		}
-		is.Equal(f.shard("svc").roster.owner(subject, willDo), want)
+		is.Equal(f.shard("svc").roster.zones.owner(subject, willDo), want)
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,9 @@
 	// Host and Zone are this host's name and availability zone.
 	Host string
 	Zone string
+	// Regions are the regions of availability zones by name; empty if there is one only. A
+	// zone that isn't there is in a region of its own.
+	Regions map[string]string
 	// Callers, Ready and Metrics are addresses to listen on, IP and port;
 	// Metrics may be empty.
 	Callers string
--- a/placement/place.go
+++ b/placement/place.go
@@ -8,8 +8,10 @@
 	Prompt *Prompt
 	// Target is the time within which the first event is to come; 0 if there is none.
 	Target time.Duration
-	// Way is the price of sending the request to another availability zone.
-	Way time.Duration
+	// Way is the price of sending the request to another availability zone, RegionWay that of
+	// sending it to another region besides.
+	Way       time.Duration
+	RegionWay time.Duration
 	// Draw is a random number from 0 up to 1.
 	Draw float64
 }
@@ -20,6 +22,8 @@
 	Ahead time.Duration
 	// Far says that the engine is in another availability zone.
 	Far bool
+	// Abroad says that it is in another region.
+	Abroad bool
 	// Kept is the number of leading parts that the engine keeps.
 	Kept int
 	// Order is the engine's place for this prompt's shared parts, the same on all hosts.
@@ -81,6 +85,9 @@
 	if c.Far {
 		price += r.Way
 	}
+	if c.Abroad {
+		price += r.RegionWay
+	}
 	return price
 }
 
--- a/routing/document.go
+++ b/routing/document.go
@@ -53,6 +53,8 @@
 	PrefixAffinity bool
 	// Resumable says that a stream may go on at another upstream.
 	Resumable bool
+	// Regions are those in which the route's requests may be served; empty for all.
+	Regions []string
 }
 
 // Repeatable says whether a request of the route may run more than once.
@@ -96,6 +98,9 @@
 	Keys []string
 	// Priority goes before the route's; nil leaves that in force.
 	Priority *int
+	// Regions are those in which the account's requests may be served; empty for all. Where
+	// the route has some, too, both bind.
+	Regions []string
 }
 
 // Limits bound what callers may send.
