feed: changes for others are kept packed as they came, and many of them on hubs alone

Cause: while 10,000 upstreams start a host packed its copy of the table again with each 512 rows (unpack, sort, pack: 31 of 52 MB of garbage in a host alone) and kept the rows of ten seconds as rows, though nobody asked it. Now the changes stay packed as the hub sent them and are folded into the table when they are as large; more than 512 rows are kept only where others rely on the host; buffers of the decompression are kept. TestMemoryOfAHostThatHearsOfAllUpstreams.

--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -54,39 +54,81 @@
 	return w
 }}
 
+// decompressors are kept for the next unpacking: each has 40 KB.
+var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
+// usualRatio is about how many times as large rows are unpacked.
+const usualRatio = 8
+
+// inflate returns the bytes that were compressed.
+func inflate(packed []byte) ([]byte, error) {
+	reader := decompressors.Get().(io.ReadCloser)
+	defer decompressors.Put(reader)
+	if err := reader.(flate.Resetter).Reset(bytes.NewReader(packed), nil); err != nil {
+		return nil, fmt.Errorf("%w: %w", errPacked, err)
+	}
+	data := bytes.NewBuffer(make([]byte, 0, usualRatio*len(packed)+bytes.MinRead))
+	if _, err := data.ReadFrom(io.LimitReader(reader, maxWholeBytes+1)); err != nil {
+		return nil, fmt.Errorf("%w: %w", errPacked, err)
+	}
+	if data.Len() > maxWholeBytes {
+		return nil, fmt.Errorf("%w: more than %d bytes", errPacked, maxWholeBytes)
+	}
+	return data.Bytes(), nil
+}
+
 // unpack decodes what pack encoded.
 func unpack(packed []byte) ([]Row, error) {
-	reader := flate.NewReader(bytes.NewReader(packed))
-	data, err := io.ReadAll(io.LimitReader(reader, maxWholeBytes+1))
+	data, err := inflate(packed)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errPacked, err)
+		return nil, err
 	}
-	if len(data) > maxWholeBytes {
-		return nil, fmt.Errorf("%w: more than %d bytes", errPacked, maxWholeBytes)
+	n := 0
+	for rest := data; len(rest) > 0; n++ {
+		if _, rest, err = unpackRow(rest); err != nil {
+			return nil, err
+		}
 	}
-	var rows []Row
+	rows := make([]Row, 0, n)
 	for len(data) > 0 {
-		var head [3]uint64
-		for i := range head {
-			value, n := binary.Uvarint(data)
-			if n <= 0 {
-				return nil, errPacked
-			}
-			head[i], data = value, data[n:]
-		}
-		row := Row{Revision: storage.Revision(head[0]), Deleted: head[2] == 0}
-		keyBytes, dataBytes := head[1], max(head[2], 1)-1
-		if keyBytes > uint64(len(data)) || dataBytes > uint64(len(data))-keyBytes {
-			return nil, errPacked
-		}
-		row.Key = string(data[:keyBytes])
-		row.Data = data[keyBytes : keyBytes+dataBytes : keyBytes+dataBytes]
-		data = data[keyBytes+dataBytes:]
-		rows = append(rows, row)
+		var row packedRow
+		row, data, _ = unpackRow(data)
+		rows = append(rows, row.row())
 	}
 	return rows, nil
 }
 
+// packedRow is a row within unpacked bytes.
+type packedRow struct {
+	revision  uint64
+	deleted   bool
+	key, data []byte
+}
+
+// unpackRow decodes the first row of the bytes and returns the rest of them.
+func unpackRow(from []byte) (row packedRow, rest []byte, err error) {
+	var head [3]uint64
+	for i := range head {
+		value, n := binary.Uvarint(from)
+		if n <= 0 {
+			return packedRow{}, nil, errPacked
+		}
+		head[i], from = value, from[n:]
+	}
+	row.revision, row.deleted = head[0], head[2] == 0
+	keyBytes, dataBytes := head[1], max(head[2], 1)-1
+	if keyBytes > uint64(len(from)) || dataBytes > uint64(len(from))-keyBytes {
+		return packedRow{}, nil, errPacked
+	}
+	row.key, from = from[:keyBytes], from[keyBytes:]
+	row.data, from = from[:dataBytes:dataBytes], from[dataBytes:]
+	return row, from, nil
+}
+
+func (p *packedRow) row() Row {
+	return Row{Key: string(p.key), Data: p.data, Revision: storage.Revision(p.revision), Deleted: p.deleted}
+}
+
 // Whole is the whole table, for a host that doesn't know it or is far behind. ok is
 // false if the watcher has nothing to tell, or nothing of at most the given bytes.
 func (w *Watcher) Whole(most int) (n News, ok bool) {
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -11,9 +11,10 @@
 const (
 	// recentRows is how many changed rows are kept for others at any time.
 	recentRows = 512
-	// recentTime is how long further ones are kept, up to as many as the table has: when
-	// all upstreams start or end within seconds, hosts that hear of them a moment late are
-	// still told the changes, and with more the whole table is the shorter message.
+	// recentTime is how long a host that others rely on keeps further ones, up to as many as
+	// the table has: when all upstreams start or end within seconds, hosts that hear of them
+	// a moment late are still told the changes, and with more the whole table is the shorter
+	// message.
 	recentTime = 10 * time.Second
 )
 
@@ -57,27 +58,28 @@
 	r.table = newTableCopy(rows, packed)
 }
 
-// add takes in changes up to the revision.
-func (r *recent) add(rows []Row, revision storage.Revision) {
+// add takes in changes up to the revision; packed are the same, nil if they aren't packed.
+// Relays says whether others rely on this host.
+func (r *recent) add(rows []Row, packed []byte, revision storage.Revision, relays bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision = max(r.revision, revision)
 	if len(rows) == 0 {
 		return
 	}
-	r.table.apply(rows)
+	r.table.apply(rows, packed)
 	r.batches = append(r.batches, changeBatch{rows: rows, at: boottime.Now()})
 	r.kept += len(rows)
-	r.dropOld()
+	r.dropOld(relays)
 }
 
 // dropOld forgets the rows that are too many.
-func (r *recent) dropOld() {
+func (r *recent) dropOld(relays bool) {
 	for len(r.batches) > 0 && r.kept > recentRows {
 		first := &r.batches[0]
-		over := r.kept - max(recentRows, r.table.most())
-		if boottime.Since(first.at) > recentTime {
-			over = r.kept - recentRows
+		over := r.kept - recentRows
+		if relays && boottime.Since(first.at) <= recentTime {
+			over = r.kept - max(recentRows, r.table.most())
 		}
 		if over <= 0 {
 			return
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -40,7 +40,8 @@
 		table := entryTable(upstreams)
 		behind := storage.Revision(0)
 		for i := 0; i < upstreams; i += batch {
-			r.add(table[i:i+batch], storage.Revision(i+batch))
+			r.add(table[i:i+batch], nil, storage.Revision(i+batch), true)
+			is.True(r.kept <= max(recentRows, 2*(i+batch)))
 			if i%(5*batch) == 4*batch { // told each fifth time
 				n, _ := r.since(behind)
 				is.True(n.Complete)
@@ -50,8 +51,13 @@
 		}
 		is.Equal(r.kept, upstreams)
 		time.Sleep(2 * recentTime)
-		r.add([]Row{entryRow(3, upstreams+1)}, upstreams+1)
+		r.add([]Row{entryRow(3, upstreams+1)}, nil, upstreams+1, true)
 		is.Equal(r.kept, recentRows)
+
+		var alone recent // no host relies on it
+		alone.reset(nil, 0, nil)
+		alone.add(table, nil, upstreams, false)
+		is.Equal(alone.kept, recentRows)
 	})
 }
 
@@ -64,6 +70,7 @@
 	for _, row := range table {
 		want[row.Key] = row
 	}
+	var batch []Row
 	random := rand.New(rand.NewPCG(1, 2))
 	for revision := 6001; revision < 9000; revision++ {
 		row := entryRow(random.IntN(7000), revision)
@@ -73,13 +80,22 @@
 		} else {
 			want[row.Key] = row
 		}
-		c.apply([]Row{row})
-		is.True(len(c.changed) <= c.rows/foldPart+1)
+		batch = append(batch, row)
+		switch len(batch) {
+		case 1 + revision%7:
+			c.apply(batch, nil)
+			batch = nil
+		case 8:
+			c.apply(batch, pack(batch))
+			batch = nil
+		}
+		is.True(c.changedBytes <= max(leastFold, len(c.packed)))
 	}
+	c.apply(batch, nil)
 	got, err := unpack(c.whole())
 	is.NoErr(err)
 	is.Equal(got, slices.SortedFunc(maps.Values(want), func(a, b Row) int { return strings.Compare(a.Key, b.Key) }))
-	is.Equal(len(c.changed), 0)
+	is.Equal(len(c.changes), 0)
 }
 
 // A host that hands no table on holds it in a fifth of its size, also one that was handed it.
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -237,7 +237,7 @@
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
 			}
-			r.add(test.rows, newest)
+			r.add(test.rows, nil, newest, true)
 			n, ok := r.since(test.since)
 			is.True(ok)
 			is.Equal(n.Revision, newest)
--- a/internal/feed/takenews.go
+++ b/internal/feed/takenews.go
@@ -43,8 +43,12 @@
 		w.replace(rows, news.Revision, news.Packed)
 		return true
 	}
-	rows = slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
-	w.take(rows, news.Revision)
+	fresh := slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
+	packed := news.Packed
+	if len(fresh) < len(rows) {
+		packed = nil // an older row must not come after a newer one
+	}
+	w.take(fresh, packed, news.Revision)
 	return true
 }
 
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	w.take(page.Rows, page.Revision)
+	w.take(page.Rows, nil, page.Revision)
 	if page.Truncated {
 		return nil // the rest is older than the answer: it is neither heard nor waited for
 	}
@@ -241,14 +241,15 @@
 		}})
 }
 
-// take hands changes on.
-func (w *Watcher) take(rows []Row, revision storage.Revision) {
+// take hands changes on; packed are the same as another host packed them, nil if they come
+// from the store.
+func (w *Watcher) take(rows []Row, packed []byte, revision storage.Revision) {
 	for _, row := range rows {
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, revision)
 	w.lag.reached(w.revision)
-	w.recent.add(rows, w.revision)
+	w.recent.add(rows, packed, w.revision, w.relays())
 }
 
 // Old says that the store's last word is too old for other hosts to rely on.
--- /dev/null
+++ b/internal/gateway/start_memory_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// pagedStore is a store whose table begins empty and grows by a page with each step.
+type pagedStore struct {
+	pages chan []feed.Row
+}
+
+func (s *pagedStore) List(context.Context, string, string, feed.Received) (feed.Page, error) {
+	return feed.Page{}, nil
+}
+
+func (s *pagedStore) Changes(ctx context.Context, _ string, since storage.Revision, _ time.Duration, _ feed.Received) (feed.Page, error) {
+	select {
+	case rows := <-s.pages:
+		return feed.Page{Rows: rows, Revision: rows[len(rows)-1].Revision}, nil
+	case <-ctx.Done():
+		return feed.Page{Revision: since}, ctx.Err()
+	}
+}
+
+// silentStore answers with an empty table, and nothing after that.
+type silentStore struct{}
+
+func (silentStore) List(context.Context, string, string, feed.Received) (feed.Page, error) {
+	return feed.Page{}, nil
+}
+
+func (silentStore) Changes(ctx context.Context, _ string, _ storage.Revision, _ time.Duration, _ feed.Received) (feed.Page, error) {
+	<-ctx.Done()
+	return feed.Page{}, ctx.Err()
+}
+
+type noRows struct{}
+
+func (noRows) Replace([]feed.Row, storage.Revision) {}
+func (noRows) Change(feed.Row)                      {}
+
+// controlMemory is what a host may take for control, in bytes; a quarter of it is for what
+// isn't heap.
+const controlMemory = 32 << 20
+
+// Hosts that heard of 10,000 upstreams page by page took 42 MB: copies of rows, tables packed
+// again with each page, unpacked bytes.
+func TestMemoryOfAHostThatHearsOfAllUpstreams(t *testing.T) {
+	if testing.CoverMode() != "" || underRace {
+		t.Skip("the heap is the instrumentation's")
+	}
+	is := is.New(t)
+	const upstreams, page = 12_000, 400
+	w := newWorld(t, testDocument())
+	store := &pagedStore{pages: make(chan []feed.Row)}
+	options := feed.Options{Relays: func() bool { return true }, Gather: time.Millisecond}
+	hub := feed.NewWatcher("upstreams", store, noRows{}, options, zerolog.Nop())
+	host := feed.NewWatcher("upstreams", silentStore{}, newUpstreamRows(w.gateway), feed.Options{FirstWord: 5 * time.Second}, zerolog.Nop())
+	var running sync.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	running.Go(func() { hub.Run(ctx) })
+	running.Go(func() { host.Run(ctx) })
+
+	table := entryRows(upstreams)
+	heapInUse()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := 0; i < upstreams; i += page {
+		store.pages <- table[i : i+page]
+		last := table[i+page-1].Revision
+		eventually(t, "the hub knows the page", func() bool { return hub.Revision() >= last })
+		news, ok := hub.News(host.Revision(), 1<<20)
+		is.True(ok && news.Complete)
+		host.Offer(news, time.Now())
+		eventually(t, "the host knows the page", func() bool { return host.Revision() >= last })
+	}
+	runtime.ReadMemStats(&after)
+	grown := int(after.HeapSys-after.HeapReleased) - int(before.HeapSys-before.HeapReleased)
+	t.Logf("the heap of hub and host grew by %d kB", grown>>10)
+	is.True(grown <= controlMemory*3/4)
+	is.Equal(len(w.gateway.fleet.shard("svc").members), upstreams)
+	runtime.KeepAlive(table)
+	stop()
+	running.Wait()
+}
