placement: parts that engines keep are bounded over all of them, not for each

Cause: a host notes what all hosts send (reads of the exchange). Each engine had an LRU of 512 parts and a record, each key a map: 10,000 engines fill 250 B a part and 600 B an engine, 1.3 GB at the bound, on hosts of 184 MB. Now one LRU of 32,768 parts a service (170 B each, 5.6 MB at most), whatever number of engines there is; other hosts' sends make no record of an engine. Ruled out: a smaller bound an engine, which grows with the fleet as well. TestKeptPartsOfAllEnginesAreBounded, TestReadsOfOtherHostsAreBounded.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -74,9 +74,10 @@
 	// othersAt.
 	others   exchange.Work
 	othersAt time.Time
-	// roster and keepers find members without a look at all of them.
-	roster  roster
-	keepers keepers
+	// roster finds members without a look at all of them, kept are the prompts that they are
+	// believed to keep.
+	roster roster
+	kept   *placement.Kept[*member]
 	// access is the fleet's; bound and coldStart are what the operators declared of the
 	// service's cold upstreams.
 	access    *access
@@ -137,7 +138,7 @@
 		access: a, geography: g, members: make(map[string]*member), addresses: make(map[string]*member),
 		names: make(map[exchange.Name]*member), leases: make(map[ratelease.Upstream]*member),
 		active: make(map[*member]struct{}), leased: make(map[*member]struct{}), limitNews: make(map[*member]struct{}),
-		keepers: make(keepers), reads: make(exchange.Reads), rates: placement.NewRates(),
+		kept: placement.NewKept[*member](placement.MaxKept), reads: make(exchange.Reads), rates: placement.NewRates(),
 	}
 }
 
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
-	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -64,14 +63,12 @@
 	limit  *namedLimit
 }
 
-// usage is what a host's own requests, and others' sends of the same prompts, tell of an
-// upstream.
+// usage is what a host's own requests tell of an upstream.
 type usage struct {
 	// readings are this host's prompts that the engine has to read, the oldest first;
-	// beganAt is when it last ended one, kept what it was sent.
+	// beganAt is when it last ended one.
 	readings []*reading
 	beganAt  time.Time
-	kept     *placement.Kept
 	// sent are the requests of the last moment, where cold upstreams are bounded.
 	sent ratelease.Window
 
@@ -92,7 +89,7 @@
 // used returns the member's usage, to note something.
 func (m *member) used() *usage {
 	if m.usage == nil {
-		m.usage = &usage{kept: placement.NewKept(func(key placement.Key) { m.shard.keepers.remove(key, m) })}
+		m.usage = &usage{}
 	}
 	return m.usage
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/evenhash"
-	"github.com/quetzalweir/quetzalweir/placement"
 )
 
 // Of a service with many upstreams a request looks at a few only: those that keep parts
@@ -294,14 +293,20 @@
 	}
 }
 
-// addKeepers adds engines that keep parts of the prompt, those of the longest runs first.
+// addKeepers adds engines that keep parts of the prompt, those of the longest runs first. Of
+// many that keep a run any may come first.
 func (s *shard) addKeepers(list *candidateList, w *wants, willDo func(*member) bool) {
 	for i := len(w.keys) - 1; i >= 0; i-- {
-		for m := range s.keepers[w.keys[i]] {
+		holders := s.kept.Holders(w.keys[i])
+		if len(holders) == 0 {
+			continue
+		}
+		start := rand.IntN(len(holders))
+		for j := range holders {
 			if len(list.members) >= maxKeepers {
 				return
 			}
-			if willDo(m) {
+			if m := holders[(start+j)%len(holders)]; willDo(m) {
 				list.add(m)
 			}
 		}
@@ -323,40 +328,13 @@
 	}
 }
 
-// keepers are the engines that are believed to keep runs of parts.
-type keepers map[placement.Key]map[*member]struct{}
-
-func (k keepers) add(key placement.Key, m *member) {
-	if k[key] == nil {
-		k[key] = make(map[*member]struct{}, 1)
-	}
-	k[key][m] = struct{}{}
-}
-
-func (k keepers) remove(key placement.Key, m *member) {
-	delete(k[key], m)
-	if len(k[key]) == 0 {
-		delete(k, key)
-	}
-}
-
-// keeps notes that the engine is believed to keep the runs. The shard's lock is held.
-func (m *member) keeps(keys ...placement.Key) {
-	m.used().kept.Add(keys...)
-	for _, key := range keys {
-		m.shard.keepers.add(key, m)
-	}
-}
-
 // forget takes the member out of what the shard finds members by. The shard's lock is held.
 func (s *shard) forget(m *member) {
 	m.withdrawn = true // the roster may have it for a moment yet
 	s.starts.count(&m.Upstream, -1)
 	delete(s.active, m)
 	delete(s.leased, m)
-	if m.usage != nil {
-		m.usage.kept.Clear()
-	}
+	s.kept.Drop(m)
 	s.setAddress(m, "")
 	if s.names[m.name] == m {
 		delete(s.names, m.name)
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -98,7 +98,7 @@
 	restarted := c.upstream
 	restarted.Incarnation = firstStart
 	f.Set(restarted, 2)
-	is.Equal(len(f.shard("svc").keepers), 0)
+	is.Equal(f.shard("svc").kept.Len(), 0)
 	for range 2000 {
 		c, _ := f.choose(wants{service: "svc", zone: restarted.Zone, admits: anyVersion})
 		is.True(c.upstream.ID != restarted.ID || c.upstream.Incarnation == firstStart)
@@ -109,7 +109,7 @@
 	f.Remove(again.upstream.ID, 3, false)
 	f.Sweep(time.Now().Add(2 * forgetAfter))
 	is.Equal(f.memberOf("svc", again.upstream.ID) == nil, true)
-	is.Equal(len(f.shard("svc").keepers), 0)
+	is.Equal(f.shard("svc").kept.Len(), 0)
 }
 
 // All hosts hear the same, a moment late: of a hundred busy engines three look idle. In
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -13,7 +13,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -170,3 +172,24 @@
 	is.True(w.gateway.fleet.memberOf("svc", "i-3").Leaving)
 	is.True(w.gateway.fleet.memberOf("svc", "i-4").removedAt.IsZero())
 }
+
+// What other hosts send to engines is noted without a record of each of them.
+func TestReadsOfOtherHostsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(12_000, 5)
+	reads := make(exchange.Reads)
+	key := placement.Key(0)
+	for i := range 12_000 {
+		for range 4 {
+			key++
+			name := exchange.NameOf(fmt.Sprintf("i-%05d", i))
+			reads[name] = append(reads[name], key)
+		}
+	}
+	f.noteReads(reads)
+	s := f.shard("svc")
+	is.Equal(s.kept.Len(), placement.MaxKept)
+	for _, m := range s.members {
+		is.True(m.usage == nil)
+	}
+}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -54,7 +54,7 @@
 	if c.reading != nil {
 		// The answer never began.
 		m.read(c)
-		m.used().kept.Remove(c.wants.keys[c.kept:]...)
+		m.shard.kept.Remove(m, c.wants.keys[c.kept:]...)
 	}
 }
 
@@ -196,7 +196,7 @@
 // that it reads for the first time.
 func (m *member) keep(c *choice) {
 	w := &c.wants
-	m.keeps(w.keys...)
+	m.shard.kept.Add(m, w.keys...)
 	if shared := w.prompt.Shared; c.kept < shared {
 		m.shard.reads[m.name] = append(m.shard.reads[m.name], w.keys[shared-1])
 	}
@@ -204,10 +204,7 @@
 
 // kept is the number of a prompt's leading parts that the engine keeps.
 func (m *member) kept(keys []placement.Key) int {
-	if m.usage == nil {
-		return 0
-	}
-	return m.usage.kept.Count(keys)
+	return m.shard.kept.Count(m, keys)
 }
 
 // takeReads returns what the upstreams were sent for the first time since the last call.
@@ -225,7 +222,7 @@
 	f.each(func(s *shard) {
 		for name, keys := range reads {
 			if m := s.names[name]; m != nil {
-				m.keeps(keys...)
+				s.kept.Add(m, keys...)
 			}
 		}
 	})
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -1,55 +1,94 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// keptParts bounds the parts that are remembered of one engine; an entry takes about
-// 100 bytes. An engine's memory holds some hundred parts of thousands of tokens.
-const keptParts = 512
+// MaxKept bounds the parts that are remembered of all engines of a service together; each takes
+// about 170 bytes. It is a bound on a host's memory, whatever number of engines there is: with
+// a bound for each engine 10,000 of them would take a hundred times what a host has.
+const MaxKept = 1 << 15
 
-// Kept remembers the prompts that one engine was sent, the latest of them.
-type Kept struct {
-	parts *simplelru.LRU[Key, struct{}]
+// Kept remembers the prompts that engines were sent, the latest of them. E stands for an engine.
+type Kept[E comparable] struct {
+	parts *simplelru.LRU[part[E], struct{}]
+	// holders are the engines that keep a run, runs what an engine keeps.
+	holders map[Key][]E
+	runs    map[E][]Key
 }
 
-// NewKept returns the memory of an engine that keeps nothing. It tells dropped, unless that
-// is nil, of each run that is forgotten.
-func NewKept(dropped func(Key)) *Kept {
-	var evicted simplelru.EvictCallback[Key, struct{}]
-	if dropped != nil {
-		evicted = func(key Key, _ struct{}) { dropped(key) }
-	}
-	parts, err := simplelru.NewLRU(keptParts, evicted)
+// part is a run that an engine keeps.
+type part[E comparable] struct {
+	engine E
+	key    Key
+}
+
+// NewKept returns a memory of most parts at most, which is above 0.
+func NewKept[E comparable](most int) *Kept[E] {
+	k := &Kept[E]{holders: make(map[Key][]E), runs: make(map[E][]Key)}
+	parts, err := simplelru.NewLRU(most, func(p part[E], _ struct{}) { k.forget(p) })
 	if err != nil {
 		panic(err) // the size is positive
 	}
-	return &Kept{parts: parts}
+	k.parts = parts
+	return k
+}
+
+// forget takes a part out of what parts are found by.
+func (k *Kept[E]) forget(p part[E]) {
+	if k.holders[p.key] = remove(k.holders[p.key], p.engine); len(k.holders[p.key]) == 0 {
+		delete(k.holders, p.key)
+	}
+	if k.runs[p.engine] = remove(k.runs[p.engine], p.key); len(k.runs[p.engine]) == 0 {
+		delete(k.runs, p.engine)
+	}
+}
+
+// remove takes the element out of the list, whose order doesn't matter.
+func remove[T comparable](list []T, element T) []T {
+	if i := slices.Index(list, element); i >= 0 {
+		list[i] = list[len(list)-1]
+		list = list[:len(list)-1]
+	}
+	return list
 }
 
 // Add notes that the engine reads the parts.
-func (k *Kept) Add(keys ...Key) {
+func (k *Kept[E]) Add(engine E, keys ...Key) {
 	for _, key := range keys {
-		k.parts.Add(key, struct{}{})
+		p := part[E]{engine, key}
+		if !k.parts.Contains(p) {
+			k.holders[key] = append(k.holders[key], engine)
+			k.runs[engine] = append(k.runs[engine], key)
+		}
+		k.parts.Add(p, struct{}{})
 	}
 }
 
 // Remove notes that the engine didn't read the parts.
-func (k *Kept) Remove(keys ...Key) {
+func (k *Kept[E]) Remove(engine E, keys ...Key) {
 	for _, key := range keys {
-		k.parts.Remove(key)
+		k.parts.Remove(part[E]{engine, key})
 	}
 }
 
-// Clear forgets all.
-func (k *Kept) Clear() { k.parts.Purge() }
+// Drop forgets all of an engine.
+func (k *Kept[E]) Drop(engine E) { k.Remove(engine, slices.Clone(k.runs[engine])...) }
+
+// Holders are the engines that keep the run. The list is valid until the next change.
+func (k *Kept[E]) Holders(key Key) []E { return k.holders[key] }
+
+// Len is the number of parts that are remembered.
+func (k *Kept[E]) Len() int { return k.parts.Len() }
 
 // Count is the number of leading parts that the engine keeps: those of the longest run
 // that it was sent.
-func (k *Kept) Count(keys []Key) int {
+func (k *Kept[E]) Count(engine E, keys []Key) int {
 	for n := len(keys); n > 0; n-- {
-		if k.parts.Contains(keys[n-1]) {
+		if k.parts.Contains(part[E]{engine, keys[n-1]}) {
 			return n
 		}
 	}
--- a/placement/place_test.go
+++ b/placement/place_test.go
@@ -13,7 +13,7 @@
 // keeps all that it read.
 type engine struct {
 	free time.Duration
-	kept *Kept
+	kept *Kept[int]
 	far  bool
 }
 
@@ -39,7 +39,7 @@
 func newFleet(engines int) *fleet {
 	f := &fleet{rates: NewRates(), rng: rand.New(rand.NewPCG(3, 5)), target: 2 * time.Second, way: 20 * time.Millisecond}
 	for range engines {
-		f.engines = append(f.engines, &engine{kept: NewKept(nil)})
+		f.engines = append(f.engines, &engine{kept: NewKept[int](MaxKept)})
 	}
 	observe(f.rates, "m", 10_000, overhead+10_000*tokenTime)
 	return f
@@ -50,7 +50,7 @@
 	keys := Keys("m", p)
 	list := make([]Candidate, len(f.engines))
 	for i, e := range f.engines {
-		list[i] = Candidate{Ahead: max(0, e.free-f.now), Far: e.far, Kept: e.kept.Count(keys), Order: order(p, i)}
+		list[i] = Candidate{Ahead: max(0, e.free-f.now), Far: e.far, Kept: e.kept.Count(0, keys), Order: order(p, i)}
 	}
 	r := &Request{Model: "m", Prompt: p, Target: f.target, Way: f.way, Draw: f.rng.Float64()}
 	index := 0
@@ -62,7 +62,7 @@
 	e := f.engines[index]
 	missing := p.missing(list[index].Kept)
 	e.free = max(e.free, f.now) + overhead + time.Duration(missing)*tokenTime
-	e.kept.Add(keys...)
+	e.kept.Add(0, keys...)
 	f.read += missing
 	f.count++
 	f.times = append(f.times, e.free-f.now)
@@ -148,7 +148,7 @@
 	f.play(600, 40, 80*time.Millisecond)
 	before := f.late
 	for _, e := range f.engines[:4] {
-		e.kept, e.free = NewKept(nil), f.now
+		e.kept, e.free = NewKept[int](MaxKept), f.now
 	}
 	f.play(600, 40, 80*time.Millisecond)
 	is.True(f.late-before < 600/20)
@@ -333,17 +333,43 @@
 
 func TestKeptParts(t *testing.T) {
 	is := is.New(t)
-	k := NewKept(nil)
+	k := NewKept[int](MaxKept)
 	p := &Prompt{Parts: []Part{{"a", 1}, {"b", 2}, {"c", 3}}, Tokens: 6, Shared: 2}
 	keys := Keys("m", p)
-	is.Equal(k.Count(keys), 0)
-	k.Add(keys[1]) // told of a run: what is before it is kept, too
-	is.Equal(k.Count(keys), 2)
+	is.Equal(k.Count(1, keys), 0)
+	k.Add(1, keys[1]) // told of a run: what is before it is kept, too
+	is.Equal(k.Count(1, keys), 2)
 	is.Equal(p.missing(2), 3)
 	is.Equal(p.missingShared(1), 2)
-	is.Equal(k.Count(Keys("other model", p)), 0)
+	is.Equal(k.Count(1, Keys("other model", p)), 0)
 	other := &Prompt{Parts: []Part{{"b", 2}}}
-	is.Equal(k.Count(Keys("m", other)), 0) // the same part after another one
-	k.Remove(keys[1:]...)
-	is.Equal(k.Count(keys), 0)
+	is.Equal(k.Count(1, Keys("m", other)), 0) // the same part after another one
+	k.Remove(1, keys[1:]...)
+	is.Equal(k.Count(1, keys), 0)
+}
+
+// What is remembered of engines is bounded over all of them, the least recently used first,
+// and nothing is left of what was forgotten.
+func TestKeptPartsOfAllEnginesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const most, engines = 100, 1000
+	k := NewKept[int](most)
+	for i := range engines {
+		k.Add(i, Key(i), 7)
+		k.Add(0, 7) // used again and again
+	}
+	is.Equal(k.Len(), most)
+	is.Equal(k.Count(0, []Key{7}), 1)
+	is.Equal(k.Count(1, []Key{7}), 0)
+	is.Equal(k.Count(engines-1, []Key{Key(engines - 1)}), 1)
+	is.Equal(len(k.Holders(1)), 0)
+	pairs := 0
+	for _, holders := range k.holders {
+		pairs += len(holders)
+	}
+	is.Equal(pairs, most)
+	for i := range engines {
+		k.Drop(i)
+	}
+	is.Equal(k.Len()+len(k.holders)+len(k.runs), 0)
 }
