--- a/internal/gateway/homes_test.go
+++ b/internal/gateway/homes_test.go
@@ -142,8 +142,7 @@
 // A route's homes change while a request waits for its second try: both documents bind it.
 func TestHomesThatChangeUnderARequest(t *testing.T) {
 	is := is.New(t)
-	var w *world
-	w = homesWorld(t, nil, nil)
+	w := homesWorld(t, nil, nil)
 	moved := testDocument()
 	moved.Version++
 	for i := range moved.Routes {
