--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -55,7 +55,7 @@
 	}
 	delete(z.sent, from) // it didn't go
 	direct := h.direct(r.Zone)
-	if r.Zone == h.zone && len(direct) <= maxFollowers {
+	if r.Zone == h.zone && len(direct) <= h.ownShare() {
 		return ""
 	}
 	if r.Zone != h.zone && len(z.named) == 0 && len(direct) < minFollowers {
@@ -73,6 +73,18 @@
 	return h.reports[hub].report.Address
 }
 
+// ownShare is how many hosts of its own zone this one serves beside the hubs that report here:
+// with more in all it relays to a part of them only. The lock is held.
+func (h *hub) ownShare() int {
+	hubs := 0
+	for _, got := range h.reports {
+		if !got.fromHub && got.hosts > 1 {
+			hubs++
+		}
+	}
+	return max(0, maxFollowers-hubs)
+}
+
 // zoneHubs are the zone's hubs that still report. The lock is held.
 func (h *hub) zoneHubs(zone string) *zoneHubs {
 	z := h.zones[zone]
@@ -128,10 +140,10 @@
 	for _, name := range z.named {
 		hosts += h.reports[name].hosts
 	}
-	need := (hosts + maxFollowers - 1) / maxFollowers
 	if zone == h.zone {
-		need-- // this host serves some itself
+		hosts -= h.ownShare()
 	}
+	need := (hosts + maxFollowers - 1) / maxFollowers
 	direct = slices.DeleteFunc(direct, func(name string) bool { return name == h.self || slices.Contains(z.named, name) })
 	slices.SortFunc(direct, func(a, b string) int {
 		return -cmp.Or(cmp.Compare(h.reports[a].report.Strength, h.reports[b].report.Strength), cmp.Compare(a, b))
--- a/internal/exchange/assign_test.go
+++ b/internal/exchange/assign_test.go
@@ -193,3 +193,48 @@
 		}
 	})
 }
+
+// A seed with many hubs below it relays to all that report to it: with 64 hosts of its own
+// zone besides, it told some of them nothing for as long as they stayed.
+func TestSeedOfManyHubsRelaysToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "seed", Zone: "z1"}, zerolog.Nop())
+		const hubs = 16
+		at := make(map[string]int) // how many hosts each hub speaks for
+		names := append(hostNames(150), "seed")
+		for range 40 {
+			for i := range hubs {
+				name := fmt.Sprint("hub-", i)
+				h.take(name, Report{Zone: "z2", Address: "to " + name, Hosts: 50})
+			}
+			for hub, n := range at {
+				h.take(hub, Report{Zone: "z1", Address: "to " + hub, Hosts: n + 1})
+			}
+			var stayed []string
+			for _, name := range names {
+				if at[name] > 0 {
+					stayed = append(stayed, name)
+					continue
+				}
+				reply, err := h.exchange(t.Context(), name, Report{Zone: "z1", Address: "to " + name, Strength: 4})
+				is.NoErr(err)
+				if reply.Assigned == "" {
+					stayed = append(stayed, name)
+				} else {
+					at[strings.TrimPrefix(reply.Assigned, "to ")]++
+				}
+			}
+			names = stayed
+			time.Sleep(Interval)
+		}
+		is.True(h.followers() <= maxFollowers)
+		for _, name := range names {
+			is.True(h.relaysTo(name))
+		}
+		for hub, n := range at {
+			is.True(n < maxFollowers)
+			is.True(h.relaysTo(hub))
+		}
+	})
+}
