--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -133,8 +133,8 @@
 
 // elect names as many hubs as the zone needs, one at least, the strongest of the hosts that
 // aren't hubs, and returns one of them; empty if there is no host. All are named at once: a
-// host that was sent to the first one as its follower can't be named any more, and of 197
-// hosts the ten with the strongest links were. The lock is held.
+// strong host that follows the first one doesn't report here, and can't be named any more.
+// The lock is held.
 func (h *hub) elect(z *zoneHubs, zone string, direct []string) string {
 	hosts := len(direct)
 	for _, name := range z.named {
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -45,7 +45,7 @@
 	return packed.Bytes()
 }
 
-// compressors are kept for the next packing: each has half a MB.
+// compressors are kept for the next packing.
 var compressors = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
@@ -54,7 +54,7 @@
 	return w
 }}
 
-// decompressors are kept for the next unpacking: each has 40 KB.
+// decompressors are kept for the next unpacking.
 var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
 // usualRatio is about how many times as large rows are unpacked.
--- a/internal/feed/tablecopy.go
+++ b/internal/feed/tablecopy.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// tableCopy is a whole table for other hosts: packed, with the changes since. Most hosts never
-// hand it on; as rows one by one it was a third of their memory.
+// tableCopy is a whole table for other hosts: packed, with the changes since. Each host has one,
+// and few ever hand it on.
 type tableCopy struct {
 	packed []byte
 	// changes are the changes since, the oldest first, also packed but for a few rows each;
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"math"
-	"net/http"
-	"strings"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -292,76 +289,3 @@
 // minAttemptTime is the least time that is worth another attempt: a round trip
 // and an upstream's shortest work.
 const minAttemptTime = 30 * time.Millisecond
-
-// deliver passes a held answer on; a stream is delivered already.
-func (d *dispatch) deliver(r *Request, result attemptResult) error {
-	if result.whole == nil {
-		return nil
-	}
-	return r.answer.whole(result.whole)
-}
-
-// final is the answer when no further attempt is made.
-func (d *dispatch) final(ctx context.Context, r *Request, result attemptResult) error {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
-		if d.gateway.cutting.Load() {
-			return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the planned stop's time was over")
-		}
-		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
-	}
-	if r.answer.started {
-		return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the stream broke off")
-	}
-	if result.whole != nil {
-		return r.answer.whole(result.whole)
-	}
-	if ctx.Err() != nil {
-		return d.refusal(r, resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
-	}
-	switch result.outcome {
-	case outcomeUnsent:
-		return d.refusal(r, resultcode.Wrap(resultcode.NoUpstream, result.err, "no upstream could be reached"))
-	case outcomeRefused:
-		return d.refusal(r, resultcode.Wrap(resultcode.QueueFull, result.err, "the upstreams took no more work"))
-	default:
-		return d.refusal(r, resultcode.Wrap(resultcode.OutcomeUnknown, result.err, "no complete answer came"))
-	}
-}
-
-// refusal makes a failure's code one that is true of the run state.
-func (d *dispatch) refusal(r *Request, err *resultcode.Error) error {
-	state := r.state.State()
-	if state == runstate.NotRun && err.Code == resultcode.DeadlineExpired {
-		return &resultcode.Error{Code: resultcode.DeadlineUnmeetable, Detail: err.Detail, Err: err.Err}
-	}
-	if state != runstate.NotRun && resultcode.Lookup(err.Code).Status == statusPromise {
-		return &resultcode.Error{Code: resultcode.OutcomeUnknown, Detail: err.Detail, Err: err.Err}
-	}
-	return err
-}
-
-// statusPromise is the status that promises that a request didn't run.
-const statusPromise = http.StatusServiceUnavailable
-
-// record writes the attempt's log line and counts it.
-func (d *dispatch) record(r *Request, a *attempt, result attemptResult) {
-	g := d.gateway
-	g.metrics.attempt(r, result, time.Since(a.began))
-	line := g.log.Info()
-	if result.outcome != outcomeDone {
-		line = g.log.Warn()
-	}
-	line.Str("event", "attempt").Str("request", r.ID).Stringer("digest", r.Digest).Int("attempt", r.attempts).
-		Str("service", r.Service).Str("upstream", a.choice.upstream.ID).Stringer("entry", a.choice.entry).Str("zone", a.choice.upstream.Zone).
-		Str("version", a.choice.upstream.Version).Str("model", r.model).
-		Int("among", a.choice.among).Float64("load", math.Round(10*a.choice.load)/10).
-		Str("load_from", string(a.choice.loadFrom)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
-		Int("tokens", r.Prompt.TokensIn).Int64("ahead_ms", a.choice.ahead.Milliseconds()).Int64("expected_ms", a.choice.placed.Expected.Milliseconds()).
-		Int("missing", a.choice.placed.Missing).Bool("owner", a.choice.placed.Owner).Int("threshold", a.threshold).Float64("pressure", math.Round(100*a.pressure)/100).
-		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", strings.Join(result.limit, ",")).
-		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.began).Milliseconds())
-	if result.err != nil {
-		line.Err(result.err)
-	}
-	line.Msg("")
-}
--- /dev/null
+++ b/internal/gateway/operatorrows.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// operatorRows takes the operators' table.
+type operatorRows struct {
+	gateway    *Gateway
+	unreadable unreadableRows
+	evacuated  *evacuations
+}
+
+func newOperatorRows(g *Gateway) *operatorRows {
+	return &operatorRows{
+		gateway: g, unreadable: newUnreadableRows(g, g.settings.Tables.Operator),
+		evacuated: newEvacuations(g.settings.Tables.EvacuationsPrefix, g.fleet),
+	}
+}
+
+// Replace implements feed.Handler. A document that vanished stays in force:
+// operators replace documents, they don't withdraw them. An evacuation that vanished is
+// over, unless the store came back from a copy that lacks it.
+func (h *operatorRows) Replace(rows []feed.Row, revision storage.Revision) {
+	h.evacuated.replace(rows, revision)
+	for _, row := range rows {
+		h.change(row, true)
+	}
+}
+
+// Change implements feed.Handler.
+func (h *operatorRows) Change(row feed.Row) {
+	if !h.evacuated.change(row) {
+		h.change(row, false)
+	}
+}
+
+// change takes the row of a document or an order; listed says that it came with the whole
+// table.
+func (h *operatorRows) change(row feed.Row, listed bool) {
+	g := h.gateway
+	tables := &g.settings.Tables
+	switch {
+	case row.Deleted:
+	case row.Key == tables.DocumentKey:
+		h.note(row, g.takeDocument(row))
+	case strings.HasPrefix(row.Key, tables.OrdersPrefix):
+		h.note(row, g.takeOrder(row, listed))
+	}
+}
+
+// note takes in whether a row could be read. What was in force before stays.
+func (h *operatorRows) note(row feed.Row, err error) {
+	if err != nil {
+		h.unreadable.note(row, err)
+		return
+	}
+	h.unreadable.clear(row.Key)
+}
+
+// takeOrder takes the order of a roll-out; listed says that it came with the whole table.
+func (g *Gateway) takeOrder(row feed.Row, listed bool) error {
+	order, err := g.settings.Codec.Order(row.Data, row.Revision)
+	if err != nil {
+		return err
+	}
+	if g.settings.Tables.OrdersPrefix+order.Service != row.Key {
+		return fmt.Errorf("%w: %q", errOtherKey, order.Service)
+	}
+	g.rollouts.order(order, listed)
+	return nil
+}
+
+// takeDocument puts a document in force unless a newer one is.
+func (g *Gateway) takeDocument(row feed.Row) error {
+	start := time.Now()
+	doc, err := g.settings.Codec.Document(row.Data)
+	if err != nil {
+		return err
+	}
+	known := g.table.Load()
+	if known != nil && doc.Version <= known.Version {
+		g.log.Debug().Str("event", "document-known").Uint64("version", doc.Version).Msg("")
+		return nil
+	}
+	table, err := routing.New(doc)
+	if err != nil {
+		return err
+	}
+	g.table.Store(table)
+	g.fleet.SetServices(doc.Services)
+	g.log.Info().Str("event", "document-in-force").Uint64("version", doc.Version).Stringer("revision", row.Revision).
+		Int("routes", table.Routes()).Int("accounts", len(doc.Accounts)).
+		Int("bytes", len(row.Data)).Int64("decode_ms", time.Since(start).Milliseconds()).Msg("")
+	return nil
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -102,8 +102,8 @@
 	r.added = slices.DeleteFunc(r.added, func(m *member) bool { return s.members[m.ID] != m })
 }
 
-// merge puts the added members in their zones. The cost is that of the new ones' order and
-// one pass: ordering all points anew took a host of 10,000 engines 30 ms for one change.
+// merge puts the added members in their zones. It orders the new points only, and merges them
+// in one pass.
 func (r *roster) merge() {
 	slices.SortStableFunc(r.added, func(a, b *member) int { return cmp.Compare(a.Zone, b.Zone) })
 	for first := 0; first < len(r.added); {
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -7,9 +7,8 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// MaxKept bounds the parts that are remembered of all engines of a service together; each takes
-// about 170 bytes. It is a bound on a host's memory, whatever number of engines there is: with
-// a bound for each engine 10,000 of them would take a hundred times what a host has.
+// MaxKept bounds the parts that are remembered of all engines of a service together, and with
+// that a host's memory, whatever number of engines there is: a part takes about 170 bytes.
 const MaxKept = 1 << 15
 
 // Kept remembers the prompts that engines were sent, the latest of them. E stands for an engine.
