gateway: a host that doesn't know the number of hosts takes no part of a limit by a guess

Cause: a host without a root of the hubs' tree takes its part of an upstream's limit by the number of hosts, and a hundredth where it was never told that: at 985 hosts ten times too much. Such a host now sends limited upstreams nothing until it knows. TestLoneHostWithoutANumberOfHosts. Weighed: the number that the project designs for (a larger constant), the last number known (kept as it was).

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -28,9 +28,6 @@
 	evacuated atomic.Pointer[map[string]bool]
 }
 
-// unknownHosts is taken for the number of hosts while that isn't known.
-const unknownHosts = 100
-
 func newAccess(seed string) *access {
 	a := &access{alone: true, seed: seed, hosts: func() int { return 0 }}
 	c := ratelease.NewContact(boottime.Now())
@@ -69,7 +66,9 @@
 	}
 	hosts := a.hosts()
 	if hosts == 0 {
-		hosts = unknownHosts
+		// This host's part isn't known, and with any guess below the number the limit is
+		// exceeded.
+		return ratelease.Allowance{}
 	}
 	return ratelease.Lone(hosts, u.Draw(a.seed), since)
 }
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -218,3 +218,23 @@
 	is.Equal(got.body, eventTexts(1, 2))
 	is.Equal(log.count(), 1)
 }
+
+// A host that was never told how many there are has no part of a limit that it could name:
+// with a guess of a hundred, a thousand such hosts sent ten times what is permitted.
+func TestLoneHostWithoutANumberOfHosts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testDocument())
+	f := w.gateway.fleet
+	f.access.alone = false
+	f.Set(Upstream{ID: "limited", Service: "svc", Zone: "z1", Version: "v1", Slots: 8}, 1)
+	m := f.memberOf("svc", "limited")
+	m.named().Observe(50, boottime.Now())
+	long := ratelease.NewContact(boottime.Now().Add(-time.Hour)) // no root since
+	f.access.contact.Store(&long)
+	for range 20 {
+		is.True(!m.mayAdd(boottime.Now()))
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.gateway.hosts.Store(1)
+	eventually(t, "its part is known", func() bool { return m.mayAdd(boottime.Now()) })
+}
