feed: after a full page of changes the next call isn't held by the store

A page of exactly 500 changes may be the last one; only the next answer tells, and until then nothing counts as heard. TestChangesOfManyPages.

--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -387,6 +387,7 @@
 				return hang(ctx)
 			}
 			age, _ := w.Age()
+			is.Equal(w.more, call > 1)
 			is.True(age >= gather+time.Duration(call-1)*answer-time.Millisecond) // as of the listing until the last page
 			time.Sleep(answer)
 			return Page{Rows: rows(since + 1), Revision: since + 1, Truncated: call < pages}, nil
@@ -397,5 +398,6 @@
 		defer cancel()
 		w.Run(ctx)
 		is.Equal(len(seen.changes), pages)
+		is.True(!w.more)
 	})
 }
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -87,6 +87,8 @@
 	// revision is the newest that was handed on; used by Run alone.
 	revision storage.Revision
 	listed   bool
+	// more says that the last changes weren't all; used by Run alone.
+	more bool
 	// reading is the listing under way; used by Run alone.
 	reading listing
 
@@ -208,9 +210,9 @@
 		return w.awaitNews(ctx, at)
 	}
 	hold := w.hold()
-	if rely || w.lostAt.Load() != 0 || w.options.Link.lost() || w.relays() && w.Old() {
-		// The answer is wanted at once: there is something new, or it tells that
-		// the store is back, or others wait for it.
+	if rely || w.more || w.lostAt.Load() != 0 || w.options.Link.lost() || w.relays() && w.Old() {
+		// The answer is wanted at once: there is something new, or it tells that the store
+		// is back or has no more, or others wait for it.
 		hold = 0
 	}
 	page, answered, err := w.changes(ctx, hold)
@@ -218,7 +220,7 @@
 		return err
 	}
 	w.take(page.Rows, nil, page.Revision)
-	if page.Truncated {
+	if w.more = page.Truncated; w.more {
 		return nil // the rest is older than the answer: it is neither heard nor waited for
 	}
 	w.succeeded(answered)
