gateway, exchange: one search of the rings, one count of a hub's reporters

Read again: the owner of a part and the draw by chance stood twice, for one zone and for several; one zone is a list of one now. A hub counted its reporters in three loops (followers, hosts that they speak for, hubs among them), and in three passes under three locks for each report; one count serves all. A check for a zone that can't be missing is gone, and two comments that told a measurement or read like one. Behaviour is the same: owners, draws, bounds.

--- a/internal/exchange/assign.go
+++ b/internal/exchange/assign.go
@@ -75,15 +75,7 @@
 
 // ownShare is how many hosts of its own zone this one serves beside the hubs that report here:
 // with more in all it relays to a part of them only. The lock is held.
-func (h *hub) ownShare() int {
-	hubs := 0
-	for _, got := range h.reports {
-		if !got.fromHub && got.hosts > 1 {
-			hubs++
-		}
-	}
-	return max(0, maxFollowers-hubs)
-}
+func (h *hub) ownShare() int { return max(0, maxFollowers-h.reporters().hubs) }
 
 // zoneHubs are the zone's hubs that still report. The lock is held.
 func (h *hub) zoneHubs(zone string) *zoneHubs {
@@ -101,16 +93,14 @@
 	return z
 }
 
-// direct are the names of the zone's hosts that report here for themselves alone, without
-// those that were just sent to hubs. The lock is held.
+// direct are the names of the hosts of a zone that reported here which do so for themselves
+// alone, without those that were just sent to hubs. The lock is held.
 func (h *hub) direct(zone string) []string {
 	var names []string
 	z := h.zones[zone]
 	for name, got := range h.reports {
-		if z != nil {
-			if _, sent := z.sent[name]; sent {
-				continue
-			}
+		if _, sent := z.sent[name]; sent {
+			continue
 		}
 		if got.report.Zone == zone && got.hosts == 1 && !got.fromHub && got.report.Address != "" {
 			names = append(names, name)
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -182,7 +182,11 @@
 
 // relays says whether enough hosts rely on this one, by their own reports or over hubs that
 // report here for them.
-func (h *hub) relays() bool { return h.hosts(toHub) >= minFollowers }
+func (h *hub) relays() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reporters().hosts >= minFollowers
+}
 
 // noteRelaying has the tables' watchers ask the store more often at once when hosts begin
 // to rely on this one: a call that the store holds for long tells them nothing meanwhile.
@@ -201,16 +205,24 @@
 func (h *hub) followers() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reporting()
+	return h.reporters().all
 }
 
-// reporting is followers with the lock held.
-func (h *hub) reporting() int {
+// reporters counts the hosts that report here, the hubs among them, and the hosts for which all
+// of them speak.
+type reporters struct{ all, hubs, hosts int }
+
+// reporters counts those of now. The lock is held.
+func (h *hub) reporters() (n reporters) {
 	h.dropOld()
-	n := 0
 	for _, got := range h.reports {
-		if !got.fromHub {
-			n++
+		if got.fromHub {
+			continue
+		}
+		n.all++
+		n.hosts += got.hosts
+		if got.hosts > 1 {
+			n.hubs++
 		}
 	}
 	return n
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -25,15 +25,11 @@
 	if h.told.Load() {
 		return true
 	}
-	n := h.followers()
-	return h.relays() && (n <= maxFollowers || h.speaksForOthers(host) || hash(host)%uint64(n) < maxFollowers)
-}
-
-// speaksForOthers says whether the host is a hub that reports here.
-func (h *hub) speaksForOthers(host string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reports[host].hosts > 1
+	n := h.reporters()
+	speaksForOthers := h.reports[host].hosts > 1
+	return n.hosts >= minFollowers && (n.all <= maxFollowers || speaksForOthers || hash(host)%uint64(n.all) < maxFollowers)
 }
 
 // news is what the store told of the tables after the revisions that the host knows.
@@ -76,7 +72,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	link := max(h.linkMbps, leastLink) * 1e6 / 8
-	share := link * handOnTime.Seconds() / float64(max(1, h.reporting()))
+	share := link * handOnTime.Seconds() / float64(max(1, h.reporters().all))
 	if _, named := h.reports[from]; named && r.Hosts > 1 {
 		share = maxHandedBytes // its followers wait for it
 	}
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -19,10 +19,9 @@
 // errPacked means that a packed table is damaged.
 var errPacked = errors.New("feed: packed table")
 
-// pack encodes rows for another host, compressed: entries of one table are much alike,
-// and 3,000 of them take 90 KB in place of 1.4 MB in the store's answers. Each row is its
-// revision, the length of its key, and that of its data and 1 or 0 for a row that was
-// removed, as varints, then key and data.
+// pack encodes rows for another host, compressed: entries of one table are much alike. Each
+// row is its revision, the length of its key, and that of its data and 1 or 0 for a row that
+// was removed, as varints, then key and data.
 func pack(rows []Row) []byte {
 	var packed bytes.Buffer
 	w := compressors.Get().(*flate.Writer)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -166,7 +166,7 @@
 // errNoneOpen means that no upstream may be sent the request now.
 var errNoneOpen = errors.New("gateway: no upstream is open")
 
-// noUpstream tells why no upstream was chosen.
+// noUpstream is the refusal of a request for which no upstream is open.
 func (d *dispatch) noUpstream(r *Request, reach reach) *resultcode.Error {
 	if reach.inService == 0 && r.homes.bound() {
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneOpen, "no upstream is in service in the regions that the route and the account allow")
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -155,22 +155,8 @@
 	return i
 }
 
-// owner is the member that a subject belongs to, among those that will do; nil if none of
-// the next in the ring does.
-func (z *zoneRoster) owner(subject uint64, willDo func(*member) bool) *member {
-	if z == nil {
-		return nil
-	}
-	start := z.from(subject)
-	for i := range min(ringProbes, len(z.ring)) {
-		if m := z.ring[(start+i)%len(z.ring)].member; willDo(m) {
-			return m
-		}
-	}
-	return nil
-}
-
-// owner is the same over the rings of the zones, as if they were one.
+// owner is the member that a subject belongs to in the rings of the zones, as if they were
+// one, among those that will do; nil if none of the next does.
 func (l zoneRosters) owner(subject uint64, willDo func(*member) bool) *member {
 	starts, passed := make([]int, len(l)), make([]int, len(l))
 	for i, z := range l {
@@ -232,19 +218,15 @@
 		list.add(list.owner)
 		list.add(list.nearOwner)
 	}
-	if near != nil {
-		list.draw(nearChoices, near.any, willDo)
-	}
-	if len(region) > 0 {
-		list.draw(farChoices-abroadChoices, region.any, willDo)
-		list.draw(abroadChoices, all.any, willDo)
-	}
+	list.draw(nearChoices, near, willDo)
+	list.draw(farChoices-abroadChoices, region, willDo)
+	list.draw(abroadChoices, all, willDo)
 	return list
 }
 
-// within are the zones in which the request may run: the host's own, nil if it isn't one of
+// within are the zones in which the request may run: the host's own, none if it isn't one of
 // them, those of its region, or all of them if none is, and all.
-func (r *roster) within(w *wants, g *geography) (near *zoneRoster, region, all zoneRosters) {
+func (r *roster) within(w *wants, g *geography) (near, region, all zoneRosters) {
 	all = r.zones
 	if w.homes.bound() {
 		all = slices.DeleteFunc(slices.Clone(all), func(z *zoneRoster) bool { return !w.homes.allow(z.name) })
@@ -257,14 +239,11 @@
 		region = all
 	}
 	if i := slices.IndexFunc(all, func(z *zoneRoster) bool { return z.name == w.zone }); i >= 0 {
-		near = all[i]
+		near = all[i : i+1]
 	}
 	return near, region, all
 }
 
-// any is one of the zone's members by chance.
-func (z *zoneRoster) any() *member { return z.members[rand.IntN(len(z.members))] }
-
 // any is one of all members by chance. There is one at least.
 func (l zoneRosters) any() *member {
 	n := 0
@@ -281,11 +260,14 @@
 	return nil
 }
 
-// draw adds members by chance.
-func (l *candidateList) draw(choices int, any func() *member, willDo func(*member) bool) {
+// draw adds members of the zones by chance.
+func (l *candidateList) draw(choices int, from zoneRosters, willDo func(*member) bool) {
+	if len(from) == 0 {
+		return
+	}
 	for range choices {
 		for range probes {
-			if m := any(); willDo(m) {
+			if m := from.any(); willDo(m) {
 				l.add(m)
 				break
 			}
