gateway: attempts log an upstream's statement that it is leaving

The attempt's line has it now (leaving), whatever the answer's status, and quetzalweir_gateway_leaving_stated_total counts such answers by service.

No decision reads it yet. Logged values of upstreams' headers end after 64 bytes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,8 @@
 	runState   runstate.Tracker
 	// headCounted is set when the head of a stream was counted as an answer of its version.
 	headCounted bool
+	// answerHeader is the header of the upstream's answer; nil before it arrived.
+	answerHeader http.Header
 }
 
 // send sends the request and returns the upstream's response, whose body isn't read yet, after
@@ -83,6 +85,7 @@
 		}
 		return nil, err
 	}
+	a.answerHeader = resp.Header
 	// The context is canceled when the body is closed, which every caller of send does.
 	resp.Body = &cancelOnClose{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
 	if err := a.checkResponse(resp); err != nil {
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -68,6 +68,7 @@
 func (d *dispatch) logAttempt(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
 	g.metrics.countAttempt(r, result, time.Since(a.startedAt))
+	g.metrics.countStatements(a)
 	line := g.log.Info()
 	if result.outcome != outcomeDone {
 		line = g.log.Warn()
@@ -79,10 +80,25 @@
 		Str("load_from", string(a.choice.loadSource)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
 		Int("tokens", r.Prompt.TokensIn).Int64("ahead_ms", a.choice.workAhead.Milliseconds()).Int64("expected_ms", a.choice.placement.ExpectedTime.Milliseconds()).
 		Int("missing", a.choice.placement.UncachedTokens).Bool("owner", a.choice.placement.IsOwner).Int("threshold", a.minConfidence).Float64("pressure", math.Round(100*a.queuePressure)/100).
-		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", strings.Join(result.limitHeaders, ",")).
+		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", headerText(result.limitHeaders)).
+		Str("leaving", headerText(a.statedLeaving())).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.startedAt).Milliseconds())
 	if result.err != nil {
 		line.Err(result.err)
 	}
 	line.Msg("")
 }
+
+// maxLoggedHeader bounds the text of an upstream's header in a log line, in bytes.
+const maxLoggedHeader = 64
+
+// headerText returns the values of a header as one text for log lines.
+func headerText(values []string) string {
+	text := strings.Join(values, ",")
+	return text[:min(len(text), maxLoggedHeader)]
+}
+
+// statedLeaving returns the values of the header by which an upstream states that it is leaving.
+func (a *attempt) statedLeaving() []string {
+	return a.answerHeader.Values(a.gateway.settings.Headers.Leaving)
+}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -28,6 +28,8 @@
 	// Limit carries the rate that a rate-limited upstream accepts from all hosts together, in
 	// requests a second, as a decimal number.
 	Limit string
+	// Leaving is set to "1" on the answers of an upstream that is leaving.
+	Leaving string
 	// Model, TokenCount and PromptParts describe a request to a language model (see Prompt).
 	Model       string
 	TokenCount  string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -101,6 +101,13 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
+// countStatements counts the answer of an upstream that states that it is leaving.
+func (m *gatewayMetrics) countStatements(a *attempt) {
+	if len(a.statedLeaving()) > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_leaving_stated_total{service=%q}`, a.request.Service)).Inc()
+	}
+}
+
 // countRequest counts a request and its duration.
 func (m *gatewayMetrics) countRequest(route, code string, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_requests_total{route=%q,code=%q}`, route, code)).Inc()
