--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -223,9 +223,12 @@
 	host   string
 	headAt time.Time
 	limit  string
-	err    error
-	began  time.Time
-	ended  time.Time
+	// leaving is the id of the upstream that stated in that head that it is leaving; empty
+	// if it didn't.
+	leaving string
+	err     error
+	began   time.Time
+	ended   time.Time
 }
 
 // send sends a request of the kind, which is also the name of its route.
@@ -256,6 +259,9 @@
 	resp, err := s.client.Do(req)
 	if err == nil {
 		a.headAt, a.limit = time.Now(), resp.Header.Get("Server-Limit")
+		if resp.Header.Get("Server-Leaving") == "1" {
+			a.leaving = strings.TrimPrefix(resp.Header.Get("X-Server-Stamp"), "stamp-")
+		}
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
