--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -153,7 +153,7 @@
 func (h *hub) sentPrefixesSince(seq uint64, self string, to audience) (SentPrefixes, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.sentPrefixes.since(seq, self, to), h.sentPrefixes.lastSeq
+	return h.sentPrefixes.since(seq, self, to)
 }
 
 // otherWork returns the sum of the work in flight of all hosts except self, by upstream. It
--- a/internal/exchange/prefixlog.go
+++ b/internal/exchange/prefixlog.go
@@ -7,13 +7,9 @@
 // a message.
 const maxLoggedPrefixes = 512
 
-// prefixLog numbers the shared prompt prefixes that hosts reported as sent to an upstream for
-// the first time; lastSeq is the number of the last entry. A host reports the sequence number
-// of the last entry that it has, and receives the entries after it.
-type prefixLog struct {
-	entries []loggedPrefix
-	lastSeq uint64
-}
+// prefixLog holds the shared prompt prefixes that hosts reported as sent to an upstream for the
+// first time.
+type prefixLog struct{ relayLog[loggedPrefix] }
 
 // loggedPrefix is a prefix that was sent to an upstream. from is the host that reported it or,
 // if fromHub is set, the address of the hub that passed it on.
@@ -28,29 +24,19 @@
 func (l *prefixLog) add(from string, fromHub bool, prefixes SentPrefixes) {
 	for upstream, keys := range prefixes {
 		for _, key := range keys {
-			l.entries = append(l.entries, loggedPrefix{upstream: upstream, key: key, from: from, fromHub: fromHub})
-			l.lastSeq++
+			l.relayLog.add(loggedPrefix{upstream: upstream, key: key, from: from, fromHub: fromHub})
 		}
 	}
-	if surplus := len(l.entries) - maxLoggedPrefixes; surplus > 0 {
-		l.entries = append([]loggedPrefix(nil), l.entries[surplus:]...)
-	}
+	l.trim(maxLoggedPrefixes)
 }
 
-// since returns the entries after the sequence number that came from hosts other than self. A
-// number above the last one refers to another hub, or to this one before a restart; all entries
-// are returned then.
-func (l *prefixLog) since(seq uint64, self string, to audience) SentPrefixes {
-	count := len(l.entries)
-	if seq <= l.lastSeq {
-		count = int(min(uint64(count), l.lastSeq-seq))
-	}
+// since returns the entries after the sequence number that came from hosts other than self, and
+// the number of the last entry.
+func (l *prefixLog) since(seq uint64, self string, to audience) (SentPrefixes, uint64) {
+	list, last := l.relayLog.since(seq, maxLoggedPrefixes, func(e loggedPrefix) bool { return e.from != self && (to != toHub || !e.fromHub) })
 	prefixes := make(SentPrefixes)
-	for _, e := range l.entries[len(l.entries)-count:] {
-		if e.from == self || to == toHub && e.fromHub {
-			continue
-		}
+	for _, e := range list {
 		prefixes[e.upstream] = append(prefixes[e.upstream], e.key)
 	}
-	return prefixes
+	return prefixes, last
 }
