gateway: what an upstream states of its leaving in an answer binds at once

What callers saw: nothing yet.

Cause: a host learned from an upstream's entry alone that it is leaving. While the store is away, or the entry is late, only the answers state it, and no host read them.

Now the head of each answer is read where it arrives, before anything else is checked (package notice): success, failure, refusal, stream, an answer of another request, one that breaks off. An answer that another instance signs binds nobody. The upstream counts as leaving until it restarts, whatever an entry states later, in the one predicate by which all ways to an upstream choose. A host reports it once through the hubs, so that 440 hosts don't each learn it by a request of their own; there it counts for a minute at most, which drops a wrong report. Where all upstreams are leaving, the refusal says so (3007).

Why it works: the statement takes effect when the head is read, which is before it is passed on; nothing sent later can choose the upstream. Ruled out: reading the header where the answer is passed on, which misses refusals and attempts that are retried; a hint with an end, since the drain time never comes back.

--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,11 @@
 	restoreRand *rand.Rand
 	// limitRand decides which upstreams send limits, and when.
 	limitRand *rand.Rand
+	// noticeRand decides which upstreams state in their answers what the store doesn't list.
+	noticeRand *rand.Rand
+	// noticing holds the upstreams that were added for that. Other faults don't concern them, so that
+	// a seed's other faults don't depend on their number.
+	noticing []*platformtest.Upstream
 	// limited is the added upstream that sends a limit, or the one in its place after a
 	// crash; nil if the seed has no limits.
 	limited *platformtest.Upstream
@@ -68,6 +74,8 @@
 	// during which answers may be broken off or late.
 	plannedStops  []interval
 	harmfulFaults []interval
+	// interruptions are the times at which a host was restarted or paused, by the host's name.
+	interruptions map[string][]interval
 }
 
 type interval struct{ from, to time.Time }
@@ -95,6 +103,8 @@
 				poisonRand:    rand.New(rand.NewPCG(seed, 3)),
 				restoreRand:   rand.New(rand.NewPCG(seed, 4)),
 				limitRand:     rand.New(rand.NewPCG(seed, 5)),
+				noticeRand:    rand.New(rand.NewPCG(seed, 6)),
+				interruptions: make(map[string][]interval),
 				crashed:       make(chan *platformtest.Upstream, 1000),
 				leftAt:        make(map[string]time.Time),
 				newestRoute:   "many",
@@ -144,6 +154,7 @@
 		callers.Go(func() { s.sendPoison(stop) })
 	}
 	s.scheduleLimits(poisoned)
+	s.scheduleLeaving(poisoned)
 	version := 10
 	if s.restoreRand.IntN(2) == 0 {
 		callers.Go(func() { s.restoreBackups(stop) })
@@ -159,6 +170,7 @@
 	}
 	close(stop)
 	callers.Wait()
+	s.upstreams = append(s.upstreams, s.noticing...)
 	s.replaceCrashed()
 	for _, h := range s.gateways {
 		eventually(s.t, h.name+" is ready again", func() bool { return s.isReady(h) })
@@ -204,6 +216,40 @@
 	s.limited = u
 }
 
+// scheduleLeaving makes up to three added upstreams state in their answers that they are leaving,
+// one after the other. The store lists that seconds later, and they terminate after that.
+func (s *soak) scheduleLeaving(poisoned bool) {
+	for range s.noticeRand.IntN(4) {
+		service := []string{"app", "pool"}[s.noticeRand.IntN(2)]
+		u := s.addUpstream(service, "v1", zone(s.noticeRand.IntN(3)))
+		s.upstreams = s.upstreams[:len(s.upstreams)-1]
+		s.noticing = append(s.noticing, u)
+		if poisoned {
+			s.crashOnPoison(u)
+		}
+		from := time.Duration(s.noticeRand.IntN(3000)) * time.Millisecond
+		listed := from + time.Duration(s.noticeRand.IntN(5000))*time.Millisecond
+		s.logFault("upstream %s leaves in %v, the store lists it in %v", u.ID, from, listed)
+		time.AfterFunc(from, func() { u.SetLeaving("1") })
+		time.AfterFunc(listed, func() { s.store.Put("servers", u.ID, u.Entry("draining")) })
+		time.AfterFunc(listed+gatewayDrain+time.Second, u.Kill)
+	}
+}
+
+// recordInterruption records that a host's state was lost or outdated at a time.
+func (s *soak) recordInterruption(h *gatewayHost, from, to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interruptions[h.name] = append(s.interruptions[h.name], interval{from, to})
+}
+
+// interrupted reports whether the host was restarted or paused between two times.
+func (s *soak) interrupted(host string, from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.interruptions[host], func(i interval) bool { return i.overlaps(from, to) })
+}
+
 // limitSettleTime is the time after the last fault until a limit must be kept: the hosts
 // that started last need to find their hubs, and hubs to receive the limit.
 const limitSettleTime = 5 * time.Second
@@ -361,14 +407,18 @@
 	case 0:
 		s.logFault("kill %s", h.name)
 		s.recordHarmfulFault(duration)
+		killed := time.Now()
 		h.kill()
 		s.startGateway(h)
+		s.recordInterruption(h, killed, time.Now())
 	case 1:
 		s.logFault("pause %s for %v", h.name, duration)
 		s.recordHarmfulFault(duration)
+		paused := time.Now()
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		h.signal(syscall.SIGCONT)
+		s.recordInterruption(h, paused, time.Now())
 	case 2:
 		s.logFault("stop %s", h.name)
 		s.restartGateway(h)
@@ -439,6 +489,7 @@
 	s.plannedStops = append(s.plannedStops, interval{began, time.Now()})
 	s.mu.Unlock()
 	s.startGateway(h)
+	s.recordInterruption(h, began, time.Now())
 }
 
 func (s *soak) disruptStoreLink(h *gatewayHost, duration time.Duration) {
@@ -482,6 +533,7 @@
 		return
 	}
 	s.logFault("upstream %s leaves", old.ID)
+	old.SetLeaving("1")
 	s.store.Put("servers", old.ID, old.Entry("draining"))
 	time.AfterFunc(gatewayDrain+3*time.Second, old.Kill)
 }
@@ -524,6 +576,9 @@
 		s.t.Error(p)
 	}
 	s.checkLeavingUpstreams()
+	for _, late := range s.lateArrivals(s.answers, s.interrupted) {
+		s.t.Error(late)
+	}
 	s.t.Logf("%d requests, %d served, %d faults", len(s.answers), served, len(s.faultLog))
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,11 @@
 	Limits       LimitUpdates        `json:"limits,omitempty"`
 	LimitsCursor ratelease.LogCursor `json:"limits_known,omitzero"`
 	GrantsDigest uint64              `json:"holds,omitempty"`
+	// Leaving lists upstreams that stated to the reporting host, or to a host that it reports for,
+	// that they are leaving, since the last report. LeavingSince is the sequence number of the last
+	// entry in the hub's log of them that the reporting host has received.
+	Leaving      LeavingUpstreams `json:"leaving,omitempty"`
+	LeavingSince uint64           `json:"leaving_since,omitempty"`
 	// WantTimings requests the speeds of models that the other hosts measured. Timings holds the
 	// host's own measurements; it is set only together with WantTimings.
 	WantTimings bool    `json:"want_timings,omitempty"`
@@ -120,6 +125,10 @@
 	// the first time, up to the sequence number SentPrefixesLast in the hub's prefix log.
 	SentPrefixes     SentPrefixes `json:"reads,omitempty"`
 	SentPrefixesLast uint64       `json:"reads_last,omitempty"`
+	// Leaving lists upstreams that stated to other hosts that they are leaving, up to the entry of
+	// the hub's log of them with the sequence number LeavingLast.
+	Leaving     LeavingUpstreams `json:"leaving,omitempty"`
+	LeavingLast uint64           `json:"leaving_last,omitempty"`
 	// Timings holds, for each service and model, the sums of the other hosts' measurements.
 	Timings Timings `json:"timings,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -36,7 +36,7 @@
 		m.setHasFollowers(true)
 		m.ownHub.setHasAllLimits(true)
 		m.recordOwnReport(report)
-		m.unsentLimits = m.unsentLimits[len(report.Limits):]
+		m.unsentLimits, m.unsentLeaving = m.unsentLimits[len(report.Limits):], m.unsentLeaving[len(report.Leaving):]
 		m.deliverOwnHubData(report.WantTimings)
 		m.renewRootLease()
 		m.renewHolding()
@@ -52,7 +52,8 @@
 	hasFollowers := m.ownHub.hasFollowers()
 	m.setHasFollowers(hasFollowers)
 	report, upTo := m.nextReport(), forwardedPositions{}
-	sentLimits := len(report.Limits)
+	sentLimits, sentLeaving := len(report.Limits), len(report.Leaving)
+	report.LeavingSince = m.hubLeavingSeq
 	report.SentPrefixesSince, report.LimitsCursor, report.GrantsDigest = m.hubPrefixSeq, m.hubLimitReader.Cursor(), ratelease.GrantsDigest(m.hubGrants)
 	if hasFollowers {
 		report, upTo = m.aggregateReport(report)
@@ -67,15 +68,17 @@
 	}
 	m.deliverQuarantineStatus(reply.QuarantineStatus)
 	m.acceptLease(reply, requestedAt)
-	m.unsentLimits = m.unsentLimits[sentLimits:]
+	m.unsentLimits, m.unsentLeaving = m.unsentLimits[sentLimits:], m.unsentLeaving[sentLeaving:]
+	m.hubLeavingSeq = reply.LeavingLast
 	m.applyHubLimits(reply.Limits, hasFollowers)
 	if hasFollowers {
 		m.forwardedPrefixSeq, m.forwardedSightingSeq, m.hubPrefixSeq, m.forwardedLimitsCursor = upTo.prefixes, upTo.sightings, reply.SentPrefixesLast, upTo.limits
+		m.forwardedLeavingSeq = upTo.leaving
 		m.ownHub.recordHubReply(m.hubAddress, reply, max(0, reply.Hosts-report.Hosts))
 		m.deliverOwnHubData(report.WantTimings)
 	} else {
 		m.unsentSightings = Sightings{} // the hub has them
-		m.hubPrefixSeq, m.ownHubPrefixSeq = reply.SentPrefixesLast, 0
+		m.hubPrefixSeq, m.ownHubPrefixSeq, m.ownHubLeavingSeq = reply.SentPrefixesLast, 0, 0
 		m.deliver(reply, requestedAt)
 	}
 	m.offerTables(reply, requestedAt)
@@ -83,11 +86,11 @@
 }
 
 // forwardedPositions holds the positions in the logs of ownHub up to which a report forwards the
-// entries to this host's hub: sequence numbers in the prefix log and the sighting log, and a
-// cursor in the limit log.
+// entries to this host's hub: sequence numbers in the logs of prefixes, sightings and leaving
+// upstreams, and a cursor in the limit log.
 type forwardedPositions struct {
-	prefixes, sightings uint64
-	limits              ratelease.LogCursor
+	prefixes, sightings, leaving uint64
+	limits                       ratelease.LogCursor
 }
 
 // aggregateReport returns the report on behalf of this host and its followers, and the positions
@@ -98,6 +101,7 @@
 	m.unsentPrefixes = make(SentPrefixes) // this host's own hub has them
 	report, upTo.prefixes = m.ownHub.subtreeReport(own, m.forwardedPrefixSeq, m.hubAddress)
 	report.Sightings, upTo.sightings = m.ownHub.sightingsSince(m.forwardedSightingSeq, m.hubAddress)
+	report.Leaving, upTo.leaving = m.ownHub.leavingSince(m.forwardedLeavingSeq, m.hubAddress, toHub)
 	limits := m.ownHub.limitsSince(m.forwardedLimitsCursor, toHub)
 	report.Limits, upTo.limits = limits.Updates, limits.Cursor
 	if !m.previousHubExpired() {
@@ -110,6 +114,7 @@
 func (m *Member) recordOwnReport(own Report) {
 	m.ownHub.record(m.options.Host, own)
 	m.ownHub.recordLimits(false, own.Limits, false)
+	m.ownHub.recordLeaving(m.options.Host, false, own.Leaving)
 	m.recordOwnSightings(own.Sightings)
 }
 
@@ -141,6 +146,7 @@
 	}
 	m.ownHubPrefixSeq = sums.SentPrefixesLast
 	m.applyOwnHubLimits()
+	m.deliverOwnHubLeaving()
 	m.deliver(sums, boottime.Now())
 }
 
@@ -151,6 +157,7 @@
 	m.deliverHostCount(reply.Hosts)
 	m.deliverEvidence(reply.Evidence)
 	m.deliverPrefixes(reply.SentPrefixes)
+	m.deliverLeaving(reply.Leaving)
 	if m.options.OnTimings != nil && len(reply.Timings) > 0 {
 		m.options.OnTimings(reply.Timings)
 	}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -144,6 +144,39 @@
 	holding ratelease.Holding
 	contact ratelease.HubContact
 	limits  map[ratelease.UpstreamID]*hostLimit
+	// stated are the upstreams that stated to this host that they are leaving and that it hasn't
+	// reported yet. leaving are those that other hosts reported.
+	stated  []LeavingUpstream
+	leaving map[ratelease.UpstreamID]bool
+}
+
+// stateLeaving makes an upstream state to the host that it is leaving.
+func (h *fleetHost) stateLeaving(u ratelease.UpstreamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stated = append(h.stated, LeavingUpstream{Upstream: u})
+}
+
+func (h *fleetHost) takeLeaving() []LeavingUpstream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.stated
+	h.stated = nil
+	return list
+}
+
+func (h *fleetHost) addLeaving(list []LeavingUpstream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range list {
+		h.leaving[l.Upstream] = true
+	}
+}
+
+func (h *fleetHost) countLeaving() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.leaving)
 }
 
 func (h *fleetHost) Replace(rows []feed.Row, _ storage.Revision) {
@@ -239,6 +272,7 @@
 	h.revisions, h.receivedAt = make(map[string]storage.Revision), make(map[storage.Revision]time.Time)
 	h.mu.Lock()
 	h.contact, h.limits = ratelease.NewHubContact(time.Now()), make(map[ratelease.UpstreamID]*hostLimit)
+	h.leaving = make(map[ratelease.UpstreamID]bool)
 	h.mu.Unlock()
 	// A stopped watcher may still call the member that it belonged to.
 	var member *Member
@@ -263,6 +297,7 @@
 		Work:       func() Work { return Work{HashID("u"): 1} },
 		RootGrants: func(roots int) []ratelease.Grant { return append(f.coldGrants(roots), h.limitGrants(roots)...) },
 		Limits:     h.newLimits, KnownLimits: h.knownLimits, OnLimits: h.applyLimits,
+		Leaving: h.takeLeaving, OnLeaving: h.addLeaving,
 		OnHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -65,6 +65,10 @@
 	Limits      func() []ratelease.LimitUpdate
 	KnownLimits func() []ratelease.LimitUpdate
 	OnLimits    func(updates []ratelease.LimitUpdate, complete bool)
+	// Leaving returns the upstreams that stated to this host, since the last call, that they are
+	// leaving. OnLeaving receives those that stated it to other hosts. Both may be nil.
+	Leaving   func() []LeavingUpstream
+	OnLeaving func([]LeavingUpstream)
 	// Quarantine tracks poison requests. It may be nil.
 	Quarantine Quarantine
 	// Evidence returns the answers that this host counted in the roll-outs in progress.
@@ -119,6 +123,11 @@
 	forwardedLimitsCursor             ratelease.LogCursor
 	// unsentLimits holds limit updates that the hub hasn't received yet.
 	unsentLimits []ratelease.LimitUpdate
+	// unsentLeaving holds the leaving upstreams that the hub hasn't received yet. The sequence
+	// numbers are those of the last entries that this host received from its hub's log, passed from
+	// ownHub's log to OnLeaving, and forwarded from ownHub's log to its hub.
+	unsentLeaving                                        []LeavingUpstream
+	hubLeavingSeq, ownHubLeavingSeq, forwardedLeavingSeq uint64
 	// hasFollowers reports whether other hosts reported to this one at the time of the last
 	// exchange.
 	hasFollowers bool
@@ -200,7 +209,7 @@
 }
 
 // nextReport returns the next report to the hub: this host's state, and its unsent prefixes,
-// sightings and limits.
+// sightings, limits and leaving upstreams.
 func (m *Member) nextReport() Report {
 	if m.options.SentPrefixes != nil {
 		m.unsentPrefixes.add(m.options.SentPrefixes())
@@ -208,7 +217,7 @@
 	m.collectSightings()
 	report := m.ownReport()
 	report.SentPrefixes, report.Sightings = m.unsentPrefixes, m.unsentSightings
-	report.Limits = m.nextLimitUpdates()
+	report.Limits, report.Leaving = m.nextLimitUpdates(), m.nextLeaving()
 	if m.reportCount++; m.options.Timings != nil && m.reportCount%exchangesPerTimings == 1 {
 		report.WantTimings, report.Timings = true, m.options.Timings()
 	}
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -10,6 +10,7 @@
 	defer h.mu.Unlock()
 	h.reports[hubKey(address)] = receivedReport{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: boottime.Now(), fromHub: true, hosts: hosts}
 	h.sentPrefixes.add(address, true, r.SentPrefixes)
+	h.leaving.add(address, true, r.Leaving, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,6 +88,7 @@
 	a.answerHeader = resp.Header
 	// The context is canceled when the body is closed, which every caller of send does.
 	resp.Body = &cancelOnClose{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
+	a.observeNotice(resp)
 	if err := a.checkResponse(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -149,7 +149,7 @@
 	if !ok {
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
-			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Bool("bound", r.regions.restricted()).Msg("")
+			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Bool("bound", r.regions.restricted()).Msg("")
 		return nil, d.refusal(r, d.noUpstreamRefusal(r, counts))
 	}
 	r.attempts++
@@ -174,6 +174,9 @@
 	if counts.inService == 0 && r.regions.restricted() {
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneAvailable, "no upstream is in service in the regions that the route and the account allow")
 	}
+	if counts.inService == 0 && counts.leaving > 0 {
+		return resultcode.Wrap(resultcode.UpstreamsLeaving, errNoneAvailable, "all upstreams of the service are leaving")
+	}
 	if counts.limited == 0 || counts.limited < counts.inService-counts.cold-counts.evacuated {
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneAvailable, "no upstream is in service")
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -66,6 +66,11 @@
 	// are the members whose rate limits have to be reported to the hub.
 	membersByLease   map[ratelease.UpstreamID]*member
 	unreportedLimits map[*member]struct{}
+	// unreportedLeaving maps the members that stated to this host that they are leaving, and that
+	// have to be reported to the hub, to the time of the statement. noticed are the members with a
+	// noticeState.
+	unreportedLeaving map[*member]time.Time
+	noticed           map[*member]struct{}
 	// inUse contains the members with requests of this host in flight. coldOrLimited contains those
 	// that may be cold or rate-limited. Tasks that run several times a second visit only these
 	// members.
@@ -144,6 +149,7 @@
 		policy: p, topology: t, members: make(map[string]*member), membersByAddress: make(map[string]*member),
 		membersByHash: make(map[exchange.IDHash]*member), membersByLease: make(map[ratelease.UpstreamID]*member),
 		inUse: make(map[*member]struct{}), coldOrLimited: make(map[*member]struct{}), unreportedLimits: make(map[*member]struct{}),
+		unreportedLeaving: make(map[*member]time.Time), noticed: make(map[*member]struct{}),
 		cachedPrompts: placement.NewCacheTracker[*member](placement.MaxCachedPrefixes), sentPrefixes: make(exchange.SentPrefixes), prefillRates: placement.NewPrefillEstimator(),
 	}
 }
@@ -166,7 +172,7 @@
 		m.removedAt = boottime.Now()
 		m.expiredInOutage = expiredInOutage
 		f.entryChanges.removed.Add(1)
-		f.log.WithLevel(m.logLevel()).Str("event", "upstream-removed").Str("upstream", id).Stringer("revision", revision).Bool("lapsed", expiredInOutage).Int("in_flight", m.inFlight).Msg("")
+		f.log.WithLevel(m.logLevel()).Str("event", "upstream-removed").Str("upstream", id).Stringer("revision", revision).Bool("lapsed", expiredInOutage).Bool("leaving", m.Leaving).Int("in_flight", m.inFlight).Msg("")
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -227,6 +227,7 @@
 			SentPrefixes: g.fleet.takeSentPrefixes, OnSentPrefixes: g.fleet.addRemotePrefixes,
 			RootGrants: g.fleet.LeaseGrants, OnHolding: g.fleet.SetHolding,
 			Limits: g.fleet.takeLimitUpdates, KnownLimits: g.fleet.currentLimits, OnLimits: g.fleet.applyLimits,
+			Leaving: g.fleet.takeLeaving, OnLeaving: g.fleet.applyReportedLeaving,
 			Timings: g.fleet.ownTimings, OnTimings: g.fleet.setRemoteTimings,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
 		}, g.log)
@@ -237,7 +238,12 @@
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.awaitTables(ctx) })
-	group.Go(func() { wait.Every(ctx, restrictionLogInterval, g.fleet.logEndedRestrictions) })
+	group.Go(func() {
+		wait.Every(ctx, restrictionLogInterval, func() {
+			g.fleet.logEndedRestrictions()
+			g.fleet.dropExpiredNotices()
+		})
+	})
 	group.Go(func() { wait.Every(ctx, entryChangesInterval, g.fleet.logEntryChanges) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -46,11 +46,8 @@
 		f.logEntry(zerolog.InfoLevel, "upstream-entry-old", &u, revision).Uint64("sequence", u.Sequence).Uint64("known_sequence", m.Sequence).Msg("")
 		return
 	}
-	if u.Leaving && !m.Leaving {
-		f.entryChanges.leaving.Add(1)
-		f.log.WithLevel(m.logLevel()).Str("event", "upstream-leaving").Str("upstream", u.ID).Stringer("revision", revision).Int("in_flight", m.inFlight).Msg("")
-	}
-	leaving := m.Leaving || u.Leaving
+	entryLeaving := u.Leaving
+	u.Leaving = m.Leaving // stays so within an incarnation
 	if m.Zone != u.Zone {
 		s.index.stale = true
 	}
@@ -58,7 +55,10 @@
 		s.setAddress(m, u.Address)
 	}
 	m.Upstream, m.revision = u, revision
-	m.Leaving = leaving
+	if entryLeaving && !m.Leaving {
+		f.entryChanges.leaving.Add(1)
+		m.setLeaving(leavingSourceEntry, m.logLevel(), f.log)
+	}
 	m.removedAt, m.expiredInOutage = time.Time{}, false
 	m.withdrawn = false
 	m.updatedAt = boottime.Now()
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -59,10 +59,11 @@
 	replaced bool
 	inFlight int
 	// The fields below are nil until needed, to save memory: of thousands of upstreams, most get no
-	// request from this host, were never cold and have no rate limit.
+	// request from this host, were never cold, have no rate limit and stated nothing.
 	usage     *usage
 	coldState *coldState
 	limit     *limitState
+	notices   *noticeState
 }
 
 // usage holds the data that this host derives from its own requests to an upstream. failureRate is
@@ -107,9 +108,9 @@
 	return *m.usage
 }
 
-// inService reports whether the upstream's entry permits new requests to it.
+// inService reports whether the upstream's entry and its statements permit new requests to it.
 func (m *member) inService(now time.Time, grace time.Duration) bool {
-	if m.Leaving || m.withdrawn || m.replaced {
+	if m.isLeaving(now) || m.withdrawn || m.replaced {
 		return false
 	}
 	if m.expiredInOutage {
--- a/internal/gateway/memberindex.go
+++ b/internal/gateway/memberindex.go
@@ -337,5 +337,7 @@
 		delete(s.membersByLease, m.leaseID)
 	}
 	delete(s.unreportedLimits, m)
+	delete(s.unreportedLeaving, m)
+	delete(s.noticed, m)
 	s.index.stale = true
 }
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -131,8 +131,9 @@
 
 // upstreamCounts holds the number of upstreams that are in service, and the numbers of those among
 // them that are cold, in an evacuated zone, or rate-limited. Upstreams in evacuated zones aren't
-// counted as cold.
-type upstreamCounts struct{ inService, cold, evacuated, limited int }
+// counted as cold. leaving is the number of listed upstreams that aren't in service because they
+// are leaving.
+type upstreamCounts struct{ inService, cold, evacuated, limited, leaving int }
 
 // countUpstreams counts a service's upstreams in the regions.
 func (f *Fleet) countUpstreams(service string, regions regionConstraint) upstreamCounts {
@@ -155,7 +156,13 @@
 func (n *upstreamCounts) add(s *shard, regions regionConstraint, grace time.Duration) {
 	now := boottime.Now()
 	for _, m := range s.members {
-		if !regions.allows(m.Zone) || !m.inService(now, grace) {
+		if !regions.allows(m.Zone) {
+			continue
+		}
+		if m.removedAt.IsZero() && m.isLeaving(now) {
+			n.leaving++
+		}
+		if !m.inService(now, grace) {
 			continue
 		}
 		n.inService++
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -51,6 +51,7 @@
 	NoUpstream         Code = 3004
 	ExposureSpent      Code = 3005
 	UpstreamsLimited   Code = 3006
+	UpstreamsLeaving   Code = 3007
 
 	// 4xxx: upstreams.
 	UpstreamUnreachable Code = 4001
@@ -120,6 +121,7 @@
 	{NoUpstream, "no-upstream", 503, anyState, 2 * time.Second, "No upstream that may be sent requests now has the version: none is in service, or all are cold or in evacuated zones."},
 	{ExposureSpent, "exposure-spent", 503, notRun, 2 * time.Second, "The only permitted version has spent its exposure budget or was stopped."},
 	{UpstreamsLimited, "upstreams-limited", 503, notRun, time.Second, "The upstreams that may run the request name limits, of which nothing is left now."},
+	{UpstreamsLeaving, "upstreams-leaving", 503, notRun, 2 * time.Second, "All upstreams that may run the request are leaving and accept no new requests."},
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
 	{AnswerIncomplete, "answer-incomplete", 502, ran, 0, "The answer began and could not be completed on the same version."},
