serve: what an upstream states of its leaving in any answer reaches all hosts

What callers saw: with an engine or a service that states its leaving in complete answers, the other entry hosts, and for services the same host, went on sending it requests until the host list had the change.

Cause: the statement was read in error responses, in load reports and in the head of a stream with a load header, each by code of its own; a service's answer wasn't looked at, and a stream's statement stayed with its host, since the pool had changed before the other hosts could be told.

Now the client reads the head of each answer in the one place where all its requests are sent (completions, resumed streams, services, load reports, orders, cancellations), by the same package as the gateway, and the host tells the others as before. The dispatcher's own callback is gone.

--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/quetzalweir/quetzalweir/internal/devenv"
+	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
+	"github.com/quetzalweir/quetzalweir/internal/standin/service"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
@@ -70,3 +74,48 @@
 	is.Equal(countServed(answers), len(answers))
 	is.Equal(s.problems(), nil)
 }
+
+// What an engine or a service states of its leaving in a complete answer to one entry host must keep
+// the requests of all entry hosts away.
+func TestEntryHostsSendToUpstreamsThatLeaveByTheirAnswers(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 3)
+	s.services = append(s.services, startStandin(t, "lanes-2", "service", "--platform=http://"+s.platform, "--id=lanes-2", "--name=lanes", "--zone=zone-b"))
+	s.submit(devenv.Manifest())
+	s.waitUpstreams()
+	s.setFaults(s.services[0].address, service.Faults{LeavingHeader: true})
+	s.setFaults(s.engines[0].address, engine.Faults{LeavingHeader: true})
+	arrived := func() (atService, atEngine int) {
+		var services service.Arrivals
+		s.standinGet(s.services[0].address, "/arrivals", &services)
+		var engines engine.Arrivals
+		s.standinGet(s.engines[0].address, "/arrivals", &engines)
+		return len(services.Arrivals), len(engines.Arrivals)
+	}
+	sent := 0
+	send := func(h *entryHost) {
+		sent++
+		a, err := bid(fmt.Sprint("bid-", sent), "1").send(h)
+		is.NoErr(err)
+		is.Equal(a.status, http.StatusOK)
+		a, err = chat("small", fmt.Sprint("question ", sent), true).send(h)
+		is.NoErr(err)
+		is.Equal(a.status, http.StatusOK)
+	}
+	eventually(t, "one host has an answer of each", func() bool {
+		send(s.hosts[0])
+		atService, atEngine := arrived()
+		return atService > 0 && atEngine > 0
+	})
+	time.Sleep(time.Second)
+	servicesBefore, enginesBefore := arrived()
+	for range 20 {
+		for _, h := range s.hosts {
+			send(h)
+		}
+	}
+	atService, atEngine := arrived()
+	t.Logf("after the statement, %d of 60 requests reached the service, %d the engine", atService-servicesBefore, atEngine-enginesBefore)
+	is.Equal(atService, servicesBefore)
+	is.Equal(atEngine, enginesBefore)
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -39,11 +39,8 @@
 	retries *admission.RetryBudget
 	// guard blocks poison requests, whose runs terminate upstreams.
 	guard *guard.Guard
-	// onLeaving is called with the ID of an upstream that reported that it is
-	// leaving, so that the other hosts are informed.
-	onLeaving func(upstreamID string)
-	log       zerolog.Logger
-	zone      string
+	log   zerolog.Logger
+	zone  string
 }
 
 // Serve implements Filter.
@@ -165,11 +162,7 @@
 		r.brokenUpstream = &target
 	}
 	r.Faulted = r.Faulted || countsAgainstVersion(ctx, err)
-	outcome := f.balanceOutcome(ctx, r, started, err)
-	if outcome.Leaving {
-		f.onLeaving(id)
-	}
-	f.pool.End(id, outcome)
+	f.pool.End(id, f.balanceOutcome(ctx, r, started, err))
 	return err
 }
 
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -62,15 +62,14 @@
 			log:      h.log,
 		},
 		&dispatch{
-			watcher:   h.manifestWatcher,
-			pool:      h.pool,
-			engine:    h.engine,
-			service:   h.service,
-			retries:   h.retries,
-			guard:     h.quarantine.guard,
-			onLeaving: h.setUpstreamLeaving,
-			log:       h.log,
-			zone:      h.settings.Zone,
+			watcher: h.manifestWatcher,
+			pool:    h.pool,
+			engine:  h.engine,
+			service: h.service,
+			retries: h.retries,
+			guard:   h.quarantine.guard,
+			log:     h.log,
+			zone:    h.settings.Zone,
 		},
 	}
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -14,6 +14,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -152,6 +153,16 @@
 	h.pool.Report(target.ID, load, requestedAt)
 }
 
+// observeNotice applies what an upstream stated in the head of an answer.
+func (h *Host) observeNotice(target upstream.Target, n notice.Notice) {
+	if len(n.Unreadable) > 0 {
+		h.log.Warn().Str("event", "notice-unreadable").Str("upstream", target.ID).Strs("headers", n.Unreadable).Msg("")
+	}
+	if n.Leaving {
+		h.setUpstreamLeaving(target.ID)
+	}
+}
+
 // setUpstreamLeaving takes an upstream out of service and informs the other hosts,
 // since the platform's host list contains the change only later.
 func (h *Host) setUpstreamLeaving(id string) {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -30,6 +30,9 @@
 	Versions map[string]VersionFault `json:"versions,omitempty"`
 	// Leaving refuses new requests and sets Leaving in the load report.
 	Leaving bool `json:"leaving,omitempty"`
+	// LeavingHeader sets the leaving header in all answers. The load report and the host list
+	// don't contain it, and new requests are served.
+	LeavingHeader bool `json:"leaving_header,omitempty"`
 }
 
 // VersionFault configures the faults of one version.
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -68,7 +68,7 @@
 func (e *Engine) setLoadHeaders(h http.Header) {
 	load := e.currentLoad()
 	h.Set(upstream.HeaderLoad, fmt.Sprintf("%d/%d/%d", load.Running, load.Queued, load.Capacity))
-	if load.Leaving {
+	if load.Leaving || e.faults.get().LeavingHeader {
 		h.Set(upstream.HeaderLeaving, "1")
 	}
 }
--- a/internal/standin/service/faults.go
+++ b/internal/standin/service/faults.go
@@ -22,6 +22,9 @@
 	Status int `json:"status,omitempty"`
 	// Leaving refuses new requests and sets Leaving in the load report.
 	Leaving bool `json:"leaving,omitempty"`
+	// LeavingHeader sets the leaving header in all answers. The load report and the host list
+	// don't contain it, and new requests are served.
+	LeavingHeader bool `json:"leaving_header,omitempty"`
 }
 
 type faultState struct {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -172,7 +172,7 @@
 func (s *Service) setLoadHeaders(h http.Header) {
 	load := s.load()
 	h.Set(upstream.HeaderLoad, fmt.Sprintf("%d/%d/%d", load.Running, load.Queued, load.Capacity))
-	if load.Leaving {
+	if load.Leaving || s.faults.get().LeavingHeader {
 		h.Set(upstream.HeaderLeaving, "1")
 	}
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -77,6 +77,8 @@
 	// MaxCancels is the maximum number of cancellations in flight. Further
 	// cancellations are not sent. Default: 64.
 	MaxCancels int
+	// OnNotice receives what the heads of answers state. Default: none.
+	OnNotice NoticeFunc
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
@@ -163,7 +165,7 @@
 	if err := setCallHeaders(req.Header, call); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	resp, err := e.transport.RoundTrip(req)
+	resp, err := roundTrip(e.transport, req, target, e.opts.OnNotice)
 	if err != nil {
 		err = classifyError(ctx, attempt, err)
 		if errors.Is(err, ErrBroken) {
@@ -218,7 +220,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	resp, err := e.transport.RoundTrip(req)
+	resp, err := roundTrip(e.transport, req, target, e.opts.OnNotice)
 	if err != nil {
 		return nil, classifyError(ctx, attempt, err)
 	}
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -65,7 +65,7 @@
 	req.Header.Set(HeaderRequestID, s.call.RequestID)
 	req.Header.Set(HeaderLastEventID, lastEventID)
 	conn.timer.Reset(s.frameWait.readTimeout(false))
-	resp, err := s.client.transport.RoundTrip(req)
+	resp, err := roundTrip(s.client.transport, req, s.target, s.client.opts.OnNotice)
 	conn.timer.Stop()
 	if err != nil {
 		return nil, err
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -32,6 +32,8 @@
 	Timeout time.Duration
 	// MaxResponseBytes limits the size of a response body, in bytes. Default: 8 MiB.
 	MaxResponseBytes int
+	// OnNotice receives what the heads of answers state. Default: none.
+	OnNotice NoticeFunc
 }
 
 func (o ServiceOptions) withDefaults() ServiceOptions {
@@ -81,7 +83,7 @@
 	if call.Idempotent {
 		allowTransportRetry(req, call.Body)
 	}
-	resp, err := s.transport.RoundTrip(req)
+	resp, err := roundTrip(s.transport, req, target, s.opts.OnNotice)
 	if err != nil {
 		return ServiceResponse{}, classifyError(ctx, attempt, err)
 	}
