gateway: attempts log the Retry-After of an upstream

The attempt's line has it now (retry_after), and quetzalweir_gateway_retry_after_stated_total counts such answers by service. With both, the hypotheses differ: attempts at the upstream that go on (nobody reads it), that stop for one request only, or that have no other candidate.

No decision reads it yet.

--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -81,7 +81,7 @@
 		Int("tokens", r.Prompt.TokensIn).Int64("ahead_ms", a.choice.workAhead.Milliseconds()).Int64("expected_ms", a.choice.placement.ExpectedTime.Milliseconds()).
 		Int("missing", a.choice.placement.UncachedTokens).Bool("owner", a.choice.placement.IsOwner).Int("threshold", a.minConfidence).Float64("pressure", math.Round(100*a.queuePressure)/100).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", headerText(result.limitHeaders)).
-		Str("leaving", headerText(a.statedLeaving())).
+		Str("leaving", headerText(a.statedLeaving())).Str("retry_after", headerText(a.statedRetryAfter())).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.startedAt).Milliseconds())
 	if result.err != nil {
 		line.Err(result.err)
@@ -102,3 +102,9 @@
 func (a *attempt) statedLeaving() []string {
 	return a.answerHeader.Values(a.gateway.settings.Headers.Leaving)
 }
+
+// statedRetryAfter returns the values of the header by which an upstream states for how long it
+// accepts no requests.
+func (a *attempt) statedRetryAfter() []string {
+	return a.answerHeader.Values(a.gateway.settings.Headers.RetryAfter)
+}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -30,6 +30,9 @@
 	Limit string
 	// Leaving is set to "1" on the answers of an upstream that is leaving.
 	Leaving string
+	// RetryAfter carries the time for which the sender of an answer with status 503 accepts no
+	// requests.
+	RetryAfter string
 	// Model, TokenCount and PromptParts describe a request to a language model (see Prompt).
 	Model       string
 	TokenCount  string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -102,8 +102,12 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
-// countStatements counts the answer of an upstream that states that it is leaving.
+// countStatements counts the answer of an upstream that states that it is leaving, or for how long
+// it accepts no requests.
 func (m *gatewayMetrics) countStatements(a *attempt) {
+	if len(a.statedRetryAfter()) > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_retry_after_stated_total{service=%q}`, a.request.Service)).Inc()
+	}
 	if len(a.statedLeaving()) > 0 {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_leaving_stated_total{service=%q}`, a.request.Service)).Inc()
 	}
