gateway, serve: Retry-After of an upstream that rejects requests binds its host

Cause: a rejection changed nothing for the next choice. It counted neither as a failure nor as load, and an engine that rejects at once has no request in flight, so it looked idler than those that serve, and drew twice their requests. Each of these cost its request an attempt and the service's budget a retry.

Now a 503 with Retry-After keeps the host's requests away from that upstream for the stated time, 5 minutes at most: seconds, with or without a fraction, or an HTTP date counted from the answer's own Date. The longest time counts, and no other answer ends it. Afterwards requests go one by one, 250 ms apart, until one is accepted, so that an upstream that is still overloaded rejects one instead of all. Both front doors use package notice. A request that was chosen before and waits for a connection is checked again when it is written, and goes elsewhere without a byte sent (outcome withheld). Where all upstreams back off the refusal comes at once, says so (3008) and names the time until the first of them may accept one, spread over a second. A request whose attempt was rejected and that finds no other upstream gets that refusal in place of queue-full.

Why it works: all ways to an upstream ask the same predicate under the same lock that records the statement. Ruled out: counting a rejection as a failure, which keeps a fifth of the requests coming and forgets in 3 s whatever was asked for; using the two requests that the rule leaves as looks, since the upstream has said that it wants none; telling the other hosts, since the upstream speaks to one host, and at 440 hosts few of them would have met it in that time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/storage"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -21,6 +22,8 @@
 	Name string
 	// Leaving reports whether the upstream drains: it takes no new requests.
 	Leaving bool
+	// Backoff is the time for which the upstream accepts no requests of this host.
+	Backoff notice.Backoff
 	// Versions are the loaded model versions as "model@version", from the
 	// upstream's last report that lists them.
 	Versions []string
--- a/balance/chain.go
+++ b/balance/chain.go
@@ -16,6 +16,7 @@
 		Filters: []Filter{
 			VersionFilter{},
 			LeavingFilter{},
+			BackoffFilter{},
 			ExcludedFilter{},
 			EjectedFilter{},
 			CapacityFilter{},
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -53,6 +53,11 @@
 	// Leaving reports whether the upstream answered that it takes no new
 	// requests.
 	Leaving bool
+	// SentAt is when the request was sent. It is zero if that is unknown.
+	SentAt time.Time
+	// Withheld reports whether the request wasn't sent because the upstream stated
+	// after Begin that it accepts none. It counts for nothing else.
+	Withheld bool
 }
 
 // Pool holds the state of the upstreams that this host sends to. It is safe for
@@ -170,8 +175,47 @@
 	return changed
 }
 
-// Begin counts a request as in flight. If the upstream is unknown, absent from
-// the host list or leaving, it returns false and the request must not be sent.
+// SetBackoff records that the upstream accepts no requests of this host for the
+// duration, and reports whether it backed off before.
+func (p *Pool) SetBackoff(id string, d time.Duration) (before bool) {
+	p.changeEntry(id, func(e *poolEntry) {
+		now := p.options.Clock()
+		before = !e.state.Backoff.IsOver(now)
+		e.state.Backoff.Extend(d, now)
+	})
+	return before
+}
+
+// MaySend reports whether a request that Begin counted may still be sent: the
+// upstream hasn't stated since that it is leaving or accepts no requests.
+func (p *Pool) MaySend(id string) bool {
+	permitted := true
+	p.changeEntry(id, func(e *poolEntry) {
+		permitted = !e.state.Leaving && !e.state.Backoff.Active(p.options.Clock())
+	})
+	return permitted
+}
+
+// BackoffWait returns the time until the first of the upstreams that could serve
+// the request accepts one; ok is false unless all of them back off.
+func (p *Pool) BackoffWait(req *Request) (wait time.Duration, ok bool) {
+	now := p.options.Clock()
+	list := LeavingFilter{}.Filter(req, VersionFilter{}.Filter(req, p.View(), now), now)
+	for _, u := range list {
+		w := u.Backoff.Wait(now)
+		if w == 0 {
+			return 0, false
+		}
+		if !ok || w < wait {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
+// Begin counts a request as in flight. If the upstream is unknown, absent from the
+// host list or leaving, or backs off, it returns false and the request must not be
+// sent.
 func (p *Pool) Begin(id string) bool {
 	begun := false
 	p.changeEntry(id, func(e *poolEntry) { begun = e.begin(p.options.Clock()) })
--- a/balance/pool_entry.go
+++ b/balance/pool_entry.go
@@ -114,9 +114,10 @@
 }
 
 func (e *poolEntry) begin(now time.Time) bool {
-	if e.state.Leaving || !e.absentSince.IsZero() {
+	if e.state.Leaving || !e.absentSince.IsZero() || !e.state.Backoff.Allows(now) {
 		return false
 	}
+	e.state.Backoff.RecordSent(now)
 	e.startTimes = append(e.startTimes, now)
 	e.updateCounters()
 	return true
@@ -129,6 +130,13 @@
 	if outcome.Leaving {
 		e.state.Leaving = true
 	}
+	if !outcome.Failed {
+		e.state.Backoff.Accepted(outcome.SentAt)
+	}
+	if outcome.Withheld {
+		e.updateCounters()
+		return
+	}
 	failed := outcome.Failed && !outcome.Leaving
 	if outcome.Refused {
 		failed = failed && !e.loadExplainsRefusal()
--- a/internal/e2e/backoff_test.go
+++ b/internal/e2e/backoff_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/quetzalweir/quetzalweir/internal/devenv"
+	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
+	"github.com/quetzalweir/quetzalweir/internal/standin/service"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
@@ -86,3 +90,52 @@
 	is.True(after > 100)                         // and the two are used again
 	is.Equal(s.problems(), nil)
 }
+
+// An engine and a service that reject everything with Retry-After get no request of an entry host in
+// that time; where they are the only ones, callers are refused at once with a time to come back.
+func TestEntryHostsSendToUpstreamsThatStateRetryAfter(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 1)
+	h := s.hosts[0]
+	s.submit(devenv.Manifest())
+	s.waitUpstreams()
+	s.setFaults(s.services[0].address, service.Faults{RejectRetryAfter: "4"})
+	s.setFaults(s.engines[0].address, engine.Faults{RejectRetryAfter: "60"})
+	heads := func() (atService, atEngine int) {
+		var services service.Arrivals
+		s.standinGet(s.services[0].address, "/arrivals", &services)
+		for _, a := range services.Arrivals {
+			atService += a.Heads
+		}
+		var engines engine.Arrivals
+		s.standinGet(s.engines[0].address, "/arrivals", &engines)
+		for _, a := range engines.Arrivals {
+			atEngine += a.Heads
+		}
+		return atService, atEngine
+	}
+	a, err := bid("bid", "1").send(h)
+	is.NoErr(err)
+	rejectedAt, sent := time.Now(), 0
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	for i := 0; time.Since(rejectedAt) < 3*time.Second; i++ {
+		sent++
+		a, err = bid(fmt.Sprint("bid-", i), "1").send(h)
+		is.NoErr(err)
+		is.Equal(a.get("Quetzalweir-Result-Code"), "3008")
+		is.True(a.get("Retry-After") != "")
+		a, err = chat("small", fmt.Sprint("question ", i), i%2 == 0).send(h)
+		is.NoErr(err)
+		is.Equal(a.status, http.StatusOK) // the other engines serve it
+	}
+	atService, atEngine := heads()
+	t.Logf("%d of %d requests reached the service, %d the engine", atService, 1+sent, atEngine)
+	is.Equal(atService, 1)
+	is.True(atEngine <= 1)
+	s.setFaults(s.services[0].address, service.Faults{})
+	eventually(t, "the service is used again", func() bool {
+		a, err := bid(fmt.Sprint("later-", time.Now().UnixNano()), "1").send(h)
+		return err == nil && a.status == http.StatusOK
+	})
+	is.True(time.Since(rejectedAt) >= 4*time.Second)
+}
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -155,6 +155,7 @@
 	}
 	s.scheduleLimits(poisoned)
 	s.scheduleLeaving(poisoned)
+	s.scheduleRejections()
 	version := 10
 	if s.restoreRand.IntN(2) == 0 {
 		callers.Go(func() { s.restoreBackups(stop) })
@@ -236,6 +237,32 @@
 	}
 }
 
+// soakRetryAfter are the values of Retry-After of the upstreams that reject requests.
+var soakRetryAfter = []string{"0.7", "1", "3", "5", "0", "soon"}
+
+// scheduleRejections makes single upstreams, or all of a service, reject all requests for some time,
+// with or without a time for which they accept none.
+func (s *soak) scheduleRejections() {
+	for range s.noticeRand.IntN(4) {
+		rejecting := []*platformtest.Upstream{s.upstreams[s.noticeRand.IntN(len(s.upstreams))]}
+		longest := 3000
+		if s.noticeRand.IntN(3) == 0 {
+			service := rejecting[0].Service
+			rejecting = slices.DeleteFunc(slices.Clone(s.upstreams), func(u *platformtest.Upstream) bool { return u.Service != service })
+			longest = 1500
+		}
+		value := soakRetryAfter[s.noticeRand.IntN(len(soakRetryAfter))]
+		from := time.Duration(s.noticeRand.IntN(4000)) * time.Millisecond
+		duration := time.Duration(s.noticeRand.IntN(longest)) * time.Millisecond
+		s.logFault("%d upstreams from %s on reject requests in %v for %v with Retry-After %q", len(rejecting), rejecting[0].ID, from, duration, value)
+		time.AfterFunc(from, func() {
+			for _, u := range rejecting {
+				u.Reject(duration, value)
+			}
+		})
+	}
+}
+
 // recordInterruption records that a host's state was lost or outdated at a time.
 func (s *soak) recordInterruption(h *gatewayHost, from, to time.Time) {
 	s.mu.Lock()
@@ -579,6 +606,9 @@
 	for _, late := range s.lateArrivals(s.answers, s.interrupted) {
 		s.t.Error(late)
 	}
+	for _, violation := range s.backoffViolations(s.answers, s.interrupted) {
+		s.t.Error(violation)
+	}
 	s.t.Logf("%d requests, %d served, %d faults", len(s.answers), served, len(s.faultLog))
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -99,11 +99,26 @@
 	choice, ok := f.pool.Choose(f.balanceRequest(r, exclude))
 	f.logUpstreamChoice(r, choice, ok)
 	if !ok {
-		return choice, resultcode.New(resultcode.NoUpstream, "no upstream in service for %s", r.Route)
+		return choice, f.noUpstreamError(r)
 	}
 	return choice, nil
 }
 
+// noUpstreamError returns the refusal of a request for which no upstream can be chosen.
+func (f *dispatch) noUpstreamError(r *Request) error {
+	wait, ok := f.pool.BackoffWait(f.balanceRequest(r, nil))
+	if !ok {
+		return resultcode.New(resultcode.NoUpstream, "no upstream in service for %s", r.Route)
+	}
+	e := resultcode.New(resultcode.UpstreamsBackingOff, "all upstreams for %s accept no requests for some time", r.Route)
+	e.RetryAfter = wait + rand.N(retrySpread)
+	return e
+}
+
+// retrySpread is the time over which the callers return that were refused because all
+// upstreams back off, so that they don't return at the same moment.
+const retrySpread = time.Second
+
 // checkPermitted returns an error if a manifest that came into force after the
 // version was chosen no longer permits it.
 func (f *dispatch) checkPermitted(r *Request) error {
@@ -166,9 +181,9 @@
 	return err
 }
 
-// errUpstreamLeft means that the upstream was taken out of service after it was chosen
+// errUpstreamLeft means that the upstream stopped accepting requests after it was chosen
 // and before the request was sent.
-var errUpstreamLeft = errors.New("the upstream left before the request was sent")
+var errUpstreamLeft = errors.New("the upstream accepts no requests by now")
 
 func (f *dispatch) runService(ctx context.Context, r *Request) error {
 	call := r.Service
@@ -256,7 +271,7 @@
 
 func (f *dispatch) balanceOutcome(ctx context.Context, r *Request, started time.Time, err error) balance.Outcome {
 	var status *upstream.StatusError
-	o := balance.Outcome{Failed: err != nil && ctx.Err() == nil}
+	o := balance.Outcome{Failed: err != nil && ctx.Err() == nil, SentAt: started, Withheld: errors.Is(err, upstream.ErrWithheld)}
 	if errors.As(err, &status) {
 		o.Leaving = status.Leaving
 		o.Refused = true
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -94,10 +94,11 @@
 	return slices.DeleteFunc(list, func(u *balance.Upstream) bool { return !u.ReportedAt.IsZero() })
 }
 
-// pollLoad requests the load of the upstreams that this host sends to.
+// pollLoad requests the load of the upstreams that this host sends to, except those that back off.
 func (h *Host) pollLoad(ctx context.Context) error {
 	return runPeriodically(ctx, h.settings.PollLoad, func() {
-		h.fetchLoads(ctx, h.pool.View())
+		now := time.Now()
+		h.fetchLoads(ctx, slices.DeleteFunc(h.pool.View(), func(u *balance.Upstream) bool { return u.Backoff.Active(now) }))
 		h.updateFleetSize()
 	})
 }
@@ -161,8 +162,14 @@
 	if n.Leaving {
 		h.setUpstreamLeaving(target.ID)
 	}
+	if n.Backoff > 0 && !h.pool.SetBackoff(target.ID, n.Backoff) {
+		h.log.Warn().Str("event", "upstream-backoff").Str("upstream", target.ID).Int64("for_ms", n.Backoff.Milliseconds()).Msg("")
+	}
 }
 
+// maySend reports whether a new request may still be sent to the target.
+func (h *Host) maySend(target upstream.Target) bool { return h.pool.MaySend(target.ID) }
+
 // setUpstreamLeaving takes an upstream out of service and informs the other hosts,
 // since the platform's host list contains the change only later.
 func (h *Host) setUpstreamLeaving(id string) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -61,13 +62,18 @@
 	headCounted bool
 	// answerHeader is the header of the upstream's answer; nil before it arrived.
 	answerHeader http.Header
+	// withheld is set if the request wasn't sent because of a notice that arrived after the choice.
+	withheld atomic.Bool
 }
 
 // send sends the request and returns the upstream's response, whose body isn't read yet, after
 // checking that it belongs to the request.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
-	a.sealedCall = &sealedconn.Call{OnWrite: func() { a.runState.Raise(runstate.MayHaveRun) }}
 	headCtx, cancel := context.WithCancelCause(ctx)
+	a.sealedCall = &sealedconn.Call{
+		Admit:   func() error { return a.admitWrite(cancel) },
+		OnWrite: func() { a.runState.Raise(runstate.MayHaveRun) },
+	}
 	req, err := a.buildRequest(a.sealedCall.Trace(headCtx))
 	if err != nil {
 		cancel(err)
@@ -100,6 +106,22 @@
 	return resp, nil
 }
 
+// errWithheld means that the request wasn't sent because the upstream stated after the choice that it
+// is leaving or accepts no requests.
+var errWithheld = errors.New("gateway: the upstream accepts no requests by now")
+
+// admitWrite returns an error if the upstream may no longer get the request, which may have waited
+// for a connection since the choice. It also cancels the call then, so that the transport doesn't
+// try other connections.
+func (a *attempt) admitWrite(cancel context.CancelCauseFunc) error {
+	if a.gateway.fleet.maySend(&a.choice) {
+		return nil
+	}
+	a.withheld.Store(true)
+	cancel(errWithheld)
+	return errWithheld
+}
+
 // buildRequest returns the request as it is sent to the upstream.
 func (a *attempt) buildRequest(ctx context.Context) (*http.Request, error) {
 	r, names := a.request, &a.gateway.settings.Headers
@@ -205,6 +227,8 @@
 		result.outcome = outcomeUnsent
 	}
 	switch {
+	case a.withheld.Load():
+		result.outcome = outcomeWithheld
 	case result.outcome == outcomeUnsent:
 	case errors.Is(err, errResponseTimeout), ctx.Err() != nil && time.Since(a.startedAt) > a.headTimeout:
 		result.outcome = outcomeSilent
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -31,9 +31,12 @@
 	outcomeAbandoned
 	// outcomeSilent: the request was sent and no response arrived within the timeout.
 	outcomeSilent
+	// outcomeWithheld: no byte of the request was sent, because the upstream stated after the choice
+	// that it is leaving or accepts no requests.
+	outcomeWithheld
 )
 
-var outcomeNames = [...]string{"done", "unsent", "refused", "unknown", "failed", "broken", "abandoned", "silent"}
+var outcomeNames = [...]string{"done", "unsent", "refused", "unknown", "failed", "broken", "abandoned", "silent", "withheld"}
 
 // String returns the outcome's name in logs and metrics.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -60,8 +63,10 @@
 }
 
 // notReached reports whether the attempt didn't reach the chosen upstream: no byte of the request
-// could be sent to its address, or another upstream listens there.
-func (r *attemptResult) notReached() bool { return r.outcome == outcomeUnsent || r.misdirected }
+// was sent to its address, or another upstream listens there.
+func (r *attemptResult) notReached() bool {
+	return r.outcome == outcomeUnsent || r.outcome == outcomeWithheld || r.misdirected
+}
 
 // guardOutcome returns the outcome in the terms of package guard.
 func (r *attemptResult) guardOutcome() guard.Outcome {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -70,7 +70,7 @@
 		result, err = d.makeAttempt(ctx, r, models)
 		switch {
 		case err != nil && r.attempts > 0 && errors.Is(err, errNoneAvailable):
-			return d.finalAnswer(ctx, r, previous) // the answer of the previous attempt, if it had one
+			return d.endWithoutUpstream(ctx, r, previous, err)
 		case err != nil:
 			return err
 		}
@@ -86,6 +86,17 @@
 	}
 }
 
+// endWithoutUpstream ends a request for whose next attempt no upstream is available: with the
+// refusal, which has the reason and the time to come back, if the previous attempt wasn't accepted,
+// and with the result of that attempt otherwise.
+func (d *dispatch) endWithoutUpstream(ctx context.Context, r *Request, previous attemptResult, refusal error) error {
+	notAccepted := previous.outcome == outcomeRefused || previous.outcome == outcomeWithheld
+	if notAccepted && ctx.Err() == nil && !r.answer.started {
+		return refusal
+	}
+	return d.finalAnswer(ctx, r, previous)
+}
+
 // makeAttempt makes one attempt, at the most suitable upstream. It returns an error if no attempt
 // was made.
 func (d *dispatch) makeAttempt(ctx context.Context, r *Request, models *modelSequence) (attemptResult, error) {
@@ -149,7 +160,7 @@
 	if !ok {
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
-			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Bool("bound", r.regions.restricted()).Msg("")
+			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Int("backing_off", counts.backingOff).Bool("bound", r.regions.restricted()).Msg("")
 		return nil, d.refusal(r, d.noUpstreamRefusal(r, counts))
 	}
 	r.attempts++
@@ -177,12 +188,21 @@
 	if counts.inService == 0 && counts.leaving > 0 {
 		return resultcode.Wrap(resultcode.UpstreamsLeaving, errNoneAvailable, "all upstreams of the service are leaving")
 	}
-	if counts.limited == 0 || counts.limited < counts.inService-counts.cold-counts.evacuated {
+	switch fleet := d.gateway.fleet; {
+	case counts.allLimited():
+		e := resultcode.Wrap(resultcode.UpstreamsLimited, errNoneAvailable, "nothing is left of the upstreams' limits")
+		e.RetryAfter = fleet.limitRetryAfter(r.Service)
+		return e
+	case counts.allHeldBack():
+		e := resultcode.Wrap(resultcode.UpstreamsBackingOff, errNoneAvailable, "all upstreams of the service accept no requests for some time")
+		e.RetryAfter = fleet.backoffRetryAfter(r.Service, r.regions)
+		if counts.limited > 0 {
+			e.RetryAfter = min(e.RetryAfter, fleet.limitRetryAfter(r.Service))
+		}
+		return e
+	default:
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneAvailable, "no upstream is in service")
 	}
-	e := resultcode.Wrap(resultcode.UpstreamsLimited, errNoneAvailable, "nothing is left of the upstreams' limits")
-	e.RetryAfter = d.gateway.fleet.limitRetryAfter(r.Service)
-	return e
 }
 
 // buildCriteria returns the criteria by which an upstream is chosen for the request.
@@ -278,7 +298,7 @@
 	if boottime.Until(r.Deadline) < minAttemptTime {
 		return false
 	}
-	if result.outcome == outcomeUnsent {
+	if result.outcome == outcomeUnsent || result.outcome == outcomeWithheld {
 		return true // no upstream received the request, so this isn't a repeat
 	}
 	return d.gateway.retryBudgets.get(r.Service).tryTake()
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -40,7 +40,7 @@
 		return d.refusal(r, resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
 	}
 	switch result.outcome {
-	case outcomeUnsent:
+	case outcomeUnsent, outcomeWithheld:
 		return d.refusal(r, resultcode.Wrap(resultcode.NoUpstream, result.err, "no upstream could be reached"))
 	case outcomeRefused:
 		return d.refusal(r, resultcode.Wrap(resultcode.QueueFull, result.err, "the upstreams took no more work"))
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -202,7 +202,7 @@
 			m.eject(now)
 		}
 		return
-	case outcomeAbandoned:
+	case outcomeAbandoned, outcomeWithheld:
 		return
 	}
 	if bad == 0 {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -17,6 +18,19 @@
 	// reportedLeavingUntil is the time until which the upstream counts as leaving because another
 	// host reported that it stated so.
 	reportedLeavingUntil time.Time
+	// backoff is the time for which the upstream accepts no requests of this host, and logged what
+	// was last logged of it.
+	backoff notice.Backoff
+	logged  loggedBackoff
+}
+
+// loggedBackoff is the backoff that was last logged for an upstream.
+type loggedBackoff struct {
+	// since is when the host logged that the backoff began; zero if the last log line states that
+	// it ended. statements counts the answers that stated it, and withheld the times that the
+	// upstream was passed over or a request to it wasn't sent because of it.
+	since                time.Time
+	statements, withheld int
 }
 
 // These are the sources, in log lines, of the information that an upstream is leaving: its entry, an
@@ -35,31 +49,121 @@
 	if id := resp.Header.Get(names.Instance); a.misdirected(resp) || id != "" && id != a.choice.upstream.ID {
 		return
 	}
-	n := notice.Read(resp.Header, notice.Headers{Leaving: names.Leaving})
+	n := notice.Read(resp.StatusCode, resp.Header, notice.Headers{Leaving: names.Leaving, RetryAfter: names.RetryAfter})
 	if len(n.Unreadable) > 0 {
 		a.gateway.log.Warn().Str("event", "notice-unreadable").Str("upstream", a.choice.upstream.ID).Str("request", a.request.ID).
-			Strs("headers", n.Unreadable).Str("leaving", headerText(a.statedLeaving())).Msg("")
-	}
-	if !n.IsZero() {
-		a.gateway.fleet.observeNotice(&a.choice, n)
+			Strs("headers", n.Unreadable).Str("leaving", headerText(a.statedLeaving())).Str("retry_after", headerText(a.statedRetryAfter())).Msg("")
 	}
+	a.gateway.fleet.observeNotice(&a.choice, n, resp.StatusCode != http.StatusServiceUnavailable)
 }
 
-// observeNotice applies what the chosen upstream stated in an answer to this host.
-func (f *Fleet) observeNotice(c *choice, n notice.Notice) {
+// observeNotice applies what the chosen upstream stated in an answer to this host. accepted is set
+// if the answer shows that the upstream accepts requests.
+func (f *Fleet) observeNotice(c *choice, n notice.Notice, accepted bool) {
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.chosenMember(c)
-	if m == nil || !n.Leaving || m.Leaving {
+	if m == nil {
 		return
 	}
-	if !m.isReportedLeaving(boottime.Now()) {
-		s.unreportedLeaving[m] = boottime.Now()
+	now := boottime.Now()
+	if n.Leaving && !m.Leaving {
+		if !m.isReportedLeaving(now) {
+			s.unreportedLeaving[m] = now
+		}
+		m.setLeaving(leavingSourceAnswer, zerolog.InfoLevel, f.log)
+	}
+	switch {
+	case n.Backoff > 0:
+		m.extendBackoff(n.Backoff, now, f.log)
+	case accepted && m.notices != nil && m.notices.backoff.Accepted(c.chosenAt):
+		m.logBackoffEnd("accepted", now, f.log)
+	}
+}
+
+// ensureNotices returns the state of the upstream's notices and creates it if there is none.
+func (m *member) ensureNotices() *noticeState {
+	if m.notices == nil {
+		m.notices = &noticeState{}
+		m.shard.noticed[m] = struct{}{}
+	}
+	return m.notices
+}
+
+// extendBackoff records that the upstream accepts no requests of this host for a duration, and logs
+// it if that is new.
+func (m *member) extendBackoff(d time.Duration, now time.Time, log zerolog.Logger) {
+	state := m.ensureNotices()
+	state.backoff.Extend(d, now)
+	state.logged.statements++
+	if state.logged.since.IsZero() {
+		state.logged.since = now
+		log.Warn().Str("event", "upstream-backoff").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).
+			Int64("for_ms", d.Milliseconds()).Int("in_flight", m.inFlight).Msg("")
 	}
-	m.setLeaving(leavingSourceAnswer, zerolog.InfoLevel, f.log)
 }
 
+// logBackoffEnd logs that the upstream may get requests again: it accepted one, or the time was over
+// and this host had none for it.
+func (m *member) logBackoffEnd(reason string, now time.Time, log zerolog.Logger) {
+	logged := &m.notices.logged
+	log.Info().Str("event", "upstream-backoff-ended").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).Str("reason", reason).
+		Int64("for_ms", now.Sub(logged.since).Milliseconds()).Int("statements", logged.statements).Int("withheld", logged.withheld).Msg("")
+	*logged = loggedBackoff{}
+}
+
+// backsOff reports whether this host may not send a request to the upstream now because of a backoff.
+func (m *member) backsOff(now time.Time) bool {
+	return m.notices != nil && !m.notices.backoff.Allows(now)
+}
+
+// noticesAllow reports whether the upstream's notices permit this host another request, and counts
+// a request that they don't permit.
+func (m *member) noticesAllow(now time.Time) bool {
+	if !m.backsOff(now) {
+		return true
+	}
+	m.notices.logged.withheld++
+	return false
+}
+
+// maySend reports whether a request may still be sent to the chosen upstream, which may have stated
+// since the choice that it is leaving or accepts no requests.
+func (f *Fleet) maySend(c *choice) bool {
+	s := f.shard(c.upstream.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, now := s.chosenMember(c), boottime.Now()
+	if m == nil || !m.isLeaving(now) && (m.notices == nil || !m.notices.backoff.Active(now)) {
+		return true
+	}
+	if m.notices != nil {
+		m.notices.logged.withheld++
+	}
+	return false
+}
+
+// backoffRetryAfter returns the time after which a request to the service that was refused because
+// its upstreams back off should be sent again: the shortest time until one of them may get a request,
+// and a random part of retrySpread, so that the callers don't return at the same moment.
+func (f *Fleet) backoffRetryAfter(service string, regions regionConstraint) time.Duration {
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, wait := boottime.Now(), notice.MaxBackoff
+	for m := range s.noticed {
+		if regions.allows(m.Zone) && m.inService(now, f.removalGrace) && m.backsOff(now) {
+			wait = min(wait, m.notices.backoff.Wait(now))
+		}
+	}
+	return wait + rand.N(retrySpread)
+}
+
+// retrySpread is the time over which the callers return that were refused because all upstreams
+// back off. By its end, the first of them has shown whether an upstream accepts requests again.
+const retrySpread = time.Second
+
 // setLeaving records that the upstream is leaving. It stays so until it restarts, whatever a later
 // entry states.
 func (m *member) setLeaving(source string, level zerolog.Level, log zerolog.Logger) {
@@ -103,15 +207,11 @@
 			if m == nil || m.Leaving || !until.After(now) {
 				continue
 			}
-			if m.notices == nil {
-				m.notices = &noticeState{}
-			}
 			if !m.isReportedLeaving(now) {
 				f.log.WithLevel(m.logLevel()).Str("event", "upstream-leaving").Str("upstream", m.ID).Str("service", m.Service).Str("zone", m.Zone).
 					Str("source", leavingSourceHost).Int64("age_ms", l.Age.Milliseconds()).Int("in_flight", m.inFlight).Msg("")
 			}
-			m.notices.reportedLeavingUntil = until
-			s.noticed[m] = struct{}{}
+			m.ensureNotices().reportedLeavingUntil = until
 		}
 	})
 }
@@ -121,10 +221,14 @@
 	now := boottime.Now()
 	f.eachShard(func(s *shard) {
 		for m := range s.noticed {
-			if m.isReportedLeaving(now) {
+			state := m.notices
+			if m.isReportedLeaving(now) || !state.backoff.IsOver(now) {
 				continue
 			}
-			if !m.Leaving {
+			if !state.logged.since.IsZero() {
+				m.logBackoffEnd("time", now, f.log)
+			}
+			if !state.reportedLeavingUntil.IsZero() && !m.Leaving {
 				f.log.WithLevel(m.logLevel()).Str("event", "upstream-leaving-expired").Str("upstream", m.ID).Str("service", m.Service).Msg("")
 			}
 			m.notices = nil
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +16,9 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
@@ -193,3 +199,165 @@
 		is.Equal(len(fleet.shard("svc").noticed), 0)
 	})
 }
+
+// rejectFor returns a handler that rejects requests with Retry-After while rejecting is set.
+func rejectFor(retryAfter string, rejecting *atomic.Bool, otherwise http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if !rejecting.Load() {
+			otherwise(w, req)
+			return
+		}
+		w.Header().Set("Retry-After", retryAfter)
+		respondNotRun(w, req)
+	}
+}
+
+func nowRejecting() *atomic.Bool {
+	rejecting := &atomic.Bool{}
+	rejecting.Store(true)
+	return rejecting
+}
+
+// An upstream that rejects a request with Retry-After gets none from this host in that time, by no way.
+func TestUpstreamThatStatesRetryAfterGetsRequests(t *testing.T) {
+	is := is.New(t)
+	rejecting := nowRejecting()
+	tg, near := newNoticeTest(t, rejectFor("60", rejecting, respondOK("ok")))
+	for _, route := range []string{"many", "once", "stream", "models", "fixed", "many"} {
+		is.Equal(tg.doRoute(route).status, http.StatusOK)
+	}
+	is.Equal(near.count(), 1)
+	is.Equal(tg.gateway.fleet.countAllUpstreams(), upstreamCounts{inService: 2, backingOff: 1})
+	is.Equal(tg.member("near").notices.logged.withheld > 0, true)
+}
+
+// When the time is over, a single request shows whether the upstream accepts requests again.
+func TestUpstreamAfterItsRetryAfter(t *testing.T) {
+	is := is.New(t)
+	rejecting := nowRejecting()
+	tg, near := newNoticeTest(t, rejectFor("0.2", rejecting, respondOK("near")))
+	tg.doRoute("many")
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		is.Equal(tg.doRoute("many").body, "far")
+	}
+	is.Equal(near.count(), 2) // one trial, which was rejected
+	rejecting.Store(false)
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		is.Equal(tg.doRoute("many").body, "near")
+	}
+	is.True(!tg.member("near").backsOff(boottime.Now()))
+	is.Equal(tg.member("near").notices.logged, loggedBackoff{}) // its end was logged
+}
+
+// No value may take an upstream out for good, and only status 503 states a backoff.
+func TestRetryAfterWithoutABackoff(t *testing.T) {
+	for _, test := range []struct {
+		desc, value string
+		status      int
+	}{
+		{"empty", "", http.StatusServiceUnavailable},
+		{"zero", "0", http.StatusServiceUnavailable},
+		{"negative", "-3", http.StatusServiceUnavailable},
+		{"garbage", "soon", http.StatusServiceUnavailable},
+		{"a date that is over", "Sun, 06 Nov 1994 08:49:37 GMT", http.StatusServiceUnavailable},
+		{"another status", "60", http.StatusTooManyRequests},
+		{"success", "60", http.StatusOK},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			tg, near := newNoticeTest(t, withHeader("Retry-After", test.value, respondStatus(test.status)))
+			tg.doRoute("many")
+			tg.doRoute("many")
+			is.Equal(near.count(), 2)
+		})
+	}
+}
+
+// The refusal must come at once, state its reason and when the first upstream may accept a request,
+// and burn no retry.
+func TestAllUpstreamsBackOff(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	one := tg.startUpstream("one", withHeader("Retry-After", "7", respondNotRun))
+	two := tg.startUpstream("two", withHeader("Retry-After", "9", respondNotRun))
+	for i := range 10 {
+		got := tg.doRoute("many")
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(got.body, "upstreams-backing-off"))
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds > 6 && seconds <= 7+retrySpread.Seconds()) // spread, so that the callers don't return at once
+		is.True(i > 0 || one.count()+two.count() == 2)
+	}
+	is.Equal(one.count()+two.count(), 2)
+}
+
+// A request that waits for a connection when the statement arrives must not be sent.
+func TestRequestThatWaitsForAConnectionDuringTheStatement(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		state func(tg *testGateway, c *choice)
+	}{
+		{"leaving", func(tg *testGateway, c *choice) {
+			tg.gateway.fleet.observeNotice(c, notice.Notice{Leaving: true}, true)
+		}},
+		{"backoff", func(tg *testGateway, c *choice) {
+			tg.gateway.fleet.observeNotice(c, notice.Notice{Backoff: time.Minute}, false)
+		}},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			tg, near := newNoticeTest(t, respondOK("near"))
+			dial, dialing, proceed := tg.gateway.transport.DialContext, make(chan struct{}), make(chan struct{})
+			var first sync.Once
+			tg.gateway.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				first.Do(func() {
+					close(dialing)
+					<-proceed
+				})
+				return dial(ctx, network, address)
+			}
+			answers := make(chan callerAnswer)
+			go func() { answers <- tg.doRoute("once") }()
+			<-dialing
+			test.state(tg, &choice{upstream: tg.member("near").Upstream})
+			close(proceed)
+			got := <-answers
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, "far") // also a request that may run once: it wasn't sent
+			is.Equal(near.count(), 0)
+			is.True(!tg.member("near").ejected(boottime.Now())) // not a fault of the upstream
+		})
+	}
+}
+
+// State is kept for upstreams that stated something only, and dropped when it ends.
+func TestStateOfABackoffIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := NewFleet(time.Second, zerolog.Nop())
+		fleet.ApplyEntry(Upstream{ID: "u", Service: "svc", Address: "10.0.0.1:80", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		m := fleet.shard("svc").members["u"]
+		c := choice{upstream: m.Upstream}
+		fleet.observeNotice(&c, notice.Notice{}, true)
+		is.True(m.notices == nil)
+		fleet.observeNotice(&c, notice.Notice{Backoff: time.Second}, false)
+		fleet.dropExpiredNotices()
+		is.True(m.backsOff(boottime.Now()))
+		time.Sleep(10 * time.Second)
+		fleet.dropExpiredNotices()
+		is.True(m.notices == nil)
+		is.Equal(len(fleet.shard("svc").noticed), 0)
+
+		fleet.observeNotice(&c, notice.Notice{Backoff: time.Minute}, false)
+		restarted := m.Upstream
+		restarted.Incarnation++
+		fleet.ApplyEntry(restarted, 2)
+		is.True(!fleet.shard("svc").members["u"].backsOff(boottime.Now())) // a backoff of the former incarnation
+		is.Equal(len(fleet.shard("svc").noticed), 0)
+		fleet.observeNotice(&c, notice.Notice{Backoff: time.Minute}, false) // a late answer of it
+		is.Equal(len(fleet.shard("svc").noticed), 0)
+	})
+}
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -86,11 +86,15 @@
 	if !m.inService(now, grace) || m.shard.policy.isEvacuated(m.Zone) {
 		return false
 	}
-	return m.coldBoundAllows(now) && m.limitAllows(now)
+	return m.noticesAllow(now) && m.coldBoundAllows(now) && m.limitAllows(now)
 }
 
-// recordSent counts a request to the upstream against its cold bound and its rate limit.
+// recordSent counts a request to the upstream against its cold bound, its rate limit and the trials
+// after a backoff.
 func (m *member) recordSent(now time.Time) {
+	if m.notices != nil {
+		m.notices.backoff.RecordSent(now)
+	}
 	if m.shard.coldBound.Rate > 0 {
 		m.ensureUsage().sent.Record(now)
 	}
@@ -131,9 +135,20 @@
 
 // upstreamCounts holds the number of upstreams that are in service, and the numbers of those among
 // them that are cold, in an evacuated zone, or rate-limited. Upstreams in evacuated zones aren't
-// counted as cold. leaving is the number of listed upstreams that aren't in service because they
-// are leaving.
-type upstreamCounts struct{ inService, cold, evacuated, limited, leaving int }
+// counted as cold. backingOff is the number of those that are neither and accept no requests of this
+// host because of a backoff. leaving is the number of listed upstreams that aren't in service because
+// they are leaving.
+type upstreamCounts struct{ inService, cold, evacuated, limited, backingOff, leaving int }
+
+// allLimited reports whether rate limits concern all upstreams in service that aren't cold or in an
+// evacuated zone, and allHeldBack whether rate limits or backoffs do.
+func (n *upstreamCounts) allLimited() bool {
+	return n.limited > 0 && n.limited >= n.inService-n.cold-n.evacuated
+}
+
+func (n *upstreamCounts) allHeldBack() bool {
+	return n.backingOff > 0 && n.limited+n.backingOff >= n.inService-n.cold-n.evacuated
+}
 
 // countUpstreams counts a service's upstreams in the regions.
 func (f *Fleet) countUpstreams(service string, regions regionConstraint) upstreamCounts {
@@ -171,6 +186,9 @@
 			n.evacuated++
 		case m.isCold(now):
 			n.cold++
+		case m.backsOff(now):
+			n.backingOff++
+			continue
 		}
 		if m.isLimited(now) {
 			n.limited++
--- a/internal/sealedconn/call.go
+++ b/internal/sealedconn/call.go
@@ -35,6 +35,9 @@
 	// Repeatable allows the transport to resend the call on a second
 	// connection. Default: false.
 	Repeatable bool
+	// Admit, if set, is called before the first write of the call while the call's mutex is
+	// held. If it returns an error, the write fails with it, and the call is sealed.
+	Admit func() error
 	// OnWrite, if set, is called before each write of the call while the call's
 	// mutex is held.
 	OnWrite func()
@@ -125,6 +128,12 @@
 	if c.writtenConn != nil && c.writtenConn != conn && !c.Repeatable {
 		return errAlreadySent
 	}
+	if c.writtenConn == nil && c.Admit != nil {
+		if err := c.Admit(); err != nil {
+			c.sealed = true
+			return err
+		}
+	}
 	c.writtenConn = conn
 	c.pendingWrites++
 	if c.OnWrite != nil {
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -53,6 +53,9 @@
 	if e.faults.get().Leaving {
 		return errLeaving
 	}
+	if e.faults.get().RejectRetryAfter != "" {
+		return errRejecting
+	}
 	if !e.versions.has(modelVersion) {
 		return errNotLoaded
 	}
@@ -79,6 +82,8 @@
 	case errors.Is(cause, errQueueFull):
 		status = http.StatusTooManyRequests
 		h.Set("Retry-After", "1")
+	case errors.Is(cause, errRejecting):
+		h.Set("Retry-After", e.faults.get().RejectRetryAfter)
 	default:
 		h.Set("Retry-After", "1")
 	}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -33,6 +33,9 @@
 	// LeavingHeader sets the leaving header in all answers. The load report and the host list
 	// don't contain it, and new requests are served.
 	LeavingHeader bool `json:"leaving_header,omitempty"`
+	// RejectRetryAfter refuses new requests with this value of Retry-After; empty means that
+	// they are served.
+	RejectRetryAfter string `json:"reject_retry_after,omitempty"`
 }
 
 // VersionFault configures the faults of one version.
--- a/internal/standin/engine/queue.go
+++ b/internal/standin/engine/queue.go
@@ -11,6 +11,7 @@
 	errQueueFull = errors.New("queue is full")
 	errNotLoaded = errors.New("version isn't loaded")
 	errLeaving   = errors.New("engine is leaving")
+	errRejecting = errors.New("engine rejects requests")
 )
 
 // slotPool limits the running requests to capacity. Up to maxQueue further ones
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -118,8 +118,12 @@
 		return
 	}
 	s.arrivals.record(id, key, func(a *Arrival) { a.Bodies++ })
-	if s.faults.get().Leaving {
-		s.refuse(w, id, key)
+	switch f := s.faults.get(); {
+	case f.Leaving:
+		s.refuse(w, id, key, "1")
+		return
+	case f.RejectRetryAfter != "":
+		s.refuse(w, id, key, f.RejectRetryAfter)
 		return
 	}
 	s.arrivals.record(id, key, func(a *Arrival) { a.Runs++ })
@@ -133,12 +137,12 @@
 }
 
 // refuse sends an error response that states that the request wasn't run.
-func (s *Service) refuse(w http.ResponseWriter, id, key string) {
+func (s *Service) refuse(w http.ResponseWriter, id, key, retryAfter string) {
 	s.arrivals.record(id, key, func(a *Arrival) { a.Refused++ })
 	w.Header().Set(upstream.HeaderNotRun, "1")
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", retryAfter)
 	s.setLoadHeaders(w.Header())
-	http.Error(w, "leaving", http.StatusServiceUnavailable)
+	http.Error(w, "no new requests", http.StatusServiceUnavailable)
 }
 
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -5,7 +5,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 )
 
 // leavingValue is the value of the leaving header of an upstream that is leaving.
@@ -15,40 +17,47 @@
 type Headers struct {
 	// Leaving states with the value "1" that the upstream is leaving.
 	Leaving string
+	// RetryAfter states, in an answer with status 503, for how long the upstream accepts no
+	// requests of the host that it answers. The standard name is Retry-After.
+	RetryAfter string
 }
 
 // Notice is what the head of one answer states.
 type Notice struct {
 	// Leaving is set if the upstream is leaving: it accepts no new requests, and terminates soon.
 	Leaving bool
+	// Backoff is the time for which the upstream accepts no requests of this host; 0 if it states
+	// none.
+	Backoff time.Duration
 	// Unreadable holds the names of the headers with a value that has no defined meaning. Such a
 	// value binds nobody.
 	Unreadable []string
 }
 
-// Read returns what the head of an answer states, whatever its status.
-func Read(header http.Header, names Headers) Notice {
+// Read returns what the head of an answer states. Retry-After counts with status 503 only: with 429
+// it can concern a single account.
+func Read(status int, header http.Header, names Headers) Notice {
 	var n Notice
+	if status == http.StatusServiceUnavailable {
+		backoff, readable := RetryAfter(header, names.RetryAfter)
+		n.Backoff = backoff
+		if !readable {
+			n.Unreadable = append(n.Unreadable, names.RetryAfter)
+		}
+	}
 	for _, value := range header.Values(names.Leaving) {
 		switch strings.TrimSpace(value) {
 		case leavingValue:
 			n.Leaving = true
 		case "", "0":
 		default:
-			n.addUnreadable(names.Leaving)
+			if !slices.Contains(n.Unreadable, names.Leaving) {
+				n.Unreadable = append(n.Unreadable, names.Leaving)
+			}
 		}
 	}
 	return n
 }
 
-func (n *Notice) addUnreadable(name string) {
-	for _, known := range n.Unreadable {
-		if known == name {
-			return
-		}
-	}
-	n.Unreadable = append(n.Unreadable, name)
-}
-
 // IsZero reports whether the head states nothing.
-func (n Notice) IsZero() bool { return !n.Leaving && len(n.Unreadable) == 0 }
+func (n Notice) IsZero() bool { return !n.Leaving && n.Backoff == 0 && len(n.Unreadable) == 0 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-var testNames = Headers{Leaving: "T-Leaving"}
+var testNames = Headers{Leaving: "T-Leaving", RetryAfter: "T-Retry-After"}
 
 func TestLeavingValues(t *testing.T) {
 	tests := []struct {
@@ -33,7 +33,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
-			got := Read(http.Header{"T-Leaving": test.values}, testNames)
+			got := Read(http.StatusOK, http.Header{"T-Leaving": test.values}, testNames)
 			is.Equal(got.Leaving, test.leaving)
 			is.Equal(len(got.Unreadable), test.unreadable)
 			is.Equal(got.IsZero(), !test.leaving && test.unreadable == 0)
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -45,13 +45,14 @@
 	ClassNotPermitted   Code = 2005
 
 	// 3xxx: capacity, limits and deadlines.
-	AccountLimit       Code = 3001
-	QueueFull          Code = 3002
-	DeadlineUnmeetable Code = 3003
-	NoUpstream         Code = 3004
-	ExposureSpent      Code = 3005
-	UpstreamsLimited   Code = 3006
-	UpstreamsLeaving   Code = 3007
+	AccountLimit        Code = 3001
+	QueueFull           Code = 3002
+	DeadlineUnmeetable  Code = 3003
+	NoUpstream          Code = 3004
+	ExposureSpent       Code = 3005
+	UpstreamsLimited    Code = 3006
+	UpstreamsLeaving    Code = 3007
+	UpstreamsBackingOff Code = 3008
 
 	// 4xxx: upstreams.
 	UpstreamUnreachable Code = 4001
@@ -122,6 +123,7 @@
 	{ExposureSpent, "exposure-spent", 503, notRun, 2 * time.Second, "The only permitted version has spent its exposure budget or was stopped."},
 	{UpstreamsLimited, "upstreams-limited", 503, notRun, time.Second, "The upstreams that may run the request name limits, of which nothing is left now."},
 	{UpstreamsLeaving, "upstreams-leaving", 503, notRun, 2 * time.Second, "All upstreams that may run the request are leaving and accept no new requests."},
+	{UpstreamsBackingOff, "upstreams-backing-off", 503, notRun, 2 * time.Second, "The upstreams that may run the request stated that they accept none for some time; Retry-After is when the first of them may accept one."},
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
 	{AnswerIncomplete, "answer-incomplete", 502, ran, 0, "The answer began and could not be completed on the same version."},
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -79,6 +79,8 @@
 	MaxCancels int
 	// OnNotice receives what the heads of answers state. Default: none.
 	OnNotice NoticeFunc
+	// Admit permits each new request once more when it is written. Default: all.
+	Admit AdmitFunc
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
@@ -157,7 +159,7 @@
 
 // send posts the call and returns the response if its status is a success.
 func (e *EngineClient) send(ctx context.Context, target Target, call Call, body []byte, state *runstate.Tracker) (*http.Response, error) {
-	attempt := newAttempt(state)
+	attempt := newAttempt(state, target, e.opts.Admit)
 	req, err := newRequest(attempt.Trace(ctx), http.MethodPost, target, pathCompletions, body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/upstream/header.go
+++ b/upstream/header.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/notice"
 )
 
 // Headers of the protocol between this client and upstreams.
@@ -18,7 +20,8 @@
 	HeaderNotRun       = "X-Not-Run"
 	HeaderLastEventID  = "Last-Event-Id"
 
-	headerTrue = "1"
+	headerTrue       = "1"
+	headerRetryAfter = "Retry-After"
 )
 
 // hopByHop lists the headers that apply to a single connection (RFC 9110,
@@ -64,12 +67,8 @@
 	return load, true
 }
 
-// parseRetryAfter returns the value of Retry-After if it is given in seconds,
-// and 0 otherwise.
+// parseRetryAfter returns the time that Retry-After states; 0 if it states none.
 func parseRetryAfter(h http.Header) time.Duration {
-	n, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || n < 0 {
-		return 0
-	}
-	return time.Duration(n) * time.Second
+	d, _ := notice.RetryAfter(h, headerRetryAfter)
+	return d
 }
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -115,6 +115,9 @@
 	if !errors.As(err, &status) {
 		return false
 	}
+	if status.Status == http.StatusServiceUnavailable && status.RetryAfter > 0 {
+		return true // the upstream accepts nothing for longer than a frame may take
+	}
 	return status.Status < http.StatusInternalServerError && status.Status != http.StatusTooManyRequests
 }
 
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -34,6 +34,8 @@
 	MaxResponseBytes int
 	// OnNotice receives what the heads of answers state. Default: none.
 	OnNotice NoticeFunc
+	// Admit permits each new request once more when it is written. Default: all.
+	Admit AdmitFunc
 }
 
 func (o ServiceOptions) withDefaults() ServiceOptions {
@@ -72,7 +74,7 @@
 func (s *ServiceClient) Do(ctx context.Context, target Target, call ServiceCall, state *runstate.Tracker) (ServiceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
 	defer cancel()
-	attempt := newAttempt(state)
+	attempt := newAttempt(state, target, s.opts.Admit)
 	attempt.Repeatable = call.Idempotent
 	req, err := newRequest(attempt.Trace(ctx), call.Method, target, call.Path, call.Body)
 	if err != nil {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -32,6 +32,15 @@
 
 // newAttempt returns a call that raises state to MayHaveRun before the first
 // byte is written.
-func newAttempt(state *runstate.Tracker) *sealedconn.Call {
-	return &sealedconn.Call{OnWrite: func() { state.Raise(runstate.MayHaveRun) }}
+func newAttempt(state *runstate.Tracker, target Target, admit AdmitFunc) *sealedconn.Call {
+	call := &sealedconn.Call{OnWrite: func() { state.Raise(runstate.MayHaveRun) }}
+	if admit != nil {
+		call.Admit = func() error {
+			if !admit(target) {
+				return ErrWithheld
+			}
+			return nil
+		}
+	}
+	return call
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -25,6 +25,8 @@
 	// ErrNotSent means that no byte of the request was sent, for example because
 	// no connection could be established.
 	ErrNotSent = errors.New("upstream: request not sent")
+	// ErrWithheld is the cause, inside ErrNotSent, if Admit didn't permit the request.
+	ErrWithheld = errors.New("upstream: the upstream accepts no requests by now")
 	// ErrBroken means that the call failed after bytes of it may have been sent.
 	ErrBroken = errors.New("upstream: connection broken")
 	// ErrIncomplete means that a stream ended without its end marker and could
