gateway: a header of an upstream's answer that nothing reads is logged and counted

The list of the headers of answers stands in PLATFORM-PROTOCOL; TestDocumentedAnswerHeaders compares it with the names of package platform in both directions. A header of an answer that is in neither is logged the first time (answer-header-unknown, 32 names at most) and counted in quetzalweir_gateway_answer_headers_unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,6 +95,7 @@
 	// The context is canceled when the body is closed, which every caller of send does.
 	resp.Body = &cancelOnClose{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
 	a.observeNotice(resp)
+	a.gateway.unknownHeaders.observe(resp.Header, a.choice.upstream.ID)
 	if err := a.checkResponse(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	inFlight atomic.Int64
 	// hostCount is the number of hosts of the installation; 0 while it is unknown.
 	hostCount atomic.Int64
+	// unknownHeaders finds headers of upstreams' answers that nothing reads.
+	unknownHeaders *unknownHeaders
 	// stopping is set when the host begins to stop. Callers' connections are then closed after
 	// their next answer.
 	stopping atomic.Bool
@@ -104,6 +106,7 @@
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
 	})
+	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
 	return g
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -48,6 +48,14 @@
 	Session string
 	// Reserved are further headers that a caller must not set.
 	Reserved []string
+	// PassedOn are further headers of upstreams' answers. They are passed on to the caller and state
+	// nothing that concerns a host.
+	PassedOn []string
+}
+
+// AnswerHeaders returns the headers of upstreams' answers that the gateway reads or compares.
+func (h *Headers) AnswerHeaders() []string {
+	return []string{h.RequestID, h.Instance, h.Stamp, h.NotRun, h.Load, h.Limit, h.Leaving, h.RetryAfter, h.Confidence}
 }
 
 // hopByHop are the headers that apply to a single connection, RFC 9110 section 7.6.1.
