gateway: an upstream that rejects requests without a time doesn't draw them

Now an upstream that rejected a request without Retry-After is avoided for 0.2 s, doubled with each rejection in a row up to 1.6 s, as long as another one is left; one accepted request ends it. It is a preference, so that no capacity is lost where all reject.

TestUpstreamThatRejectsRequestsDrawsMore fails without it (each request reaches the upstream that rejects first, and the retry budget ends); the case of an only upstream has a test too.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -146,6 +146,7 @@
 	list = filterUnlessEmpty(list, func(m *member) bool { return m.removedAt.IsZero() })
 	list = filterUnlessEmpty(list, func(m *member) bool { return !slices.Contains(crit.excludedIDs, m.ID) })
 	list = filterUnlessEmpty(list, func(m *member) bool { return !m.ejected(now) })
+	list = filterUnlessEmpty(list, func(m *member) bool { return !m.rejecting(now) })
 	return dropFailing(list, now)
 }
 
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -29,6 +29,11 @@
 	// timeoutsToEject is the number of consecutive timeouts after which an upstream counts as
 	// unreachable. A single timeout can be due to an unusually long request.
 	timeoutsToEject = 2
+	// rejectionTime is how long an upstream that rejected a request without a Retry-After is avoided
+	// if others are available. It doubles with each rejection since the last accepted request, up to
+	// maxRejectionDoublings times.
+	rejectionTime         = 200 * time.Millisecond
+	maxRejectionDoublings = 3
 	// maxExcessFailureRate is how far an upstream's failure rate may exceed the mean of the
 	// candidates. Above that the upstream is avoided if another candidate fails less often.
 	maxExcessFailureRate = 0.45
@@ -90,6 +95,10 @@
 	ejections     int
 	// timeouts counts the timeouts since the last successful attempt.
 	timeouts int
+	// rejections counts the rejected requests since the last accepted one. The upstream is avoided
+	// until rejectedUntil.
+	rejections    int
+	rejectedUntil time.Time
 }
 
 // ensureUsage returns the member's usage and creates it if there is none.
@@ -179,6 +188,11 @@
 	return m.usage != nil && !now.After(m.usage.ejectedUntil)
 }
 
+// rejecting reports whether the upstream is avoided because it rejected the last request.
+func (m *member) rejecting(now time.Time) bool {
+	return m.usage != nil && m.usage.rejections > 0 && now.Before(m.usage.rejectedUntil)
+}
+
 // observeResult records the result of an attempt.
 func (m *member) observeResult(result attemptResult, now time.Time) {
 	if result.load != "" {
@@ -200,12 +214,19 @@
 	case outcomeRefused:
 		if result.misdirected {
 			m.eject(now)
+			return
+		}
+		if m.notices != nil && m.notices.backoff.Active(now) {
+			return // the upstream stated when it accepts requests again
 		}
+		u.rejectedUntil = now.Add(rejectionTime << min(u.rejections, maxRejectionDoublings))
+		u.rejections++
 		return
 	case outcomeAbandoned, outcomeWithheld:
 		return
 	}
 	if bad == 0 {
+		u.rejections = 0
 		u.ejections = 0
 		u.timeouts = 0
 	}
--- a/internal/gateway/memberindex.go
+++ b/internal/gateway/memberindex.go
@@ -219,7 +219,7 @@
 	near, region, all := idx.zonesFor(crit, s.topology)
 	usable := func(m *member) bool {
 		return m.removedAt.IsZero() && crit.admitsVersion(m.Version) && !slices.Contains(crit.excludedIDs, m.ID) &&
-			!m.ejected(now) && m.acceptsRequests(now, grace)
+			!m.ejected(now) && !m.rejecting(now) && m.acceptsRequests(now, grace)
 	}
 	list := candidateList{members: make([]*member, 0, maxCacheHolders+sameZoneDraws+otherZoneDraws+2)}
 	if crit.prompt != nil {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -361,3 +361,29 @@
 		is.Equal(len(fleet.shard("svc").noticed), 0)
 	})
 }
+
+// An upstream that rejects requests at once has none in flight and looks idle, and must not draw all
+// requests for that.
+func TestUpstreamThatRejectsRequestsDrawsMore(t *testing.T) {
+	is := is.New(t)
+	rejecting := nowRejecting()
+	tg, near := newNoticeTest(t, rejectFor("", rejecting, respondOK("near")))
+	for range 20 {
+		is.Equal(tg.doRoute("many").body, "far")
+	}
+	is.True(near.count() <= 2)
+	rejecting.Store(false)
+	eventually(t, "it is used again", func() bool { return tg.doRoute("many").body == "near" })
+	is.Equal(tg.member("near").usage.rejections, 0)
+}
+
+// Without another upstream, one that rejected a request is used all the same: it stated no time.
+func TestOnlyUpstreamThatRejectsRequests(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	only := tg.startUpstream("only", respondNotRun)
+	is.Equal(tg.doRoute("many").status, http.StatusServiceUnavailable)
+	before := only.count()
+	is.Equal(tg.doRoute("many").status, http.StatusServiceUnavailable)
+	is.True(only.count() > before)
+}
