notice: trials half a second apart; one spread for both front doors

A rejection that takes a second to arrive, on a slow host or a link that loses packets, let four trials out, 250 ms apart, before the host knew that the upstream still rejects: three of them could reach it later than half a second after its answer, where two are permitted. At half a second apart two are on their way by then. The spread of the callers' return stood in both doors and is in package notice now; serve logs the end of a backoff, too, as the gateway does. A withheld request no longer counts as accepted in serve's pool.

A test for Admit of sealedconn and two cases for BackoffFilter are added. balance, notice, sealedconn, entry and the gateway's tests of notices pass.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -222,11 +222,13 @@
 	return begun
 }
 
-// End records the outcome of a request that Begin counted.
-func (p *Pool) End(id string, outcome Outcome) {
+// End records the outcome of a request that Begin counted, and reports whether it
+// ended the upstream's backoff.
+func (p *Pool) End(id string, outcome Outcome) (backoffEnded bool) {
 	p.changeEntry(id, func(e *poolEntry) {
-		e.end(outcome, p.options.Clock(), p.options.Ejection, p.jitter())
+		backoffEnded = e.end(outcome, p.options.Clock(), p.options.Ejection, p.jitter())
 	})
+	return backoffEnded
 }
 
 // jitter returns a random number from 0 to 1.
--- a/balance/pool_entry.go
+++ b/balance/pool_entry.go
@@ -123,19 +123,20 @@
 	return true
 }
 
-func (e *poolEntry) end(outcome Outcome, now time.Time, ejection Ejection, jitter float64) {
+// end records an outcome and reports whether it ended a backoff.
+func (e *poolEntry) end(outcome Outcome, now time.Time, ejection Ejection, jitter float64) (backoffEnded bool) {
 	if len(e.startTimes) > 0 {
 		e.startTimes = e.startTimes[1:]
 	}
 	if outcome.Leaving {
 		e.state.Leaving = true
 	}
-	if !outcome.Failed {
-		e.state.Backoff.Accepted(outcome.SentAt)
-	}
 	if outcome.Withheld {
 		e.updateCounters()
-		return
+		return false
+	}
+	if !outcome.Failed {
+		backoffEnded = e.state.Backoff.Accepted(outcome.SentAt)
 	}
 	failed := outcome.Failed && !outcome.Leaving
 	if outcome.Refused {
@@ -146,6 +147,7 @@
 	e.observeError(failed, now)
 	e.state.EjectedUntil = e.ejection.observe(failed, e.state.ErrorRate, now, ejection, jitter)
 	e.updateCounters()
+	return backoffEnded
 }
 
 // loadExplainsRefusal reports whether the corrected load reaches the capacity.
--- a/balance/selector_test.go
+++ b/balance/selector_test.go
@@ -29,6 +29,7 @@
 	service := &Upstream{ID: "s", Kind: storage.KindService, Name: "desk"}
 	unreported := modify(newEngine("a", 0), func(u *Upstream) { u.Versions = nil })
 	leaving := modify(newEngine("a", 0), func(u *Upstream) { u.Leaving = true })
+	backingOff := modify(newEngine("a", 0), func(u *Upstream) { u.Backoff.Extend(time.Second, start) })
 	tests := []struct {
 		desc   string
 		filter Filter
@@ -37,6 +38,8 @@
 		want   []string
 	}{
 		{"a leaving upstream is dropped", LeavingFilter{}, *modelRequest, []*Upstream{leaving, newEngine("b", 0)}, []string{"b"}},
+		{"an upstream that backs off is dropped", BackoffFilter{}, *modelRequest, []*Upstream{backingOff, newEngine("b", 0)}, []string{"b"}},
+		{"the only upstream that backs off is dropped, too", BackoffFilter{}, *modelRequest, []*Upstream{backingOff}, []string{}},
 		{"an engine with the version is kept", VersionFilter{}, *modelRequest, []*Upstream{newEngine("a", 0), service}, []string{"a"}},
 		{"engines without the version are dropped", VersionFilter{}, Request{Model: "m", Version: "2"}, []*Upstream{newEngine("a", 0)}, []string{}},
 		{"an engine without a report is dropped", VersionFilter{}, *modelRequest, []*Upstream{unreported}, []string{}},
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -111,14 +112,10 @@
 		return resultcode.New(resultcode.NoUpstream, "no upstream in service for %s", r.Route)
 	}
 	e := resultcode.New(resultcode.UpstreamsBackingOff, "all upstreams for %s accept no requests for some time", r.Route)
-	e.RetryAfter = wait + rand.N(retrySpread)
+	e.RetryAfter = notice.RetryAfterRefusal(wait)
 	return e
 }
 
-// retrySpread is the time over which the callers return that were refused because all
-// upstreams back off, so that they don't return at the same moment.
-const retrySpread = time.Second
-
 // checkPermitted returns an error if a manifest that came into force after the
 // version was chosen no longer permits it.
 func (f *dispatch) checkPermitted(r *Request) error {
@@ -177,7 +174,9 @@
 		r.brokenUpstream = &target
 	}
 	r.Faulted = r.Faulted || countsAgainstVersion(ctx, err)
-	f.pool.End(id, f.balanceOutcome(ctx, r, started, err))
+	if f.pool.End(id, f.balanceOutcome(ctx, r, started, err)) {
+		f.log.Info().Str("event", "upstream-backoff-ended").Str("upstream", id).Str("request", r.ID).Msg("")
+	}
 	return err
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -145,8 +144,7 @@
 }
 
 // backoffRetryAfter returns the time after which a request to the service that was refused because
-// its upstreams back off should be sent again: the shortest time until one of them may get a request,
-// and a random part of retrySpread, so that the callers don't return at the same moment.
+// its upstreams back off should be sent again.
 func (f *Fleet) backoffRetryAfter(service string, regions regionConstraint) time.Duration {
 	s := f.shard(service)
 	s.mu.Lock()
@@ -157,13 +155,9 @@
 			wait = min(wait, m.notices.backoff.Wait(now))
 		}
 	}
-	return wait + rand.N(retrySpread)
+	return notice.RetryAfterRefusal(wait)
 }
 
-// retrySpread is the time over which the callers return that were refused because all upstreams
-// back off. By its end, the first of them has shown whether an upstream accepts requests again.
-const retrySpread = time.Second
-
 // setLeaving records that the upstream is leaving. It stays so until it restarts, whatever a later
 // entry states.
 func (m *member) setLeaving(source string, level zerolog.Level, log zerolog.Logger) {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -288,7 +288,7 @@
 		is.True(strings.Contains(got.body, "upstreams-backing-off"))
 		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 		is.NoErr(err)
-		is.True(seconds > 6 && seconds <= 7+retrySpread.Seconds()) // spread, so that the callers don't return at once
+		is.True(seconds > 6 && seconds <= 7+notice.RetrySpread.Seconds()) // spread, so that the callers don't return at once
 		is.True(i > 0 || one.count()+two.count() == 2)
 	}
 	is.Equal(one.count()+two.count(), 2)
--- a/internal/sealedconn/call_test.go
+++ b/internal/sealedconn/call_test.go
@@ -164,3 +164,29 @@
 	call.gotConn(httptrace.GotConnInfo{Conn: new(net.TCPConn)})
 	is.New(t).Equal(call.Abandon(), Written)
 }
+
+// A call that isn't admitted writes nothing, on no connection; one that is isn't asked again.
+func TestCallThatIsNotAdmitted(t *testing.T) {
+	is := is.New(t)
+	refused := errors.New("not admitted")
+	conn, inner := newBlockingConn()
+	onWriteCalls := 0
+	call := &Call{Admit: func() error { return refused }, OnWrite: func() { onWriteCalls++ }}
+	call.attach(conn)
+	expectWriteError(t, conn, inner, refused)
+	is.Equal(call.Seal(), NotStarted)
+	other, otherInner := newBlockingConn()
+	call.attach(other)
+	expectWriteError(t, other, otherInner, errCallEnded)
+	is.Equal(onWriteCalls, 0)
+
+	admissions := 0
+	conn, inner = newBlockingConn()
+	call = &Call{Admit: func() error { admissions++; return nil }}
+	call.attach(conn)
+	for range 2 {
+		is.NoErr(writeWithResult(conn, inner, writeResult{n: 7}))
+	}
+	is.Equal(admissions, 1)
+	is.Equal(call.Seal(), Written)
+}
--- a/notice/backoff.go
+++ b/notice/backoff.go
@@ -1,11 +1,19 @@
 package notice
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// TrialInterval is the minimum time between two requests to an upstream whose backoff has ended
-	// and that hasn't accepted a request since.
-	TrialInterval = 250 * time.Millisecond
+	// and that hasn't accepted a request since. If the first one's rejection takes a second to
+	// arrive, two more are sent before it.
+	TrialInterval = 500 * time.Millisecond
+	// RetrySpread is the time over which the callers return that were refused because all upstreams
+	// back off, so that they don't return at the same moment. By its end, a trial has shown whether
+	// an upstream accepts requests again.
+	RetrySpread = time.Second
 	// trialTime is how long after its end a backoff still limits the requests. A host that has sent
 	// no request by then begins anew.
 	trialTime = 5 * time.Second
@@ -59,6 +67,10 @@
 	return true
 }
 
+// RetryAfterRefusal returns the time after which a caller that was refused because all upstreams back off
+// should return, given the shortest Wait of them.
+func RetryAfterRefusal(wait time.Duration) time.Duration { return wait + rand.N(RetrySpread) }
+
 // Wait returns the time until the next request may be sent; 0 if one may be sent now.
 func (b *Backoff) Wait(now time.Time) time.Duration {
 	if b.Allows(now) {
