--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -180,8 +180,8 @@
 	return err
 }
 
-// errUpstreamLeft means that the upstream stopped accepting requests after it was chosen
-// and before the request was sent.
+// errUpstreamLeft means that the upstream stopped accepting requests between the choice
+// and the sending of the request.
 var errUpstreamLeft = errors.New("the upstream accepts no requests by now")
 
 func (f *dispatch) runService(ctx context.Context, r *Request) error {
