gateway: contended services: their requirements, when features are active, what engines state

This commit adds what they share: the fourth figure of the load header, by which a service counts as contended, the engines' sizes and rates in the routing document, a flag for each feature (auto, on, off), and the names of the headers. accountShares and returnTimes are empty until their features are merged. Nothing else uses any of it yet, so no request is sent elsewhere than before.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -24,6 +24,12 @@
 	FirstModel       int    `help:"Step at which a request with a choice of models starts, 0 for the cheapest." default:"0"`
 	AcceptConfidence int    `help:"Confidence, 0 to 100, from which a cheaper model's answer is passed on." default:"50"`
 	LogLevel         string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
+	EngineState      string `help:"Place prompts by the speed, batch slots and memory of each engine." enum:"auto,on,off" default:"auto"`
+	HoldRequests     string `help:"Hold requests until an engine can begin them in time, and refuse those that can't be served." enum:"auto,on,off" default:"auto"`
+	AccountShares    string `help:"Divide the engines' time among the client accounts." enum:"auto,on,off" default:"auto"`
+	ReturnSchedule   string `help:"Give refused callers times at which there is capacity for them." enum:"auto,on,off" default:"auto"`
+	CacheFetch       string `help:"Let engines fetch cached parts of prompts from each other." enum:"auto,on,off" default:"auto"`
+	StreamMoves      string `help:"Move streams that can't end in time to other engines." enum:"auto,on,off" default:"auto"`
 }
 
 // memoryLimitPercent is the soft memory limit, at which the garbage collector
@@ -98,15 +104,23 @@
 			Listen: fileSettings.PeerAddress, Seeds: fileSettings.Seeds, FirstStart: fileSettings.FirstStart, Cores: fileSettings.Cores, LinkMbps: fileSettings.LinkMbps,
 			Keys: store.Table(platform.SharedKeyTable),
 		},
-		StopTimeout:      fileSettings.StopTimeout,
-		DrainTime:        fileSettings.DrainTime,
-		ApplyTime:        fileSettings.ApplyTime,
-		RetryRatio:       fileSettings.RetryRatio,
-		RetryWindow:      fileSettings.RetryWindow,
-		RetryHeadroom:    fileSettings.RetryHeadroom,
-		CanaryShare:      fileSettings.CanaryShare,
-		ColdOverrun:      fileSettings.ColdOverrun,
-		ColdHeadroom:     fileSettings.ColdHeadroom,
+		StopTimeout:   fileSettings.StopTimeout,
+		DrainTime:     fileSettings.DrainTime,
+		ApplyTime:     fileSettings.ApplyTime,
+		RetryRatio:    fileSettings.RetryRatio,
+		RetryWindow:   fileSettings.RetryWindow,
+		RetryHeadroom: fileSettings.RetryHeadroom,
+		CanaryShare:   fileSettings.CanaryShare,
+		ColdOverrun:   fileSettings.ColdOverrun,
+		ColdHeadroom:  fileSettings.ColdHeadroom,
+		Features: gateway.Features{
+			EngineState:    gateway.FeatureMode(c.EngineState),
+			HoldRequests:   gateway.FeatureMode(c.HoldRequests),
+			AccountShares:  gateway.FeatureMode(c.AccountShares),
+			ReturnSchedule: gateway.FeatureMode(c.ReturnSchedule),
+			CacheFetch:     gateway.FeatureMode(c.CacheFetch),
+			StreamMoves:    gateway.FeatureMode(c.StreamMoves),
+		},
 		FirstModelIndex:  c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
 	}
--- /dev/null
+++ b/internal/gateway/contended_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The features for contended services must stay inactive for a service whose upstreams state only
+// three figures, and unreadable figures must not activate them.
+func TestServiceIsContendedOnceAnUpstreamStatesItsSlowdown(t *testing.T) {
+	tests := []struct {
+		load string
+		want bool
+	}{
+		{"3,0,8", false},
+		{"3,0,8,", false},
+		{"3,0,8,x", false},
+		{"3,0,8,-1", false},
+		{"3,0,8,NaN", false},
+		{"3,0,8,140", true},
+	}
+	for _, test := range tests {
+		t.Run(test.load, func(t *testing.T) {
+			is := is.New(t)
+			tg := newTestGateway(t, testDocument())
+			tg.startUpstream("a", func(w http.ResponseWriter, req *http.Request) {
+				w.Header().Set("T-Load", test.load)
+				respondOK("ok")(w, req)
+			})
+			is.Equal(tg.do(tg.newRequest("GET", "/many/x", "")).status, 200)
+			fleet := tg.gateway.fleet
+			is.Equal(fleet.isActive(FeatureAuto, "svc"), test.want)
+			is.Equal(fleet.isActive("", "svc"), test.want)
+			is.True(fleet.isActive(FeatureOn, "svc"))
+			is.True(!fleet.isActive(FeatureOff, "svc"))
+		})
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -102,7 +102,9 @@
 	// each priority, meanPrefill the decayed mean prefill time of prompts that take at least half
 	// that mean.
 	servesPrompts bool
-	prefillRates  *placement.PrefillEstimator
+	// contended is set once an upstream stated how long work takes on its machine, which it shares.
+	contended    bool
+	prefillRates *placement.PrefillEstimator
 	// remoteTimings are the prefill rates that other hosts measured, for models that this host
 	// hasn't used yet.
 	remoteTimings  exchange.Timings
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,9 @@
 	pipeline     handleFunc
 	// guard quarantines poison requests.
 	guard *guard.Guard
+	// shares and returns are used for contended services (Features).
+	shares  accountShares
+	returns returnTimes
 
 	transport *http.Transport
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -46,6 +46,13 @@
 	LastEventID string
 	// Session identifies requests that belong together.
 	Session string
+	// LengthHint carries the caller's estimate of the number of generated tokens.
+	LengthHint string
+	// FetchFrom carries the address of the engine from which the receiver is to fetch cached parts
+	// of the prompt. ContinueFrom carries the address and the handle of the copy of a run that the
+	// receiver is to continue. Callers must not set them (Reserved).
+	FetchFrom    string
+	ContinueFrom string
 	// Reserved are further headers that a caller must not set.
 	Reserved []string
 	// PassedOn are further headers of upstreams' answers. They are passed on to the caller and state
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -88,6 +88,10 @@
 	reportedLoad int
 	ownAtReport  int
 	reportedAt   time.Time
+	// statedSlowdown is how long work took on the upstream at statedSlowdownAt, as a multiple of
+	// the usual time, by its own statement; 0 if it made none.
+	statedSlowdown   float64
+	statedSlowdownAt time.Time
 
 	failureRate   float64
 	failureRateAt time.Time
@@ -244,7 +248,8 @@
 	u.ejections++
 }
 
-// observeLoad records the load from an answer's load header: running, waiting, slots.
+// observeLoad records the load from an answer's load header: running, waiting, slots and, if the
+// upstream shares its machine, how long work takes at present in percent of the usual time.
 func (m *member) observeLoad(load string, now time.Time) {
 	fields := strings.Split(load, ",")
 	if len(fields) < 2 {
@@ -259,6 +264,9 @@
 	u.reportedLoad = running + waiting
 	u.ownAtReport = m.inFlight
 	u.reportedAt = now
+	if len(fields) > slowdownField {
+		m.observeSlowdown(fields[slowdownField], now)
+	}
 	relative := float64(u.reportedLoad) / float64(max(1, m.Slots))
 	m.shard.meanSlotLoad += meanSlotLoadGain * (relative - m.shard.meanSlotLoad)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,6 +59,9 @@
 	ColdOverrun  float64
 	ColdHeadroom float64
 
+	// Features are the modes of the features for contended services.
+	Features Features
+
 	// FirstModelIndex is the index of the model that is tried first for a request with a choice of
 	// models; 0 is the cheapest.
 	FirstModelIndex int
--- a/routing/document.go
+++ b/routing/document.go
@@ -86,6 +86,9 @@
 	MaxConnections int
 	// Models are the models of a service that runs language models.
 	Models []Model
+	// Engines describes the upstreams of a service that runs language models; the zero value if
+	// the document doesn't.
+	Engines EngineSpec
 	// ColdStart is how long an upstream is cold after its start. ColdRate is the
 	// number of requests per second that it tolerates while cold; 0 means
 	// unlimited.
@@ -100,6 +103,34 @@
 	Price float64
 }
 
+// EngineSpec describes the upstreams of a service that runs language models. A field is 0 if it
+// is unknown.
+type EngineSpec struct {
+	// Slots is the number of requests that an engine processes in one batch.
+	Slots int
+	// MemoryTokens is the number of tokens that an engine's memory holds, of running requests and
+	// cached prompts together. BytesPerToken is the memory of a token, in bytes.
+	MemoryTokens  int
+	BytesPerToken int
+	// LinkMbps is the rate at which engines transfer memory to each other, in Mbit/s.
+	LinkMbps float64
+	// Moves reports whether engines move running requests to each other. HandleLifetime is how
+	// long the copy of a moved request can be used.
+	Moves          bool
+	HandleLifetime time.Duration
+}
+
+// TransferTime returns how long an engine needs to transfer the memory of the tokens to another
+// engine in its availability zone; ok is false if the document doesn't state the sizes.
+func (e *EngineSpec) TransferTime(tokens int) (d time.Duration, ok bool) {
+	if e.BytesPerToken <= 0 || e.LinkMbps <= 0 {
+		return 0, false
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	seconds := float64(tokens) * float64(e.BytesPerToken) * bitsPerByte / (e.LinkMbps * bitsPerMbit)
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
 // Account is a client account.
 type Account struct {
 	Name string
