placement: an engine without a cached part may fetch it from another one

Change: Candidate.FetchableParts and FetchTime, Choice.FetchedTokens and FetchTime. An engine fetches if that is quicker than the prefill. Its expected time then has the transfer in place of the prefill, its cost has the transfer and a tenth of the tokens' price. With zero values all costs are as before.

--- a/placement/place.go
+++ b/placement/place.go
@@ -27,6 +27,11 @@
 	OtherRegion bool
 	// CachedParts is the number of leading parts of the prompt that the engine caches.
 	CachedParts int
+	// FetchableParts is the number of leading parts of the prompt that the engine could have after
+	// fetching, from another engine, those that it doesn't cache; 0 if it can't fetch any. FetchTime
+	// is how long that transfer takes. It takes none of the engine's time.
+	FetchableParts int
+	FetchTime      time.Duration
 	// OwnerRank ranks the engine for the prompt's shared parts, identically on all hosts; the
 	// engine with the highest rank is the owner of the parts.
 	OwnerRank uint64
@@ -45,6 +50,12 @@
 	PrefillTime      time.Duration
 	// UncachedTokens is the number of tokens to prefill.
 	UncachedTokens int
+	// FetchedTokens is the number of tokens to fetch from another engine before the prefill, and
+	// FetchTime how long that takes; both are 0 if nothing is to be fetched.
+	FetchedTokens int
+	FetchTime     time.Duration
+	// fetchCost is the cost of the transfer: its time and a part of its price.
+	fetchCost time.Duration
 	// IsOwner reports whether the engine is the owner of the prompt's shared parts.
 	IsOwner bool
 }
@@ -56,7 +67,9 @@
 //
 // The cost of an engine is a time: its prefill work for the request, the cost of the latency,
 // which is small far below the target and counts in full at the target, and the cost of
-// another zone or region. If an owner in this zone is preferred, its cost doesn't include the
+// another zone or region. An engine that can fetch parts of the prompt from another one has the
+// time and a part of the price of the transfer as costs instead of the prefill of these parts, if the
+// transfer takes less time. If an owner in this zone is preferred, its cost doesn't include the
 // prefill of the shared parts, because later requests reuse it. At equal costs the engine with
 // the higher rank is selected, so that all hosts select the same engine without communication.
 func Place(estimator *PrefillEstimator, r *Request, candidates []Candidate) Choice {
@@ -69,7 +82,7 @@
 		c.Index, c.IsOwner = i, i == owner
 		cost := r.cost(&c, &candidates[i])
 		if local && c.IsOwner {
-			cost -= r.sharedPrefillTime(estimator, &candidates[i])
+			cost -= r.sharedPartsCost(estimator, &candidates[i], &c)
 		}
 		if best.Index < 0 || cost < lowestCost || cost == lowestCost && candidates[i].OwnerRank > candidates[best.Index].OwnerRank {
 			best, lowestCost = c, cost
@@ -80,12 +93,37 @@
 
 func (r *Request) evaluate(estimator *PrefillEstimator, c *Candidate) Choice {
 	uncached := r.Prompt.uncachedTokens(c.CachedParts)
-	unqueued := estimator.TimeToFirstEvent(r.Model, uncached)
-	return Choice{ExpectedTime: c.QueuedWork + unqueued, ExpectedUnqueued: unqueued, PrefillTime: overhead + estimator.PrefillTime(r.Model, uncached), UncachedTokens: uncached}
+	choice := r.fetch(estimator, c, uncached)
+	uncached -= choice.FetchedTokens
+	unqueued := choice.FetchTime + estimator.TimeToFirstEvent(r.Model, uncached)
+	choice.ExpectedTime, choice.ExpectedUnqueued = c.QueuedWork+unqueued, unqueued
+	choice.PrefillTime, choice.UncachedTokens = overhead+estimator.PrefillTime(r.Model, uncached), uncached
+	return choice
+}
+
+// fetchPriceShare is the part of the price of a fetch, as a fraction of the prefill time of the
+// fetched tokens, that counts as a cost. Operators pay for a fetched token about as much as for a
+// prefilled one. Without the price, requests would leave the engine that caches their part for a
+// saving of milliseconds that callers don't notice; with a large part of it, they would stay at
+// an engine that is overloaded.
+const fetchPriceShare = 0.1
+
+// fetch returns a choice with what the engine is to fetch of the given number of tokens that it
+// doesn't cache: nothing if prefilling them takes no longer, since a fetch must save engine time.
+func (r *Request) fetch(estimator *PrefillEstimator, c *Candidate, uncached int) Choice {
+	if c.FetchableParts <= c.CachedParts {
+		return Choice{}
+	}
+	tokens := uncached - r.Prompt.uncachedTokens(c.FetchableParts)
+	saved := estimator.PrefillTime(r.Model, tokens)
+	if tokens <= 0 || c.FetchTime >= saved {
+		return Choice{}
+	}
+	return Choice{FetchedTokens: tokens, FetchTime: c.FetchTime, fetchCost: c.FetchTime + time.Duration(fetchPriceShare*float64(saved))}
 }
 
 func (r *Request) cost(choice *Choice, c *Candidate) time.Duration {
-	cost := choice.PrefillTime + r.latencyCost(choice.ExpectedTime)
+	cost := choice.PrefillTime + choice.fetchCost + r.latencyCost(choice.ExpectedTime)
 	if c.OtherZone {
 		cost += r.ZoneCost
 	}
@@ -95,9 +133,14 @@
 	return cost
 }
 
-// sharedPrefillTime returns the prefill time of the shared parts that the engine doesn't cache.
-func (r *Request) sharedPrefillTime(estimator *PrefillEstimator, c *Candidate) time.Duration {
-	return estimator.PrefillTime(r.Model, r.Prompt.uncachedSharedTokens(c.CachedParts))
+// sharedPartsCost returns the cost of the shared parts that the engine doesn't cache: their prefill
+// time, and the cost of the transfer of those that it fetches by the choice.
+func (r *Request) sharedPartsCost(estimator *PrefillEstimator, c *Candidate, choice *Choice) time.Duration {
+	parts := c.CachedParts
+	if choice.FetchedTokens > 0 {
+		parts = c.FetchableParts
+	}
+	return choice.fetchCost + estimator.PrefillTime(r.Model, r.Prompt.uncachedSharedTokens(parts))
 }
 
 // latencyCost returns the cost of a time to the first event. It is quadratic, because latency
