gateway: engines fetch cached prompt parts from engines of the same version

Change: fetch.go chooses the source among the engines that cachedPrompts has for the longest prefix, and the request carries its address (Headers.FetchFrom). Active where Features.CacheFetch is; otherwise criteria.engines is nil and nothing changes. A source has the destination's version and region, is in a permitted region, and isn't leaving, ejected, rejecting, backing off, evacuated, used by an earlier attempt, or still prefilling the part for this host. Engines that reject the header (400, 404, 405, 501) get it no more; after three in a row the service pauses for a minute, since otherwise every engine would reject a request of each host. Prefill rates are learnt with the tokens that were prefilled, from answers for which the transfer was short.

Ruled out: sources in other regions, since the rate between regions isn't stated; a status 400 from an engine that accepted the header before, which concerns the request itself.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,6 +95,7 @@
 	// The context is canceled when the body is closed, which every caller of send does.
 	resp.Body = &cancelOnClose{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
 	a.observeNotice(resp)
+	a.observeFetch(resp)
 	a.gateway.unknownHeaders.observe(resp.Header, a.choice.upstream.ID)
 	if err := a.checkResponse(resp); err != nil {
 		resp.Body.Close()
@@ -157,6 +158,9 @@
 	if r.Account != nil {
 		header.Set(names.Account, r.Account.Name)
 	}
+	if a.choice.fetchFrom != "" {
+		header.Set(names.FetchFrom, a.choice.fetchFrom)
+	}
 	if r.Route.Kind != routing.Stream {
 		return
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -37,6 +38,9 @@
 	placement       placement.Choice
 	workAhead       time.Duration
 	cachedPartCount int
+	// fetchFrom is the address of the engine from which the chosen one is to fetch parts of the
+	// prompt; empty if it fetches none.
+	fetchFrom string
 	// criteria are the inputs of the choice.
 	criteria criteria
 	// chosenAt is the time of the choice.
@@ -70,6 +74,12 @@
 	regions regionConstraint
 	// admitsVersion reports whether upstreams of the version may run the request.
 	admitsVersion func(version string) bool
+	// engines describes the service's engines if they may fetch cached parts of the prompt from each
+	// other; nil otherwise.
+	engines *routing.EngineSpec
+	// usedSources are the addresses of the engines from which earlier attempts of the request were to
+	// fetch cached parts.
+	usedSources []string
 }
 
 // choose chooses an upstream and counts the request as in flight there until the caller calls
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -165,6 +165,9 @@
 	}
 	r.attempts++
 	r.triedIDs = append(r.triedIDs, picked.upstream.ID)
+	if picked.fetchFrom != "" {
+		r.fetchSources = append(r.fetchSources, picked.fetchFrom)
+	}
 	canRetry := r.Route.Repeatable() && r.attemptsLeft() && picked.candidateCount > 1
 	return &attempt{
 		gateway:     g,
@@ -217,6 +220,7 @@
 		crit.priority = r.priority(bestModel)
 		crit.target = r.Route.Target
 		crit.bodyBytes = len(r.Body)
+		crit.engines, crit.usedSources = g.fetchingEngines(r), r.fetchSources
 	}
 	return crit
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -123,6 +123,10 @@
 	// meanRequestTime is the decayed mean of the time for which a request is in flight at its
 	// upstream.
 	meanRequestTime time.Duration
+	// fetchRefusals is the number of engines that rejected the header for fetching since an engine
+	// last accepted it. Nothing is fetched until fetchPausedUntil.
+	fetchRefusals    int
+	fetchPausedUntil time.Time
 }
 
 // NewFleet returns an empty fleet. After the removal of its entry an upstream is still used for
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -103,6 +103,8 @@
 	// until rejectedUntil.
 	rejections    int
 	rejectedUntil time.Time
+	// fetch is what this host observed of the engine's support for fetching cached parts.
+	fetch fetchSupport
 }
 
 // ensureUsage returns the member's usage and creates it if there is none.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -30,6 +30,7 @@
 	s.prefillRates.SetPrice(crit.model, crit.price)
 	s.applyRemoteTimings(crit.service, crit.model)
 	candidates := s.placementCandidates(list, crit, now)
+	sources := s.addFetches(candidates, list, crit, now)
 	c.placement = placement.Place(s.prefillRates, &placement.Request{
 		Model:    crit.model,
 		Prompt:   crit.prompt,
@@ -41,6 +42,10 @@
 	}, candidates)
 	picked := &candidates[c.placement.Index]
 	c.workAhead, c.cachedPartCount = picked.QueuedWork, picked.CachedParts
+	c.fetchFrom = ""
+	if c.placement.FetchedTokens > 0 {
+		c.fetchFrom = sources[c.placement.Index].Address
+	}
 	return list.members[c.placement.Index]
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,9 @@
 	notReached int
 	// triedIDs are the ids of the upstreams that were chosen for attempts of the request.
 	triedIDs []string
+	// fetchSources are the addresses of the engines that were sources of cached parts for attempts of
+	// the request.
+	fetchSources []string
 	// model is the model that the gateway chose for the request; empty if the caller chose it and
 	// for plain services.
 	model string
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -33,6 +33,9 @@
 	// beginsAt is when the engine is expected to begin the prefill: the time at which the request
 	// was sent plus the work queued ahead of it.
 	beginsAt time.Time
+	// newKeys are the keys of the prompt's prefixes that the engine has cached only once the prefill
+	// has ended.
+	newKeys []placement.PrefixKey
 }
 
 // startRequest counts the request as in flight at the upstream. For an engine it also counts the
@@ -43,7 +46,7 @@
 	if c.criteria.prompt == nil {
 		return
 	}
-	c.prefill = &prefill{work: c.placement.PrefillTime, priority: c.criteria.priority, beginsAt: c.chosenAt.Add(c.workAhead)}
+	c.prefill = &prefill{work: c.placement.PrefillTime, priority: c.criteria.priority, beginsAt: c.chosenAt.Add(c.workAhead), newKeys: c.criteria.keys[c.cachedPartCount:]}
 	m.ensureUsage().prefills = append(m.ensureUsage().prefills, c.prefill)
 	m.shard.servesPrompts = true
 	m.shard.observePrefill(c.prefill)
@@ -86,13 +89,14 @@
 	}
 	c.prefill = nil
 	s.queueStats.observe(took, c.placement.ExpectedUnqueued)
-	if c.workAhead < c.placement.PrefillTime/rateSampleDivisor {
+	if c.workAhead+c.placement.FetchTime < c.placement.PrefillTime/rateSampleDivisor {
 		s.prefillRates.Observe(c.criteria.model, c.placement.UncachedTokens, took, boottime.Now())
 	}
 }
 
 // rateSampleDivisor limits which answers are used as samples of their model's prefill rate: those
-// of prompts for which the estimated work ahead was less than a fourth of their own prefill time.
+// of prompts for which the estimated work ahead and the transfer of fetched parts together were less
+// than a fourth of the prefill time of the tokens that the engine prefilled itself.
 const rateSampleDivisor = 4
 
 // minRemainingFraction is the minimum fraction of a prefill that counts as remaining until the
