--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -121,6 +121,7 @@
 			CacheFetch:     gateway.FeatureMode(c.CacheFetch),
 			StreamMoves:    gateway.FeatureMode(c.StreamMoves),
 		},
+		Contended:        fileSettings.Contended,
 		FirstModelIndex:  c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
 	}
--- a/internal/gateway/contended.go
+++ b/internal/gateway/contended.go
@@ -12,7 +12,8 @@
 
 const (
 	// FeatureAuto activates the feature for contended services: those whose upstreams state in
-	// the load header how long work takes on their machines.
+	// the load header how long work takes on their machines, and all that run language models if
+	// the platform's settings say so (Settings.Contended).
 	FeatureAuto FeatureMode = "auto"
 	// FeatureOn activates the feature for all services that run language models.
 	FeatureOn FeatureMode = "on"
@@ -50,13 +51,17 @@
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contended
+	return s.isContended()
 }
 
+// isContended reports whether the shard's service is a contended one. The caller holds the shard's
+// lock.
+func (s *shard) isContended() bool { return s.contended || s.policy.allContended }
+
 // isActive reports whether the feature is active for the shard's service. The caller holds the
 // shard's lock.
 func (s *shard) isActive(mode FeatureMode) bool {
-	return mode != FeatureOff && (mode == FeatureOn || s.contended)
+	return mode != FeatureOff && (mode == FeatureOn || s.isContended())
 }
 
 const (
--- a/internal/gateway/contended_test.go
+++ b/internal/gateway/contended_test.go
@@ -38,3 +38,13 @@
 		})
 	}
 }
+
+// A deployment whose settings declare contention gets the features before any upstream has stated
+// anything.
+func TestServiceIsContendedBySettings(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	tg.gateway.fleet.policy.allContended = true
+	is.True(tg.gateway.fleet.isActive(FeatureAuto, "svc"))
+	is.True(!tg.gateway.fleet.isActive(FeatureOff, "svc"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,7 @@
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.fleet.topology = zoneTopology{zone: s.Zone, regions: s.Regions}
+	g.fleet.policy.allContended = s.Contended
 	g.fleet.policy.singleHost = s.Peers.Listen == ""
 	g.fleet.policy.seed, g.fleet.policy.hostCount = s.Host, func() int { return int(g.hostCount.Load()) }
 	g.fleet.policy.coldOverrun, g.fleet.policy.coldHeadroom = s.ColdOverrun, s.ColdHeadroom
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -13,6 +13,9 @@
 type sendPolicy struct {
 	// singleHost is set if there is no other host, so that this one may send all requests.
 	singleHost bool
+	// allContended is set if all services that run language models are contended
+	// (Settings.Contended).
+	allContended bool
 	// hostCount returns the number of hosts, 0 while it is unknown. seed makes this host's random
 	// draws differ from those of the other hosts.
 	hostCount func() int
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,8 +59,10 @@
 	ColdOverrun  float64
 	ColdHeadroom float64
 
-	// Features are the modes of the features for contended services.
-	Features Features
+	// Features are the modes of the features for contended services. Contended is set if all
+	// services that run language models are contended, whatever their upstreams state.
+	Features  Features
+	Contended bool
 
 	// FirstModelIndex is the index of the model that is tried first for a request with a choice of
 	// models; 0 is the cheapest.
