exchange: reservations for returning callers

Cause: a rejected caller usually returns to another host, which has to recognize its request.

The fields are optional and absent while empty.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -93,6 +93,11 @@
 	// entry in the hub's log of them that the reporting host has received.
 	Leaving      LeavingUpstreams `json:"leaving,omitempty"`
 	LeavingSince uint64           `json:"leaving_since,omitempty"`
+	// Promises lists reservations for rejected requests that the reporting host, or a host that it
+	// reports for, made since the last report. PromisesSince is the sequence number of the last
+	// entry in the hub's log of them that the reporting host has received.
+	Promises      Promises `json:"promises,omitempty"`
+	PromisesSince uint64   `json:"promises_since,omitempty"`
 	// WantTimings requests the speeds of models that the other hosts measured. Timings holds the
 	// host's own measurements; it is set only together with WantTimings.
 	WantTimings bool    `json:"want_timings,omitempty"`
@@ -129,6 +134,10 @@
 	// the hub's log of them with the sequence number LeavingLast.
 	Leaving     LeavingUpstreams `json:"leaving,omitempty"`
 	LeavingLast uint64           `json:"leaving_last,omitempty"`
+	// Promises lists reservations that other hosts made for rejected requests, up to the entry of
+	// the hub's log of them with the sequence number PromisesLast.
+	Promises     Promises `json:"promises,omitempty"`
+	PromisesLast uint64   `json:"promises_last,omitempty"`
 	// Timings holds, for each service and model, the sums of the other hosts' measurements.
 	Timings Timings `json:"timings,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -53,7 +53,7 @@
 	m.setHasFollowers(hasFollowers)
 	report, upTo := m.nextReport(), forwardedPositions{}
 	sentLimits, sentLeaving := len(report.Limits), len(report.Leaving)
-	report.LeavingSince = m.hubLeavingSeq
+	report.LeavingSince, report.PromisesSince = m.hubLeavingSeq, m.hubPromiseSeq
 	report.SentPrefixesSince, report.LimitsCursor, report.GrantsDigest = m.hubPrefixSeq, m.hubLimitReader.Cursor(), ratelease.GrantsDigest(m.hubGrants)
 	if hasFollowers {
 		report, upTo = m.aggregateReport(report)
@@ -69,15 +69,16 @@
 	m.deliverQuarantineStatus(reply.QuarantineStatus)
 	m.acceptLease(reply, requestedAt)
 	m.unsentLimits, m.unsentLeaving = m.unsentLimits[sentLimits:], m.unsentLeaving[sentLeaving:]
-	m.hubLeavingSeq = reply.LeavingLast
+	m.hubLeavingSeq, m.hubPromiseSeq = reply.LeavingLast, reply.PromisesLast
 	m.applyHubLimits(reply.Limits, hasFollowers)
 	if hasFollowers {
 		m.forwardedPrefixSeq, m.forwardedSightingSeq, m.hubPrefixSeq, m.forwardedLimitsCursor = upTo.prefixes, upTo.sightings, reply.SentPrefixesLast, upTo.limits
-		m.forwardedLeavingSeq = upTo.leaving
+		m.forwardedLeavingSeq, m.forwardedPromiseSeq = upTo.leaving, upTo.promises
 		m.ownHub.recordHubReply(m.hubAddress, reply, max(0, reply.Hosts-report.Hosts))
 		m.deliverOwnHubData(report.WantTimings)
 	} else {
 		m.unsentSightings = Sightings{} // the hub has them
+		m.unsentPromises, m.ownHubPromiseSeq = m.unsentPromises[len(report.Promises):], 0
 		m.hubPrefixSeq, m.ownHubPrefixSeq, m.ownHubLeavingSeq = reply.SentPrefixesLast, 0, 0
 		m.deliver(reply, requestedAt)
 	}
@@ -86,11 +87,11 @@
 }
 
 // forwardedPositions holds the positions in the logs of ownHub up to which a report forwards the
-// entries to this host's hub: sequence numbers in the logs of prefixes, sightings and leaving
-// upstreams, and a cursor in the limit log.
+// entries to this host's hub: sequence numbers in the logs of prefixes, sightings, leaving
+// upstreams and reservations, and a cursor in the limit log.
 type forwardedPositions struct {
-	prefixes, sightings, leaving uint64
-	limits                       ratelease.LogCursor
+	prefixes, sightings, leaving, promises uint64
+	limits                                 ratelease.LogCursor
 }
 
 // aggregateReport returns the report on behalf of this host and its followers, and the positions
@@ -102,6 +103,7 @@
 	report, upTo.prefixes = m.ownHub.subtreeReport(own, m.forwardedPrefixSeq, m.hubAddress)
 	report.Sightings, upTo.sightings = m.ownHub.sightingsSince(m.forwardedSightingSeq, m.hubAddress)
 	report.Leaving, upTo.leaving = m.ownHub.leavingSince(m.forwardedLeavingSeq, m.hubAddress, toHub)
+	report.Promises, upTo.promises = m.ownHub.promisesSince(m.forwardedPromiseSeq, m.hubAddress, toHub)
 	limits := m.ownHub.limitsSince(m.forwardedLimitsCursor, toHub)
 	report.Limits, upTo.limits = limits.Updates, limits.Cursor
 	if !m.previousHubExpired() {
@@ -115,6 +117,8 @@
 	m.ownHub.record(m.options.Host, own)
 	m.ownHub.recordLimits(false, own.Limits, false)
 	m.ownHub.recordLeaving(m.options.Host, false, own.Leaving)
+	m.ownHub.recordPromises(m.options.Host, false, own.Promises)
+	m.unsentPromises = m.unsentPromises[len(own.Promises):]
 	m.recordOwnSightings(own.Sightings)
 }
 
@@ -147,6 +151,7 @@
 	m.ownHubPrefixSeq = sums.SentPrefixesLast
 	m.applyOwnHubLimits()
 	m.deliverOwnHubLeaving()
+	m.deliverOwnHubPromises()
 	m.deliver(sums, boottime.Now())
 }
 
@@ -158,6 +163,7 @@
 	m.deliverEvidence(reply.Evidence)
 	m.deliverPrefixes(reply.SentPrefixes)
 	m.deliverLeaving(reply.Leaving)
+	m.deliverPromises(reply.Promises)
 	if m.options.OnTimings != nil && len(reply.Timings) > 0 {
 		m.options.OnTimings(reply.Timings)
 	}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -131,6 +131,7 @@
 	member              *Member
 	watcher             *feed.Watcher
 	quarantine          *fleetQuarantine
+	promises            fleetPromises
 	stop                context.CancelFunc
 
 	mu        sync.Mutex
@@ -298,6 +299,7 @@
 		RootGrants: func(roots int) []ratelease.Grant { return append(f.coldGrants(roots), h.limitGrants(roots)...) },
 		Limits:     h.newLimits, KnownLimits: h.knownLimits, OnLimits: h.applyLimits,
 		Leaving: h.takeLeaving, OnLeaving: h.addLeaving,
+		Promises: h.promises.take, OnPromises: h.promises.add,
 		OnHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -43,6 +43,8 @@
 	sightings sightingLog
 	// leaving holds the upstreams that are leaving by the reports of hosts and other hubs.
 	leaving leavingLog
+	// promises holds the reservations that hosts and other hubs reported.
+	promises promiseLog
 	// zones holds, by zone, the hubs that this one has appointed.
 	zones map[string]*zoneHubs
 	// lessor divides the parts of the upstreams' limits that this host holds among the hosts
@@ -111,6 +113,7 @@
 		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
 		reply.Limits = h.limitsSince(r.LimitsCursor, toHub)
 		reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHub)
+		reply.Promises, reply.PromisesLast = h.promisesSince(r.PromisesSince, from, toHub)
 		reply.QuarantineStatus = h.quarantineStatus(toHub)
 		if h.relays() {
 			reply.Tables, _ = h.tableUpdates(from, r, true)
@@ -121,6 +124,7 @@
 	h.recordSightings(from, r.Sightings)
 	h.recordLimits(false, r.Limits, false)
 	h.recordLeaving(from, false, r.Leaving)
+	h.recordPromises(from, false, r.Promises)
 	h.updateRelaying()
 	reply := h.otherSums(from, r.SentPrefixesSince, toHost)
 	if r.WantTimings {
@@ -130,6 +134,7 @@
 	reply.Lease, reply.Rooted = h.leaseFor(from, r.GrantsDigest), h.rooted()
 	reply.Limits = h.limitsSince(r.LimitsCursor, toHost)
 	reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHost)
+	reply.Promises, reply.PromisesLast = h.promisesSince(r.PromisesSince, from, toHost)
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.TablePending = h.tableUpdates(from, r, reply.Relays)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/ratelease"
+	"github.com/quetzalweir/quetzalweir/returnschedule"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -69,6 +70,10 @@
 	// leaving. OnLeaving receives those that stated it to other hosts. Both may be nil.
 	Leaving   func() []LeavingUpstream
 	OnLeaving func([]LeavingUpstream)
+	// Promises returns the reservations for rejected requests that this host made since the last
+	// call. OnPromises receives those of other hosts. Both may be nil.
+	Promises   func() []returnschedule.Promise
+	OnPromises func([]returnschedule.Promise)
 	// Quarantine tracks poison requests. It may be nil.
 	Quarantine Quarantine
 	// Evidence returns the answers that this host counted in the roll-outs in progress.
@@ -128,6 +133,9 @@
 	// ownHub's log to OnLeaving, and forwarded from ownHub's log to its hub.
 	unsentLeaving                                        []LeavingUpstream
 	hubLeavingSeq, ownHubLeavingSeq, forwardedLeavingSeq uint64
+	// unsentPromises and the sequence numbers are the same for reservations.
+	unsentPromises                                       []returnschedule.Promise
+	hubPromiseSeq, ownHubPromiseSeq, forwardedPromiseSeq uint64
 	// hasFollowers reports whether other hosts reported to this one at the time of the last
 	// exchange.
 	hasFollowers bool
@@ -209,7 +217,7 @@
 }
 
 // nextReport returns the next report to the hub: this host's state, and its unsent prefixes,
-// sightings, limits and leaving upstreams.
+// sightings, limits, leaving upstreams and reservations.
 func (m *Member) nextReport() Report {
 	if m.options.SentPrefixes != nil {
 		m.unsentPrefixes.add(m.options.SentPrefixes())
@@ -218,6 +226,7 @@
 	report := m.ownReport()
 	report.SentPrefixes, report.Sightings = m.unsentPrefixes, m.unsentSightings
 	report.Limits, report.Leaving = m.nextLimitUpdates(), m.nextLeaving()
+	report.Promises = m.nextPromises()
 	if m.reportCount++; m.options.Timings != nil && m.reportCount%exchangesPerTimings == 1 {
 		report.WantTimings, report.Timings = true, m.options.Timings()
 	}
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -23,6 +23,8 @@
 	// leavingSince is the sequence number of the last entry that was received from the seed's log
 	// of leaving upstreams.
 	leavingSince uint64
+	// promisesSince is the same for the seed's log of reservations.
+	promisesSince uint64
 	// limitsCursor is the position in the seed's limit log up to which the log was received.
 	limitsCursor ratelease.LogCursor
 }
@@ -39,7 +41,7 @@
 			continue
 		}
 		report := Report{
-			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, Revisions: m.revisions(),
+			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, PromisesSince: state.promisesSince, Revisions: m.revisions(),
 			WantTimings: m.reportCount%exchangesPerTimings == 1,
 		}
 		requestedAt := boottime.Now()
@@ -47,14 +49,14 @@
 			reply, err := callWithTimeout(ctx, net, seed, report)
 			if err != nil {
 				net.disconnect(seed)
-				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince})
+				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince})
 				return
 			}
 			m.ownHub.recordHubReply(seed, reply, reply.Hosts)
 			m.ownHub.recordLimits(true, reply.Limits.Updates, false)
 			m.deliverQuarantineStatus(reply.QuarantineStatus)
 			m.offerTablesIfDisconnected(reply, requestedAt)
-			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, answered: true})
+			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true})
 		}()
 	}
 }
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -11,6 +11,7 @@
 	h.reports[hubKey(address)] = receivedReport{report: Report{Zone: r.Zone, Work: r.Work, Evidence: r.Evidence}, at: boottime.Now(), fromHub: true, hosts: hosts}
 	h.sentPrefixes.add(address, true, r.SentPrefixes)
 	h.leaving.add(address, true, r.Leaving, boottime.Now())
+	h.promises.add(address, true, r.Promises, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
 }
 
