gateway: reserve and redeem times of return

Cause: returnTimes was a stub.

Change: reserve and redeem use a returnschedule.Schedule where the feature is active. recordSent measures the engine time that the host sends, which is the capacity of the schedule. Each decision is logged (return-reserved, return-redeemed) and counted.

Tests: go test -run 'Return|Capacity' ./internal/gateway passes: off by default, another host, early and in the window, capacity after engines are lost, concurrent use.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
 	})
+	g.returns.start(g)
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
@@ -234,6 +235,7 @@
 			RootGrants: g.fleet.LeaseGrants, OnHolding: g.fleet.SetHolding,
 			Limits: g.fleet.takeLimitUpdates, KnownLimits: g.fleet.currentLimits, OnLimits: g.fleet.applyLimits,
 			Leaving: g.fleet.takeLeaving, OnLeaving: g.fleet.applyReportedLeaving,
+			Promises: g.returns.takeNew, OnPromises: g.returns.addRemote,
 			Timings: g.fleet.ownTimings, OnTimings: g.fleet.setRemoteTimings,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
 		}, g.log)
