--- a/returnschedule/replay_test.go
+++ b/returnschedule/replay_test.go
@@ -1,6 +1,8 @@
 package returnschedule
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -14,8 +16,7 @@
 // their window go before others. Hosts exchange reservations as package exchange does: each sends
 // and receives at most 16 every 150 ms, after 150 ms. Times are in steps of 5 ms.
 type replay struct {
-	// fixed is set if callers are told to return after 0.3 s instead of by the schedule.
-	fixed  bool
+	way    way
 	rand   *rand.Rand
 	hosts  [10]Schedule
 	unsent [10][]Promise
@@ -28,8 +29,19 @@
 	// with precedence.
 	perInterval          map[int]int
 	returned, recognized int
+	// waited is the sum of the times that obeying callers were given, in steps.
+	waited int
 }
 
+// way is how the times at which callers return are chosen.
+type way int
+
+const (
+	fixedTime  way = iota // 0.3 s
+	randomTime            // 0.3 s to 3.3 s
+	bySchedule
+)
+
 // replayCall is a caller's request. A caller that ignores the stated time repeats it every 20 ms,
 // five times; others return once.
 type replayCall struct {
@@ -47,8 +59,8 @@
 	queueSteps   = 50
 )
 
-func newReplay(fixed bool) *replay {
-	return &replay{fixed: fixed, rand: rand.New(rand.NewPCG(1, 2)), calls: make(map[int][]*replayCall), perInterval: make(map[int]int)}
+func newReplay(w way) *replay {
+	return &replay{way: w, rand: rand.New(rand.NewPCG(1, 2)), calls: make(map[int][]*replayCall), perInterval: make(map[int]int)}
 }
 
 // add makes a caller send a request at the step, with a deadline 10 s later.
@@ -89,7 +101,7 @@
 func (r *replay) arrive(c *replayCall, n, busy int) {
 	c.host = &r.hosts[r.rand.IntN(len(r.hosts))]
 	c.attempts++
-	first := !r.fixed && c.host.Redeem("s", digestOf(c.id), at(time.Duration(n)*step)).HasPrecedence()
+	first := r.way == bySchedule && c.host.Redeem("s", digestOf(c.id), at(time.Duration(n)*step)).HasPrecedence()
 	if c.attempts > 1 && !c.ignores {
 		r.returned++
 		r.perInterval[n/10]++
@@ -115,7 +127,10 @@
 // reject tells the caller when to return. A caller that obeys arrives up to 25 ms later than that.
 func (r *replay) reject(c *replayCall, n, wait int) {
 	after := 300 * ms
-	if !r.fixed {
+	switch r.way {
+	case randomTime:
+		after += time.Duration(r.rand.IntN(3000)) * ms
+	case bySchedule:
 		c.host.SetCapacity("s", 2*time.Second, at(time.Duration(n)*step))
 		after = c.host.Promise(Request{
 			Service: "s", Digest: digestOf(c.id), Rank: 1, Work: 50 * ms,
@@ -129,9 +144,18 @@
 	if c.attempts == 2 && !c.ignores || c.attempts == 6 || next >= c.deadline {
 		return
 	}
+	if !c.ignores {
+		r.waited += next - n
+	}
 	r.calls[next] = append(r.calls[next], c)
 }
 
+// String returns what the callers met. A step has 5 ms.
+func (r *replay) String() string {
+	peak := slices.Max(slices.Collect(maps.Values(r.perInterval)))
+	return fmt.Sprintf("returned %d, at most %d in 50 ms, after %d ms in the mean, recognized %d", r.returned, peak, r.waited*5/r.returned, r.recognized)
+}
+
 func (r *replay) exchange(n int) {
 	now := at(time.Duration(n) * step)
 	for i := range r.hosts {
@@ -150,31 +174,30 @@
 	}
 }
 
-// The engines do nothing for 300 ms, and 1,000 requests arrive within 100 ms and are rejected. With
-// a fixed time they return as one burst. The service can begin 20 requests in 50 ms.
+// The engines do nothing for 400 ms. 1,000 requests arrive within the first 100 ms and are rejected.
+// With a fixed time they return as one burst, of which the service can begin 20 requests in 50 ms.
+// Random times suit a burst of one size; a tenth as many requests must not wait as long.
 func TestReplayRejectedBurstReturns(t *testing.T) {
 	is := is.New(t)
-	var served, peak [2]int
-	for i, fixed := range []bool{true, false} {
-		r := newReplay(fixed)
-		var calls []*replayCall
-		for id := range 1000 {
-			calls = append(calls, r.add(id, id/50, false))
-		}
-		r.run(2100, 80)
-		for _, c := range calls {
-			if c.served {
-				served[i]++
+	var served [3]int
+	var replays [3]*replay
+	for _, size := range []int{100, 1000} {
+		for _, w := range []way{fixedTime, randomTime, bySchedule} {
+			r := newReplay(w)
+			var calls []*replayCall
+			for id := range size {
+				calls = append(calls, r.add(id, id*20/size, false))
 			}
+			r.run(2100, 80)
+			served[w], _ = countServed(calls)
+			replays[w] = r
+			t.Logf("way %d: served %d of %d, %v", w, served[w], size, r)
 		}
-		for _, n := range r.perInterval {
-			peak[i] = max(peak[i], n)
-		}
-		t.Logf("fixed %v: served %d of 1000, returned %d, at most %d in 50 ms, recognized %d", fixed, served[i], r.returned, peak[i], r.recognized)
+		is.Equal(served[bySchedule], size)
+		is.True(size > 100 || 2*replays[bySchedule].waited < replays[randomTime].waited)
 	}
-	is.True(served[0] < 300)
-	is.True(served[1] > 950)
-	is.True(peak[1]*4 < peak[0])
+	is.True(served[fixedTime] < 300)
+	is.True(slices.Max(slices.Collect(maps.Values(replays[bySchedule].perInterval))) < 40)
 }
 
 // For 3 s, 1.4 times as many requests arrive as the service can serve, and a third of the callers
@@ -182,24 +205,30 @@
 // those that don't must not.
 func TestReplayThirdOfCallersIgnoresTheTime(t *testing.T) {
 	is := is.New(t)
-	var obeying, ignoring [2]int
-	for i, fixed := range []bool{true, false} {
-		r := newReplay(fixed)
+	var obeying, ignoring [3]int
+	for _, w := range []way{fixedTime, randomTime, bySchedule} {
+		r := newReplay(w)
 		var calls []*replayCall
 		for id := range 1680 {
 			calls = append(calls, r.add(id, id*600/1680, id%3 == 0))
 		}
 		r.run(2700, 0)
-		for _, c := range calls {
-			switch {
-			case c.served && c.ignores:
-				ignoring[i]++
-			case c.served:
-				obeying[i]++
-			}
+		obeying[w], ignoring[w] = countServed(calls)
+		t.Logf("way %d: served %d of 1120 that obey, %d of 560 that don't, %v", w, obeying[w], ignoring[w], r)
+	}
+	is.True(obeying[bySchedule] > obeying[fixedTime])
+	is.True(ignoring[bySchedule] <= ignoring[fixedTime])
+}
+
+// countServed returns the number of served callers of both kinds.
+func countServed(calls []*replayCall) (obeying, ignoring int) {
+	for _, c := range calls {
+		switch {
+		case c.served && c.ignores:
+			ignoring++
+		case c.served:
+			obeying++
 		}
-		t.Logf("fixed %v: served %d of 1120 that obey, %d of 560 that don't; recognized %d of %d", fixed, obeying[i], ignoring[i], r.recognized, r.returned)
 	}
-	is.True(obeying[1] > obeying[0])
-	is.True(ignoring[1] <= ignoring[0])
+	return obeying, ignoring
 }
--- a/returnschedule/schedule.go
+++ b/returnschedule/schedule.go
@@ -25,6 +25,9 @@
 	usableFraction = 3
 	// minWait is the shortest time to return. A caller that returns earlier finds the same queue.
 	minWait = Interval
+	// limitSpread is the part of the longest wait over which the times without a reservation are
+	// spread. With 50 ms, half of the callers for whom a burst left no room returned within 50 ms.
+	limitSpread = 0.25
 	// shortestWait bounds the times without a reservation. Callers get them with two decimals of a
 	// second, and 0 would mean an immediate repeat.
 	shortestWait = 10 * time.Millisecond
@@ -107,8 +110,8 @@
 }
 
 // Promise returns the time at which the caller of a rejected request should return, and makes a
-// reservation if an interval has room. Without one, the time is the end of the schedule or a third
-// of the time until the deadline, if that is earlier.
+// reservation if an interval has room. Without one, the time is the last part of what the caller can
+// wait: until the end of the schedule, and for a third of the time until its deadline.
 func (s *Schedule) Promise(r Request, now time.Time) Answer {
 	now = s.advance(now)
 	if r.Remaining < usableFraction*shortestWait {
@@ -211,11 +214,10 @@
 	s.remove(key, index)
 }
 
-// withoutReservation returns a time for which nothing is reserved. It is spread over an interval, so
-// that requests which were rejected at once don't return at once.
+// withoutReservation returns a time for which nothing is reserved: the limit, less a part that
+// differs between requests, so that those which were rejected at once don't return at once.
 func (s *Schedule) withoutReservation(key Key, limit time.Duration, outcome Outcome) Answer {
-	spread := min(Interval, limit/4)
-	after := limit - time.Duration(s.spread(key)*float64(spread))
+	after := limit - time.Duration(s.spread(key)*limitSpread*float64(limit))
 	return Answer{After: max(shortestWait, after), Outcome: outcome}
 }
 
--- a/returnschedule/timeline.go
+++ b/returnschedule/timeline.go
@@ -16,7 +16,7 @@
 	minSpacing = int(250 * time.Millisecond / Interval)
 	// rankStep is the part of an interval that each rank leaves free for the more urgent ones and
 	// for new requests, and maxRankFree the largest such part.
-	rankStep    = 0.125
+	rankStep    = 0.25
 	maxRankFree = 0.5
 	// behindFree is the part of what its rank may use that a request leaves free whose account is
 	// over its share, or whose caller didn't wait for its first time.
