exchange: a host that changes its hub reads its log of reservations from the start

Cause: switchHub set the positions in the logs of prefixes and leaving upstreams back, but not those in the log of reservations, so that entries of the next hub could be skipped.

Change: it sets them back too. A test kills the hub, twice, before a host reports its reservations.

Ruled out: a third loss in the test. It takes the last seed, after which 30 hosts have no hub at all and no reservations reach others, as for all exchanged data (seen: 6 s without any).

Tests: TestReservationsWhenTheHubDies passes with and without -race.

--- a/internal/exchange/choosehub.go
+++ b/internal/exchange/choosehub.go
@@ -52,6 +52,7 @@
 	m.hubChosenAt = boottime.Now()
 	m.hubPrefixSeq, m.forwardedPrefixSeq = 0, 0
 	m.hubLeavingSeq, m.forwardedLeavingSeq = 0, 0
+	m.hubPromiseSeq, m.forwardedPromiseSeq = 0, 0
 	m.hubLimitReader, m.hubGrants = ratelease.LogReader{}, nil
 	m.requeueSightings()
 }
--- a/internal/exchange/promises_test.go
+++ b/internal/exchange/promises_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -107,6 +108,36 @@
 	}
 }
 
+// The hub dies, twice, before a host reports its reservations. The other hosts must receive them
+// through the next hub, with whose log the positions in the former one have nothing in common.
+func TestReservationsWhenTheHubDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 30, 3, 0)
+		time.Sleep(10 * time.Second)
+		maker := f.hosts[29]
+		for round := range 2 {
+			time.Sleep(time.Duration(round) * Interval / 2)
+			for key := range returnschedule.Key(10) {
+				maker.promises.make(returnschedule.Key(100*round)+key, 6*time.Second)
+			}
+			f.hosts = slices.DeleteFunc(f.hosts, func(h *fleetHost) bool {
+				dies := h.address == maker.member.Hub() && h != maker
+				if dies {
+					h.stop()
+				}
+				return dies
+			})
+			took, ok := f.waitForAllHosts(6*time.Second, func(h *fleetHost) bool {
+				n, _ := h.promises.count()
+				return h == maker || n == 10*(round+1)
+			})
+			t.Logf("%d hosts left: all after %v", len(f.hosts), took)
+			is.True(ok)
+		}
+	})
+}
+
 // A hub keeps a bounded number of reservations, drops those that are due, and continues where its
 // last message ended; a hub that restarted sends what it has.
 func TestReservationLogOfAHub(t *testing.T) {
