exchange: a test for the positions in the log of reservations at another hub

TestReservationsWhenTheHubDies also passes without the reset in switchHub, since the hubs' logs had equally many entries. The new test failed without it.

--- a/internal/exchange/promises_test.go
+++ b/internal/exchange/promises_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/returnschedule"
@@ -173,6 +174,15 @@
 	is.Equal(list, Promises{{Key: 9, In: 900 * time.Millisecond, Second: true}})
 }
 
+// The positions in the log of a former hub would skip entries of the next one's.
+func TestReservationsAreReadFromTheStartAtAnotherHub(t *testing.T) {
+	is := is.New(t)
+	m := New(Options{Host: "h", Listen: "10.0.0.1"}, zerolog.Nop())
+	m.hubPromiseSeq, m.forwardedPromiseSeq = 5, 6
+	m.switchHub("10.0.0.2")
+	is.Equal(m.hubPromiseSeq+m.forwardedPromiseSeq, uint64(0))
+}
+
 // Reservations take eight bytes each and nothing while there are none. A host without the feature
 // sends and reads no such fields.
 func TestReservationsOnTheWire(t *testing.T) {
