gateway: queue in front of engines that are shared, refusal of what they can't begin

Cause: the gateway sends each request to an engine as soon as it arrives.

Change: admission.HoldQueue decides for each request whether it is sent, kept or rejected, by an estimate of the time to its first event that has no side effects (Fleet.expectedStart, which Fleet.escalation now uses, too). dispatch.hold waits on behalf of the request, for an eighth of the route's target at most. Refusals have the new code 3009 engines-saturated. A further attempt for a better response needs a lower confidence of the first one while engines can't begin new requests within their targets.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -121,6 +121,7 @@
 			CacheFetch:     gateway.FeatureMode(c.CacheFetch),
 			StreamMoves:    gateway.FeatureMode(c.StreamMoves),
 		},
+		MemoryBytes:      int64(fileSettings.MemoryMB) << 20,
 		FirstModelIndex:  c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -104,15 +104,22 @@
 		return attemptResult{}, err
 	}
 	defer d.gateway.guard.Leave(r.Digest)
+	held, err := d.hold(ctx, r, models)
+	if err != nil {
+		return attemptResult{}, err
+	}
 	a, err := d.startAttempt(r, models)
+	d.gateway.holds.started(held)
 	if err != nil {
 		return attemptResult{}, err
 	}
+	d.recordSent(r, a)
 	target := a.choice.upstream.guardUpstream()
 	d.gateway.guard.Begin(target, r.Digest)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.runStream(ctx, func(head attemptResult) bool {
+			d.gateway.holds.wake()
 			d.gateway.rollouts.observeHead(r, &a.choice, head.firstByte)
 			a.headCounted = true
 			return d.acceptHead(r, a, models, head)
@@ -230,6 +237,7 @@
 func (d *dispatch) observeResult(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
 	g.fleet.release(a.choice, result)
+	g.holds.wake()
 	d.observeVersion(r, a, result)
 	if result.outcome == outcomeSilent {
 		g.responseTimes.get(r.responseTimeKey()).observeTimeout(time.Since(a.startedAt))
@@ -269,6 +277,7 @@
 	escalation.Threshold = float64(d.gateway.settings.AcceptConfidence)
 	escalation.ExpectedTime += boottime.Since(r.Arrived)
 	escalation.Target = r.Route.Target
+	escalation.Saturation = d.gateway.holds.saturation(r.Service)
 	a.minConfidence, a.queuePressure = int(escalation.RequiredConfidence()), escalation.Pressure
 	if head.confidence >= a.minConfidence {
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// shares and returns are used for contended services (Features).
 	shares  accountShares
 	returns returnTimes
+	// holds keeps requests until an engine can begin them in time.
+	holds *holds
 
 	transport *http.Transport
 
@@ -111,6 +113,7 @@
 	})
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
 	g.transport = newTransport()
+	g.holds = newHolds(g)
 	g.pipeline = chain(g.filters())
 	return g
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 )
@@ -32,6 +33,7 @@
 		return 0
 	})
 	m.set.NewGauge("quetzalweir_gateway_in_flight", func() float64 { return float64(g.inFlight.Load()) })
+	m.set.NewGauge("quetzalweir_gateway_held", func() float64 { return float64(g.holds.count.Load()) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_cold", func() float64 { return float64(g.fleet.countAllUpstreams().cold) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_limited", func() float64 { return float64(g.fleet.countAllUpstreams().limited) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_leaving", func() float64 { return float64(g.fleet.countAllUpstreams().leaving) })
@@ -115,6 +117,17 @@
 	}
 }
 
+// countHold counts a request that was held, and the time for which it was.
+func (m *gatewayMetrics) countHold(service string, held time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_held_total{service=%q}`, service)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_held_seconds{service=%q}`, service)).Update(held.Seconds())
+}
+
+// countSaturated counts a request that was refused because of the load of the engines.
+func (m *gatewayMetrics) countSaturated(service string, cause admission.Cause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_saturated_refusals_total{service=%q,cause=%q}`, service, cause)).Inc()
+}
+
 // countRequest counts a request and its duration.
 func (m *gatewayMetrics) countRequest(route, code string, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_requests_total{route=%q,code=%q}`, route, code)).Inc()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -128,17 +128,6 @@
 // escalation returns the estimates for running the request now on the criteria's model, at the most
 // suitable engine. ok is false if no engine is available.
 func (f *Fleet) escalation(crit criteria) (u placement.Escalation, ok bool) {
-	now := boottime.Now()
-	s := f.shard(crit.service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	u.Pressure = s.queueStats.pressure()
-	list := s.candidates(&crit, now, f.removalGrace)
-	if len(list.members) == 0 || crit.prompt == nil {
-		return u, len(list.members) > 0
-	}
-	c := choice{criteria: crit}
-	s.place(list, &c, now)
-	u.ExpectedTime = c.placement.ExpectedTime
-	return u, true
+	e, ok := f.expectedStart(crit)
+	return placement.Escalation{ExpectedTime: e.FirstEvent, Pressure: e.pressure}, ok
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,6 +47,13 @@
 	// relativePromptSize is the mean prompt size of the route divided by that of the service.
 	relativePromptSize float64
 
+	// heldFor is the time for which the request was held. arrived is set once it was decided for the
+	// first time whether to hold it; returning is set if the caller returned at the time that it was
+	// told.
+	heldFor   time.Duration
+	arrived   bool
+	returning bool
+
 	answer *answerWriter
 	// runState is the highest run state of all attempts.
 	runState runstate.Tracker
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,6 +59,9 @@
 	ColdOverrun  float64
 	ColdHeadroom float64
 
+	// MemoryBytes is the memory that the process may use; 0 if it isn't known.
+	MemoryBytes int64
+
 	// Features are the modes of the features for contended services.
 	Features Features
 
@@ -97,6 +100,8 @@
 	defaultDrainTime   = 2 * time.Second
 	defaultApplyTime   = 2 * time.Second
 	defaultCanaryShare = 0.1
+	// defaultMemoryBytes is the memory of the smallest host.
+	defaultMemoryBytes = 144 << 20
 )
 
 func (s Settings) withDefaults() Settings {
@@ -105,6 +110,7 @@
 	s.StopTimeout = cmp.Or(s.StopTimeout, defaultStopTimeout)
 	s.DrainTime = cmp.Or(s.DrainTime, defaultDrainTime)
 	s.ApplyTime = cmp.Or(s.ApplyTime, defaultApplyTime)
+	s.MemoryBytes = cmp.Or(s.MemoryBytes, defaultMemoryBytes)
 	s.CanaryShare = cmp.Or(s.CanaryShare, defaultCanaryShare)
 	return s
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,6 +23,7 @@
 func (g *Gateway) stop(callers *http.Server) {
 	deadline := time.Now().Add(g.settings.StopTimeout - killMargin)
 	g.stopping.Store(true)
+	g.holds.endHolds()
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.inFlight.Load()).Msg("")
 	time.Sleep(min(balancerLag, g.settings.StopTimeout/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -53,6 +53,7 @@
 	UpstreamsLimited    Code = 3006
 	UpstreamsLeaving    Code = 3007
 	UpstreamsBackingOff Code = 3008
+	EnginesSaturated    Code = 3009
 
 	// 4xxx: upstreams.
 	UpstreamUnreachable Code = 4001
@@ -124,6 +125,7 @@
 	{UpstreamsLimited, "upstreams-limited", 503, notRun, time.Second, "The upstreams that may run the request name limits, of which nothing is left now."},
 	{UpstreamsLeaving, "upstreams-leaving", 503, notRun, 2 * time.Second, "All upstreams that may run the request are leaving and accept no new requests."},
 	{UpstreamsBackingOff, "upstreams-backing-off", 503, notRun, 2 * time.Second, "The upstreams that may run the request stated that they accept none for some time; Retry-After is when the first of them may accept one."},
+	{EnginesSaturated, "engines-saturated", 503, notRun, time.Second, "No engine is expected to begin the request before its deadline, or too many requests wait for one on this host; Retry-After is when one is expected to have room."},
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
 	{AnswerIncomplete, "answer-incomplete", 502, ran, 0, "The answer began and could not be completed on the same version."},
