gateway, admission: tests of held requests

The failures of a queue at the host, each named after the failure and in virtual time, where a goroutine that doesn't end fails the test: caller leaves, deadline passes, planned stop with a full queue, host frozen with a queue, full queue, bytes of bodies, escalation while requests wait, requests that ran, off by default. The portion of less urgent items is by bytes where bytes are short.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -370,7 +370,7 @@
 	}
 	slices.SortFunc(all, compareItems)
 	for count > q.maxItems || bytes > q.maxBytes {
-		i := evictionIndex(all, q.maxItems)
+		i := q.evictionIndex(all, count > q.maxItems)
 		last := all[i]
 		if last == it {
 			return nil, false
@@ -385,10 +385,23 @@
 
 // evictionIndex returns the index of the item that leaves the full queue. It is the
 // last one, unless the items that are less urgent than the most urgent ones have no
-// more than their portion of the places; then it is the last of the most urgent ones.
-func evictionIndex(ordered []*Item, places int) int {
-	lower := slices.IndexFunc(ordered, func(it *Item) bool { return it.Priority > ordered[0].Priority })
-	if lower > 0 && len(ordered)-lower <= int(lowerPortion*float64(places)) {
+// more than their portion of the places or bytes, of which there are too few; then it
+// is the last of the most urgent ones.
+func (q *HoldQueue) evictionIndex(ordered []*Item, places bool) int {
+	lower, count, bytes := 0, 0, 0
+	for i, it := range ordered {
+		if it.Priority == ordered[0].Priority {
+			lower = i + 1
+			continue
+		}
+		count++
+		bytes += it.BodyBytes
+	}
+	withinPortion := float64(bytes) <= lowerPortion*float64(q.maxBytes)
+	if places {
+		withinPortion = float64(count) <= lowerPortion*float64(q.maxItems)
+	}
+	if withinPortion {
 		return lower - 1
 	}
 	return len(ordered) - 1
--- /dev/null
+++ b/admission/holdqueue_test.go
@@ -0,0 +1,120 @@
+package admission
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// holdEpoch is the time at which the tests of HoldQueue begin.
+var holdEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// busy is an estimate with which items are kept.
+var busy = Estimate{FirstEvent: 5 * time.Second, Wait: 4 * time.Second}
+
+func holdItem(priority int, change func(*Item)) *Item {
+	it := &Item{Service: "s", Priority: priority, Work: time.Second, Target: 4 * time.Second, Arrived: holdEpoch, Deadline: holdEpoch.Add(20 * time.Second), BodyBytes: 10}
+	if change != nil {
+		change(it)
+	}
+	return it
+}
+
+// The last item in the order must be rejected if the queue is full: a less urgent one first, then one
+// of an account over its share, then the one that can start latest. Less urgent items keep an eighth of
+// the places. The same holds if the bodies need too many bytes.
+func TestFullHoldQueue(t *testing.T) {
+	over := func(it *Item) { it.OverShare = true }
+	later := func(it *Item) { it.Deadline = it.Deadline.Add(time.Second) }
+	returning := func(it *Item) { it.Returning, it.Deadline = true, it.Deadline.Add(time.Second) }
+	large := func(it *Item) { it.BodyBytes = 11 }
+	tests := []struct {
+		desc          string
+		kept          *Item // one item of the full queue; the others have priority 1
+		offered       *Item
+		offeredIsKept bool
+	}{
+		{"less urgent than the others", holdItem(1, nil), holdItem(2, nil), true}, // it has a place in their portion
+		{"more urgent than the others", holdItem(1, later), holdItem(0, nil), true},
+		{"over its share", holdItem(1, nil), holdItem(1, over), false},
+		{"another is over its share", holdItem(1, over), holdItem(1, later), true},
+		{"others start earlier", holdItem(1, nil), holdItem(1, later), false},
+		{"returned when it was told", holdItem(1, later), holdItem(1, returning), true},
+		{"urgent but over its share", holdItem(2, nil), holdItem(1, over), false},
+		{"body without room, same order", holdItem(1, nil), holdItem(1, large), false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			q := NewHoldQueue(MaxHeldItems * 10)
+			is.Equal(q.Offer(test.kept, busy, holdEpoch)[0].Verdict, Keep)
+			for range MaxHeldItems - 1 {
+				is.Equal(q.Offer(holdItem(1, nil), busy, holdEpoch)[0].Verdict, Keep)
+			}
+			decisions := q.Offer(test.offered, busy, holdEpoch)
+			is.Equal(decisions[0].Verdict == Keep, test.offeredIsKept)
+			rejected := decisions[len(decisions)-1]
+			is.Equal(rejected.Cause, CauseFull)
+			is.True(rejected.RetryAfter > 0)
+			is.Equal(q.Len(), MaxHeldItems)
+		})
+	}
+}
+
+// Bodies of kept items must stay within the bound: several small ones make room for a more urgent
+// large one, and one that is larger than the bound is sent, since it has a place at an upstream.
+func TestBytesOfAHoldQueue(t *testing.T) {
+	is := is.New(t)
+	q := NewHoldQueue(100)
+	for range 10 {
+		q.Offer(holdItem(1, nil), busy, holdEpoch)
+	}
+	decisions := q.Offer(holdItem(0, func(it *Item) { it.BodyBytes = 35 }), busy, holdEpoch)
+	is.Equal(decisions[0].Verdict, Keep)
+	is.Equal(len(decisions), 5) // four were rejected
+	is.Equal(q.bytes, 95)
+	is.Equal(q.Offer(holdItem(0, func(it *Item) { it.BodyBytes = 101 }), busy, holdEpoch)[0].Verdict, Send)
+}
+
+// Less urgent items must get an eighth of the work sent, or they would wait as long as there are more
+// urgent ones; an item over its share must not be sent before those within theirs.
+func TestOrderOfAHoldQueue(t *testing.T) {
+	is := is.New(t)
+	q := NewHoldQueue(1000)
+	for i := range 20 {
+		q.Offer(holdItem(i%2, func(it *Item) { it.OverShare = i < 4 }), busy, holdEpoch)
+	}
+	soon := Estimate{FirstEvent: 2 * time.Second, Wait: time.Second}
+	var order strings.Builder
+	for q.Len() > 0 {
+		decisions := q.Advance(holdEpoch.Add(estimateInterval), func(*Item) Estimate { return soon })
+		is.Equal(len(decisions), 1) // the next one is decided on after Started
+		it := decisions[0].Item
+		order.WriteByte("ulUL"[it.Priority+2*boolInt(it.OverShare)])
+		q.Started(it)
+	}
+	is.Equal(order.String(), "uuuuuuuulUUlllllllLL")
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// A new item of an account over its share must not overtake kept ones of accounts within theirs,
+// unless an upstream is idle. Others are sent if an upstream can begin them in time.
+func TestNewItemsWhileOthersAreKept(t *testing.T) {
+	is := is.New(t)
+	q := NewHoldQueue(1000)
+	q.Offer(holdItem(1, nil), busy, holdEpoch)
+	soon := Estimate{FirstEvent: 2 * time.Second, Wait: time.Second}
+	over := func(it *Item) { it.OverShare = true }
+	is.Equal(q.Offer(holdItem(1, nil), soon, holdEpoch)[0].Cause, CauseInTime)
+	is.Equal(q.Offer(holdItem(1, over), Estimate{FirstEvent: time.Second}, holdEpoch)[0].Cause, CauseIdle)
+	is.Equal(q.Offer(holdItem(1, over), soon, holdEpoch)[0].Cause, CauseOverShare)
+	is.Equal(q.Offer(holdItem(0, over), soon, holdEpoch)[0].Cause, CauseInTime)
+}
--- /dev/null
+++ b/internal/gateway/hold_test.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/runstate"
+)
+
+// holdTest is a gateway with one engine, in virtual time. Its requests have a target of 4 s, so that
+// they are held for at most half a second.
+type holdTest struct {
+	*is.I
+	ctx   context.Context
+	g     *Gateway
+	log   lockedBuffer
+	table *routing.Table
+	ended chan string
+}
+
+// runHoldTest runs the test in virtual time, in which a goroutine that doesn't end fails the test.
+func runHoldTest(t *testing.T, run func(h *holdTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &holdTest{I: is.New(t), ctx: t.Context(), ended: make(chan string, 2*admission.MaxHeldItems)}
+		h.g = New(Settings{Zone: "z1", Headers: testHeaders(), AcceptConfidence: 50, Features: Features{HoldRequests: FeatureOn}}, zerolog.New(&h.log))
+		var err error
+		h.table, err = routing.New(testDocument())
+		h.NoErr(err)
+		h.g.routingTable.Store(h.table)
+		h.g.fleet.ApplyEntry(Upstream{ID: "a", Service: "svc", Address: "127.0.0.1:1", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		run(h)
+		h.Equal(h.g.holds.count.Load(), int64(0))
+		h.Equal(len(h.g.holds.held), 0)
+	})
+}
+
+// setWork makes the host expect that the engine has the work queued now, which declines with time.
+func (h *holdTest) setWork(work time.Duration) {
+	const ahead = 100 * time.Second // keeps the report from expiring
+	id := h.g.fleet.shard("svc").members["a"].idHash
+	h.g.fleet.setRemoteWork(exchange.Work{id: float64((work - ahead).Milliseconds())}, boottime.Now().Add(ahead))
+}
+
+func (h *holdTest) request(deadline time.Duration) *Request {
+	now := boottime.Now()
+	return &Request{
+		ID: "r1", Service: "svc", Table: h.table, Arrived: now, Deadline: now.Add(deadline), Prompt: Prompt{TokensIn: 100, Model: "small"},
+		Route:  &routing.Route{Name: "stream", Target: 4 * time.Second, MaxAttempts: 3},
+		answer: newAnswerWriter(httptest.NewRecorder(), httptest.NewRequest("POST", "/", nil), false, ""),
+	}
+}
+
+// start makes the decision on a request in a goroutine, which sends the result: the refusal, or "sent"
+// once an engine would be chosen.
+func (h *holdTest) start(ctx context.Context, r *Request) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, boottime.Until(r.Deadline))
+		defer cancel()
+		held, err := (&dispatch{gateway: h.g}).hold(ctx, r, &modelSequence{})
+		h.g.holds.started(held)
+		if err != nil {
+			h.ended <- resultcode.FromError(err).Code.String()
+			return
+		}
+		h.ended <- "sent"
+	}()
+	synctest.Wait()
+}
+
+func (h *holdTest) results(n int) []string {
+	var list []string
+	for range n {
+		list = append(list, <-h.ended)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// A request must be sent at once while an engine is idle or can begin it in time, held for an eighth
+// of its target otherwise, and refused at once if its first event is expected after its deadline.
+func TestRequestsAreHeldWhileEnginesAreBusy(t *testing.T) {
+	tests := []struct {
+		work, deadline, took time.Duration
+		want, why            string
+	}{
+		{0, 10 * time.Millisecond, 0, "sent", ""},
+		{3 * time.Second, 10 * time.Second, 0, "sent", ""},
+		{6 * time.Second, 10 * time.Second, 500 * time.Millisecond, "sent", `"why":"late"`},
+		{6 * time.Second, 3 * time.Second, 0, "engines-saturated", `"why":"unmeetable"`},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.work, test.deadline), func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				h.setWork(test.work)
+				start, r := time.Now(), h.request(test.deadline)
+				h.start(h.ctx, r)
+				h.Equal(h.results(1), []string{test.want})
+				h.Equal(time.Since(start), test.took)
+				h.True(strings.Contains(h.log.String(), test.why))
+				h.Equal(strings.Contains(h.log.String(), `"event":"held"`), test.why != "")
+			})
+		})
+	}
+}
+
+// A held request must be sent as soon as an engine has room: after an attempt ended, at once.
+func TestHeldRequestIsSentWhenAnEngineHasRoom(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		h.start(h.ctx, h.request(10*time.Second))
+		time.Sleep(110 * time.Millisecond)
+		h.setWork(time.Second)
+		h.g.holds.wake()
+		start := time.Now()
+		h.Equal(h.results(1), []string{"sent"})
+		h.True(time.Since(start) <= 20*time.Millisecond)
+		h.True(strings.Contains(h.log.String(), `"why":"in-time"`))
+	})
+}
+
+// The place of a caller that leaves must be free at once, and its request must not be sent.
+func TestCallerLeavesWhileHeld(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		ctx, leave := context.WithCancel(h.ctx)
+		h.start(ctx, h.request(10*time.Second))
+		h.Equal(h.g.holds.count.Load(), int64(1))
+		leave()
+		synctest.Wait()
+		h.Equal(h.g.holds.count.Load(), int64(0))
+		h.Equal(h.results(1), []string{"caller-gone"})
+		h.True(strings.Contains(h.log.String(), `"why":"caller-left"`))
+	})
+}
+
+// A host that was frozen with a queue must decide on it by the present time: requests whose deadlines
+// passed aren't sent, and those that can't be begun any more are refused.
+func TestHostIsFrozenWithAQueue(t *testing.T) {
+	tests := []struct {
+		frozen time.Duration
+		work   time.Duration
+		want   string
+	}{
+		{2 * time.Second, 0, "sent"},
+		{2 * time.Second, 5 * time.Second, "sent"},
+		{5 * time.Second, 6 * time.Second, "engines-saturated"},
+		{12 * time.Second, 0, "deadline-unmeetable"},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.frozen, test.work), func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				h.setWork(6 * time.Second)
+				for range 10 {
+					h.start(h.ctx, h.request(10*time.Second))
+				}
+				h.Equal(h.g.holds.count.Load(), int64(10))
+				defer boottime.SimulateSuspension(test.frozen)()
+				h.setWork(test.work)
+				h.Equal(h.results(10), []string{test.want})
+			})
+		})
+	}
+}
+
+// The deadline of a held request may pass before its next decision, for example on a host that is
+// short of processor time. The request must not be sent then.
+func TestDeadlineWhileHeld(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		r := h.request(10 * time.Second)
+		h.setWork(6 * time.Second)
+		h.start(h.ctx, r)
+		h.g.holds.timer.Stop() // no decision is made
+		h.Equal(h.results(1), []string{"deadline-unmeetable"})
+	})
+}
+
+// On a planned stop with a full queue, each request must be sent or refused at once, and no further
+// one be held.
+func TestStopWithAFullQueue(t *testing.T) {
+	for work, want := range map[time.Duration]string{5 * time.Second: "sent", time.Minute: "engines-saturated"} {
+		t.Run(want, func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				h.setWork(6 * time.Second)
+				for range admission.MaxHeldItems {
+					h.start(h.ctx, h.request(10*time.Second))
+				}
+				h.Equal(h.g.holds.count.Load(), int64(admission.MaxHeldItems))
+				h.setWork(work)
+				start := time.Now()
+				h.g.stopping.Store(true)
+				h.g.holds.endHolds()
+				h.start(h.ctx, h.request(10*time.Second))
+				h.Equal(h.results(admission.MaxHeldItems+1), []string{want})
+				h.Equal(time.Since(start), time.Duration(0))
+			})
+		})
+	}
+}
+
+// A request that may have run must not be refused as one that didn't run, nor be held.
+func TestRequestThatRanIsNeitherHeldNorRefused(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(time.Minute)
+		r := h.request(10 * time.Second)
+		r.runState.Raise(runstate.MayHaveRun)
+		h.start(h.ctx, r)
+		h.Equal(h.results(1), []string{"sent"})
+	})
+}
+
+// Requests must be neither held nor refused for services whose engines don't state the fourth figure
+// of the load header, and for requests without a prompt.
+func TestNoRequestIsHeldByDefault(t *testing.T) {
+	tests := []struct {
+		desc   string
+		change func(g *Gateway, r *Request)
+	}{
+		{"three figures", func(g *Gateway, _ *Request) { g.settings.Features.HoldRequests = FeatureAuto }},
+		{"off", func(g *Gateway, _ *Request) { g.settings.Features.HoldRequests = FeatureOff }},
+		{"no prompt", func(_ *Gateway, r *Request) { r.Prompt.TokensIn = 0 }},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				h.setWork(time.Minute)
+				r := h.request(10 * time.Second)
+				test.change(h.g, r)
+				h.start(h.ctx, r)
+				h.Equal(h.results(1), []string{"sent"})
+				h.True(!r.arrived)
+				h.Equal(h.g.holds.saturation("svc"), 0.0)
+			})
+		})
+	}
+}
+
+// While requests wait, only an answer that is probably wrong may be replaced by one of the better
+// model, since each such attempt makes another request late.
+func TestEscalationWhileRequestsWait(t *testing.T) {
+	for _, saturated := range []bool{false, true} {
+		runHoldTest(t, func(h *holdTest) {
+			h.g.hostCount.Store(1)
+			h.g.settings.RetryHeadroom = 100
+			accepts := func(confidence int) bool {
+				models := &modelSequence{models: []string{"small", "large"}}
+				return (&dispatch{gateway: h.g}).acceptHead(h.request(10*time.Second), &attempt{}, models, attemptResult{confidence: confidence})
+			}
+			if saturated {
+				h.setWork(time.Minute)
+				for range 10 {
+					h.start(h.ctx, h.request(10*time.Second))
+				}
+				h.Equal(h.results(10), []string{"engines-saturated"})
+			}
+			h.setWork(0)
+			h.True(!accepts(5))
+			h.Equal(accepts(40), saturated)
+			h.True(accepts(60))
+		})
+	}
+}
