--- a/admission/doc.go
+++ b/admission/doc.go
@@ -12,6 +12,10 @@
 // locks or timers; the caller passes the time. Queue adds blocking callers and a
 // timer. RetryBudget limits retries to a ratio of first attempts.
 //
+// HoldQueue decides for hosts that share upstreams without dividing their slots:
+// by the expected time to the first event it sends a request, keeps it for a part
+// of its target, or rejects it.
+//
 // On the entry host, requests pass a Queue before they are sent to upstreams. A
 // Queue counts only the requests that it admitted itself, so it can't limit the
 // load from other hosts. It doesn't cancel running requests.
