--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -122,6 +122,7 @@
 			StreamMoves:    gateway.FeatureMode(c.StreamMoves),
 		},
 		Contended:        fileSettings.Contended,
+		MemoryBytes:      int64(fileSettings.MemoryMB) << 20,
 		FirstModelIndex:  c.FirstModel,
 		AcceptConfidence: c.AcceptConfidence,
 	}
