placement: count an engine's slowdown, batch slots and KV cache

Cause: prompts were placed by queued prefill work at the mean speed alone. Streams queue no prefill, so engines whose batch slots are all taken looked idle, and slow engines got as many prompts as fast ones.

Change: Candidate gains Slowdown, SlotWait and LacksMemory. The expected time and the prefill time are scaled by the slowdown; the cost counts the work at the mean engine, plus the slot wait in full, since an engine that preempts a stream for this request makes that stream wait. With zero values the decision is as before.

--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Request describes a request for which an engine is selected.
 type Request struct {
@@ -27,6 +30,13 @@
 	OtherRegion bool
 	// CachedParts is the number of leading parts of the prompt that the engine caches.
 	CachedParts int
+	// Slowdown is the engine's slowdown factor; 0 means unknown and counts as 1. QueuedWork is
+	// scaled by it already.
+	Slowdown float64
+	// SlotWait is the expected time until the engine has a free batch slot. LacksMemory reports
+	// whether its KV cache has no room for the request.
+	SlotWait    time.Duration
+	LacksMemory bool
 	// OwnerRank ranks the engine for the prompt's shared parts, identically on all hosts; the
 	// engine with the highest rank is the owner of the parts.
 	OwnerRank uint64
@@ -47,6 +57,8 @@
 	UncachedTokens int
 	// IsOwner reports whether the engine is the owner of the prompt's shared parts.
 	IsOwner bool
+	// work is PrefillTime at the mean engine.
+	work time.Duration
 }
 
 // defaultTarget is used for requests without a target.
@@ -59,12 +71,17 @@
 // another zone or region. If an owner in this zone is preferred, its cost doesn't include the
 // prefill of the shared parts, because later requests reuse it. At equal costs the engine with
 // the higher rank is selected, so that all hosts select the same engine without communication.
+// An engine that lacks memory for the request is selected only if all do.
 func Place(estimator *PrefillEstimator, r *Request, candidates []Candidate) Choice {
 	local := r.prefersLocalOwner(estimator)
 	owner := findOwner(candidates, local)
 	best := Choice{Index: -1}
 	lowestCost := time.Duration(0)
+	anyHasMemory := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.LacksMemory })
 	for i := range candidates {
+		if candidates[i].LacksMemory && anyHasMemory {
+			continue
+		}
 		c := r.evaluate(estimator, &candidates[i])
 		c.Index, c.IsOwner = i, i == owner
 		cost := r.cost(&c, &candidates[i])
@@ -80,12 +97,17 @@
 
 func (r *Request) evaluate(estimator *PrefillEstimator, c *Candidate) Choice {
 	uncached := r.Prompt.uncachedTokens(c.CachedParts)
-	unqueued := estimator.TimeToFirstEvent(r.Model, uncached)
-	return Choice{ExpectedTime: c.QueuedWork + unqueued, ExpectedUnqueued: unqueued, PrefillTime: overhead + estimator.PrefillTime(r.Model, uncached), UncachedTokens: uncached}
+	slowdown := BoundSlowdown(c.Slowdown)
+	unqueued := scale(estimator.TimeToFirstEvent(r.Model, uncached), slowdown)
+	work := overhead + estimator.PrefillTime(r.Model, uncached)
+	return Choice{ExpectedTime: c.QueuedWork + c.SlotWait + unqueued, ExpectedUnqueued: unqueued, PrefillTime: scale(work, slowdown), UncachedTokens: uncached, work: work}
 }
 
 func (r *Request) cost(choice *Choice, c *Candidate) time.Duration {
-	cost := choice.PrefillTime + r.latencyCost(choice.ExpectedTime)
+	// The work counts as at the mean engine, since a slow engine's time is worth less. The wait for
+	// a slot counts in full besides the latency: if the engine preempts a less urgent request for
+	// this one, that request waits.
+	cost := choice.work + c.SlotWait + r.latencyCost(choice.ExpectedTime)
 	if c.OtherZone {
 		cost += r.ZoneCost
 	}
