exchange: engine states: requests, KV cache tokens and slowdowns of engines

Cause: a host sees an engine's answers every few seconds only, and counts only its own requests.

Change: reports and replies gain an optional part, EngineStates. Every second exchange carries the requests in flight and their tokens by engine, the busiest 24 of a host and 36 in a reply with the mean of the others; about once a second one of four slices of the slowdown sums. Entries take five bytes. The part is left out unless a host places prompts by engine state.

Ruled out: loads in each exchange (twice the bytes); loads in the order of Work without ids (2.6 bytes an entry less, but Work has only engines with queued prefill); replies with 40 loads: 1,992 bytes a second, too close to the budget of 2,000.

Wrong values become finite ones on the wire.

--- /dev/null
+++ b/internal/exchange/enginestate.go
@@ -0,0 +1,350 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/placement"
+)
+
+// EngineStates is the part of a report or reply on the engines of services whose prompts are placed
+// by engine state. It is left out of messages while no such service is in use.
+type EngineStates struct {
+	// Loads holds the requests in flight by engine. The entry of OtherEngines holds the mean of
+	// the engines that were left out because the message has no room for them.
+	Loads EngineLoads `json:"loads,omitempty"`
+	// Slice is the number, from 1, of the slice of the engines whose slowdowns the message
+	// contains, and that the reply to it is to contain; 0 if none. The sums change slowly, so each
+	// message has only a part of the engines.
+	Slice     int       `json:"slice,omitempty"`
+	Slowdowns Slowdowns `json:"slow,omitempty"`
+}
+
+// EngineID is the upper three bytes of an engine's IDHash. Among 12,000 engines, about four pairs
+// have the same EngineID; both of a pair then count with their sum.
+type EngineID uint32
+
+// OtherEngines is the key in EngineLoads of the mean over the engines that were left out.
+const OtherEngines EngineID = 0
+
+// EngineID returns the id of the engine with the hash. It is never OtherEngines.
+func (h IDHash) EngineID() EngineID { return max(1, EngineID(h>>8)) }
+
+// EngineLoad is the load of an engine by requests in flight: their number, and the tokens that they
+// need in its KV cache.
+type EngineLoad struct{ Requests, Tokens float64 }
+
+// EngineLoads holds loads by engine. OtherEngines occurs only in replies to hosts that report for
+// themselves alone.
+type EngineLoads map[EngineID]EngineLoad
+
+// Slowdowns holds the sums of slowdown samples by engine. placement.Slowdown.NewestAt isn't sent.
+type Slowdowns map[EngineID]placement.Slowdown
+
+const (
+	// exchangesPerLoads is the number of exchanges of which one carries engine loads. One lost
+	// exchange must not make them older than MaxWorkAge.
+	exchangesPerLoads = 2
+	// exchangesPerSlowdowns is the number of exchanges, a multiple of exchangesPerLoads, of which
+	// one carries slowdowns: about one a second. slowdownSlices is the number of slices.
+	exchangesPerSlowdowns = 8
+	slowdownSlices        = 4
+	// maxReportedLoads and maxRepliedLoads bound the loads in a report and in the reply to a host.
+	// With 300 ms between them they take 1.4 KB a second. A host has requests at about as many
+	// engines as the mean engine has requests: 20 of 140, with 90 hosts. maxHubLoads bounds the
+	// loads in messages between hubs.
+	maxReportedLoads = 24
+	maxRepliedLoads  = 36
+	maxHubLoads      = 160
+	// maxSlowdowns bounds the slowdowns in a message. 140 engines have 35 in a slice.
+	maxSlowdowns = 48
+	// engineEntrySize is the size of an encoded entry in bytes, before base64: an EngineID and two
+	// values of one byte.
+	engineEntrySize = 3 + 2
+	// stepsPerDoubling is the number of codes of a value between it and its double, so that a
+	// value is rounded by at most 2.2%.
+	stepsPerDoubling = 16
+	// tokensUnit and weightUnit are the values that logCode encodes as stepsPerDoubling; smaller
+	// ones are rounded by up to 4.4% of the unit.
+	tokensUnit = 64
+	weightUnit = 0.25
+)
+
+// logCode encodes a value of at least 0 as one byte on a logarithmic scale.
+func logCode(value, unit float64) byte {
+	if !(value > 0) {
+		return 0
+	}
+	return byte(min(math.MaxUint8, math.Round(stepsPerDoubling*math.Log2(1+value/unit))))
+}
+
+func logValue(code byte, unit float64) float64 {
+	return unit * (math.Exp2(float64(code)/stepsPerDoubling) - 1)
+}
+
+// factorCode encodes a slowdown between placement.MinSlowdown and placement.MaxSlowdown as a byte.
+func factorCode(factor float64) byte {
+	if !(factor > 0) {
+		factor = 1
+	}
+	factor = min(placement.MaxSlowdown, max(placement.MinSlowdown, factor))
+	return byte(math.Round(stepsPerDoubling * math.Log2(factor/placement.MinSlowdown)))
+}
+
+func factorValue(code byte) float64 {
+	return min(placement.MaxSlowdown, placement.MinSlowdown*math.Exp2(float64(code)/stepsPerDoubling))
+}
+
+func packEngines[V any](entries map[EngineID]V, encode func(V) (first, second byte)) ([]byte, error) {
+	packed := make([]byte, 0, engineEntrySize*len(entries))
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		first, second := encode(entries[id])
+		packed = append(binary.BigEndian.AppendUint16(append(packed, byte(id>>16)), uint16(id)), first, second)
+	}
+	return marshalPacked(packed)
+}
+
+func unpackEngines[V any](data []byte, decode func(first, second byte) V) (map[EngineID]V, error) {
+	packed, err := unmarshalPacked(data, engineEntrySize)
+	if err != nil {
+		return nil, err
+	}
+	entries := make(map[EngineID]V, len(packed)/engineEntrySize)
+	for e := range slices.Chunk(packed, engineEntrySize) {
+		entries[EngineID(e[0])<<16|EngineID(binary.BigEndian.Uint16(e[1:]))] = decode(e[3], e[4])
+	}
+	return entries, nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (l EngineLoads) MarshalJSON() ([]byte, error) {
+	return packEngines(l, func(e EngineLoad) (byte, byte) {
+		return byte(min(math.MaxUint8, max(0, math.Round(e.Requests)))), logCode(e.Tokens, tokensUnit)
+	})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *EngineLoads) UnmarshalJSON(data []byte) (err error) {
+	*l, err = unpackEngines(data, func(requests, tokens byte) EngineLoad {
+		return EngineLoad{Requests: float64(requests), Tokens: logValue(tokens, tokensUnit)}
+	})
+	return err
+}
+
+// MarshalJSON implements json.Marshaler.
+func (s Slowdowns) MarshalJSON() ([]byte, error) {
+	return packEngines(s, func(e placement.Slowdown) (byte, byte) {
+		return logCode(e.Weight, weightUnit), factorCode(e.Sum / e.Weight)
+	})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Slowdowns) UnmarshalJSON(data []byte) (err error) {
+	*s, err = unpackEngines(data, func(weight, factor byte) placement.Slowdown {
+		w := logValue(weight, weightUnit)
+		return placement.Slowdown{Weight: w, Sum: w * factorValue(factor)}
+	})
+	return err
+}
+
+// SlowdownSlice returns the number of the slice that the engine's slowdown is sent in.
+func SlowdownSlice(id EngineID) int { return int(id%slowdownSlices) + 1 }
+
+// most returns the entries with the highest values, at most limit.
+func most[V any](entries map[EngineID]V, limit int, value func(V) float64) map[EngineID]V {
+	if len(entries) <= limit {
+		return entries
+	}
+	ids := slices.SortedFunc(maps.Keys(entries), func(a, b EngineID) int {
+		if d := value(entries[b]) - value(entries[a]); d != 0 {
+			return int(math.Copysign(1, d))
+		}
+		return int(a) - int(b)
+	})
+	kept := make(map[EngineID]V, limit)
+	for _, id := range ids[:limit] {
+		kept[id] = entries[id]
+	}
+	return kept
+}
+
+// busiest returns the entries of the engines with the most requests, at most limit, and the mean of
+// the others under OtherEngines.
+func (l EngineLoads) busiest(limit int) EngineLoads {
+	kept := EngineLoads(most(l, limit-1, func(e EngineLoad) float64 { return e.Requests }))
+	if left := len(l) - len(kept); left > 0 {
+		var rest EngineLoad
+		for id, e := range l {
+			if _, ok := kept[id]; !ok {
+				rest.Requests += e.Requests / float64(left)
+				rest.Tokens += e.Tokens / float64(left)
+			}
+		}
+		kept[OtherEngines] = rest
+	}
+	return kept
+}
+
+// bounded returns the states with at most the permitted number of entries; nil for nil.
+func (e *EngineStates) bounded(maxLoads int) *EngineStates {
+	if e == nil {
+		return nil
+	}
+	loads := e.Loads.busiest(maxLoads)
+	if maxLoads != maxRepliedLoads {
+		delete(loads, OtherEngines) // a sum over several messages can't contain means
+	}
+	weight := func(s placement.Slowdown) float64 { return s.Weight }
+	return &EngineStates{Loads: loads, Slice: e.Slice, Slowdowns: most(e.Slowdowns, maxSlowdowns, weight)}
+}
+
+// receivedEngines holds the latest loads and slices of slowdowns that a host or another hub sent.
+type receivedEngines struct {
+	loads     EngineLoads
+	loadsAt   time.Time
+	slowdowns [slowdownSlices]Slowdowns
+}
+
+// recordEngines stores the states that a host or another hub sent, under its key in the reports.
+// The caller holds the lock.
+func (h *hub) recordEngines(key string, e *EngineStates) {
+	if e == nil {
+		return
+	}
+	received := h.engines[key]
+	if received == nil {
+		received = &receivedEngines{}
+		h.engines[key] = received
+	}
+	received.loads, received.loadsAt = e.Loads, boottime.Now()
+	if e.Slice >= 1 && e.Slice <= slowdownSlices {
+		received.slowdowns[e.Slice-1] = e.Slowdowns
+	}
+}
+
+// otherEngines returns the sums over the states of all hosts except self, with the given slice of
+// slowdowns and at most maxLoads loads; nil if no host sent any. Loads that are older than
+// MaxWorkAge don't count.
+func (h *hub) otherEngines(self string, slice int, to audience, maxLoads int) *EngineStates {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dropExpired()
+	sum := &EngineStates{Loads: make(EngineLoads), Slowdowns: make(Slowdowns)}
+	if slice >= 1 && slice <= slowdownSlices {
+		sum.Slice = slice
+	}
+	found := false
+	for key, received := range h.engines {
+		report, ok := h.reports[key]
+		if !ok {
+			delete(h.engines, key)
+			continue
+		}
+		if key == self || !to.includes(report) {
+			continue
+		}
+		found = true
+		if boottime.Since(received.loadsAt) <= MaxWorkAge {
+			sum.addLoads(received.loads)
+		}
+		if sum.Slice > 0 {
+			sum.addSlowdowns(received.slowdowns[slice-1])
+		}
+	}
+	if !found {
+		return nil
+	}
+	return sum.bounded(maxLoads)
+}
+
+// answerEngines returns the states for the reply to a report; nil if the report has none.
+func (h *hub) answerEngines(from string, r Report, to audience) *EngineStates {
+	if r.Engines == nil {
+		return nil
+	}
+	maxLoads := maxRepliedLoads
+	if to == toHub || r.Hosts > 1 {
+		maxLoads = maxHubLoads
+	}
+	return h.otherEngines(from, r.Engines.Slice, to, maxLoads)
+}
+
+func (e *EngineStates) addLoads(loads EngineLoads) {
+	for id, load := range loads {
+		sum := e.Loads[id]
+		e.Loads[id] = EngineLoad{Requests: sum.Requests + load.Requests, Tokens: sum.Tokens + load.Tokens}
+	}
+}
+
+func (e *EngineStates) addSlowdowns(slowdowns Slowdowns) {
+	for id, s := range slowdowns {
+		sum := e.Slowdowns[id]
+		sum.Add(s)
+		e.Slowdowns[id] = sum
+	}
+}
+
+// hasEngines reports whether any host sent engine states.
+func (h *hub) hasEngines() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.engines) > 0
+}
+
+// enginesDue reports whether the current exchange carries engine states, and returns the slice of
+// slowdowns in it, or 0.
+func (m *Member) enginesDue() (slice int, due bool) {
+	if m.reportCount%exchangesPerSlowdowns == 1 {
+		slice = m.reportCount/exchangesPerSlowdowns%slowdownSlices + 1
+	}
+	return slice, m.reportCount%exchangesPerLoads == 1
+}
+
+// nextEngines returns this host's engine states for the next report; nil if none are due, or if the
+// host uses no service whose prompts are placed by them.
+func (m *Member) nextEngines() *EngineStates {
+	slice, due := m.enginesDue()
+	if !due || m.options.Engines == nil {
+		return nil
+	}
+	return m.options.Engines(slice).bounded(maxReportedLoads)
+}
+
+// subtreeEngines returns the engine states of this host and its followers for the next report to
+// the hub; nil if none are due or there are none.
+func (m *Member) subtreeEngines() *EngineStates {
+	slice, due := m.enginesDue()
+	if !due {
+		return nil
+	}
+	return m.ownHub.otherEngines("", slice, toHub, maxHubLoads)
+}
+
+// engineQuery returns the engine states of a query to another seed; nil if none are due or no host
+// sent any here.
+func (m *Member) engineQuery() *EngineStates {
+	slice, due := m.enginesDue()
+	if !due || !m.ownHub.hasEngines() {
+		return nil
+	}
+	return &EngineStates{Slice: slice}
+}
+
+// deliverEngines passes the other hosts' engine states, as of the given time, to OnEngines.
+func (m *Member) deliverEngines(e *EngineStates, at time.Time) {
+	if m.options.OnEngines != nil && e != nil {
+		m.options.OnEngines(e, at)
+	}
+}
+
+var (
+	_ json.Marshaler   = EngineLoads{}
+	_ json.Unmarshaler = (*EngineLoads)(nil)
+	_ json.Marshaler   = Slowdowns{}
+	_ json.Unmarshaler = (*Slowdowns)(nil)
+)
--- /dev/null
+++ b/internal/exchange/enginestate_test.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/placement"
+)
+
+// simulatedEngines is the number of engines in the tests of this file. Each host has requests at
+// requestsPerHost of them.
+const (
+	simulatedEngines = 140
+	requestsPerHost  = 18
+)
+
+// engineStates returns one request at each of requestsPerHost engines, and slowdowns of all.
+func (h *fleetHost) engineStates(slice int) *EngineStates {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.engines == 0 {
+		return nil
+	}
+	states := &EngineStates{Loads: make(EngineLoads), Slice: slice, Slowdowns: make(Slowdowns)}
+	for i := range requestsPerHost {
+		states.Loads[engineNumber(h.engines*requestsPerHost+i)] = EngineLoad{Requests: 1, Tokens: 2368}
+	}
+	for i := range simulatedEngines {
+		if id := engineNumber(i); SlowdownSlice(id) == slice {
+			states.Slowdowns[id] = placement.Slowdown{Weight: 0.5, Sum: 0.75}
+		}
+	}
+	return states
+}
+
+func engineNumber(i int) EngineID {
+	return IDHash(0x01000000*uint32(1+i%simulatedEngines)).EngineID() + EngineID(i%simulatedEngines)
+}
+
+func (h *fleetHost) setEngineStates(states *EngineStates, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.otherEngines.Slowdowns == nil {
+		h.otherEngines.Slowdowns = make(Slowdowns)
+	}
+	h.otherEngines.Loads, h.enginesReadAt = states.Loads, at
+	maps.Copy(h.otherEngines.Slowdowns, states.Slowdowns)
+}
+
+// receivedFrom reports whether the host's data is recent and contains the requests of the given
+// number of hosts, each once.
+func (h *fleetHost) receivedFrom(hosts int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if time.Since(h.enginesReadAt) > MaxWorkAge || len(h.otherEngines.Loads) > maxRepliedLoads {
+		return false
+	}
+	sum := 0.0
+	for id, load := range h.otherEngines.Loads {
+		if n := load.Requests; id == OtherEngines {
+			sum += n * float64(simulatedEngines+1-len(h.otherEngines.Loads))
+		} else {
+			sum += n
+		}
+	}
+	return math.Abs(sum-float64(hosts*requestsPerHost)) <= 1 && len(h.otherEngines.Slowdowns) == simulatedEngines
+}
+
+// The requests of all hosts must reach each host once, also after a hub was lost, within 2 KB a
+// second. While no host places prompts by engine state, nothing may be sent.
+func TestEngineStatesReachAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts := 90
+		if raceEnabled {
+			hosts = 30 // see fleetSizes
+		}
+		f := newFleet(t, hosts, 4, 0)
+		const span = 10 * time.Second
+		traffic := func() (sum int) {
+			before := 0
+			for _, h := range f.hosts {
+				before += h.traffic()
+			}
+			time.Sleep(span)
+			for _, h := range f.hosts {
+				sum += h.traffic()
+			}
+			return sum - before
+		}
+		time.Sleep(span)
+		without := traffic()
+		is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.enginesReadAt.IsZero() }))
+		for i, h := range f.hosts {
+			h.mu.Lock()
+			h.engines = 1 + i
+			h.mu.Unlock()
+		}
+		time.Sleep(span)
+		bytes := float64(traffic()-without) / 2 / float64(hosts) / span.Seconds() // each byte is counted at both ends
+		t.Logf("%d hosts: engine states take %.0f bytes a host and second", hosts, bytes)
+		is.True(bytes <= 2000)
+		is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.receivedFrom(hosts - 1) }))
+		sample := f.hosts[1].otherEngines.Slowdowns[engineNumber(3)]
+		is.True(math.Abs(sample.Sum/sample.Weight-1.5) < 0.05)
+		is.True(math.Abs(sample.Weight-0.5*float64(hosts-1)) < 0.2*sample.Weight)
+
+		f.hosts[0].stop()
+		f.hosts = f.hosts[1:]
+		took, ok := f.waitForAllHosts(20*time.Second, func(h *fleetHost) bool { return h.receivedFrom(hosts - 2) })
+		t.Logf("after the loss of a hub: all hosts have all data after %v", took)
+		is.True(ok)
+	})
+}
+
+// A message must be readable by hosts without this feature, and must be left out while it is empty.
+// Whatever the values are, the receiver gets finite ones.
+func TestEngineStatesOnTheWire(t *testing.T) {
+	is := is.New(t)
+	empty, err := json.Marshal([]any{Report{}, Reply{}})
+	is.NoErr(err)
+	is.True(!strings.Contains(string(empty), "engines"))
+	bad := math.NaN()
+	sent := EngineStates{
+		Loads:     EngineLoads{1: {3, 9190}, 0xABCDEF: {1e9, 1e18}, 2: {-1, -5}, 3: {bad, bad}},
+		Slowdowns: Slowdowns{5: {Weight: 4, Sum: 6}, 6: {Weight: bad, Sum: bad}, 7: {Weight: 0, Sum: 1}, 8: {Weight: 1e300, Sum: -1}},
+	}
+	data, err := json.Marshal(sent)
+	is.NoErr(err)
+	var got EngineStates
+	is.NoErr(json.Unmarshal(data, &got))
+	is.Equal(got.Loads[1].Requests, 3.0)
+	is.True(math.Abs(got.Loads[1].Tokens-9190) < 0.03*9190)
+	is.True(math.Abs(got.Slowdowns[5].Sum/got.Slowdowns[5].Weight-1.5) < 0.05)
+	is.Equal(len(got.Loads), 4)
+	for _, l := range got.Loads {
+		is.True(l.Requests >= 0 && l.Requests < 256 && l.Tokens >= 0 && l.Tokens < 1e7)
+	}
+	for _, s := range got.Slowdowns {
+		is.True(s.Weight >= 0 && s.Weight < 1e5 && s.Sum >= 0 && s.Sum <= placement.MaxSlowdown*s.Weight)
+	}
+	is.True(json.Unmarshal([]byte(`{"loads":"AAAA"}`), &got) != nil)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,9 @@
 	// host's own measurements; it is set only together with WantTimings.
 	WantTimings bool    `json:"want_timings,omitempty"`
 	Timings     Timings `json:"timings,omitempty"`
+	// Engines is the state of engines by the requests of the reporting host, or of all hosts that
+	// it reports for.
+	Engines *EngineStates `json:"engines,omitempty"`
 	// Sightings are the losses and survivals of requests that the host and its followers
 	// observed since the last report. SightingsSince is set only in queries by other hubs. It is
 	// the sequence number of the last entry in this hub's sighting log that the querying hub has
@@ -131,6 +134,8 @@
 	LeavingLast uint64           `json:"leaving_last,omitempty"`
 	// Timings holds, for each service and model, the sums of the other hosts' measurements.
 	Timings Timings `json:"timings,omitempty"`
+	// Engines is the state of engines by the requests of the other hosts.
+	Engines *EngineStates `json:"engines,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
 	// the entry of its sighting log with the sequence number SightingsLast. Both fields are set
 	// only in replies to queries by other hubs.
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -100,6 +100,7 @@
 	m.recordOwnReport(own)
 	m.unsentPrefixes = make(SentPrefixes) // this host's own hub has them
 	report, upTo.prefixes = m.ownHub.subtreeReport(own, m.forwardedPrefixSeq, m.hubAddress)
+	report.Engines = m.subtreeEngines()
 	report.Sightings, upTo.sightings = m.ownHub.sightingsSince(m.forwardedSightingSeq, m.hubAddress)
 	report.Leaving, upTo.leaving = m.ownHub.leavingSince(m.forwardedLeavingSeq, m.hubAddress, toHub)
 	limits := m.ownHub.limitsSince(m.forwardedLimitsCursor, toHub)
@@ -144,6 +145,9 @@
 	if withTimings {
 		sums.Timings = m.ownHub.otherTimings(m.options.Host, toHost)
 	}
+	if slice, due := m.enginesDue(); due {
+		sums.Engines = m.ownHub.otherEngines(m.options.Host, slice, toHost, maxRepliedLoads)
+	}
 	m.ownHubPrefixSeq = sums.SentPrefixesLast
 	m.applyOwnHubLimits()
 	m.deliverOwnHubLeaving()
@@ -154,6 +158,7 @@
 // Options.
 func (m *Member) deliver(reply Reply, at time.Time) {
 	m.options.OnWork(reply.Work, at)
+	m.deliverEngines(reply.Engines, at)
 	m.deliverHostCount(reply.Hosts)
 	m.deliverEvidence(reply.Evidence)
 	m.deliverPrefixes(reply.SentPrefixes)
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -148,6 +148,11 @@
 	// reported yet. leaving are those that other hosts reported.
 	stated  []LeavingUpstream
 	leaving map[ratelease.UpstreamID]bool
+	// engines is the host's number in the pattern of its engine states; 0 if it has none.
+	// otherEngines holds the loads that it received last, at enginesReadAt, and all slowdowns.
+	engines       int
+	otherEngines  EngineStates
+	enginesReadAt time.Time
 }
 
 // stateLeaving makes an upstream state to the host that it is leaving.
@@ -298,6 +303,7 @@
 		RootGrants: func(roots int) []ratelease.Grant { return append(f.coldGrants(roots), h.limitGrants(roots)...) },
 		Limits:     h.newLimits, KnownLimits: h.knownLimits, OnLimits: h.applyLimits,
 		Leaving: h.takeLeaving, OnLeaving: h.addLeaving,
+		Engines: h.engineStates, OnEngines: h.setEngineStates,
 		OnHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -38,6 +38,7 @@
 	reports      map[string]receivedReport
 	sentPrefixes prefixLog
 	timings      map[string]Timings
+	engines      map[string]*receivedEngines
 	// sightings holds the sightings received from hosts and other hubs, to be sent to other
 	// hubs.
 	sightings sightingLog
@@ -60,7 +61,7 @@
 
 // receivedReport is a host's latest report, or the data about other hosts in a reply from
 // another hub. hub.reports holds it under the host's name or, for another hub, under the result
-// of hubKey. hub.timings has the same keys.
+// of hubKey. hub.timings and hub.engines have the same keys.
 type receivedReport struct {
 	report Report
 	at     time.Time
@@ -92,7 +93,7 @@
 func newHub(options Options, log zerolog.Logger) *hub {
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
-		reports: make(map[string]receivedReport), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
+		reports: make(map[string]receivedReport), timings: make(map[string]Timings), engines: make(map[string]*receivedEngines), zones: make(map[string]*zoneHubs),
 		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLimitLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
@@ -108,6 +109,7 @@
 		if r.WantTimings {
 			reply.Timings = h.otherTimings(from, toHub)
 		}
+		reply.Engines = h.answerEngines(from, r, toHub)
 		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
 		reply.Limits = h.limitsSince(r.LimitsCursor, toHub)
 		reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHub)
@@ -126,6 +128,7 @@
 	if r.WantTimings {
 		reply.Timings = h.otherTimings(from, toHost)
 	}
+	reply.Engines = h.answerEngines(from, r, toHost)
 	reply.QuarantineStatus = h.quarantineStatus(toHost)
 	reply.Lease, reply.Rooted = h.leaseFor(from, r.GrantsDigest), h.rooted()
 	reply.Limits = h.limitsSince(r.LimitsCursor, toHost)
@@ -151,6 +154,7 @@
 	h.reports[from] = receivedReport{report: r, at: boottime.Now(), hosts: max(1, r.Hosts)}
 	h.sentPrefixes.add(from, false, r.SentPrefixes)
 	h.recordTimings(from, r.Timings)
+	h.recordEngines(from, r.Engines)
 }
 
 // sentPrefixesSince returns the entries of the prefix log after the sequence number that came
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -50,6 +50,11 @@
 	// over the other hosts' measurements. Both may be nil.
 	Timings   func() Timings
 	OnTimings func(Timings)
+	// Engines returns the state of engines by this host's requests, with the given slice of the
+	// slowdowns, or nil if it places no prompts by them. OnEngines receives the sums over the
+	// other hosts, as of the given time. Both may be nil.
+	Engines   func(slice int) *EngineStates
+	OnEngines func(states *EngineStates, at time.Time)
 	// FirstStart reports that the whole installation starts for the first time, so that the
 	// seeds have yet to create the key.
 	FirstStart bool
@@ -221,6 +226,7 @@
 	if m.reportCount++; m.options.Timings != nil && m.reportCount%exchangesPerTimings == 1 {
 		report.WantTimings, report.Timings = true, m.options.Timings()
 	}
+	report.Engines = m.nextEngines()
 	return report
 }
 
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -40,7 +40,7 @@
 		}
 		report := Report{
 			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, Revisions: m.revisions(),
-			WantTimings: m.reportCount%exchangesPerTimings == 1,
+			WantTimings: m.reportCount%exchangesPerTimings == 1, Engines: m.engineQuery(),
 		}
 		requestedAt := boottime.Now()
 		go func() {
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -12,6 +12,7 @@
 	h.sentPrefixes.add(address, true, r.SentPrefixes)
 	h.leaving.add(address, true, r.Leaving, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
+	h.recordEngines(hubKey(address), r.Engines)
 }
 
 // dropHubData drops the data that the hub at the address sent, since this host stops reporting
