gateway: place prompts by engine state

Cause: the gateway ignored the engines' speed, batch slots and KV cache.

Change: enginestate.go keeps, by start of an engine, the slowdown samples (time to the first event of prompts that had hardly to wait, and the fourth load figure), the tokens in flight and the load stated in answer heads. With the states of the other hosts they become the slowdown, the slot wait and the lack of memory of placement candidates. Attempt lines and metrics have the state. A stream's load header counts when its head arrives, not when the stream ends.

Active only where Features.EngineState is; otherwise candidates have zero values, nothing is counted and nothing is sent (TestEngineStateIsOffByDefault).

Ruled out: samples of the fourth figure relative to 100. The model's prefill rate is learned from the same engines, so a slowdown of all would count twice; they are relative to the mean statement.

Tests: full engines and engines without memory are avoided while the data is recent; a restarted engine has no state; the loss of a hub; wrong figures; one request by its log line and metrics.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -31,11 +32,13 @@
 	// prefill is the request's prompt while the engine has to process it; nil once the answer began
 	// and for plain services.
 	prefill *prefill
-	// placement is the placement decision for the prompt. workAhead is the estimated time for which
-	// the engine processes other prompts before this one. cachedPartCount is the number of the
+	// placement is the placement decision for the prompt. workAhead is the estimated time until the
+	// engine begins this prompt: it processes other prompts before, and may have no free batch slot.
+	// engine is the state of the engine that the decision is based on. cachedPartCount is the number of the
 	// prompt's leading parts that the engine has cached.
 	placement       placement.Choice
 	workAhead       time.Duration
+	engine          engineView
 	cachedPartCount int
 	// criteria are the inputs of the choice.
 	criteria criteria
@@ -63,6 +66,10 @@
 	// the request's body in bytes.
 	target    time.Duration
 	bodyBytes int
+	// outputTokens is the maximum number of tokens that may be generated; 0 if unknown. engines
+	// describes the service's engines.
+	outputTokens int
+	engines      routing.EngineSpec
 	// excludedIDs are the ids of the upstreams that were chosen for earlier attempts of the
 	// request.
 	excludedIDs []string
@@ -113,7 +120,11 @@
 	}
 	now := boottime.Now()
 	s.observeRequestTime(now.Sub(c.chosenAt))
+	awaitedHead := c.prefill != nil // otherwise, headLoadReceived recorded the load
 	m.endRequest(&c)
+	if awaitedHead && result.load != "" {
+		m.observeStatement(result.load, now)
+	}
 	m.observeResult(result, now)
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -153,6 +153,9 @@
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
 	g := d.gateway
+	if err := d.memoryRefusal(r); err != nil {
+		return nil, err
+	}
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
@@ -217,6 +220,7 @@
 		crit.priority = r.priority(bestModel)
 		crit.target = r.Route.Target
 		crit.bodyBytes = len(r.Body)
+		crit.outputTokens, crit.engines = r.Prompt.TokensOut, engineSpec(r.Table, r.Service)
 	}
 	return crit
 }
--- /dev/null
+++ b/internal/gateway/enginestate_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/routing"
+)
+
+// contendedFleet returns a fleet with the engines of engineFleet, which state their slowdowns.
+// Requests to them took two seconds, and the prefill times of model m are known.
+func contendedFleet() (*Fleet, *shard) {
+	f := engineFleet()
+	s := f.shard("svc")
+	s.contended, s.servesPrompts, s.meanRequestTime = true, true, 2*time.Second
+	for range 20 {
+		s.prefillRates.Observe("m", 1000, 70*time.Millisecond, time.Now())
+		s.prefillRates.Observe("m", 4000, 220*time.Millisecond, time.Now())
+	}
+	return f, s
+}
+
+func stateCriteria(tokens int, excludedIDs ...string) criteria {
+	crit := unsharedPromptCriteria(tokens, excludedIDs...)
+	crit.engines = routing.EngineSpec{Slots: 8, MemoryTokens: 20_000}
+	return crit
+}
+
+// remoteLoads returns the states by which the other hosts have the given load at each of the engines.
+func remoteLoads(load exchange.EngineLoad, ids ...string) *exchange.EngineStates {
+	states := &exchange.EngineStates{Loads: make(exchange.EngineLoads)}
+	for _, id := range ids {
+		states.Loads[exchange.HashID(id).EngineID()] = load
+	}
+	return states
+}
+
+// Streams queue no prefill, so engines that are full by the other hosts' streams would look idle.
+// Data that is too old must not count.
+func TestFullEnginesAreAvoidedWhileDataIsRecent(t *testing.T) {
+	for name, load := range map[string]exchange.EngineLoad{"slots": {Requests: 12}, "memory": {Tokens: 19_500}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, _ := contendedFleet()
+			counts := func(age time.Duration) map[string]int {
+				n := make(map[string]int)
+				for range 30 {
+					f.setRemoteEngineStates(remoteLoads(load, "b", "c"), time.Now().Add(-age))
+					c, _ := f.choose(stateCriteria(1000))
+					n[c.upstream.ID]++
+					f.headReceived(&c, 70*time.Millisecond)
+					f.release(c, attemptResult{outcome: outcomeDone})
+				}
+				return n
+			}
+			is.Equal(counts(0)["a"], 30)
+			is.Equal(counts(exchange.MaxWorkAge + time.Second)["b"], 30) // as without data
+		})
+	}
+}
+
+// A restarted engine must have no state, and what former requests report must not become its state.
+func TestRestartedEngineHasNoState(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	view := func() engineView {
+		crit := stateCriteria(1000)
+		return s.engineView(s.members["b"], &crit, 0, time.Now())
+	}
+	var former []choice
+	for range 3 {
+		c, _ := f.choose(stateCriteria(4000, "a", "c"))
+		former = append(former, c)
+	}
+	f.headReceived(&former[0], 440*time.Millisecond)
+	f.headLoadReceived(&former[0], "3,9,8,160")
+	is.True(view().slowdown > 1)
+	is.Equal(view().usedTokens, 12_000.0)
+	is.True(view().slotWait > time.Second)
+	f.ApplyEntry(Upstream{ID: "b", Incarnation: firstStart, Service: "svc", Zone: "z1", Version: "v1", Slots: 8}, 2)
+	for _, c := range former {
+		f.headLoadReceived(&c, "3,9,8,160")
+		f.release(c, attemptResult{outcome: outcomeDone, load: "3,9,8,160"})
+	}
+	is.Equal(view().slowdown, 0.0)
+	is.Equal(view().requests, 0.0)
+	is.Equal(view().usedTokens, 0.0)
+	is.Equal(s.members["b"].inFlight, 0)
+}
+
+// Slowdowns of other hosts count, and when the hub is lost, a host goes on with its own ones and the
+// last sums, which decay.
+func TestSlowdownsAfterTheLossOfAHub(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	b, now := s.members["b"], time.Now()
+	crit := stateCriteria(1000)
+	slowdowns := func(weight float64) *exchange.EngineStates {
+		return &exchange.EngineStates{Slice: 1, Slowdowns: exchange.Slowdowns{b.idHash.EngineID(): placement.Slowdown{Weight: weight, Sum: 1.6 * weight}}}
+	}
+	f.setRemoteEngineStates(slowdowns(20), now)
+	is.True(math.Abs(s.engineView(b, &crit, 0, now).slowdown-1.6) < 0.01)
+	received := s.engineStates.remoteSlowdowns[b.idHash.EngineID()].NewestAt
+	f.setRemoteEngineStates(slowdowns(19), now) // no new samples
+	is.Equal(s.engineStates.remoteSlowdowns[b.idHash.EngineID()].NewestAt, received)
+	later := s.engineView(b, &crit, 0, now.Add(16*time.Second))
+	is.True(later.slowdown > 1.1 && later.slowdown < 1.2)
+	is.True(later.remoteAge < 0)
+
+	c, _ := f.choose(stateCriteria(4000, "a", "c"))
+	f.headReceived(&c, 440*time.Millisecond) // twice the expected time
+	f.release(c, attemptResult{outcome: outcomeDone})
+	states := f.ownEngineStates(exchange.SlowdownSlice(b.idHash.EngineID()))
+	is.Equal(len(states.Slowdowns), 1)
+	is.True(states.Slowdowns[b.idHash.EngineID()].Sum > 1.5)
+	s.engineStates.prunedAt = time.Time{}
+	s.engineStates.prune(time.Now().Add(2 * engineStateRetention))
+	is.Equal(len(s.engineStates.own)+len(s.engineStates.remoteSlowdowns), 0) // the state is bounded
+}
+
+// Unreadable or impossible figures must not change which engines are used.
+func TestWrongLoadFigures(t *testing.T) {
+	for _, load := range []string{"", "3", "x,y,8,z", "-4,-4,8,-140", "1,1,8,0", "1,1,8,NaN", "1,1,8,Inf", "999999999999999999999,1,8,1e300", "9999999,9999999,8,1e9"} {
+		t.Run(load, func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			c, _ := f.choose(stateCriteria(1000, "a", "c"))
+			f.headReceived(&c, 70*time.Millisecond)
+			f.headLoadReceived(&c, load)
+			crit := stateCriteria(1000)
+			v := s.engineView(s.members["b"], &crit, 0, time.Now())
+			is.True(v.slowdown >= 0.9 && v.slowdown <= 1.2)
+			is.True(v.requests >= 1 && v.requests <= 2*maxStatedRequests)
+			is.True(v.slotWait < 10*time.Second)
+		})
+	}
+}
+
+// Engines that state only three figures must be used as before, with nothing counted or sent.
+func TestEngineStateIsOffByDefault(t *testing.T) {
+	is := is.New(t)
+	for _, mode := range []FeatureMode{"", FeatureAuto, FeatureOff} {
+		f, s := contendedFleet()
+		s.contended, f.policy.engineState = mode == FeatureOff, mode
+		f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 99, Tokens: 1e6}, "b"), time.Now())
+		c, _ := f.choose(stateCriteria(1000, "a", "c"))
+		f.headReceived(&c, 300*time.Millisecond)
+		f.headLoadReceived(&c, "9,9,8")
+		f.release(c, attemptResult{outcome: outcomeDone, load: "9,9,8"})
+		is.True(!c.engine.active)
+		is.Equal(c.workAhead, time.Duration(0))
+		is.Equal(len(s.engineStates.own), 0)
+		is.Equal(f.ownEngineStates(1), nil)
+		list := candidateList{members: []*member{s.members["b"]}}
+		crit := stateCriteria(1000)
+		for _, candidate := range s.placementCandidates(list, &crit, time.Now()) {
+			is.Equal(candidate.Slowdown, 0.0)
+			is.Equal(candidate.SlotWait, time.Duration(0))
+			is.True(!candidate.LacksMemory)
+		}
+	}
+}
+
+// syncBuffer is a log that goroutines write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// An operator must see by the log and the metrics what a placement was based on. A prompt that no
+// engine can hold must be refused without being sent; on other services it is sent as before.
+func TestEngineStateOfOneRequest(t *testing.T) {
+	for _, load := range []string{"3,0,8", "3,0,8,140"} {
+		t.Run(load, func(t *testing.T) {
+			is := is.New(t)
+			doc := testDocument()
+			doc.Services[0].Engines = routing.EngineSpec{Slots: 8, MemoryTokens: 5000}
+			tg := newTestGateway(t, doc)
+			log := &syncBuffer{}
+			tg.gateway.log = zerolog.New(log)
+			upstream := tg.startUpstream("a", streamEvents(1, 2, false, "T-Load", load))
+			send := func(tokens int) int {
+				return tg.do(tg.newRequest("POST", "/fixed/x", "body", "T-Model", "m", "T-Tokens", fmt.Sprint(tokens, ",10"))).status
+			}
+			contended := strings.Count(load, ",") == 3
+			is.Equal(send(1000), http.StatusOK)
+			is.Equal(send(1000), http.StatusOK)
+			want := http.StatusOK
+			if contended {
+				want = http.StatusRequestEntityTooLarge
+			}
+			is.Equal(send(5001), want)
+			is.Equal(upstream.count() == 2, contended)
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			is.Equal(strings.Contains(log.String(), `"slot_wait_ms"`), contended)
+			is.Equal(strings.Contains(log.String(), `"memory_needed":1010`), contended)
+			var metrics bytes.Buffer
+			tg.gateway.metrics.write(&metrics)
+			is.Equal(strings.Contains(metrics.String(), `quetzalweir_gateway_engine_choices_total{service="svc",engine="free"}`), contended)
+		})
+	}
+}
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -69,6 +69,7 @@
 	g := d.gateway
 	g.metrics.countAttempt(r, result, time.Since(a.startedAt))
 	g.metrics.countStatements(a)
+	g.metrics.countEngineState(r.Service, &a.choice.engine)
 	line := g.log.Info()
 	if result.outcome != outcomeDone {
 		line = g.log.Warn()
@@ -83,6 +84,7 @@
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", headerText(result.limitHeaders)).
 		Str("leaving", headerText(a.statedLeaving())).Str("retry_after", headerText(a.statedRetryAfter())).
 		Int64("first_ms", result.firstByte.Milliseconds()).Int64("took_ms", time.Since(a.startedAt).Milliseconds())
+	a.choice.engine.log(line)
 	if result.err != nil {
 		line.Err(result.err)
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -111,6 +111,7 @@
 	workByPriority [lowestPriority + 1]float64
 	meanPrefill    time.Duration
 	queueStats     queueStats
+	engineStates   engineStates
 	// sentPrefixes are the shared prefixes that this host sent, since its last report to the other
 	// hosts, to upstreams that didn't have them cached by its own data.
 	sentPrefixes exchange.SentPrefixes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	g.fleet.policy.singleHost = s.Peers.Listen == ""
 	g.fleet.policy.seed, g.fleet.policy.hostCount = s.Host, func() int { return int(g.hostCount.Load()) }
 	g.fleet.policy.coldOverrun, g.fleet.policy.coldHeadroom = s.ColdOverrun, s.ColdHeadroom
+	g.fleet.policy.engineState = s.Features.EngineState
 	g.rollouts = newRollouts(s, g.fleet, log)
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
@@ -235,6 +236,7 @@
 			Limits: g.fleet.takeLimitUpdates, KnownLimits: g.fleet.currentLimits, OnLimits: g.fleet.applyLimits,
 			Leaving: g.fleet.takeLeaving, OnLeaving: g.fleet.applyReportedLeaving,
 			Timings: g.fleet.ownTimings, OnTimings: g.fleet.setRemoteTimings,
+			Engines: g.fleet.ownEngineStates, OnEngines: g.fleet.setRemoteEngineStates,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// countEngineState counts the choice of an engine by its state.
+func (m *gatewayMetrics) countEngineState(service string, v *engineView) {
+	if !v.active {
+		return
+	}
+	state := "free"
+	switch {
+	case v.lacksMemory:
+		state = "no-memory"
+	case v.slots > 0 && v.requests >= float64(v.slots):
+		state = "full"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_engine_choices_total{service=%q,engine=%q}`, service, state)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_engine_slot_wait_seconds{service=%q}`, service)).Update(v.slotWait.Seconds())
+	if v.slowdown > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_engine_slowdown{service=%q}`, service)).Update(v.slowdown)
+	}
+}
+
 // countRequest counts a request and its duration.
 func (m *gatewayMetrics) countRequest(route, code string, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_requests_total{route=%q,code=%q}`, route, code)).Inc()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -30,6 +30,7 @@
 	s.prefillRates.SetPrice(crit.model, crit.price)
 	s.applyRemoteTimings(crit.service, crit.model)
 	candidates := s.placementCandidates(list, crit, now)
+	views := s.addEngineStates(candidates, list.members, crit, now)
 	c.placement = placement.Place(s.prefillRates, &placement.Request{
 		Model:    crit.model,
 		Prompt:   crit.prompt,
@@ -40,7 +41,10 @@
 		Random:     rand.Float64(),
 	}, candidates)
 	picked := &candidates[c.placement.Index]
-	c.workAhead, c.cachedPartCount = picked.QueuedWork, picked.CachedParts
+	c.workAhead, c.cachedPartCount = picked.QueuedWork+picked.SlotWait, picked.CachedParts
+	if views != nil {
+		c.engine = views[c.placement.Index]
+	}
 	return list.members[c.placement.Index]
 }
 
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -26,6 +26,8 @@
 	hubContact atomic.Pointer[ratelease.HubContact]
 	// evacuatedZones are the zones whose upstreams get no requests.
 	evacuatedZones atomic.Pointer[map[string]bool]
+	// engineState is the mode of Features.EngineState.
+	engineState FeatureMode
 }
 
 func newSendPolicy(seed string) *sendPolicy {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,6 +78,7 @@
 	a.runState.Raise(runstate.Ran)
 	result := a.parseHead(resp)
 	a.gateway.fleet.headReceived(&a.choice, result.firstByte)
+	a.gateway.fleet.headLoadReceived(&a.choice, result.load)
 	if !accept(result) {
 		result.outcome = outcomeAbandoned
 		result.err = errLowConfidence
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -47,6 +47,7 @@
 	m.ensureUsage().prefills = append(m.ensureUsage().prefills, c.prefill)
 	m.shard.servesPrompts = true
 	m.shard.observePrefill(c.prefill)
+	m.startMemory(c)
 	m.recordCached(c)
 }
 
@@ -56,6 +57,7 @@
 	if m.inFlight--; m.inFlight == 0 {
 		delete(m.shard.inUse, m)
 	}
+	m.endMemory(c, boottime.Now())
 	if c.prefill != nil {
 		// The answer never began, so the prompt may not be cached.
 		m.removePrefill(c)
@@ -80,13 +82,17 @@
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m := s.chosenMember(c); m != nil {
+	m := s.chosenMember(c)
+	if m != nil {
 		m.removePrefill(c)
 		m.ensureUsage().lastPrefillEnd = boottime.Now()
 	}
 	c.prefill = nil
 	s.queueStats.observe(took, c.placement.ExpectedUnqueued)
 	if c.workAhead < c.placement.PrefillTime/rateSampleDivisor {
+		if m != nil {
+			m.observeMeasuredSlowdown(c, took, boottime.Now())
+		}
 		s.prefillRates.Observe(c.criteria.model, c.placement.UncachedTokens, took, boottime.Now())
 	}
 }
