Merge state: placement by engine state

With fetching, the saving of a fetch is judged at the engine's own speed; criteria.engines is state's, whether parts are fetched is criteria.fetches.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -149,6 +149,11 @@
 	// reported yet. leaving are those that other hosts reported.
 	stated  []LeavingUpstream
 	leaving map[ratelease.UpstreamID]bool
+	// engines is the host's number in the pattern of its engine states; 0 if it has none.
+	// otherEngines holds the loads that it received last, at enginesReadAt, and all slowdowns.
+	engines       int
+	otherEngines  EngineStates
+	enginesReadAt time.Time
 }
 
 // stateLeaving makes an upstream state to the host that it is leaving.
@@ -300,6 +305,7 @@
 		Limits:     h.newLimits, KnownLimits: h.knownLimits, OnLimits: h.applyLimits,
 		Leaving: h.takeLeaving, OnLeaving: h.addLeaving,
 		Promises: h.promises.take, OnPromises: h.promises.add,
+		Engines: h.engineStates, OnEngines: h.setEngineStates,
 		OnHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -13,6 +13,7 @@
 	h.leaving.add(address, true, r.Leaving, boottime.Now())
 	h.promises.add(address, true, r.Promises, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
+	h.recordEngines(hubKey(address), r.Engines)
 }
 
 // dropHubData drops the data that the hub at the address sent, since this host stops reporting
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,11 +32,13 @@
 	// prefill is the request's prompt while the engine has to process it; nil once the answer began
 	// and for plain services.
 	prefill *prefill
-	// placement is the placement decision for the prompt. workAhead is the estimated time for which
-	// the engine processes other prompts before this one. cachedPartCount is the number of the
+	// placement is the placement decision for the prompt. workAhead is the estimated time until the
+	// engine begins this prompt: it processes other prompts before, and may have no free batch slot.
+	// engine is the state of the engine that the decision is based on. cachedPartCount is the number of the
 	// prompt's leading parts that the engine has cached.
 	placement       placement.Choice
 	workAhead       time.Duration
+	engine          engineView
 	cachedPartCount int
 	// fetchFrom is the address of the engine from which the chosen one is to fetch parts of the
 	// prompt; empty if it fetches none.
@@ -67,6 +69,10 @@
 	// the request's body in bytes.
 	target    time.Duration
 	bodyBytes int
+	// outputTokens is the expected number of generated tokens; 0 if unknown. engines describes the
+	// service's engines.
+	outputTokens int
+	engines      routing.EngineSpec
 	// excludedIDs are the ids of the upstreams that were chosen for earlier attempts of the
 	// request.
 	excludedIDs []string
@@ -74,9 +80,8 @@
 	regions regionConstraint
 	// admitsVersion reports whether upstreams of the version may run the request.
 	admitsVersion func(version string) bool
-	// engines describes the service's engines if they may fetch cached parts of the prompt from each
-	// other; nil otherwise.
-	engines *routing.EngineSpec
+	// fetches is set if engines may fetch cached parts of the prompt from each other.
+	fetches bool
 	// usedSources are the addresses of the engines from which earlier attempts of the request were to
 	// fetch cached parts.
 	usedSources []string
@@ -123,7 +128,11 @@
 	}
 	now := boottime.Now()
 	s.observeRequestTime(now.Sub(c.chosenAt))
+	awaitedHead := c.prefill != nil // otherwise, headLoadReceived recorded the load
 	m.endRequest(&c)
+	if awaitedHead && result.load != "" {
+		m.observeStatement(result.load, now)
+	}
 	m.observeResult(result, now)
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -160,6 +160,9 @@
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
 	g := d.gateway
+	if err := d.memoryRefusal(r); err != nil {
+		return nil, err
+	}
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
@@ -227,7 +230,8 @@
 		crit.priority = r.priority(bestModel)
 		crit.target = r.Route.Target
 		crit.bodyBytes = len(r.Body)
-		crit.engines, crit.usedSources = g.fetchingEngines(r), r.fetchSources
+		crit.fetches, crit.usedSources = g.fetchesParts(r), r.fetchSources
+		crit.outputTokens, crit.engines = r.outputTokens(&g.settings.Headers), engineSpec(r.Table, r.Service)
 	}
 	return crit
 }
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -9,7 +9,6 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
-	"github.com/quetzalweir/quetzalweir/routing"
 )
 
 // An engine can fetch leading parts of a prompt from another engine that has them cached, which
@@ -51,20 +50,16 @@
 	load   float64
 }
 
-// fetchingEngines returns the description of the engines of the request's service if they may fetch
-// cached parts from each other, nil otherwise.
-func (g *Gateway) fetchingEngines(r *Request) *routing.EngineSpec {
-	service := r.Table.Service(r.Service)
-	if service == nil || g.settings.Headers.FetchFrom == "" || !g.fleet.isActive(g.settings.Features.CacheFetch, r.Service) {
-		return nil
-	}
-	return &service.Engines
+// fetchesParts reports whether the engines of the request's service may fetch cached parts from each
+// other.
+func (g *Gateway) fetchesParts(r *Request) bool {
+	return g.settings.Headers.FetchFrom != "" && g.fleet.isActive(g.settings.Features.CacheFetch, r.Service)
 }
 
 // addFetches sets the fetchable parts of the candidates and returns the source for each of them; nil
 // for those that can't fetch any. The caller holds the shard's lock.
 func (s *shard) addFetches(candidates []placement.Candidate, list candidateList, crit *criteria, now time.Time) []*member {
-	if crit.engines == nil || now.Before(s.fetchPausedUntil) {
+	if !crit.fetches || now.Before(s.fetchPausedUntil) {
 		return nil
 	}
 	available := s.fetchSources(crit, now)
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -28,8 +28,8 @@
 		want    bool
 	}{
 		{"usable", func(*Fleet, *criteria) {}, true},
-		{"off by default", func(_ *Fleet, crit *criteria) { crit.engines = nil }, false},
-		{"transfer rate unknown", func(_ *Fleet, crit *criteria) { crit.engines = &routing.EngineSpec{} }, false},
+		{"off by default", func(_ *Fleet, crit *criteria) { crit.fetches = false }, false},
+		{"transfer rate unknown", func(_ *Fleet, crit *criteria) { crit.engines = routing.EngineSpec{} }, false},
 		{"source gone", func(f *Fleet, _ *criteria) { f.RemoveEntry("b", 2, false) }, false},
 		{"source leaving", func(f *Fleet, _ *criteria) {
 			u := source
@@ -76,7 +76,7 @@
 			f.ApplyEntry(Upstream{ID: "a", Service: "svc", Address: "10.0.0.1:80", Zone: "z1", Version: "v1", Slots: 8}, 1)
 			f.ApplyEntry(source, 1)
 			crit := unsharedPromptCriteria(0)
-			crit.prompt, crit.keys, crit.engines = prompt, placement.PrefixKeys("m", prompt), &testEngineSpec
+			crit.prompt, crit.keys, crit.engines, crit.fetches = prompt, placement.PrefixKeys("m", prompt), testEngineSpec, true
 			f.addRemotePrefixes(exchange.SentPrefixes{exchange.HashID("b"): crit.keys[:1]})
 			f.setRemoteWork(exchange.Work{exchange.HashID("b"): 5000}, boottime.Now())
 			test.prepare(f, &crit)
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -70,6 +70,7 @@
 	g.metrics.countAttempt(r, result, time.Since(a.startedAt))
 	g.metrics.countStatements(a)
 	g.metrics.countFetch(a, &result)
+	g.metrics.countEngineState(r.Service, &a.choice.engine)
 	line := g.log.Info()
 	if result.outcome != outcomeDone {
 		line = g.log.Warn()
@@ -87,6 +88,7 @@
 	if a.choice.fetchFrom != "" {
 		line.Str("fetch_from", a.choice.fetchFrom).Int("fetched_tokens", a.choice.placement.FetchedTokens)
 	}
+	a.choice.engine.log(line)
 	if result.err != nil {
 		line.Err(result.err)
 	}
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -108,10 +108,14 @@
 // count as demand, so that no account receives more than it demanded.
 func (d *dispatch) recordSent(r *Request, a *attempt) {
 	g := d.gateway
-	if !r.arrived || !g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
+	if !r.arrived {
 		return
 	}
 	work, now := a.choice.placement.PrefillTime, boottime.Now()
+	g.returns.recordSent(r.Service, work, now)
+	if !g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
+		return
+	}
 	if r.runState.State() != runstate.NotRun {
 		g.shares.recordDemand(r.Service, r.accountName(), work, now)
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Request describes a request for which an engine is selected.
 type Request struct {
@@ -32,6 +35,13 @@
 	// is how long that transfer takes. It takes none of the engine's time.
 	FetchableParts int
 	FetchTime      time.Duration
+	// Slowdown is the engine's slowdown factor; 0 means unknown and counts as 1. QueuedWork is
+	// scaled by it already.
+	Slowdown float64
+	// SlotWait is the expected time until the engine has a free batch slot. LacksMemory reports
+	// whether its KV cache has no room for the request.
+	SlotWait    time.Duration
+	LacksMemory bool
 	// OwnerRank ranks the engine for the prompt's shared parts, identically on all hosts; the
 	// engine with the highest rank is the owner of the parts.
 	OwnerRank uint64
@@ -58,6 +68,8 @@
 	fetchCost time.Duration
 	// IsOwner reports whether the engine is the owner of the prompt's shared parts.
 	IsOwner bool
+	// work is PrefillTime at the mean engine.
+	work time.Duration
 }
 
 // defaultTarget is used for requests without a target.
@@ -72,12 +84,17 @@
 // transfer takes less time. If an owner in this zone is preferred, its cost doesn't include the
 // prefill of the shared parts, because later requests reuse it. At equal costs the engine with
 // the higher rank is selected, so that all hosts select the same engine without communication.
+// An engine that lacks memory for the request is selected only if all do.
 func Place(estimator *PrefillEstimator, r *Request, candidates []Candidate) Choice {
 	local := r.prefersLocalOwner(estimator)
 	owner := findOwner(candidates, local)
 	best := Choice{Index: -1}
 	lowestCost := time.Duration(0)
+	anyHasMemory := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.LacksMemory })
 	for i := range candidates {
+		if candidates[i].LacksMemory && anyHasMemory {
+			continue
+		}
 		c := r.evaluate(estimator, &candidates[i])
 		c.Index, c.IsOwner = i, i == owner
 		cost := r.cost(&c, &candidates[i])
@@ -93,11 +110,13 @@
 
 func (r *Request) evaluate(estimator *PrefillEstimator, c *Candidate) Choice {
 	uncached := r.Prompt.uncachedTokens(c.CachedParts)
-	choice := r.fetch(estimator, c, uncached)
+	slowdown := BoundSlowdown(c.Slowdown)
+	choice := r.fetch(estimator, c, uncached, slowdown)
 	uncached -= choice.FetchedTokens
-	unqueued := choice.FetchTime + estimator.TimeToFirstEvent(r.Model, uncached)
-	choice.ExpectedTime, choice.ExpectedUnqueued = c.QueuedWork+unqueued, unqueued
-	choice.PrefillTime, choice.UncachedTokens = overhead+estimator.PrefillTime(r.Model, uncached), uncached
+	unqueued := choice.FetchTime + scale(estimator.TimeToFirstEvent(r.Model, uncached), slowdown)
+	choice.ExpectedTime, choice.ExpectedUnqueued = c.QueuedWork+c.SlotWait+unqueued, unqueued
+	choice.work = overhead + estimator.PrefillTime(r.Model, uncached)
+	choice.PrefillTime, choice.UncachedTokens = scale(choice.work, slowdown), uncached
 	return choice
 }
 
@@ -110,20 +129,23 @@
 
 // fetch returns a choice with what the engine is to fetch of the given number of tokens that it
 // doesn't cache: nothing if prefilling them takes no longer, since a fetch must save engine time.
-func (r *Request) fetch(estimator *PrefillEstimator, c *Candidate, uncached int) Choice {
+func (r *Request) fetch(estimator *PrefillEstimator, c *Candidate, uncached int, slowdown float64) Choice {
 	if c.FetchableParts <= c.CachedParts {
 		return Choice{}
 	}
 	tokens := uncached - r.Prompt.uncachedTokens(c.FetchableParts)
 	saved := estimator.PrefillTime(r.Model, tokens)
-	if tokens <= 0 || c.FetchTime >= saved {
+	if tokens <= 0 || c.FetchTime >= scale(saved, slowdown) {
 		return Choice{}
 	}
 	return Choice{FetchedTokens: tokens, FetchTime: c.FetchTime, fetchCost: c.FetchTime + time.Duration(fetchPriceShare*float64(saved))}
 }
 
 func (r *Request) cost(choice *Choice, c *Candidate) time.Duration {
-	cost := choice.PrefillTime + choice.fetchCost + r.latencyCost(choice.ExpectedTime)
+	// The work counts as at the mean engine, since a slow engine's time is worth less. The wait for
+	// a slot counts in full besides the latency: if the engine preempts a less urgent request for
+	// this one, that request waits.
+	cost := choice.work + choice.fetchCost + c.SlotWait + r.latencyCost(choice.ExpectedTime)
 	if c.OtherZone {
 		cost += r.ZoneCost
 	}
