--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -105,6 +105,9 @@
 	// Engines is the state of engines by the requests of the reporting host, or of all hosts that
 	// it reports for.
 	Engines *EngineStates `json:"engines,omitempty"`
+	// AccountUse is the client accounts' use of engine time at the reporting host or, if Hosts is
+	// set, at all hosts that it reports for. It is set only together with WantTimings.
+	AccountUse AccountUse `json:"account_use,omitempty"`
 	// Sightings are the losses and survivals of requests that the host and its followers
 	// observed since the last report. SightingsSince is set only in queries by other hubs. It is
 	// the sequence number of the last entry in this hub's sighting log that the querying hub has
@@ -145,6 +148,8 @@
 	Timings Timings `json:"timings,omitempty"`
 	// Engines is the state of engines by the requests of the other hosts.
 	Engines *EngineStates `json:"engines,omitempty"`
+	// AccountUse holds the sums of the client accounts' use at the other hosts.
+	AccountUse AccountUse `json:"account_use,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
 	// the entry of its sighting log with the sequence number SightingsLast. Both fields are set
 	// only in replies to queries by other hubs.
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -39,6 +39,8 @@
 	sentPrefixes prefixLog
 	timings      map[string]Timings
 	engines      map[string]*receivedEngines
+	// accountUse has the keys of reports.
+	accountUse map[string]hostAccountUse
 	// sightings holds the sightings received from hosts and other hubs, to be sent to other
 	// hubs.
 	sightings sightingLog
@@ -95,7 +97,7 @@
 func newHub(options Options, log zerolog.Logger) *hub {
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
-		reports: make(map[string]receivedReport), timings: make(map[string]Timings), engines: make(map[string]*receivedEngines), zones: make(map[string]*zoneHubs),
+		reports: make(map[string]receivedReport), timings: make(map[string]Timings), engines: make(map[string]*receivedEngines), accountUse: make(map[string]hostAccountUse), zones: make(map[string]*zoneHubs),
 		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLimitLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
@@ -109,7 +111,7 @@
 	case r.HubQuery:
 		reply := h.otherSums(from, r.SentPrefixesSince, toHub)
 		if r.WantTimings {
-			reply.Timings = h.otherTimings(from, toHub)
+			reply.Timings, reply.AccountUse = h.otherTimings(from, toHub), h.otherAccountUse(from, toHub)
 		}
 		reply.Engines = h.answerEngines(from, r, toHub)
 		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
@@ -130,7 +132,7 @@
 	h.updateRelaying()
 	reply := h.otherSums(from, r.SentPrefixesSince, toHost)
 	if r.WantTimings {
-		reply.Timings = h.otherTimings(from, toHost)
+		reply.Timings, reply.AccountUse = h.otherTimings(from, toHost), h.otherAccountUse(from, toHost)
 	}
 	reply.Engines = h.answerEngines(from, r, toHost)
 	reply.QuarantineStatus = h.quarantineStatus(toHost)
@@ -160,6 +162,7 @@
 	h.sentPrefixes.add(from, false, r.SentPrefixes)
 	h.recordTimings(from, r.Timings)
 	h.recordEngines(from, r.Engines)
+	h.recordAccountUse(from, r.AccountUse)
 }
 
 // sentPrefixesSince returns the entries of the prefix log after the sequence number that came
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -56,6 +56,10 @@
 	// other hosts, as of the given time. Both may be nil.
 	Engines   func(slice int) *EngineStates
 	OnEngines func(states *EngineStates, at time.Time)
+	// AccountUse returns the client accounts' use of engine time at this host. OnAccountUse receives
+	// the sums over the other hosts. Both may be nil; they are called only if Timings is set.
+	AccountUse   func() AccountUse
+	OnAccountUse func(AccountUse)
 	// FirstStart reports that the whole installation starts for the first time, so that the
 	// seeds have yet to create the key.
 	FirstStart bool
@@ -233,7 +237,7 @@
 	report.Limits, report.Leaving = m.nextLimitUpdates(), m.nextLeaving()
 	report.Promises = m.nextPromises()
 	if m.reportCount++; m.options.Timings != nil && m.reportCount%exchangesPerTimings == 1 {
-		report.WantTimings, report.Timings = true, m.options.Timings()
+		report.WantTimings, report.Timings, report.AccountUse = true, m.options.Timings(), m.nextAccountUse()
 	}
 	report.Engines = m.nextEngines()
 	return report
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -14,6 +14,7 @@
 	h.promises.add(address, true, r.Promises, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
 	h.recordEngines(hubKey(address), r.Engines)
+	h.recordAccountUse(hubKey(address), r.AccountUse)
 }
 
 // dropHubData drops the data that the hub at the address sent, since this host stops reporting
@@ -53,7 +54,7 @@
 	sums := h.otherSums("", prefixesSince, toHub)
 	own.Hosts, own.Work, own.Evidence, own.SentPrefixes = sums.Hosts, sums.Work, sums.Evidence, sums.SentPrefixes
 	if own.WantTimings {
-		own.Timings = h.otherTimings("", toHub)
+		own.Timings, own.AccountUse = h.otherTimings("", toHub), h.otherAccountUse("", toHub)
 	}
 	return own, sums.SentPrefixesLast
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
 	})
 	g.returns.start(g)
+	g.shares.configure(g)
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
 	g.transport = newTransport()
 	g.holds = newHolds(g)
@@ -243,6 +244,7 @@
 			Promises: g.returns.takeNew, OnPromises: g.returns.addRemote,
 			Timings: g.fleet.ownTimings, OnTimings: g.fleet.setRemoteTimings,
 			Engines: g.fleet.ownEngineStates, OnEngines: g.fleet.setRemoteEngineStates,
+			AccountUse: g.shares.ownUse, OnAccountUse: g.shares.setOthers,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
@@ -259,6 +261,7 @@
 		})
 	})
 	group.Go(func() { wait.Every(ctx, entryChangesInterval, g.fleet.logEntryChanges) })
+	group.Go(func() { wait.Every(ctx, shareLogInterval, g.shares.logChanges) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { wait.Every(ctx, recordCleanupInterval, func() { g.fleet.DeleteOldRecords(boottime.Now()) }) })
