placement: drawn work of other hosts counts in the choice, not in the expected time

Cause: the work that is drawn for requests which other hosts haven't reported was added to the queued work.

--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -187,7 +187,7 @@
 	for i, m := range members {
 		c, v := &candidates[i], s.engineView(m, crit, candidates[i].CachedParts, now)
 		c.Slowdown, c.SlotWait, c.LacksMemory = v.slowdown, v.slotWait, v.lacksMemory
-		c.QueuedWork += v.unseenWork
+		c.UnseenWork = v.unseenWork
 		views[i] = v
 	}
 	return views
--- a/placement/enginestate_test.go
+++ b/placement/enginestate_test.go
@@ -148,7 +148,7 @@
 					c := Candidate{QueuedWork: time.Duration(view.work) * time.Millisecond, OwnerRank: rng.Uint64()}
 					if f.byState {
 						unseen := DrawUnseen(rate*float64(age)/1000, rng.Float64)
-						c.QueuedWork += time.Duration(unseen.Prefills*meanPrefill) * time.Millisecond
+						c.UnseenWork = time.Duration(unseen.Prefills*meanPrefill) * time.Millisecond
 						c.Slowdown = e.slowdown.Factor(atMs(now))
 						c.SlotWait = SlotWait(float64(view.requests)+unseen.Requests, e.slots, holdTime, c.Slowdown)
 					}
@@ -309,3 +309,16 @@
 	is.True(!LacksMemory(300_000, 19_068, 319_068))
 	is.True(!LacksMemory(1e9, 1, 0))
 }
+
+// Work that is drawn to spread the hosts' choices must not count in the expected time. When it did,
+// first events were expected after 514 ms that came after 189 ms, and better answers weren't asked
+// for because they were expected late.
+func TestUnseenWorkDoesNotDelayExpectedTime(t *testing.T) {
+	is := is.New(t)
+	r := &Request{Model: "m", Prompt: &Prompt{Tokens: 1000}, Target: time.Second}
+	candidates := []Candidate{{QueuedWork: 100 * time.Millisecond, UnseenWork: 900 * time.Millisecond}, {QueuedWork: 150 * time.Millisecond}}
+	is.Equal(Place(NewPrefillEstimator(), r, candidates).Index, 1)
+	withUnseen := Place(NewPrefillEstimator(), r, candidates[:1])
+	candidates[0].UnseenWork = 0
+	is.Equal(withUnseen.ExpectedTime, Place(NewPrefillEstimator(), r, candidates[:1]).ExpectedTime)
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -38,6 +38,10 @@
 	// Slowdown is the engine's slowdown factor; 0 means unknown and counts as 1. QueuedWork is
 	// scaled by it already.
 	Slowdown float64
+	// UnseenWork is a random draw of the work that other hosts sent to the engine and haven't
+	// reported (DrawUnseen). It counts in the engine's cost, so that hosts with the same data spread
+	// over the engines, and not in the expected time.
+	UnseenWork time.Duration
 	// SlotWait is the expected time until the engine has a free batch slot. LacksMemory reports
 	// whether its KV cache has no room for the request.
 	SlotWait    time.Duration
@@ -145,7 +149,7 @@
 	// The work counts as at the mean engine, since a slow engine's time is worth less. The wait for
 	// a slot counts in full besides the latency: if the engine preempts a less urgent request for
 	// this one, that request waits.
-	cost := choice.work + choice.fetchCost + c.SlotWait + r.latencyCost(choice.ExpectedTime)
+	cost := choice.work + choice.fetchCost + c.SlotWait + r.latencyCost(choice.ExpectedTime+c.UnseenWork)
 	if c.OtherZone {
 		cost += r.ZoneCost
 	}
