--- a/admission/holdqueue_replay_test.go
+++ b/admission/holdqueue_replay_test.go
@@ -78,8 +78,11 @@
 			ahead[i] = max(0, ahead[i]-time.Duration(age)*time.Millisecond)
 		}
 	}
-	for _, other := range p.sent[r.host] {
-		if p.now.Sub(other.sentAt) < time.Duration(age)*time.Millisecond && other.Priority <= it.Priority {
+	for _, other := range slices.Backward(p.sent[r.host]) {
+		if p.now.Sub(other.sentAt) >= time.Duration(age)*time.Millisecond {
+			break
+		}
+		if other.Priority <= it.Priority {
 			ahead[other.engine] += other.Work
 		}
 	}
