--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -133,6 +133,21 @@
 	})
 }
 
+// A request that an engine rejected after the request was held must not be held again for longer than
+// what is left of the eighth of its target.
+func TestHoldsOfAllAttemptsAreBounded(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		start, r := time.Now(), h.request(20*time.Second)
+		for range 3 {
+			h.start(h.ctx, r)
+			h.Equal(h.results(1), []string{"sent"})
+			h.Equal(time.Since(start), 500*time.Millisecond)
+		}
+		h.Equal(r.heldFor, 500*time.Millisecond)
+	})
+}
+
 // The place of a caller that leaves must be free at once, and its request must not be sent.
 func TestCallerLeavesWhileHeld(t *testing.T) {
 	runHoldTest(t, func(h *holdTest) {
