--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -54,6 +54,9 @@
 	// maxRequestWork bounds the engine time of one request, which is computed from a number of
 	// tokens that the caller stated.
 	maxRequestWork = time.Minute
+	// maxWeight bounds the weights and their inverses, so that their sums stay exact. With a weight of
+	// 1e308 all shares were 0.
+	maxWeight = 1000.0
 	// maxRetryAfter bounds RetryAfter; returns are scheduled for the next 8 s.
 	maxRetryAfter = 8 * time.Second
 	// foldedFraction is the part of a full table that is counted under Rest at once, smallest
@@ -182,12 +185,13 @@
 
 // SetWeight sets the account's weight; 1 is the default. The share approaches the one for the new
 // weight with HalfLife, so that an account isn't over its share at once for what it received under
-// the former weight. A weight that isn't a positive number counts as 1. At most MaxAccounts accounts
-// can have a weight other than 1.
+// the former weight. A weight that isn't a positive number counts as 1, and others are bounded to
+// 1/maxWeight to maxWeight. At most MaxAccounts accounts can have a weight other than 1.
 func (l *Ledger) SetWeight(account AccountID, weight float64) {
 	if !(weight > 0) || math.IsInf(weight, 1) {
 		weight = 1
 	}
+	weight = min(maxWeight, max(1/maxWeight, weight))
 	_, known := l.targetWeights[account]
 	switch {
 	case weight == 1:
--- a/fairshare/ledger_test.go
+++ b/fairshare/ledger_test.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -186,6 +187,9 @@
 	l, now := NewLedger(), start
 	equal := []AccountUse{use(1, 2, 1), use(2, 2, 1)}
 	l.SetWeight(1, math.NaN()) // counts as 1
+	l.SetWeight(3, math.MaxFloat64)
+	is.Equal(l.targetWeights, map[AccountID]float64{3: maxWeight}) // the others' shares stay exact
+	l.SetWeight(3, 1)
 	now = apply(l, now, 10*time.Second, equal...)
 	is.Equal(l.Stats(now).OverShare, 0)
 	l.SetWeight(1, 0.5)
@@ -218,7 +222,7 @@
 
 func BenchmarkRequest(b *testing.B) {
 	for _, accounts := range []int{24, MaxAccounts} {
-		b.Run(time.Duration(accounts).String(), func(b *testing.B) {
+		b.Run(fmt.Sprint(accounts, " accounts"), func(b *testing.B) {
 			l, now := NewLedger(), start
 			for i := range b.N {
 				id := AccountID(i%accounts + 1)
--- a/internal/exchange/accountuse.go
+++ b/internal/exchange/accountuse.go
@@ -25,7 +25,8 @@
 	accountUseHeaderSize = 4 + 2
 	accountUseEntrySize  = 4 + 2*rateSize
 	// rateSize is the size of a rate in bytes: the first 24 bits of a float32, which have a relative
-	// error of 1/65,536. An error of a hundredth would make requested and received time differ.
+	// error of at most 1/65,536. With 16 bits it would be 1/256, and errors of what accounts requested
+	// and received could add up to a visible difference between the two.
 	rateSize = 3
 	// accountUseLifetime is the age from which a host's use doesn't count any more although the host
 	// still reports: it has no use to report. One exchange with use may fail before.
