exchange: the use of engine time by client accounts, summed over all hosts

Cause: shares of accounts are of all hosts' use, and each host knows only its own.

Change: reports and replies carry the use of the 32 largest accounts, by service, in one of seven exchanges, 10 bytes an account and left out while empty. A hub keeps each follower's last report, adds them up and sends other hubs only its followers' sums. Use drops out with its host's report. A host that changed its hub sends none for 1.95 s, so that no hub counts it twice. Hosts without the field ignore it.

Ruled out, by their sizes: sending it with each exchange (seven times the bytes), rates of two bytes (an error of 1/256 each in what was requested and received).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,9 @@
 	// host's own measurements; it is set only together with WantTimings.
 	WantTimings bool    `json:"want_timings,omitempty"`
 	Timings     Timings `json:"timings,omitempty"`
+	// AccountUse is the client accounts' use of engine time at the reporting host or, if Hosts is
+	// set, at all hosts that it reports for. It is set only together with WantTimings.
+	AccountUse AccountUse `json:"account_use,omitempty"`
 	// Sightings are the losses and survivals of requests that the host and its followers
 	// observed since the last report. SightingsSince is set only in queries by other hubs. It is
 	// the sequence number of the last entry in this hub's sighting log that the querying hub has
@@ -130,7 +133,9 @@
 	Leaving     LeavingUpstreams `json:"leaving,omitempty"`
 	LeavingLast uint64           `json:"leaving_last,omitempty"`
 	// Timings holds, for each service and model, the sums of the other hosts' measurements.
-	Timings Timings `json:"timings,omitempty"`
+	// AccountUse holds the sums of the client accounts' use at the other hosts.
+	Timings    Timings    `json:"timings,omitempty"`
+	AccountUse AccountUse `json:"account_use,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
 	// the entry of its sighting log with the sequence number SightingsLast. Both fields are set
 	// only in replies to queries by other hubs.
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -107,6 +107,9 @@
 	if !m.previousHubExpired() {
 		report.Evidence = nil
 	}
+	if !m.previousHubDroppedUse() {
+		report.AccountUse = nil
+	}
 	return report, upTo
 }
 
@@ -142,7 +145,7 @@
 func (m *Member) deliverOwnHubData(withTimings bool) {
 	sums := m.ownHub.otherSums(m.options.Host, m.ownHubPrefixSeq, toHost)
 	if withTimings {
-		sums.Timings = m.ownHub.otherTimings(m.options.Host, toHost)
+		sums.Timings, sums.AccountUse = m.ownHub.otherTimings(m.options.Host, toHost), m.ownHub.otherAccountUse(m.options.Host, toHost)
 	}
 	m.ownHubPrefixSeq = sums.SentPrefixesLast
 	m.applyOwnHubLimits()
@@ -158,6 +161,7 @@
 	m.deliverEvidence(reply.Evidence)
 	m.deliverPrefixes(reply.SentPrefixes)
 	m.deliverLeaving(reply.Leaving)
+	m.deliverAccountUse(reply.AccountUse)
 	if m.options.OnTimings != nil && len(reply.Timings) > 0 {
 		m.options.OnTimings(reply.Timings)
 	}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -138,6 +138,7 @@
 	// receivedAt is when the host first received the row of each revision.
 	receivedAt map[storage.Revision]time.Time
 	work       Work
+	accountUse AccountUse
 	bytes      int
 	// holding holds the grants for leased upstreams, contact records the contact to the hub,
 	// and limits holds the host's records of upstreams' limits.
@@ -298,6 +299,7 @@
 		RootGrants: func(roots int) []ratelease.Grant { return append(f.coldGrants(roots), h.limitGrants(roots)...) },
 		Limits:     h.newLimits, KnownLimits: h.knownLimits, OnLimits: h.applyLimits,
 		Leaving: h.takeLeaving, OnLeaving: h.addLeaving,
+		Timings: func() Timings { return nil }, AccountUse: fleetAccountUse, OnAccountUse: h.setAccountUse,
 		OnHolding: func(holding ratelease.Holding, rooted time.Time) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -461,6 +463,7 @@
 				is.True(ok && took <= changeWithin)
 				// The sum that each host receives counts every other host once.
 				is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.otherWork()[HashID("u")] == float64(size.hosts-1) }))
+				is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.otherHostsOfAccounts() == float64(size.hosts-1) }))
 			})
 		})
 	}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -38,6 +38,8 @@
 	reports      map[string]receivedReport
 	sentPrefixes prefixLog
 	timings      map[string]Timings
+	// accountUse has the keys of reports.
+	accountUse map[string]hostAccountUse
 	// sightings holds the sightings received from hosts and other hubs, to be sent to other
 	// hubs.
 	sightings sightingLog
@@ -92,7 +94,7 @@
 func newHub(options Options, log zerolog.Logger) *hub {
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
-		reports: make(map[string]receivedReport), timings: make(map[string]Timings), zones: make(map[string]*zoneHubs),
+		reports: make(map[string]receivedReport), timings: make(map[string]Timings), accountUse: make(map[string]hostAccountUse), zones: make(map[string]*zoneHubs),
 		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLimitLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
@@ -106,7 +108,7 @@
 	case r.HubQuery:
 		reply := h.otherSums(from, r.SentPrefixesSince, toHub)
 		if r.WantTimings {
-			reply.Timings = h.otherTimings(from, toHub)
+			reply.Timings, reply.AccountUse = h.otherTimings(from, toHub), h.otherAccountUse(from, toHub)
 		}
 		reply.Sightings, reply.SightingsLast = h.sightingsSince(r.SightingsSince, r.Address)
 		reply.Limits = h.limitsSince(r.LimitsCursor, toHub)
@@ -124,7 +126,7 @@
 	h.updateRelaying()
 	reply := h.otherSums(from, r.SentPrefixesSince, toHost)
 	if r.WantTimings {
-		reply.Timings = h.otherTimings(from, toHost)
+		reply.Timings, reply.AccountUse = h.otherTimings(from, toHost), h.otherAccountUse(from, toHost)
 	}
 	reply.QuarantineStatus = h.quarantineStatus(toHost)
 	reply.Lease, reply.Rooted = h.leaseFor(from, r.GrantsDigest), h.rooted()
@@ -151,6 +153,7 @@
 	h.reports[from] = receivedReport{report: r, at: boottime.Now(), hosts: max(1, r.Hosts)}
 	h.sentPrefixes.add(from, false, r.SentPrefixes)
 	h.recordTimings(from, r.Timings)
+	h.recordAccountUse(from, r.AccountUse)
 }
 
 // sentPrefixesSince returns the entries of the prefix log after the sequence number that came
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -50,6 +50,10 @@
 	// over the other hosts' measurements. Both may be nil.
 	Timings   func() Timings
 	OnTimings func(Timings)
+	// AccountUse returns the client accounts' use of engine time at this host. OnAccountUse receives
+	// the sums over the other hosts. Both may be nil; they are called only if Timings is set.
+	AccountUse   func() AccountUse
+	OnAccountUse func(AccountUse)
 	// FirstStart reports that the whole installation starts for the first time, so that the
 	// seeds have yet to create the key.
 	FirstStart bool
@@ -219,7 +223,7 @@
 	report.SentPrefixes, report.Sightings = m.unsentPrefixes, m.unsentSightings
 	report.Limits, report.Leaving = m.nextLimitUpdates(), m.nextLeaving()
 	if m.reportCount++; m.options.Timings != nil && m.reportCount%exchangesPerTimings == 1 {
-		report.WantTimings, report.Timings = true, m.options.Timings()
+		report.WantTimings, report.Timings, report.AccountUse = true, m.options.Timings(), m.nextAccountUse()
 	}
 	return report
 }
--- a/internal/exchange/subtree.go
+++ b/internal/exchange/subtree.go
@@ -12,6 +12,7 @@
 	h.sentPrefixes.add(address, true, r.SentPrefixes)
 	h.leaving.add(address, true, r.Leaving, boottime.Now())
 	h.recordTimings(hubKey(address), r.Timings)
+	h.recordAccountUse(hubKey(address), r.AccountUse)
 }
 
 // dropHubData drops the data that the hub at the address sent, since this host stops reporting
@@ -51,7 +52,7 @@
 	sums := h.otherSums("", prefixesSince, toHub)
 	own.Hosts, own.Work, own.Evidence, own.SentPrefixes = sums.Hosts, sums.Work, sums.Evidence, sums.SentPrefixes
 	if own.WantTimings {
-		own.Timings = h.otherTimings("", toHub)
+		own.Timings, own.AccountUse = h.otherTimings("", toHub), h.otherAccountUse("", toHub)
 	}
 	return own, sums.SentPrefixesLast
 }
