gateway: shares of client accounts of contended services

Cause: accountShares was empty; nothing told which accounts use more than their share.

Change: accountShares keeps a fairshare.Ledger for each service for which the feature is active, reports the host's use to the exchange and takes the others'. Its three methods are as before; the zero value records nothing. Operators get the lines account-over-share and account-within-share, once a second an account at most, and four gauges a service.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
 	})
+	g.shares.configure(g)
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
 	g.transport = newTransport()
 	g.pipeline = chain(g.filters())
@@ -235,6 +236,7 @@
 			Limits: g.fleet.takeLimitUpdates, KnownLimits: g.fleet.currentLimits, OnLimits: g.fleet.applyLimits,
 			Leaving: g.fleet.takeLeaving, OnLeaving: g.fleet.applyReportedLeaving,
 			Timings: g.fleet.ownTimings, OnTimings: g.fleet.setRemoteTimings,
+			AccountUse: g.shares.ownUse, OnAccountUse: g.shares.setOthers,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
 		}, g.log)
 		group.Go(func() { g.peers.Run(ctx) })
@@ -251,6 +253,7 @@
 		})
 	})
 	group.Go(func() { wait.Every(ctx, entryChangesInterval, g.fleet.logEntryChanges) })
+	group.Go(func() { wait.Every(ctx, shareLogInterval, g.shares.logChanges) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { wait.Every(ctx, recordCleanupInterval, func() { g.fleet.DeleteOldRecords(boottime.Now()) }) })
