gateway: streams that can't end in time are resumed at another engine

Cause: a low-priority stream that needs less than 2 s of engine time was still running at its deadline after 19.5 s, because its engine preempted it repeatedly. The idle timer doesn't notice a stream that gets an event now and then.

Change: package streampace decides by the time for which a host waited for each event, the expected number of events and the deadline; streammove.go chooses the destination, counts the request there, ends the run and lets the next attempt resume the stream with Last-Event-Id. At most one move a stream, within MaxAttempts and the retry budget, to an engine of the same version that has a free batch slot and is neither fuller nor slower. Active where Features.StreamMoves is.

Ruled out: the mean pace of all streams as the comparison, since a host has few streams and one that hangs would make the mean look slow; the pace of complete streams only, since a slowdown of all engines would move all streams at once. The median of the other recent and running streams has neither fault. A shorter pause limit moves streams that gain nothing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,9 @@
 	// idleTimer enforces headTimeout and the pause limit of streams.
 	idleTimer  *idleTimer
 	sealedCall *sealedconn.Call
-	runState   runstate.Tracker
+	// cancel ends the attempt with a cause. It is set when the attempt is sent.
+	cancel   context.CancelCauseFunc
+	runState runstate.Tracker
 	// headCounted is set when the head of a stream was counted as an answer of its version.
 	headCounted bool
 	// answerHeader is the header of the upstream's answer; nil before it arrived.
@@ -70,6 +72,7 @@
 // checking that it belongs to the request.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	headCtx, cancel := context.WithCancelCause(ctx)
+	a.cancel = cancel
 	a.sealedCall = &sealedconn.Call{
 		Admit:   func() error { return a.admitWrite(cancel) },
 		OnWrite: func() { a.runState.Raise(runstate.MayHaveRun) },
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -63,6 +63,7 @@
 	g.retryBudgets.get(r.Service).countRequest()
 	r.relativePromptSize = g.promptSizes.get(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.planModels(r)
+	defer d.releaseMove(r)
 	var result attemptResult
 	for {
 		previous := result
@@ -156,7 +157,10 @@
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
-	picked, ok := g.fleet.choose(crit)
+	picked, ok := d.takeMove(r, &crit)
+	if !ok {
+		picked, ok = g.fleet.choose(crit)
+	}
 	if !ok {
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
@@ -212,6 +216,7 @@
 func (d *dispatch) buildCriteria(r *Request, model string, bestModel bool) criteria {
 	g := d.gateway
 	crit := criteria{service: r.Service, zone: g.settings.Zone, excludedIDs: r.triedIDs, rank: r.rank(), regions: r.regions, admitsVersion: g.rollouts.versionFilter(r)}
+	r.keepVersion(&crit)
 	if r.Prompt.TokensIn > 0 {
 		crit.prompt = r.Prompt.placementPrompt(r.Route.PrefixAffinity)
 		crit.model = cmp.Or(model, r.Prompt.Model)
@@ -287,7 +292,7 @@
 	if ctx.Err() != nil || !r.attemptsLeft() {
 		return false
 	}
-	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) {
+	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) || errors.Is(result.err, errStreamMoved) {
 		return true // the retry budget was charged when the attempt was given up
 	}
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,9 @@
 	// streamPauses holds, by the same key, the mean over all streams of the longest pause within a
 	// stream.
 	streamPauses lazyValues[meanTime]
-	pipeline     handleFunc
+	// usualPaces holds, by the same key, the pace of recent streams.
+	usualPaces lazyValues[usualPace]
+	pipeline   handleFunc
 	// guard quarantines poison requests.
 	guard *guard.Guard
 	// shares and returns are used for contended services (Features).
@@ -104,6 +106,7 @@
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
+	g.usualPaces.make = func() *usualPace { return new(usualPace) }
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -30,7 +30,7 @@
 		Instance: "T-Instance", ExpectInstance: "T-Expect", Stamp: "T-Stamp", NotRun: "T-Not-Run",
 		Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", RetryAfter: "Retry-After", Model: "T-Model", TokenCount: "T-Tokens", PromptParts: "T-Parts",
 		Priority: "T-Priority", Confidence: "T-Confidence",
-		LastEventID: "T-Last-Event", Session: "T-Session", FetchFrom: "T-Fetch", ContinueFrom: "T-Continue", Reserved: []string{"T-Pin", "T-Fetch", "T-Continue"},
+		LastEventID: "T-Last-Event", Session: "T-Session", LengthHint: "T-Length", FetchFrom: "T-Fetch", ContinueFrom: "T-Continue", Reserved: []string{"T-Pin", "T-Fetch", "T-Continue"},
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -59,6 +59,11 @@
 	// fetchSources are the addresses of the engines that were sources of cached parts for attempts of
 	// the request.
 	fetchSources []string
+	// moved is set if the request's stream was moved; movedVersion is the version of the run that the
+	// move ended. moveTarget is the engine to which it is moved, until the attempt there begins.
+	moved        bool
+	movedVersion string
+	moveTarget   *choice
 	// model is the model that the gateway chose for the request; empty if the caller chose it and
 	// for plain services.
 	model string
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,6 +87,8 @@
 	switch {
 	case result.err == nil:
 		result.outcome = outcomeDone
+	case errors.Is(result.err, errStreamMoved):
+		result.outcome = outcomeAbandoned
 	case a.idleTimer.expired():
 		result.outcome, result.err = outcomeSilent, errResponseTimeout
 	case ctx.Err() != nil || errors.Is(result.err, errCallerWrite):
@@ -107,20 +109,28 @@
 	events := eventReader{reader: bufio.NewReader(resp.Body)}
 	out := a.request.answer
 	limit, longest := a.pauseLimit(), time.Duration(0)
+	mover := a.gateway.newStreamMover(a)
+	defer func() { mover.end(false, out) }()
 	defer func() { a.gateway.streamPauses.get(a.request.responseTimeKey()).observe(longest) }()
 	for {
 		waitStart := time.Now()
 		a.idleTimer.start(limit)
+		mover.startWait(out)
 		ev, err := events.next()
 		a.idleTimer.stop() // the caller's read time doesn't count as the upstream's idle time
 		longest = max(longest, time.Since(waitStart))
 		if errors.Is(err, io.EOF) {
+			mover.end(true, out)
 			// A stream without events is a valid answer.
 			return out.writeHead(resp.StatusCode, resp.Header)
 		}
 		if err != nil {
+			if mover.end(false, out) {
+				return errStreamMoved
+			}
 			return err
 		}
+		mover.endWait()
 		if result.firstByte = a.timeToFirstEvent(result.firstByte, out); out.alreadySent(ev) {
 			continue
 		}
--- /dev/null
+++ b/internal/gateway/streammove.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/streampace"
+)
+
+// A stream that will end too late at its engine, because the engine is slow or preempts it again and
+// again, is moved: the gateway ends the run and resumes the stream at another engine after the last
+// event that the caller received, within the same answer. This file collects what package
+// streampace decides by, and chooses the other engine.
+
+const (
+	// moveCheckInterval is how often a stream that waits for an event is examined. A move costs the
+	// prefill of a prompt, hundreds of milliseconds, so that examining more often gains little.
+	moveCheckInterval = 200 * time.Millisecond
+	// usualPauseFactor is a multiple of the usual longest pause of streams: a shorter silence isn't a
+	// reason for a move.
+	usualPauseFactor = 2
+	// maxReportAge is the age up to which an engine's report of its batch and its speed is used. Both
+	// change within a second.
+	maxReportAge = time.Second
+)
+
+// errStreamMoved means that the gateway ended the run of a stream to resume it at another engine.
+var errStreamMoved = errors.New("gateway: the stream is moved to another upstream")
+
+// usualPace is the pace of a service's streams, which several goroutines use.
+type usualPace struct {
+	mu    sync.Mutex
+	usual streampace.Usual
+}
+
+// streamMover observes the pace of an attempt's stream and ends the attempt if the stream is to be
+// moved. A nil streamMover does nothing.
+type streamMover struct {
+	attempt *attempt
+	pace    *usualPace
+	// movable is set if the stream may be moved at all.
+	movable bool
+	// tokens is the number of tokens that the caller expects; 0 if unknown.
+	tokens int
+
+	mu     sync.Mutex
+	stream streampace.Stream
+	record *streampace.Record
+	timer  *time.Timer
+	// waitingSince is when the wait for the current event began; zero while the relay doesn't wait
+	// for the engine. position is the number of events of the stream until then.
+	waitingSince time.Time
+	position     int
+	// ended is set when the relay has ended; moved when the mover ended the attempt.
+	ended, moved bool
+
+	// checking is held during a check.
+	checking sync.Mutex
+}
+
+// newStreamMover returns the mover of the attempt's stream; nil if the feature isn't active.
+func (g *Gateway) newStreamMover(a *attempt) *streamMover {
+	r := a.request
+	if !g.fleet.isActive(g.settings.Features.StreamMoves, r.Service) {
+		return nil
+	}
+	hint := parseCount(r.Header.Get(g.settings.Headers.LengthHint))
+	return &streamMover{
+		attempt: a, pace: g.usualPaces.get(r.responseTimeKey()), tokens: cmp.Or(hint, r.Prompt.TokensOut),
+		movable: r.Route.Resumable && !r.moved && r.attemptsLeft(),
+	}
+}
+
+// startWait records that the relay begins to wait for the next event.
+func (m *streamMover) startWait(out *answerWriter) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waitingSince, m.position = time.Now(), out.position()
+	if m.timer == nil {
+		m.timer = time.AfterFunc(moveCheckInterval, m.check)
+	}
+}
+
+// endWait records that an event arrived. The time in which the event is written to the caller
+// doesn't count, so that a stream whose caller reads slowly isn't moved.
+func (m *streamMover) endWait() {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stream.AddEvent(time.Since(m.waitingSince))
+	m.waitingSince = time.Time{}
+}
+
+// end records that the relay has ended and waits for a check in progress. complete is set if the
+// stream ended regularly. It reports whether the mover ended the attempt.
+func (m *streamMover) end(complete bool, out *answerWriter) (moved bool) {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	m.waitingSince, m.ended = time.Time{}, true
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	m.mu.Unlock()
+	m.checking.Lock()
+	defer m.checking.Unlock()
+	if complete {
+		m.pace.mu.Lock()
+		defer m.pace.mu.Unlock()
+		m.pace.usual.AddLength(m.tokens, out.position())
+		if perEvent, ok := m.stream.MeanTime(); ok {
+			m.pace.usual.Update(m.record, perEvent, time.Now())
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.moved
+}
+
+// check examines the stream, and again after moveCheckInterval unless it has ended.
+func (m *streamMover) check() {
+	m.checking.Lock()
+	defer m.checking.Unlock()
+	m.mu.Lock()
+	since, stream, position := m.waitingSince, m.stream, m.position
+	if m.ended || m.moved {
+		m.mu.Unlock()
+		return
+	}
+	m.timer.Reset(moveCheckInterval)
+	m.mu.Unlock()
+	if since.IsZero() {
+		return
+	}
+	sit := m.situation(&stream, time.Since(since), position)
+	if reason := stream.ReasonToMove(sit); m.movable && reason != streampace.None {
+		m.move(since, &stream, sit, reason)
+	}
+}
+
+// situation records the stream's pace and returns the situation in which it is.
+func (m *streamMover) situation(stream *streampace.Stream, silence time.Duration, position int) streampace.Situation {
+	a, now := m.attempt, time.Now()
+	m.pace.mu.Lock()
+	defer m.pace.mu.Unlock()
+	if perEvent, ok := stream.TimePerEvent(silence); ok {
+		m.record = m.pace.usual.Update(m.record, perEvent, now)
+	}
+	pauses := a.gateway.streamPauses.get(a.request.responseTimeKey())
+	return streampace.Situation{
+		Silence:         silence,
+		MaxPause:        max(cmp.Or(max(0, a.request.Route.MaxPause), defaultTarget), pauses.scaledMean(usualPauseFactor)),
+		RemainingEvents: m.pace.usual.RemainingEvents(m.tokens, position),
+		TimeLeft:        boottime.Until(a.request.Deadline),
+		UsualTime:       m.pace.usual.TimePerEvent(m.record, now),
+	}
+}
+
+// move ends the attempt, whose wait for an event began at the given time, if another engine is
+// expected to finish the stream in time and the retry budget permits another attempt. It does
+// nothing if an event arrives in the meantime.
+func (m *streamMover) move(since time.Time, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
+	a := m.attempt
+	g, r := a.gateway, a.request
+	d := dispatch{gateway: g}
+	crit := d.buildCriteria(r, r.model, a.bestModel)
+	crit.regions = g.allowedRegions(r)
+	picked, ok := g.fleet.chooseForMove(crit, &a.choice, func(expected time.Duration, slowness float64) bool {
+		if crit.prompt == nil {
+			expected = g.responseTimes.get(r.responseTimeKey()).scaledMean(1)
+		}
+		return streampace.FinishesInTime(sit, expected, slowness) && g.retryBudgets.get(r.Service).tryTake()
+	})
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended || m.waitingSince != since {
+		g.fleet.release(picked, attemptResult{outcome: outcomeWithheld})
+		return
+	}
+	m.moved, r.moved, r.moveTarget, r.movedVersion = true, true, &picked, a.choice.upstream.Version
+	perEvent, _ := stream.TimePerEvent(sit.Silence)
+	g.log.Info().Str("event", "stream-move").Str("request", r.ID).Str("reason", string(reason)).
+		Str("from", a.choice.upstream.ID).Str("to", picked.upstream.ID).Int("events", m.position).Int("remaining", sit.RemainingEvents).
+		Int64("silent_ms", sit.Silence.Milliseconds()).Int64("per_event_ms", perEvent.Milliseconds()).Int64("usual_ms", sit.UsualTime.Milliseconds()).
+		Int64("left_ms", sit.TimeLeft.Milliseconds()).Int64("expected_ms", picked.placement.ExpectedTime.Milliseconds()).Msg("")
+	g.metrics.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_stream_moves_total{service=%q,reason=%q}`, r.Service, reason)).Inc()
+	a.cancel(errStreamMoved)
+}
+
+// chooseForMove chooses an engine for a stream that runs at the chosen upstream from, and counts the
+// request as in flight there. It returns false if there is none of the same version that has room and
+// is neither fuller nor slower, or if accept returns false. accept is called with the expected time
+// to the first event and the time that work takes at the engine as a multiple of the usual time.
+func (f *Fleet) chooseForMove(crit criteria, from *choice, accept func(expected time.Duration, slowness float64) bool) (choice, bool) {
+	now := boottime.Now()
+	s := f.shard(crit.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.candidates(&crit, now, f.removalGrace)
+	source := s.chosenMember(from)
+	list.members = slices.DeleteFunc(slices.Clone(list.members), func(m *member) bool {
+		return slices.Contains(crit.excludedIDs, m.ID) || m.Version != from.upstream.Version || !m.removedAt.IsZero() ||
+			m.ejected(now) || m.rejecting(now) || !m.suitsMove(source, now)
+	})
+	if len(list.members) == 0 {
+		return choice{}, false
+	}
+	c := choice{chosenAt: now, candidateCount: len(list.members), criteria: crit}
+	picked := s.pick(list, &c, now)
+	if !accept(c.placement.ExpectedTime, picked.statedSlowness(now)) {
+		return choice{}, false
+	}
+	c.upstream, c.entryRevision = picked.Upstream, picked.revision
+	c.load = picked.load(now)
+	c.loadSource, c.loadAge = picked.loadSource(now)
+	picked.startRequest(&c)
+	picked.recordSent(now)
+	return c, true
+}
+
+// suitsMove reports whether the engine has a free batch slot and is neither fuller nor slower than
+// the source, which is nil if it isn't listed any more.
+func (m *member) suitsMove(source *member, now time.Time) bool {
+	occupancy := m.occupancy(now)
+	if occupancy >= 1 {
+		return false
+	}
+	return source == nil || occupancy <= source.occupancy(now) && m.statedSlowness(now) <= max(1, source.statedSlowness(now))
+}
+
+// occupancy returns the requests at the engine, running and waiting, divided by its batch slots. If
+// the engine made no recent report, it is the mean of the service or that of the host's own
+// requests, whichever is higher.
+func (m *member) occupancy(now time.Time) float64 {
+	slots := float64(max(1, m.Slots))
+	u := m.usageSnapshot()
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > maxReportAge {
+		return max(m.shard.meanSlotLoad, float64(m.inFlight)/slots)
+	}
+	return float64(max(m.inFlight, u.reportedLoad+m.inFlight-u.ownAtReport)) / slots
+}
+
+// statedSlowness returns how long work takes at the engine as a multiple of the usual time, by its
+// own recent statement; 1 without one.
+func (m *member) statedSlowness(now time.Time) float64 {
+	u := m.usageSnapshot()
+	if u.statedSlowdown <= 0 || now.Sub(u.statedSlowdownAt) > maxReportAge {
+		return 1
+	}
+	return u.statedSlowdown
+}
+
+// position returns the number of the stream's events that the caller has received, including those
+// that it had received before it asked to resume the stream.
+func (w *answerWriter) position() int {
+	if n, ok := eventNumber(w.lastEventID); ok {
+		return int(n)
+	}
+	return w.events
+}
+
+// takeMove returns the engine to which the request's stream is moved, if it still permits the
+// request; ok is false otherwise.
+func (d *dispatch) takeMove(r *Request, crit *criteria) (picked choice, ok bool) {
+	if r.moveTarget == nil {
+		return choice{}, false
+	}
+	if u := &r.moveTarget.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
+		return choice{}, false // serve releases it
+	}
+	picked, r.moveTarget = *r.moveTarget, nil
+	return picked, true
+}
+
+// releaseMove releases the engine of a move that wasn't made, for example because the caller
+// disconnected.
+func (d *dispatch) releaseMove(r *Request) {
+	if r.moveTarget == nil {
+		return
+	}
+	d.gateway.fleet.release(*r.moveTarget, attemptResult{outcome: outcomeWithheld})
+	r.moveTarget = nil
+}
+
+// keepVersion restricts the criteria to the version that a moved stream began at: the engines that
+// continue a stream must have the same weights.
+func (r *Request) keepVersion(crit *criteria) {
+	if !r.moved {
+		return
+	}
+	admits, version := crit.admitsVersion, r.movedVersion
+	crit.admitsVersion = func(v string) bool { return v == version && admits(v) }
+}
