gateway: a moved stream is continued from a copy of its run

Cause: a plain resume reads the prompt again at the other engine and is charged to the retry budget, which is scarce when streams are late.

Change: where the document states migrations, the source gets kv-move with final; the attempt at the destination carries Kv-From and Last-Event-Id and isn't charged. 503 with a handle: the source itself continues the run. Any other failure: the run is ended and resumed without a copy if the retry budget permits. The end of a stream that the source may have stopped isn't taken for the end of the answer. Copies that weren't used are freed. An answer that continues a run isn't a sample of a prefill rate.

Found by the tests: the request to copy a run must not use the context of the attempt, whose trace belongs to the attempt's call and makes the second one fail as sent twice.

Ruled out: a copy without final in advance, which is old when it is used; the source's copy after each failure, since the source is what made the stream late.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -99,6 +99,7 @@
 		Tables:        tables,
 		Codec:         platform.Codec(),
 		Headers:       platform.Headers(),
+		RunCopies:     platform.RunCopies(),
 		AnyModel:      platform.AnyModel,
 		Peers: gateway.Peers{
 			Listen: fileSettings.PeerAddress, Seeds: fileSettings.Seeds, FirstStart: fileSettings.FirstStart, Cores: fileSettings.Cores, LinkMbps: fileSettings.LinkMbps,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -161,6 +161,9 @@
 	if r.Account != nil {
 		header.Set(names.Account, r.Account.Name)
 	}
+	if c := a.choice.continueFrom; c != nil {
+		header.Set(names.ContinueFrom, a.gateway.settings.RunCopies.Reference(c.source.Address, c.handle))
+	}
 	if a.choice.fetchFrom != "" {
 		header.Set(names.FetchFrom, a.choice.fetchFrom)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -41,6 +41,9 @@
 	// fetchFrom is the address of the engine from which the chosen one is to fetch parts of the
 	// prompt; empty if it fetches none.
 	fetchFrom string
+	// continueFrom is the copy of the request's run that the chosen engine is to continue; nil if it
+	// begins a run.
+	continueFrom *runCopy
 	// criteria are the inputs of the choice.
 	criteria criteria
 	// chosenAt is the time of the choice.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -129,6 +129,7 @@
 		r.notReached++
 	}
 	d.observeResult(r, a, result)
+	d.gateway.freeUnusedCopy(&a.choice, &result)
 	d.logAttempt(r, a, result)
 	return result, nil
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,8 @@
 	Tables      Tables
 	Codec       Codec
 	Headers     Headers
+	// RunCopies describes how engines copy runs to each other.
+	RunCopies RunCopies
 	// AnyModel is the model name by which callers leave the choice of the model to the gateway.
 	AnyModel string
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,8 +109,8 @@
 	events := eventReader{reader: bufio.NewReader(resp.Body)}
 	out := a.request.answer
 	limit, longest := a.pauseLimit(), time.Duration(0)
-	mover := a.gateway.newStreamMover(a)
-	defer func() { mover.end(false, out) }()
+	mover := a.gateway.newStreamMover(resp.Request.Context(), a)
+	defer mover.end()
 	defer func() { a.gateway.streamPauses.get(a.request.responseTimeKey()).observe(longest) }()
 	for {
 		waitStart := time.Now()
@@ -120,12 +120,14 @@
 		a.idleTimer.stop() // the caller's read time doesn't count as the upstream's idle time
 		longest = max(longest, time.Since(waitStart))
 		if errors.Is(err, io.EOF) {
-			mover.end(true, out)
+			if err := mover.complete(out); err != nil {
+				return err
+			}
 			// A stream without events is a valid answer.
 			return out.writeHead(resp.StatusCode, resp.Header)
 		}
 		if err != nil {
-			if mover.end(false, out) {
+			if mover.end() {
 				return errStreamMoved
 			}
 			return err
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -42,7 +44,9 @@
 // moved. A nil streamMover does nothing.
 type streamMover struct {
 	attempt *attempt
-	pace    *usualPace
+	// ctx ends with the attempt.
+	ctx  context.Context
+	pace *usualPace
 	// movable is set if the stream may be moved at all.
 	movable bool
 	// tokens is the number of tokens that the caller expects; 0 if unknown.
@@ -56,22 +60,23 @@
 	// for the engine. position is the number of events of the stream until then.
 	waitingSince time.Time
 	position     int
-	// ended is set when the relay has ended; moved when the mover ended the attempt.
-	ended, moved bool
+	// ended is set when the relay has ended; moved when the mover ended the attempt; stopped when the
+	// engine may have stopped the run, so that the end of its stream isn't the end of the answer.
+	ended, moved, stopped bool
 
 	// checking is held during a check.
 	checking sync.Mutex
 }
 
 // newStreamMover returns the mover of the attempt's stream; nil if the feature isn't active.
-func (g *Gateway) newStreamMover(a *attempt) *streamMover {
+func (g *Gateway) newStreamMover(ctx context.Context, a *attempt) *streamMover {
 	r := a.request
 	if !g.fleet.isActive(g.settings.Features.StreamMoves, r.Service) {
 		return nil
 	}
 	hint := parseCount(r.Header.Get(g.settings.Headers.LengthHint))
 	return &streamMover{
-		attempt: a, pace: g.usualPaces.get(r.responseTimeKey()), tokens: cmp.Or(hint, r.Prompt.TokensOut),
+		attempt: a, ctx: ctx, pace: g.usualPaces.get(r.responseTimeKey()), tokens: cmp.Or(hint, r.Prompt.TokensOut),
 		movable: r.Route.Resumable && !r.moved && r.attemptsLeft(),
 	}
 }
@@ -101,9 +106,9 @@
 	m.waitingSince = time.Time{}
 }
 
-// end records that the relay has ended and waits for a check in progress. complete is set if the
-// stream ended regularly. It reports whether the mover ended the attempt.
-func (m *streamMover) end(complete bool, out *answerWriter) (moved bool) {
+// end records that the relay has ended and waits for a check in progress. It reports whether the mover
+// ended the attempt.
+func (m *streamMover) end() (moved bool) {
 	if m == nil {
 		return false
 	}
@@ -115,19 +120,35 @@
 	m.mu.Unlock()
 	m.checking.Lock()
 	defer m.checking.Unlock()
-	if complete {
-		m.pace.mu.Lock()
-		defer m.pace.mu.Unlock()
-		m.pace.usual.AddLength(m.tokens, out.position())
-		if perEvent, ok := m.stream.MeanTime(); ok {
-			m.pace.usual.Update(m.record, perEvent, time.Now())
-		}
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.moved
 }
 
+// complete records that the stream ended without an error. It returns an error if the stream isn't
+// complete, because the engine stopped the run.
+func (m *streamMover) complete(out *answerWriter) error {
+	if m == nil {
+		return nil
+	}
+	moved := m.end()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped && moved {
+		return errStreamMoved
+	}
+	if m.stopped {
+		return io.ErrUnexpectedEOF
+	}
+	m.pace.mu.Lock()
+	defer m.pace.mu.Unlock()
+	m.pace.usual.AddLength(m.tokens, out.position())
+	if perEvent, ok := m.stream.MeanTime(); ok {
+		m.pace.usual.Update(m.record, perEvent, time.Now())
+	}
+	return nil
+}
+
 // check examines the stream, and again after moveCheckInterval unless it has ended.
 func (m *streamMover) check() {
 	m.checking.Lock()
@@ -176,29 +197,42 @@
 	d := dispatch{gateway: g}
 	crit := d.buildCriteria(r, r.model, a.bestModel)
 	crit.regions = g.allowedRegions(r)
+	copied := a.copiesRuns()
 	picked, ok := g.fleet.chooseForMove(crit, &a.choice, func(expected time.Duration, slowness float64) bool {
 		if crit.prompt == nil {
 			expected = g.responseTimes.get(r.responseTimeKey()).scaledMean(1)
 		}
-		return streampace.FinishesInTime(sit, expected, slowness) && g.retryBudgets.get(r.Service).tryTake()
+		return streampace.FinishesInTime(sit, expected, slowness) && (copied || g.retryBudgets.get(r.Service).tryTake())
 	})
 	if !ok {
 		return
 	}
+	if copied {
+		m.moveByCopy(picked, stream, sit, reason)
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ended || m.waitingSince != since {
 		g.fleet.release(picked, attemptResult{outcome: outcomeWithheld})
 		return
 	}
+	m.setMoved(picked, stream, sit, reason)
+	a.cancel(errStreamMoved)
+}
+
+// setMoved records the decision to continue the stream at the picked engine. The caller holds the
+// lock.
+func (m *streamMover) setMoved(picked choice, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
+	a := m.attempt
+	g, r := a.gateway, a.request
 	m.moved, r.moved, r.moveTarget, r.movedVersion = true, true, &picked, a.choice.upstream.Version
 	perEvent, _ := stream.TimePerEvent(sit.Silence)
 	g.log.Info().Str("event", "stream-move").Str("request", r.ID).Str("reason", string(reason)).
-		Str("from", a.choice.upstream.ID).Str("to", picked.upstream.ID).Int("events", m.position).Int("remaining", sit.RemainingEvents).
+		Str("from", a.choice.upstream.ID).Str("to", picked.upstream.ID).Bool("copied", picked.continueFrom != nil).Int("events", m.position).Int("remaining", sit.RemainingEvents).
 		Int64("silent_ms", sit.Silence.Milliseconds()).Int64("per_event_ms", perEvent.Milliseconds()).Int64("usual_ms", sit.UsualTime.Milliseconds()).
 		Int64("left_ms", sit.TimeLeft.Milliseconds()).Int64("expected_ms", picked.placement.ExpectedTime.Milliseconds()).Msg("")
 	g.metrics.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_stream_moves_total{service=%q,reason=%q}`, r.Service, reason)).Inc()
-	a.cancel(errStreamMoved)
 }
 
 // chooseForMove chooses an engine for a stream that runs at the chosen upstream from, and counts the
@@ -280,7 +314,8 @@
 		return choice{}, false
 	}
 	if u := &r.moveTarget.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
-		return choice{}, false // serve releases it
+		d.releaseMove(r)
+		return choice{}, false
 	}
 	picked, r.moveTarget = *r.moveTarget, nil
 	return picked, true
@@ -292,7 +327,9 @@
 	if r.moveTarget == nil {
 		return
 	}
-	d.gateway.fleet.release(*r.moveTarget, attemptResult{outcome: outcomeWithheld})
+	unused := attemptResult{outcome: outcomeWithheld}
+	d.gateway.fleet.release(*r.moveTarget, unused)
+	d.gateway.freeUnusedCopy(r.moveTarget, &unused)
 	r.moveTarget = nil
 }
 
--- a/internal/gateway/streammove_test.go
+++ b/internal/gateway/streammove_test.go
@@ -208,7 +208,7 @@
 	route, _ := table.Match(testHost, "/stream/x")
 	r := &Request{Service: "svc", Route: route, Table: table, Header: http.Header{"T-Length": {"200"}}, Deadline: boottime.Now().Add(2 * time.Second)}
 	out := &answerWriter{}
-	m := tg.gateway.newStreamMover(&attempt{gateway: tg.gateway, request: r, choice: c, cancel: func(error) {}})
+	m := tg.gateway.newStreamMover(t.Context(), &attempt{gateway: tg.gateway, request: r, choice: c, cancel: func(error) {}})
 	for i := range 3 {
 		m.startWait(out)
 		m.endWait()
@@ -216,11 +216,30 @@
 		out.lastEventID = fmt.Sprint(i + 1)
 	}
 	m.check()
-	is.True(!m.end(false, out))
+	is.True(!m.end())
 	_, ok = m.stream.TimePerEvent(0)
 	is.True(!ok) // the time of the writes doesn't count
 }
 
+// The engines that continue a stream have the same weights, also where the roll-out admits others.
+func TestMovedStreamKeepsItsVersion(t *testing.T) {
+	is := is.New(t)
+	f := engineFleet()
+	crit := criteria{service: "svc", zone: "z1", admitsVersion: anyVersion, excludedIDs: []string{"a"}}
+	from := choice{upstream: f.memberOf("svc", "a").Upstream}
+	always := func(time.Duration, float64) bool { return true }
+	_, ok := f.chooseForMove(crit, &from, always)
+	is.True(ok)
+	for _, id := range []string{"b", "c"} {
+		f.ApplyEntry(Upstream{ID: id, Service: "svc", Zone: "z1", Version: "v2", Slots: 8}, 2)
+	}
+	_, ok = f.chooseForMove(crit, &from, always)
+	is.True(!ok)
+	r := &Request{moved: true, movedVersion: "v1"}
+	r.keepVersion(&crit)
+	is.True(crit.admitsVersion("v1") && !crit.admitsVersion("v2"))
+}
+
 // A stream isn't moved to an engine that is full, fuller or slower.
 func TestSuitsMove(t *testing.T) {
 	tests := []struct {
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -88,6 +88,9 @@
 		m.ensureUsage().lastPrefillEnd = boottime.Now()
 	}
 	c.prefill = nil
+	if c.continueFrom != nil {
+		return // nothing was prefilled
+	}
 	s.queueStats.observe(took, c.placement.ExpectedUnqueued)
 	if c.workAhead+c.placement.FetchTime < c.placement.PrefillTime/rateSampleDivisor {
 		s.prefillRates.Observe(c.criteria.model, c.placement.UncachedTokens, took, boottime.Now())
