fetching and moving: tests for rules that mutations showed to be untested

Seventeen rules were removed one at a time. Four survived: the transfer time in the samples of prefill rates, runs continued from a copy as samples, the cost of a fetch, and the stream's own pace among the usual ones. TestPrefillRateWithFetchedTokens, TestFetchHasACost and TestUsualTimePerEvent now fail without them. New cases: a destination that is slow, too, gets no second move, and a stopped stream that looks complete isn't taken for the end of the answer.

--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -98,6 +98,33 @@
 	}
 }
 
+// The prefill rate of a model is learnt from tokens that an engine prefilled itself: not from a time that
+// consists mostly of a transfer, and not from a run that was continued from a copy.
+func TestPrefillRateWithFetchedTokens(t *testing.T) {
+	tests := []struct {
+		desc      string
+		fetchTime time.Duration
+		copied    *runCopy
+		want      bool
+	}{
+		{"short transfer", time.Millisecond, nil, true},
+		{"long transfer", 100 * time.Millisecond, nil, false},
+		{"continued from a copy", time.Millisecond, &runCopy{}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			f := engineFleet()
+			c, ok := f.choose(unsharedPromptCriteria(4_000))
+			is.True(ok)
+			c.placement.FetchTime, c.placement.FetchedTokens, c.continueFrom = test.fetchTime, 6_000, test.copied
+			f.headReceived(&c, 250*time.Millisecond)
+			timings := f.shard("svc").prefillRates.Timings(boottime.Now())["m"]
+			is.Equal(timings.Answers > 0, test.want)
+		})
+	}
+}
+
 // The header is sent once the service counts as contended, and an engine that rejects it gets later
 // requests without it.
 func TestFetchHeader(t *testing.T) {
--- a/internal/gateway/streammove_test.go
+++ b/internal/gateway/streammove_test.go
@@ -84,15 +84,18 @@
 	tests := []struct {
 		desc  string
 		first http.HandlerFunc
+		// arrivals is the number of requests at the two destinations.
+		arrivals int32
 	}{
-		{"destination finishes the stream", quick},
-		{"destination full", respondNotRun},
-		{"engine restarted at the address", respondStatus(http.StatusMisdirectedRequest)},
+		{"destination finishes the stream", quick, 1},
+		{"destination slow, too: no second move", engineStream(300*time.Millisecond, new(atomic.Int32)), 1},
+		{"destination full", respondNotRun, 2},
+		{"engine restarted at the address", respondStatus(http.StatusMisdirectedRequest), 2},
 		{"destination breaks off", func(w http.ResponseWriter, req *http.Request) {
 			last, _ := strconv.Atoi(req.Header.Get("T-Last-Event"))
 			streamEvents(last+1, last+1, true)(w, req)
-		}},
-		{"destination repeats events", streamEvents(1, moveTestEvents, false)},
+		}, 2},
+		{"destination repeats events", streamEvents(1, moveTestEvents, false), 1},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -107,11 +110,12 @@
 				}
 				quick(w, req)
 			}
-			logs := []*requestLog{tg.addEngine("b", "v1", handler), tg.addEngine("c", "v1", handler)}
+			tg.addEngine("b", "v1", handler)
+			tg.addEngine("c", "v1", handler)
 			got := tg.do(tg.moveRequest("stream"))
 			is.NoErr(got.err)
 			is.Equal(got.body, eventTexts(1, moveTestEvents))
-			is.True(logs[0].count()+logs[1].count() >= 1)
+			is.Equal(arrivals.Load(), test.arrivals)
 			is.Equal(strings.Count(tg.metricsText(), "stream_moves_total{service=\"svc\",reason=\"late\"} 1\n"), 1)
 			eventually(t, "the run at the slow engine ends", func() bool { return running.Load() == 0 })
 			eventually(t, "nothing is in flight", func() bool { return tg.requestsInFlight() == 0 })
--- a/internal/gateway/streammovecopy_test.go
+++ b/internal/gateway/streammovecopy_test.go
@@ -18,6 +18,8 @@
 type copyingEngine struct {
 	stops   bool
 	respond http.HandlerFunc
+	// endsRegularly lets the stream of a stopped run end like a complete one.
+	endsRegularly bool
 
 	running atomic.Int32
 	// runContext ends when the run is stopped.
@@ -40,7 +42,7 @@
 		engineStream(time.Millisecond, &e.running)(w, req)
 	default:
 		engineStream(300*time.Millisecond, &e.running)(w, req.WithContext(e.runContext))
-		if e.runContext.Err() != nil {
+		if e.runContext.Err() != nil && !e.endsRegularly {
 			panic(http.ErrAbortHandler) // the stream is closed without its end
 		}
 	}
@@ -88,6 +90,7 @@
 		stays       bool
 	}{
 		{desc: "copied", source: &copyingEngine{stops: true, respond: writeHandle(200)}, noBudget: true, continuedAt: "d"},
+		{desc: "copied, and the stopped stream looks complete", source: &copyingEngine{stops: true, endsRegularly: true, respond: writeHandle(200)}, noBudget: true, continuedAt: "d"},
 		{desc: "destination without room", source: &copyingEngine{stops: true, respond: writeHandle(503)}, noBudget: true, continuedAt: "s"},
 		{desc: "run unknown", source: &copyingEngine{respond: respondStatus(404)}},
 		{desc: "run unknown, retry budget used up", source: &copyingEngine{respond: respondStatus(404)}, noBudget: true, stays: true},
--- a/placement/fetch_test.go
+++ b/placement/fetch_test.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// A fetch has a price: a request waits some milliseconds for the engine that caches its part instead.
+func TestFetchHasACost(t *testing.T) {
+	is := is.New(t)
+	f := newFetchingFleet(1, 0)
+	list := []Candidate{{FetchableParts: 1, FetchTime: time.Millisecond, OwnerRank: 2}, {CachedParts: 1, QueuedWork: 10 * time.Millisecond, OwnerRank: 1}}
+	r := &Request{Model: "m", Prompt: longPrompt(0, 0), Target: time.Minute}
+	is.Equal(Place(f.estimator, r, list).Index, 1)
+}
+
 func (f *fetchingFleet) engineCount() int { return len(f.engines) }
 
 // Nothing is fetched that the engine has, that takes longer to transfer than to prefill, or that no
--- a/streampace/streampace_test.go
+++ b/streampace/streampace_test.go
@@ -156,6 +156,10 @@
 	now := time.Unix(0, 0)
 	own := u.Update(nil, time.Hour, now)
 	is.Equal(u.TimePerEvent(own, now), time.Duration(0))
+	for i := range 3 {
+		u.Update(nil, time.Duration(i+1), now)
+	}
+	is.Equal(u.TimePerEvent(own, now), time.Duration(2)) // not 3, the median of all four
 	for i := range 100 {
 		u.Update(nil, time.Duration(i), now)
 	}
