placement: slowdown factors of engines that state none aren't noise any more

Cause: one measured time determined half of an engine's factor, though it may contain a wait for prompts of other hosts. Of 1,033 attempts at 90 nearly equal engines half had a factor, from 0.7 to 3.7. Measured samples have a quarter of the weight and are bounded at 2; engines that state their slowdown have no measured samples.

--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -224,8 +224,8 @@
 // sample of the member's slowdown.
 func (m *member) observeMeasuredSlowdown(c *choice, took time.Duration, now time.Time) {
 	s := m.shard
-	if !s.placesByEngineState() {
-		return
+	if !s.placesByEngineState() || m.usageSnapshot().statedSlowdown > 0 {
+		return // the engine's own statements are exact
 	}
 	if value, ok := s.prefillRates.SlowdownSample(c.criteria.model, c.placement.UncachedTokens, took); ok {
 		s.engineStateOf(m, now).slowdown.Observe(value, placement.MeasuredWeight, now)
--- a/placement/slowdown.go
+++ b/placement/slowdown.go
@@ -17,9 +17,13 @@
 	// deviation from 1 is reduced below it, since one sample may contain an unknown wait.
 	fullSlowdownWeight = 2
 	// MeasuredWeight and StatedWeight are the weights of a measured time and of a statement of an
-	// engine. A statement is exact, but only about the moment at which it was made.
-	MeasuredWeight = 1
-	StatedWeight   = 0.25
+	// engine. A statement is exact, but only about the moment at which it was made. A measured time
+	// contains waits for prompts that this host has no data on, so that it takes eight of them to
+	// determine a factor. With a weight of 1, the factors of equal engines were mostly noise.
+	MeasuredWeight = 0.25
+	StatedWeight   = 0.5
+	// maxMeasuredSlowdown bounds a measured sample for the same reason.
+	maxMeasuredSlowdown = 2
 )
 
 // Slowdown holds the sums of the slowdown samples of one engine: how long its work took, as a
@@ -96,5 +100,5 @@
 	if !ok || took <= overhead {
 		return 0, false
 	}
-	return float64(took) / float64(e.timeToFirstEvent(tokens)), true
+	return min(maxMeasuredSlowdown, float64(took)/float64(e.timeToFirstEvent(tokens))), true
 }
