gateway, fairshare: attempts that engines reject don't count as received

Cause: dispatch.recordSent counts each attempt when it is sent. One that the engine rejects as not run, or that doesn't reach it, stayed counted, and the further attempt counted again. The capacity by which returns are scheduled was counted too high in the same way. Change: recordSent returns a function that takes the time back, decayed since then, for an attempt that was rejected or not reached (Ledger.RecordNotRun, returnschedule.Rate.Remove). Ruled out: recording when the head of the response arrives. Under load that is seconds later, in which what was sent would count as unmet and the service as saturated. Tests: TestRejectedAttemptsAreNotReceived in fairshare and in internal/gateway fail without the take-back (each tried by removing the call). go test ./fairshare ./returnschedule: ok; go test ./internal/gateway -run 'RejectedAttempts|AccountShares|Hold|Held|Return|Accounts|Move': ok.

--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -141,6 +141,13 @@
 	l.requestRate += requestGain * (added - l.requestRate)
 }
 
+// RecordNotRun takes back a RecordSent at the time sentAt, of a request that the engine didn't run.
+func (l *Ledger) RecordNotRun(account AccountID, work time.Duration, sentAt, now time.Time) {
+	r, passed := l.recordOf(account, now), now.Sub(sentAt)
+	r.received = max(0, r.received-rate(work, HalfLife)*decayFactor(passed, HalfLife))
+	r.unmet += rate(work, unmetHalfLife) * decayFactor(passed, unmetHalfLife)
+}
+
 // rate returns the contribution of a request to a rate that decays with the half-life. With a steady
 // load the decayed sum of the contributions equals the engine time of a second's requests.
 func rate(work, halfLife time.Duration) float64 {
--- a/fairshare/ledger_test.go
+++ b/fairshare/ledger_test.go
@@ -220,6 +220,26 @@
 	is.True(!l.OverShare(1, now) && !l.Counts(1))
 }
 
+// An account that receives 4 of 10 engine seconds a second, and each of whose requests is first sent to
+// an engine that rejects it, must not count as over its share of 5: rejected attempts aren't received.
+func TestRejectedAttemptsAreNotReceived(t *testing.T) {
+	is := is.New(t)
+	l, now := NewLedger(), start
+	for range 800 {
+		sentAt := now.Add(15 * time.Millisecond)
+		now = now.Add(25 * time.Millisecond)
+		l.RecordDemand(1, 100*time.Millisecond, sentAt)
+		l.RecordSent(1, 100*time.Millisecond, sentAt)
+		l.RecordNotRun(1, 100*time.Millisecond, sentAt, now)
+		l.RecordSent(1, 100*time.Millisecond, now)
+		l.RecordDemand(2, 600*time.Millisecond, now)
+		l.RecordSent(2, 150*time.Millisecond, now)
+		is.True(!l.OverShare(1, now))
+	}
+	is.True(l.Stats(now).Saturated)
+	is.True(math.Abs(l.Stats(now).Received-10) < 0.5)
+}
+
 func BenchmarkRequest(b *testing.B) {
 	for _, accounts := range []int{24, MaxAccounts} {
 		b.Run(fmt.Sprint(accounts, " accounts"), func(b *testing.B) {
--- a/internal/gateway/accountshares.go
+++ b/internal/gateway/accountshares.go
@@ -70,6 +70,11 @@
 	})
 }
 
+// recordNotRun takes back the engine time of a request that was sent at the time sentAt and didn't run.
+func (a *accountShares) recordNotRun(service, account string, work time.Duration, sentAt, now time.Time) {
+	a.withLedger(service, func(s *serviceShares) { s.ledger.RecordNotRun(accountID(account), work, sentAt, now) })
+}
+
 // overShare reports whether the account uses more than its share of the service's engine time.
 func (a *accountShares) overShare(service, account string, now time.Time) (over bool) {
 	a.withLedger(service, func(s *serviceShares) { over = s.ledger.OverShare(accountID(account), now) })
--- a/internal/gateway/accountshares_test.go
+++ b/internal/gateway/accountshares_test.go
@@ -120,6 +120,24 @@
 	})
 }
 
+// Attempts that engines reject as not run mustn't count as engine time that the account received, nor
+// as part of what the engines do: accounts under their share were over it.
+func TestRejectedAttemptsAreNotReceived(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	tg.gateway.fleet.shard("svc").contended = true
+	attempts := tg.startUpstream("a", respondNotRun)
+	for range 5 {
+		tg.do(tg.newRequest("POST", "/many/x", "body", "T-Model", "m", "T-Tokens", "1000,10"))
+	}
+	is.True(attempts.count() > 0)
+	use := tg.gateway.shares.ownUse()[exchange.HashID("svc")]
+	is.Equal(len(use), 1)
+	is.True(use[0].Demand > 1e-3)
+	is.True(use[0].Received < 1e-9)
+	is.True(tg.gateway.returns.sent["svc"].PerSecond(boottime.Now()) < time.Microsecond)
+}
+
 // Many requests at once record their use while the exchange and the metrics read it.
 func TestAccountSharesAreUsedConcurrently(t *testing.T) {
 	g := newTestShares(FeatureOn, zerolog.Nop())
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
-	d.recordSent(r, a)
+	takeBack := d.recordSent(r, a)
 	target := a.choice.upstream.guardUpstream()
 	d.gateway.guard.Begin(target, r.Digest)
 	var result attemptResult
@@ -135,6 +135,9 @@
 	if result.notReached() {
 		r.notReached++
 	}
+	if result.outcome == outcomeRefused || result.notReached() {
+		takeBack()
+	}
 	d.observeResult(r, a, result)
 	d.gateway.freeUnusedCopy(&a.choice, &result)
 	d.logAttempt(r, a, result)
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -104,22 +104,28 @@
 	}
 }
 
-// recordSent records the engine time of an attempt. Further attempts of a request that ran also
-// count as demand, so that no account receives more than it demanded.
-func (d *dispatch) recordSent(r *Request, a *attempt) {
+// recordSent records the engine time of an attempt, and returns a function that takes it back, to be
+// called if the attempt ends without having run. Further attempts of a request that ran also count as
+// demand, so that no account receives more than it demanded.
+func (d *dispatch) recordSent(r *Request, a *attempt) (takeBack func()) {
 	g := d.gateway
 	if !r.arrived {
-		return
+		return func() {}
 	}
-	work, now := a.choice.placement.PrefillTime, boottime.Now()
-	g.returns.recordSent(r.Service, work, now)
+	work, sentAt := a.choice.placement.PrefillTime, boottime.Now()
+	g.returns.recordSent(r.Service, work, sentAt)
 	if !g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
-		return
+		return func() { g.returns.recordNotRun(r.Service, work, sentAt, boottime.Now()) }
 	}
 	if r.runState.State() != runstate.NotRun {
-		g.shares.recordDemand(r.Service, r.accountName(), work, now)
+		g.shares.recordDemand(r.Service, r.accountName(), work, sentAt)
+	}
+	g.shares.recordSent(r.Service, r.accountName(), work, sentAt)
+	return func() {
+		now := boottime.Now()
+		g.returns.recordNotRun(r.Service, work, sentAt, now)
+		g.shares.recordNotRun(r.Service, r.accountName(), work, sentAt, now)
 	}
-	g.shares.recordSent(r.Service, r.accountName(), work, now)
 }
 
 // holdItem returns the request as the queue takes it.
--- a/internal/gateway/returns.go
+++ b/internal/gateway/returns.go
@@ -86,6 +86,15 @@
 	rate.Add(work, now)
 }
 
+// recordNotRun takes back the engine time of a request that was sent at the time sentAt and didn't run.
+func (t *returnTimes) recordNotRun(service string, work time.Duration, sentAt, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if rate := t.sent[service]; rate != nil {
+		rate.Remove(work, sentAt, now)
+	}
+}
+
 // reserve returns the Retry-After of a rejection for lack of capacity; 0 for the default.
 func (t *returnTimes) reserve(r returnRequest, now time.Time) time.Duration {
 	if !t.isActive(r.service) {
--- a/returnschedule/rate.go
+++ b/returnschedule/rate.go
@@ -29,6 +29,12 @@
 	r.sum += float64(max(0, work))
 }
 
+// Remove takes back the engine time that was added at the time addedAt.
+func (r *Rate) Remove(work time.Duration, addedAt, now time.Time) {
+	r.decay(now)
+	r.sum = max(0, r.sum-float64(max(0, work))*math.Exp2(-now.Sub(addedAt).Seconds()/rateHalfLife.Seconds()))
+}
+
 // PerSecond returns the engine time per second.
 func (r *Rate) PerSecond(now time.Time) time.Duration {
 	if r.since.IsZero() {
