fairshare: what was requested is met by the estimate on arrival

Cause: a request counts as requested by its estimated engine time on arrival and was subtracted with that on sending, which is larger if the most suitable engine of the arrival, with parts of the prompt cached, isn't the one that it is sent to. The differences made unmet negative and hid the rejected requests; smaller ones counted as unmet although all was sent. Change: RecordSent and RecordNotRun take what was recorded on arrival besides the actual work; the work counts as received only. The request keeps its unsent demand, which is 0 for further attempts, so that these needn't be recorded as demand any more. Ruled out: a larger margin or a floor of 0 for unmet. Requests that wait and are then sent make unmet negative rightly, for as long as their arrival is counted elsewhere. Tests: TestEngineTimeDiffersFromTheEstimateOnArrival (60 and 130 against 100 ms, 0 and 30% rejected) fails with the former subtraction; TestRequestIsMetByASecondAttempt fails if the demand isn't kept.

--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -90,7 +90,7 @@
 }
 
 // record holds an account's decayed rates at this host as of the time at. unmet is what it requested
-// less what it received, with a shorter half-life. It is negative for a while after a request was
+// and wasn't sent, with a shorter half-life. It is negative for a while after a request was
 // sent that had waited; over all hosts that cancels what the request added while it waited.
 type record struct {
 	received, unmet float64
@@ -130,11 +130,13 @@
 	l.recordOf(account, now).unmet += rate(work, unmetHalfLife)
 }
 
-// RecordSent records that a request that needs the engine time was sent to an engine.
-func (l *Ledger) RecordSent(account AccountID, work time.Duration, now time.Time) {
+// RecordSent records that a request was sent to an engine. demand is what RecordDemand recorded for
+// it, 0 if that was recorded as sent before; work is the engine time that it needs. They differ because
+// parts of the prompt may be cached at the engine that was the most suitable one on arrival.
+func (l *Ledger) RecordSent(account AccountID, demand, work time.Duration, now time.Time) {
 	r, added := l.recordOf(account, now), rate(work, HalfLife)
 	r.received += added
-	r.unmet -= rate(work, unmetHalfLife)
+	r.unmet -= rate(demand, unmetHalfLife)
 	if l.requestRate == 0 {
 		l.requestRate = added
 	}
@@ -142,10 +144,10 @@
 }
 
 // RecordNotRun takes back a RecordSent at the time sentAt, of a request that the engine didn't run.
-func (l *Ledger) RecordNotRun(account AccountID, work time.Duration, sentAt, now time.Time) {
+func (l *Ledger) RecordNotRun(account AccountID, demand, work time.Duration, sentAt, now time.Time) {
 	r, passed := l.recordOf(account, now), now.Sub(sentAt)
 	r.received = max(0, r.received-rate(work, HalfLife)*decayFactor(passed, HalfLife))
-	r.unmet += rate(work, unmetHalfLife) * decayFactor(passed, unmetHalfLife)
+	r.unmet += rate(demand, unmetHalfLife) * decayFactor(passed, unmetHalfLife)
 }
 
 // rate returns the contribution of a request to a rate that decays with the half-life. With a steady
--- a/fairshare/ledger_test.go
+++ b/fairshare/ledger_test.go
@@ -24,7 +24,7 @@
 	for end := from.Add(d); from.Before(end); from = from.Add(step) {
 		for _, u := range loads {
 			l.RecordDemand(u.Account, work(u.Demand), from)
-			l.RecordSent(u.Account, work(u.Received), from)
+			l.RecordSent(u.Account, work(u.Received), work(u.Received), from)
 		}
 	}
 	return from
@@ -44,7 +44,7 @@
 			"use": func(t *rapid.T) {
 				u := use(AccountID(account.Draw(t, "account")), rapid.Float64Range(0, 100).Draw(t, "demand"), rapid.Float64Range(0, 100).Draw(t, "received"))
 				l.RecordDemand(u.Account, time.Duration(u.Demand*float64(time.Second)), now)
-				l.RecordSent(u.Account, time.Duration(u.Received*float64(time.Second)), now)
+				l.RecordSent(u.Account, time.Duration(u.Received*float64(time.Second)), time.Duration(u.Received*float64(time.Second)), now)
 			},
 			"others": func(t *rapid.T) {
 				list := make([]AccountUse, rapid.IntRange(0, 40).Draw(t, "n"))
@@ -140,7 +140,7 @@
 		now = now.Add(time.Millisecond)
 		l.RecordDemand(AccountID(i+1), 10*time.Millisecond, now)
 		if i%2 == 0 {
-			l.RecordSent(AccountID(i+1), 10*time.Millisecond, now)
+			l.RecordSent(AccountID(i+1), 10*time.Millisecond, 10*time.Millisecond, now)
 		}
 		is.True(len(l.own) <= MaxAccounts)
 	}
@@ -229,17 +229,43 @@
 		sentAt := now.Add(15 * time.Millisecond)
 		now = now.Add(25 * time.Millisecond)
 		l.RecordDemand(1, 100*time.Millisecond, sentAt)
-		l.RecordSent(1, 100*time.Millisecond, sentAt)
-		l.RecordNotRun(1, 100*time.Millisecond, sentAt, now)
-		l.RecordSent(1, 100*time.Millisecond, now)
+		l.RecordSent(1, 100*time.Millisecond, 100*time.Millisecond, sentAt)
+		l.RecordNotRun(1, 100*time.Millisecond, 100*time.Millisecond, sentAt, now)
+		l.RecordSent(1, 100*time.Millisecond, 100*time.Millisecond, now)
 		l.RecordDemand(2, 600*time.Millisecond, now)
-		l.RecordSent(2, 150*time.Millisecond, now)
+		l.RecordSent(2, 150*time.Millisecond, 150*time.Millisecond, now)
 		is.True(!l.OverShare(1, now))
 	}
 	is.True(l.Stats(now).Saturated)
 	is.True(math.Abs(l.Stats(now).Received-10) < 0.5)
 }
 
+// A request may need more or less engine time at the engine that it is sent to than was expected on its
+// arrival. The difference must neither hide what wasn't sent, so that no account is ever over its share,
+// nor make a service saturated that sends all requests.
+func TestEngineTimeDiffersFromTheEstimateOnArrival(t *testing.T) {
+	for _, estimate := range []time.Duration{60 * time.Millisecond, 130 * time.Millisecond} {
+		for _, rejected := range []int{0, 3} {
+			is := is.New(t)
+			l, now := NewLedger(), start
+			for i := range 400 {
+				now = now.Add(10 * time.Millisecond)
+				for n := range 10 {
+					account := AccountID(max(1, n-5)) // 1 has seven of ten requests, 2 to 4 one each
+					l.RecordDemand(account, estimate, now)
+					if (i+n)%10 >= rejected {
+						l.RecordSent(account, estimate, 100*time.Millisecond, now)
+					}
+				}
+				if i > 200 {
+					is.Equal(l.Stats(now).Saturated, rejected > 0)
+					is.Equal(l.OverShare(1, now), rejected > 0)
+				}
+			}
+		}
+	}
+}
+
 func BenchmarkRequest(b *testing.B) {
 	for _, accounts := range []int{24, MaxAccounts} {
 		b.Run(fmt.Sprint(accounts, " accounts"), func(b *testing.B) {
@@ -249,7 +275,7 @@
 				now = now.Add(6 * time.Millisecond) // 160 requests a second
 				l.RecordDemand(id, simWork, now)
 				l.OverShare(id, now)
-				l.RecordSent(id, simWork, now)
+				l.RecordSent(id, simWork, simWork, now)
 			}
 		})
 	}
--- a/fairshare/replay_test.go
+++ b/fairshare/replay_test.go
@@ -116,7 +116,7 @@
 		}
 	}
 	if r.backlog < limit {
-		l.RecordSent(id, simWork, r.now)
+		l.RecordSent(id, simWork, simWork, r.now)
 		r.backlog += simWork.Seconds() / simCapacity
 		r.served[q.account]++
 	} else if retries, pause := r.retries(q.account); q.tries < retries {
--- a/internal/gateway/accountshares.go
+++ b/internal/gateway/accountshares.go
@@ -62,17 +62,17 @@
 }
 
 // recordSent counts the engine time of a request of the account that was sent to an engine.
-func (a *accountShares) recordSent(service, account string, work time.Duration, now time.Time) {
+func (a *accountShares) recordSent(service, account string, demand, work time.Duration, now time.Time) {
 	a.withLedger(service, func(s *serviceShares) {
 		id := accountID(account)
-		s.ledger.RecordSent(id, work, now)
+		s.ledger.RecordSent(id, demand, work, now)
 		s.rememberName(id, account)
 	})
 }
 
 // recordNotRun takes back the engine time of a request that was sent at the time sentAt and didn't run.
-func (a *accountShares) recordNotRun(service, account string, work time.Duration, sentAt, now time.Time) {
-	a.withLedger(service, func(s *serviceShares) { s.ledger.RecordNotRun(accountID(account), work, sentAt, now) })
+func (a *accountShares) recordNotRun(service, account string, demand, work time.Duration, sentAt, now time.Time) {
+	a.withLedger(service, func(s *serviceShares) { s.ledger.RecordNotRun(accountID(account), demand, work, sentAt, now) })
 }
 
 // overShare reports whether the account uses more than its share of the service's engine time.
--- a/internal/gateway/accountshares_test.go
+++ b/internal/gateway/accountshares_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -23,12 +24,12 @@
 		for i := range 10 {
 			a.recordDemand("svc", "large", 100*time.Millisecond, now)
 			if i < 6 {
-				a.recordSent("svc", "large", 100*time.Millisecond, now)
+				a.recordSent("svc", "large", 100*time.Millisecond, 100*time.Millisecond, now)
 			}
 		}
 		a.recordDemand("svc", "small", 100*time.Millisecond, now)
 		a.recordDemand("svc", "small", 100*time.Millisecond, now)
-		a.recordSent("svc", "small", 100*time.Millisecond, now)
+		a.recordSent("svc", "small", 100*time.Millisecond, 100*time.Millisecond, now)
 	}
 }
 
@@ -138,6 +139,24 @@
 	is.True(tg.gateway.returns.sent["svc"].PerSecond(boottime.Now()) < time.Microsecond)
 }
 
+// A request that is sent again after an engine rejected it is met by what was sent: what it requested
+// on arrival, by another estimate than on sending, mustn't stay counted as unmet nor be subtracted twice.
+func TestRequestIsMetByASecondAttempt(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.g.settings.Features.AccountShares = FeatureOn
+		d, r, a := &dispatch{gateway: h.g}, h.request(time.Second), new(attempt)
+		a.choice.placement.PrefillTime = 100 * time.Millisecond
+		d.recordArrival(r, startEstimate{work: 60 * time.Millisecond})
+		d.recordSent(r, a)()
+		for range 2 { // the second one is a further attempt of a request that ran
+			d.recordSent(r, a)
+		}
+		use := h.g.shares.ownUse()[exchange.HashID("svc")]
+		h.Equal(len(use), 1)
+		h.True(math.Abs(use[0].Demand-use[0].Received) < 1e-9)
+	})
+}
+
 // Many requests at once record their use while the exchange and the metrics read it.
 func TestAccountSharesAreUsedConcurrently(t *testing.T) {
 	g := newTestShares(FeatureOn, zerolog.Nop())
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -97,6 +97,7 @@
 	r.arrived = true
 	g, now := d.gateway, boottime.Now()
 	if g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
+		r.unsentDemand = e.work
 		g.shares.recordDemand(r.Service, r.accountName(), e.work, now)
 	}
 	if g.fleet.isActive(g.settings.Features.ReturnSchedule, r.Service) {
@@ -105,8 +106,7 @@
 }
 
 // recordSent records the engine time of an attempt, and returns a function that takes it back, to be
-// called if the attempt ends without having run. Further attempts of a request that ran also count as
-// demand, so that no account receives more than it demanded.
+// called if the attempt ends without having run.
 func (d *dispatch) recordSent(r *Request, a *attempt) (takeBack func()) {
 	g := d.gateway
 	if !r.arrived {
@@ -117,14 +117,14 @@
 	if !g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
 		return func() { g.returns.recordNotRun(r.Service, work, sentAt, boottime.Now()) }
 	}
-	if r.runState.State() != runstate.NotRun {
-		g.shares.recordDemand(r.Service, r.accountName(), work, sentAt)
-	}
-	g.shares.recordSent(r.Service, r.accountName(), work, sentAt)
+	demand := r.unsentDemand
+	r.unsentDemand = 0
+	g.shares.recordSent(r.Service, r.accountName(), demand, work, sentAt)
 	return func() {
 		now := boottime.Now()
+		r.unsentDemand = demand
 		g.returns.recordNotRun(r.Service, work, sentAt, now)
-		g.shares.recordNotRun(r.Service, r.accountName(), work, sentAt, now)
+		g.shares.recordNotRun(r.Service, r.accountName(), demand, work, sentAt, now)
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,9 @@
 	heldFor   time.Duration
 	arrived   bool
 	returning bool
+	// unsentDemand is the engine time that was recorded as requested on arrival and isn't recorded as
+	// sent yet.
+	unsentDemand time.Duration
 
 	answer *answerWriter
 	// runState is the highest run state of all attempts.
