gateway: prompts larger than every KV cache are refused as such under load, too

Cause: makeAttempt decided on holding before startAttempt checked the size of the prompt. A prompt of 100,000 tokens has a long expected time, so that under load it was refused with 3009. Callers saw: 503 with Retry-After in place of 413, and sent the request again in vain. Change: memoryRefusal is called before hold. Ruled out: checking in both places; the size and the document are the request's own and don't change while it is held. Tests: TestPromptTooLargeForEveryEngineIsNotRetried failed before (engines-saturated). go test ./internal/gateway -run 'TooLarge|Held|Memory|Larger': ok.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -105,6 +105,9 @@
 		return attemptResult{}, err
 	}
 	defer d.gateway.guard.Leave(r.Digest)
+	if err := d.memoryRefusal(r); err != nil {
+		return attemptResult{}, err
+	}
 	held, err := d.hold(ctx, r, models)
 	if err != nil {
 		return attemptResult{}, err
@@ -165,9 +168,6 @@
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
 	g := d.gateway
-	if err := d.memoryRefusal(r); err != nil {
-		return nil, err
-	}
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+// A prompt that is larger than the KV cache of every engine is refused as too large under load, too. As
+// one that engines have no room for now, it was sent again and again.
+func TestPromptTooLargeForEveryEngineIsNotRetried(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.g.settings.Features.EngineState = FeatureOn
+		doc := testDocument()
+		doc.Services[0].Engines = routing.EngineSpec{MemoryTokens: 5000}
+		table, err := routing.New(doc)
+		h.NoErr(err)
+		h.setWork(6 * time.Second)
+		for tokens, want := range map[int]resultcode.Code{5001: resultcode.BodyTooLarge, 5000: resultcode.EnginesSaturated} {
+			r := h.request(3 * time.Second)
+			r.Table, r.Prompt.TokensIn = table, tokens
+			_, err := (&dispatch{gateway: h.g}).makeAttempt(h.ctx, r, &modelSequence{})
+			h.Equal(resultcode.FromError(err).Code, want)
+		}
+	})
+}
+
 // A held request must be sent as soon as an engine has room: after an attempt ended, at once.
 func TestHeldRequestIsSentWhenAnEngineHasRoom(t *testing.T) {
 	runHoldTest(t, func(h *holdTest) {
