--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -105,6 +105,9 @@
 		return attemptResult{}, err
 	}
 	defer d.gateway.guard.Leave(r.Digest)
+	if err := d.memoryRefusal(r); err != nil {
+		return attemptResult{}, err
+	}
 	held, err := d.hold(ctx, r, models)
 	if err != nil {
 		return attemptResult{}, err
@@ -114,7 +117,7 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
-	d.recordSent(r, a)
+	takeBack := d.recordSent(r, a)
 	target := a.choice.upstream.guardUpstream()
 	d.gateway.guard.Begin(target, r.Digest)
 	var result attemptResult
@@ -135,6 +138,9 @@
 	if result.notReached() {
 		r.notReached++
 	}
+	if result.outcome == outcomeRefused || result.notReached() {
+		takeBack()
+	}
 	d.observeResult(r, a, result)
 	d.gateway.freeUnusedCopy(&a.choice, &result)
 	d.logAttempt(r, a, result)
@@ -162,9 +168,6 @@
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
 	g := d.gateway
-	if err := d.memoryRefusal(r); err != nil {
-		return nil, err
-	}
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
