placement: engines left out of messages count as a sum, not as the mean of busy ones

Cause: OtherEngines was the mean over the engines that occur in the hub's sum and were left out of the reply, over all services. Idle engines don't occur there, yet hosts applied the mean to each engine without an entry.

What callers saw: with 70 of 140 engines at 24 requests each, an unused, restarted or returned engine counted with 24 requests and a slot wait of 3.9 s, so it got none of the load. An engine of a service with 1 request each counted with 34 beside a service with 40 each.

Change: what is left out is added to one entry for each service (a hash of one byte), in reports, between hubs and in replies; sums of sums stay exact. The receiver divides it by its own usable engines of the service that have no entry. The entry of a service precedes those of its engines on the wire, so that entries keep five bytes. Ids of engines below 1<<16 are moved up by it, since that byte marks the entry of a service.

Ruled out: a byte for the service in each entry (about 270 bytes a host and second more, over the limit of 2 KB); one sum over all services, which mixes them as before.

--- a/internal/exchange/enginestate.go
+++ b/internal/exchange/enginestate.go
@@ -15,8 +15,8 @@
 // EngineStates is the part of a report or reply on the engines of services whose prompts are placed
 // by engine state. It is left out of messages while no such service is in use.
 type EngineStates struct {
-	// Loads holds the requests in flight by engine. The entry of OtherEngines holds the mean of
-	// the engines that were left out because the message has no room for them.
+	// Loads holds the requests in flight by engine. The entry OtherEngines of a service holds the
+	// sum over its engines that were left out because messages had no room for them.
 	Loads EngineLoads `json:"loads,omitempty"`
 	// Slice is the number, from 1, of the slice of the engines whose slowdowns the message
 	// contains, and that the reply to it is to contain; 0 if none. The sums change slowly, so each
@@ -29,20 +29,54 @@
 // have the same EngineID; both of a pair then count with their sum.
 type EngineID uint32
 
-// OtherEngines is the key in EngineLoads of the mean over the engines that were left out.
-const OtherEngines EngineID = 0
+// ServiceHash is a hash of a service's name, at least 1. The engines that are left out of messages
+// count together for services with the same hash.
+type ServiceHash uint8
 
-// EngineID returns the id of the engine with the hash. It is never OtherEngines.
-func (h IDHash) EngineID() EngineID { return max(1, EngineID(h>>8)) }
+// HashService returns the hash of a service's name.
+func HashService(name string) ServiceHash { return ServiceHash(1 + HashID(name)%math.MaxUint8) }
+
+// OtherEngines returns the key in EngineLoads of the sum over those engines of the service that
+// were left out.
+func OtherEngines(service ServiceHash) EngineID { return EngineID(service) }
+
+// firstEngineID is the smallest EngineID of an engine. Its upper byte marks in messages that an
+// entry isn't that of a service.
+const firstEngineID EngineID = 1 << 16
+
+// EngineID returns the id of the engine with the hash. It is at least firstEngineID.
+func (h IDHash) EngineID() EngineID {
+	id := EngineID(h >> 8)
+	if id < firstEngineID {
+		id += firstEngineID
+	}
+	return id
+}
+
+// bytes returns the encoded id, of three bytes.
+func (id EngineID) bytes() []byte { return []byte{byte(id >> 16), byte(id >> 8), byte(id)} }
+
+// engineIDOf returns the id at the begin of an encoded entry.
+func engineIDOf(entry []byte) EngineID {
+	return EngineID(entry[0])<<16 | EngineID(binary.BigEndian.Uint16(entry[1:]))
+}
 
 // EngineLoad is the load of an engine by requests in flight: their number, and the tokens that they
-// need in its KV cache.
-type EngineLoad struct{ Requests, Tokens float64 }
+// need in its KV cache. Service is the engine's service.
+type EngineLoad struct {
+	Requests, Tokens float64
+	Service          ServiceHash
+}
 
-// EngineLoads holds loads by engine. OtherEngines occurs only in replies to hosts that report for
-// themselves alone.
+// EngineLoads holds loads by engine, and by OtherEngines for each service.
 type EngineLoads map[EngineID]EngineLoad
 
+// add adds a load to that of the engine.
+func (l EngineLoads) add(id EngineID, e EngineLoad) {
+	sum := l[id]
+	l[id] = EngineLoad{Requests: sum.Requests + e.Requests, Tokens: sum.Tokens + e.Tokens, Service: e.Service}
+}
+
 // Slowdowns holds the sums of slowdown samples by engine. placement.Slowdown.NewestAt isn't sent.
 type Slowdowns map[EngineID]placement.Slowdown
 
@@ -73,6 +107,8 @@
 	// ones are rounded by up to 4.4% of the unit.
 	tokensUnit = 64
 	weightUnit = 0.25
+	// otherTokensUnit is the unit for the sum over many engines: it permits a billion tokens.
+	otherTokensUnit = 256 * tokensUnit
 )
 
 // logCode encodes a value of at least 0 as one byte on a logarithmic scale.
@@ -100,56 +136,81 @@
 	return min(placement.MaxSlowdown, placement.MinSlowdown*math.Exp2(float64(code)/stepsPerDoubling))
 }
 
-func packEngines[V any](entries map[EngineID]V, encode func(V) (first, second byte)) ([]byte, error) {
-	packed := make([]byte, 0, engineEntrySize*len(entries))
-	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		first, second := encode(entries[id])
-		packed = append(binary.BigEndian.AppendUint16(append(packed, byte(id>>16)), uint16(id)), first, second)
+// MarshalJSON implements json.Marshaler. The entry of each service precedes those of its engines. It
+// consists of a zero byte, the service, the requests as two bytes, and the tokens.
+func (l EngineLoads) MarshalJSON() ([]byte, error) {
+	byService := make(map[ServiceHash][]EngineID)
+	for id, e := range l {
+		byService[e.Service] = append(byService[e.Service], id)
+	}
+	packed := make([]byte, 0, engineEntrySize*(len(l)+len(byService)))
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		others := l[OtherEngines(service)]
+		packed = binary.BigEndian.AppendUint16(append(packed, 0, byte(service)), uint16(roundedCount(others.Requests, math.MaxUint16)))
+		packed = append(packed, logCode(others.Tokens, otherTokensUnit))
+		ids := byService[service]
+		slices.Sort(ids)
+		for _, id := range ids {
+			if id >= firstEngineID {
+				packed = append(packed, id.bytes()...)
+				packed = append(packed, byte(roundedCount(l[id].Requests, math.MaxUint8)), logCode(l[id].Tokens, tokensUnit))
+			}
+		}
 	}
 	return marshalPacked(packed)
 }
 
-func unpackEngines[V any](data []byte, decode func(first, second byte) V) (map[EngineID]V, error) {
+// roundedCount returns a number that may be invalid as a whole one from 0 to limit.
+func roundedCount(n, limit float64) float64 {
+	if !(n > 0) {
+		return 0
+	}
+	return min(limit, math.Round(n))
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *EngineLoads) UnmarshalJSON(data []byte) error {
 	packed, err := unmarshalPacked(data, engineEntrySize)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	entries := make(map[EngineID]V, len(packed)/engineEntrySize)
+	*l = make(EngineLoads, len(packed)/engineEntrySize)
+	service := ServiceHash(0)
 	for e := range slices.Chunk(packed, engineEntrySize) {
-		entries[EngineID(e[0])<<16|EngineID(binary.BigEndian.Uint16(e[1:]))] = decode(e[3], e[4])
+		if e[0] != 0 {
+			(*l)[engineIDOf(e)] = EngineLoad{Requests: float64(e[3]), Tokens: logValue(e[4], tokensUnit), Service: service}
+			continue
+		}
+		service = ServiceHash(e[1])
+		if others := float64(binary.BigEndian.Uint16(e[2:])); others > 0 {
+			(*l)[OtherEngines(service)] = EngineLoad{Requests: others, Tokens: logValue(e[4], otherTokensUnit), Service: service}
+		}
 	}
-	return entries, nil
-}
-
-// MarshalJSON implements json.Marshaler.
-func (l EngineLoads) MarshalJSON() ([]byte, error) {
-	return packEngines(l, func(e EngineLoad) (byte, byte) {
-		return byte(min(math.MaxUint8, max(0, math.Round(e.Requests)))), logCode(e.Tokens, tokensUnit)
-	})
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (l *EngineLoads) UnmarshalJSON(data []byte) (err error) {
-	*l, err = unpackEngines(data, func(requests, tokens byte) EngineLoad {
-		return EngineLoad{Requests: float64(requests), Tokens: logValue(tokens, tokensUnit)}
-	})
-	return err
+	return nil
 }
 
 // MarshalJSON implements json.Marshaler.
 func (s Slowdowns) MarshalJSON() ([]byte, error) {
-	return packEngines(s, func(e placement.Slowdown) (byte, byte) {
-		return logCode(e.Weight, weightUnit), factorCode(e.Sum / e.Weight)
-	})
+	packed := make([]byte, 0, engineEntrySize*len(s))
+	for _, id := range slices.Sorted(maps.Keys(s)) {
+		packed = append(packed, id.bytes()...)
+		packed = append(packed, logCode(s[id].Weight, weightUnit), factorCode(s[id].Sum/s[id].Weight))
+	}
+	return marshalPacked(packed)
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (s *Slowdowns) UnmarshalJSON(data []byte) (err error) {
-	*s, err = unpackEngines(data, func(weight, factor byte) placement.Slowdown {
-		w := logValue(weight, weightUnit)
-		return placement.Slowdown{Weight: w, Sum: w * factorValue(factor)}
-	})
-	return err
+func (s *Slowdowns) UnmarshalJSON(data []byte) error {
+	packed, err := unmarshalPacked(data, engineEntrySize)
+	if err != nil {
+		return err
+	}
+	*s = make(Slowdowns, len(packed)/engineEntrySize)
+	for e := range slices.Chunk(packed, engineEntrySize) {
+		w := logValue(e[3], weightUnit)
+		(*s)[engineIDOf(e)] = placement.Slowdown{Weight: w, Sum: w * factorValue(e[4])}
+	}
+	return nil
 }
 
 // SlowdownSlice returns the number of the slice that the engine's slowdown is sent in.
@@ -173,19 +234,16 @@
 	return kept
 }
 
-// busiest returns the entries of the engines with the most requests, at most limit, and the mean of
-// the others under OtherEngines.
+// busiest returns the entries of the engines with the most requests, fewer than limit, and adds the
+// others to the entry of their service under OtherEngines.
 func (l EngineLoads) busiest(limit int) EngineLoads {
-	kept := EngineLoads(most(l, limit-1, func(e EngineLoad) float64 { return e.Requests }))
-	if left := len(l) - len(kept); left > 0 {
-		var rest EngineLoad
-		for id, e := range l {
-			if _, ok := kept[id]; !ok {
-				rest.Requests += e.Requests / float64(left)
-				rest.Tokens += e.Tokens / float64(left)
-			}
+	engines := maps.Clone(l)
+	maps.DeleteFunc(engines, func(id EngineID, _ EngineLoad) bool { return id < firstEngineID })
+	kept := EngineLoads(most(engines, limit-1, func(e EngineLoad) float64 { return e.Requests }))
+	for id, e := range l {
+		if _, ok := kept[id]; !ok || id < firstEngineID {
+			kept.add(OtherEngines(e.Service), e)
 		}
-		kept[OtherEngines] = rest
 	}
 	return kept
 }
@@ -195,12 +253,8 @@
 	if e == nil {
 		return nil
 	}
-	loads := e.Loads.busiest(maxLoads)
-	if maxLoads != maxRepliedLoads {
-		delete(loads, OtherEngines) // a sum over several messages can't contain means
-	}
 	weight := func(s placement.Slowdown) float64 { return s.Weight }
-	return &EngineStates{Loads: loads, Slice: e.Slice, Slowdowns: most(e.Slowdowns, maxSlowdowns, weight)}
+	return &EngineStates{Loads: e.Loads.busiest(maxLoads), Slice: e.Slice, Slowdowns: most(e.Slowdowns, maxSlowdowns, weight)}
 }
 
 // receivedEngines holds the latest loads and slices of slowdowns that a host or another hub sent.
@@ -276,8 +330,7 @@
 
 func (e *EngineStates) addLoads(loads EngineLoads) {
 	for id, load := range loads {
-		sum := e.Loads[id]
-		e.Loads[id] = EngineLoad{Requests: sum.Requests + load.Requests, Tokens: sum.Tokens + load.Tokens}
+		e.Loads.add(id, load)
 	}
 }
 
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -41,10 +41,12 @@
 	own map[exchange.IDHash]*engineState
 	// remoteSlowdowns holds the sums over the other hosts' slowdown samples; their NewestAt is when
 	// sums with new samples were last received. remoteLoads holds the other hosts' requests in
-	// flight as of remoteLoadsAt; the map must not be modified.
+	// flight as of remoteLoadsAt; the map must not be modified. unlistedLoad is the mean of those
+	// engines that have no entry in it.
 	remoteSlowdowns map[exchange.EngineID]placement.Slowdown
 	remoteLoads     exchange.EngineLoads
 	remoteLoadsAt   time.Time
+	unlistedLoad    exchange.EngineLoad
 	// meanStated is the decayed mean of the slowdowns that the engines stated, of which statements
 	// is the number.
 	meanStated float64
@@ -133,7 +135,7 @@
 	}
 	load, found := e.remoteLoads[m.idHash.EngineID()]
 	if !found {
-		load = e.remoteLoads[exchange.OtherEngines]
+		load = e.unlistedLoad
 	}
 	return load, true
 }
@@ -273,7 +275,7 @@
 // the slowdowns; nil if no prompts are placed by them.
 func (f *Fleet) ownEngineStates(slice int) (states *exchange.EngineStates) {
 	now := boottime.Now()
-	f.eachShard(func(s *shard) {
+	f.eachService(func(service string, s *shard) {
 		if !s.servesPrompts || !s.placesByEngineState() {
 			return
 		}
@@ -281,7 +283,7 @@
 			states = &exchange.EngineStates{Loads: make(exchange.EngineLoads), Slice: slice, Slowdowns: make(exchange.Slowdowns)}
 		}
 		for m := range s.inUse {
-			load := exchange.EngineLoad{Requests: float64(m.inFlight)}
+			load := exchange.EngineLoad{Requests: float64(m.inFlight), Service: exchange.HashService(service)}
 			if state := s.engineStates.own[m.idHash]; state != nil {
 				load.Tokens = float64(state.tokens)
 			}
@@ -304,12 +306,13 @@
 // modified afterwards.
 func (f *Fleet) setRemoteEngineStates(states *exchange.EngineStates, at time.Time) {
 	now := boottime.Now()
-	f.eachShard(func(s *shard) {
+	f.eachService(func(service string, s *shard) {
 		if !s.servesPrompts || !s.placesByEngineState() {
 			return
 		}
 		all := &s.engineStates
 		all.remoteLoads, all.remoteLoadsAt = states.Loads, at
+		all.unlistedLoad = s.unlistedLoad(states.Loads, exchange.HashService(service), func(m *member) bool { return m.inService(now, f.removalGrace) })
 		if all.remoteSlowdowns == nil {
 			all.remoteSlowdowns = make(map[exchange.EngineID]placement.Slowdown)
 		}
@@ -323,6 +326,22 @@
 	})
 }
 
+// unlistedLoad returns the mean load of the service's usable engines that have no entry in the
+// loads: idle ones, and those that were left out because messages had no room for them.
+func (s *shard) unlistedLoad(loads exchange.EngineLoads, service exchange.ServiceHash, usable func(*member) bool) exchange.EngineLoad {
+	others, unlisted := loads[exchange.OtherEngines(service)], 0
+	if others.Requests == 0 {
+		return exchange.EngineLoad{}
+	}
+	for _, m := range s.members {
+		if _, found := loads[m.idHash.EngineID()]; !found && usable(m) {
+			unlisted++
+		}
+	}
+	n := float64(max(1, unlisted))
+	return exchange.EngineLoad{Requests: others.Requests / n, Tokens: others.Tokens / n}
+}
+
 // engineSpec returns the description of a service's engines; the zero value if there is none.
 func engineSpec(t *routing.Table, service string) routing.EngineSpec {
 	if s := t.Service(service); s != nil {
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -218,3 +218,22 @@
 		})
 	}
 }
+
+// An engine that isn't in the hub's reply may be idle. It counted as being as full as the busy ones
+// that were left out, of all services.
+func TestIdleEngineIsNotAsFullAsOthers(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	states := remoteLoads(exchange.EngineLoad{Requests: 24}, "b")
+	service := exchange.HashService("svc")
+	states.Loads[exchange.OtherEngines(service)] = exchange.EngineLoad{Requests: 24, Tokens: 19_000, Service: service}
+	states.Loads[exchange.OtherEngines(service+1)] = exchange.EngineLoad{Requests: 900, Tokens: 1e6, Service: service + 1}
+	f.setRemoteEngineStates(states, time.Now())
+	crit := stateCriteria(1000)
+	for _, id := range []string{"a", "c"} { // one of them has the 24 requests
+		v := s.engineView(s.members[id], &crit, 0, time.Now())
+		is.Equal(v.requests, 12.0)
+		is.Equal(v.usedTokens, 9_500.0)
+	}
+	is.Equal(s.engineView(s.members["b"], &crit, 0, time.Now()).requests, 24.0)
+}
