--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -218,3 +218,41 @@
 		})
 	}
 }
+
+// An engine that isn't in the hub's reply may be idle. It counted as being as full as the busy ones
+// that were left out, of all services.
+func TestIdleEngineIsNotAsFullAsOthers(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	states := remoteLoads(exchange.EngineLoad{Requests: 24}, "b")
+	service := exchange.HashService("svc")
+	states.Loads[exchange.OtherEngines(service)] = exchange.EngineLoad{Requests: 24, Tokens: 19_000, Service: service}
+	states.Loads[exchange.OtherEngines(service+1)] = exchange.EngineLoad{Requests: 900, Tokens: 1e6, Service: service + 1}
+	f.setRemoteEngineStates(states, time.Now())
+	crit := stateCriteria(1000)
+	for _, id := range []string{"a", "c"} { // one of them has the 24 requests
+		v := s.engineView(s.members[id], &crit, 0, time.Now())
+		is.Equal(v.requests, 12.0)
+		is.Equal(v.usedTokens, 9_500.0)
+	}
+	is.Equal(s.engineView(s.members["b"], &crit, 0, time.Now()).requests, 24.0)
+}
+
+// The sums of a hub that has few reports yet replaced an engine's own statement, which was 1 ms
+// older: a full engine looked idle. The statement must count until it is older than MaxWorkAge.
+func TestIncompleteSumsDontReplaceStatement(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	c, _ := f.choose(stateCriteria(1000, "a", "c"))
+	f.headReceived(&c, 70*time.Millisecond)
+	f.headLoadReceived(&c, "8,16,8,100")
+	crit, b := stateCriteria(1000), s.members["b"]
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), time.Now())
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 30}, "b"), time.Now())
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 31.0)
+	later := time.Now().Add(exchange.MaxWorkAge + time.Millisecond)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), later)
+	is.Equal(s.engineView(b, &crit, 0, later).requests, 2.0)
+}
