gateway: the use of accounts is recorded without the queue, too

Cause: dispatch.hold records arrivals, and returned before if requests aren't held; what isn't recorded on arrival isn't on sending. Change: arrivals are recorded if either feature is active for the service. Services for which neither is get no estimate, as before. Ruled out: recording in serve, before the retries: the estimate needs the model and the regions of the attempt, and hold has both. Tests: TestUseIsRecordedWithoutTheQueue failed before (nothing recorded with shares on) and checks that nothing is recorded with shares on auto for a service that isn't contended. go test ./internal/gateway -run 'UseIsRecorded|Held|Hold|Accounts|RejectedAtt|IsMet|TooLarge': ok.

--- a/internal/gateway/accountshares_test.go
+++ b/internal/gateway/accountshares_test.go
@@ -157,6 +157,22 @@
 	})
 }
 
+// Without the queue, use must be recorded for the other hosts all the same, if shares are active; it was
+// recorded only for requests that might be held.
+func TestUseIsRecordedWithoutTheQueue(t *testing.T) {
+	for _, mode := range []FeatureMode{FeatureOn, FeatureAuto} {
+		runHoldTest(t, func(h *holdTest) {
+			h.g.settings.Features = Features{HoldRequests: FeatureOff, AccountShares: mode}
+			h.setWork(6 * time.Second)
+			r := h.request(time.Second)
+			h.start(h.ctx, r)
+			h.Equal(h.results(1), []string{"sent"})
+			h.Equal(r.arrived, mode == FeatureOn)
+			h.Equal(len(h.g.shares.ownUse()) > 0, mode == FeatureOn)
+		})
+	}
+}
+
 // Many requests at once record their use while the exchange and the metrics read it.
 func TestAccountSharesAreUsedConcurrently(t *testing.T) {
 	g := newTestShares(FeatureOn, zerolog.Nop())
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -57,10 +57,15 @@
 // hold waits until the request is to be sent, and returns an error if it is refused or its caller
 // left. It returns nil for a request that wasn't held; otherwise the caller has to call
 // holds.started when the engine is chosen. Requests that may have run are neither held nor refused:
-// their callers wait for the answer of work that was done.
+// their callers wait for the answer of work that was done. It records the arrival of requests for the
+// shares of accounts even if requests aren't held.
 func (d *dispatch) hold(ctx context.Context, r *Request, models *modelSequence) (*heldRequest, error) {
 	g := d.gateway
-	if r.Prompt.TokensIn == 0 || r.runState.State() != runstate.NotRun || !g.fleet.isActive(g.settings.Features.HoldRequests, r.Service) {
+	if r.Prompt.TokensIn == 0 || r.runState.State() != runstate.NotRun {
+		return nil, nil
+	}
+	holds := g.fleet.isActive(g.settings.Features.HoldRequests, r.Service)
+	if !holds && !g.fleet.isActive(g.settings.Features.AccountShares, r.Service) {
 		return nil, nil
 	}
 	r.model = models.current()
@@ -68,6 +73,9 @@
 	h := &heldRequest{crit: d.buildCriteria(r, r.model, models.atBest()), decision: make(chan admission.Decision, 1)}
 	e, _ := g.fleet.expectedStart(h.crit)
 	d.recordArrival(r, e)
+	if !holds {
+		return nil, nil
+	}
 	h.item = d.holdItem(r, e)
 	decision := g.holds.offer(h, e.Estimate)
 	if decision.Verdict != admission.Keep {
