gateway: no request is refused by the estimate for a sample

Cause: expectedStart considers about 9 of 140 engines, and Place passes over engines that lack memory for the request. What callers saw: 3009 while engines were idle. With 7 of 140 idle 200 of 300 requests were refused (review). Change: before a refusal as unmeetable, the estimate is made over all candidates (256 at most), also those that lack memory, and the request is sent to the engine that was found.

Ruled out: sending by the usual choice after the wider estimate; it draws another sample and finds the idle engine as rarely as the first. Considering all for each estimate; it's the refusals only that need it.

Test: TestNoRefusalBySampleWhileAnEngineIsIdle (140 engines; 4, the idle one without memory) fails before, passes now.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -97,6 +97,13 @@
 	NoUpstream bool
 }
 
+// Unmeetable reports whether no upstream is idle and the first event is expected after
+// the deadline, until which the given time is left. Such an item is rejected. A caller
+// whose estimate covers only some of the upstreams has to estimate over all before.
+func (e Estimate) Unmeetable(left time.Duration) bool {
+	return !e.NoUpstream && e.Wait >= idleWait && e.FirstEvent > left
+}
+
 // Verdict is what happens to an item.
 type Verdict int
 
@@ -321,7 +328,7 @@
 		d.Cause = CauseNoUpstream
 	case e.Wait < idleWait:
 		d.Cause = CauseIdle
-	case e.FirstEvent > left:
+	case e.Unmeetable(left):
 		return q.reject(it, CauseUnmeetable, now)
 	case inTime && !held && it.OverShare && l.keepsWithinShareBefore(it):
 		d.Verdict, d.Cause = Keep, CauseOverShare
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -169,7 +169,12 @@
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
 	picked, ok := d.takeMove(r, &crit)
-	if !ok {
+	switch {
+	case ok:
+	case r.sendSoonest:
+		r.sendSoonest = false
+		picked, ok = g.fleet.chooseSoonest(crit, r.Deadline)
+	default:
 		picked, ok = g.fleet.choose(crit)
 	}
 	if !ok {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
@@ -22,12 +23,19 @@
 // expectedStart returns the estimate for running the request now at the most suitable upstream. It
 // doesn't count the request as sent. ok is false if no upstream is available.
 func (f *Fleet) expectedStart(crit criteria) (e startEstimate, ok bool) {
+	return f.expectedStartAmong(crit, (*shard).candidates)
+}
+
+// candidateSearch returns the upstreams that are considered for a request, as (*shard).candidates does.
+type candidateSearch func(s *shard, crit *criteria, now time.Time, grace time.Duration) candidateList
+
+func (f *Fleet) expectedStartAmong(crit criteria, search candidateSearch) (e startEstimate, ok bool) {
 	now := boottime.Now()
 	s := f.shard(crit.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.pressure = s.queueStats.pressure()
-	list := s.candidates(&crit, now, f.removalGrace)
+	list := search(s, &crit, now, f.removalGrace)
 	if len(list.members) == 0 {
 		e.NoUpstream = true
 		return e, false
@@ -43,10 +51,88 @@
 	return e, true
 }
 
+// expectedStartBefore is expectedStart, but before a request counts as one that can't begin before its
+// deadline, it considers all upstreams: a sample of 9 of 140 missed 7 idle ones for 200 of 300
+// requests. wide is set if it did.
+func (f *Fleet) expectedStartBefore(crit criteria, deadline time.Time) (e startEstimate, wide bool) {
+	e, _ = f.expectedStart(crit)
+	left := boottime.Until(deadline)
+	if !e.Unmeetable(left) {
+		return e, false
+	}
+	e, _ = f.expectedStartAmong(crit, soonestWithin(left))
+	return e, true
+}
+
+// maxWideCandidates bounds the upstreams that are considered before a request is refused: nearly twice those
+// of the larger deployment.
+const maxWideCandidates = 256
+
+// soonestWithin returns a search for the upstream with the earliest first event or, if none is expected
+// within the time left, with the shortest wait. It includes upstreams whose KV cache has no room.
+func soonestWithin(left time.Duration) candidateSearch {
+	return func(s *shard, crit *criteria, now time.Time, grace time.Duration) candidateList {
+		return s.soonest(s.allCandidates(crit, now, grace), left, crit, now)
+	}
+}
+
+// soonest returns the one of the upstreams that soonestWithin looks for.
+func (s *shard) soonest(all []*member, left time.Duration, crit *criteria, now time.Time) candidateList {
+	list := candidateList{members: all[:min(len(all), maxWideCandidates)]}
+	if len(list.members) < 2 {
+		return list
+	}
+	candidates := s.placementCandidates(list, crit, now)
+	s.addEngineStates(candidates, list.members, crit, now)
+	s.addFetches(candidates, list, crit, now)
+	request := placement.Request{Model: crit.model, Prompt: crit.prompt, Target: crit.target}
+	wait := func(c placement.Choice) time.Duration { return c.ExpectedTime - c.ExpectedUnqueued }
+	var soonest, idlest placement.Choice
+	for i := range candidates {
+		c := placement.Place(s.prefillRates, &request, candidates[i:i+1])
+		c.Index = i
+		if i == 0 || c.ExpectedTime < soonest.ExpectedTime {
+			soonest = c
+		}
+		if i == 0 || wait(c) < wait(idlest) {
+			idlest = c
+		}
+	}
+	if soonest.ExpectedTime > left {
+		soonest = idlest
+	}
+	return candidateList{members: list.members[soonest.Index : soonest.Index+1]}
+}
+
+// chooseSoonest is choose for a request that was to be refused by the estimate for a sample: it sends
+// the request to the upstream that the estimate over all upstreams found.
+func (f *Fleet) chooseSoonest(crit criteria, deadline time.Time) (choice, bool) {
+	now := boottime.Now()
+	s := f.shard(crit.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rankAdmission.RecordArrival(crit.rank, now)
+	all := s.allCandidates(&crit, now, f.removalGrace)
+	list := s.soonest(all, deadline.Sub(now), &crit, now)
+	if len(list.members) == 0 || s.shedByRank(list, crit.rank, now) {
+		return choice{}, false
+	}
+	c := choice{chosenAt: now, candidateCount: len(all), criteria: crit}
+	picked := s.pick(list, &c, now)
+	c.upstream, c.entryRevision = picked.Upstream, picked.revision
+	c.load = picked.load(now)
+	c.loadSource, c.loadAge = picked.loadSource(now)
+	picked.startRequest(&c)
+	picked.recordSent(now)
+	return c, true
+}
+
 // heldRequest is a request that is or was in the queue of holds.
 type heldRequest struct {
 	item admission.Item
 	crit criteria
+	// wide is set if the last estimate considered all upstreams (expectedStartBefore).
+	wide bool
 	// since is when the request was put into the queue; position is its position then.
 	since    time.Time
 	position int
@@ -66,16 +152,19 @@
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	h := &heldRequest{crit: d.buildCriteria(r, r.model, models.atBest()), decision: make(chan admission.Decision, 1)}
-	e, _ := g.fleet.expectedStart(h.crit)
+	e, wide := g.fleet.expectedStartBefore(h.crit, r.Deadline)
+	h.wide = wide
 	d.recordArrival(r, e)
 	h.item = d.holdItem(r, e)
 	decision := g.holds.offer(h, e.Estimate)
 	if decision.Verdict != admission.Keep {
+		r.sendSoonest = h.wide
 		return nil, d.endHold(r, h, decision)
 	}
 	var err error
 	select {
 	case decision = <-h.decision:
+		r.sendSoonest = h.wide
 		err = d.endHold(r, h, decision)
 	case <-ctx.Done():
 		g.holds.leave(h)
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -316,3 +316,37 @@
 	is.True(retry > 0 && retry <= 8.0/3)
 	is.Equal(requests.count(), 0)
 }
+
+// A request must not be refused while an engine is idle that the sample of a large service didn't
+// contain, or whose KV cache is expected to have no room. It must be sent to that engine.
+func TestNoRefusalBySampleWhileAnEngineIsIdle(t *testing.T) {
+	for _, engines := range []int{140, 4} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				doc := testDocument()
+				doc.Services[0].Engines = routing.EngineSpec{Slots: 8, MemoryTokens: 300_000}
+				h.table, _ = routing.New(doc)
+				h.g.fleet.policy.engineState, h.g.settings.Features.EngineState = FeatureOn, FeatureOn
+				work := exchange.Work{h.g.fleet.memberOf("svc", "a").idHash: 60_000}
+				for i := range engines {
+					u := Upstream{ID: fmt.Sprint("e", i), Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z1", Version: "v1", Slots: 8}
+					h.g.fleet.ApplyEntry(u, 1)
+					work[h.g.fleet.memberOf("svc", u.ID).idHash] = 60_000
+				}
+				delete(work, h.g.fleet.memberOf("svc", "e3").idHash)
+				h.g.fleet.setRemoteWork(work, boottime.Now())
+				h.g.fleet.shard("svc").engineStateOf(h.g.fleet.memberOf("svc", "e3"), boottime.Now()).tokens = 299_990
+				d := &dispatch{gateway: h.g}
+				for range 20 {
+					r := h.request(6 * time.Second)
+					_, err := d.hold(h.ctx, r, &modelSequence{})
+					h.NoErr(err)
+					a, err := d.startAttempt(r, &modelSequence{})
+					h.NoErr(err)
+					h.Equal(a.choice.upstream.ID, "e3")
+					h.g.fleet.release(a.choice, attemptResult{outcome: outcomeAbandoned})
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/holdqueue.go
+++ b/internal/gateway/holdqueue.go
@@ -105,7 +105,9 @@
 	defer s.mu.Unlock()
 	now := boottime.Now()
 	s.deliver(s.queue.Advance(now, func(it *admission.Item) admission.Estimate {
-		e, _ := s.fleet.expectedStart(s.held[it].crit)
+		h := s.held[it]
+		var e startEstimate
+		e, h.wide = s.fleet.expectedStartBefore(h.crit, it.Deadline)
 		return e.Estimate
 	}))
 	s.schedule(now)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,9 @@
 	heldFor   time.Duration
 	arrived   bool
 	returning bool
+	// sendSoonest is set if the next attempt considers all upstreams, since no upstream of a sample
+	// would have begun the request before its deadline.
+	sendSoonest bool
 
 	answer *answerWriter
 	// runState is the highest run state of all attempts.
