gateway: one request that isn't started doesn't block the held ones

Cause: after a decision to send, the queue decides on no other item of the service before Started, which was called after the choice of the engine and the log lines, and not at all if the goroutine panicked. What callers saw: held requests of the service, also with idle engines, waited until their deadlines. Change: the call is deferred and made right after the choice, the log line is written after it, a caller that leaves ends the start too, and a start lapses after 50 ms (Advance and Next pass the time).

Ruled out: no wait for Started; the next decision would be based on an estimate without the first request.

Tests: TestItemThatIsNeverStartedBlocksNoOthers and TestPanicBeforeTheChoiceDelaysNoOtherRequest fail before and pass now.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -203,8 +203,8 @@
 
 // Advance decides again on the items that are due, and returns the decisions to send
 // or reject. It calls estimate for at most one item of a service that it decides to
-// send: the next decision on the service's items is made after Started, because
-// estimates don't include an item before its upstream is chosen.
+// send: the next decision on the service's items is made after Started, or 50 ms later,
+// because estimates don't include an item before its upstream is chosen.
 func (q *HoldQueue) Advance(now time.Time, estimate func(*Item) Estimate) []Decision {
 	var decisions []Decision
 	for _, l := range q.lines {
@@ -219,7 +219,7 @@
 			}
 			if d.Verdict == Send {
 				l.charge(it)
-				l.starting, l.othersAt = it, time.Time{}
+				l.starting, l.startingAt, l.othersAt = it, now, time.Time{}
 			}
 			q.Remove(it)
 			decisions = append(decisions, d)
@@ -233,7 +233,7 @@
 func (q *HoldQueue) Next(now time.Time) (at time.Time, ok bool) {
 	at = now.Add(estimateInterval)
 	for _, l := range q.lines {
-		if l.starting != nil {
+		if l.isStarting(now) {
 			continue
 		}
 		for _, it := range l.items {
--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -12,9 +12,10 @@
 	items []*Item
 	// credit is the work that the less urgent items are owed of their portion.
 	credit time.Duration
-	// starting is the item that was decided to be sent and whose upstream isn't
-	// chosen yet; nil if there is none.
-	starting *Item
+	// starting is the item that was decided to be sent at startingAt and whose upstream
+	// isn't chosen yet; nil if there is none.
+	starting   *Item
+	startingAt time.Time
 	// othersAt is the last time at which an item other than the head was decided on.
 	othersAt time.Time
 	// arrivals and late are the decayed rates of all items offered, and of those for
@@ -22,6 +23,16 @@
 	arrivals, late decayedRate
 }
 
+// maxStarting is how long the next decision waits for the choice of an upstream, which
+// takes less than a millisecond. Without it, one item for which Started isn't called, for
+// example because its goroutine gets no processor time, would block all others.
+const maxStarting = 50 * time.Millisecond
+
+// isStarting reports whether the upstream of an item is being chosen.
+func (l *holdLine) isStarting(now time.Time) bool {
+	return l.starting != nil && now.Sub(l.startingAt) < maxStarting
+}
+
 // minLineRate is the rate of arriving items, in items a second, below which a line
 // without items is dropped.
 const minLineRate = 0.01
@@ -35,7 +46,7 @@
 		}
 	}
 	q.lines = slices.DeleteFunc(q.lines, func(l *holdLine) bool {
-		return len(l.items) == 0 && l.starting == nil && l.arrivals.valueAt(now.Sub(q.epoch)) < minLineRate
+		return len(l.items) == 0 && !l.isStarting(now) && l.arrivals.valueAt(now.Sub(q.epoch)) < minLineRate
 	})
 	l := &holdLine{service: service}
 	q.lines = append(q.lines, l)
@@ -46,7 +57,7 @@
 // come first, then the head. The other items take turns, one in each estimateInterval:
 // the head may be restricted to upstreams that are all busy while others are idle.
 func (l *holdLine) due(now time.Time) *Item {
-	if l.starting != nil || len(l.items) == 0 {
+	if l.isStarting(now) || len(l.items) == 0 {
 		return nil
 	}
 	for _, it := range l.items {
--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -118,3 +118,20 @@
 	is.Equal(q.Offer(holdItem(1, over), soon, holdEpoch)[0].Cause, CauseOverShare)
 	is.Equal(q.Offer(holdItem(0, over), soon, holdEpoch)[0].Cause, CauseInTime)
 }
+
+// An item that isn't started, for example because its goroutine gets no processor time, must not block
+// the others of its service for longer than 50 ms.
+func TestItemThatIsNeverStartedBlocksNoOthers(t *testing.T) {
+	is := is.New(t)
+	q, now := NewHoldQueue(1000), holdEpoch
+	for range 2 {
+		q.Offer(holdItem(0, nil), busy, now)
+	}
+	advance := func(after time.Duration) int {
+		now = now.Add(after)
+		return len(q.Advance(now, func(*Item) Estimate { return Estimate{FirstEvent: 2 * time.Second, Wait: time.Second} }))
+	}
+	is.Equal(advance(estimateInterval), 1) // Started isn't called
+	is.Equal(advance(maxStarting-1), 0)
+	is.Equal(advance(1), 1)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -109,8 +109,8 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
+	defer d.gateway.holds.started(held) // also if no engine is chosen
 	a, err := d.startAttempt(r, models)
-	d.gateway.holds.started(held)
 	if err != nil {
 		return attemptResult{}, err
 	}
@@ -177,6 +177,7 @@
 	default:
 		picked, ok = g.fleet.choose(crit)
 	}
+	g.holds.started(r.held)
 	if !ok {
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -138,6 +138,10 @@
 	position int
 	// decision receives the decision to send or reject the request.
 	decision chan admission.Decision
+	// observe logs and counts the decision to send the request. It is called after the next request
+	// can be decided on, since writing a log line can take long. isStarted is set when it was called.
+	observe   func()
+	isStarted bool
 }
 
 // hold waits until the request is to be sent, and returns an error if it is refused or its caller
@@ -171,9 +175,9 @@
 		err = d.abandonHold(ctx, r, h)
 	}
 	if err != nil {
-		g.holds.started(h)
 		return nil, err
 	}
+	r.held = h
 	return h, nil
 }
 
@@ -230,9 +234,7 @@
 // refusal, or nil if the request is to be sent.
 func (d *dispatch) endHold(r *Request, h *heldRequest, decision admission.Decision) error {
 	if decision.Verdict == admission.Send {
-		if h.position > 0 {
-			d.observeHold(r, h, decision, 0)
-		}
+		h.observe = func() { d.observeHold(r, h, decision, 0) }
 		return nil
 	}
 	if decision.Cause == admission.CauseExpired {
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -350,3 +350,25 @@
 		})
 	}
 }
+
+// A request whose goroutine panics before its engine is chosen must not delay the decisions on others.
+func TestPanicBeforeTheChoiceDelaysNoOtherRequest(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		r, done := h.request(10*time.Second), make(chan any)
+		go func() {
+			defer func() { done <- recover() }()
+			_, _ = (&dispatch{gateway: h.g}).makeAttempt(h.ctx, r, &modelSequence{})
+		}()
+		synctest.Wait()
+		h.start(h.ctx, h.request(10*time.Second))
+		h.g.holds.mu.Lock()
+		r.Table = nil // makes startAttempt panic
+		h.g.holds.mu.Unlock()
+		start := time.Now()
+		h.g.holds.endHolds()
+		h.True(<-done != nil)
+		h.Equal(h.results(1), []string{"sent"})
+		h.Equal(time.Since(start), time.Duration(0))
+	})
+}
--- a/internal/gateway/holdqueue.go
+++ b/internal/gateway/holdqueue.go
@@ -62,23 +62,26 @@
 	}
 }
 
-// started states that the engine of a held request is chosen, or that the request won't be sent. h
-// may be nil.
+// started states that the engine of a held request is chosen, or that the request won't be sent, and
+// then logs the decision. Further calls have no effect. h may be nil.
 func (s *holds) started(h *heldRequest) {
-	if h == nil {
+	if h == nil || h.isStarted {
 		return
 	}
+	h.isStarted = true
 	s.mu.Lock()
 	s.queue.Started(&h.item)
 	s.mu.Unlock()
 	s.wake()
+	h.observe()
 }
 
-// leave removes a request whose caller left.
+// leave removes a request whose caller left, perhaps just after the decision to send it.
 func (s *holds) leave(h *heldRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Remove(&h.item)
+	s.queue.Started(&h.item)
 	delete(s.held, &h.item)
 	s.count.Store(int64(s.queue.Len()))
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,8 @@
 	heldFor   time.Duration
 	arrived   bool
 	returning bool
+	// held is the request's last hold; nil if it has none.
+	held *heldRequest
 	// sendSoonest is set if the next attempt considers all upstreams, since no upstream of a sample
 	// would have begun the request before its deadline.
 	sendSoonest bool
