gateway: held requests are checked for a verdict before they are sent

Cause: the guard admits a request before it is held. A verdict that arrived meanwhile wasn't considered. What operators saw: a request that terminates engines was sent to one more after its verdict. Change: after a hold the request leaves the guard and is admitted again.

Ruled out: holding before the admission; the guard may wait for seconds, and the decision to send would be out of date. Requests that weren't held are admitted once, as before.

Test: TestRequestIsQuarantinedWhileHeld fails before (the engine answers) and passes now.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -104,12 +104,25 @@
 	if err := d.admit(ctx, r); err != nil {
 		return attemptResult{}, err
 	}
-	defer d.gateway.guard.Leave(r.Digest)
+	admitted := true
+	defer func() {
+		if admitted {
+			d.gateway.guard.Leave(r.Digest)
+		}
+	}()
 	held, err := d.hold(ctx, r, models)
 	if err != nil {
 		return attemptResult{}, err
 	}
 	defer d.gateway.holds.started(held) // also if no engine is chosen
+	if held != nil {
+		// A verdict on the request may have arrived meanwhile.
+		d.gateway.guard.Leave(r.Digest)
+		if err := d.admit(ctx, r); err != nil {
+			admitted = false
+			return attemptResult{}, err
+		}
+	}
 	a, err := d.startAttempt(r, models)
 	if err != nil {
 		return attemptResult{}, err
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -372,3 +373,28 @@
 		h.Equal(time.Since(start), time.Duration(0))
 	})
 }
+
+// A verdict that arrives while a request is held must keep it from engines, as one that arrived before:
+// the request terminates the engines that run it.
+func TestRequestIsQuarantinedWhileHeld(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument()
+	for i := range doc.Routes {
+		doc.Routes[i].Timeout, doc.Routes[i].Target = 8*time.Second, 4*time.Second
+	}
+	tg := newTestGateway(t, doc)
+	requests := tg.startUpstream("a", streamEvents(1, 3, false))
+	tg.gateway.settings.Features.HoldRequests = FeatureOn
+	h := &holdTest{g: tg.gateway}
+	h.setWork(6 * time.Second)
+	answered := make(chan callerAnswer)
+	req := tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "8000", "T-Tokens", "100,50")
+	go func() { answered <- tg.do(req) }()
+	eventually(t, "the request is held", func() bool { return tg.gateway.holds.count.Load() == 1 })
+	digest := (&Request{Host: testHost, Method: "POST", Target: "/stream/x", Account: &routing.Account{Name: "acme"}, Body: []byte("body")}).content().Digest()
+	v := quarantine.NewVerdict(quarantine.Finding{Digest: digest, Events: 5, Upstreams: 5}, "h2", boottime.Elapsed())
+	tg.gateway.guard.ApplyStatus(exchange.QuarantineStatus{Verdicts: []quarantine.Verdict{v}})
+	h.setWork(0)
+	is.Equal(strings.TrimSpace((<-answered).body), resultcode.RequestQuarantined.String())
+	is.Equal(requests.count(), 0)
+}
