gateway: a caller that leaves after the decision to send ejects no engine

Cause: hold returned the decision although the context had ended, and an attempt that wrote no byte counts as unsent, which ejects the engine. What callers saw: others' requests didn't go to a healthy engine for the time of the ejection. Change: the context and the deadline are checked after a hold, and an attempt of a held request that sent nothing before its context ended counts as abandoned, for the guard as not run.

Ruled out: counting it as abandoned for all requests; elsewhere the connection attempt may have lasted until the deadline because the engine is unreachable, and behaviour is to stay.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -240,6 +240,9 @@
 	switch {
 	case a.withheld.Load():
 		result.outcome = outcomeWithheld
+	case result.outcome == outcomeUnsent && ctx.Err() != nil && a.request.held != nil:
+		// The caller left after the decision to send a held request. The upstream isn't the cause.
+		result.outcome, result.neverSent = outcomeAbandoned, true
 	case result.outcome == outcomeUnsent:
 	case errors.Is(err, errResponseTimeout), ctx.Err() != nil && time.Since(a.startedAt) > a.headTimeout:
 		result.outcome = outcomeSilent
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -56,6 +56,8 @@
 	// its first event.
 	firstByte time.Duration
 	err       error
+	// neverSent is set if an abandoned attempt sent no byte of the request.
+	neverSent bool
 	// misdirected is set if another upstream answered at the address.
 	misdirected bool
 	// buffered is a complete answer that wasn't passed on yet.
@@ -65,11 +67,14 @@
 // notReached reports whether the attempt didn't reach the chosen upstream: no byte of the request
 // was sent to its address, or another upstream listens there.
 func (r *attemptResult) notReached() bool {
-	return r.outcome == outcomeUnsent || r.outcome == outcomeWithheld || r.misdirected
+	return r.outcome == outcomeUnsent || r.outcome == outcomeWithheld || r.neverSent || r.misdirected
 }
 
 // guardOutcome returns the outcome in the terms of package guard.
 func (r *attemptResult) guardOutcome() guard.Outcome {
+	if r.neverSent {
+		return guard.NotRun
+	}
 	switch r.outcome {
 	case outcomeDone, outcomeFailed:
 		return guard.Answered
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -116,9 +116,8 @@
 	}
 	defer d.gateway.holds.started(held) // also if no engine is chosen
 	if held != nil {
-		// A verdict on the request may have arrived meanwhile.
 		d.gateway.guard.Leave(r.Digest)
-		if err := d.admit(ctx, r); err != nil {
+		if err := d.admitAfterHold(ctx, r); err != nil {
 			admitted = false
 			return attemptResult{}, err
 		}
@@ -171,6 +170,15 @@
 	}
 }
 
+// admitAfterHold is admit for a request that was held: its caller may have left, its deadline have
+// passed or a verdict on it have arrived since the decision to send it.
+func (d *dispatch) admitAfterHold(ctx context.Context, r *Request) error {
+	if ctx.Err() != nil {
+		return d.finalAnswer(ctx, r, attemptResult{outcome: outcomeAbandoned, err: context.Cause(ctx)})
+	}
+	return d.admit(ctx, r)
+}
+
 // startAttempt chooses the upstream for the next attempt and returns the attempt, which isn't sent
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -150,6 +150,7 @@
 // their callers wait for the answer of work that was done.
 func (d *dispatch) hold(ctx context.Context, r *Request, models *modelSequence) (*heldRequest, error) {
 	g := d.gateway
+	r.held = nil
 	if r.Prompt.TokensIn == 0 || r.runState.State() != runstate.NotRun || !g.fleet.isActive(g.settings.Features.HoldRequests, r.Service) {
 		return nil, nil
 	}
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -398,3 +399,42 @@
 	is.Equal(strings.TrimSpace((<-answered).body), resultcode.RequestQuarantined.String())
 	is.Equal(requests.count(), 0)
 }
+
+// A caller may leave between the decision to send its request and the attempt, or during the attempt
+// before a connection is there. The engine must not be ejected, since it isn't the cause.
+func TestCallerLeavesAfterTheDecisionToSend(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // the goroutine of the request finds both events, in any order
+		runHoldTest(t, func(h *holdTest) {
+			h.setWork(6 * time.Second)
+			ctx, leave := context.WithCancel(h.ctx)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				result, err := (&dispatch{gateway: h.g}).makeAttempt(ctx, h.request(10*time.Second), &modelSequence{})
+				h.True(result.outcome == outcomeAbandoned || resultcode.FromError(err).Code == resultcode.CallerGone)
+			}()
+			synctest.Wait()
+			s := h.g.holds
+			s.mu.Lock() // keeps the request from being sent before its caller leaves
+			s.queue.EndHolds(boottime.Now())
+			s.deliver(s.queue.Advance(boottime.Now(), func(*admission.Item) admission.Estimate { return admission.Estimate{} }))
+			leave()
+			s.mu.Unlock()
+			<-done
+			h.True(!h.g.fleet.memberOf("svc", "a").ejected(boottime.Now()))
+		})
+	}
+	for _, held := range []*heldRequest{nil, {}} {
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		result := (&attempt{request: &Request{held: held}}).failureResult(ctx, context.Canceled)
+		want := outcomeAbandoned
+		if held == nil {
+			want = outcomeUnsent // as before
+		}
+		is.Equal(result.outcome, want)
+		is.True(result.notReached())
+		is.Equal(result.guardOutcome(), guard.NotRun)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,7 +53,7 @@
 	heldFor   time.Duration
 	arrived   bool
 	returning bool
-	// held is the request's last hold; nil if it has none.
+	// held is the hold of the present attempt; nil if it wasn't held.
 	held *heldRequest
 	// sendSoonest is set if the next attempt considers all upstreams, since no upstream of a sample
 	// would have begun the request before its deadline.
