admission: new items don't overtake kept ones that are more urgent or returned

Cause: a new item was sent whenever it could begin in time by its own, fresh target, whatever was kept. Change: such an item is kept ("behind") if the queue has one that precedes it by priority or as a return, and that was estimated as not in time less than 20 ms ago.

Ruled out: keeping it for equal items too (TestNewItemsWhileOthersAreKept stays as it is); a rule for new items only, since the next decision, 20 ms later, would let them overtake. The less urgent item that is owed its portion isn't concerned, nor is an item for which an upstream is idle.

Test: TestNewItemsDoNotOvertakeKeptOnes fails with the rule switched off ("less urgent", "another returned") and passes now; go test ./admission passes.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -83,6 +83,8 @@
 	holdUntil   time.Time
 	estimate    Estimate
 	estimatedAt time.Time
+	// keptFor is the cause of the last verdict to keep the item; empty if there is none.
+	keptFor Cause
 }
 
 // Estimate is what a host expects if it sends a request to the most suitable upstream
@@ -134,6 +136,8 @@
 	CauseBusy Cause = "busy"
 	// CauseOverShare: items of accounts within their shares are kept.
 	CauseOverShare Cause = "over-share"
+	// CauseBehind: an item is kept that precedes it and that no upstream can begin in time.
+	CauseBehind Cause = "behind"
 	// CauseUnmeetable: the first event is expected after the deadline.
 	CauseUnmeetable Cause = "unmeetable"
 	// CauseExpired: the deadline has passed.
@@ -332,6 +336,8 @@
 		return q.reject(it, CauseUnmeetable, now)
 	case inTime && !held && it.OverShare && l.keepsWithinShareBefore(it):
 		d.Verdict, d.Cause = Keep, CauseOverShare
+	case inTime && !held && l.overtakes(it, now):
+		d.Verdict, d.Cause = Keep, CauseBehind
 	case inTime:
 		d.Cause = CauseInTime
 	case held:
@@ -339,6 +345,9 @@
 	default:
 		d.Verdict, d.Cause = Keep, CauseBusy
 	}
+	if d.Verdict == Keep {
+		it.keptFor = d.Cause
+	}
 	return d
 }
 
--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -125,3 +125,17 @@
 		return other != it && !other.OverShare && compareItems(other, it) < 0
 	})
 }
+
+// overtakes reports whether the item, if it were sent now, would overtake a kept one that is more urgent
+// or whose caller returned when it was told, and for which the last estimate found no upstream in time.
+// The sent item would take the place at an upstream that the kept one is waiting for. The less urgent
+// item that is owed its portion of the work overtakes nothing.
+func (l *holdLine) overtakes(it *Item, now time.Time) bool {
+	if len(l.items) == 0 || l.head() == it {
+		return false
+	}
+	return slices.ContainsFunc(l.items, func(other *Item) bool {
+		before := other.Priority < it.Priority || other.Priority == it.Priority && other.Returning && !it.Returning
+		return before && other.keptFor == CauseBusy && now.Sub(other.estimatedAt) < estimateInterval
+	})
+}
--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -135,3 +135,34 @@
 	is.Equal(advance(maxStarting-1), 0)
 	is.Equal(advance(1), 1)
 }
+
+// New items must not overtake kept ones that are more urgent or returned when they were told, for which no
+// upstream was in time a moment ago; otherwise those wait for their whole time while others take each place.
+func TestNewItemsDoNotOvertakeKeptOnes(t *testing.T) {
+	soon := Estimate{FirstEvent: 2 * time.Second, Wait: time.Second}
+	returning := func(it *Item) { it.Returning = true }
+	tests := []struct {
+		desc          string
+		kept, offered *Item
+		estimate      Estimate
+		after         time.Duration
+		want          Cause
+	}{
+		{"less urgent", holdItem(0, nil), holdItem(1, nil), soon, estimateInterval - 1, CauseBehind},
+		{"another returned", holdItem(1, returning), holdItem(1, nil), soon, 0, CauseBehind},
+		{"both returned", holdItem(1, returning), holdItem(1, returning), soon, 0, CauseInTime},
+		{"more urgent", holdItem(1, returning), holdItem(0, nil), soon, 0, CauseInTime},
+		{"the estimate is old", holdItem(0, nil), holdItem(1, nil), soon, estimateInterval, CauseInTime},
+		{"an upstream is idle", holdItem(0, nil), holdItem(1, nil), Estimate{FirstEvent: time.Second}, 0, CauseIdle},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			q := NewHoldQueue(1000)
+			is.Equal(q.Offer(test.kept, busy, holdEpoch)[0].Cause, CauseBusy)
+			is.Equal(q.Offer(test.offered, test.estimate, holdEpoch.Add(test.after))[0].Cause, test.want)
+			decisions := q.Advance(holdEpoch.Add(time.Second), func(*Item) Estimate { return soon })
+			is.Equal(decisions[0].Item, test.kept)
+		})
+	}
+}
