gateway: the header for fetching causes no errors for callers

Cause: a 400, 404, 405 or 501 to a request with Kv-Fetch was attributed to the engine at once and for good, whatever the request was, and the request was repeated elsewhere with the header again, or not at all. What callers saw: 400 for valid requests where engines don't support the header. What operators saw: fetching off after a few invalid requests of callers. Change: after a rejection by an engine that never accepted the header the request goes on without it; the engine is flagged only when that succeeded, and for a minute. The header is sent to an engine that never accepted it only if the request may be repeated: by its route, by its attempts and by the retry budget, of which nothing is taken before the repeat.

In TestFetchSource only the name of a field changed.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -71,6 +71,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.advanceSlot()
+	if !b.hasRoom(now) {
+		return false
+	}
+	now.retries++
+	return true
+}
+
+// available reports whether tryTake would succeed now.
+func (b *retryBudget) available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasRoom(b.advanceSlot())
+}
+
+func (b *retryBudget) hasRoom(now *budgetSlot) bool {
 	requests, retries := 0, 0
 	for i := range b.slots {
 		s := &b.slots[i]
@@ -80,11 +95,7 @@
 		retries += s.retries
 		requests += s.requests
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+b.spareRetries() {
-		return false
-	}
-	now.retries++
-	return true
+	return float64(retries+1) <= b.ratio*float64(requests)+b.spareRetries()
 }
 
 // advanceSlot returns the slot for the current part of the window. It clears the slot first if the
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -205,6 +205,7 @@
 			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Int("backing_off", counts.backingOff).Bool("bound", r.regions.restricted()).Msg("")
 		return nil, d.refusal(r, d.noUpstreamRefusal(r, counts))
 	}
+	g.withholdFetch(r, &picked)
 	r.attempts++
 	r.triedIDs = append(r.triedIDs, picked.upstream.ID)
 	if picked.fetchFrom != "" {
@@ -362,8 +363,11 @@
 
 // attemptsLeft reports whether the request may be sent to another upstream. Operators bound the
 // number of upstreams that may run a request of the route (MaxAttempts).
-func (r *Request) attemptsLeft() bool {
-	return r.attempts-min(r.notReached, maxNotReached) < r.Route.MaxAttempts
+func (r *Request) attemptsLeft() bool { return r.attemptsLeftAfter(0) }
+
+// attemptsLeftAfter reports whether attemptsLeft is true after the given number of further attempts.
+func (r *Request) attemptsLeftAfter(attempts int) bool {
+	return r.attempts+attempts-min(r.notReached, maxNotReached) < r.Route.MaxAttempts
 }
 
 // minAttemptTime is the minimum time before the deadline in which another attempt can succeed: a
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -29,18 +29,25 @@
 	maxSourceProbes = 32
 	// fetchRefusalsToPause is the number of engines that have to reject the header for fetching,
 	// with none accepting it, before a service is assumed not to support it. Without the pause each
-	// engine would reject a request of each host. After fetchPause the host tries again, since
-	// another version may have been rolled out.
+	// engine would reject a request of each host. After fetchPause the host tries again, the service
+	// as well as each engine, since another version may have been rolled out.
 	fetchRefusalsToPause = 3
 	fetchPause           = time.Minute
 )
 
 // fetchSupport is what this host observed of an engine's support for fetching cached parts.
 type fetchSupport struct {
-	// accepted is set once the engine answered a request to fetch with success. rejected is set once
-	// it rejected one, if it had never accepted one: the error of an engine that accepted the
-	// header before concerns the request itself.
-	accepted, rejected bool
+	// accepted is set once the engine answered a request to fetch with success: the error of such an
+	// engine concerns the request itself. Until rejectedUntil the engine gets no request to fetch,
+	// because it rejected one that succeeded without the header.
+	accepted      bool
+	rejectedUntil time.Time
+}
+
+// fetchRejection is an answer to a request to fetch which means that the engine may not support it.
+type fetchRejection struct {
+	choice choice
+	status int
 }
 
 // fetchSource is an engine that has the given number of a prompt's leading parts cached.
@@ -51,9 +58,41 @@
 }
 
 // fetchesParts reports whether the engines of the request's service may fetch cached parts from each
-// other.
+// other for it. After an engine rejected the header, the request is repeated without it.
 func (g *Gateway) fetchesParts(r *Request) bool {
-	return g.settings.Headers.FetchFrom != "" && g.fleet.isActive(g.settings.Features.CacheFetch, r.Service)
+	return g.settings.Headers.FetchFrom != "" && g.fleet.isActive(g.settings.Features.CacheFetch, r.Service) &&
+		r.fetchRejection == nil && (g.mayRepeatWithoutFetch(r) || g.fleet.anyAcceptedFetch(r.Service))
+}
+
+// mayRepeatWithoutFetch reports whether the request may be repeated if an engine rejects the header for
+// fetching in the next attempt. Otherwise its caller would get the error that the gateway caused.
+func (g *Gateway) mayRepeatWithoutFetch(r *Request) bool {
+	return r.Route.Repeatable() && r.attemptsLeftAfter(1) && g.retryBudgets.get(r.Service).available()
+}
+
+// anyAcceptedFetch reports whether an engine of the service accepted the header for fetching.
+func (f *Fleet) anyAcceptedFetch(service string) bool {
+	s := f.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fetchAccepted
+}
+
+// withholdFetch removes the fetch from the choice for a request that may not be repeated, unless the
+// engine accepted the header before. The engine prefills the parts then.
+func (g *Gateway) withholdFetch(r *Request, c *choice) {
+	if c.fetchFrom == "" || g.mayRepeatWithoutFetch(r) {
+		return
+	}
+	s := g.fleet.shard(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.chosenMember(c); m != nil && m.usageSnapshot().fetch.accepted {
+		return
+	}
+	c.fetchFrom = ""
+	c.placement.UncachedTokens += c.placement.FetchedTokens
+	c.placement.FetchedTokens, c.placement.FetchTime = 0, 0
 }
 
 // addFetches sets the fetchable parts of the candidates and returns the source for each of them; nil
@@ -68,7 +107,7 @@
 	}
 	chosen := make([]*member, len(candidates))
 	for i, m := range list.members {
-		if m.usageSnapshot().fetch.rejected {
+		if now.Before(m.usageSnapshot().fetch.rejectedUntil) {
 			continue
 		}
 		c := &candidates[i]
@@ -173,14 +212,20 @@
 	return false
 }
 
-// observeFetch records whether the engine accepted the header for fetching, and logs the first time
-// that it didn't.
+// observeFetch records whether the engine accepted the header for fetching. If it answered with a
+// rejection, that counts once the request succeeded without the header: the request itself may be invalid.
 func (a *attempt) observeFetch(resp *http.Response) {
-	if a.choice.fetchFrom == "" || a.misdirected(resp) {
+	r, s := a.request, a.gateway.fleet.shard(a.choice.upstream.Service)
+	succeeded := isSuccess(resp.StatusCode)
+	if a.choice.fetchFrom == "" {
+		if r.fetchRejection != nil && succeeded {
+			a.gateway.fleet.recordFetchRejection(r)
+		}
+		return
+	}
+	if a.misdirected(resp) || !succeeded && !rejectsFetch(resp.StatusCode) {
 		return
 	}
-	f := a.gateway.fleet
-	s := f.shard(a.choice.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.chosenMember(&a.choice)
@@ -189,16 +234,34 @@
 	}
 	support := &m.ensureUsage().fetch
 	switch {
-	case isSuccess(resp.StatusCode):
-		support.accepted, s.fetchRefusals = true, 0
-	case rejectsFetch(resp.StatusCode) && !support.accepted && !support.rejected:
-		support.rejected = true
-		f.log.Warn().Str("event", "fetch-rejected").Str("upstream", m.ID).Str("service", m.Service).Str("version", m.Version).
-			Str("request", a.request.ID).Int("status", resp.StatusCode).Msg("")
-		if s.fetchRefusals++; s.fetchRefusals >= fetchRefusalsToPause {
-			s.fetchRefusals, s.fetchPausedUntil = 0, boottime.Now().Add(fetchPause)
-			f.log.Warn().Str("event", "fetch-paused").Str("service", m.Service).Int64("for_ms", fetchPause.Milliseconds()).Msg("")
-		}
+	case succeeded:
+		support.accepted, s.fetchAccepted, s.fetchRefusals = true, true, 0
+	case !support.accepted:
+		r.fetchRejection = &fetchRejection{choice: a.choice, status: resp.StatusCode}
+	}
+}
+
+// recordFetchRejection records that the engine that rejected the request with the header for fetching
+// doesn't support it, and logs that.
+func (f *Fleet) recordFetchRejection(r *Request) {
+	c, now := &r.fetchRejection.choice, boottime.Now()
+	s := f.shard(c.upstream.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.chosenMember(c)
+	if m == nil {
+		return
+	}
+	support := &m.ensureUsage().fetch
+	if support.accepted || now.Before(support.rejectedUntil) {
+		return
+	}
+	support.rejectedUntil = now.Add(fetchPause)
+	f.log.Warn().Str("event", "fetch-rejected").Str("upstream", m.ID).Str("service", m.Service).Str("version", m.Version).
+		Str("request", r.ID).Int("status", r.fetchRejection.status).Msg("")
+	if s.fetchRefusals++; s.fetchRefusals >= fetchRefusalsToPause {
+		s.fetchRefusals, s.fetchPausedUntil = 0, now.Add(fetchPause)
+		f.log.Warn().Str("event", "fetch-paused").Str("service", m.Service).Int64("for_ms", fetchPause.Milliseconds()).Msg("")
 	}
 }
 
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -65,7 +65,7 @@
 			f.memberOf("svc", "b").ensureUsage().prefills = []*prefill{{newKeys: crit.keys[:1]}}
 		}, false},
 		{"engine doesn't accept the header", func(f *Fleet, _ *criteria) {
-			f.memberOf("svc", "a").ensureUsage().fetch.rejected = true
+			f.memberOf("svc", "a").ensureUsage().fetch.rejectedUntil = boottime.Now().Add(fetchPause)
 		}, false},
 	}
 	for _, test := range tests {
@@ -173,3 +173,67 @@
 		is.True(strings.Contains(text.String(), `cache_fetched_tokens_total{service="svc"} `+tokens+"\n"))
 	}
 }
+
+// The gateway's own header for fetching must not cause an error that callers get: a request that an engine
+// rejected is repeated without it, and one that may not be repeated has it only for engines that accepted it.
+// Requests that are invalid themselves must not keep engines from fetching, nor a rejection for good.
+func TestFetchRejectedByEngines(t *testing.T) {
+	tests := []struct {
+		desc, path string
+		reject     string // the header with which requests are rejected
+		want       int
+		flagged    bool
+	}{
+		{"header not supported", "/stream/x", "T-Fetch", http.StatusOK, true},
+		{"header not supported, not repeatable", "/fixed/x", "T-Fetch", http.StatusOK, false},
+		{"invalid request", "/stream/x", "T-Bad", http.StatusBadRequest, false},
+		{"invalid request, not repeatable", "/fixed/x", "T-Bad", http.StatusBadRequest, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			doc := testDocument()
+			doc.Services[0].Engines = testEngineSpec
+			for i := range doc.Routes {
+				doc.Routes[i].PrefixAffinity = true
+			}
+			tg := newTestGateway(t, doc)
+			tg.gateway.settings.Features.CacheFetch = FeatureOn
+			handler := func(w http.ResponseWriter, req *http.Request) {
+				if req.Header.Get(test.reject) != "" {
+					respondStatus(http.StatusBadRequest)(w, req)
+					return
+				}
+				streamEvents(1, 2, false, "T-Load", "1,0,8,100")(w, req)
+			}
+			work, cached := exchange.Work{}, exchange.SentPrefixes{}
+			keys := placement.PrefixKeys("m", &placement.Prompt{Parts: []placement.Part{{ID: "p"}}})
+			for _, id := range []string{"a", "c", "d", "e", "f", "b", "b2", "b3"} {
+				tg.startUpstream(id, handler)
+				if id[0] == 'b' {
+					work[exchange.HashID(id)], cached[exchange.HashID(id)] = 50_000, keys
+				}
+			}
+			fleet := tg.gateway.fleet
+			fleet.addRemotePrefixes(cached)
+			fleet.setRemoteWork(work, boottime.Now())
+			got := tg.do(tg.newRequest("POST", test.path, "body", "T-Model", "m", "T-Tokens", "10000,50", "T-Parts", "p:9000,own:1000", "T-Bad", "1"))
+			is.Equal(got.status, test.want)
+			flagged := 0
+			for _, m := range fleet.shard("svc").members {
+				if until := m.usageSnapshot().fetch.rejectedUntil; !until.IsZero() {
+					is.True(until.Sub(boottime.Now()) <= fetchPause)
+					flagged++
+				}
+			}
+			is.Equal(flagged, boolCount(test.flagged))
+		})
+	}
+}
+
+func boolCount(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -125,8 +125,10 @@
 	// upstream.
 	meanRequestTime time.Duration
 	// fetchRefusals is the number of engines that rejected the header for fetching since an engine
-	// last accepted it. Nothing is fetched until fetchPausedUntil.
+	// last accepted it. Nothing is fetched until fetchPausedUntil. fetchAccepted is set once an engine
+	// accepted the header.
 	fetchRefusals    int
+	fetchAccepted    bool
 	fetchPausedUntil time.Time
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,6 +71,9 @@
 	// fetchSources are the addresses of the engines that were sources of cached parts for attempts of
 	// the request.
 	fetchSources []string
+	// fetchRejection is the answer of an engine that may not support fetching cached parts; nil if there
+	// is none.
+	fetchRejection *fetchRejection
 	// moved is set if the request's stream was moved; movedVersion is the version of the run that the
 	// move ended. moveTarget is the engine to which it is moved, until the attempt there begins.
 	moved        bool
