gateway, placement: token counts that no prompt has don't overflow

Cause: counts of tokens that callers state weren't bounded, and 1e15 tokens times nanoseconds a token overflow. What was seen: negative expected times, by which such a request was sent at once, and negative work at its engine, by which later requests seemed to find it idle, at all hosts. This concerns all services with prompts. Change: counts are bounded to 10 million where they are parsed, and prefill times to an hour.

Ruled out: refusing such requests; the counts are hints. Below the bounds nothing changes.

--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -438,3 +438,20 @@
 		is.Equal(result.guardOutcome(), guard.NotRun)
 	}
 }
+
+// A prompt whose caller states an absurd number of tokens must be refused, not sent because its expected
+// time overflows and is negative, nor make the work of its engine negative.
+func TestAbsurdTokenCountIsNoIdleEngine(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		r := h.request(10 * time.Second)
+		r.Prompt.TokensIn = 1 << 62
+		crit := (&dispatch{gateway: h.g}).buildCriteria(r, "", false)
+		e, _ := h.g.fleet.expectedStart(crit)
+		h.True(e.FirstEvent > time.Minute)
+		h.True(e.work > time.Minute)
+		_, ok := h.g.fleet.choose(crit)
+		h.True(ok)
+		next, _ := h.g.fleet.expectedStart(crit)
+		h.True(next.Wait > time.Minute)
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -143,12 +143,16 @@
 	return p
 }
 
-// parseCount parses a count that the caller stated. It returns 0, which means unknown, for a
-// malformed one, since the counts are only hints.
+// maxTokenCount bounds the counts that callers state. It is some ten times the longest prompt that any
+// model takes; with 1e15 tokens, times and sums of them overflow.
+const maxTokenCount = 10_000_000
+
+// parseCount parses a count that the caller stated, and bounds it. It returns 0, which means unknown,
+// for a malformed one, since the counts are only hints.
 func parseCount(s string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(s))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxTokenCount)
 }
--- a/placement/timings.go
+++ b/placement/timings.go
@@ -15,8 +15,12 @@
 
 func (e estimate) timeToFirstEvent(tokens int) time.Duration { return e.fixed + e.prefillTime(tokens) }
 
+// maxPrefillTime bounds expected prefill times, so that sums and costs of them don't overflow. No
+// engine prefills for an hour.
+const maxPrefillTime = time.Hour
+
 func (e estimate) prefillTime(tokens int) time.Duration {
-	return time.Duration(e.nanosPerToken * float64(tokens))
+	return time.Duration(min(e.nanosPerToken*float64(tokens), float64(maxPrefillTime)))
 }
 
 // Timings holds the sums, over the answers of one model, of a weighted linear regression of the
