returnschedule: work that fits nowhere takes a quarter of a second of the schedule

Cause: if no reservation is near an interval, a rejected request gets it whatever its work, and the work was booked in all later intervals until their free time was used up. Change: work that doesn't fit into the schedule is booked up to what the intervals within minSpacing have.

Ruled out: no reservation for such a request; a host with little measured capacity, for example one that just started, would reserve nothing. Work that fits is booked as before.

Test: TestWorkThatFitsNowhereLeavesRoomForOthers fails before (31 of 150 reserved) and passes now; go test ./returnschedule passes.

--- a/returnschedule/schedule_test.go
+++ b/returnschedule/schedule_test.go
@@ -246,3 +246,22 @@
 		})
 	})
 }
+
+// A request whose work doesn't fit into the schedule, for example since its caller states an absurd size,
+// must not take all free time of the later intervals from the others.
+func TestWorkThatFitsNowhereLeavesRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	s := newSchedule(2 * time.Second)
+	long := rejected(0)
+	long.Work, long.Remaining = time.Hour, 24*time.Second
+	is.Equal(s.Promise(long, begin).Outcome, Reserved)
+	reserved := 0
+	for n := range 150 { // the schedule has 16 s, of which the first request takes a quarter second's part
+		r := rejected(n + 1)
+		r.Remaining = 24 * time.Second
+		if s.Promise(r, begin).Outcome == Reserved {
+			reserved++
+		}
+	}
+	is.Equal(reserved, 150)
+}
--- a/returnschedule/timeline.go
+++ b/returnschedule/timeline.go
@@ -97,7 +97,12 @@
 		freeHere := max(0, usable-t.booked[i])
 		end := begin.Add(Interval)
 		if end.After(earliest) && (t.fits(p.work, freeHere, free, usable) || t.isEmptyAround(i)) {
-			t.book(i, p.work, usable)
+			work := p.work
+			if free < work {
+				// It doesn't fit. It has the interval by the rule of minSpacing, and takes as much as that.
+				work = min(work, time.Duration(minSpacing)*usable)
+			}
+			t.book(i, work, usable)
 			begin, end = later(begin, earliest), earlier(end, latest)
 			return begin.Add(time.Duration(fraction * float64(end.Sub(begin)))), true
 		}
