admission: items that gain nothing by waiting are sent, and don't count as saturation

Cause: an item whose first event would be late at an idle upstream was kept for an eighth of its target, and it and items without a target counted as late. What callers saw: long prompts were later by that time, and further attempts at the better model were refused while engines had next to no wait. Change: an item is sent as late at once if FirstEvent less Wait exceeds what is left of its target. Such items and those without a target count in the saturation neither as arrivals nor as late.

Ruled out: counting them as arrivals only; they would hide the saturation of the others. Unmeetable ones with a target still count.

Test: TestItemThatGainsNothingByWaiting fails before (kept) and passes now; go test ./admission passes.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -127,8 +127,8 @@
 	CauseInTime Cause = "in-time"
 	// CauseIdle: the upstream has no work before the request.
 	CauseIdle Cause = "idle"
-	// CauseLate: the item was kept for as long as it may be, and its first event is
-	// expected before the deadline.
+	// CauseLate: the item was kept for as long as it may be, or would be late at an idle
+	// upstream, and its first event is expected before the deadline.
 	CauseLate Cause = "late"
 	// CauseNoUpstream: no upstream may be sent the request.
 	CauseNoUpstream Cause = "no-upstream"
@@ -176,10 +176,7 @@
 	it.latestStart = it.Deadline.Add(e.Wait - e.FirstEvent)
 	it.holdUntil = now.Add(it.Target/maxHoldDivisor - it.HeldBefore)
 	d := q.decide(l, it, e, now)
-	l.arrivals.add(now.Sub(q.epoch), 1)
-	if d.Cause == CauseBusy || d.Cause == CauseLate || d.Cause == CauseUnmeetable {
-		l.late.add(now.Sub(q.epoch), 1)
-	}
+	l.count(it, d, now.Sub(q.epoch))
 	switch d.Verdict {
 	case Send:
 		l.charge(it)
@@ -301,6 +298,7 @@
 
 // Saturation returns the decayed fraction, from 0 to 1, of the service's items for
 // which no upstream could send the first event within the target when they arrived.
+// Items without a target, and those that would be late at an idle upstream, don't count.
 func (q *HoldQueue) Saturation(service string, now time.Time) float64 {
 	for _, l := range q.lines {
 		if l.service == service {
@@ -340,7 +338,7 @@
 		d.Verdict, d.Cause = Keep, CauseBehind
 	case inTime:
 		d.Cause = CauseInTime
-	case held:
+	case held, !it.gainsByWaiting(e, now):
 		d.Cause = CauseLate
 	default:
 		d.Verdict, d.Cause = Keep, CauseBusy
@@ -351,6 +349,12 @@
 	return d
 }
 
+// gainsByWaiting reports whether an upstream without other work would send the first event
+// within what is left of the target. Otherwise the item is late however long it is kept.
+func (it *Item) gainsByWaiting(e Estimate, now time.Time) bool {
+	return e.FirstEvent-e.Wait <= it.Target-now.Sub(it.Arrived)
+}
+
 // reject returns the rejection of an item.
 func (q *HoldQueue) reject(it *Item, cause Cause, now time.Time) Decision {
 	return Decision{Item: it, Verdict: Reject, Cause: cause, Estimate: it.estimate, RetryAfter: q.untilRoom(it, cause, now)}
--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -18,8 +18,8 @@
 	startingAt time.Time
 	// othersAt is the last time at which an item other than the head was decided on.
 	othersAt time.Time
-	// arrivals and late are the decayed rates of all items offered, and of those for
-	// which no upstream could send the first event in time.
+	// arrivals and late are the decayed rates of the items offered that count in the
+	// saturation, and of those for which no upstream could send the first event in time.
 	arrivals, late decayedRate
 }
 
@@ -53,6 +53,18 @@
 	return l
 }
 
+// count counts a new item in the saturation, which is about the wait at the upstreams. An item
+// that is late without any wait tells nothing about that.
+func (l *holdLine) count(it *Item, d Decision, at time.Duration) {
+	if it.Target <= 0 || d.Cause == CauseLate && !it.gainsByWaiting(d.Estimate, it.estimatedAt) {
+		return
+	}
+	l.arrivals.add(at, 1)
+	if d.Cause == CauseBusy || d.Cause == CauseLate || d.Cause == CauseUnmeetable {
+		l.late.add(at, 1)
+	}
+}
+
 // due returns the item to decide on now; nil if there is none. Items whose time is over
 // come first, then the head. The other items take turns, one in each estimateInterval:
 // the head may be restricted to upstreams that are all busy while others are idle.
--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -166,3 +166,20 @@
 		})
 	}
 }
+
+// An item that would be late at an idle upstream must not be kept, since that makes it later, and neither
+// it nor one without a target may count as saturation while upstreams have next to no wait.
+func TestItemThatGainsNothingByWaiting(t *testing.T) {
+	is := is.New(t)
+	q := NewHoldQueue(1000)
+	slow := Estimate{FirstEvent: 4500 * time.Millisecond, Wait: 25 * time.Millisecond}
+	for range 20 {
+		is.Equal(q.Offer(holdItem(0, nil), slow, holdEpoch)[0].Cause, CauseLate)
+		is.Equal(q.Offer(holdItem(0, func(it *Item) { it.Target = 0 }), slow, holdEpoch)[0].Cause, CauseLate)
+	}
+	is.Equal(q.Saturation("s", holdEpoch), 0.0)
+	nearly := Estimate{FirstEvent: 4*time.Second + 20*time.Millisecond, Wait: 30 * time.Millisecond}
+	is.Equal(q.Offer(holdItem(0, nil), nearly, holdEpoch)[0].Cause, CauseBusy)
+	is.Equal(q.Advance(holdEpoch.Add(estimateInterval), func(*Item) Estimate { return nearly })[0].Cause, CauseLate)
+	is.True(q.Saturation("s", holdEpoch) > 0)
+}
