gateway: new requests don't postpone the decisions on held ones

Cause: each kept request set the timer for the next decision anew, 20 ms ahead. What callers saw: with offers more often than that, of any service, held requests were decided on only when a hold ended, also with idle engines. Change: the time for which the timer is set is remembered, and it is only moved earlier.

Ruled out: a timer for each service; one is enough, since decisions on all services are made together.

Test: TestNewRequestsPostponeNoDecision fails before (not sent after 45 ms) and passes now.

--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -455,3 +455,23 @@
 		h.True(next.Wait > time.Minute)
 	})
 }
+
+// Requests that arrive every 15 ms must not postpone the decisions on those that are held, which are made
+// every 20 ms: they were sent late although their engine was idle.
+func TestNewRequestsPostponeNoDecision(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.g.fleet.ApplyEntry(Upstream{ID: "b", Service: "svc2", Address: "127.0.0.1:2", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		a, b := h.g.fleet.memberOf("svc", "a").idHash, h.g.fleet.memberOf("svc2", "b").idHash
+		h.g.fleet.setRemoteWork(exchange.Work{a: 6000, b: 6000}, boottime.Now())
+		h.start(h.ctx, h.request(10*time.Second))
+		h.g.fleet.setRemoteWork(exchange.Work{b: 6000}, boottime.Now()) // the engine of svc is idle
+		for range 3 {
+			time.Sleep(15 * time.Millisecond)
+			r := h.request(10 * time.Second)
+			r.Service = "svc2"
+			h.start(h.ctx, r)
+		}
+		h.Equal(len(h.ended), 1)
+		h.results(4)
+	})
+}
--- a/internal/gateway/holdqueue.go
+++ b/internal/gateway/holdqueue.go
@@ -28,6 +28,8 @@
 	queue *admission.HoldQueue
 	held  map[*admission.Item]*heldRequest
 	timer *time.Timer
+	// timerAt is the time for which the timer is set; zero after it fired.
+	timerAt time.Time
 }
 
 func newHolds(g *Gateway) *holds {
@@ -130,12 +132,20 @@
 func (s *holds) schedule(now time.Time) {
 	s.count.Store(int64(s.queue.Len()))
 	next, ok := s.queue.Next(now)
-	if !ok {
-		return
+	if !ok || s.timerAt.After(now) && !next.Before(s.timerAt) {
+		return // a later time would postpone the decisions with each call
 	}
+	s.timerAt = next
 	if s.timer == nil {
-		s.timer = time.AfterFunc(next.Sub(now), s.advance)
+		s.timer = time.AfterFunc(next.Sub(now), s.timerFired)
 		return
 	}
 	s.timer.Reset(next.Sub(now))
 }
+
+func (s *holds) timerFired() {
+	s.mu.Lock()
+	s.timerAt = time.Time{}
+	s.mu.Unlock()
+	s.advance()
+}
