--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -83,6 +83,8 @@
 	holdUntil   time.Time
 	estimate    Estimate
 	estimatedAt time.Time
+	// keptFor is the cause of the last verdict to keep the item; empty if there is none.
+	keptFor Cause
 }
 
 // Estimate is what a host expects if it sends a request to the most suitable upstream
@@ -97,6 +99,13 @@
 	NoUpstream bool
 }
 
+// Unmeetable reports whether no upstream is idle and the first event is expected after
+// the deadline, until which the given time is left. Such an item is rejected. A caller
+// whose estimate covers only some of the upstreams has to estimate over all before.
+func (e Estimate) Unmeetable(left time.Duration) bool {
+	return !e.NoUpstream && e.Wait >= idleWait && e.FirstEvent > left
+}
+
 // Verdict is what happens to an item.
 type Verdict int
 
@@ -118,8 +127,8 @@
 	CauseInTime Cause = "in-time"
 	// CauseIdle: the upstream has no work before the request.
 	CauseIdle Cause = "idle"
-	// CauseLate: the item was kept for as long as it may be, and its first event is
-	// expected before the deadline.
+	// CauseLate: the item was kept for as long as it may be, or would be late at an idle
+	// upstream, and its first event is expected before the deadline.
 	CauseLate Cause = "late"
 	// CauseNoUpstream: no upstream may be sent the request.
 	CauseNoUpstream Cause = "no-upstream"
@@ -127,6 +136,8 @@
 	CauseBusy Cause = "busy"
 	// CauseOverShare: items of accounts within their shares are kept.
 	CauseOverShare Cause = "over-share"
+	// CauseBehind: an item is kept that precedes it and that no upstream can begin in time.
+	CauseBehind Cause = "behind"
 	// CauseUnmeetable: the first event is expected after the deadline.
 	CauseUnmeetable Cause = "unmeetable"
 	// CauseExpired: the deadline has passed.
@@ -165,10 +176,7 @@
 	it.latestStart = it.Deadline.Add(e.Wait - e.FirstEvent)
 	it.holdUntil = now.Add(it.Target/maxHoldDivisor - it.HeldBefore)
 	d := q.decide(l, it, e, now)
-	l.arrivals.add(now.Sub(q.epoch), 1)
-	if d.Cause == CauseBusy || d.Cause == CauseLate || d.Cause == CauseUnmeetable {
-		l.late.add(now.Sub(q.epoch), 1)
-	}
+	l.count(it, d, now.Sub(q.epoch))
 	switch d.Verdict {
 	case Send:
 		l.charge(it)
@@ -196,8 +204,8 @@
 
 // Advance decides again on the items that are due, and returns the decisions to send
 // or reject. It calls estimate for at most one item of a service that it decides to
-// send: the next decision on the service's items is made after Started, because
-// estimates don't include an item before its upstream is chosen.
+// send: the next decision on the service's items is made after Started, or 50 ms later,
+// because estimates don't include an item before its upstream is chosen.
 func (q *HoldQueue) Advance(now time.Time, estimate func(*Item) Estimate) []Decision {
 	var decisions []Decision
 	for _, l := range q.lines {
@@ -212,7 +220,7 @@
 			}
 			if d.Verdict == Send {
 				l.charge(it)
-				l.starting, l.othersAt = it, time.Time{}
+				l.starting, l.startingAt, l.othersAt = it, now, time.Time{}
 			}
 			q.Remove(it)
 			decisions = append(decisions, d)
@@ -226,7 +234,7 @@
 func (q *HoldQueue) Next(now time.Time) (at time.Time, ok bool) {
 	at = now.Add(estimateInterval)
 	for _, l := range q.lines {
-		if l.starting != nil {
+		if l.isStarting(now) {
 			continue
 		}
 		for _, it := range l.items {
@@ -290,6 +298,7 @@
 
 // Saturation returns the decayed fraction, from 0 to 1, of the service's items for
 // which no upstream could send the first event within the target when they arrived.
+// Items without a target, and those that would be late at an idle upstream, don't count.
 func (q *HoldQueue) Saturation(service string, now time.Time) float64 {
 	for _, l := range q.lines {
 		if l.service == service {
@@ -321,20 +330,31 @@
 		d.Cause = CauseNoUpstream
 	case e.Wait < idleWait:
 		d.Cause = CauseIdle
-	case e.FirstEvent > left:
+	case e.Unmeetable(left):
 		return q.reject(it, CauseUnmeetable, now)
 	case inTime && !held && it.OverShare && l.keepsWithinShareBefore(it):
 		d.Verdict, d.Cause = Keep, CauseOverShare
+	case inTime && !held && l.overtakes(it, now):
+		d.Verdict, d.Cause = Keep, CauseBehind
 	case inTime:
 		d.Cause = CauseInTime
-	case held:
+	case held, !it.gainsByWaiting(e, now):
 		d.Cause = CauseLate
 	default:
 		d.Verdict, d.Cause = Keep, CauseBusy
 	}
+	if d.Verdict == Keep {
+		it.keptFor = d.Cause
+	}
 	return d
 }
 
+// gainsByWaiting reports whether an upstream without other work would send the first event
+// within what is left of the target. Otherwise the item is late however long it is kept.
+func (it *Item) gainsByWaiting(e Estimate, now time.Time) bool {
+	return e.FirstEvent-e.Wait <= it.Target-now.Sub(it.Arrived)
+}
+
 // reject returns the rejection of an item.
 func (q *HoldQueue) reject(it *Item, cause Cause, now time.Time) Decision {
 	return Decision{Item: it, Verdict: Reject, Cause: cause, Estimate: it.estimate, RetryAfter: q.untilRoom(it, cause, now)}
--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -12,16 +12,27 @@
 	items []*Item
 	// credit is the work that the less urgent items are owed of their portion.
 	credit time.Duration
-	// starting is the item that was decided to be sent and whose upstream isn't
-	// chosen yet; nil if there is none.
-	starting *Item
+	// starting is the item that was decided to be sent at startingAt and whose upstream
+	// isn't chosen yet; nil if there is none.
+	starting   *Item
+	startingAt time.Time
 	// othersAt is the last time at which an item other than the head was decided on.
 	othersAt time.Time
-	// arrivals and late are the decayed rates of all items offered, and of those for
-	// which no upstream could send the first event in time.
+	// arrivals and late are the decayed rates of the items offered that count in the
+	// saturation, and of those for which no upstream could send the first event in time.
 	arrivals, late decayedRate
 }
 
+// maxStarting is how long the next decision waits for the choice of an upstream, which
+// takes less than a millisecond. Without it, one item for which Started isn't called, for
+// example because its goroutine gets no processor time, would block all others.
+const maxStarting = 50 * time.Millisecond
+
+// isStarting reports whether the upstream of an item is being chosen.
+func (l *holdLine) isStarting(now time.Time) bool {
+	return l.starting != nil && now.Sub(l.startingAt) < maxStarting
+}
+
 // minLineRate is the rate of arriving items, in items a second, below which a line
 // without items is dropped.
 const minLineRate = 0.01
@@ -35,18 +46,30 @@
 		}
 	}
 	q.lines = slices.DeleteFunc(q.lines, func(l *holdLine) bool {
-		return len(l.items) == 0 && l.starting == nil && l.arrivals.valueAt(now.Sub(q.epoch)) < minLineRate
+		return len(l.items) == 0 && !l.isStarting(now) && l.arrivals.valueAt(now.Sub(q.epoch)) < minLineRate
 	})
 	l := &holdLine{service: service}
 	q.lines = append(q.lines, l)
 	return l
 }
 
+// count counts a new item in the saturation, which is about the wait at the upstreams. An item
+// that is late without any wait tells nothing about that.
+func (l *holdLine) count(it *Item, d Decision, at time.Duration) {
+	if it.Target <= 0 || d.Cause == CauseLate && !it.gainsByWaiting(d.Estimate, it.estimatedAt) {
+		return
+	}
+	l.arrivals.add(at, 1)
+	if d.Cause == CauseBusy || d.Cause == CauseLate || d.Cause == CauseUnmeetable {
+		l.late.add(at, 1)
+	}
+}
+
 // due returns the item to decide on now; nil if there is none. Items whose time is over
 // come first, then the head. The other items take turns, one in each estimateInterval:
 // the head may be restricted to upstreams that are all busy while others are idle.
 func (l *holdLine) due(now time.Time) *Item {
-	if l.starting != nil || len(l.items) == 0 {
+	if l.isStarting(now) || len(l.items) == 0 {
 		return nil
 	}
 	for _, it := range l.items {
@@ -114,3 +137,17 @@
 		return other != it && !other.OverShare && compareItems(other, it) < 0
 	})
 }
+
+// overtakes reports whether the item, if it were sent now, would overtake a kept one that is more urgent
+// or whose caller returned when it was told, and for which the last estimate found no upstream in time.
+// The sent item would take the place at an upstream that the kept one is waiting for. The less urgent
+// item that is owed its portion of the work overtakes nothing.
+func (l *holdLine) overtakes(it *Item, now time.Time) bool {
+	if len(l.items) == 0 || l.head() == it {
+		return false
+	}
+	return slices.ContainsFunc(l.items, func(other *Item) bool {
+		before := other.Priority < it.Priority || other.Priority == it.Priority && other.Returning && !it.Returning
+		return before && other.keptFor == CauseBusy && now.Sub(other.estimatedAt) < estimateInterval
+	})
+}
--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -118,3 +118,68 @@
 	is.Equal(q.Offer(holdItem(1, over), soon, holdEpoch)[0].Cause, CauseOverShare)
 	is.Equal(q.Offer(holdItem(0, over), soon, holdEpoch)[0].Cause, CauseInTime)
 }
+
+// An item that isn't started, for example because its goroutine gets no processor time, must not block
+// the others of its service for longer than 50 ms.
+func TestItemThatIsNeverStartedBlocksNoOthers(t *testing.T) {
+	is := is.New(t)
+	q, now := NewHoldQueue(1000), holdEpoch
+	for range 2 {
+		q.Offer(holdItem(0, nil), busy, now)
+	}
+	advance := func(after time.Duration) int {
+		now = now.Add(after)
+		return len(q.Advance(now, func(*Item) Estimate { return Estimate{FirstEvent: 2 * time.Second, Wait: time.Second} }))
+	}
+	is.Equal(advance(estimateInterval), 1) // Started isn't called
+	is.Equal(advance(maxStarting-1), 0)
+	is.Equal(advance(1), 1)
+}
+
+// New items must not overtake kept ones that are more urgent or returned when they were told, for which no
+// upstream was in time a moment ago; otherwise those wait for their whole time while others take each place.
+func TestNewItemsDoNotOvertakeKeptOnes(t *testing.T) {
+	soon := Estimate{FirstEvent: 2 * time.Second, Wait: time.Second}
+	returning := func(it *Item) { it.Returning = true }
+	tests := []struct {
+		desc          string
+		kept, offered *Item
+		estimate      Estimate
+		after         time.Duration
+		want          Cause
+	}{
+		{"less urgent", holdItem(0, nil), holdItem(1, nil), soon, estimateInterval - 1, CauseBehind},
+		{"another returned", holdItem(1, returning), holdItem(1, nil), soon, 0, CauseBehind},
+		{"both returned", holdItem(1, returning), holdItem(1, returning), soon, 0, CauseInTime},
+		{"more urgent", holdItem(1, returning), holdItem(0, nil), soon, 0, CauseInTime},
+		{"the estimate is old", holdItem(0, nil), holdItem(1, nil), soon, estimateInterval, CauseInTime},
+		{"an upstream is idle", holdItem(0, nil), holdItem(1, nil), Estimate{FirstEvent: time.Second}, 0, CauseIdle},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			q := NewHoldQueue(1000)
+			is.Equal(q.Offer(test.kept, busy, holdEpoch)[0].Cause, CauseBusy)
+			is.Equal(q.Offer(test.offered, test.estimate, holdEpoch.Add(test.after))[0].Cause, test.want)
+			decisions := q.Advance(holdEpoch.Add(time.Second), func(*Item) Estimate { return soon })
+			is.Equal(decisions[0].Item, test.kept)
+		})
+	}
+}
+
+// An item that would be late at an idle upstream must not be kept, since that makes it later, and neither
+// it nor one without a target may count as saturation while upstreams have next to no wait.
+func TestItemThatGainsNothingByWaiting(t *testing.T) {
+	is := is.New(t)
+	q := NewHoldQueue(1000)
+	slow := Estimate{FirstEvent: 4500 * time.Millisecond, Wait: 25 * time.Millisecond}
+	for range 20 {
+		is.Equal(q.Offer(holdItem(0, nil), slow, holdEpoch)[0].Cause, CauseLate)
+		is.Equal(q.Offer(holdItem(0, func(it *Item) { it.Target = 0 }), slow, holdEpoch)[0].Cause, CauseLate)
+	}
+	is.Equal(q.Saturation("s", holdEpoch), 0.0)
+	nearly := Estimate{FirstEvent: 4*time.Second + 20*time.Millisecond, Wait: 30 * time.Millisecond}
+	is.Equal(q.Offer(holdItem(0, nil), nearly, holdEpoch)[0].Cause, CauseBusy)
+	is.Equal(q.Advance(holdEpoch.Add(estimateInterval), func(*Item) Estimate { return nearly })[0].Cause, CauseLate)
+	is.True(q.Saturation("s", holdEpoch) > 0)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -104,7 +104,12 @@
 	if err := d.admit(ctx, r); err != nil {
 		return attemptResult{}, err
 	}
-	defer d.gateway.guard.Leave(r.Digest)
+	admitted := true
+	defer func() {
+		if admitted {
+			d.gateway.guard.Leave(r.Digest)
+		}
+	}()
 	if err := d.memoryRefusal(r); err != nil {
 		return attemptResult{}, err
 	}
@@ -112,8 +117,15 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
+	defer d.gateway.holds.started(held) // also if no engine is chosen
+	if held != nil {
+		d.gateway.guard.Leave(r.Digest)
+		if err := d.admitAfterHold(ctx, r); err != nil {
+			admitted = false
+			return attemptResult{}, err
+		}
+	}
 	a, err := d.startAttempt(r, models)
-	d.gateway.holds.started(held)
 	if err != nil {
 		return attemptResult{}, err
 	}
@@ -164,6 +176,15 @@
 	}
 }
 
+// admitAfterHold is admit for a request that was held: its caller may have left, its deadline have
+// passed or a verdict on it have arrived since the decision to send it.
+func (d *dispatch) admitAfterHold(ctx context.Context, r *Request) error {
+	if ctx.Err() != nil {
+		return d.finalAnswer(ctx, r, attemptResult{outcome: outcomeAbandoned, err: context.Cause(ctx)})
+	}
+	return d.admit(ctx, r)
+}
+
 // startAttempt chooses the upstream for the next attempt and returns the attempt, which isn't sent
 // yet.
 func (d *dispatch) startAttempt(r *Request, models *modelSequence) (*attempt, error) {
@@ -172,15 +193,22 @@
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
 	picked, ok := d.takeMove(r, &crit)
-	if !ok {
+	switch {
+	case ok:
+	case r.sendSoonest:
+		r.sendSoonest = false
+		picked, ok = g.fleet.chooseSoonest(crit, r.Deadline)
+	default:
 		picked, ok = g.fleet.choose(crit)
 	}
+	g.holds.started(r.held)
 	if !ok {
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
 			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Int("backing_off", counts.backingOff).Bool("bound", r.regions.restricted()).Msg("")
 		return nil, d.refusal(r, d.noUpstreamRefusal(r, counts))
 	}
+	g.withholdFetch(r, &picked)
 	r.attempts++
 	r.triedIDs = append(r.triedIDs, picked.upstream.ID)
 	if picked.fetchFrom != "" {
@@ -343,8 +371,11 @@
 
 // attemptsLeft reports whether the request may be sent to another upstream. Operators bound the
 // number of upstreams that may run a request of the route (MaxAttempts).
-func (r *Request) attemptsLeft() bool {
-	return r.attempts-min(r.notReached, maxNotReached) < r.Route.MaxAttempts
+func (r *Request) attemptsLeft() bool { return r.attemptsLeftAfter(0) }
+
+// attemptsLeftAfter reports whether attemptsLeft is true after the given number of further attempts.
+func (r *Request) attemptsLeftAfter(attempts int) bool {
+	return r.attempts+attempts-min(r.notReached, maxNotReached) < r.Route.MaxAttempts
 }
 
 // minAttemptTime is the minimum time before the deadline in which another attempt can succeed: a
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -17,6 +17,8 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -335,3 +337,160 @@
 	is.True(retry > 0 && retry <= 8.0/3)
 	is.Equal(requests.count(), 0)
 }
+
+// A request must not be refused while an engine is idle that the sample of a large service didn't
+// contain, or whose KV cache is expected to have no room. It must be sent to that engine.
+func TestNoRefusalBySampleWhileAnEngineIsIdle(t *testing.T) {
+	for _, engines := range []int{140, 4} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			runHoldTest(t, func(h *holdTest) {
+				doc := testDocument()
+				doc.Services[0].Engines = routing.EngineSpec{Slots: 8, MemoryTokens: 300_000}
+				h.table, _ = routing.New(doc)
+				h.g.fleet.policy.engineState, h.g.settings.Features.EngineState = FeatureOn, FeatureOn
+				work := exchange.Work{h.g.fleet.memberOf("svc", "a").idHash: 60_000}
+				for i := range engines {
+					u := Upstream{ID: fmt.Sprint("e", i), Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z1", Version: "v1", Slots: 8}
+					h.g.fleet.ApplyEntry(u, 1)
+					work[h.g.fleet.memberOf("svc", u.ID).idHash] = 60_000
+				}
+				delete(work, h.g.fleet.memberOf("svc", "e3").idHash)
+				h.g.fleet.setRemoteWork(work, boottime.Now())
+				h.g.fleet.shard("svc").engineStateOf(h.g.fleet.memberOf("svc", "e3"), boottime.Now()).tokens = 299_990
+				d := &dispatch{gateway: h.g}
+				for range 20 {
+					r := h.request(6 * time.Second)
+					_, err := d.hold(h.ctx, r, &modelSequence{})
+					h.NoErr(err)
+					a, err := d.startAttempt(r, &modelSequence{})
+					h.NoErr(err)
+					h.Equal(a.choice.upstream.ID, "e3")
+					h.g.fleet.release(a.choice, attemptResult{outcome: outcomeAbandoned})
+				}
+			})
+		})
+	}
+}
+
+// A request whose goroutine panics before its engine is chosen must not delay the decisions on others.
+func TestPanicBeforeTheChoiceDelaysNoOtherRequest(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		r, done := h.request(10*time.Second), make(chan any)
+		go func() {
+			defer func() { done <- recover() }()
+			_, _ = (&dispatch{gateway: h.g}).makeAttempt(h.ctx, r, &modelSequence{})
+		}()
+		synctest.Wait()
+		h.start(h.ctx, h.request(10*time.Second))
+		h.g.holds.mu.Lock()
+		r.Table = nil // makes startAttempt panic
+		h.g.holds.mu.Unlock()
+		start := time.Now()
+		h.g.holds.endHolds()
+		h.True(<-done != nil)
+		h.Equal(h.results(1), []string{"sent"})
+		h.Equal(time.Since(start), time.Duration(0))
+	})
+}
+
+// A verdict that arrives while a request is held must keep it from engines, as one that arrived before:
+// the request terminates the engines that run it.
+func TestRequestIsQuarantinedWhileHeld(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument()
+	for i := range doc.Routes {
+		doc.Routes[i].Timeout, doc.Routes[i].Target = 8*time.Second, 4*time.Second
+	}
+	tg := newTestGateway(t, doc)
+	requests := tg.startUpstream("a", streamEvents(1, 3, false))
+	tg.gateway.settings.Features.HoldRequests = FeatureOn
+	h := &holdTest{g: tg.gateway}
+	h.setWork(6 * time.Second)
+	answered := make(chan callerAnswer)
+	req := tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "8000", "T-Tokens", "100,50")
+	go func() { answered <- tg.do(req) }()
+	eventually(t, "the request is held", func() bool { return tg.gateway.holds.count.Load() == 1 })
+	digest := (&Request{Host: testHost, Method: "POST", Target: "/stream/x", Account: &routing.Account{Name: "acme"}, Body: []byte("body")}).content().Digest()
+	v := quarantine.NewVerdict(quarantine.Finding{Digest: digest, Events: 5, Upstreams: 5}, "h2", boottime.Elapsed())
+	tg.gateway.guard.ApplyStatus(exchange.QuarantineStatus{Verdicts: []quarantine.Verdict{v}})
+	h.setWork(0)
+	is.Equal(strings.TrimSpace((<-answered).body), resultcode.RequestQuarantined.String())
+	is.Equal(requests.count(), 0)
+}
+
+// A caller may leave between the decision to send its request and the attempt, or during the attempt
+// before a connection is there. The engine must not be ejected, since it isn't the cause.
+func TestCallerLeavesAfterTheDecisionToSend(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // the goroutine of the request finds both events, in any order
+		runHoldTest(t, func(h *holdTest) {
+			h.setWork(6 * time.Second)
+			ctx, leave := context.WithCancel(h.ctx)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				result, err := (&dispatch{gateway: h.g}).makeAttempt(ctx, h.request(10*time.Second), &modelSequence{})
+				h.True(result.outcome == outcomeAbandoned || resultcode.FromError(err).Code == resultcode.CallerGone)
+			}()
+			synctest.Wait()
+			s := h.g.holds
+			s.mu.Lock() // keeps the request from being sent before its caller leaves
+			s.queue.EndHolds(boottime.Now())
+			s.deliver(s.queue.Advance(boottime.Now(), func(*admission.Item) admission.Estimate { return admission.Estimate{} }))
+			leave()
+			s.mu.Unlock()
+			<-done
+			h.True(!h.g.fleet.memberOf("svc", "a").ejected(boottime.Now()))
+		})
+	}
+	for _, held := range []*heldRequest{nil, {}} {
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		result := (&attempt{request: &Request{held: held}}).failureResult(ctx, context.Canceled)
+		want := outcomeAbandoned
+		if held == nil {
+			want = outcomeUnsent // as before
+		}
+		is.Equal(result.outcome, want)
+		is.True(result.notReached())
+		is.Equal(result.guardOutcome(), guard.NotRun)
+	}
+}
+
+// A prompt whose caller states an absurd number of tokens must be refused, not sent because its expected
+// time overflows and is negative, nor make the work of its engine negative.
+func TestAbsurdTokenCountIsNoIdleEngine(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		r := h.request(10 * time.Second)
+		r.Prompt.TokensIn = 1 << 62
+		crit := (&dispatch{gateway: h.g}).buildCriteria(r, "", false)
+		e, _ := h.g.fleet.expectedStart(crit)
+		h.True(e.FirstEvent > time.Minute)
+		h.True(e.work > time.Minute)
+		_, ok := h.g.fleet.choose(crit)
+		h.True(ok)
+		next, _ := h.g.fleet.expectedStart(crit)
+		h.True(next.Wait > time.Minute)
+	})
+}
+
+// Requests that arrive every 15 ms must not postpone the decisions on those that are held, which are made
+// every 20 ms: they were sent late although their engine was idle.
+func TestNewRequestsPostponeNoDecision(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.g.fleet.ApplyEntry(Upstream{ID: "b", Service: "svc2", Address: "127.0.0.1:2", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		a, b := h.g.fleet.memberOf("svc", "a").idHash, h.g.fleet.memberOf("svc2", "b").idHash
+		h.g.fleet.setRemoteWork(exchange.Work{a: 6000, b: 6000}, boottime.Now())
+		h.start(h.ctx, h.request(10*time.Second))
+		h.g.fleet.setRemoteWork(exchange.Work{b: 6000}, boottime.Now()) // the engine of svc is idle
+		for range 3 {
+			time.Sleep(15 * time.Millisecond)
+			r := h.request(10 * time.Second)
+			r.Service = "svc2"
+			h.start(h.ctx, r)
+		}
+		h.Equal(len(h.ended), 1)
+		h.results(4)
+	})
+}
--- a/internal/gateway/holdqueue.go
+++ b/internal/gateway/holdqueue.go
@@ -28,6 +28,8 @@
 	queue *admission.HoldQueue
 	held  map[*admission.Item]*heldRequest
 	timer *time.Timer
+	// timerAt is the time for which the timer is set; zero after it fired.
+	timerAt time.Time
 }
 
 func newHolds(g *Gateway) *holds {
@@ -62,23 +64,26 @@
 	}
 }
 
-// started states that the engine of a held request is chosen, or that the request won't be sent. h
-// may be nil.
+// started states that the engine of a held request is chosen, or that the request won't be sent, and
+// then logs the decision. Further calls have no effect. h may be nil.
 func (s *holds) started(h *heldRequest) {
-	if h == nil {
+	if h == nil || h.isStarted {
 		return
 	}
+	h.isStarted = true
 	s.mu.Lock()
 	s.queue.Started(&h.item)
 	s.mu.Unlock()
 	s.wake()
+	h.observe()
 }
 
-// leave removes a request whose caller left.
+// leave removes a request whose caller left, perhaps just after the decision to send it.
 func (s *holds) leave(h *heldRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Remove(&h.item)
+	s.queue.Started(&h.item)
 	delete(s.held, &h.item)
 	s.count.Store(int64(s.queue.Len()))
 }
@@ -105,7 +110,9 @@
 	defer s.mu.Unlock()
 	now := boottime.Now()
 	s.deliver(s.queue.Advance(now, func(it *admission.Item) admission.Estimate {
-		e, _ := s.fleet.expectedStart(s.held[it].crit)
+		h := s.held[it]
+		var e startEstimate
+		e, h.wide = s.fleet.expectedStartBefore(h.crit, it.Deadline)
 		return e.Estimate
 	}))
 	s.schedule(now)
@@ -125,12 +132,20 @@
 func (s *holds) schedule(now time.Time) {
 	s.count.Store(int64(s.queue.Len()))
 	next, ok := s.queue.Next(now)
-	if !ok {
-		return
+	if !ok || s.timerAt.After(now) && !next.Before(s.timerAt) {
+		return // a later time would postpone the decisions with each call
 	}
+	s.timerAt = next
 	if s.timer == nil {
-		s.timer = time.AfterFunc(next.Sub(now), s.advance)
+		s.timer = time.AfterFunc(next.Sub(now), s.timerFired)
 		return
 	}
 	s.timer.Reset(next.Sub(now))
 }
+
+func (s *holds) timerFired() {
+	s.mu.Lock()
+	s.timerAt = time.Time{}
+	s.mu.Unlock()
+	s.advance()
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,11 @@
 	// unsentDemand is the engine time that was recorded as requested on arrival and isn't recorded as
 	// sent yet.
 	unsentDemand time.Duration
+	// held is the hold of the present attempt; nil if it wasn't held.
+	held *heldRequest
+	// sendSoonest is set if the next attempt considers all upstreams, since no upstream of a sample
+	// would have begun the request before its deadline.
+	sendSoonest bool
 
 	answer *answerWriter
 	// runState is the highest run state of all attempts.
@@ -69,6 +74,9 @@
 	// fetchSources are the addresses of the engines that were sources of cached parts for attempts of
 	// the request.
 	fetchSources []string
+	// fetchRejection is the answer of an engine that may not support fetching cached parts; nil if there
+	// is none.
+	fetchRejection *fetchRejection
 	// moved is set if the request's stream was moved; movedVersion is the version of the run that the
 	// move ended. moveTarget is the engine to which it is moved, until the attempt there begins.
 	moved        bool
@@ -138,12 +146,16 @@
 	return p
 }
 
-// parseCount parses a count that the caller stated. It returns 0, which means unknown, for a
-// malformed one, since the counts are only hints.
+// maxTokenCount bounds the counts that callers state. It is some ten times the longest prompt that any
+// model takes; with 1e15 tokens, times and sums of them overflow.
+const maxTokenCount = 10_000_000
+
+// parseCount parses a count that the caller stated, and bounds it. It returns 0, which means unknown,
+// for a malformed one, since the counts are only hints.
 func parseCount(s string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(s))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxTokenCount)
 }
