--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -30,6 +30,9 @@
 	// maxStatedRequests bounds the requests that an engine states, so that a wrong figure doesn't
 	// count for more than a full engine.
 	maxStatedRequests = 1024
+	// maxSlotLoad bounds a report in the mean requests per slot, so that a wrong one doesn't change
+	// the mean by more than a few full engines do.
+	maxSlotLoad = 4
 	// newSamplesRatio is the ratio to the decayed former weight above which remote slowdown sums
 	// contain new samples. Weights are rounded by up to 2.2% in messages.
 	newSamplesRatio = 1.05
@@ -51,7 +54,13 @@
 	// is the number.
 	meanStated float64
 	statements int
-	prunedAt   time.Time
+	// boundedSlotLoad is the decayed mean, over all reports of upstreams, of the requests per slot,
+	// of which each report counts with at most maxSlotLoad.
+	boundedSlotLoad float64
+	// meanRunTime is the decayed mean of the time for which a request was in flight at its engine,
+	// without those that the engine rejected or didn't receive.
+	meanRunTime time.Duration
+	prunedAt    time.Time
 }
 
 // engineState holds the data on one start of an engine from this host's requests.
@@ -72,11 +81,13 @@
 	// active is set if the prompt was placed by the engine's state.
 	active bool
 	// slowdown is the slowdown factor; 0 if unknown. requests is the number of requests at the
-	// engine, slots the number of its batch slots, and slotWait the expected wait for a batch slot. unseenWork is the part of the queued
+	// engine, slots the number of its batch slots, and slotWait the expected wait for a batch slot.
+	// full is set if the requests that are known take all slots. unseenWork is the part of the queued
 	// work that was drawn for requests that no host reported yet.
 	slowdown   float64
 	requests   float64
 	slots      int
+	full       bool
 	slotWait   time.Duration
 	unseenWork time.Duration
 	// usedTokens is the number of tokens in use in the KV cache, neededTokens the number that the
@@ -127,6 +138,11 @@
 	}
 }
 
+// observeSlotLoad adds an upstream's report of its requests per slot to the mean.
+func (e *engineStates) observeSlotLoad(load float64) {
+	e.boundedSlotLoad += meanSlotLoadGain * (min(maxSlotLoad, max(0, load)) - e.boundedSlotLoad)
+}
+
 // remoteLoad returns the load of an engine by the other hosts' requests in flight; ok is false if
 // the data is too old.
 func (e *engineStates) remoteLoad(m *member, now time.Time) (load exchange.EngineLoad, ok bool) {
@@ -164,11 +180,12 @@
 	if v.slots = crit.engines.Slots; v.slots <= 0 {
 		v.slots = m.Slots
 	}
+	v.full = v.slots > 0 && v.requests >= float64(v.slots)
 	unseen := s.drawUnseen(v.slots, now)
 	v.requests = max(float64(m.inFlight), v.requests+unseen.Requests)
 	v.unseenWork = time.Duration(unseen.Prefills * s.queueStats.meanPrefillTime * placement.BoundSlowdown(v.slowdown))
 	v.slotWait = placement.SlotWait(v.requests, v.slots, s.slotHoldTime(), v.slowdown)
-	v.neededTokens = crit.prompt.MemoryTokens(cachedParts, crit.outputTokens)
+	v.neededTokens = crit.prompt.MemoryTokens(cachedParts, crit.outputTokens, crit.engines.MemoryTokens)
 	v.lacksMemory = placement.LacksMemory(v.usedTokens, v.neededTokens, crit.engines.MemoryTokens)
 	return v
 }
@@ -176,7 +193,7 @@
 // slotHoldTime returns the mean time for which a request holds a batch slot: by Little's law, the
 // mean time at an engine, of which requests in excess of the slots are waiting.
 func (s *shard) slotHoldTime() time.Duration {
-	return time.Duration(float64(s.meanRequestTime) / max(1, s.meanSlotLoad))
+	return time.Duration(float64(s.engineStates.meanRunTime) / max(1, s.engineStates.boundedSlotLoad))
 }
 
 // addEngineStates sets the engine states of the candidates and returns them; nil if prompts aren't
@@ -201,11 +218,11 @@
 // their mean time there.
 func (s *shard) drawUnseen(slots int, now time.Time) placement.Unseen {
 	age := now.Sub(s.engineStates.remoteLoadsAt)
-	if s.meanRequestTime <= 0 || age > exchange.MaxWorkAge {
+	if s.engineStates.meanRunTime <= 0 || age > exchange.MaxWorkAge {
 		return placement.Unseen{}
 	}
 	age += exchange.Interval // the mean age of the reports that the hub summed
-	return placement.DrawUnseen(s.meanSlotLoad*float64(slots)*float64(age)/float64(s.meanRequestTime), rand.Float64)
+	return placement.DrawUnseen(s.engineStates.boundedSlotLoad*float64(slots)*float64(age)/float64(s.engineStates.meanRunTime), rand.Float64)
 }
 
 // startMemory counts the tokens of the request in the member's KV cache.
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -24,6 +24,7 @@
 	f := engineFleet()
 	s := f.shard("svc")
 	s.contended, s.servesPrompts, s.meanRequestTime = true, true, 2*time.Second
+	s.engineStates.meanRunTime = s.meanRequestTime
 	for range 20 {
 		s.prefillRates.Observe("m", 1000, 70*time.Millisecond, time.Now())
 		s.prefillRates.Observe("m", 4000, 220*time.Millisecond, time.Now())
@@ -256,3 +257,85 @@
 	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), later)
 	is.Equal(s.engineView(b, &crit, 0, later).requests, 2.0)
 }
+
+// The wait for a batch slot counted as work queued ahead, so that at 7 of 8 slots no answer was a
+// sample of the slowdown or the prefill rate, when both matter most. An answer of a full engine is no
+// sample, since its time contains a wait.
+func TestAnswersUnderLoadAreSamples(t *testing.T) {
+	for requests, want := range map[float64]bool{0: true, 7: true, 8: false, 12: false} {
+		t.Run(fmt.Sprint(requests), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: requests}, "a", "b", "c"), time.Now())
+			before := s.prefillRates.Timings(time.Now())["m"].Answers
+			c, _ := f.choose(stateCriteria(1800))
+			f.headReceived(&c, 110*time.Millisecond)
+			is.Equal(s.prefillRates.Timings(time.Now())["m"].Answers > before, want)
+			is.Equal(s.engineStates.own[s.members[c.upstream.ID].idHash].slowdown.Weight > 0, want)
+		})
+	}
+}
+
+// The stated maximum of generated tokens counted without bound: a request with 30,000 of them at a
+// capacity of 20,000 excluded its engine at all hosts while it ran, and the largest number overflowed.
+func TestStatedOutputIsBounded(t *testing.T) {
+	for _, out := range []int{30_000, math.MaxInt, math.MinInt} {
+		t.Run(fmt.Sprint(out), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			crit := stateCriteria(1000, "a", "c")
+			crit.outputTokens = out
+			c, _ := f.choose(crit)
+			is.True(c.engine.neededTokens >= 1000 && c.engine.neededTokens <= 20_000)
+			next, b := stateCriteria(1000), s.members["b"]
+			is.True(!s.engineView(b, &next, 0, time.Now()).lacksMemory)
+			large := stateCriteria(19_500)
+			large.outputTokens = out
+			is.True(s.engineView(b, &large, 0, time.Now()).neededTokens <= 20_000)
+			f.release(c, attemptResult{outcome: outcomeDone})
+			is.Equal(s.engineView(b, &next, 0, time.Now()).usedTokens, 0.0)
+		})
+	}
+}
+
+// One wrong statement, such as 99999999 running requests, made the mean load so large that all waits
+// for batch slots fell to microseconds for 422 statements.
+func TestOneWrongStatementKeepsSlotWaits(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	crit := stateCriteria(1000)
+	wait := func() time.Duration {
+		f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 24}, "a", "c"), time.Now())
+		return s.engineView(s.members["a"], &crit, 0, time.Now()).slotWait
+	}
+	before := wait()
+	for _, load := range []string{"99999999,0,8,100", "-99999999,0,8,100"} {
+		c, _ := f.choose(stateCriteria(1000, "a", "c"))
+		f.headReceived(&c, 70*time.Millisecond)
+		c.chosenAt = c.chosenAt.Add(-2 * time.Second)
+		f.release(c, attemptResult{outcome: outcomeDone, load: load})
+		is.True(wait() > before/2)
+		is.True(wait() < 2*before)
+	}
+}
+
+// Attempts that an engine rejects or doesn't receive take milliseconds. They counted in the mean time
+// for which requests hold a slot, so that waits looked shorter the more engines rejected.
+func TestRejectedAttemptsDontShortenSlotWaits(t *testing.T) {
+	for _, o := range []outcome{outcomeRefused, outcomeUnsent, outcomeWithheld} {
+		t.Run(o.String(), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			for range 10 {
+				c, _ := f.choose(stateCriteria(1000))
+				f.release(c, attemptResult{outcome: o})
+			}
+			is.Equal(s.slotHoldTime(), 2*time.Second)
+			is.True(s.meanRequestTime < 2*time.Second)
+			c, _ := f.choose(stateCriteria(1000))
+			c.chosenAt = time.Now().Add(-4 * time.Second)
+			f.release(c, attemptResult{outcome: outcomeDone})
+			is.True(s.slotHoldTime() > 2*time.Second)
+		})
+	}
+}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -95,7 +95,7 @@
 		return // nothing was prefilled
 	}
 	s.queueStats.observe(took, c.placement.ExpectedUnqueued)
-	if c.workAhead+c.placement.FetchTime < c.placement.PrefillTime/rateSampleDivisor {
+	if !c.engine.full && c.queuedWork+c.placement.FetchTime < c.placement.PrefillTime/rateSampleDivisor {
 		if m != nil {
 			m.observeMeasuredSlowdown(c, took, boottime.Now())
 		}
@@ -104,8 +104,10 @@
 }
 
 // rateSampleDivisor limits which answers are used as samples of their model's prefill rate: those
-// of prompts for which the estimated work ahead and the transfer of fetched parts together were less
-// than a fourth of the prefill time of the tokens that the engine prefilled itself.
+// of prompts for which the estimated queued work and the transfer of fetched parts together were less
+// than a fourth of the prefill time of the tokens that the engine prefilled itself. The expected wait
+// for a batch slot doesn't count while a slot is free: it is a cost that rises smoothly, and with it no
+// answer was a sample at 7 of 8 slots.
 const rateSampleDivisor = 4
 
 // minRemainingFraction is the minimum fraction of a prefill that counts as remaining until the
@@ -263,12 +265,19 @@
 	f.eachShard(func(s *shard) { s.remoteWork, s.remoteWorkAt = work, at })
 }
 
-// observeRequestTime adds the time for which a request was in flight to the mean.
-func (s *shard) observeRequestTime(took time.Duration) {
-	if s.meanRequestTime == 0 {
-		s.meanRequestTime = took
+// observeRequestTime adds the time for which a request was in flight to the means.
+func (s *shard) observeRequestTime(took time.Duration, result *attemptResult) {
+	addRequestTime(&s.meanRequestTime, took)
+	if !result.notReached() && result.outcome != outcomeRefused {
+		addRequestTime(&s.engineStates.meanRunTime, took)
 	}
-	s.meanRequestTime += time.Duration(requestTimeGain * float64(took-s.meanRequestTime))
+}
+
+func addRequestTime(mean *time.Duration, took time.Duration) {
+	if *mean == 0 {
+		*mean = took
+	}
+	*mean += time.Duration(requestTimeGain * float64(took-*mean))
 }
 
 // totalWork returns the work in flight of all hosts at the upstream. The second result is false if
