placement: incomplete sums of a hub don't replace an engine's statement

Cause: the engine's own statement counted only until the next reply of the hub, at most 300 ms. The sums of a hub that just started, or lost another hub, contain few hosts.

What callers saw: an engine that stated 8 running and 16 waiting requests counted with 2 a moment later, and its slot wait fell from 4.25 s to 1.4 ms. Requests were sent to full engines.

Change: the maximum of the sums and a statement of the last exchange.MaxWorkAge counts.

Ruled out: the newer of both, with the age of the reports that were summed: the age says nothing of the missing hosts.

Test: TestIncompleteSumsDontReplaceStatement failed before (2, wanted 24), passes.

--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -152,14 +152,14 @@
 	v.slowdown = slowdown.Factor(now)
 
 	v.requests, v.usedTokens = float64(m.inFlight), float64(own.tokens)
-	remote, ok := all.remoteLoad(m, now)
-	if ok {
+	if remote, ok := all.remoteLoad(m, now); ok {
 		v.requests += remote.Requests
 		v.usedTokens += remote.Tokens
 		v.remoteAge = now.Sub(all.remoteLoadsAt)
 	}
-	if now.Sub(own.statedAt) <= exchange.MaxWorkAge && (!ok || own.statedAt.After(all.remoteLoadsAt)) {
-		v.requests = float64(max(m.inFlight, own.statedRequests+m.inFlight-own.ownAtStatement))
+	if now.Sub(own.statedAt) <= exchange.MaxWorkAge {
+		// The sums of a hub that just started, or lost another hub, are incomplete.
+		v.requests = max(v.requests, float64(own.statedRequests+m.inFlight-own.ownAtStatement))
 	}
 	if v.slots = crit.engines.Slots; v.slots <= 0 {
 		v.slots = m.Slots
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -237,3 +237,22 @@
 	}
 	is.Equal(s.engineView(s.members["b"], &crit, 0, time.Now()).requests, 24.0)
 }
+
+// The sums of a hub that has few reports yet replaced an engine's own statement, which was 1 ms
+// older: a full engine looked idle. The statement must count until it is older than MaxWorkAge.
+func TestIncompleteSumsDontReplaceStatement(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	c, _ := f.choose(stateCriteria(1000, "a", "c"))
+	f.headReceived(&c, 70*time.Millisecond)
+	f.headLoadReceived(&c, "8,16,8,100")
+	crit, b := stateCriteria(1000), s.members["b"]
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), time.Now())
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 30}, "b"), time.Now())
+	is.Equal(s.engineView(b, &crit, 0, time.Now()).requests, 31.0)
+	later := time.Now().Add(exchange.MaxWorkAge + time.Millisecond)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), later)
+	is.Equal(s.engineView(b, &crit, 0, later).requests, 2.0)
+}
