placement: answers of engines with a free slot are samples again

Cause: workAhead contains the expected wait for a batch slot since placement by engine state, and an answer is a sample only if the work ahead is below a fourth of its prefill time. The wait rises smoothly before the slots are full.

What callers saw: at 7 of 8 slots 0 of 50 answers, at 6 of 8 22 of 50 were samples of the slowdown and the prefill rate. Under load, when engines slow down, hosts went on with old expected times.

Change: the queued work alone decides, and an engine whose known requests take all slots gives no sample.

Ruled out: the draw of unseen requests in that comparison: it would drop answers at random.

Test: TestAnswersUnderLoadAreSamples failed before (at 7 of 8), passes. go test ./internal/gateway -run 'Engine|State|Slowdown|Samples|Contended|Restarted|Wrong|Work|Figures|Fetch|Prefill|Sample|Statement|Idle': ok.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -33,11 +33,12 @@
 	// and for plain services.
 	prefill *prefill
 	// placement is the placement decision for the prompt. workAhead is the estimated time until the
-	// engine begins this prompt: it processes other prompts before, and may have no free batch slot.
-	// engine is the state of the engine that the decision is based on. cachedPartCount is the number of the
+	// engine begins this prompt: it processes other prompts before, which take queuedWork, and may
+	// have no free batch slot. engine is the state of the engine that the decision is based on. cachedPartCount is the number of the
 	// prompt's leading parts that the engine has cached.
 	placement       placement.Choice
 	workAhead       time.Duration
+	queuedWork      time.Duration
 	engine          engineView
 	cachedPartCount int
 	// fetchFrom is the address of the engine from which the chosen one is to fetch parts of the
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -72,11 +72,13 @@
 	// active is set if the prompt was placed by the engine's state.
 	active bool
 	// slowdown is the slowdown factor; 0 if unknown. requests is the number of requests at the
-	// engine, slots the number of its batch slots, and slotWait the expected wait for a batch slot. unseenWork is the part of the queued
+	// engine, slots the number of its batch slots, and slotWait the expected wait for a batch slot.
+	// full is set if the requests that are known take all slots. unseenWork is the part of the queued
 	// work that was drawn for requests that no host reported yet.
 	slowdown   float64
 	requests   float64
 	slots      int
+	full       bool
 	slotWait   time.Duration
 	unseenWork time.Duration
 	// usedTokens is the number of tokens in use in the KV cache, neededTokens the number that the
@@ -164,6 +166,7 @@
 	if v.slots = crit.engines.Slots; v.slots <= 0 {
 		v.slots = m.Slots
 	}
+	v.full = v.slots > 0 && v.requests >= float64(v.slots)
 	unseen := s.drawUnseen(v.slots, now)
 	v.requests = max(float64(m.inFlight), v.requests+unseen.Requests)
 	v.unseenWork = time.Duration(unseen.Prefills * s.queueStats.meanPrefillTime * placement.BoundSlowdown(v.slowdown))
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -256,3 +256,21 @@
 	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), later)
 	is.Equal(s.engineView(b, &crit, 0, later).requests, 2.0)
 }
+
+// The wait for a batch slot counted as work queued ahead, so that at 7 of 8 slots no answer was a
+// sample of the slowdown or the prefill rate, when both matter most. An answer of a full engine is no
+// sample, since its time contains a wait.
+func TestAnswersUnderLoadAreSamples(t *testing.T) {
+	for requests, want := range map[float64]bool{0: true, 7: true, 8: false, 12: false} {
+		t.Run(fmt.Sprint(requests), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: requests}, "a", "b", "c"), time.Now())
+			before := s.prefillRates.Timings(time.Now())["m"].Answers
+			c, _ := f.choose(stateCriteria(1800))
+			f.headReceived(&c, 110*time.Millisecond)
+			is.Equal(s.prefillRates.Timings(time.Now())["m"].Answers > before, want)
+			is.Equal(s.engineStates.own[s.members[c.upstream.ID].idHash].slowdown.Weight > 0, want)
+		})
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,7 +42,8 @@
 		Random:     rand.Float64(),
 	}, candidates)
 	picked := &candidates[c.placement.Index]
-	c.workAhead, c.cachedPartCount = picked.QueuedWork+picked.SlotWait, picked.CachedParts
+	c.queuedWork, c.cachedPartCount = picked.QueuedWork, picked.CachedParts
+	c.workAhead = picked.QueuedWork + picked.SlotWait
 	if views != nil {
 		c.engine = views[c.placement.Index]
 	}
