placement: what a caller states as output is bounded in the tokens of an engine

Cause: a request counted in the KV cache with the caller's maximum of generated tokens, without a bound.

What callers saw: a request with 30,000 tokens out at a capacity of 20,000 excluded its engine at all hosts while it ran. The largest number overflowed to a negative one, so that a full engine had room.

Change: the output counts with at most what the prompt leaves of the capacity, and at most a fourth of the capacity; the sum is at most the capacity, and 0 where the capacity is unknown (it decides nothing there). With the first bound alone, such a request would still count as much as the whole KV cache.

Ruled out: ignoring maxima without an estimate, which would make long streams count as nothing.

Test: TestStatedOutputIsBounded failed before (30,000 and MaxInt), passes. go test ./internal/gateway ./placement -run 'Engine|State|Slowdown|Samples|Contended|Restarted|Wrong|Work|Figures|Fetch|Prefill|Sample|Statement|Idle|Memory': ok, go test ./placement: ok.

--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -171,7 +171,7 @@
 	v.requests = max(float64(m.inFlight), v.requests+unseen.Requests)
 	v.unseenWork = time.Duration(unseen.Prefills * s.queueStats.meanPrefillTime * placement.BoundSlowdown(v.slowdown))
 	v.slotWait = placement.SlotWait(v.requests, v.slots, s.slotHoldTime(), v.slowdown)
-	v.neededTokens = crit.prompt.MemoryTokens(cachedParts, crit.outputTokens)
+	v.neededTokens = crit.prompt.MemoryTokens(cachedParts, crit.outputTokens, crit.engines.MemoryTokens)
 	v.lacksMemory = placement.LacksMemory(v.usedTokens, v.neededTokens, crit.engines.MemoryTokens)
 	return v
 }
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -274,3 +274,25 @@
 		})
 	}
 }
+
+// The stated maximum of generated tokens counted without bound: a request with 30,000 of them at a
+// capacity of 20,000 excluded its engine at all hosts while it ran, and the largest number overflowed.
+func TestStatedOutputIsBounded(t *testing.T) {
+	for _, out := range []int{30_000, math.MaxInt, math.MinInt} {
+		t.Run(fmt.Sprint(out), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			crit := stateCriteria(1000, "a", "c")
+			crit.outputTokens = out
+			c, _ := f.choose(crit)
+			is.True(c.engine.neededTokens >= 1000 && c.engine.neededTokens <= 20_000)
+			next, b := stateCriteria(1000), s.members["b"]
+			is.True(!s.engineView(b, &next, 0, time.Now()).lacksMemory)
+			large := stateCriteria(19_500)
+			large.outputTokens = out
+			is.True(s.engineView(b, &large, 0, time.Now()).neededTokens <= 20_000)
+			f.release(c, attemptResult{outcome: outcomeDone})
+			is.Equal(s.engineView(b, &next, 0, time.Now()).usedTokens, 0.0)
+		})
+	}
+}
--- a/placement/engineload.go
+++ b/placement/engineload.go
@@ -70,11 +70,20 @@
 	return n
 }
 
+// maxOutputShare bounds the generated tokens that count for a request, as a fraction of the KV cache's
+// capacity. Callers state any number; an answer within a deadline of 25 s has far fewer than the
+// 69,000 or more tokens that are a fourth of an engine's capacity.
+const maxOutputShare = 0.25
+
 // MemoryTokens returns the number of tokens that a request with the prompt and the given number of
 // generated tokens needs in the KV cache of an engine that caches the first n parts. Cached parts
-// are there already, and requests that run concurrently share them.
-func (p *Prompt) MemoryTokens(n, outputTokens int) int {
-	return p.uncachedTokens(n) + max(0, outputTokens)
+// are there already, and requests that run concurrently share them. The number is at most the
+// capacity of the KV cache, so that sums can't overflow; it is 0 if the capacity is unknown (0).
+func (p *Prompt) MemoryTokens(n, outputTokens, capacity int) int {
+	capacity = max(0, capacity)
+	uncached := min(p.uncachedTokens(n), capacity)
+	output := min(max(0, outputTokens), int(maxOutputShare*float64(capacity)))
+	return uncached + min(output, capacity-uncached)
 }
 
 // LacksMemory reports whether a request that needs the given number of tokens has no room in a KV
