placement: a wrong statement doesn't end the waits for batch slots

Cause: the time for which a request holds a slot is the mean time divided by the mean requests per slot, and that mean takes each statement without a bound.

What callers saw: after one statement of running requests the slot wait of an engine with 24 requests at 8 slots fell from 4.1 s to 8 us, for 422 statements. Full engines looked free.

Change: engineStates keeps a mean of its own, in which a report counts with 0 to 4 requests per slot, for slotHoldTime and drawUnseen. meanSlotLoad stays as it was for its other uses.

Ruled out: bounding meanSlotLoad itself, which other services use.

Test: TestOneWrongStatementKeepsSlotWaits failed before, passes (200 of 200). go test ./internal/gateway ./placement -run 'Engine|State|Slowdown|Samples|Contended|Restarted|Wrong|Work|Figures|Fetch|Prefill|Sample|Statement|Idle|Memory': ok.

--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -30,6 +30,9 @@
 	// maxStatedRequests bounds the requests that an engine states, so that a wrong figure doesn't
 	// count for more than a full engine.
 	maxStatedRequests = 1024
+	// maxSlotLoad bounds a report in the mean requests per slot, so that a wrong one doesn't change
+	// the mean by more than a few full engines do.
+	maxSlotLoad = 4
 	// newSamplesRatio is the ratio to the decayed former weight above which remote slowdown sums
 	// contain new samples. Weights are rounded by up to 2.2% in messages.
 	newSamplesRatio = 1.05
@@ -51,7 +54,10 @@
 	// is the number.
 	meanStated float64
 	statements int
-	prunedAt   time.Time
+	// boundedSlotLoad is the decayed mean, over all reports of upstreams, of the requests per slot,
+	// of which each report counts with at most maxSlotLoad.
+	boundedSlotLoad float64
+	prunedAt        time.Time
 }
 
 // engineState holds the data on one start of an engine from this host's requests.
@@ -129,6 +135,11 @@
 	}
 }
 
+// observeSlotLoad adds an upstream's report of its requests per slot to the mean.
+func (e *engineStates) observeSlotLoad(load float64) {
+	e.boundedSlotLoad += meanSlotLoadGain * (min(maxSlotLoad, max(0, load)) - e.boundedSlotLoad)
+}
+
 // remoteLoad returns the load of an engine by the other hosts' requests in flight; ok is false if
 // the data is too old.
 func (e *engineStates) remoteLoad(m *member, now time.Time) (load exchange.EngineLoad, ok bool) {
@@ -179,7 +190,7 @@
 // slotHoldTime returns the mean time for which a request holds a batch slot: by Little's law, the
 // mean time at an engine, of which requests in excess of the slots are waiting.
 func (s *shard) slotHoldTime() time.Duration {
-	return time.Duration(float64(s.meanRequestTime) / max(1, s.meanSlotLoad))
+	return time.Duration(float64(s.meanRequestTime) / max(1, s.engineStates.boundedSlotLoad))
 }
 
 // addEngineStates sets the engine states of the candidates and returns them; nil if prompts aren't
@@ -207,7 +218,7 @@
 		return placement.Unseen{}
 	}
 	age += exchange.Interval // the mean age of the reports that the hub summed
-	return placement.DrawUnseen(s.meanSlotLoad*float64(slots)*float64(age)/float64(s.meanRequestTime), rand.Float64)
+	return placement.DrawUnseen(s.engineStates.boundedSlotLoad*float64(slots)*float64(age)/float64(s.meanRequestTime), rand.Float64)
 }
 
 // startMemory counts the tokens of the request in the member's KV cache.
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -296,3 +296,24 @@
 		})
 	}
 }
+
+// One wrong statement, such as 99999999 running requests, made the mean load so large that all waits
+// for batch slots fell to microseconds for 422 statements.
+func TestOneWrongStatementKeepsSlotWaits(t *testing.T) {
+	is := is.New(t)
+	f, s := contendedFleet()
+	crit := stateCriteria(1000)
+	wait := func() time.Duration {
+		f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 24}, "a", "c"), time.Now())
+		return s.engineView(s.members["a"], &crit, 0, time.Now()).slotWait
+	}
+	before := wait()
+	for _, load := range []string{"99999999,0,8,100", "-99999999,0,8,100"} {
+		c, _ := f.choose(stateCriteria(1000, "a", "c"))
+		f.headReceived(&c, 70*time.Millisecond)
+		c.chosenAt = c.chosenAt.Add(-2 * time.Second)
+		f.release(c, attemptResult{outcome: outcomeDone, load: load})
+		is.True(wait() > before/2)
+		is.True(wait() < 2*before)
+	}
+}
