placement: attempts that didn't run don't shorten the expected slot waits

Cause: the mean time for which a request holds a batch slot contained attempts that the engine rejected or didn't receive, which take milliseconds.

What callers saw: with a quarter of 40 attempts rejected, the hold time fell from 2 s to 1.6 s, so that waits looked shorter the more engines rejected, and more requests were sent to full engines.

Change: a mean over the attempts that were run is kept for slotHoldTime and drawUnseen. totalWork goes on with the mean over all attempts.

Ruled out: leaving out attempts that the gateway ended (caller gone, deadline, time-out): they held a slot for that time.

Test: TestRejectedAttemptsDontShortenSlotWaits failed before (1.2 s in place of 2 s), passes. contendedFleet sets the new mean. go test ./internal/gateway ./placement -run 'Engine|State|Slowdown|Samples|Contended|Restarted|Wrong|Work|Figures|Fetch|Prefill|Sample|Statement|Idle|Memory|Rejected': ok.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -131,7 +131,7 @@
 		return
 	}
 	now := boottime.Now()
-	s.observeRequestTime(now.Sub(c.chosenAt))
+	s.observeRequestTime(now.Sub(c.chosenAt), &result)
 	awaitedHead := c.prefill != nil // otherwise, headLoadReceived recorded the load
 	m.endRequest(&c)
 	if awaitedHead && result.load != "" {
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -57,7 +57,10 @@
 	// boundedSlotLoad is the decayed mean, over all reports of upstreams, of the requests per slot,
 	// of which each report counts with at most maxSlotLoad.
 	boundedSlotLoad float64
-	prunedAt        time.Time
+	// meanRunTime is the decayed mean of the time for which a request was in flight at its engine,
+	// without those that the engine rejected or didn't receive.
+	meanRunTime time.Duration
+	prunedAt    time.Time
 }
 
 // engineState holds the data on one start of an engine from this host's requests.
@@ -190,7 +193,7 @@
 // slotHoldTime returns the mean time for which a request holds a batch slot: by Little's law, the
 // mean time at an engine, of which requests in excess of the slots are waiting.
 func (s *shard) slotHoldTime() time.Duration {
-	return time.Duration(float64(s.meanRequestTime) / max(1, s.engineStates.boundedSlotLoad))
+	return time.Duration(float64(s.engineStates.meanRunTime) / max(1, s.engineStates.boundedSlotLoad))
 }
 
 // addEngineStates sets the engine states of the candidates and returns them; nil if prompts aren't
@@ -214,11 +217,11 @@
 // their mean time there.
 func (s *shard) drawUnseen(slots int, now time.Time) placement.Unseen {
 	age := now.Sub(s.engineStates.remoteLoadsAt)
-	if s.meanRequestTime <= 0 || age > exchange.MaxWorkAge {
+	if s.engineStates.meanRunTime <= 0 || age > exchange.MaxWorkAge {
 		return placement.Unseen{}
 	}
 	age += exchange.Interval // the mean age of the reports that the hub summed
-	return placement.DrawUnseen(s.engineStates.boundedSlotLoad*float64(slots)*float64(age)/float64(s.meanRequestTime), rand.Float64)
+	return placement.DrawUnseen(s.engineStates.boundedSlotLoad*float64(slots)*float64(age)/float64(s.engineStates.meanRunTime), rand.Float64)
 }
 
 // startMemory counts the tokens of the request in the member's KV cache.
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -24,6 +24,7 @@
 	f := engineFleet()
 	s := f.shard("svc")
 	s.contended, s.servesPrompts, s.meanRequestTime = true, true, 2*time.Second
+	s.engineStates.meanRunTime = s.meanRequestTime
 	for range 20 {
 		s.prefillRates.Observe("m", 1000, 70*time.Millisecond, time.Now())
 		s.prefillRates.Observe("m", 4000, 220*time.Millisecond, time.Now())
@@ -317,3 +318,24 @@
 		is.True(wait() < 2*before)
 	}
 }
+
+// Attempts that an engine rejects or doesn't receive take milliseconds. They counted in the mean time
+// for which requests hold a slot, so that waits looked shorter the more engines rejected.
+func TestRejectedAttemptsDontShortenSlotWaits(t *testing.T) {
+	for _, o := range []outcome{outcomeRefused, outcomeUnsent, outcomeWithheld} {
+		t.Run(o.String(), func(t *testing.T) {
+			is := is.New(t)
+			f, s := contendedFleet()
+			for range 10 {
+				c, _ := f.choose(stateCriteria(1000))
+				f.release(c, attemptResult{outcome: o})
+			}
+			is.Equal(s.slotHoldTime(), 2*time.Second)
+			is.True(s.meanRequestTime < 2*time.Second)
+			c, _ := f.choose(stateCriteria(1000))
+			c.chosenAt = time.Now().Add(-4 * time.Second)
+			f.release(c, attemptResult{outcome: outcomeDone})
+			is.True(s.slotHoldTime() > 2*time.Second)
+		})
+	}
+}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -265,12 +265,19 @@
 	f.eachShard(func(s *shard) { s.remoteWork, s.remoteWorkAt = work, at })
 }
 
-// observeRequestTime adds the time for which a request was in flight to the mean.
-func (s *shard) observeRequestTime(took time.Duration) {
-	if s.meanRequestTime == 0 {
-		s.meanRequestTime = took
+// observeRequestTime adds the time for which a request was in flight to the means.
+func (s *shard) observeRequestTime(took time.Duration, result *attemptResult) {
+	addRequestTime(&s.meanRequestTime, took)
+	if !result.notReached() && result.outcome != outcomeRefused {
+		addRequestTime(&s.engineStates.meanRunTime, took)
 	}
-	s.meanRequestTime += time.Duration(requestTimeGain * float64(took-s.meanRequestTime))
+}
+
+func addRequestTime(mean *time.Duration, took time.Duration) {
+	if *mean == 0 {
+		*mean = took
+	}
+	*mean += time.Duration(requestTimeGain * float64(took-*mean))
 }
 
 // totalWork returns the work in flight of all hosts at the upstream. The second result is false if
