exchange: queries to other seeds carry engine states by what the seed last answered

Cause: whether a query carried loads, and which slice of slowdowns, depended on the number of reports at its start. A query that takes longer than an interval leaves out exchanges, so that only those exchanges that aren't due may be left.

Change: the state of the queries to a seed holds when the last ones with loads and with slowdowns started that the seed answered, and the slice; what is due depends on these times.

Ruled out: doing the same for timings and the use of accounts, which also serve services for which no feature is active; 7 is odd, so they are due in every second query of that kind.

Test: TestLoadsOfOtherSeedsWithSlowQueries failed before (already at its first check, 10 s after the start with queries of 200 ms), passes. The fleet of the tests has a delay of queries for it.

--- a/internal/exchange/enginestate.go
+++ b/internal/exchange/enginestate.go
@@ -378,14 +378,32 @@
 	return m.ownHub.otherEngines("", slice, toHub, maxHubLoads)
 }
 
-// engineQuery returns the engine states of a query to another seed; nil if none are due or no host
-// sent any here.
-func (m *Member) engineQuery() *EngineStates {
-	slice, due := m.enginesDue()
-	if !due || !m.ownHub.hasEngines() {
-		return nil
+// engineAnswers is what another seed last answered on engines: when the last queries with loads and
+// with slowdowns started that it answered, and the slice of these slowdowns.
+type engineAnswers struct {
+	loadsAt, slowdownsAt time.Time
+	slice                int
+}
+
+// engineQuery returns the engine states of a query to a seed that gave the answers, and the answers
+// once it has answered this query. The states are nil if none are due or no host sent any here. What
+// is due depends on the time and not on the number of the exchange, because a query that takes longer
+// than an interval leaves out exchanges.
+func (m *Member) engineQuery(last engineAnswers) (*EngineStates, engineAnswers) {
+	now := boottime.Now()
+	due := func(at time.Time, exchanges int) bool {
+		return now.Sub(at) >= time.Duration(exchanges)*Interval-Interval/2
+	}
+	if !due(last.loadsAt, exchangesPerLoads) || !m.ownHub.hasEngines() {
+		return nil, last
+	}
+	query := &EngineStates{}
+	last.loadsAt = now
+	if due(last.slowdownsAt, exchangesPerSlowdowns) {
+		last.slowdownsAt, last.slice = now, last.slice%slowdownSlices+1
+		query.Slice = last.slice
 	}
-	return &EngineStates{Slice: slice}
+	return query, last
 }
 
 // deliverEngines passes the other hosts' engine states, as of the given time, to OnEngines.
--- a/internal/exchange/enginestate_test.go
+++ b/internal/exchange/enginestate_test.go
@@ -180,3 +180,34 @@
 	is.True(math.Abs(tokens-5000) < 0.05*5000)
 	is.True(len(got.Loads) <= maxRepliedLoads+1) // an entry for each service
 }
+
+// What a query to another seed carried depended on the number of this seed's reports at its start. With
+// queries of 200 ms, every second report starts one; from the start, or after a single slow query, these
+// could be the ones without loads, and hosts counted only the loads of their own hub's followers.
+func TestLoadsOfOtherSeedsWithSlowQueries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12, 3, 0)
+		delay := func(d time.Duration) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.queryDelay = d
+		}
+		delay(200 * time.Millisecond)
+		for i, h := range f.hosts {
+			h.mu.Lock()
+			h.engines = 1 + i
+			h.mu.Unlock()
+		}
+		time.Sleep(10 * time.Second)
+		is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.receivedFrom(11) }))
+		delay(320 * time.Millisecond)
+		time.Sleep(290 * time.Millisecond) // one query
+		delay(200 * time.Millisecond)
+		time.Sleep(20 * time.Second)
+		for range 20 {
+			is.True(f.allHostsMatch(func(h *fleetHost) bool { return h.receivedFrom(11) }))
+			time.Sleep(170 * time.Millisecond)
+		}
+	})
+}
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -241,6 +241,8 @@
 	// hosts can't reach each other; nil means that all can.
 	cold         []ratelease.UpstreamID
 	disconnected func(from, to *fleetHost) bool
+	// queryDelay is the time that a query to another seed takes; 0 means the usual one.
+	queryDelay time.Duration
 }
 
 // newFleet starts the given number of hosts, spread over the zones, and a store whose table has
@@ -364,6 +366,7 @@
 	if to != nil && n.fleet.disconnected != nil && n.fleet.disconnected(n.from, to) {
 		to = nil
 	}
+	queryDelay := n.fleet.queryDelay
 	n.fleet.mu.Unlock()
 	if to == nil {
 		<-ctx.Done()
@@ -373,6 +376,9 @@
 	if to.zone != n.from.zone {
 		delay = 1400 * time.Microsecond
 	}
+	if report.HubQuery && queryDelay > 0 {
+		delay = queryDelay / 2
+	}
 	sent, err := json.Marshal(report)
 	if err != nil {
 		return Reply{}, err
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -27,6 +27,8 @@
 	promisesSince uint64
 	// limitsCursor is the position in the seed's limit log up to which the log was received.
 	limitsCursor ratelease.LogCursor
+	// engines is what the seed last answered on engines.
+	engines engineAnswers
 }
 
 // querySeeds queries each of the other seeds for the sums over its followers. The queries run
@@ -40,23 +42,25 @@
 		if !ok {
 			continue
 		}
+		answered := state.engines
 		report := Report{
 			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, PromisesSince: state.promisesSince, Revisions: m.revisions(),
-			WantTimings: m.reportCount%exchangesPerTimings == 1, Engines: m.engineQuery(),
+			WantTimings: m.reportCount%exchangesPerTimings == 1,
 		}
+		report.Engines, state.engines = m.engineQuery(answered)
 		requestedAt := boottime.Now()
 		go func() {
 			reply, err := callWithTimeout(ctx, net, seed, report)
 			if err != nil {
 				net.disconnect(seed)
-				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince})
+				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince, engines: answered})
 				return
 			}
 			m.ownHub.recordHubReply(seed, reply, reply.Hosts)
 			m.ownHub.recordLimits(true, reply.Limits.Updates, false)
 			m.deliverQuarantineStatus(reply.QuarantineStatus)
 			m.offerTablesIfDisconnected(reply, requestedAt)
-			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true})
+			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, engines: state.engines})
 		}()
 	}
 }
