gateway: a service is contended until a minute after the last statement

Cause: shard.contended was set by one statement of one upstream and never cleared.

What callers saw: one wrong header, or one upstream of another kind that is gone, kept all features for contended services active for the service until the host ended.

Change: the shard holds the time of the last statement, and isContended clears the mark after a minute without one.

Ruled out: clearing it by a statement of three figures, which would alternate while a service has both kinds of upstreams.

Test: TestServiceIsNotContendedForeverByOneStatement failed before, passes. go test ./internal/gateway -run 'Contended|Engine|State': ok.

--- a/internal/gateway/contended.go
+++ b/internal/gateway/contended.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 )
 
 // FeatureMode states for which services a feature is active.
@@ -56,7 +58,12 @@
 
 // isContended reports whether the shard's service is a contended one. The caller holds the shard's
 // lock.
-func (s *shard) isContended() bool { return s.contended || s.policy.allContended }
+func (s *shard) isContended() bool {
+	if s.contended && !s.contendedAt.IsZero() && boottime.Since(s.contendedAt) > contendedRetention {
+		s.contended = false
+	}
+	return s.contended || s.policy.allContended
+}
 
 // isActive reports whether the feature is active for the shard's service. The caller holds the
 // shard's lock.
@@ -68,6 +75,10 @@
 	// slowdownField is the index of the field of the load header that states how long work takes,
 	// in percent of the usual time.
 	slowdownField = 3
+	// contendedRetention is how long a service is contended after the last statement of one of its
+	// upstreams. A host with a request every few seconds must not alternate between both ways of
+	// serving.
+	contendedRetention = time.Minute
 	// maxStatedSlowdown bounds the statement, so that a wrong one doesn't exclude an upstream.
 	maxStatedSlowdown = 10
 )
@@ -80,5 +91,5 @@
 	}
 	u := m.ensureUsage()
 	u.statedSlowdown, u.statedSlowdownAt = min(value/100, maxStatedSlowdown), now
-	m.shard.contended = true
+	m.shard.contended, m.shard.contendedAt = true, now
 }
--- a/internal/gateway/contended_test.go
+++ b/internal/gateway/contended_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -48,3 +50,31 @@
 	is.True(tg.gateway.fleet.isActive(FeatureAuto, "svc"))
 	is.True(!tg.gateway.fleet.isActive(FeatureOff, "svc"))
 }
+
+// One statement of one upstream activated the features until the host ended, also for a service whose
+// upstreams were all replaced by ones that state nothing. A service counts as contended for a minute
+// after the last statement.
+func TestServiceIsNotContendedForeverByOneStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := engineFleet()
+		state := func(load string) {
+			c, _ := f.choose(unsharedPromptCriteria(1000))
+			f.headLoadReceived(&c, load)
+			f.release(c, attemptResult{outcome: outcomeDone})
+		}
+		state("3,0,8,140")
+		for range 10 {
+			time.Sleep(contendedRetention - time.Second)
+			is.True(f.isActive(FeatureAuto, "svc"))
+			state("3,0,8,140")
+		}
+		time.Sleep(contendedRetention - time.Second)
+		state("3,0,8")
+		time.Sleep(2 * time.Second)
+		is.True(!f.isActive(FeatureAuto, "svc"))
+		is.True(f.isActive(FeatureOn, "svc"))
+		state("3,0,8,140")
+		is.True(f.isActive(FeatureAuto, "svc"))
+	})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -102,8 +102,10 @@
 	// each priority, meanPrefill the decayed mean prefill time of prompts that take at least half
 	// that mean.
 	servesPrompts bool
-	// contended is set once an upstream stated how long work takes on its machine, which it shares.
+	// contended is set while an upstream stated within contendedRetention how long work takes on its
+	// machine, which it shares; contendedAt is the time of the last statement.
 	contended    bool
+	contendedAt  time.Time
 	prefillRates *placement.PrefillEstimator
 	// remoteTimings are the prefill rates that other hosts measured, for models that this host
 	// hasn't used yet.
