--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -29,7 +29,7 @@
 	AccountShares    string `help:"Divide the engines' time among the client accounts." enum:"auto,on,off" default:"auto"`
 	ReturnSchedule   string `help:"Give refused callers times at which there is capacity for them." enum:"auto,on,off" default:"auto"`
 	CacheFetch       string `help:"Let engines fetch cached parts of prompts from each other." enum:"auto,on,off" default:"auto"`
-	StreamMoves      string `help:"Move streams that can't end in time to other engines." enum:"auto,on,off" default:"auto"`
+	StreamMoves      string `help:"Move streams that can't end in time to other engines." enum:"auto,on,off" default:"off"`
 }
 
 // memoryLimitPercent is the soft memory limit, at which the garbage collector
