exchange: a host's use of accounts counts between slow exchanges, too

Cause: a host sends its use in one of 7 exchanges, and the hub dropped it after 2.25 s, computed from 150 ms an exchange. Exchanges may take up to 600 ms. Hosts saw: from 322 ms an exchange on, the use of hosts that report was missing between its expiry and the next report with use, so that the sums and the shares jumped. Change: the use is dropped after 14 reports of that host without use. A host that dies is dropped after MaxWorkAge, as before. Ruled out: use that is due by time. The flag that asks for use asks for the models' timings, too, so that these would be exchanged more often also where no account is counted; a longer lifetime, which depends on callTimeout. Tests: TestUseCountsBetweenSlowExchanges failed before (no use between two reports at 450 ms an exchange); TestHubSumsTheUseOfAccounts counts reports instead of time. go test ./internal/exchange -run 'AccountUse|Use|Fleet': ok (255 s).

--- a/internal/exchange/accountuse.go
+++ b/internal/exchange/accountuse.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/quetzalweir/quetzalweir/fairshare"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -28,9 +27,10 @@
 	// error of at most 1/65,536. With 16 bits it would be 1/256, and errors of what accounts requested
 	// and received could add up to a visible difference between the two.
 	rateSize = 3
-	// accountUseLifetime is the age from which a host's use doesn't count any more although the host
-	// still reports: it has no use to report. One exchange with use may fail before.
-	accountUseLifetime = (2*exchangesPerTimings + 1) * Interval
+	// maxReportsWithoutUse is the number of reports without use after which a host's former use doesn't
+	// count any more although the host still reports: it has no use to report. One exchange with use may
+	// fail before. Reports are counted because an exchange may take much longer than Interval.
+	maxReportsWithoutUse = 2 * exchangesPerTimings
 )
 
 var errAccountUse = errors.New("exchange: the use of accounts can't be decoded")
@@ -104,17 +104,23 @@
 	return bounded
 }
 
-// hostAccountUse is the use that a host or another hub reported last.
+// hostAccountUse is the use that a host or another hub reported last, and the number of its reports
+// without use since then.
 type hostAccountUse struct {
-	use AccountUse
-	at  time.Time
+	use               AccountUse
+	reportsWithoutUse int
 }
 
 // recordAccountUse stores the use of a host or another hub under its key in the reports, in place
 // of its previous one. The caller holds the lock.
 func (h *hub) recordAccountUse(key string, u AccountUse) {
 	if len(u) > 0 {
-		h.accountUse[key] = hostAccountUse{use: u.bounded(), at: boottime.Now()}
+		h.accountUse[key] = hostAccountUse{use: u.bounded()}
+		return
+	}
+	if last, ok := h.accountUse[key]; ok {
+		last.reportsWithoutUse++
+		h.accountUse[key] = last
 	}
 }
 
@@ -126,7 +132,7 @@
 	sums := make(map[IDHash]map[fairshare.AccountID]fairshare.AccountUse)
 	for key, reported := range h.accountUse {
 		received, ok := h.reports[key]
-		if !ok || boottime.Since(reported.at) > accountUseLifetime {
+		if !ok || reported.reportsWithoutUse > maxReportsWithoutUse {
 			delete(h.accountUse, key)
 			continue
 		}
--- a/internal/exchange/accountuse_test.go
+++ b/internal/exchange/accountuse_test.go
@@ -47,7 +47,7 @@
 
 		time.Sleep(MaxWorkAge + time.Millisecond) // the others died
 		is.Equal(len(askForUse(t, h, "c", accountUse(2, 1, 1))), 0)
-		for at := time.Duration(0); at <= accountUseLifetime; at += Interval { // c goes on without use
+		for range maxReportsWithoutUse { // c goes on without use
 			askForUse(t, h, "c", nil)
 			time.Sleep(Interval)
 		}
@@ -57,6 +57,26 @@
 	})
 }
 
+// A host sends its use in one of exchangesPerTimings exchanges. If each takes several times Interval, the
+// use must count until the next one, also if an exchange with use fails. It was missing at times, and
+// shares jumped.
+func TestUseCountsBetweenSlowExchanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(Options{Zone: "z1"}, zerolog.Nop())
+		for i := range 8 * exchangesPerTimings {
+			switch i % (2 * exchangesPerTimings) {
+			case 0:
+				askForUse(t, h, "a", accountUse(1, 4, 2))
+			case exchangesPerTimings: // fails
+			default:
+				askForUse(t, h, "a", nil)
+			}
+			is.New(t).Equal(askForUse(t, h, "b", nil), []fairshare.AccountUse{{Account: 1, Demand: 4, Received: 2}})
+			time.Sleep(MaxWorkAge / 2) // one may fail before the host counts as dead
+		}
+	})
+}
+
 // Hubs send each other only the use of their own followers, so that no host counts twice.
 func TestHubsAddTheUseOfEachOthersFollowers(t *testing.T) {
 	is := is.New(t)
