admission, gateway: tests that only unmeetable requests are refused, and may return

Cause: no test checked that a request isn't refused while its first event is expected before its deadline, on the way from the estimate to the answer, nor the bound of Retry-After for all remaining times. Change: TestRejectedItemsAreUnmeetable (drawn estimates and times, queue with room) and TestOnlyUnmeetableRequestsAreRefusedAndMayReturn (245 pairs of queued work and deadline, with and without the schedule of returns). Found: nothing.

--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // holdEpoch is the time at which the tests of HoldQueue begin.
@@ -118,3 +119,50 @@
 	is.Equal(q.Offer(holdItem(1, over), soon, holdEpoch)[0].Cause, CauseOverShare)
 	is.Equal(q.Offer(holdItem(0, over), soon, holdEpoch)[0].Cause, CauseInTime)
 }
+
+// Whatever is expected, an item must not be rejected by an old estimate or while its first event is
+// expected before its deadline, if the queue has room. The Retry-After of a rejected one must be
+// within a third of its remaining time, unless that is shorter than callers can be told.
+func TestRejectedItemsAreUnmeetable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now := NewHoldQueue(1000), holdEpoch
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		estimates := make(map[*Item]Estimate)
+		estimate := func(it *Item) Estimate {
+			wait := ms("wait", 12_000)
+			estimates[it] = Estimate{Wait: wait, FirstEvent: wait + ms("prefill", 2000)}
+			return estimates[it]
+		}
+		check := func(decisions []Decision) {
+			for _, d := range decisions {
+				left := d.Item.Deadline.Sub(now)
+				q.Started(d.Item)
+				if d.Verdict != Reject || left <= 0 {
+					continue
+				}
+				if d.Estimate != estimates[d.Item] || d.Estimate.FirstEvent <= left {
+					t.Fatalf("%s with %v left by %+v, now %+v", d.Cause, left, d.Estimate, estimates[d.Item])
+				}
+				if retry := SpreadRetryAfter(d.RetryAfter, left, rapid.Float64Range(0, 1).Draw(t, "draw")); retry <= 0 || retry > max(shortestRetryAfter, left/callerWaitDivisor) {
+					t.Fatalf("Retry-After %v with %v left", retry, left)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(*rapid.T) {
+				it := holdItem(0, func(it *Item) { it.Arrived, it.Deadline = now, now.Add(ms("deadline", 10_000)) })
+				it.OverShare, it.Target, it.BodyBytes = rapid.Bool().Draw(t, "over"), ms("target", 4000), 1
+				check(q.Offer(it, estimate(it), now))
+			},
+			"": func(*rapid.T) {
+				now = now.Add(ms("passed", 300))
+				clear(estimates)
+				for decisions := q.Advance(now, estimate); len(decisions) > 0; decisions = q.Advance(now, estimate) {
+					check(decisions)
+				}
+			},
+		})
+	})
+}
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -137,6 +137,36 @@
 	})
 }
 
+// A request must not be refused while the most suitable engine is expected to send its first event before
+// the deadline, however late: a late answer is worth more than none. A refused caller must be told a time
+// within a third of what it may still wait, or it doesn't return.
+func TestOnlyUnmeetableRequestsAreRefusedAndMayReturn(t *testing.T) {
+	for _, mode := range []FeatureMode{FeatureOff, FeatureOn} {
+		runHoldTest(t, func(h *holdTest) {
+			h.g.settings.Features.ReturnSchedule = mode
+			refused := 0
+			for work := time.Duration(0); work <= 12*time.Second; work += 250 * time.Millisecond {
+				for _, deadline := range []time.Duration{30 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, 3900 * time.Millisecond, 10 * time.Second} {
+					h.setWork(work)
+					r, d := h.request(deadline), &dispatch{gateway: h.g}
+					e, _ := h.g.fleet.expectedStart(d.buildCriteria(r, "", false))
+					held, err := d.hold(h.ctx, r, &modelSequence{})
+					h.g.holds.started(held)
+					if err == nil {
+						continue
+					}
+					refused++
+					h.Equal(resultcode.FromError(err).Code, resultcode.EnginesSaturated)
+					h.True(e.FirstEvent > deadline)
+					retry := resultcode.FromError(err).RetryAfter
+					h.True(retry > 0 && retry <= time.Until(r.Deadline)/3)
+				}
+			}
+			h.True(refused > 20)
+		})
+	}
+}
+
 // A held request must be sent as soon as an engine has room: after an attempt ended, at once.
 func TestHeldRequestIsSentWhenAnEngineHasRoom(t *testing.T) {
 	runHoldTest(t, func(h *holdTest) {
