--- a/internal/exchange/enginestate.go
+++ b/internal/exchange/enginestate.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"maps"
@@ -221,15 +222,20 @@
 	if len(entries) <= limit {
 		return entries
 	}
-	ids := slices.SortedFunc(maps.Keys(entries), func(a, b EngineID) int {
-		if d := value(entries[b]) - value(entries[a]); d != 0 {
-			return int(math.Copysign(1, d))
-		}
-		return int(a) - int(b)
+	type ranked struct {
+		id    EngineID
+		value float64
+	}
+	list := make([]ranked, 0, len(entries))
+	for id, e := range entries {
+		list = append(list, ranked{id, value(e)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.id, b.id))
 	})
 	kept := make(map[EngineID]V, limit)
-	for _, id := range ids[:limit] {
-		kept[id] = entries[id]
+	for _, r := range list[:limit] {
+		kept[r.id] = entries[r.id]
 	}
 	return kept
 }
@@ -288,7 +294,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dropExpired()
-	sum := &EngineStates{Loads: make(EngineLoads), Slowdowns: make(Slowdowns)}
+	sum := &EngineStates{Loads: h.loadsWithout(self, to), Slowdowns: make(Slowdowns)}
 	if slice >= 1 && slice <= slowdownSlices {
 		sum.Slice = slice
 	}
@@ -303,9 +309,6 @@
 			continue
 		}
 		found = true
-		if boottime.Since(received.loadsAt) <= MaxWorkAge {
-			sum.addLoads(received.loads)
-		}
 		if sum.Slice > 0 {
 			sum.addSlowdowns(received.slowdowns[slice-1])
 		}
@@ -316,6 +319,44 @@
 	return sum.bounded(maxLoads)
 }
 
+// loadSumsAge is how long sums over loads are used for replies. Adding up all reports for each of 64
+// followers took several percent of a core. It adds little to the age of the loads, which are
+// reported every 300 ms.
+const loadSumsAge = Interval / 3
+
+// loadSums holds the sum over the loads of all hosts as of at, and what each of them added to it.
+type loadSums struct {
+	at    time.Time
+	sum   EngineLoads
+	added map[string]EngineLoads
+}
+
+// loadsWithout returns the sum over the loads of all hosts except self, which is at most loadSumsAge
+// old. The caller holds the lock.
+func (h *hub) loadsWithout(self string, to audience) EngineLoads {
+	sums := &h.loadSums[to]
+	if boottime.Since(sums.at) >= loadSumsAge {
+		*sums = loadSums{at: boottime.Now(), sum: make(EngineLoads), added: make(map[string]EngineLoads, len(h.engines))}
+		for key, received := range h.engines {
+			report, ok := h.reports[key]
+			if ok && to.includes(report) && boottime.Since(received.loadsAt) <= MaxWorkAge {
+				sums.added[key] = received.loads
+				for id, e := range received.loads {
+					sums.sum.add(id, e)
+				}
+			}
+		}
+	}
+	loads := maps.Clone(sums.sum)
+	for id, e := range sums.added[self] {
+		loads.add(id, EngineLoad{Requests: -e.Requests, Tokens: -e.Tokens, Service: e.Service})
+		if loads[id].Requests <= 0 {
+			delete(loads, id)
+		}
+	}
+	return loads
+}
+
 // answerEngines returns the states for the reply to a report; nil if the report has none.
 func (h *hub) answerEngines(from string, r Report, to audience) *EngineStates {
 	if r.Engines == nil {
@@ -328,12 +369,6 @@
 	return h.otherEngines(from, r.Engines.Slice, to, maxLoads)
 }
 
-func (e *EngineStates) addLoads(loads EngineLoads) {
-	for id, load := range loads {
-		e.Loads.add(id, load)
-	}
-}
-
 func (e *EngineStates) addSlowdowns(slowdowns Slowdowns) {
 	for id, s := range slowdowns {
 		sum := e.Slowdowns[id]
--- a/internal/exchange/enginestate_test.go
+++ b/internal/exchange/enginestate_test.go
@@ -211,3 +211,30 @@
 		}
 	})
 }
+
+// The sums for replies are kept for a moment, and a host's own report is subtracted. If its newest
+// report were subtracted in place of the one in the sums, the others' requests would come out wrong.
+func TestOwnLoadsAreSubtractedFromKeptSums(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHub(Options{Host: "hub", Zone: "z1"}, zerolog.Nop())
+		report := func(from string, requests float64) EngineLoads {
+			r := Report{Zone: "z1", Engines: &EngineStates{Loads: EngineLoads{0x900000: {Requests: requests, Tokens: 100 * requests, Service: 1}}}}
+			h.record(from, r)
+			if answer := h.answerEngines(from, r, toHost); answer != nil {
+				return answer.Loads
+			}
+			return nil
+		}
+		report("a", 3)
+		time.Sleep(loadSumsAge)
+		is.Equal(report("b", 4), EngineLoads{0x900000: {Requests: 3, Tokens: 300, Service: 1}})
+		is.Equal(report("a", 9), EngineLoads{0x900000: {Requests: 4, Tokens: 400, Service: 1}})
+		is.Equal(report("c", 1)[0x900000].Requests, 7.0) // new hosts are in the sums a moment later
+		time.Sleep(loadSumsAge)
+		is.Equal(report("b", 4)[0x900000].Requests, 10.0)
+		is.Equal(len(h.otherEngines("", 0, toHub, maxHubLoads).Loads), 1)
+		time.Sleep(MaxWorkAge + time.Millisecond)
+		is.Equal(len(report("c", 1)), 0) // expired, and nothing of its own
+	})
+}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -39,6 +39,8 @@
 	sentPrefixes prefixLog
 	timings      map[string]Timings
 	engines      map[string]*receivedEngines
+	// loadSums holds the sums over the engine loads for each audience.
+	loadSums [toHub + 1]loadSums
 	// accountUse has the keys of reports.
 	accountUse map[string]hostAccountUse
 	// sightings holds the sightings received from hosts and other hubs, to be sent to other
