--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -120,7 +120,6 @@
 	is.Equal(q.Offer(holdItem(0, over), soon, holdEpoch)[0].Cause, CauseInTime)
 }
 
-<<<<<<< HEAD
 // An item that isn't started, for example because its goroutine gets no processor time, must not block
 // the others of its service for longer than 50 ms.
 func TestItemThatIsNeverStartedBlocksNoOthers(t *testing.T) {
@@ -184,7 +183,8 @@
 	is.Equal(q.Offer(holdItem(0, nil), nearly, holdEpoch)[0].Cause, CauseBusy)
 	is.Equal(q.Advance(holdEpoch.Add(estimateInterval), func(*Item) Estimate { return nearly })[0].Cause, CauseLate)
 	is.True(q.Saturation("s", holdEpoch) > 0)
-=======
+}
+
 // Whatever is expected, an item must not be rejected by an old estimate or while its first event is
 // expected before its deadline, if the queue has room. The Retry-After of a rejected one must be
 // within a third of its remaining time, unless that is shorter than callers can be told.
@@ -230,5 +230,4 @@
 			},
 		})
 	})
->>>>>>> fixshares
 }
