gateway: results don't wait for decisions on held requests

Cause: the result of each request of each service, while any request was held, ran the decisions on all held ones, with estimates, under one lock and before its answer was delivered; the saturation took the same lock. Change: only results of requests with a prompt of a service with held requests cause decisions, which the timer's goroutine makes; the saturation is read from a copy made at the last arrival.

Ruled out: a goroutine for each result; the timer's is there, and several results cause one decision.

Test: TestResultWaitsForNoDecision. It doesn't compile before the change (wake takes the request). With a wake for each request it fails, and with decisions in wake it blocks until its timeout; it passes now, 3 of 3.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -300,13 +300,30 @@
 // which no upstream could send the first event within the target when they arrived.
 // Items without a target, and those that would be late at an idle upstream, don't count.
 func (q *HoldQueue) Saturation(service string, now time.Time) float64 {
+	return q.SaturationState(service).At(now)
+}
+
+// SaturationState returns the state from which the service's saturation is computed.
+func (q *HoldQueue) SaturationState(service string) SaturationState {
 	for _, l := range q.lines {
 		if l.service == service {
-			at := now.Sub(q.epoch)
-			return l.late.valueAt(at) / (l.arrivals.valueAt(at) + saturationPrior)
+			return SaturationState{arrivals: l.arrivals, late: l.late, epoch: q.epoch}
 		}
 	}
-	return 0
+	return SaturationState{}
+}
+
+// SaturationState is the saturation of a service after an Offer. It isn't changed by the
+// queue, so that it can be read while the queue is in use.
+type SaturationState struct {
+	arrivals, late decayedRate
+	epoch          time.Time
+}
+
+// At returns the saturation at the time if no item is offered until then.
+func (s SaturationState) At(now time.Time) float64 {
+	at := now.Sub(s.epoch)
+	return s.late.valueAt(at) / (s.arrivals.valueAt(at) + saturationPrior)
 }
 
 // SpreadRetryAfter returns a Retry-After that differs between callers which are
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -132,7 +132,7 @@
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.runStream(ctx, func(head attemptResult) bool {
-			d.gateway.holds.wake()
+			d.gateway.holds.wake(r)
 			d.gateway.rollouts.observeHead(r, &a.choice, head.firstByte)
 			a.headCounted = true
 			return d.acceptHead(r, a, models, head)
@@ -279,7 +279,7 @@
 func (d *dispatch) observeResult(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
 	g.fleet.release(a.choice, result)
-	g.holds.wake()
+	g.holds.wake(r)
 	d.observeVersion(r, a, result)
 	if result.outcome == outcomeSilent {
 		g.responseTimes.get(r.responseTimeKey()).observeTimeout(time.Since(a.startedAt))
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -127,7 +127,7 @@
 		h.start(h.ctx, h.request(10*time.Second))
 		time.Sleep(110 * time.Millisecond)
 		h.setWork(time.Second)
-		h.g.holds.wake()
+		h.g.holds.wake(h.request(time.Second))
 		start := time.Now()
 		h.Equal(h.results(1), []string{"sent"})
 		h.True(time.Since(start) <= 20*time.Millisecond)
@@ -475,3 +475,29 @@
 		h.results(4)
 	})
 }
+
+// The answer to a request must not wait while decisions on held requests are made, and results of requests
+// that say nothing on the held ones' engines must cause no decision.
+func TestResultWaitsForNoDecision(t *testing.T) {
+	runHoldTest(t, func(h *holdTest) {
+		h.setWork(6 * time.Second)
+		h.start(h.ctx, h.request(10*time.Second))
+		h.setWork(0)
+		h.g.holds.timer.Stop() // the decision is made after a result only
+		time.Sleep(30 * time.Millisecond)
+		plain, other := h.request(time.Second), h.request(time.Second)
+		plain.Prompt.TokensIn, other.Service = 0, "other"
+		for _, r := range []*Request{plain, other} {
+			h.g.holds.wake(r)
+			synctest.Wait()
+			h.Equal(len(h.ended), 0)
+		}
+		h.g.holds.mu.Lock() // as while decisions are made
+		h.g.holds.wake(h.request(time.Second))
+		h.True(h.g.holds.saturation("svc") > 0)
+		h.g.holds.mu.Unlock()
+		synctest.Wait()
+		h.Equal(len(h.ended), 1)
+		h.results(1)
+	})
+}
--- a/internal/gateway/holdqueue.go
+++ b/internal/gateway/holdqueue.go
@@ -19,8 +19,10 @@
 	fleet *Fleet
 	// stopping reports whether a planned stop is under way, in which no request is kept.
 	stopping *atomic.Bool
-	// count is the number of requests in the queue.
-	count atomic.Int64
+	// count is the number of requests in the queue. services has what is read without mu, since
+	// decisions are made under it.
+	count    atomic.Int64
+	services lazyValues[serviceHolds]
 
 	// mu guards the fields below. It may be held while the lock of a shard of the fleet is taken, not
 	// the other way round.
@@ -32,11 +34,22 @@
 	timerAt time.Time
 }
 
+// serviceHolds is the state of a service's requests in the queue.
+type serviceHolds struct {
+	// held is the number of requests in the queue.
+	held       atomic.Int64
+	saturation atomic.Pointer[admission.SaturationState]
+}
+
 func newHolds(g *Gateway) *holds {
-	return &holds{
+	s := &holds{
 		fleet: g.fleet, stopping: &g.stopping, held: make(map[*admission.Item]*heldRequest),
-		queue: admission.NewHoldQueue(int(g.settings.MemoryBytes / maxHeldMemory)),
+		queue:    admission.NewHoldQueue(int(g.settings.MemoryBytes / maxHeldMemory)),
+		services: lazyValues[serviceHolds]{make: func() *serviceHolds { return new(serviceHolds) }},
 	}
+	s.timer = time.AfterFunc(time.Hour, s.timerFired)
+	s.timer.Stop()
+	return s
 }
 
 // offer decides on a new request and puts it into the queue if it is to be kept.
@@ -48,8 +61,11 @@
 		h.item.HeldBefore = h.item.Target // it may not be kept
 	}
 	decisions := s.queue.Offer(&h.item, e, now)
+	service, saturation := s.services.get(h.item.Service), s.queue.SaturationState(h.item.Service)
+	service.saturation.Store(&saturation)
 	s.deliver(decisions[1:])
 	if decisions[0].Verdict == admission.Keep {
+		service.held.Add(1)
 		h.since, h.position = now, s.queue.Position(&h.item)
 		s.held[&h.item] = h
 		s.schedule(now)
@@ -57,10 +73,18 @@
 	return decisions[0]
 }
 
-// wake decides again on the requests in the queue, after an event that gives an engine room.
-func (s *holds) wake() {
+// wake has the timer decide again on the requests in the queue, after an event that gives an engine of
+// the request's service room. It doesn't wait, since the request's answer is delivered after it.
+func (s *holds) wake(r *Request) {
+	if s.count.Load() > 0 && r.Prompt.TokensIn > 0 && s.services.get(r.Service).held.Load() > 0 {
+		s.timer.Reset(0)
+	}
+}
+
+// wakeAll is wake for the requests of all services.
+func (s *holds) wakeAll() {
 	if s.count.Load() > 0 {
-		s.advance()
+		s.timer.Reset(0)
 	}
 }
 
@@ -74,7 +98,7 @@
 	s.mu.Lock()
 	s.queue.Started(&h.item)
 	s.mu.Unlock()
-	s.wake()
+	s.wakeAll()
 	h.observe()
 }
 
@@ -84,7 +108,7 @@
 	defer s.mu.Unlock()
 	s.queue.Remove(&h.item)
 	s.queue.Started(&h.item)
-	delete(s.held, &h.item)
+	s.drop(&h.item)
 	s.count.Store(int64(s.queue.Len()))
 }
 
@@ -93,15 +117,16 @@
 	s.mu.Lock()
 	s.queue.EndHolds(boottime.Now())
 	s.mu.Unlock()
-	s.wake()
+	s.wakeAll()
 }
 
 // saturation returns the fraction of the service's new requests that no engine could begin within
 // their targets.
 func (s *holds) saturation(service string) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.queue.Saturation(service, boottime.Now())
+	if state := s.services.get(service).saturation.Load(); state != nil {
+		return state.At(boottime.Now())
+	}
+	return 0
 }
 
 // advance decides again on the requests that are due, and sets the timer.
@@ -122,11 +147,19 @@
 func (s *holds) deliver(decisions []admission.Decision) {
 	for _, d := range decisions {
 		s.held[d.Item].decision <- d // the channel has room for the only decision
-		delete(s.held, d.Item)
+		s.drop(d.Item)
 	}
 	s.count.Store(int64(s.queue.Len()))
 }
 
+// drop no longer counts the request of an item that left the queue. The caller holds the lock.
+func (s *holds) drop(it *admission.Item) {
+	if _, ok := s.held[it]; ok {
+		delete(s.held, it)
+		s.services.get(it.Service).held.Add(-1)
+	}
+}
+
 // schedule sets the timer for the next call of advance if requests are kept. The caller holds the
 // lock.
 func (s *holds) schedule(now time.Time) {
@@ -136,10 +169,6 @@
 		return // a later time would postpone the decisions with each call
 	}
 	s.timerAt = next
-	if s.timer == nil {
-		s.timer = time.AfterFunc(next.Sub(now), s.timerFired)
-		return
-	}
 	s.timer.Reset(next.Sub(now))
 }
 
