--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -138,6 +138,11 @@
 	})
 }
 
+// maxEstimateAge is the age from which on the estimate for a kept item says nothing on a new
+// one. The item to be sent next is estimated every estimateInterval, and on a busy host a few
+// milliseconds later; with that interval as the bound, items that arrive then overtake it.
+const maxEstimateAge = 2 * estimateInterval
+
 // overtakes reports whether the item, if it were sent now, would overtake a kept one that is more urgent
 // or whose caller returned when it was told, and for which the last estimate found no upstream in time.
 // The sent item would take the place at an upstream that the kept one is waiting for. The less urgent
@@ -148,6 +153,6 @@
 	}
 	return slices.ContainsFunc(l.items, func(other *Item) bool {
 		before := other.Priority < it.Priority || other.Priority == it.Priority && other.Returning && !it.Returning
-		return before && other.keptFor == CauseBusy && now.Sub(other.estimatedAt) < estimateInterval
+		return before && other.keptFor == CauseBusy && now.Sub(other.estimatedAt) < maxEstimateAge
 	})
 }
