--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -98,12 +98,18 @@
 	s := f.shard(crit.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rankAdmission.RecordArrival(crit.rank, now)
 	list := s.candidates(&crit, now, f.removalGrace)
+	return s.chooseFrom(list, len(list.members), crit, now)
+}
+
+// chooseFrom chooses an upstream from the list, for which the given number of upstreams were considered.
+// The caller holds the shard's lock.
+func (s *shard) chooseFrom(list candidateList, considered int, crit criteria, now time.Time) (choice, bool) {
+	s.rankAdmission.RecordArrival(crit.rank, now)
 	if len(list.members) == 0 || s.shedByRank(list, crit.rank, now) {
 		return choice{}, false
 	}
-	c := choice{chosenAt: now, candidateCount: len(list.members), criteria: crit}
+	c := choice{chosenAt: now, candidateCount: considered, criteria: crit}
 	picked := s.pick(list, &c, now)
 	c.upstream, c.entryRevision = picked.Upstream, picked.revision
 	c.load = picked.load(now)
