Comments give reasons, not how values were found; one way to record a choice

Change: comments and names only, except that both now call member.startChoice, which has the same statements in the same order. MeasuredWeight, maxMeasuredSlowdown and observeMeasuredSlowdown are AnswerWeight, maxAnswerSlowdown and observeAnswerTime: the samples come from answers, the others from statements.

Ruled out: one function for all decayed weights; the older packages write the same line in place, too.

--- a/admission/holdqueue_line.go
+++ b/admission/holdqueue_line.go
@@ -53,8 +53,8 @@
 	return l
 }
 
-// count counts a new item in the saturation, which is about the wait at the upstreams. An item
-// that is late without any wait tells nothing about that.
+// count counts a new item in the saturation, which depends on the wait at the upstreams. An item that
+// is late without any wait doesn't count.
 func (l *holdLine) count(it *Item, d Decision, at time.Duration) {
 	if it.Target <= 0 || d.Cause == CauseLate && !it.gainsByWaiting(d.Estimate, it.estimatedAt) {
 		return
@@ -138,9 +138,9 @@
 	})
 }
 
-// maxEstimateAge is the age from which on the estimate for a kept item says nothing on a new
-// one. The item to be sent next is estimated every estimateInterval, and on a busy host a few
-// milliseconds later; with that interval as the bound, items that arrive then overtake it.
+// maxEstimateAge is the age from which on the estimate for a kept item no longer keeps new items from
+// being sent. The item to be sent next is estimated every estimateInterval, and on a busy host a few
+// milliseconds later; with that interval as the bound, items that arrive then would overtake it.
 const maxEstimateAge = 2 * estimateInterval
 
 // overtakes reports whether the item, if it were sent now, would overtake a kept one that is more urgent
--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -12,10 +12,8 @@
 	// returns to the usual is served as before within one retry.
 	HalfLife = 2 * time.Second
 	// unmetHalfLife is the half-life of engine time that was requested and not received. It is
-	// shorter because callers whose requests were rejected either return, and request it again, or
-	// don't want it any more. With HalfLife, an account whose load had returned to the usual was
-	// over its share for 10 s more. With 500 ms, an account far over its share got within it again
-	// and again, because the hosts' view is older than that.
+	// shorter than HalfLife because callers whose requests were rejected either return, and request it
+	// again, or don't want it any more, and longer than the age of the other hosts' reports.
 	unmetHalfLife = time.Second
 	// MaxReported is the number of accounts in a report, in addition to Rest. With 10 bytes for
 	// each account, a report a second and its reply take less than 1 KB/s.
@@ -40,9 +38,8 @@
 	endTolerance = 1 + 1e-6
 	// requestGain is the weight of a new request in the mean engine time of requests.
 	requestGain = 0.02
-	// unmetPart is the part of the rejected engine time that counts as requested. Most callers repeat
-	// a rejected request once, so that it arrives twice. Without this factor the accounts' requests
-	// exceeded what they need after a burst, and accounts that received their share were over it.
+	// unmetPart is the part of the rejected engine time that counts as requested: most callers repeat
+	// a rejected request once, so that it arrives twice.
 	unmetPart = 0.5
 	// saturationMargin is the part of the received engine time by which the requested one has to
 	// exceed it for the service to count as saturated. Below it, the difference may be due to the
@@ -279,8 +276,8 @@
 }
 
 // OverShare reports whether the account received more than its share over all hosts, by more than
-// a tenth and by more than one request, and hasn't returned to its share since. It is false for accounts that are counted under
-// Rest, and for all accounts while the service isn't saturated.
+// a tenth and by more than one request, and hasn't returned to its share since. It is false for
+// accounts that are counted under Rest, and for all accounts while the service isn't saturated.
 func (l *Ledger) OverShare(account AccountID, now time.Time) bool {
 	l.refresh(now)
 	_, over := l.over[account]
@@ -370,7 +367,7 @@
 	for account, r := range l.own {
 		u := r.use(account)
 		other, ok := l.others[account]
-		// If the others report the account under Rest, its rates aren't known. It is smaller than
+		// If the others report the account under Rest, its rates are unknown. It is smaller than
 		// those that they report.
 		if !ok && l.othersRest.claimed() > 0 && u.claimed() < factor*l.smallestOther {
 			rest.Add(u)
@@ -418,7 +415,7 @@
 	if l.stats.Saturated = requested > (1+saturationMargin)*l.stats.Received; !l.stats.Saturated {
 		return
 	}
-	// The number of accounts in Rest isn't known over all hosts. They count as if each were as large
+	// The number of accounts in Rest over all hosts is unknown. They count as if each were as large
 	// as the smallest account that is counted by itself, which is the smallest number possible.
 	if rest.claimed() > 0 && !math.IsInf(smallest, 1) {
 		claims = append(claims, Claim{Demand: rest.claimed(), Weight: rest.claimed() / smallest})
--- a/internal/e2e/contendedsoak_test.go
+++ b/internal/e2e/contendedsoak_test.go
@@ -177,7 +177,7 @@
 	return !r.At.After(at) && (r.Ended.IsZero() || r.Ended.After(at))
 }
 
-// checkContention checks what the features for contended services promise.
+// checkContention checks the guarantees of the features for contended services.
 func (s *soak) checkContention() {
 	if s.contendRand == nil {
 		return
--- a/internal/e2e/streammove_test.go
+++ b/internal/e2e/streammove_test.go
@@ -60,7 +60,7 @@
 				return owner
 			}
 			var owner *platformtest.Upstream
-			for range 10 { // from these the host learns the usual pace
+			for range 10 { // the host computes the usual pace from these
 				owner = send()
 			}
 			owner.SetPause(time.Second)
--- a/internal/exchange/accountuse_test.go
+++ b/internal/exchange/accountuse_test.go
@@ -182,7 +182,7 @@
 	return list[0].Received
 }
 
-// Numbers that no right host sends are left out, and a message that is cut off is an error.
+// Numbers outside the permitted ranges are left out, and a message that is cut off is an error.
 func TestWrongAccountUseFromAnotherHost(t *testing.T) {
 	is := is.New(t)
 	wrong := accountUse(9, 1, 1)
--- a/internal/exchange/enginestate_test.go
+++ b/internal/exchange/enginestate_test.go
@@ -150,7 +150,7 @@
 
 // Engines of which no message has an entry got the mean of the busy ones that were left out, of all
 // services: with 70 engines at 24 requests, an idle one counted with 24. The receiver divides the sum
-// by the engines that it knows, so the sum must be that of one service, and contain all requests.
+// by the engines that are listed for it, so the sum must be that of one service, and contain all requests.
 func TestLeftOutEnginesAreSumsByService(t *testing.T) {
 	is := is.New(t)
 	h := newHub(Options{Host: "hub", Zone: "z1"}, zerolog.Nop())
--- a/internal/gateway/accountshares_test.go
+++ b/internal/gateway/accountshares_test.go
@@ -41,8 +41,8 @@
 	}, log)
 }
 
-// A service whose engines don't state how long work takes isn't affected: nothing is recorded,
-// reported or measured. The same holds before the gateway's settings are known.
+// A service whose engines don't state how long work takes must not be affected: nothing is recorded or
+// reported, and no metric appears. The same holds before the gateway has its settings.
 func TestAccountSharesAreOffByDefault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -34,8 +34,8 @@
 	prefill *prefill
 	// placement is the placement decision for the prompt. workAhead is the estimated time until the
 	// engine begins this prompt: it processes other prompts before, which take queuedWork, and may
-	// have no free batch slot. engine is the state of the engine that the decision is based on. cachedPartCount is the number of the
-	// prompt's leading parts that the engine has cached.
+	// have no free batch slot. engine is the state of the engine that the decision is based on.
+	// cachedPartCount is the number of the prompt's leading parts that the engine has cached.
 	placement       placement.Choice
 	workAhead       time.Duration
 	queuedWork      time.Duration
@@ -111,14 +111,19 @@
 	}
 	c := choice{chosenAt: now, candidateCount: considered, criteria: crit}
 	picked := s.pick(list, &c, now)
-	c.upstream, c.entryRevision = picked.Upstream, picked.revision
-	c.load = picked.load(now)
-	c.loadSource, c.loadAge = picked.loadSource(now)
-	picked.startRequest(&c)
-	picked.recordSent(now)
+	picked.startChoice(&c, now)
 	return c, true
 }
 
+// startChoice makes the upstream the chosen one and counts the request as in flight there.
+func (m *member) startChoice(c *choice, now time.Time) {
+	c.upstream, c.entryRevision = m.Upstream, m.revision
+	c.load = m.load(now)
+	c.loadSource, c.loadAge = m.loadSource(now)
+	m.startRequest(c)
+	m.recordSent(now)
+}
+
 // pick returns the candidate that suits the request best.
 func (s *shard) pick(list candidateList, c *choice, now time.Time) *member {
 	if c.criteria.prompt == nil {
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -207,9 +207,8 @@
 	if !s.placesByEngineState() {
 		return nil
 	}
-	// Where engines cache parts of the prompt, drawn requests would make it leave them: at 140
-	// engines, long prompts in time fell from 9,273 to 9,130 of 10,379, and the bytes between zones
-	// rose from 37 to 61 MB.
+	// Where engines cache parts of the prompt, drawn requests would move it to engines that don't, which
+	// prefill all of it or fetch the parts over the network.
 	draw := !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.CachedParts > 0 })
 	views := make([]engineView, len(members))
 	for i, m := range members {
@@ -248,15 +247,15 @@
 	}
 }
 
-// observeMeasuredSlowdown adds the time to the first event of a prompt that had hardly to wait as a
-// sample of the member's slowdown.
-func (m *member) observeMeasuredSlowdown(c *choice, took time.Duration, now time.Time) {
+// observeAnswerTime adds the time to the first event of a prompt that had hardly to wait as a sample of
+// the member's slowdown.
+func (m *member) observeAnswerTime(c *choice, took time.Duration, now time.Time) {
 	s := m.shard
 	if !s.placesByEngineState() || m.usageSnapshot().statedSlowdown > 0 {
 		return // the engine's own statements are exact
 	}
 	if value, ok := s.prefillRates.SlowdownSample(c.criteria.model, c.placement.UncachedTokens, took); ok {
-		s.engineStateOf(m, now).slowdown.Observe(value, placement.MeasuredWeight, now)
+		s.engineStateOf(m, now).slowdown.Observe(value, placement.AnswerWeight, now)
 	}
 }
 
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -124,7 +124,7 @@
 	f.release(c, attemptResult{outcome: outcomeDone})
 	states := f.ownEngineStates(exchange.SlowdownSlice(b.idHash.EngineID()))
 	is.Equal(len(states.Slowdowns), 1)
-	is.True(states.Slowdowns[b.idHash.EngineID()].Sum > 1.5*placement.MeasuredWeight)
+	is.True(states.Slowdowns[b.idHash.EngineID()].Sum > 1.5*placement.AnswerWeight)
 	s.engineStates.prunedAt = time.Time{}
 	s.engineStates.prune(time.Now().Add(2 * engineStateRetention))
 	is.Equal(len(s.engineStates.own)+len(s.engineStates.remoteSlowdowns), 0) // the state is bounded
@@ -148,7 +148,7 @@
 	}
 }
 
-// Engines that state only three figures must be used as before, with nothing counted or sent.
+// Engines that state only three figures must be chosen without their state, with nothing counted or sent.
 func TestEngineStateIsOffByDefault(t *testing.T) {
 	is := is.New(t)
 	for _, mode := range []FeatureMode{"", FeatureAuto, FeatureOff} {
@@ -186,7 +186,7 @@
 }
 
 // An operator must see by the log and the metrics what a placement was based on. A prompt that no
-// engine can hold must be refused without being sent; on other services it is sent as before.
+// engine can hold must be refused without being sent; on other services it is sent.
 func TestEngineStateOfOneRequest(t *testing.T) {
 	for _, load := range []string{"3,0,8", "3,0,8,140"} {
 		t.Run(load, func(t *testing.T) {
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// The prefill rate of a model is learnt from tokens that an engine prefilled itself: not from a time that
+// The prefill rate of a model is computed from tokens that an engine prefilled itself: not from a time that
 // consists mostly of a transfer, and not from a run that was continued from a copy.
 func TestPrefillRateWithFetchedTokens(t *testing.T) {
 	tests := []struct {
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -488,9 +488,9 @@
 	}
 }
 
-// A prompt whose caller states an absurd number of tokens must be refused, not sent because its expected
+// A prompt whose caller states too large a number of tokens must be refused, not sent because its expected
 // time overflows and is negative, nor make the work of its engine negative.
-func TestAbsurdTokenCountIsNoIdleEngine(t *testing.T) {
+func TestTooLargeTokenCountIsNoIdleEngine(t *testing.T) {
 	runHoldTest(t, func(h *holdTest) {
 		r := h.request(10 * time.Second)
 		r.Prompt.TokensIn = 1 << 62
@@ -526,7 +526,7 @@
 }
 
 // The answer to a request must not wait while decisions on held requests are made, and results of requests
-// that say nothing on the held ones' engines must cause no decision.
+// that don't concern the held ones' engines must cause no decision.
 func TestResultWaitsForNoDecision(t *testing.T) {
 	runHoldTest(t, func(h *holdTest) {
 		h.setWork(6 * time.Second)
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -106,7 +106,7 @@
 		{"one part", "10,5", "a:10", 10, 5, 0, ""},
 		{"nothing", "", "", 0, 0, 0, ""},
 		{"can't be read", "x,-1", "a", 0, 0, 0, ""},
-		{"absurd counts", "1000000000000000,4611686018427387904", "a:1000000000000000,b:1", 10_000_000, 10_000_000, 1, "a"},
+		{"too large counts", "1000000000000000,4611686018427387904", "a:1000000000000000,b:1", 10_000_000, 10_000_000, 1, "a"},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
--- a/internal/gateway/returns.go
+++ b/internal/gateway/returns.go
@@ -35,7 +35,7 @@
 	sent map[string]*returnschedule.Rate
 }
 
-// maxSentRates bounds the services whose engine time is measured.
+// maxSentRates bounds the services whose engine time is counted.
 const maxSentRates = 64
 
 // start makes the schedule available to the gateway's requests.
--- a/internal/gateway/startestimate.go
+++ b/internal/gateway/startestimate.go
@@ -47,9 +47,9 @@
 	return e, true
 }
 
-// expectedStartBefore is expectedStart, but before a request counts as one that can't begin before its
-// deadline, it considers all upstreams: a sample of 9 of 140 missed 7 idle ones for 200 of 300
-// requests. wide is set if it did.
+// expectedStartBefore returns what expectedStart returns unless the request can't begin before its
+// deadline at the upstreams that were considered. Then it considers all, because a sample of a few
+// upstreams mostly contains none of a few idle ones. wide is set if it did.
 func (f *Fleet) expectedStartBefore(crit criteria, deadline time.Time) (e startEstimate, wide bool) {
 	e, _ = f.expectedStart(crit)
 	left := boottime.Until(deadline)
@@ -60,8 +60,8 @@
 	return e, true
 }
 
-// maxWideCandidates bounds the upstreams that are considered before a request is refused: nearly twice those
-// of the larger deployment.
+// maxWideCandidates bounds the upstreams that are considered before a request is refused, and with them
+// the time that a refusal takes.
 const maxWideCandidates = 256
 
 // soonestWithin returns a search for the upstream with the earliest first event or, if none is expected
@@ -100,8 +100,8 @@
 	return candidateList{members: list.members[soonest.Index : soonest.Index+1]}
 }
 
-// chooseSoonest is choose for a request that was to be refused by the estimate for a sample: it sends
-// the request to the upstream that the estimate over all upstreams found.
+// chooseSoonest chooses, as choose does, for a request that would be refused by the estimate for a
+// sample of the upstreams: it chooses the upstream that the estimate over all of them found.
 func (f *Fleet) chooseSoonest(crit criteria, deadline time.Time) (choice, bool) {
 	now := boottime.Now()
 	s := f.shard(crit.service)
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -258,11 +258,7 @@
 	if !accept(c.placement.ExpectedTime, picked.statedSlowness(now)) {
 		return choice{}, false
 	}
-	c.upstream, c.entryRevision = picked.Upstream, picked.revision
-	c.load = picked.load(now)
-	c.loadSource, c.loadAge = picked.loadSource(now)
-	picked.startRequest(&c)
-	picked.recordSent(now)
+	picked.startChoice(&c, now)
 	return c, true
 }
 
--- a/internal/gateway/streammove_test.go
+++ b/internal/gateway/streammove_test.go
@@ -209,7 +209,7 @@
 	is.Equal(logs[0].count()+logs[1].count(), 1)
 }
 
-// A stream whose caller reads slowly looks late by the clock, but the engine isn't to blame.
+// A stream whose caller reads slowly seems late by the time that passes, but its engine isn't slow: it must stay.
 func TestStreamOfASlowCallerStays(t *testing.T) {
 	is := is.New(t)
 	tg, _ := newMoveGateway(t, 20*time.Millisecond)
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -97,7 +97,7 @@
 	s.queueStats.observe(took, c.placement.ExpectedUnqueued)
 	if !c.engine.full && c.queuedWork+c.placement.FetchTime < c.placement.PrefillTime/rateSampleDivisor {
 		if m != nil {
-			m.observeMeasuredSlowdown(c, took, boottime.Now())
+			m.observeAnswerTime(c, took, boottime.Now())
 		}
 		s.prefillRates.Observe(c.criteria.model, c.placement.UncachedTokens, took, boottime.Now())
 	}
@@ -106,8 +106,8 @@
 // rateSampleDivisor limits which answers are used as samples of their model's prefill rate: those
 // of prompts for which the estimated queued work and the transfer of fetched parts together were less
 // than a fourth of the prefill time of the tokens that the engine prefilled itself. The expected wait
-// for a batch slot doesn't count while a slot is free: it is a cost that rises smoothly, and with it no
-// answer was a sample at 7 of 8 slots.
+// for a batch slot doesn't count while a slot is free: it is a cost that rises smoothly, and would
+// exclude all answers of engines that are nearly full.
 const rateSampleDivisor = 4
 
 // minRemainingFraction is the minimum fraction of a prefill that counts as remaining until the
--- a/placement/engineload.go
+++ b/placement/engineload.go
@@ -37,9 +37,8 @@
 
 const (
 	// unseenSpread is the factor by which the number of requests that are drawn exceeds the mean
-	// number of arrivals. Engines that look idle get more than the mean. With 1, a
-	// tenth more requests of a replay met full engines; 3 was no better than 2 and would weaken the
-	// preference for engines that cache a prompt.
+	// number of arrivals, because engines that look idle get more than the mean. A larger factor
+	// weakens the preference for engines that cache a prompt.
 	unseenSpread = 2
 	// maxUnseen bounds the mean number of requests that are drawn.
 	maxUnseen = 32
@@ -48,8 +47,8 @@
 // DrawUnseen draws the unseen requests at an engine that receives the given mean number of requests
 // in the time for which its load is old. Without the draw, all hosts would choose the engine that
 // was the least loaded in their data until the next update; with it, their choices are spread over
-// the engines whose loads differ by less than what they can't know. random returns random numbers
-// in [0, 1).
+// the engines whose loads differ by less than the unreported requests. random returns random
+// numbers in [0, 1).
 func DrawUnseen(arrivals float64, random func() float64) Unseen {
 	if !(arrivals > 0) {
 		return Unseen{}
--- a/placement/enginestate_test.go
+++ b/placement/enginestate_test.go
@@ -162,7 +162,7 @@
 					f.full++
 				}
 				if len(e.waiting) == 0 && load(e) < e.slots {
-					e.slowdown.Observe(e.speed*(0.8+0.4*rng.Float64()), MeasuredWeight, atMs(now))
+					e.slowdown.Observe(e.speed*(0.8+0.4*rng.Float64()), AnswerWeight, atMs(now))
 				}
 				e.received++
 				e.waiting = append(e.waiting, &stateRequest{kind: kind, arrived: now, host: host, prefill: 20 + float64(kind.tokens)/10, decode: float64(kind.decode)})
@@ -266,10 +266,10 @@
 	now := atMs(0)
 	for _, wrong := range []float64{0, -3, math.NaN(), math.Inf(1), math.Inf(-1), 1e300} {
 		var s Slowdown
-		s.Observe(wrong, MeasuredWeight, now)
+		s.Observe(wrong, AnswerWeight, now)
 		s.Observe(1, wrong, now)
 		for range 9 {
-			s.Observe(1, MeasuredWeight, now)
+			s.Observe(1, AnswerWeight, now)
 		}
 		is.True(s.Factor(now) >= 1 && s.Factor(now) < 1.4)
 		is.True(BoundSlowdown(wrong) >= MinSlowdown && BoundSlowdown(wrong) <= MaxSlowdown)
@@ -286,16 +286,16 @@
 	is := is.New(t)
 	var s Slowdown
 	is.Equal(s.Factor(atMs(0)), 0.0)
-	s.Observe(2, MeasuredWeight, atMs(0))
-	is.Equal(s.Factor(atMs(0)), 1+MeasuredWeight/fullSlowdownWeight)
-	s.Observe(2, fullSlowdownWeight-MeasuredWeight, atMs(0))
+	s.Observe(2, AnswerWeight, atMs(0))
+	is.Equal(s.Factor(atMs(0)), 1+AnswerWeight/fullSlowdownWeight)
+	s.Observe(2, fullSlowdownWeight-AnswerWeight, atMs(0))
 	is.Equal(s.Factor(atMs(0)), 2.0)
 	is.Equal(s.Factor(atMs(0).Add(slowdownHalfLife)), 1.5)
 	is.Equal(s.Factor(atMs(0).Add(2*slowdownHalfLife)), 1.25)
 }
 
 // An engine without room for the request is chosen only if all lack it. Without states, engines are
-// chosen as before.
+// chosen by their work and their caches.
 func TestEngineWithoutMemoryIsLastChoice(t *testing.T) {
 	is := is.New(t)
 	estimator, r := NewPrefillEstimator(), &Request{Model: "m", Prompt: &Prompt{Tokens: 1000}}
--- a/placement/slowdown.go
+++ b/placement/slowdown.go
@@ -16,14 +16,14 @@
 	// fullSlowdownWeight is the weight from which on the samples determine the factor in full. The
 	// deviation from 1 is reduced below it, since one sample may contain an unknown wait.
 	fullSlowdownWeight = 2
-	// MeasuredWeight and StatedWeight are the weights of a measured time and of a statement of an
-	// engine. A statement is exact, but only about the moment at which it was made. A measured time
-	// contains waits for prompts that this host has no data on, so that it takes eight of them to
-	// determine a factor. With a weight of 1, the factors of equal engines were mostly noise.
-	MeasuredWeight = 0.25
-	StatedWeight   = 0.5
-	// maxMeasuredSlowdown bounds a measured sample for the same reason.
-	maxMeasuredSlowdown = 2
+	// AnswerWeight is the weight of a sample from the time to the first event of an answer. That time
+	// contains waits for other hosts' prompts, so that one answer must not determine the factor.
+	AnswerWeight = 0.25
+	// StatedWeight is the weight of a slowdown that the engine states itself. It is exact, but applies
+	// only to the moment of the answer.
+	StatedWeight = 0.5
+	// maxAnswerSlowdown bounds a sample from an answer, because a long wait isn't a slowdown.
+	maxAnswerSlowdown = 2
 )
 
 // Slowdown holds the sums of the slowdown samples of one engine: how long its work took, as a
@@ -100,5 +100,5 @@
 	if !ok || took <= overhead {
 		return 0, false
 	}
-	return min(maxMeasuredSlowdown, float64(took)/float64(e.timeToFirstEvent(tokens))), true
+	return min(maxAnswerSlowdown, float64(took)/float64(e.timeToFirstEvent(tokens))), true
 }
--- a/returnschedule/schedule_test.go
+++ b/returnschedule/schedule_test.go
@@ -167,7 +167,7 @@
 	is.Equal(s.Promise(rejected(3), at(time.Hour)).Outcome, Reserved)
 }
 
-// A host that measured no capacity yet still lets a caller return every 250 ms, however long its
+// A host that has sent nothing yet must still let a caller return every 250 ms, however long its
 // request takes; accounts over their share and callers without time come after the others.
 func TestHostThatJustStarted(t *testing.T) {
 	is := is.New(t)
@@ -247,7 +247,7 @@
 	})
 }
 
-// A request whose work doesn't fit into the schedule, for example since its caller states an absurd size,
+// A request whose work doesn't fit into the schedule, for example since its caller states too large a size,
 // must not take all free time of the later intervals from the others.
 func TestWorkThatFitsNowhereLeavesRoomForOthers(t *testing.T) {
 	is := is.New(t)
--- a/returnschedule/timeline.go
+++ b/returnschedule/timeline.go
@@ -11,8 +11,8 @@
 	Horizon            = 8 * time.Second
 	intervalCount      = int(Horizon / Interval)
 	intervalsPerSecond = time.Second / Interval
-	// minSpacing is the time in which one request may always return, however little capacity was
-	// measured: a host that just started has sent nothing yet.
+	// minSpacing is the time in which one request may always return, however small the capacity is: a
+	// host that just started has sent nothing yet.
 	minSpacing = int(250 * time.Millisecond / Interval)
 	// rankStep is the part of an interval that each rank leaves free for the more urgent ones and
 	// for new requests, and maxRankFree the largest such part.
--- a/routing/document.go
+++ b/routing/document.go
@@ -115,7 +115,7 @@
 	// LinkMbps is the rate at which engines transfer memory to each other, in Mbit/s.
 	LinkMbps float64
 	// Moves reports whether engines move running requests to each other. HandleLifetime is how
-	// long the copy of a moved request can be used.
+	// long the copy of a moved request can be used; the gateway uses or frees a copy at once.
 	Moves          bool
 	HandleLifetime time.Duration
 }
--- a/streampace/stream.go
+++ b/streampace/stream.go
@@ -11,7 +11,7 @@
 	// stream look slow.
 	paceHalfLife = 2 * time.Second
 	// minWaited is the waiting time from which on a stream's pace is used. Engines send events in
-	// batches, and the first ones say little.
+	// batches, so that the pace of the first ones varies.
 	minWaited = time.Second
 	// minSlowness is the minimum time for an event, as a multiple of the usual one, at which a stream
 	// is moved. Below it another engine wouldn't be much faster.
--- a/streampace/usual.go
+++ b/streampace/usual.go
@@ -6,20 +6,20 @@
 )
 
 const (
-	// maxRecords bounds the streams whose pace is remembered. The median of this many is within a
+	// maxRecords bounds the streams whose pace is stored. The median of this many is within a
 	// few percent of that of all streams.
 	maxRecords = 32
 	// maxRecordAge is the age after which the pace of a stream is ignored. A change of the engines'
 	// load is over or has reached all running streams by then.
 	maxRecordAge = 30 * time.Second
-	// minRecords is the number of other streams that have to be known for a comparison.
+	// minRecords is the number of other streams that are needed for a comparison.
 	minRecords = 3
 	// lengthGain is the weight of a new stream in the mean number of events for a token.
 	lengthGain = 0.05
 )
 
 // Usual holds the paces of the most recent streams of one kind and their mean length. It isn't safe
-// for concurrent use. The zero value knows no streams.
+// for concurrent use. The zero value holds no streams.
 type Usual struct {
 	records []*Record
 	next    int
