--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -23,6 +23,7 @@
 	MetricsPort      int    `help:"Port of the metrics, on the host's own address; 0 for none." default:"9464"`
 	FirstModel       int    `help:"Step at which a request with a choice of models starts, 0 for the cheapest." default:"0"`
 	AcceptConfidence int    `help:"Confidence, 0 to 100, from which a cheaper model's answer is passed on." default:"50"`
+	UpstreamSource   net.IP `help:"Source address of connections to upstreams; empty lets the system choose."`
 	LogLevel         string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
 	EngineState      string `help:"Place prompts by the speed, batch slots and memory of each engine." enum:"auto,on,off" default:"auto"`
 	HoldRequests     string `help:"Hold requests until an engine can begin them in time, and refuse those that can't be served." enum:"auto,on,off" default:"auto"`
@@ -122,6 +123,7 @@
 			CacheFetch:     gateway.FeatureMode(c.CacheFetch),
 			StreamMoves:    gateway.FeatureMode(c.StreamMoves),
 		},
+		UpstreamSource:   c.UpstreamSource,
 		Contended:        fileSettings.Contended,
 		MemoryBytes:      int64(fileSettings.MemoryMB) << 20,
 		FirstModelIndex:  c.FirstModel,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	holds *holds
 
 	transport *http.Transport
+	// egress opens the connections to upstreams.
+	egress *egressPaths
 
 	// startedAt is the time at which the host started. initialized is closed once the host can
 	// serve requests.
@@ -119,21 +121,20 @@
 	g.returns.start(g)
 	g.shares.configure(g)
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
-	g.transport = newTransport()
+	g.egress = newEgressPaths(s, g.metrics, log)
+	g.transport = newTransport(g.egress.dial)
 	g.holds = newHolds(g)
 	g.pipeline = chain(g.filters())
 	return g
 }
 
 // newTransport returns the HTTP transport for requests to upstreams.
-func newTransport() *http.Transport {
-	t := sealedconn.NewTransport(dialTimeout)
+func newTransport(dial sealedconn.DialFunc) *http.Transport {
+	t := sealedconn.NewTransportWith(func(ctx context.Context, network, host string) (net.Conn, error) {
+		return dial(ctx, network, dialAddress(host))
+	})
 	t.IdleConnTimeout = idleConnTimeout
 	t.MaxIdleConnsPerHost = maxIdlePerUpstream
-	dial := t.DialContext
-	t.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
-		return dial(ctx, network, dialAddress(host))
-	}
 	return t
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
@@ -36,6 +37,9 @@
 	// AnyModel is the model name by which callers leave the choice of the model to the gateway.
 	AnyModel string
 
+	// UpstreamSource is the source address of connections to upstreams; nil lets the system choose.
+	UpstreamSource net.IP
+
 	// Peers configures the exchange with other hosts. If Peers.Listen is empty, the host uses only
 	// its own data.
 	Peers Peers
--- a/internal/sealedconn/liveness.go
+++ b/internal/sealedconn/liveness.go
@@ -23,9 +23,9 @@
 	tcpUserTimeout = 0x12
 )
 
-// newDialer returns a dialer whose connections are closed when the peer stops
+// NewDialer returns a dialer whose connections are closed when the peer stops
 // responding.
-func newDialer(timeout time.Duration) *net.Dialer {
+func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -11,12 +11,19 @@
 // ignores proxy settings of the environment and doesn't request compression. The
 // caller sets the limits of the connection pool and of the header size.
 func NewTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := newDialer(dialTimeout)
+	return NewTransportWith(NewDialer(dialTimeout).DialContext)
+}
+
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransportWith is like NewTransport, with connections that dial opens.
+func NewTransportWith(dial DialFunc) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -23,6 +23,12 @@
 	mu     sync.Mutex
 	target string
 	isCut  func(sourceIP string) bool
+	// refuses matches the source IPs whose new connections are reset, silences those whose
+	// connections carry no data.
+	refuses  func(sourceIP string) bool
+	silences func(sourceIP string) bool
+	// silenceChanged is closed, and replaced, when silences changes.
+	silenceChanged chan struct{}
 	// conns maps the open accepted connections to their source IPs.
 	conns map[net.Conn]string
 	// directions holds the faults of each Direction.
@@ -55,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]string)}
+	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]string), silenceChanged: make(chan struct{})}
 	for i := range r.directions {
 		r.directions[i].unblocked = make(chan struct{})
 		close(r.directions[i].unblocked)
@@ -98,6 +104,49 @@
 	}
 }
 
+// RefuseFrom resets new connections whose source IP matches, until the next call; open ones go on. A nil
+// match ends that.
+func (r *Relay) RefuseFrom(match func(ip string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuses = match
+}
+
+// ResetFrom resets the open connections whose source IP matches.
+func (r *Relay) ResetFrom(match func(ip string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn, sourceIP := range r.conns {
+		if match(sourceIP) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}
+}
+
+// SilenceFrom holds back all bytes of the connections whose source IP matches, open and new ones, until
+// the next call. A nil match ends that.
+func (r *Relay) SilenceFrom(match func(ip string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silences = match
+	close(r.silenceChanged)
+	r.silenceChanged = make(chan struct{})
+}
+
+// awaitNoSilence waits until the source IP isn't silenced.
+func (r *Relay) awaitNoSilence(sourceIP string) {
+	for {
+		r.mu.Lock()
+		silenced, changed := r.silences != nil && r.silences(sourceIP), r.silenceChanged
+		r.mu.Unlock()
+		if !silenced {
+			return
+		}
+		<-changed
+	}
+}
+
 // Block holds back all bytes of one direction until ClearFaults; connections stay open.
 func (r *Relay) Block(d Direction) {
 	r.mu.Lock()
@@ -118,7 +167,7 @@
 
 // forward copies one direction of a connection in chunks of up to 32 KiB, subject to the
 // faults of the direction and the rate.
-func (r *Relay) forward(dst, src net.Conn, d Direction) {
+func (r *Relay) forward(dst, src net.Conn, d Direction, sourceIP string) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
@@ -128,6 +177,7 @@
 			r.mu.Unlock()
 			time.Sleep(state.delay + transferTime(n, rate))
 			<-state.unblocked
+			r.awaitNoSilence(sourceIP)
 			if _, err := dst.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -153,6 +203,8 @@
 // ClearFaults ends all cuts, blocked directions and delays.
 func (r *Relay) ClearFaults() {
 	r.CutFrom(nil)
+	r.RefuseFrom(nil)
+	r.SilenceFrom(nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.directions {
@@ -199,22 +251,26 @@
 	defer target.Close()
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		r.forward(target, conn, ToTarget)
+		r.forward(target, conn, ToTarget, sourceIP)
 		target.Close()
 	})
-	r.forward(conn, target, FromTarget)
+	r.forward(conn, target, FromTarget, sourceIP)
 	conn.Close()
 	wait.Wait()
 }
 
 // register adds the connection to conns and returns the target address. It returns false if
-// connections from the source IP are cut.
+// connections from the source IP are cut or refused.
 func (r *Relay) register(conn net.Conn, sourceIP string) (target string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isCut != nil && r.isCut(sourceIP) {
 		return "", false
 	}
+	if r.refuses != nil && r.refuses(sourceIP) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return "", false
+	}
 	r.conns[conn] = sourceIP
 	return r.target, true
 }
