e2e: hosts without a path to upstreams serve nothing (known red)

Relays in front of the upstreams cut one of six hosts, or all hosts of two of three zones, by source address: reset of all connections, reset of new ones only, silence. Counted as operators do, from 3 s on.

--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -49,6 +49,9 @@
 	document       map[string]any
 	// prepare is called for each upstream that is added, before it starts, unless it is nil.
 	prepare func(*platformtest.Upstream)
+	// paths are the relays through which the hosts reach the upstreams; nil if they reach them
+	// directly.
+	paths *upstreamPaths
 }
 
 // gatewayHost is a host that runs a gateway process, which can be restarted.
@@ -61,12 +64,17 @@
 	peerAddr     string
 	settingsFile string
 	toStore      *relay
+	// source is the address from which the host connects to upstreams; empty if the system chooses it.
+	source string
 }
 
 // newGatewaySystem starts a number of hosts, spread over a number of availability zones.
-func newGatewaySystem(t *testing.T, hosts, zones int) *gatewaySystem {
+func newGatewaySystem(t *testing.T, hosts, zones int, options ...func(*gatewaySystem)) *gatewaySystem {
 	t.Helper()
 	s := &gatewaySystem{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+	for _, option := range options {
+		option(s)
+	}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -81,6 +89,9 @@
 	}
 	for i := range hosts {
 		h := &gatewayHost{name: fmt.Sprintf("gateway-%d", i+1), zone: zone(i % zones), toStore: newRelay(t, loopback, s.storeAddr)}
+		if s.paths != nil {
+			h.source = fmt.Sprintf("127.0.1.%d", i+1)
+		}
 		h.callerAddr, h.readyAddr, h.peerAddr = freeAddress(t, loopback), freeAddress(t, loopback), freeAddress(t, loopback)
 		s.gateways = append(s.gateways, h)
 		if i < maxHubs {
@@ -182,6 +193,9 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(u.Kill)
+	if s.paths != nil {
+		s.paths.add(u)
+	}
 	s.store.Put("servers", u.ID, u.Entry("available"))
 	s.upstreams = append(s.upstreams, u)
 	return u
@@ -205,7 +219,7 @@
 }
 
 func (s *gatewaySystem) startGateway(h *gatewayHost) {
-	h.process = start(s.t, h.name, nil, "gateway", "--settings="+h.settingsFile, "--metrics-port=0")
+	h.process = start(s.t, h.name, nil, "gateway", "--settings="+h.settingsFile, "--metrics-port=0", "--upstream-source="+h.source)
 }
 
 func (s *gatewaySystem) isReady(h *gatewayHost) bool {
