gateway: hosts that lost their paths to upstreams connect through other hosts

Callers saw: hosts whose connections to all upstreams fail serve none of their requests (0 of 325 at the first attempt, 765 of 773 at the others), with 503 after 10 ms or 0.8 s.

Cause: a host took the failure of its own path for one of the upstreams. It tried up to seven over the same path, ejected them, and reported to the other hosts that they had terminated.

Change: when connections fail in a row or upstreams fall silent together, package egress compares the direct path with one through another host and relays connections if that alone works. Requests are processed as before; only the connections differ, so that attempts, leases, budgets, evidence and quarantine stay at the host. Hubs name hosts that relay. A refused connection is the end of an upstream only if another one accepts on the same path.

Ruled out: passing requests to other hosts' pipelines (what ran, which budgets and leases were used, and the stream so far would all need messages with failures of their own); deciding by own failures alone (upstreams that are down look alike).

Measured: TestHostWithoutPathToUpstreamsServes, before: 0 of 50 and 0 of 200 requests; now 50 of 50 and 200 of 200 in all twelve interruptions, also at a host that starts inside one.

--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -142,7 +142,7 @@
 	stream["size_list"] = []string{"weak", "strong"}
 	return map[string]any{
 		"routes":   []any{testRoute("once", "non_idempotent", "app"), testRoute("many", "idempotent", "app"), stream},
-		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "pool"}},
+		"services": []any{map[string]any{"name": "app", "health_path": "/healthz"}, map[string]any{"name": "pool", "health_path": "/healthz"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
 		"tenants":  []any{map[string]any{"name": "acme", "api_keys": []string{"key-a", "key-b"}}},
 	}
--- a/internal/e2e/upstreampath_test.go
+++ b/internal/e2e/upstreampath_test.go
@@ -123,9 +123,14 @@
 					cut = []*gatewayHost{s.gateways[0], s.gateways[3], s.gateways[1], s.gateways[4]}
 					others = []*gatewayHost{s.gateways[2], s.gateways[5]}
 				}
-				for range 2 { // the second interruption meets hosts that recovered from the first
+				for i := range 2 { // the second interruption meets hosts that recovered from the first
 					s.servedAtFirstAttempt(time.Second, s.gateways)
 					s.paths.interrupt(how, cut...)
+					if i == 1 { // a host that starts without a path has no history
+						cut[0].kill()
+						s.startGateway(cut[0])
+						eventually(t, "the host that restarted is ready", func() bool { return s.isReady(cut[0]) })
+					}
 					s.servedAtFirstAttempt(pathRecoveryTime, s.gateways)
 					s.requirePathRecovered(cut, others)
 					s.paths.interrupt(pathUsable)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -108,6 +108,10 @@
 	// AccountUse is the client accounts' use of engine time at the reporting host or, if Hosts is
 	// set, at all hosts that it reports for. It is set only together with WantTimings.
 	AccountUse AccountUse `json:"account_use,omitempty"`
+	// RelaysConns reports that the host reaches upstreams and relays connections to them for other hosts.
+	// WantRelayHosts requests such hosts.
+	RelaysConns    bool `json:"relays_conns,omitempty"`
+	WantRelayHosts bool `json:"want_relay_hosts,omitempty"`
 	// Sightings are the losses and survivals of requests that the host and its followers
 	// observed since the last report. SightingsSince is set only in queries by other hubs. It is
 	// the sequence number of the last entry in this hub's sighting log that the querying hub has
@@ -150,6 +154,8 @@
 	Engines *EngineStates `json:"engines,omitempty"`
 	// AccountUse holds the sums of the client accounts' use at the other hosts.
 	AccountUse AccountUse `json:"account_use,omitempty"`
+	// RelayHosts are hosts that relay connections to upstreams.
+	RelayHosts []RelayHost `json:"relay_hosts,omitempty"`
 	// Sightings are the losses and survivals of requests that were reported to the hub, up to
 	// the entry of its sighting log with the sequence number SightingsLast. Both fields are set
 	// only in replies to queries by other hubs.
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -38,6 +38,9 @@
 		m.recordOwnReport(report)
 		m.unsentLimits, m.unsentLeaving = m.unsentLimits[len(report.Limits):], m.unsentLeaving[len(report.Leaving):]
 		m.deliverOwnHubData(report.WantTimings)
+		if report.WantRelayHosts {
+			m.addRelayHosts(m.ownHub.namedRelayHosts(m.options.Host, toHost))
+		}
 		m.renewRootLease()
 		m.renewHolding()
 		m.querySeeds(ctx, net)
@@ -67,6 +70,10 @@
 		return
 	}
 	m.deliverQuarantineStatus(reply.QuarantineStatus)
+	m.addRelayHosts(reply.RelayHosts)
+	if hasFollowers {
+		m.ownHub.recordRelayHostsElsewhere(reply.RelayHosts)
+	}
 	m.acceptLease(reply, requestedAt)
 	m.unsentLimits, m.unsentLeaving = m.unsentLimits[sentLimits:], m.unsentLeaving[sentLeaving:]
 	m.hubLeavingSeq, m.hubPromiseSeq = reply.LeavingLast, reply.PromisesLast
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -50,6 +50,8 @@
 	leaving leavingLog
 	// promises holds the reservations that hosts and other hubs reported.
 	promises promiseLog
+	// relayHostsElsewhere are hosts that relay connections to upstreams and don't report here.
+	relayHostsElsewhere []RelayHost
 	// zones holds, by zone, the hubs that this one has appointed.
 	zones map[string]*zoneHubs
 	// lessor divides the parts of the upstreams' limits that this host holds among the hosts
@@ -121,6 +123,9 @@
 		reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHub)
 		reply.Promises, reply.PromisesLast = h.promisesSince(r.PromisesSince, from, toHub)
 		reply.QuarantineStatus = h.quarantineStatus(toHub)
+		if r.WantRelayHosts {
+			reply.RelayHosts = h.namedRelayHosts(from, toHub)
+		}
 		if h.relays() {
 			reply.Tables, _ = h.tableUpdates(from, r, true)
 		}
@@ -138,6 +143,9 @@
 	}
 	reply.Engines = h.answerEngines(from, r, toHost)
 	reply.QuarantineStatus = h.quarantineStatus(toHost)
+	if r.WantRelayHosts {
+		reply.RelayHosts = h.namedRelayHosts(from, toHost)
+	}
 	reply.Lease, reply.Rooted = h.leaseFor(from, r.GrantsDigest), h.rooted()
 	reply.Limits = h.limitsSince(r.LimitsCursor, toHost)
 	reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHost)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -60,6 +60,12 @@
 	// the sums over the other hosts. Both may be nil; they are called only if Timings is set.
 	AccountUse   func() AccountUse
 	OnAccountUse func(AccountUse)
+	// RelaysConns reports whether this host reaches upstreams and relays connections for other hosts,
+	// which RelayDialer opens. NeedsRelayHosts reports whether this host needs other hosts for that. All
+	// three may be nil.
+	RelaysConns     func() bool
+	NeedsRelayHosts func() bool
+	RelayDialer     peer.RelayDialer
 	// FirstStart reports that the whole installation starts for the first time, so that the
 	// seeds have yet to create the key.
 	FirstStart bool
@@ -164,7 +170,13 @@
 	// them.
 	seedsAnswered atomic.Bool
 
+	// client calls other hosts, and server handles their calls; both are nil until the key is known.
+	client atomic.Pointer[peer.Client]
+	server atomic.Pointer[peer.Server]
+
 	mu sync.Mutex
+	// relayHosts are hosts that relay connections to upstreams, the most recently named first.
+	relayHosts []RelayHost
 	// seedQueries holds the state of the queries to the other seeds, by address.
 	seedQueries map[string]*seedQuery
 }
@@ -200,7 +212,7 @@
 	if err != nil {
 		return // the context ended
 	}
-	server, err := peer.NewServer(peer.ServerOptions{Listen: m.options.Listen, Self: m.options.Host, Keys: []peer.Key{key}})
+	server, err := peer.NewServer(peer.ServerOptions{Listen: m.options.Listen, Self: m.options.Host, Keys: []peer.Key{key}, RelayDialer: m.options.RelayDialer})
 	if err != nil {
 		m.log.Error().Str("event", "exchange-off").Err(err).Msg("")
 		return
@@ -211,6 +223,8 @@
 		m.log.Error().Str("event", "exchange-off").Err(err).Msg("")
 		return
 	}
+	m.client.Store(client)
+	m.server.Store(server)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx) }()
 	keyLoopDone := make(chan struct{})
@@ -240,6 +254,7 @@
 		report.WantTimings, report.Timings, report.AccountUse = true, m.options.Timings(), m.nextAccountUse()
 	}
 	report.Engines = m.nextEngines()
+	report.WantRelayHosts = m.wantsRelayHosts()
 	return report
 }
 
@@ -249,6 +264,9 @@
 		Zone: m.options.Zone, Address: m.options.Listen, Strength: m.options.LinkMbps * m.options.Cores,
 		Work: m.options.Work(), Revisions: m.revisions(),
 	}
+	if m.options.RelaysConns != nil {
+		report.RelaysConns = m.options.RelaysConns()
+	}
 	if m.options.Evidence != nil && m.previousHubExpired() {
 		report.Evidence = m.options.Evidence()
 	}
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -48,6 +48,7 @@
 			WantTimings: m.reportCount%exchangesPerTimings == 1,
 		}
 		report.Engines, state.engines = m.engineQuery(answered)
+		report.WantRelayHosts = m.wantsRelayHosts()
 		requestedAt := boottime.Now()
 		go func() {
 			reply, err := callWithTimeout(ctx, net, seed, report)
@@ -59,6 +60,8 @@
 			m.ownHub.recordHubReply(seed, reply, reply.Hosts)
 			m.ownHub.recordLimits(true, reply.Limits.Updates, false)
 			m.deliverQuarantineStatus(reply.QuarantineStatus)
+			m.ownHub.recordRelayHostsElsewhere(reply.RelayHosts)
+			m.addRelayHosts(reply.RelayHosts)
 			m.offerTablesIfDisconnected(reply, requestedAt)
 			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, engines: state.engines})
 		}()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -64,6 +65,8 @@
 	headCounted bool
 	// answerHeader is the header of the upstream's answer; nil before it arrived.
 	answerHeader http.Header
+	// relayHost is the address of the host that relays the connection; empty if it is direct.
+	relayHost string
 	// withheld is set if the request wasn't sent because of a notice that arrived after the choice.
 	withheld atomic.Bool
 }
@@ -77,14 +80,14 @@
 		Admit:   func() error { return a.admitWrite(cancel) },
 		OnWrite: func() { a.runState.Raise(runstate.MayHaveRun) },
 	}
-	req, err := a.buildRequest(a.sealedCall.Trace(headCtx))
+	req, err := a.buildRequest(a.traceRelay(a.sealedCall.Trace(headCtx)))
 	if err != nil {
 		cancel(err)
 		return nil, err
 	}
 	a.idleTimer = newIdleTimer(a.mayGiveUp, cancel)
 	a.idleTimer.start(a.headTimeout)
-	resp, err := a.gateway.transport.RoundTrip(req)
+	resp, err := a.gateway.egress.RoundTrip(req)
 	a.idleTimer.stop()
 	if err != nil {
 		cause := context.Cause(headCtx)
@@ -111,6 +114,13 @@
 	return resp, nil
 }
 
+// traceRelay returns a context for the request that records by which host its connection is relayed.
+func (a *attempt) traceRelay(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		a.relayHost = relayOf(sealedconn.Underlying(info.Conn))
+	}})
+}
+
 // errWithheld means that the request wasn't sent because the upstream stated after the choice that it
 // is leaving or accepts no requests.
 var errWithheld = errors.New("gateway: the upstream accepts no requests by now")
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -88,6 +88,9 @@
 	if a.choice.fetchFrom != "" {
 		line.Str("fetch_from", a.choice.fetchFrom).Int("fetched_tokens", a.choice.placement.FetchedTokens)
 	}
+	if a.relayHost != "" {
+		line.Str("relay", a.relayHost)
+	}
 	a.choice.engine.log(line)
 	if result.err != nil {
 		line.Err(result.err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,7 +14,6 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
-	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -54,9 +51,10 @@
 	// holds keeps requests until an engine can begin them in time.
 	holds *holds
 
-	transport *http.Transport
-	// egress opens the connections to upstreams.
-	egress *egressPaths
+	// egress opens the connections to upstreams. relayedForOthers is the number of connections that this
+	// host relays for other hosts.
+	egress           *egressPaths
+	relayedForOthers atomic.Int64
 
 	// startedAt is the time at which the host started. initialized is closed once the host can
 	// serve requests.
@@ -102,6 +100,7 @@
 	s := &g.settings
 	g.metrics = newMetrics(g)
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
+	g.startEgress()
 	g.fleet.topology = zoneTopology{zone: s.Zone, regions: s.Regions}
 	g.fleet.policy.allContended = s.Contended
 	g.fleet.policy.singleHost = s.Peers.Listen == ""
@@ -116,28 +115,17 @@
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
+		Refuses:       g.egress.refusesConnections,
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
 	})
 	g.returns.start(g)
 	g.shares.configure(g)
 	g.unknownHeaders = newUnknownHeaders(&s.Headers, log)
-	g.egress = newEgressPaths(s, g.metrics, log)
-	g.transport = newTransport(g.egress.dial)
 	g.holds = newHolds(g)
 	g.pipeline = chain(g.filters())
 	return g
 }
 
-// newTransport returns the HTTP transport for requests to upstreams.
-func newTransport(dial sealedconn.DialFunc) *http.Transport {
-	t := sealedconn.NewTransportWith(func(ctx context.Context, network, host string) (net.Conn, error) {
-		return dial(ctx, network, dialAddress(host))
-	})
-	t.IdleConnTimeout = idleConnTimeout
-	t.MaxIdleConnsPerHost = maxIdlePerUpstream
-	return t
-}
-
 // Run serves requests until the context ends, and then stops within StopTimeout.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info().Str("event", "start").Str("callers", g.settings.CallerAddress).Str("ready", g.settings.ReadyAddress).Msg("")
@@ -250,7 +238,9 @@
 			Engines: g.fleet.ownEngineStates, OnEngines: g.fleet.setRemoteEngineStates,
 			AccountUse: g.shares.ownUse, OnAccountUse: g.shares.setOthers,
 			Evidence: g.rollouts.ownEvidence, OnEvidence: g.rollouts.setRemoteEvidence, Quarantine: g.guard,
+			RelaysConns: g.relaysForOthers, NeedsRelayHosts: g.egress.needsRelays, RelayDialer: g.dialForOther,
 		}, g.log)
+		g.egress.useRelays(g.peers, g.fleet)
 		group.Go(func() { g.peers.Run(ctx) })
 	}
 	for table, w := range watchers {
@@ -268,6 +258,7 @@
 	group.Go(func() { wait.Every(ctx, shareLogInterval, g.shares.logChanges) })
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
+	group.Go(func() { g.egress.run(ctx) })
 	group.Go(func() { wait.Every(ctx, recordCleanupInterval, func() { g.fleet.DeleteOldRecords(boottime.Now()) }) })
 	return group
 }
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -67,7 +67,7 @@
 	t.Cleanup(func() {
 		tg.client.CloseIdleConnections()
 		tg.frontend.Close()
-		g.transport.CloseIdleConnections()
+		g.egress.CloseIdleConnections()
 	})
 	// The retry budget is a ratio of the requests that were counted, so without these a test with a
 	// single request would permit no retry.
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -118,8 +118,8 @@
 	is := is.New(t)
 	tg := newTestGateway(t, testDocument())
 	var dialled []string
-	dial := tg.gateway.transport.DialContext
-	tg.gateway.transport.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
+	dial := tg.gateway.egress.direct.DialContext
+	tg.gateway.egress.direct.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
 		dialled = append(dialled, host)
 		return dial(ctx, network, host)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/egress"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 )
@@ -46,6 +47,8 @@
 		}
 		return float64(g.upstreamWatcher.Revision().Era())
 	})
+	m.set.NewGauge("quetzalweir_gateway_upstream_path_relayed", func() float64 { return float64(g.egress.tracker.Path()) })
+	m.set.NewGauge("quetzalweir_gateway_connections_relayed_for_others", func() float64 { return float64(g.relayedForOthers.Load()) })
 	m.set.NewGauge("quetzalweir_gateway_hub_followers", func() float64 {
 		if g.peers == nil {
 			return 0
@@ -55,6 +58,16 @@
 	return m
 }
 
+// countConnection counts a connection to an upstream by its path and result.
+func (m *gatewayMetrics) countConnection(path egress.Path, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstream_connections_total{path=%q,result=%q}`, path, result)).Inc()
+}
+
+// countDiagnosis counts a comparison of the two paths to upstreams.
+func (m *gatewayMetrics) countDiagnosis(d egress.Diagnosis) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstream_paths_compared_total{direct="%t",relayed="%t"}`, d.Direct, d.Relayed)).Inc()
+}
+
 // countGuardEvent counts an event that the guard reports.
 func (m *gatewayMetrics) countGuardEvent(event guard.CountedEvent, service string) {
 	switch event {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -310,9 +310,9 @@
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
 			tg, near := newNoticeTest(t, respondOK("near"))
-			dial, dialing, proceed := tg.gateway.transport.DialContext, make(chan struct{}), make(chan struct{})
+			dial, dialing, proceed := tg.gateway.egress.direct.DialContext, make(chan struct{}), make(chan struct{})
 			var first sync.Once
-			tg.gateway.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			tg.gateway.egress.direct.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 				first.Do(func() {
 					close(dialing)
 					<-proceed
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
 const (
@@ -24,6 +26,9 @@
 	deadline := time.Now().Add(g.settings.StopTimeout - killMargin)
 	g.stopping.Store(true)
 	g.holds.endHolds()
+	if g.peers != nil {
+		g.peers.StopRelaying()
+	}
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.inFlight.Load()).Msg("")
 	time.Sleep(min(balancerLag, g.settings.StopTimeout/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -37,4 +42,20 @@
 	if err != nil {
 		g.log.Warn().Str("event", "stop-error").Err(err).Msg("")
 	}
+	g.awaitRelayed(ctx)
+}
+
+// relayPollInterval is how often a host that stops checks whether it still relays connections.
+const relayPollInterval = 50 * time.Millisecond
+
+// awaitRelayed waits until this host relays no connections of other hosts any more, or the context ends.
+func (g *Gateway) awaitRelayed(ctx context.Context) {
+	if g.peers == nil {
+		return
+	}
+	for g.peers.RelayCount() > 0 && wait.For(ctx, relayPollInterval) == nil {
+	}
+	if n := g.peers.RelayCount(); n > 0 {
+		g.log.Warn().Str("event", "stop-cut-relayed").Int("connections", n).Msg("")
+	}
 }
--- a/internal/gateway/streammovecopy.go
+++ b/internal/gateway/streammovecopy.go
@@ -172,7 +172,7 @@
 	req.Host = u.Address
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(g.settings.Headers.ExpectInstance, u.ID)
-	return g.transport.RoundTrip(req)
+	return g.egress.RoundTrip(req)
 }
 
 // chooseAgain chooses the engine of an earlier choice again, and counts the request as in flight
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -58,6 +58,9 @@
 	// all hosts that exchange verdicts: either the store's monotonic clock, or the wall clock as
 	// the time since the Unix epoch.
 	Clock func() time.Duration
+	// Refuses reports whether nothing listens at an upstream's address; nil for a connection attempt by
+	// this host. It must not take the failure of this host's own path for one of the upstream.
+	Refuses func(ctx context.Context, address string) bool
 	// OnTermination is called once for each upstream that terminated, whichever host observed
 	// it. It may be nil.
 	OnTermination func(quarantine.Incarnation)
@@ -110,6 +113,9 @@
 	if options.OnTermination == nil {
 		options.OnTermination = func(quarantine.Incarnation) {}
 	}
+	if options.Refuses == nil {
+		options.Refuses = refusesConnections
+	}
 	register := quarantine.NewRegister()
 	g := &Guard{
 		options: options, tracker: quarantine.NewTracker(), register: register,
@@ -117,6 +123,7 @@
 		verdictsEnabled: true, hubSuspects: make(map[quarantine.Digest]hubSuspect), activeAttempts: make(map[quarantine.Digest]int),
 		stateChanged: make(chan struct{}),
 	}
+	g.runs.refuses = options.Refuses
 	g.runs.onTermination, g.runs.onSurvival = g.recordTermination, g.recordSurvival
 	g.runs.isSuspect = func(d quarantine.Digest) bool { return g.eventCount(d, boottime.Elapsed()) > 1 }
 	g.verdictStore.onVerdict, g.verdictStore.onWithdrawal = g.applyVerdict, g.applyWithdrawal
--- a/internal/guard/runtracker.go
+++ b/internal/guard/runtracker.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -66,6 +67,8 @@
 	onTermination func(u Upstream, ago time.Duration, runs []candidateRun)
 	// onSurvival is called for a request that its upstream survived.
 	onSurvival func(d quarantine.Digest)
+	// refuses reports whether nothing listens at the address.
+	refuses func(ctx context.Context, address string) bool
 	// isSuspect reports whether the request is a suspect.
 	isSuspect func(d quarantine.Digest) bool
 	log       zerolog.Logger
@@ -122,7 +125,7 @@
 func newRunTracker(log zerolog.Logger) *runTracker {
 	return &runTracker{
 		onTermination: func(Upstream, time.Duration, []candidateRun) {}, onSurvival: func(quarantine.Digest) {},
-		isSuspect: func(quarantine.Digest) bool { return false }, log: log, upstreams: make(map[quarantine.Incarnation]*upstreamRuns),
+		refuses: refusesConnections, isSuspect: func(quarantine.Digest) bool { return false }, log: log, upstreams: make(map[quarantine.Incarnation]*upstreamRuns),
 	}
 }
 
--- a/internal/guard/upstreamcheck.go
+++ b/internal/guard/upstreamcheck.go
@@ -41,7 +41,7 @@
 // confirmSurvival checks whether the upstream survived an answered run, and calls onSurvival or
 // onTermination.
 func (t *runTracker) confirmSurvival(run answeredRun) {
-	if !refusesConnections(run.atUpstream.upstream.Address) {
+	if !t.refusesConnections(run.atUpstream.upstream) {
 		t.onSurvival(run.digest)
 		return
 	}
@@ -88,7 +88,7 @@
 	t.mu.Lock()
 	runningCount, checkScheduledAt := len(runs.running), runs.checkScheduledAt
 	t.mu.Unlock()
-	terminated := runningCount == 0 && refusesConnections(runs.upstream.Address)
+	terminated := runningCount == 0 && t.refusesConnections(runs.upstream)
 	t.mu.Lock()
 	runs.checking = false
 	var candidates []candidateRun
@@ -104,10 +104,15 @@
 	}
 }
 
-// refusesConnections reports whether nothing listens at the address.
-func refusesConnections(address string) bool {
+// refusesConnections reports whether nothing listens at the upstream's address.
+func (t *runTracker) refusesConnections(u Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
+	return t.refuses(ctx, u.Address)
+}
+
+// refusesConnections reports whether a connection attempt by this host is refused.
+func refusesConnections(ctx context.Context, address string) bool {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -98,6 +98,11 @@
 	if len(data) > s.limits.MaxMessageBytes {
 		return fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
 	}
+	return s.writeFrame(data)
+}
+
+// writeFrame writes one frame. Its size must be within the limit.
+func (s *stream) writeFrame(data []byte) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
 	if err := s.conn.SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout)); err != nil {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -37,6 +37,8 @@
 	Self     string   `json:"self"`
 	KeyIDs   []string `json:"key_ids"`
 	Nonce    []byte   `json:"nonce"`
+	// Purpose is empty for a connection that carries calls.
+	Purpose string `json:"purpose,omitempty"`
 }
 
 // challenge is the server's response to the hello. It contains the server's nonce
@@ -57,6 +59,8 @@
 type session struct {
 	// peer is the host id that the other side sent, authenticated by a shared key.
 	peer string
+	// purpose is the purpose that the client stated.
+	purpose string
 	// sendKey and receiveKey authenticate the frames of each direction.
 	sendKey, receiveKey []byte
 	// bytesIn and bytesOut are the total sizes of the handshake messages that were
@@ -127,12 +131,12 @@
 }
 
 // clientHandshake performs the mutual authentication on the dialling side.
-func clientHandshake(conn net.Conn, self string, keys []Key, timeout time.Duration) (session, error) {
+func clientHandshake(conn net.Conn, self, purpose string, keys []Key, timeout time.Duration) (session, error) {
 	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return session{}, fmt.Errorf("peer: set deadline: %w", err)
 	}
 	c := &handshakeConn{Conn: conn}
-	offer := hello{Protocol: protocol, Self: self, KeyIDs: keyIDs(keys), Nonce: newNonce()}
+	offer := hello{Protocol: protocol, Self: self, KeyIDs: keyIDs(keys), Nonce: newNonce(), Purpose: purpose}
 	if err := c.send(offer); err != nil {
 		return session{}, err
 	}
@@ -198,7 +202,7 @@
 	if h.Protocol != protocol {
 		return fmt.Errorf("%w: unknown protocol", ErrMalformed)
 	}
-	if len(h.Nonce) != nonceBytes || len(h.KeyIDs) > MaxKeys {
+	if len(h.Nonce) != nonceBytes || len(h.KeyIDs) > MaxKeys || h.Purpose != "" && h.Purpose != purposeRelay {
 		return fmt.Errorf("%w: invalid hello", ErrMalformed)
 	}
 	return validateName(h.Self)
@@ -218,7 +222,7 @@
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		return session{}, fmt.Errorf("peer: clear deadline: %w", err)
 	}
-	return session{peer: peer, sendKey: sendKey, receiveKey: receiveKey, bytesIn: c.bytesIn, bytesOut: c.bytesOut}, nil
+	return session{peer: peer, purpose: t.Hello.Purpose, sendKey: sendKey, receiveKey: receiveKey, bytesIn: c.bytesIn, bytesOut: c.bytesOut}, nil
 }
 
 func keyIDs(keys []Key) []string {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -148,7 +148,7 @@
 	}
 	stop := context.AfterFunc(l.client.closeCtx, func() { conn.Close() })
 	defer stop()
-	s, err := clientHandshake(conn, o.Self, o.Keys, o.Limits.HandshakeTimeout)
+	s, err := clientHandshake(conn, o.Self, "", o.Keys, o.Limits.HandshakeTimeout)
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -58,6 +59,8 @@
 	// DrainTimeout limits how long Serve waits for running handlers before it
 	// returns; default 2 s.
 	DrainTimeout time.Duration
+	// RelayDialer opens the connections that the server relays; nil if it relays none.
+	RelayDialer RelayDialer
 	// OnDisconnect, if set, is called for each connection that ends, with the error
 	// that ended it; from is empty if the peer wasn't authenticated.
 	OnDisconnect func(from string, err error)
@@ -77,6 +80,12 @@
 
 	conns sync.WaitGroup
 
+	// relayCtx ends when no further connections are to be relayed. relayCount is the number of relayed
+	// ones.
+	relayCtx     context.Context
+	stopRelaying context.CancelFunc
+	relayCount   atomic.Int64
+
 	// callsMu guards stopping, so that no call starts after the drain has started.
 	callsMu     sync.Mutex
 	stopping    bool
@@ -96,7 +105,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: listen: %w", err)
 	}
+	relayCtx, stopRelaying := context.WithCancel(context.Background())
 	return &Server{
+		relayCtx: relayCtx, stopRelaying: stopRelaying,
 		options:   options,
 		listener:  listener,
 		traffic:   newTraffic(),
@@ -136,6 +147,7 @@
 		err = nil
 	}
 	cancel()
+	s.stopRelaying()
 	s.conns.Wait()
 	return err
 }
@@ -180,6 +192,10 @@
 		return
 	}
 	s.traffic.addHandshake(session)
+	if session.purpose == purposeRelay {
+		s.notifyDisconnect(session.peer, s.serveRelayed(s.relayCtx, conn, session))
+		return
+	}
 	stream := newStream(conn, session, s.options.Limits)
 	meter := newTrafficMeter(s.traffic, stream, s.hasHandler)
 	c := &serverConn{server: s, callerID: session.peer, callSlots: make(chan struct{}, s.options.Limits.MaxConcurrentCalls)}
--- a/internal/sealedconn/conn.go
+++ b/internal/sealedconn/conn.go
@@ -18,6 +18,15 @@
 	call *Call
 }
 
+// Underlying returns the connection that a transport's dial function returned, given the one that the
+// transport uses.
+func Underlying(conn net.Conn) net.Conn {
+	if tracked, ok := conn.(*trackedConn); ok {
+		return tracked.Conn
+	}
+	return conn
+}
+
 func (c *trackedConn) setCall(call *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
