sealedconn: a silence of a second closes no connection

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up. With 2 s and a first probe after 1 s, the kernel closed a connection 2 s after the last byte, so that an upstream that was silent for 1.0 s from just before the first probe lost its runs. TestShortSilenceClosesNoConnection computes that from the constants by tcp(7) and failed with the old ones.

Change: 2.5 s and three probes. An upstream may be silent for 2 s; a dead connection is detected after 3 s instead of 2 s.

--- a/internal/sealedconn/liveness.go
+++ b/internal/sealedconn/liveness.go
@@ -13,11 +13,12 @@
 	// sent on it would wait until its deadline.
 	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 2
+	probeCount    = 3
 	// unackedTimeout is how long sent data may remain unacknowledged before the kernel
-	// closes the connection. It leaves time for retransmissions: round trips take a few
-	// milliseconds, and a lost packet is retransmitted within half a second.
-	unackedTimeout = 2 * time.Second
+	// closes the connection. An upstream may be silent for a second or more and go on.
+	// The timeout also replaces probeCount: the first probe that is due after it closes
+	// the connection.
+	unackedTimeout = 2500 * time.Millisecond
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of tcp(7), which package
 	// syscall doesn't define.
 	tcpUserTimeout = 0x12
--- a/internal/sealedconn/liveness_test.go
+++ b/internal/sealedconn/liveness_test.go
@@ -35,3 +35,24 @@
 	is.True(option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL) <= 1)
 	is.Equal(option(syscall.IPPROTO_TCP, tcpUserTimeout), int(unackedTimeout.Milliseconds()))
 }
+
+// kernelGivesUpAfter returns how long after the last received byte the kernel closes a connection whose
+// peer is silent, by tcp(7): with TCP_USER_TIMEOUT set, the number of probes doesn't matter.
+func kernelGivesUpAfter() time.Duration {
+	elapsed := probeIdle
+	for elapsed < unackedTimeout {
+		elapsed += probeInterval
+	}
+	return elapsed
+}
+
+// An upstream that falls silent for a second and a half, and then goes on, must not lose its runs. A
+// silence that begins just before the first probe leaves the least time. A connection that is dead must be
+// detected within three seconds.
+func TestShortSilenceClosesNoConnection(t *testing.T) {
+	is := is.New(t)
+	const shortSilence, detection = 1500 * time.Millisecond, 3 * time.Second
+	is.True(kernelGivesUpAfter()-probeIdle > shortSilence)
+	is.True(unackedTimeout > shortSilence)
+	is.True(kernelGivesUpAfter() <= detection)
+}
