gateway: brittle upstreams are sent what they have room for

Callers saw: nothing yet; the statement is new (Server-Brittle), and nothing read it.

Cause: a host sends an upstream as much as it believes it can queue, all hosts at once, and tries another full one when one rejects. An upstream that terminates by rejections takes its load to the next one.

Change: a brittle service's slots are shared among the hosts, a rejection counts as a backoff drawn by the number of hosts.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -92,6 +93,8 @@
 	topology  *zoneTopology
 	coldBound ratelease.ColdBound
 	coldStart time.Duration
+	// brittle is what the upstreams state about rejections.
+	brittle notice.Brittle
 	// baseVersion is the version that serves requests while there is no roll-out; empty before the
 	// first upstream is listed.
 	baseVersion string
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -30,6 +30,9 @@
 	Limit string
 	// Leaving is set to "1" on the answers of an upstream that is leaving.
 	Leaving string
+	// Brittle carries the number of requests that an upstream can reject in a second for want of room
+	// without terminating.
+	Brittle string
 	// RetryAfter carries the time for which the sender of an answer with status 503 accepts no
 	// requests.
 	RetryAfter string
@@ -62,7 +65,7 @@
 
 // AnswerHeaders returns the headers of upstreams' answers that the gateway reads or compares.
 func (h *Headers) AnswerHeaders() []string {
-	return []string{h.RequestID, h.Instance, h.Stamp, h.NotRun, h.Load, h.Limit, h.Leaving, h.RetryAfter, h.Confidence}
+	return []string{h.RequestID, h.Instance, h.Stamp, h.NotRun, h.Load, h.Limit, h.Leaving, h.Brittle, h.RetryAfter, h.Confidence}
 }
 
 // hopByHop are the headers that apply to a single connection, RFC 9110 section 7.6.1.
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -28,7 +28,7 @@
 	return Headers{
 		RequestID: "T-Id", Deadline: "T-Deadline", AccountKey: "T-Key", Account: "T-Account",
 		Instance: "T-Instance", ExpectInstance: "T-Expect", Stamp: "T-Stamp", NotRun: "T-Not-Run",
-		Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", RetryAfter: "Retry-After", Model: "T-Model", TokenCount: "T-Tokens", PromptParts: "T-Parts",
+		Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", Brittle: "T-Brittle", RetryAfter: "Retry-After", Model: "T-Model", TokenCount: "T-Tokens", PromptParts: "T-Parts",
 		Priority: "T-Priority", Confidence: "T-Confidence",
 		LastEventID: "T-Last-Event", Session: "T-Session", LengthHint: "T-Length", FetchFrom: "T-Fetch", ContinueFrom: "T-Continue", Reserved: []string{"T-Pin", "T-Fetch", "T-Continue"},
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -141,15 +141,7 @@
 	if work, ok := m.totalWork(now); ok {
 		return work
 	}
-	own := float64(m.inFlight)
-	mean := max(own, m.shard.meanSlotLoad*float64(max(1, m.Slots)))
-	u := m.usageSnapshot()
-	if u.reportedAt.IsZero() {
-		return mean
-	}
-	reported := max(own, float64(u.reportedLoad+m.inFlight-u.ownAtReport))
-	weight := math.Exp2(-float64(now.Sub(u.reportedAt)) / float64(loadHalfLife))
-	return weight*reported + (1-weight)*mean
+	return m.reportedRequests(now)
 }
 
 // loadSource names the data that a load estimate is based on.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -48,11 +48,13 @@
 	if id := resp.Header.Get(names.Instance); a.misdirected(resp) || id != "" && id != a.choice.upstream.ID {
 		return
 	}
-	n := notice.Read(resp.StatusCode, resp.Header, notice.Headers{Leaving: names.Leaving, RetryAfter: names.RetryAfter})
+	n := notice.Read(resp.StatusCode, resp.Header, notice.Headers{Leaving: names.Leaving, Brittle: names.Brittle, RetryAfter: names.RetryAfter})
 	if len(n.Unreadable) > 0 {
 		a.gateway.log.Warn().Str("event", "notice-unreadable").Str("upstream", a.choice.upstream.ID).Str("request", a.request.ID).
 			Strs("headers", n.Unreadable).Str("leaving", headerText(a.statedLeaving())).Str("retry_after", headerText(a.statedRetryAfter())).Msg("")
 	}
+	full := resp.StatusCode == http.StatusServiceUnavailable && a.notRun(resp)
+	a.gateway.fleet.observeBrittle(&a.choice, n.Brittle, full)
 	a.gateway.fleet.observeNotice(&a.choice, n, resp.StatusCode != http.StatusServiceUnavailable)
 }
 
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -91,7 +91,7 @@
 	if !m.inService(now, grace) || m.shard.policy.isEvacuated(m.Zone) {
 		return false
 	}
-	return m.noticesAllow(now) && m.coldBoundAllows(now) && m.limitAllows(now)
+	return m.noticesAllow(now) && m.brittleAllows(now) && m.coldBoundAllows(now) && m.limitAllows(now)
 }
 
 // recordSent counts a request to the upstream against its cold bound, its rate limit and the trials
@@ -141,7 +141,7 @@
 // upstreamCounts holds the number of upstreams that are in service, and the numbers of those among
 // them that are cold, in an evacuated zone, or rate-limited. Upstreams in evacuated zones aren't
 // counted as cold. backingOff is the number of those that are neither and accept no requests of this
-// host because of a backoff. leaving is the number of listed upstreams that aren't in service because
+// host because of a backoff or because they are brittle. leaving is the number of listed upstreams that aren't in service because
 // they are leaving.
 type upstreamCounts struct{ inService, cold, evacuated, limited, backingOff, leaving int }
 
@@ -191,7 +191,7 @@
 			n.evacuated++
 		case m.isCold(now):
 			n.cold++
-		case m.backsOff(now):
+		case m.backsOff(now), !m.brittleAllows(now):
 			n.backingOff++
 			continue
 		}
--- /dev/null
+++ b/notice/brittle.go
@@ -0,0 +1,90 @@
+package notice
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// brittleRetention is how long a service counts as brittle after the last answer that stated it.
+	// Brittle upstreams state it in all answers.
+	brittleRetention = 3 * time.Second
+	// freeBrittleLoad is the load per slot up to which each of more hosts than there are slots may have
+	// a request at a brittle upstream. Load data is up to half a second old.
+	freeBrittleLoad = 0.5
+	// brittleMargin is the fraction of the permitted rejections that the hosts together may cause by
+	// sending requests again after a rejection.
+	brittleMargin = 0.5
+	// minRejectionBackoff and maxRejectionBackoff bound the time for which a host sends no request to a
+	// brittle upstream that rejected one.
+	minRejectionBackoff = time.Second
+	maxRejectionBackoff = 10 * time.Second
+	// shareInterval is how often the hosts change that may use a brittle upstream, where it has fewer
+	// slots than there are hosts.
+	shareInterval = time.Second
+)
+
+// Brittle is what the upstreams of a service state about rejections: one that has to reject more than
+// a number of requests in a second terminates. The hosts don't tell each other how many each upstream
+// rejected, so each keeps to its share. The zero value is a service whose upstreams state nothing.
+type Brittle struct {
+	limit    int
+	statedAt time.Time
+}
+
+// Record records the limit that an answer states; 0 if it states none.
+func (b *Brittle) Record(limit int, now time.Time) {
+	if limit > 0 {
+		b.limit, b.statedAt = limit, now
+	}
+}
+
+// Active reports whether the upstreams are brittle.
+func (b *Brittle) Active(now time.Time) bool {
+	return b.limit > 0 && now.Sub(b.statedAt) < brittleRetention
+}
+
+// Limit returns the number of rejections in a second that an upstream bears.
+func (b *Brittle) Limit() int { return b.limit }
+
+// BrittleUse is the use of a brittle upstream.
+type BrittleUse struct {
+	// Load is the estimated number of requests of all hosts, running and waiting, Slots the number that
+	// the upstream runs concurrently.
+	Load  float64
+	Slots int
+	// Own is the number of requests of this host, Hosts the number of hosts; 0 if it is unknown.
+	Own, Hosts int
+	// Point is a number in [0, 1) that differs between hosts and upstreams.
+	Point float64
+}
+
+// Allows reports whether this host may send the upstream another request. The hosts share the slots: each
+// may have its part of them in flight, whatever the load, since load can rise faster than load data
+// arrives. Where there are more hosts than slots, each may have one request in flight while slots are
+// free, and otherwise only some of them at a time. sinceEpoch is the time by which these change.
+func (u BrittleUse) Allows(sinceEpoch time.Duration) bool {
+	if u.Hosts == 0 {
+		return u.Own == 0
+	}
+	slots := float64(max(1, u.Slots))
+	share := slots / float64(u.Hosts)
+	if share < 1 && u.Load < freeBrittleLoad*slots {
+		return u.Own == 0
+	}
+	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceEpoch)/float64(shareInterval)))
+	return u.Own < int(share+turn)
+}
+
+// goldenRatio spreads the multiples of itself evenly over [0, 1), so that all hosts get their turns.
+const goldenRatio = 0.6180339887498949
+
+// RejectionBackoff returns the time for which a host sends no request to a brittle upstream that rejected
+// one because it is full. It is drawn, since the upstream may reject requests of all hosts at the same
+// time.
+func (b *Brittle) RejectionBackoff(hosts int) time.Duration {
+	perHost := brittleMargin * float64(b.limit) / float64(max(1, hosts))
+	mean := min(max(time.Duration(float64(time.Second)/perHost), minRejectionBackoff), maxRejectionBackoff)
+	return mean/2 + rand.N(mean)
+}
