gateway: an attempt's log line names the parts of its prompt

Change: field parts, the first eight that other requests may share. Ruled out: the parts' sizes (tokens says enough).

--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -80,7 +80,7 @@
 		Str("version", a.choice.upstream.Version).Str("model", r.model).
 		Int("among", a.choice.candidateCount).Float64("load", math.Round(10*a.choice.load)/10).
 		Str("load_from", string(a.choice.loadSource)).Int64("load_age_ms", a.choice.loadAge.Milliseconds()).
-		Int("tokens", r.Prompt.TokensIn).Int64("ahead_ms", a.choice.workAhead.Milliseconds()).Int64("expected_ms", a.choice.placement.ExpectedTime.Milliseconds()).
+		Int("tokens", r.Prompt.TokensIn).Strs("parts", r.Prompt.sharedPartIDs(maxLoggedParts)).Int64("ahead_ms", a.choice.workAhead.Milliseconds()).Int64("expected_ms", a.choice.placement.ExpectedTime.Milliseconds()).
 		Int("missing", a.choice.placement.UncachedTokens).Bool("owner", a.choice.placement.IsOwner).Int("threshold", a.minConfidence).Float64("pressure", math.Round(100*a.queuePressure)/100).
 		Str("outcome", result.outcome.String()).Int("status", result.status).Int("confidence", result.confidence).Str("limit", headerText(result.limitHeaders)).
 		Str("leaving", headerText(a.statedLeaving())).Str("retry_after", headerText(a.statedRetryAfter())).
@@ -98,6 +98,10 @@
 	line.Msg("")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line. The first ones are the ones that most
+// requests share.
+const maxLoggedParts = 8
+
 // maxLoggedHeader bounds the text of an upstream's header in a log line, in bytes.
 const maxLoggedHeader = 64
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -105,6 +105,18 @@
 	Tokens int
 }
 
+// sharedPartIDs returns the ids of the prompt's parts that other requests may contain, in their order, at
+// most the given number. The last part belongs to the request or its session.
+func (p *Prompt) sharedPartIDs(most int) []string {
+	var ids []string
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		if len(ids) < most {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // path returns the target without its query.
 func (r *Request) path() string {
 	path, _, _ := strings.Cut(r.Target, "?")
