--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -34,10 +34,12 @@
 	// crashTimes is when upstreams crashed.
 	crashTimes []time.Time
 	stopped    bool
+	// prepare makes an upstream crash on poison requests. It replaces poisonBody if it is set.
+	prepare func(u *platformtest.Upstream, onCrash func())
 }
 
-func newCrashingPool(s *gatewaySystem, size int, restartDelay time.Duration) *crashingPool {
-	p := &crashingPool{gatewaySystem: s}
+func newCrashingPool(s *gatewaySystem, size int, restartDelay time.Duration, prepare func(u *platformtest.Upstream, onCrash func())) *crashingPool {
+	p := &crashingPool{gatewaySystem: s, prepare: prepare}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range size {
@@ -53,7 +55,13 @@
 		ID: fmt.Sprintf("u-%d", p.upstreamsAdded), Service: "pool", Version: "v1", Zone: zone,
 		Events: streamEvents, Pause: 30 * time.Millisecond, LowConfidenceModel: "weak", Confidence: 20,
 	}
-	u.SetPoisonRequest(poisonBody, 40*time.Millisecond, func() {
+	prepare := p.prepare
+	if prepare == nil {
+		prepare = func(u *platformtest.Upstream, onCrash func()) {
+			u.SetPoisonRequest(poisonBody, 40*time.Millisecond, onCrash)
+		}
+	}
+	prepare(u, func() {
 		p.mu.Lock()
 		p.crashTimes = append(p.crashTimes, time.Now())
 		p.mu.Unlock()
@@ -95,7 +103,10 @@
 }
 
 // replacePool replaces the upstreams of the pool by a crashingPool.
-func (s *gatewaySystem) replacePool() *crashingPool {
+func (s *gatewaySystem) replacePool() *crashingPool { return s.replacePoolBy(nil) }
+
+// replacePoolBy is like replacePool, with upstreams that prepare makes crash on poison requests.
+func (s *gatewaySystem) replacePoolBy(prepare func(u *platformtest.Upstream, onCrash func())) *crashingPool {
 	s.t.Helper()
 	for _, u := range s.upstreams {
 		if u.Service == "pool" {
@@ -103,7 +114,7 @@
 			u.Kill() // else it would serve for a moment longer and answer the poison request
 		}
 	}
-	p := newCrashingPool(s, 12, 1500*time.Millisecond)
+	p := newCrashingPool(s, 12, 1500*time.Millisecond, prepare)
 	s.t.Cleanup(p.stop)
 	for _, h := range s.gateways {
 		eventually(s.t, h.name+" serves", func() bool { return s.send(h, "stream", "key-a").status == 200 })
