quarantine: parts of prompts that terminate upstreams are kept away

Callers saw: requests of one kind terminated upstreams one after the other, 196 restarts in 80 s; sound streams on the same upstreams broke off, 62 of them in 10 s with 4003.

Cause: a poison request is known by the digest of its whole content. These share one part of their prompts and nothing else, so that each had at most the three losses of its own attempts.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -107,7 +107,7 @@
 	admitted := true
 	defer func() {
 		if admitted {
-			d.gateway.guard.Leave(r.Digest)
+			d.gateway.guard.Leave(r.Digest, r.partDigests...)
 		}
 	}()
 	if err := d.memoryRefusal(r); err != nil {
@@ -119,7 +119,7 @@
 	}
 	defer d.gateway.holds.started(held) // also if no engine is chosen
 	if held != nil {
-		d.gateway.guard.Leave(r.Digest)
+		d.gateway.guard.Leave(r.Digest, r.partDigests...)
 		if err := d.admitAfterHold(ctx, r); err != nil {
 			admitted = false
 			return attemptResult{}, err
@@ -131,7 +131,7 @@
 	}
 	takeBack := d.recordSent(r, a)
 	target := a.choice.upstream.guardUpstream()
-	d.gateway.guard.Begin(target, r.Digest)
+	d.gateway.guard.Begin(target, r.Digest, r.partDigests...)
 	var result attemptResult
 	if r.Route.Kind == routing.Stream {
 		result = a.runStream(ctx, func(head attemptResult) bool {
@@ -146,7 +146,7 @@
 	if result.outcome != outcomeRefused {
 		r.runState.Raise(a.runState.State())
 	}
-	d.gateway.guard.End(target, r.Digest, result.guardOutcome())
+	d.gateway.guard.End(target, r.Digest, result.guardOutcome(), r.partDigests...)
 	if result.notReached() {
 		r.notReached++
 	}
@@ -166,7 +166,7 @@
 		// The host was suspended after the request arrived, and its timers haven't fired yet.
 		return d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no answer in time"))
 	}
-	switch err := d.gateway.guard.Admit(ctx, r.Digest, r.Service); {
+	switch err := d.gateway.guard.Admit(ctx, r.Digest, r.Service, r.partDigests...); {
 	case err == nil:
 		return nil
 	case errors.Is(err, guard.ErrQuarantined):
@@ -340,7 +340,7 @@
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) || errors.Is(result.err, errStreamMoved) {
 		return true // the retry budget was charged when the attempt was given up
 	}
-	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest) {
+	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
 	}
 	if r.runState.State() != runstate.NotRun && !r.Route.Repeatable() {
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -84,7 +84,7 @@
 		return resultcode.Wrap(resultcode.MalformedBody, err, "the body ended early or can't be read")
 	}
 	r.Body = data
-	r.Digest = r.content().Digest()
+	r.Digest, r.partDigests = r.content().Digest(), r.Prompt.partDigests()
 	return next(ctx, r)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +42,8 @@
 	// Digest identifies the request by its content. It is the same if the caller sends the request
 	// again.
 	Digest quarantine.Digest
+	// partDigests identify the parts of the prompt that other requests may contain.
+	partDigests []quarantine.Digest
 
 	// regions are the regions in which the next attempt may run.
 	regions regionConstraint
@@ -129,6 +132,21 @@
 	return &quarantine.Content{Host: r.Host, Method: r.Method, Target: r.Target, Account: r.accountName(), Body: r.Body}
 }
 
+// maxTrackedParts bounds the parts of a prompt that are tracked as causes of terminations.
+const maxTrackedParts = 32
+
+// partDigests returns the digests of the parts that other requests may contain, each once. Of more than
+// maxTrackedParts, the last ones are left out.
+func (p *Prompt) partDigests() []quarantine.Digest {
+	var list []quarantine.Digest
+	for _, id := range p.sharedPartIDs(maxTrackedParts) {
+		if d := quarantine.PartDigest(id); !slices.Contains(list, d) {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // placementPrompt returns the prompt as package placement takes it. If shared is set, all parts but
 // the last one are marked as likely to be shared with other requests; the last one is specific to
 // the request or its session. If it isn't set, the parts are left out.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -232,8 +232,12 @@
 }
 
 // eventCount returns the number of events in which upstreams terminated with the request. It is
-// the number found by this host's tracker or the number sent by its hub, whichever is higher.
+// the number found by this host's tracker or the number sent by its hub, whichever is higher; 0 for a
+// sound part.
 func (g *Guard) eventCount(d quarantine.Digest, now time.Duration) int {
+	if g.tracker.IsSound(d, now) {
+		return 0
+	}
 	n := g.tracker.EventCount(d, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -593,3 +594,40 @@
 		is.Equal(<-attributed, "other")
 	})
 }
+
+// Until the verdict on a part, requests with it run one at a time and aren't retried; requests without it and
+// those with its sound companions don't wait.
+func TestRequestsWithASuspectPartWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGuard("h", memory.NewTable())
+		part, shared := quarantine.PartDigest("dead"), quarantine.PartDigest("shared")
+		for i := range 20 {
+			g.tracker.RecordSurvival(quarantine.PartDigest(fmt.Sprint("other-", i)), boottime.Elapsed())
+			g.tracker.RecordSurvival(shared, boottime.Elapsed())
+		}
+		for i := range uint32(2) {
+			time.Sleep(time.Second)
+			for _, d := range []quarantine.Digest{digest(uint64(i)), part, shared} {
+				g.tracker.RecordLoss(quarantine.Loss{Digest: d, Incarnation: quarantine.Incarnation(i + 1), At: boottime.Elapsed(), Ran: time.Second})
+			}
+		}
+		ctx := t.Context()
+		is.NoErr(g.Admit(ctx, digest(10), "svc", shared, part))
+		for i := range uint64(3) {
+			is.NoErr(g.Admit(ctx, digest(20+i), "svc", shared))
+		}
+		started := time.Now()
+		is.NoErr(g.Admit(ctx, digest(11), "svc", part))
+		is.Equal(time.Since(started), maxSuspectWait)
+		g.Leave(digest(10), shared, part)
+		g.Leave(digest(11), part)
+		started = time.Now()
+		is.NoErr(g.Admit(ctx, digest(12), "svc", part))
+		is.Equal(time.Since(started), time.Duration(0))
+		is.True(!g.VerdictDue(digest(12), shared, part))
+		g.register.Add(quarantine.NewVerdict(quarantine.Finding{Digest: part}, "h", g.options.Clock()), boottime.Elapsed())
+		is.True(errors.Is(g.Admit(ctx, digest(13), "svc", shared, part), ErrQuarantined))
+		is.NoErr(g.Admit(ctx, digest(14), "svc", shared))
+	})
+}
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -15,7 +15,15 @@
 }
 
 // MeetsThreshold reports whether the suspect has the minimum number of events for a verdict.
-func (s Suspect) MeetsThreshold() bool { return s.Events >= minVerdictEvents }
+func (s Suspect) MeetsThreshold() bool { return s.Events >= minEvents(s.Digest) }
+
+// minEvents returns the minimum number of events for a verdict.
+func minEvents(d Digest) int {
+	if d.IsPart() {
+		return minPartEvents
+	}
+	return minVerdictEvents
+}
 
 // Suspects returns the suspects whose last loss is no older than maxAge, those with the most
 // events first, and at most limit of them.
@@ -56,7 +64,8 @@
 // Of the requests lost with an upstream, only the one with the most events counts as the cause:
 // a poison request ran at each upstream that it terminated, and each sound request at only some
 // of these. If two requests have equally many events, neither counts as the cause until another
-// termination tells them apart.
+// termination tells them apart. Between a request and a part of its prompt, the request does: the part
+// counts once it was lost more often than any request.
 func (t *Tracker) FindPoisonRequests(now time.Duration) []Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,7 +78,7 @@
 		}
 	}
 	for _, f := range findings {
-		t.setVerdict(f.Digest)
+		t.setVerdict(f.Digest, f.Events)
 	}
 	return findings
 }
@@ -78,13 +87,13 @@
 // evidence. The lock must be held.
 func (t *Tracker) evaluate(d Digest, history *lossHistory, now time.Duration) (Finding, bool) {
 	losses := t.unexplainedLosses(history, now)
-	if len(eventTimes(losses)) < minVerdictEvents {
+	if t.isSound(d, now) || len(eventTimes(losses)) < minEvents(d) || d.IsPart() && !t.hasContrast(d, losses) {
 		return Finding{}, false
 	}
 	leading := eventTimes(t.leadingLosses(d, history, now))
-	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(losses[0].at, losses[len(losses)-1].at)}
+	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(d, losses[0].at, losses[len(losses)-1].at)}
 	required := f.requiredEvents()
-	if at, ok := t.survivedAt.Peek(d); ok && now-at < survivalRetention {
+	if s, ok := t.survived.Peek(d); ok && now-s.lastAt < survivalRetention {
 		required = minEventsAnyShare
 	}
 	return f, len(leading) >= required && now-leading[required-1] >= SettleDelay
@@ -95,7 +104,12 @@
 func (f *Finding) requiredEvents() int {
 	switch share := float64(f.Upstreams) / float64(max(1, f.UnexplainedTerminations)); {
 	case share >= highShare:
-		return minVerdictEvents
+		return minEvents(f.Digest)
+	case f.Digest.IsPart() && share >= mediumShare:
+		return minEventsAnyShare
+	case f.Digest.IsPart():
+		// Parts that most requests have in common are at many upstreams that terminate at the same time.
+		return maxPartLosses + 1
 	case share >= mediumShare:
 		return minEventsMediumShare
 	default:
@@ -110,13 +124,10 @@
 	var list []timedLoss
 	for _, l := range history.losses {
 		upstream, ok := t.terminated.Peek(l.Incarnation)
-		if !ok || upstream.explained || now-upstream.at > lossRetention {
+		if !ok || upstream.explains(d) || now-upstream.at > lossRetention {
 			continue
 		}
-		if !slices.ContainsFunc(upstream.digests, func(other Digest) bool {
-			otherHistory := t.lostRepeatedly[other]
-			return other != d && otherHistory != nil && len(eventTimes(t.unexplainedLosses(otherHistory, now))) >= events
-		}) {
+		if !slices.ContainsFunc(upstream.digests, func(other Digest) bool { return other != d && t.outweighs(other, d, events, now) }) {
 			list = append(list, timedLoss{at: upstream.at, ran: l.Ran})
 		}
 	}
@@ -124,13 +135,30 @@
 	return list
 }
 
-// countUnexplainedTerminations returns the number of upstreams that terminated for no known
-// cause between first and last, or within EventWindow before first or after last. The lock must
+// outweighs reports whether another request or part that was lost with the same upstream keeps d, which has
+// the given number of events, from counting as the cause. The lock must be held.
+func (t *Tracker) outweighs(other, d Digest, events int, now time.Duration) bool {
+	otherEvents := t.withVerdict[other]
+	if history := t.lostRepeatedly[other]; history != nil {
+		otherEvents = len(eventTimes(t.unexplainedLosses(history, now)))
+	}
+	switch {
+	case other.IsPart() && !d.IsPart():
+		return otherEvents > events
+	case other.IsPart() && events >= minEventsAnyShare:
+		// Two parts that are only ever lost together can't be told apart.
+		return otherEvents > events
+	}
+	return otherEvents > 0 && otherEvents >= events
+}
+
+// countUnexplainedTerminations returns the number of upstreams that terminated for no cause that is
+// known for requests, or for parts if d is one, between first and last, or within EventWindow before first or after last. The lock must
 // be held.
-func (t *Tracker) countUnexplainedTerminations(first, last time.Duration) int {
+func (t *Tracker) countUnexplainedTerminations(d Digest, first, last time.Duration) int {
 	n := 0
 	for _, upstream := range t.terminated.Values() {
-		if !upstream.explained && upstream.at >= first-EventWindow && upstream.at <= last+EventWindow {
+		if !upstream.explains(d) && upstream.at >= first-EventWindow && upstream.at <= last+EventWindow {
 			n++
 		}
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -61,6 +61,7 @@
 	maxLostOnce           = 4096 // requests with one loss
 	maxLostRepeatedly     = 512  // requests with several losses
 	maxLosses             = 8    // losses of one request
+	maxPartLosses         = 32   // losses of one part, the latest
 	maxTerminated         = 512  // terminated upstreams
 	maxDigestsPerUpstream = 256  // requests lost with one upstream, beyond which only tracked ones are added
 	maxSurvivals          = 4096 // answered requests
@@ -85,13 +86,16 @@
 type Tracker struct {
 	mu sync.Mutex
 	// lostOnce holds the requests with one loss, and lostRepeatedly holds those with several.
-	// survivedAt holds the time of the last answer to each request.
+	// survived holds the answers to each request.
 	lostOnce       *simplelru.LRU[Digest, *lossHistory]
 	lostRepeatedly map[Digest]*lossHistory
 	terminated     *simplelru.LRU[Incarnation, *terminatedUpstream]
-	survivedAt     *simplelru.LRU[Digest, time.Duration]
-	// withVerdict holds the requests that have a verdict.
-	withVerdict map[Digest]bool
+	survived       *simplelru.LRU[Digest, survivals]
+	// partAnswers holds the latest survivals of parts, in order.
+	partAnswers []partAnswer
+	// withVerdict holds the requests that have a verdict, with the number of events by which it was
+	// made; 0 if another host made it.
+	withVerdict map[Digest]int
 }
 
 // lossHistory holds the losses of one request.
@@ -105,8 +109,31 @@
 	at      time.Duration
 	digests []Digest
 	// explained says that a request with a verdict ran at the upstream. The termination then
-	// doesn't count against the other requests.
-	explained bool
+	// doesn't count against the other requests. explainedByPart says that a part with a verdict was
+	// there. Only such a termination doesn't count against other parts: the verdict on a request
+	// doesn't tell whether one of its parts was the cause.
+	explained, explainedByPart bool
+	// simultaneous is the number of other upstreams that terminated within EventWindow.
+	simultaneous int
+}
+
+// massTerminations is the number of simultaneous terminations from which on they say nothing about parts: a
+// poison part terminates single upstreams, and the parts that most requests have in common are at each
+// upstream of a rack that fails.
+const massTerminations = 3
+
+// explains reports whether the termination doesn't count against the request or part.
+func (u *terminatedUpstream) explains(d Digest) bool {
+	if d.IsPart() {
+		return u.explainedByPart || u.simultaneous+1 >= massTerminations
+	}
+	return u.explained
+}
+
+// markExplained records that the request or part with a verdict was at the upstream.
+func (u *terminatedUpstream) markExplained(by Digest) {
+	u.explained = true
+	u.explainedByPart = u.explainedByPart || by.IsPart()
 }
 
 // NewTracker returns an empty tracker.
@@ -115,8 +142,8 @@
 		lostOnce:       newLRU[Digest, *lossHistory](maxLostOnce),
 		lostRepeatedly: make(map[Digest]*lossHistory),
 		terminated:     newLRU[Incarnation, *terminatedUpstream](maxTerminated),
-		survivedAt:     newLRU[Digest, time.Duration](maxSurvivals),
-		withVerdict:    make(map[Digest]bool),
+		survived:       newLRU[Digest, survivals](maxSurvivals),
+		withVerdict:    make(map[Digest]int),
 	}
 }
 
@@ -132,14 +159,17 @@
 func (t *Tracker) RecordLoss(l Loss) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.isSound(l.Digest, l.At) {
+		return false
+	}
 	l.Incarnation = t.resolveIncarnation(l)
 	upstream := t.getOrAddUpstream(l)
 	if slices.Contains(upstream.digests, l.Digest) || len(upstream.digests) >= maxDigestsPerUpstream && !t.isTracked(l.Digest) {
 		return false
 	}
 	upstream.digests = append(upstream.digests, l.Digest)
-	if t.withVerdict[l.Digest] {
-		upstream.explained = true
+	if t.hasVerdict(l.Digest) {
+		upstream.markExplained(l.Digest)
 		return true
 	}
 	t.addToHistory(l)
@@ -148,7 +178,12 @@
 
 // isTracked reports whether the request has losses or a verdict. The lock must be held.
 func (t *Tracker) isTracked(d Digest) bool {
-	return t.withVerdict[d] || t.lostRepeatedly[d] != nil || t.lostOnce.Contains(d)
+	return t.hasVerdict(d) || t.lostRepeatedly[d] != nil || t.lostOnce.Contains(d)
+}
+
+func (t *Tracker) hasVerdict(d Digest) bool {
+	_, ok := t.withVerdict[d]
+	return ok
 }
 
 // sameTerminationWindow is the time within which two reported terminations under one name are
@@ -182,6 +217,12 @@
 	upstream, ok := t.terminated.Get(l.Incarnation)
 	if !ok {
 		upstream = &terminatedUpstream{at: l.At}
+		for _, other := range t.terminated.Values() {
+			if (l.At - other.at).Abs() <= EventWindow {
+				other.simultaneous++
+				upstream.simultaneous++
+			}
+		}
 		t.terminated.Add(l.Incarnation, upstream)
 	}
 	upstream.at = min(upstream.at, l.At)
@@ -191,7 +232,11 @@
 // addToHistory adds the loss to the request's history. The lock must be held.
 func (t *Tracker) addToHistory(l Loss) {
 	if h := t.lostRepeatedly[l.Digest]; h != nil {
-		if len(h.losses) < maxLosses {
+		switch {
+		case l.Digest.IsPart():
+			h.losses = append(h.losses, l)
+			h.losses = h.losses[max(0, len(h.losses)-maxPartLosses):]
+		case len(h.losses) < maxLosses:
 			h.losses = append(h.losses, l)
 		}
 		return
@@ -229,7 +274,14 @@
 func (t *Tracker) RecordSurvival(d Digest, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.survivedAt.Add(d, now)
+	if d.IsPart() {
+		t.recordPartAnswer(d, now)
+	}
+	s, _ := t.survived.Peek(d)
+	if now-s.lastAt >= survivalRetention {
+		s.count = 0
+	}
+	t.survived.Add(d, survivals{lastAt: now, count: s.count + 1})
 	hadLosses := t.lostOnce.Remove(d) || t.lostRepeatedly[d] != nil
 	delete(t.lostRepeatedly, d)
 	return hadLosses
@@ -244,8 +296,8 @@
 func (t *Tracker) SurvivedSince(d Digest, since time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at, ok := t.survivedAt.Peek(d)
-	return ok && at >= since
+	s, ok := t.survived.Peek(d)
+	return ok && s.lastAt >= since
 }
 
 // SetVerdict records a verdict on the request: it explains the terminations of the upstreams where
@@ -253,16 +305,16 @@
 func (t *Tracker) SetVerdict(d Digest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setVerdict(d)
+	t.setVerdict(d, t.withVerdict[d])
 }
 
-func (t *Tracker) setVerdict(d Digest) {
-	t.withVerdict[d] = true
+func (t *Tracker) setVerdict(d Digest, events int) {
+	t.withVerdict[d] = events
 	t.lostOnce.Remove(d)
 	delete(t.lostRepeatedly, d)
 	for _, upstream := range t.terminated.Values() {
 		if slices.Contains(upstream.digests, d) {
-			upstream.explained = true
+			upstream.markExplained(d)
 		}
 	}
 }
@@ -317,7 +369,7 @@
 	var list []timedLoss
 	for _, l := range history.losses {
 		upstream, ok := t.terminated.Peek(l.Incarnation)
-		if !ok || upstream.explained || now-upstream.at > lossRetention {
+		if !ok || upstream.explains(l.Digest) || now-upstream.at > lossRetention {
 			continue
 		}
 		list = append(list, timedLoss{at: upstream.at, ran: l.Ran}) // upstream.at is the earliest reported time
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -170,7 +170,7 @@
 	is.True(tr.lostOnce.Len() <= maxLostOnce)
 	is.True(len(tr.lostRepeatedly) <= maxLostRepeatedly)
 	is.True(tr.terminated.Len() <= maxTerminated)
-	is.True(tr.survivedAt.Len() <= maxSurvivals)
+	is.True(tr.survived.Len() <= maxSurvivals)
 	for _, upstream := range tr.terminated.Values() {
 		is.True(len(upstream.digests) <= maxDigestsPerUpstream+maxLostRepeatedly)
 	}
