gateway: a surge of connections that a host can't serve is rejected unread

New on the platform: for seconds most new connections of a zone or region may go to one host.

Cause: a host reads all requests of all connections that it accepts, and answers each late.

Change: while the process's timers lag by 0.3 s and connections arrive at twice the usual rate, new ones are closed before anything is read, and the host reports that it isn't ready.

Ruled out: a fixed number of connections (hosts have 0.2 to 0.8 cores and links of 10 to 1,000 Mbit/s). Not covered: a saturated link with an idle processor.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	startedAt   time.Time
 	initialized chan struct{}
 
+	// connections accepts the connections of callers.
+	connections callerConnections
+
 	inFlight atomic.Int64
 	// hostCount is the number of hosts of the installation; 0 while it is unknown.
 	hostCount atomic.Int64
@@ -259,6 +262,7 @@
 	group.Go(func() { g.rollouts.run(ctx) })
 	group.Go(func() { g.guard.Run(ctx) })
 	group.Go(func() { g.egress.run(ctx) })
+	group.Go(func() { g.connections.measureLag(ctx) })
 	group.Go(func() { wait.Every(ctx, recordCleanupInterval, func() { g.fleet.DeleteOldRecords(boottime.Now()) }) })
 	return group
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -34,6 +34,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("gateway: %w", err)
 		}
+		if spec.handler == http.Handler(g) {
+			listener = &callerListener{Listener: listener, connections: &g.connections, log: g.log}
+		}
 		endpoints = append(endpoints, endpoint{listener: listener, server: &http.Server{
 			Handler:           spec.handler,
 			ReadHeaderTimeout: callerHeaderTimeout,
@@ -47,7 +50,7 @@
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	// Without the statuses of roll-outs the host might send requests to a version that was stopped.
 	_, statuses := g.rollouts.statuses.Age()
-	if g.stopping.Load() || !g.hasTables() || !statuses {
+	if g.stopping.Load() || !g.hasTables() || !statuses || g.connections.rejecting() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 		}
 		return float64(g.upstreamWatcher.Revision().Era())
 	})
+	m.set.NewGauge("quetzalweir_gateway_connections_rejected", func() float64 { return float64(g.connections.rejected.Load()) })
 	m.set.NewGauge("quetzalweir_gateway_upstream_path_relayed", func() float64 { return float64(g.egress.tracker.Path()) })
 	m.set.NewGauge("quetzalweir_gateway_connections_relayed_for_others", func() float64 { return float64(g.relayedForOthers.Load()) })
 	m.set.NewGauge("quetzalweir_gateway_hub_followers", func() float64 {
