guard: a refusal by all upstreams is no termination, on both front doors

Search for the same cause: the guard's check is the only place in serve that draws a conclusion on an upstream for other hosts from a connection.

Change: a refusal counts if one of up to eight other upstreams accepts, tried one after the other; the gateway's check too, which compared with three at once. TestRefusalByAllUpstreamsIsNoTermination fails without it (all refusals count).

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -67,7 +67,7 @@
 		// Sightings of several hosts are compared by their times. Only times of the wall
 		// clock, counted from the Unix epoch, can be compared across hosts.
 		Clock:   func() time.Duration { return time.Duration(time.Now().UnixNano()) },
-		OnEvent: h.metrics.countGuardEvent,
+		OnEvent: h.metrics.countGuardEvent, Others: h.upstreamAddresses,
 	})
 	peer.Handle(h.peerServer, methodSightings, func(_ context.Context, _ string, p sightingsParams) (empty, error) {
 		e.guard.AddSightings(p.Sightings)
@@ -77,6 +77,15 @@
 	return e
 }
 
+// upstreamAddresses returns the addresses of the upstreams that the host knows.
+func (h *Host) upstreamAddresses() []string {
+	var list []string
+	for _, u := range h.pool.View() {
+		list = append(list, u.Address)
+	}
+	return list
+}
+
 // run sends sightings and reads verdicts until ctx ends.
 func (e *quarantineExchange) run(ctx context.Context) error {
 	var background sync.WaitGroup
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -30,6 +30,9 @@
 	// diagnosedUpstreams is the number of upstreams that a diagnosis probes. A few may have terminated
 	// at the same time.
 	diagnosedUpstreams = 3
+	// comparedUpstreams is the number of other upstreams, at most, that are compared with one that
+	// refuses connections.
+	comparedUpstreams = 8
 )
 
 // egressPaths opens this host's connections to upstreams: by its own path or, while that is
@@ -325,17 +328,9 @@
 // reachesAnother reports whether another upstream than the one at the address accepts a direct
 // connection.
 func (p *egressPaths) reachesAnother(ctx context.Context, address string) bool {
-	targets := slices.DeleteFunc(p.probeTargets(diagnosedUpstreams), func(t probeTarget) bool { return t.address == address })
-	accepted := make(chan bool, len(targets))
-	for _, t := range targets {
-		go func() { accepted <- p.probe(ctx, p.dialDirect, probeTarget{address: t.address}) }()
-	}
-	for range targets {
-		if <-accepted {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.probeTargets(comparedUpstreams), func(t probeTarget) bool {
+		return t.address != address && p.probe(ctx, p.dialDirect, probeTarget{address: t.address})
+	})
 }
 
 // isSilent reports whether at least two upstreams owe an answer over direct connections, and none sent
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -61,6 +61,10 @@
 	// Refuses reports whether nothing listens at an upstream's address; nil for a connection attempt by
 	// this host. It must not take the failure of this host's own path for one of the upstream.
 	Refuses func(ctx context.Context, address string) bool
+	// Others returns the addresses of other upstreams, for a host without Refuses: a refused connection counts
+	// only if one of them accepts, since a host that lost its own path is refused everywhere. Nil if
+	// there are none to compare with.
+	Others func() []string
 	// OnTermination is called once for each upstream that terminated, whichever host observed
 	// it. It may be nil.
 	OnTermination func(quarantine.Incarnation)
@@ -114,7 +118,7 @@
 		options.OnTermination = func(quarantine.Incarnation) {}
 	}
 	if options.Refuses == nil {
-		options.Refuses = refusesConnections
+		options.Refuses = func(ctx context.Context, address string) bool { return refusesAlone(ctx, address, options.Others) }
 	}
 	register := quarantine.NewRegister()
 	g := &Guard{
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -631,3 +631,21 @@
 		is.NoErr(g.Admit(ctx, digest(14), "svc", shared))
 	})
 }
+
+// A host that lost its path is refused by all upstreams. It must not conclude that they terminated.
+func TestRefusalByAllUpstreamsIsNoTermination(t *testing.T) {
+	is := is.New(t)
+	listening, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	refusing := closed.Addr().String()
+	closed.Close()
+	others := func(list ...string) func() []string { return func() []string { return append(list, refusing) } }
+	is.True(refusesAlone(t.Context(), refusing, others(listening.Addr().String())))
+	is.True(refusesAlone(t.Context(), refusing, others())) // nothing to compare with
+	is.True(!refusesAlone(t.Context(), listening.Addr().String(), others()))
+	address := listening.Addr().String()
+	listening.Close()
+	is.True(!refusesAlone(t.Context(), refusing, others(address)))
+}
--- a/internal/guard/upstreamcheck.go
+++ b/internal/guard/upstreamcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"syscall"
@@ -123,6 +124,34 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// comparedUpstreams is the number of other upstreams, at most, that are compared with one that refuses
+// connections. Several may have terminated.
+const comparedUpstreams = 8
+
+// refusesAlone reports whether nothing listens at the address while another upstream accepts connections, if
+// others are known.
+func refusesAlone(ctx context.Context, address string, others func() []string) bool {
+	if !refusesConnections(ctx, address) {
+		return false
+	}
+	if others == nil {
+		return true
+	}
+	list := slices.DeleteFunc(others(), func(other string) bool { return other == address })
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:min(len(list), comparedUpstreams)]
+	return len(list) == 0 || slices.ContainsFunc(list, func(other string) bool { return acceptsConnections(ctx, other) })
+}
+
+func acceptsConnections(ctx context.Context, address string) bool {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // maxLoggedDigests is the maximum number of digests in one log line.
 const maxLoggedDigests = 16
 
