e2e: the soak interrupts paths to upstreams, silences upstreams and sends poison parts

Hosts in a quarter of the seeds reach the upstreams through relays: one host, or most of a zone, loses all of them (reset, only new connections reset, silence), in series, beside the other faults; single upstreams are silent for a second, with no check relaxed. In a quarter of the seeds poison requests share a part of their prompts, not their body.

--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -25,12 +25,13 @@
 )
 
 // regressionSeeds are the seeds that CI runs: one for each number of hosts, with and without
-// contended engines, and those that failed before, with the cause.
+// contended engines, two whose hosts lose their paths to upstreams (4 and 7), one with a poison part of prompts
+// (1), and those that failed before, with the cause.
 //
 // 9800 (9802, 9820, 9822, 9828, 9840 and 9842 failed for the same reason): a poison request
 // was answered by the third upstream, which had only the last events of a stream to send and
 // crashed just after that. The answer was counted as a survival, which cleared the request.
-var regressionSeeds = []uint64{1, 2, 9800, firstContendedSeed + 1, firstContendedSeed + 2}
+var regressionSeeds = []uint64{1, 2, 4, 7, 9800, firstContendedSeed + 1, firstContendedSeed + 2}
 
 // soak is one run with random faults. It checks only what callers and upstreams observe.
 type soak struct {
@@ -51,6 +52,10 @@
 	// noticing holds the upstreams that were added for that. Other faults don't concern them, so that
 	// a seed's other faults don't depend on their number.
 	noticing []*platformtest.Upstream
+	// pathFaults is what happens to the paths to upstreams; nil if the seed has no such faults.
+	pathFaults *soakPaths
+	// poisonsByPart is set if poison requests have a part of their prompts in common instead of their body.
+	poisonsByPart bool
 	// contendRand decides what happens to contended engines and their callers; nil if the seed has none.
 	contendRand *rand.Rand
 	// limited is the added upstream that sends a limit, or the one in its place after a
@@ -113,6 +118,10 @@
 				leftAt:        make(map[string]time.Time),
 				newestRoute:   "many",
 			}
+			if s.paths != nil {
+				s.pathFaults = &soakPaths{rand: rand.New(rand.NewPCG(seed, 9)), lost: make(map[string][]interval)}
+			}
+			s.poisonsByPart = rand.New(rand.NewPCG(seed, 10)).IntN(2) == 0
 			if seed >= firstContendedSeed {
 				s.contend(seed)
 			}
@@ -128,13 +137,17 @@
 // soakSystem starts one host in each of three availability zones for odd seeds, and for
 // even ones enough hosts in one zone that hubs relay updates of the store.
 func soakSystem(t *testing.T, seed uint64) *gatewaySystem {
+	var options []func(*gatewaySystem)
+	if hasSoakPaths(seed) {
+		options = append(options, withUpstreamPaths)
+	}
 	if *soakHosts > 0 {
-		return newGatewaySystem(t, *soakHosts, 3)
+		return newGatewaySystem(t, *soakHosts, 3, options...)
 	}
 	if seed%2 == 0 {
-		return newGatewaySystem(t, 9, 1)
+		return newGatewaySystem(t, 9, 1, options...)
 	}
-	return newGatewaySystem(t, 3, 3)
+	return newGatewaySystem(t, 3, 3, options...)
 }
 
 func (s *soak) run() {
@@ -160,6 +173,9 @@
 		}
 		callers.Go(func() { s.sendPoison(stop) })
 	}
+	if s.pathFaults != nil {
+		callers.Go(func() { s.interruptPaths(stop) })
+	}
 	s.scheduleLimits(poisoned)
 	s.scheduleLeaving(poisoned)
 	s.scheduleRejections()
@@ -340,11 +356,16 @@
 
 // crashOnPoison makes the upstream crash when it runs the poison request.
 func (s *soak) crashOnPoison(u *platformtest.Upstream) {
-	u.SetPoisonRequest(poisonBody, 30*time.Millisecond, func() {
+	onCrash := func() {
 		s.crashCount.Add(1)
 		s.recordHarmfulFault(time.Second)
 		s.crashed <- u
-	})
+	}
+	if s.poisonsByPart {
+		u.SetPoisonPart(poisonPart, 30*time.Millisecond, onCrash)
+		return
+	}
+	u.SetPoisonRequest(poisonBody, 30*time.Millisecond, onCrash)
 }
 
 // replaceCrashed starts a new upstream for each upstream that a poison request crashed. The
@@ -378,26 +399,40 @@
 		case <-time.After(time.Duration(100+s.poisonRand.IntN(500)) * time.Millisecond):
 		}
 		h := s.gateways[s.poisonRand.IntN(len(s.gateways))]
-		a := s.sendBody(h, "stream", "key-a", poisonBody)
+		a := s.sendPoisonRequest(h)
 		s.logFault("the poison request at %s: %d %q %v", h.name, a.status, a.body, a.err)
 	}
 }
 
+// sendPoisonRequest sends the seed's poison request to the host.
+func (s *soak) sendPoisonRequest(h *gatewayHost) gatewayAnswer {
+	if s.poisonsByPart {
+		return s.sendPoisonPart(h)
+	}
+	return s.sendBody(h, "stream", "key-a", poisonBody)
+}
+
 // checkPoisonQuarantined checks, after all faults, that every host refuses the poison
 // request, at the latest after three more crashes, and that no other request was refused
-// as one.
+// as one. Sound requests are sent besides, by which a part of prompts is told apart.
 func (s *soak) checkPoisonQuarantined() {
 	time.Sleep(verdictBound)
 	before := s.crashCount.Load()
 	for i := range min(4*len(s.gateways), 40) {
-		s.sendBody(s.gateways[i%len(s.gateways)], "stream", "key-a", poisonBody)
+		h := s.gateways[i%len(s.gateways)]
+		s.sendPoisonRequest(h)
+		for range 3 {
+			a := s.send(h, "stream", "key-a")
+			s.answers = append(s.answers, a)
+		}
 		s.replaceCrashed()
 		time.Sleep(100 * time.Millisecond)
 	}
-	permitted := int64(maxLateSends)
-	if before < 3 {
-		permitted += 3 - before
+	permitted, evidence := int64(maxLateSends), int64(3)
+	if s.poisonsByPart {
+		evidence = 5
 	}
+	permitted += max(0, evidence-before)
 	if after := s.crashCount.Load(); after-before > permitted {
 		s.t.Errorf("a poison request that had crashed %d upstreams crashed %d more", before, after-before)
 	}
@@ -618,6 +653,9 @@
 	}
 	s.checkLeavingUpstreams()
 	s.checkContention()
+	if s.pathFaults != nil {
+		s.checkPaths()
+	}
 	for _, late := range s.lateArrivals(s.answers, s.interrupted) {
 		s.t.Error(late)
 	}
--- /dev/null
+++ b/internal/e2e/soakpaths_test.go
@@ -0,0 +1,121 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// soakPaths is what a soak does to the paths between hosts and upstreams.
+type soakPaths struct {
+	rand *rand.Rand
+	// lost holds the times during which hosts had no path to upstreams, by the host's name, from when on
+	// they must serve.
+	lost map[string][]interval
+}
+
+// hasSoakPaths reports whether a seed's hosts reach the upstreams through relays. A relay accepts
+// connections for an upstream that crashed, so seeds with poison requests have none.
+func hasSoakPaths(seed uint64) bool {
+	poisoned := rand.New(rand.NewPCG(seed, 3)).IntN(2) == 0
+	return !poisoned && seed < firstContendedSeed && rand.New(rand.NewPCG(seed, 8)).IntN(2) == 0
+}
+
+// interruptPaths interrupts the paths of one host, or of most hosts of a zone, to all upstreams, in series, and
+// makes single upstreams silent for a second in between, until stop is closed. No check is relaxed for
+// the silence.
+func (s *soak) interruptPaths(stop chan struct{}) {
+	p := s.pathFaults
+	sleep := func(d time.Duration) bool {
+		select {
+		case <-stop:
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	for sleep(time.Duration(200+p.rand.IntN(1000)) * time.Millisecond) {
+		if p.rand.IntN(3) == 0 {
+			s.paths.silence(p.rand.IntN(1000), time.Second)
+			s.logFault("an upstream is silent for a second")
+			continue
+		}
+		cut := []*gatewayHost{s.gateways[p.rand.IntN(len(s.gateways))]}
+		if p.rand.IntN(2) == 0 {
+			for _, h := range s.gateways {
+				if h != cut[0] && h.zone == cut[0].zone && len(cut) < len(s.gateways)-2 {
+					cut = append(cut, h)
+				}
+			}
+		}
+		how := pathInterruption(1 + p.rand.IntN(3))
+		duration := time.Duration(1000+p.rand.IntN(5000)) * time.Millisecond
+		s.logFault("%d hosts from %s on lose their paths to upstreams (%s) for %v", len(cut), cut[0].name, how, duration)
+		s.recordHarmfulFault(duration)
+		began := time.Now()
+		s.paths.interrupt(how, cut...)
+		ended := sleep(duration)
+		if lost := time.Now(); lost.Sub(began) > pathRecoveryTime {
+			s.mu.Lock()
+			for _, h := range cut {
+				p.lost[h.name] = append(p.lost[h.name], interval{began.Add(pathRecoveryTime), lost})
+			}
+			s.mu.Unlock()
+		}
+		s.paths.interrupt(pathUsable)
+		if !ended {
+			return
+		}
+	}
+}
+
+// checkPaths checks that hosts without a path to upstreams served callers like the others.
+func (s *soak) checkPaths() {
+	var sent, served, otherSent, otherServed int
+	for i := range s.answers {
+		a := &s.answers[i]
+		if s.interrupted(a.host, a.began.Add(-pathRecoveryTime), a.ended) {
+			continue // a host that was paused or restarted isn't compared
+		}
+		ok := a.err == nil && a.status == http.StatusOK
+		switch own, any := s.withoutPath(a.host, a.began), s.withoutPath("", a.began); {
+		case own:
+			sent++
+			if ok {
+				served++
+			}
+		case any:
+			otherSent++
+			if ok {
+				otherServed++
+			}
+		}
+	}
+	s.t.Logf("hosts without a path to upstreams served %d of %d requests, the others %d of %d", served, sent, otherServed, otherSent)
+	if sent == 0 || otherSent == 0 {
+		return
+	}
+	const spareFailures, sentPerFailure = 10, 50
+	if 3*served*otherSent < 2*otherServed*sent && sent-served > spareFailures+(sent+otherSent)/sentPerFailure {
+		s.t.Errorf("hosts without a path to upstreams served %d of %d requests, the others %d of %d", served, sent, otherServed, otherSent)
+	}
+}
+
+// withoutPath reports whether the host, or any host if it is empty, had lost its path long enough before the
+// time that it had to serve.
+func (s *soak) withoutPath(host string, at time.Time) bool {
+	for name, lost := range s.pathFaults.lost {
+		for _, iv := range lost {
+			if (host == "" || host == name) && !at.Before(iv.from) && at.Before(iv.to) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sendPoisonPart sends a request with a body of its own and the poison part in its prompt.
+func (s *soak) sendPoisonPart(h *gatewayHost) gatewayAnswer {
+	return s.sendPrompt(h, fmt.Sprint(poisonPart, ":50"), fmt.Sprint(sharedPart, ":100"))
+}
--- a/internal/e2e/upstreampath_test.go
+++ b/internal/e2e/upstreampath_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	tcprelay "github.com/quetzalweir/quetzalweir/internal/standin/relay"
 	"github.com/quetzalweir/quetzalweir/platform/platformtest"
 )
 
@@ -65,10 +66,20 @@
 	}
 }
 
+// silence holds back all bytes from one upstream for a duration; n chooses it.
+func (p *upstreamPaths) silence(n int, duration time.Duration) {
+	p.mu.Lock()
+	r := p.relays[n%len(p.relays)]
+	p.mu.Unlock()
+	r.inner.Block(tcprelay.FromTarget)
+	time.AfterFunc(duration, func() { r.inner.Unblock(tcprelay.FromTarget) })
+}
+
 func (p *upstreamPaths) apply(r *relay) {
 	sources := p.sources
 	match := func(ip string) bool { return slices.Contains(sources, ip) }
-	r.inner.ClearFaults()
+	r.inner.RefuseFrom(nil)
+	r.inner.SilenceFrom(nil)
 	switch p.interrupted {
 	case pathReset:
 		r.inner.RefuseFrom(match)
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// Unblock ends Block.
+func (r *Relay) Unblock(d Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.directions[d].unblocked:
+	default:
+		close(r.directions[d].unblocked)
+	}
+}
+
 // Delay delays each chunk of one direction until ClearFaults.
 func (r *Relay) Delay(d Direction, by time.Duration) {
 	r.mu.Lock()
