gateway: a host that suspects its path goes on relaying connections

Cause: an upstream that has just terminated fails two connections in a row on the other two hosts too. Both then suspected their paths, declined to relay, and were avoided for 2 s, though the next comparison found their paths usable.

Change: only a host that lost its path declines. What fails while a host suspects its path is answered as declined, so that it counts neither as the upstream's refusal nor as final.

--- a/internal/gateway/relaydialer.go
+++ b/internal/gateway/relaydialer.go
@@ -212,11 +212,12 @@
 
 // relaysForOthers reports whether this host relays connections for other hosts.
 func (g *Gateway) relaysForOthers() bool {
-	return !g.stopping.Load() && g.hasTables() && g.egress.tracker.Path() == egress.Direct && !g.egress.tracker.Failures().Suspicious()
+	return !g.stopping.Load() && g.hasTables() && g.egress.tracker.Path() == egress.Direct
 }
 
 // dialForOther opens a connection that this host relays for another one. It is always direct, so that
-// hosts without upstreams can't pass connections to each other.
+// hosts without upstreams can't pass connections to each other. While this host's own path may be
+// interrupted, a failure doesn't tell anything about the upstream, and the other host asks the next one.
 func (g *Gateway) dialForOther(ctx context.Context, from, address string) (net.Conn, error) {
 	if !g.relaysForOthers() {
 		return nil, fmt.Errorf("%w: this host doesn't reach upstreams or is stopping", peer.ErrRelayDeclined)
@@ -235,6 +236,9 @@
 	if err != nil {
 		g.relayedForOthers.Add(-1)
 		g.egress.connectionFailed(address, err)
+		if g.egress.tracker.Failures().Suspicious() {
+			return nil, fmt.Errorf("%w: this host's path may be interrupted: %w", peer.ErrRelayDeclined, err)
+		}
 		return nil, err
 	}
 	return &connForOther{Conn: g.egress.observe(conn, address, openedAt), count: &g.relayedForOthers}, nil
