e2e: the soak has answers that end with their connection, and brittle engines

A third of the upstreams end their answers with the connection from some time on; in a third of the seeds with contended engines these are brittle.

--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -56,6 +56,11 @@
 	pathFaults *soakPaths
 	// poisonsByPart is set if poison requests have a part of their prompts in common instead of their body.
 	poisonsByPart bool
+	// formRand decides how upstreams end their answers, and when they are brittle.
+	formRand *rand.Rand
+	// falls is the number of brittle upstreams that terminated, brittle that of all brittle ones.
+	falls   atomic.Int64
+	brittle int
 	// contendRand decides what happens to contended engines and their callers; nil if the seed has none.
 	contendRand *rand.Rand
 	// limited is the added upstream that sends a limit, or the one in its place after a
@@ -113,6 +118,7 @@
 				restoreRand:   rand.New(rand.NewPCG(seed, 4)),
 				limitRand:     rand.New(rand.NewPCG(seed, 5)),
 				noticeRand:    rand.New(rand.NewPCG(seed, 6)),
+				formRand:      rand.New(rand.NewPCG(seed, 11)),
 				interruptions: make(map[string][]interval),
 				crashed:       make(chan *platformtest.Upstream, 1000),
 				leftAt:        make(map[string]time.Time),
@@ -176,6 +182,7 @@
 	if s.pathFaults != nil {
 		callers.Go(func() { s.interruptPaths(stop) })
 	}
+	s.scheduleAnswerForms()
 	s.scheduleLimits(poisoned)
 	s.scheduleLeaving(poisoned)
 	s.scheduleRejections()
@@ -653,6 +660,7 @@
 	}
 	s.checkLeavingUpstreams()
 	s.checkContention()
+	s.checkBrittle()
 	if s.pathFaults != nil {
 		s.checkPaths()
 	}
--- a/internal/e2e/soakpaths_test.go
+++ b/internal/e2e/soakpaths_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -73,6 +74,7 @@
 // checkPaths checks that hosts without a path to upstreams served callers like the others.
 func (s *soak) checkPaths() {
 	var sent, served, otherSent, otherServed int
+	var failed []string
 	for i := range s.answers {
 		a := &s.answers[i]
 		if s.interrupted(a.host, a.began.Add(-pathRecoveryTime), a.ended) {
@@ -84,6 +86,8 @@
 			sent++
 			if ok {
 				served++
+			} else {
+				failed = append(failed, fmt.Sprintf("%s at %s: %s at %s after %v: %d %q %v", a.id, a.host, a.kind, a.began.Format("15:04:05.000"), a.ended.Sub(a.began), a.status, a.body, a.err))
 			}
 		case any:
 			otherSent++
@@ -98,7 +102,7 @@
 	}
 	const spareFailures, sentPerFailure = 10, 50
 	if 3*served*otherSent < 2*otherServed*sent && sent-served > spareFailures+(sent+otherSent)/sentPerFailure {
-		s.t.Errorf("hosts without a path to upstreams served %d of %d requests, the others %d of %d", served, sent, otherServed, otherSent)
+		s.t.Errorf("hosts without a path to upstreams served %d of %d requests, the others %d of %d; not served:\n%s", served, sent, otherServed, otherSent, strings.Join(failed, "\n"))
 	}
 }
 
@@ -119,3 +123,39 @@
 func (s *soak) sendPoisonPart(h *gatewayHost) gatewayAnswer {
 	return s.sendPrompt(h, fmt.Sprint(poisonPart, ":50"), fmt.Sprint(sharedPart, ":100"))
 }
+
+// scheduleAnswerForms makes some upstreams end their answers with the connection from some time on, and in a
+// third of the seeds with contended engines these brittle.
+func (s *soak) scheduleAnswerForms() {
+	for _, u := range s.upstreams {
+		if s.formRand.IntN(3) == 0 {
+			time.AfterFunc(time.Duration(s.formRand.IntN(4000))*time.Millisecond, func() { u.SetEndsWithConnection(true) })
+		}
+	}
+	if s.contendRand == nil || s.formRand.IntN(3) > 0 {
+		return
+	}
+	limit := 3 + s.formRand.IntN(6)
+	s.logFault("engines are brittle: %d rejections in a second", limit)
+	s.recordDisturbance(*soakTime + idleWatch + time.Second)
+	for _, u := range s.upstreams {
+		if u.Service != "pool" {
+			continue
+		}
+		s.brittle++
+		u.SetBrittle(limit, pathRecoveryTime, func() {
+			s.falls.Add(1)
+			s.recordHarmfulFault(time.Second)
+			s.logFault("the brittle engine %s terminates", u.ID)
+			time.AfterFunc(time.Second, func() { s.store.Remove("servers", u.ID) })
+		})
+	}
+}
+
+// checkBrittle checks that the hosts didn't make too many brittle upstreams terminate.
+func (s *soak) checkBrittle() {
+	const spareFalls, upstreamsPerFall = 2, 10
+	if permitted := int64(spareFalls + s.brittle/upstreamsPerFall); s.falls.Load() > permitted {
+		s.t.Errorf("%d of %d brittle engines terminated, %d may", s.falls.Load(), s.brittle, permitted)
+	}
+}
