--- a/internal/e2e/promptpart_test.go
+++ b/internal/e2e/promptpart_test.go
@@ -36,6 +36,7 @@
 		first bool
 	}{{"after the shared part", []string{sharedPart + ":100"}, false}, {"before the shared part", []string{sharedPart + ":100"}, true}, {"alone", nil, false}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			s := newGatewaySystem(t, 7, 3)
 			p := s.replacePoolBy(func(u *platformtest.Upstream, onCrash func()) {
 				u.SetPoisonPart(poisonPart, 40*time.Millisecond, onCrash)
--- a/internal/e2e/upstreampath_test.go
+++ b/internal/e2e/upstreampath_test.go
@@ -126,34 +126,40 @@
 // callers at least two thirds as often as the other hosts, 3 s after the path was interrupted.
 func TestHostWithoutPathToUpstreamsServes(t *testing.T) {
 	for _, how := range []pathInterruption{pathReset, pathRefusesNew, pathSilent} {
-		for _, lost := range []int{1, 4} {
-			t.Run(fmt.Sprintf("%s, %d of 6 hosts", how, lost), func(t *testing.T) {
-				s := newGatewaySystem(t, 6, 3, withUpstreamPaths)
-				cut, others := s.gateways[:lost], s.gateways[lost:]
-				if lost > 1 { // both hosts of two of three zones
-					cut = []*gatewayHost{s.gateways[0], s.gateways[3], s.gateways[1], s.gateways[4]}
-					others = []*gatewayHost{s.gateways[2], s.gateways[5]}
-				}
-				for i := range 2 { // the second interruption meets hosts that recovered from the first
-					s.servedAtFirstAttempt(time.Second, s.gateways)
-					s.paths.interrupt(how, cut...)
-					if i == 1 { // a host that starts without a path has no history
-						cut[0].kill()
-						s.startGateway(cut[0])
-						eventually(t, "the host that restarted is ready", func() bool { return s.isReady(cut[0]) })
-					}
-					s.servedAtFirstAttempt(pathRecoveryTime, s.gateways)
-					s.requirePathRecovered(cut, others)
-					s.paths.interrupt(pathUsable)
-				}
-				for _, h := range s.gateways {
-					eventually(t, h.name+" serves again", func() bool { return s.send(h, "once", "key-a").status == http.StatusOK })
-				}
-				if found := s.problems(); found != nil {
-					t.Error(found)
-				}
-			})
+		t.Run(how.String(), func(t *testing.T) {
+			for _, lost := range []int{1, 4} {
+				t.Run(fmt.Sprintf("%d of 6 hosts", lost), func(t *testing.T) { testLostPaths(t, how, lost) })
+			}
+		})
+	}
+}
+
+// testLostPaths interrupts the paths of one of six hosts, or of the hosts of two of three zones, twice.
+func testLostPaths(t *testing.T, how pathInterruption, lost int) {
+	t.Parallel()
+	s := newGatewaySystem(t, 6, 3, withUpstreamPaths)
+	cut, others := s.gateways[:lost], s.gateways[lost:]
+	if lost > 1 { // both hosts of two of three zones
+		cut = []*gatewayHost{s.gateways[0], s.gateways[3], s.gateways[1], s.gateways[4]}
+		others = []*gatewayHost{s.gateways[2], s.gateways[5]}
+	}
+	for i := range 2 { // the second interruption meets hosts that recovered from the first
+		s.servedAtFirstAttempt(time.Second, s.gateways)
+		s.paths.interrupt(how, cut...)
+		if i == 1 { // a host that starts without a path has no history
+			cut[0].kill()
+			s.startGateway(cut[0])
+			eventually(t, "the host that restarted is ready", func() bool { return s.isReady(cut[0]) })
 		}
+		s.servedAtFirstAttempt(pathRecoveryTime, s.gateways)
+		s.requirePathRecovered(cut, others)
+		s.paths.interrupt(pathUsable)
+	}
+	for _, h := range s.gateways {
+		eventually(t, h.name+" serves again", func() bool { return s.send(h, "once", "key-a").status == http.StatusOK })
+	}
+	if found := s.problems(); found != nil {
+		t.Error(found)
 	}
 }
 
