egress: a comparison that no other host took part in is repeated soon

It compared the paths while the others were paused or restarting; without an answer by either path the next comparison waited up to 4 s, and the open connections ended meanwhile.

Change: a comparison in which no other host tried is repeated after 0.5 s at most. A host whose connections failed in a row relays if it received something from an upstream in the last second. TestComparisonWithoutOtherHostsIsRepeatedSoon fails without the change.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -37,6 +37,9 @@
 	// connection.
 	minDiagnosisInterval = 250 * time.Millisecond
 	maxDiagnosisInterval = 4 * time.Second
+	// maxUnrelayedInterval bounds it after a diagnosis in which no other host tried to reach the
+	// upstreams, since that one compared nothing.
+	maxUnrelayedInterval = 500 * time.Millisecond
 	// minSilenceInterval and maxSilenceInterval bound the time between two diagnoses because of
 	// silence that find the direct path usable. On a host with few requests, slow answers look like
 	// silence. The interval is reset after silenceMemory without such a diagnosis.
@@ -177,9 +180,13 @@
 	return t.currentFailures().Suspicious() || t.silent && !now.Before(t.nextSilenceAt)
 }
 
-// Diagnosis holds the result of probes of the same upstreams by both paths: whether any upstream
-// answered by the path.
-type Diagnosis struct{ Direct, Relayed bool }
+// Diagnosis holds the result of probes of the same upstreams by both paths.
+type Diagnosis struct {
+	// Direct and Relayed report whether any upstream answered by the path.
+	Direct, Relayed bool
+	// Compared reports whether another host tried to reach the upstreams.
+	Compared bool
+}
 
 // RecordDiagnosis records a diagnosis and returns the path for new connections from now on. If no
 // upstream answers by either path, the upstreams are the cause, or there is no host to relay.
@@ -199,7 +206,11 @@
 	case d.Relayed:
 		t.useRelays(now)
 	default:
-		t.diagnosisInterval = min(max(2*t.diagnosisInterval, minDiagnosisInterval), maxDiagnosisInterval)
+		longest := maxUnrelayedInterval
+		if d.Compared {
+			longest = maxDiagnosisInterval
+		}
+		t.diagnosisInterval = min(max(2*t.diagnosisInterval, minDiagnosisInterval), longest)
 		t.nextDiagnosisAt = now.Add(t.diagnosisInterval)
 	}
 	return t.path
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -41,7 +41,7 @@
 		tr.ConnectionFailed("10.0.0.1:80", now)
 		if tr.DiagnosisDue(now) {
 			diagnoses++
-			is.Equal(tr.RecordDiagnosis(egress.Diagnosis{}, now), egress.Direct)
+			is.Equal(tr.RecordDiagnosis(egress.Diagnosis{Compared: true}, now), egress.Direct)
 		}
 	}
 	is.True(diagnoses < 25)
@@ -106,3 +106,17 @@
 	}
 	is.True(diagnoses < 25)
 }
+
+// If the other hosts are restarting or paused when a host loses its path, the comparison must be repeated as
+// soon as they are back. Its open connections may end meanwhile.
+func TestComparisonWithoutOtherHostsIsRepeatedSoon(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tr := suspicious(now)
+	for range 20 {
+		is.True(tr.DiagnosisDue(now))
+		tr.RecordDiagnosis(egress.Diagnosis{}, now)
+		now = now.Add(500 * time.Millisecond)
+	}
+	is.Equal(tr.RecordDiagnosis(egress.Diagnosis{Relayed: true, Compared: true}, now), egress.Relayed)
+}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/egress"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
@@ -111,6 +112,16 @@
 	}
 }
 
+// maxProofAge is the age of the last byte from an upstream up to which a path may be usable although
+// connections failed.
+const maxProofAge = time.Second
+
+// mayReachUpstreams reports whether the direct path may be usable: no connections failed in a row, as happens
+// when single upstreams terminate, or an upstream sent something a moment ago.
+func (p *egressPaths) mayReachUpstreams() bool {
+	return !p.tracker.Failures().Suspicious() || boottime.Elapsed()-time.Duration(p.receivedAt.Load()) < maxProofAge
+}
+
 // needsRelays reports whether this host needs other hosts to relay connections, or may need them soon.
 func (p *egressPaths) needsRelays() bool {
 	return p.tracker.Path() == egress.Relayed || p.tracker.Failures().Suspicious()
@@ -231,12 +242,12 @@
 	failures, targets := p.tracker.Failures(), p.probeTargets(diagnosedUpstreams)
 	ctx, cancel := context.WithTimeout(ctx, diagnosisTimeout+relayedHeadStart)
 	defer cancel()
-	direct, relayed := make(chan bool, len(targets)), make(chan bool, len(targets))
+	direct, relayed := make(chan error, len(targets)), make(chan error, len(targets))
 	for _, t := range targets {
 		go func() { direct <- p.probe(ctx, p.dialDirect, t) }()
 		go func() {
 			if wait.For(ctx, relayedHeadStart) != nil {
-				relayed <- false
+				relayed <- errNoRelay
 				return
 			}
 			relayed <- p.probe(ctx, p.relays.dial, t)
@@ -245,15 +256,17 @@
 	var result egress.Diagnosis
 	for i := 0; i < 2*len(targets) && !result.Direct; i++ {
 		select {
-		case ok := <-direct:
-			result.Direct = result.Direct || ok
-		case ok := <-relayed:
-			result.Relayed = result.Relayed || ok
+		case err := <-direct:
+			result.Direct = result.Direct || err == nil
+		case err := <-relayed:
+			var relayErr *peer.RelayError
+			result.Relayed = result.Relayed || err == nil
+			result.Compared = result.Compared || err == nil || errors.As(err, &relayErr)
 		}
 	}
 	p.metrics.countDiagnosis(result)
 	path := p.tracker.RecordDiagnosis(result, boottime.Now())
-	p.log.Warn().Str("event", "upstream-paths-compared").Int("upstreams", len(targets)).Bool("direct", result.Direct).Bool("relayed", result.Relayed).
+	p.log.Warn().Str("event", "upstream-paths-compared").Int("upstreams", len(targets)).Bool("direct", result.Direct).Bool("relayed", result.Relayed).Bool("compared", result.Compared).
 		Int("failures", failures.Count).Int("addresses", failures.Addresses).Stringer("path", path).Msg("")
 	if path == egress.Relayed {
 		p.changed(path)
@@ -267,7 +280,7 @@
 	ctx, cancel := context.WithTimeout(ctx, diagnosisTimeout)
 	defer cancel()
 	for _, t := range p.probeTargets(1) {
-		if p.tracker.RecordProbe(p.probe(ctx, p.dialDirect, t), boottime.Now()) == egress.Direct {
+		if p.tracker.RecordProbe(p.probe(ctx, p.dialDirect, t) == nil, boottime.Now()) == egress.Direct {
 			p.changed(egress.Direct)
 		}
 	}
@@ -282,28 +295,28 @@
 	p.onChange(path)
 }
 
-// probe reports whether the upstream answers over a new connection. If its service has no health check,
-// an open connection counts as an answer.
-func (p *egressPaths) probe(ctx context.Context, dial sealedconn.DialFunc, t probeTarget) bool {
+// probe returns nil if the upstream answers over a new connection. If its service has no health check, an
+// open connection counts as an answer.
+func (p *egressPaths) probe(ctx context.Context, dial sealedconn.DialFunc, t probeTarget) error {
 	conn, err := dial(ctx, "tcp", t.address)
 	if err != nil {
-		return false
+		return err
 	}
 	defer conn.Close()
 	if t.healthPath == "" {
-		return true
+		return nil
 	}
 	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }, DisableKeepAlives: true, DisableCompression: true}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+t.healthPath, http.NoBody)
 	if err != nil {
-		return false
+		return err
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return err
 	}
 	resp.Body.Close()
-	return true
+	return nil
 }
 
 // refusesConnections reports whether nothing listens at the upstream's address. A refusal on the
@@ -329,7 +342,7 @@
 // connection.
 func (p *egressPaths) reachesAnother(ctx context.Context, address string) bool {
 	return slices.ContainsFunc(p.probeTargets(comparedUpstreams), func(t probeTarget) bool {
-		return t.address != address && p.probe(ctx, p.dialDirect, probeTarget{address: t.address})
+		return t.address != address && p.probe(ctx, p.dialDirect, probeTarget{address: t.address}) == nil
 	})
 }
 
--- a/internal/gateway/egressreplay_test.go
+++ b/internal/gateway/egressreplay_test.go
@@ -192,7 +192,7 @@
 func (h *simulatedHost) dialRelayed(ctx context.Context, relay, address string, _ peer.RelayEvents) (net.Conn, error) {
 	time.Sleep(4 * time.Millisecond)
 	other := h.network.byAddress[relay]
-	if other.paths.tracker.Path() != egress.Direct {
+	if other.paths.tracker.Path() != egress.Direct || !other.paths.mayReachUpstreams() {
 		return nil, peer.ErrRelayDeclined
 	}
 	conn, err := other.dialDirect(ctx, "tcp", address)
--- a/internal/gateway/relaydialer.go
+++ b/internal/gateway/relaydialer.go
@@ -219,7 +219,7 @@
 // hosts without upstreams can't pass connections to each other. While this host's own path may be
 // interrupted, a failure doesn't tell anything about the upstream, and the other host asks the next one.
 func (g *Gateway) dialForOther(ctx context.Context, from, address string) (net.Conn, error) {
-	if !g.relaysForOthers() {
+	if !g.relaysForOthers() || !g.egress.mayReachUpstreams() {
 		return nil, fmt.Errorf("%w: this host doesn't reach upstreams or is stopping", peer.ErrRelayDeclined)
 	}
 	if _, listed := g.fleet.zoneOfAddress(address); !listed {
--- a/internal/gateway/relaydialer_test.go
+++ b/internal/gateway/relaydialer_test.go
@@ -104,8 +104,9 @@
 	is.True(errors.Is(err, peer.ErrRelayDeclined)) // a slow link carries one connection
 	first.Close()
 
-	// Terminated upstreams make a sound host suspect its path for a moment. It relays meanwhile, but what
-	// fails then is no failure of the upstream.
+	// Terminated upstreams make a sound host suspect its path for a moment. It relays meanwhile if it
+	// received something just now, but what fails then is no failure of the upstream.
+	g.egress.receivedAt.Store(int64(boottime.Elapsed()))
 	g.egress.tracker.ConnectionFailed("a", boottime.Now())
 	g.egress.tracker.ConnectionFailed("b", boottime.Now())
 	second, err := g.dialForOther(t.Context(), "h2", address)
@@ -114,6 +115,9 @@
 	tg.addUnreachable("terminated")
 	_, err = g.dialForOther(t.Context(), "h2", g.fleet.shard("svc").members["terminated"].Address)
 	is.True(errors.Is(err, peer.ErrRelayDeclined))
+	g.egress.receivedAt.Store(int64(boottime.Elapsed() - 2*maxProofAge))
+	_, err = g.dialForOther(t.Context(), "h2", address)
+	is.True(errors.Is(err, peer.ErrRelayDeclined))
 	g.egress.tracker.RecordDiagnosis(egress.Diagnosis{Relayed: true}, boottime.Now())
 	_, err = g.dialForOther(t.Context(), "h2", address)
 	is.True(errors.Is(err, peer.ErrRelayDeclined))
