gateway: failures of relaying hosts don't count as failures of upstreams

Cause: the fault of one path taken for that of its end, in the new path itself. A relaying host that was killed or paused failed the attempts at all upstreams through it; three of four were ejected, the limited one was left, and its limit shed the requests.

Change: such failures aren't counted for the upstream, its version or the quarantine (TestRelayFailureIsNoFailureOfTheUpstream fails without).

--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -79,6 +79,9 @@
 	case outcomeDone, outcomeFailed:
 		return guard.Answered
 	case outcomeUnknown, outcomeBroken:
+		if isRelayFailure(r.err) {
+			return guard.Abandoned // the run may go on
+		}
 		return guard.Interrupted
 	case outcomeAbandoned, outcomeSilent:
 		return guard.Abandoned
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -196,6 +196,9 @@
 	if result.load != "" {
 		m.observeLoad(result.load, now)
 	}
+	if isRelayFailure(result.err) {
+		return
+	}
 	u, bad := m.ensureUsage(), 0.0
 	switch result.outcome {
 	case outcomeUnsent:
--- a/internal/gateway/relaydialer.go
+++ b/internal/gateway/relaydialer.go
@@ -32,6 +32,17 @@
 // errNoRelay means that no host is known that may relay a connection to the upstream.
 var errNoRelay = errors.New("gateway: no host relays connections to the upstream")
 
+// isRelayFailure reports whether an attempt failed because of the hosts that relay connections. That tells
+// nothing about the upstream.
+func isRelayFailure(err error) bool {
+	for _, cause := range []error{errNoRelay, peer.ErrRelayDeclined, peer.ErrUnreachable, peer.ErrBroken, peer.ErrAuthentication} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // relayDialer opens connections to upstreams that other hosts relay. Only hosts in the upstream's region
 // relay them: a request may be sent to any host in the regions in which it may run.
 type relayDialer struct {
--- a/internal/gateway/relaydialer_test.go
+++ b/internal/gateway/relaydialer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"syscall"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/egress"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 )
 
@@ -163,3 +165,23 @@
 	is.True(p.refusesConnections(t.Context(), address)) // as the other host finds
 	is.True(!p.refusesConnections(t.Context(), alive))
 }
+
+// A host that relays connections and fails must not make the upstreams behind it count as failing: they were
+// avoided then, and all requests went to the one that is limited.
+func TestRelayFailureIsNoFailureOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	tg.startUpstream("u1", respondOK("ok"))
+	p := tg.gateway.egress
+	relays := testRelays(func(string) (net.Conn, error) { return nil, peer.ErrUnreachable }, "gone")
+	p.relays.dialRelayed, p.relays.hosts = relays.dialRelayed, relays.hosts
+	p.tracker.RecordDiagnosis(egress.Diagnosis{Relayed: true, Compared: true}, boottime.Now())
+	for range 5 {
+		is.Equal(tg.do(tg.newRequest("POST", "/once/x", "body")).status, http.StatusServiceUnavailable)
+	}
+	m := tg.gateway.fleet.shard("svc").members["u1"]
+	is.True(!m.ejected(boottime.Now()))
+	is.Equal(m.currentFailureRate(boottime.Now()), 0.0)
+	broken := attemptResult{outcome: outcomeBroken, err: peer.ErrBroken}
+	is.Equal(broken.guardOutcome(), guard.Abandoned)
+}
