gateway: a diagnosis doesn't use the context of a request

Cause: the diagnosis ran with the context of the request whose connection had failed. Its trace took the probes' connections for those of the request, so that the request's state could be may-have-run though nothing was sent.

Change: a context of its own.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -146,7 +146,7 @@
 	wait.Every(ctx, egressInterval, func() {
 		now := boottime.Now()
 		p.tracker.SetSilent(p.isSilent(now))
-		p.startDiagnosis(ctx)
+		p.startDiagnosis()
 		if p.tracker.ProbeDue(now) {
 			go p.probeDirect(ctx)
 		}
@@ -168,7 +168,7 @@
 		return nil, err
 	}
 	p.connectionFailed(address, err)
-	if done := p.startDiagnosis(context.WithoutCancel(ctx)); done != nil {
+	if done := p.startDiagnosis(); done != nil {
 		select {
 		case <-done:
 		case <-ctx.Done():
@@ -220,14 +220,14 @@
 
 // startDiagnosis compares the two paths, if that is due, and returns a channel that is closed when the
 // diagnosis in progress ends; nil if there is none.
-func (p *egressPaths) startDiagnosis(ctx context.Context) <-chan struct{} {
+func (p *egressPaths) startDiagnosis() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.diagnosing == nil && p.tracker.DiagnosisDue(boottime.Now()) {
 		done := make(chan struct{})
 		p.diagnosing = done
 		go func() {
-			p.diagnose(ctx)
+			p.diagnose()
 			p.mu.Lock()
 			p.diagnosing = nil
 			p.mu.Unlock()
@@ -237,10 +237,11 @@
 	return p.diagnosing
 }
 
-// diagnose probes a few upstreams by both paths and records the result.
-func (p *egressPaths) diagnose(ctx context.Context) {
+// diagnose probes a few upstreams by both paths and records the result. Its context isn't that of a
+// request, whose trace would take the probes' connections for those of the request.
+func (p *egressPaths) diagnose() {
 	failures, targets := p.tracker.Failures(), p.probeTargets(diagnosedUpstreams)
-	ctx, cancel := context.WithTimeout(ctx, diagnosisTimeout+relayedHeadStart)
+	ctx, cancel := context.WithTimeout(context.Background(), diagnosisTimeout+relayedHeadStart)
 	defer cancel()
 	direct, relayed := make(chan error, len(targets)), make(chan error, len(targets))
 	for _, t := range targets {
--- a/internal/gateway/relaydialer_test.go
+++ b/internal/gateway/relaydialer_test.go
@@ -160,7 +160,7 @@
 	is.True(!terminated() && !p.refusesConnections(t.Context(), alive)) // nothing is known yet
 	p.tracker.ConnectionFailed(address, boottime.Now())
 	p.tracker.ConnectionFailed(alive, boottime.Now())
-	p.diagnose(t.Context())
+	p.diagnose()
 	is.Equal(p.tracker.Path(), egress.Relayed)
 	is.True(p.refusesConnections(t.Context(), address)) // as the other host finds
 	is.True(!p.refusesConnections(t.Context(), alive))
