logline: a line after the writer was closed is left out

A send on a closed channel ends the process with a panic.

Change: Close no longer closes the queue. TestWriteAfterClose panics without the change.

--- a/internal/logline/bounded.go
+++ b/internal/logline/bounded.go
@@ -18,12 +18,13 @@
 	lines     chan []byte
 	dropped   atomic.Uint64
 	closeOnce sync.Once
-	drained   chan struct{}
+	// closing is closed when the writer is to stop, drained when it has stopped.
+	closing, drained chan struct{}
 }
 
 // NewBoundedWriter returns a writer to out. Close stops it.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
-	b := &BoundedWriter{out: out, lines: make(chan []byte, queueLines), drained: make(chan struct{})}
+	b := &BoundedWriter{out: out, lines: make(chan []byte, queueLines), closing: make(chan struct{}), drained: make(chan struct{})}
 	go b.run()
 	return b
 }
@@ -41,16 +42,17 @@
 // Dropped returns the number of dropped lines.
 func (b *BoundedWriter) Dropped() uint64 { return b.dropped.Load() }
 
-// Close writes the queued lines and stops the writer. Write must not be called after it.
+// Close writes the queued lines and stops the writer. Lines of goroutines that are still running after it are
+// left out.
 func (b *BoundedWriter) Close() {
-	b.closeOnce.Do(func() { close(b.lines) })
+	b.closeOnce.Do(func() { close(b.closing) })
 	<-b.drained
 }
 
 func (b *BoundedWriter) run() {
 	defer close(b.drained)
 	reportedDrops := uint64(0)
-	for line := range b.lines {
+	write := func(line []byte) {
 		// There is no other place to report that the log can't be written.
 		_, _ = b.out.Write(line)
 		if dropped := b.dropped.Load(); dropped != reportedDrops {
@@ -58,4 +60,21 @@
 			reportedDrops = dropped
 		}
 	}
+	for {
+		select {
+		case line := <-b.lines:
+			write(line)
+			continue
+		case <-b.closing:
+		}
+		break
+	}
+	for {
+		select {
+		case line := <-b.lines:
+			write(line)
+		default:
+			return
+		}
+	}
 }
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -29,3 +29,16 @@
 			Bool("found", true).Int("among", 12).Int("attempt", 1).Str("upstream", "e1").Msg("")
 	}
 }
+
+// A goroutine that is still running when the process ends may log. That must not end the process with a panic.
+func TestWriteAfterClose(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	b := NewBoundedWriter(&out)
+	b.Write([]byte("first\n"))
+	b.Close()
+	b.Close()
+	_, err := b.Write([]byte("late\n"))
+	is.NoErr(err)
+	is.Equal(out.String(), "first\n")
+}
