guard: one place tries whether another upstream accepts

Last read of the change: serve and the gateway each had a loop that tries other upstreams one after the other; both use guard.AcceptsAny. An unused method and a half sentence in a comment go. No change of behaviour; the tests of both checks pass (guard, TestRefusal…, TestRelay…).

--- a/admission/connections.go
+++ b/admission/connections.go
@@ -31,7 +31,7 @@
 	rejectedAt  time.Time
 }
 
-// SetLag sets the lag of the process's timers, as last measured.
+// SetLag sets the lag of the process's timers.
 func (f *ConnectionFilter) SetLag(lag time.Duration) { f.lag = lag }
 
 // Accept reports whether the host accepts a new connection.
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +15,7 @@
 	"github.com/quetzalweir/quetzalweir/egress"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
@@ -342,9 +342,13 @@
 // reachesAnother reports whether another upstream than the one at the address accepts a direct
 // connection.
 func (p *egressPaths) reachesAnother(ctx context.Context, address string) bool {
-	return slices.ContainsFunc(p.probeTargets(comparedUpstreams), func(t probeTarget) bool {
-		return t.address != address && p.probe(ctx, p.dialDirect, probeTarget{address: t.address}) == nil
-	})
+	var others []string
+	for _, t := range p.probeTargets(comparedUpstreams) {
+		if t.address != address {
+			others = append(others, t.address)
+		}
+	}
+	return guard.AcceptsAny(ctx, p.dialDirect, others)
 }
 
 // isSilent reports whether at least two upstreams owe an answer over direct connections, and none sent
--- a/internal/guard/upstreamcheck.go
+++ b/internal/guard/upstreamcheck.go
@@ -140,16 +140,20 @@
 	list := slices.DeleteFunc(others(), func(other string) bool { return other == address })
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	list = list[:min(len(list), comparedUpstreams)]
-	return len(list) == 0 || slices.ContainsFunc(list, func(other string) bool { return acceptsConnections(ctx, other) })
+	return len(list) == 0 || AcceptsAny(ctx, new(net.Dialer).DialContext, list)
 }
 
-func acceptsConnections(ctx context.Context, address string) bool {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
+// AcceptsAny reports whether one of the addresses accepts a connection that dial opens. It tries them one
+// after the other.
+func AcceptsAny(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), addresses []string) bool {
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		conn, err := dial(ctx, "tcp", address)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
 }
 
 // maxLoggedDigests is the maximum number of digests in one log line.
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -45,9 +45,6 @@
 	return b.limit > 0 && now.Sub(b.statedAt) < brittleRetention
 }
 
-// Limit returns the number of rejections in a second that an upstream bears.
-func (b *Brittle) Limit() int { return b.limit }
-
 // BrittleUse is the use of a brittle upstream.
 type BrittleUse struct {
 	// Load is the estimated number of requests of all hosts, running and waiting, Slots the number that
