--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -248,12 +249,12 @@
 	f.headReceived(&c, 70*time.Millisecond)
 	f.headLoadReceived(&c, "8,16,8,100")
 	crit, b := stateCriteria(1000), s.members["b"]
-	is.Equal(s.engineView(b, &crit, 0, true, time.Now()).requests, 24.0)
-	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), time.Now())
-	is.Equal(s.engineView(b, &crit, 0, true, time.Now()).requests, 24.0)
-	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 30}, "b"), time.Now())
-	is.Equal(s.engineView(b, &crit, 0, true, time.Now()).requests, 31.0)
-	later := time.Now().Add(exchange.MaxWorkAge + time.Millisecond)
+	is.Equal(s.engineView(b, &crit, 0, true, boottime.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), boottime.Now())
+	is.Equal(s.engineView(b, &crit, 0, true, boottime.Now()).requests, 24.0)
+	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 30}, "b"), boottime.Now())
+	is.Equal(s.engineView(b, &crit, 0, true, boottime.Now()).requests, 31.0)
+	later := boottime.Now().Add(exchange.MaxWorkAge + time.Millisecond)
 	f.setRemoteEngineStates(remoteLoads(exchange.EngineLoad{Requests: 1}, "b"), later)
 	is.Equal(s.engineView(b, &crit, 0, true, later).requests, 2.0)
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -152,7 +153,7 @@
 		s := tg.gateway.fleet.shard("svc")
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.members[id].inService(time.Now(), 0)
+		return s.members[id].inService(boottime.Now(), 0)
 	}
 	rows.Replace([]feed.Row{row("gone", "4", revisionInEra(0, 5)), row("there", "7", revisionInEra(0, 6))}, revisionInEra(0, 6))
 	rows.Change(feed.Row{Key: "gone", Revision: revisionInEra(0, 9), Deleted: true})
