exchange, feed: large documents in series, failing

Replays in virtual time with links of limited bandwidth, at 7, 90 and 440 hosts; watchers that wait; memory of versions.

--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -243,6 +243,11 @@
 	disconnected func(from, to *fleetHost) bool
 	// queryDelay is the time that a query to another seed takes; 0 means the usual one.
 	queryDelay time.Duration
+
+	// links holds the hosts' network links; nil if transfers take no time. customize, if set,
+	// changes the options of a host's watcher and returns its source and handler.
+	links     map[*fleetHost]*replayLink
+	customize func(h *fleetHost, options *feed.Options) (feed.Source, feed.Handler)
 }
 
 // newFleet starts the given number of hosts, spread over the zones, and a store whose table has
@@ -261,16 +266,19 @@
 		f.start(h, i < 3*zones)
 		time.Sleep(startInterval)
 	}
-	t.Cleanup(func() {
-		for _, h := range f.hosts {
-			h.stop()
-		}
-		f.running.Wait()
-		time.Sleep(callTimeout) // for queries to other hubs that are in flight
-	})
+	t.Cleanup(f.stopAll)
 	return f
 }
 
+// stopAll stops all hosts.
+func (f *fleet) stopAll() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	f.running.Wait()
+	time.Sleep(callTimeout) // for queries to other hubs that are in flight
+}
+
 // startInterval is the time between the starts of two hosts; 440 hosts start within 138 ms. If
 // hosts started at the same instant, their timers would expire together, which makes the race
 // detector itself crash (see the note on membership).
@@ -291,13 +299,20 @@
 		FirstTableWait: 150 * time.Millisecond, FirstUpdateWait: 900 * time.Millisecond, BatchDelay: 2 * time.Second,
 	}
 	link := 20.0
+	if f.links != nil {
+		link = smallLink
+	}
 	if strong {
-		link = 200
+		link = fastLink
 	}
 	if slices.Contains(f.seeds, h.address) {
 		options.FirstTableWait = 0
 	}
-	h.watcher = feed.NewWatcher("t", f.store, h, options, zerolog.Nop())
+	source, handler := feed.Source(f.store), feed.Handler(h)
+	if f.customize != nil {
+		source, handler = f.customize(h, &options)
+	}
+	h.watcher = feed.NewWatcher("t", source, handler, options, zerolog.Nop())
 	h.quarantine = newFleetQuarantine()
 	member = New(Options{
 		Quarantine: h.quarantine,
@@ -384,6 +399,9 @@
 		return Reply{}, err
 	}
 	time.Sleep(delay)
+	if err := n.carry(ctx, len(sent), n.from, to); err != nil {
+		return Reply{}, err
+	}
 	reply, err := to.member.ownHub.handleReport(ctx, n.from.name, report)
 	if err != nil {
 		return Reply{}, err
@@ -393,12 +411,23 @@
 		return Reply{}, err
 	}
 	time.Sleep(delay)
+	if err := n.carry(ctx, len(received), to, n.from); err != nil {
+		return Reply{}, err
+	}
 	for _, h := range []*fleetHost{n.from, to} {
 		h.addTraffic(len(sent) + len(received))
 	}
 	return reply, nil
 }
 
+// carry sends a message over the links of both hosts.
+func (n *fleetNetwork) carry(ctx context.Context, bytes int, from, to *fleetHost) error {
+	if n.fleet.links == nil {
+		return nil
+	}
+	return transfer(ctx, bytes, func(int) {}, n.fleet.links[from], n.fleet.links[to])
+}
+
 // allHostsMatch reports whether every host satisfies the condition.
 func (f *fleet) allHostsMatch(condition func(h *fleetHost) bool) bool {
 	return !slices.ContainsFunc(f.hosts, func(h *fleetHost) bool { return !condition(h) })
--- /dev/null
+++ b/internal/feed/relaywait_test.go
@@ -0,0 +1,93 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/quetzalweir/quetzalweir/storage"
+)
+
+// relayedWithin is the time within which a watcher must apply a complete update from another
+// host, whatever it waits for.
+const relayedWithin = 100 * time.Millisecond
+
+// Guards against a watcher that has an update from another host and doesn't apply it before a
+// wait for the store has ended.
+func TestRelayedUpdateEndsAWaitForTheStore(t *testing.T) {
+	unavailable := errors.New("status 503")
+	tests := []struct {
+		desc    string
+		changes func(ctx context.Context, call int) (Page, error)
+		// otherFails makes another watcher's calls on the same link fail from the start.
+		otherFails bool
+		// wait is the time until the other host sends the update.
+		wait time.Duration
+	}{
+		{"the pause after failed calls", func(context.Context, int) (Page, error) { return Page{}, unavailable }, false, 9 * time.Second},
+		{"a call on a connection that went silent", func(ctx context.Context, _ int) (Page, error) { return hang(ctx) }, false, time.Second},
+		{"another watcher's calls during an outage", func(ctx context.Context, _ int) (Page, error) { return hang(ctx) }, true, 9 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				link := NewLink()
+				source := &scriptedSource{
+					list: func(int) (Page, error) { return Page{Revision: 5}, nil },
+					changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
+						return test.changes(ctx, call)
+					},
+				}
+				seen := &recorder{}
+				w := NewWatcher("t", source, seen, Options{Link: link, Hold: 6 * time.Second}, zerolog.Nop())
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{}, 2)
+				go func() { w.Run(ctx); done <- struct{}{} }()
+				if test.otherFails {
+					failing := &scriptedSource{
+						list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
+						changes: func(context.Context, int, storage.Revision) (Page, error) { return Page{}, unavailable },
+					}
+					other := NewWatcher("other", failing, &recorder{}, Options{Link: link}, zerolog.Nop())
+					go func() { other.Run(ctx); done <- struct{}{} }()
+				} else {
+					done <- struct{}{}
+				}
+				time.Sleep(test.wait)
+				w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
+				time.Sleep(relayedWithin)
+				applied := len(seen.changes)
+				cancel()
+				<-done
+				<-done
+				is.Equal(applied, 1) // the update is applied at once
+			})
+		})
+	}
+}
+
+// Guards against a host that runs out of memory when a large row changes many times: it must
+// not keep each version of the row.
+func TestVersionsOfALargeRowAreNotKept(t *testing.T) {
+	is := is.New(t)
+	const size, changes = 1 << 20, 200
+	var recent recentChanges
+	recent.reset(nil, 1, nil)
+	for i := range changes {
+		revision := storage.Revision(i + 2)
+		recent.add([]Row{{Key: "document", Revision: revision, Data: make([]byte, size)}}, nil, revision, true)
+	}
+	kept := 0
+	for _, batch := range recent.batches {
+		for _, row := range batch.rows {
+			kept += len(row.Data)
+		}
+	}
+	is.True(kept <= 4*size)
+}
