feed, exchange: hosts send each other the difference between versions of a large row

Callers saw nothing yet: the link of each host carried the whole document for each changed route, and each host kept every version of it. Cause: a change of one route is a change of the document's one row. 512 changed rows were kept whatever their size, 868 kB each. Change: of a row of 4 kB and more a host keeps the latest version and the deltas that lead to it (16, a quarter of the row). A host that states that it accepts them (report field deltas) is sent those from its version on, rebuilds the row, verifies its checksum and passes the whole row on; a delta that doesn't fit changes nothing and the host asks for whole rows (no_deltas). The copy of the table for starting hosts is packed when one starts, no longer at each change of a document. Ruled out: compression with the former version as its dictionary (deflate looks back 32 kB).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -121,6 +121,10 @@
 	// Revisions holds, by table name, the newest revision of the store's table that the host
 	// has.
 	Revisions map[string]storage.Revision `json:"revisions,omitempty"`
+	// Deltas reports that the host accepts deltas of large rows, except those of the tables in
+	// NoDeltas.
+	Deltas   bool     `json:"deltas,omitempty"`
+	NoDeltas []string `json:"no_deltas,omitempty"`
 }
 
 // Reply is a hub's answer to a Report.
@@ -191,6 +195,15 @@
 	AgeMs      int64            `json:"age_ms"`
 	ClockMs    int64            `json:"clock_ms"`
 	Rows       []UpdateRow      `json:"rows,omitempty"`
+	Deltas     []RowDelta       `json:"deltas,omitempty"`
+}
+
+// RowDelta is feed.RowDelta on the wire.
+type RowDelta struct {
+	Key      string           `json:"key"`
+	Base     storage.Revision `json:"base"`
+	Revision storage.Revision `json:"revision"`
+	Delta    []byte           `json:"delta"`
 }
 
 // UpdateRow is feed.Row on the wire.
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -264,6 +264,7 @@
 		Zone: m.options.Zone, Address: m.options.Listen, Strength: m.options.LinkMbps * m.options.Cores,
 		Work: m.options.Work(), Revisions: m.revisions(),
 	}
+	m.addDeltaSupport(&report)
 	if m.options.RelaysConns != nil {
 		report.RelaysConns = m.options.RelaysConns()
 	}
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -47,6 +47,7 @@
 			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, PromisesSince: state.promisesSince, Revisions: m.revisions(),
 			WantTimings: m.reportCount%exchangesPerTimings == 1,
 		}
+		m.addDeltaSupport(&report)
 		report.Engines, state.engines = m.engineQuery(answered)
 		report.WantRelayHosts = m.wantsRelayHosts()
 		requestedAt := boottime.Now()
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
@@ -48,7 +49,7 @@
 		if !relays && known > 0 {
 			continue
 		}
-		update, ok := watcher.UpdateSince(known, maxBytes)
+		update, ok := watcher.UpdateSince(known, r.acceptsDeltas(name), maxBytes)
 		switch {
 		case !ok:
 			pending = true // this hub is still reading the table
@@ -90,9 +91,27 @@
 	for _, r := range update.Rows {
 		t.Rows = append(t.Rows, UpdateRow(r))
 	}
+	for _, d := range update.Deltas {
+		t.Deltas = append(t.Deltas, RowDelta(d))
+	}
 	return t
 }
 
+// acceptsDeltas reports whether the reporting host accepts deltas of the table's large rows.
+func (r *Report) acceptsDeltas(table string) bool {
+	return r.Deltas && !slices.Contains(r.NoDeltas, table)
+}
+
+// addDeltaSupport sets the fields of a report that state which deltas this host accepts.
+func (m *Member) addDeltaSupport(report *Report) {
+	report.Deltas = true
+	for name, w := range m.options.Tables {
+		if !w.AcceptsDeltas() {
+			report.NoDeltas = append(report.NoDeltas, name)
+		}
+	}
+}
+
 func (t *TableUpdate) decode() feed.Update {
 	update := feed.Update{
 		Since:      t.Since,
@@ -106,5 +125,8 @@
 	for _, r := range t.Rows {
 		update.Rows = append(update.Rows, feed.Row(r))
 	}
+	for _, d := range t.Deltas {
+		update.Deltas = append(update.Deltas, feed.RowDelta(d))
+	}
 	return update
 }
--- a/internal/feed/answerparts_test.go
+++ b/internal/feed/answerparts_test.go
@@ -153,7 +153,7 @@
 				source := &scriptedSource{}
 				test.source(source)
 				w, _ := runWatcher(source, Options{}, arriving+time.Second)
-				update, ok := w.UpdateSince(0, 1<<20)
+				update, ok := w.UpdateSince(0, false, 1<<20)
 				is.True(ok)
 				is.Equal(update.Revision, storage.Revision(2))
 				ageOfFirstPart := arriving + time.Second - answerTimeout/2 // the time since the first part of the answer
--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -44,15 +45,26 @@
 		w.replace(rows, update.Revision, update.Packed)
 		return true
 	}
-	fresh := slices.DeleteFunc(slices.Clone(rows), func(row Row) bool { return row.Revision <= w.revision })
-	packed := update.Packed
-	if len(fresh) < len(rows) {
-		packed = nil // it also holds rows that were already applied
+	built, err := w.recent.build(update.Deltas)
+	if err != nil {
+		w.rejectsDeltas.Store(true)
+		w.log.Warn().Str("event", "delta-unusable").Stringer("revision", update.Revision).Err(err).Msg("")
+		return false
+	}
+	changes := changeSet{rows: slices.Concat(rows, built), packed: update.Packed, deltas: update.Deltas}
+	changes.rows = slices.DeleteFunc(changes.rows, func(row Row) bool { return row.Revision <= w.revision })
+	if len(changes.rows) != len(rows) || len(built) > 0 {
+		changes.packed = nil // it holds other rows
 	}
-	w.applyChanges(fresh, packed, update.Revision)
+	slices.SortStableFunc(changes.rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
+	w.applyChanges(changes, update.Revision)
 	return true
 }
 
+// AcceptsDeltas reports whether other hosts may send this watcher deltas of large rows. After a
+// delta that can't be applied they may not until the watcher has applied whole rows.
+func (w *Watcher) AcceptsDeltas() bool { return !w.rejectsDeltas.Load() }
+
 // loadTable gets the whole table from another host, if one sends it within FirstTableWait, or
 // else from the store. If every host read the tables from the store, a fleet that starts at
 // once would cause as many reads of each table as it has hosts.
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -84,7 +84,7 @@
 	is.Equal(len(seen.changes), 0)
 	is.Equal(len(seen.tables), 1)
 
-	update, ok := w.recent.updateSince(at(0, 90)) // the update for a host in the earlier era
+	update, ok := w.recent.updateSince(at(0, 90), false) // the update for a host in the earlier era
 	is.True(ok && !update.Complete && len(update.Rows) == 0)
 	behind := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
 	behind.replace(rows(at(0, 90)), at(0, 90), nil)
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -44,7 +44,18 @@
 	return packed.Bytes()
 }
 
-// compressors are reused between calls of pack.
+// compress returns the data in compressed form.
+func compress(data []byte) []byte {
+	var compressed bytes.Buffer
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&compressed)
+	_, _ = w.Write(data) // writes to a buffer never fail
+	_ = w.Close()
+	return compressed.Bytes()
+}
+
+// compressors are reused between calls of pack and compress.
 var compressors = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
@@ -53,15 +64,15 @@
 	return w
 }}
 
-// decompressors are reused between calls of inflate.
+// decompressors are reused between calls of decompress.
 var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
-// typicalRatio is roughly the ratio of unpacked to packed size, from which inflate estimates
+// typicalRatio is roughly the ratio of unpacked to packed size, from which decompress estimates
 // the size of its buffer.
 const typicalRatio = 8
 
-// inflate decompresses packed rows.
-func inflate(packed []byte) ([]byte, error) {
+// decompress returns data that pack or compress has compressed.
+func decompress(packed []byte) ([]byte, error) {
 	reader := decompressors.Get().(io.ReadCloser)
 	defer decompressors.Put(reader)
 	if err := reader.(flate.Resetter).Reset(bytes.NewReader(packed), nil); err != nil {
@@ -79,7 +90,7 @@
 
 // unpack decodes the output of pack.
 func unpack(packed []byte) ([]Row, error) {
-	data, err := inflate(packed)
+	data, err := decompress(packed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	revision      storage.Revision
 	hasTable      bool
 	table         tableCopy
+	// large holds the large rows. The batches and the table's changes hold the latest version of
+	// each of them only.
+	large largeRows
 	// packCache holds the last result of packChanges, for further hosts with the same revision.
 	packCache packedChanges
 }
@@ -44,7 +48,9 @@
 // packedChanges holds the packed changes after since, up to revision.
 type packedChanges struct {
 	since, revision storage.Revision
-	packed          []byte
+	// withDeltas reports that the rows for which there are deltas are left out.
+	withDeltas bool
+	packed     []byte
 }
 
 // reset replaces everything by a whole table. packed holds the same rows in packed form if
@@ -57,23 +63,67 @@
 	r.revision = revision
 	r.hasTable = true
 	r.table = newTableCopy(rows, packed)
+	if r.large == nil {
+		r.large = make(largeRows)
+	}
+	r.large.reset(rows)
+}
+
+// changeSet holds changed rows.
+type changeSet struct {
+	rows []Row
+	// packed holds the same rows in packed form if another host sent them so; otherwise it is nil.
+	packed []byte
+	// deltas holds the last delta of large rows, if another host sent it.
+	deltas []RowDelta
+}
+
+// deltaOf returns the delta that leads to the row's version, or nil.
+func (c *changeSet) deltaOf(row Row) *RowDelta {
+	for i := range c.deltas {
+		if d := &c.deltas[i]; d.Key == row.Key && d.Revision == row.Revision {
+			return d
+		}
+	}
+	return nil
 }
 
-// add appends the changes up to the revision. packed holds the same rows in packed form, or is
-// nil. relays reports whether this host relays the table to other hosts.
-func (r *recentChanges) add(rows []Row, packed []byte, revision storage.Revision, relays bool) {
+// add appends the changes up to the revision. relays reports whether this host relays the table
+// to other hosts.
+func (r *recentChanges) add(changes changeSet, revision storage.Revision, relays bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision = max(r.revision, revision)
+	rows := changes.rows
 	if len(rows) == 0 {
 		return
 	}
-	r.table.apply(rows, packed)
+	for _, row := range rows {
+		if r.large[row.Key] != nil {
+			r.dropVersions(row.Key)
+		}
+		r.large.change(row, changes.deltaOf(row))
+	}
+	r.table.apply(rows, changes.packed)
 	r.batches = append(r.batches, changeBatch{rows: rows, at: boottime.Now()})
 	r.rowCount += len(rows)
 	r.trim(relays)
 }
 
+// dropVersions drops the versions of a large row from the batches.
+func (r *recentChanges) dropVersions(key string) {
+	for i := range r.batches {
+		batch := &r.batches[i]
+		if !slices.ContainsFunc(batch.rows, func(row Row) bool { return row.Key == key }) {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(batch.rows), func(row Row) bool { return row.Key == key })
+		r.rowCount -= len(batch.rows) - len(kept)
+		batch.rows = kept
+	}
+	r.batches = slices.DeleteFunc(r.batches, func(batch changeBatch) bool { return len(batch.rows) == 0 })
+}
+
 // trim drops the oldest changed rows that need not be kept.
 func (r *recentChanges) trim(relays bool) {
 	for len(r.batches) > 0 && r.rowCount > minKeptRows {
@@ -95,9 +145,10 @@
 	}
 }
 
-// updateSince returns the update with the changes after the revision. If some of these changes
-// were dropped, Complete is false in the update. ok is false before the first listing.
-func (r *recentChanges) updateSince(revision storage.Revision) (update Update, ok bool) {
+// updateSince returns the update with the changes after the revision, with deltas of large rows
+// if withDeltas is set. If some of these changes were dropped, Complete is false in the update. ok
+// is false before the first listing.
+func (r *recentChanges) updateSince(revision storage.Revision, withDeltas bool) (update Update, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	update = Update{Since: revision, Revision: r.revision}
@@ -110,23 +161,44 @@
 			if row.Revision <= revision {
 				continue
 			}
+			if deltas, found := r.deltasOf(row, revision); withDeltas && found {
+				update.Deltas = append(update.Deltas, deltas...)
+				continue
+			}
 			size += len(row.Key) + len(row.Data)
 			update.Rows = append(update.Rows, row)
 		}
 	}
 	update.Complete = true
 	if size >= minPackedBytes {
-		update.Packed, update.Rows = r.packChanges(revision, update.Rows), nil
+		update.Packed, update.Rows = r.packChanges(revision, withDeltas, update.Rows), nil
 	}
 	return update, true
 }
 
+// deltasOf returns the deltas that lead to the row from the version that a host with the table as of the
+// revision has. The caller holds r.mu.
+func (r *recentChanges) deltasOf(row Row, revision storage.Revision) (deltas []RowDelta, ok bool) {
+	versions := r.large[row.Key]
+	if versions == nil || versions.latest.Revision != row.Revision {
+		return nil, false
+	}
+	return versions.since(revision)
+}
+
+// build returns the latest versions of the rows that the deltas lead to.
+func (r *recentChanges) build(deltas []RowDelta) ([]Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.large.build(deltas)
+}
+
 // packChanges packs the changes after a revision. Since most hosts have the same revision, it
 // keeps the last result for the next ones. The caller holds r.mu.
-func (r *recentChanges) packChanges(since storage.Revision, rows []Row) []byte {
+func (r *recentChanges) packChanges(since storage.Revision, withDeltas bool, rows []Row) []byte {
 	cache := &r.packCache
-	if cache.packed == nil || cache.since != since || cache.revision != r.revision {
-		*cache = packedChanges{since: since, revision: r.revision, packed: pack(rows)}
+	if cache.packed == nil || cache.since != since || cache.revision != r.revision || cache.withDeltas != withDeltas {
+		*cache = packedChanges{since: since, revision: r.revision, withDeltas: withDeltas, packed: pack(rows)}
 	}
 	return cache.packed
 }
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -40,10 +40,10 @@
 		table := entryTable(upstreams)
 		sentRevision := storage.Revision(0)
 		for i := 0; i < upstreams; i += batch {
-			r.add(table[i:i+batch], nil, storage.Revision(i+batch), true)
+			r.add(changeSet{rows: table[i : i+batch]}, storage.Revision(i+batch), true)
 			is.True(r.rowCount <= max(minKeptRows, 2*(i+batch)))
 			if i%(5*batch) == 4*batch { // a host is sent an update after every fifth batch
-				update, _ := r.updateSince(sentRevision)
+				update, _ := r.updateSince(sentRevision, false)
 				is.True(update.Complete)
 				sentRevision = update.Revision
 			}
@@ -51,12 +51,12 @@
 		}
 		is.Equal(r.rowCount, upstreams)
 		time.Sleep(2 * surplusRetention)
-		r.add([]Row{entryRow(3, upstreams+1)}, nil, upstreams+1, true)
+		r.add(changeSet{rows: []Row{entryRow(3, upstreams+1)}}, upstreams+1, true)
 		is.Equal(r.rowCount, minKeptRows)
 
 		var alone recentChanges // of a host that no other host relies on
 		alone.reset(nil, 0, nil)
-		alone.add(table, nil, upstreams, false)
+		alone.add(changeSet{rows: table}, upstreams, false)
 		is.Equal(alone.rowCount, minKeptRows)
 	})
 }
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -41,10 +41,14 @@
 	Since    storage.Revision
 	Revision storage.Revision
 	Rows     []Row
-	// Complete reports that Rows or Packed hold all of these changes; otherwise both are empty.
+	// Complete reports that Rows, Packed and Deltas hold all of these changes; otherwise they are
+	// empty.
 	Complete bool
 	// Packed holds the rows in packed form if they are large; Rows is empty then.
 	Packed []byte
+	// Deltas holds the changes of large rows as differences from the versions that the receiver
+	// has, in the order of their revisions. Rows or Packed hold all other changes.
+	Deltas []RowDelta
 	// IsSnapshot reports that Packed holds the whole table as of Revision instead of changes;
 	// Since and Complete are unused then.
 	IsSnapshot bool
@@ -55,6 +59,15 @@
 	Clock time.Duration
 }
 
+// packedBytes returns the size in bytes of the packed rows and the deltas.
+func (u *Update) packedBytes() int {
+	size := len(u.Packed)
+	for _, d := range u.Deltas {
+		size += len(d.Delta)
+	}
+	return size
+}
+
 // relayedUpdate holds the newest update from another host.
 type relayedUpdate struct {
 	mu     sync.Mutex
@@ -147,19 +160,19 @@
 	return ok
 }
 
-// UpdateSince returns the update for a host that has the table as of the revision. It leaves
-// out the changes if they take more than maxPacked bytes in packed form. ok is false if the
-// watcher doesn't have the table.
-func (w *Watcher) UpdateSince(since storage.Revision, maxPacked int) (update Update, ok bool) {
+// UpdateSince returns the update for a host that has the table as of the revision, with deltas of
+// large rows if withDeltas is set. It leaves out the changes if they take more than maxPacked
+// bytes in packed form. ok is false if the watcher doesn't have the table.
+func (w *Watcher) UpdateSince(since storage.Revision, withDeltas bool, maxPacked int) (update Update, ok bool) {
 	age, answered := w.Age()
 	if !answered {
 		return Update{}, false
 	}
-	if update, ok = w.recent.updateSince(since); !ok {
+	if update, ok = w.recent.updateSince(since, withDeltas); !ok {
 		return Update{}, false
 	}
-	if len(update.Packed) > maxPacked {
-		update.Packed, update.Complete = nil, false
+	if update.packedBytes() > maxPacked {
+		update.Rows, update.Packed, update.Deltas, update.Complete = nil, nil, nil, false
 	}
 	update.Age = age
 	update.Clock = w.StoreClock()
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -198,7 +198,7 @@
 		w, _ := runWatcher(source, Options{BatchDelay: time.Minute, Relays: func() bool { return true }}, time.Second)
 		is.Equal(source.hold, testRelayHold)
 		is.Equal(source.changesCalls, 2) // the pause after a change is at most RelayBatchDelay
-		update, ok := w.UpdateSince(1, 1<<20)
+		update, ok := w.UpdateSince(1, false, 1<<20)
 		is.True(ok)
 		is.Equal(update.Rows, rows(2))
 		is.True(update.Age > 0 && update.Age < time.Second)
@@ -236,15 +236,15 @@
 		t.Run(test.desc, func(t *testing.T) {
 			is := is.New(t)
 			var r recentChanges
-			_, ok := r.updateSince(0)
+			_, ok := r.updateSince(0, false)
 			is.True(!ok) // before the first listing
 			r.reset(nil, 10, nil)
 			newest := storage.Revision(10)
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
 			}
-			r.add(test.rows, nil, newest, true)
-			update, ok := r.updateSince(test.since)
+			r.add(changeSet{rows: test.rows}, newest, true)
+			update, ok := r.updateSince(test.since, false)
 			is.True(ok)
 			is.Equal(update.Revision, newest)
 			is.Equal(update.Complete, test.complete)
@@ -337,9 +337,9 @@
 			return hang(ctx)
 		})
 		time.Sleep(10 * time.Second)
-		update, ok := w.UpdateSince(5, 1<<20)
+		update, ok := w.UpdateSince(5, false, 1<<20)
 		is.True(ok && update.Complete && len(update.Packed) > 0)
-		small, ok := w.UpdateSince(5, len(update.Packed)-1)
+		small, ok := w.UpdateSince(5, false, len(update.Packed)-1)
 		is.True(ok && !small.Complete)
 		is.Equal(len(small.Packed)+len(small.Rows), 0)
 		is.Equal(small.Revision, update.Revision) // the revision tells the host that it must read changes
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -81,7 +81,7 @@
 	recent.reset(nil, 1, nil)
 	for i := range changes {
 		revision := storage.Revision(i + 2)
-		recent.add([]Row{{Key: "document", Revision: revision, Data: make([]byte, size)}}, nil, revision, true)
+		recent.add(changeSet{rows: []Row{{Key: "document", Revision: revision, Data: make([]byte, size)}}}, revision, true)
 	}
 	kept := 0
 	for _, batch := range recent.batches {
--- a/internal/feed/tablecopy.go
+++ b/internal/feed/tablecopy.go
@@ -51,14 +51,18 @@
 // apply adds changed rows. packed holds the same rows in packed form, or is nil.
 func (c *tableCopy) apply(rows []Row, packed []byte) {
 	change := rowBatch{packed: packed}
+	hasLarge := slices.ContainsFunc(rows, func(row Row) bool { return len(row.Data) >= minLargeRowBytes })
 	switch {
-	case packed != nil:
+	case packed != nil && !hasLarge:
 		c.changedBytes += len(packed)
-	case len(rows) <= maxUnpackedRows:
-		change.rows = rows
+	case len(rows) <= maxUnpackedRows || hasLarge:
+		change = rowBatch{rows: rows}
 		for _, row := range rows {
-			c.changedBytes += len(row.Key) + len(row.Data)
+			if len(row.Data) < minLargeRowBytes {
+				c.changedBytes += len(row.Key) + len(row.Data)
+			}
 		}
+		c.dropOlderVersions(rows)
 	default:
 		change.packed = pack(rows)
 		c.changedBytes += len(change.packed)
@@ -75,6 +79,23 @@
 	}
 }
 
+// dropOlderVersions drops the versions of the large rows that were kept unpacked. The latest
+// versions cost no memory, since the host has them anyway, and packing them at each change would
+// cost more time than the rest of the change.
+func (c *tableCopy) dropOlderVersions(rows []Row) {
+	for _, row := range rows {
+		if len(row.Data) < minLargeRowBytes {
+			continue
+		}
+		for i, change := range c.changes {
+			if slices.ContainsFunc(change.rows, func(old Row) bool { return old.Key == row.Key }) {
+				c.changes[i].rows = slices.DeleteFunc(slices.Clone(change.rows), func(old Row) bool { return old.Key == row.Key })
+			}
+		}
+	}
+	c.changes = slices.DeleteFunc(c.changes, func(change rowBatch) bool { return change.packed == nil && len(change.rows) == 0 })
+}
+
 // maxRowCount returns an upper bound of the number of rows in the table.
 func (c *tableCopy) maxRowCount() int { return c.packedRowCount + len(c.changedKeys) }
 
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -104,6 +104,8 @@
 	lag     lag
 	calls   callCounts
 	held    heldCall
+	// rejectsDeltas reports that a delta couldn't be applied since the last change.
+	rejectsDeltas atomic.Bool
 	// holdShortened is signaled by ShortenHold.
 	holdShortened chan struct{}
 	// relying reports whether the last step found an update from another host that was recent
@@ -226,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	w.applyChanges(page.Rows, nil, page.Revision)
+	w.applyChanges(changeSet{rows: page.Rows}, page.Revision)
 	if w.truncated = page.Truncated; w.truncated {
 		return nil // the data are current only after the last page, which is requested without a pause
 	}
@@ -252,15 +254,15 @@
 		}})
 }
 
-// applyChanges passes changes to the handler. packed holds the same rows in packed form if
-// another host sent them so, and is nil if they come from the store.
-func (w *Watcher) applyChanges(rows []Row, packed []byte, revision storage.Revision) {
-	for _, row := range rows {
+// applyChanges passes changes to the handler.
+func (w *Watcher) applyChanges(changes changeSet, revision storage.Revision) {
+	for _, row := range changes.rows {
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, revision)
 	w.lag.advance(w.revision)
-	w.recent.add(rows, packed, w.revision, w.relays())
+	w.recent.add(changes, w.revision, w.relays())
+	w.rejectsDeltas.Store(false)
 }
 
 // Stale reports whether the store's last answer is too old for other hosts to rely on this
--- a/internal/gateway/start_memory_test.go
+++ b/internal/gateway/start_memory_test.go
@@ -80,7 +80,7 @@
 		store.pages <- table[i : i+page]
 		last := table[i+page-1].Revision
 		eventually(t, "the hub has the page", func() bool { return hub.Revision() >= last })
-		update, ok := hub.UpdateSince(host.Revision(), 1<<20)
+		update, ok := hub.UpdateSince(host.Revision(), false, 1<<20)
 		is.True(ok && update.Complete)
 		host.Offer(update, time.Now())
 		eventually(t, "the host has the page", func() bool { return host.Revision() >= last })
