feed: an update from another host ends a watcher's waits for the store

Callers of hosts that lost their hub or the store got the former document for as long as the wait in progress took. Cause: spans that follow one another without regard to the time that is left. During the pause after a failed call (1.6 s), a call on a connection that went silent (6.8 s), the calls of another watcher in an outage, and an answer over a slow link, updates of other hosts weren't looked at; and a host whose hub was lost relied on its last update until that was 1.95 s old. Change: an update that has newer rows and can be applied ends each of these waits; one without rows doesn't end an answer that is arriving. A host whose hub doesn't answer calls the store at once. Ruled out: giving up calls that haven't begun only.

--- a/internal/exchange/choosehub.go
+++ b/internal/exchange/choosehub.go
@@ -73,6 +73,9 @@
 	failed := m.hubAddress
 	m.log.Warn().Str("event", "hub-lost").Str("hub", failed).Err(err).Msg("")
 	net.disconnect(failed)
+	for _, w := range m.options.Tables {
+		w.HubLost()
+	}
 	if failed != m.chosenSeed {
 		m.avoidUntil[failed] = boottime.Now().Add(failedHubBackoff)
 		m.switchHub(m.chosenSeed)
--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -7,19 +7,21 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // applyUpdate applies another host's update as if the store had returned it at the given time.
 // It returns false if the watcher must call the store instead.
 func (w *Watcher) applyUpdate(update Update, at time.Time) bool {
 	switch {
-	case !w.hasTable && (!update.IsSnapshot || update.Revision < w.revision):
-		return false // after lost history, only a snapshot no older than the watcher's rows is applied
-	case w.hasTable && update.Revision <= w.revision:
-	case update.IsSnapshot, update.Complete && update.Since <= w.revision:
+	case w.hasTable.Load() && update.Revision <= w.revision:
+	case update.advances(w.revision, w.hasTable.Load()):
 		if !w.applyRows(update) {
+			w.unusable.Store(uint64(update.Revision))
 			return false
 		}
+	case !w.hasTable.Load():
+		return false
 	default:
 		w.lag.add(update.Revision, w.sinceStart())
 		return false
@@ -28,6 +30,16 @@
 	return true
 }
 
+// advances reports whether a watcher with the rows as of the revision can apply the update and
+// gets newer rows by it. A watcher without the table, or whose history was lost, needs a snapshot
+// that is no older than its rows.
+func (u *Update) advances(revision storage.Revision, hasTable bool) bool {
+	if !hasTable {
+		return u.IsSnapshot && u.Revision >= revision
+	}
+	return u.Revision > revision && (u.IsSnapshot || u.Complete && u.Since <= revision)
+}
+
 // applyRows passes the rows of another host's update to the handler, either as a whole table or
 // as changes. It returns false if they can't be unpacked.
 func (w *Watcher) applyRows(update Update) bool {
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -68,12 +68,12 @@
 	if err != nil {
 		return Page{}, 0, err
 	}
-	callCtx, endHeld := w.held.begin(linkCtx, c, w.relayHold())
+	callCtx, endInFlight := w.inFlight.begin(linkCtx, c)
 	page, err := w.execute(callCtx, c)
-	endHeld()
-	if err != nil && errors.Is(context.Cause(callCtx), errHoldShortened) {
+	endInFlight()
+	if cause := context.Cause(callCtx); err != nil && (errors.Is(cause, errHoldShortened) || errors.Is(cause, errUpdateReceived)) {
 		w.options.Link.endCall(w, true)
-		return Page{}, 0, errHoldShortened
+		return Page{}, 0, cause
 	}
 	reached := err == nil || errors.Is(err, ErrHistoryLost)
 	abandoned := !reached && linkCtx.Err() != nil
--- a/internal/feed/heldcall.go
+++ b/internal/feed/heldcall.go
@@ -7,35 +7,55 @@
 	"time"
 )
 
-// errHoldShortened means that a held call was canceled to make one with a shorter hold.
-var errHoldShortened = errors.New("feed: held call canceled because other hosts now rely on this one")
+var (
+	// errHoldShortened means that a held call was canceled to make one with a shorter hold.
+	errHoldShortened = errors.New("feed: held call canceled because other hosts now rely on this one")
+	// errUpdateReceived means that a call was canceled, or not made, because another host sent an
+	// update that makes it unnecessary.
+	errUpdateReceived = errors.New("feed: another host sent an update")
+)
 
-// heldCall holds the call in flight if the store may hold that call for longer than the calls of
-// a relaying watcher. Otherwise call is nil.
-type heldCall struct {
-	mu     sync.Mutex
-	call   *storeCall
-	cancel context.CancelCauseFunc
+// callInFlight holds the watcher's call in flight; call is nil if there is none.
+type callInFlight struct {
+	mu         sync.Mutex
+	call       *storeCall
+	cancelCall context.CancelCauseFunc
 }
 
-// begin registers the call if the store may hold it for longer than the limit. It returns the
-// call's context, and a function that must be called when the call has ended.
-func (h *heldCall) begin(ctx context.Context, c *storeCall, limit time.Duration) (context.Context, func()) {
-	if c.hold <= limit {
-		return ctx, func() {}
-	}
+// begin registers the call. It returns the call's context, and a function that must be called when
+// the call has ended.
+func (f *callInFlight) begin(ctx context.Context, c *storeCall) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	h.set(c, cancel)
+	f.set(c, cancel)
 	return ctx, func() {
-		h.set(nil, nil)
+		f.set(nil, nil)
 		cancel(context.Canceled)
 	}
 }
 
-func (h *heldCall) set(c *storeCall, cancel context.CancelCauseFunc) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.call, h.cancel = c, cancel
+func (f *callInFlight) set(c *storeCall, cancel context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.call, f.cancelCall = c, cancel
+}
+
+// cancel cancels the call in flight with the cause.
+func (f *callInFlight) cancel(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.call != nil {
+		f.cancelCall(cause)
+	}
+}
+
+// cancelUnanswered cancels the call in flight with the cause if the store may hold it for longer
+// than the duration, and its answer hasn't begun to arrive.
+func (f *callInFlight) cancelUnanswered(hold time.Duration, cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.call != nil && f.call.hold > hold && f.call.answeredAt.Load() == 0 {
+		f.cancelCall(cause)
+	}
 }
 
 // pauseAfterChange waits before the next call, so that this call covers several further
@@ -57,6 +77,23 @@
 	}
 }
 
+// pauseAfterFailure waits before the next call, or until another host sends an update that can be
+// applied.
+func (w *Watcher) pauseAfterFailure(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for !w.canAdvance() {
+		select {
+		case <-w.relayed.updated:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // ShortenHold cancels the call in flight if the store may hold it for longer than a relaying
 // watcher's calls and hasn't begun to answer. Otherwise hosts that begin to rely on this one
 // would receive no update until that call ends.
@@ -65,10 +102,5 @@
 	case w.holdShortened <- struct{}{}:
 	default: // a signal is already pending
 	}
-	h := &w.held
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.call != nil && h.call.answeredAt.Load() == 0 {
-		h.cancel(errHoldShortened)
-	}
+	w.inFlight.cancelUnanswered(w.relayHold(), errHoldShortened)
 }
--- a/internal/feed/link.go
+++ b/internal/feed/link.go
@@ -43,7 +43,8 @@
 }
 
 // beginCall waits until the store answers, unless the watcher is the prober, and returns the
-// context of the watcher's next call.
+// context of the watcher's next call. It returns errUpdateReceived if another host sends an update
+// meanwhile that the watcher can apply.
 func (l *Link) beginCall(ctx context.Context, w *Watcher) (context.Context, error) {
 	l.mu.Lock()
 	for l.prober != nil && l.prober != w {
@@ -51,6 +52,10 @@
 		l.mu.Unlock()
 		select {
 		case <-recovered:
+		case <-w.relayed.updated:
+			if w.canAdvance() {
+				return nil, errUpdateReceived
+			}
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -78,7 +78,7 @@
 	w.handler.Replace(rows, revision)
 	w.revision = revision
 	w.lag.advance(revision)
-	w.hasTable = true
+	w.hasTable.Store(true)
 	w.recent.reset(rows, revision, packed)
 }
 
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -68,6 +68,9 @@
 	return size
 }
 
+// hasRows reports whether the update holds any changes.
+func (u *Update) hasRows() bool { return len(u.Rows) > 0 || u.Packed != nil || len(u.Deltas) > 0 }
+
 // relayedUpdate holds the newest update from another host.
 type relayedUpdate struct {
 	mu     sync.Mutex
@@ -92,6 +95,32 @@
 	r.mu.Unlock()
 	w.recordClock(update.Clock, w.sinceStart())
 	r.signal()
+	switch {
+	case !w.canAdvance():
+	case update.hasRows():
+		w.inFlight.cancel(errUpdateReceived)
+	default:
+		// The answer that is arriving may have changes that the other host doesn't have yet.
+		w.inFlight.cancelUnanswered(-1, errUpdateReceived)
+	}
+}
+
+// canAdvance reports whether the last update from another host has newer rows than this host and
+// can be applied, so that a wait for the store should end.
+func (w *Watcher) canAdvance() bool {
+	update, _, ok := w.freshUpdate()
+	return ok && uint64(update.Revision) != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
+}
+
+// HubLost discards the last update from another host, since that host stopped answering. The
+// watcher calls the store at once rather than when the update becomes too old: the answer may take
+// long, and the time until then would add to it.
+func (w *Watcher) HubLost() {
+	r := &w.relayed
+	r.mu.Lock()
+	r.answeredAt = time.Time{}
+	r.mu.Unlock()
+	r.signal()
 }
 
 // OfferIfDisconnected stores another host's update as Offer does, but only while the watcher's
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -313,7 +313,7 @@
 	seen := &recorder{}
 	w := NewWatcher("t", &scriptedSource{}, seen, Options{}, zerolog.Nop())
 	w.replace(rows(8), 8, nil)
-	w.hasTable = false
+	w.hasTable.Store(false)
 	is.True(!w.applyUpdate(Update{Revision: 7, IsSnapshot: true, Packed: pack(rows(7))}, time.Now()))
 	is.Equal(w.Revision(), storage.Revision(8))
 	is.True(w.applyUpdate(Update{Revision: 9, IsSnapshot: true, Packed: pack(rows(9))}, time.Now()))
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -31,6 +31,7 @@
 	}{
 		{"the pause after failed calls", func(context.Context, int) (Page, error) { return Page{}, unavailable }, false, 9 * time.Second},
 		{"a call on a connection that went silent", func(ctx context.Context, _ int) (Page, error) { return hang(ctx) }, false, time.Second},
+		{"an answer that takes long to arrive", func(ctx context.Context, _ int) (Page, error) { return hang(ctx) }, false, time.Second},
 		{"another watcher's calls during an outage", func(ctx context.Context, _ int) (Page, error) { return hang(ctx) }, true, 9 * time.Second},
 	}
 	for _, test := range tests {
@@ -38,17 +39,19 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				link := NewLink()
-				source := &scriptedSource{
-					list: func(int) (Page, error) { return Page{Revision: 5}, nil },
-					changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
-						return test.changes(ctx, call)
-					},
+				source := &scriptedSource{list: func(int) (Page, error) { return Page{Revision: 5}, nil }}
+				source.changes = func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
+					if test.desc == "an answer that takes long to arrive" {
+						return Page{}, receiveParts(ctx, source.received, 10*time.Second)
+					}
+					return test.changes(ctx, call)
 				}
 				seen := &recorder{}
 				w := NewWatcher("t", source, seen, Options{Link: link, Hold: 6 * time.Second}, zerolog.Nop())
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{}, 2)
 				go func() { w.Run(ctx); done <- struct{}{} }()
+				time.Sleep(time.Millisecond) // the watcher reads its table
 				if test.otherFails {
 					failing := &scriptedSource{
 						list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
@@ -91,3 +94,42 @@
 	}
 	is.True(kept <= 4*size)
 }
+
+// Guards against a host that gives up an answer of the store for another host's update that holds
+// no changes: the answer may hold the change that the other host doesn't have.
+func TestEmptyUpdateDoesNotEndAnArrivingAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, source, seen, answers := relayedWatcher(t, Options{})
+		answers.set(func(ctx context.Context, since storage.Revision) (Page, error) {
+			if since >= 9 {
+				return hang(ctx)
+			}
+			if err := receiveParts(ctx, source.received, 2*time.Second); err != nil {
+				return Page{}, err
+			}
+			return Page{Rows: rows(9), Revision: 9}, nil
+		})
+		time.Sleep(500 * time.Millisecond) // the answer has begun to arrive
+		offerRepeatedly(w, Update{Since: 5, Revision: 7, Complete: true}, 2*time.Second)
+		is.Equal(seen.changes, rows(9))
+	})
+}
+
+// Guards against a host that waits until the last update of a hub that doesn't answer any more is
+// too old, before it asks the store.
+func TestStoreIsCalledWhenTheHubIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, source, _, _ := relayedWatcher(t, Options{FirstUpdateWait: time.Second})
+		w.Offer(Update{Since: 5, Revision: 5, Complete: true}, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		calls := source.changesCalls
+		w.HubLost()
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(source.changesCalls, calls+1)
+		w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(w.Revision(), storage.Revision(6)) // the next hub's update replaces the call
+	})
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -87,9 +87,10 @@
 	clockOffset atomic.Int64
 	start       time.Time
 
-	// revision is the newest revision that was passed to the handler; only Run uses it.
+	// revision is the newest revision that was passed to the handler; only Run uses it. hasTable
+	// reports whether the watcher follows changes, rather than reads the whole table.
 	revision storage.Revision
-	hasTable bool
+	hasTable atomic.Bool
 	// truncated reports that the store has more changes than its last answer held; only Run
 	// uses it.
 	truncated bool
@@ -99,11 +100,13 @@
 	// recent holds the data from which updates for other hosts are made. relayed holds the last
 	// update received from another host. lag records how long the watcher has been behind a
 	// revision that another host announced.
-	recent  recentChanges
-	relayed relayedUpdate
-	lag     lag
-	calls   callCounts
-	held    heldCall
+	recent   recentChanges
+	relayed  relayedUpdate
+	lag      lag
+	calls    callCounts
+	inFlight callInFlight
+	// unusable is the revision of the last update from another host that couldn't be applied.
+	unusable atomic.Uint64
 	// rejectsDeltas reports that a delta couldn't be applied since the last change.
 	rejectsDeltas atomic.Bool
 	// holdShortened is signaled by ShortenHold.
@@ -184,16 +187,16 @@
 		case err == nil:
 			backoff = minBackoff
 			continue
-		case errors.Is(err, errAbandoned), errors.Is(err, errHoldShortened):
+		case errors.Is(err, errAbandoned), errors.Is(err, errHoldShortened), errors.Is(err, errUpdateReceived):
 			continue
 		case errors.Is(err, ErrHistoryLost):
 			w.log.Warn().Str("event", "history-lost").Stringer("revision", w.revision).Msg("")
-			w.hasTable = false
+			w.hasTable.Store(false)
 			continue
 		}
 		w.recordFailure(err)
 		jitter := time.Duration(rand.Int64N(int64(backoff / 2)))
-		if wait.For(ctx, backoff/2+jitter) != nil {
+		if w.pauseAfterFailure(ctx, backoff/2+jitter) != nil {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -201,7 +204,7 @@
 }
 
 func (w *Watcher) step(ctx context.Context) error {
-	if !w.hasTable {
+	if !w.hasTable.Load() {
 		return w.loadTable(ctx)
 	}
 	if w.options.Needed != nil && !w.options.Needed() {
