exchange: table updates that links can't carry in one reply are sent in parts

Callers of hosts without the store would have got the former document for good, though their hub had the new one. Cause: a limit of size on an update, link x 350 ms / hosts, above which it was left out; each host then read the store by itself, or nothing. The limit went by the hub's link alone: 700 kB to a host with 10 Mbit/s take longer than the 600 ms of an exchange, each time again. Besides, an update over the age at which a host relies on it wasn't applied although it had newer rows, and a hub's next call was held as long after a long answer as after a short one. The receiver names the transfer by its checksum and what it has, so that another hub goes on with it and a change doesn't restart it. A host waits for parts 0.35 of the time for changes, then calls the store as well. All tables of a reply share one limit, that of the slower link. The smaller one of changes and table is sent. Updates of any age are applied if they have newer rows. Ruled out: larger replies with a longer timeout (a hub's death is noticed by that timeout); equal shares for hubs (two followers of a hub without the store never had the document).

--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -406,6 +406,29 @@
 	}
 }
 
+// Guards against a document that small links can't carry from the store within the time: hosts must
+// get it from their hubs, in parts where the hubs' links can't carry it to all at once, and again
+// after a hub is lost halfway.
+func TestDocumentLargerThanLinksCarryFromTheStore(t *testing.T) {
+	const routes = 14_000 // 3 MB, 4.1 MB from the store: 3.3 s on 10 Mbit/s
+	for _, size := range documentFleetSizes()[1:2] {
+		synctest.Test(t, func(t *testing.T) {
+			r := newDocumentReplay(t, size.hosts, size.zones, 2)
+			time.Sleep(8 * time.Second)
+			r.write(routesDocument(routes))
+			time.Sleep(500 * time.Millisecond)
+			if hub := r.hubOf(r.hosts[size.hosts-1]); hub != nil {
+				r.lose(hub)
+			}
+			time.Sleep(6 * time.Second)
+			r.write(routesDocument(routes, 100))
+			r.lose(r.hubOf(r.hosts[len(r.hosts)-1]))
+			time.Sleep(6 * time.Second)
+			r.checkDocuments(documentApplyTime)
+		})
+	}
+}
+
 // Guards against a change of one route that costs as much as the whole document. The traffic of
 // a host for control stays within its budget while a document of 4,250 routes changes as often as
 // operators change it.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -125,6 +125,12 @@
 	// NoDeltas.
 	Deltas   bool     `json:"deltas,omitempty"`
 	NoDeltas []string `json:"no_deltas,omitempty"`
+	// AcceptsParts reports that the host accepts table updates in parts. Parts holds, by table name,
+	// the positions in the updates that it is receiving so.
+	AcceptsParts bool                    `json:"accepts_parts,omitempty"`
+	Parts        map[string]PartPosition `json:"parts,omitempty"`
+	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0 if unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Reply is a hub's answer to a Report.
@@ -196,6 +202,9 @@
 	ClockMs    int64            `json:"clock_ms"`
 	Rows       []UpdateRow      `json:"rows,omitempty"`
 	Deltas     []RowDelta       `json:"deltas,omitempty"`
+	// Part is a part of an update that is too large for one reply. Revision is that of the update;
+	// the other fields, except for AgeMs and ClockMs, are unused then.
+	Part *TablePart `json:"part,omitempty"`
 }
 
 // RowDelta is feed.RowDelta on the wire.
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -145,7 +145,11 @@
 		update, ok := reply.Tables[name]
 		switch {
 		case ok:
-			w.Offer(update.decode(), requestedAt)
+			decoded, err := m.incoming.receive(name, update)
+			if err != nil {
+				m.log.Error().Str("event", "transfer-failed").Str("table", name).Err(err).Msg("")
+			}
+			w.Offer(decoded, requestedAt)
 		case !reply.Relays && !reply.TablePending && reply.Assigned == "":
 			w.SetNotRelayed()
 		}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -25,6 +25,8 @@
 	zone     string
 	linkMbps float64
 	tables   map[string]*feed.Watcher
+	// transfers holds the updates of tables that are sent in parts.
+	transfers outgoingTransfers
 	// quarantine receives the followers' sightings. It may be nil.
 	quarantine Quarantine
 	log        zerolog.Logger
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -162,6 +162,9 @@
 	unsentSightings      Sightings
 	forwardedSightingSeq uint64
 
+	// incoming holds the table updates that the hub sends in parts.
+	incoming incomingTransfers
+
 	// hubAnswered reports whether the hub answered the last report. publishedHubAddress is a
 	// copy of hubAddress for goroutines other than that of Run.
 	hubAnswered         atomic.Bool
@@ -185,7 +188,7 @@
 func New(options Options, log zerolog.Logger) *Member {
 	return &Member{
 		options: options, log: log, ownHub: newHub(options, log), seedZones: make(map[string]string),
-		avoidUntil: make(map[string]time.Time), unsentPrefixes: make(SentPrefixes), seedQueries: make(map[string]*seedQuery),
+		avoidUntil: make(map[string]time.Time), unsentPrefixes: make(SentPrefixes), seedQueries: make(map[string]*seedQuery), incoming: make(incomingTransfers),
 	}
 }
 
@@ -264,7 +267,7 @@
 		Zone: m.options.Zone, Address: m.options.Listen, Strength: m.options.LinkMbps * m.options.Cores,
 		Work: m.options.Work(), Revisions: m.revisions(),
 	}
-	m.addDeltaSupport(&report)
+	m.addTableSupport(&report, m.incoming)
 	if m.options.RelaysConns != nil {
 		report.RelaysConns = m.options.RelaysConns()
 	}
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -27,6 +27,8 @@
 	promisesSince uint64
 	// limitsCursor is the position in the seed's limit log up to which the log was received.
 	limitsCursor ratelease.LogCursor
+	// incoming holds the table updates that the seed sends in parts.
+	incoming incomingTransfers
 	// engines is what the seed last answered on engines.
 	engines engineAnswers
 }
@@ -47,7 +49,11 @@
 			Zone: m.options.Zone, Address: m.options.Listen, HubQuery: true, SentPrefixesSince: state.prefixesSince, SightingsSince: state.sightingsSince, LimitsCursor: state.limitsCursor, LeavingSince: state.leavingSince, PromisesSince: state.promisesSince, Revisions: m.revisions(),
 			WantTimings: m.reportCount%exchangesPerTimings == 1,
 		}
-		m.addDeltaSupport(&report)
+		if state.incoming == nil {
+			state.incoming = make(incomingTransfers)
+		}
+		m.addTableSupport(&report, state.incoming)
+		report.AcceptsParts = m.disconnected()
 		report.Engines, state.engines = m.engineQuery(answered)
 		report.WantRelayHosts = m.wantsRelayHosts()
 		requestedAt := boottime.Now()
@@ -55,7 +61,7 @@
 			reply, err := callWithTimeout(ctx, net, seed, report)
 			if err != nil {
 				net.disconnect(seed)
-				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince, engines: answered})
+				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince, engines: answered, incoming: state.incoming})
 				return
 			}
 			m.ownHub.recordHubReply(seed, reply, reply.Hosts)
@@ -63,20 +69,36 @@
 			m.deliverQuarantineStatus(reply.QuarantineStatus)
 			m.ownHub.recordRelayHostsElsewhere(reply.RelayHosts)
 			m.addRelayHosts(reply.RelayHosts)
-			m.offerTablesIfDisconnected(reply, requestedAt)
-			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, engines: state.engines})
+			m.offerTablesIfDisconnected(reply, state.incoming, requestedAt)
+			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, engines: state.engines, incoming: state.incoming})
 		}()
 	}
 }
 
 // offerTablesIfDisconnected passes another seed's table updates to those watchers that can't
 // reach the store themselves. This matters if the store rejects the calls of single hosts.
-func (m *Member) offerTablesIfDisconnected(reply Reply, requestedAt time.Time) {
+func (m *Member) offerTablesIfDisconnected(reply Reply, incoming incomingTransfers, requestedAt time.Time) {
 	for name, w := range m.options.Tables {
-		if update, ok := reply.Tables[name]; ok {
-			w.OfferIfDisconnected(update.decode(), requestedAt)
+		update, ok := reply.Tables[name]
+		if !ok {
+			continue
+		}
+		decoded, err := incoming.receive(name, update)
+		if err != nil {
+			m.log.Error().Str("event", "transfer-failed").Str("table", name).Err(err).Msg("")
+		}
+		w.OfferIfDisconnected(decoded, requestedAt)
+	}
+}
+
+// disconnected reports whether this host's own calls of the store fail.
+func (m *Member) disconnected() bool {
+	for _, w := range m.options.Tables {
+		if w.Disconnected() {
+			return true
 		}
 	}
+	return false
 }
 
 // beginQuery returns the state of the queries to a seed, and whether the seed may be queried
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -1,10 +1,12 @@
 package exchange
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/feed"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 const (
@@ -37,52 +39,94 @@
 }
 
 // tableUpdates returns, for each table, the changes after the revision that the host has. If
-// the host doesn't have the table, or the changes are too large, it returns the whole table,
-// provided that this host's link can carry it. A host that this hub doesn't relay to gets only
+// the host doesn't have the table, or the changes are larger, it returns the whole table. Updates
+// that the links can't carry in one reply are returned in parts. A host that this hub doesn't relay to gets only
 // tables that it doesn't have yet, and only if this host's data are recent. pending reports
 // that a table that the host doesn't have will probably follow.
 func (h *hub) tableUpdates(from string, r Report, relays bool) (tables map[string]TableUpdate, pending bool) {
 	tables = make(map[string]TableUpdate)
-	maxBytes, awaitsHub := h.tableByteLimit(from, r)
-	for name, watcher := range h.tables {
-		known := r.Revisions[name]
+	budget, awaitsHub := h.tableByteLimit(from, r)
+	for _, name := range slices.Sorted(maps.Keys(h.tables)) {
+		watcher, known := h.tables[name], r.Revisions[name]
 		if !relays && known > 0 {
 			continue
 		}
-		update, ok := watcher.UpdateSince(known, r.acceptsDeltas(name), maxBytes)
+		update, ok := smallestUpdate(watcher, known, r.acceptsDeltas(name), budget)
 		switch {
 		case !ok:
 			pending = true // this hub is still reading the table
-			continue
 		case !relays && watcher.Stale():
-			continue
+		case update.PackedBytes() <= budget:
+			budget -= update.PackedBytes()
+			tables[name] = encodeUpdate(update)
+		case awaitsHub && known == 0:
+			pending = true
+		default:
+			tables[name] = h.partOf(from, name, r, update)
 		}
-		if known == 0 || !update.Complete {
-			if snapshot, fits := watcher.Snapshot(maxBytes); fits {
-				update = snapshot
-			} else if awaitsHub && known == 0 {
-				pending = true
-				continue
-			}
-		}
-		tables[name] = encodeUpdate(update)
 	}
 	return tables, pending
 }
 
-// tableByteLimit returns the maximum size in bytes of a packed table for the host. awaitsHub
+// smallestUpdate returns the smaller one of the changes after the revision that a host has and the
+// whole table. It doesn't make the whole table if the changes don't exceed the budget in bytes. ok
+// is false if the watcher doesn't have the table.
+func smallestUpdate(watcher *feed.Watcher, known storage.Revision, withDeltas bool, budget int) (update feed.Update, ok bool) {
+	update, ok = watcher.UpdateSince(known, withDeltas, maxTransferBytes)
+	if !ok || known > 0 && update.Complete && update.PackedBytes() <= budget {
+		return update, ok
+	}
+	limit := maxTransferBytes
+	if known > 0 && update.Complete {
+		limit = update.PackedBytes()
+	}
+	if snapshot, fits := watcher.Snapshot(limit); fits {
+		return snapshot, true
+	}
+	return update, true
+}
+
+// partOf returns the next part of an update for the host. A host that accepts no parts receives an
+// update without the changes, and reads them from the store.
+func (h *hub) partOf(from, table string, r Report, update feed.Update) TableUpdate {
+	part := encodeUpdate(feed.Update{Since: update.Since, Revision: update.Revision, Age: update.Age, Clock: update.Clock})
+	if !r.AcceptsParts {
+		return part
+	}
+	key := transferKey{since: update.Since, revision: update.Revision, withDeltas: len(update.Deltas) > 0, isSnapshot: update.IsSnapshot}
+	perInterval := Interval.Seconds() * transferLinkShare
+	var err error
+	part.Part, err = h.transfers.next(from, table, r, key, update, int(bytesPerSecond(h.linkMbps)*perInterval), int(bytesPerSecond(r.LinkMbps)*perInterval))
+	if err != nil {
+		h.log.Error().Str("event", "transfer-failed").Str("table", table).Err(err).Msg("")
+	}
+	return part
+}
+
+// bytesPerSecond returns the number of bytes that a link of the bandwidth in Mbit/s carries per second.
+func bytesPerSecond(mbps float64) float64 { return max(mbps, minLinkMbps) * 1e6 / 8 }
+
+// tableByteLimit returns the maximum size in bytes of the packed tables in a reply to the host: what
+// this host's link carries to all hosts that report here, and the host's own link to the host, within
+// maxTransferDuration. awaitsHub
 // reports that the host will soon get a hub of its own zone, which can send it larger tables.
 func (h *hub) tableByteLimit(from string, r Report) (maxBytes int, awaitsHub bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	bytesPerSecond := max(h.linkMbps, minLinkMbps) * 1e6 / 8
-	bytesPerHost := bytesPerSecond * maxTransferDuration.Seconds() / float64(max(1, h.countReporters().reporters))
+	linkBytes := bytesPerSecond(h.linkMbps) * maxTransferDuration.Seconds()
+	share := linkBytes / float64(max(1, h.countReporters().reporters))
 	if _, found := h.reports[from]; found && r.Hosts > 1 {
-		bytesPerHost = maxTableBytes // the host is a hub, whose followers need the table too
+		share = linkBytes // the host is a hub, whose followers need the table too
+	}
+	if r.AcceptsParts {
+		share = min(share, bytesPerSecond(r.LinkMbps)*maxTransferDuration.Seconds())
 	}
-	return int(min(maxTableBytes, bytesPerHost)), h.awaitsZoneHub(r)
+	return int(min(maxTableBytes, share/base64Factor)), h.awaitsZoneHub(r)
 }
 
+// base64Factor is how much longer bytes are in a message.
+const base64Factor = 4. / 3
+
 func encodeUpdate(update feed.Update) TableUpdate {
 	t := TableUpdate{
 		Since: update.Since, Revision: update.Revision, Complete: update.Complete, IsSnapshot: update.IsSnapshot, Packed: update.Packed,
@@ -102,9 +146,11 @@
 	return r.Deltas && !slices.Contains(r.NoDeltas, table)
 }
 
-// addDeltaSupport sets the fields of a report that state which deltas this host accepts.
-func (m *Member) addDeltaSupport(report *Report) {
-	report.Deltas = true
+// addTableSupport sets the fields of a report that state in which forms this host accepts table
+// updates, and what it has of those that it receives in parts.
+func (m *Member) addTableSupport(report *Report, incoming incomingTransfers) {
+	report.Deltas, report.AcceptsParts = true, true
+	report.Parts, report.LinkMbps = incoming.positions(), m.options.LinkMbps
 	for name, w := range m.options.Tables {
 		if !w.AcceptsDeltas() {
 			report.NoDeltas = append(report.NoDeltas, name)
--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -30,6 +30,13 @@
 	return true
 }
 
+// awaitsParts reports whether another host will soon have sent the changes that the update leaves
+// out, so that the watcher need not read them from the store.
+func (w *Watcher) awaitsParts(update Update) bool {
+	limit := time.Duration(transferFraction * float64(w.options.ApplyTime))
+	return w.hasTable.Load() && update.Remaining > 0 && w.Lag()+update.Remaining <= limit
+}
+
 // advances reports whether a watcher with the rows as of the revision can apply the update and
 // gets newer rows by it. A watcher without the table, or whose history was lost, needs a snapshot
 // that is no older than its rows.
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -31,6 +31,9 @@
 	// Options.BatchDelay, while other hosts rely on the watcher. Its calls serve many hosts, so
 	// the age of the data matters more than the number of calls.
 	RelayBatchDelay = 200 * time.Millisecond
+	// transferFraction, times ApplyTime, is how long a watcher waits for changes that another host
+	// sends in parts before it calls the store as well.
+	transferFraction = 0.35
 	// minPackedBytes is the size of rows in bytes from which they are sent in packed form.
 	minPackedBytes = 1 << 10
 )
@@ -52,6 +55,9 @@
 	// IsSnapshot reports that Packed holds the whole table as of Revision instead of changes;
 	// Since and Complete are unused then.
 	IsSnapshot bool
+	// Remaining is the time until the other host has probably sent the changes, which it sends in
+	// parts; 0 if it doesn't. Complete is false then.
+	Remaining time.Duration
 	// Age is the time from the store's answer until the sender put the update into its reply.
 	Age time.Duration
 	// Clock is the time of the store's monotonic clock when the sender put the update into its
@@ -59,8 +65,8 @@
 	Clock time.Duration
 }
 
-// packedBytes returns the size in bytes of the packed rows and the deltas.
-func (u *Update) packedBytes() int {
+// PackedBytes returns the size in bytes of the packed rows and the deltas.
+func (u *Update) PackedBytes() int {
 	size := len(u.Packed)
 	for _, d := range u.Deltas {
 		size += len(d.Delta)
@@ -108,8 +114,8 @@
 // canAdvance reports whether the last update from another host has newer rows than this host and
 // can be applied, so that a wait for the store should end.
 func (w *Watcher) canAdvance() bool {
-	update, _, ok := w.freshUpdate()
-	return ok && uint64(update.Revision) != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
+	update, _, _ := w.freshUpdate()
+	return uint64(update.Revision) != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
 }
 
 // HubLost discards the last update from another host, since that host stopped answering. The
@@ -127,11 +133,16 @@
 // own calls fail. It is meant for a relaying watcher: if two hosts relied on each other's
 // updates, the data of both would grow old.
 func (w *Watcher) OfferIfDisconnected(update Update, requestedAt time.Time) {
-	if w.failingSince.Load() != 0 || w.options.Link.unreachable() {
+	if w.Disconnected() {
 		w.Offer(update, requestedAt)
 	}
 }
 
+// Disconnected reports whether the host's own calls of the store fail.
+func (w *Watcher) Disconnected() bool {
+	return w.failingSince.Load() != 0 || w.options.Link.unreachable()
+}
+
 // SetNotRelayed records that the other host doesn't relay the table, so that the watcher need
 // not wait for an update.
 func (w *Watcher) SetNotRelayed() {
@@ -200,7 +211,7 @@
 	if update, ok = w.recent.updateSince(since, withDeltas); !ok {
 		return Update{}, false
 	}
-	if update.packedBytes() > maxPacked {
+	if update.PackedBytes() > maxPacked {
 		update.Rows, update.Packed, update.Deltas, update.Complete = nil, nil, nil, false
 	}
 	update.Age = age
--- a/internal/feed/rowversions_test.go
+++ b/internal/feed/rowversions_test.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		is.Equal(len(update.Deltas), latest-version)
-		is.True(update.packedBytes() < 1000)
+		is.True(update.PackedBytes() < 1000)
 		is.True(host.applyUpdate(update, time.Now()))
 		is.Equal(host.Revision(), storage.Revision(10*latest))
 		if version < latest {
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -217,9 +217,14 @@
 	}
 	update, at, rely := w.freshUpdate()
 	w.logRelying(rely)
-	if rely && w.applyUpdate(update, at) {
+	if rely && (w.applyUpdate(update, at) || w.awaitsParts(update)) {
 		return w.awaitNextUpdate(ctx, at)
 	}
+	if w.canAdvance() {
+		// The update is too old to rely on, but has newer rows than this host.
+		w.applyUpdate(update, at)
+		return nil
+	}
 	hold := w.hold()
 	if rely || w.truncated || w.failingSince.Load() != 0 || w.options.Link.unreachable() || w.relays() && w.Stale() {
 		// The store must answer at once: there are new changes, or only an answer can show that
@@ -277,11 +282,14 @@
 
 func (w *Watcher) relays() bool { return w.options.Relays != nil && w.options.Relays() }
 
+// hold returns how long the store may hold the next call. A relaying watcher whose data are
+// already old, since the last answer took long to arrive, has the next one earlier.
 func (w *Watcher) hold() time.Duration {
-	if w.relays() {
-		return w.relayHold()
+	if !w.relays() {
+		return w.options.Hold
 	}
-	return w.options.Hold
+	age, _ := w.Age()
+	return max(0, min(w.relayHold(), w.maxRelayedAge()-age))
 }
 
 func (w *Watcher) batchDelay() time.Duration {
