feed, exchange, gateway: logs and metrics of how far a host is behind, and by which path a document came

Cause: the record left open whether a host had got a document from its hub, in parts or from the store, and since when others had it; a host counted as behind only once it had to read the change from the store by itself. Change: a host is behind from the first update that names a newer revision with changes (table_behind_seconds, behind_ms). Metrics table_followers_behind and table_followers_behind_seconds.

--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -28,6 +28,7 @@
 		m.findHub(ctx, net)
 	}
 	m.updateMakesVerdicts()
+	m.logFollowersBehind()
 	switch m.hubAddress {
 	case "":
 		m.hubAnswered.Store(false)
@@ -149,6 +150,9 @@
 			if err != nil {
 				m.log.Error().Str("event", "transfer-failed").Str("table", name).Err(err).Msg("")
 			}
+			if update.Part != nil && (decoded.Complete || decoded.IsSnapshot) {
+				m.log.Info().Str("event", "table-received-in-parts").Str("table", name).Stringer("revision", decoded.Revision).Int("bytes", update.Part.Size).Msg("")
+			}
 			w.Offer(decoded, requestedAt)
 		case !reply.Relays && !reply.TablePending && reply.Assigned == "":
 			w.SetNotRelayed()
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -164,6 +164,8 @@
 
 	// incoming holds the table updates that the hub sends in parts.
 	incoming incomingTransfers
+	// behindLoggedAt is when logFollowersBehind last looked for followers that are behind.
+	behindLoggedAt time.Time
 
 	// hubAnswered reports whether the hub answered the last report. publishedHubAddress is a
 	// copy of hubAddress for goroutines other than that of Run.
--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -70,7 +70,7 @@
 		w.log.Warn().Str("event", "delta-unusable").Stringer("revision", update.Revision).Err(err).Msg("")
 		return false
 	}
-	changes := changeSet{rows: slices.Concat(rows, built), packed: update.Packed, deltas: update.Deltas}
+	changes := changeSet{rows: slices.Concat(rows, built), packed: update.Packed, deltas: update.Deltas, source: fromHub}
 	changes.rows = slices.DeleteFunc(changes.rows, func(row Row) bool { return row.Revision <= w.revision })
 	if len(changes.rows) != len(rows) || len(built) > 0 {
 		changes.packed = nil // it holds other rows
--- a/internal/feed/calllog.go
+++ b/internal/feed/calllog.go
@@ -32,6 +32,16 @@
 	w.logCall(w.log.Info(), "large-answer", c).Int("rows", len(page.Rows)).Stringer("newest", page.Revision).Msg("")
 }
 
+// logLargeRow logs a change of a large row before it takes effect: where it comes from, how many
+// deltas it was built from, and for how long another host is known to have had it.
+func (w *Watcher) logLargeRow(row Row, source rowSource, deltas int) {
+	if len(row.Data) < minLargeRowBytes {
+		return
+	}
+	w.log.Info().Str("event", "large-row").Str("source", string(source)).Str("key", row.Key).Stringer("revision", row.Revision).
+		Int("bytes", len(row.Data)).Int("deltas", deltas).Int64("behind_ms", w.Lag().Milliseconds()).Msg("")
+}
+
 func (w *Watcher) logCall(e *zerolog.Event, event string, c *storeCall) *zerolog.Event {
 	return e.Str("event", event).Str("call", c.kind).
 		Int64("hold_ms", c.hold.Milliseconds()).Int64("limit_ms", c.firstPartTimeout.Milliseconds()).
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -77,9 +77,9 @@
 	}
 	w.handler.Replace(rows, revision)
 	w.revision = revision
-	w.lag.advance(revision)
 	w.hasTable.Store(true)
 	w.recent.reset(rows, revision, packed)
+	w.lag.advance(revision)
 }
 
 // errOldListing means that a listing was older than the rows that the watcher already has.
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -74,10 +74,19 @@
 	rows []Row
 	// packed holds the same rows in packed form if another host sent them so; otherwise it is nil.
 	packed []byte
-	// deltas holds the last delta of large rows, if another host sent it.
+	// deltas holds the deltas from which large rows were built.
 	deltas []RowDelta
+	source rowSource
 }
 
+// rowSource is where rows come from, as logged.
+type rowSource string
+
+const (
+	fromStore rowSource = "store"
+	fromHub   rowSource = "hub"
+)
+
 // deltaOf returns the delta that leads to the row's version, or nil.
 func (c *changeSet) deltaOf(row Row) *RowDelta {
 	for i := range c.deltas {
@@ -124,6 +133,19 @@
 	r.batches = slices.DeleteFunc(r.batches, func(batch changeBatch) bool { return len(batch.rows) == 0 })
 }
 
+// missingSince returns for how long this host has had a change that a host with the table as of the
+// revision doesn't have, or 0 if it has none.
+func (r *recentChanges) missingSince(revision storage.Revision) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, batch := range r.batches {
+		if n := len(batch.rows); n > 0 && batch.rows[n-1].Revision > revision {
+			return boottime.Since(batch.at)
+		}
+	}
+	return 0
+}
+
 // trim drops the oldest changed rows that need not be kept.
 func (r *recentChanges) trim(relays bool) {
 	for len(r.batches) > 0 && r.rowCount > minKeptRows {
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -100,6 +100,7 @@
 	r.notRelayed = false
 	r.mu.Unlock()
 	w.recordClock(update.Clock, w.sinceStart())
+	w.recordLag(update)
 	r.signal()
 	switch {
 	case !w.canAdvance():
@@ -111,6 +112,21 @@
 	}
 }
 
+// recordLag records that this host lacks changes if the update shows so.
+func (w *Watcher) recordLag(update Update) {
+	if update.Revision <= w.Revision() || update.Complete && !update.hasRows() {
+		return
+	}
+	w.lag.add(update.Revision, w.sinceStart())
+	w.lag.advance(w.Revision()) // the changes may have been applied since the comparison
+}
+
+// MissingSince returns for how long this host has had a change that a host with the table as of the
+// revision doesn't have, or 0 if it has none.
+func (w *Watcher) MissingSince(revision storage.Revision) time.Duration {
+	return w.recent.missingSince(revision)
+}
+
 // canAdvance reports whether the last update from another host has newer rows than this host and
 // can be applied, so that a wait for the store should end.
 func (w *Watcher) canAdvance() bool {
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -133,3 +133,21 @@
 		is.Equal(w.Revision(), storage.Revision(6)) // the next hub's update replaces the call
 	})
 }
+
+// A host states for how long another host is known to have changes that it lacks, also while these
+// arrive in parts.
+func TestLagWhileChangesArriveInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, _, _, _ := relayedWatcher(t, Options{})
+		time.Sleep(time.Millisecond)
+		w.Offer(Update{Since: 5, Revision: 5, Complete: true}, time.Now())
+		is.Equal(w.Lag(), time.Duration(0))
+		w.Offer(Update{Since: 5, Revision: 6, Remaining: 400 * time.Millisecond}, time.Now())
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(w.Lag(), 400*time.Millisecond)
+		w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
+		time.Sleep(time.Millisecond)
+		is.Equal(w.Lag(), time.Duration(0))
+	})
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	w.applyChanges(changeSet{rows: page.Rows}, page.Revision)
+	w.applyChanges(changeSet{rows: page.Rows, source: fromStore}, page.Revision)
 	if w.truncated = page.Truncated; w.truncated {
 		return nil // the data are current only after the last page, which is requested without a pause
 	}
@@ -265,11 +265,12 @@
 // applyChanges passes changes to the handler.
 func (w *Watcher) applyChanges(changes changeSet, revision storage.Revision) {
 	for _, row := range changes.rows {
+		w.logLargeRow(row, changes.source, len(changes.deltas))
 		w.handler.Change(row)
 	}
 	w.revision = max(w.revision, revision)
-	w.lag.advance(w.revision)
 	w.recent.add(changes, w.revision, w.relays())
+	w.lag.advance(w.revision)
 	w.rejectsDeltas.Store(false)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,7 +247,7 @@
 		group.Go(func() { g.peers.Run(ctx) })
 	}
 	for table, w := range watchers {
-		g.metrics.registerWatcher(table, w)
+		g.metrics.registerWatcher(table, w, g.peers)
 		group.Go(func() { w.Run(ctx) })
 	}
 	group.Go(func() { g.awaitTables(ctx) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/egress"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 )
@@ -89,7 +90,7 @@
 // registerWatcher adds gauges for a followed table: the age of its data in seconds, -1 before the
 // first data; the time in seconds for which the host has lacked a revision that its hub announced;
 // the number of calls to the store; and the bytes received from it.
-func (m *gatewayMetrics) registerWatcher(table string, w *feed.Watcher) {
+func (m *gatewayMetrics) registerWatcher(table string, w *feed.Watcher, peers *exchange.Member) {
 	gauge := func(name string, value func() float64) {
 		m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_%s{table=%q}`, name, table), value)
 	}
@@ -101,6 +102,10 @@
 		return age.Seconds()
 	})
 	gauge("table_behind_seconds", func() float64 { return w.Lag().Seconds() })
+	if peers != nil {
+		gauge("table_followers_behind", func() float64 { return float64(peers.FollowersBehind(table).Hosts) })
+		gauge("table_followers_behind_seconds", func() float64 { return peers.FollowersBehind(table).Longest.Seconds() })
+	}
 	gauge("store_received_bytes_total", func() float64 { return float64(w.Calls().ReceivedBytes) })
 	calls := func(outcome string, count func(feed.Calls) uint64) {
 		m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_store_calls_total{table=%q,outcome=%q}`, table, outcome), func() float64 {
