exchange, feed: hosts that aren't relayed to get the changes that they lack; e2e: which document hosts have in force

Callers of a host with a slow path to the store got the former document until the answer had come, though its seed had the new one: fleets of fewer than eight hosts relay no tables, and a hub none to hosts beyond its 64th. Cause: relaying stands for two things, the rows and the right to rely on them for the time of changes. The second is what costs more calls of the store. Change: a hub sends any host the changes that it lacks, and seeds each other; the host applies the rows and goes on calling the store as before. Check: a probe at each host of the soak and of a test with twelve processes asks for the routes that documents added, and compares the answers with the confirmations: late by more than the time for changes while host and store were undisturbed for 3 s, or served once and refused later. Hubs that are killed or paused excuse nothing.

--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -148,14 +149,15 @@
 	}
 }
 
-// publish writes the document to the store with a version.
-func (s *gatewaySystem) publish(version int) {
+// publish writes the document to the store with a version, and returns its size in bytes.
+func (s *gatewaySystem) publish(version int) int {
 	s.document["version"] = version
 	data, err := json.Marshal(s.document)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.store.Put("op", "config", data)
+	return len(data)
 }
 
 // addSpareRoutes adds routes to the document that get no requests.
@@ -522,6 +524,55 @@
 	is.Equal(s.problems(), nil)
 }
 
+// Guards against a document that is late, or is replaced by a former one, on hosts whose hubs are
+// lost one after the other while large documents follow one another: each host must serve the
+// routes of a confirmed document within the time for changes, on fast and slow links.
+func TestDocumentsInSeriesWhileHubsAreLost(t *testing.T) {
+	is := is.New(t)
+	s := newGatewaySystem(t, 12, 1)
+	p := newDocumentProbe(s)
+	for _, h := range s.gateways[8:] {
+		p.slowDown(h, 4*slowLinkRate)
+	}
+	s.waitUntilHubIsUsed(s.gateways[11])
+	stop := make(chan struct{})
+	var probes sync.WaitGroup
+	for i, h := range s.gateways {
+		probes.Go(func() { p.run(h, uint64(i), stop) })
+	}
+	for version := 2; version <= 13; version++ {
+		if version%3 == 0 {
+			s.addSpareRoutes(1000)
+		}
+		s.addRoute(fmt.Sprint("version-", version))
+		p.confirmed(fmt.Sprint("version-", version), s.publish(version))
+		if lost := s.gateways[version%maxHubs]; version%2 == 0 {
+			began := time.Now()
+			if version%4 == 0 {
+				lost.kill()
+				s.startGateway(lost)
+				p.restarted(lost.name, began, time.Now())
+			} else {
+				lost.signal(syscall.SIGSTOP)
+				time.Sleep(1200 * time.Millisecond)
+				lost.signal(syscall.SIGCONT)
+				p.disturb(lost.name, began, time.Now())
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(documentContactTime)
+	close(stop)
+	probes.Wait()
+	is.Equal(p.violations(), nil)
+	t.Log(p.summary())
+	is.True(p.served() > 12*len(s.gateways))
+	for _, h := range s.gateways {
+		is.Equal(s.send(h, "version-13", "key-a").status, http.StatusOK)
+	}
+	is.Equal(s.problems(), nil)
+}
+
 // waitUntilHubIsUsed waits until the host gets updates of the operators' table from its hub.
 func (s *gatewaySystem) waitUntilHubIsUsed(h *gatewayHost) {
 	s.t.Helper()
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -87,6 +87,10 @@
 	// during which answers may be broken off or late.
 	plannedStops  []interval
 	harmfulFaults []interval
+	// probe records which documents the hosts have in force. seriesRand decides when documents follow
+	// one another quickly.
+	probe      *documentProbe
+	seriesRand *rand.Rand
 	// interruptions are the times at which a host was restarted or paused, by the host's name.
 	interruptions map[string][]interval
 	// disturbances are the times of all faults that may keep engines from being used.
@@ -124,7 +128,9 @@
 				crashed:       make(chan *platformtest.Upstream, 1000),
 				leftAt:        make(map[string]time.Time),
 				newestRoute:   "many",
+				seriesRand:    rand.New(rand.NewPCG(seed, 21)),
 			}
+			s.probe = newDocumentProbe(s.gatewaySystem)
 			if s.paths != nil {
 				s.pathFaults = &soakPaths{rand: rand.New(rand.NewPCG(seed, 9)), lost: make(map[string][]interval)}
 			}
@@ -161,11 +167,14 @@
 	for _, h := range s.gateways {
 		if s.documentRand.IntN(3) == 0 {
 			s.logFault("link of %s to the store is slow", h.name)
-			h.toStore.setRate(slowLinkRate)
+			s.probe.slowDown(h, slowLinkRate)
 		}
 	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
+	for i, h := range s.gateways {
+		callers.Go(func() { s.probe.run(h, uint64(i), stop) })
+	}
 	number := min(len(soakKinds)*len(s.gateways), maxSoakCallers)
 	for i := range number {
 		callers.Go(func() {
@@ -194,6 +203,10 @@
 	}
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.injectFault(&version)
+		if s.seriesRand.IntN(4) == 0 {
+			version++
+			s.newDocument(version)
+		}
 		s.injectContention()
 		s.replaceCrashed()
 		time.Sleep(time.Duration(50+s.faultRand.IntN(250)) * time.Millisecond)
@@ -305,6 +318,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.interruptions[h.name] = append(s.interruptions[h.name], interval{from, to})
+	s.probe.restarted(h.name, from, to)
 }
 
 // interrupted reports whether the host was restarted or paused between two times.
@@ -352,6 +366,7 @@
 		s.logFault("the store is restored from a backup")
 		// Hosts that start or are isolated meanwhile may use the older rows for a while.
 		s.allowStaleFor(4 * time.Second)
+		restoring := time.Now()
 		s.store.SetFault(platformtest.Busy)
 		time.Sleep(time.Duration(100+s.restoreRand.IntN(700)) * time.Millisecond)
 		before := s.store.Backup()
@@ -359,6 +374,7 @@
 		s.store.SetFault(platformtest.Healthy)
 		time.Sleep(time.Duration(s.restoreRand.IntN(1000)) * time.Millisecond)
 		s.store.Rewrite(before, "op", "servers")
+		s.probe.disturb("", restoring, time.Now())
 	}
 }
 
@@ -512,10 +528,12 @@
 		fault := platformtest.Fault(1 + s.faultRand.IntN(3))
 		s.logFault("store fault %d for %v", fault, duration)
 		s.allowStaleFor(duration)
+		s.probe.disturb("", time.Now(), time.Now().Add(duration))
 		s.store.SetFault(fault)
 		time.AfterFunc(duration, func() { s.store.SetFault(platformtest.Healthy) })
 	case 5:
 		s.logFault("the store drops its history")
+		s.probe.disturb("", time.Now(), time.Now())
 		s.store.DropHistory()
 	case 6:
 		s.replaceUpstream(s.faultRand.IntN(2) == 0)
@@ -545,7 +563,7 @@
 	s.newestRoute = fmt.Sprint("version-", version)
 	s.addRoute(s.newestRoute)
 	s.logFault("document %d with %d routes", version, len(s.document["routes"].([]any)))
-	s.publish(version)
+	s.probe.confirmed(s.newestRoute, s.publish(version))
 }
 
 // allowStaleFor records that hosts may have an outdated state for a duration.
@@ -578,6 +596,7 @@
 
 func (s *soak) disruptStoreLink(h *gatewayHost, duration time.Duration) {
 	s.allowStaleFor(duration)
+	s.probe.disturb(h.name, time.Now(), time.Now().Add(duration))
 	s.disruptLink(h.toStore, duration)
 }
 
@@ -660,6 +679,9 @@
 		s.t.Error(p)
 	}
 	s.checkLeavingUpstreams()
+	for _, violation := range s.probe.violations() {
+		s.t.Error(violation)
+	}
 	s.checkContention()
 	s.checkBrittle()
 	if s.pathFaults != nil {
@@ -671,7 +693,7 @@
 	for _, violation := range s.backoffViolations(s.answers, s.interrupted) {
 		s.t.Error(violation)
 	}
-	s.t.Logf("%d requests, %d served, %d faults", len(s.answers), served, len(s.faultLog))
+	s.t.Logf("%d requests, %d served, %d faults; %s", len(s.answers), served, len(s.faultLog), s.probe.summary())
 }
 
 func (s *soak) checkAnswer(a *gatewayAnswer, runs int) {
--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -429,6 +429,26 @@
 	}
 }
 
+// Guards against hosts that read large documents over a slow link although another host has them,
+// where hosts are too few for hubs to relay tables.
+func TestLargeDocumentsInSmallFleets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newDocumentReplay(t, 7, 3, 2)
+		slow := r.hosts[6]
+		time.Sleep(8 * time.Second)
+		for _, routes := range []int{1400, 2800, 4200} {
+			r.write(routesDocument(routes))
+			time.Sleep(3500 * time.Millisecond)
+		}
+		r.checkDocuments(500 * time.Millisecond)             // 1.1 s from the store
+		is.True(r.links[slow].bytes < 1_500_000)             // 2.5 MB from the store
+		is.True(r.links[r.hosts[0]].bytes < 2*3_700_000)     // each other host reads the documents once
+		is.Equal(slow.watcher.HasFreshUpdate(), false)       // it goes on calling the store
+		is.Equal(r.hosts[0].watcher.HasFreshUpdate(), false) // hubs don't rely on each other
+	})
+}
+
 // Guards against a change of one route that costs as much as the whole document. The traffic of
 // a host for control stays within its budget while a document of 4,250 routes changes as often as
 // operators change it.
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -90,7 +90,7 @@
 		m.hubPrefixSeq, m.ownHubPrefixSeq, m.ownHubLeavingSeq = reply.SentPrefixesLast, 0, 0
 		m.deliver(reply, requestedAt)
 	}
-	m.offerTables(reply, requestedAt)
+	m.offerTables(report, reply, requestedAt)
 	m.acceptAssignment(reply.Assigned)
 }
 
@@ -140,8 +140,8 @@
 	m.unsentSightings = Sightings{}
 }
 
-// offerTables passes the table updates in the hub's reply to the tables' watchers.
-func (m *Member) offerTables(reply Reply, requestedAt time.Time) {
+// offerTables passes the table updates in the hub's reply to the report to the tables' watchers.
+func (m *Member) offerTables(report Report, reply Reply, requestedAt time.Time) {
 	for name, w := range m.options.Tables {
 		update, ok := reply.Tables[name]
 		switch {
@@ -153,6 +153,10 @@
 			if update.Part != nil && (decoded.Complete || decoded.IsSnapshot) {
 				m.log.Info().Str("event", "table-received-in-parts").Str("table", name).Stringer("revision", decoded.Revision).Int("bytes", update.Part.Size).Msg("")
 			}
+			if !reply.Relays && report.Revisions[name] > 0 {
+				w.OfferRows(decoded)
+				continue
+			}
 			w.Offer(decoded, requestedAt)
 		case !reply.Relays && !reply.TablePending && reply.Assigned == "":
 			w.SetNotRelayed()
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -128,9 +128,7 @@
 		if r.WantRelayHosts {
 			reply.RelayHosts = h.namedRelayHosts(from, toHub)
 		}
-		if h.relays() {
-			reply.Tables, _ = h.tableUpdates(from, r, true)
-		}
+		reply.Tables, _ = h.tableUpdates(from, r, h.relays())
 		return reply, nil
 	}
 	h.record(from, r)
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -75,8 +75,9 @@
 	}
 }
 
-// offerTablesIfDisconnected passes another seed's table updates to those watchers that can't
-// reach the store themselves. This matters if the store rejects the calls of single hosts.
+// offerTablesIfDisconnected passes another seed's table updates to the watchers, which rely on them
+// if they can't reach the store themselves. This matters if the store rejects the calls of single
+// hosts, and where a host's path to the store is slow.
 func (m *Member) offerTablesIfDisconnected(reply Reply, incoming incomingTransfers, requestedAt time.Time) {
 	for name, w := range m.options.Tables {
 		update, ok := reply.Tables[name]
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -40,22 +40,23 @@
 
 // tableUpdates returns, for each table, the changes after the revision that the host has. If
 // the host doesn't have the table, or the changes are larger, it returns the whole table. Updates
-// that the links can't carry in one reply are returned in parts. A host that this hub doesn't relay to gets only
-// tables that it doesn't have yet, and only if this host's data are recent. pending reports
-// that a table that the host doesn't have will probably follow.
+// that the links can't carry in one reply are returned in parts. A host that this hub doesn't
+// relay to gets only tables of which it lacks changes, and those that it doesn't have yet if this
+// host's data are recent. pending reports that a table that the host doesn't have will probably
+// follow.
 func (h *hub) tableUpdates(from string, r Report, relays bool) (tables map[string]TableUpdate, pending bool) {
 	tables = make(map[string]TableUpdate)
 	budget, awaitsHub := h.tableByteLimit(from, r)
 	for _, name := range slices.Sorted(maps.Keys(h.tables)) {
 		watcher, known := h.tables[name], r.Revisions[name]
-		if !relays && known > 0 {
+		if !relays && known > 0 && watcher.MissingSince(known) == 0 {
 			continue
 		}
 		update, ok := smallestUpdate(watcher, known, r.acceptsDeltas(name), budget)
 		switch {
 		case !ok:
 			pending = true // this hub is still reading the table
-		case !relays && watcher.Stale():
+		case !relays && known == 0 && watcher.Stale():
 		case update.PackedBytes() <= budget:
 			budget -= update.PackedBytes()
 			tables[name] = encodeUpdate(update)
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -145,13 +145,30 @@
 	r.signal()
 }
 
+// OfferRows stores an update from another host that doesn't relay the table. The watcher applies its
+// rows if they are newer than its own, which may save it a long answer of the store, and doesn't rely
+// on further updates.
+func (w *Watcher) OfferRows(update Update) {
+	r := &w.relayed
+	r.mu.Lock()
+	r.update, r.answeredAt = update, time.Time{}
+	r.mu.Unlock()
+	w.recordLag(update)
+	if update.hasRows() && w.canAdvance() {
+		w.inFlight.cancel(errUpdateReceived)
+	}
+	w.SetNotRelayed()
+}
+
 // OfferIfDisconnected stores another host's update as Offer does, but only while the watcher's
-// own calls fail. It is meant for a relaying watcher: if two hosts relied on each other's
-// updates, the data of both would grow old.
+// own calls fail, and as OfferRows does otherwise. It is meant for a relaying watcher: if two hosts
+// relied on each other's updates, the data of both would grow old.
 func (w *Watcher) OfferIfDisconnected(update Update, requestedAt time.Time) {
 	if w.Disconnected() {
 		w.Offer(update, requestedAt)
+		return
 	}
+	w.OfferRows(update)
 }
 
 // Disconnected reports whether the host's own calls of the store fail.
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -151,3 +151,24 @@
 		is.Equal(w.Lag(), time.Duration(0))
 	})
 }
+
+// A host applies newer rows of a host that doesn't relay the table, and goes on calling the store,
+// since no further updates need follow.
+func TestRowsOfAHostThatDoesNotRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, source, seen, _ := relayedWatcher(t, Options{})
+		time.Sleep(time.Millisecond)
+		age, _ := w.Age()
+		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(seen.changes, rows(6))
+		is.Equal(w.HasFreshUpdate(), false)
+		is.Equal(source.changesCalls, 2) // the canceled call, and the next one
+		later, _ := w.Age()
+		is.Equal(later, age+100*time.Millisecond) // rows are no evidence that there are no newer ones
+		w.OfferRows(Update{Since: 5, Revision: 7, Complete: true})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(source.changesCalls, 2) // an update without rows ends no call
+	})
+}
