--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -155,6 +155,7 @@
 			}
 			if !reply.Relays && report.Revisions[name] > 0 {
 				w.OfferRows(decoded)
+				w.SetNotRelayed()
 				continue
 			}
 			w.Offer(decoded, requestedAt)
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -83,6 +83,8 @@
 	update Update
 	// answeredAt is when the store had answered the host that sent the update.
 	answeredAt time.Time
+	// rows is an update that this host doesn't rely on; nil if there is none.
+	rows *Update
 	// notRelayed reports that the other host doesn't relay the table.
 	notRelayed bool
 	// updated is signaled with each update, and when the other host is known not to relay the
@@ -103,7 +105,7 @@
 	w.recordLag(update)
 	r.signal()
 	switch {
-	case !w.canAdvance():
+	case !w.canApplyRelayed():
 	case update.hasRows():
 		w.inFlight.cancel(errUpdateReceived)
 	default:
@@ -127,10 +129,26 @@
 	return w.recent.missingSince(revision)
 }
 
-// canAdvance reports whether the last update from another host has newer rows than this host and
-// can be applied, so that a wait for the store should end.
+// canAdvance reports whether another host sent an update that can be applied, so that a wait for
+// the store should end.
 func (w *Watcher) canAdvance() bool {
-	update, _, _ := w.freshUpdate()
+	r := &w.relayed
+	r.mu.Lock()
+	rows := r.rows
+	r.mu.Unlock()
+	return w.canApplyRelayed() || rows != nil && w.canApply(*rows)
+}
+
+// canApplyRelayed reports the same of the last update of the relaying host. A watcher without the
+// table applies a snapshot only if it can rely on it; after lost history it would otherwise apply
+// the same snapshot again and again.
+func (w *Watcher) canApplyRelayed() bool {
+	update, _, fresh := w.freshUpdate()
+	return (fresh || w.hasTable.Load()) && w.canApply(update)
+}
+
+// canApply reports whether the update has newer rows than this host, and wasn't found unusable.
+func (w *Watcher) canApply(update Update) bool {
 	return uint64(update.Revision) != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
 }
 
@@ -145,19 +163,32 @@
 	r.signal()
 }
 
-// OfferRows stores an update from another host that doesn't relay the table. The watcher applies its
-// rows if they are newer than its own, which may save it a long answer of the store, and doesn't rely
-// on further updates.
+// OfferRows stores an update from another host that this host doesn't rely on. The watcher applies
+// its rows if they are newer than its own, which may save it a long answer of the store.
 func (w *Watcher) OfferRows(update Update) {
+	if !update.hasRows() || !w.canApply(update) {
+		return
+	}
 	r := &w.relayed
 	r.mu.Lock()
-	r.update, r.answeredAt = update, time.Time{}
+	r.rows = &update
 	r.mu.Unlock()
 	w.recordLag(update)
-	if update.hasRows() && w.canAdvance() {
-		w.inFlight.cancel(errUpdateReceived)
+	r.signal()
+	w.inFlight.cancel(errUpdateReceived)
+}
+
+// takeRows returns the last update that OfferRows stored, once, if it can be applied.
+func (w *Watcher) takeRows() (update Update, ok bool) {
+	r := &w.relayed
+	r.mu.Lock()
+	rows := r.rows
+	r.rows = nil
+	r.mu.Unlock()
+	if rows == nil || !w.canApply(*rows) {
+		return Update{}, false
 	}
-	w.SetNotRelayed()
+	return *rows, true
 }
 
 // OfferIfDisconnected stores another host's update as Offer does, but only while the watcher's
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -172,3 +172,21 @@
 		is.Equal(source.changesCalls, 2) // an update without rows ends no call
 	})
 }
+
+// Guards against a host whose history was lost and that applies the same old snapshot of another
+// host without end.
+func TestOldSnapshotAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, source, _, answers := relayedWatcher(t, Options{})
+		time.Sleep(time.Millisecond)
+		w.Offer(Update{Revision: 5, IsSnapshot: true, Packed: pack(rows(5))}, time.Now())
+		time.Sleep(testMaxRelayedAge)
+		source.list = func(int) (Page, error) { return Page{}, errors.New("status 503") }
+		answers.set(func(context.Context, storage.Revision) (Page, error) { return Page{}, ErrHistoryLost })
+		time.Sleep(DefaultHold + 2*answerTimeout) // until the call in flight has failed
+		calls := source.listCalls + source.changesCalls
+		time.Sleep(10 * maxBackoff)
+		is.True(source.listCalls+source.changesCalls-calls <= 21) // each pause is half of maxBackoff or more
+	})
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -204,6 +204,10 @@
 }
 
 func (w *Watcher) step(ctx context.Context) error {
+	if rows, ok := w.takeRows(); ok {
+		w.applyUpdate(rows, time.Time{})
+		return nil
+	}
 	if !w.hasTable.Load() {
 		return w.loadTable(ctx)
 	}
@@ -220,7 +224,7 @@
 	if rely && (w.applyUpdate(update, at) || w.awaitsParts(update)) {
 		return w.awaitNextUpdate(ctx, at)
 	}
-	if w.canAdvance() {
+	if w.canApplyRelayed() {
 		// The update is too old to rely on, but has newer rows than this host.
 		w.applyUpdate(update, at)
 		return nil
