exchange: a seed that didn't answer is queried again after 100 ms, and then less and less often

Cause: one interval for the search for a better hub and for a query that failed. Change: 0.1 s, doubled with each failure, 5 s at most, as a host without a hub does.

--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -273,6 +273,13 @@
 	r.cutOff[h] = cutOff
 }
 
+// setDisconnected sets which hosts can't reach each other.
+func (r *documentReplay) setDisconnected(disconnected func(from, to *fleetHost) bool) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.disconnected = disconnected
+}
+
 // write writes a document to the store.
 func (r *documentReplay) write(data []byte) storage.Revision {
 	r.mu.Lock()
@@ -449,6 +456,24 @@
 	})
 }
 
+// Guards against a seed without the store that asks the other seeds again only after 5 s, if their
+// first queries failed: its followers have no other source of documents than the store.
+func TestSeedWithoutTheStoreAsksAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newDocumentReplay(t, 30, 3, 2)
+		time.Sleep(8 * time.Second)
+		seed := r.hosts[0]
+		r.setDisconnected(func(from, to *fleetHost) bool { return from == seed || to == seed })
+		time.Sleep(700 * time.Millisecond)
+		r.setDisconnected(nil)
+		r.setCutOff(seed, true)
+		time.Sleep(time.Second)
+		r.write(routesDocument(1400))
+		time.Sleep(5 * time.Second)
+		r.checkDocuments(documentApplyTime)
+	})
+}
+
 // Guards against a change of one route that costs as much as the whole document. The traffic of
 // a host for control stays within its budget while a document of 4,250 routes changes as often as
 // operators change it.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -40,10 +40,11 @@
 	// bounds the hub's network traffic. Further hosts are assigned to another hub; until then
 	// they query the store themselves.
 	maxHostsPerHub = 64
-	// hubRetryInterval is the time between two probes for a better hub. It is also the time
+	// hubRetryInterval is the time between two probes for a better hub. It is also the longest time
 	// between a failed query of another seed and the next query of that seed.
 	hubRetryInterval = 5 * time.Second
-	// noHubRetryInterval is the initial time between two probes by a host without a hub. It
+	// noHubRetryInterval is the initial time between two probes by a host without a hub, and
+	// between a failed query of another seed and the next one. It
 	// doubles with each probe, up to hubRetryInterval. maxProbeDoublings limits the doublings,
 	// so that the bit shift that computes them doesn't overflow. When a whole installation
 	// starts, the seeds begin to answer about 100 ms after the other hosts' first probes.
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -11,10 +11,11 @@
 // seedQuery is the state of this host's queries to another seed.
 type seedQuery struct {
 	// inFlight reports whether the reply to a query is pending. retryAt is the earliest time of
-	// the next query. prefixesSince is the sequence number of the last entry in the seed's
+	// the next query, and failures is the number of consecutive queries that failed. prefixesSince is the sequence number of the last entry in the seed's
 	// prefix log that was received.
 	inFlight      bool
 	retryAt       time.Time
+	failures      int
 	prefixesSince uint64
 	// sightingsSince is the sequence number of the last entry in the seed's sighting log that
 	// was received. answered reports whether the seed answered the last query.
@@ -61,7 +62,7 @@
 			reply, err := callWithTimeout(ctx, net, seed, report)
 			if err != nil {
 				net.disconnect(seed)
-				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(hubRetryInterval), prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince, engines: answered, incoming: state.incoming})
+				m.endQuery(seed, seedQuery{retryAt: boottime.Now().Add(queryRetryDelay(state.failures)), failures: state.failures + 1, prefixesSince: state.prefixesSince, sightingsSince: state.sightingsSince, limitsCursor: state.limitsCursor, leavingSince: state.leavingSince, promisesSince: state.promisesSince, engines: answered, incoming: state.incoming})
 				return
 			}
 			m.ownHub.recordHubReply(seed, reply, reply.Hosts)
@@ -75,6 +76,13 @@
 	}
 }
 
+// queryRetryDelay returns the time until a seed that failed to answer is queried again. It grows with
+// the number of earlier failures: seeds that start at the same time don't listen at once, and a host
+// that is cut off from the store or from upstreams depends on the other seeds.
+func queryRetryDelay(failures int) time.Duration {
+	return min(noHubRetryInterval<<min(failures, maxProbeDoublings), hubRetryInterval)
+}
+
 // offerTablesIfDisconnected passes another seed's table updates to the watchers, which rely on them
 // if they can't reach the store themselves. This matters if the store rejects the calls of single
 // hosts, and where a host's path to the store is slow.
@@ -103,7 +111,7 @@
 }
 
 // beginQuery returns the state of the queries to a seed, and whether the seed may be queried
-// now: no query is in flight, and none failed within the last hubRetryInterval.
+// now: no query is in flight, and none failed too recently.
 func (m *Member) beginQuery(seed string) (state seedQuery, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
