exchange: parts of table updates fit a message and aren't encoded twice

Cause: found by reading. A part was as long as 0.6 of the links carry in 150 ms: 11 MB at 1 Gbit/s, where a message may have 1 MB; the reply would have been refused, and the hub taken for lost, each time again. Parts held encoded bytes of encoded bytes, 1.78 times as long. Change: all tables of a reply share 700 kB; the content of a transfer is compressed.

--- a/internal/bytedelta/index.go
+++ b/internal/bytedelta/index.go
@@ -3,10 +3,10 @@
 // rollingHash is a polynomial hash of blockBytes bytes that can be moved by one byte.
 type rollingHash uint64
 
+// hashFactor is the base of the polynomial; hashBits is the number of bits of a hash.
 const (
 	hashFactor = 0x9e3779b97f4a7c15
-
-	hashBits = 64
+	hashBits   = 64
 )
 
 // firstFactor is hashFactor to the power of blockBytes-1.
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -47,6 +47,7 @@
 func (h *hub) tableUpdates(from string, r Report, relays bool) (tables map[string]TableUpdate, pending bool) {
 	tables = make(map[string]TableUpdate)
 	budget, awaitsHub := h.tableByteLimit(from, r)
+	messageBytes := maxTableBytes // what is left in the reply
 	for _, name := range slices.Sorted(maps.Keys(h.tables)) {
 		watcher, known := h.tables[name], r.Revisions[name]
 		if !relays && known > 0 && watcher.MissingSince(known) == 0 {
@@ -59,11 +60,16 @@
 		case !relays && known == 0 && watcher.Stale():
 		case update.PackedBytes() <= budget:
 			budget -= update.PackedBytes()
+			messageBytes -= update.PackedBytes()
 			tables[name] = encodeUpdate(update)
 		case awaitsHub && known == 0:
 			pending = true
 		default:
-			tables[name] = h.partOf(from, name, r, update)
+			part := h.partOf(from, name, r, update, messageBytes)
+			tables[name] = part
+			if part.Part != nil {
+				messageBytes -= len(part.Part.Content)
+			}
 		}
 	}
 	return tables, pending
@@ -87,30 +93,29 @@
 	return update, true
 }
 
-// partOf returns the next part of an update for the host. A host that accepts no parts receives an
-// update without the changes, and reads them from the store.
-func (h *hub) partOf(from, table string, r Report, update feed.Update) TableUpdate {
+// partOf returns the next part of an update for the host, of at most messageBytes bytes. A host
+// that accepts no parts receives an update without the changes, and reads them from the store.
+func (h *hub) partOf(from, table string, r Report, update feed.Update, messageBytes int) TableUpdate {
 	part := encodeUpdate(feed.Update{Since: update.Since, Revision: update.Revision, Age: update.Age, Clock: update.Clock})
 	if !r.AcceptsParts {
 		return part
 	}
-	key := transferKey{since: update.Since, revision: update.Revision, withDeltas: len(update.Deltas) > 0, isSnapshot: update.IsSnapshot}
-	perInterval := Interval.Seconds() * transferLinkShare
+	seconds := Interval.Seconds() * transferLinkShare / base64Factor
+	limits := partLimits{link: int(bytesPerSecond(h.linkMbps) * seconds), host: int(bytesPerSecond(r.LinkMbps) * seconds), message: messageBytes}
 	var err error
-	part.Part, err = h.transfers.next(from, table, r, key, update, int(bytesPerSecond(h.linkMbps)*perInterval), int(bytesPerSecond(r.LinkMbps)*perInterval))
-	if err != nil {
+	if part.Part, err = h.transfers.next(from, table, r, update, limits); err != nil {
 		h.log.Error().Str("event", "transfer-failed").Str("table", table).Err(err).Msg("")
 	}
 	return part
 }
 
-// bytesPerSecond returns the number of bytes that a link of the bandwidth in Mbit/s carries per second.
+// bytesPerSecond returns how many bytes a link of the bandwidth in Mbit/s carries per second.
 func bytesPerSecond(mbps float64) float64 { return max(mbps, minLinkMbps) * 1e6 / 8 }
 
-// tableByteLimit returns the maximum size in bytes of the packed tables in a reply to the host: what
-// this host's link carries to all hosts that report here, and the host's own link to the host, within
-// maxTransferDuration. awaitsHub
-// reports that the host will soon get a hub of its own zone, which can send it larger tables.
+// tableByteLimit returns the maximum size in bytes of the packed tables in a reply to the host:
+// what this host's link carries within maxTransferDuration to all hosts that report here, and the
+// host's own link to that host. awaitsHub reports that the host will soon get a hub of its own
+// zone, which can send it larger tables.
 func (h *hub) tableByteLimit(from string, r Report) (maxBytes int, awaitsHub bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -1,9 +1,12 @@
 package exchange
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -97,16 +100,15 @@
 }
 
 // transferOf returns the transfer of the update.
-func (o *outgoingTransfers) transferOf(table string, key transferKey, update feed.Update) (*outgoingTransfer, error) {
+func (o *outgoingTransfers) transferOf(table string, update feed.Update) (*outgoingTransfer, error) {
+	key := transferKey{since: update.Since, revision: update.Revision, withDeltas: len(update.Deltas) > 0, isSnapshot: update.IsSnapshot}
 	list := o.byTable[table]
 	for _, t := range list {
 		if t.key == key {
 			return t, nil
 		}
 	}
-	encoded := encodeUpdate(update)
-	encoded.AgeMs, encoded.ClockMs = 0, 0 // the message with the last part states them
-	content, err := json.Marshal(encoded)
+	content, err := encodeContent(update)
 	if err != nil {
 		return nil, fmt.Errorf("exchange: encode update of table %s: %w", table, err)
 	}
@@ -119,6 +121,31 @@
 	return t, nil
 }
 
+// encodeContent encodes an update that is sent in parts. Compression removes the overhead of the
+// encoded bytes in it, since each part is encoded in the same way again.
+func encodeContent(update feed.Update) ([]byte, error) {
+	encoded := encodeUpdate(update)
+	encoded.AgeMs, encoded.ClockMs = 0, 0 // the message with the last part states them
+	var content bytes.Buffer
+	w, err := flate.NewWriter(&content, flate.HuffmanOnly)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(w).Encode(encoded); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return content.Bytes(), nil
+}
+
+func decodeContent(content []byte) (*TableUpdate, error) {
+	update := new(TableUpdate)
+	reader := io.LimitReader(flate.NewReader(bytes.NewReader(content)), 2*maxTransferBytes)
+	return update, json.NewDecoder(reader).Decode(update)
+}
+
 // dropUnused drops the transfers that no host requests any more.
 func (o *outgoingTransfers) dropUnused(now time.Time) {
 	for table, list := range o.byTable {
@@ -127,11 +154,16 @@
 	maps.DeleteFunc(o.receivers, func(_ string, r receiver) bool { return now.Sub(r.at) > receiverExpiry })
 }
 
+// partLimits bound the size of a part in bytes.
+type partLimits struct {
+	// link is what this hub's link carries per Interval for all parts, and host what the host's own
+	// link carries. message is what is left in the reply.
+	link, host, message int
+}
+
 // next returns the next part of a table's update for a host: of the transfer that the host is
-// receiving if that still has newer rows than the host, or else of the given update. linkBytes is
-// the number of bytes that this hub's link carries per Interval for all parts, and hostBytes the
-// number that the host's own link carries.
-func (o *outgoingTransfers) next(host, table string, r Report, key transferKey, update feed.Update, linkBytes, hostBytes int) (*TablePart, error) {
+// receiving if that still has newer rows than the host, or else of the given update.
+func (o *outgoingTransfers) next(host, table string, r Report, update feed.Update, limits partLimits) (*TablePart, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
@@ -145,13 +177,14 @@
 		offset = min(max(0, r.Parts[table].Received), len(t.content))
 	} else {
 		var err error
-		if t, err = o.transferOf(table, key, update); err != nil {
+		if t, err = o.transferOf(table, update); err != nil {
 			return nil, err
 		}
 	}
 	t.usedAt = now
 	share := o.addReceiver(host, receiver{at: now, weight: min(max(1, r.Hosts), maxReceiverWeight)})
-	size := min(max(minPartBytes, min(int(share*float64(linkBytes)), hostBytes)), len(t.content)-offset)
+	size := max(minPartBytes, min(int(share*float64(limits.link)), limits.host, limits.message))
+	size = min(size, len(t.content)-offset)
 	return &TablePart{ID: t.id, Size: len(t.content), Offset: offset, Content: t.content[offset : offset+size]}, nil
 }
 
@@ -213,8 +246,7 @@
 	if xxhash.Sum64(t.content) != t.id {
 		return nil, fmt.Errorf("%w: table %s, %d bytes", errCorruptTransfer, table, t.size)
 	}
-	update = new(TableUpdate)
-	if err := json.Unmarshal(t.content, update); err != nil {
+	if update, err = decodeContent(t.content); err != nil {
 		return nil, fmt.Errorf("exchange: decode update of table %s: %w", table, err)
 	}
 	return update, nil
--- a/internal/exchange/transfer_test.go
+++ b/internal/exchange/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"testing"
@@ -207,3 +208,20 @@
 	}
 	is.True(float64(size)*base64Factor <= bytesPerSecond(minLinkMbps)*(maxTransferDuration+Interval).Seconds())
 }
+
+// Guards against replies over the limit of a message, which links of any bandwidth carry in time.
+func TestReplyFitsAMessage(t *testing.T) {
+	is := is.New(t)
+	h, _ := hubWith(t, incompressible(1, 3<<20))
+	for _, name := range []string{"u", "v"} {
+		other, _ := hubWith(t, incompressible(1, 3<<20))
+		h.tables[name] = other.tables["t"]
+	}
+	h.linkMbps = 10_000
+	tables, _ := h.tableUpdates("host", Report{Zone: "z", AcceptsParts: true, LinkMbps: 10_000}, true)
+	is.Equal(len(tables), 3)
+	message, err := json.Marshal(Reply{Tables: tables})
+	is.NoErr(err)
+	is.True(len(message) < 1<<20)
+	is.True(len(message) > 1<<19) // the bandwidth is used
+}
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -198,8 +198,8 @@
 	return update, true
 }
 
-// deltasOf returns the deltas that lead to the row from the version that a host with the table as of the
-// revision has. The caller holds r.mu.
+// deltasOf returns the deltas that lead to the row from the version that a host with the table as
+// of the revision has. The caller holds r.mu.
 func (r *recentChanges) deltasOf(row Row, revision storage.Revision) (deltas []RowDelta, ok bool) {
 	versions := r.large[row.Key]
 	if versions == nil || versions.latest.Revision != row.Revision {
--- a/internal/feed/rowversions.go
+++ b/internal/feed/rowversions.go
@@ -105,8 +105,8 @@
 	return nil, false
 }
 
-// build returns the latest version of each row that the deltas lead to, and the last delta of each
-// row if it was made from the version that this host has. Deltas of versions that the host already has are ignored.
+// build returns the latest version of each row that the deltas lead to. Deltas of versions that the
+// host already has are ignored.
 func (l largeRows) build(deltas []RowDelta) ([]Row, error) {
 	rows := make(map[string]Row)
 	for _, d := range deltas {
