--- a/internal/feed/rowversions_test.go
+++ b/internal/feed/rowversions_test.go
@@ -118,3 +118,40 @@
 	is.NoErr(err)
 	is.Equal(rows, []Row{largeRow(9), {Key: "small", Data: []byte("x"), Revision: 91}})
 }
+
+// BenchmarkChangeOfALargeRow measures a change of one line of 870 kB at a hub and a follower, and
+// the size of the update, with whole rows and with deltas.
+func BenchmarkChangeOfALargeRow(b *testing.B) {
+	document := func(version int) Row {
+		random := rand.New(rand.NewPCG(1, 2))
+		var data bytes.Buffer
+		for i := range 4250 {
+			fmt.Fprintf(&data, `{"route_id":"r-%08x","prefix":"/p%08x/","service":"service-%02d","route_type":"idempotent","timeout_ms":%d,"max_attempts":2,"priority":2,"target_latency_ms":150,"session_affinity":false},`,
+				random.Uint32(), random.Uint32(), i%3, 5000+version*max(0, 1-i))
+		}
+		return Row{Key: "document", Data: data.Bytes(), Revision: storage.Revision(version)}
+	}
+	versions := []Row{document(1), document(2)}
+	for _, withDeltas := range []bool{false, true} {
+		b.Run(fmt.Sprintf("deltas=%t", withDeltas), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				hub := NewWatcher("t", nil, &recorder{}, Options{}, zerolog.Nop())
+				host := NewWatcher("t", nil, &recorder{}, Options{}, zerolog.Nop())
+				for _, w := range []*Watcher{hub, host} {
+					w.replace(versions[:1], 1, nil)
+					w.recordSuccess(1)
+				}
+				b.StartTimer()
+				hub.applyChanges(changeSet{rows: versions[1:]}, 2)
+				update, _ := hub.UpdateSince(1, withDeltas, 1<<20)
+				size = update.PackedBytes()
+				if !host.applyUpdate(update, time.Now()) {
+					b.Fatal("the update can't be applied")
+				}
+			}
+			b.ReportMetric(float64(size), "update-bytes")
+		})
+	}
+}
