--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -190,3 +190,21 @@
 		is.True(source.listCalls+source.changesCalls-calls <= 21) // each pause is half of maxBackoff or more
 	})
 }
+
+// Guards against whole rows that are left because deltas of the same revision couldn't be applied.
+func TestWholeRowsAfterUnusableDeltas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, _, seen, _ := relayedWatcher(t, Options{})
+		time.Sleep(time.Millisecond)
+		delta := RowDelta{Key: "k", Base: 4, Revision: 6, Delta: compress([]byte("unusable"))}
+		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Deltas: []RowDelta{delta}})
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(w.AcceptsDeltas(), false)
+		is.Equal(len(seen.changes), 0)
+		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)})
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(seen.changes, rows(6))
+		is.True(w.AcceptsDeltas())
+	})
+}
