feed: hosts that lack the same changes get the same update

Cause: found by reading. An update was known by the revision at which its receiver had called the store last. After a hub is lost, followers call the store each at another revision: with more than four of them the transfers in parts would have pushed each other out, and begun again with each reply, and each was packed anew. Change: an update begins at the last change that the host has.

--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -177,10 +177,14 @@
 	if !r.hasTable || revision < r.completeSince {
 		return update, r.hasTable
 	}
+	// Since is the last change that the host has: hosts that lack the same changes get the same
+	// update, although they called the store at different revisions.
+	update.Since = r.completeSince
 	size := 0
 	for _, batch := range r.batches {
 		for _, row := range batch.rows {
 			if row.Revision <= revision {
+				update.Since = max(update.Since, row.Revision)
 				continue
 			}
 			if deltas, found := r.deltasOf(row, revision); withDeltas && found {
@@ -193,7 +197,7 @@
 	}
 	update.Complete = true
 	if size >= minPackedBytes {
-		update.Packed, update.Rows = r.packChanges(revision, withDeltas, update.Rows), nil
+		update.Packed, update.Rows = r.packChanges(update.Since, withDeltas, update.Rows), nil
 	}
 	return update, true
 }
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -112,3 +112,22 @@
 	is.True(len(c.packed) < size/5)
 	is.Equal(newTableCopy(table, c.packed).packed, c.packed)
 }
+
+// Hosts that lack the same changes get the same update, which is packed and sent in parts once for
+// all of them, although they called the store at different revisions.
+func TestHostsThatLackTheSameChangesGetTheSameUpdate(t *testing.T) {
+	is := is.New(t)
+	var r recentChanges
+	r.reset([]Row{entryRow(1, 10)}, 10, nil)
+	for _, revision := range []int{20, 30} {
+		r.add(changeSet{rows: []Row{entryRow(1, revision)}}, storage.Revision(revision), true)
+	}
+	for since := storage.Revision(10); since < 35; since++ {
+		update, ok := r.updateSince(since, true)
+		is.True(ok && update.Complete)
+		is.Equal(update.Since, min(since/10*10, 30))
+		is.Equal(len(update.Rows), int(3-update.Since/10))
+	}
+	update, _ := r.updateSince(9, true)
+	is.True(!update.Complete)
+}
