--- a/internal/exchange/transfer_test.go
+++ b/internal/exchange/transfer_test.go
@@ -225,3 +225,19 @@
 	is.True(len(message) < 1<<20)
 	is.True(len(message) > 1<<19) // the bandwidth is used
 }
+
+// A host that states neither deltas nor parts, as during an upgrade, gets whole rows, or the
+// information that it lacks changes if the links can't carry them in one reply.
+func TestHostsWithoutDeltasAndParts(t *testing.T) {
+	is := is.New(t)
+	small, _ := hubWith(t, incompressible(1, 5000), incompressible(2, 5000))
+	tables, _ := small.tableUpdates("host", Report{Zone: "z", Revisions: map[string]storage.Revision{"t": 1}}, true)
+	update := tables["t"]
+	is.True(update.Complete && update.Part == nil && len(update.Deltas) == 0)
+	is.Equal(applied(t, incompressible(1, 5000), update.decode()), incompressible(2, 5000))
+	large, _ := hubWith(t, incompressible(1, 5000), incompressible(2, transferSize))
+	tables, _ = large.tableUpdates("host", Report{Zone: "z", Revisions: map[string]storage.Revision{"t": 1}}, true)
+	update = tables["t"]
+	is.True(!update.Complete && !update.IsSnapshot && update.Part == nil && update.Packed == nil)
+	is.Equal(update.Revision, storage.Revision(2))
+}
