feed, exchange: a lost answer of the store is noticed soon by one host of each fleet, and by hosts whose hub has old data

Cause: a host that doesn't rely on a hub has its calls held for 4.5 or 6 s, and notices a lost answer only 0.8 s after the end of the hold. That fits a host alone, not one that stands in for its hub, and not a fleet in which all do the same. Change: while a hub relays the table but has old data, and for 5 s after its loss, calls are held as briefly as the hub's. In any fleet the first seed that answers has its calls held so, and the others get the rows that they lack from it. TestRelayedUpdatesReplaceCalls expects the brief hold first, and the long one after 5 s.

--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,14 +80,20 @@
 type replayStore struct {
 	*fleetStore
 	link *replayLink
-	// unreachable reports whether calls get no answer.
-	unreachable func() bool
+	// unreachable reports whether calls get no answer, losesAnswers whether answers are lost that
+	// the store sends now.
+	unreachable  func() bool
+	losesAnswers func() bool
 }
 
 // wireOverhead is how much longer a row is in the store's answer.
 const wireOverhead = 4. / 3
 
 func (s *replayStore) receive(ctx context.Context, page feed.Page, received feed.OnReceived) error {
+	if s.losesAnswers() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	size := 100.0
 	for _, row := range page.Rows {
 		size += 100 + wireOverhead*float64(len(row.Data))
@@ -215,6 +222,8 @@
 	documents map[storage.Revision]writtenDocument
 	// cutOff holds the hosts whose calls of the store get no answer.
 	cutOff map[*fleetHost]bool
+	// losesAnswers reports whether the store's answers are lost.
+	losesAnswers atomic.Bool
 }
 
 type writtenDocument struct {
@@ -232,7 +241,7 @@
 		options.Hold, options.BatchDelay = 6*time.Second, 300*time.Millisecond
 		handler := &documentHandler{fleetHost: h, fast: r.links[h].bytesPerSecond > smallLink*1e6/8, want: r.document}
 		r.handlers[h] = handler
-		return &replayStore{fleetStore: r.store, link: r.links[h], unreachable: func() bool { return r.isCutOff(h) }}, handler
+		return &replayStore{fleetStore: r.store, link: r.links[h], unreachable: func() bool { return r.isCutOff(h) }, losesAnswers: r.losesAnswers.Load}, handler
 	}
 	for i := range hosts {
 		h := &fleetHost{name: fmt.Sprint("host-", i), zone: fmt.Sprint("zone-", i%zones), address: fmt.Sprint("10.0.0.", i)}
@@ -456,6 +465,54 @@
 	})
 }
 
+// Guards against hosts whose hub has old data and whose own calls the store holds for seconds: if
+// the answer to such a call is lost, they notice it only at its end. The hub reads a large document
+// over a slow link meanwhile.
+func TestAnswersAreLostWhileTheHubHasOldData(t *testing.T) {
+	const lostFor = 900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		r := newDocumentReplay(t, 12, 1, 12)
+		hub := r.hosts[0]
+		r.links[hub].bytesPerSecond = 160 << 10
+		time.Sleep(8 * time.Second)
+		r.write(routesDocument(4200))
+		time.Sleep(3 * time.Second)
+		r.losesAnswers.Store(true)
+		revision := r.write(routesDocument(4200, 7))
+		time.Sleep(lostFor)
+		r.losesAnswers.Store(false)
+		time.Sleep(8 * time.Second)
+		for _, h := range r.hosts[1:] {
+			delay, ok := r.handlers[h].delay(revision, r.documents[revision].at)
+			if !ok || delay > lostFor+documentApplyTime {
+				t.Errorf("%s has the document in force after %v (%v)", h.name, delay, ok)
+			}
+		}
+	})
+}
+
+// Guards against hosts of a fleet without relaying hubs whose calls the store holds for seconds: if
+// the answers to all of these are lost, one host must notice it soon.
+func TestAnswersAreLostInSmallFleets(t *testing.T) {
+	const lostFor = 900 * time.Millisecond
+	for _, size := range []fleetSize{{3, 3}, {7, 3}} {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newDocumentReplay(t, size.hosts, size.zones, size.hosts)
+				time.Sleep(8 * time.Second)
+				r.lose(r.hosts[0]) // the next seed takes its place
+				time.Sleep(2 * time.Second)
+				r.losesAnswers.Store(true)
+				r.write(routesDocument(1400))
+				time.Sleep(lostFor)
+				r.losesAnswers.Store(false)
+				time.Sleep(8 * time.Second)
+				r.checkDocuments(lostFor + documentApplyTime)
+			})
+		})
+	}
+}
+
 // Guards against a seed without the store that asks the other seeds again only after 5 s, if their
 // first queries failed: its followers have no other source of documents than the store.
 func TestSeedWithoutTheStoreAsksAgainSoon(t *testing.T) {
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -45,6 +45,7 @@
 		m.renewRootLease()
 		m.renewHolding()
 		m.querySeeds(ctx, net)
+		m.updateFirstSeed()
 	default:
 		m.exchangeWithHub(ctx, net)
 	}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -164,6 +164,8 @@
 
 	// incoming holds the table updates that the hub sends in parts.
 	incoming incomingTransfers
+	// wasFirstSeed is the result of IsFirstSeed at the time of the last exchange.
+	wasFirstSeed bool
 	// behindLoggedAt is when logFollowersBehind last looked for followers that are behind.
 	behindLoggedAt time.Time
 
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -110,6 +110,34 @@
 	return false
 }
 
+// IsFirstSeed reports whether this host is the first of the seeds that answer, in the configured
+// order. The others get the changes that they lack from it, and pass them on to their followers.
+func (m *Member) IsFirstSeed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, seed := range m.options.Seeds {
+		if seed == m.options.Listen {
+			return true
+		}
+		if q := m.seedQueries[seed]; q != nil && q.answered {
+			return false
+		}
+	}
+	return false
+}
+
+// updateFirstSeed makes the tables' watchers call the store more often as soon as this host becomes
+// the first seed, by canceling the calls that the store may hold for a long time.
+func (m *Member) updateFirstSeed() {
+	first := m.IsFirstSeed()
+	if first && !m.wasFirstSeed {
+		for _, w := range m.options.Tables {
+			w.ShortenHold()
+		}
+	}
+	m.wasFirstSeed = first
+}
+
 // beginQuery returns the state of the queries to a seed, and whether the seed may be queried
 // now: no query is in flight, and none failed too recently.
 func (m *Member) beginQuery(seed string) (state seedQuery, ok bool) {
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -31,6 +31,10 @@
 	// Options.BatchDelay, while other hosts rely on the watcher. Its calls serve many hosts, so
 	// the age of the data matters more than the number of calls.
 	RelayBatchDelay = 200 * time.Millisecond
+	// standInTime is how long after the loss of its hub a watcher's calls are held as briefly as the
+	// hub's were. Hosts find another hub within two seconds; without any hub for good, longer holds
+	// save calls.
+	standInTime = 5 * time.Second
 	// transferFraction, times ApplyTime, is how long a watcher waits for changes that another host
 	// sends in parts before it calls the store as well.
 	transferFraction = 0.35
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -69,7 +69,7 @@
 func TestRelayedUpdatesReplaceCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w, source, seen, _ := relayedWatcher(t, Options{})
+		w, source, seen, answers := relayedWatcher(t, Options{})
 		offerRepeatedly(w, Update{Since: 5, Revision: 5, Complete: true}, 10*time.Second)
 		callsSoFar := source.changesCalls // a call may have begun before the first update
 		is.True(callsSoFar <= 2)
@@ -80,10 +80,17 @@
 		age, ok := w.Age()
 		is.True(ok && age < time.Second)
 
-		// The store is called soon after the last update.
+		// The store is called soon after the last update. It holds the calls briefly at first, and
+		// then for as long as those of a host without a hub.
+		answers.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
+			time.Sleep(source.hold)
+			return Page{Revision: 8}, nil
+		})
 		time.Sleep(testMaxRelayedAge + 10*time.Millisecond)
 		synctest.Wait()
 		is.Equal(source.changesCalls, callsSoFar+1)
+		is.Equal(source.hold, testRelayHold)
+		time.Sleep(standInTime + testRelayHold)
 		is.Equal(source.hold, DefaultHold)
 	})
 }
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -56,6 +56,10 @@
 	// Relays reports whether other hosts rely on this watcher's updates now; the watcher calls
 	// the store more often then. Nil means that no other host does.
 	Relays func() bool
+	// HoldsBriefly reports whether the store holds the watcher's calls only as briefly as a relaying
+	// watcher's, so that it notices lost answers soon on behalf of hosts that get rows from this
+	// one. Nil means that it doesn't.
+	HoldsBriefly func() bool
 	// ApplyTime is the time within which changes of the table must take effect; 0 means two
 	// seconds. The maximum age of the updates from other hosts that the watcher relies on is a
 	// fraction of it.
@@ -111,6 +115,8 @@
 	rejectsDeltas atomic.Bool
 	// holdShortened is signaled by ShortenHold.
 	holdShortened chan struct{}
+	// reliedAt is when the watcher last relied on an update from another host; only Run uses it.
+	reliedAt time.Time
 	// relying reports whether the last step found an update from another host that was recent
 	// enough to rely on; only Run uses it.
 	relying bool
@@ -222,6 +228,7 @@
 	update, at, rely := w.freshUpdate()
 	w.logRelying(rely)
 	if rely && (w.applyUpdate(update, at) || w.awaitsParts(update)) {
+		w.reliedAt = boottime.Now()
 		return w.awaitNextUpdate(ctx, at)
 	}
 	if w.canApplyRelayed() {
@@ -288,15 +295,30 @@
 func (w *Watcher) relays() bool { return w.options.Relays != nil && w.options.Relays() }
 
 // hold returns how long the store may hold the next call. A relaying watcher whose data are
-// already old, since the last answer took long to arrive, has the next one earlier.
+// already old, since the last answer took long to arrive, has the next one earlier. A lost answer is
+// noticed only at the end of the hold; while a hub relays the table, its calls are held briefly, and
+// so are those that take their place.
 func (w *Watcher) hold() time.Duration {
 	if !w.relays() {
+		if w.standsInForHub() || w.options.HoldsBriefly != nil && w.options.HoldsBriefly() {
+			return min(w.relayHold(), w.options.Hold)
+		}
 		return w.options.Hold
 	}
 	age, _ := w.Age()
 	return max(0, min(w.relayHold(), w.maxRelayedAge()-age))
 }
 
+// standsInForHub reports whether this watcher calls the store because the updates of a hub are too
+// old, or were until recently.
+func (w *Watcher) standsInForHub() bool {
+	if w.reliedAt.IsZero() {
+		return false
+	}
+	hubRelays := w.options.HubAnswers != nil && w.options.HubAnswers() && !w.relayed.unavailable()
+	return hubRelays || boottime.Since(w.reliedAt) < standInTime
+}
+
 func (w *Watcher) batchDelay() time.Duration {
 	if w.relays() {
 		return min(RelayBatchDelay, w.options.BatchDelay)
