boottime: an interrupted reading of the clocks is no suspension

Cause: two clocks are read one after the other; a thread that loses its processor for more than 5 ms between them took that for a suspension of the host, for the rest of the process's life: ages jump. Change: the first clock is read again after the second; a reading that took 5 ms is repeated, five times at most. Measured: TestInterruptedReadingIsNoSuspension.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -15,7 +15,7 @@
 
 const (
 	// refreshInterval is how long a reading of the suspended time is cached. Suspensions last
-	// seconds, and a reading takes two system calls.
+	// seconds, and a reading takes three system calls.
 	refreshInterval = 10 * time.Millisecond
 	// maxReadError is the maximum difference between two readings of the suspended time if
 	// there was no suspension between them.
@@ -57,13 +57,13 @@
 	since := max(1, now.Sub(start).Abs().Nanoseconds())
 	if lastRefresh := refreshedAtNanos.Load(); lastRefresh == 0 || since-lastRefresh > int64(refreshInterval) || since < lastRefresh {
 		refreshedAtNanos.Store(since)
-		updateSuspended(clockOffset(initialOffset) - initialOffset)
+		updateSuspended(clockOffset(initialOffset+suspendedNanos.Load()) - initialOffset)
 	}
 	return time.Duration(suspendedNanos.Load() + simulatedNanos.Load())
 }
 
 // updateSuspended stores a new reading of the suspended time if it shows a suspension. Readings
-// without one may differ by the time between the two system calls of a reading.
+// without one may differ by the time between the system calls of a reading.
 func updateSuspended(offset int64) {
 	if current := suspendedNanos.Load(); offset-current > int64(maxReadError) {
 		suspendedNanos.CompareAndSwap(current, offset)
@@ -72,12 +72,25 @@
 
 // clockOffset returns how far the clock that includes suspensions is ahead of the one that
 // doesn't, or the fallback if the system lacks these clocks.
-func clockOffset(fallback int64) int64 {
-	var monotonic, boot unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		return fallback
+func clockOffset(fallback int64) int64 { return clockOffsetBy(unix.ClockGettime, fallback) }
+
+// maxReadAttempts is how often the clocks are read until a reading isn't interrupted.
+const maxReadAttempts = 5
+
+// clockOffsetBy is clockOffset with the given function that reads a clock. A thread that loses its
+// processor between the two readings would take that time for a suspension, so the first clock is
+// read once more after the second.
+func clockOffsetBy(read func(clock int32, into *unix.Timespec) error, fallback int64) int64 {
+	for range maxReadAttempts {
+		var before, boot, after unix.Timespec
+		if read(unix.CLOCK_MONOTONIC, &before) != nil || read(unix.CLOCK_BOOTTIME, &boot) != nil || read(unix.CLOCK_MONOTONIC, &after) != nil {
+			return fallback
+		}
+		if after.Nano()-before.Nano() < int64(maxReadError) {
+			return boot.Nano() - before.Nano()
+		}
 	}
-	return boot.Nano() - monotonic.Nano()
+	return fallback
 }
 
 // SimulateSuspension advances the clock as a suspension of the host would, for tests; undo
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // A suspension advances the clock by its duration.
@@ -53,3 +54,25 @@
 		Now()
 	}
 }
+
+// Guards against a thread that loses its processor between the readings of two clocks and takes that
+// for a suspension of the host, for the rest of the process's life.
+func TestInterruptedReadingIsNoSuspension(t *testing.T) {
+	is := is.New(t)
+	const suspended, interruption = int64(7 * time.Second), int64(80 * time.Millisecond)
+	now, readings := int64(time.Hour), 0
+	clocks := func(interrupted func(reading int) bool) func(clock int32, into *unix.Timespec) error {
+		return func(clock int32, into *unix.Timespec) error {
+			if readings++; interrupted(readings) {
+				now += interruption
+			}
+			*into = unix.NsecToTimespec(now)
+			if clock == unix.CLOCK_BOOTTIME {
+				*into = unix.NsecToTimespec(now + suspended)
+			}
+			return nil
+		}
+	}
+	is.Equal(clockOffsetBy(clocks(func(reading int) bool { return reading == 2 }), 0), suspended)
+	is.Equal(clockOffsetBy(clocks(func(int) bool { return true }), suspended-1), suspended-1) // no reading is usable
+}
