--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -61,6 +62,20 @@
 	}
 }
 
+// setRate changes the bandwidth.
+func (l *replayLink) setRate(bytesPerSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytesPerSecond = bytesPerSecond
+}
+
+// carried returns the number of bytes that the link carried so far.
+func (l *replayLink) carried() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
 // transfer sends the bytes over the links, part by part.
 func transfer(ctx context.Context, bytes int, received func(int), links ...*replayLink) error {
 	for bytes > 0 {
@@ -201,6 +216,13 @@
 	h.inForce = append(h.inForce, documentInForce{row.Revision, time.Now()})
 }
 
+// problems returns what was wrong with the documents that the host received.
+func (h *documentHandler) problems() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.errs
+}
+
 // delay returns how long after the document was written the host had it or a newer one in force.
 func (h *documentHandler) delay(revision storage.Revision, writtenAt time.Time) (time.Duration, bool) {
 	h.mu.Lock()
@@ -319,7 +341,7 @@
 func (r *documentReplay) checkDocuments(within time.Duration) {
 	r.t.Helper()
 	r.mu.Lock()
-	documents := r.documents
+	documents := maps.Clone(r.documents)
 	r.mu.Unlock()
 	longest, late := time.Duration(0), 0
 	for revision, d := range documents {
@@ -335,14 +357,14 @@
 		}
 	}
 	for _, host := range r.hosts {
-		if errs := r.handlers[host].errs; len(errs) > 0 {
+		if errs := r.handlers[host].problems(); len(errs) > 0 {
 			r.t.Error(errs)
 		}
 	}
 	calls, _ := r.store.count()
 	total, busiest := 0, 0
 	for _, h := range r.hosts {
-		total, busiest = total+r.links[h].bytes, max(busiest, r.links[h].bytes)
+		total, busiest = total+r.links[h].carried(), max(busiest, r.links[h].carried())
 	}
 	r.t.Logf("%d hosts: longest delay %v, %d late; %d calls of the store; bytes of a host: mean %d, most %d", len(r.hosts), longest, late, calls, total/len(r.hosts), busiest)
 }
@@ -458,8 +480,8 @@
 			time.Sleep(3500 * time.Millisecond)
 		}
 		r.checkDocuments(500 * time.Millisecond)             // 1.1 s from the store
-		is.True(r.links[slow].bytes < 1_500_000)             // 2.5 MB from the store
-		is.True(r.links[r.hosts[0]].bytes < 2*3_700_000)     // each other host reads the documents once
+		is.True(r.links[slow].carried() < 1_500_000)         // 2.5 MB from the store
+		is.True(r.links[r.hosts[0]].carried() < 2*3_700_000) // each other host reads the documents once
 		is.Equal(slow.watcher.HasFreshUpdate(), false)       // it goes on calling the store
 		is.Equal(r.hosts[0].watcher.HasFreshUpdate(), false) // hubs don't rely on each other
 	})
@@ -473,7 +495,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newDocumentReplay(t, 12, 1, 12)
 		hub := r.hosts[0]
-		r.links[hub].bytesPerSecond = 160 << 10
+		r.links[hub].setRate(160 << 10)
 		time.Sleep(8 * time.Second)
 		r.write(routesDocument(4200))
 		time.Sleep(3 * time.Second)
@@ -550,7 +572,7 @@
 				time.Sleep(3 * time.Second)
 				before := make([]int, len(r.hosts))
 				for i, h := range r.hosts {
-					before[i] = r.links[h].bytes
+					before[i] = r.links[h].carried()
 				}
 				for i := range changes {
 					r.write(routesDocument(4250, 1000*i))
@@ -558,7 +580,7 @@
 				}
 				traffic := make([]int, len(r.hosts))
 				for i, h := range r.hosts {
-					traffic[i] = int(float64(r.links[h].bytes-before[i]) / (changes * changeInterval.Seconds()))
+					traffic[i] = int(float64(r.links[h].carried()-before[i]) / (changes * changeInterval.Seconds()))
 				}
 				slices.Sort(traffic)
 				t.Logf("%d hosts: bytes a second of a host: median %d, most %d", size.hosts, traffic[len(traffic)/2], traffic[len(traffic)-1])
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -82,16 +82,20 @@
 
 		// The store is called soon after the last update. It holds the calls briefly at first, and
 		// then for as long as those of a host without a hub.
+		var calls, hold atomic.Int64
 		answers.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
+			calls.Add(1)
+			hold.Store(int64(source.hold))
 			time.Sleep(source.hold)
 			return Page{Revision: 8}, nil
 		})
 		time.Sleep(testMaxRelayedAge + 10*time.Millisecond)
 		synctest.Wait()
-		is.Equal(source.changesCalls, callsSoFar+1)
-		is.Equal(source.hold, testRelayHold)
+		is.Equal(calls.Load(), int64(1))
+		is.Equal(time.Duration(hold.Load()), testRelayHold)
 		time.Sleep(standInTime + testRelayHold)
-		is.Equal(source.hold, DefaultHold)
+		synctest.Wait()
+		is.Equal(time.Duration(hold.Load()), DefaultHold)
 	})
 }
 
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,7 @@
 				done := make(chan struct{}, 2)
 				go func() { w.Run(ctx); done <- struct{}{} }()
 				time.Sleep(time.Millisecond) // the watcher reads its table
+				synctest.Wait()
 				if test.otherFails {
 					failing := &scriptedSource{
 						list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
@@ -63,8 +65,10 @@
 					done <- struct{}{}
 				}
 				time.Sleep(test.wait)
+				synctest.Wait()
 				w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
 				time.Sleep(relayedWithin)
+				synctest.Wait()
 				applied := len(seen.changes)
 				cancel()
 				<-done
@@ -111,6 +115,7 @@
 			return Page{Rows: rows(9), Revision: 9}, nil
 		})
 		time.Sleep(500 * time.Millisecond) // the answer has begun to arrive
+		synctest.Wait()
 		offerRepeatedly(w, Update{Since: 5, Revision: 7, Complete: true}, 2*time.Second)
 		is.Equal(seen.changes, rows(9))
 	})
@@ -124,12 +129,15 @@
 		w, source, _, _ := relayedWatcher(t, Options{FirstUpdateWait: time.Second})
 		w.Offer(Update{Since: 5, Revision: 5, Complete: true}, time.Now())
 		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		calls := source.changesCalls
 		w.HubLost()
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(source.changesCalls, calls+1)
 		w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.Revision(), storage.Revision(6)) // the next hub's update replaces the call
 	})
 }
@@ -141,13 +149,16 @@
 		is := is.New(t)
 		w, _, _, _ := relayedWatcher(t, Options{})
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		w.Offer(Update{Since: 5, Revision: 5, Complete: true}, time.Now())
 		is.Equal(w.Lag(), time.Duration(0))
 		w.Offer(Update{Since: 5, Revision: 6, Remaining: 400 * time.Millisecond}, time.Now())
 		time.Sleep(400 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.Lag(), 400*time.Millisecond)
 		w.Offer(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, time.Now())
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.Lag(), time.Duration(0))
 	})
 }
@@ -159,9 +170,11 @@
 		is := is.New(t)
 		w, source, seen, _ := relayedWatcher(t, Options{})
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		age, _ := w.Age()
 		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)})
 		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(seen.changes, rows(6))
 		is.Equal(w.HasFreshUpdate(), false)
 		is.Equal(source.changesCalls, 2) // the canceled call, and the next one
@@ -169,6 +182,7 @@
 		is.Equal(later, age+100*time.Millisecond) // rows are no evidence that there are no newer ones
 		w.OfferRows(Update{Since: 5, Revision: 7, Complete: true})
 		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(source.changesCalls, 2) // an update without rows ends no call
 	})
 }
@@ -178,16 +192,39 @@
 func TestOldSnapshotAfterLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w, source, _, answers := relayedWatcher(t, Options{})
+		var fails atomic.Bool
+		var calls atomic.Int64
+		source := &scriptedSource{
+			list: func(int) (Page, error) {
+				calls.Add(1)
+				if fails.Load() {
+					return Page{}, errors.New("status 503")
+				}
+				return Page{Revision: 5}, nil
+			},
+			changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) {
+				calls.Add(1)
+				if fails.Load() {
+					return Page{}, ErrHistoryLost
+				}
+				return hang(ctx)
+			},
+		}
+		w := NewWatcher("t", source, &recorder{}, Options{}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { w.Run(ctx); close(done) }()
 		time.Sleep(time.Millisecond)
 		w.Offer(Update{Revision: 5, IsSnapshot: true, Packed: pack(rows(5))}, time.Now())
 		time.Sleep(testMaxRelayedAge)
-		source.list = func(int) (Page, error) { return Page{}, errors.New("status 503") }
-		answers.set(func(context.Context, storage.Revision) (Page, error) { return Page{}, ErrHistoryLost })
+		fails.Store(true)
 		time.Sleep(DefaultHold + 2*answerTimeout) // until the call in flight has failed
-		calls := source.listCalls + source.changesCalls
+		before := calls.Load()
 		time.Sleep(10 * maxBackoff)
-		is.True(source.listCalls+source.changesCalls-calls <= 21) // each pause is half of maxBackoff or more
+		after := calls.Load()
+		cancel()
+		<-done
+		is.True(after-before <= 21) // each pause is half of maxBackoff or more
 	})
 }
 
@@ -197,13 +234,16 @@
 		is := is.New(t)
 		w, _, seen, _ := relayedWatcher(t, Options{})
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		delta := RowDelta{Key: "k", Base: 4, Revision: 6, Delta: compress([]byte("unusable"))}
 		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Deltas: []RowDelta{delta}})
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.AcceptsDeltas(), false)
 		is.Equal(len(seen.changes), 0)
 		w.OfferRows(Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)})
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(seen.changes, rows(6))
 		is.True(w.AcceptsDeltas())
 	})
