exchange, feed: a hub that reads a large answer states that its tables are outdated

Cause: the first seed that answers was taken for one that has current tables. Change: replies state that tables are older than the hub's calls account for. The next seed takes the first one's place then, and followers hold their own calls briefly.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -182,6 +182,9 @@
 	Rooted bool  `json:"rooted,omitempty"`
 	// Assigned is the address of the hub to report to from now on; empty to stay with this one.
 	Assigned string `json:"assigned,omitempty"`
+	// Outdated reports that some of the hub's tables are older than its calls of the store account
+	// for, as while it reads a large answer over a slow link.
+	Outdated bool `json:"outdated,omitempty"`
 	// Relays reports whether the hub relays table updates to the receiver. Tables holds the
 	// updates by table name. TablePending reports that the receiver will probably get a table
 	// that it doesn't have yet: this hub is still reading the table, or will assign the receiver
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -45,7 +45,8 @@
 		m.renewRootLease()
 		m.renewHolding()
 		m.querySeeds(ctx, net)
-		m.updateFirstSeed()
+		m.hubOutdated.Store(false)
+		m.updateHolds()
 	default:
 		m.exchangeWithHub(ctx, net)
 	}
@@ -68,6 +69,7 @@
 	m.hubAnswered.Store(err == nil)
 	m.ownHub.receivesTables.Store(err == nil && reply.Relays)
 	if err != nil {
+		m.hubOutdated.Store(false)
 		m.hubFailed(net, err)
 		return
 	}
@@ -91,6 +93,8 @@
 		m.hubPrefixSeq, m.ownHubPrefixSeq, m.ownHubLeavingSeq = reply.SentPrefixesLast, 0, 0
 		m.deliver(reply, requestedAt)
 	}
+	m.hubOutdated.Store(reply.Outdated)
+	m.updateHolds()
 	m.offerTables(report, reply, requestedAt)
 	m.acceptAssignment(reply.Assigned)
 }
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -129,6 +129,7 @@
 			reply.RelayHosts = h.namedRelayHosts(from, toHub)
 		}
 		reply.Tables, _ = h.tableUpdates(from, r, h.relays())
+		reply.Outdated = h.isOutdated()
 		return reply, nil
 	}
 	h.record(from, r)
@@ -150,6 +151,7 @@
 	reply.Limits = h.limitsSince(r.LimitsCursor, toHost)
 	reply.Leaving, reply.LeavingLast = h.leavingSince(r.LeavingSince, from, toHost)
 	reply.Promises, reply.PromisesLast = h.promisesSince(r.PromisesSince, from, toHost)
+	reply.Outdated = h.isOutdated()
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.TablePending = h.tableUpdates(from, r, reply.Relays)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -164,8 +164,10 @@
 
 	// incoming holds the table updates that the hub sends in parts.
 	incoming incomingTransfers
-	// wasFirstSeed is the result of IsFirstSeed at the time of the last exchange.
-	wasFirstSeed bool
+	// heldBriefly is the result of HoldsBriefly at the time of the last exchange. hubOutdated reports
+	// whether the hub stated in its last reply that its tables are outdated.
+	heldBriefly bool
+	hubOutdated atomic.Bool
 	// behindLoggedAt is when logFollowersBehind last looked for followers that are behind.
 	behindLoggedAt time.Time
 
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -21,6 +21,8 @@
 	// was received. answered reports whether the seed answered the last query.
 	sightingsSince uint64
 	answered       bool
+	// outdated reports whether the seed stated that its tables are outdated.
+	outdated bool
 	// leavingSince is the sequence number of the last entry that was received from the seed's log
 	// of leaving upstreams.
 	leavingSince uint64
@@ -71,7 +73,7 @@
 			m.ownHub.recordRelayHostsElsewhere(reply.RelayHosts)
 			m.addRelayHosts(reply.RelayHosts)
 			m.offerTablesIfDisconnected(reply, state.incoming, requestedAt)
-			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, engines: state.engines, incoming: state.incoming})
+			m.endQuery(seed, seedQuery{prefixesSince: reply.SentPrefixesLast, sightingsSince: reply.SightingsLast, limitsCursor: reply.Limits.Cursor, leavingSince: reply.LeavingLast, promisesSince: reply.PromisesLast, answered: true, outdated: reply.Outdated, engines: state.engines, incoming: state.incoming})
 		}()
 	}
 }
@@ -110,8 +112,8 @@
 	return false
 }
 
-// IsFirstSeed reports whether this host is the first of the seeds that answer, in the configured
-// order. The others get the changes that they lack from it, and pass them on to their followers.
+// IsFirstSeed reports whether this host is the first of the seeds that answer and aren't
+// outdated, in the configured order. The others get the changes that they lack from it, and pass them on to their followers.
 func (m *Member) IsFirstSeed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -119,23 +121,27 @@
 		if seed == m.options.Listen {
 			return true
 		}
-		if q := m.seedQueries[seed]; q != nil && q.answered {
+		if q := m.seedQueries[seed]; q != nil && q.answered && !q.outdated {
 			return false
 		}
 	}
 	return false
 }
 
-// updateFirstSeed makes the tables' watchers call the store more often as soon as this host becomes
-// the first seed, by canceling the calls that the store may hold for a long time.
-func (m *Member) updateFirstSeed() {
-	first := m.IsFirstSeed()
-	if first && !m.wasFirstSeed {
+// HoldsBriefly reports whether the store is to hold this host's calls only briefly, since other
+// hosts depend on it as the first seed, or since its own hub is outdated.
+func (m *Member) HoldsBriefly() bool { return m.hubOutdated.Load() || m.IsFirstSeed() }
+
+// updateHolds makes the tables' watchers call the store more often as soon as HoldsBriefly reports
+// so, by canceling the calls that the store may hold for a long time.
+func (m *Member) updateHolds() {
+	brief := m.HoldsBriefly()
+	if brief && !m.heldBriefly {
 		for _, w := range m.options.Tables {
 			w.ShortenHold()
 		}
 	}
-	m.wasFirstSeed = first
+	m.heldBriefly = brief
 }
 
 // beginQuery returns the state of the queries to a seed, and whether the seed may be queried
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -75,6 +75,17 @@
 	return tables, pending
 }
 
+// isOutdated reports whether some of this hub's tables are older than its calls of the store account
+// for.
+func (h *hub) isOutdated() bool {
+	for _, watcher := range h.tables {
+		if watcher.IsOutdated() {
+			return true
+		}
+	}
+	return false
+}
+
 // smallestUpdate returns the smaller one of the changes after the revision that a host has and the
 // whole table. It doesn't make the whole table if the changes don't exceed the budget in bytes. ok
 // is false if the watcher doesn't have the table.
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -221,6 +221,20 @@
 	return w.failingSince.Load() != 0 || w.options.Link.unreachable()
 }
 
+// IsOutdated reports whether the table is needed and the store's last answer is older than the calls
+// of this watcher account for, so that other hosts shouldn't wait for rows from this one.
+func (w *Watcher) IsOutdated() bool {
+	if w.options.Needed != nil && !w.options.Needed() {
+		return false
+	}
+	limit := w.options.Hold + answerTimeout
+	if w.relays() || w.options.HoldsBriefly != nil && w.options.HoldsBriefly() {
+		limit = w.followerMaxRelayedAge()
+	}
+	age, ok := w.Age()
+	return !ok || age > limit
+}
+
 // SetNotRelayed records that the other host doesn't relay the table, so that the watcher need
 // not wait for an update.
 func (w *Watcher) SetNotRelayed() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,7 +203,7 @@
 	common := feed.Options{Link: link, ApplyTime: min(g.settings.ApplyTime, g.settings.DrainTime)}
 	if g.settings.Peers.Listen != "" {
 		common.Relays = func() bool { return g.peers.Relays() }
-		common.HoldsBriefly = func() bool { return g.peers.IsFirstSeed() }
+		common.HoldsBriefly = func() bool { return g.peers.HoldsBriefly() }
 		g.rollouts.hasFollowers = common.Relays
 		common.FirstUpdateWait = firstHubUpdateTimeout
 		if !slices.Contains(g.settings.Peers.Seeds, g.settings.Peers.Listen) {
