--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -380,7 +380,7 @@
 // Guards against a large document that is late on hosts whose hub is lost while the document is
 // on its way, once and again: the spans until a host notices, asks the store and has read the
 // document must not add up to more than the time that operators give.
-func TestLargeDocumentsInSeriesWhileHubsAreLost(t *testing.T) {
+func TestReplayLargeDocumentsInSeriesWhileHubsAreLost(t *testing.T) {
 	for _, size := range documentFleetSizes() {
 		for _, fast := range []int{2, 0} {
 			if size.hosts > 100 && fast == 0 {
@@ -416,7 +416,7 @@
 
 // Guards against hosts that the store doesn't answer and whose hub has the document: they must
 // get it from the hub, however large it is.
-func TestLargeDocumentsReachHostsWithoutTheStore(t *testing.T) {
+func TestReplayLargeDocumentsReachHostsWithoutTheStore(t *testing.T) {
 	for _, size := range documentFleetSizes()[1:] {
 		for _, fast := range []int{2, 0} {
 			if size.hosts > 100 && fast > 0 {
@@ -447,7 +447,7 @@
 // Guards against a document that small links can't carry from the store within the time: hosts must
 // get it from their hubs, in parts where the hubs' links can't carry it to all at once, and again
 // after a hub is lost halfway.
-func TestDocumentLargerThanLinksCarryFromTheStore(t *testing.T) {
+func TestReplayDocumentLargerThanLinksCarryFromTheStore(t *testing.T) {
 	const routes = 14_000 // 3 MB, 4.1 MB from the store: 3.3 s on 10 Mbit/s
 	for _, size := range documentFleetSizes()[1:2] {
 		synctest.Test(t, func(t *testing.T) {
@@ -469,7 +469,7 @@
 
 // Guards against hosts that read large documents over a slow link although another host has them,
 // where hosts are too few for hubs to relay tables.
-func TestLargeDocumentsInSmallFleets(t *testing.T) {
+func TestReplayLargeDocumentsInSmallFleets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newDocumentReplay(t, 7, 3, 2)
