e2e, exchange, feed: checks as strict as in their first form, and what a last read found

A replay had bounds near its own figures, and left out the check for former documents. Change: documents grow by 1,000 routes in every build; the time for documents is 2 s by the settings, and 3 s under the race detector, where decode_ms=1013 was logged for 753 kB. The bounds of the replay in a small fleet come from the size of the documents and the link. Comments are wrapped and one name (form, now variant) is changed; product code behaves as before. The soak and the document tests of e2e with these bounds: not run yet in this commit.

--- a/internal/bytedelta/bytedelta.go
+++ b/internal/bytedelta/bytedelta.go
@@ -4,6 +4,9 @@
 //
 // A delta consists of a head, with checksums of both versions, and of steps. Each step copies a
 // range of the base and then appends literal bytes. Deltas aren't compressed.
+//
+// The deltas of package manifest go by lines and are part of a stored format; these are for
+// documents of any layout, such as those in a single line.
 package bytedelta
 
 import (
--- a/internal/e2e/documentprobe_test.go
+++ b/internal/e2e/documentprobe_test.go
@@ -12,11 +12,8 @@
 // answers 404 for a route doesn't have the document that added it, or a later one.
 
 const (
-	// documentApplyTime is the time within which a confirmed document must be in force on a host
-	// that is in touch, the value of config_apply_ms in the gateways' settings.
 	// documentContactTime is the time after a disturbance of the host, or of the store, from which
 	// the host counts as in touch.
-	documentApplyTime   = 3 * time.Second
 	documentContactTime = 3 * time.Second
 	// documentProbeInterval is the time between two requests of a host's probe.
 	documentProbeInterval = 150 * time.Millisecond
--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -542,7 +542,7 @@
 	}
 	for version := 2; version <= 13; version++ {
 		if version%3 == 0 {
-			s.addSpareRoutes(spareRoutes)
+			s.addSpareRoutes(1000)
 		}
 		s.addRoute(fmt.Sprint("version-", version))
 		p.confirmed(fmt.Sprint("version-", version), s.publish(version))
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -561,7 +561,7 @@
 // spare routes, too. No check is relaxed while slow links transfer the document.
 func (s *soak) newDocument(version int) {
 	if s.documentRand.IntN(2) == 0 {
-		s.addSpareRoutes(spareRoutes)
+		s.addSpareRoutes(1000)
 	}
 	s.newestRoute = fmt.Sprint("version-", version)
 	s.addRoute(s.newestRoute)
--- a/internal/e2e/race_off_test.go
+++ b/internal/e2e/race_off_test.go
@@ -2,7 +2,10 @@
 
 package e2e
 
+import "time"
+
 var buildFlags []string
 
-// spareRoutes is the number of routes that a large document has more than the one before.
-const spareRoutes = 1000
+// documentApplyTime is the time within which a confirmed document must be in force on a host that
+// is in touch, the value of config_apply_ms in the gateways' settings.
+const documentApplyTime = 2 * time.Second
--- a/internal/e2e/race_on_test.go
+++ b/internal/e2e/race_on_test.go
@@ -2,9 +2,12 @@
 
 package e2e
 
+import "time"
+
 // buildFlags enables the race detector in the binary if the test has it.
 var buildFlags = []string{"-race"}
 
-// spareRoutes is the number of routes that a large document has more than the one before. With the
-// race detector a host needs several times as long to decode them.
-const spareRoutes = 250
+// documentApplyTime is the time within which a confirmed document must be in force on a host that
+// is in touch, the value of config_apply_ms in the gateways' settings. With the
+// race detector a host needs several times as long to decode a document.
+const documentApplyTime = 3 * time.Second
--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -479,9 +479,12 @@
 			r.write(routesDocument(routes))
 			time.Sleep(3500 * time.Millisecond)
 		}
-		r.checkDocuments(500 * time.Millisecond)             // 1.1 s from the store
-		is.True(r.links[slow].carried() < 1_500_000)         // 2.5 MB from the store
-		is.True(r.links[r.hosts[0]].carried() < 2*3_700_000) // each other host reads the documents once
+		// The slow host must take less than half of the time and the bytes that the store's answers take.
+		fromStore := func(routes int) float64 { return wireOverhead * float64(len(routesDocument(routes))) }
+		r.checkDocuments(time.Duration(fromStore(4200) / r.links[slow].bytesPerSecond * float64(time.Second) / 2))
+		is.True(float64(r.links[slow].carried()) < (fromStore(1400)+fromStore(2800)+fromStore(4200))/2)
+		// Each other host reads the documents once, and sends or receives as much again at most.
+		is.True(float64(r.links[r.hosts[0]].carried()) < 2*(fromStore(1400)+fromStore(2800)+fromStore(4200)))
 		is.Equal(slow.watcher.HasFreshUpdate(), false)       // it goes on calling the store
 		is.Equal(r.hosts[0].watcher.HasFreshUpdate(), false) // hubs don't rely on each other
 	})
@@ -535,7 +538,13 @@
 					time.Sleep(lostFor)
 					r.losesAnswers.Store(false)
 					time.Sleep(8 * time.Second)
-					for _, h := range r.hosts[min(1, len(r.hosts)-size.hosts+1):] {
+					for _, h := range r.hosts {
+						if h.address == r.seeds[0] {
+							continue // its own link needs longer
+						}
+						for _, problem := range r.handlers[h].problems() {
+							t.Error(problem)
+						}
 						delay, ok := r.handlers[h].delay(revision, r.documents[revision].at)
 						if !ok || delay > lostFor+documentApplyTime {
 							t.Errorf("%s has the document in force after %v (%v)", h.name, delay, ok)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,10 +44,10 @@
 	// between a failed query of another seed and the next query of that seed.
 	hubRetryInterval = 5 * time.Second
 	// noHubRetryInterval is the initial time between two probes by a host without a hub, and
-	// between a failed query of another seed and the next one. It
-	// doubles with each probe, up to hubRetryInterval. maxProbeDoublings limits the doublings,
-	// so that the bit shift that computes them doesn't overflow. When a whole installation
-	// starts, the seeds begin to answer about 100 ms after the other hosts' first probes.
+	// between a failed query of another seed and the next one. It doubles with each of them, up to
+	// hubRetryInterval. maxProbeDoublings limits the doublings, so that the bit shift that computes
+	// them doesn't overflow. When a whole installation starts, the seeds begin to answer about
+	// 100 ms after the other hosts' first probes.
 	noHubRetryInterval = 100 * time.Millisecond
 	maxProbeDoublings  = 6
 
--- a/internal/exchange/seedqueries.go
+++ b/internal/exchange/seedqueries.go
@@ -11,8 +11,8 @@
 // seedQuery is the state of this host's queries to another seed.
 type seedQuery struct {
 	// inFlight reports whether the reply to a query is pending. retryAt is the earliest time of
-	// the next query, and failures is the number of consecutive queries that failed. prefixesSince is the sequence number of the last entry in the seed's
-	// prefix log that was received.
+	// the next query, and failures is the number of consecutive queries that failed. prefixesSince
+	// is the sequence number of the last entry in the seed's prefix log that was received.
 	inFlight      bool
 	retryAt       time.Time
 	failures      int
@@ -112,8 +112,9 @@
 	return false
 }
 
-// IsFirstSeed reports whether this host is the first of the seeds that answer and aren't
-// outdated, in the configured order. The others get the changes that they lack from it, and pass them on to their followers.
+// IsFirstSeed reports whether this host is the first of the seeds that answer and aren't outdated,
+// in the configured order. The others get the changes that they lack from it, and pass them on to
+// their followers.
 func (m *Member) IsFirstSeed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -17,7 +17,7 @@
 	case w.hasTable.Load() && update.Revision <= w.revision:
 	case update.advances(w.revision, w.hasTable.Load()):
 		if !w.applyRows(update) {
-			w.unusable.Store(update.form())
+			w.unusable.Store(update.variant())
 			return false
 		}
 	case !w.hasTable.Load():
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -153,17 +153,17 @@
 
 // canApply reports whether the update has newer rows than this host, and wasn't found unusable.
 func (w *Watcher) canApply(update Update) bool {
-	return update.form() != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
+	return update.variant() != w.unusable.Load() && update.advances(w.Revision(), w.hasTable.Load())
 }
 
-// form identifies the update's revision and whether it has deltas: where deltas of a revision can't
+// variant identifies the update's revision and whether it has deltas: where deltas of a revision can't
 // be applied, whole rows of the same revision still can.
-func (u *Update) form() uint64 {
-	form := uint64(u.Revision) << 1
+func (u *Update) variant() uint64 {
+	variant := uint64(u.Revision) << 1
 	if len(u.Deltas) > 0 {
-		form |= 1
+		variant |= 1
 	}
-	return form
+	return variant
 }
 
 // HubLost discards the last update from another host, since that host stopped answering. The
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -109,7 +109,7 @@
 	lag      lag
 	calls    callCounts
 	inFlight callInFlight
-	// unusable is the form of the last update from another host that couldn't be applied.
+	// unusable is the variant of the last update from another host that couldn't be applied.
 	unusable atomic.Uint64
 	// rejectsDeltas reports that a delta couldn't be applied since the last change.
 	rejectsDeltas atomic.Bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -88,8 +88,10 @@
 }
 
 // registerWatcher adds gauges for a followed table: the age of its data in seconds, -1 before the
-// first data; the time in seconds for which the host has lacked a revision that its hub announced;
-// the number of calls to the store; and the bytes received from it.
+// first data; the time in seconds for which the host has lacked changes that another host is known
+// to have; the number of followers that lack a change, and the longest time in seconds for which one
+// has lacked it; the number of calls to the store; and the bytes received from it. peers is nil for
+// a host without an exchange.
 func (m *gatewayMetrics) registerWatcher(table string, w *feed.Watcher, peers *exchange.Member) {
 	gauge := func(name string, value func() float64) {
 		m.set.NewGauge(fmt.Sprintf(`quetzalweir_gateway_%s{table=%q}`, name, table), value)
