e2e: whole logs of the processes on request, and the longest delay of a document

A run that passes doesn't show how close it was. Change: -logs.dir names a folder for the whole logs; the probe's summary states the latest document, its host and the time.

--- a/internal/e2e/documentprobe_test.go
+++ b/internal/e2e/documentprobe_test.go
@@ -168,17 +168,24 @@
 	return false
 }
 
-// summary describes the answers by status.
+// summary describes the answers by status, and the longest time after its confirmation at which a
+// host in touch didn't have a document in force.
 func (p *documentProbe) summary() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	byStatus := make(map[int]int)
-	for _, list := range p.answers {
+	var longest time.Duration
+	var latest string
+	for host, list := range p.answers {
 		for _, a := range list {
 			byStatus[a.status]++
+			route := p.routes[a.route]
+			if delay := a.began.Sub(route.confirmedAt); a.status == http.StatusNotFound && delay > longest && p.inTouch(host, a) {
+				longest, latest = delay, fmt.Sprintf("%s at %s", route.name, host)
+			}
 		}
 	}
-	return fmt.Sprintf("%d documents, answers for their routes by status: %v", len(p.routes), byStatus)
+	return fmt.Sprintf("%d documents, answers for their routes by status: %v; longest delay: %s, %v", len(p.routes), byStatus, latest, longest)
 }
 
 // served returns the number of requests for added routes that were served.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -87,6 +88,9 @@
 		if t.Failed() {
 			t.Logf("--- %s\n%s", name, tail(p.output()))
 		}
+		if *logsDir != "" {
+			p.saveLog()
+		}
 	})
 	return p
 }
@@ -99,6 +103,23 @@
 	return text[max(0, len(text)-maxLog):]
 }
 
+// logsDir is the folder to which the whole logs of all processes are written.
+var logsDir = flag.String("logs.dir", "", "folder for the whole logs of the processes, also of tests that pass; none are kept if empty")
+
+// saveLog writes the whole log to a file of its own in logsDir.
+func (p *process) saveLog() {
+	pattern := strings.ReplaceAll(p.t.Name(), "/", "-") + "." + p.name + ".*.log"
+	f, err := os.CreateTemp(*logsDir, pattern)
+	if err != nil {
+		p.t.Errorf("save the log of %s: %v", p.name, err)
+		return
+	}
+	defer f.Close()
+	if _, err := f.WriteString(p.output()); err != nil {
+		p.t.Errorf("save the log of %s: %v", p.name, err)
+	}
+}
+
 // Write appends to the process's log.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
