feed: the pause after a change includes the time in which it was read and processed

Cause: after each change a watcher waited for the batch delay (0.2 to 0.3 s), also if reading and decoding the change had taken longer: a document that was written meanwhile waited for the sum. Change: the next call is made when the batch delay has passed since the answer began to arrive. The rate of calls has the same bound.

--- a/internal/feed/callinflight.go
+++ b/internal/feed/callinflight.go
@@ -58,14 +58,15 @@
 	}
 }
 
-// pauseAfterChange waits before the next call, so that this call covers several further
-// changes. ShortenHold ends the pause.
-func (w *Watcher) pauseAfterChange(ctx context.Context) error {
+// pauseAfterChange waits before the next call until batchDelay has passed since the answer, so that
+// the call covers several further changes. answeredAt is the time since the watcher's start.
+// ShortenHold ends the pause.
+func (w *Watcher) pauseAfterChange(ctx context.Context, answeredAt time.Duration) error {
 	select {
 	case <-w.holdShortened:
 	default: // discard a signal from before the pause
 	}
-	timer := time.NewTimer(w.batchDelay())
+	timer := time.NewTimer(max(0, w.batchDelay()-(w.sinceStart()-answeredAt)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -66,7 +66,7 @@
 	}
 	w.replace(listed.rows, listed.revision, nil)
 	w.recordSuccess(listed.answeredAt)
-	return w.pauseAfterChange(ctx)
+	return w.pauseAfterChange(ctx, listed.answeredAt)
 }
 
 // replace passes the whole table to the handler. packed holds the same rows in packed form if
--- a/internal/feed/slowhandler_test.go
+++ b/internal/feed/slowhandler_test.go
@@ -75,3 +75,33 @@
 		})
 	}
 }
+
+// Guards against a pause for further changes that adds to the time for decoding: changes that were made
+// while the host decoded a document have waited for long enough.
+func TestPauseAfterAChangeIncludesTheHandlersTime(t *testing.T) {
+	for _, c := range []struct{ decodeTime, nextCall time.Duration }{
+		{time.Second, time.Second},
+		{50 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var calledAt []time.Time
+			source := &scriptedSource{
+				list: func(int) (Page, error) { return Page{Revision: 5}, nil },
+				changes: func(ctx context.Context, call int, _ storage.Revision) (Page, error) {
+					calledAt = append(calledAt, time.Now())
+					if call == 1 {
+						return Page{Rows: rows(7), Revision: 7}, nil
+					}
+					return hang(ctx)
+				},
+			}
+			w := NewWatcher("t", source, &slowHandler{takes: c.decodeTime}, Options{BatchDelay: 300 * time.Millisecond}, zerolog.Nop())
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			w.Run(ctx)
+			is.True(len(calledAt) >= 2)
+			is.Equal(calledAt[1].Sub(calledAt[0]), c.nextCall)
+		})
+	}
+}
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -47,8 +47,8 @@
 	// Watchers that share a link should use different durations, so that their calls end at
 	// different times.
 	Hold time.Duration
-	// BatchDelay is the pause between a change and the next call, so that several changes in
-	// quick succession cost one call. It adds to the age of the data.
+	// BatchDelay is the time between an answer with a change and the next call, so that several
+	// changes in quick succession cost one call. It adds to the age of the data.
 	BatchDelay time.Duration
 	// Needed reports whether the table must be followed now; nil means always. While the table
 	// isn't needed, the watcher makes no calls for changes.
@@ -254,7 +254,7 @@
 	w.recordSuccess(answeredAt)
 	switch {
 	case len(page.Rows) > 0:
-		return w.pauseAfterChange(ctx)
+		return w.pauseAfterChange(ctx, answeredAt)
 	case hold == 0:
 		// There are no changes, although another host announced some or the store was
 		// unreachable. Without the pause each host would make hundreds of calls a second until
