feed: hosts that lost the store's history apply newer rows from other hosts, of any age

Change: changes that follow the rows that the host has are applied after lost history, too; it goes on from their revision. Rows that a host doesn't rely on must be newer than its own: one of the same revision was decoded a second time.

--- a/internal/feed/applyupdate.go
+++ b/internal/feed/applyupdate.go
@@ -38,13 +38,13 @@
 }
 
 // advances reports whether a watcher with the rows as of the revision can apply the update and
-// gets newer rows by it. A watcher without the table, or whose history was lost, needs a snapshot
-// that is no older than its rows.
+// gets newer rows by it. A watcher without the table needs a snapshot. One whose history was lost
+// still has the rows that the changes follow, and also gets the table by a snapshot of its revision.
 func (u *Update) advances(revision storage.Revision, hasTable bool) bool {
-	if !hasTable {
-		return u.IsSnapshot && u.Revision >= revision
+	if u.IsSnapshot {
+		return u.Revision > revision || !hasTable && u.Revision == revision
 	}
-	return u.Revision > revision && (u.IsSnapshot || u.Complete && u.Since <= revision)
+	return u.Complete && (hasTable || revision > 0) && u.Revision > revision && u.Since <= revision
 }
 
 // applyRows passes the rows of another host's update to the handler, either as a whole table or
@@ -77,6 +77,9 @@
 	}
 	slices.SortStableFunc(changes.rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
 	w.applyChanges(changes, update.Revision)
+	// The other host followed the changes, so that this one can go on from there after lost history.
+	w.hasTable.Store(true)
+	w.partialListing = listing{}
 	return true
 }
 
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -144,11 +144,12 @@
 }
 
 // canApplyRelayed reports the same of the last update of the relaying host. A watcher without the
-// table applies a snapshot only if it can rely on it; after lost history it would otherwise apply
-// the same snapshot again and again.
+// table applies a snapshot only if it can rely on it. After lost history it also applies one that is
+// newer than its rows; it would otherwise apply the same snapshot again and again.
 func (w *Watcher) canApplyRelayed() bool {
 	update, _, fresh := w.freshUpdate()
-	return (fresh || w.hasTable.Load()) && w.canApply(update)
+	known := w.Revision()
+	return (fresh || w.hasTable.Load() || known > 0 && update.Revision > known) && w.canApply(update)
 }
 
 // canApply reports whether the update has newer rows than this host, and wasn't found unusable.
@@ -180,7 +181,7 @@
 // OfferRows stores an update from another host that this host doesn't rely on. The watcher applies
 // its rows if they are newer than its own, which may save it a long answer of the store.
 func (w *Watcher) OfferRows(update Update) {
-	if !update.hasRows() || !w.canApply(update) {
+	if !update.hasRows() || update.Revision <= w.Revision() || !w.canApply(update) {
 		return
 	}
 	r := &w.relayed
@@ -199,7 +200,7 @@
 	rows := r.rows
 	r.rows = nil
 	r.mu.Unlock()
-	if rows == nil || !w.canApply(*rows) {
+	if rows == nil || rows.Revision <= w.Revision() || !w.canApply(*rows) {
 		return Update{}, false
 	}
 	return *rows, true
--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -215,6 +215,9 @@
 		return nil
 	}
 	if !w.hasTable.Load() {
+		if update, at, _ := w.freshUpdate(); w.revision > 0 && w.canApplyRelayed() && w.applyUpdate(update, at) {
+			return nil
+		}
 		return w.loadTable(ctx)
 	}
 	if w.options.Needed != nil && !w.options.Needed() {
