feed, exchange: hosts don't rely on a hub that has been reading one answer of the store for long

Cause: a hub's data count as being as of its last answer. A hub that reads a large answer over a slow link was relied on until that answer was 0.65 of the time for changes old, however long the rest of the transfer takes; its followers' own calls, which may be fast, began only then. Change: after 0.35 of the time for changes a hub marks its updates as outdated. A receiver applies their rows, but calls the store at once. Ruled out: marking all tables of the hub (its followers would read the other tables, too); a lower limit (1.16 MB take 1.05 s of a link of 10 Mbit/s, and a delta that follows saves each follower that transfer).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -204,10 +204,11 @@
 	Packed     []byte           `json:"packed,omitempty"`
 	AgeMs      int64            `json:"age_ms"`
 	ClockMs    int64            `json:"clock_ms"`
+	Outdated   bool             `json:"outdated,omitempty"`
 	Rows       []UpdateRow      `json:"rows,omitempty"`
 	Deltas     []RowDelta       `json:"deltas,omitempty"`
 	// Part is a part of an update that is too large for one reply. Revision is that of the update;
-	// the other fields, except for AgeMs and ClockMs, are unused then.
+	// the other fields, except for AgeMs, ClockMs and Outdated, are unused then.
 	Part *TablePart `json:"part,omitempty"`
 }
 
--- a/internal/exchange/tables.go
+++ b/internal/exchange/tables.go
@@ -107,7 +107,7 @@
 // partOf returns the next part of an update for the host, of at most messageBytes bytes. A host
 // that accepts no parts receives an update without the changes, and reads them from the store.
 func (h *hub) partOf(from, table string, r Report, update feed.Update, messageBytes int) TableUpdate {
-	part := encodeUpdate(feed.Update{Since: update.Since, Revision: update.Revision, Age: update.Age, Clock: update.Clock})
+	part := encodeUpdate(feed.Update{Since: update.Since, Revision: update.Revision, Age: update.Age, Clock: update.Clock, Outdated: update.Outdated})
 	if !r.AcceptsParts {
 		return part
 	}
@@ -147,7 +147,7 @@
 func encodeUpdate(update feed.Update) TableUpdate {
 	t := TableUpdate{
 		Since: update.Since, Revision: update.Revision, Complete: update.Complete, IsSnapshot: update.IsSnapshot, Packed: update.Packed,
-		AgeMs: update.Age.Milliseconds(), ClockMs: update.Clock.Milliseconds(),
+		AgeMs: update.Age.Milliseconds(), ClockMs: update.Clock.Milliseconds(), Outdated: update.Outdated,
 	}
 	for _, r := range update.Rows {
 		t.Rows = append(t.Rows, UpdateRow(r))
@@ -184,6 +184,7 @@
 		Packed:     t.Packed,
 		Age:        time.Duration(t.AgeMs) * time.Millisecond,
 		Clock:      time.Duration(t.ClockMs) * time.Millisecond,
+		Outdated:   t.Outdated,
 	}
 	for _, r := range t.Rows {
 		update.Rows = append(update.Rows, feed.Row(r))
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -125,7 +125,7 @@
 // encoded bytes in it, since each part is encoded in the same way again.
 func encodeContent(update feed.Update) ([]byte, error) {
 	encoded := encodeUpdate(update)
-	encoded.AgeMs, encoded.ClockMs = 0, 0 // the message with the last part states them
+	encoded.AgeMs, encoded.ClockMs, encoded.Outdated = 0, 0, false // the message with the last part states them
 	var content bytes.Buffer
 	w, err := flate.NewWriter(&content, flate.HuffmanOnly)
 	if err != nil {
@@ -274,6 +274,6 @@
 		update.Remaining = in.remaining(table)
 		return update, err
 	}
-	whole.AgeMs, whole.ClockMs = received.AgeMs, received.ClockMs
+	whole.AgeMs, whole.ClockMs, whole.Outdated = received.AgeMs, received.ClockMs, received.Outdated
 	return whole.decode(), nil
 }
--- a/internal/feed/callinflight.go
+++ b/internal/feed/callinflight.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// receivingFor returns for how long the answer to the call in flight has been arriving, or 0 if none
+// is.
+func (w *Watcher) receivingFor() time.Duration {
+	w.inFlight.mu.Lock()
+	defer w.inFlight.mu.Unlock()
+	if w.inFlight.call == nil {
+		return 0
+	}
+	at := w.inFlight.call.answeredAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return w.sinceStart() - time.Duration(at)
+}
+
+// readsLongAnswer reports whether the answer to the call in flight has been arriving for so long that
+// hosts which rely on this one should call the store themselves: the time until they notice, their own
+// call and the rest of this one must not add up to more than ApplyTime.
+func (w *Watcher) readsLongAnswer() bool {
+	return w.receivingFor() >= time.Duration(transferFraction*float64(w.options.ApplyTime))
+}
+
 // pauseAfterChange waits before the next call until batchDelay has passed since the answer, so that
 // the call covers several further changes. answeredAt is the time since the watcher's start.
 // ShortenHold ends the pause.
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -152,5 +152,5 @@
 	if !ok || len(packed) > maxPacked {
 		return Update{}, false
 	}
-	return Update{Revision: revision, IsSnapshot: true, Packed: packed, Age: age, Clock: w.StoreClock()}, true
+	return Update{Revision: revision, IsSnapshot: true, Packed: packed, Age: age, Clock: w.StoreClock(), Outdated: w.readsLongAnswer()}, true
 }
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -62,6 +62,9 @@
 	// Remaining is the time until the other host has probably sent the changes, which it sends in
 	// parts; 0 if it doesn't. Complete is false then.
 	Remaining time.Duration
+	// Outdated reports that the sender has been reading newer data from the store for long. The
+	// receiver must not rely on the update, but it can apply the rows.
+	Outdated bool
 	// Age is the time from the store's answer until the sender put the update into its reply.
 	Age time.Duration
 	// Clock is the time of the store's monotonic clock when the sender put the update into its
@@ -103,6 +106,9 @@
 	r.mu.Lock()
 	r.update = update
 	r.answeredAt = requestedAt.Add(-update.Age)
+	if update.Outdated {
+		r.answeredAt = time.Time{}
+	}
 	r.notRelayed = false
 	r.mu.Unlock()
 	w.recordClock(update.Clock, w.sinceStart())
@@ -309,6 +315,7 @@
 	}
 	update.Age = age
 	update.Clock = w.StoreClock()
+	update.Outdated = w.readsLongAnswer()
 	return update, true
 }
 
