exchange: hubs request rows from hosts that report to them and have newer ones

Cause: rows went from hubs to followers only. Change: a hub that sees a newer revision in a report, and whose own call fails, has been reading for 0.3 s or doesn't bring it in time, requests the changes after its own revision from that host, one host at a time. Seeds request from appointed hubs in the same way. Ruled out: requests for each newer revision (hosts of small fleets that call the store by themselves are a moment ahead at each change).

--- a/internal/exchange/documentreplay_test.go
+++ b/internal/exchange/documentreplay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -94,7 +95,8 @@
 // replayStore is the store of a replay, as one host reaches it.
 type replayStore struct {
 	*fleetStore
-	link *replayLink
+	// link returns the link to the store.
+	link func() *replayLink
 	// unreachable reports whether calls get no answer, losesAnswers whether answers are lost that
 	// the store sends now.
 	unreachable  func() bool
@@ -113,7 +115,7 @@
 	for _, row := range page.Rows {
 		size += 100 + wireOverhead*float64(len(row.Data))
 	}
-	return transfer(ctx, int(size), received, s.link)
+	return transfer(ctx, int(size), received, s.link())
 }
 
 func (s *replayStore) List(ctx context.Context, table, from string, received feed.OnReceived) (feed.Page, error) {
@@ -244,6 +246,8 @@
 	documents map[storage.Revision]writtenDocument
 	// cutOff holds the hosts whose calls of the store get no answer.
 	cutOff map[*fleetHost]bool
+	// slowPaths holds the hosts' paths to the store that are slower than their links.
+	slowPaths map[*fleetHost]*replayLink
 	// losesAnswers reports whether the store's answers are lost.
 	losesAnswers atomic.Bool
 }
@@ -256,14 +260,14 @@
 // newDocumentReplay starts a fleet whose first two hosts of each zone have fast links. The first
 // hosts of the first three zones are seeds.
 func newDocumentReplay(t *testing.T, hosts, zones, fast int) *documentReplay {
-	r := &documentReplay{handlers: make(map[*fleetHost]*documentHandler), documents: make(map[storage.Revision]writtenDocument), cutOff: make(map[*fleetHost]bool)}
+	r := &documentReplay{handlers: make(map[*fleetHost]*documentHandler), documents: make(map[storage.Revision]writtenDocument), cutOff: make(map[*fleetHost]bool), slowPaths: make(map[*fleetHost]*replayLink)}
 	r.fleet = &fleet{t: t, store: newFleetStore(100), byAddress: make(map[string]*fleetHost), links: make(map[*fleetHost]*replayLink)}
 	r.customize = func(h *fleetHost, options *feed.Options) (feed.Source, feed.Handler) {
 		options.ApplyTime = documentApplyTime
 		options.Hold, options.BatchDelay = 6*time.Second, 300*time.Millisecond
 		handler := &documentHandler{fleetHost: h, fast: r.links[h].bytesPerSecond > smallLink*1e6/8, want: r.document}
 		r.handlers[h] = handler
-		return &replayStore{fleetStore: r.store, link: r.links[h], unreachable: func() bool { return r.isCutOff(h) }, losesAnswers: r.losesAnswers.Load}, handler
+		return &replayStore{fleetStore: r.store, link: func() *replayLink { return r.storeLink(h) }, unreachable: func() bool { return r.isCutOff(h) }, losesAnswers: r.losesAnswers.Load}, handler
 	}
 	for i := range hosts {
 		h := &fleetHost{name: fmt.Sprint("host-", i), zone: fmt.Sprint("zone-", i%zones), address: fmt.Sprint("10.0.0.", i)}
@@ -304,6 +308,20 @@
 	r.cutOff[h] = cutOff
 }
 
+// storeLink returns the link over which the store's answers reach the host.
+func (r *documentReplay) storeLink(h *fleetHost) *replayLink {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return cmp.Or(r.slowPaths[h], r.links[h])
+}
+
+// slowDown gives the host a slow path to the store.
+func (r *documentReplay) slowDown(h *fleetHost, bytesPerSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowPaths[h] = &replayLink{bytesPerSecond: bytesPerSecond}
+}
+
 // setDisconnected sets which hosts can't reach each other.
 func (r *documentReplay) setDisconnected(disconnected func(from, to *fleetHost) bool) {
 	r.fleet.mu.Lock()
@@ -556,6 +574,54 @@
 	}
 }
 
+// Guards against hubs that read whole tables over slow paths after the store lost its history, although
+// hosts that report to them have newer documents: they must get these from them and pass them on.
+func TestReplayLargeDocumentsAfterLostHistoryOnSlowHubs(t *testing.T) {
+	for _, size := range []fleetSize{{9, 1}, {30, 3}} {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newDocumentReplay(t, size.hosts, size.zones, 2)
+				time.Sleep(8 * time.Second)
+				for _, h := range r.hosts[:2*size.hosts/3] {
+					r.slowDown(h, 160<<10)
+				}
+				for _, routes := range []int{1000, 2000, 3000, 4000} {
+					r.write(routesDocument(routes))
+					r.store.dropHistory()
+					time.Sleep(900 * time.Millisecond)
+				}
+				time.Sleep(5 * time.Second)
+				r.checkDocuments(documentApplyTime)
+			})
+		})
+	}
+}
+
+// Guards against hubs that the store doesn't answer although hosts that report to them have the
+// documents: hubs must get them from these hosts, over small links.
+func TestReplayLargeDocumentsWhileHubsLackTheStore(t *testing.T) {
+	for _, size := range documentFleetSizes()[1:2] {
+		for _, fast := range []int{2, 0} {
+			t.Run(fmt.Sprintf("%d hosts, %d fast links a zone", size.hosts, fast), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := newDocumentReplay(t, size.hosts, size.zones, fast)
+					time.Sleep(8 * time.Second)
+					for _, h := range r.hosts[:2*size.zones] {
+						r.setCutOff(h, true)
+					}
+					for _, routes := range []int{1400, 2800, 4200} {
+						r.write(routesDocument(routes))
+						time.Sleep(3500 * time.Millisecond)
+					}
+					is.Equal(len(r.hosts), size.hosts)
+					r.checkDocuments(documentApplyTime)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a seed without the store that asks the other seeds again only after 5 s, if their
 // first queries failed: its followers have no other source of documents than the store.
 func TestSeedWithoutTheStoreAsksAgainSoon(t *testing.T) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -132,6 +132,8 @@
 	Parts        map[string]PartPosition `json:"parts,omitempty"`
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// Tables holds, by table name, the updates that the hub requested in its last reply.
+	Tables map[string]TableUpdate `json:"tables,omitempty"`
 }
 
 // Reply is a hub's answer to a Report.
@@ -192,6 +194,8 @@
 	Relays       bool                   `json:"relays,omitempty"`
 	TablePending bool                   `json:"later,omitempty"`
 	Tables       map[string]TableUpdate `json:"tables,omitempty"`
+	// Requested holds, by table name, requests for changes that the receiver has and the hub lacks.
+	Requested map[string]TableRequest `json:"requested,omitempty"`
 }
 
 // TableUpdate is feed.Update on the wire. AgeMs and ClockMs are its Age and Clock in
--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -64,8 +64,10 @@
 	if hasFollowers {
 		report, upTo = m.aggregateReport(report)
 	}
+	report.Tables = m.ownHub.requestedUpdates(m.hubAddress, m.requested)
 	requestedAt := boottime.Now()
 	reply, err := callWithTimeout(ctx, net, m.hubAddress, report)
+	m.requested = reply.Requested
 	m.hubAnswered.Store(err == nil)
 	m.ownHub.receivesTables.Store(err == nil && reply.Relays)
 	if err != nil {
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -29,10 +29,12 @@
 	rows     map[string]feed.Row
 	changes  []feed.Row
 	revision storage.Revision
-	changed  chan struct{}
-	calls    int
-	lists    int
-	start    time.Time
+	// historyFrom is the revision of which the store has the following changes.
+	historyFrom storage.Revision
+	changed     chan struct{}
+	calls       int
+	lists       int
+	start       time.Time
 }
 
 func newFleetStore(rows int) *fleetStore {
@@ -57,6 +59,15 @@
 	return s.revision
 }
 
+// dropHistory makes the store lose the changes so far.
+func (s *fleetStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.historyFrom, s.changes = s.revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // storePage is the maximum number of rows in one answer. storeDelay is the latency of an answer.
 const (
 	storePage  = 500
@@ -91,6 +102,10 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
+		if since < s.historyFrom {
+			s.mu.Unlock()
+			return feed.Page{}, feed.ErrHistoryLost
+		}
 		page := feed.Page{Revision: s.revision, Clock: time.Since(s.start)}
 		for _, row := range s.changes {
 			if row.Revision > since {
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -54,6 +54,10 @@
 	promises promiseLog
 	// relayHostsElsewhere are hosts that relay connections to upstreams and don't report here.
 	relayHostsElsewhere []RelayHost
+	// rowRequests holds, by table, the state of the requests for changes that other hosts have and this
+	// hub lacks. incoming holds those that they send in parts.
+	rowRequests map[string]*rowRequest
+	incoming    incomingTransfers
 	// zones holds, by zone, the hubs that this one has appointed.
 	zones map[string]*zoneHubs
 	// lessor divides the parts of the upstreams' limits that this host holds among the hosts
@@ -104,6 +108,7 @@
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]receivedReport), timings: make(map[string]Timings), engines: make(map[string]*receivedEngines), accountUse: make(map[string]hostAccountUse), zones: make(map[string]*zoneHubs),
+		rowRequests: make(map[string]*rowRequest), incoming: make(incomingTransfers),
 		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLimitLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
@@ -138,6 +143,7 @@
 	h.recordLeaving(from, false, r.Leaving)
 	h.recordPromises(from, false, r.Promises)
 	h.updateRelaying()
+	h.receiveRequested(from, r.Tables)
 	reply := h.otherSums(from, r.SentPrefixesSince, toHost)
 	if r.WantTimings {
 		reply.Timings, reply.AccountUse = h.otherTimings(from, toHost), h.otherAccountUse(from, toHost)
@@ -155,6 +161,7 @@
 	reply.Assigned = h.assign(from, r)
 	reply.Relays = h.relaysTo(from)
 	reply.Tables, reply.TablePending = h.tableUpdates(from, r, reply.Relays)
+	reply.Requested = h.tableRequests(from, r)
 	return reply, nil
 }
 
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -162,8 +162,10 @@
 	unsentSightings      Sightings
 	forwardedSightingSeq uint64
 
-	// incoming holds the table updates that the hub sends in parts.
-	incoming incomingTransfers
+	// incoming holds the table updates that the hub sends in parts. requested holds the requests for
+	// changes in its last reply.
+	incoming  incomingTransfers
+	requested map[string]TableRequest
 	// heldBriefly is the result of HoldsBriefly at the time of the last exchange. hubOutdated reports
 	// whether the hub stated in its last reply that its tables are outdated.
 	heldBriefly bool
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -38,6 +38,9 @@
 	// transferFraction, times ApplyTime, is how long a watcher waits for changes that another host
 	// sends in parts before it calls the store as well.
 	transferFraction = 0.35
+	// slowAnswer is the time for which an answer of the store has been arriving from which the
+	// watcher accepts newer rows from any host.
+	slowAnswer = 300 * time.Millisecond
 	// minPackedBytes is the size of rows in bytes from which they are sent in packed form.
 	minPackedBytes = 1 << 10
 )
@@ -228,6 +231,12 @@
 	return w.failingSince.Load() != 0 || w.options.Link.unreachable()
 }
 
+// NeedsRows reports whether the watcher should get newer rows from another host that has had them for
+// the given time, since its own calls of the store fail or take long.
+func (w *Watcher) NeedsRows(behindFor time.Duration) bool {
+	return w.Disconnected() || w.receivingFor() >= slowAnswer || behindFor >= w.relayHold()+w.batchDelay()
+}
+
 // IsOutdated reports whether the table is needed and the store's last answer is older than the calls
 // of this watcher account for, so that other hosts shouldn't wait for rows from this one.
 func (w *Watcher) IsOutdated() bool {
