--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -120,7 +120,7 @@
 // leadingLosses returns, in order of time, the request's losses in which no other request lost
 // with the same upstream has as many events. The lock must be held.
 func (t *Tracker) leadingLosses(d Digest, history *lossHistory, now time.Duration) []timedLoss {
-	own := t.weigh(d, history, now)
+	own := t.weigh(history, now)
 	var list []timedLoss
 	for _, l := range history.losses {
 		upstream, ok := t.terminated.Peek(l.Incarnation)
@@ -138,9 +138,8 @@
 // weight is the evidence against a request or part: the number of events and of lost upstreams.
 type weight struct{ events, upstreams int }
 
-// weigh returns the weight of the unexplained losses. Of parts only those count that all hosts have
-// reported by now. The lock must be held.
-func (t *Tracker) weigh(d Digest, history *lossHistory, now time.Duration) weight {
+// weigh returns the weight of the unexplained losses. The lock must be held.
+func (t *Tracker) weigh(history *lossHistory, now time.Duration) weight {
 	losses := t.unexplainedLosses(history, now)
 	return weight{events: len(eventTimes(losses)), upstreams: len(losses)}
 }
@@ -150,7 +149,7 @@
 func (t *Tracker) outweighs(other, d Digest, own weight, now time.Duration) bool {
 	against := weight{events: t.withVerdict[other]}
 	if history := t.lostRepeatedly[other]; history != nil {
-		against = t.weigh(other, history, now)
+		against = t.weigh(history, now)
 	}
 	switch {
 	case other.IsPart() && !d.IsPart():
