notice: the number of hosts that may use a brittle upstream with fewer slots follows its load

Where hosts outnumber the slots, all of them could have a request at an upstream below half of its load, and as many as slots above it. A host in turn mostly has no request (0.23 of the time in the replay), so that the load fell below half, all hosts sent at once before load data arrived, and the upstream terminated. Change: BrittleShare keeps, for each upstream, how many hosts may have a request in flight: all while the load is low; in proportion fewer above 0.75 of the slots; a third more each 0.3 s below 0.5. Each host adapts it by the load that it sees, without messages. Ruled out: leased shares (exact, but a message and a hub for each upstream; not needed for the case); a fixed, larger number (3 to 6 terminations); growth from the number of slots (0.03 of the slots in use at a load of 0.3). TestBrittleUpstreamsAreNotOverrun (end to end, few hosts): none of 4 terminated, 384 answered, as before. Open: six times the capacity within a second (0 to 3 terminations), 12 times (3 to 9).

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -24,7 +24,8 @@
 	}
 }
 
-// brittleAllows reports whether this host may send another request to an upstream that may be brittle.
+// brittleAllows reports whether this host may send another request to an upstream that may be brittle. The
+// caller holds the shard's lock.
 func (m *member) brittleAllows(now time.Time) bool {
 	s := m.shard
 	if !s.brittle.Active(now) {
@@ -35,7 +36,10 @@
 		hosts = 1
 	}
 	use := notice.BrittleUse{Load: m.requestLoad(now), Slots: m.Slots, Own: m.inFlight, Hosts: hosts, Point: m.leaseID.Point(s.policy.seed)}
-	return use.Allows(boottime.Elapsed())
+	if m.brittleShare == nil {
+		m.brittleShare = new(notice.BrittleShare)
+	}
+	return m.brittleShare.Allows(use, boottime.Elapsed())
 }
 
 // requestLoad returns the estimated number of requests, running and waiting, at the upstream.
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -10,9 +10,16 @@
 	// brittleRetention is how long a service counts as brittle after the last answer that stated it.
 	// Brittle upstreams state it in all answers.
 	brittleRetention = 3 * time.Second
-	// freeBrittleLoad is the load per slot up to which each of more hosts than there are slots may have
-	// a request at a brittle upstream. Load data is up to half a second old.
-	freeBrittleLoad = 0.5
+	// lowBrittleLoad and highBrittleLoad are the loads per slot below and above which more or fewer hosts
+	// may have a request at a brittle upstream that has fewer slots than there are hosts.
+	lowBrittleLoad  = 0.5
+	highBrittleLoad = 0.75
+	// targetBrittleLoad is the load per slot to which their number is reduced.
+	targetBrittleLoad = 0.65
+	// shareAdjustInterval is the time between two adjustments of their number; load data shows the result
+	// of one by then. shareGrowth is the factor by which their number grows in this time.
+	shareAdjustInterval = 300 * time.Millisecond
+	shareGrowth         = 1.35
 	// brittleMargin is the fraction of the permitted rejections that the hosts together may cause by
 	// sending requests again after a rejection.
 	brittleMargin = 0.5
@@ -57,23 +64,53 @@
 	Point float64
 }
 
-// Allows reports whether this host may send the upstream another request. The hosts share the slots: each
-// may have its part of them in flight, whatever the load, since load can rise faster than load data
-// arrives. Where there are more hosts than slots, each may have one request in flight while slots are
-// free, and otherwise only some of them at a time. sinceEpoch is the time by which these change.
-func (u BrittleUse) Allows(sinceEpoch time.Duration) bool {
+// BrittleShare is a host's share of a brittle upstream. The hosts share the slots: each may have its part
+// of them in flight, whatever the load, since load can rise faster than load data arrives. Where there are
+// more hosts than slots, some of them at a time may have one request in flight. How many follows the load:
+// a host that may send a request often has none, so that as many hosts as slots would leave most slots free.
+// All hosts see about the same load, and so need no messages. The zero value is ready for use.
+type BrittleShare struct {
+	// hosts is the number of hosts that may have a request in flight, or 0 before the first call. adjustedAt
+	// is when it was adjusted last.
+	hosts      float64
+	adjustedAt time.Duration
+}
+
+// Allows reports whether this host may send the upstream another request. sinceEpoch is the time by which
+// the hosts that may change, where they are more than slots.
+func (b *BrittleShare) Allows(u BrittleUse, sinceEpoch time.Duration) bool {
 	if u.Hosts == 0 {
 		return u.Own == 0
 	}
 	slots := float64(max(1, u.Slots))
 	share := slots / float64(u.Hosts)
-	if share < 1 && u.Load < freeBrittleLoad*slots {
-		return u.Own == 0
+	if share < 1 {
+		b.adjust(u.Load/slots, slots, float64(u.Hosts), sinceEpoch)
+		share = b.hosts / float64(u.Hosts)
 	}
 	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceEpoch)/float64(shareInterval)))
 	return u.Own < int(share+turn)
 }
 
+// adjust adapts the number of hosts that may have a request in flight to the load per slot.
+func (b *BrittleShare) adjust(load, slots, hosts float64, now time.Duration) {
+	elapsed := now - b.adjustedAt
+	switch {
+	case b.hosts == 0 && load < lowBrittleLoad:
+		b.hosts = hosts
+	case b.hosts == 0:
+		b.hosts = slots
+	case elapsed < shareAdjustInterval:
+		return
+	case load < lowBrittleLoad:
+		b.hosts *= math.Pow(shareGrowth, float64(elapsed)/float64(shareAdjustInterval))
+	case load > highBrittleLoad:
+		b.hosts *= targetBrittleLoad / load
+	}
+	b.hosts = min(max(b.hosts, slots), hosts)
+	b.adjustedAt = now
+}
+
 // goldenRatio spreads the multiples of itself evenly over [0, 1), so that all hosts get their turns.
 const goldenRatio = 0.6180339887498949
 
--- a/notice/brittle_test.go
+++ b/notice/brittle_test.go
@@ -61,7 +61,9 @@
 
 // The same with many more hosts than slots and short requests, of which many arrive before load data does.
 func TestBrittleUpstreamsWithFewSlotsReplay(t *testing.T) {
-	brittleCase{77, 3, 6, 20, 60 * time.Millisecond, 3}.replay(t)
+	for _, load := range []float64{2, 3} {
+		brittleCase{77, 3, 6, 20, 60 * time.Millisecond, load}.replay(t)
+	}
 }
 
 func (c brittleCase) replay(t *testing.T) {
@@ -77,6 +79,7 @@
 	type use struct {
 		own     []time.Duration
 		backoff notice.Backoff
+		share   notice.BrittleShare
 	}
 	upstreams, uses := make([]upstream, c.upstreams), make([][]use, c.hosts)
 	for h := range uses {
@@ -107,8 +110,8 @@
 			h, i := r.IntN(c.hosts), r.IntN(c.upstreams)
 			u, own := &upstreams[i], &uses[h][i]
 			own.own = drop(own.own, at)
-			allowed := notice.BrittleUse{Load: float64(u.reported), Slots: c.slots, Own: len(own.own), Hosts: c.hosts,
-				Point: float64(evenhash.Mix(uint64(h*1000+i))>>11) / (1 << 53)}.Allows(at)
+			allowed := own.share.Allows(notice.BrittleUse{Load: float64(u.reported), Slots: c.slots, Own: len(own.own), Hosts: c.hosts,
+				Point: float64(evenhash.Mix(uint64(h*1000+i))>>11) / (1 << 53)}, at)
 			if !allowed || !own.backoff.Allows(now) || at < u.backAt {
 				continue
 			}
