exchange, feed: no requests for revisions without changes, or for tables that a hub doesn't need

Cause: by reading. The store's revision rises with each change of any table, and a host's revision of a table is that of its last answer. In small fleets, whose hosts call the store by themselves, another host was often ahead of the hub without having a changed row; the hub requested changes with each report then, and without end for a table that it doesn't follow now. Nor did the requests end when the host went over to another hub. Change: a hub records up to which revision there were no changes, requests nothing for tables that aren't needed, and a host drops the requests of its former hub. Measured: TestHubRequestsChangesFromOneHost (an empty answer ends the requests up to its revision; one host at a time; another after 450 ms without a report).

--- a/internal/exchange/choosehub.go
+++ b/internal/exchange/choosehub.go
@@ -49,6 +49,7 @@
 	m.ownHub.dropHubData(m.hubAddress)
 	m.hubAddress = address
 	m.publishedHubAddress.Store(&address)
+	m.requested = nil
 	m.hubChosenAt = boottime.Now()
 	m.hubPrefixSeq, m.forwardedPrefixSeq = 0, 0
 	m.hubLeavingSeq, m.forwardedLeavingSeq = 0, 0
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -14,6 +14,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/ratelease"
+	"github.com/quetzalweir/quetzalweir/storage"
 )
 
 // hub receives the reports of other hosts, and of this one, and returns the replies. Every host
@@ -58,6 +59,8 @@
 	// hub lacks. incoming holds those that they send in parts.
 	rowRequests map[string]*rowRequest
 	incoming    incomingTransfers
+	// unchanged holds, by table, the newest revision at which a host had no changes that were requested.
+	unchanged map[string]storage.Revision
 	// zones holds, by zone, the hubs that this one has appointed.
 	zones map[string]*zoneHubs
 	// lessor divides the parts of the upstreams' limits that this host holds among the hosts
@@ -108,7 +111,7 @@
 	return &hub{
 		self: options.Host, zone: options.Zone, linkMbps: options.LinkMbps, tables: options.Tables, quarantine: options.Quarantine, log: log,
 		reports: make(map[string]receivedReport), timings: make(map[string]Timings), engines: make(map[string]*receivedEngines), accountUse: make(map[string]hostAccountUse), zones: make(map[string]*zoneHubs),
-		rowRequests: make(map[string]*rowRequest), incoming: make(incomingTransfers),
+		rowRequests: make(map[string]*rowRequest), incoming: make(incomingTransfers), unchanged: make(map[string]storage.Revision),
 		lessor: ratelease.NewLessor(boottime.Now()), limits: ratelease.NewLimitLog(uint64(rand.Uint32())), startedAt: boottime.Now(),
 	}
 }
--- a/internal/exchange/rowrequests.go
+++ b/internal/exchange/rowrequests.go
@@ -45,8 +45,8 @@
 func (h *hub) tableRequests(from string, r Report) map[string]TableRequest {
 	requests := make(map[string]TableRequest)
 	for name, watcher := range h.tables {
-		reported, known := r.Revisions[name], watcher.Revision()
-		behindFor := h.behindFor(name, from, reported > known)
+		known := watcher.Revision()
+		behindFor := h.behindFor(name, from, r.Revisions[name] > max(known, h.unchangedUpTo(name)))
 		if behindFor < 0 || !watcher.NeedsRows(behindFor) || !h.requestFrom(name, from) {
 			continue
 		}
@@ -79,6 +79,14 @@
 	return boottime.Since(request.behindSince)
 }
 
+// unchangedUpTo returns the revision up to which another host has no changes that this hub lacks. The
+// store's revision rises with each change of any table.
+func (h *hub) unchangedUpTo(table string) storage.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.unchanged[table]
+}
+
 // requestFrom makes the host the one that sends the changes of the table, unless another one does.
 func (h *hub) requestFrom(table, from string) bool {
 	h.mu.Lock()
@@ -113,6 +121,9 @@
 			continue // the request has ended
 		}
 		decoded, err := h.incoming.receive(table, update)
+		if decoded.Complete && !decoded.HasRows() {
+			h.unchanged[table] = max(h.unchanged[table], decoded.Revision)
+		}
 		h.mu.Unlock()
 		if err != nil {
 			h.log.Error().Str("event", "transfer-failed").Str("table", table).Str("from", from).Err(err).Msg("")
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -84,8 +84,8 @@
 	return size
 }
 
-// hasRows reports whether the update holds any changes.
-func (u *Update) hasRows() bool { return len(u.Rows) > 0 || u.Packed != nil || len(u.Deltas) > 0 }
+// HasRows reports whether the update holds any changes.
+func (u *Update) HasRows() bool { return len(u.Rows) > 0 || u.Packed != nil || len(u.Deltas) > 0 }
 
 // relayedUpdate holds the newest update from another host.
 type relayedUpdate struct {
@@ -119,7 +119,7 @@
 	r.signal()
 	switch {
 	case !w.canApplyRelayed():
-	case update.hasRows():
+	case update.HasRows():
 		w.inFlight.cancel(errUpdateReceived)
 	default:
 		// The answer that is arriving may have changes that the other host doesn't have yet.
@@ -129,7 +129,7 @@
 
 // recordLag records that this host lacks changes if the update shows so.
 func (w *Watcher) recordLag(update Update) {
-	if update.Revision <= w.Revision() || update.Complete && !update.hasRows() {
+	if update.Revision <= w.Revision() || update.Complete && !update.HasRows() {
 		return
 	}
 	w.lag.add(update.Revision, w.sinceStart())
@@ -190,7 +190,7 @@
 // OfferRows stores an update from another host that this host doesn't rely on. The watcher applies
 // its rows if they are newer than its own, which may save it a long answer of the store.
 func (w *Watcher) OfferRows(update Update) {
-	if !update.hasRows() || update.Revision <= w.Revision() || !w.canApply(update) {
+	if !update.HasRows() || update.Revision <= w.Revision() || !w.canApply(update) {
 		return
 	}
 	r := &w.relayed
@@ -232,8 +232,12 @@
 }
 
 // NeedsRows reports whether the watcher should get newer rows from another host that has had them for
-// the given time, since its own calls of the store fail or take long.
+// the given time, since its own calls of the store fail or take long. While the table isn't needed, it
+// shouldn't.
 func (w *Watcher) NeedsRows(behindFor time.Duration) bool {
+	if w.options.Needed != nil && !w.options.Needed() {
+		return false
+	}
 	return w.Disconnected() || w.receivingFor() >= slowAnswer || behindFor >= w.relayHold()+w.batchDelay()
 }
 
