feed: a hub notices after 0.3 s that a slow answer will take too long

Change: from 0.3 s on a hub compares the rate at which the answer arrives with the size of the large rows that it knows. Ruled out: a lower limit for all (on 10 Mbit/s each follower would read the row by itself, though the hub has it a moment later).

--- a/internal/feed/callinflight.go
+++ b/internal/feed/callinflight.go
@@ -58,26 +58,30 @@
 	}
 }
 
-// receivingFor returns for how long the answer to the call in flight has been arriving, or 0 if none
-// is.
-func (w *Watcher) receivingFor() time.Duration {
+// receiving returns for how long the answer to the call in flight has been arriving, and how many bytes
+// have arrived; 0 if none is.
+func (w *Watcher) receiving() (since time.Duration, bytes uint64) {
 	w.inFlight.mu.Lock()
 	defer w.inFlight.mu.Unlock()
-	if w.inFlight.call == nil {
-		return 0
+	c := w.inFlight.call
+	if c == nil || c.answeredAt.Load() == 0 {
+		return 0, 0
 	}
-	at := w.inFlight.call.answeredAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return w.sinceStart() - time.Duration(at)
+	return w.sinceStart() - time.Duration(c.answeredAt.Load()), c.receivedBytes.Load()
 }
 
-// readsLongAnswer reports whether the answer to the call in flight has been arriving for so long that
-// hosts which rely on this one should call the store themselves: the time until they notice, their own
-// call and the rest of this one must not add up to more than ApplyTime.
+// readsLongAnswer reports whether the answer to the call in flight takes so long that hosts which rely on
+// this one should call the store themselves: the time until they notice, their own call and the rest of
+// this one must not add up to more than ApplyTime. If the answer arrives slowly, that is expected from the
+// sizes of the large rows before it has taken so long.
 func (w *Watcher) readsLongAnswer() bool {
-	return w.receivingFor() >= time.Duration(transferFraction*float64(w.options.ApplyTime))
+	since, bytes := w.receiving()
+	limit := time.Duration(transferFraction * float64(w.options.ApplyTime))
+	if since < slowAnswer || since >= limit {
+		return since >= limit
+	}
+	expected := storeOverhead * float64(w.recent.largeRowBytes())
+	return float64(bytes)*limit.Seconds()/since.Seconds() < expected
 }
 
 // pauseAfterChange waits before the next call until batchDelay has passed since the answer, so that
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -212,6 +212,16 @@
 	return versions.since(revision)
 }
 
+// largeRowBytes returns the size in bytes of the latest versions of all large rows.
+func (r *recentChanges) largeRowBytes() (size int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, versions := range r.large {
+		size += len(versions.latest.Data)
+	}
+	return size
+}
+
 // build returns the latest versions of the rows that the deltas lead to.
 func (r *recentChanges) build(deltas []RowDelta) ([]Row, error) {
 	r.mu.Lock()
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -41,6 +41,8 @@
 	// slowAnswer is the time for which an answer of the store has been arriving from which the
 	// watcher accepts newer rows from any host.
 	slowAnswer = 300 * time.Millisecond
+	// storeOverhead is how much longer rows are in the store's answers, which encode them in base64.
+	storeOverhead = 4. / 3
 	// minPackedBytes is the size of rows in bytes from which they are sent in packed form.
 	minPackedBytes = 1 << 10
 )
@@ -238,7 +240,13 @@
 	if w.options.Needed != nil && !w.options.Needed() {
 		return false
 	}
-	return w.Disconnected() || w.receivingFor() >= slowAnswer || behindFor >= w.relayHold()+w.batchDelay()
+	return w.Disconnected() || w.readsSlowly() || behindFor >= w.relayHold()+w.batchDelay()
+}
+
+// readsSlowly reports whether an answer of the store has been arriving for slowAnswer.
+func (w *Watcher) readsSlowly() bool {
+	since, _ := w.receiving()
+	return since >= slowAnswer
 }
 
 // IsOutdated reports whether the table is needed and the store's last answer is older than the calls
