exchange: a host sends requested changes at once

Cause: a host that had newer rows than its hub reported them with one exchange, learnt with the reply that they were requested, and sent them 150 ms later. Change: when the hub begins to request changes, the next exchange is made at once. Further parts follow in the usual interval, since their sizes go by it.

--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -14,6 +14,9 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		m.exchangeStep(ctx, net)
+		if m.sendsRequested() {
+			m.exchangeStep(ctx, net)
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -21,6 +24,14 @@
 	}
 }
 
+// sendsRequested reports whether the hub has just begun to request changes of a table, which this host
+// sends at once: other hosts wait for them, and have waited for this host's call of the store.
+func (m *Member) sendsRequested() bool {
+	began := len(m.requested) > 0 && !m.wasRequested
+	m.wasRequested = len(m.requested) > 0
+	return began
+}
+
 // exchangeStep makes one exchange with the hub, which may be this host's own. If a probe for a
 // better hub is due, exchangeStep makes the probe first.
 func (m *Member) exchangeStep(ctx context.Context, net network) {
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -166,6 +166,8 @@
 	// changes in its last reply.
 	incoming  incomingTransfers
 	requested map[string]TableRequest
+	// wasRequested reports whether the hub's reply before had requests.
+	wasRequested bool
 	// heldBriefly is the result of HoldsBriefly at the time of the last exchange. hubOutdated reports
 	// whether the hub stated in its last reply that its tables are outdated.
 	heldBriefly bool
