feed: a table that is read again counts as changes, not as a new table

Cause: after lost history a host read the whole table and forgot what had changed. Change: the rows of the listing that are newer than the host's revision, and those that are gone, are recorded as changes since then, with deltas of large rows. In another era, where rows may have gone back, everything is replaced as before. Measured: TestTableThatIsReadAgainCountsAsChanges fails before (incomplete update).

--- a/internal/feed/list.go
+++ b/internal/feed/list.go
@@ -76,7 +76,7 @@
 		w.log.Warn().Str("event", "store-era").Uint64("era", revision.Era()).Stringer("revision", revision).Stringer("known", w.revision).Msg("")
 	}
 	w.revision = revision
-	w.recent.reset(rows, revision, packed)
+	w.recent.reset(rows, revision, packed, w.relays())
 	w.handler.Replace(rows, revision)
 	w.hasTable.Store(true)
 	w.lag.advance(revision)
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -54,10 +55,18 @@
 }
 
 // reset replaces everything by a whole table. packed holds the same rows in packed form if
-// another host sent them so, and is nil if they come from the store.
-func (r *recentChanges) reset(rows []Row, revision storage.Revision, packed []byte) {
+// another host sent them so, and is nil if they come from the store. If this host had the table before,
+// the differences count as changes, so that other hosts need not receive the whole table.
+func (r *recentChanges) reset(rows []Row, revision storage.Revision, packed []byte, relays bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.hasTable && revision.Era() == r.revision.Era() {
+		changes := r.changesTo(rows, revision)
+		r.revision = max(r.revision, revision)
+		r.table = newTableCopy(rows, packed)
+		r.addBatch(changeSet{rows: changes}, relays)
+		return
+	}
 	r.batches, r.rowCount = nil, 0
 	r.completeSince = revision
 	r.revision = revision
@@ -69,6 +78,27 @@
 	r.large.reset(rows)
 }
 
+// changesTo returns the changes that lead from this host's table to the given one as of the revision, in
+// the order of their revisions. A removed row counts as removed at that revision. The caller holds r.mu.
+func (r *recentChanges) changesTo(rows []Row, revision storage.Revision) []Row {
+	var changes []Row
+	listed := make(map[string]struct{}, len(rows))
+	for _, row := range rows {
+		listed[row.Key] = struct{}{}
+		if row.Revision > r.revision {
+			changes = append(changes, row)
+		}
+	}
+	known, _ := unpack(r.table.snapshot()) // can't fail: packed by this host, or already unpacked once
+	for _, row := range known {
+		if _, ok := listed[row.Key]; !ok {
+			changes = append(changes, Row{Key: row.Key, Revision: revision, Deleted: true})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changes
+}
+
 // changeSet holds changed rows.
 type changeSet struct {
 	rows []Row
@@ -107,15 +137,23 @@
 	if len(rows) == 0 {
 		return
 	}
-	for _, row := range rows {
+	r.table.apply(rows, changes.packed)
+	r.addBatch(changes, relays)
+}
+
+// addBatch appends the changes to the batches. The caller holds r.mu.
+func (r *recentChanges) addBatch(changes changeSet, relays bool) {
+	if len(changes.rows) == 0 {
+		return
+	}
+	for _, row := range changes.rows {
 		if r.large[row.Key] != nil {
 			r.dropVersions(row.Key)
 		}
 		r.large.change(row, changes.deltaOf(row))
 	}
-	r.table.apply(rows, changes.packed)
-	r.batches = append(r.batches, changeBatch{rows: rows, at: boottime.Now()})
-	r.rowCount += len(rows)
+	r.batches = append(r.batches, changeBatch{rows: changes.rows, at: boottime.Now()})
+	r.rowCount += len(changes.rows)
 	r.trim(relays)
 }
 
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -36,7 +37,7 @@
 		is := is.New(t)
 		const upstreams, batch = 10_000, 500
 		var r recentChanges
-		r.reset(nil, 0, nil)
+		r.reset(nil, 0, nil, false)
 		table := entryTable(upstreams)
 		sentRevision := storage.Revision(0)
 		for i := 0; i < upstreams; i += batch {
@@ -55,7 +56,7 @@
 		is.Equal(r.rowCount, minKeptRows)
 
 		var alone recentChanges // of a host that no other host relies on
-		alone.reset(nil, 0, nil)
+		alone.reset(nil, 0, nil, false)
 		alone.add(changeSet{rows: table}, upstreams, false)
 		is.Equal(alone.rowCount, minKeptRows)
 	})
@@ -118,7 +119,7 @@
 func TestHostsThatLackTheSameChangesGetTheSameUpdate(t *testing.T) {
 	is := is.New(t)
 	var r recentChanges
-	r.reset([]Row{entryRow(1, 10)}, 10, nil)
+	r.reset([]Row{entryRow(1, 10)}, 10, nil, false)
 	for _, revision := range []int{20, 30} {
 		r.add(changeSet{rows: []Row{entryRow(1, revision)}}, storage.Revision(revision), true)
 	}
@@ -131,3 +132,31 @@
 	update, _ := r.updateSince(9, true)
 	is.True(!update.Complete)
 }
+
+// Guards against whole tables that are sent to all hosts after one host read the table again: the
+// differences from its former rows are changes like any other.
+func TestTableThatIsReadAgainCountsAsChanges(t *testing.T) {
+	is := is.New(t)
+	document := bytes.Repeat([]byte("route "), minLargeRowBytes)
+	longer := slices.Concat(document, []byte("another route"))
+	var r recentChanges
+	r.reset([]Row{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}, {Key: "large", Revision: 5, Data: document}}, 5, nil, true)
+	r.add(changeSet{rows: []Row{{Key: "d", Revision: 6}}}, 6, true)
+	r.reset([]Row{{Key: "a", Revision: 3}, {Key: "c", Revision: 8}, {Key: "d", Revision: 7}, {Key: "large", Revision: 9, Data: longer}}, 9, nil, true)
+
+	update, ok := r.updateSince(5, true)
+	is.True(ok && update.Complete)
+	is.Equal(update.Revision, storage.Revision(9))
+	is.Equal(update.Rows, []Row{{Key: "d", Revision: 6}, {Key: "d", Revision: 7}, {Key: "c", Revision: 8}, {Key: "b", Revision: 9, Deleted: true}})
+	is.Equal(len(update.Deltas), 1)
+	is.True(len(update.Deltas[0].Delta) < minLargeRowBytes/10)
+	receiver := recentChanges{large: largeRows{"large": {latest: Row{Key: "large", Revision: 5, Data: document}}}}
+	built, err := receiver.build(update.Deltas)
+	is.NoErr(err)
+	is.Equal(built, []Row{{Key: "large", Revision: 9, Data: longer}})
+
+	nextEra := storage.NewRevision(1, 2)
+	r.reset([]Row{{Key: "a", Revision: nextEra}}, nextEra, nil, true)
+	update, ok = r.updateSince(9, true)
+	is.True(ok && !update.Complete) // rows may have gone back
+}
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -249,7 +249,7 @@
 			var r recentChanges
 			_, ok := r.updateSince(0, false)
 			is.True(!ok) // before the first listing
-			r.reset(nil, 10, nil)
+			r.reset(nil, 10, nil, false)
 			newest := storage.Revision(10)
 			if len(test.rows) > 0 {
 				newest = test.rows[len(test.rows)-1].Revision
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	const size, changes = 1 << 20, 200
 	var recent recentChanges
-	recent.reset(nil, 1, nil)
+	recent.reset(nil, 1, nil, false)
 	for i := range changes {
 		revision := storage.Revision(i + 2)
 		recent.add(changeSet{rows: []Row{{Key: "document", Revision: revision, Data: make([]byte, size)}}}, revision, true)
