--- a/internal/exchange/exchangeloop.go
+++ b/internal/exchange/exchangeloop.go
@@ -14,7 +14,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		m.exchangeStep(ctx, net)
-		if m.sendsRequested() {
+		if m.requestsBegan() {
 			m.exchangeStep(ctx, net)
 		}
 		select {
@@ -24,9 +24,9 @@
 	}
 }
 
-// sendsRequested reports whether the hub has just begun to request changes of a table, which this host
-// sends at once: other hosts wait for them, and have waited for this host's call of the store.
-func (m *Member) sendsRequested() bool {
+// requestsBegan reports whether the hub has begun to request changes of a table since the last call. This
+// host then sends them without waiting for the next Interval, since other hosts wait for them.
+func (m *Member) requestsBegan() bool {
 	began := len(m.requested) > 0 && !m.wasRequested
 	m.wasRequested = len(m.requested) > 0
 	return began
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -166,7 +166,7 @@
 	// changes in its last reply.
 	incoming  incomingTransfers
 	requested map[string]TableRequest
-	// wasRequested reports whether the hub's reply before had requests.
+	// wasRequested reports whether the hub's reply had requests at the last call of requestsBegan.
 	wasRequested bool
 	// heldBriefly is the result of HoldsBriefly at the time of the last exchange. hubOutdated reports
 	// whether the hub stated in its last reply that its tables are outdated.
--- a/internal/exchange/rowrequests.go
+++ b/internal/exchange/rowrequests.go
@@ -162,7 +162,8 @@
 	return updates
 }
 
-// receiver returns the report of a host that would receive the requested changes as a follower does.
+// receiver returns a report by which the hub can be sent the requested changes in parts, as a host that
+// reports here is.
 func (r *TableRequest) receiver(table string) Report {
 	report := Report{Revisions: map[string]storage.Revision{table: r.Since}, AcceptsParts: true, LinkMbps: r.LinkMbps}
 	if r.Part != nil {
