feed: a late answer doesn't set the estimate of the store's clock back

Callers saw nothing themselves; the last status of a roll-out was written up to half a second later than its duration permits, so that sound versions counted as late.

Cause: the offset of the store's clock was taken from the last answer alone. A reading is late by the time that its answer takes to arrive, so an answer over a slow link set the clock back by that time.

Ruled out: a mean of the readings, which is late by the mean delay; a reading kept for good, since a restored store may have a clock that is behind the former one.

Change: the highest reading of the last ten to twenty seconds counts. The store of the gateway's tests states its clock in each page, as the platform does.

Cost: none for hosts without the store (no readings), two durations and a lock for the others.

--- a/internal/feed/watcher.go
+++ b/internal/feed/watcher.go
@@ -87,9 +87,9 @@
 	// that. failingSince is when calls began to fail, or 0 while they succeed.
 	lastAnswerAt atomic.Int64
 	failingSince atomic.Int64
-	// clockOffset is the store's clock minus the time since start, in nanoseconds.
-	clockOffset atomic.Int64
-	start       time.Time
+	// clock estimates the store's clock minus the time since start.
+	clock storeClock
+	start time.Time
 
 	// revision is the newest revision whose rows were received; only Run uses it. hasTable
 	// reports whether the watcher follows changes, rather than reads the whole table.
@@ -173,9 +173,9 @@
 }
 
 // StoreClock returns the current time of the store's monotonic clock, extrapolated from the
-// last answer or update.
+// recent answers and updates.
 func (w *Watcher) StoreClock() time.Duration {
-	return w.sinceStart() + time.Duration(w.clockOffset.Load())
+	return w.sinceStart() + w.clock.offset()
 }
 
 // sinceStart returns the time since the watcher was created; it is always above 0.
@@ -340,7 +340,7 @@
 // recordClock records what the store's clock showed at the given time since the watcher's
 // start.
 func (w *Watcher) recordClock(clock, at time.Duration) {
-	w.clockOffset.Store(int64(clock - at))
+	w.clock.record(clock, at)
 }
 
 // recordSuccess records that the store answered at the given time since the watcher's start. The
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -383,6 +383,7 @@
 		select {
 		case <-changed:
 		case <-deadline:
+			page.Clock = time.Since(s.start)
 			return page, nil
 		case <-ctx.Done():
 			return feed.Page{}, ctx.Err()
