feed, exchange: packed rows are reused only for hosts that lack the same rows

Cause: a hub keeps the packed changes for further hosts under the revisions between which they lead. Which large rows are left out, because a difference takes their place, depends on the version that the receiver has, too. A host that lacks the version before got an update without any trace of the newest one, marked as complete. Transfers in parts were kept under the revisions as well.

Ruled out: a second row that the hub got later (one answer of the store held both); a difference that couldn't be applied (no delta-unusable in the log, and the host got none).

Change: the packed form is kept under the rows that it holds, a transfer under the sizes of its content.

Measured: TestHostsWithDifferentVersionsOfALargeRow failed before, since the update lacked version 8; it passes.

--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -67,10 +67,14 @@
 	usedAt  time.Time
 }
 
-// transferKey identifies the update that a transfer holds.
+// transferKey identifies the update that a transfer holds. Updates between the same revisions differ in
+// which large rows they hold as differences.
 type transferKey struct {
-	since, revision        storage.Revision
-	withDeltas, isSnapshot bool
+	since, revision storage.Revision
+	isSnapshot      bool
+	// rows and deltas are the numbers of rows that aren't packed and of differences, bytes is the size of
+	// the packed rows and the differences.
+	rows, deltas, bytes int
 }
 
 // outgoingTransfers holds the transfers of a hub by table, and the hosts that receive parts.
@@ -101,7 +105,8 @@
 
 // transferOf returns the transfer of the update.
 func (o *outgoingTransfers) transferOf(table string, update feed.Update) (*outgoingTransfer, error) {
-	key := transferKey{since: update.Since, revision: update.Revision, withDeltas: len(update.Deltas) > 0, isSnapshot: update.IsSnapshot}
+	key := transferKey{since: update.Since, revision: update.Revision, isSnapshot: update.IsSnapshot,
+		rows: len(update.Rows), deltas: len(update.Deltas), bytes: update.PackedBytes()}
 	list := o.byTable[table]
 	for _, t := range list {
 		if t.key == key {
--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -36,7 +36,7 @@
 	// large holds the large rows. The batches and the table's changes hold the latest version of
 	// each of them only.
 	large largeRows
-	// packCache holds the last result of packChanges, for further hosts with the same revision.
+	// packCache holds the last result of packChanges.
 	packCache packedChanges
 }
 
@@ -46,12 +46,16 @@
 	at   time.Time
 }
 
-// packedChanges holds the packed changes after since, up to revision.
+// packedChanges holds changed rows in packed form.
 type packedChanges struct {
-	since, revision storage.Revision
-	// withDeltas reports that the rows for which there are deltas are left out.
-	withDeltas bool
-	packed     []byte
+	versions []rowVersion
+	packed   []byte
+}
+
+// rowVersion identifies one version of a row.
+type rowVersion struct {
+	key      string
+	revision storage.Revision
 }
 
 // reset replaces everything by a whole table. packed holds the same rows in packed form if
@@ -235,7 +239,7 @@
 	}
 	update.Complete = true
 	if size >= minPackedBytes {
-		update.Packed, update.Rows = r.packChanges(update.Since, withDeltas, update.Rows), nil
+		update.Packed, update.Rows = r.packChanges(update.Rows), nil
 	}
 	return update, true
 }
@@ -267,14 +271,18 @@
 	return r.large.build(deltas)
 }
 
-// packChanges packs the changes after a revision. Since most hosts have the same revision, it
-// keeps the last result for the next ones. The caller holds r.mu.
-func (r *recentChanges) packChanges(since storage.Revision, withDeltas bool, rows []Row) []byte {
-	cache := &r.packCache
-	if cache.packed == nil || cache.since != since || cache.revision != r.revision || cache.withDeltas != withDeltas {
-		*cache = packedChanges{since: since, revision: r.revision, withDeltas: withDeltas, packed: pack(rows)}
+// packChanges packs the changed rows. Since most hosts lack the same rows, it keeps the last result for
+// the next ones. Hosts that lack the same changes can need different rows, as a difference can be applied
+// by those only that have the version that it was made from. The caller holds r.mu.
+func (r *recentChanges) packChanges(rows []Row) []byte {
+	versions := make([]rowVersion, len(rows))
+	for i, row := range rows {
+		versions[i] = rowVersion{row.Key, row.Revision}
+	}
+	if r.packCache.packed == nil || !slices.Equal(r.packCache.versions, versions) {
+		r.packCache = packedChanges{versions: versions, packed: pack(rows)}
 	}
-	return cache.packed
+	return r.packCache.packed
 }
 
 // snapshot returns the whole table in packed form and its revision. The table is packed at most
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -133,6 +133,32 @@
 	is.True(!update.Complete)
 }
 
+// A host received a large row's version that another one replaced, and never the newer one: the packed rows
+// for a host that gets the newer one as a difference were sent to a host that can't apply that.
+func TestHostsWithDifferentVersionsOfALargeRow(t *testing.T) {
+	is := is.New(t)
+	large := func(revision int) Row {
+		data := slices.Concat(bytes.Repeat([]byte("route "), minLargeRowBytes), fmt.Append(nil, revision))
+		return Row{Key: "large", Revision: storage.Revision(revision), Data: data}
+	}
+	var r recentChanges
+	r.reset([]Row{{Key: "large", Revision: 5, Data: []byte("short")}}, 5, nil, true)
+	r.add(changeSet{rows: []Row{large(6)}}, 6, true)
+	other := Row{Key: "other", Revision: 9, Data: bytes.Repeat([]byte("x"), minPackedBytes)}
+	r.add(changeSet{rows: []Row{large(7), large(8), other}}, 9, true)
+	for _, since := range []storage.Revision{6, 5, 6} {
+		update, ok := r.updateSince(since, true)
+		is.True(ok && update.Complete)
+		rows, err := unpack(update.Packed)
+		is.NoErr(err)
+		receiver := recentChanges{large: largeRows{"large": {latest: large(6)}}}
+		built, err := receiver.build(update.Deltas)
+		is.NoErr(err)
+		newest := slices.ContainsFunc(slices.Concat(rows, built), func(row Row) bool { return row.Key == "large" && row.Revision == 8 })
+		is.True(newest) // the newest version of the large row, for a host with revision since
+	}
+}
+
 // Guards against whole tables that are sent to all hosts after one host read the table again: the
 // differences from its former rows are changes like any other.
 func TestTableThatIsReadAgainCountsAsChanges(t *testing.T) {
