feed: only the newest version of a large row in one answer is sent on

Cause: when the store's answer held two versions of a large row, the older one went whole to each host, beside the differences to the newest. Nobody uses it: a host applies the newest version of a row only. Over slow links this took the time that the newest one needs.

Ruled out: dropping it from the differences too; hosts that have a version before it need these to build the newest one.

Change: a batch of changes keeps only the newest version of each large row. Small rows stay as they are.

Measured: TestOnlyTheNewestVersionOfALargeRowIsSent failed before with two whole rows in the update, and passes with one. Callers see no difference but the shorter delay, which wasn't measured on its own.

--- a/internal/feed/recent.go
+++ b/internal/feed/recent.go
@@ -156,11 +156,30 @@
 		}
 		r.large.change(row, changes.deltaOf(row))
 	}
-	r.batches = append(r.batches, changeBatch{rows: changes.rows, at: boottime.Now()})
-	r.rowCount += len(changes.rows)
+	rows := r.withoutReplaced(changes.rows)
+	r.batches = append(r.batches, changeBatch{rows: rows, at: boottime.Now()})
+	r.rowCount += len(rows)
 	r.trim(relays)
 }
 
+// withoutReplaced returns the rows without those versions of large rows that a later one of them replaces.
+// The caller holds r.mu.
+func (r *recentChanges) withoutReplaced(rows []Row) []Row {
+	newest := make(map[string]int)
+	for i, row := range rows {
+		if r.large[row.Key] != nil {
+			newest[row.Key] = i
+		}
+	}
+	kept := make([]Row, 0, len(rows))
+	for i, row := range rows {
+		if last, large := newest[row.Key]; !large || last == i {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
 // dropVersions drops the versions of a large row from the batches.
 func (r *recentChanges) dropVersions(key string) {
 	for i := range r.batches {
--- a/internal/feed/recent_test.go
+++ b/internal/feed/recent_test.go
@@ -159,6 +159,27 @@
 	}
 }
 
+// Of several versions of a large row in one answer of the store only the newest is sent to other hosts. The
+// older ones were sent whole, beside the differences to the newest.
+func TestOnlyTheNewestVersionOfALargeRowIsSent(t *testing.T) {
+	is := is.New(t)
+	data := bytes.Repeat([]byte("route "), minLargeRowBytes)
+	var r recentChanges
+	r.reset([]Row{{Key: "large", Revision: 5, Data: data}}, 5, nil, true)
+	r.add(changeSet{rows: []Row{
+		{Key: "large", Revision: 6, Data: slices.Concat(data, []byte("6"))}, {Key: "other", Revision: 7},
+		{Key: "large", Revision: 8, Data: slices.Concat(data, []byte("8"))},
+	}}, 8, true)
+	update, _ := r.updateSince(5, true)
+	is.Equal(update.Rows, []Row{{Key: "other", Revision: 7}})
+	is.Equal(len(update.Deltas), 2)
+	update, _ = r.updateSince(5, false)
+	rows, err := unpack(update.Packed)
+	is.NoErr(err)
+	is.Equal([]storage.Revision{rows[0].Revision, rows[1].Revision}, []storage.Revision{7, 8})
+	is.Equal(r.rowCount, 2)
+}
+
 // Guards against whole tables that are sent to all hosts after one host read the table again: the
 // differences from its former rows are changes like any other.
 func TestTableThatIsReadAgainCountsAsChanges(t *testing.T) {
