rollout, gateway: versions are compared route by route

Callers of a sound version: its roll-out ended late, or not at all within ten seconds of its duration.

Cause: the answers of all routes were added up. On one of the routes a fifth of the requests fails with either version. A new version that happens to get more requests of that route than the old one did has the higher rate in the sum, and passes the test for completion late or never.

Ruled out: leaving such routes out, since a version can be bad on just these; a higher tolerance, which lets worse versions pass.

Change: rollout.IsNotWorseInStrata multiplies the likelihood ratios of the routes, each with the old version's rate on that route. A route whose old version fails nearly always adds nothing, where it gave an undefined ratio.

TestStrataOfDifferentRates failed before.

Cost: none for services with one route. With routes of few requests each, the sum of the ratios grows as fast as before where the rates are equal.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -227,9 +227,13 @@
 			return false
 		}
 	}
-	v := sumRoutes(routes)
-	return rollout.IsNotWorse(failureSample(v.Old), failureSample(v.New), failedTolerance, completionAlpha) &&
-		rollout.IsNotWorse(slowSample(v.Old), slowSample(v.New), slowTolerance, completionAlpha)
+	var failed, slow []rollout.Stratum
+	for _, v := range routes {
+		failed = append(failed, rollout.Stratum{Baseline: failureSample(v.Old), Candidate: failureSample(v.New)})
+		slow = append(slow, rollout.Stratum{Baseline: slowSample(v.Old), Candidate: slowSample(v.New)})
+	}
+	return rollout.IsNotWorseInStrata(failed, failedTolerance, completionAlpha) &&
+		rollout.IsNotWorseInStrata(slow, slowTolerance, completionAlpha)
 }
 
 func failureSample(t exchange.Tally) rollout.AnswerCounts {
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -39,11 +39,37 @@
 // alpha of 0.05, it returns true for a healthy candidate after 15 answers, and for one as good
 // as the baseline after about 45 if the baseline has 20% bad answers.
 func IsNotWorse(baseline, candidate AnswerCounts, tolerance, alpha float64) bool {
+	return notWorseRatio(baseline, candidate, tolerance) >= math.Log(1/alpha)
+}
+
+// Stratum holds the answers of both versions under like conditions, as those to requests of one
+// route.
+type Stratum struct {
+	Baseline  AnswerCounts
+	Candidate AnswerCounts
+}
+
+// IsNotWorseInStrata is IsNotWorse with each stratum's own rate of the baseline: the ratios of the
+// strata are multiplied. It needs fewer answers than IsNotWorse of the sums if the baseline's rates
+// differ, and the result doesn't depend on how the requests are distributed over the strata.
+func IsNotWorseInStrata(strata []Stratum, tolerance, alpha float64) bool {
+	ratio := 0.0
+	for _, s := range strata {
+		ratio += notWorseRatio(s.Baseline, s.Candidate, tolerance)
+	}
+	return ratio >= math.Log(1/alpha)
+}
+
+// notWorseRatio returns the logarithm of the likelihood ratio of the baseline's rate against one that
+// is higher by the tolerance; 0 if the baseline's rate is too high for a higher one to be tested.
+func notWorseRatio(baseline, candidate AnswerCounts, tolerance float64) float64 {
 	limit := min(maxTestedRate, lowerRate(baseline)+tolerance)
 	healthyRate := max(minHealthyRate, lowerRate(baseline))
+	if healthyRate >= limit {
+		return 0
+	}
 	good, bad := float64(candidate.Total-candidate.Bad), float64(candidate.Bad)
-	ratio := good*math.Log((1-healthyRate)/(1-limit)) + bad*math.Log(healthyRate/limit)
-	return ratio >= math.Log(1/alpha)
+	return good*math.Log((1-healthyRate)/(1-limit)) + bad*math.Log(healthyRate/limit)
 }
 
 // minHealthyRate is the lowest rate of bad answers that IsNotWorse assumes for a healthy
--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -149,3 +149,18 @@
 		})
 	}
 }
+
+// A candidate that gets more requests of a kind that often fails isn't worse than the baseline. Compared
+// by the sums of all kinds, it didn't pass the test.
+func TestStrataOfDifferentRates(t *testing.T) {
+	is := is.New(t)
+	seldom := Stratum{Baseline: AnswerCounts{Bad: 0, Total: 80}, Candidate: AnswerCounts{Bad: 0, Total: 10}}
+	often := Stratum{Baseline: AnswerCounts{Bad: 9, Total: 25}, Candidate: AnswerCounts{Bad: 3, Total: 8}}
+	is.True(!IsNotWorse(AnswerCounts{Bad: 9, Total: 105}, AnswerCounts{Bad: 3, Total: 18}, 0.2, 0.2))
+	is.True(IsNotWorseInStrata([]Stratum{seldom, often}, 0.2, 0.2))
+	bad := Stratum{Baseline: seldom.Baseline, Candidate: AnswerCounts{Bad: 3, Total: 10}}
+	is.True(!IsNotWorseInStrata([]Stratum{bad, often}, 0.2, 0.2))
+	// A baseline that always fails leaves no higher rate to test.
+	failing := AnswerCounts{Bad: 500, Total: 500}
+	is.True(!IsNotWorseInStrata([]Stratum{{Baseline: failing, Candidate: failing}}, 0.2, 0.2))
+}
