gateway: a request that a version fails several times counts once

Callers of a sound version: it was stopped, or completed late.

Cause: a request that fails with any version fails at each attempt, and each attempt counted as a failure of its version. The tests assume independent failures; two from one request are not.

Ruled out: counting requests rather than attempts. A request that fails on the new version and succeeds on the old one must count against the new one.

Change: an attempt that fails counts unless one on the same version did for that request.

Cost for bad versions: a version that fails each request is stopped after as many requests, not attempts; the retries of one request mostly go to the other version, so that few counts are lost.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,6 +50,8 @@
 	// relativePromptSize is the mean prompt size of the route divided by that of the service.
 	relativePromptSize float64
 
+	// failedVersions are the versions of the service that failed the request.
+	failedVersions []string
 	// heldFor is the time for which the request was held. arrived is set once it was decided for the
 	// first time whether to hold it; returning is set if the caller returned at the time that it was
 	// told.
@@ -189,3 +191,13 @@
 	}
 	return min(n, maxTokenCount)
 }
+
+// addFailedVersion records that an upstream of the version failed the request. It returns false if this
+// was recorded before.
+func (r *Request) addFailedVersion(version string) bool {
+	if slices.Contains(r.failedVersions, version) {
+		return false
+	}
+	r.failedVersions = append(r.failedVersions, version)
+	return true
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -229,9 +229,13 @@
 }
 
 // observeResult counts the result of an attempt for its version. headCounted is set if observeHead
-// counted the head of its answer.
+// counted the head of its answer. A request that a version fails several times counts once: some
+// requests fail at each attempt, and the tests assume that failures are independent.
 func (ro *rollouts) observeResult(r *Request, c *choice, result attemptResult, headCounted bool) {
 	ro.addObservation(r, c, func(e *evidence, o observation) {
+		if result.outcome == outcomeFailed && !r.addFailedVersion(c.upstream.Version) {
+			return
+		}
 		o.headCounted = headCounted
 		e.observeEnd(o, result, boottime.Now())
 	})
