gateway: one failure on a route that fails anyway keeps no idle service's roll-out open

Callers of a service with few requests: both versions stayed in use for good, as the roll-out never ended.

Cause: with fewer than 60 answers in all a version is completed if none was bad. On a route on which requests fail with the old version too, one failure is bound to come, and the answers never sufficed.

Ruled out: completing after a longer time without regard to failures, which completes bad versions of services with few requests.

Change: a failure counts against the version only if the old one has none on that route, or if the test suspects the route.

TestFewAnswersOnAFailingRoute failed before in the case of a route on which the old version fails.

--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// A service with few requests is completed although a request failed, if requests of that route fail with
+// the old version, too. Such a roll-out never ended.
+func TestFewAnswersOnAFailingRoute(t *testing.T) {
+	tests := []struct {
+		desc string
+		seen exchange.VersionTallies
+		want bool
+	}{
+		{"none failed", versionCounts(12, 0, 2, 0), true},
+		{"one failed, as some did with the old version", versionCounts(12, 3, 2, 1), true},
+		{"one failed, none with the old version", versionCounts(12, 0, 2, 1), false},
+		{"most failed, few with the old version", versionCounts(40, 1, 8, 5), false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			ro := newRolloutInProgress()
+			sr := ro.byService["svc"]
+			sr.receivedAt = sr.receivedAt.Add(-sr.order.Duration)
+			sr.evidence.remoteRoutes = map[string]exchange.VersionTallies{"r": test.seen}
+			is.New(t).Equal(ro.fewAnswersNoneBad(sr), test.want)
+		})
+	}
+}
+
 // A version that may be bad on one route must not be completed because the answers on all routes
 // together suffice.
 func TestSuspectedRouteDelaysCompletion(t *testing.T) {
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -54,11 +55,18 @@
 const minConclusiveAnswers = 60
 
 // fewAnswersNoneBad reports whether, in at least half of the roll-out's duration, the service gave
-// fewer answers than minConclusiveAnswers and none of the new version's was bad.
+// fewer answers than minConclusiveAnswers and none of the new version's was bad. A failure on a route
+// on which the old version fails, too, doesn't count as bad unless it is suspected.
 func (ro *rollouts) fewAnswersNoneBad(sr *serviceRollout) bool {
-	v := sumRoutes(sr.evidence.allCounts())
+	routes := sr.evidence.allCounts()
+	for _, v := range routes {
+		if v.New.Failed > 0 && (v.Old.Failed == 0 || rollout.IsWorse(failureSample(v.Old), failureSample(v.New), suspectAlpha)) {
+			return false
+		}
+	}
+	v := sumRoutes(routes)
 	return boottime.Since(sr.receivedAt) >= sr.order.Duration/2 &&
-		v.Old.Answers+v.New.Answers < minConclusiveAnswers && v.New.Failed == 0 && v.New.Slow == 0
+		v.Old.Answers+v.New.Answers < minConclusiveAnswers && v.New.Slow == 0
 }
 
 // shouldWriteNow reports whether this host should write the due status now. The status becomes due
