gateway: a roll-out is completed only on answers given at full load

Cause: the completion can't be taken back, and went by answers from another load than the one to which it leads. Of 16 s only 0.24 were at full load. Failures of routes that fail with either version hid the rest.

Evidence: the answers at full load are now named apart in rollout-stopped, rollout-doubted and rollout-write.

Change: up to a tenth of the duration, within the permitted exposure, is at full load. Answers to requests sent from then on are counted apart. They can stop a version alone, and are needed for its completion, also on the routes on which the old version hardly fails. What is almost due needs fewer. The same evidence from another load was looked for in rollout/ and serve: a cleared version is still tested there and can be stopped.

Hosts without the store stay below full load; up to a quarter of them may, with more the completion waits.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -39,12 +39,16 @@
 type VersionTallies struct {
 	Old Tally `json:"old"`
 	New Tally `json:"new"`
+	// FullLoad holds those answers of New whose requests were sent while the new version got all
+	// requests of the service.
+	FullLoad Tally `json:"full,omitzero"`
 }
 
 // Add adds another host's counts.
 func (v *VersionTallies) Add(o VersionTallies) {
 	v.Old.Add(o.Old)
 	v.New.Add(o.New)
+	v.FullLoad.Add(o.FullLoad)
 }
 
 // Evidence holds the answers that one host or several hosts counted during the roll-out of a
@@ -54,30 +58,48 @@
 	// Order is the revision, in the store, of the operator's order for the roll-out. Counts made
 	// under different orders aren't added up.
 	Order storage.Revision `json:"order"`
+	// Hosts is the number of hosts that counted, BelowFullLoad the number of those that still send
+	// some of the service's requests to the previous version.
+	Hosts         int `json:"hosts,omitempty"`
+	BelowFullLoad int `json:"below_full,omitempty"`
 	// Routes holds the counts by route.
 	Routes map[string]VersionTallies `json:"routes"`
 }
 
+// add adds the counts of other hosts.
+func (e *Evidence) add(o Evidence) {
+	e.Hosts += o.Hosts
+	e.BelowFullLoad += o.BelowFullLoad
+	for route, counts := range o.Routes {
+		sum := e.Routes[route]
+		sum.Add(counts)
+		e.Routes[route] = sum
+	}
+}
+
 // evidenceKey identifies the roll-out that counts belong to.
 type evidenceKey struct {
 	service string
 	order   storage.Revision
 }
 
-// addEvidence adds the counts in the list to sums. For each roll-out, sums holds the counts by
-// route.
-func addEvidence(sums map[evidenceKey]map[string]VersionTallies, list []Evidence) {
-	for _, e := range list {
-		key := evidenceKey{e.Service, e.Order}
-		if sums[key] == nil {
-			sums[key] = make(map[string]VersionTallies)
-		}
-		for route, counts := range e.Routes {
-			sum := sums[key][route]
-			sum.Add(counts)
-			sums[key][route] = sum
+// SumEvidence returns the sums of the counts in the lists, one for each roll-out.
+func SumEvidence(lists ...[]Evidence) []Evidence {
+	sums := make(map[evidenceKey]*Evidence)
+	for _, list := range lists {
+		for _, e := range list {
+			key := evidenceKey{e.Service, e.Order}
+			if sums[key] == nil {
+				sums[key] = &Evidence{Service: e.Service, Order: e.Order, Routes: make(map[string]VersionTallies)}
+			}
+			sums[key].add(e)
 		}
 	}
+	var list []Evidence
+	for _, sum := range sums {
+		list = append(list, *sum)
+	}
+	return list
 }
 
 // otherEvidence returns the counts for the roll-outs in progress that are sent to the audience,
@@ -85,15 +107,11 @@
 func (h *hub) otherEvidence(self string, to audience) []Evidence {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sums := make(map[evidenceKey]map[string]VersionTallies)
+	var lists [][]Evidence
 	for host, received := range h.reports {
 		if host != self && to.includes(received) {
-			addEvidence(sums, received.report.Evidence)
+			lists = append(lists, received.report.Evidence)
 		}
 	}
-	var list []Evidence
-	for key, routes := range sums {
-		list = append(list, Evidence{Service: key.service, Order: key.order, Routes: routes})
-	}
-	return list
+	return SumEvidence(lists...)
 }
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -55,9 +55,12 @@
 // evidence compares two versions of a service by their answers, for each route and in total.
 type evidence struct {
 	// ownRoutes holds the numbers of answers that this host counted, by route. remoteRoutes holds
-	// those that the other hosts counted.
-	ownRoutes    map[string]*routeEvidence
-	remoteRoutes map[string]exchange.VersionTallies
+	// those that the other hosts counted. remoteHosts is the number of these hosts, and
+	// remoteBelowFullLoad the number of those that still send requests to the old version.
+	ownRoutes           map[string]*routeEvidence
+	remoteRoutes        map[string]exchange.VersionTallies
+	remoteHosts         int
+	remoteBelowFullLoad int
 	// cutOffAt holds for each upstream, by id, the time of the last counted answer that it cut off.
 	cutOffAt map[string]time.Time
 }
@@ -85,6 +88,8 @@
 	expected time.Duration
 	// headCounted is set if the answer's head was already counted as an answer.
 	headCounted bool
+	// atFullLoad is set if the request was sent while the new version got all requests.
+	atFullLoad bool
 }
 
 // observeHead counts the head of a stream as an answer when it arrives. Failures are counted at
@@ -142,10 +147,18 @@
 }
 
 func (re *routeEvidence) countAnswer(o observation, failed, slow bool) {
-	tally := &re.Old
-	if o.isNew {
-		tally = &re.New
+	if !o.isNew {
+		countIn(&re.Old, o, failed, slow)
+		return
 	}
+	countIn(&re.New, o, failed, slow)
+	if o.atFullLoad {
+		countIn(&re.FullLoad, o, failed, slow)
+	}
+}
+
+// countIn adds the answer to the tally.
+func countIn(tally *exchange.Tally, o observation, failed, slow bool) {
 	if !o.headCounted {
 		tally.Answers++
 	}
@@ -160,6 +173,11 @@
 	}
 }
 
+// setRemote stores the sums of what the other hosts counted.
+func (e *evidence) setRemote(sum exchange.Evidence) {
+	e.remoteRoutes, e.remoteHosts, e.remoteBelowFullLoad = sum.Routes, sum.Hosts, sum.BelowFullLoad
+}
+
 // ownCounts returns the numbers of answers that this host counted per version, by route.
 func (e *evidence) ownCounts() map[string]exchange.VersionTallies {
 	routes := make(map[string]exchange.VersionTallies, len(e.ownRoutes))
@@ -192,7 +210,7 @@
 			return "route " + name
 		}
 	}
-	return ""
+	return fullLoadStopReason(routes, upstreams)
 }
 
 func sumRoutes(routes map[string]exchange.VersionTallies) exchange.VersionTallies {
@@ -244,12 +262,14 @@
 	return rollout.AnswerCounts{Bad: min(t.Slow, t.Answers), Total: t.Answers}
 }
 
-// String returns, for log lines, the numbers of failed, slow and all answers of the old and the new
-// version: first as counted by this host, then summed over all hosts.
+// String returns, for log lines, the numbers of failed, slow and all answers of the old version, of the
+// new one, and of the new one at full load: first as counted by this host, then summed over all hosts.
 func (e *evidence) String() string {
 	return countsText(sumRoutes(e.ownCounts())) + " of all " + countsText(sumRoutes(e.allCounts()))
 }
 
 func countsText(v exchange.VersionTallies) string {
-	return fmt.Sprintf("old %d+%d/%d new %d+%d/%d", v.Old.Failed, v.Old.Slow, v.Old.Answers, v.New.Failed, v.New.Slow, v.New.Answers)
+	return fmt.Sprintf("old %s new %s full-load %s", tallyText(v.Old), tallyText(v.New), tallyText(v.FullLoad))
 }
+
+func tallyText(t exchange.Tally) string { return fmt.Sprintf("%d+%d/%d", t.Failed, t.Slow, t.Answers) }
--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -8,26 +8,27 @@
 	sessionsFrom = 0.51
 	// exposureFraction is the fraction of the permitted exposure that a version may use by the end
 	// of its roll-out if it gives no bad answers. Such a version is bounded too, since it can have
-	// a fault that shows late or only under a load that doesn't occur in the roll-out. The rest of
-	// the exposure is a margin for uneven traffic.
-	exposureFraction = 0.9
-	// initialFraction is the fraction of the exposure before fullAt that is used at a constant
+	// a fault that shows late or only under load. The rest of the exposure is a margin for uneven
+	// traffic.
+	exposureFraction = 0.95
+	// fullLoadFraction is the fraction of the exposure that is used with all requests on the new
+	// version, since some versions fail only under the full load. maxFullLoadTime is the longest time
+	// for that, as a fraction of the roll-out's duration.
+	fullLoadFraction = 0.7
+	maxFullLoadTime  = 0.1
+	// initialFraction is the fraction of the exposure before full load that is used at a constant
 	// share from the start of the roll-out, so that bad versions are detected early. Most of them
-	// are detected within about ten answers, and about thirty answers suffice to complete a sound
-	// version.
-	initialFraction = 0.5
-	// riseFrom is when the share starts to rise and fullAt when it reaches all requests, as
-	// fractions of the roll-out's duration.
+	// are detected within about ten answers.
+	initialFraction = 0.7
+	// riseFrom is when the share starts to rise, as a fraction of the roll-out's duration.
 	riseFrom = 0.7
-	fullAt   = 0.935
-	// completeAt is when the roll-out may be reported as completed, as a fraction of its duration.
-	// By then, most answers that began on the old version are complete. It is early enough for the
-	// status to be stored before the duration has passed, even if the order was received a second
-	// late.
-	completeAt = 0.95
+	// completeAt is when the roll-out may be reported as completed, as a fraction of its duration. It
+	// is early enough for the status to be stored before the duration has passed, even if the order
+	// was received half a second late.
+	completeAt = 0.955
 	// minExponent and maxExponent bound the exponent of the rising share.
 	minExponent = 2
-	maxExponent = 200
+	maxExponent = 1000
 )
 
 // ramp defines how a new version's share rises with time. Over the whole duration of the roll-out,
@@ -47,21 +48,15 @@
 // newRamp returns the ramp of a version whose fraction of all requests during the roll-out must not
 // exceed permitted, and that gets requests from the given fraction of the duration on.
 func newRamp(permitted, from float64) ramp {
-	r := ramp{startsAt: from, fullAt: fullAt}
-	left := exposureFraction*permitted - (1 - fullAt)
-	if left <= 0 {
-		// The permitted share is too small for the new version to serve all requests from fullAt
-		// on. Keeping the bound takes precedence over reaching all requests before the end.
-		r.fullAt = 1
-		r.exponent = maxExponent
-		r.initialShare = initialFraction * exposureFraction * permitted / (1 - from)
-		return r
-	}
+	exposure := exposureFraction * permitted
+	fullLoadTime := min(maxFullLoadTime, fullLoadFraction*exposure)
+	left := exposure - fullLoadTime
+	r := ramp{startsAt: from, fullAt: 1 - fullLoadTime}
 	// The initial share applies from startsAt to fullAt at most.
-	r.initialShare = initialFraction * left / (fullAt - from)
+	r.initialShare = initialFraction * left / (r.fullAt - from)
 	// A share that rises with the power n from 0 to 1 over a time of width has the integral
 	// width / (n + 1).
-	const width = fullAt - riseFrom
+	width := r.fullAt - riseFrom
 	r.exponent = min(maxExponent, max(minExponent, width/((1-initialFraction)*left)-1))
 	return r
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -75,6 +75,9 @@
 	// receivedAt is when this host received the order.
 	receivedAt time.Time
 	evidence   evidence
+	// fullLoadSince is when this host observed that the new version gets all requests; zero while
+	// it doesn't.
+	fullLoadSince time.Time
 	// inconclusive is set if enough of the roll-out's duration has passed to complete it, but the
 	// evidence doesn't suffice for that.
 	inconclusive bool
@@ -260,10 +263,11 @@
 		return
 	}
 	add(&sr.evidence, observation{
-		route:    r.Route.Name,
-		upstream: c.upstream.ID,
-		isNew:    c.upstream.Version == sr.order.Version,
-		expected: c.placement.ExpectedTime,
+		route:      r.Route.Name,
+		upstream:   c.upstream.ID,
+		isNew:      c.upstream.Version == sr.order.Version,
+		expected:   c.placement.ExpectedTime,
+		atFullLoad: !sr.fullLoadSince.IsZero() && !c.chosenAt.Before(sr.fullLoadSince),
 	})
 	ro.evaluate(sr)
 }
@@ -275,7 +279,11 @@
 	var list []exchange.Evidence
 	for _, sr := range ro.byService {
 		if sr.running() {
-			list = append(list, exchange.Evidence{Service: sr.order.Service, Order: sr.order.Revision, Routes: sr.evidence.ownCounts()})
+			own := exchange.Evidence{Service: sr.order.Service, Order: sr.order.Revision, Hosts: 1, Routes: sr.evidence.ownCounts()}
+			if !sr.sendsAllToNew() {
+				own.BelowFullLoad = 1
+			}
+			list = append(list, own)
 		}
 	}
 	return list
@@ -291,7 +299,7 @@
 		if sr == nil || sr.order.Revision != e.Order || !sr.running() || sr.stopped {
 			continue
 		}
-		sr.evidence.remoteRoutes = e.Routes
+		sr.evidence.setRemote(e)
 		ro.evaluate(sr)
 	}
 }
@@ -330,6 +338,7 @@
 			continue
 		}
 		ro.raiseShares(sr)
+		sr.updateFullLoad(boottime.Now())
 		next, due := ro.dueStatus(sr)
 		if !due || sr.writing || !ro.shouldWriteNow(sr, next) {
 			continue
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -25,7 +25,7 @@
 		// the shares would be raised at once.
 		_, received := ro.statuses.Age()
 		return RolloutRunning, received
-	case sr.sessionShare >= 1 && sr.requestShare >= 1 && ro.sessionRamp.mayComplete(ro.progress(sr)):
+	case sr.sendsAllToNew() && ro.sessionRamp.mayComplete(ro.progress(sr)):
 		return RolloutCompleted, ro.isConclusive(sr)
 	default:
 		return RolloutRunning, false
@@ -39,10 +39,10 @@
 // new version and the old one ready to take over. For a service that gets too few answers for that,
 // it suffices that none of them is bad.
 func (ro *rollouts) isConclusive(sr *serviceRollout) bool {
-	if sr.evidence.sufficesToComplete() || ro.fewAnswersNoneBad(sr) {
+	if sr.evidence.sufficesToComplete() && ro.fullLoadSuffices(sr) || ro.fewAnswersNoneBad(sr) {
 		return true
 	}
-	if !sr.inconclusive {
+	if !sr.inconclusive && ro.progress(sr) >= almostDueAt {
 		sr.inconclusive = true
 		ro.log.Warn().Str("event", "rollout-doubted").Str("service", sr.order.Service).Str("version", sr.order.Version).
 			Str("evidence", sr.evidence.String()).Msg("")
@@ -118,6 +118,7 @@
 		next.Started = sr.status.Started
 	}
 	expected := sr.status.Revision
+	evidence := sr.evidence.String()
 	ro.mu.Unlock()
 
 	err := ro.commitStatus(ctx, next, expected)
@@ -125,7 +126,8 @@
 	if err != nil && !errors.Is(err, storage.ErrConflict) {
 		line = ro.log.Warn()
 	}
-	line.Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).AnErr("error", err).Msg("")
+	line.Str("event", "rollout-write").Str("service", next.Service).Str("state", state.String()).
+		Str("evidence", evidence).AnErr("error", err).Msg("")
 	// A conflict means that another host wrote first. Its status is received shortly, so a short
 	// pause avoids useless calls.
 	_ = wait.For(ctx, ro.retryPause(sr, err)) // only a host that is stopping skips the pause
