gateway: the permitted headroom is used to reach the full load earlier

Cause: a service with few requests gets too few answers in a tenth of the duration at full load for the completion in time. Operators permit a number of requests beyond the share (canary_headroom), which wasn't used.

Ruled out: a longer time at full load for all, which exceeds the permitted share; fewer answers, with which bad versions pass.

Change: half of that number, at the measured rate of the service's requests, moves the full load to an earlier time, up to 0.15 of the duration at full load. The rest stays a margin. Without a rate (no other host was heard) or without the setting nothing changes.

TestExposureWithHeadroom checks the bound at 0.1 to 5,000 requests a second.

Cost: a bad version of a service with few requests may get up to half of the headroom more.

--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// sessionsFrom is when requests of sessions begin to run on the new version, as a fraction of
@@ -16,6 +19,10 @@
 	// for that, as a fraction of the roll-out's duration.
 	fullLoadFraction = 0.7
 	maxFullLoadTime  = 0.1
+	// maxHeadroomTime is the longest time at full load if the permitted number of requests beyond the
+	// share is used, too. headroomFraction is the fraction of that number that is used.
+	maxHeadroomTime  = 0.15
+	headroomFraction = 0.5
 	// initialFraction is the fraction of the exposure before full load that is used at a constant
 	// share from the start of the roll-out, so that bad versions are detected early. Most of them
 	// are detected within about ten answers.
@@ -61,6 +68,18 @@
 	return r
 }
 
+// withHeadroom returns the ramp of a version that may get a number of requests beyond its share. They
+// are used to reach the full load earlier: a service with few requests gets too few answers at full
+// load otherwise. rate is the service's number of requests a second; 0 if it isn't known.
+func (r ramp) withHeadroom(requests, rate float64, duration time.Duration) ramp {
+	if requests <= 0 || rate <= 0 || duration <= 0 {
+		return r
+	}
+	earlier := headroomFraction * requests / rate / duration.Seconds()
+	r.fullAt = min(r.fullAt, max(r.fullAt-earlier, 1-maxHeadroomTime))
+	return r
+}
+
 // share returns the new version's share of requests at the given fraction of the roll-out's
 // duration.
 func (r ramp) share(progress float64) float64 {
--- a/internal/gateway/ramp_test.go
+++ b/internal/gateway/ramp_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -28,6 +29,27 @@
 	}
 }
 
+// The exposure that is used to reach the full load earlier must stay within the permitted number of requests
+// beyond the share, at any rate of requests.
+func TestExposureWithHeadroom(t *testing.T) {
+	for _, perSecond := range []float64{0.1, 1, 8, 30, 200, 5000} {
+		for _, from := range []float64{0, sessionsFrom} {
+			t.Run(fmt.Sprint(perSecond, from), func(t *testing.T) {
+				is := is.New(t)
+				const steps, permitted, headroom, duration = 10000, 0.15, 30, 16 * time.Second
+				r := newRamp(permitted, from).withHeadroom(headroom, perSecond, duration)
+				exposure := 0.0
+				for i := range steps {
+					exposure += r.share(float64(i)/steps) / steps
+				}
+				requests := perSecond * duration.Seconds()
+				is.True(exposure*requests <= permitted*requests+headroom)
+				is.Equal(newRamp(permitted, from).withHeadroom(0, perSecond, duration), newRamp(permitted, from))
+			})
+		}
+	}
+}
+
 func TestShareOnlyRises(t *testing.T) {
 	for _, from := range []float64{0, sessionsFrom} {
 		t.Run(fmt.Sprint(from), func(t *testing.T) {
--- a/internal/gateway/rolloutreplay_test.go
+++ b/internal/gateway/rolloutreplay_test.go
@@ -42,6 +42,7 @@
 		perSecond: perSecond, failureRate: failureRate,
 	}
 	for _, g := range p.hosts {
+		g.settings.CanaryHeadroom = 30
 		g.rollouts.requestRamp, g.rollouts.sessionRamp = newRamp(0.15, 0), newRamp(0.15, sessionsFrom)
 		g.fleet.ApplyEntry(Upstream{ID: "new-2", Service: "svc", Version: "v2", Address: "127.0.0.1:3", Slots: 4}, 1)
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -358,9 +358,20 @@
 	if !ok || age > maxStatusAge || ro.statuses.Unreachable() {
 		return
 	}
-	progress := ro.progress(sr)
-	sr.sessionShare = max(sr.sessionShare, ro.sessionRamp.share(progress))
-	sr.requestShare = max(sr.requestShare, ro.requestRamp.share(progress))
+	progress, rate := ro.progress(sr), ro.requestRate(sr)
+	headroom, duration := ro.settings.CanaryHeadroom, sr.order.Duration
+	sr.sessionShare = max(sr.sessionShare, ro.sessionRamp.withHeadroom(headroom, rate, duration).share(progress))
+	sr.requestShare = max(sr.requestShare, ro.requestRamp.withHeadroom(headroom, rate, duration).share(progress))
+}
+
+// requestRate returns the number of the service's requests that all hosts together have sent a second
+// since the order; 0 if it isn't known, since no other host's evidence was received.
+func (ro *rollouts) requestRate(sr *serviceRollout) float64 {
+	if sr.evidence.remoteHosts == 0 && ro.settings.Peers.Listen != "" {
+		return 0
+	}
+	v := sumRoutes(sr.evidence.allCounts())
+	return float64(v.Old.Answers+v.New.Answers) / max(boottime.Since(sr.receivedAt).Seconds(), 1)
 }
 
 // hasUnfinished reports whether, for any service, a roll-out is in progress or its final status has
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -60,6 +60,8 @@
 	// CanaryShare bounds the fraction of a service's requests that a new version serves, over the
 	// whole duration of its roll-out.
 	CanaryShare float64
+	// CanaryHeadroom is the number of requests beyond CanaryShare that the new version may serve.
+	CanaryHeadroom float64
 	// ColdOverrun and ColdHeadroom bound the requests that all hosts together may send to a cold
 	// upstream in one second: ColdOverrun times the rate that it tolerates, plus ColdHeadroom.
 	ColdOverrun  float64
