gateway: a roll-out has a base version, so that a version that was rolled back gets no requests of the next order

From the next order on, half of the requests outside of the new share run on the version that was just rolled back, until its upstreams drain; sessions change their version.

Cause: the next order forgets the one before. "Each version but the ordered one" was taken for the old version, which holds while there are two.

Evidence: all hosts did it, the one that wrote the rollback too, and only after the second order; rollout-ordered now names the base version. Ruled out: hosts that hadn't received the rollback yet.

Change: a roll-out has a base version, the one with which the roll-out before ended. It is kept in the status row, so that hosts that start during a roll-out, or between an order and its first status, have it. If none of its upstreams is in service, any version but the new one serves, as before.

Cost: some twenty bytes a status row; none for good roll-outs. Hosts without the store use what they know.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -37,6 +37,9 @@
 	Service string
 	Version string
 	State   RolloutState
+	// BaseVersion is the version that serves the requests that don't run on Version; empty if it isn't
+	// known. Hosts that start during the roll-out can't derive it from the upstreams.
+	BaseVersion string
 	// OrderRevision is the revision of the order that the status belongs to.
 	OrderRevision storage.Revision
 	// Started is the time, by the store's clock, at which the host that wrote the first status
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -66,6 +66,9 @@
 type serviceRollout struct {
 	order  RolloutOrder
 	status RolloutStatus
+	// baseVersion is the version that serves the requests that don't run on the new one; empty if it
+	// isn't known.
+	baseVersion string
 	// stopped is set when the evidence on this host shows that the new version is worse.
 	stopped bool
 	// requestShare is the new version's share of requests without a session, sessionShare its share
@@ -114,15 +117,14 @@
 func (ro *rollouts) addOrder(o RolloutOrder, listed bool) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	if current := ro.byService[o.Service]; current != nil {
-		if o.Revision <= current.order.Revision || ro.adoptReissuedOrder(current, o, listed) {
-			return
-		}
+	current := ro.byService[o.Service]
+	if current != nil && (o.Revision <= current.order.Revision || ro.adoptReissuedOrder(current, o, listed)) {
+		return
 	}
-	sr := &serviceRollout{order: o, receivedAt: boottime.Now(), evidence: newEvidence()}
+	sr := &serviceRollout{order: o, baseVersion: ro.baseVersionFor(o, current), receivedAt: boottime.Now(), evidence: newEvidence()}
 	sr.era.observe(o.Revision)
 	ro.byService[o.Service] = sr
-	ro.log.Info().Str("event", "rollout-ordered").Str("service", o.Service).Str("version", o.Version).
+	ro.log.Info().Str("event", "rollout-ordered").Str("service", o.Service).Str("version", o.Version).Str("base", sr.baseVersion).
 		Dur("duration", o.Duration).Stringer("revision", o.Revision).Msg("")
 	if stored, ok := ro.storedStatuses[o.Service]; ok {
 		ro.applyStatus(sr, stored)
@@ -149,6 +151,7 @@
 		// The status belongs to an earlier order. The write that replaces its row is conditional on
 		// its revision.
 		sr.status.Revision = s.Revision
+		sr.adoptBaseVersion(s)
 		return
 	}
 	if sr.hasStatus() && s.State < sr.status.State {
@@ -157,6 +160,7 @@
 		sr.unsaved = true
 		return
 	}
+	sr.adoptBaseVersion(s)
 	sr.unsaved = s.OrderRevision != sr.order.Revision
 	s.OrderRevision = sr.order.Revision
 	sr.status = s
@@ -182,14 +186,18 @@
 		baseVersion := ro.fleet.BaseVersion(r.Service)
 		return func(version string) bool { return baseVersion == "" || version == baseVersion }
 	}
-	newVersion := sr.order.Version
+	isNew := func(version string) bool { return version == sr.order.Version }
+	isOld := ro.oldVersionFilter(sr, r)
 	canary := ro.isCanary(sr, r)
-	if canary && !ro.hasUpstreamFor(r, func(version string) bool { return version == newVersion }) {
+	if canary && !ro.hasUpstreamFor(r, isNew) {
 		canary = false
-	} else if !canary && !ro.versionWithdrawn(sr) && !ro.fleet.hasInService(r.Service, r.regions, func(version string) bool { return version != newVersion }) {
+	} else if !canary && !ro.versionWithdrawn(sr) && !ro.fleet.hasInService(r.Service, r.regions, isOld) {
 		canary = true
 	}
-	return func(version string) bool { return (version == newVersion) == canary }
+	if canary {
+		return isNew
+	}
+	return isOld
 }
 
 // hasUpstreamFor reports whether the request can run on an upstream of a matching version. For a
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -111,6 +111,7 @@
 		Service:       sr.order.Service,
 		Version:       sr.order.Version,
 		State:         state,
+		BaseVersion:   sr.baseVersion,
 		OrderRevision: sr.order.Revision,
 		Started:       ro.statuses.StoreClock() - boottime.Since(sr.receivedAt),
 	}
