entry: the timeout of a write starts again when the handler ends

Callers of `serve` saw a connection that ended without an answer, or a stream without its end, if more than the write timeout passed between the last write and the end of the handler.

Cause: a deadline was set at each write, but the server writes what is buffered, and the end of a stream, after the handler has returned, and a flush had the deadline of the write before it. With the default of 30 s hardly anybody meets it.

Ruled out: no deadline at the end, with which a caller that doesn't read holds a handler for ever.

Change: withWriteTimeout extends the deadline when the handler ends, and so does each flush.

The same elsewhere: the gateway sets 10 s at each event of a stream. A stream that is silent for longer before its end may lose that end; not tried, not changed.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,14 +14,13 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", h.serve(&chatFrontend{maxBody: h.settings.MaxBody}))
 	mux.Handle(servicePrefix, h.serve(&serviceFrontend{maxBody: h.settings.MaxBody}))
-	mux.HandleFunc("/", h.serveUnknownPath)
+	mux.Handle("/", withWriteTimeout(h.settings.CallerWriteTimeout, h.serveUnknownPath))
 	return mux
 }
 
 // serve returns a handler that runs each request through the pipeline.
 func (h *Host) serve(frontend Frontend) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
+	return withWriteTimeout(h.settings.CallerWriteTimeout, func(caller *callerWriter, req *http.Request) {
 		r, err := h.decode(frontend, caller, req)
 		if err == nil {
 			err = h.pipeline(req.Context(), r)
@@ -32,6 +31,16 @@
 	})
 }
 
+// withWriteTimeout returns a handler that bounds the time of each write to the caller.
+func withWriteTimeout(timeout time.Duration, handle func(caller *callerWriter, req *http.Request)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		caller := newCallerWriter(w, timeout)
+		// The server writes what is buffered, and the end of a stream, after the handler has returned.
+		defer caller.extendDeadline()
+		handle(caller, req)
+	})
+}
+
 // decode checks the account key before it reads the request, so that no body is read
 // for callers without an account.
 func (h *Host) decode(frontend Frontend, w http.ResponseWriter, req *http.Request) (*Request, error) {
@@ -49,8 +58,7 @@
 	return frontend.Decode(w, req)
 }
 
-func (h *Host) serveUnknownPath(w http.ResponseWriter, req *http.Request) {
-	caller := newCallerWriter(w, h.settings.CallerWriteTimeout)
+func (h *Host) serveUnknownPath(caller *callerWriter, req *http.Request) {
 	r, _ := newRequest(req, KindModel)
 	err := resultcode.New(resultcode.UnknownRoute, "no such path: %s", req.URL.Path)
 	h.countUndecoded(r, err)
@@ -83,7 +91,10 @@
 }
 
 // FlushError implements the interface that http.ResponseController uses.
-func (w *callerWriter) FlushError() error { return w.control.Flush() }
+func (w *callerWriter) FlushError() error {
+	w.extendDeadline()
+	return w.control.Flush()
+}
 
 // extendDeadline sets the write deadline to the timeout from now. If the connection
 // doesn't support deadlines, writes have none.
