feed: a test of paced calls sets the store's answers before the watcher starts

Cause: TestUnheldCallsArePaced failed in a race run of all packages; the watcher had no changes at the end. It was started before the test set the store's answers, so that its first call could get the former one, which is held to the end.

Change: the answers are a parameter of the function that starts the watcher. The checks are the same.

--- a/internal/feed/answerparts_test.go
+++ b/internal/feed/answerparts_test.go
@@ -171,9 +171,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const storeDelay = 3 * time.Second
-		w, source, seen, store := relayedWatcher(t, Options{})
 		began := time.Now()
-		store.set(func(context.Context, storage.Revision) (Page, error) {
+		w, source, seen, _ := relayedWatcherOf(t, Options{}, func(context.Context, storage.Revision) (Page, error) {
 			time.Sleep(time.Millisecond) // a round trip
 			if time.Since(began) < storeDelay {
 				return Page{Revision: 5}, nil
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -35,9 +35,15 @@
 // relayedWatcher runs a watcher that reads its table from the store. The store holds every call
 // for changes until the test sets other answers. The test offers updates to the watcher.
 func relayedWatcher(t *testing.T, options Options) (*Watcher, *scriptedSource, *recorder, *storeAnswers) {
+	t.Helper()
+	return relayedWatcherOf(t, options, func(ctx context.Context, _ storage.Revision) (Page, error) { return hang(ctx) })
+}
+
+// relayedWatcherOf is relayedWatcher with the store's answers to calls for changes.
+func relayedWatcherOf(t *testing.T, options Options, changes func(context.Context, storage.Revision) (Page, error)) (*Watcher, *scriptedSource, *recorder, *storeAnswers) {
 	t.Helper()
 	var a storeAnswers
-	a.set(func(ctx context.Context, _ storage.Revision) (Page, error) { return hang(ctx) })
+	a.set(changes)
 	source := &scriptedSource{
 		list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
 		changes: func(ctx context.Context, _ int, since storage.Revision) (Page, error) { return (*a.Load())(ctx, since) },
