gateway: the replay of roll-outs has no timer for each answer

Cause: the gateway's tests crashed in a race run in TestSoundVersionIsCompletedInTime: SIGSEGV in the detector's own code (StackDepotBase::Put), as timers of a synctest bubble lapse on two threads (docs/design/0007-membership.md). The replay started a timer for each answer and exchange, some thousands a run.

Ruled out: a data race of the replay; the detector reports none, and the address isn't in the tests' code.

Change: answers and exchanges are a list in the order of their times, carried out by the replay's own goroutine.

--- a/internal/gateway/rolloutreplay_test.go
+++ b/internal/gateway/rolloutreplay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,38 @@
 	failureRate func(runs int) float64
 	// runs holds the times of the requests that the new version ran in the last second.
 	runs []time.Time
+	// events are the answers and exchanges to come, in the order of their times. They have no timers of
+	// their own, as the race detector can crash when timers of a synctest bubble lapse on several threads.
+	events []replayEvent
+}
+
+// replayEvent is an action at a time.
+type replayEvent struct {
+	at  time.Time
+	act func()
+}
+
+// after schedules an action.
+func (p *rolloutReplay) after(d time.Duration, act func()) {
+	at := time.Now().Add(d)
+	i, _ := slices.BinarySearchFunc(p.events, at, func(e replayEvent, at time.Time) int {
+		if e.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	p.events = slices.Insert(p.events, i, replayEvent{at, act})
+}
+
+// runUntil lets time pass and carries out the actions that are due.
+func (p *rolloutReplay) runUntil(end time.Time) {
+	for len(p.events) > 0 && !p.events[0].at.After(end) {
+		e := p.events[0]
+		p.events = p.events[1:]
+		time.Sleep(time.Until(e.at))
+		e.act()
+	}
+	time.Sleep(time.Until(end))
 }
 
 // playRollout plays a roll-out until its status is final, at most for the given time, and returns the
@@ -52,7 +85,7 @@
 	ordered := time.Now()
 	nextExchange := ordered
 	for i := 0; time.Since(ordered) < limit; i++ {
-		time.Sleep(time.Second / time.Duration(perSecond))
+		p.runUntil(time.Now().Add(time.Second / time.Duration(perSecond)))
 		if time.Now().After(nextExchange) {
 			nextExchange = time.Now().Add(exchange.Interval)
 			p.exchangeEvidence()
@@ -72,7 +105,7 @@
 	for _, g := range p.hosts {
 		reports = append(reports, g.rollouts.ownEvidence())
 	}
-	time.AfterFunc(exchange.Interval, func() {
+	p.after(exchange.Interval, func() {
 		for i, g := range p.hosts {
 			var others [][]exchange.Evidence
 			for k, report := range reports {
@@ -116,7 +149,7 @@
 	if fails {
 		result.outcome = outcomeFailed
 	}
-	time.AfterFunc(replayAnswer, func() { g.rollouts.observeResult(r, c, result, false) })
+	p.after(replayAnswer, func() { g.rollouts.observeResult(r, c, result, false) })
 }
 
 // runOnNew records a run on the new version and returns the fraction of its answers that fail now.
