gateway: the replay of roll-outs uses the project's event queue

Cause: the replay had a list of events of its own, a twin of simulate.Queue. Ruled out: keeping it for the bubble's clock; the replay lets that follow the queue's.

Change: answers and exchanges are events of the queue. No product code changes.

The gateway's tests passed once, and once under the race detector.

--- a/internal/gateway/rolloutreplay_test.go
+++ b/internal/gateway/rolloutreplay_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
 
@@ -33,38 +33,30 @@
 	failureRate func(runs int) float64
 	// runs holds the times of the requests that the new version ran in the last second.
 	runs []time.Time
-	// events are the answers and exchanges to come, in the order of their times. They have no timers of
-	// their own, as the race detector can crash when timers of a synctest bubble lapse on several threads.
-	events []replayEvent
-}
-
-// replayEvent is an action at a time.
-type replayEvent struct {
-	at  time.Time
-	act func()
+	// queue holds the answers and exchanges to come. They have no timers of their own, as the race detector can
+	// crash when timers of a synctest bubble lapse on several threads. began is the queue's start in the
+	// bubble's time.
+	queue *simulate.Queue
+	began time.Time
 }
 
 // after schedules an action.
 func (p *rolloutReplay) after(d time.Duration, act func()) {
-	at := time.Now().Add(d)
-	i, _ := slices.BinarySearchFunc(p.events, at, func(e replayEvent, at time.Time) int {
-		if e.at.After(at) {
-			return 1
-		}
-		return -1
+	p.queue.After(d, func() {
+		p.sleepUntilQueueTime()
+		act()
 	})
-	p.events = slices.Insert(p.events, i, replayEvent{at, act})
 }
 
-// runUntil lets time pass and carries out the actions that are due.
-func (p *rolloutReplay) runUntil(end time.Time) {
-	for len(p.events) > 0 && !p.events[0].at.After(end) {
-		e := p.events[0]
-		p.events = p.events[1:]
-		time.Sleep(time.Until(e.at))
-		e.act()
-	}
-	time.Sleep(time.Until(end))
+// advance lets time pass and carries out the actions that are due.
+func (p *rolloutReplay) advance(d time.Duration) {
+	p.queue.Run(p.queue.Now().Sub(simulate.Epoch) + d)
+	p.sleepUntilQueueTime()
+}
+
+// sleepUntilQueueTime lets the bubble's time pass up to that of the queue.
+func (p *rolloutReplay) sleepUntilQueueTime() {
+	time.Sleep(time.Until(p.began.Add(p.queue.Now().Sub(simulate.Epoch))))
 }
 
 // playRollout plays a roll-out until its status is final, at most for the given time, and returns the
@@ -72,7 +64,7 @@
 func playRollout(t *testing.T, seed uint64, perSecond int, limit time.Duration, failureRate func(runs int) float64) (state RolloutState, took time.Duration) {
 	p := &rolloutReplay{
 		rolloutHosts: newRolloutHosts(t, replayHosts), rand: rand.New(rand.NewPCG(seed, 0)),
-		perSecond: perSecond, failureRate: failureRate,
+		perSecond: perSecond, failureRate: failureRate, queue: simulate.New(),
 	}
 	for _, g := range p.hosts {
 		g.settings.CanaryHeadroom = 30
@@ -81,11 +73,12 @@
 	}
 	// The hosts' first calls of the store are held when the order arrives.
 	time.Sleep(time.Second)
+	p.began = time.Now()
 	p.order("v2", replayDuration)
 	ordered := time.Now()
 	nextExchange := ordered
 	for i := 0; time.Since(ordered) < limit; i++ {
-		p.runUntil(time.Now().Add(time.Second / time.Duration(perSecond)))
+		p.advance(time.Second / time.Duration(perSecond))
 		if time.Now().After(nextExchange) {
 			nextExchange = time.Now().Add(exchange.Interval)
 			p.exchangeEvidence()
