--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -41,8 +41,8 @@
 // 8105: a hub reads two versions of a large document in one answer over a slow link, while another host has the
 // newer one.
 //
-// 1000503: a host that had restarted never got the newest document. The packed changes for hosts with a newer
-// version, which get it as a difference, were sent to it.
+// 1000503: a host that had restarted never got the newest document. Changes were sent to it that were packed for hosts
+// with a newer version, which get the document as a difference; docs/incidents/0014 names another possible cause.
 var regressionSeeds = []uint64{1, 2, 4, 7, 27, 5004, 5024, 8105, 9800, firstContendedSeed + 1, firstContendedSeed + 2, firstContendedSeed + 3, firstContendedSeed + 503}
 
 // soak is one run with random faults. It checks only what callers and upstreams observe.
