--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -12,6 +12,9 @@
 	Answers int `json:"answers"`
 	Failed  int `json:"failed,omitempty"`
 	Slow    int `json:"slow,omitempty"`
+	// Abandoned is the number of attempts that ended because the caller left or the deadline passed.
+	// Those that had no answer by then aren't among Answers.
+	Abandoned int `json:"abandoned,omitempty"`
 	// BadUpstreamBits has the bit hash(upstream) modulo 64 set for each upstream that gave a
 	// failed or slow answer.
 	BadUpstreamBits uint64 `json:"from,omitempty"`
@@ -22,6 +25,7 @@
 	t.Answers += o.Answers
 	t.Failed += o.Failed
 	t.Slow += o.Slow
+	t.Abandoned += o.Abandoned
 	t.BadUpstreamBits |= o.BadUpstreamBits
 }
 
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -70,6 +70,12 @@
 	return r.outcome == outcomeUnsent || r.outcome == outcomeWithheld || r.neverSent || r.misdirected
 }
 
+// abandonedByCaller reports whether the attempt ended because the caller left or the deadline passed after
+// the request was sent.
+func (r *attemptResult) abandonedByCaller() bool {
+	return r.outcome == outcomeAbandoned && !r.neverSent && !errors.Is(r.err, errLowConfidence) && !errors.Is(r.err, errStreamMoved)
+}
+
 // guardOutcome returns the outcome in the terms of package guard.
 func (r *attemptResult) guardOutcome() guard.Outcome {
 	if r.neverSent {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -118,6 +118,10 @@
 		// The upstream sent no response within the head timeout, which is several times the
 		// expected time.
 		re.countAnswer(o, false, true)
+	case outcomeAbandoned:
+		if result.abandonedByCaller() {
+			re.countAbandoned(o)
+		}
 	}
 }
 
@@ -157,6 +161,18 @@
 	}
 }
 
+// countAbandoned counts an attempt that ended because the caller left or the deadline passed.
+func (re *routeEvidence) countAbandoned(o observation) {
+	if !o.isNew {
+		re.Old.Abandoned++
+		return
+	}
+	re.New.Abandoned++
+	if o.atFullLoad {
+		re.FullLoad.Abandoned++
+	}
+}
+
 // countIn adds the answer to the tally.
 func countIn(tally *exchange.Tally, o observation, failed, slow bool) {
 	if !o.headCounted {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -319,6 +319,7 @@
 		sr.stopped = true
 		ro.log.Warn().Str("event", "rollout-stopped").Str("service", sr.order.Service).Str("version", sr.order.Version).
 			Str("reason", reason).Str("evidence", sr.evidence.String()).Msg("")
+		ro.logEvidence(sr, "stopped")
 	}
 }
 
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -46,6 +46,7 @@
 		sr.inconclusive = true
 		ro.log.Warn().Str("event", "rollout-doubted").Str("service", sr.order.Service).Str("version", sr.order.Version).
 			Str("evidence", sr.evidence.String()).Msg("")
+		ro.logEvidence(sr, "doubted")
 	}
 	return false
 }
@@ -120,6 +121,9 @@
 	}
 	expected := sr.status.Revision
 	evidence := sr.evidence.String()
+	if state == RolloutCompleted {
+		ro.logEvidence(sr, "completed")
+	}
 	ro.mu.Unlock()
 
 	err := ro.commitStatus(ctx, next, expected)
