--- a/internal/gateway/rolloutreplay_test.go
+++ b/internal/gateway/rolloutreplay_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -31,6 +33,11 @@
 	// failureRate returns the fraction of the new version's answers that fail, given the number of
 	// requests that it ran in the last second.
 	failureRate func(runs int) float64
+	// slowdown returns the factor by which an answer of the new version takes longer than one of the old
+	// version; nil for a plain service, whose answers all take replayAnswer.
+	slowdown func(*rand.Rand) float64
+	// patience is the time after which callers leave that have got no answer; 0 if they don't leave.
+	patience time.Duration
 	// runs holds the times of the requests that the new version ran in the last second.
 	runs []time.Time
 	// queue holds the answers and exchanges to come. They have no timers of their own, as the race detector can
@@ -59,13 +66,22 @@
 	time.Sleep(time.Until(p.began.Add(p.queue.Now().Sub(simulate.Epoch))))
 }
 
-// playRollout plays a roll-out until its status is final, at most for the given time, and returns the
-// state and the time since the order.
+// playRollout plays a roll-out of a plain service until its status is final, at most for the given time, and
+// returns the state and the time since the order.
 func playRollout(t *testing.T, seed uint64, perSecond int, limit time.Duration, failureRate func(runs int) float64) (state RolloutState, took time.Duration) {
-	p := &rolloutReplay{
+	return newRolloutReplay(t, seed, perSecond, failureRate).play(limit)
+}
+
+func newRolloutReplay(t *testing.T, seed uint64, perSecond int, failureRate func(runs int) float64) *rolloutReplay {
+	return &rolloutReplay{
 		rolloutHosts: newRolloutHosts(t, replayHosts), rand: rand.New(rand.NewPCG(seed, 0)),
 		perSecond: perSecond, failureRate: failureRate, queue: simulate.New(),
 	}
+}
+
+// play plays the roll-out until its status is final, at most for the given time, and returns the state and the
+// time since the order.
+func (p *rolloutReplay) play(limit time.Duration) (state RolloutState, took time.Duration) {
 	for _, g := range p.hosts {
 		g.settings.CanaryHeadroom = 30
 		g.rollouts.requestRamp, g.rollouts.sessionRamp = newRamp(0.15, 0), newRamp(0.15, sessionsFrom)
@@ -78,7 +94,7 @@
 	ordered := time.Now()
 	nextExchange := ordered
 	for i := 0; time.Since(ordered) < limit; i++ {
-		p.advance(time.Second / time.Duration(perSecond))
+		p.advance(time.Second / time.Duration(p.perSecond))
 		if time.Now().After(nextExchange) {
 			nextExchange = time.Now().Add(exchange.Interval)
 			p.exchangeEvidence()
@@ -139,10 +155,31 @@
 	}
 	c.chosenAt = boottime.Now()
 	result := attemptResult{outcome: outcomeDone, firstByte: replayAnswer}
+	if p.slowdown != nil {
+		c.placement.ExpectedTime = time.Duration(50+p.rand.IntN(350)) * time.Millisecond
+		result.firstByte = time.Duration(float64(c.placement.ExpectedTime) * p.engineNoise())
+		if c.upstream.Version == "v2" {
+			result.firstByte = time.Duration(float64(result.firstByte) * p.slowdown(p.rand))
+		}
+	}
 	if fails {
 		result.outcome = outcomeFailed
 	}
-	p.after(replayAnswer, func() { g.rollouts.observeResult(r, c, result, false) })
+	took := result.firstByte
+	if p.patience > 0 && took > p.patience {
+		took, result = p.patience, attemptResult{outcome: outcomeAbandoned, err: context.Canceled}
+	}
+	p.after(took, func() { g.rollouts.observeResult(r, c, result, false) })
+}
+
+// engineNoise returns an engine's time as a multiple of the expected one. One answer in three waits for prompts
+// of other hosts, and one in six takes more than twice as long as expected.
+func (p *rolloutReplay) engineNoise() float64 {
+	noise := 0.85 * math.Exp(0.3*p.rand.NormFloat64())
+	if p.rand.IntN(3) == 0 {
+		noise *= 1 + 1.5*p.rand.ExpFloat64()
+	}
+	return noise
 }
 
 // runOnNew records a run on the new version and returns the fraction of its answers that fail now.
@@ -192,3 +229,53 @@
 		}
 	}
 }
+
+// slowVersions are ways in which a new version can be slow.
+var slowVersions = []struct {
+	desc     string
+	slowdown func(*rand.Rand) float64
+}{
+	{"a fifth of the answers 8 times", func(rng *rand.Rand) float64 {
+		if rng.IntN(5) == 0 {
+			return 8
+		}
+		return 1
+	}},
+	{"all answers 2.4 times", func(*rand.Rand) float64 { return 2.4 }},
+}
+
+// A version that was slow on a part of its requests was completed, since the times of an old version with
+// busy engines vary more than the test permitted the new one's to.
+func TestSlowVersionIsNotCompleted(t *testing.T) {
+	for _, slow := range slowVersions {
+		for _, perSecond := range []int{19, 90} {
+			for seed := range uint64(5) {
+				t.Run(fmt.Sprint(slow.desc, ", ", perSecond, " requests a second, seed ", seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						p := newRolloutReplay(t, seed, perSecond, func(int) float64 { return 0 })
+						p.slowdown = slow.slowdown
+						state, took := p.play(replayDuration + 10*time.Second)
+						t.Logf("%s after %s", state, took)
+						is.New(t).Equal(state, RolloutReverted)
+					})
+				})
+			}
+		}
+	}
+}
+
+// The attempts that callers abandon were no evidence, so that a version without any answer was completed where
+// requests are few.
+func TestVersionWithoutAnswersIsNotCompleted(t *testing.T) {
+	for _, perSecond := range []int{1, 3, 19} {
+		t.Run(fmt.Sprint(perSecond, " requests a second"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newRolloutReplay(t, 0, perSecond, func(int) float64 { return 0 })
+				p.slowdown, p.patience = func(*rand.Rand) float64 { return 1e6 }, 2*time.Second
+				state, took := p.play(replayDuration + 10*time.Second)
+				t.Logf("%s after %s", state, took)
+				is.New(t).True(state != RolloutCompleted)
+			})
+		})
+	}
+}
