gateway: a roll-out compares the distributions of answer times, and answers that don't come count

Cause: times counted as slow or not at twice the expected time, where a fifth of the old version's answers is slow by that measure, and a version was completed with 30 of 100 more; those at full load weren't looked at. Attempts that the caller or the deadline ends, and those under way, counted nowhere, so that a version without any answer had no bad one.

Change: hosts count answer times in 16 buckets as multiples of the expected ones, and unanswered requests by the time waited (rollout.TimeCounts). The likelihood ratio of 20 slowdowns against the old version's own distribution stops the version, and completing it needs material ones excluded. The time to the first event is the one of the event, not of the head, and times between events count as well.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 
+	"github.com/quetzalweir/quetzalweir/rollout"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -55,6 +56,31 @@
 	v.FullLoad.Add(o.FullLoad)
 }
 
+// upstreamGroups is the number of groups into which VersionTimes divides the new version's upstreams.
+const upstreamGroups = 2
+
+// VersionTimes holds the answer times of both versions of a service, over all routes. The new version's are
+// divided by a hash of the upstream: a slow version is slow in both groups, a single slow upstream is in one.
+type VersionTimes struct {
+	Old rollout.TimeCounts                 `json:"old,omitzero"`
+	New [upstreamGroups]rollout.TimeCounts `json:"new,omitzero"`
+	// FullLoad holds those times of New whose requests were sent while the new version got all requests
+	// of the service.
+	FullLoad [upstreamGroups]rollout.TimeCounts `json:"full,omitzero"`
+}
+
+// UpstreamGroup returns the index in VersionTimes of the upstream's group.
+func UpstreamGroup(upstream string) int { return int(hash(upstream) % upstreamGroups) }
+
+// Add adds another host's counts.
+func (v *VersionTimes) Add(o VersionTimes) {
+	v.Old.Add(o.Old)
+	for i := range upstreamGroups {
+		v.New[i].Add(o.New[i])
+		v.FullLoad[i].Add(o.FullLoad[i])
+	}
+}
+
 // Evidence holds the answers that one host or several hosts counted during the roll-out of a
 // service.
 type Evidence struct {
@@ -68,12 +94,18 @@
 	BelowFullLoad int `json:"below_full,omitempty"`
 	// Routes holds the counts by route.
 	Routes map[string]VersionTallies `json:"routes"`
+	// FirstEvents holds the times to the first byte or event, EventGaps the mean times between the
+	// events at the beginning of streams.
+	FirstEvents VersionTimes `json:"first,omitzero"`
+	EventGaps   VersionTimes `json:"gaps,omitzero"`
 }
 
 // add adds the counts of other hosts.
 func (e *Evidence) add(o Evidence) {
 	e.Hosts += o.Hosts
 	e.BelowFullLoad += o.BelowFullLoad
+	e.FirstEvents.Add(o.FirstEvents)
+	e.EventGaps.Add(o.EventGaps)
 	for route, counts := range o.Routes {
 		sum := e.Routes[route]
 		sum.Add(counts)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -130,6 +130,7 @@
 		return attemptResult{}, err
 	}
 	takeBack := d.recordSent(r, a)
+	d.gateway.rollouts.observeStart(r, &a.choice)
 	target := a.choice.upstream.guardUpstream()
 	d.gateway.guard.Begin(target, r.Digest, r.partDigests...)
 	var result attemptResult
@@ -138,7 +139,11 @@
 			d.gateway.holds.wake(r)
 			d.gateway.rollouts.observeHead(r, &a.choice, head.firstByte)
 			a.headCounted = true
-			return d.acceptHead(r, a, models, head)
+			accepted := d.acceptHead(r, a, models, head)
+			if !accepted {
+				d.gateway.rollouts.observeFirstEvent(r, &a.choice, head.firstByte)
+			}
+			return accepted
 		})
 	} else {
 		result = a.runBuffered(ctx)
@@ -298,11 +303,12 @@
 // one poison request terminated are enough to stop the roll-out of a sound version.
 func (d *dispatch) observeVersion(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
-	if isRelayFailure(result.err) {
+	if !isRelayFailure(result.err) && result.outcome != outcomeBroken && result.outcome != outcomeUnknown {
+		g.rollouts.observeResult(r, &a.choice, result, a.headCounted)
 		return
 	}
-	if result.outcome != outcomeBroken && result.outcome != outcomeUnknown {
-		g.rollouts.observeResult(r, &a.choice, result, a.headCounted)
+	g.rollouts.observeCutOff(r, &a.choice)
+	if isRelayFailure(result.err) {
 		return
 	}
 	if g.rollouts.evaluating(r.Service) {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -61,6 +61,12 @@
 	remoteRoutes        map[string]exchange.VersionTallies
 	remoteHosts         int
 	remoteBelowFullLoad int
+	// ownFirstEvents and ownEventGaps hold the answer times that this host counted, remoteFirstEvents and
+	// remoteEventGaps those that the other hosts counted.
+	ownFirstEvents, ownEventGaps       exchange.VersionTimes
+	remoteFirstEvents, remoteEventGaps exchange.VersionTimes
+	// pending holds the attempts under way that have no first event yet.
+	pending map[*choice]pendingAnswer
 	// cutOffAt holds for each upstream, by id, the time of the last counted answer that it cut off.
 	cutOffAt map[string]time.Time
 }
@@ -69,12 +75,13 @@
 type routeEvidence struct {
 	exchange.VersionTallies
 	// oldMeanTime is the decayed mean time to the first byte on the old version, without slow
-	// answers; it is computed for plain services only.
+	// answers; it is computed for plain services only. oldMeanGap is the mean time between events.
 	oldMeanTime time.Duration
+	oldMeanGap  time.Duration
 }
 
 func newEvidence() evidence {
-	return evidence{ownRoutes: make(map[string]*routeEvidence), cutOffAt: make(map[string]time.Time)}
+	return evidence{ownRoutes: make(map[string]*routeEvidence), cutOffAt: make(map[string]time.Time), pending: make(map[*choice]pendingAnswer)}
 }
 
 // observation describes the attempt whose answer is counted. isNew is set if the attempt's upstream
@@ -90,6 +97,8 @@
 	headCounted bool
 	// atFullLoad is set if the request was sent while the new version got all requests.
 	atFullLoad bool
+	// sentAt is when the attempt began; zero if it isn't known.
+	sentAt time.Time
 }
 
 // observeHead counts the head of a stream as an answer when it arrives. Failures are counted at
@@ -120,7 +129,7 @@
 		re.countAnswer(o, false, true)
 	case outcomeAbandoned:
 		if result.abandonedByCaller() {
-			re.countAbandoned(o)
+			re.countAbandoned(o, now)
 		}
 	}
 }
@@ -137,17 +146,26 @@
 // isSlow reports whether an answer with this time to its first byte counts as slow. For a plain
 // service it also adds the times of the old version's answers that aren't slow to oldMeanTime.
 func (re *routeEvidence) isSlow(o observation, took time.Duration) bool {
+	slow := re.exceedsSlowLimit(o, took)
+	if o.expected == 0 && !o.isNew && !slow {
+		updateMean(&re.oldMeanTime, took)
+	}
+	return slow
+}
+
+func (re *routeEvidence) exceedsSlowLimit(o observation, took time.Duration) bool {
 	if o.expected > 0 {
 		return took > o.expected+slowExcess && took > slowFactor*o.expected
 	}
-	slow := re.oldMeanTime > 0 && took > plainSlowMin && took > plainSlowFactor*re.oldMeanTime
-	if !o.isNew && !slow {
-		if re.oldMeanTime == 0 {
-			re.oldMeanTime = took
-		}
-		re.oldMeanTime += time.Duration(oldMeanGain * float64(took-re.oldMeanTime))
+	return re.oldMeanTime > 0 && took > plainSlowMin && took > plainSlowFactor*re.oldMeanTime
+}
+
+// updateMean adds a time to a decayed mean.
+func updateMean(mean *time.Duration, took time.Duration) {
+	if *mean == 0 {
+		*mean = took
 	}
-	return slow
+	*mean += time.Duration(oldMeanGain * float64(took-*mean))
 }
 
 func (re *routeEvidence) countAnswer(o observation, failed, slow bool) {
@@ -162,14 +180,19 @@
 }
 
 // countAbandoned counts an attempt that ended because the caller left or the deadline passed.
-func (re *routeEvidence) countAbandoned(o observation) {
-	if !o.isNew {
-		re.Old.Abandoned++
-		return
+func (re *routeEvidence) countAbandoned(o observation, now time.Time) {
+	tallies := []*exchange.Tally{&re.Old}
+	if o.isNew {
+		tallies = []*exchange.Tally{&re.New}
+		if o.atFullLoad {
+			tallies = append(tallies, &re.FullLoad)
+		}
 	}
-	re.New.Abandoned++
-	if o.atFullLoad {
-		re.FullLoad.Abandoned++
+	for _, t := range tallies {
+		t.Abandoned++
+		if !o.headCounted && !o.sentAt.IsZero() && re.exceedsSlowLimit(o, now.Sub(o.sentAt)) {
+			t.AddBadUpstream(o.upstream)
+		}
 	}
 }
 
@@ -192,6 +215,7 @@
 // setRemote stores the sums of what the other hosts counted.
 func (e *evidence) setRemote(sum exchange.Evidence) {
 	e.remoteRoutes, e.remoteHosts, e.remoteBelowFullLoad = sum.Routes, sum.Hosts, sum.BelowFullLoad
+	e.remoteFirstEvents, e.remoteEventGaps = sum.FirstEvents, sum.EventGaps
 }
 
 // ownCounts returns the numbers of answers that this host counted per version, by route.
--- a/internal/gateway/rolloutlog.go
+++ b/internal/gateway/rolloutlog.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 )
 
@@ -16,6 +18,8 @@
 // logEvidence logs the answers on which the end of a roll-out is decided, one line a route: those that this
 // host counted, and the sums over all hosts.
 func (ro *rollouts) logEvidence(sr *serviceRollout, cause string) {
+	ro.logTimes(sr, cause, "first-event", sr.evidence.firstEvents(boottime.Now()), fullLoadWeight)
+	ro.logTimes(sr, cause, "event-gap", sr.evidence.eventGaps(), 0)
 	own, all := sr.evidence.ownCounts(), sr.evidence.allCounts()
 	for i, route := range slices.Sorted(maps.Keys(all)) {
 		if i == maxLoggedRoutes {
@@ -29,6 +33,21 @@
 	}
 }
 
+// logTimes logs the numbers of answers on all hosts by their time as a multiple of the expected one, in buckets
+// of half a doubling, and the logarithms of the likelihood ratios that decide.
+func (ro *rollouts) logTimes(sr *serviceRollout, cause, kind string, times exchange.VersionTimes, fullLoadWeight float64) {
+	newTimes, fullLoad := sumGroups(times.New), sumGroups(times.FullLoad)
+	ro.log.Info().Str("event", "rollout-times").Str("service", sr.order.Service).Str("version", sr.order.Version).
+		Str("cause", cause).Str("kind", kind).
+		Float64("log_ratio", tenths(compareAll(times, fullLoadWeight).LogRatio())).
+		Float64("full_load_log_ratio", tenths(compareFullLoad(times, fullLoadWeight).LogRatio())).
+		Ints("old", times.Old.Answered[:]).Ints("old_unanswered", times.Old.Unanswered[:]).
+		Ints("new", newTimes.Answered[:]).Ints("new_unanswered", newTimes.Unanswered[:]).
+		Ints("full_load", fullLoad.Answered[:]).Ints("full_load_unanswered", fullLoad.Unanswered[:]).Msg("")
+}
+
+func tenths(x float64) float64 { return math.Round(10*x) / 10 }
+
 func addTallies(line *zerolog.Event, prefix string, v exchange.VersionTallies) {
 	for _, t := range []struct {
 		name  string
--- a/internal/gateway/rolloutreplay_test.go
+++ b/internal/gateway/rolloutreplay_test.go
@@ -165,6 +165,7 @@
 	if fails {
 		result.outcome = outcomeFailed
 	}
+	g.rollouts.observeStart(r, c)
 	took := result.firstByte
 	if p.patience > 0 && took > p.patience {
 		took, result = p.patience, attemptResult{outcome: outcomeAbandoned, err: context.Canceled}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -239,16 +239,38 @@
 	ro.addObservation(r, c, func(e *evidence, o observation) { e.observeHead(o, took) })
 }
 
+// observeStart records that an attempt is under way.
+func (ro *rollouts) observeStart(r *Request, c *choice) {
+	ro.addObservation(r, c, func(e *evidence, o observation) { e.startAnswer(c, o) })
+}
+
+// observeFirstEvent counts the time to the first event of an attempt for its version.
+func (ro *rollouts) observeFirstEvent(r *Request, c *choice, took time.Duration) {
+	ro.addObservation(r, c, func(e *evidence, o observation) { e.observeFirstEvent(c, o, took) })
+}
+
+// observeEventGap counts the mean time between the first events of a stream for its version.
+func (ro *rollouts) observeEventGap(r *Request, c *choice, gap time.Duration) {
+	ro.addObservation(r, c, func(e *evidence, o observation) { e.observeEventGap(o, gap) })
+}
+
+// observeCutOff records that an attempt ended whose cause isn't known yet.
+func (ro *rollouts) observeCutOff(r *Request, c *choice) {
+	ro.addObservation(r, c, func(e *evidence, o observation) { delete(e.pending, c) })
+}
+
 // observeResult counts the result of an attempt for its version. headCounted is set if observeHead
 // counted the head of its answer. A request that a version fails several times counts once: some
 // requests fail at each attempt, and the tests assume that failures are independent.
 func (ro *rollouts) observeResult(r *Request, c *choice, result attemptResult, headCounted bool) {
 	ro.addObservation(r, c, func(e *evidence, o observation) {
+		now := boottime.Now()
+		o.headCounted = headCounted
+		e.endAnswer(c, o, result, now)
 		if result.outcome == outcomeFailed && !r.addFailedVersion(c.upstream.Version) {
 			return
 		}
-		o.headCounted = headCounted
-		e.observeEnd(o, result, boottime.Now())
+		e.observeEnd(o, result, now)
 	})
 }
 
@@ -276,6 +298,7 @@
 		isNew:      c.upstream.Version == sr.order.Version,
 		expected:   c.placement.ExpectedTime,
 		atFullLoad: !sr.fullLoadSince.IsZero() && !c.chosenAt.Before(sr.fullLoadSince),
+		sentAt:     c.chosenAt,
 	})
 	ro.evaluate(sr)
 }
@@ -287,7 +310,10 @@
 	var list []exchange.Evidence
 	for _, sr := range ro.byService {
 		if sr.running() {
-			own := exchange.Evidence{Service: sr.order.Service, Order: sr.order.Revision, Hosts: 1, Routes: sr.evidence.ownCounts()}
+			own := exchange.Evidence{
+				Service: sr.order.Service, Order: sr.order.Revision, Hosts: 1, Routes: sr.evidence.ownCounts(),
+				FirstEvents: sr.evidence.ownFirstEventsAt(boottime.Now()), EventGaps: sr.evidence.ownEventGaps,
+			}
 			if !sr.sendsAllToNew() {
 				own.BelowFullLoad = 1
 			}
@@ -312,10 +338,22 @@
 	}
 }
 
-// evaluate stops the new version if the evidence shows that it is worse.
+// evaluate stops the new version if its numbers of bad answers show that it is worse.
 func (ro *rollouts) evaluate(sr *serviceRollout) {
-	upstreams := ro.fleet.countVersion(sr.order.Service, sr.order.Version)
-	if reason := sr.evidence.stopReason(upstreams); reason != "" {
+	ro.stopFor(sr, sr.evidence.stopReason(ro.fleet.countVersion(sr.order.Service, sr.order.Version)))
+}
+
+// evaluateTimes stops the new version if its answer times show that it is worse. The comparison takes too long
+// to be made at each answer.
+func (ro *rollouts) evaluateTimes(sr *serviceRollout) {
+	if sr.running() && !sr.stopped {
+		ro.stopFor(sr, sr.evidence.timesStopReason(ro.fleet.countVersion(sr.order.Service, sr.order.Version), boottime.Now()))
+	}
+}
+
+// stopFor stops the new version, unless the reason is empty.
+func (ro *rollouts) stopFor(sr *serviceRollout, reason string) {
+	if reason != "" {
 		sr.stopped = true
 		ro.log.Warn().Str("event", "rollout-stopped").Str("service", sr.order.Service).Str("version", sr.order.Version).
 			Str("reason", reason).Str("evidence", sr.evidence.String()).Msg("")
@@ -348,6 +386,7 @@
 		}
 		ro.raiseShares(sr)
 		sr.updateFullLoad(boottime.Now())
+		ro.evaluateTimes(sr)
 		next, due := ro.dueStatus(sr)
 		if !due || sr.writing || !ro.shouldWriteNow(sr, next) {
 			continue
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -39,7 +39,8 @@
 // new version and the old one ready to take over. For a service that gets too few answers for that,
 // it suffices that none of them is bad.
 func (ro *rollouts) isConclusive(sr *serviceRollout) bool {
-	if sr.evidence.sufficesToComplete() && ro.fullLoadSuffices(sr) || ro.fewAnswersNoneBad(sr) {
+	timesSuffice := sr.evidence.timesSuffice(ro.progress(sr) >= timesDueAt, boottime.Now())
+	if sr.evidence.sufficesToComplete() && ro.fullLoadSuffices(sr) && timesSuffice || ro.fewAnswersNoneBad(sr) {
 		return true
 	}
 	if !sr.inconclusive && ro.progress(sr) >= almostDueAt {
@@ -57,7 +58,8 @@
 
 // fewAnswersNoneBad reports whether, in at least half of the roll-out's duration, the service gave
 // fewer answers than minConclusiveAnswers and none of the new version's was bad. A failure on a route
-// on which the old version fails, too, doesn't count as bad unless it is suspected.
+// on which the old version fails, too, doesn't count as bad unless it is suspected. The answer times mustn't
+// speak for a slower version.
 func (ro *rollouts) fewAnswersNoneBad(sr *serviceRollout) bool {
 	routes := sr.evidence.allCounts()
 	for _, v := range routes {
@@ -67,7 +69,7 @@
 	}
 	v := sumRoutes(routes)
 	return boottime.Since(sr.receivedAt) >= sr.order.Duration/2 &&
-		v.Old.Answers+v.New.Answers < minConclusiveAnswers && v.New.Slow == 0
+		v.Old.Answers+v.New.Answers < minConclusiveAnswers && sr.evidence.timesUnsuspicious(boottime.Now())
 }
 
 // shouldWriteNow reports whether this host should write the due status now. The status becomes due
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -113,13 +113,15 @@
 	mover := a.gateway.newStreamMover(resp.Request.Context(), a)
 	defer mover.end()
 	defer func() { a.gateway.streamPauses.get(a.request.responseTimeKey()).observe(longest) }()
+	pace := eventPace{attempt: a}
 	for {
 		waitStart := time.Now()
 		a.idleTimer.start(limit)
 		mover.startWait(out)
 		ev, err := events.next()
 		a.idleTimer.stop() // the caller's read time doesn't count as the upstream's idle time
-		longest = max(longest, time.Since(waitStart))
+		waited := time.Since(waitStart)
+		longest = max(longest, waited)
 		if errors.Is(err, io.EOF) {
 			if err := mover.complete(out); err != nil {
 				return err
@@ -134,6 +136,7 @@
 			return err
 		}
 		mover.endWait()
+		pace.observe(waited)
 		if result.firstByte = a.timeToFirstEvent(result.firstByte, out); out.alreadySent(ev) {
 			continue
 		}
@@ -149,6 +152,28 @@
 	}
 }
 
+// eventPace observes the times of a stream's first events as evidence on the upstream's version.
+type eventPace struct {
+	attempt *attempt
+	events  int
+	// waited is the time waited for the events after the first.
+	waited time.Duration
+}
+
+// observe records an event, given the time waited for it.
+func (p *eventPace) observe(waited time.Duration) {
+	a := p.attempt
+	p.events++
+	if p.events == 1 {
+		a.gateway.rollouts.observeFirstEvent(a.request, &a.choice, time.Since(a.startedAt))
+		return
+	}
+	p.waited += waited
+	if p.events == gapEvents {
+		a.gateway.rollouts.observeEventGap(a.request, &a.choice, p.waited/(gapEvents-1))
+	}
+}
+
 // timeToFirstEvent returns the time since the attempt began, or current if an event of the answer
 // was passed on already.
 func (a *attempt) timeToFirstEvent(current time.Duration, out *answerWriter) time.Duration {
