gateway: a host that stopped a version uses it once another host has completed it

Callers of such a host would have been refused every request of the service: the old version's upstreams end with the completion, and the host's own stop kept the new one from it. The host logs rollout-stop-overruled with its evidence.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -165,6 +165,12 @@
 	s.OrderRevision = sr.order.Revision
 	sr.status = s
 	sr.writeAt = time.Time{}
+	if sr.stopped && s.State == RolloutCompleted {
+		// The old version's upstreams stop. Without the new one, this host would refuse all requests.
+		sr.stopped = false
+		ro.log.Warn().Str("event", "rollout-stop-overruled").Str("service", s.Service).Str("version", s.Version).
+			Str("evidence", sr.evidence.String()).Msg("")
+	}
 	ro.log.Info().Str("event", "rollout-status").Str("service", s.Service).Str("version", s.Version).
 		Str("state", s.State.String()).Stringer("revision", s.Revision).Msg("")
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -366,3 +366,17 @@
 	rows.Change(feed.Row{Key: "document", Deleted: true, Revision: 11})
 	is.Equal(tg.gateway.routingTable.Load().Version, uint64(9)) // the document stays in force after an invalid row and a removal
 }
+
+// A host that had stopped a version refused all requests after another host had completed it, since the old
+// version's upstreams end then.
+func TestStoppedVersionThatAnotherHostCompletedIsUsed(t *testing.T) {
+	is := is.New(t)
+	ro := newRolloutInProgress()
+	sr := ro.byService["svc"]
+	sr.stopped = true
+	ro.fleet.RemoveEntry("a", 2, false)
+	r := newRoutedRequest()
+	is.True(!ro.versionFilter(r)("v2"))
+	ro.setStatus(RolloutStatus{Service: "svc", Version: "v2", State: RolloutCompleted, OrderRevision: 5, Revision: 6})
+	is.True(ro.versionFilter(r)("v2"))
+}
