gateway: answers that don't end take bounded memory, and are told truthfully

Change: a head has 64 kB, an event 256 kB; buffered answers of more than 64 kB share 24 MB; of a rejection 16 kB are read; blank lines and comments are no events, and 64 kB of them in a row end a stream. What the gateway gives up reading isn't held against the request's content (guard) as an end of the upstream. Texts of errors are bounded, and what net/http logs goes to the structured log. A response to a request to copy a run that is too long is an error, not a handle.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"os"
 	"os/signal"
@@ -57,6 +58,8 @@
 	out := logline.NewBoundedWriter(os.Stdout)
 	defer out.Close()
 	log := logline.New(out, level).With().Str("host", fileSettings.Host).Logger()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logline.NewLibraryWriter(log))
 	stopReloads := c.logReloads(fileSettings, log)
 	defer stopReloads()
 	return gateway.New(c.settings(fileSettings), log).Run(ctx)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net/url"
 	"os"
 	"os/signal"
@@ -57,6 +58,9 @@
 		c.print(s.out, settings)
 		return nil
 	}
+	log := c.logger(s)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logline.NewLibraryWriter(log))
 	platformClient := client.New(c.Platform, client.Options{})
 	defer platformClient.Close()
 	host, err := entry.New(settings, entry.Platform{
@@ -64,7 +68,7 @@
 		Objects: platformClient.Objects(),
 		Hosts:   platformClient.Hosts(),
 		Rater:   platformClient.Rater(),
-	}, c.logger(s))
+	}, log)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -91,6 +91,18 @@
 	return w.flush()
 }
 
+// writeEmptyEvent passes blank lines or a comment on to the caller, if an event was passed on before.
+func (w *answerWriter) writeEmptyEvent(ev event) error {
+	if w.events == 0 {
+		return nil
+	}
+	_ = w.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if _, err := w.writer.Write(ev.text); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	return w.flush()
+}
+
 // writeBuffered writes a complete answer.
 func (w *answerWriter) writeBuffered(answer *bufferedAnswer) error {
 	w.started = true
--- a/internal/gateway/answertimes.go
+++ b/internal/gateway/answertimes.go
@@ -31,18 +31,14 @@
 
 // pendingAnswer is an attempt under way without a first event.
 type pendingAnswer struct {
-	route      string
-	upstream   string
-	isNew      bool
-	atFullLoad bool
-	sentAt     time.Time
+	observation
 	// reference is the expected time to the first event; 0 if it isn't known.
 	reference time.Duration
 }
 
 // startAnswer records that an attempt is under way.
 func (e *evidence) startAnswer(c *choice, o observation) {
-	e.pending[c] = pendingAnswer{route: o.route, upstream: o.upstream, isNew: o.isNew, atFullLoad: o.atFullLoad, sentAt: o.sentAt, reference: e.route(o.route).reference(o)}
+	e.pending[c] = pendingAnswer{o, e.route(o.route).reference(o)}
 }
 
 // reference returns the expected time to the first event; 0 if it isn't known.
@@ -58,7 +54,7 @@
 	delete(e.pending, c)
 	if reference := e.route(o.route).reference(o); reference > 0 {
 		bucket := rollout.TimeBucket(float64(took) / float64(reference))
-		eachCounts(&e.ownFirstEvents, o.upstream, o.isNew, o.atFullLoad, func(t *rollout.TimeCounts) { t.Answered[bucket]++ })
+		eachCounts(&e.ownFirstEvents, o, func(t *rollout.TimeCounts) { t.Answered[bucket]++ })
 	}
 }
 
@@ -75,8 +71,7 @@
 		e.observeFirstEvent(c, o, result.firstByte)
 	case result.outcome == outcomeSilent || result.abandonedByCaller():
 		if !o.sentAt.IsZero() {
-			reference := e.route(o.route).reference(o)
-			countUnanswered(&e.ownFirstEvents, pendingAnswer{upstream: o.upstream, isNew: o.isNew, atFullLoad: o.atFullLoad, sentAt: o.sentAt, reference: reference}, now)
+			countUnanswered(&e.ownFirstEvents, pendingAnswer{o, e.route(o.route).reference(o)}, now)
 		}
 	}
 }
@@ -87,7 +82,7 @@
 	re := e.route(o.route)
 	if reference := re.oldMeanGap; reference > 0 {
 		bucket := rollout.TimeBucket(float64(gap) / float64(reference))
-		eachCounts(&e.ownEventGaps, o.upstream, o.isNew, o.atFullLoad, func(t *rollout.TimeCounts) { t.Answered[bucket]++ })
+		eachCounts(&e.ownEventGaps, o, func(t *rollout.TimeCounts) { t.Answered[bucket]++ })
 	}
 	if !o.isNew && (re.oldMeanGap == 0 || gap < plainSlowFactor*re.oldMeanGap) {
 		updateMean(&re.oldMeanGap, gap)
@@ -122,18 +117,18 @@
 		return
 	}
 	bucket := rollout.TimeBucket(float64(now.Sub(p.sentAt)) / float64(p.reference))
-	eachCounts(times, p.upstream, p.isNew, p.atFullLoad, func(t *rollout.TimeCounts) { t.Unanswered[bucket]++ })
+	eachCounts(times, p.observation, func(t *rollout.TimeCounts) { t.Unanswered[bucket]++ })
 }
 
 // eachCounts calls count for the counts that an answer belongs to.
-func eachCounts(times *exchange.VersionTimes, upstream string, isNew, atFullLoad bool, count func(*rollout.TimeCounts)) {
-	if !isNew {
+func eachCounts(times *exchange.VersionTimes, o observation, count func(*rollout.TimeCounts)) {
+	if !o.isNew {
 		count(&times.Old)
 		return
 	}
-	group := exchange.UpstreamGroup(upstream)
+	group := exchange.UpstreamGroup(o.upstream)
 	count(&times.New[group])
-	if atFullLoad {
+	if o.atFullLoad {
 		count(&times.FullLoad[group])
 	}
 }
@@ -157,34 +152,35 @@
 
 // isSlower reports whether the new version's answers take longer than can be explained by chance or by a single
 // slow upstream: both groups of its upstreams speak for it. If all answers are of one group, severalBad decides.
-func isSlower(times exchange.VersionTimes, severalBad bool, fullLoadWeight float64) bool {
-	if times.Old.Total() < minReferenceTimes || !compareAll(times, fullLoadWeight).IsSlower(timesAlpha) {
+func isSlower(times exchange.VersionTimes, severalBad bool, weight float64) bool {
+	if times.Old.Total() < minReferenceTimes || !compareAll(times, weight).IsSlower(timesAlpha) {
 		return false
 	}
 	for i, group := range times.New {
-		if group.Total() == 0 && !severalBad || compareDiscounted(times.Old, group, times.FullLoad[i], fullLoadWeight).LogRatio() < 0 {
+		if group.Total() == 0 && !severalBad || compareDiscounted(times.Old, group, times.FullLoad[i], weight).LogRatio() < 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// compareAll compares all times of the new version with the old version's.
-func compareAll(times exchange.VersionTimes, fullLoadWeight float64) rollout.TimeComparison {
-	return compareDiscounted(times.Old, sumGroups(times.New), sumGroups(times.FullLoad), fullLoadWeight)
+// compareAll compares all times of the new version with the old version's. Those at full load count as the given
+// part of an answer.
+func compareAll(times exchange.VersionTimes, weight float64) rollout.TimeComparison {
+	return compareDiscounted(times.Old, sumGroups(times.New), sumGroups(times.FullLoad), weight)
 }
 
 // compareDiscounted compares the new version's times with the old version's. fullLoad are those of them that
 // count as the given part of an answer.
-func compareDiscounted(old, all, fullLoad rollout.TimeCounts, fullLoadWeight float64) rollout.TimeComparison {
+func compareDiscounted(old, all, fullLoad rollout.TimeCounts, weight float64) rollout.TimeComparison {
 	all.Subtract(fullLoad)
-	return rollout.CompareTimes(old, all).Add(fullLoad, fullLoadWeight)
+	return rollout.CompareTimes(old, all).Add(fullLoad, weight)
 }
 
 // compareFullLoad compares the new version's times at full load with the old version's.
-func compareFullLoad(times exchange.VersionTimes, fullLoadWeight float64) rollout.TimeComparison {
+func compareFullLoad(times exchange.VersionTimes, weight float64) rollout.TimeComparison {
 	fullLoad := sumGroups(times.FullLoad)
-	return compareDiscounted(times.Old, fullLoad, fullLoad, fullLoadWeight)
+	return compareDiscounted(times.Old, fullLoad, fullLoad, weight)
 }
 
 func sumGroups(groups [2]rollout.TimeCounts) rollout.TimeCounts {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,9 +20,13 @@
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
-// maxBufferedAnswer bounds the size of an answer that is held in memory, in bytes. An attempt fails
-// if its answer is larger. Answers of plain services are a few kilobytes.
-const maxBufferedAnswer = 16 << 20
+const (
+	// maxBufferedAnswer bounds the size of an answer that is held in memory, in bytes. An attempt fails
+	// if its answer is larger. Answers of plain services are a few kilobytes.
+	maxBufferedAnswer = 16 << 20
+	// maxRejectionBody bounds how much of the body of a rejection is read, in bytes.
+	maxRejectionBody = 16 << 10
+)
 
 // Errors of answers that can't be passed on as the upstream's answer to this request.
 var (
@@ -95,7 +99,7 @@
 		if errors.Is(cause, errResponseTimeout) {
 			return nil, errResponseTimeout
 		}
-		return nil, err
+		return nil, boundedError{err}
 	}
 	a.answerHeader = resp.Header
 	// The context is canceled when the body is closed, which every caller of send does.
@@ -105,7 +109,7 @@
 	a.gateway.unknownHeaders.observe(resp.Header, a.choice.upstream.ID)
 	if err := a.checkResponse(resp); err != nil {
 		resp.Body.Close()
-		return nil, err
+		return nil, boundedError{err}
 	}
 	if !a.misdirected(resp) {
 		names := &a.gateway.settings.Headers
@@ -114,6 +118,23 @@
 	return resp, nil
 }
 
+// maxErrorText bounds the text of an attempt's error, in bytes.
+const maxErrorText = 256
+
+// boundedError is an error whose text may contain what an upstream sent.
+type boundedError struct {
+	error
+}
+
+// Error implements error.
+func (e boundedError) Error() string {
+	text := e.error.Error()
+	return text[:min(len(text), maxErrorText)]
+}
+
+// Unwrap returns the error.
+func (e boundedError) Unwrap() error { return e.error }
+
 // traceRelay returns a context for the request that records by which host its connection is relayed.
 func (a *attempt) traceRelay(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -288,15 +309,15 @@
 // readBuffered reads the response's body and returns the attempt's result.
 func (a *attempt) readBuffered(ctx context.Context, resp *http.Response) attemptResult {
 	result := a.parseHead(resp)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
-	if err == nil && len(body) > maxBufferedAnswer {
-		err = errAnswerTooLong
-	}
 	if a.notRun(resp) {
+		// The rest of the body is read so that the connection can be used again.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxRejectionBody)
 		result.outcome = outcomeRefused
 		result.misdirected = a.misdirected(resp)
 		return result
 	}
+	body, reserved, err := a.gateway.answerMemory.readAnswer(resp.Body)
+	a.request.answerMemory += reserved
 	a.runState.Raise(runstate.Ran)
 	if err != nil {
 		result.outcome = outcomeBroken
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -76,6 +76,11 @@
 	return r.outcome == outcomeAbandoned && !r.neverSent && !errors.Is(r.err, errLowConfidence) && !errors.Is(r.err, errStreamMoved)
 }
 
+// isOverlong reports whether the gateway gave up reading an answer because it was too long.
+func (r *attemptResult) isOverlong() bool {
+	return errors.Is(r.err, errAnswerTooLong) || errors.Is(r.err, errAnswerMemory) || errors.Is(r.err, errNoEvents)
+}
+
 // guardOutcome returns the outcome in the terms of package guard.
 func (r *attemptResult) guardOutcome() guard.Outcome {
 	if r.neverSent {
@@ -88,6 +93,9 @@
 		if isRelayFailure(r.err) {
 			return guard.Abandoned // the run may go on
 		}
+		if r.isOverlong() {
+			return guard.Answered // the gateway closed the connection, not the upstream
+		}
 		return guard.Interrupted
 	case outcomeAbandoned, outcomeSilent:
 		return guard.Abandoned
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -91,6 +91,7 @@
 	})
 	t.IdleConnTimeout = idleConnTimeout
 	t.MaxIdleConnsPerHost = maxIdlePerUpstream
+	t.MaxResponseHeaderBytes = maxAnswerHeader
 	return t
 }
 
@@ -307,7 +308,7 @@
 	if t.healthPath == "" {
 		return nil
 	}
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+t.healthPath, http.NoBody)
 	if err != nil {
 		return err
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -26,6 +26,7 @@
 		Session: req.Header.Get(names.Session),
 	}
 	r.answer = newAnswerWriter(w, req, g.stopping.Load(), req.Header.Get(names.LastEventID))
+	defer func() { g.answerMemory.release(r.answerMemory) }()
 	err := g.process(req.Context(), r)
 	g.finish(r, err)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	upstreamWatcher *feed.Watcher
 	peers           *exchange.Member
 	retryBudgets    lazyValues[retryBudget]
+	answerMemory    answerMemory
 	promptSizes     lazyValues[promptSizes]
 	// responseTimes holds the mean time to the first byte of an answer, by service, model and
 	// route.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,6 +50,8 @@
 	// relativePromptSize is the mean prompt size of the route divided by that of the service.
 	relativePromptSize float64
 
+	// answerMemory is the memory that the request's buffered answers take, in bytes.
+	answerMemory int64
 	// failedVersions are the versions of the service that failed the request.
 	failedVersions []string
 	// heldFor is the time for which the request was held. arrived is set once it was decided for the
--- a/internal/gateway/rolloutlog.go
+++ b/internal/gateway/rolloutlog.go
@@ -35,12 +35,12 @@
 
 // logTimes logs the numbers of answers on all hosts by their time as a multiple of the expected one, in buckets
 // of half a doubling, and the logarithms of the likelihood ratios that decide.
-func (ro *rollouts) logTimes(sr *serviceRollout, cause, kind string, times exchange.VersionTimes, fullLoadWeight float64) {
+func (ro *rollouts) logTimes(sr *serviceRollout, cause, kind string, times exchange.VersionTimes, weight float64) {
 	newTimes, fullLoad := sumGroups(times.New), sumGroups(times.FullLoad)
 	ro.log.Info().Str("event", "rollout-times").Str("service", sr.order.Service).Str("version", sr.order.Version).
 		Str("cause", cause).Str("kind", kind).
-		Float64("log_ratio", tenths(compareAll(times, fullLoadWeight).LogRatio())).
-		Float64("full_load_log_ratio", tenths(compareFullLoad(times, fullLoadWeight).LogRatio())).
+		Float64("log_ratio", tenths(compareAll(times, weight).LogRatio())).
+		Float64("full_load_log_ratio", tenths(compareFullLoad(times, weight).LogRatio())).
 		Ints("old", times.Old.Answered[:]).Ints("old_unanswered", times.Old.Unanswered[:]).
 		Ints("new", newTimes.Answered[:]).Ints("new_unanswered", newTimes.Unanswered[:]).
 		Ints("full_load", fullLoad.Answered[:]).Ints("full_load_unanswered", fullLoad.Unanswered[:]).Msg("")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,8 +14,15 @@
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
+const (
+	// maxEvent bounds one event of a stream, in bytes. Events hold a few tokens.
+	maxEvent = 256 << 10
+	// maxEmptyEvents bounds the blank lines and comments between two events of a stream, in bytes.
+	maxEmptyEvents = 64 << 10
+)
+
+// errNoEvents means that a stream consists of blank lines and comments.
+var errNoEvents = errors.New("gateway: the stream has too many blank lines and comments")
 
 // errEventOrder means that the ids of a stream's events aren't consecutive.
 var errEventOrder = errors.New("gateway: events out of order")
@@ -29,6 +36,16 @@
 	text []byte
 }
 
+// isEmpty reports whether the event consists of a blank line and comments.
+func (ev *event) isEmpty() bool {
+	for line := range bytes.Lines(ev.text) {
+		if line[0] != ':' && line[0] != '\r' && line[0] != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventReader splits a stream into whole events.
 type eventReader struct {
 	reader *bufio.Reader
@@ -64,6 +81,23 @@
 	}
 }
 
+// nextWithContent returns the next event that isn't empty. Empty ones before it are passed on if the caller has
+// received an event.
+func (r *eventReader) nextWithContent(out *answerWriter) (event, error) {
+	for size := 0; ; {
+		ev, err := r.next()
+		if err != nil || !ev.isEmpty() {
+			return ev, err
+		}
+		if size += len(ev.text); size > maxEmptyEvents {
+			return event{}, errNoEvents
+		}
+		if err := out.writeEmptyEvent(ev); err != nil {
+			return event{}, err
+		}
+	}
+}
+
 // runStream runs an attempt whose answer is passed on event by event. accept decides by the
 // answer's head whether the answer is passed on at all.
 func (a *attempt) runStream(ctx context.Context, accept func(attemptResult) bool) attemptResult {
@@ -118,7 +152,7 @@
 		waitStart := time.Now()
 		a.idleTimer.start(limit)
 		mover.startWait(out)
-		ev, err := events.next()
+		ev, err := events.nextWithContent(out)
 		a.idleTimer.stop() // the caller's read time doesn't count as the upstream's idle time
 		waited := time.Since(waitStart)
 		longest = max(longest, waited)
--- a/internal/gateway/streammovecopy.go
+++ b/internal/gateway/streammovecopy.go
@@ -152,7 +152,10 @@
 		return "", 0, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyResponse))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyResponse+1))
+	if err == nil && len(data) > maxCopyResponse {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		return "", resp.StatusCode, fmt.Errorf("gateway: response to the request to copy a run: %w", err)
 	}
