--- a/upstream/status.go
+++ b/upstream/status.go
@@ -4,15 +4,22 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
-// maxErrorMessage limits how much of the body of an error response is kept, in
-// bytes.
-const maxErrorMessage = 512
+const (
+	// maxErrorMessage limits how much of the body of an error response is kept, in
+	// bytes.
+	maxErrorMessage = 512
+	// errorMessageTimeout limits the time for reading it.
+	errorMessageTimeout = time.Second
+)
 
 // statusError returns the response as a StatusError and closes its body.
 func statusError(resp *http.Response) *StatusError {
 	defer resp.Body.Close()
+	timeout := time.AfterFunc(errorMessageTimeout, func() { resp.Body.Close() })
+	defer timeout.Stop()
 	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorMessage))
 	return &StatusError{
 		Status:     resp.StatusCode,
