--- a/internal/gateway/answertimes.go
+++ b/internal/gateway/answertimes.go
@@ -151,7 +151,8 @@
 }
 
 // isSlower reports whether the new version's answers take longer than can be explained by chance or by a single
-// slow upstream: both groups of its upstreams speak for it. If all answers are of one group, severalBad decides.
+// slow upstream: the times of both groups of its upstreams favor a slower version. If all answers are of one group,
+// severalBad decides.
 func isSlower(times exchange.VersionTimes, severalBad bool, weight float64) bool {
 	if times.Old.Total() < minReferenceTimes || !compareAll(times, weight).IsSlower(timesAlpha) {
 		return false
@@ -190,8 +191,8 @@
 }
 
 // timesSuffice reports whether the answer times suffice to complete the new version: they exclude that it is
-// materially slower, with certainty or, if almostDue is set, rather than not; and neither those at full load nor the
-// times between events raise a suspicion.
+// materially slower or, if almostDue is set, no such slowdown explains them better than chance; and it isn't suspected
+// because of its times at full load or between events.
 func (e *evidence) timesSuffice(almostDue bool, now time.Time) bool {
 	first := e.firstEvents(now)
 	if compareFullLoad(first, fullLoadWeight).IsSlower(suspectAlpha) || compareAll(e.eventGaps(), 0).IsSlower(suspectAlpha) {
@@ -201,7 +202,7 @@
 	return all.IsNotSlower(timesCompletionAlpha) || almostDue && all.LogRatio() <= 0 && all.IsNotSlower(1)
 }
 
-// timesUnsuspicious reports whether the answer times don't speak for a slower version.
+// timesUnsuspicious reports whether the answer times don't favor a slower version.
 func (e *evidence) timesUnsuspicious(now time.Time) bool {
 	return compareAll(e.firstEvents(now), fullLoadWeight).LogRatio() <= 0
 }
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -59,7 +59,7 @@
 // fewAnswersNoneBad reports whether, in at least half of the roll-out's duration, the service gave
 // fewer answers than minConclusiveAnswers and none of the new version's was bad. A failure on a route
 // on which the old version fails, too, doesn't count as bad unless it is suspected. The answer times mustn't
-// speak for a slower version.
+// favor a slower version.
 func (ro *rollouts) fewAnswersNoneBad(sr *serviceRollout) bool {
 	routes := sr.evidence.allCounts()
 	for _, v := range routes {
--- a/rollout/times.go
+++ b/rollout/times.go
@@ -164,8 +164,8 @@
 // the baseline's distribution lacks.
 func (t TimeComparison) IsSlower(alpha float64) bool { return t.LogRatio() >= math.Log(1/alpha) }
 
-// IsNotSlower reports whether the candidate excludes that two fifths of its answers take 2.8 times as long as the
-// baseline's, a fifth four times or nearly all twice. For a candidate of which one of these holds, it ever
+// IsNotSlower reports whether the candidate's times exclude that two fifths of its answers take 2.8 times as long as
+// the baseline's, a fifth four times or nearly all twice. For a candidate of which one of these holds, it ever
 // returns true with a probability of at most alpha.
 func (t TimeComparison) IsNotSlower(alpha float64) bool {
 	for _, s := range materialSlowdowns {
@@ -177,7 +177,7 @@
 }
 
 // LogRatio returns the logarithm of the likelihood ratio of the mixed alternatives against a candidate as fast
-// as the baseline: positive if the answers speak for a slower candidate.
+// as the baseline: positive if the answers favor a slower candidate.
 func (t TimeComparison) LogRatio() float64 {
 	ratios := make([]float64, len(slowdowns))
 	highest := math.Inf(-1)
