--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -27,8 +27,11 @@
 	head, repeated string
 	pause          time.Duration
 	sent           atomic.Int64
-	open           atomic.Int64
-	requests       atomic.Int64
+	// open is the number of connections on which an answer is being sent. unused is that of the connections
+	// without a request, which the gateway opened for a request that it didn't send by then.
+	open     atomic.Int64
+	unused   atomic.Int64
+	requests atomic.Int64
 }
 
 func startEndlessUpstream(t *testing.T, head, repeated string, pause time.Duration) *endlessUpstream {
@@ -45,9 +48,7 @@
 			if err != nil {
 				return
 			}
-			u.open.Add(1)
 			group.Go(func() {
-				defer u.open.Add(-1)
 				defer conn.Close()
 				u.serve(conn)
 			})
@@ -58,10 +59,14 @@
 }
 
 func (u *endlessUpstream) serve(conn net.Conn) {
+	u.unused.Add(1)
 	req, err := http.ReadRequest(bufio.NewReader(conn))
+	u.unused.Add(-1)
 	if err != nil {
 		return
 	}
+	u.open.Add(1)
+	defer u.open.Add(-1)
 	_, _ = io.Copy(io.Discard, req.Body)
 	u.requests.Add(1)
 	if _, err := io.WriteString(conn, strings.ReplaceAll(u.head, "ID", req.Header.Get("T-Id"))); err != nil {
@@ -149,7 +154,7 @@
 			group.Wait()
 			took := time.Since(began)
 			stopSampling()
-			t.Logf("%s, heap grew by %d kB, %d requests, %d kB sent", took.Round(time.Millisecond), growth.Load()>>10, u.requests.Load(), u.sent.Load()>>10)
+			t.Logf("%s, heap grew by %d kB, %d requests, %d kB sent, %d unused connections", took.Round(time.Millisecond), growth.Load()>>10, u.requests.Load(), u.sent.Load()>>10, u.unused.Load())
 			is.Equal(complete.Load(), int64(0))
 			is.True(took <= maxTime)
 			is.True(growth.Load() <= maxHeapGrowth)
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -18,7 +18,7 @@
 )
 
 // startEndless starts a server that answers a request with head and then sends repeated, with the given pause
-// between two writes, until the connection is closed. open is the number of its open connections.
+// between two writes, until the connection is closed. open is the number of connections on which it does.
 func startEndless(t *testing.T, head, repeated string, pause time.Duration) (target Target, open *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -28,12 +28,13 @@
 	open = new(atomic.Int64)
 	var group sync.WaitGroup
 	serve := func(conn net.Conn) {
-		defer open.Add(-1)
 		defer conn.Close()
 		req, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
 		}
+		open.Add(1)
+		defer open.Add(-1)
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(conn, head)
 		block := []byte(repeated)
@@ -53,7 +54,6 @@
 			if err != nil {
 				return
 			}
-			open.Add(1)
 			group.Go(func() { serve(conn) })
 		}
 	})
