--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -122,7 +122,7 @@
 func TestEndlessAnswersAreBounded(t *testing.T) {
 	const (
 		atATime = 100
-		// maxHeapGrowth is a third of the memory of a small host.
+		// maxHeapGrowth is what a host with 284 MB can spare, in bytes.
 		maxHeapGrowth = 96 << 20
 		// maxTime is far above the callers' deadline of 1.5 s.
 		maxTime = 20 * time.Second
--- a/internal/gateway/rolloutrates_test.go
+++ b/internal/gateway/rolloutrates_test.go
@@ -10,10 +10,10 @@
 
 var rolloutSeeds = flag.Uint64("rollout.seeds", 2, "number of replays for each row of TestErrorRatesOfRollouts")
 
-// The error rates of whole roll-outs, from a few requests a second on. The target: a sound version is stopped in
-// fewer than one of 200, and a version that is slow on a tenth of its requests or more is completed in fewer than
-// one of 100 where there are 19 requests a second or more.
+// Sound versions were completed late and slow ones were completed. At most one of 200 sound versions may be stopped,
+// and at most one of 100 slow ones be completed where requests suffice to tell.
 func TestErrorRatesOfRollouts(t *testing.T) {
+	// conclusiveFrom is the number of requests a second from which on they suffice.
 	const conclusiveFrom = 19
 	part := func(fraction, factor float64) func(*rand.Rand) float64 {
 		return func(rng *rand.Rand) float64 {
