--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/notice"
 )
@@ -20,10 +23,97 @@
 	}
 	s.brittle.Record(limit, now)
 	if m := s.chosenMember(c); m != nil && full && s.brittle.Active(now) {
+		m.ensureNotices().rejections.Record(now)
 		m.extendBackoff(s.brittle.RejectionBackoff(s.policy.hostCount()), now, f.log)
 	}
 }
 
+// brittleBound names the bound by which a request was permitted at an upstream that may be brittle.
+type brittleBound string
+
+const (
+	// boundNone: no answer had stated, or none recently, that the upstreams are brittle.
+	boundNone brittleBound = "none"
+	// boundSingleHost: there is no other host.
+	boundSingleHost brittleBound = "single-host"
+	// boundHostsUnknown: the number of hosts is unknown, so that this one has one request in flight.
+	boundHostsUnknown brittleBound = "hosts-unknown"
+	// boundShare: the host's share of the slots. boundTurn: its turn, where hosts outnumber the slots.
+	boundShare brittleBound = "share"
+	boundTurn  brittleBound = "turn"
+	// boundTrial: the first request after a backoff.
+	boundTrial brittleBound = "trial"
+)
+
+// brittleDecision is the data by which a request was permitted at an upstream that may be brittle.
+type brittleDecision struct {
+	bound brittleBound
+	// limit is the number of rejections in a second that the upstreams bear by the statement that was
+	// received statedAge ago; 0 if there is none.
+	limit     int
+	statedAge time.Duration
+	// load is the number of requests that the upstream was assumed to have, running and waiting, by data of
+	// the source and age. own is the number of those of this host, hosts the number of hosts; 0 if unknown.
+	load       float64
+	loadSource loadSource
+	loadAge    time.Duration
+	own, hosts int
+}
+
+// brittleDecision returns the data by which a request to the upstream is permitted now. The caller holds the
+// shard's lock.
+func (m *member) brittleDecision(now time.Time) brittleDecision {
+	s := m.shard
+	d := brittleDecision{bound: boundNone, limit: s.brittle.Limit(), statedAge: s.brittle.Age(now), own: m.inFlight, hosts: s.policy.hostCount()}
+	if !s.brittle.Active(now) {
+		return d
+	}
+	d.load = m.requestLoad(now)
+	d.loadSource, d.loadAge = m.requestLoadSource(now)
+	switch {
+	case m.notices != nil && !m.notices.backoff.IsOver(now):
+		d.bound = boundTrial
+	case s.policy.singleHost:
+		d.bound = boundSingleHost
+	case d.hosts == 0:
+		d.bound = boundHostsUnknown
+	case d.hosts > m.Slots:
+		d.bound = boundTurn
+	default:
+		d.bound = boundShare
+	}
+	return d
+}
+
+// log adds the decision to a log line.
+func (d *brittleDecision) log(line *zerolog.Event) *zerolog.Event {
+	return line.Str("bound", string(d.bound)).Int("rejections_per_s", d.limit).Int64("stated_ms", d.statedAge.Milliseconds()).
+		Float64("load", math.Round(10*d.load)/10).Str("load_from", string(d.loadSource)).Int64("load_age_ms", d.loadAge.Milliseconds()).
+		Int("own", d.own).Int("hosts", d.hosts)
+}
+
+// logBrittleRejection logs and counts that a brittle upstream rejected the request because it is full, with
+// the data by which the request was permitted and the load that the upstream states in its answer.
+func (a *attempt) logBrittleRejection(resp *http.Response) {
+	c, names := &a.choice, &a.gateway.settings.Headers
+	line := a.gateway.log.Warn().Str("event", "brittle-rejection").Str("request", a.request.ID).Str("service", c.upstream.Service).Str("upstream", c.upstream.ID).
+		Int("attempt", a.request.attempts).Int64("since_choice_ms", boottime.Since(c.chosenAt).Milliseconds()).Str("stated_load", headerText(resp.Header.Values(names.Load)))
+	c.brittle.log(line).Msg("")
+	a.gateway.metrics.countBrittleRejection(c.upstream.Service, c.brittle.bound)
+}
+
+// logBrittleEnd logs and counts the termination of an upstream that had stated that it is brittle. The caller
+// holds the shard's lock.
+func (m *member) logBrittleEnd(now time.Time, log zerolog.Logger) {
+	d, own := m.brittleDecision(now), 0
+	if m.notices != nil {
+		own = m.notices.rejections.Count(now)
+	}
+	line := log.Warn().Str("event", "brittle-upstream-ended").Str("service", m.Service).Str("upstream", m.ID).Str("zone", m.Zone).
+		Int("own_rejections", own)
+	d.log(line).Msg("")
+}
+
 // brittleAllows reports whether this host may send another request to an upstream that may be brittle. The
 // caller holds the shard's lock.
 func (m *member) brittleAllows(now time.Time) bool {
@@ -51,6 +141,18 @@
 	return load
 }
 
+// requestLoadSource returns the source of requestLoad and the age of its data.
+func (m *member) requestLoadSource(now time.Time) (loadSource, time.Duration) {
+	if _, ok := m.totalWork(now); ok && !m.shard.servesPrompts {
+		return loadFromExchange, now.Sub(m.shard.remoteWorkAt)
+	}
+	reportedAt := m.usageSnapshot().reportedAt
+	if reportedAt.IsZero() {
+		return loadFromMean, 0
+	}
+	return loadFromReport, now.Sub(reportedAt)
+}
+
 // reportedRequests returns the number of requests at the upstream by its own reports and, as these age,
 // by the mean of its service.
 func (m *member) reportedRequests(now time.Time) float64 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -51,6 +51,8 @@
 	criteria criteria
 	// chosenAt is the time of the choice.
 	chosenAt time.Time
+	// brittle is the data by which the request was permitted if the upstream is brittle.
+	brittle brittleDecision
 }
 
 // criteria are the inputs of the choice of an upstream.
@@ -120,6 +122,7 @@
 	c.upstream, c.entryRevision = m.Upstream, m.revision
 	c.load = m.load(now)
 	c.loadSource, c.loadAge = m.loadSource(now)
+	c.brittle = m.brittleDecision(now)
 	m.startRequest(c)
 	m.recordSent(now)
 }
--- a/internal/gateway/incarnation.go
+++ b/internal/gateway/incarnation.go
@@ -173,7 +173,11 @@
 func (f *Fleet) ejectTerminated(idHash exchange.IDHash) {
 	f.eachShard(func(s *shard) {
 		if m := s.membersByHash[idHash]; m != nil {
-			m.ensureUsage().ejectedUntil = boottime.Now().Add(terminatedEjection)
+			now := boottime.Now()
+			m.ensureUsage().ejectedUntil = now.Add(terminatedEjection)
+			if s.brittle.Active(now) {
+				m.logBrittleEnd(now, f.log)
+			}
 		}
 	})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -138,6 +138,12 @@
 	}
 }
 
+// countBrittleRejection counts a request that a brittle upstream rejected because it is full, by the bound that
+// had permitted it.
+func (m *gatewayMetrics) countBrittleRejection(service string, bound brittleBound) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_brittle_rejections_total{service=%q,bound=%q}`, service, bound)).Inc()
+}
+
 // countHold counts a request that was held, and the time for which it was.
 func (m *gatewayMetrics) countHold(service string, held time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_held_total{service=%q}`, service)).Inc()
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -21,6 +21,9 @@
 	// was last logged of it.
 	backoff notice.Backoff
 	logged  loggedBackoff
+	// rejections are those of this host's requests that the upstream made because it is full while it was
+	// brittle.
+	rejections notice.Rejections
 }
 
 // loggedBackoff is the backoff that was last logged for an upstream.
@@ -55,6 +58,9 @@
 	}
 	full := resp.StatusCode == http.StatusServiceUnavailable && a.notRun(resp)
 	a.gateway.fleet.observeBrittle(&a.choice, n.Brittle, full)
+	if full && n.Brittle > 0 {
+		a.logBrittleRejection(resp)
+	}
 	a.gateway.fleet.observeNotice(&a.choice, n, resp.StatusCode != http.StatusServiceUnavailable)
 }
 
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -52,6 +53,41 @@
 	return b.limit > 0 && now.Sub(b.statedAt) < brittleRetention
 }
 
+// Limit returns the number of rejections in a second that the upstreams bear by their last statement; 0 if
+// they made none.
+func (b *Brittle) Limit() int { return b.limit }
+
+// Age returns the time since the last statement; 0 if there is none.
+func (b *Brittle) Age(now time.Time) time.Duration {
+	if b.limit == 0 {
+		return 0
+	}
+	return now.Sub(b.statedAt)
+}
+
+// Rejections counts the requests of this host that a brittle upstream rejected recently because it is full.
+// The zero value is ready for use.
+type Rejections struct{ times []time.Time }
+
+// rejectionSpan is the time in which an upstream's limit bounds its rejections.
+const rejectionSpan = time.Second
+
+// Record records a rejection.
+func (r *Rejections) Record(now time.Time) {
+	r.times = append(slices.DeleteFunc(r.times, func(at time.Time) bool { return now.Sub(at) >= rejectionSpan }), now)
+}
+
+// Count returns the number of rejections within the last second.
+func (r *Rejections) Count(now time.Time) int {
+	n := 0
+	for _, at := range r.times {
+		if now.Sub(at) < rejectionSpan {
+			n++
+		}
+	}
+	return n
+}
+
 // BrittleUse is the use of a brittle upstream.
 type BrittleUse struct {
 	// Load is the estimated number of requests of all hosts, running and waiting, Slots the number that
