quarantine: requests aren't blamed for upstreams that their load ends

Five losses sufficed for a verdict, whatever share of the terminations they were: a sound request is sent six times at most, which holds while upstreams end for rare reasons. While a service is brittle, a request has to have been lost with at least half of the upstreams that ended in the span; TestRequestsLostWithOverloadedUpstreamsAreJudged got a verdict on the sound request before. A poison request among few other terminations is found as before; among many by load it is found later. The lines request-suspected and request-judged tell brittle.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// isBrittle reports whether the upstream is one of a service whose upstreams are brittle.
+func (f *Fleet) isBrittle(id exchange.IDHash) (brittle bool) {
+	now := boottime.Now()
+	f.eachShard(func(s *shard) { brittle = brittle || s.membersByHash[id] != nil && s.brittle.Active(now) })
+	return brittle
+}
+
 // brittleBound names the bound by which a request was permitted at an upstream that may be brittle.
 type brittleBound string
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
 		Refuses:       g.egress.refusesConnections,
 		OnTermination: func(i quarantine.Incarnation) { g.fleet.ejectTerminated(exchange.IDHash(i)) },
+		Brittle:       func(i quarantine.Incarnation) bool { return g.fleet.isBrittle(exchange.IDHash(i)) },
 	})
 	g.returns.start(g)
 	g.shares.configure(g)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -68,6 +68,9 @@
 	// OnTermination is called once for each upstream that terminated, whichever host observed
 	// it. It may be nil.
 	OnTermination func(quarantine.Incarnation)
+	// Brittle reports whether an upstream had stated that it terminates when it rejects too many requests, so
+	// that its load may be the cause of its end. It may be nil.
+	Brittle func(quarantine.Incarnation) bool
 	// OnEvent is called for each event to be counted, with the service that it concerns; the
 	// service is empty for verdicts.
 	OnEvent func(event CountedEvent, service string)
@@ -117,6 +120,9 @@
 	if options.OnTermination == nil {
 		options.OnTermination = func(quarantine.Incarnation) {}
 	}
+	if options.Brittle == nil {
+		options.Brittle = func(quarantine.Incarnation) bool { return false }
+	}
 	if options.Refuses == nil {
 		options.Refuses = func(ctx context.Context, address string) bool { return refusesAlone(ctx, address, options.Others) }
 	}
@@ -171,7 +177,7 @@
 		g.register.Add(v, now)
 		g.options.OnEvent(CountVerdict, "")
 		g.log.Warn().Str("event", "request-judged").Stringer("digest", f.Digest).Int("events", f.Events).
-			Int("upstreams", f.Upstreams).Int("lost", f.UnexplainedTerminations).Int64("until_ms", v.ExpiresAt.Milliseconds()).Msg("")
+			Int("upstreams", f.Upstreams).Int("lost", f.UnexplainedTerminations).Bool("brittle", f.Brittle).Int64("until_ms", v.ExpiresAt.Milliseconds()).Msg("")
 		g.notifyWaiting()
 	}
 }
@@ -204,17 +210,18 @@
 func (g *Guard) recordTermination(u Upstream, ago time.Duration, runs []candidateRun) {
 	now := boottime.Elapsed()
 	at := now - ago
+	brittle := g.options.Brittle(u.Incarnation)
 	g.options.OnEvent(CountTerminated, u.Service)
 	for _, run := range runs {
 		d := run.digest
-		loss := quarantine.Loss{Digest: d, Incarnation: u.Incarnation, At: at, Ran: run.ran}
+		loss := quarantine.Loss{Digest: d, Incarnation: u.Incarnation, At: at, Ran: run.ran, Brittle: brittle}
 		if !g.tracker.RecordLoss(loss) {
 			continue
 		}
 		g.addLoss(loss)
 		g.verdictStore.renewAfterTrial(d)
 		if n := g.tracker.EventCount(d, now); n > 1 {
-			g.log.Warn().Str("event", "request-suspected").Stringer("digest", d).Int("events", n).Str("upstream", u.ID).Msg("")
+			g.log.Warn().Str("event", "request-suspected").Stringer("digest", d).Int("events", n).Str("upstream", u.ID).Bool("brittle", brittle).Msg("")
 		}
 	}
 	g.addTermination(u.Incarnation, at)
--- a/internal/guard/hubexchange.go
+++ b/internal/guard/hubexchange.go
@@ -116,7 +116,7 @@
 	now := boottime.Elapsed()
 	var fresh exchange.Sightings
 	for _, l := range s.Losses {
-		if g.tracker.RecordLoss(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: now - l.Age, Ran: l.Ran}) {
+		if g.tracker.RecordLoss(quarantine.Loss{Digest: l.Digest, Incarnation: l.Incarnation, At: now - l.Age, Ran: l.Ran, Brittle: g.options.Brittle(l.Incarnation)}) {
 			fresh.Losses = append(fresh.Losses, l)
 			g.addTermination(l.Incarnation, now-l.Age)
 		}
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -56,6 +56,8 @@
 	// the number of all upstreams that terminated, for no known cause, between the first and the
 	// last termination with the request.
 	Events, Upstreams, UnexplainedTerminations int
+	// Brittle is set if one of the upstreams was brittle.
+	Brittle bool
 }
 
 // FindPoisonRequests returns the requests found to be poison requests, and records verdicts on
@@ -91,10 +93,10 @@
 		return Finding{}, false
 	}
 	leading := eventTimes(t.leadingLosses(d, history, now))
-	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(d, losses[0].at, losses[len(losses)-1].at)}
+	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(d, losses[0].at, losses[len(losses)-1].at), Brittle: t.hasBrittleLoss(history)}
 	required := f.requiredEvents()
 	if s, ok := t.survived.Peek(d); ok && now-s.lastAt < survivalRetention {
-		required = minEventsAnyShare
+		required = max(required, minEventsAnyShare)
 	}
 	return f, len(leading) >= required && now-leading[required-1] >= SettleDelay
 }
@@ -112,11 +114,21 @@
 		return maxPartLosses + 1
 	case share >= mediumShare:
 		return minEventsMediumShare
+	case f.Brittle:
+		return maxLosses + 1
 	default:
 		return minEventsAnyShare
 	}
 }
 
+// hasBrittleLoss reports whether one of the upstreams that were lost with the request was brittle. The lock must be held.
+func (t *Tracker) hasBrittleLoss(history *lossHistory) bool {
+	return slices.ContainsFunc(history.losses, func(l Loss) bool {
+		upstream, ok := t.terminated.Peek(l.Incarnation)
+		return ok && upstream.brittle
+	})
+}
+
 // leadingLosses returns, in order of time, the request's losses in which no other request lost
 // with the same upstream has as many events. The lock must be held.
 func (t *Tracker) leadingLosses(d Digest, history *lossHistory, now time.Duration) []timedLoss {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -42,9 +42,10 @@
 	// poison requests at the same time have a share of half each.
 	minEventsMediumShare = 4
 	mediumShare          = 0.5
-	// minEventsAnyShare is the minimum number of events for a verdict whatever the share. A
-	// sound request is sent six times at most, including its caller's retry, and rarely has
-	// five events.
+	// minEventsAnyShare is the minimum number of events for a verdict whatever the share, unless one of
+	// the upstreams was brittle: while these terminate because of their load, a request that is sent again each
+	// time can be lost at as many. A sound request is sent six times at most, including its caller's retry,
+	// and rarely has five events otherwise.
 	minEventsAnyShare = 5
 
 	// lossRetention is the age up to which a loss counts. A poison request whose losses are
@@ -79,6 +80,8 @@
 	At time.Duration
 	// Ran is how long the request had been at the upstream by then.
 	Ran time.Duration
+	// Brittle is set if the upstream had stated that it terminates when it rejects too many requests.
+	Brittle bool
 }
 
 // Tracker finds poison requests from losses and survivals. It is safe for concurrent use. All
@@ -115,6 +118,8 @@
 	explained, explainedByPart bool
 	// simultaneous is the number of other upstreams that terminated within EventWindow.
 	simultaneous int
+	// brittle is set if the upstream may have terminated because of its load.
+	brittle bool
 }
 
 // massTerminations is the number of simultaneous terminations from which on they say nothing about parts: a
@@ -226,6 +231,7 @@
 		t.terminated.Add(l.Incarnation, upstream)
 	}
 	upstream.at = min(upstream.at, l.At)
+	upstream.brittle = upstream.brittle || l.Brittle
 	return upstream
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -71,6 +71,32 @@
 	is.Equal(len(tr.FindPoisonRequests(1750*ms+SettleDelay)), 2)
 }
 
+// While brittle upstreams terminate one after the other because of their load, a sound request that is sent again each
+// time is lost with several of them. A request that is lost with most of them is the cause all the same.
+func TestRequestsLostWithOverloadedUpstreamsAreJudged(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	lose := func(i int, request uint64) {
+		tr.RecordLoss(Loss{Digest: digest(request), Incarnation: Incarnation(i), At: time.Duration(i) * 100 * ms, Ran: time.Second, Brittle: true})
+	}
+	for i := range 40 {
+		lose(i, uint64(100+i))
+		if i%6 == 0 {
+			lose(i, 1) // seven times
+		}
+	}
+	is.Equal(tr.FindPoisonRequests(10*time.Second), nil)
+	for i := 200; i < 206; i++ {
+		lose(i, uint64(100+i))
+		if i != 203 {
+			lose(i, 2)
+		}
+	}
+	findings := tr.FindPoisonRequests(30 * time.Second)
+	is.Equal(len(findings), 1)
+	is.Equal(findings[0].Digest, digest(2))
+}
+
 // A popular request that runs at many upstreams which are killed at once has one event, however
 // many upstreams these are.
 func TestUpstreamsKilledAtOnceAreOneEvent(t *testing.T) {
