gateway: the requests of all hosts at brittle upstreams are bounded by their sum

Cause: the bound held by turns. Each second as many hosts as slots, at least, might have a request at an upstream, whatever was there already: a request that lasts longer than a turn stays while the next hosts send theirs. The load was that of the service's mean, although the hosts exchange their requests in flight by engine.

Now a host may send a part of the places that are free: the slots, less the requests of all hosts by the newest data (the exchange's, or the upstream's own), of which some have ended since by the mean time of a request, less this host's own. What it sent since the data was taken stands for what the others sent. The sum in flight is bounded so for any number of hosts, slots and duration, also without data: turns then last several times as long as a request. Places are kept free for chance, and more while upstreams reject. Loads of engines are exchanged for all brittle services, and the mean time of a request counts those in flight. Without any answer a service stays brittle, since a host that may send nothing gets none; backoffs after rejections have no bound of 10 s, and end with the statements; callers that are refused because no place is free return after a second or so and not after five minutes.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -49,7 +49,10 @@
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
 // Elapsed returns the time since the start of the process.
-func Elapsed() time.Duration { return Now().Sub(start) }
+func Elapsed() time.Duration { return SinceStart(Now()) }
+
+// SinceStart returns the time from the start of the process to t, which must be a time of this clock.
+func SinceStart(t time.Time) time.Duration { return t.Sub(start) }
 
 // suspension returns the time for which the host has been suspended since start.
 func suspension(now time.Time) time.Duration {
--- a/internal/exchange/enginestate.go
+++ b/internal/exchange/enginestate.go
@@ -81,6 +81,9 @@
 // Slowdowns holds the sums of slowdown samples by engine. placement.Slowdown.NewestAt isn't sent.
 type Slowdowns map[EngineID]placement.Slowdown
 
+// EngineLoadsAge is the age that the loads of engines can have when a host receives them.
+const EngineLoadsAge = exchangesPerLoads * Interval
+
 const (
 	// exchangesPerLoads is the number of exchanges of which one carries engine loads. One lost
 	// exchange must not make them older than MaxWorkAge.
--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/notice"
 )
 
@@ -23,7 +25,10 @@
 	}
 	s.brittle.Record(limit, now)
 	if m := s.chosenMember(c); m != nil && full && s.brittle.Active(now) {
-		m.ensureNotices().rejections.Record(now)
+		notices := m.ensureNotices()
+		notices.rejections.Record(now)
+		notices.backoffFromRejection = notices.backoffFromRejection || !notices.backoff.Active(now)
+		s.brittle.RecordRejection(s.policy.hostCount(), len(s.members), now)
 		m.extendBackoff(s.brittle.RejectionBackoff(s.policy.hostCount()), now, f.log)
 	}
 }
@@ -45,9 +50,8 @@
 	boundSingleHost brittleBound = "single-host"
 	// boundHostsUnknown: the number of hosts is unknown, so that this one has one request in flight.
 	boundHostsUnknown brittleBound = "hosts-unknown"
-	// boundShare: the host's share of the slots. boundTurn: its turn, where hosts outnumber the slots.
-	boundShare brittleBound = "share"
-	boundTurn  brittleBound = "turn"
+	// boundPlaces: the host's part of the free places.
+	boundPlaces brittleBound = "places"
 	// boundTrial: the first request after a backoff.
 	boundTrial brittleBound = "trial"
 )
@@ -65,6 +69,11 @@
 	loadSource loadSource
 	loadAge    time.Duration
 	own, hosts int
+	// unseen is the number of requests of this host that the data doesn't show yet, free the number of places that were
+	// assumed to be free, runTime the mean time for which a request is at an upstream.
+	unseen  int
+	free    float64
+	runTime time.Duration
 }
 
 // brittleDecision returns the data by which a request to the upstream is permitted now. The caller holds the
@@ -75,8 +84,9 @@
 	if !s.brittle.Active(now) {
 		return d
 	}
-	d.load = m.requestLoad(now)
-	d.loadSource, d.loadAge = m.requestLoadSource(now)
+	load, use := m.brittleLoad(now), m.brittleUse(now)
+	d.load, d.loadSource, d.loadAge = load.others+float64(m.inFlight), load.source, load.age
+	d.unseen, d.free, d.runTime = use.Unseen, s.brittle.FreePlaces(&use, now), use.RunTime
 	switch {
 	case m.notices != nil && !m.notices.backoff.IsOver(now):
 		d.bound = boundTrial
@@ -84,10 +94,8 @@
 		d.bound = boundSingleHost
 	case d.hosts == 0:
 		d.bound = boundHostsUnknown
-	case d.hosts > m.Slots:
-		d.bound = boundTurn
 	default:
-		d.bound = boundShare
+		d.bound = boundPlaces
 	}
 	return d
 }
@@ -96,7 +104,7 @@
 func (d *brittleDecision) log(line *zerolog.Event) *zerolog.Event {
 	return line.Str("bound", string(d.bound)).Int("rejections_per_s", d.limit).Int64("stated_ms", d.statedAge.Milliseconds()).
 		Float64("load", math.Round(10*d.load)/10).Str("load_from", string(d.loadSource)).Int64("load_age_ms", d.loadAge.Milliseconds()).
-		Int("own", d.own).Int("hosts", d.hosts)
+		Int("own", d.own).Int("hosts", d.hosts).Int("unseen", d.unseen).Float64("free", math.Round(10*d.free)/10).Int64("run_ms", d.runTime.Milliseconds())
 }
 
 // logBrittleRejection logs and counts that a brittle upstream rejected the request because it is full, with
@@ -128,36 +136,107 @@
 	if !s.brittle.Active(now) {
 		return true
 	}
-	hosts := s.policy.hostCount()
+	s.adjustBrittleGain(now)
+	use := m.brittleUse(now)
+	return s.brittle.Allows(&use, now, boottime.Elapsed())
+}
+
+// hasBrittlePlacesSoon reports whether only the bound on brittle upstreams keeps this host from sending a request to one
+// of them: newer load data can show a free place. The caller holds the shard's lock.
+func (s *shard) hasBrittlePlacesSoon(regions regionConstraint, now time.Time, grace time.Duration) bool {
+	for _, m := range s.members {
+		if regions.allows(m.Zone) && m.inService(now, grace) && !m.backsOff(now) && !m.brittleAllows(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// brittleUse returns the use of the upstream by all hosts.
+func (m *member) brittleUse(now time.Time) notice.BrittleUse {
+	s := m.shard
+	u := notice.BrittleUse{RunTime: s.runTimes.Mean(boottime.Elapsed()), Slots: m.Slots, Own: m.inFlight, Hosts: s.policy.hostCount(), Point: m.leaseID.Point(s.policy.seed)}
 	if s.policy.singleHost {
-		hosts = 1
+		u.Hosts = 1
 	}
-	use := notice.BrittleUse{Load: m.requestLoad(now), Slots: m.Slots, Own: m.inFlight, Hosts: hosts, Point: m.leaseID.Point(s.policy.seed)}
-	if m.brittleShare == nil {
-		m.brittleShare = new(notice.BrittleShare)
+	data := m.brittleLoad(now)
+	u.Others, u.Age = data.others, data.age
+	for _, sentAt := range m.sentWhileBrittle {
+		if now.Sub(sentAt) <= u.Age {
+			u.Unseen++
+		}
 	}
-	return m.brittleShare.Allows(use, boottime.Elapsed())
+	return u
 }
 
-// requestLoad returns the estimated number of requests, running and waiting, at the upstream.
-func (m *member) requestLoad(now time.Time) float64 {
-	load := m.reportedRequests(now)
-	if work, ok := m.totalWork(now); ok && !m.shard.servesPrompts {
-		load = max(load, work)
+// brittleLoad is the number of requests of other hosts at an upstream, as of age ago.
+type brittleLoad struct {
+	others float64
+	age    time.Duration
+	source loadSource
+}
+
+// unknownLoadAge is the age of the load of an upstream that no data is known of.
+const unknownLoadAge = time.Hour
+
+// brittleLoad returns the newest data on the upstream's load.
+func (m *member) brittleLoad(now time.Time) brittleLoad {
+	s := m.shard
+	newest := brittleLoad{age: unknownLoadAge, source: loadFromMean}
+	consider := func(l brittleLoad) {
+		if l.age < newest.age {
+			newest = l
+		}
+	}
+	if u := m.usageSnapshot(); !u.reportedAt.IsZero() {
+		consider(brittleLoad{others: float64(max(0, u.reportedLoad-u.ownAtReport)), age: now.Sub(u.reportedAt), source: loadFromReport})
+	}
+	if state := s.engineStates.own[m.idHash]; state != nil && !state.statedAt.IsZero() {
+		consider(brittleLoad{others: float64(max(0, state.statedRequests-state.ownAtStatement)), age: now.Sub(state.statedAt), source: loadFromReport})
 	}
-	return load
+	if load, ok := s.engineStates.remoteLoad(m, now); ok && s.servesPrompts {
+		consider(brittleLoad{others: load.Requests, age: now.Sub(s.engineStates.remoteLoadsAt) + exchange.EngineLoadsAge, source: loadFromExchange})
+	}
+	if _, ok := m.totalWork(now); ok && !s.servesPrompts {
+		consider(brittleLoad{others: s.remoteWork[m.idHash], age: now.Sub(s.remoteWorkAt) + exchange.Interval, source: loadFromExchange})
+	}
+	return newest
 }
 
-// requestLoadSource returns the source of requestLoad and the age of its data.
-func (m *member) requestLoadSource(now time.Time) (loadSource, time.Duration) {
-	if _, ok := m.totalWork(now); ok && !m.shard.servesPrompts {
-		return loadFromExchange, now.Sub(m.shard.remoteWorkAt)
+// gainUpdateInterval is the time between two computations of a brittle service's mean load.
+const gainUpdateInterval = exchange.Interval
+
+// adjustBrittleGain adapts the number of hosts that may send requests to the mean load of the service. The caller
+// holds the shard's lock.
+func (s *shard) adjustBrittleGain(now time.Time) {
+	if now.Sub(s.brittleGainAt) < gainUpdateInterval {
+		return
+	}
+	s.brittleGainAt = now
+	requests, slots, upstreams := 0.0, 0, 0
+	for _, m := range s.members {
+		if load := m.brittleLoad(now); load.source != loadFromMean && m.removedAt.IsZero() && !m.withdrawn && !m.ejected(now) {
+			requests += load.others + float64(m.inFlight)
+			slots += max(1, m.Slots)
+			upstreams++
+		}
+	}
+	if slots > 0 {
+		s.brittle.AdjustGain(requests/float64(slots), s.policy.hostCount(), float64(slots)/float64(upstreams), boottime.Elapsed())
 	}
-	reportedAt := m.usageSnapshot().reportedAt
-	if reportedAt.IsZero() {
-		return loadFromMean, 0
+}
+
+// recordBrittleSend records when a request was sent to an upstream that may be brittle; endBrittleSend that it is over.
+func (m *member) recordBrittleSend(c *choice) {
+	if m.shard.brittle.Active(c.chosenAt) {
+		m.sentWhileBrittle = append(m.sentWhileBrittle, c.chosenAt)
+	}
+}
+
+func (m *member) endBrittleSend(c *choice) {
+	if i := slices.Index(m.sentWhileBrittle, c.chosenAt); i >= 0 {
+		m.sentWhileBrittle = slices.Delete(m.sentWhileBrittle, i, i+1)
 	}
-	return loadFromReport, now.Sub(reportedAt)
 }
 
 // reportedRequests returns the number of requests at the upstream by its own reports and, as these age,
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -40,7 +40,7 @@
 	log.Reset()
 	tg.doRoute("many")
 	line := eventLine(log.String(), "brittle-rejection")
-	for _, field := range []string{`"request":"r2"`, `"upstream":"u"`, `"stated_load":"8,4,8"`, `"bound":"share"`, `"rejections_per_s":8`, `"load":12`, `"load_from":"report"`, `"own":0`, `"hosts":4`} {
+	for _, field := range []string{`"request":"r2"`, `"upstream":"u"`, `"stated_load":"8,4,8"`, `"bound":"places"`, `"rejections_per_s":8`, `"load":12`, `"load_from":"report"`, `"own":0`, `"hosts":4`} {
 		is.True(strings.Contains(line, field)) // field of the rejection
 	}
 	tg.gateway.fleet.ejectTerminated(tg.member("u").idHash)
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -59,6 +59,7 @@
 	start   time.Time
 	hosts   []*replayHost
 	engines []*replayEngine
+	byID    map[string]*replayEngine
 	// hubs are the loads of engines by the reports to the hub of each zone, hubsElsewhere those that each hub
 	// got last from the others.
 	hubs, hubsElsewhere []exchange.EngineLoads
@@ -102,13 +103,14 @@
 
 func newOverrunReplay(c overrunCase, seed uint64) *overrunReplay {
 	time.Sleep(max(0, -boottime.Elapsed())) // a test's clock begins before that of the process
-	r := &overrunReplay{overrunCase: c, rand: rand.New(rand.NewPCG(seed, 0)), start: time.Now()}
+	r := &overrunReplay{overrunCase: c, rand: rand.New(rand.NewPCG(seed, 0)), start: time.Now(), byID: make(map[string]*replayEngine)}
 	for range replayZones {
 		r.hubs, r.hubsElsewhere = append(r.hubs, exchange.EngineLoads{}), append(r.hubsElsewhere, exchange.EngineLoads{})
 	}
 	for i := range c.engines {
 		u := Upstream{ID: fmt.Sprintf("e%d", i), Service: "svc", Zone: fmt.Sprintf("z%d", i%replayZones), Version: "v1", Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Slots: c.slots, Incarnation: 1}
-		r.engines = append(r.engines, &replayEngine{Upstream: u})
+		e := &replayEngine{Upstream: u}
+		r.engines, r.byID[u.ID] = append(r.engines, e), e
 	}
 	for i := range c.hosts {
 		h := &replayHost{Fleet: NewFleet(time.Second, zerolog.Nop()), zone: i % replayZones, reported: exchange.EngineLoads{}}
@@ -162,7 +164,7 @@
 			return
 		}
 		q.choice, q.sends, q.excluded, q.sentAt = c, q.sends+1, append(q.excluded, c.upstream.ID), r.now()
-		e := r.engines[slices.IndexFunc(r.engines, func(e *replayEngine) bool { return e.ID == c.upstream.ID })]
+		e := r.byID[c.upstream.ID]
 		switch {
 		case r.now() < e.backAt || c.upstream.Incarnation != e.Incarnation:
 			q.host.release(c, attemptResult{outcome: outcomeUnsent})
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -140,11 +140,12 @@
 	s := f.shard(c.upstream.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := boottime.Now()
+	s.endRunTime(&c, &result, now)
 	m := s.chosenMember(&c)
 	if m == nil {
 		return
 	}
-	now := boottime.Now()
 	s.observeRequestTime(now.Sub(c.chosenAt), &result)
 	awaitedHead := c.prefill != nil // otherwise, headLoadReceived recorded the load
 	m.endRequest(&c)
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -104,6 +104,12 @@
 // shard's lock.
 func (s *shard) placesByEngineState() bool { return s.isActive(s.policy.engineState) }
 
+// exchangesEngineLoads reports whether the hosts tell each other their requests in flight by engine. The caller
+// holds the shard's lock.
+func (s *shard) exchangesEngineLoads(now time.Time) bool {
+	return s.placesByEngineState() || s.brittle.Active(now)
+}
+
 // engineStateOf returns the member's state and creates it if there is none. now is the time of a
 // change of it.
 func (s *shard) engineStateOf(m *member, now time.Time) *engineState {
@@ -301,7 +307,7 @@
 func (f *Fleet) ownEngineStates(slice int) (states *exchange.EngineStates) {
 	now := boottime.Now()
 	f.eachService(func(service string, s *shard) {
-		if !s.servesPrompts || !s.placesByEngineState() {
+		if !s.servesPrompts || !s.exchangesEngineLoads(now) {
 			return
 		}
 		if states == nil {
@@ -332,7 +338,7 @@
 func (f *Fleet) setRemoteEngineStates(states *exchange.EngineStates, at time.Time) {
 	now := boottime.Now()
 	f.eachService(func(service string, s *shard) {
-		if !s.servesPrompts || !s.placesByEngineState() {
+		if !s.servesPrompts || !s.exchangesEngineLoads(now) {
 			return
 		}
 		all := &s.engineStates
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -93,8 +93,11 @@
 	topology  *zoneTopology
 	coldBound ratelease.ColdBound
 	coldStart time.Duration
-	// brittle is what the upstreams state about rejections.
-	brittle notice.Brittle
+	// brittle is what the upstreams state about rejections. Its gain was updated last at brittleGainAt.
+	brittle       notice.Brittle
+	brittleGainAt time.Time
+	// runTimes are the times for which this host's requests are at the upstreams.
+	runTimes notice.RunTimes
 	// baseVersion is the version that serves requests while there is no roll-out; empty before the
 	// first upstream is listed.
 	baseVersion string
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
-	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -70,8 +69,9 @@
 	coldState *coldState
 	limit     *limitState
 	notices   *noticeState
-	// brittleShare is this host's share of the upstream while the service is brittle.
-	brittleShare *notice.BrittleShare
+	// sentWhileBrittle are the times at which this host's requests in flight were sent while the service
+	// was brittle.
+	sentWhileBrittle []time.Time
 }
 
 // usage holds the data that this host derives from its own requests to an upstream. failureRate is
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -18,9 +18,11 @@
 	// host reported that it stated so.
 	reportedLeavingUntil time.Time
 	// backoff is the time for which the upstream accepts no requests of this host, and logged what
-	// was last logged of it.
-	backoff notice.Backoff
-	logged  loggedBackoff
+	// was last logged of it. backoffFromRejection is set if the upstream didn't state the time, but rejected a
+	// request while it was brittle: the backoff ends with that.
+	backoff              notice.Backoff
+	backoffFromRejection bool
+	logged               loggedBackoff
 	// rejections are those of this host's requests that the upstream made because it is full while it was
 	// brittle.
 	rejections notice.Rejections
@@ -84,6 +86,7 @@
 	switch {
 	case n.Backoff > 0:
 		m.extendBackoff(n.Backoff, now, f.log)
+		m.notices.backoffFromRejection = false
 	case accepted && m.notices != nil && m.notices.backoff.Accepted(c.chosenAt):
 		m.logBackoffEnd("accepted", now, f.log)
 	}
@@ -163,6 +166,9 @@
 			wait = min(wait, m.notices.backoff.Wait(now))
 		}
 	}
+	if s.brittle.Active(now) && s.hasBrittlePlacesSoon(regions, now, f.removalGrace) {
+		wait = min(wait, exchange.EngineLoadsAge)
+	}
 	return notice.RetryAfterRefusal(wait)
 }
 
@@ -224,6 +230,9 @@
 	f.eachShard(func(s *shard) {
 		for m := range s.noticed {
 			state := m.notices
+			if state.backoffFromRejection && !s.brittle.Active(now) {
+				state.backoff, state.backoffFromRejection = notice.Backoff{}, false
+			}
 			if m.isReportedLeaving(now) || !state.backoff.IsOver(now) {
 				continue
 			}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -43,6 +43,8 @@
 func (m *member) startRequest(c *choice) {
 	m.inFlight++
 	m.shard.inUse[m] = struct{}{}
+	m.recordBrittleSend(c)
+	m.shard.runTimes.Start(boottime.SinceStart(c.chosenAt))
 	if c.criteria.prompt == nil {
 		return
 	}
@@ -60,6 +62,7 @@
 	if m.inFlight--; m.inFlight == 0 {
 		delete(m.shard.inUse, m)
 	}
+	m.endBrittleSend(c)
 	m.endMemory(c, boottime.Now())
 	if c.prefill != nil {
 		// The answer never began, so the prompt may not be cached.
@@ -273,6 +276,11 @@
 	}
 }
 
+// endRunTime records that a request is no longer in flight. Only answered requests show how long requests take.
+func (s *shard) endRunTime(c *choice, result *attemptResult, now time.Time) {
+	s.runTimes.End(boottime.SinceStart(c.chosenAt), boottime.SinceStart(now), result.outcome == outcomeDone)
+}
+
 func addRequestTime(mean *time.Duration, took time.Duration) {
 	if *mean == 0 {
 		*mean = took
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -8,49 +8,74 @@
 )
 
 const (
-	// brittleRetention is how long a service counts as brittle after the last answer that stated it.
-	// Brittle upstreams state it in all answers.
+	// brittleRetention is how long a service counts as brittle after the last answer that stated it, if
+	// others have come since. Brittle upstreams state it in all answers.
 	brittleRetention = 3 * time.Second
-	// lowBrittleLoad and highBrittleLoad are the loads per slot below and above which more or fewer hosts
-	// may have a request at a brittle upstream that has fewer slots than there are hosts.
+	// lowBrittleLoad and highBrittleLoad are the loads per slot, averaged over a service, below and above which
+	// the gain grows and shrinks (Brittle.gain).
 	lowBrittleLoad  = 0.5
 	highBrittleLoad = 0.75
-	// targetBrittleLoad is the load per slot to which their number is reduced.
+	// targetBrittleLoad is the load per slot for which the gain is reduced.
 	targetBrittleLoad = 0.65
-	// shareAdjustInterval is the time between two adjustments of their number; load data shows the result
-	// of one by then. shareGrowth is the factor by which their number grows in this time.
-	shareAdjustInterval = 300 * time.Millisecond
-	shareGrowth         = 1.35
+	// gainInterval is the time between two adjustments of the gain; load data shows the result of one by then.
+	// gainGrowth is the factor by which it grows in this time.
+	gainInterval = 300 * time.Millisecond
+	gainGrowth   = 1.35
 	// brittleMargin is the fraction of the permitted rejections that the hosts together may cause by
 	// sending requests again after a rejection.
 	brittleMargin = 0.5
-	// minRejectionBackoff and maxRejectionBackoff bound the time for which a host sends no request to a
-	// brittle upstream that rejected one.
+	// minRejectionBackoff is the minimum mean time for which a host sends no request to a brittle upstream that
+	// rejected one.
 	minRejectionBackoff = time.Second
-	maxRejectionBackoff = 10 * time.Second
-	// shareInterval is how often the hosts change that may use a brittle upstream, where it has fewer
-	// slots than there are hosts.
-	shareInterval = time.Second
+	// minTurn and maxTurn bound the time after which other hosts may use a brittle upstream that has fewer free places than
+	// there are hosts. turnSpans is that time as a multiple of the time for which requests of the former ones can be at
+	// the upstream without being seen.
+	minTurn   = time.Second
+	maxTurn   = 16 * time.Second
+	turnSpans = 4
+	// reserveDeviations is the number of standard deviations of the requests at an upstream for which places are kept
+	// free, beyond those that brittleMargin covers.
+	reserveDeviations = 2
+	// rejectionShare is the fraction of the permitted rejections that the upstreams may make on average before the
+	// hosts keep more places free, cautionShare the fraction of the slots that is kept free at that rate, and maxCaution the
+	// largest fraction. rejectionMemory is the time constant of the average.
+	rejectionShare  = 0.125
+	cautionShare    = 0.25
+	maxCaution      = 0.5
+	rejectionMemory = 2 * time.Second
 )
 
 // Brittle is what the upstreams of a service state about rejections: one that has to reject more than
 // a number of requests in a second terminates. The hosts don't tell each other how many each upstream
-// rejected, so each keeps to its share. The zero value is a service whose upstreams state nothing.
+// rejected, so that together they send no more than it has places for: each may send a part of the requests
+// for which it has free slots. The zero value is a service whose upstreams state nothing.
 type Brittle struct {
-	limit    int
-	statedAt time.Time
+	limit int
+	// statedAt is the time of the last statement, answeredAt that of the last answer.
+	statedAt, answeredAt time.Time
+	// gain is the factor by which the hosts that may send a request exceed the free places: a host that may
+	// often has none, and with as many hosts as places most places would stay free at low load. It is 0 before the
+	// first adjustment, which was made at adjustedAt.
+	gain       float64
+	adjustedAt time.Duration
+	// rejections is the number of requests in a second that the mean upstream rejected as of rejectedAt, estimated
+	// by those of this host.
+	rejections float64
+	rejectedAt time.Time
 }
 
 // Record records the limit that an answer states; 0 if it states none.
 func (b *Brittle) Record(limit int, now time.Time) {
+	b.answeredAt = now
 	if limit > 0 {
 		b.limit, b.statedAt = limit, now
 	}
 }
 
-// Active reports whether the upstreams are brittle.
+// Active reports whether the upstreams are brittle. Without any answer they stay so: a host that may send none
+// gets none.
 func (b *Brittle) Active(now time.Time) bool {
-	return b.limit > 0 && now.Sub(b.statedAt) < brittleRetention
+	return b.limit > 0 && (now.Sub(b.statedAt) < brittleRetention || !b.answeredAt.After(b.statedAt))
 }
 
 // Limit returns the number of rejections in a second that the upstreams bear by their last statement; 0 if
@@ -90,61 +115,151 @@
 
 // BrittleUse is the use of a brittle upstream.
 type BrittleUse struct {
-	// Load is the estimated number of requests of all hosts, running and waiting, Slots the number that
-	// the upstream runs concurrently.
-	Load  float64
+	// Others is the number of requests of other hosts, running and waiting, by data that is Age old. RunTime is
+	// the mean time for which a request is at an upstream.
+	Others       float64
+	Age, RunTime time.Duration
+	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
-	// Own is the number of requests of this host, Hosts the number of hosts; 0 if it is unknown.
-	Own, Hosts int
+	// Own is the number of requests of this host in flight, Unseen the number of those that were sent within Age.
+	Own, Unseen int
+	// Hosts is the number of hosts; 0 if it is unknown.
+	Hosts int
 	// Point is a number in [0, 1) that differs between hosts and upstreams.
 	Point float64
 }
 
-// BrittleShare is a host's share of a brittle upstream. The hosts share the slots: each may have its part
-// of them in flight, whatever the load, since load can rise faster than load data arrives. Where there are
-// more hosts than slots, some of them at a time may have one request in flight. How many follows the load:
-// a host that may send a request often has none, so that as many hosts as slots would leave most slots free.
-// All hosts see about the same load, and so need no messages. The zero value is ready for use.
-type BrittleShare struct {
-	// hosts is the number of hosts that may have a request in flight, or 0 before the first call. adjustedAt
-	// is when it was adjusted last.
-	hosts      float64
-	adjustedAt time.Duration
+// AdjustGain adapts to the mean load per slot of the service's upstreams how many hosts may send them requests: at most
+// all while an upstream's slots are free. slots is the mean number of slots, sinceStart the time since the start of the
+// process.
+func (b *Brittle) AdjustGain(load float64, hosts int, slots float64, sinceStart time.Duration) {
+	most, elapsed := max(1, float64(hosts)/max(1, slots)), sinceStart-b.adjustedAt
+	switch {
+	case b.gain == 0 && load < lowBrittleLoad:
+		b.gain = most
+	case b.gain == 0:
+		b.gain = 1
+	case elapsed < gainInterval:
+		return
+	case load < lowBrittleLoad:
+		b.gain *= math.Pow(gainGrowth, float64(elapsed)/float64(gainInterval))
+	case load > highBrittleLoad:
+		b.gain *= targetBrittleLoad / load
+	}
+	b.gain = min(max(b.gain, 1), most)
+	b.adjustedAt = sinceStart
+}
+
+// RecordRejection records that one of the service's upstreams rejected a request of this host because it is full.
+func (b *Brittle) RecordRejection(hosts, upstreams int, now time.Time) {
+	b.rejections = b.rejectionRate(now) + float64(max(1, hosts))/float64(max(1, upstreams))/rejectionMemory.Seconds()
+	b.rejectedAt = now
 }
 
-// Allows reports whether this host may send the upstream another request. sinceEpoch is the time by which
-// the hosts that may change, where they are more than slots.
-func (b *BrittleShare) Allows(u BrittleUse, sinceEpoch time.Duration) bool {
+// rejectionRate returns the estimated rejections of an upstream in a second.
+func (b *Brittle) rejectionRate(now time.Time) float64 {
+	return b.rejections * math.Exp(-now.Sub(b.rejectedAt).Seconds()/rejectionMemory.Seconds())
+}
+
+// Allows reports whether this host may send the upstream another request. sinceStart is the time since the start
+// of the process, by which the hosts take turns where they are more than free places.
+//
+// All hosts have about the same data. Each counts the requests that it sent since as its part of those that
+// the data doesn't show yet, so that the sum in flight is bounded for any number of hosts, slots and duration.
+func (b *Brittle) Allows(u *BrittleUse, now time.Time, sinceStart time.Duration) bool {
 	if u.Hosts == 0 {
 		return u.Own == 0
 	}
-	slots := float64(max(1, u.Slots))
-	share := slots / float64(u.Hosts)
-	if share < 1 {
-		b.adjust(u.Load/slots, slots, float64(u.Hosts), sinceEpoch)
-		share = b.hosts / float64(u.Hosts)
+	hosts, free := float64(u.Hosts), b.FreePlaces(u, now)
+	if free <= 0 {
+		return false
 	}
-	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceEpoch)/float64(shareInterval)))
-	return u.Own < int(share+turn)
+	share := max(free/hosts, min(1, free*max(1, b.gain)/hosts))
+	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceStart)/float64(u.turnTime())))
+	return u.Unseen < int(share+turn)
 }
 
-// adjust adapts the number of hosts that may have a request in flight to the load per slot.
-func (b *BrittleShare) adjust(load, slots, hosts float64, now time.Duration) {
-	elapsed := now - b.adjustedAt
-	switch {
-	case b.hosts == 0 && load < lowBrittleLoad:
-		b.hosts = hosts
-	case b.hosts == 0:
-		b.hosts = slots
-	case elapsed < shareAdjustInterval:
-		return
-	case load < lowBrittleLoad:
-		b.hosts *= math.Pow(shareGrowth, float64(elapsed)/float64(shareAdjustInterval))
-	case load > highBrittleLoad:
-		b.hosts *= targetBrittleLoad / load
+// FreePlaces returns the number of requests that all hosts may send the upstream together, beyond those that the data
+// shows; it can be negative.
+func (b *Brittle) FreePlaces(u *BrittleUse, now time.Time) float64 {
+	free := u.freeSlots()
+	return free - b.reserve(u, free, now)
+}
+
+// reserve returns the number of free slots that the hosts leave unused, since the requests at the upstream differ by
+// chance from what the data shows: other numbers have ended, and other numbers of hosts have their turn.
+func (b *Brittle) reserve(u *BrittleUse, free float64, now time.Time) float64 {
+	slots, left := float64(max(1, u.Slots)), u.fractionLeft()
+	_, turns := math.Modf(max(0, free) / float64(max(1, u.Hosts)))
+	deviation := math.Sqrt(min(u.Others, slots)*left*(1-left) + float64(u.Hosts)*turns*(1-turns))
+	reserve := max(0, reserveDeviations*deviation-brittleMargin*float64(b.limit))
+	caution := cautionShare * b.rejectionRate(now) / (rejectionShare * float64(b.limit))
+	return min(reserve+slots*caution, slots*maxCaution)
+}
+
+// freeSlots returns the number of slots that would be free without the requests that were sent within Age.
+func (u *BrittleUse) freeSlots() float64 {
+	return float64(max(1, u.Slots)) - u.fractionLeft()*u.Others - float64(u.Own-u.Unseen)
+}
+
+// fractionLeft returns the fraction of the requests of other hosts that are still at the upstream. All are while their
+// times are unknown.
+func (u *BrittleUse) fractionLeft() float64 {
+	if u.RunTime <= 0 {
+		return 1
 	}
-	b.hosts = min(max(b.hosts, slots), hosts)
-	b.adjustedAt = now
+	return math.Exp(-float64(u.Age) / float64(u.RunTime))
+}
+
+// turnTime returns the time after which other hosts may send requests. It is a power of two in seconds, so that it
+// seldom changes with the age of the data.
+func (u *BrittleUse) turnTime() time.Duration {
+	unseen := u.Age
+	if u.RunTime > 0 {
+		unseen = min(unseen, u.RunTime)
+	}
+	turn := minTurn
+	for turn < min(turnSpans*unseen, maxTurn) {
+		turn *= 2
+	}
+	return turn
+}
+
+// RunTimes estimates the mean time for which requests are at upstreams. Requests in flight count with the time that they
+// have taken so far: those that last long end last. The zero value is ready for use.
+type RunTimes struct {
+	// ended is the decayed number of requests that ended with an answer, and took the decayed sum of the times of
+	// all that ended, in seconds.
+	ended, took float64
+	// inFlight is the number of requests in flight, started the sum of their start times, in seconds since the start of
+	// the process.
+	inFlight int
+	started  float64
+}
+
+// runTimeDecay is the factor by which older requests count less with each one that ends.
+const runTimeDecay = 0.98
+
+// Start records that a request is sent.
+func (r *RunTimes) Start(at time.Duration) {
+	r.inFlight++
+	r.started += at.Seconds()
+}
+
+// End records the end of a request that was sent at the given time. answered is set unless it was cut off.
+func (r *RunTimes) End(startedAt, now time.Duration, answered bool) {
+	r.inFlight--
+	r.started -= startedAt.Seconds()
+	if answered {
+		r.ended, r.took = r.ended*runTimeDecay+1, r.took*runTimeDecay
+	}
+	r.took += (now - startedAt).Seconds()
+}
+
+// Mean returns the mean time; 0 if no request was sent.
+func (r *RunTimes) Mean(now time.Duration) time.Duration {
+	inFlight := float64(r.inFlight)*now.Seconds() - r.started
+	return time.Duration((r.took + inFlight) / max(1, r.ended) * float64(time.Second))
 }
 
 // goldenRatio spreads the multiples of itself evenly over [0, 1), so that all hosts get their turns.
@@ -155,6 +270,6 @@
 // time.
 func (b *Brittle) RejectionBackoff(hosts int) time.Duration {
 	perHost := brittleMargin * float64(b.limit) / float64(max(1, hosts))
-	mean := min(max(time.Duration(float64(time.Second)/perHost), minRejectionBackoff), maxRejectionBackoff)
+	mean := min(max(time.Duration(float64(time.Second)/perHost), minRejectionBackoff), MaxBackoff)
 	return mean/2 + rand.N(mean)
 }
--- a/notice/brittle_test.go
+++ b/notice/brittle_test.go
@@ -69,23 +69,28 @@
 func (c brittleCase) replay(t *testing.T) {
 	is := is.New(t)
 	r := rand.New(rand.NewPCG(7, 7))
-	const step = 5 * time.Millisecond
+	const step, reportInterval = 5 * time.Millisecond, 300 * time.Millisecond
 	type upstream struct {
 		ends     []time.Duration // of the requests in it, in order
 		reported int
 		rejected []time.Duration
 		backAt   time.Duration
 	}
+	type run struct{ sentAt, endsAt time.Duration }
 	type use struct {
-		own     []time.Duration
-		backoff notice.Backoff
-		share   notice.BrittleShare
+		own         []run
+		ownReported int
+		backoff     notice.Backoff
 	}
-	upstreams, uses := make([]upstream, c.upstreams), make([][]use, c.hosts)
-	for h := range uses {
-		uses[h] = make([]use, c.upstreams)
+	type host struct {
+		notice.Brittle
+		notice.RunTimes
+		uses []use
+	}
+	upstreams, hosts := make([]upstream, c.upstreams), make([]host, c.hosts)
+	for h := range hosts {
+		hosts[h].uses = make([]use, c.upstreams)
 	}
-	var b notice.Brittle
 	start := time.Now()
 	busy, samples, terminated := 0.0, 0, 0
 	perStep := c.load * float64(c.upstreams*c.slots) / c.work.Seconds() * step.Seconds()
@@ -97,21 +102,49 @@
 	}
 	for at := time.Duration(0); at < 10*time.Second; at += step {
 		now := start.Add(at)
-		b.Record(c.limit, now)
+		load, up := 0.0, 0
 		for i := range upstreams {
 			u := &upstreams[i]
 			u.ends, u.rejected = drop(u.ends, at), drop(u.rejected, at-time.Second)
-			if at%(300*time.Millisecond) == 0 {
+			if at%reportInterval == 0 {
 				u.reported = len(u.ends)
 			}
+			if at >= u.backAt {
+				load, up = load+float64(u.reported)/float64(c.slots), up+1
+			}
 			busy, samples = busy+float64(min(len(u.ends), c.slots))/float64(c.slots), samples+1
 		}
+		for h := range hosts {
+			host := &hosts[h]
+			host.Record(c.limit, now)
+			for i := range host.uses {
+				own := &host.uses[i]
+				for len(own.own) > 0 && own.own[0].endsAt <= at {
+					host.End(own.own[0].sentAt, own.own[0].endsAt, true)
+					own.own = own.own[1:]
+				}
+				if at%reportInterval == 0 {
+					own.ownReported = len(own.own)
+				}
+			}
+			if up > 0 {
+				host.AdjustGain(load/float64(up), c.hosts, float64(c.slots), at)
+			}
+		}
 		for n := perStep * min(1, at.Seconds()) * 2 * r.Float64(); r.Float64() < n; n-- { // the load rises over a second
 			h, i := r.IntN(c.hosts), r.IntN(c.upstreams)
-			u, own := &upstreams[i], &uses[h][i]
-			own.own = drop(own.own, at)
-			allowed := own.share.Allows(notice.BrittleUse{Load: float64(u.reported), Slots: c.slots, Own: len(own.own), Hosts: c.hosts,
-				Point: float64(evenhash.Mix(uint64(h*1000+i))>>11) / (1 << 53)}, at)
+			u, host := &upstreams[i], &hosts[h]
+			own, age := &host.uses[i], at%reportInterval
+			unseen := 0
+			for _, q := range own.own {
+				if q.sentAt > at-age {
+					unseen++
+				}
+			}
+			allowed := host.Allows(&notice.BrittleUse{
+				Others: float64(u.reported - own.ownReported), Age: age, RunTime: host.Mean(at), Slots: c.slots, Own: len(own.own), Unseen: unseen, Hosts: c.hosts,
+				Point: float64(evenhash.Mix(uint64(h*1000+i))>>11) / (1 << 53),
+			}, now, at)
 			if !allowed || !own.backoff.Allows(now) || at < u.backAt {
 				continue
 			}
@@ -122,7 +155,8 @@
 					terminated++
 					*u = upstream{backAt: at + 3*time.Second}
 				}
-				own.backoff.Extend(b.RejectionBackoff(c.hosts), now)
+				host.RecordRejection(c.hosts, c.upstreams, now)
+				own.backoff.Extend(host.RejectionBackoff(c.hosts), now)
 				continue
 			}
 			own.backoff.Accepted(now)
@@ -130,7 +164,8 @@
 			if len(u.ends) >= c.slots {
 				end = u.ends[len(u.ends)-c.slots] + c.work
 			}
-			u.ends, own.own = append(u.ends, end), append(own.own, end)
+			host.Start(at)
+			u.ends, own.own = append(u.ends, end), append(own.own, run{at, end})
 		}
 	}
 	t.Logf("%d of %d upstreams terminated; slots in use: %.2f", terminated, c.upstreams, busy/float64(samples))
