gateway: the loads that a hub knows of some hosts only don't count as those of all

While a hub starts, or has lost another one, its sums cover a part of the hosts, and so does the number of hosts that it replies. A host that got both took the upstreams for emptier and its own part for larger than they are.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -28,8 +28,8 @@
 		notices := m.ensureNotices()
 		notices.rejections.Record(now)
 		notices.backoffFromRejection = notices.backoffFromRejection || !notices.backoff.Active(now)
-		s.brittle.RecordRejection(s.policy.hostCount(), len(s.members), now)
-		m.extendBackoff(s.brittle.RejectionBackoff(s.policy.hostCount()), now, f.log)
+		s.brittle.RecordRejection(s.policy.census.count(), len(s.members), now)
+		m.extendBackoff(s.brittle.RejectionBackoff(s.policy.census.count()), now, f.log)
 	}
 }
 
@@ -80,7 +80,7 @@
 // shard's lock.
 func (m *member) brittleDecision(now time.Time) brittleDecision {
 	s := m.shard
-	d := brittleDecision{bound: boundNone, limit: s.brittle.Limit(), statedAge: s.brittle.Age(now), own: m.inFlight, hosts: s.policy.hostCount()}
+	d := brittleDecision{bound: boundNone, limit: s.brittle.Limit(), statedAge: s.brittle.Age(now), own: m.inFlight, hosts: s.policy.census.count()}
 	if !s.brittle.Active(now) {
 		return d
 	}
@@ -155,7 +155,7 @@
 // brittleUse returns the use of the upstream by all hosts.
 func (m *member) brittleUse(now time.Time) notice.BrittleUse {
 	s := m.shard
-	u := notice.BrittleUse{RunTime: s.runTimes.Mean(boottime.Elapsed()), Slots: m.Slots, Own: m.inFlight, Hosts: s.policy.hostCount(), Point: m.leaseID.Point(s.policy.seed)}
+	u := notice.BrittleUse{RunTime: s.runTimes.Mean(boottime.Elapsed()), Slots: m.Slots, Own: m.inFlight, Hosts: s.policy.census.count(), Point: m.leaseID.Point(s.policy.seed)}
 	if s.policy.singleHost {
 		u.Hosts = 1
 	}
@@ -195,14 +195,23 @@
 		consider(brittleLoad{others: float64(max(0, state.statedRequests-state.ownAtStatement)), age: now.Sub(state.statedAt), source: loadFromReport})
 	}
 	if load, ok := s.engineStates.remoteLoad(m, now); ok && s.servesPrompts {
-		consider(brittleLoad{others: load.Requests, age: now.Sub(s.engineStates.remoteLoadsAt) + exchange.EngineLoadsAge, source: loadFromExchange})
+		consider(brittleLoad{others: s.allHostsLoad(load.Requests), age: now.Sub(s.engineStates.remoteLoadsAt) + exchange.EngineLoadsAge, source: loadFromExchange})
 	}
 	if _, ok := m.totalWork(now); ok && !s.servesPrompts {
-		consider(brittleLoad{others: s.remoteWork[m.idHash], age: now.Sub(s.remoteWorkAt) + exchange.Interval, source: loadFromExchange})
+		consider(brittleLoad{others: s.allHostsLoad(s.remoteWork[m.idHash]), age: now.Sub(s.remoteWorkAt) + exchange.Interval, source: loadFromExchange})
 	}
 	return newest
 }
 
+// allHostsLoad returns the load by all hosts, given that by the hosts that the hub's data cover.
+func (s *shard) allHostsLoad(covered float64) float64 {
+	return covered / max(minCoverage, s.policy.census.coverage())
+}
+
+// minCoverage is the coverage below which the hub's data count as those of more hosts: the load of a few hosts says
+// little about that of all.
+const minCoverage = 0.1
+
 // gainUpdateInterval is the time between two computations of a brittle service's mean load.
 const gainUpdateInterval = exchange.Interval
 
@@ -222,7 +231,7 @@
 		}
 	}
 	if slots > 0 {
-		s.brittle.AdjustGain(requests/float64(slots), s.policy.hostCount(), float64(slots)/float64(upstreams), boottime.Elapsed())
+		s.brittle.AdjustGain(requests/float64(slots), s.policy.census.count(), float64(slots)/float64(upstreams), boottime.Elapsed())
 	}
 }
 
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -34,7 +34,7 @@
 	tg.gateway.log = zerolog.New(&log)
 	tg.gateway.fleet.log = tg.gateway.log
 	tg.gateway.fleet.policy.singleHost = false
-	tg.gateway.fleet.policy.hostCount = func() int { return 4 }
+	tg.gateway.census.set(4)
 	tg.startUpstream("u", brittleAndFull("8,4,8"))
 	is.Equal(tg.doRoute("many").status, http.StatusOK)
 	log.Reset()
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -26,10 +26,20 @@
 	hosts, engines, slots, room, limit int
 	work                               time.Duration
 	load                               float64
+	// partialHub has the hub of one zone lack the data of the other zones for some seconds. isolated has the hosts know
+	// neither their number nor each other's requests.
+	partialHub, isolated bool
 }
 
 func (c overrunCase) String() string {
-	return fmt.Sprintf("%d hosts, %d engines of %d slots, room %d, limit %d, work %v, load %.1f", c.hosts, c.engines, c.slots, c.room, c.limit, c.work, c.load)
+	text := fmt.Sprintf("%d hosts, %d engines of %d slots, room %d, limit %d, work %v, load %.1f", c.hosts, c.engines, c.slots, c.room, c.limit, c.work, c.load)
+	if c.partialHub {
+		text += ", a hub starts"
+	}
+	if c.isolated {
+		text += ", no hub"
+	}
+	return text
 }
 
 const (
@@ -50,6 +60,9 @@
 	replayListed  = 36
 	replayZones   = 3
 	maxSends      = 3
+	// partialHubAt and partialHubTime are when and for how long a hub lacks the data of the other zones.
+	partialHubAt   = 8 * time.Second
+	partialHubTime = 3 * time.Second
 )
 
 // overrunReplay plays the hosts' choices of engines in virtual time, with the product's own decisions.
@@ -115,7 +128,9 @@
 	for i := range c.hosts {
 		h := &replayHost{Fleet: NewFleet(time.Second, zerolog.Nop()), zone: i % replayZones, reported: exchange.EngineLoads{}}
 		h.policy.singleHost, h.policy.engineState, h.policy.seed = false, FeatureOn, fmt.Sprintf("h%d", i)
-		h.policy.hostCount = func() int { return c.hosts }
+		if !c.isolated {
+			h.policy.census.set(c.hosts)
+		}
 		for _, e := range r.engines {
 			h.ApplyEntry(e.Upstream, 1)
 		}
@@ -290,6 +305,9 @@
 // exchangeLoads has a part of the hosts report the loads of engines to the hub of their zone, so that each does
 // so once in loadsInterval, and get the sums of the others. The hubs get each other's as often.
 func (r *overrunReplay) exchangeLoads(step int) {
+	if r.isolated {
+		return
+	}
 	steps := int(loadsInterval / overrunStep)
 	for zone := range r.hubs {
 		if step%steps == zone*steps/replayZones {
@@ -314,7 +332,12 @@
 		}
 		others := exchange.EngineLoads{}
 		addLoads(others, hub, 1)
-		addLoads(others, r.hubsElsewhere[h.zone], 1)
+		if partial := r.partialHub && h.zone == 0 && r.now() >= partialHubAt && r.now() < partialHubAt+partialHubTime; partial {
+			h.policy.census.set((len(r.hosts) + replayZones - 1) / replayZones)
+		} else {
+			h.policy.census.set(len(r.hosts))
+			addLoads(others, r.hubsElsewhere[h.zone], 1)
+		}
 		addLoads(hub, h.reported, 1)
 		h.setRemoteEngineStates(&exchange.EngineStates{Loads: listed(others)}, boottime.Now())
 	}
@@ -359,6 +382,7 @@
 	{hosts: 88, engines: 140, slots: 12, room: 4, limit: 8, work: 1500 * time.Millisecond, load: 1.2},
 	{hosts: 88, engines: 140, slots: 12, room: 4, limit: 2, work: 1500 * time.Millisecond, load: 1.2},
 	{hosts: 30, engines: 60, slots: 12, room: 0, limit: 8, work: 1500 * time.Millisecond, load: 1.2},
+	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, partialHub: true},
 }
 
 var slowOverrunCases = []overrunCase{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	inFlight atomic.Int64
 	// hostCount is the number of hosts of the installation; 0 while it is unknown.
 	hostCount atomic.Int64
+	// census has the hosts that the hub's data don't cover for some seconds, too.
+	census hostCensus
 	// unknownHeaders finds headers of upstreams' answers that nothing reads.
 	unknownHeaders *unknownHeaders
 	// stopping is set when the host begins to stop. Callers' connections are then closed after
@@ -109,6 +111,7 @@
 	g.fleet.policy.allContended = s.Contended
 	g.fleet.policy.singleHost = s.Peers.Listen == ""
 	g.fleet.policy.seed, g.fleet.policy.hostCount = s.Host, func() int { return int(g.hostCount.Load()) }
+	g.fleet.policy.census = &g.census
 	g.fleet.policy.coldOverrun, g.fleet.policy.coldHeadroom = s.ColdOverrun, s.ColdHeadroom
 	g.fleet.policy.engineState = s.Features.EngineState
 	g.rollouts = newRollouts(s, g.fleet, log)
@@ -234,7 +237,7 @@
 			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, Keys: peers.Keys,
 			FirstStart: peers.FirstStart, LinkMbps: peers.LinkMbps, Cores: peers.Cores,
 			Tables: watchers, Work: g.fleet.workInFlight, OnWork: g.fleet.setRemoteWork,
-			OnHostCount:  func(n int) { g.hostCount.Store(int64(n)) },
+			OnHostCount:  func(n int) { g.hostCount.Store(int64(n)); g.census.set(n) },
 			SentPrefixes: g.fleet.takeSentPrefixes, OnSentPrefixes: g.fleet.addRemotePrefixes,
 			RootGrants: g.fleet.LeaseGrants, OnHolding: g.fleet.SetHolding,
 			Limits: g.fleet.takeLimitUpdates, KnownLimits: g.fleet.currentLimits, OnLimits: g.fleet.applyLimits,
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -20,6 +20,8 @@
 	// draws differ from those of the other hosts.
 	hostCount func() int
 	seed      string
+	// census is the number of hosts with those that the hub's data don't cover for the moment.
+	census *hostCensus
 	// coldOverrun and coldHeadroom bound the requests to cold upstreams (Settings.ColdOverrun).
 	coldOverrun, coldHeadroom float64
 	// holding contains the leases of this host: for each leased upstream, the part of the requests
@@ -34,7 +36,7 @@
 }
 
 func newSendPolicy(seed string) *sendPolicy {
-	p := &sendPolicy{singleHost: true, seed: seed, hostCount: func() int { return 0 }}
+	p := &sendPolicy{singleHost: true, seed: seed, hostCount: func() int { return 0 }, census: new(hostCensus)}
 	c := ratelease.NewHubContact(boottime.Now())
 	p.hubContact.Store(&c)
 	return p
