notice: hosts that know no others bound their requests to brittle upstreams by a window

A host that doesn't know the number of hosts, as after its start without a hub, might have one request at each upstream: a bound that holds for each sender, and that 88 of them exceed seven times at 12 slots. It has a window for all upstreams of the service now, which grows with the answers and which a rejection halves, and sends nothing to an upstream that was full by its own last answer.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -159,6 +159,7 @@
 	if s.policy.singleHost {
 		u.Hosts = 1
 	}
+	u.OwnTotal = s.runTimes.InFlight()
 	data := m.brittleLoad(now)
 	u.Others, u.Age = data.others, data.age
 	for _, sentAt := range m.sentWhileBrittle {
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -383,6 +383,7 @@
 	{hosts: 88, engines: 140, slots: 12, room: 4, limit: 2, work: 1500 * time.Millisecond, load: 1.2},
 	{hosts: 30, engines: 60, slots: 12, room: 0, limit: 8, work: 1500 * time.Millisecond, load: 1.2},
 	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, partialHub: true},
+	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, isolated: true},
 }
 
 var slowOverrunCases = []overrunCase{
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -43,6 +43,8 @@
 	cautionShare    = 0.25
 	maxCaution      = 0.5
 	rejectionMemory = 2 * time.Second
+	// windowGrowth is the number of requests by which a host's window grows in the mean time of a request.
+	windowGrowth = 0.75
 )
 
 // Brittle is what the upstreams of a service state about rejections: one that has to reject more than
@@ -62,6 +64,9 @@
 	// by those of this host.
 	rejections float64
 	rejectedAt time.Time
+	// window is the number of requests that a host which doesn't know the number of hosts may have in flight: it grows with
+	// the answers, and a rejection halves it.
+	window float64
 }
 
 // Record records the limit that an answer states; 0 if it states none.
@@ -69,6 +74,7 @@
 	b.answeredAt = now
 	if limit > 0 {
 		b.limit, b.statedAt = limit, now
+		b.window += windowGrowth / max(1, b.window)
 	}
 }
 
@@ -122,7 +128,8 @@
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	// Own is the number of requests of this host in flight, Unseen the number of those that were sent within Age.
-	Own, Unseen int
+	// OwnTotal is the number of those of this host at all upstreams of the service.
+	Own, Unseen, OwnTotal int
 	// Hosts is the number of hosts; 0 if it is unknown.
 	Hosts int
 	// Point is a number in [0, 1) that differs between hosts and upstreams.
@@ -154,6 +161,7 @@
 func (b *Brittle) RecordRejection(hosts, upstreams int, now time.Time) {
 	b.rejections = b.rejectionRate(now) + float64(max(1, hosts))/float64(max(1, upstreams))/rejectionMemory.Seconds()
 	b.rejectedAt = now
+	b.window = max(1, b.window/2)
 }
 
 // rejectionRate returns the estimated rejections of an upstream in a second.
@@ -167,13 +175,13 @@
 // All hosts have about the same data. Each counts the requests that it sent since as its part of those that
 // the data doesn't show yet, so that the sum in flight is bounded for any number of hosts, slots and duration.
 func (b *Brittle) Allows(u *BrittleUse, now time.Time, sinceStart time.Duration) bool {
-	if u.Hosts == 0 {
-		return u.Own == 0
-	}
 	hosts, free := float64(u.Hosts), b.FreePlaces(u, now)
 	if free <= 0 {
 		return false
 	}
+	if u.Hosts == 0 {
+		return u.Own == 0 && u.OwnTotal < int(max(1, b.window))
+	}
 	share := max(free/hosts, min(1, free*max(1, b.gain)/hosts))
 	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceStart)/float64(u.turnTime())))
 	return u.Unseen < int(share+turn)
@@ -256,6 +264,9 @@
 	r.took += (now - startedAt).Seconds()
 }
 
+// InFlight returns the number of requests in flight.
+func (r *RunTimes) InFlight() int { return r.inFlight }
+
 // Mean returns the mean time; 0 if no request was sent.
 func (r *RunTimes) Mean(now time.Duration) time.Duration {
 	inFlight := float64(r.inFlight)*now.Seconds() - r.started
