gateway: tests of what brittle upstreams mean after their last answer, a rejection and a refusal

Three faults that mended have tests of their own: callers were told to return after five minutes, a host without answers took the service for sound after 3 s, and a backoff after a rejection had to be short since nothing ended it with the statements.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -50,6 +53,70 @@
 	}
 }
 
+// fullBrittleGateway returns a gateway among hosts, with a brittle upstream that is full by its last answer.
+func fullBrittleGateway(t *testing.T, hosts int) *testGateway {
+	tg := newTestGateway(t, testDocument())
+	tg.gateway.fleet.policy.singleHost = false
+	tg.gateway.census.set(hosts)
+	tg.startUpstream("u", withHeader("T-Load", "8,4,8", withHeader("T-Brittle", "8", respondOK("ok"))))
+	tg.doRoute("many")
+	return tg
+}
+
+// A caller that is refused because no brittle upstream has a free place must not be told to stay away for as long as the
+// longest backoff.
+func TestCallersWithoutAPlaceAtBrittleUpstreamsReturnLate(t *testing.T) {
+	is := is.New(t)
+	tg := fullBrittleGateway(t, 88)
+	answer := tg.doRoute("many")
+	is.Equal(answer.status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(answer.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds <= 2)
+}
+
+// A host that may send a brittle service nothing gets no answer. It must not take that for the end of the statements, and
+// send all that it has.
+func TestBrittleServiceWithoutAnswersIsOverrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := NewFleet(time.Second, zerolog.Nop())
+		f.policy.singleHost = false
+		f.policy.census.set(88)
+		f.ApplyEntry(Upstream{ID: "u", Service: "svc", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		c, ok := f.choose(criteria{service: "svc", zone: "z1", admitsVersion: anyVersion})
+		is.True(ok)
+		f.observeBrittle(&c, 8, false)
+		time.Sleep(time.Minute)
+		is.True(f.isBrittle(f.shard("svc").members["u"].idHash))
+		f.observeBrittle(&c, 0, false) // an answer without the statement
+		is.True(!f.isBrittle(f.shard("svc").members["u"].idHash))
+	})
+}
+
+// A backoff after a rejection can be long, since it is the host's part of the rejections that a brittle upstream bears. It
+// must not outlast the statements.
+func TestBackoffAfterARejectionOutlastsBrittleness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := NewFleet(time.Second, zerolog.Nop())
+		f.policy.census.set(88)
+		f.ApplyEntry(Upstream{ID: "u", Service: "svc", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		crit := criteria{service: "svc", zone: "z1", admitsVersion: anyVersion}
+		c, _ := f.choose(crit)
+		f.observeBrittle(&c, 1, true)
+		f.release(c, attemptResult{outcome: outcomeRefused})
+		time.Sleep(30 * time.Second)
+		f.dropExpiredNotices()
+		_, ok := f.choose(crit)
+		is.True(!ok) // 88 hosts, one rejection in a second: about three minutes
+		f.observeBrittle(&c, 0, false)
+		f.dropExpiredNotices()
+		_, ok = f.choose(crit)
+		is.True(ok)
+	})
+}
+
 // eventLine returns the first line of the log with the event; empty if there is none.
 func eventLine(log, event string) string {
 	for line := range strings.Lines(log) {
