--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -223,17 +223,50 @@
 		return
 	}
 	s.brittleGainAt = now
-	requests, slots, upstreams := 0.0, 0, 0
+	requests, slots, known, upstreams := 0.0, 0, 0, 0
 	for _, m := range s.members {
-		if load := m.brittleLoad(now); load.source != loadFromMean && m.removedAt.IsZero() && !m.withdrawn && !m.ejected(now) {
+		if !m.removedAt.IsZero() || m.withdrawn || m.ejected(now) {
+			continue
+		}
+		upstreams++
+		slots += max(1, m.Slots)
+		if load := m.brittleLoad(now); load.source == loadFromExchange {
 			requests += load.others + float64(m.inFlight)
-			slots += max(1, m.Slots)
-			upstreams++
+			known += max(1, m.Slots)
 		}
 	}
-	if slots > 0 {
-		s.brittle.AdjustGain(requests/float64(slots), s.policy.census.count(), float64(slots)/float64(upstreams), boottime.Elapsed())
+	if upstreams == 0 {
+		return
+	}
+	load := s.recentSlotLoad.at(now)
+	if known > 0 {
+		load = requests / float64(known)
 	}
+	s.brittle.AdjustGain(load, s.policy.census.count(), float64(slots)/float64(upstreams), boottime.Elapsed())
+}
+
+const (
+	// recentLoadGain is the weight of a new report in recentSlotLoad, recentLoadRetention the time constant with which that
+	// decreases without reports: a host without them has to send requests to get some.
+	recentLoadGain      = 0.2
+	recentLoadRetention = 3 * time.Second
+)
+
+// recentLoad is the decayed mean, over the last reports of a service's upstreams, of the requests per slot.
+type recentLoad struct {
+	mean       float64
+	reportedAt time.Time
+}
+
+// observe adds an upstream's report.
+func (l *recentLoad) observe(slotLoad float64, now time.Time) {
+	l.mean = l.at(now)
+	l.mean += recentLoadGain * (slotLoad - l.mean)
+	l.reportedAt = now
+}
+
+func (l *recentLoad) at(now time.Time) float64 {
+	return l.mean * math.Exp(-float64(now.Sub(l.reportedAt))/float64(recentLoadRetention))
 }
 
 // recordBrittleSend records when a request was sent to an upstream that may be brittle; endBrittleSend that it is over.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -96,6 +96,8 @@
 	// brittle is what the upstreams state about rejections. Its gain was updated last at brittleGainAt.
 	brittle       notice.Brittle
 	brittleGainAt time.Time
+	// recentSlotLoad is the mean load by the upstreams' last reports to this host.
+	recentSlotLoad recentLoad
 	// runTimes are the times for which this host's requests are at the upstreams.
 	runTimes notice.RunTimes
 	// baseVersion is the version that serves requests while there is no roll-out; empty before the
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -270,4 +270,5 @@
 	relative := float64(u.reportedLoad) / float64(max(1, m.Slots))
 	m.shard.meanSlotLoad += meanSlotLoadGain * (relative - m.shard.meanSlotLoad)
 	m.shard.engineStates.observeSlotLoad(relative)
+	m.shard.recentSlotLoad.observe(relative, now)
 }
