gateway, notice: old load data and rejections don't raise the use of brittle upstreams

A stream's load report was taken with the time of its end, though its head has it, so that data some seconds old counted as the newest; the replay had fresh data at the end. It has the head's now, as the product, and services that are brittle but not contended keep the statements of heads, too. It doesn't grow while the upstreams make more rejections than intended, and shrinks with each.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -48,7 +48,7 @@
 	boundNone brittleBound = "none"
 	// boundSingleHost: there is no other host.
 	boundSingleHost brittleBound = "single-host"
-	// boundHostsUnknown: the number of hosts is unknown, so that this one has one request in flight.
+	// boundHostsUnknown: the host's window, since it doesn't know the number of hosts.
 	boundHostsUnknown brittleBound = "hosts-unknown"
 	// boundPlaces: the host's part of the free places.
 	boundPlaces brittleBound = "places"
@@ -191,7 +191,8 @@
 			newest = l
 		}
 	}
-	if u := m.usage; u != nil && !u.reportedAt.IsZero() {
+	// A stream's load report is as old as its head, which the engine's state has the time of.
+	if u := m.usage; u != nil && !u.reportedAt.IsZero() && !s.servesPrompts {
 		consider(brittleLoad{others: float64(max(0, u.reportedLoad-u.ownAtReport)), age: now.Sub(u.reportedAt), source: loadFromReport})
 	}
 	if state := s.engineStates.own[m.idHash]; state != nil && !state.statedAt.IsZero() {
@@ -244,7 +245,7 @@
 	if known > 0 {
 		load = requests / float64(known)
 	}
-	s.brittle.AdjustGain(load, s.policy.census.count(), float64(slots)/float64(upstreams), boottime.Elapsed())
+	s.brittle.AdjustGain(load, s.policy.census.count(), float64(slots)/float64(upstreams), now, boottime.SinceStart(now))
 }
 
 const (
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -111,6 +111,8 @@
 	sentAt   time.Duration
 	endsAt   time.Duration
 	returned bool
+	// headLoad is the load that the head of the answer stated.
+	headLoad string
 }
 
 // replayReturn is the return of a refused caller.
@@ -290,7 +292,10 @@
 			}
 			ended++
 			r.answers++
-			q.host.release(q.choice, attemptResult{outcome: outcomeDone, status: 200, load: e.load(r.slots)})
+			if r.plain {
+				q.headLoad = e.load(r.slots) // the answer is complete when its head is sent
+			}
+			q.host.release(q.choice, attemptResult{outcome: outcomeDone, status: 200, load: q.headLoad})
 			return true
 		})
 		for len(e.waiting) > 0 && len(e.running) < r.slots {
@@ -298,10 +303,11 @@
 			e.waiting = e.waiting[1:]
 			e.running = append(e.running, q)
 			q.endsAt = now + q.work
+			q.headLoad = e.load(r.slots)
 			q.host.observeBrittle(&q.choice, r.limitNow(), false)
 			q.host.observeNotice(&q.choice, notice.Notice{Brittle: r.limitNow()}, true)
 			q.host.headReceived(&q.choice, now-q.sentAt+20*time.Millisecond)
-			q.host.headLoadReceived(&q.choice, e.load(r.slots))
+			q.host.headLoadReceived(&q.choice, q.headLoad)
 		}
 		if now >= overrunEffectAt {
 			r.busy, r.samples = r.busy+float64(len(e.running))/float64(r.slots), r.samples+1
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -284,7 +284,7 @@
 	if len(fields) > slowdownField {
 		m.observeSlowdown(fields[slowdownField], now)
 	}
-	if len(fields) < 2 || !m.shard.servesPrompts || !m.shard.placesByEngineState() {
+	if len(fields) < 2 || !m.shard.servesPrompts || !m.shard.exchangesEngineLoads(now) {
 		return
 	}
 	state := m.shard.engineStateOf(m, now)
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -29,6 +29,8 @@
 	minRejectionBackoff = time.Second
 	// rejectionMemory is the time constant of the mean rate of rejections.
 	rejectionMemory = 2 * time.Second
+	// rejectionGainFactor is the factor for the gain after a rejection while the upstreams make too many.
+	rejectionGainFactor = 0.7
 	// windowGrowth is the number of requests by which a host's window grows in the mean time of a request.
 	windowGrowth = 0.75
 )
@@ -106,9 +108,9 @@
 }
 
 // AdjustGain adapts to the mean load per slot of the service's upstreams how many hosts may send them requests: at most
-// all while an upstream's slots are free. slots is the mean number of slots, sinceStart the time since the start of the
+// all while an upstream's slots are free, and no more than before while they reject requests. slots is the mean number of slots, sinceStart the time since the start of the
 // process.
-func (b *Brittle) AdjustGain(load float64, hosts int, slots float64, sinceStart time.Duration) {
+func (b *Brittle) AdjustGain(load float64, hosts int, slots float64, now time.Time, sinceStart time.Duration) {
 	most, elapsed := max(1, float64(hosts)/max(1, slots)), sinceStart-b.adjustedAt
 	switch {
 	case b.gain == 0 && load < lowBrittleLoad:
@@ -117,6 +119,7 @@
 		b.gain = 1
 	case elapsed < gainInterval:
 		return
+	case load < lowBrittleLoad && b.rejectionRate(now) > rejectionShare*float64(b.limit):
 	case load < lowBrittleLoad:
 		b.gain *= math.Pow(gainGrowth, float64(elapsed)/float64(gainInterval))
 	case load > highBrittleLoad:
@@ -131,6 +134,9 @@
 	b.rejections = b.rejectionRate(now) + float64(max(1, hosts))/float64(max(1, upstreams))/rejectionMemory.Seconds()
 	b.rejectedAt = now
 	b.window = max(1, b.window/2)
+	if b.rejections > rejectionShare*float64(b.limit) {
+		b.gain *= rejectionGainFactor // at least 1 again with the next adjustment
+	}
 }
 
 // rejectionRate returns the estimated rejections of an upstream in a second.
--- a/notice/brittle_test.go
+++ b/notice/brittle_test.go
@@ -128,7 +128,7 @@
 				}
 			}
 			if up > 0 {
-				host.AdjustGain(load/float64(up), c.hosts, float64(c.slots), at)
+				host.AdjustGain(load/float64(up), c.hosts, float64(c.slots), now, at)
 			}
 		}
 		for n := perStep * min(1, at.Seconds()) * 2 * r.Float64(); r.Float64() < n; n-- { // the load rises over a second
