notice, gateway: the loss of the exchange doesn't give other hosts their turn at brittle upstreams

Data above 0.9 s counted as none, so that all places were free at once; and turns became longer with the age of the data by another numbering, so that other hosts got theirs three times within two seconds.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -137,8 +137,11 @@
 		return true
 	}
 	s.adjustBrittleGain(now)
+	if m.brittleTurn == nil {
+		m.brittleTurn = new(notice.Turn)
+	}
 	use := m.brittleUse(now)
-	return s.brittle.Allows(&use, now, boottime.SinceStart(now))
+	return s.brittle.Allows(&use, m.brittleTurn, now, boottime.SinceStart(now))
 }
 
 // hasBrittlePlacesSoon reports whether only the bound on brittle upstreams keeps this host from sending a request to one
@@ -198,7 +201,8 @@
 	if state := s.engineStates.own[m.idHash]; state != nil && !state.statedAt.IsZero() {
 		consider(brittleLoad{others: float64(max(0, state.statedRequests-state.ownAtStatement)), age: now.Sub(state.statedAt), source: loadFromReport})
 	}
-	if load, ok := s.engineStates.remoteLoad(m, now); ok && s.servesPrompts {
+	// Old sums count, too: as they age, fewer of their requests are left.
+	if load, ok := s.engineStates.lastRemoteLoad(m); ok && s.servesPrompts {
 		consider(brittleLoad{others: s.allHostsLoad(load.Requests), age: now.Sub(s.engineStates.remoteLoadsAt) + exchange.EngineLoadsAge, source: loadFromExchange})
 	}
 	if _, ok := m.totalWork(now); ok && !s.servesPrompts {
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -27,8 +27,8 @@
 	work                               time.Duration
 	load                               float64
 	// partialHub has the hub of one zone lack the data of the other zones for some seconds. isolated has the hosts know
-	// neither their number nor each other's requests.
-	partialHub, isolated bool
+	// neither their number nor each other's requests. exchangeEnds has all hosts lose each other's data.
+	partialHub, isolated, exchangeEnds bool
 	// plain is set for a service without prompts.
 	plain bool
 }
@@ -41,6 +41,9 @@
 	if c.isolated {
 		text += ", no hub"
 	}
+	if c.exchangeEnds {
+		text += ", the exchange ends"
+	}
 	if c.plain {
 		text += ", plain"
 	}
@@ -65,7 +68,8 @@
 	replayListed  = 36
 	replayZones   = 3
 	maxSends      = 3
-	// partialHubAt and partialHubTime are when and for how long a hub lacks the data of the other zones.
+	// partialHubAt and partialHubTime are when and for how long a hub lacks the data of the other zones. The exchange ends
+	// at the same time.
 	partialHubAt   = 8 * time.Second
 	partialHubTime = 3 * time.Second
 )
@@ -318,7 +322,7 @@
 // exchangeLoads has a part of the hosts report the loads of engines to the hub of their zone, so that each does
 // so once in loadsInterval, and get the sums of the others. The hubs get each other's as often.
 func (r *overrunReplay) exchangeLoads(step int) {
-	if r.isolated {
+	if r.isolated || r.exchangeEnds && r.now() >= partialHubAt {
 		return
 	}
 	steps := int(loadsInterval / overrunStep)
@@ -397,6 +401,7 @@
 	{hosts: 30, engines: 60, slots: 12, room: 0, limit: 8, work: 1500 * time.Millisecond, load: 1.2},
 	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, partialHub: true},
 	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, isolated: true},
+	{hosts: 48, engines: 30, slots: 12, room: 4, limit: 4, work: 1500 * time.Millisecond, load: 2, exchangeEnds: true},
 	{hosts: 88, engines: 3, slots: 6, room: 2, limit: 20, work: 60 * time.Millisecond, load: 0.3, plain: true},
 	{hosts: 88, engines: 3, slots: 6, room: 2, limit: 20, work: 60 * time.Millisecond, load: 1, plain: true},
 	{hosts: 88, engines: 3, slots: 6, room: 2, limit: 20, work: 60 * time.Millisecond, load: 2, plain: true},
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -156,6 +156,14 @@
 	if now.Sub(e.remoteLoadsAt) > exchange.MaxWorkAge {
 		return exchange.EngineLoad{}, false
 	}
+	return e.lastRemoteLoad(m)
+}
+
+// lastRemoteLoad returns what remoteLoad does, however old the data is; ok is false if there is none.
+func (e *engineStates) lastRemoteLoad(m *member) (load exchange.EngineLoad, ok bool) {
+	if e.remoteLoadsAt.IsZero() {
+		return exchange.EngineLoad{}, false
+	}
 	load, found := e.remoteLoads[m.idHash.EngineID()]
 	if !found {
 		load = e.unlistedLoad
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/ratelease"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -69,6 +70,8 @@
 	coldState *coldState
 	limit     *limitState
 	notices   *noticeState
+	// brittleTurn is this host's turn while the service is brittle.
+	brittleTurn *notice.Turn
 }
 
 // usage holds the data that this host derives from its own requests to an upstream. failureRate is
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -32,7 +32,7 @@
 	// rejectionGainFactor is the factor for the gain after a rejection while the upstreams make too many.
 	rejectionGainFactor = 0.7
 	// windowGrowth is the number of requests by which a host's window grows in the mean time of a request.
-	windowGrowth = 0.75
+	windowGrowth = 0.6
 )
 
 // Brittle is what the upstreams of a service state about rejections: one that has to reject more than
--- a/notice/brittle_test.go
+++ b/notice/brittle_test.go
@@ -81,6 +81,7 @@
 		own         []run
 		ownReported int
 		backoff     notice.Backoff
+		turn        notice.Turn
 	}
 	type host struct {
 		notice.Brittle
@@ -144,7 +145,7 @@
 			allowed := host.Allows(&notice.BrittleUse{
 				Others: float64(u.reported - own.ownReported), Age: age, RunTime: host.Mean(at), Slots: c.slots, Own: len(own.own), Unseen: unseen, Hosts: c.hosts,
 				Point: float64(evenhash.Mix(uint64(h*1000+i))>>11) / (1 << 53),
-			}, now, at)
+			}, &own.turn, now, at)
 			if !allowed || !own.backoff.Allows(now) || at < u.backAt {
 				continue
 			}
--- a/notice/brittleplaces.go
+++ b/notice/brittleplaces.go
@@ -48,7 +48,7 @@
 //
 // All hosts have about the same data. Each counts the requests that it sent since as its part of those that
 // the data doesn't show yet, so that the sum in flight is bounded for any number of hosts, slots and duration.
-func (b *Brittle) Allows(u *BrittleUse, now time.Time, sinceStart time.Duration) bool {
+func (b *Brittle) Allows(u *BrittleUse, turn *Turn, now time.Time, sinceStart time.Duration) bool {
 	hosts, free := float64(u.Hosts), b.FreePlaces(u, now)
 	if free <= 0 {
 		return false
@@ -58,11 +58,27 @@
 	}
 	share := max(free/hosts, min(1, free*max(1, b.gain)/hosts))
 	turnTime := u.turnTime()
-	_, turn := math.Modf(u.Point + goldenRatio*math.Floor(float64(sinceStart)/float64(turnTime)))
-	if u.RunTime > 0 && turnTime >= fixedShareTurns*u.RunTime && u.Own < int(float64(u.Slots)/hosts+turn) {
+	point := turn.point(u.Point, turnTime, sinceStart)
+	if u.RunTime > 0 && turnTime >= fixedShareTurns*u.RunTime && u.Own < int(float64(u.Slots)/hosts+point) {
 		return true // few requests of former turns are left
 	}
-	return u.Unseen < int(share+turn)
+	return u.Unseen < int(share+point)
+}
+
+// Turn is the present turn of a host at an upstream. The zero value is ready for use.
+type Turn struct {
+	number int
+	since  time.Duration
+}
+
+// point returns a host's number in [0, 1) in its present turn, given that in its first one. The next turn begins once
+// this one has lasted for the given time: if turns became longer at once, others would begin before their time.
+func (t *Turn) point(first float64, turnTime, sinceStart time.Duration) float64 {
+	if sinceStart-t.since >= turnTime {
+		t.number, t.since = t.number+1, sinceStart
+	}
+	_, point := math.Modf(first + goldenRatio*float64(t.number))
+	return point
 }
 
 // FreePlaces returns the number of requests that all hosts may send the upstream together, beyond those that the data
@@ -99,18 +115,13 @@
 	return math.Exp(-float64(u.Age) / float64(u.RunTime))
 }
 
-// turnTime returns the time after which other hosts may send requests. It is a power of two in seconds, so that it
-// seldom changes with the age of the data.
+// turnTime returns the time after which other hosts may send requests.
 func (u *BrittleUse) turnTime() time.Duration {
 	unseen := u.Age
 	if u.RunTime > 0 {
 		unseen = min(unseen, u.RunTime)
 	}
-	turn := minTurn
-	for turn < min(turnSpans*unseen, maxTurn) {
-		turn *= 2
-	}
-	return turn
+	return min(max(turnSpans*unseen, minTurn), maxTurn)
 }
 
 // goldenRatio spreads the multiples of itself evenly over [0, 1), so that all hosts get their turns.
