notice, gateway, admission: what is free at a brittle upstream is called slots

The glossary has slots for places in an engine. FreePlaces is FreeSlots, the cause no-place is no-free-slot, the bound in log lines free-slots. No behaviour changes.

--- a/admission/holdqueue.go
+++ b/admission/holdqueue.go
@@ -95,9 +95,9 @@
 	FirstEvent time.Duration
 	Wait       time.Duration
 	// NoUpstream is set if no upstream may be sent the request. Such a request is
-	// kept only if PlaceExpected is set: newer data on the upstreams' load may show a
-	// place. Otherwise the attempt to send it finds the reason.
-	NoUpstream, PlaceExpected bool
+	// kept only if SlotExpected is set: newer data on the upstreams' load may show a
+	// slot. Otherwise the attempt to send it finds the reason.
+	NoUpstream, SlotExpected bool
 }
 
 // Unmeetable reports whether no upstream is idle and the first event is expected after
@@ -133,8 +133,8 @@
 	CauseLate Cause = "late"
 	// CauseNoUpstream: no upstream may be sent the request.
 	CauseNoUpstream Cause = "no-upstream"
-	// CauseNoPlace: no upstream may be sent the request before one has a free place.
-	CauseNoPlace Cause = "no-place"
+	// CauseNoFreeSlot: no upstream may be sent the request before one has a free slot.
+	CauseNoFreeSlot Cause = "no-free-slot"
 	// CauseBusy: no upstream can send the first event within the target.
 	CauseBusy Cause = "busy"
 	// CauseOverShare: items of accounts within their shares are kept.
@@ -346,8 +346,8 @@
 	switch inTime := e.FirstEvent <= it.Target-now.Sub(it.Arrived); {
 	case left <= 0:
 		return q.reject(it, CauseExpired, now)
-	case e.NoUpstream && e.PlaceExpected && !held:
-		d.Verdict, d.Cause = Keep, CauseNoPlace
+	case e.NoUpstream && e.SlotExpected && !held:
+		d.Verdict, d.Cause = Keep, CauseNoFreeSlot
 	case e.NoUpstream:
 		d.Cause = CauseNoUpstream
 	case e.Wait < idleWait:
--- a/admission/holdqueue_test.go
+++ b/admission/holdqueue_test.go
@@ -232,19 +232,19 @@
 	})
 }
 
-// An item for which brittle upstreams have no free place is kept, since newer load data can show one, but no longer than
+// An item for which brittle upstreams have no free slot is kept, since newer load data can show one, but no longer than
 // others. One that no upstream may be sent for another reason isn't kept.
-func TestItemWithoutAFreePlaceIsRejectedAtOnce(t *testing.T) {
+func TestItemWithoutAFreeSlotIsRejectedAtOnce(t *testing.T) {
 	is := is.New(t)
 	q := NewHoldQueue(MaxHeldItems)
 	it := holdItem(1, nil)
 	is.Equal(q.Offer(holdItem(1, nil), Estimate{NoUpstream: true}, holdEpoch)[0].Cause, CauseNoUpstream)
-	decision := q.Offer(it, Estimate{NoUpstream: true, PlaceExpected: true}, holdEpoch)[0]
+	decision := q.Offer(it, Estimate{NoUpstream: true, SlotExpected: true}, holdEpoch)[0]
 	is.Equal(decision.Verdict, Keep)
-	is.Equal(decision.Cause, CauseNoPlace)
-	noPlace := func(*Item) Estimate { return Estimate{NoUpstream: true, PlaceExpected: true} }
-	is.Equal(len(q.Advance(holdEpoch.Add(estimateInterval), noPlace)), 0)
-	decisions := q.Advance(holdEpoch.Add(it.Target/maxHoldDivisor), noPlace)
+	is.Equal(decision.Cause, CauseNoFreeSlot)
+	noSlot := func(*Item) Estimate { return Estimate{NoUpstream: true, SlotExpected: true} }
+	is.Equal(len(q.Advance(holdEpoch.Add(estimateInterval), noSlot)), 0)
+	decisions := q.Advance(holdEpoch.Add(it.Target/maxHoldDivisor), noSlot)
 	is.Equal(len(decisions), 1)
 	is.Equal(decisions[0].Verdict, Send) // the attempt finds the reason
 	is.Equal(decisions[0].Cause, CauseNoUpstream)
--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -50,8 +50,8 @@
 	boundSingleHost brittleBound = "single-host"
 	// boundHostsUnknown: the host's window, since it doesn't know the number of hosts.
 	boundHostsUnknown brittleBound = "hosts-unknown"
-	// boundPlaces: the host's part of the free places.
-	boundPlaces brittleBound = "places"
+	// boundFreeSlots: the host's part of the free slots.
+	boundFreeSlots brittleBound = "free-slots"
 	// boundTrial: the first request after a backoff.
 	boundTrial brittleBound = "trial"
 )
@@ -69,7 +69,7 @@
 	loadSource loadSource
 	loadAge    time.Duration
 	own, hosts int
-	// unseen is the number of requests of this host that the data doesn't show yet, free the number of places that were
+	// unseen is the number of requests of this host that the data doesn't show yet, free the number of slots that were
 	// assumed to be free, runTime the mean time for which a request is at an upstream.
 	unseen  int
 	free    float64
@@ -86,7 +86,7 @@
 	}
 	load, use := m.brittleLoad(now), m.brittleUse(now)
 	d.load, d.loadSource, d.loadAge = load.others+float64(m.inFlight), load.source, load.age
-	d.unseen, d.free, d.runTime = use.Unseen, s.brittle.FreePlaces(&use, now), use.RunTime
+	d.unseen, d.free, d.runTime = use.Unseen, s.brittle.FreeSlots(&use, now), use.RunTime
 	switch {
 	case m.notices != nil && !m.notices.backoff.IsOver(now):
 		d.bound = boundTrial
@@ -95,7 +95,7 @@
 	case d.hosts == 0:
 		d.bound = boundHostsUnknown
 	default:
-		d.bound = boundPlaces
+		d.bound = boundFreeSlots
 	}
 	return d
 }
@@ -144,9 +144,9 @@
 	return s.brittle.Allows(&use, m.brittleTurn, now, boottime.SinceStart(now))
 }
 
-// hasBrittlePlacesSoon reports whether only the bound on brittle upstreams keeps this host from sending a request to one
-// of them: newer load data can show a free place. The caller holds the shard's lock.
-func (s *shard) hasBrittlePlacesSoon(regions regionConstraint, now time.Time, grace time.Duration) bool {
+// hasBrittleSlotsSoon reports whether only the bound on brittle upstreams keeps this host from sending a request to one
+// of them: newer load data can show a free slot. The caller holds the shard's lock.
+func (s *shard) hasBrittleSlotsSoon(regions regionConstraint, now time.Time, grace time.Duration) bool {
 	for _, m := range s.members {
 		if regions.allows(m.Zone) && m.inService(now, grace) && !m.backsOff(now) && !m.brittleAllows(now) {
 			return true
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -46,7 +46,7 @@
 	log.Reset()
 	tg.doRoute("many")
 	line := eventLine(log.String(), "brittle-rejection")
-	for _, field := range []string{`"request":"r2"`, `"upstream":"u"`, `"stated_load":"8,4,8"`, `"bound":"places"`, `"rejections_per_s":8`, `"load":2`, `"load_from":"report"`, `"own":0`, `"hosts":4`} {
+	for _, field := range []string{`"request":"r2"`, `"upstream":"u"`, `"stated_load":"8,4,8"`, `"bound":"free-slots"`, `"rejections_per_s":8`, `"load":2`, `"load_from":"report"`, `"own":0`, `"hosts":4`} {
 		is.True(strings.Contains(line, field)) // field of the rejection
 	}
 	tg.gateway.fleet.ejectTerminated(tg.member("u").idHash)
@@ -75,9 +75,9 @@
 	return tg
 }
 
-// A caller that is refused because no brittle upstream has a free place must not be told to stay away for as long as the
+// A caller that is refused because no brittle upstream has a free slot must not be told to stay away for as long as the
 // longest backoff.
-func TestCallersWithoutAPlaceAtBrittleUpstreamsReturnLate(t *testing.T) {
+func TestCallersWithoutAFreeSlotReturnLate(t *testing.T) {
 	is := is.New(t)
 	tg := fullBrittleGateway(t, 88)
 	answer := tg.doRoute("many")
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -166,7 +166,7 @@
 			wait = min(wait, m.notices.backoff.Wait(now))
 		}
 	}
-	if s.brittle.Active(now) && s.hasBrittlePlacesSoon(regions, now, f.removalGrace) {
+	if s.brittle.Active(now) && s.hasBrittleSlotsSoon(regions, now, f.removalGrace) {
 		wait = min(wait, exchange.EngineLoadsAge)
 	}
 	return notice.RetryAfterRefusal(wait)
--- a/internal/gateway/startestimate.go
+++ b/internal/gateway/startestimate.go
@@ -34,7 +34,7 @@
 	list := search(s, &crit, now, f.removalGrace)
 	if len(list.members) == 0 {
 		e.NoUpstream = true
-		e.PlaceExpected = s.brittle.Active(now) && s.hasBrittlePlacesSoon(crit.regions, now, f.removalGrace)
+		e.SlotExpected = s.brittle.Active(now) && s.hasBrittleSlotsSoon(crit.regions, now, f.removalGrace)
 		return e, false
 	}
 	if crit.prompt == nil {
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -37,14 +37,14 @@
 
 // Brittle is what the upstreams of a service state about rejections: one that has to reject more than
 // a number of requests in a second terminates. The hosts don't tell each other how many each upstream
-// rejected, so that together they send no more than it has places for: each may send a part of the requests
+// rejected, so that together they send no more than it has slots for: each may send a part of the requests
 // for which it has free slots. The zero value is a service whose upstreams state nothing.
 type Brittle struct {
 	limit int
 	// statedAt is the time of the last statement, answeredAt that of the last answer.
 	statedAt, answeredAt time.Time
-	// gain is the factor by which the hosts that may send a request exceed the free places: a host that may
-	// often has none, and with as many hosts as places most places would stay free at low load. It is 0 before the
+	// gain is the factor by which the hosts that may send a request exceed the free slots: a host that may
+	// often has none, and with as many hosts as slots most slots would stay free at low load. It is 0 before the
 	// first adjustment, which was made at adjustedAt.
 	gain       float64
 	adjustedAt time.Duration
--- a/notice/brittleplaces.go
+++ b/notice/brittleslots.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// minTurn and maxTurn bound the time after which other hosts may use a brittle upstream that has fewer free places than
+	// minTurn and maxTurn bound the time after which other hosts may use a brittle upstream that has fewer free slots than
 	// there are hosts. turnSpans is that time as a multiple of the time for which requests of the former ones can be at
 	// the upstream without being seen.
 	minTurn   = time.Second
@@ -15,11 +15,11 @@
 	// fixedShareTurns is the number of mean times of a request in a turn from which on each host may have its share of the
 	// slots in flight, whatever the load.
 	fixedShareTurns = 8
-	// reserveDeviations is the number of standard deviations of the requests at an upstream for which places are kept
+	// reserveDeviations is the number of standard deviations of the requests at an upstream for which slots are kept
 	// free, beyond those that brittleMargin covers.
 	reserveDeviations = 2
 	// rejectionShare is the fraction of the permitted rejections that the upstreams may make on average before the
-	// hosts keep more places free, cautionShare the fraction of the slots that is kept free at that rate, and maxCaution the
+	// hosts keep more slots free, cautionShare the fraction of the slots that is kept free at that rate, and maxCaution the
 	// largest fraction.
 	rejectionShare = 0.125
 	cautionShare   = 0.25
@@ -44,12 +44,12 @@
 }
 
 // Allows reports whether this host may send the upstream another request. sinceStart is the time since the start
-// of the process, by which the hosts take turns where they are more than free places.
+// of the process, by which the hosts take turns where they are more than free slots.
 //
 // All hosts have about the same data. Each counts the requests that it sent since as its part of those that
 // the data doesn't show yet, so that the sum in flight is bounded for any number of hosts, slots and duration.
 func (b *Brittle) Allows(u *BrittleUse, turn *Turn, now time.Time, sinceStart time.Duration) bool {
-	hosts, free := float64(u.Hosts), b.FreePlaces(u, now)
+	hosts, free := float64(u.Hosts), b.FreeSlots(u, now)
 	if free <= 0 {
 		return false
 	}
@@ -81,11 +81,11 @@
 	return point
 }
 
-// FreePlaces returns the number of requests that all hosts may send the upstream together, beyond those that the data
+// FreeSlots returns the number of requests that all hosts may send the upstream together, beyond those that the data
 // shows; it can be negative.
-func (b *Brittle) FreePlaces(u *BrittleUse, now time.Time) float64 {
+func (b *Brittle) FreeSlots(u *BrittleUse, now time.Time) float64 {
 	left := u.fractionLeft()
-	free := u.freeSlots(left)
+	free := u.unusedSlots(left)
 	return free - b.reserve(u, left, free, now)
 }
 
@@ -100,9 +100,9 @@
 	return min(reserve+slots*caution, slots*maxCaution)
 }
 
-// freeSlots returns the number of slots that would be free without the requests that were sent within Age, given the
+// unusedSlots returns the number of slots that would be free without the requests that were sent within Age, given the
 // fraction of the other hosts' requests that are left.
-func (u *BrittleUse) freeSlots(left float64) float64 {
+func (u *BrittleUse) unusedSlots(left float64) float64 {
 	return float64(max(1, u.Slots)) - left*u.Others - float64(u.Own-u.Unseen)
 }
 
