--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -96,6 +96,9 @@
 	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(d, losses[0].at, losses[len(losses)-1].at), Brittle: t.hasBrittleLoss(history)}
 	required := f.requiredEvents()
 	if s, ok := t.survived.Peek(d); ok && now-s.lastAt < survivalRetention {
+		if !f.Brittle {
+			required = 0
+		}
 		required = max(required, minEventsAnyShare)
 	}
 	return f, len(leading) >= required && now-leading[required-1] >= SettleDelay
