gateway: a time that a brittle upstream states isn't taken for its rejection's backoff

An answer that rejects a request can state a Retry-After too. The backoff after the rejection, minutes at many hosts and a low limit, counted as stated then and went on after the statements had ended; marked the other way, a stated time would end too soon. Both are kept apart (notice.Backoffs), and both bind. Found by reading the diff; the extended TestBackoffAfterARejectionOutlastsBrittleness has both.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -25,11 +25,11 @@
 	}
 	s.brittle.Record(limit, now)
 	if m := s.chosenMember(c); m != nil && full && s.brittle.Active(now) {
-		notices := m.ensureNotices()
+		notices, backoff := m.ensureNotices(), s.brittle.RejectionBackoff(s.policy.census.count())
 		notices.rejections.Record(now)
-		notices.backoffFromRejection = notices.backoffFromRejection || !notices.backoff.Active(now)
+		notices.backoff.ExtendRejected(backoff, now)
 		s.brittle.RecordRejection(s.policy.census.count(), len(s.members), now)
-		m.extendBackoff(s.brittle.RejectionBackoff(s.policy.census.count()), now, f.log)
+		m.logBackoff(backoff, now, f.log)
 	}
 }
 
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/notice"
 )
 
 // brittleAndFull returns a handler of a brittle upstream that answers one request and rejects the others because it is full.
@@ -122,9 +123,14 @@
 		f.dropExpiredNotices()
 		_, ok := f.choose(crit)
 		is.True(!ok) // 88 hosts, one rejection in a second: about three minutes
+		f.observeNotice(&c, notice.Notice{Backoff: 40 * time.Second}, false)
 		f.observeBrittle(&c, 0, false)
 		f.dropExpiredNotices()
 		_, ok = f.choose(crit)
+		is.True(!ok) // the upstream stated a time since
+		time.Sleep(40 * time.Second)
+		f.dropExpiredNotices()
+		_, ok = f.choose(crit)
 		is.True(ok)
 	})
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -17,12 +17,10 @@
 	// reportedLeavingUntil is the time until which the upstream counts as leaving because another
 	// host reported that it stated so.
 	reportedLeavingUntil time.Time
-	// backoff is the time for which the upstream accepts no requests of this host, and logged what
-	// was last logged of it. backoffFromRejection is set if the upstream didn't state the time, but rejected a
-	// request while it was brittle: the backoff ends with that.
-	backoff              notice.Backoff
-	backoffFromRejection bool
-	logged               loggedBackoff
+	// backoff is the time for which the upstream gets no requests of this host, and logged what was last
+	// logged of it.
+	backoff notice.Backoffs
+	logged  loggedBackoff
 	// rejections are those of this host's requests that the upstream made because it is full while it was
 	// brittle.
 	rejections notice.Rejections
@@ -85,8 +83,8 @@
 	}
 	switch {
 	case n.Backoff > 0:
-		m.extendBackoff(n.Backoff, now, f.log)
-		m.notices.backoffFromRejection = false
+		m.ensureNotices().backoff.Extend(n.Backoff, now)
+		m.logBackoff(n.Backoff, now, f.log)
 	case accepted && m.notices != nil && m.notices.backoff.Accepted(c.chosenAt):
 		m.logBackoffEnd("accepted", now, f.log)
 	}
@@ -101,11 +99,9 @@
 	return m.notices
 }
 
-// extendBackoff records that the upstream accepts no requests of this host for a duration, and logs
-// it if that is new.
-func (m *member) extendBackoff(d time.Duration, now time.Time, log zerolog.Logger) {
-	state := m.ensureNotices()
-	state.backoff.Extend(d, now)
+// logBackoff logs that the upstream gets no requests of this host for a duration, if that is new.
+func (m *member) logBackoff(d time.Duration, now time.Time, log zerolog.Logger) {
+	state := m.notices
 	state.logged.statements++
 	if state.logged.since.IsZero() {
 		state.logged.since = now
@@ -230,8 +226,8 @@
 	f.eachShard(func(s *shard) {
 		for m := range s.noticed {
 			state := m.notices
-			if state.backoffFromRejection && !s.brittle.Active(now) {
-				state.backoff, state.backoffFromRejection = notice.Backoff{}, false
+			if !s.brittle.Active(now) {
+				state.backoff.EndRejected()
 			}
 			if m.isReportedLeaving(now) || !state.backoff.IsOver(now) {
 				continue
