--- a/internal/gateway/headcutoff_test.go
+++ b/internal/gateway/headcutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,7 +19,7 @@
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
 			tg := newTestGateway(t, testDocument())
-			cut := 0
+			var cut atomic.Int64 // the number of bytes that are sent
 			tg.startUpstream("u1", func(w http.ResponseWriter, req *http.Request) {
 				conn, buffer, err := http.NewResponseController(w).Hijack()
 				if err != nil {
@@ -26,12 +27,13 @@
 				}
 				defer conn.Close()
 				text := head(req.Header.Get("T-Id"))
-				buffer.WriteString(text[:min(cut, len(text))])
+				buffer.WriteString(text[:min(int(cut.Load()), len(text))])
 				buffer.Flush()
 			})
-			for cut = range len(head("r100")) + 1 {
+			for sent := range len(head("r100")) + 1 {
+				cut.Store(int64(sent))
 				tg.gateway.fleet.forgetFailures()
-				got := tg.do(tg.newRequest("POST", path, fmt.Sprint("body ", cut)))
+				got := tg.do(tg.newRequest("POST", path, fmt.Sprint("body ", sent)))
 				is.True(got.err != nil || got.status >= http.StatusInternalServerError) // neither success nor an empty answer
 			}
 		})
