--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -435,7 +435,7 @@
 	}
 }
 
-// test plays the case. Of the engines, two and a tenth of them may terminate.
+// test plays the case and checks the operators' limit on terminations: two, and a tenth of the engines.
 func (c overrunCase) test(t *testing.T, seed uint64) {
 	is := is.New(t)
 	r := newOverrunReplay(c, seed)
