notice, quarantine, gateway: names of the reserve, and the replay's bound on use at low load

Changed: names, comments, and the bound: half of the slots, or 0.8 of the load where that is less. No decision changes.

--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -67,7 +67,8 @@
 	loadsInterval = 2 * exchange.Interval
 	replayListed  = 36
 	replayZones   = 3
-	maxSends      = 3
+	// maxSends is the number of engines that one attempt of a caller is sent to at most.
+	maxSends = 3
 	// partialHubAt and partialHubTime are when and for how long a hub lacks the data of the other zones. The exchange ends
 	// at the same time.
 	partialHubAt   = 8 * time.Second
@@ -114,12 +115,13 @@
 	work     time.Duration
 	sentAt   time.Duration
 	endsAt   time.Duration
+	// returned is set once the caller was refused and will send the request again.
 	returned bool
 	// headLoad is the load that the head of the answer stated.
 	headLoad string
 }
 
-// replayReturn is the return of a refused caller.
+// replayReturn is a refused request whose caller sends it again at a time.
 type replayReturn struct {
 	at      time.Duration
 	request *replayRequest
@@ -442,5 +444,5 @@
 	terminations, use := r.play()
 	t.Logf("%d of %d engines terminated; slots in use: %.2f; %d requests answered, %d rejected, %d refused", terminations, c.engines, use, r.answers, r.rejections, r.refusals)
 	is.True(terminations <= 2+c.engines/10)
-	is.True(use > 0.5*min(1, c.load))
+	is.True(use > min(0.5, 0.8*c.load))
 }
--- a/notice/brittleslots.go
+++ b/notice/brittleslots.go
@@ -18,12 +18,12 @@
 	// reserveDeviations is the number of standard deviations of the requests at an upstream for which slots are kept
 	// free, beyond those that brittleMargin covers.
 	reserveDeviations = 2
-	// rejectionShare is the fraction of the permitted rejections that the upstreams may make on average before the
-	// hosts keep more slots free, cautionShare the fraction of the slots that is kept free at that rate, and maxCaution the
-	// largest fraction.
-	rejectionShare = 0.125
-	cautionShare   = 0.25
-	maxCaution     = 0.5
+	// rejectionShare is the fraction of the permitted rejections that the upstreams should make at most on average.
+	// rejectionReserve is the fraction of the slots that is kept free when they make as many; more is in proportion.
+	rejectionShare   = 0.125
+	rejectionReserve = 0.25
+	// maxReserve bounds the slots that are kept free, as a fraction of all.
+	maxReserve = 0.5
 )
 
 // BrittleUse is the use of a brittle upstream.
@@ -96,8 +96,8 @@
 	_, turns := math.Modf(max(0, free) / float64(max(1, u.Hosts)))
 	deviation := math.Sqrt(min(u.Others, slots)*left*(1-left) + float64(u.Hosts)*turns*(1-turns))
 	reserve := max(0, reserveDeviations*deviation-brittleMargin*float64(b.limit))
-	caution := cautionShare * b.rejectionRate(now) / (rejectionShare * float64(b.limit))
-	return min(reserve+slots*caution, slots*maxCaution)
+	reserve += slots * rejectionReserve * b.rejectionRate(now) / (rejectionShare * float64(b.limit))
+	return min(reserve, slots*maxReserve)
 }
 
 // unusedSlots returns the number of slots that would be free without the requests that were sent within Age, given the
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -96,10 +96,11 @@
 	f := Finding{Digest: d, Events: len(leading), Upstreams: len(losses), UnexplainedTerminations: t.countUnexplainedTerminations(d, losses[0].at, losses[len(losses)-1].at), Brittle: t.hasBrittleLoss(history)}
 	required := f.requiredEvents()
 	if s, ok := t.survived.Peek(d); ok && now-s.lastAt < survivalRetention {
-		if !f.Brittle {
-			required = 0
+		if f.Brittle {
+			required = max(required, minEventsAnyShare)
+		} else {
+			required = minEventsAnyShare
 		}
-		required = max(required, minEventsAnyShare)
 	}
 	return f, len(leading) >= required && now-leading[required-1] >= SettleDelay
 }
