notice: rejections are counted by ratelease.Window

Cause: notice.Rejections was a twin of ratelease.Window, found in the last read. Measured: the tests of ratelease, notice and of brittle upstreams in the gateway pass.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/notice"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // noticeState holds what an upstream stated to this host or to others in the heads of answers and
@@ -23,7 +24,7 @@
 	logged  loggedBackoff
 	// rejections are those of this host's requests that the upstream made because it is full while it was
 	// brittle.
-	rejections notice.Rejections
+	rejections ratelease.Window
 }
 
 // loggedBackoff is the backoff that was last logged for an upstream.
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -84,29 +83,6 @@
 	return now.Sub(b.statedAt)
 }
 
-// Rejections counts the requests of this host that a brittle upstream rejected recently because it is full.
-// The zero value is ready for use.
-type Rejections struct{ times []time.Time }
-
-// rejectionSpan is the time in which an upstream's limit bounds its rejections.
-const rejectionSpan = time.Second
-
-// Record records a rejection.
-func (r *Rejections) Record(now time.Time) {
-	r.times = append(slices.DeleteFunc(r.times, func(at time.Time) bool { return now.Sub(at) >= rejectionSpan }), now)
-}
-
-// Count returns the number of rejections within the last second.
-func (r *Rejections) Count(now time.Time) int {
-	n := 0
-	for _, at := range r.times {
-		if now.Sub(at) < rejectionSpan {
-			n++
-		}
-	}
-	return n
-}
-
 // AdjustGain adapts to the mean load per slot of the service's upstreams how many hosts may send them requests: at most
 // all while an upstream's slots are free, and no more than before while they reject requests. slots is the mean number of slots, sinceStart the time since the start of the
 // process.
--- a/ratelease/window.go
+++ b/ratelease/window.go
@@ -24,6 +24,12 @@
 	return len(w.sentAt) < limit
 }
 
+// Count returns the number of requests within the last WindowSpan.
+func (w *Window) Count(now time.Time) int {
+	w.dropExpired(now)
+	return len(w.sentAt)
+}
+
 // dropExpired removes the sends that are older than WindowSpan.
 func (w *Window) dropExpired(now time.Time) {
 	expired := 0
