--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -84,8 +84,8 @@
 }
 
 // AdjustGain adapts to the mean load per slot of the service's upstreams how many hosts may send them requests: at most
-// all while an upstream's slots are free, and no more than before while they reject requests. slots is the mean number of slots, sinceStart the time since the start of the
-// process.
+// all while an upstream's slots are free, and no more than before while they reject requests. slots is the mean
+// number of slots, sinceStart the time since the start of the process.
 func (b *Brittle) AdjustGain(load float64, hosts int, slots float64, now time.Time, sinceStart time.Duration) {
 	most, elapsed := max(1, float64(hosts)/max(1, slots)), sinceStart-b.adjustedAt
 	switch {
