feed: an update that arrives just before a call is in flight ends the call

Cause: a watcher looks for another host's update, and then calls the store. An update that arrived between these two steps found no call to cancel, so the store held the call, up to 4.5 s, before the rows were applied. The next update of the hub ended the wait in most cases; rows sent once did not.

Ruled out: the detector itself, clocks, an unusable delta.

Before: TestUpdateJustBeforeACallEndsTheCall fails in both forms.

--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -69,6 +69,10 @@
 		return Page{}, 0, err
 	}
 	callCtx, endInFlight := w.inFlight.begin(linkCtx, c)
+	if w.canAdvance() {
+		// The update arrived before the call was in flight, and couldn't cancel it.
+		w.inFlight.cancel(errUpdateReceived)
+	}
 	page, err := w.execute(callCtx, c)
 	endInFlight()
 	if cause := context.Cause(callCtx); err != nil && (errors.Is(cause, errHoldShortened) || errors.Is(cause, errUpdateReceived)) {
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -79,6 +79,49 @@
 	}
 }
 
+// Guards against an update that arrives after the watcher has looked for one and before its call is in
+// flight, and that is applied only when the store's hold of the call ends.
+func TestUpdateJustBeforeACallEndsTheCall(t *testing.T) {
+	for _, offer := range []struct {
+		desc string
+		to   func(w *Watcher, update Update)
+	}{
+		{"an update to rely on", func(w *Watcher, update Update) { w.Offer(update, time.Now()) }},
+		{"rows alone", func(w *Watcher, update Update) { w.OfferRows(update) }},
+	} {
+		t.Run(offer.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source := &scriptedSource{
+					list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
+					changes: func(ctx context.Context, _ int, _ storage.Revision) (Page, error) { return hang(ctx) },
+				}
+				var w *Watcher
+				offered := false
+				// It is called between these two steps.
+				holdsBriefly := func() bool {
+					if !offered {
+						offered = true
+						offer.to(w, Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)})
+					}
+					return false
+				}
+				seen := &recorder{}
+				w = NewWatcher("t", source, seen, Options{HoldsBriefly: holdsBriefly}, zerolog.Nop())
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { w.Run(ctx); close(done) }()
+				time.Sleep(relayedWithin)
+				synctest.Wait()
+				cancel()
+				<-done
+				is.True(offered)
+				is.Equal(seen.changes, rows(6))
+			})
+		})
+	}
+}
+
 // Guards against a host that runs out of memory when a large row changes many times: it must
 // not keep each version of the row.
 func TestVersionsOfALargeRowAreNotKept(t *testing.T) {
