--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -48,7 +48,7 @@
 	boundNone brittleBound = "none"
 	// boundSingleHost: there is no other host.
 	boundSingleHost brittleBound = "single-host"
-	// boundHostsUnknown: the host's window, since it doesn't know the number of hosts.
+	// boundHostsUnknown: the host's window, since the number of hosts is unknown.
 	boundHostsUnknown brittleBound = "hosts-unknown"
 	// boundFreeSlots: the host's part of the free slots.
 	boundFreeSlots brittleBound = "free-slots"
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// Without these lines, the record of a terminated upstream doesn't tell which host sent it the requests that it
+// Without these lines, the record of a terminated upstream doesn't show which host sent it the requests that it
 // rejected, and what that host knew.
 func TestRejectionsOfBrittleUpstreamsAreLoggedWithTheirCause(t *testing.T) {
 	is := is.New(t)
@@ -76,7 +76,7 @@
 	return tg
 }
 
-// A caller that is refused because no brittle upstream has a free slot must not be told to stay away for as long as the
+// A caller that is refused because no brittle upstream has a free slot must not get a Retry-After as long as the
 // longest backoff.
 func TestCallersWithoutAFreeSlotReturnLate(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/brittlereplay_test.go
+++ b/internal/gateway/brittlereplay_test.go
@@ -26,8 +26,8 @@
 	hosts, engines, slots, room, limit int
 	work                               time.Duration
 	load                               float64
-	// partialHub has the hub of one zone lack the data of the other zones for some seconds. isolated has the hosts know
-	// neither their number nor each other's requests. exchangeEnds has all hosts lose each other's data.
+	// partialHub has the hub of one zone lack the data of the other zones for some seconds. isolated leaves the hosts
+	// without their number and each other's requests. exchangeEnds has all hosts lose each other's data.
 	partialHub, isolated, exchangeEnds bool
 	// plain is set for a service without prompts.
 	plain bool
@@ -437,7 +437,8 @@
 	}
 }
 
-// test plays the case and checks the operators' limit on terminations: two, and a tenth of the engines.
+// test fails if more upstreams terminate than operators permit (two, and a tenth of all), or if requests are kept from
+// free slots.
 func (c overrunCase) test(t *testing.T, seed uint64) {
 	is := is.New(t)
 	r := newOverrunReplay(c, seed)
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -104,7 +104,7 @@
 // shard's lock.
 func (s *shard) placesByEngineState() bool { return s.isActive(s.policy.engineState) }
 
-// exchangesEngineLoads reports whether the hosts tell each other their requests in flight by engine. The caller
+// exchangesEngineLoads reports whether the hosts exchange their requests in flight by engine. The caller
 // holds the shard's lock.
 func (s *shard) exchangesEngineLoads(now time.Time) bool {
 	return s.placesByEngineState() || s.brittle.Active(now)
--- a/notice/brittle.go
+++ b/notice/brittle.go
@@ -51,7 +51,7 @@
 	// by those of this host.
 	rejections float64
 	rejectedAt time.Time
-	// window is the number of requests that a host which doesn't know the number of hosts may have in flight: it grows with
+	// window is the number of requests that a host may have in flight while the number of hosts is unknown: it grows with
 	// the answers, and a rejection halves it.
 	window float64
 }
