gateway: answers that nobody reads kept ordinary ones from being answered

What callers saw: no answer above 64 kB any more (502), for as long as others didn't read theirs.

Cause: answers above 64 kB reserved from 24 MB, whatever the host's memory, until they were written, and nothing bounded the time of the write. Smaller ones weren't accounted at all.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -316,8 +316,7 @@
 		result.misdirected = a.misdirected(resp)
 		return result
 	}
-	body, reserved, err := a.gateway.answerMemory.readAnswer(resp.Body)
-	a.request.answerMemory += reserved
+	body, err := a.request.readAnswer(resp.Body)
 	a.runState.Raise(runstate.Ran)
 	if err != nil {
 		result.outcome = outcomeBroken
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -26,7 +26,6 @@
 		Session: req.Header.Get(names.Session),
 	}
 	r.answer = newAnswerWriter(w, req, g.stopping.Load(), req.Header.Get(names.LastEventID))
-	defer func() { g.answerMemory.release(r.answerMemory) }()
 	conn, detach := g.intake.Attach(req)
 	defer detach()
 	r.conn = conn
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,6 @@
 	upstreamWatcher *feed.Watcher
 	peers           *exchange.Member
 	retryBudgets    lazyValues[retryBudget]
-	answerMemory    answerMemory
 	// intake accounts what callers take of the host, of whose sockets they may use a part.
 	sockets     intake.Sockets
 	intake      *httpintake.Pool
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,8 +51,6 @@
 	// relativePromptSize is the mean prompt size of the route divided by that of the service.
 	relativePromptSize float64
 
-	// answerMemory is the memory that the request's buffered answers take, in bytes.
-	answerMemory int64
 	// conn is the caller's connection, for which the memory of the request and its answers is accounted.
 	conn *httpintake.Conn
 	// failedVersions are the versions of the service that failed the request.
