gateway, peer: connections of a crowd took the descriptors of upstreams, the store and other hosts

What callers saw: nothing bounded the connections on any address but 1,024 on that of other hosts. With no descriptors left, a host reaches neither upstreams nor the store.

Cause: the limit of descriptors in the settings wasn't read.

When callers' connections are used up, the ledger chooses which one ends; of unauthenticated connections of other hosts, which may be a quarter of theirs, the oldest ends.

--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -26,6 +26,9 @@
 	// hosts that may be hubs without being appointed; some of the addresses may be out of date.
 	Listen string
 	Seeds  []string
+	// MaxConns is the maximum number of connections that other hosts open to this one; 0 for the default
+	// of package peer.
+	MaxConns int
 	// LinkMbps is the bandwidth of this host's network link in Mbit/s. Cores is the number of
 	// processor cores that the host may use. Each is 0 if unknown.
 	LinkMbps float64
@@ -225,7 +228,7 @@
 	if err != nil {
 		return // the context ended
 	}
-	server, err := peer.NewServer(peer.ServerOptions{Listen: m.options.Listen, Self: m.options.Host, Keys: []peer.Key{key}, RelayDialer: m.options.RelayDialer})
+	server, err := peer.NewServer(peer.ServerOptions{Listen: m.options.Listen, Self: m.options.Host, Keys: []peer.Key{key}, MaxConns: m.options.MaxConns, RelayDialer: m.options.RelayDialer})
 	if err != nil {
 		m.log.Error().Str("event", "exchange-off").Err(err).Msg("")
 		return
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -95,6 +95,11 @@
 	return t
 }
 
+// limitIdle bounds the unused connections to all upstreams.
+func (p *egressPaths) limitIdle(most int) {
+	p.direct.MaxIdleConns, p.relayed.MaxIdleConns = most, most
+}
+
 // startEgress makes the host connect to upstreams.
 func (g *Gateway) startEgress() {
 	g.egress = newEgressPaths(&g.settings, g.metrics, g.log)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
+	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -114,6 +115,7 @@
 	g.intake = httpintake.New(httpintake.Options{Limits: intake.NewLimits(s.MemoryBytes, g.sockets), Log: log, Metrics: g.metrics.set, Prefix: "quetzalweir_gateway_"})
 	g.fleet = NewFleet(s.DrainTime-removalMargin, log)
 	g.startEgress()
+	g.egress.limitIdle(g.sockets.IdleUpstreams)
 	g.fleet.topology = zoneTopology{zone: s.Zone, regions: s.Regions}
 	g.fleet.policy.allContended = s.Contended
 	g.fleet.policy.singleHost = s.Peers.Listen == ""
@@ -241,7 +243,7 @@
 	group := new(sync.WaitGroup)
 	if peers := &g.settings.Peers; peers.Listen != "" {
 		g.peers = exchange.New(exchange.Options{
-			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, Keys: peers.Keys,
+			Host: g.settings.Host, Zone: g.settings.Zone, Listen: peers.Listen, Seeds: peers.Seeds, MaxConns: min(g.sockets.Peers, peer.DefaultMaxConns), Keys: peers.Keys,
 			FirstStart: peers.FirstStart, LinkMbps: peers.LinkMbps, Cores: peers.Cores,
 			Tables: watchers, Work: g.fleet.workInFlight, OnWork: g.fleet.setRemoteWork,
 			OnHostCount:  func(n int) { g.hostCount.Store(int64(n)); g.census.set(n) },
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -54,7 +54,8 @@
 	// Limits applies to each connection.
 	Limits Limits
 	// MaxConns is the maximum number of open connections; default 1024. Further
-	// connections are closed immediately.
+	// connections are closed immediately. A quarter of them may be unauthenticated; the
+	// oldest of these is closed in favor of a new one.
 	MaxConns int
 	// DrainTimeout limits how long Serve waits for running handlers before it
 	// returns; default 2 s.
@@ -74,6 +75,7 @@
 	listener  net.Listener
 	traffic   *traffic
 	connSlots chan struct{}
+	pending   pendingConns
 
 	mu       sync.RWMutex
 	handlers map[string]Handler
@@ -112,6 +114,7 @@
 		listener:  listener,
 		traffic:   newTraffic(),
 		connSlots: make(chan struct{}, options.MaxConns),
+		pending:   pendingConns{most: max(1, options.MaxConns/pendingPart)},
 		handlers:  make(map[string]Handler),
 	}, nil
 }
@@ -168,6 +171,7 @@
 			conn.Close()
 			continue
 		}
+		s.pending.add(conn)
 		s.conns.Go(func() {
 			defer func() { <-s.connSlots }()
 			s.serveConn(serveCtx, conn)
@@ -187,6 +191,7 @@
 	defer stop()
 	defer conn.Close()
 	session, err := serverHandshake(conn, s.options.Self, s.options.Keys, s.options.Limits.HandshakeTimeout)
+	s.pending.remove(conn)
 	if err != nil {
 		s.notifyDisconnect("", err)
 		return
