serve: heads and bodies of a crowd took the memory of the process, also at the operators' address

What callers saw: with 200 callers of one account whose bodies of 8 MB stop before their end, a process took 1.7 GB.

Bodies were read with io.ReadAll for up to 60 s, decoding a chat makes three copies of it, answers of services were kept until their callers had read them, and nothing bounded a sum.

Why this works: both addresses use the ledger of package intake. Copies are accounted before they are made; a chat that could never be decoded within the memory is refused with 413, others with 3010 or 1013. An answer of a service is accounted while it is read from the service.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -35,6 +35,7 @@
 	PeerKeys           string        `help:"Keys between entry hosts, id:hex,id:hex; the first is offered, all are accepted."`
 	OperatorKeys       string        `help:"Keys of the operators' address, comma separated."`
 	MaxBody            int64         `help:"Largest body of a request, in bytes." default:"8388608"`
+	MemoryMB           int64         `name:"memory-mb" help:"Memory of the process, in MB. Callers may take a quarter of it." default:"1024"`
 	Capacity           int           `help:"Requests run at once." default:"1024"`
 	MaxQueue           int           `help:"Requests that wait at most." default:"4096"`
 	FreshnessBound     time.Duration `help:"How old the word of the manifest in force may be." default:"5s"`
@@ -110,6 +111,7 @@
 		AdvertisePeers:     c.AdvertisePeers,
 		Seeds:              c.Seeds,
 		MaxBody:            c.MaxBody,
+		MemoryBytes:        c.MemoryMB << 20,
 		Capacity:           c.Capacity,
 		MaxQueue:           c.MaxQueue,
 		SessionKeys:        sessionKeys,
@@ -181,6 +183,7 @@
 		{"peer-keys", maskKeys(s.PeerKeys)},
 		{"operator-keys", strings.Repeat(keyMask+" ", len(s.OperatorKeys))},
 		{"max-body", s.MaxBody},
+		{"memory-mb", s.MemoryBytes >> 20},
 		{"capacity", s.Capacity},
 		{"max-queue", s.MaxQueue},
 		{"freshness-bound", s.FreshnessBound},
--- a/internal/entry/chatfrontend.go
+++ b/internal/entry/chatfrontend.go
@@ -3,10 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
+	"github.com/quetzalweir/quetzalweir/intake"
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -32,16 +33,20 @@
 }
 
 // Decode implements Frontend.
-func (f *chatFrontend) Decode(w http.ResponseWriter, req *http.Request) (*Request, error) {
+func (f *chatFrontend) Decode(w http.ResponseWriter, req *http.Request, conn *httpintake.Conn) (*Request, error) {
 	r, err := newRequest(req, KindModel)
 	if err != nil {
 		return r, err
 	}
+	r.Conn = conn
 	r.Repeatable = req.Header.Get(headerRepeatable) != "no"
-	r.Body, err = readBody(w, req, f.maxBody)
+	r.Body, err = readBody(w, req, conn, f.maxBody)
 	if err != nil {
 		return r, err
 	}
+	if !conn.Reserve(intake.ForRequest, decodedCopies*int64(len(r.Body))) {
+		return r, resultcode.New(resultcode.HostMemory, "the host has no memory to decode the request")
+	}
 	var body chatRequest
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return r, resultcode.Wrap(resultcode.MalformedBody, err, "the body isn't a chat-completions request: %v", err)
@@ -58,6 +63,10 @@
 	return r, nil
 }
 
+// decodedCopies is the number of copies of a body that its decoding makes: the contents of its messages, their
+// texts and the prompt.
+const decodedCopies = 3
+
 // promptText returns the concatenated roles and texts of the messages, which are used
 // to match prefixes and to rate the answer.
 func promptText(messages []chatMessage) string {
@@ -94,13 +103,18 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+// readBody reads the body of a request and accounts its memory.
+func readBody(w http.ResponseWriter, req *http.Request, conn *httpintake.Conn, limit int64) ([]byte, error) {
+	body, err := conn.ReadBody(w, req, limit, bodyTimeout)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, resultcode.Wrap(resultcode.BodyTooLarge, err, "the body is over %d bytes", limit)
-	}
-	if err != nil {
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, resultcode.Wrap(resultcode.BodyTooLarge, err, "the body is over %d bytes", tooLarge.Limit)
+	case errors.Is(err, httpintake.ErrNoMemory):
+		return nil, resultcode.Wrap(resultcode.HostMemory, err, "the host has no memory for the request")
+	case errors.Is(err, httpintake.ErrBodyTimeout):
+		return nil, resultcode.Wrap(resultcode.BodyTimeout, err, "the body wasn't received in %s", bodyTimeout)
+	case err != nil:
 		return nil, resultcode.Wrap(resultcode.MalformedBody, err, "the body couldn't be read")
 	}
 	return body, nil
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/intake"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/notice"
@@ -186,6 +187,7 @@
 
 func (f *dispatch) runService(ctx context.Context, r *Request) error {
 	call := r.Service
+	call.Reserve = func(bytes int64) bool { return r.Conn.Reserve(intake.ForAnswer, bytes) }
 	call.RequestID = attemptID(r)
 	call.Body = r.Body
 	answer, err := f.service.Do(ctx, r.Target, call, &r.state)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -20,6 +20,8 @@
 	"github.com/quetzalweir/quetzalweir/cascade"
 	"github.com/quetzalweir/quetzalweir/claim"
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/intake"
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/ledger"
@@ -49,6 +51,10 @@
 	platform    Platform
 	log         zerolog.Logger
 	metrics     *requestMetrics
+	// intake accounts what callers and operators take of the host, of whose sockets they may
+	// use a part.
+	intake  *httpintake.Pool
+	sockets intake.Sockets
 
 	// committer batches the table writes for claims, sessions and stopped versions.
 	committer       *groupcommit.Committer
@@ -131,6 +137,11 @@
 		metrics:     &requestMetrics{set: metrics.NewSet()},
 		upstreams:   &upstreamDirectory{},
 	}
+	h.sockets = intake.DivideSockets(httpintake.SocketLimit(0))
+	h.intake = httpintake.New(httpintake.Options{
+		Limits: intake.NewLimits(settings.MemoryBytes, h.sockets),
+		Log:    log, Metrics: h.metrics.set, Prefix: "quetzalweir_",
+	})
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -253,10 +264,11 @@
 	defer cancelTasks()
 	tasks, background := errgroup.WithContext(background)
 	h.startTasks(tasks, background)
-	callers := h.newServer(h.callerHandler())
-	operators := h.newServer(h.operatorHandler())
-	tasks.Go(func() error { return serveHTTP(callers, h.callerListener) })
-	tasks.Go(func() error { return serveHTTP(operators, h.operatorListener) })
+	callerOptions, operatorOptions := h.serverOptions("callers", intake.Callers), h.serverOptions("operators", intake.Checks)
+	callers := h.intake.NewServer(h.callerHandler(), callerOptions)
+	operators := h.intake.NewServer(h.operatorHandler(), operatorOptions)
+	tasks.Go(func() error { return serveHTTP(callers, h.intake.Listener(h.callerListener, callerOptions)) })
+	tasks.Go(func() error { return serveHTTP(operators, h.intake.Listener(h.operatorListener, operatorOptions)) })
 	h.log.Info().Str("event", "start").Str("callers", h.CallerAddr()).Str("operators", h.OperatorAddr()).
 		Str("peers", h.PeerAddr()).Str("zone", h.settings.Zone).Msg("")
 
@@ -299,6 +311,7 @@
 	run("maintenance", h.maintenance.run)
 	run("ratings", h.sampler.run)
 	run("custody", h.takeOverBills)
+	run("intake", func(ctx context.Context) error { h.intake.Run(ctx); return nil })
 }
 
 // Limits of the HTTP servers for callers and operators.
@@ -309,13 +322,14 @@
 	maxHeaderBytes = 64 << 10
 )
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+// serverOptions returns the options of a listener.
+func (h *Host) serverOptions(name string, group intake.Group) httpintake.ServerOptions {
+	return httpintake.ServerOptions{
+		Name: name, Group: group,
+		MaxHead:      func() int { return maxHeaderBytes },
+		HeadTimeout:  func() time.Duration { return headerTimeout },
+		IdleTimeout:  func() time.Duration { return idleTimeout },
+		WriteTimeout: h.settings.CallerWriteTimeout,
 	}
 }
 
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,7 +12,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/manifest"
+	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
 
@@ -85,9 +87,19 @@
 }
 
 func (h *Host) submitManifest(w http.ResponseWriter, req *http.Request) {
-	body, err := readBody(w, req, manifest.MaxDocumentBytes)
+	conn, detach := h.intake.Attach(req)
+	defer detach()
+	if conn == nil {
+		writeOperatorError(w, http.StatusServiceUnavailable, httpintake.ErrNoMemory)
+		return
+	}
+	body, err := readBody(w, req, conn, manifest.MaxDocumentBytes)
 	if err != nil {
-		writeOperatorError(w, http.StatusBadRequest, err)
+		status := resultcode.Lookup(resultcode.FromError(err).Code).Status
+		if status != http.StatusServiceUnavailable {
+			status = http.StatusBadRequest
+		}
+		writeOperatorError(w, status, err)
 		return
 	}
 	submission, err := h.manifestStore.Submit(req.Context(), body, req.Header.Get(HeaderSubmitToken))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -53,9 +53,10 @@
 func (h *Host) provisionPeers() error {
 	var err error
 	h.peerServer, err = peer.NewServer(peer.ServerOptions{
-		Listen: h.settings.Peers,
-		Self:   h.settings.ID,
-		Keys:   h.settings.PeerKeys,
+		Listen:   h.settings.Peers,
+		Self:     h.settings.ID,
+		Keys:     h.settings.PeerKeys,
+		MaxConns: min(h.sockets.Peers, peer.DefaultMaxConns),
 	})
 	if err != nil {
 		return SettingError("peers", "%v", err)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalweir/quetzalweir/claim"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/quarantine"
@@ -55,6 +56,8 @@
 	Service upstream.ServiceCall
 	// Sink receives the answer.
 	Sink Sink
+	// Conn is the caller's connection, for which the request's memory is accounted.
+	Conn *httpintake.Conn
 
 	// Set by the filters.
 
@@ -174,8 +177,9 @@
 
 // Frontend implements a protocol for callers.
 type Frontend interface {
-	// Decode reads a request. Its errors are resultcode errors.
-	Decode(w http.ResponseWriter, req *http.Request) (*Request, error)
+	// Decode reads a request, whose memory is accounted for the connection. Its errors are
+	// resultcode errors.
+	Decode(w http.ResponseWriter, req *http.Request, conn *httpintake.Conn) (*Request, error)
 	// Finish writes the end of the answer, or the error response for err.
 	Finish(w http.ResponseWriter, r *Request, err error)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,13 +6,15 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
 // callerHandler returns the handler of the callers' address.
 func (h *Host) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", h.serve(&chatFrontend{maxBody: h.settings.MaxBody}))
+	limits := h.intake.Limits()
+	mux.Handle("POST /v1/chat/completions", h.serve(&chatFrontend{maxBody: min(h.settings.MaxBody, limits.MaxBody(decodedCopies))}))
 	mux.Handle(servicePrefix, h.serve(&serviceFrontend{maxBody: h.settings.MaxBody}))
 	mux.Handle("/", withWriteTimeout(h.settings.CallerWriteTimeout, h.serveUnknownPath))
 	return mux
@@ -21,16 +23,28 @@
 // serve returns a handler that runs each request through the pipeline.
 func (h *Host) serve(frontend Frontend) http.Handler {
 	return withWriteTimeout(h.settings.CallerWriteTimeout, func(caller *callerWriter, req *http.Request) {
-		r, err := h.decode(frontend, caller, req)
+		conn, detach := h.intake.Attach(req)
+		defer detach()
+		r, err := h.decode(frontend, caller, req, conn)
 		if err == nil {
 			err = h.pipeline(req.Context(), r)
 		} else {
 			h.countUndecoded(r, err)
+			endUnreadBody(caller, conn, err)
 		}
 		frontend.Finish(caller, r, err)
 	})
 }
 
+// endUnreadBody bounds the time in which the rest of a refused request's body is read. The connection is
+// closed after the answer if the body didn't arrive in time, or if there was no memory for it.
+func endUnreadBody(caller *callerWriter, conn *httpintake.Conn, err error) {
+	code := resultcode.FromError(err).Code
+	if conn != nil && conn.BodyUnread() && (code == resultcode.HostMemory || code == resultcode.BodyTimeout) {
+		caller.Header().Set("Connection", "close")
+	}
+}
+
 // withWriteTimeout returns a handler that bounds the time of each write to the caller.
 func withWriteTimeout(timeout time.Duration, handle func(caller *callerWriter, req *http.Request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -43,11 +57,14 @@
 
 // decode checks the account key before it reads the request, so that no body is read
 // for callers without an account.
-func (h *Host) decode(frontend Frontend, w http.ResponseWriter, req *http.Request) (*Request, error) {
+func (h *Host) decode(frontend Frontend, w http.ResponseWriter, req *http.Request, conn *httpintake.Conn) (*Request, error) {
 	policy, err := currentPolicy(h.manifestWatcher)
 	if err == nil {
 		_, err = accountByKey(policy, accountKey(req))
 	}
+	if err == nil && conn == nil {
+		err = resultcode.New(resultcode.HostMemory, "the host has no memory for another request")
+	}
 	if err != nil {
 		r, headerErr := newRequest(req, KindModel)
 		if headerErr != nil {
@@ -55,7 +72,7 @@
 		}
 		return r, err
 	}
-	return frontend.Decode(w, req)
+	return frontend.Decode(w, req, conn)
 }
 
 func (h *Host) serveUnknownPath(caller *callerWriter, req *http.Request) {
--- a/internal/entry/servicefrontend.go
+++ b/internal/entry/servicefrontend.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -20,7 +21,7 @@
 }
 
 // Decode implements Frontend.
-func (f *serviceFrontend) Decode(w http.ResponseWriter, req *http.Request) (*Request, error) {
+func (f *serviceFrontend) Decode(w http.ResponseWriter, req *http.Request, conn *httpintake.Conn) (*Request, error) {
 	r, err := newRequest(req, KindService)
 	if err != nil {
 		return r, err
@@ -35,8 +36,8 @@
 	if req.URL.RawQuery != "" {
 		r.Service.Path += "?" + req.URL.RawQuery
 	}
-	r.Sink = &serviceSink{}
-	r.Body, err = readBody(w, req, f.maxBody)
+	r.Sink, r.Conn = &serviceSink{}, conn
+	r.Body, err = readBody(w, req, conn, f.maxBody)
 	return r, err
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -32,6 +32,9 @@
 	Seeds []string
 	// MaxBody is the maximum size of a request's body, in bytes. Default 8 MiB.
 	MaxBody int64
+	// MemoryBytes is the memory that the process may use. A part of it bounds what callers
+	// take (package intake). Default 1 GiB.
+	MemoryBytes int64
 	// Capacity is the maximum number of requests that the host runs at once in one
 	// pool. Default 1024.
 	Capacity int
@@ -78,6 +81,7 @@
 // Defaults of Settings.
 const (
 	DefaultMaxBody        = 8 << 20
+	DefaultMemoryBytes    = 1 << 30
 	DefaultCapacity       = 1024
 	DefaultMaxQueue       = 4096
 	DefaultQueueFactor    = 2
@@ -94,6 +98,7 @@
 // Provision sets fields that are zero to their defaults, except BalancerLag.
 func (s *Settings) Provision() {
 	setDefault(&s.MaxBody, DefaultMaxBody)
+	setDefault(&s.MemoryBytes, DefaultMemoryBytes)
 	setDefault(&s.Capacity, DefaultCapacity)
 	setDefault(&s.MaxQueue, DefaultMaxQueue)
 	setDefault(&s.QueueFactor, DefaultQueueFactor)
@@ -122,6 +127,7 @@
 		checkAddress("peers", s.Peers),
 		s.validateAdvertised(),
 		checkPositive("max-body", s.MaxBody),
+		checkPositive("memory-mb", s.MemoryBytes),
 		checkPositive("capacity", int64(s.Capacity)),
 		checkPositive("max-queue", int64(s.MaxQueue)),
 		checkPositive("freshness-bound", int64(s.FreshnessBound)),
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -230,7 +230,7 @@
 		return nil, statusError(resp)
 	}
 	defer resp.Body.Close()
-	return readBody(ctx, resp, e.opts.MaxFrame)
+	return readBody(ctx, resp, e.opts.MaxFrame, nil)
 }
 
 // cancelStream cancels the request on the engine in the background. It is best
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -96,7 +96,7 @@
 	if !isRefusal(resp) {
 		state.Raise(runstate.Ran)
 	}
-	body, err := readBody(ctx, resp, s.opts.MaxResponseBytes)
+	body, err := readBody(ctx, resp, s.opts.MaxResponseBytes, call.Reserve)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -155,6 +155,9 @@
 	// connection turns out to be closed, the call is resent on another connection.
 	// By default the call is sent at most once.
 	Idempotent bool
+	// Reserve, if set, is called before memory for the response is taken, with the number
+	// of bytes. The call fails with ErrTooLarge if it returns false.
+	Reserve func(bytes int64) bool
 }
 
 // ServiceResponse is the complete response of a plain service.
