peer: connections that never authenticate kept hosts from connecting

What hosts saw: none of them could connect while 1,024 connections without a handshake were open at the address for other hosts, for up to two seconds each.

Cause: a connection took its place before it was authenticated.

Why this works: only authenticated connections take a place. The others are a quarter as many at most, and the oldest of them is closed in favor of a new one.

--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -5,7 +5,8 @@
 	"sync"
 )
 
-// pendingPart is the part of a server's connections that may be unauthenticated, as a divisor.
+// pendingPart is the number of unauthenticated connections that a server may have as a part of that of the
+// authenticated ones, as a divisor.
 const pendingPart = 4
 
 // pendingConns holds the connections that aren't authenticated yet, in the order of their arrival. Anybody who
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -53,9 +53,9 @@
 	Keys []Key
 	// Limits applies to each connection.
 	Limits Limits
-	// MaxConns is the maximum number of open connections; default 1024. Further
-	// connections are closed immediately. A quarter of them may be unauthenticated; the
-	// oldest of these is closed in favor of a new one.
+	// MaxConns is the maximum number of open connections of authenticated hosts; default
+	// 1024. Further connections are closed once they are authenticated. A quarter as many
+	// may be unauthenticated; the oldest of these is closed in favor of a new one.
 	MaxConns int
 	// DrainTimeout limits how long Serve waits for running handlers before it
 	// returns; default 2 s.
@@ -68,7 +68,7 @@
 }
 
 // Server accepts connections from other hosts and handles their calls. connSlots is
-// a semaphore that holds one element for each open connection, and handlers holds
+// a semaphore that holds one element for each authenticated connection, and handlers holds
 // the handlers by method.
 type Server struct {
 	options   ServerOptions
@@ -165,17 +165,8 @@
 			}
 			return fmt.Errorf("peer: accept: %w", err)
 		}
-		select {
-		case s.connSlots <- struct{}{}:
-		default:
-			conn.Close()
-			continue
-		}
 		s.pending.add(conn)
-		s.conns.Go(func() {
-			defer func() { <-s.connSlots }()
-			s.serveConn(serveCtx, conn)
-		})
+		s.conns.Go(func() { s.serveConn(serveCtx, conn) })
 	}
 }
 
@@ -196,6 +187,12 @@
 		s.notifyDisconnect("", err)
 		return
 	}
+	select {
+	case s.connSlots <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-s.connSlots }()
 	s.traffic.addHandshake(session)
 	if session.purpose == purposeRelay {
 		s.notifyDisconnect(session.peer, s.serveRelayed(s.relayCtx, conn, session))
