gateway: the limits of connections leave room for what the network delays

Heads and unused connections were ended at exactly the times that the document states, though a caller within them can be seen later: a lost packet of its head is sent again, and a request that leaves just before the idle timeout arrives after it. A head now has twice the stated time, and an unused connection the idle timeout and the time of a head.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -50,24 +50,36 @@
 	return endpoints, nil
 }
 
-// callerOptions returns the options of the callers' listener, whose limits are those of the routing document.
+// callerOptions returns the options of the callers' listener. Its limits are those of the routing document,
+// with room for what the network delays or the document doesn't count.
 func (g *Gateway) callerOptions() httpintake.ServerOptions {
-	limits := func() routing.Limits {
-		if table := g.routingTable.Load(); table != nil {
-			return table.Limits
-		}
-		return routing.Limits{}
-	}
 	return httpintake.ServerOptions{
 		Name: "callers", Group: intake.Callers,
 		// The limit is one of the header lines, which matchRoute checks. The request line may have the same size.
-		MaxHead:      func() int { return 2 * cmp.Or(limits().MaxHeaderBytes, defaultMaxHeaderBytes) },
-		HeadTimeout:  func() time.Duration { return cmp.Or(limits().HeaderTimeout, defaultHeaderTimeout) },
-		IdleTimeout:  func() time.Duration { return cmp.Or(limits().IdleTimeout, defaultIdleTimeout) },
+		MaxHead: func() int { return 2 * g.callerLimits().MaxHeaderBytes },
+		// A part of a head that is lost on the way takes as long again.
+		HeadTimeout: func() time.Duration { return 2 * g.callerLimits().HeaderTimeout },
+		// A request that is sent just before the idle timeout still arrives.
+		IdleTimeout: func() time.Duration {
+			l := g.callerLimits()
+			return l.IdleTimeout + l.HeaderTimeout
+		},
 		WriteTimeout: callerWriteTimeout,
 	}
 }
 
+// callerLimits returns the limits of heads and of unused connections that are in force.
+func (g *Gateway) callerLimits() routing.Limits {
+	var l routing.Limits
+	if table := g.routingTable.Load(); table != nil {
+		l = table.Limits
+	}
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, defaultMaxHeaderBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
+	return l
+}
+
 // checkOptions returns the options of a listener for readiness checks and metrics.
 func (g *Gateway) checkOptions(name string) httpintake.ServerOptions {
 	return httpintake.ServerOptions{
