logline: long texts of callers took up to 64 MB of memory while the output was slow

What callers could do: send requests with ids of 15 kB, within the limit of heads. Each of their lines waits for the output; the queue was bounded by lines (4,096), not by bytes, so that a slow reader of the log made them 64 MB, with two lines a request.

Found by reading, not seen in a process. Lines are now cut at 8 kB and the queue holds 4 MB; lines beyond are left out and counted as before.

--- a/internal/logline/bounded.go
+++ b/internal/logline/bounded.go
@@ -7,15 +7,22 @@
 	"sync/atomic"
 )
 
-// queueLines is the maximum number of lines that wait for a slow output, about as many as a
-// busy host logs in a second.
-const queueLines = 4096
+const (
+	// queueLines is the maximum number of lines that wait for a slow output, about as many as a
+	// busy host logs in a second. queueBytes is their maximum size: lines contain what callers send.
+	queueLines = 4096
+	queueBytes = 4 << 20
+	// maxLine is the size to which longer lines are cut, in bytes.
+	maxLine = 8 << 10
+)
 
 // BoundedWriter is a writer that queues lines and writes them to its output in the background. If
-// the queue is full, it drops and counts further lines, so that Write never blocks.
+// the queue is full, it drops and counts further lines, so that Write never blocks. Long lines are cut.
 type BoundedWriter struct {
-	out       io.Writer
-	lines     chan []byte
+	out   io.Writer
+	lines chan []byte
+	// queued is the size of the lines in the queue, in bytes.
+	queued    atomic.Int64
 	dropped   atomic.Uint64
 	closeOnce sync.Once
 	// closing is closed when the writer is to stop, drained when it has stopped.
@@ -31,11 +38,21 @@
 
 // Write implements io.Writer; it never blocks and never fails.
 func (b *BoundedWriter) Write(line []byte) (int, error) {
-	select {
-	case b.lines <- append([]byte(nil), line...):
-	default:
-		b.dropped.Add(1)
+	queued := make([]byte, 0, min(len(line), maxLine))
+	if len(line) > maxLine {
+		queued = append(append(queued, line[:maxLine-1]...), '\n')
+	} else {
+		queued = append(queued, line...)
+	}
+	if b.queued.Add(int64(len(queued))) <= queueBytes {
+		select {
+		case b.lines <- queued:
+			return len(line), nil
+		default:
+		}
 	}
+	b.queued.Add(-int64(len(queued)))
+	b.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -53,6 +70,7 @@
 	defer close(b.drained)
 	reportedDrops := uint64(0)
 	write := func(line []byte) {
+		b.queued.Add(-int64(len(line)))
 		// There is no other place to report that the log can't be written.
 		_, _ = b.out.Write(line)
 		if dropped := b.dropped.Load(); dropped != reportedDrops {
