httpintake: a connection could be chosen to end before it was known to the pool

A new connection was in the ledger before its owner was set, so that a reservation on another one could choose it and find none: a panic. Found by reading, not seen. Both are now set under the pool's lock. Connections that are chosen to end are chosen in batches also where they are idle, so that candidates aren't listed for each one.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -283,8 +283,8 @@
 	return l.candidates
 }
 
-// batchPart is the part of the limits that late requests free at once, as a divisor, so that candidates
-// aren't listed for each reservation.
+// batchPart is the part of the limits that late requests and unused connections free at once, as a divisor, so
+// that candidates aren't listed for each reservation.
 const batchPart = 64
 
 // yieldMemory chooses connections to end that together take the given memory, in bytes. Within a kind, the
@@ -295,7 +295,7 @@
 	batch := max(bytes, l.limits.Memory/batchPart)
 	freed := int64(0)
 	for _, cand := range l.listCandidates(now, func(c *Conn) float64 { return float64(c.memory()) * now.Sub(c.since).Seconds() }) {
-		if freed >= bytes && (cand.order != orderIncomplete || freed >= batch) {
+		if freed >= bytes && (cand.order > orderIdle || freed >= batch) {
 			break
 		}
 		if cand.conn == self {
@@ -322,7 +322,7 @@
 func (l *Ledger) yieldSlot(g Group, now time.Time) (ended []*Conn) {
 	batch := max(1, l.limits.Connections[g]/batchPart)
 	for _, cand := range l.listCandidates(now, func(c *Conn) float64 { return now.Sub(c.since).Seconds() }) {
-		if len(ended) > 0 && (cand.order != orderIncomplete || len(ended) >= batch) {
+		if len(ended) > 0 && (cand.order > orderIdle || len(ended) >= batch) {
 			break
 		}
 		if cand.conn.group == g {
--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -283,12 +283,10 @@
 	return c.closeErr
 }
 
-// lingering is the number of connections in awaitCaller.
-var lingering atomic.Int64
-
 // awaitCaller reads what the caller of a refused request still sends, until it has read the refusal and
 // closes the connection.
 func (c *Conn) awaitCaller() {
+	lingering := &c.pool.lingering
 	defer lingering.Add(-1)
 	if lingering.Add(1) > maxLingering || c.CloseWrite() != nil {
 		return
--- a/internal/httpintake/pool.go
+++ b/internal/httpintake/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,8 @@
 type Pool struct {
 	limits intake.Limits
 	ends   endLog
+	// lingering is the number of connections whose requests are read after a refusal.
+	lingering atomic.Int64
 
 	// mu guards the ledger. One lock covers all connections, since the ledger compares them with each
 	// other.
@@ -131,21 +134,29 @@
 
 // accept returns the connection, or nil if it is rejected.
 func (p *Pool) accept(inner net.Conn, o *ServerOptions) *Conn {
+	c := &Conn{Conn: inner, pool: p, options: o}
 	now := time.Now()
-	p.mu.Lock()
-	entry, ended := p.ledger.Accept(o.Group, now)
-	p.mu.Unlock()
-	p.end(ended)
-	if entry == nil {
+	if !p.open(c, o.Group, now) {
 		return nil
 	}
-	c := &Conn{Conn: inner, pool: p, options: o, entry: entry}
-	entry.Owner = c
 	// A caller may open a connection before it has a request.
 	_ = inner.SetReadDeadline(now.Add(max(o.IdleTimeout(), o.HeadTimeout())))
 	return c
 }
 
+// open accounts a new connection. It returns false if the connection is rejected.
+func (p *Pool) open(c *Conn, g intake.Group, now time.Time) bool {
+	p.mu.Lock()
+	entry, ended := p.ledger.Accept(g, now)
+	if entry != nil {
+		// From now on, the ledger may choose the connection to end.
+		c.entry, entry.Owner = entry, c
+	}
+	p.mu.Unlock()
+	p.end(ended)
+	return entry != nil
+}
+
 // Attach returns the connection of a request. A request of a server that isn't the pool's is accounted from
 // now on. The returned function must be called when the request ends. It returns nil if the host has no
 // memory for the request.
@@ -153,15 +164,10 @@
 	if c, ok := req.Context().Value(connKey{}).(*Conn); ok {
 		return c, func() {}
 	}
-	p.mu.Lock()
-	entry, ended := p.ledger.Accept(intake.Callers, time.Now())
-	p.mu.Unlock()
-	p.end(ended)
-	if entry == nil {
+	c = &Conn{pool: p, options: &ServerOptions{Name: "other"}}
+	if !p.open(c, intake.Callers, time.Now()) {
 		return nil, func() {}
 	}
-	c = &Conn{pool: p, options: &ServerOptions{Name: "other"}, entry: entry}
-	entry.Owner = c
 	c.beginRequest(req)
 	return c, c.release
 }
