gateway: a deadline that overflows gave a caller ten times its route's time

What callers could do: with X-Deadline-Ms of 1e14 ms and more, a request was kept for 30 s on a route that permits 3 s (on x86-64; on arm64 the conversion saturates, and the route's timeout held).

Cause: the number was converted to a duration without a bound. The result was negative, was taken for the smaller one, and then replaced by the default.

--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -100,7 +100,7 @@
 func (f *setDeadline) serve(ctx context.Context, r *Request, next handleFunc) error {
 	allowed := r.Route.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(f.headers.Deadline), 64); err == nil && ms > 0 {
-		callerWait := time.Duration(ms * float64(time.Millisecond))
+		callerWait := time.Duration(min(ms, float64(maxCallerDeadline.Milliseconds())) * float64(time.Millisecond))
 		if allowed <= 0 || callerWait < allowed {
 			allowed = callerWait
 		}
@@ -114,5 +114,8 @@
 	return next(ctx, r)
 }
 
+// maxCallerDeadline bounds the deadlines of callers on routes without a timeout.
+const maxCallerDeadline = time.Hour
+
 // defaultTimeout bounds requests for which neither the caller nor the route sets a timeout.
 const defaultTimeout = 30 * time.Second
