httpintake: empty lines before a request line are accounted like the rest of a head

A part that began with two empty lines was taken for the end of a head. The server library closes such connections after the first of them, so nothing was seen of it (TestCrowdOfEndlessHeads/empty_lines_before_a_request passed).

--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -87,7 +87,8 @@
 
 // accountHead accounts a part of a head, which may end with the beginning of a body.
 func (c *Conn) accountHead(part []byte) error {
-	if i := bytes.Index(part, []byte("\r\n\r\n")); i >= 0 {
+	// Empty lines before the request line don't end the head.
+	if i := bytes.Index(part, []byte("\r\n\r\n")); i > 0 {
 		part = part[:i]
 	}
 	now := time.Now()
