--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -51,8 +51,8 @@
 	platform    Platform
 	log         zerolog.Logger
 	metrics     *requestMetrics
-	// intake accounts what callers and operators take of the host, of whose sockets they may
-	// use a part.
+	// sockets divides the sockets that the process may open. intake accounts what callers and
+	// operators take of the host.
 	intake  *httpintake.Pool
 	sockets intake.Sockets
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,7 +36,7 @@
 	upstreamWatcher *feed.Watcher
 	peers           *exchange.Member
 	retryBudgets    lazyValues[retryBudget]
-	// intake accounts what callers take of the host, of whose sockets they may use a part.
+	// sockets divides the sockets that the process may open. intake accounts what callers take of the host.
 	sockets     intake.Sockets
 	intake      *httpintake.Pool
 	promptSizes lazyValues[promptSizes]
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// pendingPart is the number of unauthenticated connections that a server may have as a part of that of the
-// authenticated ones, as a divisor.
+// pendingPart divides MaxConns: a server may have that many unauthenticated connections beside the authenticated
+// ones.
 const pendingPart = 4
 
 // pendingConns holds the connections that aren't authenticated yet, in the order of their arrival. Anybody who
