--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -56,7 +56,8 @@
 		c, ended := l.Accept(Callers, at(10))
 		is.True(c != nil)
 		is.Equal(ended, []*Conn{want})
-		is.True(!l.SetStage(want, Serving, at(10))) // it was chosen while it received its request
+		// A connection that is to end serves no further request.
+		is.True(!l.SetStage(want, Serving, at(10)))
 		l.Close(want)
 		l.SetStage(c, Serving, at(10))
 	}
