httpintake: one place decides how a request without its body is refused

Cause: both front doors mapped the errors of ReadBody to result codes and decided for themselves after which refusals a connection is closed, in two copies.

Change: BodyRefusal and ClosesAfter, used by both. Codes, statuses and headers stay; the text of the refusal of serve for a late or unreadable body is the gateway's.

Measured: packages httpintake and entry, the gateway's tests of bodies, headers, refusals, limits and deadlines, and the crowds of large bodies of both (23 cases), one run each: all pass.

--- a/internal/entry/chatfrontend.go
+++ b/internal/entry/chatfrontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strings"
 
@@ -106,16 +105,8 @@
 // readBody reads the body of a request and accounts its memory.
 func readBody(w http.ResponseWriter, req *http.Request, conn *httpintake.Conn, limit int64) ([]byte, error) {
 	body, err := conn.ReadBody(w, req, limit, bodyTimeout)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, resultcode.Wrap(resultcode.BodyTooLarge, err, "the body is over %d bytes", tooLarge.Limit)
-	case errors.Is(err, httpintake.ErrNoMemory):
-		return nil, resultcode.Wrap(resultcode.HostMemory, err, "the host has no memory for the request")
-	case errors.Is(err, httpintake.ErrBodyTimeout):
-		return nil, resultcode.Wrap(resultcode.BodyTimeout, err, "the body wasn't received in %s", bodyTimeout)
-	case err != nil:
-		return nil, resultcode.Wrap(resultcode.MalformedBody, err, "the body couldn't be read")
+	if err != nil {
+		return nil, httpintake.BodyRefusal(err)
 	}
 	return body, nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,21 +30,14 @@
 			err = h.pipeline(req.Context(), r)
 		} else {
 			h.countUndecoded(r, err)
-			endUnreadBody(caller, conn, err)
+			if conn.ClosesAfter(resultcode.FromError(err).Code) {
+				caller.Header().Set("Connection", "close")
+			}
 		}
 		frontend.Finish(caller, r, err)
 	})
 }
 
-// endUnreadBody bounds the time in which the rest of a refused request's body is read. The connection is
-// closed after the answer if the body didn't arrive in time, or if there was no memory for it.
-func endUnreadBody(caller *callerWriter, conn *httpintake.Conn, err error) {
-	code := resultcode.FromError(err).Code
-	if conn != nil && conn.BodyUnread() && (code == resultcode.HostMemory || code == resultcode.BodyTimeout) {
-		caller.Header().Set("Connection", "close")
-	}
-}
-
 // withWriteTimeout returns a handler that bounds the time of each write to the caller.
 func withWriteTimeout(timeout time.Duration, handle func(caller *callerWriter, req *http.Request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -75,16 +74,8 @@
 func (f *readBody) serve(ctx context.Context, r *Request, next handleFunc) error {
 	limit := cmp.Or(max(0, r.Table.Limits.MaxBodyBytes), math.MaxInt64)
 	data, err := r.conn.ReadBody(r.answer.writer, r.answer.request, limit, boottime.Until(r.Deadline))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return resultcode.New(resultcode.BodyTooLarge, "body over %d bytes", tooLarge.Limit)
-	case errors.Is(err, httpintake.ErrNoMemory):
-		return resultcode.Wrap(resultcode.HostMemory, err, "the host has no memory for the request")
-	case errors.Is(err, httpintake.ErrBodyTimeout):
-		return resultcode.Wrap(resultcode.BodyTimeout, err, "the body wasn't received before the deadline")
-	case err != nil:
-		return resultcode.Wrap(resultcode.MalformedBody, err, "the body ended early or can't be read")
+	if err != nil {
+		return httpintake.BodyRefusal(err)
 	}
 	r.Body = data
 	r.Digest, r.partDigests = r.content().Digest(), r.Prompt.partDigests()
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -101,9 +101,7 @@
 	if retry := retryAfter(e); retry > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
 	}
-	// A body that didn't arrive in time, or for which there was no memory, isn't read further.
-	unread := r.conn != nil && r.conn.BodyUnread()
-	if r.answer.closesConnection || unread && (e.Code == resultcode.HostMemory || e.Code == resultcode.BodyTimeout) {
+	if closes := r.conn.ClosesAfter(e.Code); closes || r.answer.closesConnection {
 		header.Set("Connection", "close")
 	}
 	r.answer.writer.WriteHeader(resultcode.Lookup(e.Code).Status)
