--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -18,6 +18,7 @@
 		os.Exit(couldNotRun)
 	}
 	cases := map[string]func(w *world, trouble bool) (broken bool, err error){
+		"dropped":  playDropped,
 		"removed":  playRemoved,
 		"unmarked": playUnmarked,
 	}
--- a/review/kit2/world.go
+++ b/review/kit2/world.go
@@ -231,16 +231,25 @@
 
 // addServer starts a server of the service desk and lists it in the store.
 func (w *world) addServer(id, zone string, run func(*server, net.Conn, *http.Request, []byte) bool) (*server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := w.listen(id, zone, run)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, zone: zone, address: listener.Addr().String(), listener: listener, run: run, conns: make(map[net.Conn]struct{})}
-	go s.accept()
 	w.put("servers", id, map[string]any{
 		"service": serviceName, "address": s.address, "zone": zone, "version": "v1", "slots": serverSlots,
 		"state": "available", "cold_remaining_ms": 0, "sequence": 1,
 	})
+	return s, nil
+}
+
+// listen starts a server that isn't in the store yet.
+func (w *world) listen(id, zone string, run func(*server, net.Conn, *http.Request, []byte) bool) (*server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{id: id, zone: zone, address: listener.Addr().String(), listener: listener, run: run, conns: make(map[net.Conn]struct{})}
+	go s.accept()
 	w.stops = append(w.stops, s.exit)
 	return s, nil
 }
