--- a/review/kit2/dropped.go
+++ b/review/kit2/dropped.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -95,12 +96,8 @@
 // serve runs a request: it states the model's confidence and streams the events while the channel stays open.
 func (r *droppedRecord) serve(w *world, s *server, conn net.Conn, req *http.Request, model string) bool {
 	id := req.Header.Get("X-Attempt-Id")
-	if req.URL.Path == "/-/report" {
-		return s.report(conn, model)
-	}
 	if strings.HasPrefix(req.URL.Path, "/-/") {
-		_, err := io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-		return err == nil
+		return s.serveState(conn, req, model)
 	}
 	if named := req.Header.Get("X-Model"); named != model {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, id)
@@ -131,10 +128,27 @@
 	return err == nil
 }
 
-// report answers a request for the server's state.
-func (s *server) report(conn net.Conn, model string) bool {
-	body := fmt.Sprintf(`{"phase":"combined","model_list":[{"name":%q,"version":1,"adapter_list":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_in_use":0,"kv_limit":592732,"kv_handles":0}`, model)
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+// maxStateWait bounds how long a call for cache events is kept waiting.
+const maxStateWait = time.Second
+
+// serveState answers calls that aren't a client's requests. The server's cache is empty.
+func (s *server) serveState(conn net.Conn, req *http.Request, model string) bool {
+	status, body := "200 OK", ""
+	switch req.URL.Path {
+	case "/-/report":
+		body = fmt.Sprintf(`{"phase":"combined","model_list":[{"name":%q,"version":1,"adapter_list":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_in_use":0,"kv_limit":592732,"kv_handles":0}`, model)
+	case "/-/kv-events":
+		wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms")) // 0 if absent
+		time.Sleep(min(maxStateWait, time.Duration(wait)*time.Millisecond))
+		body = `{"epoch":1,"next":0,"lost":false,"events":[]}`
+	case "/-/kv-list":
+		body = `{"epoch":1,"next":0,"held":[]}`
+	case "/-/hold-take":
+		status = "503 Service Unavailable"
+	default:
+		status = "404 Not Found"
+	}
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 	return err == nil
 }
 
