sealedconn: an answer that ends with a reset during an upload isn't complete

Callers got a part of an answer as the whole: an upstream answered an upload at once without a length and reset the connection while the upload was being written.

Cause: the system reports a reset once, to the call that comes first. If that is the write of the upload, the reader of the answer gets an ordinary end of data, which completes an answer without a length or chunks. A server that terminates after it has read all that it received so far closes the connection in order, and resets it when the rest arrives; that looked complete, too.

Why it works: a connection keeps the error of its last write, and a read at the end of the data first waits for the write in progress, which it interrupts, so that the order in which both return doesn't matter. Package responsecheck decides from that what the end means. A success that ends with its connection needs its request to be written whole; a refusal doesn't, since servers may refuse what they haven't read.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -51,7 +51,7 @@
 	// onChange is called after each change of the path.
 	onChange func(egress.Path)
 	// direct and relayed are the transports for the two paths. Each has its own idle connections.
-	direct, relayed *http.Transport
+	direct, relayed *sealedconn.Transport
 	// suspected is set while the log states that the host's own path may be interrupted.
 	suspected atomic.Bool
 
@@ -77,7 +77,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: s.UpstreamSource}
 	}
 	p := &egressPaths{
-		tracker: egress.NewTracker(), metrics: metrics, log: log, dialDirect: dialer.DialContext, relays: newRelayDialer(log),
+		tracker: egress.NewTracker(), metrics: metrics, log: log, dialDirect: sealedconn.DetectResets(dialer.DialContext), relays: newRelayDialer(log),
 		onChange: func(egress.Path) {}, probeTargets: func(int) []probeTarget { return nil }, open: make(map[*observedConn]struct{}),
 	}
 	p.direct, p.relayed = newTransport(p.dial), newTransport(p.relays.dial)
@@ -85,7 +85,7 @@
 }
 
 // newTransport returns an HTTP transport for requests to upstreams.
-func newTransport(dial sealedconn.DialFunc) *http.Transport {
+func newTransport(dial sealedconn.DialFunc) *sealedconn.Transport {
 	t := sealedconn.NewTransportWith(func(ctx context.Context, network, host string) (net.Conn, error) {
 		return dial(ctx, network, dialAddress(host))
 	})
--- /dev/null
+++ b/internal/responsecheck/responsecheck_test.go
@@ -0,0 +1,41 @@
+package responsecheck
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A body that ends with its connection is complete only if the connection was closed in order and a success isn't ahead
+// of its request.
+func TestEndOfResponse(t *testing.T) {
+	is := is.New(t)
+	is.Equal(EndOfData(nil), io.EOF)
+	is.Equal(faultOf(EndOfData(syscall.EPIPE)), Reset)
+	is.True(errors.Is(EndOfData(syscall.EPIPE), syscall.EPIPE))
+	for _, test := range []struct {
+		end  End
+		want Fault
+	}{
+		{End{Status: 200}, ""},
+		{End{Status: 200, RequestWritten: true, EndsWithConnection: true}, ""},
+		{End{Status: 200, EndsWithConnection: true}, RequestUnread},
+		{End{Status: 204, EndsWithConnection: true}, RequestUnread},
+		{End{Status: 302, EndsWithConnection: true}, ""},
+		{End{Status: 413, EndsWithConnection: true}, ""},
+		{End{Status: 500, EndsWithConnection: true}, ""},
+	} {
+		is.Equal(faultOf(test.end.Check()), test.want)
+	}
+}
+
+func faultOf(err error) Fault {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Fault
+	}
+	return ""
+}
--- a/internal/sealedconn/call.go
+++ b/internal/sealedconn/call.go
@@ -55,12 +55,48 @@
 	// maybeWritten is true if a write may have written a byte, or if the selected
 	// connection isn't a trackedConn.
 	maybeWritten bool
+	// writeEnded is closed when the transport has ended writing the request to lastConn; isWriteEnded is set then, and
+	// wroteWhole if it wrote all of it. writeEnded is nil before the first selection.
+	writeEnded               chan struct{}
+	isWriteEnded, wroteWhole bool
 }
 
+// callKey is the key of the call in the context of its request.
+type callKey struct{}
+
 // Trace returns a context for the request. With it, the call is attached to each
 // connection that the transport selects, before the first byte is written.
 func (c *Call) Trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.gotConn})
+	return httptrace.WithClientTrace(context.WithValue(ctx, callKey{}, c), &httptrace.ClientTrace{GotConn: c.gotConn, WroteRequest: c.wroteRequest})
+}
+
+// wroteRequest implements httptrace.ClientTrace.WroteRequest.
+func (c *Call) wroteRequest(info httptrace.WroteRequestInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeEnded != nil && !c.isWriteEnded {
+		c.isWriteEnded, c.wroteWhole = true, info.Err == nil
+		close(c.writeEnded)
+	}
+}
+
+// awaitWritten waits until the transport has ended writing the request, and reports whether it wrote it whole. It is
+// called at the end of the response, when the transport closes the connection, which ends a write.
+func (c *Call) awaitWritten(ctx context.Context) bool {
+	c.mu.Lock()
+	ended := c.writeEnded
+	c.mu.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wroteWhole && c.pendingWrites == 0
 }
 
 // gotConn implements httptrace.ClientTrace.GotConn. The transport calls it in the
@@ -85,6 +121,7 @@
 func (c *Call) attach(conn *trackedConn) {
 	c.mu.Lock()
 	c.lastConn = conn
+	c.writeEnded, c.isWriteEnded, c.wroteWhole = make(chan struct{}), false, false
 	c.mu.Unlock()
 	conn.setCall(c)
 }
--- a/internal/sealedconn/liveness_test.go
+++ b/internal/sealedconn/liveness_test.go
@@ -20,7 +20,7 @@
 	conn, err := transport.DialContext(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer conn.Close()
-	raw, err := conn.(*trackedConn).Conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(*trackedConn).Conn.(*resetConn).Conn.(*net.TCPConn).SyscallConn()
 	is.NoErr(err)
 	option := func(level, name int) int {
 		var value int
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -2,26 +2,36 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 )
 
-// NewTransport returns an HTTP/1.1 transport whose writes a Call can track. It
-// ignores proxy settings of the environment and doesn't request compression. The
+// Transport is an HTTP/1.1 transport whose writes a Call can track. The bodies of its responses end with io.EOF only if
+// they are complete (package responsecheck).
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a transport that ignores proxy settings of the environment and doesn't request compression. The
 // caller sets the limits of the connection pool and of the header size.
-func NewTransport(dialTimeout time.Duration) *http.Transport {
-	return NewTransportWith(NewDialer(dialTimeout).DialContext)
+func NewTransport(dialTimeout time.Duration) *Transport {
+	return NewTransportWith(DetectResets(NewDialer(dialTimeout).DialContext))
 }
 
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewTransportWith is like NewTransport, with connections that dial opens.
-func NewTransportWith(dial DialFunc) *http.Transport {
+// NewTransportWith is like NewTransport, with connections that dial opens. Their reads must return io.EOF only if the
+// peer closed the connection in order, as those of DetectResets do.
+func NewTransportWith(dial DialFunc) *Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -31,5 +41,44 @@
 		},
 		Protocols:          protocols,
 		DisableCompression: true,
+	}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Body != http.NoBody {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, response: resp}
+	}
+	return resp, nil
+}
+
+// checkedBody is the body of a response. Its end is checked.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.endOfBody()
+	}
+	return n, err
+}
+
+// endOfBody returns io.EOF if the response is complete.
+func (b *checkedBody) endOfBody() error {
+	resp := b.response
+	end := responsecheck.End{Status: resp.StatusCode, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+	if end.NeedsWholeRequest() {
+		ctx := resp.Request.Context()
+		call, _ := ctx.Value(callKey{}).(*Call)
+		end.RequestWritten = call == nil || call.awaitWritten(ctx)
 	}
+	return end.Check()
 }
--- a/storage/client/platform.go
+++ b/storage/client/platform.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"net/http"
 	"strings"
 	"sync/atomic"
 
@@ -19,7 +18,7 @@
 type Platform struct {
 	baseURL   string
 	options   Options
-	transport *http.Transport
+	transport *sealedconn.Transport
 	hosts     *hostList
 	// instanceID and callCount form the IDs of calls in protocol.HeaderCall.
 	instanceID string
@@ -61,7 +60,7 @@
 
 // newTransport returns an HTTP/1.1 transport whose connections report their
 // writes to the sealedconn.Call of the request.
-func newTransport(options Options) *http.Transport {
+func newTransport(options Options) *sealedconn.Transport {
 	transport := sealedconn.NewTransport(options.DialTimeout)
 	transport.TLSHandshakeTimeout = options.DialTimeout
 	transport.MaxConnsPerHost = options.MaxConnections
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -102,7 +102,7 @@
 // EngineClient implements Engine over HTTP/1.1 with pooled connections.
 type EngineClient struct {
 	opts      EngineOptions
-	transport *http.Transport
+	transport *sealedconn.Transport
 	counters  engineCounters
 	// cancelSlots is a semaphore that holds one element for each cancellation in
 	// flight.
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/notice"
 )
 
@@ -19,7 +20,7 @@
 
 // roundTrip sends a request to the target, and passes what the head of the answer states to
 // onNotice, if that is set. All requests of this package are sent by it.
-func roundTrip(transport *http.Transport, req *http.Request, target Target, onNotice NoticeFunc) (*http.Response, error) {
+func roundTrip(transport *sealedconn.Transport, req *http.Request, target Target, onNotice NoticeFunc) (*http.Response, error) {
 	resp, err := transport.RoundTrip(req)
 	if err != nil || onNotice == nil {
 		return resp, err
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
@@ -50,7 +51,7 @@
 // ServiceClient implements Service over HTTP/1.1 with pooled connections.
 type ServiceClient struct {
 	opts      ServiceOptions
-	transport *http.Transport
+	transport *sealedconn.Transport
 }
 
 var _ Service = (*ServiceClient)(nil)
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
@@ -21,7 +20,7 @@
 
 // newTransport returns an HTTP/1.1 transport whose writes a sealedconn.Call can
 // track.
-func newTransport(dialTimeout, idleConnTimeout time.Duration, idlePerHost int) *http.Transport {
+func newTransport(dialTimeout, idleConnTimeout time.Duration, idlePerHost int) *sealedconn.Transport {
 	transport := sealedconn.NewTransport(dialTimeout)
 	transport.MaxIdleConns = maxIdleConns
 	transport.MaxIdleConnsPerHost = idlePerHost
