responsecheck: an answer with a status that doesn't exist is no answer

Callers got the statuses 101, 600 and 999 of an upstream in trouble as their answers, and an answer of HTTP/9.9. For 000, 099 and +20 the handler panicked, and their connections were closed without an answer, also on routes that may be repeated. The clients of package upstream returned status 0 as an answer and used what its head stated, so that a request that may have run could count as not run.

Cause: the HTTP library accepts any three digits as a status, and the code relied on it.

Why it works: the transport that all clients use checks each head before anything of it is read. An invalid one is an error of a request that may have run: it goes to another upstream within the route's attempts and budget if it may be repeated, and is answered with 502 otherwise. The connection is closed. Such answers count as failures of the upstream and of its version, each once, since the upstream didn't terminate; they aren't evidence against the request.

--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 )
 
 // outcome is how one attempt ended.
@@ -81,6 +82,12 @@
 	return errors.Is(r.err, errAnswerTooLong) || errors.Is(r.err, errAnswerMemory) || errors.Is(r.err, errNoEvents)
 }
 
+// isBadAnswer reports whether the upstream answered with a failure or with an invalid answer. Unlike an answer that was
+// cut off, that concerns this request alone.
+func (r *attemptResult) isBadAnswer() bool {
+	return r.outcome == outcomeFailed || responsecheck.IsInvalid(r.err)
+}
+
 // guardOutcome returns the outcome in the terms of package guard.
 func (r *attemptResult) guardOutcome() guard.Outcome {
 	if r.neverSent {
@@ -93,7 +100,7 @@
 		if isRelayFailure(r.err) {
 			return guard.Abandoned // the run may go on
 		}
-		if r.isOverlong() {
+		if r.isOverlong() || responsecheck.IsInvalid(r.err) {
 			return guard.Answered // the gateway closed the connection, not the upstream
 		}
 		return guard.Interrupted
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -303,7 +303,7 @@
 // one poison request terminated are enough to stop the roll-out of a sound version.
 func (d *dispatch) observeVersion(r *Request, a *attempt, result attemptResult) {
 	g := d.gateway
-	if !isRelayFailure(result.err) && result.outcome != outcomeBroken && result.outcome != outcomeUnknown {
+	if result.isBadAnswer() || !isRelayFailure(result.err) && result.outcome != outcomeBroken && result.outcome != outcomeUnknown {
 		g.rollouts.observeResult(r, &a.choice, result, a.headCounted)
 		return
 	}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 	"github.com/quetzalweir/quetzalweir/internal/sealedconn"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
@@ -302,8 +303,8 @@
 	p.onChange(path)
 }
 
-// probe returns nil if the upstream answers over a new connection. If its service has no health check, an
-// open connection counts as an answer.
+// probe returns nil if the upstream answers over a new connection, with whatever status: it checks the path. If its
+// service has no health check, an open connection counts as an answer.
 func (p *egressPaths) probe(ctx context.Context, dial sealedconn.DialFunc, t probeTarget) error {
 	conn, err := dial(ctx, "tcp", t.address)
 	if err != nil {
@@ -313,12 +314,16 @@
 	if t.healthPath == "" {
 		return nil
 	}
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader}
+	transport := sealedconn.NewTransportWith(func(context.Context, string, string) (net.Conn, error) { return conn, nil })
+	transport.DisableKeepAlives, transport.MaxResponseHeaderBytes = true, maxAnswerHeader
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+t.healthPath, http.NoBody)
 	if err != nil {
 		return err
 	}
 	resp, err := transport.RoundTrip(req)
+	if responsecheck.IsInvalid(err) {
+		return nil // the path carried it
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -111,13 +111,15 @@
 // observeEnd counts the result of an attempt.
 func (e *evidence) observeEnd(o observation, result attemptResult, now time.Time) {
 	re := e.route(o.route)
+	if result.isBadAnswer() {
+		re.countAnswer(o, true, false)
+		return
+	}
 	switch result.outcome {
 	case outcomeDone:
 		if !o.headCounted {
 			re.countAnswer(o, false, re.isSlow(o, result.firstByte))
 		}
-	case outcomeFailed:
-		re.countAnswer(o, true, false)
 	case outcomeUnknown, outcomeBroken:
 		if now.Sub(e.cutOffAt[o.upstream]) > crashWindow {
 			e.cutOffAt[o.upstream] = now
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -9,6 +9,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 	"github.com/quetzalweir/quetzalweir/routing"
 	"github.com/quetzalweir/quetzalweir/storage"
 )
@@ -117,6 +119,18 @@
 	is.Equal(e.ownCounts()["r"].New.Failed, 2)
 }
 
+// An upstream that sends invalid answers didn't crash: each counts.
+func TestInvalidAnswersCountEach(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	o := observation{route: "r", upstream: "b", isNew: true}
+	for range 20 {
+		e.observeEnd(o, attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0)}, time.Now())
+	}
+	is.Equal(e.ownCounts()["r"].New.Failed, 20)
+	is.Equal((&attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0)}).guardOutcome(), guard.Answered)
+}
+
 // A stream counts as one answer, when its head arrives. If it fails later, the failure is counted
 // for that answer.
 func TestStreamIsCountedByItsHead(t *testing.T) {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -273,7 +273,7 @@
 		now := boottime.Now()
 		o.headCounted = headCounted
 		e.endAnswer(c, o, result, now)
-		if result.outcome == outcomeFailed && !r.addFailedVersion(c.upstream.Version) {
+		if result.isBadAnswer() && !r.addFailedVersion(c.upstream.Version) {
 			return
 		}
 		e.observeEnd(o, result, now)
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -3,6 +3,8 @@
 package responsecheck
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -11,6 +13,10 @@
 type Fault string
 
 const (
+	// Version is that the response isn't of HTTP/1.
+	Version Fault = "version"
+	// Status is that the status isn't one of a final response.
+	Status Fault = "status"
 	// Reset is that the connection was reset before the end of the response.
 	Reset Fault = "reset"
 	// RequestUnread is that a success ended with its connection before the request was written whole.
@@ -40,6 +46,31 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Statuses of final responses are at least minStatus and at most maxStatus (RFC 9110, section 15). Interim responses are
+// read by the HTTP library, except for 101: no request of the project asks for an upgrade.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// CheckHead returns an error if the head isn't that of a final HTTP/1 response. Nothing that it states can be used then.
+func CheckHead(majorVersion, status int) error {
+	if majorVersion != 1 {
+		return &Error{Fault: Version, Detail: fmt.Sprintf("major version %d", majorVersion)}
+	}
+	if status < minStatus || status > maxStatus {
+		return &Error{Fault: Status, Detail: fmt.Sprintf("%03d", status)}
+	}
+	return nil
+}
+
+// IsInvalid reports whether err means that a peer sent a response that isn't valid. Unlike a response that was cut off,
+// that doesn't suggest that the peer terminated.
+func IsInvalid(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Fault != Reset && e.Fault != RequestUnread
+}
+
 // EndOfData returns the error of a read at which the data of a connection ended, given the error of the last write to
 // it, or nil. A response may end with its connection, which makes it complete only if the peer closed the connection in
 // order. The system reports a reset once. If a write received it, reads return the end of the data as after an orderly
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+func TestHeadOfResponse(t *testing.T) {
+	is := is.New(t)
+	for status := -1; status <= 1000; status++ {
+		want := Status
+		if status >= 200 && status < 600 {
+			want = ""
+		}
+		is.Equal(faultOf(CheckHead(1, status)), want)
+	}
+	is.Equal(faultOf(CheckHead(9, 200)), Version)
+	is.Equal(faultOf(CheckHead(2, 200)), Version)
+}
+
 func faultOf(err error) Fault {
 	var e *Error
 	if errors.As(err, &e) {
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -11,8 +11,8 @@
 	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 )
 
-// Transport is an HTTP/1.1 transport whose writes a Call can track. The bodies of its responses end with io.EOF only if
-// they are complete (package responsecheck).
+// Transport is an HTTP/1.1 transport whose writes a Call can track. Its responses are valid, and their bodies end with
+// io.EOF only if they are complete (package responsecheck).
 type Transport struct {
 	*http.Transport
 }
@@ -50,12 +50,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := responsecheck.CheckHead(resp.ProtoMajor, resp.StatusCode); err != nil {
+		resp.Body.Close()
+		abandon(req)
+		return nil, err
+	}
 	if resp.Body != http.NoBody {
 		resp.Body = &checkedBody{ReadCloser: resp.Body, response: resp}
 	}
 	return resp, nil
 }
 
+// abandon closes the connection of the request's call, on which no further response can be relied on.
+func abandon(req *http.Request) {
+	if call, ok := req.Context().Value(callKey{}).(*Call); ok {
+		call.Abandon()
+	}
+}
+
 // checkedBody is the body of a response. Its end is checked.
 type checkedBody struct {
 	io.ReadCloser
