responsecheck: an answer with an invalid name of a field is no answer

Callers got answers whose heads held a field name with a blank. With a blank in or after Transfer-Encoding, they got the framing of the chunks as the body, in streams as text before the first event; with one after Content-Length, an answer that was cut off looked complete. An object of the store was read so, too. The name of a trailer could hold a blank as well.

Cause: the HTTP library refuses other invalid bytes in names, but keeps names with blanks as they are, so that the fields that frame a body count as unknown ones.

Why it works: the place that checks statuses requires each name to be a token (RFC 9110, 5.6.2), in heads and, at the end of a body, in trailers. RFC 9112 has proxies remove blanks before a colon; such an answer is refused instead, since its framing isn't certain.

--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -125,10 +125,10 @@
 	e := newEvidence()
 	o := observation{route: "r", upstream: "b", isNew: true}
 	for range 20 {
-		e.observeEnd(o, attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0)}, time.Now())
+		e.observeEnd(o, attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0, nil)}, time.Now())
 	}
 	is.Equal(e.ownCounts()["r"].New.Failed, 20)
-	is.Equal((&attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0)}).guardOutcome(), guard.Answered)
+	is.Equal((&attemptResult{outcome: outcomeUnknown, err: responsecheck.CheckHead(1, 0, nil)}).guardOutcome(), guard.Answered)
 }
 
 // A stream counts as one answer, when its head arrives. If it fails later, the failure is counted
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -39,10 +41,40 @@
 		if status >= 200 && status < 600 {
 			want = ""
 		}
-		is.Equal(faultOf(CheckHead(1, status)), want)
+		is.Equal(faultOf(CheckHead(1, status, nil)), want)
+	}
+	is.Equal(faultOf(CheckHead(9, 200, nil)), Version)
+	is.Equal(faultOf(CheckHead(2, 200, nil)), Version)
+}
+
+func TestFieldNames(t *testing.T) {
+	is := is.New(t)
+	const tokens = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for b := range 256 {
+		name := "X" + string([]byte{byte(b)}) + "Name"
+		want := FieldName
+		if strings.Contains(tokens, string([]byte{byte(b)})) {
+			want = ""
+		}
+		is.Equal(faultOf(CheckHead(1, 200, http.Header{name: {"value"}})), want)
+	}
+	is.Equal(faultOf(CheckFieldNames(http.Header{"": {"value"}})), FieldName)
+	is.NoErr(CheckFieldNames(nil))
+	long := CheckFieldNames(http.Header{strings.Repeat(" ", 1<<16): {"value"}})
+	is.True(len(long.Error()) < 128)
+}
+
+// BenchmarkCheckHead measures the check of a usual head.
+func BenchmarkCheckHead(b *testing.B) {
+	header := http.Header{}
+	for _, name := range []string{"Content-Type", "Content-Length", "Date", "X-Request-Id", "X-Server-Stamp", "X-Load", "X-Confidence", "Connection", "Keep-Alive", "X-Instance"} {
+		header.Set(name, "value")
+	}
+	for b.Loop() {
+		if CheckHead(1, 200, header) != nil {
+			b.Fatal("refused")
+		}
 	}
-	is.Equal(faultOf(CheckHead(9, 200)), Version)
-	is.Equal(faultOf(CheckHead(2, 200)), Version)
 }
 
 func faultOf(err error) Fault {
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := responsecheck.CheckHead(resp.ProtoMajor, resp.StatusCode); err != nil {
+	if err := responsecheck.CheckHead(resp.ProtoMajor, resp.StatusCode, resp.Header); err != nil {
 		resp.Body.Close()
 		abandon(req)
 		return nil, err
@@ -86,6 +86,10 @@
 // endOfBody returns io.EOF if the response is complete.
 func (b *checkedBody) endOfBody() error {
 	resp := b.response
+	if err := responsecheck.CheckFieldNames(resp.Trailer); err != nil {
+		abandon(resp.Request)
+		return err
+	}
 	end := responsecheck.End{Status: resp.StatusCode, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 	if end.NeedsWholeRequest() {
 		ctx := resp.Request.Context()
--- a/upstream/invalidanswer_test.go
+++ b/upstream/invalidanswer_test.go
@@ -21,6 +21,9 @@
 	{"status 600", "HTTP/1.1 600 Broken\r\n"},
 	{"status 999", "HTTP/1.1 999 Broken\r\n"},
 	{"another version of HTTP", "HTTP/9.9 200 OK\r\n"},
+	{"blank in a name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n"},
+	{"blank after a name", "HTTP/1.1 200 OK\r\nX-Bad : 1\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\n"},
 }
 
 // An answer with a status that doesn't exist, or with an invalid name of a header field, is no answer, and nothing that
