gateway, upstream: an answer that names two requests is no answer

Callers got an answer whose header had their request's id and, after it, another one. Which request it belongs to isn't certain, and both ids were passed on.

Cause: only the first value of the header was compared.

Evidence: TestAnswerThatNamesTwoRequestsIsNoAnswer and TestAnswerThatNamesTwoRequestsIsAMismatch failed before. Why it works: all values have to be the request's id. The same id twice stays an answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -213,8 +214,10 @@
 // checkResponse returns an error if the response can't be passed on as the answer to this request.
 func (a *attempt) checkResponse(resp *http.Response) error {
 	names := &a.gateway.settings.Headers
-	if got := resp.Header.Get(names.RequestID); got != a.request.ID {
-		return fmt.Errorf("%w: %q", errRequestMismatch, got)
+	ids := resp.Header.Values(names.RequestID)
+	isOther := func(id string) bool { return id != a.request.ID }
+	if len(ids) == 0 || slices.ContainsFunc(ids, isOther) {
+		return fmt.Errorf("%w: %q", errRequestMismatch, headerText(ids))
 	}
 	if encoding := resp.Header.Get("Content-Encoding"); encoding != "" {
 		return fmt.Errorf("%w: %q", errContentEncoding, encoding)
--- a/internal/gateway/invalidanswer_test.go
+++ b/internal/gateway/invalidanswer_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// An answer that names another request beside this one may belong to either.
+func TestAnswerThatNamesTwoRequestsIsNoAnswer(t *testing.T) {
+	for _, test := range []struct {
+		ids    string
+		status int
+	}{
+		{"T-Id: ID\r\nT-Id: other\r\n", http.StatusBadGateway},
+		{"T-Id: other\r\nT-Id: ID\r\n", http.StatusBadGateway},
+		{"T-Id: ID\r\nT-Id: ID\r\n", http.StatusOK},
+		{"", http.StatusBadGateway},
+	} {
+		t.Run(test.ids, func(t *testing.T) {
+			is := is.New(t)
+			tg := newTestGateway(t, testDocument())
+			tg.startRaw("u1", rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n" + test.ids + "T-Stamp: stamp\r\nContent-Length: 2\r\n\r\nxx", Ending: rawserver.Close})
+			got := tg.do(tg.newRequest("POST", "/once/x", "body"))
+			is.NoErr(got.err)
+			is.Equal(got.status, test.status)
+		})
+	}
+}
+
 // The upstream is to blame for its invalid answers, not the request, which runs at the next one that is sound.
 func TestRequestWithInvalidAnswersIsNotQuarantined(t *testing.T) {
 	is := is.New(t)
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -307,9 +307,10 @@
 }
 
 func checkRequestID(h http.Header, requestID string) error {
-	got := h.Get(HeaderRequestID)
-	if got != "" && got != requestID {
-		return fmt.Errorf("%w: request id %q instead of %q", ErrMismatch, got, requestID)
+	for _, got := range h.Values(HeaderRequestID) {
+		if got != "" && got != requestID {
+			return fmt.Errorf("%w: request id %q instead of %q", ErrMismatch, got, requestID)
+		}
 	}
 	return nil
 }
--- a/upstream/invalidanswer_test.go
+++ b/upstream/invalidanswer_test.go
@@ -53,3 +53,11 @@
 		})
 	}
 }
+
+// A response that names another request beside this one may belong to either.
+func TestAnswerThatNamesTwoRequestsIsAMismatch(t *testing.T) {
+	is := is.New(t)
+	target := startRaw(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n" + upstream.HeaderRequestID + ": r1\r\n" + upstream.HeaderRequestID + ": other\r\nContent-Length: 2\r\n\r\nxx", Ending: rawserver.Close})
+	_, err := newServiceClient(t).Do(t.Context(), target, serviceCall("r1", "POST", "body", ""), new(runstate.Tracker))
+	is.True(errors.Is(err, upstream.ErrMismatch))
+}
