gateway, entry: logs and metrics name the fault of a broken answer

Operators saw the error's text of a broken answer alone, and attempts with outcome "unknown" or "broken" in the metrics, whatever was wrong. In serve, an attempt that wasn't repeated wrote no line with its upstream. An invalid answer counted there as an interruption by the request.

The attempt's line now has the fault, one of ten, beside the upstream, and broken_answers_total counts them by service; serve writes broken-answer.

--- a/internal/entry/attempterror.go
+++ b/internal/entry/attempterror.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
@@ -48,6 +49,22 @@
 	}
 }
 
+// answerFault returns what was wrong with an upstream's answer; empty if it isn't to blame for the error of an attempt.
+func answerFault(err error) responsecheck.Fault {
+	var status *upstream.StatusError
+	switch {
+	case err == nil, errors.As(err, &status), errors.Is(err, upstream.ErrNotSent), errors.Is(err, errUpstreamLeft):
+		return ""
+	case errors.Is(err, upstream.ErrMismatch):
+		return responsecheck.OtherRequest
+	case errors.Is(err, upstream.ErrTooLarge):
+		return responsecheck.TooLong
+	case errors.Is(err, upstream.ErrBroken), errors.Is(err, upstream.ErrIncomplete):
+		return responsecheck.FaultOf(err)
+	}
+	return ""
+}
+
 // countsAgainstVersion reports whether the error of an attempt counts as a failure of
 // the model version that ran. Failed connections, an upstream's refusal to start the
 // request, the caller's cancellation and an expired deadline don't count.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -40,9 +40,10 @@
 	service upstream.Service
 	retries *admission.RetryBudget
 	// guard blocks poison requests, whose runs terminate upstreams.
-	guard *guard.Guard
-	log   zerolog.Logger
-	zone  string
+	guard   *guard.Guard
+	metrics *requestMetrics
+	log     zerolog.Logger
+	zone    string
 }
 
 // Serve implements Filter.
@@ -169,6 +170,7 @@
 	} else {
 		err = f.runModel(ctx, r)
 	}
+	f.observeBrokenAnswer(ctx, r, err)
 	result := guardOutcome(ctx, err)
 	f.guard.End(target, r.digest, result)
 	if result == guard.Interrupted {
@@ -181,6 +183,17 @@
 	return err
 }
 
+// observeBrokenAnswer logs and counts an answer that isn't whole or not valid.
+func (f *dispatch) observeBrokenAnswer(ctx context.Context, r *Request, err error) {
+	fault := answerFault(err)
+	if fault == "" || ctx.Err() != nil {
+		return
+	}
+	f.metrics.countBrokenAnswer(fault)
+	f.log.Warn().Str("event", "broken-answer").Str("request", r.ID).Str("upstream", r.Target.ID).Int("attempt", r.Attempts).
+		Str("fault", string(fault)).Str("run_state", r.state.State().String()).Err(err).Msg("")
+}
+
 // errUpstreamLeft means that the upstream stopped accepting requests between the choice
 // and the sending of the request.
 var errUpstreamLeft = errors.New("the upstream accepts no requests by now")
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -28,6 +29,11 @@
 	m.set.GetOrCreateHistogram(name).Update(time.Since(r.Arrived).Seconds())
 }
 
+// countBrokenAnswer counts an upstream's answer that isn't whole or not valid.
+func (m *requestMetrics) countBrokenAnswer(fault responsecheck.Fault) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_broken_answers_total{fault=%q}`, fault)).Inc()
+}
+
 // registerGauges registers gauges for the host's current state.
 func (h *Host) registerGauges() {
 	gauge := func(name string, read func() float64) {
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -68,6 +68,7 @@
 			service: h.service,
 			retries: h.retries,
 			guard:   h.quarantine.guard,
+			metrics: h.metrics,
 			log:     h.log,
 			zone:    h.settings.Zone,
 		},
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -203,6 +204,8 @@
 		return guard.NotRun
 	case ctx.Err() != nil:
 		return guard.Abandoned
+	case responsecheck.IsInvalid(err):
+		return guard.Answered // the upstream goes on
 	default:
 		return guard.Interrupted
 	}
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -82,6 +82,22 @@
 	return errors.Is(r.err, errAnswerTooLong) || errors.Is(r.err, errAnswerMemory) || errors.Is(r.err, errNoEvents)
 }
 
+// answerFault returns what was wrong with an answer that wasn't passed on whole; empty if the upstream isn't to blame.
+func (r *attemptResult) answerFault() responsecheck.Fault {
+	if r.outcome != outcomeUnknown && r.outcome != outcomeBroken || isRelayFailure(r.err) {
+		return ""
+	}
+	switch {
+	case errors.Is(r.err, errRequestMismatch):
+		return responsecheck.OtherRequest
+	case r.isOverlong():
+		return responsecheck.TooLong
+	case errors.Is(r.err, errNoStamp), errors.Is(r.err, errContentEncoding), errors.Is(r.err, errEventOrder):
+		return responsecheck.Protocol
+	}
+	return responsecheck.FaultOf(r.err)
+}
+
 // isBadAnswer reports whether the upstream answered with a failure or with an invalid answer. Unlike an answer that was
 // cut off, that concerns this request alone.
 func (r *attemptResult) isBadAnswer() bool {
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -92,6 +92,10 @@
 		line.Str("relay", a.relayHost)
 	}
 	a.choice.engine.log(line)
+	if fault := result.answerFault(); fault != "" {
+		g.metrics.countBrokenAnswer(r.Service, fault)
+		line.Str("fault", string(fault))
+	}
 	if result.err != nil {
 		line.Err(result.err)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 )
 
 // gatewayMetrics are the counters and histograms of one gateway.
@@ -127,6 +128,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
+// countBrokenAnswer counts an answer that wasn't passed on whole because of its upstream.
+func (m *gatewayMetrics) countBrokenAnswer(service string, fault responsecheck.Fault) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_broken_answers_total{service=%q,fault=%q}`, service, fault)).Inc()
+}
+
 // countStatements counts the answer of an upstream that states that it is leaving, or for how long
 // it accepts no requests.
 func (m *gatewayMetrics) countStatements(a *attempt) {
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -3,11 +3,14 @@
 package responsecheck
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 )
 
 // Fault is what is wrong with a response, as in logs and metrics.
@@ -18,12 +21,22 @@
 	Version Fault = "version"
 	// Status is that the status isn't one of a final response.
 	Status Fault = "status"
+	// Malformed is that the HTTP library can't read the response.
+	Malformed Fault = "malformed"
 	// FieldName is that the name of a header or trailer field isn't a token.
 	FieldName Fault = "field-name"
 	// Reset is that the connection was reset before the end of the response.
 	Reset Fault = "reset"
+	// CutOff is that the connection was closed in order before the end of the response.
+	CutOff Fault = "cut-off"
 	// RequestUnread is that a success ended with its connection before the request was written whole.
 	RequestUnread Fault = "request-unread"
+
+	// The readers of responses find these faults: the response belongs to another request, is longer than it may be, or
+	// lacks something that the protocol of its sender requires.
+	OtherRequest Fault = "other-request"
+	TooLong      Fault = "too-long"
+	Protocol     Fault = "protocol"
 )
 
 // Error is the error for a response that isn't valid or not complete.
@@ -105,6 +118,26 @@
 	return errors.As(err, &e) && e.Fault != Reset && e.Fault != RequestUnread
 }
 
+// FaultOf returns what is wrong with a response for which the transport returned err; Malformed if it isn't in the form of
+// HTTP/1.1. It returns an empty text if err doesn't tell of a response, for example because the caller gave up.
+func FaultOf(err error) Fault {
+	var e *Error
+	var netErr net.Error
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &e):
+		return e.Fault
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return Reset
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return CutOff
+	case errors.Is(err, context.Canceled), errors.Is(err, net.ErrClosed), errors.As(err, &netErr):
+		return ""
+	}
+	return Malformed
+}
+
 // EndOfData returns the error of a read at which the data of a connection ended, given the error of the last write to
 // it, or nil. A response may end with its connection, which makes it complete only if the peer closed the connection in
 // order. The system reports a reset once. If a write received it, reads return the end of the data as after an orderly
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -1,9 +1,13 @@
 package responsecheck
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -77,6 +81,25 @@
 	}
 }
 
+func TestFaultOf(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		err  error
+		want Fault
+	}{
+		{nil, ""},
+		{fmt.Errorf("upstream: %w", CheckHead(1, 0, nil)), Status},
+		{&net.OpError{Op: "read", Err: syscall.ECONNRESET}, Reset},
+		{io.ErrUnexpectedEOF, CutOff},
+		{&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}, ""},
+		{context.Canceled, ""},
+		{context.DeadlineExceeded, ""},
+		{errors.New("malformed chunked encoding"), Malformed},
+	} {
+		is.Equal(FaultOf(test.err), test.want)
+	}
+}
+
 func faultOf(err error) Fault {
 	var e *Error
 	if errors.As(err, &e) {
