intake: answers that don't end take no memory of callers' requests

Cause: answers could take 7/8 of the memory for callers, while small requests are admitted up to 3/4 of it. When answers had passed that, each new connection was rejected, and an answer that grew ended requests that had just begun.

Why it works: beside what requests take, answers have a quarter of the memory in any case, as a request that was read is to be answered. What they take beyond that is bounded below the limit of small requests, lower for large answers, and what they take up to an eighth doesn't count against these. An answer ends no request that has just begun, except for its first 16 kB.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -84,8 +84,9 @@
 type Ledger struct {
 	limits Limits
 	conns  []*Conn
-	// used is the memory of all connections, in bytes; yielding is that of the connections that are to end.
-	used, yielding int64
+	// used is the memory of all connections, in bytes; answers is that of their answers, yielding that of the
+	// connections that are to end.
+	used, answers, yielding int64
 	// open is the number of connections of each group; ending is that of those that are to end.
 	open, ending [groupCount]int
 	// candidates is reused by yield.
@@ -118,7 +119,7 @@
 			return nil, nil
 		}
 	}
-	more, ok := l.makeRoom(c, l.limitFor(c, ForRequest, ConnectionBytes), ConnectionBytes, now)
+	more, ok := l.makeRoom(c, ForRequest, ConnectionBytes, now)
 	ended = append(ended, more...)
 	if !ok {
 		return nil, ended
@@ -142,6 +143,7 @@
 	l.conns = l.conns[:len(l.conns)-1]
 	l.open[c.group]--
 	l.used -= c.memory()
+	l.answers -= c.answer
 	if c.yielding {
 		l.ending[c.group]--
 		l.yielding -= c.memory()
@@ -173,12 +175,11 @@
 	if c.yielding || c.closed {
 		return nil, false
 	}
-	ended, ok = l.makeRoom(c, l.limitFor(c, u, bytes), bytes, now)
+	ended, ok = l.makeRoom(c, u, bytes, now)
 	if !ok {
 		return ended, false
 	}
-	l.used += bytes
-	*c.reserved(u) += bytes
+	l.add(c, u, bytes)
 	return ended, true
 }
 
@@ -187,25 +188,32 @@
 	if c.closed {
 		return
 	}
-	reserved := c.reserved(u)
-	bytes = min(bytes, *reserved)
-	*reserved -= bytes
-	l.used -= bytes
+	bytes = min(bytes, *c.reserved(u))
+	l.add(c, u, -bytes)
 	if c.yielding {
 		l.yielding -= bytes
 	}
 }
 
+// add adds memory to what a connection takes, in bytes, which may be negative.
+func (l *Ledger) add(c *Conn, u Use, bytes int64) {
+	*c.reserved(u) += bytes
+	l.used += bytes
+	if u == ForAnswer {
+		l.answers += bytes
+	}
+}
+
 // limitFor returns the memory up to which a reservation is granted, in bytes.
 func (l *Ledger) limitFor(c *Conn, u Use, bytes int64) int64 {
-	small := *c.reserved(u)+bytes <= Small
+	size := *c.reserved(u) + bytes
 	switch {
-	case u == ForAnswer && small, c.group == Checks && small:
+	case u == ForAnswer && size <= MinimalAnswer, c.group == Checks && size <= Small:
 		return l.limits.Memory
 	case u == ForAnswer:
-		return l.limits.largeAnswers()
-	case small:
-		return l.limits.smallRequests()
+		return l.limits.answersBeside(l.used-l.answers, size)
+	case size <= Small:
+		return l.limits.smallRequestsBeside(l.answers)
 	default:
 		return l.limits.largeRequests()
 	}
@@ -213,7 +221,8 @@
 
 // makeRoom reports whether the memory is available for a connection, after the ends of the connections that
 // it returns.
-func (l *Ledger) makeRoom(c *Conn, limit, bytes int64, now time.Time) (ended []*Conn, ok bool) {
+func (l *Ledger) makeRoom(c *Conn, u Use, bytes int64, now time.Time) (ended []*Conn, ok bool) {
+	limit := l.limitFor(c, u, bytes)
 	if l.yielding > 0 && l.used+bytes > limit+l.limits.Memory/yieldingPart {
 		return nil, false // connections that were chosen to end haven't ended yet
 	}
@@ -221,7 +230,7 @@
 	if over <= 0 {
 		return nil, true
 	}
-	return l.yieldMemory(c, over, limit == l.limits.largeRequests(), now)
+	return l.yieldMemory(c, u, over, *c.reserved(u)+bytes, now)
 }
 
 // candidate is a connection that may be chosen to end.
@@ -290,8 +299,8 @@
 // yieldMemory chooses connections to end that together take the given memory, in bytes. Within a kind, the
 // connections end first that have taken the most memory for the longest. If the connection that needs the
 // memory is itself among them, none ends, and ok is false. A large request ends no small one that has just
-// begun.
-func (l *Ledger) yieldMemory(self *Conn, bytes int64, large bool, now time.Time) (ended []*Conn, ok bool) {
+// begun, and an answer ends none but for its first bytes. size is what the connection takes then, in bytes.
+func (l *Ledger) yieldMemory(self *Conn, u Use, bytes, size int64, now time.Time) (ended []*Conn, ok bool) {
 	batch := max(bytes, l.limits.Memory/batchPart)
 	freed := int64(0)
 	for _, cand := range l.listCandidates(now, func(c *Conn) float64 { return float64(c.memory()) * now.Sub(c.since).Seconds() }) {
@@ -304,7 +313,7 @@
 			}
 			continue
 		}
-		if large && cand.order == orderBegun && cand.conn.request <= Small {
+		if cand.order == orderBegun && sparesBegun(cand.conn, u, size) {
 			continue
 		}
 		freed += cand.conn.memory()
@@ -317,6 +326,14 @@
 	return ended, true
 }
 
+// sparesBegun reports whether a request that has just begun doesn't end for a use of the given size, in bytes.
+func sparesBegun(c *Conn, u Use, size int64) bool {
+	if u == ForAnswer {
+		return size > MinimalAnswer
+	}
+	return size > Small && c.request <= Small
+}
+
 // yieldSlot chooses connections of the group to end, so that another one can be accepted. Within a kind,
 // the oldest end first.
 func (l *Ledger) yieldSlot(g Group, now time.Time) (ended []*Conn) {
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -109,6 +109,39 @@
 	is.True(ok) // what was read is answered
 }
 
+// Answers of upstreams that don't end took the memory of callers: requests that had just begun were ended, and new ones
+// rejected.
+func TestAnswersThatGrowLeaveRoomForSmallRequests(t *testing.T) {
+	for _, size := range []int64{20 << 10, 60 << 10, 1 << 20} {
+		is := is.New(t)
+		l := newTestLedger(64*testMemory, 10_000)
+		begun := accept(t, l, Body, 1<<10, at(0))
+		for range 1000 {
+			reader := accept(t, l, Serving, 1<<10, at(0))
+			if ended, _ := l.Reserve(reader, ForAnswer, size, at(0)); len(ended) > 0 {
+				t.Fatalf("%d requests ended", len(ended))
+			}
+		}
+		is.True(!begun.Yielding())
+		room := 0
+		for {
+			c, ended := l.Accept(Callers, at(0))
+			if c == nil || len(ended) > 0 {
+				break
+			}
+			l.SetStage(c, Head, at(0))
+			if ended, ok := l.Reserve(c, ForRequest, ServingBytes+1<<10, at(0)); !ok || len(ended) > 0 {
+				break
+			}
+			l.SetStage(c, Serving, at(0))
+			_, ok := l.Reserve(c, ForAnswer, 4<<10, at(0))
+			is.True(ok) // its first bytes
+			room++
+		}
+		is.True(room >= 100)
+	}
+}
+
 func TestClosedConnectionTakesNoMemory(t *testing.T) {
 	is := is.New(t)
 	l := testLedger(4)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -35,6 +35,9 @@
 	// ServingBytes is the memory that is accounted for a request that is being served, beside its head and
 	// body: the connection to its upstream and what is recorded of it.
 	ServingBytes = 16 << 10
+	// MinimalAnswer is the size up to which an answer may take all that is left, in bytes: a few kilobytes and the
+	// buffer that they are copied from.
+	MinimalAnswer = 16 << 10
 	// Small is the size up to which a request or an answer counts as small, in bytes.
 	Small = 64 << 10
 	// memoryPart is the part of a process's memory that callers may take, as a divisor. Half of the memory
@@ -85,8 +88,22 @@
 	return max(0, l.largeRequests()/int64(1+max(1, copies))-Small)
 }
 
-// largeRequests, smallRequests and largeAnswers are the memory up to which reservations of these kinds are
-// granted, in bytes. Small answers may take all of it.
+// largeRequests is the memory up to which reservations for large requests are granted, in bytes.
 func (l *Limits) largeRequests() int64 { return l.Memory / 2 }
-func (l *Limits) smallRequests() int64 { return l.Memory * 3 / 4 }
-func (l *Limits) largeAnswers() int64  { return l.Memory * 7 / 8 }
+
+// smallRequestsBeside is the memory up to which reservations for small requests are granted, in bytes, beside answers
+// that take the given memory. Answers don't take all that requests may take.
+func (l *Limits) smallRequestsBeside(answers int64) int64 {
+	return l.Memory*3/4 + min(answers, l.Memory/8)
+}
+
+// answersBeside is the memory up to which reservations for an answer of the given size are granted, in bytes, beside
+// requests that take the given memory. A quarter of the memory is for answers in any case, but for what is left to the
+// first bytes of answers. Of the rest, large answers, many of which may not end, leave a part to small requests.
+func (l *Limits) answersBeside(requests, size int64) int64 {
+	shared := l.Memory * 3 / 4
+	if size > Small {
+		shared = l.Memory * 5 / 8
+	}
+	return min(l.Memory*7/8, max(shared, requests+l.Memory/4))
+}
