--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -26,7 +26,9 @@
 	// writes of repeated.
 	head, repeated string
 	pause          time.Duration
-	sent           atomic.Int64
+	// ignoresBody is set if it doesn't read the bodies of requests.
+	ignoresBody bool
+	sent        atomic.Int64
 	// open is the number of connections on which an answer is being sent. unused is that of the connections
 	// without a request, which the gateway opened for a request that it didn't send by then.
 	open     atomic.Int64
@@ -35,12 +37,20 @@
 }
 
 func startEndlessUpstream(t *testing.T, head, repeated string, pause time.Duration) *endlessUpstream {
+	t.Helper()
+	u := &endlessUpstream{head: head, repeated: repeated, pause: pause}
+	u.start(t)
+	return u
+}
+
+// start makes the upstream listen until the test ends.
+func (u *endlessUpstream) start(t *testing.T) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &endlessUpstream{listener: listener, head: head, repeated: repeated, pause: pause}
+	u.listener = listener
 	var group sync.WaitGroup
 	group.Go(func() {
 		for {
@@ -55,7 +65,6 @@
 		}
 	})
 	t.Cleanup(func() { listener.Close(); group.Wait() })
-	return u
 }
 
 func (u *endlessUpstream) serve(conn net.Conn) {
@@ -67,7 +76,9 @@
 	}
 	u.open.Add(1)
 	defer u.open.Add(-1)
-	_, _ = io.Copy(io.Discard, req.Body)
+	if !u.ignoresBody {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
 	u.requests.Add(1)
 	if _, err := io.WriteString(conn, strings.ReplaceAll(u.head, "ID", req.Header.Get("T-Id"))); err != nil {
 		return
@@ -176,6 +187,42 @@
 	}
 }
 
+// The same while an upload is being written that the upstream doesn't read.
+func TestEndlessAnswersToUploadsAreBounded(t *testing.T) {
+	// maxHeapGrowth is the memory of two uploads, which are copied while they are read, and of two answers.
+	const maxHeapGrowth = 2 * (3*uploadBytes + 2*maxBufferedAnswer)
+	for _, answer := range endlessAnswers {
+		if answer.pause > 0 {
+			continue
+		}
+		t.Run(answer.desc, func(t *testing.T) {
+			is := is.New(t)
+			tg := newTestGateway(t, uploadDocument())
+			u := &endlessUpstream{head: answer.head, repeated: answer.repeated, ignoresBody: true}
+			u.start(t)
+			tg.gateway.fleet.ApplyEntry(Upstream{ID: "u1", Service: "svc", Zone: "z1", Version: "v1", Address: u.listener.Addr().String(), Slots: 8}, 1)
+			stopSampling, growth := sampleHeap()
+			var group sync.WaitGroup
+			for range 2 {
+				req := tg.newRequest("POST", answer.path, strings.Repeat("b", uploadBytes), "T-Deadline", "5000")
+				group.Go(func() {
+					resp, err := tg.client.Do(req)
+					if err != nil {
+						return
+					}
+					defer resp.Body.Close()
+					_, err = io.Copy(io.Discard, resp.Body)
+					is.True(err != nil || !isSuccess(resp.StatusCode))
+				})
+			}
+			group.Wait()
+			stopSampling()
+			is.True(growth.Load() <= maxHeapGrowth)
+			eventually(t, "connections closed", func() bool { return u.open.Load() == 0 })
+		})
+	}
+}
+
 // sampleHeap records the largest growth of the heap, in bytes, until stop is called.
 func sampleHeap() (stop func(), growth *atomic.Int64) {
 	heap := func() int64 {
