gateway: requests that come late in a planned stop are answered

Callers' connections were closed without an answer at the end of a planned stop, though their requests had run, among them such as may run once: requests that came on open connections, or whose bodies were complete, so late that their upstream couldn't answer before the end.

Cause: a host that stops passed on whatever it had read, without regard to the time that was left, and closed the connections of all requests in progress at the end.

Why it works: before each attempt, admission.Stop decides from the time left, the request's deadline and the usual time of its route (mean and deviation as in RFC 6298) whether it is expected to end before the stop does. If not, it is refused with 503 (5006) and a Retry-After. What is in progress at the end all the same is ended 400 ms before StopTimeout and answered: 502 if it may have run, 503 or 408 if it didn't. Streams that have begun are cut off, as they can't be whole.

A connection that is opened before the stop and sends nothing is still closed unread, and the host waits for it to the end.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -105,6 +106,17 @@
 // Open returns the number of connections of the group.
 func (l *Ledger) Open(g Group) int { return l.open[g] }
 
+// InStage returns the connections that are in the stage.
+func (l *Ledger) InStage(s Stage) iter.Seq[*Conn] {
+	return func(yield func(*Conn) bool) {
+		for _, c := range l.conns {
+			if c.stage == s && !yield(c) {
+				return
+			}
+		}
+	}
+}
+
 // Accept accounts a new connection. It returns nil if the connection has to be rejected. The connections
 // that have to end in any case are returned.
 func (l *Ledger) Accept(g Group, now time.Time) (c *Conn, ended []*Conn) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -64,6 +64,7 @@
 	r.relativePromptSize = g.promptSizes.get(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.planModels(r)
 	defer d.releaseMove(r)
+	began := time.Now()
 	var result attemptResult
 	for {
 		previous := result
@@ -77,6 +78,7 @@
 		}
 		switch {
 		case result.outcome == outcomeDone:
+			g.requestTimes.get(r.requestTimeKey()).observe(time.Since(began))
 			return d.deliver(r, result)
 		case errors.Is(result.err, errLowConfidence):
 			models.advance()
@@ -125,6 +127,9 @@
 			return attemptResult{}, err
 		}
 	}
+	if err := d.lateRefusal(r); err != nil {
+		return attemptResult{}, err
+	}
 	a, err := d.startAttempt(r, models)
 	if err != nil {
 		return attemptResult{}, err
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
@@ -30,12 +31,19 @@
 		}
 		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
 	}
+	stopEnded := plannedstop.HasEnded(ctx)
 	if r.answer.started {
+		if stopEnded {
+			return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the planned stop's time was over")
+		}
 		return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the stream broke off")
 	}
 	if result.buffered != nil {
 		return r.answer.writeBuffered(result.buffered)
 	}
+	if stopEnded {
+		return d.refusal(r, resultcode.Wrap(resultcode.HostStopping, result.err, "the planned stop's time was over"))
+	}
 	if ctx.Err() != nil {
 		return d.refusal(r, resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
 	}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -29,7 +29,9 @@
 	conn, detach := g.intake.Attach(req)
 	defer detach()
 	r.conn = conn
-	err := g.process(req.Context(), r)
+	ctx, release := g.plannedStop.RequestContext(req.Context())
+	defer release()
+	err := g.process(ctx, r)
 	g.finish(r, err)
 }
 
@@ -101,7 +103,7 @@
 	if retry := retryAfter(e); retry > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
 	}
-	if closes := r.conn.ClosesAfter(e.Code); closes || r.answer.closesConnection {
+	if closes := r.conn.ClosesAfter(e.Code); closes || r.answer.closesConnection || g.stopping.Load() {
 		header.Set("Connection", "close")
 	}
 	r.answer.writer.WriteHeader(resultcode.Lookup(e.Code).Status)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -46,7 +47,9 @@
 	// streamPauses holds, by the same key, the mean over all streams of the longest pause within a
 	// stream.
 	streamPauses lazyValues[meanTime]
-	// usualPaces holds, by the same key, the pace of recent streams.
+	// requestTimes holds the times of requests by service and route.
+	requestTimes lazyValues[requestTime]
+	// usualPaces holds, by the same key as streamPauses, the pace of recent streams.
 	usualPaces lazyValues[usualPace]
 	pipeline   handleFunc
 	// guard quarantines poison requests.
@@ -79,7 +82,8 @@
 	unknownHeaders *unknownHeaders
 	// stopping is set when the host begins to stop. Callers' connections are then closed after
 	// their next answer.
-	stopping atomic.Bool
+	stopping    atomic.Bool
+	plannedStop *plannedstop.Stop
 	// stopExpired is set when the time limit of the stop has passed and the connections of the
 	// answers in progress are closed.
 	stopExpired atomic.Bool
@@ -108,7 +112,7 @@
 
 // New returns a gateway. Run starts it.
 func New(settings Settings, log zerolog.Logger) *Gateway {
-	g := &Gateway{settings: settings.withDefaults(), log: log, startedAt: boottime.Now(), initialized: make(chan struct{})}
+	g := &Gateway{settings: settings.withDefaults(), log: log, startedAt: boottime.Now(), initialized: make(chan struct{}), plannedStop: plannedstop.New()}
 	s := &g.settings
 	g.metrics = newMetrics(g)
 	g.sockets = intake.DivideSockets(s.Sockets)
@@ -127,6 +131,7 @@
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
+	g.requestTimes.make = func() *requestTime { return new(requestTime) }
 	g.usualPaces.make = func() *usualPace { return new(usualPace) }
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,9 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
 const (
@@ -14,16 +19,18 @@
 	// report that it isn't ready. The balancer makes two checks, a second apart, and another check
 	// may be in transit.
 	balancerLag = 2500 * time.Millisecond
-	// killMargin is the part of StopTimeout that is left for the process to exit.
+	// killMargin is the part of StopTimeout that is left to answer the requests in progress by then
+	// (plannedstop.AnswerMargin) and for the process to exit.
 	killMargin = 400 * time.Millisecond
 )
 
 // stop stops the server for callers. It first reports that the host isn't ready, so that the load
 // balancer sends no new connections, and then accepts no new connections or requests and waits for
-// the answers in progress. Answers that aren't complete by killMargin before the end of StopTimeout
-// are cut off.
+// the answers in progress. Requests that haven't ended by killMargin before the end of StopTimeout are
+// answered by what is known of them then; streams that have begun are cut off.
 func (g *Gateway) stop(callers *http.Server) {
-	deadline := time.Now().Add(g.settings.StopTimeout - killMargin)
+	endsAt := boottime.Now().Add(g.settings.StopTimeout - killMargin)
+	g.plannedStop.Begin(endsAt)
 	g.stopping.Store(true)
 	g.holds.endHolds()
 	if g.peers != nil {
@@ -31,13 +38,11 @@
 	}
 	g.log.Info().Str("event", "stopping").Int64("in_flight", g.inFlight.Load()).Msg("")
 	time.Sleep(min(balancerLag, g.settings.StopTimeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), boottime.Until(endsAt))
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
-		g.stopExpired.Store(true)
-		err = callers.Close()
+		err = g.endRequests(callers)
 	}
 	if err != nil {
 		g.log.Warn().Str("event", "stop-error").Err(err).Msg("")
@@ -45,6 +50,52 @@
 	g.awaitRelayed(ctx)
 }
 
+// endRequests ends the requests in progress, and closes the connections of those that aren't answered then.
+func (g *Gateway) endRequests(callers *http.Server) error {
+	g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
+	g.intake.EndBodies()
+	g.plannedStop.End()
+	ctx, cancel := context.WithTimeout(context.Background(), plannedstop.AnswerMargin)
+	defer cancel()
+	if callers.Shutdown(ctx) == nil {
+		return nil
+	}
+	g.stopExpired.Store(true)
+	return callers.Close()
+}
+
+// lateRefusal returns the refusal of a request that isn't expected to end before a planned stop does; nil otherwise.
+func (d *dispatch) lateRefusal(r *Request) error {
+	g := d.gateway
+	late := admission.LateRequest{Deadline: r.Deadline, UsualTime: g.requestTimes.get(r.requestTimeKey()).usual()}
+	if g.plannedStop.Admits(late, boottime.Now()) {
+		return nil
+	}
+	return d.refusal(r, resultcode.Wrap(resultcode.HostStopping, errNoneAvailable, "this host is stopping, and the request usually takes longer"))
+}
+
+// requestTimeKey returns the key under which the times of requests like this one are estimated.
+func (r *Request) requestTimeKey() string { return r.Service + "/" + r.Route.Name }
+
+// requestTime estimates the time from the first attempt of a request to the end of its answer.
+type requestTime struct {
+	mu       sync.Mutex
+	estimate admission.DurationEstimate
+}
+
+func (t *requestTime) observe(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.estimate.Add(took)
+}
+
+// usual returns the time in which nearly all requests end; 0 if it isn't known.
+func (t *requestTime) usual() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.estimate.UsualTime()
+}
+
 // relayPollInterval is how often a host that stops checks whether it still relays connections.
 const relayPollInterval = 50 * time.Millisecond
 
--- a/internal/httpintake/body.go
+++ b/internal/httpintake/body.go
@@ -31,9 +31,13 @@
 	if req.ContentLength != 0 {
 		// If the connection doesn't support deadlines, the time isn't bounded.
 		_ = control.SetReadDeadline(time.Now().Add(timeout))
-		if c.yielding() { // perhaps before the deadline was set
+		// Both may have happened before the deadline was set.
+		if c.yielding() {
 			return nil, ErrNoMemory
 		}
+		if c.pool.bodiesEnded.Load() {
+			return nil, ErrBodyTimeout
+		}
 		var err error
 		data, err = c.readBody(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
 		if err != nil {
--- a/internal/httpintake/pool.go
+++ b/internal/httpintake/pool.go
@@ -20,6 +20,8 @@
 type Pool struct {
 	limits intake.Limits
 	ends   endLog
+	// bodiesEnded is set by EndBodies.
+	bodiesEnded atomic.Bool
 	// lingering is the number of connections whose requests are read after a refusal.
 	lingering atomic.Int64
 
@@ -172,6 +174,18 @@
 	return c, c.release
 }
 
+// EndBodies ends the requests whose bodies aren't complete, also those that come later, with ErrBodyTimeout.
+func (p *Pool) EndBodies() {
+	p.bodiesEnded.Store(true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.ledger.InStage(intake.Body) {
+		if conn := c.Owner.(*Conn).Conn; conn != nil {
+			_ = conn.SetReadDeadline(time.Now())
+		}
+	}
+}
+
 // end ends the connections that the ledger chose.
 func (p *Pool) end(chosen []*intake.Conn) {
 	for _, entry := range chosen {
