entry: requests that come late in a planned stop are answered

As with gateway, a request of serve whose body was complete late in a planned stop was sent, and its caller's connection closed without an answer at the end; so were those in progress.

Evidence: TestRequestsLateInAPlannedStopOfServeAreAnswered failed before (EOF for a bid that may have run). Now the late one is refused with 5006, not run, and the one in progress is answered with 4002, may have run; the claim of its key says so, too.

Why it works: the same decision and the same end of requests as in gateway (package plannedstop), with the usual time of the request's route.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -426,6 +426,8 @@
 	path   string
 	body   string
 	header map[string]string
+	// reader sends the body if it is set.
+	reader io.Reader
 }
 
 const chatPath = "/v1/chat/completions"
@@ -461,6 +463,9 @@
 	}
 	// Without GetBody the HTTP client can't repeat the request by itself.
 	req.GetBody = nil
+	if c.reader != nil {
+		req.Body = io.NopCloser(c.reader)
+	}
 	req.Header.Set("Authorization", "Bearer "+devenv.AccountKey)
 	for k, v := range c.header {
 		req.Header.Set(k, v)
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/devenv"
 	"github.com/quetzalweir/quetzalweir/internal/entry"
+	"github.com/quetzalweir/quetzalweir/internal/standin/service"
+	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
 // balancer picks among the hosts that were ready at its last check. Like the
@@ -248,3 +251,59 @@
 	is.True(<-ended != nil)                                 // the incomplete answer must not look complete
 	s.checkBills(s.hosts[1], head.Epoch, nil)
 }
+
+// lateBody is a body whose last byte is sent at a given time.
+type lateBody struct {
+	text  string
+	endAt time.Time
+}
+
+// Read implements io.Reader.
+func (b *lateBody) Read(p []byte) (int, error) {
+	if len(b.text) == 0 {
+		return 0, io.EOF
+	}
+	if len(b.text) == 1 {
+		time.Sleep(time.Until(b.endAt))
+	}
+	n := copy(p, b.text[:max(1, len(b.text)-1)])
+	b.text = b.text[n:]
+	return n, nil
+}
+
+// A request that came late in a planned stop was sent, and its caller's connection closed without an answer at the end.
+// Callers are told that it didn't run, or that it may have run if it was sent before.
+func TestRequestsLateInAPlannedStopOfServeAreAnswered(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 1)
+	h := s.addHost("entry-stops", zone(1), "--stop-timeout=2s", "--balancer-lag=500ms")
+	s.submit(devenv.Manifest())
+	s.setServiceFaults(service.Faults{SlowMs: 1200})
+	for i := range 3 { // the usual time becomes known
+		a, err := bid(fmt.Sprint("known-", i), "bid").send(h)
+		is.NoErr(err)
+		is.Equal(a.status, http.StatusOK)
+	}
+	s.setServiceFaults(service.Faults{SlowMs: 20_000})
+	var running, late outcome
+	var group sync.WaitGroup
+	group.Go(func() { running = bid("running", "bid").withDeadline(time.Minute).outcome(context.Background(), h) })
+	eventually(t, "the service runs the bid", func() bool { return s.runsOfKey("running") > 0 })
+	s.setServiceFaults(service.Faults{SlowMs: 1200})
+	signaled := time.Now()
+	h.signal(syscall.SIGTERM)
+	group.Go(func() {
+		c := bid("late", "bid").withDeadline(time.Minute)
+		c.reader = &lateBody{text: c.body, endAt: signaled.Add(1800 * time.Millisecond)}
+		late = c.outcome(context.Background(), h)
+	})
+	group.Wait()
+	<-h.done
+	is.NoErr(running.err)
+	is.Equal(running.code, resultcode.OutcomeUnknown)
+	is.Equal(running.runState, "may-have-run")
+	is.NoErr(late.err)
+	is.Equal(late.code, resultcode.HostStopping)
+	is.Equal(late.runState, "not-run")
+	is.Equal(s.runsOfKey("late"), 0)
+}
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/quetzalweir/quetzalweir/admission"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
@@ -50,12 +51,15 @@
 	return contextError(ctx, err)
 }
 
-// contextError wraps err with a result code: that of an expired deadline or of a
-// disconnected caller if ctx has ended, and that of an internal error otherwise.
+// contextError wraps err with a result code: that of an expired deadline, of a planned
+// stop or of a disconnected caller if ctx has ended, and that of an internal error
+// otherwise.
 func contextError(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return resultcode.Wrap(resultcode.DeadlineExpired, err, "the deadline passed")
+	case plannedstop.HasEnded(ctx):
+		return resultcode.Wrap(resultcode.HostStopping, err, "the planned stop's time was over")
 	case ctx.Err() != nil:
 		return resultcode.Wrap(resultcode.CallerGone, err, "the caller left")
 	default:
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/intake"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/resultcode"
@@ -40,22 +42,27 @@
 	service upstream.Service
 	retries *admission.RetryBudget
 	// guard blocks poison requests, whose runs terminate upstreams.
-	guard   *guard.Guard
-	metrics *requestMetrics
-	log     zerolog.Logger
-	zone    string
+	guard       *guard.Guard
+	plannedStop *plannedstop.Stop
+	// requestTimes holds a *plannedstop.RequestTime for each route.
+	requestTimes sync.Map
+	metrics      *requestMetrics
+	log          zerolog.Logger
+	zone         string
 }
 
 // Serve implements Filter.
 func (f *dispatch) Serve(ctx context.Context, r *Request, _ Next) error {
 	f.retries.Deposit()
 	r.digest = r.quarantineContent().Digest()
+	began := time.Now()
 	var exclude []string
 	for attempt := 1; ; attempt++ {
 		choice, err := f.tryAttempt(ctx, r, exclude)
 		var refused notAttemptedError
 		switch {
 		case err == nil:
+			f.requestTime(r).Add(time.Since(began))
 			return nil
 		case errors.As(err, &refused):
 			return refused.error
@@ -73,6 +80,15 @@
 	}
 }
 
+// requestTime returns the times of requests of the same route.
+func (f *dispatch) requestTime(r *Request) *plannedstop.RequestTime {
+	if t, ok := f.requestTimes.Load(r.poolName()); ok {
+		return t.(*plannedstop.RequestTime)
+	}
+	t, _ := f.requestTimes.LoadOrStore(r.poolName(), new(plannedstop.RequestTime))
+	return t.(*plannedstop.RequestTime)
+}
+
 // notAttemptedError wraps an error that refuses the request before an attempt has
 // begun.
 type notAttemptedError struct{ error }
@@ -99,6 +115,9 @@
 	if err := f.checkPermitted(r); err != nil {
 		return balance.Choice{}, err
 	}
+	if !f.plannedStop.Admits(admission.LateRequest{Deadline: r.Deadline, UsualTime: f.requestTime(r).Usual()}, time.Now()) {
+		return balance.Choice{}, resultcode.New(resultcode.HostStopping, "this host is stopping, and the request usually takes longer")
+	}
 	choice, ok := f.pool.Choose(f.balanceRequest(r, exclude))
 	f.logUpstreamChoice(r, choice, ok)
 	if !ok {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalweir/quetzalweir/intake"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/internal/peer"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/lease"
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/membership"
@@ -98,7 +99,8 @@
 	engine    *upstream.EngineClient
 	service   *upstream.ServiceClient
 
-	pipeline Next
+	pipeline    Next
+	plannedStop *plannedstop.Stop
 	// notReady is set at the start of a planned stop. It makes the readiness check fail,
 	// so that the balancer sends no new connections. stopping is set later and makes the
 	// host refuse requests.
@@ -149,6 +151,7 @@
 		return nil, errors.Join(err, h.closeListeners())
 	}
 	h.quotaCtx, h.cancelQuota = context.WithCancel(context.Background())
+	h.plannedStop = plannedstop.New()
 	h.forceStopCtx, h.forceStop = context.WithCancel(context.Background())
 	h.quotaDone = make(chan struct{})
 	h.pipeline = chain(h.filters())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,7 +27,9 @@
 		defer detach()
 		r, err := h.decode(frontend, caller, req, conn)
 		if err == nil {
-			err = h.pipeline(req.Context(), r)
+			ctx, release := h.plannedStop.RequestContext(req.Context())
+			defer release()
+			err = h.pipeline(ctx, r)
 		} else {
 			h.countUndecoded(r, err)
 			if conn.ClosesAfter(resultcode.FromError(err).Code) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
@@ -30,6 +31,7 @@
 // of BalancerLag the host still accepts requests, since the balancer may still send
 // them. It then waits for the requests in flight.
 func (h *Host) stop(callers, operators *http.Server) error {
+	h.plannedStop.Begin(time.Now().Add(h.settings.BalancerLag + h.settings.StopTimeout))
 	h.notReady.Store(true)
 	h.log.Info().Str("event", "stopping").Dur("balancer_lag_ms", h.settings.BalancerLag).Msg("")
 	leaveErr := h.announceLeaving()
@@ -43,7 +45,7 @@
 }
 
 // finishRequests closes idle connections and waits for the requests in flight. It
-// aborts requests that exceed the stop timeout and returns an error with their
+// ends requests that exceed the stop timeout and returns an error with their
 // number.
 func (h *Host) finishRequests(callers *http.Server) error {
 	ctx, cancel := context.WithTimeout(h.forceStopCtx, h.settings.StopTimeout)
@@ -53,11 +55,24 @@
 	}
 	running := h.queues.stats().Running
 	h.log.Warn().Str("event", "cut").Int("requests", running).Msg("")
-	closeErr := callers.Close()
+	closeErr := h.endRequests(callers)
 	h.waitForAborted()
 	return errors.Join(fmt.Errorf("%d requests were aborted", running), closeErr)
 }
 
+// endRequests ends the requests in flight, and closes the connections of those that aren't
+// answered then.
+func (h *Host) endRequests(callers *http.Server) error {
+	h.intake.EndBodies()
+	h.plannedStop.End()
+	ctx, cancel := context.WithTimeout(context.Background(), plannedstop.AnswerMargin)
+	defer cancel()
+	if callers.Shutdown(ctx) == nil {
+		return nil
+	}
+	return callers.Close()
+}
+
 // waitForAborted waits, up to abortTimeout, until all aborted requests have ended, so
 // that their bills and claims are recorded.
 func (h *Host) waitForAborted() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,7 +48,7 @@
 	// stream.
 	streamPauses lazyValues[meanTime]
 	// requestTimes holds the times of requests by service and route.
-	requestTimes lazyValues[requestTime]
+	requestTimes lazyValues[plannedstop.RequestTime]
 	// usualPaces holds, by the same key as streamPauses, the pace of recent streams.
 	usualPaces lazyValues[usualPace]
 	pipeline   handleFunc
@@ -131,7 +131,7 @@
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
-	g.requestTimes.make = func() *requestTime { return new(requestTime) }
+	g.requestTimes.make = func() *plannedstop.RequestTime { return new(plannedstop.RequestTime) }
 	g.usualPaces.make = func() *usualPace { return new(usualPace) }
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/admission"
@@ -67,7 +66,7 @@
 // lateRefusal returns the refusal of a request that isn't expected to end before a planned stop does; nil otherwise.
 func (d *dispatch) lateRefusal(r *Request) error {
 	g := d.gateway
-	late := admission.LateRequest{Deadline: r.Deadline, UsualTime: g.requestTimes.get(r.requestTimeKey()).usual()}
+	late := admission.LateRequest{Deadline: r.Deadline, UsualTime: g.requestTimes.get(r.requestTimeKey()).Usual()}
 	if g.plannedStop.Admits(late, boottime.Now()) {
 		return nil
 	}
@@ -77,25 +76,6 @@
 // requestTimeKey returns the key under which the times of requests like this one are estimated.
 func (r *Request) requestTimeKey() string { return r.Service + "/" + r.Route.Name }
 
-// requestTime estimates the time from the first attempt of a request to the end of its answer.
-type requestTime struct {
-	mu       sync.Mutex
-	estimate admission.DurationEstimate
-}
-
-func (t *requestTime) observe(took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.estimate.Add(took)
-}
-
-// usual returns the time in which nearly all requests end; 0 if it isn't known.
-func (t *requestTime) usual() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.estimate.UsualTime()
-}
-
 // relayPollInterval is how often a host that stops checks whether it still relays connections.
 const relayPollInterval = 50 * time.Millisecond
 
