sealedconn: the end of a request's last write is awaited

Nothing was seen of it. A success that ends with its connection needs its request to be written whole, and counted as too early if the goroutine that wrote the request hadn't recorded the end of its last write by then: on a busy host, a whole answer could become a 502. The transport also tells that it wrote a request before it writes the last of its buffer.

TestRequestIsWholeOnceItsWritesHaveEnded shows both cases in virtual time. The call now waits for its writes to end, which the close of the connection guarantees, and takes a failed last write for an incomplete request.

--- a/internal/sealedconn/call.go
+++ b/internal/sealedconn/call.go
@@ -55,10 +55,10 @@
 	// maybeWritten is true if a write may have written a byte, or if the selected
 	// connection isn't a trackedConn.
 	maybeWritten bool
-	// writeEnded is closed when the transport has ended writing the request to lastConn; isWriteEnded is set then, and
-	// wroteWhole if it wrote all of it. writeEnded is nil before the first selection.
-	writeEnded               chan struct{}
-	isWriteEnded, wroteWhole bool
+	// writesEnded is signaled at the end of a write, and when the transport has passed the whole request to lastConn or
+	// given up. Then passedOn is set, and writeFailed if that or a write failed.
+	writesEnded           sync.Cond
+	passedOn, writeFailed bool
 }
 
 // callKey is the key of the call in the context of its request.
@@ -67,36 +67,30 @@
 // Trace returns a context for the request. With it, the call is attached to each
 // connection that the transport selects, before the first byte is written.
 func (c *Call) Trace(ctx context.Context) context.Context {
+	c.writesEnded.L = &c.mu
 	return httptrace.WithClientTrace(context.WithValue(ctx, callKey{}, c), &httptrace.ClientTrace{GotConn: c.gotConn, WroteRequest: c.wroteRequest})
 }
 
-// wroteRequest implements httptrace.ClientTrace.WroteRequest.
+// wroteRequest implements httptrace.ClientTrace.WroteRequest. The transport calls it before it writes the last of its
+// buffer.
 func (c *Call) wroteRequest(info httptrace.WroteRequestInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writeEnded != nil && !c.isWriteEnded {
-		c.isWriteEnded, c.wroteWhole = true, info.Err == nil
-		close(c.writeEnded)
-	}
+	c.passedOn = true
+	c.writeFailed = c.writeFailed || info.Err != nil
+	c.writesEnded.Broadcast()
 }
 
-// awaitWritten waits until the transport has ended writing the request, and reports whether it wrote it whole. It is
-// called at the end of the response, when the transport closes the connection, which ends a write.
-func (c *Call) awaitWritten(ctx context.Context) bool {
-	c.mu.Lock()
-	ended := c.writeEnded
-	c.mu.Unlock()
-	if ended == nil {
-		return true
-	}
-	select {
-	case <-ended:
-	case <-ctx.Done():
-		return false
-	}
+// wroteWhole reports whether the request was written whole, after all writes have ended. It must be called after the end
+// of a response that ends with its connection only: the transport closes the connection then, which ends a write that
+// waits for the peer.
+func (c *Call) wroteWhole() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.wroteWhole && c.pendingWrites == 0
+	for c.lastConn != nil && (!c.passedOn || c.pendingWrites > 0) {
+		c.writesEnded.Wait()
+	}
+	return !c.writeFailed
 }
 
 // gotConn implements httptrace.ClientTrace.GotConn. The transport calls it in the
@@ -121,7 +115,7 @@
 func (c *Call) attach(conn *trackedConn) {
 	c.mu.Lock()
 	c.lastConn = conn
-	c.writeEnded, c.isWriteEnded, c.wroteWhole = make(chan struct{}), false, false
+	c.passedOn, c.writeFailed = false, false
 	c.mu.Unlock()
 	conn.setCall(c)
 }
@@ -179,10 +173,12 @@
 	return nil
 }
 
-// endWrite records the end of a write and whether it may have written a byte.
-func (c *Call) endWrite(written bool) {
+// endWrite records the result of a write.
+func (c *Call) endWrite(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pendingWrites--
-	c.maybeWritten = c.maybeWritten || written
+	c.maybeWritten = c.maybeWritten || n > 0 || err == nil
+	c.writeFailed = c.writeFailed || err != nil
+	c.writesEnded.Broadcast()
 }
--- a/internal/sealedconn/call_test.go
+++ b/internal/sealedconn/call_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptrace"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -190,3 +191,36 @@
 	is.Equal(admissions, 1)
 	is.Equal(call.Seal(), Written)
 }
+
+// The end of a response may be read before the goroutine that wrote the request has noticed the end of its write.
+func TestRequestIsWholeOnceItsWritesHaveEnded(t *testing.T) {
+	for _, test := range []struct {
+		desc   string
+		result writeResult
+		passed error
+		want   bool
+	}{
+		{"whole", writeResult{n: 7}, nil, true},
+		{"last write fails", writeResult{n: 3, err: errors.New("reset")}, nil, false},
+		{"given up", writeResult{n: 7}, errors.New("reset"), false},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				conn, inner := newBlockingConn()
+				call := new(Call)
+				call.Trace(t.Context())
+				call.attach(conn)
+				result := make(chan bool, 1)
+				go func() { result <- call.wroteWhole() }()
+				go func() { _, _ = conn.Write([]byte("request")) }()
+				<-inner.started
+				call.wroteRequest(httptrace.WroteRequestInfo{Err: test.passed})
+				synctest.Wait()
+				is.Equal(len(result), 0) // the write is in progress
+				inner.finish <- test.result
+				is.Equal(<-result, test.want)
+			})
+		})
+	}
+}
--- a/internal/sealedconn/conn.go
+++ b/internal/sealedconn/conn.go
@@ -45,7 +45,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	call.endWrite(n > 0 || err == nil)
+	call.endWrite(n, err)
 	return n, err
 }
 
--- a/internal/sealedconn/transport.go
+++ b/internal/sealedconn/transport.go
@@ -92,9 +92,8 @@
 	}
 	end := responsecheck.End{Status: resp.StatusCode, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 	if end.NeedsWholeRequest() {
-		ctx := resp.Request.Context()
-		call, _ := ctx.Value(callKey{}).(*Call)
-		end.RequestWritten = call == nil || call.awaitWritten(ctx)
+		call, _ := resp.Request.Context().Value(callKey{}).(*Call)
+		end.RequestWritten = call == nil || call.wroteWhole()
 	}
 	return end.Check()
 }
