--- a/internal/sealedconn/doc.go
+++ b/internal/sealedconn/doc.go
@@ -6,6 +6,9 @@
 // Sealing the call resolves that race: once Seal has returned NotStarted or
 // NothingWritten, no byte of the call can be written any more.
 //
+// Its Transport returns only valid responses, and its connections tell a reset from an orderly
+// close also if a write received the reset. Package responsecheck decides what is valid and complete.
+//
 // The package can't tell whether written bytes were received, and tracks only
 // connections that its transport dialled. It requires HTTP/1.1, where a connection
 // serves one call at a time.
