intake: an answer that grows ends no request that a busy host reads late

Cause, from intake_ended_total (stages body, head and unused, "yielded"; head, "no-memory"): a request that the host reads a second late counts as one that stopped, which growing answers still ended; and the first 16 kB of many answers took what was left for small requests.

--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -311,7 +311,8 @@
 // yieldMemory chooses connections to end that together take the given memory, in bytes. Within a kind, the
 // connections end first that have taken the most memory for the longest. If the connection that needs the
 // memory is itself among them, none ends, and ok is false. A large request ends no small one that has just
-// begun, and an answer ends none but for its first bytes. size is what the connection takes then, in bytes.
+// begun, and an answer ends no request but for its first bytes. size is what the connection takes then, in
+// bytes.
 func (l *Ledger) yieldMemory(self *Conn, u Use, bytes, size int64, now time.Time) (ended []*Conn, ok bool) {
 	batch := max(bytes, l.limits.Memory/batchPart)
 	freed := int64(0)
@@ -325,7 +326,7 @@
 			}
 			continue
 		}
-		if cand.order == orderBegun && sparesBegun(cand.conn, u, size) {
+		if cand.spares(u, size) {
 			continue
 		}
 		freed += cand.conn.memory()
@@ -338,12 +339,12 @@
 	return ended, true
 }
 
-// sparesBegun reports whether a request that has just begun doesn't end for a use of the given size, in bytes.
-func sparesBegun(c *Conn, u Use, size int64) bool {
+// spares reports whether a candidate doesn't end for a use of the given size, in bytes.
+func (c candidate) spares(u Use, size int64) bool {
 	if u == ForAnswer {
-		return size > MinimalAnswer
+		return size > MinimalAnswer && (c.order == orderIncomplete || c.order == orderBegun)
 	}
-	return size > Small && c.request <= Small
+	return c.order == orderBegun && size > Small && c.conn.request <= Small
 }
 
 // yieldSlot chooses connections of the group to end, so that another one can be accepted. Within a kind,
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -35,9 +35,10 @@
 	// ServingBytes is the memory that is accounted for a request that is being served, beside its head and
 	// body: the connection to its upstream and what is recorded of it.
 	ServingBytes = 16 << 10
-	// MinimalAnswer is the size up to which an answer may take all that is left, in bytes: a few kilobytes and the
-	// buffer that they are copied from.
-	MinimalAnswer = 16 << 10
+	// MinimalAnswer is the size up to which an answer may take all that is left, in bytes. tinyAnswer is that of an
+	// answer of a few kilobytes and the buffer that it is copied from.
+	MinimalAnswer = 4 << 10
+	tinyAnswer    = 16 << 10
 	// Small is the size up to which a request or an answer counts as small, in bytes.
 	Small = 64 << 10
 	// memoryPart is the part of a process's memory that callers may take, as a divisor. Half of the memory
@@ -94,16 +95,19 @@
 // smallRequestsBeside is the memory up to which reservations for small requests are granted, in bytes, beside answers
 // that take the given memory. Answers don't take all that requests may take.
 func (l *Limits) smallRequestsBeside(answers int64) int64 {
-	return l.Memory*3/4 + min(answers, l.Memory/8)
+	return l.Memory*12/16 + min(answers, l.Memory*3/16)
 }
 
 // answersBeside is the memory up to which reservations for an answer of the given size are granted, in bytes, beside
-// requests that take the given memory. A quarter of the memory is for answers in any case, but for what is left to the
-// first bytes of answers. Of the rest, large answers, many of which may not end, leave a part to small requests.
+// requests that take the given memory: what they share with requests, or a reserve beside these. The larger answers are
+// the less they may take, since many of them may not end.
 func (l *Limits) answersBeside(requests, size int64) int64 {
-	shared := l.Memory * 3 / 4
-	if size > Small {
-		shared = l.Memory * 5 / 8
+	shared, reserve, most := l.Memory*10/16, l.Memory*4/16, l.Memory*14/16
+	switch {
+	case size <= tinyAnswer:
+		shared, reserve, most = l.Memory*13/16, l.Memory*5/16, l.Memory*15/16
+	case size <= Small:
+		shared = l.Memory * 12 / 16
 	}
-	return min(l.Memory*7/8, max(shared, requests+l.Memory/4))
+	return min(most, max(shared, requests+reserve))
 }
