gateway: tests of roll-outs wait for both upstreams

Cause: the tests' hosts waited until any upstream was known. The stand-in's rows come in the order of a map. If the new version's row is applied first and the test asks for the share before the other, the host takes the new version for the base version, the share is 1 without a roll-out, and the test goes on before the order has arrived. The product answers requests only after the whole table was applied (awaitStart).

Changed: the tests wait until both upstreams are in service, which asks more than before.

--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -34,8 +34,9 @@
 		t.Cleanup(func() { cancel(); group.Wait() })
 		h.hosts = append(h.hosts, g)
 	}
+	// A host that knows the new version's upstream alone takes that version for the base version.
 	for _, g := range h.hosts {
-		eventually(t, "upstreams known", g.fleet.HasUpstreams)
+		eventually(t, "both upstreams known", func() bool { return g.fleet.countAllUpstreams().inService == 2 })
 	}
 	return h
 }
