plannedstop: the end of requests and their usual times in one place

Cause: a newcomer finds the end of the requests in progress twice, in both front doors, and the usual times of requests in two maps. gateway also kept stopExpired, whose meaning the cause of the requests' contexts has.

Changed: Stop.EndRequests and Stop.ObserveRequest; the front doors name the kind of a request. No change of behavior.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,11 +43,9 @@
 	// guard blocks poison requests, whose runs terminate upstreams.
 	guard       *guard.Guard
 	plannedStop *plannedstop.Stop
-	// requestTimes holds a *plannedstop.RequestTime for each route.
-	requestTimes sync.Map
-	metrics      *requestMetrics
-	log          zerolog.Logger
-	zone         string
+	metrics     *requestMetrics
+	log         zerolog.Logger
+	zone        string
 }
 
 // Serve implements Filter.
@@ -62,7 +59,7 @@
 		var refused notAttemptedError
 		switch {
 		case err == nil:
-			f.requestTime(r).Add(time.Since(began))
+			f.plannedStop.ObserveRequest(r.poolName(), time.Since(began))
 			return nil
 		case errors.As(err, &refused):
 			return refused.error
@@ -80,15 +77,6 @@
 	}
 }
 
-// requestTime returns the times of requests of the same route.
-func (f *dispatch) requestTime(r *Request) *plannedstop.RequestTime {
-	if t, ok := f.requestTimes.Load(r.poolName()); ok {
-		return t.(*plannedstop.RequestTime)
-	}
-	t, _ := f.requestTimes.LoadOrStore(r.poolName(), new(plannedstop.RequestTime))
-	return t.(*plannedstop.RequestTime)
-}
-
 // notAttemptedError wraps an error that refuses the request before an attempt has
 // begun.
 type notAttemptedError struct{ error }
@@ -115,7 +103,7 @@
 	if err := f.checkPermitted(r); err != nil {
 		return balance.Choice{}, err
 	}
-	if !f.plannedStop.Admits(admission.LateRequest{Deadline: r.Deadline, UsualTime: f.requestTime(r).Usual()}, time.Now()) {
+	if !f.plannedStop.Admits(r.poolName(), r.Deadline, time.Now()) {
 		return balance.Choice{}, resultcode.New(resultcode.HostStopping, "this host is stopping, and the request usually takes longer")
 	}
 	choice, ok := f.pool.Choose(f.balanceRequest(r, exclude))
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 )
 
@@ -55,24 +54,11 @@
 	}
 	running := h.queues.stats().Running
 	h.log.Warn().Str("event", "cut").Int("requests", running).Msg("")
-	closeErr := h.endRequests(callers)
+	closeErr := h.plannedStop.EndRequests(callers, h.intake.EndBodies)
 	h.waitForAborted()
 	return errors.Join(fmt.Errorf("%d requests were aborted", running), closeErr)
 }
 
-// endRequests ends the requests in flight, and closes the connections of those that aren't
-// answered then.
-func (h *Host) endRequests(callers *http.Server) error {
-	h.intake.EndBodies()
-	h.plannedStop.End()
-	ctx, cancel := context.WithTimeout(context.Background(), plannedstop.AnswerMargin)
-	defer cancel()
-	if callers.Shutdown(ctx) == nil {
-		return nil
-	}
-	return callers.Close()
-}
-
 // waitForAborted waits, up to abortTimeout, until all aborted requests have ended, so
 // that their bills and claims are recorded.
 func (h *Host) waitForAborted() {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -78,7 +78,7 @@
 		}
 		switch {
 		case result.outcome == outcomeDone:
-			g.requestTimes.get(r.requestTimeKey()).Add(time.Since(began))
+			g.plannedStop.ObserveRequest(r.stopKind(), time.Since(began))
 			return d.deliver(r, result)
 		case errors.Is(result.err, errLowConfidence):
 			models.advance()
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -26,9 +26,6 @@
 // the last attempt, if there is one, or returns the refusal.
 func (d *dispatch) finalAnswer(ctx context.Context, r *Request, result attemptResult) error {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
-		if d.gateway.stopExpired.Load() {
-			return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the planned stop's time was over")
-		}
 		return resultcode.Wrap(resultcode.CallerGone, result.err, "the caller left")
 	}
 	stopEnded := plannedstop.HasEnded(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,9 +47,7 @@
 	// streamPauses holds, by the same key, the mean over all streams of the longest pause within a
 	// stream.
 	streamPauses lazyValues[meanTime]
-	// requestTimes holds the times of requests by service and route.
-	requestTimes lazyValues[plannedstop.RequestTime]
-	// usualPaces holds, by the same key as streamPauses, the pace of recent streams.
+	// usualPaces holds, by the same key, the pace of recent streams.
 	usualPaces lazyValues[usualPace]
 	pipeline   handleFunc
 	// guard quarantines poison requests.
@@ -84,9 +82,6 @@
 	// their next answer.
 	stopping    atomic.Bool
 	plannedStop *plannedstop.Stop
-	// stopExpired is set when the time limit of the stop has passed and the connections of the
-	// answers in progress are closed.
-	stopExpired atomic.Bool
 }
 
 const (
@@ -131,7 +126,6 @@
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
-	g.requestTimes.make = func() *plannedstop.RequestTime { return new(plannedstop.RequestTime) }
 	g.usualPaces.make = func() *usualPace { return new(usualPace) }
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,9 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
-	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 )
@@ -41,7 +39,8 @@
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = g.endRequests(callers)
+		g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
+		err = g.plannedStop.EndRequests(callers, g.intake.EndBodies)
 	}
 	if err != nil {
 		g.log.Warn().Str("event", "stop-error").Err(err).Msg("")
@@ -49,32 +48,16 @@
 	g.awaitRelayed(ctx)
 }
 
-// endRequests ends the requests in progress, and closes the connections of those that aren't answered then.
-func (g *Gateway) endRequests(callers *http.Server) error {
-	g.log.Warn().Str("event", "stop-cut").Int64("in_flight", g.inFlight.Load()).Msg("")
-	g.intake.EndBodies()
-	g.plannedStop.End()
-	ctx, cancel := context.WithTimeout(context.Background(), plannedstop.AnswerMargin)
-	defer cancel()
-	if callers.Shutdown(ctx) == nil {
-		return nil
-	}
-	g.stopExpired.Store(true)
-	return callers.Close()
-}
-
 // lateRefusal returns the refusal of a request that isn't expected to end before a planned stop does; nil otherwise.
 func (d *dispatch) lateRefusal(r *Request) error {
-	g := d.gateway
-	late := admission.LateRequest{Deadline: r.Deadline, UsualTime: g.requestTimes.get(r.requestTimeKey()).Usual()}
-	if g.plannedStop.Admits(late, boottime.Now()) {
+	if d.gateway.plannedStop.Admits(r.stopKind(), r.Deadline, boottime.Now()) {
 		return nil
 	}
 	return d.refusal(r, resultcode.Wrap(resultcode.HostStopping, errNoneAvailable, "this host is stopping, and the request usually takes longer"))
 }
 
-// requestTimeKey returns the key under which the times of requests like this one are estimated.
-func (r *Request) requestTimeKey() string { return r.Service + "/" + r.Route.Name }
+// stopKind returns the kind of requests by whose times the request's time is estimated for a planned stop.
+func (r *Request) stopKind() string { return r.Service + "/" + r.Route.Name }
 
 // relayPollInterval is how often a host that stops checks whether it still relays connections.
 const relayPollInterval = 50 * time.Millisecond
--- a/internal/plannedstop/plannedstop.go
+++ b/internal/plannedstop/plannedstop.go
@@ -1,10 +1,12 @@
-// Package plannedstop ends the requests of a host that stops, in a way that their callers are told what is known of
-// them. Package admission decides which requests are still sent to upstreams.
+// Package plannedstop ends the requests of a host that stops, so that their callers are told what is known of them. Both
+// front doors use it. Package admission decides which requests are still sent to upstreams.
 package plannedstop
 
 import (
 	"context"
 	"errors"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,11 +19,13 @@
 // AnswerMargin is the time in which the requests that are ended at the end of the stop are answered.
 const AnswerMargin = 200 * time.Millisecond
 
-// Stop is a planned stop that may not have begun.
+// Stop is a planned stop that may not have begun. It is safe for concurrent use.
 type Stop struct {
 	begun atomic.Pointer[admission.Stop]
 	ended context.Context
 	end   context.CancelFunc
+	// requestTimes holds a *requestTime for each kind of request.
+	requestTimes sync.Map
 }
 
 // New returns a stop that hasn't begun.
@@ -34,14 +38,11 @@
 // Begin begins the stop, which ends the requests in progress at the given time.
 func (s *Stop) Begin(endsAt time.Time) { s.begun.Store(&admission.Stop{EndsAt: endsAt}) }
 
-// End ends the contexts of the requests in progress.
-func (s *Stop) End() { s.end() }
-
-// Admits reports whether a request may be sent to an upstream: the stop hasn't begun, or the request is expected to end
-// before.
-func (s *Stop) Admits(r admission.LateRequest, now time.Time) bool {
+// Admits reports whether a request of a kind may be sent to an upstream: the stop hasn't begun, or the request is expected
+// to end before the stop does.
+func (s *Stop) Admits(kind string, deadline, now time.Time) bool {
 	stop := s.begun.Load()
-	return stop == nil || stop.Admits(r, now)
+	return stop == nil || stop.Admits(admission.LateRequest{Deadline: deadline, UsualTime: s.requestTime(kind).usual()}, now)
 }
 
 // RequestContext returns a context for a request that ends with ErrEnded at the end of the stop. The function that it
@@ -54,3 +55,16 @@
 
 // HasEnded reports whether the context ended because of the stop.
 func HasEnded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrEnded) }
+
+// EndRequests ends the requests in progress on the server: those whose bodies aren't complete by endBodies, and the
+// others by their contexts. It closes the connections of those that aren't answered within AnswerMargin.
+func (s *Stop) EndRequests(server *http.Server, endBodies func()) error {
+	endBodies()
+	s.end()
+	ctx, cancel := context.WithTimeout(context.Background(), AnswerMargin)
+	defer cancel()
+	if server.Shutdown(ctx) == nil {
+		return nil
+	}
+	return server.Close()
+}
