intake: the parts of the memory for answers have names

Cause: answersBeside and smallRequestsBeside had fractions without a name or a reason each. Changed: a table by the size of answers, in sixteenths, with what each part is. The values are the same. Measured: the package's tests and TestEndlessAnswers... pass.

--- a/intake/limits.go
+++ b/intake/limits.go
@@ -1,5 +1,7 @@
 package intake
 
+import "slices"
+
 // Group is a set of listeners whose connections have a common limit.
 type Group int
 
@@ -35,10 +37,10 @@
 	// ServingBytes is the memory that is accounted for a request that is being served, beside its head and
 	// body: the connection to its upstream and what is recorded of it.
 	ServingBytes = 16 << 10
-	// MinimalAnswer is the size up to which an answer may take all that is left, in bytes. tinyAnswer is that of an
-	// answer of a few kilobytes and the buffer that it is copied from.
+	// MinimalAnswer is the size up to which an answer may take all that is left, in bytes.
 	MinimalAnswer = 4 << 10
-	tinyAnswer    = 16 << 10
+	// mediumAnswer is the size of an answer of a few kilobytes with the buffer that it is copied from, in bytes.
+	mediumAnswer = 16 << 10
 	// Small is the size up to which a request or an answer counts as small, in bytes.
 	Small = 64 << 10
 	// memoryPart is the part of a process's memory that callers may take, as a divisor. Half of the memory
@@ -92,22 +94,45 @@
 // largeRequests is the memory up to which reservations for large requests are granted, in bytes.
 func (l *Limits) largeRequests() int64 { return l.Memory / 2 }
 
+// sixteenths is the divisor of the parts of the memory below.
+const sixteenths = 16
+
+const (
+	// smallRequestParts are the parts of the memory that small requests may take, and ignoredAnswerParts those that
+	// answers may take beside them. Answers may take more than that, but not all that requests may take.
+	smallRequestParts  = 12
+	ignoredAnswerParts = 3
+)
+
+// answerParts are the parts of the memory up to which reservations for answers of a size are granted.
+type answerParts struct {
+	// maxSize is the largest size of these answers, in bytes; 0 for any.
+	maxSize int64
+	// shared is what answers and requests may take together. reserved is what answers may take beside requests in any
+	// case, as long as both don't take more than most.
+	shared, reserved, most int64
+}
+
+// answerLimits are the parts for answers above MinimalAnswer. The larger answers are the less they may take, since many of
+// them may not end, and a request that was read is to be answered.
+var answerLimits = []answerParts{
+	{maxSize: mediumAnswer, shared: 13, reserved: 5, most: 15},
+	{maxSize: Small, shared: 12, reserved: 4, most: 14},
+	{shared: 10, reserved: 4, most: 14},
+}
+
 // smallRequestsBeside is the memory up to which reservations for small requests are granted, in bytes, beside answers
-// that take the given memory. Answers don't take all that requests may take.
+// that take the given memory.
 func (l *Limits) smallRequestsBeside(answers int64) int64 {
-	return l.Memory*12/16 + min(answers, l.Memory*3/16)
+	return l.parts(smallRequestParts) + min(answers, l.parts(ignoredAnswerParts))
 }
 
 // answersBeside is the memory up to which reservations for an answer of the given size are granted, in bytes, beside
-// requests that take the given memory: what they share with requests, or a reserve beside these. The larger answers are
-// the less they may take, since many of them may not end.
+// requests that take the given memory.
 func (l *Limits) answersBeside(requests, size int64) int64 {
-	shared, reserve, most := l.Memory*10/16, l.Memory*4/16, l.Memory*14/16
-	switch {
-	case size <= tinyAnswer:
-		shared, reserve, most = l.Memory*13/16, l.Memory*5/16, l.Memory*15/16
-	case size <= Small:
-		shared = l.Memory * 12 / 16
-	}
-	return min(most, max(shared, requests+reserve))
+	i := slices.IndexFunc(answerLimits, func(p answerParts) bool { return p.maxSize == 0 || size <= p.maxSize })
+	p := answerLimits[i]
+	return min(l.parts(p.most), max(l.parts(p.shared), requests+l.parts(p.reserved)))
 }
+
+func (l *Limits) parts(n int64) int64 { return l.Memory * n / sixteenths }
