gateway: a status that guarantees "not run" after a run made callers send orders twice

What callers saw: an upstream ran a request that may run once and answered 503 (or 429, 408) without the header that states "not run"; the host passed the status on.

Cause: finalAnswer wrote a buffered answer whatever its status; only errors of the host's own were compared with the run state, at each place that made one, and only for 503.

The log couldn't tell the case from a success: the line "answer" said code=0 result=ok. It has the status now.

Fix: package runstate decides, apart from I/O, which statements of upstreams mean "not run", which statuses guarantee it, and whether a caller may get one. Errors of the host are compared at one place, where they are written, for all statuses. Retry-After of the upstream is kept where the request may be repeated.

Weighed: - Requests that may be repeated get 502, too: what a status guarantees doesn't depend on the route, and callers of these come back after any failure; with Retry-After they know when. - 421 stays a statement of the upstream that it didn't run the request: it is sent to others, and the caller gets the host's own refusal. - Statuses that guarantee nothing are passed on as before.

The row "full without stating that it didn't run" of TestFaultsOfOneUpstream expected 503 for requests that may run once; that was the fault. It expects 502 without a stamp now, and still one run.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -15,8 +15,9 @@
 	// closesConnection is set if the connection to the caller is closed after this answer.
 	closesConnection bool
 
-	// started is set when the caller may have received a byte of the answer.
+	// started is set when the caller may have received a byte of the answer. status is the answer's status.
 	started bool
+	status  int
 	// events is the number of events that were passed on to the caller. lastEventID is the id of
 	// the last of them. Before the first event it is the id after which the caller asked to resume
 	// a stream, or empty.
@@ -45,7 +46,7 @@
 	if w.started {
 		return nil
 	}
-	w.started = true
+	w.started, w.status = true, status
 	w.copyHeader(header)
 	w.writer.Header().Del("Content-Length")
 	w.writer.WriteHeader(status)
@@ -105,7 +106,7 @@
 
 // writeBuffered writes a complete answer.
 func (w *answerWriter) writeBuffered(answer *bufferedAnswer) error {
-	w.started = true
+	w.started, w.status = true, answer.status
 	w.copyHeader(answer.header)
 	if w.request.Method != http.MethodHead {
 		w.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,8 +232,7 @@
 
 // notRun reports whether the response states that the request didn't run.
 func (a *attempt) notRun(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest ||
-		resp.Header.Get(a.gateway.settings.Headers.NotRun) != ""
+	return runstate.StatesNotRun(resp.StatusCode, resp.Header.Get(a.gateway.settings.Headers.NotRun) != "")
 }
 
 // misdirected reports whether the response shows that another upstream listens at the address. An
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,7 +11,6 @@
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
-	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // dispatch sends the request to upstreams until one answers or no further attempt is permitted.
@@ -174,7 +173,7 @@
 func (d *dispatch) admit(ctx context.Context, r *Request) error {
 	if boottime.Until(r.Deadline) <= 0 {
 		// The host was suspended after the request arrived, and its timers haven't fired yet.
-		return d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no answer in time"))
+		return resultcode.New(resultcode.DeadlineExpired, "no answer in time")
 	}
 	switch err := d.gateway.guard.Admit(ctx, r.Digest, r.Service, r.partDigests...); {
 	case err == nil:
@@ -216,7 +215,7 @@
 		counts := g.fleet.countUpstreams(r.Service, r.regions)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
 			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Int("backing_off", counts.backingOff).Bool("bound", r.regions.restricted()).Msg("")
-		return nil, d.refusal(r, d.noUpstreamRefusal(r, counts))
+		return nil, d.noUpstreamRefusal(r, counts)
 	}
 	g.withholdFetch(r, &picked)
 	r.attempts++
@@ -357,7 +356,7 @@
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
 	}
-	if r.runState.State() != runstate.NotRun && !r.Route.Repeatable() {
+	if !r.runState.State().MayRunAgain(r.Route.Repeatable()) {
 		return false
 	}
 	if r.answer.started && !r.Route.Resumable {
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -42,7 +42,7 @@
 		{"wrong instance", respondStatus(http.StatusMisdirectedRequest), 200, 200, false},
 		{"reset after the request was sent", resetConnection, 502, 200, false},
 		{"failure of the upstream", respondStatus(500), 500, 200, false},
-		{"full without stating that it didn't run", respondStatus(503), 503, 200, false},
+		{"full without stating that it didn't run", respondStatus(503), 502, 200, false},
 		{"another request's answer", invalidAnswer("T-Id", "someone-else"), 502, 200, false},
 		{"answer without an id", invalidAnswer("T-Id", ""), 502, 200, false},
 		{"success without a stamp", invalidAnswer("T-Stamp", ""), 502, 200, false},
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -405,7 +405,7 @@
 	if capacity <= 0 || r.Prompt.TokensIn <= capacity || !g.fleet.isActive(g.settings.Features.EngineState, r.Service) {
 		return nil
 	}
-	return d.refusal(r, resultcode.New(resultcode.BodyTooLarge, "the prompt is larger than the KV cache of an engine"))
+	return resultcode.New(resultcode.BodyTooLarge, "the prompt is larger than the KV cache of an engine")
 }
 
 // log adds the engine's state to the log line of an attempt.
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"math"
-	"net/http"
 	"strings"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
@@ -36,38 +36,49 @@
 		return resultcode.Wrap(resultcode.AnswerIncomplete, result.err, "the stream broke off")
 	}
 	if result.buffered != nil {
-		return r.answer.writeBuffered(result.buffered)
+		return d.passOnFailure(r, result.buffered)
 	}
 	if stopEnded {
-		return d.refusal(r, resultcode.Wrap(resultcode.HostStopping, result.err, "the planned stop's time was over"))
+		return resultcode.Wrap(resultcode.HostStopping, result.err, "the planned stop's time was over")
 	}
 	if ctx.Err() != nil {
-		return d.refusal(r, resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
+		return resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time")
 	}
 	switch result.outcome {
 	case outcomeUnsent, outcomeWithheld:
-		return d.refusal(r, resultcode.Wrap(resultcode.NoUpstream, result.err, "no upstream could be reached"))
+		return resultcode.Wrap(resultcode.NoUpstream, result.err, "no upstream could be reached")
 	case outcomeRefused:
-		return d.refusal(r, resultcode.Wrap(resultcode.QueueFull, result.err, "the upstreams took no more work"))
+		return resultcode.Wrap(resultcode.QueueFull, result.err, "the upstreams took no more work")
 	default:
-		return d.refusal(r, resultcode.Wrap(resultcode.OutcomeUnknown, result.err, "no complete answer came"))
+		return resultcode.Wrap(resultcode.OutcomeUnknown, result.err, "no complete answer came")
 	}
 }
 
-// refusal returns the error, with another code if its code contradicts the request's run state.
-func (d *dispatch) refusal(r *Request, err *resultcode.Error) error {
-	state := r.runState.State()
-	if state == runstate.NotRun && err.Code == resultcode.DeadlineExpired {
-		return &resultcode.Error{Code: resultcode.DeadlineUnmeetable, Detail: err.Detail, Err: err.Err}
+// passOnFailure writes an upstream's complete answer that isn't a success. If its status would guarantee to the caller
+// that a request didn't run that did, it returns an error with another status instead.
+func (d *dispatch) passOnFailure(r *Request, answer *bufferedAnswer) error {
+	if r.runState.State().PermitsStatus(answer.status) {
+		return r.answer.writeBuffered(answer)
 	}
-	if state != runstate.NotRun && resultcode.Lookup(err.Code).Status == statusNotRun {
-		return &resultcode.Error{Code: resultcode.OutcomeUnknown, Detail: err.Detail, Err: err.Err}
+	e := resultcode.New(resultcode.UpstreamError, "the upstream ran the request and answered %d", answer.status)
+	if r.Route.Repeatable() {
+		e.RetryAfter, _ = notice.RetryAfter(answer.header, d.gateway.settings.Headers.RetryAfter)
 	}
-	return err
+	return e
 }
 
-// statusNotRun is the status of refusals that guarantee that the request didn't run.
-const statusNotRun = http.StatusServiceUnavailable
+// toldError returns the error of which the caller is told: err, with another code if the code contradicts the
+// request's run state.
+func (r *Request) toldError(err error) *resultcode.Error {
+	e, state := resultcode.FromError(err), r.runState.State()
+	if state == runstate.NotRun && e.Code == resultcode.DeadlineExpired {
+		return &resultcode.Error{Code: resultcode.DeadlineUnmeetable, Detail: e.Detail, Err: e.Err}
+	}
+	if !state.PermitsStatus(resultcode.Lookup(e.Code).Status) {
+		return &resultcode.Error{Code: resultcode.OutcomeUnknown, Detail: e.Detail, Err: e.Err}
+	}
+	return e
+}
 
 // logAttempt writes the attempt's log line and updates its metrics.
 func (d *dispatch) logAttempt(r *Request, a *attempt, result attemptResult) {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/resultcode"
+	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // ServeHTTP handles one caller's request.
@@ -56,9 +57,14 @@
 
 // finish writes the request's log line and, if err is set, the refusal.
 func (g *Gateway) finish(r *Request, err error) {
-	code := resultcode.OK
+	code, status := resultcode.OK, r.answer.status
+	var told *resultcode.Error
 	if err != nil {
-		code = resultcode.FromError(err).Code
+		told = r.toldError(err)
+		code, err = told.Code, told
+		if !r.answer.started {
+			status = resultcode.Lookup(code).Status
+		}
 	}
 	route, service := "", r.Service
 	version := uint64(0)
@@ -75,12 +81,12 @@
 		line = g.log.Warn().AnErr("error", err)
 	}
 	line.Str("event", "answer").Str("request", r.ID).Stringer("digest", r.Digest).Str("route", route).Str("service", service).
-		Int("code", int(code)).Str("result", code.String()).Str("run_state", r.runState.State().String()).
+		Int("code", int(code)).Str("result", code.String()).Int("status", status).Str("run_state", r.runState.State().String()).
 		Int("attempts", r.attempts).Str("model", r.model).Str("account", r.accountName()).Str("session", r.Session).
 		Uint64("document", version).Int("events", r.answer.events).Int64("pause_ms", r.answer.longestPause.Milliseconds()).
 		Int64("took_ms", elapsed.Milliseconds()).Bool("stopping", r.answer.closesConnection).Msg("")
-	if err != nil {
-		g.refuse(r, resultcode.FromError(err))
+	if told != nil {
+		g.refuse(r, told)
 	}
 }
 
@@ -111,13 +117,10 @@
 	_, _ = r.answer.writer.Write([]byte(e.Code.String() + "\n"))
 }
 
-// retryAfter returns the time after which the caller should send the request again; 0 if the
-// refusal doesn't guarantee that the request didn't run.
+// retryAfter returns the time after which the caller should send the request again; 0 if the error
+// states none and doesn't guarantee that the request didn't run.
 func retryAfter(e *resultcode.Error) time.Duration {
-	if status := resultcode.Lookup(e.Code).Status; status != statusNotRun && status != http.StatusRequestTimeout {
-		return 0
-	}
-	if e.RetryAfter > 0 {
+	if e.RetryAfter > 0 || !runstate.GuaranteesNotRun(resultcode.Lookup(e.Code).Status) {
 		return e.RetryAfter
 	}
 	return defaultRetryAfter
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -138,14 +138,14 @@
 	}
 	if decision.Cause == admission.CauseExpired {
 		d.observeHold(r, h, decision, 0)
-		return d.refusal(r, resultcode.New(resultcode.DeadlineExpired, "no engine began the request in time"))
+		return resultcode.New(resultcode.DeadlineExpired, "no engine began the request in time")
 	}
 	retry := d.saturatedRetryAfter(r, h, decision)
 	d.observeHold(r, h, decision, retry)
 	d.gateway.metrics.countSaturated(r.Service, decision.Cause)
 	e := resultcode.New(resultcode.EnginesSaturated, "no engine has room for the request: %s", decision.Cause)
 	e.RetryAfter = retry
-	return d.refusal(r, e)
+	return e
 }
 
 // causeCallerLeft is the cause in the log line of a held request whose caller left.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -53,7 +53,7 @@
 	if d.gateway.plannedStop.Admits(r.stopKind(), r.Deadline, boottime.Now()) {
 		return nil
 	}
-	return d.refusal(r, resultcode.Wrap(resultcode.HostStopping, errNoneAvailable, "this host is stopping, and the request usually takes longer"))
+	return resultcode.Wrap(resultcode.HostStopping, errNoneAvailable, "this host is stopping, and the request usually takes longer")
 }
 
 // stopKind returns the kind of requests by whose times the request's time is estimated for a planned stop.
