entry, upstream: 503 told callers of serve that a call didn't run without a statement of the upstream

What callers saw: a plain service's 408, 429 or 503 was passed on as a whole answer, and an engine's error with Retry-After became 4004 (status 503), although neither states that the request didn't run. After an attempt that may have run a request, a later one without an upstream ended it with 503, too.

An error counted as a refusal by its Retry-After. The codes 3004 and 4004 permit each run state.

Fix: both front doors ask package runstate. A request counts the run states of its attempts without those that an upstream stated not to have run; a status that guarantees "not run" is given only while that is not-run, and 4004 only for a stated refusal. Other answers become 4005 (502), with the upstream's Retry-After where the request may come back. The run state in headers, claims and bills goes by the bytes that were sent, as before. A claimed call whose service answers so counts as "may have run"; before, the answer was stored under the key.

--- a/internal/entry/attempterror.go
+++ b/internal/entry/attempterror.go
@@ -30,12 +30,12 @@
 }
 
 func statusError(status *upstream.StatusError) error {
-	if isRefusal(status) {
-		e := resultcode.Wrap(resultcode.UpstreamRefused, status, "the upstream doesn't take the request now")
-		e.RetryAfter = status.RetryAfter
-		return e
+	e := resultcode.Wrap(resultcode.UpstreamError, status, "the upstream answered with an error")
+	if status.NotRun {
+		e = resultcode.Wrap(resultcode.UpstreamRefused, status, "the upstream doesn't take the request now")
 	}
-	return resultcode.Wrap(resultcode.UpstreamError, status, "the upstream answered with an error")
+	e.RetryAfter = status.RetryAfter
+	return e
 }
 
 func transportError(r *Request, err error) error {
@@ -80,8 +80,14 @@
 	}
 }
 
-// isRefusal reports whether an upstream's status means that it didn't start the
-// request.
+// isRefusal reports whether an upstream's status means that it accepts no requests now. Such an answer is no
+// evidence against the version or the request. It doesn't show that the request didn't run unless NotRun is set.
 func isRefusal(status *upstream.StatusError) bool {
 	return status.Leaving || status.NotRun || status.RetryAfter > 0
 }
+
+// statesNotRun reports whether the error of an attempt is the upstream's statement that it didn't run the request.
+func statesNotRun(err error) bool {
+	var status *upstream.StatusError
+	return errors.As(err, &status) && status.NotRun
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -171,12 +171,7 @@
 	started := time.Now()
 	target := guardUpstream(choice.Upstream)
 	f.guard.Begin(target, r.digest)
-	var err error
-	if r.Kind == KindService {
-		err = f.runService(ctx, r)
-	} else {
-		err = f.runModel(ctx, r)
-	}
+	err := f.run(ctx, r)
 	f.observeBrokenAnswer(ctx, r, err)
 	result := guardOutcome(ctx, err)
 	f.guard.End(target, r.digest, result)
@@ -205,47 +200,70 @@
 // and the sending of the request.
 var errUpstreamLeft = errors.New("the upstream accepts no requests by now")
 
-func (f *dispatch) runService(ctx context.Context, r *Request) error {
+// run sends the request and records how far it may have progressed.
+func (f *dispatch) run(ctx context.Context, r *Request) (err error) {
+	var attempt runstate.Tracker
+	err = errPanicked
+	defer func() {
+		r.state.Raise(attempt.State())
+		if !statesNotRun(err) {
+			r.effect.Raise(attempt.State())
+		}
+	}()
+	if r.Kind == KindService {
+		err = f.runService(ctx, r, &attempt)
+	} else {
+		err = f.runModel(ctx, r, &attempt)
+	}
+	return err
+}
+
+func (f *dispatch) runService(ctx context.Context, r *Request, attempt *runstate.Tracker) error {
 	call := r.Service
 	call.Reserve = func(bytes int64) bool { return r.Conn.Reserve(intake.ForAnswer, bytes) }
 	call.RequestID = attemptID(r)
 	call.Body = r.Body
-	answer, err := f.service.Do(ctx, r.Target, call, &r.state)
+	answer, err := f.service.Do(ctx, r.Target, call, attempt)
 	if err != nil {
 		return err
 	}
-	if answer.Header.Get(upstream.HeaderNotRun) == headerTrue {
-		return notRunError(answer)
+	if notRun := runstate.StatesNotRun(answer.Status, answer.Header.Get(upstream.HeaderNotRun) == headerTrue); notRun || !attempt.State().PermitsStatus(answer.Status) {
+		return serviceStatusError(answer, notRun)
 	}
 	r.Sink.Service(r, answer)
 	return nil
 }
 
+// headerRetryAfter states after which time an upstream accepts requests again.
+const headerRetryAfter = "Retry-After"
+
 // headerTrue is the value of a boolean header that is set.
 const headerTrue = "1"
 
-// notRunError returns the error for an answer in which a service states that it
-// didn't start the call. Such an answer isn't the result of the request, so it must
-// not be billed or stored in the claim.
-func notRunError(answer upstream.ServiceResponse) error {
+// serviceStatusError returns the error for an answer that isn't passed on: the service states that it didn't start the
+// call, or the answer's status guarantees so without that statement. Such an answer isn't the result of the request, so
+// it must not be billed or stored in the claim.
+func serviceStatusError(answer upstream.ServiceResponse, notRun bool) error {
+	retryAfter, _ := notice.RetryAfter(answer.Header, headerRetryAfter)
 	return &upstream.StatusError{
-		Status:  answer.Status,
-		Leaving: answer.Header.Get(upstream.HeaderLeaving) == headerTrue,
-		NotRun:  true,
+		Status:     answer.Status,
+		Leaving:    answer.Header.Get(upstream.HeaderLeaving) == headerTrue,
+		NotRun:     notRun,
+		RetryAfter: retryAfter,
 	}
 }
 
-func (f *dispatch) runModel(ctx context.Context, r *Request) error {
+func (f *dispatch) runModel(ctx context.Context, r *Request, attempt *runstate.Tracker) error {
 	r.FirstFrame = time.Time{}
-	err := f.stream(ctx, r)
+	err := f.stream(ctx, r, attempt)
 	if err == nil {
 		r.Steps = append(r.Steps, newStep(r))
 	}
 	return err
 }
 
-func (f *dispatch) stream(ctx context.Context, r *Request) error {
-	stream, err := f.engine.Open(ctx, r.Target, f.modelCall(r), &r.state)
+func (f *dispatch) stream(ctx context.Context, r *Request, attempt *runstate.Tracker) error {
+	stream, err := f.engine.Open(ctx, r.Target, f.modelCall(r), attempt)
 	if err != nil {
 		return err
 	}
@@ -311,7 +329,7 @@
 	switch {
 	case ctx.Err() != nil, attempt >= maxAttempts, r.Sink.Started(), f.guard.VerdictDue(r.digest):
 		return false
-	case r.state.State() != runstate.NotRun && !r.Repeatable:
+	case !r.state.State().MayRunAgain(r.Repeatable):
 		return false
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errUpstreamLeft):
 		return true
--- a/internal/entry/recordbill.go
+++ b/internal/entry/recordbill.go
@@ -61,7 +61,7 @@
 		b.Service = r.Route
 	}
 	if err != nil {
-		b.Code = int(resultcode.ForState(resultcode.FromError(err), r.state.State()).Code)
+		b.Code = int(r.toldError(err).Code)
 		return b
 	}
 	for _, s := range r.Steps {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalweir/quetzalweir/ledger"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/quarantine"
+	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
@@ -101,7 +102,10 @@
 	// prefixHashes holds the hashes of the prompt's blocks. They are computed on
 	// first use.
 	prefixHashes []uint64
-	state        runstate.Tracker
+	// state is the run state by the bytes that were sent. effect is the highest run state of the attempts
+	// without those for which the upstream stated that it didn't run the request.
+	state  runstate.Tracker
+	effect runstate.Tracker
 	// keyUnresolved is set for a request with a key until the key's claim has been read.
 	// Until then an earlier request with the same key may have run.
 	keyUnresolved bool
@@ -118,6 +122,16 @@
 	return s
 }
 
+// toldError returns the error of which the caller is told: err, with another code if the code contradicts the run state.
+// A status that guarantees that the request didn't run is given only if no attempt may have run it.
+func (r *Request) toldError(err error) *resultcode.Error {
+	e := resultcode.ForState(resultcode.FromError(err), r.state.State())
+	if r.effect.State().PermitsStatus(resultcode.Lookup(e.Code).Status) {
+		return e
+	}
+	return resultcode.WithoutGuarantee(e, r.state.State())
+}
+
 // BillID returns the bill's ID, which is the same for all retries of a request with
 // the same key. A claimed key belongs to a single request. Without a claim, a digest
 // distinguishes different requests with the same key, so that each of them is billed.
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -133,8 +133,8 @@
 	{UpstreamUnreachable, "upstream-unreachable", 502, notRun, time.Second, "No connection to an upstream could be made, and nothing was sent."},
 	{OutcomeUnknown, "outcome-unknown", 502, mayHaveRun, 0, "The request was sent, at least in part, and no answer came back."},
 	{AnswerIncomplete, "answer-incomplete", 502, ran, 0, "The answer began and could not be completed on the same version."},
-	{UpstreamRefused, "upstream-refused", 503, mayHaveRunOrRan, time.Second, "The upstream answered that it does not take the request now."},
-	{UpstreamError, "upstream-error", 502, mayHaveRunOrRan, 0, "The upstream answered with an error."},
+	{UpstreamRefused, "upstream-refused", 503, mayHaveRunOrRan, time.Second, "The upstream stated that it didn't run the request and takes none now."},
+	{UpstreamError, "upstream-error", 502, mayHaveRunOrRan, 0, "The upstream answered with an error, or with 408, 429 or 503 without stating that it didn't run the request."},
 	{AnswerMismatch, "answer-mismatch", 502, mayHaveRunOrRan, 0, "The upstream sent frames that belong to another request."},
 	{RequestQuarantined, "request-quarantined", 500, anyState, 0, "Upstreams ended each time that they ran a request with this route, account and body; it is sent to none. Earlier requests with it did run, and coming back doesn't help before the upstreams are mended."},
 	{StoreUnavailable, "store-unavailable", 503, notRun, 2 * time.Second, "The platform's table couldn't record the claim, so nothing was sent."},
@@ -232,6 +232,12 @@
 			return e
 		}
 	}
+	return WithoutGuarantee(e, state)
+}
+
+// WithoutGuarantee returns an error that wraps e and has a code that says only that the request is in the run state. It
+// takes the place of e if the status of e's code guarantees that a request didn't run that may have run.
+func WithoutGuarantee(e *Error, state runstate.State) *Error {
 	return &Error{Code: codeForState(state), Detail: e.Detail, Err: e}
 }
 
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -124,7 +124,7 @@
 // isRefusal reports whether the service rejected the call for now or states that it
 // didn't start the call. Neither response proves that the call ran.
 func isRefusal(resp *http.Response) bool {
-	if resp.Header.Get(HeaderNotRun) == headerTrue {
+	if statesNotRun(resp) {
 		return true
 	}
 	return resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
--- a/upstream/status.go
+++ b/upstream/status.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 const (
@@ -24,12 +26,17 @@
 	return &StatusError{
 		Status:     resp.StatusCode,
 		Leaving:    resp.Header.Get(HeaderLeaving) == headerTrue,
-		NotRun:     resp.Header.Get(HeaderNotRun) == headerTrue,
+		NotRun:     statesNotRun(resp),
 		RetryAfter: parseRetryAfter(resp.Header),
 		Message:    strings.TrimSpace(string(message)),
 	}
 }
 
+// statesNotRun reports whether a response states that the upstream didn't start the request.
+func statesNotRun(resp *http.Response) bool {
+	return runstate.StatesNotRun(resp.StatusCode, resp.Header.Get(HeaderNotRun) == headerTrue)
+}
+
 func isSuccess(status int) bool {
 	return status >= 200 && status < 300
 }
