gateway: a stream that may run once ran on a second model when the first wasn't confident

Cause: acceptHead dropped an answer without asking whether the request may run again, and shouldRetry let attempts that were given up pass before it asked. Attempts given up as silent and moves were asked elsewhere, each in its own words.

Fix: runstate decides whether a request may run again and whether an answer may be dropped for that. The confidence, the time-out of the head, the end of an attempt, moves and fetches ask it through the request. The answer of a request that may run once is passed on with the confidence that it has.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
+	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // dispatch sends the request to upstreams until one answers or no further attempt is permitted.
@@ -223,7 +224,7 @@
 	if picked.fetchFrom != "" {
 		r.fetchSources = append(r.fetchSources, picked.fetchFrom)
 	}
-	canRetry := r.Route.Repeatable() && r.attemptsLeft() && picked.candidateCount > 1
+	canRetry := r.mayRunAgain(runstate.MayHaveRun) && r.attemptsLeft() && picked.candidateCount > 1
 	return &attempt{
 		gateway:     g,
 		request:     r,
@@ -323,9 +324,10 @@
 }
 
 // acceptHead reports whether an answer with this head is passed on to the caller. If it returns
-// false, it has charged the retry budget, and the request is to run on the next model.
+// false, it has charged the retry budget, and the request is to run on the next model. The answer of
+// a request that may run once is always passed on.
 func (d *dispatch) acceptHead(r *Request, a *attempt, models *modelSequence, head attemptResult) bool {
-	if r.answer.started || head.confidence < 0 || models.atLast() || !r.attemptsLeft() {
+	if !r.mayDropAnswer() || head.confidence < 0 || models.atLast() || !r.attemptsLeft() {
 		return true
 	}
 	escalation, ok := d.gateway.fleet.escalation(d.buildCriteria(r, models.next(), true))
@@ -347,7 +349,7 @@
 // repeated, and the permitted attempts, the time until the deadline and the retry budget aren't
 // used up. It charges the retry budget unless the attempt was charged already or sent nothing.
 func (d *dispatch) shouldRetry(ctx context.Context, r *Request, result attemptResult) bool {
-	if ctx.Err() != nil || !r.attemptsLeft() {
+	if ctx.Err() != nil || !r.attemptsLeft() || !r.mayRunAgain(r.runState.State()) {
 		return false
 	}
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) || errors.Is(result.err, errStreamMoved) {
@@ -356,9 +358,6 @@
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
 	}
-	if !r.runState.State().MayRunAgain(r.Route.Repeatable()) {
-		return false
-	}
 	if r.answer.started && !r.Route.Resumable {
 		return false
 	}
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/placement"
+	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // An engine can fetch leading parts of a prompt from another engine that has them cached, which
@@ -67,7 +68,7 @@
 // mayRepeatWithoutFetch reports whether the request may be repeated if an engine rejects the header for
 // fetching in the next attempt. Otherwise its caller would get the error that the gateway caused.
 func (g *Gateway) mayRepeatWithoutFetch(r *Request) bool {
-	return r.Route.Repeatable() && r.attemptsLeftAfter(1) && g.retryBudgets.get(r.Service).available()
+	return r.mayRunAgain(runstate.Ran) && r.attemptsLeftAfter(1) && g.retryBudgets.get(r.Service).available()
 }
 
 // anyAcceptedFetch reports whether an engine of the service accepted the header for fetching.
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -61,7 +61,7 @@
 		return r.answer.writeBuffered(answer)
 	}
 	e := resultcode.New(resultcode.UpstreamError, "the upstream ran the request and answered %d", answer.status)
-	if r.Route.Repeatable() {
+	if r.mayRunAgain(runstate.Ran) {
 		e.RetryAfter, _ = notice.RetryAfter(answer.header, d.gateway.settings.Headers.RetryAfter)
 	}
 	return e
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -181,6 +181,16 @@
 	return p
 }
 
+// mayRunAgain reports whether the request may be sent to an upstream once more if it is in the run state.
+func (r *Request) mayRunAgain(state runstate.State) bool {
+	return state.MayRunAgain(r.Route.Repeatable())
+}
+
+// mayDropAnswer reports whether the answer of a run may be dropped to run the request again elsewhere.
+func (r *Request) mayDropAnswer() bool {
+	return runstate.MayDropAnswer(r.Route.Repeatable(), r.answer.started)
+}
+
 // maxTokenCount bounds the counts that callers state. It is some ten times the longest prompt that any
 // model takes; with 1e15 tokens, times and sums of them overflow.
 const maxTokenCount = 10_000_000
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/streampace"
 )
 
@@ -77,7 +78,7 @@
 	hint := parseCount(r.Header.Get(g.settings.Headers.LengthHint))
 	return &streamMover{
 		attempt: a, ctx: ctx, pace: g.usualPaces.get(r.responseTimeKey()), tokens: cmp.Or(hint, r.Prompt.TokensOut),
-		movable: r.Route.Resumable && !r.moved && r.attemptsLeft(),
+		movable: r.mayRunAgain(runstate.Ran) && !r.moved && r.attemptsLeft(),
 	}
 }
 
