--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -42,7 +42,7 @@
 		return resultcode.Wrap(resultcode.HostStopping, result.err, "the planned stop's time was over")
 	}
 	if ctx.Err() != nil {
-		return resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time")
+		return r.toldError(resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
 	}
 	switch result.outcome {
 	case outcomeUnsent, outcomeWithheld:
