--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -325,9 +325,13 @@
 
 // acceptHead reports whether an answer with this head is passed on to the caller. If it returns
 // false, it has charged the retry budget, and the request is to run on the next model. The answer of
-// a request that may run once is always passed on.
+// a request that may run once is always passed on; its confidence decides on the model of later ones.
 func (d *dispatch) acceptHead(r *Request, a *attempt, models *modelSequence, head attemptResult) bool {
-	if !r.mayDropAnswer() || head.confidence < 0 || models.atLast() || !r.attemptsLeft() {
+	if r.answer.started || head.confidence < 0 || models.atLast() {
+		return true
+	}
+	mayDrop := r.mayDropAnswer()
+	if mayDrop && !r.attemptsLeft() {
 		return true
 	}
 	escalation, ok := d.gateway.fleet.escalation(d.buildCriteria(r, models.next(), true))
@@ -339,6 +343,10 @@
 	escalation.Target = r.Route.Target
 	escalation.Saturation = d.gateway.holds.saturation(r.Service)
 	a.minConfidence, a.queuePressure = int(escalation.RequiredConfidence()), escalation.Pressure
+	if !mayDrop {
+		d.gateway.singleRuns(r).Observe(head.confidence >= a.minConfidence)
+		return true
+	}
 	if head.confidence >= a.minConfidence {
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/peer"
 	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
 	"github.com/quetzalweir/quetzalweir/routing"
 )
@@ -49,7 +50,9 @@
 	streamPauses lazyValues[meanTime]
 	// usualPaces holds, by the same key, the pace of recent streams.
 	usualPaces lazyValues[usualPace]
-	pipeline   handleFunc
+	// singleRunModels chooses the model of requests that may run once, by service and route.
+	singleRunModels lazyValues[placement.SingleRunModels]
+	pipeline        handleFunc
 	// guard quarantines poison requests.
 	guard *guard.Guard
 	// shares and returns are used for contended services (Features).
@@ -127,6 +130,7 @@
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
 	g.usualPaces.make = func() *usualPace { return new(usualPace) }
+	g.singleRunModels.make = func() *placement.SingleRunModels { return new(placement.SingleRunModels) }
 	g.promptSizes.make = func() *promptSizes { return new(promptSizes) }
 	g.guard = guard.New(guard.Options{
 		Host: s.Host, Table: s.StatusTable, Prefix: s.Tables.VerdictsPrefix, Clock: g.storeClock, OnEvent: g.metrics.countGuardEvent, Log: log,
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -1,7 +1,9 @@
 package gateway
 
+import "github.com/quetzalweir/quetzalweir/placement"
+
 // modelSequence lists the models that may answer a request, in the order in which they are tried:
-// the cheapest first, the best last. models is empty if the caller chose the model; index is the
+// the cheapest first, the best last. A request that may run once has its model chosen beforehand. models is empty if the caller chose the model; index is the
 // index of the current model. The confidence of a model's answer, which is known before the caller
 // has received a byte, decides whether the next model is tried.
 type modelSequence struct {
@@ -23,9 +25,17 @@
 		s.models = []string{models[0], models[len(models)-1]}
 	}
 	s.index = min(g.settings.FirstModelIndex, len(s.models)-1)
+	if !r.Route.Repeatable() && !s.atLast() && !g.singleRuns(r).UsesCheap() {
+		s.advance()
+	}
 	return s
 }
 
+// singleRuns returns the record by which the model of a request that may run once is chosen.
+func (g *Gateway) singleRuns(r *Request) *placement.SingleRunModels {
+	return g.singleRunModels.get(r.Service + "/" + r.Route.Name)
+}
+
 // current returns the model that is to answer now; empty if the caller chose the model.
 func (s *modelSequence) current() string {
 	if len(s.models) == 0 {
