entry, cascade: a call to serve that may run once ran at a second model after a low rating

What callers saw: a call with Quetzalweir-Repeatable: no to a cascade ran at the cheap model, its answer was rated low, and the same call ran at the dear model too; with actions behind the models, twice. Cause: runCascade dropped the rated answer without asking whether the request may run again; the question was asked only where a step had failed.

runCascade asks Request.mayDropAnswer now. A call whose answer can't be replaced runs at one step, chosen beforehand by cascade.Policy (View.SingleRun): the cheapest step whose answer probably reaches the target, or else the last one. Its answer goes to the caller directly. After a failed step, Request.mayRunAgain decides on the next one, so a call that certainly didn't run goes on, which it didn't before. dispatch.mayRetry asks the same function.

--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -65,6 +65,8 @@
 	// RaterTimeout bounds the wait for a rating.
 	RaterTimeout   time.Duration
 	OnRaterFailure manifest.OnRaterFailure
+	// SingleRun is set for a request that may run once, whose answer can't be replaced by a later step's.
+	SingleRun bool
 	// Stats and Rater are set by Learner.Decide.
 	Stats []StepStats
 	Rater RaterStats
@@ -83,6 +85,9 @@
 	// ReasonDeadline means that the deadline leaves no time to escalate from
 	// an earlier step.
 	ReasonDeadline Reason = "deadline"
+	// ReasonSingleRun means that the request may run once, and that the start is the cheapest step whose
+	// answer probably reaches the target.
+	ReasonSingleRun Reason = "single-run"
 )
 
 // Plan is the result of a decision.
@@ -149,6 +154,9 @@
 	if last <= 0 {
 		return Plan{RaterTimeout: v.RaterTimeout}
 	}
+	if v.SingleRun {
+		return v.planSingleRun()
+	}
 	earliest := p.earliestStart(&v)
 	best := v.planFrom(last)
 	for start := last - 1; start >= earliest; start-- {
@@ -171,6 +179,27 @@
 	return best
 }
 
+// minSingleRunProbability is the acceptance probability above which a request that may run once starts at a
+// step before the last one. Steps without statistics don't reach it.
+const minSingleRunProbability = defaultAcceptProbability
+
+// planSingleRun returns the plan of a request that may run once: the cheapest step whose answer probably
+// reaches the target, or else the last step.
+func (v *View) planSingleRun() Plan {
+	last := len(v.Steps) - 1
+	start := 0
+	for start < last && v.stepStats(start).AcceptProbability <= minSingleRunProbability {
+		start++
+	}
+	return Plan{
+		Start:        start,
+		Reason:       ReasonSingleRun,
+		Cost:         v.Steps[start].Cost,
+		Delay:        v.expectedLatency(start),
+		RaterTimeout: v.effectiveRaterTimeout(),
+	}
+}
+
 // earliestStart returns the first step for which running it and all later steps
 // is expected to take at most DeadlineShare of the remaining time, or the last
 // step if there is none.
--- a/cascade/policy_test.go
+++ b/cascade/policy_test.go
@@ -56,6 +56,10 @@
 			v.Remaining = 6 * time.Second
 			v.Stats[0].Latency = 5 * time.Second
 		}, 1, ReasonDeadline},
+		{"may run once, the cheap step suffices", func(v *View) { v.SingleRun = true }, 0, ReasonSingleRun},
+		{"may run once, the cheap step rarely suffices", func(v *View) { v.SingleRun, v.Stats[0].AcceptProbability = true, 0.3 }, 1, ReasonSingleRun},
+		{"may run once, no statistics", func(v *View) { v.SingleRun, v.Stats = true, nil }, 1, ReasonSingleRun},
+		{"may run once, no time to escalate", func(v *View) { v.SingleRun, v.Remaining = true, 4*time.Second }, 0, ReasonSingleRun},
 		{"a single step", func(v *View) { v.Steps = v.Steps[:1] }, 0, ""},
 	}
 	for _, tt := range tests {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -329,7 +329,7 @@
 	switch {
 	case ctx.Err() != nil, attempt >= maxAttempts, r.Sink.Started(), f.guard.VerdictDue(r.digest):
 		return false
-	case !r.state.State().MayRunAgain(r.Repeatable):
+	case !r.mayRunAgain():
 		return false
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errUpstreamLeft):
 		return true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -122,6 +122,12 @@
 	return s
 }
 
+// mayRunAgain reports whether the request may be sent to an upstream once more.
+func (r *Request) mayRunAgain() bool { return r.state.State().MayRunAgain(r.Repeatable) }
+
+// mayDropAnswer reports whether the answer of a run may be dropped to run the request again elsewhere.
+func (r *Request) mayDropAnswer() bool { return runstate.MayDropAnswer(r.Repeatable, r.Sink.Started()) }
+
 // toldError returns the error of which the caller is told: err, with another code if the code contradicts the run state.
 // A status that guarantees that the request didn't run is given only if no attempt may have run it.
 func (r *Request) toldError(err error) *resultcode.Error {
--- a/internal/entry/runcascade.go
+++ b/internal/entry/runcascade.go
@@ -16,7 +16,8 @@
 // runCascade runs the steps of a cascade in order. It buffers the answer of every
 // step but the last until the answer is rated, and sends it to the caller if it is
 // accepted. If the last step fails, the buffered answer with the highest rating is
-// sent instead.
+// sent instead. A request that may run once runs at one step only, which is chosen
+// beforehand.
 type runCascade struct {
 	learner *cascade.Learner
 	rater   storage.Rater
@@ -34,6 +35,9 @@
 	}
 	plan := f.learner.Decide(f.planInput(r, steps))
 	f.logPlan(r, plan, len(steps))
+	if !r.mayDropAnswer() {
+		return f.runOnce(ctx, r, next, steps, plan)
+	}
 	caller := r.Sink
 	defer func() { r.Sink = caller }()
 	last := len(steps) - 1
@@ -51,7 +55,7 @@
 	}
 	r.Model = steps[last]
 	r.Sink = caller
-	err := f.runLastStep(ctx, r, next, plan, last)
+	err := f.runUnbuffered(ctx, r, next, plan, last)
 	if err == nil || best == nil || caller.Started() || ctx.Err() != nil {
 		return err
 	}
@@ -98,6 +102,7 @@
 		Target:         r.Cascade.Target,
 		RaterTimeout:   time.Duration(r.Cascade.RaterTimeoutMs) * time.Millisecond,
 		OnRaterFailure: r.Cascade.OnRaterFailure,
+		SingleRun:      !r.mayDropAnswer(),
 	}
 }
 
@@ -112,8 +117,22 @@
 	return float64(usageCost(versions[0], usage))
 }
 
-// runLastStep runs the final step, which writes directly to the caller's sink.
-func (f *runCascade) runLastStep(ctx context.Context, r *Request, next Next, plan cascade.Plan, step int) error {
+// runOnce runs the plan's first step for a request whose answer can't be replaced. Later
+// steps run only if the earlier ones certainly didn't run the request.
+func (f *runCascade) runOnce(ctx context.Context, r *Request, next Next, steps []string, plan cascade.Plan) error {
+	for i := plan.Start; ; i++ {
+		r.Model = steps[i]
+		err := f.runUnbuffered(ctx, r, next, plan, i)
+		if err == nil || i == len(steps)-1 || ctx.Err() != nil || r.Sink.Started() || !r.mayRunAgain() {
+			return err
+		}
+		f.logStep(r, i, "failed", 0, err)
+		r.Sink.Reset()
+	}
+}
+
+// runUnbuffered runs a step that writes directly to the request's sink.
+func (f *runCascade) runUnbuffered(ctx context.Context, r *Request, next Next, plan cascade.Plan, step int) error {
 	started := time.Now()
 	err := next(ctx, r)
 	if err == nil {
@@ -130,7 +149,7 @@
 	r.Sink = buffer
 	started := time.Now()
 	if err := next(ctx, r); err != nil {
-		if ctx.Err() != nil || !r.Repeatable {
+		if ctx.Err() != nil || !r.mayRunAgain() {
 			return nil, false, err
 		}
 		f.logStep(r, step, "failed", 0, err)
