--- a/balance/pool.go
+++ b/balance/pool.go
@@ -187,11 +187,12 @@
 }
 
 // MaySend reports whether a request that Begin counted may still be sent: the
-// upstream hasn't stated since that it is leaving or accepts no requests.
+// upstream is still in the host list and hasn't stated since that it is leaving or
+// accepts no requests.
 func (p *Pool) MaySend(id string) bool {
 	permitted := true
 	p.changeEntry(id, func(e *poolEntry) {
-		permitted = !e.state.Leaving && !e.state.Backoff.Active(p.options.Clock())
+		permitted = e.getsRequests() && !e.state.Backoff.Active(p.options.Clock())
 	})
 	return permitted
 }
--- a/balance/pool_entry.go
+++ b/balance/pool_entry.go
@@ -113,8 +113,11 @@
 	e.state.SentSinceReport = sentSinceReport
 }
 
+// getsRequests reports whether the upstream gets requests: it is in the host list and isn't leaving.
+func (e *poolEntry) getsRequests() bool { return !e.state.Leaving && e.absentSince.IsZero() }
+
 func (e *poolEntry) begin(now time.Time) bool {
-	if e.state.Leaving || !e.absentSince.IsZero() || !e.state.Backoff.Allows(now) {
+	if !e.getsRequests() || !e.state.Backoff.Allows(now) {
 		return false
 	}
 	e.state.Backoff.RecordSent(now)
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -38,6 +38,18 @@
 	is.True(findUpstream(pool, "a").Leaving)
 }
 
+// A request that waited for a connection must not be sent to an upstream that left the host list meanwhile.
+func TestRequestIsSentToAnUpstreamThatLeftTheList(t *testing.T) {
+	is := is.New(t)
+	pool, _, list := newTestPool(t, "a", "b")
+	is.True(pool.Begin("a"))
+	is.True(pool.MaySend("a"))
+	pool.Update(list[1:])
+	is.True(!pool.MaySend("a"))
+	pool.Update(list)
+	is.True(pool.MaySend("a"))
+}
+
 func TestLeavingSources(t *testing.T) {
 	tests := []struct {
 		desc  string
