--- a/internal/gateway/removedupstream_test.go
+++ b/internal/gateway/removedupstream_test.go
@@ -129,3 +129,19 @@
 		time.Sleep(time.Second) // until the goroutines have ended
 	})
 }
+
+// A request that waited for a connection to a removed upstream must not be written after the upstream's drain time.
+func TestRequestThatWaitsIsWrittenAfterTheDrainTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := NewFleet(time.Second, zerolog.Nop())
+		f.ApplyEntry(Upstream{ID: "u", Service: "svc", Address: "u:9", Zone: "z1", Version: "v1", Slots: 8}, 1)
+		c, ok := f.choose(criteria{service: "svc", zone: "z1", admitsVersion: func(string) bool { return true }})
+		is.True(ok)
+		f.RemoveEntry("u", 2, false)
+		time.Sleep(900 * time.Millisecond)
+		is.True(f.maySend(&c))
+		time.Sleep(200 * time.Millisecond)
+		is.True(!f.maySend(&c))
+	})
+}
