gateway, entry, upstream: names, comments and one twin, after a last reading; behaviour unchanged

Cause: CONTRIBUTING's "How the code reads". Comments said that hosts hear, learn and know; toldError and three tests were named by what a host tells; package entry read the statements in a service's answer with constants and a parser that package upstream has.

--- a/draining/removal.go
+++ b/draining/removal.go
@@ -8,20 +8,20 @@
 	// Margin is the time before the end of an upstream's service after which no request is sent to it, since
 	// the request has to reach it.
 	Margin = 500 * time.Millisecond
-	// OutageGrace is how long an upstream is still used after the host learned of the removal of its entry
-	// because of an outage of the store. Entries expire in an outage although their upstreams are alive, and
+	// OutageGrace is how long an upstream is still used after the host was notified of the removal of its
+	// entry because of an outage of the store. Entries expire in an outage although their upstreams are alive, and
 	// upstreams write them again within about two seconds after the outage. With a grace of 1.5 s, a service
 	// whose entries had all expired had no upstream for the last half second before its upstreams wrote their
 	// entries again.
 	OutageGrace = 2200 * time.Millisecond
 )
 
-// Removal is what a host knows of the removal of an upstream's entry. Hosts learn of it late.
+// Removal describes the removal of an upstream's entry, of which a host is notified late.
 type Removal struct {
-	// NotBefore is the earliest time at which the entry may have been removed: the last time as of which the
-	// host knew that the entry existed.
+	// NotBefore is the earliest time at which the entry may have been removed: the time as of which
+	// the host's data last contained the entry.
 	NotBefore time.Time
-	// ObservedAt is when the host learned of the removal.
+	// ObservedAt is when the host was notified of the removal.
 	ObservedAt time.Time
 	// ExpiredInOutage is set if the entry may have expired because of an outage of the store.
 	ExpiredInOutage bool
@@ -43,7 +43,7 @@
 // Call is an answered call of the store for the changes of a table. Its times are on one clock of the host, from any
 // start.
 type Call struct {
-	// Previous is the time as of which the host knew the table before.
+	// Previous is the time as of which the host had the table before the call.
 	Previous time.Duration
 	// Started and Answered are the times of the call and of its answer.
 	Started, Answered time.Duration
--- a/draining/removal_test.go
+++ b/draining/removal_test.go
@@ -16,9 +16,9 @@
 		use     time.Duration
 		want    time.Time
 	}{
-		{"heard at once", Removal{NotBefore: at(1000), ObservedAt: at(1000)}, 1500 * time.Millisecond, at(2500)},
-		{"heard late", Removal{NotBefore: at(1000), ObservedAt: at(1800)}, 1500 * time.Millisecond, at(2500)},
-		{"heard after its service", Removal{NotBefore: at(1000), ObservedAt: at(9000)}, 1500 * time.Millisecond, at(2500)},
+		{"notified at once", Removal{NotBefore: at(1000), ObservedAt: at(1000)}, 1500 * time.Millisecond, at(2500)},
+		{"notified late", Removal{NotBefore: at(1000), ObservedAt: at(1800)}, 1500 * time.Millisecond, at(2500)},
+		{"notified after the end of its service", Removal{NotBefore: at(1000), ObservedAt: at(9000)}, 1500 * time.Millisecond, at(2500)},
 		{"expired in an outage", Removal{NotBefore: at(1000), ObservedAt: at(9000), ExpiredInOutage: true}, 1500 * time.Millisecond, at(11200)},
 		{"expired in an outage, long service", Removal{NotBefore: at(1000), ObservedAt: at(1000), ExpiredInOutage: true}, 29500 * time.Millisecond, at(30500)},
 		{"no service after the removal", Removal{NotBefore: at(1000), ObservedAt: at(1000)}, -100 * time.Millisecond, at(900)},
--- a/internal/entry/chatsink.go
+++ b/internal/entry/chatsink.go
@@ -132,7 +132,7 @@
 // abort ends a stream that can't be completed: it writes an error event and breaks
 // the connection without the end-of-stream marker.
 func (s *chatSink) abort(r *Request, err error) {
-	e := r.toldError(err)
+	e := r.reportedError(err)
 	body, _ := json.Marshal(newErrorResponse(r, e))
 	_, _ = s.w.Write([]byte("event: error\n"))
 	_ = s.writeEvent(body)
--- a/internal/entry/countrequest.go
+++ b/internal/entry/countrequest.go
@@ -23,7 +23,7 @@
 	err := next(ctx, r)
 	code := resultcode.OK
 	if err != nil {
-		coded := r.toldError(err)
+		coded := r.reportedError(err)
 		code = coded.Code
 		err = coded
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -227,32 +227,15 @@
 	if err != nil {
 		return err
 	}
-	if notRun := runstate.StatesNotRun(answer.Status, answer.Header.Get(upstream.HeaderNotRun) == headerTrue); notRun || !attempt.State().PermitsStatus(answer.Status) {
-		return serviceStatusError(answer, notRun)
+	// An answer that states, or by its status guarantees, that the service didn't run the call isn't the result of the
+	// request, so it must not be billed or stored in the claim.
+	if e := answer.StatusError(); e.NotRun || !attempt.State().PermitsStatus(e.Status) {
+		return e
 	}
 	r.Sink.Service(r, answer)
 	return nil
 }
 
-// headerRetryAfter states after which time an upstream accepts requests again.
-const headerRetryAfter = "Retry-After"
-
-// headerTrue is the value of a boolean header that is set.
-const headerTrue = "1"
-
-// serviceStatusError returns the error for an answer that isn't passed on: the service states that it didn't start the
-// call, or the answer's status guarantees so without that statement. Such an answer isn't the result of the request, so
-// it must not be billed or stored in the claim.
-func serviceStatusError(answer upstream.ServiceResponse, notRun bool) error {
-	retryAfter, _ := notice.RetryAfter(answer.Header, headerRetryAfter)
-	return &upstream.StatusError{
-		Status:     answer.Status,
-		Leaving:    answer.Header.Get(upstream.HeaderLeaving) == headerTrue,
-		NotRun:     notRun,
-		RetryAfter: retryAfter,
-	}
-}
-
 func (f *dispatch) runModel(ctx context.Context, r *Request, attempt *runstate.Tracker) error {
 	r.FirstFrame = time.Time{}
 	err := f.stream(ctx, r, attempt)
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -152,7 +152,7 @@
 
 // writeError writes the error response for a request whose answer hasn't begun.
 func writeError(w http.ResponseWriter, r *Request, err error) {
-	e := r.toldError(err)
+	e := r.reportedError(err)
 	h := w.Header()
 	setRequestHeaders(h, r)
 	setResultHeaders(h, r, e.Code)
--- a/internal/entry/recordbill.go
+++ b/internal/entry/recordbill.go
@@ -61,7 +61,7 @@
 		b.Service = r.Route
 	}
 	if err != nil {
-		b.Code = int(r.toldError(err).Code)
+		b.Code = int(r.reportedError(err).Code)
 		return b
 	}
 	for _, s := range r.Steps {
--- a/internal/entry/toldofrun_test.go
+++ b/internal/entry/reportederror_test.go
@@ -34,10 +34,10 @@
 }
 
 // A caller must get a status that guarantees that its request didn't run only if the upstream stated so: with 503 and no
-// statement the upstream may have run the request, and a caller that sends it again orders twice.
-func TestServeTellsCallerThatARunDidNotHappen(t *testing.T) {
-	statement := http.Header{upstream.HeaderNotRun: {headerTrue}, headerRetryAfter: {"3"}}
-	none := http.Header{headerRetryAfter: {"3"}}
+// statement the upstream may have run the request, and a caller that sends it again runs it twice.
+func TestServeReportsARunAsNotRun(t *testing.T) {
+	statement := http.Header{upstream.HeaderNotRun: {"1"}, "Retry-After": {"3"}}
+	none := http.Header{"Retry-After": {"3"}}
 	tests := []struct {
 		desc   string
 		header http.Header
@@ -59,10 +59,10 @@
 				r := &Request{Kind: kind, Repeatable: true, Sink: &bufferSink{}}
 				err := f.run(t.Context(), r)
 				is.True(err != nil)
-				told := r.toldError(attemptError(t.Context(), r, err))
-				is.Equal(told.Code, test.code)
-				is.Equal(runstate.GuaranteesNotRun(resultcode.Lookup(told.Code).Status), test.code == resultcode.UpstreamRefused)
-				is.Equal(told.RetryAfter, 3*time.Second)
+				reported := r.reportedError(attemptError(t.Context(), r, err))
+				is.Equal(reported.Code, test.code)
+				is.Equal(runstate.GuaranteesNotRun(resultcode.Lookup(reported.Code).Status), test.code == resultcode.UpstreamRefused)
+				is.Equal(reported.RetryAfter, 3*time.Second)
 				is.Equal(r.state.State(), runstate.MayHaveRun)
 			})
 		}
@@ -70,8 +70,8 @@
 }
 
 // After an attempt that may have run the request, a later attempt without an upstream, or one whose upstream states that
-// it didn't run the request, must not be told as a guarantee that nothing ran.
-func TestServeForgetsAnEarlierAttemptThatMayHaveRun(t *testing.T) {
+// it didn't run the request, must not be reported as if nothing had run.
+func TestServeReportsNotRunAfterAnAttemptThatMayHaveRun(t *testing.T) {
 	refusals := map[string]error{
 		"no upstream": resultcode.New(resultcode.NoUpstream, "no upstream in service"),
 		"refused":     statusError(&upstream.StatusError{Status: 503, NotRun: true}),
@@ -83,7 +83,7 @@
 			f := &dispatch{engine: engineAnswer{err: upstream.ErrBroken}}
 			r := &Request{Kind: KindModel, Repeatable: true, Sink: &bufferSink{}}
 			is.True(f.run(t.Context(), r) != nil)
-			is.Equal(resultcode.Lookup(r.toldError(refusal).Code).Status, http.StatusBadGateway)
+			is.Equal(resultcode.Lookup(r.reportedError(refusal).Code).Status, http.StatusBadGateway)
 		})
 	}
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -128,9 +128,9 @@
 // mayDropAnswer reports whether the answer of a run may be dropped to run the request again elsewhere.
 func (r *Request) mayDropAnswer() bool { return runstate.MayDropAnswer(r.Repeatable, r.Sink.Started()) }
 
-// toldError returns the error of which the caller is told: err, with another code if the code contradicts the run state.
-// A status that guarantees that the request didn't run is given only if no attempt may have run it.
-func (r *Request) toldError(err error) *resultcode.Error {
+// reportedError returns the error that is reported to the caller: err, with another code if the code contradicts the run state.
+// A status that guarantees that the request didn't run is reported only if no attempt may have run it.
+func (r *Request) reportedError(err error) *resultcode.Error {
 	e := resultcode.ForState(resultcode.FromError(err), r.state.State())
 	if r.effect.State().PermitsStatus(resultcode.Lookup(e.Code).Status) {
 		return e
--- a/internal/entry/runcascade_test.go
+++ b/internal/entry/runcascade_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// A call that may run once starts at the cheap model once that model's answers are known to suffice.
+// A call that may run once starts at the cheap model once that model's answers have reached the target.
 func TestCallThatMayRunOnceUsesCheapModel(t *testing.T) {
 	is := is.New(t)
 	f, newRequest := newCascade(0.9)
--- a/internal/feed/call.go
+++ b/internal/feed/call.go
@@ -42,7 +42,8 @@
 	firstPartTimeout time.Duration
 	do               func(ctx context.Context, received OnReceived) (Page, error)
 
-	// started is when the call was sent, and startedAt the same as the time since the watcher's start.
+	// started is when the call was sent. startedAt is the same as the time since the watcher's start, which
+	// includes suspensions of the host.
 	started   time.Time
 	startedAt time.Duration
 	// answeredAt is when the first part of the answer arrived, in nanoseconds since the
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,7 +21,8 @@
 	upstream Upstream
 	// entryRevision is the revision of the upstream's entry in the store.
 	entryRevision storage.Revision
-	// removedFor is how long this host had known that the upstream's entry was removed; 0 if it is listed.
+	// removedFor is the time since this host was notified of the removal of the upstream's entry; 0 if the entry
+	// exists.
 	removedFor time.Duration
 	// candidateCount is the number of upstreams from which this one was chosen.
 	candidateCount int
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -42,7 +42,7 @@
 		return resultcode.Wrap(resultcode.HostStopping, result.err, "the planned stop's time was over")
 	}
 	if ctx.Err() != nil {
-		return r.toldError(resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
+		return r.reportedError(resultcode.Wrap(resultcode.DeadlineExpired, result.err, "no answer in time"))
 	}
 	switch result.outcome {
 	case outcomeUnsent, outcomeWithheld:
@@ -67,9 +67,9 @@
 	return e
 }
 
-// toldError returns the error of which the caller is told: err, with another code if the code contradicts the
+// reportedError returns the error that is reported to the caller: err, with another code if the code contradicts the
 // request's run state.
-func (r *Request) toldError(err error) *resultcode.Error {
+func (r *Request) reportedError(err error) *resultcode.Error {
 	e, state := resultcode.FromError(err), r.runState.State()
 	if state == runstate.NotRun && e.Code == resultcode.DeadlineExpired {
 		return &resultcode.Error{Code: resultcode.DeadlineUnmeetable, Detail: e.Detail, Err: e.Err}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -58,10 +58,10 @@
 // finish writes the request's log line and, if err is set, the refusal.
 func (g *Gateway) finish(r *Request, err error) {
 	code, status := resultcode.OK, r.answer.status
-	var told *resultcode.Error
+	var reported *resultcode.Error
 	if err != nil {
-		told = r.toldError(err)
-		code, err = told.Code, told
+		reported = r.reportedError(err)
+		code, err = reported.Code, reported
 		if !r.answer.started {
 			status = resultcode.Lookup(code).Status
 		}
@@ -85,8 +85,8 @@
 		Int("attempts", r.attempts).Str("model", r.model).Str("account", r.accountName()).Str("session", r.Session).
 		Uint64("document", version).Int("events", r.answer.events).Int64("pause_ms", r.answer.longestPause.Milliseconds()).
 		Int64("took_ms", elapsed.Milliseconds()).Bool("stopping", r.answer.closesConnection).Msg("")
-	if told != nil {
-		g.refuse(r, told)
+	if reported != nil {
+		g.refuse(r, reported)
 	}
 }
 
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -138,7 +138,7 @@
 	}
 	if decision.Cause == admission.CauseExpired {
 		d.observeHold(r, h, decision, 0)
-		return r.toldError(resultcode.New(resultcode.DeadlineExpired, "no engine began the request in time"))
+		return r.reportedError(resultcode.New(resultcode.DeadlineExpired, "no engine began the request in time"))
 	}
 	retry := d.saturatedRetryAfter(r, h, decision)
 	d.observeHold(r, h, decision, retry)
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -3,9 +3,10 @@
 import "github.com/quetzalweir/quetzalweir/placement"
 
 // modelSequence lists the models that may answer a request, in the order in which they are tried:
-// the cheapest first, the best last. A request that may run once has its model chosen beforehand. models is empty if the caller chose the model; index is the
+// the cheapest first, the best last. models is empty if the caller chose the model; index is the
 // index of the current model. The confidence of a model's answer, which is known before the caller
-// has received a byte, decides whether the next model is tried.
+// has received a byte, decides whether the next model is tried. A request that may run once runs on
+// the first current model only.
 type modelSequence struct {
 	models []string
 	index  int
--- a/internal/gateway/removedupstream_test.go
+++ b/internal/gateway/removedupstream_test.go
@@ -72,7 +72,7 @@
 }
 
 // A request must not be sent to an upstream later than its drain time after the removal of its entry, although hosts
-// learn of the removal late: they collect changes, and get them from each other.
+// receive the removal late: they read several changes at a time, and receive them through other hosts.
 func TestRemovedUpstreamIsUsedAfterItsDrainTime(t *testing.T) {
 	for _, drain := range []time.Duration{2 * time.Second, 5 * time.Second, 30 * time.Second} {
 		for _, source := range []string{"store", "hub"} {
@@ -102,7 +102,7 @@
 						store.removeEntry("last")
 						last := lastUse(g, removedAt, "last", 2*drain)
 						is.True(last <= drain-200*time.Millisecond) // and the request still has to arrive
-						is.True(last >= 0)                          // the upstream was in use before this host knew
+						is.True(last >= 0)                          // the upstream was in use before this host received the removal
 						cancel()
 						time.Sleep(time.Second) // until the goroutines have ended
 					})
--- a/internal/gateway/toldofrun_test.go
+++ b/internal/gateway/reportederror_test.go
@@ -41,7 +41,7 @@
 
 // A caller whose request ran must not get a status that guarantees that it didn't: the caller would send an order
 // again, and it would run twice.
-func TestUpstreamStatusTellsCallerThatARunDidNotHappen(t *testing.T) {
+func TestUpstreamStatusReportsARunAsNotRun(t *testing.T) {
 	answers := map[string]func(status int) http.HandlerFunc{
 		"whole":       func(status int) http.HandlerFunc { return runThenAnswer(status, "failed") },
 		"retry-after": func(status int) http.HandlerFunc { return runThenAnswer(status, "failed", "Retry-After", "3") },
--- a/placement/singlerun_test.go
+++ b/placement/singlerun_test.go
@@ -20,7 +20,7 @@
 	}
 	is := is.New(t)
 	var m SingleRunModels
-	is.True(m.UsesCheap()) // nothing is known
+	is.True(m.UsesCheap()) // there is no record
 	hard := replay(&m, 160, func(int) bool { return false })
 	is.True(hard <= 12)
 	easy := replay(&m, 400, func(int) bool { return true })
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -235,7 +235,7 @@
 	return WithoutGuarantee(e, state)
 }
 
-// WithoutGuarantee returns an error that wraps e and has a code that says only that the request is in the run state. It
+// WithoutGuarantee returns an error that wraps e and has a code that states only that the request is in the run state. It
 // takes the place of e if the status of e's code guarantees that a request didn't run that may have run.
 func WithoutGuarantee(e *Error, state runstate.State) *Error {
 	return &Error{Code: codeForState(state), Detail: e.Detail, Err: e}
--- a/runstate/decisions_test.go
+++ b/runstate/decisions_test.go
@@ -10,7 +10,7 @@
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
-// A caller must not be told that its request didn't run after the request ran or may have run.
+// A status that guarantees that a request didn't run must not reach the caller after the request ran or may have run.
 func TestStatusGuaranteesNotRunAfterARun(t *testing.T) {
 	guarantees := map[int]bool{408: true, 421: true, 429: true, 503: true}
 	for status := 200; status < 600; status++ {
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -124,7 +124,7 @@
 // isRefusal reports whether the service rejected the call for now or states that it
 // didn't start the call. Neither response proves that the call ran.
 func isRefusal(resp *http.Response) bool {
-	if statesNotRun(resp) {
+	if statesNotRun(resp.StatusCode, resp.Header) {
 		return true
 	}
 	return resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
--- a/upstream/status.go
+++ b/upstream/status.go
@@ -23,18 +23,24 @@
 	timeout := time.AfterFunc(errorMessageTimeout, func() { resp.Body.Close() })
 	defer timeout.Stop()
 	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorMessage))
+	e := newStatusError(resp.StatusCode, resp.Header)
+	e.Message = strings.TrimSpace(string(message))
+	return e
+}
+
+// newStatusError returns a response's status and what its header states, without a message.
+func newStatusError(status int, header http.Header) *StatusError {
 	return &StatusError{
-		Status:     resp.StatusCode,
-		Leaving:    resp.Header.Get(HeaderLeaving) == headerTrue,
-		NotRun:     statesNotRun(resp),
-		RetryAfter: parseRetryAfter(resp.Header),
-		Message:    strings.TrimSpace(string(message)),
+		Status:     status,
+		Leaving:    header.Get(HeaderLeaving) == headerTrue,
+		NotRun:     statesNotRun(status, header),
+		RetryAfter: parseRetryAfter(header),
 	}
 }
 
 // statesNotRun reports whether a response states that the upstream didn't start the request.
-func statesNotRun(resp *http.Response) bool {
-	return runstate.StatesNotRun(resp.StatusCode, resp.Header.Get(HeaderNotRun) == headerTrue)
+func statesNotRun(status int, header http.Header) bool {
+	return runstate.StatesNotRun(status, header.Get(HeaderNotRun) == headerTrue)
 }
 
 func isSuccess(status int) bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -167,6 +167,9 @@
 	Body   []byte
 }
 
+// StatusError returns the response as an error, for a response that isn't passed on.
+func (r *ServiceResponse) StatusError() *StatusError { return newStatusError(r.Status, r.Header) }
+
 // Service sends calls to plain services.
 type Service interface {
 	// Do sends the call and reads the complete response; only an idempotent call
