gateway: logs and metrics of runs that the host ends and of attempts that are refused

The attempt line of a run that was given up told neither for how long the host had waited nor the limit, and nothing told that a further attempt was refused, with which code and whether the caller had begun to receive the answer. Added: host_end, waited_ms, limit_ms and stopping in attempt, the event attempt-refused, runs_ended_total and attempts_refused_total. No change of behaviour.

--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -77,6 +77,33 @@
 	return r.outcome == outcomeAbandoned && !r.neverSent && !errors.Is(r.err, errLowConfidence) && !errors.Is(r.err, errStreamMoved)
 }
 
+// hostEnd is why the gateway ended a run that may still have been good.
+type hostEnd string
+
+const (
+	// hostEndNone: the gateway didn't end the run, or its caller left, or the deadline passed.
+	hostEndNone hostEnd = ""
+	// hostEndSilence: the upstream sent nothing for too long.
+	hostEndSilence hostEnd = "silence"
+	// hostEndMove: the stream was moved to another engine.
+	hostEndMove hostEnd = "move"
+	// hostEndConfidence: the answer is dropped for that of a better model.
+	hostEndConfidence hostEnd = "confidence"
+)
+
+// hostEnd returns why the gateway ended the run.
+func (r *attemptResult) hostEnd() hostEnd {
+	switch {
+	case errors.Is(r.err, errResponseTimeout):
+		return hostEndSilence
+	case errors.Is(r.err, errStreamMoved):
+		return hostEndMove
+	case errors.Is(r.err, errLowConfidence):
+		return hostEndConfidence
+	}
+	return hostEndNone
+}
+
 // isOverlong reports whether the gateway gave up reading an answer because it was too long.
 func (r *attemptResult) isOverlong() bool {
 	return errors.Is(r.err, errAnswerTooLong) || errors.Is(r.err, errAnswerMemory) || errors.Is(r.err, errNoEvents)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -70,6 +70,9 @@
 		previous := result
 		var err error
 		result, err = d.makeAttempt(ctx, r, models)
+		if err != nil && r.attempts > 0 {
+			d.observeRefusedAttempt(r, &previous, err)
+		}
 		switch {
 		case err != nil && r.attempts > 0 && errors.Is(err, errNoneAvailable):
 			return d.endWithoutUpstream(ctx, r, previous, err)
--- a/internal/gateway/idletimer.go
+++ b/internal/gateway/idletimer.go
@@ -26,6 +26,9 @@
 	// timer ended the attempt.
 	waiting bool
 	ended   bool
+	// waitBegan is when the present wait began. endedAfter is how long the wait had lasted when the timer ended the attempt.
+	waitBegan  time.Time
+	endedAfter time.Duration
 }
 
 // newIdleTimer returns a timer that isn't running.
@@ -37,7 +40,7 @@
 func (t *idleTimer) start(limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limit, t.waiting = limit, true
+	t.limit, t.waiting, t.waitBegan = limit, true, time.Now()
 	if t.timer == nil {
 		t.timer = time.AfterFunc(limit, t.expire)
 		return
@@ -69,7 +72,7 @@
 	switch {
 	case !t.waiting:
 	case giveUp:
-		t.ended = true
+		t.ended, t.endedAfter = true, time.Since(t.waitBegan)
 		t.cancel(errResponseTimeout)
 	default:
 		t.timer.Reset(t.limit)
@@ -83,6 +86,13 @@
 	return t.ended
 }
 
+// endedWait returns how long the wait that the timer ended had lasted, and its limit; ok is false if the timer ended none.
+func (t *idleTimer) endedWait() (waited, limit time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endedAfter, t.limit, t.ended
+}
+
 // pauseLimit returns how long the stream may send no event before it is given up. The limit is
 // higher where long pauses are usual because all engines are overloaded, since giving up streams
 // would add to the load.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -128,6 +128,17 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
+// countHostEnd counts a run that the gateway ended though it may still have been good.
+func (m *gatewayMetrics) countHostEnd(service string, end hostEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, end)).Inc()
+}
+
+// countRefusedAttempt counts a request that was refused another attempt. began is set if its caller had received a part
+// of the answer.
+func (m *gatewayMetrics) countRefusedAttempt(service, code string, began bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_attempts_refused_total{service=%q,code=%q,began="%t"}`, service, code, began)).Inc()
+}
+
 // countBrokenAnswer counts an answer that wasn't passed on whole because of its upstream.
 func (m *gatewayMetrics) countBrokenAnswer(service string, fault responsecheck.Fault) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_broken_answers_total{service=%q,fault=%q}`, service, fault)).Inc()
--- a/internal/plannedstop/plannedstop.go
+++ b/internal/plannedstop/plannedstop.go
@@ -38,6 +38,18 @@
 // Begin begins the stop, which ends the requests in progress at the given time.
 func (s *Stop) Begin(endsAt time.Time) { s.begun.Store(&admission.Stop{EndsAt: endsAt}) }
 
+// EndsAt returns when the requests in progress are ended; false if the stop hasn't begun.
+func (s *Stop) EndsAt() (time.Time, bool) {
+	stop := s.begun.Load()
+	if stop == nil {
+		return time.Time{}, false
+	}
+	return stop.EndsAt, true
+}
+
+// UsualTime returns the time in which nearly all requests of the kind end; 0 if it isn't known.
+func (s *Stop) UsualTime(kind string) time.Duration { return s.requestTime(kind).usual() }
+
 // Admits reports whether a request of a kind may be sent to an upstream: the stop hasn't begun, or the request is expected
 // to end before the stop does.
 func (s *Stop) Admits(kind string, deadline, now time.Time) bool {
