--- a/internal/entry/runcascade_test.go
+++ b/internal/entry/runcascade_test.go
@@ -28,8 +28,8 @@
 func newCascade(rating float64) (*runCascade, func(repeatable bool) *Request) {
 	doc := &manifest.Document{
 		Models: []manifest.Model{
-			{Name: "cheap", Versions: []manifest.Version{{Name: "v1", State: manifest.Serving}}},
-			{Name: "dear", Versions: []manifest.Version{{Name: "v1", State: manifest.Serving}}},
+			{Name: "cheap", Versions: []manifest.Version{{Name: "v1", State: manifest.Serving, CompletionPrice: 1_000_000}}},
+			{Name: "dear", Versions: []manifest.Version{{Name: "v1", State: manifest.Serving, CompletionPrice: 100_000_000}}},
 		},
 		Accounts: []manifest.Account{{Name: "a", Models: []manifest.Permission{{Model: "cheap"}, {Model: "dear"}}}},
 	}
--- a/internal/gateway/idletimer_test.go
+++ b/internal/gateway/idletimer_test.go
@@ -102,3 +102,23 @@
 		is.True(!timer.expired())
 	})
 }
+
+// A timer that runs out while its data arrives must not end the next wait, which has just begun. Streams whose first event
+// arrived at the limit were given up a few milliseconds after it.
+func TestIdleTimerEndsTheNextWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		var timer *idleTimer
+		timer = newIdleTimer(func() bool {
+			timer.stop() // the data arrives while the decision is made
+			timer.start(time.Second)
+			return true
+		}, cancel)
+		timer.start(time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		is.NoErr(ctx.Err())
+		is.True(!timer.expired())
+		timer.stop()
+	})
+}
