gateway: a planned stop refused further attempts of requests that had begun

Callers saw LOST: a stream that had begun was cut off in the middle, or 502 came for a request that an upstream had run, well before the end of a planned stop and with other upstreams free.

Cause: dispatch.makeAttempt asked the planned stop before every attempt, also the second of a stream that had begun. The usual time of its route, which is that of a whole request and unknown on a fresh host, didn't fit into what was left. A refusal that promises "not run" can't be given to such a caller any more, so that it ended its answer.

Now: package failover decides, apart from I/O, whether a request may still be refused. Stops, holds, the check of the engines' memory and shedding by rank ask it; a request that has begun goes on until it has no attempt, upstream or time left. The time left is that until its deadline or the end of the stop.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/placement"
@@ -115,7 +116,8 @@
 			d.gateway.guard.Leave(r.Digest, r.partDigests...)
 		}
 	}()
-	if err := d.memoryRefusal(r); err != nil {
+	mayRefuse := r.progress().MayRefuse()
+	if err := d.memoryRefusal(r); err != nil && mayRefuse {
 		return attemptResult{}, err
 	}
 	held, err := d.hold(ctx, r, models)
@@ -130,7 +132,7 @@
 			return attemptResult{}, err
 		}
 	}
-	if err := d.lateRefusal(r); err != nil {
+	if err := d.lateRefusal(r); err != nil && mayRefuse {
 		return attemptResult{}, err
 	}
 	a, err := d.startAttempt(r, models)
@@ -205,6 +207,7 @@
 	r.model = models.current()
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
+	crit.begun = !r.progress().MayRefuse()
 	picked, ok := d.takeMove(r, &crit)
 	switch {
 	case ok:
@@ -372,7 +375,7 @@
 	if r.answer.started && !r.Route.Resumable {
 		return false
 	}
-	if boottime.Until(r.Deadline) < minAttemptTime {
+	if d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now()) < failover.MinAttemptTime {
 		return false
 	}
 	if result.outcome == outcomeUnsent || result.outcome == outcomeWithheld {
@@ -395,7 +398,3 @@
 func (r *Request) attemptsLeftAfter(attempts int) bool {
 	return r.attempts+attempts-min(r.notReached, maxNotReached) < r.Route.MaxAttempts
 }
-
-// minAttemptTime is the minimum time before the deadline in which another attempt can succeed: a
-// round trip and an upstream's shortest processing time.
-const minAttemptTime = 30 * time.Millisecond
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -8,7 +8,6 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/resultcode"
-	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // heldRequest is a request that is or was in the queue of holds.
@@ -30,13 +29,12 @@
 
 // hold waits until the request is to be sent, and returns an error if it is refused or its caller
 // left. It returns nil for a request that wasn't held; otherwise the caller has to call
-// holds.started when the engine is chosen. Requests that may have run are neither held nor refused:
-// their callers wait for the answer of work that was done. It records the arrival of requests for the
+// holds.started when the engine is chosen. Requests that have begun are neither held nor refused. It records the arrival of requests for the
 // shares of accounts even if requests aren't held.
 func (d *dispatch) hold(ctx context.Context, r *Request, models *modelSequence) (*heldRequest, error) {
 	g := d.gateway
 	r.held = nil
-	if r.Prompt.TokensIn == 0 || r.runState.State() != runstate.NotRun {
+	if r.Prompt.TokensIn == 0 || !r.progress().MayRefuse() {
 		return nil, nil
 	}
 	holds := g.fleet.isActive(g.settings.Features.HoldRequests, r.Service)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
@@ -181,6 +182,11 @@
 	return p
 }
 
+// progress returns how far the request has come.
+func (r *Request) progress() failover.Progress {
+	return failover.Progress{State: r.runState.State(), Answered: r.answer.started}
+}
+
 // mayRunAgain reports whether the request may be sent to an upstream once more if it is in the run state.
 func (r *Request) mayRunAgain(state runstate.State) bool {
 	return state.MayRunAgain(r.Route.Repeatable())
--- a/internal/plannedstop/plannedstop.go
+++ b/internal/plannedstop/plannedstop.go
@@ -47,6 +47,14 @@
 	return stop.EndsAt, true
 }
 
+// TimeLeft returns the time that a request with the deadline has left: until its deadline or the end of the stop, whichever is earlier.
+func (s *Stop) TimeLeft(deadline, now time.Time) time.Duration {
+	if endsAt, stopping := s.EndsAt(); stopping && endsAt.Before(deadline) {
+		deadline = endsAt
+	}
+	return deadline.Sub(now)
+}
+
 // UsualTime returns the time in which nearly all requests of the kind end; 0 if it isn't known.
 func (s *Stop) UsualTime(kind string) time.Duration { return s.requestTime(kind).usual() }
 
