gateway: a run was ended before it was sure that the request gets another attempt

Callers got 502 in planned stops for requests whose answer would have been whole: the host dropped a good answer for its confidence and then refused the request its next attempt, or the next attempt was cut at the end of the stop. Outside of stops the same happened if no upstream was available any more.

Cause: four places ended runs that may still have been good (silence, a move, a copy, low confidence), each with its own conditions, and none knew whether the next attempt would be made: the silence timer counted the upstreams at the time of the first choice, the confidence check estimated an upstream but took none, the copy of a run was requested without a retry in reserve.

The next attempt takes the reserved upstream, and is neither held nor refused. A run is ended once, if the timer and the mover decide at the same time. An answer is dropped only if the next one probably ends before a stop does; a stream is moved only if it ends there before the stop does. A silent run is not given up for the same upstream.

TestStreamMovesByCopy required that a run is copied without a retry in reserve. If such a copy failed, the stream was cut off, so that the test was wrong; now the retry is reserved and given back, which the test checks for each of its cases, and two cases without a retry have to stay.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,15 +56,15 @@
 	// time at which minConfidence was computed.
 	queuePressure float64
 	// headTimeout is how long the attempt waits for the answer's head. After that, the attempt is
-	// given up if mayGiveUp returns true. An attempt that lasts longer than headTimeout and ends
+	// given up if a successor is available. An attempt that lasts longer than headTimeout and ends
 	// without a head counts as a timeout of the upstream, whether it was given up or not.
 	headTimeout time.Duration
-	mayGiveUp   func() bool
 	// idleTimer enforces headTimeout and the pause limit of streams.
 	idleTimer  *idleTimer
 	sealedCall *sealedconn.Call
 	// cancel ends the attempt with a cause. It is set when the attempt is sent.
 	cancel   context.CancelCauseFunc
+	end      runEnd
 	runState runstate.Tracker
 	// headCounted is set when the head of a stream was counted as an answer of its version.
 	headCounted bool
@@ -90,7 +90,7 @@
 		cancel(err)
 		return nil, err
 	}
-	a.idleTimer = newIdleTimer(a.mayGiveUp, cancel)
+	a.idleTimer = newIdleTimer(a.reserveAfterSilence)
 	a.idleTimer.start(a.headTimeout)
 	resp, err := a.gateway.egress.RoundTrip(req)
 	a.idleTimer.stop()
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -78,6 +78,15 @@
 	return true
 }
 
+// giveBack takes back a retry that tryTake counted and that isn't made.
+func (b *retryBudget) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := b.advanceSlot(); now.retries > 0 {
+		now.retries--
+	}
+}
+
 // available reports whether tryTake would succeed now.
 func (b *retryBudget) available() bool {
 	b.mu.Lock()
@@ -86,7 +95,12 @@
 }
 
 func (b *retryBudget) hasRoom(now *budgetSlot) bool {
-	requests, retries := 0, 0
+	requests, retries := b.counts(now)
+	return float64(retries+1) <= b.ratio*float64(requests)+b.spareRetries()
+}
+
+// counts returns the requests and retries in the window.
+func (b *retryBudget) counts(now *budgetSlot) (requests, retries int) {
 	for i := range b.slots {
 		s := &b.slots[i]
 		if now.number-s.number > budgetSlots {
@@ -95,7 +109,7 @@
 		retries += s.retries
 		requests += s.requests
 	}
-	return float64(retries+1) <= b.ratio*float64(requests)+b.spareRetries()
+	return requests, retries
 }
 
 // advanceSlot returns the slot for the current part of the window. It clears the slot first if the
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,7 +12,6 @@
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
-	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
 // dispatch sends the request to upstreams until one answers or no further attempt is permitted.
@@ -64,7 +63,7 @@
 	g.retryBudgets.get(r.Service).countRequest()
 	r.relativePromptSize = g.promptSizes.get(r.Service).observe(r.Route.Name, r.Prompt.TokensIn)
 	models := g.planModels(r)
-	defer d.releaseMove(r)
+	defer d.releaseSuccessor(r)
 	began := time.Now()
 	var result attemptResult
 	for {
@@ -208,7 +207,7 @@
 	r.regions = g.allowedRegions(r)
 	crit := d.buildCriteria(r, r.model, models.atBest())
 	crit.begun = !r.progress().MayRefuse()
-	picked, ok := d.takeMove(r, &crit)
+	picked, ok := d.takeSuccessor(r, &crit)
 	switch {
 	case ok:
 	case r.sendSoonest:
@@ -230,7 +229,6 @@
 	if picked.fetchFrom != "" {
 		r.fetchSources = append(r.fetchSources, picked.fetchFrom)
 	}
-	canRetry := r.mayRunAgain(runstate.MayHaveRun) && r.attemptsLeft() && picked.candidateCount > 1
 	return &attempt{
 		gateway:     g,
 		request:     r,
@@ -238,7 +236,6 @@
 		startedAt:   time.Now(),
 		bestModel:   models.atBest(),
 		headTimeout: max(g.responseTimes.get(r.responseTimeKey()).headTimeout(r.Route.Target), expectedFactor*picked.placement.ExpectedTime),
-		mayGiveUp:   func() bool { return canRetry && g.retryBudgets.get(r.Service).tryTake() },
 	}, nil
 }
 
@@ -330,14 +327,14 @@
 }
 
 // acceptHead reports whether an answer with this head is passed on to the caller. If it returns
-// false, it has charged the retry budget, and the request is to run on the next model. The answer of
+// false, the attempt on the next model is reserved. The answer of
 // a request that may run once is always passed on; its confidence decides on the model of later ones.
 func (d *dispatch) acceptHead(r *Request, a *attempt, models *modelSequence, head attemptResult) bool {
 	if r.answer.started || head.confidence < 0 || models.atLast() {
 		return true
 	}
 	mayDrop := r.mayDropAnswer()
-	if mayDrop && !r.attemptsLeft() {
+	if mayDrop && !a.mayEndRun(failover.Confidence) {
 		return true
 	}
 	escalation, ok := d.gateway.fleet.escalation(d.buildCriteria(r, models.next(), true))
@@ -356,7 +353,8 @@
 	if head.confidence >= a.minConfidence {
 		return true
 	}
-	return !d.gateway.retryBudgets.get(r.Service).tryTake()
+	next := a.reserveSuccessor(failover.Confidence, models.next(), true)
+	return next == nil || !next.begin()
 }
 
 // shouldRetry reports whether another attempt is permitted: the request didn't run or may be
@@ -367,7 +365,7 @@
 		return false
 	}
 	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) || errors.Is(result.err, errStreamMoved) {
-		return true // the retry budget was charged when the attempt was given up
+		return true // the next attempt was reserved when the run was ended
 	}
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
--- a/internal/gateway/idletimer.go
+++ b/internal/gateway/idletimer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -12,12 +11,10 @@
 // and giving up their streams sooner would add to the load.
 const pauseFactor = 1.5
 
-// idleTimer ends an attempt when no data was received from the upstream within a limit, if
-// mayGiveUp returns true. If mayGiveUp returns false, the timer waits for the limit again and then
-// repeats the call, since a retry may be permitted by then.
+// idleTimer ends an attempt when no data was received from the upstream within a limit, if reserve returns a successor. If it
+// returns nil, the timer waits for the limit again and then repeats the call, since there may be one by then.
 type idleTimer struct {
-	mayGiveUp func() bool
-	cancel    context.CancelCauseFunc
+	reserve func() *successor
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -32,9 +29,7 @@
 }
 
 // newIdleTimer returns a timer that isn't running.
-func newIdleTimer(mayGiveUp func() bool, cancel context.CancelCauseFunc) *idleTimer {
-	return &idleTimer{mayGiveUp: mayGiveUp, cancel: cancel}
-}
+func newIdleTimer(reserve func() *successor) *idleTimer { return &idleTimer{reserve: reserve} }
 
 // start starts the timer: the attempt waits for data from the upstream for at most limit.
 func (t *idleTimer) start(limit time.Duration) {
@@ -56,9 +51,8 @@
 	t.timer.Stop()
 }
 
-// expire ends the attempt if it still waits for data after the limit and mayGiveUp returns true. If
-// mayGiveUp returns false, expire restarts the timer. It releases the lock while mayGiveUp runs,
-// since mayGiveUp takes other locks.
+// expire ends the attempt if it still waits for data after the limit and a successor is reserved. If there is none, expire
+// restarts the timer. It releases the lock while reserve runs, which takes other locks.
 func (t *idleTimer) expire() {
 	t.mu.Lock()
 	waiting := t.waiting
@@ -66,16 +60,18 @@
 	if !waiting {
 		return
 	}
-	giveUp := t.mayGiveUp()
+	next := t.reserve()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
+	case next == nil && t.waiting:
+		t.timer.Reset(t.limit)
+	case next == nil:
 	case !t.waiting:
-	case giveUp:
-		t.ended, t.endedAfter = true, time.Since(t.waitBegan)
-		t.cancel(errResponseTimeout)
+		next.release()
 	default:
-		t.timer.Reset(t.limit)
+		t.endedAfter = time.Since(t.waitBegan)
+		t.ended = next.replaceRun(errResponseTimeout)
 	}
 }
 
--- a/internal/gateway/idletimer_test.go
+++ b/internal/gateway/idletimer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // eventsThenSilence returns a handler that streams the events from..to and then sends nothing until
@@ -74,7 +75,12 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
 		var may atomic.Bool
-		timer := newIdleTimer(may.Load, cancel)
+		timer := newIdleTimer(func() *successor {
+			if !may.Load() {
+				return nil
+			}
+			return successorOf(cancel)
+		})
 		began := time.Now()
 		timer.start(time.Second)
 		time.AfterFunc(2500*time.Millisecond, func() { may.Store(true) })
@@ -91,7 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
-		timer := newIdleTimer(func() bool { return true }, cancel)
+		timer := newIdleTimer(func() *successor { return successorOf(cancel) })
 		for range 5 {
 			timer.start(time.Second)
 			time.Sleep(900 * time.Millisecond)
@@ -103,22 +109,47 @@
 	})
 }
 
+// successorOf returns the successor of a run that cancel ends.
+func successorOf(cancel context.CancelCauseFunc) *successor {
+	g := New(Settings{}, zerolog.Nop())
+	return &successor{run: &attempt{gateway: g, request: &Request{}, cancel: cancel}}
+}
+
 // A timer that runs out while its data arrives must not end the next wait, which has just begun. Streams whose first event
 // arrived at the limit were given up a few milliseconds after it.
 func TestIdleTimerEndsTheNextWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancelCause(t.Context())
-		var timer *idleTimer
-		timer = newIdleTimer(func() bool {
-			timer.stop() // the data arrives while the decision is made
-			timer.start(time.Second)
-			return true
-		}, cancel)
-		timer.start(time.Second)
-		time.Sleep(1500 * time.Millisecond)
-		is.NoErr(ctx.Err())
-		is.True(!timer.expired())
-		timer.stop()
+	is := is.New(t)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	var timer *idleTimer
+	arrived, decided := make(chan struct{}), make(chan struct{})
+	timer = newIdleTimer(func() *successor {
+		defer close(decided)
+		go func() { // the data arrives while the decision is made
+			timer.stop()
+			timer.start(time.Hour)
+			close(arrived)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		return successorOf(cancel)
 	})
+	timer.start(time.Millisecond)
+	<-decided
+	<-arrived
+	is.NoErr(ctx.Err())
+	is.True(!timer.expired())
+	timer.stop()
+}
+
+// On a busy host the function that a timer started may run only after the next wait has begun.
+func TestIdleTimerThatFiredEarlierEndsTheNextWait(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	timer := newIdleTimer(func() *successor { return successorOf(cancel) })
+	timer.start(time.Hour)
+	timer.stop()
+	timer.start(time.Hour)
+	timer.expire()
+	is.NoErr(ctx.Err())
+	is.True(!timer.expired())
+	timer.stop()
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/quarantine"
@@ -87,10 +86,11 @@
 	// is none.
 	fetchRejection *fetchRejection
 	// moved is set if the request's stream was moved; movedVersion is the version of the run that the
-	// move ended. moveTarget is the engine to which it is moved, until the attempt there begins.
+	// move ended.
 	moved        bool
 	movedVersion string
-	moveTarget   *choice
+	// successor is the upstream that is reserved for the next attempt, until that begins; nil if there is none.
+	successor *choice
 	// model is the model that the gateway chose for the request; empty if the caller chose it and
 	// for plain services.
 	model string
@@ -182,11 +182,6 @@
 	return p
 }
 
-// progress returns how far the request has come.
-func (r *Request) progress() failover.Progress {
-	return failover.Progress{State: r.runState.State(), Answered: r.answer.started}
-}
-
 // mayRunAgain reports whether the request may be sent to an upstream once more if it is in the run state.
 func (r *Request) mayRunAgain(state runstate.State) bool {
 	return state.MayRunAgain(r.Route.Repeatable())
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/runstate"
 	"github.com/quetzalweir/quetzalweir/streampace"
@@ -184,7 +185,7 @@
 		Silence:         silence,
 		MaxPause:        max(cmp.Or(max(0, a.request.Route.MaxPause), defaultTarget), pauses.scaledMean(usualPauseFactor)),
 		RemainingEvents: m.pace.usual.RemainingEvents(m.tokens, position),
-		TimeLeft:        boottime.Until(a.request.Deadline),
+		TimeLeft:        a.gateway.plannedStop.TimeLeft(a.request.Deadline, boottime.Now()),
 		UsualTime:       m.pace.usual.TimePerEvent(m.record, now),
 	}
 }
@@ -195,45 +196,53 @@
 func (m *streamMover) move(since time.Time, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
 	a := m.attempt
 	g, r := a.gateway, a.request
+	if !a.mayEndRun(failover.Move) {
+		return
+	}
 	d := dispatch{gateway: g}
 	crit := d.buildCriteria(r, r.model, a.bestModel)
 	crit.regions = g.allowedRegions(r)
-	copied := a.copiesRuns()
 	picked, ok := g.fleet.chooseForMove(crit, &a.choice, func(expected time.Duration, slowness float64) bool {
 		if crit.prompt == nil {
 			expected = g.responseTimes.get(r.responseTimeKey()).scaledMean(1)
 		}
-		return streampace.FinishesInTime(sit, expected, slowness) && (copied || g.retryBudgets.get(r.Service).tryTake())
+		return streampace.FinishesInTime(sit, expected, slowness) && g.retryBudgets.get(r.Service).tryTake()
 	})
 	if !ok {
 		return
 	}
-	if copied {
-		m.moveByCopy(picked, stream, sit, reason)
+	next := &successor{run: a, choice: picked}
+	if a.copiesRuns() {
+		m.moveByCopy(next, stream, sit, reason)
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ended || m.waitingSince != since {
-		g.fleet.release(picked, attemptResult{outcome: outcomeWithheld})
+		next.release()
 		return
 	}
-	m.setMoved(picked, stream, sit, reason)
-	a.cancel(errStreamMoved)
+	if m.setMoved(next, stream, sit, reason) {
+		a.cancel(errStreamMoved)
+	}
 }
 
-// setMoved records the decision to continue the stream at the picked engine. The caller holds the
-// lock.
-func (m *streamMover) setMoved(picked choice, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
-	a := m.attempt
+// setMoved makes the stream continue at the successor's engine. It returns false if the run was ended before. The caller holds
+// the lock.
+func (m *streamMover) setMoved(next *successor, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) bool {
+	if !next.begin() {
+		return false
+	}
+	a, picked := m.attempt, &next.choice
 	g, r := a.gateway, a.request
-	m.moved, r.moved, r.moveTarget, r.movedVersion = true, true, &picked, a.choice.upstream.Version
+	m.moved, r.moved, r.movedVersion = true, true, a.choice.upstream.Version
 	perEvent, _ := stream.TimePerEvent(sit.Silence)
 	g.log.Info().Str("event", "stream-move").Str("request", r.ID).Str("reason", string(reason)).
 		Str("from", a.choice.upstream.ID).Str("to", picked.upstream.ID).Bool("copied", picked.continueFrom != nil).Int("events", m.position).Int("remaining", sit.RemainingEvents).
 		Int64("silent_ms", sit.Silence.Milliseconds()).Int64("per_event_ms", perEvent.Milliseconds()).Int64("usual_ms", sit.UsualTime.Milliseconds()).
 		Int64("left_ms", sit.TimeLeft.Milliseconds()).Int64("expected_ms", picked.placement.ExpectedTime.Milliseconds()).Msg("")
 	g.metrics.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_stream_moves_total{service=%q,reason=%q}`, r.Service, reason)).Inc()
+	return true
 }
 
 // chooseForMove chooses an engine for a stream that runs at the chosen upstream from, and counts the
@@ -304,32 +313,6 @@
 	return w.events
 }
 
-// takeMove returns the engine to which the request's stream is moved, if it still permits the
-// request; ok is false otherwise.
-func (d *dispatch) takeMove(r *Request, crit *criteria) (picked choice, ok bool) {
-	if r.moveTarget == nil {
-		return choice{}, false
-	}
-	if u := &r.moveTarget.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
-		d.releaseMove(r)
-		return choice{}, false
-	}
-	picked, r.moveTarget = *r.moveTarget, nil
-	return picked, true
-}
-
-// releaseMove releases the engine of a move that wasn't made, for example because the caller
-// disconnected.
-func (d *dispatch) releaseMove(r *Request) {
-	if r.moveTarget == nil {
-		return
-	}
-	unused := attemptResult{outcome: outcomeWithheld}
-	d.gateway.fleet.release(*r.moveTarget, unused)
-	d.gateway.freeUnusedCopy(r.moveTarget, &unused)
-	r.moveTarget = nil
-}
-
 // keepVersion restricts the criteria to the version that a moved stream began at: the engines that
 // continue a stream must have the same weights.
 func (r *Request) keepVersion(crit *criteria) {
--- a/internal/gateway/streammovecopy.go
+++ b/internal/gateway/streammovecopy.go
@@ -76,39 +76,43 @@
 	return g.settings.RunCopies.MoveRequest != nil && g.settings.Headers.ContinueFrom != "" && service != nil && service.Engines.Moves
 }
 
-// moveByCopy lets the source copy the run to the picked engine and ends the attempt. If the source
-// stopped the run but couldn't copy it, the source itself continues it. If there is no copy, the stream
-// is resumed at the picked engine without one, which the retry budget has to permit. If it doesn't, the
-// stream stays, or breaks off if the source has stopped the run.
-func (m *streamMover) moveByCopy(picked choice, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
+// moveByCopy lets the source copy the run to the successor's engine and ends the attempt. If the source
+// stopped the run but couldn't copy it, the source itself continues it. If there is no copy, the stream is resumed at the
+// successor's engine without one, for which a retry was charged before; it is given back if there is a copy.
+func (m *streamMover) moveByCopy(next *successor, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) {
 	a := m.attempt
 	g := a.gateway
 	m.movable = false // a stream is moved at most once
-	handle, result := m.copyRun(&picked.upstream, sit.TimeLeft)
+	handle, result := m.copyRun(&next.choice.upstream, sit.TimeLeft)
 	if result == copyReturned {
 		if again, ok := g.fleet.chooseAgain(&a.choice); ok {
-			g.fleet.release(picked, attemptResult{outcome: outcomeWithheld})
-			picked = again
+			next.release()
+			next = &successor{run: a, choice: again}
 		} else {
 			result = copyUnknown // the source isn't listed any more
 		}
 	}
+	if result == copyDone || result == copyReturned {
+		g.retryBudgets.get(a.request.Service).giveBack()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stopped = result != copyRefused
 	switch result {
 	case copyDone, copyReturned:
-		picked.continueFrom, picked.fetchFrom = &runCopy{source: a.choice.upstream, handle: handle}, ""
-		m.setMoved(picked, stream, sit, reason)
-		time.AfterFunc(copyDrainTime, func() { a.cancel(errStreamMoved) })
+		next.choice.continueFrom, next.choice.fetchFrom = &runCopy{source: a.choice.upstream, handle: handle}, ""
+		if m.setMoved(next, stream, sit, reason) {
+			time.AfterFunc(copyDrainTime, func() { a.cancel(errStreamMoved) })
+		}
 		return
 	}
-	if m.ended || m.ctx.Err() != nil || !g.retryBudgets.get(a.request.Service).tryTake() {
-		g.fleet.release(picked, attemptResult{outcome: outcomeWithheld})
+	if m.ctx.Err() != nil || m.ended && result == copyRefused {
+		next.release()
 		return
 	}
-	m.setMoved(picked, stream, sit, reason)
-	a.cancel(errStreamMoved)
+	if m.setMoved(next, stream, sit, reason) {
+		a.cancel(errStreamMoved)
+	}
 }
 
 // copyRun sends the source the request to stop the run and to copy it, and logs the result.
--- a/internal/gateway/streammovecopy_test.go
+++ b/internal/gateway/streammovecopy_test.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// A run that its engine copies is continued elsewhere without charging the retry budget. Whatever fails
-// on the way, the caller gets each event once.
+// A run that its engine copies is continued elsewhere, and the retry that was reserved for a failure of the copy is given back. Without
+// a retry in reserve no copy is requested, since a failure of it would cut the stream off. Whatever fails on the way, the caller
+// gets each event once.
 func TestStreamMovesByCopy(t *testing.T) {
 	quick := engineStream(10*time.Millisecond, new(atomic.Int32))
 	tests := []struct {
@@ -88,17 +89,21 @@
 		continuedAt string
 		freed       int32
 		stays       bool
+		// retries is the number of retries that are charged in the end.
+		retries int
 	}{
-		{desc: "copied", source: &copyingEngine{stops: true, respond: writeHandle(200)}, noBudget: true, continuedAt: "d"},
-		{desc: "copied, and the stopped stream looks complete", source: &copyingEngine{stops: true, endsRegularly: true, respond: writeHandle(200)}, noBudget: true, continuedAt: "d"},
-		{desc: "destination without room", source: &copyingEngine{stops: true, respond: writeHandle(503)}, noBudget: true, continuedAt: "s"},
-		{desc: "run unknown", source: &copyingEngine{respond: respondStatus(404)}},
+		{desc: "copied", source: &copyingEngine{stops: true, respond: writeHandle(200)}, continuedAt: "d"},
+		{desc: "copied, and the stopped stream looks complete", source: &copyingEngine{stops: true, endsRegularly: true, respond: writeHandle(200)}, continuedAt: "d"},
+		{desc: "copied, retry budget used up", source: &copyingEngine{stops: true, respond: writeHandle(200)}, noBudget: true, stays: true},
+		{desc: "no handle, retry budget used up", source: &copyingEngine{stops: true, respond: func(http.ResponseWriter, *http.Request) {}}, noBudget: true, stays: true},
+		{desc: "destination without room", source: &copyingEngine{stops: true, respond: writeHandle(503)}, continuedAt: "s"},
+		{desc: "run unknown", source: &copyingEngine{respond: respondStatus(404)}, retries: 1},
 		{desc: "run unknown, retry budget used up", source: &copyingEngine{respond: respondStatus(404)}, noBudget: true, stays: true},
-		{desc: "another call in progress", source: &copyingEngine{respond: respondStatus(409)}},
-		{desc: "no handle", source: &copyingEngine{stops: true, respond: func(http.ResponseWriter, *http.Request) {}}},
-		{desc: "copy late", source: &copyingEngine{stops: true, respond: hang}},
-		{desc: "handle unknown or used", source: &copyingEngine{stops: true, respond: writeHandle(200)}, first: respondNotRun, continuedAt: "d", freed: 1},
-		{desc: "engine restarted at the address", source: &copyingEngine{stops: true, respond: writeHandle(200)}, first: respondStatus(421), continuedAt: "d", freed: 1},
+		{desc: "another call in progress", source: &copyingEngine{respond: respondStatus(409)}, retries: 1},
+		{desc: "no handle", source: &copyingEngine{stops: true, respond: func(http.ResponseWriter, *http.Request) {}}, retries: 1},
+		{desc: "copy late", source: &copyingEngine{stops: true, respond: hang}, retries: 1},
+		{desc: "handle unknown or used", source: &copyingEngine{stops: true, respond: writeHandle(200)}, first: respondNotRun, continuedAt: "d", freed: 1, retries: 1},
+		{desc: "engine restarted at the address", source: &copyingEngine{stops: true, respond: writeHandle(200)}, first: respondStatus(421), continuedAt: "d", freed: 1, retries: 1},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -128,6 +133,7 @@
 			address := tg.gateway.fleet.memberOf("svc", "source").Address
 			is.Equal(referencesAt(source, address, "s")+referencesAt(logs[0], address, "d")+referencesAt(logs[1], address, "d"), test.continuedAt)
 			is.Equal(arrivals.Load() == 0, test.stays || test.continuedAt == "s")
+			is.Equal(tg.gateway.retryBudgets.get("svc").retryCount(), test.retries)
 			eventually(t, "an unused copy is freed", func() bool { return test.source.freed.Load() == test.freed })
 			eventually(t, "nothing is in flight", func() bool { return tg.requestsInFlight() == 0 })
 		})
@@ -170,3 +176,11 @@
 	is.Equal(other.count(), 0)
 	is.True(!strings.Contains(tg.metricsText(), "stream_moves_total"))
 }
+
+// retryCount returns the number of retries in the window.
+func (b *retryBudget) retryCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, retries := b.counts(b.advanceSlot())
+	return retries
+}
--- a/internal/guard/admit.go
+++ b/internal/guard/admit.go
@@ -141,6 +141,15 @@
 	})
 }
 
+// IsQuarantined reports whether a verdict keeps the request or one of its parts away from upstreams, or is due soon. Unlike
+// Admit, it doesn't begin the trial of a verdict that has expired.
+func (g *Guard) IsQuarantined(d quarantine.Digest, parts ...quarantine.Digest) bool {
+	return g.VerdictDue(d, parts...) || slices.ContainsFunc(append([]quarantine.Digest{d}, parts...), func(d quarantine.Digest) bool {
+		_, found := g.register.Get(d)
+		return found
+	})
+}
+
 // Begin records that the request, whose prompt has the parts, is sent to the upstream.
 func (g *Guard) Begin(u Upstream, d quarantine.Digest, parts ...quarantine.Digest) {
 	g.runs.begin(u, d)
