gateway: the silence timer ended a wait that had just begun

A stream whose first event arrived as the head timeout ran out was given up a few milliseconds after it, though its upstream was sound; in a planned stop its caller was then cut off.

Cause: the timer's function didn't know for which wait it ran. It may begin to run after the data arrived and the next wait began (on a busy host, milliseconds later), and it let go of its lock while it decided.

Evidence: TestIdleTimerEndsTheNextWait and TestIdleTimerThatFiredEarlierEndsTheNextWait failed before and pass.

Now: the function ends a wait only if that wait has lasted for its limit, and stop waits for a decision that is being made, which then ends nothing.

--- a/internal/gateway/idletimer.go
+++ b/internal/gateway/idletimer.go
@@ -16,6 +16,9 @@
 type idleTimer struct {
 	reserve func() *successor
 
+	// deciding is held while the timer decides whether to end the attempt.
+	deciding sync.Mutex
+
 	mu    sync.Mutex
 	timer *time.Timer
 	limit time.Duration
@@ -43,21 +46,22 @@
 	t.timer.Reset(limit)
 }
 
-// stop stops the timer.
+// stop stops the timer and waits for a decision that is being made, which doesn't end the attempt any more.
 func (t *idleTimer) stop() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.waiting = false
 	t.timer.Stop()
+	t.mu.Unlock()
+	t.deciding.Lock()
+	defer t.deciding.Unlock()
 }
 
 // expire ends the attempt if it still waits for data after the limit and a successor is reserved. If there is none, expire
 // restarts the timer. It releases the lock while reserve runs, which takes other locks.
 func (t *idleTimer) expire() {
-	t.mu.Lock()
-	waiting := t.waiting
-	t.mu.Unlock()
-	if !waiting {
+	t.deciding.Lock()
+	defer t.deciding.Unlock()
+	if !t.isDue() {
 		return
 	}
 	next := t.reserve()
@@ -75,6 +79,14 @@
 	}
 }
 
+// isDue reports whether the present wait has lasted for its limit. On a busy host, expire may begin to run for an earlier wait
+// only after the present one began.
+func (t *idleTimer) isDue() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waiting && time.Since(t.waitBegan) >= t.limit
+}
+
 // expired reports whether the timer ended the attempt.
 func (t *idleTimer) expired() bool {
 	t.mu.Lock()
