entry, cascade: a whole answer was lost when a planned stop ended the step after it

Callers of serve got an error at the end of a planned stop though the host had a whole answer of a cheaper model, rated below the target, in its hands.

Cause: runCascade returned the error of a step whose context had ended, whatever the reason: right for a caller that left, wrong at the end of a stop, when there is time to answer. And it escalated although the stop would end the next step.

Now: the answer in hand is sent if the stop ends a later step, and at once if failover.MayEndRun says that the next step wouldn't end before the stop or the deadline.

--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -50,7 +50,7 @@
 		&limitAccount{quota: h.quota},
 		&readSession{codec: h.sessionCodec},
 		&recordBill{ledger: h.ledger, log: h.log},
-		&runCascade{learner: h.cascade, rater: h.platform.Rater, log: h.log},
+		&runCascade{learner: h.cascade, rater: h.platform.Rater, plannedStop: h.plannedStop, log: h.log},
 		&admit{queues: h.queues},
 		&chooseVersion{
 			watcher:  h.manifestWatcher,
--- a/internal/entry/runcascade.go
+++ b/internal/entry/runcascade.go
@@ -7,6 +7,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/cascade"
+	"github.com/quetzalweir/quetzalweir/failover"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/storage"
@@ -15,13 +17,14 @@
 
 // runCascade runs the steps of a cascade in order. It buffers the answer of every
 // step but the last until the answer is rated, and sends it to the caller if it is
-// accepted. If the last step fails, the buffered answer with the highest rating is
-// sent instead. A request that may run once runs at one step only, which is chosen
+// accepted. If a later step fails, is ended by a planned stop or wouldn't end before it, the
+// buffered answer with the highest rating is sent instead. A request that may run once runs at one step only, which is chosen
 // beforehand.
 type runCascade struct {
-	learner *cascade.Learner
-	rater   storage.Rater
-	log     zerolog.Logger
+	learner     *cascade.Learner
+	rater       storage.Rater
+	plannedStop *plannedstop.Stop
+	log         zerolog.Logger
 }
 
 // Serve implements Filter.
@@ -44,7 +47,13 @@
 	var best *bufferedAnswer
 	for i := plan.Start; i < last; i++ {
 		r.Model = steps[i]
+		if best != nil && !f.mayEscalate(r) {
+			return f.deliverBest(r, caller, best, i, nil)
+		}
 		answer, accepted, err := f.tryStep(ctx, r, next, plan, i)
+		if err != nil && best != nil && plannedstop.HasEnded(ctx) {
+			return f.deliverBest(r, caller, best, i, err)
+		}
 		if err != nil {
 			return err
 		}
@@ -55,13 +64,35 @@
 	}
 	r.Model = steps[last]
 	r.Sink = caller
+	if best != nil && !f.mayEscalate(r) {
+		return f.deliverBest(r, caller, best, last, nil)
+	}
 	err := f.runUnbuffered(ctx, r, next, plan, last)
-	if err == nil || best == nil || caller.Started() || ctx.Err() != nil {
+	if err == nil || best == nil || caller.Started() || ctx.Err() != nil && !plannedstop.HasEnded(ctx) {
 		return err
 	}
-	// The last step failed, so the buffered answer with the highest rating is sent
-	// although it wasn't accepted.
-	f.logStep(r, last, "failed", 0, err)
+	return f.deliverBest(r, caller, best, last, err)
+}
+
+// mayEscalate reports whether the request, for which there is an answer, may run at the step of its model, too.
+func (f *runCascade) mayEscalate(r *Request) bool {
+	now := time.Now()
+	return failover.MayEndRun(failover.Confidence, failover.Successor{
+		Repeatable:     r.Repeatable,
+		AttemptsLeft:   true,
+		TimeLeft:       f.plannedStop.TimeLeft(r.Deadline, now),
+		EndsBeforeStop: f.plannedStop.Admits(r.poolName(), r.Deadline, now),
+	})
+}
+
+// deliverBest sends the buffered answer with the highest rating although it wasn't accepted, since the given step
+// isn't run or ended with the error.
+func (f *runCascade) deliverBest(r *Request, caller Sink, best *bufferedAnswer, step int, err error) error {
+	outcome := "failed"
+	if err == nil {
+		outcome = "omitted"
+	}
+	f.logStep(r, step, outcome, 0, err)
 	caller.Reset()
 	r.BelowTarget = true
 	return best.deliver(r, caller)
--- a/internal/entry/runcascade_test.go
+++ b/internal/entry/runcascade_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/cascade"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/manifest"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/runstate"
@@ -35,7 +36,7 @@
 	}
 	policy := manifest.Compile(doc, 1, "")
 	account, _ := policy.Account("a")
-	f := &runCascade{learner: cascade.NewLearner(cascade.Options{}), rater: fixedRater(rating), log: zerolog.Nop()}
+	f := &runCascade{learner: cascade.NewLearner(cascade.Options{}), rater: fixedRater(rating), plannedStop: plannedstop.New(), log: zerolog.Nop()}
 	return f, func(repeatable bool) *Request {
 		return &Request{
 			Policy: policy, Account: account, Repeatable: repeatable, Sink: &bufferSink{}, Deadline: time.Now().Add(time.Minute),
