entry: a planned stop refused a second attempt of calls that had begun

Callers of serve got 502 for repeatable calls whose first attempt broke off in a planned stop, though another upstream was free.

Cause: chooseUpstream asked the planned stop before every attempt, as the gateway's dispatch did.

Evidence: TestCallThatBeganIsRefusedInAPlannedStop; with the check of failover.Progress removed, the cases of a call that broke off and of one that failed fail.

A call of which the upstream stated that it didn't run it is still refused, truthfully.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -103,8 +103,8 @@
 	if err := f.checkPermitted(r); err != nil {
 		return balance.Choice{}, err
 	}
-	if !f.plannedStop.Admits(r.poolName(), r.Deadline, time.Now()) {
-		return balance.Choice{}, resultcode.New(resultcode.HostStopping, "this host is stopping, and the request usually takes longer")
+	if err := f.lateRefusal(r); err != nil {
+		return balance.Choice{}, err
 	}
 	choice, ok := f.pool.Choose(f.balanceRequest(r, exclude))
 	f.logUpstreamChoice(r, choice, ok)
@@ -114,6 +114,15 @@
 	return choice, nil
 }
 
+// lateRefusal returns the refusal of a request that isn't expected to end before a planned stop does; nil otherwise, and for
+// requests that have begun.
+func (f *dispatch) lateRefusal(r *Request) error {
+	if !r.progress().MayRefuse() || f.plannedStop.Admits(r.poolName(), r.Deadline, time.Now()) {
+		return nil
+	}
+	return resultcode.New(resultcode.HostStopping, "this host is stopping, and the request usually takes longer")
+}
+
 // noUpstreamError returns the refusal of a request for which no upstream can be chosen.
 func (f *dispatch) noUpstreamError(r *Request) error {
 	wait, ok := f.pool.BackoffWait(f.balanceRequest(r, nil))
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/upstream"
 )
 
@@ -42,3 +44,31 @@
 		})
 	}
 }
+
+// A repeatable call whose first attempt broke off was refused a second one by a planned stop, and its caller got 502. A call of which
+// an upstream stated that it didn't run it is still refused.
+func TestCallThatBeganIsRefusedInAPlannedStop(t *testing.T) {
+	tests := []struct {
+		desc    string
+		first   error
+		refused bool
+	}{
+		{"no attempt", nil, true},
+		{"broke off", upstream.ErrBroken, false},
+		{"stated that it didn't run", &upstream.StatusError{Status: 503, NotRun: true}, true},
+		{"failed", &upstream.StatusError{Status: 500}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			f := &dispatch{engine: engineAnswer{err: tt.first}, plannedStop: plannedstop.New()}
+			r := &Request{Kind: KindModel, Repeatable: true, Sink: &bufferSink{}, Deadline: time.Now().Add(time.Minute)}
+			if tt.first != nil {
+				is.True(f.run(t.Context(), r) != nil)
+			}
+			is.NoErr(f.lateRefusal(r))
+			f.plannedStop.Begin(time.Now().Add(time.Second))
+			is.Equal(f.lateRefusal(r) != nil, tt.refused)
+		})
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/claim"
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/httpintake"
 	"github.com/quetzalweir/quetzalweir/ledger"
@@ -125,6 +126,11 @@
 // mayRunAgain reports whether the request may be sent to an upstream once more.
 func (r *Request) mayRunAgain() bool { return r.state.State().MayRunAgain(r.Repeatable) }
 
+// progress returns how far the request has come. Attempts for which the upstream stated that it didn't run the request don't count.
+func (r *Request) progress() failover.Progress {
+	return failover.Progress{State: r.effect.State(), Answered: r.Sink.Started()}
+}
+
 // mayDropAnswer reports whether the answer of a run may be dropped to run the request again elsewhere.
 func (r *Request) mayDropAnswer() bool { return runstate.MayDropAnswer(r.Repeatable, r.Sink.Started()) }
 
