gateway: a stream that had begun was cut while its upstreams stated for how long they accept no requests

A stream whose run broke off was cut at once if all upstreams backed off or were at their limits, though they had stated when they accept requests again, before the stream's deadline.

Cause: what makeAttempt returns instead of an attempt was made for requests that haven't begun, whose callers come back at the stated time. A caller that has received a part of its answer can't.

Now: failover.Progress.WaitsFor decides. A request that has begun waits for the stated time if an attempt fits into the time left until its deadline or the end of a stop; without a stated time it ends at once, as before.

--- /dev/null
+++ b/internal/gateway/begunwait_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A stream that had begun was cut off while all upstreams had stated for how long they accept no requests, though that time was
+// shorter than the time until its deadline.
+func TestBegunStreamIsCutWhileUpstreamsBackOff(t *testing.T) {
+	is := is.New(t)
+	doc := stopDocument()
+	for i := range doc.Routes {
+		doc.Routes[i].MaxAttempts = 6
+	}
+	tg := newTestGateway(t, doc)
+	var requests, refused atomic.Int32
+	for _, id := range []string{"u1", "u2"} {
+		var ownRequests atomic.Int32
+		tg.startUpstream(id, func(w http.ResponseWriter, req *http.Request) {
+			switch {
+			case requests.Add(1) == 1:
+				streamEvents(1, 2, true)(w, req)
+			case refused.Load() < 2 && ownRequests.Add(1) == 1:
+				refused.Add(1)
+				w.Header().Set("Retry-After", "1")
+				respondNotRun(w, req)
+			default:
+				resumeStream(4)(w, req)
+			}
+		})
+	}
+	began := time.Now()
+	got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000"))
+	is.NoErr(got.err)
+	is.Equal(got.body, eventTexts(1, 4))
+	is.Equal(refused.Load(), int32(2))
+	is.True(time.Since(began) < 3*time.Second)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
+	"github.com/quetzalweir/quetzalweir/internal/wait"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -74,6 +75,9 @@
 			d.observeRefusedAttempt(r, &previous, err)
 		}
 		switch {
+		case err != nil && errors.Is(err, errNoneAvailable) && d.awaitUpstream(ctx, r, err):
+			result = previous
+			continue
 		case err != nil && r.attempts > 0 && errors.Is(err, errNoneAvailable):
 			return d.endWithoutUpstream(ctx, r, previous, err)
 		case err != nil:
@@ -92,6 +96,19 @@
 	}
 }
 
+// minUpstreamWait is the shortest time for which a request waits until an upstream accepts it.
+const minUpstreamWait = 20 * time.Millisecond
+
+// awaitUpstream waits until an upstream is expected to accept the request, which has begun. It returns false if none is expected
+// in time.
+func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error) bool {
+	expected := resultcode.FromError(refusal).RetryAfter
+	if !r.progress().WaitsFor(expected, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
+		return false
+	}
+	return wait.For(ctx, max(expected, minUpstreamWait)) == nil
+}
+
 // endWithoutUpstream ends a request for whose next attempt no upstream is available: with the
 // refusal, which has the reason and the time to come back, if the previous attempt wasn't accepted,
 // and with the result of that attempt otherwise.
