--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -328,7 +328,7 @@
 				route := *r.Route
 				route.Kind, route.Resumable = routing.Stream, true // the request may run on both models
 				r.Route = &route
-				return (&dispatch{gateway: h.g}).acceptHead(r, &attempt{}, models, attemptResult{confidence: confidence})
+				return (&dispatch{gateway: h.g}).acceptHead(r, &attempt{gateway: h.g, request: r}, models, attemptResult{confidence: confidence})
 			}
 			if saturated {
 				h.setWork(time.Minute)
