gateway: the log of a silence names the limit of the wait that was ended

If the head arrives as its timeout runs out, the wait for the first event begins before the attempt is logged, and limit_ms was that of this wait.

--- a/internal/gateway/idletimer.go
+++ b/internal/gateway/idletimer.go
@@ -26,9 +26,10 @@
 	// timer ended the attempt.
 	waiting bool
 	ended   bool
-	// waitBegan is when the present wait began. endedAfter is how long the wait had lasted when the timer ended the attempt.
-	waitBegan  time.Time
-	endedAfter time.Duration
+	// waitBegan is when the present wait began. endedAfter is how long the wait had lasted when the timer ended the attempt, and
+	// endedLimit its limit.
+	waitBegan              time.Time
+	endedAfter, endedLimit time.Duration
 }
 
 // newIdleTimer returns a timer that isn't running.
@@ -74,7 +75,7 @@
 	case !t.waiting:
 		next.release()
 	default:
-		t.endedAfter = time.Since(t.waitBegan)
+		t.endedAfter, t.endedLimit = time.Since(t.waitBegan), t.limit
 		t.ended = next.replaceRun(errResponseTimeout)
 	}
 }
@@ -98,7 +99,7 @@
 func (t *idleTimer) endedWait() (waited, limit time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.endedAfter, t.limit, t.ended
+	return t.endedAfter, t.endedLimit, t.ended
 }
 
 // pauseLimit returns how long the stream may send no event before it is given up. The limit is
