--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -202,16 +202,17 @@
 	d := dispatch{gateway: g}
 	crit := d.buildCriteria(r, r.model, a.bestModel)
 	crit.regions = g.allowedRegions(r)
+	budget := g.retryBudgets.get(r.Service)
 	picked, ok := g.fleet.chooseForMove(crit, &a.choice, func(expected time.Duration, slowness float64) bool {
 		if crit.prompt == nil {
 			expected = g.responseTimes.get(r.responseTimeKey()).scaledMean(1)
 		}
-		return streampace.FinishesInTime(sit, expected, slowness) && g.retryBudgets.get(r.Service).tryTake()
+		return streampace.FinishesInTime(sit, expected, slowness) && budget.tryTake()
 	})
 	if !ok {
 		return
 	}
-	next := &successor{run: a, choice: picked}
+	next := &successor{run: a, choice: picked, retry: budget}
 	if a.copiesRuns() {
 		m.moveByCopy(next, stream, sit, reason)
 		return
--- a/internal/gateway/streammovecopy.go
+++ b/internal/gateway/streammovecopy.go
@@ -92,8 +92,8 @@
 			result = copyUnknown // the source isn't listed any more
 		}
 	}
-	if result == copyDone || result == copyReturned {
-		g.retryBudgets.get(a.request.Service).giveBack()
+	if result == copyDone {
+		next.giveBackRetry()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -13,6 +13,8 @@
 type successor struct {
 	run    *attempt
 	choice choice
+	// retry is the budget that was charged for the attempt; nil if none was.
+	retry *retryBudget
 }
 
 // runEnd is the decision to end a run. The silence timer and the mover may make it at the same time.
@@ -46,10 +48,21 @@
 	return true
 }
 
-// release gives the successor's upstream free.
-func (s *successor) release() { s.run.gateway.releaseUnused(&s.choice) }
+// release releases the successor's upstream and gives its retry back.
+func (s *successor) release() {
+	s.run.gateway.releaseUnused(&s.choice)
+	s.giveBackRetry()
+}
+
+// giveBackRetry gives the retry back, which isn't needed.
+func (s *successor) giveBackRetry() {
+	if s.retry != nil {
+		s.retry.giveBack()
+		s.retry = nil
+	}
+}
 
-// releaseUnused gives a reserved upstream free to which no request was sent.
+// releaseUnused releases a reserved upstream to which no request was sent.
 func (g *Gateway) releaseUnused(c *choice) {
 	unused := attemptResult{outcome: outcomeWithheld}
 	g.fleet.release(*c, unused)
@@ -81,11 +94,12 @@
 	if reason == failover.Silence {
 		avoid = a.choice.upstream.ID
 	}
-	picked, ok := g.fleet.reserve(crit, avoid, g.retryBudgets.get(r.Service).tryTake)
+	budget := g.retryBudgets.get(r.Service)
+	picked, ok := g.fleet.reserve(crit, avoid, budget.tryTake)
 	if !ok {
 		return nil
 	}
-	return &successor{run: a, choice: picked}
+	return &successor{run: a, choice: picked, retry: budget}
 }
 
 // reserveAfterSilence reserves the attempt that follows the run if its upstream is given up because it is silent; nil if there is none.
