gateway: a move and the silence timer raced for the data of a request

Cause: setMoved wrote the request's moved and movedVersion in the mover's goroutine, and since runs are ended for a reserved successor the silence timer reads them in its own.

The move is part of the successor now, and the request's goroutine records it after the attempt. Nothing is reserved for a run that was ended.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -174,6 +174,7 @@
 	} else {
 		result = a.runBuffered(ctx)
 	}
+	r.recordMove()
 	if result.outcome != outcomeRefused {
 		r.runState.Raise(a.runState.State())
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,8 +89,8 @@
 	// move ended.
 	moved        bool
 	movedVersion string
-	// successor is the upstream that is reserved for the next attempt, until that begins; nil if there is none.
-	successor *choice
+	// successor is the next attempt if it is reserved, until it begins; nil otherwise.
+	successor *successor
 	// model is the model that the gateway chose for the request; empty if the caller chose it and
 	// for plain services.
 	model string
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -231,12 +231,13 @@
 // setMoved makes the stream continue at the successor's engine. It returns false if the run was ended before. The caller holds
 // the lock.
 func (m *streamMover) setMoved(next *successor, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) bool {
+	next.moved = true
 	if !next.begin() {
 		return false
 	}
+	m.moved = true
 	a, picked := m.attempt, &next.choice
 	g, r := a.gateway, a.request
-	m.moved, r.moved, r.movedVersion = true, true, a.choice.upstream.Version
 	perEvent, _ := stream.TimePerEvent(sit.Silence)
 	g.log.Info().Str("event", "stream-move").Str("request", r.ID).Str("reason", string(reason)).
 		Str("from", a.choice.upstream.ID).Str("to", picked.upstream.ID).Bool("copied", picked.continueFrom != nil).Int("events", m.position).Int("remaining", sit.RemainingEvents).
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -15,6 +15,8 @@
 	choice choice
 	// retry is the budget that was charged for the attempt; nil if none was.
 	retry *retryBudget
+	// moved is set if the stream is moved, so that it has to go on at the version of the run.
+	moved bool
 }
 
 // runEnd is the decision to end a run. The silence timer and the mover may make it at the same time.
@@ -23,6 +25,13 @@
 	made bool
 }
 
+// isMade reports whether the decision was made.
+func (e *runEnd) isMade() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.made
+}
+
 // begin makes the request continue with the successor. It returns false, and releases the successor, if the run was ended
 // before. The caller ends the run.
 func (s *successor) begin() bool {
@@ -34,7 +43,7 @@
 		return false
 	}
 	end.made = true
-	s.run.request.successor = &s.choice
+	s.run.request.successor = s
 	return true
 }
 
@@ -84,7 +93,7 @@
 // reserveSuccessor reserves the attempt that follows the run on the given model, if the run may be ended for the reason and an
 // upstream and a retry are available; nil otherwise.
 func (a *attempt) reserveSuccessor(reason failover.Reason, model string, bestModel bool) *successor {
-	if !a.mayEndRun(reason) {
+	if a.end.isMade() || !a.mayEndRun(reason) {
 		return nil
 	}
 	g, r := a.gateway, a.request
@@ -113,11 +122,11 @@
 	if r.successor == nil {
 		return choice{}, false
 	}
-	if u := &r.successor.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
+	if u := &r.successor.choice.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
 		d.releaseSuccessor(r)
 		return choice{}, false
 	}
-	picked, r.successor = *r.successor, nil
+	picked, r.successor = r.successor.choice, nil
 	return picked, true
 }
 
@@ -126,10 +135,18 @@
 	if r.successor == nil {
 		return
 	}
-	d.gateway.releaseUnused(r.successor)
+	d.gateway.releaseUnused(&r.successor.choice)
 	r.successor = nil
 }
 
+// recordMove records, after an attempt, whether the stream is moved. The request's data isn't changed while an attempt runs, in which
+// the mover and the silence timer read it.
+func (r *Request) recordMove() {
+	if r.successor != nil && r.successor.moved {
+		r.moved, r.movedVersion = true, r.successor.run.choice.upstream.Version
+	}
+}
+
 // progress returns how far the request has come.
 func (r *Request) progress() failover.Progress {
 	return failover.Progress{State: r.runState.State(), Answered: r.answer.started, Reserved: r.successor != nil}
