gateway: a run was ended in favor of an upstream that is left out of the choice

Callers of silent streams were cut off and whole answers of low confidence replaced by 502 where the only other upstreams were ejected or rejected requests.

Cause: reserve used the fallback of the choice for new requests, which takes such an upstream rather than none.

Evidence: TestRunIsEndedForAnUpstreamThatIsLeftOut failed in 4 of 4 cases and passes; found by a review.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -123,20 +123,22 @@
 }
 
 // reserve chooses an upstream other than avoid, which may be empty, for an attempt that follows a run, and counts the request as in
-// flight there until the caller calls release. It returns false if no upstream is available or charge returns false.
+// flight there until the caller calls release. Unlike choose, it never falls back to an upstream that is ejected, rejects requests or was
+// removed: the run may still be good. It returns false if no upstream is available or charge returns false.
 func (f *Fleet) reserve(crit criteria, avoid string, charge func() bool) (choice, bool) {
 	now := boottime.Now()
 	s := f.shard(crit.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.candidates(&crit, now)
-	considered := len(list.members)
-	list.members = slices.DeleteFunc(slices.Clone(list.members), func(m *member) bool { return m.ID == avoid })
+	list.members = slices.DeleteFunc(slices.Clone(list.members), func(m *member) bool {
+		return m.ID == avoid || !m.removedAt.IsZero() || m.ejected(now) || m.rejecting(now)
+	})
 	if len(list.members) == 0 || !charge() {
 		return choice{}, false
 	}
 	crit.begun = true
-	return s.chooseFrom(list, considered, crit, now)
+	return s.chooseFrom(list, len(list.members), crit, now)
 }
 
 // startChoice makes the upstream the chosen one and counts the request as in flight there.
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -104,3 +104,62 @@
 	is.Equal(got.body, eventTexts(1, moveTestEvents))
 	is.Equal(tg.gateway.retryBudgets.get("svc").retryCount(), 0)
 }
+
+// A run was ended in favor of an upstream that is left out of the choice (ejected or rejecting requests): the stream was cut off, or a whole
+// answer of low confidence replaced by 502.
+func TestRunIsEndedForAnUpstreamThatIsLeftOut(t *testing.T) {
+	tests := []struct {
+		desc, path string
+		first      http.HandlerFunc
+		second     http.HandlerFunc
+		leaveOut   func(m *member, now time.Time)
+	}{
+		{"silent stream", "/stream/x", eventsThenSilenceThen(1, 2, 4, 250*time.Millisecond), resetConnection, ejectMember},
+		{"silent stream", "/stream/x", eventsThenSilenceThen(1, 2, 4, 250*time.Millisecond), respondNotRun, rejectRequests},
+		{"low confidence", "/models/x", streamEvents(1, 4, false, "T-Confidence", "8"), respondNotRun, rejectRequests},
+		{"low confidence", "/models/x", streamEvents(1, 4, false, "T-Confidence", "8"), resetConnection, ejectMember},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			is := is.New(t)
+			doc := testDocument()
+			for i := range doc.Routes {
+				doc.Routes[i].MaxPause, doc.Routes[i].MaxAttempts = 100*time.Millisecond, 2
+			}
+			tg := newTestGateway(t, doc)
+			tg.startUpstream("first", test.first)
+			second := tg.startUpstreamOf(Upstream{ID: "second", Zone: "z2", Version: "v1"}, test.second)
+			m, s := tg.gateway.fleet.memberOf("svc", "second"), tg.gateway.fleet.shard("svc")
+			s.mu.Lock()
+			m.ensureUsage()
+			test.leaveOut(m, boottime.Now())
+			s.mu.Unlock()
+			got := tg.do(tg.newRequest("POST", test.path, "body", "T-Model", "*", "T-Tokens", "100,10"))
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, eventTexts(1, 4))
+			is.Equal(second.count(), 0)
+		})
+	}
+}
+
+// eventsThenSilenceThen returns a handler that streams the events from..to, and after the pause those up to last.
+func eventsThenSilenceThen(from, to, last int, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		streamEvents(from, to, false)(w, req)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(pause):
+			streamEvents(to+1, last, false)(w, req)
+		case <-req.Context().Done():
+		}
+	}
+}
+
+func ejectMember(m *member, now time.Time) { m.eject(now) }
+
+func rejectRequests(m *member, now time.Time) {
+	for range 2 {
+		m.observeResult(attemptResult{outcome: outcomeRefused}, now)
+	}
+}
