gateway: failures waited for upstreams that back off, and waits counted as refusals and arrivals

Now only a request whose caller has received a part of its answer waits, as failover.Progress.ShouldWait says: others can return by themselves. A wait isn't logged and counted as a refused attempt any more, and the attempts of a request that has begun aren't arrivals for the shares of ranks.

--- a/internal/gateway/begunwait_test.go
+++ b/internal/gateway/begunwait_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -34,10 +34,26 @@
 			}
 		})
 	}
-	began := time.Now()
 	got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000"))
 	is.NoErr(got.err)
 	is.Equal(got.body, eventTexts(1, 4))
 	is.Equal(refused.Load(), int32(2))
-	is.True(time.Since(began) < 3*time.Second)
+	is.True(!strings.Contains(tg.metricsText(), "attempts_refused_total{")) // it was served
+	is.True(strings.Contains(tg.metricsText(), "upstream_waits_total{"))
+}
+
+// A request whose last answer is a complete failure got it only after the time for which its upstreams had stated that they accept no requests,
+// and the answer was kept in memory meanwhile.
+func TestFailureWaitsForUpstreamsThatBackOff(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, stopDocument())
+	for _, id := range []string{"u1", "u2"} {
+		tg.startUpstream(id, func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("Retry-After", "4")
+			respondStatus(http.StatusServiceUnavailable)(w, req)
+		})
+	}
+	got := tg.do(tg.newRequest("POST", "/many/x", "body", "T-Deadline", "11000"))
+	is.Equal(got.status, http.StatusBadGateway)
+	is.True(!strings.Contains(tg.metricsText(), "upstream_waits_total{"))
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -91,7 +91,7 @@
 	admitsVersion func(version string) bool
 	// fetches is set if engines may fetch cached parts of the prompt from each other.
 	fetches bool
-	// begun is set if the request may not be refused any more in favor of more urgent ones.
+	// begun is set if the request may not be refused any more in favor of more urgent ones, so that it isn't an arrival.
 	begun bool
 	// usedSources are the addresses of the engines from which earlier attempts of the request were to
 	// fetch cached parts.
@@ -112,7 +112,9 @@
 // chooseFrom chooses an upstream from the list, for which the given number of upstreams were considered.
 // The caller holds the shard's lock.
 func (s *shard) chooseFrom(list candidateList, considered int, crit criteria, now time.Time) (choice, bool) {
-	s.rankAdmission.RecordArrival(crit.rank, now)
+	if !crit.begun {
+		s.rankAdmission.RecordArrival(crit.rank, now)
+	}
 	if len(list.members) == 0 || !crit.begun && s.shedByRank(list, crit.rank, now) {
 		return choice{}, false
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -71,13 +71,13 @@
 		previous := result
 		var err error
 		result, err = d.makeAttempt(ctx, r, models)
+		for err != nil && d.awaitUpstream(ctx, r, err) {
+			result, err = d.makeAttempt(ctx, r, models)
+		}
 		if err != nil && r.attempts > 0 {
 			d.observeRefusedAttempt(r, &previous, err)
 		}
 		switch {
-		case err != nil && errors.Is(err, errNoneAvailable) && d.awaitUpstream(ctx, r, err):
-			result = previous
-			continue
 		case err != nil && r.attempts > 0 && errors.Is(err, errNoneAvailable):
 			return d.endWithoutUpstream(ctx, r, previous, err)
 		case err != nil:
@@ -96,17 +96,21 @@
 	}
 }
 
-// minUpstreamWait is the shortest time for which a request waits until an upstream accepts it.
+// minUpstreamWait keeps requests from trying again and again where the time until an upstream accepts them is a few microseconds.
 const minUpstreamWait = 20 * time.Millisecond
 
-// awaitUpstream waits until an upstream is expected to accept the request, which has begun. It returns false if none is expected
-// in time.
+// awaitUpstream waits until an upstream is expected to accept a request that was refused an attempt for the lack of one. It returns
+// false if the request doesn't wait, or ended meanwhile.
 func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error) bool {
-	expected := resultcode.FromError(refusal).RetryAfter
-	if !r.progress().WaitsFor(expected, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
+	if !errors.Is(refusal, errNoneAvailable) {
+		return false
+	}
+	retryAfter := resultcode.FromError(refusal).RetryAfter
+	if !r.progress().ShouldWait(retryAfter, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
 		return false
 	}
-	return wait.For(ctx, max(expected, minUpstreamWait)) == nil
+	d.gateway.metrics.countUpstreamWait(r.Service)
+	return wait.For(ctx, max(retryAfter, minUpstreamWait)) == nil
 }
 
 // endWithoutUpstream ends a request for whose next attempt no upstream is available: with the
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -133,6 +133,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, end)).Inc()
 }
 
+// countUpstreamWait counts a request that waits until an upstream accepts its next attempt.
+func (m *gatewayMetrics) countUpstreamWait(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_upstream_waits_total{service=%q}`, service)).Inc()
+}
+
 // countRefusedAttempt counts a request that was refused another attempt. began is set if its caller had received a part
 // of the answer.
 func (m *gatewayMetrics) countRefusedAttempt(service, code string, began bool) {
