gateway: upstreams of versions that a request may not use counted when no upstream accepted it

In a roll-out, requests were refused with 3002 and no time to come back while all upstreams of their version stated one, and streams that had begun were cut instead of waiting for it. Cause: the upstreams behind the reason of a refusal were counted over all versions.

--- a/internal/gateway/begunwait_test.go
+++ b/internal/gateway/begunwait_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +13,14 @@
 // A stream that had begun was cut off while all upstreams had stated for how long they accept no requests, though that time was
 // shorter than the time until its deadline.
 func TestBegunStreamIsCutWhileUpstreamsBackOff(t *testing.T) {
+	for _, otherVersion := range []bool{false, true} {
+		t.Run(fmt.Sprint("beside another version ", otherVersion), func(t *testing.T) { testBegunStreamWaits(t, otherVersion) })
+	}
+}
+
+// testBegunStreamWaits breaks a stream off whose upstreams back off then. If otherVersion is set, there is an upstream of a version
+// that the stream may not run on, as in a roll-out.
+func testBegunStreamWaits(t *testing.T, otherVersion bool) {
 	is := is.New(t)
 	doc := stopDocument()
 	for i := range doc.Routes {
@@ -34,6 +43,10 @@
 			}
 		})
 	}
+	if otherVersion {
+		tg.gateway.fleet.BaseVersion("svc") // is v1 from now on
+		tg.startUpstreamOf(Upstream{ID: "u3", Zone: "z1", Version: "v2"}, resumeStream(4))
+	}
 	got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000"))
 	is.NoErr(got.err)
 	is.Equal(got.body, eventTexts(1, 4))
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -240,7 +240,7 @@
 	}
 	g.holds.started(r.held)
 	if !ok {
-		counts := g.fleet.countUpstreams(r.Service, r.regions)
+		counts := g.fleet.countUpstreams(r.Service, r.regions, crit.admitsVersion)
 		g.log.Warn().Str("event", "no-upstream").Str("request", r.ID).Str("service", r.Service).Int("attempt", r.attempts+1).
 			Int("in_service", counts.inService).Int("cold", counts.cold).Int("evacuated", counts.evacuated).Int("limited", counts.limited).Int("leaving", counts.leaving).Int("backing_off", counts.backingOff).Bool("bound", r.regions.restricted()).Msg("")
 		return nil, d.noUpstreamRefusal(r, counts)
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -157,28 +157,29 @@
 	return n.backingOff > 0 && n.limited+n.backingOff >= n.inService-n.cold-n.evacuated
 }
 
-// countUpstreams counts a service's upstreams in the regions.
-func (f *Fleet) countUpstreams(service string, regions regionConstraint) upstreamCounts {
+// countUpstreams counts a service's upstreams in the regions and of the versions that admitsVersion admits.
+func (f *Fleet) countUpstreams(service string, regions regionConstraint, admitsVersion func(version string) bool) upstreamCounts {
 	var n upstreamCounts
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n.add(s, regions)
+	n.add(s, regions, admitsVersion)
 	return n
 }
 
 // countAllUpstreams counts the upstreams of all services.
 func (f *Fleet) countAllUpstreams() upstreamCounts {
 	var n upstreamCounts
-	f.eachShard(func(s *shard) { n.add(s, regionConstraint{}) })
+	allVersions := func(string) bool { return true }
+	f.eachShard(func(s *shard) { n.add(s, regionConstraint{}, allVersions) })
 	return n
 }
 
-// add counts a shard's upstreams in the regions. The caller holds the shard's lock.
-func (n *upstreamCounts) add(s *shard, regions regionConstraint) {
+// add counts a shard's upstreams in the regions and of the admitted versions. The caller holds the shard's lock.
+func (n *upstreamCounts) add(s *shard, regions regionConstraint, admitsVersion func(version string) bool) {
 	now := boottime.Now()
 	for _, m := range s.members {
-		if !regions.allows(m.Zone) {
+		if !regions.allows(m.Zone) || !admitsVersion(m.Version) {
 			continue
 		}
 		if m.removedAt.IsZero() && m.isLeaving(now) {
