gateway: a reserved attempt was charged twice, and a retry that wasn't needed not given back

If the head arrived as the silence timer ended its run, the run ended as broken: another retry was charged for the attempt that was reserved, and without one the request ended. A retry was given back only within the part of the window (0.5 s) in which it was charged. Evidence: TestReservedSuccessorNeedsASecondRetry and TestRetryIsGivenBackLater; in a review both cases failed.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -78,12 +78,21 @@
 	return true
 }
 
-// giveBack takes back a retry that tryTake counted and that isn't made.
+// giveBack takes back a retry that tryTake counted and that isn't made. It is taken from the earliest part of the window with
+// retries: the others then count for at least as long as they have to.
 func (b *retryBudget) giveBack() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now := b.advanceSlot(); now.retries > 0 {
-		now.retries--
+	now := b.advanceSlot()
+	var earliest *budgetSlot
+	for i := range b.slots {
+		s := &b.slots[i]
+		if s.retries > 0 && now.number-s.number <= budgetSlots && (earliest == nil || s.number < earliest.number) {
+			earliest = s
+		}
+	}
+	if earliest != nil {
+		earliest.retries--
 	}
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -386,8 +386,8 @@
 	if ctx.Err() != nil || !r.attemptsLeft() || !r.mayRunAgain(r.runState.State()) {
 		return false
 	}
-	if errors.Is(result.err, errLowConfidence) || errors.Is(result.err, errResponseTimeout) || errors.Is(result.err, errStreamMoved) {
-		return true // the next attempt was reserved when the run was ended
+	if r.successor != nil {
+		return true
 	}
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -163,3 +164,41 @@
 		m.observeResult(attemptResult{outcome: outcomeRefused}, now)
 	}
 }
+
+// A retry that was charged in an earlier part of the window than the present one must be given back.
+func TestRetryIsGivenBackLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newRetryBudget(0.5, 10*time.Second, func() float64 { return 0 })
+		for range 10 {
+			b.countRequest()
+		}
+		is.True(b.tryTake())
+		time.Sleep(time.Second)
+		is.True(b.tryTake())
+		b.giveBack()
+		is.Equal(b.retryCount(), 1)
+		b.giveBack()
+		is.Equal(b.retryCount(), 0)
+		b.giveBack()
+		is.Equal(b.retryCount(), 0)
+	})
+}
+
+// If data arrives as the silence timer ends a run, the run may end as broken. A second retry was charged for its reserved successor and, if there was
+// none, the request ended.
+func TestReservedSuccessorNeedsASecondRetry(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, testDocument())
+	for _, id := range []string{"u1", "u2"} {
+		tg.startUpstream(id, respondOK("x"))
+	}
+	a, budget := newStreamAttempt(tg), tg.gateway.retryBudgets.get("svc")
+	is.True(a.reserveAfterSilence().replaceRun(errResponseTimeout))
+	for budget.tryTake() {
+	}
+	charged := budget.retryCount()
+	broken := attemptResult{outcome: outcomeBroken, err: context.Canceled}
+	is.True((&dispatch{gateway: tg.gateway}).shouldRetry(t.Context(), a.request, broken))
+	is.Equal(budget.retryCount(), charged)
+}
