gateway: a run that was ended for its silence as its head arrived counted as cut off by its upstream

A call whose head arrives while the silence timer ends its run is read from a canceled response. The attempt counted as broken: for the version and for the guard, and it needed a second retry beside the reserved one. Without one left, the caller got 502 though the next attempt was reserved.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -321,9 +321,11 @@
 	body, err := a.request.readAnswer(resp.Body)
 	a.runState.Raise(runstate.Ran)
 	if err != nil {
-		result.outcome = outcomeBroken
-		result.err = err
-		if ctx.Err() != nil {
+		result.outcome, result.err = outcomeBroken, err
+		switch {
+		case a.idleTimer.expired(): // as the head arrived
+			result.outcome, result.err = outcomeSilent, errResponseTimeout
+		case ctx.Err() != nil:
 			result.outcome = outcomeAbandoned
 		}
 		return result
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -387,7 +387,7 @@
 		return false
 	}
 	if r.successor != nil {
-		return true
+		return true // reserved and charged before the run was ended
 	}
 	if result.outcome == outcomeAbandoned || d.gateway.guard.VerdictDue(r.Digest, r.partDigests...) {
 		return false
