gateway: streams that had begun were cut while upstreams accept them in time; retries of unused attempts

- A stream whose upstreams all back off waited for the Retry-After of the refusal, over which the returns of refused callers are spread (up to 1 s more), and was cut if that lay after its deadline.
The refusal's cause now has the time after which an upstream is expected to accept a request.
- A stream whose upstream left was cut at once if the others were cold and had just got what they may get in a second (TestBegunStreamIsCutBecauseUpstreamsAreCold failed without the new case).
- A reserved attempt that isn't made because the answer was whole after all, or its caller left, gives its retry back (TestRetryOfAnUnusedSuccessorStaysCharged failed in that case).
Refused callers are told the same times as before.

--- a/internal/gateway/begunpaths_test.go
+++ b/internal/gateway/begunpaths_test.go
@@ -6,10 +6,15 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/failover"
+	"github.com/quetzalweir/quetzalweir/internal/boottime"
+	"github.com/quetzalweir/quetzalweir/ratelease"
 )
 
 // failingReader returns its error.
@@ -82,3 +87,98 @@
 	is.True(d.shouldRetry(t.Context(), r, attemptResult{outcome: outcomeBroken, err: context.Canceled}))
 	is.True(d.shouldRetry(t.Context(), r, attemptResult{outcome: outcomeRefused}))
 }
+
+// A reserved attempt that isn't made, because the run's data arrived in the meantime, kept its retry charged, so that other requests
+// were refused theirs.
+func TestRetryOfAnUnusedSuccessorStaysCharged(t *testing.T) {
+	tests := map[string]func(tg *testGateway, r *Request, next *successor){
+		"released":         func(_ *testGateway, _ *Request, next *successor) { next.release() },
+		"run ended before": func(_ *testGateway, _ *Request, next *successor) { next.run.end.made = true; next.begin() },
+		"answer whole, or gone": func(tg *testGateway, r *Request, next *successor) {
+			next.begin()
+			(&dispatch{gateway: tg.gateway}).releaseSuccessor(r)
+		},
+	}
+	for desc, end := range tests {
+		t.Run(desc, func(t *testing.T) {
+			is := is.New(t)
+			tg := newTestGateway(t, stopDocument())
+			tg.startUpstream("first", respondOK("whole"))
+			tg.startUpstream("second", respondOK("whole"))
+			r := tg.directRequest("stream")
+			a := &attempt{gateway: tg.gateway, request: r, choice: choice{upstream: tg.gateway.fleet.memberOf("svc", "first").Upstream}, cancel: func(error) {}}
+			r.attempts++
+			next := a.reserveSuccessor(failover.Silence, "", false)
+			is.True(next != nil)
+			is.Equal(tg.gateway.retryBudgets.get("svc").retryCount(), 1)
+			end(tg, r, next)
+			is.Equal(tg.gateway.retryBudgets.get("svc").retryCount(), 0)
+			is.Equal(tg.requestsInFlight(), 0)
+		})
+	}
+}
+
+// A stream that had begun was cut off though an upstream accepted requests again well before its deadline: the wait included the
+// time over which refused callers are spread.
+func TestBegunStreamWaitsAsLongAsRefusedCallers(t *testing.T) {
+	for range 6 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			doc := stopDocument()
+			for i := range doc.Routes {
+				doc.Routes[i].MaxAttempts = 6
+			}
+			tg := newTestGateway(t, doc)
+			var requests, refused atomic.Int32
+			tg.startUpstream("u1", func(w http.ResponseWriter, req *http.Request) {
+				switch {
+				case requests.Add(1) == 1:
+					streamEvents(1, 2, true)(w, req)
+				case refused.Add(1) == 1:
+					w.Header().Set("Retry-After", "1")
+					respondNotRun(w, req)
+				default:
+					resumeStream(4)(w, req)
+				}
+			})
+			got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "1600"))
+			is.NoErr(got.err)
+			is.Equal(got.body, eventTexts(1, 4))
+		})
+	}
+}
+
+// A stream that had begun was cut off at once when its upstream left, if the only other one was cold and had just got the
+// requests that it may get in a second, though it accepts others a second later.
+func TestBegunStreamIsCutBecauseUpstreamsAreCold(t *testing.T) {
+	is := is.New(t)
+	tg := newTestGateway(t, stopDocument())
+	tg.gateway.fleet.shard("svc").coldBound = ratelease.ColdBound{Rate: 2, Overrun: 1}
+	tg.startUpstream("first", func(w http.ResponseWriter, req *http.Request) {
+		streamEvents(1, 2, false)(w, req)
+		u := tg.gateway.fleet.memberOf("svc", "first").Upstream
+		u.Leaving = true
+		tg.gateway.fleet.ApplyEntry(u, 9)
+		panic(http.ErrAbortHandler)
+	})
+	tg.startUpstreamOf(Upstream{ID: "cold", Zone: "z2", Version: "v1", ColdFor: time.Minute}, resumeStream(4))
+	cold := tg.gateway.fleet.memberOf("svc", "cold")
+	fill := func() {
+		cold.shard.mu.Lock()
+		defer cold.shard.mu.Unlock()
+		for now := boottime.Now(); cold.coldBoundAllows(now); {
+			cold.recordSent(now)
+		}
+	}
+	fill()
+	got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000"))
+	is.NoErr(got.err)
+	is.Equal(got.body, eventTexts(1, 4))
+	// A request that hasn't begun is refused at once.
+	fill()
+	waits := tg.gateway.metrics.set.GetOrCreateCounter(`quetzalweir_gateway_upstream_waits_total{service="svc"}`)
+	before := waits.Get()
+	is.Equal(tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000")).status, http.StatusServiceUnavailable)
+	is.Equal(waits.Get(), before)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/notice"
 	"github.com/quetzalweir/quetzalweir/placement"
 	"github.com/quetzalweir/quetzalweir/resultcode"
 	"github.com/quetzalweir/quetzalweir/routing"
@@ -102,15 +103,12 @@
 // awaitUpstream waits until an upstream is expected to accept a request that was refused an attempt for the lack of one. It returns
 // false if the request doesn't wait, or ended meanwhile.
 func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error) bool {
-	if !errors.Is(refusal, errNoneAvailable) {
-		return false
-	}
-	retryAfter := resultcode.FromError(refusal).RetryAfter
-	if !r.progress().ShouldWait(retryAfter, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
+	var none noneAvailable
+	if !errors.As(refusal, &none) || !r.progress().ShouldWait(none.wait, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
 		return false
 	}
 	d.gateway.metrics.countUpstreamWait(r.Service)
-	return wait.For(ctx, max(retryAfter, minUpstreamWait)) == nil
+	return wait.For(ctx, max(none.wait, minUpstreamWait)) == nil
 }
 
 // endWithoutUpstream ends a request for whose next attempt no upstream is available: with the
@@ -264,6 +262,16 @@
 // errNoneAvailable means that this host may not send the request to any upstream now.
 var errNoneAvailable = errors.New("gateway: no upstream is available")
 
+// noneAvailable is errNoneAvailable with the time after which an upstream is expected to accept a request. Refused callers are
+// told a later time, over which their returns are spread.
+type noneAvailable struct{ wait time.Duration }
+
+// Error implements error.
+func (e noneAvailable) Error() string { return errNoneAvailable.Error() }
+
+// Is makes the error match errNoneAvailable.
+func (e noneAvailable) Is(target error) bool { return target == errNoneAvailable }
+
 // noUpstreamRefusal returns the refusal of a request for which no upstream is available.
 func (d *dispatch) noUpstreamRefusal(r *Request, counts upstreamCounts) *resultcode.Error {
 	if counts.inService == 0 && r.regions.restricted() {
@@ -274,16 +282,22 @@
 	}
 	switch fleet := d.gateway.fleet; {
 	case counts.allLimited():
-		e := resultcode.Wrap(resultcode.UpstreamsLimited, errNoneAvailable, "nothing is left of the upstreams' limits")
-		e.RetryAfter = fleet.limitRetryAfter(r.Service)
+		wait := fleet.limitRetryAfter(r.Service)
+		e := resultcode.Wrap(resultcode.UpstreamsLimited, noneAvailable{wait}, "nothing is left of the upstreams' limits")
+		e.RetryAfter = wait
 		return e
 	case counts.allHeldBack():
-		e := resultcode.Wrap(resultcode.UpstreamsBackingOff, errNoneAvailable, "all upstreams of the service accept no requests for some time")
-		e.RetryAfter = fleet.backoffRetryAfter(r.Service, r.regions)
+		wait := fleet.backoffWait(r.Service, r.regions)
+		retryAfter := notice.RetryAfterRefusal(wait)
 		if counts.limited > 0 {
-			e.RetryAfter = min(e.RetryAfter, fleet.limitRetryAfter(r.Service))
+			limitWait := fleet.limitRetryAfter(r.Service)
+			wait, retryAfter = min(wait, limitWait), min(retryAfter, limitWait)
 		}
+		e := resultcode.Wrap(resultcode.UpstreamsBackingOff, noneAvailable{wait}, "all upstreams of the service accept no requests for some time")
+		e.RetryAfter = retryAfter
 		return e
+	case counts.cold > 0: // a cold upstream may get some requests in each second
+		return resultcode.Wrap(resultcode.NoUpstream, noneAvailable{defaultRetryAfter}, "the upstreams in service are cold")
 	default:
 		return resultcode.Wrap(resultcode.NoUpstream, errNoneAvailable, "no upstream is in service")
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -151,9 +151,8 @@
 	return false
 }
 
-// backoffRetryAfter returns the time after which a request to the service that was refused because
-// its upstreams back off should be sent again.
-func (f *Fleet) backoffRetryAfter(service string, regions regionConstraint) time.Duration {
+// backoffWait returns the time until an upstream of the service may accept a request again, while all of them back off.
+func (f *Fleet) backoffWait(service string, regions regionConstraint) time.Duration {
 	s := f.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,7 +165,7 @@
 	if s.brittle.Active(now) && s.hasBrittleSlotsSoon(regions, now) {
 		wait = min(wait, exchange.EngineLoadsAge)
 	}
-	return notice.RetryAfterRefusal(wait)
+	return max(wait, minUpstreamWait)
 }
 
 // setLeaving records that the upstream is leaving. It stays so until it restarts, whatever a later
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -123,7 +123,9 @@
 		return choice{}, false
 	}
 	if u := &r.successor.choice.upstream; !crit.regions.allows(u.Zone) || !crit.admitsVersion(u.Version) {
-		d.releaseSuccessor(r)
+		// The attempt is made at another upstream, for which its retry is charged already.
+		d.gateway.releaseUnused(&r.successor.choice)
+		r.successor = nil
 		return choice{}, false
 	}
 	picked, r.successor = r.successor.choice, nil
@@ -135,7 +137,7 @@
 	if r.successor == nil {
 		return
 	}
-	d.gateway.releaseUnused(&r.successor.choice)
+	r.successor.release()
 	r.successor = nil
 }
 
