httpintake: the end of an answer was lost if the caller's next request was unread when a stop closed the connection

A caller that sends its next request while it reads an answer got 5,717,868 of 8,388,608 bytes and then a reset connection, when the host closed the connections of complete answers in a planned stop.

Cause: if received data is unread when a socket is closed, Linux resets the connection and discards what it hasn't delivered.

Now: Conn.Close discards what has been received, at most 64 KB, without waiting. RawConn.Read isn't used for it, since it waits for a read in progress, which ends only with the connection. Data that arrives later still resets the connection while the answer is on its way.

--- a/internal/gateway/begunpaths_test.go
+++ b/internal/gateway/begunpaths_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +18,7 @@
 	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/ratelease"
+	"github.com/quetzalweir/quetzalweir/routing"
 )
 
 // failingReader returns its error.
@@ -182,3 +186,122 @@
 	is.Equal(tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000")).status, http.StatusServiceUnavailable)
 	is.Equal(waits.Get(), before)
 }
+
+// A new document, and changes of upstreams, don't end a run in progress, and its request gets a further attempt by the document of its arrival.
+func TestChangesInTheMiddleOfAStreamCutIt(t *testing.T) {
+	document := func(change func(doc *routing.Document)) func(is *is.I, tg *testGateway) {
+		return func(is *is.I, tg *testGateway) {
+			doc := stopDocument()
+			doc.Version++
+			change(&doc)
+			table, err := routing.New(doc)
+			is.NoErr(err)
+			tg.gateway.routingTable.Store(table)
+			tg.gateway.fleet.SetServices(doc.Services)
+		}
+	}
+	tests := map[string]func(is *is.I, tg *testGateway){
+		"routes gone":   document(func(doc *routing.Document) { doc.Routes = nil }),
+		"key gone":      document(func(doc *routing.Document) { doc.Accounts[0].Keys = []string{"key-2"} }),
+		"account gone":  document(func(doc *routing.Document) { doc.Accounts = nil }),
+		"service gone":  document(func(doc *routing.Document) { doc.Routes, doc.Services = nil, nil }),
+		"short timeout": document(func(doc *routing.Document) { doc.Routes[2].Timeout = time.Millisecond }),
+		"one attempt":   document(func(doc *routing.Document) { doc.Routes[2].MaxAttempts = 1 }),
+		"not resumable": document(func(doc *routing.Document) { doc.Routes[2].Resumable = false }),
+		"other models":  document(func(doc *routing.Document) { doc.Routes[2].Models = []string{"tiny", "huge"} }),
+		"small limits": document(func(doc *routing.Document) {
+			doc.Limits = routing.Limits{MaxBodyBytes: 1, MaxHeaderBytes: 1, HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+		}),
+		"zone evacuated":    func(_ *is.I, tg *testGateway) { tg.gateway.fleet.SetEvacuated(map[string]bool{"z1": true}, 9) },
+		"upstream removed":  func(_ *is.I, tg *testGateway) { tg.gateway.fleet.RemoveEntry("first", 9, false) },
+		"upstream unusable": func(_ *is.I, tg *testGateway) { tg.gateway.fleet.WithdrawUpstream("first", 9) },
+		"upstream leaves": func(_ *is.I, tg *testGateway) {
+			u := tg.gateway.fleet.memberOf("svc", "first").Upstream
+			u.Leaving = true
+			tg.gateway.fleet.ApplyEntry(u, 9)
+		},
+		"upstream restarts": func(_ *is.I, tg *testGateway) {
+			u := tg.gateway.fleet.memberOf("svc", "first").Upstream
+			u.Incarnation++
+			tg.gateway.fleet.ApplyEntry(u, 9)
+		},
+		"version completed": func(_ *is.I, tg *testGateway) {
+			tg.gateway.fleet.ApplyEntry(Upstream{ID: "second", Service: "svc", Address: tg.gateway.fleet.memberOf("svc", "second").Address, Zone: "z2", Version: "v2", Slots: 8}, 9)
+			tg.gateway.rollouts.addOrder(RolloutOrder{Service: "svc", Version: "v2", Duration: time.Minute, Revision: 3}, false)
+			tg.gateway.rollouts.setStatus(RolloutStatus{Service: "svc", Version: "v2", State: RolloutCompleted, BaseVersion: "v1", OrderRevision: 3, Revision: 4})
+		},
+	}
+	for desc, change := range tests {
+		for _, cut := range []bool{false, true} {
+			t.Run(desc+map[bool]string{false: ", run goes on", true: ", run breaks off"}[cut], func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				tg := newTestGateway(t, stopDocument())
+				first := tg.startUpstream("first", func(w http.ResponseWriter, req *http.Request) {
+					streamEvents(1, 2, false)(w, req)
+					change(is, tg)
+					time.Sleep(50 * time.Millisecond)
+					if cut {
+						panic(http.ErrAbortHandler)
+					}
+					streamEvents(3, 4, false)(w, req)
+				})
+				second := tg.startUpstreamOf(Upstream{ID: "second", Zone: "z2", Version: "v1"}, resumeStream(4))
+				got := tg.do(tg.newRequest("POST", "/stream/x", "body", "T-Deadline", "9000"))
+				is.NoErr(got.err)
+				is.Equal(got.body, eventTexts(1, 4))
+				is.Equal(first.count(), 1)
+				is.Equal(second.count() == 1, cut)
+			})
+		}
+	}
+}
+
+// The end of a large answer was lost in a planned stop if its caller had sent the next request on the connection: the connection was closed
+// while that request was unread, at which the system discards what it hasn't delivered yet.
+func TestAnswerBeforeAPipelinedRequestIsLostInAStop(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	tg := newTestGateway(t, stopDocument())
+	running := make(chan struct{})
+	tg.startUpstream("u1", func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("T-Id") != "p1" {
+			respondOK("second")(w, req)
+			return
+		}
+		close(running)
+		time.Sleep(400 * time.Millisecond)
+		respondOK(strings.Repeat("x", size))(w, req)
+	})
+	stop, stopped := tg.runGateway(stopDocument(), 6*time.Second)
+	conn, err := net.Dial("tcp", tg.gateway.settings.CallerAddress)
+	is.NoErr(err)
+	defer conn.Close()
+	send := func(id string) {
+		_, err := io.WriteString(conn, "GET /many/x HTTP/1.1\r\nHost: "+testHost+"\r\nT-Id: "+id+"\r\nT-Key: key-1\r\nT-Deadline: 9000\r\n\r\n")
+		is.NoErr(err)
+	}
+	send("p1")
+	<-running
+	stop()
+	time.Sleep(100 * time.Millisecond)
+	send("p2")
+	time.Sleep(time.Second) // the answer fills the buffers
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	n, err := io.CopyBuffer(io.Discard, struct{ io.Reader }{&slowReader{resp.Body}}, make([]byte, 64<<10))
+	t.Logf("%d of %d bytes, %v", n, size, err)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	is.NoErr(<-stopped)
+}
+
+// slowReader reads a little slower than the answer is written.
+type slowReader struct{ io.Reader }
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	time.Sleep(2 * time.Millisecond)
+	return r.Reader.Read(p)
+}
--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/intake"
@@ -33,6 +34,8 @@
 	unreadBodyTimeout = 10 * time.Second
 	// maxLingering is the number of connections whose requests are read after a refusal at a time.
 	maxLingering = 64
+	// maxDiscarded bounds what is read before a connection is closed after an answer, in bytes.
+	maxDiscarded = 64 << 10
 )
 
 // Errors of ReadBody, beside those of the connection and http.MaxBytesError.
@@ -272,8 +275,11 @@
 func (c *Conn) Close() error {
 	c.closing.Do(func() {
 		c.releaseRequest()
-		if c.linger.Load() {
+		switch {
+		case c.linger.Load():
 			c.awaitCaller()
+		case !c.reset.Load():
+			c.discardReceived()
 		}
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && c.reset.Load() {
 			_ = tcp.SetLinger(0)
@@ -284,6 +290,28 @@
 	return c.closeErr
 }
 
+// discardReceived reads what has been received, for example the caller's next request. If it were unread when the connection is
+// closed, the system would discard the end of the answer that it hasn't delivered yet.
+func (c *Conn) discardReceived() {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	buffer := make([]byte, headReadAhead)
+	// Unlike Read, Control doesn't wait for a read in progress, which ends only with the connection.
+	_ = raw.Control(func(fd uintptr) {
+		for range maxDiscarded / headReadAhead {
+			if n, err := syscall.Read(int(fd), buffer); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
 // awaitCaller reads what the caller of a refused request still sends, until it has read the refusal and
 // closes the connection.
 func (c *Conn) awaitCaller() {
