gateway: requests that have begun wait for upstreams unless a complete failure is in hand

What must not wait is a complete failure in hand (TestFailureWaitsForUpstreamsThatBackOff), and refused callers' spread isn't waited for.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -27,10 +27,10 @@
 // answer, or leave its caller without knowing whether it ran. Such a request goes on until it has no attempt, upstream or time left.
 func (p Progress) MayRefuse() bool { return !p.HasBegun() && !p.Reserved }
 
-// ShouldWait reports whether a request for which no upstream is available waits until one is expected to accept it, after the given
-// time; 0 if none is expected. Only a caller that has received a part of its answer can't return itself.
+// ShouldWait reports whether a request that has no answer yet and for which no upstream is available waits until one is expected to
+// accept it, after the given time; 0 if none is expected. A request that hasn't begun is refused with that time instead.
 func (p Progress) ShouldWait(retryAfter, timeLeft time.Duration) bool {
-	return p.Answered && retryAfter > 0 && retryAfter+MinAttemptTime <= timeLeft
+	return p.HasBegun() && retryAfter > 0 && retryAfter+MinAttemptTime <= timeLeft
 }
 
 // Reason is why a run that may still be good is ended.
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -23,14 +23,13 @@
 	}
 }
 
-// A request whose caller has received a part of the answer must not be cut off while an upstream is expected to accept it in time.
-func TestAnsweredRequestDoesNotWait(t *testing.T) {
+// A request that has begun must not be cut off while an upstream is expected to accept it in time.
+func TestRequestThatBeganDoesNotWait(t *testing.T) {
 	is := is.New(t)
-	answered := failover.Progress{State: runstate.Ran, Answered: true}
-	is.True(answered.ShouldWait(time.Second, 2*time.Second))
-	is.True(!answered.ShouldWait(2*time.Second, 2*time.Second)) // too late for an attempt
-	is.True(!answered.ShouldWait(0, 2*time.Second))             // none is expected
-	is.True(!failover.Progress{State: runstate.Ran}.ShouldWait(time.Second, 2*time.Second))
+	begun := failover.Progress{State: runstate.Ran}
+	is.True(begun.ShouldWait(time.Second, 2*time.Second))
+	is.True(!begun.ShouldWait(2*time.Second, 2*time.Second)) // too late for an attempt
+	is.True(!begun.ShouldWait(0, 2*time.Second))             // none is expected
 	is.True(!failover.Progress{}.ShouldWait(time.Second, 2*time.Second))
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -72,7 +72,7 @@
 		previous := result
 		var err error
 		result, err = d.makeAttempt(ctx, r, models)
-		for err != nil && d.awaitUpstream(ctx, r, err) {
+		for err != nil && d.awaitUpstream(ctx, r, &previous, err) {
 			result, err = d.makeAttempt(ctx, r, models)
 		}
 		if err != nil && r.attempts > 0 {
@@ -101,10 +101,10 @@
 const minUpstreamWait = 20 * time.Millisecond
 
 // awaitUpstream waits until an upstream is expected to accept a request that was refused an attempt for the lack of one. It returns
-// false if the request doesn't wait, or ended meanwhile.
-func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error) bool {
+// false if the request doesn't wait, or ended meanwhile. A complete failure of the previous attempt is answered at once.
+func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, previous *attemptResult, refusal error) bool {
 	var none noneAvailable
-	if !errors.As(refusal, &none) || !r.progress().ShouldWait(none.wait, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
+	if previous.buffered != nil || !errors.As(refusal, &none) || !r.progress().ShouldWait(none.wait, d.gateway.plannedStop.TimeLeft(r.Deadline, boottime.Now())) {
 		return false
 	}
 	d.gateway.metrics.countUpstreamWait(r.Service)
