entry: calls that a stop ended got no answer while the table was slow

Callers of serve whose calls ran until the end of a planned stop had their connections closed without an answer, though the host knew that the call may have run.

Cause: before its answer a request's bill is replicated (200 ms at most) and its claim is written (500 ms at most), but connections were closed 200 ms after the end of the stop, the gateway's margin. A cascade's whole answer that is sent at the end of a stop waits for its bill as well.

Now the margin of serve is the sum of both timeouts and the gateway's margin. The stop isn't shorter for that: the writes were waited for afterwards, too.

--- a/internal/e2e/stopbegun_test.go
+++ b/internal/e2e/stopbegun_test.go
@@ -15,7 +15,10 @@
 	"github.com/quetzalweir/quetzalweir/internal/entry"
 	"github.com/quetzalweir/quetzalweir/internal/standin/cut"
 	"github.com/quetzalweir/quetzalweir/internal/standin/engine"
+	"github.com/quetzalweir/quetzalweir/internal/standin/platformd"
+	"github.com/quetzalweir/quetzalweir/internal/standin/service"
 	"github.com/quetzalweir/quetzalweir/ledger"
+	"github.com/quetzalweir/quetzalweir/resultcode"
 )
 
 // startStoppableSystem starts a system with two hosts and returns the second one, whose stops end after stopTimeout.
@@ -239,3 +242,21 @@
 	}
 	return n
 }
+
+// Before a request that a stop ends is answered, its bill is replicated and its claim is written. With a slow table this took longer
+// than the time for which connections stay open after the end of the stop, so that the caller got no answer at all.
+func TestCallEndedByAPlannedStopGetsNoAnswerWhileTheTableIsSlow(t *testing.T) {
+	is := is.New(t)
+	s, h := startStoppableSystem(t, 2*time.Second)
+	s.setServiceFaults(service.Faults{SlowMs: waitTimeout.Milliseconds()})
+	ended := sendInBackground(bid("key-9", "bid").withDeadline(time.Minute), h)
+	eventually(t, "the service runs the bid", func() bool { return s.runsOfKey("key-9") > 0 })
+	s.beginStop(h)
+	s.addPlatformFaults(platformd.Faults{DelayMS: pointer(int64(400))})
+	o := <-ended
+	is.NoErr(o.err)
+	is.Equal(o.code, resultcode.OutcomeUnknown)
+	is.Equal(o.runState, "may-have-run")
+	<-h.done
+	is.Equal(h.waitForField("event=cut", "requests="), "1")
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,9 +7,15 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
 	"github.com/quetzalweir/quetzalweir/internal/wait"
+	"github.com/quetzalweir/quetzalweir/ledger"
 )
 
+// answerMargin is the time in which the requests that are ended at the end of the stop are answered. Before its answer, a
+// request's bill is replicated and its claim is written, each of which may take up to its own timeout.
+const answerMargin = ledger.DefaultRecordTimeout + claimFinishTimeout + plannedstop.AnswerMargin
+
 // drainTimeout is the timeout for writing bills and claims and returning quota slots
 // after the last request ended.
 const drainTimeout = 30 * time.Second
@@ -54,7 +60,7 @@
 	}
 	running := h.queues.stats().Running
 	h.log.Warn().Str("event", "cut").Int("requests", running).Msg("")
-	closeErr := h.plannedStop.EndRequests(callers, h.intake.EndBodies)
+	closeErr := h.plannedStop.EndRequestsWithin(answerMargin, callers, h.intake.EndBodies)
 	h.waitForAborted()
 	return errors.Join(fmt.Errorf("%d requests were aborted", running), closeErr)
 }
--- a/internal/plannedstop/plannedstop.go
+++ b/internal/plannedstop/plannedstop.go
@@ -79,9 +79,15 @@
 // EndRequests ends the requests in progress on the server: those whose bodies aren't complete by endBodies, and the
 // others by their contexts. It closes the connections of those that aren't answered within AnswerMargin.
 func (s *Stop) EndRequests(server *http.Server, endBodies func()) error {
+	return s.EndRequestsWithin(AnswerMargin, server, endBodies)
+}
+
+// EndRequestsWithin is like EndRequests with another time than AnswerMargin, for hosts that write records of a request
+// before they answer it.
+func (s *Stop) EndRequestsWithin(margin time.Duration, server *http.Server, endBodies func()) error {
 	endBodies()
 	s.end()
-	ctx, cancel := context.WithTimeout(context.Background(), AnswerMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), margin)
 	defer cancel()
 	if server.Shutdown(ctx) == nil {
 		return nil
