entry: requests that wait for a rating or a bill weren't counted at the end of a stop

The log of a planned stop that ended a request whose rater hung had event=cut requests=0, and the host didn't wait for it before it wrote its last bills: its bill could have been recorded after that.

Cause: the requests in progress were those that hold a place in an admission queue, which a request gives back before its answer is rated and billed, and takes after its queueing.

Now the host counts the requests in its pipeline.

--- a/internal/e2e/stopbegun_test.go
+++ b/internal/e2e/stopbegun_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -260,3 +261,26 @@
 	<-h.done
 	is.Equal(h.waitForField("event=cut", "requests="), "1")
 }
+
+// A cascade's answer was whole when the rater didn't answer until the end of a stop. The request isn't in an admission queue then,
+// so the host didn't count it among those that it ended and didn't wait for its bill. The caller gets the answer and is billed.
+func TestCascadeAnswerIsLostWhileTheRaterHangsInAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 1)
+	h := s.addHost("entry-stops", zone(1), "--stop-timeout=1s") // shorter than the 2 s after which the platform client gives up
+	s.submit(bytes.Replace(devenv.Manifest(), []byte(`"rater_timeout_ms": 500`), []byte(`"rater_timeout_ms": 20000`), 1))
+	s.addPlatformFaults(platformd.Faults{RaterDelayMS: pointer(waitTimeout.Milliseconds())})
+	ended := sendInBackground(chat("ask", "what is lot 7", false).withDeadline(time.Minute), h)
+	s.engineWith("the first step has run", func(a engine.Arrival) bool { return a.Finished > 0 })
+	s.beginStop(h)
+	o := <-ended
+	is.NoErr(o.err)
+	is.Equal(o.status, http.StatusOK)
+	is.Equal(o.get("Quetzalweir-Model"), "small")
+	is.Equal(contentOfAnswer(t, o.body), engine.ExpectedAnswer("small", o.get("Quetzalweir-Version"), "what is lot 7"))
+	<-h.done
+	is.Equal(h.waitForField("event=cut", "requests="), "1")
+	bills := s.billsOf(s.hosts[0], s.epochOf(o.answer), o.id)
+	is.Equal(len(bills), 1)
+	is.Equal(bills[0].CostMicro, expectedPrice(t, "small", o.body))
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -101,6 +101,8 @@
 
 	pipeline    Next
 	plannedStop *plannedstop.Stop
+	// requestsInProgress is the number of requests in the pipeline, also of those that are in no admission queue.
+	requestsInProgress atomic.Int64
 	// notReady is set at the start of a planned stop. It makes the readiness check fail,
 	// so that the balancer sends no new connections. stopping is set later and makes the
 	// host refuse requests.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -29,7 +30,7 @@
 		if err == nil {
 			ctx, release := h.plannedStop.RequestContext(req.Context())
 			defer release()
-			err = h.pipeline(ctx, r)
+			err = h.runPipeline(ctx, r)
 		} else {
 			h.countUndecoded(r, err)
 			if conn.ClosesAfter(resultcode.FromError(err).Code) {
@@ -40,6 +41,13 @@
 	})
 }
 
+// runPipeline runs the request and counts it as in progress until its bill and claim are recorded.
+func (h *Host) runPipeline(ctx context.Context, r *Request) error {
+	h.requestsInProgress.Add(1)
+	defer h.requestsInProgress.Add(-1)
+	return h.pipeline(ctx, r)
+}
+
 // withWriteTimeout returns a handler that bounds the time of each write to the caller.
 func withWriteTimeout(timeout time.Duration, handle func(caller *callerWriter, req *http.Request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -58,8 +58,8 @@
 	if callers.Shutdown(ctx) == nil {
 		return nil
 	}
-	running := h.queues.stats().Running
-	h.log.Warn().Str("event", "cut").Int("requests", running).Msg("")
+	running := h.requestsInProgress.Load()
+	h.log.Warn().Str("event", "cut").Int64("requests", running).Msg("")
 	closeErr := h.plannedStop.EndRequestsWithin(answerMargin, callers, h.intake.EndBodies)
 	h.waitForAborted()
 	return errors.Join(fmt.Errorf("%d requests were aborted", running), closeErr)
@@ -70,7 +70,7 @@
 func (h *Host) waitForAborted() {
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
-	for h.queues.stats().Running > 0 {
+	for h.requestsInProgress.Load() > 0 {
 		if wait.For(ctx, abortPollInterval) != nil {
 			return
 		}
