entry: calls that had begun were refused when their version was withdrawn

Callers of serve whose repeatable call broke off got an error if a manifest had withdrawn the version of the call meanwhile, though another version was open to them: withdrawing a version whose engines crash refused the calls that it cut off.

Cause: the check before each attempt refuses a request whose version is no longer permitted. The version is chosen once, before the first attempt. Sessions whose version is withdrawn before a request move, so that the refusal isn't what the manifest asks for either.

--- a/internal/entry/chooseversion.go
+++ b/internal/entry/chooseversion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -34,6 +35,17 @@
 	if r.Kind == KindService {
 		return next(ctx, r)
 	}
+	err := f.serveVersion(ctx, r, next)
+	if errors.Is(err, errVersionWithdrawn) && r.mayRunAgain() {
+		// The manifest that withdrew the version may permit another one. A request whose second version is withdrawn, too, is
+		// refused, so that the number of its attempts is bounded.
+		err = f.serveVersion(ctx, r, next)
+	}
+	return err
+}
+
+// serveVersion chooses the request's version by the manifest in force now and runs the request.
+func (f *chooseVersion) serveVersion(ctx context.Context, r *Request, next Next) error {
 	policy, err := currentPolicy(f.watcher)
 	if err != nil {
 		return err
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -150,9 +150,12 @@
 			return nil
 		}
 	}
-	return resultcode.New(resultcode.NoPermittedVersion, "version %s of %s was withdrawn meanwhile", r.Version.Name, r.Model)
+	return resultcode.Wrap(resultcode.NoPermittedVersion, errVersionWithdrawn, "version %s of %s was withdrawn meanwhile", r.Version.Name, r.Model)
 }
 
+// errVersionWithdrawn means that the version of a request was withdrawn between its choice and an attempt.
+var errVersionWithdrawn = errors.New("the version was withdrawn")
+
 func (f *dispatch) balanceRequest(r *Request, exclude []string) *balance.Request {
 	req := &balance.Request{Zone: f.zone, SessionID: r.Session.ID, Exclude: exclude}
 	if r.Kind == KindService {
