entry: calls that had begun were refused while the other upstreams stated when they accept requests

Cause: the refusal for backing-off upstreams was made for requests that haven't begun, and its time covered the upstream that the request had been sent to: as that one didn't back off, the refusal was that no upstream is in service, without a time.

Now failover.Progress.WaitsFor decides, and BackoffWait passes over excluded upstreams. No attempt is counted for the wait.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -198,11 +198,11 @@
 }
 
 // BackoffWait returns the time until the first of the upstreams that could serve
-// the request accepts one; ok is false unless all of them back off.
+// the request, without those in Exclude, accepts one; ok is false unless all of them back off.
 func (p *Pool) BackoffWait(req *Request) (wait time.Duration, ok bool) {
 	now := p.options.Clock()
 	list := LeavingFilter{}.Filter(req, VersionFilter{}.Filter(req, p.View(), now), now)
-	for _, u := range list {
+	for _, u := range (ExcludedFilter{}).Filter(req, list, now) {
 		w := u.Backoff.Wait(now)
 		if w == 0 {
 			return 0, false
--- a/internal/entry/begunpaths_test.go
+++ b/internal/entry/begunpaths_test.go
@@ -170,3 +170,48 @@
 		is.Equal(r.Sink.Text(), "v2")
 	}
 }
+
+// A repeatable call whose engine broke off was refused at once while the only other engine accepted no requests for a stated time
+// that was far shorter than the time left. A call that hasn't begun is refused with the stated time, and a call without enough time
+// left is refused at once.
+func TestBegunCallIsRefusedWhileTheOtherEngineBacksOff(t *testing.T) {
+	const backoff = 100 * time.Millisecond
+	tests := []struct {
+		desc     string
+		first    error
+		timeLeft time.Duration
+		attempts int
+		code     resultcode.Code
+	}{
+		{"begun", upstream.ErrBroken, time.Minute, 2, resultcode.OK},
+		{"begun, no time left", upstream.ErrBroken, backoff, 1, resultcode.NoUpstream},
+		{"not run", &upstream.StatusError{Status: 503, NotRun: true, RetryAfter: time.Minute}, time.Minute, 1, resultcode.UpstreamsBackingOff},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			is := is.New(t)
+			var h *routedHost
+			attempts := 0
+			h = newRoutedHost(t, func(target upstream.Target, _ upstream.Call) error {
+				if attempts++; attempts > 1 {
+					return nil
+				}
+				for _, id := range []string{"a", "b"} {
+					if id != target.ID || tt.desc == "not run" {
+						h.pool.SetBackoff(id, backoff)
+					}
+				}
+				return tt.first
+			})
+			r := h.request(true)
+			r.Deadline = time.Now().Add(tt.timeLeft)
+			err := h.serve(t.Context(), r)
+			if tt.code == resultcode.OK {
+				is.NoErr(err)
+			} else {
+				is.Equal(resultcode.FromError(err).Code, tt.code)
+			}
+			is.Equal(attempts, tt.attempts)
+		})
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -61,6 +61,9 @@
 		case err == nil:
 			f.plannedStop.ObserveRequest(r.poolName(), time.Since(began))
 			return nil
+		case errors.As(err, &refused) && f.awaitUpstream(ctx, r, refused, exclude):
+			attempt-- // nothing was sent
+			continue
 		case errors.As(err, &refused):
 			return refused.error
 		}
@@ -134,6 +137,22 @@
 	return e
 }
 
+// minUpstreamWait is the shortest time for which a request waits until an upstream accepts it.
+const minUpstreamWait = 20 * time.Millisecond
+
+// awaitUpstream waits until an upstream that the request wasn't sent to is expected to accept it, if the request has begun and was
+// refused since all of these back off. It returns false if none is expected in time.
+func (f *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error, exclude []string) bool {
+	if code := resultcode.FromError(refusal).Code; code != resultcode.NoUpstream && code != resultcode.UpstreamsBackingOff {
+		return false
+	}
+	expected, ok := f.pool.BackoffWait(f.balanceRequest(r, exclude))
+	if !ok || !r.progress().WaitsFor(expected, f.plannedStop.TimeLeft(r.Deadline, time.Now())) {
+		return false
+	}
+	return wait.For(ctx, max(expected, minUpstreamWait)) == nil
+}
+
 // checkPermitted returns an error if a manifest that came into force after the
 // version was chosen no longer permits it.
 func (f *dispatch) checkPermitted(r *Request) error {
