entry: sound answers that the sink didn't take counted as broken ones

A request whose step of a cascade answered with more than the 4 MiB that are buffered was sent to two further engines for the same answer; the version and the engines were charged with failures each time. The same holds for a caller whose connection fails a write before its request's context ends, but for the further attempts.

Cause: the error of the sink was returned like one of the stream, and only the end of the context told a caller that left from an upstream that broke off.

Now such an attempt isn't made again, counts as abandoned for the quarantine and as no failure of the upstream or the version.

--- a/internal/entry/attempterror.go
+++ b/internal/entry/attempterror.go
@@ -71,7 +71,7 @@
 func countsAgainstVersion(ctx context.Context, err error) bool {
 	var status *upstream.StatusError
 	switch {
-	case err == nil, ctx.Err() != nil, errors.Is(err, upstream.ErrNotSent):
+	case err == nil, ctx.Err() != nil, errors.Is(err, upstream.ErrNotSent), errors.Is(err, errNotTaken):
 		return false
 	case errors.As(err, &status):
 		return !isRefusal(status)
--- a/internal/entry/begunpaths_test.go
+++ b/internal/entry/begunpaths_test.go
@@ -215,3 +215,28 @@
 		})
 	}
 }
+
+// failingSink is a sink that takes no frame: its caller has left, or its buffer is full.
+type failingSink struct{ bufferSink }
+
+// Frame implements Sink.
+func (*failingSink) Frame(*Request, upstream.Frame) error { return errBufferFull }
+
+// A sound answer that the sink didn't take, because a cascade's buffer was full or the write to the caller failed before its request's
+// context ended, was taken for an answer that broke off: the request was sent to two further engines, and the version and the
+// engines were charged with failures.
+func TestAnswerThatTheSinkRejectsIsTakenForABrokenOne(t *testing.T) {
+	is := is.New(t)
+	attempts := 0
+	h := newRoutedHost(t, func(upstream.Target, upstream.Call) error { attempts++; return nil })
+	r := h.request(true)
+	r.Sink = &failingSink{}
+	err := h.serve(t.Context(), r)
+	is.Equal(resultcode.FromError(err).Code, resultcode.CallerGone)
+	is.Equal(attempts, 1)
+	is.True(!r.Faulted)
+	is.True(r.brokenUpstream == nil)
+	for _, u := range h.pool.View() {
+		is.Equal(u.ErrorRate, 0.0)
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -231,6 +231,9 @@
 // and the sending of the request.
 var errUpstreamLeft = errors.New("the upstream accepts no requests by now")
 
+// errNotTaken means that the sink didn't take a part of the answer, which is no fault of the upstream's.
+var errNotTaken = errors.New("the answer wasn't taken")
+
 // run sends the request and records how far it may have progressed.
 func (f *dispatch) run(ctx context.Context, r *Request) (err error) {
 	var attempt runstate.Tracker
@@ -298,7 +301,7 @@
 			r.FirstFrame = time.Now()
 		}
 		if err := r.Sink.Frame(r, frame); err != nil {
-			return resultcode.Wrap(resultcode.CallerGone, err, "the caller left")
+			return resultcode.Wrap(resultcode.CallerGone, errors.Join(errNotTaken, err), "the caller left")
 		}
 	}
 }
@@ -324,7 +327,7 @@
 
 func (f *dispatch) balanceOutcome(ctx context.Context, r *Request, started time.Time, err error) balance.Outcome {
 	var status *upstream.StatusError
-	o := balance.Outcome{Failed: err != nil && ctx.Err() == nil, SentAt: started, Withheld: errors.Is(err, upstream.ErrWithheld)}
+	o := balance.Outcome{Failed: err != nil && ctx.Err() == nil && !errors.Is(err, errNotTaken), SentAt: started, Withheld: errors.Is(err, upstream.ErrWithheld)}
 	if errors.As(err, &status) {
 		o.Leaving = status.Leaving
 		o.Refused = true
@@ -343,7 +346,7 @@
 	switch {
 	case ctx.Err() != nil, attempt >= maxAttempts, r.Sink.Started(), f.guard.VerdictDue(r.digest):
 		return false
-	case !r.mayRunAgain():
+	case !r.mayRunAgain(), errors.Is(err, errNotTaken):
 		return false
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errUpstreamLeft):
 		return true
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -202,7 +202,7 @@
 		return guard.Unreachable
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errUpstreamLeft):
 		return guard.NotRun
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errNotTaken):
 		return guard.Abandoned
 	case responsecheck.IsInvalid(err):
 		return guard.Answered // the upstream goes on
