--- a/internal/e2e/stopbegun_test.go
+++ b/internal/e2e/stopbegun_test.go
@@ -122,7 +122,7 @@
 			o := <-ended
 			is.NoErr(o.err)
 			checkChat(t, o.answer, "large", "what is lot 7")
-			is.Equal(findField(h.output(), "event=request ", "attempts="), "2")
+			is.Equal(h.waitForField("event=request ", "attempts="), "2")
 			<-h.done
 			is.NoErr(h.err)
 		})
@@ -133,16 +133,28 @@
 // got an error. It gets the cheap answer and pays for that step. A repeat with the same key runs again, since the keys of
 // requests that may be repeated have no claim, and adds no second bill.
 func TestCascadeAnswerIsLostAtTheEndOfAPlannedStop(t *testing.T) {
-	for _, stream := range []bool{false, true} {
-		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+	tests := []struct {
+		desc           string
+		stream, forced bool
+		stopTimeout    time.Duration
+	}{
+		{"whole answer", false, false, 2 * time.Second},
+		{"stream", true, false, 2 * time.Second},
+		{"second signal", false, true, time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
 			is := is.New(t)
-			s, h := startStoppableSystem(t, 2*time.Second)
+			s, h := startStoppableSystem(t, tt.stopTimeout)
 			bad := engine.VersionFault{Bad: true}
 			s.setEngineFaults(engine.Faults{Versions: map[string]engine.VersionFault{"small@v1": bad, "small@v2": bad, "large@v1": {Slow: 1e6}}})
-			c := chat("ask", "what is lot 7", stream).withDeadline(time.Minute).with("Quetzalweir-Request-Key", "key-7")
+			c := chat("ask", "what is lot 7", tt.stream).withDeadline(2*time.Minute).with("Quetzalweir-Request-Key", "key-7")
 			ended := sendInBackground(c, h)
 			s.engineWith("the last step runs", func(a engine.Arrival) bool { return a.Model == "large@v1" && a.Began > 0 })
 			s.beginStop(h)
+			if tt.forced {
+				h.signal(syscall.SIGTERM)
+			}
 			o := <-ended
 			is.NoErr(o.err)
 			is.Equal(o.status, http.StatusOK)
--- a/internal/entry/begunpaths_test.go
+++ b/internal/entry/begunpaths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
+	"github.com/quetzalweir/quetzalweir/cascade"
 	"github.com/quetzalweir/quetzalweir/config"
 	"github.com/quetzalweir/quetzalweir/config/configtest"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
@@ -240,3 +242,46 @@
 		is.Equal(u.ErrorRate, 0.0)
 	}
 }
+
+// A cascade of three steps has a whole answer of the first one, rated below the target or not rated. The errors of both later steps,
+// whatever refused or ended them, must not lose it.
+func TestCascadeLosesItsAnswerWhenBothLaterStepsFail(t *testing.T) {
+	for _, rating := range []float64{0.1, failedRating} {
+		for _, code := range []resultcode.Code{
+			resultcode.QueueFull, resultcode.DeadlineUnmeetable, resultcode.NoPermittedVersion, resultcode.ExposureSpent, resultcode.ConfigStale,
+			resultcode.HostStopping, resultcode.NoUpstream, resultcode.RequestQuarantined, resultcode.OutcomeUnknown, resultcode.AnswerIncomplete,
+		} {
+			is := is.New(t)
+			f, newRequest := newCascade(rating)
+			f.learner.Observe(cascade.Sample{Cascade: "c", Account: "a", Step: 0, Rating: 0.9, Latency: time.Millisecond}) // starts at the first step
+			if rating == failedRating {
+				f.rater = failingRater{}
+			}
+			r := newRequest(true)
+			r.Cascade.Steps = []string{"cheap", "dear", "dear"}
+			runs := 0
+			is.NoErr(f.Serve(t.Context(), r, func(_ context.Context, r *Request) error {
+				if runs++; runs > 1 {
+					return resultcode.New(code, "the step failed")
+				}
+				r.state.Raise(runstate.Ran)
+				return r.Sink.Frame(r, upstream.Frame{Text: r.Model})
+			}))
+			is.Equal(runs, 3)
+			is.Equal(r.Sink.Text(), "cheap")
+			is.Equal(r.Model, "cheap")
+			is.True(r.BelowTarget)
+		}
+	}
+}
+
+// failedRating stands for a rating that failed.
+const failedRating = -1
+
+// failingRater is a rater whose ratings fail.
+type failingRater struct{}
+
+// Rate implements storage.Rater.
+func (failingRater) Rate(context.Context, string, string, string, string) (storage.Rating, error) {
+	return storage.Rating{}, errors.New("the rater is down")
+}
