entry: an answer of a cascade had the epoch of a later step

Bills and headers of an answer that was sent because the steps after it failed named the manifest of the last step. If that manifest came into force between the steps and withdrew the answer's version, the bill showed a run of a withdrawn version that wasn't one.

Cause: a step sets the request's policy, and the answer in the buffer was restored with its model, version, upstream and usage only.

Evidence: TestCascadeAnswerHasTheEpochOfALaterStep failed (epoch 2 instead of 1) and passes; go test ./internal/entry passes.

Now the policy is restored, too.

--- a/internal/entry/begunpaths_test.go
+++ b/internal/entry/begunpaths_test.go
@@ -285,3 +285,25 @@
 func (failingRater) Rate(context.Context, string, string, string, string) (storage.Rating, error) {
 	return storage.Rating{}, errors.New("the rater is down")
 }
+
+// A manifest came into force between two steps of a cascade, and the last step failed. The answer of the first step was billed and sent
+// with the epoch of the new manifest, under which its version may be withdrawn, although it ran under the old one.
+func TestCascadeAnswerHasTheEpochOfALaterStep(t *testing.T) {
+	is := is.New(t)
+	f, newRequest := newCascade(0.1)
+	f.learner.Observe(cascade.Sample{Cascade: "c", Account: "a", Step: 0, Rating: 0.9, Latency: time.Millisecond}) // starts at the first step
+	r := newRequest(true)
+	ranUnder := r.Epoch()
+	runs := 0
+	is.NoErr(f.Serve(t.Context(), r, func(_ context.Context, r *Request) error {
+		if runs++; runs > 1 {
+			r.Policy = manifest.Compile(r.Policy.Document, ranUnder+1, "")
+			return resultcode.New(resultcode.NoUpstream, "the step failed")
+		}
+		r.state.Raise(runstate.Ran)
+		return r.Sink.Frame(r, upstream.Frame{Text: r.Model})
+	}))
+	is.Equal(runs, 2)
+	is.Equal(r.Sink.Text(), "cheap")
+	is.Equal(r.Epoch(), ranUnder)
+}
--- a/internal/entry/bufferedanswer.go
+++ b/internal/entry/bufferedanswer.go
@@ -13,18 +13,20 @@
 type bufferedAnswer struct {
 	sink    *bufferSink
 	score   float64
+	policy  *manifest.Policy
 	model   string
 	version manifest.Version
 	target  upstream.Target
 	usage   upstream.Usage
 }
 
-// newBufferedAnswer returns the answer with the model, version, upstream and usage
-// of the step that just ended.
+// newBufferedAnswer returns the answer with the policy, model, version, upstream and
+// usage of the step that just ended.
 func newBufferedAnswer(r *Request, sink *bufferSink, score float64) *bufferedAnswer {
 	return &bufferedAnswer{
 		sink:    sink,
 		score:   score,
+		policy:  r.Policy,
 		model:   r.Model,
 		version: r.Version,
 		target:  r.Target,
@@ -40,9 +42,10 @@
 	return a
 }
 
-// deliver writes the answer to the caller's sink. It sets the request's model,
+// deliver writes the answer to the caller's sink. It sets the request's policy, model,
 // version, upstream and usage to those of the step.
 func (a *bufferedAnswer) deliver(r *Request, caller Sink) error {
+	r.Policy = a.policy
 	r.Model = a.model
 	r.Version = a.version
 	r.Target = a.target
