--- a/internal/entry/begunpaths_test.go
+++ b/internal/entry/begunpaths_test.go
@@ -307,3 +307,32 @@
 	is.Equal(r.Sink.Text(), "cheap")
 	is.Equal(r.Epoch(), ranUnder)
 }
+
+// A cascade ran its next step although a planned stop would probably end it, and sent the whole answer that it had only at the end of
+// the stop. It sends the answer at once; without an answer, a request whose first step broke off goes on.
+func TestCascadeRunsAStepThatAStopWouldEnd(t *testing.T) {
+	for _, firstAnswers := range []bool{true, false} {
+		is := is.New(t)
+		f, newRequest := newCascade(0.1)
+		f.learner.Observe(cascade.Sample{Cascade: "c", Account: "a", Step: 0, Rating: 0.9, Latency: time.Millisecond}) // starts at the first step
+		r := newRequest(true)
+		runs := 0
+		is.NoErr(f.Serve(t.Context(), r, func(_ context.Context, r *Request) error {
+			r.state.Raise(runstate.Ran)
+			if runs++; runs == 1 {
+				f.plannedStop.Begin(time.Now().Add(time.Second)) // the time of the next step isn't known
+				if !firstAnswers {
+					return resultcode.New(resultcode.AnswerIncomplete, "the step failed")
+				}
+			}
+			return r.Sink.Frame(r, upstream.Frame{Text: r.Model})
+		}))
+		if firstAnswers {
+			is.Equal(runs, 1)
+			is.Equal(r.Sink.Text(), "cheap")
+			continue
+		}
+		is.Equal(runs, 2)
+		is.Equal(r.Sink.Text(), "dear")
+	}
+}
