cli: a second signal that followed the first at once was lost

An operator who sends a second SIGTERM to shorten a planned stop right after the first had to wait for its whole time.

Cause: the second signal was registered only after the first had ended the context. Signals are registered before the host runs now.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -75,21 +75,24 @@
 	}
 	finished, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
-	go forceStopOnSecondSignal(ctx, finished, host)
+	// Registered before the first signal, since a second one may follow at once.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go forceStopOnSecondSignal(signals, finished, host)
 	return host.Run(ctx)
 }
 
-// forceStopOnSecondSignal forces the host to stop if a second signal arrives
-// during the planned stop. ctx ends at the first signal, and finished ends when
-// the host has stopped.
-func forceStopOnSecondSignal(ctx, finished context.Context, host *entry.Host) {
-	<-ctx.Done()
-	secondSignal, stop := signal.NotifyContext(finished, os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	<-secondSignal.Done()
-	if finished.Err() == nil {
-		host.ForceStop()
+// forceStopOnSecondSignal forces the host to stop at the second signal, unless the host has stopped before, when finished ends.
+func forceStopOnSecondSignal(signals <-chan os.Signal, finished context.Context, host *entry.Host) {
+	for range 2 {
+		select {
+		case <-signals:
+		case <-finished.Done():
+			return
+		}
 	}
+	host.ForceStop()
 }
 
 func (c *serveCmd) logger(s *streams) zerolog.Logger {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -147,7 +147,7 @@
 		return false
 	}
 	expected, ok := f.pool.BackoffWait(f.balanceRequest(r, exclude))
-	if !ok || !r.progress().WaitsFor(expected, f.plannedStop.TimeLeft(r.Deadline, time.Now())) {
+	if !ok || !r.progress().ShouldWait(expected, f.plannedStop.TimeLeft(r.Deadline, time.Now())) {
 		return false
 	}
 	return wait.For(ctx, max(expected, minUpstreamWait)) == nil
