e2e: the soak breaks, silences and slows streams during planned stops that overlap

checkStops compares the answers of callers with the arrivals and runs at upstreams, for all seeds: a repeatable request that began to run isn't cut off or answered 502 in a stop of its host before 500 ms from the end of grace_s, unless its deadline passed, three upstreams were reached, the host's paths were cut, its retries were more than three quarters of its requests, or no other upstream was certainly free. What excuses a request is logged for each.

--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -103,6 +103,11 @@
 	// one another quickly.
 	probe      *documentProbe
 	seriesRand *rand.Rand
+	// streamFaults is what happens to streams, and planned stops that overlap; nil if the seed has neither.
+	streamFaults *soakStreams
+	// stopsOf holds the planned stops of each host, by its name. limiting holds the upstreams that ever send a limit.
+	stopsOf  map[string][]interval
+	limiting []*platformtest.Upstream
 	// interruptions are the times at which a host was restarted or paused, by the host's name.
 	interruptions map[string][]interval
 	// disturbances are the times of all faults that may keep engines from being used.
@@ -137,6 +142,7 @@
 				noticeRand:    rand.New(rand.NewPCG(seed, 6)),
 				formRand:      rand.New(rand.NewPCG(seed, 11)),
 				interruptions: make(map[string][]interval),
+				stopsOf:       make(map[string][]interval),
 				crashed:       make(chan *platformtest.Upstream, 1000),
 				leftAt:        make(map[string]time.Time),
 				newestRoute:   "many",
@@ -144,12 +150,15 @@
 			}
 			s.probe = newDocumentProbe(s.gatewaySystem)
 			if s.paths != nil {
-				s.pathFaults = &soakPaths{rand: rand.New(rand.NewPCG(seed, 9)), lost: make(map[string][]interval)}
+				s.pathFaults = &soakPaths{rand: rand.New(rand.NewPCG(seed, 9)), lost: make(map[string][]interval), cut: make(map[string][]interval)}
 			}
 			s.poisonsByPart, s.enginesAreBrittle = hasVariedFaults(seed), hasVariedFaults(seed)
 			if seed >= firstContendedSeed {
 				s.contend(seed)
 			}
+			if hasStreamFaults(seed) {
+				s.drawStreams(seed)
+			}
 			s.run()
 			s.check()
 			if t.Failed() {
@@ -209,6 +218,7 @@
 	s.scheduleLeaving(poisoned)
 	s.scheduleRejections()
 	s.startContendedCallers(&callers, stop)
+	s.startStreamCallers(&callers, stop)
 	version := 10
 	if s.restoreRand.IntN(2) == 0 {
 		callers.Go(func() { s.restoreBackups(stop) })
@@ -220,6 +230,7 @@
 			s.newDocument(version)
 		}
 		s.injectContention()
+		s.stopHosts(&version)
 		s.replaceCrashed()
 		time.Sleep(time.Duration(50+s.faultRand.IntN(250)) * time.Millisecond)
 	}
@@ -265,6 +276,7 @@
 	}
 	for range 2 {
 		u, limit := s.upstreams[s.limitRand.IntN(len(s.upstreams))], fmt.Sprint(s.limitRand.IntN(5))
+		s.limiting = append(s.limiting, u)
 		from := after(3000, func() { u.SetLimit(limit) })
 		until := after(3000, func() { u.SetLimit("") })
 		s.logFault("upstream %s sends the limit %s from %v to %v", u.ID, limit, from, until)
@@ -275,7 +287,7 @@
 	}
 	from := after(3000, func() { u.SetLimit(fmt.Sprint(soakLimit)) })
 	s.logFault("upstream %s sends a limit from %v on", u.ID, from)
-	s.limited = u
+	s.limited, s.limiting = u, append(s.limiting, u)
 }
 
 // scheduleLeaving makes up to three added upstreams state in their answers that they are leaving,
@@ -417,7 +429,7 @@
 				s.crashOnPoison(added)
 				if u == s.limited {
 					added.SetLimit(fmt.Sprint(soakLimit))
-					s.limited = added
+					s.limited, s.limiting = added, append(s.limiting, added)
 				}
 			}
 		default:
@@ -601,6 +613,7 @@
 	_ = h.terminate()
 	s.mu.Lock()
 	s.plannedStops = append(s.plannedStops, interval{began, time.Now()})
+	s.stopsOf[h.name] = append(s.stopsOf[h.name], interval{began, time.Now()})
 	s.mu.Unlock()
 	s.startGateway(h)
 	s.recordInterruption(h, began, time.Now())
@@ -664,6 +677,9 @@
 	}
 	for _, u := range s.upstreams {
 		u.SetFault(platformtest.NoFault, 1)
+		if s.streamFaults != nil {
+			u.SetPause(soakEventPause) // streams that take a second would make the checks after the faults take minutes
+		}
 	}
 }
 
@@ -696,6 +712,7 @@
 	}
 	s.checkContention()
 	s.checkBrittle()
+	s.checkStops()
 	if s.pathFaults != nil {
 		s.checkPaths()
 	}
--- a/internal/e2e/soakpaths_test.go
+++ b/internal/e2e/soakpaths_test.go
@@ -14,6 +14,8 @@
 	// lost holds the times during which hosts had no path to upstreams, by the host's name, from when on
 	// they must serve.
 	lost map[string][]interval
+	// cut holds the times from each interruption of a host's paths until the host has recovered from it.
+	cut map[string][]interval
 }
 
 // hasSoakPaths reports whether a seed's hosts reach the upstreams through relays. A relay accepts
@@ -62,13 +64,15 @@
 		began := time.Now()
 		s.paths.interrupt(how, cut...)
 		ended := sleep(duration)
-		if lost := time.Now(); lost.Sub(began) > pathRecoveryTime {
-			s.mu.Lock()
-			for _, h := range cut {
+		lost := time.Now()
+		s.mu.Lock()
+		for _, h := range cut {
+			p.cut[h.name] = append(p.cut[h.name], interval{began, lost.Add(pathRecoveryTime)})
+			if lost.Sub(began) > pathRecoveryTime {
 				p.lost[h.name] = append(p.lost[h.name], interval{began.Add(pathRecoveryTime), lost})
 			}
-			s.mu.Unlock()
 		}
+		s.mu.Unlock()
 		s.paths.interrupt(pathUsable)
 		if !ended {
 			return
