e2e: an attempt that a crash ended before it arrived counts as one in the soak's check of stops

The host's log shows six: two arrived, three were refused connections, which don't count, and one was reset by an upstream that crashed before it recorded the arrival. checkStops now adds the upstreams that crashed during the request and hadn't recorded its arrival.

--- a/internal/e2e/contendedsoak_test.go
+++ b/internal/e2e/contendedsoak_test.go
@@ -152,6 +152,7 @@
 		if err := u.Restart(); err != nil {
 			s.t.Error(err)
 		}
+		s.recordCrash(u)
 		s.store.Put("servers", u.ID, u.Entry("available"))
 	}
 }
--- a/internal/e2e/gatewaysoak_test.go
+++ b/internal/e2e/gatewaysoak_test.go
@@ -106,7 +106,9 @@
 	// streamFaults is what happens to streams, and planned stops that overlap; nil if the seed has neither.
 	streamFaults *soakStreams
 	// stopsOf holds the planned stops of each host, by its name. limiting holds the upstreams that ever send a limit.
-	stopsOf  map[string][]interval
+	stopsOf map[string][]interval
+	// crashes are the times at which upstreams crashed.
+	crashes  []upstreamCrash
 	limiting []*platformtest.Upstream
 	// interruptions are the times at which a host was restarted or paused, by the host's name.
 	interruptions map[string][]interval
@@ -406,6 +408,7 @@
 func (s *soak) crashOnPoison(u *platformtest.Upstream) {
 	onCrash := func() {
 		s.crashCount.Add(1)
+		s.recordCrash(u)
 		s.recordHarmfulFault(time.Second)
 		s.crashed <- u
 	}
@@ -657,6 +660,7 @@
 		s.logFault("upstream %s crashes", old.ID)
 		s.recordHarmfulFault(time.Second)
 		old.Kill()
+		s.recordCrash(old)
 		time.AfterFunc(time.Second, func() { s.store.Remove("servers", old.ID) })
 		return
 	}
