--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,8 +63,9 @@
 	idleTimer  *idleTimer
 	sealedCall *sealedconn.Call
 	// cancel ends the attempt with a cause. It is set when the attempt is sent.
-	cancel   context.CancelCauseFunc
-	end      runEnd
+	cancel context.CancelCauseFunc
+	// runEnd is the decision to end the run in favor of a successor.
+	runEnd   runEnd
 	runState runstate.Tracker
 	// headCounted is set when the head of a stream was counted as an answer of its version.
 	headCounted bool
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/responsecheck"
 )
@@ -77,31 +78,17 @@
 	return r.outcome == outcomeAbandoned && !r.neverSent && !errors.Is(r.err, errLowConfidence) && !errors.Is(r.err, errStreamMoved)
 }
 
-// hostEnd is why the gateway ended a run that may still have been good.
-type hostEnd string
-
-const (
-	// hostEndNone: the gateway didn't end the run, or its caller left, or the deadline passed.
-	hostEndNone hostEnd = ""
-	// hostEndSilence: the upstream sent nothing for too long.
-	hostEndSilence hostEnd = "silence"
-	// hostEndMove: the stream was moved to another engine.
-	hostEndMove hostEnd = "move"
-	// hostEndConfidence: the answer is dropped for that of a better model.
-	hostEndConfidence hostEnd = "confidence"
-)
-
-// hostEnd returns why the gateway ended the run.
-func (r *attemptResult) hostEnd() hostEnd {
+// endReason returns why the gateway ended a run that may still have been good; empty if it didn't.
+func (r *attemptResult) endReason() failover.Reason {
 	switch {
 	case errors.Is(r.err, errResponseTimeout):
-		return hostEndSilence
+		return failover.Silence
 	case errors.Is(r.err, errStreamMoved):
-		return hostEndMove
+		return failover.Move
 	case errors.Is(r.err, errLowConfidence):
-		return hostEndConfidence
+		return failover.Confidence
 	}
-	return hostEndNone
+	return ""
 }
 
 // isOverlong reports whether the gateway gave up reading an answer because it was too long.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -135,8 +135,10 @@
 		}
 	}()
 	mayRefuse := r.progress().MayRefuse()
-	if err := d.memoryRefusal(r); err != nil && mayRefuse {
-		return attemptResult{}, err
+	if mayRefuse {
+		if err := d.memoryRefusal(r); err != nil {
+			return attemptResult{}, err
+		}
 	}
 	held, err := d.hold(ctx, r, models)
 	if err != nil {
@@ -150,8 +152,10 @@
 			return attemptResult{}, err
 		}
 	}
-	if err := d.lateRefusal(r); err != nil && mayRefuse {
-		return attemptResult{}, err
+	if mayRefuse {
+		if err := d.lateRefusal(r); err != nil {
+			return attemptResult{}, err
+		}
 	}
 	a, err := d.startAttempt(r, models)
 	if err != nil {
@@ -390,7 +394,7 @@
 		return true
 	}
 	next := a.reserveSuccessor(failover.Confidence, models.next(), true)
-	return next == nil || !next.begin()
+	return next == nil || !next.commit()
 }
 
 // shouldRetry reports whether another attempt is permitted: the request didn't run or may be
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -110,7 +110,7 @@
 	if a.relayHost != "" {
 		line.Str("relay", a.relayHost)
 	}
-	d.logHostEnd(line, a, &result)
+	d.logEndReason(line, a, &result)
 	a.choice.engine.log(line)
 	if fault := result.answerFault(); fault != "" {
 		g.metrics.countBrokenAnswer(r.Service, fault)
--- a/internal/gateway/idletimer.go
+++ b/internal/gateway/idletimer.go
@@ -53,6 +53,7 @@
 	t.waiting = false
 	t.timer.Stop()
 	t.mu.Unlock()
+	// A decision in progress holds this lock.
 	t.deciding.Lock()
 	defer t.deciding.Unlock()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/egress"
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/internal/feed"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
@@ -128,9 +129,9 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
-// countHostEnd counts a run that the gateway ended though it may still have been good.
-func (m *gatewayMetrics) countHostEnd(service string, end hostEnd) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, end)).Inc()
+// countEndedRun counts a run that the gateway ended though it may still have been good.
+func (m *gatewayMetrics) countEndedRun(service string, reason failover.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, reason)).Inc()
 }
 
 // countUpstreamWait counts a request that waits until an upstream accepts its next attempt.
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -232,7 +232,7 @@
 // the lock.
 func (m *streamMover) setMoved(next *successor, stream *streampace.Stream, sit streampace.Situation, reason streampace.Reason) bool {
 	next.moved = true
-	if !next.begin() {
+	if !next.commit() {
 		return false
 	}
 	m.moved = true
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -21,28 +21,28 @@
 
 // runEnd is the decision to end a run. The silence timer and the mover may make it at the same time.
 type runEnd struct {
-	mu   sync.Mutex
-	made bool
+	mu      sync.Mutex
+	decided bool
 }
 
-// isMade reports whether the decision was made.
-func (e *runEnd) isMade() bool {
+// isDecided reports whether the run is ended.
+func (e *runEnd) isDecided() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.made
+	return e.decided
 }
 
-// begin makes the request continue with the successor. It returns false, and releases the successor, if the run was ended
+// commit makes the request continue with the successor. It returns false, and releases the successor, if the run was ended
 // before. The caller ends the run.
-func (s *successor) begin() bool {
-	end := &s.run.end
+func (s *successor) commit() bool {
+	end := &s.run.runEnd
 	end.mu.Lock()
 	defer end.mu.Unlock()
-	if end.made {
+	if end.decided {
 		s.release()
 		return false
 	}
-	end.made = true
+	end.decided = true
 	s.run.request.successor = s
 	return true
 }
@@ -50,7 +50,7 @@
 // replaceRun ends the run with the cause and makes the request continue with the successor. It returns false, and releases the
 // successor, if the run was ended before.
 func (s *successor) replaceRun(cause error) bool {
-	if !s.begin() {
+	if !s.commit() {
 		return false
 	}
 	s.run.cancel(cause)
@@ -93,7 +93,7 @@
 // reserveSuccessor reserves the attempt that follows the run on the given model, if the run may be ended for the reason and an
 // upstream and a retry are available; nil otherwise.
 func (a *attempt) reserveSuccessor(reason failover.Reason, model string, bestModel bool) *successor {
-	if a.end.isMade() || !a.mayEndRun(reason) {
+	if a.runEnd.isDecided() || !a.mayEndRun(reason) {
 		return nil
 	}
 	g, r := a.gateway, a.request
