--- a/internal/guard/admit.go
+++ b/internal/guard/admit.go
@@ -133,12 +133,11 @@
 }
 
 // VerdictDue reports whether the request or one of its parts has enough events for a verdict, which is
-// then due soon, and, if it is a part, can be told from what all requests have in common. This host doesn't retry such a
-// request at another upstream.
+// then due soon. This host doesn't retry such a request at another upstream.
 func (g *Guard) VerdictDue(d quarantine.Digest, parts ...quarantine.Digest) bool {
 	now := boottime.Elapsed()
 	return slices.ContainsFunc(append([]quarantine.Digest{d}, parts...), func(d quarantine.Digest) bool {
-		return quarantine.Suspect{Digest: d, Events: g.eventCount(d, now)}.MeetsThreshold() && g.tracker.HasContrast(d, now)
+		return quarantine.Suspect{Digest: d, Events: g.eventCount(d, now)}.MeetsThreshold()
 	})
 }
 
