failover, gateway, entry: one constant for the shortest wait, and comments, after a last reading; behaviour unchanged

Both front doors had a minUpstreamWait of their own with the same value; it is failover.MinWait now. Comments name a run that may still succeed.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -27,13 +27,17 @@
 // answer, or leave its caller without knowing whether it ran. Such a request goes on until it has no attempt, upstream or time left.
 func (p Progress) MayRefuse() bool { return !p.HasBegun() && !p.Reserved }
 
+// MinWait is the shortest time for which a request waits for an upstream, so that it doesn't try again and again where one is expected
+// to accept it within microseconds.
+const MinWait = 20 * time.Millisecond
+
 // ShouldWait reports whether a request that has no answer yet and for which no upstream is available waits until one is expected to
 // accept it, after the given time; 0 if none is expected. A request that hasn't begun is refused with that time instead.
 func (p Progress) ShouldWait(retryAfter, timeLeft time.Duration) bool {
 	return p.HasBegun() && retryAfter > 0 && retryAfter+MinAttemptTime <= timeLeft
 }
 
-// Reason is why a run that may still be good is ended.
+// Reason is why a run that may still succeed is ended.
 type Reason string
 
 const (
@@ -63,7 +67,7 @@
 	EndsBeforeStop bool
 }
 
-// MayEndRun reports whether a run that may still be good may be ended for the reason if the successor is reserved.
+// MayEndRun reports whether a run that may still succeed may be ended for the reason if the successor is reserved.
 func MayEndRun(reason Reason, s Successor) bool {
 	if !runstate.Ran.MayRunAgain(s.Repeatable) || !s.AttemptsLeft || s.Quarantined || s.TimeLeft < MinAttemptTime {
 		return false
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -33,7 +33,7 @@
 	is.True(!failover.Progress{}.ShouldWait(time.Second, 2*time.Second))
 }
 
-// A run that may still be good must not be ended if the request would get no further attempt.
+// A run that may still succeed must not be ended if the request would get no further attempt.
 func TestRunIsEndedWithoutASuccessor(t *testing.T) {
 	sure := failover.Successor{Repeatable: true, AttemptsLeft: true, TimeLeft: time.Second, EndsBeforeStop: true}
 	without := map[string]func(*failover.Successor){
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalweir/quetzalweir/admission"
 	"github.com/quetzalweir/quetzalweir/balance"
 	"github.com/quetzalweir/quetzalweir/config"
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/intake"
 	"github.com/quetzalweir/quetzalweir/internal/guard"
 	"github.com/quetzalweir/quetzalweir/internal/plannedstop"
@@ -137,9 +138,6 @@
 	return e
 }
 
-// minUpstreamWait is the shortest time for which a request waits until an upstream accepts it.
-const minUpstreamWait = 20 * time.Millisecond
-
 // awaitUpstream waits until an upstream that the request wasn't sent to is expected to accept it, if the request has begun and was
 // refused since all of these back off. It returns false if none is expected in time.
 func (f *dispatch) awaitUpstream(ctx context.Context, r *Request, refusal error, exclude []string) bool {
@@ -150,7 +148,7 @@
 	if !ok || !r.progress().ShouldWait(expected, f.plannedStop.TimeLeft(r.Deadline, time.Now())) {
 		return false
 	}
-	return wait.For(ctx, max(expected, minUpstreamWait)) == nil
+	return wait.For(ctx, max(expected, failover.MinWait)) == nil
 }
 
 // checkPermitted returns an error if a manifest that came into force after the
--- a/internal/gateway/attemptresult.go
+++ b/internal/gateway/attemptresult.go
@@ -78,7 +78,7 @@
 	return r.outcome == outcomeAbandoned && !r.neverSent && !errors.Is(r.err, errLowConfidence) && !errors.Is(r.err, errStreamMoved)
 }
 
-// endReason returns why the gateway ended a run that may still have been good; empty if it didn't.
+// endReason returns why the gateway ended a run that might have succeeded; empty if it didn't.
 func (r *attemptResult) endReason() failover.Reason {
 	switch {
 	case errors.Is(r.err, errResponseTimeout):
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -126,7 +126,7 @@
 
 // reserve chooses an upstream other than avoid, which may be empty, for an attempt that follows a run, and counts the request as in
 // flight there until the caller calls release. Unlike choose, it never falls back to an upstream that is ejected, rejects requests or was
-// removed: the run may still be good. It returns false if no upstream is available or charge returns false.
+// removed: the run may still succeed. It returns false if no upstream is available or charge returns false.
 func (f *Fleet) reserve(crit criteria, avoid string, charge func() bool) (choice, bool) {
 	now := boottime.Now()
 	s := f.shard(crit.service)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -97,9 +97,6 @@
 	}
 }
 
-// minUpstreamWait keeps requests from trying again and again where the time until an upstream accepts them is a few microseconds.
-const minUpstreamWait = 20 * time.Millisecond
-
 // awaitUpstream waits until an upstream is expected to accept a request that was refused an attempt for the lack of one. It returns
 // false if the request doesn't wait, or ended meanwhile. A complete failure of the previous attempt is answered at once.
 func (d *dispatch) awaitUpstream(ctx context.Context, r *Request, previous *attemptResult, refusal error) bool {
@@ -108,7 +105,7 @@
 		return false
 	}
 	d.gateway.metrics.countUpstreamWait(r.Service)
-	return wait.For(ctx, max(none.wait, minUpstreamWait)) == nil
+	return wait.For(ctx, max(none.wait, failover.MinWait)) == nil
 }
 
 // endWithoutUpstream ends a request for whose next attempt no upstream is available: with the
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -129,7 +129,7 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
-// countEndedRun counts a run that the gateway ended though it may still have been good.
+// countEndedRun counts a run that the gateway ended though it might have succeeded.
 func (m *gatewayMetrics) countEndedRun(service string, reason failover.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, reason)).Inc()
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/quetzalweir/quetzalweir/failover"
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
 	"github.com/quetzalweir/quetzalweir/notice"
@@ -165,7 +166,7 @@
 	if s.brittle.Active(now) && s.hasBrittleSlotsSoon(regions, now) {
 		wait = min(wait, exchange.EngineLoadsAge)
 	}
-	return max(wait, minUpstreamWait)
+	return max(wait, failover.MinWait)
 }
 
 // setLeaving records that the upstream is leaving. It stays so until it restarts, whatever a later
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -8,7 +8,7 @@
 	"github.com/quetzalweir/quetzalweir/runstate"
 )
 
-// successor is the attempt that follows a run which the gateway ends though it may still be good. Its upstream and its retry
+// successor is the attempt that follows a run which the gateway ends though it may still succeed. Its upstream and its retry
 // are reserved before the run is ended, so that nothing refuses it afterwards.
 type successor struct {
 	run    *attempt
