gateway: logs and metrics of what a new version is sent and of its answers by load, during a roll-out and after its completion

rollout-sent, at each end of a roll-out, has the requests sent to the new version and to all, the permitted number, and its answers by the slots in use of their upstream. completed-version-fails reports failures after a completion, at 3, 6, 12 and so on. version_answers_total counts them. attempt lines have the estimated requests at the upstream. Logic unchanged.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -98,6 +98,23 @@
 	// events at the beginning of streams.
 	FirstEvents VersionTimes `json:"first,omitzero"`
 	EventGaps   VersionTimes `json:"gaps,omitzero"`
+	// Sent counts the requests that were sent to upstreams of the service since the order.
+	Sent SentCounts `json:"sent,omitzero"`
+	// Loads holds the new version's answers by the load of their upstream.
+	Loads LoadCounts `json:"loads,omitzero"`
+}
+
+// SentCounts holds numbers of requests that were sent to upstreams. A request that is sent again counts again.
+type SentCounts struct {
+	// All is the number of requests sent to upstreams of any version, New of those sent to the new one.
+	All int `json:"all"`
+	New int `json:"new"`
+}
+
+// Add adds another host's counts.
+func (c *SentCounts) Add(o SentCounts) {
+	c.All += o.All
+	c.New += o.New
 }
 
 // add adds the counts of other hosts.
@@ -106,6 +123,8 @@
 	e.BelowFullLoad += o.BelowFullLoad
 	e.FirstEvents.Add(o.FirstEvents)
 	e.EventGaps.Add(o.EventGaps)
+	e.Sent.Add(o.Sent)
+	e.Loads.Add(o.Loads)
 	for route, counts := range o.Routes {
 		sum := e.Routes[route]
 		sum.Add(counts)
--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -185,6 +185,11 @@
 // unknownLoadAge is the age of the load of an upstream that no data is known of.
 const unknownLoadAge = time.Hour
 
+// estimatedRequests returns the number of requests at the upstream by the newest data on it.
+func (m *member) estimatedRequests(now time.Time) float64 {
+	return m.brittleLoad(now).others + float64(m.inFlight)
+}
+
 // brittleLoad returns the newest data on the upstream's load.
 func (m *member) brittleLoad(now time.Time) brittleLoad {
 	s := m.shard
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -56,6 +56,8 @@
 	chosenAt time.Time
 	// brittle is the data by which the request was permitted if the upstream is brittle.
 	brittle brittleDecision
+	// requests is the estimated number of requests at the upstream, running and waiting, without this one.
+	requests float64
 }
 
 // criteria are the inputs of the choice of an upstream.
@@ -152,6 +154,7 @@
 	c.load = m.load(now)
 	c.loadSource, c.loadAge = m.loadSource(now)
 	c.brittle = m.brittleDecision(now)
+	c.requests = m.estimatedRequests(now)
 	m.startRequest(c)
 	m.recordSent(now)
 }
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -65,6 +65,10 @@
 	// remoteEventGaps those that the other hosts counted.
 	ownFirstEvents, ownEventGaps       exchange.VersionTimes
 	remoteFirstEvents, remoteEventGaps exchange.VersionTimes
+	// ownSent and ownLoads hold what this host counted, remoteSent and remoteLoads the sums of what the other
+	// hosts counted.
+	ownSent, remoteSent   exchange.SentCounts
+	ownLoads, remoteLoads exchange.LoadCounts
 	// pending holds the attempts under way that have no first event yet.
 	pending map[*choice]pendingAnswer
 	// cutOffAt holds for each upstream, by id, the time of the last counted answer that it cut off.
@@ -218,6 +222,7 @@
 func (e *evidence) setRemote(sum exchange.Evidence) {
 	e.remoteRoutes, e.remoteHosts, e.remoteBelowFullLoad = sum.Routes, sum.Hosts, sum.BelowFullLoad
 	e.remoteFirstEvents, e.remoteEventGaps = sum.FirstEvents, sum.EventGaps
+	e.remoteSent, e.remoteLoads = sum.Sent, sum.Loads
 }
 
 // ownCounts returns the numbers of answers that this host counted per version, by route.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,7 @@
 	g.fleet.policy.coldOverrun, g.fleet.policy.coldHeadroom = s.ColdOverrun, s.ColdHeadroom
 	g.fleet.policy.engineState = s.Features.EngineState
 	g.rollouts = newRollouts(s, g.fleet, log)
+	g.rollouts.countAnswer = g.metrics.countVersionAnswer
 	g.retryBudgets.make = func() *retryBudget { return newRetryBudget(retryMargin*s.RetryRatio, s.RetryWindow, g.spareRetries) }
 	g.responseTimes.make = func() *meanTime { return new(meanTime) }
 	g.streamPauses.make = func() *meanTime { return new(meanTime) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -129,6 +129,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`quetzalweir_gateway_attempt_seconds{service=%q}`, r.Service)).Update(took.Seconds())
 }
 
+// countVersionAnswer counts an answer of a version that is being rolled out, or whose roll-out was completed. A stream that
+// fails after its head counts twice.
+func (m *gatewayMetrics) countVersionAnswer(service, version string, state RolloutState, failed bool) {
+	result := "begun"
+	if failed {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_version_answers_total{service=%q,version=%q,rollout=%q,result=%q}`, service, version, state, result)).Inc()
+}
+
 // countEndedRun counts a run that the gateway ended though it might have succeeded.
 func (m *gatewayMetrics) countEndedRun(service string, reason failover.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`quetzalweir_gateway_runs_ended_total{service=%q,reason=%q}`, service, reason)).Inc()
--- a/internal/gateway/rolloutlog.go
+++ b/internal/gateway/rolloutlog.go
@@ -18,6 +18,7 @@
 // logEvidence logs the answers on which the end of a roll-out is decided, one line a route: those that this
 // host counted, and the sums over all hosts.
 func (ro *rollouts) logEvidence(sr *serviceRollout, cause string) {
+	ro.logSent(sr, cause)
 	ro.logTimes(sr, cause, "first-event", sr.evidence.firstEvents(boottime.Now()), fullLoadWeight)
 	ro.logTimes(sr, cause, "event-gap", sr.evidence.eventGaps(), 0)
 	own, all := sr.evidence.ownCounts(), sr.evidence.allCounts()
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -49,7 +49,9 @@
 	statuses *feed.Watcher
 	// hasFollowers reports whether other hosts receive the store's tables from this one.
 	hasFollowers func() bool
-	log          zerolog.Logger
+	// countAnswer counts an answer of a version in the metrics.
+	countAnswer func(service, version string, state RolloutState, failed bool)
+	log         zerolog.Logger
 	// requestRamp is the ramp for requests without a session, sessionRamp the one for requests of
 	// sessions.
 	requestRamp ramp
@@ -81,6 +83,8 @@
 	// fullLoadSince is when this host observed that the new version gets all requests; zero while
 	// it doesn't.
 	fullLoadSince time.Time
+	// watch is what is observed of the new version after its completion.
+	watch completedWatch
 	// inconclusive is set if enough of the roll-out's duration has passed to complete it, but the
 	// evidence doesn't suffice for that.
 	inconclusive bool
@@ -104,6 +108,7 @@
 		settings:       settings,
 		fleet:          fleet,
 		hasFollowers:   func() bool { return false },
+		countAnswer:    func(string, string, RolloutState, bool) {},
 		log:            log,
 		requestRamp:    newRamp(settings.CanaryShare, 0),
 		sessionRamp:    newRamp(settings.CanaryShare, sessionsFrom),
@@ -242,11 +247,13 @@
 
 // observeHead counts the head of a stream as an answer of its version.
 func (ro *rollouts) observeHead(r *Request, c *choice, took time.Duration) {
+	ro.countLoad(r, c, attemptResult{outcome: outcomeDone}, false)
 	ro.addObservation(r, c, func(e *evidence, o observation) { e.observeHead(o, took) })
 }
 
 // observeStart records that an attempt is under way.
 func (ro *rollouts) observeStart(r *Request, c *choice) {
+	ro.countSent(r, c)
 	ro.addObservation(r, c, func(e *evidence, o observation) { e.startAnswer(c, o) })
 }
 
@@ -269,6 +276,7 @@
 // counted the head of its answer. A request that a version fails several times counts once: some
 // requests fail at each attempt, and the tests assume that failures are independent.
 func (ro *rollouts) observeResult(r *Request, c *choice, result attemptResult, headCounted bool) {
+	ro.countLoad(r, c, result, headCounted)
 	ro.addObservation(r, c, func(e *evidence, o observation) {
 		now := boottime.Now()
 		o.headCounted = headCounted
@@ -319,6 +327,7 @@
 			own := exchange.Evidence{
 				Service: sr.order.Service, Order: sr.order.Revision, Hosts: 1, Routes: sr.evidence.ownCounts(),
 				FirstEvents: sr.evidence.ownFirstEventsAt(boottime.Now()), EventGaps: sr.evidence.ownEventGaps,
+				Sent: sr.evidence.ownSent, Loads: sr.evidence.ownLoads,
 			}
 			if !sr.sendsAllToNew() {
 				own.BelowFullLoad = 1
