gateway: replays of a burst during a roll-out and of a completed version that fails above a load (known red)

The replays use the product's own roll-out and choice of upstreams in virtual time, with answers of seconds.

--- /dev/null
+++ b/internal/gateway/rolloutloadreplay_test.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/quetzalweir/quetzalweir/internal/exchange"
+	"github.com/quetzalweir/quetzalweir/internal/experiment/simulate"
+	"github.com/quetzalweir/quetzalweir/routing"
+)
+
+// loadReplay plays a roll-out of a service whose answers are streams of seconds, and the time after its
+// completion, with the product's own decisions: hosts choose upstreams by what they know of their load.
+type loadReplay struct {
+	*rolloutReplay
+	loadCase
+	// running holds the requests in progress by upstream.
+	running map[string]int
+	// sent, sentNew and completedAt are as of the end of the roll-out's duration. failed are the times of the new
+	// version's failed answers since the order. served and refused count requests since lateFrom.
+	sent, sentNew   int
+	failed          []time.Duration
+	served, refused int
+	completedAt     time.Duration
+}
+
+// loadCase is a service and its traffic.
+type loadCase struct {
+	name string
+	// upstreams is the number of upstreams of each version, runTime the mean time of a run. The new version fails half of
+	// the requests that reach an upstream with failsFrom requests or more; 0 if it is sound.
+	upstreams, failsFrom int
+	runTime              time.Duration
+	// perSecond is the rate of requests, which is burst times as high from burstAt to the end.
+	perSecond int
+	burst     float64
+	burstAt   time.Duration
+}
+
+const (
+	loadSlots = 64
+	// loadReplayEnd is when a play ends, lateFrom when a limit has to be in force: some time after the latest burst.
+	loadReplayEnd = 44 * time.Second
+	lateFrom      = 30 * time.Second
+	// maxBadAnswers is the number of bad answers after which a version may get no requests any more.
+	maxBadAnswers = 50
+)
+
+func newLoadReplay(t *testing.T, seed uint64, c loadCase) *loadReplay {
+	p := &loadReplay{loadCase: c, running: make(map[string]int)}
+	p.rolloutReplay = newRolloutReplay(t, seed, c.perSecond, nil)
+	return p
+}
+
+// play plays the roll-out and the time after it.
+func (p *loadReplay) play() {
+	for _, g := range p.hosts {
+		g.settings.CanaryShare, g.settings.CanaryHeadroom = 0.15, 30
+		g.rollouts.requestRamp, g.rollouts.sessionRamp = newRamp(0.15, 0), newRamp(0.15, sessionsFrom)
+		g.fleet.policy.singleHost = false
+		g.fleet.policy.census.set(len(p.hosts))
+		for _, id := range []string{"old", "new"} {
+			g.fleet.RemoveEntry(id, 2, false)
+		}
+		for i := range p.upstreams {
+			p.list(g, fmt.Sprint("old-", i), "v1")
+			p.list(g, fmt.Sprint("new-", i), "v2")
+		}
+	}
+	time.Sleep(time.Second)
+	p.began = time.Now()
+	p.queue = simulate.New()
+	p.order("v2", replayDuration)
+	ordered := time.Now()
+	nextExchange := ordered
+	for i := 0; time.Since(ordered) < loadReplayEnd; i++ {
+		rate := float64(p.loadCase.perSecond)
+		if time.Since(ordered) >= p.burstAt {
+			rate *= p.burst
+		}
+		p.advance(time.Duration(float64(time.Second) / rate))
+		if time.Now().After(nextExchange) {
+			nextExchange = time.Now().Add(exchange.Interval)
+			p.exchangeEvidence()
+			p.exchangeWork()
+		}
+		if state, _ := p.state(); state == RolloutCompleted && p.completedAt == 0 {
+			p.completedAt = time.Since(ordered)
+			for _, g := range p.hosts {
+				for i := range p.upstreams {
+					g.fleet.RemoveEntry(fmt.Sprint("old-", i), 2, false)
+				}
+			}
+		}
+		p.request(i, ordered)
+	}
+}
+
+func (p *loadReplay) list(g *Gateway, id, version string) {
+	g.fleet.ApplyEntry(Upstream{ID: id, Service: "svc", Version: version, Address: "127.0.0.1:" + fmt.Sprint(1000+len(g.fleet.shard("svc").members)), Slots: loadSlots}, 1)
+}
+
+// exchangeWork passes to each host the others' requests in flight, after the time of an exchange.
+func (p *loadReplay) exchangeWork() {
+	reported := make([]exchange.Work, len(p.hosts))
+	for i, g := range p.hosts {
+		reported[i] = g.fleet.workInFlight()
+	}
+	at := time.Now()
+	p.after(exchange.Interval, func() {
+		for i, g := range p.hosts {
+			others := make(exchange.Work)
+			for k, work := range reported {
+				for id, w := range work {
+					if k != i {
+						others[id] += w
+					}
+				}
+			}
+			g.fleet.setRemoteWork(others, at)
+		}
+	})
+}
+
+// request sends a request to a host, which makes up to three attempts.
+func (p *loadReplay) request(i int, ordered time.Time) {
+	g := p.hosts[p.rand.IntN(len(p.hosts))]
+	r := &Request{ID: fmt.Sprint("r", i), Service: "svc", Route: &routing.Route{Name: "route"}}
+	late := time.Since(ordered) >= lateFrom
+	p.attempt(g, r, ordered, 1, late)
+}
+
+func (p *loadReplay) attempt(g *Gateway, r *Request, ordered time.Time, n int, late bool) {
+	c, ok := g.fleet.choose(criteria{service: "svc", admitsVersion: g.rollouts.versionFilter(r)})
+	if !ok {
+		if late {
+			p.refused++
+		}
+		return
+	}
+	id, isNew := c.upstream.ID, c.upstream.Version == "v2"
+	if time.Since(ordered) < replayDuration {
+		p.sent++
+		if isNew {
+			p.sentNew++
+		}
+	}
+	fails := isNew && p.failsFrom > 0 && p.running[id] >= p.failsFrom && p.rand.IntN(2) == 0
+	p.running[id]++
+	g.rollouts.observeStart(r, &c)
+	end := func(result attemptResult, headCounted bool) {
+		p.running[id]--
+		g.fleet.release(c, result)
+		g.rollouts.observeResult(r, &c, result, headCounted)
+	}
+	if fails {
+		p.after(10*time.Millisecond, func() {
+			end(attemptResult{outcome: outcomeFailed}, false)
+			p.failed = append(p.failed, time.Since(ordered))
+			if n < 3 {
+				p.attempt(g, r, ordered, n+1, late)
+			}
+		})
+		return
+	}
+	p.after(replayAnswer, func() {
+		g.rollouts.observeHead(r, &c, replayAnswer)
+		g.rollouts.observeFirstEvent(r, &c, replayAnswer)
+	})
+	p.after(replayAnswer+time.Duration(p.rand.ExpFloat64()*float64(p.runTime)), func() {
+		end(attemptResult{outcome: outcomeDone, firstByte: replayAnswer}, true)
+		if late {
+			p.served++
+		}
+	})
+}
+
+// permitted returns the number of requests that the new version was permitted within the roll-out's duration.
+func (p *loadReplay) permitted() int { return int(0.15*float64(p.sent)) + 30 }
+
+// A new version got more requests than permitted where the traffic rose while it had the full load.
+func TestBurstDuringARolloutDoesNotExceedTheShare(t *testing.T) {
+	for _, perSecond := range []int{19, 60, 180} {
+		for _, burstAt := range []time.Duration{10 * time.Second, 14 * time.Second, 14800 * time.Millisecond} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%d a second, burst at %v, seed %d", perSecond, burstAt, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: perSecond, burst: 2.5, burstAt: burstAt})
+						p.play()
+						t.Logf("%d of %d requests, %d are permitted; completed after %v", p.sentNew, p.sent, p.permitted(), p.completedAt)
+						is.True(p.sentNew <= p.permitted())
+						is.True(p.completedAt > 0 && p.completedAt <= replayDuration) // a sound version is completed in time
+					})
+				})
+			}
+		}
+	}
+}
+
+// A version that fails requests above some load was completed at a lower load. When the traffic rose, hosts went on sending
+// it all requests.
+func TestCompletedVersionIsNotSentMoreThanItBears(t *testing.T) {
+	cases := []loadCase{
+		{name: "burst after the completion", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second},
+		{name: "burst during the roll-out", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 14 * time.Second},
+		{name: "load that builds up", upstreams: 6, failsFrom: 32, runTime: 6 * time.Second, perSecond: 40, burst: 1, burstAt: 0},
+	}
+	for _, c := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					p := newLoadReplay(t, seed, c)
+					p.play()
+					borne := float64(c.upstreams*c.failsFrom) / c.runTime.Seconds() * (loadReplayEnd - lateFrom).Seconds()
+					t.Logf("%d failed, served %d, refused %d of those after %v; %.0f are borne", len(p.failed), p.served, p.refused, lateFrom, borne)
+					is.True(len(p.failed) < maxBadAnswers)
+					is.True(float64(p.served) >= 0.6*min(borne, float64(p.served+p.refused))) // the version is used as far as it bears
+				})
+			})
+		}
+	}
+}
+
+// Requests to a sound version aren't limited, whatever the load.
+func TestSoundCompletedVersionIsNotLimited(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second})
+				p.play()
+				is.Equal(p.refused, 0)
+			})
+		})
+	}
+}
