gateway: the share of a new version follows what was sent to it, not the time alone

Cause: the share was planned over the time for a constant rate. Nothing compared what was sent with what is permitted.

Hosts exchange the numbers of requests that they sent to the service and to the new version. The ramp goes on only while what is permitted covers the rest of it at the present rate. Otherwise the share stays at the initial one until it covers the full load to the end of the duration. Requests without a session return to the old version if the traffic rises further; sessions stay, since they may not change back. An answer keeps its label of full load if the host leaves the full load afterwards, and a share of requests that the service doesn't get doesn't count for it.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -109,12 +109,15 @@
 	// All is the number of requests sent to upstreams of any version, New of those sent to the new one.
 	All int `json:"all"`
 	New int `json:"new"`
+	// Recent is the part of All that was sent in the last half second.
+	Recent int `json:"recent,omitempty"`
 }
 
 // Add adds another host's counts.
 func (c *SentCounts) Add(o SentCounts) {
 	c.All += o.All
 	c.New += o.New
+	c.Recent += o.Recent
 }
 
 // add adds the counts of other hosts.
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -69,6 +69,10 @@
 	// hosts counted.
 	ownSent, remoteSent   exchange.SentCounts
 	ownLoads, remoteLoads exchange.LoadCounts
+	// formerSent holds ownSent.All as of the last ticks of a second, the oldest first.
+	formerSent []int
+	// ownSessionSent is the part of ownSent.All that belongs to sessions.
+	ownSessionSent int
 	// pending holds the attempts under way that have no first event yet.
 	pending map[*choice]pendingAnswer
 	// cutOffAt holds for each upstream, by id, the time of the last counted answer that it cut off.
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -70,7 +70,12 @@
 	is.True(!ro.byService["svc"].stopped)
 	own := versionCounts(50, 0, minBadAnswers-1, minBadAnswers-1)
 	own.New.AddBadUpstream("b")
-	is.Equal(ro.ownEvidence(), []exchange.Evidence{{Service: "svc", Order: 5, Hosts: 1, BelowFullLoad: 1, Routes: map[string]exchange.VersionTallies{"r": own}}})
+	var loads exchange.LoadCounts
+	for range minBadAnswers - 1 {
+		loads.CountAnswer(0)
+		loads.CountFailure(0, "b")
+	}
+	is.Equal(ro.ownEvidence(), []exchange.Evidence{{Service: "svc", Order: 5, Hosts: 1, BelowFullLoad: 1, Routes: map[string]exchange.VersionTallies{"r": own}, Loads: loads}})
 	others := versionCounts(100, 0, 1, 1)
 	others.New.AddBadUpstream("c")
 	ro.setRemoteEvidence([]exchange.Evidence{{Service: "svc", Order: 5, Routes: map[string]exchange.VersionTallies{"r": others}}})
--- a/internal/gateway/fullload.go
+++ b/internal/gateway/fullload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -28,8 +29,13 @@
 	reliableTolerance = 0.05
 )
 
-// sendsAllToNew reports whether this host sends all requests of the service to the new version.
-func (sr *serviceRollout) sendsAllToNew() bool { return sr.sessionShare >= 1 && sr.requestShare >= 1 }
+// sendsAllToNew reports whether this host sends all requests of the service to the new version. A share of requests that the
+// service doesn't get doesn't count.
+func (sr *serviceRollout) sendsAllToNew() bool {
+	all, sessions := sr.evidence.ownSent.All, sr.evidence.ownSessionSent
+	onlySessions, noSessions := all > 0 && sessions == all, all > 0 && sessions == 0
+	return (sr.sessionShare >= 1 || noSessions) && (sr.requestShare >= 1 || onlySessions)
+}
 
 // updateFullLoad records since when the new version has had the full load: this host and most others
 // send it all requests.
@@ -37,12 +43,29 @@
 	hosts := 1 + sr.evidence.remoteHosts
 	switch {
 	case !sr.sendsAllToNew() || float64(sr.evidence.remoteBelowFullLoad) > maxHostsBelowFullLoad*float64(hosts):
+		if !sr.fullLoadSince.IsZero() && len(sr.fullLoad) < maxFullLoadSpans {
+			sr.fullLoad = append(sr.fullLoad, timeSpan{sr.fullLoadSince, now})
+		}
 		sr.fullLoadSince = time.Time{}
 	case sr.fullLoadSince.IsZero():
 		sr.fullLoadSince = now
 	}
 }
 
+// timeSpan is the time from a moment until another one.
+type timeSpan struct{ from, until time.Time }
+
+// maxFullLoadSpans bounds the number of times that the new version has the full load and loses it again.
+const maxFullLoadSpans = 100
+
+// hadFullLoadAt reports whether the new version had the full load at the given time.
+func (sr *serviceRollout) hadFullLoadAt(at time.Time) bool {
+	if !sr.fullLoadSince.IsZero() && !at.Before(sr.fullLoadSince) {
+		return true
+	}
+	return slices.ContainsFunc(sr.fullLoad, func(s timeSpan) bool { return !at.Before(s.from) && at.Before(s.until) })
+}
+
 // fullLoadSuffices reports whether the answers at full load suffice to complete the roll-out. A version
 // can be good until it gets all requests, and after the completion nothing replaces it.
 func (ro *rollouts) fullLoadSuffices(sr *serviceRollout) bool {
--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -93,6 +93,49 @@
 	}
 }
 
+// used returns the integral of the share up to a fraction of the duration: the number of requests that the new
+// version has got by then, as a fraction of the requests in the duration, if they come at a constant rate.
+func (r ramp) used(until float64) float64 {
+	if until <= r.startsAt {
+		return 0
+	}
+	width := r.fullAt - riseFrom
+	rising := func(progress float64) float64 {
+		return width / (r.exponent + 1) * math.Pow((progress-riseFrom)/width, r.exponent+1)
+	}
+	risesFrom := riseFrom + width*math.Pow(r.initialShare, 1/r.exponent)
+	sum := r.initialShare * (min(until, risesFrom) - r.startsAt)
+	if until > risesFrom {
+		sum += rising(min(until, r.fullAt)) - rising(risesFrom)
+	}
+	return sum + max(0, until-r.fullAt)
+}
+
+// shareWithin returns the share at the given fraction of the duration if the new version may get the given number of
+// requests until the end of the duration. reserve is what is kept of them when the full load begins; half of it may be missing
+// later. Both are fractions of the requests in the duration at the present rate. If the rest of the ramp exceeds the number, because more was sent than
+// planned or the rate has risen, the share stays at the initial one until all requests until the end may run on the
+// new version.
+func (r ramp) shareWithin(progress, requests, reserve float64, atFullLoad bool) float64 {
+	left := 1 - progress
+	if left <= 0 {
+		return r.share(progress)
+	}
+	if atFullLoad {
+		reserve = -reserve / 2
+	}
+	switch {
+	case r.used(1)-r.used(progress) <= requests:
+		return r.share(progress)
+	case left <= requests-reserve:
+		return 1
+	case requests <= 0:
+		return 0
+	default:
+		return min(r.initialShare, r.share(progress))
+	}
+}
+
 // mayComplete reports whether the roll-out may be reported as completed at the given fraction of
 // its duration.
 func (r ramp) mayComplete(progress float64) bool { return progress >= max(completeAt, r.fullAt) }
--- a/internal/gateway/ramp_test.go
+++ b/internal/gateway/ramp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -70,3 +71,29 @@
 		})
 	}
 }
+
+// The rest of a roll-out would be planned with other numbers than the share gives.
+func TestUsedIsTheIntegralOfTheShare(t *testing.T) {
+	is := is.New(t)
+	for _, r := range []ramp{newRamp(0.15, 0), newRamp(0.15, sessionsFrom), newRamp(0.5, 0), newRamp(0.15, 0).withHeadroom(30, 5, 16*time.Second)} {
+		const steps = 100000
+		sum := 0.0
+		for i := range steps {
+			is.True(math.Abs(r.used(float64(i)/steps)-sum) < 1e-4)
+			sum += r.share((float64(i)+0.5)/steps) / steps
+		}
+	}
+}
+
+// If the traffic rises, the full load begins once the requests that are left suffice for the rest of the duration.
+func TestFullLoadBeginsWhenItIsPermittedToTheEnd(t *testing.T) {
+	is := is.New(t)
+	r := newRamp(0.15, 0)
+	is.Equal(r.shareWithin(0.92, 0.1, 0, false), 1.0)
+	is.Equal(r.shareWithin(0.92, 0.07, 0, false), r.initialShare)
+	is.Equal(r.shareWithin(0.95, 0.06, 0.02, false), 1.0) // the ramp itself is permitted
+	is.Equal(r.shareWithin(0.95, 0.04, 0, true), r.initialShare)
+	is.Equal(r.shareWithin(0.97, 0.04, 0.02, false), 1.0)
+	is.Equal(r.shareWithin(0.5, -0.1, 0, false), 0.0)
+	is.Equal(r.shareWithin(1.1, -0.1, 0, false), 1.0)
+}
--- a/internal/gateway/rolloutloadreplay_test.go
+++ b/internal/gateway/rolloutloadreplay_test.go
@@ -39,6 +39,8 @@
 	perSecond int
 	burst     float64
 	burstAt   time.Duration
+	// end is when the play ends.
+	end time.Duration
 }
 
 const (
@@ -77,7 +79,7 @@
 	p.order("v2", replayDuration)
 	ordered := time.Now()
 	nextExchange := ordered
-	for i := 0; time.Since(ordered) < loadReplayEnd; i++ {
+	for i := 0; time.Since(ordered) < p.end; i++ {
 		rate := float64(p.loadCase.perSecond)
 		if time.Since(ordered) >= p.burstAt {
 			rate *= p.burst
@@ -182,33 +184,43 @@
 // permitted returns the number of requests that the new version was permitted within the roll-out's duration.
 func (p *loadReplay) permitted() int { return int(0.15*float64(p.sent)) + 30 }
 
-// A new version got more requests than permitted where the traffic rose while it had the full load.
-func TestBurstDuringARolloutDoesNotExceedTheShare(t *testing.T) {
+// playBursts plays roll-outs of a sound version in which the traffic rises before or while the version has the full load.
+func playBursts(t *testing.T, check func(t *testing.T, p *loadReplay)) {
 	for _, perSecond := range []int{19, 60, 180} {
 		for _, burstAt := range []time.Duration{10 * time.Second, 14 * time.Second, 14800 * time.Millisecond} {
-			for seed := range uint64(3) {
-				t.Run(fmt.Sprintf("%d a second, burst at %v, seed %d", perSecond, burstAt, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d_a_second_burst_at_%v", perSecond, burstAt), func(t *testing.T) {
+				for seed := range uint64(3) {
 					synctest.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: perSecond, burst: 2.5, burstAt: burstAt})
+						p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: perSecond, burst: 2.5, burstAt: burstAt, end: replayDuration + 4*time.Second})
 						p.play()
-						t.Logf("%d of %d requests, %d are permitted; completed after %v", p.sentNew, p.sent, p.permitted(), p.completedAt)
-						is.True(p.sentNew <= p.permitted())
-						is.True(p.completedAt > 0 && p.completedAt <= replayDuration) // a sound version is completed in time
+						t.Logf("seed %d: %d of %d requests, %d are permitted; completed after %v", seed, p.sentNew, p.sent, p.permitted(), p.completedAt)
+						check(t, p)
 					})
-				})
-			}
+				}
+			})
 		}
 	}
 }
 
+// A new version got more requests than permitted where the traffic rose while it had the full load.
+func TestBurstDuringARolloutDoesNotExceedTheShare(t *testing.T) {
+	playBursts(t, func(t *testing.T, p *loadReplay) { is.New(t).True(p.sentNew <= p.permitted()) })
+}
+
+// What bounds the share of a new version in a burst must not delay the completion of a sound one.
+func TestSoundVersionBesideABurstIsCompletedInTime(t *testing.T) {
+	playBursts(t, func(t *testing.T, p *loadReplay) {
+		is.New(t).True(p.completedAt > 0 && p.completedAt <= replayDuration)
+	})
+}
+
 // A version that fails requests above some load was completed at a lower load. When the traffic rose, hosts went on sending
 // it all requests.
 func TestCompletedVersionIsNotSentMoreThanItBears(t *testing.T) {
 	cases := []loadCase{
-		{name: "burst after the completion", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second},
-		{name: "burst during the roll-out", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 14 * time.Second},
-		{name: "load that builds up", upstreams: 6, failsFrom: 32, runTime: 6 * time.Second, perSecond: 40, burst: 1, burstAt: 0},
+		{name: "burst after the completion", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second, end: loadReplayEnd},
+		{name: "burst during the roll-out", upstreams: 9, failsFrom: 32, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 14 * time.Second, end: loadReplayEnd},
+		{name: "load that builds up", upstreams: 6, failsFrom: 32, runTime: 6 * time.Second, perSecond: 40, burst: 1, end: loadReplayEnd},
 	}
 	for _, c := range cases {
 		for seed := range uint64(3) {
@@ -233,7 +245,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second})
+				p := newLoadReplay(t, seed, loadCase{upstreams: 9, runTime: 3 * time.Second, perSecond: 40, burst: 3, burstAt: 19 * time.Second, end: loadReplayEnd})
 				p.play()
 				is.Equal(p.refused, 0)
 			})
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -77,9 +77,16 @@
 	// of sessions.
 	requestShare float64
 	sessionShare float64
+	// recentShares holds the new version's share of all requests in the last intervals, as far back as the other hosts'
+	// counts can lag.
+	recentShares []float64
+	// peakRate is the recent number of requests a second. It rises at once and falls slowly.
+	peakRate float64
 	// receivedAt is when this host received the order.
 	receivedAt time.Time
 	evidence   evidence
+	// fullLoad holds the times of the full load that are over, the oldest first.
+	fullLoad []timeSpan
 	// fullLoadSince is when this host observed that the new version gets all requests; zero while
 	// it doesn't.
 	fullLoadSince time.Time
@@ -311,7 +318,7 @@
 		upstream:   c.upstream.ID,
 		isNew:      c.upstream.Version == sr.order.Version,
 		expected:   c.placement.ExpectedTime,
-		atFullLoad: !sr.fullLoadSince.IsZero() && !c.chosenAt.Before(sr.fullLoadSince),
+		atFullLoad: sr.hadFullLoadAt(c.chosenAt),
 		sentAt:     c.chosenAt,
 	})
 	ro.evaluate(sr)
@@ -399,6 +406,7 @@
 		if !sr.running() && !sr.unsaved {
 			continue
 		}
+		sr.evidence.updateRecentSent()
 		ro.raiseShares(sr)
 		sr.updateFullLoad(boottime.Now())
 		ro.evaluateTimes(sr)
@@ -412,7 +420,8 @@
 }
 
 // raiseShares raises the roll-out's shares to the values of its ramps at the current time, if the
-// status data is recent.
+// status data is recent and what was sent to the new version so far permits it. If the traffic rises so far that the rest
+// of the roll-out would exceed the permitted exposure, it lowers the share of requests without a session again.
 func (ro *rollouts) raiseShares(sr *serviceRollout) {
 	if !sr.hasStatus() {
 		return
@@ -421,20 +430,16 @@
 	if !ok || age > maxStatusAge || ro.statuses.Unreachable() {
 		return
 	}
-	progress, rate := ro.progress(sr), ro.requestRate(sr)
-	headroom, duration := ro.settings.CanaryHeadroom, sr.order.Duration
-	sr.sessionShare = max(sr.sessionShare, ro.sessionRamp.withHeadroom(headroom, rate, duration).share(progress))
-	sr.requestShare = max(sr.requestShare, ro.requestRamp.withHeadroom(headroom, rate, duration).share(progress))
-}
-
-// requestRate returns the number of the service's requests that all hosts together have sent a second
-// since the order; 0 if it isn't known, since no other host's evidence was received.
-func (ro *rollouts) requestRate(sr *serviceRollout) float64 {
-	if sr.evidence.remoteHosts == 0 && ro.settings.Peers.Listen != "" {
-		return 0
-	}
-	v := sumRoutes(sr.evidence.allCounts())
-	return float64(v.Old.Answers+v.New.Answers) / max(boottime.Since(sr.receivedAt).Seconds(), 1)
+	sent := ro.sentSinceOrder(sr)
+	progress, duration := ro.progress(sr), sr.order.Duration
+	rate, headroom := sent.meanRate, sent.headroom
+	requests, sessions := ro.requestRamp.withHeadroom(headroom, rate, duration), ro.sessionRamp.withHeadroom(headroom, rate, duration)
+	permitted := sent.permittedRest(ro.settings.CanaryShare, sr.meanRecentShare(), progress, duration)
+	reserve := sent.rate * exchange.Interval.Seconds() / sent.inDuration(duration)
+	// A session that runs on the new version stays there.
+	sr.sessionShare = max(sr.sessionShare, sessions.shareWithin(progress, permitted, reserve, sr.sessionShare >= 1))
+	sr.requestShare = requests.shareWithin(progress, permitted, reserve, sr.requestShare >= 1)
+	sr.recordShare()
 }
 
 // hasUnfinished reports whether, for any service, a roll-out is in progress or its final status has
--- a/internal/gateway/versionload.go
+++ b/internal/gateway/versionload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -33,6 +34,9 @@
 	}
 	sent := &sr.evidence.ownSent
 	sent.All++
+	if r.Session != "" {
+		sr.evidence.ownSessionSent++
+	}
 	if c.upstream.Version == sr.order.Version {
 		sent.New++
 	}
@@ -118,5 +122,7 @@
 	ro.log.Info().Str("event", "rollout-sent").Str("service", sr.order.Service).Str("version", sr.order.Version).Str("cause", cause).
 		Int("own_new", own.New).Int("own_all", own.All).Int("new", all.New).Int("all", all.All).
 		Float64("permitted", tenths(ro.settings.CanaryShare*float64(all.All)+ro.settings.CanaryHeadroom)).
-		Str("by_load", loadText(sr.evidence.allLoads())).Msg("")
+		Float64("request_share", math.Round(100*sr.requestShare)/100).Float64("session_share", math.Round(100*sr.sessionShare)/100).
+		Int("own_sessions", sr.evidence.ownSessionSent).Int("hosts_below", sr.evidence.remoteBelowFullLoad).
+		Float64("planned_rate", tenths(sr.peakRate)).Str("by_load", loadText(sr.evidence.allLoads())).Msg("")
 }
