--- a/internal/gateway/exposure.go
+++ b/internal/gateway/exposure.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
@@ -16,6 +17,31 @@
 	sentCountAge = 2 * exchange.Interval
 )
 
+// countSent counts a request that is sent to an upstream of the service while the roll-out is in progress.
+func (ro *rollouts) countSent(r *Request, c *choice) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	sr := ro.byService[r.Service]
+	if sr == nil || !sr.running() {
+		return
+	}
+	sent := &sr.evidence.ownSent
+	sent.All++
+	if r.Session != "" {
+		sr.evidence.ownSessionSent++
+	}
+	if c.upstream.Version == sr.order.Version {
+		sent.New++
+	}
+}
+
+// allSent returns the numbers of requests that all hosts sent since the order.
+func (e *evidence) allSent() exchange.SentCounts {
+	sum := e.ownSent
+	sum.Add(e.remoteSent)
+	return sum
+}
+
 // updateRecentSent updates the number of requests that this host sent recently. It is called every rolloutInterval.
 func (e *evidence) updateRecentSent() {
 	if intervals := int(recentSentSpan / rolloutInterval); len(e.formerSent) > intervals {
@@ -80,3 +106,14 @@
 func (s *sentRequests) inDuration(duration time.Duration) float64 {
 	return max(1, s.rate*duration.Seconds())
 }
+
+// logSent logs what was sent to the new version, beside what is permitted, and the requests in progress.
+func (ro *rollouts) logSent(sr *serviceRollout, cause string) {
+	own, all := sr.evidence.ownSent, sr.evidence.allSent()
+	ro.log.Info().Str("event", "rollout-sent").Str("service", sr.order.Service).Str("version", sr.order.Version).Str("cause", cause).
+		Int("own_new", own.New).Int("own_all", own.All).Int("new", all.New).Int("all", all.All).
+		Float64("permitted", tenths(ro.settings.CanaryShare*float64(all.All)+ro.settings.CanaryHeadroom)).
+		Float64("request_share", math.Round(100*sr.requestShare)/100).Float64("session_share", math.Round(100*sr.sessionShare)/100).
+		Int("own_sessions", sr.evidence.ownSessionSent).Int("hosts_below", sr.evidence.remoteBelowFullLoad).
+		Float64("planned_rate", tenths(sr.peakRate)).Str("by_load", loadText(sr.evidence.allLoads())).Msg("")
+}
--- a/internal/gateway/loadlimit.go
+++ b/internal/gateway/loadlimit.go
@@ -15,8 +15,8 @@
 	// loadCountsHalfLife is the time in which the counts halve, so that a limit ends some minutes after its last failures
 	// and is tried again.
 	loadCountsHalfLife = time.Minute
-	// loadLimitAlpha is the probability with which a version that fails as often at any load is limited, and
-	// suspectLoadAlpha the one with which a host reports its counts although there is nothing to find.
+	// loadLimitAlpha is the probability with which a version that fails as often at any load is limited. suspectLoadAlpha is
+	// used to decide whether this host's counts are reported, which has no other effect.
 	loadLimitAlpha   = 0.01
 	suspectLoadAlpha = 1
 )
@@ -115,6 +115,17 @@
 	s.loadLimit = limit
 }
 
+// countLoadLimits returns the number of services with a version whose load is limited.
+func (f *Fleet) countLoadLimits() int {
+	limited := 0
+	f.eachShard(func(s *shard) {
+		if s.loadLimit.slots > 0 {
+			limited++
+		}
+	})
+	return limited
+}
+
 // loadLimitAllows reports whether the version's limit permits another request to the upstream. One at a time is always permitted.
 // For each request that this host sent since the data on the upstream's load, the other hosts are assumed to have sent one, too.
 // The caller holds the shard's lock.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,7 @@
 	m.set.NewGauge("quetzalweir_gateway_upstreams_leaving", func() float64 { return float64(g.fleet.countAllUpstreams().leaving) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_backing_off", func() float64 { return float64(g.fleet.countAllUpstreams().backingOff) })
 	m.set.NewGauge("quetzalweir_gateway_upstreams_evacuated", func() float64 { return float64(g.fleet.countAllUpstreams().evacuated) })
+	m.set.NewGauge("quetzalweir_gateway_versions_load_limited", func() float64 { return float64(g.fleet.countLoadLimits()) })
 	m.set.NewGauge("quetzalweir_gateway_answer_headers_unknown", func() float64 { return float64(g.unknownHeaders.count()) })
 	m.set.NewGauge("quetzalweir_gateway_store_era", func() float64 {
 		if g.upstreamWatcher == nil {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -91,7 +91,7 @@
 	// it doesn't.
 	fullLoadSince time.Time
 	// watch is what is observed of the new version after its completion, which this host received at completedAt. loadLimit is
-	// the fraction of an upstream's slots that may be in use; 0 if there is no limit. The counts by load were halved last
+	// the fraction of an upstream's slots that may then be in use; 0 if there is no limit. The counts by load were halved last
 	// at loadsHalvedAt.
 	watch         completedWatch
 	completedAt   time.Time
@@ -333,7 +333,7 @@
 	ro.evaluate(sr)
 }
 
-// ownEvidence returns the numbers of answers that this host counted for each roll-out in progress.
+// ownEvidence returns what this host counted for each roll-out in progress, and for completed versions that may fail above a load.
 func (ro *rollouts) ownEvidence() []exchange.Evidence {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
--- a/internal/gateway/versionload.go
+++ b/internal/gateway/versionload.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
-	"time"
 
 	"github.com/quetzalweir/quetzalweir/internal/boottime"
 	"github.com/quetzalweir/quetzalweir/internal/exchange"
@@ -12,11 +10,9 @@
 
 // completedWatch is what this host observes of a version whose roll-out was completed.
 type completedWatch struct {
-	// since is when this host received the completion.
-	since time.Time
-	// answers and failed count the version's answers on this host since then.
+	// answers and failed count the version's answers on this host.
 	answers, failed int
-	// nextLog is the number of failed answers at which the next line is logged.
+	// nextLog is the number of failed answers at which the next line is logged, at least firstLoggedFailures.
 	nextLog int
 }
 
@@ -24,29 +20,12 @@
 // doubles with each line.
 const firstLoggedFailures = 3
 
-// countSent counts a request that is sent to an upstream of the service while the roll-out is in progress.
-func (ro *rollouts) countSent(r *Request, c *choice) {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	sr := ro.byService[r.Service]
-	if sr == nil || !sr.running() {
-		return
-	}
-	sent := &sr.evidence.ownSent
-	sent.All++
-	if r.Session != "" {
-		sr.evidence.ownSessionSent++
-	}
-	if c.upstream.Version == sr.order.Version {
-		sent.New++
-	}
-}
-
 // countLoad counts an answer of the new version by the load of its upstream, during the roll-out and after its
 // completion. Answers that were cut off don't count: their cause isn't known.
 func (ro *rollouts) countLoad(r *Request, c *choice, result attemptResult, headCounted bool) {
 	failed := result.isBadAnswer()
-	if !failed && (result.outcome != outcomeDone || headCounted) {
+	begun := result.outcome == outcomeDone && !headCounted
+	if !failed && !begun {
 		return
 	}
 	ro.mu.Lock()
@@ -71,32 +50,22 @@
 // observeCompleted counts an answer of a completed version, and logs when the failures become more.
 func (ro *rollouts) observeCompleted(sr *serviceRollout, c *choice, failed, headCounted bool) {
 	w := &sr.watch
-	if w.since.IsZero() {
-		w.since, w.nextLog = boottime.Now(), firstLoggedFailures
-	}
 	if !headCounted {
 		w.answers++
 	}
 	if failed {
 		w.failed++
 	}
-	if w.failed < w.nextLog {
+	if w.failed < max(w.nextLog, firstLoggedFailures) {
 		return
 	}
-	w.nextLog *= 2
+	w.nextLog = 2 * max(w.nextLog, firstLoggedFailures)
 	ro.log.Warn().Str("event", "completed-version-fails").Str("service", sr.order.Service).Str("version", sr.order.Version).
-		Int64("since_ms", boottime.Since(w.since).Milliseconds()).Int("answers", w.answers).Int("failed", w.failed).
+		Int64("since_ms", boottime.Since(sr.completedAt).Milliseconds()).Int("answers", w.answers).Int("failed", w.failed).
 		Str("upstream", c.upstream.ID).Float64("requests", tenths(c.requests)).Int("slots", c.upstream.Slots).
 		Str("by_load", loadText(sr.evidence.ownLoads)).Str("all_by_load", loadText(sr.evidence.allLoads())).Msg("")
 }
 
-// allSent returns the numbers of requests that all hosts sent since the order.
-func (e *evidence) allSent() exchange.SentCounts {
-	sum := e.ownSent
-	sum.Add(e.remoteSent)
-	return sum
-}
-
 // allLoads returns the new version's answers on all hosts by the load of their upstream.
 func (e *evidence) allLoads() exchange.LoadCounts {
 	sum := e.ownLoads
@@ -115,14 +84,3 @@
 	}
 	return strings.Join(list, " ")
 }
-
-// logSent logs what was sent to the new version, beside what is permitted, and the requests in progress.
-func (ro *rollouts) logSent(sr *serviceRollout, cause string) {
-	own, all := sr.evidence.ownSent, sr.evidence.allSent()
-	ro.log.Info().Str("event", "rollout-sent").Str("service", sr.order.Service).Str("version", sr.order.Version).Str("cause", cause).
-		Int("own_new", own.New).Int("own_all", own.All).Int("new", all.New).Int("all", all.All).
-		Float64("permitted", tenths(ro.settings.CanaryShare*float64(all.All)+ro.settings.CanaryHeadroom)).
-		Float64("request_share", math.Round(100*sr.requestShare)/100).Float64("session_share", math.Round(100*sr.sessionShare)/100).
-		Int("own_sessions", sr.evidence.ownSessionSent).Int("hosts_below", sr.evidence.remoteBelowFullLoad).
-		Float64("planned_rate", tenths(sr.peakRate)).Str("by_load", loadText(sr.evidence.allLoads())).Msg("")
-}
