gateway: the full load keeps a reserve when it begins, and counts from the other hosts' reports on

Cause: the full load began as soon as what was permitted just covered the rest at the planned rate, and the rate of the last second is known to some 25%. Completions were late since the answers of the 0.3 s until the other hosts' reports arrive didn't count as full load, though the reports were 0.15 s old.

Requests of one exchange interval are kept in reserve, and the label begins one interval back.

--- a/internal/gateway/exposure.go
+++ b/internal/gateway/exposure.go
@@ -15,6 +15,8 @@
 	rateFallTime   = 2 * time.Second
 	// sentCountAge is the age that the other hosts' numbers of requests can have: a report and a reply.
 	sentCountAge = 2 * exchange.Interval
+	// fullLoadReserve is the time at the present rate for which requests are kept in reserve when the full load begins.
+	fullLoadReserve = exchange.Interval
 )
 
 // countSent counts a request that is sent to an upstream of the service while the roll-out is in progress.
--- a/internal/gateway/fullload.go
+++ b/internal/gateway/fullload.go
@@ -41,6 +41,11 @@
 // send it all requests.
 func (sr *serviceRollout) updateFullLoad(now time.Time) {
 	hosts := 1 + sr.evidence.remoteHosts
+	if !sr.sendsAllToNew() {
+		sr.allToNewSince = time.Time{}
+	} else if sr.allToNewSince.IsZero() {
+		sr.allToNewSince = now
+	}
 	switch {
 	case !sr.sendsAllToNew() || float64(sr.evidence.remoteBelowFullLoad) > maxHostsBelowFullLoad*float64(hosts):
 		if !sr.fullLoadSince.IsZero() && len(sr.fullLoad) < maxFullLoadSpans {
@@ -48,7 +53,11 @@
 		}
 		sr.fullLoadSince = time.Time{}
 	case sr.fullLoadSince.IsZero():
-		sr.fullLoadSince = now
+		// The other hosts' reports are at least exchange.Interval old.
+		sr.fullLoadSince = now.Add(-exchange.Interval)
+		if sr.fullLoadSince.Before(sr.allToNewSince) {
+			sr.fullLoadSince = sr.allToNewSince
+		}
 	}
 }
 
--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -112,8 +112,8 @@
 }
 
 // shareWithin returns the share at the given fraction of the duration if the new version may get the given number of
-// requests until the end of the duration. reserve is what is kept of them when the full load begins; half of it may be missing
-// later. Both are fractions of the requests in the duration at the present rate. If the rest of the ramp exceeds the number, because more was sent than
+// requests until the end of the duration. reserve is what is kept of them when the full load begins; half of it may be missing later, so
+// that the version doesn't lose the full load by chance. Both are fractions of the requests in the duration at the present rate. If the rest of the ramp exceeds the number, because more was sent than
 // planned or the rate has risen, the share stays at the initial one until all requests until the end may run on the
 // new version.
 func (r ramp) shareWithin(progress, requests, reserve float64, atFullLoad bool) float64 {
@@ -125,7 +125,7 @@
 		reserve = -reserve / 2
 	}
 	switch {
-	case r.used(1)-r.used(progress) <= requests:
+	case r.used(1)-r.used(progress) <= requests-reserve:
 		return r.share(progress)
 	case left <= requests-reserve:
 		return 1
--- a/internal/gateway/ramp_test.go
+++ b/internal/gateway/ramp_test.go
@@ -91,9 +91,10 @@
 	r := newRamp(0.15, 0)
 	is.Equal(r.shareWithin(0.92, 0.1, 0, false), 1.0)
 	is.Equal(r.shareWithin(0.92, 0.07, 0, false), r.initialShare)
-	is.Equal(r.shareWithin(0.95, 0.06, 0.02, false), 1.0) // the ramp itself is permitted
+	is.Equal(r.shareWithin(0.95, 0.06, 0.02, false), r.initialShare) // the reserve isn't permitted
+	is.Equal(r.shareWithin(0.95, 0.08, 0.02, false), 1.0)
 	is.Equal(r.shareWithin(0.95, 0.04, 0, true), r.initialShare)
-	is.Equal(r.shareWithin(0.97, 0.04, 0.02, false), 1.0)
+	is.Equal(r.shareWithin(0.97, 0.06, 0.02, false), 1.0)
 	is.Equal(r.shareWithin(0.5, -0.1, 0, false), 0.0)
 	is.Equal(r.shareWithin(1.1, -0.1, 0, false), 1.0)
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -87,7 +87,9 @@
 	evidence   evidence
 	// fullLoad holds the times of the full load that are over, the oldest first.
 	fullLoad []timeSpan
-	// fullLoadSince is when this host observed that the new version gets all requests; zero while
+	// allToNewSince is since when this host has sent all requests to the new version; zero while it doesn't.
+	allToNewSince time.Time
+	// fullLoadSince is since when the new version has got all requests, as far as this host observed; zero while
 	// it doesn't.
 	fullLoadSince time.Time
 	// watch is what is observed of the new version after its completion, which this host received at completedAt. loadLimit is
@@ -451,7 +453,7 @@
 	rate, headroom := sent.meanRate, sent.headroom
 	requests, sessions := ro.requestRamp.withHeadroom(headroom, rate, duration), ro.sessionRamp.withHeadroom(headroom, rate, duration)
 	permitted := sent.permittedRest(ro.settings.CanaryShare, sr.meanRecentShare(), progress, duration)
-	reserve := sent.rate * exchange.Interval.Seconds() / sent.inDuration(duration)
+	reserve := sent.rate * fullLoadReserve.Seconds() / sent.inDuration(duration)
 	// A session that runs on the new version stays there.
 	sr.sessionShare = max(sr.sessionShare, sessions.shareWithin(progress, permitted, reserve, sr.sessionShare >= 1))
 	sr.requestShare = requests.shareWithin(progress, permitted, reserve, sr.requestShare >= 1)
