--- a/internal/gateway/loadlimit.go
+++ b/internal/gateway/loadlimit.go
@@ -144,6 +144,9 @@
 	if s.brittle.Active(now) && s.hasBrittleSlotsSoon(regions, now) {
 		return true
 	}
+	if s.loadLimit.slots == 0 {
+		return false
+	}
 	for _, m := range s.members {
 		if regions.allows(m.Zone) && m.inService(now) && !m.loadLimitAllows(now) {
 			return true
--- a/internal/gateway/ramp.go
+++ b/internal/gateway/ramp.go
@@ -112,10 +112,12 @@
 }
 
 // shareWithin returns the share at the given fraction of the duration if the new version may get the given number of
-// requests until the end of the duration. reserve is what is kept of them when the full load begins; half of it may be missing later, so
-// that the version doesn't lose the full load by chance. Both are fractions of the requests in the duration at the present rate. If the rest of the ramp exceeds the number, because more was sent than
-// planned or the rate has risen, the share stays at the initial one until all requests until the end may run on the
-// new version.
+// requests until the end of the duration. reserve is the part of the number that is kept when the full load begins. At
+// full load, half of it may be missing, so that the version doesn't lose the full load by chance. Both are fractions of
+// the requests in the duration at the present rate.
+//
+// If the rest of the ramp exceeds the number, because more was sent than planned or the rate has risen, the share stays at
+// the initial one until all requests up to the end may run on the new version.
 func (r ramp) shareWithin(progress, requests, reserve float64, atFullLoad bool) float64 {
 	left := 1 - progress
 	if left <= 0 {
--- a/internal/gateway/sendpolicy.go
+++ b/internal/gateway/sendpolicy.go
@@ -143,8 +143,8 @@
 // upstreamCounts holds the number of upstreams that are in service, and the numbers of those among
 // them that are cold, in an evacuated zone, or rate-limited. Upstreams in evacuated zones aren't
 // counted as cold. backingOff is the number of those that are neither and accept no requests of this
-// host because of a backoff, because they are brittle or because their version fails above their load. leaving is the number of listed upstreams that aren't in service because
-// they are leaving.
+// host because of a backoff, because they are brittle or because their version fails above their load. leaving is the
+// number of listed upstreams that aren't in service because they are leaving.
 type upstreamCounts struct{ inService, cold, evacuated, limited, backingOff, leaving int }
 
 // allLimited reports whether rate limits concern all upstreams in service that aren't cold or in an
