gateway, exchange: one type for the bits of upstreams, names and comments after a last reading; behaviour unchanged

Cause: LoadCounts repeated the bits of Tally; sentWhileBrittle is also used under a load limit; a comment gave a span of a second that is half of one. Measured: the tests of both packages that concern them pass; messages keep their fields.

--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -16,11 +16,18 @@
 	// Abandoned is the number of attempts that ended because the caller left or the deadline passed.
 	// Those that had no answer by then aren't among Answers.
 	Abandoned int `json:"abandoned,omitempty"`
-	// BadUpstreamBits has the bit hash(upstream) modulo 64 set for each upstream that gave a
-	// failed or slow answer.
-	BadUpstreamBits uint64 `json:"from,omitempty"`
+	// BadUpstreamBits holds the upstreams that gave failed or slow answers.
+	BadUpstreamBits upstreamBits `json:"from,omitempty"`
 }
 
+// upstreamBits has the bit hash(upstream) modulo 64 set for each upstream of a set.
+type upstreamBits uint64
+
+func (b *upstreamBits) add(upstream string) { *b |= 1 << (hash(upstream) % 64) }
+
+// minCount returns a lower bound of the number of upstreams. Two of them may have the same bit.
+func (b upstreamBits) minCount() int { return bits.OnesCount64(uint64(b)) }
+
 // Add adds another host's counts.
 func (t *Tally) Add(o Tally) {
 	t.Answers += o.Answers
@@ -32,12 +39,12 @@
 
 // AddBadUpstream records the upstream that gave a failed or slow answer.
 func (t *Tally) AddBadUpstream(upstream string) {
-	t.BadUpstreamBits |= 1 << (hash(upstream) % 64)
+	t.BadUpstreamBits.add(upstream)
 }
 
 // MinBadUpstreams returns a lower bound of the number of upstreams that gave failed or slow
 // answers. Two upstreams may have the same bit.
-func (t *Tally) MinBadUpstreams() int { return bits.OnesCount64(t.BadUpstreamBits) }
+func (t *Tally) MinBadUpstreams() int { return t.BadUpstreamBits.minCount() }
 
 // VersionTallies holds, for one route, the counts of the version that is being rolled out and of
 // the previous one.
--- a/internal/exchange/versionload.go
+++ b/internal/exchange/versionload.go
@@ -1,7 +1,5 @@
 package exchange
 
-import "math/bits"
-
 // LoadBuckets is the number of buckets of LoadCounts.
 const LoadBuckets = 16
 
@@ -10,8 +8,8 @@
 type LoadCounts struct {
 	Answers [LoadBuckets]int `json:"answers"`
 	Failed  [LoadBuckets]int `json:"failed"`
-	// FailedUpstreamBits has the bit hash(upstream) modulo 64 set for each upstream that failed a request.
-	FailedUpstreamBits uint64 `json:"from,omitempty"`
+	// FailedUpstreamBits holds the upstreams that failed requests.
+	FailedUpstreamBits upstreamBits `json:"from,omitempty"`
 }
 
 // LoadBucket returns the bucket of LoadCounts for a number of requests at an upstream with the given slots.
@@ -25,7 +23,7 @@
 // CountFailure counts an answer of the upstream, which was counted as begun, as failed.
 func (c *LoadCounts) CountFailure(bucket int, upstream string) {
 	c.Failed[bucket]++
-	c.FailedUpstreamBits |= 1 << (hash(upstream) % 64)
+	c.FailedUpstreamBits.add(upstream)
 }
 
 // TotalFailed returns the number of failed answers.
@@ -46,7 +44,7 @@
 	c.FailedUpstreamBits |= o.FailedUpstreamBits
 }
 
-// Halve halves the counts, so that later answers outweigh earlier ones.
+// Halve halves the counts, so that later answers count for more than earlier ones.
 func (c *LoadCounts) Halve() {
 	for i := range LoadBuckets {
 		c.Answers[i] /= 2
@@ -54,6 +52,5 @@
 	}
 }
 
-// MinFailedUpstreams returns a lower bound of the number of upstreams that failed requests. Two upstreams may have
-// the same bit.
-func (c *LoadCounts) MinFailedUpstreams() int { return bits.OnesCount64(c.FailedUpstreamBits) }
+// MinFailedUpstreams returns a lower bound of the number of upstreams that failed requests.
+func (c *LoadCounts) MinFailedUpstreams() int { return c.FailedUpstreamBits.minCount() }
--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -176,7 +176,7 @@
 		return 0
 	}
 	unseen := 0
-	for _, sentAt := range m.usage.sentWhileBrittle {
+	for _, sentAt := range m.usage.sentWhileBounded {
 		if now.Sub(sentAt) <= age {
 			unseen++
 		}
@@ -290,19 +290,19 @@
 	return l.mean * math.Exp(-float64(now.Sub(l.reportedAt))/float64(recentLoadRetention))
 }
 
-// recordBrittleSend records when a request was sent to an upstream that may be brittle or whose load is limited; endBrittleSend
+// recordBoundedSend records when a request was sent to an upstream that may be brittle or whose load is limited; endBoundedSend
 // that it is over.
-func (m *member) recordBrittleSend(c *choice) {
+func (m *member) recordBoundedSend(c *choice) {
 	if m.shard.brittle.Active(c.chosenAt) || m.shard.loadLimit.slots > 0 {
 		u := m.ensureUsage()
-		u.sentWhileBrittle = append(u.sentWhileBrittle, c.chosenAt)
+		u.sentWhileBounded = append(u.sentWhileBounded, c.chosenAt)
 	}
 }
 
-func (m *member) endBrittleSend(c *choice) {
+func (m *member) endBoundedSend(c *choice) {
 	if u := m.usage; u != nil {
-		if i := slices.Index(u.sentWhileBrittle, c.chosenAt); i >= 0 {
-			u.sentWhileBrittle = slices.Delete(u.sentWhileBrittle, i, i+1)
+		if i := slices.Index(u.sentWhileBounded, c.chosenAt); i >= 0 {
+			u.sentWhileBounded = slices.Delete(u.sentWhileBounded, i, i+1)
 		}
 	}
 }
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -69,7 +69,7 @@
 	// hosts counted.
 	ownSent, remoteSent   exchange.SentCounts
 	ownLoads, remoteLoads exchange.LoadCounts
-	// formerSent holds ownSent.All as of the last ticks of a second, the oldest first.
+	// formerSent holds ownSent.All at each rolloutInterval of the last recentSentSpan, the oldest first.
 	formerSent []int
 	// ownSessionSent is the part of ownSent.All that belongs to sessions.
 	ownSessionSent int
--- a/internal/gateway/exposure.go
+++ b/internal/gateway/exposure.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// recentSentSpan is the time over which the recent rate of requests is measured. rateFallTime is the time constant with
-	// which the rate that is planned with falls, so that a gap in the traffic isn't taken for its end.
+	// recentSentSpan is the span of the recent rate of requests. rateFallTime is the time constant with which sentRequests.rate
+	// falls, so that a gap in the traffic isn't taken for its end.
 	recentSentSpan = 500 * time.Millisecond
 	rateFallTime   = 2 * time.Second
 	// sentCountAge is the age that the other hosts' numbers of requests can have: a report and a reply.
@@ -56,7 +56,8 @@
 // sentRequests holds what was sent since the order of a roll-out, and what is permitted beyond a share of it.
 type sentRequests struct {
 	exchange.SentCounts
-	// meanRate and rate are numbers of requests a second: the mean since the order, and the one that is planned with.
+	// meanRate and rate are numbers of requests a second: the mean since the order, and the one that is assumed for the rest of
+	// the roll-out.
 	meanRate, rate float64
 	// headroom is the number of requests that the new version may get beyond its share.
 	headroom float64
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -87,9 +87,9 @@
 	// sent counts the most recent requests of this host to the upstream, by which the bound for
 	// cold upstreams is enforced.
 	sent ratelease.Window
-	// sentWhileBrittle are the times at which this host's requests in flight were sent while the service
+	// sentWhileBounded are the times at which this host's requests in flight were sent while the service
 	// was brittle or its load limited.
-	sentWhileBrittle []time.Time
+	sentWhileBounded []time.Time
 
 	// reportedLoad is the number of requests, running and waiting, that the upstream reported at
 	// reportedAt, when ownAtReport requests of this host were in flight there.
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -43,7 +43,7 @@
 func (m *member) startRequest(c *choice) {
 	m.inFlight++
 	m.shard.inUse[m] = struct{}{}
-	m.recordBrittleSend(c)
+	m.recordBoundedSend(c)
 	m.shard.runTimes.Start(boottime.SinceStart(c.chosenAt))
 	if c.criteria.prompt == nil {
 		return
@@ -62,7 +62,7 @@
 	if m.inFlight--; m.inFlight == 0 {
 		delete(m.shard.inUse, m)
 	}
-	m.endBrittleSend(c)
+	m.endBoundedSend(c)
 	m.endMemory(c, boottime.Now())
 	if c.prefill != nil {
 		// The answer never began, so the prompt may not be cached.
