feed: a test of an empty update sets the store's answers before the watcher starts

It started the watcher before it set the store's answers, so that the first call could get the former one, which is held to the end.

Change: the answers are a parameter of the function that starts the watcher, and they get the callback for received parts. The checks are the same.

--- a/internal/feed/answerparts_test.go
+++ b/internal/feed/answerparts_test.go
@@ -172,7 +172,7 @@
 		is := is.New(t)
 		const storeDelay = 3 * time.Second
 		began := time.Now()
-		w, source, seen, _ := relayedWatcherOf(t, Options{}, func(context.Context, storage.Revision) (Page, error) {
+		w, source, seen, _ := relayedWatcherOf(t, Options{}, func(context.Context, storage.Revision, OnReceived) (Page, error) {
 			time.Sleep(time.Millisecond) // a round trip
 			if time.Since(began) < storeDelay {
 				return Page{Revision: 5}, nil
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -25,28 +25,31 @@
 // storeAnswers is the function that answers calls for changes. The test replaces it while a
 // watcher runs.
 type storeAnswers struct {
-	atomic.Pointer[func(ctx context.Context, since storage.Revision) (Page, error)]
+	atomic.Pointer[changesAnswer]
 }
 
-func (a *storeAnswers) set(f func(ctx context.Context, since storage.Revision) (Page, error)) {
-	a.Store(&f)
-}
+// changesAnswer answers a call for the changes since a revision.
+type changesAnswer func(ctx context.Context, since storage.Revision, received OnReceived) (Page, error)
+
+func (a *storeAnswers) set(f changesAnswer) { a.Store(&f) }
 
 // relayedWatcher runs a watcher that reads its table from the store. The store holds every call
 // for changes until the test sets other answers. The test offers updates to the watcher.
 func relayedWatcher(t *testing.T, options Options) (*Watcher, *scriptedSource, *recorder, *storeAnswers) {
 	t.Helper()
-	return relayedWatcherOf(t, options, func(ctx context.Context, _ storage.Revision) (Page, error) { return hang(ctx) })
+	return relayedWatcherOf(t, options, func(ctx context.Context, _ storage.Revision, _ OnReceived) (Page, error) { return hang(ctx) })
 }
 
 // relayedWatcherOf is relayedWatcher with the store's answers to calls for changes.
-func relayedWatcherOf(t *testing.T, options Options, changes func(context.Context, storage.Revision) (Page, error)) (*Watcher, *scriptedSource, *recorder, *storeAnswers) {
+func relayedWatcherOf(t *testing.T, options Options, changes changesAnswer) (*Watcher, *scriptedSource, *recorder, *storeAnswers) {
 	t.Helper()
 	var a storeAnswers
 	a.set(changes)
 	source := &scriptedSource{
-		list:    func(int) (Page, error) { return Page{Revision: 5}, nil },
-		changes: func(ctx context.Context, _ int, since storage.Revision) (Page, error) { return (*a.Load())(ctx, since) },
+		list: func(int) (Page, error) { return Page{Revision: 5}, nil },
+	}
+	source.changes = func(ctx context.Context, _ int, since storage.Revision) (Page, error) {
+		return (*a.Load())(ctx, since, source.received)
 	}
 	seen := &recorder{}
 	w := NewWatcher("t", source, seen, options, zerolog.Nop())
@@ -89,7 +92,7 @@
 		// The store is called soon after the last update. It holds the calls briefly at first, and
 		// then for as long as those of a host without a hub.
 		var calls, hold atomic.Int64
-		answers.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
+		answers.set(func(ctx context.Context, _ storage.Revision, _ OnReceived) (Page, error) {
 			calls.Add(1)
 			hold.Store(int64(source.hold))
 			time.Sleep(source.hold)
@@ -124,7 +127,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w, source, _, store := relayedWatcher(t, Options{FirstUpdateWait: firstUpdateWait, Relays: func() bool { return test.relays }})
-				store.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
+				store.set(func(ctx context.Context, _ storage.Revision, _ OnReceived) (Page, error) {
 					select {
 					case <-ctx.Done():
 						return Page{}, ctx.Err()
@@ -163,7 +166,7 @@
 		w, source, seen, store := relayedWatcher(t, Options{})
 		offerRepeatedly(w, Update{Since: 5, Revision: 5, Complete: true}, 8*time.Second)
 		polls := source.changesCalls
-		store.set(func(_ context.Context, since storage.Revision) (Page, error) {
+		store.set(func(_ context.Context, since storage.Revision, _ OnReceived) (Page, error) {
 			is.Equal(since, storage.Revision(5))
 			return Page{Rows: rows(9), Revision: 9}, nil
 		})
@@ -281,7 +284,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w, _, seen, store := relayedWatcher(t, Options{})
-		store.set(func(context.Context, storage.Revision) (Page, error) { return Page{}, errors.New("refused") })
+		store.set(func(context.Context, storage.Revision, OnReceived) (Page, error) {
+			return Page{}, errors.New("refused")
+		})
 		time.Sleep(10 * time.Second)
 		is.True(w.Unreachable())
 		offerRepeatedly(w, Update{Since: 5, Revision: 6, Complete: true, Rows: rows(6)}, 3*time.Second)
@@ -302,7 +307,7 @@
 		synctest.Wait()
 		is.Equal(source.changesCalls, 1)
 		is.Equal(source.hold, DefaultHold)
-		store.set(func(ctx context.Context, _ storage.Revision) (Page, error) {
+		store.set(func(ctx context.Context, _ storage.Revision, _ OnReceived) (Page, error) {
 			select {
 			case <-ctx.Done():
 				return Page{}, ctx.Err()
@@ -347,7 +352,7 @@
 			data[i] = byte(i * i * 31 >> 3)
 		}
 		w, _, _, store := relayedWatcher(t, Options{})
-		store.set(func(ctx context.Context, since storage.Revision) (Page, error) {
+		store.set(func(ctx context.Context, since storage.Revision, _ OnReceived) (Page, error) {
 			if since < 6 {
 				return Page{Rows: []Row{{Key: "k", Revision: 6, Data: data}}, Revision: 6}, nil
 			}
--- a/internal/feed/relaywait_test.go
+++ b/internal/feed/relaywait_test.go
@@ -147,12 +147,11 @@
 func TestEmptyUpdateDoesNotEndAnArrivingAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w, source, seen, answers := relayedWatcher(t, Options{})
-		answers.set(func(ctx context.Context, since storage.Revision) (Page, error) {
+		w, _, seen, _ := relayedWatcherOf(t, Options{}, func(ctx context.Context, since storage.Revision, received OnReceived) (Page, error) {
 			if since >= 9 {
 				return hang(ctx)
 			}
-			if err := receiveParts(ctx, source.received, 2*time.Second); err != nil {
+			if err := receiveParts(ctx, received, 2*time.Second); err != nil {
 				return Page{}, err
 			}
 			return Page{Rows: rows(9), Revision: 9}, nil
