gateway: computing the rate of a roll-out changes no state; fields in order

Cause: sentSinceOrder reads as a query, but moved the peak rate on; fields of shard that belong together were apart.

Change: nextPeakRate is pure, and raiseShares, which alone calls sentSinceOrder, records its result once each interval. Behaviour stays as it was.

--- a/internal/gateway/exposure.go
+++ b/internal/gateway/exposure.go
@@ -56,9 +56,9 @@
 // sentRequests holds what was sent since the order of a roll-out, and what is permitted beyond a share of it.
 type sentRequests struct {
 	exchange.SentCounts
-	// meanRate and rate are numbers of requests a second: the mean since the order, and the one that is assumed for the rest of
-	// the roll-out.
-	meanRate, rate float64
+	// meanRate, recentRate and rate are numbers of requests a second: the mean since the order, that of the last recentSentSpan,
+	// and the one that is assumed for the rest of the roll-out.
+	meanRate, recentRate, rate float64
 	// headroom is the number of requests that the new version may get beyond its share.
 	headroom float64
 }
@@ -71,13 +71,17 @@
 		sent.SentCounts, sent.headroom = sr.evidence.ownSent, 0
 	}
 	sent.meanRate = float64(sent.All) / max(boottime.Since(sr.receivedAt).Seconds(), 1)
-	recent := float64(sent.Recent) / recentSentSpan.Seconds()
-	sr.peakRate += (recent - sr.peakRate) * float64(rolloutInterval) / float64(rateFallTime)
-	sr.peakRate = max(sr.peakRate, recent)
-	sent.rate = max(sent.meanRate, sr.peakRate)
+	sent.recentRate = float64(sent.Recent) / recentSentSpan.Seconds()
+	sent.rate = max(sent.meanRate, sr.nextPeakRate(sent.recentRate))
 	return sent
 }
 
+// nextPeakRate returns peakRate after a rolloutInterval with the given recent rate.
+func (sr *serviceRollout) nextPeakRate(recent float64) float64 {
+	falling := sr.peakRate + (recent-sr.peakRate)*float64(rolloutInterval)/float64(rateFallTime)
+	return max(falling, recent)
+}
+
 // recordShare records the new version's share of all requests from now on.
 func (sr *serviceRollout) recordShare() {
 	if len(sr.recentShares) == int(sentCountAge/rolloutInterval) {
@@ -110,7 +114,7 @@
 	return max(1, s.rate*duration.Seconds())
 }
 
-// logSent logs what was sent to the new version, beside what is permitted, and the requests in progress.
+// logSent logs what was sent to the new version, beside what is permitted, and its answers by load.
 func (ro *rollouts) logSent(sr *serviceRollout, cause string) {
 	own, all := sr.evidence.ownSent, sr.evidence.allSent()
 	ro.log.Info().Str("event", "rollout-sent").Str("service", sr.order.Service).Str("version", sr.order.Version).Str("cause", cause).
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -98,12 +98,12 @@
 	coldBound ratelease.ColdBound
 	coldStart time.Duration
 	// brittle is what the upstreams state about rejections. Its gain was updated last at brittleGainAt.
-	brittle notice.Brittle
+	brittle       notice.Brittle
+	brittleGainAt time.Time
 	// loadWatched is set while answers are counted by load, for which the hosts exchange the load of the upstreams.
 	// loadLimit is the limit of a version that fails above some load.
-	loadWatched   bool
-	loadLimit     versionLoadLimit
-	brittleGainAt time.Time
+	loadWatched bool
+	loadLimit   versionLoadLimit
 	// recentSlotLoad is the mean load by the upstreams' last reports to this host.
 	recentSlotLoad recentLoad
 	// runTimes are the times for which this host's requests are at the upstreams.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -449,6 +449,7 @@
 		return
 	}
 	sent := ro.sentSinceOrder(sr)
+	sr.peakRate = sr.nextPeakRate(sent.recentRate)
 	progress, duration := ro.progress(sr), sr.order.Duration
 	rate, headroom := sent.meanRate, sent.headroom
 	requests, sessions := ro.requestRamp.withHeadroom(headroom, rate, duration), ro.sessionRamp.withHeadroom(headroom, rate, duration)
