gateway: a load limit ends some minutes after its version's answers were last counted

Callers saw: after the next order, requests to the former version were limited for good, also where the new version was reverted, however well it then bore the load; versions_load_limited stayed at 1.

Cause: the limit was taken back by the roll-out that had set it, and the next order replaces that one.

Change: a limit holds for two half-lives of the counts from the last time that they called for it.

Measured: TestLoadLimitEndsAfterTheNextOrder failed before ("1 != 0" after two minutes) and passes.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -293,7 +293,7 @@
 // recordBoundedSend records when a request was sent to an upstream that may be brittle or whose load is limited; endBoundedSend
 // that it is over.
 func (m *member) recordBoundedSend(c *choice) {
-	if m.shard.brittle.Active(c.chosenAt) || m.shard.loadLimit.slots > 0 {
+	if m.shard.brittle.Active(c.chosenAt) || m.shard.loadLimit.inForce(c.chosenAt) {
 		u := m.ensureUsage()
 		u.sentWhileBounded = append(u.sentWhileBounded, c.chosenAt)
 	}
--- a/internal/gateway/loadlimit.go
+++ b/internal/gateway/loadlimit.go
@@ -19,15 +19,22 @@
 	// used to decide whether this host's counts are reported, which has no other effect.
 	loadLimitAlpha   = 0.01
 	suspectLoadAlpha = 1
+	// loadLimitMaxAge is the time after which a limit ends unless the counts still call for it, as after the order of another
+	// version, when its version's answers aren't counted any more.
+	loadLimitMaxAge = 2 * loadCountsHalfLife
 )
 
 // versionLoadLimit bounds the requests at each upstream of a version.
 type versionLoadLimit struct {
 	version string
-	// slots is the fraction of an upstream's slots that may be in use; 0 if there is no limit.
+	// slots is the fraction of an upstream's slots that may be in use until the given time; 0 if there is no limit.
 	slots float64
+	until time.Time
 }
 
+// inForce reports whether the limit applies.
+func (l *versionLoadLimit) inForce(now time.Time) bool { return l.slots > 0 && now.Before(l.until) }
+
 // updateLoadLimit limits the requests at each upstream of a completed version to the load below which it doesn't fail more
 // often than usual. More can't be served: no other version is left.
 func (ro *rollouts) updateLoadLimit(sr *serviceRollout, now time.Time) {
@@ -36,16 +43,18 @@
 	if sr.running() {
 		return
 	}
-	limit := versionLoadLimit{version: sr.order.Version}
+	limit := versionLoadLimit{version: sr.order.Version, until: now.Add(loadLimitMaxAge)}
 	if watched {
 		sr.halveLoads(now)
 		limit.slots = sr.evidence.limitedSlots(ro.fleet.countVersion(sr.order.Service, sr.order.Version))
 	}
+	if limit.slots > 0 || sr.loadLimit > 0 {
+		ro.fleet.setLoadLimit(sr.order.Service, limit)
+	}
 	if limit.slots == sr.loadLimit {
 		return
 	}
 	sr.loadLimit = limit.slots
-	ro.fleet.setLoadLimit(sr.order.Service, limit)
 	ro.log.Warn().Str("event", "version-load-limit").Str("service", sr.order.Service).Str("version", sr.order.Version).
 		Float64("slots_in_use", limit.slots).Int64("since_ms", now.Sub(sr.completedAt).Milliseconds()).
 		Str("by_load", loadText(sr.evidence.ownLoads)).Str("all_by_load", loadText(sr.evidence.allLoads())).Msg("")
@@ -117,9 +126,9 @@
 
 // countLoadLimits returns the number of services with a version whose load is limited.
 func (f *Fleet) countLoadLimits() int {
-	limited := 0
+	limited, now := 0, boottime.Now()
 	f.eachShard(func(s *shard) {
-		if s.loadLimit.slots > 0 {
+		if s.loadLimit.inForce(now) {
 			limited++
 		}
 	})
@@ -131,7 +140,7 @@
 // The caller holds the shard's lock.
 func (m *member) loadLimitAllows(now time.Time) bool {
 	limit := m.shard.loadLimit
-	if limit.slots == 0 || limit.version != m.Version {
+	if !limit.inForce(now) || limit.version != m.Version {
 		return true
 	}
 	unseen := m.unseenSends(now, m.brittleLoad(now).age) * max(0, m.shard.policy.census.count()-1)
@@ -144,7 +153,7 @@
 	if s.brittle.Active(now) && s.hasBrittleSlotsSoon(regions, now) {
 		return true
 	}
-	if s.loadLimit.slots == 0 {
+	if !s.loadLimit.inForce(now) {
 		return false
 	}
 	for _, m := range s.members {
