gateway: changes of a load limit are logged at most once a second

Cause: each change was logged, and the limit is computed ten times a second.

Change: a line a second at most, with the limit as it then is.

--- a/internal/gateway/loadlimit.go
+++ b/internal/gateway/loadlimit.go
@@ -22,6 +22,8 @@
 	// loadLimitMaxAge is the time after which a limit ends unless the counts still call for it, as after the order of another
 	// version, when its version's answers aren't counted any more.
 	loadLimitMaxAge = 2 * loadCountsHalfLife
+	// loadLimitLogInterval is the shortest time between two lines on changes of a limit.
+	loadLimitLogInterval = time.Second
 )
 
 // versionLoadLimit bounds the requests at each upstream of a version.
@@ -35,6 +37,21 @@
 // inForce reports whether the limit applies.
 func (l *versionLoadLimit) inForce(now time.Time) bool { return l.slots > 0 && now.Before(l.until) }
 
+// loadLimitLog is the last limit that was logged.
+type loadLimitLog struct {
+	slots float64
+	at    time.Time
+}
+
+// due reports whether the limit has to be logged, and records it then.
+func (l *loadLimitLog) due(slots float64, now time.Time) bool {
+	if slots == l.slots || now.Sub(l.at) < loadLimitLogInterval {
+		return false
+	}
+	l.slots, l.at = slots, now
+	return true
+}
+
 // updateLoadLimit limits the requests at each upstream of a completed version to the load below which it doesn't fail more
 // often than usual. More can't be served: no other version is left.
 func (ro *rollouts) updateLoadLimit(sr *serviceRollout, now time.Time) {
@@ -51,10 +68,10 @@
 	if limit.slots > 0 || sr.loadLimit > 0 {
 		ro.fleet.setLoadLimit(sr.order.Service, limit)
 	}
-	if limit.slots == sr.loadLimit {
+	sr.loadLimit = limit.slots
+	if !sr.limitLog.due(limit.slots, now) {
 		return
 	}
-	sr.loadLimit = limit.slots
 	ro.log.Warn().Str("event", "version-load-limit").Str("service", sr.order.Service).Str("version", sr.order.Version).
 		Float64("slots_in_use", limit.slots).Int64("since_ms", now.Sub(sr.completedAt).Milliseconds()).
 		Str("by_load", loadText(sr.evidence.ownLoads)).Str("all_by_load", loadText(sr.evidence.allLoads())).Msg("")
--- a/internal/gateway/loadlimit_test.go
+++ b/internal/gateway/loadlimit_test.go
@@ -24,3 +24,18 @@
 		is.Equal(g.fleet.countLoadLimits(), 0)
 	})
 }
+
+// A limit between two loads that fail about as often was logged ten times a second.
+func TestChangesOfALoadLimitAreLoggedOnceASecond(t *testing.T) {
+	is := is.New(t)
+	var l loadLimitLog
+	now, lines := time.Now(), 0
+	for i := range 100 {
+		if l.due(0.25+float64(i%2)/16, now.Add(time.Duration(i)*rolloutInterval)) {
+			lines++
+		}
+	}
+	is.True(lines <= int(100*rolloutInterval/loadLimitLogInterval)+1)
+	is.True(l.due(0, now.Add(time.Minute)))
+	is.True(!l.due(0, now.Add(2*time.Minute))) // unchanged
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -93,11 +93,12 @@
 	// it doesn't.
 	fullLoadSince time.Time
 	// watch is what is observed of the new version after its completion, which this host received at completedAt. loadLimit is
-	// the fraction of an upstream's slots that may then be in use; 0 if there is no limit. The counts by load were halved last
-	// at loadsHalvedAt.
+	// the fraction of an upstream's slots that may then be in use; 0 if there is no limit. limitLog is what was logged of it. The
+	// counts by load were halved last at loadsHalvedAt.
 	watch         completedWatch
 	completedAt   time.Time
 	loadLimit     float64
+	limitLog      loadLimitLog
 	loadsHalvedAt time.Time
 	// inconclusive is set if enough of the roll-out's duration has passed to complete it, but the
 	// evidence doesn't suffice for that.
