--- a/internal/e2e/gateway_test.go
+++ b/internal/e2e/gateway_test.go
@@ -57,6 +57,8 @@
 	// memoryMB and descriptors are the limits in the hosts' settings; 0 for 256 MB and no limit of
 	// descriptors.
 	memoryMB, descriptors int
+	// canaryHeadroom is the number of requests that a new version may get beyond its share.
+	canaryHeadroom int
 }
 
 // gatewayHost is a host that runs a gateway process, which can be restarted.
@@ -73,6 +75,7 @@
 	source string
 	// memoryMB and descriptors are the limits in the settings; 0 for 256 MB and no limit of descriptors.
 	memoryMB, descriptors int
+	canaryHeadroom        int
 }
 
 // newGatewaySystem starts a number of hosts, spread over a number of availability zones.
@@ -106,7 +109,7 @@
 		}
 	}
 	for _, h := range s.gateways {
-		h.memoryMB, h.descriptors = s.memoryMB, s.descriptors
+		h.memoryMB, h.descriptors, h.canaryHeadroom = s.memoryMB, s.descriptors, s.canaryHeadroom
 		h.writeSettings(t, s.seeds(h))
 		s.startGateway(h)
 	}
@@ -219,9 +222,9 @@
 listen: {frontend: %q, ready: %q, control_plane: %q}
 seeds: [%s]
 limits: {memory_mb: %d, file_descriptors: %d}
-bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, session_s: 5, cold_overrun: 1.5, cold_headroom: 5, evacuate_ms: 5000}
+bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_budget_ratio: 0.9, retry_window_s: 10, canary_share: 0.2, canary_headroom: %d, session_s: 5, cold_overrun: 1.5, cold_headroom: 5, evacuate_ms: 5000}
 platform: {address: %q}
-`, h.name, h.zone, h.callerAddr, h.readyAddr, h.peerAddr, strings.Join(seeds, ", "), cmp.Or(h.memoryMB, 256), h.descriptors, documentApplyTime.Milliseconds(), gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.toStore.address())
+`, h.name, h.zone, h.callerAddr, h.readyAddr, h.peerAddr, strings.Join(seeds, ", "), cmp.Or(h.memoryMB, 256), h.descriptors, documentApplyTime.Milliseconds(), gatewayDrain.Milliseconds(), int(gatewayGrace.Seconds()), h.canaryHeadroom, h.toStore.address())
 	if err := os.WriteFile(h.settingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
