--- a/internal/e2e/rolloutsoak_test.go
+++ b/internal/e2e/rolloutsoak_test.go
@@ -73,7 +73,7 @@
 
 // TestRolloutSoak rolls out sound and bad versions while the number of callers jumps, once during the roll-out and once after
 // it. A version must not get more requests than permitted, a sound one is completed, one that fails half of its requests is
-// reverted, and one that fails above a load gets no more requests than it bears once its failures show it.
+// reverted, and one that fails above a load is limited to that load once its failures show it.
 func TestRolloutSoak(t *testing.T) {
 	for _, kind := range []newVersion{soundVersion, failingVersion, underLoadVersion, laterLoadVersion} {
 		for i := range uint64(*rolloutSoakSeeds) {
--- a/internal/gateway/loadlimit_test.go
+++ b/internal/gateway/loadlimit_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// A limit learnt for a version stayed in force for good when the next version was ordered, though its answers weren't counted
+// A limit set for a version stayed in force for good when the next version was ordered, though its answers weren't counted
 // any more.
 func TestLoadLimitEndsAfterTheNextOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/rolloutloadreplay_test.go
+++ b/internal/gateway/rolloutloadreplay_test.go
@@ -15,7 +15,7 @@
 )
 
 // loadReplay plays a roll-out of a service whose answers are streams of seconds, and the time after its
-// completion, with the product's own decisions: hosts choose upstreams by what they know of their load.
+// completion, with the product's own decisions: hosts choose upstreams by the data that they have on their load.
 type loadReplay struct {
 	*rolloutReplay
 	loadCase
@@ -260,7 +260,7 @@
 }
 
 // Before the limit is in force, a completed version that fails above a load must not give as many bad answers as end its use,
-// and with it, it is used as far as it bears.
+// and with it, the version is used up to the load at which its answers fail.
 func TestCompletedVersionIsNotSentMoreThanItBears(t *testing.T) {
 	playLoadLimits(t, func(t *testing.T, p *loadReplay) {
 		is := is.New(t)
